--- /dev/null
+++ b/packages/cli/src/chivepier/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The chivepier command line."""
--- /dev/null
+++ b/packages/membership/src/chivepier/membership/forcetracker.py
@@ -0,0 +1,106 @@
+"""When a committed configuration is in force everywhere."""
+
+import attrs
+
+from chivepier.membership.terms import LeaseTerms
+from chivepier.state import Signal
+from chivepier.types import Clock
+
+
+@attrs.define
+class Pending:
+    """A version that isn't in force yet."""
+
+    version: int
+    committed_at: float
+    blocked_at: float | None = None
+
+
+class ForceTracker:
+    """The leader's record of who has which version.
+
+    A version is in force when every member has acknowledged it, or when no
+    other member can still be acting on an older one.  The latter holds
+    ``outlast`` seconds after two things: the version was committed (leases
+    that the leader granted before have run out) and so many members have it
+    that the others are no majority in any member set still in use (so none
+    of them can renew its lease from a majority).
+    """
+
+    def __init__(self, clock: Clock, terms: LeaseTerms):
+        self._clock = clock
+        self._terms = terms
+        self.in_force = 0
+        self.changed = Signal()
+        self._acked: dict[tuple[str, int], int] = {}
+        self._pending: list[Pending] = []
+        self._sets: list[tuple[int, frozenset]] = [(0, frozenset())]
+
+    def add_version(self, version: int, members: frozenset) -> None:
+        """Note a committed version.
+
+        :param version: the log index
+        :param members: ``(node, incarnation)`` of the members at it
+        """
+        now = self._clock.monotonic()
+        self._pending.append(Pending(version, now))
+        if members != self._sets[-1][1]:
+            self._sets.append((version, members))
+
+    def acknowledge(self, node: str, incarnation: int, version: int) -> None:
+        """Note that a member has applied a version.
+
+        :param node: the member
+        :param incarnation: which run of it
+        :param version: what it has applied
+        """
+        key = (node, incarnation)
+        if version > self._acked.get(key, 0):
+            self._acked[key] = version
+
+    def advance(self) -> int:
+        """Work out the newest version in force.
+
+        :returns: the version
+        """
+        before = self.in_force
+        while self._pending and self._settled(self._pending[0]):
+            self.in_force = self._pending.pop(0).version
+            self._drop_sets()
+        if self.in_force != before:
+            self.changed.set()
+        return self.in_force
+
+    def _drop_sets(self) -> None:
+        while len(self._sets) > 1 and self._sets[1][0] <= self.in_force:
+            self._sets.pop(0)
+        live = frozenset().union(*(members for _, members in self._sets))
+        for key in self._acked.keys() - live:
+            del self._acked[key]
+
+    def _settled(self, pending: Pending) -> bool:
+        sets = [m for at, m in self._sets if at <= pending.version]
+        missing = [self._missing(m, pending.version) for m in sets]
+        if not any(missing):
+            return True
+        if not all(2 * len(a) <= len(m) for a, m in zip(missing, sets)):
+            pending.blocked_at = None
+            return False
+        now = self._clock.monotonic()
+        if pending.blocked_at is None:
+            pending.blocked_at = now
+        start = max(pending.committed_at, pending.blocked_at)
+        return now >= start + self._terms.outlast
+
+    def _missing(self, members: frozenset, version: int) -> list:
+        return [k for k in members if self._acked.get(k, 0) < version]
+
+    def lagging(self) -> list[str]:
+        """Name the members that hold back the newest version.
+
+        :returns: node identifiers, sorted
+        """
+        if not self._pending:
+            return []
+        version = self._pending[-1].version
+        return sorted(n for n, _ in self._missing(self._sets[-1][1], version))
--- /dev/null
+++ b/packages/membership/src/chivepier/membership/leasetable.py
@@ -0,0 +1,43 @@
+"""The leader's table of members' leases."""
+
+from chivepier.membership.terms import LeaseTerms
+from chivepier.types import Clock
+from chivepier.types.messages import Member
+
+
+class LeaseTable:
+    """When each member was last heard, by the current leader.
+
+    A new leader has heard nobody, so it counts every member's time from its
+    own start.
+    """
+
+    def __init__(self, clock: Clock, terms: LeaseTerms):
+        self._clock = clock
+        self._terms = terms
+        self._started = clock.monotonic()
+        self._heard: dict[tuple[str, int], float] = {}
+
+    def hear(self, member: Member) -> None:
+        """Note a renewal.
+
+        :param member: who renewed
+        """
+        key = (member.node, member.incarnation)
+        self._heard[key] = self._clock.monotonic()
+
+    def expired(self, members: list[Member]) -> list[Member]:
+        """Return the members that have been silent for too long.
+
+        :param members: the members by the replicated state
+        :returns: those to be removed
+        """
+        now = self._clock.monotonic()
+        live = {(m.node, m.incarnation): m for m in members}
+        for key in self._heard.keys() - live.keys():
+            del self._heard[key]
+        return [
+            member
+            for key, member in live.items()
+            if now - self._heard.get(key, self._started) > self._terms.expiry
+        ]
--- /dev/null
+++ b/packages/membership/src/chivepier/membership/ownership.py
@@ -0,0 +1,42 @@
+"""Which member owns a shard."""
+
+import collections.abc
+
+from chivepier.types import hash_text
+from chivepier.types.messages import Member
+
+
+def find_owner(
+    pool: str, shard: int, members: collections.abc.Iterable[Member]
+) -> Member | None:
+    """Choose a shard's owner by rendezvous hashing.
+
+    Every node computes the same owner from the same members, and a change
+    of one member moves only the shards of that one.
+
+    >>> find_owner("p", 0, []) is None
+    True
+
+    :param pool: the pool's name
+    :param shard: number of the shard in its pool
+    :param members: the live members of the region
+    :returns: the owner; draining members own nothing while others live
+    """
+    able = list(members)
+    staying = [m for m in able if not m.draining] or able
+    key = f"{pool}/{shard}/"
+    return max(
+        staying,
+        key=lambda m: (hash_text(key + m.node), m.node),
+        default=None,
+    )
+
+
+def find_shard(target: str, shards: int) -> int:
+    """Place a target in one shard of its pool.
+
+    :param target: the target's identifier
+    :param shards: number of shards, at least 1
+    :returns: the shard's number
+    """
+    return hash_text(target) % shards
--- /dev/null
+++ b/packages/node/src/chivepier/node/__init__.py
@@ -0,0 +1,1 @@
+"""The chivepierd process."""
--- /dev/null
+++ b/packages/node/src/chivepier/node/commander.py
@@ -0,0 +1,115 @@
+"""Committing commands through whichever voter leads."""
+
+import asyncio
+
+from result import Err
+from result import Ok
+from result import Result
+
+from chivepier.node.cluster import Cluster
+from chivepier.state import Answer
+from chivepier.state import LostLeadError
+from chivepier.state import NotLeaderError
+from chivepier.types import ErrorKind
+from chivepier.types import Failure
+from chivepier.types import Ran
+from chivepier.types.messages import CommandAnswer
+from chivepier.types.messages import CommandRequest
+from chivepier.wire import LinkError
+
+ATTEMPT_SECONDS = 5.0
+PAUSE_SECONDS = 0.1
+
+
+class Commander:
+    """Sends commands to the leader until one answers.
+
+    Every command may be sent again: a change by its id, a claim by its
+    request, the others because a second run changes nothing.
+    """
+
+    def __init__(self, cluster: Cluster):
+        self._cluster = cluster
+
+    async def run(
+        self, command: bytes, timeout: float, wait_in_force: bool = False
+    ) -> Result[Answer, Failure]:
+        """Commit a command.
+
+        :param command: an encoded command message
+        :param timeout: seconds to keep trying
+        :param wait_in_force: answer only once it is in force everywhere
+        :returns: the command's answer, or why there is none
+        """
+        clock = self._cluster.clock
+        deadline = clock.monotonic() + timeout
+        sent = False
+        while (left := deadline - clock.monotonic()) > 0:
+            try:
+                answer = await self._attempt(command, left, wait_in_force)
+                return Ok(answer)
+            except (NotLeaderError, LostLeadError):
+                pass
+            except LinkError as error:
+                sent = sent or error.sent
+            except TimeoutError:
+                sent = True
+            await clock.sleep(PAUSE_SECONDS)
+        ran = Ran.UNKNOWN if sent else Ran.NO
+        text = "no voters' majority took the command in time"
+        return Err(Failure(ErrorKind.NO_QUORUM, text, ran))
+
+    async def _attempt(
+        self, command: bytes, left: float, wait_in_force: bool
+    ) -> Answer:
+        replica = self._cluster.replica
+        if replica is not None and replica.leads():
+            async with asyncio.timeout(left):
+                return await self.run_here(command, wait_in_force)
+        leader = self._cluster.find_leader()
+        if not leader:
+            raise NotLeaderError("")
+        limit = left if wait_in_force else min(left, ATTEMPT_SECONDS)
+        answer = await self._cluster.links.request(
+            leader, CommandRequest(command, wait_in_force), limit
+        )
+        if answer.error == ErrorKind.NO_QUORUM.value:
+            raise NotLeaderError("")
+        return Answer(
+            answer.error, answer.message, answer.index, answer.result
+        )
+
+    async def run_here(self, command: bytes, wait_in_force: bool) -> Answer:
+        """Commit a command as the leader.
+
+        :param command: an encoded command message
+        :param wait_in_force: return only once it is in force everywhere
+        :returns: the command's answer
+        :raises NotLeaderError: when this instance does not lead
+        :raises LostLeadError: when the lead was lost on the way
+        """
+        answer = await self._cluster.replica.propose(command)
+        if wait_in_force and not answer.error:
+            await self._cluster.leadership.wait_in_force(answer.index)
+        return answer
+
+    async def handle(self, request: CommandRequest) -> CommandAnswer:
+        """Answer a node that forwards a command here.
+
+        :param request: the forwarded command
+        :returns: its answer; ``no_quorum`` when this isn't the leader
+        """
+        replica = self._cluster.replica
+        if replica is None:
+            return CommandAnswer(
+                ErrorKind.NO_QUORUM.value, "not a voter", 0, b""
+            )
+        try:
+            answer = await self.run_here(
+                request.command, request.wait_in_force
+            )
+        except (NotLeaderError, LostLeadError) as error:
+            return CommandAnswer(ErrorKind.NO_QUORUM.value, str(error), 0, b"")
+        return CommandAnswer(
+            answer.error, answer.message, answer.index, answer.result
+        )
--- /dev/null
+++ b/packages/node/src/chivepier/node/directory.py
@@ -0,0 +1,157 @@
+"""The configuration as requests use it."""
+
+import hashlib
+import hmac
+
+import attrs
+
+from chivepier.state import Machine
+from chivepier.types import ErrorKind
+from chivepier.types import RequestError
+from chivepier.types import Urgency
+from chivepier.types.documents import Grant
+from chivepier.types.documents import Team
+from chivepier.types.documents import Template
+from chivepier.types.documents import unpack_spec
+
+CACHED = 4096
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """A template as one team may use it."""
+
+    team: str
+    weight: float
+    template_name: str
+    template: Template
+    urgency: Urgency
+    max_output_tokens: int
+    adapters: tuple[str, ...]
+
+
+class Directory:
+    """Finds teams by key and templates by name, decoding on use.
+
+    The documents stay packed in the machine; what was decoded is kept in a
+    bounded cache and dropped when the configuration changes.
+    """
+
+    def __init__(self, machine: Machine):
+        self._machine = machine
+        self._version = -1
+        self._teams_by_key: dict[str, str] = {}
+        self._decoded: dict[tuple[str, str], Team | Template] = {}
+
+    def _refresh(self) -> None:
+        if self._version == self._machine.version:
+            return
+        self._version = self._machine.version
+        self._decoded.clear()
+        self._teams_by_key.clear()
+        for kind, name in self._machine.documents:
+            if kind == "team":
+                spec = self._load(kind, name)
+                for digest in spec.key_sha256:
+                    self._teams_by_key[digest] = name
+
+    def _load(self, kind: str, name: str) -> Team | Template | None:
+        key = (kind, name)
+        spec = self._decoded.get(key)
+        if spec is None:
+            document = self._machine.documents.get(key)
+            if document is None:
+                return None
+            spec = unpack_spec(document)
+            if len(self._decoded) >= CACHED:
+                self._decoded.clear()
+            self._decoded[key] = spec
+        return spec
+
+    def find_team(self, authorization: str) -> str:
+        """Return the team that a bearer key names.
+
+        :param authorization: the header's value
+        :returns: the team's name
+        :raises RequestError: ``unauthorized``
+        """
+        self._refresh()
+        scheme, _, key = authorization.partition(" ")
+        digest = hashlib.sha256(key.encode()).hexdigest()
+        name = self._teams_by_key.get(digest)
+        if scheme.lower() == "bearer" and name is not None:
+            spec = self._load("team", name)
+            if any(hmac.compare_digest(digest, d) for d in spec.key_sha256):
+                return name
+        raise RequestError.of(ErrorKind.UNAUTHORIZED, "unknown bearer key")
+
+    def find_service(self, team: str, template_name: str) -> Service:
+        """Return a template with a team's parameters filled in.
+
+        :param team: the team's name
+        :param template_name: what the caller asks for
+        :returns: the template as this team may use it
+        :raises RequestError: ``forbidden`` or ``not_found``
+        """
+        self._refresh()
+        parameters = self._load("team", team)
+        grant = parameters.grants.get(template_name)
+        if grant is None:
+            # the same answer whether or not another team has such a template
+            text = f"team {team} has no template {template_name!r}"
+            raise RequestError.of(ErrorKind.FORBIDDEN, text)
+        template = self._load("template", template_name)
+        if template is None:
+            text = f"no template {template_name!r}"
+            raise RequestError.of(ErrorKind.NOT_FOUND, text)
+        return _fill_in(team, parameters, template_name, template, grant)
+
+    def find_template(self, name: str) -> Template | None:
+        """Return a template by name, or ``None``."""
+        self._refresh()
+        return self._load("template", name)
+
+    def templates(self) -> dict[str, Template]:
+        """Return all templates by name."""
+        self._refresh()
+        return {
+            name: self._load(kind, name)
+            for kind, name in self._machine.documents
+            if kind == "template"
+        }
+
+    def team_weight(self, team: str) -> float:
+        """Return a team's share weight; 1 for a team that was removed."""
+        self._refresh()
+        spec = self._load("team", team)
+        return spec.weight if spec is not None else 1.0
+
+    def pool_shards(self, pool: str) -> int:
+        """Return into how many shards a pool is split, 0 if unknown."""
+        counts = [
+            t.shards for t in self.templates().values() if t.pool == pool
+        ]
+        return max(counts, default=0)
+
+
+def _fill_in(
+    team: str,
+    parameters: Team,
+    name: str,
+    template: Template,
+    grant: Grant,
+) -> Service:
+    urgency = template.urgency if grant.urgency is None else grant.urgency
+    limit = template.max_output_tokens
+    if grant.max_output_tokens is not None:
+        limit = min(limit, grant.max_output_tokens)
+    allowed = set(template.adapters)
+    return Service(
+        team=team,
+        weight=parameters.weight if grant.share is None else grant.share,
+        template_name=name,
+        template=template,
+        urgency=urgency,
+        max_output_tokens=limit,
+        adapters=tuple(a for a in grant.adapters if a in allowed),
+    )
--- /dev/null
+++ b/packages/node/src/chivepier/node/founding.py
@@ -0,0 +1,58 @@
+"""Founding a cluster."""
+
+import asyncio
+import secrets
+
+from chivepier.node.cluster import Cluster
+from chivepier.types import ErrorKind
+from chivepier.types import RequestError
+from chivepier.types.messages import BootstrapRequest
+from chivepier.types.messages import IdentityRequest
+from chivepier.types.messages import Voter
+from chivepier.wire import LinkError
+
+ASK_SECONDS = 3.0
+
+
+async def found_cluster(
+    cluster: Cluster, peers: list[str]
+) -> tuple[Voter, ...]:
+    """Make the instances at these peer addresses the first voters.
+
+    It is an operator's order, never an instance's own idea: an empty folder
+    may be a lost one, and a voter that founded a second cluster by itself
+    would serve from an empty configuration.
+
+    :param cluster: this node's view
+    :param peers: peer addresses of instances with new data folders
+    :returns: the voters
+    :raises RequestError: when one is not new, has no disk, or is silent
+    """
+    identities = await asyncio.gather(
+        *(_ask(cluster, peer, IdentityRequest()) for peer in peers)
+    )
+    voters = []
+    for peer, identity in zip(peers, identities):
+        if not identity.disk:
+            raise _refuse(f"{peer} has no data folder")
+        if identity.cluster:
+            raise _refuse(f"{peer} belongs to a cluster already")
+        voters.append(Voter(identity.node, peer))
+    name = secrets.token_hex(8)
+    request = BootstrapRequest(name, tuple(voters))
+    for peer in peers:
+        answer = await _ask(cluster, peer, request)
+        if not answer.accepted:
+            raise _refuse(f"{peer}: {answer.message}")
+    return tuple(voters)
+
+
+async def _ask(cluster: Cluster, peer: str, message):
+    try:
+        return await cluster.links.request(peer, message, ASK_SECONDS)
+    except LinkError as error:
+        raise RequestError.of(ErrorKind.NOT_READY, str(error)) from None
+
+
+def _refuse(text: str) -> RequestError:
+    return RequestError.of(ErrorKind.VERSION_CONFLICT, text)
--- /dev/null
+++ b/packages/node/src/chivepier/node/handle.py
@@ -0,0 +1,73 @@
+"""Resume handles."""
+
+import base64
+import hashlib
+import hmac
+
+import attrs
+import cbor2
+
+from chivepier.types import ErrorKind
+from chivepier.types import RequestError
+
+TAG_BYTES = 12
+
+
+@attrs.frozen
+class Handle:
+    """Where a generation runs and whose it is.
+
+    Sent as the ``id:`` of each event, with the event's index behind it, so
+    that any entry can resume the stream.  It is authenticated with the
+    replicated secret: a team can't name another team's generation.
+    """
+
+    address: str
+    generation: str
+    team: str
+    template: str
+
+    def seal(self, secret: bytes) -> str:
+        """Encode and authenticate.
+
+        :param secret: the replicated secret
+        :returns: URL-safe text without dots
+        """
+        fields = cbor2.dumps(attrs.astuple(self))
+        tag = _tag(secret, fields)
+        return base64.urlsafe_b64encode(tag + fields).decode().rstrip("=")
+
+
+def open_handle(text: str, secret: bytes, team: str) -> tuple[Handle, int]:
+    """Check an event's ``id:`` that a caller sends back.
+
+    :param text: handle, dot, index
+    :param secret: the replicated secret
+    :param team: the team that asks
+    :returns: the handle and the index of the last event received
+    :raises RequestError: ``bad_request`` or ``forbidden``
+    """
+    sealed, _, index = text.rpartition(".")
+    try:
+        padded = sealed + "=" * (-len(sealed) % 4)
+        data = base64.urlsafe_b64decode(padded)
+        number = int(index)
+    except ValueError:
+        raise _bad() from None
+    tag, fields = data[:TAG_BYTES], data[TAG_BYTES:]
+    if not hmac.compare_digest(tag, _tag(secret, fields)):
+        raise _bad()
+    handle = Handle(*cbor2.loads(fields))
+    if handle.team != team:
+        text = "the stream belongs to another team"
+        raise RequestError.of(ErrorKind.FORBIDDEN, text)
+    return handle, number
+
+
+def _tag(secret: bytes, fields: bytes) -> bytes:
+    digest = hmac.new(secret, fields, hashlib.sha256).digest()
+    return digest[:TAG_BYTES]
+
+
+def _bad() -> RequestError:
+    return RequestError.of(ErrorKind.BAD_REQUEST, "bad Last-Event-ID")
--- /dev/null
+++ b/packages/node/src/chivepier/node/leadership.py
@@ -0,0 +1,184 @@
+"""What the leading voter does besides replicating."""
+
+import asyncio
+import secrets
+
+import logbook
+
+from chivepier.membership import ForceTracker
+from chivepier.membership import LeaseTable
+from chivepier.node.cluster import Cluster
+from chivepier.state import LostLeadError
+from chivepier.state import NotLeaderError
+from chivepier.types.messages import ChangedNotice
+from chivepier.types.messages import encode
+from chivepier.types.messages import JoinCommand
+from chivepier.types.messages import LeaveCommand
+from chivepier.types.messages import Member
+from chivepier.types.messages import RenewAnswer
+from chivepier.types.messages import RenewRequest
+from chivepier.types.messages import SecretCommand
+
+log = logbook.Logger("leadership")
+
+TICK_SECONDS = 0.1
+SECRET_BYTES = 32
+
+
+class Leadership:
+    """Keeps members' leases and tells when a version is in force.
+
+    Its record starts anew with each term: what an earlier leader knew of
+    acknowledgements is asked again, and its grants are waited out.
+    """
+
+    def __init__(self, cluster: Cluster):
+        self._cluster = cluster
+        self._term = 0
+        self._leases = LeaseTable(cluster.clock, cluster.terms)
+        self.force = ForceTracker(cluster.clock, cluster.terms)
+        self._told = 0
+        self._joining: set[tuple[str, int]] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Do the leader's work whenever this voter leads."""
+        cluster = self._cluster
+        while True:
+            await cluster.machine.changed.wait(TICK_SECONDS)
+            if not cluster.replica.leads():
+                continue
+            self._start_term()
+            self._track()
+            try:
+                await self._keep_secret()
+                await self._expire()
+            except (NotLeaderError, LostLeadError):
+                continue
+
+    def _start_term(self) -> None:
+        term = self._cluster.replica.storage.term
+        if term == self._term:
+            return
+        cluster = self._cluster
+        self._term = term
+        self._told = 0
+        self._leases = LeaseTable(cluster.clock, cluster.terms)
+        self.force = ForceTracker(cluster.clock, cluster.terms)
+
+    def _track(self) -> None:
+        machine = self._cluster.machine
+        if machine.version > self._told:
+            self._told = machine.version
+            members = frozenset(
+                (m.node, m.incarnation) for m in machine.members.values()
+            )
+            self.force.add_version(machine.version, members)
+            self._acknowledge_self()
+            self._announce(machine.version)
+        self._cluster.in_force = self.force.advance()
+        self._cluster.freshness.confirm(self._cluster.clock.monotonic())
+
+    def _acknowledge_self(self) -> None:
+        cluster = self._cluster
+        self.force.acknowledge(
+            cluster.identity.node,
+            cluster.incarnation,
+            cluster.machine.version,
+        )
+
+    def _announce(self, version: int) -> None:
+        cluster = self._cluster
+        notice = ChangedNotice(version, cluster.peer_address)
+        for member in cluster.machine.members.values():
+            if member.node != cluster.identity.node:
+                work = cluster.links.send(member.peer_address, notice)
+                self._spawn(work)
+
+    def _spawn(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _keep_secret(self) -> None:
+        cluster = self._cluster
+        if not cluster.machine.secret:
+            secret = secrets.token_bytes(SECRET_BYTES)
+            await cluster.replica.propose(encode(SecretCommand(secret)))
+
+    async def _expire(self) -> None:
+        cluster = self._cluster
+        members = [
+            m
+            for m in cluster.machine.members.values()
+            if m.node != cluster.identity.node
+        ]
+        for member in self._leases.expired(members):
+            log.info("lease ran out member={}", member.name)
+            command = LeaveCommand(member.node, member.incarnation)
+            await cluster.replica.propose(encode(command))
+
+    def handle_renew(self, request: RenewRequest) -> RenewAnswer:
+        """Renew a member's lease.
+
+        :param request: who renews, and the version it has
+        :returns: whether granted, and the newest committed version
+        """
+        cluster = self._cluster
+        if not cluster.replica.leads() or not self._current():
+            return RenewAnswer(False, cluster.find_leader(), 0, 0)
+        member = request.member
+        self._leases.hear(member)
+        known = cluster.machine.members.get(member.node)
+        if known != member:
+            self._join(member)
+        self.force.acknowledge(
+            member.node, member.incarnation, request.version
+        )
+        self._track()
+        return RenewAnswer(
+            True,
+            cluster.peer_address,
+            cluster.machine.version,
+            self.force.in_force,
+        )
+
+    def _current(self) -> bool:
+        # until an entry of this term is committed, and applied here, this
+        # leader does not know the newest committed version
+        replica = self._cluster.replica
+        self._start_term()
+        committed = replica.storage.term_at(replica.commit)
+        if committed != replica.storage.term:
+            return False
+        return self._cluster.machine.index >= replica.commit
+
+    def _join(self, member: Member) -> None:
+        key = (member.node, member.incarnation)
+        if key not in self._joining:
+            self._joining.add(key)
+            self._spawn(self._commit_join(member))
+
+    async def _commit_join(self, member: Member) -> None:
+        key = (member.node, member.incarnation)
+        try:
+            command = JoinCommand(member)
+            await self._cluster.replica.propose(encode(command))
+        except (NotLeaderError, LostLeadError):
+            pass
+        finally:
+            self._joining.discard(key)
+
+    async def wait_in_force(self, version: int) -> None:
+        """Return once a version is in force everywhere.
+
+        :param version: a committed log index
+        :raises LostLeadError: when the lead is lost while waiting
+        """
+        term = self._cluster.replica.storage.term
+        while self.force.in_force < version:
+            await self.force.changed.wait(TICK_SECONDS)
+            if self._term != term and self._term != 0:
+                raise LostLeadError()
+            if not self._cluster.replica.leads():
+                raise LostLeadError()
--- /dev/null
+++ b/packages/standins/src/chivepier/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what lies outside, and the load tool."""
--- /dev/null
+++ b/packages/standins/src/chivepier/standins/cluster.py
@@ -0,0 +1,126 @@
+"""Running chivepier and its stand-ins as processes on loopback."""
+
+import os
+import pathlib
+import socket
+import subprocess
+import sys
+import time
+import urllib.error
+import urllib.request
+
+KEYS = {
+    "CHIVEPIER_CLUSTER_KEY": "cluster-key-of-tests",
+    "CHIVEPIER_OPERATOR_KEY": "operator-key-of-tests",
+    "CHIVEPIER_DEPLOYMENT_KEY": "deployment-key-of-tests",
+}
+ZONES = ("a", "b", "c")
+BIN = pathlib.Path(sys.executable).parent
+
+
+def find_port() -> int:
+    """Return a port that is free now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class LocalCluster:
+    """Processes of one small cluster; leaving the context ends them.
+
+    :param folder: where data folders and logs go
+    :param disks: instances with a data folder
+    :param others: instances without one
+    """
+
+    def __init__(self, folder: pathlib.Path, disks: int, others: int):
+        self.folder = folder
+        self.names = [f"n{i}" for i in range(1, disks + others + 1)]
+        self.disks = self.names[:disks]
+        self.http = {n: f"127.0.0.1:{find_port()}" for n in self.names}
+        self.peer = {n: f"127.0.0.1:{find_port()}" for n in self.names}
+        self.processes: dict[str, subprocess.Popen] = {}
+
+    def __enter__(self) -> "LocalCluster":
+        return self
+
+    def __exit__(self, *exc) -> None:
+        for process in self.processes.values():
+            process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def start_node(self, name: str) -> None:
+        """Start one instance."""
+        position = self.names.index(name)
+        command = [
+            str(BIN / "chivepierd"),
+            f"--name={name}",
+            f"--zone={ZONES[position % len(ZONES)]}",
+            f"--listen={self.http[name]}",
+            f"--peer-listen={self.peer[name]}",
+            "--address-ttl=1",
+            "--fault-hook",
+        ]
+        command += [f"--seed={self.peer[n]}" for n in self.names if n != name]
+        if name in self.disks:
+            command.append(f"--data-dir={self.folder / name}")
+        self.start(name, command)
+
+    def start_standin(self, module: str, name: str, *options: str) -> None:
+        """Start one stand-in target."""
+        command = [sys.executable, "-m", f"chivepier.standins.{module}"]
+        command += [f"--name={name}", *options]
+        key = KEYS["CHIVEPIER_DEPLOYMENT_KEY"]
+        command.append(f"--deployment-key={key}")
+        command += [f"--entry={a}" for a in self.http.values()]
+        self.start(name, command)
+
+    def start(self, name: str, command: list[str]) -> None:
+        """Start a process that logs to a file of its name."""
+        self.folder.mkdir(parents=True, exist_ok=True)
+        with open(self.folder / f"{name}.log", "ab") as log:
+            self.processes[name] = subprocess.Popen(
+                command, env={**os.environ, **KEYS}, stdout=log, stderr=log
+            )
+
+    def run_cli(self, *options: str, check: bool = True):
+        """Run the operators' command line to its end."""
+        command = [str(BIN / "chivepier")]
+        command += [f"--address={a}" for a in self.http.values()]
+        return subprocess.run(
+            [*command, *options],
+            env={**os.environ, **KEYS},
+            capture_output=True,
+            text=True,
+            check=check,
+        )
+
+    def wait_until(self, condition, what: str, timeout: float = 30) -> None:
+        """Wait for a condition of the running system."""
+        end = time.monotonic() + timeout
+        while not condition():
+            if time.monotonic() > end:
+                raise TimeoutError(f"{what} did not come in {timeout}s")
+            time.sleep(0.02)
+
+    def is_up(self, name: str, path: str = "/healthz") -> bool:
+        """Tell whether an instance answers 200 at a path."""
+        try:
+            url = f"http://{self.http[name]}{path}"
+            with urllib.request.urlopen(url, timeout=1) as answer:
+                return answer.status == 200
+        except (OSError, urllib.error.URLError):
+            return False
+
+    def start_all(self) -> None:
+        """Start every instance and found the cluster."""
+        for name in self.names:
+            self.start_node(name)
+        for name in self.names:
+            self.wait_until(lambda: self.is_up(name), f"{name} up")
+        self.run_cli("found", *(self.peer[n] for n in self.disks))
+        for name in self.names:
+            self.wait_until(
+                lambda: self.is_up(name, "/readyz"), f"{name} ready"
+            )
--- /dev/null
+++ b/packages/state/src/chivepier/state/__init__.py
@@ -0,0 +1,41 @@
+"""The replicated log and the state it adds up to."""
+
+from chivepier.state.answer import Answer
+from chivepier.state.claim import Claim
+from chivepier.state.damagederror import DamagedError
+from chivepier.state.diskstorage import DiskStorage
+from chivepier.state.historyitem import HistoryItem
+from chivepier.state.identity import Identity
+from chivepier.state.identity import load_identity
+from chivepier.state.identity import save_identity
+from chivepier.state.lostleaderror import LostLeadError
+from chivepier.state.machine import Machine
+from chivepier.state.notleadererror import NotLeaderError
+from chivepier.state.replica import Replica
+from chivepier.state.role import Role
+from chivepier.state.signal import Signal
+from chivepier.state.snapshot import Snapshot
+from chivepier.state.storage import Storage
+from chivepier.state.timing import Timing
+from chivepier.state.transport import Transport
+
+__all__ = [
+    "Answer",
+    "Claim",
+    "DamagedError",
+    "DiskStorage",
+    "HistoryItem",
+    "Identity",
+    "LostLeadError",
+    "Machine",
+    "NotLeaderError",
+    "Replica",
+    "Role",
+    "Signal",
+    "Snapshot",
+    "Storage",
+    "Timing",
+    "Transport",
+    "load_identity",
+    "save_identity",
+]
--- /dev/null
+++ b/packages/state/src/chivepier/state/machine.py
@@ -0,0 +1,305 @@
+"""The replicated state: what the log's commands add up to."""
+
+import collections
+
+import attrs
+import cbor2
+
+from chivepier.state.answer import Answer
+from chivepier.state.claim import Claim
+from chivepier.state.historyitem import HistoryItem
+from chivepier.state.signal import Signal
+from chivepier.state.snapshot import Snapshot
+from chivepier.types import ErrorKind
+from chivepier.types.documents import Document
+from chivepier.types.messages import ChangeCommand
+from chivepier.types.messages import ClaimCommand
+from chivepier.types.messages import ClaimState
+from chivepier.types.messages import decode
+from chivepier.types.messages import Edit
+from chivepier.types.messages import Entry
+from chivepier.types.messages import JoinCommand
+from chivepier.types.messages import LeaveCommand
+from chivepier.types.messages import Member
+from chivepier.types.messages import Noop
+from chivepier.types.messages import Outcome
+from chivepier.types.messages import OutcomeCommand
+from chivepier.types.messages import SecretCommand
+from chivepier.types.messages import Voter
+from chivepier.types.messages import VotersCommand
+
+KEPT_ANSWERS = 20_000
+KEPT_HISTORY = 2_000
+KEPT_ENTRIES = 2_000
+CLAIM_SECONDS = 24 * 3600
+
+
+class Machine:
+    """Applies committed entries in order; the same on every node.
+
+    Reads are plain attributes.  :attr:`changed` is set after each entry.
+    :attr:`version` is the index of the last entry that changed the
+    configuration or the membership; claims leave it as it is.
+    """
+
+    def __init__(self) -> None:
+        self.index = 0
+        self.term = 0
+        self.version = 0
+        self.changed = Signal()
+        self.documents: dict[tuple[str, str], Document] = {}
+        self.members: dict[str, Member] = {}
+        self.epoch = 0
+        self.voters: tuple[Voter, ...] = ()
+        self.secret = b""
+        self.claims: dict[tuple[str, str], Claim] = {}
+        self.answers: collections.OrderedDict[str, Answer] = (
+            collections.OrderedDict()
+        )
+        self.history: collections.deque[HistoryItem] = collections.deque(
+            maxlen=KEPT_HISTORY
+        )
+        self.recent: collections.deque[Entry] = collections.deque(
+            maxlen=KEPT_ENTRIES
+        )
+
+    def apply(self, entry: Entry) -> Answer:
+        """Apply the next committed entry.
+
+        :param entry: the entry after :attr:`index`
+        :returns: the answer to its command
+        :raises ValueError: when the entry is not the next one
+        """
+        if entry.index != self.index + 1:
+            text = f"entry {entry.index} after {self.index}"
+            raise ValueError(text)
+        answer = self._run(entry)
+        if changes_version(entry):
+            self.version = entry.index
+        self.index = entry.index
+        self.term = entry.term
+        self.recent.append(entry)
+        self.changed.set()
+        return answer
+
+    def _run(self, entry: Entry) -> Answer:
+        index = entry.index
+        if not entry.command:
+            return Answer("", "", index)
+        match decode(entry.command):
+            case ChangeCommand() as command:
+                return self._change(command, index)
+            case JoinCommand(member=member):
+                return self._join(member, index)
+            case LeaveCommand(node=node, incarnation=incarnation):
+                return self._leave(node, incarnation, index)
+            case VotersCommand(voters=voters):
+                self.voters = voters
+                return Answer("", "", index)
+            case ClaimCommand() as command:
+                return self._claim(command, index)
+            case OutcomeCommand() as command:
+                return self._settle(command, index)
+            case SecretCommand(secret=secret):
+                # the first one stands: two new leaders may both propose
+                self.secret = self.secret or secret
+                return Answer("", "", index)
+            case Noop():
+                return Answer("", "", index)
+            case other:
+                raise ValueError(f"not a command: {other!r}")
+
+    def _change(self, command: ChangeCommand, index: int) -> Answer:
+        known = self.answers.get(command.change_id)
+        if known is not None:
+            return known
+        conflict = self._find_conflict(command)
+        if conflict is not None:
+            answer = Answer(ErrorKind.VERSION_CONFLICT.value, conflict, index)
+        else:
+            versions = [self._edit(e, command, index) for e in command.edits]
+            answer = Answer("", "", index, cbor2.dumps(versions))
+        self.answers[command.change_id] = answer
+        while len(self.answers) > KEPT_ANSWERS:
+            self.answers.popitem(last=False)
+        return answer
+
+    def _find_conflict(self, command: ChangeCommand) -> str | None:
+        for edit in command.edits:
+            current = self.documents.get((edit.kind, edit.name))
+            version = current.version if current else 0
+            if version != edit.base_version:
+                return (
+                    f"{edit.kind}/{edit.name} is at version {version},"
+                    f" not {edit.base_version}"
+                )
+        return None
+
+    def _edit(self, edit: Edit, command: ChangeCommand, index: int) -> int:
+        # the log index serves as version: a name that is removed and made
+        # again must not meet an old If-Match by chance
+        version = index
+        key = (edit.kind, edit.name)
+        if edit.spec is None:
+            self.documents.pop(key, None)
+        else:
+            self.documents[key] = Document(
+                kind=edit.kind,
+                name=edit.name,
+                version=version,
+                spec=edit.spec,
+            )
+        self.history.append(
+            HistoryItem(
+                index,
+                command.change_id,
+                command.operator,
+                edit.kind,
+                edit.name,
+                version,
+                edit.spec,
+            )
+        )
+        return version
+
+    def _join(self, member: Member, index: int) -> Answer:
+        known = self.members.get(member.node)
+        if known is not None and known.incarnation > member.incarnation:
+            return Answer(
+                ErrorKind.VERSION_CONFLICT.value, "older incarnation", index
+            )
+        if known != member:
+            self.members[member.node] = member
+            self.epoch = index
+        return Answer("", "", index)
+
+    def _leave(self, node: str, incarnation: int, index: int) -> Answer:
+        known = self.members.get(node)
+        if known is not None and known.incarnation == incarnation:
+            del self.members[node]
+            self.epoch = index
+        return Answer("", "", index)
+
+    def _claim(self, command: ClaimCommand, index: int) -> Answer:
+        self._forget_claims(command.claimed_at)
+        key = (command.team, command.key)
+        known = self.claims.get(key)
+        if known is None or known.state == ClaimState.RELEASED:
+            self.claims[key] = Claim(
+                command.digest,
+                command.request,
+                command.node,
+                command.incarnation,
+                command.claimed_at,
+                ClaimState.CLAIMED,
+            )
+            return Answer("", "", index)
+        if known.request == command.request:
+            # the claimer's own resend after a lost answer
+            return Answer("", "", index)
+        if known.digest != command.digest:
+            text = "the key was used for another request"
+            return Answer(ErrorKind.KEY_REUSED.value, text, index)
+        if known.state == ClaimState.DONE:
+            result = cbor2.dumps(attrs.astuple(known.outcome))
+            return Answer("", "", index, result)
+        if known.state == ClaimState.UNKNOWN:
+            text = "it was dispatched; its outcome is not known"
+            return Answer(ErrorKind.OUTCOME_UNKNOWN.value, text, index)
+        text = "the same request is in progress"
+        return Answer(ErrorKind.IN_PROGRESS.value, text, index)
+
+    def _forget_claims(self, now: int) -> None:
+        # claims stand in order of arrival, so the oldest come first
+        while self.claims:
+            key = next(iter(self.claims))
+            if self.claims[key].claimed_at + CLAIM_SECONDS > now:
+                return
+            del self.claims[key]
+
+    def _settle(self, command: OutcomeCommand, index: int) -> Answer:
+        key = (command.team, command.key)
+        known = self.claims.get(key)
+        if known is not None and known.state in (
+            ClaimState.CLAIMED,
+            ClaimState.UNKNOWN,
+        ):
+            self.claims[key] = attrs.evolve(
+                known, state=command.outcome.state, outcome=command.outcome
+            )
+        return Answer("", "", index)
+
+    def take_snapshot(self, with_claims: bool = True) -> Snapshot:
+        """Pack the state.
+
+        :param with_claims: false for nodes that hold no claims
+        :returns: the snapshot at :attr:`index`
+        """
+        claims = list(self.claims.items()) if with_claims else []
+        fields = {
+            "documents": [attrs.astuple(d) for d in self.documents.values()],
+            "members": [attrs.astuple(m) for m in self.members.values()],
+            "version": self.version,
+            "epoch": self.epoch,
+            "voters": [attrs.astuple(v) for v in self.voters],
+            "secret": self.secret,
+            "claims": [(k, attrs.astuple(c)) for k, c in claims],
+            "answers": [
+                (k, attrs.astuple(a)) for k, a in self.answers.items()
+            ],
+            "history": [attrs.astuple(h) for h in self.history],
+        }
+        return Snapshot(self.index, self.term, cbor2.dumps(fields))
+
+    def restore(self, snapshot: Snapshot) -> None:
+        """Replace the state by a snapshot's.
+
+        :param snapshot: packed state, not older than :attr:`index`
+        :raises ValueError: when it is older: a state never reverts
+        """
+        if snapshot.index < self.index:
+            raise ValueError(f"snapshot {snapshot.index} < {self.index}")
+        fields = cbor2.loads(snapshot.data)
+        documents = [_load_document(d) for d in fields["documents"]]
+        self.documents = {(d.kind, d.name): d for d in documents}
+        self.members = {m[0]: Member(*m) for m in fields["members"]}
+        self.version = fields["version"]
+        self.epoch = fields["epoch"]
+        self.voters = tuple(Voter(*v) for v in fields["voters"])
+        self.secret = fields["secret"]
+        self.claims = {tuple(k): _load_claim(c) for k, c in fields["claims"]}
+        self.answers = collections.OrderedDict(
+            (k, Answer(*a)) for k, a in fields["answers"]
+        )
+        self.history.clear()
+        self.history.extend(HistoryItem(*h) for h in fields["history"])
+        self.recent.clear()
+        self.index = snapshot.index
+        self.term = snapshot.term
+        self.changed.set()
+
+
+def changes_version(entry: Entry) -> bool:
+    """Tell whether an entry belongs to the configuration.
+
+    :param entry: a log entry
+    :returns: false for claims, outcomes and empty entries
+    """
+    if not entry.command:
+        return False
+    command = decode(entry.command)
+    return not isinstance(command, ClaimCommand | OutcomeCommand | Noop)
+
+
+def _load_document(fields: list) -> Document:
+    kind, name, version, spec = fields
+    return Document(kind=kind, name=name, version=version, spec=spec)
+
+
+def _load_claim(fields: list) -> Claim:
+    *plain, outcome = fields
+    if outcome is None:
+        return Claim(*plain)
+    state, status, headers, body = outcome
+    pairs = tuple((name, value) for name, value in headers)
+    return Claim(*plain, Outcome(state, status, pairs, body))
--- /dev/null
+++ b/packages/state/src/chivepier/state/storage.py
@@ -0,0 +1,71 @@
+"""What a voter must not forget, as an interface."""
+
+import abc
+
+from chivepier.state.snapshot import Snapshot
+from chivepier.types.messages import Entry
+
+
+class Storage(abc.ABC):
+    """Term, vote, log and snapshot of one voter.
+
+    Entries run from ``first_index`` to ``last_index``; those before are in
+    the snapshot.  What :meth:`sync` has returned for survives a crash.
+    """
+
+    term: int
+    vote: str
+    entries: list[Entry]
+    snapshot: Snapshot
+
+    @property
+    def first_index(self) -> int:
+        """Index of the first entry that is still in the log."""
+        return self.snapshot.index + 1
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self.snapshot.index + len(self.entries)
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry.
+
+        :param index: log index
+        :returns: its term, or ``None`` when it isn't in the log
+        """
+        if index == self.snapshot.index:
+            return self.snapshot.term
+        if self.first_index <= index <= self.last_index:
+            return self.entries[index - self.first_index].term
+        return None
+
+    def read(self, start: int, limit: int) -> tuple[Entry, ...]:
+        """Return entries from an index on.
+
+        :param start: first index wanted; at least ``first_index``
+        :param limit: at most so many
+        :returns: the entries there are
+        """
+        offset = start - self.first_index
+        return tuple(self.entries[offset : offset + limit])
+
+    @abc.abstractmethod
+    def save_vote(self, term: int, vote: str) -> None:
+        """Keep term and vote; synced on return."""
+
+    @abc.abstractmethod
+    def append(self, entries: tuple[Entry, ...]) -> None:
+        """Add entries at the end; durable only after :meth:`sync`."""
+
+    @abc.abstractmethod
+    def truncate(self, index: int) -> None:
+        """Drop the entries from ``index`` on."""
+
+    @abc.abstractmethod
+    def sync(self) -> None:
+        """Return once all that was appended is durable."""
+
+    @abc.abstractmethod
+    def save_snapshot(self, snapshot: Snapshot) -> None:
+        """Keep a snapshot, synced, and drop the entries it covers."""
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/announceanswer.py
@@ -0,0 +1,11 @@
+"""The AnnounceAnswer message."""
+
+from chivepier.types.messages.registry import message
+
+
+@message(91)
+class AnnounceAnswer:
+    """``interval``: seconds until the next announcement."""
+
+    accepted: bool
+    interval: float
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/appendrequest.py
@@ -0,0 +1,16 @@
+"""The AppendRequest message."""
+
+from chivepier.types.messages.entry import Entry
+from chivepier.types.messages.registry import message
+
+
+@message(3)
+class AppendRequest:
+    """Entries after ``prev_index``, or none for a heartbeat."""
+
+    term: int
+    leader: str
+    prev_index: int
+    prev_term: int
+    entries: tuple[Entry, ...]
+    commit: int
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/changecommand.py
@@ -0,0 +1,13 @@
+"""The ChangeCommand message."""
+
+from chivepier.types.messages.edit import Edit
+from chivepier.types.messages.registry import message
+
+
+@message(41)
+class ChangeCommand:
+    """An operator's change: all edits or none."""
+
+    change_id: str
+    operator: str
+    edits: tuple[Edit, ...]
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/changednotice.py
@@ -0,0 +1,11 @@
+"""The ChangedNotice message."""
+
+from chivepier.types.messages.registry import message
+
+
+@message(68)
+class ChangedNotice:
+    """The leader committed this configuration version."""
+
+    version: int
+    leader: str
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/codec.py
@@ -0,0 +1,58 @@
+"""CBOR for typed messages."""
+
+import typing
+
+import cattrs
+import cbor2
+
+from chivepier.types.messages.registry import TAGS
+from chivepier.types.messages.registry import TYPES
+
+CONVERTER = cattrs.Converter(
+    unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE
+)
+CONVERTER.register_structure_hook(bytes, lambda value, _: value)
+
+
+def pack(value: typing.Any) -> tuple[int, typing.Any]:
+    """Turn a message into its tag and a tuple of plain values.
+
+    :param value: an instance of a registered class
+    :returns: tag and fields in their order of declaration
+    :raises KeyError: when the class is not registered
+    """
+    return TAGS[type(value)], CONVERTER.unstructure(value)
+
+
+def unpack(tag: int, fields: typing.Any) -> typing.Any:
+    """Build the message again.
+
+    :param tag: the class's number
+    :param fields: its plain values
+    :returns: the message
+    :raises KeyError: when the tag is unknown
+    """
+    return CONVERTER.structure(fields, TYPES[tag])
+
+
+def encode(value: typing.Any) -> bytes:
+    """Encode one message, as it stands in the log.
+
+    >>> from chivepier.types.messages import Noop
+    >>> decode(encode(Noop()))
+    Noop()
+
+    :param value: an instance of a registered class
+    :returns: CBOR of tag and fields
+    """
+    return cbor2.dumps(pack(value))
+
+
+def decode(data: bytes) -> typing.Any:
+    """Decode what :func:`encode` made.
+
+    :param data: CBOR of tag and fields
+    :returns: the message
+    """
+    tag, fields = cbor2.loads(data)
+    return unpack(tag, fields)
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/commandrequest.py
@@ -0,0 +1,11 @@
+"""The CommandRequest message."""
+
+from chivepier.types.messages.registry import message
+
+
+@message(60)
+class CommandRequest:
+    """Ask the leader to commit a command."""
+
+    command: bytes
+    wait_in_force: bool
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/identityanswer.py
@@ -0,0 +1,13 @@
+"""The IdentityAnswer message."""
+
+from chivepier.types.messages.registry import message
+
+
+@message(9)
+class IdentityAnswer:
+    """``cluster`` is empty while the data folder is new."""
+
+    node: str
+    name: str
+    cluster: str
+    disk: bool
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/identityrequest.py
@@ -0,0 +1,8 @@
+"""The IdentityRequest message."""
+
+from chivepier.types.messages.registry import message
+
+
+@message(8)
+class IdentityRequest:
+    """Ask an instance who it is and whether its folder is new."""
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/inflightreport.py
@@ -0,0 +1,14 @@
+"""The InflightReport message."""
+
+from chivepier.types.messages.inflightpermit import InflightPermit
+from chivepier.types.messages.registry import message
+
+
+@message(86)
+class InflightReport:
+    """What an entry has in flight in a shard, for a new owner."""
+
+    entry: str
+    pool: str
+    shard: int
+    permits: tuple[InflightPermit, ...]
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/inflightrequest.py
@@ -0,0 +1,12 @@
+"""The InflightRequest message."""
+
+from chivepier.types.messages.registry import message
+
+
+@message(88)
+class InflightRequest:
+    """A new owner asks an entry what it has in flight."""
+
+    owner: str
+    pool: str
+    shard: int
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/joincommand.py
@@ -0,0 +1,11 @@
+"""The JoinCommand message."""
+
+from chivepier.types.messages.member import Member
+from chivepier.types.messages.registry import message
+
+
+@message(42)
+class JoinCommand:
+    """A member joins, or changes what it says of itself."""
+
+    member: Member
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/noop.py
@@ -0,0 +1,8 @@
+"""The Noop message."""
+
+from chivepier.types.messages.registry import message
+
+
+@message(40)
+class Noop:
+    """Entry by which a new leader commits its term."""
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/outcomecommand.py
@@ -0,0 +1,13 @@
+"""The OutcomeCommand message."""
+
+from chivepier.types.messages.outcome import Outcome
+from chivepier.types.messages.registry import message
+
+
+@message(46)
+class OutcomeCommand:
+    """The stored answer of a claimed request."""
+
+    team: str
+    key: str
+    outcome: Outcome
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/permitanswer.py
@@ -0,0 +1,16 @@
+"""The PermitAnswer message."""
+
+from chivepier.types.messages.registry import message
+
+
+@message(81)
+class PermitAnswer:
+    """A permit and its target, or a refusal with its error kind."""
+
+    permit: int
+    target: str
+    address: str
+    fence: int
+    error: str
+    message: str
+    retry_after: float
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/progressreport.py
@@ -0,0 +1,13 @@
+"""The ProgressReport message."""
+
+from chivepier.types.messages.registry import message
+
+
+@message(82)
+class ProgressReport:
+    """Tokens delivered so far for each permit, batched."""
+
+    entry: str
+    pool: str
+    shard: int
+    tokens: tuple[tuple[int, int], ...]
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/registry.py
@@ -0,0 +1,29 @@
+"""The tags of messages on the wire and in the log."""
+
+import typing
+
+import attrs
+
+T = typing.TypeVar("T", bound=type)
+
+TYPES: dict[int, type] = {}
+TAGS: dict[type, int] = {}
+
+
+def message(tag: int) -> typing.Callable[[T], T]:
+    """Register an attrs class under a number that never changes.
+
+    :param tag: unique number; a retired one is not given again
+    :returns: the class decorator
+    :raises ValueError: when two classes claim one tag
+    """
+
+    def register(cls: T) -> T:
+        frozen = attrs.frozen(cls)
+        if tag in TYPES:
+            raise ValueError(f"tag {tag} is taken by {TYPES[tag].__name__}")
+        TYPES[tag] = frozen
+        TAGS[frozen] = tag
+        return frozen
+
+    return register
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/renewrequest.py
@@ -0,0 +1,12 @@
+"""The RenewRequest message."""
+
+from chivepier.types.messages.member import Member
+from chivepier.types.messages.registry import message
+
+
+@message(66)
+class RenewRequest:
+    """Renew a member's lease and acknowledge its configuration."""
+
+    member: Member
+    version: int
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/snapshotanswer.py
@@ -0,0 +1,11 @@
+"""The SnapshotAnswer message."""
+
+from chivepier.types.messages.registry import message
+
+
+@message(6)
+class SnapshotAnswer:
+    """``offset``: bytes held so far."""
+
+    term: int
+    offset: int
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/syncanswer.py
@@ -0,0 +1,13 @@
+"""The SyncAnswer message."""
+
+from chivepier.types.messages.entry import Entry
+from chivepier.types.messages.registry import message
+
+
+@message(65)
+class SyncAnswer:
+    """Entries after the asked index, or a whole snapshot."""
+
+    commit: int
+    entries: tuple[Entry, ...]
+    snapshot: bytes
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/syncrequest.py
@@ -0,0 +1,10 @@
+"""The SyncRequest message."""
+
+from chivepier.types.messages.registry import message
+
+
+@message(64)
+class SyncRequest:
+    """Fetch the committed state after ``index``."""
+
+    index: int
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/targetload.py
@@ -0,0 +1,13 @@
+"""The TargetLoad message."""
+
+from chivepier.types.messages.registry import message
+
+
+@message(90)
+class TargetLoad:
+    """A target's own, lagged report of its load."""
+
+    running: int
+    waiting: int
+    used_tokens: int
+    preemptions: int
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/targetsrequest.py
@@ -0,0 +1,10 @@
+"""The TargetsRequest message."""
+
+from chivepier.types.messages.registry import message
+
+
+@message(93)
+class TargetsRequest:
+    """Ask an owner for the targets of its shards."""
+
+    pool: str
--- /dev/null
+++ b/packages/types/src/chivepier/types/messages/voterscommand.py
@@ -0,0 +1,11 @@
+"""The VotersCommand message."""
+
+from chivepier.types.messages.registry import message
+from chivepier.types.messages.voter import Voter
+
+
+@message(44)
+class VotersCommand:
+    """The set of voters from this entry on."""
+
+    voters: tuple[Voter, ...]
--- /dev/null
+++ b/packages/wire/src/chivepier/wire/__init__.py
@@ -0,0 +1,10 @@
+"""Peer links: typed messages as CBOR over websockets."""
+
+from chivepier.wire.channel import Channel
+from chivepier.wire.channel import Handler
+from chivepier.wire.faults import Faults
+from chivepier.wire.linkerror import LinkError
+from chivepier.wire.links import Links
+from chivepier.wire.server import PeerServer
+
+__all__ = ["Channel", "Faults", "Handler", "LinkError", "Links", "PeerServer"]
--- /dev/null
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -0,0 +1,170 @@
+"""One connection between two processes."""
+
+import asyncio
+import inspect
+import itertools
+import typing
+
+import logbook
+import websockets
+
+from chivepier.wire.faults import Faults
+from chivepier.wire.frame import dump_frame
+from chivepier.wire.frame import load_frame
+from chivepier.wire.frame import pack_part
+from chivepier.wire.frame import Part
+from chivepier.wire.linkerror import LinkError
+
+log = logbook.Logger("wire")
+
+Handler = typing.Callable[[typing.Any, "Channel"], typing.Any]
+
+
+class Channel:
+    """Requests, answers and one-way messages over one websocket.
+
+    What is ready when the writer comes round goes out as one frame, so that
+    a busy link pays for the frame once; nothing waits for a frame to fill.
+    """
+
+    def __init__(self, socket, peer: str, handler: Handler, faults: Faults):
+        self.peer = peer
+        self._socket = socket
+        self._handler = handler
+        self._faults = faults
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future] = {}
+        self._outbox: list[tuple] = []
+        self._ready = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+        self.closed = False
+
+    async def run(self) -> None:
+        """Read and write until the connection ends."""
+        writer = asyncio.create_task(self._write())
+        try:
+            async for data in self._socket:
+                if not self._faults.blocks(self.peer):
+                    self._receive(data)
+        except websockets.ConnectionClosed:
+            pass
+        finally:
+            self.closed = True
+            writer.cancel()
+            self._fail_all()
+
+    async def _write(self) -> None:
+        while True:
+            await self._ready.wait()
+            self._ready.clear()
+            parts, self._outbox = self._outbox, []
+            if self._faults.blocks(self.peer):
+                continue
+            try:
+                await self._socket.send(dump_frame(parts))
+            except websockets.ConnectionClosed:
+                return
+
+    def _receive(self, data: bytes) -> None:
+        try:
+            parts = load_frame(data)
+        except ValueError as error:
+            log.warn("frame refused peer={} error={}", self.peer, error)
+            return
+        for part, number, value in parts:
+            match part:
+                case Part.ANSWER:
+                    self._settle(number, value)
+                case Part.FAILED:
+                    self._settle_error(number, value)
+                case Part.REQUEST | Part.SEND:
+                    self._handle(part, number, value)
+
+    def _handle(self, part: Part, number: int, value: typing.Any) -> None:
+        try:
+            answer = self._handler(value, self)
+        except Exception as error:  # the peer is told, the link lives on
+            log.exception("handler failed message={}", type(value).__name__)
+            self._reply_error(part, number, error)
+            return
+        if inspect.isawaitable(answer):
+            task = asyncio.ensure_future(self._finish(part, number, answer))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            return
+        self._reply(part, number, answer)
+
+    async def _finish(self, part: Part, number: int, answer) -> None:
+        try:
+            value = await answer
+        except Exception as error:
+            log.warn("handler failed error={!r}", error)
+            self._reply_error(part, number, error)
+            return
+        self._reply(part, number, value)
+
+    def _reply(self, part: Part, number: int, value: typing.Any) -> None:
+        if part is Part.REQUEST and value is not None:
+            self._post(pack_part(Part.ANSWER, number, value))
+
+    def _reply_error(self, part: Part, number: int, error) -> None:
+        if part is Part.REQUEST:
+            self._post(pack_part(Part.FAILED, number, repr(error)))
+
+    def _post(self, part: tuple) -> None:
+        if self.closed:
+            return
+        self._outbox.append(part)
+        self._ready.set()
+
+    def send(self, value: typing.Any) -> None:
+        """Post a one-way message; it may be lost with the connection.
+
+        :param value: a registered message
+        """
+        self._post(pack_part(Part.SEND, 0, value))
+
+    async def request(self, value: typing.Any, timeout: float) -> typing.Any:
+        """Post a request and wait for its answer.
+
+        :param value: a registered message
+        :param timeout: seconds to wait
+        :returns: the answer's message
+        :raises LinkError: when the link fails or the time is over
+        """
+        if self.closed:
+            raise LinkError(f"link to {self.peer} is closed", sent=False)
+        number = next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[number] = future
+        self._post(pack_part(Part.REQUEST, number, value))
+        try:
+            async with asyncio.timeout(timeout):
+                return await future
+        except TimeoutError:
+            text = f"no answer from {self.peer} in {timeout}s"
+            raise LinkError(text, sent=True) from None
+        finally:
+            self._waiting.pop(number, None)
+
+    def _settle(self, number: int, value: typing.Any) -> None:
+        future = self._waiting.pop(number, None)
+        if future is not None and not future.done():
+            future.set_result(value)
+
+    def _settle_error(self, number: int, text: str) -> None:
+        future = self._waiting.pop(number, None)
+        if future is not None and not future.done():
+            future.set_exception(LinkError(text, sent=True))
+
+    def _fail_all(self) -> None:
+        for future in self._waiting.values():
+            if not future.done():
+                text = f"link to {self.peer} was lost"
+                future.set_exception(LinkError(text, sent=True))
+        self._waiting.clear()
+
+    async def close(self) -> None:
+        """Close the connection."""
+        self.closed = True
+        await self._socket.close()
--- /dev/null
+++ b/packages/wire/src/chivepier/wire/frame.py
@@ -0,0 +1,62 @@
+"""The frame between processes."""
+
+import enum
+import typing
+
+import cbor2
+
+from chivepier.types.messages import pack
+from chivepier.types.messages import unpack
+
+
+class Part(enum.IntEnum):
+    """What one part of a frame is."""
+
+    SEND = 0
+    REQUEST = 1
+    ANSWER = 2
+    FAILED = 3
+
+
+def pack_part(part: Part, number: int, value: typing.Any) -> tuple:
+    """Build one part of a frame.
+
+    :param part: what the part is
+    :param number: pairs an answer with its request
+    :param value: a registered message, or a text for ``FAILED``
+    :returns: plain values
+    """
+    if part is Part.FAILED:
+        return int(part), number, 0, value
+    tag, fields = pack(value)
+    return int(part), number, tag, fields
+
+
+def dump_frame(parts: list[tuple]) -> bytes:
+    """Encode the parts that are ready as one frame.
+
+    :param parts: what :func:`pack_part` made
+    :returns: CBOR
+    """
+    return cbor2.dumps(parts)
+
+
+def load_frame(data: bytes) -> list[tuple[Part, int, typing.Any]]:
+    """Decode a frame.
+
+    :param data: CBOR from a peer
+    :returns: its parts, with messages built again
+    :raises ValueError: when the frame is not one of ours
+    """
+    try:
+        return [_load_part(plain) for plain in cbor2.loads(data)]
+    except (KeyError, TypeError, cbor2.CBORDecodeError) as error:
+        raise ValueError(f"bad frame: {error!r}") from error
+
+
+def _load_part(plain: typing.Any) -> tuple[Part, int, typing.Any]:
+    kind, number, tag, fields = plain
+    part = Part(kind)
+    if part is Part.FAILED:
+        return part, number, fields
+    return part, number, unpack(tag, fields)
--- /dev/null
+++ b/packages/wire/src/chivepier/wire/linkerror.py
@@ -0,0 +1,13 @@
+"""The error of peer links."""
+
+
+class LinkError(Exception):
+    """A peer could not be reached, or did not answer in time.
+
+    Whether the peer acted on the message is unknown, unless ``sent`` is
+    false: then the message never left this process.
+    """
+
+    def __init__(self, message: str, sent: bool):
+        super().__init__(message)
+        self.sent = sent
--- /dev/null
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -0,0 +1,101 @@
+"""The connecting side of peer links."""
+
+import asyncio
+import typing
+
+from websockets.asyncio.client import connect
+from websockets.exceptions import WebSocketException
+
+from chivepier.wire.channel import Channel
+from chivepier.wire.channel import Handler
+from chivepier.wire.faults import Faults
+from chivepier.wire.linkerror import LinkError
+from chivepier.wire.server import KEY_HEADER
+from chivepier.wire.server import MAX_FRAME
+from chivepier.wire.server import PEER_HEADER
+
+CONNECT_SECONDS = 2.0
+
+
+class Links:
+    """One outgoing channel per peer, made on first use and after a loss."""
+
+    def __init__(self, me: str, key: str, handler: Handler, faults: Faults):
+        self.me = me
+        self._key = key
+        self._handler = handler
+        self._faults = faults
+        self._channels: dict[str, Channel] = {}
+        self._locks: dict[str, asyncio.Lock] = {}
+        self._tasks: dict[str, asyncio.Task] = {}
+
+    async def __aenter__(self) -> "Links":
+        return self
+
+    async def __aexit__(self, *exc) -> None:
+        for channel in list(self._channels.values()):
+            await channel.close()
+        for task in list(self._tasks.values()):
+            task.cancel()
+
+    async def request(
+        self, peer: str, value: typing.Any, timeout: float
+    ) -> typing.Any:
+        """Ask a peer.
+
+        :param peer: its address as ``ip:port``
+        :param value: a registered message
+        :param timeout: seconds, connecting included
+        :returns: the answer's message
+        :raises LinkError: when the peer can't be reached or does not answer
+        """
+        channel = await self._open(peer, timeout)
+        return await channel.request(value, timeout)
+
+    async def send(self, peer: str, value: typing.Any) -> None:
+        """Post a one-way message to a peer; losing it is no error.
+
+        :param peer: its address as ``ip:port``
+        :param value: a registered message
+        """
+        try:
+            channel = await self._open(peer, CONNECT_SECONDS)
+        except LinkError:
+            return
+        channel.send(value)
+
+    async def _open(self, peer: str, timeout: float) -> Channel:
+        channel = self._channels.get(peer)
+        if channel is not None and not channel.closed:
+            return channel
+        lock = self._locks.setdefault(peer, asyncio.Lock())
+        async with lock:
+            channel = self._channels.get(peer)
+            if channel is not None and not channel.closed:
+                return channel
+            return await self._connect(peer, timeout)
+
+    async def _connect(self, peer: str, timeout: float) -> Channel:
+        if self._faults.blocks(peer):
+            # a cut link loses the handshake too: fail without a reset
+            await asyncio.sleep(min(timeout, CONNECT_SECONDS))
+            raise LinkError(f"no connection to {peer}", sent=False)
+        headers = {KEY_HEADER: self._key, PEER_HEADER: self.me}
+        try:
+            async with asyncio.timeout(min(timeout, CONNECT_SECONDS)):
+                socket = await connect(
+                    f"ws://{peer}",
+                    additional_headers=headers,
+                    compression=None,
+                    max_size=MAX_FRAME,
+                    ping_interval=None,
+                    open_timeout=None,
+                    proxy=None,
+                )
+        except (OSError, TimeoutError, WebSocketException) as error:
+            text = f"no connection to {peer}: {error!r}"
+            raise LinkError(text, sent=False) from None
+        channel = Channel(socket, peer, self._handler, self._faults)
+        self._channels[peer] = channel
+        self._tasks[peer] = asyncio.create_task(channel.run())
+        return channel
--- /dev/null
+++ b/packages/wire/src/chivepier/wire/server.py
@@ -0,0 +1,58 @@
+"""The listening side of peer links."""
+
+import hmac
+
+import websockets
+from websockets.asyncio.server import serve
+
+from chivepier.wire.channel import Channel
+from chivepier.wire.channel import Handler
+from chivepier.wire.faults import Faults
+
+KEY_HEADER = "x-chivepier-key"
+PEER_HEADER = "x-chivepier-peer"
+MAX_FRAME = 8 << 20
+UNAUTHORIZED = 401
+
+
+class PeerServer:
+    """Accepts peers that hold the cluster key; one task per connection."""
+
+    def __init__(self, host: str, port: int, handler: Handler, key: str):
+        self._host = host
+        self._port = port
+        self._handler = handler
+        self._key = key
+        self.faults = Faults()
+        self._server = None
+
+    async def __aenter__(self) -> "PeerServer":
+        self._server = await serve(
+            self._serve,
+            self._host,
+            self._port,
+            process_request=self._check,
+            compression=None,
+            max_size=MAX_FRAME,
+            ping_interval=None,
+        )
+        return self
+
+    async def __aexit__(self, *exc) -> None:
+        self._server.close()
+        await self._server.wait_closed()
+
+    @property
+    def port(self) -> int:
+        """The port in use, also where 0 was asked for."""
+        return self._server.sockets[0].getsockname()[1]
+
+    def _check(self, connection, request):
+        given = request.headers.get(KEY_HEADER, "")
+        if not hmac.compare_digest(given.encode(), self._key.encode()):
+            return connection.respond(UNAUTHORIZED, "cluster key refused\n")
+        return None
+
+    async def _serve(self, socket: websockets.ServerConnection) -> None:
+        peer = socket.request.headers.get(PEER_HEADER, "")
+        await Channel(socket, peer, self._handler, self.faults).run()
