Move messages and documents beside types

Cause: hacking orders imports by the whole dotted name, isort by module; the two disagree where a package and its subpackage are both imported from. Ruled out: switching H306 off, as the order is a check of the house style.

--- a/packages/membership/src/chivepier/membership/leasetable.py
+++ b/packages/membership/src/chivepier/membership/leasetable.py
@@ -1,8 +1,8 @@
 """The leader's table of members' leases."""
 
 from chivepier.membership.terms import LeaseTerms
+from chivepier.messages import Member
 from chivepier.types import Clock
-from chivepier.types.messages import Member
 
 
 class LeaseTable:
--- a/packages/membership/src/chivepier/membership/ownership.py
+++ b/packages/membership/src/chivepier/membership/ownership.py
@@ -2,8 +2,8 @@
 
 import collections.abc
 
+from chivepier.messages import Member
 from chivepier.types import hash_text
-from chivepier.types.messages import Member
 
 
 def find_owner(
--- a/packages/node/src/chivepier/node/cluster.py
+++ b/packages/node/src/chivepier/node/cluster.py
@@ -4,12 +4,12 @@
 
 from chivepier.membership import Freshness
 from chivepier.membership import LeaseTerms
+from chivepier.messages import Member
 from chivepier.node.settings import Settings
 from chivepier.state import Identity
 from chivepier.state import Machine
 from chivepier.state import Replica
 from chivepier.types import Clock
-from chivepier.types.messages import Member
 from chivepier.wire import Links
 
 
--- a/packages/node/src/chivepier/node/commander.py
+++ b/packages/node/src/chivepier/node/commander.py
@@ -6,6 +6,8 @@
 from result import Ok
 from result import Result
 
+from chivepier.messages import CommandAnswer
+from chivepier.messages import CommandRequest
 from chivepier.node.cluster import Cluster
 from chivepier.state import Answer
 from chivepier.state import LostLeadError
@@ -13,8 +15,6 @@
 from chivepier.types import ErrorKind
 from chivepier.types import Failure
 from chivepier.types import Ran
-from chivepier.types.messages import CommandAnswer
-from chivepier.types.messages import CommandRequest
 from chivepier.wire import LinkError
 
 ATTEMPT_SECONDS = 5.0
--- a/packages/node/src/chivepier/node/directory.py
+++ b/packages/node/src/chivepier/node/directory.py
@@ -5,14 +5,14 @@
 
 import attrs
 
+from chivepier.documents import Grant
+from chivepier.documents import Team
+from chivepier.documents import Template
+from chivepier.documents import unpack_spec
 from chivepier.state import Machine
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
 from chivepier.types import Urgency
-from chivepier.types.documents import Grant
-from chivepier.types.documents import Team
-from chivepier.types.documents import Template
-from chivepier.types.documents import unpack_spec
 
 CACHED = 4096
 
--- a/packages/node/src/chivepier/node/founding.py
+++ b/packages/node/src/chivepier/node/founding.py
@@ -3,12 +3,12 @@
 import asyncio
 import secrets
 
+from chivepier.messages import BootstrapRequest
+from chivepier.messages import IdentityRequest
+from chivepier.messages import Voter
 from chivepier.node.cluster import Cluster
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
-from chivepier.types.messages import BootstrapRequest
-from chivepier.types.messages import IdentityRequest
-from chivepier.types.messages import Voter
 from chivepier.wire import LinkError
 
 ASK_SECONDS = 3.0
--- a/packages/node/src/chivepier/node/generation.py
+++ b/packages/node/src/chivepier/node/generation.py
@@ -7,6 +7,10 @@
 
 import aiohttp
 
+from chivepier.messages import PermitAnswer
+from chivepier.messages import PermitOutcome
+from chivepier.messages import PermitRequest
+from chivepier.messages import ReleaseReport
 from chivepier.node.completion import Completion
 from chivepier.node.directory import Service
 from chivepier.node.entry import Entry
@@ -15,10 +19,6 @@
 from chivepier.types import ErrorKind
 from chivepier.types import Ran
 from chivepier.types import RequestError
-from chivepier.types.messages import PermitAnswer
-from chivepier.types.messages import PermitOutcome
-from chivepier.types.messages import PermitRequest
-from chivepier.types.messages import ReleaseReport
 
 GENERATION_HEADER = "x-generation-id"
 PATIENCE_SECONDS = 30.0
--- a/packages/node/src/chivepier/node/leadership.py
+++ b/packages/node/src/chivepier/node/leadership.py
@@ -7,17 +7,17 @@
 
 from chivepier.membership import ForceTracker
 from chivepier.membership import LeaseTable
+from chivepier.messages import ChangedNotice
+from chivepier.messages import encode
+from chivepier.messages import JoinCommand
+from chivepier.messages import LeaveCommand
+from chivepier.messages import Member
+from chivepier.messages import RenewAnswer
+from chivepier.messages import RenewRequest
+from chivepier.messages import SecretCommand
 from chivepier.node.cluster import Cluster
 from chivepier.state import LostLeadError
 from chivepier.state import NotLeaderError
-from chivepier.types.messages import ChangedNotice
-from chivepier.types.messages import encode
-from chivepier.types.messages import JoinCommand
-from chivepier.types.messages import LeaveCommand
-from chivepier.types.messages import Member
-from chivepier.types.messages import RenewAnswer
-from chivepier.types.messages import RenewRequest
-from chivepier.types.messages import SecretCommand
 
 log = logbook.Logger("leadership")
 
--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -11,8 +11,10 @@
 import logbook
 import prometheus_client
 
+from chivepier import messages
 from chivepier.membership import Freshness
 from chivepier.membership import LeaseTerms
+from chivepier.messages import encode
 from chivepier.node.addresses import Addresses
 from chivepier.node.answers import make_error_middleware
 from chivepier.node.callers import Callers
@@ -37,8 +39,6 @@
 from chivepier.state import save_identity
 from chivepier.state import Timing
 from chivepier.types import Clock
-from chivepier.types import messages
-from chivepier.types.messages import encode
 from chivepier.wire import Links
 from chivepier.wire import PeerServer
 
--- a/packages/node/src/chivepier/node/operators.py
+++ b/packages/node/src/chivepier/node/operators.py
@@ -5,6 +5,13 @@
 import cbor2
 from result import Err
 
+from chivepier.documents import Document
+from chivepier.documents import pack_spec
+from chivepier.documents import parse_spec
+from chivepier.documents import plain_spec
+from chivepier.messages import ChangeCommand
+from chivepier.messages import Edit
+from chivepier.messages import encode
 from chivepier.node.callers import read_json
 from chivepier.node.entry import Entry
 from chivepier.node.founding import found_cluster
@@ -12,13 +19,6 @@
 from chivepier.state import Answer
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
-from chivepier.types.documents import Document
-from chivepier.types.documents import pack_spec
-from chivepier.types.documents import parse_spec
-from chivepier.types.documents import plain_spec
-from chivepier.types.messages import ChangeCommand
-from chivepier.types.messages import Edit
-from chivepier.types.messages import encode
 
 CHANGE_SECONDS = 13.0
 MAX_EDITS = 1000
--- a/packages/node/src/chivepier/node/owner.py
+++ b/packages/node/src/chivepier/node/owner.py
@@ -4,21 +4,21 @@
 
 from chivepier.membership import find_owner
 from chivepier.membership import find_shard
+from chivepier.messages import AnnounceAnswer
+from chivepier.messages import Announcement
+from chivepier.messages import CancelReport
+from chivepier.messages import Member
+from chivepier.messages import PermitAnswer
+from chivepier.messages import PermitRequest
+from chivepier.messages import ProgressReport
+from chivepier.messages import ReleaseReport
+from chivepier.messages import TargetsAnswer
+from chivepier.messages import TargetsRequest
 from chivepier.node.cluster import Cluster
 from chivepier.node.directory import Directory
 from chivepier.node.shard import ANNOUNCE_SECONDS
 from chivepier.node.shard import Shard
 from chivepier.types import ErrorKind
-from chivepier.types.messages import AnnounceAnswer
-from chivepier.types.messages import Announcement
-from chivepier.types.messages import CancelReport
-from chivepier.types.messages import Member
-from chivepier.types.messages import PermitAnswer
-from chivepier.types.messages import PermitRequest
-from chivepier.types.messages import ProgressReport
-from chivepier.types.messages import ReleaseReport
-from chivepier.types.messages import TargetsAnswer
-from chivepier.types.messages import TargetsRequest
 
 TICK_SECONDS = 0.05
 RETRY_SECONDS = 1.0
--- a/packages/node/src/chivepier/node/permits.py
+++ b/packages/node/src/chivepier/node/permits.py
@@ -4,20 +4,20 @@
 import datetime
 import itertools
 
+from chivepier.messages import AnnounceAnswer
+from chivepier.messages import Announcement
+from chivepier.messages import CancelReport
+from chivepier.messages import Member
+from chivepier.messages import PermitAnswer
+from chivepier.messages import PermitRequest
+from chivepier.messages import ReleaseReport
+from chivepier.messages import TargetsAnswer
+from chivepier.messages import TargetsRequest
 from chivepier.node.cluster import Cluster
 from chivepier.node.owner import Owner
 from chivepier.types import ErrorKind
 from chivepier.types import Failure
 from chivepier.types import RequestError
-from chivepier.types.messages import AnnounceAnswer
-from chivepier.types.messages import Announcement
-from chivepier.types.messages import CancelReport
-from chivepier.types.messages import Member
-from chivepier.types.messages import PermitAnswer
-from chivepier.types.messages import PermitRequest
-from chivepier.types.messages import ReleaseReport
-from chivepier.types.messages import TargetsAnswer
-from chivepier.types.messages import TargetsRequest
 from chivepier.wire import LinkError
 
 LINK_SECONDS = 2.0
--- a/packages/node/src/chivepier/node/renewal.py
+++ b/packages/node/src/chivepier/node/renewal.py
@@ -3,19 +3,19 @@
 import asyncio
 import random
 
+from chivepier.messages import ChangedNotice
+from chivepier.messages import ClaimCommand
+from chivepier.messages import decode
+from chivepier.messages import Entry
+from chivepier.messages import FreshAnswer
+from chivepier.messages import FreshRequest
+from chivepier.messages import OutcomeCommand
+from chivepier.messages import RenewRequest
+from chivepier.messages import SyncAnswer
+from chivepier.messages import SyncRequest
 from chivepier.node.cluster import Cluster
 from chivepier.state import Signal
 from chivepier.state import Snapshot
-from chivepier.types.messages import ChangedNotice
-from chivepier.types.messages import ClaimCommand
-from chivepier.types.messages import decode
-from chivepier.types.messages import Entry
-from chivepier.types.messages import FreshAnswer
-from chivepier.types.messages import FreshRequest
-from chivepier.types.messages import OutcomeCommand
-from chivepier.types.messages import RenewRequest
-from chivepier.types.messages import SyncAnswer
-from chivepier.types.messages import SyncRequest
 from chivepier.wire import LinkError
 
 SYNC_ENTRIES = 500
--- a/packages/node/src/chivepier/node/services.py
+++ b/packages/node/src/chivepier/node/services.py
@@ -5,15 +5,15 @@
 import aiohttp
 from aiohttp import web
 
+from chivepier.messages import PermitOutcome
+from chivepier.messages import PermitRequest
+from chivepier.messages import ReleaseReport
 from chivepier.node.callers import Callers
 from chivepier.node.directory import Service
 from chivepier.node.entry import Entry
 from chivepier.types import ErrorKind
 from chivepier.types import Ran
 from chivepier.types import RequestError
-from chivepier.types.messages import PermitOutcome
-from chivepier.types.messages import PermitRequest
-from chivepier.types.messages import ReleaseReport
 
 PATIENCE_SECONDS = 10.0
 CALL_SECONDS = 60.0
--- a/packages/node/src/chivepier/node/shard.py
+++ b/packages/node/src/chivepier/node/shard.py
@@ -3,6 +3,11 @@
 import asyncio
 import itertools
 
+from chivepier.messages import Announcement
+from chivepier.messages import PermitAnswer
+from chivepier.messages import PermitOutcome
+from chivepier.messages import PermitRequest
+from chivepier.messages import ReleaseReport
 from chivepier.node.directory import Directory
 from chivepier.policy import Ask
 from chivepier.policy import Grant
@@ -13,11 +18,6 @@
 from chivepier.policy import TargetView
 from chivepier.types import Clock
 from chivepier.types import Urgency
-from chivepier.types.messages import Announcement
-from chivepier.types.messages import PermitAnswer
-from chivepier.types.messages import PermitOutcome
-from chivepier.types.messages import PermitRequest
-from chivepier.types.messages import ReleaseReport
 
 ANNOUNCE_SECONDS = 1.0
 MISSED_ANNOUNCEMENTS = 3
--- a/packages/node/src/chivepier/node/targets.py
+++ b/packages/node/src/chivepier/node/targets.py
@@ -6,11 +6,11 @@
 import cattrs
 
 from chivepier.membership import find_shard
+from chivepier.messages import Announcement
 from chivepier.node.callers import read_json
 from chivepier.node.entry import Entry
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
-from chivepier.types.messages import Announcement
 
 CONVERTER = cattrs.Converter(forbid_extra_keys=True, detailed_validation=False)
 
--- a/packages/policy/src/chivepier/policy/leastinflight.py
+++ b/packages/policy/src/chivepier/policy/leastinflight.py
@@ -2,6 +2,7 @@
 
 import itertools
 
+from chivepier.messages import PermitOutcome
 from chivepier.policy.ask import Ask
 from chivepier.policy.decisions import Decision
 from chivepier.policy.grant import Grant
@@ -11,7 +12,6 @@
 from chivepier.policy.targetview import TargetView
 from chivepier.types import Clock
 from chivepier.types import ErrorKind
-from chivepier.types.messages import PermitOutcome
 
 RETRY_SECONDS = 2.0
 
--- a/packages/policy/src/chivepier/policy/policy.py
+++ b/packages/policy/src/chivepier/policy/policy.py
@@ -2,11 +2,11 @@
 
 import abc
 
+from chivepier.messages import PermitOutcome
 from chivepier.policy.ask import Ask
 from chivepier.policy.decisions import Decision
 from chivepier.policy.held import Held
 from chivepier.policy.targetview import TargetView
-from chivepier.types.messages import PermitOutcome
 
 
 class Policy(abc.ABC):
--- a/packages/state/src/chivepier/state/claim.py
+++ b/packages/state/src/chivepier/state/claim.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from chivepier.types.messages import Outcome
+from chivepier.messages import Outcome
 
 
 @attrs.frozen
--- a/packages/state/src/chivepier/state/diskstorage.py
+++ b/packages/state/src/chivepier/state/diskstorage.py
@@ -5,14 +5,14 @@
 
 import cbor2
 
+from chivepier.messages import decode
+from chivepier.messages import encode
+from chivepier.messages import Entry
 from chivepier.state.damagederror import DamagedError
 from chivepier.state.records import pack_record
 from chivepier.state.records import read_records
 from chivepier.state.snapshot import Snapshot
 from chivepier.state.storage import Storage
-from chivepier.types.messages import decode
-from chivepier.types.messages import encode
-from chivepier.types.messages import Entry
 
 VOTE_FILE = "vote"
 LOG_FILE = "log"
--- a/packages/state/src/chivepier/state/machine.py
+++ b/packages/state/src/chivepier/state/machine.py
@@ -5,28 +5,28 @@
 import attrs
 import cbor2
 
+from chivepier.documents import Document
+from chivepier.messages import ChangeCommand
+from chivepier.messages import ClaimCommand
+from chivepier.messages import ClaimState
+from chivepier.messages import decode
+from chivepier.messages import Edit
+from chivepier.messages import Entry
+from chivepier.messages import JoinCommand
+from chivepier.messages import LeaveCommand
+from chivepier.messages import Member
+from chivepier.messages import Noop
+from chivepier.messages import Outcome
+from chivepier.messages import OutcomeCommand
+from chivepier.messages import SecretCommand
+from chivepier.messages import Voter
+from chivepier.messages import VotersCommand
 from chivepier.state.answer import Answer
 from chivepier.state.claim import Claim
 from chivepier.state.historyitem import HistoryItem
 from chivepier.state.signal import Signal
 from chivepier.state.snapshot import Snapshot
 from chivepier.types import ErrorKind
-from chivepier.types.documents import Document
-from chivepier.types.messages import ChangeCommand
-from chivepier.types.messages import ClaimCommand
-from chivepier.types.messages import ClaimState
-from chivepier.types.messages import decode
-from chivepier.types.messages import Edit
-from chivepier.types.messages import Entry
-from chivepier.types.messages import JoinCommand
-from chivepier.types.messages import LeaveCommand
-from chivepier.types.messages import Member
-from chivepier.types.messages import Noop
-from chivepier.types.messages import Outcome
-from chivepier.types.messages import OutcomeCommand
-from chivepier.types.messages import SecretCommand
-from chivepier.types.messages import Voter
-from chivepier.types.messages import VotersCommand
 
 KEPT_ANSWERS = 20_000
 KEPT_HISTORY = 2_000
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -6,6 +6,18 @@
 
 import logbook
 
+from chivepier.messages import AppendAnswer
+from chivepier.messages import AppendRequest
+from chivepier.messages import decode
+from chivepier.messages import encode
+from chivepier.messages import Entry
+from chivepier.messages import Noop
+from chivepier.messages import SnapshotAnswer
+from chivepier.messages import SnapshotRequest
+from chivepier.messages import VoteAnswer
+from chivepier.messages import Voter
+from chivepier.messages import VoteRequest
+from chivepier.messages import VotersCommand
 from chivepier.state.answer import Answer
 from chivepier.state.lostleaderror import LostLeadError
 from chivepier.state.machine import Machine
@@ -17,18 +29,6 @@
 from chivepier.state.timing import Timing
 from chivepier.state.transport import Transport
 from chivepier.types import Clock
-from chivepier.types.messages import AppendAnswer
-from chivepier.types.messages import AppendRequest
-from chivepier.types.messages import decode
-from chivepier.types.messages import encode
-from chivepier.types.messages import Entry
-from chivepier.types.messages import Noop
-from chivepier.types.messages import SnapshotAnswer
-from chivepier.types.messages import SnapshotRequest
-from chivepier.types.messages import VoteAnswer
-from chivepier.types.messages import Voter
-from chivepier.types.messages import VoteRequest
-from chivepier.types.messages import VotersCommand
 from chivepier.wire import LinkError
 
 log = logbook.Logger("state")
--- a/packages/state/src/chivepier/state/storage.py
+++ b/packages/state/src/chivepier/state/storage.py
@@ -2,8 +2,8 @@
 
 import abc
 
+from chivepier.messages import Entry
 from chivepier.state.snapshot import Snapshot
-from chivepier.types.messages import Entry
 
 
 class Storage(abc.ABC):
--- a/packages/types/src/chivepier/types/documents/spec.py
+++ b/packages/types/src/chivepier/documents/spec.py
@@ -8,9 +8,9 @@
 from result import Ok
 from result import Result
 
-from chivepier.types.documents.document import Document
-from chivepier.types.documents.team import Team
-from chivepier.types.documents.template import Template
+from chivepier.documents.document import Document
+from chivepier.documents.team import Team
+from chivepier.documents.template import Template
 from chivepier.types.errorkind import ErrorKind
 from chivepier.types.failure import Failure
 from chivepier.types.urgency import Urgency
--- a/packages/types/src/chivepier/types/documents/team.py
+++ b/packages/types/src/chivepier/documents/team.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from chivepier.types.documents.grant import Grant
+from chivepier.documents.grant import Grant
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/types/src/chivepier/types/documents/template.py
+++ b/packages/types/src/chivepier/documents/template.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from chivepier.types.documents.routerule import RouteRule
+from chivepier.documents.routerule import RouteRule
 from chivepier.types.targetkind import TargetKind
 from chivepier.types.urgency import Urgency
 
--- /dev/null
+++ b/packages/types/src/chivepier/messages/__init__.py
@@ -0,0 +1,113 @@
+"""Typed messages between processes, and commands of the log."""
+
+from chivepier.messages.announceanswer import AnnounceAnswer
+from chivepier.messages.announcement import Announcement
+from chivepier.messages.appendanswer import AppendAnswer
+from chivepier.messages.appendrequest import AppendRequest
+from chivepier.messages.bootstrapanswer import BootstrapAnswer
+from chivepier.messages.bootstraprequest import BootstrapRequest
+from chivepier.messages.cancelreport import CancelReport
+from chivepier.messages.changecommand import ChangeCommand
+from chivepier.messages.changednotice import ChangedNotice
+from chivepier.messages.claimcommand import ClaimCommand
+from chivepier.messages.claimstate import ClaimState
+from chivepier.messages.codec import decode
+from chivepier.messages.codec import encode
+from chivepier.messages.codec import pack
+from chivepier.messages.codec import unpack
+from chivepier.messages.commandanswer import CommandAnswer
+from chivepier.messages.commandrequest import CommandRequest
+from chivepier.messages.edit import Edit
+from chivepier.messages.entry import Entry
+from chivepier.messages.freshanswer import FreshAnswer
+from chivepier.messages.freshrequest import FreshRequest
+from chivepier.messages.identityanswer import IdentityAnswer
+from chivepier.messages.identityrequest import IdentityRequest
+from chivepier.messages.inflightpermit import InflightPermit
+from chivepier.messages.inflightreport import InflightReport
+from chivepier.messages.inflightrequest import InflightRequest
+from chivepier.messages.joincommand import JoinCommand
+from chivepier.messages.leavecommand import LeaveCommand
+from chivepier.messages.member import Member
+from chivepier.messages.noop import Noop
+from chivepier.messages.outcome import Outcome
+from chivepier.messages.outcomecommand import OutcomeCommand
+from chivepier.messages.permitanswer import PermitAnswer
+from chivepier.messages.permitoutcome import PermitOutcome
+from chivepier.messages.permitrequest import PermitRequest
+from chivepier.messages.progressreport import ProgressReport
+from chivepier.messages.registry import message
+from chivepier.messages.releasereport import ReleaseReport
+from chivepier.messages.renewanswer import RenewAnswer
+from chivepier.messages.renewrequest import RenewRequest
+from chivepier.messages.secretcommand import SecretCommand
+from chivepier.messages.snapshotanswer import SnapshotAnswer
+from chivepier.messages.snapshotrequest import SnapshotRequest
+from chivepier.messages.stoporder import StopOrder
+from chivepier.messages.syncanswer import SyncAnswer
+from chivepier.messages.syncrequest import SyncRequest
+from chivepier.messages.targetload import TargetLoad
+from chivepier.messages.targetsanswer import TargetsAnswer
+from chivepier.messages.targetsrequest import TargetsRequest
+from chivepier.messages.usagereport import UsageReport
+from chivepier.messages.voteanswer import VoteAnswer
+from chivepier.messages.voter import Voter
+from chivepier.messages.voterequest import VoteRequest
+from chivepier.messages.voterscommand import VotersCommand
+
+__all__ = [
+    "AnnounceAnswer",
+    "Announcement",
+    "AppendAnswer",
+    "AppendRequest",
+    "BootstrapAnswer",
+    "BootstrapRequest",
+    "CancelReport",
+    "ChangeCommand",
+    "ChangedNotice",
+    "ClaimCommand",
+    "ClaimState",
+    "CommandAnswer",
+    "CommandRequest",
+    "Edit",
+    "Entry",
+    "FreshAnswer",
+    "FreshRequest",
+    "IdentityAnswer",
+    "IdentityRequest",
+    "InflightPermit",
+    "InflightReport",
+    "InflightRequest",
+    "JoinCommand",
+    "LeaveCommand",
+    "Member",
+    "Noop",
+    "Outcome",
+    "OutcomeCommand",
+    "PermitAnswer",
+    "PermitOutcome",
+    "PermitRequest",
+    "ProgressReport",
+    "ReleaseReport",
+    "RenewAnswer",
+    "RenewRequest",
+    "SecretCommand",
+    "SnapshotAnswer",
+    "SnapshotRequest",
+    "StopOrder",
+    "SyncAnswer",
+    "SyncRequest",
+    "TargetLoad",
+    "TargetsAnswer",
+    "TargetsRequest",
+    "UsageReport",
+    "VoteAnswer",
+    "VoteRequest",
+    "Voter",
+    "VotersCommand",
+    "decode",
+    "encode",
+    "message",
+    "pack",
+    "unpack",
+]
--- a/packages/types/src/chivepier/types/messages/announcement.py
+++ b/packages/types/src/chivepier/messages/announcement.py
@@ -1,7 +1,7 @@
 """The Announcement message."""
 
-from chivepier.types.messages.registry import message
-from chivepier.types.messages.targetload import TargetLoad
+from chivepier.messages.registry import message
+from chivepier.messages.targetload import TargetLoad
 
 
 @message(89)
--- a/packages/types/src/chivepier/types/messages/bootstraprequest.py
+++ b/packages/types/src/chivepier/messages/bootstraprequest.py
@@ -1,7 +1,7 @@
 """The BootstrapRequest message."""
 
-from chivepier.types.messages.registry import message
-from chivepier.types.messages.voter import Voter
+from chivepier.messages.registry import message
+from chivepier.messages.voter import Voter
 
 
 @message(10)
--- a/packages/types/src/chivepier/types/messages/changecommand.py
+++ b/packages/types/src/chivepier/messages/changecommand.py
@@ -1,7 +1,7 @@
 """The ChangeCommand message."""
 
-from chivepier.types.messages.edit import Edit
-from chivepier.types.messages.registry import message
+from chivepier.messages.edit import Edit
+from chivepier.messages.registry import message
 
 
 @message(41)
--- a/packages/types/src/chivepier/types/messages/codec.py
+++ b/packages/types/src/chivepier/messages/codec.py
@@ -5,8 +5,8 @@
 import cattrs
 import cbor2
 
-from chivepier.types.messages.registry import TAGS
-from chivepier.types.messages.registry import TYPES
+from chivepier.messages.registry import TAGS
+from chivepier.messages.registry import TYPES
 
 CONVERTER = cattrs.Converter(
     unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE
@@ -38,7 +38,7 @@
 def encode(value: typing.Any) -> bytes:
     """Encode one message, as it stands in the log.
 
-    >>> from chivepier.types.messages import Noop
+    >>> from chivepier.messages import Noop
     >>> decode(encode(Noop()))
     Noop()
 
--- a/packages/types/src/chivepier/types/messages/inflightreport.py
+++ b/packages/types/src/chivepier/messages/inflightreport.py
@@ -1,7 +1,7 @@
 """The InflightReport message."""
 
-from chivepier.types.messages.inflightpermit import InflightPermit
-from chivepier.types.messages.registry import message
+from chivepier.messages.inflightpermit import InflightPermit
+from chivepier.messages.registry import message
 
 
 @message(86)
--- a/packages/types/src/chivepier/types/messages/joincommand.py
+++ b/packages/types/src/chivepier/messages/joincommand.py
@@ -1,7 +1,7 @@
 """The JoinCommand message."""
 
-from chivepier.types.messages.member import Member
-from chivepier.types.messages.registry import message
+from chivepier.messages.member import Member
+from chivepier.messages.registry import message
 
 
 @message(42)
--- a/packages/types/src/chivepier/types/messages/outcomecommand.py
+++ b/packages/types/src/chivepier/messages/outcomecommand.py
@@ -1,7 +1,7 @@
 """The OutcomeCommand message."""
 
-from chivepier.types.messages.outcome import Outcome
-from chivepier.types.messages.registry import message
+from chivepier.messages.outcome import Outcome
+from chivepier.messages.registry import message
 
 
 @message(46)
--- a/packages/types/src/chivepier/types/messages/progressreport.py
+++ b/packages/types/src/chivepier/messages/progressreport.py
@@ -1,6 +1,6 @@
 """The ProgressReport message."""
 
-from chivepier.types.messages.registry import message
+from chivepier.messages.registry import message
 
 
 @message(82)
--- a/packages/types/src/chivepier/types/messages/stoporder.py
+++ b/packages/types/src/chivepier/messages/stoporder.py
@@ -1,6 +1,6 @@
 """The StopOrder message."""
 
-from chivepier.types.messages.registry import message
+from chivepier.messages.registry import message
 
 
 @message(85)
--- a/packages/types/src/chivepier/types/messages/syncanswer.py
+++ b/packages/types/src/chivepier/messages/syncanswer.py
@@ -1,7 +1,7 @@
 """The SyncAnswer message."""
 
-from chivepier.types.messages.entry import Entry
-from chivepier.types.messages.registry import message
+from chivepier.messages.entry import Entry
+from chivepier.messages.registry import message
 
 
 @message(65)
--- a/packages/types/src/chivepier/types/messages/targetsanswer.py
+++ b/packages/types/src/chivepier/messages/targetsanswer.py
@@ -1,7 +1,7 @@
 """The TargetsAnswer message."""
 
-from chivepier.types.messages.announcement import Announcement
-from chivepier.types.messages.registry import message
+from chivepier.messages.announcement import Announcement
+from chivepier.messages.registry import message
 
 
 @message(94)
--- a/packages/wire/src/chivepier/wire/frame.py
+++ b/packages/wire/src/chivepier/wire/frame.py
@@ -5,8 +5,8 @@
 
 import cbor2
 
-from chivepier.types.messages import pack
-from chivepier.types.messages import unpack
+from chivepier.messages import pack
+from chivepier.messages import unpack
 
 
 class Part(enum.IntEnum):
