--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -11,9 +11,9 @@
 import logbook
 import prometheus_client
 
-from chivepier import messages
 from chivepier.membership import Freshness
 from chivepier.membership import LeaseTerms
+import chivepier.messages as messages
 from chivepier.messages import encode
 from chivepier.node.addresses import Addresses
 from chivepier.node.answers import make_error_middleware
