--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -192,6 +192,7 @@
             self._clock,
             Timing(),
             random.Random(cluster.identity.node),
+            cluster.identity.cluster,
         )
         cluster.leadership = Leadership(cluster)
         cluster.replica = replica
@@ -271,8 +272,8 @@
         storage = DiskStorage(folder)
         command = encode(messages.VotersCommand(request.voters))
         storage.append((messages.Entry(1, 1, command),))
-        storage.sync()
-        storage.save_vote(1, "")
+        await storage.sync()
+        await storage.save_vote(1, "")
         storage.close()
         identity = Identity(cluster.identity.node, request.cluster)
         save_identity(folder, identity)
--- a/packages/state/src/chivepier/state/__init__.py
+++ b/packages/state/src/chivepier/state/__init__.py
@@ -16,6 +16,7 @@
 from chivepier.state.signal import Signal
 from chivepier.state.snapshot import Snapshot
 from chivepier.state.storage import Storage
+from chivepier.state.storagefailederror import StorageFailedError
 from chivepier.state.timing import Timing
 from chivepier.state.transport import Transport
 
@@ -34,6 +35,7 @@
     "Signal",
     "Snapshot",
     "Storage",
+    "StorageFailedError",
     "Timing",
     "Transport",
     "load_identity",
--- /dev/null
+++ b/packages/state/src/chivepier/state/core.py
@@ -0,0 +1,203 @@
+"""What the parts of one voter share."""
+
+import asyncio
+import collections.abc
+import random
+import typing
+
+import logbook
+
+from chivepier.messages import Entry
+from chivepier.messages import Voter
+from chivepier.state.damagederror import DamagedError
+from chivepier.state.machine import Machine
+from chivepier.state.role import Role
+from chivepier.state.signal import Signal
+from chivepier.state.storage import Storage
+from chivepier.state.storagefailederror import StorageFailedError
+from chivepier.state.timing import Timing
+from chivepier.state.transport import Transport
+from chivepier.state.votersets import VoterSets
+from chivepier.types import Clock
+
+if typing.TYPE_CHECKING:
+    from chivepier.state.tenure import Tenure
+
+log = logbook.Logger("state")
+
+
+class Core:
+    """Role, log and state of one voter.
+
+    Whoever changes term, vote or log holds :attr:`lock` until the change is
+    synced.  ``tenure`` is set exactly while this voter leads.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        cluster: str,
+        storage: Storage,
+        machine: Machine,
+        transport: Transport,
+        clock: Clock,
+        timing: Timing,
+        rng: random.Random,
+    ):
+        self.node = node
+        self.cluster = cluster
+        self.storage = storage
+        self.machine = machine
+        self.transport = transport
+        self.clock = clock
+        self.timing = timing
+        self.rng = rng
+        self.lock = asyncio.Lock()
+        self.role = Role.FOLLOWER
+        self.leader = ""
+        self.tenure: Tenure | None = None
+        self.commit = storage.snapshot.index
+        self.committed = Signal()
+        self.error: Exception | None = None
+        self.failed = Signal()
+        # a restarted voter has forgotten whom it heard: by waiting as if it
+        # had just heard a leader it can't help to break that leader's lease
+        self.heard = clock.monotonic()
+        if storage.snapshot.data:
+            machine.restore(storage.snapshot)
+        self.sets = VoterSets()
+        self.sets.reset(
+            storage.snapshot.index, machine.voters, storage.entries
+        )
+
+    @property
+    def voters(self) -> tuple[Voter, ...]:
+        """The voters by the latest entry in the log, committed or not."""
+        return self.sets.latest
+
+    def is_voter(self) -> bool:
+        """Tell whether this instance has a vote."""
+        return any(v.node == self.node for v in self.voters)
+
+    def quiet(self) -> float:
+        """Seconds since a leader was heard or a vote was given."""
+        return self.clock.monotonic() - self.heard
+
+    def leads(self) -> bool:
+        """Tell whether this voter leads and its lease has not run out."""
+        return self.tenure is not None and self.tenure.holds_lease()
+
+    def follow(self, leader: str) -> None:
+        """Stop leading or standing.
+
+        :param leader: whom to follow; empty when nobody is known
+        """
+        if leader != self.leader:
+            log.info("follows leader={} term={}", leader, self.storage.term)
+        tenure, self.tenure = self.tenure, None
+        self.role = Role.FOLLOWER
+        self.leader = leader
+        if tenure is not None:
+            tenure.end()
+
+    async def save_vote(self, term: int, vote: str) -> None:
+        """Keep term and vote, synced; the lock is held.
+
+        :param term: not lower than before
+        :param vote: the candidate voted for, or empty
+        """
+        if term > self.storage.term and self.role is Role.LEADER:
+            # the term a leader leads in never changes under it
+            self.follow("")
+        await self.store(self.storage.save_vote(term, vote))
+
+    async def adopt_term(self, term: int) -> None:
+        """Take over a later term that a peer told.
+
+        :param term: the peer's term
+        """
+        async with self.lock:
+            if term > self.storage.term:
+                await self.save_vote(term, "")
+                self.follow("")
+
+    async def append(self, entries: tuple[Entry, ...]) -> None:
+        """Add entries, synced on return; the lock is held.
+
+        :param entries: what follows the log's last entry
+        """
+        self.storage.append(entries)
+        self.sets.add(entries)
+        await self.store(self.storage.sync())
+
+    def truncate(self, index: int) -> None:
+        """Drop entries that another leader overwrites.
+
+        :param index: the first to be dropped
+        :raises DamagedError: when it is committed: by no leader's right
+        """
+        if index <= self.commit:
+            text = f"log: a leader overwrites committed index {index}"
+            error = DamagedError(text)
+            self.fail(error)
+            raise error
+        self.storage.truncate(index)
+        self.sets.truncate(index)
+
+    def raise_commit(self, index: int) -> None:
+        """Note that entries up to an index are committed.
+
+        :param index: log index
+        """
+        if index > self.commit:
+            self.commit = index
+            self.committed.set()
+
+    async def store(self, work: collections.abc.Awaitable) -> None:
+        """Wait for a write of the storage; an error stops this voter.
+
+        :param work: the storage's coroutine
+        :raises StorageFailedError: when it failed
+        """
+        task = asyncio.ensure_future(work)
+        try:
+            await _finish(task)
+        except OSError as error:
+            self.fail(error)
+            raise StorageFailedError(repr(error)) from error
+
+    def fail(self, error: Exception) -> None:
+        """Stop taking part for good: the data folder can't be trusted.
+
+        :param error: the first error that was met
+        """
+        if self.error is not None:
+            return
+        log.error("voter stops error={!r}", error)
+        self.error = error
+        self.follow("")
+        self.failed.set()
+        self.committed.set()
+
+    def check(self, cluster: str = "") -> None:
+        """Refuse a peer's message where this voter may not answer it.
+
+        :param cluster: the cluster the peer says it belongs to
+        :raises StorageFailedError: when this voter has stopped
+        :raises ValueError: when the peer belongs to another cluster: a
+            voter left behind by a forced recovery, or a wrong address
+        """
+        if self.error is not None:
+            raise StorageFailedError(repr(self.error))
+        if cluster and self.cluster and cluster != self.cluster:
+            raise ValueError(f"of another cluster: {cluster}")
+
+
+async def _finish(task: asyncio.Task) -> None:
+    # a cancelled waiter must not let the lock go while a thread still
+    # writes: the next writer's records would be mixed with these
+    try:
+        await asyncio.shield(task)
+    except asyncio.CancelledError:
+        await asyncio.wait([task])
+        raise
--- a/packages/state/src/chivepier/state/diskstorage.py
+++ b/packages/state/src/chivepier/state/diskstorage.py
@@ -1,14 +1,17 @@
 """Storage in a data folder."""
 
+import asyncio
 import os
 import pathlib
 
 import cbor2
 
-from chivepier.messages import decode
-from chivepier.messages import encode
 from chivepier.messages import Entry
 from chivepier.state.damagederror import DamagedError
+from chivepier.state.logfile import LogBase
+from chivepier.state.logfile import pack_base
+from chivepier.state.logfile import pack_batch
+from chivepier.state.logfile import replay
 from chivepier.state.records import pack_record
 from chivepier.state.records import read_records
 from chivepier.state.snapshot import Snapshot
@@ -23,7 +26,8 @@
     """Files under one folder; every reply waits until they are synced.
 
     Each file is replaced by writing a new one, syncing it, renaming it and
-    syncing the folder; only the log is appended to.
+    syncing the folder; only the log is appended to.  Files are written in a
+    thread, attributes are set in the loop after it.
 
     :param folder: the voter's data folder; made when it is not there
     :raises DamagedError: when a file is damaged before its tail
@@ -32,6 +36,7 @@
     def __init__(self, folder: pathlib.Path):
         self._folder = folder
         folder.mkdir(parents=True, exist_ok=True)
+        self._unwritten: list[Entry] = []
         self.term, self.vote = self._load_vote()
         self.snapshot = self._load_snapshot()
         self.entries = self._load_log()
@@ -67,67 +72,76 @@
     def _load_log(self) -> list[Entry]:
         path = self._folder / LOG_FILE
         if not path.exists():
-            path.touch()
-            sync_folder(self._folder)
+            if self.snapshot.index or self.term:
+                # the log is made first, so it was there and got lost
+                raise DamagedError("log: the file is missing")
+            self._rewrite_log(self.snapshot, ())
             return []
         payloads, length = read_records(path.read_bytes(), LOG_FILE)
+        if not payloads:
+            raise DamagedError("log: no intact record")
+        entries = replay(payloads, self.snapshot)
         if length != path.stat().st_size:
             os.truncate(path, length)
-        entries: list[Entry] = []
-        for payload in payloads:
-            self._place(entries, decode(payload))
+        base = LogBase(self.snapshot.index, self.snapshot.term)
+        if payloads[0] != cbor2.dumps((base.index, base.term)):
+            # a crash came between the snapshot and the log behind it
+            self._rewrite_log(self.snapshot, tuple(entries))
         return entries
 
-    def _place(self, entries: list[Entry], entry: Entry) -> None:
-        # a later record with a lower index is a leader's overwrite
-        keep = entry.index - self.first_index
-        if keep < 0:
-            return
-        if keep > len(entries):
-            raise DamagedError(f"log: gap before index {entry.index}")
-        del entries[keep:]
-        entries.append(entry)
-
-    def save_vote(self, term: int, vote: str) -> None:
+    async def save_vote(self, term: int, vote: str) -> None:
         """Replace the vote file."""
-        self._replace(VOTE_FILE, cbor2.dumps((term, vote)))
+        payload = cbor2.dumps((term, vote))
+        await asyncio.to_thread(self._replace, VOTE_FILE, payload)
         self.term, self.vote = term, vote
 
     def append(self, entries: tuple[Entry, ...]) -> None:
-        """Write entries at the end of the log file."""
-        for entry in entries:
-            self._log.write(pack_record(encode(entry)))
-            self.entries.append(entry)
+        """Add entries; :meth:`sync` writes them."""
+        self._unwritten += entries
+        self.entries += entries
 
     def truncate(self, index: int) -> None:
         """Drop entries in memory; later records overwrite them on disk."""
         del self.entries[index - self.first_index :]
 
-    def sync(self) -> None:
-        """Flush and fdatasync the log file."""
+    async def sync(self) -> None:
+        """Write what was appended as one record, and fdatasync the log."""
+        batch, self._unwritten = tuple(self._unwritten), []
+        if batch:
+            await asyncio.to_thread(self._write_batch, batch)
+
+    def _write_batch(self, batch: tuple[Entry, ...]) -> None:
+        self._log.write(pack_batch(batch))
         self._log.flush()
         os.fdatasync(self._log.fileno())
 
-    def save_snapshot(self, snapshot: Snapshot) -> None:
+    async def save_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the snapshot, then the log without what it covers."""
-        fields = (snapshot.index, snapshot.term, snapshot.data)
-        self._replace(SNAPSHOT_FILE, cbor2.dumps(fields))
         kept = [e for e in self.entries if e.index > snapshot.index]
+        await asyncio.to_thread(self._write_snapshot, snapshot, tuple(kept))
         self.snapshot = snapshot
         self.entries = kept
-        self._rewrite_log()
+        self._unwritten = []
 
-    def _rewrite_log(self) -> None:
-        records = b"".join(pack_record(encode(e)) for e in self.entries)
+    def _write_snapshot(
+        self, snapshot: Snapshot, kept: tuple[Entry, ...]
+    ) -> None:
+        fields = (snapshot.index, snapshot.term, snapshot.data)
+        self._replace(SNAPSHOT_FILE, cbor2.dumps(fields))
         self._log.close()
-        self._write_file(LOG_FILE, records)
+        self._rewrite_log(snapshot, kept)
         self._log = open(self._folder / LOG_FILE, "ab")
 
-    def _replace(self, name: str, payload: bytes) -> None:
-        self._write_file(name, pack_record(payload))
+    def _rewrite_log(
+        self, snapshot: Snapshot, kept: tuple[Entry, ...]
+    ) -> None:
+        data = pack_base(LogBase(snapshot.index, snapshot.term))
+        if kept:
+            data += pack_batch(kept)
+        write_synced(self._folder, LOG_FILE, data)
 
-    def _write_file(self, name: str, data: bytes) -> None:
-        write_synced(self._folder, name, data)
+    def _replace(self, name: str, payload: bytes) -> None:
+        write_synced(self._folder, name, pack_record(payload))
 
 
 def write_synced(folder: pathlib.Path, name: str, data: bytes) -> None:
--- /dev/null
+++ b/packages/state/src/chivepier/state/elections.py
@@ -0,0 +1,153 @@
+"""Elections: standing for the lead and answering those who stand."""
+
+import asyncio
+
+import logbook
+
+from chivepier.messages import VoteAnswer
+from chivepier.messages import VoteRequest
+from chivepier.state.core import Core
+from chivepier.state.role import Role
+from chivepier.state.tenure import Tenure
+from chivepier.wire import LinkError
+
+log = logbook.Logger("state")
+
+
+class Elections:
+    """One task that stands when no leader is heard."""
+
+    def __init__(self, core: Core):
+        self._core = core
+
+    async def watch(self) -> None:
+        """Stand for the lead whenever no leader is heard for long."""
+        core, timing = self._core, self._core.timing
+        timeout = self._draw_timeout()
+        stood = heard = core.heard
+        while core.error is None:
+            await core.clock.sleep(timing.heartbeat)
+            if core.tenure is not None:
+                self._check_lease()
+            if core.heard != heard:
+                heard = core.heard
+                timeout = self._draw_timeout()
+            waited = core.clock.monotonic() - max(heard, stood)
+            if core.tenure is None and waited >= timeout and core.is_voter():
+                await self._stand()
+                stood = core.clock.monotonic()
+                timeout = self._draw_timeout()
+
+    def _draw_timeout(self) -> float:
+        timing = self._core.timing
+        return timing.election + self._core.rng.random() * timing.spread
+
+    def _check_lease(self) -> None:
+        core = self._core
+        silent = core.clock.monotonic() - core.tenure.lease_end()
+        if silent > core.timing.election:
+            log.warn("leader steps down: no majority answers")
+            core.follow("")
+
+    async def _stand(self) -> None:
+        core = self._core
+        if not await self._collect(core.storage.term + 1, pre=True):
+            return
+        async with core.lock:
+            if core.quiet() < core.timing.election or core.tenure is not None:
+                # a leader was heard, or a vote given, while the answers came
+                # in; by voting for itself this voter would break the lease
+                # that the leader counts on
+                return
+            term = core.storage.term + 1
+            await core.save_vote(term, core.node)
+            core.follow("")
+            core.role = Role.CANDIDATE
+        won = await self._collect(term, pre=False)
+        async with core.lock:
+            if not won or core.storage.term != term:
+                return
+            if core.role is Role.CANDIDATE and core.error is None:
+                self._lead()
+
+    def _lead(self) -> None:
+        core = self._core
+        log.info("leads term={}", core.storage.term)
+        core.role = Role.LEADER
+        core.leader = core.node
+        core.tenure = Tenure(core)
+        core.tenure.start()
+
+    async def _collect(self, term: int, pre: bool) -> bool:
+        core, storage = self._core, self._core.storage
+        request = VoteRequest(
+            term,
+            core.node,
+            storage.last_index,
+            storage.last_term,
+            pre,
+            core.cluster,
+        )
+        others = [v for v in core.voters if v.node != core.node]
+        needed = len(core.voters) // 2 + 1
+        votes = 1
+        tasks = [
+            asyncio.create_task(self._ask(v.address, request)) for v in others
+        ]
+        try:
+            for done in asyncio.as_completed(tasks):
+                if votes >= needed:
+                    break
+                votes += await done
+        finally:
+            for task in tasks:
+                task.cancel()
+        return votes >= needed
+
+    async def _ask(self, address: str, request: VoteRequest) -> bool:
+        core = self._core
+        try:
+            answer = await core.transport.request(
+                address, request, core.timing.request
+            )
+        except LinkError:
+            return False
+        if answer.term > core.storage.term:
+            # also after a pre-vote: the only voter with the whole log may
+            # have the lowest term, and nobody else can win
+            await core.adopt_term(answer.term)
+        return answer.granted
+
+    async def handle_vote(self, request: VoteRequest) -> VoteAnswer:
+        """Answer a candidate.
+
+        :param request: the candidate's request
+        :returns: the vote, synced
+        """
+        core = self._core
+        async with core.lock:
+            core.check(request.cluster)
+            return await self._answer(request)
+
+    async def _answer(self, request: VoteRequest) -> VoteAnswer:
+        core, storage = self._core, self._core.storage
+        if core.quiet() < core.timing.election or core.leads():
+            # a voter cut off for long must not depose a working leader
+            return VoteAnswer(storage.term, False)
+        if request.term < storage.term:
+            return VoteAnswer(storage.term, False)
+        mine = (storage.last_term, storage.last_index)
+        current = (request.last_term, request.last_index) >= mine
+        if request.pre:
+            return VoteAnswer(storage.term, current)
+        later = request.term > storage.term
+        free = later or storage.vote in ("", request.candidate)
+        granted = current and free
+        if later or granted:
+            vote = request.candidate if granted else ""
+            await core.save_vote(request.term, vote)
+        if later:
+            core.follow("")
+        if granted:
+            core.heard = core.clock.monotonic()
+        return VoteAnswer(storage.term, granted)
--- a/packages/state/src/chivepier/state/storage.py
+++ b/packages/state/src/chivepier/state/storage.py
@@ -11,6 +11,9 @@
 
     Entries run from ``first_index`` to ``last_index``; those before are in
     the snapshot.  What :meth:`sync` has returned for survives a crash.
+    Attributes change only in the event loop's thread, all that belongs
+    together in one step, so that a reader never meets a log whose entries
+    and first index don't match.
     """
 
     term: int
@@ -28,6 +31,11 @@
         """Index of the last entry."""
         return self.snapshot.index + len(self.entries)
 
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self.entries[-1].term if self.entries else self.snapshot.term
+
     def term_at(self, index: int) -> int | None:
         """Return the term of an entry.
 
@@ -51,7 +59,7 @@
         return tuple(self.entries[offset : offset + limit])
 
     @abc.abstractmethod
-    def save_vote(self, term: int, vote: str) -> None:
+    async def save_vote(self, term: int, vote: str) -> None:
         """Keep term and vote; synced on return."""
 
     @abc.abstractmethod
@@ -60,12 +68,16 @@
 
     @abc.abstractmethod
     def truncate(self, index: int) -> None:
-        """Drop the entries from ``index`` on."""
+        """Drop the entries from ``index`` on, in memory."""
 
     @abc.abstractmethod
-    def sync(self) -> None:
+    async def sync(self) -> None:
         """Return once all that was appended is durable."""
 
     @abc.abstractmethod
-    def save_snapshot(self, snapshot: Snapshot) -> None:
+    async def save_snapshot(self, snapshot: Snapshot) -> None:
         """Keep a snapshot, synced, and drop the entries it covers."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Release what is held open."""
--- /dev/null
+++ b/packages/state/src/chivepier/state/voterchanges.py
@@ -0,0 +1,189 @@
+"""Changing the set of voters, one at a time."""
+
+import collections.abc
+import contextlib
+
+import logbook
+
+from chivepier.messages import encode
+from chivepier.messages import Entry
+from chivepier.messages import Voter
+from chivepier.messages import VotersCommand
+from chivepier.messages import VoterState
+from chivepier.state.core import Core
+from chivepier.state.lostleaderror import LostLeadError
+from chivepier.state.notleadererror import NotLeaderError
+from chivepier.state.tenure import Tenure
+from chivepier.state.votersets import PREFIX
+from chivepier.types import ErrorKind
+from chivepier.types import RequestError
+
+log = logbook.Logger("state")
+
+# what lost voters may have reached meanwhile by elections among themselves
+RECOVERY_TERMS = 1000
+
+
+class VoterChanges:
+    """Adds, removes and, by force, resets voters.
+
+    Majorities of two sets that differ by one voter always meet; of sets
+    that differ by two they may not, and two leaders could commit.  So a
+    change begins only when the one before is committed, and under a leader
+    that has committed an entry of its own term.
+    """
+
+    def __init__(self, core: Core):
+        self._core = core
+        self._busy = False
+
+    def refuse_raw(self, command: bytes) -> None:
+        """Refuse a change of voters that went round these rules.
+
+        :param command: an encoded command message
+        :raises ValueError: when it is a :class:`VotersCommand`
+        """
+        if command.startswith(PREFIX):
+            raise ValueError("voters are not changed by a plain command")
+
+    @contextlib.contextmanager
+    def _alone(self) -> collections.abc.Iterator[Tenure]:
+        core, tenure = self._core, self._core.tenure
+        if tenure is None:
+            raise NotLeaderError(core.leader)
+        pending = core.sets.latest_index > core.commit
+        if self._busy or pending or not tenure.settled():
+            text = "another change of voters is under way"
+            raise RequestError.of(ErrorKind.IN_PROGRESS, text)
+        self._busy = True
+        try:
+            yield tenure
+        finally:
+            self._busy = False
+            tenure.learner = None
+
+    async def add(self, voter: Voter) -> None:
+        """Bring an instance's log up to date, then give it a vote.
+
+        Returns once it holds, synced, everything up to its own vote: losing
+        another voter right after that loses nothing.
+
+        :param voter: the new voter; it takes entries already
+        :raises NotLeaderError: when this voter does not lead
+        :raises LostLeadError: when the lead was lost; ask again
+        :raises RequestError: when another change is under way
+        """
+        core = self._core
+        with self._alone() as tenure:
+            if voter not in core.voters:
+                tenure.learner = voter
+                tenure.grown.set()
+                await self._await_match(tenure, voter.node)
+                await self._commit(tenure, (*core.voters, voter))
+                log.info("voter added node={}", voter.node)
+            await self._await_match(tenure, voter.node)
+
+    async def remove(self, node: str) -> None:
+        """Take a vote away.
+
+        :param node: the voter's identity
+        :raises NotLeaderError: when this voter does not lead
+        :raises LostLeadError: when the lead was lost; ask again
+        :raises RequestError: when another change is under way, or the other
+            voters would have no majority that answers
+        """
+        core = self._core
+        with self._alone() as tenure:
+            rest = tuple(v for v in core.voters if v.node != node)
+            if rest == core.voters:
+                return
+            live = [v for v in rest if self._answers(tenure, v.node)]
+            if 2 * len(live) <= len(rest):
+                text = f"only {len(live)} of {len(rest)} would answer"
+                raise RequestError.of(ErrorKind.NO_QUORUM, text)
+            await self._commit(tenure, rest)
+            log.info("voter removed node={}", node)
+
+    def _answers(self, tenure: Tenure, node: str) -> bool:
+        return self._silent(tenure, node) < self._core.timing.election
+
+    def _silent(self, tenure: Tenure, node: str) -> float:
+        if node == self._core.node:
+            return 0.0
+        heard = tenure.acked.get(node, float("-inf"))
+        return self._core.clock.monotonic() - heard
+
+    async def _await_match(self, tenure: Tenure, node: str) -> None:
+        core = self._core
+        while node != core.node and not self._holds(tenure, node):
+            if not tenure.current:
+                raise LostLeadError()
+            await tenure.grown.wait()
+
+    def _holds(self, tenure: Tenure, node: str) -> bool:
+        if node == self._core.node:
+            return True
+        return tenure.match.get(node, 0) >= self._core.commit
+
+    async def _commit(self, tenure: Tenure, voters: tuple[Voter, ...]) -> None:
+        if not tenure.current:
+            raise LostLeadError()
+        await tenure.propose(encode(VotersCommand(voters)))
+
+    def report(self) -> tuple[VoterState, ...]:
+        """Tell what each voter holds, as the leader knows it.
+
+        :returns: one item per voter, in the log's order
+        :raises NotLeaderError: when this voter does not lead
+        """
+        core, tenure = self._core, self._core.tenure
+        if tenure is None:
+            raise NotLeaderError(core.leader)
+        return tuple(self._describe(tenure, v) for v in core.voters)
+
+    def _describe(self, tenure: Tenure, voter: Voter) -> VoterState:
+        held = tenure.match.get(voter.node, 0)
+        if voter.node == self._core.node:
+            held = tenure.synced
+        holds = self._holds(tenure, voter.node)
+        return VoterState(
+            voter.node,
+            voter.address,
+            held,
+            holds and self._answers(tenure, voter.node),
+        )
+
+    def repaired(self) -> bool:
+        """Tell whether every voter answers and holds all that is committed.
+
+        :returns: false also while the set itself is not yet committed
+        """
+        if self._core.sets.latest_index > self._core.commit:
+            return False
+        return all(state.holds for state in self.report())
+
+    async def force(self, address: str, cluster: str) -> int:
+        """Make this voter the only one; what others held alone is lost.
+
+        Never called by the system itself: only an operator can know that the
+        other disks won't come back.  The cluster gets a new name, so that a
+        voter left behind by mistake is refused and not mixed in.
+
+        :param address: this voter's peer address
+        :param cluster: the cluster's new name, already in the identity file
+        :returns: the last index that is kept
+        :raises RequestError: when a leader is there
+        """
+        core = self._core
+        async with core.lock:
+            if core.tenure is not None or core.quiet() < core.timing.election:
+                text = "a leader is there, or was a moment ago"
+                raise RequestError.of(ErrorKind.VERSION_CONFLICT, text)
+            kept = core.storage.last_index
+            core.cluster = cluster
+            term = core.storage.term + RECOVERY_TERMS
+            await core.save_vote(term, core.node)
+            alone = VotersCommand((Voter(core.node, address),))
+            await core.append((Entry(term, kept + 1, encode(alone)),))
+            log.warn("forced recovery kept={} term={}", kept, term)
+            return kept
--- a/packages/types/src/chivepier/messages/__init__.py
+++ b/packages/types/src/chivepier/messages/__init__.py
@@ -18,6 +18,8 @@
 from chivepier.messages.commandanswer import CommandAnswer
 from chivepier.messages.commandrequest import CommandRequest
 from chivepier.messages.edit import Edit
+from chivepier.messages.enrolanswer import EnrolAnswer
+from chivepier.messages.enrolrequest import EnrolRequest
 from chivepier.messages.entry import Entry
 from chivepier.messages.freshanswer import FreshAnswer
 from chivepier.messages.freshrequest import FreshRequest
@@ -28,6 +30,8 @@
 from chivepier.messages.inflightrequest import InflightRequest
 from chivepier.messages.joincommand import JoinCommand
 from chivepier.messages.leavecommand import LeaveCommand
+from chivepier.messages.loganswer import LogAnswer
+from chivepier.messages.logrequest import LogRequest
 from chivepier.messages.member import Member
 from chivepier.messages.noop import Noop
 from chivepier.messages.outcome import Outcome
@@ -53,7 +57,10 @@
 from chivepier.messages.voteanswer import VoteAnswer
 from chivepier.messages.voter import Voter
 from chivepier.messages.voterequest import VoteRequest
+from chivepier.messages.votersanswer import VotersAnswer
 from chivepier.messages.voterscommand import VotersCommand
+from chivepier.messages.votersrequest import VotersRequest
+from chivepier.messages.voterstate import VoterState
 
 __all__ = [
     "AnnounceAnswer",
@@ -70,6 +77,8 @@
     "CommandAnswer",
     "CommandRequest",
     "Edit",
+    "EnrolAnswer",
+    "EnrolRequest",
     "Entry",
     "FreshAnswer",
     "FreshRequest",
@@ -80,6 +89,8 @@
     "InflightRequest",
     "JoinCommand",
     "LeaveCommand",
+    "LogAnswer",
+    "LogRequest",
     "Member",
     "Noop",
     "Outcome",
@@ -104,7 +115,10 @@
     "VoteAnswer",
     "VoteRequest",
     "Voter",
+    "VoterState",
+    "VotersAnswer",
     "VotersCommand",
+    "VotersRequest",
     "decode",
     "encode",
     "message",
--- a/packages/types/src/chivepier/messages/appendrequest.py
+++ b/packages/types/src/chivepier/messages/appendrequest.py
@@ -14,3 +14,4 @@
     prev_term: int
     entries: tuple[Entry, ...]
     commit: int
+    cluster: str = ""
--- a/packages/types/src/chivepier/messages/snapshotrequest.py
+++ b/packages/types/src/chivepier/messages/snapshotrequest.py
@@ -14,3 +14,4 @@
     offset: int
     data: bytes
     done: bool
+    cluster: str = ""
--- a/packages/types/src/chivepier/messages/voterequest.py
+++ b/packages/types/src/chivepier/messages/voterequest.py
@@ -12,3 +12,4 @@
     last_index: int
     last_term: int
     pre: bool
+    cluster: str = ""
