--- a/packages/state/src/chivepier/state/elections.py
+++ b/packages/state/src/chivepier/state/elections.py
@@ -46,7 +46,7 @@
         core = self._core
         silent = core.clock.monotonic() - core.tenure.lease_end()
         if silent > core.timing.election:
-            log.warn("leader steps down: no majority answers")
+            log.warning("leader steps down: no majority answers")
             core.follow("")
 
     async def _stand(self) -> None:
@@ -90,17 +90,18 @@
         )
         others = [v for v in core.voters if v.node != core.node]
         needed = len(core.voters) // 2 + 1
-        votes = 1
-        tasks = [
+        waiting = {
             asyncio.create_task(self._ask(v.address, request)) for v in others
-        ]
+        }
+        votes = 1
         try:
-            for done in asyncio.as_completed(tasks):
-                if votes >= needed:
-                    break
-                votes += await done
+            while votes < needed and waiting:
+                done, waiting = await asyncio.wait(
+                    waiting, return_when=asyncio.FIRST_COMPLETED
+                )
+                votes += sum(task.result() for task in done)
         finally:
-            for task in tasks:
+            for task in waiting:
                 task.cancel()
         return votes >= needed
 
--- /dev/null
+++ b/packages/state/src/chivepier/state/testing/__init__.py
@@ -0,0 +1,17 @@
+"""Stand-ins for disk, links and clocks, and a checker, for tests."""
+
+from chivepier.state.testing.checker import Checker
+from chivepier.state.testing.memorydisk import MemoryDisk
+from chivepier.state.testing.memorynetwork import MemoryNetwork
+from chivepier.state.testing.memorystorage import MemoryStorage
+from chivepier.state.testing.ratedclock import RatedClock
+from chivepier.state.testing.rig import Rig
+
+__all__ = [
+    "Checker",
+    "MemoryDisk",
+    "MemoryNetwork",
+    "MemoryStorage",
+    "RatedClock",
+    "Rig",
+]
--- a/packages/state/src/chivepier/state/voterchanges.py
+++ b/packages/state/src/chivepier/state/voterchanges.py
@@ -185,5 +185,5 @@
             await core.save_vote(term, core.node)
             alone = VotersCommand((Voter(core.node, address),))
             await core.append((Entry(term, kept + 1, encode(alone)),))
-            log.warn("forced recovery kept={} term={}", kept, term)
+            log.warning("forced recovery kept={} term={}", kept, term)
             return kept
