Add, remove and force voters; address messages to an identity

An instance that lost its folder comes back at the address of its old identity; once enrolled it would have answered for both and counted twice in a majority, so requests between voters now name cluster and voter.

A voter's machine is now fed by its log alone (Replica.feeds), a learner's log by a machine of its own until it votes.

--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -31,6 +31,7 @@
 from chivepier.node.services import Services
 from chivepier.node.settings import Settings
 from chivepier.node.targets import Targets
+from chivepier.node.voters import Voters
 from chivepier.state import DiskStorage
 from chivepier.state import Identity
 from chivepier.state import load_identity
@@ -46,6 +47,7 @@
 
 MAX_BODY = 8 << 20
 DRAIN_SECONDS = 600.0
+MERGE_SECONDS = 0.1
 
 
 class Node:
@@ -125,6 +127,7 @@
         cluster = self.cluster
         self.directory = Directory(cluster.machine)
         self.commander = Commander(cluster)
+        self.voters = Voters(cluster)
         self.renewal = Renewal(cluster)
         self.owner = Owner(cluster, self.directory)
         self.permits = Permits(cluster, self.owner)
@@ -155,6 +158,7 @@
             Addresses(entry),
             Targets(entry),
             Operators(entry, self),
+            self.voters,
         ):
             part.add_routes(app)
         app.router.add_get("/metrics", self._show_metrics)
@@ -187,18 +191,55 @@
         replica = Replica(
             cluster.identity.node,
             self._storage,
-            cluster.machine,
+            Machine(),
             cluster.links,
             self._clock,
             Timing(),
             random.Random(cluster.identity.node),
             cluster.identity.cluster,
         )
+        if replica.votes():
+            replica.use_machine(cluster.machine)
         cluster.leadership = Leadership(cluster)
         cluster.replica = replica
         await replica.__aenter__()
         self._stack.push_async_exit(replica)
         self._spawn(cluster.leadership.run())
+        self._spawn(self._merge(replica))
+
+    async def _merge(self, replica: Replica) -> None:
+        # a learner's log fills a machine of its own, claims included, while
+        # the node goes on with what it fetches from others
+        machine = self.cluster.machine
+        while replica.machine is not machine:
+            if replica.votes() and replica.machine.index >= machine.index:
+                replica.use_machine(machine)
+                return
+            await replica.machine.changed.wait(MERGE_SECONDS)
+
+    async def _enrol(
+        self, request: messages.EnrolRequest
+    ) -> messages.EnrolAnswer:
+        cluster = self.cluster
+        identity, folder = cluster.identity, self._settings.data_dir
+        if folder is None:
+            return messages.EnrolAnswer(False, "it has no data folder")
+        if request.node != identity.node:
+            return messages.EnrolAnswer(False, "it has another identity")
+        if identity.cluster and identity.cluster != request.cluster:
+            text = "its folder belongs to another cluster: empty it first"
+            return messages.EnrolAnswer(False, text)
+        replica = cluster.replica
+        if replica is None:
+            DiskStorage(folder).close()
+            identity = Identity(identity.node, request.cluster)
+            save_identity(folder, identity)
+            cluster.identity = identity
+            await self._start_replica()
+        elif replica.machine is cluster.machine and not replica.votes():
+            text = "it was removed; restart it first"
+            return messages.EnrolAnswer(False, text)
+        return messages.EnrolAnswer(True, "")
 
     def _spawn(self, work) -> None:
         task = asyncio.create_task(work)
@@ -232,6 +273,12 @@
                 return self.commander.handle(message)
             case messages.IdentityRequest():
                 return self._identify()
+            case messages.VotersRequest():
+                return self.voters.handle(message)
+            case messages.LogRequest():
+                return self.voters.handle_log(message)
+            case messages.EnrolRequest():
+                return self._enrol(message)
             case messages.BootstrapRequest():
                 return self._found(message)
             case messages.AppendRequest() if replica is not None:
--- a/packages/node/src/chivepier/node/renewal.py
+++ b/packages/node/src/chivepier/node/renewal.py
@@ -146,7 +146,7 @@
         """Fetch committed entries from a peer until a version is applied."""
         cluster = self._cluster
         machine = cluster.machine
-        if cluster.replica is not None and cluster.machine.voters:
+        if cluster.replica is not None and cluster.replica.feeds(machine):
             # a voter's state comes by the log alone
             await machine.changed.wait(cluster.terms.request)
             return
--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -179,18 +179,26 @@
         self.failed.set()
         self.committed.set()
 
-    def check(self, cluster: str = "") -> None:
+    def check(self, cluster: str, voter: str) -> None:
         """Refuse a peer's message where this voter may not answer it.
 
+        An instance that lost its folder has a new identity at the address of
+        its old one: by answering for both it would count twice in a
+        majority.
+
         :param cluster: the cluster the peer says it belongs to
+        :param voter: the identity the message is for
         :raises StorageFailedError: when this voter has stopped
         :raises ValueError: when the peer belongs to another cluster: a
-            voter left behind by a forced recovery, or a wrong address
+            voter left behind by a forced recovery, or a wrong address; or
+            when the message is for another identity
         """
         if self.error is not None:
             raise StorageFailedError(repr(self.error))
         if cluster and self.cluster and cluster != self.cluster:
             raise ValueError(f"of another cluster: {cluster}")
+        if voter and voter != self.node:
+            raise ValueError(f"for another voter: {voter}")
 
 
 async def _finish(task: asyncio.Task) -> None:
--- a/packages/state/src/chivepier/state/elections.py
+++ b/packages/state/src/chivepier/state/elections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import logbook
 
 from chivepier.messages import VoteAnswer
@@ -91,7 +92,10 @@
         others = [v for v in core.voters if v.node != core.node]
         needed = len(core.voters) // 2 + 1
         waiting = {
-            asyncio.create_task(self._ask(v.address, request)) for v in others
+            asyncio.create_task(
+                self._ask(v.address, attrs.evolve(request, voter=v.node))
+            )
+            for v in others
         }
         votes = 1
         try:
@@ -127,7 +131,7 @@
         """
         core = self._core
         async with core.lock:
-            core.check(request.cluster)
+            core.check(request.cluster, request.voter)
             return await self._answer(request)
 
     async def _answer(self, request: VoteRequest) -> VoteAnswer:
--- a/packages/state/src/chivepier/state/following.py
+++ b/packages/state/src/chivepier/state/following.py
@@ -30,7 +30,7 @@
         """
         core = self._core
         async with core.lock:
-            core.check(request.cluster)
+            core.check(request.cluster, request.voter)
             storage = core.storage
             if request.term < storage.term:
                 return AppendAnswer(storage.term, False, storage.last_index)
@@ -95,7 +95,7 @@
         """
         core = self._core
         async with core.lock:
-            core.check(request.cluster)
+            core.check(request.cluster, request.voter)
             storage = core.storage
             if request.term < storage.term:
                 return SnapshotAnswer(storage.term, 0)
--- a/packages/state/src/chivepier/state/machine.py
+++ b/packages/state/src/chivepier/state/machine.py
@@ -251,6 +251,19 @@
         }
         return Snapshot(self.index, self.term, cbor2.dumps(fields))
 
+    def take_over(self, other: "Machine") -> None:
+        """Become what another machine is.
+
+        :param other: no longer used afterwards
+        :raises ValueError: when it is older: a state never reverts
+        """
+        if other.index < self.index:
+            raise ValueError(f"state {other.index} < {self.index}")
+        changed = self.changed
+        vars(self).update(vars(other))
+        self.changed = changed
+        self.changed.set()
+
     def restore(self, snapshot: Snapshot) -> None:
         """Replace the state by a snapshot's.
 
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -90,6 +90,11 @@
         """This voter's identity."""
         return self._core.node
 
+    @property
+    def cluster(self) -> str:
+        """The cluster whose voters this one takes part with."""
+        return self._core.cluster
+
     @property
     def storage(self) -> Storage:
         """Term, vote, log and snapshot."""
@@ -130,6 +135,21 @@
         """Set when this voter stops because of an error."""
         return self._core.failed
 
+    def votes(self) -> bool:
+        """Tell whether this instance has a vote by its own log."""
+        return self._core.is_voter()
+
+    def feeds(self, machine: Machine) -> bool:
+        """Tell whether a machine gets its entries by this voter's log.
+
+        Entries from elsewhere lack the claims; a voter that led with such a
+        machine would grant a claimed key again.
+
+        :param machine: the node's machine
+        :returns: false for a learner's node, and after the voter's removal
+        """
+        return self._core.machine is machine and self.votes()
+
     def leads(self) -> bool:
         """Tell whether this voter holds a valid leader lease.
 
@@ -195,5 +215,5 @@
 
         :param machine: not newer than this voter's own
         """
-        machine.restore(self.machine.take_snapshot())
+        machine.take_over(self.machine)
         self._core.machine = machine
--- a/packages/state/src/chivepier/state/replication.py
+++ b/packages/state/src/chivepier/state/replication.py
@@ -64,6 +64,7 @@
             entries,
             core.commit,
             core.cluster,
+            self._peer.node,
         )
         answer = await self._ask(request)
         if answer is None:
@@ -104,6 +105,7 @@
                 data,
                 offset + len(data) >= len(snapshot.data),
                 core.cluster,
+                self._peer.node,
             )
             answer = await self._ask(request)
             if answer is None or answer.offset >= len(snapshot.data):
--- a/packages/state/src/chivepier/state/testing/memorynetwork.py
+++ b/packages/state/src/chivepier/state/testing/memorynetwork.py
@@ -21,7 +21,7 @@
         self.loss = 0.0
         self.repeat = 0.0
         self.slowest = 0.01
-        self.cut: set[frozenset[str]] = set()
+        self.cut: set[tuple[str, str]] = set()
         self.handlers: dict[str, typing.Callable] = {}
         self._tasks: set[asyncio.Task] = set()
 
@@ -69,13 +69,16 @@
         except Exception:
             # a peer that fails says so in words nobody acts on
             return
+        if self.handlers.get(peer) is not handler:
+            # it crashed meanwhile: what it did last was perhaps not synced
+            return
         arrived = await self._travel(peer, me)
         if arrived and not future.done():
             future.set_result(answer)
 
     async def _travel(self, start: str, end: str) -> bool:
         await self._clock.sleep(self._rng.random() * self.slowest)
-        if frozenset((start, end)) in self.cut:
+        if (start, end) in self.cut:
             return False
         return self._rng.random() >= self.loss
 
--- a/packages/state/src/chivepier/state/voterchanges.py
+++ b/packages/state/src/chivepier/state/voterchanges.py
@@ -22,6 +22,7 @@
 
 # what lost voters may have reached meanwhile by elections among themselves
 RECOVERY_TERMS = 1000
+TELL_BEATS = 5
 
 
 class VoterChanges:
@@ -101,8 +102,19 @@
             if 2 * len(live) <= len(rest):
                 text = f"only {len(live)} of {len(rest)} would answer"
                 raise RequestError.of(ErrorKind.NO_QUORUM, text)
+            (gone,) = set(core.voters) - set(rest)
             await self._commit(tenure, rest)
             log.info("voter removed node={}", node)
+            await self._tell(tenure, gone)
+
+    async def _tell(self, tenure: Tenure, gone: Voter) -> None:
+        # one that still runs learns that it is no voter any more, and goes
+        # on as an instance without a vote
+        tenure.learner = gone
+        for _ in range(TELL_BEATS):
+            if not tenure.current or not self._answers(tenure, gone.node):
+                return
+            await tenure.grown.wait()
 
     def _answers(self, tenure: Tenure, node: str) -> bool:
         return self._silent(tenure, node) < self._core.timing.election
@@ -162,7 +174,12 @@
             return False
         return all(state.holds for state in self.report())
 
-    async def force(self, address: str, cluster: str) -> int:
+    async def force(
+        self,
+        address: str,
+        cluster: str,
+        rename: collections.abc.Callable[[str], collections.abc.Awaitable],
+    ) -> int:
         """Make this voter the only one; what others held alone is lost.
 
         Never called by the system itself: only an operator can know that the
@@ -170,7 +187,9 @@
         voter left behind by mistake is refused and not mixed in.
 
         :param address: this voter's peer address
-        :param cluster: the cluster's new name, already in the identity file
+        :param cluster: the cluster's new name
+        :param rename: keeps it, synced; comes first, as after a crash half
+            way a renamed voter is merely alone and the order can be repeated
         :returns: the last index that is kept
         :raises RequestError: when a leader is there
         """
@@ -180,6 +199,7 @@
                 text = "a leader is there, or was a moment ago"
                 raise RequestError.of(ErrorKind.VERSION_CONFLICT, text)
             kept = core.storage.last_index
+            await core.store(rename(cluster))
             core.cluster = cluster
             term = core.storage.term + RECOVERY_TERMS
             await core.save_vote(term, core.node)
--- a/packages/types/src/chivepier/messages/appendrequest.py
+++ b/packages/types/src/chivepier/messages/appendrequest.py
@@ -15,3 +15,4 @@
     entries: tuple[Entry, ...]
     commit: int
     cluster: str = ""
+    voter: str = ""
--- a/packages/types/src/chivepier/messages/snapshotrequest.py
+++ b/packages/types/src/chivepier/messages/snapshotrequest.py
@@ -15,3 +15,4 @@
     data: bytes
     done: bool
     cluster: str = ""
+    voter: str = ""
--- a/packages/types/src/chivepier/messages/voterequest.py
+++ b/packages/types/src/chivepier/messages/voterequest.py
@@ -13,3 +13,4 @@
     last_term: int
     pre: bool
     cluster: str = ""
+    voter: str = ""
