--- a/packages/node/src/chivepier/node/shard.py
+++ b/packages/node/src/chivepier/node/shard.py
@@ -166,7 +166,7 @@
         target=announcement.target,
         address=announcement.address,
         zone=announcement.zone,
-        models=frozenset(announcement.models),
+        models=frozenset(m.partition("@")[0] for m in announcement.models),
         adapters=frozenset(announcement.adapters),
         capacity_tokens=announcement.capacity_tokens,
         max_streams=announcement.max_streams,
