--- a/features/steps/path.py
+++ b/features/steps/path.py
@@ -32,7 +32,9 @@
 
 def choose_address(context):
     """Ask the system which entry to use, as a caller does."""
-    answer = json.loads(context.cluster.run_cli("addresses").stdout)
+    answer = json.loads(
+        context.cluster.run_cli("--output=json", "addresses").stdout
+    )
     return answer["addresses"][0]["address"]
 
 
@@ -55,7 +57,7 @@
     cluster.start_standin("service", "s0", "--pool=web-app")
 
     def known():
-        status = json.loads(cluster.run_cli("status").stdout)
+        status = json.loads(cluster.run_cli("--output=json", "status").stdout)
         return len(status["targets"]) == engines + 1
 
     cluster.wait_until(known, "all targets")
--- a/packages/cli/src/chivepier/cli/client.py
+++ b/packages/cli/src/chivepier/cli/client.py
@@ -19,7 +19,7 @@
 
     def __init__(self, addresses: tuple[str, ...], key: str):
         self._addresses = addresses
-        self._key = key
+        self.key = key
 
     def call(self, method: str, path: str, body: object = None) -> dict:
         """Make one call.
@@ -51,7 +51,7 @@
             data=data,
             method=method,
             headers={
-                "Authorization": f"Bearer {self._key}",
+                "Authorization": f"Bearer {self.key}",
                 "Content-Type": "application/json",
             },
         )
