Keep the index of keys small

Cause: at 49,000 teams the configuration took 641 bytes a team, 31.4 MB of the 32 MB a node may spend on control; 206 of them were the index of keys. Ruled out: a sorted array (a change would copy it whole). The index holds 16 bytes of each digest; what a key names is checked against the team's document on use, and old keys leave at the next whole reading, forced when the index has doubled.

--- a/packages/node/src/chivepier/node/directory.py
+++ b/packages/node/src/chivepier/node/directory.py
@@ -16,6 +16,7 @@
 from chivepier.types import Urgency
 
 CACHED = 4096
+INDEXED = 16
 
 
 @attrs.frozen(kw_only=True)
@@ -42,38 +43,36 @@
         self._machine = machine
         self._version = -1
         self._teams_by_key: dict[bytes, str] = {}
-        self._keys_by_team: dict[str, tuple[bytes, ...]] = {}
+        self._most_keys = CACHED
         self._decoded: dict[tuple[str, str], Team | Template] = {}
 
     def _refresh(self) -> None:
         if self._version == self._machine.version:
             return
         changed = None
-        if self._version >= 0:
+        crowded = len(self._teams_by_key) > self._most_keys
+        if self._version >= 0 and not crowded:
             changed = self._machine.changed_since(self._version)
         if changed is None:
             changed = set(self._machine.documents)
             self._decoded.clear()
             self._teams_by_key.clear()
-            self._keys_by_team.clear()
         for kind, name in changed:
             self._decoded.pop((kind, name), None)
             if kind == "team":
                 self._index_keys(name)
+        if crowded or self._version < 0:
+            self._most_keys = 2 * len(self._teams_by_key) + CACHED
         self._version = self._machine.version
 
     def _index_keys(self, name: str) -> None:
-        for digest in self._keys_by_team.pop(name, ()):
-            if self._teams_by_key.get(digest) == name:
-                del self._teams_by_key[digest]
+        # keys that a team no longer has stay until the next whole reading;
+        # they name a team whose document, checked on use, lacks them
         document = self._machine.documents.get(("team", name))
         if document is None:
             return
-        plain = plain_spec(document)
-        digests = tuple(bytes.fromhex(d) for d in plain["key_sha256"])
-        self._keys_by_team[name] = digests
-        for digest in digests:
-            self._teams_by_key[digest] = name
+        for digest in plain_spec(document)["key_sha256"]:
+            self._teams_by_key[bytes.fromhex(digest)[:INDEXED]] = name
 
     def _load(self, kind: str, name: str) -> Team | Template | None:
         key = (kind, name)
@@ -97,11 +96,13 @@
         """
         self._refresh()
         scheme, _, key = authorization.partition(" ")
-        digest = hashlib.sha256(key.encode()).digest()
-        name = self._teams_by_key.get(digest)
+        digest = hashlib.sha256(key.encode())
+        name = self._teams_by_key.get(digest.digest()[:INDEXED])
         if scheme.lower() == "bearer" and name is not None:
-            held = self._keys_by_team[name]
-            if any(hmac.compare_digest(digest, d) for d in held):
+            spec = self._load("team", name)
+            given = digest.hexdigest()
+            held = spec.key_sha256 if spec is not None else ()
+            if any(hmac.compare_digest(given, d.lower()) for d in held):
                 return name
         raise RequestError.of(ErrorKind.UNAUTHORIZED, "unknown bearer key")
 
--- a/packages/node/src/chivepier/node/tests/test_directory.py
+++ b/packages/node/src/chivepier/node/tests/test_directory.py
@@ -12,6 +12,7 @@
 from chivepier.messages import Edit
 from chivepier.messages import encode
 from chivepier.messages import Entry
+from chivepier.node.directory import CACHED
 from chivepier.node.directory import Directory
 from chivepier.state import Machine
 from chivepier.types import ErrorKind
@@ -106,3 +107,14 @@
     with pytest.raises(RequestError) as caught:
         directory.find_service("b", "t")
     assert caught.value.failure.kind is ErrorKind.FORBIDDEN
+
+
+def test_index_of_keys_stays_bounded_over_many_changes():
+    # Old keys stay in the index until it is read anew; without a bound, a
+    # team whose key is replaced every minute would fill a node's memory.
+    machine = Machine()
+    directory = Directory(machine)
+    for number in range(2 * CACHED + 10):
+        change(machine, "team", "a", make_team(f"k{number}"))
+        directory.find_team(f"Bearer k{number}")
+    assert len(directory._teams_by_key) <= CACHED + 2
