--- a/packages/node/src/chivepier/node/cluster.py
+++ b/packages/node/src/chivepier/node/cluster.py
@@ -51,6 +51,11 @@
             self.draining,
         )
 
+    @property
+    def holder(self) -> str:
+        """This run of the node, as the prefix of its requests' names."""
+        return f"{self.identity.node}.{self.incarnation}"
+
     def joined(self) -> bool:
         """Tell whether this run of the node is a member."""
         member = self.machine.members.get(self.identity.node)
--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -107,6 +107,7 @@
             await self._start_replica()
         self._spawn(self.renewal.run())
         self._spawn(self.owner.run())
+        self._spawn(self.permits.run())
         log.info(
             "started name={} node={} http={} peer={}",
             settings.name,
@@ -128,6 +129,7 @@
         self.renewal = Renewal(cluster)
         self.owner = Owner(cluster, self.directory)
         self.permits = Permits(cluster, self.owner)
+        self.owner.handle_stop = self.permits.handle_stop
         self.metrics = Metrics()
 
     async def _start_http(self, stack: contextlib.AsyncExitStack) -> None:
@@ -213,6 +215,8 @@
                 return self.owner.handle_release(message)
             case messages.ProgressReport():
                 return self.owner.handle_progress(message)
+            case messages.StopOrder():
+                return self.permits.handle_stop(message)
             case messages.CancelReport():
                 return self.owner.handle_cancel(message)
             case messages.Announcement():
--- a/packages/node/src/chivepier/node/owner.py
+++ b/packages/node/src/chivepier/node/owner.py
@@ -1,6 +1,7 @@
 """The shards that this node owns."""
 
 import asyncio
+import collections.abc
 
 from chivepier.membership import find_owner
 from chivepier.membership import find_shard
@@ -12,6 +13,7 @@
 from chivepier.messages import PermitRequest
 from chivepier.messages import ProgressReport
 from chivepier.messages import ReleaseReport
+from chivepier.messages import StopOrder
 from chivepier.messages import TargetsAnswer
 from chivepier.messages import TargetsRequest
 from chivepier.node.cluster import Cluster
@@ -31,6 +33,8 @@
         self._cluster = cluster
         self._directory = directory
         self.shards: dict[tuple[str, int], Shard] = {}
+        self.handle_stop: collections.abc.Callable = None
+        self._tasks: set[asyncio.Task] = set()
 
     async def run(self) -> None:
         """Expire targets and settle waiting requests, on a timer."""
@@ -64,9 +68,19 @@
         key = (pool, number)
         if key not in self.shards:
             clock = self._cluster.clock
-            self.shards[key] = Shard(pool, number, clock, self._directory)
+            self.shards[key] = Shard(
+                pool, number, clock, self._directory, self._order_stop
+            )
         return self.shards[key]
 
+    def _order_stop(self, entry: str, order: StopOrder) -> None:
+        if entry == self._cluster.peer_address:
+            self.handle_stop(order)
+            return
+        task = asyncio.create_task(self._cluster.links.send(entry, order))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def handle_announcement(
         self, announcement: Announcement
     ) -> AnnounceAnswer:
--- a/packages/node/src/chivepier/node/shard.py
+++ b/packages/node/src/chivepier/node/shard.py
@@ -1,6 +1,7 @@
 """One shard of a pool, at its owner."""
 
 import asyncio
+import collections.abc
 import itertools
 
 from chivepier.messages import Announcement
@@ -8,6 +9,7 @@
 from chivepier.messages import PermitOutcome
 from chivepier.messages import PermitRequest
 from chivepier.messages import ReleaseReport
+from chivepier.messages import StopOrder
 from chivepier.node.directory import Directory
 from chivepier.policy import Ask
 from chivepier.policy import Grant
@@ -31,7 +33,12 @@
     """
 
     def __init__(
-        self, pool: str, number: int, clock: Clock, directory: Directory
+        self,
+        pool: str,
+        number: int,
+        clock: Clock,
+        directory: Directory,
+        order_stop: collections.abc.Callable[[str, StopOrder], None],
     ):
         self.pool = pool
         self.number = number
@@ -41,7 +48,9 @@
         self.targets: dict[str, Announcement] = {}
         self._seen: dict[str, float] = {}
         self._waiting: dict[str, asyncio.Future] = {}
-        self._senders: dict[int, object] = {}
+        self._order_stop = order_stop
+        self._entries: dict[str, str] = {}
+        self._granted: dict[int, str] = {}
 
     def announce(self, announcement: Announcement) -> bool:
         """Take what a target says of itself.
@@ -80,6 +89,7 @@
         now = self._clock.monotonic()
         future = asyncio.get_running_loop().create_future()
         self._waiting[request.request] = future
+        self._entries[request.request] = request.entry
         ask = Ask(
             request=request.request,
             team=request.team,
@@ -107,6 +117,7 @@
         :param request: its identifier
         """
         future = self._waiting.pop(request, None)
+        self._entries.pop(request, None)
         if future is not None:
             future.cancel()
         self.policy.cancel(request)
@@ -117,6 +128,7 @@
         :param report: the entry's report
         """
         outcome = PermitOutcome(report.outcome)
+        self._granted.pop(report.permit, None)
         self.policy.release(report.permit, report.tokens, outcome)
         self.settle()
 
@@ -129,20 +141,30 @@
                 case Refusal():
                     self._refuse(decision)
                 case Stop():
-                    pass
+                    self._stop(decision)
 
     def _grant(self, grant: Grant) -> None:
         future = self._waiting.pop(grant.request, None)
         if future is None or future.done():
             self.policy.release(grant.permit, 0, PermitOutcome.NOT_RUN)
             return
+        self._granted[grant.permit] = self._entries.pop(grant.request)
         announcement = self.targets[grant.target]
         answer = PermitAnswer(
             grant.permit, grant.target, announcement.address, 0, "", "", 0.0
         )
         future.set_result(answer)
 
+    def _stop(self, stop: Stop) -> None:
+        entry = self._granted.get(stop.permit)
+        if entry is not None:
+            order = StopOrder(
+                self.pool, self.number, stop.permit, stop.retry_after
+            )
+            self._order_stop(entry, order)
+
     def _refuse(self, refusal: Refusal) -> None:
+        self._entries.pop(refusal.request, None)
         future = self._waiting.pop(refusal.request, None)
         if future is not None and not future.done():
             answer = PermitAnswer(
