Keep member sets in the log until a later epoch is in force

Links: one attempt to connect for all who wait, and a channel that stays silent is given up, so that a healed link comes back at once.

--- a/packages/membership/src/chivepier/membership/forcetracker.py
+++ b/packages/membership/src/chivepier/membership/forcetracker.py
@@ -3,6 +3,7 @@
 import attrs
 
 from chivepier.membership.terms import LeaseTerms
+from chivepier.state import MemberSets
 from chivepier.state import Signal
 from chivepier.types import Clock
 
@@ -25,27 +26,27 @@
     that the leader granted before have run out) and so many members have it
     that the others are no majority in any member set still in use (so none
     of them can renew its lease from a majority).
+
+    The sets in use come from the replicated state, so that a new leader
+    knows those of its predecessors.
     """
 
-    def __init__(self, clock: Clock, terms: LeaseTerms):
+    def __init__(self, clock: Clock, terms: LeaseTerms, sets: MemberSets):
         self._clock = clock
         self._terms = terms
+        self._sets = sets
         self.in_force = 0
         self.changed = Signal()
         self._acked: dict[tuple[str, int], int] = {}
         self._pending: list[Pending] = []
-        self._sets: list[tuple[int, frozenset]] = [(0, frozenset())]
 
-    def add_version(self, version: int, members: frozenset) -> None:
+    def add_version(self, version: int) -> None:
         """Note a committed version.
 
         :param version: the log index
-        :param members: ``(node, incarnation)`` of the members at it
         """
         now = self._clock.monotonic()
         self._pending.append(Pending(version, now))
-        if members != self._sets[-1][1]:
-            self._sets.append((version, members))
 
     def acknowledge(self, node: str, incarnation: int, version: int) -> None:
         """Note that a member has applied a version.
@@ -66,20 +67,25 @@
         before = self.in_force
         while self._pending and self._settled(self._pending[0]):
             self.in_force = self._pending.pop(0).version
-            self._drop_sets()
         if self.in_force != before:
+            self._forget()
             self.changed.set()
         return self.in_force
 
-    def _drop_sets(self) -> None:
-        while len(self._sets) > 1 and self._sets[1][0] <= self.in_force:
-            self._sets.pop(0)
+    def _forget(self) -> None:
         live = frozenset().union(*(members for _, members in self._sets))
         for key in self._acked.keys() - live:
             del self._acked[key]
 
+    def _used_by(self, version: int) -> list[frozenset]:
+        # a node that lacks the version knows the sets before it alone
+        sets = [s for s in self._sets if s[0] < version]
+        while len(sets) > 1 and sets[1][0] <= self.in_force:
+            sets.pop(0)
+        return [members for _, members in sets]
+
     def _settled(self, pending: Pending) -> bool:
-        sets = [m for at, m in self._sets if at <= pending.version]
+        sets = self._used_by(pending.version)
         missing = [self._missing(m, pending.version) for m in sets]
         if not any(missing):
             return True
@@ -103,4 +109,5 @@
         if not self._pending:
             return []
         version = self._pending[-1].version
-        return sorted(n for n, _ in self._missing(self._sets[-1][1], version))
+        *_, (_, newest) = self._sets
+        return sorted(n for n, _ in self._missing(newest, version))
--- a/packages/node/src/chivepier/node/cluster.py
+++ b/packages/node/src/chivepier/node/cluster.py
@@ -19,6 +19,8 @@
 
     ``replica`` is set on a voter; ``leadership`` while a voter runs, for
     the times it leads; ``leader`` is the peer address last heard of.
+    ``draining``: this instance is to leave the addresses answer;
+    ``leaving``: it does not renew its membership any more.
     """
 
     settings: Settings
@@ -33,6 +35,7 @@
     leadership: object = None
     leader: str = ""
     draining: bool = False
+    leaving: bool = False
     in_force: int = 0
     address: str = ""
     peer_address: str = ""
@@ -78,6 +81,13 @@
         region = self.settings.region
         return [m for m in self.machine.members.values() if m.region == region]
 
+    def guides(self) -> list[str]:
+        """Return peer addresses that may know the leader."""
+        known = [v.address for v in self.machine.voters]
+        unique = dict.fromkeys(known or self.settings.seeds)
+        unique.pop(self.peer_address, None)
+        return list(unique)
+
     def peers(self) -> list[str]:
         """Return peer addresses to ask: members, else the seeds."""
         known = [m.peer_address for m in self.machine.members.values()]
--- a/packages/node/src/chivepier/node/leadership.py
+++ b/packages/node/src/chivepier/node/leadership.py
@@ -9,6 +9,7 @@
 from chivepier.membership import LeaseTable
 from chivepier.messages import ChangedNotice
 from chivepier.messages import encode
+from chivepier.messages import InForceCommand
 from chivepier.messages import JoinCommand
 from chivepier.messages import LeaveCommand
 from chivepier.messages import Member
@@ -35,9 +36,7 @@
     def __init__(self, cluster: Cluster):
         self._cluster = cluster
         self._term = 0
-        self._leases = LeaseTable(cluster.clock, cluster.terms)
-        self.force = ForceTracker(cluster.clock, cluster.terms)
-        self._told = 0
+        self._restart()
         self._joining: set[tuple[str, int]] = set()
         self._tasks: set[asyncio.Task] = set()
 
@@ -46,38 +45,43 @@
         cluster = self._cluster
         while True:
             await cluster.machine.changed.wait(TICK_SECONDS)
-            if not cluster.replica.leads():
+            asked = cluster.clock.monotonic()
+            if not cluster.replica.leads() or not self._current():
                 continue
-            self._start_term()
-            self._track()
+            self._track(asked)
             try:
                 await self._keep_secret()
+                await self._settle_epoch()
                 await self._expire()
             except (NotLeaderError, LostLeadError):
                 continue
 
-    def _start_term(self) -> None:
-        term = self._cluster.replica.storage.term
-        if term == self._term:
-            return
+    def _restart(self) -> None:
         cluster = self._cluster
-        self._term = term
         self._told = 0
+        self._caught_up = False
         self._leases = LeaseTable(cluster.clock, cluster.terms)
-        self.force = ForceTracker(cluster.clock, cluster.terms)
+        self.force = ForceTracker(
+            cluster.clock, cluster.terms, cluster.machine.member_sets
+        )
+
+    def _start_term(self) -> None:
+        term = self._cluster.replica.storage.term
+        if term != self._term:
+            self._term = term
+            self._restart()
 
-    def _track(self) -> None:
-        machine = self._cluster.machine
+    def _track(self, asked: float) -> None:
+        cluster = self._cluster
+        machine = cluster.machine
         if machine.version > self._told:
             self._told = machine.version
-            members = frozenset(
-                (m.node, m.incarnation) for m in machine.members.values()
-            )
-            self.force.add_version(machine.version, members)
+            self.force.add_version(machine.version)
             self._acknowledge_self()
             self._announce(machine.version)
-        self._cluster.in_force = self.force.advance()
-        self._cluster.freshness.confirm(self._cluster.clock.monotonic())
+        # another leader may have seen a later version in force
+        cluster.in_force = max(cluster.in_force, self.force.advance())
+        cluster.freshness.confirm(asked)
 
     def _acknowledge_self(self) -> None:
         cluster = self._cluster
@@ -106,6 +110,13 @@
             secret = secrets.token_bytes(SECRET_BYTES)
             await cluster.replica.propose(encode(SecretCommand(secret)))
 
+    async def _settle_epoch(self) -> None:
+        cluster = self._cluster
+        epochs = [epoch for epoch, _ in cluster.machine.member_sets]
+        if len(epochs) > 1 and epochs[1] <= self.force.in_force:
+            command = InForceCommand(self.force.in_force)
+            await cluster.replica.propose(encode(command))
+
     async def _expire(self) -> None:
         cluster = self._cluster
         members = [
@@ -125,33 +136,37 @@
         :returns: whether granted, and the newest committed version
         """
         cluster = self._cluster
+        asked = cluster.clock.monotonic()
         if not cluster.replica.leads() or not self._current():
             return RenewAnswer(False, cluster.find_leader(), 0, 0)
         member = request.member
         self._leases.hear(member)
         known = cluster.machine.members.get(member.node)
-        if known != member:
+        if _news(known, member):
             self._join(member)
         self.force.acknowledge(
             member.node, member.incarnation, request.version
         )
-        self._track()
+        self._track(asked)
         return RenewAnswer(
             True,
             cluster.peer_address,
             cluster.machine.version,
-            self.force.in_force,
+            cluster.in_force,
         )
 
     def _current(self) -> bool:
         # until an entry of this term is committed, and applied here, this
-        # leader does not know the newest committed version
+        # leader may lack a version that an earlier one called in force
         replica = self._cluster.replica
         self._start_term()
+        if self._caught_up:
+            return True
         committed = replica.storage.term_at(replica.commit)
-        if committed != replica.storage.term:
-            return False
-        return self._cluster.machine.index >= replica.commit
+        if committed == replica.storage.term:
+            machine = self._cluster.machine
+            self._caught_up = machine.index >= replica.commit
+        return self._caught_up
 
     def _join(self, member: Member) -> None:
         key = (member.node, member.incarnation)
@@ -182,3 +197,13 @@
                 raise LostLeadError()
             if not self._cluster.replica.leads():
                 raise LostLeadError()
+
+
+def _news(known: Member | None, member: Member) -> bool:
+    """Tell whether a renewal changes what is known of its member."""
+    if known is None or known.incarnation < member.incarnation:
+        return True
+    if known.incarnation > member.incarnation:
+        return False
+    # a drain is never taken back: a renewal from before it may come late
+    return known != member and not known.draining
--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -22,6 +22,7 @@
 from chivepier.node.commander import Commander
 from chivepier.node.directory import Directory
 from chivepier.node.entry import Entry
+from chivepier.node.faulthook import FaultHook
 from chivepier.node.leadership import Leadership
 from chivepier.node.metrics import Metrics
 from chivepier.node.operators import Operators
@@ -157,6 +158,7 @@
             Addresses(entry),
             Targets(entry),
             Operators(entry, self),
+            FaultHook(self.faults, self._settings.fault_hook),
         ):
             part.add_routes(app)
         app.router.add_get("/metrics", self._show_metrics)
--- a/packages/node/src/chivepier/node/renewal.py
+++ b/packages/node/src/chivepier/node/renewal.py
@@ -36,7 +36,7 @@
     async def run(self) -> None:
         """Renew for as long as the node lives."""
         cluster = self._cluster
-        while True:
+        while not cluster.leaving:
             if not await self._renew_at_leader():
                 await self._renew_at_members()
             wait = cluster.terms.renew if cluster.ready() else 0.1
@@ -51,6 +51,10 @@
         if notice.version > self._cluster.machine.version:
             self._hurry.set()
 
+    def hurry(self) -> None:
+        """Renew at once: something is to be told."""
+        self._hurry.set()
+
     async def _renew_at_leader(self) -> bool:
         cluster = self._cluster
         if cluster.replica is not None and cluster.replica.leads():
@@ -59,12 +63,16 @@
             return True
         asked = cluster.clock.monotonic()
         leader = cluster.find_leader()
-        candidates = [leader] if leader else cluster.peers()
-        for address in candidates:
-            if await self._ask_leader(address, asked):
-                return True
+        if leader and await self._ask_leader(leader, asked):
+            return True
         cluster.leader = ""
-        return False
+        # all at once: one after the other, two silent ones use up the lease
+        candidates = [a for a in cluster.guides() if a != leader]
+        return any(
+            await asyncio.gather(
+                *(self._ask_leader(a, asked) for a in candidates)
+            )
+        )
 
     async def _ask_leader(self, address: str, asked: float) -> bool:
         cluster = self._cluster
@@ -99,7 +107,7 @@
             *(self._ask_member(m.peer_address) for m in others)
         )
         known = {(m.node, m.incarnation) for m in others}
-        vouching = 1
+        vouching = 1 if cluster.joined() else 0
         for member, answer in zip(others, answers):
             if answer is None:
                 continue
--- a/packages/state/src/chivepier/state/__init__.py
+++ b/packages/state/src/chivepier/state/__init__.py
@@ -10,6 +10,7 @@
 from chivepier.state.identity import save_identity
 from chivepier.state.lostleaderror import LostLeadError
 from chivepier.state.machine import Machine
+from chivepier.state.membersets import MemberSets
 from chivepier.state.notleadererror import NotLeaderError
 from chivepier.state.replica import Replica
 from chivepier.state.role import Role
@@ -28,6 +29,7 @@
     "Identity",
     "LostLeadError",
     "Machine",
+    "MemberSets",
     "NotLeaderError",
     "Replica",
     "Role",
--- a/packages/state/src/chivepier/state/machine.py
+++ b/packages/state/src/chivepier/state/machine.py
@@ -1,6 +1,7 @@
 """The replicated state: what the log's commands add up to."""
 
 import collections
+import collections.abc
 
 import attrs
 import cbor2
@@ -12,6 +13,7 @@
 from chivepier.messages import decode
 from chivepier.messages import Edit
 from chivepier.messages import Entry
+from chivepier.messages import InForceCommand
 from chivepier.messages import JoinCommand
 from chivepier.messages import LeaveCommand
 from chivepier.messages import Member
@@ -24,6 +26,7 @@
 from chivepier.state.answer import Answer
 from chivepier.state.claim import Claim
 from chivepier.state.historyitem import HistoryItem
+from chivepier.state.membersets import MemberSets
 from chivepier.state.signal import Signal
 from chivepier.state.snapshot import Snapshot
 from chivepier.types import ErrorKind
@@ -40,6 +43,8 @@
     Reads are plain attributes.  :attr:`changed` is set after each entry.
     :attr:`version` is the index of the last entry that changed the
     configuration or the membership; claims leave it as it is.
+    ``epoch_watchers`` are called in the middle of a batch, at each epoch:
+    who looks only after the batch misses that it lost a shard in between.
     """
 
     def __init__(self) -> None:
@@ -50,6 +55,8 @@
         self.documents: dict[tuple[str, str], Document] = {}
         self.members: dict[str, Member] = {}
         self.epoch = 0
+        self.member_sets = MemberSets()
+        self.epoch_watchers: list[collections.abc.Callable[[], None]] = []
         self.voters: tuple[Voter, ...] = ()
         self.secret = b""
         self.claims: dict[tuple[str, str], Claim] = {}
@@ -104,6 +111,9 @@
                 # the first one stands: two new leaders may both propose
                 self.secret = self.secret or secret
                 return Answer("", "", index)
+            case InForceCommand(epoch=epoch):
+                self.member_sets.settle(epoch)
+                return Answer("", "", index)
             case Noop():
                 return Answer("", "", index)
             case other:
@@ -170,16 +180,22 @@
             )
         if known != member:
             self.members[member.node] = member
-            self.epoch = index
+            self._note_epoch(index)
         return Answer("", "", index)
 
     def _leave(self, node: str, incarnation: int, index: int) -> Answer:
         known = self.members.get(node)
         if known is not None and known.incarnation == incarnation:
             del self.members[node]
-            self.epoch = index
+            self._note_epoch(index)
         return Answer("", "", index)
 
+    def _note_epoch(self, index: int) -> None:
+        self.epoch = index
+        self.member_sets.add(index, self.members.values())
+        for watcher in self.epoch_watchers:
+            watcher()
+
     def _claim(self, command: ClaimCommand, index: int) -> Answer:
         self._forget_claims(command.claimed_at)
         key = (command.team, command.key)
@@ -241,6 +257,7 @@
             "members": [attrs.astuple(m) for m in self.members.values()],
             "version": self.version,
             "epoch": self.epoch,
+            "member_sets": self.member_sets.pack(),
             "voters": [attrs.astuple(v) for v in self.voters],
             "secret": self.secret,
             "claims": [(k, attrs.astuple(c)) for k, c in claims],
@@ -265,6 +282,7 @@
         self.members = {m[0]: Member(*m) for m in fields["members"]}
         self.version = fields["version"]
         self.epoch = fields["epoch"]
+        self.member_sets = MemberSets.unpack(fields["member_sets"])
         self.voters = tuple(Voter(*v) for v in fields["voters"])
         self.secret = fields["secret"]
         self.claims = {tuple(k): _load_claim(c) for k, c in fields["claims"]}
@@ -276,6 +294,8 @@
         self.recent.clear()
         self.index = snapshot.index
         self.term = snapshot.term
+        for watcher in self.epoch_watchers:
+            watcher()
         self.changed.set()
 
 
@@ -288,7 +308,9 @@
     if not entry.command:
         return False
     command = decode(entry.command)
-    return not isinstance(command, ClaimCommand | OutcomeCommand | Noop)
+    return not isinstance(
+        command, ClaimCommand | OutcomeCommand | Noop | InForceCommand
+    )
 
 
 def _load_document(fields: list) -> Document:
--- a/packages/types/src/chivepier/messages/__init__.py
+++ b/packages/types/src/chivepier/messages/__init__.py
@@ -1,5 +1,6 @@
 """Typed messages between processes, and commands of the log."""
 
+from chivepier.messages.adoptrequest import AdoptRequest
 from chivepier.messages.announceanswer import AnnounceAnswer
 from chivepier.messages.announcement import Announcement
 from chivepier.messages.appendanswer import AppendAnswer
@@ -17,6 +18,8 @@
 from chivepier.messages.codec import unpack
 from chivepier.messages.commandanswer import CommandAnswer
 from chivepier.messages.commandrequest import CommandRequest
+from chivepier.messages.confirmanswer import ConfirmAnswer
+from chivepier.messages.confirmrequest import ConfirmRequest
 from chivepier.messages.edit import Edit
 from chivepier.messages.entry import Entry
 from chivepier.messages.freshanswer import FreshAnswer
@@ -26,6 +29,7 @@
 from chivepier.messages.inflightpermit import InflightPermit
 from chivepier.messages.inflightreport import InflightReport
 from chivepier.messages.inflightrequest import InflightRequest
+from chivepier.messages.inforcecommand import InForceCommand
 from chivepier.messages.joincommand import JoinCommand
 from chivepier.messages.leavecommand import LeaveCommand
 from chivepier.messages.member import Member
@@ -46,6 +50,8 @@
 from chivepier.messages.stoporder import StopOrder
 from chivepier.messages.syncanswer import SyncAnswer
 from chivepier.messages.syncrequest import SyncRequest
+from chivepier.messages.takeoveranswer import TakeoverAnswer
+from chivepier.messages.takeoverrequest import TakeoverRequest
 from chivepier.messages.targetload import TargetLoad
 from chivepier.messages.targetsanswer import TargetsAnswer
 from chivepier.messages.targetsrequest import TargetsRequest
@@ -56,6 +62,7 @@
 from chivepier.messages.voterscommand import VotersCommand
 
 __all__ = [
+    "AdoptRequest",
     "AnnounceAnswer",
     "Announcement",
     "AppendAnswer",
@@ -69,6 +76,8 @@
     "ClaimState",
     "CommandAnswer",
     "CommandRequest",
+    "ConfirmAnswer",
+    "ConfirmRequest",
     "Edit",
     "Entry",
     "FreshAnswer",
@@ -78,6 +87,7 @@
     "InflightPermit",
     "InflightReport",
     "InflightRequest",
+    "InForceCommand",
     "JoinCommand",
     "LeaveCommand",
     "Member",
@@ -97,13 +107,15 @@
     "StopOrder",
     "SyncAnswer",
     "SyncRequest",
+    "TakeoverAnswer",
+    "TakeoverRequest",
     "TargetLoad",
     "TargetsAnswer",
     "TargetsRequest",
     "UsageReport",
     "VoteAnswer",
-    "VoteRequest",
     "Voter",
+    "VoteRequest",
     "VotersCommand",
     "decode",
     "encode",
--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -3,6 +3,7 @@
 import asyncio
 import inspect
 import itertools
+import time
 import typing
 
 import logbook
@@ -19,6 +20,8 @@
 
 Handler = typing.Callable[[typing.Any, "Channel"], typing.Any]
 
+SILENCE_SECONDS = 2.0
+
 
 class Channel:
     """Requests, answers and one-way messages over one websocket.
@@ -37,6 +40,8 @@
         self._outbox: list[tuple] = []
         self._ready = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
+        self._heard = time.monotonic()
+        self._quiet_from: float | None = None
         self.closed = False
 
     async def run(self) -> None:
@@ -44,7 +49,11 @@
         writer = asyncio.create_task(self._write())
         try:
             async for data in self._socket:
+                if self.closed:
+                    break
                 if not self._faults.blocks(self.peer):
+                    self._heard = time.monotonic()
+                    self._quiet_from = None
                     self._receive(data)
         except websockets.ConnectionClosed:
             pass
@@ -52,6 +61,7 @@
             self.closed = True
             writer.cancel()
             self._fail_all()
+            await self._socket.close()
 
     async def _write(self) -> None:
         while True:
@@ -134,6 +144,7 @@
         """
         if self.closed:
             raise LinkError(f"link to {self.peer} is closed", sent=False)
+        sent = time.monotonic()
         number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
         self._waiting[number] = future
@@ -142,11 +153,23 @@
             async with asyncio.timeout(timeout):
                 return await future
         except TimeoutError:
+            self._note_timeout(sent)
             text = f"no answer from {self.peer} in {timeout}s"
             raise LinkError(text, sent=True) from None
         finally:
             self._waiting.pop(number, None)
 
+    def _note_timeout(self, sent: float) -> None:
+        # after a long silent cut the kernel waits up to minutes before it
+        # sends again: a healed link would seem dead for that long.  A new
+        # connection starts at once; the old one ends when it is heard of.
+        if self._quiet_from is None:
+            self._quiet_from = max(sent, self._heard)
+        if time.monotonic() - self._quiet_from > SILENCE_SECONDS:
+            self.closed = True
+            self._outbox.clear()
+            self._fail_all()
+
     def _settle(self, number: int, value: typing.Any) -> None:
         future = self._waiting.pop(number, None)
         if future is not None and not future.done():
--- a/packages/wire/src/chivepier/wire/links.py
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -26,8 +26,8 @@
         self._handler = handler
         self._faults = faults
         self._channels: dict[str, Channel] = {}
-        self._locks: dict[str, asyncio.Lock] = {}
-        self._tasks: dict[str, asyncio.Task] = {}
+        self._connecting: dict[str, asyncio.Task] = {}
+        self._tasks: set[asyncio.Task] = set()
 
     async def __aenter__(self) -> "Links":
         return self
@@ -35,7 +35,7 @@
     async def __aexit__(self, *exc) -> None:
         for channel in list(self._channels.values()):
             await channel.close()
-        for task in list(self._tasks.values()):
+        for task in [*self._tasks, *self._connecting.values()]:
             task.cancel()
 
     async def request(
@@ -68,21 +68,34 @@
         channel = self._channels.get(peer)
         if channel is not None and not channel.closed:
             return channel
-        lock = self._locks.setdefault(peer, asyncio.Lock())
-        async with lock:
-            channel = self._channels.get(peer)
-            if channel is not None and not channel.closed:
-                return channel
-            return await self._connect(peer, timeout)
-
-    async def _connect(self, peer: str, timeout: float) -> Channel:
+        # all who wait share one attempt: one after the other, each would
+        # wait for those before it to time out
+        task = self._connecting.get(peer)
+        if task is None:
+            task = asyncio.create_task(self._connect(peer))
+            self._connecting[peer] = task
+            task.add_done_callback(lambda done: self._connected(peer, done))
+        try:
+            async with asyncio.timeout(timeout):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            text = f"no connection to {peer} in {timeout}s"
+            raise LinkError(text, sent=False) from None
+
+    def _connected(self, peer: str, task: asyncio.Task) -> None:
+        del self._connecting[peer]
+        if not task.cancelled():
+            # nobody may be waiting for it any more
+            task.exception()
+
+    async def _connect(self, peer: str) -> Channel:
         if self._faults.blocks(peer):
             # a cut link loses the handshake too: fail without a reset
-            await asyncio.sleep(min(timeout, CONNECT_SECONDS))
+            await asyncio.sleep(CONNECT_SECONDS)
             raise LinkError(f"no connection to {peer}", sent=False)
         headers = {KEY_HEADER: self._key, PEER_HEADER: self.me}
         try:
-            async with asyncio.timeout(min(timeout, CONNECT_SECONDS)):
+            async with asyncio.timeout(CONNECT_SECONDS):
                 socket = await connect(
                     f"ws://{peer}",
                     additional_headers=headers,
@@ -97,5 +110,7 @@
             raise LinkError(text, sent=False) from None
         channel = Channel(socket, peer, self._handler, self._faults)
         self._channels[peer] = channel
-        self._tasks[peer] = asyncio.create_task(channel.run())
+        task = asyncio.create_task(channel.run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         return channel
