Rebuild a shard at its new owner, and watch owners and permits

Cause, by reading: a new owner admitted at once, from nothing, whatever the old one had granted; it did so before its epoch was in force; an owner stopped and continued went on by its old lease; permit numbers were given again; a lost release or a grant that crossed a cancel held its permit for ever; a request at a silent owner was held for its whole patience; a late grant was used however old; a target forgotten for 3 s accepted an old run's words.

--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -109,6 +109,7 @@
         self._spawn(self.renewal.run())
         self._spawn(self.owner.run())
         self._spawn(self.permits.run())
+        self._spawn(self.permits.watch.run())
         log.info(
             "started name={} node={} http={} peer={}",
             settings.name,
@@ -130,7 +131,8 @@
         self.renewal = Renewal(cluster)
         self.owner = Owner(cluster, self.directory)
         self.permits = Permits(cluster, self.owner)
-        self.owner.handle_stop = self.permits.handle_stop
+        self.owner.tell_stop = self.permits.handle_stop
+        self.owner.tell_inflight = self.permits.handle_takeover
         self.metrics = Metrics()
 
     async def _start_http(self, stack: contextlib.AsyncExitStack) -> None:
@@ -219,6 +221,14 @@
                 return self.owner.handle_progress(message)
             case messages.StopOrder():
                 return self.permits.handle_stop(message)
+            case messages.ConfirmRequest():
+                return self.owner.handle_confirm(message)
+            case messages.AdoptRequest():
+                return self.owner.handle_adopt(message)
+            case messages.TakeoverRequest():
+                return self.permits.handle_takeover(message)
+            case messages.InflightRequest():
+                return self.permits.handle_inflight(message)
             case messages.CancelReport():
                 return self.owner.handle_cancel(message)
             case messages.Announcement():
--- a/packages/node/src/chivepier/node/owner.py
+++ b/packages/node/src/chivepier/node/owner.py
@@ -2,52 +2,93 @@
 
 import asyncio
 import collections.abc
+import itertools
 
 from chivepier.membership import find_owner
 from chivepier.membership import find_shard
+from chivepier.messages import AdoptRequest
 from chivepier.messages import AnnounceAnswer
 from chivepier.messages import Announcement
 from chivepier.messages import CancelReport
+from chivepier.messages import ConfirmAnswer
+from chivepier.messages import ConfirmRequest
+from chivepier.messages import InflightReport
+from chivepier.messages import InflightRequest
 from chivepier.messages import Member
 from chivepier.messages import PermitAnswer
 from chivepier.messages import PermitRequest
 from chivepier.messages import ProgressReport
 from chivepier.messages import ReleaseReport
 from chivepier.messages import StopOrder
+from chivepier.messages import TakeoverAnswer
+from chivepier.messages import TakeoverRequest
 from chivepier.messages import TargetsAnswer
 from chivepier.messages import TargetsRequest
 from chivepier.node.cluster import Cluster
 from chivepier.node.directory import Directory
 from chivepier.node.shard import ANNOUNCE_SECONDS
+from chivepier.node.shard import MOVED_RETRY_SECONDS
 from chivepier.node.shard import Shard
 from chivepier.types import ErrorKind
+from chivepier.wire import LinkError
 
 TICK_SECONDS = 0.05
-RETRY_SECONDS = 1.0
+WATCH_TICKS = 10
+POLL_SECONDS = 0.02
+RECONCILE_SECONDS = 1.5
+EPOCH_BITS = 32
 
 
 class Owner:
-    """Runs the shards that rendezvous hashing gives to this node."""
+    """Runs the shards that rendezvous hashing gives to this node.
+
+    A shard is opened once the epoch that gave it to this node is in force,
+    so that no other node admits to it any more, and once the members have
+    told what they have in flight.  It is closed the moment a later epoch
+    takes it away, or the lease on the configuration runs out.
+
+    :param tell_stop: takes a stop order that is for this very node
+    :param tell_inflight: answers a takeover request for this very node
+    """
 
     def __init__(self, cluster: Cluster, directory: Directory):
         self._cluster = cluster
         self._directory = directory
         self.shards: dict[tuple[str, int], Shard] = {}
-        self.handle_stop: collections.abc.Callable = None
+        self.tell_stop: collections.abc.Callable[[StopOrder], None] = None
+        self.tell_inflight: collections.abc.Callable[
+            [TakeoverRequest], TakeoverAnswer
+        ] = None
+        self._given = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
+        cluster.machine.epoch_watchers.append(self._review)
 
     async def run(self) -> None:
         """Expire targets and settle waiting requests, on a timer."""
-        while True:
+        for tick in itertools.count():
             await asyncio.sleep(TICK_SECONDS)
-            self._drop_lost()
+            self._review(False)
+            self._claim()
             for shard in self.shards.values():
                 shard.expire()
+            if tick % WATCH_TICKS == 0:
+                self._watch()
+
+    def _review(self, skipped: bool) -> None:
+        """Close at once what this node owns no more.
 
-    def _drop_lost(self) -> None:
-        for key in list(self.shards):
-            if not self._owns(*key):
+        :param skipped: whether epochs may have passed unseen
+        """
+        for key, shard in list(self.shards.items()):
+            if skipped or not self._holds(shard):
                 del self.shards[key]
+                shard.close()
+
+    def _claim(self) -> None:
+        """Take over what this node owns, before it is asked for it."""
+        for template in self._directory.templates().values():
+            for number in range(template.shards):
+                self._shard(template.pool, number)
 
     def find(self, pool: str, number: int) -> Member | None:
         """Return the owner of a shard.
@@ -60,28 +101,145 @@
 
     def _owns(self, pool: str, number: int) -> bool:
         owner = self.find(pool, number)
-        return owner is not None and owner.node == self._cluster.identity.node
+        cluster = self._cluster
+        return (
+            owner is not None
+            and owner.node == cluster.identity.node
+            and owner.incarnation == cluster.incarnation
+        )
+
+    def _holds(self, shard: Shard) -> bool:
+        # asked at each use: the process may have been stopped for longer
+        # than its lease, and another node owns the shard by now
+        freshness = self._cluster.freshness
+        return (
+            freshness.fresh()
+            and freshness.era == shard.era
+            and self._owns(shard.pool, shard.number)
+        )
 
     def _shard(self, pool: str, number: int) -> Shard | None:
-        if not self._owns(pool, number) or not self._cluster.ready():
-            return None
         key = (pool, number)
-        if key not in self.shards:
-            clock = self._cluster.clock
-            self.shards[key] = Shard(
-                pool, number, clock, self._directory, self._order_stop
+        shard = self.shards.get(key)
+        if shard is not None and not self._holds(shard):
+            self._review(False)
+            shard = None
+        if shard is None:
+            cluster = self._cluster
+            if not self._owns(pool, number) or not cluster.ready():
+                return None
+            shard = self._make_shard(pool, number)
+            self.shards[key] = shard
+            self._spawn(self._take_over(shard))
+        return shard
+
+    def _make_shard(self, pool: str, number: int) -> Shard:
+        cluster = self._cluster
+        epoch = cluster.machine.epoch
+        # the epoch has one owner, and the count goes on when it loses its
+        # lease and regains the shard: no number is given twice
+        numbers = (epoch << EPOCH_BITS | n for n in self._given)
+        return Shard(
+            pool,
+            number,
+            cluster.clock,
+            self._directory,
+            epoch=epoch,
+            era=cluster.freshness.era,
+            numbers=numbers,
+            may_admit=self._holds,
+            order_stop=self._order_stop,
+        )
+
+    def _spawn(self, work: collections.abc.Coroutine) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # --- takeover ----------------------------------------------------------
+
+    async def _take_over(self, shard: Shard) -> None:
+        cluster = self._cluster
+        while cluster.in_force < shard.epoch and not shard.closed:
+            await asyncio.sleep(POLL_SECONDS)
+        end = cluster.clock.monotonic() + cluster.terms.outlast
+        await asyncio.gather(
+            *(self._hear(shard, m, end) for m in cluster.members())
+        )
+        if not shard.closed:
+            shard.open()
+
+    async def _hear(self, shard: Shard, member: Member, end: float) -> None:
+        """Learn what a member knows, until it answers or is given up."""
+        cluster = self._cluster
+        request = TakeoverRequest(
+            cluster.peer_address, shard.pool, shard.number, shard.epoch
+        )
+        while not shard.closed and cluster.clock.monotonic() < end:
+            known = cluster.machine.members.get(member.node)
+            if known is None or known.incarnation != member.incarnation:
+                return
+            answer = await self._ask_inflight(member, request)
+            if answer is not None and answer.ready:
+                entry = member.peer_address
+                shard.adopt(answer.holder, entry, answer.permits)
+                for announcement in answer.targets:
+                    shard.announce(announcement)
+                return
+            await asyncio.sleep(POLL_SECONDS)
+
+    async def _ask_inflight(
+        self, member: Member, request: TakeoverRequest
+    ) -> TakeoverAnswer | None:
+        cluster = self._cluster
+        if member.node == cluster.identity.node:
+            return self.tell_inflight(request)
+        try:
+            return await cluster.links.request(
+                member.peer_address, request, cluster.terms.request
+            )
+        except LinkError:
+            return None
+
+    # --- permits whose end was not heard of --------------------------------
+
+    def _watch(self) -> None:
+        cluster = self._cluster
+        members = {f"{m.node}.{m.incarnation}": m for m in cluster.members()}
+        oldest = cluster.clock.monotonic() - RECONCILE_SECONDS
+        for shard in self.shards.values():
+            shard.watch(members.keys())
+            for holder in shard.silent_holders(oldest):
+                self._spawn(self._reconcile(shard, members[holder]))
+
+    async def _reconcile(self, shard: Shard, member: Member) -> None:
+        cluster = self._cluster
+        if member.node == cluster.identity.node:
+            return
+        before = cluster.clock.monotonic() - RECONCILE_SECONDS
+        request = InflightRequest(
+            cluster.peer_address, shard.pool, shard.number
+        )
+        try:
+            report: InflightReport = await cluster.links.request(
+                member.peer_address, request, cluster.terms.request
             )
-        return self.shards[key]
+        except LinkError:
+            return
+        if report.entry == f"{member.node}.{member.incarnation}":
+            entry = member.peer_address
+            shard.adopt(report.entry, entry, report.permits)
+            shard.reconcile(report.entry, report.permits, before)
 
     def _order_stop(self, entry: str, order: StopOrder) -> None:
         if entry == self._cluster.peer_address:
-            self.handle_stop(order)
-            return
-        task = asyncio.create_task(self._cluster.links.send(entry, order))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+            self.tell_stop(order)
+        elif entry:
+            self._spawn(self._cluster.links.send(entry, order))
 
-    async def handle_announcement(
+    # --- messages ----------------------------------------------------------
+
+    def handle_announcement(
         self, announcement: Announcement
     ) -> AnnounceAnswer:
         """Take a target's announcement as owner of its shard."""
@@ -101,12 +259,29 @@
         """
         shard = self._shard(request.pool, request.shard)
         if shard is None:
-            text = "this instance does not own the shard"
-            kind = ErrorKind.NOT_READY.value
-            return PermitAnswer(0, "", "", 0, kind, text, RETRY_SECONDS)
+            return self._refuse()
         future = shard.request(request)
         return future.result() if future.done() else future
 
+    def handle_adopt(self, request: AdoptRequest) -> PermitAnswer:
+        """Count a generation that an entry resumed."""
+        asked = request.request
+        shard = self._shard(asked.pool, asked.shard)
+        if shard is None:
+            return self._refuse()
+        return shard.resume(asked, request.target, request.tokens)
+
+    def _refuse(self) -> PermitAnswer:
+        text = "this instance does not own the shard"
+        kind = ErrorKind.NOT_READY.value
+        return PermitAnswer(0, "", "", 0, kind, text, MOVED_RETRY_SECONDS)
+
+    def handle_confirm(self, request: ConfirmRequest) -> ConfirmAnswer:
+        """Tell whether a permit may still be used."""
+        shard = self._shard(request.pool, request.shard)
+        valid = shard is not None and shard.confirm(request.permit)
+        return ConfirmAnswer(valid)
+
     def handle_cancel(self, report: CancelReport) -> None:
         """Drop a waiting request."""
         shard = self.shards.get((report.pool, report.shard))
@@ -114,11 +289,13 @@
             shard.cancel(report.request)
 
     def handle_progress(self, report: ProgressReport) -> None:
-        """Note delivered tokens."""
+        """Note delivered tokens; ask the entry about unknown permits."""
         shard = self.shards.get((report.pool, report.shard))
-        if shard is not None:
-            for permit, tokens in report.tokens:
-                shard.policy.progress(permit, tokens)
+        if shard is None or shard.progress(report):
+            return
+        for member in self._cluster.members():
+            if f"{member.node}.{member.incarnation}" == report.entry:
+                self._spawn(self._reconcile(shard, member))
 
     def handle_release(self, report: ReleaseReport) -> None:
         """Take back a permit."""
--- a/packages/node/src/chivepier/node/permits.py
+++ b/packages/node/src/chivepier/node/permits.py
@@ -1,24 +1,37 @@
 """Permits, on the entry's side."""
 
+import asyncio
 import collections.abc
 import contextlib
 import datetime
 import itertools
 
+import attrs
+
+from chivepier.messages import AdoptRequest
 from chivepier.messages import AnnounceAnswer
 from chivepier.messages import Announcement
 from chivepier.messages import CancelReport
+from chivepier.messages import ConfirmRequest
+from chivepier.messages import InflightPermit
+from chivepier.messages import InflightReport
+from chivepier.messages import InflightRequest
 from chivepier.messages import Member
 from chivepier.messages import PermitAnswer
+from chivepier.messages import PermitOutcome
 from chivepier.messages import PermitRequest
 from chivepier.messages import ProgressReport
 from chivepier.messages import ReleaseReport
 from chivepier.messages import StopOrder
+from chivepier.messages import TakeoverAnswer
+from chivepier.messages import TakeoverRequest
 from chivepier.messages import TargetsAnswer
 from chivepier.messages import TargetsRequest
 from chivepier.node.cluster import Cluster
 from chivepier.node.inflight import Inflight
 from chivepier.node.owner import Owner
+from chivepier.node.ownerwatch import OwnerWatch
+from chivepier.node.seentargets import SeenTargets
 from chivepier.types import ErrorKind
 from chivepier.types import Failure
 from chivepier.types import RequestError
@@ -26,9 +39,14 @@
 
 LINK_SECONDS = 2.0
 PERMIT_SECONDS = 1.0
+CONFIRM_AFTER_SECONDS = 0.5
+MOVE_SECONDS = 2.0
+MOVE_POLL_SECONDS = 0.05
+ANNOUNCE_SECONDS = 1.5
 PROGRESS_SECONDS = 0.25
 PROGRESS_BYTES = 12
 PROGRESS_BYTES_PER_SECOND = 8000
+OWNER_RETRY = datetime.timedelta(seconds=2)
 
 
 class Permits:
@@ -54,6 +72,8 @@
         self._owner = owner
         self._numbers = itertools.count(1)
         self._inflight: dict[tuple[str, int, int], Inflight] = {}
+        self._seen = SeenTargets(cluster.clock)
+        self.watch = OwnerWatch(cluster)
 
     async def run(self) -> None:
         """Report progress for as long as the node lives."""
@@ -141,46 +161,194 @@
         :returns: the permit and its target
         :raises RequestError: refused, or the owner can't be reached
         """
-        owner = self._owner.find(request.pool, request.shard)
-        if owner is None:
-            raise RequestError.of(ErrorKind.NOT_READY, "no members yet")
-        asked = self._cluster.clock.monotonic()
+        clock = self._cluster.clock
+        start = clock.monotonic()
+        while True:
+            asked = clock.monotonic()
+            left = max(0.0, request.patience - (asked - start))
+            answer = await self._ask(attrs.evolve(request, patience=left))
+            if not answer.error:
+                if await self._take(request, answer, asked):
+                    return answer
+            elif answer.error != ErrorKind.NOT_READY.value:
+                raise _refusal(answer)
+            elif clock.monotonic() - start > MOVE_SECONDS:
+                raise _refusal(answer)
+            # the shard moves, or the permit came too late: ask again
+            await clock.sleep(MOVE_POLL_SECONDS)
+
+    async def _ask(self, request: PermitRequest) -> PermitAnswer:
+        owner = self._find(request.pool, request.shard)
         try:
-            answer = await self._ask(owner, request)
+            if not self._mine(owner):
+                return await self._ask_remote(owner, request)
+            answer = self._owner.handle_permit(request)
+            if isinstance(answer, PermitAnswer):
+                return answer
+            return await answer
+        except LinkError as error:
+            await self._cancel(owner, request)
+            return self._give_up(owner, error)
         except BaseException:
             await self._cancel(owner, request)
             raise
-        if answer.error:
-            hint = datetime.timedelta(seconds=answer.retry_after)
-            kind = ErrorKind(answer.error)
-            failure = Failure(kind, answer.message, retry_after=hint)
+
+    async def _ask_remote(
+        self, owner: Member, request: PermitRequest
+    ) -> PermitAnswer:
+        def moved() -> bool:
+            return self._owner.find(request.pool, request.shard) != owner
+
+        async with self.watch.watch(owner, moved):
+            return await self._cluster.links.request(
+                owner.peer_address, request, request.patience + LINK_SECONDS
+            )
+
+    def _give_up(self, owner: Member, error: LinkError) -> PermitAnswer:
+        """Build the refusal for an owner that does not answer.
+
+        :raises RequestError: while it still counts as the owner
+        """
+        known = self._cluster.machine.members.get(owner.node)
+        if known == owner:
+            text = f"the shard's owner does not answer: {error}"
+            failure = Failure(
+                ErrorKind.NOT_READY, text, retry_after=OWNER_RETRY
+            )
             raise RequestError(failure)
-        key = (request.pool, request.shard, answer.permit)
-        self._inflight[key] = Inflight(
+        kind = ErrorKind.NOT_READY.value
+        return PermitAnswer(0, "", "", 0, kind, "the owner changed", 1.0)
+
+    def _find(self, pool: str, shard: int) -> Member:
+        owner = self._owner.find(pool, shard)
+        if owner is None:
+            raise RequestError.of(ErrorKind.NOT_READY, "no members yet")
+        return owner
+
+    async def _take(
+        self, request: PermitRequest, answer: PermitAnswer, asked: float
+    ) -> bool:
+        """Write a permit down, unless it came too late to be used.
+
+        A grant that was held up on a link is no sign that its target still
+        stays, nor that the owner still counts it.  One that was asked for
+        just now is; for one that waited, the owner is asked once more.
+        """
+        clock = self._cluster.clock
+        inflight = Inflight(
             request=request,
             permit=answer,
-            usable_until=asked + request.patience + PERMIT_SECONDS,
+            usable_until=asked + PERMIT_SECONDS,
         )
-        return answer
+        key = (request.pool, request.shard, answer.permit)
+        self._inflight[key] = inflight
+        if clock.monotonic() - asked <= CONFIRM_AFTER_SECONDS:
+            return True
+        asked = clock.monotonic()
+        if await self._confirm(request, answer.permit):
+            inflight.usable_until = asked + PERMIT_SECONDS
+            return True
+        await self.release(
+            ReleaseReport(
+                self._cluster.peer_address,
+                request.pool,
+                request.shard,
+                answer.permit,
+                0,
+                int(PermitOutcome.NOT_RUN),
+            )
+        )
+        return False
 
-    def _mine(self, owner: Member) -> bool:
-        return owner.node == self._cluster.identity.node
+    async def _confirm(self, request: PermitRequest, permit: int) -> bool:
+        question = ConfirmRequest(request.pool, request.shard, permit)
+        try:
+            owner = self._find(request.pool, request.shard)
+            if self._mine(owner):
+                return self._owner.handle_confirm(question).valid
+            answer = await self._cluster.links.request(
+                owner.peer_address, question, PERMIT_SECONDS
+            )
+        except (LinkError, RequestError):
+            return False
+        return answer.valid
 
-    async def _ask(
-        self, owner: Member, request: PermitRequest
+    async def adopt(
+        self, request: PermitRequest, target: str, tokens: int
     ) -> PermitAnswer:
-        if self._mine(owner):
-            answer = self._owner.handle_permit(request)
-            if isinstance(answer, PermitAnswer):
-                return answer
-            return await answer
+        """Count a generation that is resumed here, without admission.
+
+        Its first entry is gone; until the owner knows of the new one, it
+        counts the generation as lost.  Release the permit as any other.
+
+        :param request: who resumes; its estimates are used for the rest
+        :param target: where the generation runs
+        :param tokens: how far it is
+        :returns: the permit
+        :raises RequestError: ``not_ready`` when the owner can't be reached
+        """
+        owner = self._find(request.pool, request.shard)
+        question = AdoptRequest(request, target, tokens)
         try:
-            return await self._cluster.links.request(
-                owner.peer_address, request, request.patience + LINK_SECONDS
-            )
+            if self._mine(owner):
+                answer = self._owner.handle_adopt(question)
+            else:
+                answer = await self._cluster.links.request(
+                    owner.peer_address, question, LINK_SECONDS
+                )
         except LinkError as error:
             text = f"the shard's owner does not answer: {error}"
             raise RequestError.of(ErrorKind.NOT_READY, text) from None
+        if answer.error:
+            raise _refusal(answer)
+        key = (request.pool, request.shard, answer.permit)
+        now = self._cluster.clock.monotonic()
+        self._inflight[key] = Inflight(
+            request=request,
+            permit=answer,
+            usable_until=now + PERMIT_SECONDS,
+            tokens=tokens,
+        )
+        return answer
+
+    def handle_inflight(self, request: InflightRequest) -> InflightReport:
+        """Tell an owner all that is in flight here in its shard."""
+        permits = self._list_inflight(request.pool, request.shard)
+        return InflightReport(
+            self._cluster.holder, request.pool, request.shard, permits
+        )
+
+    def handle_takeover(self, request: TakeoverRequest) -> TakeoverAnswer:
+        """Tell a new owner what is in flight, and the targets seen."""
+        holder = self._cluster.holder
+        if self._cluster.machine.epoch < request.epoch:
+            # a grant of the earlier owner could still be taken here
+            return TakeoverAnswer(holder, False, (), ())
+        permits = self._list_inflight(request.pool, request.shard)
+        targets = self._seen.list_pool(request.pool)
+        return TakeoverAnswer(holder, True, permits, targets)
+
+    def _list_inflight(
+        self, pool: str, shard: int
+    ) -> tuple[InflightPermit, ...]:
+        return tuple(
+            InflightPermit(
+                inflight.request.request,
+                permit,
+                inflight.permit.target,
+                inflight.request.team,
+                inflight.request.template,
+                inflight.request.urgency,
+                inflight.request.prompt_tokens,
+                inflight.request.max_tokens,
+                inflight.tokens,
+            )
+            for (p, s, permit), inflight in self._inflight.items()
+            if (p, s) == (pool, shard)
+        )
+
+    def _mine(self, owner: Member) -> bool:
+        return owner.node == self._cluster.identity.node
 
     async def _cancel(self, owner: Member, request: PermitRequest) -> None:
         report = CancelReport(
@@ -212,29 +380,40 @@
         :param announcement: what the target said
         :param shard: the shard's number
         :returns: the owner's answer
-        :raises RequestError: when the owner can't be reached
+        :raises RequestError: ``not_ready`` when no owner took it
         """
-        owner = self._owner.find(announcement.pool, shard)
-        if owner is None:
-            raise RequestError.of(ErrorKind.NOT_READY, "no members yet")
+        self._seen.note(announcement)
+        clock = self._cluster.clock
+        end = clock.monotonic() + ANNOUNCE_SECONDS
+        while True:
+            owner = self._find(announcement.pool, shard)
+            answer = await self._announce_at(owner, announcement)
+            if answer.accepted:
+                return answer
+            if clock.monotonic() > end:
+                text = "no owner took the announcement"
+                raise RequestError.of(ErrorKind.NOT_READY, text)
+            await clock.sleep(MOVE_POLL_SECONDS)
+
+    async def _announce_at(
+        self, owner: Member, announcement: Announcement
+    ) -> AnnounceAnswer:
         if self._mine(owner):
-            return await self._owner.handle_announcement(announcement)
+            return self._owner.handle_announcement(announcement)
         try:
             return await self._cluster.links.request(
-                owner.peer_address, announcement, LINK_SECONDS
+                owner.peer_address, announcement, PERMIT_SECONDS
             )
-        except LinkError as error:
-            raise RequestError.of(
-                ErrorKind.NOT_READY, f"owner does not answer: {error}"
-            ) from None
+        except LinkError:
+            return AnnounceAnswer(False, 0.0)
 
     async def list_targets(self) -> list[Announcement]:
         """Collect the announcements that all owners hold."""
         request = TargetsRequest("")
-        found: list[Announcement] = []
-        for member in self._cluster.members():
-            found += (await self._list_at(member, request)).targets
-        return found
+        answers = await asyncio.gather(
+            *(self._list_at(m, request) for m in self._cluster.members())
+        )
+        return [target for answer in answers for target in answer.targets]
 
     async def _list_at(
         self, member: Member, request: TargetsRequest
@@ -247,3 +426,9 @@
             )
         except LinkError:
             return TargetsAnswer(())
+
+
+def _refusal(answer: PermitAnswer) -> RequestError:
+    hint = datetime.timedelta(seconds=answer.retry_after)
+    kind = ErrorKind(answer.error)
+    return RequestError(Failure(kind, answer.message, retry_after=hint))
--- a/packages/state/src/chivepier/state/machine.py
+++ b/packages/state/src/chivepier/state/machine.py
@@ -36,6 +36,8 @@
 KEPT_ENTRIES = 2_000
 CLAIM_SECONDS = 24 * 3600
 
+EpochWatcher = collections.abc.Callable[[bool], None]
+
 
 class Machine:
     """Applies committed entries in order; the same on every node.
@@ -45,6 +47,7 @@
     configuration or the membership; claims leave it as it is.
     ``epoch_watchers`` are called in the middle of a batch, at each epoch:
     who looks only after the batch misses that it lost a shard in between.
+    A snapshot skips epochs; they are called with ``True`` then.
     """
 
     def __init__(self) -> None:
@@ -56,7 +59,7 @@
         self.members: dict[str, Member] = {}
         self.epoch = 0
         self.member_sets = MemberSets()
-        self.epoch_watchers: list[collections.abc.Callable[[], None]] = []
+        self.epoch_watchers: list[EpochWatcher] = []
         self.voters: tuple[Voter, ...] = ()
         self.secret = b""
         self.claims: dict[tuple[str, str], Claim] = {}
@@ -194,7 +197,7 @@
         self.epoch = index
         self.member_sets.add(index, self.members.values())
         for watcher in self.epoch_watchers:
-            watcher()
+            watcher(False)
 
     def _claim(self, command: ClaimCommand, index: int) -> Answer:
         self._forget_claims(command.claimed_at)
@@ -295,7 +298,7 @@
         self.index = snapshot.index
         self.term = snapshot.term
         for watcher in self.epoch_watchers:
-            watcher()
+            watcher(True)
         self.changed.set()
 
 
