--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -22,6 +22,7 @@
 from chivepier.node.commander import Commander
 from chivepier.node.directory import Directory
 from chivepier.node.entry import Entry
+from chivepier.node.faulthook import FaultHook
 from chivepier.node.leadership import Leadership
 from chivepier.node.metrics import Metrics
 from chivepier.node.operators import Operators
@@ -107,6 +108,8 @@
             await self._start_replica()
         self._spawn(self.renewal.run())
         self._spawn(self.owner.run())
+        self._spawn(self.permits.run())
+        self._spawn(self.permits.watch.run())
         log.info(
             "started name={} node={} http={} peer={}",
             settings.name,
@@ -128,6 +131,8 @@
         self.renewal = Renewal(cluster)
         self.owner = Owner(cluster, self.directory)
         self.permits = Permits(cluster, self.owner)
+        self.owner.tell_stop = self.permits.handle_stop
+        self.owner.tell_inflight = self.permits.handle_takeover
         self.metrics = Metrics()
 
     async def _start_http(self, stack: contextlib.AsyncExitStack) -> None:
@@ -155,6 +160,7 @@
             Addresses(entry),
             Targets(entry),
             Operators(entry, self),
+            FaultHook(self.faults, self._settings.fault_hook),
         ):
             part.add_routes(app)
         app.router.add_get("/metrics", self._show_metrics)
@@ -214,6 +220,16 @@
                 return self.owner.handle_release(message)
             case messages.ProgressReport():
                 return self.owner.handle_progress(message)
+            case messages.StopOrder():
+                return self.permits.handle_stop(message)
+            case messages.ConfirmRequest():
+                return self.owner.handle_confirm(message)
+            case messages.AdoptRequest():
+                return self.owner.handle_adopt(message)
+            case messages.TakeoverRequest():
+                return self.permits.handle_takeover(message)
+            case messages.InflightRequest():
+                return self.permits.handle_inflight(message)
             case messages.CancelReport():
                 return self.owner.handle_cancel(message)
             case messages.Announcement():
