Give one generation per answer, resumed by index; claim before dispatch

Cause: a lost or silent link ended the answer, a dead target ended it too, and a non-idempotent call had no claim; the HTTP library sends PUT and DELETE again on its own, so such a call could run twice without a retry of ours. Ruled out: a fixed read timeout, which ends queued generations too. Conclusion: readers are replaced by index, targets only before delivery and within a budget, claims are durable first.

--- a/packages/node/src/chivepier/node/answers.py
+++ b/packages/node/src/chivepier/node/answers.py
@@ -46,7 +46,7 @@
             log.exception("request failed path={}", request.path)
             text = "internal error"
             failure = Failure(ErrorKind.INTERNAL, text, Ran.UNKNOWN)
-        metrics.refusals.labels(failure.kind.value, failure.ran.value).inc()
+        metrics.count_failure(failure)
         return answer_failure(failure)
 
     return middleware
--- a/packages/node/src/chivepier/node/callers.py
+++ b/packages/node/src/chivepier/node/callers.py
@@ -1,24 +1,43 @@
 """The interface of callers."""
 
+import collections.abc
 import json
 
-import aiohttp
 from aiohttp import web
 
-from chivepier.node.answers import answer_failure
+from chivepier.messages import ClaimState
+from chivepier.messages import Outcome
+from chivepier.node.bodies import parse_json
+from chivepier.node.bodies import read_body
+from chivepier.node.claimed import choose_ending
+from chivepier.node.claimed import NOT_KEPT
+from chivepier.node.claimed import render_outcome
+from chivepier.node.claimed import REPLAYED
+from chivepier.node.claimed import run_claimed
+from chivepier.node.completion import Completion
 from chivepier.node.completion import parse_completion
+from chivepier.node.directory import Service
 from chivepier.node.entry import Entry
 from chivepier.node.generation import Generation
+from chivepier.node.handle import open_handle
+from chivepier.node.ledger import digest_request
+from chivepier.node.ledger import MAX_BODY
+from chivepier.node.ledger import read_key
+from chivepier.node.resumption import Resumption
+from chivepier.node.streaming import HEADERS
+from chivepier.node.streaming import send_stream
 from chivepier.node.whole import join_events
 from chivepier.types import ErrorKind
-from chivepier.types import Failure
-from chivepier.types import Ran
-from chivepier.types import render_failure
 from chivepier.types import RequestError
+from chivepier.types import TargetKind
+
+LAST_EVENT = "Last-Event-ID"
+KEY = "Idempotency-Key"
+JSON_HEADERS = (("Content-Type", "application/json; charset=utf-8"),)
 
 
 class Callers:
-    """Completions, whole or streamed."""
+    """Completions, whole or streamed, and streams that are resumed."""
 
     def __init__(self, entry: Entry):
         self._entry = entry
@@ -30,6 +49,7 @@
         """
         app.router.add_post("/v1/chat/completions", self.chat)
         app.router.add_post("/v1/completions", self.complete)
+        app.router.add_get("/v1/generations", self.resume)
 
     async def chat(self, request: web.Request) -> web.StreamResponse:
         """Answer ``POST /v1/chat/completions``."""
@@ -39,20 +59,50 @@
         """Answer ``POST /v1/completions``."""
         return await self._complete(request, chat=False)
 
+    async def resume(self, request: web.Request) -> web.StreamResponse:
+        """Answer ``GET /v1/generations``: go on with a stream.
+
+        The last event's ``id:`` comes in the header ``Last-Event-ID`` or,
+        where a caller can't set one, in the query's ``last_event_id``.
+        """
+        team = self.admit(request)
+        last = request.headers.get(LAST_EVENT)
+        return await self._resume(
+            request, team, last or request.query.get("last_event_id", "")
+        )
+
     async def _complete(
         self, request: web.Request, chat: bool
     ) -> web.StreamResponse:
         team = self.admit(request)
-        ask = parse_completion(await read_json(request), chat)
+        last = request.headers.get(LAST_EVENT)
+        key = read_key(request.headers.get(KEY))
+        data = await read_body(request)
+        if last:
+            return await self._resume(request, team, last)
+        ask = parse_completion(parse_json(data), chat)
+        service = self._find_engine(team, ask)
+        if key is not None:
+            digest = digest_request(request.path, data)
+            return await self._complete_once(
+                request, service, ask, chat, key, digest
+            )
+        generation = Generation(self._entry, service, ask)
+        if ask.stream:
+            events = generation.stream()
+            return await send_stream(self._entry, request, events)
+        events = await generation.collect()
+        return web.json_response(join_events(events, chat))
+
+    def _find_engine(self, team: str, ask: Completion) -> Service:
         service = self._entry.directory.find_service(team, ask.template)
+        if service.template.kind is not TargetKind.ENGINE:
+            text = f"template {ask.template!r} is a plain service"
+            raise RequestError.of(ErrorKind.BAD_REQUEST, text)
         if ask.adapter and ask.adapter not in service.adapters:
             text = f"adapter {ask.adapter!r} is not allowed"
             raise RequestError.of(ErrorKind.FORBIDDEN, text)
-        generation = Generation(self._entry, service, ask)
-        if ask.stream:
-            return await self._stream(request, generation)
-        events = [data async for data in generation.stream()]
-        return web.json_response(join_events(b"".join(events), chat))
+        return service
 
     def admit(self, request: web.Request) -> str:
         """Check that this node may take work, and whose it is.
@@ -67,53 +117,66 @@
         authorization = request.headers.get("Authorization", "")
         return self._entry.directory.find_team(authorization)
 
-    async def _stream(
-        self, request: web.Request, generation: Generation
+    async def _resume(
+        self, request: web.Request, team: str, text: str
     ) -> web.StreamResponse:
-        response = web.StreamResponse(
-            headers={
-                "Content-Type": "text/event-stream",
-                "Cache-Control": "no-store",
-            }
-        )
+        secret = self._entry.cluster.machine.secret
+        handle, last = open_handle(text, secret, team)
+        service = self._entry.directory.find_service(team, handle.template)
+        urgency = service.urgency.name.lower()
+        resumption = Resumption(self._entry, handle, last, urgency)
+        return await send_stream(self._entry, request, resumption.stream())
+
+    async def _complete_once(
+        self,
+        request: web.Request,
+        service: Service,
+        ask: Completion,
+        chat: bool,
+        key: str,
+        digest: bytes,
+    ) -> web.StreamResponse:
+        generation = Generation(self._entry, service, ask, once=True)
+
+        async def run() -> Outcome:
+            events = await generation.collect()
+            plain = json.dumps(join_events(events, chat)).encode()
+            return Outcome(ClaimState.DONE, 200, JSON_HEADERS, plain)
+
+        if not ask.stream:
+            return await run_claimed(
+                self._entry, service.team, key, digest, run
+            )
+        name = self._entry.permits.name_request()
+        ledger = self._entry.ledger
+        claimed = await ledger.claim(service.team, key, name, digest)
+        if isinstance(claimed, Outcome):
+            self._entry.metrics.replays.inc()
+            return render_outcome(claimed, REPLAYED)
+        events = self._stream_claimed(generation, claimed)
+        return await send_stream(self._entry, request, events)
+
+    async def _stream_claimed(
+        self, generation: Generation, ticket
+    ) -> collections.abc.AsyncGenerator[bytes, None]:
+        outcome = NOT_KEPT
+        kept: list[bytes] = []
+        size = 0
         events = generation.stream()
         try:
             async for data in events:
-                if not response.prepared:
-                    await response.prepare(request)
-                await response.write(data)
+                size += len(data)
+                if size <= MAX_BODY:
+                    kept.append(data)
+                yield data
+            if size <= MAX_BODY:
+                headers = tuple(HEADERS.items())
+                body = b"".join(kept)
+                outcome = Outcome(ClaimState.DONE, 200, headers, body)
         except RequestError as error:
-            if not response.prepared:
-                return answer_failure(error.failure)
-            await response.write(render_last_event(error.failure))
+            outcome = choose_ending(error.failure)
+            raise
         finally:
             await events.aclose()
-        return response
-
-
-async def read_json(request: web.Request) -> object:
-    """Read a bounded JSON body.
-
-    :param request: the caller's request
-    :returns: the parsed body
-    :raises RequestError: ``too_large`` or ``bad_request``
-    """
-    try:
-        return json.loads(await request.read())
-    except web.HTTPRequestEntityTooLarge:
-        text = "the body is too large"
-        raise RequestError.of(ErrorKind.TOO_LARGE, text) from None
-    except (ValueError, RecursionError, aiohttp.ClientError):
-        text = "the body is not JSON"
-        raise RequestError.of(ErrorKind.BAD_REQUEST, text) from None
-
-
-def render_last_event(failure: Failure) -> bytes:
-    """Build the event that ends a stream which can't be completed.
-
-    :param failure: what happened
-    :returns: one event; the stream has no ``[DONE]``
-    """
-    body = render_failure(failure)
-    body["error"]["ran"] = Ran.YES.value
-    return b"event: error\ndata: " + json.dumps(body).encode() + b"\n\n"
+            settle = self._entry.ledger.settle(ticket, outcome)
+            self._entry.background.spawn(settle)
--- a/packages/node/src/chivepier/node/completion.py
+++ b/packages/node/src/chivepier/node/completion.py
@@ -69,7 +69,7 @@
     stream = body.get("stream", False)
     if not isinstance(stream, bool):
         raise _bad("stream is not a boolean")
-    if body.get("n", 1) != 1:
+    if body.get("n", 1) != 1 or body.get("best_of", 1) != 1:
         raise _bad("only n=1 is served")
     prompt = _read_messages(body) if chat else _read_prompt(body)
     if len(prompt) > MAX_PROMPT_CHARS:
--- a/packages/node/src/chivepier/node/handle.py
+++ b/packages/node/src/chivepier/node/handle.py
@@ -11,6 +11,7 @@
 from chivepier.types import RequestError
 
 TAG_BYTES = 12
+MAX_INDEX_DIGITS = 9
 
 
 @attrs.frozen
@@ -32,7 +33,11 @@
 
         :param secret: the replicated secret
         :returns: URL-safe text without dots
+        :raises RequestError: ``not_ready`` while there is no secret
         """
+        if not secret:
+            text = "this instance has no secret yet"
+            raise RequestError.of(ErrorKind.NOT_READY, text)
         fields = cbor2.dumps(attrs.astuple(self))
         tag = _tag(secret, fields)
         return base64.urlsafe_b64encode(tag + fields).decode().rstrip("=")
@@ -45,13 +50,19 @@
     :param secret: the replicated secret
     :param team: the team that asks
     :returns: the handle and the index of the last event received
-    :raises RequestError: ``bad_request`` or ``forbidden``
+    :raises RequestError: ``bad_request``, ``forbidden`` or ``not_ready``
     """
+    if not secret:
+        # anyone could compute a tag under an empty secret
+        text = "this instance has no secret yet"
+        raise RequestError.of(ErrorKind.NOT_READY, text)
     sealed, _, index = text.rpartition(".")
+    digits = index.isascii() and index.isdigit()
+    if not digits or len(index) > MAX_INDEX_DIGITS:
+        raise _bad()
     try:
         padded = sealed + "=" * (-len(sealed) % 4)
         data = base64.urlsafe_b64decode(padded)
-        number = int(index)
     except ValueError:
         raise _bad() from None
     tag, fields = data[:TAG_BYTES], data[TAG_BYTES:]
@@ -61,7 +72,7 @@
     if handle.team != team:
         text = "the stream belongs to another team"
         raise RequestError.of(ErrorKind.FORBIDDEN, text)
-    return handle, number
+    return handle, int(index)
 
 
 def _tag(secret: bytes, fields: bytes) -> bytes:
--- a/packages/node/src/chivepier/node/metrics.py
+++ b/packages/node/src/chivepier/node/metrics.py
@@ -2,6 +2,8 @@
 
 import prometheus_client
 
+from chivepier.types import Failure
+
 MAX_LABELS = 200
 OTHER = "other"
 SECONDS = (0.005, 0.01, 0.02, 0.034, 0.05, 0.1, 0.2, 0.5, 0.86, 2, 5, 20)
@@ -33,11 +35,28 @@
         self.output = self._histogram(
             "output_tokens", "Tokens of an answer", TOKENS
         )
-        self.refusals = prometheus_client.Counter(
-            "chivepier_failures",
-            "Failed requests by kind",
-            ["kind", "ran"],
-            registry=self.registry,
+        self.refusals = self._counter(
+            "failures", "Failed requests by kind", "kind", "ran"
+        )
+        self.losses = self._counter(
+            "readers_lost", "Readers of a generation that failed", "reason"
+        )
+        self.resumes = self._counter(
+            "resumes", "Streams resumed by their callers"
+        )
+        self.retries = self._counter(
+            "retries", "Requests tried at another target", "kind"
+        )
+        self.replays = self._counter(
+            "replays", "Stored answers given again for a key"
+        )
+        self.orders = self._counter(
+            "orders", "Orders sent to targets", "order", "result"
+        )
+
+    def _counter(self, name: str, text: str, *labels: str):
+        return prometheus_client.Counter(
+            f"chivepier_{name}", text, labels, registry=self.registry
         )
 
     def _histogram(self, name: str, text: str, buckets: tuple):
@@ -49,6 +68,13 @@
             registry=self.registry,
         )
 
+    def count_failure(self, failure: Failure) -> None:
+        """Count a request that failed, however it was answered.
+
+        :param failure: what the caller is told
+        """
+        self.refusals.labels(failure.kind.value, failure.ran.value).inc()
+
     def label(self, team: str) -> str:
         """Return the label value for a team.
 
--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -17,12 +17,14 @@
 from chivepier.messages import encode
 from chivepier.node.addresses import Addresses
 from chivepier.node.answers import make_error_middleware
+from chivepier.node.background import Background
 from chivepier.node.callers import Callers
 from chivepier.node.cluster import Cluster
 from chivepier.node.commander import Commander
 from chivepier.node.directory import Directory
 from chivepier.node.entry import Entry
 from chivepier.node.leadership import Leadership
+from chivepier.node.ledger import Ledger
 from chivepier.node.metrics import Metrics
 from chivepier.node.operators import Operators
 from chivepier.node.owner import Owner
@@ -138,6 +140,12 @@
             connector=connector, auto_decompress=False
         )
         http = await stack.enter_async_context(session)
+        once = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=True),
+            auto_decompress=False,
+        )
+        await stack.enter_async_context(once)
+        background = Background()
         entry = Entry(
             cluster=self.cluster,
             directory=self.directory,
@@ -145,6 +153,9 @@
             commander=self.commander,
             metrics=self.metrics,
             http=http,
+            once=once,
+            ledger=Ledger(self.cluster, self.commander, background),
+            background=background,
         )
         app = web.Application(
             middlewares=[make_error_middleware(self.metrics)],
@@ -162,7 +173,7 @@
         app.router.add_get("/metrics", self._show_metrics)
         app.router.add_get("/healthz", self._show_health)
         app.router.add_get("/readyz", self._show_ready)
-        runner = web.AppRunner(app, access_log=None)
+        runner = web.AppRunner(app, access_log=None, handler_cancellation=True)
         await runner.setup()
         stack.push_async_callback(runner.cleanup)
         host, _, port = self._settings.listen.rpartition(":")
--- a/packages/node/src/chivepier/node/operators.py
+++ b/packages/node/src/chivepier/node/operators.py
@@ -12,7 +12,7 @@
 from chivepier.messages import ChangeCommand
 from chivepier.messages import Edit
 from chivepier.messages import encode
-from chivepier.node.callers import read_json
+from chivepier.node.bodies import read_json
 from chivepier.node.entry import Entry
 from chivepier.node.founding import found_cluster
 from chivepier.node.targets import check_bearer
--- a/packages/node/src/chivepier/node/services.py
+++ b/packages/node/src/chivepier/node/services.py
@@ -1,23 +1,36 @@
-"""Calls to plain services."""
+"""The interface of plain services."""
 
-import asyncio
-
-import aiohttp
 from aiohttp import web
+import multidict
 
-from chivepier.messages import PermitOutcome
-from chivepier.messages import PermitRequest
-from chivepier.messages import ReleaseReport
+from chivepier.messages import Outcome
+from chivepier.node.bodies import read_body
 from chivepier.node.callers import Callers
+from chivepier.node.claimed import render_outcome
+from chivepier.node.claimed import run_claimed
 from chivepier.node.directory import Service
 from chivepier.node.entry import Entry
+from chivepier.node.ledger import digest_request
+from chivepier.node.ledger import read_key
+from chivepier.node.routes import is_idempotent
+from chivepier.node.servicecall import ServiceCall
+from chivepier.node.servicecaller import ServiceCaller
 from chivepier.types import ErrorKind
-from chivepier.types import Ran
 from chivepier.types import RequestError
+from chivepier.types import TargetKind
 
-PATIENCE_SECONDS = 10.0
-CALL_SECONDS = 60.0
-FORWARDED = ("Content-Type", "Accept", "Idempotency-Key")
+FORWARDED = (
+    "Accept",
+    "Accept-Language",
+    "Content-Type",
+    "Content-Encoding",
+    "Idempotency-Key",
+    "If-Match",
+    "If-None-Match",
+    "Range",
+    "Traceparent",
+)
+ENCODING = "Accept-Encoding"
 
 
 class Services:
@@ -40,72 +53,55 @@
         team = self._callers.admit(request)
         name = request.match_info["service"]
         service = self._entry.directory.find_service(team, name)
-        body = await request.read()
-        ask = self._permit_request(service)
-        permit = await self._entry.permits.acquire(ask)
-        outcome = PermitOutcome.TARGET_FAILED
-        try:
-            answer = await self._forward(request, body, permit.address)
-            outcome = PermitOutcome.FINISHED
-            return answer
-        finally:
-            report = ReleaseReport(
-                self._entry.cluster.peer_address,
-                ask.pool,
-                ask.shard,
-                permit.permit,
-                1,
-                int(outcome),
+        if service.template.kind is not TargetKind.SERVICE:
+            text = f"template {name!r} is not a plain service"
+            raise RequestError.of(ErrorKind.BAD_REQUEST, text)
+        call = await read_call(request, service)
+        caller = ServiceCaller(self._entry, service, call)
+        if call.key is not None:
+            digest = digest_request(
+                name, call.method, call.path, call.query, call.body
             )
-            await asyncio.shield(self._entry.permits.release(report))
-
-    def _permit_request(self, service: Service) -> PermitRequest:
-        return PermitRequest(
-            self._entry.permits.name_request(),
-            service.template.pool,
-            0,
-            service.team,
-            service.template_name,
-            "",
-            "",
-            int(service.urgency),
-            0,
-            1,
-            (),
-            self._entry.cluster.settings.zone,
-            self._entry.cluster.peer_address,
-            PATIENCE_SECONDS,
-            (),
+            return await run_claimed(
+                self._entry, team, call.key, digest, caller.run
+            )
+        # a call that may run once goes to its end without its caller too:
+        # cut off half way, nobody would know whether it ran
+        background = self._entry.background
+        outcome: Outcome = await background.finish(
+            caller.run(), alone=not call.idempotent
         )
+        return render_outcome(outcome)
+
+
+async def read_call(request: web.Request, service: Service) -> ServiceCall:
+    """Check a caller's request to a plain service.
 
-    async def _forward(
-        self, request: web.Request, body: bytes, address: str
-    ) -> web.Response:
-        path = request.match_info["path"]
-        headers = {
-            name: request.headers[name]
-            for name in FORWARDED
-            if name in request.headers
-        }
-        try:
-            async with self._entry.http.request(
-                request.method,
-                f"http://{address}/{path}",
-                params=request.query,
-                data=body,
-                headers=headers,
-                timeout=aiohttp.ClientTimeout(total=CALL_SECONDS),
-            ) as answer:
-                return web.Response(
-                    status=answer.status,
-                    body=await answer.read(),
-                    content_type=answer.content_type,
-                )
-        except aiohttp.ClientConnectorError:
-            text = "the service refused the connection"
-            kind = ErrorKind.TARGET_FAILED
-            raise RequestError.of(kind, text, Ran.NO) from None
-        except (aiohttp.ClientError, TimeoutError) as error:
-            text = f"the service did not answer: {error!r}"
-            kind = ErrorKind.TARGET_FAILED
-            raise RequestError.of(kind, text, Ran.UNKNOWN) from None
+    :param request: the request
+    :param service: the template as the team may use it
+    :returns: the typed call
+    :raises RequestError: ``bad_request`` or ``too_large``
+    """
+    key = read_key(request.headers.get("Idempotency-Key"))
+    prefix = f"/v1/services/{request.match_info['service']}"
+    path = request.rel_url.raw_path.removeprefix(prefix)
+    decoded = "/" + request.match_info["path"]
+    if ".." in decoded.split("/"):
+        raise RequestError.of(ErrorKind.BAD_REQUEST, "the path holds ..")
+    rules = service.template.routes
+    idempotent = is_idempotent(rules, request.method, decoded)
+    headers = multidict.CIMultiDict(
+        (name, request.headers[name])
+        for name in FORWARDED
+        if name in request.headers
+    )
+    headers[ENCODING] = request.headers.get(ENCODING, "identity")
+    return ServiceCall(
+        method=request.method,
+        path=path,
+        query=request.rel_url.raw_query_string,
+        headers=headers,
+        body=await read_body(request),
+        idempotent=idempotent and key is None,
+        key=key,
+    )
--- a/packages/node/src/chivepier/node/ssebuffer.py
+++ b/packages/node/src/chivepier/node/ssebuffer.py
@@ -1,24 +1,30 @@
 """Whole events out of a stream of bytes."""
 
+import json
+
 import attrs
 
-from chivepier.types import ErrorKind
-from chivepier.types import Ran
-from chivepier.types import RequestError
+from chivepier.node.linklosterror import LinkLostError
+from chivepier.node.lossreason import LossReason
 
 END = b"\n\n"
-MARK = b"\n\nid: "
+ID = b"id: "
+COMMENT = b":"
 DONE = b"data: [DONE]"
+DATA = b"\ndata: "
 MAX_EVENT = 1 << 20
+MAX_INDEX_DIGITS = 9
 
 
 @attrs.define
 class SseBuffer:
-    """Checks and re-labels a generation's events, many at a time.
+    """Checks and re-labels a generation's events, one by one.
 
-    ``following`` is the index expected next.  Whole events are handled as
-    one piece of bytes: each is touched once, by the interpreter's own
-    search and replace, since a node relays tens of thousands a second.
+    ``following`` is the index expected next.  An event whose index or whose
+    generation differs is never passed on: without the check of each one, an
+    engine or a proxy that crosses two answers in the middle of a buffer
+    would put another team's text into this caller's stream.  The check is a
+    comparison of bytes; an event is parsed only where that fails.
     """
 
     label: bytes
@@ -26,69 +32,75 @@
     following: int = 0
     finished: bool = False
     _rest: bytes = b""
+    _marks: tuple[bytes, bytes] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        name = b'"' + self.generation + b'"'
+        self._marks = (b'"id":' + name, b'"id": ' + name)
+
+    def restart(self) -> None:
+        """Forget a cut event; the next reader sends it whole."""
+        self._rest = b""
 
     def feed(self, data: bytes) -> bytes:
         """Take bytes from the engine.
 
         :param data: as they came, events may be cut anywhere
         :returns: whole events for the caller, with handles as ids
-        :raises RequestError: ``generation_lost`` where an event belongs to
-            another generation, or one is missing
+        :raises LinkLostError: where an event belongs to another generation,
+            one is missing, or it isn't one; nothing after it is passed on
         """
-        data = self._rest + data
-        cut = data.rfind(END)
-        if cut < 0:
-            if len(data) > MAX_EVENT:
-                raise _lost("an event is too long")
-            self._rest = data
-            return b""
-        whole = data[: cut + len(END)]
-        self._rest = data[cut + len(END) :]
-        return self._check(whole)
-
-    def _check(self, whole: bytes) -> bytes:
-        events = whole.count(END)
-        done = whole.endswith(DONE + END)
-        tokens = events - done
-        marked = END + whole
-        first = self.following
-        last = first + tokens - 1
-        if tokens and not self._in_order(marked, first, last):
-            kept = self._skip_repeats(whole)
-            if kept == whole:
-                raise _lost("events came out of order")
-            return self._check(kept) if kept else b""
-        if whole.count(b'"id":"' + self.generation + b'"') != tokens:
-            raise _lost("an event of another generation came")
-        self.following += tokens
-        self.finished = done
-        return marked.replace(MARK, MARK + self.label)[len(END) :]
-
-    def _in_order(self, marked: bytes, first: int, last: int) -> bool:
-        return _index_at(marked, marked.find(MARK)) == first and (
-            _index_at(marked, marked.rfind(MARK)) == last
-        )
-
-    def _skip_repeats(self, whole: bytes) -> bytes:
-        """Drop events that were delivered before; a resume may repeat."""
-        kept = []
-        for event in whole.split(END)[:-1]:
-            index = _index_at(END + event, 0)
-            if index is not None and index < self.following:
-                continue
-            if index is not None and index > self.following + len(kept):
-                raise _lost(f"event {self.following + len(kept)} is missing")
-            kept.append(event)
-        return b"".join(event + END for event in kept)
-
-
-def _index_at(marked: bytes, at: int) -> int | None:
-    if at < 0 or not marked.startswith(MARK, at):
+        if self._rest:
+            data = self._rest + data
+        *events, self._rest = data.split(END)
+        if len(self._rest) > MAX_EVENT:
+            text = "an event is too long"
+            raise LinkLostError(LossReason.MALFORMED, text)
+        passed = []
+        for event in events:
+            if event.startswith(ID + b"%d\n" % self.following):
+                if self._marks[0] not in event:
+                    self._check_generation(event)
+                self.following += 1
+                passed.append(ID + self.label + event[len(ID) :] + END)
+            elif event == DONE:
+                self.finished = True
+                passed.append(DONE + END)
+                break
+            else:
+                self._skip(event)
+        return b"".join(passed)
+
+    def _check_generation(self, event: bytes) -> None:
+        # the engine may write its JSON with spaces or escapes
+        if self._marks[1] in event:
+            return
+        try:
+            found = json.loads(event.partition(DATA)[2])
+        except (ValueError, RecursionError):
+            text = "an event is not JSON"
+            raise LinkLostError(LossReason.MALFORMED, text) from None
+        name = found.get("id") if isinstance(found, dict) else None
+        if name != self.generation.decode():
+            text = "an event of another generation came"
+            raise LinkLostError(LossReason.CROSSED, text)
+
+    def _skip(self, event: bytes) -> None:
+        """Drop a repeat or a comment; anything else ends the reader."""
+        if event.startswith(COMMENT):
+            return
+        index = _read_index(event)
+        if index is None:
+            text = "an event has no index"
+            raise LinkLostError(LossReason.MALFORMED, text)
+        if index > self.following:
+            text = f"event {self.following} is missing"
+            raise LinkLostError(LossReason.GAP, text)
+
+
+def _read_index(event: bytes) -> int | None:
+    first = event.partition(b"\n")[0]
+    digits = first.removeprefix(ID)
+    if digits is first or not digits.isdigit():
         return None
-    start = at + len(MARK)
-    end = marked.find(b"\n", start)
-    return int(marked[start:end])
-
-
-def _lost(message: str) -> RequestError:
-    return RequestError.of(ErrorKind.GENERATION_LOST, message, Ran.YES)
+    return int(digits) if len(digits) <= MAX_INDEX_DIGITS else None
--- a/packages/node/src/chivepier/node/targets.py
+++ b/packages/node/src/chivepier/node/targets.py
@@ -7,7 +7,7 @@
 
 from chivepier.membership import find_shard
 from chivepier.messages import Announcement
-from chivepier.node.callers import read_json
+from chivepier.node.bodies import read_json
 from chivepier.node.entry import Entry
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
--- a/packages/state/src/chivepier/state/machine.py
+++ b/packages/state/src/chivepier/state/machine.py
@@ -8,7 +8,6 @@
 from chivepier.documents import Document
 from chivepier.messages import ChangeCommand
 from chivepier.messages import ClaimCommand
-from chivepier.messages import ClaimState
 from chivepier.messages import decode
 from chivepier.messages import Edit
 from chivepier.messages import Entry
@@ -16,13 +15,12 @@
 from chivepier.messages import LeaveCommand
 from chivepier.messages import Member
 from chivepier.messages import Noop
-from chivepier.messages import Outcome
 from chivepier.messages import OutcomeCommand
 from chivepier.messages import SecretCommand
 from chivepier.messages import Voter
 from chivepier.messages import VotersCommand
 from chivepier.state.answer import Answer
-from chivepier.state.claim import Claim
+from chivepier.state.claims import Claims
 from chivepier.state.historyitem import HistoryItem
 from chivepier.state.signal import Signal
 from chivepier.state.snapshot import Snapshot
@@ -31,7 +29,6 @@
 KEPT_ANSWERS = 20_000
 KEPT_HISTORY = 2_000
 KEPT_ENTRIES = 2_000
-CLAIM_SECONDS = 24 * 3600
 
 
 class Machine:
@@ -52,7 +49,7 @@
         self.epoch = 0
         self.voters: tuple[Voter, ...] = ()
         self.secret = b""
-        self.claims: dict[tuple[str, str], Claim] = {}
+        self.claims = Claims()
         self.answers: collections.OrderedDict[str, Answer] = (
             collections.OrderedDict()
         )
@@ -97,9 +94,9 @@
                 self.voters = voters
                 return Answer("", "", index)
             case ClaimCommand() as command:
-                return self._claim(command, index)
+                return self.claims.claim(command, index, self.members)
             case OutcomeCommand() as command:
-                return self._settle(command, index)
+                return self.claims.settle(command, index)
             case SecretCommand(secret=secret):
                 # the first one stands: two new leaders may both propose
                 self.secret = self.secret or secret
@@ -180,62 +177,12 @@
             self.epoch = index
         return Answer("", "", index)
 
-    def _claim(self, command: ClaimCommand, index: int) -> Answer:
-        self._forget_claims(command.claimed_at)
-        key = (command.team, command.key)
-        known = self.claims.get(key)
-        if known is None or known.state == ClaimState.RELEASED:
-            self.claims[key] = Claim(
-                command.digest,
-                command.request,
-                command.node,
-                command.incarnation,
-                command.claimed_at,
-                ClaimState.CLAIMED,
-            )
-            return Answer("", "", index)
-        if known.request == command.request:
-            # the claimer's own resend after a lost answer
-            return Answer("", "", index)
-        if known.digest != command.digest:
-            text = "the key was used for another request"
-            return Answer(ErrorKind.KEY_REUSED.value, text, index)
-        if known.state == ClaimState.DONE:
-            result = cbor2.dumps(attrs.astuple(known.outcome))
-            return Answer("", "", index, result)
-        if known.state == ClaimState.UNKNOWN:
-            text = "it was dispatched; its outcome is not known"
-            return Answer(ErrorKind.OUTCOME_UNKNOWN.value, text, index)
-        text = "the same request is in progress"
-        return Answer(ErrorKind.IN_PROGRESS.value, text, index)
-
-    def _forget_claims(self, now: int) -> None:
-        # claims stand in order of arrival, so the oldest come first
-        while self.claims:
-            key = next(iter(self.claims))
-            if self.claims[key].claimed_at + CLAIM_SECONDS > now:
-                return
-            del self.claims[key]
-
-    def _settle(self, command: OutcomeCommand, index: int) -> Answer:
-        key = (command.team, command.key)
-        known = self.claims.get(key)
-        if known is not None and known.state in (
-            ClaimState.CLAIMED,
-            ClaimState.UNKNOWN,
-        ):
-            self.claims[key] = attrs.evolve(
-                known, state=command.outcome.state, outcome=command.outcome
-            )
-        return Answer("", "", index)
-
     def take_snapshot(self, with_claims: bool = True) -> Snapshot:
         """Pack the state.
 
         :param with_claims: false for nodes that hold no claims
         :returns: the snapshot at :attr:`index`
         """
-        claims = list(self.claims.items()) if with_claims else []
         fields = {
             "documents": [attrs.astuple(d) for d in self.documents.values()],
             "members": [attrs.astuple(m) for m in self.members.values()],
@@ -243,7 +190,7 @@
             "epoch": self.epoch,
             "voters": [attrs.astuple(v) for v in self.voters],
             "secret": self.secret,
-            "claims": [(k, attrs.astuple(c)) for k, c in claims],
+            "claims": self.claims.dump() if with_claims else {},
             "answers": [
                 (k, attrs.astuple(a)) for k, a in self.answers.items()
             ],
@@ -267,7 +214,7 @@
         self.epoch = fields["epoch"]
         self.voters = tuple(Voter(*v) for v in fields["voters"])
         self.secret = fields["secret"]
-        self.claims = {tuple(k): _load_claim(c) for k, c in fields["claims"]}
+        self.claims.load(fields["claims"])
         self.answers = collections.OrderedDict(
             (k, Answer(*a)) for k, a in fields["answers"]
         )
@@ -294,12 +241,3 @@
 def _load_document(fields: list) -> Document:
     kind, name, version, spec = fields
     return Document(kind=kind, name=name, version=version, spec=spec)
-
-
-def _load_claim(fields: list) -> Claim:
-    *plain, outcome = fields
-    if outcome is None:
-        return Claim(*plain)
-    state, status, headers, body = outcome
-    pairs = tuple((name, value) for name, value in headers)
-    return Claim(*plain, Outcome(state, status, pairs, body))
--- a/packages/types/src/chivepier/messages/outcomecommand.py
+++ b/packages/types/src/chivepier/messages/outcomecommand.py
@@ -6,8 +6,12 @@
 
 @message(46)
 class OutcomeCommand:
-    """The stored answer of a claimed request."""
+    """The stored answer of a claimed request.
+
+    ``request`` names the claim it ends; a claim of another is left alone.
+    """
 
     team: str
     key: str
+    request: str
     outcome: Outcome
