--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -24,6 +24,7 @@
 from chivepier.node.directory import Directory
 from chivepier.node.entry import Entry
 from chivepier.node.faulthook import FaultHook
+from chivepier.node.gauges import Gauges
 from chivepier.node.leadership import Leadership
 from chivepier.node.ledger import Ledger
 from chivepier.node.metrics import Metrics
@@ -101,6 +102,7 @@
             settings.cluster_key,
             self._handle,
             server.faults,
+            server.traffic,
         )
         self.cluster.links = await stack.enter_async_context(links)
         self.faults = server.faults
@@ -136,6 +138,8 @@
         self.owner.tell_stop = self.permits.handle_stop
         self.owner.tell_inflight = self.permits.handle_takeover
         self.metrics = Metrics()
+        gauges = Gauges(cluster, self.owner, cluster.links.traffic)
+        self.metrics.registry.register(gauges)
 
     async def _start_http(self, stack: contextlib.AsyncExitStack) -> None:
         connector = aiohttp.TCPConnector(limit=0)
--- a/packages/wire/src/chivepier/wire/__init__.py
+++ b/packages/wire/src/chivepier/wire/__init__.py
@@ -6,5 +6,14 @@
 from chivepier.wire.linkerror import LinkError
 from chivepier.wire.links import Links
 from chivepier.wire.server import PeerServer
+from chivepier.wire.traffic import Traffic
 
-__all__ = ["Channel", "Faults", "Handler", "LinkError", "Links", "PeerServer"]
+__all__ = [
+    "Channel",
+    "Faults",
+    "Handler",
+    "LinkError",
+    "Links",
+    "PeerServer",
+    "Traffic",
+]
--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -15,6 +15,7 @@
 from chivepier.wire.frame import pack_part
 from chivepier.wire.frame import Part
 from chivepier.wire.linkerror import LinkError
+from chivepier.wire.traffic import Traffic
 
 log = logbook.Logger("wire")
 
@@ -30,11 +31,19 @@
     a busy link pays for the frame once; nothing waits for a frame to fill.
     """
 
-    def __init__(self, socket, peer: str, handler: Handler, faults: Faults):
+    def __init__(
+        self,
+        socket,
+        peer: str,
+        handler: Handler,
+        faults: Faults,
+        traffic: Traffic,
+    ):
         self.peer = peer
         self._socket = socket
         self._handler = handler
         self._faults = faults
+        self._traffic = traffic
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future] = {}
         self._outbox: list[tuple] = []
@@ -71,11 +80,14 @@
             if self._faults.blocks(self.peer):
                 continue
             try:
-                await self._socket.send(dump_frame(parts))
+                data = dump_frame(parts)
+                self._traffic.count_sent(len(data))
+                await self._socket.send(data)
             except websockets.ConnectionClosed:
                 return
 
     def _receive(self, data: bytes) -> None:
+        self._traffic.count_received(len(data))
         try:
             parts = load_frame(data)
         except ValueError as error:
--- a/packages/wire/src/chivepier/wire/links.py
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -13,6 +13,7 @@
 from chivepier.wire.server import KEY_HEADER
 from chivepier.wire.server import MAX_FRAME
 from chivepier.wire.server import PEER_HEADER
+from chivepier.wire.traffic import Traffic
 
 CONNECT_SECONDS = 2.0
 
@@ -20,11 +21,19 @@
 class Links:
     """One outgoing channel per peer, made on first use and after a loss."""
 
-    def __init__(self, me: str, key: str, handler: Handler, faults: Faults):
+    def __init__(
+        self,
+        me: str,
+        key: str,
+        handler: Handler,
+        faults: Faults,
+        traffic: Traffic | None = None,
+    ):
         self.me = me
         self._key = key
         self._handler = handler
         self._faults = faults
+        self.traffic = traffic or Traffic()
         self._channels: dict[str, Channel] = {}
         self._connecting: dict[str, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -108,7 +117,9 @@
         except (OSError, TimeoutError, WebSocketException) as error:
             text = f"no connection to {peer}: {error!r}"
             raise LinkError(text, sent=False) from None
-        channel = Channel(socket, peer, self._handler, self._faults)
+        channel = Channel(
+            socket, peer, self._handler, self._faults, self.traffic
+        )
         self._channels[peer] = channel
         task = asyncio.create_task(channel.run())
         self._tasks.add(task)
--- a/packages/wire/src/chivepier/wire/server.py
+++ b/packages/wire/src/chivepier/wire/server.py
@@ -8,6 +8,7 @@
 from chivepier.wire.channel import Channel
 from chivepier.wire.channel import Handler
 from chivepier.wire.faults import Faults
+from chivepier.wire.traffic import Traffic
 
 KEY_HEADER = "x-chivepier-key"
 PEER_HEADER = "x-chivepier-peer"
@@ -24,6 +25,7 @@
         self._handler = handler
         self._key = key
         self.faults = Faults()
+        self.traffic = Traffic()
         self._server = None
 
     async def __aenter__(self) -> "PeerServer":
@@ -55,4 +57,7 @@
 
     async def _serve(self, socket: websockets.ServerConnection) -> None:
         peer = socket.request.headers.get(PEER_HEADER, "")
-        await Channel(socket, peer, self._handler, self.faults).run()
+        channel = Channel(
+            socket, peer, self._handler, self.faults, self.traffic
+        )
+        await channel.run()
