Stop gracefully: mark, wait for the mark to be in force, finish, leave

Cause, by reading: the drain flag was set only locally and the time to live counted from then, so other instances went on handing the address out; requests in progress were cut off; the renewal joined again after the leave; an isolated instance handed out itself and members long gone.

--- a/packages/membership/src/chivepier/membership/tests/test_inforce.py
+++ b/packages/membership/src/chivepier/membership/tests/test_inforce.py
@@ -351,3 +351,64 @@
     except AssertionError:
         broken = True
     assert broken
+
+
+def found_three() -> Model:
+    """Three members, all up to date and settled."""
+    model = Model()
+    for node in model.nodes[:3]:
+        model.commit(JoinCommand(node.member))
+    for _ in range(3):
+        for node in model.nodes[:3]:
+            model.sync(node, len(model.log))
+            model.ask(node)
+            model.receive(node, True)
+        model.track()
+        model.settle()
+    assert model.in_force == model.leader.machine.version
+    return model
+
+
+def wait_in_force(model: Model, step: float) -> None:
+    """Let two of three acknowledge, and time pass until it is in force."""
+    version = model.leader.machine.version
+    other = model.nodes[2]
+    model.sync(other, len(model.log))
+    while model.in_force < version:
+        model.ask(other)
+        model.receive(other, True)
+        model.base.advance(step)
+        model.track()
+
+
+def test_answer_that_came_late_does_not_prolong_a_lease():
+    """A node asks; a change is committed; the old answer arrives late.
+
+    Counted from its arrival, the lease would outlast the leader's wait, and
+    the node would serve by the old configuration after the operator was
+    told that the new one is in force.
+    """
+    model = found_three()
+    slow = model.nodes[1]
+    model.ask(slow)
+    model.commit(change(1))
+    model.base.advance(TERMS.lease / 2)
+    model.receive(slow, False)
+    assert slow.acts()
+    wait_in_force(model, 0.01)
+    assert not slow.acts()
+
+
+def test_node_whose_clock_is_slow_is_waited_out():
+    """A node's clock runs 4% slow; it renews just before a change.
+
+    Its lease lasts longer than 2 s of the leader's time; the margin in
+    ``outlast`` covers it.
+    """
+    model = found_three()
+    slow = model.nodes[1]
+    model.ask(slow)
+    model.receive(slow, True)
+    model.commit(change(1))
+    wait_in_force(model, 0.001)
+    assert not slow.acts()
--- /dev/null
+++ b/packages/node/src/chivepier/node/inprogress.py
@@ -0,0 +1,46 @@
+"""The callers' requests in progress at this node."""
+
+from aiohttp import web
+
+from chivepier.state import Signal
+from chivepier.types import ErrorKind
+from chivepier.types import RequestError
+
+CONTROL_PATHS = (
+    "/v1/addresses",
+    "/v1/operator/",
+    "/v1/targets",
+    "/-/",
+    "/healthz",
+    "/metrics",
+    "/readyz",
+)
+
+
+class InProgress:
+    """Counts them, and refuses new ones once told to."""
+
+    def __init__(self) -> None:
+        self.count = 0
+        self.refusing = False
+        self._changed = Signal()
+
+    @web.middleware
+    async def track(self, request: web.Request, handler) -> web.StreamResponse:
+        """Count a request from its head to the end of its answer."""
+        if request.path.startswith(CONTROL_PATHS):
+            return await handler(request)
+        if self.refusing:
+            text = "this instance is stopping: ask for addresses again"
+            raise RequestError.of(ErrorKind.DRAINING, text)
+        self.count += 1
+        try:
+            return await handler(request)
+        finally:
+            self.count -= 1
+            self._changed.set()
+
+    async def wait_idle(self) -> None:
+        """Return once none is in progress."""
+        while self.count:
+            await self._changed.wait()
--- a/packages/node/src/chivepier/node/main.py
+++ b/packages/node/src/chivepier/node/main.py
@@ -113,10 +113,9 @@
 
     :param settings: checked settings
     """
-    stopping = asyncio.Event()
+    node = Node(settings, SystemClock())
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    async with Node(settings, SystemClock()) as node:
-        await stopping.wait()
+        loop.add_signal_handler(number, node.start_drain)
+    async with node:
         await node.drain()
--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -21,8 +21,10 @@
 from chivepier.node.cluster import Cluster
 from chivepier.node.commander import Commander
 from chivepier.node.directory import Directory
+from chivepier.node.drain import Drain
 from chivepier.node.entry import Entry
 from chivepier.node.faulthook import FaultHook
+from chivepier.node.inprogress import InProgress
 from chivepier.node.leadership import Leadership
 from chivepier.node.metrics import Metrics
 from chivepier.node.operators import Operators
@@ -46,7 +48,6 @@
 log = logbook.Logger("node")
 
 MAX_BODY = 8 << 20
-DRAIN_SECONDS = 600.0
 
 
 class Node:
@@ -58,6 +59,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._tasks: list[asyncio.Task] = []
         self._storage: DiskStorage | None = None
+        self._draining = asyncio.Event()
 
     async def __aenter__(self) -> "Node":
         async with contextlib.AsyncExitStack() as stack:
@@ -134,6 +136,10 @@
         self.owner.tell_stop = self.permits.handle_stop
         self.owner.tell_inflight = self.permits.handle_takeover
         self.metrics = Metrics()
+        self.progress = InProgress()
+        self._drain = Drain(
+            cluster, self.renewal, self.commander, self.progress
+        )
 
     async def _start_http(self, stack: contextlib.AsyncExitStack) -> None:
         connector = aiohttp.TCPConnector(limit=0)
@@ -150,7 +156,10 @@
             http=http,
         )
         app = web.Application(
-            middlewares=[make_error_middleware(self.metrics)],
+            middlewares=[
+                make_error_middleware(self.metrics),
+                self.progress.track,
+            ],
             client_max_size=MAX_BODY,
         )
         callers = Callers(entry)
@@ -183,7 +192,7 @@
         return web.Response(text="ok\n")
 
     async def _show_ready(self, request: web.Request) -> web.Response:
-        if self.cluster.ready():
+        if self.cluster.ready() and not self.cluster.draining:
             return web.Response(text="ready\n")
         return web.Response(text="not ready\n", status=503)
 
@@ -298,19 +307,17 @@
         return messages.BootstrapAnswer(True, "")
 
     def start_drain(self) -> None:
-        """Leave the addresses answer; the process ends when asked to."""
-        self.cluster.draining = True
+        """Stop gracefully; asked again, the stop goes on as it is."""
+        if self._draining.is_set():
+            log.info("drain asked again: still stopping gracefully")
+            return
+        log.info("drain asked")
+        self._draining.set()
 
     async def drain(self) -> None:
-        """Stop gracefully: be out of the addresses answer for its life."""
-        self.start_drain()
-        if not self.cluster.joined():
-            return
-        await asyncio.sleep(self._settings.address_ttl)
-        leave = messages.LeaveCommand(
-            self.cluster.identity.node, self.cluster.incarnation
-        )
-        await self.commander.run(encode(leave), 2.0)
+        """Wait until a stop is asked for, and carry it out."""
+        await self._draining.wait()
+        await self._drain.run()
 
 
 def _fill_port(address: str, port: int) -> str:
