--- a/packages/standins/src/chivepier/standins/cluster.py
+++ b/packages/standins/src/chivepier/standins/cluster.py
@@ -1,5 +1,6 @@
 """Running chivepier and its stand-ins as processes on loopback."""
 
+import json
 import os
 import pathlib
 import socket
@@ -96,6 +97,43 @@
             check=check,
         )
 
+    def call(
+        self,
+        address: str,
+        path: str,
+        body: dict | None = None,
+        key: str = KEYS["CHIVEPIER_OPERATOR_KEY"],
+        timeout: float = 30,
+    ) -> tuple[int, dict]:
+        """Send JSON, or GET where there is no body.
+
+        :returns: status and parsed answer; status 0 for no answer at all
+        """
+        request = urllib.request.Request(
+            f"http://{address}{path}",
+            data=None if body is None else json.dumps(body).encode(),
+            headers={
+                "Authorization": f"Bearer {key}",
+                "Content-Type": "application/json",
+            },
+        )
+        try:
+            with urllib.request.urlopen(request, timeout=timeout) as answer:
+                return answer.status, json.loads(answer.read())
+        except urllib.error.HTTPError as error:
+            return error.code, json.loads(error.read())
+        except OSError as error:
+            return 0, {"error": {"kind": "no_answer", "message": str(error)}}
+
+    def status(self, name: str) -> dict:
+        """Return what an instance tells operators."""
+        return self.call(self.http[name], "/v1/operator/status")[1]
+
+    def cut(self, name: str, *peers: str) -> None:
+        """Cut an instance's links to others silently; to none heals."""
+        addresses = [self.peer.get(peer, peer) for peer in peers]
+        self.call(self.http[name], "/-/faults", {"cut": addresses})
+
     def wait_until(self, condition, what: str, timeout: float = 30) -> None:
         """Wait for a condition of the running system."""
         end = time.monotonic() + timeout
