--- a/packages/node/src/chivepier/node/cluster.py
+++ b/packages/node/src/chivepier/node/cluster.py
@@ -33,6 +33,7 @@
     links: Links = None
     replica: Replica | None = None
     leadership: object = None
+    watch: object = None
     leader: str = ""
     draining: bool = False
     leaving: bool = False
--- a/packages/node/src/chivepier/node/commander.py
+++ b/packages/node/src/chivepier/node/commander.py
@@ -70,9 +70,15 @@
         if not leader:
             raise NotLeaderError("")
         limit = left if wait_in_force else min(left, ATTEMPT_SECONDS)
-        answer = await self._cluster.links.request(
-            leader, CommandRequest(command, wait_in_force), limit
-        )
+
+        def moved() -> bool:
+            return self._cluster.find_leader() not in ("", leader)
+
+        # a leader that was cut off never answers; its successor does
+        async with self._cluster.watch.watch(leader, moved):
+            answer = await self._cluster.links.request(
+                leader, CommandRequest(command, wait_in_force), limit
+            )
         if answer.error == ErrorKind.NO_QUORUM.value:
             raise NotLeaderError("")
         return Answer(
--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -29,6 +29,7 @@
 from chivepier.node.metrics import Metrics
 from chivepier.node.operators import Operators
 from chivepier.node.owner import Owner
+from chivepier.node.peerwatch import PeerWatch
 from chivepier.node.permits import Permits
 from chivepier.node.renewal import Renewal
 from chivepier.node.services import Services
@@ -111,7 +112,7 @@
         self._spawn(self.renewal.run())
         self._spawn(self.owner.run())
         self._spawn(self.permits.run())
-        self._spawn(self.permits.watch.run())
+        self._spawn(self.cluster.watch.run())
         log.info(
             "started name={} node={} http={} peer={}",
             settings.name,
@@ -128,6 +129,7 @@
 
     def _build(self) -> None:
         cluster = self.cluster
+        cluster.watch = PeerWatch(cluster)
         self.directory = Directory(cluster.machine)
         self.commander = Commander(cluster)
         self.renewal = Renewal(cluster)
--- a/packages/node/src/chivepier/node/ownerwatch.py
+++ b/packages/node/src/chivepier/node/peerwatch.py
@@ -1,4 +1,4 @@
-"""Giving up on owners that can't be reached."""
+"""Giving up on peers that can't be reached."""
 
 import asyncio
 import collections.abc
@@ -7,7 +7,6 @@
 import attrs
 
 from chivepier.messages import FreshRequest
-from chivepier.messages import Member
 from chivepier.node.cluster import Cluster
 from chivepier.wire import LinkError
 
@@ -18,20 +17,20 @@
 
 @attrs.define(eq=False)
 class Wait:
-    """One request that waits at an owner."""
+    """One request that waits at a peer."""
 
-    owner: Member
+    peer: str
     since: float
     scope: asyncio.Timeout
     moved: collections.abc.Callable[[], bool]
 
 
-class OwnerWatch:
-    """Ends waits at an owner that is silent or owns the shard no more.
+class PeerWatch:
+    """Ends waits at a peer that is silent or no longer the right one.
 
-    A request may wait long in an owner's queue, so silence alone says
-    nothing: behind a cut link it would be held to its deadline.  One probe
-    per owner tells for all that wait there.
+    A request may wait long in an owner's queue, or for a change to be in
+    force, so silence alone says nothing: behind a cut link it would be held
+    to its deadline.  One probe per peer tells for all that wait there.
     """
 
     def __init__(self, cluster: Cluster):
@@ -40,26 +39,24 @@
 
     @contextlib.asynccontextmanager
     async def watch(
-        self,
-        owner: Member,
-        moved: collections.abc.Callable[[], bool],
+        self, peer: str, moved: collections.abc.Callable[[], bool]
     ) -> collections.abc.AsyncIterator[None]:
-        """Wait at an owner for as long as it is worth it.
+        """Wait at a peer for as long as it is worth it.
 
-        :param owner: who was asked
-        :param moved: whether the shard has another owner by now
+        :param peer: address of who was asked
+        :param moved: whether another is to be asked by now
         :returns: a context
         :raises LinkError: when the wait was ended
         """
         now = self._cluster.clock.monotonic()
         scope = asyncio.timeout(None)
-        wait = Wait(owner, now, scope, moved)
+        wait = Wait(peer, now, scope, moved)
         try:
             async with scope:
                 self._waits.add(wait)
                 yield
         except TimeoutError:
-            text = f"{owner.name} is silent or owns the shard no more"
+            text = f"{peer} is silent, or another is to be asked"
             raise LinkError(text, sent=True) from None
         finally:
             self._waits.discard(wait)
@@ -75,12 +72,8 @@
 
     async def _probe_all(self) -> None:
         oldest = self._cluster.clock.monotonic() - QUIET_SECONDS
-        owners = {
-            wait.owner.peer_address
-            for wait in self._waits
-            if wait.since < oldest
-        }
-        await asyncio.gather(*(self._probe(a) for a in owners))
+        peers = {wait.peer for wait in self._waits if wait.since < oldest}
+        await asyncio.gather(*(self._probe(peer) for peer in peers))
 
     async def _probe(self, address: str) -> None:
         cluster = self._cluster
@@ -93,7 +86,7 @@
             await cluster.links.request(address, request, PROBE_SECONDS)
         except LinkError:
             for wait in list(self._waits):
-                if wait.owner.peer_address == address:
+                if wait.peer == address:
                     self._end(wait)
 
     def _end(self, wait: Wait) -> None:
--- a/packages/node/src/chivepier/node/permits.py
+++ b/packages/node/src/chivepier/node/permits.py
@@ -30,7 +30,6 @@
 from chivepier.node.cluster import Cluster
 from chivepier.node.inflight import Inflight
 from chivepier.node.owner import Owner
-from chivepier.node.ownerwatch import OwnerWatch
 from chivepier.node.seentargets import SeenTargets
 from chivepier.types import ErrorKind
 from chivepier.types import Failure
@@ -73,7 +72,6 @@
         self._numbers = itertools.count(1)
         self._inflight: dict[tuple[str, int, int], Inflight] = {}
         self._seen = SeenTargets(cluster.clock)
-        self.watch = OwnerWatch(cluster)
 
     async def run(self) -> None:
         """Report progress for as long as the node lives."""
@@ -188,7 +186,9 @@
             return await answer
         except LinkError as error:
             await self._cancel(owner, request)
-            return self._give_up(owner, error)
+            if self._owner.find(request.pool, request.shard) == owner:
+                raise _unreachable(error) from None
+            return _moved()
         except BaseException:
             await self._cancel(owner, request)
             raise
@@ -199,26 +199,11 @@
         def moved() -> bool:
             return self._owner.find(request.pool, request.shard) != owner
 
-        async with self.watch.watch(owner, moved):
+        async with self._cluster.watch.watch(owner.peer_address, moved):
             return await self._cluster.links.request(
                 owner.peer_address, request, request.patience + LINK_SECONDS
             )
 
-    def _give_up(self, owner: Member, error: LinkError) -> PermitAnswer:
-        """Build the refusal for an owner that does not answer.
-
-        :raises RequestError: while it still counts as the owner
-        """
-        known = self._cluster.machine.members.get(owner.node)
-        if known == owner:
-            text = f"the shard's owner does not answer: {error}"
-            failure = Failure(
-                ErrorKind.NOT_READY, text, retry_after=OWNER_RETRY
-            )
-            raise RequestError(failure)
-        kind = ErrorKind.NOT_READY.value
-        return PermitAnswer(0, "", "", 0, kind, "the owner changed", 1.0)
-
     def _find(self, pool: str, shard: int) -> Member:
         owner = self._owner.find(pool, shard)
         if owner is None:
@@ -297,8 +282,7 @@
                     owner.peer_address, question, LINK_SECONDS
                 )
         except LinkError as error:
-            text = f"the shard's owner does not answer: {error}"
-            raise RequestError.of(ErrorKind.NOT_READY, text) from None
+            raise _unreachable(error) from None
         if answer.error:
             raise _refusal(answer)
         key = (request.pool, request.shard, answer.permit)
@@ -432,3 +416,15 @@
     hint = datetime.timedelta(seconds=answer.retry_after)
     kind = ErrorKind(answer.error)
     return RequestError(Failure(kind, answer.message, retry_after=hint))
+
+
+def _unreachable(error: LinkError) -> RequestError:
+    text = f"the shard's owner does not answer: {error}"
+    return RequestError(
+        Failure(ErrorKind.NOT_READY, text, retry_after=OWNER_RETRY)
+    )
+
+
+def _moved() -> PermitAnswer:
+    kind = ErrorKind.NOT_READY.value
+    return PermitAnswer(0, "", "", 0, kind, "the owner changed", 1.0)
