Decide by exact record, learned lengths and shares; measure it

SharedPolicy admits by the owner's own record: each target's memory is projected over eight horizons with the chance that each stream comes so far (hazards by team, template and class; streams in flight count as censored), teams are served by weighted fair queueing, what would wait too long is refused at once. bin/bench drives it and the baselines on fake engines.

Tried before: charging the whole expected output at the grant.

--- /dev/null
+++ b/packages/policy/src/chivepier/policy/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the decisions: fake engines, baselines, scenarios."""
--- /dev/null
+++ b/packages/policy/src/chivepier/policy/flight.py
@@ -0,0 +1,84 @@
+"""A request in flight, with what the policy counts for it."""
+
+from chivepier.policy.buckets import HORIZONS
+from chivepier.policy.held import Held
+from chivepier.policy.lengthprofile import LengthProfile
+
+SLACK_TOKENS = 40
+BEHIND_TOKENS = 24
+
+
+class Flight:
+    """Memory over the horizons: mean and variance of one stream.
+
+    ``prompt`` counts the prompt tokens that it holds alone or first;
+    :data:`SLACK_TOKENS` cover the unfilled block, what came since the last
+    report, and growth up to the first horizon.  ``counted`` tokens of those
+    that came are in the target's sums.  ``charged`` is what its team has
+    paid for, in tokens.
+    """
+
+    __slots__ = (
+        "chances",
+        "charged",
+        "counted",
+        "first",
+        "held",
+        "profile",
+        "prompt",
+        "shares",
+        "seen",
+        "uncached",
+    )
+
+    def __init__(self, held: Held, profile: LengthProfile, prompt: int):
+        self.held = held
+        self.profile = profile
+        self.prompt = prompt + SLACK_TOKENS
+        self.charged = 0.0
+        self.uncached = 0
+        self.seen = held.granted
+        self.first = held.tokens > 0
+        self.shares = False
+        self.refresh()
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether so much came that the chances must be looked up again."""
+        counted = self.counted
+        return self.held.tokens - counted > BEHIND_TOKENS + counted // 4
+
+    def refresh(self) -> None:
+        """Look the chances up again after progress."""
+        tokens = self.counted = self.held.tokens
+        self.chances = limit_chances(
+            self.profile.survive(tokens), self.held.ask.max_tokens - tokens
+        )
+
+    def add_to(self, means, variances, sign: float) -> None:
+        """Add the stream to, or take it from, a target's sums."""
+        size = self.prompt + self.counted
+        chances = self.chances
+        for index, horizon in enumerate(HORIZONS):
+            chance = chances[index]
+            held = size + horizon
+            means[index] += sign * chance * held
+            variances[index] += sign * chance * (1.0 - chance) * held * held
+
+
+def limit_chances(chances: tuple, left: int) -> tuple:
+    """Set to zero the chances to come further than the output's limit.
+
+    >>> limit_chances((1.0, 0.9, 0.8, 0.5, 0.1, 0.1, 0.1, 0.1), 200)
+    (1.0, 0.9, 0.8, 0.5, 0.0, 0.0, 0.0, 0.0)
+
+    :param chances: for each horizon
+    :param left: tokens up to the limit
+    :returns: for each horizon
+    """
+    if left > HORIZONS[-1]:
+        return chances
+    return tuple(
+        chance if horizon < left or not horizon else 0.0
+        for chance, horizon in zip(chances, HORIZONS)
+    )
