--- a/packages/types/src/chivepier/messages/__init__.py
+++ b/packages/types/src/chivepier/messages/__init__.py
@@ -1,5 +1,6 @@
 """Typed messages between processes, and commands of the log."""
 
+from chivepier.messages.adoptrequest import AdoptRequest
 from chivepier.messages.announceanswer import AnnounceAnswer
 from chivepier.messages.announcement import Announcement
 from chivepier.messages.appendanswer import AppendAnswer
@@ -17,6 +18,8 @@
 from chivepier.messages.codec import unpack
 from chivepier.messages.commandanswer import CommandAnswer
 from chivepier.messages.commandrequest import CommandRequest
+from chivepier.messages.confirmanswer import ConfirmAnswer
+from chivepier.messages.confirmrequest import ConfirmRequest
 from chivepier.messages.edit import Edit
 from chivepier.messages.enrolanswer import EnrolAnswer
 from chivepier.messages.enrolrequest import EnrolRequest
@@ -28,6 +31,7 @@
 from chivepier.messages.inflightpermit import InflightPermit
 from chivepier.messages.inflightreport import InflightReport
 from chivepier.messages.inflightrequest import InflightRequest
+from chivepier.messages.inforcecommand import InForceCommand
 from chivepier.messages.joincommand import JoinCommand
 from chivepier.messages.leavecommand import LeaveCommand
 from chivepier.messages.loganswer import LogAnswer
@@ -50,6 +54,8 @@
 from chivepier.messages.stoporder import StopOrder
 from chivepier.messages.syncanswer import SyncAnswer
 from chivepier.messages.syncrequest import SyncRequest
+from chivepier.messages.takeoveranswer import TakeoverAnswer
+from chivepier.messages.takeoverrequest import TakeoverRequest
 from chivepier.messages.targetload import TargetLoad
 from chivepier.messages.targetsanswer import TargetsAnswer
 from chivepier.messages.targetsrequest import TargetsRequest
@@ -63,6 +69,7 @@
 from chivepier.messages.voterstate import VoterState
 
 __all__ = [
+    "AdoptRequest",
     "AnnounceAnswer",
     "Announcement",
     "AppendAnswer",
@@ -76,6 +83,8 @@
     "ClaimState",
     "CommandAnswer",
     "CommandRequest",
+    "ConfirmAnswer",
+    "ConfirmRequest",
     "Edit",
     "EnrolAnswer",
     "EnrolRequest",
@@ -87,6 +96,7 @@
     "InflightPermit",
     "InflightReport",
     "InflightRequest",
+    "InForceCommand",
     "JoinCommand",
     "LeaveCommand",
     "LogAnswer",
@@ -108,15 +118,17 @@
     "StopOrder",
     "SyncAnswer",
     "SyncRequest",
+    "TakeoverAnswer",
+    "TakeoverRequest",
     "TargetLoad",
     "TargetsAnswer",
     "TargetsRequest",
     "UsageReport",
     "VoteAnswer",
-    "VoteRequest",
     "Voter",
     "VoterState",
     "VotersAnswer",
+    "VoteRequest",
     "VotersCommand",
     "VotersRequest",
     "decode",
