Repair voters with real processes; honest answers when a lead is lost

A command whose leader lost the lead was reported as 'did not run' although the next leader may commit it; it is 'unknown' now. A conflict names the change, operator and version that won. A damaged folder ends the process with one line and exit 3. Founding may be repeated after a lost answer.

--- a/packages/node/src/chivepier/node/commander.py
+++ b/packages/node/src/chivepier/node/commander.py
@@ -48,8 +48,12 @@
             try:
                 answer = await self._attempt(command, left, wait_in_force)
                 return Ok(answer)
-            except (NotLeaderError, LostLeadError):
+            except NotLeaderError:
                 pass
+            except LostLeadError:
+                # it may be committed by the next leader: "did not run"
+                # would be a lie to whoever claims or changes something
+                sent = True
             except LinkError as error:
                 sent = sent or error.sent
             except TimeoutError:
@@ -79,8 +83,11 @@
             answer = await self._cluster.links.request(
                 leader, CommandRequest(command, wait_in_force), limit
             )
-        if answer.error == ErrorKind.NO_QUORUM.value:
-            raise NotLeaderError("")
+        match answer.error:
+            case ErrorKind.NO_QUORUM.value:
+                raise NotLeaderError("")
+            case ErrorKind.TIMEOUT.value:
+                raise LostLeadError()
         return Answer(
             answer.error, answer.message, answer.index, answer.result
         )
@@ -103,7 +110,8 @@
         """Answer a node that forwards a command here.
 
         :param request: the forwarded command
-        :returns: its answer; ``no_quorum`` when this isn't the leader
+        :returns: its answer; ``no_quorum`` when this isn't the leader, and
+            ``timeout`` when the lead was lost on the way
         """
         replica = self._cluster.replica
         if replica is None:
@@ -114,8 +122,11 @@
             answer = await self.run_here(
                 request.command, request.wait_in_force
             )
-        except (NotLeaderError, LostLeadError) as error:
+        except NotLeaderError as error:
             return CommandAnswer(ErrorKind.NO_QUORUM.value, str(error), 0, b"")
+        except LostLeadError:
+            text = "the lead was lost on the way"
+            return CommandAnswer(ErrorKind.TIMEOUT.value, text, 0, b"")
         return CommandAnswer(
             answer.error, answer.message, answer.index, answer.result
         )
--- a/packages/node/src/chivepier/node/founding.py
+++ b/packages/node/src/chivepier/node/founding.py
@@ -1,7 +1,7 @@
 """Founding a cluster."""
 
 import asyncio
-import secrets
+import hashlib
 
 from chivepier.messages import BootstrapRequest
 from chivepier.messages import IdentityRequest
@@ -12,6 +12,7 @@
 from chivepier.wire import LinkError
 
 ASK_SECONDS = 3.0
+NAME_LENGTH = 16
 
 
 async def found_cluster(
@@ -31,14 +32,15 @@
     identities = await asyncio.gather(
         *(_ask(cluster, peer, IdentityRequest()) for peer in peers)
     )
-    voters = []
+    voters = [Voter(i.node, peer) for peer, i in zip(peers, identities)]
+    if len({voter.node for voter in voters}) < len(voters):
+        raise _refuse("one instance is named twice")
+    name = name_cluster(voters)
     for peer, identity in zip(peers, identities):
         if not identity.disk:
             raise _refuse(f"{peer} has no data folder")
-        if identity.cluster:
+        if identity.cluster not in ("", name):
             raise _refuse(f"{peer} belongs to a cluster already")
-        voters.append(Voter(identity.node, peer))
-    name = secrets.token_hex(8)
     request = BootstrapRequest(name, tuple(voters))
     for peer in peers:
         answer = await _ask(cluster, peer, request)
@@ -47,6 +49,19 @@
     return tuple(voters)
 
 
+def name_cluster(voters: list[Voter]) -> str:
+    """Name a cluster after its first voters.
+
+    Drawn at random, the name would differ when an operator repeats an order
+    that reached some of the instances, and these would refuse it for ever.
+
+    :param voters: identity and address of each
+    :returns: the cluster's name
+    """
+    nodes = ",".join(sorted(voter.node for voter in voters))
+    return hashlib.sha256(nodes.encode()).hexdigest()[:NAME_LENGTH]
+
+
 async def _ask(cluster: Cluster, peer: str, message):
     try:
         return await cluster.links.request(peer, message, ASK_SECONDS)
--- a/packages/node/src/chivepier/node/main.py
+++ b/packages/node/src/chivepier/node/main.py
@@ -11,9 +11,12 @@
 
 from chivepier.node.node import Node
 from chivepier.node.settings import Settings
+from chivepier.state import DamagedError
 from chivepier.types import SystemClock
 
 USAGE_EXIT = 2
+DAMAGED_EXIT = 3
+START_EXIT = 4
 MIN_KEY = 8
 
 
@@ -81,7 +84,23 @@
     if check or print_settings:
         return
     logbook.StreamHandler(sys.stderr, level=logbook.INFO).push_application()
-    uvloop.run(serve(settings))
+    try:
+        uvloop.run(serve(settings))
+    except DamagedError as error:
+        stop(settings, DAMAGED_EXIT, f"data folder is damaged: {error}")
+    except OSError as error:
+        stop(settings, START_EXIT, f"can't start: {error}")
+
+
+def stop(settings: Settings, code: int, text: str) -> None:
+    """End with one line that says why.
+
+    :param settings: of this instance
+    :param code: the exit code
+    :param text: what happened
+    """
+    click.echo(f"chivepierd {settings.name}: {text}", err=True)
+    sys.exit(code)
 
 
 def check_settings(settings: Settings) -> None:
--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -219,7 +219,7 @@
 
     async def _start_replica(self) -> None:
         cluster = self.cluster
-        self._storage = DiskStorage(self._settings.data_dir)
+        self._storage = DiskStorage(self._settings.data_dir, used=True)
         replica = Replica(
             cluster.identity.node,
             self._storage,
--- a/packages/node/src/chivepier/node/voters.py
+++ b/packages/node/src/chivepier/node/voters.py
@@ -13,7 +13,7 @@
 from chivepier.messages import Voter
 from chivepier.messages import VotersAnswer
 from chivepier.messages import VotersRequest
-from chivepier.node.callers import read_json
+from chivepier.node.bodies import read_json
 from chivepier.node.cluster import Cluster
 from chivepier.node.targets import check_bearer
 from chivepier.state import Identity
--- a/packages/state/src/chivepier/state/diskstorage.py
+++ b/packages/state/src/chivepier/state/diskstorage.py
@@ -30,11 +30,14 @@
     thread, attributes are set in the loop after it.
 
     :param folder: the voter's data folder; made when it is not there
+    :param used: an identity says that the folder is in use: a missing log
+        was lost, and starting with an empty one could outvote what it held
     :raises DamagedError: when a file is damaged before its tail
     """
 
-    def __init__(self, folder: pathlib.Path):
+    def __init__(self, folder: pathlib.Path, used: bool = False):
         self._folder = folder
+        self._used = used
         folder.mkdir(parents=True, exist_ok=True)
         self._unwritten: list[Entry] = []
         self.term, self.vote = self._load_vote()
@@ -72,7 +75,7 @@
     def _load_log(self) -> list[Entry]:
         path = self._folder / LOG_FILE
         if not path.exists():
-            if self.snapshot.index or self.term:
+            if self._used or self.snapshot.index or self.term:
                 # the log is made first, so it was there and got lost
                 raise DamagedError("log: the file is missing")
             self._rewrite_log(self.snapshot, ())
--- a/packages/state/src/chivepier/state/machine.py
+++ b/packages/state/src/chivepier/state/machine.py
@@ -139,12 +139,23 @@
             current = self.documents.get((edit.kind, edit.name))
             version = current.version if current else 0
             if version != edit.base_version:
+                winner = self._describe_winner(edit.kind, edit.name)
                 return (
                     f"{edit.kind}/{edit.name} is at version {version},"
-                    f" not {edit.base_version}"
+                    f" not {edit.base_version}{winner}"
                 )
         return None
 
+    def _describe_winner(self, kind: str, name: str) -> str:
+        for item in reversed(self.history):
+            if (item.kind, item.name) == (kind, name):
+                verb = "removed" if item.spec is None else "written"
+                return (
+                    f": {verb} by change {item.change_id!r} of operator"
+                    f" {item.operator!r} at version {item.version}"
+                )
+        return ""
+
     def _edit(self, edit: Edit, command: ChangeCommand, index: int) -> int:
         # the log index serves as version: a name that is removed and made
         # again must not meet an old If-Match by chance
@@ -246,9 +257,10 @@
         """
         if other.index < self.index:
             raise ValueError(f"state {other.index} < {self.index}")
-        changed = self.changed
-        vars(self).update(vars(other))
-        self.changed = changed
+        own = {"changed": self.changed, "epoch_watchers": self.epoch_watchers}
+        vars(self).update({**vars(other), **own})
+        for watcher in self.epoch_watchers:
+            watcher(True)
         self.changed.set()
 
     def restore(self, snapshot: Snapshot) -> None:
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -146,9 +146,12 @@
         machine would grant a claimed key again.
 
         :param machine: the node's machine
-        :returns: false for a learner's node, and after the voter's removal
+        :returns: false for a learner's node, after the voter's removal, and
+            where its data folder failed: the node goes on without a vote
         """
-        return self._core.machine is machine and self.votes()
+        core = self._core
+        healthy = core.error is None and self.votes()
+        return healthy and core.machine is machine
 
     def leads(self) -> bool:
         """Tell whether this voter holds a valid leader lease.
--- a/packages/state/tests/test_random_failures.py
+++ b/packages/state/src/chivepier/state/tests/test_random_failures.py
@@ -150,7 +150,7 @@
             assert document is not None, f"{name} is lost"
             assert document.version >= version, f"{name} reverted"
         for (team, key), request in rig.checker.granted.items():
-            claim = replica.machine.claims[team, key]
+            claim = replica.machine.claims._claims[team, key]
             assert claim.request == request, f"claim of {key} is lost"
 
 
