Recover by force, and let the lost voters leave as members

Cause of the failing scenario: with two of three members gone at once a majority of the last member set had not acknowledged their removal, so no version could be called in force again. That is right while they may live; in a forced recovery the operator names the ones that are stopped for good, and they leave as members with the same write.

--- a/features/steps/state_voters.py
+++ b/features/steps/state_voters.py
@@ -155,7 +155,13 @@
 @when('the operator forces a recovery at "{name}"')
 def force(context, name):
     """Force a recovery and keep the answer."""
-    body = {"action": "force", "accept_loss": True}
+    cluster = context.cluster
+    voters = cluster.status(name)["voters"]
+    stopped = {cluster.peer[n] for n in cluster.names} - {
+        cluster.peer[n] for n in live(context)
+    }
+    gone = [v["node"] for v in voters if v["address"] in stopped]
+    body = {"action": "force", "accept_loss": True, "gone": gone}
     context.status, context.answer = ask(context, VOTERS, body, name)
 
 
--- a/packages/node/src/chivepier/node/voters.py
+++ b/packages/node/src/chivepier/node/voters.py
@@ -169,11 +169,14 @@
             raise _bad("this instance holds no voter's log")
         if body.get("accept_loss") is not True:
             raise _bad(f"accept_loss is not true; it may lose {MAY_BE_LOST}")
-        await self._check_survivors()
+        gone = await self._check_survivors()
+        if set(body.get("gone", ())) != gone:
+            text = f"gone must name the voters that are: {sorted(gone)}"
+            raise _bad(text)
         cluster = self._cluster
         name = secrets.token_hex(8)
         kept = await replica.changes.force(
-            cluster.peer_address, name, self._rename
+            cluster.peer_address, name, gone, self._rename
         )
         return web.json_response(
             {
@@ -191,8 +194,9 @@
         await asyncio.to_thread(save_identity, folder, identity)
         cluster.identity = identity
 
-    async def _check_survivors(self) -> None:
-        cluster, replica = self._cluster, self._cluster.replica
+    async def _check_survivors(self) -> frozenset[str]:
+        """Return the voters that don't answer, a majority of all."""
+        replica = self._cluster.replica
         others = [v for v in replica.voters if v.node != replica.node]
         answers = await asyncio.gather(*(self._ask_log(v) for v in others))
         alive = [answer for answer in answers if answer is not None]
@@ -205,8 +209,10 @@
             if (answer.last_term, answer.last_index) > mine:
                 text = f"{answer.node} holds more: recover there"
                 raise RequestError.of(ErrorKind.VERSION_CONFLICT, text)
-        if cluster.identity.node not in {v.node for v in replica.voters}:
+        if not replica.votes():
             raise _bad("this instance has no vote")
+        answering = {answer.node for answer in alive}
+        return frozenset(v.node for v in others if v.node not in answering)
 
     async def _ask_log(self, voter: Voter) -> LogAnswer | None:
         request = LogRequest(self._cluster.identity.cluster)
--- a/packages/state/src/chivepier/state/voterchanges.py
+++ b/packages/state/src/chivepier/state/voterchanges.py
@@ -7,6 +7,8 @@
 
 from chivepier.messages import encode
 from chivepier.messages import Entry
+from chivepier.messages import InForceCommand
+from chivepier.messages import LeaveCommand
 from chivepier.messages import Voter
 from chivepier.messages import VotersCommand
 from chivepier.messages import VoterState
@@ -178,6 +180,7 @@
         self,
         address: str,
         cluster: str,
+        gone: frozenset[str],
         rename: collections.abc.Callable[[str], collections.abc.Awaitable],
     ) -> int:
         """Make this voter the only one; what others held alone is lost.
@@ -188,6 +191,10 @@
 
         :param address: this voter's peer address
         :param cluster: the cluster's new name
+        :param gone: the voters that the operator says are stopped for good;
+            they leave as members too, or a majority of them that might still
+            renew each other's leases would keep every change from being in
+            force
         :param rename: keeps it, synced; comes first, as after a crash half
             way a renamed voter is merely alone and the order can be repeated
         :returns: the last index that is kept
@@ -203,7 +210,21 @@
             core.cluster = cluster
             term = core.storage.term + RECOVERY_TERMS
             await core.save_vote(term, core.node)
-            alone = VotersCommand((Voter(core.node, address),))
-            await core.append((Entry(term, kept + 1, encode(alone)),))
+            commands = self._recover(address, gone, kept)
+            entries = [
+                Entry(term, index, encode(command))
+                for index, command in enumerate(commands, kept + 1)
+            ]
+            await core.append(tuple(entries))
             log.warning("forced recovery kept={} term={}", kept, term)
             return kept
+
+    def _recover(self, address: str, gone: frozenset[str], kept: int) -> list:
+        commands: list = [VotersCommand((Voter(self._core.node, address),))]
+        commands += [
+            LeaveCommand(member.node, member.incarnation)
+            for member in self._core.machine.members.values()
+            if member.node in gone
+        ]
+        commands.append(InForceCommand(kept + len(commands)))
+        return commands
