--- a/packages/node/src/chivepier/node/permits.py
+++ b/packages/node/src/chivepier/node/permits.py
@@ -81,9 +81,10 @@
             size = len(self._inflight) * PROGRESS_BYTES
             wait = max(PROGRESS_SECONDS, size / PROGRESS_BYTES_PER_SECOND)
             await self._cluster.clock.sleep(wait)
-            await self._send_progress()
+            await self.send_progress()
 
-    async def _send_progress(self) -> None:
+    async def send_progress(self) -> None:
+        """Tell each shard's owner how far its requests are, at once."""
         shards: dict[tuple[str, int], list[tuple[int, int]]] = {}
         for (pool, shard, permit), inflight in self._inflight.items():
             tokens = shards.setdefault((pool, shard), [])
--- /dev/null
+++ b/packages/node/src/chivepier/node/tests/test_ownership.py
@@ -0,0 +1,537 @@
+"""Owners and entries together, over links that a test holds in hand."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from chivepier.membership import find_owner
+from chivepier.membership import Freshness
+from chivepier.membership import LeaseTerms
+from chivepier.messages import AdoptRequest
+from chivepier.messages import Announcement
+from chivepier.messages import CancelReport
+from chivepier.messages import ConfirmRequest
+from chivepier.messages import encode
+from chivepier.messages import Entry
+from chivepier.messages import FreshAnswer
+from chivepier.messages import FreshRequest
+from chivepier.messages import InflightRequest
+from chivepier.messages import JoinCommand
+from chivepier.messages import LeaveCommand
+from chivepier.messages import Member
+from chivepier.messages import PermitRequest
+from chivepier.messages import ProgressReport
+from chivepier.messages import ReleaseReport
+from chivepier.messages import StopOrder
+from chivepier.messages import TakeoverRequest
+from chivepier.messages import TargetLoad
+from chivepier.node.cluster import Cluster
+from chivepier.node.directory import Directory
+from chivepier.node.owner import Owner
+from chivepier.node.peerwatch import PeerWatch
+from chivepier.node.permits import PERMIT_SECONDS
+from chivepier.node.permits import Permits
+from chivepier.node.settings import Settings
+from chivepier.policy import Stop
+from chivepier.state import Identity
+from chivepier.state import Machine
+from chivepier.types import ErrorKind
+from chivepier.types import ManualClock
+from chivepier.types import Ran
+from chivepier.types import RequestError
+from chivepier.wire import LinkError
+
+POOL = "p"
+
+
+def make_settings(name):
+    """Settings of a node without a disk."""
+    return Settings(
+        name=name,
+        region="r",
+        zone="z",
+        listen="",
+        peer_listen="",
+        advertise="",
+        peer_advertise="",
+        seeds=(),
+        data_dir=None,
+        cluster_key="",
+        operator_key="",
+        deployment_key="",
+        address_ttl=1.0,
+        fault_hook=False,
+    )
+
+
+class Node:
+    """One node's entry and owner; ``gate`` may hold its messages up."""
+
+    def __init__(self, name, world):
+        self.world = world
+        self.cluster = Cluster(
+            settings=make_settings(name),
+            clock=world.clock,
+            identity=Identity(name),
+            incarnation=1,
+            terms=LeaseTerms(),
+            machine=Machine(),
+            freshness=Freshness(world.clock, LeaseTerms()),
+            links=self,
+            peer_address=f"{name}:1",
+        )
+        self.cluster.watch = PeerWatch(self.cluster)
+        self.owner = Owner(self.cluster, Directory(self.cluster.machine))
+        self.permits = Permits(self.cluster, self.owner)
+        self.owner.tell_stop = self.permits.handle_stop
+        self.owner.tell_inflight = self.permits.handle_takeover
+
+    async def request(self, peer, value, timeout):
+        """Ask another node, as ``Links`` does."""
+        answer = self.world.at(peer).handle(value)
+        if asyncio.isfuture(answer):
+            answer = await answer
+        await self.world.gate(value)
+        return answer
+
+    async def send(self, peer, value):
+        """Post to another node, as ``Links`` does."""
+        self.world.at(peer).handle(value)
+
+    def handle(self, value):
+        """Route a message, as the node does."""
+        match value:
+            case PermitRequest():
+                return self.owner.handle_permit(value)
+            case ConfirmRequest():
+                return self.owner.handle_confirm(value)
+            case AdoptRequest():
+                return self.owner.handle_adopt(value)
+            case Announcement():
+                return self.owner.handle_announcement(value)
+            case CancelReport():
+                return self.owner.handle_cancel(value)
+            case ReleaseReport():
+                return self.owner.handle_release(value)
+            case ProgressReport():
+                return self.owner.handle_progress(value)
+            case TakeoverRequest():
+                return self.permits.handle_takeover(value)
+            case InflightRequest():
+                return self.permits.handle_inflight(value)
+            case StopOrder():
+                return self.permits.handle_stop(value)
+            case FreshRequest():
+                return FreshAnswer(value.node, 1, 0)
+        raise LinkError(f"not routed: {value}", sent=True)
+
+
+class World:
+    """Nodes that share a clock and a log; joining orders the owners."""
+
+    def __init__(self, *names):
+        self.clock = ManualClock()
+        self.log = []
+        self.nodes = {}
+        for name in names:
+            self.join(name)
+
+    async def gate(self, value):
+        """Let an answer pass; a test replaces it."""
+
+    def at(self, peer):
+        """Return the node at a peer address."""
+        return self.nodes[peer.partition(":")[0]]
+
+    def join(self, name):
+        """Start a node and let it join."""
+        node = self.nodes[name] = Node(name, self)
+        self.commit(JoinCommand(node.cluster.me))
+        return node
+
+    def commit(self, command, apply=True):
+        """Commit a command, and apply it everywhere unless told not to."""
+        self.log.append(Entry(1, len(self.log) + 1, encode(command)))
+        if apply:
+            for node in self.nodes.values():
+                self.sync(node)
+
+    def sync(self, node):
+        """Let a node apply what is committed, in one batch."""
+        machine = node.cluster.machine
+        for entry in self.log[machine.index :]:
+            machine.apply(entry)
+
+    def renew(self):
+        """Renew all leases, with all that is committed in force."""
+        for node in self.nodes.values():
+            node.cluster.freshness.confirm(self.clock.monotonic())
+            node.cluster.in_force = len(self.log)
+
+
+def names_in_order():
+    """Return three names of nodes, the likeliest owner last."""
+    members = [
+        Member(n, 1, n, "r", "z", "", f"{n}:1", False) for n in "abcdefgh"
+    ]
+    ranked = []
+    while len(ranked) < 3:
+        best = find_owner(POOL, 0, members)
+        members.remove(best)
+        ranked.insert(0, best.node)
+    return ranked
+
+
+def make_announcement(sequence=1, leaving=False):
+    """Announce an engine with two streams."""
+    load = TargetLoad(0, 0, 0, 0)
+    return Announcement(
+        "t",
+        1,
+        sequence,
+        "engine",
+        POOL,
+        "t:1",
+        "z",
+        ("m",),
+        (),
+        "serve",
+        False,
+        1000,
+        2,
+        load,
+        (),
+        leaving,
+    )
+
+
+def make_request(node, patience=30.0):
+    """Ask for model m, as the node's entry."""
+    return PermitRequest(
+        node.permits.name_request(),
+        POOL,
+        0,
+        "team",
+        "template",
+        "m",
+        "",
+        1,
+        10,
+        10,
+        (),
+        "z",
+        node.cluster.peer_address,
+        patience,
+        (),
+    )
+
+
+async def settle(condition):
+    """Let the loop run until a condition holds."""
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0)
+
+
+async def start_shard(world, owner):
+    """Let a node own the pool's shard and open it."""
+    world.renew()
+    owner.owner.handle_announcement(make_announcement())
+    await settle(lambda: owner.owner.shards[(POOL, 0)].opened)
+    return owner.owner.shards[(POOL, 0)]
+
+
+def test_owner_waits_until_its_epoch_is_in_force():
+    """A node joins and owns a shard; one member has not applied that yet.
+
+    The earlier owner may still admit to the same engines.  The new one
+    takes requests in, and grants once the epoch is in force.
+    """
+
+    async def body():
+        low, high, _ = names_in_order()
+        world = World(low)
+        world.renew()
+        owner = world.join(high)
+        owner.cluster.freshness.confirm(0.0)
+        owner.cluster.in_force = len(world.log) - 1
+        owner.owner.handle_announcement(make_announcement())
+        future = owner.owner.handle_permit(make_request(owner))
+        for _ in range(5):
+            await asyncio.sleep(0.01)
+        assert not future.done()
+        world.renew()
+        answer = await asyncio.wait_for(future, 5)
+        assert answer.target == "t"
+
+    asyncio.run(body())
+
+
+def test_old_owner_stops_as_it_applies_the_epoch():
+    """A node joins and owns a shard that had another owner."""
+
+    async def body():
+        low, high, _ = names_in_order()
+        world = World(low)
+        old = world.nodes[low]
+        shard = await start_shard(world, old)
+        for _ in range(2):
+            old.owner.handle_permit(make_request(old))
+        waiting = old.owner.handle_permit(make_request(old))
+        world.join(high)
+        assert shard.closed
+        assert waiting.result().error == "not_ready"
+
+    asyncio.run(body())
+
+
+def test_shard_that_was_lost_and_regained_in_one_batch_is_taken_over_anew():
+    """A member joins and leaves while this node lags; both come at once.
+
+    The member may have owned the shard in between, and granted permits that
+    this node's record lacks.  Looked at only after the batch, nothing seems
+    to have changed.
+    """
+
+    async def body():
+        low, high, _ = names_in_order()
+        world = World(low)
+        old = world.nodes[low]
+        shard = await start_shard(world, old)
+        member = Member(high, 1, high, "r", "z", "", f"{high}:1", False)
+        world.commit(JoinCommand(member), apply=False)
+        world.commit(LeaveCommand(high, 1), apply=False)
+        world.sync(old)
+        assert shard.closed
+        assert old.owner.shards == {}
+
+    asyncio.run(body())
+
+
+def test_shard_is_taken_over_anew_after_the_lease_had_run_out():
+    """The owner is stopped for longer than its lease; it renews at once.
+
+    Between two looks the lease ran out and was renewed; another node may
+    have owned the shard.
+    """
+
+    async def body():
+        low, *_ = names_in_order()
+        world = World(low)
+        owner = world.nodes[low]
+        shard = await start_shard(world, owner)
+        world.clock.advance(60)
+        world.renew()
+        owner.owner.handle_permit(make_request(owner))
+        assert shard.closed
+        assert owner.owner.shards[(POOL, 0)] is not shard
+
+    asyncio.run(body())
+
+
+def test_new_owner_counts_what_entries_have_in_flight():
+    """The owner leaves while an entry streams from a full engine."""
+
+    async def body():
+        entry_name, mid, high = names_in_order()
+        world = World(entry_name, mid, high)
+        entry = world.nodes[entry_name]
+        await start_shard(world, world.nodes[high])
+        for _ in range(2):
+            await entry.permits.acquire(make_request(entry))
+        world.commit(LeaveCommand(high, 1))
+        shard = await start_shard(world, world.nodes[mid])
+        assert len(shard.book) == 2
+        waiting = world.nodes[mid].owner.handle_permit(make_request(entry))
+        assert not waiting.done()
+
+    asyncio.run(body())
+
+
+def test_entry_that_lags_is_not_taken_at_its_word():
+    """An entry that still knows the old owner could accept its grants."""
+    low, high, _ = names_in_order()
+    world = World(low)
+    entry = world.nodes[low]
+    epoch = len(world.log)
+    request = TakeoverRequest(f"{high}:1", POOL, 0, epoch + 1)
+    assert not entry.permits.handle_takeover(request).ready
+    request = attrs.evolve(request, epoch=epoch)
+    assert entry.permits.handle_takeover(request).ready
+
+
+def test_new_owner_learns_that_a_target_leaves():
+    """An old announcement is held up on a link while ownership moves.
+
+    The new owner would take it for the newest, and give a leaving target
+    new work.  The entry through which it announced leaving tells it.
+    """
+
+    async def body():
+        entry_name, mid, high = names_in_order()
+        world = World(entry_name, mid, high)
+        entry, owner = world.nodes[entry_name], world.nodes[mid]
+        await start_shard(world, world.nodes[high])
+        leaving = make_announcement(sequence=9, leaving=True)
+        await entry.permits.announce(leaving, 0)
+        world.commit(LeaveCommand(high, 1))
+        shard = await start_shard(world, owner)
+        assert shard.targets["t"].leaving
+        owner.owner.handle_announcement(make_announcement(sequence=8))
+        answer = owner.owner.handle_permit(make_request(entry))
+        assert answer.error == ErrorKind.NO_TARGET.value
+
+    asyncio.run(body())
+
+
+def test_grant_that_came_late_for_a_leaving_target_is_not_used():
+    """A grant is held up on a link for 5 s; its target announces leaving."""
+
+    async def body():
+        entry_name, owner_name, _ = names_in_order()
+        world = World(entry_name, owner_name)
+        entry, owner = world.nodes[entry_name], world.nodes[owner_name]
+        shard = await start_shard(world, owner)
+
+        async def gate(value):
+            if isinstance(value, PermitRequest):
+                world.clock.advance(5)
+                world.renew()
+                await start_shard(world, owner)
+                owner.owner.handle_announcement(
+                    make_announcement(sequence=9, leaving=True)
+                )
+                world.gate = World.gate.__get__(world)
+
+        world.gate = gate
+        acquiring = asyncio.ensure_future(
+            entry.permits.acquire(make_request(entry))
+        )
+        await settle(lambda: acquiring.done() or world.clock._sleepers)
+        world.clock.advance(0.1)
+        with pytest.raises(RequestError) as caught:
+            await asyncio.wait_for(acquiring, 5)
+        assert caught.value.failure.kind is ErrorKind.NO_TARGET
+        assert caught.value.failure.ran is Ran.NO
+        assert len(shard.book) == 0 or shard.closed
+
+    asyncio.run(body())
+
+
+def test_permit_that_is_not_used_at_once_is_refused():
+    """An entry was paused between the grant and the dispatch."""
+
+    async def body():
+        entry_name, owner_name, _ = names_in_order()
+        world = World(entry_name, owner_name)
+        entry = world.nodes[entry_name]
+        await start_shard(world, world.nodes[owner_name])
+        request = make_request(entry)
+        permit = await entry.permits.acquire(request)
+        with entry.permits.hold(request, permit) as inflight:
+            assert not inflight.stopped.is_set()
+        world.clock.advance(PERMIT_SECONDS + 0.1)
+        world.renew()
+        with pytest.raises(RequestError) as caught:
+            with entry.permits.hold(request, permit):
+                pass
+        assert caught.value.failure.ran is Ran.NO
+
+    asyncio.run(body())
+
+
+def test_entry_without_a_lease_sends_nothing_to_a_target():
+    """The lease runs out while the request waits for its permit."""
+
+    async def body():
+        entry_name, owner_name, _ = names_in_order()
+        world = World(entry_name, owner_name)
+        entry = world.nodes[entry_name]
+        await start_shard(world, world.nodes[owner_name])
+        request = make_request(entry)
+        world.clock.advance(1.9)
+        permit = await entry.permits.acquire(request)
+        world.clock.advance(0.2)
+        with pytest.raises(RequestError) as caught:
+            with entry.permits.hold(request, permit):
+                pass
+        assert caught.value.failure.kind is ErrorKind.NOT_READY
+
+    asyncio.run(body())
+
+
+def test_stop_order_reaches_the_stream_that_holds_the_permit():
+    """The owner ends a stream early, at another node's entry."""
+
+    async def body():
+        entry_name, owner_name, _ = names_in_order()
+        world = World(entry_name, owner_name)
+        entry, owner = world.nodes[entry_name], world.nodes[owner_name]
+        await start_shard(world, owner)
+        request = make_request(entry)
+        permit = await entry.permits.acquire(request)
+        shard = owner.owner.shards[(POOL, 0)]
+        with entry.permits.hold(request, permit) as inflight:
+            shard.policy.decide = lambda: [Stop(permit.permit, 2.0)]
+            shard.settle()
+            await settle(inflight.stopped.is_set)
+            assert inflight.retry_after == 2.0
+
+    asyncio.run(body())
+
+
+def test_progress_reaches_the_owner_in_one_message():
+    """Two streams of one entry deliver tokens; the policy is told."""
+
+    async def body():
+        entry_name, owner_name, _ = names_in_order()
+        world = World(entry_name, owner_name)
+        entry, owner = world.nodes[entry_name], world.nodes[owner_name]
+        shard = await start_shard(world, owner)
+        for tokens in (4, 5):
+            request = make_request(entry)
+            permit = await entry.permits.acquire(request)
+            with entry.permits.hold(request, permit) as inflight:
+                entry.permits.report_progress(inflight, tokens)
+        seen = []
+        shard.policy.progress = lambda permit, tokens: seen.append(tokens)
+        await entry.permits.send_progress()
+        assert seen == [4, 5]
+
+    asyncio.run(body())
+
+
+def test_silent_owner_is_given_up_soon():
+    """The owner's link is cut silently while a request waits there.
+
+    The caller would be held to its deadline; it hears ``not_ready`` at
+    once, that nothing ran, and when to come back.
+    """
+
+    async def body():
+        entry_name, owner_name, _ = names_in_order()
+        world = World(entry_name, owner_name)
+        entry = world.nodes[entry_name]
+        world.renew()
+
+        async def request(peer, value, timeout):
+            if isinstance(value, FreshRequest):
+                raise LinkError("silent", sent=True)
+            await asyncio.Event().wait()
+
+        entry.request = request
+        watching = asyncio.create_task(entry.cluster.watch.run())
+        acquiring = asyncio.create_task(
+            entry.permits.acquire(make_request(entry))
+        )
+        await settle(lambda: entry.cluster.watch._waits)
+        world.clock.advance(1.0)
+        with pytest.raises(RequestError) as caught:
+            await asyncio.wait_for(acquiring, 5)
+        watching.cancel()
+        assert caught.value.failure.kind is ErrorKind.NOT_READY
+        assert caught.value.failure.ran is Ran.NO
+        assert caught.value.failure.retry_after is not None
+
+    asyncio.run(body())
