--- a/packages/node/src/chivepier/node/faulthook.py
+++ b/packages/node/src/chivepier/node/faulthook.py
@@ -2,7 +2,7 @@
 
 from aiohttp import web
 
-from chivepier.node.callers import read_json
+from chivepier.node.bodies import read_json
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
 from chivepier.wire import Faults
--- a/packages/state/src/chivepier/state/machine.py
+++ b/packages/state/src/chivepier/state/machine.py
@@ -9,7 +9,6 @@
 from chivepier.documents import Document
 from chivepier.messages import ChangeCommand
 from chivepier.messages import ClaimCommand
-from chivepier.messages import ClaimState
 from chivepier.messages import decode
 from chivepier.messages import Edit
 from chivepier.messages import Entry
@@ -18,13 +17,12 @@
 from chivepier.messages import LeaveCommand
 from chivepier.messages import Member
 from chivepier.messages import Noop
-from chivepier.messages import Outcome
 from chivepier.messages import OutcomeCommand
 from chivepier.messages import SecretCommand
 from chivepier.messages import Voter
 from chivepier.messages import VotersCommand
 from chivepier.state.answer import Answer
-from chivepier.state.claim import Claim
+from chivepier.state.claims import Claims
 from chivepier.state.historyitem import HistoryItem
 from chivepier.state.membersets import MemberSets
 from chivepier.state.signal import Signal
@@ -34,7 +32,6 @@
 KEPT_ANSWERS = 20_000
 KEPT_HISTORY = 2_000
 KEPT_ENTRIES = 2_000
-CLAIM_SECONDS = 24 * 3600
 
 EpochWatcher = collections.abc.Callable[[bool], None]
 
@@ -62,7 +59,7 @@
         self.epoch_watchers: list[EpochWatcher] = []
         self.voters: tuple[Voter, ...] = ()
         self.secret = b""
-        self.claims: dict[tuple[str, str], Claim] = {}
+        self.claims = Claims()
         self.answers: collections.OrderedDict[str, Answer] = (
             collections.OrderedDict()
         )
@@ -107,9 +104,9 @@
                 self.voters = voters
                 return Answer("", "", index)
             case ClaimCommand() as command:
-                return self._claim(command, index)
+                return self.claims.claim(command, index, self.members)
             case OutcomeCommand() as command:
-                return self._settle(command, index)
+                return self.claims.settle(command, index)
             case SecretCommand(secret=secret):
                 # the first one stands: two new leaders may both propose
                 self.secret = self.secret or secret
@@ -199,55 +196,6 @@
         for watcher in self.epoch_watchers:
             watcher(False)
 
-    def _claim(self, command: ClaimCommand, index: int) -> Answer:
-        self._forget_claims(command.claimed_at)
-        key = (command.team, command.key)
-        known = self.claims.get(key)
-        if known is None or known.state == ClaimState.RELEASED:
-            self.claims[key] = Claim(
-                command.digest,
-                command.request,
-                command.node,
-                command.incarnation,
-                command.claimed_at,
-                ClaimState.CLAIMED,
-            )
-            return Answer("", "", index)
-        if known.request == command.request:
-            # the claimer's own resend after a lost answer
-            return Answer("", "", index)
-        if known.digest != command.digest:
-            text = "the key was used for another request"
-            return Answer(ErrorKind.KEY_REUSED.value, text, index)
-        if known.state == ClaimState.DONE:
-            result = cbor2.dumps(attrs.astuple(known.outcome))
-            return Answer("", "", index, result)
-        if known.state == ClaimState.UNKNOWN:
-            text = "it was dispatched; its outcome is not known"
-            return Answer(ErrorKind.OUTCOME_UNKNOWN.value, text, index)
-        text = "the same request is in progress"
-        return Answer(ErrorKind.IN_PROGRESS.value, text, index)
-
-    def _forget_claims(self, now: int) -> None:
-        # claims stand in order of arrival, so the oldest come first
-        while self.claims:
-            key = next(iter(self.claims))
-            if self.claims[key].claimed_at + CLAIM_SECONDS > now:
-                return
-            del self.claims[key]
-
-    def _settle(self, command: OutcomeCommand, index: int) -> Answer:
-        key = (command.team, command.key)
-        known = self.claims.get(key)
-        if known is not None and known.state in (
-            ClaimState.CLAIMED,
-            ClaimState.UNKNOWN,
-        ):
-            self.claims[key] = attrs.evolve(
-                known, state=command.outcome.state, outcome=command.outcome
-            )
-        return Answer("", "", index)
-
     def changed_since(self, version: int) -> set[tuple[str, str]] | None:
         """Name the documents that changed after a version.
 
@@ -274,7 +222,6 @@
         :param with_claims: false for nodes that hold no claims
         :returns: the snapshot at :attr:`index`
         """
-        claims = list(self.claims.items()) if with_claims else []
         fields = {
             "documents": [attrs.astuple(d) for d in self.documents.values()],
             "members": [attrs.astuple(m) for m in self.members.values()],
@@ -283,7 +230,7 @@
             "member_sets": self.member_sets.pack(),
             "voters": [attrs.astuple(v) for v in self.voters],
             "secret": self.secret,
-            "claims": [(k, attrs.astuple(c)) for k, c in claims],
+            "claims": self.claims.dump() if with_claims else {},
             "answers": [
                 (k, attrs.astuple(a)) for k, a in self.answers.items()
             ],
@@ -308,7 +255,7 @@
         self.member_sets = MemberSets.unpack(fields["member_sets"])
         self.voters = tuple(Voter(*v) for v in fields["voters"])
         self.secret = fields["secret"]
-        self.claims = {tuple(k): _load_claim(c) for k, c in fields["claims"]}
+        self.claims.load(fields["claims"])
         self.answers = collections.OrderedDict(
             (k, Answer(*a)) for k, a in fields["answers"]
         )
@@ -339,12 +286,3 @@
 def _load_document(fields: list) -> Document:
     kind, name, version, spec = fields
     return Document(kind=kind, name=name, version=version, spec=spec)
-
-
-def _load_claim(fields: list) -> Claim:
-    *plain, outcome = fields
-    if outcome is None:
-        return Claim(*plain)
-    state, status, headers, body = outcome
-    pairs = tuple((name, value) for name, value in headers)
-    return Claim(*plain, Outcome(state, status, pairs, body))
--- a/packages/types/src/chivepier/messages/outcomecommand.py
+++ b/packages/types/src/chivepier/messages/outcomecommand.py
@@ -8,11 +8,10 @@
 class OutcomeCommand:
     """The stored answer of a claimed request.
 
-    ``request`` is the claim's, so that a late duplicate can't settle a later
-    claim of the same key; empty settles whichever claim there is.
+    ``request`` names the claim it ends; a claim of another is left alone.
     """
 
     team: str
     key: str
+    request: str
     outcome: Outcome
-    request: str = ""
