--- a/packages/node/src/chivepier/node/servicecaller.py
+++ b/packages/node/src/chivepier/node/servicecaller.py
@@ -145,9 +145,10 @@
     async def _send(self, address: str) -> Outcome:
         call = self._call
         http = self._entry.http if call.idempotent else self._entry.once
-        url = yarl.URL(f"http://{address}{call.path}", encoded=True)
+        text = f"http://{address}{call.path}"
         if call.query:
-            url = url.with_query(call.query)
+            text += f"?{call.query}"
+        url = yarl.URL(text, encoded=True)
         try:
             with translate_errors():
                 async with http.request(
--- a/packages/node/src/chivepier/node/ssebuffer.py
+++ b/packages/node/src/chivepier/node/ssebuffer.py
@@ -57,18 +57,22 @@
             text = "an event is too long"
             raise LinkLostError(LossReason.MALFORMED, text)
         passed = []
+        following = self.following
         for event in events:
-            if event.startswith(ID + b"%d\n" % self.following):
+            if event.startswith(ID + b"%d\n" % following):
                 if self._marks[0] not in event:
                     self._check_generation(event)
-                self.following += 1
+                following += 1
                 passed.append(ID + self.label + event[len(ID) :] + END)
             elif event == DONE:
                 self.finished = True
                 passed.append(DONE + END)
                 break
             else:
-                self._skip(event)
+                _skip(event, following)
+        # only now: what was checked before a bad event isn't delivered, so
+        # the next reader has to send it again
+        self.following = following
         return b"".join(passed)
 
     def _check_generation(self, event: bytes) -> None:
@@ -85,17 +89,18 @@
             text = "an event of another generation came"
             raise LinkLostError(LossReason.CROSSED, text)
 
-    def _skip(self, event: bytes) -> None:
-        """Drop a repeat or a comment; anything else ends the reader."""
-        if event.startswith(COMMENT):
-            return
-        index = _read_index(event)
-        if index is None:
-            text = "an event has no index"
-            raise LinkLostError(LossReason.MALFORMED, text)
-        if index > self.following:
-            text = f"event {self.following} is missing"
-            raise LinkLostError(LossReason.GAP, text)
+
+def _skip(event: bytes, following: int) -> None:
+    """Drop a repeat or a comment; anything else ends the reader."""
+    if event.startswith(COMMENT):
+        return
+    index = _read_index(event)
+    if index is None:
+        text = "an event has no index"
+        raise LinkLostError(LossReason.MALFORMED, text)
+    if index > following:
+        text = f"event {following} is missing"
+        raise LinkLostError(LossReason.GAP, text)
 
 
 def _read_index(event: bytes) -> int | None:
