--- a/packages/node/src/chivepier/node/directory.py
+++ b/packages/node/src/chivepier/node/directory.py
@@ -6,6 +6,7 @@
 import attrs
 
 from chivepier.documents import Grant
+from chivepier.documents import plain_spec
 from chivepier.documents import Team
 from chivepier.documents import Template
 from chivepier.documents import unpack_spec
@@ -15,6 +16,7 @@
 from chivepier.types import Urgency
 
 CACHED = 4096
+INDEXED = 16
 
 
 @attrs.frozen(kw_only=True)
@@ -40,20 +42,37 @@
     def __init__(self, machine: Machine):
         self._machine = machine
         self._version = -1
-        self._teams_by_key: dict[str, str] = {}
+        self._teams_by_key: dict[bytes, str] = {}
+        self._most_keys = CACHED
         self._decoded: dict[tuple[str, str], Team | Template] = {}
 
     def _refresh(self) -> None:
         if self._version == self._machine.version:
             return
-        self._version = self._machine.version
-        self._decoded.clear()
-        self._teams_by_key.clear()
-        for kind, name in self._machine.documents:
+        changed = None
+        crowded = len(self._teams_by_key) > self._most_keys
+        if self._version >= 0 and not crowded:
+            changed = self._machine.changed_since(self._version)
+        if changed is None:
+            changed = set(self._machine.documents)
+            self._decoded.clear()
+            self._teams_by_key.clear()
+        for kind, name in changed:
+            self._decoded.pop((kind, name), None)
             if kind == "team":
-                spec = self._load(kind, name)
-                for digest in spec.key_sha256:
-                    self._teams_by_key[digest] = name
+                self._index_keys(name)
+        if crowded or self._version < 0:
+            self._most_keys = 2 * len(self._teams_by_key) + CACHED
+        self._version = self._machine.version
+
+    def _index_keys(self, name: str) -> None:
+        # keys that a team no longer has stay until the next whole reading;
+        # they name a team whose document, checked on use, lacks them
+        document = self._machine.documents.get(("team", name))
+        if document is None:
+            return
+        for digest in plain_spec(document)["key_sha256"]:
+            self._teams_by_key[bytes.fromhex(digest)[:INDEXED]] = name
 
     def _load(self, kind: str, name: str) -> Team | Template | None:
         key = (kind, name)
@@ -77,11 +96,13 @@
         """
         self._refresh()
         scheme, _, key = authorization.partition(" ")
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        name = self._teams_by_key.get(digest)
+        digest = hashlib.sha256(key.encode())
+        name = self._teams_by_key.get(digest.digest()[:INDEXED])
         if scheme.lower() == "bearer" and name is not None:
             spec = self._load("team", name)
-            if any(hmac.compare_digest(digest, d) for d in spec.key_sha256):
+            given = digest.hexdigest()
+            held = spec.key_sha256 if spec is not None else ()
+            if any(hmac.compare_digest(given, d.lower()) for d in held):
                 return name
         raise RequestError.of(ErrorKind.UNAUTHORIZED, "unknown bearer key")
 
--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -22,12 +22,17 @@
 from chivepier.node.cluster import Cluster
 from chivepier.node.commander import Commander
 from chivepier.node.directory import Directory
+from chivepier.node.drain import Drain
 from chivepier.node.entry import Entry
+from chivepier.node.faulthook import FaultHook
+from chivepier.node.gauges import Gauges
+from chivepier.node.inprogress import InProgress
 from chivepier.node.leadership import Leadership
 from chivepier.node.ledger import Ledger
 from chivepier.node.metrics import Metrics
 from chivepier.node.operators import Operators
 from chivepier.node.owner import Owner
+from chivepier.node.peerwatch import PeerWatch
 from chivepier.node.permits import Permits
 from chivepier.node.renewal import Renewal
 from chivepier.node.services import Services
@@ -47,7 +52,6 @@
 log = logbook.Logger("node")
 
 MAX_BODY = 8 << 20
-DRAIN_SECONDS = 600.0
 
 
 class Node:
@@ -59,6 +63,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._tasks: list[asyncio.Task] = []
         self._storage: DiskStorage | None = None
+        self._draining = asyncio.Event()
 
     async def __aenter__(self) -> "Node":
         async with contextlib.AsyncExitStack() as stack:
@@ -100,6 +105,7 @@
             settings.cluster_key,
             self._handle,
             server.faults,
+            server.traffic,
         )
         self.cluster.links = await stack.enter_async_context(links)
         self.faults = server.faults
@@ -110,6 +116,7 @@
         self._spawn(self.renewal.run())
         self._spawn(self.owner.run())
         self._spawn(self.permits.run())
+        self._spawn(self.cluster.watch.run())
         log.info(
             "started name={} node={} http={} peer={}",
             settings.name,
@@ -126,13 +133,21 @@
 
     def _build(self) -> None:
         cluster = self.cluster
+        cluster.watch = PeerWatch(cluster)
         self.directory = Directory(cluster.machine)
         self.commander = Commander(cluster)
         self.renewal = Renewal(cluster)
         self.owner = Owner(cluster, self.directory)
         self.permits = Permits(cluster, self.owner)
-        self.owner.handle_stop = self.permits.handle_stop
+        self.owner.tell_stop = self.permits.handle_stop
+        self.owner.tell_inflight = self.permits.handle_takeover
         self.metrics = Metrics()
+        gauges = Gauges(cluster, self.owner, cluster.links.traffic)
+        self.metrics.registry.register(gauges)
+        self.progress = InProgress()
+        self._drain = Drain(
+            cluster, self.renewal, self.commander, self.progress
+        )
 
     async def _start_http(self, stack: contextlib.AsyncExitStack) -> None:
         connector = aiohttp.TCPConnector(limit=0)
@@ -158,7 +173,10 @@
             background=background,
         )
         app = web.Application(
-            middlewares=[make_error_middleware(self.metrics)],
+            middlewares=[
+                make_error_middleware(self.metrics),
+                self.progress.track,
+            ],
             client_max_size=MAX_BODY,
         )
         callers = Callers(entry)
@@ -168,6 +186,7 @@
             Addresses(entry),
             Targets(entry),
             Operators(entry, self),
+            FaultHook(self.faults, self._settings.fault_hook),
         ):
             part.add_routes(app)
         app.router.add_get("/metrics", self._show_metrics)
@@ -190,7 +209,7 @@
         return web.Response(text="ok\n")
 
     async def _show_ready(self, request: web.Request) -> web.Response:
-        if self.cluster.ready():
+        if self.cluster.ready() and not self.cluster.draining:
             return web.Response(text="ready\n")
         return web.Response(text="not ready\n", status=503)
 
@@ -205,6 +224,7 @@
             self._clock,
             Timing(),
             random.Random(cluster.identity.node),
+            cluster.identity.cluster,
         )
         cluster.leadership = Leadership(cluster)
         cluster.replica = replica
@@ -228,6 +248,14 @@
                 return self.owner.handle_progress(message)
             case messages.StopOrder():
                 return self.permits.handle_stop(message)
+            case messages.ConfirmRequest():
+                return self.owner.handle_confirm(message)
+            case messages.AdoptRequest():
+                return self.owner.handle_adopt(message)
+            case messages.TakeoverRequest():
+                return self.permits.handle_takeover(message)
+            case messages.InflightRequest():
+                return self.permits.handle_inflight(message)
             case messages.CancelReport():
                 return self.owner.handle_cancel(message)
             case messages.Announcement():
@@ -286,8 +314,8 @@
         storage = DiskStorage(folder)
         command = encode(messages.VotersCommand(request.voters))
         storage.append((messages.Entry(1, 1, command),))
-        storage.sync()
-        storage.save_vote(1, "")
+        await storage.sync()
+        await storage.save_vote(1, "")
         storage.close()
         identity = Identity(cluster.identity.node, request.cluster)
         save_identity(folder, identity)
@@ -296,19 +324,17 @@
         return messages.BootstrapAnswer(True, "")
 
     def start_drain(self) -> None:
-        """Leave the addresses answer; the process ends when asked to."""
-        self.cluster.draining = True
+        """Stop gracefully; asked again, the stop goes on as it is."""
+        if self._draining.is_set():
+            log.info("drain asked again: still stopping gracefully")
+            return
+        log.info("drain asked")
+        self._draining.set()
 
     async def drain(self) -> None:
-        """Stop gracefully: be out of the addresses answer for its life."""
-        self.start_drain()
-        if not self.cluster.joined():
-            return
-        await asyncio.sleep(self._settings.address_ttl)
-        leave = messages.LeaveCommand(
-            self.cluster.identity.node, self.cluster.incarnation
-        )
-        await self.commander.run(encode(leave), 2.0)
+        """Wait until a stop is asked for, and carry it out."""
+        await self._draining.wait()
+        await self._drain.run()
 
 
 def _fill_port(address: str, port: int) -> str:
--- a/packages/state/src/chivepier/state/machine.py
+++ b/packages/state/src/chivepier/state/machine.py
@@ -1,6 +1,7 @@
 """The replicated state: what the log's commands add up to."""
 
 import collections
+import collections.abc
 
 import attrs
 import cbor2
@@ -11,6 +12,7 @@
 from chivepier.messages import decode
 from chivepier.messages import Edit
 from chivepier.messages import Entry
+from chivepier.messages import InForceCommand
 from chivepier.messages import JoinCommand
 from chivepier.messages import LeaveCommand
 from chivepier.messages import Member
@@ -22,6 +24,7 @@
 from chivepier.state.answer import Answer
 from chivepier.state.claims import Claims
 from chivepier.state.historyitem import HistoryItem
+from chivepier.state.membersets import MemberSets
 from chivepier.state.signal import Signal
 from chivepier.state.snapshot import Snapshot
 from chivepier.types import ErrorKind
@@ -30,6 +33,8 @@
 KEPT_HISTORY = 2_000
 KEPT_ENTRIES = 2_000
 
+EpochWatcher = collections.abc.Callable[[bool], None]
+
 
 class Machine:
     """Applies committed entries in order; the same on every node.
@@ -37,6 +42,9 @@
     Reads are plain attributes.  :attr:`changed` is set after each entry.
     :attr:`version` is the index of the last entry that changed the
     configuration or the membership; claims leave it as it is.
+    ``epoch_watchers`` are called in the middle of a batch, at each epoch:
+    who looks only after the batch misses that it lost a shard in between.
+    A snapshot skips epochs; they are called with ``True`` then.
     """
 
     def __init__(self) -> None:
@@ -47,6 +55,8 @@
         self.documents: dict[tuple[str, str], Document] = {}
         self.members: dict[str, Member] = {}
         self.epoch = 0
+        self.member_sets = MemberSets()
+        self.epoch_watchers: list[EpochWatcher] = []
         self.voters: tuple[Voter, ...] = ()
         self.secret = b""
         self.claims = Claims()
@@ -101,6 +111,9 @@
                 # the first one stands: two new leaders may both propose
                 self.secret = self.secret or secret
                 return Answer("", "", index)
+            case InForceCommand(epoch=epoch):
+                self.member_sets.settle(epoch)
+                return Answer("", "", index)
             case Noop():
                 return Answer("", "", index)
             case other:
@@ -167,16 +180,42 @@
             )
         if known != member:
             self.members[member.node] = member
-            self.epoch = index
+            self._note_epoch(index)
         return Answer("", "", index)
 
     def _leave(self, node: str, incarnation: int, index: int) -> Answer:
         known = self.members.get(node)
         if known is not None and known.incarnation == incarnation:
             del self.members[node]
-            self.epoch = index
+            self._note_epoch(index)
         return Answer("", "", index)
 
+    def _note_epoch(self, index: int) -> None:
+        self.epoch = index
+        self.member_sets.add(index, self.members.values())
+        for watcher in self.epoch_watchers:
+            watcher(False)
+
+    def changed_since(self, version: int) -> set[tuple[str, str]] | None:
+        """Name the documents that changed after a version.
+
+        Whoever keeps something derived from the documents follows a change
+        by this; deriving it anew from 49,000 teams would hold up every
+        stream of the node for more than a second.
+
+        :param version: a log index that was seen before
+        :returns: kinds and names, or ``None`` when that is no longer known
+        """
+        oldest = self.history[0].index if self.history else self.index + 1
+        if self.history.maxlen == len(self.history) and oldest > version:
+            return None
+        changed = set()
+        for item in reversed(self.history):
+            if item.index <= version:
+                break
+            changed.add((item.kind, item.name))
+        return changed
+
     def take_snapshot(self, with_claims: bool = True) -> Snapshot:
         """Pack the state.
 
@@ -188,6 +227,7 @@
             "members": [attrs.astuple(m) for m in self.members.values()],
             "version": self.version,
             "epoch": self.epoch,
+            "member_sets": self.member_sets.pack(),
             "voters": [attrs.astuple(v) for v in self.voters],
             "secret": self.secret,
             "claims": self.claims.dump() if with_claims else {},
@@ -212,6 +252,7 @@
         self.members = {m[0]: Member(*m) for m in fields["members"]}
         self.version = fields["version"]
         self.epoch = fields["epoch"]
+        self.member_sets = MemberSets.unpack(fields["member_sets"])
         self.voters = tuple(Voter(*v) for v in fields["voters"])
         self.secret = fields["secret"]
         self.claims.load(fields["claims"])
@@ -223,6 +264,8 @@
         self.recent.clear()
         self.index = snapshot.index
         self.term = snapshot.term
+        for watcher in self.epoch_watchers:
+            watcher(True)
         self.changed.set()
 
 
@@ -235,7 +278,9 @@
     if not entry.command:
         return False
     command = decode(entry.command)
-    return not isinstance(command, ClaimCommand | OutcomeCommand | Noop)
+    return not isinstance(
+        command, ClaimCommand | OutcomeCommand | Noop | InForceCommand
+    )
 
 
 def _load_document(fields: list) -> Document:
--- a/packages/types/src/chivepier/messages/__init__.py
+++ b/packages/types/src/chivepier/messages/__init__.py
@@ -1,5 +1,6 @@
 """Typed messages between processes, and commands of the log."""
 
+from chivepier.messages.adoptrequest import AdoptRequest
 from chivepier.messages.announceanswer import AnnounceAnswer
 from chivepier.messages.announcement import Announcement
 from chivepier.messages.appendanswer import AppendAnswer
@@ -17,7 +18,11 @@
 from chivepier.messages.codec import unpack
 from chivepier.messages.commandanswer import CommandAnswer
 from chivepier.messages.commandrequest import CommandRequest
+from chivepier.messages.confirmanswer import ConfirmAnswer
+from chivepier.messages.confirmrequest import ConfirmRequest
 from chivepier.messages.edit import Edit
+from chivepier.messages.enrolanswer import EnrolAnswer
+from chivepier.messages.enrolrequest import EnrolRequest
 from chivepier.messages.entry import Entry
 from chivepier.messages.freshanswer import FreshAnswer
 from chivepier.messages.freshrequest import FreshRequest
@@ -26,8 +31,11 @@
 from chivepier.messages.inflightpermit import InflightPermit
 from chivepier.messages.inflightreport import InflightReport
 from chivepier.messages.inflightrequest import InflightRequest
+from chivepier.messages.inforcecommand import InForceCommand
 from chivepier.messages.joincommand import JoinCommand
 from chivepier.messages.leavecommand import LeaveCommand
+from chivepier.messages.loganswer import LogAnswer
+from chivepier.messages.logrequest import LogRequest
 from chivepier.messages.member import Member
 from chivepier.messages.noop import Noop
 from chivepier.messages.outcome import Outcome
@@ -46,6 +54,8 @@
 from chivepier.messages.stoporder import StopOrder
 from chivepier.messages.syncanswer import SyncAnswer
 from chivepier.messages.syncrequest import SyncRequest
+from chivepier.messages.takeoveranswer import TakeoverAnswer
+from chivepier.messages.takeoverrequest import TakeoverRequest
 from chivepier.messages.targetload import TargetLoad
 from chivepier.messages.targetsanswer import TargetsAnswer
 from chivepier.messages.targetsrequest import TargetsRequest
@@ -53,9 +63,13 @@
 from chivepier.messages.voteanswer import VoteAnswer
 from chivepier.messages.voter import Voter
 from chivepier.messages.voterequest import VoteRequest
+from chivepier.messages.votersanswer import VotersAnswer
 from chivepier.messages.voterscommand import VotersCommand
+from chivepier.messages.votersrequest import VotersRequest
+from chivepier.messages.voterstate import VoterState
 
 __all__ = [
+    "AdoptRequest",
     "AnnounceAnswer",
     "Announcement",
     "AppendAnswer",
@@ -69,7 +83,11 @@
     "ClaimState",
     "CommandAnswer",
     "CommandRequest",
+    "ConfirmAnswer",
+    "ConfirmRequest",
     "Edit",
+    "EnrolAnswer",
+    "EnrolRequest",
     "Entry",
     "FreshAnswer",
     "FreshRequest",
@@ -78,8 +96,11 @@
     "InflightPermit",
     "InflightReport",
     "InflightRequest",
+    "InForceCommand",
     "JoinCommand",
     "LeaveCommand",
+    "LogAnswer",
+    "LogRequest",
     "Member",
     "Noop",
     "Outcome",
@@ -97,14 +118,19 @@
     "StopOrder",
     "SyncAnswer",
     "SyncRequest",
+    "TakeoverAnswer",
+    "TakeoverRequest",
     "TargetLoad",
     "TargetsAnswer",
     "TargetsRequest",
     "UsageReport",
     "VoteAnswer",
-    "VoteRequest",
     "Voter",
+    "VoterState",
+    "VotersAnswer",
+    "VoteRequest",
     "VotersCommand",
+    "VotersRequest",
     "decode",
     "encode",
     "message",
--- a/packages/wire/src/chivepier/wire/links.py
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -13,6 +13,7 @@
 from chivepier.wire.server import KEY_HEADER
 from chivepier.wire.server import MAX_FRAME
 from chivepier.wire.server import PEER_HEADER
+from chivepier.wire.traffic import Traffic
 
 CONNECT_SECONDS = 2.0
 
@@ -20,14 +21,22 @@
 class Links:
     """One outgoing channel per peer, made on first use and after a loss."""
 
-    def __init__(self, me: str, key: str, handler: Handler, faults: Faults):
+    def __init__(
+        self,
+        me: str,
+        key: str,
+        handler: Handler,
+        faults: Faults,
+        traffic: Traffic | None = None,
+    ):
         self.me = me
         self._key = key
         self._handler = handler
         self._faults = faults
+        self.traffic = traffic or Traffic()
         self._channels: dict[str, Channel] = {}
-        self._locks: dict[str, asyncio.Lock] = {}
-        self._tasks: dict[str, asyncio.Task] = {}
+        self._connecting: dict[str, asyncio.Task] = {}
+        self._tasks: set[asyncio.Task] = set()
 
     async def __aenter__(self) -> "Links":
         return self
@@ -35,7 +44,7 @@
     async def __aexit__(self, *exc) -> None:
         for channel in list(self._channels.values()):
             await channel.close()
-        for task in list(self._tasks.values()):
+        for task in [*self._tasks, *self._connecting.values()]:
             task.cancel()
 
     async def request(
@@ -68,21 +77,34 @@
         channel = self._channels.get(peer)
         if channel is not None and not channel.closed:
             return channel
-        lock = self._locks.setdefault(peer, asyncio.Lock())
-        async with lock:
-            channel = self._channels.get(peer)
-            if channel is not None and not channel.closed:
-                return channel
-            return await self._connect(peer, timeout)
-
-    async def _connect(self, peer: str, timeout: float) -> Channel:
+        # all who wait share one attempt: one after the other, each would
+        # wait for those before it to time out
+        task = self._connecting.get(peer)
+        if task is None:
+            task = asyncio.create_task(self._connect(peer))
+            self._connecting[peer] = task
+            task.add_done_callback(lambda done: self._connected(peer, done))
+        try:
+            async with asyncio.timeout(timeout):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            text = f"no connection to {peer} in {timeout}s"
+            raise LinkError(text, sent=False) from None
+
+    def _connected(self, peer: str, task: asyncio.Task) -> None:
+        del self._connecting[peer]
+        if not task.cancelled():
+            # nobody may be waiting for it any more
+            task.exception()
+
+    async def _connect(self, peer: str) -> Channel:
         if self._faults.blocks(peer):
             # a cut link loses the handshake too: fail without a reset
-            await asyncio.sleep(min(timeout, CONNECT_SECONDS))
+            await asyncio.sleep(CONNECT_SECONDS)
             raise LinkError(f"no connection to {peer}", sent=False)
         headers = {KEY_HEADER: self._key, PEER_HEADER: self.me}
         try:
-            async with asyncio.timeout(min(timeout, CONNECT_SECONDS)):
+            async with asyncio.timeout(CONNECT_SECONDS):
                 socket = await connect(
                     f"ws://{peer}",
                     additional_headers=headers,
@@ -95,7 +117,11 @@
         except (OSError, TimeoutError, WebSocketException) as error:
             text = f"no connection to {peer}: {error!r}"
             raise LinkError(text, sent=False) from None
-        channel = Channel(socket, peer, self._handler, self._faults)
+        channel = Channel(
+            socket, peer, self._handler, self._faults, self.traffic
+        )
         self._channels[peer] = channel
-        self._tasks[peer] = asyncio.create_task(channel.run())
+        task = asyncio.create_task(channel.run())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
         return channel
