Let a graceful stop wait for what requests left to be done

Cause: settling a claim, cancelling a generation and giving a permit back run after their request; a stop counted requests only and could end before. Conclusion: background work counts as in progress.

--- a/packages/node/src/chivepier/node/inprogress.py
+++ b/packages/node/src/chivepier/node/inprogress.py
@@ -1,5 +1,8 @@
 """The callers' requests in progress at this node."""
 
+import collections.abc
+import contextlib
+
 from aiohttp import web
 
 from chivepier.state import Signal
@@ -33,9 +36,15 @@
         if self.refusing:
             text = "this instance is stopping: ask for addresses again"
             raise RequestError.of(ErrorKind.DRAINING, text)
+        with self.hold():
+            return await handler(request)
+
+    @contextlib.contextmanager
+    def hold(self) -> collections.abc.Iterator[None]:
+        """Count a request, or what it left to be done, while in it."""
         self.count += 1
         try:
-            return await handler(request)
+            yield
         finally:
             self.count -= 1
             self._changed.set()
--- a/packages/node/src/chivepier/node/ledger.py
+++ b/packages/node/src/chivepier/node/ledger.py
@@ -121,12 +121,14 @@
     async def _insist(self, command: bytes) -> bool:
         self._open += 1
         try:
-            while True:
+            done = await self._commander.run(command, SETTLE_SECONDS)
+            while isinstance(done, Err) and not self._cluster.draining:
                 done = await self._commander.run(command, SETTLE_SECONDS)
-                if not isinstance(done, Err):
-                    return not done.ok_value.error
         finally:
             self._open -= 1
+        # an instance that stops without a majority leaves the claim behind;
+        # a resend is told that its outcome is unknown
+        return not isinstance(done, Err) and not done.ok_value.error
 
 
 def _end(ticket: Ticket, outcome: Outcome) -> bytes:
--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -160,7 +160,7 @@
             auto_decompress=False,
         )
         await stack.enter_async_context(once)
-        background = Background()
+        background = Background(self.progress)
         entry = Entry(
             cluster=self.cluster,
             directory=self.directory,
--- a/packages/node/src/chivepier/node/tests/fakeentry.py
+++ b/packages/node/src/chivepier/node/tests/fakeentry.py
@@ -19,6 +19,7 @@
 from chivepier.node.directory import Service
 from chivepier.node.entry import Entry
 from chivepier.node.inflight import Inflight
+from chivepier.node.inprogress import InProgress
 from chivepier.node.ledger import Ledger
 from chivepier.node.metrics import Metrics
 from chivepier.node.patience import Patience
@@ -100,6 +101,7 @@
         self.clock = SystemClock()
         self.identity = types.SimpleNamespace(node="n1")
         self.incarnation = 1
+        self.draining = False
         self.settings = types.SimpleNamespace(zone="a")
         self.peer_address = self.holder = "n1"
 
@@ -115,7 +117,7 @@
     member = Member("n1", 1, "n1", "r", "a", "", "", False)
     join = JoinCommand(member)
     cluster.machine.apply(LogEntry(1, 1, encode(join)))
-    background = Background()
+    background = Background(InProgress())
     async with aiohttp.ClientSession(auto_decompress=False) as http:
         connector = aiohttp.TCPConnector(force_close=True)
         async with aiohttp.ClientSession(connector=connector) as once:
--- a/packages/state/src/chivepier/state/claims.py
+++ b/packages/state/src/chivepier/state/claims.py
@@ -44,6 +44,9 @@
     def __len__(self) -> int:
         return len(self._claims)
 
+    def __getitem__(self, key: Key) -> Claim:
+        return self._claims[key]
+
     def claim(
         self, command: ClaimCommand, index: int, members: Members
     ) -> Answer:
