--- /dev/null
+++ b/packages/wire/src/chivepier/wire/tests/test_silence.py
@@ -0,0 +1,106 @@
+"""Links that fall silent without a reset."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from chivepier.messages import FreshAnswer
+from chivepier.messages import FreshRequest
+from chivepier.wire import Faults
+from chivepier.wire import LinkError
+from chivepier.wire import Links
+from chivepier.wire import PeerServer
+
+KEY = "key-of-tests"
+ASK = FreshRequest("a", 1, 1)
+
+
+def answer(message, channel):
+    """Answer each question."""
+    return FreshAnswer("b", 1, 2)
+
+
+@contextlib.asynccontextmanager
+async def connect():
+    """Yield links, the address of a peer, and the links' faults."""
+    faults = Faults()
+    async with PeerServer("127.0.0.1", 0, answer, KEY) as server:
+        async with Links("a:1", KEY, answer, faults) as links:
+            yield links, f"127.0.0.1:{server.port}", faults
+
+
+async def ask_until(links, peer, outcome):
+    """Ask again and again until a request succeeds, or fails."""
+    async with asyncio.timeout(30):
+        while True:
+            try:
+                await links.request(peer, ASK, 0.2)
+                if outcome:
+                    return
+            except LinkError:
+                if not outcome:
+                    return
+                await asyncio.sleep(0.01)
+
+
+def test_request_over_a_cut_link_times_out_and_a_healed_link_works():
+    """A link is cut without a reset for longer than it may be silent.
+
+    Requests end by their own time, and the next one after the cut is
+    answered: the old connection, which the kernel would try again only
+    minutes later, is not used any more.
+    """
+
+    async def body():
+        async with connect() as (links, peer, faults):
+            await links.request(peer, ASK, 5)
+            old = links._channels[peer]
+            faults.cut = {peer}
+            async with asyncio.timeout(30):
+                while not old.closed:
+                    with pytest.raises(LinkError):
+                        await links.request(peer, ASK, 0.2)
+            faults.cut = set()
+            await ask_until(links, peer, True)
+            assert links._channels[peer] is not old
+
+    asyncio.run(body())
+
+
+def test_waiting_for_a_connection_is_shared():
+    """Many requests meet a peer that does not answer the handshake.
+
+    One after the other, each would wait for those before it; all end
+    within their own time.
+    """
+
+    async def body():
+        async with connect() as (links, peer, faults):
+            faults.cut = {peer}
+            asks = [links.request(peer, ASK, 0.3) for _ in range(20)]
+            async with asyncio.timeout(4):
+                done = await asyncio.gather(*asks, return_exceptions=True)
+            assert all(isinstance(e, LinkError) for e in done)
+            assert not any(e.sent for e in done)
+
+    asyncio.run(body())
+
+
+def test_slow_answer_does_not_close_a_link_that_was_idle():
+    """A link was idle for long; one answer takes longer than its time.
+
+    Other requests that wait on the link for a place in a queue go on.
+    """
+
+    async def body():
+        async with connect() as (links, peer, faults):
+            await links.request(peer, ASK, 5)
+            channel = links._channels[peer]
+            channel._heard -= 1000
+            faults.cut = {peer}
+            with pytest.raises(LinkError):
+                await links.request(peer, ASK, 0.05)
+            assert not channel.closed
+
+    asyncio.run(body())
