Take over at once from a process that ended, also without a quorum

A silent owner may live behind a partition, so only evidence counts: a majority of members whose connections its port refuses, or that meet a later run there. Ruled out: a majority's promise not to vouch (a returning leader would renew the old owner).

--- a/features/membership_force.feature
+++ b/features/membership_force.feature
@@ -27,6 +27,15 @@
     And "n4" serves team "advisers"
     And "n4" serves team "volunteers"
 
+  Scenario: Two of three disks and the owner of the engines are lost
+    Given a cluster of 3 instances with disks and 4 without
+    And 1 engine with 4 streams
+    And the operator applied "examples/fairway.yaml"
+    When "n1" is killed
+    And "n2" is killed
+    And the owner of "drafting" is killed
+    Then an instance that is left serves team "advisers"
+
   Scenario: The leader is cut off for long
     Given a cluster of 3 instances with disks and 2 without
     And 1 engine with 4 streams
--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -190,6 +190,8 @@
         return context.leader
     if name == "the old leader":
         return context.leader
+    if name == "an instance that is left":
+        return others(context)[-1]
     if name.startswith("the owner of"):
         pool = name.split('"')[1]
         context.owner = owner_of(context, pool, others(context)[-1])
@@ -213,7 +215,9 @@
 @when("{name} is killed")
 def kill(context, name):
     """Kill -9."""
-    process = context.cluster.processes[resolve(context, name)]
+    name = resolve(context, name)
+    set_away(context, name)
+    process = context.cluster.processes[name]
     process.kill()
     process.wait()
 
--- a/packages/node/benchmarks/permits.py
+++ b/packages/node/benchmarks/permits.py
@@ -29,6 +29,7 @@
 from chivepier.messages import TakeoverRequest
 from chivepier.messages import TargetLoad
 from chivepier.node.cluster import Cluster
+from chivepier.node.deadmembers import DeadMembers
 from chivepier.node.directory import Directory
 from chivepier.node.owner import Owner
 from chivepier.node.peerwatch import PeerWatch
@@ -78,6 +79,7 @@
         peer_address=peer,
     )
     cluster.watch = PeerWatch(cluster)
+    cluster.dead = DeadMembers(cluster)
     cluster.freshness.confirm(clock.monotonic())
     return cluster
 
@@ -226,7 +228,9 @@
     links = Links(cluster.peer_address, KEY, handle, Faults())
     async with links:
         cluster.links = links
-        print("at once  blocks  bytes  frames  entry us  owner us  both/budget")
+        print(
+            "at once  blocks  bytes  frames  entry us  owner us  both/budget"
+        )
         for width, blocks in itertools.product(WIDTHS, BLOCKS):
             size, frames, cpu, cpu_owner = await bench.run(width, blocks)
             share = (cpu + cpu_owner) / BUDGET_SECONDS
--- a/packages/node/src/chivepier/node/addresses.py
+++ b/packages/node/src/chivepier/node/addresses.py
@@ -43,7 +43,7 @@
         caller = request.query.get("caller", "")
         members = [
             m
-            for m in cluster.members()
+            for m in cluster.reachable()
             if not m.draining and not (cluster.draining and m == self._me())
         ]
         members = spread_members(
--- a/packages/node/src/chivepier/node/cluster.py
+++ b/packages/node/src/chivepier/node/cluster.py
@@ -34,6 +34,7 @@
     replica: Replica | None = None
     leadership: object = None
     watch: object = None
+    dead: object = None
     leader: str = ""
     draining: bool = False
     leaving: bool = False
@@ -60,6 +61,18 @@
         """This run of the node, as the prefix of its requests' names."""
         return f"{self.identity.node}.{self.incarnation}"
 
+    def owners(self) -> list[Member]:
+        """Return the members that may own: none that surely ended."""
+        ended = self.dead.confirmed
+        return [
+            m for m in self.members() if (m.node, m.incarnation) not in ended
+        ]
+
+    def reachable(self) -> list[Member]:
+        """Return the members whose end this node has not seen."""
+        ended = self.dead.ended
+        return [m for m in self.members() if not ended(m.node, m.incarnation)]
+
     def joined(self) -> bool:
         """Tell whether this run of the node is a member."""
         member = self.machine.members.get(self.identity.node)
--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -21,6 +21,7 @@
 from chivepier.node.callers import Callers
 from chivepier.node.cluster import Cluster
 from chivepier.node.commander import Commander
+from chivepier.node.deadmembers import DeadMembers
 from chivepier.node.directory import Directory
 from chivepier.node.drain import Drain
 from chivepier.node.entry import Entry
@@ -136,6 +137,7 @@
     def _build(self) -> None:
         cluster = self.cluster
         cluster.watch = PeerWatch(cluster)
+        cluster.dead = DeadMembers(cluster)
         self.directory = Directory(cluster.machine)
         self.commander = Commander(cluster)
         self.voters = Voters(cluster)
@@ -305,6 +307,8 @@
                 return self.owner.handle_targets(message)
             case messages.RenewRequest():
                 return self._handle_renew(message)
+            case messages.DeathRequest():
+                return self.cluster.dead.handle_death(message)
             case messages.FreshRequest():
                 return self.renewal.handle_fresh(message)
             case messages.ChangedNotice():
--- a/packages/node/src/chivepier/node/owner.py
+++ b/packages/node/src/chivepier/node/owner.py
@@ -60,6 +60,7 @@
             [TakeoverRequest], TakeoverAnswer
         ] = None
         self._given = itertools.count(1)
+        self._suspecting: set[tuple[str, int]] = set()
         self._tasks: set[asyncio.Task] = set()
         cluster.machine.epoch_watchers.append(self._review)
 
@@ -67,6 +68,7 @@
         """Expire targets and settle waiting requests, on a timer."""
         for tick in itertools.count():
             await asyncio.sleep(TICK_SECONDS)
+            self._cluster.dead.forget()
             self._review(False)
             self._claim()
             for shard in self.shards.values():
@@ -88,7 +90,8 @@
         """Take over what this node owns, before it is asked for it."""
         for template in self._directory.templates().values():
             for number in range(template.shards):
-                self._shard(template.pool, number)
+                if self._owns(template.pool, number):
+                    self._shard(template.pool, number)
 
     def find(self, pool: str, number: int) -> Member | None:
         """Return the owner of a shard.
@@ -97,11 +100,11 @@
         :param number: the shard's number
         :returns: the member, or ``None`` while there are none
         """
-        return find_owner(pool, number, self._cluster.members())
+        return find_owner(pool, number, self._cluster.reachable())
 
     def _owns(self, pool: str, number: int) -> bool:
-        owner = self.find(pool, number)
         cluster = self._cluster
+        owner = find_owner(pool, number, cluster.owners())
         return (
             owner is not None
             and owner.node == cluster.identity.node
@@ -126,13 +129,37 @@
             shard = None
         if shard is None:
             cluster = self._cluster
-            if not self._owns(pool, number) or not cluster.ready():
+            if not cluster.ready():
+                return None
+            if not self._owns(pool, number):
+                self._suspect(pool, number)
                 return None
             shard = self._make_shard(pool, number)
             self.shards[key] = shard
             self._spawn(self._take_over(shard))
         return shard
 
+    def _suspect(self, pool: str, number: int) -> None:
+        key = (pool, number)
+        if key not in self._suspecting:
+            self._suspecting.add(key)
+            self._spawn(self._check_earlier(key))
+
+    async def _check_earlier(self, key: tuple[str, int]) -> None:
+        """See whether all ended that would own before this node."""
+        cluster = self._cluster
+        members = cluster.owners()
+        try:
+            while owner := find_owner(*key, members):
+                if owner.node == cluster.identity.node:
+                    return
+                if not await cluster.dead.check(owner):
+                    return
+                cluster.dead.confirm(owner)
+                members.remove(owner)
+        finally:
+            self._suspecting.discard(key)
+
     def _make_shard(self, pool: str, number: int) -> Shard:
         cluster = self._cluster
         epoch = cluster.machine.epoch
@@ -164,7 +191,7 @@
             await asyncio.sleep(POLL_SECONDS)
         end = cluster.clock.monotonic() + cluster.terms.outlast
         await asyncio.gather(
-            *(self._hear(shard, m, end) for m in cluster.members())
+            *(self._hear(shard, m, end) for m in cluster.owners())
         )
         if not shard.closed:
             shard.open()
--- a/packages/node/src/chivepier/node/permits.py
+++ b/packages/node/src/chivepier/node/permits.py
@@ -187,6 +187,7 @@
             return await answer
         except LinkError as error:
             await self._cancel(owner, request)
+            await self._cluster.dead.check(owner)
             if self._owner.find(request.pool, request.shard) == owner:
                 raise _unreachable(error) from None
             return _moved()
@@ -390,6 +391,7 @@
                 owner.peer_address, announcement, PERMIT_SECONDS
             )
         except LinkError:
+            await self._cluster.dead.check(owner)
             return AnnounceAnswer(False, 0.0)
 
     async def list_targets(self) -> list[Announcement]:
--- a/packages/node/src/chivepier/node/renewal.py
+++ b/packages/node/src/chivepier/node/renewal.py
@@ -32,6 +32,8 @@
     def __init__(self, cluster: Cluster):
         self._cluster = cluster
         self._hurry = Signal()
+        self._hurried = False
+        self._told = 0
 
     async def run(self) -> None:
         """Renew for as long as the node lives."""
@@ -39,8 +41,13 @@
         while not cluster.leaving:
             if not await self._renew_at_leader():
                 await self._renew_at_members()
+            if self._hurried:
+                # it came while this was busy: a wait would sleep over it
+                self._hurried = False
+                continue
             wait = cluster.terms.renew if cluster.ready() else 0.1
             await self._hurry.wait(wait * random.uniform(0.8, 1.0))
+            self._hurried = False
 
     def handle_notice(self, notice: ChangedNotice) -> None:
         """Hurry: the leader committed a change.
@@ -48,11 +55,13 @@
         :param notice: the committed version
         """
         self._cluster.leader = notice.leader
-        if notice.version > self._cluster.machine.version:
-            self._hurry.set()
+        if notice.version > self._told:
+            # also where it is applied already: the leader waits to hear that
+            self.hurry()
 
     def hurry(self) -> None:
         """Renew at once: something is to be told."""
+        self._hurried = True
         self._hurry.set()
 
     async def _renew_at_leader(self) -> bool:
@@ -88,9 +97,11 @@
                 cluster.leader = answer.leader
             return False
         cluster.leader = address
+        self._told = max(self._told, request.version)
         if answer.version > cluster.machine.version:
             await self._catch_up(address, answer.version)
-            self._hurry.set()
+            if cluster.machine.version >= answer.version:
+                self.hurry()
         cluster.in_force = max(cluster.in_force, answer.in_force)
         if cluster.machine.version >= answer.version:
             cluster.freshness.confirm(asked)
@@ -144,9 +155,13 @@
         :returns: this node's version
         """
         cluster = self._cluster
+        incarnation = cluster.incarnation
+        if cluster.dead.ended(request.node, request.incarnation):
+            # another may own its shards by now: it gets no lease from here
+            incarnation = 0
         return FreshAnswer(
             cluster.identity.node,
-            cluster.incarnation,
+            incarnation,
             cluster.machine.version,
         )
 
@@ -156,7 +171,11 @@
         machine = cluster.machine
         if cluster.replica is not None and cluster.replica.feeds(machine):
             # a voter's state comes by the log alone
-            await machine.changed.wait(cluster.terms.request)
+            end = cluster.clock.monotonic() + cluster.terms.request
+            while machine.version < version:
+                left = end - cluster.clock.monotonic()
+                if left <= 0 or not await machine.changed.wait(left):
+                    return
             return
         while machine.version < version:
             try:
--- a/packages/node/src/chivepier/node/tests/test_ownership.py
+++ b/packages/node/src/chivepier/node/tests/test_ownership.py
@@ -12,6 +12,7 @@
 from chivepier.messages import Announcement
 from chivepier.messages import CancelReport
 from chivepier.messages import ConfirmRequest
+from chivepier.messages import DeathRequest
 from chivepier.messages import encode
 from chivepier.messages import Entry
 from chivepier.messages import FreshAnswer
@@ -27,6 +28,7 @@
 from chivepier.messages import TakeoverRequest
 from chivepier.messages import TargetLoad
 from chivepier.node.cluster import Cluster
+from chivepier.node.deadmembers import DeadMembers
 from chivepier.node.directory import Directory
 from chivepier.node.owner import Owner
 from chivepier.node.peerwatch import PeerWatch
@@ -82,6 +84,7 @@
             peer_address=f"{name}:1",
         )
         self.cluster.watch = PeerWatch(self.cluster)
+        self.cluster.dead = DeadMembers(self.cluster)
         self.owner = Owner(self.cluster, Directory(self.cluster.machine))
         self.permits = Permits(self.cluster, self.owner)
         self.owner.tell_stop = self.permits.handle_stop
@@ -89,6 +92,10 @@
 
     async def request(self, peer, value, timeout):
         """Ask another node, as ``Links`` does."""
+        if peer in self.world.ended:
+            raise LinkError("refused", sent=False, refused=True)
+        if peer in self.world.silent:
+            raise LinkError("silent", sent=True)
         answer = self.world.at(peer).handle(value)
         if asyncio.isfuture(answer):
             answer = await answer
@@ -97,6 +104,8 @@
 
     async def send(self, peer, value):
         """Post to another node, as ``Links`` does."""
+        if peer in self.world.ended | self.world.silent:
+            return
         self.world.at(peer).handle(value)
 
     def handle(self, value):
@@ -122,8 +131,12 @@
                 return self.permits.handle_inflight(value)
             case StopOrder():
                 return self.permits.handle_stop(value)
+            case DeathRequest():
+                return asyncio.ensure_future(
+                    self.cluster.dead.handle_death(value)
+                )
             case FreshRequest():
-                return FreshAnswer(value.node, 1, 0)
+                return FreshAnswer(self.cluster.identity.node, 1, 0)
         raise LinkError(f"not routed: {value}", sent=True)
 
 
@@ -133,6 +146,8 @@
     def __init__(self, *names):
         self.clock = ManualClock()
         self.log = []
+        self.ended = set()
+        self.silent = set()
         self.nodes = {}
         for name in names:
             self.join(name)
@@ -535,3 +550,54 @@
         assert caught.value.failure.retry_after is not None
 
     asyncio.run(body())
+
+
+@pytest.mark.parametrize("ended", [True, False])
+def test_next_owner_takes_over_at_once_from_a_process_that_ended(ended):
+    """The owner's process ends, and no voters' majority can remove it.
+
+    Its port refuses connections at a majority of the members, so its run
+    holds no lease: the next one owns.  A silent owner may live behind a
+    partition: nobody takes its place, and the caller is refused.
+    """
+
+    async def body():
+        names = names_in_order()
+        world = World(*names)
+        entry, following = world.nodes[names[0]], world.nodes[names[1]]
+        await start_shard(world, world.nodes[names[2]])
+        where = world.ended if ended else world.silent
+        where.add(f"{names[2]}:1")
+        world.clock.sleep = lambda seconds: asyncio.sleep(0)
+        following.owner.handle_announcement(make_announcement(2))
+        asked = entry.permits.acquire(make_request(entry))
+        if not ended:
+            with pytest.raises(RequestError) as caught:
+                await asked
+            assert caught.value.failure.ran is Ran.NO
+            assert following.owner.shards == {}
+            return
+        acquiring = asyncio.create_task(asked)
+        await settle(lambda: following.owner.shards)
+        following.owner.handle_announcement(make_announcement(3))
+        assert (await asyncio.wait_for(acquiring, 5)).target == "t"
+
+    asyncio.run(body())
+
+
+def test_one_members_evidence_makes_no_second_owner():
+    """A firewall refuses connections to an owner that lives, from one side."""
+
+    async def body():
+        names = names_in_order()
+        world = World(*names)
+        following = world.nodes[names[1]]
+        await start_shard(world, world.nodes[names[2]])
+        owner = world.nodes[names[2]].cluster.me
+        following.cluster.dead.seen[owner.node, owner.incarnation] = 0.0
+        following.owner.handle_permit(make_request(following))
+        await settle(lambda: not following.owner._suspecting)
+        await settle(lambda: not following.cluster.dead._checking)
+        assert following.owner.shards == {}
+
+    asyncio.run(body())
--- a/packages/types/src/chivepier/messages/__init__.py
+++ b/packages/types/src/chivepier/messages/__init__.py
@@ -20,6 +20,8 @@
 from chivepier.messages.commandrequest import CommandRequest
 from chivepier.messages.confirmanswer import ConfirmAnswer
 from chivepier.messages.confirmrequest import ConfirmRequest
+from chivepier.messages.deathanswer import DeathAnswer
+from chivepier.messages.deathrequest import DeathRequest
 from chivepier.messages.edit import Edit
 from chivepier.messages.enrolanswer import EnrolAnswer
 from chivepier.messages.enrolrequest import EnrolRequest
@@ -85,6 +87,8 @@
     "CommandRequest",
     "ConfirmAnswer",
     "ConfirmRequest",
+    "DeathAnswer",
+    "DeathRequest",
     "Edit",
     "EnrolAnswer",
     "EnrolRequest",
--- a/packages/wire/src/chivepier/wire/links.py
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -116,7 +116,8 @@
                 )
         except (OSError, TimeoutError, WebSocketException) as error:
             text = f"no connection to {peer}: {error!r}"
-            raise LinkError(text, sent=False) from None
+            refused = isinstance(error, ConnectionRefusedError)
+            raise LinkError(text, sent=False, refused=refused) from None
         channel = Channel(
             socket, peer, self._handler, self._faults, self.traffic
         )
