Let deputies serve a part of a shard whose owner can't be reached

Cause: with the voters' majority lost no epoch can replace a dead owner, so its targets served nobody for as long as that lasted. Ruled out: load (it failed alone on an idle machine as well); ownership by a majority of members without an epoch (a second way to move a shard would need a proof of its own). Weighed: a fixed part of every target at each entry (with 8 entries an eighth each, of which one entry can use only its own); the next members in the shard's order stand in, each using a quarter of a target, counting what all reachable entries have in flight. New: a deputy admits a part only. Not proved: the worst case of an owner that is alive and reached by other entries only, where a target gets a quarter more than meant.

--- a/bin/tally.py
+++ b/bin/tally.py
@@ -4,6 +4,7 @@
 import sys
 import xml.etree.ElementTree as ElementTree
 
+SHOWN_LINES = 60
 KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 
 
@@ -20,6 +21,13 @@
     return f"{case.get('classname')}::{case.get('name')}"
 
 
+def show(case: ElementTree.Element) -> None:
+    """Print the end of what a failed test said."""
+    for part in case:
+        lines = (part.text or "").splitlines()
+        print("\n".join(lines[-SHOWN_LINES:]))
+
+
 def main(folder: str) -> int:
     """Count what the reports in a folder say.
 
@@ -41,6 +49,7 @@
                 print(f"known red: {name_of(case)}")
             else:
                 failed += 1
+                show(case)
                 print(f"failed: {name_of(case)}")
     print(f"{passed} passed, {failed} failed")
     return 1 if failed or not passed else 0
--- a/packages/membership/src/chivepier/membership/__init__.py
+++ b/packages/membership/src/chivepier/membership/__init__.py
@@ -5,6 +5,7 @@
 from chivepier.membership.leasetable import LeaseTable
 from chivepier.membership.ownership import find_owner
 from chivepier.membership.ownership import find_shard
+from chivepier.membership.ownership import rank_owners
 from chivepier.membership.terms import LeaseTerms
 
 __all__ = [
@@ -14,4 +15,5 @@
     "LeaseTerms",
     "find_owner",
     "find_shard",
+    "rank_owners",
 ]
--- a/packages/membership/src/chivepier/membership/ownership.py
+++ b/packages/membership/src/chivepier/membership/ownership.py
@@ -22,13 +22,29 @@
     :param members: the live members of the region
     :returns: the owner; draining members own nothing while others live
     """
+    return next(iter(rank_owners(pool, shard, members)), None)
+
+
+def rank_owners(
+    pool: str, shard: int, members: collections.abc.Iterable[Member]
+) -> list[Member]:
+    """Order the members by their claim on a shard.
+
+    The first is its owner; the next ones stand in, in this order, while an
+    entry can't reach those before them.
+
+    :param pool: the pool's name
+    :param shard: number of the shard in its pool
+    :param members: the live members of the region
+    :returns: the members that don't drain, or all if all do
+    """
     able = list(members)
     staying = [m for m in able if not m.draining] or able
     key = f"{pool}/{shard}/"
-    return max(
+    return sorted(
         staying,
         key=lambda m: (hash_text(key + m.node), m.node),
-        default=None,
+        reverse=True,
     )
 
 
--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -299,6 +299,8 @@
                 return self.permits.handle_inflight(message)
             case messages.CancelReport():
                 return self.owner.handle_cancel(message)
+            case messages.DeputyAnnouncement():
+                return self.owner.handle_deputy(message)
             case messages.Announcement():
                 return self.owner.handle_announcement(message)
             case messages.TargetsRequest():
--- a/packages/node/src/chivepier/node/owner.py
+++ b/packages/node/src/chivepier/node/owner.py
@@ -6,12 +6,14 @@
 
 from chivepier.membership import find_owner
 from chivepier.membership import find_shard
+from chivepier.membership import rank_owners
 from chivepier.messages import AdoptRequest
 from chivepier.messages import AnnounceAnswer
 from chivepier.messages import Announcement
 from chivepier.messages import CancelReport
 from chivepier.messages import ConfirmAnswer
 from chivepier.messages import ConfirmRequest
+from chivepier.messages import DeputyAnnouncement
 from chivepier.messages import InflightReport
 from chivepier.messages import InflightRequest
 from chivepier.messages import Member
@@ -25,7 +27,12 @@
 from chivepier.messages import TargetsAnswer
 from chivepier.messages import TargetsRequest
 from chivepier.node.cluster import Cluster
+from chivepier.node.deputies import Deputies
+from chivepier.node.deputies import DEPUTY_FRACTION
+from chivepier.node.deputies import MAX_DEPUTIES
 from chivepier.node.directory import Directory
+from chivepier.node.permitnumber import find_rank
+from chivepier.node.permitnumber import tag_permit
 from chivepier.node.shard import ANNOUNCE_SECONDS
 from chivepier.node.shard import MOVED_RETRY_SECONDS
 from chivepier.node.shard import Shard
@@ -36,7 +43,6 @@
 WATCH_TICKS = 10
 POLL_SECONDS = 0.02
 RECONCILE_SECONDS = 1.5
-EPOCH_BITS = 32
 
 
 class Owner:
@@ -61,6 +67,7 @@
         ] = None
         self._given = itertools.count(1)
         self._tasks: set[asyncio.Task] = set()
+        self.deputies = Deputies(cluster, self._make_deputy)
         cluster.machine.epoch_watchers.append(self._review)
 
     async def run(self) -> None:
@@ -69,11 +76,15 @@
             await asyncio.sleep(TICK_SECONDS)
             self._review(False)
             self._claim()
-            for shard in self.shards.values():
+            self.deputies.expire()
+            for shard in self._all():
                 shard.expire()
             if tick % WATCH_TICKS == 0:
                 self._watch()
 
+    def _all(self) -> list[Shard]:
+        return [*self.shards.values(), *self.deputies.shards.values()]
+
     def _review(self, skipped: bool) -> None:
         """Close at once what this node owns no more.
 
@@ -83,6 +94,7 @@
             if skipped or not self._holds(shard):
                 del self.shards[key]
                 shard.close()
+        self.deputies.review(skipped)
 
     def _claim(self) -> None:
         """Take over what this node owns, before it is asked for it."""
@@ -99,6 +111,16 @@
         """
         return find_owner(pool, number, self._cluster.members())
 
+    def rank(self, pool: str, number: int) -> list[Member]:
+        """Return a shard's owner and its deputies, in order.
+
+        :param pool: the pool's name
+        :param number: the shard's number
+        :returns: members; the owner comes first
+        """
+        ranked = rank_owners(pool, number, self._cluster.members())
+        return ranked[: MAX_DEPUTIES + 1]
+
     def _owns(self, pool: str, number: int) -> bool:
         owner = self.find(pool, number)
         cluster = self._cluster
@@ -133,12 +155,18 @@
             self._spawn(self._take_over(shard))
         return shard
 
-    def _make_shard(self, pool: str, number: int) -> Shard:
+    def _make_deputy(self, pool: str, number: int, rank: int) -> Shard:
+        shard = self._make_shard(pool, number, rank)
+        self._spawn(self._take_over(shard))
+        return shard
+
+    def _make_shard(self, pool: str, number: int, rank: int = 0) -> Shard:
         cluster = self._cluster
         epoch = cluster.machine.epoch
-        # the epoch has one owner, and the count goes on when it loses its
-        # lease and regains the shard: no number is given twice
-        numbers = (epoch << EPOCH_BITS | n for n in self._given)
+        # the epoch has one owner and one deputy of a rank, and the count
+        # goes on when one loses its lease and regains the shard: no number
+        # is given twice
+        numbers = (tag_permit(epoch, rank, n) for n in self._given)
         return Shard(
             pool,
             number,
@@ -147,8 +175,9 @@
             epoch=epoch,
             era=cluster.freshness.era,
             numbers=numbers,
-            may_admit=self._holds,
+            may_admit=self.deputies.holds if rank else self._holds,
             order_stop=self._order_stop,
+            fraction=DEPUTY_FRACTION if rank else 1.0,
         )
 
     def _spawn(self, work: collections.abc.Coroutine) -> None:
@@ -207,7 +236,7 @@
         cluster = self._cluster
         members = {f"{m.node}.{m.incarnation}": m for m in cluster.members()}
         oldest = cluster.clock.monotonic() - RECONCILE_SECONDS
-        for shard in self.shards.values():
+        for shard in self._all():
             shard.watch(members.keys())
             for holder in shard.silent_holders(oldest):
                 self._spawn(self._reconcile(shard, members[holder]))
@@ -251,13 +280,25 @@
         shard.announce(announcement)
         return AnnounceAnswer(True, ANNOUNCE_SECONDS)
 
+    def handle_deputy(self, message: DeputyAnnouncement) -> AnnounceAnswer:
+        """Take a target's announcement as deputy of its shard."""
+        announcement = message.announcement
+        shards = max(1, self._directory.pool_shards(announcement.pool))
+        number = find_shard(announcement.target, shards)
+        pool = announcement.pool
+        shard = self.deputies.find(pool, number, message.rank)
+        if shard is None:
+            return AnnounceAnswer(False, ANNOUNCE_SECONDS)
+        shard.announce(announcement)
+        return AnnounceAnswer(True, ANNOUNCE_SECONDS)
+
     def handle_permit(self, request: PermitRequest):
         """Answer an entry's request, now or when there is room.
 
         :param request: the entry's request
         :returns: an answer, or a future of one
         """
-        shard = self._shard(request.pool, request.shard)
+        shard = self._serving(request.pool, request.shard, request.rank)
         if shard is None:
             return self._refuse()
         future = shard.request(request)
@@ -266,11 +307,21 @@
     def handle_adopt(self, request: AdoptRequest) -> PermitAnswer:
         """Count a generation that an entry resumed."""
         asked = request.request
-        shard = self._shard(asked.pool, asked.shard)
+        shard = self._serving(asked.pool, asked.shard, asked.rank)
         if shard is None:
             return self._refuse()
         return shard.resume(asked, request.target, request.tokens)
 
+    def _serving(self, pool: str, number: int, rank: int) -> Shard | None:
+        if rank:
+            return self.deputies.find(pool, number, rank)
+        return self._shard(pool, number)
+
+    def _at(self, pool: str, number: int) -> list[Shard]:
+        key = (pool, number)
+        found = (self.shards.get(key), self.deputies.shards.get(key))
+        return [shard for shard in found if shard is not None]
+
     def _refuse(self) -> PermitAnswer:
         text = "this instance does not own the shard"
         kind = ErrorKind.NOT_READY.value
@@ -278,37 +329,36 @@
 
     def handle_confirm(self, request: ConfirmRequest) -> ConfirmAnswer:
         """Tell whether a permit may still be used."""
-        shard = self._shard(request.pool, request.shard)
+        rank = find_rank(request.permit)
+        shard = self._serving(request.pool, request.shard, rank)
         valid = shard is not None and shard.confirm(request.permit)
         return ConfirmAnswer(valid)
 
     def handle_cancel(self, report: CancelReport) -> None:
         """Drop a waiting request."""
-        shard = self.shards.get((report.pool, report.shard))
-        if shard is not None:
+        for shard in self._at(report.pool, report.shard):
             shard.cancel(report.request)
 
     def handle_progress(self, report: ProgressReport) -> None:
         """Note delivered tokens; ask the entry about unknown permits."""
-        shard = self.shards.get((report.pool, report.shard))
-        if shard is None or shard.progress(report):
-            return
-        for member in self._cluster.members():
-            if f"{member.node}.{member.incarnation}" == report.entry:
-                self._spawn(self._reconcile(shard, member))
+        for shard in self._at(report.pool, report.shard):
+            if shard.progress(report):
+                continue
+            for member in self._cluster.members():
+                if f"{member.node}.{member.incarnation}" == report.entry:
+                    self._spawn(self._reconcile(shard, member))
 
     def handle_release(self, report: ReleaseReport) -> None:
         """Take back a permit."""
-        shard = self.shards.get((report.pool, report.shard))
-        if shard is not None:
+        for shard in self._at(report.pool, report.shard):
             shard.release(report)
 
     def handle_targets(self, request: TargetsRequest) -> TargetsAnswer:
         """List the targets of this node's shards."""
         found = [
             announcement
-            for (pool, _), shard in self.shards.items()
+            for shard in self.shards.values()
             for announcement in shard.targets.values()
-            if request.pool in ("", pool)
+            if request.pool in ("", shard.pool)
         ]
         return TargetsAnswer(tuple(found))
--- a/packages/node/src/chivepier/node/permits.py
+++ b/packages/node/src/chivepier/node/permits.py
@@ -13,6 +13,7 @@
 from chivepier.messages import Announcement
 from chivepier.messages import CancelReport
 from chivepier.messages import ConfirmRequest
+from chivepier.messages import DeputyAnnouncement
 from chivepier.messages import InflightPermit
 from chivepier.messages import InflightReport
 from chivepier.messages import InflightRequest
@@ -30,7 +31,9 @@
 from chivepier.node.cluster import Cluster
 from chivepier.node.inflight import Inflight
 from chivepier.node.owner import Owner
+from chivepier.node.permitnumber import find_rank
 from chivepier.node.seentargets import SeenTargets
+from chivepier.node.unreachable import Unreachable
 from chivepier.types import ErrorKind
 from chivepier.types import Failure
 from chivepier.types import RequestError
@@ -72,6 +75,7 @@
         self._numbers = itertools.count(1)
         self._inflight: dict[tuple[str, int, int], Inflight] = {}
         self._seen = SeenTargets(cluster.clock)
+        self._unreachable = Unreachable(cluster.clock)
 
     async def run(self) -> None:
         """Report progress for as long as the node lives."""
@@ -85,20 +89,28 @@
 
     async def send_progress(self) -> None:
         """Tell each shard's owner how far its requests are, at once."""
-        shards: dict[tuple[str, int], list[tuple[int, int]]] = {}
+        shards: dict[tuple[str, int, int], list[tuple[int, int]]] = {}
         for (pool, shard, permit), inflight in self._inflight.items():
-            tokens = shards.setdefault((pool, shard), [])
+            tokens = shards.setdefault((pool, shard, find_rank(permit)), [])
             tokens.append((permit, inflight.tokens))
-        for (pool, shard), tokens in shards.items():
+        for (pool, shard, rank), tokens in shards.items():
             report = ProgressReport(
                 self._cluster.holder, pool, shard, tuple(tokens)
             )
-            await self._tell(report)
-
-    async def _tell(self, report: ProgressReport | ReleaseReport) -> None:
-        owner = self._owner.find(report.pool, report.shard)
-        if owner is None:
-            return
+            await self._tell(report, rank)
+
+    async def _tell(
+        self, report: ProgressReport | ReleaseReport, rank: int
+    ) -> None:
+        """Tell the owner, and the deputy that gave the permit."""
+        ranked = self._owner.rank(report.pool, report.shard)
+        for place in {0, rank}:
+            if place < len(ranked) and ranked[place] not in self._unreachable:
+                await self._tell_member(ranked[place], report)
+
+    async def _tell_member(
+        self, owner: Member, report: ProgressReport | ReleaseReport
+    ) -> None:
         if not self._mine(owner):
             await self._cluster.links.send(owner.peer_address, report)
         elif isinstance(report, ProgressReport):
@@ -166,6 +178,8 @@
             asked = clock.monotonic()
             left = max(0.0, request.patience - (asked - start))
             answer = await self._ask(attrs.evolve(request, patience=left))
+            if answer is None:
+                continue
             if not answer.error:
                 if await self._take(request, answer, asked):
                     return answer
@@ -176,8 +190,10 @@
             # the shard moves, or the permit came too late: ask again
             await clock.sleep(MOVE_POLL_SECONDS)
 
-    async def _ask(self, request: PermitRequest) -> PermitAnswer:
-        owner = self._find(request.pool, request.shard)
+    async def _ask(self, request: PermitRequest) -> PermitAnswer | None:
+        """Ask once; ``None`` when another member is to be asked now."""
+        owner, rank = self._find(request.pool, request.shard)
+        request = attrs.evolve(request, rank=rank)
         try:
             if not self._mine(owner):
                 return await self._ask_remote(owner, request)
@@ -185,11 +201,12 @@
             if isinstance(answer, PermitAnswer):
                 return answer
             return await answer
-        except LinkError as error:
+        except LinkError:
+            ranked = self._owner.rank(request.pool, request.shard)
+            if rank < len(ranked) and ranked[rank] == owner:
+                self._unreachable.add(owner)
             await self._cancel(owner, request)
-            if self._owner.find(request.pool, request.shard) == owner:
-                raise _unreachable(error) from None
-            return _moved()
+            return None
         except BaseException:
             await self._cancel(owner, request)
             raise
@@ -198,18 +215,28 @@
         self, owner: Member, request: PermitRequest
     ) -> PermitAnswer:
         def moved() -> bool:
-            return self._owner.find(request.pool, request.shard) != owner
+            ranked = self._owner.rank(request.pool, request.shard)
+            return request.rank >= len(ranked) or (
+                ranked[request.rank] != owner
+            )
 
         async with self._cluster.watch.watch(owner.peer_address, moved):
             return await self._cluster.links.request(
                 owner.peer_address, request, request.patience + LINK_SECONDS
             )
 
-    def _find(self, pool: str, shard: int) -> Member:
-        owner = self._owner.find(pool, shard)
-        if owner is None:
+    def _find(self, pool: str, shard: int) -> tuple[Member, int]:
+        """Return whom to ask: the owner, or the first reachable deputy."""
+        ranked = self._owner.rank(pool, shard)
+        if not ranked:
             raise RequestError.of(ErrorKind.NOT_READY, "no members yet")
-        return owner
+        for rank, member in enumerate(ranked):
+            if member not in self._unreachable:
+                return member, rank
+        text = "neither the shard's owner nor a deputy answers"
+        raise RequestError(
+            Failure(ErrorKind.NOT_READY, text, retry_after=OWNER_RETRY)
+        )
 
     async def _take(
         self, request: PermitRequest, answer: PermitAnswer, asked: float
@@ -249,7 +276,7 @@
     async def _confirm(self, request: PermitRequest, permit: int) -> bool:
         question = ConfirmRequest(request.pool, request.shard, permit)
         try:
-            owner = self._find(request.pool, request.shard)
+            owner = self._giver(request, permit)
             if self._mine(owner):
                 return self._owner.handle_confirm(question).valid
             answer = await self._cluster.links.request(
@@ -259,6 +286,13 @@
             return False
         return answer.valid
 
+    def _giver(self, request: PermitRequest, permit: int) -> Member:
+        ranked = self._owner.rank(request.pool, request.shard)
+        rank = find_rank(permit)
+        if rank >= len(ranked):
+            raise RequestError.of(ErrorKind.NOT_READY, "the shard moved")
+        return ranked[rank]
+
     async def adopt(
         self, request: PermitRequest, target: str, tokens: int
     ) -> PermitAnswer:
@@ -273,7 +307,8 @@
         :returns: the permit
         :raises RequestError: ``not_ready`` when the owner can't be reached
         """
-        owner = self._find(request.pool, request.shard)
+        owner, rank = self._find(request.pool, request.shard)
+        request = attrs.evolve(request, rank=rank)
         question = AdoptRequest(request, target, tokens)
         try:
             if self._mine(owner):
@@ -283,6 +318,7 @@
                     owner.peer_address, question, LINK_SECONDS
                 )
         except LinkError as error:
+            self._unreachable.add(owner)
             raise _unreachable(error) from None
         if answer.error:
             raise _refusal(answer)
@@ -355,7 +391,7 @@
         """
         key = (report.pool, report.shard, report.permit)
         self._inflight.pop(key, None)
-        await self._tell(report)
+        await self._tell(report, find_rank(report.permit))
 
     async def announce(
         self, announcement: Announcement, shard: int
@@ -371,8 +407,8 @@
         clock = self._cluster.clock
         end = clock.monotonic() + ANNOUNCE_SECONDS
         while True:
-            owner = self._find(announcement.pool, shard)
-            answer = await self._announce_at(owner, announcement)
+            owner, rank = self._find(announcement.pool, shard)
+            answer = await self._announce_at(owner, rank, announcement)
             if answer.accepted:
                 return answer
             if clock.monotonic() > end:
@@ -381,15 +417,21 @@
             await clock.sleep(MOVE_POLL_SECONDS)
 
     async def _announce_at(
-        self, owner: Member, announcement: Announcement
+        self, owner: Member, rank: int, announcement: Announcement
     ) -> AnnounceAnswer:
+        message = announcement
+        if rank:
+            message = DeputyAnnouncement(announcement, rank)
         if self._mine(owner):
-            return self._owner.handle_announcement(announcement)
+            if rank:
+                return self._owner.handle_deputy(message)
+            return self._owner.handle_announcement(message)
         try:
             return await self._cluster.links.request(
-                owner.peer_address, announcement, PERMIT_SECONDS
+                owner.peer_address, message, PERMIT_SECONDS
             )
         except LinkError:
+            self._unreachable.add(owner)
             return AnnounceAnswer(False, 0.0)
 
     async def list_targets(self) -> list[Announcement]:
@@ -424,8 +466,3 @@
     return RequestError(
         Failure(ErrorKind.NOT_READY, text, retry_after=OWNER_RETRY)
     )
-
-
-def _moved() -> PermitAnswer:
-    kind = ErrorKind.NOT_READY.value
-    return PermitAnswer(0, "", "", 0, kind, "the owner changed", 1.0)
--- a/packages/node/src/chivepier/node/shard.py
+++ b/packages/node/src/chivepier/node/shard.py
@@ -51,6 +51,7 @@
     :param numbers: permit numbers that no other owner gives
     :param may_admit: whether this node owns the shard right now
     :param order_stop: sends an order to an entry's peer address
+    :param fraction: the part of each target's capacity that may be used
     """
 
     def __init__(
@@ -65,6 +66,7 @@
         numbers: collections.abc.Iterator[int],
         may_admit: collections.abc.Callable[["Shard"], bool],
         order_stop: collections.abc.Callable[[str, StopOrder], None],
+        fraction: float = 1.0,
     ):
         self.pool = pool
         self.number = number
@@ -77,6 +79,7 @@
         self._numbers = numbers
         self._may_admit = may_admit
         self._order_stop = order_stop
+        self._fraction = fraction
         self.policy: Policy = LeastInflight(clock, numbers)
         self.book = PermitBook()
         self.targets: dict[str, Announcement] = {}
@@ -118,7 +121,7 @@
         known = self.targets.get(target)
         self.targets[target] = announcement
         self._seen[target] = now
-        self.policy.set_target(_view(announcement))
+        self.policy.set_target(_view(announcement, self._fraction))
         if self.opened and known is None:
             self._count_unknown(announcement)
         restarted = (
@@ -490,15 +493,15 @@
         }
 
 
-def _view(announcement: Announcement) -> TargetView:
+def _view(announcement: Announcement, fraction: float) -> TargetView:
     return TargetView(
         target=announcement.target,
         address=announcement.address,
         zone=announcement.zone,
         models=frozenset(m.partition("@")[0] for m in announcement.models),
         adapters=frozenset(announcement.adapters),
-        capacity_tokens=announcement.capacity_tokens,
-        max_streams=announcement.max_streams,
+        capacity_tokens=int(announcement.capacity_tokens * fraction),
+        max_streams=max(1, int(announcement.max_streams * fraction)),
         leaving=announcement.leaving,
         running=announcement.load.running,
         waiting=announcement.load.waiting,
--- a/packages/types/src/chivepier/messages/__init__.py
+++ b/packages/types/src/chivepier/messages/__init__.py
@@ -20,6 +20,7 @@
 from chivepier.messages.commandrequest import CommandRequest
 from chivepier.messages.confirmanswer import ConfirmAnswer
 from chivepier.messages.confirmrequest import ConfirmRequest
+from chivepier.messages.deputyannouncement import DeputyAnnouncement
 from chivepier.messages.edit import Edit
 from chivepier.messages.enrolanswer import EnrolAnswer
 from chivepier.messages.enrolrequest import EnrolRequest
@@ -85,6 +86,7 @@
     "CommandRequest",
     "ConfirmAnswer",
     "ConfirmRequest",
+    "DeputyAnnouncement",
     "Edit",
     "EnrolAnswer",
     "EnrolRequest",
--- a/packages/types/src/chivepier/messages/permitrequest.py
+++ b/packages/types/src/chivepier/messages/permitrequest.py
@@ -5,7 +5,10 @@
 
 @message(80)
 class PermitRequest:
-    """Ask a shard's owner for a target for one request."""
+    """Ask a shard's owner for a target for one request.
+
+    ``rank`` is 0 for the owner, and counts up for the deputies.
+    """
 
     request: str
     pool: str
@@ -22,3 +25,4 @@
     entry: str
     patience: float
     excluded: tuple[str, ...]
+    rank: int = 0
