Halve the wait bounds, cheapen decisions, keep room for light teams

Light teams: all but those under 0.3 of the waiting teams' held memory by weight leave 5% of a target free.

Cost: chances are looked up again after a quarter more tokens instead of at each report, targets are asked for room from the best score on, a full pass is remembered until something ends.

Surging site weights follow size now, so that the other teams ask for no more than their shares: with the old ones their loss was the fair division. Two failures in a row make a target suspect, not one: one can be the request's own.

--- a/packages/policy/src/chivepier/policy/flight.py
+++ b/packages/policy/src/chivepier/policy/flight.py
@@ -5,7 +5,7 @@
 from chivepier.policy.lengthprofile import LengthProfile
 
 SLACK_TOKENS = 40
-BEHIND_TOKENS = 24
+BEHIND_TOKENS = 32
 
 
 class Flight:
@@ -14,21 +14,25 @@
     ``prompt`` counts the prompt tokens that it holds alone or first;
     :data:`SLACK_TOKENS` cover the unfilled block, what came since the last
     report, and growth up to the first horizon.  ``counted`` tokens of those
-    that came are in the target's sums.  ``charged`` is what its team has
+    that came are in the target's sums; with ``due`` tokens all is counted
+    anew.  ``size`` is the memory that its team answers for.  ``charged`` is what its team has
     paid for, in tokens.
     """
 
     __slots__ = (
-        "chances",
         "charged",
         "counted",
-        "first",
+        "due",
         "held",
         "profile",
+        "means",
         "prompt",
         "shares",
         "seen",
+        "shares",
+        "size",
         "uncached",
+        "variances",
     )
 
     def __init__(self, held: Held, profile: LengthProfile, prompt: int):
@@ -38,32 +42,23 @@
         self.charged = 0.0
         self.uncached = 0
         self.seen = held.granted
-        self.first = held.tokens > 0
+        self.size = 0.0
         self.shares = False
         self.refresh()
 
-    @property
-    def is_behind(self) -> bool:
-        """Whether so much came that the chances must be looked up again."""
-        counted = self.counted
-        return self.held.tokens - counted > BEHIND_TOKENS + counted // 4
-
     def refresh(self) -> None:
         """Look the chances up again after progress."""
         tokens = self.counted = self.held.tokens
-        self.chances = limit_chances(
+        self.due = tokens + BEHIND_TOKENS + tokens // 4
+        chances = limit_chances(
             self.profile.survive(tokens), self.held.ask.max_tokens - tokens
         )
-
-    def add_to(self, means, variances, sign: float) -> None:
-        """Add the stream to, or take it from, a target's sums."""
-        size = self.prompt + self.counted
-        chances = self.chances
-        for index, horizon in enumerate(HORIZONS):
-            chance = chances[index]
-            held = size + horizon
-            means[index] += sign * chance * held
-            variances[index] += sign * chance * (1.0 - chance) * held * held
+        size = self.prompt + tokens
+        sizes = [size + horizon for horizon in HORIZONS]
+        self.means = [c * s for c, s in zip(chances, sizes)]
+        self.variances = [
+            c * (1.0 - c) * s * s for c, s in zip(chances, sizes)
+        ]
 
 
 def limit_chances(chances: tuple, left: int) -> tuple:
--- a/packages/policy/src/chivepier/policy/limits.py
+++ b/packages/policy/src/chivepier/policy/limits.py
@@ -6,7 +6,7 @@
 
 
 def _waits() -> dict[Urgency, float]:
-    return {Urgency.URGENT: 2.0, Urgency.NORMAL: 3.0, Urgency.BATCH: 6.0}
+    return {Urgency.URGENT: 1.5, Urgency.NORMAL: 2.0, Urgency.BATCH: 4.0}
 
 
 @attrs.frozen(kw_only=True)
@@ -18,8 +18,7 @@
     target's memory that a team over its share leaves free.  ``load_tokens``
     says how many prompt tokens a full target must save to be preferred to
     an empty one, ``zone_tokens`` how many to leave the caller's zone.
-    ``prefill_tokens`` bounds prompt tokens at a target that await their
-    first token.  While a team waits for room, another may be ahead of it by
+    While a team waits for room, another may be ahead of it by
     ``lead_tokens`` of service over weight.  ``ahead_tokens`` of the expected
     output are charged with the grant, the rest as it comes.
     """
@@ -28,9 +27,8 @@
     lend_spare: float = 0.05
     load_tokens: float = 2000.0
     zone_tokens: float = 30.0
-    prefill_tokens: float = 4096.0
     lead_tokens: float = 3000.0
-    ahead_tokens: float = 64.0
+    ahead_tokens: float = 256.0
     affinity: bool = True
     scan: int = 4
     heads: int = 6
--- a/packages/policy/src/chivepier/policy/placement.py
+++ b/packages/policy/src/chivepier/policy/placement.py
@@ -14,6 +14,9 @@
 URGENT_STREAMS = 2
 
 
+WINDOW = 8
+
+
 @attrs.frozen
 class Place:
     """A target, prompt tokens to hold there, and tokens not cached."""
@@ -29,6 +32,7 @@
 
     def __init__(self, limits: Limits):
         self._limits = limits
+        self._turn = 0
         self.index = PrefixIndex()
 
     def choose(
@@ -36,32 +40,49 @@
         ask: Ask,
         chances: tuple,
         borrows: bool,
-        states,
-        now: float,
+        states: list[TargetState],
     ) -> Place | None:
         """Return the best target with room, or ``None``.
 
+        Scores are cheap, room is not: targets are asked for room from the
+        best score on.
+
         :param ask: the request
         :param chances: its chances to reach each horizon
         :param borrows: whether its team holds more than its share
         :param states: targets to choose from
-        :param now: the time, in seconds
         :returns: where it runs
         """
-        best = None
-        for state in states:
-            if not self._is_open(state, ask, now):
-                continue
-            place = self._try_target(state, ask, chances, borrows)
-            if place is None:
+        size = ask.prompt_tokens
+        scored = []
+        for order, state in enumerate(self._sample(ask, states)):
+            if size >= state.refused_sizes[borrows]:
                 continue
-            if best is None or place.score < best.score:
-                best = place
-        return best
+            if self._is_open(state, ask):
+                uncached = self._count_uncached(state, ask)
+                score = uncached + self._weigh(state, ask)
+                scored.append((score, order, uncached, state))
+        scored.sort()
+        for score, _, uncached, state in scored:
+            prompt = self._find_room(state, ask, chances, borrows)
+            if prompt is not None:
+                return Place(state, prompt, uncached, score)
+        return None
 
-    def _is_open(self, state: TargetState, ask: Ask, now: float) -> bool:
-        if state.gone or now < state.suspect_until:
-            return False
+    def _sample(self, ask: Ask, states: list[TargetState]):
+        # with many targets some are as good as all, and cost less
+        if len(states) <= WINDOW:
+            return states
+        self._turn = (self._turn + WINDOW) % len(states)
+        found = (states[self._turn :] + states)[:WINDOW]
+        last = self.index.find_last(ask.prefix)
+        return found + [
+            state
+            for state in states
+            if state.view.target == last and state not in found
+        ]
+
+    def _is_open(self, state: TargetState, ask: Ask) -> bool:
         if state.reserved_for and state.reserved_for != ask.request:
             return False
         if not serves(state.view, ask):
@@ -69,33 +90,33 @@
         limit = state.pace.limit
         if ask.urgency == Urgency.URGENT:
             limit += URGENT_STREAMS
-        return state.streams < min(state.view.max_streams, limit)
-
-    def _try_target(self, state, ask, chances, borrows) -> Place | None:
-        view = state.view
-        if not view.capacity_tokens:
-            return Place(state, 0, 0, state.streams / view.max_streams)
-        if ask.prompt_tokens >= state.refused_sizes[borrows]:
-            return None
+        return len(state.flights) < limit
+
+    def _count_uncached(self, state: TargetState, ask: Ask) -> int:
+        if not self._limits.affinity:
+            return ask.prompt_tokens
+        hits = self.index.count_hits(state.view.target, ask.prefix)
+        return max(0, ask.prompt_tokens - hits * PREFIX_BLOCK_TOKENS)
+
+    def _find_room(self, state, ask, chances, borrows) -> int | None:
+        capacity = state.view.capacity_tokens
+        if not capacity:
+            return 0
         shared = state.count_shared(ask.prefix) * PREFIX_BLOCK_TOKENS
-        prompt = max(0, ask.prompt_tokens - shared) + SLACK_TOKENS
-        spare = self._limits.lend_spare * view.capacity_tokens
-        if not state.fits(prompt, chances, spare if borrows else 0.0):
-            state.refused_sizes[borrows] = ask.prompt_tokens
-            return None
-        uncached = ask.prompt_tokens
-        if self._limits.affinity:
-            hits = self.index.count_hits(view.target, ask.prefix)
-            uncached = max(0, uncached - hits * PREFIX_BLOCK_TOKENS)
-        pending = state.pending
-        if pending and pending + uncached > self._limits.prefill_tokens:
-            return None
-        score = uncached + pending + self._weigh(state, ask)
-        return Place(state, prompt - SLACK_TOKENS, uncached, score)
+        prompt = max(0, ask.prompt_tokens - shared)
+        spare = self._limits.lend_spare * capacity if borrows else 0.0
+        if state.fits(prompt + SLACK_TOKENS, chances, spare):
+            return prompt
+        state.refused_sizes[borrows] = ask.prompt_tokens
+        return None
 
     def _weigh(self, state: TargetState, ask: Ask) -> float:
-        fill = state.used / state.view.capacity_tokens
-        score = self._limits.load_tokens * fill * fill
+        capacity = state.view.capacity_tokens
+        if capacity:
+            fill = state.used / capacity
+        else:
+            fill = len(state.flights) / state.view.max_streams
+        score = self._limits.load_tokens * fill * fill + state.pending
         if ask.zone != state.view.zone:
             score += self._limits.zone_tokens
         return score
--- a/packages/policy/src/chivepier/policy/prefixindex.py
+++ b/packages/policy/src/chivepier/policy/prefixindex.py
@@ -22,6 +22,8 @@
     def __init__(self, max_prefixes: int = MAX_PREFIXES):
         self._max = max_prefixes
         self._sizes: dict[str, int] = {}
+        self._last: collections.OrderedDict[int, str]
+        self._last = collections.OrderedDict()
         self._by_target: dict[str, collections.OrderedDict[int, None]] = {}
 
     def insert(self, target: str, prefix: tuple[int, ...]) -> None:
@@ -30,6 +32,12 @@
         :param target: the target's name
         :param prefix: hashes of growing prefixes
         """
+        if not prefix:
+            return
+        self._last[prefix[-1]] = target
+        self._last.move_to_end(prefix[-1])
+        if len(self._last) > self._max:
+            self._last.popitem(last=False)
         known = self._by_target.setdefault(target, collections.OrderedDict())
         for key in reversed(prefix):
             known[key] = None
@@ -37,6 +45,13 @@
         while len(known) > self._sizes.get(target, self._max):
             known.popitem(last=False)
 
+    def find_last(self, prefix: tuple[int, ...]) -> str:
+        """Return the target that got the longest part of a prefix last."""
+        for key in reversed(prefix):
+            if key in self._last:
+                return self._last[key]
+        return ""
+
     def confirm(self, target: str, cached: frozenset[int]) -> None:
         """Take in the target's own, late report.
 
--- a/packages/policy/src/chivepier/policy/refusing.py
+++ b/packages/policy/src/chivepier/policy/refusing.py
@@ -10,7 +10,7 @@
 LEAST_QUEUE = 4
 LEAST_RETRY = 0.5
 MOST_RETRY = 30.0
-LATE = 2.0
+LATE = 1.3
 
 
 class Refusing:
@@ -61,9 +61,8 @@
         :returns: the refusals; the requests are out of the queue
         """
         found = []
-        for team in list(self._sharing.teams.values()):
-            if team.waiting:
-                found += self._trim_team(team, now)
+        for team in list(self._sharing.queued.values()):
+            found += self._trim_team(team, now)
         return found
 
     def _trim_team(self, team: TeamQueue, now: float) -> list[Refusal]:
--- a/packages/policy/src/chivepier/policy/sharedpolicy.py
+++ b/packages/policy/src/chivepier/policy/sharedpolicy.py
@@ -29,6 +29,7 @@
 
 TRIM_SECONDS = 0.1
 SUSPECT_SECONDS = 2.0
+SUSPECT_FAILURES = 2
 NO_TARGET_SECONDS = 2.0
 RESERVE_SECONDS = 0.25
 PROMPT_COST = 0.1
@@ -62,6 +63,9 @@
         self._refusals: list[Refusal] = []
         self._trimmed = -math.inf
         self._reserved: TargetState | None = None
+        # nothing of this many prompt tokens fits until something ends
+        self._room = math.inf
+        self._changed = False
 
     def set_target(self, view: TargetView) -> None:
         """Add a target, or replace what is known of it."""
@@ -71,6 +75,8 @@
         else:
             state.gone = False
             state.update(view)
+        self._room = math.inf
+        self._changed = True
         index = self._placement.index
         blocks = view.capacity_tokens // PREFIX_BLOCK_TOKENS
         index.resize(view.target, blocks)
@@ -83,6 +89,7 @@
         if state is None:
             return
         self._placement.index.forget(target)
+        self._changed = True
         state.gone = True
         if not state.flights:
             del self._states[target]
@@ -97,6 +104,8 @@
             self._refusals.append(refusal)
             return
         self._sharing.push(ask, now)
+        if ask.prompt_tokens < self._room:
+            self._room = math.inf
         if len(self._sharing.waiting) > ask.queue_limit:
             self._refuse_longest(now)
 
@@ -118,7 +127,7 @@
 
     def _refuse_longest(self, now: float) -> None:
         team = max(
-            (team for team in self._sharing.teams.values() if team.waiting),
+            self._sharing.queued.values(),
             key=lambda team: team.waiting / team.weight,
         )
         ask = team.classes[team.order()[-1]].tail()
@@ -147,28 +156,33 @@
         held = flight.held
         self._flights[held.permit] = flight
         self._states[held.target].add(flight)
-        self._sharing.hold(held.ask, _size(held))
+        expected = min(flight.profile.expect(0), held.ask.max_tokens)
+        flight.size = held.ask.prompt_tokens + expected
+        self._sharing.hold(held.ask, flight.size)
 
     def progress(self, permit: int, tokens: int) -> None:
         """Note the tokens a request has delivered so far, in all."""
         flight = self._flights.get(permit)
         if flight is None or tokens <= flight.held.tokens:
             return
-        held = flight.held
-        state = self._states[held.target]
+        state = self._states[flight.held.target]
+        counted = flight.counted
+        if state.advance(flight, tokens):
+            self._recount(flight, state, counted)
+
+    def _recount(
+        self, flight: Flight, state: TargetState, counted: int
+    ) -> None:
+        tokens = flight.counted
+        ask = flight.held.ask
         now = self._clock.monotonic()
-        before = held.tokens
-        if before:
-            interval = (now - flight.seen) / (tokens - before)
+        if counted:
+            interval = (now - flight.seen) / (tokens - counted)
             state.pace.see(interval, state.streams, now)
         flight.seen = now
-        counted = flight.counted
-        state.advance(flight, tokens)
-        if flight.counted > counted:
-            self._lengths.advance(held.ask, counted, tokens)
+        self._lengths.advance(ask, counted, tokens)
         if tokens > flight.charged:
-            team = self._sharing.find(held.ask)
-            team.charge(tokens - flight.charged)
+            self._sharing.find(ask).charge(tokens - flight.charged)
             flight.charged = tokens
 
     def release(
@@ -182,15 +196,16 @@
         ask = held.ask
         state = self._states[held.target]
         state.remove(flight)
-        self._sharing.drop(ask, _size(held))
+        self._room = math.inf
+        self._sharing.drop(ask, flight.size)
         if tokens > flight.counted:
             self._lengths.advance(ask, flight.counted, tokens)
         match outcome:
             case PermitOutcome.FINISHED if tokens < ask.max_tokens:
                 self._lengths.finish(ask, tokens)
+                state.failures = 0
             case PermitOutcome.TARGET_FAILED:
-                now = self._clock.monotonic()
-                state.suspect_until = now + SUSPECT_SECONDS
+                self._suspect(state)
         team = self._sharing.find(ask)
         team.charge(tokens - flight.charged)
         if team.waiting:
@@ -198,6 +213,12 @@
         if state.gone and not state.flights:
             del self._states[held.target]
 
+    def _suspect(self, state: TargetState) -> None:
+        state.failures += 1
+        if state.failures >= SUSPECT_FAILURES:
+            now = self._clock.monotonic()
+            state.suspect_until = now + SUSPECT_SECONDS
+
     def decide(self) -> list[Decision]:
         """Return what is decided now."""
         now = self._clock.monotonic()
@@ -205,8 +226,14 @@
         if now - self._trimmed >= TRIM_SECONDS:
             self._trimmed = now
             self._refusals += self._refusing.trim(now)
+            self._sharing.measure()
+            for state in self._states.values():
+                state.refused_sizes = [math.inf, math.inf]
+            self._room = math.inf
+        if self._changed:
+            self._changed = False
             self._refusals += self._refuse_lost(now)
-        if self._sharing.waiting:
+        if self._sharing.waiting and self._room == math.inf:
             decisions += self._grant_all(now)
         decisions += self._refusals
         self._refusals = []
@@ -226,6 +253,7 @@
 
     def _grant_all(self, now: float) -> list[Decision]:
         grants: list[Decision] = []
+        states = [s for s in self._states.values() if s.is_open(now)]
         blocked: list[TeamQueue] = []
         self._check_reservation()
         while len(blocked) < self._limits.heads:
@@ -235,14 +263,16 @@
             if blocked and self._is_ahead(team, blocked[0]):
                 blocked.append(team)
                 break
-            grant = self._grant_team(team, now, not blocked)
+            grant = self._grant_team(team, states, now, not blocked)
             if grant is None:
                 blocked.append(team)
                 continue
             grants.append(grant)
+            states = [state for state in states if state.is_open(now)]
             self._sharing.give_back(team)
         for team in blocked:
             self._sharing.give_back(team)
+        self._room = max((s.refused_sizes[0] for s in states), default=0.0)
         return grants
 
     def _is_ahead(self, team: TeamQueue, first: TeamQueue) -> bool:
@@ -251,11 +281,11 @@
         return team.spent > first.spent + self._limits.lead_tokens
 
     def _grant_team(
-        self, team: TeamQueue, now: float, first: bool
+        self, team: TeamQueue, states: list, now: float, first: bool
     ) -> Grant | None:
         for urgency in team.order():
             queue = team.classes[urgency]
-            found = self._find_place(team, queue, now)
+            found = self._find_place(team, queue, states)
             if found is not None:
                 return self._grant(*found, now)
             if first:
@@ -263,15 +293,16 @@
                 first = False
         return None
 
-    def _find_place(self, team, queue, now):
+    def _find_place(self, team, queue, states):
         borrows = self._sharing.borrows(team)
         best = None
+        room = max((s.refused_sizes[borrows] for s in states), default=0.0)
         for ask in itertools.islice(queue.values(), self._limits.scan):
+            if ask.prompt_tokens >= room:
+                continue
             profile = self._lengths.profile(ask)
             chances = limit_chances(profile.survive(0), ask.max_tokens)
-            place = self._placement.choose(
-                ask, chances, borrows, self._states.values(), now
-            )
+            place = self._placement.choose(ask, chances, borrows, states)
             if place is None:
                 continue
             if best is None or place.score < best[1].score:
@@ -286,6 +317,7 @@
         permit = next(self._permits)
         held = Held(permit=permit, ask=ask, target=target, granted=now)
         flight = Flight(held, profile, place.prompt)
+        flight.uncached = place.uncached
         flight.charged = expected
         self._fly(flight)
         self._placement.index.insert(target, ask.prefix)
@@ -312,7 +344,3 @@
         if able:
             self._reserved = min(able, key=lambda state: state.used)
             self._reserved.reserved_for = ask.request
-
-
-def _size(held: Held) -> float:
-    return held.ask.prompt_tokens
--- a/packages/policy/src/chivepier/policy/sharing.py
+++ b/packages/policy/src/chivepier/policy/sharing.py
@@ -3,6 +3,7 @@
 import collections
 import heapq
 import itertools
+import math
 
 from chivepier.policy.ask import Ask
 from chivepier.policy.drainrate import DrainRate
@@ -10,6 +11,7 @@
 
 CREDIT_TOKENS = 4000.0
 MAX_IDLE_TEAMS = 1024
+BORROWS = 0.3
 
 
 class Sharing:
@@ -27,7 +29,8 @@
         self.granted = DrainRate()
         self._time = 0.0
         self._active_weight = 0.0
-        self._held = 0.0
+        self.queued: dict[str, TeamQueue] = {}
+        self._level = math.inf
         self._heap: list[tuple[float, int, TeamQueue]] = []
         self._order = itertools.count()
 
@@ -64,6 +67,7 @@
             self.requeue(team)
         self._change(team, 1, 0.0)
         team.push(ask)
+        self.queued[team.team] = team
         self.waiting[ask.request] = ask
 
     def remove(self, ask: Ask, now: float) -> TeamQueue:
@@ -71,6 +75,8 @@
         team = self.teams[ask.team]
         self._tick(team, now)
         team.remove(ask)
+        if not team.waiting:
+            del self.queued[team.team]
         del self.waiting[ask.request]
         self._change(team, -1, 0.0)
         return team
@@ -96,7 +102,6 @@
         before = team.active
         team.active += count
         team.held += tokens
-        self._held += tokens
         if bool(before) != bool(team.active):
             sign = 1 if team.active else -1
             self._active_weight += sign * team.weight
@@ -110,9 +115,20 @@
         others = self._active_weight - (team.weight if team.active else 0.0)
         return team.weight / (team.weight + max(0.0, others))
 
+    def measure(self) -> None:
+        """Find the most that a waiting team holds, by weight.
+
+        Where the division is fair, what waits holds equally much by weight,
+        and what holds less than that does not wait.
+        """
+        self._level = max(
+            (team.held / team.weight for team in self.queued.values()),
+            default=math.inf,
+        )
+
     def borrows(self, team: TeamQueue) -> bool:
-        """Tell whether a team holds more memory than its share."""
-        return team.held > self.share(team) * self._held
+        """Tell whether a team is among those that took what is free."""
+        return team.held / team.weight > BORROWS * self._level
 
     def rate(self, team: TeamQueue, now: float) -> float:
         """Return the requests a second that leave a team's queue."""
--- a/packages/policy/src/chivepier/policy/targetstate.py
+++ b/packages/policy/src/chivepier/policy/targetstate.py
@@ -12,7 +12,7 @@
 MAX_RISK = 4.0
 FIRST_RISK = 1.0
 RISK_STEP = 0.5
-RISK_DECAY = 0.97
+RISK_DECAY = 0.99
 HEADROOM = 0.01
 
 
@@ -35,6 +35,7 @@
         self.refused_sizes = [math.inf, math.inf]
         self.gone = False
         self.pending = 0
+        self.failures = 0
         self.reserved_for = ""
         self._means = [0.0] * len(HORIZONS)
         self._variances = [0.0] * len(HORIZONS)
@@ -80,7 +81,14 @@
         """Count a request."""
         permit = flight.held.permit
         self.flights[permit] = flight
-        flight.add_to(self._means, self._variances, 1.0)
+        self.pending += flight.uncached
+        self._sum(flight, 1.0)
+
+    def _sum(self, flight: Flight, sign: float) -> None:
+        means, variances = self._means, self._variances
+        for index, mean in enumerate(flight.means):
+            means[index] += sign * mean
+            variances[index] += sign * flight.variances[index]
 
     def _share(self, flight: Flight) -> None:
         # only with the first token is the prompt in the cache: until then
@@ -98,10 +106,12 @@
         permit = flight.held.permit
         del self.flights[permit]
         self._behind -= flight.held.tokens - flight.counted
-        flight.add_to(self._means, self._variances, -1.0)
+        self._sum(flight, -1.0)
         if flight.shares:
             for key in flight.held.ask.prefix:
                 self._drop_user(key, permit)
+        else:
+            self.pending -= flight.uncached
         self.refused_sizes = [math.inf, math.inf]
         if not self.flights:
             # sums of floats drift; an empty target is exactly empty
@@ -120,26 +130,29 @@
         if self._first.pop(key, None) is None:
             self._orphans -= 1
 
-    def advance(self, flight: Flight, tokens: int) -> None:
+    def advance(self, flight: Flight, tokens: int) -> bool:
         """Count a request's progress.
 
         Looking up the chances at each report would cost more than all else;
         between, the tokens that came are only added up.
+
+        :param flight: the request
+        :param tokens: all that came so far
+        :returns: whether it was counted anew
         """
         held = flight.held
         self._behind += tokens - held.tokens
         held.tokens = tokens
         if not flight.shares:
             self._share(flight)
-        if flight.is_behind:
-            self._recount(flight)
-
-    def _recount(self, flight: Flight) -> None:
-        flight.add_to(self._means, self._variances, -1.0)
-        self._behind -= flight.held.tokens - flight.counted
+            self.pending -= flight.uncached
+        if tokens < flight.due:
+            return False
+        self._behind -= tokens - flight.counted
+        self._sum(flight, -1.0)
         flight.refresh()
-        flight.add_to(self._means, self._variances, 1.0)
-        self.refused_sizes = [math.inf, math.inf]
+        self._sum(flight, 1.0)
+        return True
 
     def fits(self, prompt: int, chances: tuple, spare: float) -> bool:
         """Tell whether one more fits at every horizon.
@@ -167,6 +180,12 @@
                 return False
         return True
 
+    def is_open(self, now: float) -> bool:
+        """Tell whether the target takes requests at all now."""
+        if self.gone or self.view.leaving or now < self.suspect_until:
+            return False
+        return len(self.flights) < self.view.max_streams
+
     def overflow(self, index: int) -> float:
         """Return the tokens by which a horizon's mean exceeds memory."""
         mean = self._means[index] + self._orphans * PREFIX_BLOCK_TOKENS
