--- a/packages/node/src/chivepier/node/main.py
+++ b/packages/node/src/chivepier/node/main.py
@@ -11,9 +11,12 @@
 
 from chivepier.node.node import Node
 from chivepier.node.settings import Settings
+from chivepier.state import DamagedError
 from chivepier.types import SystemClock
 
 USAGE_EXIT = 2
+DAMAGED_EXIT = 3
+START_EXIT = 4
 MIN_KEY = 8
 
 
@@ -81,7 +84,23 @@
     if check or print_settings:
         return
     logbook.StreamHandler(sys.stderr, level=logbook.INFO).push_application()
-    uvloop.run(serve(settings))
+    try:
+        uvloop.run(serve(settings))
+    except DamagedError as error:
+        stop(settings, DAMAGED_EXIT, f"data folder is damaged: {error}")
+    except OSError as error:
+        stop(settings, START_EXIT, f"can't start: {error}")
+
+
+def stop(settings: Settings, code: int, text: str) -> None:
+    """End with one line that says why.
+
+    :param settings: of this instance
+    :param code: the exit code
+    :param text: what happened
+    """
+    click.echo(f"chivepierd {settings.name}: {text}", err=True)
+    sys.exit(code)
 
 
 def check_settings(settings: Settings) -> None:
@@ -113,10 +132,9 @@
 
     :param settings: checked settings
     """
-    stopping = asyncio.Event()
+    node = Node(settings, SystemClock())
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    async with Node(settings, SystemClock()) as node:
-        await stopping.wait()
+        loop.add_signal_handler(number, node.start_drain)
+    async with node:
         await node.drain()
--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -22,19 +22,23 @@
 from chivepier.node.cluster import Cluster
 from chivepier.node.commander import Commander
 from chivepier.node.directory import Directory
+from chivepier.node.drain import Drain
 from chivepier.node.entry import Entry
 from chivepier.node.faulthook import FaultHook
 from chivepier.node.gauges import Gauges
+from chivepier.node.inprogress import InProgress
 from chivepier.node.leadership import Leadership
 from chivepier.node.ledger import Ledger
 from chivepier.node.metrics import Metrics
 from chivepier.node.operators import Operators
 from chivepier.node.owner import Owner
+from chivepier.node.peerwatch import PeerWatch
 from chivepier.node.permits import Permits
 from chivepier.node.renewal import Renewal
 from chivepier.node.services import Services
 from chivepier.node.settings import Settings
 from chivepier.node.targets import Targets
+from chivepier.node.voters import Voters
 from chivepier.state import DiskStorage
 from chivepier.state import Identity
 from chivepier.state import load_identity
@@ -49,7 +53,7 @@
 log = logbook.Logger("node")
 
 MAX_BODY = 8 << 20
-DRAIN_SECONDS = 600.0
+MERGE_SECONDS = 0.1
 
 
 class Node:
@@ -61,6 +65,7 @@
         self._stack = contextlib.AsyncExitStack()
         self._tasks: list[asyncio.Task] = []
         self._storage: DiskStorage | None = None
+        self._draining = asyncio.Event()
 
     async def __aenter__(self) -> "Node":
         async with contextlib.AsyncExitStack() as stack:
@@ -113,7 +118,7 @@
         self._spawn(self.renewal.run())
         self._spawn(self.owner.run())
         self._spawn(self.permits.run())
-        self._spawn(self.permits.watch.run())
+        self._spawn(self.cluster.watch.run())
         log.info(
             "started name={} node={} http={} peer={}",
             settings.name,
@@ -130,8 +135,10 @@
 
     def _build(self) -> None:
         cluster = self.cluster
+        cluster.watch = PeerWatch(cluster)
         self.directory = Directory(cluster.machine)
         self.commander = Commander(cluster)
+        self.voters = Voters(cluster)
         self.renewal = Renewal(cluster)
         self.owner = Owner(cluster, self.directory)
         self.permits = Permits(cluster, self.owner)
@@ -140,6 +147,10 @@
         self.metrics = Metrics()
         gauges = Gauges(cluster, self.owner, cluster.links.traffic)
         self.metrics.registry.register(gauges)
+        self.progress = InProgress()
+        self._drain = Drain(
+            cluster, self.renewal, self.commander, self.progress
+        )
 
     async def _start_http(self, stack: contextlib.AsyncExitStack) -> None:
         connector = aiohttp.TCPConnector(limit=0)
@@ -152,7 +163,7 @@
             auto_decompress=False,
         )
         await stack.enter_async_context(once)
-        background = Background()
+        background = Background(self.progress)
         entry = Entry(
             cluster=self.cluster,
             directory=self.directory,
@@ -165,7 +176,10 @@
             background=background,
         )
         app = web.Application(
-            middlewares=[make_error_middleware(self.metrics)],
+            middlewares=[
+                make_error_middleware(self.metrics),
+                self.progress.track,
+            ],
             client_max_size=MAX_BODY,
         )
         callers = Callers(entry)
@@ -175,6 +189,7 @@
             Addresses(entry),
             Targets(entry),
             Operators(entry, self),
+            self.voters,
             FaultHook(self.faults, self._settings.fault_hook),
         ):
             part.add_routes(app)
@@ -198,28 +213,65 @@
         return web.Response(text="ok\n")
 
     async def _show_ready(self, request: web.Request) -> web.Response:
-        if self.cluster.ready():
+        if self.cluster.ready() and not self.cluster.draining:
             return web.Response(text="ready\n")
         return web.Response(text="not ready\n", status=503)
 
     async def _start_replica(self) -> None:
         cluster = self.cluster
-        self._storage = DiskStorage(self._settings.data_dir)
+        self._storage = DiskStorage(self._settings.data_dir, used=True)
         replica = Replica(
             cluster.identity.node,
             self._storage,
-            cluster.machine,
+            Machine(),
             cluster.links,
             self._clock,
             Timing(),
             random.Random(cluster.identity.node),
             cluster.identity.cluster,
         )
+        if replica.votes():
+            replica.use_machine(cluster.machine)
         cluster.leadership = Leadership(cluster)
         cluster.replica = replica
         await replica.__aenter__()
         self._stack.push_async_exit(replica)
         self._spawn(cluster.leadership.run())
+        self._spawn(self._merge(replica))
+
+    async def _merge(self, replica: Replica) -> None:
+        # a learner's log fills a machine of its own, claims included, while
+        # the node goes on with what it fetches from others
+        machine = self.cluster.machine
+        while replica.machine is not machine:
+            if replica.votes() and replica.machine.index >= machine.index:
+                replica.use_machine(machine)
+                return
+            await replica.machine.changed.wait(MERGE_SECONDS)
+
+    async def _enrol(
+        self, request: messages.EnrolRequest
+    ) -> messages.EnrolAnswer:
+        cluster = self.cluster
+        identity, folder = cluster.identity, self._settings.data_dir
+        if folder is None:
+            return messages.EnrolAnswer(False, "it has no data folder")
+        if request.node != identity.node:
+            return messages.EnrolAnswer(False, "it has another identity")
+        if identity.cluster and identity.cluster != request.cluster:
+            text = "its folder belongs to another cluster: empty it first"
+            return messages.EnrolAnswer(False, text)
+        replica = cluster.replica
+        if replica is None:
+            DiskStorage(folder).close()
+            identity = Identity(identity.node, request.cluster)
+            save_identity(folder, identity)
+            cluster.identity = identity
+            await self._start_replica()
+        elif replica.machine is cluster.machine and not replica.votes():
+            text = "it was removed; restart it first"
+            return messages.EnrolAnswer(False, text)
+        return messages.EnrolAnswer(True, "")
 
     def _spawn(self, work) -> None:
         task = asyncio.create_task(work)
@@ -263,6 +315,12 @@
                 return self.commander.handle(message)
             case messages.IdentityRequest():
                 return self._identify()
+            case messages.VotersRequest():
+                return self.voters.handle(message)
+            case messages.LogRequest():
+                return self.voters.handle_log(message)
+            case messages.EnrolRequest():
+                return self._enrol(message)
             case messages.BootstrapRequest():
                 return self._found(message)
             case messages.AppendRequest() if replica is not None:
@@ -313,19 +371,17 @@
         return messages.BootstrapAnswer(True, "")
 
     def start_drain(self) -> None:
-        """Leave the addresses answer; the process ends when asked to."""
-        self.cluster.draining = True
+        """Stop gracefully; asked again, the stop goes on as it is."""
+        if self._draining.is_set():
+            log.info("drain asked again: still stopping gracefully")
+            return
+        log.info("drain asked")
+        self._draining.set()
 
     async def drain(self) -> None:
-        """Stop gracefully: be out of the addresses answer for its life."""
-        self.start_drain()
-        if not self.cluster.joined():
-            return
-        await asyncio.sleep(self._settings.address_ttl)
-        leave = messages.LeaveCommand(
-            self.cluster.identity.node, self.cluster.incarnation
-        )
-        await self.commander.run(encode(leave), 2.0)
+        """Wait until a stop is asked for, and carry it out."""
+        await self._draining.wait()
+        await self._drain.run()
 
 
 def _fill_port(address: str, port: int) -> str:
--- a/packages/state/src/chivepier/state/elections.py
+++ b/packages/state/src/chivepier/state/elections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import logbook
 
 from chivepier.messages import VoteAnswer
@@ -46,7 +47,7 @@
         core = self._core
         silent = core.clock.monotonic() - core.tenure.lease_end()
         if silent > core.timing.election:
-            log.warn("leader steps down: no majority answers")
+            log.warning("leader steps down: no majority answers")
             core.follow("")
 
     async def _stand(self) -> None:
@@ -90,17 +91,21 @@
         )
         others = [v for v in core.voters if v.node != core.node]
         needed = len(core.voters) // 2 + 1
+        waiting = {
+            asyncio.create_task(
+                self._ask(v.address, attrs.evolve(request, voter=v.node))
+            )
+            for v in others
+        }
         votes = 1
-        tasks = [
-            asyncio.create_task(self._ask(v.address, request)) for v in others
-        ]
         try:
-            for done in asyncio.as_completed(tasks):
-                if votes >= needed:
-                    break
-                votes += await done
+            while votes < needed and waiting:
+                done, waiting = await asyncio.wait(
+                    waiting, return_when=asyncio.FIRST_COMPLETED
+                )
+                votes += sum(task.result() for task in done)
         finally:
-            for task in tasks:
+            for task in waiting:
                 task.cancel()
         return votes >= needed
 
@@ -126,7 +131,7 @@
         """
         core = self._core
         async with core.lock:
-            core.check(request.cluster)
+            core.check(request.cluster, request.voter)
             return await self._answer(request)
 
     async def _answer(self, request: VoteRequest) -> VoteAnswer:
--- a/packages/state/src/chivepier/state/voterchanges.py
+++ b/packages/state/src/chivepier/state/voterchanges.py
@@ -7,6 +7,8 @@
 
 from chivepier.messages import encode
 from chivepier.messages import Entry
+from chivepier.messages import InForceCommand
+from chivepier.messages import LeaveCommand
 from chivepier.messages import Voter
 from chivepier.messages import VotersCommand
 from chivepier.messages import VoterState
@@ -22,6 +24,7 @@
 
 # what lost voters may have reached meanwhile by elections among themselves
 RECOVERY_TERMS = 1000
+TELL_BEATS = 5
 
 
 class VoterChanges:
@@ -101,8 +104,19 @@
             if 2 * len(live) <= len(rest):
                 text = f"only {len(live)} of {len(rest)} would answer"
                 raise RequestError.of(ErrorKind.NO_QUORUM, text)
+            (gone,) = set(core.voters) - set(rest)
             await self._commit(tenure, rest)
             log.info("voter removed node={}", node)
+            await self._tell(tenure, gone)
+
+    async def _tell(self, tenure: Tenure, gone: Voter) -> None:
+        # one that still runs learns that it is no voter any more, and goes
+        # on as an instance without a vote
+        tenure.learner = gone
+        for _ in range(TELL_BEATS):
+            if not tenure.current or not self._answers(tenure, gone.node):
+                return
+            await tenure.grown.wait()
 
     def _answers(self, tenure: Tenure, node: str) -> bool:
         return self._silent(tenure, node) < self._core.timing.election
@@ -162,7 +176,13 @@
             return False
         return all(state.holds for state in self.report())
 
-    async def force(self, address: str, cluster: str) -> int:
+    async def force(
+        self,
+        address: str,
+        cluster: str,
+        gone: frozenset[str],
+        rename: collections.abc.Callable[[str], collections.abc.Awaitable],
+    ) -> int:
         """Make this voter the only one; what others held alone is lost.
 
         Never called by the system itself: only an operator can know that the
@@ -170,7 +190,13 @@
         voter left behind by mistake is refused and not mixed in.
 
         :param address: this voter's peer address
-        :param cluster: the cluster's new name, already in the identity file
+        :param cluster: the cluster's new name
+        :param gone: the voters that the operator says are stopped for good;
+            they leave as members too, or a majority of them that might still
+            renew each other's leases would keep every change from being in
+            force
+        :param rename: keeps it, synced; comes first, as after a crash half
+            way a renamed voter is merely alone and the order can be repeated
         :returns: the last index that is kept
         :raises RequestError: when a leader is there
         """
@@ -180,10 +206,25 @@
                 text = "a leader is there, or was a moment ago"
                 raise RequestError.of(ErrorKind.VERSION_CONFLICT, text)
             kept = core.storage.last_index
+            await core.store(rename(cluster))
             core.cluster = cluster
             term = core.storage.term + RECOVERY_TERMS
             await core.save_vote(term, core.node)
-            alone = VotersCommand((Voter(core.node, address),))
-            await core.append((Entry(term, kept + 1, encode(alone)),))
-            log.warn("forced recovery kept={} term={}", kept, term)
+            commands = self._recover(address, gone, kept)
+            entries = [
+                Entry(term, index, encode(command))
+                for index, command in enumerate(commands, kept + 1)
+            ]
+            await core.append(tuple(entries))
+            log.warning("forced recovery kept={} term={}", kept, term)
             return kept
+
+    def _recover(self, address: str, gone: frozenset[str], kept: int) -> list:
+        commands: list = [VotersCommand((Voter(self._core.node, address),))]
+        commands += [
+            LeaveCommand(member.node, member.incarnation)
+            for member in self._core.machine.members.values()
+            if member.node in gone
+        ]
+        commands.append(InForceCommand(kept + len(commands)))
+        return commands
