--- a/packages/policy/src/chivepier/policy/benchmarks/measures.py
+++ b/packages/policy/src/chivepier/policy/benchmarks/measures.py
@@ -175,7 +175,7 @@
 
 def _share_error(bench: Bench) -> float:
     served = bench.count_served()
-    got = {team: served[team] - bench.marked[team] for team in served}
+    got = {team: served[team] - bench.marked.get(team, 0) for team in served}
     wanted: dict[str, float] = {}
     weights: dict[str, float] = {}
     for stream in bench.site.streams:
--- a/packages/policy/src/chivepier/policy/flight.py
+++ b/packages/policy/src/chivepier/policy/flight.py
@@ -51,15 +51,14 @@
     def refresh(self) -> None:
         """Look the chances up again after progress."""
         tokens = self.counted = self.held.tokens
-        self.due = tokens + BEHIND_TOKENS + tokens // 4
+        self.due = tokens + BEHIND_TOKENS + tokens // 2
         chances = limit_chances(
             self.profile.survive(tokens), self.held.ask.max_tokens - tokens
         )
         size = self.prompt + tokens
-        sizes = [size + horizon for horizon in HORIZONS]
-        self.means = [c * s for c, s in zip(chances, sizes)]
+        self.means = [c * (size + h) for c, h in zip(chances, HORIZONS)]
         self.variances = [
-            c * (1.0 - c) * s * s for c, s in zip(chances, sizes)
+            m * (size + h - m) for m, h in zip(self.means, HORIZONS)
         ]
 
 
--- a/packages/policy/src/chivepier/policy/lengthcell.py
+++ b/packages/policy/src/chivepier/policy/lengthcell.py
@@ -31,12 +31,13 @@
         """The weight of the next observation; older ones are less."""
         return self._weight
 
-    def advance(self, before: int, after: int) -> None:
-        """Count the buckets that were left behind."""
-        first, last = find_bucket(before), find_bucket(after)
+    def advance(self, first: int, last: int) -> None:
+        """Count the buckets that were left behind, up to ``last``."""
+        weight = self._weight
+        entered = self.entered
         for bucket in range(first, last):
-            self.entered[bucket] += self._weight
-            self.changes += 1
+            entered[bucket] += weight
+        self.changes += last - first
 
     def finish(self, tokens: int) -> None:
         """Count an end."""
--- a/packages/policy/src/chivepier/policy/lengthestimator.py
+++ b/packages/policy/src/chivepier/policy/lengthestimator.py
@@ -6,6 +6,7 @@
 
 from chivepier.policy.ask import Ask
 from chivepier.policy.buckets import BUCKETS
+from chivepier.policy.buckets import find_bucket
 from chivepier.policy.learnedprofile import LearnedProfile
 from chivepier.policy.lengthcell import LengthCell
 from chivepier.policy.lengthprofile import LengthProfile
@@ -13,7 +14,8 @@
 
 MAX_CELLS = 2048
 MAX_PROFILES = 256
-REFRESH_CHANGES = 64
+FEW_CHANGES = 16
+REFRESH_CHANGES = 200
 PRIOR_HAZARD = 0.12
 TEMPLATE_PRIOR = 4.0
 TEAM_PRIOR = 12.0
@@ -39,9 +41,17 @@
         return len(self._cells)
 
     def profile(self, ask: Ask) -> LengthProfile:
-        """Return the estimate for a request, at most slightly stale."""
+        """Return the estimate for a request, at most slightly stale.
+
+        Of a team that was hardly seen its template's is taken: making one
+        costs more than all else that is done for a request.
+        """
         key = _team_key(ask)
         cell = self._cell(key)
+        if cell.changes < FEW_CHANGES:
+            key = _template_key(ask)
+            cell = self._cell(key)
+        key = *key, find_bucket(ask.max_tokens)
         known = self._profiles.get(key)
         if known is not None and not _is_stale(known[0], cell):
             return known[1]
@@ -54,8 +64,10 @@
 
     def advance(self, ask: Ask, before: int, after: int) -> None:
         """Count the buckets that a request has left behind."""
-        self._cell(_team_key(ask)).advance(before, after)
-        self._cell(_template_key(ask)).advance(before, after)
+        first, last = find_bucket(before), find_bucket(after)
+        if first < last:
+            self._cell(_team_key(ask)).advance(first, last)
+            self._cell(_template_key(ask)).advance(first, last)
 
     def finish(self, ask: Ask, tokens: int) -> None:
         """Count an end."""
--- a/packages/policy/src/chivepier/policy/limits.py
+++ b/packages/policy/src/chivepier/policy/limits.py
@@ -32,5 +32,5 @@
     ahead_tokens: float = 256.0
     affinity: bool = True
     scan: int = 4
-    heads: int = 6
+    heads: int = 3
     stop_early: bool = False
--- a/packages/policy/src/chivepier/policy/placement.py
+++ b/packages/policy/src/chivepier/policy/placement.py
@@ -54,17 +54,19 @@
         :returns: where it runs
         """
         size = ask.prompt_tokens
+        part = self._limits.lend_spare * lean
         scored = []
         for order, state in enumerate(self._sample(ask, states)):
-            if size + self._spare(state, lean) >= state.refused_size:
+            view = state.view
+            if size + part * view.capacity_tokens >= state.refused_size:
                 continue
-            if self._is_open(state, ask):
+            if self._is_open(state, ask) and serves(view, ask):
                 uncached = self._count_uncached(state, ask)
                 score = uncached + self._weigh(state, ask)
                 scored.append((score, order, uncached, state))
         scored.sort()
         for score, _, uncached, state in scored:
-            prompt = self._find_room(state, ask, chances, lean)
+            prompt = self._find_room(state, ask, chances, part)
             if prompt is not None:
                 return Place(state, prompt, uncached, score)
         return None
@@ -85,12 +87,10 @@
     def _is_open(self, state: TargetState, ask: Ask) -> bool:
         if state.reserved_for and state.reserved_for != ask.request:
             return False
-        if not serves(state.view, ask):
-            return False
-        limit = state.pace.limit
+        streams = len(state.flights)
         if ask.urgency == Urgency.URGENT:
-            limit += URGENT_STREAMS
-        return len(state.flights) < limit
+            streams -= URGENT_STREAMS
+        return streams < state.pace.limit
 
     def _count_uncached(self, state: TargetState, ask: Ask) -> int:
         if not self._limits.affinity:
@@ -98,28 +98,25 @@
         hits = self.index.count_hits(state.view.target, ask.prefix)
         return max(0, ask.prompt_tokens - hits * PREFIX_BLOCK_TOKENS)
 
-    def _find_room(self, state, ask, chances, lean) -> int | None:
+    def _find_room(self, state, ask, chances, part) -> int | None:
         capacity = state.view.capacity_tokens
         if not capacity:
             return 0
         shared = state.count_shared(ask.prefix) * PREFIX_BLOCK_TOKENS
         prompt = max(0, ask.prompt_tokens - shared)
-        spare = self._spare(state, lean)
+        spare = part * capacity
         if state.fits(prompt + SLACK_TOKENS, chances, spare):
             return prompt
         state.refused_size = ask.prompt_tokens + spare
         return None
 
-    def _spare(self, state: TargetState, lean: float) -> float:
-        return self._limits.lend_spare * lean * state.view.capacity_tokens
-
     def _weigh(self, state: TargetState, ask: Ask) -> float:
-        capacity = state.view.capacity_tokens
-        if capacity:
-            fill = state.used / capacity
+        view = state.view
+        if view.capacity_tokens:
+            fill = state.used / view.capacity_tokens
         else:
-            fill = len(state.flights) / state.view.max_streams
+            fill = len(state.flights) / view.max_streams
         score = self._limits.load_tokens * fill * fill + state.pending
-        if ask.zone != state.view.zone:
+        if ask.zone != view.zone:
             score += self._limits.zone_tokens
         return score
--- a/packages/policy/src/chivepier/policy/sharedpolicy.py
+++ b/packages/policy/src/chivepier/policy/sharedpolicy.py
@@ -68,6 +68,7 @@
         # nothing of this many prompt tokens fits until something ends
         self._room = math.inf
         self._changed = False
+        self._least_capacity = 0
 
     def set_target(self, view: TargetView) -> None:
         """Add a target, or replace what is known of it."""
@@ -79,6 +80,9 @@
             state.update(view)
         self._room = math.inf
         self._changed = True
+        self._least_capacity = min(
+            state.view.capacity_tokens for state in self._states.values()
+        )
         index = self._placement.index
         blocks = view.capacity_tokens // PREFIX_BLOCK_TOKENS
         index.resize(view.target, blocks)
@@ -106,26 +110,29 @@
             self._refusals.append(refusal)
             return
         self._sharing.push(ask, now)
-        if ask.prompt_tokens < self._room:
+        if (
+            ask.prompt_tokens + self._spare(self._sharing.find(ask))
+            < self._room
+        ):
             self._room = math.inf
         if len(self._sharing.waiting) > ask.queue_limit:
             self._refuse_longest(now)
 
     def _check_targets(self, ask: Ask) -> Refusal | None:
-        able = [
-            state.view
-            for state in self._states.values()
-            if not state.gone and serves(state.view, ask)
-        ]
-        if not able:
+        found = False
+        for state in self._states.values():
+            view = state.view
+            if state.gone or not serves(view, ask):
+                continue
+            if ask.prompt_tokens < (view.capacity_tokens or math.inf):
+                return None
+            found = True
+        if not found:
             text = f"no target serves {ask.model or ask.template}"
             kind = ErrorKind.NO_TARGET
             return Refusal(ask.request, kind, text, NO_TARGET_SECONDS)
-        sizes = [view.capacity_tokens or math.inf for view in able]
-        if ask.prompt_tokens >= max(sizes):
-            text = "the prompt is larger than any target's memory"
-            return Refusal(ask.request, ErrorKind.TOO_LARGE, text, 0.0)
-        return None
+        text = "the prompt is larger than any target's memory"
+        return Refusal(ask.request, ErrorKind.TOO_LARGE, text, 0.0)
 
     def _refuse_longest(self, now: float) -> None:
         team = max(
@@ -279,7 +286,8 @@
                 blocked.append(team)
                 continue
             grants.append(grant)
-            states = [state for state in states if state.is_open(now)]
+            if not self._states[grant.target].is_open(now):
+                states.remove(self._states[grant.target])
             self._sharing.give_back(team)
         for team in blocked:
             self._sharing.give_back(team)
@@ -304,12 +312,17 @@
                 first = False
         return None
 
+    def _spare(self, team: TeamQueue) -> float:
+        spare = self._limits.lend_spare * self._sharing.lean(team)
+        return spare * self._least_capacity
+
     def _find_place(self, team, queue, states):
         lean = self._sharing.lean(team)
+        spare = self._spare(team)
         best = None
         room = max((s.refused_size for s in states), default=0.0)
         for ask in itertools.islice(queue.values(), self._limits.scan):
-            if ask.prompt_tokens >= room:
+            if ask.prompt_tokens + spare >= room:
                 continue
             profile = self._lengths.profile(ask)
             chances = limit_chances(profile.survive(0), ask.max_tokens)
