--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -163,7 +163,7 @@
             auto_decompress=False,
         )
         await stack.enter_async_context(once)
-        background = Background()
+        background = Background(self.progress)
         entry = Entry(
             cluster=self.cluster,
             directory=self.directory,
