Have changes in force again after all instances restarted

Cause: the runs before a restart stay in the member set that is still in use; being a majority of it they held back every later version for ever, as they might renew each other's leases. A later run with the same identity (its data folder) or at the same address proves that the earlier one is dead; MemberSets notes that and ForceTracker no longer waits for it. Ruled out: forgetting silent members after a time (two of three that are cut off go on serving; test_replaced keeps that).

Before: features/state_changes.feature:3 failed with no_quorum after all instances were killed and started; now it passes.

--- a/packages/membership/src/chivepier/membership/forcetracker.py
+++ b/packages/membership/src/chivepier/membership/forcetracker.py
@@ -99,7 +99,12 @@
         return now >= start + self._terms.outlast
 
     def _missing(self, members: frozenset, version: int) -> list:
-        return [k for k in members if self._acked.get(k, 0) < version]
+        return [
+            key
+            for key in members
+            if self._acked.get(key, 0) < version
+            and key not in self._sets.replaced
+        ]
 
     def lagging(self) -> list[str]:
         """Name the members that hold back the newest version.
