--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -40,6 +40,7 @@
 from chivepier.node.targets import Targets
 from chivepier.node.voters import Voters
 from chivepier.state import DiskStorage
+from chivepier.state import FolderLock
 from chivepier.state import Identity
 from chivepier.state import load_identity
 from chivepier.state import Machine
@@ -82,6 +83,8 @@
 
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
         settings = self._settings
+        if settings.data_dir is not None:
+            stack.enter_context(FolderLock(settings.data_dir))
         identity = self._load_identity()
         machine = Machine()
         terms = LeaseTerms()
--- a/packages/state/src/chivepier/state/__init__.py
+++ b/packages/state/src/chivepier/state/__init__.py
@@ -4,6 +4,7 @@
 from chivepier.state.claim import Claim
 from chivepier.state.damagederror import DamagedError
 from chivepier.state.diskstorage import DiskStorage
+from chivepier.state.folderlock import FolderLock
 from chivepier.state.historyitem import HistoryItem
 from chivepier.state.identity import Identity
 from chivepier.state.identity import load_identity
@@ -26,6 +27,7 @@
     "Claim",
     "DamagedError",
     "DiskStorage",
+    "FolderLock",
     "HistoryItem",
     "Identity",
     "LostLeadError",
