--- a/packages/state/src/chivepier/state/testing/histories.py
+++ b/packages/state/src/chivepier/state/testing/histories.py
@@ -7,10 +7,12 @@
 from chivepier.messages import ClaimCommand
 from chivepier.messages import Edit
 from chivepier.messages import encode
+from chivepier.messages import Voter
 from chivepier.state import LostLeadError
 from chivepier.state import NotLeaderError
 from chivepier.state import Role
 from chivepier.state.testing.rig import Rig
+from chivepier.types import RequestError
 
 # the last one is whoever leads: most failures that matter meet the leader
 VOTERS = (0, 1, 2, 3, 3)
@@ -68,6 +70,7 @@
     def __init__(self, rig: Rig):
         self._rig = rig
         self._count = 0
+        self._repair: asyncio.Task | None = None
         self.tasks: list[asyncio.Task] = []
 
     def _ask(self, voter: str, command, note) -> None:
@@ -84,6 +87,37 @@
         if not answer.error:
             note(answer)
 
+    def lose(self, voter: str) -> None:
+        """Lose a disk for good and have the voter replaced.
+
+        Another one is lost only after the voters were said to be repaired.
+        """
+        if self._repair is not None and not self._repair.done():
+            return
+        if voter in self._rig.replicas:
+            self._rig.crash(voter)
+        self._rig.wipe(voter)
+        self._count += 1
+        self._repair = asyncio.create_task(
+            self._replace(voter, f"w{self._count}")
+        )
+        self.tasks.append(self._repair)
+
+    async def _replace(self, old: str, new: str) -> None:
+        rig = self._rig
+        await rig.start(new)
+        while True:
+            leader = rig.find_leader()
+            try:
+                if leader is not None:
+                    await leader.changes.add(Voter(new, new))
+                    await leader.changes.remove(old)
+                    if leader.changes.repaired():
+                        return
+            except (NotLeaderError, LostLeadError, RequestError):
+                pass
+            await rig.clock.sleep(rig.timing.heartbeat)
+
     def change(self, voter: str, number: int) -> None:
         """Change one document on top of what this voter knows."""
         replica = self._rig.replicas.get(voter)
@@ -113,10 +147,11 @@
 
 def find_voter(rig: Rig, number: int) -> str:
     """Name a voter by its number."""
-    if number < 3:
-        return f"v{number}"
+    names = sorted(rig.disks)
     leads = [n for n, r in rig.replicas.items() if r.role is Role.LEADER]
-    return leads[-1] if leads else "v0"
+    if number < 3 or not leads:
+        return names[number % len(names)]
+    return leads[-1]
 
 
 async def act(rig: Rig, client: Client, action: tuple) -> None:
@@ -138,6 +173,8 @@
             rig.unlink(voter, find_voter(rig, rest[1]))
         case "heal":
             rig.network.cut.clear()
+        case "lose":
+            client.lose(voter)
         case "storm":
             rig.network.loss = 0.05 * rest[0]
             rig.network.repeat = 0.2 * rest[0]
--- a/packages/state/src/chivepier/state/tests/test_random_failures.py
+++ b/packages/state/src/chivepier/state/tests/test_random_failures.py
@@ -37,7 +37,20 @@
 )
 
 
+LOSS = st.tuples(st.just("lose"), VOTERS)
+
+
 @ROUGH
 @given(st.integers(0, 1 << 16), st.lists(ACTION, min_size=25, max_size=60))
 def test_random_failures_break_no_promise(seed, actions):
     asyncio.run(play(seed, actions))
+
+
+@ROUGH
+@given(
+    st.integers(0, 1 << 16),
+    st.lists(st.one_of(ACTION, LOSS), min_size=25, max_size=60),
+)
+def test_disks_lost_one_after_the_other_break_no_promise(seed, actions):
+    """Each next disk is lost right after the voters were repaired."""
+    asyncio.run(play(seed, actions))
--- /dev/null
+++ b/packages/state/src/chivepier/state/tests/test_voterchanges.py
@@ -0,0 +1,197 @@
+"""Changing voters, and what snapshots and restarts keep."""
+
+import asyncio
+
+import pytest
+
+from chivepier.messages import decode
+from chivepier.messages import encode
+from chivepier.messages import Voter
+from chivepier.messages import VotersCommand
+from chivepier.state.notleadererror import NotLeaderError
+from chivepier.state.testing.histories import make_change
+from chivepier.state.testing.rig import Rig
+from chivepier.types import RequestError
+
+
+def test_second_voter_lost_right_after_the_repair_loses_nothing():
+    """A disk is lost, replaced, and at "repaired" another one is lost.
+
+    The new voter holds everything by then, so that the two that are left
+    elect a leader that has the accepted change.
+    """
+
+    async def play():
+        async with Rig(3) as rig:
+            await rig.propose(make_change("c1"))
+            rig.crash("v2")
+            rig.wipe("v2")
+            await rig.start("w1")
+            leader = await rig.await_leader()
+            await rig.finish(leader.changes.add(Voter("w1", "w1")))
+            assert not leader.changes.repaired()
+            await rig.finish(leader.changes.remove("v2"))
+            await rig.wait(leader.changes.repaired)
+            rig.crash(leader.node)
+            rig.wipe(leader.node)
+            await rig.propose(make_change("c2"))
+            for replica in rig.replicas.values():
+                assert ("team", "c1") in replica.machine.documents
+
+    asyncio.run(play())
+
+
+def test_one_change_of_voters_at_a_time():
+    async def play():
+        async with Rig(3) as rig:
+            leader = await rig.await_leader()
+            slow = asyncio.create_task(leader.changes.add(Voter("x", "x")))
+            await rig.step(0.5)
+            with pytest.raises(RequestError, match="under way"):
+                await leader.changes.remove("v1")
+            assert not slow.done()
+            slow.cancel()
+
+    asyncio.run(play())
+
+
+def test_learner_has_no_vote_before_it_holds_everything():
+    """A new voter that never answers is never counted."""
+
+    async def play():
+        async with Rig(3) as rig:
+            leader = await rig.await_leader()
+            adding = asyncio.create_task(leader.changes.add(Voter("x", "x")))
+            await rig.step(3.0)
+            assert len(leader.voters) == 3
+            adding.cancel()
+            await rig.propose(make_change("c1"))
+
+    asyncio.run(play())
+
+
+def test_removal_that_leaves_no_majority_is_refused():
+    async def play():
+        async with Rig(3) as rig:
+            leader = await rig.await_leader()
+            one, two = (n for n in rig.disks if n != leader.node)
+            rig.crash(one)
+            await rig.step(1.2)
+            with pytest.raises(RequestError, match="1 of 2"):
+                await leader.changes.remove(two)
+
+    asyncio.run(play())
+
+
+def test_leader_steps_down_once_its_own_removal_is_committed():
+    async def play():
+        async with Rig(3) as rig:
+            leader = await rig.await_leader()
+            await rig.finish(leader.changes.remove(leader.node))
+            await rig.wait(lambda: not leader.leads())
+            await rig.wait(lambda: rig.find_leader() is not None)
+            assert rig.find_leader() is not leader
+            assert leader.node not in {
+                v.node for v in rig.find_leader().voters
+            }
+
+    asyncio.run(play())
+
+
+def test_voters_are_not_changed_by_a_plain_command():
+    async def play():
+        async with Rig(3) as rig:
+            leader = await rig.await_leader()
+            command = encode(VotersCommand((Voter("v0", "v0"),)))
+            with pytest.raises(ValueError, match="plain command"):
+                await leader.propose(command)
+
+    asyncio.run(play())
+
+
+def test_forced_recovery_keeps_what_the_survivor_holds():
+    async def play():
+        async with Rig(3) as rig:
+            await rig.propose(make_change("c1"))
+            await rig.step(1.0)
+            for name in ("v1", "v2"):
+                rig.crash(name)
+                rig.wipe(name)
+            survivor = rig.replicas["v0"]
+            await rig.step(4.0)
+            renamed = []
+
+            async def rename(name):
+                renamed.append(name)
+
+            await rig.finish(
+                survivor.changes.force(
+                    "v0", "d", frozenset({"v1", "v2"}), rename
+                )
+            )
+            assert renamed == ["d"]
+            await rig.propose(make_change("c2"))
+            assert ("team", "c1") in survivor.machine.documents
+            assert survivor.voters == (Voter("v0", "v0"),)
+
+    asyncio.run(play())
+
+
+def test_forced_recovery_is_refused_while_a_leader_is_heard():
+    async def play():
+        async with Rig(3) as rig:
+            leader = await rig.await_leader()
+            for replica in rig.replicas.values():
+                with pytest.raises(RequestError, match="leader is there"):
+                    await replica.changes.force("", "d", frozenset(), None)
+            assert leader.leads()
+
+    asyncio.run(play())
+
+
+def test_resend_gets_the_first_answer_after_snapshot_and_restart():
+    """A change, then enough others for a snapshot, then all voters die.
+
+    The change is sent again: run anew it would meet its own version.
+    """
+
+    async def play():
+        async with Rig(3) as rig:
+            first = await rig.propose(make_change("c0"))
+            for number in range(1, 40):
+                await rig.propose(make_change(f"c{number}"))
+            for name in list(rig.replicas):
+                assert rig.disks[name].snapshot.index > first.index
+                rig.crash(name)
+            for name in list(rig.disks):
+                await rig.start(name)
+            assert await rig.propose(make_change("c0")) == first
+
+    asyncio.run(play())
+
+
+def test_conflict_names_the_winner():
+    async def play():
+        async with Rig(1) as rig:
+            won = await rig.propose(make_change("c1"))
+            command = make_change("c1", base=0)
+            late = decode(command)
+            late = encode(type(late)("late", "bob", late.edits))
+            lost = await rig.propose(late)
+            assert lost.error == "version_conflict"
+            for part in ("'c1'", "'op'", f"at version {won.index}"):
+                assert part in lost.message
+
+    asyncio.run(play())
+
+
+def test_proposal_at_a_follower_names_the_leader():
+    async def play():
+        async with Rig(3) as rig:
+            leader = await rig.await_leader()
+            other = next(r for r in rig.replicas.values() if r != leader)
+            with pytest.raises(NotLeaderError) as caught:
+                await other.propose(make_change("c1"))
+            assert caught.value.leader == leader.node
+
+    asyncio.run(play())
