Let the whole state of 49,000 teams cross a link; say 'not in force'

Cause: a frame of more than 8 MiB closes the link, and the packed state of 49,000 teams is 9.3 MB; an instance without a disk would have asked again and again and never been ready.

A change that is committed but not in force in 10 s answers not_in_force with ran 'yes' and whom it waits for; before, no_quorum and 'unknown'.

--- a/features/state_changes.feature
+++ b/features/state_changes.feature
@@ -36,3 +36,13 @@
     When a byte before the tail of "n2"'s log is damaged
     Then "n2" ends with exit code 3 and one line naming the log
     And change "c3" can write team "three"
+
+  Scenario: A durable change that is not yet in force is said to be so
+    Four of seven instances are frozen.  A majority of all members may go on
+    renewing each other, so the change is not called accepted; but it is
+    made, and "did not run" would invite a second one.
+    Given a cluster of 3 instances with disks and 4 without
+    When the instances without disks are frozen
+    Then change "c1" of team "one" is durable but not in force
+    When the instances without disks go on
+    Then the resent change "c1" of team "one" gets its first answer
--- a/features/steps/state_changes.py
+++ b/features/steps/state_changes.py
@@ -1,6 +1,7 @@
 """Steps of changes across failures."""
 
 import concurrent.futures
+import signal
 
 from behave import given
 from behave import then
@@ -134,3 +135,39 @@
     said = [line for line in text.splitlines() if "INFO" not in line]
     assert len(said) == 1 and "log: bad record" in said[0], text
     assert ask(context, VOTERS)[0] == 200
+
+
+def signal_others(context, number):
+    """Send a signal to every instance without a disk."""
+    cluster = context.cluster
+    for name in cluster.names:
+        if name not in cluster.disks:
+            cluster.processes[name].send_signal(number)
+
+
+@when("the instances without disks are frozen")
+def freeze(context):
+    """Stop the processes without ending them."""
+    signal_others(context, signal.SIGSTOP)
+
+
+@when("the instances without disks go on")
+def thaw(context):
+    """Let the processes go on, and wait until they take work."""
+    signal_others(context, signal.SIGCONT)
+    cluster = context.cluster
+    for name in cluster.names:
+        cluster.wait_until(
+            lambda: cluster.is_up(name, "/readyz"), f"{name} ready"
+        )
+
+
+@then('change "{change}" of team "{team}" is durable but not in force')
+def check_not_in_force(context, change, team):
+    """The answer says that it ran, and at which version."""
+    status, answer = write_team(context, change, team)
+    error = answer["error"]
+    assert status == 504 and error["kind"] == "not_in_force", answer
+    assert error["ran"] == "yes", answer
+    version = int(error["message"].split()[1])
+    context.versions = {change: version}
--- a/packages/node/src/chivepier/node/commander.py
+++ b/packages/node/src/chivepier/node/commander.py
@@ -19,6 +19,9 @@
 
 ATTEMPT_SECONDS = 5.0
 PAUSE_SECONDS = 0.1
+# shorter than an operator's whole request, so that the answer says more than
+# that the time was over
+IN_FORCE_SECONDS = 10.0
 
 
 class Commander:
@@ -47,7 +50,7 @@
         while (left := deadline - clock.monotonic()) > 0:
             try:
                 answer = await self._attempt(command, left, wait_in_force)
-                return Ok(answer)
+                return _judge(answer)
             except NotLeaderError:
                 pass
             except LostLeadError:
@@ -103,9 +106,21 @@
         """
         answer = await self._cluster.replica.propose(command)
         if wait_in_force and not answer.error:
-            await self._cluster.leadership.wait_in_force(answer.index)
+            try:
+                async with asyncio.timeout(IN_FORCE_SECONDS):
+                    await self._cluster.leadership.wait_in_force(answer.index)
+            except TimeoutError:
+                return self._describe_wait(answer)
         return answer
 
+    def _describe_wait(self, answer: Answer) -> Answer:
+        lagging = ", ".join(self._cluster.leadership.force.lagging())
+        text = (
+            f"version {answer.index} is durable but not yet in force"
+            f" everywhere; it waits for {lagging}"
+        )
+        return Answer(ErrorKind.NOT_IN_FORCE.value, text, answer.index)
+
     async def handle(self, request: CommandRequest) -> CommandAnswer:
         """Answer a node that forwards a command here.
 
@@ -130,3 +145,11 @@
         return CommandAnswer(
             answer.error, answer.message, answer.index, answer.result
         )
+
+
+def _judge(answer: Answer) -> Result[Answer, Failure]:
+    # the change was made: "did not run" would invite another one
+    if answer.error == ErrorKind.NOT_IN_FORCE.value:
+        kind = ErrorKind.NOT_IN_FORCE
+        return Err(Failure(kind, answer.message, Ran.YES))
+    return Ok(answer)
--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -10,7 +10,7 @@
 import websockets
 
 from chivepier.wire.faults import Faults
-from chivepier.wire.frame import dump_frame
+from chivepier.wire.frame import dump_frames
 from chivepier.wire.frame import load_frame
 from chivepier.wire.frame import pack_part
 from chivepier.wire.frame import Part
@@ -80,9 +80,9 @@
             if self._faults.blocks(self.peer):
                 continue
             try:
-                data = dump_frame(parts)
-                self._traffic.count_sent(len(data))
-                await self._socket.send(data)
+                for data in dump_frames(parts):
+                    self._traffic.count_sent(len(data))
+                    await self._socket.send(data)
             except websockets.ConnectionClosed:
                 return
 
--- a/packages/wire/src/chivepier/wire/frame.py
+++ b/packages/wire/src/chivepier/wire/frame.py
@@ -8,6 +8,8 @@
 from chivepier.messages import pack
 from chivepier.messages import unpack
 
+SPLIT_BYTES = 4 << 20
+
 
 class Part(enum.IntEnum):
     """What one part of a frame is."""
@@ -41,6 +43,22 @@
     return cbor2.dumps(parts)
 
 
+def dump_frames(parts: list[tuple]) -> list[bytes]:
+    """Encode the parts that are ready, in more than one frame if need be.
+
+    Large parts that happen to be ready together would else make a frame
+    that the peer refuses, and the link would be lost with all of them.
+
+    :param parts: what :func:`pack_part` made
+    :returns: CBOR, each no longer than a frame should be, or of one part
+    """
+    data = dump_frame(parts)
+    if len(data) <= SPLIT_BYTES or len(parts) == 1:
+        return [data]
+    middle = len(parts) // 2
+    return dump_frames(parts[:middle]) + dump_frames(parts[middle:])
+
+
 def load_frame(data: bytes) -> list[tuple[Part, int, typing.Any]]:
     """Decode a frame.
 
--- a/packages/wire/src/chivepier/wire/server.py
+++ b/packages/wire/src/chivepier/wire/server.py
@@ -12,7 +12,8 @@
 
 KEY_HEADER = "x-chivepier-key"
 PEER_HEADER = "x-chivepier-peer"
-MAX_FRAME = 8 << 20
+# the whole state of 49,000 teams, 9.3 MB, goes in one frame
+MAX_FRAME = 32 << 20
 UNAUTHORIZED = 401
 
 
--- /dev/null
+++ b/packages/wire/src/chivepier/wire/tests/test_large.py
@@ -0,0 +1,45 @@
+"""Messages that are larger than most."""
+
+import asyncio
+
+from chivepier.messages import SyncAnswer
+from chivepier.messages import SyncRequest
+from chivepier.wire import Links
+from chivepier.wire import PeerServer
+
+KEY = "key-of-tests"
+# the packed state of 49,000 teams is 9.3 MB
+STATE = bytes(10_000_000)
+
+
+async def fetch(count: int) -> list[SyncAnswer]:
+    """Fetch large answers at once over a real link."""
+
+    def handle(message, channel):
+        return SyncAnswer(message.index, (), STATE)
+
+    async with PeerServer("127.0.0.1", 0, handle, KEY) as server:
+        links = Links("127.0.0.1:1", KEY, handle, server.faults)
+        async with links:
+            peer = f"127.0.0.1:{server.port}"
+            return await asyncio.gather(
+                *(
+                    links.request(peer, SyncRequest(i), 20.0)
+                    for i in range(count)
+                )
+            )
+
+
+def test_state_of_the_largest_site_fits_a_frame():
+    """An instance without a disk starts and fetches the whole state.
+
+    Larger than a frame may be, the answer closed the link each time: the
+    instance asked again and was never ready.
+    """
+    (answer,) = asyncio.run(fetch(1))
+    assert answer.snapshot == STATE
+
+
+def test_large_answers_that_are_ready_together_don_t_share_a_frame():
+    answers = asyncio.run(fetch(8))
+    assert [a.commit for a in answers] == list(range(8))
