Bring targets to their intended state by fenced orders

Cause: nothing compared announced with intended state; versions, adapters and replacements had to be ordered by hand. The fencing number is the leader's term; orders keep to the lease, to one per target, and loads to a pace that halves when the weight store refuses. Weighed and left: orders by each shard's owner (two leaders of one target while a shard moves, and no common pace towards the store).

--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -21,6 +21,7 @@
 from chivepier.node.callers import Callers
 from chivepier.node.cluster import Cluster
 from chivepier.node.commander import Commander
+from chivepier.node.controller import Controller
 from chivepier.node.directory import Directory
 from chivepier.node.drain import Drain
 from chivepier.node.entry import Entry
@@ -172,6 +173,10 @@
             ledger=Ledger(self.cluster, self.commander, background),
             background=background,
         )
+        controller = Controller(
+            self.cluster, self.directory, self.owner, self.metrics, once
+        )
+        self._spawn(controller.run())
         app = web.Application(
             middlewares=[
                 make_error_middleware(self.metrics),
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -120,6 +120,11 @@
         """The voters by the latest entry in the log, committed or not."""
         return self._core.voters
 
+    @property
+    def timing(self) -> Timing:
+        """Election and lease times."""
+        return self._core.timing
+
     @property
     def error(self) -> Exception | None:
         """Why this voter has stopped, if it has."""
@@ -137,6 +142,16 @@
         """
         return self._core.leads()
 
+    def lease_left(self) -> float:
+        """Return for how long this voter surely leads, in seconds.
+
+        :returns: 0 when it does not lead
+        """
+        core = self._core
+        if core.tenure is None:
+            return 0.0
+        return max(0.0, core.tenure.lease_end() - core.clock.monotonic())
+
     async def propose(self, command: bytes) -> Answer:
         """Commit a command and return its answer.
 
