--- a/packages/state/src/chivepier/state/machine.py
+++ b/packages/state/src/chivepier/state/machine.py
@@ -139,12 +139,23 @@
             current = self.documents.get((edit.kind, edit.name))
             version = current.version if current else 0
             if version != edit.base_version:
+                winner = self._describe_winner(edit.kind, edit.name)
                 return (
                     f"{edit.kind}/{edit.name} is at version {version},"
-                    f" not {edit.base_version}"
+                    f" not {edit.base_version}{winner}"
                 )
         return None
 
+    def _describe_winner(self, kind: str, name: str) -> str:
+        for item in reversed(self.history):
+            if (item.kind, item.name) == (kind, name):
+                verb = "removed" if item.spec is None else "written"
+                return (
+                    f": {verb} by change {item.change_id!r} of operator"
+                    f" {item.operator!r} at version {item.version}"
+                )
+        return ""
+
     def _edit(self, edit: Edit, command: ChangeCommand, index: int) -> int:
         # the log index serves as version: a name that is removed and made
         # again must not meet an old If-Match by chance
@@ -238,6 +249,20 @@
         }
         return Snapshot(self.index, self.term, cbor2.dumps(fields))
 
+    def take_over(self, other: "Machine") -> None:
+        """Become what another machine is.
+
+        :param other: no longer used afterwards
+        :raises ValueError: when it is older: a state never reverts
+        """
+        if other.index < self.index:
+            raise ValueError(f"state {other.index} < {self.index}")
+        own = {"changed": self.changed, "epoch_watchers": self.epoch_watchers}
+        vars(self).update({**vars(other), **own})
+        for watcher in self.epoch_watchers:
+            watcher(True)
+        self.changed.set()
+
     def restore(self, snapshot: Snapshot) -> None:
         """Replace the state by a snapshot's.
 
