Check changes for sense among the documents that stand

Cause: a grant of a template that isn't there, a key of two teams, or a key digest that isn't hexadecimal was accepted; the last one stops every node's index of keys. Each is refused whole, in one line.

--- a/packages/node/src/chivepier/node/directory.py
+++ b/packages/node/src/chivepier/node/directory.py
@@ -1,5 +1,6 @@
 """The configuration as requests use it."""
 
+import collections.abc
 import hashlib
 import hmac
 
@@ -106,6 +107,24 @@
                 return name
         raise RequestError.of(ErrorKind.UNAUTHORIZED, "unknown bearer key")
 
+    def find_key_team(self, digest: str) -> str:
+        """Return the team that has a key, empty for none.
+
+        :param digest: 64 hexadecimal digits in lower case
+        """
+        self._refresh()
+        name = self._teams_by_key.get(bytes.fromhex(digest)[:INDEXED], "")
+        spec = self._load("team", name)
+        held = spec.key_sha256 if spec is not None else ()
+        return name if digest in (d.lower() for d in held) else ""
+
+    def teams(self) -> collections.abc.Iterator[tuple[str, Team]]:
+        """Return all teams by name, one decoded at a time."""
+        self._refresh()
+        for kind, name in list(self._machine.documents):
+            if kind == "team":
+                yield name, self._load(kind, name)
+
     def find_service(self, team: str, template_name: str) -> Service:
         """Return a template with a team's parameters filled in.
 
--- a/packages/node/src/chivepier/node/operators.py
+++ b/packages/node/src/chivepier/node/operators.py
@@ -13,6 +13,7 @@
 from chivepier.messages import Edit
 from chivepier.messages import encode
 from chivepier.node.bodies import read_json
+from chivepier.node.changecheck import check_change
 from chivepier.node.entry import Entry
 from chivepier.node.founding import found_cluster
 from chivepier.node.targets import check_bearer
@@ -22,6 +23,8 @@
 
 CHANGE_SECONDS = 13.0
 MAX_EDITS = 1000
+MAX_NAME = 128
+MAX_VERSION = (1 << 63) - 1
 
 
 class Operators:
@@ -54,6 +57,9 @@
         """Answer ``POST changes``: accepted means in force everywhere."""
         self._check(request)
         command = parse_change(await read_json(request))
+        if command.change_id not in self._entry.cluster.machine.answers:
+            # a resend gets its first answer, whatever changed since then
+            check_change(command, self._entry.directory)
         done = await self._entry.commander.run(
             encode(command), CHANGE_SECONDS, wait_in_force=True
         )
@@ -150,6 +156,8 @@
         raise _bad("change_id is missing")
     if not isinstance(operator, str):
         raise _bad("operator is not a string")
+    if max(len(change_id), len(operator)) > MAX_NAME:
+        raise _bad(f"change_id or operator is longer than {MAX_NAME}")
     if not isinstance(edits, list) or not 0 < len(edits) <= MAX_EDITS:
         raise _bad(f"edits is not a list of 1 to {MAX_EDITS}")
     checked = tuple(_parse_edit(edit) for edit in edits)
@@ -163,7 +171,9 @@
     base = plain.get("base_version", 0)
     if not isinstance(name, str) or not name:
         raise _bad("name is missing")
-    if type(base) is not int or base < 0:
+    if kind not in ("template", "team"):
+        raise _bad(f"unknown kind {str(kind)[:80]!r}")
+    if type(base) is not int or not 0 <= base <= MAX_VERSION:
         raise _bad("base_version is not a version")
     if plain.get("spec") is None:
         return Edit(str(kind), name, base, None)
--- a/packages/types/src/chivepier/documents/__init__.py
+++ b/packages/types/src/chivepier/documents/__init__.py
@@ -6,6 +6,7 @@
 from chivepier.documents.spec import pack_spec
 from chivepier.documents.spec import parse_spec
 from chivepier.documents.spec import plain_spec
+from chivepier.documents.spec import unpack_plain
 from chivepier.documents.spec import unpack_spec
 from chivepier.documents.team import Team
 from chivepier.documents.template import Template
@@ -19,5 +20,6 @@
     "pack_spec",
     "parse_spec",
     "plain_spec",
+    "unpack_plain",
     "unpack_spec",
 ]
--- a/packages/types/src/chivepier/documents/spec.py
+++ b/packages/types/src/chivepier/documents/spec.py
@@ -48,7 +48,13 @@
         return _refuse("spec is not a mapping")
     try:
         return Ok(CONVERTER.structure(plain, SPEC_TYPES[kind]))
-    except (TypeError, ValueError, KeyError, AttributeError) as error:
+    except (
+        TypeError,
+        ValueError,
+        KeyError,
+        AttributeError,
+        OverflowError,
+    ) as error:
         return _refuse(f"{kind}: {error!r}")
     except cattrs.BaseValidationError as error:
         return _refuse(f"{kind}: {error}")
@@ -84,5 +90,14 @@
     :param document: the stored document
     :returns: the typed spec
     """
-    plain = plain_spec(document)
-    return CONVERTER.structure(plain, SPEC_TYPES[document.kind])
+    return unpack_plain(document.kind, document.spec)
+
+
+def unpack_plain(kind: str, spec: bytes) -> Template | Team:
+    """Decode what :func:`pack_spec` made.
+
+    :param kind: ``template`` or ``team``
+    :param spec: the packed spec
+    :returns: the typed spec
+    """
+    return CONVERTER.structure(cbor2.loads(spec), SPEC_TYPES[kind])
