Read whole answers by their first data line

Cause: the chunk was cut at the last "data: " in the event, which may be in a token's text; a chunk of usage without a choice failed too.

--- a/packages/node/src/chivepier/node/whole.py
+++ b/packages/node/src/chivepier/node/whole.py
@@ -2,6 +2,12 @@
 
 import json
 
+from chivepier.types import ErrorKind
+from chivepier.types import Ran
+from chivepier.types import RequestError
+
+DATA = b"\ndata: "
+
 
 def join_events(events: bytes, chat: bool) -> dict:
     """Join the chunks of one generation.
@@ -9,21 +15,31 @@
     :param events: all events, in order, with ``[DONE]`` last
     :param chat: whether the chunks are of the chat interface
     :returns: the body of a whole answer
+    :raises RequestError: ``target_failed`` when a chunk isn't one; it ran
     """
-    text = []
+    try:
+        return _join(events, chat)
+    except (ValueError, LookupError, TypeError, AttributeError):
+        text = "the engine sent a chunk of another form"
+        kind = ErrorKind.TARGET_FAILED
+        raise RequestError.of(kind, text, Ran.YES) from None
+
+
+def _join(events: bytes, chat: bool) -> dict:
+    text: list[str] = []
     last: dict = {}
     reason = None
-    count = 0
     for event in events.split(b"\n\n"):
-        data = event.rpartition(b"data: ")[2]
-        if not data or data == b"[DONE]":
+        # the first one only: a token's text may hold the same words
+        data = event.partition(DATA)[2]
+        if not data:
             continue
         last = json.loads(data)
-        choice = last["choices"][0]
-        text.append(_read_text(choice, chat))
-        reason = choice.get("finish_reason") or reason
-        count += 1
-    return _build(last, "".join(text), reason, count, chat)
+        # a chunk that tells the usage has no choice
+        for choice in last["choices"][:1]:
+            text.append(_read_text(choice, chat))
+            reason = choice.get("finish_reason") or reason
+    return _build(last, "".join(text), reason, len(text), chat)
 
 
 def _read_text(choice: dict, chat: bool) -> str:
