Leave a frozen engine soon, and a shared generation alone

Cause: an engine whose process is stopped was waited for as long as one that queues; and an entry that attached anew after another one would have cancelled the generation that the caller reads there. Run: packages/node/src/chivepier/node/tests, 176 pass.

--- a/packages/node/src/chivepier/node/engineclient.py
+++ b/packages/node/src/chivepier/node/engineclient.py
@@ -24,7 +24,8 @@
     Each answer is checked to be for this generation before its body is
     read, and an answer that isn't read to its end is closed with its
     connection: bytes left on a connection would be the next answer's.
-    ``attach`` is the number of the newest reader that was opened here.
+    ``attach`` is the number of the newest reader that was opened here;
+    ``shared`` is set once another entry has opened one in between.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         self._address = address
         self.generation = generation
         self.attach = 0
+        self.shared = False
 
     async def start(self, path: str, body: dict) -> aiohttp.ClientResponse:
         """Dispatch the generation.
@@ -78,6 +80,8 @@
         :returns: ``None`` when it is over, or nobody can tell any more;
             its tokens so far where a later reader keeps it
         """
+        if self.shared:
+            return None
         url = f"http://{self._address}/v1/generations/{self.generation}"
         timeout = aiohttp.ClientTimeout(total=CANCEL_SECONDS)
         # without a reader's number nobody else can have attached yet
@@ -120,9 +124,17 @@
             raise LinkLostError(LossReason.CROSSED, text)
         attach = answer.headers.get(ATTACH_HEADER, "")
         if attach.isascii() and attach.isdigit() and len(attach) < 10:
-            self.attach = max(self.attach, int(attach))
+            self._note_attach(int(attach))
         return answer
 
+    def _note_attach(self, attach: int) -> None:
+        # its caller goes on elsewhere while this entry still reads: the
+        # newest number is this entry's, yet the generation isn't its own to
+        # cancel.  The engine ends it when nobody reads any more.
+        if self.attach and attach > self.attach + 1:
+            self.shared = True
+        self.attach = max(self.attach, attach)
+
     async def _read_refusal(
         self, answer: aiohttp.ClientResponse
     ) -> RequestError:
--- a/packages/node/src/chivepier/node/relay.py
+++ b/packages/node/src/chivepier/node/relay.py
@@ -178,10 +178,14 @@
         if self._stopped is not None:
             raise RequestError(self._stopped)
         try:
-            with translate_errors():
-                async with asyncio.timeout(self._patience.lost):
-                    index = self._buffer.following
-                    self._answer = await self._client.resume(index)
+            async with asyncio.timeout(self._patience.lost):
+                index = self._buffer.following
+                self._answer = await self._client.resume(index)
+        except TimeoutError:
+            # a queue answers by its headers; this engine says nothing
+            text = "the engine does not answer"
+            reason = LossReason.UNREACHABLE
+            raise LinkLostError(reason, text) from None
         except RequestError as error:
             self.over = error.failure.kind is ErrorKind.GENERATION_LOST
             raise self._give_up(error.failure.message) from None
--- a/packages/node/src/chivepier/node/tests/test_relay.py
+++ b/packages/node/src/chivepier/node/tests/test_relay.py
@@ -4,6 +4,7 @@
 import json
 
 import aiohttp
+import attrs
 import pytest
 
 from chivepier.node.engineclient import EngineClient
@@ -203,6 +204,49 @@
     asyncio.run(run())
 
 
+def test_a_frozen_engine_is_given_up_sooner_than_a_full_one():
+    """Its process is stopped: the kernel takes connections, nothing answers.
+
+    An engine that queues answers the request by its headers, and may take
+    long; one that answers nothing has to be left.
+    """
+    short = attrs.evolve(SHORT, start=0.2, lost=0.3, quiet=1e6)
+    error, bench = fail(fake.hang_before_headers, patience=short)
+    assert "reached" in error.failure.message
+    assert error.failure.ran is Ran.UNKNOWN
+    assert len(bench.engine.posts) == 1
+
+
+def test_a_generation_read_by_another_entry_is_not_cancelled():
+    """The caller went on at another entry; this one still had its stream.
+
+    Its link to the engine broke and it attached anew, after the other: by
+    its number alone its cancel would end the other's stream.
+    """
+
+    def attach(number, script):
+        async def play(reader):
+            opened = reader.open
+            reader.open = lambda: opened(attach=number)
+            return await script(reader)
+
+        return play
+
+    async def run():
+        for number, cancels in ((2, 1), (3, 0)):
+            first = attach(1, fake.cut_at(2))
+            second = attach(number, fake.hang_at(4))
+            async with Bench(first, second) as bench:
+                await bench.relay.dispatch("completions", {})
+                async for data in bench.relay.read():
+                    if b".3\n" in data:
+                        break
+                await bench.relay._client.cancel()
+                assert len(bench.engine.cancels) == cancels
+
+    asyncio.run(run())
+
+
 def test_a_stop_order_ends_the_stream_with_its_hint():
     async def run():
         async with Bench(fake.hang_at(3)) as bench:
