--- a/packages/node/src/chivepier/node/patience.py
+++ b/packages/node/src/chivepier/node/patience.py
@@ -10,12 +10,14 @@
     ``silence``: without a byte for so long a second reader is opened; it
     doubles up to ``longest_silence`` while the engine knows the generation
     but has no token, since a queued or preempted one is silent too.
-    ``start``: for an engine to answer the first request.  ``lost``: for an
-    engine that can't be reached, or answers nothing, to do so again.
+    ``start``: for an engine to answer the first request.
+    ``lost``: for an engine that can't be reached, or answers nothing.
     ``quiet``: for a token of a generation that the engine still has.
-    ``pause``: between attempts to reach an engine.  ``resumption``: a generation goes on for so long after
-    its caller left.  ``slow``: for a caller to take what was written.
-    ``call``: for a plain service to answer.  ``queue``: for a permit.
+    ``pause``: between attempts to reach an engine.
+    ``resumption``: for a caller that left, until its generation is ended.
+    ``slow``: for a caller to take what was written.
+    ``call``: for a plain service to answer.
+    ``queue``: for a permit.
     """
 
     silence: float = 1.0
--- a/packages/node/src/chivepier/node/tests/test_servicecaller.py
+++ b/packages/node/src/chivepier/node/tests/test_servicecaller.py
@@ -7,6 +7,7 @@
 
 from chivepier.documents import RouteRule
 from chivepier.node.claimed import run_claimed
+from chivepier.node.dispatchguard import DispatchGuard
 from chivepier.node.routes import is_idempotent
 from chivepier.node.servicecall import ServiceCall
 from chivepier.node.servicecaller import ServiceCaller
@@ -63,6 +64,23 @@
     run(work)
 
 
+@pytest.mark.parametrize("method", ["PUT", "DELETE"])
+def test_without_the_guard_the_library_sends_it_twice(method, monkeypatch):
+    """The safeguard off: why it is there."""
+
+    async def pass_on(self, request, handler):
+        return await handler(request)
+
+    monkeypatch.setattr(DispatchGuard, "__call__", pass_on)
+
+    async def work(entry, first, second):
+        first.drop = 1
+        assert (await make_caller(entry, method).run()).status == 200
+        assert len(first.runs) == 2
+
+    run(work)
+
+
 def test_an_idempotent_call_goes_to_another_target():
     async def work(entry, first, second):
         first.drop = 9
--- a/packages/state/src/chivepier/state/tests/test_claims.py
+++ b/packages/state/src/chivepier/state/tests/test_claims.py
@@ -76,6 +76,16 @@
     assert answer.error == "" and answer.result
 
 
+def test_without_the_check_of_claimers_a_key_stays_in_progress(monkeypatch):
+    """The safeguard off: no resend ever learns more."""
+    monkeypatch.setattr(module, "_abandoned", lambda *_: False)
+    claims = Claims()
+    claims.claim(make_claim("r1"), 1, MEMBERS)
+    gone = {"b": make_member("b")}
+    answer = claims.claim(make_claim("r2", node="b"), 2, gone)
+    assert answer.error == "in_progress"
+
+
 def test_a_late_release_does_not_open_a_running_key():
     """Request r1 is refused and released; r2 claims the key and runs.
 
