--- a/packages/node/src/chivepier/node/deadmembers.py
+++ b/packages/node/src/chivepier/node/deadmembers.py
@@ -37,9 +37,11 @@
         self.seen: dict[Key, float] = {}
         self.confirmed: set[Key] = set()
         self._checking: dict[Key, asyncio.Task] = {}
+        self._looking: set[Key] = set()
+        self._tasks: set[asyncio.Task] = set()
 
     def forget(self) -> None:
-        """Drop those that are members no more, and old evidence.
+        """Drop those that are members no more; look again at the others.
 
         A rule that refused connections for a moment must not keep this node
         from an owner that lives.
@@ -49,14 +51,29 @@
         self.confirmed &= keys
         oldest = self._cluster.clock.monotonic() - SEEN_SECONDS
         for key, seen in list(self.seen.items()):
-            if key not in keys or seen < oldest:
+            if key not in keys:
                 del self.seen[key]
+            elif seen < oldest and key not in self._looking:
+                self._looking.add(key)
+                task = asyncio.create_task(self._look_again(key))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
 
     def ended(self, node: str, incarnation: int) -> bool:
         """Tell whether there is evidence that a run ended."""
         key = (node, incarnation)
         return key in self.confirmed or key in self.seen
 
+    async def _look_again(self, key: Key) -> None:
+        try:
+            member = self._cluster.machine.members.get(key[0])
+            if member is not None and not await self._probe(member):
+                self.seen.pop(key, None)
+            elif key in self.seen:
+                self.seen[key] = self._cluster.clock.monotonic()
+        finally:
+            self._looking.discard(key)
+
     async def check(self, member: Member) -> bool:
         """See whether a member's process has ended.
 
@@ -67,6 +84,14 @@
         key = (member.node, member.incarnation)
         if key in self.seen:
             return True
+        dead = await self._probe(member)
+        if dead:
+            log.info("process ended member={}", member.name)
+            self.seen[key] = cluster.clock.monotonic()
+        return dead
+
+    async def _probe(self, member: Member) -> bool:
+        cluster = self._cluster
         request = FreshRequest(
             cluster.identity.node,
             cluster.incarnation,
@@ -76,14 +101,10 @@
             answer = await cluster.links.request(
                 member.peer_address, request, PROBE_SECONDS
             )
-            dead = answer.node != member.node
-            dead = dead or answer.incarnation > member.incarnation
         except LinkError as error:
-            dead = error.refused
-        if dead:
-            log.info("process ended member={}", member.name)
-            self.seen[key] = cluster.clock.monotonic()
-        return dead
+            return error.refused
+        later = answer.incarnation > member.incarnation
+        return answer.node != member.node or later
 
     async def handle_death(self, request: DeathRequest) -> DeathAnswer:
         """Look, and tell who asks.
--- a/packages/policy/src/chivepier/policy/sharing.py
+++ b/packages/policy/src/chivepier/policy/sharing.py
@@ -27,7 +27,9 @@
         self.granted = DrainRate()
         self._time = 0.0
         self._active_weight = 0.0
-        self._held = 0.0
+        self.queued: dict[str, TeamQueue] = {}
+        self.active: dict[str, TeamQueue] = {}
+        self._level = 0.0
         self._heap: list[tuple[float, int, TeamQueue]] = []
         self._order = itertools.count()
 
@@ -64,6 +66,7 @@
             self.requeue(team)
         self._change(team, 1, 0.0)
         team.push(ask)
+        self.queued[team.team] = team
         self.waiting[ask.request] = ask
 
     def remove(self, ask: Ask, now: float) -> TeamQueue:
@@ -71,6 +74,8 @@
         team = self.teams[ask.team]
         self._tick(team, now)
         team.remove(ask)
+        if not team.waiting:
+            del self.queued[team.team]
         del self.waiting[ask.request]
         self._change(team, -1, 0.0)
         return team
@@ -96,10 +101,16 @@
         before = team.active
         team.active += count
         team.held += tokens
-        self._held += tokens
         if bool(before) != bool(team.active):
-            sign = 1 if team.active else -1
-            self._active_weight += sign * team.weight
+            self._note_active(team)
+
+    def _note_active(self, team: TeamQueue) -> None:
+        if team.active:
+            self.active[team.team] = team
+            self._active_weight += team.weight
+        else:
+            del self.active[team.team]
+            self._active_weight -= team.weight
 
     def _tick(self, team: TeamQueue, now: float) -> None:
         team.drain.tick(now, team.waiting)
@@ -110,9 +121,22 @@
         others = self._active_weight - (team.weight if team.active else 0.0)
         return team.weight / (team.weight + max(0.0, others))
 
-    def borrows(self, team: TeamQueue) -> bool:
-        """Tell whether a team holds more memory than its share."""
-        return team.held > self.share(team) * self._held
+    def measure(self) -> None:
+        """Find the most memory that a team holds, by weight."""
+        self._level = max(
+            (team.held / team.weight for team in self.active.values()),
+            default=0.0,
+        )
+
+    def lean(self, team: TeamQueue) -> float:
+        """Tell how near a team is to holding the most by weight.
+
+        :param team: the team
+        :returns: 0 for a team that holds nothing, 1 for the one that holds
+            the most
+        """
+        held = team.held / team.weight
+        return 1.0 if held >= self._level else held / self._level
 
     def rate(self, team: TeamQueue, now: float) -> float:
         """Return the requests a second that leave a team's queue."""
--- a/packages/types/src/chivepier/messages/__init__.py
+++ b/packages/types/src/chivepier/messages/__init__.py
@@ -22,6 +22,7 @@
 from chivepier.messages.confirmrequest import ConfirmRequest
 from chivepier.messages.deathanswer import DeathAnswer
 from chivepier.messages.deathrequest import DeathRequest
+from chivepier.messages.deputyannouncement import DeputyAnnouncement
 from chivepier.messages.edit import Edit
 from chivepier.messages.enrolanswer import EnrolAnswer
 from chivepier.messages.enrolrequest import EnrolRequest
@@ -89,6 +90,7 @@
     "ConfirmRequest",
     "DeathAnswer",
     "DeathRequest",
+    "DeputyAnnouncement",
     "Edit",
     "EnrolAnswer",
     "EnrolRequest",
