Make two tests see their safeguard, and one deputy test the same each run

Switched off, 21 of 23 safeguards failed their test; the delayed answer and the single witness did not: the change was in force too late to tell, and the shard was not asked for again. Both fail now with the safeguard off. The deputies' tests moved the clock with each turn of the loop, so that a busy machine used up the request's 30 s (1 failure in 4 runs): they move it no further than twice the takeover's wait. Run: 16 tests of test_ownership.py, 4 times.

--- a/packages/membership/src/chivepier/membership/tests/test_inforce.py
+++ b/packages/membership/src/chivepier/membership/tests/test_inforce.py
@@ -392,6 +392,8 @@
     slow = model.nodes[1]
     model.ask(slow)
     model.commit(change(1))
+    model.sync(model.nodes[2], len(model.log))
+    model.ask(model.nodes[2])
     model.base.advance(TERMS.lease / 2)
     model.receive(slow, False)
     assert slow.acts()
--- a/packages/node/src/chivepier/node/tests/test_ownership.py
+++ b/packages/node/src/chivepier/node/tests/test_ownership.py
@@ -543,10 +543,14 @@
     await settle(lambda: entry.owner.deputies.shards)
     watching.cancel()
     (deputy,) = entry.owner.deputies.shards.values()
+    # no further than the takeover's wait: a busy machine turns the loop
+    # often enough to use up the request's patience
+    enough = world.clock.monotonic() + 2 * entry.cluster.terms.outlast
 
     def step():
         world.renew()
-        world.clock.advance(0.01)
+        if world.clock.monotonic() < enough:
+            world.clock.advance(0.01)
         return deputy.opened
 
     await settle(step)
@@ -615,6 +619,7 @@
         following.owner.handle_permit(make_request(following))
         await settle(lambda: not following.owner._suspecting)
         await settle(lambda: not following.cluster.dead._checking)
+        following.owner.handle_permit(make_request(following))
         assert following.owner.shards == {}
 
     asyncio.run(body())
