--- a/packages/node/src/chivepier/node/shard.py
+++ b/packages/node/src/chivepier/node/shard.py
@@ -19,9 +19,9 @@
 from chivepier.policy import Ask
 from chivepier.policy import Grant
 from chivepier.policy import Held
-from chivepier.policy import LeastInflight
 from chivepier.policy import Policy
 from chivepier.policy import Refusal
+from chivepier.policy import SharedPolicy
 from chivepier.policy import Stop
 from chivepier.policy import TargetView
 from chivepier.types import Clock
@@ -80,7 +80,7 @@
         self._may_admit = may_admit
         self._order_stop = order_stop
         self._fraction = fraction
-        self.policy: Policy = LeastInflight(clock, numbers)
+        self.policy: Policy = SharedPolicy(clock, numbers)
         self.book = PermitBook()
         self.targets: dict[str, Announcement] = {}
         self._seen: dict[str, float] = {}
