--- a/packages/node/benchmarks/permits.py
+++ b/packages/node/benchmarks/permits.py
@@ -29,6 +29,7 @@
 from chivepier.messages import TakeoverRequest
 from chivepier.messages import TargetLoad
 from chivepier.node.cluster import Cluster
+from chivepier.node.deadmembers import DeadMembers
 from chivepier.node.directory import Directory
 from chivepier.node.owner import Owner
 from chivepier.node.peerwatch import PeerWatch
@@ -78,6 +79,7 @@
         peer_address=peer,
     )
     cluster.watch = PeerWatch(cluster)
+    cluster.dead = DeadMembers(cluster)
     cluster.freshness.confirm(clock.monotonic())
     return cluster
 
--- a/packages/types/src/chivepier/messages/__init__.py
+++ b/packages/types/src/chivepier/messages/__init__.py
@@ -20,6 +20,8 @@
 from chivepier.messages.commandrequest import CommandRequest
 from chivepier.messages.confirmanswer import ConfirmAnswer
 from chivepier.messages.confirmrequest import ConfirmRequest
+from chivepier.messages.deathanswer import DeathAnswer
+from chivepier.messages.deathrequest import DeathRequest
 from chivepier.messages.deputyannouncement import DeputyAnnouncement
 from chivepier.messages.edit import Edit
 from chivepier.messages.enrolanswer import EnrolAnswer
@@ -86,6 +88,8 @@
     "CommandRequest",
     "ConfirmAnswer",
     "ConfirmRequest",
+    "DeathAnswer",
+    "DeathRequest",
     "DeputyAnnouncement",
     "Edit",
     "EnrolAnswer",
