Take a cached head at once; add a scenario of opening hours

With requests waiting, each of the first four in a queue was placed to find the best cached one, and the room of all targets was computed at each step.

The scenario "opening" goes from a tenth of the load to 1.4 times it.

--- a/packages/policy/src/chivepier/policy/benchmarks/scenario.py
+++ b/packages/policy/src/chivepier/policy/benchmarks/scenario.py
@@ -12,7 +12,8 @@
 class Scenario:
     """Load and faults; from :data:`EVENT_SECONDS` on where not said else.
 
-    ``load`` multiplies the site's rates; ``surge`` the rate of the site's
+    ``load`` multiplies the site's rates, ``before`` until the event, too;
+    ``surge`` the rate of the site's
     surging team, from the event on; ``sigma`` widens, ``shift`` multiplies
     the lengths; ``deaths`` targets die and ``reclaimed`` ones announce
     leaving and die after ``notice`` seconds; reports are ``lag`` seconds
@@ -21,6 +22,7 @@
 
     name: str
     load: float = 1.0
+    before: float = 1.0
     surge: float = 1.0
     surging: str = ""
     sigma: float = 1.0
@@ -35,7 +37,7 @@
         """Return the factor on a stream's rate at a time."""
         if stream.team == self.surging and now >= EVENT_SECONDS:
             return self.load * self.surge
-        return self.load
+        return self.load if now >= EVENT_SECONDS else self.load * self.before
 
     def peak(self, stream: Stream) -> float:
         """Return the largest factor on a stream's rate."""
@@ -55,6 +57,7 @@
         Scenario(name="steady", load=1.1),
         Scenario(name="calm", load=0.65),
         Scenario(name="surge", load=0.65, surge=10.0),
+        Scenario(name="opening", load=1.4, before=0.1),
         Scenario(name="heavy-tail", load=0.9, sigma=1.5),
         Scenario(name="shift", load=0.7, shift=2.5),
         Scenario(name="death", load=1.0, deaths=1),
--- a/packages/policy/src/chivepier/policy/sharedpolicy.py
+++ b/packages/policy/src/chivepier/policy/sharedpolicy.py
@@ -5,6 +5,7 @@
 
 from chivepier.messages import PermitOutcome
 from chivepier.policy.ask import Ask
+from chivepier.policy.classqueue import ClassQueue
 from chivepier.policy.decisions import Decision
 from chivepier.policy.flight import Flight
 from chivepier.policy.flight import limit_chances
@@ -12,6 +13,7 @@
 from chivepier.policy.held import Held
 from chivepier.policy.leastinflight import serves
 from chivepier.policy.lengthestimator import LengthEstimator
+from chivepier.policy.lengthprofile import LengthProfile
 from chivepier.policy.lengths import Lengths
 from chivepier.policy.limits import Limits
 from chivepier.policy.placement import Place
@@ -35,6 +37,7 @@
 NO_TARGET_SECONDS = 2.0
 RESERVE_SECONDS = 0.25
 STOPPED_SECONDS = 2.0
+CACHED_PART = 0.3
 
 
 class SharedPolicy(Policy):
@@ -291,7 +294,7 @@
             self._sharing.give_back(team)
         for team in blocked:
             self._sharing.give_back(team)
-        self._room = max((s.refused_size for s in states), default=0.0)
+        self._room = _find_room(states)
         return grants
 
     def _is_ahead(self, team: TeamQueue, first: TeamQueue) -> bool:
@@ -316,11 +319,15 @@
         spare = self._limits.lend_spare * self._sharing.lean(team)
         return spare * self._least_capacity
 
-    def _find_place(self, team, queue, states):
+    def _find_place(
+        self, team: TeamQueue, queue: ClassQueue, states: list
+    ) -> tuple[Ask, Place, LengthProfile] | None:
+        # among the first few the one whose prompt is cached where there is
+        # room; a cached head is taken at once
         lean = self._sharing.lean(team)
         spare = self._spare(team)
         best = None
-        room = max((s.refused_size for s in states), default=0.0)
+        room = _find_room(states)
         for ask in itertools.islice(queue.values(), self._limits.scan):
             if ask.prompt_tokens + spare >= room:
                 continue
@@ -328,9 +335,12 @@
             chances = limit_chances(profile.survive(0), ask.max_tokens)
             place = self._placement.choose(ask, chances, lean, states)
             if place is None:
+                room = _find_room(states)
                 continue
             if best is None or place.score < best[1].score:
                 best = ask, place, profile
+            if place.uncached <= CACHED_PART * ask.prompt_tokens:
+                break
         return best
 
     def _grant(self, ask: Ask, place: Place, profile, now: float) -> Grant:
@@ -368,3 +378,11 @@
         if able:
             self._reserved = min(able, key=lambda state: state.used)
             self._reserved.reserved_for = ask.request
+
+
+def _find_room(states: list[TargetState]) -> float:
+    room = 0.0
+    for state in states:
+        if state.refused_size > room:
+            room = state.refused_size
+    return room
