--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -21,6 +21,7 @@
 from chivepier.node.callers import Callers
 from chivepier.node.cluster import Cluster
 from chivepier.node.commander import Commander
+from chivepier.node.controller import Controller
 from chivepier.node.directory import Directory
 from chivepier.node.drain import Drain
 from chivepier.node.entry import Entry
@@ -40,6 +41,7 @@
 from chivepier.node.targets import Targets
 from chivepier.node.voters import Voters
 from chivepier.state import DiskStorage
+from chivepier.state import FolderLock
 from chivepier.state import Identity
 from chivepier.state import load_identity
 from chivepier.state import Machine
@@ -82,6 +84,8 @@
 
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
         settings = self._settings
+        if settings.data_dir is not None:
+            stack.enter_context(FolderLock(settings.data_dir))
         identity = self._load_identity()
         machine = Machine()
         terms = LeaseTerms()
@@ -175,6 +179,10 @@
             ledger=Ledger(self.cluster, self.commander, background),
             background=background,
         )
+        controller = Controller(
+            self.cluster, self.directory, self.owner, self.metrics, once
+        )
+        self._spawn(controller.run())
         app = web.Application(
             middlewares=[
                 make_error_middleware(self.metrics),
@@ -299,6 +307,8 @@
                 return self.permits.handle_inflight(message)
             case messages.CancelReport():
                 return self.owner.handle_cancel(message)
+            case messages.DeputyAnnouncement():
+                return self.owner.handle_deputy(message)
             case messages.Announcement():
                 return self.owner.handle_announcement(message)
             case messages.TargetsRequest():
