Bring changes in force in milliseconds, not at the next renewal

Cause, by the leader's record of renewals (trial): a member that applied a version between its question and the answer, or whose wake-up came while it was asking, told the leader only at its next renewal; and voters learnt the commit index with the next heartbeat. Now a member renews again whenever it has applied more than it told, a wake-up is not lost, and a commit wakes the replicating tasks.

--- a/packages/node/src/chivepier/node/renewal.py
+++ b/packages/node/src/chivepier/node/renewal.py
@@ -32,27 +32,34 @@
     def __init__(self, cluster: Cluster):
         self._cluster = cluster
         self._hurry = Signal()
+        self._urgent = False
 
     async def run(self) -> None:
         """Renew for as long as the node lives."""
         cluster = self._cluster
         while not cluster.leaving:
+            self._urgent = False
             if not await self._renew_at_leader():
                 await self._renew_at_members()
+            if self._urgent:
+                # set while this task was asking, when nobody waits for it
+                continue
             wait = cluster.terms.renew if cluster.ready() else 0.1
             await self._hurry.wait(wait * random.uniform(0.8, 1.0))
 
     def handle_notice(self, notice: ChangedNotice) -> None:
         """Hurry: the leader committed a change.
 
+        Also where the version is here already: the leader waits to be told.
+
         :param notice: the committed version
         """
         self._cluster.leader = notice.leader
-        if notice.version > self._cluster.machine.version:
-            self._hurry.set()
+        self.hurry()
 
     def hurry(self) -> None:
         """Renew at once: something is to be told."""
+        self._urgent = True
         self._hurry.set()
 
     async def _renew_at_leader(self) -> bool:
@@ -90,7 +97,9 @@
         cluster.leader = address
         if answer.version > cluster.machine.version:
             await self._catch_up(address, answer.version)
-            self._hurry.set()
+        if cluster.machine.version > request.version:
+            # applied since the question was sent: the leader waits for it
+            self.hurry()
         cluster.in_force = max(cluster.in_force, answer.in_force)
         if cluster.machine.version >= answer.version:
             cluster.freshness.confirm(asked)
--- a/packages/state/src/chivepier/state/replication.py
+++ b/packages/state/src/chivepier/state/replication.py
@@ -33,6 +33,7 @@
         self._tenure = tenure
         self._peer = peer
         self._following = core.storage.last_index + 1
+        self._told = 0
 
     async def run(self) -> None:
         """Replicate until the lead or the peer's seat is lost."""
@@ -43,7 +44,7 @@
             except LinkError:
                 await core.clock.sleep(core.timing.heartbeat)
                 continue
-            if self._following > tenure.synced:
+            if self._following > tenure.synced and self._told >= core.commit:
                 await tenure.grown.wait()
 
     async def _push(self) -> None:
@@ -75,6 +76,7 @@
             return
         matched = previous + len(entries)
         self._following = matched + 1
+        self._told = request.commit
         self._tenure.note_match(self._peer.node, matched)
 
     def _choose(self, previous: int) -> tuple[Entry, ...]:
--- a/packages/state/src/chivepier/state/tenure.py
+++ b/packages/state/src/chivepier/state/tenure.py
@@ -190,8 +190,10 @@
         index = matches[len(matches) // 2]
         # an entry of an earlier term is committed only by one of ours
         # behind it: counted alone, it could still be overwritten
-        if core.storage.term_at(index) == self.term:
+        if index > core.commit and core.storage.term_at(index) == self.term:
             core.raise_commit(index)
+            # the others apply it now, not at the next heartbeat
+            self.grown.set()
 
     def settled(self) -> bool:
         """Tell whether an entry of this term is committed and applied.
