--- a/features/state_voters.feature
+++ b/features/state_voters.feature
@@ -46,3 +46,16 @@
     And the operator adds "n2" as a voter
     Then the voters are said to be repaired
     And change "c2" can write team "two"
+
+  Scenario: A voter that runs is removed and goes on without a vote
+    Given a cluster of 3 instances with disks and 0 without
+    And change "c1" wrote team "one"
+    When the operator removes "n3" as a voter
+    Then the voters are said to be repaired
+    And change "c2" can write team "two"
+    And team "two" is still at the version of "c2" everywhere
+    When the operator adds "n3" as a voter again
+    Then it is refused until the instance restarts
+    When "n3" restarts
+    And the operator adds "n3" as a voter
+    Then the voters are said to be repaired
--- a/features/steps/state_voters.py
+++ b/features/steps/state_voters.py
@@ -175,3 +175,34 @@
 
     context.cluster.wait_until(alone, "the survivor leads")
     assert len(ask(context, VOTERS, None, name)[1]["voters"]) == 1
+
+
+@when('the operator removes "{name}" as a voter')
+def remove_running(context, name):
+    """Remove a voter that runs."""
+    body = {"action": "remove", "node": find_voter(context, name)}
+    status, context.answer = ask(context, VOTERS, body)
+    assert status == 200, context.answer
+
+
+@when('the operator adds "{name}" as a voter again')
+def add_again(context, name):
+    """Try to add a voter that was removed."""
+    body = {"action": "add", "peer": context.cluster.peer[name]}
+    context.status, context.answer = ask(context, VOTERS, body)
+
+
+@then("it is refused until the instance restarts")
+def check_restart(context):
+    """Its machine followed others meanwhile and lacks their claims."""
+    assert context.status == 409, context.answer
+    assert "restart" in context.answer["error"]["message"], context.answer
+
+
+@when('"{name}" restarts')
+def kill_and_start(context, name):
+    """Kill an instance and start it on its folder."""
+    process = context.cluster.processes[name]
+    process.kill()
+    process.wait()
+    restart(context, name)
--- a/packages/node/src/chivepier/node/commander.py
+++ b/packages/node/src/chivepier/node/commander.py
@@ -11,6 +11,7 @@
 from chivepier.node.cluster import Cluster
 from chivepier.state import Answer
 from chivepier.state import LostLeadError
+from chivepier.state import MAX_COMMAND
 from chivepier.state import NotLeaderError
 from chivepier.types import ErrorKind
 from chivepier.types import Failure
@@ -44,6 +45,9 @@
         :param wait_in_force: answer only once it is in force everywhere
         :returns: the command's answer, or why there is none
         """
+        if len(command) > MAX_COMMAND:
+            text = f"the change takes more than {MAX_COMMAND} bytes: split it"
+            return Err(Failure(ErrorKind.TOO_LARGE, text))
         clock = self._cluster.clock
         deadline = clock.monotonic() + timeout
         sent = False
--- a/packages/state/src/chivepier/state/__init__.py
+++ b/packages/state/src/chivepier/state/__init__.py
@@ -19,12 +19,14 @@
 from chivepier.state.snapshot import Snapshot
 from chivepier.state.storage import Storage
 from chivepier.state.storagefailederror import StorageFailedError
+from chivepier.state.tenure import MAX_COMMAND
 from chivepier.state.timing import Timing
 from chivepier.state.transport import Transport
 
 __all__ = [
     "Answer",
     "Claim",
+    "MAX_COMMAND",
     "DamagedError",
     "DiskStorage",
     "FolderLock",
