--- a/packages/policy/src/chivepier/policy/sharedpolicy.py
+++ b/packages/policy/src/chivepier/policy/sharedpolicy.py
@@ -21,6 +21,8 @@
 from chivepier.policy.refusal import Refusal
 from chivepier.policy.refusing import Refusing
 from chivepier.policy.sharing import Sharing
+from chivepier.policy.stopping import find_stops
+from chivepier.policy.stopping import LOOK_AHEAD
 from chivepier.policy.targetstate import TargetState
 from chivepier.policy.targetview import TargetView
 from chivepier.policy.teamqueue import TeamQueue
@@ -29,9 +31,10 @@
 
 TRIM_SECONDS = 0.1
 SUSPECT_SECONDS = 2.0
+SUSPECT_FAILURES = 2
 NO_TARGET_SECONDS = 2.0
 RESERVE_SECONDS = 0.25
-PROMPT_COST = 0.1
+STOPPED_SECONDS = 2.0
 
 
 class SharedPolicy(Policy):
@@ -62,6 +65,10 @@
         self._refusals: list[Refusal] = []
         self._trimmed = -math.inf
         self._reserved: TargetState | None = None
+        # nothing of this many prompt tokens fits until something ends
+        self._room = math.inf
+        self._changed = False
+        self._least_capacity = 0
 
     def set_target(self, view: TargetView) -> None:
         """Add a target, or replace what is known of it."""
@@ -71,6 +78,11 @@
         else:
             state.gone = False
             state.update(view)
+        self._room = math.inf
+        self._changed = True
+        self._least_capacity = min(
+            state.view.capacity_tokens for state in self._states.values()
+        )
         index = self._placement.index
         blocks = view.capacity_tokens // PREFIX_BLOCK_TOKENS
         index.resize(view.target, blocks)
@@ -83,6 +95,7 @@
         if state is None:
             return
         self._placement.index.forget(target)
+        self._changed = True
         state.gone = True
         if not state.flights:
             del self._states[target]
@@ -97,28 +110,33 @@
             self._refusals.append(refusal)
             return
         self._sharing.push(ask, now)
+        if (
+            ask.prompt_tokens + self._spare(self._sharing.find(ask))
+            < self._room
+        ):
+            self._room = math.inf
         if len(self._sharing.waiting) > ask.queue_limit:
             self._refuse_longest(now)
 
     def _check_targets(self, ask: Ask) -> Refusal | None:
-        able = [
-            state.view
-            for state in self._states.values()
-            if not state.gone and serves(state.view, ask)
-        ]
-        if not able:
+        found = False
+        for state in self._states.values():
+            view = state.view
+            if state.gone or not serves(view, ask):
+                continue
+            if ask.prompt_tokens < (view.capacity_tokens or math.inf):
+                return None
+            found = True
+        if not found:
             text = f"no target serves {ask.model or ask.template}"
             kind = ErrorKind.NO_TARGET
             return Refusal(ask.request, kind, text, NO_TARGET_SECONDS)
-        sizes = [view.capacity_tokens or math.inf for view in able]
-        if ask.prompt_tokens >= max(sizes):
-            text = "the prompt is larger than any target's memory"
-            return Refusal(ask.request, ErrorKind.TOO_LARGE, text, 0.0)
-        return None
+        text = "the prompt is larger than any target's memory"
+        return Refusal(ask.request, ErrorKind.TOO_LARGE, text, 0.0)
 
     def _refuse_longest(self, now: float) -> None:
         team = max(
-            (team for team in self._sharing.teams.values() if team.waiting),
+            self._sharing.queued.values(),
             key=lambda team: team.waiting / team.weight,
         )
         ask = team.classes[team.order()[-1]].tail()
@@ -147,28 +165,33 @@
         held = flight.held
         self._flights[held.permit] = flight
         self._states[held.target].add(flight)
-        self._sharing.hold(held.ask, _size(held))
+        expected = min(flight.profile.expect(0), held.ask.max_tokens)
+        flight.size = held.ask.prompt_tokens + expected
+        self._sharing.hold(held.ask, flight.size)
 
     def progress(self, permit: int, tokens: int) -> None:
         """Note the tokens a request has delivered so far, in all."""
         flight = self._flights.get(permit)
         if flight is None or tokens <= flight.held.tokens:
             return
-        held = flight.held
-        state = self._states[held.target]
+        state = self._states[flight.held.target]
+        counted = flight.counted
+        if state.advance(flight, tokens):
+            self._recount(flight, state, counted)
+
+    def _recount(
+        self, flight: Flight, state: TargetState, counted: int
+    ) -> None:
+        tokens = flight.counted
+        ask = flight.held.ask
         now = self._clock.monotonic()
-        before = held.tokens
-        if before:
-            interval = (now - flight.seen) / (tokens - before)
+        if counted:
+            interval = (now - flight.seen) / (tokens - counted)
             state.pace.see(interval, state.streams, now)
         flight.seen = now
-        counted = flight.counted
-        state.advance(flight, tokens)
-        if flight.counted > counted:
-            self._lengths.advance(held.ask, counted, tokens)
+        self._lengths.advance(ask, counted, tokens)
         if tokens > flight.charged:
-            team = self._sharing.find(held.ask)
-            team.charge(tokens - flight.charged)
+            self._sharing.find(ask).charge(tokens - flight.charged)
             flight.charged = tokens
 
     def release(
@@ -182,15 +205,16 @@
         ask = held.ask
         state = self._states[held.target]
         state.remove(flight)
-        self._sharing.drop(ask, _size(held))
+        self._room = math.inf
+        self._sharing.drop(ask, flight.size)
         if tokens > flight.counted:
             self._lengths.advance(ask, flight.counted, tokens)
         match outcome:
             case PermitOutcome.FINISHED if tokens < ask.max_tokens:
                 self._lengths.finish(ask, tokens)
+                state.failures = 0
             case PermitOutcome.TARGET_FAILED:
-                now = self._clock.monotonic()
-                state.suspect_until = now + SUSPECT_SECONDS
+                self._suspect(state)
         team = self._sharing.find(ask)
         team.charge(tokens - flight.charged)
         if team.waiting:
@@ -198,6 +222,12 @@
         if state.gone and not state.flights:
             del self._states[held.target]
 
+    def _suspect(self, state: TargetState) -> None:
+        state.failures += 1
+        if state.failures >= SUSPECT_FAILURES:
+            now = self._clock.monotonic()
+            state.suspect_until = now + SUSPECT_SECONDS
+
     def decide(self) -> list[Decision]:
         """Return what is decided now."""
         now = self._clock.monotonic()
@@ -205,13 +235,28 @@
         if now - self._trimmed >= TRIM_SECONDS:
             self._trimmed = now
             self._refusals += self._refusing.trim(now)
+            self._sharing.measure()
+            for state in self._states.values():
+                state.refused_size = math.inf
+            self._room = math.inf
+            if self._limits.stop_early:
+                decisions += self._stop_early(now)
+        if self._changed:
+            self._changed = False
             self._refusals += self._refuse_lost(now)
-        if self._sharing.waiting:
+        if self._sharing.waiting and self._room == math.inf:
             decisions += self._grant_all(now)
         decisions += self._refusals
         self._refusals = []
         return decisions
 
+    def _stop_early(self, now: float) -> list[Decision]:
+        stops: list[Decision] = []
+        for state in self._states.values():
+            if not state.gone and state.find_excess(LOOK_AHEAD) > 0:
+                stops += find_stops(state, now, STOPPED_SECONDS)
+        return stops
+
     def _refuse_lost(self, now: float) -> list[Refusal]:
         # the last target that served a model may leave while some wait
         if not self._sharing.waiting:
@@ -226,6 +271,7 @@
 
     def _grant_all(self, now: float) -> list[Decision]:
         grants: list[Decision] = []
+        states = [s for s in self._states.values() if s.is_open(now)]
         blocked: list[TeamQueue] = []
         self._check_reservation()
         while len(blocked) < self._limits.heads:
@@ -235,14 +281,17 @@
             if blocked and self._is_ahead(team, blocked[0]):
                 blocked.append(team)
                 break
-            grant = self._grant_team(team, now, not blocked)
+            grant = self._grant_team(team, states, now, not blocked)
             if grant is None:
                 blocked.append(team)
                 continue
             grants.append(grant)
+            if not self._states[grant.target].is_open(now):
+                states.remove(self._states[grant.target])
             self._sharing.give_back(team)
         for team in blocked:
             self._sharing.give_back(team)
+        self._room = max((s.refused_size for s in states), default=0.0)
         return grants
 
     def _is_ahead(self, team: TeamQueue, first: TeamQueue) -> bool:
@@ -251,11 +300,11 @@
         return team.spent > first.spent + self._limits.lead_tokens
 
     def _grant_team(
-        self, team: TeamQueue, now: float, first: bool
+        self, team: TeamQueue, states: list, now: float, first: bool
     ) -> Grant | None:
         for urgency in team.order():
             queue = team.classes[urgency]
-            found = self._find_place(team, queue, now)
+            found = self._find_place(team, queue, states)
             if found is not None:
                 return self._grant(*found, now)
             if first:
@@ -263,15 +312,21 @@
                 first = False
         return None
 
-    def _find_place(self, team, queue, now):
-        borrows = self._sharing.borrows(team)
+    def _spare(self, team: TeamQueue) -> float:
+        spare = self._limits.lend_spare * self._sharing.lean(team)
+        return spare * self._least_capacity
+
+    def _find_place(self, team, queue, states):
+        lean = self._sharing.lean(team)
+        spare = self._spare(team)
         best = None
+        room = max((s.refused_size for s in states), default=0.0)
         for ask in itertools.islice(queue.values(), self._limits.scan):
+            if ask.prompt_tokens + spare >= room:
+                continue
             profile = self._lengths.profile(ask)
             chances = limit_chances(profile.survive(0), ask.max_tokens)
-            place = self._placement.choose(
-                ask, chances, borrows, self._states.values(), now
-            )
+            place = self._placement.choose(ask, chances, lean, states)
             if place is None:
                 continue
             if best is None or place.score < best[1].score:
@@ -286,6 +341,7 @@
         permit = next(self._permits)
         held = Held(permit=permit, ask=ask, target=target, granted=now)
         flight = Flight(held, profile, place.prompt)
+        flight.uncached = place.uncached
         flight.charged = expected
         self._fly(flight)
         self._placement.index.insert(target, ask.prefix)
@@ -312,7 +368,3 @@
         if able:
             self._reserved = min(able, key=lambda state: state.used)
             self._reserved.reserved_for = ask.request
-
-
-def _size(held: Held) -> float:
-    return held.ask.prompt_tokens
