--- a/packages/node/src/chivepier/node/voters.py
+++ b/packages/node/src/chivepier/node/voters.py
@@ -136,8 +136,10 @@
             case "add":
                 voter = await self._enrol(message.peer)
                 await replica.changes.add(voter)
+                await replica.changes.settle()
             case "remove":
                 await replica.changes.remove(message.node)
+                await replica.changes.settle()
             case "list":
                 replica.changes.report()
             case other:
--- a/packages/state/benchmarks/restart.py
+++ b/packages/state/benchmarks/restart.py
@@ -22,12 +22,16 @@
 from chivepier.state import DiskStorage
 from chivepier.state import Machine
 from chivepier.state import Replica
+from chivepier.state import SnapshotPolicy
 from chivepier.state import Timing
 from chivepier.types import SystemClock
 
 SPEC = bytes(120)
 BATCH = 50
 LINEAR_BOUND = 2.0
+NEVER = SnapshotPolicy(
+    entries=1 << 30, most_entries=1 << 30, most_bytes=1 << 40
+)
 
 
 def make_entries(count: int) -> list[Entry]:
@@ -84,7 +88,7 @@
         SystemClock(),
         Timing(),
         random.Random(1),
-        snapshot_entries=1 << 30,
+        policy=NEVER,
     )
     replica._core.raise_commit(count + 1)
     async with replica:
--- a/packages/state/src/chivepier/state/__init__.py
+++ b/packages/state/src/chivepier/state/__init__.py
@@ -17,6 +17,7 @@
 from chivepier.state.role import Role
 from chivepier.state.signal import Signal
 from chivepier.state.snapshot import Snapshot
+from chivepier.state.snapshotpolicy import SnapshotPolicy
 from chivepier.state.storage import Storage
 from chivepier.state.storagefailederror import StorageFailedError
 from chivepier.state.tenure import MAX_COMMAND
@@ -40,6 +41,7 @@
     "Role",
     "Signal",
     "Snapshot",
+    "SnapshotPolicy",
     "Storage",
     "StorageFailedError",
     "Timing",
--- a/packages/state/src/chivepier/state/applying.py
+++ b/packages/state/src/chivepier/state/applying.py
@@ -3,20 +3,19 @@
 import asyncio
 
 from chivepier.state.core import Core
+from chivepier.state.snapshotpolicy import SnapshotPolicy
 from chivepier.state.storagefailederror import StorageFailedError
 
-SNAPSHOT_ENTRIES = 4096
-SNAPSHOT_BYTES = 16 << 20
 TURN = 64
 
 
 class Applying:
     """One task that applies committed entries in order."""
 
-    def __init__(self, core: Core, snapshot_entries: int = SNAPSHOT_ENTRIES):
+    def __init__(self, core: Core, policy: SnapshotPolicy):
         self._core = core
-        self._snapshot_entries = snapshot_entries
-        self._bytes = sum(len(e.command) for e in core.storage.entries)
+        self._policy = policy
+        self._bytes = 0
 
     async def run(self) -> None:
         """Apply for as long as the voter runs."""
@@ -57,13 +56,14 @@
 
     async def _compact(self) -> None:
         core = self._core
-        covered = core.machine.index - core.storage.snapshot.index
-        if not covered:
+        snapshot = core.storage.snapshot
+        due = self._policy.is_due(
+            entries=core.machine.index - snapshot.index,
+            size=self._bytes,
+            last_size=len(snapshot.data),
+        )
+        if not due:
             return
-        if covered < self._snapshot_entries:
-            limit = max(SNAPSHOT_BYTES, len(core.storage.snapshot.data))
-            if self._bytes < limit:
-                return
         async with core.lock:
             if core.machine.index <= core.storage.snapshot.index:
                 return
--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -19,6 +19,7 @@
 from chivepier.state.transport import Transport
 from chivepier.state.votersets import VoterSets
 from chivepier.types import Clock
+from chivepier.wire import RefusedError
 
 if typing.TYPE_CHECKING:
     from chivepier.state.tenure import Tenure
@@ -189,16 +190,16 @@
         :param cluster: the cluster the peer says it belongs to
         :param voter: the identity the message is for
         :raises StorageFailedError: when this voter has stopped
-        :raises ValueError: when the peer belongs to another cluster: a
+        :raises RefusedError: when the peer belongs to another cluster: a
             voter left behind by a forced recovery, or a wrong address; or
             when the message is for another identity
         """
         if self.error is not None:
             raise StorageFailedError(repr(self.error))
         if cluster and self.cluster and cluster != self.cluster:
-            raise ValueError(f"of another cluster: {cluster}")
+            raise RefusedError(f"of another cluster: {cluster}")
         if voter and voter != self.node:
-            raise ValueError(f"for another voter: {voter}")
+            raise RefusedError(f"for another voter: {voter}")
 
 
 async def _finish(task: asyncio.Task) -> None:
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -12,7 +12,6 @@
 from chivepier.messages import VoteRequest
 from chivepier.state.answer import Answer
 from chivepier.state.applying import Applying
-from chivepier.state.applying import SNAPSHOT_ENTRIES
 from chivepier.state.core import Core
 from chivepier.state.elections import Elections
 from chivepier.state.following import Following
@@ -20,6 +19,7 @@
 from chivepier.state.notleadererror import NotLeaderError
 from chivepier.state.role import Role
 from chivepier.state.signal import Signal
+from chivepier.state.snapshotpolicy import SnapshotPolicy
 from chivepier.state.storage import Storage
 from chivepier.state.timing import Timing
 from chivepier.state.transport import Transport
@@ -42,7 +42,7 @@
     :param timing: election and lease times
     :param rng: spreads election timeouts
     :param cluster: messages of another cluster are refused
-    :param snapshot_entries: a snapshot is taken after so many entries
+    :param policy: when a snapshot is taken
     """
 
     def __init__(
@@ -55,14 +55,14 @@
         timing: Timing,
         rng: random.Random,
         cluster: str = "",
-        snapshot_entries: int = SNAPSHOT_ENTRIES,
+        policy: SnapshotPolicy = SnapshotPolicy(),
     ):
         self._core = Core(
             node, cluster, storage, machine, transport, clock, timing, rng
         )
         self._elections = Elections(self._core)
         self._following = Following(self._core)
-        self._applying = Applying(self._core, snapshot_entries)
+        self._applying = Applying(self._core, policy)
         self.changes = VoterChanges(self._core)
         self._tasks: list[asyncio.Task] = []
 
--- a/packages/state/src/chivepier/state/testing/rig.py
+++ b/packages/state/src/chivepier/state/testing/rig.py
@@ -13,6 +13,7 @@
 from chivepier.state.answer import Answer
 from chivepier.state.machine import Machine
 from chivepier.state.replica import Replica
+from chivepier.state.snapshotpolicy import SnapshotPolicy
 from chivepier.state.testing.checker import Checker
 from chivepier.state.testing.memorydisk import MemoryDisk
 from chivepier.state.testing.memorynetwork import MemoryNetwork
@@ -26,6 +27,7 @@
 PASSES = 12
 RATES = (0.96, 1.0, 1.04)
 TIMING = Timing(request=0.5)
+SNAPSHOTS = SnapshotPolicy(most_entries=12)
 
 
 class WatchedMachine(Machine):
@@ -47,7 +49,6 @@
     :param size: number of founding voters
     :param seed: of every fault, delay and election timeout
     :param replica_type: lets a test switch a safeguard off
-    :param snapshot_entries: entries between two snapshots
     :param timing: election and lease times
     :param rates: of the voters' clocks, in the order of their starts
     """
@@ -57,7 +58,6 @@
         size: int,
         seed: int = 0,
         replica_type: type[Replica] = Replica,
-        snapshot_entries: int = 12,
         timing: Timing = TIMING,
         rates: tuple[float, ...] = RATES,
     ):
@@ -72,7 +72,6 @@
         self.disks: dict[str, MemoryDisk] = {}
         self.storages: dict[str, MemoryStorage] = {}
         self._type = replica_type
-        self._snapshot_entries = snapshot_entries
         self._dying: list[asyncio.Task] = []
         names = [f"v{i}" for i in range(size)]
         command = VotersCommand(tuple(Voter(n, n) for n in names))
@@ -113,7 +112,7 @@
             self.timing,
             self.rng,
             "c",
-            self._snapshot_entries,
+            SNAPSHOTS,
         )
         self.replicas[name] = await replica.__aenter__()
 
--- a/packages/state/src/chivepier/state/voterchanges.py
+++ b/packages/state/src/chivepier/state/voterchanges.py
@@ -176,6 +176,19 @@
             return False
         return all(state.holds for state in self.report())
 
+    async def settle(self) -> None:
+        """Return once the voters are repaired, or will not be for long.
+
+        A voter that is merely a moment behind is waited for; one that is
+        gone is not.
+
+        :raises NotLeaderError: when this voter does not lead any more
+        """
+        core = self._core
+        end = core.clock.monotonic() + core.timing.election
+        while not self.repaired() and core.clock.monotonic() < end:
+            await core.tenure.grown.wait()
+
     async def force(
         self,
         address: str,
--- a/packages/wire/src/chivepier/wire/__init__.py
+++ b/packages/wire/src/chivepier/wire/__init__.py
@@ -5,6 +5,7 @@
 from chivepier.wire.faults import Faults
 from chivepier.wire.linkerror import LinkError
 from chivepier.wire.links import Links
+from chivepier.wire.refusederror import RefusedError
 from chivepier.wire.server import PeerServer
 from chivepier.wire.traffic import Traffic
 
@@ -15,5 +16,6 @@
     "LinkError",
     "Links",
     "PeerServer",
+    "RefusedError",
     "Traffic",
 ]
--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -15,6 +15,7 @@
 from chivepier.wire.frame import pack_part
 from chivepier.wire.frame import Part
 from chivepier.wire.linkerror import LinkError
+from chivepier.wire.refusederror import RefusedError
 from chivepier.wire.traffic import Traffic
 
 log = logbook.Logger("wire")
@@ -119,6 +120,9 @@
     async def _finish(self, part: Part, number: int, answer) -> None:
         try:
             value = await answer
+        except RefusedError as error:
+            self._reply_error(part, number, error)
+            return
         except Exception as error:
             log.warn("handler failed error={!r}", error)
             self._reply_error(part, number, error)
