--- a/packages/state/src/chivepier/state/tests/test_voterchanges.py
+++ b/packages/state/src/chivepier/state/tests/test_voterchanges.py
@@ -195,3 +195,15 @@
             assert caught.value.leader == leader.node
 
     asyncio.run(play())
+
+
+def test_voter_at_a_second_address_is_refused():
+    """One identity at two addresses would be counted once and asked twice."""
+
+    async def play():
+        async with Rig(3) as rig:
+            leader = await rig.await_leader()
+            with pytest.raises(RequestError, match="is a voter at"):
+                await leader.changes.add(Voter(leader.node, "elsewhere"))
+
+    asyncio.run(play())
--- a/packages/state/src/chivepier/state/voterchanges.py
+++ b/packages/state/src/chivepier/state/voterchanges.py
@@ -79,6 +79,7 @@
         core = self._core
         with self._alone() as tenure:
             if voter not in core.voters:
+                self._refuse_moved(voter)
                 tenure.learner = voter
                 tenure.grown.set()
                 await self._await_match(tenure, voter.node)
@@ -86,6 +87,12 @@
                 log.info("voter added node={}", voter.node)
             await self._await_match(tenure, voter.node)
 
+    def _refuse_moved(self, voter: Voter) -> None:
+        for known in self._core.voters:
+            if known.node == voter.node:
+                text = f"{voter.node} is a voter at {known.address}: remove it"
+                raise RequestError.of(ErrorKind.VERSION_CONFLICT, text)
+
     async def remove(self, node: str) -> None:
         """Take a vote away.
 
