--- a/packages/policy/src/chivepier/policy/targetstate.py
+++ b/packages/policy/src/chivepier/policy/targetstate.py
@@ -12,7 +12,7 @@
 MAX_RISK = 4.0
 FIRST_RISK = 1.0
 RISK_STEP = 0.5
-RISK_DECAY = 0.97
+RISK_DECAY = 0.98
 HEADROOM = 0.01
 
 
@@ -32,9 +32,10 @@
         self.pace = Pace()
         self.risk = FIRST_RISK
         self.suspect_until = -math.inf
-        self.refused_sizes = [math.inf, math.inf]
+        self.refused_size = math.inf
         self.gone = False
         self.pending = 0
+        self.failures = 0
         self.reserved_for = ""
         self._means = [0.0] * len(HORIZONS)
         self._variances = [0.0] * len(HORIZONS)
@@ -63,7 +64,7 @@
             self.risk *= RISK_DECAY
         self.risk = min(MAX_RISK, max(MIN_RISK, self.risk))
         self.view = view
-        self.refused_sizes = [math.inf, math.inf]
+        self.refused_size = math.inf
 
     def count_shared(self, prefix: tuple[int, ...]) -> int:
         """Count the leading prefix blocks that something here uses now."""
@@ -80,7 +81,14 @@
         """Count a request."""
         permit = flight.held.permit
         self.flights[permit] = flight
-        flight.add_to(self._means, self._variances, 1.0)
+        self.pending += flight.uncached
+        self._sum(flight, 1.0)
+
+    def _sum(self, flight: Flight, sign: float) -> None:
+        means, variances = self._means, self._variances
+        for index, mean in enumerate(flight.means):
+            means[index] += sign * mean
+            variances[index] += sign * flight.variances[index]
 
     def _share(self, flight: Flight) -> None:
         # only with the first token is the prompt in the cache: until then
@@ -98,11 +106,13 @@
         permit = flight.held.permit
         del self.flights[permit]
         self._behind -= flight.held.tokens - flight.counted
-        flight.add_to(self._means, self._variances, -1.0)
+        self._sum(flight, -1.0)
         if flight.shares:
             for key in flight.held.ask.prefix:
                 self._drop_user(key, permit)
-        self.refused_sizes = [math.inf, math.inf]
+        else:
+            self.pending -= flight.uncached
+        self.refused_size = math.inf
         if not self.flights:
             # sums of floats drift; an empty target is exactly empty
             self._means = [0.0] * len(HORIZONS)
@@ -120,26 +130,29 @@
         if self._first.pop(key, None) is None:
             self._orphans -= 1
 
-    def advance(self, flight: Flight, tokens: int) -> None:
+    def advance(self, flight: Flight, tokens: int) -> bool:
         """Count a request's progress.
 
         Looking up the chances at each report would cost more than all else;
         between, the tokens that came are only added up.
+
+        :param flight: the request
+        :param tokens: all that came so far
+        :returns: whether it was counted anew
         """
         held = flight.held
         self._behind += tokens - held.tokens
         held.tokens = tokens
         if not flight.shares:
             self._share(flight)
-        if flight.is_behind:
-            self._recount(flight)
-
-    def _recount(self, flight: Flight) -> None:
-        flight.add_to(self._means, self._variances, -1.0)
-        self._behind -= flight.held.tokens - flight.counted
+            self.pending -= flight.uncached
+        if tokens < flight.due:
+            return False
+        self._behind -= tokens - flight.counted
+        self._sum(flight, -1.0)
         flight.refresh()
-        flight.add_to(self._means, self._variances, 1.0)
-        self.refused_sizes = [math.inf, math.inf]
+        self._sum(flight, 1.0)
+        return True
 
     def fits(self, prompt: int, chances: tuple, spare: float) -> bool:
         """Tell whether one more fits at every horizon.
@@ -167,7 +180,19 @@
                 return False
         return True
 
-    def overflow(self, index: int) -> float:
-        """Return the tokens by which a horizon's mean exceeds memory."""
-        mean = self._means[index] + self._orphans * PREFIX_BLOCK_TOKENS
-        return mean - self.view.capacity_tokens
+    def is_open(self, now: float) -> bool:
+        """Tell whether the target takes requests at all now."""
+        if self.gone or self.view.leaving or now < self.suspect_until:
+            return False
+        return len(self.flights) < self.view.max_streams
+
+    def find_excess(self, seconds: float) -> float:
+        """Return the tokens by which memory will be short.
+
+        :param seconds: how far ahead; every stream is taken to go on
+        :returns: tokens, 0 or less where all will fit
+        """
+        if not self.view.capacity_tokens:
+            return 0.0
+        growth = len(self.flights) * seconds / self.pace.mean
+        return self.used + growth - self.view.capacity_tokens
