Ask the shard that a request belongs to, and a second one

Cause: every request asked shard 0, so the targets of a pool's other shards stood idle (test_requests_spread_over_the_shards...: one shard before). The number of shards is read from an index of templates, not from all documents.

--- a/packages/node/benchmarks/permits.py
+++ b/packages/node/benchmarks/permits.py
@@ -226,7 +226,9 @@
     links = Links(cluster.peer_address, KEY, handle, Faults())
     async with links:
         cluster.links = links
-        print("at once  blocks  bytes  frames  entry us  owner us  both/budget")
+        print(
+            "at once  blocks  bytes  frames  entry us  owner us  both/budget"
+        )
         for width, blocks in itertools.product(WIDTHS, BLOCKS):
             size, frames, cpu, cpu_owner = await bench.run(width, blocks)
             share = (cpu + cpu_owner) / BUDGET_SECONDS
--- a/packages/node/src/chivepier/node/directory.py
+++ b/packages/node/src/chivepier/node/directory.py
@@ -46,6 +46,8 @@
         self._teams_by_key: dict[bytes, str] = {}
         self._most_keys = CACHED
         self._decoded: dict[tuple[str, str], Team | Template] = {}
+        self._templates: set[str] = set()
+        self._shards: dict[str, int] | None = None
 
     def _refresh(self) -> None:
         if self._version == self._machine.version:
@@ -58,14 +60,26 @@
             changed = set(self._machine.documents)
             self._decoded.clear()
             self._teams_by_key.clear()
+            self._templates.clear()
+            self._shards = None
         for kind, name in changed:
             self._decoded.pop((kind, name), None)
             if kind == "team":
                 self._index_keys(name)
+            else:
+                self._note_template(name)
         if crowded or self._version < 0:
             self._most_keys = 2 * len(self._teams_by_key) + CACHED
         self._version = self._machine.version
 
+    def _note_template(self, name: str) -> None:
+        # apart from the teams, which are many: requests ask for them
+        self._shards = None
+        if ("template", name) in self._machine.documents:
+            self._templates.add(name)
+        else:
+            self._templates.discard(name)
+
     def _index_keys(self, name: str) -> None:
         # keys that a team no longer has stay until the next whole reading;
         # they name a team whose document, checked on use, lacks them
@@ -155,9 +169,8 @@
         """Return all templates by name."""
         self._refresh()
         return {
-            name: self._load(kind, name)
-            for kind, name in self._machine.documents
-            if kind == "template"
+            name: self._load("template", name)
+            for name in sorted(self._templates)
         }
 
     def team_weight(self, team: str) -> float:
@@ -168,10 +181,13 @@
 
     def pool_shards(self, pool: str) -> int:
         """Return into how many shards a pool is split, 0 if unknown."""
-        counts = [
-            t.shards for t in self.templates().values() if t.pool == pool
-        ]
-        return max(counts, default=0)
+        self._refresh()
+        if self._shards is None:
+            self._shards = {}
+            for template in self.templates().values():
+                most = self._shards.get(template.pool, 0)
+                self._shards[template.pool] = max(most, template.shards)
+        return self._shards.get(pool, 0)
 
 
 def _fill_in(
--- a/packages/node/src/chivepier/node/generation.py
+++ b/packages/node/src/chivepier/node/generation.py
@@ -10,6 +10,7 @@
 from chivepier.messages import PermitOutcome
 from chivepier.messages import PermitRequest
 from chivepier.messages import ReleaseReport
+from chivepier.node.asking import acquire_permit
 from chivepier.node.attempt import Attempt
 from chivepier.node.completion import Completion
 from chivepier.node.directory import Service
@@ -99,11 +100,17 @@
         loop = asyncio.get_running_loop()
         asked = loop.time()
         try:
-            permit = await self._entry.permits.acquire(request)
+            asked_for, permit = await acquire_permit(
+                self._entry, request, self._name_prefix(request)
+            )
         except RequestError as error:
             raise RequestError(self._admit_run(error.failure)) from None
         self._meter.note_permit(loop.time() - asked)
-        return request, permit
+        return asked_for, permit
+
+    def _name_prefix(self, request: PermitRequest) -> str:
+        # a short prompt has no prefix worth keeping together
+        return str(request.prefix[0]) if request.prefix else request.request
 
     def _admit_run(self, failure: Failure) -> Failure:
         # "not run" must hold for every target that was tried
--- a/packages/node/src/chivepier/node/servicecaller.py
+++ b/packages/node/src/chivepier/node/servicecaller.py
@@ -13,6 +13,7 @@
 from chivepier.messages import PermitOutcome
 from chivepier.messages import PermitRequest
 from chivepier.messages import ReleaseReport
+from chivepier.node.asking import acquire_permit
 from chivepier.node.directory import Service
 from chivepier.node.dispatchguard import DispatchedTwiceError
 from chivepier.node.dispatchguard import DispatchGuard
@@ -71,7 +72,9 @@
         while True:
             request = self._permit_request()
             try:
-                permit = await self._entry.permits.acquire(request)
+                request, permit = await acquire_permit(
+                    self._entry, request, request.request
+                )
             except RequestError as error:
                 raise RequestError(self._admit_run(error.failure)) from None
             try:
--- a/packages/node/src/chivepier/node/tests/fakeentry.py
+++ b/packages/node/src/chivepier/node/tests/fakeentry.py
@@ -123,7 +123,7 @@
         async with aiohttp.ClientSession(connector=connector) as once:
             yield Entry(
                 cluster=cluster,
-                directory=None,
+                directory=types.SimpleNamespace(pool_shards=lambda _: 1),
                 permits=FakePermits(addresses),
                 commander=commander,
                 metrics=Metrics(),
--- a/packages/node/src/chivepier/node/tests/test_validation.py
+++ b/packages/node/src/chivepier/node/tests/test_validation.py
@@ -127,3 +127,15 @@
     grant = {"drafting": {"max_output_tokens": 0}}
     site.refuse("max_output_tokens", team(grants=grant))
     site.apply(team(grants={"drafting": {"adapters": ["x"], "share": 2}}))
+
+
+def test_the_shards_of_a_pool_follow_its_templates():
+    """Asked at each request, so it must not read all documents anew."""
+    site = Site()
+    assert site.directory.pool_shards("p") == 0
+    site.apply(template(shards=2), template("b", shards=4), team())
+    assert site.directory.pool_shards("p") == 4
+    version = site.machine.documents["template", "b"].version
+    site.apply({**edit("template", "b", None), "base_version": version})
+    assert site.directory.pool_shards("p") == 2
+    assert list(site.directory.templates()) == ["drafting"]
