Free a key whose caller left before its request was sent

Cause: a claim on its way when the caller left was made for nobody, and a stream that left the queue counted as run. Both tests failed first (in_progress; outcome_unknown), and pass: test_callers, 28 pass.

--- a/packages/node/src/chivepier/node/callers.py
+++ b/packages/node/src/chivepier/node/callers.py
@@ -23,6 +23,8 @@
 from chivepier.node.ledger import digest_request
 from chivepier.node.ledger import MAX_BODY
 from chivepier.node.ledger import read_key
+from chivepier.node.ledger import RELEASED
+from chivepier.node.ledger import UNKNOWN
 from chivepier.node.resumption import Resumption
 from chivepier.node.streaming import HEADERS
 from chivepier.node.streaming import send_stream
@@ -159,7 +161,7 @@
     async def _stream_claimed(
         self, generation: Generation, ticket
     ) -> collections.abc.AsyncGenerator[bytes, None]:
-        outcome = NOT_KEPT
+        outcome = None
         kept: list[bytes] = []
         size = 0
         events = generation.stream()
@@ -178,5 +180,10 @@
             raise
         finally:
             await events.aclose()
+            if outcome is None:
+                # the caller left, or the answer is too large to keep
+                outcome = NOT_KEPT if size else UNKNOWN
+                if not generation.dispatched:
+                    outcome = RELEASED
             settle = self._entry.ledger.settle(ticket, outcome)
             self._entry.background.spawn(settle)
--- a/packages/node/src/chivepier/node/generation.py
+++ b/packages/node/src/chivepier/node/generation.py
@@ -33,6 +33,8 @@
     A generation changes nothing outside, so until the caller has its first
     token another one may take its place.  From then on there is none.
 
+    ``dispatched`` is set once a target may have had it.
+
     :param once: the caller marked the request non-idempotent: it goes to a
         second target only if it is proven not to have run at the first
     """
@@ -51,6 +53,7 @@
         self._excluded: tuple[str, ...] = ()
         self._ran = Ran.NO
         self._delivered = False
+        self.dispatched = False
         self._meter = StreamMeter(
             entry.metrics,
             service.team,
@@ -169,6 +172,7 @@
                 attempt = Attempt(
                     self._entry, self._service, inflight, http, self._meter
                 )
+                self.dispatched = True
                 events = attempt.run(*self._render())
                 async with contextlib.aclosing(events):
                     async for data in events:
--- a/packages/node/src/chivepier/node/ledger.py
+++ b/packages/node/src/chivepier/node/ledger.py
@@ -82,9 +82,14 @@
             int(cluster.clock.now().timestamp()),
         )
         ticket = Ticket(team, key, request)
-        work = self._run(command, ticket)
-        # a caller that leaves must not leave its claim behind half made
-        return await asyncio.shield(self._background.spawn(work))
+        task = self._background.spawn(self._run(command, ticket))
+        try:
+            return await asyncio.shield(task)
+        except asyncio.CancelledError:
+            # the caller left: nobody will dispatch under this claim, and a
+            # resend would hear "in progress" for as long as this node lives
+            self._background.spawn(self._release_unused(task))
+            raise
 
     async def _run(
         self, command: ClaimCommand, ticket: Ticket
@@ -97,6 +102,11 @@
             raise RequestError.of(ErrorKind.NO_QUORUM, text)
         return _read_answer(done.ok_value, ticket)
 
+    async def _release_unused(self, task: asyncio.Task) -> None:
+        await asyncio.wait({task})
+        if task.exception() is None and isinstance(task.result(), Ticket):
+            await self._insist(_end(task.result(), RELEASED))
+
     async def _withdraw(self, command: ClaimCommand, ticket: Ticket) -> None:
         # the claim may be committed later than it was given up: find out,
         # then release it, or the key would stay in progress
--- a/packages/node/src/chivepier/node/tests/test_callers.py
+++ b/packages/node/src/chivepier/node/tests/test_callers.py
@@ -297,6 +297,63 @@
     run(work)
 
 
+def test_a_key_whose_caller_left_before_its_claim_may_be_used():
+    """The caller goes while the claim is on its way; nothing was sent.
+
+    The claim is then made for nobody: a resend would hear that it is in
+    progress for as long as this entry lives.
+    """
+
+    async def work(site, engine):
+        commander = site.entry.commander
+        run_now, free = commander.run, asyncio.Event()
+        asked = asyncio.Event()
+
+        async def run_late(command, timeout):
+            asked.set()
+            await free.wait()
+            return await run_now(command, timeout)
+
+        commander.run = run_late
+        key = {"Idempotency-Key": "k"}
+        caller = asyncio.create_task(site.post(**key).__aenter__())
+        await asked.wait()
+        caller.cancel()
+        await asyncio.sleep(0.05)
+        free.set()
+        await site.entry.background.join()
+        async with site.post(**key) as answer:
+            assert (await answer.read()).endswith(b"[DONE]\n\n")
+        assert len(engine.posts) == 1
+
+    run(work)
+
+
+def test_a_key_whose_caller_left_the_queue_may_be_used():
+    """It waits for a permit and goes: the request did not run."""
+
+    async def work(site, engine):
+        permits = site.entry.permits
+        acquire, waiting = permits.acquire, asyncio.Event()
+
+        async def wait_for_ever(request):
+            waiting.set()
+            await asyncio.Event().wait()
+
+        permits.acquire = wait_for_ever
+        key = {"Idempotency-Key": "k"}
+        caller = asyncio.create_task(site.post(**key).__aenter__())
+        await waiting.wait()
+        caller.cancel()
+        permits.acquire = acquire
+        while len(site.entry.commander.commands) < 2:
+            await asyncio.sleep(0.01)
+        async with site.post(**key) as answer:
+            assert (await answer.read()).endswith(b"[DONE]\n\n")
+
+    run(work)
+
+
 def test_a_stream_is_measured_by_team_and_class():
     async def work(site, engine):
         async with site.post() as answer:
