Hand requests to the policy once a shard is taken over

Cause: the shared policy refuses at once what no known target serves; a new owner or deputy did not know its targets yet, so requests that came early were told no_target. Ruled out: waiting inside the policy (it can't tell a takeover from a pool without targets).

--- a/packages/node/src/chivepier/node/shard.py
+++ b/packages/node/src/chivepier/node/shard.py
@@ -87,12 +87,16 @@
         self._newest: dict[str, tuple[float, tuple[int, int]]] = {}
         self._waiting: dict[str, asyncio.Future] = {}
         self._asks: dict[str, PermitRequest] = {}
+        self._early: dict[str, PermitRequest] = {}
 
     def open(self) -> None:
         """Begin to admit: the permits in flight are known."""
         self.opened = True
         for announcement in self.targets.values():
             self._count_unknown(announcement)
+        for request in self._early.values():
+            self.policy.submit(self._make_ask(request))
+        self._early.clear()
         self.settle()
 
     def close(self) -> None:
@@ -216,8 +220,13 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting[request.request] = future
         self._asks[request.request] = request
-        self.policy.submit(self._make_ask(request))
-        self.settle()
+        if self.opened:
+            self.policy.submit(self._make_ask(request))
+            self.settle()
+        else:
+            # the policy would refuse it for want of targets, which are not
+            # all known before the shard is taken over
+            self._early[request.request] = request
         return future
 
     def _make_ask(self, request: PermitRequest) -> Ask:
@@ -248,6 +257,7 @@
         """
         future = self._waiting.pop(request, None)
         self._asks.pop(request, None)
+        self._early.pop(request, None)
         if future is not None:
             future.cancel()
         self.policy.cancel(request)
