--- a/packages/node/src/chivepier/node/renewal.py
+++ b/packages/node/src/chivepier/node/renewal.py
@@ -52,6 +52,8 @@
     def handle_notice(self, notice: ChangedNotice) -> None:
         """Hurry: the leader committed a change.
 
+        Also where the version is here already: the leader waits to be told.
+
         :param notice: the committed version
         """
         self._cluster.leader = notice.leader
@@ -100,8 +102,9 @@
         self._told = max(self._told, request.version)
         if answer.version > cluster.machine.version:
             await self._catch_up(address, answer.version)
-            if cluster.machine.version >= answer.version:
-                self.hurry()
+        if cluster.machine.version > request.version:
+            # applied since the question was sent: the leader waits for it
+            self.hurry()
         cluster.in_force = max(cluster.in_force, answer.in_force)
         if cluster.machine.version >= answer.version:
             cluster.freshness.confirm(asked)
