--- a/packages/cli/src/chivepier/cli/client.py
+++ b/packages/cli/src/chivepier/cli/client.py
@@ -7,7 +7,8 @@
 from chivepier.cli.commanderror import CommandError
 from chivepier.types import ErrorKind
 
-CALL_SECONDS = 20.0
+CALL_SECONDS = 75.0
+PROBE_SECONDS = 2.0
 
 
 class Client:
@@ -33,6 +34,7 @@
         problem = None
         for address in self._addresses:
             try:
+                self._probe(address)
                 return self._send(address, method, path, body)
             except urllib.error.HTTPError as error:
                 raise _translate(error) from None
@@ -42,6 +44,13 @@
                 )
         raise problem
 
+    def _probe(self, address: str) -> None:
+        # a repair may take a minute to be answered; an instance that is
+        # frozen or cut off must not be waited for that long
+        url = f"http://{address}/healthz"
+        with urllib.request.urlopen(url, timeout=PROBE_SECONDS) as answer:
+            answer.read()
+
     def _send(
         self, address: str, method: str, path: str, body: object
     ) -> dict:
--- a/packages/cli/src/chivepier/cli/tests/test_main.py
+++ b/packages/cli/src/chivepier/cli/tests/test_main.py
@@ -1,5 +1,7 @@
 """Tests of the command line as a person uses it."""
 
+import socket
+
 from click.testing import CliRunner
 import pytest
 
@@ -27,3 +29,15 @@
 def test_missing_address_is_a_usage_error():
     result = CliRunner().invoke(main, ["status"])
     assert result.exit_code == 2
+
+
+def test_silent_instance_is_passed_over():
+    # An instance that is frozen accepts the connection and says nothing: the
+    # command would hang at it for as long as a repair may take, although
+    # the next address answers.
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        port = silent.getsockname()[1]
+        options = ["--address", f"127.0.0.1:{port}", *NOBODY, "status"]
+        result = CliRunner().invoke(main, options)
+    assert result.exit_code == NOT_READY_EXIT
+    assert "127.0.0.1:1:" in result.output
