Reserve the ports of scenarios across processes

Cause: two scenarios ended in 'n3 up did not come': a port that was only found free was taken, by an outgoing connection or another feature running beside it, before the instance bound it. Ruled out: a longer wait (the instance had ended). Ports now lie outside the kernel's range and are reserved across processes by a datagram socket of the same number.

--- a/packages/standins/src/chivepier/standins/cluster.py
+++ b/packages/standins/src/chivepier/standins/cluster.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -19,11 +20,34 @@
 BIN = pathlib.Path(sys.executable).parent
 
 
+# below the range from which the kernel takes ports for outgoing connections
+PORTS = range(12_000, 32_000)
+RESERVED: list[socket.socket] = []
+
+
 def find_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Reserve a port for a process that is started later.
+
+    A port that was only found free may be gone when the process binds it:
+    to an outgoing connection, or to another test that runs beside this one.
+    So it lies outside the kernel's range, and a datagram socket of the same
+    number is kept, by which other tests see that it is taken.
+
+    :returns: the port, reserved until this process ends
+    """
+    rng = random.SystemRandom()
+    while True:
+        port = rng.choice(PORTS)
+        mark = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            mark.bind(("127.0.0.1", port))
+            with socket.socket() as probe:
+                probe.bind(("127.0.0.1", port))
+        except OSError:
+            mark.close()
+            continue
+        RESERVED.append(mark)
+        return port
 
 
 class LocalCluster:
