Judge targets at decisions; refuse nobody before the first grant

- A request was refused as without target when it was submitted, before the owner had opened and heard of its targets.
Now with the next decision.
- What waited while a new owner counted streams that only the engine reports was refused by the bound on waits.
The bounds hold from the first grant on: before it there is no drain rate to predict from.
Grants go before trimming, too.
- hypothesis: submits alone led to a division by zero, as the sum of a team's held tokens drifted below 0 and the most held was 0.

--- a/packages/policy/src/chivepier/policy/benchmarks/measures.py
+++ b/packages/policy/src/chivepier/policy/benchmarks/measures.py
@@ -11,6 +11,7 @@
 from chivepier.types import Urgency
 
 PACE_SECONDS = 0.02
+SOON_SECONDS = 10.0
 
 
 @attrs.frozen(kw_only=True)
@@ -21,8 +22,10 @@
     stream, the times over 0.25 s without a token, and from the last token
     of a stream that was lost or stopped to the first of its next attempt;
     ``stall`` is wait and gap together; ``whole`` is the wait from the first
-    attempt on, refusals included.  ``itl`` holds p50, p95, p99 and p99.9.
-    ``answer`` is the time to the final answer of refused attempts.
+    attempt on, refusals included, of calls that finished, and ``soon`` the
+    part of all calls that began within 10 s of it.  ``itl`` holds p50, p95,
+    p99 and p99.9.  ``answer`` is the time to the final answer of refused
+    attempts.
     """
 
     name: str
@@ -37,6 +40,7 @@
     wait_p99: float
     gap_p99: float
     whole_p99: float
+    soon: float
     answer_p99: float
     itl: tuple[float, float, float, float]
 
@@ -129,11 +133,22 @@
         wait_p99=_percentile(waits, 99),
         gap_p99=_percentile([c.stalled for c in calls if c.waits], 99),
         whole_p99=_percentile(whole, 99),
+        soon=_count_soon(calls, bench.duration),
         answer_p99=_percentile([a for c in calls for a in c.answered], 99),
         itl=tuple(_percentile(itl, q) for q in (50, 95, 99, 99.9)),
     )
 
 
+def _count_soon(calls, duration: float) -> float:
+    asked = [call for call in calls if call.at <= duration - SOON_SECONDS]
+    soon = [
+        call
+        for call in asked
+        if call.begun is not None and call.begun - call.at <= SOON_SECONDS
+    ]
+    return len(soon) / max(1, len(asked))
+
+
 def _end_waits(bench: Bench, calls) -> None:
     # a stream that never began by the end has waited at least until then
     if bench.closed:
@@ -145,6 +160,8 @@
             continue
         sequence = live.get(call)
         if sequence is not None and sequence.first is not None:
+            if call.begun is None:
+                call.begun = sequence.first
             call.waits.append(sequence.first - call.attempted)
             call.stalled += sequence.stalled
         elif sequence is not None or call not in bench.away:
--- a/packages/policy/src/chivepier/policy/lengthcell.py
+++ b/packages/policy/src/chivepier/policy/lengthcell.py
@@ -5,7 +5,7 @@
 from chivepier.policy.buckets import BUCKETS
 from chivepier.policy.buckets import find_bucket
 
-HALF_LIFE = 150.0
+HALF_LIFE = 60.0
 RESCALE = 1e6
 
 
--- a/packages/policy/src/chivepier/policy/refusing.py
+++ b/packages/policy/src/chivepier/policy/refusing.py
@@ -1,11 +1,14 @@
 """Refusing at once what would wait too long."""
 
+import math
+
 from chivepier.policy.ask import Ask
 from chivepier.policy.limits import Limits
 from chivepier.policy.refusal import Refusal
 from chivepier.policy.sharing import Sharing
 from chivepier.policy.teamqueue import TeamQueue
 from chivepier.types import ErrorKind
+from chivepier.types import Urgency
 
 LEAST_QUEUE = 4
 LEAST_RETRY = 0.5
@@ -35,7 +38,7 @@
         team = self._sharing.find(ask)
         if team.waiting >= self._team_limit(team, ask.queue_limit):
             return self.refuse(ask, team, "the team's queue is full", now)
-        if team.waiting < LEAST_QUEUE:
+        if team.waiting < LEAST_QUEUE or not self._sharing.has_granted:
             return None
         wait = self.predict(team, ask, now)
         if wait <= min(self._limits.waits[ask.urgency], ask.deadline - now):
@@ -68,8 +71,8 @@
     def _trim_team(self, team: TeamQueue, now: float) -> list[Refusal]:
         found = []
         for urgency, queue in team.classes.items():
-            bound = LATE * self._limits.waits[urgency]
-            while len(queue) > LEAST_QUEUE:
+            bound = self._find_bound(urgency)
+            while len(queue) > LEAST_QUEUE and bound < math.inf:
                 wait = self.predict(team, queue.tail(), now)
                 if wait <= bound:
                     break
@@ -78,6 +81,14 @@
                 found.append(self._drop(team, queue.head(), now))
         return found
 
+    def _find_bound(self, urgency: Urgency) -> float:
+        # an owner that took over has no drain rate yet and for some seconds
+        # counts what nobody reports: refusing what waits for that would turn
+        # each change of owner into refusals
+        if not self._sharing.has_granted:
+            return math.inf
+        return LATE * self._limits.waits[urgency]
+
     def _drop(self, team: TeamQueue, ask: Ask, now: float) -> Refusal:
         self._sharing.remove(ask, now)
         return self.refuse(ask, team, "the queue drains too slowly", now)
--- a/packages/policy/src/chivepier/policy/sharedpolicy.py
+++ b/packages/policy/src/chivepier/policy/sharedpolicy.py
@@ -9,6 +9,7 @@
 from chivepier.policy.decisions import Decision
 from chivepier.policy.flight import Flight
 from chivepier.policy.flight import limit_chances
+from chivepier.policy.flight import SLACK_TOKENS
 from chivepier.policy.grant import Grant
 from chivepier.policy.held import Held
 from chivepier.policy.leastinflight import serves
@@ -108,11 +109,15 @@
         if ask.request in self._sharing.waiting:
             return
         now = self._clock.monotonic()
-        refusal = self._check_targets(ask) or self._refusing.check(ask, now)
+        refusal = self._refusing.check(ask, now)
         if refusal is not None:
             self._refusals.append(refusal)
             return
         self._sharing.push(ask, now)
+        if self._check_targets(ask) is not None:
+            # refused with the next decision: an owner that has not opened
+            # yet hears of its targets until then
+            self._changed = True
         if (
             ask.prompt_tokens + self._spare(self._sharing.find(ask))
             < self._room
@@ -127,7 +132,8 @@
             view = state.view
             if state.gone or not serves(view, ask):
                 continue
-            if ask.prompt_tokens < (view.capacity_tokens or math.inf):
+            capacity = view.capacity_tokens or math.inf
+            if ask.prompt_tokens + SLACK_TOKENS <= capacity:
                 return None
             found = True
         if not found:
@@ -235,24 +241,30 @@
         """Return what is decided now."""
         now = self._clock.monotonic()
         decisions: list[Decision] = []
-        if now - self._trimmed >= TRIM_SECONDS:
-            self._trimmed = now
-            self._refusals += self._refusing.trim(now)
-            self._sharing.measure()
-            for state in self._states.values():
-                state.refused_size = math.inf
-            self._room = math.inf
-            if self._limits.stop_early:
-                decisions += self._stop_early(now)
         if self._changed:
             self._changed = False
             self._refusals += self._refuse_lost(now)
+        is_due = now - self._trimmed >= TRIM_SECONDS
+        if is_due:
+            self._trimmed = now
+            self._look_again()
         if self._sharing.waiting and self._room == math.inf:
             decisions += self._grant_all(now)
+        if is_due:
+            # after the grants: what waits while there is room is not late
+            self._refusals += self._refusing.trim(now)
+            if self._limits.stop_early:
+                decisions += self._stop_early(now)
         decisions += self._refusals
         self._refusals = []
         return decisions
 
+    def _look_again(self) -> None:
+        self._sharing.measure()
+        for state in self._states.values():
+            state.refused_size = math.inf
+        self._room = math.inf
+
     def _stop_early(self, now: float) -> list[Decision]:
         stops: list[Decision] = []
         for state in self._states.values():
--- a/packages/policy/src/chivepier/policy/sharing.py
+++ b/packages/policy/src/chivepier/policy/sharing.py
@@ -25,6 +25,7 @@
         self.teams = collections.OrderedDict()
         self.waiting: dict[str, Ask] = {}
         self.granted = DrainRate()
+        self.has_granted = False
         self._time = 0.0
         self._active_weight = 0.0
         self.queued: dict[str, TeamQueue] = {}
@@ -86,6 +87,7 @@
         self._time = max(self._time, team.spent)
         team.drain.count()
         self.granted.count()
+        self.has_granted = True
         team.charge(tokens)
         team.charge_class(ask.urgency, tokens)
 
@@ -111,6 +113,8 @@
         else:
             del self.active[team.team]
             self._active_weight -= team.weight
+            # sums of floats drift; a team without requests holds nothing
+            team.held = 0.0
 
     def _tick(self, team: TeamQueue, now: float) -> None:
         team.drain.tick(now, team.waiting)
@@ -135,7 +139,9 @@
         :returns: 0 for a team that holds nothing, 1 for the one that holds
             the most
         """
-        held = team.held / team.weight
+        if self._level <= 0.0:
+            return 0.0
+        held = max(0.0, team.held / team.weight)
         return 1.0 if held >= self._level else held / self._level
 
     def rate(self, team: TeamQueue, now: float) -> float:
--- a/packages/policy/src/chivepier/policy/targetstate.py
+++ b/packages/policy/src/chivepier/policy/targetstate.py
@@ -162,6 +162,9 @@
         :param spare: tokens that must stay free besides
         :returns: whether the chance of overflow stays under the bound
         """
+        if not self.flights:
+            # no margin would ever be free for a prompt of nearly all memory
+            return prompt <= self.view.capacity_tokens
         margin = HEADROOM * self.risk * self.view.capacity_tokens
         limit = self.view.capacity_tokens - spare - margin - self._behind
         limit -= self._orphans * PREFIX_BLOCK_TOKENS
--- a/packages/policy/src/chivepier/policy/test_sharedpolicy.py
+++ b/packages/policy/src/chivepier/policy/test_sharedpolicy.py
@@ -192,7 +192,7 @@
             ledger.release(10**6, draw, PermitOutcome.FINISHED)
 
 
-@settings(derandomize=True, max_examples=150, deadline=None, database=None)
+@settings(derandomize=True, max_examples=300, deadline=None, database=None)
 @given(STEPS)
 def test_each_request_is_answered_exactly_once(steps):
     # A caller would wait for ever, or run twice, if an event between its
@@ -349,3 +349,45 @@
     assert len(ledger.policy._sharing.teams) <= 1024
     assert len(ledger.policy._lengths) <= 2048
     assert len(ledger.policy._sharing._heap) < 5000
+
+
+def test_owner_that_took_over_refuses_nobody_before_its_first_grant():
+    # A new owner counts streams that only the engine reports, so its one
+    # target seems full, for longer than the class's bound on waits.  The
+    # callers who waited through the change are served, not sent away.
+    ledger = Ledger(targets=0)
+    view = make_view(0, max_streams=1)
+    for number in range(3):
+        ledger.policy.submit(make_ask(number, ledger.clock))
+    ledger.waiting = dict(ledger.policy._sharing.waiting)
+    ledger.set_target(view)
+    ask = make_ask(99, ledger.clock)
+    held = Held(permit=10**6, ask=ask, target="t0", granted=0.0)
+    ledger.policy.adopt(held)
+    ledger.advance(6.0)
+    assert len(ledger.waiting) == 3
+    ledger.release(10**6, 5, PermitOutcome.CANCELLED)
+    assert len(ledger.held) == 1
+
+
+def test_prompt_of_nearly_all_memory_runs_alone():
+    # The margins together were larger than what it leaves free, and it
+    # waited until it was refused though the target was empty.
+    ledger = Ledger(targets=1)
+    ledger.submit(make_ask(1, ledger.clock, prompt_tokens=CAPACITY - 100))
+    assert len(ledger.held) == 1
+
+
+def test_no_target_is_said_with_the_next_decision():
+    # Nothing serves the model: the caller is told at once.  But what came
+    # before the owner opened is judged by the targets known when it opens.
+    ledger = Ledger(targets=1)
+    ledger.submit(make_ask(1, ledger.clock, model="other"))
+    assert [r.kind for r in ledger.refused] == [ErrorKind.NO_TARGET]
+    early = Ledger(targets=0)
+    ask = make_ask(1, early.clock)
+    early.waiting[ask.request] = ask
+    early.policy.submit(ask)
+    early.set_target(make_view(0))
+    early.settle()
+    assert early.granted == [ask]
