--- a/packages/node/src/chivepier/node/permits.py
+++ b/packages/node/src/chivepier/node/permits.py
@@ -206,6 +206,7 @@
             if rank < len(ranked) and ranked[rank] == owner:
                 self._unreachable.add(owner)
             await self._cancel(owner, request)
+            await self._cluster.dead.check(owner)
             return None
         except BaseException:
             await self._cancel(owner, request)
@@ -432,6 +433,7 @@
             )
         except LinkError:
             self._unreachable.add(owner)
+            await self._cluster.dead.check(owner)
             return AnnounceAnswer(False, 0.0)
 
     async def list_targets(self) -> list[Announcement]:
--- a/packages/state/src/chivepier/state/voterchanges.py
+++ b/packages/state/src/chivepier/state/voterchanges.py
@@ -79,6 +79,7 @@
         core = self._core
         with self._alone() as tenure:
             if voter not in core.voters:
+                self._refuse_moved(voter)
                 tenure.learner = voter
                 tenure.grown.set()
                 await self._await_match(tenure, voter.node)
@@ -86,6 +87,12 @@
                 log.info("voter added node={}", voter.node)
             await self._await_match(tenure, voter.node)
 
+    def _refuse_moved(self, voter: Voter) -> None:
+        for known in self._core.voters:
+            if known.node == voter.node:
+                text = f"{voter.node} is a voter at {known.address}: remove it"
+                raise RequestError.of(ErrorKind.VERSION_CONFLICT, text)
+
     async def remove(self, node: str) -> None:
         """Take a vote away.
 
@@ -176,6 +183,19 @@
             return False
         return all(state.holds for state in self.report())
 
+    async def settle(self) -> None:
+        """Return once the voters are repaired, or will not be for long.
+
+        A voter that is merely a moment behind is waited for; one that is
+        gone is not.
+
+        :raises NotLeaderError: when this voter does not lead any more
+        """
+        core = self._core
+        end = core.clock.monotonic() + core.timing.election
+        while not self.repaired() and core.clock.monotonic() < end:
+            await core.tenure.grown.wait()
+
     async def force(
         self,
         address: str,
