--- a/packages/policy/src/chivepier/policy/limits.py
+++ b/packages/policy/src/chivepier/policy/limits.py
@@ -6,7 +6,7 @@
 
 
 def _waits() -> dict[Urgency, float]:
-    return {Urgency.URGENT: 1.5, Urgency.NORMAL: 2.0, Urgency.BATCH: 4.0}
+    return {Urgency.URGENT: 2.0, Urgency.NORMAL: 3.5, Urgency.BATCH: 7.0}
 
 
 @attrs.frozen(kw_only=True)
