--- a/packages/policy/src/chivepier/policy/benchmarks/variants.py
+++ b/packages/policy/src/chivepier/policy/benchmarks/variants.py
@@ -9,8 +9,6 @@
 from chivepier.policy.lengths import Lengths
 from chivepier.policy.sharedpolicy import SharedPolicy
 
-GUESS_TOKENS = 1.0
-
 
 class KnownProfile(LengthProfile):
     """One true length."""
--- a/packages/policy/src/chivepier/policy/limits.py
+++ b/packages/policy/src/chivepier/policy/limits.py
@@ -16,12 +16,15 @@
     ``waits`` bounds the wait that is predicted for each class, in seconds:
     beyond it a request is refused at once.  ``lend_spare`` is the part of a
     target's memory that the team which holds the most by weight leaves free,
-    others in proportion.  ``load_tokens``
-    says how many prompt tokens a full target must save to be preferred to
-    an empty one, ``zone_tokens`` how many to leave the caller's zone.
-    While a team waits for room, another may be ahead of it by
-    ``lead_tokens`` of service over weight.  ``ahead_tokens`` of the expected
-    output are charged with the grant, the rest as it comes.
+    others in proportion.  ``load_tokens`` says how many prompt tokens a full
+    target must save to be preferred to an empty one, ``zone_tokens`` how
+    many to leave the caller's zone.  While a team waits for room, another
+    may be ahead of it by ``lead_tokens`` of service over weight.
+    ``ahead_tokens`` of the expected output are charged with the grant, the
+    rest as it comes.  ``heads`` teams are tried in each round of decisions,
+    with the first ``scan`` requests of each class.  ``affinity`` switches
+    the use of cached prefixes, ``stop_early`` the ending of batch streams
+    before memory runs out.
     """
 
     waits: dict[Urgency, float] = attrs.field(factory=_waits)
