--- a/packages/policy/src/chivepier/policy/benchmarks/call.py
+++ b/packages/policy/src/chivepier/policy/benchmarks/call.py
@@ -9,9 +9,10 @@
 class Call:
     """What is asked, its true length, and what became of it.
 
-    ``waits`` holds the waits to the first token of the attempts that had
-    one, ``stalled`` the seconds without a token inside streams, ``answered``
-    the seconds from an attempt to its refusal.
+    ``first`` is the time of the first token.  ``waits`` holds the waits to
+    the first token of the attempts that had one, ``stalled`` the seconds
+    without a token inside streams, ``answered`` the seconds from an attempt
+    to its refusal.
     """
 
     number: int
