--- a/packages/node/src/chivepier/node/renewal.py
+++ b/packages/node/src/chivepier/node/renewal.py
@@ -32,20 +32,22 @@
     def __init__(self, cluster: Cluster):
         self._cluster = cluster
         self._hurry = Signal()
-        self._urgent = False
+        self._hurried = False
+        self._told = 0
 
     async def run(self) -> None:
         """Renew for as long as the node lives."""
         cluster = self._cluster
         while not cluster.leaving:
-            self._urgent = False
             if not await self._renew_at_leader():
                 await self._renew_at_members()
-            if self._urgent:
-                # set while this task was asking, when nobody waits for it
+            if self._hurried:
+                # it came while this was busy: a wait would sleep over it
+                self._hurried = False
                 continue
             wait = cluster.terms.renew if cluster.ready() else 0.1
             await self._hurry.wait(wait * random.uniform(0.8, 1.0))
+            self._hurried = False
 
     def handle_notice(self, notice: ChangedNotice) -> None:
         """Hurry: the leader committed a change.
@@ -55,11 +57,13 @@
         :param notice: the committed version
         """
         self._cluster.leader = notice.leader
-        self.hurry()
+        if notice.version > self._told:
+            # also where it is applied already: the leader waits to hear that
+            self.hurry()
 
     def hurry(self) -> None:
         """Renew at once: something is to be told."""
-        self._urgent = True
+        self._hurried = True
         self._hurry.set()
 
     async def _renew_at_leader(self) -> bool:
@@ -95,6 +99,7 @@
                 cluster.leader = answer.leader
             return False
         cluster.leader = address
+        self._told = max(self._told, request.version)
         if answer.version > cluster.machine.version:
             await self._catch_up(address, answer.version)
         if cluster.machine.version > request.version:
@@ -153,9 +158,13 @@
         :returns: this node's version
         """
         cluster = self._cluster
+        incarnation = cluster.incarnation
+        if cluster.dead.ended(request.node, request.incarnation):
+            # another may own its shards by now: it gets no lease from here
+            incarnation = 0
         return FreshAnswer(
             cluster.identity.node,
-            cluster.incarnation,
+            incarnation,
             cluster.machine.version,
         )
 
@@ -165,7 +174,11 @@
         machine = cluster.machine
         if cluster.replica is not None and cluster.replica.feeds(machine):
             # a voter's state comes by the log alone
-            await machine.changed.wait(cluster.terms.request)
+            end = cluster.clock.monotonic() + cluster.terms.request
+            while machine.version < version:
+                left = end - cluster.clock.monotonic()
+                if left <= 0 or not await machine.changed.wait(left):
+                    return
             return
         while machine.version < version:
             try:
