--- a/packages/node/src/chivepier/node/generation.py
+++ b/packages/node/src/chivepier/node/generation.py
@@ -10,6 +10,7 @@
 from chivepier.messages import PermitOutcome
 from chivepier.messages import PermitRequest
 from chivepier.messages import ReleaseReport
+from chivepier.node.asking import acquire_permit
 from chivepier.node.attempt import Attempt
 from chivepier.node.completion import Completion
 from chivepier.node.directory import Service
@@ -32,6 +33,8 @@
     A generation changes nothing outside, so until the caller has its first
     token another one may take its place.  From then on there is none.
 
+    ``dispatched`` is set once a target may have had it.
+
     :param once: the caller marked the request non-idempotent: it goes to a
         second target only if it is proven not to have run at the first
     """
@@ -50,6 +53,7 @@
         self._excluded: tuple[str, ...] = ()
         self._ran = Ran.NO
         self._delivered = False
+        self.dispatched = False
         self._meter = StreamMeter(
             entry.metrics,
             service.team,
@@ -99,11 +103,17 @@
         loop = asyncio.get_running_loop()
         asked = loop.time()
         try:
-            permit = await self._entry.permits.acquire(request)
+            asked_for, permit = await acquire_permit(
+                self._entry, request, self._name_prefix(request)
+            )
         except RequestError as error:
             raise RequestError(self._admit_run(error.failure)) from None
         self._meter.note_permit(loop.time() - asked)
-        return request, permit
+        return asked_for, permit
+
+    def _name_prefix(self, request: PermitRequest) -> str:
+        # a short prompt has no prefix worth keeping together
+        return str(request.prefix[0]) if request.prefix else request.request
 
     def _admit_run(self, failure: Failure) -> Failure:
         # "not run" must hold for every target that was tried
@@ -162,6 +172,7 @@
                 attempt = Attempt(
                     self._entry, self._service, inflight, http, self._meter
                 )
+                self.dispatched = True
                 events = attempt.run(*self._render())
                 async with contextlib.aclosing(events):
                     async for data in events:
