Keep messages to a lost identity out of the log

An instance with a new folder is still sent what its old identity would get, several times a second until the repair; each left a traceback.

--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -52,6 +52,7 @@
 from chivepier.types import Clock
 from chivepier.wire import Links
 from chivepier.wire import PeerServer
+from chivepier.wire import RefusedError
 
 log = logbook.Logger("node")
 
@@ -343,6 +344,13 @@
                 return replica.handle_vote(message)
             case messages.SnapshotRequest() if replica is not None:
                 return replica.handle_snapshot(message)
+            case (
+                messages.AppendRequest()
+                | messages.VoteRequest()
+                | messages.SnapshotRequest()
+            ):
+                # meant for the identity that was lost with its folder
+                raise RefusedError("no voter here")
         text = f"{type(message).__name__} at {cluster.settings.name}"
         raise ValueError(f"not handled: {text}")
 
--- a/packages/node/src/chivepier/node/voters.py
+++ b/packages/node/src/chivepier/node/voters.py
@@ -23,6 +23,7 @@
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
 from chivepier.wire import LinkError
+from chivepier.wire import RefusedError
 
 ASK_SECONDS = 2.0
 CHANGE_SECONDS = 60.0
@@ -232,11 +233,11 @@
 
         :param request: the asker's cluster
         :returns: last term and index
-        :raises ValueError: when this is no voter of that cluster
+        :raises RefusedError: when this is no voter of that cluster
         """
         replica = self._cluster.replica
         if replica is None or request.cluster != replica.cluster:
-            raise ValueError("no voter of that cluster")
+            raise RefusedError("no voter of that cluster")
         storage = replica.storage
         return LogAnswer(
             replica.node,
--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -106,6 +106,9 @@
     def _handle(self, part: Part, number: int, value: typing.Any) -> None:
         try:
             answer = self._handler(value, self)
+        except RefusedError as error:
+            self._reply_error(part, number, error)
+            return
         except Exception as error:  # the peer is told, the link lives on
             log.exception("handler failed message={}", type(value).__name__)
             self._reply_error(part, number, error)
--- /dev/null
+++ b/packages/wire/src/chivepier/wire/tests/test_refused.py
@@ -0,0 +1,46 @@
+"""Messages that a handler refuses."""
+
+import asyncio
+
+import logbook
+import pytest
+
+from chivepier.messages import LogRequest
+from chivepier.wire import LinkError
+from chivepier.wire import Links
+from chivepier.wire import PeerServer
+from chivepier.wire import RefusedError
+
+KEY = "key-of-tests"
+
+
+async def ask(handle) -> None:
+    """Ask a peer that refuses, over a real link."""
+    async with PeerServer("127.0.0.1", 0, handle, KEY) as server:
+        links = Links("127.0.0.1:1", KEY, handle, server.faults)
+        async with links:
+            peer = f"127.0.0.1:{server.port}"
+            await links.request(peer, LogRequest("c"), 5.0)
+
+
+def refuse(message, channel):
+    """Refuse at once."""
+    raise RefusedError("not mine")
+
+
+async def refuse_later(message, channel):
+    """Refuse after a wait."""
+    raise RefusedError("not mine")
+
+
+@pytest.mark.parametrize("handle", [refuse, refuse_later])
+def test_refused_message_is_answered_and_not_logged(handle):
+    """An instance lost its folder; the leader still sends to its old voter.
+
+    Each message left a traceback in the log, several a second until the
+    repair.
+    """
+    with logbook.TestHandler().applicationbound() as records:
+        with pytest.raises(LinkError, match="not mine"):
+            asyncio.run(ask(handle))
+    assert not records.records
