--- a/packages/state/src/chivepier/state/claims.py
+++ b/packages/state/src/chivepier/state/claims.py
@@ -17,7 +17,7 @@
 
 CLAIM_SECONDS = 24 * 3600
 KEPT_CLAIMS = 50_000
-KEPT_PER_TEAM = 5_000
+KEPT_PER_TEAM = 20_000
 KEPT_BYTES = 16 << 20
 
 Key = tuple[str, str]
