--- a/packages/state/src/chivepier/state/__init__.py
+++ b/packages/state/src/chivepier/state/__init__.py
@@ -17,14 +17,17 @@
 from chivepier.state.role import Role
 from chivepier.state.signal import Signal
 from chivepier.state.snapshot import Snapshot
+from chivepier.state.snapshotpolicy import SnapshotPolicy
 from chivepier.state.storage import Storage
 from chivepier.state.storagefailederror import StorageFailedError
+from chivepier.state.tenure import MAX_COMMAND
 from chivepier.state.timing import Timing
 from chivepier.state.transport import Transport
 
 __all__ = [
     "Answer",
     "Claim",
+    "MAX_COMMAND",
     "DamagedError",
     "DiskStorage",
     "FolderLock",
@@ -38,6 +41,7 @@
     "Role",
     "Signal",
     "Snapshot",
+    "SnapshotPolicy",
     "Storage",
     "StorageFailedError",
     "Timing",
