--- a/features/steps/membership.py
+++ b/features/steps/membership.py
@@ -382,7 +382,8 @@
 
     def served():
         stream = Stream(context.cluster.http[name], tokens)
-        stream.run()
+        stream.start()
+        stream.join(END_SECONDS)
         if stream.status != 200:
             error = json.loads(stream.body)["error"]
             assert error["ran"] == "no", error
