Skip the general converter for messages of plain fields

Cause: an ask spent 6.9 us in cattrs to be packed and 13.0 us to be unpacked, an answer 2.7 and 6.4 us.

--- a/packages/types/src/chivepier/messages/codec.py
+++ b/packages/types/src/chivepier/messages/codec.py
@@ -5,6 +5,7 @@
 import cattrs
 import cbor2
 
+from chivepier.messages.flatform import find_form
 from chivepier.messages.registry import TAGS
 from chivepier.messages.registry import TYPES
 
@@ -21,7 +22,11 @@
     :returns: tag and fields in their order of declaration
     :raises KeyError: when the class is not registered
     """
-    return TAGS[type(value)], CONVERTER.unstructure(value)
+    cls = type(value)
+    form = find_form(cls)
+    if form is not None:
+        return TAGS[cls], form.take_apart(value)
+    return TAGS[cls], CONVERTER.unstructure(value)
 
 
 def unpack(tag: int, fields: typing.Any) -> typing.Any:
@@ -32,7 +37,11 @@
     :returns: the message
     :raises KeyError: when the tag is unknown
     """
-    return CONVERTER.structure(fields, TYPES[tag])
+    cls = TYPES[tag]
+    form = find_form(cls)
+    if form is not None and form.fits(fields):
+        return form.build(fields)
+    return CONVERTER.structure(fields, cls)
 
 
 def encode(value: typing.Any) -> bytes:
