Confirm a grant that crossed a change of members

Cause: an entry told a new owner what it has in flight, and took the old owner's last grant after that; until its next progress report the new owner counted one stream too few (test, failing first: the new owner's record was empty). An answer that spans an epoch is confirmed, like one that is late.

--- a/packages/node/src/chivepier/node/permits.py
+++ b/packages/node/src/chivepier/node/permits.py
@@ -176,12 +176,13 @@
         start = clock.monotonic()
         while True:
             asked = clock.monotonic()
+            epoch = self._cluster.machine.epoch
             left = max(0.0, request.patience - (asked - start))
             answer = await self._ask(attrs.evolve(request, patience=left))
             if answer is None:
                 continue
             if not answer.error:
-                if await self._take(request, answer, asked):
+                if await self._take(request, answer, asked, epoch):
                     return answer
             elif answer.error != ErrorKind.NOT_READY.value:
                 raise _refusal(answer)
@@ -240,13 +241,19 @@
         )
 
     async def _take(
-        self, request: PermitRequest, answer: PermitAnswer, asked: float
+        self,
+        request: PermitRequest,
+        answer: PermitAnswer,
+        asked: float,
+        epoch: int,
     ) -> bool:
         """Write a permit down, unless it came too late to be used.
 
         A grant that was held up on a link is no sign that its target still
         stays, nor that the owner still counts it.  One that was asked for
-        just now is; for one that waited, the owner is asked once more.
+        just now is, unless the members changed since: a new owner may have
+        heard from here what is in flight, without it.  For the others the
+        owner is asked once more.
         """
         clock = self._cluster.clock
         inflight = Inflight(
@@ -256,7 +263,8 @@
         )
         key = (request.pool, request.shard, answer.permit)
         self._inflight[key] = inflight
-        if clock.monotonic() - asked <= CONFIRM_AFTER_SECONDS:
+        soon = clock.monotonic() - asked <= CONFIRM_AFTER_SECONDS
+        if soon and self._cluster.machine.epoch == epoch:
             return True
         asked = clock.monotonic()
         if await self._confirm(request, answer.permit):
--- a/packages/node/src/chivepier/node/tests/test_ownership.py
+++ b/packages/node/src/chivepier/node/tests/test_ownership.py
@@ -647,3 +647,33 @@
         assert not second.done()
 
     asyncio.run(body())
+
+
+def test_grant_that_crosses_a_takeover_is_not_used():
+    """The owner changes while its last grant is on the way to the entry.
+
+    The entry has told the new owner what it has in flight, without that
+    grant; used, it would be one stream too many at the target.
+    """
+
+    async def body():
+        entry_name, following, first = names_in_order()
+        world = World(entry_name, following, first)
+        entry, owner = world.nodes[entry_name], world.nodes[following]
+        await start_shard(world, world.nodes[first])
+        world.clock.sleep = lambda seconds: asyncio.sleep(0)
+
+        async def gate(value):
+            if isinstance(value, PermitRequest):
+                world.gate = World.gate.__get__(world)
+                world.commit(LeaveCommand(first, 1))
+                await start_shard(world, owner)
+
+        world.gate = gate
+        acquiring = entry.permits.acquire(make_request(entry))
+        permit = await asyncio.wait_for(acquiring, 5)
+        (record,) = owner.owner.shards[(POOL, 0)].book
+        assert record.permit == permit.permit
+        assert len(entry.permits._inflight) == 1
+
+    asyncio.run(body())
