--- a/features/membership_owner.feature
+++ b/features/membership_owner.feature
@@ -16,7 +16,7 @@
     Given a cluster of 3 instances with disks and 2 without
     And 1 engine with 2 streams
     And the operator applied "examples/fairway.yaml"
-    When 2 streams of 2500 tokens run through the others
+    When 2 streams of 1200 tokens run through the others
     And the owner of "drafting" is killed
     And another instance owns "drafting"
     And an answer of 20 tokens is asked for until it is served
