Split the shard into files of one job each

Cause: shard.py kept targets, waiting requests, permits, lost permits, stop orders and the policy's view of all of them in 521 lines.

Moved, with no change of behaviour: AnnouncedTargets, WaitingRequests, HeldPermits, LostPermits, StopOrders, make_ask and restore_ask, make_view. Shard keeps its public methods and the attributes book, targets, policy. Logic that stood twice is one: the record of a permit (grant and adoption), answers to permit requests (shard and owner), "heard of" (progress and adoption). The dict of early requests is gone: before open() nothing is granted, so they are just those that wait.

Ruled out: passing the Shard itself to its parts; each part takes only what it uses, so that it can be read alone.

test_shard.py: two imports follow ORPHAN_SECONDS and REPORT_LAG_SECONDS to lostpermits; nothing else in it changes.

--- a/packages/node/src/chivepier/node/owner.py
+++ b/packages/node/src/chivepier/node/owner.py
@@ -26,14 +26,15 @@
 from chivepier.messages import TakeoverRequest
 from chivepier.messages import TargetsAnswer
 from chivepier.messages import TargetsRequest
+from chivepier.node.announcedtargets import ANNOUNCE_SECONDS
 from chivepier.node.cluster import Cluster
 from chivepier.node.deputies import Deputies
 from chivepier.node.deputies import DEPUTY_FRACTION
 from chivepier.node.deputies import MAX_DEPUTIES
 from chivepier.node.directory import Directory
+from chivepier.node.permitanswers import make_refusal
 from chivepier.node.permitnumber import find_rank
 from chivepier.node.permitnumber import tag_permit
-from chivepier.node.shard import ANNOUNCE_SECONDS
 from chivepier.node.shard import MOVED_RETRY_SECONDS
 from chivepier.node.shard import Shard
 from chivepier.types import ErrorKind
@@ -351,8 +352,7 @@
 
     def _refuse(self) -> PermitAnswer:
         text = "this instance does not own the shard"
-        kind = ErrorKind.NOT_READY.value
-        return PermitAnswer(0, "", "", 0, kind, text, MOVED_RETRY_SECONDS)
+        return make_refusal(ErrorKind.NOT_READY, text, MOVED_RETRY_SECONDS)
 
     def handle_confirm(self, request: ConfirmRequest) -> ConfirmAnswer:
         """Tell whether a permit may still be used."""
--- a/packages/node/src/chivepier/node/shard.py
+++ b/packages/node/src/chivepier/node/shard.py
@@ -10,32 +10,28 @@
 from chivepier.messages import PermitRequest
 from chivepier.messages import ProgressReport
 from chivepier.messages import ReleaseReport
-from chivepier.messages import StopOrder
+from chivepier.node.announcedtargets import AnnouncedTargets
+from chivepier.node.asks import make_ask
+from chivepier.node.asks import restore_ask
 from chivepier.node.directory import Directory
-from chivepier.node.permitbook import PermitBook
-from chivepier.node.permitrecord import find_holder
-from chivepier.node.permitrecord import PermitRecord
-from chivepier.node.seentargets import order
+from chivepier.node.heldpermits import HeldPermits
+from chivepier.node.lostpermits import LostPermits
+from chivepier.node.permitanswers import make_grant
+from chivepier.node.permitanswers import make_refusal
+from chivepier.node.stoporders import OrderStop
+from chivepier.node.stoporders import StopOrders
+from chivepier.node.targetview import make_view
+from chivepier.node.waitingrequests import WaitingRequests
 from chivepier.policy import Ask
 from chivepier.policy import Grant
-from chivepier.policy import Held
 from chivepier.policy import Policy
 from chivepier.policy import Refusal
 from chivepier.policy import SharedPolicy
 from chivepier.policy import Stop
-from chivepier.policy import TargetView
 from chivepier.types import Clock
 from chivepier.types import ErrorKind
-from chivepier.types import Urgency
-
-ANNOUNCE_SECONDS = 1.0
-MISSED_ANNOUNCEMENTS = 3
-REMEMBER_SECONDS = 600.0
-REPORT_LAG_SECONDS = 5.0
-ORPHAN_SECONDS = 60.0
-STOP_AGAIN_SECONDS = 0.5
+
 MOVED_RETRY_SECONDS = 0.2
-UNKNOWN_HOLDER = ""
 
 
 class Shard:
@@ -65,7 +61,7 @@
         era: int,
         numbers: collections.abc.Iterator[int],
         may_admit: collections.abc.Callable[["Shard"], bool],
-        order_stop: collections.abc.Callable[[str, StopOrder], None],
+        order_stop: OrderStop,
         fraction: float = 1.0,
     ):
         self.pool = pool
@@ -78,34 +74,34 @@
         self._directory = directory
         self._numbers = numbers
         self._may_admit = may_admit
-        self._order_stop = order_stop
         self._fraction = fraction
         self.policy: Policy = SharedPolicy(clock, numbers)
-        self.book = PermitBook()
-        self.targets: dict[str, Announcement] = {}
-        self._seen: dict[str, float] = {}
-        self._newest: dict[str, tuple[float, tuple[int, int]]] = {}
-        self._waiting: dict[str, asyncio.Future] = {}
-        self._asks: dict[str, PermitRequest] = {}
-        self._early: dict[str, PermitRequest] = {}
+        self._announced = AnnouncedTargets(clock)
+        self.targets = self._announced.current
+        self._waiting = WaitingRequests()
+        self._held = HeldPermits(clock, self.policy)
+        self.book = self._held.book
+        self._lost = LostPermits(clock, numbers, self._held, self.targets)
+        self._stops = StopOrders(pool, number, clock, self.book, order_stop)
 
     def open(self) -> None:
         """Begin to admit: the permits in flight are known."""
         self.opened = True
         for announcement in self.targets.values():
-            self._count_unknown(announcement)
-        for request in self._early.values():
+            self._lost.count_unknown(announcement)
+        for request in self._waiting:
             self.policy.submit(self._make_ask(request))
-        self._early.clear()
         self.settle()
 
     def close(self) -> None:
         """Stop at once: another node may own the shard from now on."""
         self.closed = True
-        for request in list(self._waiting):
+        for request in self._waiting:
             kind = ErrorKind.NOT_READY
             text = "the shard's owner changes"
-            self._refuse(Refusal(request, kind, text, MOVED_RETRY_SECONDS))
+            self._refuse(
+                Refusal(request.request, kind, text, MOVED_RETRY_SECONDS)
+            )
 
     # --- targets -----------------------------------------------------------
 
@@ -115,35 +111,23 @@
         :param announcement: what the target said
         :returns: false when it is older than what is known
         """
-        target = announcement.target
-        newest = self._newest.get(target)
-        if newest is not None and order(announcement) <= newest[1]:
-            # an old run's words, delayed on a link, must not undo a new one
+        known = self.targets.get(announcement.target)
+        if not self._announced.take(announcement):
             return False
-        now = self._clock.monotonic()
-        self._newest[target] = now, order(announcement)
-        known = self.targets.get(target)
-        self.targets[target] = announcement
-        self._seen[target] = now
-        self.policy.set_target(_view(announcement, self._fraction))
+        self.policy.set_target(make_view(announcement, self._fraction))
         if self.opened and known is None:
-            self._count_unknown(announcement)
+            self._lost.count_unknown(announcement)
         restarted = (
             known is not None and known.incarnation < announcement.incarnation
         )
-        self._end_lost(announcement, restarted)
+        self._lost.end_finished(announcement, restarted)
         self.settle()
         return True
 
     def expire(self) -> None:
         """Forget the targets that stopped announcing themselves."""
-        now = self._clock.monotonic()
-        oldest = now - ANNOUNCE_SECONDS * MISSED_ANNOUNCEMENTS
-        for target, seen in list(self._seen.items()):
-            if seen < oldest:
-                del self._seen[target]
-                del self.targets[target]
-                self.policy.remove_target(target)
+        for target in self._announced.drop_silent():
+            self.policy.remove_target(target)
         self.settle()
 
     def watch(self, live: set[str]) -> None:
@@ -151,63 +135,11 @@
 
         :param live: ``node.incarnation`` of all members
         """
-        now = self._clock.monotonic()
-        for target, (seen, _) in list(self._newest.items()):
-            if seen < now - REMEMBER_SECONDS:
-                del self._newest[target]
+        self._announced.forget()
+        self._lost.watch(live)
         for record in self.book:
-            if record.lost_at is None and record.holder not in live:
-                record.lost_at = now
-            self._watch_record(record, now)
-
-    def _watch_record(self, record: PermitRecord, now: float) -> None:
-        if record.lost_at is not None and record.target not in self.targets:
-            if now - record.lost_at > ORPHAN_SECONDS:
-                self._end(record.permit, PermitOutcome.CANCELLED)
-        elif record.stop is not None:
-            if now - record.heard > STOP_AGAIN_SECONDS:
-                record.heard = now
-                self._order_stop(record.entry, record.stop)
-
-    def _count_unknown(self, announcement: Announcement) -> None:
-        """Count what a target runs and nobody reported.
-
-        The dead node may have been owner and entry: its generations go on
-        for a while, and nobody can name them.
-        """
-        load = announcement.load
-        known = len(self.book.at(announcement.target))
-        now = self._clock.monotonic()
-        for _ in range(load.running - known):
-            permit = next(self._numbers)
-            ask = Ask(
-                request=f"unknown.{permit}",
-                team="",
-                template="",
-                model=next(iter(announcement.models), ""),
-                prompt_tokens=load.used_tokens // load.running,
-            )
-            self._hold(permit, ask, announcement.target, "", lost_at=now)
-
-    def _end_lost(self, announcement: Announcement, restarted: bool) -> None:
-        """Free the permits of dead entries that the target runs no more."""
-        now = self._clock.monotonic()
-        records = self.book.at(announcement.target)
-        lost = [r for r in records if r.lost_at is not None]
-        if not lost:
-            return
-        # a report lags: it may not show what was granted just now, and
-        # still show what ended just now
-        settled = now - REPORT_LAG_SECONDS
-        known = [
-            r for r in records if r.lost_at is None and r.granted < settled
-        ]
-        running = max(0, announcement.load.running - len(known))
-        ended = len(lost) if restarted else len(lost) - running
-        old = [r for r in lost if restarted or r.lost_at < settled]
-        old.sort(key=lambda r: r.lost_at)
-        for record in old[: max(0, ended)]:
-            self._end(record.permit, PermitOutcome.CANCELLED)
+            if not self._lost.is_orphan(record):
+                self._stops.repeat(record)
 
     # --- requests ----------------------------------------------------------
 
@@ -217,54 +149,28 @@
         :param request: what the entry asks
         :returns: a future of the answer
         """
-        future = asyncio.get_running_loop().create_future()
-        self._waiting[request.request] = future
-        self._asks[request.request] = request
+        future = self._waiting.add(request)
+        # before the shard is taken over not all targets are known, and the
+        # policy would refuse it for want of them: open() submits it
         if self.opened:
             self.policy.submit(self._make_ask(request))
             self.settle()
-        else:
-            # the policy would refuse it for want of targets, which are not
-            # all known before the shard is taken over
-            self._early[request.request] = request
         return future
 
     def _make_ask(self, request: PermitRequest) -> Ask:
-        template = self._directory.find_template(request.template)
-        now = self._clock.monotonic()
-        return Ask(
-            request=request.request,
-            team=request.team,
-            template=request.template,
-            model=request.model,
-            adapter=request.adapter,
-            urgency=Urgency(request.urgency),
-            weight=self._directory.team_weight(request.team),
-            prompt_tokens=request.prompt_tokens,
-            max_tokens=request.max_tokens,
-            prefix=request.prefix,
-            zone=request.zone,
-            excluded=frozenset(request.excluded),
-            arrived=now,
-            deadline=now + request.patience,
-            queue_limit=template.queue_limit if template else 1,
-        )
+        return make_ask(request, self._directory, self._clock.monotonic())
 
     def cancel(self, request: str) -> None:
         """Drop a waiting request, or take back its unused permit.
 
         :param request: its identifier
         """
-        future = self._waiting.pop(request, None)
-        self._asks.pop(request, None)
-        self._early.pop(request, None)
-        if future is not None:
-            future.cancel()
+        self._waiting.cancel(request)
         self.policy.cancel(request)
         record = self.book.find(request)
         if record is not None:
             # the grant was on its way when the entry gave up
-            self._end(record.permit, PermitOutcome.NOT_RUN)
+            self._held.end(record.permit, PermitOutcome.NOT_RUN)
             self.settle()
 
     def settle(self) -> None:
@@ -278,103 +184,29 @@
                 case Refusal():
                     self._refuse(decision)
                 case Stop():
-                    self._stop(decision)
+                    self._stops.give(decision)
 
     def _grant(self, grant: Grant) -> None:
-        future = self._waiting.pop(grant.request, None)
-        request = self._asks.pop(grant.request, None)
-        if future is None or request is None or future.done():
-            self.policy.release(grant.permit, 0, PermitOutcome.NOT_RUN)
+        permit, target = grant.permit, grant.target
+        waiting = self._waiting.pop(grant.request)
+        if waiting is None:
+            self.policy.release(permit, 0, PermitOutcome.NOT_RUN)
             return
-        self._write(grant.permit, request, grant.target)
-        address = self.targets[grant.target].address
-        answer = PermitAnswer(
-            grant.permit, grant.target, address, 0, "", "", 0.0
-        )
-        future.set_result(answer)
-
-    def _write(self, permit: int, request: PermitRequest, target: str):
-        now = self._clock.monotonic()
-        record = PermitRecord(
-            permit=permit,
-            request=request.request,
-            holder=find_holder(request.request),
-            entry=request.entry,
-            target=target,
-            team=request.team,
-            template=request.template,
-            granted=now,
-            heard=now,
-        )
-        self.book.add(record)
+        request = waiting.request
+        self._held.record(permit, request, target, request.entry)
+        address = self.targets[target].address
+        waiting.future.set_result(make_grant(permit, target, address))
 
     def _refuse(self, refusal: Refusal) -> None:
-        self._asks.pop(refusal.request, None)
-        future = self._waiting.pop(refusal.request, None)
-        if future is not None and not future.done():
-            answer = PermitAnswer(
-                0,
-                "",
-                "",
-                0,
-                refusal.kind.value,
-                refusal.message,
-                refusal.retry_after,
+        waiting = self._waiting.pop(refusal.request)
+        if waiting is not None:
+            answer = make_refusal(
+                refusal.kind, refusal.message, refusal.retry_after
             )
-            future.set_result(answer)
-
-    def _stop(self, stop: Stop) -> None:
-        record = self.book.get(stop.permit)
-        if record is not None and record.stop is None:
-            record.stop = StopOrder(
-                self.pool, self.number, stop.permit, stop.retry_after
-            )
-            record.heard = self._clock.monotonic()
-            self._order_stop(record.entry, record.stop)
+            waiting.future.set_result(answer)
 
     # --- permits -----------------------------------------------------------
 
-    def _hold(
-        self,
-        permit: int,
-        ask: Ask,
-        target: str,
-        entry: str,
-        tokens: int = 0,
-        lost_at: float | None = None,
-    ) -> None:
-        now = self._clock.monotonic()
-        self.policy.adopt(
-            Held(
-                permit=permit,
-                ask=ask,
-                target=target,
-                granted=now,
-                tokens=tokens,
-            )
-        )
-        lost = lost_at is not None
-        self.book.add(
-            PermitRecord(
-                permit=permit,
-                request=ask.request,
-                holder=UNKNOWN_HOLDER if lost else find_holder(ask.request),
-                entry=entry,
-                target=target,
-                team=ask.team,
-                template=ask.template,
-                granted=now,
-                heard=now,
-                lost_at=lost_at,
-            )
-        )
-
-    def _end(
-        self, permit: int, outcome: PermitOutcome, tokens: int = 0
-    ) -> None:
-        self.book.remove(permit)
-        self.policy.release(permit, tokens, outcome)
-
     def release(self, report: ReleaseReport) -> None:
         """Take back a permit; a second report of it changes nothing.
 
@@ -382,7 +214,7 @@
         """
         if self.book.get(report.permit) is not None:
             outcome = PermitOutcome(report.outcome)
-            self._end(report.permit, outcome, report.tokens)
+            self._held.end(report.permit, outcome, report.tokens)
             self.settle()
 
     def progress(self, report: ProgressReport) -> bool:
@@ -391,16 +223,12 @@
         :param report: the entry's report
         :returns: false when it names a permit that isn't known here
         """
-        now = self._clock.monotonic()
         known = True
         for permit, tokens in report.tokens:
-            record = self.book.get(permit)
-            if record is None:
+            if self._held.hear(permit):
+                self.policy.progress(permit, tokens)
+            else:
                 known = False
-                continue
-            record.heard = now
-            record.lost_at = None
-            self.policy.progress(permit, tokens)
         return known
 
     def confirm(self, permit: int) -> bool:
@@ -427,25 +255,16 @@
         :param entry: its peer address
         :param permits: what it reports
         """
-        now = self._clock.monotonic()
-        for plain in permits:
-            record = self.book.get(plain.permit)
-            if record is not None:
-                record.heard = now
-                record.lost_at = None
+        for inflight in permits:
+            if self._held.hear(inflight.permit):
                 continue
-            template = self._directory.find_template(plain.template)
-            ask = Ask(
-                request=plain.request,
-                team=plain.team,
-                template=plain.template,
-                model=template.model if template else "",
-                urgency=Urgency(plain.urgency),
-                weight=self._directory.team_weight(plain.team),
-                prompt_tokens=plain.prompt_tokens,
-                max_tokens=plain.max_tokens,
+            self._held.hold(
+                inflight.permit,
+                restore_ask(inflight, self._directory),
+                inflight.target,
+                entry,
+                inflight.tokens,
             )
-            self._hold(plain.permit, ask, plain.target, entry, plain.tokens)
 
     def reconcile(
         self, holder: str, permits: tuple[InflightPermit, ...], before: float
@@ -457,13 +276,7 @@
         :param before: permits granted earlier than this are in the list,
             or can't be used any more
         """
-        listed = {plain.permit for plain in permits}
-        for record in self.book:
-            if record.holder != holder or record.permit in listed:
-                continue
-            if record.granted < before:
-                # its release was lost with a link
-                self._end(record.permit, PermitOutcome.CANCELLED)
+        self._held.end_unlisted(holder, permits, before)
         self.settle()
 
     def resume(
@@ -478,44 +291,15 @@
         """
         permit = next(self._numbers)
         ask = self._make_ask(request)
-        self._hold(permit, ask, target, request.entry, tokens)
-        lost = [r for r in self.book.at(target) if r.lost_at is not None]
-        same = [
-            r
-            for r in lost
-            if (r.team, r.template) == (request.team, request.template)
-        ]
-        for record in (same or lost)[:1]:
-            self._end(record.permit, PermitOutcome.CANCELLED)
+        self._held.hold(permit, ask, target, request.entry, tokens)
+        self._lost.replace(request, target)
         known = self.targets.get(target)
         address = known.address if known is not None else ""
-        return PermitAnswer(permit, target, address, 0, "", "", 0.0)
+        return make_grant(permit, target, address)
 
     def silent_holders(self, oldest: float) -> set[str]:
         """Return the live holders of permits not heard of for a while.
 
         :param oldest: monotonic seconds
         """
-        return {
-            r.holder
-            for r in self.book
-            if r.lost_at is None and r.heard < oldest
-        }
-
-
-def _view(announcement: Announcement, fraction: float) -> TargetView:
-    return TargetView(
-        target=announcement.target,
-        address=announcement.address,
-        zone=announcement.zone,
-        models=frozenset(m.partition("@")[0] for m in announcement.models),
-        adapters=frozenset(announcement.adapters),
-        capacity_tokens=int(announcement.capacity_tokens * fraction),
-        max_streams=max(1, int(announcement.max_streams * fraction)),
-        leaving=announcement.leaving,
-        running=announcement.load.running,
-        waiting=announcement.load.waiting,
-        used_tokens=announcement.load.used_tokens,
-        preemptions=announcement.load.preemptions,
-        cached=frozenset(announcement.cached),
-    )
+        return self._held.find_silent(oldest)
--- a/packages/node/src/chivepier/node/tests/test_shard.py
+++ b/packages/node/src/chivepier/node/tests/test_shard.py
@@ -13,8 +13,8 @@
 from chivepier.messages import ReleaseReport
 from chivepier.messages import TargetLoad
 from chivepier.node.directory import Directory
-from chivepier.node.shard import ORPHAN_SECONDS
-from chivepier.node.shard import REPORT_LAG_SECONDS
+from chivepier.node.lostpermits import ORPHAN_SECONDS
+from chivepier.node.lostpermits import REPORT_LAG_SECONDS
 from chivepier.node.shard import Shard
 from chivepier.policy import Stop
 from chivepier.state import Machine
