Split the entry's permits into files of one job each

Cause: permits.py chose whom to ask, asked, confirmed, reported progress and relayed announcements in 478 lines.

Moved, with no change of behaviour: OwnerChoice (owner or deputy), PermitAsking (ask, cancel, confirm), OwnerReports (progress, release), TargetRelay (announce, list). Permits keeps its public methods, and the records in flight. Inflight.describe builds what an owner is told.

Ruled out: moving adopt, which other work changes now: three names in its body changed, no more.

Tests: unchanged.

--- a/packages/node/src/chivepier/node/inflight.py
+++ b/packages/node/src/chivepier/node/inflight.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from chivepier.messages import InflightPermit
 from chivepier.messages import PermitAnswer
 from chivepier.messages import PermitRequest
 
@@ -31,3 +32,18 @@
         """
         self.retry_after = retry_after
         self.stopped.set()
+
+    def describe(self) -> InflightPermit:
+        """Return what an owner is told of it."""
+        request = self.request
+        return InflightPermit(
+            request.request,
+            self.permit.permit,
+            self.permit.target,
+            request.team,
+            request.template,
+            request.urgency,
+            request.prompt_tokens,
+            request.max_tokens,
+            self.tokens,
+        )
--- a/packages/node/src/chivepier/node/permits.py
+++ b/packages/node/src/chivepier/node/permits.py
@@ -1,6 +1,5 @@
 """Permits, on the entry's side."""
 
-import asyncio
 import collections.abc
 import contextlib
 import datetime
@@ -11,44 +10,35 @@
 from chivepier.messages import AdoptRequest
 from chivepier.messages import AnnounceAnswer
 from chivepier.messages import Announcement
-from chivepier.messages import CancelReport
-from chivepier.messages import ConfirmRequest
-from chivepier.messages import DeputyAnnouncement
 from chivepier.messages import InflightPermit
 from chivepier.messages import InflightReport
 from chivepier.messages import InflightRequest
-from chivepier.messages import Member
 from chivepier.messages import PermitAnswer
 from chivepier.messages import PermitOutcome
 from chivepier.messages import PermitRequest
-from chivepier.messages import ProgressReport
 from chivepier.messages import ReleaseReport
 from chivepier.messages import StopOrder
 from chivepier.messages import TakeoverAnswer
 from chivepier.messages import TakeoverRequest
-from chivepier.messages import TargetsAnswer
-from chivepier.messages import TargetsRequest
 from chivepier.node.cluster import Cluster
 from chivepier.node.inflight import Inflight
 from chivepier.node.owner import Owner
-from chivepier.node.permitnumber import find_rank
+from chivepier.node.ownerchoice import MOVE_POLL_SECONDS
+from chivepier.node.ownerchoice import OWNER_RETRY
+from chivepier.node.ownerchoice import OwnerChoice
+from chivepier.node.ownerreports import OwnerReports
+from chivepier.node.permitasking import LINK_SECONDS
+from chivepier.node.permitasking import PERMIT_SECONDS
+from chivepier.node.permitasking import PermitAsking
 from chivepier.node.seentargets import SeenTargets
-from chivepier.node.unreachable import Unreachable
+from chivepier.node.targetrelay import TargetRelay
 from chivepier.types import ErrorKind
 from chivepier.types import Failure
 from chivepier.types import RequestError
 from chivepier.wire import LinkError
 
-LINK_SECONDS = 2.0
-PERMIT_SECONDS = 1.0
 CONFIRM_AFTER_SECONDS = 0.5
 MOVE_SECONDS = 2.0
-MOVE_POLL_SECONDS = 0.05
-ANNOUNCE_SECONDS = 1.5
-PROGRESS_SECONDS = 0.25
-PROGRESS_BYTES = 12
-PROGRESS_BYTES_PER_SECOND = 8000
-OWNER_RETRY = datetime.timedelta(seconds=2)
 
 
 class Permits:
@@ -75,48 +65,20 @@
         self._numbers = itertools.count(1)
         self._inflight: dict[tuple[str, int, int], Inflight] = {}
         self._seen = SeenTargets(cluster.clock)
-        self._unreachable = Unreachable(cluster.clock)
+        self._choice = OwnerChoice(cluster, owner)
+        self._asking = PermitAsking(cluster, owner, self._choice)
+        self._reports = OwnerReports(
+            cluster, owner, self._choice, self._inflight
+        )
+        self._relay = TargetRelay(cluster, owner, self._choice)
 
     async def run(self) -> None:
         """Report progress for as long as the node lives."""
-        while True:
-            # a busy entry reports less often, so that reports keep to a
-            # fixed share of the budget of bytes
-            size = len(self._inflight) * PROGRESS_BYTES
-            wait = max(PROGRESS_SECONDS, size / PROGRESS_BYTES_PER_SECOND)
-            await self._cluster.clock.sleep(wait)
-            await self.send_progress()
+        await self._reports.run()
 
     async def send_progress(self) -> None:
         """Tell each shard's owner how far its requests are, at once."""
-        shards: dict[tuple[str, int, int], list[tuple[int, int]]] = {}
-        for (pool, shard, permit), inflight in self._inflight.items():
-            tokens = shards.setdefault((pool, shard, find_rank(permit)), [])
-            tokens.append((permit, inflight.tokens))
-        for (pool, shard, rank), tokens in shards.items():
-            report = ProgressReport(
-                self._cluster.holder, pool, shard, tuple(tokens)
-            )
-            await self._tell(report, rank)
-
-    async def _tell(
-        self, report: ProgressReport | ReleaseReport, rank: int
-    ) -> None:
-        """Tell the owner, and the deputy that gave the permit."""
-        ranked = self._owner.rank(report.pool, report.shard)
-        for place in {0, rank}:
-            if place < len(ranked) and ranked[place] not in self._unreachable:
-                await self._tell_member(ranked[place], report)
-
-    async def _tell_member(
-        self, owner: Member, report: ProgressReport | ReleaseReport
-    ) -> None:
-        if not self._mine(owner):
-            await self._cluster.links.send(owner.peer_address, report)
-        elif isinstance(report, ProgressReport):
-            self._owner.handle_progress(report)
-        else:
-            self._owner.handle_release(report)
+        await self._reports.send_progress()
 
     @contextlib.contextmanager
     def hold(
@@ -178,7 +140,9 @@
             asked = clock.monotonic()
             epoch = self._cluster.machine.epoch
             left = max(0.0, request.patience - (asked - start))
-            answer = await self._ask(attrs.evolve(request, patience=left))
+            answer = await self._asking.ask(
+                attrs.evolve(request, patience=left)
+            )
             if answer is None:
                 continue
             if not answer.error:
@@ -191,55 +155,6 @@
             # the shard moves, or the permit came too late: ask again
             await clock.sleep(MOVE_POLL_SECONDS)
 
-    async def _ask(self, request: PermitRequest) -> PermitAnswer | None:
-        """Ask once; ``None`` when another member is to be asked now."""
-        owner, rank = self._find(request.pool, request.shard)
-        request = attrs.evolve(request, rank=rank)
-        try:
-            if not self._mine(owner):
-                return await self._ask_remote(owner, request)
-            answer = self._owner.handle_permit(request)
-            if isinstance(answer, PermitAnswer):
-                return answer
-            return await answer
-        except LinkError:
-            ranked = self._owner.rank(request.pool, request.shard)
-            if rank < len(ranked) and ranked[rank] == owner:
-                self._unreachable.add(owner)
-            await self._cancel(owner, request)
-            await self._cluster.dead.check(owner)
-            return None
-        except BaseException:
-            await self._cancel(owner, request)
-            raise
-
-    async def _ask_remote(
-        self, owner: Member, request: PermitRequest
-    ) -> PermitAnswer:
-        def moved() -> bool:
-            ranked = self._owner.rank(request.pool, request.shard)
-            return request.rank >= len(ranked) or (
-                ranked[request.rank] != owner
-            )
-
-        async with self._cluster.watch.watch(owner.peer_address, moved):
-            return await self._cluster.links.request(
-                owner.peer_address, request, request.patience + LINK_SECONDS
-            )
-
-    def _find(self, pool: str, shard: int) -> tuple[Member, int]:
-        """Return whom to ask: the owner, or the first reachable deputy."""
-        ranked = self._owner.rank(pool, shard)
-        if not ranked:
-            raise RequestError.of(ErrorKind.NOT_READY, "no members yet")
-        for rank, member in enumerate(ranked):
-            if member not in self._unreachable:
-                return member, rank
-        text = "neither the shard's owner nor a deputy answers"
-        raise RequestError(
-            Failure(ErrorKind.NOT_READY, text, retry_after=OWNER_RETRY)
-        )
-
     async def _take(
         self,
         request: PermitRequest,
@@ -267,7 +182,7 @@
         if soon and self._cluster.machine.epoch == epoch:
             return True
         asked = clock.monotonic()
-        if await self._confirm(request, answer.permit):
+        if await self._asking.confirm(request, answer.permit):
             inflight.usable_until = asked + PERMIT_SECONDS
             return True
         await self.release(
@@ -282,26 +197,6 @@
         )
         return False
 
-    async def _confirm(self, request: PermitRequest, permit: int) -> bool:
-        question = ConfirmRequest(request.pool, request.shard, permit)
-        try:
-            owner = self._giver(request, permit)
-            if self._mine(owner):
-                return self._owner.handle_confirm(question).valid
-            answer = await self._cluster.links.request(
-                owner.peer_address, question, PERMIT_SECONDS
-            )
-        except (LinkError, RequestError):
-            return False
-        return answer.valid
-
-    def _giver(self, request: PermitRequest, permit: int) -> Member:
-        ranked = self._owner.rank(request.pool, request.shard)
-        rank = find_rank(permit)
-        if rank >= len(ranked):
-            raise RequestError.of(ErrorKind.NOT_READY, "the shard moved")
-        return ranked[rank]
-
     async def adopt(
         self, request: PermitRequest, target: str, tokens: int
     ) -> PermitAnswer:
@@ -316,18 +211,18 @@
         :returns: the permit
         :raises RequestError: ``not_ready`` when the owner can't be reached
         """
-        owner, rank = self._find(request.pool, request.shard)
+        owner, rank = self._choice.find(request.pool, request.shard)
         request = attrs.evolve(request, rank=rank)
         question = AdoptRequest(request, target, tokens)
         try:
-            if self._mine(owner):
+            if self._choice.is_here(owner):
                 answer = self._owner.handle_adopt(question)
             else:
                 answer = await self._cluster.links.request(
                     owner.peer_address, question, LINK_SECONDS
                 )
         except LinkError as error:
-            self._unreachable.add(owner)
+            self._choice.unreachable.add(owner)
             raise _unreachable(error) from None
         if answer.error:
             raise _refusal(answer)
@@ -362,37 +257,11 @@
         self, pool: str, shard: int
     ) -> tuple[InflightPermit, ...]:
         return tuple(
-            InflightPermit(
-                inflight.request.request,
-                permit,
-                inflight.permit.target,
-                inflight.request.team,
-                inflight.request.template,
-                inflight.request.urgency,
-                inflight.request.prompt_tokens,
-                inflight.request.max_tokens,
-                inflight.tokens,
-            )
-            for (p, s, permit), inflight in self._inflight.items()
+            inflight.describe()
+            for (p, s, _), inflight in self._inflight.items()
             if (p, s) == (pool, shard)
         )
 
-    def _mine(self, owner: Member) -> bool:
-        return owner.node == self._cluster.identity.node
-
-    async def _cancel(self, owner: Member, request: PermitRequest) -> None:
-        report = CancelReport(
-            self._cluster.peer_address,
-            request.pool,
-            request.shard,
-            request.request,
-        )
-        if self._mine(owner):
-            self._owner.handle_cancel(report)
-            return
-        with contextlib.suppress(LinkError):
-            await self._cluster.links.send(owner.peer_address, report)
-
     async def release(self, report: ReleaseReport) -> None:
         """Tell the owner that a request ended.
 
@@ -400,7 +269,7 @@
         """
         key = (report.pool, report.shard, report.permit)
         self._inflight.pop(key, None)
-        await self._tell(report, find_rank(report.permit))
+        await self._reports.send_release(report)
 
     async def announce(
         self, announcement: Announcement, shard: int
@@ -413,56 +282,11 @@
         :raises RequestError: ``not_ready`` when no owner took it
         """
         self._seen.note(announcement)
-        clock = self._cluster.clock
-        end = clock.monotonic() + ANNOUNCE_SECONDS
-        while True:
-            owner, rank = self._find(announcement.pool, shard)
-            answer = await self._announce_at(owner, rank, announcement)
-            if answer.accepted:
-                return answer
-            if clock.monotonic() > end:
-                text = "no owner took the announcement"
-                raise RequestError.of(ErrorKind.NOT_READY, text)
-            await clock.sleep(MOVE_POLL_SECONDS)
-
-    async def _announce_at(
-        self, owner: Member, rank: int, announcement: Announcement
-    ) -> AnnounceAnswer:
-        message = announcement
-        if rank:
-            message = DeputyAnnouncement(announcement, rank)
-        if self._mine(owner):
-            if rank:
-                return self._owner.handle_deputy(message)
-            return self._owner.handle_announcement(message)
-        try:
-            return await self._cluster.links.request(
-                owner.peer_address, message, PERMIT_SECONDS
-            )
-        except LinkError:
-            self._unreachable.add(owner)
-            await self._cluster.dead.check(owner)
-            return AnnounceAnswer(False, 0.0)
+        return await self._relay.announce(announcement, shard)
 
     async def list_targets(self) -> list[Announcement]:
         """Collect the announcements that all owners hold."""
-        request = TargetsRequest("")
-        answers = await asyncio.gather(
-            *(self._list_at(m, request) for m in self._cluster.members())
-        )
-        return [target for answer in answers for target in answer.targets]
-
-    async def _list_at(
-        self, member: Member, request: TargetsRequest
-    ) -> TargetsAnswer:
-        if self._mine(member):
-            return self._owner.handle_targets(request)
-        try:
-            return await self._cluster.links.request(
-                member.peer_address, request, LINK_SECONDS
-            )
-        except LinkError:
-            return TargetsAnswer(())
+        return await self._relay.list_targets()
 
 
 def _refusal(answer: PermitAnswer) -> RequestError:
