Take takeover and reconciliation out of the owner

Moved, with no change of behaviour: Takeover and Reconciliation. The name of a holder was put together in three places of the owner, the shard of an announcement in two and in the HTTP interface of targets: they are name_holder and Directory.find_shard now. The two ways to take an announcement, as owner and as deputy, share their end.

Ruled out: giving Takeover the handler of inflight requests itself: it is built after the owner, and tests and benchmarks set it there.

Tests: unchanged.

--- a/packages/node/src/chivepier/node/directory.py
+++ b/packages/node/src/chivepier/node/directory.py
@@ -11,6 +11,8 @@
 from chivepier.documents import Team
 from chivepier.documents import Template
 from chivepier.documents import unpack_spec
+from chivepier.membership import find_shard
+from chivepier.messages import Announcement
 from chivepier.state import Machine
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
@@ -189,6 +191,14 @@
                 self._shards[template.pool] = max(most, template.shards)
         return self._shards.get(pool, 0)
 
+    def find_shard(self, announcement: Announcement) -> int:
+        """Return the number of the shard that a target belongs to.
+
+        :param announcement: what the target said
+        """
+        shards = max(1, self.pool_shards(announcement.pool))
+        return find_shard(announcement.target, shards)
+
 
 def _fill_in(
     team: str,
--- a/packages/node/src/chivepier/node/owner.py
+++ b/packages/node/src/chivepier/node/owner.py
@@ -5,7 +5,6 @@
 import itertools
 
 from chivepier.membership import find_owner
-from chivepier.membership import find_shard
 from chivepier.membership import rank_owners
 from chivepier.messages import AdoptRequest
 from chivepier.messages import AnnounceAnswer
@@ -14,8 +13,6 @@
 from chivepier.messages import ConfirmAnswer
 from chivepier.messages import ConfirmRequest
 from chivepier.messages import DeputyAnnouncement
-from chivepier.messages import InflightReport
-from chivepier.messages import InflightRequest
 from chivepier.messages import Member
 from chivepier.messages import PermitAnswer
 from chivepier.messages import PermitRequest
@@ -35,15 +32,15 @@
 from chivepier.node.permitanswers import make_refusal
 from chivepier.node.permitnumber import find_rank
 from chivepier.node.permitnumber import tag_permit
+from chivepier.node.permitrecord import name_holder
+from chivepier.node.reconciliation import Reconciliation
 from chivepier.node.shard import MOVED_RETRY_SECONDS
 from chivepier.node.shard import Shard
+from chivepier.node.takeover import Takeover
 from chivepier.types import ErrorKind
-from chivepier.wire import LinkError
 
 TICK_SECONDS = 0.05
 WATCH_TICKS = 10
-POLL_SECONDS = 0.02
-RECONCILE_SECONDS = 1.5
 
 
 class Owner:
@@ -70,6 +67,9 @@
         self._suspecting: set[tuple[str, int]] = set()
         self._tasks: set[asyncio.Task] = set()
         self.deputies = Deputies(cluster, self._make_deputy)
+        # what tells it is built after this: looked up at each use
+        self._takeover = Takeover(cluster, lambda r: self.tell_inflight(r))
+        self._reconciliation = Reconciliation(cluster)
         cluster.machine.epoch_watchers.append(self._review)
 
     async def run(self) -> None:
@@ -159,7 +159,7 @@
                 return None
             shard = self._make_shard(pool, number)
             self.shards[key] = shard
-            self._spawn(self._take_over(shard))
+            self._spawn(self._takeover.take_over(shard))
         return shard
 
     def _suspect(self, pool: str, number: int) -> None:
@@ -185,7 +185,7 @@
 
     def _make_deputy(self, pool: str, number: int, rank: int) -> Shard:
         shard = self._make_shard(pool, number, rank)
-        self._spawn(self._take_over(shard))
+        self._spawn(self._takeover.take_over(shard))
         return shard
 
     def _make_shard(self, pool: str, number: int, rank: int = 0) -> Shard:
@@ -213,80 +213,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    # --- takeover ----------------------------------------------------------
-
-    async def _take_over(self, shard: Shard) -> None:
-        cluster = self._cluster
-        while cluster.in_force < shard.epoch and not shard.closed:
-            await asyncio.sleep(POLL_SECONDS)
-        end = cluster.clock.monotonic() + cluster.terms.outlast
-        await asyncio.gather(
-            *(self._hear(shard, m, end) for m in cluster.owners())
-        )
-        if not shard.closed:
-            shard.open()
-
-    async def _hear(self, shard: Shard, member: Member, end: float) -> None:
-        """Learn what a member knows, until it answers or is given up."""
-        cluster = self._cluster
-        request = TakeoverRequest(
-            cluster.peer_address, shard.pool, shard.number, shard.epoch
-        )
-        while not shard.closed and cluster.clock.monotonic() < end:
-            known = cluster.machine.members.get(member.node)
-            if known is None or known.incarnation != member.incarnation:
-                return
-            answer = await self._ask_inflight(member, request)
-            if answer is not None and answer.ready:
-                entry = member.peer_address
-                shard.adopt(answer.holder, entry, answer.permits)
-                for announcement in answer.targets:
-                    shard.announce(announcement)
-                return
-            await asyncio.sleep(POLL_SECONDS)
-
-    async def _ask_inflight(
-        self, member: Member, request: TakeoverRequest
-    ) -> TakeoverAnswer | None:
-        cluster = self._cluster
-        if member.node == cluster.identity.node:
-            return self.tell_inflight(request)
-        try:
-            return await cluster.links.request(
-                member.peer_address, request, cluster.terms.request
-            )
-        except LinkError:
-            return None
-
     # --- permits whose end was not heard of --------------------------------
 
     def _watch(self) -> None:
-        cluster = self._cluster
-        members = {f"{m.node}.{m.incarnation}": m for m in cluster.members()}
-        oldest = cluster.clock.monotonic() - RECONCILE_SECONDS
-        for shard in self._all():
-            shard.watch(members.keys())
-            for holder in shard.silent_holders(oldest):
-                self._spawn(self._reconcile(shard, members[holder]))
-
-    async def _reconcile(self, shard: Shard, member: Member) -> None:
-        cluster = self._cluster
-        if member.node == cluster.identity.node:
-            return
-        before = cluster.clock.monotonic() - RECONCILE_SECONDS
-        request = InflightRequest(
-            cluster.peer_address, shard.pool, shard.number
-        )
-        try:
-            report: InflightReport = await cluster.links.request(
-                member.peer_address, request, cluster.terms.request
-            )
-        except LinkError:
-            return
-        if report.entry == f"{member.node}.{member.incarnation}":
-            entry = member.peer_address
-            shard.adopt(report.entry, entry, report.permits)
-            shard.reconcile(report.entry, report.permits, before)
+        for shard, member in self._reconciliation.watch(self._all()):
+            self._spawn(self._reconciliation.reconcile(shard, member))
 
     def _order_stop(self, entry: str, order: StopOrder) -> None:
         if entry == self._cluster.peer_address:
@@ -300,25 +231,23 @@
         self, announcement: Announcement
     ) -> AnnounceAnswer:
         """Take a target's announcement as owner of its shard."""
-        shards = max(1, self._directory.pool_shards(announcement.pool))
-        number = find_shard(announcement.target, shards)
+        number = self._directory.find_shard(announcement)
         shard = self._shard(announcement.pool, number)
-        if shard is None:
-            return AnnounceAnswer(False, ANNOUNCE_SECONDS)
-        shard.announce(announcement)
-        return AnnounceAnswer(True, ANNOUNCE_SECONDS)
+        return self._announce(shard, announcement)
 
     def handle_deputy(self, message: DeputyAnnouncement) -> AnnounceAnswer:
         """Take a target's announcement as deputy of its shard."""
         announcement = message.announcement
-        shards = max(1, self._directory.pool_shards(announcement.pool))
-        number = find_shard(announcement.target, shards)
-        pool = announcement.pool
-        shard = self.deputies.find(pool, number, message.rank)
-        if shard is None:
-            return AnnounceAnswer(False, ANNOUNCE_SECONDS)
-        shard.announce(announcement)
-        return AnnounceAnswer(True, ANNOUNCE_SECONDS)
+        number = self._directory.find_shard(announcement)
+        shard = self.deputies.find(announcement.pool, number, message.rank)
+        return self._announce(shard, announcement)
+
+    def _announce(
+        self, shard: Shard | None, announcement: Announcement
+    ) -> AnnounceAnswer:
+        if shard is not None:
+            shard.announce(announcement)
+        return AnnounceAnswer(shard is not None, ANNOUNCE_SECONDS)
 
     def handle_permit(self, request: PermitRequest):
         """Answer an entry's request, now or when there is room.
@@ -372,8 +301,8 @@
             if shard.progress(report):
                 continue
             for member in self._cluster.members():
-                if f"{member.node}.{member.incarnation}" == report.entry:
-                    self._spawn(self._reconcile(shard, member))
+                if name_holder(member) == report.entry:
+                    self._spawn(self._reconciliation.reconcile(shard, member))
 
     def handle_release(self, report: ReleaseReport) -> None:
         """Take back a permit."""
--- a/packages/node/src/chivepier/node/permitrecord.py
+++ b/packages/node/src/chivepier/node/permitrecord.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from chivepier.messages import Member
 from chivepier.messages import StopOrder
 
 
@@ -37,3 +38,12 @@
     :returns: ``node.incarnation``
     """
     return request.rpartition(".")[0]
+
+
+def name_holder(member: Member) -> str:
+    """Return the holder of the permits of a member's requests.
+
+    :param member: an entry, in one run
+    :returns: ``node.incarnation``, as :func:`find_holder` returns it
+    """
+    return f"{member.node}.{member.incarnation}"
--- a/packages/node/src/chivepier/node/targets.py
+++ b/packages/node/src/chivepier/node/targets.py
@@ -5,7 +5,6 @@
 from aiohttp import web
 import cattrs
 
-from chivepier.membership import find_shard
 from chivepier.messages import Announcement
 from chivepier.node.bodies import read_json
 from chivepier.node.entry import Entry
@@ -33,9 +32,7 @@
         key = self._entry.cluster.settings.deployment_key
         check_bearer(request, key)
         announcement = parse_announcement(await read_json(request))
-        directory = self._entry.directory
-        shards = max(1, directory.pool_shards(announcement.pool))
-        shard = find_shard(announcement.target, shards)
+        shard = self._entry.directory.find_shard(announcement)
         answer = await self._entry.permits.announce(announcement, shard)
         return web.json_response(
             {"accepted": answer.accepted, "interval": answer.interval}
