Let the entry that resumes a generation have its permit

Cause: Permits.adopt existed and nobody called it. After the first entry died, its owner counted a generation that a caller had resumed elsewhere as lost until the target's reports showed its end; the new entry reported no progress and no stop order reached it. With the first entry alive, its stop orders went where the caller no longer was.

Now the handle names the target, the permit and the prompt's tokens. Once an event has come, the resuming entry asks the owner, which passes the same permit on: one record, its holder and address changed. Progress, stop orders and the release are the new entry's. A release by the first entry, which may come while the generation goes on, changes nothing. Streams at one entry that read one generation share the record there; the last one tells the owner. While no owner answers, the stream goes on and the owner is asked again each second. An owner that doesn't know the number gives a new permit in the place of a lost one, as it did.

Ruled out: a new permit each time (with the first entry alive the generation counts twice, and a lost permit of another generation is struck out); adoption before the first event (a caller with an old handle would get a permit for nothing, and its end would suspect the target); finding the target by its address (asks every owner at each resumption).

Tests, before: of the new ones 7 failed (test_callers 4, test_ownership 2, test_shard 1; the one for a generation that is gone held). After: packages pass, the 8 scenarios of requests.feature pass; the one with a killed entry now checks that the owners count one permit. It was not run on the earlier code: it reads metrics that are new.

Cost: the sealed handle, sent with each event, grows from 114 to 139 characters for a target's name of 9. An instance of the earlier version can't open such a handle; this one opens the earlier ones and adopts nothing. New metrics: chivepier_adoptions_total, chivepier_permits.

--- a/features/requests.feature
+++ b/features/requests.feature
@@ -45,7 +45,8 @@
     And "n4" is killed after 5 tokens
     Then team "volunteers" can't go on with the stream through "n1"
     When the caller goes on through "n1"
-    Then the stream is whole, in order, from one generation
+    Then "n1" adopts its generation, which the owners count once
+    And the stream is whole, in order, from one generation
     And the engines ran 1 generation in all
 
   Scenario: A case record's reply is lost and the caller sends it again
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -31,6 +31,7 @@
         self.ended = False
         self.error = None
         self.status = 0
+        self._rest = None
         self._team = team
         self._connection = http.client.HTTPConnection(address, timeout=60)
         self.start()
@@ -73,13 +74,21 @@
                 self.generations.add(json.loads(line[6:])["id"])
 
     def go_on(self, address):
-        """Resume at another entry, keeping what was received."""
-        other = Caller(address, self.tokens, self._team, self.last)
-        other.join(END_SECONDS)
-        assert other.status == 200, other.error
-        self.indexes += other.indexes
-        self.generations |= other.generations
-        self.ended = other.ended
+        """Resume at another entry, beside what was received."""
+        self._rest = Caller(address, self.tokens, self._team, self.last)
+
+    def reads_on(self):
+        """Tell whether the resumed stream hasn't ended."""
+        return self._rest.is_alive()
+
+    def _add_rest(self):
+        rest = self._rest
+        rest.join(END_SECONDS)
+        assert rest.status == 200, rest.error
+        self.indexes += rest.indexes
+        self.generations |= rest.generations
+        self.ended = rest.ended
+        self._rest = None
 
     def leave(self):
         """Close the connection."""
@@ -89,6 +98,8 @@
     def check(self):
         """Assert that the answer was whole, from one generation."""
         self.join(END_SECONDS)
+        if self._rest is not None:
+            self._add_rest()
         assert self.ended, (self.status, self.error, self.indexes[-3:])
         assert self.indexes == list(range(self.tokens)), self.indexes[-3:]
         assert len(self.generations) == 1, self.generations
@@ -213,6 +224,32 @@
     assert other.indexes == []
 
 
+@then('"{node}" adopts its generation, which the owners count once')
+def check_adopted(context, node):
+    """Compare the owners' permits once the entry has the generation."""
+    end = time.monotonic() + END_SECONDS
+    while sum_metric(context, node, "chivepier_adoptions_total") < 1:
+        assert context.caller.reads_on(), "the stream ended before"
+        assert time.monotonic() < end, "never adopted"
+        time.sleep(STEP_SECONDS)
+    cluster = context.cluster
+    alive = [n for n in cluster.names if cluster.processes[n].poll() is None]
+    counts = [sum_metric(context, n, "chivepier_permits") for n in alive]
+    assert context.caller.reads_on(), "the stream ended before"
+    assert sum(counts) == 1, counts
+
+
+def sum_metric(context, node, name):
+    """Read a node's metric, all labels together."""
+    address = context.cluster.http[node]
+    connection = http.client.HTTPConnection(address, timeout=5)
+    connection.request("GET", "/metrics")
+    lines = connection.getresponse().read().decode().splitlines()
+    connection.close()
+    fits = (name + " ", name + "{")
+    return sum(float(n.split()[-1]) for n in lines if n.startswith(fits))
+
+
 @when("it leaves after {tokens:d} tokens")
 def leave(context, tokens):
     """Close the caller's connection."""
--- a/packages/node/src/chivepier/node/attempt.py
+++ b/packages/node/src/chivepier/node/attempt.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from chivepier.node.directory import Service
+from chivepier.node.ending import end_generation
 from chivepier.node.engineclient import EngineClient
 from chivepier.node.entry import Entry
 from chivepier.node.handle import Handle
@@ -16,8 +17,6 @@
 from chivepier.node.ssebuffer import SseBuffer
 from chivepier.node.streammeter import StreamMeter
 
-PROBE_SECONDS = 1.0
-
 
 class Attempt:
     """Starts a generation, relays it and ends it.
@@ -42,6 +41,9 @@
             generation,
             service.team,
             service.template_name,
+            inflight.permit.target,
+            inflight.permit.permit,
+            inflight.request.prompt_tokens,
         )
         sealed = handle.seal(entry.cluster.machine.secret)
         self._client = EngineClient(http, handle.address, generation)
@@ -87,17 +89,4 @@
         """
         if self._relay.finished or self._relay.over or not self._dispatched:
             return
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(linger):
-                await self._inflight.stopped.wait()
-        await self._wait_adopted(await self._client.cancel())
-
-    async def _wait_adopted(self, tokens: int | None) -> None:
-        # another entry's reader has it: the permit stays counted while it
-        # grows, else its memory would be given away twice
-        quiet = 0.0
-        while tokens is not None and quiet < self._entry.patience.lost:
-            self._entry.permits.report_progress(self._inflight, tokens)
-            await asyncio.sleep(PROBE_SECONDS)
-            before, tokens = tokens, await self._client.cancel()
-            quiet = quiet + PROBE_SECONDS if tokens == before else 0.0
+        await end_generation(self._entry, self._client, self._inflight, linger)
--- a/packages/node/src/chivepier/node/callers.py
+++ b/packages/node/src/chivepier/node/callers.py
@@ -125,8 +125,7 @@
         secret = self._entry.cluster.machine.secret
         handle, last = open_handle(text, secret, team)
         service = self._entry.directory.find_service(team, handle.template)
-        urgency = service.urgency.name.lower()
-        resumption = Resumption(self._entry, handle, last, urgency)
+        resumption = Resumption(self._entry, handle, last, service)
         return await send_stream(self._entry, request, resumption.stream())
 
     async def _complete_once(
--- a/packages/node/src/chivepier/node/gauges.py
+++ b/packages/node/src/chivepier/node/gauges.py
@@ -50,20 +50,29 @@
         targets = GaugeMetricFamily(
             "chivepier_targets", "Targets owned here", labels=["pool"]
         )
+        permits = GaugeMetricFamily(
+            "chivepier_permits",
+            "Permits counted here as owner",
+            labels=["pool"],
+        )
         preempted = CounterMetricFamily(
             "chivepier_target_preemptions",
             "Preemptions that targets announced",
             labels=["pool", "target"],
         )
         counts: dict[str, int] = {}
+        granted: dict[str, int] = {}
         for (pool, _), shard in self._owner.shards.items():
             counts[pool] = counts.get(pool, 0) + len(shard.targets)
+            granted[pool] = granted.get(pool, 0) + len(shard.book)
             for name, announced in shard.targets.items():
                 total = float(announced.load.preemptions)
                 preempted.add_metric([pool, name], total)
         for pool, count in counts.items():
             targets.add_metric([pool], float(count))
+            permits.add_metric([pool], float(granted[pool]))
         yield targets
+        yield permits
         yield preempted
 
     def _collect_traffic(self) -> collections.abc.Iterator[Metric]:
--- a/packages/node/src/chivepier/node/handle.py
+++ b/packages/node/src/chivepier/node/handle.py
@@ -21,12 +21,19 @@
     Sent as the ``id:`` of each event, with the event's index behind it, so
     that any entry can resume the stream.  It is authenticated with the
     replicated secret: a team can't name another team's generation.
+
+    ``target``, ``permit`` and ``prompt_tokens`` let another entry tell the
+    owner which of its permits goes on; a handle of an instance that didn't
+    write them opens all the same, and its generation isn't adopted.
     """
 
     address: str
     generation: str
     team: str
     template: str
+    target: str = ""
+    permit: int = 0
+    prompt_tokens: int = 0
 
     def seal(self, secret: bytes) -> str:
         """Encode and authenticate.
--- a/packages/node/src/chivepier/node/inflight.py
+++ b/packages/node/src/chivepier/node/inflight.py
@@ -15,12 +15,15 @@
     ``usable_until`` is the monotonic second up to which the request may be
     sent to its target.  ``stopped`` is set when the owner wants the stream
     to end early; ``retry_after`` then says when to come back, in seconds.
+    ``users`` counts the streams here that read its generation: the one that
+    was granted it, and those that resumed it here.
     """
 
     request: PermitRequest
     permit: PermitAnswer
     usable_until: float
     tokens: int = 0
+    users: int = 1
     stopped: asyncio.Event = attrs.field(factory=asyncio.Event)
     retry_after: float = 0.0
 
--- a/packages/node/src/chivepier/node/metrics.py
+++ b/packages/node/src/chivepier/node/metrics.py
@@ -44,6 +44,9 @@
         self.resumes = self._counter(
             "resumes", "Streams resumed by their callers"
         )
+        self.adoptions = self._counter(
+            "adoptions", "Resumed generations counted as this entry's"
+        )
         self.retries = self._counter(
             "retries", "Requests tried at another target", "kind"
         )
--- a/packages/node/src/chivepier/node/owner.py
+++ b/packages/node/src/chivepier/node/owner.py
@@ -337,7 +337,9 @@
         shard = self._serving(asked.pool, asked.shard, asked.rank)
         if shard is None:
             return self._refuse()
-        return shard.resume(asked, request.target, request.tokens)
+        return shard.resume(
+            asked, request.target, request.tokens, request.permit
+        )
 
     def _serving(self, pool: str, number: int, rank: int) -> Shard | None:
         if rank:
--- a/packages/node/src/chivepier/node/permits.py
+++ b/packages/node/src/chivepier/node/permits.py
@@ -303,22 +303,32 @@
         return ranked[rank]
 
     async def adopt(
-        self, request: PermitRequest, target: str, tokens: int
+        self,
+        request: PermitRequest,
+        target: str,
+        tokens: int,
+        permit: int = 0,
     ) -> PermitAnswer:
         """Count a generation that is resumed here, without admission.
 
-        Its first entry is gone; until the owner knows of the new one, it
-        counts the generation as lost.  Release the permit as any other.
+        Its first entry may be gone; until the owner knows of the new one,
+        it counts the generation as lost and sends stop orders in vain.  A
+        permit that was granted here, and whose first stream may still
+        linger, stays as it is.  Release the permit as any other.
 
         :param request: who resumes; its estimates are used for the rest
         :param target: where the generation runs
         :param tokens: how far it is
+        :param permit: the number under which it was started, 0 if unknown
         :returns: the permit
         :raises RequestError: ``not_ready`` when the owner can't be reached
         """
+        own = self._inflight.get((request.pool, request.shard, permit))
+        if own is not None:
+            return self._share(own)
         owner, rank = self._find(request.pool, request.shard)
         request = attrs.evolve(request, rank=rank)
-        question = AdoptRequest(request, target, tokens)
+        question = AdoptRequest(request, target, tokens, permit)
         try:
             if self._mine(owner):
                 answer = self._owner.handle_adopt(question)
@@ -332,6 +342,9 @@
         if answer.error:
             raise _refusal(answer)
         key = (request.pool, request.shard, answer.permit)
+        if key in self._inflight:
+            # another resumption of it was on its way meanwhile
+            return self._share(self._inflight[key])
         now = self._cluster.clock.monotonic()
         self._inflight[key] = Inflight(
             request=request,
@@ -341,6 +354,12 @@
         )
         return answer
 
+    def _share(self, inflight: Inflight) -> PermitAnswer:
+        inflight.users += 1
+        now = self._cluster.clock.monotonic()
+        inflight.usable_until = now + PERMIT_SECONDS
+        return inflight.permit
+
     def handle_inflight(self, request: InflightRequest) -> InflightReport:
         """Tell an owner all that is in flight here in its shard."""
         permits = self._list_inflight(request.pool, request.shard)
@@ -396,9 +415,15 @@
     async def release(self, report: ReleaseReport) -> None:
         """Tell the owner that a request ended.
 
+        Where several streams here read one generation, the last one tells.
+
         :param report: the permit and how it ended
         """
         key = (report.pool, report.shard, report.permit)
+        inflight = self._inflight.get(key)
+        if inflight is not None and inflight.users > 1:
+            inflight.users -= 1
+            return
         self._inflight.pop(key, None)
         await self._tell(report, find_rank(report.permit))
 
--- a/packages/node/src/chivepier/node/shard.py
+++ b/packages/node/src/chivepier/node/shard.py
@@ -380,7 +380,12 @@
 
         :param report: the entry's report
         """
-        if self.book.get(report.permit) is not None:
+        record = self.book.get(report.permit)
+        if record is None:
+            return
+        # an entry whose caller went on elsewhere may end its part first:
+        # the generation, and its memory, are the new holder's by then
+        if report.entry in (record.holder, record.entry):
             outcome = PermitOutcome(report.outcome)
             self._end(report.permit, outcome, report.tokens)
             self.settle()
@@ -467,15 +472,40 @@
         self.settle()
 
     def resume(
-        self, request: PermitRequest, target: str, tokens: int
+        self,
+        request: PermitRequest,
+        target: str,
+        tokens: int,
+        permit: int = 0,
     ) -> PermitAnswer:
-        """Count a generation that an entry resumed, in a lost one's place.
+        """Count a generation that an entry resumed, and count it once.
+
+        A permit that is still known passes to the entry, whether or not its
+        first holder lives.  Without it, say after a change of owners, a new
+        one takes the place of one that was lost at the same target.
 
         :param request: the resuming entry's request
         :param target: where the generation runs
         :param tokens: how far it is
+        :param permit: the number under which it was started, 0 if unknown
         :returns: the permit
         """
+        record = self.book.get(permit)
+        if record is None or record.target != target:
+            permit = self._resume_unknown(request, target, tokens)
+        else:
+            record.holder = find_holder(request.request)
+            record.entry = request.entry
+            record.heard = self._clock.monotonic()
+            record.lost_at = None
+            self.policy.progress(permit, tokens)
+        known = self.targets.get(target)
+        address = known.address if known is not None else ""
+        return PermitAnswer(permit, target, address, 0, "", "", 0.0)
+
+    def _resume_unknown(
+        self, request: PermitRequest, target: str, tokens: int
+    ) -> int:
         permit = next(self._numbers)
         ask = self._make_ask(request)
         self._hold(permit, ask, target, request.entry, tokens)
@@ -487,9 +517,7 @@
         ]
         for record in (same or lost)[:1]:
             self._end(record.permit, PermitOutcome.CANCELLED)
-        known = self.targets.get(target)
-        address = known.address if known is not None else ""
-        return PermitAnswer(permit, target, address, 0, "", "", 0.0)
+        return permit
 
     def silent_holders(self, oldest: float) -> set[str]:
         """Return the live holders of permits not heard of for a while.
--- a/packages/node/src/chivepier/node/tests/fakeentry.py
+++ b/packages/node/src/chivepier/node/tests/fakeentry.py
@@ -1,5 +1,6 @@
 """An entry without a cluster, for tests of the request path."""
 
+import asyncio
 import contextlib
 import itertools
 import types
@@ -50,6 +51,9 @@
         self.addresses = list(addresses)
         self.released = []
         self.inflight = []
+        self.adopted = []
+        self.adopting = asyncio.Event()
+        self.silent = False
         self._numbers = itertools.count(1)
 
     def name_request(self):
@@ -68,6 +72,13 @@
         self.inflight.append(inflight)
         yield inflight
 
+    async def adopt(self, request, target, tokens, permit=0):
+        self.adopting.set()
+        if self.silent:
+            raise RequestError.of(ErrorKind.NOT_READY, "no owner answers")
+        self.adopted.append((request, target, tokens, permit))
+        return PermitAnswer(permit, target, target, 0, "", "", 0)
+
     def report_progress(self, inflight, tokens):
         inflight.tokens = tokens
 
--- a/packages/node/src/chivepier/node/tests/test_callers.py
+++ b/packages/node/src/chivepier/node/tests/test_callers.py
@@ -18,6 +18,8 @@
 from chivepier.messages import Edit
 from chivepier.messages import encode
 from chivepier.messages import Entry as LogEntry
+from chivepier.messages import PermitOutcome
+from chivepier.node import adoption
 from chivepier.node.answers import make_error_middleware
 from chivepier.node.callers import Callers
 from chivepier.node.directory import Directory
@@ -155,6 +157,146 @@
     run(work)
 
 
+async def break_at_3(site, engine, first=4, end=5):
+    """Get a whole answer, and let the engine send less of it next time.
+
+    The reader that resumes gets the rest once the owner was asked.
+    """
+
+    async def play(reader):
+        response = await reader.open()
+        await reader.send(first, end)
+        await asyncio.wait_for(site.entry.permits.adopting.wait(), 5)
+        await reader.finish(end)
+        return response
+
+    async with site.post() as answer:
+        ids = read_ids(await answer.read())
+    await site.entry.background.join()
+    engine.scripts = [play]
+    return ids
+
+
+def test_a_resumed_generation_is_adopted_until_its_end():
+    """Its first entry died; the caller goes on here after event 3.
+
+    Without it the owner counts the generation as lost, and guesses its end
+    from the target's late reports.
+    """
+
+    async def work(site, engine):
+        permits = site.entry.permits
+        ids = await break_at_3(site, engine)
+        (granted,) = permits.inflight
+        async with site.post(**{"Last-Event-ID": ids[3]}) as answer:
+            body = await answer.read()
+        await site.entry.background.join()
+        assert read_ids(body) == ids[4:] and body.endswith(b"[DONE]\n\n")
+        ((request, target, tokens, permit),) = permits.adopted
+        assert (request.pool, request.shard, request.team) == (
+            "p",
+            0,
+            "advisers",
+        )
+        assert request.entry == "n1"
+        assert request.prompt_tokens == granted.request.prompt_tokens
+        assert (target, permit) == (engine.address, granted.permit.permit)
+        assert tokens == 5
+        report = permits.released[-1]
+        assert len(permits.released) == 2 and report.permit == permit
+        assert (report.outcome, report.tokens) == (PermitOutcome.FINISHED, 8)
+        assert permits.inflight[-1].tokens == 8
+
+    run(work)
+
+
+def test_a_resumed_stream_obeys_a_stop_order():
+    """The engine runs short of memory; the owner picks a resumed stream.
+
+    The caller hears that it was stopped early, the generation is cancelled
+    and the permit given back; without adoption no order came at all.
+    """
+
+    async def work(site, engine):
+        permits = site.entry.permits
+        ids = await break_at_3(site, engine)
+        engine.scripts = [fake.hang_at(5)]
+        async with site.post(**{"Last-Event-ID": ids[3]}) as answer:
+            await answer.content.readline()
+            async with asyncio.timeout(5):
+                while len(permits.inflight) < 2:
+                    await asyncio.sleep(0.001)
+            permits.inflight[-1].stop(3.0)
+            body = await answer.read()
+        await site.entry.background.join()
+        last = body.decode().split("\n\n")[-2]
+        error = json.loads(last.partition("data: ")[2])["error"]
+        assert error["kind"] == "stopped_early" and error["ran"] == "yes"
+        assert error["retry_after"] == 3
+        assert engine.cancels == ["1"]
+        report = permits.released[-1]
+        assert (report.outcome, report.tokens) == (PermitOutcome.CANCELLED, 5)
+
+    run(work)
+
+
+def test_a_resumed_stream_goes_on_when_no_owner_answers():
+    """The owner died with the first entry: the caller gets its tokens."""
+
+    async def work(site, engine):
+        permits = site.entry.permits
+        ids = await break_at_3(site, engine)
+        permits.silent = True
+        async with site.post(**{"Last-Event-ID": ids[3]}) as answer:
+            body = await answer.read()
+        await site.entry.background.join()
+        assert read_ids(body) == ids[4:] and body.endswith(b"[DONE]\n\n")
+        assert permits.adopting.is_set()
+        assert len(permits.released) == 1
+
+    run(work)
+
+
+def test_a_resumed_stream_is_adopted_once_an_owner_answers(monkeypatch):
+    """The owner died with the first entry; another node takes over."""
+
+    async def work(site, engine):
+        permits = site.entry.permits
+        ids = await break_at_3(site, engine)
+        engine.scripts = [fake.hang_at(5)]
+        permits.silent = True
+        async with site.post(**{"Last-Event-ID": ids[3]}) as answer:
+            async with asyncio.timeout(5):
+                await permits.adopting.wait()
+                permits.silent = False
+                while not permits.adopted:
+                    await asyncio.sleep(0.001)
+            answer.close()
+        async with asyncio.timeout(5):
+            while len(permits.released) < 2:
+                await asyncio.sleep(0.001)
+        outcomes = [report.outcome for report in permits.released]
+        assert outcomes == [PermitOutcome.FINISHED, PermitOutcome.CANCELLED]
+
+    monkeypatch.setattr(adoption, "RETRY_SECONDS", 0.01)
+    run(work)
+
+
+def test_a_generation_that_is_gone_is_not_adopted():
+    """A caller comes back too late; no permit may be counted for it."""
+
+    async def work(site, engine):
+        ids = await break_at_3(site, engine)
+        engine.scripts = [fake.refuse(404, "unknown")]
+        async with site.post(**{"Last-Event-ID": ids[3]}) as answer:
+            await answer.read()
+        await site.entry.background.join()
+        assert not site.entry.permits.adopting.is_set()
+        assert len(site.entry.permits.released) == 1
+
+    run(work)
+
+
 def test_another_teams_stream_cannot_be_resumed():
     async def work(site, engine):
         async with site.post() as answer:
--- a/packages/node/src/chivepier/node/tests/test_ownership.py
+++ b/packages/node/src/chivepier/node/tests/test_ownership.py
@@ -517,6 +517,55 @@
     asyncio.run(body())
 
 
+def test_a_generation_resumed_where_it_began_has_one_permit():
+    """A caller's link breaks; it goes on at the same entry.
+
+    The first stream lingers and gives its permit back early: the owner
+    must hear of the end once, when the last stream here has ended.
+    """
+
+    async def body():
+        entry_name, owner_name, _ = names_in_order()
+        world = World(entry_name, owner_name)
+        entry, owner = world.nodes[entry_name], world.nodes[owner_name]
+        shard = await start_shard(world, owner)
+        request = make_request(entry)
+        permit = await entry.permits.acquire(request)
+        again = await entry.permits.adopt(
+            make_request(entry), "t", 4, permit.permit
+        )
+        assert again == permit and len(shard.book) == 1
+        report = ReleaseReport(
+            entry.cluster.holder, POOL, 0, permit.permit, 4, 2
+        )
+        await entry.permits.release(report)
+        assert len(shard.book) == 1
+        await entry.permits.release(report)
+        assert not len(shard.book)
+
+    asyncio.run(body())
+
+
+def test_a_generation_resumed_elsewhere_obeys_its_owner_there():
+    """A caller goes on at another entry, here the owner's own node."""
+
+    async def body():
+        entry_name, owner_name, _ = names_in_order()
+        world = World(entry_name, owner_name)
+        entry, owner = world.nodes[entry_name], world.nodes[owner_name]
+        shard = await start_shard(world, owner)
+        permit = await entry.permits.acquire(make_request(entry))
+        request = make_request(owner)
+        moved = await owner.permits.adopt(request, "t", 4, permit.permit)
+        assert moved.permit == permit.permit and len(shard.book) == 1
+        with owner.permits.hold(request, moved) as inflight:
+            shard.policy.decide = lambda: [Stop(permit.permit, 3.0)]
+            shard.settle()
+            assert inflight.stopped.is_set() and inflight.retry_after == 3.0
+
+    asyncio.run(body())
+
+
 def cut_off(entry):
     """Let no link of an entry answer, and none be refused."""
 
--- a/packages/node/src/chivepier/node/tests/test_shard.py
+++ b/packages/node/src/chivepier/node/tests/test_shard.py
@@ -23,6 +23,7 @@
 ENTRY = "10.0.0.1:9"
 HOLDER = "aa.1"
 DEAD = "bb.1"
+OTHER = "cc.1"
 
 
 def make_announcement(target="t", incarnation=1, sequence=1, **fields):
@@ -252,6 +253,35 @@
     run_async(body)
 
 
+def test_resume_moves_the_permit_while_its_first_entry_lives():
+    """A caller's link to a live entry breaks; it goes on at another one.
+
+    Counted at both, the generation would hold two streams' room; its stop
+    order must go where its caller is, and the first entry's release, which
+    comes early, must not free memory that is in use.
+    """
+
+    async def body():
+        bench = Bench()
+        bench.shard.open()
+        bench.announce()
+        first = bench.ask(1)
+        other = bench.ask(2, DEAD)
+        bench.shard.watch({HOLDER})
+        asked = attrs.evolve(make_request(3, OTHER), entry="other:1")
+        answer = bench.shard.resume(asked, "t", 4, first.permit)
+        assert answer.permit == first.permit and len(bench.shard.book) == 2
+        assert bench.shard.book.get(other.permit) is not None
+        record = bench.shard.book.get(first.permit)
+        assert (record.holder, record.entry) == (OTHER, "other:1")
+        bench.shard.release(ReleaseReport(HOLDER, "p", 0, first.permit, 4, 2))
+        assert bench.shard.book.get(first.permit) is record
+        bench.shard.release(ReleaseReport(OTHER, "p", 0, first.permit, 9, 0))
+        assert bench.shard.book.get(first.permit) is None
+
+    run_async(body)
+
+
 def test_grant_that_crossed_a_cancel_is_taken_back():
     """The caller leaves while the grant is on its way to the entry."""
 
