--- a/packages/node/src/chivepier/node/drain.py
+++ b/packages/node/src/chivepier/node/drain.py
@@ -16,6 +16,7 @@
 COMMIT_SECONDS = 10.0
 LEAVE_SECONDS = 2.0
 POLL_SECONDS = 0.02
+TRANSIT_SECONDS = 1.0
 
 
 class Drain:
@@ -23,8 +24,10 @@
 
     Callers keep an answer with addresses for its time to live, which begins
     to run out only when no instance hands this one out any more: when the
-    draining mark is in force.  So new requests are taken until then and
-    for that time after it.
+    draining mark is in force.  So new requests are taken until then, for
+    that time after it, and for as long as the last answer and the request
+    that follows it may travel: their caller would else be refused at an
+    instance that it was told to use.
     """
 
     def __init__(
@@ -45,7 +48,9 @@
         cluster.draining = True
         if cluster.freshness.era:
             await self._leave_addresses()
-            await cluster.clock.sleep(cluster.settings.address_ttl)
+            await cluster.clock.sleep(
+                cluster.settings.address_ttl + TRANSIT_SECONDS
+            )
         self._progress.refusing = True
         log.info("drain: finishing requests={}", self._progress.count)
         await self._progress.wait_idle()
--- a/packages/node/src/chivepier/node/shard.py
+++ b/packages/node/src/chivepier/node/shard.py
@@ -18,6 +18,7 @@
 from chivepier.node.lostpermits import LostPermits
 from chivepier.node.permitanswers import make_grant
 from chivepier.node.permitanswers import make_refusal
+from chivepier.node.permitrecord import find_holder
 from chivepier.node.stoporders import OrderStop
 from chivepier.node.stoporders import StopOrders
 from chivepier.node.targetview import make_view
@@ -212,7 +213,12 @@
 
         :param report: the entry's report
         """
-        if self.book.get(report.permit) is not None:
+        record = self.book.get(report.permit)
+        if record is None:
+            return
+        # an entry whose caller went on elsewhere may end its part first:
+        # the generation, and its memory, are the new holder's by then
+        if report.entry in (record.holder, record.entry):
             outcome = PermitOutcome(report.outcome)
             self._held.end(report.permit, outcome, report.tokens)
             self.settle()
@@ -280,22 +286,45 @@
         self.settle()
 
     def resume(
-        self, request: PermitRequest, target: str, tokens: int
+        self,
+        request: PermitRequest,
+        target: str,
+        tokens: int,
+        permit: int = 0,
     ) -> PermitAnswer:
-        """Count a generation that an entry resumed, in a lost one's place.
+        """Count a generation that an entry resumed, and count it once.
+
+        A permit that is still known passes to the entry, whether or not its
+        first holder lives.  Without it, say after a change of owners, a new
+        one takes the place of one that was lost at the same target.
 
         :param request: the resuming entry's request
         :param target: where the generation runs
         :param tokens: how far it is
+        :param permit: the number under which it was started, 0 if unknown
         :returns: the permit
         """
+        record = self.book.get(permit)
+        if record is None or record.target != target:
+            permit = self._resume_unknown(request, target, tokens)
+        else:
+            record.holder = find_holder(request.request)
+            record.entry = request.entry
+            record.heard = self._clock.monotonic()
+            record.lost_at = None
+            self.policy.progress(permit, tokens)
+        known = self.targets.get(target)
+        address = known.address if known is not None else ""
+        return make_grant(permit, target, address)
+
+    def _resume_unknown(
+        self, request: PermitRequest, target: str, tokens: int
+    ) -> int:
         permit = next(self._numbers)
         ask = self._make_ask(request)
         self._held.hold(permit, ask, target, request.entry, tokens)
         self._lost.replace(request, target)
-        known = self.targets.get(target)
-        address = known.address if known is not None else ""
-        return make_grant(permit, target, address)
+        return permit
 
     def silent_holders(self, oldest: float) -> set[str]:
         """Return the live holders of permits not heard of for a while.
