--- a/packages/membership/src/chivepier/membership/forcetracker.py
+++ b/packages/membership/src/chivepier/membership/forcetracker.py
@@ -1,22 +1,12 @@
 """When a committed configuration is in force everywhere."""
 
-import attrs
-
+from chivepier.membership.pending import Pending
 from chivepier.membership.terms import LeaseTerms
 from chivepier.state import MemberSets
 from chivepier.state import Signal
 from chivepier.types import Clock
 
 
-@attrs.define
-class Pending:
-    """A version that isn't in force yet."""
-
-    version: int
-    committed_at: float
-    blocked_at: float | None = None
-
-
 class ForceTracker:
     """The leader's record of who has which version.
 
