--- a/packages/standins/src/chivepier/standins/engine/server.py
+++ b/packages/standins/src/chivepier/standins/engine/server.py
@@ -12,6 +12,7 @@
 from chivepier.standins.engine.stream import choose_length
 from chivepier.standins.engine.stream import Stream
 from chivepier.standins.faults import Faults
+from chivepier.standins.faultswitch import set_faults
 from chivepier.types import Clock
 
 GENERATION_HEADER = "X-Generation-Id"
@@ -211,11 +212,7 @@
 
     async def set_faults(self, request: web.Request) -> web.Response:
         """Set fault switches."""
-        try:
-            self.faults.update(await request.json())
-        except ValueError as error:
-            return web.json_response({"error": str(error)}, status=400)
-        return web.json_response(attrs.asdict(self.faults))
+        return await set_faults(self.faults, request)
 
     async def leave(self, request: web.Request) -> web.Response:
         """Announce leaving from now on; what runs goes on."""
--- a/packages/standins/src/chivepier/standins/service.py
+++ b/packages/standins/src/chivepier/standins/service.py
@@ -5,12 +5,12 @@
 import os
 
 from aiohttp import web
-import attrs
 import click
 import uvloop
 
 from chivepier.standins.announcer import Announcer
 from chivepier.standins.faults import Faults
+from chivepier.standins.faultswitch import set_faults
 from chivepier.standins.serving import start_site
 
 
@@ -102,11 +102,7 @@
 
     async def set_faults(self, request: web.Request) -> web.Response:
         """Set fault switches."""
-        try:
-            self.faults.update(await request.json())
-        except ValueError as error:
-            return web.json_response({"error": str(error)}, status=400)
-        return web.json_response(attrs.asdict(self.faults))
+        return await set_faults(self.faults, request)
 
     async def leave(self, request: web.Request) -> web.Response:
         """Announce leaving from now on."""
