Name the owner's look-ups as verbs; ask for freshness in one place

Cause: four private functions of the owner were nouns or less (_shard, _serving, _at, _all), which hides that _shard may begin a takeover; the request for a peer's freshness was put together in three files.

Now _find_own, _find_serving, _find_any, _list_shards, and Cluster.make_fresh_request. No change of behaviour.

Tests: unchanged.

--- a/packages/node/src/chivepier/node/cluster.py
+++ b/packages/node/src/chivepier/node/cluster.py
@@ -4,6 +4,7 @@
 
 from chivepier.membership import Freshness
 from chivepier.membership import LeaseTerms
+from chivepier.messages import FreshRequest
 from chivepier.messages import Member
 from chivepier.node.settings import Settings
 from chivepier.state import Identity
@@ -61,6 +62,12 @@
         """This run of the node, as the prefix of its requests' names."""
         return f"{self.identity.node}.{self.incarnation}"
 
+    def make_fresh_request(self) -> FreshRequest:
+        """Return what asks a peer how new its state is."""
+        return FreshRequest(
+            self.identity.node, self.incarnation, self.machine.version
+        )
+
     def owners(self) -> list[Member]:
         """Return the members that may own: none that surely ended."""
         ended = self.dead.confirmed
--- a/packages/node/src/chivepier/node/deadmembers.py
+++ b/packages/node/src/chivepier/node/deadmembers.py
@@ -6,7 +6,6 @@
 
 from chivepier.messages import DeathAnswer
 from chivepier.messages import DeathRequest
-from chivepier.messages import FreshRequest
 from chivepier.messages import Member
 from chivepier.wire import LinkError
 
@@ -92,11 +91,7 @@
 
     async def _probe(self, member: Member) -> bool:
         cluster = self._cluster
-        request = FreshRequest(
-            cluster.identity.node,
-            cluster.incarnation,
-            cluster.machine.version,
-        )
+        request = cluster.make_fresh_request()
         try:
             answer = await cluster.links.request(
                 member.peer_address, request, PROBE_SECONDS
--- a/packages/node/src/chivepier/node/owner.py
+++ b/packages/node/src/chivepier/node/owner.py
@@ -80,12 +80,12 @@
             self._review(False)
             self._claim()
             self.deputies.expire()
-            for shard in self._all():
+            for shard in self._list_shards():
                 shard.expire()
             if tick % WATCH_TICKS == 0:
                 self._watch()
 
-    def _all(self) -> list[Shard]:
+    def _list_shards(self) -> list[Shard]:
         return [*self.shards.values(), *self.deputies.shards.values()]
 
     def _review(self, skipped: bool) -> None:
@@ -104,7 +104,7 @@
         for template in self._directory.templates().values():
             for number in range(template.shards):
                 if self._owns(template.pool, number):
-                    self._shard(template.pool, number)
+                    self._find_own(template.pool, number)
 
     def find(self, pool: str, number: int) -> Member | None:
         """Return the owner of a shard.
@@ -144,7 +144,7 @@
             and self._owns(shard.pool, shard.number)
         )
 
-    def _shard(self, pool: str, number: int) -> Shard | None:
+    def _find_own(self, pool: str, number: int) -> Shard | None:
         key = (pool, number)
         shard = self.shards.get(key)
         if shard is not None and not self._holds(shard):
@@ -216,7 +216,7 @@
     # --- permits whose end was not heard of --------------------------------
 
     def _watch(self) -> None:
-        for shard, member in self._reconciliation.watch(self._all()):
+        for shard, member in self._reconciliation.watch(self._list_shards()):
             self._spawn(self._reconciliation.reconcile(shard, member))
 
     def _order_stop(self, entry: str, order: StopOrder) -> None:
@@ -232,7 +232,7 @@
     ) -> AnnounceAnswer:
         """Take a target's announcement as owner of its shard."""
         number = self._directory.find_shard(announcement)
-        shard = self._shard(announcement.pool, number)
+        shard = self._find_own(announcement.pool, number)
         return self._announce(shard, announcement)
 
     def handle_deputy(self, message: DeputyAnnouncement) -> AnnounceAnswer:
@@ -255,7 +255,7 @@
         :param request: the entry's request
         :returns: an answer, or a future of one
         """
-        shard = self._serving(request.pool, request.shard, request.rank)
+        shard = self._find_serving(request.pool, request.shard, request.rank)
         if shard is None:
             return self._refuse()
         future = shard.request(request)
@@ -264,17 +264,17 @@
     def handle_adopt(self, request: AdoptRequest) -> PermitAnswer:
         """Count a generation that an entry resumed."""
         asked = request.request
-        shard = self._serving(asked.pool, asked.shard, asked.rank)
+        shard = self._find_serving(asked.pool, asked.shard, asked.rank)
         if shard is None:
             return self._refuse()
         return shard.resume(asked, request.target, request.tokens)
 
-    def _serving(self, pool: str, number: int, rank: int) -> Shard | None:
+    def _find_serving(self, pool: str, number: int, rank: int) -> Shard | None:
         if rank:
             return self.deputies.find(pool, number, rank)
-        return self._shard(pool, number)
+        return self._find_own(pool, number)
 
-    def _at(self, pool: str, number: int) -> list[Shard]:
+    def _find_any(self, pool: str, number: int) -> list[Shard]:
         key = (pool, number)
         found = (self.shards.get(key), self.deputies.shards.get(key))
         return [shard for shard in found if shard is not None]
@@ -286,18 +286,18 @@
     def handle_confirm(self, request: ConfirmRequest) -> ConfirmAnswer:
         """Tell whether a permit may still be used."""
         rank = find_rank(request.permit)
-        shard = self._serving(request.pool, request.shard, rank)
+        shard = self._find_serving(request.pool, request.shard, rank)
         valid = shard is not None and shard.confirm(request.permit)
         return ConfirmAnswer(valid)
 
     def handle_cancel(self, report: CancelReport) -> None:
         """Drop a waiting request."""
-        for shard in self._at(report.pool, report.shard):
+        for shard in self._find_any(report.pool, report.shard):
             shard.cancel(report.request)
 
     def handle_progress(self, report: ProgressReport) -> None:
         """Note delivered tokens; ask the entry about unknown permits."""
-        for shard in self._at(report.pool, report.shard):
+        for shard in self._find_any(report.pool, report.shard):
             if shard.progress(report):
                 continue
             for member in self._cluster.members():
@@ -306,7 +306,7 @@
 
     def handle_release(self, report: ReleaseReport) -> None:
         """Take back a permit."""
-        for shard in self._at(report.pool, report.shard):
+        for shard in self._find_any(report.pool, report.shard):
             shard.release(report)
 
     def handle_targets(self, request: TargetsRequest) -> TargetsAnswer:
--- a/packages/node/src/chivepier/node/peerwatch.py
+++ b/packages/node/src/chivepier/node/peerwatch.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from chivepier.messages import FreshRequest
 from chivepier.node.cluster import Cluster
 from chivepier.wire import LinkError
 
@@ -77,11 +76,7 @@
 
     async def _probe(self, address: str) -> None:
         cluster = self._cluster
-        request = FreshRequest(
-            cluster.identity.node,
-            cluster.incarnation,
-            cluster.machine.version,
-        )
+        request = cluster.make_fresh_request()
         try:
             await cluster.links.request(address, request, PROBE_SECONDS)
         except LinkError:
--- a/packages/node/src/chivepier/node/renewal.py
+++ b/packages/node/src/chivepier/node/renewal.py
@@ -139,11 +139,7 @@
 
     async def _ask_member(self, address: str) -> FreshAnswer | None:
         cluster = self._cluster
-        request = FreshRequest(
-            cluster.identity.node,
-            cluster.incarnation,
-            cluster.machine.version,
-        )
+        request = cluster.make_fresh_request()
         try:
             return await cluster.links.request(
                 address, request, cluster.terms.request
