--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Entries that serve callers, and the voters that keep their intent."""
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/config/configuration.py
@@ -0,0 +1,68 @@
+"""A whole configuration under the operator's own version."""
+
+import attrs
+
+from chivepier.gateway.config.configurationerror import ConfigurationError
+from chivepier.gateway.config.limits import Limits
+from chivepier.gateway.config.route import Route
+from chivepier.gateway.config.service import Service
+from chivepier.gateway.config.team import Team
+
+
+@attrs.frozen(kw_only=True)
+class Configuration:
+    """Everything that is to be in force at once.
+
+    :param version: the operator's; the highest one that was accepted counts
+    """
+
+    version: int
+    routes: tuple[Route, ...] = ()
+    services: tuple[Service, ...] = ()
+    teams: tuple[Team, ...] = ()
+    limits: Limits = Limits()
+
+    def check(self) -> None:
+        """Find contradictions between the parts.
+
+        :raises ConfigurationError: naming the first one found
+        """
+        names = {service.name for service in self.services}
+        if len(names) < len(self.services):
+            raise ConfigurationError("two services share a name")
+        places = set()
+        for route in self.routes:
+            _check_route(route, names)
+            place = (route.host, route.prefix)
+            if place in places:
+                text = f"route {route.name}: its host and prefix are taken"
+                raise ConfigurationError(text)
+            places.add(place)
+        self._check_keys()
+
+    def _check_keys(self) -> None:
+        holders: dict[str, str] = {}
+        for team in self.teams:
+            for key in team.keys:
+                other = holders.setdefault(key, team.name)
+                if other != team.name:
+                    text = f"teams {other} and {team.name} share a key"
+                    raise ConfigurationError(text)
+
+
+def _check_route(route: Route, services: set[str]) -> None:
+    where = f"route {route.name}"
+    for service, weight in route.pools:
+        if service not in services:
+            raise ConfigurationError(f"{where}: no service {service!r}")
+        if weight < 0:
+            raise ConfigurationError(f"{where}: a weight is negative")
+    if sum(weight for _, weight in route.pools) <= 0:
+        raise ConfigurationError(f"{where}: its weights add up to 0")
+    if route.timeout <= 0:
+        raise ConfigurationError(f"{where}: its timeout is 0")
+    if not route.host:
+        raise ConfigurationError(f"{where}: it has no host")
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        text = f"{where}: its prefix does not begin and end with a slash"
+        raise ConfigurationError(text)
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/config/engine.py
@@ -0,0 +1,22 @@
+"""What a model-serving target can do."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class Engine:
+    """Limits of the targets of one service that run generations.
+
+    :param slots: requests that one target runs at once
+    :param memory_tokens: tokens that one target's memory holds
+    :param moves: whether a live generation's memory can be moved
+    :param backups: whether a live generation's memory can be copied while
+        it grows
+    :param copy_seconds: how long an unused copy is kept, in seconds
+    """
+
+    slots: int
+    memory_tokens: int
+    moves: bool = False
+    backups: bool = False
+    copy_seconds: float = 5.0
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/following.py
@@ -0,0 +1,292 @@
+"""How an entry follows the voters."""
+
+import asyncio
+import collections.abc
+
+import attrs
+
+from chivepier.gateway.config import Configuration
+from chivepier.gateway.config import ConfigurationError
+from chivepier.gateway.config import RouteIndex
+from chivepier.gateway.control.peers import Peers
+from chivepier.gateway.control.records import unpack_target
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.messages import ConfigAnswer
+from chivepier.gateway.messages import ConfigRequest
+from chivepier.gateway.messages import EntryBeat
+from chivepier.gateway.messages import EntryBeatAnswer
+from chivepier.gateway.messages import LoadNotice
+from chivepier.gateway.messages import LoadRecord
+from chivepier.gateway.messages import TargetNotice
+from chivepier.gateway.messages import TargetRecord
+from chivepier.gateway.serving import ServingState
+from chivepier.gateway.targets import LoadBoard
+from chivepier.gateway.targets import TargetTable
+from chivepier.types import Clock
+from chivepier.wire import Channel
+from chivepier.wire import LinkError
+from chivepier.wire import Links
+from chivepier.wire import RefusedError
+
+# Seconds between an entry's words to each voter. Voters leave an entry out
+# of what callers are told after 1.2 s without one.
+BEAT_SECONDS = 0.3
+# Seconds to wait for a voter's answer. A link that is silent for 2 s is
+# given up; with this a new one stands within 3 s.
+ANSWER_SECONDS = 0.8
+# Seconds for which load changes are gathered before they are sent.
+GATHER_SECONDS = 0.02
+# Seconds between two full reports of this entry's loads.
+REPEAT_SECONDS = 1.0
+# Seconds between two looks at which voters there are.
+LOOK_SECONDS = 0.2
+
+Decode = collections.abc.Callable[[bytes], Configuration]
+
+
+@attrs.define
+class _Voter:
+    task: asyncio.Task | None = None
+    epoch: str = ""
+    revision: int = 0
+    alive: bool = False
+
+
+class Following:
+    """One link to each voter: news at once, and what was missed by beats.
+
+    An entry that hears no voter goes on with what it knows. Its callers are
+    better served by a configuration that may be some seconds old than not
+    at all, and a voter that can't hear it gives its address to no one.
+
+    :param name: this entry's
+    :param address: where callers reach it
+    :param zone: its availability zone
+    :param peers: where voters may be
+    :param cluster_key: that peers show each other
+    :param decode: reads a configuration as it was sent
+    :param state: is given each newer configuration
+    :param table: is given the targets
+    :param board: is given the other entries' loads
+    :param clock: monotonic time
+    :param log: what this process believes
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        zone: str,
+        peers: Peers,
+        links: Links,
+        decode: Decode,
+        state: ServingState,
+        table: TargetTable,
+        board: LoadBoard,
+        clock: Clock,
+        log: EventLog,
+    ):
+        self._name = name
+        self._address = address
+        self._zone = zone
+        self._peers = peers
+        self._links = links
+        self._decode = decode
+        self._state = state
+        self._table = table
+        self._board = board
+        self._clock = clock
+        self._log = log
+        self._voters: dict[str, _Voter] = {}
+        self._fetching = False
+        self._told: dict[str, tuple[int, int]] = {}
+        self._tasks: list[asyncio.Task] = []
+        self.leaving = False
+
+    async def __aenter__(self) -> "Following":
+        for work in (self._keep_voters, self._report_loads):
+            self._tasks.append(asyncio.create_task(work()))
+        return self
+
+    async def __aexit__(self, *exc) -> None:
+        tasks = [*self._tasks]
+        tasks += [v.task for v in self._voters.values() if v.task]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        known = self._state.index is not None
+        return known and not self.leaving
+
+    def leave(self) -> None:
+        """Tell every voter at once that callers should go elsewhere."""
+        self.leaving = True
+        for address, voter in self._voters.items():
+            task = asyncio.create_task(self._beat(address, voter))
+            self._tasks.append(task)
+
+    def handle(self, message, channel: Channel) -> None:
+        """Take what a voter sends unasked.
+
+        :param message: news
+        :param channel: its link
+        """
+        match message:
+            case TargetNotice(records=records):
+                self._merge(records)
+            case LoadNotice(records=records):
+                self._merge_loads(records)
+            case ConfigAnswer():
+                self._adopt(message)
+            case other:
+                raise RefusedError(f"unexpected {type(other).__name__}")
+
+    async def _keep_voters(self) -> None:
+        while True:
+            wanted = set(self._peers.all)
+            for address in wanted - self._voters.keys():
+                voter = self._voters[address] = _Voter()
+                voter.task = asyncio.create_task(self._follow(address, voter))
+            for address in self._voters.keys() - wanted:
+                voter = self._voters.pop(address)
+                voter.task.cancel()
+            await self._clock.sleep(LOOK_SECONDS)
+
+    async def _follow(self, address: str, voter: _Voter) -> None:
+        while True:
+            await self._beat(address, voter)
+            await self._clock.sleep(BEAT_SECONDS)
+
+    async def _beat(self, address: str, voter: _Voter) -> None:
+        index = self._state.index
+        beat = EntryBeat(
+            self._name,
+            self._address,
+            self._zone,
+            self.ready,
+            index.version if index else -1,
+            voter.epoch,
+            voter.revision,
+        )
+        try:
+            answer = await self._links.request(address, beat, ANSWER_SECONDS)
+        except LinkError as error:
+            self._note(address, voter, False, str(error))
+            return
+        self._note(address, voter, True, "")
+        await self._take(address, voter, answer)
+
+    def _note(
+        self, address: str, voter: _Voter, alive: bool, reason: str
+    ) -> None:
+        if voter.alive is alive:
+            return
+        voter.alive = alive
+        write = self._log.info if alive else self._log.warn
+        write("voter_link", peer=address, alive=alive, reason=reason)
+
+    async def _take(
+        self, address: str, voter: _Voter, answer: EntryBeatAnswer
+    ) -> None:
+        self._merge(answer.records)
+        voter.epoch, voter.revision = answer.epoch, answer.revision
+        self._state.entries = max(1, answer.entries)
+        if answer.voters:
+            self._peers.learn(answer.voters)
+        index = self._state.index
+        if answer.version > (index.version if index else -1):
+            await self._fetch(address)
+
+    async def _fetch(self, address: str) -> None:
+        if self._fetching:
+            return
+        self._fetching = True
+        try:
+            answer = await self._links.request(
+                address, ConfigRequest(False), 2 * ANSWER_SECONDS
+            )
+        except LinkError as error:
+            self._log.warn("fetch_failed", peer=address, error=str(error))
+            return
+        finally:
+            self._fetching = False
+        self._adopt(answer)
+
+    def _adopt(self, answer: ConfigAnswer) -> None:
+        held = self._state.index
+        if not answer.known or (held and answer.version <= held.version):
+            return
+        try:
+            index = RouteIndex(self._decode(answer.body))
+        except ConfigurationError as error:
+            # voters checked it: this node must be of another version
+            self._log.warn(
+                "configuration_refused",
+                version=answer.version,
+                error=str(error),
+            )
+            return
+        self._state.adopt(index)
+        self._log.info("configuration_in_force", version=index.version)
+
+    def _merge(self, records: tuple[TargetRecord, ...]) -> None:
+        now = self._clock.monotonic()
+        for record in records:
+            if self._table.put(unpack_target(record, now)):
+                self._log.info(
+                    "target_known",
+                    target=record.instance,
+                    state=record.state,
+                    number=record.number,
+                    age=round(record.age, 3),
+                )
+
+    def _merge_loads(self, records: tuple[LoadRecord, ...]) -> None:
+        now = self._clock.monotonic()
+        for record in records:
+            self._board.put(
+                record.entry,
+                record.instance,
+                record.runs,
+                record.tokens,
+                now,
+            )
+
+    async def _report_loads(self) -> None:
+        repeated = 0.0
+        while True:
+            await self._board.changed.wait(REPEAT_SECONDS)
+            await self._clock.sleep(GATHER_SECONDS)
+            now = self._clock.monotonic()
+            again = now - repeated >= REPEAT_SECONDS
+            if again:
+                repeated = now
+                self._table.forget(now)
+            records = self._find_changes(again)
+            hub = self._find_hub()
+            if records and hub:
+                self._links.post(hub, LoadNotice(records))
+
+    def _find_changes(self, again: bool) -> tuple[LoadRecord, ...]:
+        records = []
+        for instance, runs, tokens in self._board.own():
+            if again or self._told.get(instance) != (runs, tokens):
+                if runs or self._told.get(instance, (0, 0))[0]:
+                    records.append(
+                        LoadRecord(self._name, instance, runs, tokens)
+                    )
+                self._told[instance] = (runs, tokens)
+                if not runs:
+                    self._board.drop_own(instance)
+                    del self._told[instance]
+        return tuple(records)
+
+    def _find_hub(self) -> str | None:
+        # every entry takes the first voter that answers it: where two
+        # entries differ for a moment, they miss some of each other's loads
+        alive = sorted(a for a, v in self._voters.items() if v.alive)
+        return alive[0] if alive else None
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/registry.py
@@ -0,0 +1,137 @@
+"""Targets as they announce themselves to voters."""
+
+import secrets
+
+from chivepier.gateway.control.entrydirectory import EntryDirectory
+from chivepier.gateway.control.peers import Peers
+from chivepier.gateway.control.records import pack_target
+from chivepier.gateway.control.records import unpack_target
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.messages import TargetNotice
+from chivepier.gateway.messages import TargetRecord
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetState
+from chivepier.gateway.targets import TargetTable
+from chivepier.types import Clock
+from chivepier.wire import Links
+
+
+class Registry:
+    """Takes announcements and tells entries and the other voters.
+
+    What is new goes out at once; what an entry missed it gets with its next
+    beat, by a revision that counts what this voter heard itself.
+
+    :param me: this voter's peer address
+    :param table: the targets
+    :param entries: who is told
+    :param links: to the other voters
+    :param peers: their addresses
+    :param clock: monotonic time
+    :param log: what this process believes
+    """
+
+    def __init__(
+        self,
+        me: str,
+        table: TargetTable,
+        entries: EntryDirectory,
+        links: Links,
+        peers: Peers,
+        clock: Clock,
+        log: EventLog,
+    ):
+        self.epoch = secrets.token_hex(4)
+        self.revision = 0
+        self._me = me
+        self._table = table
+        self._entries = entries
+        self._links = links
+        self._peers = peers
+        self._clock = clock
+        self._log = log
+        self._revisions: dict[str, int] = {}
+
+    def announce(self, target: Target) -> None:
+        """Take a target's own announcement.
+
+        :param target: what it says; heard just now
+        """
+        news = self._table.put(target)
+        self.revision += 1
+        self._revisions[target.instance] = self.revision
+        if news:
+            self._tell(target)
+
+    def leave(self, instance: str) -> None:
+        """Take a target's word that it ends.
+
+        :param instance: that ends; unknown ones are remembered too, as an
+            announcement of it may still be under way
+        """
+        known = self._table.get(instance)
+        if known is None:
+            return
+        self.announce(
+            Target(
+                instance=instance,
+                service=known.service,
+                address=known.address,
+                zone=known.zone,
+                state=TargetState.GONE,
+                number=known.number + 1,
+                slots=known.slots,
+                heard=self._clock.monotonic(),
+            )
+        )
+
+    def _tell(self, target: Target) -> None:
+        self._log.info(
+            "target_known",
+            target=target.instance,
+            service=target.service,
+            address=target.address,
+            state=target.state.value,
+            number=target.number,
+        )
+        record = pack_target(target, self._clock.monotonic())
+        notice = TargetNotice((record,))
+        for channel in self._entries.channels():
+            channel.send(notice)
+        for peer in self._peers.all:
+            if peer != self._me:
+                self._links.post(peer, notice)
+
+    def merge(self, notice: TargetNotice) -> None:
+        """Take what another voter heard."""
+        now = self._clock.monotonic()
+        for record in notice.records:
+            self._table.put(unpack_target(record, now))
+
+    def records_since(
+        self, epoch: str, revision: int
+    ) -> tuple[TargetRecord, ...]:
+        """Return what an entry lacks.
+
+        :param epoch: of this voter, as the entry knows it
+        :param revision: up to which it has everything
+        :returns: all records when the epoch is another one
+        """
+        now = self._clock.monotonic()
+        if epoch != self.epoch:
+            return tuple(pack_target(t, now) for t in self._table)
+        if revision == self.revision:
+            return ()
+        targets = [
+            self._table.get(instance)
+            for instance, changed in self._revisions.items()
+            if changed > revision
+        ]
+        return tuple(pack_target(t, now) for t in targets if t is not None)
+
+    def forget(self) -> None:
+        """Drop targets that have long been silent."""
+        self._table.forget(self._clock.monotonic())
+        for instance in list(self._revisions):
+            if self._table.get(instance) is None:
+                del self._revisions[instance]
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/seats.py
@@ -0,0 +1,190 @@
+"""Who votes: founding, joining and replacement."""
+
+import asyncio
+import collections.abc
+
+import attrs
+
+from chivepier.gateway.control.peers import Peers
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.messages import JoinAnswer
+from chivepier.gateway.messages import JoinRequest
+from chivepier.messages import Voter
+from chivepier.state import LostLeadError
+from chivepier.state import NotLeaderError
+from chivepier.state import Replica
+from chivepier.types import Clock
+from chivepier.types import RequestError
+from chivepier.wire import LinkError
+from chivepier.wire import Links
+
+# Seconds between two looks at who should vote.
+PAUSE_SECONDS = 0.4
+# Seconds for which a request to join counts; it is repeated as often as the
+# seats are looked at.
+JOIN_SECONDS = 1.5
+# Seconds of silence after which a voter loses its seat once a new one has
+# been given its place. Machines that are stopped and started in turn, or
+# freeze for some seconds, come back earlier.
+REPLACED_SECONDS = 4.0
+# Seconds of silence after which a voter loses its seat in any case, as long
+# as enough others are left to lose one more.
+GONE_SECONDS = 20.0
+# Voters that must remain: with fewer, the loss of one stops every change.
+LEAST_VOTERS = 3
+# Seconds for one change of voters before the seats are looked at again.
+CHANGE_SECONDS = 5.0
+ASK_SECONDS = 0.8
+
+
+@attrs.define
+class _Joiner:
+    voter: Voter
+    heard: float
+
+
+class Seats:
+    """Asks for a vote while this node has none, and gives votes as leader.
+
+    :param replica: this node's replica
+    :param me: this node's peer address
+    :param links: to the other nodes
+    :param peers: their addresses
+    :param clock: monotonic time
+    :param log: what this process believes
+    """
+
+    def __init__(
+        self,
+        replica: Replica,
+        me: str,
+        links: Links,
+        peers: Peers,
+        clock: Clock,
+        log: EventLog,
+    ):
+        self._replica = replica
+        self._me = me
+        self._links = links
+        self._peers = peers
+        self._clock = clock
+        self._log = log
+        self._joiners: dict[str, _Joiner] = {}
+        self._added: dict[str, float] = {}
+        self._silent_since: dict[str, float] = {}
+        self._seated: bool | None = None
+
+    async def run(self) -> None:
+        """Look at the seats for as long as the node lives."""
+        while True:
+            try:
+                async with asyncio.timeout(CHANGE_SECONDS):
+                    await self._look()
+            except (
+                NotLeaderError,
+                LostLeadError,
+                RequestError,
+                TimeoutError,
+            ) as error:
+                self._log.warn("seats_unchanged", error=repr(error))
+            await self._clock.sleep(PAUSE_SECONDS)
+
+    async def _look(self) -> None:
+        replica = self._replica
+        if replica.leads():
+            await self._give(replica)
+            return
+        self._silent_since.clear()
+        await self._ask_for_seat()
+
+    async def _ask_for_seat(self) -> None:
+        # also a voter asks: one that lost its seat while it was away does
+        # not know it, as nobody sends it the log any more
+        replica = self._replica
+        request = JoinRequest(replica.node, self._me, replica.cluster)
+        peers = [p for p in self._peers.all if p != self._me]
+        if not peers or (replica.votes() and replica.leader):
+            return
+        await asyncio.gather(*(self._ask(peer, request) for peer in peers))
+
+    async def _ask(self, peer: str, request: JoinRequest) -> None:
+        try:
+            answer = await self._links.request(peer, request, ASK_SECONDS)
+        except LinkError:
+            return
+        if answer.voters:
+            self._peers.learn(answer.voters)
+        if answer.votes is not self._seated:
+            self._seated = answer.votes
+            self._log.info("seat", votes=answer.votes, told_by=peer)
+
+    def handle(self, request: JoinRequest) -> JoinAnswer:
+        """Answer an instance that asks for a vote.
+
+        :param request: who it is
+        :returns: whether it votes, and who does
+        """
+        replica = self._replica
+        if not request.cluster or request.cluster == replica.cluster:
+            voter = Voter(request.node, request.address)
+            now = self._clock.monotonic()
+            self._joiners[request.node] = _Joiner(voter, now)
+        voters = replica.voters
+        return JoinAnswer(
+            replica.cluster,
+            any(v.node == request.node for v in voters),
+            tuple(v.address for v in voters),
+        )
+
+    async def _give(self, replica: Replica) -> None:
+        now = self._clock.monotonic()
+        self._note_silence(now)
+        joiners = self._find_joiners(now)
+        for joiner in joiners:
+            for voter in replica.voters:
+                if voter.address == joiner.address:
+                    # another identity answers at its address: the disk
+                    # that this vote belonged to is lost for good
+                    await self._remove(voter)
+                    return
+        for joiner in joiners:
+            self._log.info("seat_given", node=joiner.node)
+            await replica.changes.add(joiner)
+            self._added[joiner.node] = now
+            return
+        for voter in self._find_gone(now):
+            await self._remove(voter)
+            return
+
+    async def _remove(self, voter: Voter) -> None:
+        await self._replica.changes.remove(voter.node)
+        self._log.warn("seat_taken", node=voter.node, address=voter.address)
+
+    def _find_joiners(self, now: float) -> list[Voter]:
+        voting = {voter.node for voter in self._replica.voters}
+        for node, joiner in list(self._joiners.items()):
+            if node in voting or now - joiner.heard > JOIN_SECONDS:
+                del self._joiners[node]
+        return [joiner.voter for joiner in self._joiners.values()]
+
+    def _note_silence(self, now: float) -> None:
+        states = self._replica.changes.report()
+        for state in states:
+            if state.holds:
+                self._silent_since.pop(state.node, None)
+            else:
+                self._silent_since.setdefault(state.node, now)
+        known = {state.node for state in states}
+        for node in self._silent_since.keys() - known:
+            del self._silent_since[node]
+
+    def _find_gone(self, now: float) -> collections.abc.Iterator[Voter]:
+        voters = self._replica.voters
+        for voter in voters:
+            since = self._silent_since.get(voter.node)
+            if since is None or len(voters) - 1 < LEAST_VOTERS:
+                continue
+            replaced = any(added > since for added in self._added.values())
+            patience = REPLACED_SECONDS if replaced else GONE_SECONDS
+            if now - since > patience:
+                yield voter
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -0,0 +1,174 @@
+"""A voter: replica, store, registry and directory in one process."""
+
+import asyncio
+import contextlib
+import random
+
+from chivepier.gateway.control.configstore import ConfigStore
+from chivepier.gateway.control.entrydirectory import EntryDirectory
+from chivepier.gateway.control.founding import open_folder
+from chivepier.gateway.control.loadhub import LoadHub
+from chivepier.gateway.control.peers import Peers
+from chivepier.gateway.control.registry import Registry
+from chivepier.gateway.control.seats import Seats
+from chivepier.gateway.control.votersettings import VoterSettings
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.messages import ConfigAnswer
+from chivepier.gateway.messages import ConfigRequest
+from chivepier.gateway.messages import EntryBeat
+from chivepier.gateway.messages import EntryBeatAnswer
+from chivepier.gateway.messages import JoinRequest
+from chivepier.gateway.messages import LoadNotice
+from chivepier.gateway.messages import TargetNotice
+from chivepier.gateway.messages import WriteRequest
+from chivepier.gateway.targets import TargetTable
+from chivepier.messages import AppendRequest
+from chivepier.messages import SnapshotRequest
+from chivepier.messages import VoteRequest
+from chivepier.state import Machine
+from chivepier.state import Replica
+from chivepier.state import Timing
+from chivepier.types import Clock
+from chivepier.wire import Channel
+from chivepier.wire import Links
+from chivepier.wire import PeerServer
+from chivepier.wire import RefusedError
+
+# Seconds between two rounds of dropping what has long been silent.
+FORGET_SECONDS = 5.0
+
+
+class Voter:
+    """Runs everything that an instance with a disk does.
+
+    :param settings: from its start
+    :param clock: counts suspension too
+    :param log: what this process believes
+    """
+
+    def __init__(self, settings: VoterSettings, clock: Clock, log: EventLog):
+        self._settings = settings
+        self._clock = clock
+        self._log = log
+        self._stack = contextlib.AsyncExitStack()
+        self.peers = Peers(settings.seeds)
+        self.entries = EntryDirectory(clock)
+        self.loads = LoadHub(self.entries, clock)
+        self.table = TargetTable(settings.beat)
+        self.replica: Replica | None = None
+        self.store: ConfigStore | None = None
+        self.registry: Registry | None = None
+        self.seats: Seats | None = None
+
+    async def __aenter__(self) -> "Voter":
+        settings = self._settings
+        host, port = settings.address.rsplit(":", 1)
+        server = PeerServer(
+            host, int(port), self._handle, settings.cluster_key
+        )
+        links = Links(
+            settings.address,
+            settings.cluster_key,
+            self._handle,
+            server.faults,
+        )
+        identity, storage = await open_folder(settings)
+        self._stack.callback(storage.close)
+        self.replica = Replica(
+            identity.node,
+            storage,
+            Machine(),
+            links,
+            self._clock,
+            Timing(),
+            random.Random(identity.node),
+            identity.cluster,
+        )
+        self._assemble(links)
+        await self._stack.enter_async_context(links)
+        await self._stack.enter_async_context(self.replica)
+        await self._stack.enter_async_context(server)
+        for work in (self.seats.run, self._announce, self._forget):
+            task = asyncio.create_task(work())
+            self._stack.callback(task.cancel)
+        task = asyncio.create_task(self.loads.run())
+        self._stack.callback(task.cancel)
+        self._log.info(
+            "voter_started",
+            identity=identity.node,
+            cluster=identity.cluster,
+            index=storage.last_index,
+            votes=self.replica.votes(),
+        )
+        return self
+
+    async def __aexit__(self, *exc) -> None:
+        await self._stack.aclose()
+
+    def _assemble(self, links: Links) -> None:
+        me = self._settings.address
+        clock, log, peers = self._clock, self._log, self.peers
+        self.store = ConfigStore(self.replica, links, clock, log)
+        self.registry = Registry(
+            me, self.table, self.entries, links, peers, clock, log
+        )
+        self.seats = Seats(self.replica, me, links, peers, clock, log)
+
+    def _handle(self, message, channel: Channel):
+        match message:
+            case AppendRequest():
+                return self.replica.handle_append(message)
+            case VoteRequest():
+                return self.replica.handle_vote(message)
+            case SnapshotRequest():
+                return self.replica.handle_snapshot(message)
+            case EntryBeat():
+                return self._handle_beat(message, channel)
+            case TargetNotice():
+                return self.registry.merge(message)
+            case LoadNotice():
+                return self.loads.take(message)
+            case ConfigRequest() | WriteRequest():
+                return self.store.handle(message)
+            case JoinRequest():
+                return self.seats.handle(message)
+            case other:
+                raise RefusedError(f"unexpected {type(other).__name__}")
+
+    def _handle_beat(
+        self, beat: EntryBeat, channel: Channel
+    ) -> EntryBeatAnswer:
+        if self.entries.note(beat, channel):
+            self._log.info(
+                "entry_known", entry=beat.node, address=beat.address
+            )
+        held = self.store.held()
+        voters = tuple(v.address for v in self.replica.voters)
+        return EntryBeatAnswer(
+            self.registry.epoch,
+            self.registry.revision,
+            held.version if held else -1,
+            self.entries.count(),
+            voters or self.peers.voters,
+            self.registry.records_since(beat.epoch, beat.revision),
+        )
+
+    async def _announce(self) -> None:
+        """Push each new configuration to the entries at once."""
+        told = -1
+        while True:
+            held = self.store.held()
+            if held is not None and held.version > told:
+                told = held.version
+                self._log.info("configuration_known", version=told)
+                answer = ConfigAnswer(True, held.version, held.body)
+                for channel in self.entries.channels():
+                    channel.send(answer)
+            self.peers.learn(v.address for v in self.replica.voters)
+            await self.replica.machine.changed.wait(1.0)
+
+    async def _forget(self) -> None:
+        while True:
+            await self._clock.sleep(FORGET_SECONDS)
+            self.entries.forget()
+            self.registry.forget()
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/votersettings.py
@@ -0,0 +1,27 @@
+"""Settings of a voter."""
+
+import pathlib
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class VoterSettings:
+    """What one voter is told at its start.
+
+    :param name: of this instance
+    :param address: where peers reach it, as ``ip:port``
+    :param seeds: peer addresses of instances that may be voters
+    :param folder: for what must survive
+    :param found: whether the whole system starts for the first time
+    :param cluster_key: that peers show each other
+    :param beat: seconds between a target's announcements
+    """
+
+    name: str
+    address: str
+    seeds: tuple[str, ...]
+    folder: pathlib.Path
+    found: bool
+    cluster_key: str
+    beat: float
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -0,0 +1,140 @@
+"""All parts of an entry, put together."""
+
+import contextlib
+import random
+
+from chivepier.gateway.control import Decode
+from chivepier.gateway.control import Following
+from chivepier.gateway.control import Peers
+from chivepier.gateway.entry.entrysettings import EntrySettings
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.serving import Dispatcher
+from chivepier.gateway.serving import Mover
+from chivepier.gateway.serving import Planner
+from chivepier.gateway.serving import RetryBudget
+from chivepier.gateway.serving import Serving
+from chivepier.gateway.serving import ServingState
+from chivepier.gateway.serving import TargetPort
+from chivepier.gateway.targets import Chooser
+from chivepier.gateway.targets import LoadBoard
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetHealth
+from chivepier.gateway.targets import TargetState
+from chivepier.gateway.targets import TargetTable
+from chivepier.types import Clock
+from chivepier.wire import Faults
+from chivepier.wire import Links
+
+# Seconds after the order to stop in which callers may still come with an
+# address they were given before: three times the longest they may keep it
+# would outlast the grace, so what is left of it bounds this too.
+LINGER_SECONDS = 4.0
+# Seconds before the end of the grace at which the process ends by itself.
+# The machine may be slow, and a kill would reset what is just being sent.
+RESERVE_SECONDS = 0.7
+# Seconds between two looks whether the last request has ended.
+LOOK_SECONDS = 0.1
+
+
+class Entry:
+    """Serves callers through a caller-facing server that it doesn't know.
+
+    :param settings: from its start
+    :param port: the protocol towards targets
+    :param decode: reads a configuration as it was sent
+    :param clock: monotonic time
+    :param log: decisions and beliefs
+    """
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        port: TargetPort,
+        decode: Decode,
+        clock: Clock,
+        log: EventLog,
+    ):
+        rng = random.Random()
+        self._settings = settings
+        self._clock = clock
+        self._log = log
+        self._stack = contextlib.AsyncExitStack()
+        self.state = ServingState()
+        self.peers = Peers(settings.seeds)
+        self.table = TargetTable(settings.beat)
+        self.health = TargetHealth()
+        self.board = LoadBoard(settings.name)
+        chooser = Chooser(
+            self.table, self.health, self.board, settings.zone, clock, rng
+        )
+        self.mover = Mover(port, chooser, clock, log)
+        self.table.watchers += [self.mover.note_target, self._note_target]
+        self._links = Links(
+            settings.name, settings.cluster_key, self._handle, Faults()
+        )
+        self.following = Following(
+            name=settings.name,
+            address=settings.address,
+            zone=settings.zone,
+            peers=self.peers,
+            links=self._links,
+            decode=decode,
+            state=self.state,
+            table=self.table,
+            board=self.board,
+            clock=clock,
+            log=log,
+        )
+        budget = RetryBudget(
+            settings.repeat_ratio,
+            settings.repeat_extra,
+            settings.repeat_window,
+        )
+        dispatcher = Dispatcher(
+            state=self.state,
+            table=self.table,
+            chooser=chooser,
+            health=self.health,
+            board=self.board,
+            mover=self.mover,
+            port=port,
+            budget=budget,
+            clock=clock,
+            log=log,
+        )
+        self.serving = Serving(Planner(self.state, rng), dispatcher)
+
+    async def __aenter__(self) -> "Entry":
+        await self._stack.enter_async_context(self._links)
+        await self._stack.enter_async_context(self.following)
+        self._stack.push_async_callback(self.mover.close)
+        self._log.info("entry_started", address=self._settings.address)
+        return self
+
+    async def __aexit__(self, *exc) -> None:
+        await self._stack.aclose()
+
+    def _handle(self, message, channel):
+        return self.following.handle(message, channel)
+
+    def _note_target(self, target: Target, before: TargetState | None) -> None:
+        if target.state is TargetState.GONE:
+            self.board.forget(target.instance)
+            self.health.forget(target.instance)
+
+    async def drain(self) -> None:
+        """Leave, and return once the process may end.
+
+        Callers with an address they were given before still come for some
+        seconds and are served; streams go on as long as the grace allows.
+        """
+        began = self._clock.monotonic()
+        self._log.info("leaving", active=self.serving.active)
+        self.following.leave()
+        last = began + self._settings.grace - RESERVE_SECONDS
+        linger = min(began + LINGER_SECONDS, last)
+        while (now := self._clock.monotonic()) < last:
+            if now >= linger and not self.serving.active:
+                break
+            await self._clock.sleep(LOOK_SECONDS)
+        self._log.info("left", active=self.serving.active)
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/entry/entrysettings.py
@@ -0,0 +1,31 @@
+"""Settings of an entry."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class EntrySettings:
+    """What one entry is told at its start.
+
+    :param name: of this instance
+    :param address: where callers reach it, as ``ip:port``
+    :param zone: its availability zone
+    :param seeds: peer addresses of instances that may be voters
+    :param cluster_key: that peers show each other
+    :param beat: seconds between a target's announcements
+    :param repeat_ratio: repeats for each request, over all entries
+    :param repeat_extra: repeats that are always allowed, over all entries
+    :param repeat_window: in which both are counted, in seconds
+    :param grace: seconds from the order to stop until it is killed
+    """
+
+    name: str
+    address: str
+    zone: str
+    seeds: tuple[str, ...]
+    cluster_key: str
+    beat: float
+    repeat_ratio: float
+    repeat_extra: float
+    repeat_window: float
+    grace: float
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/messages/__init__.py
@@ -0,0 +1,29 @@
+"""What entries and voters say to each other."""
+
+from chivepier.gateway.messages.configanswer import ConfigAnswer
+from chivepier.gateway.messages.configrequest import ConfigRequest
+from chivepier.gateway.messages.entrybeat import EntryBeat
+from chivepier.gateway.messages.entrybeatanswer import EntryBeatAnswer
+from chivepier.gateway.messages.joinanswer import JoinAnswer
+from chivepier.gateway.messages.joinrequest import JoinRequest
+from chivepier.gateway.messages.loadnotice import LoadNotice
+from chivepier.gateway.messages.loadrecord import LoadRecord
+from chivepier.gateway.messages.targetnotice import TargetNotice
+from chivepier.gateway.messages.targetrecord import TargetRecord
+from chivepier.gateway.messages.writeanswer import WriteAnswer
+from chivepier.gateway.messages.writerequest import WriteRequest
+
+__all__ = [
+    "ConfigAnswer",
+    "ConfigRequest",
+    "EntryBeat",
+    "EntryBeatAnswer",
+    "JoinAnswer",
+    "JoinRequest",
+    "LoadNotice",
+    "LoadRecord",
+    "TargetNotice",
+    "TargetRecord",
+    "WriteAnswer",
+    "WriteRequest",
+]
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
@@ -0,0 +1,20 @@
+"""The EntryBeat message."""
+
+from chivepier.messages.registry import message
+
+
+@message(152)
+class EntryBeat:
+    """An entry tells a voter that it lives, and what it has.
+
+    ``revision`` counts what it heard of this voter's targets since the
+    voter's start named by ``epoch``.
+    """
+
+    node: str
+    address: str
+    zone: str
+    ready: bool
+    version: int
+    epoch: str
+    revision: int
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/messages/targetnotice.py
@@ -0,0 +1,11 @@
+"""The TargetNotice message."""
+
+from chivepier.gateway.messages.targetrecord import TargetRecord
+from chivepier.messages.registry import message
+
+
+@message(151)
+class TargetNotice:
+    """Targets that changed."""
+
+    records: tuple[TargetRecord, ...]
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -0,0 +1,43 @@
+"""Serving callers: from a request to a whole answer of one target."""
+
+from chivepier.gateway.serving.answerfacts import AnswerFacts
+from chivepier.gateway.serving.callerport import CallerPort
+from chivepier.gateway.serving.callerrequest import CallerRequest
+from chivepier.gateway.serving.dispatcher import Dispatcher
+from chivepier.gateway.serving.errors import AnswerCutError
+from chivepier.gateway.serving.errors import LostError
+from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.moved import Moved
+from chivepier.gateway.serving.moved import MoveOutcome
+from chivepier.gateway.serving.mover import Mover
+from chivepier.gateway.serving.origin import Origin
+from chivepier.gateway.serving.planner import Planner
+from chivepier.gateway.serving.prompt import Prompt
+from chivepier.gateway.serving.retrybudget import RetryBudget
+from chivepier.gateway.serving.sendorder import SendOrder
+from chivepier.gateway.serving.serving import Serving
+from chivepier.gateway.serving.servingstate import ServingState
+from chivepier.gateway.serving.targetanswer import TargetAnswer
+from chivepier.gateway.serving.targetport import TargetPort
+
+__all__ = [
+    "AnswerCutError",
+    "AnswerFacts",
+    "CallerPort",
+    "CallerRequest",
+    "LostError",
+    "Moved",
+    "MoveOutcome",
+    "Planner",
+    "Mover",
+    "Dispatcher",
+    "NotSentError",
+    "Origin",
+    "Prompt",
+    "RetryBudget",
+    "SendOrder",
+    "Serving",
+    "ServingState",
+    "TargetAnswer",
+    "TargetPort",
+]
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
@@ -0,0 +1,18 @@
+"""What a target's answer says besides its content."""
+
+import attrs
+
+
+@attrs.frozen(kw_only=True)
+class AnswerFacts:
+    """Read from the head of an answer.
+
+    :param not_run: the target says that it did not run the request
+    :param other_instance: another instance has the address; its name, or
+        empty when it does not tell
+    :param crossed: the answer belongs to another request
+    """
+
+    not_run: bool = False
+    other_instance: str | None = None
+    crossed: bool = False
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -0,0 +1,290 @@
+"""Sending a request until a target answers it."""
+
+import asyncio
+import datetime
+
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.serving.errors import AnswerCutError
+from chivepier.gateway.serving.errors import LostError
+from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.liverun import LiveRun
+from chivepier.gateway.serving.mover import Mover
+from chivepier.gateway.serving.plan import Plan
+from chivepier.gateway.serving.retrybudget import RetryBudget
+from chivepier.gateway.serving.sendorder import SendOrder
+from chivepier.gateway.serving.sent import Sent
+from chivepier.gateway.serving.servingstate import ServingState
+from chivepier.gateway.serving.targetanswer import TargetAnswer
+from chivepier.gateway.serving.targetport import TargetPort
+from chivepier.gateway.targets import Chooser
+from chivepier.gateway.targets import LoadBoard
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetHealth
+from chivepier.gateway.targets import TargetTable
+from chivepier.types import Clock
+from chivepier.types import ErrorKind
+from chivepier.types import Failure
+from chivepier.types import Ran
+from chivepier.types import RequestError
+
+# Below this many seconds left no target can answer: a round trip between
+# availability zones and the shortest work take about as long.
+LEAST_LEFT = 0.02
+# An attempt that could be repeated is given up after so many objectives: by
+# then the caller's answer is late already, and the rest of its time is
+# better spent at a target that answers.
+PATIENCE = 2.0
+# A target that refused may have room again after so many seconds.
+REFUSED_PAUSE = 0.03
+# How often all targets may refuse before the caller is told to come back.
+MOST_ROUNDS = 3
+SERVER_ERROR = 500
+
+
+class Dispatcher:
+    """Picks targets, one after the other, within what may be repeated.
+
+    :param state: entries that share budgets
+    :param table: the targets
+    :param chooser: picks among them
+    :param health: learns how they answer
+    :param board: what runs where
+    :param mover: watches generations
+    :param port: the protocol towards targets
+    :param budget: bounds repeats
+    :param clock: monotonic time
+    :param log: decisions on requests
+    """
+
+    def __init__(
+        self,
+        *,
+        state: ServingState,
+        table: TargetTable,
+        chooser: Chooser,
+        health: TargetHealth,
+        board: LoadBoard,
+        mover: Mover,
+        port: TargetPort,
+        budget: RetryBudget,
+        clock: Clock,
+        log: EventLog,
+    ):
+        self.state = state
+        self.table = table
+        self.chooser = chooser
+        self.health = health
+        self.board = board
+        self.mover = mover
+        self.port = port
+        self.budget = budget
+        self.clock = clock
+        self.log = log
+
+    async def dispatch(self, plan: Plan) -> Sent:
+        """Send a request until a target runs it.
+
+        :param plan: what to do
+        :returns: the answer to be relayed; whoever takes it must call
+            :meth:`end`
+        :raises RequestError: when it is given up
+        """
+        tried: set[str] = set()
+        sends = runs = rounds = 0
+        while True:
+            self._check_time(plan, runs)
+            target = self._choose(plan, tried)
+            if target is None:
+                rounds += 1
+                self._check_rounds(plan, rounds, bool(tried), runs)
+                tried.clear()
+                await self.clock.sleep(REFUSED_PAUSE * rounds)
+                continue
+            if sends and not self.take_repeat(plan):
+                raise self._give_up(plan, runs, "no repeats are left")
+            tried.add(target.instance)
+            more = plan.repeatable and runs + 1 < plan.route.attempts
+            try:
+                sent = await self._try(plan, target, more)
+            except NotSentError as error:
+                self._note_failure(plan, target, "not_sent", error)
+                continue
+            except (LostError, AnswerCutError, TimeoutError) as error:
+                self._note_failure(plan, target, "lost", error)
+                sends, runs = sends + 1, runs + 1
+                if not more:
+                    raise self._fail(plan, error) from None
+                continue
+            sends += 1
+            if self._refused(plan, target, sent.answer):
+                self.end(sent)
+                continue
+            runs += 1
+            if sent.answer.status < SERVER_ERROR or not more:
+                return sent
+            if not self.budget_left(plan):
+                return sent
+            self.end(sent)
+
+    def budget_left(self, plan: Plan) -> bool:
+        """Tell whether there is time for another attempt."""
+        left = plan.deadline - self.clock.monotonic()
+        return left > plan.route.objective / 4
+
+    def take_repeat(self, plan: Plan) -> bool:
+        """Count one more send of a request, if the budget has one left."""
+        now = self.clock.monotonic()
+        return self.budget.take(plan.service.name, now, self.state.entries)
+
+    def end(self, sent: Sent) -> None:
+        """Give back what an answer holds."""
+        if sent.run is not None:
+            self.unwatch(sent.run)
+            sent.answer.close()
+        self.chooser.end(sent.target.instance)
+
+    def watch(self, run: LiveRun) -> None:
+        """Count a generation at its target and watch that."""
+        self.board.change(run.target.instance, 1, run.tokens)
+        self.mover.add(run)
+
+    def unwatch(self, run: LiveRun) -> None:
+        """Take a generation off its target."""
+        self.board.change(run.target.instance, -1, -run.tokens)
+        self.mover.remove(run)
+
+    def _choose(self, plan: Plan, tried: set[str]) -> Target | None:
+        service = plan.service
+        return self.chooser.choose(
+            service.name, service.engine, plan.demand, tried
+        )
+
+    async def _try(self, plan: Plan, target: Target, more: bool) -> Sent:
+        seconds = plan.deadline - self.clock.monotonic()
+        if more:
+            seconds = min(seconds, PATIENCE * plan.route.objective)
+        run = None
+        if plan.demand is not None:
+            tokens = plan.demand.tokens
+            run = LiveRun(plan.request, plan.service, target, tokens)
+            self.watch(run)
+            self.chooser.note_prompt(target.instance)
+        self.chooser.begin(target.instance)
+        began = self.clock.monotonic()
+        answer: TargetAnswer | None = None
+        try:
+            async with asyncio.timeout(seconds):
+                answer = await self.port.send(
+                    target, plan.request, self._order(plan)
+                )
+                sent = await self._read(plan, target, answer, run)
+        except BaseException:
+            if answer is not None:
+                answer.close()
+            if run is not None:
+                self.unwatch(run)
+            self.chooser.end(target.instance)
+            raise
+        self._note_answer(plan, sent, began)
+        return sent
+
+    async def _read(
+        self,
+        plan: Plan,
+        target: Target,
+        answer: TargetAnswer,
+        run: LiveRun | None,
+    ) -> Sent:
+        if answer.facts.crossed:
+            raise AnswerCutError("an answer to another request")
+        chunks = answer.chunks()
+        if plan.route.streaming and answer.status < 300:
+            # the head alone promises nothing: until the first event the
+            # request can still be sent elsewhere
+            first = await anext(chunks, b"")
+            if run is None:
+                run = LiveRun(plan.request, plan.service, target, 0)
+                self.watch(run)
+            return Sent(target, answer, first, chunks, run)
+        parts = [chunk async for chunk in chunks]
+        answer.release()
+        if run is not None:
+            self.unwatch(run)
+        return Sent(target, answer, b"".join(parts))
+
+    def _order(self, plan: Plan) -> SendOrder:
+        return SendOrder(
+            seconds=plan.deadline - self.clock.monotonic(),
+            team=plan.team,
+            urgency=plan.urgency if plan.demand is not None else None,
+            after_event=plan.request.last_event,
+        )
+
+    def _refused(
+        self, plan: Plan, target: Target, answer: TargetAnswer
+    ) -> bool:
+        facts = answer.facts
+        if facts.other_instance is not None:
+            self.table.note_gone(target.instance, target.address)
+        elif not facts.not_run:
+            return False
+        self.log.info(
+            "refused_by_target",
+            id=plan.request.id,
+            target=target.instance,
+            status=answer.status,
+            other=facts.other_instance,
+        )
+        return True
+
+    def _note_answer(self, plan: Plan, sent: Sent, began: float) -> None:
+        now = self.clock.monotonic()
+        failed = sent.answer.status >= SERVER_ERROR
+        slowness = 0.0
+        if plan.demand is None:
+            slowness = (now - began) / plan.route.objective
+        self.health.note_answer(sent.target.instance, failed, slowness, now)
+
+    def _note_failure(
+        self, plan: Plan, target: Target, what: str, error: Exception
+    ) -> None:
+        self.health.note_silence(target.instance, self.clock.monotonic())
+        self.log.warn(
+            f"target_{what}",
+            id=plan.request.id,
+            target=target.instance,
+            address=target.address,
+            error=repr(error),
+        )
+
+    def _check_time(self, plan: Plan, runs: int) -> None:
+        left = plan.deadline - self.clock.monotonic()
+        if left >= LEAST_LEFT:
+            return
+        if runs:
+            text = "the time is over; a target may have run it"
+            raise RequestError.of(ErrorKind.TIMEOUT, text, Ran.UNKNOWN)
+        raise self._refusal("no target could take it in time", 0.5)
+
+    def _check_rounds(
+        self, plan: Plan, rounds: int, refused: bool, runs: int
+    ) -> None:
+        if refused and rounds < MOST_ROUNDS:
+            return
+        raise self._give_up(plan, runs, "no target has room")
+
+    def _give_up(self, plan: Plan, runs: int, text: str) -> RequestError:
+        if runs:
+            return RequestError.of(ErrorKind.TARGET_FAILED, text, Ran.UNKNOWN)
+        return self._refusal(text, plan.route.objective / 2)
+
+    def _refusal(self, text: str, seconds: float) -> RequestError:
+        pause = datetime.timedelta(seconds=seconds)
+        return RequestError(Failure(ErrorKind.NO_TARGET, text, Ran.NO, pause))
+
+    def _fail(self, plan: Plan, error: Exception) -> RequestError:
+        if isinstance(error, TimeoutError):
+            text = "the target did not answer in time"
+            return RequestError.of(ErrorKind.TIMEOUT, text, Ran.UNKNOWN)
+        text = "the connection to the target broke"
+        return RequestError.of(ErrorKind.TARGET_FAILED, text, Ran.UNKNOWN)
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/errors.py
@@ -0,0 +1,13 @@
+"""How a send to a target can fail."""
+
+
+class NotSentError(Exception):
+    """The request never left this process: it has surely not run."""
+
+
+class LostError(Exception):
+    """The connection broke before an answer: it may have run."""
+
+
+class AnswerCutError(Exception):
+    """An answer began and broke off, or is not one to this request."""
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -0,0 +1,150 @@
+"""Moving live generations off targets that leave."""
+
+import asyncio
+
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.serving.handoff import Handoff
+from chivepier.gateway.serving.liverun import LiveRun
+from chivepier.gateway.serving.moved import MoveOutcome
+from chivepier.gateway.serving.origin import Origin
+from chivepier.gateway.serving.targetport import TargetPort
+from chivepier.gateway.targets import Chooser
+from chivepier.gateway.targets import Demand
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetState
+from chivepier.types import Clock
+
+# Destinations that are tried for one generation: a full or dead one says so
+# quickly, and more tries would outlast the notice of the leaving target.
+MOST_TRIES = 3
+# Seconds to wait for one copy. A copy of 6,000 tokens takes 0.4 s on an idle
+# link, twice that between zones, and waits for the copies before it.
+COPY_SECONDS = 4.0
+
+
+class Mover:
+    """Keeps the live generations and moves those whose target leaves.
+
+    A first copy is made while the generation goes on; then it is stopped,
+    and what it made meanwhile is copied. So the caller's stream pauses for
+    the second copy only, some milliseconds, and not for the first.
+
+    :param port: the protocol towards targets
+    :param chooser: finds destinations
+    :param clock: monotonic time
+    :param log: decisions on requests
+    """
+
+    def __init__(
+        self,
+        port: TargetPort,
+        chooser: Chooser,
+        clock: Clock,
+        log: EventLog,
+    ):
+        self._port = port
+        self._chooser = chooser
+        self._clock = clock
+        self._log = log
+        self._runs: dict[str, set[LiveRun]] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def add(self, run: LiveRun) -> None:
+        """Watch a generation at its target."""
+        self._runs.setdefault(run.target.instance, set()).add(run)
+
+    def remove(self, run: LiveRun) -> None:
+        """Stop watching it there."""
+        runs = self._runs.get(run.target.instance, set())
+        runs.discard(run)
+        if not runs:
+            self._runs.pop(run.target.instance, None)
+
+    def note_target(self, target: Target, before: TargetState | None) -> None:
+        """Move everything off a target that has begun to leave.
+
+        :param target: as announced
+        :param before: its state until now
+        """
+        if target.state is TargetState.READY or before is target.state:
+            return
+        for run in list(self._runs.get(target.instance, ())):
+            self.start(run)
+
+    def start(self, run: LiveRun) -> None:
+        """Begin to move one generation, unless that is under way."""
+        engine = run.service.engine
+        if run.handoff is not None or engine is None or not engine.moves:
+            return
+        run.handoff = asyncio.get_running_loop().create_future()
+        task = asyncio.create_task(self._move(run, run.handoff))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _move(
+        self, run: LiveRun, handoff: asyncio.Future[Handoff | None]
+    ) -> None:
+        try:
+            found = await self._find_handoff(run)
+        except Exception as error:
+            self._log.warn("move_failed", id=run.request.id, error=repr(error))
+            found = None
+        if not handoff.done():
+            handoff.set_result(found)
+
+    async def _find_handoff(self, run: LiveRun) -> Handoff | None:
+        source, tried = run.target, {run.target.instance}
+        for _ in range(MOST_TRIES):
+            target = self._pick(run, tried)
+            if target is None:
+                break
+            tried.add(target.instance)
+            moved = await self._copy(run, source, target, last=False)
+            if moved.outcome is MoveOutcome.NO_RUN:
+                return None
+            if moved.outcome is not MoveOutcome.COPIED:
+                continue
+            run.stopped = True
+            moved = await self._copy(run, source, target, last=True)
+            if moved.handle:
+                origin = Origin(source.address, moved.handle)
+                if moved.outcome is MoveOutcome.COPIED:
+                    return Handoff(target, origin)
+                # stopped, but the rest found no room: the source goes on
+                return Handoff(source, origin)
+            if moved.outcome is MoveOutcome.NO_RUN:
+                run.stopped = False
+                return None
+        return None
+
+    def _pick(self, run: LiveRun, tried: set[str]) -> Target | None:
+        engine = run.service.engine
+        demand = Demand(prompt=run.tokens, output=0)
+        name = run.service.name
+        return self._chooser.choose(
+            name, engine, demand, tried, near=run.target.zone
+        )
+
+    async def _copy(
+        self, run: LiveRun, source: Target, target: Target, last: bool
+    ):
+        began = self._clock.monotonic()
+        moved = await self._port.move(
+            source, run.request.id, target, last, COPY_SECONDS
+        )
+        self._log.info(
+            "memory_copied",
+            id=run.request.id,
+            source=source.instance,
+            target=target.instance,
+            last=last,
+            outcome=moved.outcome.value,
+            ms=round(1000 * (self._clock.monotonic() - began)),
+        )
+        return moved
+
+    async def close(self) -> None:
+        """Stop all moves."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/planner.py
@@ -0,0 +1,78 @@
+"""Deciding what a request is, by the configuration in force."""
+
+import random
+
+from chivepier.gateway.config import Route
+from chivepier.gateway.config import RouteIndex
+from chivepier.gateway.config import Service
+from chivepier.gateway.config import Team
+from chivepier.gateway.serving.callerrequest import CallerRequest
+from chivepier.gateway.serving.plan import Plan
+from chivepier.gateway.serving.servingstate import ServingState
+from chivepier.gateway.targets import Demand
+from chivepier.types import ErrorKind
+from chivepier.types import RequestError
+
+
+class Planner:
+    """Finds route, team and service.
+
+    :param state: the configuration in force
+    :param rng: draws the service where a route has several
+    """
+
+    def __init__(self, state: ServingState, rng: random.Random):
+        self._state = state
+        self._rng = rng
+
+    def plan(self, request: CallerRequest) -> Plan:
+        """Work out what to do.
+
+        :param request: the caller's
+        :returns: the plan
+        :raises RequestError: when the request is not to be served
+        """
+        index = self._state.index
+        if index is None:
+            text = "this instance knows no configuration yet"
+            raise RequestError.of(ErrorKind.NOT_READY, text)
+        route = index.find_route(request.host, request.path)
+        if route is None:
+            raise RequestError.of(ErrorKind.NOT_FOUND, "no such route")
+        team = self._find_team(index, route, request)
+        urgency = route.urgency
+        if team is not None and team.urgency is not None:
+            urgency = team.urgency
+        return Plan(
+            request=request,
+            route=route,
+            service=self._pick_service(index, route),
+            team=team.name if team else None,
+            urgency=urgency,
+            deadline=min(request.deadline, request.arrived + route.timeout),
+            demand=_measure(request),
+        )
+
+    def _find_team(
+        self, index: RouteIndex, route: Route, request: CallerRequest
+    ) -> Team | None:
+        if not index.asks_keys or route.public:
+            return None
+        team = index.find_team(request.key or "")
+        if team is None:
+            raise RequestError.of(ErrorKind.UNAUTHORIZED, "unknown key")
+        return team
+
+    def _pick_service(self, index: RouteIndex, route: Route) -> Service:
+        names = [name for name, _ in route.pools]
+        if len(names) > 1:
+            weights = [weight for _, weight in route.pools]
+            names = self._rng.choices(names, weights)
+        return index.services[names[0]]
+
+
+def _measure(request: CallerRequest) -> Demand | None:
+    prompt = request.prompt
+    if prompt is None:
+        return None
+    return Demand(prompt=prompt.tokens, output=prompt.expected_output)
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -0,0 +1,222 @@
+"""Passing a stream on, over the targets that it runs at."""
+
+import asyncio
+
+from chivepier.gateway.serving.callerport import CallerPort
+from chivepier.gateway.serving.dispatcher import Dispatcher
+from chivepier.gateway.serving.errors import AnswerCutError
+from chivepier.gateway.serving.errors import LostError
+from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.eventsplitter import EventSplitter
+from chivepier.gateway.serving.handoff import Handoff
+from chivepier.gateway.serving.liverun import LiveRun
+from chivepier.gateway.serving.origin import Origin
+from chivepier.gateway.serving.plan import Plan
+from chivepier.gateway.serving.sendorder import SendOrder
+from chivepier.gateway.serving.sent import Sent
+from chivepier.gateway.serving.targetanswer import TargetAnswer
+from chivepier.types import ErrorKind
+from chivepier.types import Ran
+from chivepier.types import RequestError
+
+# Seconds to wait for the outcome of a move once its source has ended the
+# stream: the copy is complete or failed by then, and only the answer to the
+# move is still on its way.
+HANDOFF_SECONDS = 4.5
+# How often one stream goes on elsewhere; each takes a target's end.
+MOST_HANDOFFS = 20
+
+
+class Relay:
+    """One caller's stream: one series of events, whatever happens behind.
+
+    :param dispatcher: sends to targets
+    :param plan: the request's
+    :param caller: its connection
+    """
+
+    def __init__(self, dispatcher: Dispatcher, plan: Plan, caller: CallerPort):
+        self._dispatcher = dispatcher
+        self._plan = plan
+        self._caller = caller
+        self._splitter = EventSplitter()
+        self._begun = False
+
+    async def run(self, sent: Sent) -> None:
+        """Relay until the stream is whole.
+
+        :param sent: the answer of the first target
+        :raises RequestError: when nothing was sent to the caller yet and
+            nothing can be
+        """
+        head, run = sent.answer, sent.run
+        try:
+            for _ in range(MOST_HANDOFFS):
+                whole = await self._pump(head, sent, run)
+                if whole and await self._ended(run):
+                    await self._finish(head)
+                    return
+                sent = await self._go_on(run, sent)
+                if sent is None:
+                    break
+            self._cut(run)
+        finally:
+            if sent is not None:
+                self._dispatcher.end(sent)
+
+    async def _ended(self, run: LiveRun) -> bool:
+        # a stream that was stopped for a move has no end, but where its
+        # target frames it by closing the connection it looks whole
+        if run.handoff is None:
+            return True
+        found = await self._await_handoff(run)
+        return found is None and not run.stopped
+
+    async def _await_handoff(self, run: LiveRun) -> Handoff | None:
+        try:
+            async with asyncio.timeout(HANDOFF_SECONDS):
+                return await asyncio.shield(run.handoff)
+        except TimeoutError:
+            return None
+
+    async def _pump(
+        self, head: TargetAnswer, sent: Sent, run: LiveRun
+    ) -> bool:
+        """Pass events on until the target ends or breaks off."""
+        self._splitter = EventSplitter()
+        try:
+            await self._pass_on(head, run, sent.body)
+            async for data in sent.rest:
+                await self._pass_on(head, run, data)
+        except AnswerCutError:
+            return False
+        rest = self._splitter.take_rest()
+        if rest:
+            # an answer that is whole by its framing is the target's own,
+            # also where its last event has no end
+            await self._write(head, rest)
+        return True
+
+    async def _pass_on(
+        self, head: TargetAnswer, run: LiveRun, data: bytes
+    ) -> None:
+        fresh = []
+        for event, number in self._splitter.feed(data):
+            if number is not None:
+                # the next target may repeat what the last one had made
+                if number <= run.number:
+                    continue
+                run.number = number
+            fresh.append(event)
+        if fresh:
+            await self._write(head, b"".join(fresh))
+
+    async def _write(self, head: TargetAnswer, data: bytes) -> None:
+        if not self._begun:
+            self._begun = True
+            await self._caller.begin(head.status, head.headers, None)
+        await self._caller.write(data)
+
+    async def _finish(self, head: TargetAnswer) -> None:
+        if not self._begun:
+            self._begun = True
+            await self._caller.begin(head.status, head.headers, None)
+        await self._caller.finish()
+
+    async def _go_on(self, run: LiveRun, sent: Sent) -> Sent | None:
+        """Send the request to where its memory is, or anew if allowed."""
+        dispatcher = self._dispatcher
+        handoffs = await self._find_handoffs(run)
+        dispatcher.end(sent)
+        for handoff in handoffs:
+            try:
+                fresh = await self._send(run, handoff)
+            except (NotSentError, LostError, TimeoutError) as error:
+                dispatcher.log.warn(
+                    "handoff_failed",
+                    id=run.request.id,
+                    target=handoff.target.instance,
+                    error=repr(error),
+                )
+                continue
+            if fresh is not None:
+                return fresh
+        return None
+
+    async def _find_handoffs(self, run: LiveRun) -> list[Handoff]:
+        found = []
+        if run.handoff is not None:
+            handoff = await self._await_handoff(run)
+            if handoff is not None:
+                found.append(handoff)
+        if run.backup is not None:
+            origin = Origin(run.backup.address, run.request.id)
+            found.append(Handoff(run.backup, origin))
+        if self._plan.repeatable:
+            anew = self._choose_anew(run)
+            if anew is not None:
+                found.append(anew)
+        return found
+
+    def _choose_anew(self, run: LiveRun) -> Handoff | None:
+        dispatcher, plan = self._dispatcher, self._plan
+        if not dispatcher.take_repeat(plan):
+            return None
+        service = plan.service
+        target = dispatcher.chooser.choose(
+            service.name, service.engine, plan.demand, {run.target.instance}
+        )
+        return Handoff(target, None) if target is not None else None
+
+    async def _send(self, run: LiveRun, handoff: Handoff) -> Sent | None:
+        dispatcher, plan = self._dispatcher, self._plan
+        order = SendOrder(
+            seconds=plan.deadline - dispatcher.clock.monotonic(),
+            team=plan.team,
+            urgency=plan.urgency,
+            origin=handoff.origin,
+            after_event=str(run.number),
+        )
+        async with asyncio.timeout(order.seconds):
+            answer = await dispatcher.port.send(
+                handoff.target, plan.request, order
+            )
+        facts = answer.facts
+        refused = facts.not_run or facts.other_instance is not None
+        if refused or facts.crossed or answer.status >= 300:
+            answer.close()
+            dispatcher.log.warn(
+                "handoff_refused",
+                id=run.request.id,
+                target=handoff.target.instance,
+                status=answer.status,
+            )
+            return None
+        dispatcher.log.info(
+            "gone_on",
+            id=run.request.id,
+            source=run.target.instance,
+            target=handoff.target.instance,
+            after=run.number,
+            moved=handoff.origin is not None,
+        )
+        run.target = handoff.target
+        run.handoff = None
+        run.stopped = False
+        dispatcher.watch(run)
+        dispatcher.chooser.begin(run.target.instance)
+        if dispatcher.table.leaves(run.target.instance):
+            dispatcher.mover.start(run)
+        return Sent(run.target, answer, b"", answer.chunks(), run)
+
+    def _cut(self, run: LiveRun) -> None:
+        text = "the target broke off, and the stream can't go on"
+        self._dispatcher.log.warn(
+            "stream_cut",
+            id=run.request.id,
+            target=run.target.instance,
+            after=run.number,
+        )
+        if not self._begun:
+            raise RequestError.of(ErrorKind.TARGET_FAILED, text, Ran.UNKNOWN)
+        self._caller.abort()
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/sendorder.py
@@ -0,0 +1,25 @@
+"""How one request is sent to one target."""
+
+import attrs
+
+from chivepier.gateway.serving.origin import Origin
+
+
+@attrs.frozen(kw_only=True)
+class SendOrder:
+    """What goes with the caller's own request.
+
+    :param seconds: for which the target may work on it
+    :param team: whose request it is, if teams are told apart
+    :param urgency: 0 is the most urgent
+    :param origin: memory to go on from
+    :param after_event: the last event that the caller has
+    :param backup: address of the target that keeps a copy of its memory
+    """
+
+    seconds: float
+    team: str | None = None
+    urgency: int | None = None
+    origin: Origin | None = None
+    after_event: str | None = None
+    backup: str | None = None
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/serving.py
@@ -0,0 +1,77 @@
+"""Serving one request from its arrival to its end."""
+
+import asyncio
+
+from chivepier.gateway.serving.callerport import CallerPort
+from chivepier.gateway.serving.callerrequest import CallerRequest
+from chivepier.gateway.serving.dispatcher import Dispatcher
+from chivepier.gateway.serving.plan import Plan
+from chivepier.gateway.serving.planner import Planner
+from chivepier.gateway.serving.relay import Relay
+from chivepier.types import RequestError
+
+
+class Serving:
+    """What an entry does for callers.
+
+    :param planner: finds route and team
+    :param dispatcher: sends to targets
+    """
+
+    def __init__(self, planner: Planner, dispatcher: Dispatcher):
+        self._planner = planner
+        self._dispatcher = dispatcher
+        self.active = 0
+
+    async def serve(self, request: CallerRequest, caller: CallerPort) -> None:
+        """Answer a request.
+
+        :param request: the caller's
+        :param caller: its connection
+        :raises RequestError: when nothing was sent yet and it failed
+        """
+        clock, log = self._dispatcher.clock, self._dispatcher.log
+        self.active += 1
+        outcome = "cancelled"
+        try:
+            plan = self._planner.plan(request)
+            await self._answer(plan, caller)
+            outcome = "answered"
+        except RequestError as error:
+            outcome = error.failure.kind.value
+            raise
+        finally:
+            self.active -= 1
+            write = log.info if outcome == "answered" else log.warn
+            write(
+                "request_ended",
+                id=request.id,
+                path=request.path,
+                outcome=outcome,
+                ms=round(1000 * (clock.monotonic() - request.arrived)),
+            )
+
+    async def _answer(self, plan: Plan, caller: CallerPort) -> None:
+        dispatcher = self._dispatcher
+        now = dispatcher.clock.monotonic()
+        dispatcher.budget.note_request(plan.service.name, now)
+        sent = await dispatcher.dispatch(plan)
+        if sent.rest is not None:
+            await self._stream(plan, caller, sent)
+            return
+        try:
+            answer = sent.answer
+            await caller.begin(answer.status, answer.headers, len(sent.body))
+            await caller.write(sent.body)
+            await caller.finish()
+        finally:
+            dispatcher.end(sent)
+
+    async def _stream(self, plan: Plan, caller: CallerPort, sent) -> None:
+        clock = self._dispatcher.clock
+        try:
+            async with asyncio.timeout(plan.deadline - clock.monotonic()):
+                await Relay(self._dispatcher, plan, caller).run(sent)
+        except TimeoutError:
+            self._dispatcher.log.warn("deadline_over", id=plan.request.id)
+            caller.abort()
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/targetport.py
@@ -0,0 +1,36 @@
+"""Talking to targets, as an interface."""
+
+import typing
+
+from chivepier.gateway.serving.callerrequest import CallerRequest
+from chivepier.gateway.serving.moved import Moved
+from chivepier.gateway.serving.sendorder import SendOrder
+from chivepier.gateway.serving.targetanswer import TargetAnswer
+from chivepier.gateway.targets import Target
+
+
+class TargetPort(typing.Protocol):
+    """What serving needs of the protocol towards targets."""
+
+    async def send(
+        self, target: Target, request: CallerRequest, order: SendOrder
+    ) -> TargetAnswer:
+        """Send a request and return the head of its answer.
+
+        :raises NotSentError: when it never left this process
+        :raises LostError: when no answer came
+        """
+
+    async def move(
+        self,
+        source: Target,
+        request_id: str,
+        destination: Target,
+        last: bool,
+        seconds: float,
+    ) -> Moved:
+        """Copy a live generation's memory to another target.
+
+        :param last: stop the run first
+        :param seconds: to wait for the copy
+        """
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -0,0 +1,19 @@
+"""Which targets there are, and which of them a request goes to."""
+
+from chivepier.gateway.targets.chooser import Chooser
+from chivepier.gateway.targets.demand import Demand
+from chivepier.gateway.targets.loadboard import LoadBoard
+from chivepier.gateway.targets.target import Target
+from chivepier.gateway.targets.targethealth import TargetHealth
+from chivepier.gateway.targets.targetstate import TargetState
+from chivepier.gateway.targets.targettable import TargetTable
+
+__all__ = [
+    "Chooser",
+    "Demand",
+    "LoadBoard",
+    "Target",
+    "TargetHealth",
+    "TargetState",
+    "TargetTable",
+]
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -0,0 +1,137 @@
+"""Choosing a target."""
+
+import collections.abc
+import random
+
+from chivepier.gateway.config import Engine
+from chivepier.gateway.targets.demand import Demand
+from chivepier.gateway.targets.loadboard import LoadBoard
+from chivepier.gateway.targets.target import Target
+from chivepier.gateway.targets.targethealth import TargetHealth
+from chivepier.gateway.targets.targettable import TargetTable
+from chivepier.types import Clock
+
+# Choices that differ by less than this share of a target count as equal and
+# are drawn among: many entries see the same loads and would all pick one.
+NEAR = 0.04
+# Seconds for which a prompt that was just sent still holds up the others
+# there, and the share of a full target it counts as: two prompts of 3,000
+# tokens read at once are a pause of 0.4 s for every stream of the target.
+PROMPT_SECONDS = 0.4
+PROMPT_COST = 0.3
+# What a target that still warms up counts as, in shares of a full one.
+WARMING_COST = 0.2
+# What another availability zone counts as when memory is moved: the copy
+# takes twice as long there, and the notice may not last for it.
+FAR_COST = 0.15
+
+
+class Chooser:
+    """Picks the target with the most room, by loads of all entries.
+
+    :param table: the targets
+    :param health: how they answered
+    :param board: what runs where
+    :param zone: this node's availability zone
+    :param clock: monotonic time
+    :param rng: draws among equals
+    """
+
+    def __init__(
+        self,
+        table: TargetTable,
+        health: TargetHealth,
+        board: LoadBoard,
+        zone: str,
+        clock: Clock,
+        rng: random.Random,
+    ):
+        self._table = table
+        self._health = health
+        self._board = board
+        self._zone = zone
+        self._clock = clock
+        self._rng = rng
+        self._busy: dict[str, int] = {}
+        self._prompts: dict[str, float] = {}
+
+    def begin(self, instance: str) -> None:
+        """Note that this entry sent a request to a target."""
+        self._busy[instance] = self._busy.get(instance, 0) + 1
+
+    def end(self, instance: str) -> None:
+        """Note that a request there has ended."""
+        left = self._busy.get(instance, 0) - 1
+        if left > 0:
+            self._busy[instance] = left
+        else:
+            self._busy.pop(instance, None)
+
+    def note_prompt(self, instance: str) -> None:
+        """Note that a prompt was sent to a target just now."""
+        self._prompts[instance] = self._clock.monotonic()
+
+    def choose(
+        self,
+        service: str,
+        engine: Engine | None,
+        demand: Demand | None,
+        without: collections.abc.Collection[str] = (),
+        near: str = "",
+    ) -> Target | None:
+        """Pick a target.
+
+        :param service: whose targets
+        :param engine: set when they run generations
+        :param demand: the generation's size, where one is to be run
+        :param without: instances that must not be picked
+        :param near: the availability zone that is preferred
+        :returns: the target; ``None`` when there is none left
+        """
+        now = self._clock.monotonic()
+        found = self._table.select(service, now)
+        candidates = [t for t in found if t.instance not in without]
+        if not candidates:
+            return None
+        sound = self._health.pick_sound([t.instance for t in candidates], now)
+        candidates = [t for t in candidates if t.instance in sound]
+        if engine is None or demand is None:
+            costs = [self._cost_plain(t, now) for t in candidates]
+        else:
+            costs = [
+                self._cost_engine(t, engine, demand, now) for t in candidates
+            ]
+        if near:
+            costs = [
+                cost + (FAR_COST if t.zone != near else 0.0)
+                for t, cost in zip(candidates, costs)
+            ]
+        least = min(costs)
+        near = [t for t, c in zip(candidates, costs) if c <= least + NEAR]
+        return self._rng.choice(near)
+
+    def load(self, target: Target, engine: Engine) -> float:
+        """Return how full a target is, 1 being full."""
+        now = self._clock.monotonic()
+        runs, tokens = self._board.total(target.instance, now)
+        return max(tokens / engine.memory_tokens, runs / engine.slots)
+
+    def _cost_plain(self, target: Target, now: float) -> float:
+        busy = self._busy.get(target.instance, 0) / max(1, target.slots)
+        cost = busy + self._health.slowness(target.instance, now)
+        if now < target.warm_at:
+            cost += WARMING_COST
+        return cost
+
+    def _cost_engine(
+        self, target: Target, engine: Engine, demand: Demand, now: float
+    ) -> float:
+        runs, tokens = self._board.total(target.instance, now)
+        memory = (tokens + demand.tokens) / engine.memory_tokens
+        cost = max(memory, (runs + 1) / engine.slots)
+        sent = self._prompts.get(target.instance, float("-inf"))
+        if now - sent < PROMPT_SECONDS:
+            cost += PROMPT_COST
+        if now < target.warm_at:
+            cost += WARMING_COST
+        return cost
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/targets/loadboard.py
@@ -0,0 +1,90 @@
+"""What all entries together run at each target."""
+
+import collections
+
+import attrs
+
+from chivepier.state import Signal
+
+# Seconds after which what an entry last said no longer counts. Entries
+# repeat themselves every second; three losses in a row are no accident.
+EXPIRY = 3.5
+
+
+@attrs.define
+class _Share:
+    runs: int = 0
+    tokens: int = 0
+    heard: float = 0.0
+
+
+class LoadBoard:
+    """Absolute counts by entry and target; a lost message heals itself.
+
+    :param me: this entry's name
+    """
+
+    def __init__(self, me: str):
+        self.me = me
+        self.changed = Signal()
+        self._shares: dict[str, dict[str, _Share]] = collections.defaultdict(
+            dict
+        )
+
+    def put(
+        self, entry: str, instance: str, runs: int, tokens: int, now: float
+    ) -> None:
+        """Take what an entry says it runs at a target.
+
+        :param entry: its name
+        :param instance: the target's
+        :param runs: generations
+        :param tokens: memory that they take and are expected to take
+        :param now: monotonic seconds
+        """
+        if entry == self.me:
+            return
+        self._shares[instance][entry] = _Share(runs, tokens, now)
+
+    def change(self, instance: str, runs: int, tokens: int) -> None:
+        """Add to what this entry itself runs at a target."""
+        share = self._shares[instance].setdefault(self.me, _Share())
+        share.runs += runs
+        share.tokens += tokens
+        self.changed.set()
+
+    def own(self) -> list[tuple[str, int, int]]:
+        """Return what this entry runs: instance, runs and tokens."""
+        return [
+            (instance, entries[self.me].runs, entries[self.me].tokens)
+            for instance, entries in self._shares.items()
+            if self.me in entries
+        ]
+
+    def total(self, instance: str, now: float) -> tuple[int, int]:
+        """Return runs and tokens at a target over all entries.
+
+        :param instance: the target's
+        :param now: monotonic seconds
+        """
+        runs = tokens = 0
+        for entry, share in self._shares.get(instance, {}).items():
+            if entry == self.me or now - share.heard < EXPIRY:
+                runs += share.runs
+                tokens += share.tokens
+        return runs, tokens
+
+    def drop_own(self, instance: str) -> None:
+        """Drop this entry's count where it runs nothing any more."""
+        entries = self._shares.get(instance, {})
+        entries.pop(self.me, None)
+        if not entries:
+            self._shares.pop(instance, None)
+
+    def forget(self, instance: str) -> None:
+        """Drop what other entries run at a target that is gone."""
+        own = self._shares.get(instance, {}).get(self.me)
+        if own is None:
+            self._shares.pop(instance, None)
+        else:
+            self._shares[instance] = {self.me: own}
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/targets/target.py
@@ -0,0 +1,26 @@
+"""One target instance, as this node knows it."""
+
+import attrs
+
+from chivepier.gateway.targets.targetstate import TargetState
+
+
+@attrs.define(kw_only=True)
+class Target:
+    """A target's latest announcement.
+
+    :param instance: drawn anew at each start of the target
+    :param number: orders the announcements of this instance
+    :param heard: when it was announced, in monotonic seconds
+    :param warm_at: when it works at full speed, in monotonic seconds
+    """
+
+    instance: str
+    service: str
+    address: str
+    zone: str
+    state: TargetState
+    number: int
+    slots: int
+    heard: float
+    warm_at: float = 0.0
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/targets/targettable.py
@@ -0,0 +1,110 @@
+"""The targets that announced themselves."""
+
+import collections.abc
+
+from chivepier.gateway.targets.target import Target
+from chivepier.gateway.targets.targetstate import TargetState
+
+# A target announces itself about every beat; after this many missed ones it
+# has most likely crashed. One or two may be late or lost.
+MISSED_BEATS = 3.5
+# Seconds for which an instance that left is remembered: a delayed
+# announcement of it would else bring it back to life.
+KEPT_GONE = 60.0
+# Seconds without a word after which an instance is forgotten.
+KEPT_SILENT = 30.0
+
+Watcher = collections.abc.Callable[[Target, TargetState | None], None]
+
+
+class TargetTable:
+    """Merges announcements, whatever way and in whatever order they come.
+
+    :param beat: seconds between a target's announcements
+    """
+
+    def __init__(self, beat: float):
+        self._patience = beat * MISSED_BEATS
+        self._targets: dict[str, Target] = {}
+        self.watchers: list[Watcher] = []
+
+    def __iter__(self) -> collections.abc.Iterator[Target]:
+        return iter(list(self._targets.values()))
+
+    def get(self, instance: str) -> Target | None:
+        """Find one instance."""
+        return self._targets.get(instance)
+
+    def leaves(self, instance: str) -> bool:
+        """Tell whether an instance said that it leaves."""
+        target = self._targets.get(instance)
+        return target is not None and target.state is not TargetState.READY
+
+    def put(self, target: Target) -> bool:
+        """Merge an announcement.
+
+        :param target: what was announced, with the time it was heard
+        :returns: whether it was news, other than of being alive
+        """
+        known = self._targets.get(target.instance)
+        if known is not None:
+            if target.number < known.number:
+                return False
+            if known.state is TargetState.GONE:
+                return False
+            target.heard = max(target.heard, known.heard)
+            if target.number == known.number and target.state is known.state:
+                known.heard = target.heard
+                return False
+            if known.state is TargetState.LEAVING and (
+                target.state is TargetState.READY
+            ):
+                # an instance that said it leaves does not come back
+                target.state = TargetState.LEAVING
+        self._targets[target.instance] = target
+        before = known.state if known else None
+        for watcher in self.watchers:
+            watcher(target, before)
+        return before is not target.state
+
+    def note_gone(self, instance: str, address: str) -> None:
+        """Take an instance out that another one has replaced.
+
+        :param instance: whose address answers for another instance
+        :param address: where that was seen
+        """
+        known = self._targets.get(instance)
+        if known is None or known.address != address:
+            return
+        before, known.state = known.state, TargetState.GONE
+        for watcher in self.watchers:
+            watcher(known, before)
+
+    def select(self, service: str, now: float) -> list[Target]:
+        """Return the targets of a service that new work may go to.
+
+        Silent ones are left out while any other is heard: when all are
+        silent it is this node that hears nothing, and they may well live.
+
+        :param service: its name
+        :param now: monotonic seconds
+        :returns: the candidates
+        """
+        ready = [
+            target
+            for target in self._targets.values()
+            if target.service == service and target.state is TargetState.READY
+        ]
+        fresh = [t for t in ready if now - t.heard < self._patience]
+        return fresh or ready
+
+    def forget(self, now: float) -> None:
+        """Drop what has long been silent.
+
+        :param now: monotonic seconds
+        """
+        for target in list(self._targets.values()):
+            gone = target.state is TargetState.GONE
+            kept = KEPT_GONE if gone else KEPT_SILENT
+            if now - target.heard > kept:
+                del self._targets[target.instance]
--- a/packages/types/src/chivepier/types/__init__.py
+++ b/packages/types/src/chivepier/types/__init__.py
@@ -1,5 +1,6 @@
 """Errors, the clock and other types that every package shares."""
 
+from chivepier.types.bootclock import BootClock
 from chivepier.types.clock import Clock
 from chivepier.types.errorkind import ErrorKind
 from chivepier.types.errorrule import ErrorRule
@@ -18,6 +19,7 @@
 
 __all__ = [
     "ERROR_TABLE",
+    "BootClock",
     "Clock",
     "ErrorKind",
     "ErrorRule",
--- a/packages/wire/src/chivepier/wire/links.py
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -73,6 +73,23 @@
             return
         channel.send(value)
 
+    def post(self, peer: str, value: typing.Any) -> None:
+        """Post a one-way message without waiting for a connection.
+
+        A peer that can't be reached would else hold up whoever has news for
+        several of them.
+
+        :param peer: its address as ``ip:port``
+        :param value: a registered message
+        """
+        channel = self._channels.get(peer)
+        if channel is not None and not channel.closed:
+            channel.send(value)
+            return
+        task = asyncio.create_task(self.send(peer, value))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _open(self, peer: str, timeout: float) -> Channel:
         channel = self._channels.get(peer)
         if channel is not None and not channel.closed:
