Let long generations go on at a growing copy of their memory

Now a run that has not begun is tried again, copies of one source take turns, and a long run keeps a growing copy at a second target where there is room.

--- a/packages/gateway/src/chivepier/gateway/config/engine.py
+++ b/packages/gateway/src/chivepier/gateway/config/engine.py
@@ -13,6 +13,8 @@
     :param backups: whether a live generation's memory can be copied while
         it grows
     :param copy_seconds: how long an unused copy is kept, in seconds
+    :param token_seconds: to copy the memory of one token to another target
+        of the same availability zone, in seconds
     """
 
     slots: int
@@ -20,3 +22,4 @@
     moves: bool = False
     backups: bool = False
     copy_seconds: float = 5.0
+    token_seconds: float = 0.0
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -39,6 +39,9 @@
 # How often all targets may refuse before the caller is told to come back.
 MOST_ROUNDS = 3
 SERVER_ERROR = 500
+# Generations that are expected to make fewer tokens are not backed up: they
+# take about a second, as long as a copy needs to be of use.
+BACKUP_OUTPUT = 100
 
 
 class Dispatcher:
@@ -146,13 +149,35 @@
     def watch(self, run: LiveRun) -> None:
         """Count a generation at its target and watch that."""
         self.board.change(run.target.instance, 1, run.tokens)
+        if run.backup is not None:
+            self.board.change(run.backup.instance, 0, run.tokens)
         self.mover.add(run)
 
     def unwatch(self, run: LiveRun) -> None:
         """Take a generation off its target."""
         self.board.change(run.target.instance, -1, -run.tokens)
+        if run.backup is not None:
+            self.board.change(run.backup.instance, 0, -run.tokens)
         self.mover.remove(run)
 
+    def choose_backup(self, plan: Plan, target: Target) -> Target | None:
+        """Pick who keeps a copy of a generation while it grows.
+
+        Long ones only: a short one is over before a copy could help.
+
+        :param plan: the request's
+        :param target: where it runs
+        :returns: the target, if one has room to spare
+        """
+        engine, demand = plan.service.engine, plan.demand
+        if engine is None or demand is None or not engine.backups:
+            return None
+        if demand.output < BACKUP_OUTPUT or plan.repeatable:
+            return None
+        return self.chooser.choose_backup(
+            plan.service.name, engine, demand, target
+        )
+
     def _choose(self, plan: Plan, tried: set[str]) -> Target | None:
         service = plan.service
         return self.chooser.choose(
@@ -167,6 +192,7 @@
         if plan.demand is not None:
             tokens = plan.demand.tokens
             run = LiveRun(plan.request, plan.service, target, tokens)
+            run.backup = self.choose_backup(plan, target)
             self.watch(run)
             self.chooser.note_prompt(target.instance)
         self.chooser.begin(target.instance)
@@ -175,7 +201,7 @@
         try:
             async with asyncio.timeout(seconds):
                 answer = await self.port.send(
-                    target, plan.request, self._order(plan)
+                    target, plan.request, self._order(plan, run)
                 )
                 sent = await self._read(plan, target, answer, run)
         except BaseException:
@@ -205,6 +231,7 @@
             if run is None:
                 run = LiveRun(plan.request, plan.service, target, 0)
                 self.watch(run)
+            run.began = self.clock.monotonic()
             return Sent(target, answer, first, chunks, run)
         parts = [chunk async for chunk in chunks]
         answer.release()
@@ -212,8 +239,10 @@
             self.unwatch(run)
         return Sent(target, answer, b"".join(parts))
 
-    def _order(self, plan: Plan) -> SendOrder:
+    def _order(self, plan: Plan, run: LiveRun | None) -> SendOrder:
+        backup = run.backup if run is not None else None
         return SendOrder(
+            backup=backup.address if backup else None,
             seconds=plan.deadline - self.clock.monotonic(),
             team=plan.team,
             urgency=plan.urgency if plan.demand is not None else None,
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -10,8 +10,10 @@
 from chivepier.gateway.serving.targetport import TargetPort
 from chivepier.gateway.targets import Chooser
 from chivepier.gateway.targets import Demand
+from chivepier.gateway.targets import LoadBoard
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
+from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
 
 # Destinations that are tried for one generation: a full or dead one says so
@@ -20,17 +22,31 @@
 # Seconds to wait for one copy. A copy of 6,000 tokens takes 0.4 s on an idle
 # link, twice that between zones, and waits for the copies before it.
 COPY_SECONDS = 4.0
+# Seconds after its first event at which a generation's copy is relied on:
+# parts are sent several times a second, and the prompt's takes 0.2 s.
+BACKUP_SECONDS = 1.0
+# Seconds between two tries to move a generation that has not begun.
+START_PAUSE = 0.1
+# Share of a generation's expected memory that is filled on average.
+FILLED_SHARE = 0.7
+# Seconds to wait for other entries' copies at most: a target that leaves
+# gives a notice of about two seconds.
+MOST_TURN = 1.0
 
 
 class Mover:
     """Keeps the live generations and moves those whose target leaves.
 
-    A first copy is made while the generation goes on; then it is stopped,
-    and what it made meanwhile is copied. So the caller's stream pauses for
-    the second copy only, some milliseconds, and not for the first.
+    Where another target keeps a growing copy, the generation goes on there
+    at once. Else a first copy is made while the generation goes on; then it
+    is stopped, and what it made meanwhile is copied. So the caller's stream
+    pauses for the second copy only, some milliseconds, and not for the
+    first.
 
     :param port: the protocol towards targets
     :param chooser: finds destinations
+    :param table: which targets leave
+    :param board: what the other entries have to move
     :param clock: monotonic time
     :param log: decisions on requests
     """
@@ -39,11 +55,16 @@
         self,
         port: TargetPort,
         chooser: Chooser,
+        table: TargetTable,
+        board: LoadBoard,
         clock: Clock,
         log: EventLog,
     ):
         self._port = port
         self._chooser = chooser
+        self._table = table
+        self._board = board
+        self._turns: dict[str, asyncio.Lock] = {}
         self._clock = clock
         self._log = log
         self._runs: dict[str, set[LiveRun]] = {}
@@ -59,6 +80,7 @@
         runs.discard(run)
         if not runs:
             self._runs.pop(run.target.instance, None)
+            self._turns.pop(run.target.instance, None)
 
     def note_target(self, target: Target, before: TargetState | None) -> None:
         """Move everything off a target that has begun to leave.
@@ -77,22 +99,58 @@
         if run.handoff is not None or engine is None or not engine.moves:
             return
         run.handoff = asyncio.get_running_loop().create_future()
+        if self._has_backup(run):
+            origin = Origin(run.backup.address, run.request.id)
+            run.handoff.set_result(Handoff(run.backup, origin))
+            run.interrupt()
+            return
         task = asyncio.create_task(self._move(run, run.handoff))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _has_backup(self, run: LiveRun) -> bool:
+        if run.backup is None or run.began is None:
+            return False
+        if self._table.leaves(run.backup.instance):
+            return False
+        return self._clock.monotonic() - run.began >= BACKUP_SECONDS
+
     async def _move(
         self, run: LiveRun, handoff: asyncio.Future[Handoff | None]
     ) -> None:
+        found = None
         try:
-            found = await self._find_handoff(run)
+            await self._await_turn(run)
+            while not run.ended and run.target.instance in self._runs:
+                found = await self._find_handoff(run)
+                if found is not None or run.began is not None:
+                    break
+                # it waits or is being read in: there is nothing to move yet
+                await self._clock.sleep(START_PAUSE)
         except Exception as error:
             self._log.warn("move_failed", id=run.request.id, error=repr(error))
-            found = None
         if not handoff.done():
             handoff.set_result(found)
 
+    async def _await_turn(self, run: LiveRun) -> None:
+        """Wait for the copies of other entries' generations.
+
+        All copies of one source share its link, one after the other. Asked
+        for at once, the short second copies would wait behind the long
+        first ones, with their generations stopped meanwhile.
+        """
+        source = run.target.instance
+        now = self._clock.monotonic()
+        tokens = self._board.before(source, now)
+        pause = FILLED_SHARE * tokens * run.service.engine.token_seconds
+        await self._clock.sleep(min(pause, MOST_TURN))
+
     async def _find_handoff(self, run: LiveRun) -> Handoff | None:
+        lock = self._turns.setdefault(run.target.instance, asyncio.Lock())
+        async with lock:
+            return await self._copy_somewhere(run)
+
+    async def _copy_somewhere(self, run: LiveRun) -> Handoff | None:
         source, tried = run.target, {run.target.instance}
         for _ in range(MOST_TRIES):
             target = self._pick(run, tried)
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -14,6 +14,7 @@
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.sendorder import SendOrder
 from chivepier.gateway.serving.sent import Sent
+from chivepier.gateway.serving.streampace import StreamPace
 from chivepier.gateway.serving.targetanswer import TargetAnswer
 from chivepier.types import ErrorKind
 from chivepier.types import Ran
@@ -23,6 +24,10 @@
 # stream: the copy is complete or failed by then, and only the answer to the
 # move is still on its way.
 HANDOFF_SECONDS = 4.5
+# Seconds without a byte after which a target counts as dark. A preempted
+# generation is read in again within half of that, and callers leave after
+# two seconds or more.
+STALL_SECONDS = 1.5
 # How often one stream goes on elsewhere; each takes a target's end.
 MOST_HANDOFFS = 20
 
@@ -41,6 +46,9 @@
         self._caller = caller
         self._splitter = EventSplitter()
         self._begun = False
+        self._pace = StreamPace(
+            plan.request.arrived, dispatcher.clock.monotonic
+        )
 
     async def run(self, sent: Sent) -> None:
         """Relay until the stream is whole.
@@ -61,6 +69,16 @@
                     break
             self._cut(run)
         finally:
+            run.ended = True
+            self._dispatcher.log.info(
+                "stream_ended",
+                id=run.request.id,
+                target=run.target.instance,
+                events=run.number,
+                first_ms=round(1000 * self._pace.first),
+                gap_ms=round(1000 * self._pace.gap),
+                gap_at=self._pace.gap_at,
+            )
             if sent is not None:
                 self._dispatcher.end(sent)
 
@@ -86,9 +104,9 @@
         self._splitter = EventSplitter()
         try:
             await self._pass_on(head, run, sent.body)
-            async for data in sent.rest:
+            while (data := await self._read(run, sent)) is not None:
                 await self._pass_on(head, run, data)
-        except AnswerCutError:
+        except (AnswerCutError, TimeoutError):
             return False
         rest = self._splitter.take_rest()
         if rest:
@@ -97,6 +115,21 @@
             await self._write(head, rest)
         return True
 
+    async def _read(self, run: LiveRun, sent: Sent) -> bytes | None:
+        seconds = None
+        if run.backup is not None or self._plan.repeatable:
+            # a target that is dark says nothing; where the generation can
+            # go on elsewhere, its caller need not wait for the deadline
+            seconds = STALL_SECONDS
+        try:
+            async with run.read_within(seconds):
+                data = await anext(sent.rest, None)
+        finally:
+            run.end_read()
+        if run.began is None:
+            run.began = self._dispatcher.clock.monotonic()
+        return data
+
     async def _pass_on(
         self, head: TargetAnswer, run: LiveRun, data: bytes
     ) -> None:
@@ -115,6 +148,7 @@
         if not self._begun:
             self._begun = True
             await self._caller.begin(head.status, head.headers, None)
+        self._pace.note()
         await self._caller.write(data)
 
     async def _finish(self, head: TargetAnswer) -> None:
@@ -170,7 +204,9 @@
 
     async def _send(self, run: LiveRun, handoff: Handoff) -> Sent | None:
         dispatcher, plan = self._dispatcher, self._plan
+        backup = dispatcher.choose_backup(plan, handoff.target)
         order = SendOrder(
+            backup=backup.address if backup else None,
             seconds=plan.deadline - dispatcher.clock.monotonic(),
             team=plan.team,
             urgency=plan.urgency,
@@ -200,9 +236,8 @@
             after=run.number,
             moved=handoff.origin is not None,
         )
-        run.target = handoff.target
-        run.handoff = None
-        run.stopped = False
+        run.go_on(handoff.target)
+        run.backup = backup
         dispatcher.watch(run)
         dispatcher.chooser.begin(run.target.instance)
         if dispatcher.table.leaves(run.target.instance):
--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -24,6 +24,9 @@
 # What another availability zone counts as when memory is moved: the copy
 # takes twice as long there, and the notice may not last for it.
 FAR_COST = 0.15
+# Copies may fill a target up to this share only: beyond, a copy would take
+# the memory that generations of other callers need soon.
+BACKUP_SHARE = 0.6
 
 
 class Chooser:
@@ -110,11 +113,26 @@
         near = [t for t, c in zip(candidates, costs) if c <= least + NEAR]
         return self._rng.choice(near)
 
-    def load(self, target: Target, engine: Engine) -> float:
-        """Return how full a target is, 1 being full."""
+    def choose_backup(
+        self, service: str, engine: Engine, demand: Demand, target: Target
+    ) -> Target | None:
+        """Pick the target that keeps a growing copy of a generation.
+
+        :param service: whose targets
+        :param engine: what they can do
+        :param demand: the generation's size
+        :param target: where it runs
+        :returns: the target; ``None`` when no other has room to spare
+        """
+        found = self.choose(
+            service, engine, demand, {target.instance}, near=target.zone
+        )
+        if found is None:
+            return None
         now = self._clock.monotonic()
-        runs, tokens = self._board.total(target.instance, now)
-        return max(tokens / engine.memory_tokens, runs / engine.slots)
+        _, tokens = self._board.total(found.instance, now)
+        room = BACKUP_SHARE * engine.memory_tokens
+        return found if tokens + demand.tokens <= room else None
 
     def _cost_plain(self, target: Target, now: float) -> float:
         busy = self._busy.get(target.instance, 0) / max(1, target.slots)
--- a/packages/gateway/src/chivepier/gateway/targets/loadboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadboard.py
@@ -74,6 +74,18 @@
                 tokens += share.tokens
         return runs, tokens
 
+    def before(self, instance: str, now: float) -> int:
+        """Return the tokens at a target of entries that sort before this one.
+
+        :param instance: the target's
+        :param now: monotonic seconds
+        """
+        return sum(
+            share.tokens
+            for entry, share in self._shares.get(instance, {}).items()
+            if entry < self.me and now - share.heard < EXPIRY
+        )
+
     def drop_own(self, instance: str) -> None:
         """Drop this entry's count where it runs nothing any more."""
         entries = self._shares.get(instance, {})
