--- a/packages/gateway/src/chivepier/gateway/control/configstore.py
+++ b/packages/gateway/src/chivepier/gateway/control/configstore.py
@@ -65,9 +65,20 @@
         self._clock = clock
         self._log = log
         self._cache: tuple[int, StoredConfig | None] = (-1, None)
+        self._known: StoredConfig | None = None
+
+    def use_known(self, known: StoredConfig | None) -> None:
+        """Take what was known to be committed before a restart."""
+        self._known = known
 
     def held(self) -> StoredConfig | None:
         """Return what this node knows to be committed, if anything."""
+        applied, known = self._find_applied(), self._known
+        if applied is None or known is None:
+            return applied or known
+        return known if known.version > applied.version else applied
+
+    def _find_applied(self) -> StoredConfig | None:
         document = self._machine.documents.get((KIND, NAME))
         if document is None:
             return None
--- a/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
+++ b/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
@@ -14,7 +14,7 @@
 KEPT_SECONDS = 20.0
 # Seconds after its start in which a voter gives no addresses: entries come
 # back one after the other, and the first would get every caller.
-LEARNING_SECONDS = 0.7
+LEARNING_SECONDS = 0.35
 
 
 @attrs.define
--- a/packages/gateway/src/chivepier/gateway/control/founding.py
+++ b/packages/gateway/src/chivepier/gateway/control/founding.py
@@ -2,7 +2,7 @@
 
 import hashlib
 
-from chivepier.gateway.control.votersettings import VoterSettings
+from chivepier.gateway.settings import VoterSettings
 from chivepier.messages import encode
 from chivepier.messages import Entry
 from chivepier.messages import Voter
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/knownstate.py
@@ -0,0 +1,119 @@
+"""What a voter may tell at once after a restart."""
+
+import asyncio
+import pathlib
+
+import cbor2
+
+from chivepier.gateway.control.configstore import ConfigStore
+from chivepier.gateway.control.configstore import StoredConfig
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.following import pack_target
+from chivepier.gateway.following import unpack_target
+from chivepier.gateway.messages import TargetRecord
+from chivepier.gateway.targets import TargetTable
+from chivepier.state import DamagedError
+from chivepier.state.diskstorage import write_synced
+from chivepier.state.records import pack_record
+from chivepier.state.records import read_records
+from chivepier.types import Clock
+
+FILE = "known"
+# Seconds between two writes: targets come and go all the time, and each
+# write takes the disk's sync.
+PAUSE_SECONDS = 1.0
+
+
+class KnownState:
+    """Keeps the committed configuration and the targets beside the log.
+
+    A voter that restarts does not know which entries of its log are
+    committed until a leader tells it. When all processes are killed at once,
+    entries would refuse every caller until a leader is elected, one to two
+    seconds more, and then until each target has announced itself. What was
+    committed stays so; targets that have ended since are found out by the
+    first connection that they refuse.
+
+    :param folder: the voter's data folder
+    :param table: the targets
+    :param clock: monotonic time
+    :param log: failures of the disk
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        table: TargetTable,
+        clock: Clock,
+        log: EventLog,
+    ):
+        self._folder = folder
+        self._table = table
+        self._clock = clock
+        self._log = log
+        self._changed = asyncio.Event()
+        table.watchers.append(lambda target, before: self._changed.set())
+
+    def load(self) -> StoredConfig | None:
+        """Read the file: targets go to the table.
+
+        :returns: the configuration, if one was known
+        """
+        path = self._folder / FILE
+        if not path.exists():
+            return None
+        try:
+            payloads, _ = read_records(path.read_bytes(), FILE)
+            version, body, targets = cbor2.loads(payloads[0])
+        except (DamagedError, IndexError, ValueError, OSError) as error:
+            # it spares waiting only; what counts is in the log
+            self._log.warn("known_state_unread", error=repr(error))
+            return None
+        now = self._clock.monotonic()
+        for fields in targets:
+            self._table.put(unpack_target(TargetRecord(*fields), now))
+        return StoredConfig(version, body) if version >= 0 else None
+
+    async def run(self, store: ConfigStore) -> None:
+        """Write what is new, for as long as the node lives.
+
+        :param store: the configuration
+        """
+        while True:
+            await self._changed.wait()
+            self._changed.clear()
+            data = pack_record(cbor2.dumps(self._pack(store)))
+            try:
+                await asyncio.to_thread(write_synced, self._folder, FILE, data)
+            except OSError as error:
+                self._log.warn("known_state_unwritten", error=repr(error))
+            await self._clock.sleep(PAUSE_SECONDS)
+
+    def note_configuration(self) -> None:
+        """Note that another configuration is committed."""
+        self._changed.set()
+
+    def _pack(self, store: ConfigStore) -> tuple:
+        now = self._clock.monotonic()
+        held = store.held()
+        targets = []
+        for target in self._table:
+            record = pack_target(target, now)
+            targets.append(
+                (
+                    record.instance,
+                    record.service,
+                    record.address,
+                    record.zone,
+                    record.state,
+                    record.number,
+                    record.slots,
+                    record.warming,
+                    # as if heard when it is loaded: how long the process
+                    # will have been away isn't known
+                    0.0,
+                )
+            )
+        if held is None:
+            return (-1, b"", targets)
+        return (held.version, held.body, targets)
--- a/packages/gateway/src/chivepier/gateway/control/registry.py
+++ b/packages/gateway/src/chivepier/gateway/control/registry.py
@@ -3,10 +3,10 @@
 import secrets
 
 from chivepier.gateway.control.entrydirectory import EntryDirectory
-from chivepier.gateway.control.peers import Peers
-from chivepier.gateway.control.records import pack_target
-from chivepier.gateway.control.records import unpack_target
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.following import pack_target
+from chivepier.gateway.following import Peers
+from chivepier.gateway.following import unpack_target
 from chivepier.gateway.messages import TargetNotice
 from chivepier.gateway.messages import TargetRecord
 from chivepier.gateway.targets import Target
--- a/packages/gateway/src/chivepier/gateway/control/seats.py
+++ b/packages/gateway/src/chivepier/gateway/control/seats.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from chivepier.gateway.control.peers import Peers
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.following import Peers
 from chivepier.gateway.messages import JoinAnswer
 from chivepier.gateway.messages import JoinRequest
 from chivepier.messages import Voter
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -7,12 +7,12 @@
 from chivepier.gateway.control.configstore import ConfigStore
 from chivepier.gateway.control.entrydirectory import EntryDirectory
 from chivepier.gateway.control.founding import open_folder
+from chivepier.gateway.control.knownstate import KnownState
 from chivepier.gateway.control.loadhub import LoadHub
-from chivepier.gateway.control.peers import Peers
 from chivepier.gateway.control.registry import Registry
 from chivepier.gateway.control.seats import Seats
-from chivepier.gateway.control.votersettings import VoterSettings
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.following import Peers
 from chivepier.gateway.messages import ConfigAnswer
 from chivepier.gateway.messages import ConfigRequest
 from chivepier.gateway.messages import EntryBeat
@@ -21,6 +21,7 @@
 from chivepier.gateway.messages import LoadNotice
 from chivepier.gateway.messages import TargetNotice
 from chivepier.gateway.messages import WriteRequest
+from chivepier.gateway.settings import VoterSettings
 from chivepier.gateway.targets import TargetTable
 from chivepier.messages import AppendRequest
 from chivepier.messages import SnapshotRequest
@@ -55,6 +56,7 @@
         self.entries = EntryDirectory(clock)
         self.loads = LoadHub(self.entries, clock)
         self.table = TargetTable(settings.beat)
+        self._known = KnownState(settings.folder, self.table, clock, log)
         self.replica: Replica | None = None
         self.store: ConfigStore | None = None
         self.registry: Registry | None = None
@@ -88,11 +90,15 @@
         await self._stack.enter_async_context(links)
         await self._stack.enter_async_context(self.replica)
         await self._stack.enter_async_context(server)
-        for work in (self.seats.run, self._announce, self._forget):
-            task = asyncio.create_task(work())
+        for work in (
+            self.seats.run(),
+            self._announce(),
+            self._forget(),
+            self.loads.run(),
+            self._known.run(self.store),
+        ):
+            task = asyncio.create_task(work)
             self._stack.callback(task.cancel)
-        task = asyncio.create_task(self.loads.run())
-        self._stack.callback(task.cancel)
         self._log.info(
             "voter_started",
             identity=identity.node,
@@ -109,6 +115,7 @@
         me = self._settings.address
         clock, log, peers = self._clock, self._log, self.peers
         self.store = ConfigStore(self.replica, links, clock, log)
+        self.store.use_known(self._known.load())
         self.registry = Registry(
             me, self.table, self.entries, links, peers, clock, log
         )
@@ -161,6 +168,7 @@
             if held is not None and held.version > told:
                 told = held.version
                 self._log.info("configuration_known", version=told)
+                self._known.note_configuration()
                 answer = ConfigAnswer(True, held.version, held.body)
                 for channel in self.entries.channels():
                     channel.send(answer)
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -3,11 +3,10 @@
 import contextlib
 import random
 
-from chivepier.gateway.control import Decode
-from chivepier.gateway.control import Following
-from chivepier.gateway.control import Peers
-from chivepier.gateway.entry.entrysettings import EntrySettings
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.following import Decode
+from chivepier.gateway.following import Following
+from chivepier.gateway.following import Peers
 from chivepier.gateway.serving import Dispatcher
 from chivepier.gateway.serving import Mover
 from chivepier.gateway.serving import Planner
@@ -15,6 +14,7 @@
 from chivepier.gateway.serving import Serving
 from chivepier.gateway.serving import ServingState
 from chivepier.gateway.serving import TargetPort
+from chivepier.gateway.settings import EntrySettings
 from chivepier.gateway.targets import Chooser
 from chivepier.gateway.targets import LoadBoard
 from chivepier.gateway.targets import Target
@@ -102,7 +102,9 @@
             clock=clock,
             log=log,
         )
-        self.serving = Serving(Planner(self.state, rng), dispatcher)
+        self.serving = Serving(
+            self.state, Planner(self.state, rng), dispatcher
+        )
 
     async def __aenter__(self) -> "Entry":
         await self._stack.enter_async_context(self._links)
--- a/packages/gateway/src/chivepier/gateway/control/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -8,9 +8,9 @@
 from chivepier.gateway.config import Configuration
 from chivepier.gateway.config import ConfigurationError
 from chivepier.gateway.config import RouteIndex
-from chivepier.gateway.control.peers import Peers
-from chivepier.gateway.control.records import unpack_target
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.following.peers import Peers
+from chivepier.gateway.following.records import unpack_target
 from chivepier.gateway.messages import ConfigAnswer
 from chivepier.gateway.messages import ConfigRequest
 from chivepier.gateway.messages import EntryBeat
--- a/packages/gateway/src/chivepier/gateway/serving/serving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/serving.py
@@ -8,17 +8,27 @@
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.planner import Planner
 from chivepier.gateway.serving.relay import Relay
+from chivepier.gateway.serving.servingstate import ServingState
 from chivepier.types import RequestError
 
+# Seconds for which requests wait for the first configuration. An entry that
+# has just started gets it within some tenths of a second when a voter is
+# there; a caller that is told to come back has lost its objective.
+FIRST_SECONDS = 0.6
+
 
 class Serving:
     """What an entry does for callers.
 
+    :param state: the configuration in force
     :param planner: finds route and team
     :param dispatcher: sends to targets
     """
 
-    def __init__(self, planner: Planner, dispatcher: Dispatcher):
+    def __init__(
+        self, state: ServingState, planner: Planner, dispatcher: Dispatcher
+    ):
+        self._state = state
         self._planner = planner
         self._dispatcher = dispatcher
         self.active = 0
@@ -34,6 +44,8 @@
         self.active += 1
         outcome = "cancelled"
         try:
+            if self._state.index is None:
+                await self._state.changed.wait(FIRST_SECONDS)
             plan = self._planner.plan(request)
             await self._answer(plan, caller)
             outcome = "answered"
--- a/packages/gateway/src/chivepier/gateway/serving/servingstate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/servingstate.py
@@ -3,6 +3,7 @@
 import attrs
 
 from chivepier.gateway.config import RouteIndex
+from chivepier.types import Signal
 
 
 @attrs.define
@@ -12,11 +13,13 @@
     :param index: ``None`` until the first configuration is known
     :param entries: entries that are alive, this one included
     :param stopping: whether new requests are turned away
+    :param changed: set at each newer configuration
     """
 
     index: RouteIndex | None = None
     entries: int = 1
     stopping: bool = False
+    changed: Signal = attrs.field(factory=Signal)
 
     def adopt(self, index: RouteIndex) -> bool:
         """Take a configuration that is newer than the one held.
@@ -27,4 +30,5 @@
         if self.index is not None and index.version <= self.index.version:
             return False
         self.index = index
+        self.changed.set()
         return True
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/settings/__init__.py
@@ -0,0 +1,6 @@
+"""What the programs are told at their start."""
+
+from chivepier.gateway.settings.entrysettings import EntrySettings
+from chivepier.gateway.settings.votersettings import VoterSettings
+
+__all__ = ["EntrySettings", "VoterSettings"]
--- a/packages/gateway/src/chivepier/gateway/targets/loadboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadboard.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from chivepier.state import Signal
+from chivepier.types import Signal
 
 # Seconds after which what an entry last said no longer counts. Entries
 # repeat themselves every second; three losses in a row are no accident.
--- a/packages/membership/src/chivepier/membership/forcetracker.py
+++ b/packages/membership/src/chivepier/membership/forcetracker.py
@@ -3,8 +3,8 @@
 from chivepier.membership.pending import Pending
 from chivepier.membership.terms import LeaseTerms
 from chivepier.state import MemberSets
-from chivepier.state import Signal
 from chivepier.types import Clock
+from chivepier.types import Signal
 
 
 class ForceTracker:
--- a/packages/node/src/chivepier/node/inprogress.py
+++ b/packages/node/src/chivepier/node/inprogress.py
@@ -5,9 +5,9 @@
 
 from aiohttp import web
 
-from chivepier.state import Signal
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
+from chivepier.types import Signal
 
 CONTROL_PATHS = (
     "/v1/addresses",
--- a/packages/node/src/chivepier/node/renewal.py
+++ b/packages/node/src/chivepier/node/renewal.py
@@ -14,8 +14,8 @@
 from chivepier.messages import SyncAnswer
 from chivepier.messages import SyncRequest
 from chivepier.node.cluster import Cluster
-from chivepier.state import Signal
 from chivepier.state import Snapshot
+from chivepier.types import Signal
 from chivepier.wire import LinkError
 
 SYNC_ENTRIES = 500
--- a/packages/state/src/chivepier/state/__init__.py
+++ b/packages/state/src/chivepier/state/__init__.py
@@ -15,7 +15,6 @@
 from chivepier.state.notleadererror import NotLeaderError
 from chivepier.state.replica import Replica
 from chivepier.state.role import Role
-from chivepier.state.signal import Signal
 from chivepier.state.snapshot import Snapshot
 from chivepier.state.snapshotpolicy import SnapshotPolicy
 from chivepier.state.storage import Storage
@@ -39,7 +38,6 @@
     "NotLeaderError",
     "Replica",
     "Role",
-    "Signal",
     "Snapshot",
     "SnapshotPolicy",
     "Storage",
--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -12,13 +12,13 @@
 from chivepier.state.damagederror import DamagedError
 from chivepier.state.machine import Machine
 from chivepier.state.role import Role
-from chivepier.state.signal import Signal
 from chivepier.state.storage import Storage
 from chivepier.state.storagefailederror import StorageFailedError
 from chivepier.state.timing import Timing
 from chivepier.state.transport import Transport
 from chivepier.state.votersets import VoterSets
 from chivepier.types import Clock
+from chivepier.types import Signal
 from chivepier.wire import RefusedError
 
 if typing.TYPE_CHECKING:
--- a/packages/state/src/chivepier/state/machine.py
+++ b/packages/state/src/chivepier/state/machine.py
@@ -27,9 +27,9 @@
 from chivepier.state.claims import Claims
 from chivepier.state.historyitem import HistoryItem
 from chivepier.state.membersets import MemberSets
-from chivepier.state.signal import Signal
 from chivepier.state.snapshot import Snapshot
 from chivepier.types import ErrorKind
+from chivepier.types import Signal
 
 KEPT_ANSWERS = 20_000
 KEPT_HISTORY = 2_000
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -18,13 +18,13 @@
 from chivepier.state.machine import Machine
 from chivepier.state.notleadererror import NotLeaderError
 from chivepier.state.role import Role
-from chivepier.state.signal import Signal
 from chivepier.state.snapshotpolicy import SnapshotPolicy
 from chivepier.state.storage import Storage
 from chivepier.state.timing import Timing
 from chivepier.state.transport import Transport
 from chivepier.state.voterchanges import VoterChanges
 from chivepier.types import Clock
+from chivepier.types import Signal
 
 
 class Replica:
--- a/packages/state/src/chivepier/state/tenure.py
+++ b/packages/state/src/chivepier/state/tenure.py
@@ -13,8 +13,8 @@
 from chivepier.state.core import Core
 from chivepier.state.lostleaderror import LostLeadError
 from chivepier.state.replication import Replication
-from chivepier.state.signal import Signal
 from chivepier.state.storagefailederror import StorageFailedError
+from chivepier.types import Signal
 
 log = logbook.Logger("state")
 
--- a/packages/types/src/chivepier/types/__init__.py
+++ b/packages/types/src/chivepier/types/__init__.py
@@ -12,6 +12,7 @@
 from chivepier.types.manualclock import ManualClock
 from chivepier.types.ran import Ran
 from chivepier.types.requesterror import RequestError
+from chivepier.types.signal import Signal
 from chivepier.types.systemclock import SystemClock
 from chivepier.types.targetkind import TargetKind
 from chivepier.types.texthash import hash_text
@@ -27,6 +28,7 @@
     "ManualClock",
     "Ran",
     "RequestError",
+    "Signal",
     "SystemClock",
     "TargetKind",
     "Urgency",
