--- /dev/null
+++ b/tests/adapter/rawtarget.py
@@ -0,0 +1,83 @@
+"""A target whose bytes a test decides."""
+
+import asyncio
+import collections.abc
+import socket
+import struct
+
+from chivepier.gateway.serving import CallerRequest
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetState
+
+Script = collections.abc.Callable[
+    [bytes, asyncio.StreamWriter], collections.abc.Awaitable[None]
+]
+
+
+class RawTarget:
+    """Reads one request at a time and hands it to the test's script."""
+
+    def __init__(self, script: Script):
+        self._script = script
+        self._server = None
+        self.requests: list[bytes] = []
+        self.connections = 0
+        self.address = ""
+
+    async def __aenter__(self) -> "RawTarget":
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+        return self
+
+    async def __aexit__(self, *exc) -> None:
+        self._server.close()
+
+    async def _serve(self, reader, writer) -> None:
+        self.connections += 1
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                self.requests.append(head)
+                await self._script(head, writer)
+                if writer.is_closing():
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    def make_target(self) -> Target:
+        """Describe it as an announced target."""
+        return Target(
+            instance="i1",
+            service="s",
+            address=self.address,
+            zone="z",
+            state=TargetState.READY,
+            number=1,
+            slots=1,
+            heard=0.0,
+        )
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection by a reset, not by an orderly close."""
+    sock = writer.get_extra_info("socket")
+    option = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
+    writer.transport.abort()
+
+
+def make_request(identity: str = "r1", method: str = "GET") -> CallerRequest:
+    """Make a caller's request without a body."""
+    return CallerRequest(
+        id=identity,
+        method=method,
+        url="/a/b?c=%20d",
+        path="/a/b",
+        host="h.example",
+        headers=(("X-Chivepier-Request-Id", identity),),
+        body=b"",
+        key=None,
+        arrived=0.0,
+        deadline=10.0,
+    )
--- /dev/null
+++ b/tests/adapter/test_targets.py
@@ -0,0 +1,274 @@
+"""Tests of the protocol towards targets, against scripted bytes."""
+
+import asyncio
+
+import pytest
+
+from adapter.targets import Targets
+from chivepier.gateway.serving import AnswerCutError
+from chivepier.gateway.serving import LostError
+from chivepier.gateway.serving import MoveOutcome
+from chivepier.gateway.serving import NotSentError
+from chivepier.gateway.serving import Origin
+from chivepier.gateway.serving import SendOrder
+import rawtarget
+
+ORDER = SendOrder(seconds=1.5, team="t1", urgency=2)
+
+
+def answer(body: bytes, identity: bytes = b"r1", extra: bytes = b"") -> bytes:
+    """Build a whole answer."""
+    return (
+        b"HTTP/1.1 200 OK\r\nX-Chivepier-Request-Id: %s\r\n%s"
+        b"Content-Length: %d\r\n\r\n%s" % (identity, extra, len(body), body)
+    )
+
+
+async def read_all(reply) -> bytes:
+    """Read a body to its end."""
+    data = b"".join([chunk async for chunk in reply.chunks()])
+    reply.release()
+    return data
+
+
+def run(script, test):
+    """Run a test against a target that follows a script."""
+
+    async def work():
+        async with rawtarget.RawTarget(script) as raw, Targets() as targets:
+            async with asyncio.timeout(10):
+                await test(raw, targets)
+
+    asyncio.run(work())
+
+
+def test_request_is_passed_on_with_what_the_system_adds():
+    async def script(head, writer):
+        writer.write(answer(b"ok"))
+
+    async def test(raw, targets):
+        reply = await targets.send(
+            raw.make_target(), rawtarget.make_request(), ORDER
+        )
+        assert (reply.status, await read_all(reply)) == (200, b"ok")
+        lines = raw.requests[0].decode().split("\r\n")
+        assert lines[0] == "GET /a/b?c=%20d HTTP/1.1"
+        assert "Host: h.example" in lines
+        assert "X-Chivepier-Expect-Instance: i1" in lines
+        assert "X-Chivepier-Deadline-Ms: 1500" in lines
+        assert "X-Chivepier-Tenant: t1" in lines
+        assert "X-Chivepier-Request-Urgency: 2" in lines
+        names = [line.partition(":")[0].lower() for line in lines]
+        assert "user-agent" not in names and "accept" not in names
+
+    run(script, test)
+
+
+def test_answer_without_length_that_is_reset_is_not_whole():
+    # The caller got a shortened answer that was framed as complete. The
+    # target names no length, sends a part, and its connection is reset; the
+    # HTTP library takes any end of the connection for the end of the body.
+    # Only an orderly close ends such an answer.
+    async def script(head, writer):
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nX-Chivepier-Request-Id: r1\r\n"
+            b"Connection: close\r\n\r\npart"
+        )
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        rawtarget.reset(writer)
+
+    async def test(raw, targets):
+        reply = await targets.send(
+            raw.make_target(), rawtarget.make_request(), ORDER
+        )
+        with pytest.raises(AnswerCutError):
+            await read_all(reply)
+
+    run(script, test)
+
+
+def test_answer_without_length_that_is_closed_is_whole():
+    async def script(head, writer):
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nX-Chivepier-Request-Id: r1\r\n"
+            b"Connection: close\r\n\r\nall"
+        )
+        await writer.drain()
+        writer.close()
+
+    async def test(raw, targets):
+        reply = await targets.send(
+            raw.make_target(), rawtarget.make_request(), ORDER
+        )
+        assert await read_all(reply) == b"all"
+
+    run(script, test)
+
+
+def test_short_answer_is_not_whole():
+    async def script(head, writer):
+        writer.write(answer(b"whole")[:-2])
+        await writer.drain()
+        writer.close()
+
+    async def test(raw, targets):
+        reply = await targets.send(
+            raw.make_target(), rawtarget.make_request(), ORDER
+        )
+        with pytest.raises(AnswerCutError):
+            await read_all(reply)
+
+    run(script, test)
+
+
+def test_second_answer_on_a_kept_connection_reaches_nobody():
+    # The second caller got the first one's answer again. The target sends
+    # an answer twice; the second one waits on the kept connection and would
+    # be read as the answer to the next request. The connection is dropped.
+    released = asyncio.Event()
+
+    async def script(head, writer):
+        identity = head.split(b"Request-Id: ")[1].split(b"\r\n")[0]
+        writer.write(answer(identity, identity))
+        await writer.drain()
+        if identity == b"r1":
+            await released.wait()
+            writer.write(answer(b"again", b"r1"))
+            await writer.drain()
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        first = await targets.send(target, rawtarget.make_request("r1"), ORDER)
+        assert await read_all(first) == b"r1"
+        released.set()
+        while not targets.holds_surplus():
+            await asyncio.sleep(0)
+        second = await targets.send(
+            target, rawtarget.make_request("r2"), ORDER
+        )
+        assert not second.facts.crossed
+        assert await read_all(second) == b"r2"
+        assert raw.connections == 2
+
+    run(script, test)
+
+
+def test_answer_to_another_request_is_told():
+    async def script(head, writer):
+        writer.write(answer(b"x", b"other"))
+
+    async def test(raw, targets):
+        reply = await targets.send(
+            raw.make_target(), rawtarget.make_request(), ORDER
+        )
+        assert reply.facts.crossed
+
+    run(script, test)
+
+
+def test_request_is_not_sent_twice_by_the_library():
+    # A request that may run once ran twice: the library repeats a GET by
+    # itself when a kept connection breaks before the answer.
+    async def script(head, writer):
+        if b"r1" in head:
+            writer.write(answer(b"ok"))
+        else:
+            writer.close()
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        first = await targets.send(target, rawtarget.make_request("r1"), ORDER)
+        await read_all(first)
+        with pytest.raises(LostError):
+            await targets.send(target, rawtarget.make_request("x2"), ORDER)
+        sent = [head for head in raw.requests if b"x2" in head]
+        assert len(sent) == 1
+
+    run(script, test)
+
+
+def test_refused_connection_proves_that_nothing_was_sent():
+    async def script(head, writer):
+        raise AssertionError("not reached")
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        await raw.__aexit__()
+        with pytest.raises(NotSentError):
+            await targets.send(target, rawtarget.make_request(), ORDER)
+
+    run(script, test)
+
+
+@pytest.mark.parametrize(
+    "status, extra, not_run, other",
+    [
+        (503, b"X-Chivepier-Not-Run: 1\r\n", True, None),
+        (503, b"", False, None),
+        (421, b"X-Chivepier-Instance-Id: i2\r\n", False, "i2"),
+        (500, b"", False, None),
+    ],
+)
+def test_only_the_target_itself_proves_that_it_did_not_run(
+    status, extra, not_run, other
+):
+    async def script(head, writer):
+        text = answer(b"", extra=extra).replace(b"200", b"%d" % status, 1)
+        writer.write(text)
+
+    async def test(raw, targets):
+        reply = await targets.send(
+            raw.make_target(), rawtarget.make_request(), ORDER
+        )
+        await read_all(reply)
+        assert reply.facts.not_run is not_run
+        assert reply.facts.other_instance == other
+
+    run(script, test)
+
+
+@pytest.mark.parametrize(
+    "status, body, outcome, handle",
+    [
+        (200, b'{"handle":"h1","made":3}', MoveOutcome.COPIED, "h1"),
+        (404, b"{}", MoveOutcome.NO_RUN, ""),
+        (409, b"{}", MoveOutcome.BUSY, ""),
+        (503, b'{"handle":"h2"}', MoveOutcome.NO_ROOM, "h2"),
+        (200, b"not JSON", MoveOutcome.FAILED, ""),
+    ],
+)
+def test_outcome_of_a_copy(status, body, outcome, handle):
+    async def script(head, writer):
+        text = answer(body).replace(b"200", b"%d" % status, 1)
+        writer.write(text)
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        moved = await targets.move(target, "r1", target, True, 2.0)
+        assert (moved.outcome, moved.handle) == (outcome, handle)
+
+    run(script, test)
+
+
+def test_generation_goes_on_from_a_copy():
+    async def script(head, writer):
+        writer.write(answer(b"ok"))
+
+    async def test(raw, targets):
+        order = SendOrder(
+            seconds=1.0,
+            origin=Origin("10.0.0.1:80", "h1"),
+            after_event="7",
+            backup="10.0.0.2:80",
+        )
+        reply = await targets.send(
+            raw.make_target(), rawtarget.make_request(), order
+        )
+        await read_all(reply)
+        lines = raw.requests[0].decode().split("\r\n")
+        assert "Kv-From: 10.0.0.1:80/h1" in lines
+        assert "Last-Event-Id: 7" in lines
+        assert "X-Chivepier-Kv-Backup: 10.0.0.2:80" in lines
+
+    run(script, test)
