Take turns by what is to be copied off a leaving target

Cause: copies of several entries queued on one source's link, so the short second copies waited behind long first ones while their generations stood still: pauses of 0.3 to 0.9 s, streams late, some cut when the notice was over.

--- a/packages/gateway/src/chivepier/gateway/following/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -100,7 +100,7 @@
         self._log = log
         self._voters: dict[str, _Voter] = {}
         self._fetching = False
-        self._told: dict[str, tuple[int, int]] = {}
+        self._told: dict[str, list[int]] = {}
         self._tasks: list[asyncio.Task] = []
         self.leaving = False
 
@@ -253,6 +253,7 @@
                 record.instance,
                 record.runs,
                 record.tokens,
+                record.exposed,
                 now,
             )
 
@@ -273,14 +274,13 @@
 
     def _find_changes(self, again: bool) -> tuple[LoadRecord, ...]:
         records = []
-        for instance, runs, tokens in self._board.own():
-            if again or self._told.get(instance) != (runs, tokens):
-                if runs or self._told.get(instance, (0, 0))[0]:
-                    records.append(
-                        LoadRecord(self._name, instance, runs, tokens)
-                    )
-                self._told[instance] = (runs, tokens)
-                if not runs:
+        for instance, *counts in self._board.own():
+            told = self._told.get(instance)
+            if again or told != counts:
+                if any(counts) or told is not None:
+                    records.append(LoadRecord(self._name, instance, *counts))
+                self._told[instance] = counts
+                if not any(counts):
                     self._board.drop_own(instance)
                     del self._told[instance]
         return tuple(records)
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -24,11 +24,16 @@
 COPY_SECONDS = 4.0
 # Seconds after its first event at which a generation's copy is relied on:
 # parts are sent several times a second, and the prompt's takes 0.2 s.
-BACKUP_SECONDS = 1.0
+BACKUP_SECONDS = 0.8
 # Seconds between two tries to move a generation that has not begun.
 START_PAUSE = 0.1
-# Share of a generation's expected memory that is filled on average.
-FILLED_SHARE = 0.7
+# Seconds until entries know of each other what they have to copy: gathered
+# for 0.02 s at each and for 0.04 s where it is passed on.
+EXCHANGE_SECONDS = 0.08
+# Copies take this many times a token's time on an idle link for each token
+# expected in the end: two thirds of them are there when a target leaves, and
+# most copies go to another availability zone, which takes twice as long.
+FILLED_SHARE = 1.2
 # Seconds to wait for other entries' copies at most: a target that leaves
 # gives a notice of about two seconds.
 MOST_TURN = 1.0
@@ -81,6 +86,7 @@
         if not runs:
             self._runs.pop(run.target.instance, None)
             self._turns.pop(run.target.instance, None)
+            self._board.expose(run.target.instance, 0)
 
     def note_target(self, target: Target, before: TargetState | None) -> None:
         """Move everything off a target that has begun to leave.
@@ -90,7 +96,11 @@
         """
         if target.state is TargetState.READY or before is target.state:
             return
-        for run in list(self._runs.get(target.instance, ())):
+        runs = list(self._runs.get(target.instance, ()))
+        exposed = sum(run.tokens for run in runs if not self._is_safe(run))
+        if exposed:
+            self._board.expose(target.instance, exposed)
+        for run in runs:
             self.start(run)
 
     def start(self, run: LiveRun) -> None:
@@ -99,56 +109,65 @@
         if run.handoff is not None or engine is None or not engine.moves:
             return
         run.handoff = asyncio.get_running_loop().create_future()
-        if self._has_backup(run):
-            origin = Origin(run.backup.address, run.request.id)
-            run.handoff.set_result(Handoff(run.backup, origin))
-            run.interrupt()
-            return
         task = asyncio.create_task(self._move(run, run.handoff))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _has_backup(self, run: LiveRun) -> bool:
-        if run.backup is None or run.began is None:
-            return False
-        if self._table.leaves(run.backup.instance):
-            return False
-        return self._clock.monotonic() - run.began >= BACKUP_SECONDS
+    def _is_safe(self, run: LiveRun) -> bool:
+        """Tell whether a copy is kept that the generation can go on from."""
+        backup = run.backup
+        return backup is not None and not self._table.leaves(backup.instance)
 
     async def _move(
         self, run: LiveRun, handoff: asyncio.Future[Handoff | None]
     ) -> None:
         found = None
         try:
-            await self._await_turn(run)
-            while not run.ended and run.target.instance in self._runs:
-                found = await self._find_handoff(run)
-                if found is not None or run.began is not None:
-                    break
-                # it waits or is being read in: there is nothing to move yet
-                await self._clock.sleep(START_PAUSE)
+            if self._is_safe(run):
+                found = await self._use_backup(run)
+            if found is None:
+                found = await self._copy_in_turn(run)
         except Exception as error:
             self._log.warn("move_failed", id=run.request.id, error=repr(error))
         if not handoff.done():
             handoff.set_result(found)
 
-    async def _await_turn(self, run: LiveRun) -> None:
-        """Wait for the copies of other entries' generations.
+    async def _use_backup(self, run: LiveRun) -> Handoff | None:
+        """Go on at the copy, once it surely holds the prompt."""
+        while not run.ended and self._is_safe(run):
+            began = run.began
+            left = START_PAUSE
+            if began is not None:
+                left = began + BACKUP_SECONDS - self._clock.monotonic()
+            if left <= 0:
+                run.interrupt()
+                origin = Origin(run.backup.address, run.request.id)
+                return Handoff(run.backup, origin)
+            await self._clock.sleep(min(left, START_PAUSE))
+        return None
+
+    async def _copy_in_turn(self, run: LiveRun) -> Handoff | None:
+        """Copy the memory when no other copy uses the source's link.
 
         All copies of one source share its link, one after the other. Asked
         for at once, the short second copies would wait behind the long
         first ones, with their generations stopped meanwhile.
         """
         source = run.target.instance
-        now = self._clock.monotonic()
-        tokens = self._board.before(source, now)
+        await self._clock.sleep(EXCHANGE_SECONDS)
+        tokens = self._board.before(source, self._clock.monotonic())
         pause = FILLED_SHARE * tokens * run.service.engine.token_seconds
         await self._clock.sleep(min(pause, MOST_TURN))
-
-    async def _find_handoff(self, run: LiveRun) -> Handoff | None:
-        lock = self._turns.setdefault(run.target.instance, asyncio.Lock())
-        async with lock:
-            return await self._copy_somewhere(run)
+        lock = self._turns.setdefault(source, asyncio.Lock())
+        while not run.ended and run.target.instance == source:
+            # those of this entry go one by one
+            async with lock:
+                found = await self._copy_somewhere(run)
+            if found is not None or run.began is not None:
+                return found
+            # it waits or is being read in: there is nothing to move yet
+            await self._clock.sleep(START_PAUSE)
+        return None
 
     async def _copy_somewhere(self, run: LiveRun) -> Handoff | None:
         source, tried = run.target, {run.target.instance}
--- a/packages/gateway/src/chivepier/gateway/targets/loadboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadboard.py
@@ -15,6 +15,7 @@
 class _Share:
     runs: int = 0
     tokens: int = 0
+    exposed: int = 0
     heard: float = 0.0
 
 
@@ -32,7 +33,13 @@
         )
 
     def put(
-        self, entry: str, instance: str, runs: int, tokens: int, now: float
+        self,
+        entry: str,
+        instance: str,
+        runs: int,
+        tokens: int,
+        exposed: int,
+        now: float,
     ) -> None:
         """Take what an entry says it runs at a target.
 
@@ -40,11 +47,12 @@
         :param instance: the target's
         :param runs: generations
         :param tokens: memory that they take and are expected to take
+        :param exposed: memory to be copied off the target, in tokens
         :param now: monotonic seconds
         """
         if entry == self.me:
             return
-        self._shares[instance][entry] = _Share(runs, tokens, now)
+        self._shares[instance][entry] = _Share(runs, tokens, exposed, now)
 
     def change(self, instance: str, runs: int, tokens: int) -> None:
         """Add to what this entry itself runs at a target."""
@@ -53,10 +61,21 @@
         share.tokens += tokens
         self.changed.set()
 
-    def own(self) -> list[tuple[str, int, int]]:
-        """Return what this entry runs: instance, runs and tokens."""
+    def expose(self, instance: str, tokens: int) -> None:
+        """Say how much this entry has to copy off a target that leaves."""
+        share = self._shares[instance].setdefault(self.me, _Share())
+        share.exposed = tokens
+        self.changed.set()
+
+    def own(self) -> list[tuple[str, int, int, int]]:
+        """Return what this entry runs: instance, runs, tokens, exposed."""
         return [
-            (instance, entries[self.me].runs, entries[self.me].tokens)
+            (
+                instance,
+                entries[self.me].runs,
+                entries[self.me].tokens,
+                entries[self.me].exposed,
+            )
             for instance, entries in self._shares.items()
             if self.me in entries
         ]
@@ -75,13 +94,13 @@
         return runs, tokens
 
     def before(self, instance: str, now: float) -> int:
-        """Return the tokens at a target of entries that sort before this one.
+        """Return what entries that sort before this one have to copy.
 
         :param instance: the target's
         :param now: monotonic seconds
         """
         return sum(
-            share.tokens
+            share.exposed
             for entry, share in self._shares.get(instance, {}).items()
             if entry < self.me and now - share.heard < EXPIRY
         )
