Leave a target only when the copy has answered

Cause: a copy that had found no room was refused (503) after its source had been closed, and the generation was lost.

--- a/packages/gateway/src/chivepier/gateway/config/engine.py
+++ b/packages/gateway/src/chivepier/gateway/config/engine.py
@@ -9,6 +9,7 @@
 
     :param slots: requests that one target runs at once
     :param memory_tokens: tokens that one target's memory holds
+    :param event_tokens: tokens in one event of a stream
     :param moves: whether a live generation's memory can be moved
     :param backups: whether a live generation's memory can be copied while
         it grows
@@ -19,6 +20,7 @@
 
     slots: int
     memory_tokens: int
+    event_tokens: int = 1
     moves: bool = False
     backups: bool = False
     copy_seconds: float = 5.0
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -67,7 +67,15 @@
         chooser = Chooser(
             self.table, self.health, self.board, settings.zone, clock, rng
         )
-        self.mover = Mover(port, chooser, self.table, self.board, clock, log)
+        self.mover = Mover(
+            port,
+            chooser,
+            self.table,
+            self.board,
+            settings.notice,
+            clock,
+            log,
+        )
         self.table.watchers += [self.mover.note_target, self._note_target]
         self._links = Links(
             settings.name, settings.cluster_key, self._handle, Faults()
--- a/packages/gateway/src/chivepier/gateway/messages/loadrecord.py
+++ b/packages/gateway/src/chivepier/gateway/messages/loadrecord.py
@@ -7,8 +7,8 @@
 class LoadRecord:
     """What one entry runs at one target: absolute counts.
 
-    ``exposed`` is the memory, in tokens, that it has to copy off a target
-    that leaves.
+    ``exposed`` is how long it needs to copy memory off a target that leaves,
+    in milliseconds.
     """
 
     entry: str
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -223,17 +223,18 @@
     ) -> Sent:
         if answer.facts.crossed:
             raise AnswerCutError("an answer to another request")
-        chunks = answer.chunks()
         if plan.route.streaming and answer.status < 300:
             # the head alone promises nothing: until the first event the
             # request can still be sent elsewhere
-            first = await anext(chunks, b"")
+            first = await answer.read()
             if run is None:
                 run = LiveRun(plan.request, plan.service, target, 0)
                 self.watch(run)
             run.began = self.clock.monotonic()
-            return Sent(target, answer, first, chunks, run)
-        parts = [chunk async for chunk in chunks]
+            return Sent(target, answer, first, run)
+        parts = []
+        while data := await answer.read():
+            parts.append(data)
         answer.release()
         if run is not None:
             self.unwatch(run)
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -9,6 +9,12 @@
 from chivepier.gateway.serving.handoff import Handoff
 from chivepier.gateway.targets import Target
 
+# A copy to another availability zone takes this many times as long.
+FAR_FACTOR = 2.0
+# Seconds that the calls of one move take besides: two copies are asked for
+# and answered, some milliseconds each, and a target is sometimes slow.
+CALL_SECONDS = 0.06
+
 
 @attrs.define(eq=False)
 class LiveRun:
@@ -24,7 +30,9 @@
     :param handoff: set while its memory is being moved elsewhere
     :param stopped: whether its target was told to stop it for a move
     :param ended: whether nothing is relayed any more
+    :param lost: set when its target has broken off
     :param backup: the target that keeps a growing copy of its memory
+    :param interrupted: whether it is to go on at that copy now
     """
 
     request: CallerRequest
@@ -36,9 +44,37 @@
     handoff: asyncio.Future[Handoff | None] | None = None
     stopped: bool = False
     ended: bool = False
+    lost: asyncio.Event = attrs.field(factory=asyncio.Event)
     backup: Target | None = None
+    interrupted: bool = False
     _reading: asyncio.Timeout | None = None
-    _interrupted: bool = False
+
+    @property
+    def held(self) -> int:
+        """Memory that it takes now, in tokens."""
+        prompt = self.request.prompt
+        engine = self.service.engine
+        if prompt is None or engine is None:
+            return self.tokens
+        return prompt.tokens + self.number * engine.event_tokens
+
+    def copy_seconds(self) -> float:
+        """Return how long its memory takes to another availability zone."""
+        engine = self.service.engine
+        if engine is None:
+            return 0.0
+        return FAR_FACTOR * self.held * engine.token_seconds + CALL_SECONDS
+
+    async def await_loss(self, seconds: float) -> None:
+        """Return after a time, or at once when its target breaks off.
+
+        :param seconds: at most
+        """
+        try:
+            async with asyncio.timeout(seconds):
+                await self.lost.wait()
+        except TimeoutError:
+            return
 
     def read_within(self, seconds: float | None) -> asyncio.Timeout:
         """Bound one read of the stream, which :meth:`interrupt` ends too.
@@ -49,7 +85,7 @@
         :param seconds: to wait for the next bytes; ``None``: for ever
         :returns: the context manager around the read
         """
-        scope = asyncio.timeout(0 if self._interrupted else seconds)
+        scope = asyncio.timeout(0 if self.interrupted else seconds)
         self._reading = scope
         return scope
 
@@ -58,11 +94,17 @@
         self._reading = None
 
     def interrupt(self) -> None:
-        """Stop reading from the target: the generation goes on elsewhere."""
-        self._interrupted = True
+        """End the read under way: there is a copy to go on from."""
+        self.interrupted = True
         if self._reading is not None and not self._reading.expired():
             self._reading.reschedule(asyncio.get_running_loop().time())
 
+    def stay(self) -> None:
+        """Note that the copy is of no use: it goes on where it runs."""
+        self.backup = None
+        self.handoff = None
+        self.interrupted = False
+
     def go_on(self, target: Target) -> None:
         """Note that it goes on at another target."""
         self.target = target
@@ -70,4 +112,5 @@
         self.handoff = None
         self.stopped = False
         self.backup = None
-        self._interrupted = False
+        self.lost.clear()
+        self.interrupted = False
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -27,16 +27,15 @@
 BACKUP_SECONDS = 0.8
 # Seconds between two tries to move a generation that has not begun.
 START_PAUSE = 0.1
+# Generations with a copy go on there after this share of the notice. Some
+# end before; the rest of it is left for machines that are slow.
+SAFE_SHARE = 0.5
 # Seconds until entries know of each other what they have to copy: gathered
 # for 0.02 s at each and for 0.04 s where it is passed on.
 EXCHANGE_SECONDS = 0.08
-# Copies take this many times a token's time on an idle link for each token
-# expected in the end: two thirds of them are there when a target leaves, and
-# most copies go to another availability zone, which takes twice as long.
-FILLED_SHARE = 1.2
 # Seconds to wait for other entries' copies at most: a target that leaves
 # gives a notice of about two seconds.
-MOST_TURN = 1.0
+MOST_TURN = 1.2
 
 
 class Mover:
@@ -52,6 +51,7 @@
     :param chooser: finds destinations
     :param table: which targets leave
     :param board: what the other entries have to move
+    :param notice: seconds for which a target that leaves still serves
     :param clock: monotonic time
     :param log: decisions on requests
     """
@@ -62,6 +62,7 @@
         chooser: Chooser,
         table: TargetTable,
         board: LoadBoard,
+        notice: float,
         clock: Clock,
         log: EventLog,
     ):
@@ -69,6 +70,7 @@
         self._chooser = chooser
         self._table = table
         self._board = board
+        self._notice = notice
         self._turns: dict[str, asyncio.Lock] = {}
         self._clock = clock
         self._log = log
@@ -97,9 +99,11 @@
         if target.state is TargetState.READY or before is target.state:
             return
         runs = list(self._runs.get(target.instance, ()))
-        exposed = sum(run.tokens for run in runs if not self._is_safe(run))
-        if exposed:
-            self._board.expose(target.instance, exposed)
+        seconds = sum(
+            run.copy_seconds() for run in runs if not self._is_safe(run)
+        )
+        if seconds:
+            self._board.expose(target.instance, round(1000 * seconds))
         for run in runs:
             self.start(run)
 
@@ -123,28 +127,36 @@
     ) -> None:
         found = None
         try:
-            if self._is_safe(run):
-                found = await self._use_backup(run)
-            if found is None:
-                found = await self._copy_in_turn(run)
+            if self._is_safe(run) and await self._use_backup(run):
+                return
+            found = await self._copy_in_turn(run)
         except Exception as error:
             self._log.warn("move_failed", id=run.request.id, error=repr(error))
         if not handoff.done():
             handoff.set_result(found)
 
-    async def _use_backup(self, run: LiveRun) -> Handoff | None:
-        """Go on at the copy, once it surely holds the prompt."""
+    async def _use_backup(self, run: LiveRun) -> bool:
+        """Let it go on at the copy, late in the notice.
+
+        At the next target a new copy is made of all its memory. Made at
+        once, those copies would hold up the ones of generations that have
+        none yet. Until then the copy surely holds the prompt, too.
+
+        :param run: with a copy that can be used
+        :returns: whether there is nothing left to be moved from here
+        """
+        await run.await_loss(SAFE_SHARE * self._notice)
         while not run.ended and self._is_safe(run):
-            began = run.began
+            if run.lost.is_set():
+                return False
             left = START_PAUSE
-            if began is not None:
-                left = began + BACKUP_SECONDS - self._clock.monotonic()
+            if run.began is not None:
+                left = run.began + BACKUP_SECONDS - self._clock.monotonic()
             if left <= 0:
                 run.interrupt()
-                origin = Origin(run.backup.address, run.request.id)
-                return Handoff(run.backup, origin)
-            await self._clock.sleep(min(left, START_PAUSE))
-        return None
+                return True
+            await run.await_loss(min(left, START_PAUSE))
+        return run.ended
 
     async def _copy_in_turn(self, run: LiveRun) -> Handoff | None:
         """Copy the memory when no other copy uses the source's link.
@@ -154,10 +166,9 @@
         first ones, with their generations stopped meanwhile.
         """
         source = run.target.instance
-        await self._clock.sleep(EXCHANGE_SECONDS)
-        tokens = self._board.before(source, self._clock.monotonic())
-        pause = FILLED_SHARE * tokens * run.service.engine.token_seconds
-        await self._clock.sleep(min(pause, MOST_TURN))
+        await run.await_loss(EXCHANGE_SECONDS)
+        before = self._board.before(source, self._clock.monotonic())
+        await run.await_loss(min(before / 1000, MOST_TURN))
         lock = self._turns.setdefault(source, asyncio.Lock())
         while not run.ended and run.target.instance == source:
             # those of this entry go one by one
@@ -166,7 +177,9 @@
             if found is not None or run.began is not None:
                 return found
             # it waits or is being read in: there is nothing to move yet
-            await self._clock.sleep(START_PAUSE)
+            await run.await_loss(START_PAUSE)
+            if run.lost.is_set():
+                return None
         return None
 
     async def _copy_somewhere(self, run: LiveRun) -> Handoff | None:
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -14,6 +14,7 @@
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.sendorder import SendOrder
 from chivepier.gateway.serving.sent import Sent
+from chivepier.gateway.serving.streamend import StreamEnd
 from chivepier.gateway.serving.streampace import StreamPace
 from chivepier.gateway.serving.targetanswer import TargetAnswer
 from chivepier.types import ErrorKind
@@ -24,6 +25,9 @@
 # stream: the copy is complete or failed by then, and only the answer to the
 # move is still on its way.
 HANDOFF_SECONDS = 4.5
+# Seconds for the next target to answer. It admits a generation that goes on
+# before all others; its head comes with the first event.
+ANSWER_SECONDS = 2.0
 # Seconds without a byte after which a target counts as dark. A preempted
 # generation is read in again within half of that, and callers leave after
 # two seconds or more.
@@ -60,16 +64,20 @@
         head, run = sent.answer, sent.run
         try:
             for _ in range(MOST_HANDOFFS):
-                whole = await self._pump(head, sent, run)
-                if whole and await self._ended(run):
-                    await self._finish(head)
-                    return
-                sent = await self._go_on(run, sent)
+                match await self._pump(head, sent, run):
+                    case StreamEnd.WHOLE if await self._ended(run):
+                        await self._finish(head)
+                        return
+                    case StreamEnd.INTERRUPTED:
+                        sent = await self._use_backup(run, sent)
+                    case _:
+                        sent = await self._go_on(run, sent)
                 if sent is None:
                     break
             self._cut(run)
         finally:
             run.ended = True
+            run.lost.set()
             self._dispatcher.log.info(
                 "stream_ended",
                 id=run.request.id,
@@ -85,7 +93,7 @@
     async def _ended(self, run: LiveRun) -> bool:
         # a stream that was stopped for a move has no end, but where its
         # target frames it by closing the connection it looks whole
-        if run.handoff is None:
+        if not run.stopped:
             return True
         found = await self._await_handoff(run)
         return found is None and not run.stopped
@@ -99,23 +107,25 @@
 
     async def _pump(
         self, head: TargetAnswer, sent: Sent, run: LiveRun
-    ) -> bool:
+    ) -> StreamEnd:
         """Pass events on until the target ends or breaks off."""
-        self._splitter = EventSplitter()
+        first, sent.body = sent.body, b""
         try:
-            await self._pass_on(head, run, sent.body)
-            while (data := await self._read(run, sent)) is not None:
+            await self._pass_on(head, run, first)
+            while data := await self._read(run, sent):
                 await self._pass_on(head, run, data)
-        except (AnswerCutError, TimeoutError):
-            return False
+        except AnswerCutError:
+            return StreamEnd.CUT
+        except TimeoutError:
+            return StreamEnd.INTERRUPTED if run.interrupted else StreamEnd.CUT
         rest = self._splitter.take_rest()
         if rest:
             # an answer that is whole by its framing is the target's own,
             # also where its last event has no end
             await self._write(head, rest)
-        return True
+        return StreamEnd.WHOLE
 
-    async def _read(self, run: LiveRun, sent: Sent) -> bytes | None:
+    async def _read(self, run: LiveRun, sent: Sent) -> bytes:
         seconds = None
         if run.backup is not None or self._plan.repeatable:
             # a target that is dark says nothing; where the generation can
@@ -123,13 +133,45 @@
             seconds = STALL_SECONDS
         try:
             async with run.read_within(seconds):
-                data = await anext(sent.rest, None)
+                data = await sent.answer.read()
         finally:
             run.end_read()
         if run.began is None:
             run.began = self._dispatcher.clock.monotonic()
         return data
 
+    async def _use_backup(self, run: LiveRun, sent: Sent) -> Sent:
+        """Go on at the copy, or stay if that is refused.
+
+        The source is left only when the copy has answered: a copy that found
+        no room is refused, and the generation would be lost.
+        """
+        dispatcher = self._dispatcher
+        backup = run.backup
+        if backup is not None:
+            origin = Origin(backup.address, run.request.id)
+            fresh = await self._try_handoff(run, Handoff(backup, origin), sent)
+            if fresh is not None:
+                return fresh
+        run.stay()
+        if dispatcher.table.leaves(run.target.instance):
+            dispatcher.mover.start(run)
+        return sent
+
+    async def _try_handoff(
+        self, run: LiveRun, handoff: Handoff, sent: Sent
+    ) -> Sent | None:
+        try:
+            return await self._send(run, handoff, sent)
+        except (NotSentError, LostError, TimeoutError) as error:
+            self._dispatcher.log.warn(
+                "handoff_failed",
+                id=run.request.id,
+                target=handoff.target.instance,
+                error=repr(error),
+            )
+            return None
+
     async def _pass_on(
         self, head: TargetAnswer, run: LiveRun, data: bytes
     ) -> None:
@@ -159,22 +201,14 @@
 
     async def _go_on(self, run: LiveRun, sent: Sent) -> Sent | None:
         """Send the request to where its memory is, or anew if allowed."""
-        dispatcher = self._dispatcher
-        handoffs = await self._find_handoffs(run)
-        dispatcher.end(sent)
-        for handoff in handoffs:
-            try:
-                fresh = await self._send(run, handoff)
-            except (NotSentError, LostError, TimeoutError) as error:
-                dispatcher.log.warn(
-                    "handoff_failed",
-                    id=run.request.id,
-                    target=handoff.target.instance,
-                    error=repr(error),
-                )
-                continue
+        run.lost.set()
+        # a run without its stream may still go on there for a moment
+        sent.answer.close()
+        for handoff in await self._find_handoffs(run):
+            fresh = await self._try_handoff(run, handoff, sent)
             if fresh is not None:
                 return fresh
+        self._dispatcher.end(sent)
         return None
 
     async def _find_handoffs(self, run: LiveRun) -> list[Handoff]:
@@ -202,7 +236,9 @@
         )
         return Handoff(target, None) if target is not None else None
 
-    async def _send(self, run: LiveRun, handoff: Handoff) -> Sent | None:
+    async def _send(
+        self, run: LiveRun, handoff: Handoff, sent: Sent
+    ) -> Sent | None:
         dispatcher, plan = self._dispatcher, self._plan
         backup = dispatcher.choose_backup(plan, handoff.target)
         order = SendOrder(
@@ -213,7 +249,8 @@
             origin=handoff.origin,
             after_event=str(run.number),
         )
-        async with asyncio.timeout(order.seconds):
+        seconds = min(order.seconds, ANSWER_SECONDS)
+        async with asyncio.timeout(seconds):
             answer = await dispatcher.port.send(
                 handoff.target, plan.request, order
             )
@@ -236,13 +273,15 @@
             after=run.number,
             moved=handoff.origin is not None,
         )
+        dispatcher.end(sent)
         run.go_on(handoff.target)
+        self._splitter = EventSplitter()
         run.backup = backup
         dispatcher.watch(run)
         dispatcher.chooser.begin(run.target.instance)
         if dispatcher.table.leaves(run.target.instance):
             dispatcher.mover.start(run)
-        return Sent(run.target, answer, b"", answer.chunks(), run)
+        return Sent(run.target, answer, b"", run)
 
     def _cut(self, run: LiveRun) -> None:
         text = "the target broke off, and the stream can't go on"
--- a/packages/gateway/src/chivepier/gateway/serving/sent.py
+++ b/packages/gateway/src/chivepier/gateway/serving/sent.py
@@ -1,7 +1,5 @@
 """An answer that has begun."""
 
-import collections.abc
-
 import attrs
 
 from chivepier.gateway.serving.liverun import LiveRun
@@ -16,12 +14,10 @@
     :param target: that answers
     :param answer: its head
     :param body: the whole body, or its first bytes where it is a stream
-    :param rest: what follows, where it is a stream
     :param run: set while it is a stream
     """
 
     target: Target
     answer: TargetAnswer
     body: bytes
-    rest: collections.abc.AsyncIterator[bytes] | None = None
     run: LiveRun | None = None
--- a/packages/gateway/src/chivepier/gateway/serving/serving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/serving.py
@@ -68,7 +68,7 @@
         now = dispatcher.clock.monotonic()
         dispatcher.budget.note_request(plan.service.name, now)
         sent = await dispatcher.dispatch(plan)
-        if sent.rest is not None:
+        if sent.run is not None:
             await self._stream(plan, caller, sent)
             return
         try:
--- a/packages/gateway/src/chivepier/gateway/serving/targetanswer.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetanswer.py
@@ -1,6 +1,5 @@
 """A target's answer, as an interface."""
 
-import collections.abc
 import typing
 
 from chivepier.gateway.serving.answerfacts import AnswerFacts
@@ -17,8 +16,13 @@
     length: int | None
     facts: AnswerFacts
 
-    def chunks(self) -> collections.abc.AsyncIterator[bytes]:
-        """Yield the body; raise ``AnswerCutError`` when it is not whole."""
+    async def read(self) -> bytes:
+        """Return the next bytes of the body, or nothing at its end.
+
+        A read that is cancelled loses nothing.
+
+        :raises AnswerCutError: when the body is not whole
+        """
 
     def close(self) -> None:
         """End the connection, which ends the run where it still goes on."""
--- a/packages/gateway/src/chivepier/gateway/targets/loadboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadboard.py
@@ -47,7 +47,7 @@
         :param instance: the target's
         :param runs: generations
         :param tokens: memory that they take and are expected to take
-        :param exposed: memory to be copied off the target, in tokens
+        :param exposed: what it needs to copy memory off it, in milliseconds
         :param now: monotonic seconds
         """
         if entry == self.me:
@@ -61,10 +61,10 @@
         share.tokens += tokens
         self.changed.set()
 
-    def expose(self, instance: str, tokens: int) -> None:
-        """Say how much this entry has to copy off a target that leaves."""
+    def expose(self, instance: str, milliseconds: int) -> None:
+        """Say how long this entry needs to copy memory off a target."""
         share = self._shares[instance].setdefault(self.me, _Share())
-        share.exposed = tokens
+        share.exposed = milliseconds
         self.changed.set()
 
     def own(self) -> list[tuple[str, int, int, int]]:
@@ -94,10 +94,11 @@
         return runs, tokens
 
     def before(self, instance: str, now: float) -> int:
-        """Return what entries that sort before this one have to copy.
+        """Return what entries that sort before this one need to copy.
 
         :param instance: the target's
         :param now: monotonic seconds
+        :returns: milliseconds
         """
         return sum(
             share.exposed
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -26,7 +26,9 @@
 
 async def read_all(reply) -> bytes:
     """Read a body to its end."""
-    data = b"".join([chunk async for chunk in reply.chunks()])
+    data = b""
+    while chunk := await reply.read():
+        data += chunk
     reply.release()
     return data
 
