Count prompts that are still to be read when a target is chosen

Cause: a target that has just started has the most free memory, and by that alone got every prompt of all entries; first events came after 2.2 to 2.7 s.

--- a/packages/gateway/src/chivepier/gateway/following/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -100,7 +100,7 @@
         self._log = log
         self._voters: dict[str, _Voter] = {}
         self._fetching = False
-        self._told: dict[str, list[int]] = {}
+        self._told: dict[str, LoadRecord] = {}
         self._tasks: list[asyncio.Task] = []
         self.leaving = False
 
@@ -248,14 +248,7 @@
     def _merge_loads(self, records: tuple[LoadRecord, ...]) -> None:
         now = self._clock.monotonic()
         for record in records:
-            self._board.put(
-                record.entry,
-                record.instance,
-                record.runs,
-                record.tokens,
-                record.exposed,
-                now,
-            )
+            self._board.put(record, now)
 
     async def _report_loads(self) -> None:
         repeated = 0.0
@@ -274,13 +267,15 @@
 
     def _find_changes(self, again: bool) -> tuple[LoadRecord, ...]:
         records = []
-        for instance, *counts in self._board.own():
+        for record in self._board.own():
+            instance = record.instance
             told = self._told.get(instance)
-            if again or told != counts:
-                if any(counts) or told is not None:
-                    records.append(LoadRecord(self._name, instance, *counts))
-                self._told[instance] = counts
-                if not any(counts):
+            idle = not (record.runs or record.tokens or record.exposed)
+            if again or told != record:
+                if not idle or told is not None:
+                    records.append(record)
+                self._told[instance] = record
+                if idle:
                     self._board.drop_own(instance)
                     del self._told[instance]
         return tuple(records)
--- a/packages/gateway/src/chivepier/gateway/messages/loadrecord.py
+++ b/packages/gateway/src/chivepier/gateway/messages/loadrecord.py
@@ -7,6 +7,7 @@
 class LoadRecord:
     """What one entry runs at one target: absolute counts.
 
+    ``reading`` is the part of ``tokens`` that is still to be read in.
     ``exposed`` is how long it needs to copy memory off a target that leaves,
     in milliseconds.
     """
@@ -15,4 +16,5 @@
     instance: str
     runs: int
     tokens: int
+    reading: int
     exposed: int
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -148,18 +148,37 @@
 
     def watch(self, run: LiveRun) -> None:
         """Count a generation at its target and watch that."""
-        self.board.change(run.target.instance, 1, run.tokens)
-        if run.backup is not None:
-            self.board.change(run.backup.instance, 0, run.tokens)
+        self._count(run, 1)
         self.mover.add(run)
 
     def unwatch(self, run: LiveRun) -> None:
         """Take a generation off its target."""
-        self.board.change(run.target.instance, -1, -run.tokens)
-        if run.backup is not None:
-            self.board.change(run.backup.instance, 0, -run.tokens)
+        self._count(run, -1)
         self.mover.remove(run)
 
+    def note_begun(self, run: LiveRun) -> None:
+        """Note that its first event came from this target."""
+        if run.began is None:
+            run.began = self.clock.monotonic()
+            self.board.change(run.target.instance, reading=-run.reading)
+
+    def drop_backup(self, run: LiveRun) -> None:
+        """Note that no copy is kept of a generation any more."""
+        if run.backup is not None:
+            self.board.change(run.backup.instance, tokens=-run.tokens)
+            run.backup = None
+
+    def _count(self, run: LiveRun, sign: int) -> None:
+        waits = run.began is None
+        self.board.change(
+            run.target.instance,
+            runs=sign,
+            tokens=sign * run.tokens,
+            reading=sign * run.reading if waits else 0,
+        )
+        if run.backup is not None:
+            self.board.change(run.backup.instance, tokens=sign * run.tokens)
+
     def choose_backup(self, plan: Plan, target: Target) -> Target | None:
         """Pick who keeps a copy of a generation while it grows.
 
@@ -191,10 +210,15 @@
         run = None
         if plan.demand is not None:
             tokens = plan.demand.tokens
-            run = LiveRun(plan.request, plan.service, target, tokens)
+            run = LiveRun(
+                plan.request,
+                plan.service,
+                target,
+                tokens,
+                reading=plan.demand.prompt,
+            )
             run.backup = self.choose_backup(plan, target)
             self.watch(run)
-            self.chooser.note_prompt(target.instance)
         self.chooser.begin(target.instance)
         began = self.clock.monotonic()
         answer: TargetAnswer | None = None
@@ -230,7 +254,7 @@
             if run is None:
                 run = LiveRun(plan.request, plan.service, target, 0)
                 self.watch(run)
-            run.began = self.clock.monotonic()
+            self.note_begun(run)
             return Sent(target, answer, first, run)
         parts = []
         while data := await answer.read():
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -24,6 +24,7 @@
     :param service: whose targets may run it
     :param target: where it runs
     :param tokens: memory it is expected to take in the end
+    :param reading: tokens that its target reads in before its first event
     :param number: of the last event that the caller has
     :param began: when its first event came from this target, in monotonic
         seconds; ``None`` until then
@@ -39,6 +40,7 @@
     service: Service
     target: Target
     tokens: int
+    reading: int = 0
     number: int = 0
     began: float | None = None
     handoff: asyncio.Future[Handoff | None] | None = None
@@ -47,7 +49,7 @@
     lost: asyncio.Event = attrs.field(factory=asyncio.Event)
     backup: Target | None = None
     interrupted: bool = False
-    _reading: asyncio.Timeout | None = None
+    _scope: asyncio.Timeout | None = None
 
     @property
     def held(self) -> int:
@@ -86,28 +88,29 @@
         :returns: the context manager around the read
         """
         scope = asyncio.timeout(0 if self.interrupted else seconds)
-        self._reading = scope
+        self._scope = scope
         return scope
 
     def end_read(self) -> None:
         """Note that no read is under way."""
-        self._reading = None
+        self._scope = None
 
     def interrupt(self) -> None:
         """End the read under way: there is a copy to go on from."""
         self.interrupted = True
-        if self._reading is not None and not self._reading.expired():
-            self._reading.reschedule(asyncio.get_running_loop().time())
+        if self._scope is not None and not self._scope.expired():
+            self._scope.reschedule(asyncio.get_running_loop().time())
 
     def stay(self) -> None:
         """Note that the copy is of no use: it goes on where it runs."""
-        self.backup = None
         self.handoff = None
         self.interrupted = False
 
     def go_on(self, target: Target) -> None:
         """Note that it goes on at another target."""
         self.target = target
+        # its memory comes with it
+        self.reading = 0
         self.began = None
         self.handoff = None
         self.stopped = False
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -136,8 +136,7 @@
                 data = await sent.answer.read()
         finally:
             run.end_read()
-        if run.began is None:
-            run.began = self._dispatcher.clock.monotonic()
+        self._dispatcher.note_begun(run)
         return data
 
     async def _use_backup(self, run: LiveRun, sent: Sent) -> Sent:
@@ -153,6 +152,7 @@
             fresh = await self._try_handoff(run, Handoff(backup, origin), sent)
             if fresh is not None:
                 return fresh
+        dispatcher.drop_backup(run)
         run.stay()
         if dispatcher.table.leaves(run.target.instance):
             dispatcher.mover.start(run)
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -2,6 +2,7 @@
 
 from chivepier.gateway.targets.chooser import Chooser
 from chivepier.gateway.targets.demand import Demand
+from chivepier.gateway.targets.load import Load
 from chivepier.gateway.targets.loadboard import LoadBoard
 from chivepier.gateway.targets.target import Target
 from chivepier.gateway.targets.targethealth import TargetHealth
@@ -11,6 +12,7 @@
 __all__ = [
     "Chooser",
     "Demand",
+    "Load",
     "LoadBoard",
     "Target",
     "TargetHealth",
--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -14,11 +14,11 @@
 # Choices that differ by less than this share of a target count as equal and
 # are drawn among: many entries see the same loads and would all pick one.
 NEAR = 0.04
-# Seconds for which a prompt that was just sent still holds up the others
-# there, and the share of a full target it counts as: two prompts of 3,000
-# tokens read at once are a pause of 0.4 s for every stream of the target.
-PROMPT_SECONDS = 0.4
-PROMPT_COST = 0.3
+# A token of a prompt that is still to be read in counts as so many that are
+# in memory. A target that has just started has the most room, and by memory
+# alone would get every prompt of all entries, each held up by those before
+# it; with this it gets two before the others are preferred.
+READING_WEIGHT = 3.0
 # What a target that still warms up counts as, in shares of a full one.
 WARMING_COST = 0.2
 # What another availability zone counts as when memory is moved: the copy
@@ -56,7 +56,6 @@
         self._clock = clock
         self._rng = rng
         self._busy: dict[str, int] = {}
-        self._prompts: dict[str, float] = {}
 
     def begin(self, instance: str) -> None:
         """Note that this entry sent a request to a target."""
@@ -70,10 +69,6 @@
         else:
             self._busy.pop(instance, None)
 
-    def note_prompt(self, instance: str) -> None:
-        """Note that a prompt was sent to a target just now."""
-        self._prompts[instance] = self._clock.monotonic()
-
     def choose(
         self,
         service: str,
@@ -130,7 +125,7 @@
         if found is None:
             return None
         now = self._clock.monotonic()
-        _, tokens = self._board.total(found.instance, now)
+        tokens = self._board.total(found.instance, now).tokens
         room = BACKUP_SHARE * engine.memory_tokens
         return found if tokens + demand.tokens <= room else None
 
@@ -144,12 +139,10 @@
     def _cost_engine(
         self, target: Target, engine: Engine, demand: Demand, now: float
     ) -> float:
-        runs, tokens = self._board.total(target.instance, now)
-        memory = (tokens + demand.tokens) / engine.memory_tokens
-        cost = max(memory, (runs + 1) / engine.slots)
-        sent = self._prompts.get(target.instance, float("-inf"))
-        if now - sent < PROMPT_SECONDS:
-            cost += PROMPT_COST
+        load = self._board.total(target.instance, now)
+        tokens = load.tokens + demand.tokens + READING_WEIGHT * load.reading
+        memory = tokens / engine.memory_tokens
+        cost = max(memory, (load.runs + 1) / engine.slots)
         if now < target.warm_at:
             cost += WARMING_COST
         return cost
--- a/packages/gateway/src/chivepier/gateway/targets/loadboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadboard.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from chivepier.gateway.messages import LoadRecord
+from chivepier.gateway.targets.load import Load
 from chivepier.types import Signal
 
 # Seconds after which what an entry last said no longer counts. Entries
@@ -15,9 +17,14 @@
 class _Share:
     runs: int = 0
     tokens: int = 0
+    reading: int = 0
     exposed: int = 0
     heard: float = 0.0
 
+    @property
+    def counts(self) -> tuple[int, int, int, int]:
+        return self.runs, self.tokens, self.reading, self.exposed
+
 
 class LoadBoard:
     """Absolute counts by entry and target; a lost message heals itself.
@@ -32,33 +39,26 @@
             dict
         )
 
-    def put(
-        self,
-        entry: str,
-        instance: str,
-        runs: int,
-        tokens: int,
-        exposed: int,
-        now: float,
-    ) -> None:
+    def put(self, record: LoadRecord, now: float) -> None:
         """Take what an entry says it runs at a target.
 
-        :param entry: its name
-        :param instance: the target's
-        :param runs: generations
-        :param tokens: memory that they take and are expected to take
-        :param exposed: what it needs to copy memory off it, in milliseconds
+        :param record: its counts
         :param now: monotonic seconds
         """
-        if entry == self.me:
+        if record.entry == self.me:
             return
-        self._shares[instance][entry] = _Share(runs, tokens, exposed, now)
+        self._shares[record.instance][record.entry] = _Share(
+            record.runs, record.tokens, record.reading, record.exposed, now
+        )
 
-    def change(self, instance: str, runs: int, tokens: int) -> None:
+    def change(
+        self, instance: str, runs: int = 0, tokens: int = 0, reading: int = 0
+    ) -> None:
         """Add to what this entry itself runs at a target."""
         share = self._shares[instance].setdefault(self.me, _Share())
         share.runs += runs
         share.tokens += tokens
+        share.reading += reading
         self.changed.set()
 
     def expose(self, instance: str, milliseconds: int) -> None:
@@ -67,31 +67,27 @@
         share.exposed = milliseconds
         self.changed.set()
 
-    def own(self) -> list[tuple[str, int, int, int]]:
-        """Return what this entry runs: instance, runs, tokens, exposed."""
+    def own(self) -> list[LoadRecord]:
+        """Return what this entry runs, by target."""
         return [
-            (
-                instance,
-                entries[self.me].runs,
-                entries[self.me].tokens,
-                entries[self.me].exposed,
-            )
+            LoadRecord(self.me, instance, *entries[self.me].counts)
             for instance, entries in self._shares.items()
             if self.me in entries
         ]
 
-    def total(self, instance: str, now: float) -> tuple[int, int]:
-        """Return runs and tokens at a target over all entries.
+    def total(self, instance: str, now: float) -> Load:
+        """Return what runs at a target over all entries.
 
         :param instance: the target's
         :param now: monotonic seconds
         """
-        runs = tokens = 0
+        runs = tokens = reading = 0
         for entry, share in self._shares.get(instance, {}).items():
             if entry == self.me or now - share.heard < EXPIRY:
                 runs += share.runs
                 tokens += share.tokens
-        return runs, tokens
+                reading += share.reading
+        return Load(runs=runs, tokens=tokens, reading=reading)
 
     def before(self, instance: str, now: float) -> int:
         """Return what entries that sort before this one need to copy.
