Test serving, targets, configuration and the event log

Two faults found by the tests and mended: when the repeats' budget was used up, a target's own failure was replaced by one of ours; and the event log never wrote again after its reader had paused once.

--- a/packages/gateway/src/chivepier/gateway/eventlog/eventlog.py
+++ b/packages/gateway/src/chivepier/gateway/eventlog/eventlog.py
@@ -1,6 +1,7 @@
 """One JSON object a line, bounded and never blocking."""
 
 import collections
+import collections.abc
 import json
 import os
 import time
@@ -24,9 +25,16 @@
 
     :param name: this node's, in each line
     :param handle: the descriptor; standard output by default
+    :param read_time: returns seconds of the wall clock
     """
 
-    def __init__(self, name: str, handle: int = 1):
+    def __init__(
+        self,
+        name: str,
+        handle: int = 1,
+        read_time: collections.abc.Callable[[], float] = time.time,
+    ):
+        self._read_time = read_time
         self._name = name
         self._handle = handle
         self._waiting: collections.deque[bytes] = collections.deque()
@@ -36,6 +44,11 @@
         self._second = 0
         os.set_blocking(handle, False)
 
+    @property
+    def waiting(self) -> int:
+        """Bytes that the reader has not taken yet."""
+        return self._size
+
     def info(self, event: str, **fields: typing.Any) -> None:
         """Write a decision that went as usual."""
         self._write("info", event, fields, MOST_WAITING)
@@ -46,10 +59,13 @@
         self._write("warn", event, fields, most)
 
     def _write(self, level: str, event: str, fields: dict, most: int) -> None:
-        now = time.time()
+        now = self._read_time()
         if int(now) != self._second:
             self._begin_second(int(now))
         self._counts[event] += 1
+        # also when this line is left out: a reader that goes on again would
+        # else never get the rest
+        self._flush()
         if self._counts[event] > LINES_A_SECOND or self._size > most:
             self._left_out[event] += 1
             return
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -93,7 +93,8 @@
         :raises RequestError: when it is given up
         """
         tried: set[str] = set()
-        sends = runs = rounds = 0
+        runs = rounds = 0
+        paid = True
         while True:
             self._check_time(plan, runs)
             target = self._choose(plan, tried)
@@ -103,34 +104,37 @@
                 tried.clear()
                 await self.clock.sleep(REFUSED_PAUSE * rounds)
                 continue
-            if sends and not self.take_repeat(plan):
+            if not paid and not self.take_repeat(plan):
                 raise self._give_up(plan, runs, "no repeats are left")
+            paid = False
             tried.add(target.instance)
             more = plan.repeatable and runs + 1 < plan.route.attempts
             try:
                 sent = await self._try(plan, target, more)
             except NotSentError as error:
                 self._note_failure(plan, target, "not_sent", error)
+                # nothing arrived anywhere: the next send is no repeat
+                paid = True
                 continue
             except (LostError, AnswerCutError, TimeoutError) as error:
                 self._note_failure(plan, target, "lost", error)
-                sends, runs = sends + 1, runs + 1
+                runs += 1
                 if not more:
                     raise self._fail(plan, error) from None
                 continue
-            sends += 1
             if self._refused(plan, target, sent.answer):
                 self.end(sent)
                 continue
             runs += 1
             if sent.answer.status < SERVER_ERROR or not more:
                 return sent
-            if not self.budget_left(plan):
+            # without a repeat, the target's own answer says more than ours
+            paid = self._has_time(plan) and self.take_repeat(plan)
+            if not paid:
                 return sent
             self.end(sent)
 
-    def budget_left(self, plan: Plan) -> bool:
-        """Tell whether there is time for another attempt."""
+    def _has_time(self, plan: Plan) -> bool:
         left = plan.deadline - self.clock.monotonic()
         return left > plan.route.objective / 4
 
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/bench.py
@@ -0,0 +1,198 @@
+"""An entry without a network: everything between caller and target."""
+
+import asyncio
+import os
+import random
+import time
+
+from chivepier.gateway.config import Configuration
+from chivepier.gateway.config import Engine
+from chivepier.gateway.config import Repetition
+from chivepier.gateway.config import Route
+from chivepier.gateway.config import RouteIndex
+from chivepier.gateway.config import Service
+from chivepier.gateway.config import Team
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.serving import CallerRequest
+from chivepier.gateway.serving import Dispatcher
+from chivepier.gateway.serving import Mover
+from chivepier.gateway.serving import Planner
+from chivepier.gateway.serving import Prompt
+from chivepier.gateway.serving import RetryBudget
+from chivepier.gateway.serving import Serving
+from chivepier.gateway.serving import ServingState
+from chivepier.gateway.serving.tests.fakeengines import FakeCaller
+from chivepier.gateway.serving.tests.fakeengines import FakeEngines
+from chivepier.gateway.serving.tests.fakeengines import make_target
+from chivepier.gateway.targets import Chooser
+from chivepier.gateway.targets import LoadBoard
+from chivepier.gateway.targets import TargetHealth
+from chivepier.gateway.targets import TargetState
+from chivepier.gateway.targets import TargetTable
+from chivepier.types import SystemClock
+
+ENGINE = Engine(
+    slots=8,
+    memory_tokens=100_000,
+    event_tokens=4,
+    moves=True,
+    backups=False,
+    token_seconds=1e-7,
+)
+
+
+def make_route(**changes) -> Route:
+    """Make a route of streams that may run once."""
+    fields = {
+        "name": "r",
+        "host": "h.example",
+        "prefix": "/llm/",
+        "pools": (("llm", 1.0),),
+        "streaming": True,
+        "repetition": Repetition.ONCE,
+        "attempts": 1,
+        "timeout": 20.0,
+        "objective": 1.0,
+        "gap_objective": 0.2,
+        "urgency": 1,
+        "public": False,
+    }
+    return Route(**{**fields, **changes})
+
+
+PLAIN = make_route(
+    name="p",
+    prefix="/plain/",
+    pools=(("web", 1.0),),
+    streaming=False,
+    repetition=Repetition.ONCE,
+)
+REPEATABLE = make_route(
+    name="i",
+    prefix="/read/",
+    pools=(("web", 1.0),),
+    streaming=False,
+    repetition=Repetition.IDEMPOTENT,
+    attempts=2,
+)
+RESUMABLE = make_route(
+    name="s",
+    prefix="/resume/",
+    repetition=Repetition.RESUMABLE,
+    attempts=2,
+)
+ROUTES = (make_route(), PLAIN, REPEATABLE, RESUMABLE)
+
+
+class Bench:
+    """Parts of an entry, put together over fake engines.
+
+    :param names: targets of both services
+    :param engine: what the model-serving targets can do
+    :param notice: seconds of a leaving target's notice
+    """
+
+    def __init__(self, *names: str, engine: Engine = ENGINE, notice=0.0):
+        self.engines = FakeEngines()
+        self.table = TargetTable(1.0)
+        self.board = LoadBoard("e1")
+        self.health = TargetHealth()
+        self.state = ServingState()
+        clock = SystemClock()
+        log = EventLog("e1", os.open(os.devnull, os.O_WRONLY))
+        rng = random.Random(1)
+        chooser = Chooser(self.table, self.health, self.board, "a", clock, rng)
+        self.mover = Mover(
+            self.engines,
+            chooser,
+            self.table,
+            self.board,
+            notice,
+            clock,
+            log,
+        )
+        self.table.watchers.append(self.mover.note_target)
+        self.budget = RetryBudget(0.2, 10, 10)
+        self.dispatcher = Dispatcher(
+            state=self.state,
+            table=self.table,
+            chooser=chooser,
+            health=self.health,
+            board=self.board,
+            mover=self.mover,
+            port=self.engines,
+            budget=self.budget,
+            clock=clock,
+            log=log,
+        )
+        planner = Planner(self.state, rng)
+        self.serving = Serving(self.state, planner, self.dispatcher)
+        self.configure(engine)
+        for name in names:
+            self.table.put(make_target(name, "llm"))
+            self.table.put(make_target(f"w-{name}", "web"))
+
+    def configure(self, engine: Engine = ENGINE, **changes) -> None:
+        """Put a configuration in force."""
+        fields = {
+            "version": 1,
+            "routes": ROUTES,
+            "services": (
+                Service(name="llm", connections=10, engine=engine),
+                Service(name="web", connections=10),
+            ),
+            "teams": (Team(name="t1", keys=("k1",), urgency=3),),
+        }
+        index = RouteIndex(Configuration(**{**fields, **changes}))
+        self.state.adopt(index)
+
+    def leave(self, name: str) -> None:
+        """Let a target say that it leaves."""
+        target = make_target(name)
+        target.state = TargetState.LEAVING
+        target.number = 2
+        self.table.put(target)
+
+    async def serve(self, request: CallerRequest) -> FakeCaller:
+        """Serve a request to its end."""
+        caller = FakeCaller()
+        await self.serving.serve(request, caller)
+        return caller
+
+    def start(self, request: CallerRequest):
+        """Serve a request in a task of its own."""
+        caller = FakeCaller()
+        work = self.serving.serve(request, caller)
+        return caller, asyncio.create_task(work)
+
+
+def make_request(path: str = "/llm/x", **changes) -> CallerRequest:
+    """Make a request with a prompt where its path is one of streams."""
+    now = time.monotonic()
+    streams = not path.startswith(("/plain/", "/read/"))
+    fields = {
+        "id": "r1",
+        "method": "POST",
+        "url": path,
+        "path": path,
+        "host": "h.example",
+        "headers": (),
+        "body": b"b",
+        "key": "k1",
+        "arrived": now,
+        "deadline": now + 20.0,
+        "prompt": Prompt(tokens=100, most_output=900) if streams else None,
+    }
+    return CallerRequest(**{**fields, **changes})
+
+
+def play(test, *names: str, **options) -> None:
+    """Run a test's coroutine over a bench, within ten seconds."""
+
+    async def work():
+        async with asyncio.timeout(10):
+            bench = Bench(*names, **options)
+            await test(bench)
+            await bench.mover.close()
+
+    asyncio.run(work())
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -0,0 +1,205 @@
+"""Engines in one process that run, copy and resume generations."""
+
+import asyncio
+
+import attrs
+
+from chivepier.gateway.serving import AnswerCutError
+from chivepier.gateway.serving import AnswerFacts
+from chivepier.gateway.serving import LostError
+from chivepier.gateway.serving import Moved
+from chivepier.gateway.serving import MoveOutcome
+from chivepier.gateway.serving import NotSentError
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetState
+
+
+@attrs.define(eq=False)
+class FakeAnswer:
+    """The stream of one run; its events are made when the test says."""
+
+    target: str
+    request_id: str
+    number: int
+    status: int = 200
+    facts: AnswerFacts = attrs.field(factory=AnswerFacts)
+    headers: tuple = (("X-From", "engine"),)
+    length: int | None = None
+    closed: bool = False
+    stopped: bool = False
+    _queue: asyncio.Queue = attrs.field(factory=asyncio.Queue)
+
+    def make(self, count: int = 1, text: str = "") -> None:
+        """Make events; what follows the last one's end comes with it."""
+        for _ in range(count):
+            self.number += 1
+            data = f"id: {self.number}\ndata: {self.number}\n\n"
+            self._queue.put_nowait(data.encode())
+        if text:
+            self._queue.put_nowait(text.encode())
+
+    def end(self) -> None:
+        """End the stream as whole."""
+        self._queue.put_nowait(b"")
+
+    def cut(self) -> None:
+        """Break the stream off."""
+        self._queue.put_nowait(None)
+
+    async def read(self) -> bytes:
+        """Return the next bytes."""
+        data = await self._queue.get()
+        if data is None:
+            raise AnswerCutError("cut")
+        return data
+
+    def close(self) -> None:
+        """Note that the reader has left."""
+        self.closed = True
+
+    def release(self) -> None:
+        """Nothing is kept."""
+
+
+class FakeEngines:
+    """A port to targets whose behaviour a test sets.
+
+    ``refuse`` names targets that say they did not run a request, ``lose``
+    those that break the connection instead of an answer, ``dark`` those
+    that can't be reached; ``copies`` holds what may be gone on from.
+    """
+
+    def __init__(self) -> None:
+        self.answers: list[FakeAnswer] = []
+        self.orders: list = []
+        self.moves: list[tuple[str, str, bool]] = []
+        self.refuse: set[str] = set()
+        self.lose: set[str] = set()
+        self.dark: set[str] = set()
+        self.wrong: set[str] = set()
+        self.full: set[str] = set()
+        self.failing: dict[str, int] = {}
+        self.copies: set[tuple[str, str]] = set()
+        self.sent = asyncio.Event()
+        self.moved = asyncio.Event()
+
+    async def send(self, target, request, order) -> FakeAnswer:
+        """Run a request, or go on from a copy."""
+        name = target.instance
+        if name in self.dark:
+            raise NotSentError("refused")
+        answer = FakeAnswer(name, request.id, int(order.after_event or 0))
+        self.orders.append((name, order))
+        if name in self.lose:
+            raise LostError("reset")
+        if name in self.wrong:
+            answer.facts = AnswerFacts(other_instance="other")
+            answer.status = 421
+            answer.end()
+        elif name in self.refuse or not self._holds(target, order):
+            answer.facts = AnswerFacts(not_run=True)
+            answer.status = 503
+            answer.end()
+        elif name in self.failing:
+            answer.status = self.failing[name]
+            answer.end()
+        else:
+            self.answers.append(answer)
+            if order.backup is not None:
+                self.copies.add((order.backup, request.id))
+        self.sent.set()
+        return answer
+
+    def _holds(self, target, order) -> bool:
+        if order.origin is None:
+            return True
+        return (order.origin.address, order.origin.handle) in self.copies
+
+    async def move(self, source, request_id, destination, last, seconds):
+        """Copy a run's memory; the last copy stops it first."""
+        self.moves.append((source.instance, destination.instance, last))
+        self.moved.set()
+        await asyncio.sleep(0)
+        run = self.find(source.instance)
+        if run is None or not run.number:
+            return Moved(MoveOutcome.NO_RUN)
+        if source.instance in self.dark:
+            return Moved(MoveOutcome.FAILED)
+        if last:
+            run.stopped = True
+            run.cut()
+        handle = f"h-{request_id}"
+        if destination.instance in self.full:
+            return Moved(MoveOutcome.NO_ROOM, handle if last else "")
+        self.copies.add((source.address, handle))
+        return Moved(MoveOutcome.COPIED, handle)
+
+    def find(self, instance: str) -> FakeAnswer | None:
+        """Return the newest run of a target that is still read."""
+        for answer in reversed(self.answers):
+            if answer.target == instance and not answer.closed:
+                return answer
+        return None
+
+    async def wait_run(self, count: int) -> FakeAnswer:
+        """Wait until so many runs have begun, and return the last."""
+        while len(self.answers) < count:
+            self.sent.clear()
+            await self.sent.wait()
+        return self.answers[count - 1]
+
+
+class FakeCaller:
+    """Keeps what a caller gets."""
+
+    def __init__(self) -> None:
+        self.status: int | None = None
+        self.headers: tuple = ()
+        self.data = b""
+        self.finished = False
+        self.aborted = False
+        self.changed = asyncio.Event()
+
+    async def begin(self, status, headers, length) -> None:
+        """Take the head."""
+        assert self.status is None
+        self.status, self.headers = status, headers
+
+    async def write(self, data) -> None:
+        """Take a part."""
+        self.data += data
+        self.changed.set()
+
+    async def finish(self) -> None:
+        """Take the end."""
+        self.finished = True
+
+    def abort(self) -> None:
+        """Take the cut."""
+        self.aborted = True
+
+    @property
+    def numbers(self) -> list[int]:
+        """The numbers of the events, in the order they came."""
+        lines = self.data.decode().split("\n")
+        return [int(line[4:]) for line in lines if line.startswith("id: ")]
+
+    async def wait_events(self, count: int) -> None:
+        """Wait until so many events have come."""
+        while len(self.numbers) < count:
+            self.changed.clear()
+            await self.changed.wait()
+
+
+def make_target(name: str, service: str = "llm", zone: str = "a") -> Target:
+    """Make a target that is ready."""
+    return Target(
+        instance=name,
+        service=service,
+        address=f"{name}:80",
+        zone=zone,
+        state=TargetState.READY,
+        number=1,
+        slots=4,
+        heard=1e12,
+    )
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
@@ -0,0 +1,258 @@
+"""Tests of streams whose target leaves, dies or breaks off."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from chivepier.gateway.serving.tests.bench import ENGINE
+from chivepier.gateway.serving.tests.bench import make_request
+from chivepier.gateway.serving.tests.bench import play
+from chivepier.types import RequestError
+
+BACKED = attrs.evolve(ENGINE, backups=True)
+
+
+async def begin(bench, path: str = "/llm/x", events: int = 2):
+    """Start a stream and let it make events that reach the caller."""
+    caller, task = bench.start(make_request(path))
+    run = await bench.engines.wait_run(1)
+    run.make(events)
+    await caller.wait_events(events)
+    return caller, task, run
+
+
+def test_stream_of_a_leaving_target_goes_on_as_one_series():
+    # The caller sees one unbroken series of events. Its target says that it
+    # leaves; the memory is copied while the run goes on, then the run is
+    # stopped, the rest is copied, and the next target goes on from there.
+    async def test(bench):
+        caller, task, run = await begin(bench)
+        bench.leave(run.target)
+        fresh = await bench.engines.wait_run(2)
+        assert fresh.target != run.target and run.stopped
+        assert [last for _, _, last in bench.engines.moves] == [False, True]
+        fresh.make(3)
+        fresh.end()
+        await task
+        assert caller.numbers == [1, 2, 3, 4, 5]
+        assert caller.finished and not caller.aborted
+
+    play(test, "a", "b")
+
+
+def test_events_that_come_twice_are_passed_on_once():
+    async def test(bench):
+        caller, task, run = await begin(bench)
+        bench.leave(run.target)
+        fresh = await bench.engines.wait_run(2)
+        fresh.number = 0
+        fresh.make(4)
+        fresh.end()
+        await task
+        assert caller.numbers == [1, 2, 3, 4]
+
+    play(test, "a", "b")
+
+
+def test_torn_event_is_not_passed_on():
+    # The caller got half an event, followed by the next target's whole one.
+    # The source stops in the middle of an event when it is moved.
+    async def test(bench):
+        caller, task, run = await begin(bench)
+        run.make(0, "id: 3\nda")
+        bench.leave(run.target)
+        fresh = await bench.engines.wait_run(2)
+        fresh.make(1)
+        fresh.end()
+        await task
+        assert caller.data.endswith(b"\n\nid: 3\ndata: 3\n\n")
+
+    play(test, "a", "b")
+
+
+def test_destination_without_room_is_passed_over():
+    async def test(bench):
+        caller, task, run = await begin(bench)
+        others = [n for n in ("a", "b", "c") if n != run.target]
+        bench.engines.full = {others[0]}
+        bench.leave(run.target)
+        fresh = await bench.engines.wait_run(2)
+        assert fresh.target == others[1]
+        fresh.end()
+        await task
+        assert caller.finished
+
+    play(test, "a", "b", "c")
+
+
+def test_run_that_was_stopped_goes_on_at_its_source_without_room_elsewhere():
+    # The first copy finds room, the second does not: the run is stopped,
+    # but its source still keeps the memory and can go on from it.
+    async def test(bench):
+        caller, task, run = await begin(bench)
+        move = bench.engines.move
+
+        async def fill(source, identity, destination, last, seconds):
+            if last:
+                bench.engines.full.add(destination.instance)
+                handle = f"h-{identity}"
+                bench.engines.copies.add((source.address, handle))
+            return await move(source, identity, destination, last, seconds)
+
+        bench.engines.move = fill
+        bench.leave(run.target)
+        fresh = await bench.engines.wait_run(2)
+        assert fresh.target == run.target
+        fresh.make(1)
+        fresh.end()
+        await task
+        assert caller.numbers == [1, 2, 3]
+
+    play(test, "a", "b")
+
+
+def test_stream_that_ends_before_its_move_is_whole():
+    async def test(bench):
+        caller, task, run = await begin(bench)
+        run.end()
+        bench.leave(run.target)
+        await task
+        assert caller.finished and caller.numbers == [1, 2]
+
+    play(test, "a", "b")
+
+
+def test_run_that_has_not_begun_is_moved_when_it_begins():
+    # Streams were cut that waited at their target when it said it leaves:
+    # there was nothing to copy yet, and nobody asked again.
+    async def test(bench):
+        caller, task = bench.start(make_request())
+        run = await bench.engines.wait_run(1)
+        bench.leave(run.target)
+        await bench.engines.moved.wait()
+        run.make(1)
+        fresh = await bench.engines.wait_run(2)
+        fresh.make(1)
+        fresh.end()
+        await task
+        assert caller.numbers == [1, 2]
+
+    play(test, "a", "b")
+
+
+def test_stream_that_can_not_go_on_is_cut_visibly():
+    async def test(bench):
+        caller, task, run = await begin(bench)
+        run.cut()
+        await task
+        assert caller.aborted and not caller.finished
+        assert caller.numbers == [1, 2]
+
+    play(test, "a")
+
+
+def test_stream_that_breaks_before_its_first_event_fails_as_unknown():
+    async def test(bench):
+        caller, task = bench.start(make_request())
+        run = await bench.engines.wait_run(1)
+        run.cut()
+        with pytest.raises(RequestError):
+            await task
+        assert caller.status is None
+        assert len(bench.engines.orders) == 1
+
+    play(test, "a", "b")
+
+
+def test_resumable_stream_goes_on_anew_after_a_crash():
+    async def test(bench):
+        caller, task, run = await begin(bench, "/resume/x")
+        bench.engines.dark = {run.target}
+        run.cut()
+        fresh = await bench.engines.wait_run(2)
+        assert fresh.target != run.target
+        fresh.make(1)
+        fresh.end()
+        await task
+        assert caller.numbers == [1, 2, 3]
+
+    play(test, "a", "b")
+
+
+def test_crashed_target_s_stream_goes_on_at_its_growing_copy():
+    # The target is gone without a notice. Another one has kept a copy of
+    # the run's memory while it grew, and counts as the same run.
+    async def test(bench):
+        caller, task, run = await begin(bench)
+        _, order = bench.engines.orders[0]
+        assert order.backup is not None
+        run.cut()
+        fresh = await bench.engines.wait_run(2)
+        assert f"{fresh.target}:80" == order.backup
+        fresh.make(1)
+        fresh.end()
+        await task
+        assert caller.numbers == [1, 2, 3]
+
+    play(test, "a", "b", engine=BACKED)
+
+
+def test_source_is_left_only_when_the_copy_has_answered():
+    # Generations were lost: the copy had found no room at its target and
+    # was refused, after the source's stream had been closed.
+    async def test(bench):
+        caller, task, run = await begin(bench)
+        bench.engines.copies.clear()
+        bench.leave(run.target)
+        fresh = await bench.engines.wait_run(2)
+        assert bench.engines.moves[-1][2] is True
+        fresh.make(1)
+        fresh.end()
+        await task
+        assert caller.numbers == [1, 2, 3]
+
+    play(test, "a", "b", engine=BACKED)
+
+
+def test_stream_goes_on_at_its_copy_when_its_target_leaves():
+    async def test(bench):
+        caller, task, run = await begin(bench)
+        bench.leave(run.target)
+        fresh = await bench.engines.wait_run(2)
+        assert not bench.engines.moves
+        fresh.make(1)
+        fresh.end()
+        await task
+        assert run.closed and caller.numbers == [1, 2, 3]
+
+    play(test, "a", "b", engine=BACKED)
+
+
+def test_caller_that_leaves_ends_the_run_and_its_move():
+    # A target went on with a run for a caller that had gone: its stream is
+    # closed, nothing is sent anywhere, and its place is free again.
+    async def test(bench):
+        caller, task, run = await begin(bench)
+        bench.leave(run.target)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        await asyncio.sleep(0)
+        assert run.closed and len(bench.engines.answers) == 1
+        own = [record for record in bench.board.own() if record.runs]
+        assert not own
+
+    play(test, "a", "b")
+
+
+def test_notice_that_is_repeated_moves_once():
+    async def test(bench):
+        caller, task, run = await begin(bench)
+        bench.leave(run.target)
+        bench.leave(run.target)
+        fresh = await bench.engines.wait_run(2)
+        assert len(bench.engines.moves) == 2
+        fresh.end()
+        await task
+
+    play(test, "a", "b")
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_chooser.py
@@ -0,0 +1,142 @@
+"""Tests of choosing a target, by the load that they answer."""
+
+import collections
+import random
+
+from chivepier.gateway.config import Engine
+from chivepier.gateway.messages import LoadRecord
+from chivepier.gateway.targets import Chooser
+from chivepier.gateway.targets import Demand
+from chivepier.gateway.targets import LoadBoard
+from chivepier.gateway.targets import TargetHealth
+from chivepier.gateway.targets import TargetTable
+from chivepier.gateway.targets.tests.test_targettable import make
+from chivepier.types import ManualClock
+
+ENGINE = Engine(slots=24, memory_tokens=34_000, backups=True)
+DEMAND = Demand(prompt=3_000, output=900)
+
+
+class Choice:
+    """A chooser over some targets, with loads set by hand."""
+
+    def __init__(self, *names: str):
+        self.table = TargetTable(1.0)
+        self.health = TargetHealth()
+        self.board = LoadBoard("me")
+        self.clock = ManualClock()
+        self.chooser = Chooser(
+            self.table,
+            self.health,
+            self.board,
+            "z",
+            self.clock,
+            random.Random(1),
+        )
+        for name in names:
+            self.table.put(make(name, address=f"{name}:1"))
+
+    def load(self, name, runs=0, tokens=0, reading=0, entry="other"):
+        """Say what another entry runs."""
+        record = LoadRecord(entry, name, runs, tokens, reading, 0)
+        self.board.put(record, self.clock.monotonic())
+
+    def pick(self, **options):
+        """Choose for a generation."""
+        return self.chooser.choose("s", ENGINE, DEMAND, **options).instance
+
+
+def test_target_with_the_most_free_memory_is_taken():
+    choice = Choice("a", "b")
+    choice.load("a", runs=5, tokens=20_000)
+    choice.load("b", runs=1, tokens=4_000)
+    assert choice.pick() == "b"
+
+
+def test_slots_bind_where_generations_are_small():
+    choice = Choice("a", "b")
+    choice.load("a", runs=20, tokens=2_000)
+    choice.load("b", runs=2, tokens=9_000)
+    assert choice.pick() == "b"
+
+
+def test_new_target_does_not_get_every_prompt():
+    # First events came 2.2 to 2.7 s late: a target that has just started
+    # has the most room, and each of ten prompts that came within a second
+    # went there, each 0.2 s of reading behind those before it.
+    choice = Choice("new", "a", "b", "c")
+    for name in ("a", "b", "c"):
+        choice.load(name, runs=4, tokens=14_000)
+    counts = collections.Counter()
+    reading = 0
+    for _ in range(10):
+        name = choice.pick()
+        counts[name] += 1
+        if name == "new":
+            reading += DEMAND.prompt
+            runs = counts["new"]
+            tokens = runs * DEMAND.tokens
+            choice.load("new", runs, tokens, reading)
+    assert 1 <= counts["new"] <= 3
+
+
+def test_equals_are_drawn_among():
+    # Many entries see the same loads; all picking the first of two equals
+    # would send a whole burst to one target.
+    choice = Choice("a", "b", "c")
+    counts = collections.Counter(choice.pick() for _ in range(300))
+    assert min(counts.values()) > 60
+
+
+def test_what_an_entry_said_long_ago_does_not_count():
+    choice = Choice("a", "b")
+    choice.load("a", runs=9, tokens=33_000)
+    choice.clock.advance(5.0)
+    choice.table.put(make("a", number=2, heard=5.0))
+    choice.table.put(make("b", number=2, heard=5.0))
+    choice.load("b", runs=1, tokens=4_000)
+    assert choice.pick() == "a"
+
+
+def test_target_that_fails_more_than_others_is_avoided():
+    choice = Choice("a", "b", "c")
+    for _ in range(10):
+        choice.health.note_answer("a", True, 0.0, 0.0)
+        choice.health.note_answer("b", False, 0.0, 0.0)
+        choice.health.note_answer("c", False, 0.0, 0.0)
+    picked = {choice.pick() for _ in range(50)}
+    assert picked == {"b", "c"}
+
+
+def test_service_whose_targets_all_fail_stays_in_use():
+    choice = Choice("a", "b")
+    for name in ("a", "b"):
+        for _ in range(10):
+            choice.health.note_answer(name, True, 0.0, 0.0)
+    assert {choice.pick() for _ in range(50)} == {"a", "b"}
+
+
+def test_silent_target_is_avoided_and_tried_again():
+    choice = Choice("a", "b")
+    choice.health.note_silence("a", 0.0)
+    assert {choice.pick() for _ in range(20)} == {"b"}
+    choice.clock.advance(0.6)
+    assert "a" in {choice.pick() for _ in range(50)}
+
+
+def test_copy_is_kept_only_where_room_is_to_spare():
+    choice = Choice("a", "b")
+    target = choice.table.get("a")
+    found = choice.chooser.choose_backup("s", ENGINE, DEMAND, target)
+    assert found.instance == "b"
+    choice.load("b", runs=6, tokens=25_000)
+    found = choice.chooser.choose_backup("s", ENGINE, DEMAND, target)
+    assert found is None
+
+
+def test_entries_that_sort_before_this_one_copy_first():
+    choice = Choice("a")
+    for entry, exposed in (("a-first", 300), ("z-last", 500)):
+        record = LoadRecord(entry, "a", 1, 10, 0, exposed)
+        choice.board.put(record, 0.0)
+    assert choice.board.before("a", 0.0) == 300
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
@@ -0,0 +1,124 @@
+"""Tests of merging announcements that come late, twice and crossed."""
+
+import itertools
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetState
+from chivepier.gateway.targets import TargetTable
+
+READY, LEAVING, GONE = TargetState
+
+
+def make(instance="i1", state=READY, number=1, heard=0.0, address="a:1"):
+    """Make an announcement."""
+    return Target(
+        instance=instance,
+        service="s",
+        address=address,
+        zone="z",
+        state=state,
+        number=number,
+        slots=4,
+        heard=heard,
+    )
+
+
+def test_late_announcement_does_not_bring_an_instance_back():
+    # New work went to a target that had left: an announcement from before
+    # was delayed by a cut and came after its farewell.
+    table = TargetTable(1.0)
+    table.put(make(number=3, state=LEAVING))
+    assert not table.put(make(number=2))
+    assert not table.select("s", 0.0)
+
+
+def test_instance_that_leaves_does_not_become_ready_again():
+    table = TargetTable(1.0)
+    table.put(make(number=1, state=LEAVING))
+    table.put(make(number=2, state=READY))
+    assert not table.select("s", 0.0)
+    table.put(make(number=3, state=GONE))
+    table.put(make(number=4, state=READY))
+    assert table.get("i1").state is GONE
+
+
+def test_silent_targets_are_left_out_while_others_are_heard():
+    table = TargetTable(1.0)
+    table.put(make("i1", heard=0.0))
+    table.put(make("i2", heard=5.0))
+    assert [t.instance for t in table.select("s", 5.0)] == ["i2"]
+
+
+def test_all_are_kept_when_none_is_heard():
+    # The entry was cut off from every voter; all its targets fell silent at
+    # once, and it refused its callers though the targets were well.
+    table = TargetTable(1.0)
+    table.put(make("i1", heard=0.0))
+    table.put(make("i2", heard=0.5))
+    found = {t.instance for t in table.select("s", 20.0)}
+    assert found == {"i1", "i2"}
+
+
+def test_replaced_instance_is_known_by_its_address():
+    table = TargetTable(1.0)
+    table.put(make("i1"))
+    table.note_gone("i1", "other:1")
+    assert table.select("s", 0.0)
+    table.note_gone("i1", "a:1")
+    assert not table.select("s", 0.0)
+
+
+def test_watchers_hear_each_change_once():
+    table = TargetTable(1.0)
+    seen = []
+    table.watchers.append(lambda t, before: seen.append((t.state, before)))
+    for announcement in (
+        make(number=1),
+        make(number=1),
+        make(number=2, state=LEAVING),
+        make(number=2, state=LEAVING),
+    ):
+        table.put(announcement)
+    assert seen == [(READY, None), (LEAVING, READY)]
+
+
+def test_long_silent_targets_are_forgotten():
+    table = TargetTable(1.0)
+    table.put(make("i1", heard=0.0))
+    table.forget(29.0)
+    assert table.get("i1")
+    table.forget(31.0)
+    assert table.get("i1") is None
+
+
+STATES = strategies.lists(
+    strategies.sampled_from([READY, READY, LEAVING, GONE]),
+    min_size=1,
+    max_size=4,
+)
+
+
+@settings(derandomize=True, max_examples=200)
+@given(STATES, strategies.randoms(use_true_random=False))
+def test_any_order_with_repeats_ends_no_earlier_than_the_newest(
+    states, shuffler
+):
+    # Nodes that got the same announcements in another order must not differ
+    # on whether a target takes new work.
+    order = {READY: 0, LEAVING: 1, GONE: 2}
+    ranks = itertools.accumulate((order[s] for s in states), max)
+    told = [
+        make(number=number, state=list(TargetState)[rank])
+        for number, rank in enumerate(ranks, 1)
+    ]
+    expected = told[-1].state
+    shuffled = [make(number=t.number, state=t.state) for t in told * 2]
+    shuffler.shuffle(shuffled)
+    table = TargetTable(1.0)
+    for announcement in shuffled:
+        table.put(announcement)
+    assert table.get("i1").state is expected
