--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -0,0 +1,162 @@
+"""Voters and entries in one process, on loopback sockets."""
+
+import asyncio
+import contextlib
+import os
+import pathlib
+
+from chivepier.gateway.config import Configuration
+from chivepier.gateway.control import Voter
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.following import Following
+from chivepier.gateway.following import Peers
+from chivepier.gateway.serving import ServingState
+from chivepier.gateway.settings import VoterSettings
+from chivepier.gateway.targets import LoadBoard
+from chivepier.gateway.targets import TargetTable
+from chivepier.standins.cluster import find_port
+from chivepier.types import SystemClock
+from chivepier.wire import Faults
+from chivepier.wire import Links
+
+KEY = "secret-of-tests"
+
+
+def make_log(name: str) -> EventLog:
+    """Make a log that nobody reads."""
+    return EventLog(name, os.open(os.devnull, os.O_WRONLY))
+
+
+def decode(body: bytes) -> Configuration:
+    """Read the tests' configurations: a version and nothing else."""
+    return Configuration(version=int(body.split(b" ")[0]))
+
+
+class Follower:
+    """An entry's half of the control plane."""
+
+    def __init__(self, name: str, seeds: tuple[str, ...]):
+        clock, log = SystemClock(), make_log(name)
+        self.state = ServingState()
+        self.table = TargetTable(1.0)
+        self.board = LoadBoard(name)
+        self.links = Links(name, KEY, self._handle, Faults())
+        self.following = Following(
+            name=name,
+            address=f"{name}:80",
+            zone="z",
+            peers=Peers(seeds),
+            links=self.links,
+            decode=decode,
+            state=self.state,
+            table=self.table,
+            board=self.board,
+            clock=clock,
+            log=log,
+        )
+        self._stack = contextlib.AsyncExitStack()
+
+    def _handle(self, message, channel):
+        return self.following.handle(message, channel)
+
+    async def __aenter__(self) -> "Follower":
+        await self._stack.enter_async_context(self.links)
+        await self._stack.enter_async_context(self.following)
+        return self
+
+    async def __aexit__(self, *exc) -> None:
+        await self._stack.aclose()
+
+
+class Fleet:
+    """Starts, stops and wipes voters; leaving the context ends them all.
+
+    :param folder: below which the data folders lie
+    :param size: voters that found the cluster
+    """
+
+    def __init__(self, folder: pathlib.Path, size: int = 3):
+        self._folder = folder
+        self._stack = contextlib.AsyncExitStack()
+        self.seeds = tuple(self.make_address() for _ in range(size))
+        self.voters: dict[str, Voter] = {}
+
+    def make_address(self) -> str:
+        """Reserve an address."""
+        return f"127.0.0.1:{find_port()}"
+
+    async def __aenter__(self) -> "Fleet":
+        for address in self.seeds:
+            await self.start(address, found=True)
+        return self
+
+    async def __aexit__(self, *exc) -> None:
+        for address in list(self.voters):
+            await self.stop(address)
+        await self._stack.aclose()
+
+    async def start(self, address: str, found: bool = False) -> Voter:
+        """Start a voter on what its folder holds."""
+        settings = VoterSettings(
+            name=f"n{address}",
+            address=address,
+            seeds=self.seeds,
+            folder=self.find_folder(address),
+            found=found,
+            cluster_key=KEY,
+            beat=1.0,
+        )
+        voter = Voter(settings, SystemClock(), make_log(settings.name))
+        self.voters[address] = await voter.__aenter__()
+        return voter
+
+    async def stop(self, address: str) -> None:
+        """Stop a voter; its folder stays."""
+        await self.voters.pop(address).__aexit__()
+
+    def find_folder(self, address: str) -> pathlib.Path:
+        """Return a voter's data folder."""
+        return self._folder / address.replace(":", "-")
+
+    async def follow(self, name: str) -> Follower:
+        """Start an entry's half."""
+        follower = Follower(name, self.seeds)
+        return await self._stack.enter_async_context(follower)
+
+    def find_leader(self) -> Voter | None:
+        """Return the voter that leads."""
+        for voter in self.voters.values():
+            if voter.replica.leads():
+                return voter
+        return None
+
+    async def write(self, version: int, text: str = "") -> None:
+        """Store a configuration through whichever voter takes it."""
+        body = f"{version} {text}".encode()
+        while True:
+            for voter in list(self.voters.values()):
+                if await voter.store.write(version, body):
+                    return
+
+    async def read(self, address: str) -> bytes:
+        """Read the newest configuration at one voter."""
+        while True:
+            stored = await self.voters[address].store.read()
+            if stored is not None:
+                return stored.body
+
+
+async def wait_until(condition) -> None:
+    """Return once a condition holds; the test's own limit ends it else."""
+    while not condition():
+        await asyncio.sleep(0.02)
+
+
+def play(test, folder: pathlib.Path, size: int = 3) -> None:
+    """Run a test's coroutine over a fleet, within a minute."""
+
+    async def work():
+        async with asyncio.timeout(60), Fleet(folder, size) as fleet:
+            await test(fleet)
+
+    asyncio.run(work())
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
@@ -0,0 +1,101 @@
+"""Tests of how entries follow voters, on loopback."""
+
+from chivepier.gateway.control.tests.fleet import play
+from chivepier.gateway.control.tests.fleet import wait_until
+from chivepier.gateway.messages import LoadRecord
+from chivepier.gateway.targets import TargetState
+from chivepier.gateway.targets.tests.test_targettable import make
+
+
+def test_entry_gets_configurations_and_targets_from_any_voter(tmp_path):
+    async def test(fleet):
+        follower = await fleet.follow("e1")
+        await fleet.write(2)
+        await wait_until(lambda: follower.state.index is not None)
+        for number, voter in enumerate(fleet.voters.values()):
+            voter.registry.announce(make(f"i{number}"))
+        await wait_until(lambda: len(list(follower.table)) == 3)
+        await fleet.write(4)
+        await wait_until(lambda: follower.state.index.version == 4)
+
+    play(test, tmp_path)
+
+
+def test_notice_reaches_entries_and_the_other_voters(tmp_path):
+    async def test(fleet):
+        follower = await fleet.follow("e1")
+        first, second, third = fleet.voters.values()
+        first.registry.announce(make("i1", number=1))
+        await wait_until(lambda: follower.table.get("i1") is not None)
+        second.registry.announce(
+            make("i1", number=2, state=TargetState.LEAVING)
+        )
+        await wait_until(lambda: follower.table.leaves("i1"))
+        await wait_until(lambda: third.table.leaves("i1"))
+        third.registry.leave("i1")
+        await wait_until(
+            lambda: follower.table.get("i1").state is TargetState.GONE
+        )
+
+    play(test, tmp_path)
+
+
+def test_what_an_entry_missed_comes_with_its_beats(tmp_path):
+    # A link that is cut for a moment loses what is pushed meanwhile. The
+    # entry says up to where it heard this voter, and gets the rest.
+    async def test(fleet):
+        follower = await fleet.follow("e1")
+        first = fleet.voters[fleet.seeds[0]]
+        first.registry.announce(make("i1"))
+        await wait_until(lambda: follower.table.get("i1") is not None)
+        faults = follower.links._faults
+        faults.cut.add("*")
+        first.registry.announce(
+            make("i1", number=2, state=TargetState.LEAVING)
+        )
+        await fleet.write(6)
+        assert not follower.table.leaves("i1")
+        faults.cut.clear()
+        await wait_until(lambda: follower.table.leaves("i1"))
+        await wait_until(
+            lambda: follower.state.index and follower.state.index.version == 6
+        )
+
+    play(test, tmp_path)
+
+
+def test_voters_name_only_entries_that_are_ready_and_alive(tmp_path):
+    async def test(fleet):
+        await fleet.write(1)
+        staying = await fleet.follow("e1")
+        leaving = await fleet.follow("e2")
+        voter = fleet.voters[fleet.seeds[0]]
+
+        def addresses():
+            return sorted(voter.entries.addresses())
+
+        await wait_until(lambda: addresses() == ["e1:80", "e2:80"])
+        leaving.following.leave()
+        await wait_until(lambda: addresses() == ["e1:80"])
+        await staying.__aexit__()
+        # nobody else is there: the last that was heard is better than none
+        await wait_until(lambda: voter.entries.count() == 2)
+        assert addresses() == ["e1:80"]
+
+    play(test, tmp_path)
+
+
+def test_loads_reach_the_other_entries(tmp_path):
+    async def test(fleet):
+        one, two = await fleet.follow("e1"), await fleet.follow("e2")
+        voters = fleet.voters.values()
+        await wait_until(lambda: all(v.entries.count() == 2 for v in voters))
+        one.board.change("i1", runs=1, tokens=500, reading=400)
+        await wait_until(lambda: two.board.total("i1", 0.0).tokens == 500)
+        own = two.board.total("i1", 0.0)
+        assert (own.runs, own.reading) == (1, 400)
+        one.board.change("i1", runs=-1, tokens=-500, reading=-400)
+        await wait_until(lambda: two.board.total("i1", 0.0).runs == 0)
+        assert LoadRecord("e1", "i1", 0, 0, 0, 0) not in one.board.own()
+
+    play(test, tmp_path)
--- a/tests/adapter/rawtarget.py
+++ b/tests/adapter/rawtarget.py
@@ -23,6 +23,7 @@
         self.requests: list[bytes] = []
         self.connections = 0
         self.address = ""
+        self.reader: asyncio.StreamReader | None = None
 
     async def __aenter__(self) -> "RawTarget":
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -35,6 +36,7 @@
 
     async def _serve(self, reader, writer) -> None:
         self.connections += 1
+        self.reader = reader
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
--- /dev/null
+++ b/tests/adapter/test_callers.py
@@ -0,0 +1,324 @@
+"""Tests of the protocol towards callers, over a whole entry."""
+
+import asyncio
+import contextlib
+import json
+import os
+
+import pytest
+from test_configcodec import PLAIN
+
+from adapter.callers import CallerServer
+from adapter.configcodec import decode_config
+from adapter.targets import Targets
+from chivepier.gateway.config import RouteIndex
+from chivepier.gateway.entry import Entry
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.settings import EntrySettings
+from chivepier.standins.cluster import find_port
+from chivepier.types import SystemClock
+import rawtarget
+
+ROUTES = [
+    {
+        "name": "once",
+        "host": "h.example",
+        "path-prefix": "/once/",
+        "kind": "non_idempotent",
+        "timeout-ms": 2000,
+        "slo-ms": 1000,
+        "service": "s",
+    },
+    {
+        "name": "stream",
+        "host": "h.example",
+        "path-prefix": "/stream/",
+        "kind": "streaming",
+        "timeout-ms": 5000,
+        "slo-ms": 1000,
+        "service": "s",
+    },
+]
+CONFIG = {
+    **PLAIN,
+    "routes": ROUTES,
+    "services": [{"name": "s", "max-conns": 10}],
+}
+
+
+class Door:
+    """An entry on loopback before one scripted target."""
+
+    def __init__(self, script):
+        self.raw = rawtarget.RawTarget(script)
+        self.port = find_port()
+        self.ready_port = find_port()
+        self._stack = contextlib.AsyncExitStack()
+
+    async def __aenter__(self) -> "Door":
+        enter = self._stack.enter_async_context
+        await enter(self.raw)
+        targets = await enter(Targets())
+        clock = SystemClock()
+        settings = EntrySettings(
+            name="e1",
+            address=f"127.0.0.1:{self.port}",
+            zone="z",
+            seeds=(),
+            cluster_key="secret-of-tests",
+            beat=1.0,
+            repeat_ratio=0.2,
+            repeat_extra=10,
+            repeat_window=10,
+            notice=2.0,
+            grace=2.0,
+        )
+        log = EventLog("e1", os.open(os.devnull, os.O_WRONLY))
+        self.entry = await enter(
+            Entry(settings, targets, decode_config, clock, log)
+        )
+        ready = f"127.0.0.1:{self.ready_port}"
+        await enter(CallerServer(self.entry, clock, settings.address, ready))
+        target = self.raw.make_target()
+        target.heard = clock.monotonic()
+        self.entry.table.put(target)
+        return self
+
+    async def __aexit__(self, *exc) -> None:
+        await self._stack.aclose()
+
+    def configure(self) -> None:
+        """Put the configuration in force."""
+        body = json.dumps(CONFIG).encode()
+        self.entry.state.adopt(RouteIndex(decode_config(body)))
+
+    async def ask(self, data: bytes, port: int | None = None) -> bytes:
+        """Send bytes and read until the entry closes."""
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", port or self.port
+        )
+        writer.write(data)
+        try:
+            return await reader.read()
+        finally:
+            writer.close()
+
+
+def make_call(path: str, *lines: str, body: bytes = b"") -> bytes:
+    """Write a call that asks for the connection to be closed."""
+    head = [
+        f"POST {path} HTTP/1.1",
+        "Host: h.example",
+        "X-Chivepier-Request-Id: r1",
+        "X-Api-Key: k1",
+        "Connection: close",
+        f"Content-Length: {len(body)}",
+        *lines,
+    ]
+    return "\r\n".join(head).encode() + b"\r\n\r\n" + body
+
+
+def run(script, test, configured: bool = True):
+    """Run a test before a target that follows a script."""
+
+    async def work():
+        async with asyncio.timeout(15), Door(script) as door:
+            if configured:
+                door.configure()
+            await test(door)
+
+    asyncio.run(work())
+
+
+def read_status(answer: bytes) -> int:
+    """Return an answer's status."""
+    return int(answer.split(b" ")[1])
+
+
+async def answer_ok(head, writer):
+    """Answer every request."""
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nX-Chivepier-Request-Id: r1\r\n"
+        b"X-Chivepier-Server-Stamp: s1\r\nContent-Length: 2\r\n\r\nok"
+    )
+
+
+def test_answer_and_stamp_are_passed_through():
+    async def test(door):
+        answer = await door.ask(make_call("/once/x?q=%41"))
+        assert read_status(answer) == 200
+        assert b"X-Chivepier-Server-Stamp: s1" in answer
+        assert answer.endswith(b"\r\n\r\nok")
+        assert door.raw.requests[0].startswith(b"POST /once/x?q=%41 HTTP/1.1")
+
+    run(answer_ok, test)
+
+
+def test_headers_of_the_system_are_not_taken_from_callers():
+    # A team could act as another one, or take memory that is another's: it
+    # sent the headers by which this system speaks to targets.
+    own = {
+        "X-Chivepier-Tenant": "t9",
+        "X-Chivepier-Hold": "h",
+        "X-Chivepier-Pin-Ms": "1",
+        "X-Chivepier-Kv-Backup": "1.1.1.1:1",
+        "Kv-From": "1.1.1.1:1/x",
+        "X-Chivepier-Request-Urgency": "0",
+        "X-Chivepier-Expect-Instance": "i9",
+    }
+
+    async def test(door):
+        lines = [f"{name}: {value}" for name, value in own.items()]
+        lines.append("X-Other: kept")
+        await door.ask(make_call("/once/x", *lines))
+        seen = door.raw.requests[0].decode()
+        assert "X-Other: kept" in seen and "X-Chivepier-Tenant: t1" in seen
+        assert "X-Chivepier-Expect-Instance: i1" in seen
+        assert "k1" not in seen
+        for value in ("t9", "i9", "1.1.1.1", "Pin-Ms", "Hold"):
+            assert value not in seen
+
+    run(answer_ok, test)
+
+
+@pytest.mark.parametrize(
+    "path, line, status",
+    [
+        ("/none/x", "", 404),
+        ("/once/x", "X-Chivepier-Deadline-Ms: soon", 400),
+        ("/once/x", "X-Chivepier-Token-Count: many", 400),
+    ],
+)
+def test_malformed_or_unknown_requests_are_answered(path, line, status):
+    async def test(door):
+        lines = [line] if line else []
+        answer = await door.ask(make_call(path, *lines))
+        assert read_status(answer) == status
+        assert not door.raw.requests
+
+    run(answer_ok, test)
+
+
+def test_body_over_the_limit_is_refused():
+    async def test(door):
+        answer = await door.ask(make_call("/once/x", body=b"x" * 1001))
+        assert read_status(answer) == 413
+        assert not door.raw.requests
+
+    run(answer_ok, test)
+
+
+def test_wrong_key_is_refused():
+    async def test(door):
+        call = make_call("/once/x").replace(b"k1", b"k9")
+        assert read_status(await door.ask(call)) == 401
+
+    run(answer_ok, test)
+
+
+def test_smuggled_request_is_not_run():
+    # Two lengths that differ: a target that believed the other one would
+    # run what stands in the body as a request of its own.
+    async def test(door):
+        call = make_call("/once/x", "Transfer-Encoding: chunked", body=b"0")
+        assert read_status(await door.ask(call)) == 400
+        assert not door.raw.requests
+
+    run(answer_ok, test)
+
+
+def test_target_that_breaks_off_gives_no_promise():
+    # 503 would promise that the request has not run; it may have.
+    async def script(head, writer):
+        writer.close()
+
+    async def test(door):
+        answer = await door.ask(make_call("/once/x"))
+        assert read_status(answer) == 502
+        assert b"Retry-After" not in answer
+
+    run(script, test)
+
+
+def test_without_configuration_callers_are_told_when_to_come_back():
+    async def test(door):
+        answer = await door.ask(make_call("/once/x"))
+        assert read_status(answer) == 503 and b"Retry-After" in answer
+        check = b"GET /chivepier/ready HTTP/1.1\r\nHost: x\r\n"
+        closing = check + b"Connection: close\r\n\r\n"
+        ready = await door.ask(closing, door.ready_port)
+        assert read_status(ready) == 503
+        door.configure()
+        ready = await door.ask(closing, door.ready_port)
+        assert read_status(ready) == 200
+
+    run(answer_ok, test, configured=False)
+
+
+def test_stream_that_breaks_off_is_not_ended_as_whole():
+    async def script(head, writer):
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nX-Chivepier-Request-Id: r1\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+            b"11\r\nid: 1\ndata: one\n\n\r\n"
+        )
+        await writer.drain()
+        rawtarget.reset(writer)
+
+    async def test(door):
+        reader, writer = await asyncio.open_connection("127.0.0.1", door.port)
+        writer.write(make_call("/stream/x"))
+        data = b""
+        with contextlib.suppress(ConnectionError):
+            while part := await reader.read(1000):
+                data += part
+        writer.close()
+        assert b"\r\n0\r\n" not in data
+
+    run(script, test)
+
+
+def test_caller_that_leaves_ends_its_request_at_the_target():
+    # Targets went on with work for callers that had gone.
+    left = asyncio.Event()
+    doors = []
+
+    async def script(head, writer):
+        with contextlib.suppress(ConnectionError):
+            await doors[0].raw.reader.read()
+        left.set()
+        writer.close()
+
+    async def test(door):
+        doors.append(door)
+        reader, writer = await asyncio.open_connection("127.0.0.1", door.port)
+        writer.write(make_call("/once/x"))
+        while not door.raw.requests:
+            await asyncio.sleep(0.01)
+        writer.transport.abort()
+        await left.wait()
+
+    run(script, test)
+
+
+def test_leaving_entry_serves_and_ends_when_the_last_has_ended():
+    release = asyncio.Event()
+
+    async def script(head, writer):
+        await release.wait()
+        await answer_ok(head, writer)
+
+    async def test(door):
+        asked = asyncio.create_task(door.ask(make_call("/once/x")))
+        while not door.raw.requests:
+            await asyncio.sleep(0.01)
+        drained = asyncio.create_task(door.entry.drain())
+        await asyncio.sleep(0)
+        assert not door.entry.following.ready
+        release.set()
+        assert read_status(await asked) == 200
+        late = await door.ask(make_call("/once/x"))
+        assert read_status(late) == 200
+        await drained
+
+    run(script, test)
--- /dev/null
+++ b/tests/adapter/test_configcodec.py
@@ -0,0 +1,155 @@
+"""Tests of reading the operator's configuration."""
+
+import copy
+import json
+
+import pytest
+
+from adapter.configcodec import decode_config
+from chivepier.gateway.config import ConfigurationError
+from chivepier.gateway.config import Repetition
+
+PLAIN = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "h.example",
+            "path-prefix": "/a/",
+            "kind": "streaming",
+            "timeout-ms": 39000,
+            "slo-ms": 1800,
+            "priority": 1,
+            "traffic-split": [
+                {"service": "llm", "weight": 90},
+                {"service": "web", "weight": 10},
+            ],
+            "max-attempts": 1,
+            "public": False,
+            "sticky": True,
+            "resumable": False,
+            "gap-slo-ms": 180,
+        },
+        {
+            "name": "r2",
+            "host": "h.example",
+            "path-prefix": "/b/",
+            "kind": "streaming",
+            "timeout-ms": 6000,
+            "slo-ms": 1500,
+            "priority": 0,
+            "service": "llm",
+            "max-attempts": 2,
+            "resumable": True,
+        },
+        {
+            "name": "r3",
+            "host": "h.example",
+            "path-prefix": "/c/",
+            "kind": "idempotent",
+            "timeout-ms": 800,
+            "service": "web",
+            "public": True,
+        },
+    ],
+    "services": [
+        {
+            "name": "llm",
+            "health-path": "/health",
+            "max-conns": 272,
+            "engine": {
+                "slots": 24,
+                "kv-capacity": 34231,
+                "token-kv-bytes": 262144,
+                "link-mbps": 38000.0,
+                "moves": True,
+                "backups": True,
+                "stride": 4,
+                "handle-s": 5.0,
+            },
+        },
+        {"name": "web", "max-conns": 100},
+    ],
+    "limits": {"max-body-bytes": 1000, "idle-timeout-ms": 15000},
+    "tenants": [{"name": "t1", "api-keys": ["k1", "k2"], "priority": 1}],
+}
+
+
+def decode(change=None):
+    """Decode the plain configuration after a change."""
+    plain = copy.deepcopy(PLAIN)
+    if change is not None:
+        change(plain)
+    return decode_config(json.dumps(plain).encode())
+
+
+def test_names_become_what_they_hold():
+    found = decode()
+    first, second, third = found.routes
+    assert found.version == 7
+    assert first.pools == (("llm", 90.0), ("web", 10.0))
+    assert (first.timeout, first.objective) == (39.0, 1.8)
+    assert first.repetition is Repetition.ONCE and first.streaming
+    assert second.repetition is Repetition.RESUMABLE
+    assert second.attempts == 2 and second.urgency == 0
+    assert third.repetition is Repetition.IDEMPOTENT and third.public
+    assert third.objective == 0.8
+    engine = found.services[0].engine
+    assert (engine.slots, engine.memory_tokens) == (24, 34231)
+    assert engine.event_tokens == 4 and engine.moves and engine.backups
+    # 262,144 bytes over 38 gigabits a second
+    assert round(engine.token_seconds * 1e6, 1) == 55.2
+    assert found.services[1].engine is None
+    assert found.limits.body_bytes == 1000
+    assert found.limits.idle_seconds == 15.0
+    assert found.teams[0].keys == ("k1", "k2")
+
+
+def test_without_teams_no_key_is_asked_for():
+    found = decode(lambda plain: plain.pop("tenants"))
+    assert found.teams == ()
+
+
+@pytest.mark.parametrize(
+    "change, text",
+    [
+        (lambda p: p.pop("version"), "version is missing"),
+        (lambda p: p.update(version="7"), "version"),
+        (lambda p: p.update(version=True), "version"),
+        (lambda p: p.pop("routes"), "routes is missing"),
+        (lambda p: p.update(routes=3), "of no use"),
+        (lambda p: p["routes"][0].update(kind="x"), "unknown kind"),
+        (lambda p: p["routes"][1].update(service="x"), "no service 'x'"),
+        (lambda p: p["routes"][1].pop("service"), "service is missing"),
+        (lambda p: p["routes"][1].update({"timeout-ms": 0}), "timeout"),
+        (lambda p: p["routes"][1].update({"path-prefix": "/a/"}), "taken"),
+        (
+            lambda p: [
+                part.update(weight=0)
+                for part in p["routes"][0]["traffic-split"]
+            ],
+            "weights",
+        ),
+        (
+            lambda p: p["tenants"].append({"name": "t2", "api-keys": ["k2"]}),
+            "share a key",
+        ),
+        (lambda p: p["services"].append({"name": "web"}), "share a name"),
+    ],
+)
+def test_what_is_invalid_is_named(change, text):
+    with pytest.raises(ConfigurationError, match=text):
+        decode(change)
+
+
+@pytest.mark.parametrize("body", [b"", b"{", b"[1]", b"null", b"\xff", b"7"])
+def test_what_can_not_be_read_in_full_is_refused(body):
+    with pytest.raises(ConfigurationError):
+        decode_config(body)
+
+
+def test_each_cut_of_a_configuration_is_refused():
+    body = json.dumps(PLAIN).encode()
+    for end in range(0, len(body) - 1, 37):
+        with pytest.raises(ConfigurationError):
+            decode_config(body[:end])
