--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -8,6 +8,7 @@
 from chivepier.gateway.following import Following
 from chivepier.gateway.following import Peers
 from chivepier.gateway.serving import Dispatcher
+from chivepier.gateway.serving import Keeper
 from chivepier.gateway.serving import Mover
 from chivepier.gateway.serving import Planner
 from chivepier.gateway.serving import RetryBudget
@@ -67,9 +68,19 @@
         chooser = Chooser(
             self.table, self.health, self.board, settings.zone, clock, rng
         )
+        keeper = Keeper(
+            port,
+            chooser,
+            self.table,
+            self.board,
+            settings.notice,
+            clock,
+            log,
+        )
         self.mover = Mover(
             port,
             chooser,
+            keeper,
             self.table,
             self.board,
             settings.notice,
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -166,6 +166,11 @@
             run.began = self.clock.monotonic()
             self.board.change(run.target.instance, reading=-run.reading)
 
+    def _is_long(self, plan: Plan) -> bool:
+        if plan.demand is None or plan.repeatable:
+            return False
+        return plan.demand.output >= BACKUP_OUTPUT
+
     def drop_backup(self, run: LiveRun) -> None:
         """Note that no copy is kept of a generation any more."""
         if run.backup is not None:
@@ -193,9 +198,7 @@
         :returns: the target, if one has room to spare
         """
         engine, demand = plan.service.engine, plan.demand
-        if engine is None or demand is None or not engine.backups:
-            return None
-        if demand.output < BACKUP_OUTPUT or plan.repeatable:
+        if engine is None or not engine.backups or not self._is_long(plan):
             return None
         return self.chooser.choose_backup(
             plan.service.name, engine, demand, target
@@ -220,6 +223,7 @@
                 target,
                 tokens,
                 reading=plan.demand.prompt,
+                long=self._is_long(plan),
             )
             run.backup = self.choose_backup(plan, target)
             self.watch(run)
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -25,6 +25,7 @@
     :param target: where it runs
     :param tokens: memory it is expected to take in the end
     :param reading: tokens that its target reads in before its first event
+    :param long: whether it lasts long enough for a copy to be of use
     :param number: of the last event that the caller has
     :param began: when its first event came from this target, in monotonic
         seconds; ``None`` until then
@@ -33,6 +34,10 @@
     :param ended: whether nothing is relayed any more
     :param lost: set when its target has broken off
     :param backup: the target that keeps a growing copy of its memory
+    :param kept: whether a copy is kept up to date on this side's word
+    :param copy: that copy, once there is one
+    :param copying: held while memory is copied: a target refuses two copies
+        of one run at a time
     :param interrupted: whether it is to go on at that copy now
     """
 
@@ -41,6 +46,7 @@
     target: Target
     tokens: int
     reading: int = 0
+    long: bool = False
     number: int = 0
     began: float | None = None
     handoff: asyncio.Future[Handoff | None] | None = None
@@ -49,6 +55,9 @@
     lost: asyncio.Event = attrs.field(factory=asyncio.Event)
     backup: Target | None = None
     interrupted: bool = False
+    kept: bool = False
+    copy: Handoff | None = None
+    copying: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     _scope: asyncio.Timeout | None = None
 
     @property
@@ -65,6 +74,8 @@
         engine = self.service.engine
         if engine is None:
             return 0.0
+        if self.copy is not None:
+            return CALL_SECONDS
         return FAR_FACTOR * self.held * engine.token_seconds + CALL_SECONDS
 
     async def await_loss(self, seconds: float) -> None:
@@ -115,5 +126,7 @@
         self.handoff = None
         self.stopped = False
         self.backup = None
+        self.kept = False
+        self.copy = None
         self.lost.clear()
         self.interrupted = False
