Copy only what the notice of a target would not last for

Cause: growing copies share the targets' links with moves; with one for every long run, the runs whose copy had been lost could not be moved within the notice. A run that may be run anew is no longer moved.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -8,7 +8,6 @@
 from chivepier.gateway.following import Following
 from chivepier.gateway.following import Peers
 from chivepier.gateway.serving import Dispatcher
-from chivepier.gateway.serving import Keeper
 from chivepier.gateway.serving import Mover
 from chivepier.gateway.serving import Planner
 from chivepier.gateway.serving import RetryBudget
@@ -68,19 +67,9 @@
         chooser = Chooser(
             self.table, self.health, self.board, settings.zone, clock, rng
         )
-        keeper = Keeper(
-            port,
-            chooser,
-            self.table,
-            self.board,
-            settings.notice,
-            clock,
-            log,
-        )
         self.mover = Mover(
             port,
             chooser,
-            keeper,
             self.table,
             self.board,
             settings.notice,
@@ -118,6 +107,7 @@
             mover=self.mover,
             port=port,
             budget=budget,
+            notice=settings.notice,
             clock=clock,
             log=log,
         )
--- a/packages/gateway/src/chivepier/gateway/following/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -270,7 +270,7 @@
         for record in self._board.own():
             instance = record.instance
             told = self._told.get(instance)
-            idle = not (record.runs or record.tokens or record.exposed)
+            idle = not (record.runs or record.tokens or record.turn)
             if again or told != record:
                 if not idle or told is not None:
                     records.append(record)
--- a/packages/gateway/src/chivepier/gateway/messages/loadrecord.py
+++ b/packages/gateway/src/chivepier/gateway/messages/loadrecord.py
@@ -8,8 +8,8 @@
     """What one entry runs at one target: absolute counts.
 
     ``reading`` is the part of ``tokens`` that is still to be read in.
-    ``exposed`` is how long it needs to copy memory off a target that leaves,
-    in milliseconds.
+    ``exposed`` is how long it would need to copy memory off the target, in
+    milliseconds, and ``turn`` the same where the target does leave.
     """
 
     entry: str
@@ -18,3 +18,4 @@
     tokens: int
     reading: int
     exposed: int
+    turn: int
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -7,7 +7,6 @@
 from chivepier.gateway.serving.errors import AnswerCutError
 from chivepier.gateway.serving.errors import LostError
 from chivepier.gateway.serving.errors import NotSentError
-from chivepier.gateway.serving.keeper import Keeper
 from chivepier.gateway.serving.moved import Moved
 from chivepier.gateway.serving.moved import MoveOutcome
 from chivepier.gateway.serving.mover import Mover
@@ -26,7 +25,6 @@
     "AnswerFacts",
     "CallerPort",
     "CallerRequest",
-    "Keeper",
     "LostError",
     "Moved",
     "MoveOutcome",
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -7,7 +7,9 @@
 from chivepier.gateway.serving.errors import AnswerCutError
 from chivepier.gateway.serving.errors import LostError
 from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.liverun import FAR_FACTOR
 from chivepier.gateway.serving.liverun import LiveRun
+from chivepier.gateway.serving.liverun import milliseconds
 from chivepier.gateway.serving.mover import Mover
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.retrybudget import RetryBudget
@@ -39,6 +41,10 @@
 # How often all targets may refuse before the caller is told to come back.
 MOST_ROUNDS = 3
 SERVER_ERROR = 500
+# Share of a leaving target's notice that moves may take. Entries learn of the
+# notice within 0.1 s, a copy may wait for another one at its destination, and
+# some targets are gone a fifth earlier than announced.
+MOVED_SHARE = 0.5
 # Generations that are expected to make fewer tokens are not backed up: they
 # take about a second, as long as a copy needs to be of use.
 BACKUP_OUTPUT = 100
@@ -55,6 +61,7 @@
     :param mover: watches generations
     :param port: the protocol towards targets
     :param budget: bounds repeats
+    :param notice: seconds for which a target that leaves still serves
     :param clock: monotonic time
     :param log: decisions on requests
     """
@@ -70,6 +77,7 @@
         mover: Mover,
         port: TargetPort,
         budget: RetryBudget,
+        notice: float,
         clock: Clock,
         log: EventLog,
     ):
@@ -81,6 +89,7 @@
         self.mover = mover
         self.port = port
         self.budget = budget
+        self.notice = notice
         self.clock = clock
         self.log = log
 
@@ -176,14 +185,21 @@
         if run.backup is not None:
             self.board.change(run.backup.instance, tokens=-run.tokens)
             run.backup = None
+            if not run.bare:
+                run.bare = True
+                exposed = milliseconds(run.end_seconds())
+                self.board.change(run.target.instance, exposed=exposed)
 
     def _count(self, run: LiveRun, sign: int) -> None:
         waits = run.began is None
+        if sign > 0:
+            run.bare = run.backup is None and run.moves
         self.board.change(
             run.target.instance,
             runs=sign,
             tokens=sign * run.tokens,
             reading=sign * run.reading if waits else 0,
+            exposed=sign * milliseconds(run.end_seconds()) if run.bare else 0,
         )
         if run.backup is not None:
             self.board.change(run.backup.instance, tokens=sign * run.tokens)
@@ -191,17 +207,25 @@
     def choose_backup(self, plan: Plan, target: Target) -> Target | None:
         """Pick who keeps a copy of a generation while it grows.
 
-        Long ones only: a short one is over before a copy could help.
+        Copies share the targets' links with the moves that they are to
+        spare: where every generation had one, the others could not be moved
+        within the notice. So only those get one that the notice of their
+        target would not last for.
 
         :param plan: the request's
         :param target: where it runs
-        :returns: the target, if one has room to spare
+        :returns: the target, if one is needed and has room to spare
         """
-        engine, demand = plan.service.engine, plan.demand
+        engine = plan.service.engine
         if engine is None or not engine.backups or not self._is_long(plan):
             return None
+        now = self.clock.monotonic()
+        exposed = self.board.total(target.instance, now).exposed / 1000
+        own = FAR_FACTOR * plan.demand.tokens * engine.token_seconds
+        if exposed + own <= MOVED_SHARE * self.notice:
+            return None
         return self.chooser.choose_backup(
-            plan.service.name, engine, demand, target
+            plan.service.name, engine, plan.demand, target
         )
 
     def _choose(self, plan: Plan, tried: set[str]) -> Target | None:
@@ -223,7 +247,7 @@
                 target,
                 tokens,
                 reading=plan.demand.prompt,
-                long=self._is_long(plan),
+                moves=not plan.repeatable,
             )
             run.backup = self.choose_backup(plan, target)
             self.watch(run)
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -25,7 +25,8 @@
     :param target: where it runs
     :param tokens: memory it is expected to take in the end
     :param reading: tokens that its target reads in before its first event
-    :param long: whether it lasts long enough for a copy to be of use
+    :param moves: whether it is moved when its target leaves: one that may be
+        run anew is short, and better left to end or to be run again
     :param number: of the last event that the caller has
     :param began: when its first event came from this target, in monotonic
         seconds; ``None`` until then
@@ -34,10 +35,7 @@
     :param ended: whether nothing is relayed any more
     :param lost: set when its target has broken off
     :param backup: the target that keeps a growing copy of its memory
-    :param kept: whether a copy is kept up to date on this side's word
-    :param copy: that copy, once there is one
-    :param copying: held while memory is copied: a target refuses two copies
-        of one run at a time
+    :param bare: whether its memory must be copied when its target leaves
     :param interrupted: whether it is to go on at that copy now
     """
 
@@ -46,7 +44,7 @@
     target: Target
     tokens: int
     reading: int = 0
-    long: bool = False
+    moves: bool = False
     number: int = 0
     began: float | None = None
     handoff: asyncio.Future[Handoff | None] | None = None
@@ -55,9 +53,7 @@
     lost: asyncio.Event = attrs.field(factory=asyncio.Event)
     backup: Target | None = None
     interrupted: bool = False
-    kept: bool = False
-    copy: Handoff | None = None
-    copying: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+    bare: bool = False
     _scope: asyncio.Timeout | None = None
 
     @property
@@ -71,12 +67,17 @@
 
     def copy_seconds(self) -> float:
         """Return how long its memory takes to another availability zone."""
+        return self._measure_copy(self.held)
+
+    def end_seconds(self) -> float:
+        """Return the same for the memory that it takes in the end."""
+        return self._measure_copy(self.tokens)
+
+    def _measure_copy(self, tokens: int) -> float:
         engine = self.service.engine
         if engine is None:
             return 0.0
-        if self.copy is not None:
-            return CALL_SECONDS
-        return FAR_FACTOR * self.held * engine.token_seconds + CALL_SECONDS
+        return FAR_FACTOR * tokens * engine.token_seconds + CALL_SECONDS
 
     async def await_loss(self, seconds: float) -> None:
         """Return after a time, or at once when its target breaks off.
@@ -126,7 +127,11 @@
         self.handoff = None
         self.stopped = False
         self.backup = None
-        self.kept = False
-        self.copy = None
+        self.bare = False
         self.lost.clear()
         self.interrupted = False
+
+
+def milliseconds(seconds: float) -> int:
+    """Return seconds as whole milliseconds, as nodes tell each other."""
+    return round(1000 * seconds)
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -4,8 +4,8 @@
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.serving.handoff import Handoff
-from chivepier.gateway.serving.keeper import Keeper
 from chivepier.gateway.serving.liverun import LiveRun
+from chivepier.gateway.serving.liverun import milliseconds
 from chivepier.gateway.serving.moved import MoveOutcome
 from chivepier.gateway.serving.origin import Origin
 from chivepier.gateway.serving.targetport import TargetPort
@@ -50,7 +50,6 @@
 
     :param port: the protocol towards targets
     :param chooser: finds destinations
-    :param keeper: keeps copies of generations that have lost theirs
     :param table: which targets leave
     :param board: what the other entries have to move
     :param notice: seconds for which a target that leaves still serves
@@ -62,7 +61,6 @@
         self,
         port: TargetPort,
         chooser: Chooser,
-        keeper: Keeper,
         table: TargetTable,
         board: LoadBoard,
         notice: float,
@@ -71,7 +69,6 @@
     ):
         self._port = port
         self._chooser = chooser
-        self._keeper = keeper
         self._table = table
         self._board = board
         self._notice = notice
@@ -84,9 +81,6 @@
     def add(self, run: LiveRun) -> None:
         """Watch a generation at its target."""
         self._runs.setdefault(run.target.instance, set()).add(run)
-        if run.long and run.backup is None:
-            # no target had room to spare when it was sent
-            self._keeper.start(run)
 
     def remove(self, run: LiveRun) -> None:
         """Stop watching it there."""
@@ -95,7 +89,7 @@
         if not runs:
             self._runs.pop(run.target.instance, None)
             self._turns.pop(run.target.instance, None)
-            self._board.expose(run.target.instance, 0)
+            self._board.take_turn(run.target.instance, 0)
 
     def note_target(self, target: Target, before: TargetState | None) -> None:
         """Move everything off a target that has begun to leave.
@@ -105,29 +99,34 @@
         """
         if target.state is TargetState.READY or before is target.state:
             return
-        self._replace_copies(target)
+        self._note_lost_copies(target)
         runs = list(self._runs.get(target.instance, ()))
         seconds = sum(
-            run.copy_seconds() for run in runs if not self._is_safe(run)
+            run.copy_seconds()
+            for run in runs
+            if run.moves and not self._is_safe(run)
         )
         if seconds:
-            self._board.expose(target.instance, round(1000 * seconds))
+            self._board.take_turn(target.instance, milliseconds(seconds))
         for run in runs:
             self.start(run)
 
-    def _replace_copies(self, target: Target) -> None:
+    def _note_lost_copies(self, target: Target) -> None:
         for runs in self._runs.values():
             for run in runs:
-                if run.backup is not None and (
-                    run.backup.instance == target.instance
-                ):
-                    self._keeper.start(run)
+                backup = run.backup
+                if backup is not None and backup.instance == target.instance:
+                    exposed = milliseconds(run.end_seconds())
+                    self._board.change(run.target.instance, exposed=exposed)
+                    run.bare = True
 
     def start(self, run: LiveRun) -> None:
         """Begin to move one generation, unless that is under way."""
         engine = run.service.engine
         if run.handoff is not None or engine is None or not engine.moves:
             return
+        if not run.moves:
+            return
         run.handoff = asyncio.get_running_loop().create_future()
         task = asyncio.create_task(self._move(run, run.handoff))
         self._tasks.add(task)
@@ -201,7 +200,7 @@
     async def _copy_somewhere(self, run: LiveRun) -> Handoff | None:
         source, tried = run.target, {run.target.instance}
         for _ in range(MOST_TRIES):
-            target = self._pick_copy(run, tried) or self._pick(run, tried)
+            target = self._pick(run, tried)
             if target is None:
                 break
             tried.add(target.instance)
@@ -223,14 +222,6 @@
                 return None
         return None
 
-    def _pick_copy(self, run: LiveRun, tried: set[str]) -> Target | None:
-        # most of its memory is there already
-        copy = run.copy
-        if copy is None or copy.target.instance in tried:
-            return None
-        leaves = self._table.leaves(copy.target.instance)
-        return None if leaves else copy.target
-
     def _pick(self, run: LiveRun, tried: set[str]) -> Target | None:
         engine = run.service.engine
         demand = Demand(prompt=run.tokens, output=0)
@@ -243,10 +234,9 @@
         self, run: LiveRun, source: Target, target: Target, last: bool
     ):
         began = self._clock.monotonic()
-        async with run.copying:
-            moved = await self._port.move(
-                source, run.request.id, target, last, COPY_SECONDS
-            )
+        moved = await self._port.move(
+            source, run.request.id, target, last, COPY_SECONDS
+        )
         self._log.info(
             "memory_copied",
             id=run.request.id,
@@ -260,7 +250,6 @@
 
     async def close(self) -> None:
         """Stop all moves."""
-        await self._keeper.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -127,7 +127,7 @@
 
     async def _read(self, run: LiveRun, sent: Sent) -> bytes:
         seconds = None
-        if run.backup or run.copy or self._plan.repeatable:
+        if run.backup is not None or self._plan.repeatable:
             # a target that is dark says nothing; where the generation can
             # go on elsewhere, its caller need not wait for the deadline
             seconds = STALL_SECONDS
@@ -217,13 +217,9 @@
             handoff = await self._await_handoff(run)
             if handoff is not None:
                 found.append(handoff)
-        copies = [] if run.copy is None else [run.copy]
         if run.backup is not None:
             origin = Origin(run.backup.address, run.request.id)
-            copies.append(Handoff(run.backup, origin))
-        # a copy at a target that leaves is the last resort
-        leaves = self._dispatcher.table.leaves
-        found += sorted(copies, key=lambda c: leaves(c.target.instance))
+            found.append(Handoff(run.backup, origin))
         if self._plan.repeatable:
             anew = self._choose_anew(run)
             if anew is not None:
--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -26,7 +26,7 @@
 FAR_COST = 0.15
 # Copies may fill a target up to this share only: beyond, a copy would take
 # the memory that generations of other callers need soon.
-BACKUP_SHARE = 1.0
+BACKUP_SHARE = 0.8
 
 
 class Chooser:
--- a/packages/gateway/src/chivepier/gateway/targets/loadboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadboard.py
@@ -19,11 +19,12 @@
     tokens: int = 0
     reading: int = 0
     exposed: int = 0
+    turn: int = 0
     heard: float = 0.0
 
     @property
-    def counts(self) -> tuple[int, int, int, int]:
-        return self.runs, self.tokens, self.reading, self.exposed
+    def counts(self) -> tuple[int, int, int, int, int]:
+        return self.runs, self.tokens, self.reading, self.exposed, self.turn
 
 
 class LoadBoard:
@@ -48,23 +49,34 @@
         if record.entry == self.me:
             return
         self._shares[record.instance][record.entry] = _Share(
-            record.runs, record.tokens, record.reading, record.exposed, now
+            record.runs,
+            record.tokens,
+            record.reading,
+            record.exposed,
+            record.turn,
+            now,
         )
 
     def change(
-        self, instance: str, runs: int = 0, tokens: int = 0, reading: int = 0
+        self,
+        instance: str,
+        runs: int = 0,
+        tokens: int = 0,
+        reading: int = 0,
+        exposed: int = 0,
     ) -> None:
         """Add to what this entry itself runs at a target."""
         share = self._shares[instance].setdefault(self.me, _Share())
         share.runs += runs
         share.tokens += tokens
         share.reading += reading
+        share.exposed += exposed
         self.changed.set()
 
-    def expose(self, instance: str, milliseconds: int) -> None:
-        """Say how long this entry needs to copy memory off a target."""
+    def take_turn(self, instance: str, milliseconds: int) -> None:
+        """Say how long this entry copies memory off a leaving target."""
         share = self._shares[instance].setdefault(self.me, _Share())
-        share.exposed = milliseconds
+        share.turn = milliseconds
         self.changed.set()
 
     def own(self) -> list[LoadRecord]:
@@ -81,13 +93,14 @@
         :param instance: the target's
         :param now: monotonic seconds
         """
-        runs = tokens = reading = 0
+        runs = tokens = reading = exposed = 0
         for entry, share in self._shares.get(instance, {}).items():
             if entry == self.me or now - share.heard < EXPIRY:
                 runs += share.runs
                 tokens += share.tokens
                 reading += share.reading
-        return Load(runs=runs, tokens=tokens, reading=reading)
+                exposed += share.exposed
+        return Load(runs=runs, tokens=tokens, reading=reading, exposed=exposed)
 
     def before(self, instance: str, now: float) -> int:
         """Return what entries that sort before this one need to copy.
@@ -97,7 +110,7 @@
         :returns: milliseconds
         """
         return sum(
-            share.exposed
+            share.turn
             for entry, share in self._shares.get(instance, {}).items()
             if entry < self.me and now - share.heard < EXPIRY
         )
