Reserve room before sending; serve metrics by team and class

A request that was sent to a full target waited there though another one had room. Metrics come from prometheus_client, which is loaded three seconds after the start: loading takes 0.08 s of processor time before an entry listens.

--- a/packages/gateway/src/chivepier/gateway/config/engine.py
+++ b/packages/gateway/src/chivepier/gateway/config/engine.py
@@ -14,6 +14,8 @@
     :param backups: whether a live generation's memory can be copied while
         it grows
     :param copy_seconds: how long an unused copy is kept, in seconds
+    :param reserve_seconds: how long room can be reserved before a request is
+        sent, in seconds; 0 where it can't
     :param token_seconds: to copy the memory of one token to another target
         of the same availability zone, in seconds
     """
@@ -24,4 +26,5 @@
     moves: bool = False
     backups: bool = False
     copy_seconds: float = 5.0
+    reserve_seconds: float = 0.0
     token_seconds: float = 0.0
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -1,5 +1,6 @@
 """All parts of an entry, put together."""
 
+import asyncio
 import contextlib
 import random
 
@@ -7,6 +8,7 @@
 from chivepier.gateway.following import Decode
 from chivepier.gateway.following import Following
 from chivepier.gateway.following import Peers
+from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving import Dispatcher
 from chivepier.gateway.serving import Mover
 from chivepier.gateway.serving import Planner
@@ -59,6 +61,7 @@
         self._clock = clock
         self._log = log
         self._stack = contextlib.AsyncExitStack()
+        self.metrics = Metrics()
         self.state = ServingState()
         self.peers = Peers(settings.seeds)
         self.table = TargetTable(settings.beat)
@@ -75,6 +78,7 @@
             settings.notice,
             clock,
             log,
+            self.metrics,
         )
         self.table.watchers += [self.mover.note_target, self._note_target]
         self._links = Links(
@@ -112,13 +116,15 @@
             log=log,
         )
         self.serving = Serving(
-            self.state, Planner(self.state, rng), dispatcher
+            self.state, Planner(self.state, rng), dispatcher, self.metrics
         )
 
     async def __aenter__(self) -> "Entry":
         await self._stack.enter_async_context(self._links)
         await self._stack.enter_async_context(self.following)
         self._stack.push_async_callback(self.mover.close)
+        loading = asyncio.create_task(self.metrics.load_later())
+        self._stack.callback(loading.cancel)
         self._log.info("entry_started", address=self._settings.address)
         return self
 
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -0,0 +1,153 @@
+"""What is counted and measured, by team and class."""
+
+import asyncio
+import collections
+import collections.abc
+
+# Teams that have series of their own; the others share one. Each has a
+# series for every class and bucket, and a scrape pays for all of them.
+MOST_TEAMS = 200
+OTHER = "other"
+# Upper bounds in seconds: a plain call's objective lies near 0.1, a first
+# event's near 2, pauses between events near 0.2, whole streams below 60.
+BUCKETS = (0.01, 0.03, 0.06, 0.1, 0.18, 0.3, 0.6, 1, 1.8, 3, 6, 15, 60)
+# Seconds after the start at which the library is loaded. It takes 0.08 s of
+# processor time, in which a restarted entry would not yet listen.
+LOAD_SECONDS = 3.0
+# Observations that wait for it at most; the rest is counted as dropped.
+MOST_EARLY = 5_000
+
+
+class Metrics:
+    """Keeps observations until the metrics library is loaded, then feeds it.
+
+    >>> metrics = Metrics()
+    >>> metrics.note_request("t1", "1", "answered", 0.05)
+    >>> metrics.load()
+    >>> b'team="t1"' in metrics.render()
+    True
+    """
+
+    def __init__(self) -> None:
+        self._early: collections.deque = collections.deque()
+        self._dropped = 0
+        self._teams: set[str] = set()
+        self._series: dict = {}
+        self._registry = None
+
+    async def load_later(self) -> None:
+        """Load the library once the start is over."""
+        await asyncio.sleep(LOAD_SECONDS)
+        self.load()
+
+    def load(self) -> None:
+        """Load the library and hand over what waits."""
+        if self._registry is not None:
+            return
+        import prometheus_client as library
+
+        self._registry = library.CollectorRegistry()
+        self._series = _make_series(library, self._registry)
+        self._series["dropped"].inc(self._dropped)
+        while self._early:
+            name, labels, value = self._early.popleft()
+            self._feed(name, labels, value)
+
+    def render(self) -> bytes:
+        """Return all series as text."""
+        import prometheus_client as library
+
+        self.load()
+        return library.generate_latest(self._registry)
+
+    def note_request(
+        self, team: str, urgency: str, outcome: str, seconds: float
+    ) -> None:
+        """Count a request that has ended.
+
+        :param team: whose it was; empty when unknown
+        :param urgency: its class
+        :param outcome: ``answered`` or the kind of its failure
+        :param seconds: from its arrival to its end
+        """
+        labels = (self._bound(team), urgency)
+        self._note("requests", (*labels, outcome), 1.0)
+        self._note("seconds", labels, seconds)
+
+    def note_stream(
+        self, team: str, urgency: str, first: float, gap: float
+    ) -> None:
+        """Measure a stream that has ended.
+
+        :param team: whose it was
+        :param urgency: its class
+        :param first: seconds to its first event
+        :param gap: its longest pause, in seconds
+        """
+        labels = (self._bound(team), urgency)
+        self._note("first", labels, first)
+        self._note("gap", labels, gap)
+
+    def note_move(self, outcome: str) -> None:
+        """Count a copy of a live generation's memory."""
+        self._note("moves", (outcome,), 1.0)
+
+    def _bound(self, team: str) -> str:
+        if team not in self._teams:
+            if len(self._teams) >= MOST_TEAMS:
+                return OTHER
+            self._teams.add(team)
+        return team
+
+    def _note(self, name: str, labels: tuple, value: float) -> None:
+        if self._registry is not None:
+            self._feed(name, labels, value)
+        elif len(self._early) < MOST_EARLY:
+            self._early.append((name, labels, value))
+        else:
+            self._dropped += 1
+
+    def _feed(self, name: str, labels: tuple, value: float) -> None:
+        series = self._series[name].labels(*labels)
+        if name in ("requests", "moves"):
+            series.inc(value)
+        else:
+            series.observe(value)
+
+
+def _make_series(library, registry) -> dict:
+    owner = ("team", "class")
+
+    def histogram(name: str, text: str):
+        return library.Histogram(
+            name, text, owner, buckets=BUCKETS, registry=registry
+        )
+
+    return {
+        "requests": library.Counter(
+            "chivepier_requests",
+            "Requests that have ended.",
+            (*owner, "outcome"),
+            registry=registry,
+        ),
+        "moves": library.Counter(
+            "chivepier_memory_copies",
+            "Copies of live generations' memory.",
+            ("outcome",),
+            registry=registry,
+        ),
+        "dropped": library.Counter(
+            "chivepier_observations_dropped",
+            "Observations left out before the metrics were loaded.",
+            registry=registry,
+        ),
+        "seconds": histogram(
+            "chivepier_request_seconds", "Arrival to end of a request."
+        ),
+        "first": histogram(
+            "chivepier_first_event_seconds", "Arrival to a first event."
+        ),
+        "gap": histogram(
+            "chivepier_longest_pause_seconds", "Longest pause of a stream."
+        ),
+    }
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -11,6 +11,8 @@
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.liverun import milliseconds
 from chivepier.gateway.serving.mover import Mover
+from chivepier.gateway.serving.placing import Place
+from chivepier.gateway.serving.placing import Placing
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.retrybudget import RetryBudget
 from chivepier.gateway.serving.sendorder import SendOrder
@@ -92,6 +94,7 @@
         self.notice = notice
         self.clock = clock
         self.log = log
+        self._placing = Placing(chooser, health, port, clock, log)
 
     async def dispatch(self, plan: Plan) -> Sent:
         """Send a request until a target runs it.
@@ -106,8 +109,8 @@
         paid = True
         while True:
             self._check_time(plan, runs)
-            target = self._choose(plan, tried)
-            if target is None:
+            place = await self._placing.find(plan, tried)
+            if place is None:
                 rounds += 1
                 self._check_rounds(plan, rounds, bool(tried), runs)
                 tried.clear()
@@ -116,10 +119,11 @@
             if not paid and not self.take_repeat(plan):
                 raise self._give_up(plan, runs, "no repeats are left")
             paid = False
+            target = place.target
             tried.add(target.instance)
             more = plan.repeatable and runs + 1 < plan.route.attempts
             try:
-                sent = await self._try(plan, target, more)
+                sent = await self._try(plan, place, more)
             except NotSentError as error:
                 self._note_failure(plan, target, "not_sent", error)
                 # nothing arrived anywhere: the next send is no repeat
@@ -228,13 +232,8 @@
             plan.service.name, engine, plan.demand, target
         )
 
-    def _choose(self, plan: Plan, tried: set[str]) -> Target | None:
-        service = plan.service
-        return self.chooser.choose(
-            service.name, service.engine, plan.demand, tried
-        )
-
-    async def _try(self, plan: Plan, target: Target, more: bool) -> Sent:
+    async def _try(self, plan: Plan, place: Place, more: bool) -> Sent:
+        target = place.target
         seconds = plan.deadline - self.clock.monotonic()
         if more:
             seconds = min(seconds, PATIENCE * plan.route.objective)
@@ -257,7 +256,7 @@
         try:
             async with asyncio.timeout(seconds):
                 answer = await self.port.send(
-                    target, plan.request, self._order(plan, run)
+                    target, plan.request, self._order(plan, place, run)
                 )
                 sent = await self._read(plan, target, answer, run)
         except BaseException:
@@ -296,10 +295,13 @@
             self.unwatch(run)
         return Sent(target, answer, b"".join(parts))
 
-    def _order(self, plan: Plan, run: LiveRun | None) -> SendOrder:
+    def _order(
+        self, plan: Plan, place: Place, run: LiveRun | None
+    ) -> SendOrder:
         backup = run.backup if run is not None else None
         return SendOrder(
             backup=backup.address if backup else None,
+            reservation=place.reservation,
             seconds=plan.deadline - self.clock.monotonic(),
             team=plan.team,
             urgency=plan.urgency if plan.demand is not None else None,
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.handoff import Handoff
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.liverun import milliseconds
@@ -55,6 +56,7 @@
     :param notice: seconds for which a target that leaves still serves
     :param clock: monotonic time
     :param log: decisions on requests
+    :param metrics: counts copies
     """
 
     def __init__(
@@ -66,7 +68,9 @@
         notice: float,
         clock: Clock,
         log: EventLog,
+        metrics: Metrics,
     ):
+        self._metrics = metrics
         self._port = port
         self._chooser = chooser
         self._table = table
@@ -237,6 +241,7 @@
         moved = await self._port.move(
             source, run.request.id, target, last, COPY_SECONDS
         )
+        self._metrics.note_move(moved.outcome.value)
         self._log.info(
             "memory_copied",
             id=run.request.id,
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.callerport import CallerPort
 from chivepier.gateway.serving.dispatcher import Dispatcher
 from chivepier.gateway.serving.errors import AnswerCutError
@@ -42,9 +43,17 @@
     :param dispatcher: sends to targets
     :param plan: the request's
     :param caller: its connection
+    :param metrics: measures its pace
     """
 
-    def __init__(self, dispatcher: Dispatcher, plan: Plan, caller: CallerPort):
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        plan: Plan,
+        caller: CallerPort,
+        metrics: Metrics,
+    ):
+        self._metrics = metrics
         self._dispatcher = dispatcher
         self._plan = plan
         self._caller = caller
@@ -78,6 +87,7 @@
         finally:
             run.ended = True
             run.lost.set()
+            self._note_end()
             self._dispatcher.log.info(
                 "stream_ended",
                 id=run.request.id,
@@ -90,6 +100,12 @@
             if sent is not None:
                 self._dispatcher.end(sent)
 
+    def _note_end(self) -> None:
+        plan, pace = self._plan, self._pace
+        self._metrics.note_stream(
+            plan.team or "", str(plan.urgency), pace.first, pace.gap
+        )
+
     async def _ended(self, run: LiveRun) -> bool:
         # a stream that was stopped for a move has no end, but where its
         # target frames it by closing the connection it looks whole
--- a/packages/gateway/src/chivepier/gateway/serving/sendorder.py
+++ b/packages/gateway/src/chivepier/gateway/serving/sendorder.py
@@ -14,6 +14,7 @@
     :param urgency: 0 is the most urgent
     :param origin: memory to go on from
     :param after_event: the last event that the caller has
+    :param reservation: of room at the target
     :param backup: address of the target that keeps a copy of its memory
     """
 
@@ -22,4 +23,5 @@
     urgency: int | None = None
     origin: Origin | None = None
     after_event: str | None = None
+    reservation: str | None = None
     backup: str | None = None
--- a/packages/gateway/src/chivepier/gateway/serving/serving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/serving.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.callerport import CallerPort
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.serving.dispatcher import Dispatcher
@@ -23,11 +24,17 @@
     :param state: the configuration in force
     :param planner: finds route and team
     :param dispatcher: sends to targets
+    :param metrics: counts requests
     """
 
     def __init__(
-        self, state: ServingState, planner: Planner, dispatcher: Dispatcher
+        self,
+        state: ServingState,
+        planner: Planner,
+        dispatcher: Dispatcher,
+        metrics: Metrics,
     ):
+        self._metrics = metrics
         self._state = state
         self._planner = planner
         self._dispatcher = dispatcher
@@ -42,7 +49,7 @@
         """
         clock, log = self._dispatcher.clock, self._dispatcher.log
         self.active += 1
-        outcome = "cancelled"
+        outcome, plan = "cancelled", None
         try:
             if self._state.index is None:
                 await self._state.changed.wait(FIRST_SECONDS)
@@ -54,13 +61,17 @@
             raise
         finally:
             self.active -= 1
+            seconds = clock.monotonic() - request.arrived
+            team, urgency = _name_class(plan)
+            self._metrics.note_request(team, urgency, outcome, seconds)
             write = log.info if outcome == "answered" else log.warn
             write(
                 "request_ended",
                 id=request.id,
                 path=request.path,
+                team=team,
                 outcome=outcome,
-                ms=round(1000 * (clock.monotonic() - request.arrived)),
+                ms=round(1000 * seconds),
             )
 
     async def _answer(self, plan: Plan, caller: CallerPort) -> None:
@@ -83,7 +94,14 @@
         clock = self._dispatcher.clock
         try:
             async with asyncio.timeout(plan.deadline - clock.monotonic()):
-                await Relay(self._dispatcher, plan, caller).run(sent)
+                relay = Relay(self._dispatcher, plan, caller, self._metrics)
+                await relay.run(sent)
         except TimeoutError:
             self._dispatcher.log.warn("deadline_over", id=plan.request.id)
             caller.abort()
+
+
+def _name_class(plan: Plan | None) -> tuple[str, str]:
+    if plan is None:
+        return "", ""
+    return plan.team or "", str(plan.urgency)
--- a/packages/gateway/src/chivepier/gateway/serving/targetport.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetport.py
@@ -21,6 +21,17 @@
         :raises LostError: when no answer came
         """
 
+    async def reserve(
+        self, target: Target, tokens: int, seconds: float
+    ) -> str | None:
+        """Reserve a slot and memory before a request is sent.
+
+        :param tokens: of memory
+        :param seconds: for which it is kept unused
+        :returns: the reservation's name; ``None`` when there is no room
+        :raises NotSentError: when the target can't be reached
+        """
+
     async def move(
         self,
         source: Target,
--- a/packages/gateway/src/chivepier/gateway/serving/tests/bench.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/bench.py
@@ -13,6 +13,7 @@
 from chivepier.gateway.config import Service
 from chivepier.gateway.config import Team
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving import CallerRequest
 from chivepier.gateway.serving import Dispatcher
 from chivepier.gateway.serving import Mover
@@ -110,6 +111,7 @@
             notice,
             clock,
             log,
+            Metrics(),
         )
         self.table.watchers.append(self.mover.note_target)
         self.budget = RetryBudget(0.2, 10, 10)
@@ -127,7 +129,7 @@
             log=log,
         )
         planner = Planner(self.state, rng)
-        self.serving = Serving(self.state, planner, self.dispatcher)
+        self.serving = Serving(self.state, planner, self.dispatcher, Metrics())
         self.configure(engine)
         for name in names:
             self.table.put(make_target(name, "llm"))
--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -86,27 +86,49 @@
         :param near: the availability zone that is preferred
         :returns: the target; ``None`` when there is none left
         """
+        ranked = self.rank(service, engine, demand, without, near)
+        return ranked[0] if ranked else None
+
+    def rank(
+        self,
+        service: str,
+        engine: Engine | None,
+        demand: Demand | None,
+        without: collections.abc.Collection[str] = (),
+        near: str = "",
+    ) -> list[Target]:
+        """Order the targets, the best one first; see :meth:`choose`."""
         now = self._clock.monotonic()
         found = self._table.select(service, now)
         candidates = [t for t in found if t.instance not in without]
         if not candidates:
-            return None
+            return []
         sound = self._health.pick_sound([t.instance for t in candidates], now)
-        candidates = [t for t in candidates if t.instance in sound]
+        costs = {
+            t.instance: self._cost(t, engine, demand, near, now)
+            for t in candidates
+            if t.instance in sound
+        }
+        least = min(costs.values())
+        drawn = {
+            name: self._rng.random() if cost <= least + NEAR else 1.0 + cost
+            for name, cost in costs.items()
+        }
+        chosen = [t for t in candidates if t.instance in drawn]
+        return sorted(chosen, key=lambda t: drawn[t.instance])
+
+    def _cost(
+        self,
+        target: Target,
+        engine: Engine | None,
+        demand: Demand | None,
+        near: str,
+        now: float,
+    ) -> float:
         if engine is None or demand is None:
-            costs = [self._cost_plain(t, now) for t in candidates]
-        else:
-            costs = [
-                self._cost_engine(t, engine, demand, now) for t in candidates
-            ]
-        if near:
-            costs = [
-                cost + (FAR_COST if t.zone != near else 0.0)
-                for t, cost in zip(candidates, costs)
-            ]
-        least = min(costs)
-        near = [t for t, c in zip(candidates, costs) if c <= least + NEAR]
-        return self._rng.choice(near)
+            return self._cost_plain(target, now)
+        cost = self._cost_engine(target, engine, demand, now)
+        return cost + (FAR_COST if near and target.zone != near else 0.0)
 
     def choose_backup(
         self, service: str, engine: Engine, demand: Demand, target: Target
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -53,6 +53,7 @@
         self.raw = rawtarget.RawTarget(script)
         self.port = find_port()
         self.ready_port = find_port()
+        self.metrics_port = find_port()
         self._stack = contextlib.AsyncExitStack()
 
     async def __aenter__(self) -> "Door":
@@ -78,7 +79,9 @@
             Entry(settings, targets, decode_config, clock, log)
         )
         ready = f"127.0.0.1:{self.ready_port}"
-        await enter(CallerServer(self.entry, clock, settings.address, ready))
+        scraped = f"127.0.0.1:{self.metrics_port}"
+        address = settings.address
+        await enter(CallerServer(self.entry, clock, address, ready, scraped))
         target = self.raw.make_target()
         target.heard = clock.monotonic()
         self.entry.table.put(target)
@@ -154,6 +157,18 @@
     run(answer_ok, test)
 
 
+def test_metrics_tell_team_class_and_outcome():
+    async def test(door):
+        await door.ask(make_call("/once/x"))
+        scrape = b"GET /metrics HTTP/1.1\r\nHost: x\r\n"
+        closing = scrape + b"Connection: close\r\n\r\n"
+        answer = await door.ask(closing, door.metrics_port)
+        line = b'class="1",outcome="answered",team="t1"} 1.0'
+        assert line in answer
+
+    run(answer_ok, test)
+
+
 def test_headers_of_the_system_are_not_taken_from_callers():
     # A team could act as another one, or take memory that is another's: it
     # sent the headers by which this system speaks to targets.
