Soak real processes under faults; follow a request through logs

The soak starts three voters and three entries as processes on loopback addresses of their own, kills, freezes, stops, wipes and hangs them up in series and overlapping, lets targets reset, hang and refuse, and checks from outside: at most one run, true refusals, own whole answers, unbroken event series, no older configuration than acknowledged, service after the faults.

--- a/packages/cli/src/chivepier/cli/commands/__init__.py
+++ b/packages/cli/src/chivepier/cli/commands/__init__.py
@@ -5,6 +5,7 @@
 from chivepier.cli.commands.delete import delete
 from chivepier.cli.commands.diff import diff
 from chivepier.cli.commands.drain import drain
+from chivepier.cli.commands.explain import explain
 from chivepier.cli.commands.found import found
 from chivepier.cli.commands.get import get
 from chivepier.cli.commands.history import history
@@ -18,6 +19,7 @@
     delete,
     diff,
     drain,
+    explain,
     found,
     get,
     history,
--- a/packages/cli/src/chivepier/cli/tests/test_pages.py
+++ b/packages/cli/src/chivepier/cli/tests/test_pages.py
@@ -16,7 +16,7 @@
 from chivepier.types import ManualClock
 from chivepier.wire import Traffic
 
-PAGE = pathlib.Path(__file__).parents[6] / "docs" / "OPERATING.md"
+PAGE = pathlib.Path(__file__).parents[6] / "docs" / "OPERATIONS.md"
 
 
 def make_cluster():
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises checked."""
--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,45 @@
+"""Plays seeds of the soak: ``python -m soak --seeds 3 --seconds 15``."""
+
+import asyncio
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+
+import click
+
+from soak.run import Soak
+
+
+@click.command()
+@click.option("--seed", type=int, help="One seed; drawn when left out.")
+@click.option("--seeds", default=1, show_default=True, help="How many.")
+@click.option("--seconds", default=15.0, show_default=True)
+@click.option("--block", default=77, show_default=True)
+def main(seed: int | None, seeds: int, seconds: float, block: int) -> None:
+    """Play seeds; keep the logs of those that fail."""
+    failed = 0
+    for _ in range(seeds):
+        chosen = seed if seed is not None else random.randrange(1 << 32)
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{chosen}-"))
+        soak = Soak(chosen, folder, block)
+        seen = asyncio.run(soak.run(seconds))
+        print(
+            f"seed {chosen}: answered {seen.answered}, failed {seen.failed},"
+            f" changes {seen.acknowledged}, faults {len(soak.faults)},"
+            f" broken {len(seen.broken)}",
+            flush=True,
+        )
+        if seen.broken:
+            failed += 1
+            for text in seen.broken[:10]:
+                print(f"  {text}")
+            print(f"  faults: {' '.join(soak.faults)}; logs: {folder}")
+        else:
+            shutil.rmtree(folder)
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/soak/process.py
@@ -0,0 +1,91 @@
+"""One real process of the system."""
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+TOP = pathlib.Path(__file__).parents[1]
+PROGRAM = TOP / "platform" / "chivepierd.py"
+SETTINGS = """node-name={name}
+ip={ip}
+zone=z
+listen.front={ip}:8740
+listen.ready={ip}:8749
+listen.control={ip}:8748
+listen.directory={ip}:8746
+port-range=7200,7215
+seeds={seeds}
+bootstrap={found}
+data-dir={folder}/data-{name}
+beat-interval-ms=400
+bounds.drain-ms=1000
+bounds.grace-s=4
+bounds.budget-ratio=0.2
+bounds.budget-extra=50
+bounds.budget-window-s=10
+bounds.ttl_max_s=5
+"""
+
+
+class Process:
+    """Starts, signals and restarts one program; ends only what it started.
+
+    :param role: ``entry`` or ``voter``
+    :param ip: a loopback address of its own, as if it were an instance
+    :param seeds: operator addresses of the voters
+    :param folder: for settings, data and logs
+    """
+
+    def __init__(
+        self, role: str, ip: str, seeds: list[str], folder: pathlib.Path
+    ):
+        self.role = role
+        self.ip = ip
+        self._seeds = ",".join(seeds)
+        self._folder = folder
+        self._child: subprocess.Popen | None = None
+
+    @property
+    def name(self) -> str:
+        """Role and address."""
+        return f"{self.role}-{self.ip}"
+
+    @property
+    def alive(self) -> bool:
+        """Whether the process runs, or is stopped by a signal."""
+        return self._child is not None and self._child.poll() is None
+
+    def start(self, found: bool = False) -> None:
+        """Start it, unless it runs."""
+        if self.alive:
+            return
+        path = self._folder / f"{self.name}.conf"
+        path.write_text(
+            SETTINGS.format(
+                name=self.name,
+                ip=self.ip,
+                seeds=self._seeds,
+                found="true" if found else "false",
+                folder=self._folder,
+            )
+        )
+        with open(self._folder / f"{self.name}.log", "ab") as log:
+            self._child = subprocess.Popen(
+                [sys.executable, str(PROGRAM), self.role],
+                env={**os.environ, "CHIVEPIER_BOOT": str(path)},
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal, if it runs."""
+        if self.alive:
+            self._child.send_signal(number)
+
+    def end(self) -> None:
+        """Kill it, whatever state it is in, and reap it."""
+        if self._child is not None:
+            self._child.kill()
+            self._child.wait()
--- /dev/null
+++ b/soak/target.py
@@ -0,0 +1,125 @@
+"""A target that announces itself and misbehaves when told."""
+
+import asyncio
+import contextlib
+import json
+import random
+import secrets
+
+import aiohttp
+from aiohttp import web
+
+from soak.promises import make_body
+from soak.promises import Promises
+
+BEAT_SECONDS = 0.4
+WORK_SECONDS = 0.02
+EVENTS = 20
+
+
+class SoakTarget:
+    """Serves calls and streams at an address of its own.
+
+    ``mood`` is what it does to the next answers: nothing, ``reset`` breaks
+    the connection after the run, ``silent`` never answers, ``shed`` refuses.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        controls: list[str],
+        promises: Promises,
+        rng: random.Random,
+    ):
+        self.address = address
+        self.mood = ""
+        self._controls = controls
+        self._promises = promises
+        self._rng = rng
+        self._instance = f"i-{secrets.token_hex(4)}"
+        self._number = 0
+        self._runner: web.ServerRunner | None = None
+        self._task: asyncio.Task | None = None
+
+    async def __aenter__(self) -> "SoakTarget":
+        server = web.Server(self._serve, access_log=None)
+        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await self._runner.setup()
+        host, port = self.address.split(":")
+        await web.TCPSite(self._runner, host, int(port)).start()
+        self._task = asyncio.create_task(self._announce())
+        return self
+
+    async def __aexit__(self, *exc) -> None:
+        self._task.cancel()
+        await self._runner.cleanup()
+
+    async def _announce(self) -> None:
+        timeout = aiohttp.ClientTimeout(total=1.0)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                await self._beat(session)
+                await asyncio.sleep(BEAT_SECONDS)
+
+    async def _beat(self, session: aiohttp.ClientSession) -> None:
+        self._number += 1
+        body = {
+            "service": "s",
+            "address": self.address,
+            "zone": "z",
+            "slots": 8,
+            "state": "ready",
+            "seq": self._number,
+        }
+        path = f"/chivepier/instances/{self._instance}"
+        for control in self._rng.sample(self._controls, len(self._controls)):
+            try:
+                url = f"http://{control}{path}"
+                async with session.put(url, json=body) as answer:
+                    if answer.status == 200:
+                        return
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                continue
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        identity = request.headers["X-Chivepier-Request-Id"]
+        echo = {"X-Chivepier-Request-Id": identity}
+        wanted = request.headers.get("X-Chivepier-Expect-Instance")
+        if wanted != self._instance:
+            return web.Response(status=421, headers=echo)
+        mood = self.mood
+        if mood == "shed":
+            echo["X-Chivepier-Not-Run"] = "1"
+            return web.Response(status=503, headers=echo)
+        await request.read()
+        if not request.path.startswith("/again/"):
+            self._promises.note_run(identity)
+        if mood == "silent":
+            await asyncio.sleep(60)
+        if request.path.startswith("/stream/"):
+            response = web.StreamResponse(headers=echo)
+            with contextlib.suppress(ConnectionError):
+                await self._stream(request, response, mood)
+            return response
+        await asyncio.sleep(WORK_SECONDS)
+        if mood == "reset":
+            request.transport.abort()
+        return web.Response(body=make_body(identity), headers=echo)
+
+    async def _stream(self, request, response, mood) -> None:
+        await response.prepare(request)
+        for number in range(1, EVENTS + 1):
+            if mood == "reset" and number == EVENTS // 2:
+                await response.write(b"id: 10\nda")
+                request.transport.abort()
+                return
+            text = "end" if number == EVENTS else "part"
+            event = f"id: {number}\ndata: {text}\n\n"
+            await response.write(event.encode())
+            await asyncio.sleep(WORK_SECONDS / 2)
+        await response.write_eof()
+
+
+def describe(targets: list[SoakTarget]) -> str:
+    """Return the targets' moods, for a failure's report."""
+    return json.dumps({t.address: t.mood for t in targets})
--- /dev/null
+++ b/soak/tests/test_soak.py
@@ -0,0 +1,39 @@
+"""A short seeded run of the soak, and its own checks."""
+
+import asyncio
+import os
+
+import pytest
+
+from soak.promises import make_body
+from soak.promises import Promises
+from soak.run import Soak
+
+SEEDS = (1, 2)
+SECONDS = 6.0
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_promises_hold_under_faults(seed, tmp_path):
+    # Callers see their own whole answers, refusals that are true, and no
+    # older configuration than was acknowledged, while processes are killed,
+    # frozen, stopped and wiped and targets misbehave.
+    block = 80 + (os.getpid() * len(SEEDS) + seed) % 100
+    seen = asyncio.run(Soak(seed, tmp_path, block).run(SECONDS))
+    assert seen.broken == []
+    assert seen.answered > 50 and seen.acknowledged > 0
+
+
+def test_each_broken_promise_is_seen():
+    seen = Promises()
+    seen.note_run("a")
+    seen.note_run("a")
+    seen.note_answer("a", 503, b"")
+    seen.note_answer("b", 503, b"")
+    seen.note_run("b")
+    seen.note_answer("c", 200, make_body("d"))
+    seen.note_answer("e", 404, b"")
+    seen.note_stream("f", b"id: 1\n\nid: 3\n\ndata: end\n\n", True)
+    seen.note_stream("g", b"id: 1\n\n", True)
+    seen.note_read(4, 5)
+    assert len(seen.broken) == 8
