--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
@@ -86,6 +86,27 @@
     play(test, "a", "b", "c")
 
 
+def test_room_is_looked_for_as_long_as_the_notice_lasts():
+    # Streams were cut with the notice half over: three full targets had
+    # refused within milliseconds, and the others were not asked.
+    async def test(bench):
+        caller, task, run = await begin(bench)
+        others = {n for n in ("a", "b", "c", "d", "e", "f")} - {run.target}
+        bench.engines.full = set(others)
+        bench.leave(run.target)
+        while len(bench.engines.moves) < 2 * len(others):
+            bench.engines.moved.clear()
+            await bench.engines.moved.wait()
+        bench.engines.full = set()
+        fresh = await bench.engines.wait_run(2)
+        fresh.make(1)
+        fresh.end()
+        await task
+        assert caller.numbers == [1, 2, 3]
+
+    play(test, "a", "b", "c", "d", "e", "f")
+
+
 def test_run_that_was_stopped_goes_on_at_its_source_without_room_elsewhere():
     # The first copy finds room, the second does not: the run is stopped,
     # but its source still keeps the memory and can go on from it.
