Let voters keep targets that speak to another voter

Voters now tell each other every 5 s which targets they heard. The test of the restarted voter waited on the wrong condition: a follower may not know yet that the write is committed.

--- a/packages/gateway/src/chivepier/gateway/control/registry.py
+++ b/packages/gateway/src/chivepier/gateway/control/registry.py
@@ -51,6 +51,7 @@
         self._clock = clock
         self._log = log
         self._revisions: dict[str, int] = {}
+        self._shared = 0
 
     def announce(self, target: Target) -> None:
         """Take a target's own announcement.
@@ -102,6 +103,26 @@
             if peer != self._me:
                 self._links.post(peer, notice)
 
+    def share(self) -> None:
+        """Tell the other voters which targets were heard here lately.
+
+        They hear of a target when it is new, and would forget one that
+        speaks to this voter only: after a kill of all processes they would
+        tell entries of none of the long-lived ones.
+        """
+        now = self._clock.monotonic()
+        targets = [
+            self._table.get(instance)
+            for instance, changed in self._revisions.items()
+            if changed > self._shared
+        ]
+        self._shared = self.revision
+        records = [pack_target(t, now) for t in targets if t is not None]
+        notice = TargetNotice(tuple(records))
+        for peer in self._peers.all:
+            if records and peer != self._me:
+                self._links.post(peer, notice)
+
     def merge(self, notice: TargetNotice) -> None:
         """Take what another voter heard."""
         now = self._clock.monotonic()
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
@@ -40,6 +40,23 @@
     play(test, tmp_path)
 
 
+def test_voters_keep_targets_that_speak_to_another_one(tmp_path):
+    # After a kill of all processes entries knew no long-lived target: each
+    # had announced itself at one voter for half a minute, and the others
+    # had forgotten it by then.
+    async def test(fleet):
+        first, second, _ = fleet.voters.values()
+        first.registry.announce(make("i1", heard=100.0))
+        await wait_until(lambda: second.table.get("i1") is not None)
+        known = second.table.get("i1")
+        known.heard = 0.0
+        first.registry.announce(make("i1", heard=101.0))
+        first.registry.share()
+        await wait_until(lambda: second.table.get("i1").heard > 0.0)
+
+    play(test, tmp_path)
+
+
 def test_what_an_entry_missed_comes_with_its_beats(tmp_path):
     # A link that is cut for a moment loses what is pushed meanwhile. The
     # entry says up to where it heard this voter, and gets the rest.
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_voters.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_voters.py
@@ -73,6 +73,8 @@
     async def test(fleet):
         await fleet.write(3, "kept")
         first = fleet.voters[fleet.seeds[0]]
+        # a follower learns with the next heartbeat that it is committed
+        await wait_until(lambda: first.store.held() is not None)
         first.registry.announce(make("i1", heard=0.0))
         known = fleet.find_folder(fleet.seeds[0]) / "known"
         await wait_until(
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -35,7 +35,8 @@
 from chivepier.wire import PeerServer
 from chivepier.wire import RefusedError
 
-# Seconds between two rounds of dropping what has long been silent.
+# Seconds between two rounds of telling the other voters which targets live,
+# and of dropping what has long been silent.
 FORGET_SECONDS = 5.0
 
 
@@ -178,5 +179,6 @@
     async def _forget(self) -> None:
         while True:
             await self._clock.sleep(FORGET_SECONDS)
+            self.registry.share()
             self.entries.forget()
             self.registry.forget()
