--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -211,26 +211,37 @@
             if target is None:
                 break
             tried.add(target.instance)
-            moved = await self._copy(run, source, target, last=False)
-            if moved.outcome is not MoveOutcome.NO_ROOM:
+            # many runs look for a place at the same moment: without this
+            # all would take the one that was the emptiest before
+            self._board.change(target.instance, tokens=run.tokens)
+            try:
+                outcome, found = await self._copy_to(run, source, target)
+            finally:
+                self._board.change(target.instance, tokens=-run.tokens)
+            if found is not None or outcome is MoveOutcome.NO_RUN:
+                return found
+            if outcome is not MoveOutcome.NO_ROOM:
                 failures += 1
-            if moved.outcome is MoveOutcome.NO_RUN:
-                return None
-            if moved.outcome is not MoveOutcome.COPIED:
-                continue
-            run.stopped = True
-            moved = await self._copy(run, source, target, last=True)
-            if moved.handle:
-                origin = Origin(source.address, moved.handle)
-                if moved.outcome is MoveOutcome.COPIED:
-                    return Handoff(target, origin)
-                # stopped, but the rest found no room: the source goes on
-                return Handoff(source, origin)
-            if moved.outcome is MoveOutcome.NO_RUN:
-                run.stopped = False
-                return None
         return None
 
+    async def _copy_to(
+        self, run: LiveRun, source: Target, target: Target
+    ) -> tuple[MoveOutcome, Handoff | None]:
+        moved = await self._copy(run, source, target, last=False)
+        if moved.outcome is not MoveOutcome.COPIED:
+            return moved.outcome, None
+        run.stopped = True
+        moved = await self._copy(run, source, target, last=True)
+        if moved.outcome is MoveOutcome.NO_RUN:
+            run.stopped = False
+        if not moved.handle:
+            return moved.outcome, None
+        origin = Origin(source.address, moved.handle)
+        if moved.outcome is MoveOutcome.COPIED:
+            return moved.outcome, Handoff(target, origin)
+        # stopped, but the rest found no room: the source goes on
+        return moved.outcome, Handoff(source, origin)
+
     def _pick(self, run: LiveRun, tried: set[str]) -> Target | None:
         engine = run.service.engine
         demand = Demand(prompt=run.tokens, output=0)
--- a/packages/gateway/src/chivepier/gateway/serving/placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placing.py
@@ -80,7 +80,8 @@
         asked = 0
         while True:
             ranked = self._rank(plan, tried)
-            for target in ranked[:MOST_ASKED]:
+            roomy = [t for t in ranked if self._has_room(plan, t)]
+            for target in roomy[:MOST_ASKED]:
                 asked += 1
                 reservation = await self._reserve(plan, target)
                 if reservation is not None:
@@ -91,6 +92,10 @@
         self._log.info("no_room", id=plan.request.id, asked=asked)
         return Place(ranked[0]) if ranked else None
 
+    def _has_room(self, plan: Plan, target: Target) -> bool:
+        engine = plan.service.engine
+        return self._chooser.has_room(target, engine, plan.demand)
+
     def _rank(self, plan: Plan, tried: set[str]) -> list[Target]:
         service = plan.service
         return self._chooser.rank(
--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -24,9 +24,12 @@
 # What another availability zone counts as when memory is moved: the copy
 # takes twice as long there, and the notice may not last for it.
 FAR_COST = 0.15
+# New generations may fill a target up to this share of its memory, each
+# counted with what it is expected to take in the end.
+FULL_SHARE = 1.0
 # Copies may fill a target up to this share only: beyond, a copy would take
 # the memory that generations of other callers need soon.
-BACKUP_SHARE = 0.8
+BACKUP_SHARE = 0.6
 
 
 class Chooser:
@@ -130,6 +133,16 @@
         cost = self._cost_engine(target, engine, demand, now)
         return cost + (FAR_COST if near and target.zone != near else 0.0)
 
+    def has_room(self, target: Target, engine: Engine, demand: Demand) -> bool:
+        """Tell whether all there fits in the end, one more included.
+
+        A target that has room now may not have it when what runs there has
+        grown: it then preempts the newest, and reads it in again.
+        """
+        now = self._clock.monotonic()
+        tokens = self._board.total(target.instance, now).tokens
+        return tokens + demand.tokens <= FULL_SHARE * engine.memory_tokens
+
     def choose_backup(
         self, service: str, engine: Engine, demand: Demand, target: Target
     ) -> Target | None:
