--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -18,19 +18,16 @@
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
 
-# Copies of one generation that may fail before it is given up: each may take
-# as long as the notice lasts. A target without room says so within
-# milliseconds and does not count.
-MOST_FAILURES = 3
+# Destinations that are tried for one generation in a row: the most roomy ones
+# come first, and where three of them are full the others are.
+MOST_TRIES = 3
 # Seconds to wait for one copy. A copy of 6,000 tokens takes 0.4 s on an idle
 # link, twice that between zones, and waits for the copies before it.
 COPY_SECONDS = 4.0
 # Seconds after its first event at which a generation's copy is relied on:
 # parts are sent several times a second, and the prompt's takes 0.2 s.
 BACKUP_SECONDS = 0.8
-# Seconds between two tries to move a generation that has not begun, or that
-# no target had room for: others end everywhere all the time, and the notice
-# lasts for some tries.
+# Seconds between two tries to move a generation that has not begun.
 START_PAUSE = 0.1
 # Generations with a copy go on there after this share of the notice. Some
 # end before; the rest of it is left for machines that are slow.
@@ -196,17 +193,17 @@
             # those of this entry go one by one
             async with lock:
                 found = await self._copy_somewhere(run)
-            if found is not None or run.stopped or run.lost.is_set():
+            if found is not None or run.began is not None:
                 return found
-            # nothing to move yet, or no room for it anywhere
+            # it waits or is being read in: there is nothing to move yet
             await run.await_loss(START_PAUSE)
             if run.lost.is_set():
                 return None
         return None
 
     async def _copy_somewhere(self, run: LiveRun) -> Handoff | None:
-        source, tried, failures = run.target, {run.target.instance}, 0
-        while failures < MOST_FAILURES:
+        source, tried = run.target, {run.target.instance}
+        for _ in range(MOST_TRIES):
             target = self._pick(run, tried)
             if target is None:
                 break
@@ -220,8 +217,6 @@
                 self._board.change(target.instance, tokens=-run.tokens)
             if found is not None or outcome is MoveOutcome.NO_RUN:
                 return found
-            if outcome is not MoveOutcome.NO_ROOM:
-                failures += 1
         return None
 
     async def _copy_to(
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -74,6 +74,7 @@
         self.orders: list = []
         self.moves: list[tuple[str, str, bool]] = []
         self.refuse: set[str] = set()
+        self.reserved: list[tuple[str, int]] = []
         self.lose: set[str] = set()
         self.dark: set[str] = set()
         self.wrong: set[str] = set()
@@ -110,6 +111,15 @@
         self.sent.set()
         return answer
 
+    async def reserve(self, target, tokens, seconds) -> str | None:
+        """Reserve room at a target that is not full."""
+        if target.instance in self.dark:
+            raise NotSentError("refused")
+        if target.instance in self.full:
+            return None
+        self.reserved.append((target.instance, tokens))
+        return f"hold-{target.instance}"
+
     def _holds(self, target, order) -> bool:
         if order.origin is None:
             return True
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_chooser.py
@@ -134,6 +134,17 @@
     assert found is None
 
 
+def test_target_is_full_when_what_runs_there_will_fill_it():
+    # Runs were preempted and read in again: a target had room when a
+    # request came, and none any more when all that ran there had grown.
+    choice = Choice("a")
+    target = choice.table.get("a")
+    choice.load("a", runs=7, tokens=30_000)
+    assert choice.chooser.has_room(target, ENGINE, DEMAND)
+    choice.load("a", runs=8, tokens=31_000)
+    assert not choice.chooser.has_room(target, ENGINE, DEMAND)
+
+
 def test_entries_that_sort_before_this_one_copy_first():
     choice = Choice("a")
     for entry, turn in (("a-first", 300), ("z-last", 500)):
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -274,3 +274,37 @@
         assert "X-Chivepier-Kv-Backup: 10.0.0.2:80" in lines
 
     run(script, test)
+
+
+@pytest.mark.parametrize(
+    "status, body, handle",
+    [
+        (200, b'{"hold":"h1"}', "h1"),
+        (200, b'{"hold":7}', "7"),
+        (200, b"{}", None),
+        (200, b"[]", None),
+        (503, b"{}", None),
+    ],
+)
+def test_outcome_of_a_reservation(status, body, handle):
+    async def script(head, writer):
+        text = answer(body).replace(b"200", b"%d" % status, 1)
+        writer.write(text)
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        assert await targets.reserve(target, 100, 1.0) == handle
+        assert raw.requests[0].startswith(b"POST /chivepier/hold-take ")
+
+    run(script, test)
+
+
+def test_reservation_at_a_target_that_is_gone():
+    async def script(head, writer):
+        writer.close()
+
+    async def test(raw, targets):
+        with pytest.raises(NotSentError):
+            await targets.reserve(raw.make_target(), 100, 1.0)
+
+    run(script, test)
