--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -7,14 +7,13 @@
 from chivepier.gateway.serving.errors import AnswerCutError
 from chivepier.gateway.serving.errors import LostError
 from chivepier.gateway.serving.errors import NotSentError
-from chivepier.gateway.serving.liverun import FAR_FACTOR
 from chivepier.gateway.serving.liverun import LiveRun
-from chivepier.gateway.serving.liverun import milliseconds
 from chivepier.gateway.serving.mover import Mover
 from chivepier.gateway.serving.placing import Place
 from chivepier.gateway.serving.placing import Placing
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.retrybudget import RetryBudget
+from chivepier.gateway.serving.runwatch import RunWatch
 from chivepier.gateway.serving.sendorder import SendOrder
 from chivepier.gateway.serving.sent import Sent
 from chivepier.gateway.serving.servingstate import ServingState
@@ -43,13 +42,6 @@
 # How often all targets may refuse before the caller is told to come back.
 MOST_ROUNDS = 3
 SERVER_ERROR = 500
-# Share of a leaving target's notice that moves may take. Entries learn of the
-# notice within 0.1 s, a copy may wait for another one at its destination, and
-# some targets are gone a fifth earlier than announced.
-MOVED_SHARE = 0.5
-# Generations that are expected to make fewer tokens are not backed up: they
-# take about a second, as long as a copy needs to be of use.
-BACKUP_OUTPUT = 100
 
 
 class Dispatcher:
@@ -87,13 +79,12 @@
         self.table = table
         self.chooser = chooser
         self.health = health
-        self.board = board
         self.mover = mover
         self.port = port
         self.budget = budget
-        self.notice = notice
         self.clock = clock
         self.log = log
+        self.runs = RunWatch(board, mover, chooser, notice, clock)
         self._placing = Placing(chooser, health, port, clock, log)
 
     async def dispatch(self, plan: Plan) -> Sent:
@@ -159,79 +150,10 @@
     def end(self, sent: Sent) -> None:
         """Give back what an answer holds."""
         if sent.run is not None:
-            self.unwatch(sent.run)
+            self.runs.unwatch(sent.run)
             sent.answer.close()
         self.chooser.end(sent.target.instance)
 
-    def watch(self, run: LiveRun) -> None:
-        """Count a generation at its target and watch that."""
-        self._count(run, 1)
-        self.mover.add(run)
-
-    def unwatch(self, run: LiveRun) -> None:
-        """Take a generation off its target."""
-        self._count(run, -1)
-        self.mover.remove(run)
-
-    def note_begun(self, run: LiveRun) -> None:
-        """Note that its first event came from this target."""
-        if run.began is None:
-            run.began = self.clock.monotonic()
-            self.board.change(run.target.instance, reading=-run.reading)
-
-    def _is_long(self, plan: Plan) -> bool:
-        if plan.demand is None or plan.repeatable:
-            return False
-        return plan.demand.output >= BACKUP_OUTPUT
-
-    def drop_backup(self, run: LiveRun) -> None:
-        """Note that no copy is kept of a generation any more."""
-        if run.backup is not None:
-            self.board.change(run.backup.instance, tokens=-run.tokens)
-            run.backup = None
-            if not run.bare:
-                run.bare = True
-                exposed = milliseconds(run.end_seconds())
-                self.board.change(run.target.instance, exposed=exposed)
-
-    def _count(self, run: LiveRun, sign: int) -> None:
-        waits = run.began is None
-        if sign > 0:
-            run.bare = run.backup is None and run.moves
-        self.board.change(
-            run.target.instance,
-            runs=sign,
-            tokens=sign * run.tokens,
-            reading=sign * run.reading if waits else 0,
-            exposed=sign * milliseconds(run.end_seconds()) if run.bare else 0,
-        )
-        if run.backup is not None:
-            self.board.change(run.backup.instance, tokens=sign * run.tokens)
-
-    def choose_backup(self, plan: Plan, target: Target) -> Target | None:
-        """Pick who keeps a copy of a generation while it grows.
-
-        Copies share the targets' links with the moves that they are to
-        spare: where every generation had one, the others could not be moved
-        within the notice. So only those get one that the notice of their
-        target would not last for.
-
-        :param plan: the request's
-        :param target: where it runs
-        :returns: the target, if one is needed and has room to spare
-        """
-        engine = plan.service.engine
-        if engine is None or not engine.backups or not self._is_long(plan):
-            return None
-        now = self.clock.monotonic()
-        exposed = self.board.total(target.instance, now).exposed / 1000
-        own = FAR_FACTOR * plan.demand.tokens * engine.token_seconds
-        if exposed + own <= MOVED_SHARE * self.notice:
-            return None
-        return self.chooser.choose_backup(
-            plan.service.name, engine, plan.demand, target
-        )
-
     async def _try(self, plan: Plan, place: Place, more: bool) -> Sent:
         target = place.target
         seconds = plan.deadline - self.clock.monotonic()
@@ -239,17 +161,7 @@
             seconds = min(seconds, PATIENCE * plan.route.objective)
         run = None
         if plan.demand is not None:
-            tokens = plan.demand.tokens
-            run = LiveRun(
-                plan.request,
-                plan.service,
-                target,
-                tokens,
-                reading=plan.demand.prompt,
-                moves=not plan.repeatable,
-            )
-            run.backup = self.choose_backup(plan, target)
-            self.watch(run)
+            run = self.runs.start(plan, target)
         self.chooser.begin(target.instance)
         began = self.clock.monotonic()
         answer: TargetAnswer | None = None
@@ -263,7 +175,7 @@
             if answer is not None:
                 answer.close()
             if run is not None:
-                self.unwatch(run)
+                self.runs.unwatch(run)
             self.chooser.end(target.instance)
             raise
         self._note_answer(plan, sent, began)
@@ -283,16 +195,15 @@
             # request can still be sent elsewhere
             first = await answer.read()
             if run is None:
-                run = LiveRun(plan.request, plan.service, target, 0)
-                self.watch(run)
-            self.note_begun(run)
+                run = self.runs.start(plan, target)
+            self.runs.note_begun(run)
             return Sent(target, answer, first, run)
         parts = []
         while data := await answer.read():
             parts.append(data)
         answer.release()
         if run is not None:
-            self.unwatch(run)
+            self.runs.unwatch(run)
         return Sent(target, answer, b"".join(parts))
 
     def _order(
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -152,7 +152,7 @@
                 data = await sent.answer.read()
         finally:
             run.end_read()
-        self._dispatcher.note_begun(run)
+        self._dispatcher.runs.note_begun(run)
         return data
 
     async def _use_backup(self, run: LiveRun, sent: Sent) -> Sent:
@@ -168,7 +168,7 @@
             fresh = await self._try_handoff(run, Handoff(backup, origin), sent)
             if fresh is not None:
                 return fresh
-        dispatcher.drop_backup(run)
+        dispatcher.runs.drop_backup(run)
         run.stay()
         if dispatcher.table.leaves(run.target.instance):
             dispatcher.mover.start(run)
@@ -256,7 +256,7 @@
         self, run: LiveRun, handoff: Handoff, sent: Sent
     ) -> Sent | None:
         dispatcher, plan = self._dispatcher, self._plan
-        backup = dispatcher.choose_backup(plan, handoff.target)
+        backup = dispatcher.runs.choose_backup(plan, handoff.target)
         order = SendOrder(
             backup=backup.address if backup else None,
             seconds=plan.deadline - dispatcher.clock.monotonic(),
@@ -293,7 +293,7 @@
         run.go_on(handoff.target)
         self._splitter = EventSplitter()
         run.backup = backup
-        dispatcher.watch(run)
+        dispatcher.runs.watch(run)
         dispatcher.chooser.begin(run.target.instance)
         if dispatcher.table.leaves(run.target.instance):
             dispatcher.mover.start(run)
