--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -29,7 +29,7 @@
 FULL_SHARE = 1.0
 # Copies may fill a target up to this share only: beyond, a copy would take
 # the memory that generations of other callers need soon.
-BACKUP_SHARE = 0.8
+BACKUP_SHARE = 0.6
 
 
 class Chooser:
