--- a/packages/gateway/src/chivepier/gateway/serving/tests/bench.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -85,7 +85,7 @@
 ROUTES = (make_route(), PLAIN, REPEATABLE, RESUMABLE)
 
 
-class Bench:
+class Parts:
     """Parts of an entry, put together over fake engines.
 
     :param names: targets of both services
@@ -190,12 +190,12 @@
 
 
 def play(test, *names: str, **options) -> None:
-    """Run a test's coroutine over a bench, within ten seconds."""
+    """Run a test's coroutine over these parts, within ten seconds."""
 
     async def work():
         async with asyncio.timeout(10):
-            bench = Bench(*names, **options)
-            await test(bench)
-            await bench.mover.close()
+            parts = Parts(*names, **options)
+            await test(parts)
+            await parts.mover.close()
 
     asyncio.run(work())
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_dispatching.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_dispatching.py
@@ -4,30 +4,30 @@
 
 import pytest
 
-from chivepier.gateway.serving.tests.bench import make_request
-from chivepier.gateway.serving.tests.bench import play
+from chivepier.gateway.serving.tests.parts import make_request
+from chivepier.gateway.serving.tests.parts import play
 from chivepier.types import ErrorKind
 from chivepier.types import Ran
 from chivepier.types import RequestError
 
 
-def answer_all(bench, status: int = 200) -> None:
+def answer_all(parts, status: int = 200) -> None:
     """Let every target answer with an empty body."""
     for name in ("a", "b", "c"):
-        bench.engines.failing[f"w-{name}"] = status
+        parts.engines.failing[f"w-{name}"] = status
 
 
-async def fail(bench, request) -> RequestError:
+async def fail(parts, request) -> RequestError:
     """Serve a request that must fail."""
     with pytest.raises(RequestError) as caught:
-        await bench.serve(request)
+        await parts.serve(request)
     return caught.value.failure
 
 
 def test_answer_is_passed_through():
-    async def test(bench):
-        bench.engines.failing["w-a"] = 404
-        caller = await bench.serve(make_request("/plain/x"))
+    async def test(parts):
+        parts.engines.failing["w-a"] = 404
+        caller = await parts.serve(make_request("/plain/x"))
         assert caller.status == 404 and caller.finished
         assert caller.headers == (("X-From", "engine"),)
 
@@ -37,35 +37,35 @@
 def test_request_that_may_run_once_is_not_sent_again_after_a_loss():
     # The caller sees 502 and knows that it may have run. The connection
     # breaks after the request was sent; a second target would run it again.
-    async def test(bench):
-        bench.engines.lose = {"w-a", "w-b"}
-        failure = await fail(bench, make_request("/plain/x"))
+    async def test(parts):
+        parts.engines.lose = {"w-a", "w-b"}
+        failure = await fail(parts, make_request("/plain/x"))
         assert failure.kind is ErrorKind.TARGET_FAILED
         assert failure.ran is Ran.UNKNOWN
-        assert len(bench.engines.orders) == 1
+        assert len(parts.engines.orders) == 1
 
     play(test, "a", "b")
 
 
 def test_request_that_may_run_once_is_sent_again_when_it_did_not_run():
-    async def test(bench):
-        answer_all(bench)
-        bench.engines.refuse = {"w-a", "w-b"}
-        caller = await bench.serve(make_request("/plain/x"))
+    async def test(parts):
+        answer_all(parts)
+        parts.engines.refuse = {"w-a", "w-b"}
+        caller = await parts.serve(make_request("/plain/x"))
         assert caller.status == 200
-        assert bench.engines.orders[-1][0] == "w-c"
+        assert parts.engines.orders[-1][0] == "w-c"
 
     play(test, "a", "b", "c")
 
 
 def test_target_that_can_not_be_reached_costs_nothing_but_time():
-    async def test(bench):
-        answer_all(bench)
-        bench.engines.dark = {"w-a"}
+    async def test(parts):
+        answer_all(parts)
+        parts.engines.dark = {"w-a"}
         for _ in range(8):
-            caller = await bench.serve(make_request("/plain/x"))
+            caller = await parts.serve(make_request("/plain/x"))
             assert caller.status == 200
-        assert {name for name, _ in bench.engines.orders} == {"w-b"}
+        assert {name for name, _ in parts.engines.orders} == {"w-b"}
 
     play(test, "a", "b")
 
@@ -74,22 +74,22 @@
     # Requests kept going to an address that a new instance had taken over,
     # each refused there first. The instance that is named in the table is
     # gone as soon as another one answers in its place.
-    async def test(bench):
-        answer_all(bench)
-        bench.engines.wrong = {"w-a"}
+    async def test(parts):
+        answer_all(parts)
+        parts.engines.wrong = {"w-a"}
         for _ in range(8):
-            caller = await bench.serve(make_request("/plain/x"))
+            caller = await parts.serve(make_request("/plain/x"))
             assert caller.status == 200
-        sent = [name for name, _ in bench.engines.orders]
+        sent = [name for name, _ in parts.engines.orders]
         assert sent.count("w-a") <= 1
 
     play(test, "a", "b")
 
 
 def test_refused_by_all_is_told_as_not_run_with_when_to_come_back():
-    async def test(bench):
-        bench.engines.refuse = {"w-a", "w-b"}
-        failure = await fail(bench, make_request("/plain/x"))
+    async def test(parts):
+        parts.engines.refuse = {"w-a", "w-b"}
+        failure = await fail(parts, make_request("/plain/x"))
         assert failure.kind is ErrorKind.NO_TARGET
         assert failure.ran is Ran.NO
         assert failure.retry_after.total_seconds() > 0
@@ -98,22 +98,22 @@
 
 
 def test_repeatable_request_is_sent_to_another_target_after_a_failure():
-    async def test(bench):
-        bench.engines.lose = {"w-a"}
-        bench.engines.failing = {"w-b": 200}
+    async def test(parts):
+        parts.engines.lose = {"w-a"}
+        parts.engines.failing = {"w-b": 200}
         for _ in range(4):
-            caller = await bench.serve(make_request("/read/x"))
+            caller = await parts.serve(make_request("/read/x"))
             assert caller.status == 200
 
     play(test, "a", "b")
 
 
 def test_repeatable_request_runs_on_no_more_targets_than_allowed():
-    async def test(bench):
-        answer_all(bench, 500)
-        caller = await bench.serve(make_request("/read/x"))
+    async def test(parts):
+        answer_all(parts, 500)
+        caller = await parts.serve(make_request("/read/x"))
         assert caller.status == 500
-        assert len(bench.engines.orders) == 2
+        assert len(parts.engines.orders) == 2
 
     play(test, "a", "b", "c")
 
@@ -122,22 +122,22 @@
     # Every request fails at a target that is broken, and is repeated at one
     # that then has twice its load. Beyond the budget the failure is passed
     # on, which keeps the rest of the service alive.
-    async def test(bench):
-        answer_all(bench, 500)
+    async def test(parts):
+        answer_all(parts, 500)
         for _ in range(40):
-            await bench.serve(make_request("/read/x"))
-        sent = len(bench.engines.orders)
+            await parts.serve(make_request("/read/x"))
+        sent = len(parts.engines.orders)
         assert 40 < sent <= 40 + 0.7 * (0.2 * 40 + 10)
 
     play(test, "a", "b", "c")
 
 
 def test_hopeless_request_is_refused_at_once_as_not_run():
-    async def test(bench):
+    async def test(parts):
         now = time.monotonic()
-        failure = await fail(bench, make_request("/plain/x", deadline=now))
+        failure = await fail(parts, make_request("/plain/x", deadline=now))
         assert failure.ran is Ran.NO
-        assert not bench.engines.orders
+        assert not parts.engines.orders
 
     play(test, "a")
 
@@ -152,23 +152,23 @@
     ],
 )
 def test_what_the_configuration_does_not_allow_is_refused(changes, kind):
-    async def test(bench):
+    async def test(parts):
         wanted = {"path": "/plain/x", **changes}
-        failure = await fail(bench, make_request(**wanted))
+        failure = await fail(parts, make_request(**wanted))
         assert failure.kind is kind
-        assert not bench.engines.orders
+        assert not parts.engines.orders
 
     play(test, "a")
 
 
 def test_team_and_its_urgency_go_with_the_request():
-    async def test(bench):
-        caller, task = bench.start(make_request("/llm/x"))
-        answer = await bench.engines.wait_run(1)
+    async def test(parts):
+        caller, task = parts.start(make_request("/llm/x"))
+        answer = await parts.engines.wait_run(1)
         answer.make()
         answer.end()
         await task
-        _, order = bench.engines.orders[0]
+        _, order = parts.engines.orders[0]
         assert (order.team, order.urgency) == ("t1", 3)
 
     play(test, "a")
@@ -177,13 +177,13 @@
 def test_requests_before_the_first_configuration_wait_for_it():
     # All processes were killed at once; callers came back before the entry
     # had heard a voter, were told to come again, and missed their objective.
-    async def test(bench):
-        index, bench.state.index = bench.state.index, None
-        answer_all(bench)
-        caller, task = bench.start(make_request("/plain/x"))
-        while not bench.serving.active:
-            await bench.dispatcher.clock.sleep(0)
-        bench.state.adopt(index)
+    async def test(parts):
+        index, parts.state.index = parts.state.index, None
+        answer_all(parts)
+        caller, task = parts.start(make_request("/plain/x"))
+        while not parts.serving.active:
+            await parts.dispatcher.clock.sleep(0)
+        parts.state.adopt(index)
         await task
         assert caller.status == 200
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
@@ -5,18 +5,18 @@
 import attrs
 import pytest
 
-from chivepier.gateway.serving.tests.bench import ENGINE
-from chivepier.gateway.serving.tests.bench import make_request
-from chivepier.gateway.serving.tests.bench import play
+from chivepier.gateway.serving.tests.parts import ENGINE
+from chivepier.gateway.serving.tests.parts import make_request
+from chivepier.gateway.serving.tests.parts import play
 from chivepier.types import RequestError
 
 BACKED = attrs.evolve(ENGINE, backups=True)
 
 
-async def begin(bench, path: str = "/llm/x", events: int = 2):
+async def begin(parts, path: str = "/llm/x", events: int = 2):
     """Start a stream and let it make events that reach the caller."""
-    caller, task = bench.start(make_request(path))
-    run = await bench.engines.wait_run(1)
+    caller, task = parts.start(make_request(path))
+    run = await parts.engines.wait_run(1)
     run.make(events)
     await caller.wait_events(events)
     return caller, task, run
@@ -26,12 +26,12 @@
     # The caller sees one unbroken series of events. Its target says that it
     # leaves; the memory is copied while the run goes on, then the run is
     # stopped, the rest is copied, and the next target goes on from there.
-    async def test(bench):
-        caller, task, run = await begin(bench)
-        bench.leave(run.target)
-        fresh = await bench.engines.wait_run(2)
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        parts.leave(run.target)
+        fresh = await parts.engines.wait_run(2)
         assert fresh.target != run.target and run.stopped
-        assert [last for _, _, last in bench.engines.moves] == [False, True]
+        assert [last for _, _, last in parts.engines.moves] == [False, True]
         fresh.make(3)
         fresh.end()
         await task
@@ -42,10 +42,10 @@
 
 
 def test_events_that_come_twice_are_passed_on_once():
-    async def test(bench):
-        caller, task, run = await begin(bench)
-        bench.leave(run.target)
-        fresh = await bench.engines.wait_run(2)
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        parts.leave(run.target)
+        fresh = await parts.engines.wait_run(2)
         fresh.number = 0
         fresh.make(4)
         fresh.end()
@@ -58,11 +58,11 @@
 def test_torn_event_is_not_passed_on():
     # The caller got half an event, followed by the next target's whole one.
     # The source stops in the middle of an event when it is moved.
-    async def test(bench):
-        caller, task, run = await begin(bench)
+    async def test(parts):
+        caller, task, run = await begin(parts)
         run.make(0, "id: 3\nda")
-        bench.leave(run.target)
-        fresh = await bench.engines.wait_run(2)
+        parts.leave(run.target)
+        fresh = await parts.engines.wait_run(2)
         fresh.make(1)
         fresh.end()
         await task
@@ -72,12 +72,12 @@
 
 
 def test_destination_without_room_is_passed_over():
-    async def test(bench):
-        caller, task, run = await begin(bench)
+    async def test(parts):
+        caller, task, run = await begin(parts)
         others = [n for n in ("a", "b", "c") if n != run.target]
-        bench.engines.full = {others[0]}
-        bench.leave(run.target)
-        fresh = await bench.engines.wait_run(2)
+        parts.engines.full = {others[0]}
+        parts.leave(run.target)
+        fresh = await parts.engines.wait_run(2)
         assert fresh.target == others[1]
         fresh.end()
         await task
@@ -89,26 +89,26 @@
 def test_runs_of_a_leaving_target_do_not_all_go_to_one():
     # All runs of a leaving target chose the one that had been the emptiest
     # before, and filled it. A place is booked while memory is copied.
-    async def test(bench):
-        caller, task, run = await begin(bench)
+    async def test(parts):
+        caller, task, run = await begin(parts)
         started = asyncio.Event()
         release = asyncio.Event()
-        move = bench.engines.move
+        move = parts.engines.move
         booked = {}
 
         async def hold(source, identity, destination, last, seconds):
             started.set()
-            total = bench.board.total(destination.instance, 0.0)
+            total = parts.board.total(destination.instance, 0.0)
             booked[destination.instance] = total.tokens
             await release.wait()
             return await move(source, identity, destination, last, seconds)
 
-        bench.engines.move = hold
-        bench.leave(run.target)
+        parts.engines.move = hold
+        parts.leave(run.target)
         await started.wait()
         assert list(booked.values()) == [100 + 450]
         release.set()
-        fresh = await bench.engines.wait_run(2)
+        fresh = await parts.engines.wait_run(2)
         fresh.end()
         await task
 
@@ -118,20 +118,20 @@
 def test_run_that_was_stopped_goes_on_at_its_source_without_room_elsewhere():
     # The first copy finds room, the second does not: the run is stopped,
     # but its source still keeps the memory and can go on from it.
-    async def test(bench):
-        caller, task, run = await begin(bench)
-        move = bench.engines.move
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        move = parts.engines.move
 
         async def fill(source, identity, destination, last, seconds):
             if last:
-                bench.engines.full.add(destination.instance)
+                parts.engines.full.add(destination.instance)
                 handle = f"h-{identity}"
-                bench.engines.copies.add((source.address, handle))
+                parts.engines.copies.add((source.address, handle))
             return await move(source, identity, destination, last, seconds)
 
-        bench.engines.move = fill
-        bench.leave(run.target)
-        fresh = await bench.engines.wait_run(2)
+        parts.engines.move = fill
+        parts.leave(run.target)
+        fresh = await parts.engines.wait_run(2)
         assert fresh.target == run.target
         fresh.make(1)
         fresh.end()
@@ -142,10 +142,10 @@
 
 
 def test_stream_that_ends_before_its_move_is_whole():
-    async def test(bench):
-        caller, task, run = await begin(bench)
+    async def test(parts):
+        caller, task, run = await begin(parts)
         run.end()
-        bench.leave(run.target)
+        parts.leave(run.target)
         await task
         assert caller.finished and caller.numbers == [1, 2]
 
@@ -155,13 +155,13 @@
 def test_run_that_has_not_begun_is_moved_when_it_begins():
     # Streams were cut that waited at their target when it said it leaves:
     # there was nothing to copy yet, and nobody asked again.
-    async def test(bench):
-        caller, task = bench.start(make_request())
-        run = await bench.engines.wait_run(1)
-        bench.leave(run.target)
-        await bench.engines.moved.wait()
+    async def test(parts):
+        caller, task = parts.start(make_request())
+        run = await parts.engines.wait_run(1)
+        parts.leave(run.target)
+        await parts.engines.moved.wait()
         run.make(1)
-        fresh = await bench.engines.wait_run(2)
+        fresh = await parts.engines.wait_run(2)
         fresh.make(1)
         fresh.end()
         await task
@@ -171,8 +171,8 @@
 
 
 def test_stream_that_can_not_go_on_is_cut_visibly():
-    async def test(bench):
-        caller, task, run = await begin(bench)
+    async def test(parts):
+        caller, task, run = await begin(parts)
         run.cut()
         await task
         assert caller.aborted and not caller.finished
@@ -182,24 +182,24 @@
 
 
 def test_stream_that_breaks_before_its_first_event_fails_as_unknown():
-    async def test(bench):
-        caller, task = bench.start(make_request())
-        run = await bench.engines.wait_run(1)
+    async def test(parts):
+        caller, task = parts.start(make_request())
+        run = await parts.engines.wait_run(1)
         run.cut()
         with pytest.raises(RequestError):
             await task
         assert caller.status is None
-        assert len(bench.engines.orders) == 1
+        assert len(parts.engines.orders) == 1
 
     play(test, "a", "b")
 
 
 def test_resumable_stream_goes_on_anew_after_a_crash():
-    async def test(bench):
-        caller, task, run = await begin(bench, "/resume/x")
-        bench.engines.dark = {run.target}
+    async def test(parts):
+        caller, task, run = await begin(parts, "/resume/x")
+        parts.engines.dark = {run.target}
         run.cut()
-        fresh = await bench.engines.wait_run(2)
+        fresh = await parts.engines.wait_run(2)
         assert fresh.target != run.target
         fresh.make(1)
         fresh.end()
@@ -212,12 +212,12 @@
 def test_crashed_target_s_stream_goes_on_at_its_growing_copy():
     # The target is gone without a notice. Another one has kept a copy of
     # the run's memory while it grew, and counts as the same run.
-    async def test(bench):
-        caller, task, run = await begin(bench)
-        _, order = bench.engines.orders[0]
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        _, order = parts.engines.orders[0]
         assert order.backup is not None
         run.cut()
-        fresh = await bench.engines.wait_run(2)
+        fresh = await parts.engines.wait_run(2)
         assert f"{fresh.target}:80" == order.backup
         fresh.make(1)
         fresh.end()
@@ -230,12 +230,12 @@
 def test_source_is_left_only_when_the_copy_has_answered():
     # Generations were lost: the copy had found no room at its target and
     # was refused, after the source's stream had been closed.
-    async def test(bench):
-        caller, task, run = await begin(bench)
-        bench.engines.copies.clear()
-        bench.leave(run.target)
-        fresh = await bench.engines.wait_run(2)
-        assert bench.engines.moves[-1][2] is True
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        parts.engines.copies.clear()
+        parts.leave(run.target)
+        fresh = await parts.engines.wait_run(2)
+        assert parts.engines.moves[-1][2] is True
         fresh.make(1)
         fresh.end()
         await task
@@ -245,11 +245,11 @@
 
 
 def test_stream_goes_on_at_its_copy_when_its_target_leaves():
-    async def test(bench):
-        caller, task, run = await begin(bench)
-        bench.leave(run.target)
-        fresh = await bench.engines.wait_run(2)
-        assert not bench.engines.moves
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        parts.leave(run.target)
+        fresh = await parts.engines.wait_run(2)
+        assert not parts.engines.moves
         fresh.make(1)
         fresh.end()
         await task
@@ -261,26 +261,26 @@
 def test_caller_that_leaves_ends_the_run_and_its_move():
     # A target went on with a run for a caller that had gone: its stream is
     # closed, nothing is sent anywhere, and its place is free again.
-    async def test(bench):
-        caller, task, run = await begin(bench)
-        bench.leave(run.target)
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        parts.leave(run.target)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
         await asyncio.sleep(0)
-        assert run.closed and len(bench.engines.answers) == 1
-        own = [record for record in bench.board.own() if record.runs]
+        assert run.closed and len(parts.engines.answers) == 1
+        own = [record for record in parts.board.own() if record.runs]
         assert not own
 
     play(test, "a", "b")
 
 
 def test_notice_that_is_repeated_moves_once():
-    async def test(bench):
-        caller, task, run = await begin(bench)
-        bench.leave(run.target)
-        bench.leave(run.target)
-        fresh = await bench.engines.wait_run(2)
-        assert len(bench.engines.moves) == 2
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        parts.leave(run.target)
+        parts.leave(run.target)
+        fresh = await parts.engines.wait_run(2)
+        assert len(parts.engines.moves) == 2
         fresh.end()
         await task
 
