Stop moving a run that broke before its first event

The run is now given up with its request. Test, failing before: test_run_that_broke_before_its_first_event_is_not_moved_any_more.

--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -175,7 +175,7 @@
             if answer is not None:
                 answer.close()
             if run is not None:
-                self.runs.unwatch(run)
+                self.runs.give_up(run)
             self.chooser.end(target.instance)
             raise
         self._note_answer(plan, sent, began)
@@ -203,7 +203,7 @@
             parts.append(data)
         answer.release()
         if run is not None:
-            self.runs.unwatch(run)
+            self.runs.give_up(run)
         return Sent(target, answer, b"".join(parts))
 
     def _order(
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -136,6 +136,11 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    @property
+    def busy(self) -> bool:
+        """Whether any move is under way."""
+        return bool(self._tasks)
+
     def _is_safe(self, run: LiveRun) -> bool:
         """Tell whether a copy is kept that the generation can go on from."""
         backup = run.backup
--- a/packages/gateway/src/chivepier/gateway/serving/runwatch.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runwatch.py
@@ -74,6 +74,16 @@
         self._count(run, -1)
         self._mover.remove(run)
 
+    def give_up(self, run: LiveRun) -> None:
+        """Take off a generation that goes on nowhere.
+
+        A move of it would else ask its source until the process ends: one
+        that broke off before its first event looks as if it waited still.
+        """
+        self.unwatch(run)
+        run.ended = True
+        run.lost.set()
+
     def note_begun(self, run: LiveRun) -> None:
         """Note that its first event came from this target."""
         if run.began is None:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
@@ -13,6 +13,12 @@
 BACKED = attrs.evolve(ENGINE, backups=True)
 
 
+async def wait_until(condition) -> None:
+    """Return once a condition holds; the test's own limit ends it else."""
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
 async def begin(parts, path: str = "/llm/x", events: int = 2):
     """Start a stream and let it make events that reach the caller."""
     caller, task = parts.start(make_request(path))
@@ -170,6 +176,23 @@
     play(test, "a", "b")
 
 
+def test_run_that_broke_before_its_first_event_is_not_moved_any_more():
+    # Its target leaves while the request waits there, and ends. The caller
+    # was answered, but copies were asked for, thirty a second for each such
+    # request, until the entry ended.
+    async def test(parts):
+        caller, task = parts.start(make_request())
+        run = await parts.engines.wait_run(1)
+        parts.leave(run.target)
+        await parts.engines.moved.wait()
+        run.cut()
+        with pytest.raises(RequestError):
+            await task
+        await wait_until(lambda: not parts.mover.busy)
+
+    play(test, "a", "b")
+
+
 def test_stream_that_can_not_go_on_is_cut_visibly():
     async def test(parts):
         caller, task, run = await begin(parts)
