Keep no growing copies; send copies to targets whose link is free

Growing copies also held memory for five seconds after use.

Test: test_copies_off_several_targets_do_not_share_a_link.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -77,7 +77,6 @@
             chooser,
             self.table,
             self.board,
-            settings.notice,
             clock,
             log,
             self.metrics,
@@ -115,7 +114,6 @@
             mover=self.mover,
             port=port,
             budget=budget,
-            notice=settings.notice,
             clock=clock,
             log=log,
         )
--- a/packages/gateway/src/chivepier/gateway/messages/loadrecord.py
+++ b/packages/gateway/src/chivepier/gateway/messages/loadrecord.py
@@ -8,9 +8,9 @@
     """What one entry runs at one target: absolute counts.
 
     ``reading`` is the part of ``tokens`` that is still to be read in.
-    ``exposed`` is how long it would need to copy memory off the target, in
-    milliseconds, and ``turn`` the same where the target does leave;
-    ``copying`` is set while it does so.
+    ``turn`` is how long it needs to copy memory off a target that leaves, in
+    milliseconds, and ``copying`` is set while it does so. ``receiving`` counts
+    the copies that it sends to the target.
     """
 
     entry: str
@@ -18,6 +18,6 @@
     runs: int
     tokens: int
     reading: int
-    exposed: int
     turn: int
     copying: bool = False
+    receiving: int = 0
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -63,7 +63,6 @@
     :param mover: watches generations
     :param port: the protocol towards targets
     :param budget: bounds repeats
-    :param notice: seconds for which a target that leaves still serves
     :param clock: monotonic time
     :param log: decisions on requests
     """
@@ -80,7 +79,6 @@
         mover: Mover,
         port: TargetPort,
         budget: RetryBudget,
-        notice: float,
         clock: Clock,
         log: EventLog,
     ):
@@ -93,7 +91,7 @@
         self.budget = budget
         self.clock = clock
         self.log = log
-        self.runs = RunWatch(board, mover, chooser, notice, clock)
+        self.runs = RunWatch(board, mover, clock)
         self._placing = Placing(chooser, health, queues, port, clock, log)
 
     async def dispatch(self, plan: Plan) -> Sent:
@@ -199,7 +197,7 @@
         try:
             async with asyncio.timeout(seconds):
                 answer = await self.port.send(
-                    target, plan.request, self._order(plan, place, run)
+                    target, plan.request, self._order(plan, place)
                 )
                 sent = await self._read(plan, target, answer, run)
         except BaseException:
@@ -237,12 +235,8 @@
             self.runs.give_up(run)
         return Sent(target, answer, b"".join(parts))
 
-    def _order(
-        self, plan: Plan, place: Place, run: LiveRun | None
-    ) -> SendOrder:
-        backup = run.backup if run is not None else None
+    def _order(self, plan: Plan, place: Place) -> SendOrder:
         return SendOrder(
-            backup=backup.address if backup else None,
             reservation=place.reservation,
             seconds=plan.deadline - self.clock.monotonic(),
             team=plan.team,
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -36,9 +36,6 @@
     :param stopped: whether its target was told to stop it for a move
     :param ended: whether nothing is relayed any more
     :param lost: set when its target has broken off
-    :param backup: the target that keeps a growing copy of its memory
-    :param bare: whether its memory must be copied when its target leaves
-    :param interrupted: whether it is to go on at that copy now
     """
 
     request: CallerRequest
@@ -54,10 +51,6 @@
     stopped: bool = False
     ended: bool = False
     lost: asyncio.Event = attrs.field(factory=asyncio.Event)
-    backup: Target | None = None
-    interrupted: bool = False
-    bare: bool = False
-    _scope: asyncio.Timeout | None = None
 
     @property
     def held(self) -> int:
@@ -70,17 +63,10 @@
 
     def copy_seconds(self) -> float:
         """Return how long its memory takes to another availability zone."""
-        return self._measure_copy(self.held)
-
-    def end_seconds(self) -> float:
-        """Return the same for the memory that it takes in the end."""
-        return self._measure_copy(self.tokens)
-
-    def _measure_copy(self, tokens: int) -> float:
         engine = self.service.engine
         if engine is None:
             return 0.0
-        return FAR_FACTOR * tokens * engine.token_seconds + CALL_SECONDS
+        return FAR_FACTOR * self.held * engine.token_seconds + CALL_SECONDS
 
     async def await_loss(self, seconds: float) -> None:
         """Return after a time, or at once when its target breaks off.
@@ -93,34 +79,6 @@
         except TimeoutError:
             return
 
-    def read_within(self, seconds: float | None) -> asyncio.Timeout:
-        """Bound one read of the stream, which :meth:`interrupt` ends too.
-
-        Only reads are bounded: an event that was counted but not yet
-        written would be lost if its write were ended.
-
-        :param seconds: to wait for the next bytes; ``None``: for ever
-        :returns: the context manager around the read
-        """
-        scope = asyncio.timeout(0 if self.interrupted else seconds)
-        self._scope = scope
-        return scope
-
-    def end_read(self) -> None:
-        """Note that no read is under way."""
-        self._scope = None
-
-    def interrupt(self) -> None:
-        """End the read under way: there is a copy to go on from."""
-        self.interrupted = True
-        if self._scope is not None and not self._scope.expired():
-            self._scope.reschedule(asyncio.get_running_loop().time())
-
-    def stay(self) -> None:
-        """Note that the copy is of no use: it goes on where it runs."""
-        self.handoff = None
-        self.interrupted = False
-
     def go_on(self, target: Target) -> None:
         """Note that it goes on at another target."""
         self.target = target
@@ -129,10 +87,7 @@
         self.began = None
         self.handoff = None
         self.stopped = False
-        self.backup = None
-        self.bare = False
         self.lost.clear()
-        self.interrupted = False
 
 
 def milliseconds(seconds: float) -> int:
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -1,13 +1,14 @@
 """Moving live generations off targets that leave."""
 
 import asyncio
+import collections.abc
+import contextlib
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.copyturns import CopyTurns
 from chivepier.gateway.serving.handoff import Handoff
 from chivepier.gateway.serving.liverun import LiveRun
-from chivepier.gateway.serving.liverun import milliseconds
 from chivepier.gateway.serving.moved import MoveOutcome
 from chivepier.gateway.serving.origin import Origin
 from chivepier.gateway.serving.targetport import TargetPort
@@ -24,31 +25,22 @@
 # Seconds to wait for one copy. A copy of 6,000 tokens takes 0.4 s on an idle
 # link, twice that between zones, and waits for the copies before it.
 COPY_SECONDS = 4.0
-# Seconds after its first event at which a generation's copy is relied on:
-# parts are sent several times a second, and the prompt's takes 0.2 s.
-BACKUP_SECONDS = 0.8
 # Seconds between two looks for room, or for the first event of a generation
 # that has not begun.
 LOOK_PAUSE = 0.1
-# Generations with a copy go on there after this share of the notice. Some
-# end before; the rest of it is left for machines that are slow.
-SAFE_SHARE = 0.5
 
 
 class Mover:
     """Keeps the live generations and moves those whose target leaves.
 
-    Where another target keeps a growing copy, the generation goes on there
-    at once. Else a first copy is made while the generation goes on; then it
-    is stopped, and what it made meanwhile is copied. So the caller's stream
-    pauses for the second copy only, some milliseconds, and not for the
-    first.
+    A first copy is made while the generation goes on; then it is stopped,
+    and what it made meanwhile is copied. So the caller's stream pauses for
+    the second copy only, some milliseconds, and not for the first.
 
     :param port: the protocol towards targets
     :param chooser: finds destinations
     :param table: which targets leave
     :param board: what the other entries have to move
-    :param notice: seconds for which a target that leaves still serves
     :param clock: monotonic time
     :param log: decisions on requests
     :param metrics: counts copies
@@ -60,7 +52,6 @@
         chooser: Chooser,
         table: TargetTable,
         board: LoadBoard,
-        notice: float,
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
@@ -70,7 +61,6 @@
         self._chooser = chooser
         self._table = table
         self._board = board
-        self._notice = notice
         self._turns = CopyTurns(board, clock)
         self._clock = clock
         self._log = log
@@ -97,27 +87,13 @@
         """
         if target.state is TargetState.READY or before is target.state:
             return
-        self._note_lost_copies(target)
         runs = list(self._runs.get(target.instance, ()))
-        due = {run for run in runs if self._can_copy(run)}
+        due = {run for run in runs if run.moves and run.began is not None}
         if due:
             self._turns.expect(target.instance, due)
         for run in runs:
             self.start(run)
 
-    def _can_copy(self, run: LiveRun) -> bool:
-        begun = run.began is not None
-        return run.moves and begun and not self._is_safe(run)
-
-    def _note_lost_copies(self, target: Target) -> None:
-        for runs in self._runs.values():
-            for run in runs:
-                backup = run.backup
-                if backup is not None and backup.instance == target.instance:
-                    exposed = milliseconds(run.end_seconds())
-                    self._board.change(run.target.instance, exposed=exposed)
-                    run.bare = True
-
     def start(self, run: LiveRun) -> None:
         """Begin to move one generation, unless that is under way."""
         engine = run.service.engine
@@ -135,18 +111,11 @@
         """Whether any move is under way."""
         return bool(self._tasks)
 
-    def _is_safe(self, run: LiveRun) -> bool:
-        """Tell whether a copy is kept that the generation can go on from."""
-        backup = run.backup
-        return backup is not None and not self._table.leaves(backup.instance)
-
     async def _move(
         self, run: LiveRun, handoff: asyncio.Future[Handoff | None]
     ) -> None:
         found = None
         try:
-            if self._is_safe(run) and await self._use_backup(run):
-                return
             found = await self._copy_in_turn(run)
         except Exception as error:
             self._log.warn("move_failed", id=run.request.id, error=repr(error))
@@ -155,29 +124,6 @@
         if not handoff.done():
             handoff.set_result(found)
 
-    async def _use_backup(self, run: LiveRun) -> bool:
-        """Let it go on at the copy, late in the notice.
-
-        At the next target a new copy is made of all its memory. Made at
-        once, those copies would hold up the ones of generations that have
-        none yet. Until then the copy surely holds the prompt, too.
-
-        :param run: with a copy that can be used
-        :returns: whether there is nothing left to be moved from here
-        """
-        await run.await_loss(SAFE_SHARE * self._notice)
-        while not run.ended and self._is_safe(run):
-            if run.lost.is_set():
-                return False
-            left = LOOK_PAUSE
-            if run.began is not None:
-                left = run.began + BACKUP_SECONDS - self._clock.monotonic()
-            if left <= 0:
-                run.interrupt()
-                return True
-            await run.await_loss(min(left, LOOK_PAUSE))
-        return run.ended
-
     async def _copy_in_turn(self, run: LiveRun) -> Handoff | None:
         """Copy the memory as soon as it is there and a target has room.
 
@@ -206,15 +152,23 @@
             tried.add(target.instance)
             # many runs look for a place at the same moment: without this
             # all would take the one that was the emptiest before
-            self._board.change(target.instance, tokens=run.counted)
-            try:
+            with self._book(run.counted, target):
                 outcome, found = await self._copy_to(run, source, target)
-            finally:
-                self._board.change(target.instance, tokens=-run.counted)
             if found is not None or outcome is not MoveOutcome.NO_ROOM:
                 return found
         return None
 
+    @contextlib.contextmanager
+    def _book(
+        self, tokens: int, target: Target
+    ) -> collections.abc.Iterator[None]:
+        name = target.instance
+        self._board.change(name, tokens=tokens, receiving=1)
+        try:
+            yield
+        finally:
+            self._board.change(name, tokens=-tokens, receiving=-1)
+
     async def _copy_to(
         self, run: LiveRun, source: Target, target: Target
     ) -> tuple[MoveOutcome, Handoff | None]:
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -11,7 +11,6 @@
 from chivepier.gateway.serving.eventsplitter import EventSplitter
 from chivepier.gateway.serving.handoff import Handoff
 from chivepier.gateway.serving.liverun import LiveRun
-from chivepier.gateway.serving.origin import Origin
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.sendorder import SendOrder
 from chivepier.gateway.serving.sent import Sent
@@ -80,8 +79,6 @@
                     case StreamEnd.WHOLE if await self._ended(run):
                         await self._finish(head)
                         return
-                    case StreamEnd.INTERRUPTED:
-                        sent = await self._use_backup(run, sent)
                     case _:
                         sent = await self._go_on(run, sent)
                 if sent is None:
@@ -133,10 +130,8 @@
             await self._pass_on(head, run, first)
             while data := await self._read(run, sent):
                 await self._pass_on(head, run, data)
-        except AnswerCutError:
+        except (AnswerCutError, TimeoutError):
             return StreamEnd.CUT
-        except TimeoutError:
-            return StreamEnd.INTERRUPTED if run.interrupted else StreamEnd.CUT
         rest = self._splitter.take_rest()
         if rest:
             # an answer that is whole by its framing is the target's own,
@@ -146,38 +141,18 @@
 
     async def _read(self, run: LiveRun, sent: Sent) -> bytes:
         seconds = None
-        if run.backup is not None or self._plan.repeatable:
+        if self._plan.repeatable:
             # a target that is dark says nothing; where the generation can
             # go on elsewhere, its caller need not wait for the deadline
             seconds = STALL_SECONDS
-        try:
-            async with run.read_within(seconds):
-                data = await sent.answer.read()
-        finally:
-            run.end_read()
+        # only reads are bounded: an event that was counted but not yet
+        # written would be lost if its write were ended
+        async with asyncio.timeout(seconds):
+            data = await sent.answer.read()
         self._dispatcher.runs.note_begun(run)
         self._dispatcher.runs.note_growth(run)
         return data
 
-    async def _use_backup(self, run: LiveRun, sent: Sent) -> Sent:
-        """Go on at the copy, or stay if that is refused.
-
-        The source is left only when the copy has answered: a copy that found
-        no room is refused, and the generation would be lost.
-        """
-        dispatcher = self._dispatcher
-        backup = run.backup
-        if backup is not None:
-            origin = Origin(backup.address, run.request.id)
-            fresh = await self._try_handoff(run, Handoff(backup, origin), sent)
-            if fresh is not None:
-                return fresh
-        dispatcher.runs.drop_backup(run)
-        run.stay()
-        if dispatcher.table.leaves(run.target.instance):
-            dispatcher.mover.start(run)
-        return sent
-
     async def _try_handoff(
         self, run: LiveRun, handoff: Handoff, sent: Sent
     ) -> Sent | None:
@@ -237,9 +212,6 @@
             handoff = await self._await_handoff(run)
             if handoff is not None:
                 found.append(handoff)
-        if run.backup is not None:
-            origin = Origin(run.backup.address, run.request.id)
-            found.append(Handoff(run.backup, origin))
         if self._plan.repeatable:
             anew = self._choose_anew(run)
             if anew is not None:
@@ -260,9 +232,7 @@
         self, run: LiveRun, handoff: Handoff, sent: Sent
     ) -> Sent | None:
         dispatcher, plan = self._dispatcher, self._plan
-        backup = dispatcher.runs.choose_backup(plan, handoff.target)
         order = SendOrder(
-            backup=backup.address if backup else None,
             seconds=plan.deadline - dispatcher.clock.monotonic(),
             team=plan.team,
             urgency=MOVED,
@@ -296,7 +266,6 @@
         dispatcher.end(sent)
         run.go_on(handoff.target)
         self._splitter = EventSplitter()
-        run.backup = backup
         dispatcher.runs.watch(run)
         dispatcher.chooser.begin(run.target.instance)
         if dispatcher.table.leaves(run.target.instance):
--- a/packages/gateway/src/chivepier/gateway/serving/sendorder.py
+++ b/packages/gateway/src/chivepier/gateway/serving/sendorder.py
@@ -15,7 +15,6 @@
     :param origin: memory to go on from
     :param after_event: the last event that the caller has
     :param reservation: of room at the target
-    :param backup: address of the target that keeps a copy of its memory
     """
 
     seconds: float
@@ -24,4 +23,3 @@
     origin: Origin | None = None
     after_event: str | None = None
     reservation: str | None = None
-    backup: str | None = None
--- a/packages/gateway/src/chivepier/gateway/serving/streamend.py
+++ b/packages/gateway/src/chivepier/gateway/serving/streamend.py
@@ -4,11 +4,7 @@
 
 
 class StreamEnd(enum.Enum):
-    """What stopped the reading.
-
-    ``INTERRUPTED``: the target goes on, but there is a copy to go on from.
-    """
+    """Whether the target ended its answer or broke it off."""
 
     WHOLE = "whole"
     CUT = "cut"
-    INTERRUPTED = "interrupted"
--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -31,6 +31,10 @@
 # What another availability zone counts as when memory is moved: the copy
 # takes twice as long there, and the notice may not last for it.
 FAR_COST = 0.15
+# What a target counts as for each copy that it receives already. Copies to
+# one target share its link: a second copy, with its generation stopped,
+# waited 0.2 to 0.6 s there behind the first ones of others.
+RECEIVING_COST = 0.5
 # New generations may fill a target up to this share of its memory, each
 # counted with what it is expected to take in the end.
 FULL_SHARE = 1.0
@@ -157,10 +161,13 @@
         now = self._clock.monotonic()
         costs = {}
         for target in self._select_sound(service, without, now):
-            held = self._board.total(target.instance, now).tokens + tokens
-            if held <= share * engine.memory_tokens:
+            load = self._board.total(target.instance, now)
+            held = (load.tokens + tokens) / engine.memory_tokens
+            if held <= share:
                 far = 0.0 if target.zone == source.zone else FAR_COST
-                costs[target.instance] = held / engine.memory_tokens + far
+                costs[target.instance] = (
+                    held + far + RECEIVING_COST * load.receiving
+                )
         if not costs:
             return None
         order = self._draw(costs, sample=False)
--- a/packages/gateway/src/chivepier/gateway/targets/load.py
+++ b/packages/gateway/src/chivepier/gateway/targets/load.py
@@ -10,10 +10,10 @@
     :param runs: generations
     :param tokens: memory that they take, or are expected to take in the end
     :param reading: tokens of prompts that have not been read in yet
-    :param exposed: to copy memory off the target, in milliseconds
+    :param receiving: copies that are being sent to it
     """
 
     runs: int = 0
     tokens: int = 0
     reading: int = 0
-    exposed: int = 0
+    receiving: int = 0
--- a/packages/gateway/src/chivepier/gateway/targets/loadboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadboard.py
@@ -18,20 +18,20 @@
     runs: int = 0
     tokens: int = 0
     reading: int = 0
-    exposed: int = 0
     turn: int = 0
     copying: bool = False
+    receiving: int = 0
     heard: float = 0.0
 
     @property
-    def counts(self) -> tuple[int, int, int, int, int, bool]:
+    def counts(self) -> tuple[int, int, int, int, bool, int]:
         return (
             self.runs,
             self.tokens,
             self.reading,
-            self.exposed,
             self.turn,
             self.copying,
+            self.receiving,
         )
 
 
@@ -60,9 +60,9 @@
             record.runs,
             record.tokens,
             record.reading,
-            record.exposed,
             record.turn,
             record.copying,
+            record.receiving,
             now,
         )
 
@@ -72,14 +72,14 @@
         runs: int = 0,
         tokens: int = 0,
         reading: int = 0,
-        exposed: int = 0,
+        receiving: int = 0,
     ) -> None:
         """Add to what this entry itself runs at a target."""
         share = self._shares[instance].setdefault(self.me, _Share())
         share.runs += runs
         share.tokens += tokens
         share.reading += reading
-        share.exposed += exposed
+        share.receiving += receiving
         self.changed.set()
 
     def take_turn(self, instance: str, milliseconds: int) -> None:
@@ -108,14 +108,19 @@
         :param instance: the target's
         :param now: monotonic seconds
         """
-        runs = tokens = reading = exposed = 0
+        runs = tokens = reading = receiving = 0
         for entry, share in self._shares.get(instance, {}).items():
             if entry == self.me or now - share.heard < EXPIRY:
                 runs += share.runs
                 tokens += share.tokens
                 reading += share.reading
-                exposed += share.exposed
-        return Load(runs=runs, tokens=tokens, reading=reading, exposed=exposed)
+                receiving += share.receiving
+        return Load(
+            runs=runs,
+            tokens=tokens,
+            reading=reading,
+            receiving=receiving,
+        )
 
     def before(self, instance: str, now: float) -> int:
         """Return what is copied before this entry's turn.
