Refuse a waiting request before its time is over; drop unused settings

Cause: read in the code. A request that came back after a refusal, with less time than three objectives, waited for room until its deadline and was answered after it. Test: test_request_whose_time_runs_out_is_refused_before. The notice of leaving targets, the time for which unused copies are kept and the expected end of a run were left over from growing copies; nothing reads them any more, and the tests' lines on the first go with it.

--- a/packages/gateway/src/chivepier/gateway/config/engine.py
+++ b/packages/gateway/src/chivepier/gateway/config/engine.py
@@ -11,7 +11,6 @@
     :param memory_tokens: tokens that one target's memory holds
     :param event_tokens: tokens in one event of a stream
     :param moves: whether a live generation's memory can be moved
-    :param copy_seconds: how long an unused copy is kept, in seconds
     :param reserve_seconds: how long room can be reserved before a request is
         sent, in seconds; 0 where it can't
     :param token_seconds: to copy the memory of one token to another target
@@ -22,6 +21,5 @@
     memory_tokens: int
     event_tokens: int = 1
     moves: bool = False
-    copy_seconds: float = 5.0
     reserve_seconds: float = 0.0
     token_seconds: float = 0.0
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -23,7 +23,6 @@
     :param request: the caller's
     :param service: whose targets may run it
     :param target: where it runs
-    :param tokens: memory it is expected to take in the end
     :param counted: memory that other entries are told of: what it takes now
         and within the next seconds
     :param reading: tokens that its target reads in before its first event
@@ -41,8 +40,7 @@
     request: CallerRequest
     service: Service
     target: Target
-    tokens: int
-    counted: int = 0
+    counted: int
     reading: int = 0
     moves: bool = False
     number: int = 0
@@ -58,7 +56,7 @@
         prompt = self.request.prompt
         engine = self.service.engine
         if prompt is None or engine is None:
-            return self.tokens
+            return self.counted
         return prompt.tokens + self.number * engine.event_tokens
 
     def copy_seconds(self) -> float:
--- a/packages/gateway/src/chivepier/gateway/serving/runwatch.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runwatch.py
@@ -40,8 +40,7 @@
             plan.request,
             plan.service,
             target,
-            demand.tokens,
-            counted=demand.soon,
+            demand.soon,
             reading=demand.prompt,
             moves=not plan.repeatable,
         )
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_placing.py
@@ -85,6 +85,22 @@
     play(test, "a", "b", engine=RESERVING)
 
 
+def test_request_whose_time_runs_out_is_refused_before():
+    # A caller that comes back after a refusal has little time left. Told
+    # after its deadline that nothing ran, it has gone by then.
+    async def test(parts):
+        parts.engines.full = {"a", "b"}
+        deadline = make_request().arrived + 0.3
+        caller, task = parts.start(make_request(deadline=deadline))
+        with pytest.raises(RequestError) as caught:
+            await task
+        assert caught.value.failure.ran is Ran.NO
+        assert parts.dispatcher.clock.monotonic() < deadline
+        assert not parts.engines.orders
+
+    play(test, "a", "b", engine=RESERVING)
+
+
 def test_late_request_lets_those_in_time_go_first():
     # After a rush every answer was late for the rest of the day: the late
     # ones were served in the order they had come, each before one that could
--- a/packages/gateway/src/chivepier/gateway/serving/waiting.py
+++ b/packages/gateway/src/chivepier/gateway/serving/waiting.py
@@ -12,6 +12,9 @@
 # Objectives after which a request is refused: callers leave after four, and
 # one that is told before can come back when the rush is over.
 REFUSED_SHARE = 3.0
+# Share of its objective that a request must have left of its time: reading a
+# prompt takes that long, and an answer after the deadline reaches nobody.
+LEAST_SHARE = 0.25
 # Ranks of requests that are late come after all others.
 LATE_RANK = 10
 
@@ -37,6 +40,9 @@
     :param now: monotonic seconds
     """
     waited = (now - plan.request.arrived) / plan.route.objective
+    left = (plan.deadline - now) / plan.route.objective
+    if left < LEAST_SHARE:
+        return Stage.OVER
     if waited < EARLY_SHARE:
         return Stage.EARLY
     if waited < LATE_SHARE:
--- a/packages/gateway/src/chivepier/gateway/settings/entrysettings.py
+++ b/packages/gateway/src/chivepier/gateway/settings/entrysettings.py
@@ -16,7 +16,6 @@
     :param repeat_ratio: repeats for each request, over all entries
     :param repeat_extra: repeats that are always allowed, over all entries
     :param repeat_window: in which both are counted, in seconds
-    :param notice: for which a target that leaves still serves, in seconds
     :param grace: seconds from the order to stop until it is killed
     """
 
@@ -29,5 +28,4 @@
     repeat_ratio: float
     repeat_extra: float
     repeat_window: float
-    notice: float
     grace: float
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -71,7 +71,6 @@
             repeat_ratio=0.2,
             repeat_extra=10,
             repeat_window=10,
-            notice=2.0,
             grace=2.0,
         )
         log = EventLog("e1", os.open(os.devnull, os.O_WRONLY))
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -36,7 +36,7 @@
     assert entry.address == "10.1.0.19:8740"
     # the seeds are where operators ask; peers listen at the first free port
     assert entry.seeds == ("10.1.0.22:7200", "10.2.0.16:7200")
-    assert (entry.beat, entry.notice, entry.grace) == (1.2, 2.0, 8.0)
+    assert (entry.beat, entry.grace) == (1.2, 8.0)
     assert entry.repeat_extra == 56
 
 
