--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_chooser.py
@@ -192,3 +192,22 @@
         record = LoadRecord(entry, "a", 1, 10, 0, turn)
         choice.board.put(record, 0.0)
     assert choice.board.before("a", 0.0) == 300
+
+
+def test_copies_stay_in_their_availability_zone_while_there_is_room():
+    # Streams were cut as the notice of a target with eight of them ended:
+    # their copies went to emptier targets in other availability zones, where
+    # each takes twice as long on the link that all of them share.
+    choice = Choice("a", "near")
+    choice.table.put(make("far", address="far:1", zone="y"))
+    source = choice.table.get("a")
+
+    def find():
+        return choice.chooser.choose_destination(
+            "s", ENGINE, 4_000, source, {"a"}
+        )
+
+    choice.load("near", runs=6, tokens=24_000)
+    assert find().instance == "near"
+    choice.load("near", runs=8, tokens=31_000)
+    assert find().instance == "far"
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
@@ -13,13 +13,20 @@
 READY, LEAVING, GONE = TargetState
 
 
-def make(instance="i1", state=READY, number=1, heard=0.0, address="a:1"):
+def make(
+    instance="i1",
+    state=READY,
+    number=1,
+    heard=0.0,
+    address="a:1",
+    zone="z",
+):
     """Make an announcement."""
     return Target(
         instance=instance,
         service="s",
         address=address,
-        zone="z",
+        zone=zone,
         state=state,
         number=number,
         slots=4,
