--- a/packages/gateway/src/chivepier/gateway/targets/loadboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadboard.py
@@ -125,17 +125,22 @@
     def before(self, instance: str, now: float) -> int:
         """Return what is copied before this entry's turn.
 
-        Entries go in the order of their names, but one that copies already
-        is not interrupted.
+        Entries with less to copy go first, as more generations get off
+        within the notice then; equals go by name. One that copies already is
+        not interrupted.
 
         :param instance: the target's
         :param now: monotonic seconds
         :returns: milliseconds
         """
+        shares = self._shares.get(instance, {})
+        own = shares.get(self.me, _Share())
+        mine = (own.turn, self.me)
         return sum(
             share.turn
-            for entry, share in self._shares.get(instance, {}).items()
-            if (entry < self.me or entry != self.me and share.copying)
+            for entry, share in shares.items()
+            if entry != self.me
+            and (share.copying or (share.turn, entry) < mine)
             and now - share.heard < EXPIRY
         )
 
