--- a/packages/gateway/src/chivepier/gateway/serving/placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placing.py
@@ -89,7 +89,7 @@
             return Place(ranked[0]) if ranked else None
         with QueueTicket(self._queues, plan.service.name) as ticket:
             while self._rank(plan, tried):
-                stage = find_stage(plan, self._clock.monotonic())
+                stage = self._find_stage(plan)
                 if stage is Stage.OVER:
                     self._log.info("no_room", id=plan.request.id)
                     raise NoRoomError
@@ -101,6 +101,12 @@
                 await self._clock.sleep(ROUND_PAUSE)
         return None
 
+    def _find_stage(self, plan: Plan) -> Stage:
+        reading = self._chooser.pace.estimate(
+            plan.service.name, plan.demand.prompt
+        )
+        return find_stage(plan, self._clock.monotonic(), reading)
+
     def _select(
         self, plan: Plan, stage: Stage, tried: set[str]
     ) -> list[Target]:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_placing.py
@@ -106,10 +106,29 @@
     # ones were served in the order they had come, each before one that could
     # still be in time. Here one place is left and another entry's request
     # waits for it; the late one takes it when that has gone.
+    await_turn(waited=1.5)
+
+
+def test_request_whose_prompt_is_read_too_late_lets_others_go_first():
+    # First events came 0.2 to 0.7 s late though a target had room in time:
+    # at a full service requests pressed for a place until their objective
+    # was over, and their prompts had still to be read. Those that had just
+    # come, and could have been in time, waited behind them.
+    await_turn(waited=0.7, reading=0.4)
+
+
+def await_turn(waited: float, reading: float = 0.0) -> None:
+    """Check that a late request leaves the last place to another one.
+
+    :param waited: seconds since it arrived, of an objective of one
+    :param reading: seconds that its prompt takes to be read
+    """
+
     async def test(parts):
+        parts.dispatcher.chooser.pace.note("llm", 100, reading)
         parts.board.change("a", tokens=100_000 - 400)
         parts.say_waiting("other", "llm", rank=3, waiting=1)
-        arrived = make_request().arrived - 1.5
+        arrived = make_request().arrived - waited
         caller, task = parts.start(make_request(arrived=arrived))
         await wait_until(lambda: parts.queues.own())
         await asyncio.sleep(0.25)
--- a/packages/gateway/src/chivepier/gateway/serving/waiting.py
+++ b/packages/gateway/src/chivepier/gateway/serving/waiting.py
@@ -7,7 +7,9 @@
 # Share of its objective for which a request leaves the room to what goes
 # before it and to what runs already. Reading a prompt takes another quarter.
 EARLY_SHARE = 0.5
-# Share of its objective after which the first event can't come in time.
+# Share of its objective after which the first event can't come in time. What
+# its prompt takes to be read counts as waited: with half of the targets left,
+# 0.765 of the credit was earned for 0.749 (means of three runs of 34 s).
 LATE_SHARE = 1.0
 # Objectives after which a request is refused: callers leave after four, and
 # one that is told before can come back when the rush is over.
@@ -33,11 +35,12 @@
     OVER = "over"
 
 
-def find_stage(plan: Plan, now: float) -> Stage:
+def find_stage(plan: Plan, now: float, reading: float = 0.0) -> Stage:
     """Tell how long a request has waited.
 
     :param plan: the request's
     :param now: monotonic seconds
+    :param reading: seconds that its prompt takes to be read
     """
     waited = (now - plan.request.arrived) / plan.route.objective
     left = (plan.deadline - now) / plan.route.objective
@@ -45,7 +48,7 @@
         return Stage.OVER
     if waited < EARLY_SHARE:
         return Stage.EARLY
-    if waited < LATE_SHARE:
+    if waited + reading / plan.route.objective < LATE_SHARE:
         return Stage.PRESSING
     if waited < REFUSED_SHARE:
         return Stage.LATE
