--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -8,7 +8,7 @@
 from chivepier.gateway.serving.errors import LostError
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.moved import Moved
-from chivepier.gateway.serving.moved import MoveOutcome
+from chivepier.gateway.serving.moveoutcome import MoveOutcome
 from chivepier.gateway.serving.mover import Mover
 from chivepier.gateway.serving.origin import Origin
 from chivepier.gateway.serving.planner import Planner
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -10,7 +10,7 @@
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.mover import Mover
-from chivepier.gateway.serving.placing import Place
+from chivepier.gateway.serving.place import Place
 from chivepier.gateway.serving.placing import Placing
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.retrybudget import RetryBudget
--- a/packages/gateway/src/chivepier/gateway/serving/moved.py
+++ b/packages/gateway/src/chivepier/gateway/serving/moved.py
@@ -1,18 +1,8 @@
 """How copying a generation's memory went."""
 
-import enum
-
 import attrs
 
-
-class MoveOutcome(enum.Enum):
-    """What a source target answers to a copy."""
-
-    COPIED = "copied"
-    NO_RUN = "no_run"
-    BUSY = "busy"
-    NO_ROOM = "no_room"
-    FAILED = "failed"
+from chivepier.gateway.serving.moveoutcome import MoveOutcome
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/moveoutcome.py
@@ -0,0 +1,18 @@
+"""What a source target answers to a copy."""
+
+import enum
+
+
+class MoveOutcome(enum.Enum):
+    """Whether a copy is complete, and why it is not.
+
+    ``NO_RUN``: the source runs no such request any more; ``BUSY``: another
+    copy of it is under way; ``NO_ROOM``: the destination is full or can't be
+    reached from the source; ``FAILED``: no answer came.
+    """
+
+    COPIED = "copied"
+    NO_RUN = "no_run"
+    BUSY = "busy"
+    NO_ROOM = "no_room"
+    FAILED = "failed"
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -9,7 +9,7 @@
 from chivepier.gateway.serving.copyturns import CopyTurns
 from chivepier.gateway.serving.handoff import Handoff
 from chivepier.gateway.serving.liverun import LiveRun
-from chivepier.gateway.serving.moved import MoveOutcome
+from chivepier.gateway.serving.moveoutcome import MoveOutcome
 from chivepier.gateway.serving.origin import Origin
 from chivepier.gateway.serving.targetport import TargetPort
 from chivepier.gateway.targets import Chooser
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/place.py
@@ -0,0 +1,17 @@
+"""Where a request goes."""
+
+import attrs
+
+from chivepier.gateway.targets import Target
+
+
+@attrs.frozen
+class Place:
+    """A target, with room there where that can be reserved.
+
+    :param target: the target
+    :param reservation: of room there, if one was had
+    """
+
+    target: Target
+    reservation: str | None = None
--- a/packages/gateway/src/chivepier/gateway/serving/placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placing.py
@@ -1,10 +1,9 @@
 """Finding a target that has room for a generation now."""
 
-import attrs
-
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.serving.errors import NoRoomError
 from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.place import Place
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.queueticket import QueueTicket
 from chivepier.gateway.serving.targetport import TargetPort
@@ -27,18 +26,6 @@
 KEPT_SECONDS = 1.0
 
 
-@attrs.frozen
-class Place:
-    """Where a request goes.
-
-    :param target: the target
-    :param reservation: of room there, if one was had
-    """
-
-    target: Target
-    reservation: str | None = None
-
-
 class Placing:
     """Reserves room at the best target before a request is sent.
 
--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -29,9 +29,9 @@
 READING_WEIGHT = 3.0
 # What a target that still warms up counts as, in shares of a full one.
 WARMING_COST = 0.2
-# What another availability zone counts as when memory is moved, in shares of a
-# target. The copy takes twice as long there, and all copies off a target share
-# its link: of nine generations at one that left, four or five got off within a
+# What another availability zone counts as when memory is moved, in shares of
+# a target. The copy takes twice as long there, and all copies off a target share
+# its link: of nine generations at one that left, four or five got off in a
 # notice of 1.7 s. At 1.2 a place in the same zone is taken as long as there is
 # one: 2.3 streams cut in 34 s for 4.2 at 0.15, means of nine runs each on six
 # targets of which one left every 3.3 s.
@@ -44,13 +44,13 @@
 # with what it holds and adds within some seconds. 0.92 was no better: worth
 # 0.481 for 0.495 over four heavy days, a difference within the noise.
 FULL_SHARE = 1.0
-# Prompts may take this share of their objective to be read at one target, those
-# that are read before them included. With two or three targets left, all that
+# A prompt may take this share of its objective to be read at a target, those
+# that are read before it included. With two or three targets left, all that
 # waited went to the next one that started, five to nine prompts behind each
 # other, and what had no first event could not be moved when it left again. At
 # their entries they can still be put in order or sent elsewhere: 8.3 streams
-# cut in 34 s for 11.7, means of three runs with half of six targets left. A
-# prompt that is longer than that alone goes to a target that reads nothing.
+# cut in 34 s for 11.7, means of three runs with half of six targets left. One
+# that takes longer by itself goes to a target that reads nothing.
 READING_SHARE = 0.5
 
 
--- a/packages/gateway/src/chivepier/gateway/targets/loadboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadboard.py
@@ -2,10 +2,9 @@
 
 import collections
 
-import attrs
-
 from chivepier.gateway.messages import LoadRecord
 from chivepier.gateway.targets.load import Load
+from chivepier.gateway.targets.loadshare import LoadShare
 from chivepier.types import Signal
 
 # Seconds after which what an entry last said no longer counts. Entries
@@ -13,28 +12,6 @@
 EXPIRY = 3.5
 
 
-@attrs.define
-class _Share:
-    runs: int = 0
-    tokens: int = 0
-    reading: int = 0
-    turn: int = 0
-    copying: bool = False
-    receiving: int = 0
-    heard: float = 0.0
-
-    @property
-    def counts(self) -> tuple[int, int, int, int, bool, int]:
-        return (
-            self.runs,
-            self.tokens,
-            self.reading,
-            self.turn,
-            self.copying,
-            self.receiving,
-        )
-
-
 class LoadBoard:
     """Absolute counts by entry and target; a lost message heals itself.
 
@@ -44,8 +21,8 @@
     def __init__(self, me: str):
         self.me = me
         self.changed = Signal()
-        self._shares: dict[str, dict[str, _Share]] = collections.defaultdict(
-            dict
+        self._shares: dict[str, dict[str, LoadShare]] = (
+            collections.defaultdict(dict)
         )
 
     def put(self, record: LoadRecord, now: float) -> None:
@@ -56,7 +33,7 @@
         """
         if record.entry == self.me:
             return
-        self._shares[record.instance][record.entry] = _Share(
+        self._shares[record.instance][record.entry] = LoadShare(
             record.runs,
             record.tokens,
             record.reading,
@@ -75,7 +52,7 @@
         receiving: int = 0,
     ) -> None:
         """Add to what this entry itself runs at a target."""
-        share = self._shares[instance].setdefault(self.me, _Share())
+        share = self._shares[instance].setdefault(self.me, LoadShare())
         share.runs += runs
         share.tokens += tokens
         share.reading += reading
@@ -84,13 +61,13 @@
 
     def take_turn(self, instance: str, milliseconds: int) -> None:
         """Say how long this entry copies memory off a leaving target."""
-        share = self._shares[instance].setdefault(self.me, _Share())
+        share = self._shares[instance].setdefault(self.me, LoadShare())
         share.turn = milliseconds
         self.changed.set()
 
     def note_copying(self, instance: str, copying: bool) -> None:
         """Say whether this entry copies memory off a target now."""
-        share = self._shares[instance].setdefault(self.me, _Share())
+        share = self._shares[instance].setdefault(self.me, LoadShare())
         share.copying = copying
         self.changed.set()
 
@@ -134,7 +111,7 @@
         :returns: milliseconds
         """
         shares = self._shares.get(instance, {})
-        own = shares.get(self.me, _Share())
+        own = shares.get(self.me, LoadShare())
         mine = (own.turn, self.me)
         return sum(
             share.turn
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/targets/loadshare.py
@@ -0,0 +1,31 @@
+"""What one entry runs at one target."""
+
+import attrs
+
+
+@attrs.define
+class LoadShare:
+    """Absolute counts, as :class:`LoadRecord` carries them.
+
+    :param heard: when they were said, in monotonic seconds
+    """
+
+    runs: int = 0
+    tokens: int = 0
+    reading: int = 0
+    turn: int = 0
+    copying: bool = False
+    receiving: int = 0
+    heard: float = 0.0
+
+    @property
+    def counts(self) -> tuple[int, int, int, int, bool, int]:
+        """The counts, in the order of the message's fields."""
+        return (
+            self.runs,
+            self.tokens,
+            self.reading,
+            self.turn,
+            self.copying,
+            self.receiving,
+        )
--- a/packages/gateway/src/chivepier/gateway/targets/targethealth.py
+++ b/packages/gateway/src/chivepier/gateway/targets/targethealth.py
@@ -1,6 +1,6 @@
 """How the targets have answered lately."""
 
-import attrs
+from chivepier.gateway.targets.answerhistory import AnswerHistory
 
 # Share by which one more outcome moves the average: about the last ten
 # answers count, so five failures in a row stand out and one does not.
@@ -17,20 +17,11 @@
 MEMORY = 4.0
 
 
-@attrs.define
-class _Record:
-    failures: float = 0.0
-    slowness: float = 0.0
-    noted: float = 0.0
-    pause: float = 0.0
-    until: float = 0.0
-
-
 class TargetHealth:
     """Averages of failures and times by target instance."""
 
     def __init__(self) -> None:
-        self._records: dict[str, _Record] = {}
+        self._records: dict[str, AnswerHistory] = {}
 
     def note_answer(
         self, instance: str, failed: bool, slowness: float, now: float
@@ -42,7 +33,7 @@
         :param slowness: time taken over the objective
         :param now: monotonic seconds
         """
-        record = self._records.setdefault(instance, _Record())
+        record = self._records.setdefault(instance, AnswerHistory())
         if now - record.noted > MEMORY:
             record.failures = 0.0
             record.slowness = 0.0
@@ -55,7 +46,7 @@
 
     def note_silence(self, instance: str, now: float) -> None:
         """Note that a target could not be reached or fell silent."""
-        record = self._records.setdefault(instance, _Record())
+        record = self._records.setdefault(instance, AnswerHistory())
         if now < record.until:
             return
         record.pause = min(MOST_PAUSE, max(FIRST_PAUSE, 2 * record.pause))
