--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -30,11 +30,11 @@
 # What a target that still warms up counts as, in shares of a full one.
 WARMING_COST = 0.2
 # What another availability zone counts as when memory is moved, in shares of
-# a target. The copy takes twice as long there, and all copies off a target share
-# its link: of nine generations at one that left, four or five got off in a
-# notice of 1.7 s. At 1.2 a place in the same zone is taken as long as there is
-# one: 2.3 streams cut in 34 s for 4.2 at 0.15, means of nine runs each on six
-# targets of which one left every 3.3 s.
+# a target. The copy takes twice as long there, and all copies off a target
+# share its link: of nine generations at one that left, four or five got off
+# in a notice of 1.7 s. At 1.2 a place in the same zone is taken as long as
+# there is one: 2.3 streams cut in 34 s for 4.2 at 0.15, means of nine runs
+# each on six targets of which one left every 3.3 s.
 FAR_COST = 1.2
 # What a target counts as for each copy that it receives already. Copies to
 # one target share its link: a second copy, with its generation stopped,
