--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -87,10 +87,7 @@
         """
         if target.state is TargetState.READY or before is target.state:
             return
-        # the smallest first: more of them get off within the notice
-        runs = sorted(
-            self._runs.get(target.instance, ()), key=lambda run: run.held
-        )
+        runs = list(self._runs.get(target.instance, ()))
         due = {run for run in runs if run.moves and run.began is not None}
         if due:
             self._turns.expect(target.instance, due)
--- a/packages/gateway/src/chivepier/gateway/targets/loadboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadboard.py
@@ -102,22 +102,17 @@
     def before(self, instance: str, now: float) -> int:
         """Return what is copied before this entry's turn.
 
-        Entries with less to copy go first, as more generations get off
-        within the notice then; equals go by name. One that copies already is
-        not interrupted.
+        Entries go in the order of their names, but one that copies already
+        is not interrupted.
 
         :param instance: the target's
         :param now: monotonic seconds
         :returns: milliseconds
         """
-        shares = self._shares.get(instance, {})
-        own = shares.get(self.me, LoadShare())
-        mine = (own.turn, self.me)
         return sum(
             share.turn
-            for entry, share in shares.items()
-            if entry != self.me
-            and (share.copying or (share.turn, entry) < mine)
+            for entry, share in self._shares.get(instance, {}).items()
+            if (entry < self.me or entry != self.me and share.copying)
             and now - share.heard < EXPIRY
         )
 
