--- a/packages/gateway/src/chivepier/gateway/targets/readingpace.py
+++ b/packages/gateway/src/chivepier/gateway/targets/readingpace.py
@@ -1,18 +1,25 @@
 """How fast the targets of each service read prompts."""
 
-# Share by which one more prompt moves the average: about the last five count.
-WEIGHT = 0.2
+import collections
+import statistics
+
+# First events that count. Their median stands for the service: one of a short
+# prompt, or of a generation that waited for memory, takes many times as long
+# a token, and with an average each would for some seconds make all prompts
+# look as if they could not be read in time.
+KEPT = 9
 
 
 class ReadingPace:
-    """Averages of seconds a token, from a request's send to its first event.
+    """Median seconds a token, from a request's send to its first event.
 
     Targets read prompts in chunks between the steps of what runs there, so
     the pace follows their load; it is measured, not configured.
     """
 
     def __init__(self) -> None:
-        self._seconds: dict[str, float] = {}
+        self._seen: dict[str, collections.deque[float]] = {}
+        self._median: dict[str, float] = {}
 
     def note(self, service: str, tokens: int, seconds: float) -> None:
         """Note a first event.
@@ -23,10 +30,10 @@
         """
         if tokens <= 0 or seconds <= 0:
             return
-        fresh = seconds / tokens
-        known = self._seconds.get(service, fresh)
-        self._seconds[service] = known + WEIGHT * (fresh - known)
+        seen = self._seen.setdefault(service, collections.deque(maxlen=KEPT))
+        seen.append(seconds / tokens)
+        self._median[service] = statistics.median(seen)
 
     def estimate(self, service: str, tokens: int) -> float:
         """Return how long tokens take to read, in seconds; 0 if unknown."""
-        return tokens * self._seconds.get(service, 0.0)
+        return tokens * self._median.get(service, 0.0)
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_readingpace.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_readingpace.py
@@ -23,3 +23,13 @@
     pace = ReadingPace()
     pace.note("s", 0, 0.3)
     assert pace.estimate("s", 1_000) == 0.0
+
+
+def test_one_late_first_event_does_not_slow_the_pace():
+    # Requests were held back or counted as late for some seconds: one short
+    # prompt whose generation had waited for memory stood for all.
+    pace = ReadingPace()
+    for _ in range(5):
+        pace.note("s", 3_000, 0.3)
+    pace.note("s", 300, 2.0)
+    assert pace.estimate("s", 1_000) == pytest.approx(0.1)
