--- /dev/null
+++ b/soak/proxy.py
@@ -0,0 +1,107 @@
+"""A loopback proxy that harms the connections through it."""
+
+import asyncio
+import random
+import socket
+import struct
+
+PART_BYTES = 1 << 16
+# Seconds that a slow link holds each part back: from a few round trips
+# between availability zones to more than the objective of a call.
+DELAY_SECONDS = (0.02, 0.4)
+LOST_SENT = "lost_sent"
+LOST_ANSWERS = "lost_answers"
+SLOW = "slow"
+
+
+class Proxy:
+    """Passes bytes on between its own address and one behind it.
+
+    ``mood`` is what it does to all connections: nothing, ``slow`` delays each
+    part, ``lost_sent`` and ``lost_answers`` lose what goes one way. A
+    connection that has lost a part stays silent that way for good, without a
+    reset, while new ones work: only a timeout shows it. ``silenced`` counts
+    these.
+
+    :param address: that others are told
+    :param behind: what it passes to
+    :param rng: draws delays
+    """
+
+    def __init__(self, address: str, behind: str, rng: random.Random):
+        self.address = address
+        self.mood = ""
+        self.silenced = 0
+        self._behind = behind
+        self._rng = rng
+        self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task] = set()
+
+    async def __aenter__(self) -> "Proxy":
+        host, port = self.address.split(":")
+        self._server = await asyncio.start_server(
+            self._accept, host, int(port)
+        )
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def __aexit__(self, *exc) -> None:
+        self._server.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self.reset()
+
+    def reset(self) -> None:
+        """Reset all open connections, on both sides."""
+        for writer in list(self._writers):
+            # closed with nothing lingering, the peer gets a reset
+            writer.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+            )
+            writer.transport.abort()
+
+    def _accept(self, reader, writer) -> None:
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, reader, writer) -> None:
+        host, port = self._behind.split(":")
+        try:
+            other_reader, other = await asyncio.open_connection(
+                host, int(port)
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, other}
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._pump(reader, other, LOST_SENT))
+                group.create_task(
+                    self._pump(other_reader, writer, LOST_ANSWERS)
+                )
+        except* OSError:
+            # reset by either side: so is the other one
+            pass
+        finally:
+            self._writers -= {writer, other}
+            writer.transport.abort()
+            other.transport.abort()
+
+    async def _pump(self, reader, writer, lost: str) -> None:
+        silent = False
+        while data := await reader.read(PART_BYTES):
+            if self.mood == SLOW:
+                await asyncio.sleep(self._rng.uniform(*DELAY_SECONDS))
+            if self.mood == lost and not silent:
+                silent = True
+                self.silenced += 1
+            if not silent:
+                writer.write(data)
+                await writer.drain()
+        if not silent:
+            writer.write_eof()
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,10 @@
 
 from soak.process import Process
 from soak.promises import Promises
+from soak.proxy import LOST_ANSWERS
+from soak.proxy import LOST_SENT
+from soak.proxy import Proxy
+from soak.proxy import SLOW
 from soak.target import describe
 from soak.target import SoakTarget
 
@@ -72,14 +76,19 @@
             Process("entry", f"{base}.2.{n + 1}", self.controls, folder)
             for n in range(ENTRIES)
         ]
+        self.proxies = [
+            Proxy(f"{base}.4.{n}:8080", f"{base}.3.{n}:8080", self.rng)
+            for n in range(1, TARGETS + 1)
+        ]
         self.targets = [
             SoakTarget(
-                f"{base}.3.{n + 1}:8080",
+                f"{base}.3.{n}:8080",
+                f"{base}.4.{n}:8080",
                 self.controls,
                 self.promises,
                 self.rng,
             )
-            for n in range(TARGETS)
+            for n in range(1, TARGETS + 1)
         ]
         self.folder = folder
         self.version = 0
@@ -101,8 +110,8 @@
             for process in (*self.voters, *self.entries):
                 stack.callback(process.end)
                 process.start(found=process.role == "voter")
-            for target in self.targets:
-                await stack.enter_async_context(target)
+            for part in (*self.targets, *self.proxies):
+                await stack.enter_async_context(part)
             await self.change(session, 30.0)
             works = [self.call(session, n) for n in range(CALLERS)]
             works += [self.operate(session), self.read(session)]
@@ -222,6 +231,7 @@
                     self.freeze,
                     self.stop,
                     self.spoil,
+                    self.harm_links,
                     self.kill_all,
                     self.wipe,
                     self.hang_up,
@@ -265,6 +275,18 @@
         await asyncio.sleep(self.rng.uniform(0.1, 1.5))
         target.mood = ""
 
+    async def harm_links(self) -> None:
+        """Delay, reset or silence the connections to one target."""
+        proxy = self.rng.choice(self.proxies)
+        mood = self.rng.choice((SLOW, LOST_SENT, LOST_ANSWERS, "reset"))
+        self.faults[-1] += f":{mood}"
+        if mood == "reset":
+            proxy.reset()
+            return
+        proxy.mood = mood
+        await asyncio.sleep(self.rng.uniform(0.1, 1.5))
+        proxy.mood = ""
+
     async def kill_all(self) -> None:
         """Kill all processes at once; their disks stay."""
         for process in (*self.voters, *self.entries):
@@ -288,8 +310,8 @@
         for process in (*self.voters, *self.entries):
             process.signal(signal.SIGCONT)
             process.start()
-        for target in self.targets:
-            target.mood = ""
+        for part in (*self.targets, *self.proxies):
+            part.mood = ""
         wanted = self.promises.answered + 30
         end = time.monotonic() + RECOVER_SECONDS
         while self.promises.answered < wanted:
--- a/soak/target.py
+++ b/soak/target.py
@@ -22,16 +22,24 @@
 
     ``mood`` is what it does to the next answers: nothing, ``reset`` breaks
     the connection after the run, ``silent`` never answers, ``shed`` refuses.
+
+    :param address: where it listens
+    :param announced: where others are told to reach it
+    :param controls: addresses of the voters that take announcements
+    :param promises: notes what it runs
+    :param rng: draws the order in which voters are tried
     """
 
     def __init__(
         self,
         address: str,
+        announced: str,
         controls: list[str],
         promises: Promises,
         rng: random.Random,
     ):
         self.address = address
+        self._announced = announced
         self.mood = ""
         self._controls = controls
         self._promises = promises
@@ -65,7 +73,7 @@
         self._number += 1
         body = {
             "service": "s",
-            "address": self.address,
+            "address": self._announced,
             "zone": "z",
             "slots": 8,
             "state": "ready",
--- /dev/null
+++ b/soak/tests/test_proxy.py
@@ -0,0 +1,118 @@
+"""The proxy's own checks: what it passes on, and what it harms."""
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from soak.proxy import LOST_ANSWERS
+from soak.proxy import LOST_SENT
+from soak.proxy import Proxy
+from soak.proxy import SLOW
+
+
+class Echo:
+    """Sends back what it gets, and keeps it."""
+
+    def __init__(self) -> None:
+        self.got = b""
+
+    async def serve(self, reader, writer) -> None:
+        """Echo one connection."""
+        with contextlib.suppress(ConnectionError):
+            while data := await reader.read(100):
+                self.got += data
+                writer.write(data)
+        writer.close()
+
+
+def play(test) -> None:
+    """Run a test over a proxy before an echoing server."""
+
+    async def work():
+        echo = Echo()
+        server = await asyncio.start_server(echo.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        proxy = Proxy("127.0.0.1:0", f"{host}:{port}", random.Random(1))
+        async with asyncio.timeout(10), server, proxy:
+            await test(proxy, echo)
+
+    asyncio.run(work())
+
+
+async def connect(proxy):
+    """Open a connection through the proxy."""
+    host, port = proxy.address.split(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def ask(reader, writer, data: bytes) -> bytes:
+    """Send something and return the echo."""
+    writer.write(data)
+    return await reader.readexactly(len(data))
+
+
+async def await_silence(proxy) -> None:
+    """Return once the proxy has lost a part of some connection."""
+    while not proxy.silenced:
+        await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize("mood", ["", SLOW])
+def test_bytes_go_both_ways(mood):
+    async def test(proxy, echo):
+        proxy.mood = mood
+        reader, writer = await connect(proxy)
+        assert await ask(reader, writer, b"abc") == b"abc"
+        writer.write_eof()
+        assert await reader.read() == b""
+        writer.close()
+
+    play(test)
+
+
+def test_connection_that_lost_a_part_stays_silent_while_new_ones_work():
+    async def test(proxy, echo):
+        reader, writer = await connect(proxy)
+        assert await ask(reader, writer, b"a") == b"a"
+        proxy.mood = LOST_ANSWERS
+        writer.write(b"b")
+        await await_silence(proxy)
+        fresh = await connect(proxy)
+        answer = asyncio.create_task(reader.read(1))
+        proxy.mood = ""
+        assert await ask(*fresh, b"c") == b"c"
+        writer.write(b"d")
+        await asyncio.sleep(0.05)
+        assert not answer.done()
+        answer.cancel()
+        writer.close()
+        fresh[1].close()
+
+    play(test)
+
+
+def test_what_is_sent_can_be_lost():
+    async def test(proxy, echo):
+        reader, writer = await connect(proxy)
+        assert await ask(reader, writer, b"a") == b"a"
+        proxy.mood = LOST_SENT
+        writer.write(b"b")
+        await await_silence(proxy)
+        assert echo.got == b"a"
+        writer.close()
+
+    play(test)
+
+
+def test_reset_ends_open_connections():
+    async def test(proxy, echo):
+        reader, writer = await connect(proxy)
+        assert await ask(reader, writer, b"a") == b"a"
+        proxy.reset()
+        with pytest.raises(ConnectionResetError):
+            await reader.read(1)
+        writer.close()
+
+    play(test)
