--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -32,6 +32,11 @@
 # address they were given before: three times the longest they may keep it
 # would outlast the grace, so what is left of it bounds this too.
 LINGER_SECONDS = 4.0
+# Share of its last seconds after which new requests are turned away, with a
+# truth that lets callers come back at once, elsewhere. Callers that kept their
+# connections were served up to the end, and what they had just sent was cut
+# with it; in what is left, calls of plain services end and short streams too.
+TAKING_SHARE = 2 / 3
 # Seconds before the end of the grace at which the process ends by itself.
 # The machine may be slow, and a kill would reset what is just being sent.
 RESERVE_SECONDS = 0.7
@@ -145,15 +150,18 @@
         """Leave, and return once the process may end.
 
         Callers with an address they were given before still come for some
-        seconds and are served; streams go on as long as the grace allows.
+        seconds and are served, later ones are told that nothing ran; streams
+        go on as long as the grace allows.
         """
         began = self._clock.monotonic()
         self._log.info("leaving", active=self.serving.active)
         self.following.leave()
-        last = began + self._settings.grace - RESERVE_SECONDS
-        linger = min(began + LINGER_SECONDS, last)
+        seconds = self._settings.grace - RESERVE_SECONDS
+        last = began + seconds
+        linger = began + min(LINGER_SECONDS, TAKING_SHARE * seconds)
         while (now := self._clock.monotonic()) < last:
-            if now >= linger and not self.serving.active:
+            self.state.stopping = now >= linger
+            if self.state.stopping and not self.serving.active:
                 break
             await self._clock.sleep(LOOK_SECONDS)
         self._log.info("left", active=self.serving.active)
--- a/packages/gateway/src/chivepier/gateway/serving/serving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/serving.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.serving.planner import Planner
 from chivepier.gateway.serving.relay import Relay
 from chivepier.gateway.serving.servingstate import ServingState
+from chivepier.types import ErrorKind
 from chivepier.types import RequestError
 
 # Seconds for which requests wait for the first configuration. An entry that
@@ -51,6 +52,9 @@
         self.active += 1
         outcome, plan = "cancelled", None
         try:
+            if self._state.stopping:
+                text = "this instance is about to end"
+                raise RequestError.of(ErrorKind.DRAINING, text)
             if self._state.index is None:
                 await self._state.changed.wait(FIRST_SECONDS)
             plan = self._planner.plan(request)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -50,8 +50,21 @@
             self.broken.append(f"{identity} ended early as whole")
         if whole:
             self.answered += 1
-        else:
-            self.failed += 1
+
+    def note_cut(self, identity: str, error: Exception, planned: bool) -> None:
+        """Note a request that ended without a whole answer.
+
+        One that crossed the close of its connection ran nowhere; one that a
+        target ran was read by the entry, which had time to answer it.
+
+        :param identity: the request's
+        :param error: what its caller saw
+        :param planned: whether its entry was being stopped, with nothing
+            else wrong
+        """
+        self.failed += 1
+        if planned and identity in self.runs:
+            self.broken.append(f"{identity} cut by a planned stop: {error!r}")
 
     def note_read(self, version: int, floor: int) -> None:
         """Note a configuration that was read back.
--- a/soak/run.py
+++ b/soak/run.py
@@ -26,6 +26,9 @@
 # Seconds after the last fault within which callers must be served again.
 RECOVER_SECONDS = 20.0
 CALLERS = 6
+# Seconds without a fault before a planned stop that must cut nothing off: what
+# an earlier fault held up has reached its route's timeout by then.
+QUIET_SECONDS = 3.5
 
 
 def make_config(version: int) -> dict:
@@ -94,6 +97,7 @@
         self.version = 0
         self.acknowledged: list[tuple[float, int]] = []
         self.number = 0
+        self.planned: Process | None = None
         self.faults: list[str] = []
 
     async def run(self, seconds: float) -> Promises:
@@ -138,8 +142,8 @@
             entry = self.rng.choice(self.entries)
             try:
                 await self.ask(session, entry, kind, identity)
-            except (aiohttp.ClientError, TimeoutError, OSError):
-                self.promises.failed += 1
+            except (aiohttp.ClientError, TimeoutError, OSError) as error:
+                self.promises.note_cut(identity, error, entry is self.planned)
             await asyncio.sleep(0.02)
 
     async def ask(self, session, entry, kind, identity) -> None:
@@ -157,10 +161,12 @@
                 self.promises.note_answer(identity, answer.status, body)
                 return
             data, whole = b"", False
-            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            try:
                 async for part in answer.content.iter_any():
                     data += part
                 whole = True
+            except (aiohttp.ClientError, TimeoutError) as error:
+                self.promises.note_cut(identity, error, entry is self.planned)
             self.promises.note_stream(identity, data, whole)
 
     async def operate(self, session) -> None:
@@ -230,6 +236,7 @@
                     self.kill,
                     self.freeze,
                     self.stop,
+                    self.stop_entry,
                     self.spoil,
                     self.harm_links,
                     self.kill_all,
@@ -263,6 +270,19 @@
             await asyncio.sleep(0.05)
         process.start()
 
+    async def stop_entry(self) -> None:
+        """Stop an entry while nothing else goes wrong; it cuts nothing."""
+        await asyncio.sleep(QUIET_SECONDS)
+        entry = self.rng.choice(self.entries)
+        self.planned = entry
+        entry.signal(signal.SIGTERM)
+        while entry.alive:
+            await asyncio.sleep(0.05)
+        # what it was asked just before its end comes to the callers' notice
+        await asyncio.sleep(0.2)
+        self.planned = None
+        entry.start()
+
     async def hang_up(self) -> None:
         """Tell a process that its settings have changed."""
         process = self.rng.choice((*self.voters, *self.entries))
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -71,7 +71,7 @@
             repeat_ratio=0.2,
             repeat_extra=10,
             repeat_window=10,
-            grace=2.0,
+            grace=5.0,
         )
         log = EventLog("e1", os.open(os.devnull, os.O_WRONLY))
         self.entry = await enter(
@@ -336,3 +336,31 @@
         await drained
 
     run(script, test)
+
+
+def test_leaving_entry_turns_away_what_it_could_not_finish():
+    # Callers with kept connections got no answer: a stopped entry served what
+    # they sent up to its end, and cut what had just come. In the last third
+    # of its time it says that nothing ran, and what runs ends whole.
+    release = asyncio.Event()
+
+    async def script(head, writer):
+        await release.wait()
+        await answer_ok(head, writer)
+
+    async def test(door):
+        asked = asyncio.create_task(door.ask(make_call("/stream/x")))
+        while not door.raw.requests:
+            await asyncio.sleep(0.01)
+        drained = asyncio.create_task(door.entry.drain())
+        while not door.entry.state.stopping:
+            await asyncio.sleep(0.01)
+        late = await door.ask(make_call("/once/y"))
+        assert read_status(late) == 503
+        assert b"retry-after: 0" in late.lower()
+        assert len(door.raw.requests) == 1
+        release.set()
+        assert read_status(await asked) == 200
+        await drained
+
+    run(script, test)
