--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -60,6 +60,9 @@
 class Chooser:
     """Picks the target with the most room, by loads of all entries.
 
+    ``pace`` learns from first events how fast prompts are read; what bounds
+    and orders waiting requests asks it too.
+
     :param table: the targets
     :param health: how they answered
     :param board: what runs where
