--- a/packages/gateway/src/chivepier/gateway/control/knownstate.py
+++ b/packages/gateway/src/chivepier/gateway/control/knownstate.py
@@ -112,6 +112,7 @@
                     # as if heard when it is loaded: how long the process
                     # will have been away isn't known
                     0.0,
+                    record.born,
                 )
             )
         if held is None:
--- a/packages/gateway/src/chivepier/gateway/control/registry.py
+++ b/packages/gateway/src/chivepier/gateway/control/registry.py
@@ -64,14 +64,15 @@
         if news:
             self._tell(target)
 
-    def leave(self, instance: str) -> None:
+    def leave(self, instance: str, born: int | None = None) -> None:
         """Take a target's word that it ends.
 
-        :param instance: that ends; unknown ones are remembered too, as an
-            announcement of it may still be under way
+        :param instance: that ends; nothing is kept of one that is not known
+        :param born: which of its lives ends; the one that is known where the
+            target does not tell
         """
         known = self._table.get(instance)
-        if known is None:
+        if known is None or born is not None and born < known.born:
             return
         self.announce(
             Target(
@@ -83,6 +84,7 @@
                 number=known.number + 1,
                 slots=known.slots,
                 heard=self._clock.monotonic(),
+                born=known.born if born is None else born,
             )
         )
 
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -87,6 +87,8 @@
             self.metrics,
         )
         self.table.watchers += [self.mover.note_target, self._note_target]
+        self.table.restart_watchers.append(self._note_restart)
+        self._port = port
         self._links = Links(
             settings.name, settings.cluster_key, self._handle, Faults()
         )
@@ -143,8 +145,21 @@
 
     def _note_target(self, target: Target, before: TargetState | None) -> None:
         if target.state is TargetState.GONE:
-            self.board.forget(target.instance)
-            self.health.forget(target.instance)
+            self._forget(target)
+
+    def _forget(self, target: Target) -> None:
+        self.board.forget(target.instance)
+        self.health.forget(target.instance)
+
+    def _note_restart(self, target: Target) -> None:
+        self._log.info(
+            "target_restarted", target=target.instance, born=target.born
+        )
+        self.mover.note_restart(target)
+        self._forget(target)
+        # what a kept connection leads to has ended: a request that may run
+        # once only would be lost with it
+        self._port.hang_up(target)
 
     async def drain(self) -> None:
         """Leave, and return once the process may end.
--- a/packages/gateway/src/chivepier/gateway/following/records.py
+++ b/packages/gateway/src/chivepier/gateway/following/records.py
@@ -22,6 +22,7 @@
         target.slots,
         max(0.0, target.warm_at - now),
         max(0.0, now - target.heard),
+        target.born,
     )
 
 
@@ -42,4 +43,5 @@
         slots=record.slots,
         heard=now - record.age,
         warm_at=now + record.warming,
+        born=record.born,
     )
--- a/packages/gateway/src/chivepier/gateway/messages/targetrecord.py
+++ b/packages/gateway/src/chivepier/gateway/messages/targetrecord.py
@@ -7,8 +7,9 @@
 class TargetRecord:
     """What a target last said of itself.
 
-    ``number`` orders what one target instance says; ``age`` is for how long
-    the sender has held it, in seconds, as clocks of nodes differ.
+    ``born`` is the Unix millisecond of the target's start, and ``number``
+    orders what it has said since; ``age`` is for how long the sender has held
+    it, in seconds, as clocks of nodes differ.
     """
 
     instance: str
@@ -20,3 +21,4 @@
     slots: int
     warming: float
     age: float
+    born: int = 0
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -195,7 +195,7 @@
         began = self.clock.monotonic()
         answer: TargetAnswer | None = None
         try:
-            async with asyncio.timeout(seconds):
+            async with run.bound(seconds) if run else asyncio.timeout(seconds):
                 answer = await self.port.send(
                     target, plan.request, self._order(plan, place)
                 )
@@ -267,12 +267,18 @@
         slowness = 0.0
         if plan.demand is None:
             slowness = (now - began) / plan.route.objective
-        self.health.note_answer(sent.target.instance, failed, slowness, now)
+        if self.table.is_current(sent.target):
+            instance = sent.target.instance
+            self.health.note_answer(instance, failed, slowness, now)
 
     def _note_failure(
         self, plan: Plan, target: Target, what: str, error: Exception
     ) -> None:
-        self.health.note_silence(target.instance, self.clock.monotonic())
+        if self.table.is_current(target):
+            # one that has started again is not avoided for what its earlier
+            # life left unanswered
+            now = self.clock.monotonic()
+            self.health.note_silence(target.instance, now)
         self.log.warn(
             f"target_{what}",
             id=plan.request.id,
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -1,6 +1,8 @@
 """A generation that is being relayed."""
 
 import asyncio
+import collections.abc
+import contextlib
 
 import attrs
 
@@ -38,6 +40,8 @@
     :param stopped: whether its target was told to stop it for a move
     :param ended: whether nothing is relayed any more
     :param lost: set when its target has broken off
+    :param broken: whether its target has started again and lost it
+    :param limit: bounds what is being waited for from its target
     """
 
     request: CallerRequest
@@ -54,6 +58,8 @@
     stopped: bool = False
     ended: bool = False
     lost: asyncio.Event = attrs.field(factory=asyncio.Event)
+    broken: bool = False
+    limit: asyncio.Timeout | None = None
 
     @property
     def held(self) -> int:
@@ -82,6 +88,35 @@
         except TimeoutError:
             return
 
+    @contextlib.asynccontextmanager
+    async def bound(
+        self, seconds: float | None
+    ) -> collections.abc.AsyncIterator[None]:
+        """Bound a wait for its target, which :meth:`break_off` ends too.
+
+        :param seconds: at most; ``None`` for no other bound
+        :raises TimeoutError: when it is over or broken off
+        """
+        if self.broken:
+            raise TimeoutError
+        try:
+            async with asyncio.timeout(seconds) as self.limit:
+                yield
+        finally:
+            self.limit = None
+
+    def break_off(self) -> None:
+        """Note that its target has started again and knows nothing of it.
+
+        Behind a cut the connection to the earlier life stays open and says
+        nothing more; its caller would wait until it leaves by itself.
+        """
+        self.broken = True
+        self.lost.set()
+        limit = self.limit
+        if limit is not None and not limit.expired():
+            limit.reschedule(asyncio.get_running_loop().time())
+
     def go_on(self, target: Target) -> None:
         """Note that it goes on at another target."""
         self.target = target
@@ -90,6 +125,7 @@
         self.began = None
         self.handoff = None
         self.stopped = False
+        self.broken = False
         self.lost.clear()
 
 
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -94,6 +94,14 @@
         for run in runs:
             self.start(run)
 
+    def note_restart(self, target: Target) -> None:
+        """Break off what ran at a target that has started again.
+
+        :param target: as it was known before
+        """
+        for run in list(self._runs.get(target.instance, ())):
+            run.break_off()
+
     def start(self, run: LiveRun) -> None:
         """Begin to move one generation, unless that is under way."""
         engine = run.service.engine
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -147,7 +147,7 @@
             seconds = STALL_SECONDS
         # only reads are bounded: an event that was counted but not yet
         # written would be lost if its write were ended
-        async with asyncio.timeout(seconds):
+        async with run.bound(seconds):
             data = await sent.answer.read()
         self._dispatcher.runs.note_begun(run)
         self._dispatcher.runs.note_growth(run)
--- a/packages/gateway/src/chivepier/gateway/serving/targetport.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetport.py
@@ -46,6 +46,12 @@
         :param seconds: to wait for the copy
         """
 
+    def hang_up(self, target: Target) -> None:
+        """End the connections to a target that are kept for later requests.
+
+        :param target: that has started again
+        """
+
     async def drop(self, target: Target, handle: str) -> bool:
         """Free a copy that no generation goes on from.
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -82,6 +82,7 @@
         self.failing: dict[str, int] = {}
         self.copies: set[tuple[str, str]] = set()
         self.dropped: list[tuple[str, str]] = []
+        self.hung_up: list[str] = []
         self.sent = asyncio.Event()
         self.moved = asyncio.Event()
 
@@ -143,6 +144,10 @@
         self.copies.add((source.address, handle))
         return Moved(MoveOutcome.COPIED, handle)
 
+    def hang_up(self, target) -> None:
+        """Note that kept connections were ended."""
+        self.hung_up.append(target.instance)
+
     async def drop(self, target, handle) -> bool:
         """Free a copy."""
         self.dropped.append((target.instance, handle))
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -115,6 +115,7 @@
             Metrics(),
         )
         self.table.watchers.append(self.mover.note_target)
+        self.table.restart_watchers.append(self.mover.note_restart)
         self.budget = RetryBudget(0.2, 10, 10)
         self.dispatcher = Dispatcher(
             state=self.state,
@@ -157,6 +158,12 @@
         target.number = 2
         self.table.put(target)
 
+    def restart(self, name: str, born: int) -> None:
+        """Let a target start again under its name."""
+        target = make_target(name)
+        target.born = born
+        self.table.put(target)
+
     def say_copying(self, entry: str, name: str, milliseconds: int) -> None:
         """Let another entry copy off a target for so long, or end with 0."""
         copying = milliseconds > 0
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
 from chivepier.gateway.serving.tests.parts import wait_until
+from chivepier.types import Ran
 from chivepier.types import RequestError
 
 
@@ -365,3 +366,62 @@
         await task
 
     play(test, "a", "b")
+
+
+def test_stream_of_a_target_that_starts_again_is_ended_at_once():
+    # The caller's stream stood still until it left. Its target crashed
+    # behind a cut, so that the connection stayed open, and announced itself
+    # again under its name: what ran there before is lost.
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        parts.restart(run.target, born=200)
+        await task
+        assert caller.aborted and caller.numbers == [1, 2]
+        assert not parts.board.total(run.target, 0.0).runs
+
+    play(test, "a")
+
+
+def test_resumable_stream_goes_on_when_its_target_starts_again():
+    # The same, where the route allows a second run: it goes on elsewhere
+    # after the last event, without waiting until the target counts as dark.
+    async def test(parts):
+        caller, task, run = await begin(parts, "/resume/x")
+        parts.restart(run.target, born=200)
+        fresh = await parts.engines.wait_run(2)
+        assert fresh.target != run.target
+        fresh.make(1)
+        fresh.end()
+        await task
+        assert caller.numbers == [1, 2, 3] and caller.finished
+
+    play(test, "a", "b")
+
+
+def test_request_that_waits_for_a_target_that_starts_again_is_answered():
+    # A request was sent, and its target started again before the first event:
+    # the caller waited to its deadline. It may have run: no promise is made.
+    async def test(parts):
+        caller, task = parts.start(make_request())
+        run = await parts.engines.wait_run(1)
+        parts.restart(run.target, born=200)
+        with pytest.raises(RequestError) as caught:
+            await task
+        assert caught.value.failure.ran is Ran.UNKNOWN
+
+    play(test, "a")
+
+
+def test_target_that_starts_again_is_not_avoided_for_its_earlier_life():
+    # A run that was lost with the earlier life made the target avoided for
+    # half a second though it had just started, with all its memory free.
+    async def test(parts):
+        caller, task = parts.start(make_request())
+        run = await parts.engines.wait_run(1)
+        parts.restart(run.target, born=200)
+        with pytest.raises(RequestError):
+            await task
+        sound = parts.health.pick_sound(["a", "b"], 0.0)
+        assert sound == {"a", "b"}
+
+    play(test, "a", "b")
--- a/packages/gateway/src/chivepier/gateway/targets/target.py
+++ b/packages/gateway/src/chivepier/gateway/targets/target.py
@@ -9,8 +9,10 @@
 class Target:
     """A target's latest announcement.
 
-    :param instance: drawn anew at each start of the target
-    :param number: orders the announcements of this instance
+    :param instance: its name, which it may keep over a restart
+    :param born: Unix milliseconds of its start; with the name it tells one
+        life of a target from the next. 0: it does not tell
+    :param number: orders the announcements of one life
     :param heard: when it was announced, in monotonic seconds
     :param warm_at: when it works at full speed, in monotonic seconds
     """
@@ -24,3 +26,4 @@
     slots: int
     heard: float
     warm_at: float = 0.0
+    born: int = 0
--- a/packages/gateway/src/chivepier/gateway/targets/targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/targettable.py
@@ -15,6 +15,7 @@
 KEPT_SILENT = 30.0
 
 Watcher = collections.abc.Callable[[Target, TargetState | None], None]
+RestartWatcher = collections.abc.Callable[[Target], None]
 
 
 class TargetTable:
@@ -27,6 +28,7 @@
         self._patience = beat * MISSED_BEATS
         self._targets: dict[str, Target] = {}
         self.watchers: list[Watcher] = []
+        self.restart_watchers: list[RestartWatcher] = []
 
     def __iter__(self) -> collections.abc.Iterator[Target]:
         return iter(list(self._targets.values()))
@@ -47,6 +49,11 @@
         :returns: whether it was news, other than of being alive
         """
         known = self._targets.get(target.instance)
+        if known is not None and target.born != known.born:
+            if target.born < known.born:
+                return False
+            self._end_life(known)
+            known = None
         if known is not None:
             if target.number < known.number:
                 return False
@@ -67,6 +74,27 @@
             watcher(target, before)
         return before is not target.state
 
+    def _end_life(self, known: Target) -> None:
+        """Tell that what was believed of a target has ended.
+
+        A target that starts again under its name counts from the beginning
+        and knows nothing of before. Taken for the one that ran until then,
+        all that it said was dropped as old for as long as it counted up, and
+        what had run there was waited for. The watchers drop loads, health
+        and generations of the earlier life before they hear of the next.
+        """
+        known.state = TargetState.GONE
+        for watcher in self.restart_watchers:
+            watcher(known)
+
+    def is_current(self, target: Target) -> bool:
+        """Tell whether a target has not started again since.
+
+        :param target: as it was known when something was sent to it
+        """
+        known = self._targets.get(target.instance)
+        return known is None or known.born == target.born
+
     def note_gone(self, instance: str, address: str) -> None:
         """Take an instance out that another one has replaced.
 
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
@@ -20,6 +20,7 @@
     heard=0.0,
     address="a:1",
     zone="z",
+    born=0,
 ):
     """Make an announcement."""
     return Target(
@@ -31,6 +32,7 @@
         number=number,
         slots=4,
         heard=heard,
+        born=born,
     )
 
 
@@ -129,3 +131,45 @@
     for announcement in shuffled:
         table.put(announcement)
     assert table.get("i1").state is expected
+
+
+def test_target_that_starts_again_under_its_name_is_used():
+    # A target crashed and started again under its name, counting from the
+    # beginning. All it said was dropped as older than what its earlier life
+    # had said, and it got no work for as long as it took to count up.
+    table = TargetTable(1.0)
+    ended = []
+    table.restart_watchers.append(lambda target: ended.append(target.born))
+    table.put(make(number=9, born=100))
+    assert table.put(make(number=1, born=200, address="b:1"))
+    assert [t.address for t in table.select("s", 0.0)] == ["b:1"]
+    assert ended == [100]
+
+
+def test_target_that_left_may_start_again():
+    # An instance that had said farewell stayed dead for a minute, also when
+    # it was started again under its name.
+    table = TargetTable(1.0)
+    table.put(make(number=9, state=GONE, born=100))
+    table.put(make(number=1, born=200))
+    assert table.select("s", 0.0)
+
+
+def test_earlier_life_does_not_speak_for_a_later_one():
+    # An announcement of the life before came late, with a higher number, and
+    # took out the target that had started since.
+    table = TargetTable(1.0)
+    table.put(make(number=1, born=200))
+    assert not table.put(make(number=50, state=GONE, born=100))
+    assert not table.put(make(number=51, born=100, address="b:1"))
+    assert [t.address for t in table.select("s", 0.0)] == ["a:1"]
+
+
+def test_what_was_sent_to_an_earlier_life_is_told_apart():
+    table = TargetTable(1.0)
+    table.put(make(born=100))
+    sent_to = table.get("i1")
+    assert table.is_current(sent_to)
+    table.put(make(born=200))
+    assert not table.is_current(sent_to)
+    assert sent_to.state is GONE
