--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -173,6 +173,7 @@
         self.following.leave()
         seconds = self._settings.grace - RESERVE_SECONDS
         last = began + seconds
+        self.state.ends_at = last
         linger = began + min(LINGER_SECONDS, TAKING_SHARE * seconds)
         while (now := self._clock.monotonic()) < last:
             self.state.stopping = now >= linger
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -38,6 +38,7 @@
         seconds; ``None`` until then
     :param handoff: set while its memory is being moved elsewhere
     :param stopped: whether its target was told to stop it for a move
+    :param moved: whether it has gone on at another target
     :param ended: whether nothing is relayed any more
     :param lost: set when its target has broken off
     :param broken: whether its target has started again and lost it
@@ -56,6 +57,7 @@
     began: float | None = None
     handoff: asyncio.Future[Handoff | None] | None = None
     stopped: bool = False
+    moved: bool = False
     ended: bool = False
     lost: asyncio.Event = attrs.field(factory=asyncio.Event)
     broken: bool = False
@@ -120,6 +122,7 @@
     def go_on(self, target: Target) -> None:
         """Note that it goes on at another target."""
         self.target = target
+        self.moved = True
         # its memory comes with it
         self.reading = 0
         self.began = None
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -77,6 +77,7 @@
             for _ in range(MOST_HANDOFFS):
                 match await self._pump(head, sent, run):
                     case StreamEnd.WHOLE if await self._ended(run):
+                        self._dispatcher.runs.note_whole(run)
                         await self._finish(head)
                         return
                     case _:
--- a/packages/gateway/src/chivepier/gateway/serving/runwatch.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runwatch.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.targets import LoadBoard
 from chivepier.gateway.targets import ReadingPace
 from chivepier.gateway.targets import SOON_TOKENS
+from chivepier.gateway.targets import StepPace
 from chivepier.gateway.targets import Target
 from chivepier.types import Clock
 
@@ -28,6 +29,7 @@
         clock: Clock,
     ):
         self._pace = pace
+        self._steps = StepPace()
         self._board = board
         self._mover = mover
         self._clock = clock
@@ -84,6 +86,26 @@
                 self._pace.note(run.service.name, run.ahead, seconds)
             self._board.change(run.target.instance, reading=-run.reading)
 
+    def estimate(self, plan: Plan) -> float:
+        """Return how long a generation lasts at most, in seconds.
+
+        :param plan: the request's; what asks for no generation takes no time
+        """
+        prompt = plan.request.prompt
+        if prompt is None:
+            return 0.0
+        service = plan.service.name
+        reading = self._pace.estimate(service, prompt.tokens)
+        return reading + self._steps.estimate(service, prompt.most_output)
+
+    def note_whole(self, run: LiveRun) -> None:
+        """Learn from a generation that came to its end at one target."""
+        engine = run.service.engine
+        if engine is not None and run.began is not None and not run.moved:
+            tokens = run.number * engine.event_tokens
+            seconds = self._clock.monotonic() - run.began
+            self._steps.note(run.service.name, tokens, seconds)
+
     def note_growth(self, run: LiveRun) -> None:
         """Count what a generation takes, once it has grown by some."""
         if run.held + SOON_TOKENS // 2 <= run.counted:
--- a/packages/gateway/src/chivepier/gateway/serving/serving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/serving.py
@@ -58,6 +58,7 @@
             if self._state.index is None:
                 await self._state.changed.wait(FIRST_SECONDS)
             plan = self._planner.plan(request)
+            self._check_end(plan)
             await self._answer(plan, caller)
             outcome = "answered"
         except RequestError as error:
@@ -78,6 +79,24 @@
                 ms=round(1000 * seconds),
             )
 
+    def _check_end(self, plan: Plan) -> None:
+        """Turn away a generation that would outlast this process.
+
+        Callers come with older addresses for some seconds after the order to
+        stop. A generation of ten seconds was begun, and cut with all that had
+        been read for it when the process ended. Told at once that nothing
+        ran, its caller comes back to another instance at once.
+
+        :raises RequestError: when it can't be finished here
+        """
+        ends_at = self._state.ends_at
+        if ends_at is None:
+            return
+        left = ends_at - self._dispatcher.clock.monotonic()
+        if self._dispatcher.runs.estimate(plan) > left:
+            text = "this instance ends before the generation would"
+            raise RequestError.of(ErrorKind.DRAINING, text)
+
     async def _answer(self, plan: Plan, caller: CallerPort) -> None:
         dispatcher = self._dispatcher
         now = dispatcher.clock.monotonic()
--- a/packages/gateway/src/chivepier/gateway/serving/servingstate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/servingstate.py
@@ -13,12 +13,15 @@
     :param index: ``None`` until the first configuration is known
     :param entries: entries that are alive, this one included
     :param stopping: whether new requests are turned away
+    :param ends_at: when this process ends, in monotonic seconds; ``None``
+        until it is told to
     :param changed: set at each newer configuration
     """
 
     index: RouteIndex | None = None
     entries: int = 1
     stopping: bool = False
+    ends_at: float | None = None
     changed: Signal = attrs.field(factory=Signal)
 
     def adopt(self, index: RouteIndex) -> bool:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_dispatching.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_dispatching.py
@@ -5,11 +5,13 @@
 import pytest
 
 from chivepier.gateway.serving.dispatcher import START_URGENCY
+from chivepier.gateway.serving.prompt import Prompt
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
 from chivepier.types import ErrorKind
 from chivepier.types import Ran
 from chivepier.types import RequestError
+from chivepier.types import seconds_to_retry
 
 
 def answer_all(parts, status: int = 200) -> None:
@@ -192,3 +194,73 @@
         assert caller.status == 200
 
     play(test, "a")
+
+
+def test_long_generation_is_turned_away_by_an_instance_that_ends():
+    # The caller's stream of ten seconds broke off: it came with an older
+    # address three seconds after the order to stop, when four were left. It
+    # is told at once that nothing ran, and when to come back: now, elsewhere.
+    async def test(parts):
+        parts.state.ends_at = time.monotonic() + 4.0
+        prompt = Prompt(tokens=100, most_output=1000)
+        failure = await fail(parts, make_request(prompt=prompt))
+        assert failure.kind is ErrorKind.DRAINING
+        assert failure.ran is Ran.NO
+        assert seconds_to_retry(failure) == 0
+        assert not parts.engines.orders
+
+    play(test, "a")
+
+
+def test_short_generation_and_plain_call_are_served_until_an_instance_ends():
+    async def test(parts):
+        parts.state.ends_at = time.monotonic() + 4.0
+        answer_all(parts)
+        assert (await parts.serve(make_request("/plain/x"))).status == 200
+        prompt = Prompt(tokens=100, most_output=12)
+        caller, task = parts.start(make_request(prompt=prompt))
+        run = await parts.engines.wait_run(1)
+        run.make(3)
+        run.end()
+        await task
+        assert caller.finished
+
+    play(test, "a")
+
+
+def test_generations_that_ended_tell_how_long_one_takes():
+    # Engines of another speed than the usual one: what may still be begun
+    # follows what was seen there.
+    async def test(parts):
+        caller, task = parts.start(make_request())
+        run = await parts.engines.wait_run(1)
+        run.make(200)
+        run.end()
+        await task
+        prompt = Prompt(tokens=100, most_output=1000)
+        parts.state.ends_at = time.monotonic() + 4.0
+        caller, task = parts.start(make_request(prompt=prompt))
+        run = await parts.engines.wait_run(2)
+        run.make(1)
+        run.end()
+        await task
+        assert caller.finished
+
+    play(test, "a")
+
+
+def test_short_answers_do_not_tell_how_long_a_generation_takes():
+    # A stopped instance began a generation of 2,200 tokens with 3.7 s left:
+    # by the answers of three events, which come in one piece, it took 3 s.
+    async def test(parts):
+        caller, task = parts.start(make_request())
+        run = await parts.engines.wait_run(1)
+        run.make(3)
+        run.end()
+        await task
+        parts.state.ends_at = time.monotonic() + 3.7
+        prompt = Prompt(tokens=3_400, most_output=2_200)
+        failure = await fail(parts, make_request(prompt=prompt))
+        assert failure.kind is ErrorKind.DRAINING
+
+    play(test, "a")
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -8,6 +8,7 @@
 from chivepier.gateway.targets.loadboard import LoadBoard
 from chivepier.gateway.targets.queueboard import QueueBoard
 from chivepier.gateway.targets.readingpace import ReadingPace
+from chivepier.gateway.targets.steppace import StepPace
 from chivepier.gateway.targets.target import Target
 from chivepier.gateway.targets.targethealth import TargetHealth
 from chivepier.gateway.targets.targetstate import TargetState
@@ -22,6 +23,7 @@
     "QueueBoard",
     "SOON_TOKENS",
     "ReadingPace",
+    "StepPace",
     "Target",
     "TargetHealth",
     "TargetState",
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -89,9 +89,9 @@
     async def __aexit__(self, *exc) -> None:
         await self._stack.aclose()
 
-    def configure(self) -> None:
-        """Put the configuration in force."""
-        body = json.dumps(CONFIG).encode()
+    def configure(self, **changes) -> None:
+        """Put a configuration in force."""
+        body = json.dumps({**CONFIG, **changes}).encode()
         self.entry.state.adopt(RouteIndex(decode_config(body)))
 
     async def ask(self, data: bytes, port: int | None = None) -> bytes:
@@ -364,3 +364,36 @@
         await drained
 
     run(script, test)
+
+
+def test_idle_connection_is_kept_as_long_as_the_configuration_says():
+    # Callers reuse connections within the idle time of the configuration; the
+    # entry kept 15 s whatever that said. Here the configuration's is shorter:
+    # the entry closes within the test's time.
+    async def test(door):
+        limits = {"idle-timeout-ms": 200}
+        door.configure(version=PLAIN["version"] + 1, limits=limits)
+        reader, writer = await asyncio.open_connection("127.0.0.1", door.port)
+        call = make_call("/once/x").replace(b"Connection: close\r\n", b"")
+        writer.write(call)
+        async with asyncio.timeout(10):
+            answer = await reader.read()
+        assert read_status(answer) == 200
+        assert b"connection: close" not in answer.lower()
+        writer.close()
+
+    run(answer_ok, test)
+
+
+@pytest.mark.parametrize("limits,status", [({}, 400), (None, 200)])
+def test_head_may_be_as_large_as_the_configuration_says(limits, status):
+    # A header of 20 KB was refused though the configuration allows 32 KB.
+    if limits is None:
+        limits = {"max-header-bytes": 32768}
+
+    async def test(door):
+        door.configure(version=PLAIN["version"] + 1, limits=limits)
+        answer = await door.ask(make_call("/once/x", f"X-Long: {'a' * 20000}"))
+        assert read_status(answer) == status
+
+    run(answer_ok, test)
