Send what may run once on connections that were used just now

Cause: a target that crashed, started again or dropped an idle connection resets what is sent next on it; a call that must not run twice is lost with it and its caller told 502. Each entry finds out on its own connection.

Ruled out: telling each other which targets fail (a new connection tells better and sooner). Tests in test_targets: lost before, answered now.

--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -242,6 +242,7 @@
             team=plan.team,
             urgency=START_URGENCY if plan.demand is not None else None,
             after_event=plan.request.last_event,
+            once=not plan.repeatable,
         )
 
     def _refused(
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -239,6 +239,7 @@
             urgency=MOVED_URGENCY,
             origin=handoff.origin,
             after_event=str(run.number),
+            once=not plan.repeatable,
         )
         seconds = min(order.seconds, ANSWER_SECONDS)
         async with asyncio.timeout(seconds):
--- a/packages/gateway/src/chivepier/gateway/serving/sendorder.py
+++ b/packages/gateway/src/chivepier/gateway/serving/sendorder.py
@@ -15,6 +15,7 @@
     :param origin: memory to go on from
     :param after_event: the last event that the caller has
     :param reservation: of room at the target
+    :param once: whether it must not be sent again when its answer is lost
     """
 
     seconds: float
@@ -23,3 +24,4 @@
     origin: Origin | None = None
     after_event: str | None = None
     reservation: str | None = None
+    once: bool = False
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -14,6 +14,7 @@
 import rawtarget
 
 ORDER = SendOrder(seconds=1.5, team="t1", urgency=2)
+ONCE = SendOrder(seconds=1.5, once=True)
 
 
 def answer(body: bytes, identity: bytes = b"r1", extra: bytes = b"") -> bytes:
@@ -329,3 +330,81 @@
         assert not await targets.drop(raw.make_target(), "h1")
 
     run(script, test)
+
+
+def test_request_that_may_run_once_is_not_lost_with_a_rested_connection():
+    # The caller got 502 for a call that never reached its target: the target
+    # had crashed and started again since the kept connection was used last,
+    # and reset what came on it. A new connection shows that it lives.
+    async def script(head, writer):
+        if len(raws[0].requests) == 1:
+            writer.write(answer(b"ok"))
+        elif raws[0].connections == 1:
+            rawtarget.reset(writer)
+        else:
+            writer.write(answer(b"again"))
+
+    raws = []
+
+    async def test(raw, targets):
+        raws.append(raw)
+        target = raw.make_target()
+        first = await targets.send(target, rawtarget.make_request(), ONCE)
+        assert await read_all(first) == b"ok"
+        await asyncio.sleep(0.3)
+        second = await targets.send(target, rawtarget.make_request(), ONCE)
+        assert await read_all(second) == b"again"
+
+    run(script, test)
+
+
+def test_request_that_may_run_again_keeps_its_rested_connection():
+    async def script(head, writer):
+        writer.write(answer(b"ok"))
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        for _ in range(2):
+            reply = await targets.send(target, rawtarget.make_request(), ORDER)
+            assert await read_all(reply) == b"ok"
+            await asyncio.sleep(0.3)
+        assert raw.connections == 1
+
+    run(script, test)
+
+
+def test_generation_goes_on_the_connection_of_its_reservation():
+    # A connection for each would double what targets spend on new ones.
+    async def script(head, writer):
+        if head.startswith(b"POST /chivepier/hold-take"):
+            await raws[0].reader.readuntil(b"}")
+            writer.write(answer(b'{"hold": "h1"}'))
+        else:
+            writer.write(answer(b"ok"))
+
+    raws = []
+
+    async def test(raw, targets):
+        raws.append(raw)
+        target = raw.make_target()
+        assert await targets.reserve(target, 100, 1.0) == "h1"
+        reply = await targets.send(target, rawtarget.make_request(), ONCE)
+        assert await read_all(reply) == b"ok"
+        assert raw.connections == 1
+
+    run(script, test)
+
+
+def test_idle_connections_to_a_target_that_started_again_are_ended():
+    async def script(head, writer):
+        writer.write(answer(b"ok"))
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        for connections in (1, 2):
+            reply = await targets.send(target, rawtarget.make_request(), ORDER)
+            assert await read_all(reply) == b"ok"
+            assert raw.connections == connections
+            targets.hang_up(target)
+
+    run(script, test)
