Import message classes when they are first used

Cause: each restart is silent until its imports are done, and an entry used 4 of 70 message classes. A tag that is not known yet imports all of them once, so that a message that is the first of its kind is read as before (test_importing).

--- a/packages/types/src/chivepier/messages/codec.py
+++ b/packages/types/src/chivepier/messages/codec.py
@@ -6,8 +6,8 @@
 import cbor2
 
 from chivepier.messages.flatform import find_form
+from chivepier.messages.registry import find_type
 from chivepier.messages.registry import TAGS
-from chivepier.messages.registry import TYPES
 
 CONVERTER = cattrs.Converter(
     unstruct_strat=cattrs.UnstructureStrategy.AS_TUPLE
@@ -37,7 +37,7 @@
     :returns: the message
     :raises KeyError: when the tag is unknown
     """
-    cls = TYPES[tag]
+    cls = find_type(tag)
     form = find_form(cls)
     if form is not None and form.fits(fields):
         return form.build(fields)
--- a/packages/types/src/chivepier/messages/registry.py
+++ b/packages/types/src/chivepier/messages/registry.py
@@ -1,5 +1,7 @@
 """The tags of messages on the wire and in the log."""
 
+import functools
+import importlib
 import typing
 
 import attrs
@@ -27,3 +29,25 @@
         return frozen
 
     return register
+
+
+def find_type(tag: int) -> type:
+    """Return the class of a tag.
+
+    Classes are registered when they are imported; a message may be the first
+    of its kind in this process.
+
+    :param tag: the class's number
+    :returns: the class
+    :raises KeyError: when no class has it
+    """
+    if tag not in TYPES:
+        _import_all()
+    return TYPES[tag]
+
+
+@functools.cache
+def _import_all() -> None:
+    package = importlib.import_module("chivepier.messages")
+    for name in package.__all__:
+        getattr(package, name)
