--- a/packages/gateway/src/chivepier/gateway/following/loadexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/loadexchange.py
@@ -87,7 +87,7 @@
                 self._find_loads(again),
                 self._find_queues(again),
                 False,
-                self._find_repeats(now),
+                self._find_repeats(again, now),
             )
             if notice.records or notice.queues or notice.repeats:
                 post(notice)
@@ -116,11 +116,14 @@
             self._told_queues[key] = record.waiting
         return tuple(records)
 
-    def _find_repeats(self, now: float) -> tuple[RepeatRecord, ...]:
-        # loans are few: none is told until the first
+    def _find_repeats(
+        self, again: bool, now: float
+    ) -> tuple[RepeatRecord, ...]:
         records = []
         for record in self._budget.own(now):
-            if self._told_repeats.get(record.service, 0) != record.used:
+            told = self._told_repeats.get(record.service, 0)
+            # loans are few: none is told until the first
+            if told != record.used or again and record.used:
                 records.append(record)
             self._told_repeats[record.service] = record.used
         return tuple(records)
