Tell loads and living targets at a cost that a voter can bear

A word that a target's table drops no longer counts as heard. A record of another form is refused as any other frame (it raised a group of errors, which ended the link).

The first change made test_flatform see only classes that something had imported; it imports all of them again.

--- a/packages/gateway/src/chivepier/gateway/control/loadhub.py
+++ b/packages/gateway/src/chivepier/gateway/control/loadhub.py
@@ -12,6 +12,7 @@
 from chivepier.types import Clock
 from chivepier.wire import Channel
 from chivepier.wire import Links
+from chivepier.wire import prepare
 
 # Seconds for which changes are gathered: one message to each entry carries
 # what all entries said meanwhile. Generations start some tens of times a
@@ -58,9 +59,8 @@
         self._followers: dict[str, Channel] = {}
         self._new: set[str] = set()
         self._others: dict[str, _Peer] = {}
-        self._told = LoadState()
-        self._told_peers = LoadState()
-        self._told_at = self._whole_at = self._digest_at = 0.0
+        self._news = LoadState()
+        self._whole_at = self._digest_at = 0.0
         self._changed = asyncio.Event()
 
     def note_entry(self, entry: str, channel: Channel, follows: bool) -> None:
@@ -91,11 +91,16 @@
         """Take what another voter's entries run."""
         now = self._clock.monotonic()
         peer = self._others.setdefault(digest.voter, _Peer(now))
-        peer.heard = now
+        peer.heard, before = now, peer.state
+        told = LoadState()
+        told.put(digest.records, digest.queues, digest.repeats)
         if digest.whole:
-            peer.state = LoadState()
-        peer.state.put(digest.records, digest.queues, digest.repeats)
-        if digest.records or digest.queues or digest.repeats:
+            told, peer.state = LoadState(), told
+            told.put(*peer.state.find_changes(before))
+        else:
+            peer.state.add(told)
+        self._news.add(told)
+        if told:
             self._changed.set()
 
     def find_group(self) -> tuple[str, ...]:
@@ -124,47 +129,53 @@
     def tell(self) -> None:
         """Tell followers and the other voters what is new."""
         now = self._clock.monotonic()
-        own = self._ledger.read(now)
+        self._ledger.expire(now)
+        self._drop_silent(now)
+        changes, sums = self._ledger.take_changes()
+        self._news.add(changes)
         whole = now - self._whole_at >= WHOLE_SECONDS
         if whole:
             self._whole_at = now
-        self._tell_peers(self._ledger.sum_up(own), whole, now)
+            sums = self._ledger.sum_up()
+        if whole or sums or now - self._digest_at >= DIGEST_SECONDS:
+            self._digest_at = now
+            self._tell_peers(LoadDigest(self._me, whole, *sums.pack()))
+        self._tell_followers(whole)
+
+    def _drop_silent(self, now: float) -> None:
         for address, peer in list(self._others.items()):
-            if now - peer.heard < SILENT_SECONDS:
-                own.add(peer.state)
-            else:
+            if now - peer.heard >= SILENT_SECONDS:
                 del self._others[address]
-        self._tell_followers(own, whole)
+                self._news.put(*LoadState().find_changes(peer.state))
 
-    def _tell_peers(self, state: LoadState, whole: bool, now: float) -> None:
-        parts = state.find_changes(self._told_peers)
-        self._told_peers = state
-        due = now - self._digest_at >= DIGEST_SECONDS
-        if whole:
-            parts = state.pack()
-        elif not (any(parts) or due):
-            return
-        self._digest_at = now
-        digest = LoadDigest(self._me, whole, *parts)
+    def _tell_peers(self, digest: LoadDigest) -> None:
         for peer in self._peers.voters:
             if peer != self._me:
                 self._links.post(peer, digest)
 
-    def _tell_followers(self, state: LoadState, whole: bool) -> None:
-        changes = _make_notice(state.find_changes(self._told), False)
-        everything = _make_notice(state.pack(), True)
-        self._told = state
+    def _tell_followers(self, whole: bool) -> None:
+        news, self._news = self._news, LoadState()
+        notice = prepare(_make_notice(news, False))
+        everything = None
+        if whole or self._new:
+            everything = prepare(_make_notice(self._read_all(), True))
         for entry, channel in list(self._followers.items()):
             if channel.closed:
                 del self._followers[entry]
                 self._ledger.drop(entry)
             elif whole or entry in self._new:
-                channel.send(everything)
-            elif changes.records or changes.queues or changes.repeats:
-                channel.send(changes)
+                channel.send_prepared(everything)
+            elif news:
+                channel.send_prepared(notice)
         self._new.clear()
 
+    def _read_all(self) -> LoadState:
+        state = self._ledger.read()
+        for peer in self._others.values():
+            state.add(peer.state)
+        return state
+
 
-def _make_notice(parts: tuple, whole: bool) -> LoadNotice:
-    records, queues, repeats = parts
+def _make_notice(state: LoadState, whole: bool) -> LoadNotice:
+    records, queues, repeats = state.pack()
     return LoadNotice(records, queues, whole, repeats)
--- a/packages/gateway/src/chivepier/gateway/control/loadledger.py
+++ b/packages/gateway/src/chivepier/gateway/control/loadledger.py
@@ -14,6 +14,9 @@
 class LoadLedger:
     """Keeps what each entry last said, and sums it up for other voters.
 
+    The sums follow each change; worked out anew fifty times a second, they
+    took a voter with 38 entries a tenth of a core.
+
     :param me: this voter's address
     """
 
@@ -21,6 +24,15 @@
         self._me = me
         self._said = LoadState()
         self._heard: dict[str, float] = {}
+        self._loads: dict[str, collections.Counter[str]] = (
+            collections.defaultdict(collections.Counter)
+        )
+        self._waiting: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+        self._used: collections.Counter[str] = collections.Counter()
+        self._changes = LoadState()
+        self._changed_sums = LoadState()
 
     def take(self, notice: LoadNotice, now: float) -> None:
         """Take what an entry says of itself.
@@ -29,85 +41,147 @@
         :param now: monotonic seconds
         """
         parts = (notice.records, notice.queues, notice.repeats)
-        self._said.put(*parts)
         for record in itertools.chain(*parts):
             self._heard[record.entry] = now
+        self._put(*parts)
 
     def drop(self, entry: str) -> None:
         """Forget an entry that follows another voter, which tells of it."""
         if self._heard.pop(entry, None) is not None:
-            self._said.drop(entry)
-
-    def read(self, now: float) -> LoadState:
-        """Return what each entry runs and lets wait.
+            self._put(*LoadState().find_changes(self._said.select(entry)))
 
-        :param now: monotonic seconds; entries that have long been silent are
-            forgotten
-        """
+    def expire(self, now: float) -> None:
+        """Forget entries that have long been silent."""
         for entry, heard in list(self._heard.items()):
             if now - heard >= EXPIRY:
                 self.drop(entry)
-        return LoadState(
-            {k: r for k, r in self._said.records.items() if _counts(r)},
-            {k: q for k, q in self._said.queues.items() if q.waiting},
-            {k: r for k, r in self._said.repeats.items() if r.used},
-        )
 
-    def sum_up(self, own: LoadState) -> LoadState:
+    def take_changes(self) -> tuple[LoadState, LoadState]:
+        """Return what has changed since this was asked before.
+
+        :returns: of single entries, and of the sums
+        """
+        changes = self._changes, self._changed_sums
+        self._changes, self._changed_sums = LoadState(), LoadState()
+        return changes
+
+    def read(self) -> LoadState:
+        """Return what each entry runs and lets wait."""
+        state = LoadState()
+        state.add(self._said)
+        return state
+
+    def sum_up(self) -> LoadState:
         """Return one record a target and rank, in this voter's name.
 
         Who copies memory off a leaving target is told by entry, as they take
         turns by their names. The records of 38 entries in an availability
         zone become one a target: what crosses its border no longer grows
         with the entries.
-
-        :param own: what each entry runs and lets wait
         """
         summed = LoadState()
-        self._sum_loads(own, summed)
-        waiting: collections.Counter[tuple[str, int]] = collections.Counter()
-        for queue in own.queues.values():
-            waiting[(queue.service, queue.rank)] += queue.waiting
-        for (service, rank), count in waiting.items():
-            summed.queues[(self._me, service, rank)] = QueueRecord(
-                self._me, service, rank, count
-            )
-        used: collections.Counter[str] = collections.Counter()
-        for repeat in own.repeats.values():
-            used[repeat.service] += repeat.used
-        for service, count in used.items():
-            summed.repeats[(self._me, service)] = RepeatRecord(
-                self._me, service, count
-            )
+        for record in self._said.records.values():
+            if record.turn or record.copying:
+                self._put_turn(summed, record)
+        for instance in self._loads:
+            self._put_load(summed, instance)
+        for place in self._waiting:
+            self._put_waiting(summed, place)
+        for service in self._used:
+            self._put_used(summed, service)
         return summed
 
-    def _sum_loads(self, own: LoadState, summed: LoadState) -> None:
-        totals: dict[str, list[int]] = collections.defaultdict(
-            lambda: [0, 0, 0, 0]
+    def _put(
+        self,
+        records: tuple[LoadRecord, ...],
+        queues: tuple[QueueRecord, ...],
+        repeats: tuple[RepeatRecord, ...],
+    ) -> None:
+        for record in records:
+            self._change_load(record)
+        for queue in queues:
+            self._change_waiting(queue)
+        for repeat in repeats:
+            self._change_used(repeat)
+
+    def _change_load(self, record: LoadRecord) -> None:
+        entry, instance = record.entry, record.instance
+        nothing = LoadRecord(entry, instance, 0, 0, 0, 0)
+        before = self._said.records.pop((entry, instance), nothing)
+        if record != nothing:
+            self._said.records[(entry, instance)] = record
+        if record == before:
+            return
+        self._changes.put((record,), (), ())
+        total = self._loads[instance]
+        for name in ("runs", "tokens", "reading", "receiving"):
+            total[name] += getattr(record, name) - getattr(before, name)
+        self._put_load(self._changed_sums, instance)
+        if not any(total.values()):
+            del self._loads[instance]
+        turn = (record.turn, record.copying)
+        if turn != (before.turn, before.copying):
+            self._put_turn(self._changed_sums, record)
+
+    def _change_waiting(self, queue: QueueRecord) -> None:
+        key = (queue.entry, queue.service, queue.rank)
+        before = self._said.queues.pop(key, None)
+        if queue.waiting:
+            self._said.queues[key] = queue
+        grown = queue.waiting - (before.waiting if before else 0)
+        if not grown:
+            return
+        self._changes.put((), (queue,), ())
+        place = (queue.service, queue.rank)
+        self._waiting[place] += grown
+        self._put_waiting(self._changed_sums, place)
+        if not self._waiting[place]:
+            del self._waiting[place]
+
+    def _change_used(self, repeat: RepeatRecord) -> None:
+        key = (repeat.entry, repeat.service)
+        before = self._said.repeats.pop(key, None)
+        if repeat.used:
+            self._said.repeats[key] = repeat
+        grown = repeat.used - (before.used if before else 0)
+        if not grown:
+            return
+        self._changes.put((), (), (repeat,))
+        self._used[repeat.service] += grown
+        self._put_used(self._changed_sums, repeat.service)
+        if not self._used[repeat.service]:
+            del self._used[repeat.service]
+
+    def _put_load(self, state: LoadState, instance: str) -> None:
+        total = self._loads[instance]
+        record = LoadRecord(
+            self._me,
+            instance,
+            total["runs"],
+            total["tokens"],
+            total["reading"],
+            0,
+            False,
+            total["receiving"],
         )
-        for (entry, instance), record in own.records.items():
-            total = totals[instance]
-            total[0] += record.runs
-            total[1] += record.tokens
-            total[2] += record.reading
-            total[3] += record.receiving
-            if record.turn or record.copying:
-                summed.records[(entry, instance)] = LoadRecord(
-                    entry, instance, 0, 0, 0, record.turn, record.copying
-                )
-        for instance, (runs, tokens, reading, receiving) in totals.items():
-            summed.records[(self._me, instance)] = LoadRecord(
-                self._me, instance, runs, tokens, reading, 0, False, receiving
-            )
-
-
-def _counts(record: LoadRecord) -> bool:
-    counts = (
-        record.runs,
-        record.tokens,
-        record.reading,
-        record.turn,
-        record.copying,
-        record.receiving,
-    )
-    return any(counts)
+        state.put((record,), (), ())
+
+    def _put_turn(self, state: LoadState, record: LoadRecord) -> None:
+        turn = LoadRecord(
+            record.entry,
+            record.instance,
+            0,
+            0,
+            0,
+            record.turn,
+            record.copying,
+        )
+        state.put((turn,), (), ())
+
+    def _put_waiting(self, state: LoadState, place: tuple[str, int]) -> None:
+        queue = QueueRecord(self._me, *place, self._waiting[place])
+        state.put((), (queue,), ())
+
+    def _put_used(self, state: LoadState, service: str) -> None:
+        repeat = RepeatRecord(self._me, service, self._used[service])
+        state.put((), (), (repeat,))
--- a/packages/gateway/src/chivepier/gateway/control/loadstate.py
+++ b/packages/gateway/src/chivepier/gateway/control/loadstate.py
@@ -42,11 +42,17 @@
         self.queues.update(other.queues)
         self.repeats.update(other.repeats)
 
-    def drop(self, entry: str) -> None:
-        """Forget all that is told of an entry."""
-        for part in (self.records, self.queues, self.repeats):
-            for key in [key for key in part if key[0] == entry]:
-                del part[key]
+    def select(self, entry: str) -> "LoadState":
+        """Return what is told of one entry."""
+        return LoadState(
+            *(
+                {key: value for key, value in part.items() if key[0] == entry}
+                for part in (self.records, self.queues, self.repeats)
+            )
+        )
+
+    def __bool__(self) -> bool:
+        return bool(self.records or self.queues or self.repeats)
 
     def pack(self) -> tuple[Records, Queues, Repeats]:
         """Return all records, for a message."""
--- a/packages/gateway/src/chivepier/gateway/control/registry.py
+++ b/packages/gateway/src/chivepier/gateway/control/registry.py
@@ -1,5 +1,6 @@
 """Targets as they announce themselves to voters."""
 
+import collections.abc
 import secrets
 
 from chivepier.gateway.control.entrydirectory import EntryDirectory
@@ -66,10 +67,14 @@
 
     def _put(self, target: Target) -> bool:
         news = self._table.put(target)
+        known = self._table.get(target.instance)
+        if not news and (known is None or known.heard != target.heard):
+            # an older word, or one of an earlier life: it shows nothing
+            return False
         self.revision += 1
-        self._revisions[target.instance] = self.revision
+        _note_last(self._revisions, target.instance, self.revision)
         if news:
-            self._news[target.instance] = self.revision
+            _note_last(self._news, target.instance, self.revision)
         return news
 
     def leave(self, instance: str, born: int | None = None) -> None:
@@ -136,29 +141,36 @@
             self._put(unpack_target(record, now))
 
     def records_since(
-        self, epoch: str, revision: int, heard: bool = True
+        self, epoch: str, revision: int
     ) -> tuple[TargetRecord, ...]:
         """Return what an entry lacks.
 
         :param epoch: of this voter, as the entry knows it
         :param revision: up to which it has everything
-        :param heard: whether it is told of targets that only were heard
-            again, too
         :returns: all records when the epoch is another one
         """
         now = self._clock.monotonic()
         if epoch != self.epoch:
             return tuple(pack_target(t, now) for t in self._table)
-        if revision == self.revision:
-            return ()
-        revisions = self._revisions if heard else self._news
-        targets = [
-            self._table.get(instance)
-            for instance, changed in revisions.items()
-            if changed > revision
-        ]
+        names = _find_newer(self._news, revision)
+        targets = [self._table.get(name) for name in names]
         return tuple(pack_target(t, now) for t in targets if t is not None)
 
+    def heard_since(self, epoch: str, revision: int) -> tuple[str, ...]:
+        """Return which targets an entry should know to live.
+
+        Names alone, as nothing else is new: each target is heard about once
+        a second, and with whole records what a voter told its entries grew
+        as the targets times the entries, to 1.6 MB/s at 100 instances and
+        1,000 targets.
+
+        :param epoch: of this voter, as the entry knows it
+        :param revision: up to which it has everything
+        """
+        if epoch != self.epoch:
+            return ()
+        return tuple(_find_newer(self._revisions, revision))
+
     def forget(self) -> None:
         """Drop targets that have long been silent."""
         self._table.forget(self._clock.monotonic())
@@ -166,3 +178,19 @@
             if self._table.get(instance) is None:
                 del self._revisions[instance]
                 self._news.pop(instance, None)
+
+
+def _note_last(revisions: dict[str, int], name: str, revision: int) -> None:
+    """Note a revision, and keep the dictionary in the order of these."""
+    revisions.pop(name, None)
+    revisions[name] = revision
+
+
+def _find_newer(
+    revisions: dict[str, int], revision: int
+) -> collections.abc.Iterator[str]:
+    """Return the names that are newer than a revision, newest first."""
+    for name in reversed(revisions):
+        if revisions[name] <= revision:
+            return
+        yield name
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
@@ -225,3 +225,20 @@
         await wait_until(lambda: sum(two.budget._others.values()) == 1)
 
     play(test, tmp_path)
+
+
+def test_word_of_an_earlier_life_does_not_show_that_a_target_lives(tmp_path):
+    # A target crashed and started again; what its earlier life had said came
+    # late, and kept the later one in use though that had fallen silent.
+    async def test(fleet):
+        registry = fleet.voters[fleet.seeds[0]].registry
+        now = time.monotonic()
+        registry.announce(make("i1", number=1, heard=now - 2, born=200))
+        revision = registry.revision
+        registry.announce(make("i1", number=9, heard=now, born=100))
+        assert registry.heard_since(registry.epoch, revision) == ()
+        registry.announce(make("i1", number=2, heard=now, born=200))
+        heard = registry.heard_since(registry.epoch, revision)
+        assert list(heard) == ["i1"]
+
+    play(test, tmp_path)
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_loadledger.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_loadledger.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.messages import LoadRecord
 from chivepier.gateway.messages import QueueRecord
 
+EMPTY = LoadRecord("e1", "i1", 0, 0, 0, 0)
 COUNTS = strategies.integers(min_value=0, max_value=5)
 RECORDS = strategies.builds(
     LoadRecord,
@@ -34,8 +35,7 @@
         )
         queues = (QueueRecord(f"e{number}", "llm", 1, 2),)
         ledger.take(LoadNotice(records, queues), 0.0)
-    own = ledger.read(0.0)
-    summed = ledger.sum_up(own)
+    own, summed = ledger.read(), ledger.sum_up()
     assert len(own.records) == 38 * 31 and len(summed.records) == 31
     record = summed.records[("v1", "i5")]
     assert (record.runs, record.tokens, record.reading) == (38, 3800, 380)
@@ -46,8 +46,13 @@
     ledger = LoadLedger("v1")
     record = LoadRecord("e1", "i1", 1, 100, 0, 0)
     ledger.take(LoadNotice((record,)), 0.0)
-    assert ledger.read(3.4).records
-    assert not ledger.read(3.5).records
+    ledger.expire(3.4)
+    assert ledger.read() and ledger.sum_up()
+    ledger.expire(3.5)
+    assert not ledger.read() and not ledger.sum_up()
+    changes, sums = ledger.take_changes()
+    assert list(changes.records.values()) == [EMPTY]
+    assert sums.records[("v1", "i1")] == LoadRecord("v1", "i1", 0, 0, 0, 0)
 
 
 def test_entry_that_follows_another_voter_counts_no_more():
@@ -56,7 +61,19 @@
     queue = QueueRecord("e1", "llm", 1, 2)
     ledger.take(LoadNotice((record,), (queue,)), 0.0)
     ledger.drop("e1")
-    assert ledger.read(0.0) == LoadState()
+    assert not ledger.read() and not ledger.sum_up()
+
+
+def test_what_is_said_again_is_no_change():
+    ledger = LoadLedger("v1")
+    record = LoadRecord("e1", "i1", 1, 100, 0, 0)
+    ledger.take(LoadNotice((record,)), 0.0)
+    ledger.take_changes()
+    ledger.take(LoadNotice((record,)), 1.0)
+    changes, sums = ledger.take_changes()
+    assert not changes and not sums
+    ledger.expire(4.0)
+    assert ledger.read()
 
 
 @settings(max_examples=100, deadline=None, derandomize=True)
@@ -64,26 +81,20 @@
     strategies.lists(strategies.lists(RECORDS, max_size=4), max_size=8),
 )
 def test_changes_alone_lead_to_the_same_sums(rounds):
-    ledger, told, heard = LoadLedger("v1"), LoadState(), LoadState()
+    ledger, heard, heard_sums = LoadLedger("v1"), LoadState(), LoadState()
     for records in rounds:
         ledger.take(LoadNotice(tuple(records)), 0.0)
-        state = ledger.sum_up(ledger.read(0.0))
-        heard.put(*state.find_changes(told))
-        told = state
-        empty = [k for k, r in heard.records.items() if not any(count(r))]
-        for key in empty:
-            del heard.records[key]
-        kept = {k: r for k, r in state.records.items() if any(count(r))}
-        assert heard.records == kept
+        changes, sums = ledger.take_changes()
+        heard.add(changes)
+        heard_sums.add(sums)
+        assert prune(heard) == prune(ledger.read())
+        assert prune(heard_sums) == prune(ledger.sum_up())
 
 
-def count(record: LoadRecord) -> tuple:
-    """Return a record's counts."""
-    return (
-        record.runs,
-        record.tokens,
-        record.reading,
-        record.turn,
-        record.copying,
-        record.receiving,
-    )
+def prune(state: LoadState) -> dict:
+    """Return the records that count anything."""
+    return {
+        key: record
+        for key, record in state.records.items()
+        if record != LoadRecord(*key, 0, 0, 0, 0)
+    }
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -161,6 +161,10 @@
         self.loads.note_entry(beat.node, channel, beat.follows)
         held = self.store.held()
         voters: tuple[str, ...] = ()
+        heard: tuple[str, ...] = ()
+        if beat.follows:
+            registry = self.registry
+            heard = registry.heard_since(beat.epoch, beat.revision)
         if beat.follows or beat.epoch != self.registry.epoch:
             voters = tuple(v.address for v in self.replica.voters)
             voters = voters or self.peers.voters
@@ -171,12 +175,11 @@
             held.version if held else -1,
             self.entries.count(),
             voters,
-            self.registry.records_since(
-                beat.epoch, beat.revision, beat.follows
-            ),
+            self.registry.records_since(beat.epoch, beat.revision),
             self._settings.zone,
             len(group),
             group[0],
+            heard,
         )
 
     async def _announce(self) -> None:
--- a/packages/gateway/src/chivepier/gateway/following/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -204,6 +204,7 @@
         self, address: str, voter: _Voter, answer: EntryBeatAnswer
     ) -> None:
         self._merge(answer.records)
+        self._table.note_heard(answer.heard, self._clock.monotonic())
         voter.standing = VoterStanding(answer.zone, answer.hears, answer.group)
         self._choose_hub()
         voter.epoch, voter.revision = answer.epoch, answer.revision
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
@@ -10,8 +10,9 @@
 
     ``voters`` are the peer addresses of the voters, empty where the entry has
     been told; ``entries`` is how many entries are alive, for shares of common
-    budgets. ``hears`` is how many voters this one hears, ``group`` the first
-    of these by address, itself included.
+    budgets. ``heard`` names targets that said nothing new, but live. ``hears``
+    is how many voters this one hears, ``group`` the first of these by
+    address, itself included.
     """
 
     epoch: str
@@ -23,3 +24,4 @@
     zone: str = ""
     hears: int = 0
     group: str = ""
+    heard: tuple[str, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/targets/targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/targettable.py
@@ -74,6 +74,19 @@
             watcher(target, before)
         return before is not target.state
 
+    def note_heard(
+        self, instances: collections.abc.Iterable[str], now: float
+    ) -> None:
+        """Note that targets live and have said nothing new.
+
+        :param instances: their names; unknown ones are left alone
+        :param now: monotonic seconds
+        """
+        for instance in instances:
+            known = self._targets.get(instance)
+            if known is not None:
+                known.heard = max(known.heard, now)
+
     def _end_life(self, known: Target) -> None:
         """Tell that what was believed of a target has ended.
 
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
@@ -173,3 +173,13 @@
     table.put(make(born=200))
     assert not table.is_current(sent_to)
     assert sent_to.state is GONE
+
+
+def test_targets_that_are_heard_again_stay_in_use():
+    table = TargetTable(1.0)
+    table.put(make("i1", heard=0.0))
+    table.put(make("i2", heard=0.0))
+    table.note_heard(("i2", "unknown"), 5.0)
+    assert [t.instance for t in table.select("s", 5.0)] == ["i2"]
+    table.note_heard(("i2",), 4.0)
+    assert table.get("i2").heard == 5.0
--- a/packages/types/src/chivepier/messages/codec.py
+++ b/packages/types/src/chivepier/messages/codec.py
@@ -36,12 +36,19 @@
     :param fields: its plain values
     :returns: the message
     :raises KeyError: when the tag is unknown
+    :raises TypeError: when there are too few fields
+    :raises ValueError: when they are of other types
     """
     cls = find_type(tag)
     form = find_form(cls)
     if form is not None and form.fits(fields):
         return form.build(fields)
-    return CONVERTER.structure(fields, cls)
+    try:
+        return CONVERTER.structure(fields, cls)
+    except cattrs.BaseValidationError as error:
+        # a group of errors, which nobody who reads a frame expects
+        text = f"not a {cls.__name__}: {error.exceptions[0]!r}"
+        raise ValueError(text) from None
 
 
 def encode(value: typing.Any) -> bytes:
--- a/packages/types/src/chivepier/messages/flatform.py
+++ b/packages/types/src/chivepier/messages/flatform.py
@@ -12,9 +12,10 @@
 class FlatForm:
     """Takes a flat message apart and builds it again.
 
-    Most messages between nodes have plain fields and tuples of them; the
-    general converter looks at each field anew, and took a third of the time
-    of a permit.  What doesn't fit exactly is left to that converter.
+    Most messages between nodes have plain fields, tuples of them and tuples
+    of such messages; the general converter looks at each field anew, and took
+    a third of the time of a permit, and most of what a voter spent on telling
+    loads.  What doesn't fit exactly is left to that converter.
     """
 
     def __init__(self, cls: type):
@@ -24,11 +25,17 @@
         self._types = [
             field.type if field.type in PLAIN else list for field in fields
         ]
-        self._items = [
+        items = [
             (place, typing.get_args(field.type)[0])
             for place, field in enumerate(fields)
             if field.type not in PLAIN
         ]
+        self._items = [(place, item) for place, item in items if item in PLAIN]
+        self._nested = [
+            (place, find_form(item))
+            for place, item in items
+            if item not in PLAIN
+        ]
         self._get = operator.attrgetter(*names) if names else None
         self._single = len(names) == 1
 
@@ -37,7 +44,14 @@
         if self._get is None:
             return ()
         fields = self._get(value)
-        return (fields,) if self._single else fields
+        if self._single:
+            fields = (fields,)
+        if not self._nested:
+            return fields
+        plain = list(fields)
+        for place, form in self._nested:
+            plain[place] = tuple(map(form.take_apart, plain[place]))
+        return tuple(plain)
 
     def fits(self, fields: typing.Any) -> bool:
         """Tell whether plain values have exactly the declared types."""
@@ -46,12 +60,16 @@
         return all(
             set(map(type, fields[place])) <= {item}
             for place, item in self._items
+        ) and all(
+            all(map(form.fits, fields[place])) for place, form in self._nested
         )
 
     def build(self, fields: list) -> typing.Any:
         """Build the message from plain values that fit."""
         for place, _ in self._items:
             fields[place] = tuple(fields[place])
+        for place, form in self._nested:
+            fields[place] = tuple(map(form.build, fields[place]))
         return self._cls(*fields)
 
 
@@ -64,7 +82,8 @@
     ()
 
     :param cls: a registered message class
-    :returns: its form, if all fields are plain or tuples of plain values
+    :returns: its form, if all fields are plain, or tuples of plain values or
+        of messages that have a form
     """
     if all(_is_flat(field.type) for field in attrs.fields(cls)):
         return FlatForm(cls)
@@ -75,6 +94,6 @@
     if kind in PLAIN:
         return True
     item, *rest = typing.get_args(kind) or (None,)
-    return typing.get_origin(kind) is tuple and (
-        item in PLAIN and rest == [...]
-    )
+    if typing.get_origin(kind) is not tuple or rest != [...]:
+        return False
+    return item in PLAIN or attrs.has(item) and find_form(item) is not None
--- a/packages/types/src/chivepier/messages/tests/test_flatform.py
+++ b/packages/types/src/chivepier/messages/tests/test_flatform.py
@@ -6,6 +6,7 @@
 import cbor2
 import pytest
 
+import chivepier.messages
 from chivepier.messages import codec
 from chivepier.messages import ConfirmRequest
 from chivepier.messages import decode
@@ -14,19 +15,25 @@
 from chivepier.messages.registry import TAGS
 from chivepier.messages.registry import TYPES
 
+# classes are registered when they are first used
+for name in chivepier.messages.__all__:
+    getattr(chivepier.messages, name)
 SAMPLES = {int: 7, float: 1.5, str: "a", bool: True, bytes: b"b"}
 FLAT = [cls for cls in TYPES.values() if flatform.find_form(cls) is not None]
 
 
 def make_sample(cls):
     """Build a message with a value of its type in each field."""
-    values = []
-    for field in attrs.fields(cls):
-        if field.type in SAMPLES:
-            values.append(SAMPLES[field.type])
-        else:
-            values.append((SAMPLES[typing.get_args(field.type)[0]],) * 2)
-    return cls(*values)
+    return cls(*(make_value(field.type) for field in attrs.fields(cls)))
+
+
+def make_value(kind):
+    """Build a value of a type, two of it in a tuple."""
+    if kind in SAMPLES:
+        return SAMPLES[kind]
+    if attrs.has(kind):
+        return make_sample(kind)
+    return (make_value(typing.get_args(kind)[0]),) * 2
 
 
 @pytest.mark.parametrize("cls", FLAT, ids=lambda cls: cls.__name__)
--- a/packages/wire/src/chivepier/wire/__init__.py
+++ b/packages/wire/src/chivepier/wire/__init__.py
@@ -2,6 +2,7 @@
 
 from chivepier.wire.channel import Channel
 from chivepier.wire.channel import Handler
+from chivepier.wire.channel import prepare
 from chivepier.wire.faults import Faults
 from chivepier.wire.linkerror import LinkError
 from chivepier.wire.links import Links
@@ -18,4 +19,5 @@
     "PeerServer",
     "RefusedError",
     "Traffic",
+    "prepare",
 ]
--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -25,6 +25,15 @@
 SILENCE_SECONDS = 2.0
 
 
+def prepare(value: typing.Any) -> tuple:
+    """Take a one-way message apart once, for sending it to several peers.
+
+    :param value: a registered message
+    :returns: for :meth:`Channel.send_prepared`
+    """
+    return pack_part(Part.SEND, 0, value)
+
+
 class Channel:
     """Requests, answers and one-way messages over one websocket.
 
@@ -151,7 +160,14 @@
 
         :param value: a registered message
         """
-        self._post(pack_part(Part.SEND, 0, value))
+        self._post(prepare(value))
+
+    def send_prepared(self, part: tuple) -> None:
+        """Post a one-way message that goes to several peers.
+
+        :param part: what :func:`prepare` made of it
+        """
+        self._post(part)
 
     async def request(self, value: typing.Any, timeout: float) -> typing.Any:
         """Post a request and wait for its answer.
--- a/packages/wire/src/chivepier/wire/frame.py
+++ b/packages/wire/src/chivepier/wire/frame.py
@@ -9,6 +9,8 @@
 from chivepier.messages import unpack
 
 SPLIT_BYTES = 4 << 20
+# What reading a frame of another writer may raise.
+FRAME_ERRORS = (KeyError, TypeError, ValueError, cbor2.CBORDecodeError)
 
 
 class Part(enum.IntEnum):
@@ -68,7 +70,7 @@
     """
     try:
         return [_load_part(plain) for plain in cbor2.loads(data)]
-    except (KeyError, TypeError, cbor2.CBORDecodeError) as error:
+    except FRAME_ERRORS as error:
         raise ValueError(f"bad frame: {error!r}") from error
 
 
