Restart targets under their names and write nonsense in the soak

Checked: each such target runs requests again at the end, and nonsense is refused. Seeds that showed faults keep the set of faults that they drew from.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -9,6 +9,7 @@
 
 import click
 
+from soak.faults import NEWEST_SET
 from soak.run import Soak
 
 
@@ -17,17 +18,25 @@
 @click.option("--seeds", default=1, show_default=True, help="How many.")
 @click.option("--seconds", default=15.0, show_default=True)
 @click.option("--block", default=77, show_default=True)
-def main(seed: int | None, seeds: int, seconds: float, block: int) -> None:
+@click.option(
+    "--kinds",
+    default=NEWEST_SET,
+    show_default=True,
+    help="Set of faults; a seed keeps the one that it was drawn with.",
+)
+def main(
+    seed: int | None, seeds: int, seconds: float, block: int, kinds: int
+) -> None:
     """Play seeds; keep the logs of those that fail."""
     failed = 0
     for _ in range(seeds):
         chosen = seed if seed is not None else random.randrange(1 << 32)
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{chosen}-"))
-        soak = Soak(chosen, folder, block)
+        soak = Soak(chosen, folder, block, kinds)
         seen = asyncio.run(soak.run(seconds))
         print(
             f"seed {chosen}: answered {seen.answered}, failed {seen.failed},"
-            f" changes {seen.acknowledged}, faults {len(soak.faults)},"
+            f" changes {seen.acknowledged}, faults {len(soak.faults.names)},"
             f" broken {len(seen.broken)}",
             flush=True,
         )
@@ -35,7 +44,7 @@
             failed += 1
             for text in seen.broken[:10]:
                 print(f"  {text}")
-            print(f"  faults: {' '.join(soak.faults)}; logs: {folder}")
+            print(f"  faults: {' '.join(soak.faults.names)}; logs: {folder}")
         else:
             shutil.rmtree(folder)
     sys.exit(1 if failed else 0)
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,153 @@
+"""Faults that the soak injects from outside its processes."""
+
+import asyncio
+import shutil
+import signal
+import time
+import typing
+
+from soak.nonsense import write_nonsense
+from soak.proxy import LOST_ANSWERS
+from soak.proxy import LOST_SENT
+from soak.proxy import SLOW
+
+if typing.TYPE_CHECKING:
+    from soak.run import Soak
+
+# Seconds without a fault before a planned stop that must cut nothing off: what
+# an earlier fault held up has reached its route's timeout by then.
+QUIET_SECONDS = 3.5
+# Sets of faults: a seed that has shown a fault keeps the set that it drew
+# from, or it would draw others and show nothing any more.
+FIRST_SET, NEWEST_SET = 1, 2
+
+
+class Faults:
+    """Draws faults and injects them, one after the other.
+
+    :param soak: whose processes, targets and proxies are harmed
+    :param chosen: the set that is drawn from
+    """
+
+    def __init__(self, soak: "Soak", chosen: int):
+        self._soak = soak
+        self._rng = soak.rng
+        self.names: list[str] = []
+        self._kinds = (
+            self.kill,
+            self.freeze,
+            self.stop,
+            self.stop_entry,
+            self.spoil,
+            self.harm_links,
+            self.kill_all,
+            self.wipe,
+            self.hang_up,
+        )
+        if chosen > FIRST_SET:
+            self._kinds += (self.restart_target, self.write_nonsense)
+
+    def keep_only(self, *names: str) -> None:
+        """Draw from these faults alone.
+
+        :param names: of this class's methods
+        """
+        self._kinds = tuple(getattr(self, name) for name in names)
+
+    async def inject(self, seconds: float) -> None:
+        """Inject faults, in series."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            fault = self._rng.choice(self._kinds)
+            self.names.append(fault.__name__)
+            await fault()
+            await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+
+    async def kill(self) -> None:
+        """Kill a process; it comes back soon."""
+        process = self._rng.choice((*self._soak.voters, *self._soak.entries))
+        process.end()
+        await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+        process.start()
+
+    async def freeze(self) -> None:
+        """Let a process stand still."""
+        process = self._rng.choice((*self._soak.voters, *self._soak.entries))
+        process.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._rng.uniform(0.1, 3.0))
+        process.signal(signal.SIGCONT)
+
+    async def stop(self) -> None:
+        """Ask a process to end; its connections stay until it is gone."""
+        process = self._rng.choice((*self._soak.voters, *self._soak.entries))
+        process.signal(signal.SIGTERM)
+        while process.alive:
+            await asyncio.sleep(0.05)
+        process.start()
+
+    async def stop_entry(self) -> None:
+        """Stop an entry while nothing else goes wrong; it cuts nothing."""
+        await asyncio.sleep(QUIET_SECONDS)
+        entry = self._rng.choice(self._soak.entries)
+        self._soak.planned = entry
+        entry.signal(signal.SIGTERM)
+        while entry.alive:
+            await asyncio.sleep(0.05)
+        # what it was asked just before its end comes to the callers' notice
+        await asyncio.sleep(0.2)
+        self._soak.planned = None
+        entry.start()
+
+    async def hang_up(self) -> None:
+        """Tell a process that its settings have changed."""
+        process = self._rng.choice((*self._soak.voters, *self._soak.entries))
+        process.signal(signal.SIGHUP)
+
+    async def spoil(self) -> None:
+        """Let a target misbehave for a moment."""
+        target = self._rng.choice(self._soak.targets)
+        target.mood = self._rng.choice(("reset", "silent", "shed"))
+        await asyncio.sleep(self._rng.uniform(0.1, 1.5))
+        target.mood = ""
+
+    async def harm_links(self) -> None:
+        """Delay, reset or silence the connections to one target."""
+        proxy = self._rng.choice(self._soak.proxies)
+        mood = self._rng.choice((SLOW, LOST_SENT, LOST_ANSWERS, "reset"))
+        self.names[-1] += f":{mood}"
+        if mood == "reset":
+            proxy.reset()
+            return
+        proxy.mood = mood
+        await asyncio.sleep(self._rng.uniform(0.1, 1.5))
+        proxy.mood = ""
+
+    async def kill_all(self) -> None:
+        """Kill all processes at once; their disks stay."""
+        for process in (*self._soak.voters, *self._soak.entries):
+            process.end()
+        await asyncio.sleep(self._rng.uniform(0.0, 0.5))
+        for process in (*self._soak.voters, *self._soak.entries):
+            process.start()
+
+    async def wipe(self) -> None:
+        """Lose one disk, and wait until the loss is made good."""
+        voter = self._rng.choice(self._soak.voters)
+        voter.end()
+        shutil.rmtree(
+            self._soak.folder / f"data-{voter.name}", ignore_errors=True
+        )
+        voter.start()
+        # one disk may be lost at a time; the next one only after this one
+        # has its vote and its data again
+        await asyncio.sleep(6.0)
+
+    async def restart_target(self) -> None:
+        """Let a target start again under its name, and lose what it ran."""
+        # one stays: where no target at all is heard, all remain in use
+        target = self._rng.choice(self._soak.targets[1:])
+        await target.restart(self._rng.uniform(0.0, 1.0))
+
+    async def write_nonsense(self) -> None:
+        """Announce what no target says, also under the names of targets."""
+        await write_nonsense(self._soak, self._rng)
--- /dev/null
+++ b/soak/nonsense.py
@@ -0,0 +1,64 @@
+"""Announcements of other writers than targets."""
+
+import asyncio
+import json
+import random
+import typing
+
+import aiohttp
+
+if typing.TYPE_CHECKING:
+    from soak.run import Soak
+
+REFUSED = 400
+WRITES = 6
+PLAIN = {
+    "service": "s",
+    "address": "127.0.0.1:9",
+    "slots": 8,
+    "state": "ready",
+    "seq": 10**6,
+}
+STRANGE = (
+    {"state": "asleep"},
+    {"state": None},
+    {"seq": True},
+    {"seq": "7"},
+    {"seq": 10**30},
+    {"slots": 0},
+    {"service": 5},
+    {"address": "nowhere"},
+    {"address": "127.0.0.1:99999"},
+    {"cold-left-ms": float("nan")},
+    {"born": 1.5},
+)
+BYTES = (b"", b"{", b"\xff\xfe\x00", b"[]", b"null")
+
+
+async def write_nonsense(soak: "Soak", rng: random.Random) -> None:
+    """Write some to voters; each that is taken breaks a promise.
+
+    :param soak: whose voters are written to
+    :param rng: draws what is written
+    """
+    limit = aiohttp.ClientTimeout(total=1.0)
+    async with aiohttp.ClientSession(timeout=limit) as session:
+        for _ in range(WRITES):
+            await _write(soak, rng, session)
+
+
+async def _write(
+    soak: "Soak", rng: random.Random, session: aiohttp.ClientSession
+) -> None:
+    names = ["i-unknown", *(target.instance for target in soak.targets)]
+    body = json.dumps({**PLAIN, **rng.choice(STRANGE)}).encode()
+    body = rng.choice((body, rng.choice(BYTES)))
+    path = f"/chivepier/instances/{rng.choice(names)}"
+    url = f"http://{rng.choice(soak.controls)}{path}"
+    try:
+        async with session.put(url, data=body) as answer:
+            if answer.status != REFUSED:
+                text = f"{body!r} to {path}: {answer.status}"
+                soak.promises.broken.append(text)
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        await asyncio.sleep(0.05)
--- a/soak/run.py
+++ b/soak/run.py
@@ -5,18 +5,16 @@
 import json
 import pathlib
 import random
-import shutil
 import signal
 import time
 
 import aiohttp
 
+from soak.faults import Faults
+from soak.faults import NEWEST_SET
 from soak.process import Process
 from soak.promises import Promises
-from soak.proxy import LOST_ANSWERS
-from soak.proxy import LOST_SENT
 from soak.proxy import Proxy
-from soak.proxy import SLOW
 from soak.target import describe
 from soak.target import SoakTarget
 
@@ -26,9 +24,8 @@
 # Seconds after the last fault within which callers must be served again.
 RECOVER_SECONDS = 20.0
 CALLERS = 6
-# Seconds without a fault before a planned stop that must cut nothing off: what
-# an earlier fault held up has reached its route's timeout by then.
-QUIET_SECONDS = 3.5
+# Seconds after which a target that is not heard is no longer used.
+SILENT_SECONDS = 5.0
 
 
 def make_config(version: int) -> dict:
@@ -64,9 +61,16 @@
     :param seed: of everything that is drawn
     :param folder: for settings, data and logs
     :param block: second byte of its loopback addresses
+    :param kinds: the set of faults that are drawn
     """
 
-    def __init__(self, seed: int, folder: pathlib.Path, block: int):
+    def __init__(
+        self,
+        seed: int,
+        folder: pathlib.Path,
+        block: int,
+        kinds: int = NEWEST_SET,
+    ):
         self.rng = random.Random(seed)
         self.promises = Promises()
         base = f"127.{block}"
@@ -98,7 +102,7 @@
         self.acknowledged: list[tuple[float, int]] = []
         self.number = 0
         self.planned: Process | None = None
-        self.faults: list[str] = []
+        self.faults = Faults(self, kinds)
 
     async def run(self, seconds: float) -> Promises:
         """Play the seed.
@@ -121,7 +125,7 @@
             works += [self.operate(session), self.read(session)]
             tasks = [asyncio.create_task(work) for work in works]
             try:
-                await self.inject(seconds)
+                await self.faults.inject(seconds)
                 await self.recover()
                 await self.check_end(session)
             finally:
@@ -227,104 +231,6 @@
         self.promises.note_read(version, floor)
         return version
 
-    async def inject(self, seconds: float) -> None:
-        """Inject faults, in series and overlapping."""
-        end = time.monotonic() + seconds
-        while time.monotonic() < end:
-            fault = self.rng.choice(
-                (
-                    self.kill,
-                    self.freeze,
-                    self.stop,
-                    self.stop_entry,
-                    self.spoil,
-                    self.harm_links,
-                    self.kill_all,
-                    self.wipe,
-                    self.hang_up,
-                )
-            )
-            self.faults.append(fault.__name__)
-            await fault()
-            await asyncio.sleep(self.rng.uniform(0.0, 1.0))
-
-    async def kill(self) -> None:
-        """Kill a process; it comes back soon."""
-        process = self.rng.choice((*self.voters, *self.entries))
-        process.end()
-        await asyncio.sleep(self.rng.uniform(0.0, 1.0))
-        process.start()
-
-    async def freeze(self) -> None:
-        """Let a process stand still."""
-        process = self.rng.choice((*self.voters, *self.entries))
-        process.signal(signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(0.1, 3.0))
-        process.signal(signal.SIGCONT)
-
-    async def stop(self) -> None:
-        """Ask a process to end; its connections stay until it is gone."""
-        process = self.rng.choice((*self.voters, *self.entries))
-        process.signal(signal.SIGTERM)
-        while process.alive:
-            await asyncio.sleep(0.05)
-        process.start()
-
-    async def stop_entry(self) -> None:
-        """Stop an entry while nothing else goes wrong; it cuts nothing."""
-        await asyncio.sleep(QUIET_SECONDS)
-        entry = self.rng.choice(self.entries)
-        self.planned = entry
-        entry.signal(signal.SIGTERM)
-        while entry.alive:
-            await asyncio.sleep(0.05)
-        # what it was asked just before its end comes to the callers' notice
-        await asyncio.sleep(0.2)
-        self.planned = None
-        entry.start()
-
-    async def hang_up(self) -> None:
-        """Tell a process that its settings have changed."""
-        process = self.rng.choice((*self.voters, *self.entries))
-        process.signal(signal.SIGHUP)
-
-    async def spoil(self) -> None:
-        """Let a target misbehave for a moment."""
-        target = self.rng.choice(self.targets)
-        target.mood = self.rng.choice(("reset", "silent", "shed"))
-        await asyncio.sleep(self.rng.uniform(0.1, 1.5))
-        target.mood = ""
-
-    async def harm_links(self) -> None:
-        """Delay, reset or silence the connections to one target."""
-        proxy = self.rng.choice(self.proxies)
-        mood = self.rng.choice((SLOW, LOST_SENT, LOST_ANSWERS, "reset"))
-        self.faults[-1] += f":{mood}"
-        if mood == "reset":
-            proxy.reset()
-            return
-        proxy.mood = mood
-        await asyncio.sleep(self.rng.uniform(0.1, 1.5))
-        proxy.mood = ""
-
-    async def kill_all(self) -> None:
-        """Kill all processes at once; their disks stay."""
-        for process in (*self.voters, *self.entries):
-            process.end()
-        await asyncio.sleep(self.rng.uniform(0.0, 0.5))
-        for process in (*self.voters, *self.entries):
-            process.start()
-
-    async def wipe(self) -> None:
-        """Lose one disk, and wait until the loss is made good."""
-        voter = self.rng.choice(self.voters)
-        voter.end()
-        shutil.rmtree(self.folder / f"data-{voter.name}", ignore_errors=True)
-        voter.start()
-        # one disk may be lost at a time; the next one only after this one
-        # has its vote and its data again
-        await asyncio.sleep(6.0)
-
     async def recover(self) -> None:
         """Undo every fault, and wait until callers are served again."""
         for process in (*self.voters, *self.entries):
@@ -332,15 +238,25 @@
             process.start()
         for part in (*self.targets, *self.proxies):
             part.mood = ""
+        if any(target.restarted for target in self.targets):
+            # until then one whose word is not taken is still in use
+            await asyncio.sleep(SILENT_SECONDS)
+            for target in self.targets:
+                target.runs = 0
         wanted = self.promises.answered + 30
         end = time.monotonic() + RECOVER_SECONDS
-        while self.promises.answered < wanted:
+        while self.promises.answered < wanted or self.find_unused():
             if time.monotonic() > end:
                 text = f"not served after the faults; {describe(self.targets)}"
+                text += f"; unused: {self.find_unused()}"
                 self.promises.broken.append(text)
                 return
             await asyncio.sleep(0.1)
 
+    def find_unused(self) -> list[str]:
+        """Return the targets that started again and run nothing now."""
+        return [t.address for t in self.targets if t.restarted and not t.runs]
+
     async def check_end(self, session) -> None:
         """Read back the newest acknowledged configuration."""
         await asyncio.sleep(APPLY_SECONDS)
--- a/soak/target.py
+++ b/soak/target.py
@@ -5,6 +5,7 @@
 import json
 import random
 import secrets
+import time
 
 import aiohttp
 from aiohttp import web
@@ -15,6 +16,7 @@
 BEAT_SECONDS = 0.4
 WORK_SECONDS = 0.02
 EVENTS = 20
+LONG_LIVED = 10_000
 
 
 class SoakTarget:
@@ -44,12 +46,18 @@
         self._controls = controls
         self._promises = promises
         self._rng = rng
-        self._instance = f"i-{secrets.token_hex(4)}"
-        self._number = 0
+        self.instance = f"i-{secrets.token_hex(4)}"
+        self.restarted = False
+        self.runs = 0
+        self._born = 0
+        # as if it had lived for long: its next life counts from the beginning
+        self._number = LONG_LIVED
         self._runner: web.ServerRunner | None = None
         self._task: asyncio.Task | None = None
 
     async def __aenter__(self) -> "SoakTarget":
+        # always later than before, as the unit is a millisecond
+        self._born = max(self._born + 1, int(1000 * time.time()))
         server = web.Server(self._serve, access_log=None)
         self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await self._runner.setup()
@@ -62,6 +70,16 @@
         self._task.cancel()
         await self._runner.cleanup()
 
+    async def restart(self, seconds: float) -> None:
+        """Lose what runs, and start again under the same name.
+
+        :param seconds: until it starts again
+        """
+        await self.__aexit__()
+        await asyncio.sleep(seconds)
+        self.restarted, self.runs, self._number = True, 0, 0
+        await self.__aenter__()
+
     async def _announce(self) -> None:
         timeout = aiohttp.ClientTimeout(total=1.0)
         async with aiohttp.ClientSession(timeout=timeout) as session:
@@ -78,8 +96,9 @@
             "slots": 8,
             "state": "ready",
             "seq": self._number,
+            "born": self._born,
         }
-        path = f"/chivepier/instances/{self._instance}"
+        path = f"/chivepier/instances/{self.instance}"
         for control in self._rng.sample(self._controls, len(self._controls)):
             try:
                 url = f"http://{control}{path}"
@@ -93,13 +112,14 @@
         identity = request.headers["X-Chivepier-Request-Id"]
         echo = {"X-Chivepier-Request-Id": identity}
         wanted = request.headers.get("X-Chivepier-Expect-Instance")
-        if wanted != self._instance:
+        if wanted != self.instance:
             return web.Response(status=421, headers=echo)
         mood = self.mood
         if mood == "shed":
             echo["X-Chivepier-Not-Run"] = "1"
             return web.Response(status=503, headers=echo)
         await request.read()
+        self.runs += 1
         if not request.path.startswith("/again/"):
             self._promises.note_run(identity)
         if mood == "silent":
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -5,14 +5,21 @@
 
 import pytest
 
+from soak.faults import FIRST_SET
+from soak.faults import NEWEST_SET
 from soak.promises import make_body
 from soak.promises import Promises
 from soak.run import Soak
 
-# Seeds and the seconds for which they inject faults. The last one stops two
-# entries with nothing else wrong: what callers with kept connections had just
-# sent was cut as the entry ended.
-SEEDS = {1: 6.0, 2: 6.0, 3922492142: 14.0}
+# Seeds, the set of faults that they draw from and the seconds for which they
+# inject them. The third one stops two entries with nothing else wrong: what
+# callers with kept connections had just sent was cut as the entry ended.
+SEEDS = {
+    1: (FIRST_SET, 6.0),
+    2: (FIRST_SET, 6.0),
+    3922492142: (FIRST_SET, 14.0),
+    5: (NEWEST_SET, 6.0),
+}
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -21,11 +28,34 @@
     # older configuration than was acknowledged, while processes are killed,
     # frozen, stopped and wiped and targets misbehave.
     block = 80 + (os.getpid() * len(SEEDS) + seed) % 100
-    seen = asyncio.run(Soak(seed, tmp_path, block).run(SEEDS[seed]))
+    kinds, seconds = SEEDS[seed]
+    soak = Soak(seed, tmp_path, block, kinds)
+    seen = asyncio.run(soak.run(seconds))
     assert seen.broken == []
     assert seen.answered > 50 and seen.acknowledged > 0
 
 
+def test_targets_that_start_again_are_used(tmp_path):
+    # Targets crash and start again under their names, counting from the
+    # beginning. All that they said was dropped as old for as long as they
+    # counted up. Each of them is sent requests again within seconds.
+    soak = Soak(7, tmp_path, 180 + os.getpid() % 35)
+    soak.faults.keep_only("restart_target")
+    seen = asyncio.run(soak.run(4.0))
+    assert seen.broken == []
+    assert any(target.restarted for target in soak.targets)
+
+
+def test_nonsense_of_another_writer_harms_nobody(tmp_path):
+    # Another writer announces what no target says, also in targets' names:
+    # all of it is refused, and callers are served as before.
+    soak = Soak(8, tmp_path, 215 + os.getpid() % 35)
+    soak.faults.keep_only("write_nonsense")
+    seen = asyncio.run(soak.run(4.0))
+    assert seen.broken == []
+    assert seen.answered > 50
+
+
 def test_each_broken_promise_is_seen():
     seen = Promises()
     seen.note_run("a")
