Count only words that show that a target lives, and tell only these

Cause, found by the soak's new check with the comparison of lives switched off: a word that a target's table drops made its voter tell the others of what it held; these took the age, a moment off, for a later word, and named the target to their entries as heard just now. One that had fallen silent stayed in use for as long as such words came. A word counts if it is news, or later by more than ages err (0.2 s), of the life that is known; only then it is told.

--- a/packages/gateway/src/chivepier/gateway/control/registry.py
+++ b/packages/gateway/src/chivepier/gateway/control/registry.py
@@ -16,6 +16,10 @@
 from chivepier.types import Clock
 from chivepier.wire import Links
 
+# Seconds by which a time that was sent as an age may be off: what a message
+# takes between two voters, also where one of them is busy.
+AGE_ERROR = 0.2
+
 
 class Registry:
     """Takes announcements and tells entries and the other voters.
@@ -60,22 +64,31 @@
 
         :param target: what it says; heard just now
         """
-        news = self._put(target)
+        if not self._put(target):
+            return
         self._unshared.add(target.instance)
-        if news:
+        if self._news.get(target.instance) == self.revision:
             self._tell(target)
 
     def _put(self, target: Target) -> bool:
+        """Merge a target's word.
+
+        :returns: whether it shows that the target lives. An older word, or
+            one of an earlier life, does not; nor does one that comes back
+            from another voter, a moment off as ages travel, not times
+        """
+        known = self._table.get(target.instance)
+        heard = known.heard if known is not None else None
         news = self._table.put(target)
         known = self._table.get(target.instance)
-        if not news and (known is None or known.heard != target.heard):
-            # an older word, or one of an earlier life: it shows nothing
+        later = heard is None or known.heard > heard + AGE_ERROR
+        if not news and not (later and known.born == target.born):
             return False
         self.revision += 1
         _note_last(self._revisions, target.instance, self.revision)
         if news:
             _note_last(self._news, target.instance, self.revision)
-        return news
+        return True
 
     def leave(self, instance: str, born: int | None = None) -> None:
         """Take a target's word that it ends.
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
@@ -227,6 +227,28 @@
     play(test, tmp_path)
 
 
+def test_word_that_is_dropped_is_not_told_to_other_voters(tmp_path):
+    # A target had started again without a word of its start. Each word that
+    # was dropped made its voter tell the others of the life before, and these
+    # told their entries that it was heard just now: it stayed in use.
+    async def test(fleet):
+        first, second, _ = (v.registry for v in fleet.voters.values())
+        now = time.monotonic()
+        first.announce(make("i1", number=9, heard=now - 5))
+        first.share()
+        await wait_until(lambda: second._table.get("i1") is not None)
+        revision = second.revision
+        first.announce(make("i1", number=1, heard=now))
+        first.share()
+        first.announce(make("i2", number=1, heard=now))
+        first.share()
+        await wait_until(lambda: second._table.get("i2") is not None)
+        heard = second.heard_since(second.epoch, revision)
+        assert list(heard) == ["i2"]
+
+    play(test, tmp_path)
+
+
 def test_word_of_an_earlier_life_does_not_show_that_a_target_lives(tmp_path):
     # A target crashed and started again; what its earlier life had said came
     # late, and kept the later one in use though that had fallen silent.
