Show in the logs when the same request comes again and what was lost with it

Cause: lines on lost targets named an id that is new with each attempt, and none told whether the target was leaving or had begun, so three hypotheses on targets that end one after the other could not be told apart. Change: a digest of team, method, path and body in each line on a lost target, with its start, whether it left, and the time since the send and since the first event; streams that break off have such a line too, also where they go on. chivepier explain takes a digest. Ruled out: the prompt's size as identity, which chance shares, and the path alone, which teams share. No decision is changed.

--- a/packages/cli/src/chivepier/cli/commands/explain.py
+++ b/packages/cli/src/chivepier/cli/commands/explain.py
@@ -6,7 +6,7 @@
 import click
 
 # Fields that stand in front of each line, and so not among the others.
-HEAD = ("t", "level", "node", "event", "id")
+HEAD = ("t", "level", "node", "event")
 
 
 @click.command()
@@ -17,8 +17,9 @@
 def explain(request_id: str, logs: tuple[typing.TextIO, ...]) -> None:
     """Show one request's way through the logs of several processes.
 
-    REQUEST_ID is what the caller sent. LOGS are files with what the
-    processes wrote; lines that are no events are passed over.
+    REQUEST_ID is what the caller sent, or the digest that a line about it
+    shows: that of every time it came, under whatever id. LOGS are files with
+    what the processes wrote; lines that are no events are passed over.
 
     \b
     Example: chivepier explain 9c41d07be2a35f68 front-*.log
@@ -36,7 +37,7 @@
 ) -> list[dict]:
     """Pick a request's events, in the order of their times.
 
-    :param request_id: the caller's
+    :param request_id: the caller's, or a digest
     :param logs: lines of each log
     :returns: the events
     """
@@ -46,7 +47,9 @@
             if request_id not in line:
                 continue
             event = read_event(line)
-            if event is not None and event.get("id") == request_id:
+            if event is None:
+                continue
+            if request_id in (event.get("id"), event.get("digest")):
                 events.append(event)
     return sorted(events, key=lambda event: event["t"])
 
--- a/packages/cli/src/chivepier/cli/tests/test_explain.py
+++ b/packages/cli/src/chivepier/cli/tests/test_explain.py
@@ -29,6 +29,22 @@
     assert "!" in lines[2]
 
 
+def test_digest_shows_each_time_that_a_request_came(tmp_path):
+    # Each time a request comes it has a new id; what it did to one target
+    # after another stands in lines that have the digest alone in common.
+    path = tmp_path / "one.log"
+    lost = {"t": 6.5, "level": "warn", "node": "e1", "event": "target_lost"}
+    write(
+        path,
+        {**lost, "id": "r1", "digest": "d1"},
+        {**lost, "id": "r2", "digest": "d1"},
+        {**lost, "id": "r3", "digest": "d2"},
+    )
+    result = CliRunner().invoke(main, ["explain", "d1", str(path)])
+    lines = result.output.splitlines()
+    assert len(lines) == 2 and "id=r1" in lines[0] and "id=r2" in lines[1]
+
+
 def test_request_that_no_log_names_is_told(tmp_path):
     path = tmp_path / "one.log"
     write(path)
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -4,6 +4,7 @@
 import datetime
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.quarantine import shorten
 from chivepier.gateway.serving.errors import AnswerCutError
 from chivepier.gateway.serving.errors import LostError
 from chivepier.gateway.serving.errors import NoRoomError
@@ -127,12 +128,18 @@
             try:
                 sent = await self._try(plan, place, more)
             except NotSentError as error:
-                self._note_failure(plan, target, "not_sent", error)
+                self._note_silence(target)
+                self.log.warn(
+                    "target_not_sent",
+                    id=plan.request.id,
+                    target=target.instance,
+                    address=target.address,
+                    error=repr(error),
+                )
                 # nothing arrived anywhere: the next send is no repeat
                 paid = True
                 continue
             except (LostError, AnswerCutError, TimeoutError) as error:
-                self._note_failure(plan, target, "lost", error)
                 runs += 1
                 if not more:
                     raise self._fail(plan, error) from None
@@ -200,7 +207,11 @@
                     target, plan.request, self._order(plan, place)
                 )
                 sent = await self._read(plan, target, answer, run)
-        except BaseException:
+        except BaseException as error:
+            if isinstance(error, (LostError, AnswerCutError, TimeoutError)):
+                begun = run.began if run else None
+                self._note_silence(target)
+                self.note_lost(plan, target, began, begun, error)
             if answer is not None:
                 answer.close()
             if run is not None:
@@ -272,22 +283,45 @@
             instance = sent.target.instance
             self.health.note_answer(instance, failed, slowness, now)
 
-    def _note_failure(
-        self, plan: Plan, target: Target, what: str, error: Exception
+    def note_lost(
+        self,
+        plan: Plan,
+        target: Target,
+        sent: float,
+        begun: float | None,
+        error: BaseException,
     ) -> None:
-        if self.table.is_current(target):
-            # one that has started again is not avoided for what its earlier
-            # life left unanswered
-            now = self.clock.monotonic()
-            self.health.note_silence(target.instance, now)
+        """Note that a target broke off, or fell silent, under a request.
+
+        :param plan: the request's
+        :param target: where it was sent
+        :param sent: when, in monotonic seconds
+        :param begun: when its first event came; ``None`` before that
+        :param error: how it ended
+        """
+        now = self.clock.monotonic()
         self.log.warn(
-            f"target_{what}",
+            "target_lost",
             id=plan.request.id,
+            digest=shorten(plan.digest),
+            path=plan.request.path,
+            team=plan.team,
             target=target.instance,
+            born=target.born,
             address=target.address,
+            leaving=self.table.leaves(target.instance),
+            sent_ms=round(1000 * (now - sent)),
+            begun_ms=None if begun is None else round(1000 * (now - begun)),
             error=repr(error),
         )
 
+    def _note_silence(self, target: Target) -> None:
+        if self.table.is_current(target):
+            # one that has started again is not avoided for what its earlier
+            # life left unanswered
+            now = self.clock.monotonic()
+            self.health.note_silence(target.instance, now)
+
     def _check_time(self, plan: Plan, runs: int) -> None:
         left = plan.deadline - self.clock.monotonic()
         if left >= LEAST_LEFT:
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -9,6 +9,7 @@
 from chivepier.gateway.config import Service
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.serving.handoff import Handoff
+from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.targets import Target
 
 # A copy to another availability zone takes this many times as long.
@@ -22,8 +23,7 @@
 class LiveRun:
     """Where a generation runs, and where it goes on when it must leave.
 
-    :param request: the caller's
-    :param service: whose targets may run it
+    :param plan: the request's
     :param target: where it runs
     :param counted: memory that other entries are told of: what it takes now
         and within the next seconds
@@ -45,8 +45,7 @@
     :param limit: bounds what is being waited for from its target
     """
 
-    request: CallerRequest
-    service: Service
+    plan: Plan
     target: Target
     counted: int
     reading: int = 0
@@ -63,6 +62,16 @@
     broken: bool = False
     limit: asyncio.Timeout | None = None
 
+    @property
+    def request(self) -> CallerRequest:
+        """The caller's."""
+        return self.plan.request
+
+    @property
+    def service(self) -> Service:
+        """Whose targets may run it."""
+        return self.plan.service
+
     @property
     def held(self) -> int:
         """Memory that it takes now, in tokens."""
@@ -119,9 +128,14 @@
         if limit is not None and not limit.expired():
             limit.reschedule(asyncio.get_running_loop().time())
 
-    def go_on(self, target: Target) -> None:
-        """Note that it goes on at another target."""
+    def go_on(self, target: Target, now: float) -> None:
+        """Note that it goes on at another target.
+
+        :param target: that has answered
+        :param now: monotonic seconds
+        """
         self.target = target
+        self.sent = now
         self.moved = True
         # its memory comes with it
         self.reading = 0
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -81,6 +81,7 @@
                         await self._finish(head)
                         return
                     case _:
+                        self._note_lost(run)
                         sent = await self._go_on(run, sent)
                 if sent is None:
                     break
@@ -101,6 +102,13 @@
             if sent is not None:
                 self._dispatcher.end(sent)
 
+    def _note_lost(self, run: LiveRun) -> None:
+        if not run.stopped:
+            error = AnswerCutError("the stream broke off")
+            self._dispatcher.note_lost(
+                self._plan, run.target, run.sent, run.began, error
+            )
+
     def _note_end(self) -> None:
         plan, pace = self._plan, self._pace
         self._metrics.note_stream(
@@ -266,7 +274,7 @@
             moved=handoff.origin is not None,
         )
         dispatcher.end(sent)
-        run.go_on(handoff.target)
+        run.go_on(handoff.target, dispatcher.clock.monotonic())
         self._splitter = EventSplitter()
         dispatcher.runs.watch(run)
         dispatcher.chooser.begin(run.target.instance)
--- a/packages/gateway/src/chivepier/gateway/serving/runwatch.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runwatch.py
@@ -45,8 +45,7 @@
         now = self._clock.monotonic()
         load = self._board.total(target.instance, now)
         run = LiveRun(
-            plan.request,
-            plan.service,
+            plan,
             target,
             demand.soon,
             reading=demand.prompt,
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -1,8 +1,9 @@
 """An entry without a network: everything between caller and target."""
 
 import asyncio
-import os
+import json
 import random
+import tempfile
 import time
 
 from chivepier.gateway.config import Configuration
@@ -102,7 +103,8 @@
         self.health = TargetHealth()
         self.state = ServingState()
         clock = SystemClock()
-        log = EventLog("e1", os.open(os.devnull, os.O_WRONLY))
+        self._lines = tempfile.TemporaryFile()
+        log = EventLog("e1", self._lines.fileno())
         rng = random.Random(1)
         chooser = Chooser(self.table, self.health, self.board, "a", clock, rng)
         self.mover = Mover(
@@ -177,6 +179,12 @@
         record = QueueRecord(entry, service, rank, waiting)
         self.queues.put(record, time.monotonic())
 
+    def read_lines(self, event: str) -> list[dict]:
+        """Return the lines of the log about one kind of event."""
+        self._lines.seek(0)
+        lines = [json.loads(line) for line in self._lines]
+        return [line for line in lines if line["event"] == event]
+
     async def serve(self, request: CallerRequest) -> FakeCaller:
         """Serve a request to its end."""
         caller = FakeCaller()
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_dispatching.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_dispatching.py
@@ -50,6 +50,23 @@
     play(test, "a", "b")
 
 
+def test_lines_of_lost_targets_show_that_a_request_came_again():
+    # Target after target broke off, and each line named another request: a
+    # caller that asks again does so under a new id. Path, team and body stay.
+    async def test(parts):
+        parts.engines.lose = {"w-a"}
+        for identity, body in (("r1", b"x"), ("r2", b"x"), ("r3", b"y")):
+            request = make_request("/plain/x", id=identity, body=body)
+            await fail(parts, request)
+        lines = parts.read_lines("target_lost")
+        assert [line["id"] for line in lines] == ["r1", "r2", "r3"]
+        first, again, other = (line["digest"] for line in lines)
+        assert first == again != other
+        assert lines[0]["begun_ms"] is None and not lines[0]["leaving"]
+
+    play(test, "a")
+
+
 def test_request_that_may_run_once_is_sent_again_when_it_did_not_run():
     async def test(parts):
         answer_all(parts)
