Add a failing test of one request that ends target after target

Real entries and voters, four stand-in targets that end as they begin to run one body and come back, callers that insist at several entries. The soak's targets use a listener of their own, which a crash can close.

--- /dev/null
+++ b/soak/outbreak.py
@@ -0,0 +1,211 @@
+"""Targets that end as they begin to run one request, which comes again."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import random
+import secrets
+import time
+
+import aiohttp
+from aiohttp import web
+import attrs
+
+from soak.process import Process
+from soak.promises import Promises
+from soak.run import make_config
+from soak.target import SoakTarget
+
+DEADLY = b"what no target survives"
+DEADLY_PATH = "/resume/deadly"
+# Seconds from the third end on within which entries must know.
+TOUCH_SECONDS = 3.0
+# Seconds until a target that has ended is back.
+BACK_SECONDS = (0.8, 2.0)
+
+
+@attrs.define
+class Seen:
+    """What callers and targets saw.
+
+    :param ends: when targets ended
+    :param arrivals: when the request that ends them reached one
+    :param answers: statuses that its callers got
+    :param sound: statuses that all others got
+    """
+
+    ends: list[float] = attrs.field(factory=list)
+    arrivals: list[float] = attrs.field(factory=list)
+    answers: list[int] = attrs.field(factory=list)
+    sound: list[int] = attrs.field(factory=list)
+
+    @property
+    def known_at(self) -> float:
+        """When every entry must know; never, before the third end."""
+        if len(self.ends) < 3:
+            return float("inf")
+        return self.ends[2] + TOUCH_SECONDS
+
+    @property
+    def late(self) -> list[float]:
+        """Sends to targets after that, in seconds since the third end."""
+        known_at = self.known_at
+        third = known_at - TOUCH_SECONDS
+        return [at - third for at in self.arrivals if at > known_at]
+
+
+class FragileTarget(SoakTarget):
+    """Ends when it begins to run the deadly request."""
+
+    seen: Seen
+    _return: asyncio.Task | None = None
+
+    async def __aexit__(self, *exc) -> None:
+        if self._return is not None:
+            self._return.cancel()
+        await super().__aexit__(*exc)
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        if await request.read() != DEADLY:
+            return await super()._serve(request)
+        self.seen.arrivals.append(time.monotonic())
+        identity = request.headers["X-Chivepier-Request-Id"]
+        echo = {"X-Chivepier-Request-Id": identity}
+        if request.headers["X-Chivepier-Expect-Instance"] != self.instance:
+            return web.Response(status=421, headers=echo)
+        response = web.StreamResponse(headers=echo)
+        await response.prepare(request)
+        await asyncio.sleep(0.02)
+        self.seen.ends.append(time.monotonic())
+        self.crash()
+        self._return = asyncio.create_task(self._come_back())
+        raise asyncio.CancelledError
+
+    async def _come_back(self) -> None:
+        await asyncio.sleep(self._rng.uniform(*BACK_SECONDS))
+        # each start has a name of its own, as most engines do
+        self.instance = f"i-{secrets.token_hex(4)}"
+        await self.__aenter__()
+
+
+class Outbreak:
+    """Real entries and voters, fragile targets, and both kinds of callers.
+
+    :param folder: for settings, data and logs
+    :param block: second byte of its loopback addresses
+    :param seed: of everything that is drawn
+    :param entries: how many
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, block: int, seed: int, entries: int = 3
+    ):
+        base = f"127.{block}"
+        self.rng = random.Random(seed)
+        self.seen = Seen()
+        controls = [f"{base}.1.{n + 1}:8748" for n in range(3)]
+        self.controls = controls
+        self.voters = [
+            Process("voter", address.split(":")[0], controls, folder)
+            for address in controls
+        ]
+        self.entries = [
+            Process("entry", f"{base}.2.{n + 1}", controls, folder)
+            for n in range(entries)
+        ]
+        self.targets = []
+        for n in range(4):
+            address = f"{base}.3.{n + 1}:8080"
+            target = FragileTarget(
+                address, address, controls, Promises(), self.rng
+            )
+            target.seen = self.seen
+            self.targets.append(target)
+        self._number = 0
+
+    @contextlib.asynccontextmanager
+    async def start(self):
+        """Run everything until the context is left."""
+        async with contextlib.AsyncExitStack() as stack:
+            timeout = aiohttp.ClientTimeout(total=6.0)
+            session = await stack.enter_async_context(
+                aiohttp.ClientSession(timeout=timeout)
+            )
+            for process in (*self.voters, *self.entries):
+                stack.callback(process.end)
+                process.start(found=process.role == "voter")
+            for target in self.targets:
+                await stack.enter_async_context(target)
+            await self._configure(session)
+            while await self.ask(session, self.entries[0], "sound") != 200:
+                await asyncio.sleep(0.1)
+            yield session
+
+    async def _configure(self, session: aiohttp.ClientSession) -> None:
+        config = make_config(1)
+        stream = next(r for r in config["routes"] if r["name"] == "stream")
+        config["routes"].append(
+            {
+                **stream,
+                "name": "resume",
+                "path-prefix": "/resume/",
+                "resumable": True,
+                "max-attempts": 2,
+            }
+        )
+        body = json.dumps(config)
+        while True:
+            url = f"http://{self.controls[0]}/chivepier/config"
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                async with session.put(url, data=body) as answer:
+                    if answer.status == 200:
+                        return
+            await asyncio.sleep(0.1)
+
+    async def ask(
+        self, session: aiohttp.ClientSession, entry: Process, kind: str
+    ) -> int:
+        """Send one request.
+
+        :param kind: ``deadly`` or ``sound``
+        :returns: the status; 0 where the connection broke or none was made
+        """
+        self._number += 1
+        deadly = kind == "deadly"
+        path = DEADLY_PATH if deadly else f"/resume/{self._number}"
+        headers = {
+            "Host": "h.example",
+            "X-Chivepier-Request-Id": f"{kind}{self._number}",
+            "X-Api-Key": "k1",
+            "X-Chivepier-Deadline-Ms": "4000",
+        }
+        url = f"http://{entry.ip}:8740{path}"
+        body = DEADLY if deadly else b"x"
+        status = 0
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with session.post(url, data=body, headers=headers) as answer:
+                await answer.read()
+                status = answer.status
+        (self.seen.answers if deadly else self.seen.sound).append(status)
+        return status
+
+    async def insist(
+        self, session: aiohttp.ClientSession, seconds: float
+    ) -> None:
+        """Send the deadly request again and again, at several entries.
+
+        :param seconds: for which this goes on once every entry must know
+        """
+        while time.monotonic() < self.seen.known_at + seconds:
+            count = min(2, len(self.entries))
+            chosen = self.rng.sample(self.entries, count)
+            asks = [self.ask(session, entry, "deadly") for entry in chosen]
+            await asyncio.gather(*asks)
+            await asyncio.sleep(self.rng.uniform(0.1, 0.5))
+
+    async def call(self, session: aiohttp.ClientSession) -> None:
+        """Send sound requests, one after the other, until cancelled."""
+        while True:
+            await self.ask(session, self.rng.choice(self.entries), "sound")
+            await asyncio.sleep(0.02)
--- a/soak/target.py
+++ b/soak/target.py
@@ -52,23 +52,34 @@
         self._born = 0
         # as if it had lived for long: its next life counts from the beginning
         self._number = LONG_LIVED
-        self._runner: web.ServerRunner | None = None
+        self._server: web.Server | None = None
+        self._listener: asyncio.Server | None = None
         self._task: asyncio.Task | None = None
 
     async def __aenter__(self) -> "SoakTarget":
         # always later than before, as the unit is a millisecond
         self._born = max(self._born + 1, int(1000 * time.time()))
-        server = web.Server(self._serve, access_log=None)
-        self._runner = web.ServerRunner(server, shutdown_timeout=0.1)
-        await self._runner.setup()
+        self._server = web.Server(self._serve, access_log=None)
         host, port = self.address.split(":")
-        await web.TCPSite(self._runner, host, int(port)).start()
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            self._server, host, int(port)
+        )
         self._task = asyncio.create_task(self._announce())
         return self
 
     async def __aexit__(self, *exc) -> None:
         self._task.cancel()
-        await self._runner.cleanup()
+        self._listener.close()
+        await self._server.shutdown(0.1)
+
+    def crash(self) -> None:
+        """Lose all connections and all that runs, at once."""
+        self._task.cancel()
+        self._listener.close()
+        for connection in list(self._server.connections):
+            if connection.transport is not None:
+                connection.transport.abort()
 
     async def restart(self, seconds: float) -> None:
         """Lose what runs, and start again under the same name.
