Hold back requests under which three targets have ended, at all entries

Cause: each send was judged alone. A loss was held against the target, the request was forgotten, and the next send, by the same attempt, a resumption or a caller's repeat at another entry, ended the next target. Change: an entry looks whether a target is gone after a loss, and reports the request's digest (team, method, path, body) with the target's life to every voter by its beats; voters push it to the entries and tell those that come later. After three ends a request is refused at once, true as to whether it ran. What ran beside it is not: ends that the cause explains do not count, nor those of a request that was answered within a minute, nor those later than 2 s after its first event. Ruled out: holding losses without a look at the target (a reset of connections would accuse the innocent); two ends (met beside the cause by what is sent again); an owner of the evidence (one more thing that is lost).

--- a/packages/gateway/src/chivepier/gateway/control/knownstate.py
+++ b/packages/gateway/src/chivepier/gateway/control/knownstate.py
@@ -11,6 +11,9 @@
 from chivepier.gateway.following import pack_target
 from chivepier.gateway.following import unpack_target
 from chivepier.gateway.messages import TargetRecord
+from chivepier.gateway.quarantine import Ending
+from chivepier.gateway.quarantine import Ledger
+from chivepier.gateway.quarantine import Life
 from chivepier.gateway.targets import TargetTable
 from chivepier.state import DamagedError
 from chivepier.state.diskstorage import write_synced
@@ -32,10 +35,12 @@
     entries would refuse every caller until a leader is elected, one to two
     seconds more, and then until each target has announced itself. What was
     committed stays so; targets that have ended since are found out by the
-    first connection that they refuse.
+    first connection that they refuse. Without what is known of requests that
+    end targets, each of these would end three more.
 
     :param folder: the voter's data folder
     :param table: the targets
+    :param ledger: requests that end targets
     :param clock: monotonic time
     :param log: failures of the disk
     """
@@ -44,11 +49,13 @@
         self,
         folder: pathlib.Path,
         table: TargetTable,
+        ledger: Ledger,
         clock: Clock,
         log: EventLog,
     ):
         self._folder = folder
         self._table = table
+        self._ledger = ledger
         self._clock = clock
         self._log = log
         self._changed = asyncio.Event()
@@ -64,7 +71,7 @@
             return None
         try:
             payloads, _ = read_records(path.read_bytes(), FILE)
-            version, body, targets = cbor2.loads(payloads[0])
+            version, body, targets, *ends = cbor2.loads(payloads[0])
         except (DamagedError, IndexError, ValueError, OSError) as error:
             # it spares waiting only; what counts is in the log
             self._log.warn("known_state_unread", error=repr(error))
@@ -72,6 +79,11 @@
         now = self._clock.monotonic()
         for fields in targets:
             self._table.put(unpack_target(TargetRecord(*fields), now))
+        # a file of an earlier release has none
+        for fields in ends[0] if ends else ():
+            digest, instance, born, age, source, how = fields
+            life = Life(instance, born)
+            self._ledger.add(Ending(digest, life, now - age, source, how))
         return StoredConfig(version, body) if version >= 0 else None
 
     async def run(self, store: ConfigStore) -> None:
@@ -89,8 +101,8 @@
                 self._log.warn("known_state_unwritten", error=repr(error))
             await self._clock.sleep(PAUSE_SECONDS)
 
-    def note_configuration(self) -> None:
-        """Note that another configuration is committed."""
+    def note_change(self) -> None:
+        """Note a configuration that was committed, or what ended targets."""
         self._changed.set()
 
     def _pack(self, store: ConfigStore) -> tuple:
@@ -115,6 +127,12 @@
                     record.born,
                 )
             )
+        ends = [
+            (e.digest, e.life.instance, e.life.born, now - e.seen)
+            + (e.source, e.how)
+            for digest in self._ledger.held
+            for e in self._ledger.find_endings(digest)
+        ]
         if held is None:
-            return (-1, b"", targets)
-        return (held.version, held.body, targets)
+            return (-1, b"", targets, ends)
+        return (held.version, held.body, targets, ends)
--- a/packages/gateway/src/chivepier/gateway/control/loadhub.py
+++ b/packages/gateway/src/chivepier/gateway/control/loadhub.py
@@ -82,6 +82,10 @@
             self._new.add(entry)
             self._changed.set()
 
+    def channels(self) -> list[Channel]:
+        """Return where the entries that follow this voter are reached."""
+        return list(self._followers.values())
+
     def take(self, notice: LoadNotice) -> None:
         """Take what an entry that follows this voter says."""
         self._ledger.take(notice, self._clock.monotonic())
--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -12,9 +12,14 @@
 from chivepier.gateway.following import Following
 from chivepier.gateway.following import LoadExchange
 from chivepier.gateway.following import Peers
+from chivepier.gateway.following import QuarantineExchange
+from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.quarantine import Orders
+from chivepier.gateway.quarantine import Quarantine
 from chivepier.gateway.serving import RetryBudget
 from chivepier.gateway.serving import ServingState
 from chivepier.gateway.settings import VoterSettings
+from chivepier.gateway.targets import Liveness
 from chivepier.gateway.targets import LoadBoard
 from chivepier.gateway.targets import QueueBoard
 from chivepier.gateway.targets import TargetTable
@@ -46,6 +51,15 @@
         self.board = LoadBoard(name)
         self.queues = QueueBoard(name, self.board.changed)
         self.budget = RetryBudget(0.2, 100, 10, name)
+        self.quarantine = Quarantine(
+            name,
+            self.table,
+            self._probe,
+            Orders(),
+            clock,
+            log,
+            Metrics(),
+        )
         self.links = Links(name, KEY, self._handle, Faults())
         self.following = Following(
             name=name,
@@ -59,11 +73,15 @@
             loads=LoadExchange(
                 self.board, self.queues, self.budget, self.table, clock
             ),
+            suspects=QuarantineExchange(self.quarantine, clock),
             clock=clock,
             log=log,
         )
         self._stack = contextlib.AsyncExitStack()
 
+    async def _probe(self, target) -> Liveness:
+        return Liveness.ENDED
+
     def _handle(self, message, channel):
         return self.following.handle(message, channel)
 
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -9,6 +9,7 @@
 from chivepier.gateway.control.founding import open_folder
 from chivepier.gateway.control.knownstate import KnownState
 from chivepier.gateway.control.loadhub import LoadHub
+from chivepier.gateway.control.quarantinehub import QuarantineHub
 from chivepier.gateway.control.registry import Registry
 from chivepier.gateway.control.seats import Seats
 from chivepier.gateway.eventlog import EventLog
@@ -20,6 +21,7 @@
 from chivepier.gateway.messages import JoinRequest
 from chivepier.gateway.messages import LoadDigest
 from chivepier.gateway.messages import LoadNotice
+from chivepier.gateway.messages import QuarantineNotice
 from chivepier.gateway.messages import TargetNotice
 from chivepier.gateway.messages import WriteRequest
 from chivepier.gateway.settings import VoterSettings
@@ -60,13 +62,19 @@
         self.peers = Peers(settings.seeds)
         self.entries = EntryDirectory(clock)
         self.table = TargetTable(settings.beat)
-        self._known = KnownState(settings.folder, self.table, clock, log)
+        self.quarantine = QuarantineHub(self._find_followers, clock)
+        self._known = KnownState(
+            settings.folder, self.table, self.quarantine.ledger, clock, log
+        )
         self.loads: LoadHub | None = None
         self.replica: Replica | None = None
         self.store: ConfigStore | None = None
         self.registry: Registry | None = None
         self.seats: Seats | None = None
 
+    def _find_followers(self) -> list[Channel]:
+        return self.loads.channels() if self.loads else []
+
     async def __aenter__(self) -> "Voter":
         settings = self._settings
         host, port = settings.address.rsplit(":", 1)
@@ -168,6 +176,10 @@
         if beat.follows or beat.epoch != self.registry.epoch:
             voters = tuple(v.address for v in self.replica.voters)
             voters = voters or self.peers.voters
+        seen = QuarantineNotice(beat.endings, beat.clearances)
+        if self.quarantine.take(seen):
+            self._known.note_change()
+        missing = self.quarantine.find_missing(beat, self.registry.epoch)
         group = self.loads.find_group()
         return EntryBeatAnswer(
             self.registry.epoch,
@@ -180,6 +192,9 @@
             len(group),
             group[0],
             heard,
+            self.quarantine.ledger.revision,
+            missing.endings,
+            missing.clearances,
         )
 
     async def _announce(self) -> None:
@@ -190,7 +205,7 @@
             if held is not None and held.version > told:
                 told = held.version
                 self._log.info("configuration_known", version=told)
-                self._known.note_configuration()
+                self._known.note_change()
                 notice = ConfigNotice(told)
                 for channel in self.entries.channels():
                     channel.send(notice)
@@ -207,3 +222,4 @@
             await self._clock.sleep(FORGET_SECONDS)
             self.entries.forget()
             self.registry.forget()
+            self.quarantine.expire()
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -9,8 +9,12 @@
 from chivepier.gateway.following import Following
 from chivepier.gateway.following import LoadExchange
 from chivepier.gateway.following import Peers
+from chivepier.gateway.following import QuarantineExchange
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.quarantine import Orders
+from chivepier.gateway.quarantine import Quarantine
 from chivepier.gateway.serving import Dispatcher
+from chivepier.gateway.serving import Guard
 from chivepier.gateway.serving import Mover
 from chivepier.gateway.serving import Planner
 from chivepier.gateway.serving import RetryBudget
@@ -89,6 +93,15 @@
         )
         self.table.watchers += [self.mover.note_target, self._note_target]
         self.table.restart_watchers.append(self._note_restart)
+        self.quarantine = Quarantine(
+            settings.name,
+            self.table,
+            port.probe,
+            Orders(settings.let_through, settings.keep_out),
+            clock,
+            log,
+            self.metrics,
+        )
         self._port = port
         self._links = Links(
             settings.name, settings.cluster_key, self._handle, Faults()
@@ -111,6 +124,7 @@
             loads=LoadExchange(
                 self.board, self.queues, budget, self.table, clock
             ),
+            suspects=QuarantineExchange(self.quarantine, clock),
             clock=clock,
             log=log,
         )
@@ -124,6 +138,7 @@
             mover=self.mover,
             port=port,
             budget=budget,
+            guard=Guard(self.quarantine, clock),
             clock=clock,
             log=log,
         )
@@ -135,6 +150,7 @@
         await self._stack.enter_async_context(self._links)
         await self._stack.enter_async_context(self.following)
         self._stack.push_async_callback(self.mover.close)
+        self._stack.push_async_callback(self.quarantine.judge.close)
         loading = asyncio.create_task(self.metrics.load_later())
         self._stack.callback(loading.cancel)
         self._log.info("entry_started", address=self._settings.address)
--- a/packages/gateway/src/chivepier/gateway/following/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/following/__init__.py
@@ -5,6 +5,7 @@
 from chivepier.gateway.following.following import Following
 from chivepier.gateway.following.loadexchange import LoadExchange
 from chivepier.gateway.following.peers import Peers
+from chivepier.gateway.following.quarantineexchange import QuarantineExchange
 from chivepier.gateway.following.records import pack_target
 from chivepier.gateway.following.records import unpack_target
 
@@ -14,6 +15,7 @@
     "Following",
     "LoadExchange",
     "Peers",
+    "QuarantineExchange",
     "pack_target",
     "unpack_target",
 ]
--- a/packages/gateway/src/chivepier/gateway/following/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -10,12 +10,14 @@
 from chivepier.gateway.following.hubchoice import HubChoice
 from chivepier.gateway.following.loadexchange import LoadExchange
 from chivepier.gateway.following.peers import Peers
+from chivepier.gateway.following.quarantineexchange import QuarantineExchange
 from chivepier.gateway.following.records import unpack_target
 from chivepier.gateway.following.voterstanding import VoterStanding
 from chivepier.gateway.messages import ConfigNotice
 from chivepier.gateway.messages import EntryBeat
 from chivepier.gateway.messages import EntryBeatAnswer
 from chivepier.gateway.messages import LoadNotice
+from chivepier.gateway.messages import QuarantineNotice
 from chivepier.gateway.messages import TargetNotice
 from chivepier.gateway.messages import TargetRecord
 from chivepier.gateway.serving import ServingState
@@ -41,6 +43,8 @@
     task: asyncio.Task | None = None
     epoch: str = ""
     revision: int = 0
+    held: int = 0
+    confirmed: int | None = None
     alive: bool = False
     standing: VoterStanding = VoterStanding()
 
@@ -61,6 +65,7 @@
     :param state: is given each newer configuration
     :param table: is given the targets
     :param loads: tells what runs here, and is told what runs elsewhere
+    :param suspects: the same for requests that end targets
     :param clock: monotonic time
     :param log: what this process believes
     """
@@ -77,6 +82,7 @@
         state: ServingState,
         table: TargetTable,
         loads: LoadExchange,
+        suspects: QuarantineExchange,
         clock: Clock,
         log: EventLog,
     ):
@@ -93,6 +99,7 @@
         self._voters: dict[str, _Voter] = {}
         self._hub = HubChoice(zone, clock)
         self._loads = loads
+        self._suspects = suspects
         self._tasks: list[asyncio.Task] = []
         self._beats: set[asyncio.Task] = set()
         self.leaving = False
@@ -102,6 +109,7 @@
             self._keep_voters(),
             self._configs.run(),
             self._loads.run(self._post_loads),
+            self._report_suspects(),
         )
         for work in works:
             self._tasks.append(asyncio.create_task(work))
@@ -144,6 +152,8 @@
                 # one that was followed before may still tell of what it knew
                 if channel.peer == self._hub.address:
                     self._loads.merge(message)
+            case QuarantineNotice():
+                self._suspects.take(message)
             case ConfigNotice(version=version):
                 self._configs.note(channel.peer, version)
             case other:
@@ -151,6 +161,7 @@
 
     async def _keep_voters(self) -> None:
         while True:
+            self._suspects.expire()
             wanted = set(self._peers.all)
             for address in wanted - self._voters.keys():
                 voter = self._voters[address] = _Voter()
@@ -165,6 +176,14 @@
             await self._beat(address, voter)
             await self._clock.sleep(BEAT_SECONDS)
 
+    async def _report_suspects(self) -> None:
+        """Tell at once which request has ended a target here."""
+        while True:
+            await self._suspects.changed.wait()
+            for address, voter in self._voters.items():
+                if voter.alive:
+                    self._beat_now(address, voter)
+
     def _beat_now(self, address: str, voter: _Voter) -> None:
         task = asyncio.create_task(self._beat(address, voter))
         self._beats.add(task)
@@ -172,6 +191,8 @@
 
     async def _beat(self, address: str, voter: _Voter) -> None:
         index = self._state.index
+        saw = self._suspects.count
+        unconfirmed = self._suspects.find_unconfirmed(voter.confirmed)
         beat = EntryBeat(
             self._name,
             self._address,
@@ -181,6 +202,9 @@
             voter.epoch,
             voter.revision,
             address == self._hub.address,
+            voter.held,
+            unconfirmed.endings,
+            unconfirmed.clearances,
         )
         try:
             answer = await self._links.request(address, beat, ANSWER_SECONDS)
@@ -188,6 +212,7 @@
             self._note(address, voter, False, str(error))
             return
         self._note(address, voter, True, "")
+        self._take_suspects(voter, answer, beat.epoch, saw)
         self._take(address, voter, answer)
 
     def _note(
@@ -213,6 +238,22 @@
             self._peers.learn(answer.voters)
         self._configs.note(address, answer.version)
 
+    def _take_suspects(
+        self, voter: _Voter, answer: EntryBeatAnswer, epoch: str, saw: int
+    ) -> None:
+        """Take what a voter told, and what it confirmed.
+
+        A voter that started anew holds nothing of what an earlier beat told:
+        it is told everything with the next one, unless this one did.
+        """
+        notice = QuarantineNotice(answer.endings, answer.clearances)
+        self._suspects.take(notice)
+        voter.held = answer.held
+        if answer.epoch == epoch or voter.confirmed is None:
+            voter.confirmed = max(voter.confirmed or 0, saw)
+        else:
+            voter.confirmed = None
+
     def _merge(self, records: tuple[TargetRecord, ...]) -> None:
         now = self._clock.monotonic()
         for record in records:
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
@@ -1,5 +1,7 @@
 """The EntryBeat message."""
 
+from chivepier.gateway.messages.clearancerecord import ClearanceRecord
+from chivepier.gateway.messages.endingrecord import EndingRecord
 from chivepier.messages.registry import message
 
 
@@ -9,7 +11,9 @@
 
     ``revision`` counts what it heard of this voter's targets since the
     voter's start named by ``epoch``. ``follows``: this voter is the one that
-    tells it what runs elsewhere and which targets were heard.
+    tells it what runs elsewhere and which targets were heard. ``held`` counts
+    what it has of this voter's quarantine; ``endings`` and ``clearances`` are
+    what it saw itself and this voter has not confirmed yet.
     """
 
     node: str
@@ -20,3 +24,6 @@
     epoch: str
     revision: int
     follows: bool = False
+    held: int = 0
+    endings: tuple[EndingRecord, ...] = ()
+    clearances: tuple[ClearanceRecord, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
@@ -1,5 +1,7 @@
 """The EntryBeatAnswer message."""
 
+from chivepier.gateway.messages.clearancerecord import ClearanceRecord
+from chivepier.gateway.messages.endingrecord import EndingRecord
 from chivepier.gateway.messages.targetrecord import TargetRecord
 from chivepier.messages.registry import message
 
@@ -12,7 +14,8 @@
     been told; ``entries`` is how many entries are alive, for shares of common
     budgets. ``heard`` names targets that said nothing new, but live. ``hears``
     is how many voters this one hears, ``group`` the first of these by
-    address, itself included.
+    address, itself included. ``endings`` and ``clearances`` are what it lacks
+    of requests that end targets, up to the revision ``held``.
     """
 
     epoch: str
@@ -25,3 +28,6 @@
     hears: int = 0
     group: str = ""
     heard: tuple[str, ...] = ()
+    held: int = 0
+    endings: tuple[EndingRecord, ...] = ()
+    clearances: tuple[ClearanceRecord, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -92,6 +92,14 @@
         """Count a copy of a live generation's memory."""
         self._note("moves", (outcome,), 1.0)
 
+    def note_quarantine(self, event: str) -> None:
+        """Count what was decided about a request that may end targets.
+
+        :param event: ``suspected``, ``held``, ``refused``, ``cleared`` or
+            ``released``
+        """
+        self._note("quarantine", (event,), 1.0)
+
     def _bound(self, team: str) -> str:
         if team not in self._teams:
             if len(self._teams) >= MOST_TEAMS:
@@ -109,7 +117,7 @@
 
     def _feed(self, name: str, labels: tuple, value: float) -> None:
         series = self._series[name].labels(*labels)
-        if name in ("requests", "moves"):
+        if name in ("requests", "moves", "quarantine"):
             series.inc(value)
         else:
             series.observe(value)
@@ -136,6 +144,12 @@
             ("outcome",),
             registry=registry,
         ),
+        "quarantine": library.Counter(
+            "chivepier_quarantine",
+            "Decisions about requests under which targets ended.",
+            ("event",),
+            registry=registry,
+        ),
         "dropped": library.Counter(
             "chivepier_observations_dropped",
             "Observations left out before the metrics were loaded.",
--- a/packages/gateway/src/chivepier/gateway/quarantine/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/__init__.py
@@ -1,6 +1,33 @@
 """Holding back requests under which target after target ends."""
 
+from chivepier.gateway.quarantine.clearance import Clearance
 from chivepier.gateway.quarantine.digest import digest_request
 from chivepier.gateway.quarantine.digest import shorten
+from chivepier.gateway.quarantine.ending import Ending
+from chivepier.gateway.quarantine.hold import Hold
+from chivepier.gateway.quarantine.ledger import Ledger
+from chivepier.gateway.quarantine.ledger import Record
+from chivepier.gateway.quarantine.life import Life
+from chivepier.gateway.quarantine.loss import Loss
+from chivepier.gateway.quarantine.lossjudge import LossJudge
+from chivepier.gateway.quarantine.orders import Orders
+from chivepier.gateway.quarantine.quarantine import Quarantine
+from chivepier.gateway.quarantine.records import pack_records
+from chivepier.gateway.quarantine.records import unpack_records
 
-__all__ = ["digest_request", "shorten"]
+__all__ = [
+    "Clearance",
+    "Ending",
+    "Hold",
+    "Ledger",
+    "Life",
+    "Loss",
+    "LossJudge",
+    "Orders",
+    "Quarantine",
+    "Record",
+    "digest_request",
+    "pack_records",
+    "shorten",
+    "unpack_records",
+]
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
@@ -0,0 +1,212 @@
+"""What one entry holds back, and what it learns of it."""
+
+import collections.abc
+
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.quarantine.clearance import Clearance
+from chivepier.gateway.quarantine.digest import shorten
+from chivepier.gateway.quarantine.ending import Ending
+from chivepier.gateway.quarantine.hold import Hold
+from chivepier.gateway.quarantine.ledger import KEPT_SECONDS
+from chivepier.gateway.quarantine.ledger import Ledger
+from chivepier.gateway.quarantine.ledger import Record
+from chivepier.gateway.quarantine.life import Life
+from chivepier.gateway.quarantine.loss import Loss
+from chivepier.gateway.quarantine.lossjudge import LossJudge
+from chivepier.gateway.quarantine.lossjudge import Probe
+from chivepier.gateway.quarantine.orders import Orders
+from chivepier.gateway.quarantine.soundmemory import SoundMemory
+from chivepier.gateway.quarantine.verdict import MOST_ENDS
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetTable
+from chivepier.types import Clock
+
+Publish = collections.abc.Callable[[Record], None]
+
+
+class Quarantine:
+    """Holds back requests under which target after target has ended.
+
+    A request that ends each target that runs it takes all that runs there
+    along, comes again under a new id, and goes to another entry: teams that
+    have nothing to do with it lose their streams, over and over. So what ends
+    targets is remembered by what stays the same, and shared by all entries.
+
+    :param me: this entry's name
+    :param table: the targets
+    :param probe: looks whether a target lives
+    :param orders: what operators let through and keep out
+    :param clock: monotonic time
+    :param log: decisions
+    :param metrics: counts them
+    """
+
+    def __init__(
+        self,
+        me: str,
+        table: TargetTable,
+        probe: Probe,
+        orders: Orders,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+    ):
+        self.ledger = Ledger()
+        self.judge = LossJudge(table, probe, self._report, clock)
+        self.publish: Publish = lambda record: None
+        self._me = me
+        self._orders = orders
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._sound = SoundMemory()
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing at all is held back."""
+        return not self.ledger.held and not self._orders.keep_out
+
+    def find_hold(self, digest: str) -> Hold | None:
+        """Tell whether a request must not be sent to targets, and why.
+
+        :param digest: the request's
+        :returns: the evidence, or nothing
+        """
+        if self._orders.lets_through(digest):
+            return None
+        if self._orders.keeps_out(digest):
+            until = self._clock.monotonic() + KEPT_SECONDS
+            return Hold(digest, (), until)
+        return self.ledger.find_hold(digest)
+
+    def note_loss(self, loss: Loss) -> None:
+        """Take that a target was lost under a request."""
+        self.judge.note(loss)
+
+    async def settle(self, digest: str, target: Target) -> None:
+        """Wait for a moment until it is known why a request was lost.
+
+        Only where one more end would hold it back: others are sent elsewhere
+        at once.
+
+        :param digest: the request's
+        :param target: where it was lost
+        """
+        if len(self.ledger.find_endings(digest)) >= MOST_ENDS - 1:
+            await self.judge.settle(target)
+
+    def note_answered(self, digest: str) -> None:
+        """Take that a target answered a request whole: it lives on.
+
+        :param digest: the request's
+        """
+        now = self._clock.monotonic()
+        self._sound.note(digest, now)
+        if self.ledger.knows(digest):
+            self._clear(digest, now)
+
+    def note_refused(self, identity: str, team: str, hold: Hold) -> None:
+        """Note that a request was turned away.
+
+        :param identity: its id
+        :param team: whose it is
+        :param hold: why
+        """
+        now = self._clock.monotonic()
+        self._metrics.note_quarantine("refused")
+        self._log.warn(
+            "request_held",
+            id=identity,
+            digest=shorten(hold.digest),
+            team=team,
+            until_s=round(hold.until - now),
+            ends=[
+                {
+                    "target": ending.life.instance,
+                    "born": ending.life.born,
+                    "age_s": round(now - ending.seen, 1),
+                    "source": ending.source,
+                    "how": ending.how,
+                }
+                for ending in hold.endings
+            ],
+        )
+
+    def take(self, records: collections.abc.Iterable[Record]) -> None:
+        """Take what others saw."""
+        now = self._clock.monotonic()
+        for record in records:
+            if not self._add(record):
+                continue
+            match record:
+                case Ending(digest=digest, life=life, seen=seen):
+                    self.judge.note_ended(life, seen, "told")
+                    if self._sound.recall(digest, now) is not None:
+                        self._clear(digest, self._sound.recall(digest, now))
+
+    def expire(self) -> None:
+        """Drop what no longer counts."""
+        before = self.ledger.held
+        self.ledger.expire(self._clock.monotonic())
+        self._note_change(before, "time")
+
+    def _report(self, loss: Loss, how: str) -> None:
+        """Take that a target has ended under a request of this entry."""
+        sound = self._sound.recall(loss.digest, loss.at)
+        if sound is not None:
+            # its copies are at many targets, and were answered by others
+            self._log.info(
+                "ending_passed_over",
+                id=loss.id,
+                digest=shorten(loss.digest),
+                target=loss.target.instance,
+                answered_s=round(loss.at - sound, 1),
+            )
+            return
+        life = Life.of(loss.target)
+        ending = Ending(loss.digest, life, loss.at, self._me, how)
+        if not self._add(ending):
+            return
+        self._metrics.note_quarantine("suspected")
+        self._log.warn(
+            "target_ended_under",
+            id=loss.id,
+            digest=shorten(loss.digest),
+            team=loss.team,
+            target=life.instance,
+            born=life.born,
+            how=how,
+            ends=len(self.ledger.find_endings(loss.digest)),
+        )
+        self.publish(ending)
+
+    def _clear(self, digest: str, answered: float) -> None:
+        clearance = Clearance(digest, answered, self._me)
+        if self._add(clearance):
+            self._metrics.note_quarantine("cleared")
+            self._log.info("suspect_cleared", digest=shorten(digest))
+            self.publish(clearance)
+
+    def _add(self, record: Record) -> bool:
+        before = self.ledger.held
+        news = self.ledger.add(record)
+        self._note_change(before, type(record).__name__.lower())
+        return news
+
+    def _note_change(self, before: frozenset[str], reason: str) -> None:
+        held = self.ledger.held
+        for digest in held - before:
+            self._metrics.note_quarantine("held")
+            ends = self.ledger.find_endings(digest)
+            self._log.warn(
+                "suspect_held",
+                digest=shorten(digest),
+                ends=len(ends),
+                sources=sorted({ending.source for ending in ends}),
+            )
+        for digest in before - held:
+            self._metrics.note_quarantine("released")
+            self._log.info(
+                "suspect_released", digest=shorten(digest), reason=reason
+            )
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/quarantine/records.py
@@ -0,0 +1,58 @@
+"""What is known of requests that end targets, as messages."""
+
+import collections.abc
+
+from chivepier.gateway.messages import ClearanceRecord
+from chivepier.gateway.messages import EndingRecord
+from chivepier.gateway.messages import QuarantineNotice
+from chivepier.gateway.quarantine.clearance import Clearance
+from chivepier.gateway.quarantine.ending import Ending
+from chivepier.gateway.quarantine.ledger import Record
+from chivepier.gateway.quarantine.life import Life
+
+
+def pack_records(
+    records: collections.abc.Iterable[Record], now: float
+) -> QuarantineNotice:
+    """Turn records into a message, with ages in place of times.
+
+    :param records: ends and answers
+    :param now: this node's monotonic seconds
+    """
+    endings, clearances = [], []
+    for record in records:
+        age = max(0.0, now - record.seen)
+        match record:
+            case Ending(digest=digest, life=life, source=source, how=how):
+                endings.append(
+                    EndingRecord(
+                        digest, life.instance, life.born, age, source, how
+                    )
+                )
+            case Clearance(digest=digest, source=source):
+                clearances.append(ClearanceRecord(digest, age, source))
+    return QuarantineNotice(tuple(endings), tuple(clearances))
+
+
+def unpack_records(notice: QuarantineNotice, now: float) -> list[Record]:
+    """Build records of a message.
+
+    :param notice: the message
+    :param now: this node's monotonic seconds
+    :returns: ends and answers, with times on this node's clock
+    """
+    endings = [
+        Ending(
+            record.digest,
+            Life(record.instance, record.born),
+            now - record.age,
+            record.source,
+            record.how,
+        )
+        for record in notice.endings
+    ]
+    clearances = [
+        Clearance(record.digest, now - record.age, record.source)
+        for record in notice.clearances
+    ]
+    return [*endings, *clearances]
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/quarantine/verdict.py
@@ -0,0 +1,40 @@
+"""Telling the request that ends targets from those that ran beside it."""
+
+import collections.abc
+import itertools
+
+from chivepier.gateway.quarantine.life import Life
+
+# Ends of targets under one request after which it is held back. Two happen to
+# a request that ran beside the cause and was sent again, three hardly ever;
+# each more costs all that runs at one more target.
+MOST_ENDS = 3
+
+Ends = collections.abc.Mapping[str, collections.abc.Set[Life]]
+
+
+def find_held(ends: Ends) -> set[str]:
+    """Find the requests to hold back.
+
+    All that ran at a target was there when it ended, and a request that is
+    sent again beside the cause meets several ends, too. Those under which the
+    most targets have ended are taken first; where each end that another one
+    met is one of theirs, it is explained, and the other one goes on.
+
+    >>> a, b, c, d = (Life(name, 0) for name in "abcd")
+    >>> find_held({"cause": {a, b, c, d}, "beside": {a, b, c}, "once": {d}})
+    {'cause'}
+
+    :param ends: lives of targets that ended, by the request's digest
+    :returns: digests
+    """
+    suspects = [d for d, lives in ends.items() if len(lives) >= MOST_ENDS]
+    suspects.sort(key=lambda digest: len(ends[digest]), reverse=True)
+    held: set[str] = set()
+    explained: set[Life] = set()
+    for _, equals in itertools.groupby(suspects, lambda d: len(ends[d])):
+        # of those that met equally many, none explains the other
+        fresh = [digest for digest in equals if not ends[digest] <= explained]
+        held.update(fresh)
+        explained.update(*(ends[digest] for digest in fresh))
+    return held
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.serving.errors import AnswerCutError
 from chivepier.gateway.serving.errors import LostError
 from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.guard import Guard
 from chivepier.gateway.serving.moved import Moved
 from chivepier.gateway.serving.moveoutcome import MoveOutcome
 from chivepier.gateway.serving.mover import Mover
@@ -25,6 +26,7 @@
     "AnswerFacts",
     "CallerPort",
     "CallerRequest",
+    "Guard",
     "LostError",
     "Moved",
     "MoveOutcome",
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -9,6 +9,7 @@
 from chivepier.gateway.serving.errors import LostError
 from chivepier.gateway.serving.errors import NoRoomError
 from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.guard import Guard
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.mover import Mover
 from chivepier.gateway.serving.place import Place
@@ -64,6 +65,7 @@
     :param mover: watches generations
     :param port: the protocol towards targets
     :param budget: bounds repeats
+    :param guard: keeps back what ends targets
     :param clock: monotonic time
     :param log: decisions on requests
     """
@@ -80,6 +82,7 @@
         mover: Mover,
         port: TargetPort,
         budget: RetryBudget,
+        guard: Guard,
         clock: Clock,
         log: EventLog,
     ):
@@ -90,10 +93,13 @@
         self.mover = mover
         self.port = port
         self.budget = budget
+        self.guard = guard
         self.clock = clock
         self.log = log
         self.runs = RunWatch(board, mover, chooser.pace, clock)
-        self._placing = Placing(chooser, health, queues, port, clock, log)
+        self._placing = Placing(
+            chooser, health, queues, port, guard, clock, log
+        )
 
     async def dispatch(self, plan: Plan) -> Sent:
         """Send a request until a target runs it.
@@ -108,10 +114,13 @@
         paid = True
         while True:
             self._check_time(plan, runs)
+            self.guard.check(plan, runs)
             try:
                 place = await self._placing.find(plan, tried)
             except NoRoomError:
                 raise self._give_up(plan, runs, "no target has room") from None
+            # it may have waited for long
+            self.guard.check(plan, runs)
             if place is None:
                 rounds += 1
                 self._check_rounds(plan, rounds, bool(tried), runs)
@@ -143,12 +152,17 @@
                 runs += 1
                 if not more:
                     raise self._fail(plan, error) from None
+                await self.guard.settle(plan, target)
                 continue
             if self._refused(plan, target, sent.answer):
                 self.end(sent)
                 continue
             runs += 1
-            if sent.answer.status < SERVER_ERROR or not more:
+            if sent.answer.status < SERVER_ERROR:
+                if sent.run is None:
+                    self.guard.note_answered(plan)
+                return sent
+            if not more:
                 return sent
             # without a repeat, the target's own answer says more than ours
             paid = self._has_time(plan) and self.take_repeat(plan)
@@ -314,6 +328,8 @@
             begun_ms=None if begun is None else round(1000 * (now - begun)),
             error=repr(error),
         )
+        broke = not isinstance(error, TimeoutError)
+        self.guard.note_lost(plan, target, sent, begun, broke)
 
     def _note_silence(self, target: Target) -> None:
         if self.table.is_current(target):
--- a/packages/gateway/src/chivepier/gateway/serving/placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placing.py
@@ -3,6 +3,7 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.serving.errors import NoRoomError
 from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.guard import Guard
 from chivepier.gateway.serving.place import Place
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.queueticket import QueueTicket
@@ -42,6 +43,7 @@
     :param health: learns which can't be reached
     :param queues: what waits at all entries
     :param port: the protocol towards targets
+    :param guard: knows what must not be sent
     :param clock: monotonic time
     :param log: decisions on requests
     """
@@ -52,6 +54,7 @@
         health: TargetHealth,
         queues: QueueBoard,
         port: TargetPort,
+        guard: Guard,
         clock: Clock,
         log: EventLog,
     ):
@@ -59,6 +62,7 @@
         self._health = health
         self._queues = queues
         self._port = port
+        self._guard = guard
         self._clock = clock
         self._log = log
 
@@ -67,7 +71,8 @@
 
         :param plan: the request's
         :param tried: instances that must not be picked
-        :returns: the place; ``None`` when no target is left
+        :returns: the place; ``None`` when no target is left, or the request
+            must not be sent any more
         :raises NoRoomError: when none had room for too long
         """
         engine = plan.service.engine
@@ -75,7 +80,7 @@
             ranked = self._rank(plan, tried)
             return Place(ranked[0]) if ranked else None
         with QueueTicket(self._queues, plan.service.name) as ticket:
-            while self._rank(plan, tried):
+            while self._rank(plan, tried) and not self._guard.holds(plan):
                 stage = self._find_stage(plan)
                 if stage is Stage.OVER:
                     self._log.info("no_room", id=plan.request.id)
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -78,10 +78,11 @@
                 match await self._pump(head, sent, run):
                     case StreamEnd.WHOLE if await self._ended(run):
                         self._dispatcher.runs.note_whole(run)
+                        self._dispatcher.guard.note_answered(self._plan)
                         await self._finish(head)
                         return
                     case _:
-                        self._note_lost(run)
+                        await self._note_lost(run)
                         sent = await self._go_on(run, sent)
                 if sent is None:
                     break
@@ -102,12 +103,14 @@
             if sent is not None:
                 self._dispatcher.end(sent)
 
-    def _note_lost(self, run: LiveRun) -> None:
-        if not run.stopped:
-            error = AnswerCutError("the stream broke off")
-            self._dispatcher.note_lost(
-                self._plan, run.target, run.sent, run.began, error
-            )
+    async def _note_lost(self, run: LiveRun) -> None:
+        if run.stopped:
+            return
+        dispatcher, plan = self._dispatcher, self._plan
+        error = AnswerCutError("the stream broke off")
+        dispatcher.note_lost(plan, run.target, run.sent, run.began, error)
+        if plan.repeatable:
+            await dispatcher.guard.settle(plan, run.target)
 
     def _note_end(self) -> None:
         plan, pace = self._plan, self._pace
@@ -165,10 +168,14 @@
     async def _try_handoff(
         self, run: LiveRun, handoff: Handoff, sent: Sent
     ) -> Sent | None:
+        dispatcher, plan = self._dispatcher, self._plan
+        began = dispatcher.clock.monotonic()
         try:
             return await self._send(run, handoff, sent)
         except (NotSentError, LostError, TimeoutError) as error:
-            self._dispatcher.log.warn(
+            if not isinstance(error, NotSentError):
+                dispatcher.note_lost(plan, handoff.target, began, None, error)
+            dispatcher.log.warn(
                 "handoff_failed",
                 id=run.request.id,
                 target=handoff.target.instance,
@@ -209,6 +216,8 @@
         # a run without its stream may still go on there for a moment
         sent.answer.close()
         for handoff in await self._find_handoffs(run):
+            if self._dispatcher.guard.holds(self._plan):
+                break
             fresh = await self._try_handoff(run, handoff, sent)
             if fresh is not None:
                 return fresh
@@ -229,7 +238,7 @@
 
     def _choose_anew(self, run: LiveRun) -> Handoff | None:
         dispatcher, plan = self._dispatcher, self._plan
-        if not dispatcher.take_repeat(plan):
+        if dispatcher.guard.holds(plan) or not dispatcher.take_repeat(plan):
             return None
         service = plan.service
         target = dispatcher.chooser.choose(
--- a/packages/gateway/src/chivepier/gateway/serving/targetport.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetport.py
@@ -6,6 +6,7 @@
 from chivepier.gateway.serving.moved import Moved
 from chivepier.gateway.serving.sendorder import SendOrder
 from chivepier.gateway.serving.targetanswer import TargetAnswer
+from chivepier.gateway.targets import Liveness
 from chivepier.gateway.targets import Target
 
 
@@ -52,6 +53,12 @@
         :param target: that has started again
         """
 
+    async def probe(self, target: Target) -> Liveness:
+        """Look whether anything listens at a target's address.
+
+        :param target: that a request was lost at
+        """
+
     async def drop(self, target: Target, handle: str) -> bool:
         """Free a copy that no generation goes on from.
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.serving import Moved
 from chivepier.gateway.serving import MoveOutcome
 from chivepier.gateway.serving import NotSentError
+from chivepier.gateway.targets import Liveness
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
 
@@ -66,7 +67,8 @@
 
     ``refuse`` names targets that say they did not run a request, ``lose``
     those that break the connection instead of an answer, ``dark`` those
-    that can't be reached; ``copies`` holds what may be gone on from.
+    that can't be reached, ``ended`` those where nothing listens any more;
+    ``copies`` holds what may be gone on from.
     """
 
     def __init__(self) -> None:
@@ -83,6 +85,8 @@
         self.copies: set[tuple[str, str]] = set()
         self.dropped: list[tuple[str, str]] = []
         self.hung_up: list[str] = []
+        self.ended: set[str] = set()
+        self.probed: list[str] = []
         self.sent = asyncio.Event()
         self.moved = asyncio.Event()
 
@@ -148,6 +152,12 @@
         """Note that kept connections were ended."""
         self.hung_up.append(target.instance)
 
+    async def probe(self, target) -> Liveness:
+        """Tell whether a target has ended."""
+        self.probed.append(target.instance)
+        ended = target.instance in self.ended
+        return Liveness.ENDED if ended else Liveness.LIVES
+
     async def drop(self, target, handle) -> bool:
         """Free a copy."""
         self.dropped.append((target.instance, handle))
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -17,8 +17,11 @@
 from chivepier.gateway.messages import LoadRecord
 from chivepier.gateway.messages import QueueRecord
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.quarantine import Orders
+from chivepier.gateway.quarantine import Quarantine
 from chivepier.gateway.serving import CallerRequest
 from chivepier.gateway.serving import Dispatcher
+from chivepier.gateway.serving import Guard
 from chivepier.gateway.serving import Mover
 from chivepier.gateway.serving import Planner
 from chivepier.gateway.serving import Prompt
@@ -119,6 +122,15 @@
         self.table.watchers.append(self.mover.note_target)
         self.table.restart_watchers.append(self.mover.note_restart)
         self.budget = RetryBudget(0.2, 10, 10)
+        self.quarantine = Quarantine(
+            "e1",
+            self.table,
+            self.engines.probe,
+            Orders(),
+            clock,
+            log,
+            Metrics(),
+        )
         self.dispatcher = Dispatcher(
             state=self.state,
             table=self.table,
@@ -129,6 +141,7 @@
             mover=self.mover,
             port=self.engines,
             budget=self.budget,
+            guard=Guard(self.quarantine, clock),
             clock=clock,
             log=log,
         )
@@ -232,5 +245,6 @@
             parts = Parts(*names, **options)
             await test(parts)
             await parts.mover.close()
+            await parts.quarantine.judge.close()
 
     asyncio.run(work())
--- a/packages/gateway/src/chivepier/gateway/targets/targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/targettable.py
@@ -148,6 +148,22 @@
             and target.state is TargetState.LEAVING
         ]
 
+    def is_silent(self, target: Target, now: float) -> bool:
+        """Tell whether a target alone has fallen silent.
+
+        :param target: any
+        :param now: monotonic seconds
+        :returns: whether it is not heard while another of its service is
+        """
+        known = self._targets.get(target.instance)
+        if known is None or now - known.heard < self._patience:
+            return False
+        return any(
+            other.service == target.service
+            and now - other.heard < self._patience
+            for other in self._targets.values()
+        )
+
     def forget(self, now: float) -> None:
         """Drop what has long been silent.
 
--- a/packages/types/src/chivepier/types/errorkind.py
+++ b/packages/types/src/chivepier/types/errorkind.py
@@ -19,6 +19,7 @@
     NO_TARGET = "no_target"
     NOT_READY = "not_ready"
     DRAINING = "draining"
+    HELD_BACK = "held_back"
     NO_QUORUM = "no_quorum"
     NOT_IN_FORCE = "not_in_force"
     TARGET_FAILED = "target_failed"
--- a/packages/types/src/chivepier/types/errortable.py
+++ b/packages/types/src/chivepier/types/errortable.py
@@ -20,6 +20,7 @@
     ErrorKind.NO_TARGET: ErrorRule(503, 19, 2.0),
     ErrorKind.NOT_READY: ErrorRule(503, 20, 1.0),
     ErrorKind.DRAINING: ErrorRule(503, 21, 0.0),
+    ErrorKind.HELD_BACK: ErrorRule(503, 28, 3600.0),
     ErrorKind.NO_QUORUM: ErrorRule(503, 22, 2.0),
     ErrorKind.NOT_IN_FORCE: ErrorRule(504, 23, 2.0),
     ErrorKind.TARGET_FAILED: ErrorRule(502, 24, 1.0),
