Bound how long a request is held back; test who learns what, and when

Cause: an hour for all who met three ends is too long for one that was only unlucky, and forgetting the ends costs three targets each time. Ruled out: one trial at a time over all entries after the hold, which needs an owner; the first one that ends a target holds it for all at once.

--- a/packages/gateway/src/chivepier/gateway/control/knownstate.py
+++ b/packages/gateway/src/chivepier/gateway/control/knownstate.py
@@ -130,7 +130,7 @@
         ends = [
             (e.digest, e.life.instance, e.life.born, now - e.seen)
             + (e.source, e.how)
-            for digest in self._ledger.held
+            for digest in self._ledger.suspects
             for e in self._ledger.find_endings(digest)
         ]
         if held is None:
--- a/packages/gateway/src/chivepier/gateway/control/quarantinehub.py
+++ b/packages/gateway/src/chivepier/gateway/control/quarantinehub.py
@@ -2,10 +2,12 @@
 
 import collections.abc
 
+from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.messages import EntryBeat
 from chivepier.gateway.messages import QuarantineNotice
 from chivepier.gateway.quarantine import Ledger
 from chivepier.gateway.quarantine import pack_records
+from chivepier.gateway.quarantine import shorten
 from chivepier.gateway.quarantine import unpack_records
 from chivepier.types import Clock
 from chivepier.wire import Channel
@@ -17,16 +19,19 @@
 
     :param channels: returns where the followers of this voter are reached
     :param clock: monotonic time
+    :param log: what this process believes
     """
 
     def __init__(
         self,
         channels: collections.abc.Callable[[], list[Channel]],
         clock: Clock,
+        log: EventLog,
     ):
         self.ledger = Ledger()
         self._channels = channels
         self._clock = clock
+        self._log = log
 
     def take(self, notice: QuarantineNotice) -> bool:
         """Take what an entry saw, and tell the followers at once.
@@ -41,6 +46,12 @@
         records = unpack_records(notice, now)
         news = [record for record in records if self.ledger.add(record)]
         if news:
+            self._log.info(
+                "quarantine_told",
+                digests=sorted({shorten(record.digest) for record in news}),
+                sources=sorted({record.source for record in news}),
+                suspects=len(self.ledger.suspects),
+            )
             message = prepare(pack_records(news, now))
             for channel in self._channels():
                 channel.send_prepared(message)
--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -14,6 +14,7 @@
 from chivepier.gateway.following import Peers
 from chivepier.gateway.following import QuarantineExchange
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.quarantine import Loss
 from chivepier.gateway.quarantine import Orders
 from chivepier.gateway.quarantine import Quarantine
 from chivepier.gateway.serving import RetryBudget
@@ -22,6 +23,8 @@
 from chivepier.gateway.targets import Liveness
 from chivepier.gateway.targets import LoadBoard
 from chivepier.gateway.targets import QueueBoard
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
 from chivepier.standins.cluster import find_port
 from chivepier.types import SystemClock
@@ -96,6 +99,35 @@
         self.budget.take(service, now, 1000)
         return any(record.used for record in self.budget.own(now))
 
+    def end_under(self, digest: str, instance: str) -> None:
+        """Let a target end under a request that this entry sent there."""
+        now = time.monotonic()
+        target = Target(
+            instance=instance,
+            service="s",
+            address=f"{instance}:80",
+            zone="z",
+            state=TargetState.READY,
+            number=1,
+            slots=1,
+            heard=now,
+        )
+        loss = Loss(
+            id="r",
+            digest=digest,
+            team="t1",
+            target=target,
+            sent=now,
+            begun=None,
+            broke=True,
+            at=now,
+        )
+        self.quarantine.note_loss(loss)
+
+    def holds(self, digest: str) -> bool:
+        """Tell whether this entry holds a request back."""
+        return self.quarantine.find_hold(digest) is not None
+
     def tokens(self, instance: str) -> int:
         """Count the memory that all entries take at a target."""
         return self.board.total(instance, 0.0).tokens
@@ -170,6 +202,16 @@
         follower = Follower(name, self.seeds, zone)
         return await self._stack.enter_async_context(follower)
 
+    async def follow_many(self, count: int) -> list[Follower]:
+        """Start so many entries' halves, spread over the voters."""
+        followers = []
+        for number in range(count):
+            zone = f"z{number % len(self.seeds)}"
+            followers.append(await self.follow(f"e{number}", zone))
+        for follower in followers:
+            await wait_until(lambda f=follower: f.hub is not None)
+        return followers
+
     def find_leader(self) -> Voter | None:
         """Return the voter that leads."""
         for voter in self.voters.values():
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -62,7 +62,7 @@
         self.peers = Peers(settings.seeds)
         self.entries = EntryDirectory(clock)
         self.table = TargetTable(settings.beat)
-        self.quarantine = QuarantineHub(self._find_followers, clock)
+        self.quarantine = QuarantineHub(self._find_followers, clock, log)
         self._known = KnownState(
             settings.folder, self.table, self.quarantine.ledger, clock, log
         )
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -11,7 +11,6 @@
 from chivepier.gateway.following import Peers
 from chivepier.gateway.following import QuarantineExchange
 from chivepier.gateway.metrics import Metrics
-from chivepier.gateway.quarantine import Orders
 from chivepier.gateway.quarantine import Quarantine
 from chivepier.gateway.serving import Dispatcher
 from chivepier.gateway.serving import Guard
@@ -97,11 +96,12 @@
             settings.name,
             self.table,
             port.probe,
-            Orders(settings.let_through, settings.keep_out),
+            settings.orders,
             clock,
             log,
             self.metrics,
         )
+        self.quarantine.watchers.append(self.mover.note_held)
         self._port = port
         self._links = Links(
             settings.name, settings.cluster_key, self._handle, Faults()
--- a/packages/gateway/src/chivepier/gateway/following/quarantineexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/quarantineexchange.py
@@ -60,7 +60,7 @@
             return NOTHING
         records = list(self._own)[len(self._own) - missing :]
         if confirmed is None:
-            for digest in ledger.held:
+            for digest in ledger.suspects:
                 records += ledger.find_endings(digest)
         return pack_records(records, self._clock.monotonic())
 
--- a/packages/gateway/src/chivepier/gateway/quarantine/ledger.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/ledger.py
@@ -9,10 +9,14 @@
 from chivepier.gateway.quarantine.verdict import find_held
 from chivepier.gateway.quarantine.verdict import MOST_ENDS
 
-# Seconds for which an end counts. Callers repeat within seconds and series of
-# repeats come within minutes; a request that ends every target costs three
-# targets in that time at most, and those that are just being sent it.
-KEPT_SECONDS = 3600.0
+# Seconds for which an end counts.
+KEPT_SECONDS = 4 * 3600.0
+# Seconds for which the third end of a target keeps a request back; each
+# further one doubles them. Callers repeat within seconds, and series of
+# repeats come within minutes. One that ends every target costs seven in four
+# hours, where each expiry would cost three if its ends were forgotten; one
+# that was only unlucky can come again after ten minutes, and is answered.
+HOLD_SECONDS = 600.0
 # Seconds after an answer in which ends are not held against the request. A
 # body that is often asked for has copies at every target when one of them
 # ends; the request that ends targets is never answered.
@@ -36,17 +40,17 @@
     does not matter in which order, how often and through whom they come.
 
     :ivar revision: counts the records that were added
-    :ivar held: digests of the requests that are held back
+    :ivar suspects: digests of the requests that are or were held back
 
     >>> ledger = Ledger()
     >>> for name in "abc":
     ...     end = Ending("d", Life(name, 0), 5.0, "e1", "refused")
     ...     assert ledger.add(end)
-    >>> ledger.find_hold("d").until
-    3605.0
+    >>> ledger.find_hold("d", 6.0).until
+    605.0
     >>> ledger.add(Clearance("d", 6.0, "e2"))
     True
-    >>> ledger.find_hold("d")
+    >>> ledger.find_hold("d", 6.0)
     """
 
     def __init__(self) -> None:
@@ -55,7 +59,7 @@
         self._clearances: dict[str, Clearance] = {}
         # the key of each record with its revision, in the order of these
         self._order: dict[tuple[str, Life | None], int] = {}
-        self.held: frozenset[str] = frozenset()
+        self.suspects: frozenset[str] = frozenset()
 
     def knows(self, digest: str) -> bool:
         """Tell whether a target has ended under a request."""
@@ -66,17 +70,23 @@
         found = self._ends.get(digest, {}).values()
         return sorted(found, key=lambda ending: ending.seen)
 
-    def find_hold(self, digest: str) -> Hold | None:
+    def find_hold(self, digest: str, now: float) -> Hold | None:
         """Tell whether a request is held back, and why.
 
         :param digest: the request's
+        :param now: monotonic seconds
         :returns: the evidence, or nothing
         """
-        if digest not in self.held:
+        if digest not in self.suspects:
             return None
         endings = self.find_endings(digest)
-        until = endings[-MOST_ENDS].seen + KEPT_SECONDS
-        return Hold(digest, tuple(endings), until)
+        doubled = HOLD_SECONDS * 2 ** (len(endings) - MOST_ENDS)
+        until = endings[-1].seen + min(doubled, KEPT_SECONDS)
+        return Hold(digest, tuple(endings), until) if now < until else None
+
+    def find_held(self, now: float) -> set[str]:
+        """Return the digests of the requests that are held back now."""
+        return {d for d in self.suspects if self.find_hold(d, now)}
 
     def add(self, record: Record) -> bool:
         """Take what this node saw or was told.
@@ -184,7 +194,7 @@
 
     def _judge(self) -> None:
         ends = {digest: ends.keys() for digest, ends in self._ends.items()}
-        self.held = frozenset(find_held(ends))
+        self.suspects = frozenset(find_held(ends))
 
 
 def _clears(clearance: Clearance, ending: Ending) -> bool:
--- a/packages/gateway/src/chivepier/gateway/quarantine/orders.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/orders.py
@@ -1,22 +1,35 @@
 """What operators decide about single requests."""
 
+import re
+
 import attrs
 
+# Fewer characters could mean other requests, too.
+HEAD = re.compile("[0-9a-f]{8,32}")
+
+
+def _check(orders: "Orders", field: attrs.Attribute, heads: tuple) -> None:
+    for head in heads:
+        if not HEAD.fullmatch(head):
+            text = f"{field.name} is not the head of a digest: {head!r}"
+            raise ValueError(text)
+
 
 @attrs.frozen
 class Orders:
     """Digests' heads, as log lines show them; they go before the evidence.
 
-    >>> orders = Orders(let_through=("0a1b",), keep_out=("ff",))
-    >>> orders.lets_through("0a1b22"), orders.keeps_out("0a1b22")
+    >>> orders = Orders(let_through=("0a1b0a1b",), keep_out=("ffffffff",))
+    >>> orders.lets_through("0a1b0a1b22"), orders.keeps_out("0a1b0a1b22")
     (True, False)
 
     :param let_through: requests that are sent whatever has ended under them
     :param keep_out: requests that are sent to no target
+    :raises ValueError: when one is no digest's head of 8 digits or more
     """
 
-    let_through: tuple[str, ...] = ()
-    keep_out: tuple[str, ...] = ()
+    let_through: tuple[str, ...] = attrs.field(default=(), validator=_check)
+    keep_out: tuple[str, ...] = attrs.field(default=(), validator=_check)
 
     def lets_through(self, digest: str) -> bool:
         """Tell whether a request goes on whatever the evidence."""
--- a/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
@@ -8,7 +8,7 @@
 from chivepier.gateway.quarantine.digest import shorten
 from chivepier.gateway.quarantine.ending import Ending
 from chivepier.gateway.quarantine.hold import Hold
-from chivepier.gateway.quarantine.ledger import KEPT_SECONDS
+from chivepier.gateway.quarantine.ledger import HOLD_SECONDS
 from chivepier.gateway.quarantine.ledger import Ledger
 from chivepier.gateway.quarantine.ledger import Record
 from chivepier.gateway.quarantine.life import Life
@@ -23,6 +23,7 @@
 from chivepier.types import Clock
 
 Publish = collections.abc.Callable[[Record], None]
+Watcher = collections.abc.Callable[[str], None]
 
 
 class Quarantine:
@@ -33,6 +34,9 @@
     have nothing to do with it lose their streams, over and over. So what ends
     targets is remembered by what stays the same, and shared by all entries.
 
+    :ivar publish: tells the other entries what this one saw
+    :ivar watchers: are told of each request that is held back from now on
+
     :param me: this entry's name
     :param table: the targets
     :param probe: looks whether a target lives
@@ -55,8 +59,10 @@
         self.ledger = Ledger()
         self.judge = LossJudge(table, probe, self._report, clock)
         self.publish: Publish = lambda record: None
+        self.watchers: list[Watcher] = []
+        self._held: set[str] = set()
         self._me = me
-        self._orders = orders
+        self.orders = orders
         self._clock = clock
         self._log = log
         self._metrics = metrics
@@ -65,7 +71,7 @@
     @property
     def idle(self) -> bool:
         """Whether nothing at all is held back."""
-        return not self.ledger.held and not self._orders.keep_out
+        return not self.ledger.suspects and not self.orders.keep_out
 
     def find_hold(self, digest: str) -> Hold | None:
         """Tell whether a request must not be sent to targets, and why.
@@ -73,12 +79,12 @@
         :param digest: the request's
         :returns: the evidence, or nothing
         """
-        if self._orders.lets_through(digest):
+        if self.orders.lets_through(digest):
             return None
-        if self._orders.keeps_out(digest):
-            until = self._clock.monotonic() + KEPT_SECONDS
-            return Hold(digest, (), until)
-        return self.ledger.find_hold(digest)
+        now = self._clock.monotonic()
+        if self.orders.keeps_out(digest):
+            return Hold(digest, (), now + HOLD_SECONDS)
+        return self.ledger.find_hold(digest, now)
 
     def note_loss(self, loss: Loss) -> None:
         """Take that a target was lost under a request."""
@@ -147,9 +153,8 @@
 
     def expire(self) -> None:
         """Drop what no longer counts."""
-        before = self.ledger.held
         self.ledger.expire(self._clock.monotonic())
-        self._note_change(before, "time")
+        self._note_held("time")
 
     def _report(self, loss: Loss, how: str) -> None:
         """Take that a target has ended under a request of this entry."""
@@ -189,13 +194,14 @@
             self.publish(clearance)
 
     def _add(self, record: Record) -> bool:
-        before = self.ledger.held
         news = self.ledger.add(record)
-        self._note_change(before, type(record).__name__.lower())
+        if news:
+            self._note_held(type(record).__name__.lower())
         return news
 
-    def _note_change(self, before: frozenset[str], reason: str) -> None:
-        held = self.ledger.held
+    def _note_held(self, reason: str) -> None:
+        before = self._held
+        self._held = held = self.ledger.find_held(self._clock.monotonic())
         for digest in held - before:
             self._metrics.note_quarantine("held")
             ends = self.ledger.find_endings(digest)
@@ -205,6 +211,8 @@
                 ends=len(ends),
                 sources=sorted({ending.source for ending in ends}),
             )
+            for watcher in self.watchers:
+                watcher(digest)
         for digest in before - held:
             self._metrics.note_quarantine("released")
             self._log.info(
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/quarantine/tests/test_lossjudge.py
@@ -0,0 +1,240 @@
+"""Tests of finding out whether a target has ended under a request."""
+
+import asyncio
+
+import pytest
+
+from chivepier.gateway.quarantine.life import Life
+from chivepier.gateway.quarantine.loss import Loss
+from chivepier.gateway.quarantine.lossjudge import EARLY_SECONDS
+from chivepier.gateway.quarantine.lossjudge import FOUND_SECONDS
+from chivepier.gateway.quarantine.lossjudge import LIVED_SECONDS
+from chivepier.gateway.quarantine.lossjudge import LossJudge
+from chivepier.gateway.quarantine.lossjudge import NOTICE_SECONDS
+from chivepier.gateway.targets import Liveness
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetState
+from chivepier.gateway.targets import TargetTable
+from chivepier.types import ManualClock
+
+BEAT = 1.0
+
+
+class Scene:
+    """A judge over a table of two targets."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.clock.advance(100.0)
+        self.table = TargetTable(BEAT)
+        self.liveness = Liveness.LIVES
+        self.reports: list[tuple[str, str]] = []
+        self.judge = LossJudge(
+            self.table, self._probe, self._report, self.clock
+        )
+        self.announce("a", 1)
+        self.announce("b", 1)
+
+    async def _probe(self, target) -> Liveness:
+        return self.liveness
+
+    def _report(self, loss, how) -> None:
+        self.reports.append((loss.digest, how))
+
+    def announce(
+        self,
+        name: str,
+        number: int,
+        state: TargetState = TargetState.READY,
+        **changes,
+    ) -> None:
+        """Let a target say something of itself."""
+        fields = {
+            "instance": name,
+            "service": "s",
+            "address": f"{name}:80",
+            "zone": "z",
+            "state": state,
+            "number": number,
+            "slots": 4,
+            "heard": self.clock.monotonic(),
+            "born": 1,
+        }
+        self.table.put(Target(**{**fields, **changes}))
+
+    def lose(self, digest: str = "d", name: str = "a", **changes) -> Loss:
+        """Lose a request that was just sent."""
+        now = self.clock.monotonic()
+        fields = {
+            "id": "r1",
+            "digest": digest,
+            "team": "t1",
+            "target": self.table.get(name),
+            "sent": now - 0.1,
+            "begun": None,
+            "broke": True,
+            "at": now,
+        }
+        loss = Loss(**{**fields, **changes})
+        self.judge.note(loss)
+        return loss
+
+    async def pass_time(self, seconds: float) -> None:
+        """Let time pass in small steps, with what happens meanwhile."""
+        for _ in range(round(seconds / 0.25)):
+            await self.rest()
+            self.clock.advance(0.25)
+        await self.rest()
+
+    async def rest(self) -> None:
+        """Let all that can go on do so."""
+        for _ in range(5):
+            await asyncio.sleep(0)
+
+
+def play(test) -> None:
+    """Run a test's coroutine over a scene."""
+
+    async def work():
+        scene = Scene()
+        await test(scene)
+        await scene.judge.close()
+
+    asyncio.run(work())
+
+
+def test_target_where_nothing_listens_has_ended():
+    async def test(scene):
+        scene.liveness = Liveness.ENDED
+        loss = scene.lose()
+        await scene.judge.settle(loss.target)
+        assert scene.reports == [("d", "refused")]
+
+    play(test)
+
+
+def test_connection_that_was_reset_on_the_way_accuses_nobody():
+    # All connections of an instance were reset. Each request that was lost
+    # with one came again, elsewhere; the targets live.
+    async def test(scene):
+        scene.lose()
+        await scene.pass_time(LIVED_SECONDS + 1.0)
+        scene.announce("a", 1, born=2)
+        assert scene.reports == []
+
+    play(test)
+
+
+def test_next_life_shows_that_a_cut_off_target_had_ended():
+    # Nothing came back: not from the target, nor from a look at it. It had
+    # ended behind a cut, and announces its next life when that heals.
+    async def test(scene):
+        scene.liveness = Liveness.UNKNOWN
+        scene.lose(broke=False)
+        await scene.pass_time(4.0)
+        scene.announce("a", 1, born=2)
+        assert scene.reports == [("d", "restarted")]
+
+    play(test)
+
+
+def test_another_target_at_its_address_shows_that_it_has_ended():
+    async def test(scene):
+        scene.liveness = Liveness.UNKNOWN
+        scene.lose()
+        await scene.pass_time(2.0)
+        scene.announce("c", 1, address="a:80")
+        assert scene.reports == [("d", "replaced")]
+
+    play(test)
+
+
+def test_target_that_alone_falls_silent_has_ended():
+    async def test(scene):
+        scene.liveness = Liveness.UNKNOWN
+        scene.lose()
+        for number in range(2, 8):
+            await scene.pass_time(1.0)
+            scene.announce("b", number)
+        assert scene.reports == [("d", "silent")]
+
+    play(test)
+
+
+def test_entry_that_hears_nobody_accuses_nobody():
+    # An entry was cut off from all voters. Every target fell silent for it at
+    # once, and every request that was lost then would be held against it.
+    async def test(scene):
+        scene.liveness = Liveness.UNKNOWN
+        scene.lose()
+        await scene.pass_time(FOUND_SECONDS + 2.0)
+        assert scene.reports == []
+
+    play(test)
+
+
+def test_what_was_sent_to_a_target_that_was_dark_already_is_not_the_cause():
+    async def test(scene):
+        scene.liveness = Liveness.UNKNOWN
+        await scene.pass_time(2.5)
+        scene.announce("b", 2)
+        scene.lose(broke=False)
+        for number in range(3, 8):
+            await scene.pass_time(1.0)
+            scene.announce("b", number)
+        assert scene.reports == []
+
+    play(test)
+
+
+def test_stream_that_has_run_for_long_is_not_the_cause():
+    async def test(scene):
+        scene.liveness = Liveness.ENDED
+        now = scene.clock.monotonic()
+        scene.lose(begun=now - EARLY_SECONDS - 0.1)
+        scene.lose("early", begun=now - 0.1)
+        await scene.rest()
+        assert scene.reports == [("early", "refused")]
+
+    play(test)
+
+
+@pytest.mark.parametrize(
+    ("seconds", "reports"),
+    [(0.25, [("d", "refused")]), (NOTICE_SECONDS + 0.5, [])],
+)
+def test_end_that_was_announced_accuses_nobody(seconds, reports):
+    # A target is taken away two seconds after its notice, and what runs there
+    # is lost. One that ends at once after it had another reason.
+    async def test(scene):
+        scene.announce("a", 2, TargetState.LEAVING)
+        await scene.pass_time(seconds)
+        scene.liveness = Liveness.ENDED
+        scene.lose()
+        await scene.rest()
+        assert scene.reports == reports
+
+    play(test)
+
+
+def test_end_that_another_entry_saw_counts_for_what_was_lost_with_it():
+    async def test(scene):
+        scene.liveness = Liveness.UNKNOWN
+        scene.lose("before", broke=False)
+        await scene.pass_time(3.0)
+        scene.lose("with")
+        scene.judge.note_ended(Life("a", 1), scene.clock.monotonic(), "told")
+        scene.lose("after")
+        assert scene.reports == [("with", "told"), ("after", "told")]
+
+    play(test)
+
+
+def test_inquiries_end():
+    async def test(scene):
+        for number in range(20):
+            scene.lose(f"d{number}")
+        await scene.pass_time(FOUND_SECONDS + 1.0)
+        assert not scene.judge._inquiries and not scene.judge._tasks
+
+    play(test)
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -151,6 +151,7 @@
             except (LostError, AnswerCutError, TimeoutError) as error:
                 runs += 1
                 if not more:
+                    self.guard.check(plan, runs)
                     raise self._fail(plan, error) from None
                 await self.guard.settle(plan, target)
                 continue
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -102,6 +102,18 @@
         for run in list(self._runs.get(target.instance, ())):
             run.break_off()
 
+    def note_held(self, digest: str) -> None:
+        """Break off what has not begun of a request that is held back.
+
+        Its copies are being read at other targets when the third one ends;
+        targets drop what its sender leaves before it runs.
+
+        :param digest: the request's
+        """
+        for run in [run for runs in self._runs.values() for run in runs]:
+            if run.began is None and run.plan.digest == digest:
+                run.break_off()
+
     def start(self, run: LiveRun) -> None:
         """Begin to move one generation, unless that is under way."""
         engine = run.service.engine
--- a/packages/gateway/src/chivepier/gateway/settings/entrysettings.py
+++ b/packages/gateway/src/chivepier/gateway/settings/entrysettings.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from chivepier.gateway.quarantine import Orders
+
 
 @attrs.frozen(kw_only=True)
 class EntrySettings:
@@ -16,9 +18,8 @@
     :param repeat_ratio: repeats for each request, over all entries
     :param repeat_extra: repeats that are always allowed, over all entries
     :param repeat_window: in which both are counted, in seconds
-    :param let_through: digests' heads of requests that are never held back
-    :param keep_out: digests' heads of requests that are sent to no target
     :param grace: seconds from the order to stop until it is killed
+    :param orders: requests that are let through or kept out
     """
 
     name: str
@@ -31,5 +32,4 @@
     repeat_extra: float
     repeat_window: float
     grace: float
-    let_through: tuple[str, ...] = ()
-    keep_out: tuple[str, ...] = ()
+    orders: Orders = Orders()
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -40,6 +40,16 @@
     assert entry.repeat_extra == 56
 
 
+def test_digests_of_requests_are_checked():
+    # A head of two digits would keep out every request of a hundred.
+    entry = make().make_entry(("0a1b0a1b0a1b",), ("ffffffff",))
+    assert entry.orders.lets_through("0a1b0a1b0a1b22")
+    assert entry.orders.keeps_out("ffffffff")
+    for wrong in ("", "0a", "0A1B0A1B", "0a1b0a1b-"):
+        with pytest.raises(SettingsError, match="keep_out is not the head"):
+            make().make_entry((), (wrong,))
+
+
 def test_settings_of_a_voter():
     voter = make().make_voter()
     assert voter.address == "10.1.0.19:7200"
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -11,6 +11,7 @@
 from chivepier.gateway.serving import NotSentError
 from chivepier.gateway.serving import Origin
 from chivepier.gateway.serving import SendOrder
+from chivepier.gateway.targets import Liveness
 import rawtarget
 
 ORDER = SendOrder(seconds=1.5, team="t1", urgency=2)
@@ -67,6 +68,37 @@
     run(script, test)
 
 
+def test_look_at_a_target_tells_whether_it_lives():
+    async def script(head, writer):
+        writer.write(answer(b"ok"))
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        assert await targets.probe(target) is Liveness.LIVES
+        raw._server.close()
+        assert await targets.probe(target) is Liveness.ENDED
+
+    run(script, test)
+
+
+def test_process_that_ends_while_it_is_looked_at_has_ended():
+    # It took one more connection as it ended, and that one ended at once. A
+    # single look would say that it lives, and the request be sent on.
+    async def test():
+        async def end(reader, writer):
+            server.close()
+            writer.transport.abort()
+
+        server = await asyncio.start_server(end, "127.0.0.1", 0)
+        raw = rawtarget.RawTarget(None)
+        raw.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+        async with Targets() as targets:
+            found = await targets.probe(raw.make_target())
+        assert found is Liveness.ENDED
+
+    asyncio.run(test())
+
+
 def test_answer_without_length_that_is_reset_is_not_whole():
     # The caller got a shortened answer that was framed as complete. The
     # target names no length, sends a part, and its connection is reset; the
