--- a/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
@@ -11,8 +11,11 @@
     :param other_instance: another instance has the address; its name, or
         empty when it does not tell
     :param crossed: the answer belongs to another request
+    :param framed: the head says where the answer ends; else its connection
+        does
     """
 
     not_run: bool = False
     other_instance: str | None = None
     crossed: bool = False
+    framed: bool = True
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -161,7 +161,7 @@
             runs += 1
             if sent.answer.status < SERVER_ERROR:
                 if sent.run is None:
-                    self.guard.note_answered(plan)
+                    self.guard.note_answered(plan, sent.answer.facts)
                 return sent
             if not more:
                 return sent
--- a/packages/gateway/src/chivepier/gateway/serving/guard.py
+++ b/packages/gateway/src/chivepier/gateway/serving/guard.py
@@ -4,6 +4,7 @@
 
 from chivepier.gateway.quarantine import Loss
 from chivepier.gateway.quarantine import Quarantine
+from chivepier.gateway.serving.answerfacts import AnswerFacts
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.targets import Target
 from chivepier.types import Clock
@@ -85,6 +86,14 @@
         """Wait for a moment until it is known why a request was lost."""
         await self._quarantine.settle(plan.digest, target)
 
-    def note_answered(self, plan: Plan) -> None:
-        """Take that a target answered a request whole."""
-        self._quarantine.note_answered(plan.digest)
+    def note_answered(self, plan: Plan, facts: AnswerFacts) -> None:
+        """Take that a target answered a request whole.
+
+        Where only the end of the connection ends an answer, that of a process
+        that ends looks the same, and would clear the request that ended it.
+
+        :param plan: the request's
+        :param facts: of the answer
+        """
+        if facts.framed:
+            self._quarantine.note_answered(plan.digest)
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -78,7 +78,9 @@
                 match await self._pump(head, sent, run):
                     case StreamEnd.WHOLE if await self._ended(run):
                         self._dispatcher.runs.note_whole(run)
-                        self._dispatcher.guard.note_answered(self._plan)
+                        self._dispatcher.guard.note_answered(
+                            self._plan, sent.answer.facts
+                        )
                         await self._finish(head)
                         return
                     case _:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_guarding.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_guarding.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from chivepier.gateway.serving.answerfacts import AnswerFacts
 from chivepier.gateway.serving.tests.parts import ENGINE
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
@@ -157,6 +158,30 @@
     play(test, "a", "b", "c", "d")
 
 
+def test_answer_that_a_crash_can_end_clears_nothing():
+    # The target frames its answers by closing the connection. One that ends
+    # closes it, too: the answer looked whole, and the request that had ended
+    # the target was cleared each time.
+    async def test(parts):
+        request = make_request("/resume/x")
+        for framed in (False, True):
+            parts.hold_back(request)
+            parts.order(let_through=request)
+            caller, task = parts.start(request)
+            run = await parts.engines.wait_run(len(parts.engines.answers) + 1)
+            run.facts = AnswerFacts(framed=framed)
+            run.make(1)
+            run.end()
+            await task
+            parts.order()
+            held = parts.quarantine.find_hold(
+                parts.planner.plan(request).digest
+            )
+            assert (held is None) is framed
+
+    play(test, "a")
+
+
 def test_what_waits_for_room_is_answered_when_it_is_held_back():
     # It waited for room for seconds, and its third target ended meanwhile at
     # another entry. The caller need not wait for its deadline.
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -257,6 +257,22 @@
     run(answer_ok, test, body_bytes=1_700)
 
 
+def test_body_that_never_comes_whole_takes_no_room_for_ever():
+    # Callers sent half of a body and then nothing. Each kept its part of the
+    # memory for bodies until it left, and in the end nobody else had any.
+    async def test(door):
+        call = make_call("/once/x", "X-Chivepier-Deadline-Ms: 100")
+        call = call.replace(b"Content-Length: 0", b"Content-Length: 900")
+        reader, writer = await asyncio.open_connection("127.0.0.1", door.port)
+        writer.write(call + b"x" * 400)
+        answer = await reader.readuntil(b"}")
+        assert read_status(answer) == 504 and b"did not come" in answer
+        assert door.entry.bodies.taken == 0 and not door.raw.requests
+        writer.close()
+
+    run(answer_ok, test)
+
+
 def test_wrong_key_is_refused():
     async def test(door):
         call = make_call("/once/x").replace(b"k1", b"k9")
