Move no generation whose like is held back

Cause: with the check before a generation goes on elsewhere switched off, no test failed; a move stops the run first, so the check alone would cut it. Change: such a run is left where it is, and one whose memory is on its way is not sent on; a test for each.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -83,26 +83,28 @@
         chooser = Chooser(
             self.table, self.health, self.board, settings.zone, clock, rng
         )
+        self.quarantine = Quarantine(
+            settings.name,
+            self.table,
+            port.probe,
+            settings.orders,
+            clock,
+            log,
+            self.metrics,
+        )
+        guard = Guard(self.quarantine, clock)
         self.mover = Mover(
             port,
             chooser,
             self.table,
             self.board,
+            guard,
             clock,
             log,
             self.metrics,
         )
         self.table.watchers += [self.mover.note_target, self._note_target]
         self.table.restart_watchers.append(self._note_restart)
-        self.quarantine = Quarantine(
-            settings.name,
-            self.table,
-            port.probe,
-            settings.orders,
-            clock,
-            log,
-            self.metrics,
-        )
         self.quarantine.watchers.append(self.mover.note_held)
         self._port = port
         self._links = Links(
@@ -140,7 +142,7 @@
             mover=self.mover,
             port=port,
             budget=budget,
-            guard=Guard(self.quarantine, clock),
+            guard=guard,
             clock=clock,
             log=log,
         )
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.copyturns import CopyTurns
+from chivepier.gateway.serving.guard import Guard
 from chivepier.gateway.serving.handoff import Handoff
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.moveoutcome import MoveOutcome
@@ -41,6 +42,7 @@
     :param chooser: finds destinations
     :param table: which targets leave
     :param board: what the other entries have to move
+    :param guard: knows what must not run anywhere else
     :param clock: monotonic time
     :param log: decisions on requests
     :param metrics: counts copies
@@ -52,6 +54,7 @@
         chooser: Chooser,
         table: TargetTable,
         board: LoadBoard,
+        guard: Guard,
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
@@ -61,6 +64,7 @@
         self._chooser = chooser
         self._table = table
         self._board = board
+        self._guard = guard
         self._turns = CopyTurns(board, clock)
         self._clock = clock
         self._log = log
@@ -119,7 +123,7 @@
         engine = run.service.engine
         if run.handoff is not None or engine is None or not engine.moves:
             return
-        if not run.moves:
+        if not run.moves or self._guard.holds(run.plan):
             return
         run.handoff = asyncio.get_running_loop().create_future()
         task = asyncio.create_task(self._move(run, run.handoff))
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -113,11 +113,22 @@
         log = EventLog("e1", self._lines.fileno())
         rng = random.Random(1)
         chooser = Chooser(self.table, self.health, self.board, "a", clock, rng)
+        self.quarantine = Quarantine(
+            "e1",
+            self.table,
+            self.engines.probe,
+            Orders(),
+            clock,
+            log,
+            Metrics(),
+        )
+        guard = Guard(self.quarantine, clock)
         self.mover = Mover(
             self.engines,
             chooser,
             self.table,
             self.board,
+            guard,
             clock,
             log,
             Metrics(),
@@ -125,15 +136,6 @@
         self.table.watchers.append(self.mover.note_target)
         self.table.restart_watchers.append(self.mover.note_restart)
         self.budget = RetryBudget(0.2, 10, 10)
-        self.quarantine = Quarantine(
-            "e1",
-            self.table,
-            self.engines.probe,
-            Orders(),
-            clock,
-            log,
-            Metrics(),
-        )
         self.dispatcher = Dispatcher(
             state=self.state,
             table=self.table,
@@ -144,7 +146,7 @@
             mover=self.mover,
             port=self.engines,
             budget=self.budget,
-            guard=Guard(self.quarantine, clock),
+            guard=guard,
             clock=clock,
             log=log,
         )
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_guarding.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_guarding.py
@@ -230,6 +230,47 @@
     play(test, "a")
 
 
+def test_stream_that_runs_is_not_moved_once_its_like_is_held_back():
+    # Its target leaves. Stopped there and sent on with its memory, it would
+    # run at one more target; where it is, it may still come to its end.
+    async def test(parts):
+        caller, task = parts.start(make_request("/llm/x"))
+        run = await parts.engines.wait_run(1)
+        run.make(1)
+        await caller.wait_events(1)
+        parts.hold_back(make_request("/llm/x"))
+        parts.leave(run.target)
+        run.make(1)
+        run.end()
+        await task
+        assert caller.finished and not parts.engines.moves
+
+    play(test, "a", "b")
+
+
+def test_stream_under_way_to_its_next_target_is_held_back():
+    # Its memory was copied and its target told to stop it; before it is sent
+    # on, three targets have ended under its like.
+    async def test(parts):
+        caller, task = parts.start(make_request("/llm/x"))
+        run = await parts.engines.wait_run(1)
+        run.make(1)
+        await caller.wait_events(1)
+        move = parts.engines.move
+
+        async def hold_after(*args):
+            moved = await move(*args)
+            parts.hold_back(make_request("/llm/x"))
+            return moved
+
+        parts.engines.move = hold_after
+        parts.leave(run.target)
+        await task
+        assert caller.aborted and count_sends(parts) == 1
+
+    play(test, "a", "b")
+
+
 def test_operator_lets_a_request_through_or_keeps_it_out():
     async def test(parts):
         request = make_request("/read/x")
