--- a/soak/outbreak.py
+++ b/soak/outbreak.py
@@ -6,6 +6,8 @@
 import pathlib
 import random
 import secrets
+import shutil
+import signal
 import time
 
 import aiohttp
@@ -33,26 +35,27 @@
     :param arrivals: when the request that ends them reached one
     :param answers: statuses that its callers got
     :param sound: statuses that all others got
+    :param disturbed: when a process was last back from a fault
     """
 
     ends: list[float] = attrs.field(factory=list)
     arrivals: list[float] = attrs.field(factory=list)
     answers: list[int] = attrs.field(factory=list)
     sound: list[int] = attrs.field(factory=list)
+    disturbed: float = 0.0
 
     @property
     def known_at(self) -> float:
         """When every entry must know; never, before the third end."""
         if len(self.ends) < 3:
             return float("inf")
-        return self.ends[2] + TOUCH_SECONDS
+        return max(self.ends[2], self.disturbed) + TOUCH_SECONDS
 
     @property
     def late(self) -> list[float]:
-        """Sends to targets after that, in seconds since the third end."""
+        """Sends to targets after that, in seconds."""
         known_at = self.known_at
-        third = known_at - TOUCH_SECONDS
-        return [at - third for at in self.arrivals if at > known_at]
+        return [at - known_at for at in self.arrivals if at > known_at]
 
 
 class FragileTarget(SoakTarget):
@@ -122,6 +125,7 @@
             )
             target.seen = self.seen
             self.targets.append(target)
+        self._folder = folder
         self._number = 0
 
     @contextlib.asynccontextmanager
@@ -204,6 +208,26 @@
             await asyncio.gather(*asks)
             await asyncio.sleep(self.rng.uniform(0.1, 0.5))
 
+    async def disturb(self) -> None:
+        """Once a target has ended, harm processes of both roles.
+
+        One entry stands still while the others learn, one is killed and knows
+        nothing when it is back, and one voter loses its disk.
+        """
+        while not self.seen.ends:
+            await asyncio.sleep(0.01)
+        frozen, killed, *_ = self.entries
+        frozen.signal(signal.SIGSTOP)
+        voter = self.voters[0]
+        voter.end()
+        shutil.rmtree(self._folder / f"data-{voter.name}")
+        voter.start()
+        killed.end()
+        await asyncio.sleep(1.5)
+        killed.start()
+        frozen.signal(signal.SIGCONT)
+        self.seen.disturbed = time.monotonic()
+
     async def call(self, session: aiohttp.ClientSession) -> None:
         """Send sound requests, one after the other, until cancelled."""
         while True:
