Let no single input end what follows configurations and voters

Causes, of the same class: an exception that nobody had thought of, in reading one configuration or one target's record, ended the entry's task that fetches configurations, or the one that beats to the voter, for good. Ruled out: restarting the process at any exception, which would let one input end every entry in turn.

--- a/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
@@ -6,6 +6,7 @@
 from chivepier.gateway.control.tests.fleet import wait_until
 from chivepier.gateway.messages import LoadRecord
 from chivepier.gateway.targets import TargetState
+from chivepier.gateway.targets import TargetTable
 from chivepier.gateway.targets.tests.test_targettable import make
 
 
@@ -264,3 +265,28 @@
         assert list(heard) == ["i1"]
 
     play(test, tmp_path)
+
+
+def test_word_that_can_not_be_taken_ends_no_link(tmp_path, monkeypatch):
+    # An entry that had just started heard of nothing at all. Voters of another
+    # release told of a target in a state that this one does not know; reading
+    # it failed, and with it the beats to each of them, for good.
+    put = TargetTable.put
+
+    def refuse_odd(table, target):
+        if target.instance == "odd":
+            raise ValueError("an unknown state")
+        return put(table, target)
+
+    async def test(fleet):
+        now = time.monotonic()
+        for voter in fleet.voters.values():
+            voter.registry.announce(make(instance="odd", heard=now))
+            voter.registry.announce(make(instance="plain", heard=now))
+        monkeypatch.setattr(TargetTable, "put", refuse_odd)
+        follower = await fleet.follow("e1")
+        await wait_until(lambda: follower.table.get("plain") is not None)
+        assert follower.table.get("odd") is None
+        await wait_until(lambda: follower.hub is not None)
+
+    play(test, tmp_path)
--- a/packages/gateway/src/chivepier/gateway/following/configfetch.py
+++ b/packages/gateway/src/chivepier/gateway/following/configfetch.py
@@ -4,7 +4,6 @@
 import collections.abc
 
 from chivepier.gateway.config import Configuration
-from chivepier.gateway.config import ConfigurationError
 from chivepier.gateway.config import RouteIndex
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.messages import ConfigAnswer
@@ -108,12 +107,14 @@
             return
         try:
             index = RouteIndex(self._decode(answer.unpack()))
-        except ConfigurationError as error:
-            # voters checked it: this node must be of another version
+        except Exception as error:
+            # Voters checked it, so this node must be of another version, or
+            # its reader has a fault. Whatever it raises: without this task
+            # the entry would follow no change any more until it is restarted.
             self._log.warn(
                 "configuration_refused",
                 version=answer.version,
-                error=str(error),
+                error=repr(error),
             )
             return
         self._state.adopt(index)
--- a/packages/gateway/src/chivepier/gateway/following/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -251,7 +251,16 @@
     def _merge(self, records: tuple[TargetRecord, ...]) -> None:
         now = self._clock.monotonic()
         for record in records:
-            if self._table.put(unpack_target(record, now)):
+            try:
+                news = self._table.put(unpack_target(record, now))
+            except ValueError as error:
+                # a word of another release: without the others, and with the
+                # beats ended, this entry would hear of nothing any more
+                self._log.warn(
+                    "target_unread", target=record.instance, error=str(error)
+                )
+                continue
+            if news:
                 self._log.info(
                     "target_known",
                     target=record.instance,
--- a/packages/gateway/src/chivepier/gateway/following/tests/test_configfetch.py
+++ b/packages/gateway/src/chivepier/gateway/following/tests/test_configfetch.py
@@ -44,7 +44,9 @@
         )
 
     def decode(self, body: bytes) -> Configuration:
-        """Read a version."""
+        """Read a version; 13 shows a fault of the reader."""
+        if body == b"13":
+            raise OverflowError
         return Configuration(version=int(body))
 
     def tell(self, version: int, *voters: str) -> None:
@@ -128,3 +130,21 @@
         assert rig.links.asked == ["v1"]
 
     play(test)
+
+
+def test_configuration_that_can_not_be_read_ends_nothing():
+    # An entry followed no change any more until it was started again: reading
+    # one configuration failed in a way that nobody had thought of, and ended
+    # the task that fetches them.
+    async def test(rig):
+        rig.links.release.set()
+        rig.tell(13, "v1")
+        await settle()
+        assert rig.held == -1
+        rig.clock.advance(1.0)
+        await settle()
+        rig.tell(14, "v1")
+        await settle()
+        assert rig.held == 14
+
+    play(test)
--- a/tests/adapter/test_announcement.py
+++ b/tests/adapter/test_announcement.py
@@ -83,6 +83,7 @@
         ("service", ""),
         ("service", 7),
         ("zone", 7),
+        ("zone", "z" * 1000),
         ("address", "10.0.0.1"),
         ("address", "host:80"),
         ("address", "10.0.0.1:0"),
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -203,6 +203,14 @@
         ("/none/x", "", 404),
         ("/once/x", "X-Chivepier-Deadline-Ms: soon", 400),
         ("/once/x", "X-Chivepier-Token-Count: many", 400),
+        ("/once/x", "X-Chivepier-Token-Count: -5,10", 400),
+        ("/once/x", "X-Chivepier-Deadline-Ms: inf", 400),
+        ("/once/x", "X-Chivepier-Deadline-Ms: nan", 400),
+        (
+            "/once/x",
+            "X-Chivepier-Token-Count: 5\r\nX-Chivepier-Length-Hint: inf",
+            400,
+        ),
     ],
 )
 def test_malformed_or_unknown_requests_are_answered(path, line, status):
