--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -6,6 +6,8 @@
 import tempfile
 import time
 
+import pytest
+
 from chivepier.gateway.config import Configuration
 from chivepier.gateway.config import Engine
 from chivepier.gateway.config import Repetition
@@ -31,6 +33,7 @@
 from chivepier.gateway.serving import RetryBudget
 from chivepier.gateway.serving import Serving
 from chivepier.gateway.serving import ServingState
+from chivepier.gateway.serving.tests.fakeengines import FakeAnswer
 from chivepier.gateway.serving.tests.fakeengines import FakeCaller
 from chivepier.gateway.serving.tests.fakeengines import FakeEngines
 from chivepier.gateway.serving.tests.fakeengines import make_target
@@ -40,6 +43,8 @@
 from chivepier.gateway.targets import TargetHealth
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
+from chivepier.types import Failure
+from chivepier.types import RequestError
 from chivepier.types import SystemClock
 
 ENGINE = Engine(
@@ -264,6 +269,32 @@
     return CallerRequest(**{**fields, **changes})
 
 
+async def fail(parts: Parts, request: CallerRequest) -> Failure:
+    """Serve a request that must fail, and return how it did."""
+    with pytest.raises(RequestError) as caught:
+        await parts.serve(request)
+    return caught.value.failure
+
+
+async def begin(parts: Parts, path: str = "/llm/x", events: int = 2):
+    """Start a stream and let it make events that reach the caller.
+
+    :returns: the caller, the task that serves it, and the run
+    """
+    caller, task = parts.start(make_request(path))
+    run = await parts.engines.wait_run(1)
+    run.make(events)
+    await caller.wait_events(events)
+    return caller, task, run
+
+
+async def finish(task: asyncio.Task, run: FakeAnswer, events: int = 0) -> None:
+    """Let a run make its last events and end, and its caller be served."""
+    run.make(events)
+    run.end()
+    await task
+
+
 async def wait_until(condition) -> None:
     """Return once a condition holds; the test's own limit ends it else."""
     while not condition():
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_dispatching.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_dispatching.py
@@ -6,11 +6,12 @@
 
 from chivepier.gateway.serving.dispatcher import START_URGENCY
 from chivepier.gateway.serving.prompt import Prompt
+from chivepier.gateway.serving.tests.parts import fail
+from chivepier.gateway.serving.tests.parts import finish
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
 from chivepier.types import ErrorKind
 from chivepier.types import Ran
-from chivepier.types import RequestError
 from chivepier.types import seconds_to_retry
 
 
@@ -20,13 +21,6 @@
         parts.engines.failing[f"w-{name}"] = status
 
 
-async def fail(parts, request) -> RequestError:
-    """Serve a request that must fail."""
-    with pytest.raises(RequestError) as caught:
-        await parts.serve(request)
-    return caught.value.failure
-
-
 def test_answer_is_passed_through():
     async def test(parts):
         parts.engines.failing["w-a"] = 404
@@ -189,8 +183,7 @@
         caller, task = parts.start(make_request("/llm/x"))
         answer = await parts.engines.wait_run(1)
         answer.make()
-        answer.end()
-        await task
+        await finish(task, answer)
         _, order = parts.engines.orders[0]
         assert (order.team, order.urgency) == ("t1", START_URGENCY)
 
@@ -237,9 +230,7 @@
         prompt = Prompt(tokens=100, most_output=12)
         caller, task = parts.start(make_request(prompt=prompt))
         run = await parts.engines.wait_run(1)
-        run.make(3)
-        run.end()
-        await task
+        await finish(task, run, 3)
         assert caller.finished
 
     play(test, "a")
@@ -251,16 +242,12 @@
     async def test(parts):
         caller, task = parts.start(make_request())
         run = await parts.engines.wait_run(1)
-        run.make(200)
-        run.end()
-        await task
+        await finish(task, run, 200)
         prompt = Prompt(tokens=100, most_output=1000)
         parts.state.ends_at = time.monotonic() + 4.0
         caller, task = parts.start(make_request(prompt=prompt))
         run = await parts.engines.wait_run(2)
-        run.make(1)
-        run.end()
-        await task
+        await finish(task, run, 1)
         assert caller.finished
 
     play(test, "a")
@@ -272,9 +259,7 @@
     async def test(parts):
         caller, task = parts.start(make_request())
         run = await parts.engines.wait_run(1)
-        run.make(3)
-        run.end()
-        await task
+        await finish(task, run, 3)
         parts.state.ends_at = time.monotonic() + 3.7
         prompt = Prompt(tokens=3_400, most_output=2_200)
         failure = await fail(parts, make_request(prompt=prompt))
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_guarding.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_guarding.py
@@ -6,7 +6,10 @@
 import pytest
 
 from chivepier.gateway.serving.answerfacts import AnswerFacts
+from chivepier.gateway.serving.tests.parts import begin
 from chivepier.gateway.serving.tests.parts import ENGINE
+from chivepier.gateway.serving.tests.parts import fail
+from chivepier.gateway.serving.tests.parts import finish
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
 from chivepier.gateway.serving.tests.parts import wait_until
@@ -18,13 +21,6 @@
 RESERVING = attrs.evolve(ENGINE, reserve_seconds=2.0)
 
 
-async def fail(parts, request):
-    """Serve a request that must fail, and return how it did."""
-    with pytest.raises(RequestError) as caught:
-        await parts.serve(request)
-    return caught.value.failure
-
-
 def end_under_it(parts, *names: str) -> None:
     """Let these targets end when they are sent anything."""
     parts.engines.lose |= set(names)
@@ -170,9 +166,7 @@
             caller, task = parts.start(request)
             run = await parts.engines.wait_run(len(parts.engines.answers) + 1)
             run.facts = AnswerFacts(framed=framed)
-            run.make(1)
-            run.end()
-            await task
+            await finish(task, run, 1)
             parts.order()
             held = parts.quarantine.find_hold(
                 parts.planner.plan(request).digest
@@ -216,15 +210,10 @@
 
 def test_stream_that_runs_is_left_alone_when_its_like_is_held_back():
     async def test(parts):
-        caller, task = parts.start(make_request("/llm/x"))
-        run = await parts.engines.wait_run(1)
-        run.make(1)
-        await caller.wait_events(1)
+        caller, task, run = await begin(parts, "/llm/x", 1)
         parts.hold_back(make_request("/llm/x"))
         await asyncio.sleep(0)
-        run.make(1)
-        run.end()
-        await task
+        await finish(task, run, 1)
         assert caller.finished and caller.numbers == [1, 2]
 
     play(test, "a")
@@ -234,15 +223,10 @@
     # Its target leaves. Stopped there and sent on with its memory, it would
     # run at one more target; where it is, it may still come to its end.
     async def test(parts):
-        caller, task = parts.start(make_request("/llm/x"))
-        run = await parts.engines.wait_run(1)
-        run.make(1)
-        await caller.wait_events(1)
+        caller, task, run = await begin(parts, "/llm/x", 1)
         parts.hold_back(make_request("/llm/x"))
         parts.leave(run.target)
-        run.make(1)
-        run.end()
-        await task
+        await finish(task, run, 1)
         assert caller.finished and not parts.engines.moves
 
     play(test, "a", "b")
@@ -252,10 +236,7 @@
     # Its memory was copied and its target told to stop it; before it is sent
     # on, three targets have ended under its like.
     async def test(parts):
-        caller, task = parts.start(make_request("/llm/x"))
-        run = await parts.engines.wait_run(1)
-        run.make(1)
-        await caller.wait_events(1)
+        caller, task, run = await begin(parts, "/llm/x", 1)
         move = parts.engines.move
 
         async def hold_after(*args):
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
@@ -7,6 +7,8 @@
 from chivepier.gateway.serving import Moved
 from chivepier.gateway.serving import MoveOutcome
 from chivepier.gateway.serving.tests.fakeengines import make_target
+from chivepier.gateway.serving.tests.parts import begin
+from chivepier.gateway.serving.tests.parts import finish
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
 from chivepier.gateway.serving.tests.parts import wait_until
@@ -14,15 +16,6 @@
 from chivepier.types import RequestError
 
 
-async def begin(parts, path: str = "/llm/x", events: int = 2):
-    """Start a stream and let it make events that reach the caller."""
-    caller, task = parts.start(make_request(path))
-    run = await parts.engines.wait_run(1)
-    run.make(events)
-    await caller.wait_events(events)
-    return caller, task, run
-
-
 def test_stream_of_a_leaving_target_goes_on_as_one_series():
     # The caller sees one unbroken series of events. Its target says that it
     # leaves; the memory is copied while the run goes on, then the run is
@@ -33,9 +26,7 @@
         fresh = await parts.engines.wait_run(2)
         assert fresh.target != run.target and run.stopped
         assert [last for _, _, last in parts.engines.moves] == [False, True]
-        fresh.make(3)
-        fresh.end()
-        await task
+        await finish(task, fresh, 3)
         assert caller.numbers == [1, 2, 3, 4, 5]
         assert caller.finished and not caller.aborted
 
@@ -48,9 +39,7 @@
         parts.leave(run.target)
         fresh = await parts.engines.wait_run(2)
         fresh.number = 0
-        fresh.make(4)
-        fresh.end()
-        await task
+        await finish(task, fresh, 4)
         assert caller.numbers == [1, 2, 3, 4]
 
     play(test, "a", "b")
@@ -64,9 +53,7 @@
         run.make(0, "id: 3\nda")
         parts.leave(run.target)
         fresh = await parts.engines.wait_run(2)
-        fresh.make(1)
-        fresh.end()
-        await task
+        await finish(task, fresh, 1)
         assert caller.data.endswith(b"\n\nid: 3\ndata: 3\n\n")
 
     play(test, "a", "b")
@@ -80,8 +67,7 @@
         parts.leave(run.target)
         fresh = await parts.engines.wait_run(2)
         assert fresh.target == others[1]
-        fresh.end()
-        await task
+        await finish(task, fresh)
         assert caller.finished
 
     play(test, "a", "b", "c")
@@ -110,8 +96,7 @@
         assert list(booked.values()) == [100 + 256]
         release.set()
         fresh = await parts.engines.wait_run(2)
-        fresh.end()
-        await task
+        await finish(task, fresh)
 
     play(test, "a", "b")
 
@@ -134,9 +119,7 @@
         parts.leave(run.target)
         fresh = await parts.engines.wait_run(2)
         assert fresh.target == run.target
-        fresh.make(1)
-        fresh.end()
-        await task
+        await finish(task, fresh, 1)
         assert caller.numbers == [1, 2, 3]
 
     play(test, "a", "b")
@@ -152,8 +135,7 @@
         await wait_until(lambda: len(parts.engines.moves) == 2)
         parts.engines.full.clear()
         fresh = await parts.engines.wait_run(2)
-        fresh.end()
-        await task
+        await finish(task, fresh)
         assert caller.finished and fresh.target != run.target
 
     play(test, "a", "b", "c")
@@ -226,9 +208,7 @@
         parts.leave(run.target)
         fresh = await parts.engines.wait_run(2)
         assert fresh.target != run.target
-        fresh.make(1)
-        fresh.end()
-        await task
+        await finish(task, fresh, 1)
         assert caller.numbers == [1, 2, 3]
 
     play(test, "a", "b")
@@ -246,8 +226,7 @@
         assert not parts.engines.moves
         parts.say_copying("z-last", run.target, milliseconds=0)
         fresh = await parts.engines.wait_run(2)
-        fresh.end()
-        await task
+        await finish(task, fresh)
 
     play(test, "a", "b")
 
@@ -275,9 +254,7 @@
         assert not parts.engines.moves
         run.make(1)
         fresh = await parts.engines.wait_run(2)
-        fresh.make(1)
-        fresh.end()
-        await task
+        await finish(task, fresh, 1)
         assert caller.numbers == [1, 2]
 
     play(test, "a", "b")
@@ -331,9 +308,7 @@
         run.cut()
         fresh = await parts.engines.wait_run(2)
         assert fresh.target != run.target
-        fresh.make(1)
-        fresh.end()
-        await task
+        await finish(task, fresh, 1)
         assert caller.numbers == [1, 2, 3]
 
     play(test, "a", "b")
@@ -362,8 +337,7 @@
         parts.leave(run.target)
         fresh = await parts.engines.wait_run(2)
         assert len(parts.engines.moves) == 2
-        fresh.end()
-        await task
+        await finish(task, fresh)
 
     play(test, "a", "b")
 
@@ -390,9 +364,7 @@
         parts.restart(run.target, born=200)
         fresh = await parts.engines.wait_run(2)
         assert fresh.target != run.target
-        fresh.make(1)
-        fresh.end()
-        await task
+        await finish(task, fresh, 1)
         assert caller.numbers == [1, 2, 3] and caller.finished
 
     play(test, "a", "b")
--- a/soak/outbreak.py
+++ b/soak/outbreak.py
@@ -15,6 +15,7 @@
 import attrs
 
 from soak.process import Process
+from soak.process import run_all
 from soak.promises import Promises
 from soak.run import make_config
 from soak.target import SoakTarget
@@ -132,13 +133,9 @@
     async def start(self):
         """Run everything until the context is left."""
         async with contextlib.AsyncExitStack() as stack:
-            timeout = aiohttp.ClientTimeout(total=6.0)
             session = await stack.enter_async_context(
-                aiohttp.ClientSession(timeout=timeout)
+                run_all((*self.voters, *self.entries))
             )
-            for process in (*self.voters, *self.entries):
-                stack.callback(process.end)
-                process.start(found=process.role == "voter")
             for target in self.targets:
                 await stack.enter_async_context(target)
             await self._configure(session)
--- a/soak/process.py
+++ b/soak/process.py
@@ -1,13 +1,19 @@
 """One real process of the system."""
 
+import collections.abc
+import contextlib
 import os
 import pathlib
 import signal
 import subprocess
 import sys
 
+import aiohttp
+
 TOP = pathlib.Path(__file__).parents[1]
 PROGRAM = TOP / "platform" / "chivepierd.py"
+# Seconds for one call of a caller or operator: beyond every deadline here.
+SESSION_SECONDS = 6.0
 SETTINGS = """node-name={name}
 ip={ip}
 zone=z
@@ -29,6 +35,23 @@
 """
 
 
+@contextlib.asynccontextmanager
+async def run_all(
+    processes: collections.abc.Sequence["Process"],
+) -> collections.abc.AsyncIterator[aiohttp.ClientSession]:
+    """Run processes that found a cluster, with a session to speak to them.
+
+    :param processes: of both roles; all are ended with the context
+    """
+    timeout = aiohttp.ClientTimeout(total=SESSION_SECONDS)
+    with contextlib.ExitStack() as stack:
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            for process in processes:
+                stack.callback(process.end)
+                process.start(found=process.role == "voter")
+            yield session
+
+
 class Process:
     """Starts, signals and restarts one program; ends only what it started.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,7 @@
 from soak.faults import Faults
 from soak.faults import NEWEST_SET
 from soak.process import Process
+from soak.process import run_all
 from soak.promises import Promises
 from soak.proxy import Proxy
 from soak.target import describe
@@ -111,13 +112,9 @@
         :returns: what was seen
         """
         async with contextlib.AsyncExitStack() as stack:
-            timeout = aiohttp.ClientTimeout(total=6.0)
             session = await stack.enter_async_context(
-                aiohttp.ClientSession(timeout=timeout)
+                run_all((*self.voters, *self.entries))
             )
-            for process in (*self.voters, *self.entries):
-                stack.callback(process.end)
-                process.start(found=process.role == "voter")
             for part in (*self.targets, *self.proxies):
                 await stack.enter_async_context(part)
             await self.change(session, 30.0)
