Add failing tests of evacuated zones, cold targets and allowed regions

Cause: an order to evacuate an availability zone is answered 404, and nothing in the product knows such an order, a bound on what a cold target takes, or the regions that a route or team allows.

The tests fail at their imports and at the parts that do not exist yet.

--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_zonestore.py
@@ -0,0 +1,162 @@
+"""Tests of orders about availability zones on voters and their followers."""
+
+import asyncio
+import shutil
+
+from chivepier.gateway.control.tests.fleet import play
+from chivepier.gateway.control.tests.fleet import wait_until
+from chivepier.gateway.targets.tests.test_targettable import make
+
+
+async def order(voter, zone: str, evacuated: bool) -> None:
+    """Give an order until it is acknowledged."""
+    while not await voter.orders.give(zone, evacuated):
+        await asyncio.sleep(0.01)
+
+
+def test_order_is_in_force_at_followers_without_their_next_beat(tmp_path):
+    # Callers were sent to a zone that was being emptied: entries learned of
+    # the order with their next beat only. It is pushed to all of them.
+    async def test(fleet):
+        followers = await fleet.follow_many(7)
+        for follower in followers:
+            follower.following.pause_beats()
+        await order(fleet.voters[fleet.seeds[1]], "z0", True)
+        for follower in followers:
+            await wait_until(lambda f=follower: f.zones.is_evacuated("z0"))
+        assert not followers[0].zones.is_evacuated("z1")
+        await order(fleet.voters[fleet.seeds[2]], "z0", False)
+        for follower in followers:
+            await wait_until(lambda f=follower: not f.zones.is_evacuated("z0"))
+
+    play(test, tmp_path)
+
+
+def test_entry_that_starts_later_learns_it_with_its_first_beat(tmp_path):
+    async def test(fleet):
+        await order(fleet.voters[fleet.seeds[0]], "z0", True)
+        follower = await fleet.follow("late")
+        await wait_until(lambda: follower.zones.is_evacuated("z0"))
+
+    play(test, tmp_path)
+
+
+def test_acknowledged_order_outlives_a_restart_of_all(tmp_path):
+    async def test(fleet):
+        await order(fleet.voters[fleet.seeds[0]], "z0", True)
+        for address in fleet.seeds:
+            await fleet.stop(address)
+        for address in fleet.seeds:
+            await fleet.start(address)
+        for voter in fleet.voters.values():
+            await wait_until(lambda v=voter: v.zones.is_evacuated("z0"))
+
+    play(test, tmp_path)
+
+
+def test_restarted_voter_keeps_to_an_order_before_a_leader_is_elected(
+    tmp_path,
+):
+    # All processes were killed right after an acknowledgement. The voter that
+    # comes back alone can't know what was committed, and told entries at once
+    # of the targets of a zone that was being emptied, but not of the order.
+    async def test(fleet):
+        leader = None
+        while leader is None:
+            leader = fleet.find_leader()
+            await asyncio.sleep(0.01)
+        address = next(a for a, v in fleet.voters.items() if v is leader)
+        await order(leader, "z0", True)
+        for other in fleet.seeds:
+            await fleet.stop(other)
+        (fleet.find_folder(address) / "known").unlink(missing_ok=True)
+        alone = await fleet.start(address)
+        assert alone.zones.is_evacuated("z0")
+        follower = await fleet.follow("e1")
+        await wait_until(lambda: follower.zones.is_evacuated("z0"))
+
+    play(test, tmp_path)
+
+
+def test_order_survives_the_loss_of_a_disk_and_a_new_voter(tmp_path):
+    async def test(fleet):
+        await order(fleet.voters[fleet.seeds[0]], "z0", True)
+        address = fleet.seeds[0]
+        await fleet.stop(address)
+        shutil.rmtree(fleet.find_folder(address))
+        fresh = await fleet.start(address)
+        await wait_until(fresh.replica.votes)
+        await wait_until(lambda: fresh.zones.is_evacuated("z0"))
+
+    play(test, tmp_path)
+
+
+def test_minority_acknowledges_no_order(tmp_path):
+    async def test(fleet):
+        await order(fleet.voters[fleet.seeds[0]], "z0", True)
+        for address in fleet.seeds[1:]:
+            await fleet.stop(address)
+        alone = fleet.voters[fleet.seeds[0]]
+        while await alone.orders.give("z1", True):
+            # its lease as the leader may last for a moment more
+            pass
+        assert not await alone.orders.give("z1", True)
+
+    play(test, tmp_path)
+
+
+def test_late_repeat_does_not_undo_what_was_ordered_since(tmp_path):
+    # An order reached a voter that then stood still; its sender gave up and
+    # sent it to another one, and took it back there. Carried out when the
+    # first voter woke, the zone would be emptied again, and nobody knew.
+    async def test(fleet):
+        frozen, other = (fleet.voters[a] for a in fleet.seeds[:2])
+        await order(other, "z0", True)
+        await wait_until(lambda: frozen.zones.is_evacuated("z0"))
+        stale = frozen.orders.prepare("z0", True)
+        await order(other, "z0", False)
+        assert not await frozen.orders.carry_out(stale, lambda: False)
+        leader = fleet.find_leader()
+        assert not leader.zones.is_evacuated("z0")
+
+    play(test, tmp_path)
+
+
+def test_two_operators_at_once_leave_one_state_everywhere(tmp_path):
+    async def test(fleet):
+        voters = list(fleet.voters.values())
+        for _ in range(5):
+            await asyncio.gather(
+                order(voters[0], "z0", True),
+                order(voters[1], "z0", False),
+                order(voters[2], "z1", True),
+            )
+        newest = max(voter.zones.newest for voter in voters)
+        for voter in voters:
+            await wait_until(lambda v=voter: v.zones.newest == newest)
+        states = {voter.zones.is_evacuated("z0") for voter in voters}
+        assert len(states) == 1
+        assert all(voter.zones.is_evacuated("z1") for voter in voters)
+
+    play(test, tmp_path)
+
+
+def test_readmitted_targets_count_as_cold_until_they_speak(tmp_path):
+    # Targets of a zone that was empty may have become cold, and the first
+    # second's requests ended them: what they had said before the zone was
+    # taken back shows nothing of that.
+    async def test(fleet):
+        follower = await fleet.follow("e1", "z0")
+        voter = fleet.voters[fleet.seeds[0]]
+        voter.registry.announce(make("i1", zone="z0", heard=voter.now()))
+        await wait_until(lambda: follower.table.get("i1") is not None)
+        await order(voter, "z0", True)
+        await wait_until(lambda: follower.zones.is_evacuated("z0"))
+        await order(voter, "z0", False)
+        await wait_until(lambda: not follower.zones.is_evacuated("z0"))
+        assert follower.is_cold("i1")
+        heard = voter.now()
+        voter.registry.announce(make("i1", zone="z0", number=2, heard=heard))
+        await wait_until(lambda: not follower.is_cold("i1"))
+
+    play(test, tmp_path)
--- /dev/null
+++ b/tests/adapter/test_zoneorders.py
@@ -0,0 +1,114 @@
+"""Tests of operators' orders about availability zones, and of regions."""
+
+import asyncio
+import json
+import os
+
+import aiohttp
+from test_configcodec import PLAIN
+from test_control import BEAT
+
+from adapter.configcodec import decode_config
+from adapter.configcodec import decode_homes
+from adapter.control import ControlServer
+from chivepier.gateway.control import Voter
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.settings import VoterSettings
+from chivepier.standins.cluster import find_port
+from chivepier.types import SystemClock
+
+PATH = "/chivepier/evacuations/"
+
+
+def run(test, folder):
+    """Run a test with a lone voter that knows two zones, and a client."""
+
+    async def work():
+        peer = f"127.0.0.1:{find_port()}"
+        address = f"127.0.0.1:{find_port()}"
+        clock = SystemClock()
+        log = EventLog("v1", os.open(os.devnull, os.O_WRONLY))
+        settings = VoterSettings(
+            name="v1",
+            address=peer,
+            seeds=(peer,),
+            folder=folder,
+            found=True,
+            cluster_key="secret-of-tests",
+            beat=1.0,
+            regions={"z1": "north", "z2": "south"},
+        )
+        async with (
+            asyncio.timeout(30),
+            Voter(settings, clock, log) as voter,
+            ControlServer(voter, clock, log, (address,), 1.0),
+            aiohttp.ClientSession(f"http://{address}") as client,
+        ):
+            await test(voter, client)
+
+    asyncio.run(work())
+
+
+async def order(client, method: str, zone: str) -> int:
+    """Send an order until the answer is clear."""
+    while True:
+        async with client.request(method, PATH + zone) as answer:
+            if answer.status != 503:
+                return answer.status
+
+
+def test_a_zone_is_evacuated_and_readmitted(tmp_path):
+    # An operator empties a zone; the answer was lost, and the same order
+    # comes again. Both are acknowledged, and so is the order's end, also for
+    # a zone that no target has named.
+    async def test(voter, client):
+        assert await order(client, "POST", "z1") == 200
+        assert await order(client, "POST", "z1") == 200
+        assert voter.zones.is_evacuated("z1")
+        assert not voter.zones.is_evacuated("z2")
+        assert await order(client, "DELETE", "z1") == 200
+        assert await order(client, "DELETE", "z2") == 200
+        assert not voter.zones.is_evacuated("z1")
+
+    run(test, tmp_path)
+
+
+def test_an_order_for_what_is_no_zone_is_refused_clearly(tmp_path):
+    # A misspelt name was taken and emptied nothing: the operator would take
+    # the zone's power away while callers were still being sent there.
+    async def test(voter, client):
+        for zone in ("z3", "%20", "z" * 300):
+            assert await order(client, "POST", zone) == 400
+        async with client.put("/chivepier/instances/i-1", json=BEAT):
+            pass
+        beat = {**BEAT, "zone": "z3"}
+        async with client.put("/chivepier/instances/i-2", json=beat):
+            pass
+        # a target has named it since
+        assert await order(client, "POST", "z3") == 200
+
+    run(test, tmp_path)
+
+
+def test_cold_bounds_and_regions_are_read():
+    services = [
+        {**PLAIN["services"][0], "cold-start-s": 1.5, "cold-per-s": 31.0},
+        *PLAIN["services"][1:],
+    ]
+    routes = [
+        {**PLAIN["routes"][0], "allowed-regions": ["north", "east"]},
+        *PLAIN["routes"][1:],
+    ]
+    teams = [{**PLAIN["tenants"][0], "allowed-regions": ["north"]}]
+    plain = {**PLAIN, "services": services, "routes": routes}
+    plain["tenants"] = teams
+    found = decode_config(json.dumps(plain).encode())
+    assert found.services[0].cold_rate == 31.0
+    assert found.routes[0].regions == {"north", "east"}
+    assert found.teams[0].regions == {"north"}
+    before = decode_config(json.dumps(PLAIN).encode())
+    assert before.services[0].cold_rate == 0.0
+    assert before.routes[0].regions is None
+    host = plain["routes"][0]["host"]
+    assert decode_homes(json.dumps(plain).encode())[host] == {"north", "east"}
+    assert decode_homes(json.dumps(PLAIN).encode()) == {}
