--- a/packages/gateway/src/chivepier/gateway/config/route.py
+++ b/packages/gateway/src/chivepier/gateway/config/route.py
@@ -21,6 +21,7 @@
     :param gap_objective: longest pause between events, in seconds
     :param urgency: 0 is the most urgent
     :param public: whether no key is asked for
+    :param regions: that its requests may reach; ``None`` for all
     """
 
     name: str
@@ -35,3 +36,4 @@
     gap_objective: float = 0.0
     urgency: int = 5
     public: bool = False
+    regions: frozenset[str] | None = None
--- a/packages/gateway/src/chivepier/gateway/control/configstore.py
+++ b/packages/gateway/src/chivepier/gateway/control/configstore.py
@@ -1,12 +1,12 @@
 """The one configuration, in the replicated log."""
 
-import asyncio
 import hashlib
 import zlib
 
 import attrs
 import cbor2
 
+from chivepier.gateway.control.leaderlink import LeaderLink
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.messages import ConfigAnswer
 from chivepier.gateway.messages import ConfigRequest
@@ -18,10 +18,8 @@
 from chivepier.state import LostLeadError
 from chivepier.state import Machine
 from chivepier.state import NotLeaderError
-from chivepier.state import Replica
 from chivepier.types import Clock
 from chivepier.wire import LinkError
-from chivepier.wire import Links
 from chivepier.wire import RefusedError
 
 KIND = "configuration"
@@ -54,17 +52,13 @@
     stored by the leader, and written on the condition that this is still
     stored, so of two contents under one version only the first counts.
 
-    :param replica: this node's replica
-    :param links: to the leader
+    :param leader: the way to the leader
     :param clock: monotonic time
     :param log: what this process believes
     """
 
-    def __init__(
-        self, replica: Replica, links: Links, clock: Clock, log: EventLog
-    ):
-        self._replica = replica
-        self._links = links
+    def __init__(self, leader: LeaderLink, clock: Clock, log: EventLog):
+        self._leader = leader
         self._clock = clock
         self._log = log
         self._cache: tuple[int, StoredConfig | None] = (-1, None)
@@ -93,7 +87,7 @@
 
     @property
     def _machine(self) -> Machine:
-        return self._replica.machine
+        return self._leader.replica.machine
 
     async def write(self, version: int, body: bytes) -> bool:
         """Store a configuration unless a higher version is stored.
@@ -107,8 +101,7 @@
         deadline = self._clock.monotonic() + SEARCH_SECONDS
         while (left := deadline - self._clock.monotonic()) > 0:
             try:
-                async with asyncio.timeout(left):
-                    answer = await self._ask(request, left)
+                answer = await self._leader.ask(request, left, self.handle)
             except (LinkError, TimeoutError) as error:
                 self._log.warn("write_lost", version=version, error=str(error))
             else:
@@ -125,8 +118,9 @@
         deadline = self._clock.monotonic() + SEARCH_SECONDS
         while (left := deadline - self._clock.monotonic()) > 0:
             try:
-                async with asyncio.timeout(left):
-                    answer = await self._ask(ConfigRequest(True), left)
+                answer = await self._leader.ask(
+                    ConfigRequest(True), left, self.handle
+                )
             except (LinkError, TimeoutError) as error:
                 self._log.warn("read_lost", error=str(error))
             else:
@@ -135,16 +129,6 @@
             await self._clock.sleep(SEARCH_PAUSE)
         return None
 
-    async def _ask(self, request, seconds: float):
-        if self._replica.leads():
-            return await self.handle(request)
-        for voter in self._replica.voters:
-            if voter.node == self._replica.leader:
-                return await self._links.request(
-                    voter.address, request, seconds
-                )
-        raise LinkError("no leader is known", sent=False)
-
     async def handle(self, request) -> WriteAnswer | ConfigAnswer:
         """Answer another node, as the leader.
 
@@ -163,7 +147,7 @@
 
     async def _read_here(self) -> ConfigAnswer:
         try:
-            await self._catch_up()
+            await self._leader.catch_up()
         except NotLeaderError:
             return ConfigAnswer(False, 0, b"")
         return self._pack(self.held())
@@ -177,15 +161,10 @@
             self._packed = (stored.version, packed)
         return ConfigAnswer(True, *self._packed)
 
-    async def _catch_up(self) -> None:
-        index = await self._replica.read_barrier()
-        while self._machine.index < index:
-            await self._machine.changed.wait()
-
     async def _write_here(self, version: int, body: bytes) -> WriteAnswer:
         try:
             while True:
-                await self._catch_up()
+                await self._leader.catch_up()
                 held = self.held()
                 if held is not None and version <= held.version:
                     return WriteAnswer(True, "")
@@ -206,4 +185,4 @@
         name = f"{version}-{base}-{digest}"
         edit = Edit(KIND, NAME, base, spec)
         command = ChangeCommand(name, "", (edit,))
-        return await self._replica.propose(encode(command))
+        return await self._leader.replica.propose(encode(command))
--- a/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
+++ b/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
@@ -1,6 +1,7 @@
 """Which entries callers may use."""
 
 import collections
+import collections.abc
 import functools
 import hashlib
 import math
@@ -42,10 +43,16 @@
     """The entries that speak to this voter.
 
     :param clock: monotonic time
+    :param regions: of the availability zones, by their names
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(
+        self,
+        clock: Clock,
+        regions: collections.abc.Mapping[str, str] = {},
+    ):
         self._clock = clock
+        self._regions = regions
         self._started = clock.monotonic()
         self._entries: dict[str, _Entry] = {}
 
@@ -61,7 +68,13 @@
         self._entries[beat.node] = _Entry(beat, channel, now)
         return known is None
 
-    def addresses(self, zone: str = "", most: int | None = None) -> list[str]:
+    def addresses(
+        self,
+        zone: str = "",
+        most: int | None = None,
+        region: str = "",
+        homes: frozenset[str] | None = None,
+    ) -> list[str]:
         """Return where callers of an availability zone may connect.
 
         All voters name the same ones to a zone, and the same ones again: a
@@ -74,6 +87,9 @@
 
         :param zone: the caller's
         :param most: addresses that a caller takes; all by default
+        :param region: the caller's
+        :param homes: regions that may see its requests, besides its own;
+            ``None`` for all
         :returns: addresses; empty while this voter is still learning
         """
         now = self._clock.monotonic()
@@ -82,10 +98,28 @@
         ready = [e for e in self._entries.values() if e.beat.ready]
         alive = [e for e in ready if now - e.heard < ALIVE_SECONDS]
         beats = [entry.beat for entry in alive or ready]
+        beats = self._keep_allowed(beats, region, homes)
         if most is None or len(beats) <= most:
             return [beat.address for beat in beats]
         return _select(beats, zone, most, now)
 
+    def _keep_allowed(
+        self,
+        beats: list[EntryBeat],
+        region: str,
+        homes: frozenset[str] | None,
+    ) -> list[EntryBeat]:
+        """Leave out entries that must not see a caller's requests.
+
+        Where none is left, any entry is better than none: it refuses what
+        no target may serve, and a caller without addresses is told nothing.
+        """
+        if homes is None:
+            return beats
+        allowed = homes | {region}
+        kept = [b for b in beats if self._regions.get(b.zone) in allowed]
+        return kept or beats
+
     def channels(self, without: str = "") -> list[Channel]:
         """Return the links to entries, for what they are told at once.
 
--- a/packages/gateway/src/chivepier/gateway/control/knownstate.py
+++ b/packages/gateway/src/chivepier/gateway/control/knownstate.py
@@ -15,6 +15,7 @@
 from chivepier.gateway.quarantine import Ledger
 from chivepier.gateway.quarantine import Life
 from chivepier.gateway.targets import TargetTable
+from chivepier.gateway.zones import ZoneOrder
 from chivepier.state import DamagedError
 from chivepier.state.diskstorage import write_synced
 from chivepier.state.records import pack_record
@@ -71,7 +72,7 @@
             return None
         try:
             payloads, _ = read_records(path.read_bytes(), FILE)
-            version, body, targets, *ends = cbor2.loads(payloads[0])
+            version, body, targets, *rest = cbor2.loads(payloads[0])
         except (DamagedError, IndexError, ValueError, OSError) as error:
             # it spares waiting only; what counts is in the log
             self._log.warn("known_state_unread", error=repr(error))
@@ -79,8 +80,12 @@
         now = self._clock.monotonic()
         for fields in targets:
             self._table.put(unpack_target(TargetRecord(*fields), now))
-        # a file of an earlier release has none
-        for fields in ends[0] if ends else ():
+        # a file of an earlier release has neither of the two
+        ends, orders = (*rest, (), ())[:2]
+        for zone, index, evacuated in orders:
+            order = ZoneOrder(zone, index, evacuated, now)
+            self._table.zones.put(order)
+        for fields in ends:
             digest, instance, born, age, source, how = fields
             life = Life(instance, born)
             self._ledger.add(Ending(digest, life, now - age, source, how))
@@ -133,6 +138,10 @@
             for digest in self._ledger.suspects
             for e in self._ledger.find_endings(digest)
         ]
+        orders = [
+            (order.zone, order.index, order.evacuated)
+            for order in self._table.zones.orders
+        ]
         if held is None:
-            return (-1, b"", targets, ends)
-        return (held.version, held.body, targets, ends)
+            return (-1, b"", targets, ends, orders)
+        return (held.version, held.body, targets, ends, orders)
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/permithub.py
@@ -0,0 +1,54 @@
+"""Leave for entries to send to cold targets."""
+
+from chivepier.gateway.control.leaderlink import LeaderLink
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.messages import PermitAnswer
+from chivepier.gateway.messages import PermitRequest
+from chivepier.gateway.warmup import PERMIT_SECONDS
+from chivepier.gateway.warmup import PermitLedger
+from chivepier.gateway.warmup import WINDOW_SECONDS
+from chivepier.types import Clock
+from chivepier.wire import LinkError
+
+
+class PermitHub:
+    """Takes entries' questions to the leader, and answers them there.
+
+    Of the voters only the leader permits anything, while it holds its
+    lease: no other one can lead meanwhile. One that has just begun to lead
+    knows nothing of what the one before it permitted, and waits until that
+    has lapsed. Without this, two voters could each give away all that a
+    target bears within the same second.
+
+    :param leader: the way to the leader
+    :param clock: monotonic time
+    :param log: what this process believes
+    """
+
+    def __init__(self, leader: LeaderLink, clock: Clock, log: EventLog):
+        self._leader = leader
+        self._clock = clock
+        self._log = log
+        self._ledger = PermitLedger()
+
+    async def handle(self, request: PermitRequest) -> PermitAnswer:
+        """Answer an entry, or another voter as the leader.
+
+        :param request: for one send to one target
+        """
+        try:
+            return await self._leader.ask(request, PERMIT_SECONDS, self._grant)
+        except (LinkError, TimeoutError) as error:
+            # an answer that comes later is of no use to who asked
+            self._log.info(
+                "permit_unasked", target=request.instance, error=str(error)
+            )
+            return PermitAnswer(False)
+
+    async def _grant(self, request: PermitRequest) -> PermitAnswer:
+        now = self._clock.monotonic()
+        since = self._leader.replica.leads_since()
+        if since is None or now - since < WINDOW_SECONDS:
+            return PermitAnswer(False)
+        granted = self._ledger.grant(request.instance, request.most, now)
+        return PermitAnswer(granted)
--- a/packages/gateway/src/chivepier/gateway/control/registry.py
+++ b/packages/gateway/src/chivepier/gateway/control/registry.py
@@ -16,6 +16,9 @@
 from chivepier.types import Clock
 from chivepier.wire import Links
 
+# Seconds after a zone was taken back in which all that its targets say goes
+# to the entries: three to four of their announcements.
+AWAITED_SECONDS = 5.0
 # Seconds by which a time that was sent as an age may be off: what a message
 # takes between two voters, also where one of them is busy.
 AGE_ERROR = 0.2
@@ -79,7 +82,7 @@
         """
         known = self._table.get(target.instance)
         heard = known.heard if known is not None else None
-        news = self._table.put(target)
+        news = self._table.put(target) or self._is_awaited(target)
         known = self._table.get(target.instance)
         later = heard is None or known.heard > heard + AGE_ERROR
         if not news and not (later and known.born == target.born):
@@ -90,6 +93,16 @@
             _note_last(self._news, target.instance, self.revision)
         return True
 
+    def _is_awaited(self, target: Target) -> bool:
+        """Tell whether entries wait for this word of a target.
+
+        Those of a zone that was taken back count as cold until they speak.
+        Voters and entries learn of that moment some tenths of a second
+        apart, so the next words all go to the entries.
+        """
+        at = self._table.zones.find_readmitted(target.zone)
+        return at is not None and 0 <= target.said - at < AWAITED_SECONDS
+
     def leave(self, instance: str, born: int | None = None) -> None:
         """Take a target's word that it ends.
 
--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -7,6 +7,7 @@
 import time
 
 from chivepier.gateway.config import Configuration
+from chivepier.gateway.config import Service
 from chivepier.gateway.control import Voter
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import Following
@@ -26,12 +27,17 @@
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
+from chivepier.gateway.warmup import ColdBound
+from chivepier.gateway.warmup import Permits
+from chivepier.gateway.zones import Freshness
+from chivepier.gateway.zones import Zones
 from chivepier.standins.cluster import find_port
 from chivepier.types import SystemClock
 from chivepier.wire import Faults
 from chivepier.wire import Links
 
 KEY = "secret-of-tests"
+COLD_SERVICE = Service(name="s", connections=10, cold_rate=10.0)
 
 
 def make_log(name: str) -> EventLog:
@@ -50,7 +56,8 @@
     def __init__(self, name: str, seeds: tuple[str, ...], zone: str = "z"):
         clock, log = SystemClock(), make_log(name)
         self.state = ServingState()
-        self.table = TargetTable(1.0)
+        self.zones = Zones()
+        self.table = TargetTable(1.0, self.zones)
         self.board = LoadBoard(name)
         self.queues = QueueBoard(name, self.board.changed)
         self.budget = RetryBudget(0.2, 100, 10, name)
@@ -63,6 +70,15 @@
             log,
             Metrics(),
         )
+        self.freshness = Freshness(clock)
+        self.permits = Permits(
+            self.zones,
+            ColdBound(),
+            self._ask_permit,
+            clock,
+            log,
+            Metrics(),
+        )
         self.links = Links(name, KEY, self._handle, Faults())
         self.following = Following(
             name=name,
@@ -77,6 +93,7 @@
                 self.board, self.queues, self.budget, self.table, clock
             ),
             suspects=QuarantineExchange(self.quarantine, clock),
+            freshness=self.freshness,
             clock=clock,
             log=log,
         )
@@ -93,6 +110,14 @@
         """The voter that it follows."""
         return self.following.hub
 
+    def stop_beats(self) -> None:
+        """Speak to no voter any more; what these push still comes."""
+
+        async def keep_still(address, voter) -> None:
+            return
+
+        self.following._beat = keep_still
+
     def borrow(self, service: str) -> bool:
         """Take repeats until one of them was lent."""
         now = time.monotonic()
@@ -128,6 +153,14 @@
         """Tell whether this entry holds a request back."""
         return self.quarantine.find_hold(digest) is not None
 
+    async def _ask_permit(self, instance: str, most: int) -> bool:
+        return await self.following.ask_permit(instance, most)
+
+    def is_cold(self, instance: str) -> bool:
+        """Tell whether a target counts as cold here."""
+        target = self.table.get(instance)
+        return self.permits.is_cold(COLD_SERVICE, target, time.monotonic())
+
     def tokens(self, instance: str) -> int:
         """Count the memory that all entries take at a target."""
         return self.board.total(instance, 0.0).tokens
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_permithub.py
@@ -0,0 +1,148 @@
+"""Tests of how much all entries together send to a cold target."""
+
+import asyncio
+import time
+
+import pytest
+
+from chivepier.gateway.config import Service
+from chivepier.gateway.control.tests.fleet import play
+from chivepier.gateway.control.tests.fleet import wait_until
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetState
+from chivepier.gateway.warmup import PermitLedger
+from chivepier.gateway.warmup import WINDOW_SECONDS
+
+RATE = 10
+SERVICE = Service(name="s", connections=10, cold_rate=float(RATE))
+ASKS = 60
+
+
+def make_cold(name: str = "cold") -> Target:
+    """Make a target that has just started."""
+    now = time.monotonic()
+    return Target(
+        instance=name,
+        service="s",
+        address="127.0.0.1:9",
+        zone="z0",
+        state=TargetState.READY,
+        number=1,
+        slots=8,
+        heard=now,
+        warm_at=now + 3600.0,
+    )
+
+
+class Sends:
+    """Everything that entries would send, with the latest moment of each."""
+
+    def __init__(self) -> None:
+        self.moments: list[tuple[float, float]] = []
+
+    async def send(self, follower, target: Target) -> bool:
+        """Take leave for one send."""
+        began = time.monotonic()
+        permit = await follower.permits.take(SERVICE, target)
+        if permit is None:
+            return False
+        self.moments.append((began, permit.until))
+        return True
+
+    def count_busiest_second(self) -> int:
+        """Count what may be sent within one second, however late it is."""
+        return max(
+            sum(began < until + 1.0 for began, until in self.moments[n:])
+            for n in range(len(self.moments))
+        )
+
+
+async def press(follower, target: Target, sends: Sends, count: int) -> None:
+    """Let one entry want to send again and again."""
+    for _ in range(count):
+        await sends.send(follower, target)
+        await asyncio.sleep(0.02)
+
+
+async def warm_up(sends: Sends, follower) -> None:
+    """Return once the leader permits anything."""
+    spare = make_cold("spare")
+    while not await sends.send(follower, spare):
+        await asyncio.sleep(0.05)
+    sends.moments.clear()
+
+
+@pytest.mark.parametrize("entries", (1, 7, 75))
+def test_all_entries_together_keep_to_the_bound(tmp_path, entries):
+    # Each entry saw a target with room that had just started, and all sent
+    # there at once: it crashed at a rate well above what it bears cold.
+    async def test(fleet):
+        followers = await fleet.follow_many(entries)
+        sends, target = Sends(), make_cold()
+        await warm_up(sends, followers[0])
+        count = max(2, 4 * ASKS // entries)
+        await asyncio.gather(
+            *(press(f, target, sends, count) for f in followers)
+        )
+        assert RATE <= len(sends.moments)
+        # what was asked for within a window is bounded, and each permit
+        # lapses; so no second of sends holds more
+        times = sorted(began for began, _ in sends.moments)
+        for first in range(len(times) - RATE):
+            assert times[first + RATE] - times[first] > 1.0
+
+    play(test, tmp_path)
+
+
+def test_entry_without_a_leader_sends_nothing_to_cold_targets(tmp_path):
+    # Cut off, an entry knows nothing of what the others send.
+    async def test(fleet):
+        follower = await fleet.follow("e1")
+        await wait_until(lambda: follower.hub is not None)
+        sends = Sends()
+        await warm_up(sends, follower)
+        for address in fleet.seeds[1:]:
+            await fleet.stop(address)
+        while await sends.send(follower, make_cold("other")):
+            # the leader's lease may last for a moment more
+            await asyncio.sleep(0.05)
+        assert not await sends.send(follower, make_cold("third"))
+
+    play(test, tmp_path)
+
+
+def test_new_leader_waits_until_permits_of_the_last_have_lapsed(tmp_path):
+    # The leader had given away all that a target bears, and was lost; the
+    # next one knew nothing of that and gave it away again at once.
+    async def test(fleet):
+        followers = await fleet.follow_many(3)
+        sends, target = Sends(), make_cold()
+        await warm_up(sends, followers[0])
+        tasks = [
+            asyncio.create_task(press(f, target, sends, 250))
+            for f in followers
+        ]
+        await wait_until(lambda: len(sends.moments) >= RATE)
+        leader = fleet.find_leader()
+        address = next(a for a, v in fleet.voters.items() if v is leader)
+        before = len(sends.moments)
+        await fleet.stop(address)
+        await wait_until(lambda: len(sends.moments) > before)
+        for task in tasks:
+            task.cancel()
+        times = sorted(began for began, _ in sends.moments)
+        for first in range(len(times) - RATE):
+            assert times[first + RATE] - times[first] > 1.0
+
+    play(test, tmp_path)
+
+
+def test_ledger_counts_the_window_and_forgets_targets():
+    ledger = PermitLedger()
+    granted = [ledger.grant("i1", 3, 0.1 * n) for n in range(5)]
+    assert granted == [True, True, True, False, False]
+    assert ledger.grant("i2", 1, 0.5)
+    assert not ledger.grant("i1", 3, WINDOW_SECONDS - 0.01)
+    assert ledger.grant("i1", 3, WINDOW_SECONDS + 0.01)
+    ledger.grant("i3", 1, 60.0)
+    assert ledger.count_targets() == 1
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_zonestore.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_zonestore.py
@@ -20,7 +20,7 @@
     async def test(fleet):
         followers = await fleet.follow_many(7)
         for follower in followers:
-            follower.following.pause_beats()
+            follower.stop_beats()
         await order(fleet.voters[fleet.seeds[1]], "z0", True)
         for follower in followers:
             await wait_until(lambda f=follower: f.zones.is_evacuated("z0"))
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -7,11 +7,16 @@
 from chivepier.gateway.control.configstore import ConfigStore
 from chivepier.gateway.control.entrydirectory import EntryDirectory
 from chivepier.gateway.control.founding import open_folder
+from chivepier.gateway.control.homes import DecodeHomes
+from chivepier.gateway.control.homes import HomeIndex
 from chivepier.gateway.control.knownstate import KnownState
+from chivepier.gateway.control.leaderlink import LeaderLink
 from chivepier.gateway.control.loadhub import LoadHub
+from chivepier.gateway.control.permithub import PermitHub
 from chivepier.gateway.control.quarantinehub import QuarantineHub
 from chivepier.gateway.control.registry import Registry
 from chivepier.gateway.control.seats import Seats
+from chivepier.gateway.control.zonestore import ZoneStore
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import Peers
 from chivepier.gateway.messages import ConfigNotice
@@ -21,11 +26,17 @@
 from chivepier.gateway.messages import JoinRequest
 from chivepier.gateway.messages import LoadDigest
 from chivepier.gateway.messages import LoadNotice
+from chivepier.gateway.messages import PermitRequest
 from chivepier.gateway.messages import QuarantineNotice
 from chivepier.gateway.messages import TargetNotice
 from chivepier.gateway.messages import WriteRequest
+from chivepier.gateway.messages import ZoneNotice
+from chivepier.gateway.messages import ZoneRecord
+from chivepier.gateway.messages import ZoneRequest
 from chivepier.gateway.settings import VoterSettings
 from chivepier.gateway.targets import TargetTable
+from chivepier.gateway.zones import pack_order
+from chivepier.gateway.zones import Zones
 from chivepier.messages import AppendRequest
 from chivepier.messages import SnapshotRequest
 from chivepier.messages import VoteRequest
@@ -52,16 +63,25 @@
     :param settings: from its start
     :param clock: counts suspension too
     :param log: what this process believes
+    :param decode_homes: reads the regions that a configuration allows
     """
 
-    def __init__(self, settings: VoterSettings, clock: Clock, log: EventLog):
+    def __init__(
+        self,
+        settings: VoterSettings,
+        clock: Clock,
+        log: EventLog,
+        decode_homes: DecodeHomes = lambda body: {},
+    ):
+        self._decode_homes = decode_homes
         self._settings = settings
         self._clock = clock
         self._log = log
         self._stack = contextlib.AsyncExitStack()
         self.peers = Peers(settings.seeds)
-        self.entries = EntryDirectory(clock)
-        self.table = TargetTable(settings.beat)
+        self.entries = EntryDirectory(clock, settings.regions)
+        self.zones = Zones(settings.regions)
+        self.table = TargetTable(settings.beat, self.zones)
         self.quarantine = QuarantineHub(self._find_followers, clock, log)
         self._known = KnownState(
             settings.folder, self.table, self.quarantine.ledger, clock, log
@@ -69,6 +89,9 @@
         self.loads: LoadHub | None = None
         self.replica: Replica | None = None
         self.store: ConfigStore | None = None
+        self.orders: ZoneStore | None = None
+        self.permits: PermitHub | None = None
+        self.homes: HomeIndex | None = None
         self.registry: Registry | None = None
         self.seats: Seats | None = None
 
@@ -100,6 +123,8 @@
             identity.cluster,
         )
         self._assemble(links)
+        self.orders.presume(storage.entries)
+        self.orders.follow()
         await self._stack.enter_async_context(links)
         await self._stack.enter_async_context(self.replica)
         await self._stack.enter_async_context(server)
@@ -128,7 +153,11 @@
     def _assemble(self, links: Links) -> None:
         me = self._settings.address
         clock, log, peers = self._clock, self._log, self.peers
-        self.store = ConfigStore(self.replica, links, clock, log)
+        leader = LeaderLink(self.replica, links)
+        self.store = ConfigStore(leader, clock, log)
+        self.orders = ZoneStore(leader, self.zones, clock, log)
+        self.permits = PermitHub(leader, clock, log)
+        self.homes = HomeIndex(self.store, self._decode_homes)
         self.store.use_known(self._known.load())
         self.registry = Registry(
             me, self.table, self.entries, links, peers, clock, log
@@ -154,6 +183,10 @@
                 return self.loads.take_digest(message)
             case ConfigRequest() | WriteRequest():
                 return self.store.handle(message)
+            case ZoneRequest():
+                return self.orders.handle(message)
+            case PermitRequest():
+                return self.permits.handle(message)
             case JoinRequest():
                 return self.seats.handle(message)
             case other:
@@ -195,12 +228,36 @@
             self.quarantine.ledger.revision,
             missing.endings,
             missing.clearances,
+            self._find_orders(beat.orders),
+            self.orders.find_presumed(),
         )
 
+    def _find_orders(self, index: int) -> tuple[ZoneRecord, ...]:
+        """Return all orders about zones, where one lacks any."""
+        if self.zones.newest <= index:
+            return ()
+        now = self._clock.monotonic()
+        return tuple(pack_order(order, now) for order in self.zones.orders)
+
+    def knows_zone(self, zone: str) -> bool:
+        """Tell whether the settings or a target name a zone."""
+        if self.zones.knows(zone):
+            return True
+        return any(target.zone == zone for target in self.table)
+
+    def now(self) -> float:
+        """Return this voter's monotonic seconds."""
+        return self._clock.monotonic()
+
     async def _announce(self) -> None:
-        """Tell the entries of each new configuration at once."""
+        """Tell the entries of each new configuration and order at once."""
         told = -1
         while True:
+            if self.orders.follow():
+                self._known.note_change()
+                notice = ZoneNotice(self._find_orders(-1))
+                for channel in self.entries.channels():
+                    channel.send(notice)
             held = self.store.held()
             if held is not None and held.version > told:
                 told = held.version
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -18,6 +18,7 @@
 from chivepier.gateway.serving import Mover
 from chivepier.gateway.serving import Planner
 from chivepier.gateway.serving import RetryBudget
+from chivepier.gateway.serving import SendGate
 from chivepier.gateway.serving import Serving
 from chivepier.gateway.serving import ServingState
 from chivepier.gateway.serving import TargetPort
@@ -29,6 +30,11 @@
 from chivepier.gateway.targets import TargetHealth
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
+from chivepier.gateway.warmup import ColdBound
+from chivepier.gateway.warmup import Permits
+from chivepier.gateway.zones import Freshness
+from chivepier.gateway.zones import ZoneOrder
+from chivepier.gateway.zones import Zones
 from chivepier.types import Clock
 from chivepier.wire import Faults
 from chivepier.wire import Links
@@ -76,7 +82,9 @@
         self.bodies = BodyRoom(settings.body_bytes)
         self.state = ServingState()
         self.peers = Peers(settings.seeds)
-        self.table = TargetTable(settings.beat)
+        self.zones = Zones(settings.regions)
+        self.zones.watchers.append(self._note_order)
+        self.table = TargetTable(settings.beat, self.zones)
         self.health = TargetHealth()
         self.board = LoadBoard(settings.name)
         self.queues = QueueBoard(settings.name, self.board.changed)
@@ -93,6 +101,16 @@
             self.metrics,
         )
         guard = Guard(self.quarantine, clock)
+        freshness = Freshness(clock)
+        permits = Permits(
+            self.zones,
+            ColdBound(settings.cold_excess, settings.cold_slack),
+            self._ask_permit,
+            clock,
+            log,
+            self.metrics,
+        )
+        gate = SendGate(self.zones, permits, freshness, clock)
         self.mover = Mover(
             port,
             chooser,
@@ -129,6 +147,7 @@
                 self.board, self.queues, budget, self.table, clock
             ),
             suspects=QuarantineExchange(self.quarantine, clock),
+            freshness=freshness,
             clock=clock,
             log=log,
         )
@@ -143,6 +162,7 @@
             port=port,
             budget=budget,
             guard=guard,
+            gate=gate,
             clock=clock,
             log=log,
         )
@@ -166,6 +186,19 @@
     def _handle(self, message, channel):
         return self.following.handle(message, channel)
 
+    async def _ask_permit(self, instance: str, most: int) -> bool:
+        return await self.following.ask_permit(instance, most)
+
+    def _note_order(self, order: ZoneOrder) -> None:
+        self.metrics.note_zone(order.zone, order.evacuated)
+        self._log.info(
+            "evacuation_in_force",
+            zone=order.zone,
+            evacuated=order.evacuated,
+            index=order.index,
+            age_ms=round(1000 * (self._clock.monotonic() - order.since)),
+        )
+
     def _note_target(self, target: Target, before: TargetState | None) -> None:
         if target.state is TargetState.GONE:
             self._forget(target)
--- a/packages/gateway/src/chivepier/gateway/following/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -17,11 +17,18 @@
 from chivepier.gateway.messages import EntryBeat
 from chivepier.gateway.messages import EntryBeatAnswer
 from chivepier.gateway.messages import LoadNotice
+from chivepier.gateway.messages import PermitRequest
 from chivepier.gateway.messages import QuarantineNotice
 from chivepier.gateway.messages import TargetNotice
 from chivepier.gateway.messages import TargetRecord
+from chivepier.gateway.messages import ZoneNotice
+from chivepier.gateway.messages import ZoneRecord
 from chivepier.gateway.serving import ServingState
 from chivepier.gateway.targets import TargetTable
+from chivepier.gateway.warmup import PERMIT_SECONDS
+from chivepier.gateway.zones import Freshness
+from chivepier.gateway.zones import PRESUMED_SECONDS
+from chivepier.gateway.zones import unpack_order
 from chivepier.types import Clock
 from chivepier.wire import Channel
 from chivepier.wire import LinkError
@@ -66,6 +73,7 @@
     :param table: is given the targets
     :param loads: tells what runs here, and is told what runs elsewhere
     :param suspects: the same for requests that end targets
+    :param freshness: is told of each word of a voter
     :param clock: monotonic time
     :param log: what this process believes
     """
@@ -83,6 +91,7 @@
         table: TargetTable,
         loads: LoadExchange,
         suspects: QuarantineExchange,
+        freshness: Freshness,
         clock: Clock,
         log: EventLog,
     ):
@@ -100,6 +109,9 @@
         self._hub = HubChoice(zone, clock)
         self._loads = loads
         self._suspects = suspects
+        self._freshness = freshness
+        freshness.ask = self._beat_all
+        self._orders = -1
         self._tasks: list[asyncio.Task] = []
         self._beats: set[asyncio.Task] = set()
         self.leaving = False
@@ -154,6 +166,8 @@
                     self._loads.merge(message)
             case QuarantineNotice():
                 self._suspects.take(message)
+            case ZoneNotice(records=records):
+                self._take_orders(records)
             case ConfigNotice(version=version):
                 self._configs.note(channel.peer, version)
             case other:
@@ -184,6 +198,29 @@
                 if voter.alive:
                     self._beat_now(address, voter)
 
+    def _beat_all(self) -> None:
+        for address, voter in self._voters.items():
+            self._beat_now(address, voter)
+
+    async def ask_permit(self, instance: str, most: int) -> bool:
+        """Ask for one send to a cold target.
+
+        :param instance: the target's
+        :param most: sends that it bears within a second
+        :returns: whether it is permitted; not where nobody answers in time
+        """
+        if self._hub.address is None:
+            return False
+        request = PermitRequest(instance, most)
+        try:
+            answer = await self._links.request(
+                self._hub.address, request, PERMIT_SECONDS
+            )
+        except LinkError as error:
+            self._log.warn("permit_lost", target=instance, error=str(error))
+            return False
+        return answer.granted
+
     def _beat_now(self, address: str, voter: _Voter) -> None:
         task = asyncio.create_task(self._beat(address, voter))
         self._beats.add(task)
@@ -205,6 +242,7 @@
             voter.held,
             unconfirmed.endings,
             unconfirmed.clearances,
+            self._orders,
         )
         try:
             answer = await self._links.request(address, beat, ANSWER_SECONDS)
@@ -212,6 +250,10 @@
             self._note(address, voter, False, str(error))
             return
         self._note(address, voter, True, "")
+        # before what is sent by it: requests may wait for this word
+        self._take_orders(answer.orders)
+        self._take_presumed(answer.presumed)
+        self._freshness.note_word()
         self._take_suspects(voter, answer)
         # a voter that started anew since holds nothing of what earlier beats
         # told it, and several may be under way: only this one's own telling of
@@ -243,6 +285,20 @@
             self._peers.learn(answer.voters)
         self._configs.note(address, answer.version)
 
+    def _take_orders(self, records: tuple[ZoneRecord, ...]) -> None:
+        now = self._clock.monotonic()
+        zones = self._table.zones
+        for record in records:
+            zones.put(unpack_order(record, now))
+        # what a voter tells holds all up to its newest
+        newest = max((record.index for record in records), default=-1)
+        self._orders = max(self._orders, newest)
+
+    def _take_presumed(self, names: tuple[str, ...]) -> None:
+        until = self._clock.monotonic() + PRESUMED_SECONDS
+        for zone in names:
+            self._table.zones.presume(zone, until)
+
     def _take_suspects(self, voter: _Voter, answer: EntryBeatAnswer) -> None:
         notice = QuarantineNotice(answer.endings, answer.clearances)
         self._suspects.take(notice)
--- a/packages/gateway/src/chivepier/gateway/messages/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/messages/__init__.py
@@ -12,6 +12,8 @@
 from chivepier.gateway.messages.loaddigest import LoadDigest
 from chivepier.gateway.messages.loadnotice import LoadNotice
 from chivepier.gateway.messages.loadrecord import LoadRecord
+from chivepier.gateway.messages.permitanswer import PermitAnswer
+from chivepier.gateway.messages.permitrequest import PermitRequest
 from chivepier.gateway.messages.quarantinenotice import QuarantineNotice
 from chivepier.gateway.messages.queuerecord import QueueRecord
 from chivepier.gateway.messages.repeatrecord import RepeatRecord
@@ -19,6 +21,10 @@
 from chivepier.gateway.messages.targetrecord import TargetRecord
 from chivepier.gateway.messages.writeanswer import WriteAnswer
 from chivepier.gateway.messages.writerequest import WriteRequest
+from chivepier.gateway.messages.zoneanswer import ZoneAnswer
+from chivepier.gateway.messages.zonenotice import ZoneNotice
+from chivepier.gateway.messages.zonerecord import ZoneRecord
+from chivepier.gateway.messages.zonerequest import ZoneRequest
 
 __all__ = [
     "ClearanceRecord",
@@ -33,6 +39,8 @@
     "LoadDigest",
     "LoadNotice",
     "LoadRecord",
+    "PermitAnswer",
+    "PermitRequest",
     "QuarantineNotice",
     "QueueRecord",
     "RepeatRecord",
@@ -40,4 +48,8 @@
     "TargetRecord",
     "WriteAnswer",
     "WriteRequest",
+    "ZoneAnswer",
+    "ZoneNotice",
+    "ZoneRecord",
+    "ZoneRequest",
 ]
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
@@ -13,7 +13,8 @@
     voter's start named by ``epoch``. ``follows``: this voter is the one that
     tells it what runs elsewhere and which targets were heard. ``held`` counts
     what it has of this voter's quarantine; ``endings`` and ``clearances`` are
-    what it saw itself and this voter has not confirmed yet.
+    what it saw itself and this voter has not confirmed yet. ``orders`` is the
+    log index up to which it has all orders about availability zones.
     """
 
     node: str
@@ -27,3 +28,4 @@
     held: int = 0
     endings: tuple[EndingRecord, ...] = ()
     clearances: tuple[ClearanceRecord, ...] = ()
+    orders: int = -1
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
@@ -3,6 +3,7 @@
 from chivepier.gateway.messages.clearancerecord import ClearanceRecord
 from chivepier.gateway.messages.endingrecord import EndingRecord
 from chivepier.gateway.messages.targetrecord import TargetRecord
+from chivepier.gateway.messages.zonerecord import ZoneRecord
 from chivepier.messages.registry import message
 
 
@@ -15,7 +16,10 @@
     budgets. ``heard`` names targets that said nothing new, but live. ``hears``
     is how many voters this one hears, ``group`` the first of these by
     address, itself included. ``endings`` and ``clearances`` are what it lacks
-    of requests that end targets, up to the revision ``held``.
+    of requests that end targets, up to the revision ``held``. ``orders`` are
+    those about availability zones, empty where it has them all; ``presumed``
+    names zones that may be evacuated by an order whose outcome this voter
+    does not know yet.
     """
 
     epoch: str
@@ -31,3 +35,5 @@
     held: int = 0
     endings: tuple[EndingRecord, ...] = ()
     clearances: tuple[ClearanceRecord, ...] = ()
+    orders: tuple[ZoneRecord, ...] = ()
+    presumed: tuple[str, ...] = ()
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/messages/zonenotice.py
@@ -0,0 +1,11 @@
+"""The ZoneNotice message."""
+
+from chivepier.gateway.messages.zonerecord import ZoneRecord
+from chivepier.messages.registry import message
+
+
+@message(170)
+class ZoneNotice:
+    """The last order about each availability zone that ever had one."""
+
+    records: tuple[ZoneRecord, ...]
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -16,6 +16,7 @@
 LOAD_SECONDS = 3.0
 # Observations that wait for it at most; the rest is counted as dropped.
 MOST_EARLY = 5_000
+COUNTERS = ("requests", "moves", "quarantine", "permits")
 
 
 class Metrics:
@@ -100,6 +101,21 @@
         """
         self._note("quarantine", (event,), 1.0)
 
+    def note_permit(self, answer: str) -> None:
+        """Count an answer to the question for a send to a cold target.
+
+        :param answer: ``granted`` or ``refused``
+        """
+        self._note("permits", (answer,), 1.0)
+
+    def note_zone(self, zone: str, evacuated: bool) -> None:
+        """Set whether an availability zone is evacuated.
+
+        :param zone: its name
+        :param evacuated: whether nothing new is sent there
+        """
+        self._note("zones", (zone,), float(evacuated))
+
     def _bound(self, team: str) -> str:
         if team not in self._teams:
             if len(self._teams) >= MOST_TEAMS:
@@ -117,8 +133,10 @@
 
     def _feed(self, name: str, labels: tuple, value: float) -> None:
         series = self._series[name].labels(*labels)
-        if name in ("requests", "moves", "quarantine"):
+        if name in COUNTERS:
             series.inc(value)
+        elif name == "zones":
+            series.set(value)
         else:
             series.observe(value)
 
@@ -150,6 +168,18 @@
             ("event",),
             registry=registry,
         ),
+        "permits": library.Counter(
+            "chivepier_cold_permits",
+            "Answers to questions for sends to cold targets.",
+            ("answer",),
+            registry=registry,
+        ),
+        "zones": library.Gauge(
+            "chivepier_zone_evacuated",
+            "Whether nothing new is sent to an availability zone.",
+            ("zone",),
+            registry=registry,
+        ),
         "dropped": library.Counter(
             "chivepier_observations_dropped",
             "Observations left out before the metrics were loaded.",
--- a/packages/gateway/src/chivepier/gateway/quarantine/lossjudge.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/lossjudge.py
@@ -178,6 +178,10 @@
         return task
 
     async def _look(self, life: Life, inquiry: _Inquiry) -> None:
+        now = self._clock.monotonic()
+        if self._table.zones.is_evacuated(inquiry.target.zone, now):
+            # nothing is sent there, not even to see whether it lives
+            return
         found = await self._probe(inquiry.target)
         now = self._clock.monotonic()
         match found:
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -17,6 +17,7 @@
 from chivepier.gateway.serving.planner import Planner
 from chivepier.gateway.serving.prompt import Prompt
 from chivepier.gateway.serving.retrybudget import RetryBudget
+from chivepier.gateway.serving.sendgate import SendGate
 from chivepier.gateway.serving.sendorder import SendOrder
 from chivepier.gateway.serving.serving import Serving
 from chivepier.gateway.serving.servingstate import ServingState
@@ -41,6 +42,7 @@
     "Origin",
     "Prompt",
     "RetryBudget",
+    "SendGate",
     "SendOrder",
     "Serving",
     "ServingState",
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -8,6 +8,7 @@
 from chivepier.gateway.serving.errors import AnswerCutError
 from chivepier.gateway.serving.errors import LostError
 from chivepier.gateway.serving.errors import NoRoomError
+from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.guard import Guard
 from chivepier.gateway.serving.liverun import LiveRun
@@ -17,6 +18,7 @@
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.retrybudget import RetryBudget
 from chivepier.gateway.serving.runwatch import RunWatch
+from chivepier.gateway.serving.sendgate import SendGate
 from chivepier.gateway.serving.sendorder import SendOrder
 from chivepier.gateway.serving.sent import Sent
 from chivepier.gateway.serving.servingstate import ServingState
@@ -27,6 +29,7 @@
 from chivepier.gateway.targets import QueueBoard
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetHealth
+from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
 from chivepier.types import ErrorKind
@@ -66,6 +69,7 @@
     :param port: the protocol towards targets
     :param budget: bounds repeats
     :param guard: keeps back what ends targets
+    :param gate: knows what may be sent where
     :param clock: monotonic time
     :param log: decisions on requests
     """
@@ -83,6 +87,7 @@
         port: TargetPort,
         budget: RetryBudget,
         guard: Guard,
+        gate: SendGate,
         clock: Clock,
         log: EventLog,
     ):
@@ -94,11 +99,12 @@
         self.port = port
         self.budget = budget
         self.guard = guard
+        self.gate = gate
         self.clock = clock
         self.log = log
         self.runs = RunWatch(board, mover, chooser.pace, clock)
         self._placing = Placing(
-            chooser, health, queues, port, guard, clock, log
+            chooser, health, queues, port, guard, gate, clock, log
         )
 
     async def dispatch(self, plan: Plan) -> Sent:
@@ -115,6 +121,7 @@
         while True:
             self._check_time(plan, runs)
             self.guard.check(plan, runs)
+            await self.gate.settle()
             try:
                 place = await self._placing.find(plan, tried)
             except NoRoomError:
@@ -137,7 +144,8 @@
             try:
                 sent = await self._try(plan, place, more)
             except NotSentError as error:
-                self._note_silence(target)
+                if not isinstance(error, NotPermittedError):
+                    self._note_silence(target)
                 self.log.warn(
                     "target_not_sent",
                     id=plan.request.id,
@@ -218,6 +226,7 @@
         answer: TargetAnswer | None = None
         try:
             async with run.bound(seconds) if run else asyncio.timeout(seconds):
+                self.gate.check(target, place.permit)
                 answer = await self.port.send(
                     target, plan.request, self._order(plan, place)
                 )
@@ -353,8 +362,22 @@
     ) -> None:
         if refused and rounds < MOST_ROUNDS:
             return
+        if not runs and self._is_shut_out(plan):
+            text = "its targets' zones are evacuated, or not allowed for it"
+            raise RequestError.of(ErrorKind.NO_TARGET, text)
         raise self._give_up(plan, runs, "no target has room")
 
+    def _is_shut_out(self, plan: Plan) -> bool:
+        """Tell whether operators' orders alone leave it without a target."""
+        now = self.clock.monotonic()
+        service = plan.service.name
+        if self.table.select(service, now, plan.regions):
+            return False
+        return any(
+            target.service == service and target.state is TargetState.READY
+            for target in self.table
+        )
+
     def _give_up(self, plan: Plan, runs: int, text: str) -> RequestError:
         if runs:
             return RequestError.of(ErrorKind.TARGET_FAILED, text, Ran.UNKNOWN)
--- a/packages/gateway/src/chivepier/gateway/serving/errors.py
+++ b/packages/gateway/src/chivepier/gateway/serving/errors.py
@@ -5,6 +5,10 @@
     """The request never left this process: it has surely not run."""
 
 
+class NotPermittedError(NotSentError):
+    """The request must not be sent to this target now."""
+
+
 class NoRoomError(Exception):
     """No target had room for as long as the request could wait."""
 
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -228,7 +228,9 @@
         It would else keep a sixth of a target's memory for five seconds,
         and generations there were preempted for it.
         """
-        if copy.origin is not None and copy.target is not run.target:
+        elsewhere = copy.origin is not None and copy.target is not run.target
+        # nothing is sent to a zone that is evacuated; it yields by itself
+        if elsewhere and self._chooser.is_open(copy.target):
             dropped = await self._port.drop(copy.target, copy.origin.handle)
             self._log.info(
                 "copy_dropped",
@@ -240,7 +242,12 @@
     def _pick(self, run: LiveRun, tried: set[str]) -> Target | None:
         engine = run.service.engine
         return self._chooser.choose_destination(
-            run.service.name, engine, run.counted, run.target, tried
+            run.service.name,
+            engine,
+            run.counted,
+            run.target,
+            tried,
+            run.plan.regions,
         )
 
     async def _copy(
--- a/packages/gateway/src/chivepier/gateway/serving/place.py
+++ b/packages/gateway/src/chivepier/gateway/serving/place.py
@@ -3,6 +3,7 @@
 import attrs
 
 from chivepier.gateway.targets import Target
+from chivepier.gateway.warmup import Permit
 
 
 @attrs.frozen
@@ -11,7 +12,9 @@
 
     :param target: the target
     :param reservation: of room there, if one was had
+    :param permit: to send it
     """
 
     target: Target
     reservation: str | None = None
+    permit: Permit = Permit()
--- a/packages/gateway/src/chivepier/gateway/serving/placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placing.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.serving.place import Place
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.queueticket import QueueTicket
+from chivepier.gateway.serving.sendgate import SendGate
 from chivepier.gateway.serving.targetport import TargetPort
 from chivepier.gateway.serving.waiting import find_rank
 from chivepier.gateway.serving.waiting import find_stage
@@ -44,6 +45,7 @@
     :param queues: what waits at all entries
     :param port: the protocol towards targets
     :param guard: knows what must not be sent
+    :param gate: knows what may be sent where
     :param clock: monotonic time
     :param log: decisions on requests
     """
@@ -55,6 +57,7 @@
         queues: QueueBoard,
         port: TargetPort,
         guard: Guard,
+        gate: SendGate,
         clock: Clock,
         log: EventLog,
     ):
@@ -63,6 +66,7 @@
         self._queues = queues
         self._port = port
         self._guard = guard
+        self._gate = gate
         self._clock = clock
         self._log = log
 
@@ -77,8 +81,7 @@
         """
         engine = plan.service.engine
         if plan.demand is None or engine is None or not engine.reserve_seconds:
-            ranked = self._rank(plan, tried)
-            return Place(ranked[0]) if ranked else None
+            return await self._find_permitted(plan, tried)
         with QueueTicket(self._queues, plan.service.name) as ticket:
             while self._rank(plan, tried) and not self._guard.holds(plan):
                 stage = self._find_stage(plan)
@@ -86,13 +89,33 @@
                     self._log.info("no_room", id=plan.request.id)
                     raise NoRoomError
                 for target in self._select(plan, stage, tried):
-                    reservation = await self._reserve(plan, target)
-                    if reservation is not None:
-                        return Place(target, reservation)
+                    place = await self._take_place(plan, target)
+                    if place is not None:
+                        return place
                 ticket.wait(find_rank(plan, stage))
                 await self._clock.sleep(ROUND_PAUSE)
+                await self._gate.settle()
         return None
 
+    async def _find_permitted(
+        self, plan: Plan, tried: set[str]
+    ) -> Place | None:
+        for target in self._rank(plan, tried):
+            permit = await self._gate.take_permit(plan.service, target)
+            if permit is not None:
+                return Place(target, None, permit)
+            tried.add(target.instance)
+        return None
+
+    async def _take_place(self, plan: Plan, target: Target) -> Place | None:
+        permit = await self._gate.take_permit(plan.service, target)
+        if permit is None:
+            return None
+        reservation = await self._reserve(plan, target)
+        if reservation is None:
+            return None
+        return Place(target, reservation, permit)
+
     def _find_stage(self, plan: Plan) -> Stage:
         reading = self._chooser.pace.estimate(
             plan.service.name, plan.demand.prompt
@@ -119,7 +142,7 @@
         ahead = self._queues.ahead(service.name, rank, now)
         ahead += self._chooser.count_leaving(service.name)
         places = self._chooser.count_places(
-            service.name, service.engine, plan.demand
+            service.name, service.engine, plan.demand, plan.regions
         )
         return places > ahead
 
@@ -128,7 +151,12 @@
     ) -> list[Target]:
         service = plan.service
         return self._chooser.rank(
-            service.name, service.engine, plan.demand, tried, roomy=roomy
+            service.name,
+            service.engine,
+            plan.demand,
+            tried,
+            roomy=roomy,
+            regions=plan.regions,
         )
 
     async def _reserve(self, plan: Plan, target: Target) -> str | None:
--- a/packages/gateway/src/chivepier/gateway/serving/plan.py
+++ b/packages/gateway/src/chivepier/gateway/serving/plan.py
@@ -18,6 +18,7 @@
 
     :param deadline: when it must be answered, in monotonic seconds
     :param demand: set for generations
+    :param regions: that it may reach; ``None`` for all
     """
 
     request: CallerRequest
@@ -27,6 +28,7 @@
     urgency: int
     deadline: float
     demand: Demand | None
+    regions: frozenset[str] | None = None
 
     @property
     def repeatable(self) -> bool:
--- a/packages/gateway/src/chivepier/gateway/serving/planner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/planner.py
@@ -51,6 +51,7 @@
             urgency=urgency,
             deadline=min(request.deadline, request.arrived + route.timeout),
             demand=_measure(request, route),
+            regions=_find_regions(route, team),
         )
 
     def _find_team(
@@ -71,6 +72,13 @@
         return index.services[names[0]]
 
 
+def _find_regions(route: Route, team: Team | None) -> frozenset[str] | None:
+    """Return the regions that both the route and the team allow."""
+    bounds = [route.regions, team.regions if team else None]
+    given = [bound for bound in bounds if bound is not None]
+    return frozenset.intersection(*given) if given else None
+
+
 def _measure(request: CallerRequest, route: Route) -> Demand | None:
     prompt = request.prompt
     if prompt is None:
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -231,20 +231,33 @@
         if run.handoff is not None:
             handoff = await self._await_handoff(run)
             if handoff is not None:
-                found.append(handoff)
+                found.append(self._correct(run, handoff))
         if self._plan.repeatable:
             anew = self._choose_anew(run)
             if anew is not None:
                 found.append(anew)
         return found
 
+    def _correct(self, run: LiveRun, handoff: Handoff) -> Handoff:
+        """Go on at the source where the copy lies in an evacuated zone.
+
+        It was stopped there for the move, and keeps the memory.
+        """
+        if self._dispatcher.gate.may_go_on(handoff.target):
+            return handoff
+        return Handoff(run.target, handoff.origin)
+
     def _choose_anew(self, run: LiveRun) -> Handoff | None:
         dispatcher, plan = self._dispatcher, self._plan
         if dispatcher.guard.holds(plan) or not dispatcher.take_repeat(plan):
             return None
         service = plan.service
         target = dispatcher.chooser.choose(
-            service.name, service.engine, plan.demand, {run.target.instance}
+            service.name,
+            service.engine,
+            plan.demand,
+            {run.target.instance},
+            plan.regions,
         )
         return Handoff(target, None) if target is not None else None
 
@@ -252,6 +265,7 @@
         self, run: LiveRun, handoff: Handoff, sent: Sent
     ) -> Sent | None:
         dispatcher, plan = self._dispatcher, self._plan
+        await dispatcher.gate.take_leave(plan.service, handoff.target)
         order = SendOrder(
             seconds=plan.deadline - dispatcher.clock.monotonic(),
             team=plan.team,
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/sendgate.py
@@ -0,0 +1,93 @@
+"""What must hold before anything is sent to a target."""
+
+from chivepier.gateway.config import Service
+from chivepier.gateway.serving.errors import NotPermittedError
+from chivepier.gateway.targets import Target
+from chivepier.gateway.warmup import Permit
+from chivepier.gateway.warmup import Permits
+from chivepier.gateway.zones import Freshness
+from chivepier.gateway.zones import Zones
+from chivepier.types import Clock
+
+# Seconds after an evacuation in which a generation may still go on at a copy
+# that was made there: stopped at its source, it would be lost. An operator's
+# shortest bound is some seconds, and a move takes half of one.
+GOING_ON_SECONDS = 1.0
+# Seconds for which a generation that goes on elsewhere waits for leave: its
+# caller sees a pause, and without it the generation is lost.
+LEAVE_SECONDS = 1.0
+LEAVE_PAUSE = 0.05
+
+
+class SendGate:
+    """Knows where nothing new may go, and what cold targets may be sent.
+
+    :param zones: which zones are evacuated
+    :param permits: to send to cold targets
+    :param freshness: whether orders are known recently enough
+    :param clock: monotonic time
+    """
+
+    def __init__(
+        self,
+        zones: Zones,
+        permits: Permits,
+        freshness: Freshness,
+        clock: Clock,
+    ):
+        self._zones = zones
+        self._permits = permits
+        self._freshness = freshness
+        self._clock = clock
+
+    async def settle(self) -> None:
+        """Return once what is known of orders is recent, or can't be."""
+        await self._freshness.wait()
+
+    async def take_permit(
+        self, service: Service, target: Target
+    ) -> Permit | None:
+        """Return leave to send one request; ``None`` without it."""
+        return await self._permits.take(service, target)
+
+    def check(self, target: Target, permit: Permit) -> None:
+        """Look once more, right before a request is sent.
+
+        What waited for room, or for a reservation, may meanwhile be meant
+        for a zone that is evacuated.
+
+        :param target: where it is to go
+        :param permit: that was taken for it
+        :raises NotPermittedError: when it must not be sent there now
+        """
+        now = self._clock.monotonic()
+        if self._zones.is_evacuated(target.zone, now):
+            raise NotPermittedError(f"{target.zone} is evacuated")
+        if now > permit.until:
+            raise NotPermittedError("the permit has lapsed")
+
+    def may_go_on(self, target: Target) -> bool:
+        """Tell whether a generation may go on at a copy at a target."""
+        now = self._clock.monotonic()
+        if not self._zones.is_evacuated(target.zone, now):
+            return True
+        order = self._zones.find_order(target.zone)
+        if order is None or not order.evacuated:
+            return False
+        return now - order.since < GOING_ON_SECONDS
+
+    async def take_leave(self, service: Service, target: Target) -> None:
+        """Wait for leave to send a generation that goes on at a target.
+
+        :raises NotPermittedError: without it
+        """
+        await self.settle()
+        end = self._clock.monotonic() + LEAVE_SECONDS
+        while self.may_go_on(target):
+            permit = await self.take_permit(service, target)
+            if permit is not None:
+                return
+            if self._clock.monotonic() >= end:
+                break
+            await self._clock.sleep(LEAVE_PAUSE)
+        raise NotPermittedError("no leave to go on there")
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -31,6 +31,7 @@
 from chivepier.gateway.serving import Planner
 from chivepier.gateway.serving import Prompt
 from chivepier.gateway.serving import RetryBudget
+from chivepier.gateway.serving import SendGate
 from chivepier.gateway.serving import Serving
 from chivepier.gateway.serving import ServingState
 from chivepier.gateway.serving.tests.fakeengines import FakeAnswer
@@ -43,10 +44,16 @@
 from chivepier.gateway.targets import TargetHealth
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
+from chivepier.gateway.warmup import ColdBound
+from chivepier.gateway.warmup import Permits
+from chivepier.gateway.zones import Freshness
+from chivepier.gateway.zones import ZoneOrder
+from chivepier.gateway.zones import Zones
 from chivepier.types import Failure
 from chivepier.types import RequestError
 from chivepier.types import SystemClock
 
+REGIONS = {"a": "north", "b": "north", "c": "south"}
 ENGINE = Engine(
     slots=8,
     memory_tokens=100_000,
@@ -108,7 +115,8 @@
 
     def __init__(self, *names: str, engine: Engine = ENGINE):
         self.engines = FakeEngines()
-        self.table = TargetTable(1.0)
+        self.zones = Zones(REGIONS)
+        self.table = TargetTable(1.0, self.zones)
         self.board = LoadBoard("e1")
         self.queues = QueueBoard("e1", self.board.changed)
         self.health = TargetHealth()
@@ -128,6 +136,18 @@
             Metrics(),
         )
         guard = Guard(self.quarantine, clock)
+        self.permitted = True
+        self.asked: list[tuple[str, int]] = []
+        permits = Permits(
+            self.zones,
+            ColdBound(1.5, 5.0),
+            self._answer_permit,
+            clock,
+            log,
+            Metrics(),
+        )
+        self.freshness = Freshness(clock)
+        gate = SendGate(self.zones, permits, self.freshness, clock)
         self.mover = Mover(
             self.engines,
             chooser,
@@ -152,6 +172,7 @@
             port=self.engines,
             budget=self.budget,
             guard=guard,
+            gate=gate,
             clock=clock,
             log=log,
         )
@@ -165,6 +186,18 @@
             self.table.put(make_target(name, "llm"))
             self.table.put(make_target(f"w-{name}", "web"))
 
+    async def _answer_permit(self, instance: str, most: int) -> bool:
+        self.asked.append((instance, most))
+        return self.permitted
+
+    def evacuate(self, zone: str, index: int = 1) -> None:
+        """Let an operator's order about a zone come into force."""
+        self.zones.put(ZoneOrder(zone, index, True, time.monotonic()))
+
+    def readmit(self, zone: str, index: int = 2) -> None:
+        """Let a zone be taken back."""
+        self.zones.put(ZoneOrder(zone, index, False, time.monotonic()))
+
     def configure(self, engine: Engine = ENGINE, **changes) -> None:
         """Put a configuration in force."""
         fields = {
--- a/packages/gateway/src/chivepier/gateway/settings/entrysettings.py
+++ b/packages/gateway/src/chivepier/gateway/settings/entrysettings.py
@@ -1,5 +1,7 @@
 """Settings of an entry."""
 
+import collections.abc
+
 import attrs
 
 from chivepier.gateway.quarantine import Orders
@@ -23,6 +25,9 @@
     :param repeat_window: in which both are counted, in seconds
     :param grace: seconds from the order to stop until it is killed
     :param body_bytes: that the bodies of all requests may take together
+    :param regions: of the availability zones, by their names
+    :param cold_excess: factor on the rate that a cold target bears
+    :param cold_slack: requests in a second above that
     :param orders: requests that are let through or kept out
     """
 
@@ -38,3 +43,6 @@
     grace: float
     body_bytes: int = USUAL_BODY_BYTES
     orders: Orders = Orders()
+    regions: collections.abc.Mapping[str, str] = attrs.Factory(dict)
+    cold_excess: float = 1.0
+    cold_slack: float = 0.0
--- a/packages/gateway/src/chivepier/gateway/settings/votersettings.py
+++ b/packages/gateway/src/chivepier/gateway/settings/votersettings.py
@@ -1,5 +1,6 @@
 """Settings of a voter."""
 
+import collections.abc
 import pathlib
 
 import attrs
@@ -17,6 +18,7 @@
     :param cluster_key: that peers show each other
     :param beat: seconds between a target's announcements
     :param zone: its availability zone
+    :param regions: of the availability zones, by their names
     """
 
     name: str
@@ -27,3 +29,4 @@
     cluster_key: str
     beat: float
     zone: str = ""
+    regions: collections.abc.Mapping[str, str] = attrs.Factory(dict)
--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -101,12 +101,18 @@
         else:
             self._busy.pop(instance, None)
 
+    def is_open(self, target: Target) -> bool:
+        """Tell whether anything may be sent to a target's zone."""
+        now = self._clock.monotonic()
+        return not self._table.zones.is_evacuated(target.zone, now)
+
     def choose(
         self,
         service: str,
         engine: Engine | None,
         demand: Demand | None,
         without: collections.abc.Collection[str] = (),
+        regions: collections.abc.Collection[str] | None = None,
     ) -> Target | None:
         """Pick a target.
 
@@ -114,9 +120,10 @@
         :param engine: set when they run generations
         :param demand: the generation's size, where one is to be run
         :param without: instances that must not be picked
+        :param regions: that the request may reach; ``None`` for all
         :returns: the target; ``None`` when there is none left
         """
-        ranked = self.rank(service, engine, demand, without)
+        ranked = self.rank(service, engine, demand, without, regions=regions)
         return ranked[0] if ranked else None
 
     def rank(
@@ -126,13 +133,14 @@
         demand: Demand | None,
         without: collections.abc.Collection[str] = (),
         roomy: bool = False,
+        regions: collections.abc.Collection[str] | None = None,
     ) -> list[Target]:
         """Order the targets, the best one first; see :meth:`choose`.
 
         :param roomy: whether full targets are left out
         """
         now = self._clock.monotonic()
-        sound = self._select_sound(service, without, now)
+        sound = self._select_sound(service, without, now, regions)
         costs = {
             t.instance: self._cost(t, engine, demand, now)
             for t in sound
@@ -149,8 +157,9 @@
         service: str,
         without: collections.abc.Collection[str],
         now: float,
+        regions: collections.abc.Collection[str] | None,
     ) -> list[Target]:
-        found = self._table.select(service, now)
+        found = self._table.select(service, now, regions)
         candidates = [t for t in found if t.instance not in without]
         if not candidates:
             return []
@@ -164,6 +173,7 @@
         tokens: int,
         source: Target,
         without: collections.abc.Collection[str] = (),
+        regions: collections.abc.Collection[str] | None = None,
     ) -> Target | None:
         """Pick the target that a generation's memory is copied to.
 
@@ -175,12 +185,13 @@
         :param tokens: of the copy
         :param source: where it runs; its availability zone is preferred
         :param without: instances that must not be picked
+        :param regions: that the generation may reach; ``None`` for all
         :returns: the target; ``None`` when none has room
         """
         now = self._clock.monotonic()
         far_cost = FAR_COST * self._board.pending(source.instance, now)
         costs = {}
-        for target in self._select_sound(service, without, now):
+        for target in self._select_sound(service, without, now, regions):
             load = self._board.total(target.instance, now)
             held = (load.tokens + tokens) / engine.memory_tokens
             if held <= FULL_SHARE:
@@ -243,17 +254,22 @@
         return self._board.total(instance, self._clock.monotonic())
 
     def count_places(
-        self, service: str, engine: Engine, demand: Demand
+        self,
+        service: str,
+        engine: Engine,
+        demand: Demand,
+        regions: collections.abc.Collection[str] | None = None,
     ) -> int:
         """Count how many more generations of a size find room.
 
         :param service: whose targets
         :param engine: what they can do
         :param demand: the size of each
+        :param regions: that they may reach; ``None`` for all
         """
         now = self._clock.monotonic()
         places = 0
-        for target in self._table.select(service, now):
+        for target in self._table.select(service, now, regions):
             tokens = self._board.total(target.instance, now).tokens
             spare = max(0.0, FULL_SHARE * engine.memory_tokens - tokens)
             places += int(spare // max(1, demand.soon))
--- a/packages/gateway/src/chivepier/gateway/targets/target.py
+++ b/packages/gateway/src/chivepier/gateway/targets/target.py
@@ -13,7 +13,8 @@
     :param born: Unix milliseconds of its start; with the name it tells one
         life of a target from the next. 0: it does not tell
     :param number: orders the announcements of one life
-    :param heard: when it was announced, in monotonic seconds
+    :param heard: when it was last known to live, in monotonic seconds
+    :param said: when it made this announcement, in monotonic seconds
     :param warm_at: when it works at full speed, in monotonic seconds
     """
 
@@ -27,3 +28,4 @@
     heard: float
     warm_at: float = 0.0
     born: int = 0
+    said: float = attrs.Factory(lambda self: self.heard, takes_self=True)
--- a/packages/gateway/src/chivepier/gateway/targets/targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/targettable.py
@@ -4,6 +4,7 @@
 
 from chivepier.gateway.targets.target import Target
 from chivepier.gateway.targets.targetstate import TargetState
+from chivepier.gateway.zones import Zones
 
 # A target announces itself about every beat; after this many missed ones it
 # has most likely crashed. One or two may be late or lost.
@@ -14,6 +15,10 @@
 # Seconds without a word after which an instance is forgotten.
 KEPT_SILENT = 30.0
 
+# Seconds by which a target's time to be warm must have moved to be news: an
+# announcement that took some tenths of a second on its way says no more.
+COLD_NEWS_SECONDS = 0.3
+
 Watcher = collections.abc.Callable[[Target, TargetState | None], None]
 RestartWatcher = collections.abc.Callable[[Target], None]
 
@@ -22,9 +27,11 @@
     """Merges announcements, whatever way and in whatever order they come.
 
     :param beat: seconds between a target's announcements
+    :param zones: where nothing new may be sent; nowhere by default
     """
 
-    def __init__(self, beat: float):
+    def __init__(self, beat: float, zones: Zones | None = None):
+        self.zones = Zones() if zones is None else zones
         self._patience = beat * MISSED_BEATS
         self._targets: dict[str, Target] = {}
         self.watchers: list[Watcher] = []
@@ -72,7 +79,13 @@
         before = known.state if known else None
         for watcher in self.watchers:
             watcher(target, before)
-        return before is not target.state
+        # a target that became cold since would else be sent what it can't
+        # bear: others than its own voter heard of its state alone
+        colder = known is not None and (
+            target.warm_at > known.warm_at + COLD_NEWS_SECONDS
+            and target.warm_at > target.said
+        )
+        return before is not target.state or colder
 
     def note_heard(
         self, instances: collections.abc.Iterable[str], now: float
@@ -121,7 +134,12 @@
         for watcher in self.watchers:
             watcher(known, before)
 
-    def select(self, service: str, now: float) -> list[Target]:
+    def select(
+        self,
+        service: str,
+        now: float,
+        regions: collections.abc.Collection[str] | None = None,
+    ) -> list[Target]:
         """Return the targets of a service that new work may go to.
 
         Silent ones are left out while any other is heard: when all are
@@ -129,6 +147,7 @@
 
         :param service: its name
         :param now: monotonic seconds
+        :param regions: that the work may reach; ``None`` for all
         :returns: the candidates
         """
         ready = [
@@ -137,7 +156,11 @@
             if target.service == service and target.state is TargetState.READY
         ]
         fresh = [t for t in ready if now - t.heard < self._patience]
-        return fresh or ready
+        return [
+            target
+            for target in fresh or ready
+            if self.zones.is_allowed(target.zone, regions, now)
+        ]
 
     def select_leaving(self, service: str) -> list[Target]:
         """Return the targets of a service that leave but still serve."""
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/warmup/__init__.py
@@ -0,0 +1,17 @@
+"""Bounds on what cold targets are sent, over all entries."""
+
+from chivepier.gateway.warmup.permit import Permit
+from chivepier.gateway.warmup.permit import PERMIT_SECONDS
+from chivepier.gateway.warmup.permitledger import PermitLedger
+from chivepier.gateway.warmup.permitledger import WINDOW_SECONDS
+from chivepier.gateway.warmup.permits import ColdBound
+from chivepier.gateway.warmup.permits import Permits
+
+__all__ = [
+    "ColdBound",
+    "PERMIT_SECONDS",
+    "Permit",
+    "PermitLedger",
+    "Permits",
+    "WINDOW_SECONDS",
+]
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/warmup/permitledger.py
@@ -0,0 +1,55 @@
+"""What one voter has permitted as the leader."""
+
+import collections
+
+from chivepier.gateway.warmup.permit import PERMIT_SECONDS
+
+# Seconds for a connection to a target to stand; what is sent arrives so much
+# later at most. A send whose connection takes longer is given up.
+CONNECT_SECONDS = 0.5
+# Seconds in which no more than one second's bound is permitted. What is
+# permitted is sent within PERMIT_SECONDS after it was asked for, or never,
+# and arrives within CONNECT_SECONDS after that. So what arrives within any
+# one second was permitted within this time, also where an entry stood still
+# with its permit, or two voters led one after the other.
+WINDOW_SECONDS = 1.0 + PERMIT_SECONDS + CONNECT_SECONDS
+
+
+class PermitLedger:
+    """Counts permits by target over a sliding window.
+
+    >>> ledger = PermitLedger()
+    >>> [ledger.grant("i1", 2, now) for now in (0.0, 0.1, 0.2)]
+    [True, True, False]
+    >>> ledger.grant("i1", 2, 0.1 + WINDOW_SECONDS)
+    True
+    """
+
+    def __init__(self) -> None:
+        self._granted: dict[str, collections.deque[float]] = {}
+
+    def grant(self, instance: str, most: int, now: float) -> bool:
+        """Permit one send, if the window has room for it.
+
+        :param instance: the target's
+        :param most: sends that it bears within a second
+        :param now: monotonic seconds
+        """
+        self._expire(now)
+        granted = self._granted.setdefault(instance, collections.deque())
+        if len(granted) >= most:
+            return False
+        granted.append(now)
+        return True
+
+    def count_targets(self) -> int:
+        """Return of how many targets anything is kept."""
+        return len(self._granted)
+
+    def _expire(self, now: float) -> None:
+        # cold targets are few at a time
+        for instance, granted in list(self._granted.items()):
+            while granted and now - granted[0] >= WINDOW_SECONDS:
+                granted.popleft()
+            if not granted:
+                del self._granted[instance]
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/warmup/permits.py
@@ -0,0 +1,133 @@
+"""An entry's leave to send to cold targets."""
+
+import collections.abc
+
+import attrs
+
+from chivepier.gateway.config import Service
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.targets import Target
+from chivepier.gateway.warmup.permit import Permit
+from chivepier.gateway.warmup.permit import PERMIT_SECONDS
+from chivepier.gateway.zones import Zones
+from chivepier.types import Clock
+
+# Seconds after a refusal in which the same target isn't asked for again: it
+# is cold for a second or more, and its window moves on by then.
+REFUSED_SECONDS = 0.1
+
+Ask = collections.abc.Callable[[str, int], collections.abc.Awaitable[bool]]
+
+
+@attrs.frozen
+class ColdBound:
+    """How many sends a cold target bears in a second, over all entries.
+
+    >>> ColdBound(excess=1.5, slack=5.0).count(31.0)
+    51
+
+    :param excess: factor on the rate that its service names
+    :param slack: requests above that
+    """
+
+    excess: float = 1.0
+    slack: float = 0.0
+
+    def count(self, rate: float) -> int:
+        """Return the whole sends in one second; one at least.
+
+        :param rate: requests a second that the service names
+        """
+        return max(1, int(rate * self.excess + self.slack))
+
+
+class Permits:
+    """Asks the leader for each send to a cold target.
+
+    A cold target crashes when all entries together send it more than it
+    bears, and an entry does not know what the others send. Weighed: an
+    equal part for each entry, which is less than one send a second where
+    there are more entries than sends, so that none may send at all or all
+    may send at once; a few entries chosen for each target, which differ
+    while entries know of different others. The leader is one at any time,
+    and what it permits lapses before it is permitted again. Without a
+    leader, entries send nothing to cold targets and use the warm ones.
+
+    :param zones: which zones were taken back, and when
+    :param bound: of all entries together
+    :param ask: asks for one send to an instance
+    :param clock: monotonic time
+    :param log: what this process believes
+    :param metrics: counts answers
+    """
+
+    def __init__(
+        self,
+        zones: Zones,
+        bound: ColdBound,
+        ask: Ask,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+    ):
+        self._zones = zones
+        self._bound = bound
+        self._ask = ask
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._refused: dict[str, float] = {}
+
+    def is_cold(self, service: Service, target: Target, now: float) -> bool:
+        """Tell whether a target may bear less than usual.
+
+        Targets of a zone that was evacuated may have become cold meanwhile:
+        what they said before it was taken back shows nothing of that.
+
+        :param service: the target's
+        :param target: as this node knows it
+        :param now: monotonic seconds
+        """
+        if service.cold_rate <= 0:
+            return False
+        if now < target.warm_at:
+            return True
+        readmitted = self._zones.find_readmitted(target.zone)
+        return readmitted is not None and target.said < readmitted
+
+    async def take(self, service: Service, target: Target) -> Permit | None:
+        """Return leave to send one request to a target now.
+
+        :param service: the target's
+        :param target: where it is to be sent
+        :returns: ``None`` where it must not be sent
+        """
+        now = self._clock.monotonic()
+        if not self.is_cold(service, target, now):
+            return Permit()
+        if now < self._refused.get(target.instance, 0.0):
+            return None
+        granted = await self._ask(
+            target.instance, self._bound.count(service.cold_rate)
+        )
+        self._metrics.note_permit("granted" if granted else "refused")
+        if granted:
+            self._refused.pop(target.instance, None)
+            return Permit(now + PERMIT_SECONDS)
+        self._note_refused(target)
+        return None
+
+    def _note_refused(self, target: Target) -> None:
+        now = self._clock.monotonic()
+        if target.instance not in self._refused:
+            self._log.info(
+                "cold_target_left_out",
+                target=target.instance,
+                warm_s=round(max(0.0, target.warm_at - now), 3),
+                said_s=round(now - target.said, 3),
+            )
+        self._refused[target.instance] = now + REFUSED_SECONDS
+        for instance, until in list(self._refused.items()):
+            if now > until + 1.0:
+                del self._refused[instance]
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/zones/__init__.py
@@ -0,0 +1,17 @@
+"""What operators and settings say of availability zones."""
+
+from chivepier.gateway.zones.freshness import Freshness
+from chivepier.gateway.zones.records import pack_order
+from chivepier.gateway.zones.records import unpack_order
+from chivepier.gateway.zones.zoneorder import ZoneOrder
+from chivepier.gateway.zones.zones import PRESUMED_SECONDS
+from chivepier.gateway.zones.zones import Zones
+
+__all__ = [
+    "Freshness",
+    "PRESUMED_SECONDS",
+    "ZoneOrder",
+    "Zones",
+    "pack_order",
+    "unpack_order",
+]
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -165,6 +165,13 @@
         """
         return self._core.leads()
 
+    def leads_since(self) -> float | None:
+        """Return when this voter began to lead, in monotonic seconds.
+
+        :returns: ``None`` where it holds no valid lease
+        """
+        return self._core.tenure.started if self.leads() else None
+
     def lease_left(self) -> float:
         """Return for how long this voter surely leads, in seconds.
 
--- a/packages/state/src/chivepier/state/tenure.py
+++ b/packages/state/src/chivepier/state/tenure.py
@@ -36,7 +36,7 @@
         self.match: dict[str, int] = {}
         self.acked: dict[str, float] = {}
         self.learner: Voter | None = None
-        self._started = core.clock.monotonic()
+        self.started = core.clock.monotonic()
         self._results: dict[int, asyncio.Future] = {}
         self._pending: list[tuple[bytes, asyncio.Future]] = []
         self._work = Signal()
@@ -82,7 +82,7 @@
         needed = len(nodes) // 2 + 1 - own
         if needed <= 0:
             return float("inf")
-        unheard = self._started - core.timing.lease
+        unheard = self.started - core.timing.lease
         times = [
             self.acked.get(node, unheard)
             for node in nodes
