Tell warm targets from cold ones between nodes; show each safeguard by a test

Cause: a warm target's time to be warm, 0, arrived at the next node as the moment of the message, so that with the new rule each telling of it looked like a target that had become cold, and went to all entries at once. Found by a test that still passed with its safeguard off. Ruled out: that the word came by the beats.

--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -110,6 +110,15 @@
         """The voter that it follows."""
         return self.following.hub
 
+    def knows_all_of(self, voters: dict[str, Voter]) -> bool:
+        """Tell whether it has all that the voters know of targets."""
+        known = self.following._voters
+        return all(
+            address in known
+            and known[address].revision == voter.registry.revision > 0
+            for address, voter in voters.items()
+        )
+
     def stop_beats(self) -> None:
         """Speak to no voter any more; what these push still comes."""
 
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_permithub.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_permithub.py
@@ -1,17 +1,22 @@
 """Tests of how much all entries together send to a cold target."""
 
 import asyncio
+import os
 import time
 
 import pytest
 
 from chivepier.gateway.config import Service
+from chivepier.gateway.control.permithub import PermitHub
 from chivepier.gateway.control.tests.fleet import play
 from chivepier.gateway.control.tests.fleet import wait_until
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.messages import PermitRequest
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.warmup import PermitLedger
 from chivepier.gateway.warmup import WINDOW_SECONDS
+from chivepier.types import ManualClock
 
 RATE = 10
 SERVICE = Service(name="s", connections=10, cold_rate=float(RATE))
@@ -137,6 +142,42 @@
     play(test, tmp_path)
 
 
+class Lead:
+    """A voter that leads since a moment."""
+
+    def __init__(self, since: float | None):
+        self._since = since
+        self.replica = self
+
+    def leads_since(self) -> float | None:
+        """Return when it began to lead."""
+        return self._since
+
+    async def ask(self, request, seconds, handle):
+        """Answer here."""
+        return await handle(request)
+
+
+@pytest.mark.parametrize(
+    ("since", "granted"),
+    (
+        (None, False),
+        (10.0, False),
+        (10.1 - WINDOW_SECONDS, False),
+        (10.0 - WINDOW_SECONDS, True),
+    ),
+)
+def test_leader_permits_nothing_while_the_last_ones_permits_count(
+    since, granted
+):
+    clock = ManualClock()
+    clock.advance(10.0)
+    log = EventLog("v1", os.open(os.devnull, os.O_WRONLY))
+    hub = PermitHub(Lead(since), clock, log)
+    answer = asyncio.run(hub.handle(PermitRequest("i1", 5)))
+    assert answer.granted is granted
+
+
 def test_ledger_counts_the_window_and_forgets_targets():
     ledger = PermitLedger()
     granted = [ledger.grant("i1", 3, 0.1 * n) for n in range(5)]
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_zonestore.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_zonestore.py
@@ -5,6 +5,7 @@
 
 from chivepier.gateway.control.tests.fleet import play
 from chivepier.gateway.control.tests.fleet import wait_until
+from chivepier.gateway.messages import ZoneRequest
 from chivepier.gateway.targets.tests.test_targettable import make
 
 
@@ -115,13 +116,33 @@
         await wait_until(lambda: frozen.zones.is_evacuated("z0"))
         stale = frozen.orders.prepare("z0", True)
         await order(other, "z0", False)
-        assert not await frozen.orders.carry_out(stale, lambda: False)
         leader = fleet.find_leader()
+        request = ZoneRequest(stale.zone, stale.evacuated, stale.base)
+        answer = await leader.orders.handle(request)
+        assert not answer.accepted and answer.index > stale.base
+        # the first order once more, as it was sent then
+        answer = await leader.orders.handle(ZoneRequest("z0", True, 0))
+        assert not answer.accepted
+        assert not await frozen.orders.carry_out(stale, lambda: False)
         assert not leader.zones.is_evacuated("z0")
 
     play(test, tmp_path)
 
 
+def test_order_whose_sender_has_gone_is_not_carried_out(tmp_path):
+    # The voter that stood still has read the log before the order: it knows
+    # all that was ordered since, but not that this one is older.
+    async def test(fleet):
+        voter = fleet.voters[fleet.seeds[0]]
+        await order(voter, "z0", False)
+        late = voter.orders.prepare("z0", True)
+        assert not await voter.orders.carry_out(late, lambda: False)
+        await order(voter, "z1", True)
+        assert not voter.zones.is_evacuated("z0")
+
+    play(test, tmp_path)
+
+
 def test_two_operators_at_once_leave_one_state_everywhere(tmp_path):
     async def test(fleet):
         voters = list(fleet.voters.values())
@@ -149,7 +170,7 @@
         follower = await fleet.follow("e1", "z0")
         voter = fleet.voters[fleet.seeds[0]]
         voter.registry.announce(make("i1", zone="z0", heard=voter.now()))
-        await wait_until(lambda: follower.table.get("i1") is not None)
+        await wait_until(lambda: follower.knows_all_of(fleet.voters))
         await order(voter, "z0", True)
         await wait_until(lambda: follower.zones.is_evacuated("z0"))
         await order(voter, "z0", False)
@@ -160,3 +181,20 @@
         await wait_until(lambda: not follower.is_cold("i1"))
 
     play(test, tmp_path)
+
+
+def test_entries_hear_at_once_that_a_target_has_become_cold(tmp_path):
+    # Its state was the same as before, so entries were told only that it
+    # lives, and sent it as much as a warm one.
+    async def test(fleet):
+        follower = await fleet.follow("e1", "z0")
+        voter = fleet.voters[fleet.seeds[0]]
+        voter.registry.announce(make("i1", zone="z0", heard=voter.now()))
+        await wait_until(lambda: follower.knows_all_of(fleet.voters))
+        assert not follower.is_cold("i1")
+        again = make("i1", zone="z0", number=2, heard=voter.now())
+        again.warm_at = voter.now() + 60.0
+        voter.registry.announce(again)
+        await wait_until(lambda: follower.is_cold("i1"))
+
+    play(test, tmp_path)
--- a/packages/gateway/src/chivepier/gateway/following/records.py
+++ b/packages/gateway/src/chivepier/gateway/following/records.py
@@ -42,6 +42,7 @@
         number=record.number,
         slots=record.slots,
         heard=now - record.age,
-        warm_at=now + record.warming,
+        # 0 is no moment: a warm target would seem to have become cold now
+        warm_at=now + record.warming if record.warming else 0.0,
         born=record.born,
     )
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
@@ -6,6 +6,8 @@
 from hypothesis import settings
 from hypothesis import strategies
 
+from chivepier.gateway.following import pack_target
+from chivepier.gateway.following import unpack_target
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
@@ -36,6 +38,16 @@
     )
 
 
+def test_warm_target_told_by_another_node_has_not_become_cold():
+    # Its time to be warm, 0, came as the moment of the message; each telling
+    # was news, and went to all entries at once.
+    record = pack_target(make(heard=5.0), 6.0)
+    table = TargetTable(1.0)
+    table.put(unpack_target(record, 100.0))
+    again = pack_target(make(number=2, heard=7.0), 8.0)
+    assert not table.put(unpack_target(again, 102.0))
+
+
 def test_late_announcement_does_not_bring_an_instance_back():
     # New work went to a target that had left: an announcement from before
     # was delayed by a cut and came after its farewell.
