Let the chivepier command evacuate and readmit zones, and show both

Voters serve the product's own interface beside the platform's: status with evacuations, and the orders, answered from the one table of errors. Before, the command could ask nothing of the system that serves users.

--- a/packages/cli/src/chivepier/cli/commands/__init__.py
+++ b/packages/cli/src/chivepier/cli/commands/__init__.py
@@ -5,6 +5,8 @@
 from chivepier.cli.commands.delete import delete
 from chivepier.cli.commands.diff import diff
 from chivepier.cli.commands.drain import drain
+from chivepier.cli.commands.evacuate import evacuate
+from chivepier.cli.commands.evacuate import readmit
 from chivepier.cli.commands.explain import explain
 from chivepier.cli.commands.found import found
 from chivepier.cli.commands.get import get
@@ -19,11 +21,13 @@
     delete,
     diff,
     drain,
+    evacuate,
     explain,
     found,
     get,
     history,
     load,
+    readmit,
     status,
     voters,
 )
--- a/packages/cli/src/chivepier/cli/commands/status.py
+++ b/packages/cli/src/chivepier/cli/commands/status.py
@@ -8,6 +8,7 @@
 from chivepier.cli.context import pass_context
 
 MEMBER_COLUMNS = ("name", "zone", "address", "draining", "voter", "leader")
+ZONE_COLUMNS = ("zone", "evacuated", "targets")
 TARGET_COLUMNS = (
     "target",
     "pool",
@@ -57,4 +58,8 @@
         return
     click.echo()
     context.show(answer, answer["targets"], TARGET_COLUMNS)
+    zones = answer.get("evacuations", ())
+    if any(zone["evacuated"] for zone in zones):
+        click.echo()
+        context.show(answer, list(zones), ZONE_COLUMNS)
     click.echo(f"\nversion {answer['version']}, in force {answer['in_force']}")
--- a/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
+++ b/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
@@ -131,6 +131,10 @@
             if node != without and not entry.channel.closed
         ]
 
+    def beats(self) -> list[EntryBeat]:
+        """Return the last word of each entry that is known."""
+        return [entry.beat for entry in self._entries.values()]
+
     def count(self) -> int:
         """Return how many entries there are; one at least."""
         return max(1, len(self._entries))
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/operatorapi.py
@@ -0,0 +1,137 @@
+"""The product's own interface for operators, at each voter."""
+
+import asyncio
+
+from aiohttp import web
+import attrs
+
+from chivepier.gateway.control.voter import Voter
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetState
+from chivepier.types import ERROR_TABLE
+from chivepier.types import ErrorKind
+from chivepier.types import Failure
+from chivepier.types import render_failure
+from chivepier.types import render_headers
+
+ORDER_PATH = "/v1/operator/evacuations/{zone}"
+# Characters of a name that an error repeats.
+MOST_NAME = 200
+
+
+@attrs.frozen
+class OperatorApi:
+    """What the ``chivepier`` command asks of a voter.
+
+    :param voter: decides
+    """
+
+    voter: Voter
+
+    def add_to(self, routes: web.UrlDispatcher) -> None:
+        """Serve it.
+
+        :param routes: of the server that operators reach
+        """
+        routes.add_get("/healthz", self._answer_alive)
+        routes.add_get("/v1/operator/status", self._answer_status)
+        routes.add_post(ORDER_PATH, self._evacuate)
+        routes.add_delete(ORDER_PATH, self._readmit)
+
+    async def _answer_alive(self, request: web.Request) -> web.Response:
+        return web.json_response({})
+
+    async def _answer_status(self, request: web.Request) -> web.Response:
+        voter = self.voter
+        held = voter.store.held()
+        beats = voter.entries.beats()
+        plain = {
+            "voters": [
+                {"node": v.node, "address": v.address}
+                for v in voter.replica.voters
+            ],
+            "leader": voter.replica.leader,
+            "members": [
+                {
+                    "node": beat.node,
+                    "name": beat.node,
+                    "zone": beat.zone,
+                    "address": beat.address,
+                    "peer_address": "",
+                    "draining": not beat.ready,
+                }
+                for beat in beats
+            ],
+            "targets": [_describe(target) for target in voter.table],
+            "version": held.version if held else 0,
+            # the oldest that an entry still acts on
+            "in_force": min((beat.version for beat in beats), default=0),
+            "evacuations": [
+                {
+                    "zone": order.zone,
+                    "evacuated": order.evacuated,
+                    "index": order.index,
+                    "targets": sum(t.zone == order.zone for t in voter.table),
+                }
+                for order in sorted(voter.zones.orders, key=lambda o: o.zone)
+            ],
+        }
+        return web.json_response(plain)
+
+    async def _evacuate(self, request: web.Request) -> web.Response:
+        return await self._order(request, True)
+
+    async def _readmit(self, request: web.Request) -> web.Response:
+        return await self._order(request, False)
+
+    async def _order(
+        self, request: web.Request, evacuated: bool
+    ) -> web.Response:
+        zone = request.match_info["zone"]
+        failure = await give_order(self.voter, request, zone, evacuated)
+        if failure is None:
+            return web.json_response({"zone": zone, "evacuated": evacuated})
+        return web.json_response(
+            render_failure(failure),
+            status=ERROR_TABLE[failure.kind].status,
+            headers=render_headers(failure),
+        )
+
+
+async def give_order(
+    voter: Voter, request: web.Request, zone: str, evacuated: bool
+) -> Failure | None:
+    """Carry out an operator's order about an availability zone.
+
+    :param voter: that it came to
+    :param request: that brought it; its sender may leave meanwhile
+    :param zone: the zone's name
+    :param evacuated: whether nothing new may be sent there
+    :returns: why it is not in force, or nothing
+    """
+    if not voter.knows_zone(zone):
+        text = f"no availability zone {zone[:MOST_NAME]!r}"
+        return Failure(ErrorKind.BAD_REQUEST, text)
+    order = voter.orders.prepare(zone, evacuated)
+    work = voter.orders.carry_out(order, lambda: _waits(request))
+    if await asyncio.shield(work):
+        return None
+    text = "no leader took it in time; it may be in force"
+    return Failure(ErrorKind.NO_QUORUM, text)
+
+
+def _waits(request: web.Request) -> bool:
+    transport = request.transport
+    return transport is not None and not transport.is_closing()
+
+
+def _describe(target: Target) -> dict:
+    return {
+        "target": target.instance,
+        "pool": target.service,
+        "zone": target.zone,
+        "models": "",
+        "role": "",
+        "leaving": target.state is not TargetState.READY,
+        "load": "",
+    }
--- a/tests/adapter/test_zoneorders.py
+++ b/tests/adapter/test_zoneorders.py
@@ -5,12 +5,14 @@
 import os
 
 import aiohttp
+from click.testing import CliRunner
 from test_configcodec import PLAIN
 from test_control import BEAT
 
 from adapter.configcodec import decode_config
 from adapter.configcodec import decode_homes
 from adapter.control import ControlServer
+from chivepier.cli.main import main
 from chivepier.gateway.control import Voter
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.settings import VoterSettings
@@ -90,6 +92,34 @@
     run(test, tmp_path)
 
 
+def test_operators_command_gives_orders_and_shows_them(tmp_path):
+    # The command runs in a thread of its own, as it waits for its answers.
+    async def test(voter, client):
+        address = str(client._base_url.authority)
+
+        def call(*words) -> str:
+            options = ["--address", address, "--operator-key", "k"]
+            return CliRunner().invoke(main, [*options, *words]).output
+
+        while not await voter.orders.give("z2", False):
+            # until a leader is elected
+            await asyncio.sleep(0.01)
+        assert "z1 is evacuated" in await asyncio.to_thread(
+            call, "evacuate", "z1"
+        )
+        assert voter.zones.is_evacuated("z1")
+        assert "z1" in await asyncio.to_thread(call, "status")
+        assert "z1 is readmitted" in await asyncio.to_thread(
+            call, "readmit", "z1"
+        )
+        assert not voter.zones.is_evacuated("z1")
+        assert "bad_request" in await asyncio.to_thread(
+            call, "evacuate", "no/zone"
+        )
+
+    run(test, tmp_path)
+
+
 def test_cold_bounds_and_regions_are_read():
     services = [
         {**PLAIN["services"][0], "cold-start-s": 1.5, "cold-per-s": 31.0},
