Evacuate zones and turn targets cold in the soak

Nothing may reach an evacuated zone later than five seconds after the acknowledgement, whatever else goes wrong, and a cold target gets no more than it bears in any second. Older seeds keep their sets of faults.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,7 +19,7 @@
 QUIET_SECONDS = 3.5
 # Sets of faults: a seed that has shown a fault keeps the set that it drew
 # from, or it would draw others and show nothing any more.
-FIRST_SET, NEWEST_SET = 1, 2
+FIRST_SET, RESTART_SET, NEWEST_SET = 1, 2, 3
 
 
 class Faults:
@@ -46,6 +46,10 @@
         )
         if chosen > FIRST_SET:
             self._kinds += (self.restart_target, self.write_nonsense)
+        self._cold = chosen > RESTART_SET
+        if self._cold:
+            self._kinds += (self.evacuate, self.turn_cold)
+        self._orders: asyncio.Task | None = None
 
     def keep_only(self, *names: str) -> None:
         """Draw from these faults alone.
@@ -63,6 +67,26 @@
             await fault()
             await asyncio.sleep(self._rng.uniform(0.0, 1.0))
 
+    async def finish(self) -> None:
+        """Let an evacuation that is under way come to its end."""
+        if self._orders is not None:
+            await self._orders
+
+    async def evacuate(self) -> None:
+        """Evacuate a zone while other faults go on; one at a time."""
+        if self._orders is not None and not self._orders.done():
+            return
+        target = self._rng.choice(self._soak.targets)
+        work = self._soak.zone_orders.empty(
+            self._soak.session, target.zone, self._rng.uniform(0.5, 12.0)
+        )
+        self._orders = asyncio.create_task(work)
+
+    async def turn_cold(self) -> None:
+        """Let a target become cold at once, and say so with its next word."""
+        target = self._rng.choice(self._soak.targets)
+        target.turn_cold(self._rng.uniform(2.0, 4.0))
+
     async def kill(self) -> None:
         """Kill a process; it comes back soon."""
         process = self._rng.choice((*self._soak.voters, *self._soak.entries))
@@ -147,6 +171,8 @@
         # one stays: where no target at all is heard, all remain in use
         target = self._rng.choice(self._soak.targets[1:])
         await target.restart(self._rng.uniform(0.0, 1.0))
+        if self._cold:
+            target.turn_cold(2.0)
 
     async def write_nonsense(self) -> None:
         """Announce what no target says, also under the names of targets."""
--- a/soak/process.py
+++ b/soak/process.py
@@ -32,6 +32,12 @@
 bounds.budget-extra=50
 bounds.budget-window-s=10
 bounds.ttl_max_s=5
+bounds.cold-excess=1.5
+bounds.cold-slack=5
+zones.z=r
+zones.z1=r
+zones.z2=r
+zones.z3=r
 """
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 from soak.proxy import Proxy
 from soak.target import describe
 from soak.target import SoakTarget
+from soak.zoneorders import ZoneOrders
 
 VOTERS, ENTRIES, TARGETS = 3, 3, 3
 # Seconds after an acknowledgement from which no read may be older.
@@ -27,6 +28,8 @@
 CALLERS = 6
 # Seconds after which a target that is not heard is no longer used.
 SILENT_SECONDS = 5.0
+# Requests a second that a cold target bears, far below what it gets warm.
+COLD_RATE = 5.0
 
 
 def make_config(version: int) -> dict:
@@ -46,7 +49,7 @@
         }
         for name, kind in kinds.items()
     ]
-    services = [{"name": "s", "max-conns": 100}]
+    services = [{"name": "s", "max-conns": 100, "cold-per-s": COLD_RATE}]
     teams = [{"name": "t1", "api-keys": ["k1"]}]
     return {
         "version": version,
@@ -98,6 +101,11 @@
             )
             for n in range(1, TARGETS + 1)
         ]
+        self.zone_orders = ZoneOrders(self.controls, self.rng)
+        for number, target in enumerate(self.targets, 1):
+            target.zone = f"z{number}"
+            target.forbids = self.zone_orders.forbids
+        self.session: aiohttp.ClientSession | None = None
         self.folder = folder
         self.version = 0
         self.acknowledged: list[tuple[float, int]] = []
@@ -115,6 +123,7 @@
             session = await stack.enter_async_context(
                 run_all((*self.voters, *self.entries))
             )
+            self.session = session
             for part in (*self.targets, *self.proxies):
                 await stack.enter_async_context(part)
             await self.change(session, 30.0)
@@ -123,6 +132,7 @@
             tasks = [asyncio.create_task(work) for work in works]
             try:
                 await self.faults.inject(seconds)
+                await self.faults.finish()
                 await self.recover()
                 await self.check_end(session)
             finally:
--- a/soak/target.py
+++ b/soak/target.py
@@ -1,6 +1,7 @@
 """A target that announces itself and misbehaves when told."""
 
 import asyncio
+import collections.abc
 import contextlib
 import json
 import random
@@ -17,6 +18,13 @@
 WORK_SECONDS = 0.02
 EVENTS = 20
 LONG_LIVED = 10_000
+# What a cold target bears within one second, from all entries together.
+COLD_BOUND = 12
+# Seconds after it said that it is cold from which it must be spared: entries
+# are told at once, and what was being sent then has arrived.
+TOLD_SECONDS = 1.0
+
+Forbids = collections.abc.Callable[[str], bool]
 
 
 class SoakTarget:
@@ -47,6 +55,11 @@
         self._promises = promises
         self._rng = rng
         self.instance = f"i-{secrets.token_hex(4)}"
+        self.zone = "z"
+        self.forbids: Forbids = lambda zone: False
+        self._cold_until = 0.0
+        self._cold_told: float | None = None
+        self._arrived: list[float] = []
         self.restarted = False
         self.runs = 0
         self._born = 0
@@ -73,6 +86,27 @@
         self._listener.close()
         await self._server.shutdown(0.1)
 
+    def turn_cold(self, seconds: float) -> None:
+        """Bear less for some seconds; its next words say so."""
+        self._cold_until = time.monotonic() + seconds
+        self._cold_told = None
+
+    def _note_arrival(self) -> None:
+        """Check what may reach it at all, and how much while it is cold."""
+        now = time.monotonic()
+        if self.forbids(self.zone):
+            text = f"{self.address} was sent to in evacuated {self.zone}"
+            self._promises.broken.append(text)
+        told = self._cold_told
+        if now >= self._cold_until or told is None or now < told:
+            self._arrived.clear()
+            return
+        self._arrived = [at for at in self._arrived if now - at < 1.0]
+        self._arrived.append(now)
+        if len(self._arrived) > COLD_BOUND:
+            text = f"{len(self._arrived)} a second at cold {self.address}"
+            self._promises.broken.append(text)
+
     def crash(self) -> None:
         """Lose all connections and all that runs, at once."""
         self._task.cancel()
@@ -103,11 +137,14 @@
         body = {
             "service": "s",
             "address": self._announced,
-            "zone": "z",
+            "zone": self.zone,
             "slots": 8,
             "state": "ready",
             "seq": self._number,
             "born": self._born,
+            "cold-left-ms": round(
+                1000 * max(0.0, self._cold_until - time.monotonic())
+            ),
         }
         path = f"/chivepier/instances/{self.instance}"
         for control in self._rng.sample(self._controls, len(self._controls)):
@@ -115,6 +152,9 @@
                 url = f"http://{control}{path}"
                 async with session.put(url, json=body) as answer:
                     if answer.status == 200:
+                        if body["cold-left-ms"] and self._cold_told is None:
+                            now = time.monotonic()
+                            self._cold_told = now + TOLD_SECONDS
                         return
             except (aiohttp.ClientError, TimeoutError, OSError):
                 continue
@@ -125,6 +165,7 @@
         wanted = request.headers.get("X-Chivepier-Expect-Instance")
         if wanted != self.instance:
             return web.Response(status=421, headers=echo)
+        self._note_arrival()
         mood = self.mood
         if mood == "shed":
             echo["X-Chivepier-Not-Run"] = "1"
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -7,6 +7,7 @@
 
 from soak.faults import FIRST_SET
 from soak.faults import NEWEST_SET
+from soak.faults import RESTART_SET
 from soak.promises import make_body
 from soak.promises import Promises
 from soak.run import Soak
@@ -18,7 +19,8 @@
     1: (FIRST_SET, 6.0),
     2: (FIRST_SET, 6.0),
     3922492142: (FIRST_SET, 14.0),
-    5: (NEWEST_SET, 6.0),
+    5: (RESTART_SET, 6.0),
+    11: (NEWEST_SET, 8.0),
 }
 
 
@@ -56,6 +58,17 @@
     assert seen.answered > 50
 
 
+def test_evacuated_zones_and_cold_targets_are_spared(tmp_path):
+    # Zones are evacuated and targets become cold, while processes are
+    # killed: nothing reaches an evacuated zone later than five seconds after
+    # the acknowledgement, and no cold target gets more than it bears.
+    soak = Soak(9, tmp_path, 40 + os.getpid() % 30)
+    soak.faults.keep_only("evacuate", "turn_cold", "kill", "freeze")
+    seen = asyncio.run(soak.run(12.0))
+    assert seen.broken == []
+    assert soak.zone_orders.given >= 2 and seen.answered > 50
+
+
 def test_each_broken_promise_is_seen():
     seen = Promises()
     seen.note_run("a")
