--- a/packages/gateway/src/chivepier/gateway/control/tests/test_entrydirectory.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_entrydirectory.py
@@ -117,3 +117,29 @@
 def test_few_entries_are_all_named():
     directory = make_directory(ManualClock(), 57)
     assert len(set(directory.addresses("z1", MOST))) == 57
+
+
+REGIONS = {"z1": "north", "z2": "north", "z3": "south", "z4": "east"}
+
+
+def list_zones(directory, region: str, homes) -> set[str]:
+    """Name the zones of the entries that a caller of z1 is given."""
+    given = directory.addresses("z1", MOST, region, homes)
+    return {address.partition("-")[0] for address in given}
+
+
+def test_look_up_names_entries_of_allowed_regions_only():
+    # A caller's body was sent to an entry of a region that its route keeps
+    # it out of: the look-up named entries of all regions.
+    clock = ManualClock()
+    directory = EntryDirectory(clock, REGIONS)
+    clock.advance(1.0)
+    # the settings tell no region of z5: it lies in none that is allowed
+    speak(directory, range(100))
+    south = frozenset({"south"})
+    assert list_zones(directory, "north", south) == {"z1", "z2", "z3"}
+    assert list_zones(directory, "east", south) == {"z3", "z4"}
+    assert list_zones(directory, "north", None) == set(ZONES)
+    # any entry is better than none: it answers that nothing was run
+    nowhere = frozenset({"west"})
+    assert list_zones(directory, "west", nowhere) == set(ZONES)
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_zonestore.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_zonestore.py
@@ -1,8 +1,11 @@
 """Tests of orders about availability zones on voters and their followers."""
 
 import asyncio
+import random
 import shutil
 
+import pytest
+
 from chivepier.gateway.control.tests.fleet import play
 from chivepier.gateway.control.tests.fleet import wait_until
 from chivepier.gateway.messages import ZoneRequest
@@ -198,3 +201,60 @@
         await wait_until(lambda: follower.is_cold("i1"))
 
     play(test, tmp_path)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_order_outlives_the_loss_of_two_disks_right_after_it(tmp_path, seed):
+    # All processes end right after an acknowledgement, and two of five disks
+    # with them. Three logs are left; one of them at least holds the order.
+    async def test(fleet):
+        rng = random.Random(seed)
+        await order(fleet.voters[rng.choice(fleet.seeds)], "z0", True)
+        for address in fleet.seeds:
+            await fleet.stop(address)
+        for address in rng.sample(fleet.seeds, 2):
+            shutil.rmtree(fleet.find_folder(address))
+        for address in fleet.seeds:
+            await fleet.start(address)
+        for voter in fleet.voters.values():
+            await wait_until(lambda v=voter: v.zones.is_evacuated("z0"))
+
+    play(test, tmp_path, 5)
+
+
+def test_all_zones_at_once_and_back(tmp_path):
+    async def test(fleet):
+        follower = await fleet.follow("e1")
+        zones = [f"z{number}" for number in range(18)]
+        voters = list(fleet.voters.values())
+        await asyncio.gather(
+            *(
+                order(voters[number % 3], zone, True)
+                for number, zone in enumerate(zones)
+            )
+        )
+        await wait_until(lambda: all(map(follower.zones.is_evacuated, zones)))
+        for zone in zones:
+            await order(voters[0], zone, False)
+        await wait_until(
+            lambda: not any(map(follower.zones.is_evacuated, zones))
+        )
+
+    play(test, tmp_path)
+
+
+def test_entry_whose_voter_lost_its_disk_keeps_to_the_order(tmp_path):
+    # A voter with an empty disk knows of no order; its entries had heard of
+    # one before, and its silence does not take that back.
+    async def test(fleet):
+        follower = await fleet.follow("e1", "z0")
+        await order(fleet.voters[fleet.seeds[1]], "z0", True)
+        await wait_until(lambda: follower.zones.is_evacuated("z0"))
+        address = fleet.seeds[0]
+        await fleet.stop(address)
+        shutil.rmtree(fleet.find_folder(address))
+        fresh = await fleet.start(address)
+        await wait_until(fresh.replica.votes)
+        assert follower.zones.is_evacuated("z0")
+
+    play(test, tmp_path)
