Add a failing test of entries that each lose a request at a dead target

Ruled out by a trial: that the connection would show it (98 resets with 6 ms waited on each new one); kept connections (what may run once takes none that rested 0.2 s).

--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_avoidance.py
@@ -0,0 +1,83 @@
+"""Tests of what entries tell each other of targets that don't answer."""
+
+import random
+import time
+
+from chivepier.gateway.control.tests.fleet import play
+from chivepier.gateway.control.tests.fleet import wait_until
+from chivepier.gateway.targets import Chooser
+from chivepier.gateway.targets import TargetHealth
+from chivepier.gateway.targets.tests.test_targettable import make
+from chivepier.types import SystemClock
+
+ENTRIES = 40
+TARGETS = ("dead", "sound-1", "sound-2")
+
+
+class Caller:
+    """An entry that sends lookups to three targets, one of them dead."""
+
+    def __init__(self, follower, number: int):
+        self.follower = follower
+        clock = SystemClock()
+        for name in TARGETS:
+            follower.table.put(make(name, heard=time.monotonic() + 60.0))
+        self.chooser = Chooser(
+            follower.table,
+            TargetHealth(),
+            follower.board,
+            "z",
+            clock,
+            random.Random(number),
+        )
+
+    def send(self) -> bool:
+        """Send one lookup; whether a dead target lost it."""
+        target = self.chooser.choose("s", None, None)
+        if target.instance != "dead":
+            return False
+        self.chooser.avoid(target.instance)
+        return True
+
+    def count_avoiding(self) -> int:
+        """Count the entries that avoid the dead target, as known here."""
+        now = time.monotonic()
+        return self.follower.board.count_avoiding("dead", now)
+
+
+def test_entries_need_not_each_lose_a_request_at_a_dead_target(tmp_path):
+    # A target of lookups goes down: it takes connections and resets what is
+    # sent. Each of 75 entries found that out by a request of its own, which
+    # may run once only and was lost: 23 of them in each second.
+    async def test(fleet):
+        followers = await fleet.follow_many(ENTRIES)
+        callers = [Caller(f, n) for n, f in enumerate(followers)]
+        lost = 0
+        for caller in callers:
+            if caller.send():
+                lost += 1
+                for other in callers:
+                    await wait_until(
+                        lambda o=other: o.count_avoiding() >= min(lost, 3)
+                    )
+        # three words are enough; each entry for itself lost 12 to 15 of 40
+        assert lost <= 3
+
+    play(test, tmp_path)
+
+
+def test_entry_that_reaches_no_target_takes_none_from_the_others(tmp_path):
+    # It is the entries' zone that is cut off there, not the targets: what
+    # all of them are said to be is no reason to avoid one.
+    async def test(fleet):
+        followers = await fleet.follow_many(5)
+        callers = [Caller(f, n) for n, f in enumerate(followers)]
+        for cut in callers[:4]:
+            for name in TARGETS:
+                cut.chooser.avoid(name)
+        last = callers[4]
+        await wait_until(lambda: last.count_avoiding() == 4)
+        ranked = last.chooser.rank("s", None, None)
+        assert {target.instance for target in ranked} == set(TARGETS)
+
+    play(test, tmp_path)
