--- a/packages/gateway/src/chivepier/gateway/control/tests/test_quarantinehub.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_quarantinehub.py
@@ -1,6 +1,5 @@
 """Tests of entries that learn from each other what ends targets."""
 
-
 import pytest
 
 from chivepier.gateway.control.tests.fleet import play
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_voters.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_voters.py
@@ -1,6 +1,5 @@
 """Tests of voters on loopback: founding, losses, restarts, replacement."""
 
-
 import pytest
 
 from chivepier.gateway.control.founding import IDENTITY_FILE
