--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -163,7 +163,7 @@
         """Tell whether this entry holds a request back."""
         return self.quarantine.find_hold(digest) is not None
 
-    async def _ask_permit(self, instance: str, most: int) -> bool:
+    async def _ask_permit(self, instance: str, most: int) -> bool | None:
         return await self.following.ask_permit(instance, most)
 
     def is_cold(self, instance: str) -> bool:
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -186,7 +186,7 @@
     def _handle(self, message, channel):
         return self.following.handle(message, channel)
 
-    async def _ask_permit(self, instance: str, most: int) -> bool:
+    async def _ask_permit(self, instance: str, most: int) -> bool | None:
         return await self.following.ask_permit(instance, most)
 
     def _note_order(self, order: ZoneOrder) -> None:
--- a/packages/gateway/src/chivepier/gateway/following/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -25,7 +25,6 @@
 from chivepier.gateway.messages import ZoneRecord
 from chivepier.gateway.serving import ServingState
 from chivepier.gateway.targets import TargetTable
-from chivepier.gateway.warmup import PERMIT_SECONDS
 from chivepier.gateway.zones import Freshness
 from chivepier.gateway.zones import PRESUMED_SECONDS
 from chivepier.gateway.zones import unpack_order
@@ -41,6 +40,9 @@
 # Seconds to wait for a voter's answer. A link that is silent for 2 s is
 # given up; with this a new one stands within 3 s.
 ANSWER_SECONDS = 0.8
+# Seconds to wait for leave to send to a cold target, which takes two round
+# trips, 6 ms: by then the request is better sent elsewhere.
+PERMIT_ASK_SECONDS = 0.1
 # Seconds between two looks at which voters there are.
 LOOK_SECONDS = 0.2
 
@@ -202,23 +204,23 @@
         for address, voter in self._voters.items():
             self._beat_now(address, voter)
 
-    async def ask_permit(self, instance: str, most: int) -> bool:
+    async def ask_permit(self, instance: str, most: int) -> bool | None:
         """Ask for one send to a cold target.
 
         :param instance: the target's
         :param most: sends that it bears within a second
-        :returns: whether it is permitted; not where nobody answers in time
+        :returns: whether it is permitted; ``None`` where nobody answers
         """
         if self._hub.address is None:
-            return False
+            return None
         request = PermitRequest(instance, most)
         try:
             answer = await self._links.request(
-                self._hub.address, request, PERMIT_SECONDS
+                self._hub.address, request, PERMIT_ASK_SECONDS
             )
         except LinkError as error:
             self._log.warn("permit_lost", target=instance, error=str(error))
-            return False
+            return None
         return answer.granted
 
     def _beat_now(self, address: str, voter: _Voter) -> None:
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -104,7 +104,7 @@
     def note_permit(self, answer: str) -> None:
         """Count an answer to the question for a send to a cold target.
 
-        :param answer: ``granted`` or ``refused``
+        :param answer: ``granted``, ``refused`` or ``unanswered``
         """
         self._note("permits", (answer,), 1.0)
 
--- a/packages/gateway/src/chivepier/gateway/warmup/permits.py
+++ b/packages/gateway/src/chivepier/gateway/warmup/permits.py
@@ -17,7 +17,16 @@
 # is cold for a second or more, and its window moves on by then.
 REFUSED_SECONDS = 0.1
 
-Ask = collections.abc.Callable[[str, int], collections.abc.Awaitable[bool]]
+# Seconds after a question without an answer in which none is asked: voters
+# that are cut apart elect a leader in about a second, and each question holds
+# up its request.
+UNANSWERED_SECONDS = 0.5
+
+# Asks for one send to an instance that bears so many in a second; nothing
+# where no answer came.
+Ask = collections.abc.Callable[
+    [str, int], collections.abc.Awaitable[bool | None]
+]
 
 
 @attrs.frozen
@@ -78,6 +87,7 @@
         self._log = log
         self._metrics = metrics
         self._refused: dict[str, float] = {}
+        self._unanswered_until = float("-inf")
 
     def is_cold(self, service: Service, target: Target, now: float) -> bool:
         """Tell whether a target may bear less than usual.
@@ -106,15 +116,23 @@
         now = self._clock.monotonic()
         if not self.is_cold(service, target, now):
             return Permit()
-        if now < self._refused.get(target.instance, 0.0):
+        if now < max(
+            self._unanswered_until, self._refused.get(target.instance, 0.0)
+        ):
             return None
         granted = await self._ask(
             target.instance, self._bound.count(service.cold_rate)
         )
-        self._metrics.note_permit("granted" if granted else "refused")
         if granted:
+            self._metrics.note_permit("granted")
             self._refused.pop(target.instance, None)
             return Permit(now + PERMIT_SECONDS)
+        if granted is None:
+            self._metrics.note_permit("unanswered")
+            end = self._clock.monotonic() + UNANSWERED_SECONDS
+            self._unanswered_until = end
+        else:
+            self._metrics.note_permit("refused")
         self._note_refused(target)
         return None
 
