--- a/packages/gateway/src/chivepier/gateway/warmup/permitledger.py
+++ b/packages/gateway/src/chivepier/gateway/warmup/permitledger.py
@@ -4,8 +4,9 @@
 
 from chivepier.gateway.warmup.permit import PERMIT_SECONDS
 
-# Seconds for a connection to a target to stand; what is sent arrives so much
-# later at most. A send whose connection takes longer is given up.
+# Seconds for a connection to a target to stand. Between availability zones it
+# takes some milliseconds; a target that is dark never answers. What is sent
+# arrives so much later at most, as a send that waits for longer is given up.
 CONNECT_SECONDS = 0.5
 # Seconds in which no more than one second's bound is permitted. What is
 # permitted is sent within PERMIT_SECONDS after it was asked for, or never,
