--- a/tests/adapter/test_control.py
+++ b/tests/adapter/test_control.py
@@ -27,8 +27,11 @@
 }
 
 
-def run(test, folder):
-    """Run a test with a lone voter and a client."""
+def run(test, folder, **changes):
+    """Run a test with a lone voter and a client.
+
+    :param changes: of the voter's settings
+    """
 
     async def work():
         peer = f"127.0.0.1:{find_port()}"
@@ -43,6 +46,7 @@
             found=True,
             cluster_key="secret-of-tests",
             beat=1.0,
+            **changes,
         )
         async with (
             asyncio.timeout(30),
--- a/tests/adapter/test_zoneorders.py
+++ b/tests/adapter/test_zoneorders.py
@@ -2,53 +2,22 @@
 
 import asyncio
 import json
-import os
 
-import aiohttp
 from click.testing import CliRunner
 from test_configcodec import PLAIN
 from test_control import BEAT
+from test_control import run as run_voter
 
 from adapter.configcodec import decode_config
 from adapter.configcodec import decode_homes
-from adapter.control import ControlServer
 from chivepier.cli.main import main
-from chivepier.gateway.control import Voter
-from chivepier.gateway.eventlog import EventLog
-from chivepier.gateway.settings import VoterSettings
-from chivepier.standins.cluster import find_port
-from chivepier.types import SystemClock
 
 PATH = "/chivepier/evacuations/"
 
 
 def run(test, folder):
     """Run a test with a lone voter that knows two zones, and a client."""
-
-    async def work():
-        peer = f"127.0.0.1:{find_port()}"
-        address = f"127.0.0.1:{find_port()}"
-        clock = SystemClock()
-        log = EventLog("v1", os.open(os.devnull, os.O_WRONLY))
-        settings = VoterSettings(
-            name="v1",
-            address=peer,
-            seeds=(peer,),
-            folder=folder,
-            found=True,
-            cluster_key="secret-of-tests",
-            beat=1.0,
-            regions={"z1": "north", "z2": "south"},
-        )
-        async with (
-            asyncio.timeout(30),
-            Voter(settings, clock, log) as voter,
-            ControlServer(voter, clock, log, (address,), 1.0),
-            aiohttp.ClientSession(f"http://{address}") as client,
-        ):
-            await test(voter, client)
-
-    asyncio.run(work())
+    run_voter(test, folder, regions={"z1": "north", "z2": "south"})
 
 
 async def order(client, method: str, zone: str) -> int:
