--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -120,6 +120,10 @@
             for address, voter in voters.items()
         )
 
+    def lose_pushes(self) -> None:
+        """Hear nothing that voters say unasked."""
+        self.following.handle = lambda message, channel: None
+
     def stop_beats(self) -> None:
         """Speak to no voter any more; what these push still comes."""
 
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_zonestore.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_zonestore.py
@@ -17,11 +17,14 @@
         await asyncio.sleep(0.01)
 
 
-def test_order_is_in_force_at_followers_without_their_next_beat(tmp_path):
+@pytest.mark.parametrize("entries", (1, 7, 75))
+def test_order_is_in_force_at_followers_without_their_next_beat(
+    tmp_path, entries
+):
     # Callers were sent to a zone that was being emptied: entries learned of
     # the order with their next beat only. It is pushed to all of them.
     async def test(fleet):
-        followers = await fleet.follow_many(7)
+        followers = await fleet.follow_many(entries)
         for follower in followers:
             follower.stop_beats()
         await order(fleet.voters[fleet.seeds[1]], "z0", True)
@@ -35,6 +38,25 @@
     play(test, tmp_path)
 
 
+@pytest.mark.parametrize("entries", (1, 7, 75))
+def test_entries_that_missed_the_push_learn_with_their_beats(
+    tmp_path, entries
+):
+    # A third of the entries stand still or are cut off as the order is
+    # pushed, and one starts after it: each is told with its next beat.
+    async def test(fleet):
+        followers = await fleet.follow_many(entries)
+        away = followers[::3]
+        for follower in away:
+            follower.lose_pushes()
+        await order(fleet.voters[fleet.seeds[0]], "z0", True)
+        late = await fleet.follow("late")
+        for follower in (*followers, late):
+            await wait_until(lambda f=follower: f.zones.is_evacuated("z0"))
+
+    play(test, tmp_path)
+
+
 def test_entry_that_starts_later_learns_it_with_its_first_beat(tmp_path):
     async def test(fleet):
         await order(fleet.voters[fleet.seeds[0]], "z0", True)
