--- a/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
+++ b/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
@@ -49,10 +49,10 @@
     def __init__(
         self,
         clock: Clock,
-        regions: collections.abc.Mapping[str, str] = {},
+        regions: collections.abc.Mapping[str, str] | None = None,
     ):
         self._clock = clock
-        self._regions = regions
+        self._regions = dict(regions or {})
         self._started = clock.monotonic()
         self._entries: dict[str, _Entry] = {}
 
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_zonestore.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_zonestore.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 
@@ -193,14 +194,14 @@
     async def test(fleet):
         follower = await fleet.follow("e1", "z0")
         voter = fleet.voters[fleet.seeds[0]]
-        voter.registry.announce(make("i1", zone="z0", heard=voter.now()))
+        voter.registry.announce(make("i1", zone="z0", heard=time.monotonic()))
         await wait_until(lambda: follower.knows_all_of(fleet.voters))
         await order(voter, "z0", True)
         await wait_until(lambda: follower.zones.is_evacuated("z0"))
         await order(voter, "z0", False)
         await wait_until(lambda: not follower.zones.is_evacuated("z0"))
         assert follower.is_cold("i1")
-        heard = voter.now()
+        heard = time.monotonic()
         voter.registry.announce(make("i1", zone="z0", number=2, heard=heard))
         await wait_until(lambda: not follower.is_cold("i1"))
 
@@ -213,11 +214,11 @@
     async def test(fleet):
         follower = await fleet.follow("e1", "z0")
         voter = fleet.voters[fleet.seeds[0]]
-        voter.registry.announce(make("i1", zone="z0", heard=voter.now()))
+        voter.registry.announce(make("i1", zone="z0", heard=time.monotonic()))
         await wait_until(lambda: follower.knows_all_of(fleet.voters))
         assert not follower.is_cold("i1")
-        again = make("i1", zone="z0", number=2, heard=voter.now())
-        again.warm_at = voter.now() + 60.0
+        again = make("i1", zone="z0", number=2, heard=time.monotonic())
+        again.warm_at = time.monotonic() + 60.0
         voter.registry.announce(again)
         await wait_until(lambda: follower.is_cold("i1"))
 
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -245,10 +245,6 @@
             return True
         return any(target.zone == zone for target in self.table)
 
-    def now(self) -> float:
-        """Return this voter's monotonic seconds."""
-        return self._clock.monotonic()
-
     async def _announce(self) -> None:
         """Tell the entries of each new configuration and order at once."""
         told = -1
--- a/packages/gateway/src/chivepier/gateway/control/zonestore.py
+++ b/packages/gateway/src/chivepier/gateway/control/zonestore.py
@@ -2,10 +2,10 @@
 
 import collections.abc
 
-import attrs
 import cbor2
 
 from chivepier.gateway.control.leaderlink import LeaderLink
+from chivepier.gateway.control.preparedorder import PreparedOrder
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.messages import ZoneAnswer
 from chivepier.gateway.messages import ZoneRequest
@@ -32,22 +32,6 @@
 SENDER_SECONDS = 0.02
 
 
-@attrs.frozen
-class PreparedOrder:
-    """An order, and what its receiver knew when it came.
-
-    :param zone: the availability zone
-    :param evacuated: whether nothing new may be sent there from now on
-    :param base: log index of the zone's last order as it was known
-    :param arrived: in monotonic seconds
-    """
-
-    zone: str
-    evacuated: bool
-    base: int
-    arrived: float
-
-
 class ZoneStore:
     """Carries out orders about zones, and follows those of others.
 
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -1,7 +1,6 @@
 """Sending a request until a target answers it."""
 
 import asyncio
-import datetime
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.quarantine import shorten
@@ -16,6 +15,7 @@
 from chivepier.gateway.serving.place import Place
 from chivepier.gateway.serving.placing import Placing
 from chivepier.gateway.serving.plan import Plan
+from chivepier.gateway.serving.refusals import Refusals
 from chivepier.gateway.serving.retrybudget import RetryBudget
 from chivepier.gateway.serving.runwatch import RunWatch
 from chivepier.gateway.serving.sendgate import SendGate
@@ -29,25 +29,15 @@
 from chivepier.gateway.targets import QueueBoard
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetHealth
-from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
-from chivepier.types import ErrorKind
-from chivepier.types import Failure
-from chivepier.types import Ran
-from chivepier.types import RequestError
 
-# Below this many seconds left no target can answer: a round trip between
-# availability zones and the shortest work take about as long.
-LEAST_LEFT = 0.02
 # An attempt that could be repeated is given up after so many objectives: by
 # then the caller's answer is late already, and the rest of its time is
 # better spent at a target that answers.
 PATIENCE = 2.0
 # A target that refused may have room again after so many seconds.
 REFUSED_PAUSE = 0.03
-# How often all targets may refuse before the caller is told to come back.
-MOST_ROUNDS = 3
 SERVER_ERROR = 500
 # Urgency at a target of all generations that start there. Requests are put
 # in order before they are sent: by class, an answer of three events would
@@ -103,6 +93,7 @@
         self.clock = clock
         self.log = log
         self.runs = RunWatch(board, mover, chooser.pace, clock)
+        self._refusals = Refusals(table, clock)
         self._placing = Placing(
             chooser, health, queues, port, guard, gate, clock, log
         )
@@ -119,23 +110,25 @@
         runs = rounds = 0
         paid = True
         while True:
-            self._check_time(plan, runs)
+            self._refusals.check_time(plan, runs)
             self.guard.check(plan, runs)
             await self.gate.settle()
             try:
                 place = await self._placing.find(plan, tried)
             except NoRoomError:
-                raise self._give_up(plan, runs, "no target has room") from None
+                raise self._refusals.give_up(
+                    plan, runs, "no target has room"
+                ) from None
             # it may have waited for long
             self.guard.check(plan, runs)
             if place is None:
                 rounds += 1
-                self._check_rounds(plan, rounds, bool(tried), runs)
+                self._refusals.check_rounds(plan, rounds, bool(tried), runs)
                 tried.clear()
                 await self.clock.sleep(REFUSED_PAUSE * rounds)
                 continue
             if not paid and not self.take_repeat(plan):
-                raise self._give_up(plan, runs, "no repeats are left")
+                raise self._refusals.give_up(plan, runs, "no repeats are left")
             paid = False
             self._note_place(plan, place)
             target = place.target
@@ -160,7 +153,7 @@
                 runs += 1
                 if not more:
                     self.guard.check(plan, runs)
-                    raise self._fail(plan, error) from None
+                    raise self._refusals.explain_loss(error) from None
                 await self.guard.settle(plan, target)
                 continue
             if self._refused(plan, target, sent.answer):
@@ -346,49 +339,3 @@
             # one that has started again is not avoided for what its earlier
             # life left unanswered
             self.chooser.avoid(target.instance)
-
-    def _check_time(self, plan: Plan, runs: int) -> None:
-        left = plan.deadline - self.clock.monotonic()
-        if left >= LEAST_LEFT:
-            return
-        if runs:
-            text = "the time is over; a target may have run it"
-            raise RequestError.of(ErrorKind.TIMEOUT, text, Ran.UNKNOWN)
-        raise self._refusal("no target could take it in time", 0.5)
-
-    def _check_rounds(
-        self, plan: Plan, rounds: int, refused: bool, runs: int
-    ) -> None:
-        if refused and rounds < MOST_ROUNDS:
-            return
-        if not runs and self._is_shut_out(plan):
-            text = "its targets' zones are evacuated, or not allowed for it"
-            raise RequestError.of(ErrorKind.NO_TARGET, text)
-        raise self._give_up(plan, runs, "no target has room")
-
-    def _is_shut_out(self, plan: Plan) -> bool:
-        """Tell whether operators' orders alone leave it without a target."""
-        now = self.clock.monotonic()
-        service = plan.service.name
-        if self.table.select(service, now, plan.regions):
-            return False
-        return any(
-            target.service == service and target.state is TargetState.READY
-            for target in self.table
-        )
-
-    def _give_up(self, plan: Plan, runs: int, text: str) -> RequestError:
-        if runs:
-            return RequestError.of(ErrorKind.TARGET_FAILED, text, Ran.UNKNOWN)
-        return self._refusal(text, plan.route.objective / 2)
-
-    def _refusal(self, text: str, seconds: float) -> RequestError:
-        pause = datetime.timedelta(seconds=seconds)
-        return RequestError(Failure(ErrorKind.NO_TARGET, text, Ran.NO, pause))
-
-    def _fail(self, plan: Plan, error: Exception) -> RequestError:
-        if isinstance(error, TimeoutError):
-            text = "the target did not answer in time"
-            return RequestError.of(ErrorKind.TIMEOUT, text, Ran.UNKNOWN)
-        text = "the connection to the target broke"
-        return RequestError.of(ErrorKind.TARGET_FAILED, text, Ran.UNKNOWN)
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/refusals.py
@@ -0,0 +1,103 @@
+"""What callers are told of requests that are given up."""
+
+import datetime
+
+from chivepier.gateway.serving.plan import Plan
+from chivepier.gateway.targets import TargetState
+from chivepier.gateway.targets import TargetTable
+from chivepier.types import Clock
+from chivepier.types import ErrorKind
+from chivepier.types import Failure
+from chivepier.types import Ran
+from chivepier.types import RequestError
+
+# Below this many seconds left no target can answer: a round trip between
+# availability zones and the shortest work take about as long.
+LEAST_LEFT = 0.02
+# How often all targets may refuse before the caller is told to come back.
+MOST_ROUNDS = 3
+
+
+class Refusals:
+    """Decides when a request is given up, and what is true of it then.
+
+    That it has not run is said only where no target had it; with it goes
+    when to come back.
+
+    :param table: the targets
+    :param clock: monotonic time
+    """
+
+    def __init__(self, table: TargetTable, clock: Clock):
+        self._table = table
+        self._clock = clock
+
+    def check_time(self, plan: Plan, runs: int) -> None:
+        """Give a request up whose time is over.
+
+        :param plan: the request's
+        :param runs: targets that may have run it
+        :raises RequestError: when no target could answer it any more
+        """
+        left = plan.deadline - self._clock.monotonic()
+        if left >= LEAST_LEFT:
+            return
+        if runs:
+            text = "the time is over; a target may have run it"
+            raise RequestError.of(ErrorKind.TIMEOUT, text, Ran.UNKNOWN)
+        raise self._refusal("no target could take it in time", 0.5)
+
+    def check_rounds(
+        self, plan: Plan, rounds: int, refused: bool, runs: int
+    ) -> None:
+        """Give a request up that finds no target.
+
+        :param plan: the request's
+        :param rounds: how often no target was left to be tried
+        :param refused: whether any was tried in the last round
+        :param runs: targets that may have run it
+        :raises RequestError: unless another round may find one
+        """
+        if refused and rounds < MOST_ROUNDS:
+            return
+        if not runs and self._is_shut_out(plan):
+            text = "its targets' zones are evacuated, or not allowed for it"
+            raise RequestError.of(ErrorKind.NO_TARGET, text)
+        raise self.give_up(plan, runs, "no target has room")
+
+    def _is_shut_out(self, plan: Plan) -> bool:
+        """Tell whether operators' orders alone leave it without a target."""
+        now = self._clock.monotonic()
+        service = plan.service.name
+        if self._table.select(service, now, plan.regions):
+            return False
+        return any(
+            target.service == service and target.state is TargetState.READY
+            for target in self._table
+        )
+
+    def give_up(self, plan: Plan, runs: int, text: str) -> RequestError:
+        """Return the error of a request that is given up.
+
+        :param plan: the request's
+        :param runs: targets that may have run it
+        :param text: why
+        """
+        if runs:
+            return RequestError.of(ErrorKind.TARGET_FAILED, text, Ran.UNKNOWN)
+        return self._refusal(text, plan.route.objective / 2)
+
+    def _refusal(self, text: str, seconds: float) -> RequestError:
+        pause = datetime.timedelta(seconds=seconds)
+        return RequestError(Failure(ErrorKind.NO_TARGET, text, Ran.NO, pause))
+
+    def explain_loss(self, error: Exception) -> RequestError:
+        """Return the error of a request that was lost at its last target.
+
+        :param error: how it was lost
+        """
+        if isinstance(error, TimeoutError):
+            text = "the target did not answer in time"
+            return RequestError.of(ErrorKind.TIMEOUT, text, Ran.UNKNOWN)
+        text = "the connection to the target broke"
+        return RequestError.of(ErrorKind.TARGET_FAILED, text, Ran.UNKNOWN)
--- a/packages/gateway/src/chivepier/gateway/warmup/permits.py
+++ b/packages/gateway/src/chivepier/gateway/warmup/permits.py
@@ -2,12 +2,11 @@
 
 import collections.abc
 
-import attrs
-
 from chivepier.gateway.config import Service
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.targets import Target
+from chivepier.gateway.warmup.coldbound import ColdBound
 from chivepier.gateway.warmup.permit import Permit
 from chivepier.gateway.warmup.permit import PERMIT_SECONDS
 from chivepier.gateway.zones import Zones
@@ -29,28 +28,6 @@
 ]
 
 
-@attrs.frozen
-class ColdBound:
-    """How many sends a cold target bears in a second, over all entries.
-
-    >>> ColdBound(excess=1.5, slack=5.0).count(31.0)
-    51
-
-    :param excess: factor on the rate that its service names
-    :param slack: requests above that
-    """
-
-    excess: float = 1.0
-    slack: float = 0.0
-
-    def count(self, rate: float) -> int:
-        """Return the whole sends in one second; one at least.
-
-        :param rate: requests a second that the service names
-        """
-        return max(1, int(rate * self.excess + self.slack))
-
-
 class Permits:
     """Asks the leader for each send to a cold target.
 
--- a/packages/gateway/src/chivepier/gateway/zones/zones.py
+++ b/packages/gateway/src/chivepier/gateway/zones/zones.py
@@ -31,8 +31,10 @@
     :param regions: by zone, from the settings
     """
 
-    def __init__(self, regions: collections.abc.Mapping[str, str] = {}):
-        self._regions = dict(regions)
+    def __init__(
+        self, regions: collections.abc.Mapping[str, str] | None = None
+    ):
+        self._regions = dict(regions or {})
         self._orders: dict[str, ZoneOrder] = {}
         self._presumed: dict[str, float] = {}
         self.watchers: list[Watcher] = []
