--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/warmup/tests/test_permitledger.py
@@ -0,0 +1,33 @@
+"""Tests of what may arrive at a cold target, however late each send is."""
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from chivepier.gateway.warmup import CONNECT_SECONDS
+from chivepier.gateway.warmup import PERMIT_SECONDS
+from chivepier.gateway.warmup import PermitLedger
+
+# Milliseconds, as times: whole numbers add up without error.
+LATEST = round(1000 * (PERMIT_SECONDS + CONNECT_SECONDS))
+ASKED = strategies.lists(
+    strategies.tuples(
+        strategies.integers(0, 400), strategies.integers(0, LATEST - 1)
+    ),
+    max_size=80,
+)
+
+
+@settings(derandomize=True, max_examples=300, deadline=None)
+@given(ASKED, strategies.integers(1, 6))
+def test_no_second_sees_more_than_the_bound(asked, most):
+    # Entries ask at any moment, and what they were given leave for arrives
+    # at once or as late as a permit and a connection allow.
+    ledger, now, arrived = PermitLedger(), 0, []
+    for gap, late in asked:
+        now += gap
+        if ledger.grant("i1", most, now / 1000):
+            arrived.append(now + late)
+    for first in arrived:
+        busy = sum(first <= moment < first + 1000 for moment in arrived)
+        assert busy <= most
