--- a/packages/gateway/src/chivepier/gateway/control/tests/test_avoidance.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_avoidance.py
@@ -60,7 +60,7 @@
                     await wait_until(
                         lambda o=other: o.count_avoiding() >= min(lost, 3)
                     )
-        # three words are enough; each entry for itself lost 12 to 15 of 40
+        # three words are enough; each entry for itself, 13 to 20 of 40 lost one
         assert lost <= 3
 
     play(test, tmp_path)
