--- a/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
+++ b/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
@@ -73,7 +73,7 @@
         zone: str = "",
         most: int | None = None,
         region: str = "",
-        homes: frozenset[str] | None = None,
+        allowed: frozenset[str] | None = None,
     ) -> list[str]:
         """Return where callers of an availability zone may connect.
 
@@ -88,7 +88,7 @@
         :param zone: the caller's
         :param most: addresses that a caller takes; all by default
         :param region: the caller's
-        :param homes: regions that may see its requests, besides its own;
+        :param allowed: regions that may see its requests, besides its own;
             ``None`` for all
         :returns: addresses; empty while this voter is still learning
         """
@@ -98,7 +98,7 @@
         ready = [e for e in self._entries.values() if e.beat.ready]
         alive = [e for e in ready if now - e.heard < ALIVE_SECONDS]
         beats = [entry.beat for entry in alive or ready]
-        beats = self._keep_allowed(beats, region, homes)
+        beats = self._keep_allowed(beats, region, allowed)
         if most is None or len(beats) <= most:
             return [beat.address for beat in beats]
         return _select(beats, zone, most, now)
@@ -107,17 +107,17 @@
         self,
         beats: list[EntryBeat],
         region: str,
-        homes: frozenset[str] | None,
+        allowed: frozenset[str] | None,
     ) -> list[EntryBeat]:
         """Leave out entries that must not see a caller's requests.
 
         Where none is left, any entry is better than none: it refuses what
         no target may serve, and a caller without addresses is told nothing.
         """
-        if homes is None:
+        if allowed is None:
             return beats
-        allowed = homes | {region}
-        kept = [b for b in beats if self._regions.get(b.zone) in allowed]
+        seen = allowed | {region}
+        kept = [b for b in beats if self._regions.get(b.zone) in seen]
         return kept or beats
 
     def channels(self, without: str = "") -> list[Channel]:
--- a/packages/gateway/src/chivepier/gateway/control/homes.py
+++ b/packages/gateway/src/chivepier/gateway/control/hostregions.py
@@ -4,22 +4,22 @@
 
 from chivepier.gateway.control.configstore import ConfigStore
 
-Homes = collections.abc.Mapping[str, frozenset[str]]
-DecodeHomes = collections.abc.Callable[[bytes], Homes]
+Regions = collections.abc.Mapping[str, frozenset[str]]
+DecodeHostRegions = collections.abc.Callable[[bytes], Regions]
 
 
-class HomeIndex:
+class HostRegions:
     """Regions by host, read once for each configuration.
 
     :param store: the configuration
     :param decode: reads the regions of a configuration as it was sent
     """
 
-    def __init__(self, store: ConfigStore, decode: DecodeHomes):
+    def __init__(self, store: ConfigStore, decode: DecodeHostRegions):
         self._store = store
         self._decode = decode
         self._version = -1
-        self._homes: Homes = {}
+        self._regions: Regions = {}
 
     def find(self, host: str) -> frozenset[str] | None:
         """Return the regions that a host's routes allow.
@@ -31,6 +31,6 @@
         if held is None:
             return None
         if held.version != self._version:
-            self._homes = self._decode(held.body)
+            self._regions = self._decode(held.body)
             self._version = held.version
-        return self._homes.get(host.lower())
+        return self._regions.get(host.lower())
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_entrydirectory.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_entrydirectory.py
@@ -122,9 +122,9 @@
 REGIONS = {"z1": "north", "z2": "north", "z3": "south", "z4": "east"}
 
 
-def list_zones(directory, region: str, homes) -> set[str]:
+def list_zones(directory, region: str, allowed) -> set[str]:
     """Name the zones of the entries that a caller of z1 is given."""
-    given = directory.addresses("z1", MOST, region, homes)
+    given = directory.addresses("z1", MOST, region, allowed)
     return {address.partition("-")[0] for address in given}
 
 
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -7,8 +7,8 @@
 from chivepier.gateway.control.configstore import ConfigStore
 from chivepier.gateway.control.entrydirectory import EntryDirectory
 from chivepier.gateway.control.founding import open_folder
-from chivepier.gateway.control.homes import DecodeHomes
-from chivepier.gateway.control.homes import HomeIndex
+from chivepier.gateway.control.hostregions import DecodeHostRegions
+from chivepier.gateway.control.hostregions import HostRegions
 from chivepier.gateway.control.knownstate import KnownState
 from chivepier.gateway.control.leaderlink import LeaderLink
 from chivepier.gateway.control.loadhub import LoadHub
@@ -63,7 +63,7 @@
     :param settings: from its start
     :param clock: counts suspension too
     :param log: what this process believes
-    :param decode_homes: reads the regions that a configuration allows
+    :param decode_host_regions: reads the regions that a configuration allows
     """
 
     def __init__(
@@ -71,9 +71,9 @@
         settings: VoterSettings,
         clock: Clock,
         log: EventLog,
-        decode_homes: DecodeHomes = lambda body: {},
+        decode_host_regions: DecodeHostRegions = lambda body: {},
     ):
-        self._decode_homes = decode_homes
+        self._decode_host_regions = decode_host_regions
         self._settings = settings
         self._clock = clock
         self._log = log
@@ -91,7 +91,7 @@
         self.store: ConfigStore | None = None
         self.orders: ZoneStore | None = None
         self.permits: PermitHub | None = None
-        self.homes: HomeIndex | None = None
+        self.host_regions: HostRegions | None = None
         self.registry: Registry | None = None
         self.seats: Seats | None = None
 
@@ -157,7 +157,7 @@
         self.store = ConfigStore(leader, clock, log)
         self.orders = ZoneStore(leader, self.zones, clock, log)
         self.permits = PermitHub(leader, clock, log)
-        self.homes = HomeIndex(self.store, self._decode_homes)
+        self.host_regions = HostRegions(self.store, self._decode_host_regions)
         self.store.use_known(self._known.load())
         self.registry = Registry(
             me, self.table, self.entries, links, peers, clock, log
--- a/tests/adapter/test_zoneorders.py
+++ b/tests/adapter/test_zoneorders.py
@@ -9,7 +9,7 @@
 from test_control import run as run_voter
 
 from adapter.configcodec import decode_config
-from adapter.configcodec import decode_homes
+from adapter.configcodec import decode_host_regions
 from chivepier.cli.main import main
 
 PATH = "/chivepier/evacuations/"
@@ -109,5 +109,8 @@
     assert before.services[0].cold_rate == 0.0
     assert before.routes[0].regions is None
     host = plain["routes"][0]["host"]
-    assert decode_homes(json.dumps(plain).encode())[host] == {"north", "east"}
-    assert decode_homes(json.dumps(PLAIN).encode()) == {}
+    assert decode_host_regions(json.dumps(plain).encode())[host] == {
+        "north",
+        "east",
+    }
+    assert decode_host_regions(json.dumps(PLAIN).encode()) == {}
