--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -157,7 +157,9 @@
         self.store = ConfigStore(leader, clock, log)
         self.orders = ZoneStore(leader, self.zones, clock, log)
         self.permits = PermitHub(leader, clock, log)
-        self.host_regions = HostRegions(self.store, self._decode_host_regions)
+        self.host_regions = HostRegions(
+            self.store, self._decode_host_regions, log
+        )
         self.store.use_known(self._known.load())
         self.registry = Registry(
             me, self.table, self.entries, links, peers, clock, log
--- a/tests/adapter/test_control.py
+++ b/tests/adapter/test_control.py
@@ -7,6 +7,7 @@
 import aiohttp
 from test_configcodec import PLAIN
 
+from adapter.configcodec import decode_host_regions
 from adapter.control import ControlServer
 from chivepier.gateway.control import Voter
 from chivepier.gateway.eventlog import EventLog
@@ -50,7 +51,7 @@
         )
         async with (
             asyncio.timeout(30),
-            Voter(settings, clock, log) as voter,
+            Voter(settings, clock, log, decode_host_regions) as voter,
             ControlServer(voter, clock, log, (address,), 1.0),
             aiohttp.ClientSession(f"http://{address}") as client,
         ):
--- a/tests/adapter/test_zoneorders.py
+++ b/tests/adapter/test_zoneorders.py
@@ -11,6 +11,7 @@
 from adapter.configcodec import decode_config
 from adapter.configcodec import decode_host_regions
 from chivepier.cli.main import main
+from chivepier.gateway.messages import EntryBeat
 
 PATH = "/chivepier/evacuations/"
 
@@ -114,3 +115,33 @@
         "east",
     }
     assert decode_host_regions(json.dumps(PLAIN).encode()) == {}
+
+
+def test_look_ups_outlive_a_configuration_that_can_not_be_read(tmp_path):
+    # A voter of another release took it. Each look-up of this one raised,
+    # and its callers were given no address.
+    async def test(voter, client):
+        while not await voter.store.write(3, b'{"allowed-regions'):
+            await asyncio.sleep(0.01)
+        voter.entries.note(
+            EntryBeat("e1", "10.0.0.9:80", "z1", True, 3, "", 0), Link()
+        )
+        while True:
+            async with client.get("/chivepier/resolve?name=x") as answer:
+                if answer.status == 200:
+                    plain = await answer.json()
+                    break
+                # silent for a moment after its start
+                assert answer.status == 503
+        assert plain["addresses"] == ["10.0.0.9:80"]
+
+    run(test, tmp_path)
+
+
+class Link:
+    """An entry's link that is there."""
+
+    closed = False
+
+    def send(self, message) -> None:
+        """Take a push."""
