--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -154,6 +154,7 @@
         """Order the targets, the best one first; see :meth:`choose`.
 
         :param roomy: whether full targets are left out
+        :param regions: that the request may reach; ``None`` for all
         """
         now = self._clock.monotonic()
         sound = self._select_sound(service, without, now, regions)
