Log the limits that targets name, and headers that nothing reads

What on-call engineers saw: targets in need got too many requests, and no log line or metric of ours showed that they had named a limit, which one, and to which entry. "Nobody reads it" and "each entry keeps to it alone" looked the same.

Answers' heads now give the limit as a type (none, a rate, one that is no number; of several the lowest), and the names of headers that nothing reads.

No decision has changed.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -17,6 +17,7 @@
 from chivepier.gateway.serving import Guard
 from chivepier.gateway.serving import Mover
 from chivepier.gateway.serving import Planner
+from chivepier.gateway.serving import Remarks
 from chivepier.gateway.serving import RetryBudget
 from chivepier.gateway.serving import SendGate
 from chivepier.gateway.serving import Serving
@@ -163,6 +164,7 @@
             budget=budget,
             guard=guard,
             gate=gate,
+            remarks=Remarks(log, self.metrics),
             clock=clock,
             log=log,
         )
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -16,7 +16,7 @@
 LOAD_SECONDS = 3.0
 # Observations that wait for it at most; the rest is counted as dropped.
 MOST_EARLY = 5_000
-COUNTERS = ("requests", "moves", "quarantine", "permits")
+COUNTERS = ("requests", "moves", "quarantine", "permits", "unread")
 
 
 class Metrics:
@@ -108,6 +108,13 @@
         """
         self._note("permits", (answer,), 1.0)
 
+    def note_unread_header(self, name: str) -> None:
+        """Count a header of a target's answer that nothing reads.
+
+        :param name: in lower case, of a bounded set
+        """
+        self._note("unread", (name,), 1.0)
+
     def note_zone(self, zone: str, evacuated: bool) -> None:
         """Set whether an availability zone is evacuated.
 
@@ -174,6 +181,12 @@
             ("answer",),
             registry=registry,
         ),
+        "unread": library.Counter(
+            "chivepier_unread_headers",
+            "Headers of targets' answers that nothing reads.",
+            ("header",),
+            registry=registry,
+        ),
         "zones": library.Gauge(
             "chivepier_zone_evacuated",
             "Whether nothing new is sent to an availability zone.",
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -16,6 +16,7 @@
 from chivepier.gateway.serving.origin import Origin
 from chivepier.gateway.serving.planner import Planner
 from chivepier.gateway.serving.prompt import Prompt
+from chivepier.gateway.serving.remarks import Remarks
 from chivepier.gateway.serving.retrybudget import RetryBudget
 from chivepier.gateway.serving.sendgate import SendGate
 from chivepier.gateway.serving.sendorder import SendOrder
@@ -41,6 +42,7 @@
     "NotSentError",
     "Origin",
     "Prompt",
+    "Remarks",
     "RetryBudget",
     "SendGate",
     "SendOrder",
--- a/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
@@ -2,6 +2,9 @@
 
 import attrs
 
+from chivepier.gateway.limits import Limit
+from chivepier.gateway.limits import NoLimit
+
 
 @attrs.frozen(kw_only=True)
 class AnswerFacts:
@@ -13,9 +16,13 @@
     :param crossed: the answer belongs to another request
     :param framed: the head says where the answer ends; else its connection
         does
+    :param limit: the rate that the target takes
+    :param unread: names of headers that nothing reads
     """
 
     not_run: bool = False
     other_instance: str | None = None
     crossed: bool = False
     framed: bool = True
+    limit: Limit = NoLimit()
+    unread: tuple[str, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -16,6 +16,7 @@
 from chivepier.gateway.serving.placing import Placing
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.refusals import Refusals
+from chivepier.gateway.serving.remarks import Remarks
 from chivepier.gateway.serving.retrybudget import RetryBudget
 from chivepier.gateway.serving.runwatch import RunWatch
 from chivepier.gateway.serving.sendgate import SendGate
@@ -60,6 +61,7 @@
     :param budget: bounds repeats
     :param guard: keeps back what ends targets
     :param gate: knows what may be sent where
+    :param remarks: notes what answers say of their targets
     :param clock: monotonic time
     :param log: decisions on requests
     """
@@ -78,6 +80,7 @@
         budget: RetryBudget,
         guard: Guard,
         gate: SendGate,
+        remarks: Remarks,
         clock: Clock,
         log: EventLog,
     ):
@@ -90,6 +93,7 @@
         self.budget = budget
         self.guard = guard
         self.gate = gate
+        self.remarks = remarks
         self.clock = clock
         self.log = log
         self.runs = RunWatch(board, mover, chooser.pace, clock)
@@ -223,6 +227,7 @@
                 answer = await self.port.send(
                     target, plan.request, self._order(plan, place)
                 )
+                self.note_remarks(target, answer)
                 sent = await self._read(plan, target, answer, run)
         except BaseException as error:
             if isinstance(error, (LostError, AnswerCutError, TimeoutError)):
@@ -238,6 +243,12 @@
         self._note_answer(plan, sent, began)
         return sent
 
+    def note_remarks(self, target: Target, answer: TargetAnswer) -> None:
+        """Note what an answer's head says of the target that it is from."""
+        facts = answer.facts
+        if facts.other_instance is None and not facts.crossed:
+            self.remarks.take(target, facts)
+
     async def _read(
         self,
         plan: Plan,
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -280,6 +280,7 @@
                 handoff.target, plan.request, order
             )
         facts = answer.facts
+        dispatcher.note_remarks(handoff.target, answer)
         refused = facts.not_run or facts.other_instance is not None
         if refused or facts.crossed or answer.status >= 300:
             answer.close()
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -30,6 +30,7 @@
 from chivepier.gateway.serving import Mover
 from chivepier.gateway.serving import Planner
 from chivepier.gateway.serving import Prompt
+from chivepier.gateway.serving import Remarks
 from chivepier.gateway.serving import RetryBudget
 from chivepier.gateway.serving import SendGate
 from chivepier.gateway.serving import Serving
@@ -173,6 +174,7 @@
             budget=self.budget,
             guard=guard,
             gate=gate,
+            remarks=Remarks(log, Metrics()),
             clock=clock,
             log=log,
         )
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_remarks.py
@@ -0,0 +1,63 @@
+"""Tests of what is noted of targets' words beside their answers."""
+
+import json
+import tempfile
+
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.limits import NoLimit
+from chivepier.gateway.limits import RateLimit
+from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.serving import AnswerFacts
+from chivepier.gateway.serving import Remarks
+from chivepier.gateway.serving.remarks import MOST_UNREAD
+from chivepier.gateway.serving.tests.fakeengines import make_target
+
+
+class Noted:
+    """Remarks with a log and counters that can be read."""
+
+    def __init__(self):
+        self._lines = tempfile.TemporaryFile()
+        self.metrics = Metrics()
+        log = EventLog("e1", self._lines.fileno(), lambda: 0.0)
+        self.remarks = Remarks(log, self.metrics)
+
+    def take(self, limit=NoLimit(), unread=()) -> None:
+        """Note an answer of one target."""
+        facts = AnswerFacts(limit=limit, unread=unread)
+        self.remarks.take(make_target("i1"), facts)
+
+    def read_lines(self) -> list[dict]:
+        """Return what was logged."""
+        self._lines.seek(0)
+        return [json.loads(line) for line in self._lines]
+
+
+def test_each_change_of_a_limit_is_logged_once():
+    noted = Noted()
+    for limit in (RateLimit(1.5), RateLimit(1.5), RateLimit(1.0), NoLimit()):
+        noted.take(limit)
+        noted.take(limit)
+    limits = [line["limit"] for line in noted.read_lines()]
+    assert limits == [
+        "RateLimit(rate=1.5)",
+        "RateLimit(rate=1.0)",
+        "NoLimit()",
+    ]
+
+
+def test_unread_header_is_logged_once_and_counted():
+    noted = Noted()
+    for _ in range(3):
+        noted.take(unread=("Server-Wish",))
+    (line,) = noted.read_lines()
+    assert line["event"] == "header_unread"
+    assert line["header"] == "server-wish"
+    counted = b'chivepier_unread_headers_total{header="server-wish"} 3.0'
+    assert counted in noted.metrics.render()
+
+
+def test_targets_can_make_up_any_number_of_headers():
+    noted = Noted()
+    noted.take(unread=tuple(f"x-{n}" for n in range(2 * MOST_UNREAD)))
+    assert noted.metrics.render().count(b"headers_total{") == MOST_UNREAD
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -5,6 +5,9 @@
 import pytest
 
 from adapter.targets import Targets
+from chivepier.gateway.limits import NoLimit
+from chivepier.gateway.limits import RateLimit
+from chivepier.gateway.limits import UnreadLimit
 from chivepier.gateway.serving import AnswerCutError
 from chivepier.gateway.serving import LostError
 from chivepier.gateway.serving import MoveOutcome
@@ -440,3 +443,48 @@
             targets.hang_up(target)
 
     run(script, test)
+
+
+@pytest.mark.parametrize(
+    ("header", "limit"),
+    (
+        (b"", NoLimit()),
+        (b"Server-Limit: 1.5\r\n", RateLimit(1.5)),
+        (b"server-limit:  0\r\n", RateLimit(0.0)),
+        (b"Server-Limit: 1e9\r\n", RateLimit(1e9)),
+        (b"Server-Limit: 3\r\nServer-Limit: 2\r\n", RateLimit(2.0)),
+        (b"Server-Limit: 3, 2\r\n", RateLimit(2.0)),
+        (b"Server-Limit: -1\r\n", UnreadLimit()),
+        (b"Server-Limit: nan\r\n", UnreadLimit()),
+        (b"Server-Limit: inf\r\n", UnreadLimit()),
+        (b"Server-Limit: few\r\n", UnreadLimit()),
+        (b"Server-Limit:\r\n", UnreadLimit()),
+    ),
+)
+def test_limit_is_read_of_an_answer(header, limit):
+    async def script(head, writer):
+        writer.write(answer(b"ok", extra=header))
+
+    async def test(raw, targets):
+        reply = await targets.send(
+            raw.make_target(), rawtarget.make_request(), ORDER
+        )
+        assert reply.facts.limit == limit
+        assert reply.facts.unread == ()
+        assert await read_all(reply) == b"ok"
+
+    run(script, test)
+
+
+def test_header_that_nothing_reads_is_told_by_name():
+    # Targets named a limit for months before anybody knew of it.
+    async def script(head, writer):
+        writer.write(answer(b"ok", extra=b"Server-Wish: 3\r\n"))
+
+    async def test(raw, targets):
+        reply = await targets.send(
+            raw.make_target(), rawtarget.make_request(), ORDER
+        )
+        assert reply.facts.unread == ("Server-Wish",)
+
+    run(script, test)
