Add a failing test of targets that name the rate they take

What users saw: targets in need had named 1.5 requests a second and got 15 and 16 within four seconds. The test plays it with real processes: three voters, one or three entries, four targets of which two name a limit, callers at any entry. From three seconds after it was named on, a window of four seconds may hold what the target takes in it, with the time by which a send may come later than it was permitted, and one: 8.

--- /dev/null
+++ b/soak/cluster.py
@@ -0,0 +1,103 @@
+"""Real entries and voters before targets that a scenario chooses."""
+
+import asyncio
+import collections.abc
+import contextlib
+import json
+import pathlib
+import random
+
+import aiohttp
+
+from soak.process import Process
+from soak.process import run_all
+from soak.run import make_config
+from soak.target import SoakTarget
+
+VOTERS = 3
+MakeTarget = collections.abc.Callable[
+    [str, list[str], random.Random], SoakTarget
+]
+
+
+class Cluster:
+    """Three voters, some entries, and targets.
+
+    :param folder: for settings, data and logs
+    :param block: second byte of its loopback addresses
+    :param seed: of everything that is drawn
+    :param entries: how many
+    :param targets: how many
+    :param make_target: makes one, by its address, the voters' and the draw
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        block: int,
+        seed: int,
+        entries: int,
+        targets: int,
+        make_target: MakeTarget,
+    ):
+        base = f"127.{block}"
+        self.rng = random.Random(seed)
+        self.folder = folder
+        self.controls = [f"{base}.1.{n + 1}:8748" for n in range(VOTERS)]
+        self.voters = [
+            Process("voter", address.split(":")[0], self.controls, folder)
+            for address in self.controls
+        ]
+        self.entries = [
+            Process("entry", f"{base}.2.{n + 1}", self.controls, folder)
+            for n in range(entries)
+        ]
+        self.targets = [
+            make_target(f"{base}.3.{n + 1}:8080", self.controls, self.rng)
+            for n in range(targets)
+        ]
+
+    @contextlib.asynccontextmanager
+    async def start(
+        self, config: dict
+    ) -> collections.abc.AsyncIterator[aiohttp.ClientSession]:
+        """Run everything until the context is left.
+
+        :param config: that is put in force
+        """
+        async with contextlib.AsyncExitStack() as stack:
+            session = await stack.enter_async_context(
+                run_all((*self.voters, *self.entries))
+            )
+            for target in self.targets:
+                await stack.enter_async_context(target)
+            await self._configure(session, config)
+            yield session
+
+    async def _configure(
+        self, session: aiohttp.ClientSession, config: dict
+    ) -> None:
+        body = json.dumps(config)
+        while True:
+            url = f"http://{self.controls[0]}/chivepier/config"
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                async with session.put(url, data=body) as answer:
+                    if answer.status == 200:
+                        return
+            await asyncio.sleep(0.1)
+
+
+def make_resumable_config() -> dict:
+    """Make a configuration with a route of streams that may go on."""
+    config = make_config(1)
+    stream = next(r for r in config["routes"] if r["name"] == "stream")
+    config["routes"].append(
+        {
+            **stream,
+            "name": "resume",
+            "path-prefix": "/resume/",
+            "resumable": True,
+            "max-attempts": 2,
+        }
+    )
+    return config
--- /dev/null
+++ b/soak/need.py
@@ -0,0 +1,122 @@
+"""Targets in need, which name the rate that they take."""
+
+import asyncio
+import contextlib
+import pathlib
+import time
+
+import aiohttp
+import attrs
+
+from soak.cluster import Cluster
+from soak.process import Process
+from soak.promises import Promises
+from soak.run import make_config
+from soak.target import SoakTarget
+
+TARGETS = 4
+CALLERS = 8
+# Seconds in which requests at a target are counted.
+WINDOW_SECONDS = 4.0
+# Seconds between two requests of a caller.
+PAUSE_SECONDS = 0.1
+
+
+@attrs.frozen
+class Reply:
+    """What one caller got.
+
+    :param at: when, in monotonic seconds
+    :param status: 0 where the connection broke or none was made
+    :param seconds: from its request to its answer
+    :param back: seconds until it may come back, where it was told
+    """
+
+    at: float
+    status: int
+    seconds: float
+    back: float | None
+
+
+class Need(Cluster):
+    """Real entries and voters, callers, and targets that name limits.
+
+    :param folder: for settings, data and logs
+    :param block: second byte of its loopback addresses
+    :param seed: of everything that is drawn
+    :param entries: how many
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, block: int, seed: int, entries: int
+    ):
+        self.replies: list[Reply] = []
+        self._number = 0
+        super().__init__(
+            folder, block, seed, entries, TARGETS, self._make_target
+        )
+
+    def _make_target(self, address: str, controls, rng) -> SoakTarget:
+        return SoakTarget(address, address, controls, Promises(), rng)
+
+    @contextlib.asynccontextmanager
+    async def run(self):
+        """Run everything, with callers, until the context is left."""
+        async with self.start(make_config(1)) as session:
+            for entry in self.entries:
+                while (await self.ask(session, entry)).status != 200:
+                    await asyncio.sleep(0.1)
+            tasks = [
+                asyncio.create_task(self._call(session))
+                for _ in range(CALLERS)
+            ]
+            try:
+                yield session
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _call(self, session: aiohttp.ClientSession) -> None:
+        while True:
+            entry = self.rng.choice(self.entries)
+            self.replies.append(await self.ask(session, entry))
+            await asyncio.sleep(PAUSE_SECONDS)
+
+    async def ask(
+        self, session: aiohttp.ClientSession, entry: Process
+    ) -> Reply:
+        """Send one request that may run once."""
+        self._number += 1
+        headers = {
+            "Host": "h.example",
+            "X-Chivepier-Request-Id": f"n{self._number}",
+            "X-Api-Key": "k1",
+            "X-Chivepier-Deadline-Ms": "2000",
+        }
+        url = f"http://{entry.ip}:8740/once/{self._number}"
+        began, status, back = time.monotonic(), 0, None
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with session.post(url, data=b"x", headers=headers) as answer:
+                await answer.read()
+                status = answer.status
+                back = answer.headers.get("Retry-After")
+        now = time.monotonic()
+        seconds = None if back is None else float(back)
+        return Reply(now, status, now - began, seconds)
+
+
+def count_busiest(arrivals: list[float], since: float) -> int:
+    """Count the requests in the busiest window from a moment on.
+
+    :param arrivals: of requests at a target, in monotonic seconds
+    :param since: first moment that counts
+    """
+    later = sorted(at for at in arrivals if at >= since)
+    return max(
+        (
+            sum(first <= at < first + WINDOW_SECONDS for at in later)
+            for first in later
+        ),
+        default=0,
+    )
--- a/soak/outbreak.py
+++ b/soak/outbreak.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import contextlib
-import json
 import pathlib
-import random
 import secrets
 import shutil
 import signal
@@ -14,10 +12,10 @@
 from aiohttp import web
 import attrs
 
+from soak.cluster import Cluster
+from soak.cluster import make_resumable_config
 from soak.process import Process
-from soak.process import run_all
 from soak.promises import Promises
-from soak.run import make_config
 from soak.target import SoakTarget
 
 DEADLY = b"what no target survives"
@@ -93,7 +91,7 @@
         await self.__aenter__()
 
 
-class Outbreak:
+class Outbreak(Cluster):
     """Real entries and voters, fragile targets, and both kinds of callers.
 
     :param folder: for settings, data and logs
@@ -105,65 +103,23 @@
     def __init__(
         self, folder: pathlib.Path, block: int, seed: int, entries: int = 3
     ):
-        base = f"127.{block}"
-        self.rng = random.Random(seed)
         self.seen = Seen()
-        controls = [f"{base}.1.{n + 1}:8748" for n in range(3)]
-        self.controls = controls
-        self.voters = [
-            Process("voter", address.split(":")[0], controls, folder)
-            for address in controls
-        ]
-        self.entries = [
-            Process("entry", f"{base}.2.{n + 1}", controls, folder)
-            for n in range(entries)
-        ]
-        self.targets = []
-        for n in range(4):
-            address = f"{base}.3.{n + 1}:8080"
-            target = FragileTarget(
-                address, address, controls, Promises(), self.rng
-            )
-            target.seen = self.seen
-            self.targets.append(target)
-        self._folder = folder
         self._number = 0
+        super().__init__(folder, block, seed, entries, 4, self._make_target)
+
+    def _make_target(self, address: str, controls, rng) -> FragileTarget:
+        target = FragileTarget(address, address, controls, Promises(), rng)
+        target.seen = self.seen
+        return target
 
     @contextlib.asynccontextmanager
-    async def start(self):
+    async def run(self):
         """Run everything until the context is left."""
-        async with contextlib.AsyncExitStack() as stack:
-            session = await stack.enter_async_context(
-                run_all((*self.voters, *self.entries))
-            )
-            for target in self.targets:
-                await stack.enter_async_context(target)
-            await self._configure(session)
+        async with self.start(make_resumable_config()) as session:
             while await self.ask(session, self.entries[0], "sound") != 200:
                 await asyncio.sleep(0.1)
             yield session
 
-    async def _configure(self, session: aiohttp.ClientSession) -> None:
-        config = make_config(1)
-        stream = next(r for r in config["routes"] if r["name"] == "stream")
-        config["routes"].append(
-            {
-                **stream,
-                "name": "resume",
-                "path-prefix": "/resume/",
-                "resumable": True,
-                "max-attempts": 2,
-            }
-        )
-        body = json.dumps(config)
-        while True:
-            url = f"http://{self.controls[0]}/chivepier/config"
-            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
-                async with session.put(url, data=body) as answer:
-                    if answer.status == 200:
-                        return
-            await asyncio.sleep(0.1)
-
     async def ask(
         self, session: aiohttp.ClientSession, entry: Process, kind: str
     ) -> int:
@@ -217,7 +173,7 @@
         frozen.signal(signal.SIGSTOP)
         voter = self.voters[0]
         voter.end()
-        shutil.rmtree(self._folder / f"data-{voter.name}")
+        shutil.rmtree(self.folder / f"data-{voter.name}")
         voter.start()
         killed.end()
         await asyncio.sleep(1.5)
--- a/soak/target.py
+++ b/soak/target.py
@@ -60,6 +60,8 @@
         self._cold_until = 0.0
         self._cold_told: float | None = None
         self._arrived: list[float] = []
+        self.limit: float | None = None
+        self.arrivals: list[float] = []
         self.restarted = False
         self.runs = 0
         self._born = 0
@@ -166,6 +168,9 @@
         if wanted != self.instance:
             return web.Response(status=421, headers=echo)
         self._note_arrival()
+        self.arrivals.append(time.monotonic())
+        if self.limit is not None:
+            echo["Server-Limit"] = str(self.limit)
         mood = self.mood
         if mood == "shed":
             echo["X-Chivepier-Not-Run"] = "1"
--- /dev/null
+++ b/soak/tests/test_need.py
@@ -0,0 +1,55 @@
+"""Targets that name the rate they take, with real processes."""
+
+import asyncio
+import os
+import time
+
+import pytest
+
+from soak.need import count_busiest
+from soak.need import Need
+from soak.need import WINDOW_SECONDS
+
+LIMIT = 1.5
+# Seconds after a target first names its limit from which all must know.
+TOUCH_SECONDS = 3.0
+# Seconds for which the requests at targets are counted after that.
+COUNTED_SECONDS = 6.0
+# Seconds by which a send may come later than it was permitted: the time in
+# which leave must be used, and that for a connection to stand.
+LATENESS_SECONDS = 0.75
+# What a target that names the limit may get within a window: what it takes
+# in that time, sends that come late included, and the first one.
+MOST = int(LIMIT * (WINDOW_SECONDS + LATENESS_SECONDS)) + 1
+
+
+def play(folder, entries: int, in_need: int) -> Need:
+    """Let targets name a limit amid traffic, and count what they get."""
+    block = 100 + (7 * os.getpid() + entries) % 50
+
+    async def work() -> Need:
+        need = Need(folder, block, 1, entries)
+        async with asyncio.timeout(60), need.run():
+            await asyncio.sleep(1.0)
+            for target in need.targets[:in_need]:
+                target.limit = LIMIT
+            await asyncio.sleep(TOUCH_SECONDS + COUNTED_SECONDS)
+        return need
+
+    return asyncio.run(work())
+
+
+@pytest.mark.parametrize("entries", (1, 3))
+def test_targets_in_need_get_no_more_than_they_take(entries, tmp_path):
+    # Users saw targets in need get 15 and 16 requests within four seconds
+    # that had named 1.5 a second. The targets named it in each answer; seven
+    # entries passed that on to callers and read nothing of it, so that each
+    # of them went on as before. Evidence: the same sends a second after the
+    # last entry was told as before, second sends for one request in 72 only,
+    # and no decision that differs by what a target names.
+    need = play(tmp_path, entries, in_need=2)
+    since = time.monotonic() - COUNTED_SECONDS
+    for target in need.targets[:2]:
+        assert 0 < count_busiest(target.arrivals, since) <= MOST
+    late = [reply for reply in need.replies if reply.at >= since]
+    assert {reply.status for reply in late} == {200}
--- a/soak/tests/test_outbreak.py
+++ b/soak/tests/test_outbreak.py
@@ -31,7 +31,7 @@
 
     async def work():
         outbreak = Outbreak(folder, block, seed=1, entries=entries)
-        async with asyncio.timeout(60), outbreak.start() as session:
+        async with asyncio.timeout(60), outbreak.run() as session:
             async with call_beside(outbreak, session):
                 work = outbreak.insist(session, INSISTING_SECONDS)
                 if disturbed:
