Call the package of permits by what it holds

It held leave for sends to cold targets alone; the rates that targets name will need a rate over all entries, too, and share the mechanism. A move without a change of behaviour; its tests pass as before.

--- a/packages/gateway/benchmarks/coldways.py
+++ b/packages/gateway/benchmarks/coldways.py
@@ -17,8 +17,8 @@
 
 import attrs
 
-from chivepier.gateway.warmup import ColdBound
-from chivepier.gateway.warmup import PermitLedger
+from chivepier.gateway.permits import ColdBound
+from chivepier.gateway.permits import PermitLedger
 
 ENTRIES = 75
 RATE = 31.0
--- a/packages/gateway/src/chivepier/gateway/control/permithub.py
+++ b/packages/gateway/src/chivepier/gateway/control/permithub.py
@@ -4,9 +4,9 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.messages import PermitAnswer
 from chivepier.gateway.messages import PermitRequest
-from chivepier.gateway.warmup import PERMIT_SECONDS
-from chivepier.gateway.warmup import PermitLedger
-from chivepier.gateway.warmup import WINDOW_SECONDS
+from chivepier.gateway.permits import PERMIT_SECONDS
+from chivepier.gateway.permits import PermitLedger
+from chivepier.gateway.permits import WINDOW_SECONDS
 from chivepier.types import Clock
 from chivepier.wire import LinkError
 
--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -16,6 +16,8 @@
 from chivepier.gateway.following import Peers
 from chivepier.gateway.following import QuarantineExchange
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.permits import ColdBound
+from chivepier.gateway.permits import Permits
 from chivepier.gateway.quarantine import Loss
 from chivepier.gateway.quarantine import Orders
 from chivepier.gateway.quarantine import Quarantine
@@ -28,8 +30,6 @@
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
-from chivepier.gateway.warmup import ColdBound
-from chivepier.gateway.warmup import Permits
 from chivepier.gateway.zones import Freshness
 from chivepier.gateway.zones import Zones
 from chivepier.standins.cluster import find_port
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_permithub.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_permithub.py
@@ -13,10 +13,10 @@
 from chivepier.gateway.control.tests.fleet import wait_until
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.messages import PermitRequest
+from chivepier.gateway.permits import PermitLedger
+from chivepier.gateway.permits import WINDOW_SECONDS
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
-from chivepier.gateway.warmup import PermitLedger
-from chivepier.gateway.warmup import WINDOW_SECONDS
 from chivepier.types import ManualClock
 
 RATE = 10
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -11,6 +11,8 @@
 from chivepier.gateway.following import Peers
 from chivepier.gateway.following import QuarantineExchange
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.permits import ColdBound
+from chivepier.gateway.permits import Permits
 from chivepier.gateway.quarantine import Quarantine
 from chivepier.gateway.serving import BodyRoom
 from chivepier.gateway.serving import Dispatcher
@@ -31,8 +33,6 @@
 from chivepier.gateway.targets import TargetHealth
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
-from chivepier.gateway.warmup import ColdBound
-from chivepier.gateway.warmup import Permits
 from chivepier.gateway.zones import Freshness
 from chivepier.gateway.zones import ZoneOrder
 from chivepier.gateway.zones import Zones
--- a/packages/gateway/src/chivepier/gateway/warmup/permitledger.py
+++ b/packages/gateway/src/chivepier/gateway/permits/permitledger.py
@@ -2,7 +2,7 @@
 
 import collections
 
-from chivepier.gateway.warmup.permit import PERMIT_SECONDS
+from chivepier.gateway.permits.permit import PERMIT_SECONDS
 
 # Seconds for a connection to a target to stand. Between availability zones it
 # takes some milliseconds; a target that is dark never answers. What is sent
--- a/packages/gateway/src/chivepier/gateway/warmup/permits.py
+++ b/packages/gateway/src/chivepier/gateway/permits/permits.py
@@ -5,10 +5,10 @@
 from chivepier.gateway.config import Service
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.permits.coldbound import ColdBound
+from chivepier.gateway.permits.permit import Permit
+from chivepier.gateway.permits.permit import PERMIT_SECONDS
 from chivepier.gateway.targets import Target
-from chivepier.gateway.warmup.coldbound import ColdBound
-from chivepier.gateway.warmup.permit import Permit
-from chivepier.gateway.warmup.permit import PERMIT_SECONDS
 from chivepier.gateway.zones import Zones
 from chivepier.types import Clock
 
--- a/packages/gateway/src/chivepier/gateway/warmup/tests/test_permitledger.py
+++ b/packages/gateway/src/chivepier/gateway/permits/tests/test_permitledger.py
@@ -4,9 +4,9 @@
 from hypothesis import settings
 from hypothesis import strategies
 
-from chivepier.gateway.warmup import CONNECT_SECONDS
-from chivepier.gateway.warmup import PERMIT_SECONDS
-from chivepier.gateway.warmup import PermitLedger
+from chivepier.gateway.permits import CONNECT_SECONDS
+from chivepier.gateway.permits import PERMIT_SECONDS
+from chivepier.gateway.permits import PermitLedger
 
 # Milliseconds, as times: whole numbers add up without error.
 LATEST = round(1000 * (PERMIT_SECONDS + CONNECT_SECONDS))
--- a/packages/gateway/src/chivepier/gateway/serving/place.py
+++ b/packages/gateway/src/chivepier/gateway/serving/place.py
@@ -2,8 +2,8 @@
 
 import attrs
 
+from chivepier.gateway.permits import Permit
 from chivepier.gateway.targets import Target
-from chivepier.gateway.warmup import Permit
 
 
 @attrs.frozen
--- a/packages/gateway/src/chivepier/gateway/serving/sendgate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/sendgate.py
@@ -1,10 +1,10 @@
 """What must hold before anything is sent to a target."""
 
 from chivepier.gateway.config import Service
+from chivepier.gateway.permits import Permit
+from chivepier.gateway.permits import Permits
 from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.targets import Target
-from chivepier.gateway.warmup import Permit
-from chivepier.gateway.warmup import Permits
 from chivepier.gateway.zones import Freshness
 from chivepier.gateway.zones import Zones
 from chivepier.types import Clock
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -19,6 +19,8 @@
 from chivepier.gateway.messages import LoadRecord
 from chivepier.gateway.messages import QueueRecord
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.permits import ColdBound
+from chivepier.gateway.permits import Permits
 from chivepier.gateway.quarantine import Ending
 from chivepier.gateway.quarantine import Life
 from chivepier.gateway.quarantine import Orders
@@ -45,8 +47,6 @@
 from chivepier.gateway.targets import TargetHealth
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
-from chivepier.gateway.warmup import ColdBound
-from chivepier.gateway.warmup import Permits
 from chivepier.gateway.zones import Freshness
 from chivepier.gateway.zones import ZoneOrder
 from chivepier.gateway.zones import Zones
