--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/limithub.py
@@ -0,0 +1,76 @@
+"""Limits that targets named to entries."""
+
+import collections.abc
+
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.limits import LimitBoard
+from chivepier.gateway.limits import LimitWord
+from chivepier.gateway.limits import pack_words
+from chivepier.gateway.limits import unpack_words
+from chivepier.gateway.messages import EntryBeat
+from chivepier.gateway.messages import LimitNotice
+from chivepier.gateway.messages import LimitRecord
+from chivepier.types import Clock
+from chivepier.wire import Channel
+from chivepier.wire import prepare
+
+
+class LimitHub:
+    """Passes on what entries were told, and keeps it for those to come.
+
+    :param channels: returns where the followers of this voter are reached
+    :param clock: monotonic time
+    :param log: what this process believes
+    """
+
+    def __init__(
+        self,
+        channels: collections.abc.Callable[[], list[Channel]],
+        clock: Clock,
+        log: EventLog,
+    ):
+        self.board = LimitBoard()
+        self._channels = channels
+        self._clock = clock
+        self._log = log
+
+    def take(self, records: tuple[LimitRecord, ...]) -> None:
+        """Take what an entry was told, and tell the followers at once.
+
+        :param records: of its beat
+        """
+        now = self._clock.monotonic()
+        words = unpack_words(records, now)
+        news = [word for word in words if self.board.put(word)]
+        if not news:
+            return
+        for word in news:
+            self._log_word(word, now)
+        message = prepare(LimitNotice(pack_words(news, now)))
+        for channel in self._channels():
+            channel.send_prepared(message)
+
+    def _log_word(self, word: LimitWord, now: float) -> None:
+        self._log.info(
+            "limit_known",
+            target=word.instance,
+            born=word.born,
+            rate=word.rate,
+            version=word.version,
+            source=word.source,
+            age_ms=round(1000 * (now - word.seen)),
+        )
+
+    def find_missing(
+        self, beat: EntryBeat, epoch: str
+    ) -> tuple[LimitRecord, ...]:
+        """Return what an entry lacks.
+
+        :param beat: says what it has
+        :param epoch: of this voter; one that knows another has nothing
+        """
+        revision = beat.limits_held if beat.epoch == epoch else 0
+        if revision >= self.board.revision:
+            return ()
+        words = self.board.find_newer(revision)
+        return pack_words(words, self._clock.monotonic())
--- a/packages/gateway/src/chivepier/gateway/control/permithub.py
+++ b/packages/gateway/src/chivepier/gateway/control/permithub.py
@@ -1,11 +1,16 @@
-"""Leave for entries to send to cold targets."""
+"""Leave for entries to send to targets that take few."""
+
+import random
 
 from chivepier.gateway.control.leaderlink import LeaderLink
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.messages import PermitAnswer
 from chivepier.gateway.messages import PermitRequest
+from chivepier.gateway.permits import Claim
 from chivepier.gateway.permits import PERMIT_SECONDS
 from chivepier.gateway.permits import PermitLedger
+from chivepier.gateway.permits import Turn
+from chivepier.gateway.permits import Turns
 from chivepier.gateway.permits import WINDOW_SECONDS
 from chivepier.types import Clock
 from chivepier.wire import LinkError
@@ -23,13 +28,21 @@
     :param leader: the way to the leader
     :param clock: monotonic time
     :param log: what this process believes
+    :param rng: spreads the claims of many entries
     """
 
-    def __init__(self, leader: LeaderLink, clock: Clock, log: EventLog):
+    def __init__(
+        self,
+        leader: LeaderLink,
+        clock: Clock,
+        log: EventLog,
+        rng: random.Random,
+    ):
         self._leader = leader
         self._clock = clock
         self._log = log
         self._ledger = PermitLedger()
+        self._turns = Turns(rng)
 
     async def handle(self, request: PermitRequest) -> PermitAnswer:
         """Answer an entry, or another voter as the leader.
@@ -43,12 +56,30 @@
             self._log.info(
                 "permit_unasked", target=request.instance, error=str(error)
             )
-            return PermitAnswer(False)
+            return PermitAnswer(False, led=False)
 
     async def _grant(self, request: PermitRequest) -> PermitAnswer:
-        now = self._clock.monotonic()
         since = self._leader.replica.leads_since()
-        if since is None or now - since < WINDOW_SECONDS:
+        if since is None:
+            return PermitAnswer(False, led=False)
+        now = self._clock.monotonic()
+        if request.most and now - since < WINDOW_SECONDS:
+            return PermitAnswer(False)
+        turn = self._find_turn(request, now, since)
+        if not turn.granted:
+            return PermitAnswer(False, turn.wait)
+        if request.most and not self._ledger.grant(
+            request.instance, request.most, now
+        ):
             return PermitAnswer(False)
-        granted = self._ledger.grant(request.instance, request.most, now)
-        return PermitAnswer(granted)
+        return PermitAnswer(True, turn.wait)
+
+    def _find_turn(
+        self, request: PermitRequest, now: float, since: float
+    ) -> Turn:
+        if request.rate < 0:
+            return Turn(True, 0.0)
+        claim = Claim(request.team, request.urgency, request.patience)
+        return self._turns.claim(
+            request.instance, request.rate, claim, now, since
+        )
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -11,6 +11,7 @@
 from chivepier.gateway.control.hostregions import HostRegions
 from chivepier.gateway.control.knownstate import KnownState
 from chivepier.gateway.control.leaderlink import LeaderLink
+from chivepier.gateway.control.limithub import LimitHub
 from chivepier.gateway.control.loadhub import LoadHub
 from chivepier.gateway.control.permithub import PermitHub
 from chivepier.gateway.control.quarantinehub import QuarantineHub
@@ -83,6 +84,7 @@
         self.zones = Zones(settings.regions)
         self.table = TargetTable(settings.beat, self.zones)
         self.quarantine = QuarantineHub(self._find_followers, clock, log)
+        self.limits = LimitHub(self._find_followers, clock, log)
         self._known = KnownState(
             settings.folder, self.table, self.quarantine.ledger, clock, log
         )
@@ -156,7 +158,7 @@
         leader = LeaderLink(self.replica, links)
         self.store = ConfigStore(leader, clock, log)
         self.orders = ZoneStore(leader, self.zones, clock, log)
-        self.permits = PermitHub(leader, clock, log)
+        self.permits = PermitHub(leader, clock, log, random.Random())
         self.host_regions = HostRegions(
             self.store, self._decode_host_regions, log
         )
@@ -214,6 +216,7 @@
         seen = QuarantineNotice(beat.endings, beat.clearances)
         if self.quarantine.take(seen):
             self._known.note_change()
+        self.limits.take(beat.limits)
         missing = self.quarantine.find_missing(beat, self.registry.epoch)
         group = self.loads.find_group()
         return EntryBeatAnswer(
@@ -232,6 +235,8 @@
             missing.clearances,
             self._find_orders(beat.orders),
             self.orders.find_presumed(),
+            self.limits.board.revision,
+            self.limits.find_missing(beat, self.registry.epoch),
         )
 
     def _find_orders(self, index: int) -> tuple[ZoneRecord, ...]:
@@ -278,3 +283,4 @@
             self.entries.forget()
             self.registry.forget()
             self.quarantine.expire()
+            self.limits.board.keep_only({t.instance for t in self.table})
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -7,11 +7,17 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import Decode
 from chivepier.gateway.following import Following
+from chivepier.gateway.following import LimitExchange
 from chivepier.gateway.following import LoadExchange
 from chivepier.gateway.following import Peers
 from chivepier.gateway.following import QuarantineExchange
+from chivepier.gateway.limits import LimitBoard
+from chivepier.gateway.limits import LimitWord
+from chivepier.gateway.messages import PermitAnswer
+from chivepier.gateway.messages import PermitRequest
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.permits import ColdBound
+from chivepier.gateway.permits import OwnPart
 from chivepier.gateway.permits import Permits
 from chivepier.gateway.quarantine import Quarantine
 from chivepier.gateway.serving import BodyRoom
@@ -21,6 +27,7 @@
 from chivepier.gateway.serving import Planner
 from chivepier.gateway.serving import Remarks
 from chivepier.gateway.serving import RetryBudget
+from chivepier.gateway.serving import Returns
 from chivepier.gateway.serving import SendGate
 from chivepier.gateway.serving import Serving
 from chivepier.gateway.serving import ServingState
@@ -89,8 +96,16 @@
         self.health = TargetHealth()
         self.board = LoadBoard(settings.name)
         self.queues = QueueBoard(settings.name, self.board.changed)
+        self.limits = LimitBoard(settings.name)
+        self.limits.watchers.append(self._note_limit)
         chooser = Chooser(
-            self.table, self.health, self.board, settings.zone, clock, rng
+            self.table,
+            self.health,
+            self.board,
+            settings.zone,
+            clock,
+            rng,
+            self.limits,
         )
         self.quarantine = Quarantine(
             settings.name,
@@ -104,12 +119,15 @@
         guard = Guard(self.quarantine, clock)
         freshness = Freshness(clock)
         permits = Permits(
-            self.zones,
-            ColdBound(settings.cold_excess, settings.cold_slack),
-            self._ask_permit,
-            clock,
-            log,
-            self.metrics,
+            zones=self.zones,
+            limits=self.limits,
+            bound=ColdBound(settings.cold_excess, settings.cold_slack),
+            ask=self._ask_permit,
+            own=OwnPart(rng),
+            count_entries=lambda: self.state.entries,
+            clock=clock,
+            log=log,
+            metrics=self.metrics,
         )
         gate = SendGate(self.zones, permits, freshness, clock)
         self.mover = Mover(
@@ -148,6 +166,7 @@
                 self.board, self.queues, budget, self.table, clock
             ),
             suspects=QuarantineExchange(self.quarantine, clock),
+            limits=LimitExchange(self.limits, clock),
             freshness=freshness,
             clock=clock,
             log=log,
@@ -164,7 +183,8 @@
             budget=budget,
             guard=guard,
             gate=gate,
-            remarks=Remarks(log, self.metrics),
+            remarks=Remarks(self.limits, clock, log, self.metrics),
+            returns=Returns(rng),
             clock=clock,
             log=log,
         )
@@ -190,8 +210,20 @@
     def _handle(self, message, channel):
         return self.following.handle(message, channel)
 
-    async def _ask_permit(self, instance: str, most: int) -> bool | None:
-        return await self.following.ask_permit(instance, most)
+    async def _ask_permit(self, request: PermitRequest) -> PermitAnswer | None:
+        return await self.following.ask_permit(request)
+
+    def _note_limit(self, word: LimitWord, before: LimitWord | None) -> None:
+        self._log.info(
+            "limit_known",
+            target=word.instance,
+            born=word.born,
+            rate=word.rate,
+            before=before.rate if before else None,
+            version=word.version,
+            source=word.source,
+            age_ms=round(1000 * (self._clock.monotonic() - word.seen)),
+        )
 
     def _note_order(self, order: ZoneOrder) -> None:
         self.metrics.note_zone(order.zone, order.evacuated)
@@ -210,6 +242,7 @@
     def _forget(self, target: Target) -> None:
         self.board.forget(target.instance)
         self.health.forget(target.instance)
+        self.limits.forget(target.instance)
 
     def _note_restart(self, target: Target) -> None:
         self._log.info(
--- a/packages/gateway/src/chivepier/gateway/following/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/following/__init__.py
@@ -3,6 +3,7 @@
 from chivepier.gateway.following.configfetch import ConfigFetch
 from chivepier.gateway.following.configfetch import Decode
 from chivepier.gateway.following.following import Following
+from chivepier.gateway.following.limitexchange import LimitExchange
 from chivepier.gateway.following.loadexchange import LoadExchange
 from chivepier.gateway.following.peers import Peers
 from chivepier.gateway.following.quarantineexchange import QuarantineExchange
@@ -13,6 +14,7 @@
     "ConfigFetch",
     "Decode",
     "Following",
+    "LimitExchange",
     "LoadExchange",
     "Peers",
     "QuarantineExchange",
--- a/packages/gateway/src/chivepier/gateway/following/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -8,6 +8,8 @@
 from chivepier.gateway.following.configfetch import ConfigFetch
 from chivepier.gateway.following.configfetch import Decode
 from chivepier.gateway.following.hubchoice import HubChoice
+from chivepier.gateway.following.limitexchange import LimitExchange
+from chivepier.gateway.following.limitexchange import LimitStanding
 from chivepier.gateway.following.loadexchange import LoadExchange
 from chivepier.gateway.following.peers import Peers
 from chivepier.gateway.following.quarantineexchange import QuarantineExchange
@@ -16,7 +18,9 @@
 from chivepier.gateway.messages import ConfigNotice
 from chivepier.gateway.messages import EntryBeat
 from chivepier.gateway.messages import EntryBeatAnswer
+from chivepier.gateway.messages import LimitNotice
 from chivepier.gateway.messages import LoadNotice
+from chivepier.gateway.messages import PermitAnswer
 from chivepier.gateway.messages import PermitRequest
 from chivepier.gateway.messages import QuarantineNotice
 from chivepier.gateway.messages import TargetNotice
@@ -29,6 +33,7 @@
 from chivepier.gateway.zones import PRESUMED_SECONDS
 from chivepier.gateway.zones import unpack_order
 from chivepier.types import Clock
+from chivepier.types import Signal
 from chivepier.wire import Channel
 from chivepier.wire import LinkError
 from chivepier.wire import Links
@@ -40,8 +45,8 @@
 # Seconds to wait for a voter's answer. A link that is silent for 2 s is
 # given up; with this a new one stands within 3 s.
 ANSWER_SECONDS = 0.8
-# Seconds to wait for leave to send to a cold target, which takes two round
-# trips, 6 ms: by then the request is better sent elsewhere.
+# Seconds to wait for leave to send to a target that takes few: two round
+# trips and more, by then the request is better sent elsewhere.
 PERMIT_ASK_SECONDS = 0.1
 # Seconds between two looks at which voters there are.
 LOOK_SECONDS = 0.2
@@ -54,6 +59,7 @@
     revision: int = 0
     held: int = 0
     confirmed: int | None = None
+    limits: LimitStanding = attrs.field(factory=LimitStanding)
     alive: bool = False
     standing: VoterStanding = VoterStanding()
 
@@ -75,6 +81,7 @@
     :param table: is given the targets
     :param loads: tells what runs here, and is told what runs elsewhere
     :param suspects: the same for requests that end targets
+    :param limits: the same for limits that targets name
     :param freshness: is told of each word of a voter
     :param clock: monotonic time
     :param log: what this process believes
@@ -93,6 +100,7 @@
         table: TargetTable,
         loads: LoadExchange,
         suspects: QuarantineExchange,
+        limits: LimitExchange,
         freshness: Freshness,
         clock: Clock,
         log: EventLog,
@@ -111,6 +119,7 @@
         self._hub = HubChoice(zone, clock)
         self._loads = loads
         self._suspects = suspects
+        self._limits = limits
         self._freshness = freshness
         freshness.ask = self._beat_all
         self._orders = -1
@@ -123,7 +132,8 @@
             self._keep_voters(),
             self._configs.run(),
             self._loads.run(self._post_loads),
-            self._report_suspects(),
+            self._report(self._suspects.changed),
+            self._report(self._limits.changed),
         )
         for work in works:
             self._tasks.append(asyncio.create_task(work))
@@ -168,6 +178,8 @@
                     self._loads.merge(message)
             case QuarantineNotice():
                 self._suspects.take(message)
+            case LimitNotice(records=records):
+                self._limits.take(records)
             case ZoneNotice(records=records):
                 self._take_orders(records)
             case ConfigNotice(version=version):
@@ -192,10 +204,10 @@
             await self._beat(address, voter)
             await self._clock.sleep(BEAT_SECONDS)
 
-    async def _report_suspects(self) -> None:
-        """Tell at once which request has ended a target here."""
+    async def _report(self, changed: Signal) -> None:
+        """Tell at once what this entry found out about targets."""
         while True:
-            await self._suspects.changed.wait()
+            await changed.wait()
             for address, voter in self._voters.items():
                 if voter.alive:
                     self._beat_now(address, voter)
@@ -204,24 +216,24 @@
         for address, voter in self._voters.items():
             self._beat_now(address, voter)
 
-    async def ask_permit(self, instance: str, most: int) -> bool | None:
-        """Ask for one send to a cold target.
+    async def ask_permit(self, request: PermitRequest) -> PermitAnswer | None:
+        """Ask for one send to a target that takes few.
 
-        :param instance: the target's
-        :param most: sends that it bears within a second
-        :returns: whether it is permitted; ``None`` where nobody answers
+        :param request: the question
+        :returns: the answer; ``None`` where none came
         """
         if self._hub.address is None:
             return None
-        request = PermitRequest(instance, most)
         try:
             answer = await self._links.request(
                 self._hub.address, request, PERMIT_ASK_SECONDS
             )
         except LinkError as error:
-            self._log.warn("permit_lost", target=instance, error=str(error))
+            self._log.warn(
+                "permit_lost", target=request.instance, error=str(error)
+            )
             return None
-        return answer.granted
+        return answer
 
     def _beat_now(self, address: str, voter: _Voter) -> None:
         task = asyncio.create_task(self._beat(address, voter))
@@ -245,7 +257,10 @@
             unconfirmed.endings,
             unconfirmed.clearances,
             self._orders,
+            voter.limits.held,
+            self._limits.find_untold(voter.limits),
         )
+        told, limits = voter.limits.told, self._limits.revision
         try:
             answer = await self._links.request(address, beat, ANSWER_SECONDS)
         except LinkError as error:
@@ -262,6 +277,10 @@
         # everything counts then
         knows = answer.epoch == beat.epoch or before is None
         voter.confirmed = saw if knows else None
+        knows = answer.epoch == beat.epoch or told is None
+        self._limits.take_answer(
+            voter.limits, answer, limits if knows else None
+        )
         self._take(address, voter, answer)
 
     def _note(
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/following/limitexchange.py
@@ -0,0 +1,83 @@
+"""Telling which limits targets named here, and hearing of the others'."""
+
+import attrs
+
+from chivepier.gateway.limits import LimitBoard
+from chivepier.gateway.limits import LimitWord
+from chivepier.gateway.limits import pack_words
+from chivepier.gateway.limits import unpack_words
+from chivepier.gateway.messages import EntryBeatAnswer
+from chivepier.gateway.messages import LimitRecord
+from chivepier.types import Clock
+from chivepier.types import Signal
+
+
+@attrs.define
+class LimitStanding:
+    """How far one voter and this entry have told each other.
+
+    :param held: revision of the voter's board that this entry has
+    :param told: revision of this entry's board that the voter has; ``None``
+        where it may have nothing
+    """
+
+    held: int = 0
+    told: int | None = None
+
+
+class LimitExchange:
+    """Keeps the limits that all entries know of alike.
+
+    An entry tells every voter, at once and with each beat until that voter
+    has confirmed it; a voter tells its followers at once, and whoever else
+    beats. So any one voter that two entries both hear is enough for them. A
+    voter that started anew is told all that is known here.
+
+    :ivar changed: set when a target told this entry something new
+
+    :param board: of this entry
+    :param clock: monotonic time
+    """
+
+    def __init__(self, board: LimitBoard, clock: Clock):
+        self.changed = Signal()
+        self._board = board
+        self._clock = clock
+        board.watchers.append(self._note_word)
+
+    @property
+    def revision(self) -> int:
+        """Of this entry's board; what a beat tells goes up to it."""
+        return self._board.revision
+
+    def _note_word(self, word: LimitWord, before: LimitWord | None) -> None:
+        self.changed.set()
+
+    def find_untold(self, standing: LimitStanding) -> tuple[LimitRecord, ...]:
+        """Return what a voter lacks."""
+        words = self._board.find_newer(
+            standing.told or 0, own_only=standing.told is not None
+        )
+        return pack_words(words, self._clock.monotonic())
+
+    def take(self, records: tuple[LimitRecord, ...]) -> None:
+        """Take what a voter tells."""
+        for word in unpack_words(records, self._clock.monotonic()):
+            self._board.put(word)
+
+    def take_answer(
+        self,
+        standing: LimitStanding,
+        answer: EntryBeatAnswer,
+        told: int | None,
+    ) -> None:
+        """Take a voter's answer to a beat.
+
+        :param standing: of that voter
+        :param answer: its answer
+        :param told: revision up to which it now has all that was told here;
+            ``None`` where it started anew since the beat was composed
+        """
+        standing.told = told
+        standing.held = answer.limits_held
+        self.take(answer.limits)
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/limits/limitboard.py
@@ -0,0 +1,144 @@
+"""The limits that this node knows of."""
+
+import collections.abc
+import itertools
+
+from chivepier.gateway.limits.limit import Limit
+from chivepier.gateway.limits.limit import NoLimit
+from chivepier.gateway.limits.limit import RateLimit
+from chivepier.gateway.limits.limit import UnreadLimit
+from chivepier.gateway.limits.limitword import LimitWord
+
+# Requests a second above which a limit binds nobody: no target serves more.
+UNBOUND_RATE = 1000.0
+
+Watcher = collections.abc.Callable[[LimitWord, LimitWord | None], None]
+
+
+class LimitBoard:
+    """Merges words about limits, in whatever order and however often told.
+
+    Answers overtake each other, and clocks of entries differ. An answer to a
+    request that was sent when a word was known is later than that word; so an
+    answer without a limit ends only a limit that its entry knew when it sent
+    the request.
+
+    >>> board = LimitBoard("e1")
+    >>> board.note("i1", 7, None, RateLimit(1.5), 0.0)
+    True
+    >>> board.find_rate("i1", 7)
+    1.5
+    >>> board.note("i1", 7, None, NoLimit(), 0.1)
+    False
+    >>> board.note("i1", 7, board.find("i1", 7), NoLimit(), 0.2)
+    True
+
+    :ivar revision: counts what was news; see :meth:`find_newer`
+
+    :param me: this entry's name; empty at a voter
+    """
+
+    def __init__(self, me: str = ""):
+        self._me = me
+        self._words: dict[str, LimitWord] = {}
+        self._changed_at: dict[str, int] = {}
+        self._revisions = itertools.count(1)
+        self.revision = 0
+        self.watchers: list[Watcher] = []
+
+    def note(
+        self,
+        instance: str,
+        born: int,
+        known: LimitWord | None,
+        limit: Limit,
+        now: float,
+    ) -> bool:
+        """Take what an answer of a target says.
+
+        :param instance: the target's name
+        :param born: start of the life that answered
+        :param known: what was believed of it when the request was sent
+        :param limit: what the answer says
+        :param now: monotonic seconds
+        :returns: whether it was news
+        """
+        match limit:
+            case NoLimit():
+                rate = None
+            case RateLimit(rate=rate):
+                pass
+            case UnreadLimit():
+                # in need, but for which rate is not told: neither a limit
+                # nor the end of one
+                return False
+        if rate == (known.rate if known else None):
+            return False
+        word = LimitWord(
+            instance=instance,
+            born=born,
+            version=known.version + 1 if known else 1,
+            rate=rate,
+            source=self._me,
+            seen=now,
+        )
+        return self.put(word)
+
+    def put(self, word: LimitWord) -> bool:
+        """Take a word, also of another node.
+
+        :returns: whether it was news
+        """
+        before = self._words.get(word.instance)
+        if before is not None and not word.replaces(before):
+            return False
+        self._words[word.instance] = word
+        self.revision = next(self._revisions)
+        self._changed_at[word.instance] = self.revision
+        for watcher in self.watchers:
+            watcher(word, before)
+        return True
+
+    def find(self, instance: str, born: int) -> LimitWord | None:
+        """Return what is believed of one life of a target."""
+        word = self._words.get(instance)
+        return word if word is not None and word.born == born else None
+
+    def find_rate(self, instance: str, born: int) -> float | None:
+        """Return the requests a second that a target takes.
+
+        :returns: ``None`` where nothing bounds them
+        """
+        word = self.find(instance, born)
+        if word is None or word.rate is None or word.rate >= UNBOUND_RATE:
+            return None
+        return word.rate
+
+    def find_newer(
+        self, revision: int, own_only: bool = False
+    ) -> list[LimitWord]:
+        """Return the words that were news after a revision.
+
+        :param revision: of this board
+        :param own_only: whether only what was answered here is wanted
+        """
+        return [
+            self._words[instance]
+            for instance, changed_at in self._changed_at.items()
+            if changed_at > revision
+            and (not own_only or self._words[instance].source == self._me)
+        ]
+
+    def forget(self, instance: str) -> None:
+        """Drop what is believed of a target that is gone."""
+        self._words.pop(instance, None)
+        self._changed_at.pop(instance, None)
+
+    def keep_only(self, instances: collections.abc.Container[str]) -> None:
+        """Drop what is believed of all other targets."""
+        for instance in list(self._words):
+            if instance not in instances:
+                self.forget(instance)
+
+    def __iter__(self) -> collections.abc.Iterator[LimitWord]:
+        return iter(list(self._words.values()))
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/limits/records.py
@@ -0,0 +1,51 @@
+"""Words about limits as messages."""
+
+import collections.abc
+
+from chivepier.gateway.limits.limitword import LimitWord
+from chivepier.gateway.messages import LimitRecord
+
+# Stands for no limit on the wire; rates are zero or more.
+NO_LIMIT = -1.0
+
+
+def pack_words(
+    words: collections.abc.Iterable[LimitWord], now: float
+) -> tuple[LimitRecord, ...]:
+    """Turn words into messages.
+
+    :param words: as this node believes them
+    :param now: this node's monotonic seconds
+    """
+    return tuple(
+        LimitRecord(
+            word.instance,
+            word.born,
+            word.version,
+            NO_LIMIT if word.rate is None else word.rate,
+            word.source,
+            max(0.0, now - word.seen),
+        )
+        for word in words
+    )
+
+
+def unpack_words(
+    records: collections.abc.Iterable[LimitRecord], now: float
+) -> list[LimitWord]:
+    """Build words of messages.
+
+    :param records: of another node
+    :param now: this node's monotonic seconds
+    """
+    return [
+        LimitWord(
+            instance=record.instance,
+            born=record.born,
+            version=record.version,
+            rate=None if record.rate < 0 else record.rate,
+            source=record.source,
+            seen=now - record.age,
+        )
+        for record in records
+    ]
--- a/packages/gateway/src/chivepier/gateway/messages/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/messages/__init__.py
@@ -9,6 +9,8 @@
 from chivepier.gateway.messages.entrybeatanswer import EntryBeatAnswer
 from chivepier.gateway.messages.joinanswer import JoinAnswer
 from chivepier.gateway.messages.joinrequest import JoinRequest
+from chivepier.gateway.messages.limitnotice import LimitNotice
+from chivepier.gateway.messages.limitrecord import LimitRecord
 from chivepier.gateway.messages.loaddigest import LoadDigest
 from chivepier.gateway.messages.loadnotice import LoadNotice
 from chivepier.gateway.messages.loadrecord import LoadRecord
@@ -36,6 +38,8 @@
     "EntryBeatAnswer",
     "JoinAnswer",
     "JoinRequest",
+    "LimitNotice",
+    "LimitRecord",
     "LoadDigest",
     "LoadNotice",
     "LoadRecord",
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
@@ -2,6 +2,7 @@
 
 from chivepier.gateway.messages.clearancerecord import ClearanceRecord
 from chivepier.gateway.messages.endingrecord import EndingRecord
+from chivepier.gateway.messages.limitrecord import LimitRecord
 from chivepier.messages.registry import message
 
 
@@ -15,6 +16,9 @@
     what it has of this voter's quarantine; ``endings`` and ``clearances`` are
     what it saw itself and this voter has not confirmed yet. ``orders`` is the
     log index up to which it has all orders about availability zones.
+    ``limits_held`` counts what it has of the limits that this voter knows;
+    ``limits`` are those that it was told by targets, and this voter has not
+    confirmed yet.
     """
 
     node: str
@@ -29,3 +33,5 @@
     endings: tuple[EndingRecord, ...] = ()
     clearances: tuple[ClearanceRecord, ...] = ()
     orders: int = -1
+    limits_held: int = 0
+    limits: tuple[LimitRecord, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
@@ -2,6 +2,7 @@
 
 from chivepier.gateway.messages.clearancerecord import ClearanceRecord
 from chivepier.gateway.messages.endingrecord import EndingRecord
+from chivepier.gateway.messages.limitrecord import LimitRecord
 from chivepier.gateway.messages.targetrecord import TargetRecord
 from chivepier.gateway.messages.zonerecord import ZoneRecord
 from chivepier.messages.registry import message
@@ -19,7 +20,8 @@
     of requests that end targets, up to the revision ``held``. ``orders`` are
     those about availability zones, empty where it has them all; ``presumed``
     names zones that may be evacuated by an order whose outcome this voter
-    does not know yet.
+    does not know yet. ``limits`` are the limits of targets that it lacks, up
+    to the revision ``limits_held``.
     """
 
     epoch: str
@@ -37,3 +39,5 @@
     clearances: tuple[ClearanceRecord, ...] = ()
     orders: tuple[ZoneRecord, ...] = ()
     presumed: tuple[str, ...] = ()
+    limits_held: int = 0
+    limits: tuple[LimitRecord, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -16,7 +16,14 @@
 LOAD_SECONDS = 3.0
 # Observations that wait for it at most; the rest is counted as dropped.
 MOST_EARLY = 5_000
-COUNTERS = ("requests", "moves", "quarantine", "permits", "unread")
+COUNTERS = (
+    "requests",
+    "moves",
+    "quarantine",
+    "cold_permits",
+    "limit_permits",
+    "unread",
+)
 
 
 class Metrics:
@@ -101,12 +108,14 @@
         """
         self._note("quarantine", (event,), 1.0)
 
-    def note_permit(self, answer: str) -> None:
-        """Count an answer to the question for a send to a cold target.
+    def note_permit(self, kind: str, answer: str) -> None:
+        """Count an answer to the question for a send to a target.
 
-        :param answer: ``granted``, ``refused`` or ``unanswered``
+        :param kind: ``cold`` or ``limit``, why the target takes few
+        :param answer: ``granted``, ``refused`` or ``unanswered``; without a
+            leader ``own_part`` or ``refused_alone``
         """
-        self._note("permits", (answer,), 1.0)
+        self._note(f"{kind}_permits", (answer,), 1.0)
 
     def note_unread_header(self, name: str) -> None:
         """Count a header of a target's answer that nothing reads.
@@ -175,7 +184,13 @@
             ("event",),
             registry=registry,
         ),
-        "permits": library.Counter(
+        "limit_permits": library.Counter(
+            "chivepier_limit_permits",
+            "Answers to questions for sends to targets that name a limit.",
+            ("answer",),
+            registry=registry,
+        ),
+        "cold_permits": library.Counter(
             "chivepier_cold_permits",
             "Answers to questions for sends to cold targets.",
             ("answer",),
--- a/packages/gateway/src/chivepier/gateway/permits/permits.py
+++ b/packages/gateway/src/chivepier/gateway/permits/permits.py
@@ -1,19 +1,26 @@
-"""An entry's leave to send to cold targets."""
+"""An entry's leave to send to targets that take few."""
 
 import collections.abc
 
 from chivepier.gateway.config import Service
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.limits import LimitBoard
+from chivepier.gateway.messages import PermitAnswer
+from chivepier.gateway.messages import PermitRequest
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.permits.claim import Claim
 from chivepier.gateway.permits.coldbound import ColdBound
+from chivepier.gateway.permits.ownpart import OwnPart
+from chivepier.gateway.permits.pauses import Pauses
 from chivepier.gateway.permits.permit import Permit
 from chivepier.gateway.permits.permit import PERMIT_SECONDS
+from chivepier.gateway.permits.turn import Turn
 from chivepier.gateway.targets import Target
 from chivepier.gateway.zones import Zones
 from chivepier.types import Clock
 
-# Seconds after a refusal in which the same target isn't asked for again: it
-# is cold for a second or more, and its window moves on by then.
+# Seconds after a refusal in which the same cold target isn't asked for again:
+# it is cold for a second or more, and its window moves on by then.
 REFUSED_SECONDS = 0.1
 
 # Seconds after a question without an answer in which none is asked: voters
@@ -21,28 +28,35 @@
 # up its request.
 UNANSWERED_SECONDS = 0.5
 
-# Asks for one send to an instance that bears so many in a second; nothing
-# where no answer came.
+# Asks the leader for one send; nothing where no answer came.
 Ask = collections.abc.Callable[
-    [str, int], collections.abc.Awaitable[bool | None]
+    [PermitRequest], collections.abc.Awaitable[PermitAnswer | None]
 ]
 
 
 class Permits:
-    """Asks the leader for each send to a cold target.
+    """Asks the leader for each send to a target that takes few.
 
     A cold target crashes when all entries together send it more than it
-    bears, and an entry does not know what the others send. Weighed: an
-    equal part for each entry, which is less than one send a second where
-    there are more entries than sends, so that none may send at all or all
-    may send at once; a few entries chosen for each target, which differ
-    while entries know of different others. The leader is one at any time,
-    and what it permits lapses before it is permitted again. Without a
-    leader, entries send nothing to cold targets and use the warm ones.
+    bears, one in need is sent more than it named, and an entry does not know
+    what the others send. Weighed: an equal part for each entry, which is less
+    than one send a second where there are more entries than sends, so that
+    none may send at all or all may send at once; a few entries chosen for
+    each target, which differ while entries know of different others; counts
+    that entries tell each other, which bound nothing while words are lost.
+    The leader is one at any time, and what it permits lapses before it is
+    permitted again.
+
+    Without a leader, entries send nothing to cold targets and use the warm
+    ones. All targets of a service may be in need at once, so to these an
+    entry then sends its own part.
 
     :param zones: which zones were taken back, and when
-    :param bound: of all entries together
-    :param ask: asks for one send to an instance
+    :param limits: what targets in need take
+    :param bound: of cold targets, for all entries together
+    :param ask: asks for one send
+    :param own: what this entry may send alone
+    :param count_entries: returns how many entries there are
     :param clock: monotonic time
     :param log: what this process believes
     :param metrics: counts answers
@@ -50,21 +64,30 @@
 
     def __init__(
         self,
+        *,
         zones: Zones,
+        limits: LimitBoard,
         bound: ColdBound,
         ask: Ask,
+        own: OwnPart,
+        count_entries: collections.abc.Callable[[], int],
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
     ):
         self._zones = zones
+        self._limits = limits
         self._bound = bound
         self._ask = ask
+        self._own = own
+        self._count_entries = count_entries
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._refused: dict[str, float] = {}
+        self._pauses = Pauses()
         self._unanswered_until = float("-inf")
+        self._entries = 1
+        self._alone = False
 
     def is_cold(self, service: Service, target: Target, now: float) -> bool:
         """Tell whether a target may bear less than usual.
@@ -83,46 +106,126 @@
         readmitted = self._zones.find_readmitted(target.zone)
         return readmitted is not None and target.said < readmitted
 
-    async def take(self, service: Service, target: Target) -> Permit | None:
-        """Return leave to send one request to a target now.
+    def find_rate(self, target: Target) -> float | None:
+        """Return the rate that a target in need takes from all entries."""
+        return self._limits.find_rate(target.instance, target.born)
+
+    def find_pause(self, target: Target, claim: Claim) -> float | None:
+        """Return the seconds until a claim may be made again.
+
+        :param target: in need
+        :param claim: whose request wants to go there
+        :returns: ``None`` where it may be made now
+        """
+        if self.find_rate(target) is None:
+            return None
+        return self._pauses.find(target, claim, self._clock.monotonic())
+
+    async def take(
+        self, service: Service, target: Target, claim: Claim
+    ) -> Permit | None:
+        """Return leave to send one request to a target, once it may go.
 
         :param service: the target's
         :param target: where it is to be sent
+        :param claim: whose request it is
         :returns: ``None`` where it must not be sent
         """
         now = self._clock.monotonic()
-        if not self.is_cold(service, target, now):
+        cold = self.is_cold(service, target, now)
+        rate = self.find_rate(target)
+        if not cold and rate is None:
             return Permit()
-        if now < max(
-            self._unanswered_until, self._refused.get(target.instance, 0.0)
-        ):
+        if self._pauses.find(target, claim, now) is not None:
+            return None
+        if cold and now < self._unanswered_until:
+            return None
+        turn = await self._claim(service, target, claim, rate, cold)
+        if not turn.granted:
+            self._pauses.note(target, claim, now + turn.wait)
+            self._note_refused(target, rate, turn.wait)
             return None
-        granted = await self._ask(
-            target.instance, self._bound.count(service.cold_rate)
+        if turn.wait:
+            await self._clock.sleep(turn.wait)
+        return Permit(now + turn.wait + PERMIT_SECONDS)
+
+    async def _claim(
+        self,
+        service: Service,
+        target: Target,
+        claim: Claim,
+        rate: float | None,
+        cold: bool,
+    ) -> Turn:
+        answer = None
+        if self._clock.monotonic() >= self._unanswered_until:
+            request = PermitRequest(
+                target.instance,
+                self._bound.count(service.cold_rate) if cold else 0,
+                -1.0 if rate is None else rate,
+                claim.team,
+                claim.urgency,
+                claim.patience,
+            )
+            answer = await self._ask(request)
+            if answer is None:
+                end = self._clock.monotonic() + UNANSWERED_SECONDS
+                self._unanswered_until = end
+        if answer is not None and answer.led:
+            self._alone, self._entries = False, self._count_entries()
+        elif rate is not None and not cold:
+            return self._claim_alone(target, claim, rate)
+        return self._read_answer(answer, rate)
+
+    def _read_answer(
+        self, answer: PermitAnswer | None, rate: float | None
+    ) -> Turn:
+        count = self._metrics.note_permit
+        kind = "cold" if rate is None else "limit"
+        if answer is None:
+            count(kind, "unanswered")
+            return Turn(False, REFUSED_SECONDS)
+        count(kind, "granted" if answer.granted else "refused")
+        wait = answer.wait
+        if not answer.granted:
+            wait = wait or REFUSED_SECONDS
+        return Turn(answer.granted, wait)
+
+    def _claim_alone(self, target: Target, claim: Claim, rate: float) -> Turn:
+        """Send this entry's part, as no leader answers.
+
+        The voter that is heard last may hear few entries: the most that were
+        known since the leader answered share the rate.
+        """
+        entries = max(self._entries, self._count_entries())
+        if not self._alone:
+            self._alone = True
+            self._own.begin(entries)
+            self._log.warn("limits_kept_alone", entries=entries)
+        now = self._clock.monotonic()
+        turn = self._own.claim(target.instance, rate, claim, now)
+        self._metrics.note_permit(
+            "limit", "own_part" if turn.granted else "refused_alone"
         )
-        if granted:
-            self._metrics.note_permit("granted")
-            self._refused.pop(target.instance, None)
-            return Permit(now + PERMIT_SECONDS)
-        if granted is None:
-            self._metrics.note_permit("unanswered")
-            end = self._clock.monotonic() + UNANSWERED_SECONDS
-            self._unanswered_until = end
-        else:
-            self._metrics.note_permit("refused")
-        self._note_refused(target)
-        return None
-
-    def _note_refused(self, target: Target) -> None:
+        return turn
+
+    def _note_refused(
+        self, target: Target, rate: float | None, wait: float
+    ) -> None:
         now = self._clock.monotonic()
-        if target.instance not in self._refused:
+        if not self._pauses.may_log(target, now):
+            return
+        if rate is not None:
             self._log.info(
-                "cold_target_left_out",
+                "limited_target_left_out",
                 target=target.instance,
-                warm_s=round(max(0.0, target.warm_at - now), 3),
-                said_s=round(now - target.said, 3),
+                rate=rate,
+                wait_ms=round(1000 * wait),
             )
-        self._refused[target.instance] = now + REFUSED_SECONDS
-        for instance, until in list(self._refused.items()):
-            if now > until + 1.0:
-                del self._refused[instance]
+            return
+        self._log.info(
+            "cold_target_left_out",
+            target=target.instance,
+            warm_s=round(max(0.0, target.warm_at - now), 3),
+            said_s=round(now - target.said, 3),
+        )
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -18,6 +18,7 @@
 from chivepier.gateway.serving.prompt import Prompt
 from chivepier.gateway.serving.remarks import Remarks
 from chivepier.gateway.serving.retrybudget import RetryBudget
+from chivepier.gateway.serving.returns import Returns
 from chivepier.gateway.serving.sendgate import SendGate
 from chivepier.gateway.serving.sendorder import SendOrder
 from chivepier.gateway.serving.serving import Serving
@@ -44,6 +45,7 @@
     "Prompt",
     "Remarks",
     "RetryBudget",
+    "Returns",
     "SendGate",
     "SendOrder",
     "Serving",
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -3,12 +3,14 @@
 import asyncio
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.limits import LimitWord
 from chivepier.gateway.quarantine import shorten
 from chivepier.gateway.serving.errors import AnswerCutError
 from chivepier.gateway.serving.errors import LostError
 from chivepier.gateway.serving.errors import NoRoomError
 from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.errors import OverLimitError
 from chivepier.gateway.serving.guard import Guard
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.mover import Mover
@@ -18,6 +20,7 @@
 from chivepier.gateway.serving.refusals import Refusals
 from chivepier.gateway.serving.remarks import Remarks
 from chivepier.gateway.serving.retrybudget import RetryBudget
+from chivepier.gateway.serving.returns import Returns
 from chivepier.gateway.serving.runwatch import RunWatch
 from chivepier.gateway.serving.sendgate import SendGate
 from chivepier.gateway.serving.sendorder import SendOrder
@@ -62,6 +65,7 @@
     :param guard: keeps back what ends targets
     :param gate: knows what may be sent where
     :param remarks: notes what answers say of their targets
+    :param returns: when refused callers may come back
     :param clock: monotonic time
     :param log: decisions on requests
     """
@@ -81,6 +85,7 @@
         guard: Guard,
         gate: SendGate,
         remarks: Remarks,
+        returns: Returns,
         clock: Clock,
         log: EventLog,
     ):
@@ -97,7 +102,7 @@
         self.clock = clock
         self.log = log
         self.runs = RunWatch(board, mover, chooser.pace, clock)
-        self._refusals = Refusals(table, clock)
+        self._refusals = Refusals(table, clock, returns)
         self._placing = Placing(
             chooser, health, queues, port, guard, gate, clock, log
         )
@@ -123,6 +128,10 @@
                 raise self._refusals.give_up(
                     plan, runs, "no target has room"
                 ) from None
+            except OverLimitError as error:
+                raise self._refusals.give_up_over_limit(
+                    plan, runs, error.rate, self.state.entries
+                ) from None
             # it may have waited for long
             self.guard.check(plan, runs)
             if place is None:
@@ -221,13 +230,14 @@
         self.chooser.begin(target.instance)
         began = self.clock.monotonic()
         answer: TargetAnswer | None = None
+        known = self.remarks.find_word(target)
         try:
             async with run.bound(seconds) if run else asyncio.timeout(seconds):
                 self.gate.check(target, place.permit)
                 answer = await self.port.send(
                     target, plan.request, self._order(plan, place)
                 )
-                self.note_remarks(target, answer)
+                self.note_remarks(target, answer, known)
                 sent = await self._read(plan, target, answer, run)
         except BaseException as error:
             if isinstance(error, (LostError, AnswerCutError, TimeoutError)):
@@ -243,11 +253,18 @@
         self._note_answer(plan, sent, began)
         return sent
 
-    def note_remarks(self, target: Target, answer: TargetAnswer) -> None:
-        """Note what an answer's head says of the target that it is from."""
+    def note_remarks(
+        self, target: Target, answer: TargetAnswer, known: LimitWord | None
+    ) -> None:
+        """Note what an answer's head says of the target that it is from.
+
+        :param target: that was sent to
+        :param answer: to what was sent
+        :param known: what was believed of its limit then
+        """
         facts = answer.facts
         if facts.other_instance is None and not facts.crossed:
-            self.remarks.take(target, facts)
+            self.remarks.take(target, facts, known)
 
     async def _read(
         self,
--- a/packages/gateway/src/chivepier/gateway/serving/errors.py
+++ b/packages/gateway/src/chivepier/gateway/serving/errors.py
@@ -13,6 +13,17 @@
     """No target had room for as long as the request could wait."""
 
 
+class OverLimitError(Exception):
+    """All targets that are left are in need, and take no more now.
+
+    :param rate: requests a second that they take together
+    """
+
+    def __init__(self, rate: float):
+        super().__init__(f"targets in need take {rate:g} requests a second")
+        self.rate = rate
+
+
 class LostError(Exception):
     """The connection broke before an answer: it may have run."""
 
--- a/packages/gateway/src/chivepier/gateway/serving/placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placing.py
@@ -1,16 +1,20 @@
 """Finding a target that has room for a generation now."""
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.permits import Claim
 from chivepier.gateway.serving.errors import NoRoomError
 from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.errors import OverLimitError
 from chivepier.gateway.serving.guard import Guard
 from chivepier.gateway.serving.place import Place
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.queueticket import QueueTicket
 from chivepier.gateway.serving.sendgate import SendGate
+from chivepier.gateway.serving.shortage import Shortage
 from chivepier.gateway.serving.targetport import TargetPort
 from chivepier.gateway.serving.waiting import find_rank
 from chivepier.gateway.serving.waiting import find_stage
+from chivepier.gateway.serving.waiting import REFUSED_SHARE
 from chivepier.gateway.serving.waiting import Stage
 from chivepier.gateway.targets import Chooser
 from chivepier.gateway.targets import QueueBoard
@@ -26,6 +30,9 @@
 ROUND_PAUSE = 0.1
 # Seconds for which room is kept: until the request has arrived and is read.
 KEPT_SECONDS = 1.0
+# Share of its objective for which a plain call waits for its turn at a target
+# in need; the target's work takes some of the rest.
+PATIENT_SHARE = 0.5
 
 
 class Placing:
@@ -78,6 +85,7 @@
         :returns: the place; ``None`` when no target is left, or the request
             must not be sent any more
         :raises NoRoomError: when none had room for too long
+        :raises OverLimitError: when all are in need and take no more
         """
         engine = plan.service.engine
         if plan.demand is None or engine is None or not engine.reserve_seconds:
@@ -85,6 +93,7 @@
         with QueueTicket(self._queues, plan.service.name) as ticket:
             while self._rank(plan, tried) and not self._guard.holds(plan):
                 stage = self._find_stage(plan)
+                self._check_limits(plan, tried, find_rank(plan, stage))
                 if stage is Stage.OVER:
                     self._log.info("no_room", id=plan.request.id)
                     raise NoRoomError
@@ -100,22 +109,68 @@
     async def _find_permitted(
         self, plan: Plan, tried: set[str]
     ) -> Place | None:
-        for target in self._rank(plan, tried):
-            permit = await self._gate.take_permit(plan.service, target)
-            if permit is not None:
-                return Place(target, None, permit)
+        ranked = self._rank(plan, tried)
+        shortage = Shortage(len(ranked))
+        for target in ranked:
+            rate = self._gate.find_rate(target)
+            if rate is not None:
+                shortage.add(rate)
+            claim = self._make_claim(plan)
+            if shortage.asked < MOST_ASKED:
+                if self._gate.find_pause(target, claim) is None:
+                    shortage.asked += rate is not None
+                    permit = await self._gate.take_permit(
+                        plan.service, target, claim
+                    )
+                    if permit is not None:
+                        return Place(target, None, permit)
             tried.add(target.instance)
+        if shortage.covers_all:
+            raise OverLimitError(shortage.rate)
         return None
 
+    def _make_claim(self, plan: Plan) -> Claim:
+        """Build what decides about a request's turn at a target in need.
+
+        A plain call waits for its turn as long as its answer may still come
+        in time. A generation asks again with each round.
+        """
+        patience = ROUND_PAUSE
+        if plan.demand is None:
+            waited = self._clock.monotonic() - plan.request.arrived
+            patience = PATIENT_SHARE * plan.route.objective - waited
+        return Claim(plan.team or "", plan.urgency, max(0.0, patience))
+
     async def _take_place(self, plan: Plan, target: Target) -> Place | None:
-        permit = await self._gate.take_permit(plan.service, target)
+        claim = self._make_claim(plan)
+        permit = await self._gate.take_permit(plan.service, target, claim)
         if permit is None:
             return None
+        if self._gate.find_rate(target) is not None:
+            # a reservation would come to it as one more request
+            return Place(target, None, permit)
         reservation = await self._reserve(plan, target)
         if reservation is None:
             return None
         return Place(target, reservation, permit)
 
+    def _check_limits(self, plan: Plan, tried: set[str], rank: int) -> None:
+        """Turn away what targets in need can't take before it is too late.
+
+        :raises OverLimitError: when all that is left is in need, and what
+            waits before it takes them too long
+        """
+        rates = [self._gate.find_rate(t) for t in self._rank(plan, tried)]
+        if not rates or None in rates:
+            return
+        now = self._clock.monotonic()
+        # those of its own rank go first, too: it has just come
+        ahead = self._queues.ahead(plan.service.name, rank + 1, now)
+        last = plan.request.arrived + REFUSED_SHARE * plan.route.objective
+        seconds = min(last, plan.deadline) - now
+        if ahead > sum(rates) * seconds:
+            raise OverLimitError(sum(rates))
+
     def _find_stage(self, plan: Plan) -> Stage:
         reading = self._chooser.pace.estimate(
             plan.service.name, plan.demand.prompt
--- a/packages/gateway/src/chivepier/gateway/serving/refusals.py
+++ b/packages/gateway/src/chivepier/gateway/serving/refusals.py
@@ -3,6 +3,7 @@
 import datetime
 
 from chivepier.gateway.serving.plan import Plan
+from chivepier.gateway.serving.returns import Returns
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
@@ -26,11 +27,13 @@
 
     :param table: the targets
     :param clock: monotonic time
+    :param returns: when refused callers may come back
     """
 
-    def __init__(self, table: TargetTable, clock: Clock):
+    def __init__(self, table: TargetTable, clock: Clock, returns: Returns):
         self._table = table
         self._clock = clock
+        self._returns = returns
 
     def check_time(self, plan: Plan, runs: int) -> None:
         """Give a request up whose time is over.
@@ -87,6 +90,25 @@
             return RequestError.of(ErrorKind.TARGET_FAILED, text, Ran.UNKNOWN)
         return self._refusal(text, plan.route.objective / 2)
 
+    def give_up_over_limit(
+        self, plan: Plan, runs: int, rate: float, entries: int
+    ) -> RequestError:
+        """Return the error of a request that targets in need don't take.
+
+        :param plan: the request's
+        :param runs: targets that may have run it
+        :param rate: requests a second that they take together
+        :param entries: that share it
+        """
+        if runs:
+            return self.give_up(plan, runs, "targets in need take no more")
+        now = self._clock.monotonic()
+        seconds = self._returns.book(plan.service.name, rate, entries, now)
+        pause = datetime.timedelta(seconds=seconds)
+        text = f"its targets are in need and take {rate:g} requests a second"
+        failure = Failure(ErrorKind.OVERLOADED, text, Ran.NO, pause)
+        return RequestError(failure)
+
     def _refusal(self, text: str, seconds: float) -> RequestError:
         pause = datetime.timedelta(seconds=seconds)
         return RequestError(Failure(ErrorKind.NO_TARGET, text, Ran.NO, pause))
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -265,7 +265,9 @@
         self, run: LiveRun, handoff: Handoff, sent: Sent
     ) -> Sent | None:
         dispatcher, plan = self._dispatcher, self._plan
-        await dispatcher.gate.take_leave(plan.service, handoff.target)
+        await dispatcher.gate.take_leave(
+            plan.service, handoff.target, plan.team or ""
+        )
         order = SendOrder(
             seconds=plan.deadline - dispatcher.clock.monotonic(),
             team=plan.team,
@@ -275,12 +277,13 @@
             once=not plan.repeatable,
         )
         seconds = min(order.seconds, ANSWER_SECONDS)
+        known = dispatcher.remarks.find_word(handoff.target)
         async with asyncio.timeout(seconds):
             answer = await dispatcher.port.send(
                 handoff.target, plan.request, order
             )
         facts = answer.facts
-        dispatcher.note_remarks(handoff.target, answer)
+        dispatcher.note_remarks(handoff.target, answer, known)
         refused = facts.not_run or facts.other_instance is not None
         if refused or facts.crossed or answer.status >= 300:
             answer.close()
--- a/packages/gateway/src/chivepier/gateway/serving/remarks.py
+++ b/packages/gateway/src/chivepier/gateway/serving/remarks.py
@@ -1,14 +1,18 @@
 """What targets say of themselves beside their answers."""
 
 from chivepier.gateway.eventlog import EventLog
-from chivepier.gateway.limits import Limit
-from chivepier.gateway.limits import NoLimit
+from chivepier.gateway.limits import LimitBoard
+from chivepier.gateway.limits import LimitWord
+from chivepier.gateway.limits import UnreadLimit
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.answerfacts import AnswerFacts
 from chivepier.gateway.targets import Target
+from chivepier.types import Clock
 
 # Headers that are counted by name; a target could make up any number.
 MOST_UNREAD = 32
+# What a limit that is no number is counted as.
+UNREAD_LIMIT = "limit that is no number"
 
 
 class Remarks:
@@ -17,38 +21,47 @@
     A header that nothing reads may be a new word that all entries need: its
     first coming is logged, whatever target sends it.
 
+    :param limits: what is believed of targets in need
+    :param clock: monotonic time
     :param log: what targets say
     :param metrics: counts headers that nothing reads
     """
 
-    def __init__(self, log: EventLog, metrics: Metrics):
+    def __init__(
+        self, limits: LimitBoard, clock: Clock, log: EventLog, metrics: Metrics
+    ):
+        self._limits = limits
+        self._clock = clock
         self._log = log
         self._metrics = metrics
         self._unread: set[str] = set()
-        self._limits: dict[tuple[str, int], Limit] = {}
 
-    def take(self, target: Target, facts: AnswerFacts) -> None:
+    def find_word(self, target: Target) -> LimitWord | None:
+        """Return what is believed of a target's limit."""
+        return self._limits.find(target.instance, target.born)
+
+    def take(
+        self, target: Target, facts: AnswerFacts, known: LimitWord | None
+    ) -> None:
         """Note an answer's head.
 
         :param target: that answered
         :param facts: read from the head
+        :param known: what was believed of its limit when it was sent to
         """
         for name in facts.unread:
             self._note_unread(target, name.lower())
-        life = (target.instance, target.born)
-        before = self._limits.get(life, NoLimit())
-        if facts.limit == before:
-            return
-        self._limits[life] = facts.limit
-        if facts.limit == NoLimit():
-            del self._limits[life]
-        self._log.info(
-            "limit_named",
-            target=target.instance,
-            born=target.born,
-            limit=str(facts.limit),
-            before=str(before),
-        )
+        match facts.limit:
+            case UnreadLimit():
+                self._note_unread(target, UNREAD_LIMIT)
+            case limit:
+                self._limits.note(
+                    target.instance,
+                    target.born,
+                    known,
+                    limit,
+                    self._clock.monotonic(),
+                )
 
     def _note_unread(self, target: Target, name: str) -> None:
         if name not in self._unread:
--- a/packages/gateway/src/chivepier/gateway/serving/sendgate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/sendgate.py
@@ -1,6 +1,7 @@
 """What must hold before anything is sent to a target."""
 
 from chivepier.gateway.config import Service
+from chivepier.gateway.permits import Claim
 from chivepier.gateway.permits import Permit
 from chivepier.gateway.permits import Permits
 from chivepier.gateway.serving.errors import NotPermittedError
@@ -17,13 +18,16 @@
 # caller sees a pause, and without it the generation is lost.
 LEAVE_SECONDS = 1.0
 LEAVE_PAUSE = 0.05
+# Class of a generation that goes on elsewhere, ahead of all that are new: with
+# it all that was read for it would be lost.
+GOING_ON_URGENCY = -1
 
 
 class SendGate:
-    """Knows where nothing new may go, and what cold targets may be sent.
+    """Knows where nothing new may go, and what targets may be sent.
 
     :param zones: which zones are evacuated
-    :param permits: to send to cold targets
+    :param permits: to send to targets that take few
     :param freshness: whether orders are known recently enough
     :param clock: monotonic time
     """
@@ -45,10 +49,18 @@
         await self._freshness.wait()
 
     async def take_permit(
-        self, service: Service, target: Target
+        self, service: Service, target: Target, claim: Claim
     ) -> Permit | None:
         """Return leave to send one request; ``None`` without it."""
-        return await self._permits.take(service, target)
+        return await self._permits.take(service, target, claim)
+
+    def find_rate(self, target: Target) -> float | None:
+        """Return the rate that a target in need takes, if it names one."""
+        return self._permits.find_rate(target)
+
+    def find_pause(self, target: Target, claim: Claim) -> float | None:
+        """Return the seconds until a target in need is to be asked for."""
+        return self._permits.find_pause(target, claim)
 
     def check(self, target: Target, permit: Permit) -> None:
         """Look once more, right before a request is sent.
@@ -76,18 +88,25 @@
             return False
         return now - order.since < GOING_ON_SECONDS
 
-    async def take_leave(self, service: Service, target: Target) -> None:
+    async def take_leave(
+        self, service: Service, target: Target, team: str
+    ) -> None:
         """Wait for leave to send a generation that goes on at a target.
 
+        :param service: the target's
+        :param target: where it goes on
+        :param team: whose it is
         :raises NotPermittedError: without it
         """
         await self.settle()
         end = self._clock.monotonic() + LEAVE_SECONDS
         while self.may_go_on(target):
-            permit = await self.take_permit(service, target)
+            left = end - self._clock.monotonic()
+            claim = Claim(team, GOING_ON_URGENCY, max(0.0, left))
+            permit = await self.take_permit(service, target, claim)
             if permit is not None:
                 return
-            if self._clock.monotonic() >= end:
+            if left <= 0.0:
                 break
             await self._clock.sleep(LEAVE_PAUSE)
         raise NotPermittedError("no leave to go on there")
--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -4,6 +4,7 @@
 import random
 
 from chivepier.gateway.config import Engine
+from chivepier.gateway.limits import LimitBoard
 from chivepier.gateway.targets.demand import Demand
 from chivepier.gateway.targets.load import Load
 from chivepier.gateway.targets.loadboard import LoadBoard
@@ -43,6 +44,9 @@
 # one target share its link: a second copy, with its generation stopped,
 # waited 0.2 to 0.6 s there behind the first ones of others.
 RECEIVING_COST = 0.5
+# What a target in need counts as when memory is moved, in shares of a full
+# one: more than any other, as the generation would have to wait for its turn.
+LIMITED_COST = 10.0
 # Generations may fill a target up to this share of its memory, each counted
 # with what it holds and adds within some seconds. 0.92 was no better: worth
 # 0.481 for 0.495 over four heavy days, a difference within the noise.
@@ -76,6 +80,7 @@
     :param zone: this node's availability zone
     :param clock: monotonic time
     :param rng: draws among equals
+    :param limits: what targets in need take; nothing bounds it by default
     """
 
     def __init__(
@@ -86,7 +91,9 @@
         zone: str,
         clock: Clock,
         rng: random.Random,
+        limits: LimitBoard | None = None,
     ):
+        self._limits = LimitBoard() if limits is None else limits
         self._table = table
         self._health = health
         self._board = board
@@ -226,13 +233,20 @@
             if held <= FULL_SHARE:
                 far = 0.0 if target.zone == source.zone else far_cost
                 costs[target.instance] = (
-                    held + far + RECEIVING_COST * load.receiving
+                    held
+                    + far
+                    + RECEIVING_COST * load.receiving
+                    + self._cost_limit(target)
                 )
         if not costs:
             return None
         order = self._draw(costs, sample=False)
         return self._table.get(min(costs, key=lambda name: order[name]))
 
+    def _cost_limit(self, target: Target) -> float:
+        rate = self._limits.find_rate(target.instance, target.born)
+        return 0.0 if rate is None else LIMITED_COST
+
     def _draw(
         self, costs: dict[str, float], sample: bool
     ) -> dict[str, tuple[bool, float]]:
