--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/limits/tests/test_limitboard.py
@@ -0,0 +1,185 @@
+"""Tests of what is believed of limits, in whatever order it is told."""
+
+import attrs
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+
+from chivepier.gateway.limits import LimitBoard
+from chivepier.gateway.limits import LimitWord
+from chivepier.gateway.limits import NoLimit
+from chivepier.gateway.limits import pack_words
+from chivepier.gateway.limits import RateLimit
+from chivepier.gateway.limits import unpack_words
+from chivepier.gateway.limits import UnreadLimit
+
+ENTRIES = 3
+RATES = (None, 0.0, 1.5, 3.0)
+
+
+def make_limit(rate: float | None):
+    """Build what an answer says."""
+    return NoLimit() if rate is None else RateLimit(rate)
+
+
+def make_word(version: int, rate: float | None, born: int = 1) -> LimitWord:
+    """Build a word about one target."""
+    return LimitWord(
+        instance="i1",
+        born=born,
+        version=version,
+        rate=rate,
+        source="e1",
+        seen=0.0,
+    )
+
+
+def test_late_answer_from_before_the_limit_does_not_end_it():
+    board = LimitBoard("e1")
+    board.note("i1", 1, None, RateLimit(1.5), 0.0)
+    assert not board.note("i1", 1, None, NoLimit(), 0.1)
+    assert board.find_rate("i1", 1) == 1.5
+
+
+def test_answers_that_do_not_know_of_each_other_leave_the_lower_rate():
+    board = LimitBoard("e1")
+    board.note("i1", 1, None, RateLimit(2.0), 0.0)
+    board.note("i1", 1, None, RateLimit(1.0), 0.1)
+    board.note("i1", 1, None, RateLimit(3.0), 0.2)
+    assert board.find_rate("i1", 1) == 1.0
+
+
+def test_limit_rises_and_ends_with_answers_to_later_requests():
+    board = LimitBoard("e1")
+    board.note("i1", 1, None, RateLimit(1.0), 0.0)
+    board.note("i1", 1, board.find("i1", 1), RateLimit(2.0), 0.1)
+    assert board.find_rate("i1", 1) == 2.0
+    board.note("i1", 1, board.find("i1", 1), NoLimit(), 0.2)
+    assert board.find_rate("i1", 1) is None
+
+
+def test_limit_that_is_no_number_neither_sets_nor_ends_one():
+    board = LimitBoard("e1")
+    assert not board.note("i1", 1, None, UnreadLimit(), 0.0)
+    board.note("i1", 1, None, RateLimit(1.5), 0.0)
+    assert not board.note("i1", 1, board.find("i1", 1), UnreadLimit(), 0.1)
+    assert board.find_rate("i1", 1) == 1.5
+
+
+def test_next_life_of_a_target_is_not_bound_by_the_last_ones_limit():
+    board = LimitBoard("e1")
+    board.put(make_word(9, 1.5, born=1))
+    assert board.find_rate("i1", 2) is None
+    board.put(make_word(1, 3.0, born=2))
+    assert not board.put(make_word(10, 0.0, born=1))
+    assert board.find_rate("i1", 2) == 3.0
+
+
+def test_rate_that_no_target_reaches_binds_nobody():
+    board = LimitBoard("e1")
+    board.put(make_word(1, 1e9))
+    assert board.find_rate("i1", 1) is None
+    board.put(make_word(2, 0.0))
+    assert board.find_rate("i1", 1) == 0.0
+
+
+def test_targets_that_are_gone_leave_nothing_behind():
+    board = LimitBoard("e1")
+    board.put(make_word(1, 1.5))
+    board.keep_only({"i2"})
+    assert list(board) == [] and board.find_newer(0) == []
+
+
+def test_words_are_the_same_after_their_way_to_another_node():
+    words = [make_word(1, 1.5), make_word(2, None), make_word(3, 0.0)]
+    told = unpack_words(pack_words(words, 5.0), 105.0)
+    assert [attrs.evolve(word, seen=0.0) for word in told] == words
+    assert {word.seen for word in told} == {100.0}
+
+
+WORDS = strategies.builds(
+    make_word,
+    strategies.integers(1, 4),
+    strategies.sampled_from(RATES),
+    strategies.integers(1, 2),
+)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(strategies.lists(WORDS, max_size=8), strategies.randoms())
+def test_any_order_and_repetition_leads_to_one_belief(words, rng):
+    first, second = LimitBoard("e1"), LimitBoard("e2")
+    for word in words:
+        first.put(word)
+    again = words + words[:3]
+    rng.shuffle(again)
+    for word in again:
+        second.put(word)
+    assert list(first) == list(second)
+
+
+class Model:
+    """A target, entries that ask it, and words that may be lost."""
+
+    def __init__(self):
+        self.rate = None
+        self.boards = [LimitBoard(f"e{n}") for n in range(ENTRIES)]
+        self.answers = []
+
+    def send(self, entry: int) -> None:
+        """Let an entry send a request, which is answered at once."""
+        known = self.boards[entry].find("i1", 1)
+        self.answers.append((entry, known, make_limit(self.rate)))
+
+    def arrive(self, place: int) -> None:
+        """Let one of the answers that are on their way arrive."""
+        if self.answers:
+            place %= len(self.answers)
+            entry, known, limit = self.answers.pop(place)
+            self.boards[entry].note("i1", 1, known, limit, 0.0)
+
+    def tell(self, source: int, to: int) -> None:
+        """Let one entry's words reach another."""
+        for word in self.boards[source].find_newer(0):
+            self.boards[to].put(word)
+
+    def tell_all(self) -> None:
+        """Let every word reach everybody."""
+        for source in range(ENTRIES):
+            for to in range(ENTRIES):
+                self.tell(source, to)
+
+
+STEPS = strategies.one_of(
+    strategies.tuples(strategies.just("name"), strategies.sampled_from(RATES)),
+    strategies.tuples(
+        strategies.just("send"), strategies.integers(0, ENTRIES - 1)
+    ),
+    strategies.tuples(strategies.just("arrive"), strategies.integers(0, 9)),
+    strategies.tuples(
+        strategies.just("tell"),
+        strategies.integers(0, ENTRIES - 1),
+        strategies.integers(0, ENTRIES - 1),
+    ),
+)
+
+
+@settings(derandomize=True, max_examples=300)
+@given(strategies.lists(STEPS, max_size=40))
+def test_entries_come_to_believe_what_the_target_says(steps):
+    # Whatever overtook whatever and was lost: once what is on its way has
+    # come and been told, one more answer brings all to the target's word.
+    model = Model()
+    for name, *arguments in steps:
+        if name == "name":
+            (model.rate,) = arguments
+        else:
+            getattr(model, name)(*arguments)
+    while model.answers:
+        model.arrive(0)
+    model.tell_all()
+    model.send(0)
+    model.arrive(0)
+    model.tell_all()
+    beliefs = {board.find_rate("i1", 1) for board in model.boards}
+    assert beliefs == {model.rate}
--- a/packages/gateway/src/chivepier/gateway/permits/turns.py
+++ b/packages/gateway/src/chivepier/gateway/permits/turns.py
@@ -23,6 +23,9 @@
 # Claims that come for each turn. Of hundreds of entries each would else ask
 # for each turn.
 CLAIMS_A_TURN = 3.0
+# Claims for one turn up to which the one that goes first is told just when it
+# is due; beyond, the leader's time is worth more than that order.
+FEW_CLAIMS = 10
 # Seconds after which a claim may be made again in any case.
 MOST_WAIT = 2.0
 # Seconds after which a target that nobody asked for is forgotten. What is
@@ -137,8 +140,9 @@
         self, line: _Line, claim: Claim, due: float, now: float
     ) -> bool:
         """Tell whether the next turn is kept for a claim that goes first."""
-        if now > due + KEPT_SECONDS:
-            return False
+        return now <= due + KEPT_SECONDS and self._has_rival(line, claim, now)
+
+    def _has_rival(self, line: _Line, claim: Claim, now: float) -> bool:
         mine = (claim.urgency, line.served.get(claim.team, 0.0))
         return any(
             (urgency, line.served.get(team, 0.0)) < mine
@@ -156,6 +160,8 @@
         }
         line.rivals[(claim.urgency, claim.team)] = now
         line.refused += 1
-        spread = line.refused * apart / CLAIMS_A_TURN
-        wait = max(0.0, due - now) + self._rng.uniform(0.0, spread)
+        wait = max(0.0, due - now)
+        if line.refused > FEW_CLAIMS or self._has_rival(line, claim, now):
+            spread = line.refused * apart / CLAIMS_A_TURN
+            wait += self._rng.uniform(0.0, spread)
         return Turn(False, min(wait, MOST_WAIT))
