Ask a target again that was full for a moment beside others in need

What callers would see: with one target without a limit, which refused once, and others in need, the caller was told that all were in need. Cause: the check looked at the targets not tried yet. It looks at all of the service now; the test of that failed before (`overloaded` in place of an answer).

With it, tests of what callers get while targets name limits: others with room get what one in need does not take; a call that none takes is refused at once; a generation is sent without a reservation; streams that run there go on; generations move elsewhere; three of twenty targets in need are asked for.

What is given of a cold target's bound is to be used at once: a claim there has no patience, as the window counts from when it was given.

--- a/packages/gateway/src/chivepier/gateway/permits/permits.py
+++ b/packages/gateway/src/chivepier/gateway/permits/permits.py
@@ -165,7 +165,8 @@
                 -1.0 if rate is None else rate,
                 claim.team,
                 claim.urgency,
-                claim.patience,
+                # what is given of a cold target's bound must be used at once
+                0.0 if cold else claim.patience,
             )
             answer = await self._ask(request)
             if answer is None:
--- a/packages/gateway/src/chivepier/gateway/serving/placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placing.py
@@ -10,7 +10,6 @@
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.queueticket import QueueTicket
 from chivepier.gateway.serving.sendgate import SendGate
-from chivepier.gateway.serving.shortage import Shortage
 from chivepier.gateway.serving.targetport import TargetPort
 from chivepier.gateway.serving.waiting import find_rank
 from chivepier.gateway.serving.waiting import find_stage
@@ -93,7 +92,7 @@
         with QueueTicket(self._queues, plan.service.name) as ticket:
             while self._rank(plan, tried) and not self._guard.holds(plan):
                 stage = self._find_stage(plan)
-                self._check_limits(plan, tried, find_rank(plan, stage))
+                self._check_limits(plan, find_rank(plan, stage))
                 if stage is Stage.OVER:
                     self._log.info("no_room", id=plan.request.id)
                     raise NoRoomError
@@ -109,26 +108,35 @@
     async def _find_permitted(
         self, plan: Plan, tried: set[str]
     ) -> Place | None:
-        ranked = self._rank(plan, tried)
-        shortage = Shortage(len(ranked))
-        for target in ranked:
-            rate = self._gate.find_rate(target)
-            if rate is not None:
-                shortage.add(rate)
-            claim = self._make_claim(plan)
-            if shortage.asked < MOST_ASKED:
-                if self._gate.find_pause(target, claim) is None:
-                    shortage.asked += rate is not None
-                    permit = await self._gate.take_permit(
-                        plan.service, target, claim
-                    )
-                    if permit is not None:
-                        return Place(target, None, permit)
+        claim, asked = self._make_claim(plan), 0
+        for target in self._rank(plan, tried):
+            limited = self._gate.find_rate(target) is not None
+            # each question holds the request up, and all may be in need
+            left_out = limited and asked >= MOST_ASKED
+            if not left_out and self._gate.find_pause(target, claim) is None:
+                asked += limited
+                permit = await self._gate.take_permit(
+                    plan.service, target, claim
+                )
+                if permit is not None:
+                    return Place(target, None, permit)
             tried.add(target.instance)
-        if shortage.covers_all:
-            raise OverLimitError(shortage.rate)
+        rate = self._find_shortage(plan)
+        if rate is not None:
+            raise OverLimitError(rate)
         return None
 
+    def _find_shortage(self, plan: Plan) -> float | None:
+        """Return the rate that all targets take together.
+
+        :returns: requests a second; ``None`` unless all of them are in need
+        """
+        found = self._rank(plan, set())
+        rates = [self._gate.find_rate(target) for target in found]
+        if not rates or None in rates:
+            return None
+        return sum(rates)
+
     def _make_claim(self, plan: Plan) -> Claim:
         """Build what decides about a request's turn at a target in need.
 
@@ -154,22 +162,22 @@
             return None
         return Place(target, reservation, permit)
 
-    def _check_limits(self, plan: Plan, tried: set[str], rank: int) -> None:
+    def _check_limits(self, plan: Plan, rank: int) -> None:
         """Turn away what targets in need can't take before it is too late.
 
-        :raises OverLimitError: when all that is left is in need, and what
-            waits before it takes them too long
+        :raises OverLimitError: when all are in need, and what goes before
+            the request takes them too long
         """
-        rates = [self._gate.find_rate(t) for t in self._rank(plan, tried)]
-        if not rates or None in rates:
+        rate = self._find_shortage(plan)
+        if rate is None:
             return
         now = self._clock.monotonic()
         # those of its own rank go first, too: it has just come
         ahead = self._queues.ahead(plan.service.name, rank + 1, now)
         last = plan.request.arrived + REFUSED_SHARE * plan.route.objective
         seconds = min(last, plan.deadline) - now
-        if ahead > sum(rates) * seconds:
-            raise OverLimitError(sum(rates))
+        if ahead > rate * seconds:
+            raise OverLimitError(rate)
 
     def _find_stage(self, plan: Plan) -> Stage:
         reading = self._chooser.pace.estimate(
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -68,7 +68,7 @@
     ``refuse`` names targets that say they did not run a request, ``lose``
     those that break the connection instead of an answer, ``dark`` those
     that can't be reached, ``ended`` those where nothing listens any more;
-    ``copies`` holds what may be gone on from.
+    ``copies`` holds what may be gone on from; ``facts`` is what answers say.
     """
 
     def __init__(self) -> None:
@@ -87,6 +87,7 @@
         self.hung_up: list[str] = []
         self.ended: set[str] = set()
         self.probed: list[str] = []
+        self.facts = AnswerFacts()
         self.sent = asyncio.Event()
         self.moved = asyncio.Event()
 
@@ -95,7 +96,9 @@
         name = target.instance
         if name in self.dark:
             raise NotSentError("refused")
-        answer = FakeAnswer(name, request.id, int(order.after_event or 0))
+        answer = FakeAnswer(
+            name, request.id, int(order.after_event or 0), facts=self.facts
+        )
         self.orders.append((name, order))
         if name in self.lose:
             raise LostError("reset")
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
@@ -0,0 +1,160 @@
+"""Tests of what callers get while targets name limits."""
+
+import asyncio
+
+import attrs
+import pytest
+
+from chivepier.gateway.limits import NoLimit
+from chivepier.gateway.limits import RateLimit
+from chivepier.gateway.permits import Turn
+from chivepier.gateway.serving import AnswerFacts
+from chivepier.gateway.serving.tests.parts import begin
+from chivepier.gateway.serving.tests.parts import ENGINE
+from chivepier.gateway.serving.tests.parts import fail
+from chivepier.gateway.serving.tests.parts import finish
+from chivepier.gateway.serving.tests.parts import make_request
+from chivepier.gateway.serving.tests.parts import play
+from chivepier.types import ErrorKind
+from chivepier.types import Ran
+
+RESERVING = attrs.evolve(ENGINE, reserve_seconds=1.0)
+REFUSED = Turn(False, 5.0)
+
+
+async def answer_plain(parts, count: int = 1) -> list[str]:
+    """Serve plain calls, one after the other; return who ran them."""
+    names = []
+    for _ in range(count):
+        caller, task = parts.start(make_request("/plain/x"))
+        run = await parts.engines.wait_run(len(parts.engines.answers) + 1)
+        run.end()
+        await task
+        names.append(run.target)
+    return names
+
+
+def test_what_a_target_in_need_does_not_take_goes_to_others():
+    async def test(parts):
+        parts.name_limit("w-a", 1.5)
+        parts.turn = REFUSED
+        assert set(await answer_plain(parts, 6)) == {"w-b"}
+
+    play(test, "a", "b")
+
+
+def test_target_in_need_is_sent_what_it_takes():
+    async def test(parts):
+        parts.name_limit("w-a", 1.5)
+        assert await answer_plain(parts) == ["w-a"]
+        (claim,) = parts.claims
+        assert (claim.instance, claim.rate) == ("w-a", 1.5)
+        assert (claim.team, claim.urgency) == ("t1", 3)
+        assert 0.0 <= claim.patience <= 0.5
+
+    play(test, "a")
+
+
+@pytest.mark.parametrize("path", ("/plain/x", "/read/x", "/llm/x"))
+def test_call_that_no_target_takes_is_refused_at_once(path):
+    # It waited in a queue that the rate could not empty, or for rounds at
+    # targets that could not take it either.
+    async def test(parts):
+        for name in ("a", "b", "w-a", "w-b"):
+            parts.name_limit(name, 0.5)
+        parts.turn = REFUSED
+        failures = [await fail(parts, make_request(path)) for _ in range(3)]
+        assert {f.kind for f in failures} == {ErrorKind.OVERLOADED}
+        assert {f.ran for f in failures} == {Ran.NO}
+        # both targets together take one a second
+        back = [f.retry_after.total_seconds() for f in failures]
+        assert back[0] == 1.0 and max(back) <= 3.0
+        assert parts.engines.orders == []
+        # each was asked for once: nothing waited
+        assert len(parts.claims) == 2
+
+    play(test, "a", "b")
+
+
+def test_target_that_is_full_for_a_moment_is_asked_again_beside_one_in_need():
+    # The one without a limit refused once, and the caller was told that all
+    # were in need.
+    async def test(parts):
+        parts.name_limit("w-a", 0.5)
+        parts.turn = REFUSED
+        parts.engines.refuse.add("w-b")
+        caller, task = parts.start(make_request("/plain/x"))
+        while not parts.engines.orders:
+            await asyncio.sleep(0.001)
+        parts.engines.refuse.clear()
+        run = await parts.engines.wait_run(1)
+        run.end()
+        await task
+        assert run.target == "w-b"
+
+    play(test, "a", "b")
+
+
+def test_generation_is_sent_to_a_target_in_need_without_a_reservation():
+    # The reservation came to it as one more request.
+    async def test(parts):
+        parts.name_limit("a", 1.5)
+        caller, task, run = await begin(parts)
+        assert parts.engines.reserved == []
+        assert len(parts.claims) == 1
+        await finish(task, run, 1)
+
+    play(test, "a", engine=RESERVING)
+
+
+def test_streams_that_run_at_a_target_in_need_go_on():
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        parts.name_limit("a", 0.0)
+        parts.turn = REFUSED
+        await finish(task, run, 5)
+        assert caller.finished and not caller.aborted
+
+    play(test, "a")
+
+
+def test_limit_is_learnt_of_an_answer_and_ends_with_one():
+    async def test(parts):
+        for limit, rate in ((RateLimit(1.5), 1.5), (NoLimit(), None)):
+            caller, task = parts.start(make_request("/plain/x"))
+            count = len(parts.engines.answers) + 1
+            parts.engines.facts = AnswerFacts(limit=limit)
+            run = await parts.engines.wait_run(count)
+            run.end()
+            await task
+            assert parts.limits.find_rate("w-a", 0) == rate
+
+    play(test, "a")
+
+
+def test_generations_move_to_targets_that_are_not_in_need():
+    # At a target in need it would wait for a turn, with its caller.
+    async def test(parts):
+        for name in ("b", "c", "d"):
+            parts.name_limit(name, 5.0)
+        chooser = parts.dispatcher.chooser
+        source = parts.table.get("a")
+        for _ in range(10):
+            target = chooser.choose_destination(
+                "llm", ENGINE, 100, source, {"a"}
+            )
+            assert target.instance == "e"
+
+    play(test, "a", "b", "c", "d", "e")
+
+
+def test_entry_asks_few_of_many_targets_in_need():
+    async def test(parts):
+        names = [f"t{n}" for n in range(20)]
+        for name in names:
+            parts.name_limit(f"w-{name}", 1.0)
+        parts.turn = REFUSED
+        await fail(parts, make_request("/plain/x"))
+        assert len(parts.claims) == 3
+
+    play(test, *(f"t{n}" for n in range(20)))
