Let targets of the soak name limits among its other faults

Targets name limits of 0 to 4 requests a second, which change, one or all of them at once, while processes are killed, frozen, stopped and wiped. Checked as they are reached: from three seconds after a limit was first named, no four seconds hold more than half as much again as it allows, and five.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -14,13 +14,14 @@
 
 if typing.TYPE_CHECKING:
     from soak.run import Soak
+    from soak.target import SoakTarget
 
 # Seconds without a fault before a planned stop that must cut nothing off: what
 # an earlier fault held up has reached its route's timeout by then.
 QUIET_SECONDS = 3.5
 # Sets of faults: a seed that has shown a fault keeps the set that it drew
 # from, or it would draw others and show nothing any more.
-FIRST_SET, RESTART_SET, NEWEST_SET = 1, 2, 3
+FIRST_SET, RESTART_SET, COLD_SET, NEWEST_SET = 1, 2, 3, 4
 
 
 class Faults:
@@ -51,7 +52,10 @@
         self._cold = chosen > RESTART_SET
         if self._cold:
             self._kinds += (self.evacuate, self.turn_cold)
+        if chosen > COLD_SET:
+            self._kinds += (self.need, self.need)
         self._orders: asyncio.Task | None = None
+        self._needs: set[asyncio.Task] = set()
 
     def keep_only(self, *names: str) -> None:
         """Inject these faults alone: each once, and then drawn ones.
@@ -78,9 +82,10 @@
         return self._rng.choice(self._kinds)
 
     async def finish(self) -> None:
-        """Let an evacuation that is under way come to its end."""
+        """Let what goes on beside other faults come to its end."""
         if self._orders is not None:
             await self._orders
+        await asyncio.gather(*self._needs)
 
     async def evacuate(self) -> None:
         """Evacuate a zone while other faults go on; one at a time."""
@@ -97,6 +102,22 @@
         target = self._rng.choice(self._soak.targets)
         target.turn_cold(self._rng.uniform(2.0, 4.0))
 
+    async def need(self) -> None:
+        """Let targets name limits for a while, beside other faults."""
+        count = self._rng.randint(1, len(self._soak.targets))
+        for target in self._rng.sample(self._soak.targets, count):
+            if target.limit is None:
+                work = self._name_limits(target)
+                task = asyncio.create_task(work)
+                self._needs.add(task)
+                task.add_done_callback(self._needs.discard)
+
+    async def _name_limits(self, target: "SoakTarget") -> None:
+        for _ in range(self._rng.randint(1, 2)):
+            target.name_limit(self._rng.choice((0.0, 0.7, 1.5, 4.0)))
+            await asyncio.sleep(self._rng.uniform(2.0, 9.0))
+        target.name_limit(None)
+
     async def kill(self) -> None:
         """Kill a process; it comes back soon."""
         process = self._rng.choice((*self._soak.voters, *self._soak.entries))
--- a/soak/target.py
+++ b/soak/target.py
@@ -23,6 +23,16 @@
 # Seconds after it said that it is cold from which it must be spared: entries
 # are told at once, and what was being sent then has arrived.
 TOLD_SECONDS = 1.0
+# Seconds after a limit was first named from which it binds all entries, those
+# included that were harmed when it was named.
+TOUCH_SECONDS = 3.0
+# Seconds in which requests are counted, and what may come in them, as a
+# factor on the rate and requests above that.
+NEED_SECONDS = 4.0
+NEED_EXCESS = 1.5
+NEED_SLACK = 5
+# Arrivals that are remembered of a target that is not in need.
+MOST_ARRIVALS = 1_000
 
 Forbids = collections.abc.Callable[[str], bool]
 
@@ -62,6 +72,7 @@
         self._arrived: list[float] = []
         self.limit: float | None = None
         self.arrivals: list[float] = []
+        self._told_at: float | None = None
         self.restarted = False
         self.runs = 0
         self._born = 0
@@ -109,6 +120,29 @@
             text = f"{len(self._arrived)} a second at cold {self.address}"
             self._promises.broken.append(text)
 
+    def name_limit(self, rate: float | None) -> None:
+        """Name the requests a second that it takes; or none any more.
+
+        :param rate: from all entries together
+        """
+        self.limit, self._told_at = rate, None
+        self.arrivals.clear()
+
+    def _note_need(self) -> None:
+        """Check what reaches it while it names a limit."""
+        now = time.monotonic()
+        self.arrivals.append(now)
+        if self.limit is None:
+            del self.arrivals[:-MOST_ARRIVALS]
+            return
+        if self._told_at is None:
+            self._told_at = now + TOUCH_SECONDS
+        since = max(self._told_at, now - NEED_SECONDS)
+        count = sum(at >= since for at in self.arrivals)
+        if count > NEED_EXCESS * NEED_SECONDS * self.limit + NEED_SLACK:
+            text = f"{count} in {NEED_SECONDS} s at {self.address}, in need"
+            self._promises.broken.append(text)
+
     def crash(self) -> None:
         """Lose all connections and all that runs, at once."""
         self._task.cancel()
@@ -168,7 +202,7 @@
         if wanted != self.instance:
             return web.Response(status=421, headers=echo)
         self._note_arrival()
-        self.arrivals.append(time.monotonic())
+        self._note_need()
         if self.limit is not None:
             echo["Server-Limit"] = str(self.limit)
         mood = self.mood
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from soak.faults import COLD_SET
 from soak.faults import FIRST_SET
 from soak.faults import NEWEST_SET
 from soak.faults import RESTART_SET
@@ -20,7 +21,8 @@
     2: (FIRST_SET, 6.0),
     3922492142: (FIRST_SET, 14.0),
     5: (RESTART_SET, 6.0),
-    11: (NEWEST_SET, 8.0),
+    11: (COLD_SET, 8.0),
+    12: (NEWEST_SET, 8.0),
 }
 
 
@@ -69,6 +71,18 @@
     assert soak.zone_orders.given >= 2 and seen.answered > 50
 
 
+def test_targets_in_need_are_spared(tmp_path):
+    # Targets name limits that change, all of them at times, while processes
+    # are killed, stand still and are stopped: none gets more than the page
+    # allows from three seconds after it first named one, and all are used
+    # again once they name none.
+    soak = Soak(10, tmp_path, 1 + os.getpid() % 35)
+    soak.faults.keep_only("need", "kill", "freeze", "stop", "kill_all")
+    seen = asyncio.run(soak.run(14.0))
+    assert seen.broken == []
+    assert seen.answered > 20
+
+
 def test_each_broken_promise_is_seen():
     seen = Promises()
     seen.note_run("a")
