Show operators the limits that targets name

`chivepier status` and the operators' interface list the targets that name a limit now, the rate, which entry was told so, and for how many seconds.

--- a/packages/cli/src/chivepier/cli/commands/status.py
+++ b/packages/cli/src/chivepier/cli/commands/status.py
@@ -9,6 +9,7 @@
 
 MEMBER_COLUMNS = ("name", "zone", "address", "draining", "voter", "leader")
 ZONE_COLUMNS = ("zone", "evacuated", "targets")
+LIMIT_COLUMNS = ("target", "rate", "source", "seconds")
 TARGET_COLUMNS = (
     "target",
     "pool",
@@ -62,4 +63,8 @@
     if any(zone["evacuated"] for zone in zones):
         click.echo()
         context.show(answer, list(zones), ZONE_COLUMNS)
+    limits = answer.get("limits", ())
+    if limits:
+        click.echo()
+        context.show(answer, list(limits), LIMIT_COLUMNS)
     click.echo(f"\nversion {answer['version']}, in force {answer['in_force']}")
--- a/packages/gateway/src/chivepier/gateway/control/limithub.py
+++ b/packages/gateway/src/chivepier/gateway/control/limithub.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.messages import EntryBeat
 from chivepier.gateway.messages import LimitNotice
 from chivepier.gateway.messages import LimitRecord
+from chivepier.gateway.targets import Target
 from chivepier.types import Clock
 from chivepier.wire import Channel
 from chivepier.wire import prepare
@@ -61,6 +62,22 @@
             age_ms=round(1000 * (now - word.seen)),
         )
 
+    def find_named(
+        self, targets: collections.abc.Iterable[Target]
+    ) -> list[tuple[LimitWord, float]]:
+        """Return the limits that targets name now.
+
+        :param targets: that are known
+        :returns: what is believed, and for how many seconds it has been
+        """
+        now = self._clock.monotonic()
+        words = [self.board.find(t.instance, t.born) for t in targets]
+        return [
+            (word, now - word.seen)
+            for word in words
+            if word is not None and word.rate is not None
+        ]
+
     def find_missing(
         self, beat: EntryBeat, epoch: str
     ) -> tuple[LimitRecord, ...]:
--- a/packages/gateway/src/chivepier/gateway/control/operatorapi.py
+++ b/packages/gateway/src/chivepier/gateway/control/operatorapi.py
@@ -75,6 +75,15 @@
                 }
                 for order in sorted(voter.zones.orders, key=lambda o: o.zone)
             ],
+            "limits": [
+                {
+                    "target": word.instance,
+                    "rate": word.rate,
+                    "source": word.source,
+                    "seconds": round(age, 1),
+                }
+                for word, age in voter.limits.find_named(voter.table)
+            ],
         }
         return web.json_response(plain)
 
