Keep what is known of a target's next life when the last one ends

What a target would see: it starts again under its name and names a limit; the word reaches an entry by a voter before the announcement of the new life, and the end of the old life drops it. The entry would send at its full rate until its own first answer, as voters tell a word once.

Cause: words were dropped by the target's name. They are now by life.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -242,7 +242,7 @@
     def _forget(self, target: Target) -> None:
         self.board.forget(target.instance)
         self.health.forget(target.instance)
-        self.limits.forget(target.instance)
+        self.limits.forget(target.instance, target.born)
 
     def _note_restart(self, target: Target) -> None:
         self._log.info(
--- a/packages/gateway/src/chivepier/gateway/following/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -190,6 +190,7 @@
     async def _keep_voters(self) -> None:
         while True:
             self._suspects.expire()
+            self._limits.expire(self._table)
             wanted = set(self._peers.all)
             for address in wanted - self._voters.keys():
                 voter = self._voters[address] = _Voter()
--- a/packages/gateway/src/chivepier/gateway/following/limitexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/limitexchange.py
@@ -1,5 +1,7 @@
 """Telling which limits targets named here, and hearing of the others'."""
 
+import collections.abc
+
 import attrs
 
 from chivepier.gateway.limits import LimitBoard
@@ -8,6 +10,7 @@
 from chivepier.gateway.limits import unpack_words
 from chivepier.gateway.messages import EntryBeatAnswer
 from chivepier.gateway.messages import LimitRecord
+from chivepier.gateway.targets import Target
 from chivepier.types import Clock
 from chivepier.types import Signal
 
@@ -65,6 +68,13 @@
         for word in unpack_words(records, self._clock.monotonic()):
             self._board.put(word)
 
+    def expire(self, targets: collections.abc.Iterable[Target]) -> None:
+        """Drop what is believed of targets that are not known any more.
+
+        :param targets: that are known
+        """
+        self._board.expire([target.instance for target in targets])
+
     def take_answer(
         self,
         standing: LimitStanding,
--- a/packages/gateway/src/chivepier/gateway/limits/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/limits/__init__.py
@@ -5,6 +5,7 @@
 from chivepier.gateway.limits.limit import RateLimit
 from chivepier.gateway.limits.limit import UnreadLimit
 from chivepier.gateway.limits.limitboard import LimitBoard
+from chivepier.gateway.limits.limitboard import MOST_UNKNOWN
 from chivepier.gateway.limits.limitword import LimitWord
 from chivepier.gateway.limits.records import pack_words
 from chivepier.gateway.limits.records import unpack_words
@@ -13,6 +14,7 @@
     "Limit",
     "LimitBoard",
     "LimitWord",
+    "MOST_UNKNOWN",
     "NoLimit",
     "RateLimit",
     "UnreadLimit",
--- a/packages/gateway/src/chivepier/gateway/limits/limitboard.py
+++ b/packages/gateway/src/chivepier/gateway/limits/limitboard.py
@@ -11,6 +11,8 @@
 
 # Requests a second above which a limit binds nobody: no target serves more.
 UNBOUND_RATE = 1000.0
+# Words about targets that are not known from which on they are dropped.
+MOST_UNKNOWN = 1_000
 
 Watcher = collections.abc.Callable[[LimitWord, LimitWord | None], None]
 
@@ -129,16 +131,31 @@
             and (not own_only or self._words[instance].source == self._me)
         ]
 
-    def forget(self, instance: str) -> None:
-        """Drop what is believed of a target that is gone."""
-        self._words.pop(instance, None)
-        self._changed_at.pop(instance, None)
+    def forget(self, instance: str, born: int) -> None:
+        """Drop what is believed of a life that has ended.
 
-    def keep_only(self, instances: collections.abc.Container[str]) -> None:
-        """Drop what is believed of all other targets."""
-        for instance in list(self._words):
-            if instance not in instances:
-                self.forget(instance)
+        :param instance: the target's name
+        :param born: start of that life; words about a later one stay
+        """
+        word = self._words.get(instance)
+        if word is not None and word.born <= born:
+            self._drop(instance)
+
+    def expire(self, instances: collections.abc.Collection[str]) -> None:
+        """Drop what is believed of targets that nobody knows any more.
+
+        A word may come before its target's first announcement: some are kept.
+
+        :param instances: names of the targets that are known
+        """
+        if len(self._words) <= len(instances) + MOST_UNKNOWN:
+            return
+        for instance in self._words.keys() - set(instances):
+            self._drop(instance)
+
+    def _drop(self, instance: str) -> None:
+        del self._words[instance]
+        del self._changed_at[instance]
 
     def __iter__(self) -> collections.abc.Iterator[LimitWord]:
         return iter(list(self._words.values()))
