--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -35,6 +35,7 @@
 from chivepier.gateway.targets import TargetHealth
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
+from chivepier.types import RequestError
 
 # An attempt that could be repeated is given up after so many objectives: by
 # then the caller's answer is late already, and the rest of its time is
@@ -129,9 +130,7 @@
                     plan, runs, "no target has room"
                 ) from None
             except OverLimitError as error:
-                raise self._refusals.give_up_over_limit(
-                    plan, runs, error.rate, self.state.entries
-                ) from None
+                raise self._give_up_over_limit(plan, runs, error) from None
             # it may have waited for long
             self.guard.check(plan, runs)
             if place is None:
@@ -185,6 +184,26 @@
                 return sent
             self.end(sent)
 
+    def _give_up_over_limit(
+        self, plan: Plan, runs: int, error: OverLimitError
+    ) -> RequestError:
+        entries = self.state.entries
+        given_up = self._refusals.give_up_over_limit(
+            plan, runs, error.rate, entries
+        )
+        pause = given_up.failure.retry_after
+        self.log.warn(
+            "over_limit",
+            id=plan.request.id,
+            service=plan.service.name,
+            team=plan.team,
+            urgency=plan.urgency,
+            rate=error.rate,
+            entries=entries,
+            back_ms=pause and round(1000 * pause.total_seconds()),
+        )
+        return given_up
+
     def _note_place(self, plan: Plan, place: Place) -> None:
         target, demand = place.target, plan.demand
         load = self.chooser.find_load(target.instance)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
@@ -70,6 +70,8 @@
         back = [f.retry_after.total_seconds() for f in failures]
         assert back[0] == 1.0 and max(back) <= 3.0
         assert parts.engines.orders == []
+        lines = parts.read_lines("over_limit")
+        assert [line["rate"] for line in lines] == [1.0, 1.0, 1.0]
         # each was asked for once: nothing waited
         assert len(parts.claims) == 2
 
