Play the end of need, and all targets in need, with real processes

All four targets name 1.5 a second: each gets 1 to 8 in any four seconds, and whoever is not served is told at once with a time to come back. Once they name none any more, within three seconds each gets what it got before and everybody is served.

--- a/soak/need.py
+++ b/soak/need.py
@@ -51,6 +51,7 @@
         self, folder: pathlib.Path, block: int, seed: int, entries: int
     ):
         self.replies: list[Reply] = []
+        self.counted_from = 0.0
         self._number = 0
         super().__init__(
             folder, block, seed, entries, TARGETS, self._make_target
--- a/soak/tests/test_need.py
+++ b/soak/tests/test_need.py
@@ -23,9 +23,15 @@
 MOST = int(LIMIT * (WINDOW_SECONDS + LATENESS_SECONDS)) + 1
 
 
-def play(folder, entries: int, in_need: int) -> Need:
-    """Let targets name a limit amid traffic, and count what they get."""
-    block = 100 + (7 * os.getpid() + entries) % 50
+def play(folder, entries: int, in_need: int, ended: bool = False) -> Need:
+    """Let targets name a limit amid traffic, and count what they get.
+
+    :param folder: for settings, data and logs
+    :param entries: how many
+    :param in_need: targets that name a limit
+    :param ended: whether they name none any more while requests are counted
+    """
+    block = 100 + (7 * os.getpid() + entries + in_need) % 50
 
     async def work() -> Need:
         need = Need(folder, block, 1, entries)
@@ -33,7 +39,13 @@
             await asyncio.sleep(1.0)
             for target in need.targets[:in_need]:
                 target.limit = LIMIT
-            await asyncio.sleep(TOUCH_SECONDS + COUNTED_SECONDS)
+            await asyncio.sleep(TOUCH_SECONDS)
+            if ended:
+                for target in need.targets:
+                    target.limit = None
+                await asyncio.sleep(TOUCH_SECONDS)
+            need.counted_from = time.monotonic()
+            await asyncio.sleep(COUNTED_SECONDS)
         return need
 
     return asyncio.run(work())
@@ -48,8 +60,30 @@
     # last entry was told as before, second sends for one request in 72 only,
     # and no decision that differs by what a target names.
     need = play(tmp_path, entries, in_need=2)
-    since = time.monotonic() - COUNTED_SECONDS
+    since = need.counted_from
     for target in need.targets[:2]:
         assert 0 < count_busiest(target.arrivals, since) <= MOST
     late = [reply for reply in need.replies if reply.at >= since]
     assert {reply.status for reply in late} == {200}
+
+
+def test_callers_are_told_at_once_when_all_targets_are_in_need(tmp_path):
+    # Nothing would be served, or all of it: requests wait in a queue that the
+    # rate can't empty, or are sent to targets that do not take them.
+    need = play(tmp_path, 3, in_need=4)
+    since = need.counted_from
+    for target in need.targets:
+        assert 0 < count_busiest(target.arrivals, since) <= MOST
+    late = [reply for reply in need.replies if reply.at >= since]
+    assert {reply.status for reply in late} == {200, 429}
+    assert all(r.back > 0 for r in late if r.status == 429)
+
+
+def test_targets_are_used_as_before_once_they_are_well(tmp_path):
+    # With few requests sent, few answers tell that a target has recovered.
+    need = play(tmp_path, 3, in_need=4, ended=True)
+    since = need.counted_from
+    for target in need.targets:
+        assert count_busiest(target.arrivals, since) > 3 * MOST
+    late = [reply for reply in need.replies if reply.at >= since]
+    assert {reply.status for reply in late} == {200}
