Clear the code of tales: what constants were tuned on, and what once went wrong

Comments of more than a line or two, figures of runs and stories of faults stood at some seventy places of the code that serves. STYLE.md says so.

Left: tests' comments of three lines and more, and the older packages'.

--- a/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
+++ b/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
@@ -12,8 +12,8 @@
 from chivepier.types import Clock
 from chivepier.wire import Channel
 
-# Seconds after its last word for which an entry counts as alive. Entries
-# speak every 0.3 s; a frozen or cut off one is left out after three misses.
+# Seconds after its last word for which an entry counts as alive: a few missed
+# beats.
 ALIVE_SECONDS = 1.2
 # Seconds after which an entry is forgotten, and its share of common budgets
 # goes to the others.
@@ -21,13 +21,11 @@
 # Seconds after its start in which a voter gives no addresses: entries come
 # back one after the other, and the first would get every caller.
 LEARNING_SECONDS = 0.35
-# Share of the addresses of one answer that may lie in the caller's own
-# availability zone. The rest keeps its callers served in the seconds until
-# they are told that their zone is lost.
+# Share of one answer's addresses in the caller's own availability zone; the
+# rest serves its callers while that zone is lost.
 NEAR_SHARE = 0.75
-# Where a zone has more entries than an answer holds, seconds after which
-# the next ones are named, and the share of the answer that changes. Callers
-# close what is no longer named: a quarter of their connections in 10 s.
+# Seconds after which the next of many entries are named. Callers close what is
+# no longer named, so only a part of an answer changes.
 TURN_SECONDS = 10.0
 TURN_SHARE = 0.25
 
@@ -78,9 +76,8 @@
         """Return where callers of an availability zone may connect.
 
         All voters name the same ones to a zone, and the same ones again: a
-        caller closes its connections to what is no longer named. Named in
-        the order in which they first spoke, two thirds of 191 entries never
-        got a caller from one voter, and each voter named others.
+        caller closes its connections to what is no longer named. In the order
+        in which they first spoke, the last entries would get no caller.
 
         When no entry is heard, those heard last are better than none: it
         may be this voter that is cut off.
@@ -154,7 +151,7 @@
 
     Each zone's callers are given another part of the others' entries, in a
     row, so that none of these is given to several zones before all are given
-    to one: drawn by chance, the busiest of 200 had 2.8 times its share.
+    to one.
     """
     by_zone: dict[str, list[str]] = collections.defaultdict(list)
     for beat in sorted(beats, key=lambda beat: _hash(beat.address)):
--- a/packages/gateway/src/chivepier/gateway/control/loadhub.py
+++ b/packages/gateway/src/chivepier/gateway/control/loadhub.py
@@ -14,9 +14,7 @@
 from chivepier.wire import Links
 from chivepier.wire import prepare
 
-# Seconds for which changes are gathered: one message to each entry carries
-# what all entries said meanwhile. Generations start some tens of times a
-# second, so a choice misses one or two of them.
+# Seconds for which changes are gathered into one message to each entry.
 GATHER_SECONDS = 0.02
 # Seconds between two words to the other voters, also where nothing changed:
 # they tell by these whom they hear.
@@ -40,9 +38,7 @@
 
     Each entry follows one voter, of its own availability zone where that one
     is well. Voters sum up what their entries say and tell each other, so that
-    a change crosses each border between zones once. When one voter told
-    every entry of each other one's changes, 191 entries took 191 messages of
-    all changes fifty times a second, four of five of them to other zones.
+    a change crosses each border between zones once.
 
     :param me: this voter's peer address
     :param peers: the voters' addresses
--- a/packages/gateway/src/chivepier/gateway/control/loadledger.py
+++ b/packages/gateway/src/chivepier/gateway/control/loadledger.py
@@ -17,8 +17,7 @@
 class LoadLedger:
     """Keeps what each entry last said, and sums it up for other voters.
 
-    The sums follow each change; worked out anew fifty times a second, they
-    took a voter with 38 entries a tenth of a core.
+    The sums follow each change; they are told many times a second.
 
     :param me: this voter's address
     """
@@ -78,9 +77,8 @@
         """Return one record a target and rank, in this voter's name.
 
         Who copies memory off a leaving target is told by entry, as they take
-        turns by their names. The records of 38 entries in an availability
-        zone become one a target: what crosses its border no longer grows
-        with the entries.
+        turns by their names. All other records of an availability zone become
+        one a target: what crosses its border does not grow with the entries.
         """
         summed = LoadState()
         for record in self._said.records.values():
--- a/packages/gateway/src/chivepier/gateway/control/registry.py
+++ b/packages/gateway/src/chivepier/gateway/control/registry.py
@@ -185,10 +185,8 @@
     def heard_since(self, epoch: str, revision: int) -> tuple[str, ...]:
         """Return which targets an entry should know to live.
 
-        Names alone, as nothing else is new: each target is heard about once
-        a second, and with whole records what a voter told its entries grew
-        as the targets times the entries, to 1.6 MB/s at 100 instances and
-        1,000 targets.
+        Names alone, as nothing else is new: what a voter tells grows as the
+        targets times the entries.
 
         :param epoch: of this voter, as the entry knows it
         :param revision: up to which it has everything
--- a/packages/gateway/src/chivepier/gateway/control/seats.py
+++ b/packages/gateway/src/chivepier/gateway/control/seats.py
@@ -23,9 +23,8 @@
 # Seconds for which a request to join counts; it is repeated as often as the
 # seats are looked at.
 JOIN_SECONDS = 1.5
-# Seconds of silence after which a voter loses its seat once a new one has
-# been given its place. Machines that are stopped and started in turn, or
-# freeze for some seconds, come back earlier.
+# Seconds of silence after which a replaced voter loses its seat; a restart in
+# turn takes less.
 REPLACED_SECONDS = 4.0
 # Seconds of silence after which a voter loses its seat in any case, as long
 # as enough others are left to lose one more.
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -50,9 +50,8 @@
 from chivepier.wire import PeerServer
 from chivepier.wire import RefusedError
 
-# Seconds between two rounds of telling the other voters which targets live.
-# An entry hears of that from one voter only, and leaves out targets that have
-# been silent for three and a half of their announcements, some four seconds.
+# Seconds between two tellings of which targets live; entries leave out those
+# that have missed several announcements.
 SHARE_SECONDS = 1.0
 # Seconds between two rounds of dropping what has long been silent.
 FORGET_SECONDS = 5.0
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -47,14 +47,11 @@
 from chivepier.wire import Faults
 from chivepier.wire import Links
 
-# Seconds after the order to stop in which callers may still come with an
-# address they were given before: three times the longest they may keep it
-# would outlast the grace, so what is left of it bounds this too.
+# Seconds after the order to stop in which callers still come with an address
+# that they were given before.
 LINGER_SECONDS = 4.0
-# Share of its last seconds after which new requests are turned away, with a
-# truth that lets callers come back at once, elsewhere. Callers that kept their
-# connections were served up to the end, and what they had just sent was cut
-# with it; in what is left, calls of plain services end and short streams too.
+# Share of its last seconds after which an entry turns new requests away: what
+# it took later would be cut with its end.
 TAKING_SHARE = 2 / 3
 # Seconds before the end of the grace at which the process ends by itself.
 # The machine may be slow, and a kill would reset what is just being sent.
--- a/packages/gateway/src/chivepier/gateway/following/configfetch.py
+++ b/packages/gateway/src/chivepier/gateway/following/configfetch.py
@@ -18,8 +18,7 @@
 ANSWER_SECONDS = 0.8
 # Least seconds between two fetches.
 LEAST_PAUSE = 0.1
-# An entry spends at most one part in so many of its time on configurations:
-# reading 1,400 routes takes some 0.1 s of a small machine's time.
+# An entry spends at most one part in so many of its time on configurations.
 PAUSE_FACTOR = 5
 
 Decode = collections.abc.Callable[[bytes], Configuration]
@@ -28,11 +27,9 @@
 class ConfigFetch:
     """Asks for the newest configuration, one fetch at a time.
 
-    Voters tell the version only. When each of six voters sent every
-    configuration to every entry, versions that came every 60 ms filled the
-    entries' links of 5 Mbit/s for three seconds, and nearly all requests of
-    that time were late or lost. Versions that are overtaken while a fetch is
-    under way are never fetched.
+    Voters tell the version only. Whole ones, each from every voter, would fill
+    the links that callers' answers need. Versions that are overtaken while a
+    fetch is under way are never fetched.
 
     :param links: to the voters
     :param decode: reads a configuration as it was sent
@@ -108,9 +105,8 @@
         try:
             index = RouteIndex(self._decode(answer.unpack()))
         except Exception as error:
-            # Voters checked it, so this node must be of another version, or
-            # its reader has a fault. Whatever it raises: without this task
-            # the entry would follow no change any more until it is restarted.
+            # whatever it raises: with this task ended, the entry would
+            # follow no change any more
             self._log.warn(
                 "configuration_refused",
                 version=answer.version,
--- a/packages/gateway/src/chivepier/gateway/following/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -39,11 +39,10 @@
 from chivepier.wire import Links
 from chivepier.wire import RefusedError
 
-# Seconds between an entry's words to each voter. Voters leave an entry out
-# of what callers are told after 1.2 s without one.
+# Seconds between an entry's words to each voter; several fit into the time
+# after which voters leave it out.
 BEAT_SECONDS = 0.3
-# Seconds to wait for a voter's answer. A link that is silent for 2 s is
-# given up; with this a new one stands within 3 s.
+# Seconds to wait for a voter's answer, less than until its link is given up.
 ANSWER_SECONDS = 0.8
 # Seconds to wait for leave to send to a target that takes few: two round
 # trips and more, by then the request is better sent elsewhere.
@@ -273,9 +272,8 @@
         self._take_presumed(answer.presumed)
         self._freshness.note_word()
         self._take_suspects(voter, answer)
-        # a voter that started anew since holds nothing of what earlier beats
-        # told it, and several may be under way: only this one's own telling of
-        # everything counts then
+        # a voter that started anew lacks what earlier beats told it: only a
+        # beat that told everything counts then
         knows = answer.epoch == beat.epoch or before is None
         voter.confirmed = saw if knows else None
         knows = answer.epoch == beat.epoch or told is None
--- a/packages/gateway/src/chivepier/gateway/following/hubchoice.py
+++ b/packages/gateway/src/chivepier/gateway/following/hubchoice.py
@@ -5,9 +5,8 @@
 from chivepier.gateway.following.voterstanding import VoterStanding
 from chivepier.types import Clock
 
-# Seconds for which another voter must have stood better before an entry
-# changes to it. Voters notice one that falls silent up to a beat after each
-# other, and for that long the first to notice looks cut off.
+# Seconds for which another voter must have stood better: voters notice one
+# that falls silent up to a beat after each other.
 PATIENCE_SECONDS = 0.7
 
 
--- a/packages/gateway/src/chivepier/gateway/messages/configanswer.py
+++ b/packages/gateway/src/chivepier/gateway/messages/configanswer.py
@@ -9,8 +9,7 @@
 class ConfigAnswer:
     """A configuration as it was sent; ``known`` is false when unsure.
 
-    ``packed`` is its body, compressed: 1,400 routes are some 350 KB, which
-    hold up an entry's link of 5 Mbit/s for over half a second.
+    ``packed`` is its body, compressed, as it would hold up an entry's link.
     """
 
     known: bool
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -8,11 +8,11 @@
 # series for every class and bucket, and a scrape pays for all of them.
 MOST_TEAMS = 200
 OTHER = "other"
-# Upper bounds in seconds: a plain call's objective lies near 0.1, a first
-# event's near 2, pauses between events near 0.2, whole streams below 60.
+# Upper bounds in seconds: around the objectives of plain calls, first events,
+# pauses and whole streams.
 BUCKETS = (0.01, 0.03, 0.06, 0.1, 0.18, 0.3, 0.6, 1, 1.8, 3, 6, 15, 60)
-# Seconds after the start at which the library is loaded. It takes 0.08 s of
-# processor time, in which a restarted entry would not yet listen.
+# Seconds after the start at which the library is loaded, as a restarted entry
+# should listen first.
 LOAD_SECONDS = 3.0
 # Observations that wait for it at most; the rest is counted as dropped.
 MOST_EARLY = 5_000
--- a/packages/gateway/src/chivepier/gateway/permits/permit.py
+++ b/packages/gateway/src/chivepier/gateway/permits/permit.py
@@ -2,9 +2,8 @@
 
 import attrs
 
-# Seconds after asking in which a permit must be used. An answer takes two
-# round trips between availability zones, 6 ms; a request that has one then
-# reserves room, some more milliseconds.
+# Seconds after its moment in which a permit must be used: the way of the
+# answer and a reservation.
 PERMIT_SECONDS = 0.25
 
 
--- a/packages/gateway/src/chivepier/gateway/permits/permitledger.py
+++ b/packages/gateway/src/chivepier/gateway/permits/permitledger.py
@@ -4,15 +4,11 @@
 
 from chivepier.gateway.permits.permit import PERMIT_SECONDS
 
-# Seconds for a connection to a target to stand. Between availability zones it
-# takes some milliseconds; a target that is dark never answers. What is sent
-# arrives so much later at most, as a send that waits for longer is given up.
+# Seconds for a connection to a target to stand; a send that waits for longer
+# is given up.
 CONNECT_SECONDS = 0.5
-# Seconds in which no more than one second's bound is permitted. What is
-# permitted is sent within PERMIT_SECONDS after it was asked for, or never,
-# and arrives within CONNECT_SECONDS after that. So what arrives within any
-# one second was permitted within this time, also where an entry stood still
-# with its permit, or two voters led one after the other.
+# Seconds in which no more than one second's bound is permitted: what arrives
+# in one second was permitted within this time, whoever stood still or led.
 WINDOW_SECONDS = 1.0 + PERMIT_SECONDS + CONNECT_SECONDS
 
 
--- a/packages/gateway/src/chivepier/gateway/permits/permits.py
+++ b/packages/gateway/src/chivepier/gateway/permits/permits.py
@@ -23,8 +23,7 @@
 # it is cold for a second or more, and its window moves on by then.
 REFUSED_SECONDS = 0.1
 
-# Seconds after a question without an answer in which none is asked: voters
-# that are cut apart elect a leader in about a second, and each question holds
+# Seconds after a question without an answer in which none is asked: each holds
 # up its request.
 UNANSWERED_SECONDS = 0.5
 
--- a/packages/gateway/src/chivepier/gateway/permits/turns.py
+++ b/packages/gateway/src/chivepier/gateway/permits/turns.py
@@ -7,12 +7,11 @@
 from chivepier.gateway.permits.claim import Claim
 from chivepier.gateway.permits.turn import Turn
 
-# Requests a second that are sent to a target whatever less it names. Its
-# answers alone tell that it has recovered: sent nothing, it would stay out
-# of use for ever.
+# Requests a second that are sent to a target whatever less it names: its
+# answers alone tell that it has recovered.
 LEAST_RATE = 0.2
-# Seconds for which a turn is kept for a claim that goes first. A caller that
-# was refused is not back by itself: the turn must not be lost with it.
+# Seconds for which a turn is kept for a claim that goes first, and that may
+# not come back.
 KEPT_SECONDS = 0.25
 # Seconds after which a claim that was refused no longer counts.
 CLAIM_SECONDS = 2.0
@@ -20,16 +19,14 @@
 HALF_LIFE_SECONDS = 10.0
 # What a team was served counts as nothing below this.
 LEAST_SERVED = 0.05
-# Claims that come for each turn. Of hundreds of entries each would else ask
-# for each turn.
+# Claims that come for each turn, however many entries there are.
 CLAIMS_A_TURN = 3.0
-# Claims for one turn up to which the one that goes first is told just when it
-# is due; beyond, the leader's time is worth more than that order.
+# Claims for one turn up to which the first is told just when it is due;
+# beyond, the leader's time is worth more than that order.
 FEW_CLAIMS = 10
 # Seconds after which a claim may be made again in any case.
 MOST_WAIT = 2.0
-# Seconds after which a target that nobody asked for is forgotten. What is
-# not known of counts as having been sent to just now.
+# Seconds after which a target that nobody asked for is forgotten.
 KEPT_IDLE_SECONDS = 30.0
 
 
--- a/packages/gateway/src/chivepier/gateway/quarantine/ledger.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/ledger.py
@@ -11,21 +11,16 @@
 
 # Seconds for which an end counts.
 KEPT_SECONDS = 4 * 3600.0
-# Seconds for which the third end of a target keeps a request back; each
-# further one doubles them. Callers repeat within seconds, and series of
-# repeats come within minutes. One that ends every target costs seven in four
-# hours, where each expiry would cost three if its ends were forgotten; one
-# that was only unlucky can come again after ten minutes, and is answered.
+# Seconds for which the third end of a target keeps a request back, doubled by
+# each further one.
 HOLD_SECONDS = 600.0
-# Seconds after an answer in which ends are not held against the request. A
-# body that is often asked for has copies at every target when one of them
-# ends; the request that ends targets is never answered.
+# Seconds after an answer in which ends are not held against the request: many
+# copies of a body that is often asked for run beside any end.
 SOUND_SECONDS = 60.0
 # Seconds for which an answer is remembered: longer than it counts, so that an
 # end that is told late meets it.
 CLEARANCE_SECONDS = 2 * SOUND_SECONDS
-# Ends that are kept, all requests together: some 2.7 MB. One that ends a
-# target leaves one for each request that ran there, some twenty.
+# Ends that are kept, all requests together.
 MOST_KEPT = 4_000
 # Ends that are kept of one request; more say nothing new.
 MOST_OF_ONE = 16
--- a/packages/gateway/src/chivepier/gateway/quarantine/lossjudge.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/lossjudge.py
@@ -13,20 +13,16 @@
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
 
-# Seconds after its first event in which a request may be the cause. What ends
-# a target does so as it begins to run, within a tenth of a second in what was
-# seen; a stream that has run for longer is among those that only ran beside.
+# Seconds after its first event in which a request may be the cause; what has
+# run for longer was there by chance.
 EARLY_SECONDS = 2.0
-# Seconds after a target's notice from which its end is the one announced: the
-# shortest notices last 1.5 s.
+# Seconds after a target's notice from which its end is the one announced.
 NOTICE_SECONDS = 1.0
-# Seconds to wait for a look at a target before a request is sent elsewhere.
-# A process that is gone refuses within some milliseconds; only behind a cut
-# does nothing come, and then the caller need not wait for it.
+# Seconds to wait for a look at a target before a request is sent elsewhere; a
+# process that is gone refuses at once.
 SETTLE_SECONDS = 0.15
-# Seconds in which the next life of a target, or its silence, shows that it
-# had ended: engines are back within some seconds, and silence shows within
-# some four.
+# Seconds in which the next life of a target, or its silence, shows that it had
+# ended.
 FOUND_SECONDS = 10.0
 # The same where it took a connection after the loss: what was reset was the
 # connection, unless the next life was there already.
@@ -35,9 +31,7 @@
 LOOK_SECONDS = 0.25
 # Seconds for which a life is known to have ended.
 KNOWN_SECONDS = 60.0
-# Seconds that a loss may lie before or after an end that others saw: what is
-# lost with a target is seen at once, and what was lost earlier had other
-# reasons.
+# Seconds that a loss may lie before or after an end that others saw.
 SAME_SECONDS = 1.0
 # Seconds after a target's last word in which it may have taken a request. A
 # target that has gone dark is sent requests for some seconds more.
--- a/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
@@ -22,8 +22,7 @@
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
 
-# Seconds between two rounds of dropping what no longer counts: with all the
-# ends that are kept, one takes 0.6 ms.
+# Seconds between two rounds of dropping what no longer counts.
 EXPIRE_SECONDS = 5.0
 
 Publish = collections.abc.Callable[[Record], None]
--- a/packages/gateway/src/chivepier/gateway/quarantine/soundmemory.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/soundmemory.py
@@ -2,8 +2,7 @@
 
 from chivepier.gateway.quarantine.ledger import SOUND_SECONDS
 
-# Requests that are remembered, some 0.5 MB: those of 40 s at the hundred a
-# second that an instance serves at the most.
+# Requests that are remembered.
 MOST_REMEMBERED = 4_096
 
 
--- a/packages/gateway/src/chivepier/gateway/quarantine/verdict.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/verdict.py
@@ -5,9 +5,8 @@
 
 from chivepier.gateway.quarantine.life import Life
 
-# Ends of targets under one request after which it is held back. Two happen to
-# a request that ran beside the cause and was sent again, three hardly ever;
-# each more costs all that runs at one more target.
+# Ends of targets under one request after which it is held back: two may happen
+# to one that ran beside the cause and was sent again.
 MOST_ENDS = 3
 
 Ends = collections.abc.Mapping[str, collections.abc.Set[Life]]
--- a/packages/gateway/src/chivepier/gateway/serving/bodyroom.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodyroom.py
@@ -35,11 +35,9 @@
 
     A body is kept until its request has ended, as it may have to be sent
     again. Each is bounded by the configuration, but many together end the
-    process, with all that it relays; their callers send them again at the
-    next instance, and end that one. What finds no room is refused, true as to
-    having run nowhere. With 160 bodies of 1 MB being sent to an entry with
-    128 MB, the process took 203 to 205 MB without this bound, 102 to 107 with
-    it (resident, each two runs).
+    process, with all that it relays; their callers send them again at the next
+    instance, and end that one. What finds no room is refused, true as to
+    having run nowhere.
 
     >>> room = BodyRoom(10)
     >>> with room.open() as share:
--- a/packages/gateway/src/chivepier/gateway/serving/copyturns.py
+++ b/packages/gateway/src/chivepier/gateway/serving/copyturns.py
@@ -9,8 +9,7 @@
 from chivepier.gateway.targets import LoadBoard
 from chivepier.types import Clock
 
-# Seconds until entries know of each other what they have to copy: gathered
-# for 0.01 s at each and for 0.02 s where it is passed on.
+# Seconds until entries know of each other what they have to copy.
 EXCHANGE_SECONDS = 0.08
 # Seconds between two looks whether the other entries have copied: news of
 # them take as long.
@@ -23,9 +22,9 @@
 class CopyTurns:
     """Lets one generation at a time be copied off a target, over all entries.
 
-    All copies of one target share its link, one after the other. Asked for
-    at once, the short second copies waited behind other generations' long
-    first ones, with their own stopped meanwhile: pauses of 0.3 to 0.7 s.
+    All copies of one target share its link, one after the other. Asked for at
+    once, the short second copies would wait behind other generations' long
+    first ones, with their own stopped meanwhile.
 
     :param board: what the other entries have to copy
     :param clock: monotonic time
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -37,17 +37,13 @@
 from chivepier.types import Clock
 from chivepier.types import RequestError
 
-# An attempt that could be repeated is given up after so many objectives: by
-# then the caller's answer is late already, and the rest of its time is
-# better spent at a target that answers.
+# Objectives after which an attempt that could be repeated is given up.
 PATIENCE = 2.0
 # A target that refused may have room again after so many seconds.
 REFUSED_PAUSE = 0.03
 SERVER_ERROR = 500
-# Urgency at a target of all generations that start there. Requests are put
-# in order before they are sent: by class, an answer of three events would
-# preempt a generation of two hundred, whose caller then waits for its whole
-# prompt to be read again.
+# Urgency at a target of all generations that start there. By class, a short
+# answer would preempt a long one, whose whole prompt is then read again.
 START_URGENCY = 5
 
 
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -24,15 +24,13 @@
 # Destinations that are tried for one generation in a row: the most roomy ones
 # come first, and where three of them are full the others are.
 MOST_TRIES = 3
-# Seconds to wait for one copy. A copy of 6,000 tokens takes 0.4 s on an idle
-# link, twice that between zones, and waits for the copies before it.
+# Seconds to wait for one copy, which waits for those before it.
 COPY_SECONDS = 4.0
 # Seconds between two looks for room, or for the first event of a generation
 # that has not begun.
 LOOK_PAUSE = 0.1
-# Seconds without a byte after which it is looked whether a target that is not
-# heard either has ended. Preempted generations paused for 2.7 s at most on a
-# heavy day, with 35 of 1,035 preempted.
+# Seconds without a byte after which it is looked whether a target has ended;
+# longer than the pause of a preempted generation.
 STALLED_SECONDS = 3.0
 # Seconds without a byte after which a generation counts as lost where that
 # can't be seen: the target is dark, or cut off, as it may be for some seconds.
@@ -125,10 +123,9 @@
     async def end_silent(self) -> None:
         """Break off what ran at targets that have gone without a word.
 
-        Nothing ends the connection to a target that went dark: a caller
-        whose request may run once only waited up to its deadline, 39 s, for
-        a stream that could not go on. A target that is cut off from the
-        voters alone still sends, and what it runs goes on.
+        Nothing ends the connection to a target that went dark: a caller whose
+        request may run once only would wait up to its deadline. A target that
+        is cut off from the voters alone still sends, and what it runs goes on.
         """
         now = self._clock.monotonic()
         for name, runs in list(self._runs.items()):
@@ -272,8 +269,8 @@
     async def _drop(self, run: LiveRun, copy: Handoff) -> None:
         """Free a copy that nothing goes on from.
 
-        It would else keep a sixth of a target's memory for five seconds,
-        and generations there were preempted for it.
+        It would keep memory for seconds, and generations there would be
+        preempted for it.
         """
         elsewhere = copy.origin is not None and copy.target is not run.target
         # nothing is sent to a zone that is evacuated; it yields by itself
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -22,15 +22,13 @@
 from chivepier.types import RequestError
 
 # Seconds to wait for the outcome of a move once its source has ended the
-# stream: the copy is complete or failed by then, and only the answer to the
-# move is still on its way.
+# stream.
 HANDOFF_SECONDS = 4.5
 # Seconds for the next target to answer. It admits a generation that goes on
 # before all others; its head comes with the first event.
 ANSWER_SECONDS = 2.0
-# Seconds without a byte after which a target counts as dark. A preempted
-# generation is read in again within half of that, and callers leave after
-# two seconds or more.
+# Seconds without a byte after which a target counts as dark, before its caller
+# leaves.
 STALL_SECONDS = 1.5
 # Urgency at the next target: one that was moved is the newest there, and the
 # newest is preempted first, though it has the most to lose.
--- a/packages/gateway/src/chivepier/gateway/serving/retrybudget.py
+++ b/packages/gateway/src/chivepier/gateway/serving/retrybudget.py
@@ -42,10 +42,9 @@
     moment when it can bear it least. Each entry takes a part of its own
     requests, and an equal part of the fixed allowance.
 
-    Of 422 repeats in 10 s an equal part is 2 with 191 entries: callers that
-    keep to a few entries were told of failures that a repeat would have
-    spared them, while the other entries used none of theirs. So a part of the
-    allowance is lent, while all entries together have not borrowed it.
+    With many entries an equal part is next to nothing, and callers keep to a
+    few entries. So a part of the allowance is lent, while all entries together
+    have not borrowed it.
 
     >>> budget = RetryBudget(ratio=0.2, extra=10, window=10)
     >>> budget.note_request("s", 0.0)
--- a/packages/gateway/src/chivepier/gateway/serving/sendgate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/sendgate.py
@@ -11,11 +11,9 @@
 from chivepier.types import Clock
 
 # Seconds after an evacuation in which a generation may still go on at a copy
-# that was made there: stopped at its source, it would be lost. An operator's
-# shortest bound is some seconds, and a move takes half of one.
+# there: stopped at its source, it would be lost.
 GOING_ON_SECONDS = 1.0
-# Seconds for which a generation that goes on elsewhere waits for leave: its
-# caller sees a pause, and without it the generation is lost.
+# Seconds for which a generation that goes on elsewhere waits for leave.
 LEAVE_SECONDS = 1.0
 LEAVE_PAUSE = 0.05
 # Class of a generation that goes on elsewhere, ahead of all that are new: with
--- a/packages/gateway/src/chivepier/gateway/serving/serving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/serving.py
@@ -13,9 +13,8 @@
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
 
-# Seconds for which requests wait for the first configuration. An entry that
-# has just started gets it within some tenths of a second when a voter is
-# there; a caller that is told to come back has lost its objective.
+# Seconds for which requests wait for the first configuration of an entry that
+# has just started.
 FIRST_SECONDS = 0.6
 
 
@@ -83,9 +82,8 @@
         """Turn away a generation that would outlast this process.
 
         Callers come with older addresses for some seconds after the order to
-        stop. A generation of ten seconds was begun, and cut with all that had
-        been read for it when the process ended. Told at once that nothing
-        ran, its caller comes back to another instance at once.
+        stop. Told at once that nothing ran, they come back to another instance
+        at once.
 
         :raises RequestError: when it can't be finished here
         """
--- a/packages/gateway/src/chivepier/gateway/serving/waiting.py
+++ b/packages/gateway/src/chivepier/gateway/serving/waiting.py
@@ -5,17 +5,14 @@
 from chivepier.gateway.serving.plan import Plan
 
 # Share of its objective for which a request leaves the room to what goes
-# before it and to what runs already. Reading a prompt takes another quarter.
+# before it.
 EARLY_SHARE = 0.5
-# Share of its objective after which the first event can't come in time. What
-# its prompt takes to be read counts as waited: with half of the targets left,
-# 0.765 of the credit was earned for 0.749 (means of three runs of 34 s).
+# Share of its objective after which the first event can't come in time, what
+# its prompt takes to be read included.
 LATE_SHARE = 1.0
-# Objectives after which a request is refused: callers leave after four, and
-# one that is told before can come back when the rush is over.
+# Objectives after which a request is refused, before its caller leaves.
 REFUSED_SHARE = 3.0
-# Share of its objective that a request must have left of its time: reading a
-# prompt takes that long, and an answer after the deadline reaches nobody.
+# Share of its objective that a request must have left of its time.
 LEAST_SHARE = 0.25
 # Ranks of requests that are late come after all others.
 LATE_RANK = 10
--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -14,57 +14,34 @@
 from chivepier.gateway.targets.targettable import TargetTable
 from chivepier.types import Clock
 
-# Choices that differ by less than this share of a target count as equal and
-# are drawn among: many entries see the same loads and would all pick one.
+# Choices that differ by less than this share of a target are drawn among: many
+# entries see the same loads and would all pick one.
 NEAR = 0.04
-# Of so many targets, drawn for each generation, the best one is taken. A
-# target that has just started stands out from all others, and loads are known
-# some tens of milliseconds late: all prompts that waited went there at once,
-# five behind each other, and their first events came after two seconds. Of
-# three drawn, it gets a share of what comes at the same moment.
+# Targets that are drawn for each generation, of which the best is taken: one
+# that has just started would get all that comes before its load is known.
 SAMPLED = 3
-# A token of a prompt that is still to be read in counts as so many that are
-# in memory. A target that has just started has the most room, and by memory
-# alone would get every prompt of all entries, each held up by those before
-# it; with this it gets two before the others are preferred.
+# What a token of a prompt that is still to be read counts as: by memory alone,
+# a target that has just started would get every prompt.
 READING_WEIGHT = 3.0
 # What a target that still warms up counts as, in shares of a full one.
 WARMING_COST = 0.2
-# What another availability zone counts as when memory is moved, in shares of
-# a target, for each second that is still to be copied off the source. A copy
-# takes twice as long there, and all copies off a target share its link: of
-# nine generations at one that left, four or five got off in a notice of 1.7 s.
-# While there is much to copy a place in the same zone is taken as long as
-# there is one; the last copies go where memory is free. In six runs of 34 s
-# on six targets, of which one left every 3.3 s, 2.0 streams were cut for 4.8
-# at a constant 0.15; at a constant 1.2, 3.0, and 2.5 runs were preempted for
-# 0.8, as all went to the fullest targets.
+# What another availability zone counts as when memory is moved, in shares of a
+# target for each second that is still to be copied off the source.
 FAR_COST = 0.4
-# What a target counts as for each copy that it receives already. Copies to
-# one target share its link: a second copy, with its generation stopped,
-# waited 0.2 to 0.6 s there behind the first ones of others.
+# What a target counts as for each copy that it receives already, as copies
+# share its link.
 RECEIVING_COST = 0.5
 # What a target in need counts as when memory is moved, in shares of a full
 # one: more than any other, as the generation would have to wait for its turn.
 LIMITED_COST = 10.0
-# Generations may fill a target up to this share of its memory, each counted
-# with what it holds and adds within some seconds. 0.92 was no better: worth
-# 0.481 for 0.495 over four heavy days, a difference within the noise.
+# Generations may fill a target up to this share of its memory, each with what
+# it adds within some seconds.
 FULL_SHARE = 1.0
-# A prompt may take this share of its objective to be read at a target, those
-# that are read before it included. With two or three targets left, all that
-# waited went to the next one that started, five to nine prompts behind each
-# other, and what had no first event could not be moved when it left again. At
-# their entries they can still be put in order or sent elsewhere: 8.3 streams
-# cut in 34 s for 11.7, means of three runs with half of six targets left. One
-# that takes longer by itself goes to a target that reads nothing.
+# Share of its objective that a prompt may take to be read at a target, with
+# those before it. What waits at its entry can still go elsewhere.
 READING_SHARE = 0.5
-# Entries whose word makes the others avoid a target. Each entry for itself
-# finds out that a target is gone by losing a request there: of 3 targets with
-# 71 lookups a second at 75 entries, one that went down lost about all that it
-# was sent, 23 a second. Of two, one may have lost its own link; a target that
-# resets one answer in twenty is avoided by as many at once for a tenth of the
-# time.
+# Entries whose word makes the others avoid a target; of fewer, each may have
+# lost its own link.
 MOST_AVOIDING = 3
 
 
--- a/packages/gateway/src/chivepier/gateway/targets/demand.py
+++ b/packages/gateway/src/chivepier/gateway/targets/demand.py
@@ -3,9 +3,7 @@
 import attrs
 
 # Tokens that a generation is expected to add before others beside it have
-# ended: two to three seconds of output. Lengths are not known, and counted
-# with its whole guess each of five generations kept some 400 tokens free that
-# it never took or took when others had gone: a third of all memory.
+# ended; its whole length is not known.
 SOON_TOKENS = 256
 
 
--- a/packages/gateway/src/chivepier/gateway/targets/readingpace.py
+++ b/packages/gateway/src/chivepier/gateway/targets/readingpace.py
@@ -3,10 +3,8 @@
 import collections
 import statistics
 
-# First events that count. Their median stands for the service: one of a short
-# prompt, or of a generation that waited for memory, takes many times as long
-# a token, and with an average each would for some seconds make all prompts
-# look as if they could not be read in time.
+# First events that count. Their median stands for the service, as one that
+# waited for memory takes many times as long a token.
 KEPT = 9
 
 
--- a/packages/gateway/src/chivepier/gateway/targets/steppace.py
+++ b/packages/gateway/src/chivepier/gateway/targets/steppace.py
@@ -2,13 +2,10 @@
 
 from chivepier.gateway.targets.readingpace import ReadingPace
 
-# Seconds a token until the first generation has come to its end. Engines
-# take 7 ms a step and more; 9.4 ms were measured with eight generations and
-# the prompts that are read between their steps.
+# Seconds a token until the first generation has come to its end.
 USUAL_SECONDS = 0.01
-# Tokens of a generation that says something of the pace. The events of a
-# short answer come in one piece with the first: 12 tokens in 16 ms made a
-# generation of 2,200 tokens look as if it took 3 s, for 20.
+# Tokens of a generation that says something of the pace: the events of a short
+# answer come in one piece with the first.
 LEAST_TOKENS = 100
 
 
--- a/packages/gateway/src/chivepier/gateway/targets/targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/targettable.py
@@ -103,11 +103,10 @@
     def _end_life(self, known: Target) -> None:
         """Tell that what was believed of a target has ended.
 
-        A target that starts again under its name counts from the beginning
-        and knows nothing of before. Taken for the one that ran until then,
-        all that it said was dropped as old for as long as it counted up, and
-        what had run there was waited for. The watchers drop loads, health
-        and generations of the earlier life before they hear of the next.
+        A target that starts again under its name counts from the beginning and
+        knows nothing of before: taken for the one that ran until then, its
+        words would be dropped as old. The watchers drop loads, health and
+        generations of the earlier life before they hear of the next.
         """
         known.state = TargetState.GONE
         for watcher in self.restart_watchers:
--- a/packages/gateway/src/chivepier/gateway/zones/freshness.py
+++ b/packages/gateway/src/chivepier/gateway/zones/freshness.py
@@ -5,22 +5,19 @@
 from chivepier.types import Clock
 from chivepier.types import Signal
 
-# Seconds after the last word of a voter in which nothing is asked. An entry
-# speaks to each voter every 0.3 s: five beats in a row are lost only by one
-# that stood still, or was cut off.
+# Seconds after the last word of a voter in which nothing is asked; only an
+# entry that stood still, or is cut off, misses so many beats.
 RECENT_SECONDS = 1.5
-# Seconds to wait for a word when there was none for longer. A voter answers
-# within some milliseconds; an entry that is cut off asks once and then goes
-# on with what it knows, as its callers are better served so than not at all.
+# Seconds to wait for a word when there was none for longer; then the entry
+# goes on with what it knows.
 ASK_SECONDS = 0.3
 
 
 class Freshness:
     """Lets an entry ask before it sends, when it has long heard nothing.
 
-    A frozen entry wakes with callers' requests in its sockets. It sent them
-    to zones that had been evacuated meanwhile, before its first word from a
-    voter came.
+    A frozen entry wakes with callers' requests in its sockets. Zones may have
+    been evacuated meanwhile.
 
     :ivar ask: speaks to the voters at once
 
--- a/packages/gateway/src/chivepier/gateway/zones/zones.py
+++ b/packages/gateway/src/chivepier/gateway/zones/zones.py
@@ -4,9 +4,8 @@
 
 from chivepier.gateway.zones.zoneorder import ZoneOrder
 
-# Seconds for which a voter's presumption of an order counts at an entry.
-# Voters that still presume it say so with each beat, every 0.3 s; ten of
-# these are lost by no accident.
+# Seconds for which a voter's presumption of an order counts at an entry; it is
+# said again with each beat.
 PRESUMED_SECONDS = 3.0
 
 Watcher = collections.abc.Callable[[ZoneOrder], None]
--- a/packages/node/src/chivepier/node/engineclient.py
+++ b/packages/node/src/chivepier/node/engineclient.py
@@ -128,9 +128,8 @@
         return answer
 
     def _note_attach(self, attach: int) -> None:
-        # its caller goes on elsewhere while this entry still reads: the
-        # newest number is this entry's, yet the generation isn't its own to
-        # cancel.  The engine ends it when nobody reads any more.
+        # its caller goes on elsewhere while this entry still reads; the
+        # engine ends it when nobody reads any more
         if self.attach and attach > self.attach + 1:
             self.shared = True
         self.attach = max(self.attach, attach)
--- a/packages/node/src/chivepier/node/owner.py
+++ b/packages/node/src/chivepier/node/owner.py
@@ -193,9 +193,8 @@
     def _make_shard(self, pool: str, number: int, rank: int = 0) -> Shard:
         cluster = self._cluster
         epoch = cluster.machine.epoch
-        # the epoch has one owner and one deputy of a rank, and the count
-        # goes on when one loses its lease and regains the shard: no number
-        # is given twice
+        # one owner and one deputy of a rank an epoch, and the count goes on
+        # over lost leases: no number is given twice
         numbers = (tag_permit(epoch, rank, n) for n in self._given)
         return Shard(
             pool,
--- a/packages/policy/src/chivepier/policy/refusing.py
+++ b/packages/policy/src/chivepier/policy/refusing.py
@@ -82,9 +82,8 @@
         return found
 
     def _find_bound(self, urgency: Urgency) -> float:
-        # an owner that took over has no drain rate yet and for some seconds
-        # counts what nobody reports: refusing what waits for that would turn
-        # each change of owner into refusals
+        # an owner that took over has no drain rate yet: it would refuse all
+        # that waits
         if not self._sharing.has_granted:
             return math.inf
         return LATE * self._limits.waits[urgency]
--- a/packages/state/src/chivepier/state/elections.py
+++ b/packages/state/src/chivepier/state/elections.py
@@ -56,9 +56,8 @@
             return
         async with core.lock:
             if core.quiet() < core.timing.election or core.tenure is not None:
-                # a leader was heard, or a vote given, while the answers came
-                # in; by voting for itself this voter would break the lease
-                # that the leader counts on
+                # a leader was heard, or a vote given, meanwhile: voting for
+                # itself would break the lease that the leader counts on
                 return
             term = core.storage.term + 1
             await core.save_vote(term, core.node)
--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -195,9 +195,8 @@
             self._waiting.pop(number, None)
 
     def _note_timeout(self, sent: float) -> None:
-        # after a long silent cut the kernel waits up to minutes before it
-        # sends again: a healed link would seem dead for that long.  A new
-        # connection starts at once; the old one ends when it is heard of.
+        # after a long cut the kernel waits up to minutes before it sends
+        # again; a new connection starts at once
         if self._quiet_from is None:
             self._quiet_from = max(sent, self._heard)
         if time.monotonic() - self._quiet_from > SILENCE_SECONDS:
