--- a/packages/cli/src/chivepier/cli/tests/test_main.py
+++ b/packages/cli/src/chivepier/cli/tests/test_main.py
@@ -32,9 +32,7 @@
 
 
 def test_silent_instance_is_passed_over():
-    # An instance that is frozen accepts the connection and says nothing: the
-    # command would hang at it for as long as a repair may take, although
-    # the next address answers.
+    # A frozen instance takes the connection, and the command would hang at it.
     with socket.create_server(("127.0.0.1", 0)) as silent:
         port = silent.getsockname()[1]
         options = ["--address", f"127.0.0.1:{port}", *NOBODY, "status"]
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_avoidance.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_avoidance.py
@@ -46,9 +46,8 @@
 
 
 def test_entries_need_not_each_lose_a_request_at_a_dead_target(tmp_path):
-    # A target of lookups goes down: it takes connections and resets what is
-    # sent. Each of 75 entries found that out by a request of its own, which
-    # may run once only and was lost: 23 of them in each second.
+    # Each entry found out by itself, with a lost request, that a target is
+    # dead.
     async def test(fleet):
         followers = await fleet.follow_many(ENTRIES)
         for number, follower in enumerate(followers):
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_entrydirectory.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_entrydirectory.py
@@ -48,9 +48,7 @@
 
 
 def test_all_of_200_entries_get_callers():
-    # Callers take 64 addresses of an answer. Named in the order in which they
-    # first spoke, 136 of 200 entries never got a caller from one voter, and
-    # 64 got three times what they should.
+    # Named in the order of their first words, the last entries got no caller.
     shares = find_shares(make_directory(ManualClock()))
     mean = len(ZONES) / 200
     assert len(shares) == 200
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
@@ -46,9 +46,7 @@
 
 
 def test_voters_keep_targets_that_speak_to_another_one(tmp_path):
-    # After a kill of all processes entries knew no long-lived target: each
-    # had announced itself at one voter for half a minute, and the others
-    # had forgotten it by then.
+    # Voters forgot long-lived targets that speak to another voter only.
     async def test(fleet):
         first, second, _ = fleet.voters.values()
         now = time.monotonic()
@@ -126,9 +124,7 @@
 
 
 def test_each_entry_follows_the_voter_of_its_zone(tmp_path):
-    # One voter told all entries of all changes: 191 entries got 191 messages
-    # fifty times a second, four of five of them from another zone. Each zone's
-    # voter tells its own entries, and the voters tell each other sums.
+    # Every voter told all entries of all changes, across all zones.
     async def test(fleet):
         zones = ("z0", "z0", "z1", "z2")
         followers = [
@@ -229,9 +225,7 @@
 
 
 def test_word_that_is_dropped_is_not_told_to_other_voters(tmp_path):
-    # A target had started again without a word of its start. Each word that
-    # was dropped made its voter tell the others of the life before, and these
-    # told their entries that it was heard just now: it stayed in use.
+    # A dropped word kept the earlier life of a target in use at other voters.
     async def test(fleet):
         first, second, _ = (v.registry for v in fleet.voters.values())
         now = time.monotonic()
@@ -268,9 +262,7 @@
 
 
 def test_word_that_can_not_be_taken_ends_no_link(tmp_path, monkeypatch):
-    # An entry that had just started heard of nothing at all. Voters of another
-    # release told of a target in a state that this one does not know; reading
-    # it failed, and with it the beats to each of them, for good.
+    # One target's record that can't be read ended the beats to each voter.
     put = TargetTable.put
 
     def refuse_odd(table, target):
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_quarantinehub.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_quarantinehub.py
@@ -109,9 +109,7 @@
 
 
 def test_voter_that_starts_anew_between_two_beats_is_told_everything(tmp_path):
-    # Two beats were under way to a voter that had started anew. The answer to
-    # the first one showed it; the second one's was taken for a confirmation
-    # of all that had been told before the start, and nothing was told again.
+    # One answer passed for a confirmation of what an earlier life was told.
     async def test(fleet):
         followers = await fleet.follow_many(1)
         await end_three(followers)
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_voters.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_voters.py
@@ -65,9 +65,7 @@
 
 
 def test_restarted_voter_tells_what_was_committed_without_a_leader(tmp_path):
-    # After a kill of all processes every caller was refused until a leader
-    # was elected and each target had announced itself. The restarted voter
-    # is alone here, so nobody can be elected.
+    # After a kill of all, callers were refused until a leader was elected.
     async def test(fleet):
         await fleet.write(3, "kept")
         first = fleet.voters[fleet.seeds[0]]
@@ -104,9 +102,7 @@
 
 
 def test_wiped_voter_comes_back_with_a_new_identity_and_a_vote(tmp_path):
-    # A disk is lost and the machine comes back at its address. With its old
-    # name it could vote twice in a term; it gets a new one, the old vote is
-    # taken away, and a new one given once it holds everything.
+    # With its old name, a voter that lost its disk could vote twice in a term.
     async def test(fleet):
         await fleet.write(3, "kept")
         address = fleet.seeds[0]
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_zonestore.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_zonestore.py
@@ -83,9 +83,7 @@
 def test_restarted_voter_keeps_to_an_order_before_a_leader_is_elected(
     tmp_path,
 ):
-    # All processes were killed right after an acknowledgement. The voter that
-    # comes back alone can't know what was committed, and told entries at once
-    # of the targets of a zone that was being emptied, but not of the order.
+    # A restarted voter told of a zone's targets, and not of its evacuation.
     async def test(fleet):
         leader = None
         while leader is None:
@@ -132,9 +130,7 @@
 
 
 def test_late_repeat_does_not_undo_what_was_ordered_since(tmp_path):
-    # An order reached a voter that then stood still; its sender gave up and
-    # sent it to another one, and took it back there. Carried out when the
-    # first voter woke, the zone would be emptied again, and nobody knew.
+    # A repeat that was held up emptied a zone again after it was taken back.
     async def test(fleet):
         frozen, other = (fleet.voters[a] for a in fleet.seeds[:2])
         await order(other, "z0", True)
@@ -188,9 +184,8 @@
 
 
 def test_readmitted_targets_count_as_cold_until_they_speak(tmp_path):
-    # Targets of a zone that was empty may have become cold, and the first
-    # second's requests ended them: what they had said before the zone was
-    # taken back shows nothing of that.
+    # What targets said before their zone was taken back does not show that
+    # they are cold.
     async def test(fleet):
         follower = await fleet.follow("e1", "z0")
         voter = fleet.voters[fleet.seeds[0]]
--- a/packages/gateway/src/chivepier/gateway/following/tests/test_configfetch.py
+++ b/packages/gateway/src/chivepier/gateway/following/tests/test_configfetch.py
@@ -82,9 +82,8 @@
 
 
 def test_storm_of_versions_costs_two_fetches():
-    # Callers' answers came seconds late: six voters sent each of thirty
-    # versions, one every 60 ms, to every entry, and the entries' links were
-    # full with configurations that were overtaken on their way.
+    # Configurations overtaken on their way filled the links of callers'
+    # answers.
     async def test(rig):
         for version in range(1, 31):
             rig.tell(version, "v1", "v2", "v3")
@@ -133,9 +132,7 @@
 
 
 def test_configuration_that_can_not_be_read_ends_nothing():
-    # An entry followed no change any more until it was started again: reading
-    # one configuration failed in a way that nobody had thought of, and ended
-    # the task that fetches them.
+    # One configuration that was not read ended the fetching of all later ones.
     async def test(rig):
         rig.links.release.set()
         rig.tell(13, "v1")
--- a/packages/gateway/src/chivepier/gateway/quarantine/tests/test_digest.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/tests/test_digest.py
@@ -5,9 +5,8 @@
 
 
 def test_teams_and_parts_are_told_apart():
-    # A part's end must not pass for the next one's start, nor a team that is
-    # named like nothing for none: one team could have another's request
-    # refused.
+    # One team could have another's request refused by a digest that is the
+    # same.
     digests = {
         digest_request(team, *parts)
         for team in (None, "", "a", "b")
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_dispatching.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_dispatching.py
@@ -85,9 +85,7 @@
 
 
 def test_address_of_another_instance_is_not_used_again():
-    # Requests kept going to an address that a new instance had taken over,
-    # each refused there first. The instance that is named in the table is
-    # gone as soon as another one answers in its place.
+    # Requests went on to an address that another instance had taken over.
     async def test(parts):
         answer_all(parts)
         parts.engines.wrong = {"w-a"}
@@ -133,9 +131,7 @@
 
 
 def test_repeats_stop_when_the_budget_is_used_up():
-    # Every request fails at a target that is broken, and is repeated at one
-    # that then has twice its load. Beyond the budget the failure is passed
-    # on, which keeps the rest of the service alive.
+    # Repeats of what a broken target fails double the load of the others.
     async def test(parts):
         answer_all(parts, 500)
         for _ in range(40):
@@ -176,9 +172,7 @@
 
 
 def test_team_goes_with_the_request_and_classes_do_not_preempt():
-    # Generations of two hundred events were preempted for answers of three,
-    # and read in again: at a target all that start are equally urgent.
-    # Classes count while requests wait.
+    # By class, short answers preempted long ones, which were read in again.
     async def test(parts):
         caller, task = parts.start(make_request("/llm/x"))
         answer = await parts.engines.wait_run(1)
@@ -207,9 +201,7 @@
 
 
 def test_long_generation_is_turned_away_by_an_instance_that_ends():
-    # The caller's stream of ten seconds broke off: it came with an older
-    # address three seconds after the order to stop, when four were left. It
-    # is told at once that nothing ran, and when to come back: now, elsewhere.
+    # A stream was begun by an instance that ended before it could.
     async def test(parts):
         parts.state.ends_at = time.monotonic() + 4.0
         prompt = Prompt(tokens=100, most_output=1000)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_guarding.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_guarding.py
@@ -47,9 +47,7 @@
 
 
 def test_third_end_stops_the_repeats_of_the_attempt_that_met_it():
-    # One request ended a target in its first attempt, and two in the next.
-    # The second attempt's repeat ends the third; no fourth is sent it. The
-    # caller is not told that nothing ran: targets had it.
+    # The attempt that met the third end went on to a fourth target.
     async def test(parts):
         end_under_it(parts, "w-a", "w-b", "w-c", "w-d")
         await fail(parts, make_request("/read/x", id="r1"))
@@ -155,9 +153,8 @@
 
 
 def test_answer_that_a_crash_can_end_clears_nothing():
-    # The target frames its answers by closing the connection. One that ends
-    # closes it, too: the answer looked whole, and the request that had ended
-    # the target was cleared each time.
+    # An answer that ends with its connection cleared the request that ends
+    # targets.
     async def test(parts):
         request = make_request("/resume/x")
         for framed in (False, True):
@@ -193,9 +190,7 @@
 
 
 def test_copies_that_are_being_read_elsewhere_are_broken_off():
-    # Four entries were sent the request within half a second. The third end
-    # is known while two more targets read its prompt; these live on if it is
-    # taken from them in time.
+    # Targets that still read a request of three ends would end as well.
     async def test(parts):
         caller, task = parts.start(make_request("/llm/x"))
         run = await parts.engines.wait_run(1)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
@@ -17,9 +17,7 @@
 
 
 def test_stream_of_a_leaving_target_goes_on_as_one_series():
-    # The caller sees one unbroken series of events. Its target says that it
-    # leaves; the memory is copied while the run goes on, then the run is
-    # stopped, the rest is copied, and the next target goes on from there.
+    # A stream is lost, doubled or torn as its target leaves.
     async def test(parts):
         caller, task, run = await begin(parts)
         parts.leave(run.target)
@@ -142,9 +140,7 @@
 
 
 def test_nothing_is_kept_of_a_target_whose_last_run_has_ended():
-    # Targets come and go for as long as an entry lives; what it keeps of
-    # each would pile up. Two runs of one target end while the first waits
-    # for another entry's turn, and the second for the first.
+    # What an entry keeps of targets that have gone would pile up.
     async def test(parts):
         streams = []
         for number in (1, 2):
@@ -166,9 +162,7 @@
 
 
 def test_copy_of_a_run_that_has_ended_is_freed():
-    # The run ends between its first copy and its second. The first kept a
-    # sixth of the next target's memory for five seconds, and generations
-    # there were preempted for it.
+    # The first copy of a run that has ended kept memory at the next target.
     async def test(parts):
         caller, task, run = await begin(parts)
         move = parts.engines.move
@@ -215,9 +209,8 @@
 
 
 def test_one_generation_at_a_time_is_copied_off_a_target():
-    # Another entry copies off the same target. This entry's copies wait: the
-    # short second ones would stand behind its long first ones, with their
-    # generations stopped meanwhile.
+    # Short second copies waited behind long first ones, with their runs
+    # stopped.
     async def test(parts):
         caller, task, run = await begin(parts)
         parts.say_copying("z-last", run.target, milliseconds=600)
@@ -261,9 +254,7 @@
 
 
 def test_run_that_broke_before_its_first_event_is_not_moved_any_more():
-    # Its target leaves while the request waits there, and ends. The caller
-    # was answered, but copies were asked for, thirty a second for each such
-    # request, until the entry ended.
+    # Copies of a run that had broken were asked for until the entry ended.
     async def test(parts):
         caller, task = parts.start(make_request())
         run = await parts.engines.wait_run(1)
@@ -343,9 +334,7 @@
 
 
 def test_stream_of_a_target_that_starts_again_is_ended_at_once():
-    # The caller's stream stood still until it left. Its target crashed
-    # behind a cut, so that the connection stayed open, and announced itself
-    # again under its name: what ran there before is lost.
+    # A stream stood still after its target had started again behind a cut.
     async def test(parts):
         caller, task, run = await begin(parts)
         parts.restart(run.target, born=200)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_placing.py
@@ -49,9 +49,7 @@
 
 
 def test_without_room_anywhere_the_request_waits_here():
-    # A request that waits in the queue of a target that leaves is lost with
-    # it, and a late one there holds up those that came just now. It waits at
-    # the entry, and goes where room comes first.
+    # What waits in the queue of a target that leaves is lost with it.
     async def test(parts):
         parts.engines.full = {"a", "b"}
         caller, task = parts.start(make_request())
@@ -102,18 +100,12 @@
 
 
 def test_late_request_lets_those_in_time_go_first():
-    # After a rush every answer was late for the rest of the day: the late
-    # ones were served in the order they had come, each before one that could
-    # still be in time. Here one place is left and another entry's request
-    # waits for it; the late one takes it when that has gone.
+    # Late requests, served in their order, made all later ones late.
     await_turn(waited=1.5)
 
 
 def test_request_whose_prompt_is_read_too_late_lets_others_go_first():
-    # First events came 0.2 to 0.7 s late though a target had room in time:
-    # at a full service requests pressed for a place until their objective
-    # was over, and their prompts had still to be read. Those that had just
-    # come, and could have been in time, waited behind them.
+    # Requests that could only be late held up those that had just come.
     await_turn(waited=0.7, reading=0.4)
 
 
@@ -170,10 +162,7 @@
 
 
 def test_prompts_that_come_at_once_are_not_all_read_at_one_target():
-    # Callers got first events after 3 s, or none: five requests waited, the
-    # only target with room took all, and read one prompt after the other.
-    # Two are read within half of the objective; the others wait here until
-    # the first event of one of them has come.
+    # The only target with room read all prompts, one after the other.
     async def test(parts):
         parts.dispatcher.chooser.pace.note("llm", 1_000, 2.0)
         started = [parts.start(make_request(id=f"r{n}")) for n in range(5)]
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_retrybudget.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_retrybudget.py
@@ -44,10 +44,8 @@
 
 @pytest.mark.parametrize("entries", [1, 8, 191])
 def test_callers_of_one_entry_get_repeats_in_a_fleet_of_any_size(entries):
-    # Callers kept to one of 191 entries, and a target failed what they sent.
-    # An equal part of 422 repeats in 10 s is 2: all later failures reached
-    # them, though nobody else sent a repeat. Of 36 asked for within 9 s it
-    # gets all; with 191 entries it was 1.
+    # In a large fleet, the equal part of one entry spared its callers no
+    # failure.
     assert Fleet(entries).play(range(1), 9.0) == 36
 
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_silence.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_silence.py
@@ -29,9 +29,7 @@
 
 
 def test_caller_of_a_target_that_went_dark_is_told():
-    # A target went dark within a stream that may run once only. Nothing
-    # broke its connection, so its caller waited up to its deadline of 39 s,
-    # for a stream that could not go on.
+    # The caller of a dark target waited up to its deadline.
     async def test(parts):
         hear(parts, "a1", 0.0)
         caller, task, _ = await begin(parts)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_zonerules.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_zonerules.py
@@ -242,9 +242,7 @@
 
 
 def test_requests_do_not_each_wait_for_a_leader_that_does_not_answer():
-    # Voters were cut apart while targets were replaced every three seconds:
-    # each request whose best place was a cold target waited 0.25 s for an
-    # answer, 133 in 34 s. One that gets none spares the others the waiting.
+    # Each request waited for a leader that did not answer.
     async def test(parts):
         parts.configure(version=2, services=SERVICES)
         later = time.monotonic() + 60.0
@@ -351,9 +349,7 @@
 
 
 def test_entry_that_stood_still_asks_before_it_sends():
-    # A frozen entry woke with requests in its sockets, and sent them to a
-    # zone that had been evacuated meanwhile. Its first word from a voter,
-    # some milliseconds later, tells it.
+    # An entry that stood still sent to a zone that was evacuated meanwhile.
     async def test(parts):
         put(parts, "a1", "a")
         put(parts, "b1", "b")
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_chooser.py
@@ -61,9 +61,7 @@
 
 
 def test_new_target_does_not_get_every_prompt():
-    # First events came 2.2 to 2.7 s late: a target that has just started
-    # has the most room, and each of ten prompts that came within a second
-    # went there, each 0.2 s of reading behind those before it.
+    # A target that had just started got every prompt, each behind the others.
     choice = Choice("new", "a", "b", "c")
     for name in ("a", "b", "c"):
         choice.load(name, runs=4, tokens=14_000)
@@ -144,9 +142,7 @@
 
 
 def test_moved_generation_goes_where_memory_is_free_whatever_is_read():
-    # Moved generations found no room: targets that had just started, which
-    # have the most, were avoided for the prompts that they had still to
-    # read. A copy brings none.
+    # Copies avoided targets with room for the prompts that these had to read.
     choice = Choice("a", "new", "full")
     source = choice.table.get("a")
     choice.load("new", runs=3, tokens=9_000, reading=9_000)
@@ -165,9 +161,7 @@
 
 
 def test_target_that_stands_out_gets_a_share_of_what_comes_at_once():
-    # First events came after two seconds: all prompts that had waited went
-    # to the target that had just started, before any entry knew of another's
-    # choice. Ten choices are made on the same loads.
+    # All that came at once went to the target that had just started.
     choice = Choice("new", *"bcdefghij")
     for name in "bcdefghij":
         choice.load(name, runs=4, tokens=20_000)
@@ -195,10 +189,7 @@
 
 
 def test_copies_stay_in_their_zone_while_there_is_much_to_copy():
-    # Streams were cut as the notice of a target with eight of them ended:
-    # their copies went to emptier targets in other availability zones, where
-    # each takes twice as long on the link that all of them share. The last
-    # copies have time, and would else fill the fullest targets.
+    # Copies to other zones filled the leaving target's link until its end.
     choice = Choice("a", "near")
     choice.table.put(make("far", address="far:1", zone="y"))
     source = choice.table.get("a")
@@ -220,9 +211,7 @@
 
 
 def test_prompts_do_not_queue_behind_each_other_at_one_target():
-    # First events came after three seconds: with the other targets full, all
-    # that waited went to the one that had just started. What can't be read
-    # within half of its objective waits elsewhere, unless nothing is read.
+    # All that waited was read by the one target that had just started.
     choice = Choice("new")
     target = choice.table.get("new")
     demand = Demand(prompt=3_000, output=900, objective=1.5)
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
@@ -146,9 +146,7 @@
 
 
 def test_target_that_starts_again_under_its_name_is_used():
-    # A target crashed and started again under its name, counting from the
-    # beginning. All it said was dropped as older than what its earlier life
-    # had said, and it got no work for as long as it took to count up.
+    # The words of a target that had started again were dropped as old.
     table = TargetTable(1.0)
     ended = []
     table.restart_watchers.append(lambda target: ended.append(target.born))
--- a/packages/node/src/chivepier/node/tests/test_directory.py
+++ b/packages/node/src/chivepier/node/tests/test_directory.py
@@ -60,9 +60,7 @@
 
 
 def test_change_is_followed_without_decoding_the_other_teams(monkeypatch):
-    # A change of one team made every node decode all of them, which took
-    # 1.3 s of its only thread at 49,000 teams: every stream stood still.
-    # Now only the documents that changed are read again.
+    # A change of one team held up a node's streams while all were decoded.
     machine = Machine()
     directory = Directory(machine)
     for number in range(50):
@@ -81,9 +79,7 @@
 
 
 def test_state_from_a_snapshot_far_ahead_is_read_whole():
-    # A node that was cut off restores a snapshot whose history no longer
-    # reaches back to what it knew; following that history alone would keep
-    # a removed team's key working.
+    # Following the history alone would keep a removed team's key working.
     far = Machine()
     change(far, "team", "a", make_team("k"))
     behind = Machine()
--- a/packages/policy/src/chivepier/policy/test_lengthestimator.py
+++ b/packages/policy/src/chivepier/policy/test_lengthestimator.py
@@ -29,9 +29,7 @@
 
 
 def test_streams_in_flight_count():
-    # 20 short answers have ended, 20 long ones are still running at 1000
-    # tokens.  An estimate from the ended ones alone takes nearly all for
-    # short, and the target fills with streams that don't end.
+    # Lengths of ended answers alone take nearly all streams for short.
     lengths = LengthEstimator()
     ask = make_ask()
     for _ in range(20):
@@ -70,9 +68,7 @@
 
 
 def test_tail_ends_at_the_output_limit():
-    # What is left of the prior's tail weighed with lengths that no output
-    # can have: the mean of 8-token answers came out above 100, and teams
-    # were charged for it (share error 0.4 in a benchmark).
+    # The prior's tail charged teams for lengths that no output can have.
     lengths = LengthEstimator()
     ask = make_ask(max_tokens=64)
     learn(lengths, ask, 8, 50)
--- a/packages/policy/src/chivepier/policy/test_sharedpolicy.py
+++ b/packages/policy/src/chivepier/policy/test_sharedpolicy.py
@@ -195,10 +195,7 @@
 @settings(derandomize=True, max_examples=300, deadline=None, database=None)
 @given(STEPS)
 def test_each_request_is_answered_exactly_once(steps):
-    # A caller would wait for ever, or run twice, if an event between its
-    # submission and its answer lost or doubled its place: targets leave,
-    # fail and return, others cancel and end, in any order.  The ledger
-    # checks each decision; at the end nothing is left unanswered.
+    # A request waits for ever, or runs twice, whatever comes between.
     ledger = Ledger()
     for number, (step, draw) in enumerate(steps):
         take_step(ledger, number, step, draw)
@@ -213,9 +210,7 @@
 @settings(derandomize=True, max_examples=60, deadline=None, database=None)
 @given(strategies.lists(strategies.integers(1, 1500), max_size=12))
 def test_adopting_and_releasing_leaves_nothing(sizes):
-    # A new owner counts what entries report in flight, also at targets that
-    # have not announced themselves to it yet; once those end the target
-    # takes as much as a fresh one.
+    # What a new owner was told of in flight would never end at its target.
     ledger = Ledger(targets=1)
     fresh = Ledger(targets=1)
     for number, size in enumerate(sizes):
@@ -309,9 +304,7 @@
 
 
 def test_waiting_requests_are_refused_when_the_last_target_leaves():
-    # The targets are full and some requests wait; then all targets leave.
-    # The waiting callers are told within the trim interval, not when their
-    # deadline has passed.
+    # Callers waited for their deadline after the last target had left.
     ledger = Ledger(targets=1)
     for number in range(12):
         ledger.submit(make_ask(number, ledger.clock))
@@ -323,9 +316,7 @@
 
 
 def test_failed_target_gets_no_grant_until_it_is_heard_again():
-    # An engine died: its announcements expire only after seconds, while its
-    # empty record makes it look like the best place for all that waits.
-    # One failure can be the request's own.
+    # A dead engine with an empty record looks like the best place for all.
     ledger = Ledger(targets=2)
     for number in range(4):
         ledger.submit(make_ask(number, ledger.clock))
@@ -352,9 +343,7 @@
 
 
 def test_owner_that_took_over_refuses_nobody_before_its_first_grant():
-    # A new owner counts streams that only the engine reports, so its one
-    # target seems full, for longer than the class's bound on waits.  The
-    # callers who waited through the change are served, not sent away.
+    # Callers who waited through a change of owner were sent away.
     ledger = Ledger(targets=0)
     view = make_view(0, max_streams=1)
     for number in range(3):
--- a/packages/policy/src/chivepier/policy/test_stopping.py
+++ b/packages/policy/src/chivepier/policy/test_stopping.py
@@ -44,9 +44,7 @@
 
 
 def test_least_harmful_stream_is_stopped_once():
-    # The target is about to run out of memory.  Of the batch streams the
-    # one that delivered least goes, and is not ordered to stop twice; the
-    # urgent one and the one that delivered much go on.
+    # The urgent stream, or the one that had delivered most, was stopped.
     assert find_stopped(True) == [3]
 
 
--- a/soak/tests/test_outbreak.py
+++ b/soak/tests/test_outbreak.py
@@ -64,9 +64,7 @@
 
 
 def test_entries_that_missed_the_ends_know_of_them_too(tmp_path):
-    # As above; meanwhile one entry stands still, one is killed and comes back
-    # knowing nothing, and one voter loses its disk. From three seconds after
-    # they are back, none of them sends the request to a target either.
+    # Entries that stood still or started anew sent the request on.
     seen = play(tmp_path, 4, disturbed=True)
     assert seen.disturbed
     check(seen)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -13,9 +13,8 @@
 from soak.promises import Promises
 from soak.run import Soak
 
-# Seeds, the set of faults that they draw from and the seconds for which they
-# inject them. The third one stops two entries with nothing else wrong: what
-# callers with kept connections had just sent was cut as the entry ended.
+# Seeds, the set of faults that they draw from, and the seconds for which they
+# inject them.
 SEEDS = {
     1: (FIRST_SET, 6.0),
     2: (FIRST_SET, 6.0),
@@ -28,9 +27,7 @@
 
 @pytest.mark.parametrize("seed", SEEDS)
 def test_promises_hold_under_faults(seed, tmp_path):
-    # Callers see their own whole answers, refusals that are true, and no
-    # older configuration than was acknowledged, while processes are killed,
-    # frozen, stopped and wiped and targets misbehave.
+    # Any promise to callers that breaks while processes and targets fail.
     block = 80 + (os.getpid() * len(SEEDS) + seed) % 100
     kinds, seconds = SEEDS[seed]
     soak = Soak(seed, tmp_path, block, kinds)
@@ -40,9 +37,7 @@
 
 
 def test_targets_that_start_again_are_used(tmp_path):
-    # Targets crash and start again under their names, counting from the
-    # beginning. All that they said was dropped as old for as long as they
-    # counted up. Each of them is sent requests again within seconds.
+    # Targets that had started again got no work.
     soak = Soak(7, tmp_path, 180 + os.getpid() % 35)
     soak.faults.keep_only("restart_target")
     seen = asyncio.run(soak.run(4.0))
@@ -61,9 +56,7 @@
 
 
 def test_evacuated_zones_and_cold_targets_are_spared(tmp_path):
-    # Zones are evacuated and targets become cold, while processes are
-    # killed: nothing reaches an evacuated zone later than five seconds after
-    # the acknowledgement, and no cold target gets more than it bears.
+    # Sends to evacuated zones, and more than cold targets bear.
     soak = Soak(9, tmp_path, 40 + os.getpid() % 30)
     soak.faults.keep_only("evacuate", "turn_cold", "kill", "freeze")
     seen = asyncio.run(soak.run(12.0))
@@ -72,10 +65,8 @@
 
 
 def test_targets_in_need_are_spared(tmp_path):
-    # Targets name limits that change, all of them at times, while processes
-    # are killed, stand still and are stopped: none gets more than the page
-    # allows from three seconds after it first named one, and all are used
-    # again once they name none.
+    # More than targets in need take, while processes fail; or no use of them
+    # later.
     soak = Soak(10, tmp_path, 1 + os.getpid() % 35)
     soak.faults.keep_only("need", "kill", "freeze", "stop", "kill_all")
     seen = asyncio.run(soak.run(14.0))
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -233,9 +233,7 @@
 
 
 def test_bodies_of_many_callers_do_not_end_the_instance():
-    # An instance ended, with all streams that it relayed: forty callers sent
-    # 4 MB each at the same time, each within the limit, and then sent them
-    # again to the next instance. What finds no room is told that nothing ran.
+    # Many bodies at once ended one instance after the other.
     async def test(door):
         size = 1_000
         head = make_call("/once/x").replace(
@@ -398,9 +396,7 @@
 
 
 def test_leaving_entry_turns_away_what_it_could_not_finish():
-    # Callers with kept connections got no answer: a stopped entry served what
-    # they sent up to its end, and cut what had just come. In the last third
-    # of its time it says that nothing ran, and what runs ends whole.
+    # What came just before the end of a stopped entry was cut.
     release = asyncio.Event()
 
     async def script(head, writer):
@@ -426,9 +422,7 @@
 
 
 def test_idle_connection_is_kept_as_long_as_the_configuration_says():
-    # Callers reuse connections within the idle time of the configuration; the
-    # entry kept 15 s whatever that said. Here the configuration's is shorter:
-    # the entry closes within the test's time.
+    # Connections were closed within the idle time of the configuration.
     async def test(door):
         limits = {"idle-timeout-ms": 200}
         door.configure(version=PLAIN["version"] + 1, limits=limits)
--- a/tests/adapter/test_program.py
+++ b/tests/adapter/test_program.py
@@ -9,9 +9,7 @@
 import pytest
 
 PROGRAM = pathlib.Path(__file__).parents[2] / "platform" / "chivepierd.py"
-# A restart is silent until its modules are loaded: the product's own node
-# takes 0.7 s of processor time and 60 MB, of which numpy 0.18 s. Each role
-# loads what it needs; metrics are loaded some seconds after the start.
+# A restart is silent until its modules are loaded.
 FORBIDDEN = {
     "entry": (
         "numpy",
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -103,10 +103,7 @@
 
 
 def test_answer_without_length_that_is_reset_is_not_whole():
-    # The caller got a shortened answer that was framed as complete. The
-    # target names no length, sends a part, and its connection is reset; the
-    # HTTP library takes any end of the connection for the end of the body.
-    # Only an orderly close ends such an answer.
+    # A reset passed for the end of an answer that names no length.
     async def script(head, writer):
         writer.write(
             b"HTTP/1.1 200 OK\r\nX-Chivepier-Request-Id: r1\r\n"
@@ -161,9 +158,7 @@
 
 
 def test_second_answer_on_a_kept_connection_reaches_nobody():
-    # The second caller got the first one's answer again. The target sends
-    # an answer twice; the second one waits on the kept connection and would
-    # be read as the answer to the next request. The connection is dropped.
+    # The next caller got the last one's answer a second time.
     released = asyncio.Event()
 
     async def script(head, writer):
@@ -368,9 +363,7 @@
 
 
 def test_request_that_may_run_once_is_not_lost_with_a_rested_connection():
-    # The caller got 502 for a call that never reached its target: the target
-    # had crashed and started again since the kept connection was used last,
-    # and reset what came on it. A new connection shows that it lives.
+    # A call was lost with a connection that its target had dropped.
     async def script(head, writer):
         if len(raws[0].requests) == 1:
             writer.write(answer(b"ok"))
--- a/tests/adapter/test_zoneorders.py
+++ b/tests/adapter/test_zoneorders.py
@@ -30,9 +30,7 @@
 
 
 def test_a_zone_is_evacuated_and_readmitted(tmp_path):
-    # An operator empties a zone; the answer was lost, and the same order
-    # comes again. Both are acknowledged, and so is the order's end, also for
-    # a zone that no target has named.
+    # An order whose answer was lost, sent again, was refused.
     async def test(voter, client):
         assert await order(client, "POST", "z1") == 200
         assert await order(client, "POST", "z1") == 200
