Let late generations claim their turn after those in time

What callers would see: of requests that wait for a target in need, those that are late already took turns before those that could still be in time, as a claim bore the class alone. It bears the rank by which requests wait for room now; the test fails before (equal ranks) and passes.

At cold targets a refusal counts for all teams and classes again: whose request it is decides nothing there, and each asked the leader for itself since claims bear team and class.

--- a/packages/gateway/src/chivepier/gateway/permits/permits.py
+++ b/packages/gateway/src/chivepier/gateway/permits/permits.py
@@ -135,6 +135,9 @@
         rate = self.find_rate(target)
         if not cold and rate is None:
             return Permit()
+        if rate is None:
+            # whose request it is decides nothing at a cold target
+            claim = Claim()
         if self._pauses.find(target, claim, now) is not None:
             return None
         if cold and now < self._unanswered_until:
--- a/packages/gateway/src/chivepier/gateway/serving/placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placing.py
@@ -92,7 +92,7 @@
         with QueueTicket(self._queues, plan.service.name) as ticket:
             while self._rank(plan, tried) and not self._guard.holds(plan):
                 stage = self._find_stage(plan)
-                self._check_limits(plan, find_rank(plan, stage))
+                self._check_limits(plan)
                 if stage is Stage.OVER:
                     self._log.info("no_room", id=plan.request.id)
                     raise NoRoomError
@@ -108,7 +108,7 @@
     async def _find_permitted(
         self, plan: Plan, tried: set[str]
     ) -> Place | None:
-        claim, asked = self._make_claim(plan), 0
+        claim, asked = self._make_claim(plan, self._find_rank(plan)), 0
         for target in self._rank(plan, tried):
             limited = self._gate.find_rate(target) is not None
             # each question holds the request up, and all may be in need
@@ -137,20 +137,28 @@
             return None
         return sum(rates)
 
-    def _make_claim(self, plan: Plan) -> Claim:
+    def _find_rank(self, plan: Plan) -> int:
+        if plan.demand is None:
+            return plan.urgency
+        return find_rank(plan, self._find_stage(plan))
+
+    def _make_claim(self, plan: Plan, rank: int) -> Claim:
         """Build what decides about a request's turn at a target in need.
 
         A plain call waits for its turn as long as its answer may still come
         in time. A generation asks again with each round.
+
+        :param plan: the request's
+        :param rank: its class, after all that are in time where it is late
         """
         patience = ROUND_PAUSE
         if plan.demand is None:
             waited = self._clock.monotonic() - plan.request.arrived
             patience = PATIENT_SHARE * plan.route.objective - waited
-        return Claim(plan.team or "", plan.urgency, max(0.0, patience))
+        return Claim(plan.team or "", rank, max(0.0, patience))
 
     async def _take_place(self, plan: Plan, target: Target) -> Place | None:
-        claim = self._make_claim(plan)
+        claim = self._make_claim(plan, self._find_rank(plan))
         permit = await self._gate.take_permit(plan.service, target, claim)
         if permit is None:
             return None
@@ -162,7 +170,7 @@
             return None
         return Place(target, reservation, permit)
 
-    def _check_limits(self, plan: Plan, rank: int) -> None:
+    def _check_limits(self, plan: Plan) -> None:
         """Turn away what targets in need can't take before it is too late.
 
         :raises OverLimitError: when all are in need, and what goes before
@@ -173,7 +181,8 @@
             return
         now = self._clock.monotonic()
         # those of its own rank go first, too: it has just come
-        ahead = self._queues.ahead(plan.service.name, rank + 1, now)
+        rank = self._find_rank(plan) + 1
+        ahead = self._queues.ahead(plan.service.name, rank, now)
         last = plan.request.arrived + REFUSED_SHARE * plan.route.objective
         seconds = min(last, plan.deadline) - now
         if ahead > rate * seconds:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
@@ -1,6 +1,7 @@
 """Tests of what callers get while targets name limits."""
 
 import asyncio
+import time
 
 import attrs
 import pytest
@@ -109,6 +110,23 @@
     play(test, "a", engine=RESERVING)
 
 
+def test_late_generation_claims_its_turn_after_those_in_time():
+    # After a rush the late ones would take all that a target in need takes.
+    async def test(parts):
+        parts.name_limit("a", 1.5)
+        parts.engines.facts = AnswerFacts(limit=RateLimit(1.5))
+        late = make_request(arrived=time.monotonic() - 1.5)
+        for request in (make_request(), late):
+            count = len(parts.engines.answers) + 1
+            caller, task = parts.start(request)
+            run = await parts.engines.wait_run(count)
+            await finish(task, run, 1)
+        first, second = (claim.urgency for claim in parts.claims)
+        assert first < second
+
+    play(test, "a", engine=RESERVING)
+
+
 def test_streams_that_run_at_a_target_in_need_go_on():
     async def test(parts):
         caller, task, run = await begin(parts)
