Test turns at cold targets in need, and who shares the rate without a leader

Of eighteen safeguards of limits that were switched off one by one in a scratch copy, two made no test fail: that a turn at a target which is also cold is used at once, and that an entry alone shares with all that were known before. Both have their tests now.

--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
@@ -6,6 +6,7 @@
 import attrs
 import pytest
 
+from chivepier.gateway.config import Service
 from chivepier.gateway.limits import NoLimit
 from chivepier.gateway.limits import RateLimit
 from chivepier.gateway.permits import Turn
@@ -178,3 +179,34 @@
         assert len(parts.claims) == 3
 
     play(test, *(f"t{n}" for n in range(20)))
+
+
+def test_turn_at_a_cold_target_is_used_at_once():
+    # What is given of its bound would be sent when the window has moved on.
+    async def test(parts):
+        web = Service(name="web", connections=10, cold_rate=10.0)
+        llm = Service(name="llm", connections=10, engine=ENGINE)
+        parts.configure(version=2, services=(llm, web))
+        parts.table.get("w-a").warm_at = time.monotonic() + 60.0
+        parts.name_limit("w-a", 1.5)
+        await answer_plain(parts)
+        (claim,) = parts.claims
+        assert claim.patience == 0.0 and claim.most > 0
+
+    play(test, "a")
+
+
+def test_entry_alone_shares_with_all_that_were_known_before():
+    # The voter that it hears last hears few entries, and its part would grow.
+    async def test(parts):
+        parts.name_limit("w-a", 1.5)
+        parts.engines.facts = AnswerFacts(limit=RateLimit(1.5))
+        parts.state.entries = 50
+        await answer_plain(parts)
+        parts.state.entries = 2
+        parts.permitted = None
+        await fail(parts, make_request("/plain/x"))
+        (line,) = parts.read_lines("limits_kept_alone")
+        assert line["entries"] == 50
+
+    play(test, "a")
