Keep the writer's name in log lines whose fields are called the same

What on-call engineers saw: `seat_given` and `seat_taken` lines seemed to be written by the voter that they are about. Cause: a line's fields were put over its head, and these called the voter `node`. They call it `voter` now, and a field that is named like one of the head's stands under its name and an underscore. The test failed before (the writer's name was the other's).

--- a/packages/gateway/src/chivepier/gateway/control/seats.py
+++ b/packages/gateway/src/chivepier/gateway/control/seats.py
@@ -147,7 +147,7 @@
                     await self._remove(voter)
                     return
         for joiner in joiners:
-            self._log.info("seat_given", node=joiner.node)
+            self._log.info("seat_given", voter=joiner.node)
             await replica.changes.add(joiner)
             self._added[joiner.node] = now
             return
@@ -157,7 +157,7 @@
 
     async def _remove(self, voter: Voter) -> None:
         await self._replica.changes.remove(voter.node)
-        self._log.warn("seat_taken", node=voter.node, address=voter.address)
+        self._log.warn("seat_taken", voter=voter.node, address=voter.address)
 
     def _find_joiners(self, now: float) -> list[Voter]:
         voting = {voter.node for voter in self._replica.voters}
--- a/packages/gateway/src/chivepier/gateway/eventlog/eventlog.py
+++ b/packages/gateway/src/chivepier/gateway/eventlog/eventlog.py
@@ -88,8 +88,10 @@
             "level": level,
             "node": self._name,
             "event": event,
-            **fields,
         }
+        for name, value in fields.items():
+            # a field of the writer's own names would hide who wrote the line
+            line[f"{name}_" if name in line else name] = value
         data = json.dumps(line, separators=(",", ":"), default=str)
         self._waiting.append(data.encode() + b"\n")
         self._size += len(data) + 1
--- a/packages/gateway/src/chivepier/gateway/eventlog/tests/test_eventlog.py
+++ b/packages/gateway/src/chivepier/gateway/eventlog/tests/test_eventlog.py
@@ -26,6 +26,15 @@
     assert (line["id"], line["ms"], line["level"]) == ("r1", 3, "info")
 
 
+def test_fields_do_not_hide_who_wrote_a_line():
+    # A field called as the writer's name stood in its place.
+    reader, writer = os.pipe()
+    EventLog("n1", writer).info("seat_given", node="n2", t=5)
+    (line,) = read_lines(reader)
+    assert line["node"] == "n1" and line["node_"] == "n2"
+    assert line["t"] != 5 and line["t_"] == 5
+
+
 def test_reader_that_has_stopped_holds_nothing_up():
     # Every stream of the process stood still: the reader of standard output
     # had stopped, its pipe was full, and a write waited for it.
