Log a node's vote once, as most of the others tell it

What on-call engineers saw: after a kill of all with lost disks, `seat` lines said yes and no some ten times a second. Cause: each peer's answer was logged by itself, and those that have just started know little. Each round of questions now has one outcome, what most of those that answered say, with how many agree; it is logged when it changes. The test failed before (ten lines for two).

--- a/packages/gateway/src/chivepier/gateway/control/seats.py
+++ b/packages/gateway/src/chivepier/gateway/control/seats.py
@@ -104,18 +104,34 @@
         peers = [p for p in self._peers.all if p != self._me]
         if not peers or (replica.votes() and replica.leader):
             return
-        await asyncio.gather(*(self._ask(peer, request) for peer in peers))
-
-    async def _ask(self, peer: str, request: JoinRequest) -> None:
+        asks = [self._ask(peer, request) for peer in peers]
+        answers = [a for a in await asyncio.gather(*asks) if a is not None]
+        for answer in answers:
+            if answer.voters:
+                self._peers.learn(answer.voters)
+        if answers:
+            self._note_seat([answer.votes for answer in answers])
+
+    async def _ask(self, peer: str, request: JoinRequest) -> JoinAnswer | None:
         try:
-            answer = await self._links.request(peer, request, ASK_SECONDS)
+            return await self._links.request(peer, request, ASK_SECONDS)
         except LinkError:
-            return
-        if answer.voters:
-            self._peers.learn(answer.voters)
-        if answer.votes is not self._seated:
-            self._seated = answer.votes
-            self._log.info("seat", votes=answer.votes, told_by=peer)
+            return None
+
+    def _note_seat(self, told: list[bool]) -> None:
+        """Log whether this node has a vote, as most of the others say.
+
+        Those that have just started know little, and contradict the others
+        until they have the log.
+
+        :param told: by each that answered
+        """
+        votes = 2 * sum(told) > len(told)
+        if votes is not self._seated:
+            self._seated = votes
+            self._log.info(
+                "seat", votes=votes, agree=told.count(votes), asked=len(told)
+            )
 
     def handle(self, request: JoinRequest) -> JoinAnswer:
         """Answer an instance that asks for a vote.
