Wait for a turn only where no other target is left

What callers would see: a call whose first choice was a target in need waited up to half of its objective for a turn there, beside a target that was free. Cause: a claim's patience did not depend on what else is left. It has none now unless all targets left to the request are in need; the test failed before for plain calls. Found by reading the change.

--- a/packages/gateway/src/chivepier/gateway/serving/placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placing.py
@@ -92,12 +92,12 @@
         with QueueTicket(self._queues, plan.service.name) as ticket:
             while self._rank(plan, tried) and not self._guard.holds(plan):
                 stage = self._find_stage(plan)
-                self._check_limits(plan)
+                shortage = self._check_limits(plan)
                 if stage is Stage.OVER:
                     self._log.info("no_room", id=plan.request.id)
                     raise NoRoomError
                 for target in self._select(plan, stage, tried):
-                    place = await self._take_place(plan, target)
+                    place = await self._take_place(plan, target, shortage)
                     if place is not None:
                         return place
                 ticket.wait(find_rank(plan, stage))
@@ -108,13 +108,15 @@
     async def _find_permitted(
         self, plan: Plan, tried: set[str]
     ) -> Place | None:
-        claim, asked = self._make_claim(plan, self._find_rank(plan)), 0
-        for target in self._rank(plan, tried):
-            limited = self._gate.find_rate(target) is not None
+        ranked = self._rank(plan, tried)
+        needy = [t for t in ranked if self._gate.find_rate(t) is not None]
+        claim = self._make_claim(plan, patient=len(needy) == len(ranked))
+        asked = 0
+        for target in ranked:
             # each question holds the request up, and all may be in need
-            left_out = limited and asked >= MOST_ASKED
+            left_out = target in needy and asked >= MOST_ASKED
             if not left_out and self._gate.find_pause(target, claim) is None:
-                asked += limited
+                asked += target in needy
                 permit = await self._gate.take_permit(
                     plan.service, target, claim
                 )
@@ -142,23 +144,28 @@
             return plan.urgency
         return find_rank(plan, self._find_stage(plan))
 
-    def _make_claim(self, plan: Plan, rank: int) -> Claim:
+    def _make_claim(self, plan: Plan, patient: bool) -> Claim:
         """Build what decides about a request's turn at a target in need.
 
         A plain call waits for its turn as long as its answer may still come
         in time. A generation asks again with each round.
 
         :param plan: the request's
-        :param rank: its class, after all that are in time where it is late
+        :param patient: whether it waits at all, as no other target is left
         """
-        patience = ROUND_PAUSE
-        if plan.demand is None:
+        patience = 0.0
+        if patient and plan.demand is None:
             waited = self._clock.monotonic() - plan.request.arrived
             patience = PATIENT_SHARE * plan.route.objective - waited
+        elif patient:
+            patience = ROUND_PAUSE
+        rank = self._find_rank(plan)
         return Claim(plan.team or "", rank, max(0.0, patience))
 
-    async def _take_place(self, plan: Plan, target: Target) -> Place | None:
-        claim = self._make_claim(plan, self._find_rank(plan))
+    async def _take_place(
+        self, plan: Plan, target: Target, patient: bool
+    ) -> Place | None:
+        claim = self._make_claim(plan, patient)
         permit = await self._gate.take_permit(plan.service, target, claim)
         if permit is None:
             return None
@@ -170,15 +177,16 @@
             return None
         return Place(target, reservation, permit)
 
-    def _check_limits(self, plan: Plan) -> None:
+    def _check_limits(self, plan: Plan) -> bool:
         """Turn away what targets in need can't take before it is too late.
 
+        :returns: whether all targets are in need
         :raises OverLimitError: when all are in need, and what goes before
             the request takes them too long
         """
         rate = self._find_shortage(plan)
         if rate is None:
-            return
+            return False
         now = self._clock.monotonic()
         # those of its own rank go first, too: it has just come
         rank = self._find_rank(plan) + 1
@@ -187,6 +195,7 @@
         seconds = min(last, plan.deadline) - now
         if ahead > rate * seconds:
             raise OverLimitError(rate)
+        return True
 
     def _find_stage(self, plan: Plan) -> Stage:
         reading = self._chooser.pace.estimate(
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
@@ -45,6 +45,22 @@
     play(test, "a", "b")
 
 
+@pytest.mark.parametrize("path", ("/plain/x", "/llm/x"))
+def test_nobody_waits_for_a_turn_while_another_target_has_room(path):
+    # A call waited for half of its objective beside a target that was free.
+    async def test(parts):
+        parts.name_limit("w-a", 1.5)
+        parts.name_limit("a", 1.5)
+        parts.turn = REFUSED
+        caller, task = parts.start(make_request(path))
+        run = await parts.engines.wait_run(1)
+        await finish(task, run, 1)
+        assert run.target.endswith("b")
+        assert [claim.patience for claim in parts.claims] in ([], [0.0])
+
+    play(test, "a", "b", engine=RESERVING)
+
+
 def test_target_in_need_is_sent_what_it_takes():
     async def test(parts):
         parts.name_limit("w-a", 1.5)
