Take finding a place and noting an unsent request out of the loop of sends

The loop that tries, counts and gives up had grown by what targets in need ask of it. No behaviour has changed; the tests of serving pass as before.

--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -119,14 +119,7 @@
             self._refusals.check_time(plan, runs)
             self.guard.check(plan, runs)
             await self.gate.settle()
-            try:
-                place = await self._placing.find(plan, tried)
-            except NoRoomError:
-                raise self._refusals.give_up(
-                    plan, runs, "no target has room"
-                ) from None
-            except OverLimitError as error:
-                raise self._give_up_over_limit(plan, runs, error) from None
+            place = await self._find_place(plan, tried, runs)
             # it may have waited for long
             self.guard.check(plan, runs)
             if place is None:
@@ -145,15 +138,7 @@
             try:
                 sent = await self._try(plan, place, more)
             except NotSentError as error:
-                if not isinstance(error, NotPermittedError):
-                    self._note_silence(target)
-                self.log.warn(
-                    "target_not_sent",
-                    id=plan.request.id,
-                    target=target.instance,
-                    address=target.address,
-                    error=repr(error),
-                )
+                self._note_not_sent(plan, target, error)
                 # nothing arrived anywhere: the next send is no repeat
                 paid = True
                 continue
@@ -180,6 +165,30 @@
                 return sent
             self.end(sent)
 
+    async def _find_place(
+        self, plan: Plan, tried: set[str], runs: int
+    ) -> Place | None:
+        try:
+            return await self._placing.find(plan, tried)
+        except NoRoomError:
+            text = "no target has room"
+            raise self._refusals.give_up(plan, runs, text) from None
+        except OverLimitError as error:
+            raise self._give_up_over_limit(plan, runs, error) from None
+
+    def _note_not_sent(
+        self, plan: Plan, target: Target, error: NotSentError
+    ) -> None:
+        if not isinstance(error, NotPermittedError):
+            self._note_silence(target)
+        self.log.warn(
+            "target_not_sent",
+            id=plan.request.id,
+            target=target.instance,
+            address=target.address,
+            error=repr(error),
+        )
+
     def _give_up_over_limit(
         self, plan: Plan, runs: int, error: OverLimitError
     ) -> RequestError:
