Test that an entry which is cut off adds its part alone

Seven entries, one of them cut off from all voters in the middle of need: the others keep to what the target names, and it sends a seventh beside them.

--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -90,7 +90,8 @@
             log=log,
             metrics=Metrics(),
         )
-        self.links = Links(name, KEY, self._handle, Faults())
+        self.faults = Faults()
+        self.links = Links(name, KEY, self._handle, self.faults)
         self.following = Following(
             name=name,
             address=f"{name}:80",
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_limits.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_limits.py
@@ -231,6 +231,31 @@
     play(test, tmp_path)
 
 
+def test_entry_that_is_cut_off_adds_its_part_alone(tmp_path):
+    # It sent as before, or all that the target takes a second time.
+    async def test(fleet):
+        followers = await fleet.follow_many(7)
+        await wait_until(lambda: followers[0].state.entries == 7)
+        await wait_for_leave(followers[0])
+        sends, alone = Sends(make_target()), Sends(make_target())
+        name_limit(followers[0], RATE, sends.target)
+        for follower in followers:
+            await wait_until(lambda f=follower: knows(f, RATE, sends.target))
+            await sends.send(follower)
+        *others, cut = followers
+        cut.faults.cut.update(fleet.seeds)
+        sends.moments.clear()
+        await asyncio.gather(
+            press_all(others, sends, PLAYED_SECONDS),
+            press_all([cut], alone, PLAYED_SECONDS),
+        )
+        assert sends.count_busiest() <= RATE * (WINDOW_SECONDS + 0.5) + 1
+        # its part is a seventh, and the first comes at once at the earliest
+        assert len(alone.moments) <= RATE * PLAYED_SECONDS / 7 + 1
+
+    play(test, tmp_path)
+
+
 def test_entries_without_voters_share_the_rate(tmp_path):
     # All voters are gone, and all targets in need: nothing at all was sent,
     # or everything.
