Offer a generation to targets without a limit beside others in need

What callers would see: with nine of ten targets in need, a generation was offered to three drawn ones in each round, which had all refused it just now, and waited a tenth of a second for the next draw. Targets that are not to be asked yet are left out of the draw; the test failed before. Found by reading the change. Where no target names a limit nothing differs.

--- a/packages/gateway/src/chivepier/gateway/serving/placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placing.py
@@ -209,7 +209,13 @@
         """Pick the targets that are asked in this round."""
         if stage is not Stage.PRESSING and not self._may_go(plan, stage):
             return []
-        return self._rank(plan, tried, roomy=True)[:MOST_ASKED]
+        claim = self._make_claim(plan, patient=False)
+        found = [
+            target
+            for target in self._rank(plan, tried, roomy=True)
+            if self._gate.find_pause(target, claim) is None
+        ]
+        return found[:MOST_ASKED]
 
     def _may_go(self, plan: Plan, stage: Stage) -> bool:
         """Tell whether there is room beside all that goes first.
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
@@ -9,6 +9,7 @@
 from chivepier.gateway.config import Service
 from chivepier.gateway.limits import NoLimit
 from chivepier.gateway.limits import RateLimit
+from chivepier.gateway.permits import Claim
 from chivepier.gateway.permits import Turn
 from chivepier.gateway.serving import AnswerFacts
 from chivepier.gateway.serving.tests.parts import begin
@@ -185,6 +186,26 @@
     play(test, "a", "b", "c", "d", "e")
 
 
+def test_generation_does_not_wait_for_targets_in_need_beside_a_free_one():
+    # It was offered to three drawn targets a round, all of them in need.
+    async def test(parts):
+        parts.turn = REFUSED
+        service = parts.state.index.services["llm"]
+        gate, claim = parts.dispatcher.gate, Claim("t1", 3)
+        for number in range(9):
+            parts.name_limit(f"t{number}", 1.0)
+            target = parts.table.get(f"t{number}")
+            await gate.take_permit(service, target, claim)
+        caller, task = parts.start(make_request())
+        run = await parts.engines.wait_run(1)
+        await finish(task, run, 1)
+        assert run.target == "t9"
+        # it was never counted among those that wait
+        assert parts.queues.own() == []
+
+    play(test, *(f"t{n}" for n in range(10)), engine=RESERVING)
+
+
 def test_entry_asks_few_of_many_targets_in_need():
     async def test(parts):
         names = [f"t{n}" for n in range(20)]
