Look for words about unknown targets only where there are many

Each entry listed all targets' names five times a second to find out that there was nothing to drop. Read in the change, not measured.

--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -282,4 +282,4 @@
             self.entries.forget()
             self.registry.forget()
             self.quarantine.expire()
-            self.limits.board.expire([t.instance for t in self.table])
+            self.limits.board.expire(t.instance for t in self.table)
--- a/packages/gateway/src/chivepier/gateway/following/limitexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/limitexchange.py
@@ -59,7 +59,7 @@
 
         :param targets: that are known
         """
-        self._board.expire([target.instance for target in targets])
+        self._board.expire(target.instance for target in targets)
 
     def take_answer(
         self,
--- a/packages/gateway/src/chivepier/gateway/limits/limitboard.py
+++ b/packages/gateway/src/chivepier/gateway/limits/limitboard.py
@@ -141,17 +141,19 @@
         if word is not None and word.born <= born:
             self._drop(instance)
 
-    def expire(self, instances: collections.abc.Collection[str]) -> None:
+    def expire(self, instances: collections.abc.Iterable[str]) -> None:
         """Drop what is believed of targets that nobody knows any more.
 
         A word may come before its target's first announcement: some are kept.
 
         :param instances: names of the targets that are known
         """
-        if len(self._words) <= len(instances) + MOST_UNKNOWN:
+        if len(self._words) <= MOST_UNKNOWN:
             return
-        for instance in self._words.keys() - set(instances):
-            self._drop(instance)
+        known = set(instances)
+        if len(self._words) > len(known) + MOST_UNKNOWN:
+            for instance in self._words.keys() - known:
+                self._drop(instance)
 
     def _drop(self, instance: str) -> None:
         del self._words[instance]
