Look for targets in need only where any is known

With no target in need, each call looked up the limit of each target of its service, and each waiting generation ranked them once more ten times a second. Both are skipped now unless a limit is known.

--- a/packages/gateway/src/chivepier/gateway/limits/limitboard.py
+++ b/packages/gateway/src/chivepier/gateway/limits/limitboard.py
@@ -159,5 +159,8 @@
         del self._words[instance]
         del self._changed_at[instance]
 
+    def __bool__(self) -> bool:
+        return bool(self._words)
+
     def __iter__(self) -> collections.abc.Iterator[LimitWord]:
         return iter(list(self._words.values()))
--- a/packages/gateway/src/chivepier/gateway/permits/permits.py
+++ b/packages/gateway/src/chivepier/gateway/permits/permits.py
@@ -109,6 +109,24 @@
         """Return the rate that a target in need takes from all entries."""
         return self._limits.find_rate(target.instance, target.born)
 
+    @property
+    def knows_limits(self) -> bool:
+        """Whether any target is in need; nearly always none is."""
+        return bool(self._limits)
+
+    def find_rates(
+        self, targets: collections.abc.Iterable[Target]
+    ) -> dict[str, float]:
+        """Return what those of some targets take that are in need.
+
+        :param targets: to be looked at
+        :returns: requests a second, by the targets' names
+        """
+        if not self.knows_limits:
+            return {}
+        rates = {target.instance: self.find_rate(target) for target in targets}
+        return {name: rate for name, rate in rates.items() if rate is not None}
+
     def find_pause(self, target: Target, claim: Claim) -> float | None:
         """Return the seconds until a claim may be made again.
 
--- a/packages/gateway/src/chivepier/gateway/serving/placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placing.py
@@ -109,14 +109,14 @@
         self, plan: Plan, tried: set[str]
     ) -> Place | None:
         ranked = self._rank(plan, tried)
-        needy = [t for t in ranked if self._gate.find_rate(t) is not None]
+        needy = self._gate.find_rates(ranked)
         claim = self._make_claim(plan, patient=len(needy) == len(ranked))
         asked = 0
         for target in ranked:
             # each question holds the request up, and all may be in need
-            left_out = target in needy and asked >= MOST_ASKED
+            left_out = target.instance in needy and asked >= MOST_ASKED
             if not left_out and self._gate.find_pause(target, claim) is None:
-                asked += target in needy
+                asked += target.instance in needy
                 permit = await self._gate.take_permit(
                     plan.service, target, claim
                 )
@@ -133,11 +133,13 @@
 
         :returns: requests a second; ``None`` unless all of them are in need
         """
+        if not self._gate.knows_limits:
+            return None
         found = self._rank(plan, set())
-        rates = [self._gate.find_rate(target) for target in found]
-        if not rates or None in rates:
+        rates = self._gate.find_rates(found)
+        if not rates or len(rates) < len(found):
             return None
-        return sum(rates)
+        return sum(rates.values())
 
     def _find_rank(self, plan: Plan) -> int:
         if plan.demand is None:
--- a/packages/gateway/src/chivepier/gateway/serving/sendgate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/sendgate.py
@@ -1,5 +1,7 @@
 """What must hold before anything is sent to a target."""
 
+import collections.abc
+
 from chivepier.gateway.config import Service
 from chivepier.gateway.permits import Claim
 from chivepier.gateway.permits import Permit
@@ -56,6 +58,17 @@
         """Return the rate that a target in need takes, if it names one."""
         return self._permits.find_rate(target)
 
+    @property
+    def knows_limits(self) -> bool:
+        """Whether any target is in need."""
+        return self._permits.knows_limits
+
+    def find_rates(
+        self, targets: collections.abc.Iterable[Target]
+    ) -> dict[str, float]:
+        """Return the rates of those that are in need, by name."""
+        return self._permits.find_rates(targets)
+
     def find_pause(self, target: Target, claim: Claim) -> float | None:
         """Return the seconds until a target in need is to be asked for."""
         return self._permits.find_pause(target, claim)
