Take a vote only where the others bear as many losses as before

Order of events, from the voters' logs: five voters; at some 5 s the disk of one stalls; at 25.3 s it has been silent for 20 s and its vote is taken; giving it back runs into its limit, as its disk still answers nothing; at 34 s a version is committed by the four, and all power goes with two other disks. The stalled disk is whole again, but its voter has no vote: two of four elect nobody, and entries go on with the version before.

Cause: a silent voter lost its vote as long as three remained. Of five, four bear one loss as five with a silent one do; but the silent one may come back, and then five bear two.

A vote is now taken from an even number, or where two are gone. The test failed before for five and seven voters, and passes for 3 to 7. Ruled out: the change of what is logged of votes (it decides nothing).

--- a/packages/gateway/src/chivepier/gateway/control/seats.py
+++ b/packages/gateway/src/chivepier/gateway/control/seats.py
@@ -1,7 +1,6 @@
 """Who votes: founding, joining and replacement."""
 
 import asyncio
-import collections.abc
 
 from chivepier.gateway.control.joiner import Joiner
 from chivepier.gateway.eventlog import EventLog
@@ -25,8 +24,8 @@
 # Seconds of silence after which a replaced voter loses its seat; a restart in
 # turn takes less.
 REPLACED_SECONDS = 4.0
-# Seconds of silence after which a voter loses its seat in any case, as long
-# as enough others are left to lose one more.
+# Seconds of silence after which a voter loses its seat without having been
+# replaced.
 GONE_SECONDS = 20.0
 # Voters that must remain: with fewer, the loss of one stops every change.
 LEAST_VOTERS = 3
@@ -186,13 +185,24 @@
         for node in self._silent_since.keys() - known:
             del self._silent_since[node]
 
-    def _find_gone(self, now: float) -> collections.abc.Iterator[Voter]:
+    def _find_gone(self, now: float) -> list[Voter]:
+        """Find the voters whose votes are to be taken.
+
+        A vote is taken only where the others bear as many losses as before:
+        of an odd number that is not so with one vote, but with two. One that
+        lost its vote though its disk is whole would else be missed when more
+        disks are lost.
+        """
         voters = self._replica.voters
-        for voter in voters:
-            since = self._silent_since.get(voter.node)
-            if since is None or len(voters) - 1 < LEAST_VOTERS:
-                continue
-            replaced = any(added > since for added in self._added.values())
-            patience = REPLACED_SECONDS if replaced else GONE_SECONDS
-            if now - since > patience:
-                yield voter
+        if len(voters) <= LEAST_VOTERS:
+            return []
+        gone = [voter for voter in voters if self._is_gone(voter, now)]
+        odd = len(voters) % 2 == 1
+        return [] if odd and len(gone) < 2 else gone
+
+    def _is_gone(self, voter: Voter, now: float) -> bool:
+        since = self._silent_since.get(voter.node)
+        if since is None:
+            return False
+        replaced = any(added > since for added in self._added.values())
+        return now - since > (REPLACED_SECONDS if replaced else GONE_SECONDS)
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_seats.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_seats.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import json
+import os
 import tempfile
 
+import pytest
+
 from chivepier.gateway.control.seats import Seats
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import Peers
 from chivepier.gateway.messages import JoinAnswer
+from chivepier.messages import Voter
+from chivepier.messages import VoterState
 from chivepier.types import ManualClock
 from chivepier.wire import LinkError
 
@@ -62,3 +67,55 @@
     assert asking.look(2) == []
     asking.says[PEERS[2]] = True
     assert asking.look(2) == [True]
+
+
+class Leading:
+    """A leader of voters of which some fall silent."""
+
+    node, cluster = "v0", "c"
+
+    def __init__(self, voters: int):
+        self.voters = [Voter(f"v{n}", f"10.0.0.{n}:7") for n in range(voters)]
+        self.silent: set[str] = set()
+        self.changes = self
+        self.clock = ManualClock()
+        log = EventLog("v0", os.open(os.devnull, os.O_WRONLY))
+        self.seats = Seats(
+            self, "10.0.0.0:7", self, Peers(()), self.clock, log
+        )
+
+    def leads(self) -> bool:
+        """Lead all the time."""
+        return True
+
+    def report(self) -> list[VoterState]:
+        """Tell which voters hold all."""
+        return [
+            VoterState(v.node, v.address, 0, v.node not in self.silent)
+            for v in self.voters
+        ]
+
+    async def remove(self, node: str) -> None:
+        """Take a vote."""
+        self.voters = [v for v in self.voters if v.node != node]
+
+    def play(self, seconds: float) -> int:
+        """Look at the seats each second; return how many voters are left."""
+        for _ in range(int(seconds)):
+            asyncio.run(self.seats._look())
+            self.clock.advance(1.0)
+        return len(self.voters)
+
+
+@pytest.mark.parametrize(
+    ("voters", "silent", "left"),
+    ((3, 1, 3), (4, 1, 3), (5, 1, 5), (5, 2, 3), (6, 1, 5), (7, 1, 7)),
+)
+def test_votes_are_taken_only_where_as_many_losses_are_borne(
+    voters, silent, left
+):
+    # Of five voters the one with a stalled disk lost its vote; then two disks
+    # were lost, and two of four elected no leader ever.
+    leading = Leading(voters)
+    leading.silent = {f"v{n}" for n in range(1, 1 + silent)}
+    assert leading.play(60.0) == left
