--- a/packages/state/src/chivepier/state/machine.py
+++ b/packages/state/src/chivepier/state/machine.py
@@ -237,8 +237,8 @@
         :returns: the snapshot at :attr:`index`
         """
         fields = {
-            # field by field: attrs.astuple looks into each value, which for
-            # 49,000 teams holds up every stream of the node for longer
+            # field by field: attrs.astuple looks into each value, which
+            # holds up every stream of the node
             "documents": [
                 (d.kind, d.name, d.version, d.spec)
                 for d in self.documents.values()
@@ -304,7 +304,7 @@
 
 def _load_document(fields: list) -> Document:
     kind, name, version, spec = fields
-    # one string for all: a decoder makes a new one for each of 49,000 teams
+    # one string for all: a decoder makes a new one for each team
     return Document(
         kind=sys.intern(kind), name=name, version=version, spec=spec
     )
--- a/packages/types/src/chivepier/documents/spec.py
+++ b/packages/types/src/chivepier/documents/spec.py
@@ -15,8 +15,8 @@
 from chivepier.types.failure import Failure
 from chivepier.types.urgency import Urgency
 
-# defaults are left out: 49,000 packed teams must fit a node's memory bound,
-# so a default of a document's field never changes its meaning
+# defaults are left out, as all packed teams must fit a node's memory: so a
+# default of a document's field never changes its meaning
 CONVERTER = cattrs.Converter(
     omit_if_default=True,
     forbid_extra_keys=True,
--- a/packages/wire/src/chivepier/wire/server.py
+++ b/packages/wire/src/chivepier/wire/server.py
@@ -12,7 +12,7 @@
 
 KEY_HEADER = "x-chivepier-key"
 PEER_HEADER = "x-chivepier-peer"
-# the whole state of 49,000 teams, 9.3 MB, goes in one frame
+# the whole state goes in one frame
 MAX_FRAME = 32 << 20
 UNAUTHORIZED = 401
 
