Give each scenario of the soak addresses of its own

`test_promises_hold_under_faults[11]` and `[2]` could not bind 127.179.3.1 and 127.80.3.1, address already in use.

Cause: addresses were worked out of the test's process id, seed and the number of seeds. The ranges of the other scenarios overlapped as well. Seen in the numbers, and by the error; no run forced the same ids.

A scenario now takes the first block whose lock port it can bind, and holds it.

--- a/soak/tests/test_need.py
+++ b/soak/tests/test_need.py
@@ -1,11 +1,11 @@
 """Targets that name the rate they take, with real processes."""
 
 import asyncio
-import os
 import time
 
 import pytest
 
+from soak.blocks import reserve_block
 from soak.need import count_busiest
 from soak.need import Need
 from soak.need import WINDOW_SECONDS
@@ -31,9 +31,8 @@
     :param in_need: targets that name a limit
     :param ended: whether they name none any more while requests are counted
     """
-    block = 100 + (7 * os.getpid() + entries + in_need) % 50
 
-    async def work() -> Need:
+    async def work(block: int) -> Need:
         need = Need(folder, block, 1, entries)
         async with asyncio.timeout(60), need.run():
             await asyncio.sleep(1.0)
@@ -48,7 +47,8 @@
             await asyncio.sleep(COUNTED_SECONDS)
         return need
 
-    return asyncio.run(work())
+    with reserve_block() as block:
+        return asyncio.run(work(block))
 
 
 @pytest.mark.parametrize("entries", (1, 3))
--- a/soak/tests/test_outbreak.py
+++ b/soak/tests/test_outbreak.py
@@ -2,10 +2,10 @@
 
 import asyncio
 import contextlib
-import os
 
 import pytest
 
+from soak.blocks import reserve_block
 from soak.outbreak import Outbreak
 from soak.outbreak import Seen
 
@@ -27,9 +27,8 @@
 
 def play(folder, entries: int, disturbed: bool = False) -> Seen:
     """Play one outbreak to its end."""
-    block = 20 + (5 * os.getpid() + entries) % 50
 
-    async def work():
+    async def work(block: int):
         outbreak = Outbreak(folder, block, seed=1, entries=entries)
         async with asyncio.timeout(60), outbreak.run() as session:
             async with call_beside(outbreak, session):
@@ -40,7 +39,8 @@
                     await work
         return outbreak.seen
 
-    return asyncio.run(work())
+    with reserve_block() as block:
+        return asyncio.run(work(block))
 
 
 def check(seen: Seen) -> None:
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,10 +1,10 @@
 """A short seeded run of the soak, and its own checks."""
 
 import asyncio
-import os
 
 import pytest
 
+from soak.blocks import reserve_block
 from soak.faults import COLD_SET
 from soak.faults import FIRST_SET
 from soak.faults import NEWEST_SET
@@ -28,19 +28,20 @@
 @pytest.mark.parametrize("seed", SEEDS)
 def test_promises_hold_under_faults(seed, tmp_path):
     # Any promise to callers that breaks while processes and targets fail.
-    block = 80 + (os.getpid() * len(SEEDS) + seed) % 100
     kinds, seconds = SEEDS[seed]
-    soak = Soak(seed, tmp_path, block, kinds)
-    seen = asyncio.run(soak.run(seconds))
+    with reserve_block() as block:
+        soak = Soak(seed, tmp_path, block, kinds)
+        seen = asyncio.run(soak.run(seconds))
     assert seen.broken == []
     assert seen.answered > 50 and seen.acknowledged > 0
 
 
 def test_targets_that_start_again_are_used(tmp_path):
     # Targets that had started again got no work.
-    soak = Soak(7, tmp_path, 180 + os.getpid() % 35)
-    soak.faults.keep_only("restart_target")
-    seen = asyncio.run(soak.run(4.0))
+    with reserve_block() as block:
+        soak = Soak(7, tmp_path, block)
+        soak.faults.keep_only("restart_target")
+        seen = asyncio.run(soak.run(4.0))
     assert seen.broken == []
     assert any(target.restarted for target in soak.targets)
 
@@ -48,18 +49,20 @@
 def test_nonsense_of_another_writer_harms_nobody(tmp_path):
     # Another writer announces what no target says, also in targets' names:
     # all of it is refused, and callers are served as before.
-    soak = Soak(8, tmp_path, 215 + os.getpid() % 35)
-    soak.faults.keep_only("write_nonsense")
-    seen = asyncio.run(soak.run(4.0))
+    with reserve_block() as block:
+        soak = Soak(8, tmp_path, block)
+        soak.faults.keep_only("write_nonsense")
+        seen = asyncio.run(soak.run(4.0))
     assert seen.broken == []
     assert seen.answered > 50
 
 
 def test_evacuated_zones_and_cold_targets_are_spared(tmp_path):
     # Sends to evacuated zones, and more than cold targets bear.
-    soak = Soak(9, tmp_path, 40 + os.getpid() % 30)
-    soak.faults.keep_only("evacuate", "turn_cold", "kill", "freeze")
-    seen = asyncio.run(soak.run(12.0))
+    with reserve_block() as block:
+        soak = Soak(9, tmp_path, block)
+        soak.faults.keep_only("evacuate", "turn_cold", "kill", "freeze")
+        seen = asyncio.run(soak.run(12.0))
     assert seen.broken == []
     assert soak.zone_orders.given >= 2 and seen.answered > 50
 
@@ -67,9 +70,10 @@
 def test_targets_in_need_are_spared(tmp_path):
     # More than targets in need take, while processes fail; or no use of them
     # later.
-    soak = Soak(10, tmp_path, 1 + os.getpid() % 35)
-    soak.faults.keep_only("need", "kill", "freeze", "stop", "kill_all")
-    seen = asyncio.run(soak.run(14.0))
+    with reserve_block() as block:
+        soak = Soak(10, tmp_path, block)
+        soak.faults.keep_only("need", "kill", "freeze", "stop", "kill_all")
+        seen = asyncio.run(soak.run(14.0))
     assert seen.broken == []
     assert seen.answered > 20
 
