Show the rest that targets ask for, and that they leave, in the log

Callers saw nothing. Targets that had asked an entry for 3 s of rest got three requests from it. Two hypotheses could not be told apart by the logs: nobody reads what goes with a refusal, or it is believed and forgotten too early. No line said that rest had been asked for.

Retry-After stood among the headers that any answer may bear, so it was not counted as one that nothing reads either. It is read now, beside 503 and 429 (seconds, fractions, dates against the answer's own Date; of several the longest), and so is Server-Leaving; refused_by_target shows both. No decision differs.

Tests: 23 forms of both headers, against scripted bytes.

--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/limits/unreadrest.py
@@ -0,0 +1,8 @@
+"""Rest for a time that can't be read."""
+
+import attrs
+
+
+@attrs.frozen
+class UnreadRest:
+    """The answer asks for rest, and not in seconds that can be read."""
--- a/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
@@ -4,6 +4,8 @@
 
 from chivepier.gateway.limits import Limit
 from chivepier.gateway.limits import NoLimit
+from chivepier.gateway.limits import NoRest
+from chivepier.gateway.limits import Rest
 
 
 @attrs.frozen(kw_only=True)
@@ -17,6 +19,8 @@
     :param framed: the head says where the answer ends; else its connection
         does
     :param limit: the rate that the target takes
+    :param rest: for how long the target wants nothing from this entry
+    :param leaving: the target says that it leaves
     :param unread: names of headers that nothing reads
     """
 
@@ -25,4 +29,6 @@
     crossed: bool = False
     framed: bool = True
     limit: Limit = NoLimit()
+    rest: Rest = NoRest()
+    leaving: bool = False
     unread: tuple[str, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -18,6 +18,7 @@
 from chivepier.gateway.serving.placing import Placing
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.refusals import Refusals
+from chivepier.gateway.serving.remarks import describe_rest
 from chivepier.gateway.serving.remarks import Remarks
 from chivepier.gateway.serving.retrybudget import RetryBudget
 from chivepier.gateway.serving.returns import Returns
@@ -339,6 +340,8 @@
             target=target.instance,
             status=answer.status,
             other=facts.other_instance,
+            rest=describe_rest(facts.rest),
+            leaving=facts.leaving,
         )
         return True
 
--- a/packages/gateway/src/chivepier/gateway/serving/remarks.py
+++ b/packages/gateway/src/chivepier/gateway/serving/remarks.py
@@ -1,9 +1,12 @@
 """What targets say of themselves beside their answers."""
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.limits import AskedRest
 from chivepier.gateway.limits import LimitBoard
 from chivepier.gateway.limits import LimitWord
+from chivepier.gateway.limits import Rest
 from chivepier.gateway.limits import UnreadLimit
+from chivepier.gateway.limits import UnreadRest
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.answerfacts import AnswerFacts
 from chivepier.gateway.targets import Target
@@ -13,6 +16,8 @@
 MOST_UNREAD = 32
 # What a limit that is no number is counted as.
 UNREAD_LIMIT = "limit that is no number"
+# The same of a time in which a target wants nothing.
+UNREAD_REST = "rest that is no number"
 
 
 class Remarks:
@@ -51,6 +56,8 @@
         """
         for name in facts.unread:
             self._note_unread(target, name.lower())
+        if isinstance(facts.rest, UnreadRest):
+            self._note_unread(target, UNREAD_REST)
         match facts.limit:
             case UnreadLimit():
                 self._note_unread(target, UNREAD_LIMIT)
@@ -72,3 +79,8 @@
                 "header_unread", header=name, target=target.instance
             )
         self._metrics.note_unread_header(name)
+
+
+def describe_rest(rest: Rest) -> float | None:
+    """Return the seconds that a target asked for, for the log."""
+    return rest.seconds if isinstance(rest, AskedRest) else None
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -5,9 +5,12 @@
 import pytest
 
 from adapter.targets import Targets
+from chivepier.gateway.limits import AskedRest
 from chivepier.gateway.limits import NoLimit
+from chivepier.gateway.limits import NoRest
 from chivepier.gateway.limits import RateLimit
 from chivepier.gateway.limits import UnreadLimit
+from chivepier.gateway.limits import UnreadRest
 from chivepier.gateway.serving import AnswerCutError
 from chivepier.gateway.serving import LostError
 from chivepier.gateway.serving import MoveOutcome
@@ -21,11 +24,17 @@
 ONCE = SendOrder(seconds=1.5, once=True)
 
 
-def answer(body: bytes, identity: bytes = b"r1", extra: bytes = b"") -> bytes:
+def answer(
+    body: bytes,
+    identity: bytes = b"r1",
+    extra: bytes = b"",
+    status: bytes = b"200 OK",
+) -> bytes:
     """Build a whole answer."""
     return (
-        b"HTTP/1.1 200 OK\r\nX-Chivepier-Request-Id: %s\r\n%s"
-        b"Content-Length: %d\r\n\r\n%s" % (identity, extra, len(body), body)
+        b"HTTP/1.1 %s\r\nX-Chivepier-Request-Id: %s\r\n%s"
+        b"Content-Length: %d\r\n\r\n%s"
+        % (status, identity, extra, len(body), body)
     )
 
 
@@ -469,6 +478,83 @@
     run(script, test)
 
 
+FULL = b"503 Service Unavailable"
+NOON = b"Date: Thu, 03 Dec 2026 12:00:00 GMT\r\n"
+
+
+@pytest.mark.parametrize(
+    ("status", "header", "rest"),
+    (
+        (FULL, b"", NoRest()),
+        (FULL, b"Retry-After: 3\r\n", AskedRest(3.0)),
+        (FULL, b"retry-after:  0.25 \r\n", AskedRest(0.25)),
+        (b"429 Busy", b"Retry-After: 2\r\n", AskedRest(2.0)),
+        (b"200 OK", b"Retry-After: 3\r\n", NoRest()),
+        (b"421 Other", b"Retry-After: 3\r\n", NoRest()),
+        (FULL, b"Retry-After: 0\r\n", NoRest()),
+        (FULL, b"Retry-After: 1e9\r\n", AskedRest(1e9)),
+        (FULL, b"Retry-After: 1\r\nRetry-After: 4\r\n", AskedRest(4.0)),
+        (FULL, b"Retry-After: soon\r\nRetry-After: 4\r\n", AskedRest(4.0)),
+        (FULL, b"Retry-After: -1\r\n", UnreadRest()),
+        (FULL, b"Retry-After: nan\r\n", UnreadRest()),
+        (FULL, b"Retry-After: inf\r\n", UnreadRest()),
+        (FULL, b"Retry-After: soon\r\n", UnreadRest()),
+        (FULL, b"Retry-After:\r\n", UnreadRest()),
+        (
+            FULL,
+            NOON + b"Retry-After: Thu, 03 Dec 2026 12:00:05 GMT\r\n",
+            AskedRest(5.0),
+        ),
+        (
+            FULL,
+            NOON + b"Retry-After: Thu, 03 Dec 2026 11:00:00 GMT\r\n",
+            NoRest(),
+        ),
+        (
+            FULL,
+            b"Retry-After: Thu, 03 Dec 2026 12:00:05 GMT\r\n",
+            UnreadRest(),
+        ),
+    ),
+)
+def test_rest_is_read_of_a_refusal(status, header, rest):
+    async def script(head, writer):
+        writer.write(answer(b"", extra=header, status=status))
+
+    async def test(raw, targets):
+        reply = await targets.send(
+            raw.make_target(), rawtarget.make_request(), ORDER
+        )
+        assert reply.facts.rest == rest
+        assert reply.facts.unread == ()
+
+    run(script, test)
+
+
+@pytest.mark.parametrize(
+    ("header", "leaving"),
+    (
+        (b"", False),
+        (b"Server-Leaving: 1\r\n", True),
+        (b"server-leaving:  1 \r\n", True),
+        (b"Server-Leaving: 0\r\n", False),
+        (b"Server-Leaving:\r\n", False),
+    ),
+)
+def test_leaving_is_read_of_an_answer(header, leaving):
+    async def script(head, writer):
+        writer.write(answer(b"ok", extra=header))
+
+    async def test(raw, targets):
+        reply = await targets.send(
+            raw.make_target(), rawtarget.make_request(), ORDER
+        )
+        assert reply.facts.leaving is leaving
+        assert await read_all(reply) == b"ok"
+
+    run(script, test)
+
+
 def test_header_that_nothing_reads_is_told_by_name():
     # Targets named a limit for months before anybody knew of it.
     async def script(head, writer):
