Show with real processes that targets get no rest that they ask for

Targets that turn requests away and ask the entry for 3 s of rest get more requests from it: 12 within that time from one entry alone, 3 where three entries share the callers (aim: none after the first half second).

--- a/soak/need.py
+++ b/soak/need.py
@@ -78,6 +78,7 @@
             "X-Chivepier-Request-Id": f"n{self._number}",
             "X-Api-Key": "k1",
             "X-Chivepier-Deadline-Ms": "2000",
+            **name_sender(entry),
         }
         url = f"http://{entry.ip}:8740/once/{self._number}"
         began, status, back = time.monotonic(), 0, None
@@ -91,6 +92,14 @@
         return Reply(now, status, now - began, seconds)
 
 
+def name_sender(entry: Process) -> dict[str, str]:
+    """Return the headers by which targets know whom a request comes from.
+
+    :param entry: that it is sent to now
+    """
+    return {"X-Entry": entry.ip, "X-Sent": str(time.monotonic())}
+
+
 def count_busiest(arrivals: list[float], since: float) -> int:
     """Count the requests in the busiest window from a moment on.
 
--- a/soak/target.py
+++ b/soak/target.py
@@ -13,6 +13,7 @@
 
 from soak.promises import make_body
 from soak.promises import Promises
+from soak.wishes import Wishes
 
 BEAT_SECONDS = 0.4
 WORK_SECONDS = 0.02
@@ -70,6 +71,7 @@
         self._cold_until = 0.0
         self._cold_told: float | None = None
         self._arrived: list[float] = []
+        self.wishes = Wishes()
         self.limit: float | None = None
         self.arrivals: list[float] = []
         self._told_at: float | None = None
@@ -157,6 +159,7 @@
         :param seconds: until it starts again
         """
         await self.__aexit__()
+        self.wishes.begin_anew()
         await asyncio.sleep(seconds)
         self.restarted, self.runs, self._number = True, 0, 0
         await self.__aenter__()
@@ -206,6 +209,7 @@
         if self.limit is not None:
             echo["Server-Limit"] = str(self.limit)
         mood = self.mood
+        echo |= self._heed_wishes(request, mood == "shed")
         if mood == "shed":
             echo["X-Chivepier-Not-Run"] = "1"
             return web.Response(status=503, headers=echo)
@@ -225,6 +229,18 @@
             request.transport.abort()
         return web.Response(body=make_body(identity), headers=echo)
 
+    def _heed_wishes(
+        self, request: web.BaseRequest, refused: bool
+    ) -> dict[str, str]:
+        """Check what was asked of the sender; return what is asked now."""
+        now = time.monotonic()
+        entry = request.headers.get("X-Entry")
+        if entry is not None:
+            sent = float(request.headers["X-Sent"])
+            self.wishes.note_arrival(entry, sent, now)
+            self.wishes.note_answer(entry, refused, now)
+        return self.wishes.make_headers(refused)
+
     async def _stream(self, request, response, mood) -> None:
         await response.prepare(request)
         for number in range(1, EVENTS + 1):
