--- a/soak/need.py
+++ b/soak/need.py
@@ -29,11 +29,21 @@
     :param block: second byte of its loopback addresses
     :param seed: of everything that is drawn
     :param entries: how many
+    :param callers: how many
+    :param pause: seconds between two requests of a caller
     """
 
     def __init__(
-        self, folder: pathlib.Path, block: int, seed: int, entries: int
+        self,
+        folder: pathlib.Path,
+        block: int,
+        seed: int,
+        entries: int,
+        callers: int = CALLERS,
+        pause: float = PAUSE_SECONDS,
     ):
+        self._callers = callers
+        self._pause = pause
         self.replies: list[Reply] = []
         self.counted_from = 0.0
         self._number = 0
@@ -53,7 +63,7 @@
                     await asyncio.sleep(0.1)
             tasks = [
                 asyncio.create_task(self._call(session))
-                for _ in range(CALLERS)
+                for _ in range(self._callers)
             ]
             try:
                 yield session
@@ -66,7 +76,7 @@
         while True:
             entry = self.rng.choice(self.entries)
             self.replies.append(await self.ask(session, entry))
-            await asyncio.sleep(PAUSE_SECONDS)
+            await asyncio.sleep(self._pause)
 
     async def ask(
         self, session: aiohttp.ClientSession, entry: Process
