Reach targets through one object that asks first and hears each answer

Whether a request may go (evacuated zone, leave that has lapsed) was looked at before a connection stood, and what an answer's head says was noted after first sends and after going on elsewhere, each in its own place; reservations, moves and orders to free copies were neither asked for nor heard.

TargetCalls is now the one way to a target. Each call opens a contact: the connector begins it once the connection stands, right before the first byte, and the port tells it the head of the answer. A connection on which nothing may be sent is kept for the next call. Answers to this system's own calls say nothing of a limit, as before: they don't tell which instance gave them.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -31,6 +31,7 @@
 from chivepier.gateway.serving import SendGate
 from chivepier.gateway.serving import Serving
 from chivepier.gateway.serving import ServingState
+from chivepier.gateway.serving import TargetCalls
 from chivepier.gateway.serving import TargetPort
 from chivepier.gateway.settings import EntrySettings
 from chivepier.gateway.targets import Chooser
@@ -104,16 +105,6 @@
             rng,
             self.limits,
         )
-        self.quarantine = Quarantine(
-            settings.name,
-            self.table,
-            port.probe,
-            settings.orders,
-            clock,
-            log,
-            self.metrics,
-        )
-        guard = Guard(self.quarantine, clock)
         freshness = Freshness(clock)
         permits = Permits(
             zones=self.zones,
@@ -127,8 +118,20 @@
             metrics=self.metrics,
         )
         gate = SendGate(self.zones, permits, freshness, clock)
+        remarks = Remarks(self.limits, clock, log, self.metrics)
+        calls = TargetCalls(port, gate, remarks)
+        self.quarantine = Quarantine(
+            settings.name,
+            self.table,
+            calls.probe,
+            settings.orders,
+            clock,
+            log,
+            self.metrics,
+        )
+        guard = Guard(self.quarantine, clock)
         self.mover = Mover(
-            port,
+            calls,
             chooser,
             self.table,
             self.board,
@@ -176,11 +179,10 @@
             board=self.board,
             queues=self.queues,
             mover=self.mover,
-            port=port,
+            calls=calls,
             budget=budget,
             guard=guard,
             gate=gate,
-            remarks=Remarks(self.limits, clock, log, self.metrics),
             returns=Returns(rng),
             clock=clock,
             log=log,
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -5,9 +5,12 @@
 from chivepier.gateway.serving.bodyroom import BodyShare
 from chivepier.gateway.serving.callerport import CallerPort
 from chivepier.gateway.serving.callerrequest import CallerRequest
+from chivepier.gateway.serving.contact import Contact
 from chivepier.gateway.serving.dispatcher import Dispatcher
+from chivepier.gateway.serving.errand import Errand
 from chivepier.gateway.serving.errors import AnswerCutError
 from chivepier.gateway.serving.errors import LostError
+from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.guard import Guard
 from chivepier.gateway.serving.moved import Moved
@@ -24,6 +27,7 @@
 from chivepier.gateway.serving.serving import Serving
 from chivepier.gateway.serving.servingstate import ServingState
 from chivepier.gateway.serving.targetanswer import TargetAnswer
+from chivepier.gateway.serving.targetcalls import TargetCalls
 from chivepier.gateway.serving.targetport import TargetPort
 
 __all__ = [
@@ -33,6 +37,8 @@
     "BodyShare",
     "CallerPort",
     "CallerRequest",
+    "Contact",
+    "Errand",
     "Guard",
     "LostError",
     "Moved",
@@ -40,6 +46,7 @@
     "Planner",
     "Mover",
     "Dispatcher",
+    "NotPermittedError",
     "NotSentError",
     "Origin",
     "Prompt",
@@ -51,5 +58,6 @@
     "Serving",
     "ServingState",
     "TargetAnswer",
+    "TargetCalls",
     "TargetPort",
 ]
--- a/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
@@ -18,7 +18,8 @@
     :param crossed: the answer belongs to another request
     :param framed: the head says where the answer ends; else its connection
         does
-    :param limit: the rate that the target takes
+    :param limit: the rate that the target takes; ``None`` where the answer
+        is of a kind that tells of none
     :param rest: for how long the target wants nothing from this entry
     :param leaving: the target says that it leaves
     :param unread: names of headers that nothing reads
@@ -28,7 +29,7 @@
     other_instance: str | None = None
     crossed: bool = False
     framed: bool = True
-    limit: Limit = NoLimit()
+    limit: Limit | None = NoLimit()
     rest: Rest = NoRest()
     leaving: bool = False
     unread: tuple[str, ...] = ()
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/contact.py
@@ -0,0 +1,21 @@
+"""One exchange with a target, as an interface."""
+
+import typing
+
+from chivepier.gateway.serving.answerfacts import AnswerFacts
+
+
+class Contact(typing.Protocol):
+    """Asked right before bytes go out, and told what comes back.
+
+    What was decided before a connection stood may be wrong by then.
+    """
+
+    def begin(self) -> None:
+        """Look once more whether anything may be sent.
+
+        :raises NotPermittedError: when it must not be
+        """
+
+    def hear(self, facts: AnswerFacts) -> None:
+        """Take what the head of the answer says of the target."""
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -3,8 +3,8 @@
 import asyncio
 
 from chivepier.gateway.eventlog import EventLog
-from chivepier.gateway.limits import LimitWord
 from chivepier.gateway.quarantine import shorten
+from chivepier.gateway.serving.errand import Errand
 from chivepier.gateway.serving.errors import AnswerCutError
 from chivepier.gateway.serving.errors import LostError
 from chivepier.gateway.serving.errors import NoRoomError
@@ -19,7 +19,6 @@
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.refusals import Refusals
 from chivepier.gateway.serving.remarks import describe_rest
-from chivepier.gateway.serving.remarks import Remarks
 from chivepier.gateway.serving.retrybudget import RetryBudget
 from chivepier.gateway.serving.returns import Returns
 from chivepier.gateway.serving.runwatch import RunWatch
@@ -28,7 +27,7 @@
 from chivepier.gateway.serving.sent import Sent
 from chivepier.gateway.serving.servingstate import ServingState
 from chivepier.gateway.serving.targetanswer import TargetAnswer
-from chivepier.gateway.serving.targetport import TargetPort
+from chivepier.gateway.serving.targetcalls import TargetCalls
 from chivepier.gateway.targets import Chooser
 from chivepier.gateway.targets import LoadBoard
 from chivepier.gateway.targets import QueueBoard
@@ -58,11 +57,10 @@
     :param board: what runs where
     :param queues: what waits for room
     :param mover: watches generations
-    :param port: the protocol towards targets
+    :param calls: reaches targets
     :param budget: bounds repeats
     :param guard: keeps back what ends targets
     :param gate: knows what may be sent where
-    :param remarks: notes what answers say of their targets
     :param returns: when refused callers may come back
     :param clock: monotonic time
     :param log: decisions on requests
@@ -78,11 +76,10 @@
         board: LoadBoard,
         queues: QueueBoard,
         mover: Mover,
-        port: TargetPort,
+        calls: TargetCalls,
         budget: RetryBudget,
         guard: Guard,
         gate: SendGate,
-        remarks: Remarks,
         returns: Returns,
         clock: Clock,
         log: EventLog,
@@ -92,17 +89,16 @@
         self.chooser = chooser
         self.health = health
         self.mover = mover
-        self.port = port
+        self.calls = calls
         self.budget = budget
         self.guard = guard
         self.gate = gate
-        self.remarks = remarks
         self.clock = clock
         self.log = log
         self.runs = RunWatch(board, mover, chooser.pace, clock)
         self._refusals = Refusals(table, clock, returns)
         self._placing = Placing(
-            chooser, health, queues, port, guard, gate, clock, log
+            chooser, health, queues, calls, guard, gate, clock, log
         )
 
     async def dispatch(self, plan: Plan) -> Sent:
@@ -255,14 +251,15 @@
         self.chooser.begin(target.instance)
         began = self.clock.monotonic()
         answer: TargetAnswer | None = None
-        known = self.remarks.find_word(target)
         try:
             async with run.bound(seconds) if run else asyncio.timeout(seconds):
-                self.gate.check(target, place.permit)
-                answer = await self.port.send(
-                    target, plan.request, self._order(plan, place)
+                answer = await self.calls.send(
+                    target,
+                    plan.request,
+                    self._order(plan, place),
+                    Errand.START,
+                    place.permit,
                 )
-                self.note_remarks(target, answer, known)
                 sent = await self._read(plan, target, answer, run)
         except BaseException as error:
             if isinstance(error, (LostError, AnswerCutError, TimeoutError)):
@@ -278,19 +275,6 @@
         self._note_answer(plan, sent, began)
         return sent
 
-    def note_remarks(
-        self, target: Target, answer: TargetAnswer, known: LimitWord | None
-    ) -> None:
-        """Note what an answer's head says of the target that it is from.
-
-        :param target: that was sent to
-        :param answer: to what was sent
-        :param known: what was believed of its limit then
-        """
-        facts = answer.facts
-        if facts.other_instance is None and not facts.crossed:
-            self.remarks.take(target, facts, known)
-
     async def _read(
         self,
         plan: Plan,
--- a/packages/gateway/src/chivepier/gateway/serving/moveoutcome.py
+++ b/packages/gateway/src/chivepier/gateway/serving/moveoutcome.py
@@ -8,7 +8,8 @@
 
     ``NO_RUN``: the source runs no such request any more; ``BUSY``: another
     copy of it is under way; ``NO_ROOM``: the destination is full or can't be
-    reached from the source; ``FAILED``: no answer came.
+    reached from the source; ``FAILED``: no answer came; ``HELD_BACK``: the
+    source must not be sent anything now.
     """
 
     COPIED = "copied"
@@ -16,3 +17,4 @@
     BUSY = "busy"
     NO_ROOM = "no_room"
     FAILED = "failed"
+    HELD_BACK = "held_back"
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -12,7 +12,7 @@
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.moveoutcome import MoveOutcome
 from chivepier.gateway.serving.origin import Origin
-from chivepier.gateway.serving.targetport import TargetPort
+from chivepier.gateway.serving.targetcalls import TargetCalls
 from chivepier.gateway.targets import Chooser
 from chivepier.gateway.targets import Liveness
 from chivepier.gateway.targets import LoadBoard
@@ -46,7 +46,7 @@
     and what it made meanwhile is copied. So the caller's stream pauses for
     the second copy only, some milliseconds, and not for the first.
 
-    :param port: the protocol towards targets
+    :param calls: reaches targets
     :param chooser: finds destinations
     :param table: which targets leave
     :param board: what the other entries have to move
@@ -58,7 +58,7 @@
 
     def __init__(
         self,
-        port: TargetPort,
+        calls: TargetCalls,
         chooser: Chooser,
         table: TargetTable,
         board: LoadBoard,
@@ -68,7 +68,7 @@
         metrics: Metrics,
     ):
         self._metrics = metrics
-        self._port = port
+        self._calls = calls
         self._chooser = chooser
         self._table = table
         self._board = board
@@ -148,7 +148,7 @@
             return True
         if not self._chooser.is_open(last.target):
             return False
-        return await self._port.probe(last.target) is Liveness.ENDED
+        return await self._calls.probe(last.target) is Liveness.ENDED
 
     def note_held(self, digest: str) -> None:
         """Break off what has not begun of a request that is held back.
@@ -257,7 +257,7 @@
             case MoveOutcome.NO_ROOM if moved.handle:
                 # stopped, but the rest found no room: the source goes on
                 return moved.outcome, Handoff(source, origin)
-            case MoveOutcome.NO_RUN:
+            case MoveOutcome.NO_RUN | MoveOutcome.HELD_BACK:
                 run.stopped = False
                 await self._drop(run, copy)
                 return moved.outcome, None
@@ -275,7 +275,7 @@
         elsewhere = copy.origin is not None and copy.target is not run.target
         # nothing is sent to a zone that is evacuated; it yields by itself
         if elsewhere and self._chooser.is_open(copy.target):
-            dropped = await self._port.drop(copy.target, copy.origin.handle)
+            dropped = await self._calls.drop(copy.target, copy.origin.handle)
             self._log.info(
                 "copy_dropped",
                 id=run.request.id,
@@ -298,7 +298,7 @@
         self, run: LiveRun, source: Target, target: Target, last: bool
     ):
         began = self._clock.monotonic()
-        moved = await self._port.move(
+        moved = await self._calls.move(
             source, run.request.id, target, last, COPY_SECONDS
         )
         self._metrics.note_move(moved.outcome.value)
--- a/packages/gateway/src/chivepier/gateway/serving/placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placing.py
@@ -3,6 +3,7 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.permits import Claim
 from chivepier.gateway.serving.errors import NoRoomError
+from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.errors import OverLimitError
 from chivepier.gateway.serving.guard import Guard
@@ -10,7 +11,7 @@
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.queueticket import QueueTicket
 from chivepier.gateway.serving.sendgate import SendGate
-from chivepier.gateway.serving.targetport import TargetPort
+from chivepier.gateway.serving.targetcalls import TargetCalls
 from chivepier.gateway.serving.waiting import find_rank
 from chivepier.gateway.serving.waiting import find_stage
 from chivepier.gateway.serving.waiting import REFUSED_SHARE
@@ -49,7 +50,7 @@
     :param chooser: orders the targets
     :param health: learns which can't be reached
     :param queues: what waits at all entries
-    :param port: the protocol towards targets
+    :param calls: reaches targets
     :param guard: knows what must not be sent
     :param gate: knows what may be sent where
     :param clock: monotonic time
@@ -61,7 +62,7 @@
         chooser: Chooser,
         health: TargetHealth,
         queues: QueueBoard,
-        port: TargetPort,
+        calls: TargetCalls,
         guard: Guard,
         gate: SendGate,
         clock: Clock,
@@ -70,7 +71,7 @@
         self._chooser = chooser
         self._health = health
         self._queues = queues
-        self._port = port
+        self._calls = calls
         self._guard = guard
         self._gate = gate
         self._clock = clock
@@ -251,7 +252,10 @@
     async def _reserve(self, plan: Plan, target: Target) -> str | None:
         seconds = min(KEPT_SECONDS, plan.service.engine.reserve_seconds)
         try:
-            return await self._port.reserve(target, plan.demand.soon, seconds)
+            return await self._calls.reserve(target, plan.demand.soon, seconds)
+        except NotPermittedError:
+            # it was permitted a moment ago, and says nothing of the target
+            return None
         except NotSentError as error:
             self._chooser.avoid(target.instance)
             self._log.warn(
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -5,6 +5,7 @@
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.callerport import CallerPort
 from chivepier.gateway.serving.dispatcher import Dispatcher
+from chivepier.gateway.serving.errand import Errand
 from chivepier.gateway.serving.errors import AnswerCutError
 from chivepier.gateway.serving.errors import LostError
 from chivepier.gateway.serving.errors import NotSentError
@@ -275,13 +276,13 @@
             once=not plan.repeatable,
         )
         seconds = min(order.seconds, ANSWER_SECONDS)
-        known = dispatcher.remarks.find_word(handoff.target)
+        # what carries no memory there is new work
+        errand = Errand.GO_ON if handoff.origin else Errand.START
         async with asyncio.timeout(seconds):
-            answer = await dispatcher.port.send(
-                handoff.target, plan.request, order
+            answer = await dispatcher.calls.send(
+                handoff.target, plan.request, order, errand
             )
         facts = answer.facts
-        dispatcher.note_remarks(handoff.target, answer, known)
         refused = facts.not_run or facts.other_instance is not None
         if refused or facts.crossed or answer.status >= 300:
             answer.close()
--- a/packages/gateway/src/chivepier/gateway/serving/remarks.py
+++ b/packages/gateway/src/chivepier/gateway/serving/remarks.py
@@ -50,15 +50,21 @@
     ) -> None:
         """Note an answer's head.
 
+        That of another instance at the target's address says nothing of it.
+
         :param target: that answered
         :param facts: read from the head
         :param known: what was believed of its limit when it was sent to
         """
         for name in facts.unread:
             self._note_unread(target, name.lower())
+        if facts.other_instance is not None:
+            return
         if isinstance(facts.rest, UnreadRest):
             self._note_unread(target, UNREAD_REST)
         match facts.limit:
+            case None:
+                pass
             case UnreadLimit():
                 self._note_unread(target, UNREAD_LIMIT)
             case limit:
--- a/packages/gateway/src/chivepier/gateway/serving/sendgate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/sendgate.py
@@ -6,6 +6,7 @@
 from chivepier.gateway.permits import Claim
 from chivepier.gateway.permits import Permit
 from chivepier.gateway.permits import Permits
+from chivepier.gateway.serving.errand import Errand
 from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.targets import Target
 from chivepier.gateway.zones import Freshness
@@ -73,22 +74,31 @@
         """Return the seconds until a target in need is to be asked for."""
         return self._permits.find_pause(target, claim)
 
-    def check(self, target: Target, permit: Permit) -> None:
-        """Look once more, right before a request is sent.
+    def check(self, target: Target, errand: Errand, permit: Permit) -> None:
+        """Look once more, right before anything is sent.
 
-        What waited for room, or for a reservation, may meanwhile be meant
-        for a zone that is evacuated.
+        What waited for room, for a reservation or for a connection may
+        meanwhile be meant for a zone that is evacuated.
 
         :param target: where it is to go
+        :param errand: what for
         :param permit: that was taken for it
         :raises NotPermittedError: when it must not be sent there now
         """
         now = self._clock.monotonic()
-        if self._zones.is_evacuated(target.zone, now):
-            raise NotPermittedError(f"{target.zone} is evacuated")
+        match errand:
+            case Errand.START if self._zones.is_evacuated(target.zone, now):
+                raise NotPermittedError(f"{target.zone} is evacuated")
+            case Errand.GO_ON if not self.may_go_on(target):
+                raise NotPermittedError(f"{target.zone} is evacuated")
         if now > permit.until:
             raise NotPermittedError("the permit has lapsed")
 
+    def may_look(self, target: Target) -> bool:
+        """Tell whether it may be looked whether a target lives."""
+        now = self._clock.monotonic()
+        return not self._zones.is_evacuated(target.zone, now)
+
     def may_go_on(self, target: Target) -> bool:
         """Tell whether a generation may go on at a copy at a target."""
         now = self._clock.monotonic()
--- a/packages/gateway/src/chivepier/gateway/serving/targetport.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetport.py
@@ -3,6 +3,7 @@
 import typing
 
 from chivepier.gateway.serving.callerrequest import CallerRequest
+from chivepier.gateway.serving.contact import Contact
 from chivepier.gateway.serving.moved import Moved
 from chivepier.gateway.serving.sendorder import SendOrder
 from chivepier.gateway.serving.targetanswer import TargetAnswer
@@ -11,25 +12,35 @@
 
 
 class TargetPort(typing.Protocol):
-    """What serving needs of the protocol towards targets."""
+    """What serving needs of the protocol towards targets.
+
+    A contact is begun right before the first byte of a call, once its
+    connection stands, and hears the head of its answer.
+    """
 
     async def send(
-        self, target: Target, request: CallerRequest, order: SendOrder
+        self,
+        target: Target,
+        request: CallerRequest,
+        order: SendOrder,
+        contact: Contact,
     ) -> TargetAnswer:
         """Send a request and return the head of its answer.
 
+        :raises NotPermittedError: when the contact must not begin
         :raises NotSentError: when it never left this process
         :raises LostError: when no answer came
         """
 
     async def reserve(
-        self, target: Target, tokens: int, seconds: float
+        self, target: Target, tokens: int, seconds: float, contact: Contact
     ) -> str | None:
         """Reserve a slot and memory before a request is sent.
 
         :param tokens: of memory
         :param seconds: for which it is kept unused
         :returns: the reservation's name; ``None`` when there is no room
+        :raises NotPermittedError: when the contact must not begin
         :raises NotSentError: when the target can't be reached
         """
 
@@ -40,11 +51,13 @@
         destination: Target,
         last: bool,
         seconds: float,
+        contact: Contact,
     ) -> Moved:
         """Copy a live generation's memory to another target.
 
         :param last: stop the run first
         :param seconds: to wait for the copy
+        :raises NotPermittedError: when the contact must not begin
         """
 
     def hang_up(self, target: Target) -> None:
@@ -59,10 +72,13 @@
         :param target: that a request was lost at
         """
 
-    async def drop(self, target: Target, handle: str) -> bool:
+    async def drop(
+        self, target: Target, handle: str, contact: Contact
+    ) -> bool:
         """Free a copy that no generation goes on from.
 
         :param target: that keeps it
         :param handle: the copy's name
         :returns: whether the target says that it is free
+        :raises NotPermittedError: when the contact must not begin
         """
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -91,11 +91,12 @@
         self.sent = asyncio.Event()
         self.moved = asyncio.Event()
 
-    async def send(self, target, request, order) -> FakeAnswer:
+    async def send(self, target, request, order, contact) -> FakeAnswer:
         """Run a request, or go on from a copy."""
         name = target.instance
         if name in self.dark:
             raise NotSentError("refused")
+        contact.begin()
         answer = FakeAnswer(
             name, request.id, int(order.after_event or 0), facts=self.facts
         )
@@ -115,13 +116,16 @@
             answer.end()
         else:
             self.answers.append(answer)
+        contact.hear(answer.facts)
         self.sent.set()
         return answer
 
-    async def reserve(self, target, tokens, seconds) -> str | None:
+    async def reserve(self, target, tokens, seconds, contact) -> str | None:
         """Reserve room at a target that is not full."""
         if target.instance in self.dark:
             raise NotSentError("refused")
+        contact.begin()
+        contact.hear(self.facts)
         if target.instance in self.full:
             return None
         self.reserved.append((target.instance, tokens))
@@ -132,8 +136,12 @@
             return True
         return (order.origin.address, order.origin.handle) in self.copies
 
-    async def move(self, source, request_id, destination, last, seconds):
+    async def move(
+        self, source, request_id, destination, last, seconds, contact
+    ):
         """Copy a run's memory; the last copy stops it first."""
+        contact.begin()
+        contact.hear(self.facts)
         self.moves.append((source.instance, destination.instance, last))
         self.moved.set()
         await asyncio.sleep(0)
@@ -161,8 +169,10 @@
         ended = target.instance in self.ended
         return Liveness.ENDED if ended else Liveness.LIVES
 
-    async def drop(self, target, handle) -> bool:
+    async def drop(self, target, handle, contact) -> bool:
         """Free a copy."""
+        contact.begin()
+        contact.hear(self.facts)
         self.dropped.append((target.instance, handle))
         return True
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -44,6 +44,7 @@
 from chivepier.gateway.serving import SendGate
 from chivepier.gateway.serving import Serving
 from chivepier.gateway.serving import ServingState
+from chivepier.gateway.serving import TargetCalls
 from chivepier.gateway.serving.tests.fakeengines import FakeAnswer
 from chivepier.gateway.serving.tests.fakeengines import FakeCaller
 from chivepier.gateway.serving.tests.fakeengines import FakeEngines
@@ -137,16 +138,6 @@
         chooser = Chooser(
             self.table, self.health, self.board, "a", clock, rng, self.limits
         )
-        self.quarantine = Quarantine(
-            "e1",
-            self.table,
-            self.engines.probe,
-            Orders(),
-            clock,
-            log,
-            Metrics(),
-        )
-        guard = Guard(self.quarantine, clock)
         self.permitted: bool | None = True
         self.asked: list[tuple[str, int]] = []
         self.turn = Turn(True, 0.0)
@@ -164,8 +155,20 @@
         )
         self.freshness = Freshness(clock)
         gate = SendGate(self.zones, permits, self.freshness, clock)
+        remarks = Remarks(self.limits, clock, log, Metrics())
+        calls = TargetCalls(self.engines, gate, remarks)
+        self.quarantine = Quarantine(
+            "e1",
+            self.table,
+            calls.probe,
+            Orders(),
+            clock,
+            log,
+            Metrics(),
+        )
+        guard = Guard(self.quarantine, clock)
         self.mover = Mover(
-            self.engines,
+            calls,
             chooser,
             self.table,
             self.board,
@@ -185,11 +188,10 @@
             board=self.board,
             queues=self.queues,
             mover=self.mover,
-            port=self.engines,
+            calls=calls,
             budget=self.budget,
             guard=guard,
             gate=gate,
-            remarks=Remarks(self.limits, clock, log, Metrics()),
             returns=Returns(rng),
             clock=clock,
             log=log,
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
@@ -81,12 +81,12 @@
         move = parts.engines.move
         booked = {}
 
-        async def hold(source, identity, destination, last, seconds):
+        async def hold(source, identity, destination, last, *rest):
             started.set()
             total = parts.board.total(destination.instance, 0.0)
             booked[destination.instance] = total.tokens
             await release.wait()
-            return await move(source, identity, destination, last, seconds)
+            return await move(source, identity, destination, last, *rest)
 
         parts.engines.move = hold
         parts.leave(run.target)
@@ -106,12 +106,12 @@
         caller, task, run = await begin(parts)
         move = parts.engines.move
 
-        async def fill(source, identity, destination, last, seconds):
+        async def fill(source, identity, destination, last, *rest):
             if last:
                 parts.engines.full.add(destination.instance)
                 handle = f"h-{identity}"
                 parts.engines.copies.add((source.address, handle))
-            return await move(source, identity, destination, last, seconds)
+            return await move(source, identity, destination, last, *rest)
 
         parts.engines.move = fill
         parts.leave(run.target)
@@ -167,10 +167,10 @@
         caller, task, run = await begin(parts)
         move = parts.engines.move
 
-        async def end(source, identity, destination, last, seconds):
+        async def end(source, identity, destination, last, *rest):
             if last:
                 return Moved(MoveOutcome.NO_RUN)
-            moved = await move(source, identity, destination, last, seconds)
+            moved = await move(source, identity, destination, last, *rest)
             run.end()
             return moved
 
@@ -192,11 +192,11 @@
         caller, task, run = await begin(parts)
         move = parts.engines.move
 
-        async def die(source, identity, destination, last, seconds):
+        async def die(source, identity, destination, last, *rest):
             if last:
                 run.cut()
                 return Moved(MoveOutcome.FAILED)
-            return await move(source, identity, destination, last, seconds)
+            return await move(source, identity, destination, last, *rest)
 
         parts.engines.move = die
         parts.leave(run.target)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_zonerules.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_zonerules.py
@@ -125,8 +125,8 @@
         put(parts, "a1", "a")
         reserve = parts.engines.reserve
 
-        async def reserve_late(target, tokens, seconds):
-            name = await reserve(target, tokens, seconds)
+        async def reserve_late(target, tokens, seconds, contact):
+            name = await reserve(target, tokens, seconds, contact)
             if target.zone == "a":
                 parts.evacuate("a")
                 put(parts, "b1", "b")
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -14,6 +14,7 @@
 from chivepier.gateway.serving import AnswerCutError
 from chivepier.gateway.serving import LostError
 from chivepier.gateway.serving import MoveOutcome
+from chivepier.gateway.serving import NotPermittedError
 from chivepier.gateway.serving import NotSentError
 from chivepier.gateway.serving import Origin
 from chivepier.gateway.serving import SendOrder
@@ -47,6 +48,41 @@
     return data
 
 
+class Free:
+    """A contact that may begin; notes what it hears."""
+
+    def __init__(self):
+        self.heard: list = []
+
+    def begin(self) -> None:
+        """Allow everything."""
+
+    def hear(self, facts) -> None:
+        """Note an answer's head."""
+        self.heard.append(facts)
+
+
+def send(targets, target, request, order):
+    """Send a request that may go."""
+    return targets.send(target, request, order, Free())
+
+
+def reserve(targets, target, tokens, seconds):
+    """Reserve room at a target that may be asked."""
+    return targets.reserve(target, tokens, seconds, Free())
+
+
+def move(targets, source, request_id, destination, last, seconds):
+    """Move a run whose target may be asked."""
+    work = (source, request_id, destination, last, seconds)
+    return targets.move(*work, Free())
+
+
+def drop(targets, target, handle):
+    """Free a copy at a target that may be asked."""
+    return targets.drop(target, handle, Free())
+
+
 def run(script, test):
     """Run a test against a target that follows a script."""
 
@@ -63,8 +99,8 @@
         writer.write(answer(b"ok"))
 
     async def test(raw, targets):
-        reply = await targets.send(
-            raw.make_target(), rawtarget.make_request(), ORDER
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), ORDER
         )
         assert (reply.status, await read_all(reply)) == (200, b"ok")
         lines = raw.requests[0].decode().split("\r\n")
@@ -123,8 +159,8 @@
         rawtarget.reset(writer)
 
     async def test(raw, targets):
-        reply = await targets.send(
-            raw.make_target(), rawtarget.make_request(), ORDER
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), ORDER
         )
         with pytest.raises(AnswerCutError):
             await read_all(reply)
@@ -142,8 +178,8 @@
         writer.close()
 
     async def test(raw, targets):
-        reply = await targets.send(
-            raw.make_target(), rawtarget.make_request(), ORDER
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), ORDER
         )
         assert await read_all(reply) == b"all"
 
@@ -157,8 +193,8 @@
         writer.close()
 
     async def test(raw, targets):
-        reply = await targets.send(
-            raw.make_target(), rawtarget.make_request(), ORDER
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), ORDER
         )
         with pytest.raises(AnswerCutError):
             await read_all(reply)
@@ -181,13 +217,15 @@
 
     async def test(raw, targets):
         target = raw.make_target()
-        first = await targets.send(target, rawtarget.make_request("r1"), ORDER)
+        first = await send(
+            targets, target, rawtarget.make_request("r1"), ORDER
+        )
         assert await read_all(first) == b"r1"
         released.set()
         while not targets.holds_surplus():
             await asyncio.sleep(0)
-        second = await targets.send(
-            target, rawtarget.make_request("r2"), ORDER
+        second = await send(
+            targets, target, rawtarget.make_request("r2"), ORDER
         )
         assert not second.facts.crossed
         assert await read_all(second) == b"r2"
@@ -201,8 +239,8 @@
         writer.write(answer(b"x", b"other"))
 
     async def test(raw, targets):
-        reply = await targets.send(
-            raw.make_target(), rawtarget.make_request(), ORDER
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), ORDER
         )
         assert reply.facts.crossed
 
@@ -220,10 +258,12 @@
 
     async def test(raw, targets):
         target = raw.make_target()
-        first = await targets.send(target, rawtarget.make_request("r1"), ORDER)
+        first = await send(
+            targets, target, rawtarget.make_request("r1"), ORDER
+        )
         await read_all(first)
         with pytest.raises(LostError):
-            await targets.send(target, rawtarget.make_request("x2"), ORDER)
+            await send(targets, target, rawtarget.make_request("x2"), ORDER)
         sent = [head for head in raw.requests if b"x2" in head]
         assert len(sent) == 1
 
@@ -238,7 +278,7 @@
         target = raw.make_target()
         await raw.__aexit__()
         with pytest.raises(NotSentError):
-            await targets.send(target, rawtarget.make_request(), ORDER)
+            await send(targets, target, rawtarget.make_request(), ORDER)
 
     run(script, test)
 
@@ -260,8 +300,8 @@
         writer.write(text)
 
     async def test(raw, targets):
-        reply = await targets.send(
-            raw.make_target(), rawtarget.make_request(), ORDER
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), ORDER
         )
         await read_all(reply)
         assert reply.facts.not_run is not_run
@@ -287,7 +327,7 @@
 
     async def test(raw, targets):
         target = raw.make_target()
-        moved = await targets.move(target, "r1", target, True, 2.0)
+        moved = await move(targets, target, "r1", target, True, 2.0)
         assert (moved.outcome, moved.handle) == (outcome, handle)
 
     run(script, test)
@@ -303,8 +343,8 @@
             origin=Origin("10.0.0.1:80", "h1"),
             after_event="7",
         )
-        reply = await targets.send(
-            raw.make_target(), rawtarget.make_request(), order
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), order
         )
         await read_all(reply)
         lines = raw.requests[0].decode().split("\r\n")
@@ -332,7 +372,7 @@
 
     async def test(raw, targets):
         target = raw.make_target()
-        assert await targets.reserve(target, 100, 1.0) == handle
+        assert await reserve(targets, target, 100, 1.0) == handle
         assert raw.requests[0].startswith(b"POST /chivepier/hold-take ")
 
     run(script, test)
@@ -344,7 +384,7 @@
 
     async def test(raw, targets):
         with pytest.raises(NotSentError):
-            await targets.reserve(raw.make_target(), 100, 1.0)
+            await reserve(targets, raw.make_target(), 100, 1.0)
 
     run(script, test)
 
@@ -354,7 +394,7 @@
         writer.write(answer(b"{}"))
 
     async def test(raw, targets):
-        assert await targets.drop(raw.make_target(), "h1")
+        assert await drop(targets, raw.make_target(), "h1")
         head = raw.requests[0].decode().split("\r\n")[0]
         assert head == "DELETE /chivepier/kv-handle/h1 HTTP/1.1"
 
@@ -366,7 +406,7 @@
         writer.close()
 
     async def test(raw, targets):
-        assert not await targets.drop(raw.make_target(), "h1")
+        assert not await drop(targets, raw.make_target(), "h1")
 
     run(script, test)
 
@@ -386,10 +426,10 @@
     async def test(raw, targets):
         raws.append(raw)
         target = raw.make_target()
-        first = await targets.send(target, rawtarget.make_request(), ONCE)
+        first = await send(targets, target, rawtarget.make_request(), ONCE)
         assert await read_all(first) == b"ok"
         await asyncio.sleep(0.3)
-        second = await targets.send(target, rawtarget.make_request(), ONCE)
+        second = await send(targets, target, rawtarget.make_request(), ONCE)
         assert await read_all(second) == b"again"
 
     run(script, test)
@@ -402,7 +442,9 @@
     async def test(raw, targets):
         target = raw.make_target()
         for _ in range(2):
-            reply = await targets.send(target, rawtarget.make_request(), ORDER)
+            reply = await send(
+                targets, target, rawtarget.make_request(), ORDER
+            )
             assert await read_all(reply) == b"ok"
             await asyncio.sleep(0.3)
         assert raw.connections == 1
@@ -424,8 +466,8 @@
     async def test(raw, targets):
         raws.append(raw)
         target = raw.make_target()
-        assert await targets.reserve(target, 100, 1.0) == "h1"
-        reply = await targets.send(target, rawtarget.make_request(), ONCE)
+        assert await reserve(targets, target, 100, 1.0) == "h1"
+        reply = await send(targets, target, rawtarget.make_request(), ONCE)
         assert await read_all(reply) == b"ok"
         assert raw.connections == 1
 
@@ -439,7 +481,9 @@
     async def test(raw, targets):
         target = raw.make_target()
         for connections in (1, 2):
-            reply = await targets.send(target, rawtarget.make_request(), ORDER)
+            reply = await send(
+                targets, target, rawtarget.make_request(), ORDER
+            )
             assert await read_all(reply) == b"ok"
             assert raw.connections == connections
             targets.hang_up(target)
@@ -468,8 +512,8 @@
         writer.write(answer(b"ok", extra=header))
 
     async def test(raw, targets):
-        reply = await targets.send(
-            raw.make_target(), rawtarget.make_request(), ORDER
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), ORDER
         )
         assert reply.facts.limit == limit
         assert reply.facts.unread == ()
@@ -522,8 +566,8 @@
         writer.write(answer(b"", extra=header, status=status))
 
     async def test(raw, targets):
-        reply = await targets.send(
-            raw.make_target(), rawtarget.make_request(), ORDER
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), ORDER
         )
         assert reply.facts.rest == rest
         assert reply.facts.unread == ()
@@ -546,8 +590,8 @@
         writer.write(answer(b"ok", extra=header))
 
     async def test(raw, targets):
-        reply = await targets.send(
-            raw.make_target(), rawtarget.make_request(), ORDER
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), ORDER
         )
         assert reply.facts.leaving is leaving
         assert await read_all(reply) == b"ok"
@@ -561,9 +605,68 @@
         writer.write(answer(b"ok", extra=b"Server-Wish: 3\r\n"))
 
     async def test(raw, targets):
-        reply = await targets.send(
-            raw.make_target(), rawtarget.make_request(), ORDER
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), ORDER
         )
         assert reply.facts.unread == ("Server-Wish",)
 
     run(script, test)
+
+
+class Forbidden(Free):
+    """A contact that must not begin."""
+
+    def begin(self) -> None:
+        """Refuse."""
+        raise NotPermittedError("not now")
+
+
+CALLS = {
+    "send": lambda targets, target, contact: targets.send(
+        target, rawtarget.make_request(), ORDER, contact
+    ),
+    "reserve": lambda targets, target, contact: targets.reserve(
+        target, 100, 1.0, contact
+    ),
+    "move": lambda targets, target, contact: targets.move(
+        target, "r1", target, True, 1.0, contact
+    ),
+    "drop": lambda targets, target, contact: targets.drop(
+        target, "h1", contact
+    ),
+}
+
+
+@pytest.mark.parametrize("kind", CALLS)
+def test_nothing_is_sent_on_a_contact_that_must_not_begin(kind):
+    # What was decided before a connection stood went out after it.
+    async def script(head, writer):
+        writer.write(answer(b"{}"))
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        for _ in range(2):
+            with pytest.raises(NotPermittedError):
+                await CALLS[kind](targets, target, Forbidden())
+        assert raw.requests == []
+        await CALLS[kind](targets, target, Free())
+        # the connection that stood for nothing serves the next call
+        assert (len(raw.requests), raw.connections) == (1, 1)
+
+    run(script, test)
+
+
+@pytest.mark.parametrize("kind", CALLS)
+def test_each_call_hears_what_its_answer_says(kind):
+    words = b"Retry-After: 2\r\nServer-Leaving: 1\r\n"
+
+    async def script(head, writer):
+        writer.write(answer(b"{}", extra=words, status=FULL))
+
+    async def test(raw, targets):
+        contact = Free()
+        await CALLS[kind](targets, raw.make_target(), contact)
+        (facts,) = contact.heard
+        assert (facts.rest, facts.leaving) == (AskedRest(2.0), True)
+
+    run(script, test)
