Send a target nothing for as long as it asked this entry to wait

Targets that turned requests away and asked the entry for 3 s of rest got three requests from it in that time. Callers saw nothing: another target answered.

Cause: no part read what goes with a refusal. It was taken as one request turned away, and the target was ranked for the next one as before; only an average of failures, after three refusals within its memory of 4 s, kept it out. Ruled out: repeats (all were first sends), a choice that takes all where none is sound (three others answered), other entries' sends (the reports count one entry's).

Now RestBoard keeps, by life, until when a target wants nothing from this entry: the longest that was asked for counts, one hour at most, and no late answer ends it. It is asked in two places: targets at rest are not chosen, for requests, reservations, copies or probes, and TargetCalls looks once more with the connection standing, right before the first byte, for every kind of call. So what waited for a place, a turn or a connection is held back as well. After the end one request goes first, and others once it is answered; ends are spread by a tenth. If all targets rest past what a request can wait for, its caller is told at once, truly that nothing ran, and when the first is back, spread. A repeat that finds no target takes none from the budget any more.

The rest binds the entry that was asked, not the others.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -13,6 +13,7 @@
 from chivepier.gateway.following import QuarantineExchange
 from chivepier.gateway.limits import LimitBoard
 from chivepier.gateway.limits import LimitWord
+from chivepier.gateway.limits import RestBoard
 from chivepier.gateway.messages import PermitAnswer
 from chivepier.gateway.messages import PermitRequest
 from chivepier.gateway.metrics import Metrics
@@ -96,6 +97,7 @@
         self.queues = QueueBoard(settings.name, self.board.changed)
         self.limits = LimitBoard(settings.name)
         self.limits.watchers.append(self._note_limit)
+        self.rests = RestBoard(rng)
         chooser = Chooser(
             self.table,
             self.health,
@@ -104,6 +106,7 @@
             clock,
             rng,
             self.limits,
+            self.rests,
         )
         freshness = Freshness(clock)
         permits = Permits(
@@ -117,8 +120,10 @@
             log=log,
             metrics=self.metrics,
         )
-        gate = SendGate(self.zones, permits, freshness, clock)
-        remarks = Remarks(self.limits, clock, log, self.metrics)
+        gate = SendGate(
+            self.zones, permits, self.rests, freshness, clock, self.metrics
+        )
+        remarks = Remarks(self.limits, self.rests, clock, log, self.metrics)
         calls = TargetCalls(port, gate, remarks)
         self.quarantine = Quarantine(
             settings.name,
@@ -242,6 +247,7 @@
         self.board.forget(target.instance)
         self.health.forget(target.instance)
         self.limits.forget(target.instance, target.born)
+        self.rests.forget(target.instance, target.born)
 
     def _note_restart(self, target: Target) -> None:
         self._log.info(
--- a/packages/gateway/src/chivepier/gateway/limits/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/limits/__init__.py
@@ -11,6 +11,9 @@
 from chivepier.gateway.limits.records import pack_words
 from chivepier.gateway.limits.records import unpack_words
 from chivepier.gateway.limits.rest import Rest
+from chivepier.gateway.limits.restboard import MOST_REST_SECONDS
+from chivepier.gateway.limits.restboard import RestBoard
+from chivepier.gateway.limits.restboard import TRIAL_SECONDS
 from chivepier.gateway.limits.unreadlimit import UnreadLimit
 from chivepier.gateway.limits.unreadrest import UnreadRest
 
@@ -19,11 +22,14 @@
     "Limit",
     "LimitBoard",
     "LimitWord",
+    "MOST_REST_SECONDS",
     "MOST_UNKNOWN",
     "NoLimit",
     "NoRest",
     "RateLimit",
     "Rest",
+    "RestBoard",
+    "TRIAL_SECONDS",
     "UnreadLimit",
     "UnreadRest",
     "pack_words",
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/limits/standingrest.py
@@ -0,0 +1,16 @@
+"""A rest that a target was promised."""
+
+import attrs
+
+
+@attrs.define
+class StandingRest:
+    """Until when a target gets nothing, and what follows.
+
+    :param until: in monotonic seconds
+    :param tried_until: after its end, until when the answer to the first
+        request is awaited before another one goes; in monotonic seconds
+    """
+
+    until: float
+    tried_until: float = float("-inf")
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -23,6 +23,8 @@
     "cold_permits",
     "limit_permits",
     "unread",
+    "rests",
+    "held_back",
 )
 
 
@@ -117,6 +119,20 @@
         """
         self._note(f"{kind}_permits", (answer,), 1.0)
 
+    def note_rest(self, service: str) -> None:
+        """Count an answer whose target asks for rest.
+
+        :param service: the target's
+        """
+        self._note("rests", (service,), 1.0)
+
+    def note_held_back(self, reason: str) -> None:
+        """Count what was not sent at the last moment.
+
+        :param reason: ``rest``, ``evacuated`` or ``permit``
+        """
+        self._note("held_back", (reason,), 1.0)
+
     def note_unread_header(self, name: str) -> None:
         """Count a header of a target's answer that nothing reads.
 
@@ -196,6 +212,18 @@
             ("answer",),
             registry=registry,
         ),
+        "rests": library.Counter(
+            "chivepier_rests",
+            "Answers whose target asks this entry to send nothing.",
+            ("service",),
+            registry=registry,
+        ),
+        "held_back": library.Counter(
+            "chivepier_held_back",
+            "Calls of targets that were given up right before they went out.",
+            ("reason",),
+            registry=registry,
+        ),
         "unread": library.Counter(
             "chivepier_unread_headers",
             "Headers of targets' answers that nothing reads.",
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -5,6 +5,7 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.quarantine import shorten
 from chivepier.gateway.serving.errand import Errand
+from chivepier.gateway.serving.errors import AllAtRestError
 from chivepier.gateway.serving.errors import AnswerCutError
 from chivepier.gateway.serving.errors import LostError
 from chivepier.gateway.serving.errors import NoRoomError
@@ -172,6 +173,8 @@
             raise self._refusals.give_up(plan, runs, text) from None
         except OverLimitError as error:
             raise self._give_up_over_limit(plan, runs, error) from None
+        except AllAtRestError as error:
+            raise self._give_up_at_rest(plan, runs, error) from None
 
     def _note_not_sent(
         self, plan: Plan, target: Target, error: NotSentError
@@ -206,6 +209,22 @@
         )
         return given_up
 
+    def _give_up_at_rest(
+        self, plan: Plan, runs: int, error: AllAtRestError
+    ) -> RequestError:
+        given_up = self._refusals.give_up_at_rest(plan, runs, error.seconds)
+        pause = given_up.failure.retry_after
+        self.log.warn(
+            "all_at_rest",
+            id=plan.request.id,
+            service=plan.service.name,
+            team=plan.team,
+            urgency=plan.urgency,
+            first_ms=round(1000 * error.seconds),
+            back_ms=pause and round(1000 * pause.total_seconds()),
+        )
+        return given_up
+
     def _note_place(self, plan: Plan, place: Place) -> None:
         target, demand = place.target, plan.demand
         load = self.chooser.find_load(target.instance)
--- a/packages/gateway/src/chivepier/gateway/serving/errors.py
+++ b/packages/gateway/src/chivepier/gateway/serving/errors.py
@@ -24,6 +24,17 @@
         self.rate = rate
 
 
+class AllAtRestError(Exception):
+    """All targets have asked this entry to send nothing for a while.
+
+    :param seconds: until the first of them may be sent something
+    """
+
+    def __init__(self, seconds: float):
+        super().__init__(f"all targets are at rest for {seconds:.3f} s")
+        self.seconds = seconds
+
+
 class LostError(Exception):
     """The connection broke before an answer: it may have run."""
 
--- a/packages/gateway/src/chivepier/gateway/serving/placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placing.py
@@ -2,6 +2,7 @@
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.permits import Claim
+from chivepier.gateway.serving.errors import AllAtRestError
 from chivepier.gateway.serving.errors import NoRoomError
 from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.serving.errors import NotSentError
@@ -86,12 +87,17 @@
             must not be sent any more
         :raises NoRoomError: when none had room for too long
         :raises OverLimitError: when all are in need and take no more
+        :raises AllAtRestError: when all are at rest for too long
         """
         engine = plan.service.engine
         if plan.demand is None or engine is None or not engine.reserve_seconds:
+            await self._await_rests(plan)
             return await self._find_permitted(plan, tried)
         with QueueTicket(self._queues, plan.service.name) as ticket:
-            while self._rank(plan, tried) and not self._guard.holds(plan):
+            while not self._guard.holds(plan):
+                await self._await_rests(plan, ticket)
+                if not self._rank(plan, tried):
+                    break
                 stage = self._find_stage(plan)
                 shortage = self._check_limits(plan)
                 if stage is Stage.OVER:
@@ -106,6 +112,33 @@
                 await self._gate.settle()
         return None
 
+    async def _await_rests(
+        self, plan: Plan, ticket: QueueTicket | None = None
+    ) -> None:
+        """Wait while all targets are at rest, if one is back soon enough.
+
+        :param plan: the request's
+        :param ticket: shows that it waits
+        :raises AllAtRestError: when none is
+        """
+        service = plan.service.name
+        while True:
+            pause = self._chooser.find_rest(service, plan.regions)
+            if pause is None:
+                return
+            now = self._clock.monotonic()
+            if now + pause > self._find_last_start(plan):
+                raise AllAtRestError(pause)
+            if ticket is not None:
+                ticket.wait(self._find_rank(plan))
+            await self._clock.sleep(pause)
+
+    def _find_last_start(self, plan: Plan) -> float:
+        """Return until when a request waits for targets that take nothing."""
+        share = PATIENT_SHARE if plan.demand is None else REFUSED_SHARE
+        last = plan.request.arrived + share * plan.route.objective
+        return min(last, plan.deadline)
+
     async def _find_permitted(
         self, plan: Plan, tried: set[str]
     ) -> Place | None:
@@ -194,8 +227,7 @@
         # those of its own rank go first, too: it has just come
         rank = self._find_rank(plan) + 1
         ahead = self._queues.ahead(plan.service.name, rank, now)
-        last = plan.request.arrived + REFUSED_SHARE * plan.route.objective
-        seconds = min(last, plan.deadline) - now
+        seconds = self._find_last_start(plan) - now
         if ahead > rate * seconds:
             raise OverLimitError(rate)
         return True
--- a/packages/gateway/src/chivepier/gateway/serving/refusals.py
+++ b/packages/gateway/src/chivepier/gateway/serving/refusals.py
@@ -109,6 +109,22 @@
         failure = Failure(ErrorKind.OVERLOADED, text, Ran.NO, pause)
         return RequestError(failure)
 
+    def give_up_at_rest(
+        self, plan: Plan, runs: int, seconds: float
+    ) -> RequestError:
+        """Return the error of a request whose targets are all at rest.
+
+        :param plan: the request's
+        :param runs: targets that may have run it
+        :param seconds: until the first of them is back
+        """
+        text = "its targets have asked this instance to wait"
+        if runs:
+            return self.give_up(plan, runs, text)
+        pause = datetime.timedelta(seconds=self._returns.spread(seconds))
+        failure = Failure(ErrorKind.OVERLOADED, text, Ran.NO, pause)
+        return RequestError(failure)
+
     def _refusal(self, text: str, seconds: float) -> RequestError:
         pause = datetime.timedelta(seconds=seconds)
         return RequestError(Failure(ErrorKind.NO_TARGET, text, Ran.NO, pause))
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -238,7 +238,7 @@
         return found
 
     def _correct(self, run: LiveRun, handoff: Handoff) -> Handoff:
-        """Go on at the source where the copy lies in an evacuated zone.
+        """Go on at the source where the copy's target takes nothing now.
 
         It was stopped there for the move, and keeps the memory.
         """
@@ -248,7 +248,7 @@
 
     def _choose_anew(self, run: LiveRun) -> Handoff | None:
         dispatcher, plan = self._dispatcher, self._plan
-        if dispatcher.guard.holds(plan) or not dispatcher.take_repeat(plan):
+        if dispatcher.guard.holds(plan):
             return None
         service = plan.service
         target = dispatcher.chooser.choose(
@@ -258,7 +258,9 @@
             {run.target.instance},
             plan.regions,
         )
-        return Handoff(target, None) if target is not None else None
+        if target is None or not dispatcher.take_repeat(plan):
+            return None
+        return Handoff(target, None)
 
     async def _send(
         self, run: LiveRun, handoff: Handoff, sent: Sent
--- a/packages/gateway/src/chivepier/gateway/serving/remarks.py
+++ b/packages/gateway/src/chivepier/gateway/serving/remarks.py
@@ -4,7 +4,9 @@
 from chivepier.gateway.limits import AskedRest
 from chivepier.gateway.limits import LimitBoard
 from chivepier.gateway.limits import LimitWord
+from chivepier.gateway.limits import NoRest
 from chivepier.gateway.limits import Rest
+from chivepier.gateway.limits import RestBoard
 from chivepier.gateway.limits import UnreadLimit
 from chivepier.gateway.limits import UnreadRest
 from chivepier.gateway.metrics import Metrics
@@ -27,14 +29,21 @@
     first coming is logged, whatever target sends it.
 
     :param limits: what is believed of targets in need
+    :param rests: which targets get nothing for a while
     :param clock: monotonic time
     :param log: what targets say
     :param metrics: counts headers that nothing reads
     """
 
     def __init__(
-        self, limits: LimitBoard, clock: Clock, log: EventLog, metrics: Metrics
+        self,
+        limits: LimitBoard,
+        rests: RestBoard,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
     ):
+        self._rests = rests
         self._limits = limits
         self._clock = clock
         self._log = log
@@ -60,8 +69,7 @@
             self._note_unread(target, name.lower())
         if facts.other_instance is not None:
             return
-        if isinstance(facts.rest, UnreadRest):
-            self._note_unread(target, UNREAD_REST)
+        self._take_rest(target, facts.rest)
         match facts.limit:
             case None:
                 pass
@@ -76,6 +84,28 @@
                     self._clock.monotonic(),
                 )
 
+    def _take_rest(self, target: Target, rest: Rest) -> None:
+        now = self._clock.monotonic()
+        instance, born = target.instance, target.born
+        match rest:
+            case NoRest():
+                self._rests.note_answered(instance, born, now)
+            case AskedRest(seconds=seconds):
+                self._metrics.note_rest(target.service)
+                if self._rests.note(instance, born, seconds, now):
+                    pause = self._rests.find_pause(instance, born, now)
+                    self._log.info(
+                        "rest_asked",
+                        target=instance,
+                        born=born,
+                        service=target.service,
+                        seconds=seconds,
+                        kept_s=round(pause, 3),
+                        at_rest=self._rests.count(now),
+                    )
+            case UnreadRest():
+                self._note_unread(target, UNREAD_REST)
+
     def _note_unread(self, target: Target, name: str) -> None:
         if name not in self._unread:
             if len(self._unread) >= MOST_UNREAD:
--- a/packages/gateway/src/chivepier/gateway/serving/returns.py
+++ b/packages/gateway/src/chivepier/gateway/serving/returns.py
@@ -8,6 +8,11 @@
 # what targets take has changed, or those refused before have given up.
 MOST_SECONDS = 20.0
 
+# Share of a time, and seconds besides, over which callers are spread that wait
+# for one moment.
+SPREAD_SHARE = 0.5
+LEAST_SPREAD_SECONDS = 0.1
+
 
 class Returns:
     """Spreads callers that were refused over the rate that is left.
@@ -27,6 +32,14 @@
         self._rng = rng
         self._next: dict[str, float] = {}
 
+    def spread(self, seconds: float) -> float:
+        """Return when one of many callers may come back.
+
+        :param seconds: after which the first target is back
+        """
+        most = LEAST_SPREAD_SECONDS + SPREAD_SHARE * seconds
+        return seconds + self._rng.uniform(0.0, most)
+
     def book(
         self, service: str, rate: float, entries: int, now: float
     ) -> float:
--- a/packages/gateway/src/chivepier/gateway/serving/sendgate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/sendgate.py
@@ -3,6 +3,8 @@
 import collections.abc
 
 from chivepier.gateway.config import Service
+from chivepier.gateway.limits import RestBoard
+from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.permits import Claim
 from chivepier.gateway.permits import Permit
 from chivepier.gateway.permits import Permits
@@ -29,19 +31,25 @@
 
     :param zones: which zones are evacuated
     :param permits: to send to targets that take few
+    :param rests: which targets get nothing for a while
     :param freshness: whether orders are known recently enough
     :param clock: monotonic time
+    :param metrics: counts what is held back at the last moment
     """
 
     def __init__(
         self,
         zones: Zones,
         permits: Permits,
+        rests: RestBoard,
         freshness: Freshness,
         clock: Clock,
+        metrics: Metrics,
     ):
         self._zones = zones
         self._permits = permits
+        self._rests = rests
+        self._metrics = metrics
         self._freshness = freshness
         self._clock = clock
 
@@ -85,23 +93,51 @@
         :param permit: that was taken for it
         :raises NotPermittedError: when it must not be sent there now
         """
+        reason = self._find_reason(target, errand, permit)
+        if reason is not None:
+            self._metrics.note_held_back(reason)
+            raise NotPermittedError(reason)
+
+    def _find_reason(
+        self, target: Target, errand: Errand, permit: Permit
+    ) -> str | None:
         now = self._clock.monotonic()
         match errand:
             case Errand.START if self._zones.is_evacuated(target.zone, now):
-                raise NotPermittedError(f"{target.zone} is evacuated")
-            case Errand.GO_ON if not self.may_go_on(target):
-                raise NotPermittedError(f"{target.zone} is evacuated")
-        if now > permit.until:
-            raise NotPermittedError("the permit has lapsed")
+                return "evacuated"
+            case Errand.GO_ON if not self._may_go_to_zone(target, now):
+                return "evacuated"
+        if self._find_rest(target, now) is not None:
+            return "rest"
+        return "permit" if now > permit.until else None
+
+    def _find_rest(self, target: Target, now: float) -> float | None:
+        return self._rests.find_pause(target.instance, target.born, now)
+
+    def note_sent(self, target: Target) -> None:
+        """Note that something is being sent to a target."""
+        now = self._clock.monotonic()
+        self._rests.note_sent(target.instance, target.born, now)
 
     def may_look(self, target: Target) -> bool:
         """Tell whether it may be looked whether a target lives."""
         now = self._clock.monotonic()
-        return not self._zones.is_evacuated(target.zone, now)
+        if self._zones.is_evacuated(target.zone, now):
+            return False
+        return self._find_rest(target, now) is None
 
     def may_go_on(self, target: Target) -> bool:
-        """Tell whether a generation may go on at a copy at a target."""
+        """Tell whether a generation may go on at a copy at a target.
+
+        It waits for a moment where the target is at rest for no longer.
+        """
         now = self._clock.monotonic()
+        rest = self._find_rest(target, now)
+        if rest is not None and rest > LEAVE_SECONDS:
+            return False
+        return self._may_go_to_zone(target, now)
+
+    def _may_go_to_zone(self, target: Target, now: float) -> bool:
         if not self._zones.is_evacuated(target.zone, now):
             return True
         order = self._zones.find_order(target.zone)
@@ -122,11 +158,13 @@
         await self.settle()
         end = self._clock.monotonic() + LEAVE_SECONDS
         while self.may_go_on(target):
-            left = end - self._clock.monotonic()
+            now = self._clock.monotonic()
+            left = end - now
             claim = Claim(team, GOING_ON_URGENCY, max(0.0, left))
-            permit = await self.take_permit(service, target, claim)
-            if permit is not None:
-                return
+            if self._find_rest(target, now) is None:
+                permit = await self.take_permit(service, target, claim)
+                if permit is not None:
+                    return
             if left <= 0.0:
                 break
             await self._clock.sleep(LEAVE_PAUSE)
--- a/packages/gateway/src/chivepier/gateway/serving/targetcalls.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetcalls.py
@@ -73,8 +73,8 @@
         :param last: stop the run first
         :param seconds: to wait for the copy
         """
-        contact = self._open(source, Errand.ORDER)
         try:
+            contact = self._open(source, Errand.ORDER)
             return await self._port.move(
                 source, request_id, destination, last, seconds, contact
             )
@@ -88,8 +88,8 @@
         :param handle: the copy's name
         :returns: whether the target says that it is free
         """
-        contact = self._open(target, Errand.ORDER)
         try:
+            contact = self._open(target, Errand.ORDER)
             return await self._port.drop(target, handle, contact)
         except NotPermittedError:
             # the target frees it by itself some seconds later
@@ -107,5 +107,7 @@
     def _open(
         self, target: Target, errand: Errand, permit: Permit = Permit()
     ) -> TargetContact:
+        # without this a connection would be made to a target for nothing
+        self._gate.check(target, errand, permit)
         gate, remarks = self._gate, self._remarks
         return TargetContact(target, errand, permit, gate, remarks)
--- a/packages/gateway/src/chivepier/gateway/serving/targetcontact.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetcontact.py
@@ -40,6 +40,7 @@
         :raises NotPermittedError: when nothing must be sent now
         """
         self._gate.check(self._target, self._errand, self._permit)
+        self._gate.note_sent(self._target)
         self._known = self._remarks.find_word(self._target)
 
     def hear(self, facts: AnswerFacts) -> None:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -68,7 +68,9 @@
     ``refuse`` names targets that say they did not run a request, ``lose``
     those that break the connection instead of an answer, ``dark`` those
     that can't be reached, ``ended`` those where nothing listens any more;
-    ``copies`` holds what may be gone on from; ``facts`` is what answers say.
+    ``copies`` holds what may be gone on from; ``facts`` is what answers say,
+    ``refusal`` what refusals do, ``full_facts`` those of reservations; no
+    answer comes before ``heads`` is set.
     """
 
     def __init__(self) -> None:
@@ -88,7 +90,12 @@
         self.ended: set[str] = set()
         self.probed: list[str] = []
         self.facts = AnswerFacts()
+        self.refusal = AnswerFacts(not_run=True)
+        self.full_facts = AnswerFacts(limit=None)
+        self.asked_room: list[str] = []
         self.sent = asyncio.Event()
+        self.heads = asyncio.Event()
+        self.heads.set()
         self.moved = asyncio.Event()
 
     async def send(self, target, request, order, contact) -> FakeAnswer:
@@ -108,7 +115,7 @@
             answer.status = 421
             answer.end()
         elif name in self.refuse or not self._holds(target, order):
-            answer.facts = AnswerFacts(not_run=True)
+            answer.facts = self.refusal
             answer.status = 503
             answer.end()
         elif name in self.failing:
@@ -116,8 +123,9 @@
             answer.end()
         else:
             self.answers.append(answer)
-        contact.hear(answer.facts)
         self.sent.set()
+        await self.heads.wait()
+        contact.hear(answer.facts)
         return answer
 
     async def reserve(self, target, tokens, seconds, contact) -> str | None:
@@ -125,9 +133,11 @@
         if target.instance in self.dark:
             raise NotSentError("refused")
         contact.begin()
-        contact.hear(self.facts)
+        self.asked_room.append(target.instance)
         if target.instance in self.full:
+            contact.hear(self.full_facts)
             return None
+        contact.hear(AnswerFacts(limit=None))
         self.reserved.append((target.instance, tokens))
         return f"hold-{target.instance}"
 
@@ -141,7 +151,7 @@
     ):
         """Copy a run's memory; the last copy stops it first."""
         contact.begin()
-        contact.hear(self.facts)
+        contact.hear(AnswerFacts(limit=None))
         self.moves.append((source.instance, destination.instance, last))
         self.moved.set()
         await asyncio.sleep(0)
@@ -172,7 +182,7 @@
     async def drop(self, target, handle, contact) -> bool:
         """Free a copy."""
         contact.begin()
-        contact.hear(self.facts)
+        contact.hear(AnswerFacts(limit=None))
         self.dropped.append((target.instance, handle))
         return True
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -18,6 +18,7 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.limits import LimitBoard
 from chivepier.gateway.limits import LimitWord
+from chivepier.gateway.limits import RestBoard
 from chivepier.gateway.messages import LoadRecord
 from chivepier.gateway.messages import PermitAnswer
 from chivepier.gateway.messages import PermitRequest
@@ -135,8 +136,16 @@
         log = EventLog("e1", self._lines.fileno())
         rng = random.Random(1)
         self.limits = LimitBoard("e1")
+        self.rests = RestBoard(rng)
         chooser = Chooser(
-            self.table, self.health, self.board, "a", clock, rng, self.limits
+            self.table,
+            self.health,
+            self.board,
+            "a",
+            clock,
+            rng,
+            self.limits,
+            self.rests,
         )
         self.permitted: bool | None = True
         self.asked: list[tuple[str, int]] = []
@@ -154,8 +163,10 @@
             metrics=Metrics(),
         )
         self.freshness = Freshness(clock)
-        gate = SendGate(self.zones, permits, self.freshness, clock)
-        remarks = Remarks(self.limits, clock, log, Metrics())
+        gate = SendGate(
+            self.zones, permits, self.rests, self.freshness, clock, Metrics()
+        )
+        remarks = Remarks(self.limits, self.rests, clock, log, Metrics())
         calls = TargetCalls(self.engines, gate, remarks)
         self.quarantine = Quarantine(
             "e1",
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_remarks.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_remarks.py
@@ -1,13 +1,18 @@
 """Tests of what is noted of targets' words beside their answers."""
 
 import json
+import random
 import tempfile
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.limits import AskedRest
 from chivepier.gateway.limits import LimitBoard
 from chivepier.gateway.limits import NoLimit
+from chivepier.gateway.limits import NoRest
 from chivepier.gateway.limits import RateLimit
+from chivepier.gateway.limits import RestBoard
 from chivepier.gateway.limits import UnreadLimit
+from chivepier.gateway.limits import UnreadRest
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving import AnswerFacts
 from chivepier.gateway.serving import Remarks
@@ -24,13 +29,15 @@
         self.metrics = Metrics()
         log = EventLog("e1", self._lines.fileno(), lambda: 0.0)
         self.limits = LimitBoard("e1")
-        self.remarks = Remarks(self.limits, ManualClock(), log, self.metrics)
+        self.rests = RestBoard(random.Random(1))
+        self.clock = ManualClock()
+        self.remarks = Remarks(
+            self.limits, self.rests, self.clock, log, self.metrics
+        )
 
-    def take(self, limit=NoLimit(), unread=()) -> None:
+    def take(self, **words) -> None:
         """Note an answer of one target."""
-        facts, target = AnswerFacts(limit=limit, unread=unread), make_target(
-            "i1"
-        )
+        facts, target = AnswerFacts(**words), make_target("i1")
         self.remarks.take(target, facts, self.remarks.find_word(target))
 
     def read_lines(self) -> list[dict]:
@@ -44,15 +51,15 @@
     news = []
     noted.limits.watchers.append(lambda word, before: news.append(word.rate))
     for limit in (RateLimit(1.5), RateLimit(1.5), RateLimit(1.0), NoLimit()):
-        noted.take(limit)
-        noted.take(limit)
+        noted.take(limit=limit)
+        noted.take(limit=limit)
     assert news == [1.5, 1.0, None]
 
 
 def test_limit_that_is_no_number_changes_no_belief():
     noted = Noted()
-    noted.take(RateLimit(1.5))
-    noted.take(UnreadLimit())
+    noted.take(limit=RateLimit(1.5))
+    noted.take(limit=UnreadLimit())
     assert noted.limits.find_rate("i1", 0) == 1.5
     (line,) = noted.read_lines()
     assert line["event"] == "header_unread"
@@ -73,3 +80,28 @@
     noted = Noted()
     noted.take(unread=tuple(f"x-{n}" for n in range(2 * MOST_UNREAD)))
     assert noted.metrics.render().count(b"headers_total{") == MOST_UNREAD
+
+
+def test_rest_is_logged_once_and_counted_each_time():
+    noted = Noted()
+    for _ in range(3):
+        noted.take(rest=AskedRest(3.0))
+    (line,) = noted.read_lines()
+    assert (line["event"], line["seconds"]) == ("rest_asked", 3.0)
+    counted = b'chivepier_rests_total{service="llm"} 3.0'
+    assert counted in noted.metrics.render()
+
+
+def test_rest_that_is_no_number_is_told():
+    noted = Noted()
+    noted.take(rest=UnreadRest())
+    noted.take(rest=NoRest())
+    (line,) = noted.read_lines()
+    assert line["header"] == "rest that is no number"
+    assert not noted.rests
+
+
+def test_another_instance_at_the_address_asks_for_itself():
+    noted = Noted()
+    noted.take(rest=AskedRest(3.0), other_instance="i2")
+    assert not noted.rests
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_rests.py
@@ -0,0 +1,294 @@
+"""Tests of targets that ask an entry to send nothing for a while."""
+
+import asyncio
+import time
+
+import attrs
+import pytest
+
+from chivepier.gateway.config import Service
+from chivepier.gateway.limits import AskedRest
+from chivepier.gateway.limits import NoRest
+from chivepier.gateway.serving import AnswerFacts
+from chivepier.gateway.serving import MoveOutcome
+from chivepier.gateway.serving.tests.fakeengines import make_target
+from chivepier.gateway.serving.tests.parts import begin
+from chivepier.gateway.serving.tests.parts import ENGINE
+from chivepier.gateway.serving.tests.parts import fail
+from chivepier.gateway.serving.tests.parts import finish
+from chivepier.gateway.serving.tests.parts import make_request
+from chivepier.gateway.serving.tests.parts import Parts
+from chivepier.gateway.serving.tests.parts import play
+from chivepier.gateway.serving.tests.parts import wait_until
+from chivepier.types import ErrorKind
+from chivepier.types import Ran
+
+RESERVING = attrs.evolve(ENGINE, reserve_seconds=2.0)
+TOLD = AnswerFacts(not_run=True, rest=AskedRest(3.0))
+
+
+def refuse(parts: Parts, *names: str, seconds: float = 3.0) -> None:
+    """Let targets turn away what they get and ask for rest."""
+    parts.engines.refuse |= set(names)
+    parts.engines.refusal = attrs.evolve(TOLD, rest=AskedRest(seconds))
+
+
+def ask(parts: Parts, *names: str, seconds: float = 3.0) -> None:
+    """Let this entry have been asked for rest by targets."""
+    for name in names:
+        parts.rests.note(name, 0, seconds, time.monotonic())
+
+
+def count_sends(parts: Parts, name: str) -> int:
+    """Count what was sent to a target."""
+    return sum(target == name for target, _ in parts.engines.orders)
+
+
+def answer_all(parts: Parts) -> None:
+    """Let targets answer each call at once."""
+    send = parts.engines.send
+
+    async def send_and_end(*args):
+        answer = await send(*args)
+        if answer.status == 200:
+            answer.end()
+        return answer
+
+    parts.engines.send = send_and_end
+
+
+def test_target_at_rest_is_sent_no_other_request():
+    async def test(parts):
+        answer_all(parts)
+        refuse(parts, "w-a")
+        for _ in range(40):
+            await parts.serve(make_request("/plain/x"))
+        assert count_sends(parts, "w-a") == 1
+        (line,) = parts.read_lines("rest_asked")
+        assert (line["target"], line["seconds"]) == ("w-a", 3.0)
+
+    play(test, "a", "b")
+
+
+def test_rest_that_is_asked_while_a_send_waits_for_its_connection_is_kept():
+    # The last look came before the connection stood.
+    async def test(parts):
+        answer_all(parts)
+        send, slow = parts.engines.send, asyncio.Event()
+
+        async def send_late(target, request, order, contact):
+            if target.instance == "w-a":
+                await slow.wait()
+            return await send(target, request, order, contact)
+
+        parts.engines.send = send_late
+        calls = [parts.start(make_request("/plain/x"))[1] for _ in range(6)]
+        await asyncio.sleep(0.05)
+        ask(parts, "w-a")
+        slow.set()
+        await asyncio.gather(*calls)
+        assert count_sends(parts, "w-a") == 0
+        assert count_sends(parts, "w-b") == 6
+
+    play(test, "a", "b")
+
+
+def test_request_is_turned_away_at_once_when_all_targets_are_at_rest():
+    async def test(parts):
+        ask(parts, "w-a", seconds=3.0)
+        ask(parts, "w-b", seconds=2.0)
+        began = time.monotonic()
+        failures = [
+            await fail(parts, make_request("/plain/x")) for _ in range(20)
+        ]
+        assert time.monotonic() - began < 1.0
+        backs = [f.retry_after.total_seconds() for f in failures]
+        assert all(1.0 < back <= 3.3 for back in backs)
+        assert len(set(backs)) > 10
+        assert {f.kind for f in failures} == {ErrorKind.OVERLOADED}
+        assert {f.ran for f in failures} == {Ran.NO}
+        assert parts.engines.orders == []
+        line = parts.read_lines("all_at_rest")[0]
+        assert 1500 < line["first_ms"] <= 2300
+
+    play(test, "a", "b")
+
+
+def test_refusals_of_all_targets_end_a_request_at_once():
+    # It went through all of them three times, and used up repeats.
+    async def test(parts):
+        refuse(parts, "w-a", "w-b")
+        failure = await fail(parts, make_request("/plain/x"))
+        assert failure.kind is ErrorKind.OVERLOADED
+        assert len(parts.engines.orders) == 2
+        for _ in range(30):
+            await fail(parts, make_request("/plain/x"))
+        assert len(parts.engines.orders) == 2
+
+    play(test, "a", "b")
+
+
+def test_request_waits_for_a_rest_that_ends_before_it_is_late():
+    async def test(parts):
+        answer_all(parts)
+        ask(parts, "w-a", "w-b", seconds=0.2)
+        await parts.serve(make_request("/plain/x"))
+        assert len(parts.engines.orders) == 1
+
+    play(test, "a", "b")
+
+
+def test_what_waits_for_the_end_of_a_rest_does_not_come_at_once():
+    async def test(parts):
+        ask(parts, "w-a", seconds=0.2)
+        parts.engines.heads.clear()
+        calls = [parts.start(make_request("/plain/x"))[1] for _ in range(5)]
+        run = await parts.engines.wait_run(1)
+        await asyncio.sleep(0.05)
+        assert count_sends(parts, "w-a") == 1
+        parts.engines.heads.set()
+        await wait_until(lambda: count_sends(parts, "w-a") == 5)
+        run.end()
+        for call in calls:
+            call.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+
+    play(test, "a")
+
+
+@pytest.mark.parametrize("full", (False, True))
+def test_target_at_rest_is_asked_for_no_room(full):
+    async def test(parts):
+        ask(parts, "a")
+        if full:
+            parts.engines.full.add("b")
+        _, task = parts.start(make_request("/llm/x"))
+        if full:
+            await asyncio.sleep(0.5)
+            parts.engines.full.clear()
+        run = await parts.engines.wait_run(1)
+        await finish(task, run, 1)
+        assert {name for name, _ in parts.engines.reserved} == {"b"}
+        assert count_sends(parts, "a") == 0
+
+    play(test, "a", "b", engine=RESERVING)
+
+
+def test_generation_is_turned_away_at_once_when_rests_outlast_its_use():
+    async def test(parts):
+        ask(parts, "a", "b", seconds=8.0)
+        began = time.monotonic()
+        failure = await fail(parts, make_request("/llm/x"))
+        assert time.monotonic() - began < 0.5
+        assert failure.kind is ErrorKind.OVERLOADED
+        assert failure.retry_after.total_seconds() >= 7.0
+        assert parts.engines.reserved == []
+
+    play(test, "a", "b", engine=RESERVING)
+
+
+def test_reservation_that_is_refused_with_rest_is_kept_to():
+    async def test(parts):
+        parts.engines.full.add("a")
+        parts.engines.full_facts = AnswerFacts(rest=AskedRest(5.0), limit=None)
+        tasks = []
+        for _ in range(5):
+            tasks.append(parts.start(make_request("/llm/x"))[1])
+            await asyncio.sleep(0.05)
+        assert parts.engines.asked_room.count("a") <= 1
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    play(test, "a", "b", engine=RESERVING)
+
+
+def test_source_at_rest_is_sent_no_order_until_it_ends():
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        source = run.target
+        ask(parts, source, seconds=0.4)
+        parts.leave(source)
+        await asyncio.sleep(0.25)
+        assert parts.engines.moves == []
+        await wait_until(lambda: len(parts.engines.moves) == 2)
+        again = await parts.engines.wait_run(2)
+        await finish(task, again, 2)
+        assert caller.finished
+
+    play(test, "a", "b")
+
+
+def test_copy_is_freed_by_no_order_to_a_target_at_rest():
+    async def test(parts):
+        ask(parts, "a")
+        calls = parts.dispatcher.calls
+        target = make_target("a")
+        assert not await calls.drop(target, "h1")
+        moved = await calls.move(target, "r1", make_target("b"), False, 1.0)
+        assert moved.outcome is MoveOutcome.HELD_BACK
+        assert parts.engines.dropped == [] and parts.engines.moves == []
+        await calls.probe(target)
+        assert parts.engines.probed == []
+
+    play(test, "a", "b")
+
+
+def test_stopped_run_goes_on_at_its_source_when_the_copy_is_at_rest():
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        other = "b" if run.target == "a" else "a"
+        move = parts.engines.move
+
+        async def move_and_ask(*args):
+            moved = await move(*args)
+            if args[3]:
+                ask(parts, other, seconds=9.0)
+            return moved
+
+        parts.engines.move = move_and_ask
+        parts.leave(run.target)
+        again = await parts.engines.wait_run(2)
+        assert again.target == run.target
+        await finish(task, again, 2)
+        assert caller.finished
+
+    play(test, "a", "b")
+
+
+def test_answer_that_asks_for_nothing_ends_a_rest_that_is_over():
+    async def test(parts):
+        answer_all(parts)
+        ask(parts, "w-a", seconds=0.05)
+        await asyncio.sleep(0.06)
+        parts.engines.facts = AnswerFacts(rest=NoRest())
+        await parts.serve(make_request("/plain/x"))
+        assert not parts.rests
+
+    play(test, "a")
+
+
+def test_next_life_of_a_target_is_not_at_rest():
+    async def test(parts):
+        answer_all(parts)
+        ask(parts, "w-a", seconds=9.0)
+        target = make_target("w-a", "web")
+        target.born = 5
+        parts.table.put(target)
+        await parts.serve(make_request("/plain/x"))
+        assert count_sends(parts, "w-a") == 1
+
+    play(test, "a")
+
+
+def test_repeat_of_a_request_passes_targets_at_rest_by():
+    # The one that is left failed it, and none is left for a second send.
+    async def test(parts):
+        parts.configure(services=(Service(name="web", connections=9),))
+        ask(parts, "w-a")
+        parts.engines.failing["w-b"] = 500
+        caller = await parts.serve(make_request("/read/x"))
+        assert caller.status == 500
+        assert count_sends(parts, "w-a") == 0
+
+    play(test, "a", "b")
--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -5,6 +5,7 @@
 
 from chivepier.gateway.config import Engine
 from chivepier.gateway.limits import LimitBoard
+from chivepier.gateway.limits import RestBoard
 from chivepier.gateway.targets.demand import Demand
 from chivepier.gateway.targets.load import Load
 from chivepier.gateway.targets.loadboard import LoadBoard
@@ -58,6 +59,7 @@
     :param clock: monotonic time
     :param rng: draws among equals
     :param limits: what targets in need take; nothing bounds it by default
+    :param rests: which targets get nothing for a while; none by default
     """
 
     def __init__(
@@ -69,7 +71,9 @@
         clock: Clock,
         rng: random.Random,
         limits: LimitBoard | None = None,
+        rests: RestBoard | None = None,
     ):
+        self._rests = RestBoard(rng) if rests is None else rests
         self._limits = LimitBoard() if limits is None else limits
         self._table = table
         self._health = health
@@ -160,7 +164,7 @@
         now: float,
         regions: collections.abc.Collection[str] | None,
     ) -> list[Target]:
-        found = self._table.select(service, now, regions)
+        found = self._select_awake(service, now, regions)
         candidates = [t for t in found if t.instance not in without]
         if not candidates:
             return []
@@ -169,6 +173,42 @@
             [t for t in candidates if t.instance in sound], now
         )
 
+    def _select_awake(
+        self,
+        service: str,
+        now: float,
+        regions: collections.abc.Collection[str] | None,
+    ) -> list[Target]:
+        """Return the targets without those that asked for rest."""
+        found = self._table.select(service, now, regions)
+        if not self._rests:
+            return found
+        return [t for t in found if self._find_pause(t, now) is None]
+
+    def _find_pause(self, target: Target, now: float) -> float | None:
+        return self._rests.find_pause(target.instance, target.born, now)
+
+    def find_rest(
+        self,
+        service: str,
+        regions: collections.abc.Collection[str] | None = None,
+    ) -> float | None:
+        """Return the seconds until a target is back, where all are at rest.
+
+        :param service: whose targets
+        :param regions: that the request may reach; ``None`` for all
+        :returns: ``None`` where any may be sent something now, or none is
+            known
+        """
+        if not self._rests:
+            return None
+        now = self._clock.monotonic()
+        found = self._table.select(service, now, regions)
+        pauses = [self._find_pause(target, now) for target in found]
+        if not pauses or None in pauses:
+            return None
+        return min(pauses)
+
     def _leave_avoided(self, targets: list[Target], now: float) -> list:
         """Leave out what several entries avoid, more than the others.
 
@@ -289,7 +329,7 @@
         """
         now = self._clock.monotonic()
         places = 0
-        for target in self._table.select(service, now, regions):
+        for target in self._select_awake(service, now, regions):
             tokens = self._board.total(target.instance, now).tokens
             spare = max(0.0, FULL_SHARE * engine.memory_tokens - tokens)
             places += int(spare // max(1, demand.soon))
