Send no new work to a target whose answers say that it leaves

Targets that leave say so in all their answers. An entry passed that on and sent them requests until their announcement reached it: where a target tells its answers alone, to its end.

Cause, as of the rests: a word that an answer bears about its target was read by nobody. Now the first such answer, of whatever call (request, refusal, reservation, move, a copy's order, the head of a stream, a 421 of another instance for itself), marks that life of the target as leaving at its entry, which is what an announcement does: its generations are moved, its room counts as being lost, nothing new is chosen or goes out to it, also what waited for a connection. The entry tells every voter at once and with each beat while it knows the target; voters tell the others. It is never taken back: an announcement that says ready, whenever it comes, a word that was overtaken, or a target that was forgotten meanwhile, are all taken for leaving. A later life is free of it.

All entries know it at 1, 7 and 75 in one process, an entry cut off tells it later, a voter that hears of the target later takes it so.

--- a/packages/gateway/src/chivepier/gateway/control/registry.py
+++ b/packages/gateway/src/chivepier/gateway/control/registry.py
@@ -73,6 +73,25 @@
         if self._news.get(target.instance) == self.revision:
             self._tell(target)
 
+    def note_leaving(self, instance: str, born: int) -> None:
+        """Take an entry's word that a target told it that it leaves.
+
+        :param instance: the target's name
+        :param born: start of the life that leaves
+        """
+        now = self._clock.monotonic()
+        if not self._table.note_leaving(instance, born, now):
+            return
+        known = self._table.get(instance)
+        if known is None or known.born != born:
+            # what it announces later is taken for what it is
+            return
+        self.revision += 1
+        _note_last(self._revisions, instance, self.revision)
+        _note_last(self._news, instance, self.revision)
+        self._unshared.add(instance)
+        self._tell(known)
+
     def _put(self, target: Target) -> bool:
         """Merge a target's word.
 
--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -30,6 +30,7 @@
 from chivepier.gateway.serving import RetryBudget
 from chivepier.gateway.serving import ServingState
 from chivepier.gateway.settings import VoterSettings
+from chivepier.gateway.targets import Leavers
 from chivepier.gateway.targets import Liveness
 from chivepier.gateway.targets import LoadBoard
 from chivepier.gateway.targets import QueueBoard
@@ -65,6 +66,7 @@
         self.state = ServingState()
         self.zones = Zones()
         self.table = TargetTable(1.0, self.zones)
+        self.leavers = Leavers(self.table)
         self.board = LoadBoard(name)
         self.queues = QueueBoard(name, self.board.changed)
         self.budget = RetryBudget(0.2, 100, 10, name)
@@ -106,6 +108,7 @@
             ),
             suspects=QuarantineExchange(self.quarantine, clock),
             limits=LimitExchange(self.limits, clock),
+            leavers=self.leavers,
             freshness=self.freshness,
             clock=clock,
             log=log,
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_leaving.py
@@ -0,0 +1,70 @@
+"""Tests of targets that tell one entry that they leave, over many."""
+
+import time
+
+import pytest
+
+from chivepier.gateway.control.tests.fleet import play
+from chivepier.gateway.control.tests.fleet import wait_until
+from chivepier.gateway.targets.tests.test_targettable import make
+
+
+def all_know(followers, name: str = "i1") -> bool:
+    """Tell whether every entry knows that a target leaves."""
+    return all(follower.table.leaves(name) for follower in followers)
+
+
+@pytest.mark.parametrize("entries", (1, 7, 75))
+def test_all_entries_know_what_one_was_told(entries, tmp_path):
+    async def test(fleet):
+        followers = await fleet.follow_many(entries)
+        voters = list(fleet.voters.values())
+        voters[0].registry.announce(make("i1", heard=time.monotonic()))
+        for follower in followers:
+            await wait_until(lambda f=follower: f.table.get("i1"))
+        told = followers[-1]
+        told.leavers.note(told.table.get("i1"), time.monotonic())
+        await wait_until(lambda: all_know(followers))
+        # what the target announces still says that it is ready
+        late = make("i1", number=7, heard=time.monotonic())
+        for voter in voters:
+            voter.registry.announce(late)
+        new = await fleet.follow("late")
+        await wait_until(lambda: new.table.get("i1"))
+        assert all_know((*followers, new))
+
+    play(test, tmp_path)
+
+
+def test_entry_that_was_cut_off_tells_it_later(tmp_path):
+    async def test(fleet):
+        followers = await fleet.follow_many(3)
+        voter = next(iter(fleet.voters.values()))
+        voter.registry.announce(make("i1", heard=time.monotonic()))
+        for follower in followers:
+            await wait_until(lambda f=follower: f.table.get("i1"))
+        told, beat = followers[0], followers[0].following._beat
+        told.stop_beats()
+        told.leavers.note(told.table.get("i1"), time.monotonic())
+        await wait_until(lambda: told.table.leaves("i1"))
+        assert not followers[1].table.leaves("i1")
+        told.following._beat = beat
+        await wait_until(lambda: all_know(followers))
+
+    play(test, tmp_path)
+
+
+def test_voter_that_hears_of_a_target_later_takes_it_for_leaving(tmp_path):
+    async def test(fleet):
+        follower = await fleet.follow("e1")
+        await wait_until(lambda: follower.hub is not None)
+        target = make("i1", heard=time.monotonic())
+        follower.table.put(make("i1", heard=time.monotonic()))
+        follower.leavers.note(target, time.monotonic())
+        voters = list(fleet.voters.values())
+        for voter in voters:
+            await wait_until(lambda v=voter: ("i1", 0) in v.table._leaving)
+        voters[0].registry.announce(target)
+        await wait_until(lambda: voters[1].table.leaves("i1"))
+
+    play(test, tmp_path)
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -216,6 +216,8 @@
         if self.quarantine.take(seen):
             self._known.note_change()
         self.limits.take(beat.limits)
+        for record in beat.leaving:
+            self.registry.note_leaving(record.instance, record.born)
         missing = self.quarantine.find_missing(beat, self.registry.epoch)
         group = self.loads.find_group()
         return EntryBeatAnswer(
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -36,6 +36,7 @@
 from chivepier.gateway.serving import TargetPort
 from chivepier.gateway.settings import EntrySettings
 from chivepier.gateway.targets import Chooser
+from chivepier.gateway.targets import Leavers
 from chivepier.gateway.targets import LoadBoard
 from chivepier.gateway.targets import QueueBoard
 from chivepier.gateway.targets import Target
@@ -121,9 +122,24 @@
             metrics=self.metrics,
         )
         gate = SendGate(
-            self.zones, permits, self.rests, freshness, clock, self.metrics
+            self.zones,
+            self.table,
+            permits,
+            self.rests,
+            freshness,
+            clock,
+            self.metrics,
+        )
+        leavers = Leavers(self.table)
+        remarks = Remarks(
+            self.limits,
+            self.rests,
+            leavers,
+            self.table,
+            clock,
+            log,
+            self.metrics,
         )
-        remarks = Remarks(self.limits, self.rests, clock, log, self.metrics)
         calls = TargetCalls(port, gate, remarks)
         self.quarantine = Quarantine(
             settings.name,
@@ -172,6 +188,7 @@
             ),
             suspects=QuarantineExchange(self.quarantine, clock),
             limits=LimitExchange(self.limits, clock),
+            leavers=leavers,
             freshness=freshness,
             clock=clock,
             log=log,
--- a/packages/gateway/src/chivepier/gateway/following/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -16,6 +16,7 @@
 from chivepier.gateway.messages import ConfigNotice
 from chivepier.gateway.messages import EntryBeat
 from chivepier.gateway.messages import EntryBeatAnswer
+from chivepier.gateway.messages import LeavingRecord
 from chivepier.gateway.messages import LimitNotice
 from chivepier.gateway.messages import LoadNotice
 from chivepier.gateway.messages import PermitAnswer
@@ -26,6 +27,7 @@
 from chivepier.gateway.messages import ZoneNotice
 from chivepier.gateway.messages import ZoneRecord
 from chivepier.gateway.serving import ServingState
+from chivepier.gateway.targets import Leavers
 from chivepier.gateway.targets import TargetTable
 from chivepier.gateway.zones import Freshness
 from chivepier.gateway.zones import PRESUMED_SECONDS
@@ -67,6 +69,7 @@
     :param loads: tells what runs here, and is told what runs elsewhere
     :param suspects: the same for requests that end targets
     :param limits: the same for limits that targets name
+    :param leavers: targets whose answers said that they leave
     :param freshness: is told of each word of a voter
     :param clock: monotonic time
     :param log: what this process believes
@@ -86,6 +89,7 @@
         loads: LoadExchange,
         suspects: QuarantineExchange,
         limits: LimitExchange,
+        leavers: Leavers,
         freshness: Freshness,
         clock: Clock,
         log: EventLog,
@@ -105,6 +109,7 @@
         self._loads = loads
         self._suspects = suspects
         self._limits = limits
+        self._leavers = leavers
         self._freshness = freshness
         freshness.ask = self._beat_all
         self._orders = -1
@@ -119,6 +124,7 @@
             self._loads.run(self._post_loads),
             self._report(self._suspects.changed),
             self._report(self._limits.changed),
+            self._report(self._leavers.changed),
         )
         for work in works:
             self._tasks.append(asyncio.create_task(work))
@@ -245,6 +251,10 @@
             self._orders,
             voter.limits.held,
             self._limits.find_untold(voter.limits),
+            tuple(
+                LeavingRecord(target.instance, target.born)
+                for target in self._leavers.find()
+            ),
         )
         told, limits = voter.limits.told, self._limits.revision
         try:
--- a/packages/gateway/src/chivepier/gateway/messages/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/messages/__init__.py
@@ -9,6 +9,7 @@
 from chivepier.gateway.messages.entrybeatanswer import EntryBeatAnswer
 from chivepier.gateway.messages.joinanswer import JoinAnswer
 from chivepier.gateway.messages.joinrequest import JoinRequest
+from chivepier.gateway.messages.leavingrecord import LeavingRecord
 from chivepier.gateway.messages.limitnotice import LimitNotice
 from chivepier.gateway.messages.limitrecord import LimitRecord
 from chivepier.gateway.messages.loaddigest import LoadDigest
@@ -38,6 +39,7 @@
     "EntryBeatAnswer",
     "JoinAnswer",
     "JoinRequest",
+    "LeavingRecord",
     "LimitNotice",
     "LimitRecord",
     "LoadDigest",
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
@@ -2,6 +2,7 @@
 
 from chivepier.gateway.messages.clearancerecord import ClearanceRecord
 from chivepier.gateway.messages.endingrecord import EndingRecord
+from chivepier.gateway.messages.leavingrecord import LeavingRecord
 from chivepier.gateway.messages.limitrecord import LimitRecord
 from chivepier.messages.registry import message
 
@@ -18,7 +19,8 @@
     log index up to which it has all orders about availability zones.
     ``limits_held`` counts what it has of the limits that this voter knows;
     ``limits`` are those that it was told by targets, and this voter has not
-    confirmed yet.
+    confirmed yet. ``leaving`` are the targets that told it in an answer that
+    they leave.
     """
 
     node: str
@@ -35,3 +37,4 @@
     orders: int = -1
     limits_held: int = 0
     limits: tuple[LimitRecord, ...] = ()
+    leaving: tuple[LeavingRecord, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -129,7 +129,7 @@
     def note_held_back(self, reason: str) -> None:
         """Count what was not sent at the last moment.
 
-        :param reason: ``rest``, ``evacuated`` or ``permit``
+        :param reason: ``rest``, ``leaving``, ``evacuated`` or ``permit``
         """
         self._note("held_back", (reason,), 1.0)
 
--- a/packages/gateway/src/chivepier/gateway/serving/remarks.py
+++ b/packages/gateway/src/chivepier/gateway/serving/remarks.py
@@ -11,7 +11,9 @@
 from chivepier.gateway.limits import UnreadRest
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.answerfacts import AnswerFacts
+from chivepier.gateway.targets import Leavers
 from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
 
 # Headers that are counted by name; a target could make up any number.
@@ -30,6 +32,8 @@
 
     :param limits: what is believed of targets in need
     :param rests: which targets get nothing for a while
+    :param leavers: which targets say that they leave
+    :param table: the targets
     :param clock: monotonic time
     :param log: what targets say
     :param metrics: counts headers that nothing reads
@@ -39,11 +43,15 @@
         self,
         limits: LimitBoard,
         rests: RestBoard,
+        leavers: Leavers,
+        table: TargetTable,
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
     ):
         self._rests = rests
+        self._leavers = leavers
+        self._table = table
         self._limits = limits
         self._clock = clock
         self._log = log
@@ -59,7 +67,8 @@
     ) -> None:
         """Note an answer's head.
 
-        That of another instance at the target's address says nothing of it.
+        That of another instance at the target's address says nothing of the
+        target, and may say that the other one leaves.
 
         :param target: that answered
         :param facts: read from the head
@@ -68,7 +77,12 @@
         for name in facts.unread:
             self._note_unread(target, name.lower())
         if facts.other_instance is not None:
+            other = self._table.get(facts.other_instance)
+            if facts.leaving and other is not None:
+                self._note_leaving(other)
             return
+        if facts.leaving:
+            self._note_leaving(target)
         self._take_rest(target, facts.rest)
         match facts.limit:
             case None:
@@ -84,6 +98,16 @@
                     self._clock.monotonic(),
                 )
 
+    def _note_leaving(self, target: Target) -> None:
+        if self._leavers.note(target, self._clock.monotonic()):
+            self._log.info(
+                "leaving_told",
+                target=target.instance,
+                born=target.born,
+                service=target.service,
+                number=target.number,
+            )
+
     def _take_rest(self, target: Target, rest: Rest) -> None:
         now = self._clock.monotonic()
         instance, born = target.instance, target.born
--- a/packages/gateway/src/chivepier/gateway/serving/sendgate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/sendgate.py
@@ -11,6 +11,7 @@
 from chivepier.gateway.serving.errand import Errand
 from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetTable
 from chivepier.gateway.zones import Freshness
 from chivepier.gateway.zones import Zones
 from chivepier.types import Clock
@@ -30,6 +31,7 @@
     """Knows where nothing new may go, and what targets may be sent.
 
     :param zones: which zones are evacuated
+    :param table: which targets leave
     :param permits: to send to targets that take few
     :param rests: which targets get nothing for a while
     :param freshness: whether orders are known recently enough
@@ -40,6 +42,7 @@
     def __init__(
         self,
         zones: Zones,
+        table: TargetTable,
         permits: Permits,
         rests: RestBoard,
         freshness: Freshness,
@@ -47,6 +50,7 @@
         metrics: Metrics,
     ):
         self._zones = zones
+        self._table = table
         self._permits = permits
         self._rests = rests
         self._metrics = metrics
@@ -105,6 +109,8 @@
         match errand:
             case Errand.START if self._zones.is_evacuated(target.zone, now):
                 return "evacuated"
+            case Errand.START if self._table.leaves(target.instance):
+                return "leaving"
             case Errand.GO_ON if not self._may_go_to_zone(target, now):
                 return "evacuated"
         if self._find_rest(target, now) is not None:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -51,6 +51,7 @@
 from chivepier.gateway.serving.tests.fakeengines import FakeEngines
 from chivepier.gateway.serving.tests.fakeengines import make_target
 from chivepier.gateway.targets import Chooser
+from chivepier.gateway.targets import Leavers
 from chivepier.gateway.targets import LoadBoard
 from chivepier.gateway.targets import QueueBoard
 from chivepier.gateway.targets import TargetHealth
@@ -164,9 +165,24 @@
         )
         self.freshness = Freshness(clock)
         gate = SendGate(
-            self.zones, permits, self.rests, self.freshness, clock, Metrics()
+            self.zones,
+            self.table,
+            permits,
+            self.rests,
+            self.freshness,
+            clock,
+            Metrics(),
+        )
+        self.leavers = Leavers(self.table)
+        remarks = Remarks(
+            self.limits,
+            self.rests,
+            self.leavers,
+            self.table,
+            clock,
+            log,
+            Metrics(),
         )
-        remarks = Remarks(self.limits, self.rests, clock, log, Metrics())
         calls = TargetCalls(self.engines, gate, remarks)
         self.quarantine = Quarantine(
             "e1",
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_leaving.py
@@ -0,0 +1,159 @@
+"""Tests of targets that say in their answers that they leave."""
+
+import asyncio
+
+import attrs
+
+from chivepier.gateway.serving import AnswerFacts
+from chivepier.gateway.serving.tests.fakeengines import make_target
+from chivepier.gateway.serving.tests.parts import begin
+from chivepier.gateway.serving.tests.parts import ENGINE
+from chivepier.gateway.serving.tests.parts import fail
+from chivepier.gateway.serving.tests.parts import finish
+from chivepier.gateway.serving.tests.parts import make_request
+from chivepier.gateway.serving.tests.parts import play
+from chivepier.gateway.serving.tests.test_rests import answer_all
+from chivepier.gateway.serving.tests.test_rests import count_sends
+from chivepier.types import ErrorKind
+from chivepier.types import Ran
+
+RESERVING = attrs.evolve(ENGINE, reserve_seconds=2.0)
+LEAVES = AnswerFacts(leaving=True)
+
+
+def test_target_that_leaves_by_its_answer_gets_nothing_new():
+    async def test(parts):
+        answer_all(parts)
+        parts.engines.facts = LEAVES
+        await parts.serve(make_request("/plain/x"))
+        left = parts.engines.orders[0][0]
+        parts.engines.facts = AnswerFacts()
+        for _ in range(20):
+            await parts.serve(make_request("/plain/x"))
+        assert count_sends(parts, left) == 1
+
+    play(test, "a", "b")
+
+
+def test_announcement_that_says_ready_changes_nothing():
+    async def test(parts):
+        answer_all(parts)
+        parts.leavers.note(make_target("w-a", "web"), 0.0)
+        for number in (1, 2, 3):
+            again = make_target("w-a", "web")
+            again.number = number
+            parts.table.put(again)
+        for _ in range(10):
+            await parts.serve(make_request("/plain/x"))
+        assert count_sends(parts, "w-a") == 0
+
+    play(test, "a", "b")
+
+
+def test_refusal_says_so_as_well():
+    async def test(parts):
+        parts.engines.refuse.add("w-a")
+        parts.engines.refusal = AnswerFacts(not_run=True, leaving=True)
+        answer_all(parts)
+        for _ in range(10):
+            await parts.serve(make_request("/plain/x"))
+        assert count_sends(parts, "w-a") == 1
+
+    play(test, "a", "b")
+
+
+def test_reservation_that_is_refused_says_so_as_well():
+    async def test(parts):
+        parts.engines.full.add("a")
+        parts.engines.full_facts = AnswerFacts(limit=None, leaving=True)
+        for number in range(1, 7):
+            _, task = parts.start(make_request("/llm/x"))
+            run = await parts.engines.wait_run(number)
+            await finish(task, run, 1)
+        assert parts.engines.asked_room.count("a") == 1
+
+    play(test, "a", "b", engine=RESERVING)
+
+
+def test_generations_move_off_a_target_that_leaves_by_its_answer():
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        parts.leavers.note(make_target(run.target), 0.0)
+        again = await parts.engines.wait_run(2)
+        assert again.target != run.target
+        await finish(task, again, 2)
+        assert caller.finished
+
+    play(test, "a", "b")
+
+
+def test_head_of_a_stream_moves_it():
+    async def test(parts):
+        parts.engines.facts = LEAVES
+        caller, task = parts.start(make_request("/llm/x"))
+        run = await parts.engines.wait_run(1)
+        parts.engines.facts = AnswerFacts()
+        run.make(2)
+        again = await parts.engines.wait_run(2)
+        assert again.target != run.target
+        await finish(task, again, 2)
+        assert caller.finished
+
+    play(test, "a", "b")
+
+
+def test_send_that_waits_for_its_connection_goes_elsewhere():
+    async def test(parts):
+        answer_all(parts)
+        send, slow = parts.engines.send, asyncio.Event()
+
+        async def send_late(target, request, order, contact):
+            if target.instance == "w-a":
+                await slow.wait()
+            return await send(target, request, order, contact)
+
+        parts.engines.send = send_late
+        calls = [parts.start(make_request("/plain/x"))[1] for _ in range(6)]
+        await asyncio.sleep(0.05)
+        parts.leavers.note(make_target("w-a", "web"), 0.0)
+        slow.set()
+        await asyncio.gather(*calls)
+        assert count_sends(parts, "w-a") == 0
+
+    play(test, "a", "b")
+
+
+def test_callers_are_told_at_once_when_all_targets_leave():
+    async def test(parts):
+        for name in ("w-a", "w-b"):
+            parts.leavers.note(make_target(name, "web"), 0.0)
+        async with asyncio.timeout(0.5):
+            failure = await fail(parts, make_request("/plain/x"))
+        assert failure.kind is ErrorKind.NO_TARGET
+        assert failure.ran is Ran.NO and failure.retry_after is not None
+
+    play(test, "a", "b")
+
+
+def test_word_of_a_life_that_ended_binds_no_later_one():
+    async def test(parts):
+        answer_all(parts)
+        old = make_target("w-a", "web")
+        parts.restart("w-a", 5)
+        new = parts.table.get("w-a")
+        new.service = "web"
+        parts.leavers.note(old, 0.0)
+        await parts.serve(make_request("/plain/x"))
+        assert count_sends(parts, "w-a") == 1
+        assert not parts.table.leaves("w-a")
+
+    play(test, "a")
+
+
+def test_word_that_comes_before_the_target_is_known_counts():
+    async def test(parts):
+        parts.leavers.note(make_target("w-z", "web"), 0.0)
+        parts.table.put(make_target("w-z", "web"))
+        assert parts.table.leaves("w-z")
+
+    play(test)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_remarks.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_remarks.py
@@ -18,6 +18,8 @@
 from chivepier.gateway.serving import Remarks
 from chivepier.gateway.serving.remarks import MOST_UNREAD
 from chivepier.gateway.serving.tests.fakeengines import make_target
+from chivepier.gateway.targets import Leavers
+from chivepier.gateway.targets import TargetTable
 from chivepier.types import ManualClock
 
 
@@ -31,8 +33,16 @@
         self.limits = LimitBoard("e1")
         self.rests = RestBoard(random.Random(1))
         self.clock = ManualClock()
+        self.table = TargetTable(1.0)
+        self.leavers = Leavers(self.table)
         self.remarks = Remarks(
-            self.limits, self.rests, self.clock, log, self.metrics
+            self.limits,
+            self.rests,
+            self.leavers,
+            self.table,
+            self.clock,
+            log,
+            self.metrics,
         )
 
     def take(self, **words) -> None:
@@ -105,3 +115,23 @@
     noted = Noted()
     noted.take(rest=AskedRest(3.0), other_instance="i2")
     assert not noted.rests
+
+
+def test_target_that_leaves_is_logged_once():
+    noted = Noted()
+    noted.table.put(make_target("i1"))
+    for _ in range(3):
+        noted.take(leaving=True)
+    (line,) = noted.read_lines()
+    assert (line["event"], line["target"]) == ("leaving_told", "i1")
+    assert noted.table.leaves("i1")
+
+
+def test_another_instance_at_the_address_says_that_it_leaves_itself():
+    noted = Noted()
+    noted.table.put(make_target("i1"))
+    noted.table.put(make_target("i2"))
+    noted.take(leaving=True, other_instance="i2")
+    assert noted.table.leaves("i2") and not noted.table.leaves("i1")
+    noted.take(leaving=True, other_instance="")
+    assert not noted.table.leaves("i1")
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -3,6 +3,7 @@
 from chivepier.gateway.targets.chooser import Chooser
 from chivepier.gateway.targets.demand import Demand
 from chivepier.gateway.targets.demand import SOON_TOKENS
+from chivepier.gateway.targets.leavers import Leavers
 from chivepier.gateway.targets.liveness import Liveness
 from chivepier.gateway.targets.load import Load
 from chivepier.gateway.targets.loadboard import EXPIRY
@@ -19,6 +20,7 @@
     "Chooser",
     "Demand",
     "EXPIRY",
+    "Leavers",
     "Liveness",
     "Load",
     "LoadBoard",
--- a/packages/gateway/src/chivepier/gateway/targets/targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/targettable.py
@@ -34,6 +34,7 @@
         self.zones = Zones() if zones is None else zones
         self._patience = beat * MISSED_BEATS
         self._targets: dict[str, Target] = {}
+        self._leaving: dict[tuple[str, int], float] = {}
         self.watchers: list[Watcher] = []
         self.restart_watchers: list[RestartWatcher] = []
 
@@ -61,20 +62,19 @@
                 return False
             self._end_life(known)
             known = None
+        if (target.instance, target.born) in self._leaving:
+            self._correct(target)
         if known is not None:
             if target.number < known.number:
-                return False
+                return self._take_late(target, known)
             if known.state is TargetState.GONE:
                 return False
             target.heard = max(target.heard, known.heard)
             if target.number == known.number and target.state is known.state:
                 known.heard = target.heard
                 return False
-            if known.state is TargetState.LEAVING and (
-                target.state is TargetState.READY
-            ):
-                # an instance that said it leaves does not come back
-                target.state = TargetState.LEAVING
+            if known.state is TargetState.LEAVING:
+                self._correct(target)
         self._targets[target.instance] = target
         before = known.state if known else None
         for watcher in self.watchers:
@@ -87,6 +87,43 @@
         )
         return before is not target.state or colder
 
+    def _correct(self, target: Target) -> None:
+        # what left stays so, whatever announcement overtakes that word
+        if target.state is TargetState.READY:
+            target.state = TargetState.LEAVING
+
+    def _take_late(self, target: Target, known: Target) -> bool:
+        """Take a word that others have overtaken.
+
+        That a target leaves holds from then on; all else of it is outdated.
+        """
+        if target.state is not TargetState.LEAVING:
+            return False
+        return self.note_leaving(target.instance, target.born, known.heard)
+
+    def note_leaving(self, instance: str, born: int, now: float) -> bool:
+        """Take that a target leaves, from wherever it is known.
+
+        It may be known before the target itself is, or while what the target
+        announces still says otherwise; no later word of this life undoes it.
+
+        :param instance: the target's name
+        :param born: start of the life that leaves
+        :param now: monotonic seconds
+        :returns: whether it was news
+        """
+        known = self._targets.get(instance)
+        told = (instance, born) in self._leaving
+        self._leaving[(instance, born)] = now
+        if known is None or known.born != born:
+            return not told
+        if known.state is not TargetState.READY:
+            return False
+        known.state = TargetState.LEAVING
+        for watcher in self.watchers:
+            watcher(known, TargetState.READY)
+        return True
+
     def note_heard(
         self, instances: collections.abc.Iterable[str], now: float
     ) -> None:
@@ -196,3 +233,9 @@
             kept = KEPT_GONE if gone else KEPT_SILENT
             if now - target.heard > kept:
                 del self._targets[target.instance]
+        for (instance, born), at in list(self._leaving.items()):
+            known = self._targets.get(instance)
+            if known is not None and known.born == born:
+                self._leaving[(instance, born)] = now
+            elif now - at > KEPT_GONE:
+                del self._leaving[(instance, born)]
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
@@ -193,3 +193,31 @@
     assert [t.instance for t in table.select("s", 5.0)] == ["i2"]
     table.note_heard(("i2",), 4.0)
     assert table.get("i2").heard == 5.0
+
+
+def test_word_of_leaving_that_was_overtaken_still_counts():
+    # A ready announcement with a later number had come by another way.
+    table = TargetTable(1.0)
+    table.put(make(number=5))
+    assert table.put(make(number=4, state=LEAVING))
+    assert table.leaves("i1") and not table.select("s", 0.0)
+    assert table.get("i1").number == 5
+
+
+def test_target_that_left_and_was_forgotten_does_not_become_ready():
+    # An entry that was cut off heard nothing of it, and forgot it.
+    table = TargetTable(1.0)
+    table.put(make(number=5))
+    table.note_leaving("i1", 0, 1.0)
+    table.forget(35.0)
+    assert table.get("i1") is None
+    table.put(make(number=6, heard=40.0))
+    assert table.leaves("i1")
+
+
+def test_memory_of_targets_that_left_ends():
+    table = TargetTable(1.0)
+    table.note_leaving("i1", 0, 1.0)
+    table.forget(62.0)
+    table.put(make(number=6, heard=62.0))
+    assert not table.leaves("i1")
--- a/soak/tests/test_wishes.py
+++ b/soak/tests/test_wishes.py
@@ -53,6 +53,21 @@
     assert {reply.status for reply in need.replies} == {200}
 
 
+@pytest.mark.parametrize("entries", (1, 3))
+def test_target_that_says_it_leaves_gets_no_new_work(entries, tmp_path):
+    # It said so in its answers alone, and was sent requests until its end.
+    async def work(targets):
+        for target in targets[:2]:
+            target.wishes.leaves = True
+        await asyncio.sleep(FULL_SECONDS)
+
+    need = play(tmp_path, entries, work)
+    for target in need.targets[:2]:
+        assert target.runs > 0
+        assert target.wishes.ignored == []
+    assert {reply.status for reply in need.replies} == {200}
+
+
 def test_each_wish_that_is_not_heeded_is_seen():
     wishes = Wishes(rest=3.0, leaves=True)
     wishes.note_answer("e1", True, 10.0)
