Ask for rest and leave by answers alone among the faults of the soak

No run of many faults had a target that asks for rest or says in its answers that it leaves, so nothing showed what heeds them while processes are killed, frozen and cut off. Two kinds join the newest set of faults: one to three targets turn requests away for up to 6 s and ask for 0.3 to 8 s of rest; one says that it leaves and ends 1 to 4 s later. Targets check each arrival by the entry that it comes from; an entry that was killed or frozen since, or whose links were harmed, is excused.

A life without a limit named is allowed what comes; the target now counts anew with its next life, as it does when it names another limit.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -21,7 +21,11 @@
 QUIET_SECONDS = 3.5
 # Sets of faults: a seed that has shown a fault keeps the set that it drew
 # from, or it would draw others and show nothing any more.
-FIRST_SET, RESTART_SET, COLD_SET, NEWEST_SET = 1, 2, 3, 4
+FIRST_SET, RESTART_SET, COLD_SET, NEED_SET, NEWEST_SET = 1, 2, 3, 4, 5
+# Seconds after connections were harmed in which what was held up still comes.
+HELD_UP_SECONDS = 1.5
+# Seconds of rest that targets ask for.
+RESTS = (0.3, 1.0, 3.0, 8.0)
 
 
 class Faults:
@@ -54,8 +58,10 @@
             self._kinds += (self.evacuate, self.turn_cold)
         if chosen > COLD_SET:
             self._kinds += (self.need, self.need)
+        if chosen > NEED_SET:
+            self._kinds += (self.rest, self.rest, self.leave)
         self._orders: asyncio.Task | None = None
-        self._needs: set[asyncio.Task] = set()
+        self._lasting: set[asyncio.Task] = set()
 
     def keep_only(self, *names: str) -> None:
         """Inject these faults alone: each once, and then drawn ones.
@@ -85,7 +91,7 @@
         """Let what goes on beside other faults come to its end."""
         if self._orders is not None:
             await self._orders
-        await asyncio.gather(*self._needs)
+        await asyncio.gather(*self._lasting)
 
     async def evacuate(self) -> None:
         """Evacuate a zone while other faults go on; one at a time."""
@@ -107,10 +113,39 @@
         count = self._rng.randint(1, len(self._soak.targets))
         for target in self._rng.sample(self._soak.targets, count):
             if target.limit is None:
-                work = self._name_limits(target)
-                task = asyncio.create_task(work)
-                self._needs.add(task)
-                task.add_done_callback(self._needs.discard)
+                self._begin(self._name_limits(target))
+
+    def _begin(self, work: collections.abc.Coroutine) -> None:
+        """Let something go on beside other faults."""
+        task = asyncio.create_task(work)
+        self._lasting.add(task)
+        task.add_done_callback(self._lasting.discard)
+
+    async def rest(self) -> None:
+        """Let targets turn requests away and ask for rest for a while."""
+        count = self._rng.randint(1, len(self._soak.targets))
+        for target in self._rng.sample(self._soak.targets, count):
+            if not target.wishes.full:
+                self._begin(self._ask_for_rest(target))
+
+    async def _ask_for_rest(self, target: "SoakTarget") -> None:
+        target.wishes.full = True
+        target.wishes.rest = self._rng.choice(RESTS)
+        await asyncio.sleep(self._rng.uniform(0.3, 6.0))
+        target.wishes.full = False
+
+    async def leave(self) -> None:
+        """Let a target say in its answers alone that it leaves, and end."""
+        # one stays: where no target at all is heard, all remain in use
+        target = self._rng.choice(self._soak.targets[1:])
+        if not target.wishes.leaves:
+            target.wishes.leaves = True
+            self._begin(self._end_leaver(target))
+
+    async def _end_leaver(self, target: "SoakTarget") -> None:
+        await asyncio.sleep(self._rng.uniform(1.0, 4.0))
+        if target.wishes.leaves:
+            await target.restart(self._rng.uniform(0.0, 1.0))
 
     async def _name_limits(self, target: "SoakTarget") -> None:
         for _ in range(self._rng.randint(1, 2)):
@@ -121,16 +156,18 @@
     async def kill(self) -> None:
         """Kill a process; it comes back soon."""
         process = self._rng.choice((*self._soak.voters, *self._soak.entries))
-        process.end()
-        await asyncio.sleep(self._rng.uniform(0.0, 1.0))
-        process.start()
+        with self._soak.harm(process):
+            process.end()
+            await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+            process.start()
 
     async def freeze(self) -> None:
         """Let a process stand still."""
         process = self._rng.choice((*self._soak.voters, *self._soak.entries))
-        process.signal(signal.SIGSTOP)
-        await asyncio.sleep(self._rng.uniform(0.1, 3.0))
-        process.signal(signal.SIGCONT)
+        with self._soak.harm(process):
+            process.signal(signal.SIGSTOP)
+            await asyncio.sleep(self._rng.uniform(0.1, 3.0))
+            process.signal(signal.SIGCONT)
 
     async def stop(self) -> None:
         """Ask a process to end; its connections stay until it is gone."""
@@ -138,7 +175,8 @@
         process.signal(signal.SIGTERM)
         while process.alive:
             await asyncio.sleep(0.05)
-        process.start()
+        with self._soak.harm(process):
+            process.start()
 
     async def stop_entry(self) -> None:
         """Stop an entry while nothing else goes wrong; it cuts nothing."""
@@ -151,7 +189,8 @@
         # what it was asked just before its end comes to the callers' notice
         await asyncio.sleep(0.2)
         self._soak.planned = None
-        entry.start()
+        with self._soak.harm(entry):
+            entry.start()
 
     async def hang_up(self) -> None:
         """Tell a process that its settings have changed."""
@@ -170,20 +209,23 @@
         proxy = self._rng.choice(self._soak.proxies)
         mood = self._rng.choice((SLOW, LOST_SENT, LOST_ANSWERS, "reset"))
         self.names[-1] += f":{mood}"
-        if mood == "reset":
-            proxy.reset()
-            return
-        proxy.mood = mood
-        await asyncio.sleep(self._rng.uniform(0.1, 1.5))
-        proxy.mood = ""
+        with self._soak.harm(*self._soak.entries, longer=HELD_UP_SECONDS):
+            if mood == "reset":
+                proxy.reset()
+                return
+            proxy.mood = mood
+            await asyncio.sleep(self._rng.uniform(0.1, 1.5))
+            proxy.mood = ""
 
     async def kill_all(self) -> None:
         """Kill all processes at once; their disks stay."""
-        for process in (*self._soak.voters, *self._soak.entries):
-            process.end()
-        await asyncio.sleep(self._rng.uniform(0.0, 0.5))
-        for process in (*self._soak.voters, *self._soak.entries):
-            process.start()
+        processes = (*self._soak.voters, *self._soak.entries)
+        with self._soak.harm(*processes):
+            for process in processes:
+                process.end()
+            await asyncio.sleep(self._rng.uniform(0.0, 0.5))
+            for process in processes:
+                process.start()
 
     async def wipe(self) -> None:
         """Lose one disk, and wait until the loss is made good."""
--- a/soak/need.py
+++ b/soak/need.py
@@ -13,6 +13,7 @@
 from soak.reply import Reply
 from soak.run import make_config
 from soak.target import SoakTarget
+from soak.wishes import name_sender
 
 TARGETS = 4
 CALLERS = 8
@@ -88,7 +89,7 @@
             "X-Chivepier-Request-Id": f"n{self._number}",
             "X-Api-Key": "k1",
             "X-Chivepier-Deadline-Ms": "2000",
-            **name_sender(entry),
+            **name_sender(entry.ip),
         }
         url = f"http://{entry.ip}:8740/once/{self._number}"
         began, status, back = time.monotonic(), 0, None
@@ -102,14 +103,6 @@
         return Reply(now, status, now - began, seconds)
 
 
-def name_sender(entry: Process) -> dict[str, str]:
-    """Return the headers by which targets know whom a request comes from.
-
-    :param entry: that it is sent to now
-    """
-    return {"X-Entry": entry.ip, "X-Sent": str(time.monotonic())}
-
-
 def count_busiest(arrivals: list[float], since: float) -> int:
     """Count the requests in the busiest window from a moment on.
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,6 +1,7 @@
 """One seed of the soak."""
 
 import asyncio
+import collections.abc
 import contextlib
 import json
 import pathlib
@@ -18,6 +19,7 @@
 from soak.proxy import Proxy
 from soak.target import describe
 from soak.target import SoakTarget
+from soak.wishes import name_sender
 from soak.zoneorders import ZoneOrders
 
 VOTERS, ENTRIES, TARGETS = 3, 3, 3
@@ -105,14 +107,37 @@
         for number, target in enumerate(self.targets, 1):
             target.zone = f"z{number}"
             target.forbids = self.zone_orders.forbids
+            target.wishes.excuses = self.excuses
         self.session: aiohttp.ClientSession | None = None
         self.folder = folder
         self.version = 0
         self.acknowledged: list[tuple[float, int]] = []
         self.number = 0
         self.planned: Process | None = None
+        self._harmed: dict[str, float] = {}
         self.faults = Faults(self, kinds)
 
+    @contextlib.contextmanager
+    def harm(
+        self, *processes: Process, longer: float = 0.0
+    ) -> collections.abc.Iterator[None]:
+        """Excuse processes from what targets ask them, while they are harmed.
+
+        :param processes: that don't hear all that they are told
+        :param longer: seconds after the harm in which that may still be so
+        """
+        for process in processes:
+            self._harmed[process.ip] = float("inf")
+        try:
+            yield
+        finally:
+            for process in processes:
+                self._harmed[process.ip] = time.monotonic() + longer
+
+    def excuses(self, entry: str, since: float) -> bool:
+        """Tell whether an entry was harmed after a moment."""
+        return self._harmed.get(entry, since) > since
+
     async def run(self, seconds: float) -> Promises:
         """Play the seed.
 
@@ -164,6 +189,7 @@
             "X-Chivepier-Request-Id": identity,
             "X-Api-Key": "k1",
             "X-Chivepier-Deadline-Ms": "4000",
+            **name_sender(entry.ip),
         }
         url = f"http://{entry.ip}:8740/{kind}/{identity}"
         async with session.post(url, data=b"x", headers=headers) as answer:
--- a/soak/target.py
+++ b/soak/target.py
@@ -71,10 +71,11 @@
         self._cold_until = 0.0
         self._cold_told: float | None = None
         self._arrived: list[float] = []
-        self.wishes = Wishes()
+        self.wishes = Wishes(ignored=promises.broken)
         self.limit: float | None = None
         self.arrivals: list[float] = []
         self._told_at: float | None = None
+        self._life = asyncio.Lock()
         self.restarted = False
         self.runs = 0
         self._born = 0
@@ -158,11 +159,14 @@
 
         :param seconds: until it starts again
         """
-        await self.__aexit__()
-        self.wishes.begin_anew()
-        await asyncio.sleep(seconds)
-        self.restarted, self.runs, self._number = True, 0, 0
-        await self.__aenter__()
+        async with self._life:
+            await self.__aexit__()
+            self.wishes.begin_anew()
+            await asyncio.sleep(seconds)
+            # nobody knows yet what the next life names
+            self.name_limit(self.limit)
+            self.restarted, self.runs, self._number = True, 0, 0
+            await self.__aenter__()
 
     async def _announce(self) -> None:
         timeout = aiohttp.ClientTimeout(total=1.0)
@@ -209,8 +213,9 @@
         if self.limit is not None:
             echo["Server-Limit"] = str(self.limit)
         mood = self.mood
-        echo |= self._heed_wishes(request, mood == "shed")
-        if mood == "shed":
+        full = mood == "shed" or self.wishes.full
+        echo |= self._heed_wishes(request, full)
+        if full:
             echo["X-Chivepier-Not-Run"] = "1"
             return web.Response(status=503, headers=echo)
         await request.read()
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -7,6 +7,7 @@
 from soak.blocks import reserve_block
 from soak.faults import COLD_SET
 from soak.faults import FIRST_SET
+from soak.faults import NEED_SET
 from soak.faults import NEWEST_SET
 from soak.faults import RESTART_SET
 from soak.promises import make_body
@@ -21,7 +22,9 @@
     3922492142: (FIRST_SET, 14.0),
     5: (RESTART_SET, 6.0),
     11: (COLD_SET, 8.0),
-    12: (NEWEST_SET, 8.0),
+    12: (NEED_SET, 8.0),
+    13: (NEWEST_SET, 8.0),
+    523424707: (NEWEST_SET, 14.0),
 }
 
 
@@ -78,6 +81,18 @@
     assert seen.answered > 20
 
 
+def test_wishes_of_targets_are_heeded(tmp_path):
+    # Requests within the rest that an entry was asked for, or new ones to a
+    # target that leaves, while processes fail.
+    with reserve_block() as block:
+        soak = Soak(14, tmp_path, block)
+        soak.faults.keep_only("rest", "leave", "kill", "freeze", "harm_links")
+        seen = asyncio.run(soak.run(14.0))
+    assert seen.broken == []
+    assert seen.answered > 20
+    assert sum(target.wishes.refusals for target in soak.targets) > 0
+
+
 def test_each_broken_promise_is_seen():
     seen = Promises()
     seen.note_run("a")
--- a/soak/wishes.py
+++ b/soak/wishes.py
@@ -1,6 +1,7 @@
 """What a target asked of each entry in its answers, and whether it got it."""
 
 import collections.abc
+import time
 
 import attrs
 
@@ -15,15 +16,25 @@
     return False
 
 
+def name_sender(entry: str) -> dict[str, str]:
+    """Return the headers by which targets know whom a request comes from.
+
+    :param entry: that it is sent to now
+    """
+    return {"X-Entry": entry, "X-Sent": str(time.monotonic())}
+
+
 @attrs.define
 class Wishes:
     """Checks what entries send a target that asked them for something.
 
+    :param full: whether it turns away what it gets
     :param rest: seconds that it asks for beside a refusal
     :param leaves: whether it says in all its answers that it leaves
     :param excuses: tells whether an entry was harmed since a moment
     """
 
+    full: bool = False
     rest: float | None = None
     leaves: bool = False
     excuses: Excuses = excuse_nobody
@@ -71,6 +82,6 @@
 
     def begin_anew(self) -> None:
         """Start again: the next life has asked nobody for anything."""
-        self.rest, self.leaves = None, False
+        self.full, self.rest, self.leaves = False, None, False
         self._rests.clear()
         self._told.clear()
