Let answers of the leader that come late be used by the next requests

A service whose targets are all cold was served by nobody.

Cause: a request waits 0.1 s for leave and then goes elsewhere; what came later was dropped, though the leader had counted it, and leave lapsed 0.25 s after it was asked for in any case. With answers later than that none can ever be used: not slower, but stopped. Ruled out: the ledger (it grants what its window holds) and the pause after an unanswered question alone (0.5 s, with it asks go on twice a second).

Now a question goes on after its request has left, and leave that comes is kept for the next one of the same target, class and team until it lapses. It is asked for three times as long as answers took, 1 s at most, and the leader counts it for as long; a new leader waits for the longest. So late means fewer sends. Bound: answers later than 1 s count as none. A question under way is not taken for one without an answer: an entry does not begin to send its own part beside a turn that is still to come.

--- a/packages/gateway/src/chivepier/gateway/control/permithub.py
+++ b/packages/gateway/src/chivepier/gateway/control/permithub.py
@@ -7,11 +7,11 @@
 from chivepier.gateway.messages import PermitAnswer
 from chivepier.gateway.messages import PermitRequest
 from chivepier.gateway.permits import Claim
-from chivepier.gateway.permits import PERMIT_SECONDS
+from chivepier.gateway.permits import MOST_PERMIT_SECONDS
+from chivepier.gateway.permits import MOST_WINDOW_SECONDS
 from chivepier.gateway.permits import PermitLedger
 from chivepier.gateway.permits import Turn
 from chivepier.gateway.permits import Turns
-from chivepier.gateway.permits import WINDOW_SECONDS
 from chivepier.types import Clock
 from chivepier.wire import LinkError
 
@@ -50,7 +50,9 @@
         :param request: for one send to one target
         """
         try:
-            return await self._leader.ask(request, PERMIT_SECONDS, self._grant)
+            return await self._leader.ask(
+                request, min(request.lapse, MOST_PERMIT_SECONDS), self._grant
+            )
         except (LinkError, TimeoutError) as error:
             # an answer that comes later is of no use to who asked
             self._log.info(
@@ -63,13 +65,16 @@
         if since is None:
             return PermitAnswer(False, led=False)
         now = self._clock.monotonic()
-        if request.most and now - since < WINDOW_SECONDS:
+        if request.most and now - since < MOST_WINDOW_SECONDS:
             return PermitAnswer(False)
         turn = self._find_turn(request, now, since)
         if not turn.granted:
             return PermitAnswer(False, turn.wait)
         if request.most and not self._ledger.grant(
-            request.instance, request.most, now
+            request.instance,
+            request.most,
+            now,
+            min(request.lapse, MOST_PERMIT_SECONDS),
         ):
             return PermitAnswer(False)
         return PermitAnswer(True, turn.wait)
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_limits.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_limits.py
@@ -20,6 +20,8 @@
 WINDOW_SECONDS = 4.0
 # Seconds of traffic that are counted.
 PLAYED_SECONDS = 6.0
+# Seconds of one step by which it is seen whether this process is late.
+STEP_SECONDS = 0.05
 # Requests a second that all entries together want to send.
 ASKS_A_SECOND = 40.0
 
@@ -82,14 +84,35 @@
         )
 
 
-async def press_all(followers, sends: Sends, seconds: float) -> None:
-    """Let all entries want to send, one after the other."""
+async def count_prompt_seconds(seconds: float) -> float:
+    """Wait, and return the part of the time in which this process was prompt.
+
+    Hundreds of nodes in one process on a busy machine are late by seconds.
+    """
+    end, prompt = time.monotonic() + seconds, 0.0
+    while (now := time.monotonic()) < end:
+        await asyncio.sleep(STEP_SECONDS)
+        late = time.monotonic() - now > 2 * STEP_SECONDS
+        prompt += 0.0 if late else STEP_SECONDS
+    return prompt
+
+
+async def press_all(
+    followers, sends: Sends, seconds: float, share: float = 0.0
+) -> None:
+    """Let all entries want to send, one after the other.
+
+    :param share: of what the target names that must be sent meanwhile, as far
+        as this process is prompt, and in the end in any case
+    """
     pause = len(followers) / ASKS_A_SECOND
     tasks = [
         asyncio.create_task(sends.press(f, number / ASKS_A_SECOND, pause))
         for number, f in enumerate(followers)
     ]
-    await asyncio.sleep(seconds)
+    prompt = await count_prompt_seconds(seconds)
+    assert len(sends.moments) >= int(share * RATE * prompt)
+    await wait_until(lambda: len(sends.moments) >= share * RATE * seconds)
     for task in tasks:
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
@@ -116,10 +139,9 @@
         name_limit(followers[0], RATE, sends.target)
         for follower in followers:
             await wait_until(lambda f=follower: knows(f, RATE, sends.target))
-        await press_all(followers, sends, PLAYED_SECONDS)
+        await press_all(followers, sends, PLAYED_SECONDS, share=0.6)
         # one more than in the window, and what came late after it was given
         assert sends.count_busiest() <= RATE * (WINDOW_SECONDS + 0.5) + 1
-        assert len(sends.moments) >= 0.6 * RATE * PLAYED_SECONDS
 
     play(test, tmp_path)
 
@@ -271,8 +293,7 @@
         for address in list(fleet.voters):
             await fleet.stop(address)
         sends.moments.clear()
-        await press_all(followers, sends, 8.0)
-        assert len(sends.moments) >= 0.4 * RATE * 8.0
+        await press_all(followers, sends, 8.0, share=0.4)
         assert sends.count_busiest() <= 1.5 * RATE * WINDOW_SECONDS + 5
 
     play(test, tmp_path)
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_permithub.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_permithub.py
@@ -15,6 +15,7 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.messages import PermitRequest
 from chivepier.gateway.permits import Claim
+from chivepier.gateway.permits import MOST_WINDOW_SECONDS
 from chivepier.gateway.permits import PermitLedger
 from chivepier.gateway.permits import WINDOW_SECONDS
 from chivepier.gateway.targets import Target
@@ -23,7 +24,8 @@
 
 RATE = 10
 SERVICE = Service(name="s", connections=10, cold_rate=float(RATE))
-ASKS = 60
+# Windows that are filled in a test of the bound.
+WINDOWS = 3
 
 
 def make_cold(name: str = "cold") -> Target:
@@ -65,13 +67,20 @@
         )
 
 
-async def press(follower, target: Target, sends: Sends, count: int) -> None:
-    """Let one entry want to send again and again."""
-    for _ in range(count):
+async def press(follower, target: Target, sends: Sends) -> None:
+    """Let one entry want to send again and again, until cancelled."""
+    while True:
         await sends.send(follower, target)
         await asyncio.sleep(0.02)
 
 
+async def cancel(tasks: list[asyncio.Task]) -> None:
+    """End what entries want."""
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
 async def warm_up(sends: Sends, follower) -> None:
     """Return once the leader permits anything."""
     spare = make_cold("spare")
@@ -88,11 +97,12 @@
         followers = await fleet.follow_many(entries)
         sends, target = Sends(), make_cold()
         await warm_up(sends, followers[0])
-        count = max(2, 4 * ASKS // entries)
-        await asyncio.gather(
-            *(press(f, target, sends, count) for f in followers)
-        )
-        assert RATE <= len(sends.moments)
+        tasks = [
+            asyncio.create_task(press(f, target, sends)) for f in followers
+        ]
+        # entries that get no leave, however slow they are, fail this
+        await wait_until(lambda: len(sends.moments) >= WINDOWS * RATE)
+        await cancel(tasks)
         # what was asked for within a window is bounded, and each permit
         # lapses; so no second of sends holds more
         times = sorted(began for began, _ in sends.moments)
@@ -129,8 +139,7 @@
         sends, target = Sends(), make_cold()
         await warm_up(sends, followers[0])
         tasks = [
-            asyncio.create_task(press(f, target, sends, 250))
-            for f in followers
+            asyncio.create_task(press(f, target, sends)) for f in followers
         ]
         await wait_until(lambda: len(sends.moments) >= RATE)
         leader = fleet.find_leader()
@@ -138,8 +147,7 @@
         before = len(sends.moments)
         await fleet.stop(address)
         await wait_until(lambda: len(sends.moments) > before)
-        for task in tasks:
-            task.cancel()
+        await cancel(tasks)
         times = sorted(began for began, _ in sends.moments)
         for first in range(len(times) - RATE):
             assert times[first + RATE] - times[first] > 1.0
@@ -168,8 +176,8 @@
     (
         (None, False),
         (10.0, False),
-        (10.1 - WINDOW_SECONDS, False),
-        (10.0 - WINDOW_SECONDS, True),
+        (10.1 - MOST_WINDOW_SECONDS, False),
+        (10.0 - MOST_WINDOW_SECONDS, True),
     ),
 )
 def test_leader_permits_nothing_while_the_last_ones_permits_count(
--- a/packages/gateway/src/chivepier/gateway/following/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -44,9 +44,6 @@
 BEAT_SECONDS = 0.3
 # Seconds to wait for a voter's answer, less than until its link is given up.
 ANSWER_SECONDS = 0.8
-# Seconds to wait for leave to send to a target that takes few: two round
-# trips and more, by then the request is better sent elsewhere.
-PERMIT_ASK_SECONDS = 0.1
 # Seconds between two looks at which voters there are.
 LOOK_SECONDS = 0.2
 
@@ -218,7 +215,7 @@
             return None
         try:
             answer = await self._links.request(
-                self._hub.address, request, PERMIT_ASK_SECONDS
+                self._hub.address, request, request.lapse
             )
         except LinkError as error:
             self._log.warn(
--- a/packages/gateway/src/chivepier/gateway/messages/permitrequest.py
+++ b/packages/gateway/src/chivepier/gateway/messages/permitrequest.py
@@ -11,7 +11,8 @@
     together, 0 where it is not cold. ``rate`` is how many a second a target
     in need takes from all entries, below zero where it names none; then
     ``team`` and ``urgency`` are those of the request, and ``patience`` the
-    seconds that it can wait for its turn.
+    seconds that it can wait for its turn. ``lapse`` is the seconds from the
+    question on in which leave may be used.
     """
 
     instance: str
@@ -20,3 +21,4 @@
     team: str = ""
     urgency: int = 0
     patience: float = 0.0
+    lapse: float = 0.25
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -114,8 +114,8 @@
         """Count an answer to the question for a send to a target.
 
         :param kind: ``cold`` or ``limit``, why the target takes few
-        :param answer: ``granted``, ``refused`` or ``unanswered``; without a
-            leader ``own_part`` or ``refused_alone``
+        :param answer: ``granted``, ``refused``, ``late`` or ``unanswered``;
+            without a leader ``own_part`` or ``refused_alone``
         """
         self._note(f"{kind}_permits", (answer,), 1.0)
 
--- a/packages/gateway/src/chivepier/gateway/permits/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/permits/__init__.py
@@ -2,10 +2,13 @@
 
 from chivepier.gateway.permits.claim import Claim
 from chivepier.gateway.permits.coldbound import ColdBound
+from chivepier.gateway.permits.leader import Leader
 from chivepier.gateway.permits.ownpart import OwnPart
+from chivepier.gateway.permits.permit import MOST_PERMIT_SECONDS
 from chivepier.gateway.permits.permit import Permit
 from chivepier.gateway.permits.permit import PERMIT_SECONDS
 from chivepier.gateway.permits.permitledger import CONNECT_SECONDS
+from chivepier.gateway.permits.permitledger import MOST_WINDOW_SECONDS
 from chivepier.gateway.permits.permitledger import PermitLedger
 from chivepier.gateway.permits.permitledger import WINDOW_SECONDS
 from chivepier.gateway.permits.permits import Permits
@@ -18,6 +21,9 @@
     "Claim",
     "ColdBound",
     "LEAST_RATE",
+    "Leader",
+    "MOST_PERMIT_SECONDS",
+    "MOST_WINDOW_SECONDS",
     "OwnPart",
     "PERMIT_SECONDS",
     "Permit",
--- a/packages/gateway/src/chivepier/gateway/permits/pauses.py
+++ b/packages/gateway/src/chivepier/gateway/permits/pauses.py
@@ -28,11 +28,11 @@
         """
         if len(self._until) >= MOST_KEPT:
             self._drop_over(until)
-        self._until[_make_key(target, claim)] = until
+        self._until[make_key(target, claim)] = until
 
     def find(self, target: Target, claim: Claim, now: float) -> float | None:
         """Return the seconds that are left, or nothing once they are over."""
-        until = self._until.get(_make_key(target, claim))
+        until = self._until.get(make_key(target, claim))
         if until is None or until <= now:
             return None
         return until - now
@@ -56,5 +56,6 @@
         }
 
 
-def _make_key(target: Target, claim: Claim) -> tuple[str, int, int, str]:
+def make_key(target: Target, claim: Claim) -> tuple[str, int, int, str]:
+    """Return whose leave a claim is for."""
     return (target.instance, target.born, claim.urgency, claim.team)
--- a/packages/gateway/src/chivepier/gateway/permits/permit.py
+++ b/packages/gateway/src/chivepier/gateway/permits/permit.py
@@ -5,6 +5,8 @@
 # Seconds after its moment in which a permit must be used: the way of the
 # answer and a reservation.
 PERMIT_SECONDS = 0.25
+# The same at most, where answers are slow; a new leader waits for as long.
+MOST_PERMIT_SECONDS = 1.0
 
 
 @attrs.frozen
--- a/packages/gateway/src/chivepier/gateway/permits/permits.py
+++ b/packages/gateway/src/chivepier/gateway/permits/permits.py
@@ -10,7 +10,10 @@
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.permits.claim import Claim
 from chivepier.gateway.permits.coldbound import ColdBound
+from chivepier.gateway.permits.leader import Ask
+from chivepier.gateway.permits.leader import Leader
 from chivepier.gateway.permits.ownpart import OwnPart
+from chivepier.gateway.permits.pauses import make_key
 from chivepier.gateway.permits.pauses import Pauses
 from chivepier.gateway.permits.permit import Permit
 from chivepier.gateway.permits.permit import PERMIT_SECONDS
@@ -27,11 +30,6 @@
 # up its request.
 UNANSWERED_SECONDS = 0.5
 
-# Asks the leader for one send; nothing where no answer came.
-Ask = collections.abc.Callable[
-    [PermitRequest], collections.abc.Awaitable[PermitAnswer | None]
-]
-
 
 class Permits:
     """Asks the leader for each send to a target that takes few.
@@ -77,14 +75,14 @@
         self._zones = zones
         self._limits = limits
         self._bound = bound
-        self._ask = ask
+        self._leader = Leader(ask, clock)
         self._own = own
         self._count_entries = count_entries
         self._clock = clock
         self._log = log
         self._metrics = metrics
         self._pauses = Pauses()
-        self._unanswered_until = float("-inf")
+        self._late_until = float("-inf")
         self._entries = 1
         self._alone = False
 
@@ -156,9 +154,13 @@
         if rate is None:
             # whose request it is decides nothing at a cold target
             claim = Claim()
+        key = make_key(target, claim)
+        kept = self._leader.take_kept(key)
+        if kept is not None:
+            return kept
         if self._pauses.find(target, claim, now) is not None:
             return None
-        if cold and now < self._unanswered_until:
+        if cold and (now < self._late_until or self._unanswered(now)):
             return None
         turn = await self._claim(service, target, claim, rate, cold)
         if not turn.granted:
@@ -167,7 +169,10 @@
             return None
         if turn.wait:
             await self._clock.sleep(turn.wait)
-        return Permit(now + turn.wait + PERMIT_SECONDS)
+        return Permit(now + turn.wait + max(PERMIT_SECONDS, turn.lapse))
+
+    def _unanswered(self, now: float) -> bool:
+        return now - self._leader.unanswered_at < UNANSWERED_SECONDS
 
     async def _claim(
         self,
@@ -177,40 +182,51 @@
         rate: float | None,
         cold: bool,
     ) -> Turn:
-        answer = None
-        if self._clock.monotonic() >= self._unanswered_until:
-            request = PermitRequest(
-                target.instance,
-                self._bound.count(service.cold_rate) if cold else 0,
-                -1.0 if rate is None else rate,
-                claim.team,
-                claim.urgency,
-                # what is given of a cold target's bound must be used at once
-                0.0 if cold else claim.patience,
-            )
-            answer = await self._ask(request)
-            if answer is None:
-                end = self._clock.monotonic() + UNANSWERED_SECONDS
-                self._unanswered_until = end
-        if answer is not None and answer.led:
-            self._alone, self._entries = False, self._count_entries()
-        elif rate is not None and not cold:
+        now = self._clock.monotonic()
+        if self._unanswered(now):
+            return self._claim_without(target, claim, rate, cold)
+        request = PermitRequest(
+            target.instance,
+            self._bound.count(service.cold_rate) if cold else 0,
+            -1.0 if rate is None else rate,
+            claim.team,
+            claim.urgency,
+            # what is given of a cold target's bound must be used at once
+            0.0 if cold else claim.patience,
+        )
+        key = make_key(target, claim)
+        question, answer = await self._leader.ask(key, request)
+        if answer is None:
+            # it may still come, for the next request
+            self._late_until = now + UNANSWERED_SECONDS
+            self._count(rate, "late")
+            if self._alone:
+                return self._claim_without(target, claim, rate, cold)
+            return Turn(False, REFUSED_SECONDS)
+        if not answer.led:
+            return self._claim_without(target, claim, rate, cold)
+        self._alone, self._entries = False, self._count_entries()
+        return self._read_answer(answer, rate, question.lapse)
+
+    def _claim_without(
+        self, target: Target, claim: Claim, rate: float | None, cold: bool
+    ) -> Turn:
+        if rate is not None and not cold:
             return self._claim_alone(target, claim, rate)
-        return self._read_answer(answer, rate)
+        self._count(rate, "unanswered")
+        return Turn(False, REFUSED_SECONDS)
+
+    def _count(self, rate: float | None, answer: str) -> None:
+        kind = "cold" if rate is None else "limit"
+        self._metrics.note_permit(kind, answer)
 
     def _read_answer(
-        self, answer: PermitAnswer | None, rate: float | None
+        self, answer: PermitAnswer, rate: float | None, lapse: float
     ) -> Turn:
-        count = self._metrics.note_permit
-        kind = "cold" if rate is None else "limit"
-        if answer is None:
-            count(kind, "unanswered")
-            return Turn(False, REFUSED_SECONDS)
-        count(kind, "granted" if answer.granted else "refused")
-        wait = answer.wait
-        if not answer.granted:
-            wait = wait or REFUSED_SECONDS
-        return Turn(answer.granted, wait)
+        self._count(rate, "granted" if answer.granted else "refused")
+        if answer.granted:
+            return Turn(True, answer.wait, lapse)
+        return Turn(False, answer.wait or REFUSED_SECONDS)
 
     def _claim_alone(self, target: Target, claim: Claim, rate: float) -> Turn:
         """Send this entry's part, as no leader answers.
--- a/packages/gateway/src/chivepier/gateway/permits/tests/test_permitledger.py
+++ b/packages/gateway/src/chivepier/gateway/permits/tests/test_permitledger.py
@@ -5,14 +5,17 @@
 from hypothesis import strategies
 
 from chivepier.gateway.permits import CONNECT_SECONDS
+from chivepier.gateway.permits import MOST_PERMIT_SECONDS
 from chivepier.gateway.permits import PERMIT_SECONDS
 from chivepier.gateway.permits import PermitLedger
 
 # Milliseconds, as times: whole numbers add up without error.
-LATEST = round(1000 * (PERMIT_SECONDS + CONNECT_SECONDS))
+LAPSES = [round(1000 * PERMIT_SECONDS), 400, round(1000 * MOST_PERMIT_SECONDS)]
 ASKED = strategies.lists(
     strategies.tuples(
-        strategies.integers(0, 400), strategies.integers(0, LATEST - 1)
+        strategies.integers(0, 400),
+        strategies.sampled_from(LAPSES),
+        strategies.floats(0.0, 0.999),
     ),
     max_size=80,
 )
@@ -24,10 +27,11 @@
     # Entries ask at any moment, and what they were given leave for arrives
     # at once or as late as a permit and a connection allow.
     ledger, now, arrived = PermitLedger(), 0, []
-    for gap, late in asked:
+    for gap, lapse, share in asked:
         now += gap
-        if ledger.grant("i1", most, now / 1000):
-            arrived.append(now + late)
+        latest = lapse + round(1000 * CONNECT_SECONDS)
+        if ledger.grant("i1", most, now / 1000, lapse / 1000):
+            arrived.append(now + int(share * latest))
     for first in arrived:
         busy = sum(first <= moment < first + 1000 for moment in arrived)
         assert busy <= most
--- a/packages/gateway/src/chivepier/gateway/permits/turn.py
+++ b/packages/gateway/src/chivepier/gateway/permits/turn.py
@@ -9,7 +9,10 @@
 
     :param granted: whether the request may be sent
     :param wait: seconds until then, or until it is worth asking again
+    :param lapse: seconds after that moment in which it may be sent; 0 where
+        none was agreed on
     """
 
     granted: bool
     wait: float
+    lapse: float = 0.0
--- a/packages/gateway/src/chivepier/gateway/permits/turns.py
+++ b/packages/gateway/src/chivepier/gateway/permits/turns.py
@@ -36,9 +36,9 @@
 
     >>> turns = Turns(random.Random(1))
     >>> turns.claim("i1", 2.0, Claim(), 10.0, led_since=0.0)
-    Turn(granted=True, wait=0.0)
+    Turn(granted=True, wait=0.0, lapse=0.0)
     >>> turns.claim("i1", 2.0, Claim(patience=0.5), 10.25, led_since=0.0)
-    Turn(granted=True, wait=0.25)
+    Turn(granted=True, wait=0.25, lapse=0.0)
 
     :param rng: spreads the claims of many entries
     """
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_rests.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_rests.py
@@ -64,6 +64,7 @@
         for _ in range(40):
             await parts.serve(make_request("/plain/x"))
         assert count_sends(parts, "w-a") == 1
+        assert parts.read_lines("target_not_sent") == []
         (line,) = parts.read_lines("rest_asked")
         assert (line["target"], line["seconds"]) == ("w-a", 3.0)
 
