Use targets that are avoided for a moment before refusing beside ones in need

Cause: targets that did not answer in time are left out of the ranking for half a second and more. On a busy machine these were the two without a limit; what was left was all in need, and that was taken for all of the service. Ruled out: the turns of the leader (they are for the two that name a limit) and their rate.

Now a shortage is stated of all targets that may be sent to, avoided ones included, and a request that those in need don't take is tried at the avoided ones, as it would be if there were no others.

Besides, test_leaving waits until the voters know, and has a case without beats: switching off what voters push had been noticed by no test.

--- a/packages/gateway/src/chivepier/gateway/control/tests/test_leaving.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_leaving.py
@@ -9,9 +9,9 @@
 from chivepier.gateway.targets.tests.test_targettable import make
 
 
-def all_know(followers, name: str = "i1") -> bool:
-    """Tell whether every entry knows that a target leaves."""
-    return all(follower.table.leaves(name) for follower in followers)
+def all_know(nodes, name: str = "i1") -> bool:
+    """Tell whether every entry, or voter, knows that a target leaves."""
+    return all(node.table.leaves(name) for node in nodes)
 
 
 @pytest.mark.parametrize("entries", (1, 7, 75))
@@ -25,6 +25,7 @@
         told = followers[-1]
         told.leavers.note(told.table.get("i1"), time.monotonic())
         await wait_until(lambda: all_know(followers))
+        await wait_until(lambda: all_know(voters))
         # what the target announces still says that it is ready
         late = make("i1", number=7, heard=time.monotonic())
         for voter in voters:
@@ -36,6 +37,22 @@
     play(test, tmp_path)
 
 
+def test_voters_tell_it_at_once_and_not_with_beats_alone(tmp_path):
+    async def test(fleet):
+        followers = await fleet.follow_many(3)
+        voter = next(iter(fleet.voters.values()))
+        voter.registry.announce(make("i1", heard=time.monotonic()))
+        for follower in followers:
+            await wait_until(lambda f=follower: f.table.get("i1"))
+        told, *others = followers
+        for follower in others:
+            follower.stop_beats()
+        told.leavers.note(told.table.get("i1"), time.monotonic())
+        await wait_until(lambda: all_know(others))
+
+    play(test, tmp_path)
+
+
 def test_entry_that_was_cut_off_tells_it_later(tmp_path):
     async def test(fleet):
         followers = await fleet.follow_many(3)
--- a/packages/gateway/src/chivepier/gateway/serving/placing.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placing.py
@@ -142,9 +142,24 @@
     async def _find_permitted(
         self, plan: Plan, tried: set[str]
     ) -> Place | None:
-        ranked = self._rank(plan, tried)
+        # those that are avoided come once none of the others is left: they
+        # may have room, and the others may all be in need
+        while ranked := self._rank(plan, tried):
+            place = await self._try_ranked(plan, ranked, tried)
+            if place is not None:
+                return place
+        rate = self._find_shortage(plan)
+        if rate is not None:
+            raise OverLimitError(rate)
+        return None
+
+    async def _try_ranked(
+        self, plan: Plan, ranked: list[Target], tried: set[str]
+    ) -> Place | None:
+        """Pick the first target that may be sent to; note all before it."""
         needy = self._gate.find_rates(ranked)
-        claim = self._make_claim(plan, patient=len(needy) == len(ranked))
+        patient = len(needy) == len(ranked) and self._is_short(plan)
+        claim = self._make_claim(plan, patient)
         asked = 0
         for target in ranked:
             # each question holds the request up, and all may be in need
@@ -157,11 +172,11 @@
                 if permit is not None:
                     return Place(target, None, permit)
             tried.add(target.instance)
-        rate = self._find_shortage(plan)
-        if rate is not None:
-            raise OverLimitError(rate)
         return None
 
+    def _is_short(self, plan: Plan) -> bool:
+        return self._find_shortage(plan) is not None
+
     def _find_shortage(self, plan: Plan) -> float | None:
         """Return the rate that all targets take together.
 
@@ -169,7 +184,8 @@
         """
         if not self._gate.knows_limits:
             return None
-        found = self._rank(plan, set())
+        # also those that are avoided for a moment: they name no limit
+        found = self._chooser.select(plan.service.name, plan.regions)
         rates = self._gate.find_rates(found)
         if not rates or len(rates) < len(found):
             return None
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
@@ -97,6 +97,18 @@
     play(test, "a", "b")
 
 
+def test_target_that_is_avoided_for_a_moment_is_used_beside_those_in_need():
+    # It had not answered once, and callers were told that all were in need.
+    async def test(parts):
+        parts.name_limit("w-a", 0.5)
+        parts.name_limit("w-b", 0.5)
+        parts.turn = REFUSED
+        parts.dispatcher.chooser.avoid("w-c")
+        assert await answer_plain(parts) == ["w-c"]
+
+    play(test, "a", "b", "c")
+
+
 def test_target_that_is_full_for_a_moment_is_asked_again_beside_one_in_need():
     # The one without a limit refused once, and the caller was told that all
     # were in need.
--- a/packages/gateway/src/chivepier/gateway/targets/chooser.py
+++ b/packages/gateway/src/chivepier/gateway/targets/chooser.py
@@ -188,6 +188,18 @@
     def _find_pause(self, target: Target, now: float) -> float | None:
         return self._rests.find_pause(target.instance, target.born, now)
 
+    def select(
+        self,
+        service: str,
+        regions: collections.abc.Collection[str] | None = None,
+    ) -> list[Target]:
+        """Return the targets that may be sent to, avoided ones included.
+
+        :param service: whose targets
+        :param regions: that the request may reach; ``None`` for all
+        """
+        return self._select_awake(service, self._clock.monotonic(), regions)
+
     def find_rest(
         self,
         service: str,
