Let a change of voters wait for a leader that has just begun

None was: that answer is also given while a leader has not yet committed an entry of its own term, and on a busy machine the lead changes.

Such a leader is confirmed within a round trip and a sync, so the change now waits for that, 2 s at most, and is then refused for what it is.

--- a/packages/state/src/chivepier/state/tests/test_voterchanges.py
+++ b/packages/state/src/chivepier/state/tests/test_voterchanges.py
@@ -55,6 +55,23 @@
     asyncio.run(play())
 
 
+def test_change_of_voters_waits_for_a_leader_that_has_just_begun():
+    # It was refused, as if another change were under way.
+    async def play():
+        async with Rig(3) as rig:
+            leader = await rig.await_leader()
+            others = [n for n in rig.disks if n != leader.node]
+            rig.crash(leader.node)
+            begun = [r for r in rig.replicas.values() if r is not leader]
+            await rig.wait(lambda: any(r._core.tenure for r in begun))
+            (new,) = (r for r in begun if r._core.tenure)
+            assert not new._core.tenure.settled()
+            await rig.finish(new.changes.remove(leader.node))
+            assert {v.node for v in new.voters} == set(others)
+
+    asyncio.run(play())
+
+
 def test_learner_has_no_vote_before_it_holds_everything():
     """A new voter that never answers is never counted."""
 
--- a/packages/state/src/chivepier/state/voterchanges.py
+++ b/packages/state/src/chivepier/state/voterchanges.py
@@ -25,6 +25,11 @@
 # what lost voters may have reached meanwhile by elections among themselves
 RECOVERY_TERMS = 1000
 TELL_BEATS = 5
+# Seconds that a change waits for a leader that has just begun to be confirmed;
+# with a majority that answers, a round trip and a sync.
+SETTLE_SECONDS = 2.0
+# Seconds between two looks whether it is.
+LOOK_SECONDS = 0.05
 
 
 class VoterChanges:
@@ -49,13 +54,13 @@
         if command.startswith(PREFIX):
             raise ValueError("voters are not changed by a plain command")
 
-    @contextlib.contextmanager
-    def _alone(self) -> collections.abc.Iterator[Tenure]:
+    @contextlib.asynccontextmanager
+    async def _alone(self) -> collections.abc.AsyncIterator[Tenure]:
         core, tenure = self._core, self._core.tenure
         if tenure is None:
             raise NotLeaderError(core.leader)
-        pending = core.sets.latest_index > core.commit
-        if self._busy or pending or not tenure.settled():
+        await self._await_settled(tenure)
+        if self._busy or core.sets.latest_index > core.commit:
             text = "another change of voters is under way"
             raise RequestError.of(ErrorKind.IN_PROGRESS, text)
         self._busy = True
@@ -65,6 +70,22 @@
             self._busy = False
             tenure.learner = None
 
+    async def _await_settled(self, tenure: Tenure) -> None:
+        """Wait until a leader knows of all that is committed.
+
+        :raises LostLeadError: when it leads no more
+        :raises RequestError: when no majority confirms it in time
+        """
+        core = self._core
+        end = core.clock.monotonic() + SETTLE_SECONDS
+        while not tenure.settled():
+            if not tenure.current:
+                raise LostLeadError()
+            if core.clock.monotonic() >= end:
+                text = "the leader is new, and no majority has confirmed it"
+                raise RequestError.of(ErrorKind.IN_PROGRESS, text)
+            await core.clock.sleep(LOOK_SECONDS)
+
     async def add(self, voter: Voter) -> None:
         """Bring an instance's log up to date, then give it a vote.
 
@@ -77,7 +98,7 @@
         :raises RequestError: when another change is under way
         """
         core = self._core
-        with self._alone() as tenure:
+        async with self._alone() as tenure:
             if voter not in core.voters:
                 self._refuse_moved(voter)
                 tenure.learner = voter
@@ -103,7 +124,7 @@
             voters would have no majority that answers
         """
         core = self._core
-        with self._alone() as tenure:
+        async with self._alone() as tenure:
             rest = tuple(v for v in core.voters if v.node != node)
             if rest == core.voters:
                 return
