Name members of earlier sets that hold a change back

A version is held back by each set of members in use, also by those that a later one has left out and that may still renew each other's leases; named were those of the newest set alone, which all had it. The same sets decide and are named now; with nobody left to name it says that leases have to run out.

Test: two members of the earlier set hold a version back; before, no name came.

--- a/packages/membership/src/chivepier/membership/forcetracker.py
+++ b/packages/membership/src/chivepier/membership/forcetracker.py
@@ -105,4 +105,6 @@
             return []
         version = self._pending[-1].version
         *_, (_, newest) = self._sets
-        return sorted(n for n, _ in self._missing(newest, version))
+        # those of earlier sets may still act on what these allowed
+        sets = [*self._used_by(version), newest]
+        return sorted({n for s in sets for n, _ in self._missing(s, version)})
--- a/packages/membership/src/chivepier/membership/tests/test_replaced.py
+++ b/packages/membership/src/chivepier/membership/tests/test_replaced.py
@@ -49,3 +49,16 @@
     """Two of three may live on, cut off, and renew each other's leases."""
     before = [make_member(n, 1) for n in range(3)]
     assert not is_in_force(before, before[:1])
+
+
+def test_members_of_earlier_sets_that_hold_a_version_back_are_named():
+    # The operator was told that it waits for nobody, without a name.
+    before = [make_member(n, 1) for n in range(3)]
+    sets = MemberSets()
+    sets.add(1, before)
+    sets.add(2, before[:1])
+    tracker = ForceTracker(ManualClock(), LeaseTerms(), sets)
+    tracker.add_version(2)
+    tracker.acknowledge("n0", 1, 2)
+    assert tracker.advance() == 0
+    assert tracker.lagging() == ["n1", "n2"]
--- a/packages/node/src/chivepier/node/commander.py
+++ b/packages/node/src/chivepier/node/commander.py
@@ -118,10 +118,11 @@
         return answer
 
     def _describe_wait(self, answer: Answer) -> Answer:
-        lagging = ", ".join(self._cluster.leadership.force.lagging())
+        lagging = self._cluster.leadership.force.lagging()
+        awaited = ", ".join(lagging) or "leases of before it to run out"
         text = (
             f"version {answer.index} is durable but not yet in force"
-            f" everywhere; it waits for {lagging}"
+            f" everywhere; it waits for {awaited}"
         )
         return Answer(ErrorKind.NOT_IN_FORCE.value, text, answer.index)
 
