--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -2,7 +2,7 @@
 
 from chivepier.gateway.serving.answerfacts import AnswerFacts
 from chivepier.gateway.serving.bodyroom import BodyRoom
-from chivepier.gateway.serving.bodyroom import BodyShare
+from chivepier.gateway.serving.bodyshare import BodyShare
 from chivepier.gateway.serving.callerport import CallerPort
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.serving.contact import Contact
--- a/packages/gateway/src/chivepier/gateway/serving/bodyroom.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodyroom.py
@@ -5,30 +5,11 @@
 
 import attrs
 
+from chivepier.gateway.serving.bodyshare import BodyShare
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
 
 
-@attrs.define
-class BodyShare:
-    """What the body of one request takes so far."""
-
-    room: "BodyRoom"
-    taken: int = 0
-
-    def take(self, count: int) -> None:
-        """Take room for bytes that have come.
-
-        :param count: of them
-        :raises RequestError: when there is none; nothing has run
-        """
-        if self.room.taken + count > self.room.most:
-            text = "too many bodies are being sent to this instance"
-            raise RequestError.of(ErrorKind.OVERLOADED, text)
-        self.room.taken += count
-        self.taken += count
-
-
 @attrs.define
 class BodyRoom:
     """Bounds the bodies that are kept at the same time.
@@ -57,8 +38,14 @@
     @contextlib.contextmanager
     def open(self) -> collections.abc.Iterator[BodyShare]:
         """Give a request a share, until it has ended."""
-        share = BodyShare(self)
+        share = BodyShare(self._grow)
         try:
             yield share
         finally:
             self.taken -= share.taken
+
+    def _grow(self, count: int) -> None:
+        if self.taken + count > self.most:
+            text = "too many bodies are being sent to this instance"
+            raise RequestError.of(ErrorKind.OVERLOADED, text)
+        self.taken += count
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -36,7 +36,6 @@
 from chivepier.gateway.targets import TargetHealth
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
-from chivepier.types import RequestError
 
 # Objectives after which an attempt that could be repeated is given up.
 PATIENCE = 2.0
@@ -97,7 +96,7 @@
         self.clock = clock
         self.log = log
         self.runs = RunWatch(board, mover, chooser.pace, clock)
-        self._refusals = Refusals(table, clock, returns)
+        self._refusals = Refusals(table, clock, returns, log)
         self._placing = Placing(
             chooser, health, queues, calls, guard, gate, clock, log
         )
@@ -172,9 +171,13 @@
             text = "no target has room"
             raise self._refusals.give_up(plan, runs, text) from None
         except OverLimitError as error:
-            raise self._give_up_over_limit(plan, runs, error) from None
+            raise self._refusals.give_up_over_limit(
+                plan, runs, error.rate, self.state.entries
+            ) from None
         except AllAtRestError as error:
-            raise self._give_up_at_rest(plan, runs, error) from None
+            raise self._refusals.give_up_at_rest(
+                plan, runs, error.seconds
+            ) from None
 
     def _note_not_sent(
         self, plan: Plan, target: Target, error: NotSentError
@@ -189,42 +192,6 @@
             error=repr(error),
         )
 
-    def _give_up_over_limit(
-        self, plan: Plan, runs: int, error: OverLimitError
-    ) -> RequestError:
-        entries = self.state.entries
-        given_up = self._refusals.give_up_over_limit(
-            plan, runs, error.rate, entries
-        )
-        pause = given_up.failure.retry_after
-        self.log.warn(
-            "over_limit",
-            id=plan.request.id,
-            service=plan.service.name,
-            team=plan.team,
-            urgency=plan.urgency,
-            rate=error.rate,
-            entries=entries,
-            back_ms=pause and round(1000 * pause.total_seconds()),
-        )
-        return given_up
-
-    def _give_up_at_rest(
-        self, plan: Plan, runs: int, error: AllAtRestError
-    ) -> RequestError:
-        given_up = self._refusals.give_up_at_rest(plan, runs, error.seconds)
-        pause = given_up.failure.retry_after
-        self.log.warn(
-            "all_at_rest",
-            id=plan.request.id,
-            service=plan.service.name,
-            team=plan.team,
-            urgency=plan.urgency,
-            first_ms=round(1000 * error.seconds),
-            back_ms=pause and round(1000 * pause.total_seconds()),
-        )
-        return given_up
-
     def _note_place(self, plan: Plan, place: Place) -> None:
         target, demand = place.target, plan.demand
         load = self.chooser.find_load(target.instance)
--- a/packages/gateway/src/chivepier/gateway/serving/refusals.py
+++ b/packages/gateway/src/chivepier/gateway/serving/refusals.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.returns import Returns
 from chivepier.gateway.targets import TargetState
@@ -28,9 +29,17 @@
     :param table: the targets
     :param clock: monotonic time
     :param returns: when refused callers may come back
+    :param log: refusals that targets' words lead to
     """
 
-    def __init__(self, table: TargetTable, clock: Clock, returns: Returns):
+    def __init__(
+        self,
+        table: TargetTable,
+        clock: Clock,
+        returns: Returns,
+        log: EventLog,
+    ):
+        self._log = log
         self._table = table
         self._clock = clock
         self._returns = returns
@@ -103,11 +112,10 @@
         if runs:
             return self.give_up(plan, runs, "targets in need take no more")
         now = self._clock.monotonic()
-        seconds = self._returns.book(plan.service.name, rate, entries, now)
-        pause = datetime.timedelta(seconds=seconds)
+        back = self._returns.book(plan.service.name, rate, entries, now)
+        self._note("over_limit", plan, back, rate=rate, entries=entries)
         text = f"its targets are in need and take {rate:g} requests a second"
-        failure = Failure(ErrorKind.OVERLOADED, text, Ran.NO, pause)
-        return RequestError(failure)
+        return self._overload(text, back)
 
     def give_up_at_rest(
         self, plan: Plan, runs: int, seconds: float
@@ -121,9 +129,24 @@
         text = "its targets have asked this instance to wait"
         if runs:
             return self.give_up(plan, runs, text)
-        pause = datetime.timedelta(seconds=self._returns.spread(seconds))
-        failure = Failure(ErrorKind.OVERLOADED, text, Ran.NO, pause)
-        return RequestError(failure)
+        back = self._returns.spread(seconds)
+        self._note("all_at_rest", plan, back, first_ms=round(1000 * seconds))
+        return self._overload(text, back)
+
+    def _note(self, event: str, plan: Plan, back: float, **facts) -> None:
+        self._log.warn(
+            event,
+            id=plan.request.id,
+            service=plan.service.name,
+            team=plan.team,
+            urgency=plan.urgency,
+            back_ms=round(1000 * back),
+            **facts,
+        )
+
+    def _overload(self, text: str, seconds: float) -> RequestError:
+        pause = datetime.timedelta(seconds=seconds)
+        return RequestError(Failure(ErrorKind.OVERLOADED, text, Ran.NO, pause))
 
     def _refusal(self, text: str, seconds: float) -> RequestError:
         pause = datetime.timedelta(seconds=seconds)
--- a/packages/gateway/src/chivepier/gateway/serving/retrybudget.py
+++ b/packages/gateway/src/chivepier/gateway/serving/retrybudget.py
@@ -1,12 +1,9 @@
 """Sending again, within a budget that all entries share."""
 
-import collections
-
-import attrs
-
 from chivepier.gateway.messages import RepeatRecord
+from chivepier.gateway.serving.retrywindow import BUCKETS
+from chivepier.gateway.serving.retrywindow import RetryWindow
 
-BUCKETS = 10
 # Share of the allowance that is used at all. Entries learn of each other with
 # a delay, and one that has just started counts too few others.
 USED_SHARE = 0.7
@@ -21,20 +18,6 @@
 LOAN_SECONDS = 0.1
 
 
-def _make_buckets() -> collections.deque[int]:
-    return collections.deque([0] * BUCKETS, BUCKETS)
-
-
-@attrs.define
-class _Window:
-    """Counts of one service; the newest bucket is the last."""
-
-    requests: collections.deque[int] = attrs.field(factory=_make_buckets)
-    repeats: collections.deque[int] = attrs.field(factory=_make_buckets)
-    lent: collections.deque[int] = attrs.field(factory=_make_buckets)
-    lent_at: float | None = None
-
-
 class RetryBudget:
     """Counts by service over a sliding window.
 
@@ -64,7 +47,7 @@
         self._ratio = ratio
         self._extra = extra
         self._step = window / BUCKETS
-        self._windows: dict[str, _Window] = {}
+        self._windows: dict[str, RetryWindow] = {}
         self._slot = 0
         self._others: dict[tuple[str, str], int] = {}
         self._told_at: float | None = None
@@ -130,7 +113,7 @@
             self._told_at is not None and now - self._told_at < KNOWN_SECONDS
         )
 
-    def _borrow(self, service: str, window: _Window, now: float) -> bool:
+    def _borrow(self, service: str, window: RetryWindow, now: float) -> bool:
         recent = window.lent_at is not None
         if recent and now - window.lent_at < LOAN_SECONDS:
             return False
@@ -142,16 +125,14 @@
         window.lent_at = now
         return True
 
-    def _find(self, service: str, now: float) -> _Window:
+    def _find(self, service: str, now: float) -> RetryWindow:
         self._advance(int(now / self._step))
         if service not in self._windows:
-            self._windows[service] = _Window()
+            self._windows[service] = RetryWindow()
         return self._windows[service]
 
     def _advance(self, slot: int) -> None:
         for _ in range(min(slot - self._slot, BUCKETS)):
             for window in self._windows.values():
-                window.requests.append(0)
-                window.repeats.append(0)
-                window.lent.append(0)
+                window.advance()
         self._slot = max(self._slot, slot)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -186,6 +186,18 @@
         self.dropped.append((target.instance, handle))
         return True
 
+    def hold_connection(self, instance: str) -> asyncio.Event:
+        """Let connections to a target stand only once an event is set."""
+        send, stands = self.send, asyncio.Event()
+
+        async def send_late(target, *args):
+            if target.instance == instance:
+                await stands.wait()
+            return await send(target, *args)
+
+        self.send = send_late
+        return stands
+
     def find(self, instance: str) -> FakeAnswer | None:
         """Return the newest run of a target that is still read."""
         for answer in reversed(self.answers):
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_leaving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_leaving.py
@@ -105,18 +105,11 @@
 def test_send_that_waits_for_its_connection_goes_elsewhere():
     async def test(parts):
         answer_all(parts)
-        send, slow = parts.engines.send, asyncio.Event()
-
-        async def send_late(target, request, order, contact):
-            if target.instance == "w-a":
-                await slow.wait()
-            return await send(target, request, order, contact)
-
-        parts.engines.send = send_late
+        stands = parts.engines.hold_connection("w-a")
         calls = [parts.start(make_request("/plain/x"))[1] for _ in range(6)]
         await asyncio.sleep(0.05)
         parts.leavers.note(make_target("w-a", "web"), 0.0)
-        slow.set()
+        stands.set()
         await asyncio.gather(*calls)
         assert count_sends(parts, "w-a") == 0
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_rests.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_rests.py
@@ -75,18 +75,11 @@
     # The last look came before the connection stood.
     async def test(parts):
         answer_all(parts)
-        send, slow = parts.engines.send, asyncio.Event()
-
-        async def send_late(target, request, order, contact):
-            if target.instance == "w-a":
-                await slow.wait()
-            return await send(target, request, order, contact)
-
-        parts.engines.send = send_late
+        stands = parts.engines.hold_connection("w-a")
         calls = [parts.start(make_request("/plain/x"))[1] for _ in range(6)]
         await asyncio.sleep(0.05)
         ask(parts, "w-a")
-        slow.set()
+        stands.set()
         await asyncio.gather(*calls)
         assert count_sends(parts, "w-a") == 0
         assert count_sends(parts, "w-b") == 6
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -6,11 +6,6 @@
 
 from adapter.targets import Targets
 from chivepier.gateway.limits import AskedRest
-from chivepier.gateway.limits import NoLimit
-from chivepier.gateway.limits import NoRest
-from chivepier.gateway.limits import RateLimit
-from chivepier.gateway.limits import UnreadLimit
-from chivepier.gateway.limits import UnreadRest
 from chivepier.gateway.serving import AnswerCutError
 from chivepier.gateway.serving import LostError
 from chivepier.gateway.serving import MoveOutcome
@@ -19,80 +14,19 @@
 from chivepier.gateway.serving import Origin
 from chivepier.gateway.serving import SendOrder
 from chivepier.gateway.targets import Liveness
+from exchange import answer
+from exchange import drop
+from exchange import Free
+from exchange import FULL
+from exchange import move
+from exchange import ONCE
+from exchange import ORDER
+from exchange import read_all
+from exchange import reserve
+from exchange import run
+from exchange import send
 import rawtarget
 
-ORDER = SendOrder(seconds=1.5, team="t1", urgency=2)
-ONCE = SendOrder(seconds=1.5, once=True)
-
-
-def answer(
-    body: bytes,
-    identity: bytes = b"r1",
-    extra: bytes = b"",
-    status: bytes = b"200 OK",
-) -> bytes:
-    """Build a whole answer."""
-    return (
-        b"HTTP/1.1 %s\r\nX-Chivepier-Request-Id: %s\r\n%s"
-        b"Content-Length: %d\r\n\r\n%s"
-        % (status, identity, extra, len(body), body)
-    )
-
-
-async def read_all(reply) -> bytes:
-    """Read a body to its end."""
-    data = b""
-    while chunk := await reply.read():
-        data += chunk
-    reply.release()
-    return data
-
-
-class Free:
-    """A contact that may begin; notes what it hears."""
-
-    def __init__(self):
-        self.heard: list = []
-
-    def begin(self) -> None:
-        """Allow everything."""
-
-    def hear(self, facts) -> None:
-        """Note an answer's head."""
-        self.heard.append(facts)
-
-
-def send(targets, target, request, order):
-    """Send a request that may go."""
-    return targets.send(target, request, order, Free())
-
-
-def reserve(targets, target, tokens, seconds):
-    """Reserve room at a target that may be asked."""
-    return targets.reserve(target, tokens, seconds, Free())
-
-
-def move(targets, source, request_id, destination, last, seconds):
-    """Move a run whose target may be asked."""
-    work = (source, request_id, destination, last, seconds)
-    return targets.move(*work, Free())
-
-
-def drop(targets, target, handle):
-    """Free a copy at a target that may be asked."""
-    return targets.drop(target, handle, Free())
-
-
-def run(script, test):
-    """Run a test against a target that follows a script."""
-
-    async def work():
-        async with rawtarget.RawTarget(script) as raw, Targets() as targets:
-            async with asyncio.timeout(10):
-                await test(raw, targets)
-
-    asyncio.run(work())
-
 
 def test_request_is_passed_on_with_what_the_system_adds():
     async def script(head, writer):
@@ -491,128 +425,6 @@
     run(script, test)
 
 
-@pytest.mark.parametrize(
-    ("header", "limit"),
-    (
-        (b"", NoLimit()),
-        (b"Server-Limit: 1.5\r\n", RateLimit(1.5)),
-        (b"server-limit:  0\r\n", RateLimit(0.0)),
-        (b"Server-Limit: 1e9\r\n", RateLimit(1e9)),
-        (b"Server-Limit: 3\r\nServer-Limit: 2\r\n", RateLimit(2.0)),
-        (b"Server-Limit: 3, 2\r\n", RateLimit(2.0)),
-        (b"Server-Limit: -1\r\n", UnreadLimit()),
-        (b"Server-Limit: nan\r\n", UnreadLimit()),
-        (b"Server-Limit: inf\r\n", UnreadLimit()),
-        (b"Server-Limit: few\r\n", UnreadLimit()),
-        (b"Server-Limit:\r\n", UnreadLimit()),
-    ),
-)
-def test_limit_is_read_of_an_answer(header, limit):
-    async def script(head, writer):
-        writer.write(answer(b"ok", extra=header))
-
-    async def test(raw, targets):
-        reply = await send(
-            targets, raw.make_target(), rawtarget.make_request(), ORDER
-        )
-        assert reply.facts.limit == limit
-        assert reply.facts.unread == ()
-        assert await read_all(reply) == b"ok"
-
-    run(script, test)
-
-
-FULL = b"503 Service Unavailable"
-NOON = b"Date: Thu, 03 Dec 2026 12:00:00 GMT\r\n"
-
-
-@pytest.mark.parametrize(
-    ("status", "header", "rest"),
-    (
-        (FULL, b"", NoRest()),
-        (FULL, b"Retry-After: 3\r\n", AskedRest(3.0)),
-        (FULL, b"retry-after:  0.25 \r\n", AskedRest(0.25)),
-        (b"429 Busy", b"Retry-After: 2\r\n", AskedRest(2.0)),
-        (b"200 OK", b"Retry-After: 3\r\n", NoRest()),
-        (b"421 Other", b"Retry-After: 3\r\n", NoRest()),
-        (FULL, b"Retry-After: 0\r\n", NoRest()),
-        (FULL, b"Retry-After: 1e9\r\n", AskedRest(1e9)),
-        (FULL, b"Retry-After: 1\r\nRetry-After: 4\r\n", AskedRest(4.0)),
-        (FULL, b"Retry-After: soon\r\nRetry-After: 4\r\n", AskedRest(4.0)),
-        (FULL, b"Retry-After: -1\r\n", UnreadRest()),
-        (FULL, b"Retry-After: nan\r\n", UnreadRest()),
-        (FULL, b"Retry-After: inf\r\n", UnreadRest()),
-        (FULL, b"Retry-After: soon\r\n", UnreadRest()),
-        (FULL, b"Retry-After:\r\n", UnreadRest()),
-        (
-            FULL,
-            NOON + b"Retry-After: Thu, 03 Dec 2026 12:00:05 GMT\r\n",
-            AskedRest(5.0),
-        ),
-        (
-            FULL,
-            NOON + b"Retry-After: Thu, 03 Dec 2026 11:00:00 GMT\r\n",
-            NoRest(),
-        ),
-        (
-            FULL,
-            b"Retry-After: Thu, 03 Dec 2026 12:00:05 GMT\r\n",
-            UnreadRest(),
-        ),
-    ),
-)
-def test_rest_is_read_of_a_refusal(status, header, rest):
-    async def script(head, writer):
-        writer.write(answer(b"", extra=header, status=status))
-
-    async def test(raw, targets):
-        reply = await send(
-            targets, raw.make_target(), rawtarget.make_request(), ORDER
-        )
-        assert reply.facts.rest == rest
-        assert reply.facts.unread == ()
-
-    run(script, test)
-
-
-@pytest.mark.parametrize(
-    ("header", "leaving"),
-    (
-        (b"", False),
-        (b"Server-Leaving: 1\r\n", True),
-        (b"server-leaving:  1 \r\n", True),
-        (b"Server-Leaving: 0\r\n", False),
-        (b"Server-Leaving:\r\n", False),
-    ),
-)
-def test_leaving_is_read_of_an_answer(header, leaving):
-    async def script(head, writer):
-        writer.write(answer(b"ok", extra=header))
-
-    async def test(raw, targets):
-        reply = await send(
-            targets, raw.make_target(), rawtarget.make_request(), ORDER
-        )
-        assert reply.facts.leaving is leaving
-        assert await read_all(reply) == b"ok"
-
-    run(script, test)
-
-
-def test_header_that_nothing_reads_is_told_by_name():
-    # Targets named a limit for months before anybody knew of it.
-    async def script(head, writer):
-        writer.write(answer(b"ok", extra=b"Server-Wish: 3\r\n"))
-
-    async def test(raw, targets):
-        reply = await send(
-            targets, raw.make_target(), rawtarget.make_request(), ORDER
-        )
-        assert reply.facts.unread == ("Server-Wish",)
-
-    run(script, test)
-
-
 class Forbidden(Free):
     """A contact that must not begin."""
 
