Tell each voter once which targets leave

Each entry told every voter with each of its beats, three a second, of every target that had told it that it leaves, for as long as it knew the target: with 667 targets of a zone leaving at once some 20 KB in each beat, beyond what an entry may spend on control at the size to design for (worked out, not measured).

An entry now keeps what each voter has answered a beat about, and tells the rest; a voter that starts anew is told all again, as its epoch shows. Test: told, then the voter is stopped and started: it knows again.

--- a/packages/gateway/src/chivepier/gateway/control/tests/test_leaving.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_leaving.py
@@ -53,6 +53,28 @@
     play(test, tmp_path)
 
 
+def test_each_voter_is_told_once_and_again_when_it_starts_anew(tmp_path):
+    # Each entry told each voter with each beat, of all targets that left.
+    async def test(fleet):
+        (told,) = await fleet.follow_many(1)
+        address, voter = next(iter(fleet.voters.items()))
+        voter.registry.announce(make("i1", heard=time.monotonic()))
+        await wait_until(lambda: told.table.get("i1"))
+        for known in told.following._voters.values():
+            await wait_until(lambda k=known: k.epoch)
+        told.leavers.note(told.table.get("i1"), time.monotonic())
+        known = told.following._voters
+        await wait_until(lambda: all(v.leavers for v in known.values()))
+        before = {a: v.epoch for a, v in known.items()}
+        await fleet.stop(address)
+        await fleet.start(address)
+        await wait_until(lambda: known[address].epoch != before[address])
+        await wait_until(lambda: known[address].leavers)
+        assert fleet.voters[address].table.leaves("i1")
+
+    play(test, tmp_path)
+
+
 def test_entry_that_was_cut_off_tells_it_later(tmp_path):
     async def test(fleet):
         followers = await fleet.follow_many(3)
--- a/packages/gateway/src/chivepier/gateway/following/followedvoter.py
+++ b/packages/gateway/src/chivepier/gateway/following/followedvoter.py
@@ -6,6 +6,7 @@
 
 from chivepier.gateway.following.limitstanding import LimitStanding
 from chivepier.gateway.following.voterstanding import VoterStanding
+from chivepier.gateway.messages import LeavingRecord
 
 
 @attrs.define
@@ -18,6 +19,7 @@
     :param held: the same of its quarantine
     :param confirmed: what of this entry's quarantine it has
     :param limits: how far limits were told
+    :param leavers: targets that leave, of which it was told
     :param alive: whether it answered last
     :param standing: what it says of itself
     """
@@ -28,5 +30,6 @@
     held: int = 0
     confirmed: int | None = None
     limits: LimitStanding = attrs.field(factory=LimitStanding)
+    leavers: frozenset[LeavingRecord] = frozenset()
     alive: bool = False
     standing: VoterStanding = VoterStanding()
--- a/packages/gateway/src/chivepier/gateway/following/following.py
+++ b/packages/gateway/src/chivepier/gateway/following/following.py
@@ -233,6 +233,10 @@
         index = self._state.index
         before, saw = voter.confirmed, self._suspects.count
         unconfirmed = self._suspects.find_unconfirmed(before)
+        leavers = frozenset(
+            LeavingRecord(target.instance, target.born)
+            for target in self._leavers.find()
+        )
         beat = EntryBeat(
             self._name,
             self._address,
@@ -248,10 +252,7 @@
             self._orders,
             voter.limits.held,
             self._limits.find_untold(voter.limits),
-            tuple(
-                LeavingRecord(target.instance, target.born)
-                for target in self._leavers.find()
-            ),
+            tuple(leavers - voter.leavers),
         )
         told, limits = voter.limits.told, self._limits.revision
         try:
@@ -269,6 +270,8 @@
         # beat that told everything counts then
         knows = answer.epoch == beat.epoch or before is None
         voter.confirmed = saw if knows else None
+        # one that started anew is told again with the next beat
+        voter.leavers = leavers if answer.epoch == beat.epoch else frozenset()
         knows = answer.epoch == beat.epoch or told is None
         self._limits.take_answer(
             voter.limits, answer, limits if knows else None
