--- a/soak/faults.py
+++ b/soak/faults.py
@@ -75,11 +75,20 @@
         """Inject faults, in series."""
         end = time.monotonic() + seconds
         while time.monotonic() < end:
+            self._restart_ended()
             fault = self._draw()
             self.names.append(fault.__name__)
             await fault()
             await asyncio.sleep(self._rng.uniform(0.0, 1.0))
 
+    def _restart_ended(self) -> None:
+        """Start what has ended by itself: no fault leaves a process down."""
+        for process in (*self._soak.voters, *self._soak.entries):
+            if not process.alive:
+                text = f"{process.name} has ended by itself"
+                self._soak.promises.broken.append(text)
+                process.start()
+
     def _draw(self) -> collections.abc.Callable:
         # callers draw from the same numbers, in an order that differs: a kind
         # that a test is about might not come at all
@@ -195,6 +204,8 @@
     async def hang_up(self) -> None:
         """Tell a process that its settings have changed."""
         process = self._rng.choice((*self._soak.voters, *self._soak.entries))
+        while process.alive and not process.takes(signal.SIGHUP):
+            await asyncio.sleep(0.01)
         process.signal(signal.SIGHUP)
 
     async def spoil(self) -> None:
--- a/soak/process.py
+++ b/soak/process.py
@@ -113,6 +113,24 @@
         if self.alive:
             self._child.send_signal(number)
 
+    def takes(self, number: int) -> bool:
+        """Tell whether it runs its program, and a signal does not end it."""
+        if not self.alive:
+            return False
+        mask = 0
+        status = pathlib.Path(f"/proc/{self._child.pid}/status").read_text()
+        for line in status.splitlines():
+            name, _, value = line.partition(":")
+            if name in ("SigIgn", "SigCgt"):
+                mask |= int(value, 16)
+        return bool(mask >> (number - 1) & 1)
+
+    @property
+    def loads(self) -> bool:
+        """Whether it has begun to load its libraries."""
+        maps = pathlib.Path(f"/proc/{self._child.pid}/maps")
+        return self.alive and "site-packages" in maps.read_text()
+
     def end(self) -> None:
         """Kill it, whatever state it is in, and reap it."""
         if self._child is not None:
--- /dev/null
+++ b/soak/tests/test_start.py
@@ -0,0 +1,26 @@
+"""Signals to a process that has just begun, with real processes."""
+
+import signal
+import time
+
+import pytest
+
+from soak.blocks import reserve_block
+from soak.process import Process
+
+
+@pytest.mark.parametrize("role", ("voter", "entry"))
+def test_settings_that_change_while_a_process_loads_do_not_end_it(
+    role, tmp_path
+):
+    # It had no meaning for the signal yet, whose default is to end.
+    with reserve_block() as block:
+        ip = f"127.{block}.1.1"
+        process = Process(role, ip, [f"{ip}:8748"], tmp_path)
+        process.start(found=True)
+        try:
+            while not process.loads:
+                time.sleep(0.001)
+            assert process.takes(signal.SIGHUP)
+        finally:
+            process.end()
