Let no beat be under way when a test takes a voter's memory away

test_voter_that_starts_anew_between_two_beats_is_told_everything ran into its limit of a minute once (whole script, five cores at a load of 20). The test empties the ledger of a voter that goes on; a beat that it had answered just before, and whose answer still is under way, then confirms what is no longer there, so that nothing is told again. A voter that really starts anew has another epoch, which such an answer shows: the product tells it all. By reading; the run kept no lines of beats.

The test now waits until all beats are answered before it empties the ledger, and sends its two beats itself. With the safeguard off (an answer confirms whatever its epoch) it fails as before.

--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -114,6 +114,16 @@
             log=log,
         )
         self._stack = contextlib.AsyncExitStack()
+        self._under_way = 0
+        self._send_beat = self.following._beat
+        self.following._beat = self._beat
+
+    async def _beat(self, address, voter) -> None:
+        self._under_way += 1
+        try:
+            await self._send_beat(address, voter)
+        finally:
+            self._under_way -= 1
 
     async def _probe(self, target) -> Liveness:
         return Liveness.ENDED
@@ -139,6 +149,16 @@
         """Hear nothing that voters say unasked."""
         self.following.handle = lambda message, channel: None
 
+    async def finish_beats(self):
+        """Begin no more beats, and return once all have been answered.
+
+        :returns: what sends one
+        """
+        beat = self.following._beat
+        self.stop_beats()
+        await wait_until(lambda: not self._under_way)
+        return beat
+
     def stop_beats(self) -> None:
         """Speak to no voter any more; what these push still comes."""
 
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_quarantinehub.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_quarantinehub.py
@@ -1,5 +1,7 @@
 """Tests of entries that learn from each other what ends targets."""
 
+import asyncio
+
 import pytest
 
 from chivepier.gateway.control.tests.fleet import play
@@ -117,11 +119,13 @@
         address = following.hub
         hub = fleet.voters[address].quarantine
         await wait_until(lambda: hub.ledger.suspects)
+        # an answer that is under way would confirm what the ledger held
+        beat = await followers[0].finish_beats()
         hub.ledger = Ledger()
         state = following._voters[address]
         state.epoch, state.confirmed = "before", 3
-        following._beat_now(address, state)
-        following._beat_now(address, state)
+        await asyncio.gather(beat(address, state), beat(address, state))
+        following._beat = beat
         await wait_until(lambda: hub.ledger.suspects)
 
     play(test, tmp_path)
