Add a failing test of whole streams that are cut off beside a move

By reading: the target that leaves ends the stream and is gone; the order to stop it for its last copy finds no connection within half a second; such an order counts as one that may have come, so that the end of the stream is taken for a stop, and the copy of before is gone on from; where that is refused, the caller is cut off.

--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
@@ -208,6 +208,30 @@
     play(test, "a", "b")
 
 
+def test_stream_that_ends_whole_as_its_stop_is_lost_is_whole():
+    # Its target was gone when the order to stop came, and the copy refused:
+    # the answer, which had come to its end, was cut off.
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        move = parts.engines.move
+
+        async def end_whole(source, identity, destination, last, *rest):
+            if last:
+                run.make(1)
+                run.end()
+                parts.engines.copies.clear()
+                parts.engines.dark.add(source.instance)
+            return await move(source, identity, destination, last, *rest)
+
+        parts.engines.move = end_whole
+        parts.leave(run.target)
+        await task
+        assert caller.numbers == [1, 2, 3]
+        assert caller.finished and not caller.aborted
+
+    play(test, "a", "b")
+
+
 def test_one_generation_at_a_time_is_copied_off_a_target():
     # Short second copies waited behind long first ones, with their runs
     # stopped.
