Take a stream for stopped only if the order to stop it left

Cause: the order to stop for the last copy finds no connection, as the target ends its streams and is gone. The answer to that was FAILED, the same as of an order that may have come, and the generation counted as stopped: its whole end was not believed, it went on at the copy, that did not take it, and the caller was cut off.

Ruled out: the framing (a stopped stream is closed without its end; one framed by closing the connection looks whole, which is why an end after a stop isn't believed; that stays); the target that breaks the connection amid the order (it may have obeyed: FAILED as before, own test).

Now the adapter tells NOT_SENT, where no connection stood. Such an order stopped nothing: a whole end is whole, a stream that breaks off goes on at the first copy, and one that goes on is ordered to stop again, for as long as one copy may take; else the copy is freed and the turn begins anew. A copy that a whole end leaves over is freed too, for it would take memory for seconds.

--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.serving.guard import Guard
 from chivepier.gateway.serving.handoff import Handoff
 from chivepier.gateway.serving.liverun import LiveRun
+from chivepier.gateway.serving.moved import Moved
 from chivepier.gateway.serving.moveoutcome import MoveOutcome
 from chivepier.gateway.serving.origin import Origin
 from chivepier.gateway.serving.targetcalls import TargetCalls
@@ -170,7 +171,9 @@
         if not run.moves or self._guard.holds(run.plan):
             return
         run.handoff = asyncio.get_running_loop().create_future()
-        task = asyncio.create_task(self._move(run, run.handoff))
+        self._keep(asyncio.create_task(self._move(run, run.handoff)))
+
+    def _keep(self, task: asyncio.Task) -> None:
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -248,8 +251,7 @@
         if moved.outcome is not MoveOutcome.COPIED:
             return moved.outcome, None
         copy = Handoff(target, Origin(source.address, moved.handle))
-        run.stopped = True
-        moved = await self._copy(run, source, target, last=True)
+        moved = await self._stop(run, source, target)
         origin = Origin(source.address, moved.handle)
         match moved.outcome:
             case MoveOutcome.COPIED:
@@ -257,7 +259,13 @@
             case MoveOutcome.NO_ROOM if moved.handle:
                 # stopped, but the rest found no room: the source goes on
                 return moved.outcome, Handoff(source, origin)
-            case MoveOutcome.NO_RUN | MoveOutcome.HELD_BACK:
+            case MoveOutcome.NOT_SENT if run.lost.is_set():
+                return moved.outcome, copy
+            case (
+                MoveOutcome.NO_RUN
+                | MoveOutcome.HELD_BACK
+                | MoveOutcome.NOT_SENT
+            ):
                 run.stopped = False
                 await self._drop(run, copy)
                 return moved.outcome, None
@@ -266,6 +274,33 @@
                 # all but the last few tokens
                 return moved.outcome, copy
 
+    async def _stop(
+        self, run: LiveRun, source: Target, target: Target
+    ) -> Moved:
+        """Order the source to stop and to copy the rest.
+
+        An order that never left stopped nothing: a stream that ends meanwhile
+        is whole, and one that goes on is ordered to stop again.
+        """
+        last = self._clock.monotonic() + COPY_SECONDS
+        while True:
+            run.stopped = True
+            moved = await self._copy(run, source, target, last=True)
+            if moved.outcome is not MoveOutcome.NOT_SENT:
+                return moved
+            run.stopped = False
+            await run.await_loss(LOOK_PAUSE)
+            if run.lost.is_set() or self._clock.monotonic() >= last:
+                return moved
+
+    def free(self, run: LiveRun, copy: Handoff) -> None:
+        """Let go of a copy whose generation has come to its end.
+
+        :param run: that ended whole
+        :param copy: that was made of it meanwhile
+        """
+        self._keep(asyncio.create_task(self._drop(run, copy)))
+
     async def _drop(self, run: LiveRun, copy: Handoff) -> None:
         """Free a copy that nothing goes on from.
 
@@ -296,7 +331,7 @@
 
     async def _copy(
         self, run: LiveRun, source: Target, target: Target, last: bool
-    ):
+    ) -> Moved:
         began = self._clock.monotonic()
         moved = await self._calls.move(
             source, run.request.id, target, last, COPY_SECONDS
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -124,8 +124,11 @@
         # target frames it by closing the connection it looks whole
         if not run.stopped:
             return True
+        run.lost.set()
         found = await self._await_handoff(run)
-        return found is None and not run.stopped
+        if found is not None and not run.stopped:
+            self._dispatcher.mover.free(run, found)
+        return not run.stopped
 
     async def _await_handoff(self, run: LiveRun) -> Handoff | None:
         try:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -150,6 +150,8 @@
         self, source, request_id, destination, last, seconds, contact
     ):
         """Copy a run's memory; the last copy stops it first."""
+        if source.instance in self.dark:
+            return Moved(MoveOutcome.NOT_SENT)
         contact.begin()
         contact.hear(AnswerFacts(limit=None))
         self.moves.append((source.instance, destination.instance, last))
@@ -158,8 +160,6 @@
         run = self.find(source.instance)
         if run is None or not run.number:
             return Moved(MoveOutcome.NO_RUN)
-        if source.instance in self.dark:
-            return Moved(MoveOutcome.FAILED)
         if last:
             run.stopped = True
             run.cut()
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
@@ -232,6 +232,72 @@
     play(test, "a", "b")
 
 
+def test_copy_of_a_run_that_ends_as_its_stop_is_lost_is_freed():
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        move = parts.engines.move
+
+        async def end_whole(source, identity, destination, last, *rest):
+            if last:
+                run.end()
+                parts.engines.dark.add(source.instance)
+            return await move(source, identity, destination, last, *rest)
+
+        parts.engines.move = end_whole
+        parts.leave(run.target)
+        await task
+        other = "b" if run.target == "a" else "a"
+        await wait_until(lambda: not parts.mover.busy)
+        assert parts.engines.dropped == [(other, "h-r1")]
+        assert caller.finished and caller.numbers == [1, 2]
+
+    play(test, "a", "b")
+
+
+def test_order_to_stop_that_never_left_is_given_again():
+    # The source could not be reached for a moment, and went on: left there
+    # with a copy that grows old, its stream broke off when it was gone.
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        move, lost = parts.engines.move, []
+
+        async def lose_first(source, identity, destination, last, *rest):
+            if last and not lost:
+                lost.append(run.make(1))
+                return Moved(MoveOutcome.NOT_SENT)
+            return await move(source, identity, destination, last, *rest)
+
+        parts.engines.move = lose_first
+        parts.leave(run.target)
+        fresh = await parts.engines.wait_run(2)
+        assert run.stopped and lost
+        await finish(task, fresh, 1)
+        assert caller.numbers == [1, 2, 3, 4]
+
+    play(test, "a", "b")
+
+
+def test_stream_cut_off_where_its_stop_never_left_goes_on_at_the_copy():
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        move = parts.engines.move
+
+        async def die(source, identity, destination, last, *rest):
+            if last:
+                run.cut()
+                parts.engines.dark.add(source.instance)
+            return await move(source, identity, destination, last, *rest)
+
+        parts.engines.move = die
+        parts.leave(run.target)
+        fresh = await parts.engines.wait_run(2)
+        assert fresh.target != run.target
+        await finish(task, fresh, 1)
+        assert caller.numbers == [1, 2, 3]
+
+    play(test, "a", "b")
+
+
 def test_one_generation_at_a_time_is_copied_off_a_target():
     # Short second copies waited behind long first ones, with their runs
     # stopped.
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -267,6 +267,31 @@
     run(script, test)
 
 
+def test_order_to_a_target_that_is_gone_was_not_sent():
+    async def script(head, writer):
+        raise AssertionError("not reached")
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        await raw.__aexit__()
+        moved = await move(targets, target, "r1", target, True, 2.0)
+        assert moved.outcome is MoveOutcome.NOT_SENT
+
+    run(script, test)
+
+
+def test_order_whose_connection_breaks_may_have_been_obeyed():
+    async def script(head, writer):
+        writer.close()
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        moved = await move(targets, target, "r1", target, True, 2.0)
+        assert moved.outcome is MoveOutcome.FAILED
+
+    run(script, test)
+
+
 def test_generation_goes_on_from_a_copy():
     async def script(head, writer):
         writer.write(answer(b"ok"))
