Pass channels between processes the clock that their process uses

A channel that has been silent for too long is closed and made anew. It read the machine's monotonic clock for that, while all that decides beside it takes the clock it is given: a process that counts the time in which the machine slept (boot clock) took a link for fresh that had been silent meanwhile, and tests can't play time for a whole control plane. Links and the peers' server take a clock now; nothing else changes.

--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -93,7 +93,7 @@
             metrics=Metrics(),
         )
         self.faults = Faults()
-        self.links = Links(name, KEY, self._handle, self.faults)
+        self.links = Links(name, KEY, self._handle, self.faults, clock)
         self.following = Following(
             name=name,
             address=f"{name}:80",
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -103,13 +103,18 @@
         settings = self._settings
         host, port = settings.address.rsplit(":", 1)
         server = PeerServer(
-            host, int(port), self._handle, settings.cluster_key
+            host,
+            int(port),
+            self._handle,
+            settings.cluster_key,
+            self._clock,
         )
         links = Links(
             settings.address,
             settings.cluster_key,
             self._handle,
             server.faults,
+            self._clock,
         )
         identity, storage = await open_folder(settings)
         self._stack.callback(storage.close)
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -166,7 +166,11 @@
         self.quarantine.watchers.append(self.mover.note_held)
         self._port = port
         self._links = Links(
-            settings.name, settings.cluster_key, self._handle, Faults()
+            settings.name,
+            settings.cluster_key,
+            self._handle,
+            Faults(),
+            clock,
         )
         budget = RetryBudget(
             settings.repeat_ratio,
--- a/packages/node/benchmarks/permits.py
+++ b/packages/node/benchmarks/permits.py
@@ -110,9 +110,11 @@
             case Announcement():
                 return owner.handle_announcement(message)
 
-    async with PeerServer("127.0.0.1", 0, handle, KEY) as server:
+    async with PeerServer(
+        "127.0.0.1", 0, handle, KEY, SystemClock()
+    ) as server:
         cluster.peer_address = f"127.0.0.1:{server.port}"
-        cluster.links = Links("", KEY, handle, Faults())
+        cluster.links = Links("", KEY, handle, Faults(), SystemClock())
         join_all(cluster, [cluster.me])
         permits = Permits(cluster, owner)
         owner.tell_inflight = permits.handle_takeover
@@ -228,7 +230,7 @@
             return bench.permits.handle_takeover(message)
         return None
 
-    links = Links(cluster.peer_address, KEY, handle, Faults())
+    links = Links(cluster.peer_address, KEY, handle, Faults(), SystemClock())
     async with links:
         cluster.links = links
         print(
--- a/packages/node/src/chivepier/node/node.py
+++ b/packages/node/src/chivepier/node/node.py
@@ -93,7 +93,9 @@
         host, _, port = settings.peer_listen.rpartition(":")
         self._peers = PeerMessages(cluster=self.cluster)
         handle = self._peers.handle
-        server = PeerServer(host, int(port), handle, settings.cluster_key)
+        server = PeerServer(
+            host, int(port), handle, settings.cluster_key, self._clock
+        )
         await stack.enter_async_context(server)
         self.cluster.peer_address = _fill_port(
             settings.peer_advertise, server.port
@@ -103,6 +105,7 @@
             settings.cluster_key,
             handle,
             server.faults,
+            self._clock,
             server.traffic,
         )
         self.cluster.links = await stack.enter_async_context(links)
--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -3,12 +3,12 @@
 import asyncio
 import inspect
 import itertools
-import time
 import typing
 
 import logbook
 import websockets
 
+from chivepier.types import Clock
 from chivepier.wire.faults import Faults
 from chivepier.wire.frame import dump_frames
 from chivepier.wire.frame import load_frame
@@ -48,18 +48,20 @@
         handler: Handler,
         faults: Faults,
         traffic: Traffic,
+        clock: Clock,
     ):
         self.peer = peer
         self._socket = socket
         self._handler = handler
         self._faults = faults
         self._traffic = traffic
+        self._clock = clock
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future] = {}
         self._outbox: list[tuple] = []
         self._ready = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
-        self._heard = time.monotonic()
+        self._heard = self._clock.monotonic()
         self._quiet_from: float | None = None
         self.closed = False
 
@@ -71,7 +73,7 @@
                 if self.closed:
                     break
                 if not self._faults.blocks(self.peer):
-                    self._heard = time.monotonic()
+                    self._heard = self._clock.monotonic()
                     self._quiet_from = None
                     self._receive(data)
         except websockets.ConnectionClosed:
@@ -179,7 +181,7 @@
         """
         if self.closed:
             raise LinkError(f"link to {self.peer} is closed", sent=False)
-        sent = time.monotonic()
+        sent = self._clock.monotonic()
         number = next(self._numbers)
         future = asyncio.get_running_loop().create_future()
         self._waiting[number] = future
@@ -199,7 +201,7 @@
         # again; a new connection starts at once
         if self._quiet_from is None:
             self._quiet_from = max(sent, self._heard)
-        if time.monotonic() - self._quiet_from > SILENCE_SECONDS:
+        if self._clock.monotonic() - self._quiet_from > SILENCE_SECONDS:
             self.closed = True
             self._outbox.clear()
             self._fail_all()
--- a/packages/wire/src/chivepier/wire/links.py
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -6,6 +6,7 @@
 from websockets.asyncio.client import connect
 from websockets.exceptions import WebSocketException
 
+from chivepier.types import Clock
 from chivepier.wire.channel import Channel
 from chivepier.wire.channel import Handler
 from chivepier.wire.faults import Faults
@@ -19,7 +20,15 @@
 
 
 class Links:
-    """One outgoing channel per peer, made on first use and after a loss."""
+    """One outgoing channel per peer, made on first use and after a loss.
+
+    :param me: this process's address, as peers know it
+    :param key: that all processes of a cluster hold
+    :param handler: takes what peers send on these channels
+    :param faults: of the links, for tests
+    :param clock: by which a channel counts as silent
+    :param traffic: counts bytes
+    """
 
     def __init__(
         self,
@@ -27,12 +36,14 @@
         key: str,
         handler: Handler,
         faults: Faults,
+        clock: Clock,
         traffic: Traffic | None = None,
     ):
         self.me = me
         self._key = key
         self._handler = handler
         self._faults = faults
+        self._clock = clock
         self.traffic = traffic or Traffic()
         self._channels: dict[str, Channel] = {}
         self._connecting: dict[str, asyncio.Task] = {}
@@ -136,7 +147,12 @@
             refused = isinstance(error, ConnectionRefusedError)
             raise LinkError(text, sent=False, refused=refused) from None
         channel = Channel(
-            socket, peer, self._handler, self._faults, self.traffic
+            socket,
+            peer,
+            self._handler,
+            self._faults,
+            self.traffic,
+            self._clock,
         )
         self._channels[peer] = channel
         task = asyncio.create_task(channel.run())
--- a/packages/wire/src/chivepier/wire/server.py
+++ b/packages/wire/src/chivepier/wire/server.py
@@ -5,6 +5,7 @@
 import websockets
 from websockets.asyncio.server import serve
 
+from chivepier.types import Clock
 from chivepier.wire.channel import Channel
 from chivepier.wire.channel import Handler
 from chivepier.wire.faults import Faults
@@ -18,13 +19,23 @@
 
 
 class PeerServer:
-    """Accepts peers that hold the cluster key; one task per connection."""
+    """Accepts peers that hold the cluster key; one task per connection.
 
-    def __init__(self, host: str, port: int, handler: Handler, key: str):
+    :param host: to listen at
+    :param port: to listen at; 0 for any
+    :param handler: takes what peers send
+    :param key: that all processes of a cluster hold
+    :param clock: by which a channel counts as silent
+    """
+
+    def __init__(
+        self, host: str, port: int, handler: Handler, key: str, clock: Clock
+    ):
         self._host = host
         self._port = port
         self._handler = handler
         self._key = key
+        self._clock = clock
         self.faults = Faults()
         self.traffic = Traffic()
         self._server = None
@@ -59,6 +70,11 @@
     async def _serve(self, socket: websockets.ServerConnection) -> None:
         peer = socket.request.headers.get(PEER_HEADER, "")
         channel = Channel(
-            socket, peer, self._handler, self.faults, self.traffic
+            socket,
+            peer,
+            self._handler,
+            self.faults,
+            self.traffic,
+            self._clock,
         )
         await channel.run()
--- a/packages/wire/src/chivepier/wire/tests/test_large.py
+++ b/packages/wire/src/chivepier/wire/tests/test_large.py
@@ -4,6 +4,7 @@
 
 from chivepier.messages import SyncAnswer
 from chivepier.messages import SyncRequest
+from chivepier.types import SystemClock
 from chivepier.wire import Links
 from chivepier.wire import PeerServer
 
@@ -18,8 +19,10 @@
     def handle(message, channel):
         return SyncAnswer(message.index, (), STATE)
 
-    async with PeerServer("127.0.0.1", 0, handle, KEY) as server:
-        links = Links("127.0.0.1:1", KEY, handle, server.faults)
+    async with PeerServer(
+        "127.0.0.1", 0, handle, KEY, SystemClock()
+    ) as server:
+        links = Links("127.0.0.1:1", KEY, handle, server.faults, SystemClock())
         async with links:
             peer = f"127.0.0.1:{server.port}"
             return await asyncio.gather(
--- a/packages/wire/src/chivepier/wire/tests/test_refused.py
+++ b/packages/wire/src/chivepier/wire/tests/test_refused.py
@@ -6,6 +6,7 @@
 import pytest
 
 from chivepier.messages import LogRequest
+from chivepier.types import SystemClock
 from chivepier.wire import LinkError
 from chivepier.wire import Links
 from chivepier.wire import PeerServer
@@ -16,8 +17,10 @@
 
 async def ask(handle) -> None:
     """Ask a peer that refuses, over a real link."""
-    async with PeerServer("127.0.0.1", 0, handle, KEY) as server:
-        links = Links("127.0.0.1:1", KEY, handle, server.faults)
+    async with PeerServer(
+        "127.0.0.1", 0, handle, KEY, SystemClock()
+    ) as server:
+        links = Links("127.0.0.1:1", KEY, handle, server.faults, SystemClock())
         async with links:
             peer = f"127.0.0.1:{server.port}"
             await links.request(peer, LogRequest("c"), 5.0)
--- a/packages/wire/src/chivepier/wire/tests/test_silence.py
+++ b/packages/wire/src/chivepier/wire/tests/test_silence.py
@@ -7,6 +7,7 @@
 
 from chivepier.messages import FreshAnswer
 from chivepier.messages import FreshRequest
+from chivepier.types import SystemClock
 from chivepier.wire import Faults
 from chivepier.wire import LinkError
 from chivepier.wire import Links
@@ -25,8 +26,10 @@
 async def connect():
     """Yield links, the address of a peer, and the links' faults."""
     faults = Faults()
-    async with PeerServer("127.0.0.1", 0, answer, KEY) as server:
-        async with Links("a:1", KEY, answer, faults) as links:
+    async with PeerServer(
+        "127.0.0.1", 0, answer, KEY, SystemClock()
+    ) as server:
+        async with Links("a:1", KEY, answer, faults, SystemClock()) as links:
             yield links, f"127.0.0.1:{server.port}", faults
 
 
