Take a stream for going on whose target refused to stop it

Callers saw: a stream whose generation had ended whole cut off half a second after its last event (LOST; third site, `mix`).

The entry had taken it for stopped and held the first copy as the place to go on: the whole end was not believed, the copy's target was gone (connection timed out, 0.5 s), the caller was cut off at 22.66 s.

Now each answer that refuses the order (no room without a handle, busy, no such run) leaves the stream as it was: the copy is freed, the next place is tried, a whole end is whole. Only an order of which nothing is known (the connection broke) may have been obeyed. The new test failed before for `no_room` and `busy`, and passed for `no_run`.

--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -261,18 +261,15 @@
                 return moved.outcome, Handoff(source, origin)
             case MoveOutcome.NOT_SENT if run.lost.is_set():
                 return moved.outcome, copy
-            case (
-                MoveOutcome.NO_RUN
-                | MoveOutcome.HELD_BACK
-                | MoveOutcome.NOT_SENT
-            ):
-                run.stopped = False
-                await self._drop(run, copy)
-                return moved.outcome, None
-            case _:
+            case MoveOutcome.FAILED:
                 # the source may have ended meanwhile: the first copy holds
                 # all but the last few tokens
                 return moved.outcome, copy
+            case _:
+                # refused or never sent, it stopped nothing
+                run.stopped = False
+                await self._drop(run, copy)
+                return moved.outcome, None
 
     async def _stop(
         self, run: LiveRun, source: Target, target: Target
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
@@ -232,6 +232,37 @@
     play(test, "a", "b")
 
 
+@pytest.mark.parametrize(
+    "outcome", (MoveOutcome.NO_ROOM, MoveOutcome.BUSY, MoveOutcome.NO_RUN)
+)
+def test_stream_whose_target_refused_to_stop_is_whole(outcome):
+    # Its target found the destination gone, and went on to the end: five
+    # seconds later the answer was sent on to a copy, and cut off.
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        move, refused = parts.engines.move, []
+
+        async def refuse(source, identity, destination, last, *rest):
+            if last:
+                parts.engines.full.add(destination.instance)
+                parts.engines.copies.clear()
+                refused.append(destination.instance)
+                return Moved(outcome)
+            return await move(source, identity, destination, last, *rest)
+
+        parts.engines.move = refuse
+        parts.leave(run.target)
+        await wait_until(lambda: refused and not run.stopped)
+        run.make(1)
+        run.end()
+        await task
+        assert caller.numbers == [1, 2, 3]
+        assert caller.finished and not caller.aborted
+        assert (refused[0], "h-r1") in parts.engines.dropped
+
+    play(test, "a", "b")
+
+
 def test_copy_of_a_run_that_ends_as_its_stop_is_lost_is_freed():
     async def test(parts):
         caller, task, run = await begin(parts)
