--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -169,6 +169,21 @@
         self.copies.add((source.address, handle))
         return Moved(MoveOutcome.COPIED, handle)
 
+    def at_stop(self, act) -> None:
+        """Let something happen as an order to stop for the last copy comes.
+
+        :param act: returns the answer to it, or nothing for the usual one
+        """
+        move = self.move
+
+        async def move_then(source, identity, destination, last, *rest):
+            answer = act() if last else None
+            if answer is not None:
+                return answer
+            return await move(source, identity, destination, last, *rest)
+
+        self.move = move_then
+
     def hang_up(self, target) -> None:
         """Note that kept connections were ended."""
         self.hung_up.append(target.instance)
