Give four types of the adapter files of their own

Four of its files held two types each: what a caller's connection sends, what a target answers, what reads one connection, and what is wrong with settings.

--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from adapter.settingsfile import SettingsError
+from adapter.settingserror import SettingsError
 from adapter.settingsfile import SettingsFile
 from chivepier.gateway.settings import USUAL_BODY_BYTES
 
