Show that late nodes of the control plane are never stopped for good

The table of bounds in time named a test of lateness for few of its rows. No safeguard was switched off to see these fail, but that of late leave, which slow rounds show (test_permithub) and stalls don't. All nodes are one process and late together; lateness of one alone, with real processes, is still shown for leave only.

--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_late.py
@@ -0,0 +1,118 @@
+"""Tests of a control plane whose processes stand still again and again.
+
+Leases, beats, leave and patience are used up while a process stands still.
+What it does later must be late by some of that, and never undone for good.
+"""
+
+import asyncio
+
+import pytest
+
+from chivepier.gateway.control.tests.fleet import Fleet
+from chivepier.gateway.control.tests.fleet import play
+from chivepier.gateway.control.tests.fleet import wait_until
+from chivepier.gateway.control.tests.stalls import Stalls
+from chivepier.gateway.control.tests.test_permithub import make_cold
+from chivepier.gateway.control.tests.test_permithub import Sends
+from chivepier.gateway.limits import RateLimit
+from chivepier.gateway.targets.tests.test_targettable import make
+from chivepier.standins.loopclock import tell_time
+
+ENTRIES = 7
+LATE = pytest.mark.parametrize("seconds", (0.1, 0.5, 2.0))
+
+
+def play_late(test, tmp_path, seconds: float) -> None:
+    """Let all nodes stand still for a third of the time, for so long at most.
+
+    :param test: is given the fleet and its entries, each with a voter
+    """
+
+    async def follow(fleet: Fleet) -> None:
+        await test(fleet, await fleet.follow_many(ENTRIES))
+
+    stalls = Stalls(seed=1, gap=seconds, most=seconds)
+    play(follow, tmp_path, find_delay=stalls.find_delay)
+
+
+async def announce(fleet: Fleet, followers, name: str) -> None:
+    """Let a target speak to a voter until all entries know it."""
+
+    def is_known() -> bool:
+        fleet.voters[fleet.seeds[0]].registry.announce(
+            make(name, heard=tell_time())
+        )
+        return all(f.table.get(name) is not None for f in followers)
+
+    await wait_until(is_known)
+
+
+@LATE
+def test_late_entries_get_each_configuration(tmp_path, seconds):
+    async def test(fleet, followers):
+        for version in (1, 2, 3):
+            await fleet.write(version)
+            await wait_until(
+                lambda v=version: all(
+                    f.state.index is not None and f.state.index.version == v
+                    for f in followers
+                )
+            )
+
+    play_late(test, tmp_path, seconds)
+
+
+@LATE
+def test_late_entries_know_targets_and_what_others_send_there(
+    tmp_path, seconds
+):
+    async def test(fleet, followers):
+        await announce(fleet, followers, "i1")
+        for follower in followers:
+            follower.board.change("i1", tokens=100)
+        everything = 100 * len(followers)
+        await wait_until(
+            lambda: all(f.tokens("i1") == everything for f in followers)
+        )
+
+    play_late(test, tmp_path, seconds)
+
+
+@LATE
+def test_late_entries_are_all_named_to_each_other(tmp_path, seconds):
+    async def test(fleet, followers):
+        await wait_until(
+            lambda: all(f.state.entries == ENTRIES for f in followers)
+        )
+
+    play_late(test, tmp_path, seconds)
+
+
+@LATE
+def test_late_entries_know_what_one_of_them_was_told(tmp_path, seconds):
+    async def test(fleet, followers):
+        await announce(fleet, followers, "i1")
+        await announce(fleet, followers, "i2")
+        told, now = followers[-1], tell_time()
+        told.leavers.note(told.table.get("i1"), now)
+        known = told.limits.find("i2", 0)
+        told.limits.note("i2", 0, known, RateLimit(2.5), now)
+        for follower in followers:
+            await wait_until(lambda f=follower: f.table.leaves("i1"))
+            await wait_until(
+                lambda f=follower: f.limits.find_rate("i2", 0) == 2.5
+            )
+
+    play_late(test, tmp_path, seconds)
+
+
+@LATE
+def test_late_entries_get_leave_for_cold_targets(tmp_path, seconds):
+    async def test(fleet, followers):
+        target = make_cold()
+        for follower in followers:
+            sends = Sends()
+            while not await sends.send(follower, target):
+                await asyncio.sleep(0.02)
+
+    play_late(test, tmp_path, seconds)
