Believe a framed end after an order to stop that got no answer

Callers saw: a whole answer cut off where the connection of the order to stop broke (reset connections beside a release) and the target, which had not got it, ran the generation to its end.

Cause: of such an order nothing is known, so the stream counted as stopped and its end as none: it went on at the copy, which seconds later may not take it. The doubt is due only where an answer ends with its connection: there a stopped stream ends like a whole one. With a length, or in chunks, a stream that was stopped is closed without its end and breaks off.

Now the answer says whether its end has a frame, and an end in a frame is believed where the order to stop got no answer. Where the target said that it stopped, no end is believed, as before. The test failed before with a frame (the caller waited ten seconds, then the test's end) and passed without one; a test of the adapter names the three kinds of body.

--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -40,6 +40,7 @@
         seconds; ``None`` until then
     :param handoff: set while its memory is being moved elsewhere
     :param stopped: whether its target was told to stop it for a move
+    :param doubtful: whether the order to stop may not have come
     :param moved: whether it has gone on at another target
     :param ended: whether nothing is relayed any more
     :param lost: set when its target has broken off
@@ -59,6 +60,7 @@
     began: float | None = None
     handoff: asyncio.Future[Handoff | None] | None = None
     stopped: bool = False
+    doubtful: bool = False
     moved: bool = False
     ended: bool = False
     lost: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -144,7 +146,7 @@
         self.reading = 0
         self.began = None
         self.handoff = None
-        self.stopped = False
+        self.stopped = self.doubtful = False
         self.broken = False
         self.lost.clear()
 
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -264,6 +264,7 @@
             case MoveOutcome.FAILED:
                 # the source may have ended meanwhile: the first copy holds
                 # all but the last few tokens
+                run.doubtful = True
                 return moved.outcome, copy
             case _:
                 # refused or never sent, it stopped nothing
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -75,7 +75,7 @@
         try:
             for _ in range(MOST_HANDOFFS):
                 match await self._pump(head, sent, run):
-                    case StreamEnd.WHOLE if await self._ended(run):
+                    case StreamEnd.WHOLE if await self._ended(run, sent):
                         self._dispatcher.runs.note_whole(run)
                         self._dispatcher.guard.note_answered(
                             self._plan, sent.answer.facts
@@ -119,16 +119,18 @@
             plan.team or "", str(plan.urgency), pace.first, pace.gap
         )
 
-    async def _ended(self, run: LiveRun) -> bool:
+    async def _ended(self, run: LiveRun, sent: Sent) -> bool:
         # a stream that was stopped for a move has no end, but where its
         # target frames it by closing the connection it looks whole
         if not run.stopped:
             return True
         run.lost.set()
         found = await self._await_handoff(run)
-        if found is not None and not run.stopped:
+        if run.stopped and not (run.doubtful and sent.answer.framed):
+            return False
+        if found is not None:
             self._dispatcher.mover.free(run, found)
-        return not run.stopped
+        return True
 
     async def _await_handoff(self, run: LiveRun) -> Handoff | None:
         try:
--- a/packages/gateway/src/chivepier/gateway/serving/targetanswer.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetanswer.py
@@ -8,12 +8,14 @@
 class TargetAnswer(typing.Protocol):
     """The head of an answer, and its body as it comes.
 
-    ``length`` is ``None`` where the target did not tell.
+    ``length`` is ``None`` where the target did not tell; ``framed`` tells
+    whether a body that breaks off differs from one that ends.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     length: int | None
+    framed: bool
     facts: AnswerFacts
 
     async def read(self) -> bytes:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_stopping.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_stopping.py
@@ -126,6 +126,35 @@
     play(test, "a", "b")
 
 
+@pytest.mark.parametrize("framed", (True, False))
+def test_end_after_a_stop_without_an_answer_is_believed_by_its_frame(framed):
+    # The order's connection broke, and the target went on to the end: the
+    # answer was cut off. Without a frame a stopped stream ends the same way.
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        run.framed = framed
+
+        def lose():
+            run.make(1)
+            run.end()
+            return Moved(MoveOutcome.FAILED)
+
+        parts.engines.at_stop(lose)
+        parts.leave(run.target)
+        if not framed:
+            fresh = await parts.engines.wait_run(2)
+            assert fresh.target != run.target
+            await finish(task, fresh, 1)
+        await task
+        await wait_until(lambda: not parts.mover.busy)
+        assert caller.numbers == [1, 2, 3] + [4] * (not framed)
+        assert caller.finished and not caller.aborted
+        other = find_other(run.target)
+        assert parts.engines.dropped == [(other, "h-r1")] * framed
+
+    play(test, "a", "b")
+
+
 def test_copy_of_a_run_that_ends_as_its_stop_is_lost_is_freed():
     async def test(parts):
         caller, task, run = await begin(parts)
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -292,6 +292,29 @@
     run(script, test)
 
 
+@pytest.mark.parametrize(
+    "head, framed",
+    [
+        (b"Content-Length: 2\r\n\r\nok", True),
+        (b"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", True),
+        (b"Connection: close\r\n\r\nok", False),
+    ],
+)
+def test_answer_tells_whether_its_end_has_a_frame(head, framed):
+    async def script(_, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\n" + head)
+        writer.close()
+
+    async def test(raw, targets):
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), ORDER
+        )
+        assert await read_all(reply) == b"ok"
+        assert reply.framed is framed
+
+    run(script, test)
+
+
 def test_generation_goes_on_from_a_copy():
     async def script(head, writer):
         writer.write(answer(b"ok"))
