Refuse a block of the soak that is no part of an address

A block above 254 ended in the lookup of a name, after the first seeds had begun to start: gaierror, and no word of the option. The option says its range now, and what is outside it is refused before anything starts.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -17,7 +17,9 @@
 @click.option("--seed", type=int, help="One seed; drawn when left out.")
 @click.option("--seeds", default=1, show_default=True, help="How many.")
 @click.option("--seconds", default=15.0, show_default=True)
-@click.option("--block", default=77, show_default=True)
+@click.option(
+    "--block", type=click.IntRange(1, 254), default=77, show_default=True
+)
 @click.option(
     "--kinds",
     default=NEWEST_SET,
