Bound what waits for a peer that is slower than its news

By reading: a channel keeps whatever is posted until its peer takes it, without a bound, and encodes all of it at once, for each of hundreds of followers anew.

One-way messages may be lost by their contract, and peers ask for what they miss with each beat (0.3 s), get loads whole again and again, and configurations by version. So news that has waited for 2 s is dropped, oldest first, with a line and a count; 256 parts are encoded at a time, and the rest waits as one object for all followers. Questions and answers are never dropped: who asks waits for a bounded time.

Weighed: closing the channel, after which the peer gets everything anew. That is clean for one slow peer, and the worst for hundreds whose voter is the slow one. A bound in bytes: nothing knows them before encoding.

Tests failed before: 5,999 parts wait after a minute at 100 a second (300 now), and 1,281 were encoded in one piece (256 now); that questions are kept passed before. Tests of wire, control, state and nodes: none failed.

--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -15,6 +15,7 @@
 from chivepier.wire.frame import pack_part
 from chivepier.wire.frame import Part
 from chivepier.wire.linkerror import LinkError
+from chivepier.wire.outbox import Outbox
 from chivepier.wire.refusederror import RefusedError
 from chivepier.wire.traffic import Traffic
 
@@ -58,7 +59,7 @@
         self._clock = clock
         self._numbers = itertools.count(1)
         self._waiting: dict[int, asyncio.Future] = {}
-        self._outbox: list[tuple] = []
+        self._outbox = Outbox(clock)
         self._ready = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self._heard = self._clock.monotonic()
@@ -88,16 +89,19 @@
         while True:
             await self._ready.wait()
             self._ready.clear()
-            parts, self._outbox = self._outbox, []
-            if self._faults.blocks(self.peer):
-                continue
             try:
-                for data in dump_frames(parts):
-                    self._traffic.count_sent(len(data))
-                    await self._socket.send(data)
+                while parts := self._outbox.take():
+                    await self._send(parts)
             except websockets.ConnectionClosed:
                 return
 
+    async def _send(self, parts: list[tuple]) -> None:
+        if self._faults.blocks(self.peer):
+            return
+        for data in dump_frames(parts):
+            self._traffic.count_sent(len(data))
+            await self._socket.send(data)
+
     def _receive(self, data: bytes) -> None:
         self._traffic.count_received(len(data))
         try:
@@ -154,7 +158,10 @@
     def _post(self, part: tuple) -> None:
         if self.closed:
             return
-        self._outbox.append(part)
+        dropped = self._outbox.add(part)
+        if dropped:
+            self._traffic.dropped_parts += dropped
+            log.warn("old news dropped peer={} parts={}", self.peer, dropped)
         self._ready.set()
 
     def send(self, value: typing.Any) -> None:
