Keep a rest that the next life of a target may have asked for

Cause, from its logs: all voters had been killed, and the target started again meanwhile (start 6.818). The entry still knew the earlier life, sent to it at 8.1 and was asked for rest at 8.169: kept as the earlier life's. At 8.442 the next life's announcement came, the earlier one ended with all it had asked, and the next request went out.

Ruled out: that the answer came late (the same connection, 5 ms); that another target was meant (one address, one name); that the rest was shorter (kept for 1.008 s).

An answer does not say which life it comes from. What came after the earlier life last spoke may be the next one's, so such a rest goes on for it, for 30 s at most: a life that asks for an hour and is lost must not bind the next for an hour. Weighed: the start in the announcement against the wall clock of the entry (precise, and wrong where one of two clocks is); keeping every rest over a start (a target that starts because it was overloaded would stand idle for what it asked before).

Left: where an announcement of the earlier life was held up and comes after the answer, the rest still ends with it.

The test through the adapter sent twice before and once now; three of the board are new with its new call.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -263,12 +263,12 @@
     def _note_target(self, target: Target, before: TargetState | None) -> None:
         if target.state is TargetState.GONE:
             self._forget(target)
+            self.rests.forget(target.instance, target.born)
 
     def _forget(self, target: Target) -> None:
         self.board.forget(target.instance)
         self.health.forget(target.instance)
         self.limits.forget(target.instance, target.born)
-        self.rests.forget(target.instance, target.born)
 
     def _note_restart(self, target: Target) -> None:
         self._log.info(
@@ -276,6 +276,7 @@
         )
         self.mover.note_restart(target)
         self._forget(target)
+        self.rests.end_life(target.instance, target.born, target.heard)
         # what a kept connection leads to has ended: a request that may run
         # once only would be lost with it
         self._port.hang_up(target)
--- a/packages/gateway/src/chivepier/gateway/limits/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/limits/__init__.py
@@ -11,6 +11,7 @@
 from chivepier.gateway.limits.records import pack_words
 from chivepier.gateway.limits.records import unpack_words
 from chivepier.gateway.limits.rest import Rest
+from chivepier.gateway.limits.restboard import MOST_PASSED_SECONDS
 from chivepier.gateway.limits.restboard import MOST_REST_SECONDS
 from chivepier.gateway.limits.restboard import RestBoard
 from chivepier.gateway.limits.restboard import TRIAL_SECONDS
@@ -22,6 +23,7 @@
     "Limit",
     "LimitBoard",
     "LimitWord",
+    "MOST_PASSED_SECONDS",
     "MOST_REST_SECONDS",
     "MOST_UNKNOWN",
     "NoLimit",
--- a/packages/gateway/src/chivepier/gateway/limits/restboard.py
+++ b/packages/gateway/src/chivepier/gateway/limits/restboard.py
@@ -16,6 +16,11 @@
 TRIAL_SECONDS = 0.25
 # Seconds after which it is worth to look again whether it has been answered.
 LOOK_SECONDS = 0.02
+# Stands for the life after one that has ended, whose start is not known here.
+NEXT_LIFE = -1
+# Seconds for which a rest holds that either life of a target may have asked
+# for; its announcements say within this time which one it is.
+MOST_PASSED_SECONDS = 30.0
 # Rests that are kept before those that are long over are dropped.
 MOST_KEPT = 1_000
 
@@ -67,11 +72,20 @@
         until = now + seconds + self._rng.uniform(0.0, spread)
         known = self._rests.get((instance, born))
         if known is None or known.until <= now:
-            self._rests[(instance, born)] = StandingRest(until)
+            self._rests[(instance, born)] = StandingRest(until, now)
             return True
         known.until = max(known.until, until)
+        known.asked = now
         return False
 
+    def _find(self, instance: str, born: int) -> StandingRest | None:
+        found = [
+            rest
+            for life in (born, NEXT_LIFE)
+            if (rest := self._rests.get((instance, life))) is not None
+        ]
+        return max(found, key=lambda rest: rest.until, default=None)
+
     def find_pause(self, instance: str, born: int, now: float) -> float | None:
         """Return the seconds after which a target may be sent something.
 
@@ -80,7 +94,7 @@
         :param now: monotonic seconds
         :returns: ``None`` where it may be now
         """
-        rest = self._rests.get((instance, born))
+        rest = self._find(instance, born)
         if rest is None:
             return None
         if now < rest.until:
@@ -92,20 +106,37 @@
 
         The first after a rest holds the others back until it is answered.
         """
-        rest = self._rests.get((instance, born))
+        rest = self._find(instance, born)
         if rest is not None:
             rest.tried_until = now + TRIAL_SECONDS
 
     def note_answered(self, instance: str, born: int, now: float) -> None:
         """Note an answer that asks for no rest; one within a rest is late."""
-        rest = self._rests.get((instance, born))
+        rest = self._find(instance, born)
         if rest is not None and now >= rest.until:
-            del self._rests[(instance, born)]
+            for life in (born, NEXT_LIFE):
+                self._rests.pop((instance, life), None)
 
     def count(self, now: float) -> int:
         """Return how many targets are at rest."""
         return sum(now < rest.until for rest in self._rests.values())
 
+    def end_life(self, instance: str, born: int, heard: float) -> None:
+        """Drop what a life had asked for that the next one has ended.
+
+        Until a target is announced anew, what the next life asks for counts
+        as this one's: what came after this one last spoke goes on for it.
+
+        :param instance: the target's name
+        :param born: start of the life that has ended
+        :param heard: when it last spoke, in monotonic seconds
+        """
+        rest = self._rests.get((instance, born))
+        self.forget(instance, born)
+        if rest is not None and rest.asked > heard:
+            rest.until = min(rest.until, rest.asked + MOST_PASSED_SECONDS)
+            self._rests[(instance, NEXT_LIFE)] = rest
+
     def forget(self, instance: str, born: int) -> None:
         """Drop what a life that has ended had asked for.
 
--- a/packages/gateway/src/chivepier/gateway/limits/standingrest.py
+++ b/packages/gateway/src/chivepier/gateway/limits/standingrest.py
@@ -8,9 +8,11 @@
     """Until when a target gets nothing, and what follows.
 
     :param until: in monotonic seconds
+    :param asked: when the target last asked for it, in monotonic seconds
     :param tried_until: after its end, until when the answer to the first
         request is awaited before another one goes; in monotonic seconds
     """
 
     until: float
+    asked: float
     tried_until: float = float("-inf")
--- a/packages/gateway/src/chivepier/gateway/limits/tests/test_restboard.py
+++ b/packages/gateway/src/chivepier/gateway/limits/tests/test_restboard.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies
 import pytest
 
+from chivepier.gateway.limits import MOST_PASSED_SECONDS
 from chivepier.gateway.limits import MOST_REST_SECONDS
 from chivepier.gateway.limits import RestBoard
 from chivepier.gateway.limits import TRIAL_SECONDS
@@ -48,6 +49,31 @@
     assert board.find_pause("i1", 2, 11.0) is not None
 
 
+def test_rest_that_the_next_life_may_have_asked_for_holds_for_it():
+    # A target had started again, and asked for rest before its announcement
+    # came: what it asked counted as its earlier life's, and it was sent more.
+    board = make_board(5.0)
+    board.end_life("i1", 1, heard=9.5)
+    assert board.find_pause("i1", 2, 14.9) is not None
+    board.note_answered("i1", 2, 12.0)
+    assert board.find_pause("i1", 2, 14.9) is not None
+    board.note_answered("i1", 2, 16.0)
+    assert not board
+
+
+def test_rest_that_the_earlier_life_asked_for_ends_with_it():
+    board = make_board(5.0)
+    board.end_life("i1", 1, heard=10.5)
+    assert board.find_pause("i1", 2, 11.0) is None
+    assert not board
+
+
+def test_rest_of_either_life_is_bounded():
+    board = make_board(3_000.0)
+    board.end_life("i1", 1, heard=9.5)
+    assert board.find_pause("i1", 2, 10.0 + MOST_PASSED_SECONDS) is None
+
+
 def test_rest_of_more_than_an_hour_is_one_hour():
     board = make_board(1e12)
     end = find_end(board)
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import os
+import time
 
 import pytest
 from test_configcodec import PLAIN
@@ -158,6 +159,28 @@
     run(answer_ok, test)
 
 
+def test_rest_asked_before_a_later_life_was_announced_holds_for_it():
+    # A target that had started again asked for rest, and was sent more as
+    # soon as its announcement came: the rest counted as its earlier life's.
+    async def refuse(head, writer):
+        writer.write(
+            b"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 20\r\n"
+            b"X-Chivepier-Not-Run: 1\r\nX-Chivepier-Request-Id: r1\r\n"
+            b"Content-Length: 0\r\n\r\n"
+        )
+
+    async def test(door):
+        await door.ask(make_call("/once/x"))
+        later = door.raw.make_target()
+        later.born, later.heard = 7, time.monotonic()
+        door.entry.table.put(later)
+        sent = len(door.raw.requests)
+        assert read_status(await door.ask(make_call("/once/x"))) == 429
+        assert len(door.raw.requests) == sent == 1
+
+    run(refuse, test)
+
+
 def test_metrics_tell_team_class_and_outcome():
     async def test(door):
         await door.ask(make_call("/once/x"))
