Log what callers and cold targets of the soak saw, and its delays

Cause: a failed scenario kept the statuses of answers only. A reset, a refused connection and a caller's time limit were all status 0; a 429 had no kind and no Retry-After; a target's arrival named neither the entry nor the time at which the caller had sent it; and nothing told whether the scenario's own loop had stood still. Change: soak.log beside the processes' logs has each caller's outcome with its reason, each arrival at a cold target with its entry and age, and delays of the scenario's loop; the processes' logs name the signals they got. Entries log how long a permit is valid when a request is placed, and for a refusal beside backoffs how long ago each ready target was heard.

--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -1,8 +1,10 @@
 """Sends a request to targets, with retries, until one answers it."""
 
 import asyncio
+import math
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.permits import Permit
 from chivepier.gateway.quarantine import shorten
 from chivepier.gateway.serving.assignment import Assignment
 from chivepier.gateway.serving.callpurpose import CallPurpose
@@ -213,6 +215,7 @@
             ms=round(1000 * (now - plan.request.arrived)),
             heard_ms=round(1000 * (now - target.heard)),
             reserved=assignment.reservation is not None,
+            permit_ms=_get_permit_ms(assignment.permit, now),
             prompt=demand.prompt if demand else None,
             output=demand.output if demand else None,
             runs=load.runs,
@@ -391,3 +394,10 @@
             # a target that has restarted is not avoided because its previous
             # incarnation did not answer
             self.balancer.avoid_unreachable(target.instance)
+
+
+def _get_permit_ms(permit: Permit, now: float) -> int | None:
+    """Return the milliseconds for which a permit is valid, for the log."""
+    if math.isinf(permit.expires_at):
+        return None
+    return round(1000 * (permit.expires_at - now))
--- a/packages/gateway/src/chivepier/gateway/serving/rejectionpolicy.py
+++ b/packages/gateway/src/chivepier/gateway/serving/rejectionpolicy.py
@@ -138,10 +138,24 @@
             return self.make_error(plan, runs, text)
         back = self._retry_after.add_jitter(seconds)
         self._log_rejection(
-            "all_at_rest", plan, back, first_ms=round(1000 * seconds)
+            "all_at_rest",
+            plan,
+            back,
+            first_ms=round(1000 * seconds),
+            heard_ms=self._list_heard_ms(plan),
         )
         return self._make_overload_error(text, back)
 
+    def _list_heard_ms(self, plan: Plan) -> dict[str, int]:
+        """Return for each ready target how long ago it was heard."""
+        now = self._clock.monotonic()
+        return {
+            target.instance: round(1000 * (now - target.heard))
+            for target in self._table
+            if target.service == plan.service.name
+            and target.state is TargetState.READY
+        }
+
     def _log_rejection(
         self, event: str, plan: Plan, back: float, **facts
     ) -> None:
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -6,15 +6,19 @@
 import json
 import pathlib
 import random
+import time
 
 import aiohttp
 
 from soak.process import Process
 from soak.process import run_all
+from soak.reply import Reply
 from soak.run import make_config
+from soak.runlog import RunLog
 from soak.target import SoakTarget
 
 VOTERS = 3
+REQUEST_ID = "X-Chivepier-Request-Id"
 MakeTarget = collections.abc.Callable[
     [str, list[str], random.Random], SoakTarget
 ]
@@ -44,6 +48,7 @@
         base = f"127.{block}"
         self.rng = random.Random(seed)
         self.folder = folder
+        self.log: RunLog | None = None
         self.controls = [f"{base}.1.{n + 1}:8748" for n in range(VOTERS)]
         self.voters = [
             Process("voter", address.split(":")[0], self.controls, folder)
@@ -67,10 +72,12 @@
         :param config: the configuration to apply
         """
         async with contextlib.AsyncExitStack() as stack:
+            self.log = await stack.enter_async_context(RunLog(self.folder))
             session = await stack.enter_async_context(
                 run_all((*self.voters, *self.entries))
             )
             for target in self.targets:
+                target.log = self.log
                 await stack.enter_async_context(target)
             await self._configure(session, config)
             yield session
@@ -87,6 +94,35 @@
                         return
             await asyncio.sleep(0.1)
 
+    async def post(
+        self,
+        session: aiohttp.ClientSession,
+        entry: Process,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> Reply:
+        """Send one request to an entry and log its outcome.
+
+        :param headers: headers of the request, with its id
+        """
+        began, status, retry_after, reason = time.monotonic(), 0, None, ""
+        url = f"http://{entry.ip}:8740{path}"
+        try:
+            async with session.post(url, data=body, headers=headers) as answer:
+                data = await answer.read()
+                status = answer.status
+                retry_after = answer.headers.get("Retry-After")
+                if status != 200:
+                    reason = data.decode(errors="replace")
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            reason = repr(error)
+        now = time.monotonic()
+        seconds = None if retry_after is None else float(retry_after)
+        reply = Reply(now, status, now - began, seconds, reason)
+        self.log.write_reply(headers[REQUEST_ID], entry.ip, reply)
+        return reply
+
 
 def make_resumable_config() -> dict:
     """Return a configuration with a route for resumable streams."""
--- a/soak/crashscenario.py
+++ b/soak/crashscenario.py
@@ -144,17 +144,12 @@
             "X-Api-Key": "k1",
             "X-Chivepier-Deadline-Ms": "4000",
         }
-        url = f"http://{entry.ip}:8740{path}"
         body = CRASHING_BODY if is_crashing else b"x"
-        status = 0
-        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
-            async with session.post(url, data=body, headers=headers) as answer:
-                await answer.read()
-                status = answer.status
+        reply = await self.post(session, entry, path, body, headers)
         (
             self.record.answers if is_crashing else self.record.other_answers
-        ).append(status)
-        return status
+        ).append(reply.status)
+        return reply.status
 
     async def repeat_crashing_request(
         self, session: aiohttp.ClientSession, seconds: float
--- a/soak/process.py
+++ b/soak/process.py
@@ -2,11 +2,14 @@
 
 import collections.abc
 import contextlib
+import json
 import os
 import pathlib
 import signal
 import subprocess
 import sys
+import time
+import typing
 
 import aiohttp
 
@@ -100,7 +103,8 @@
                 folder=self._folder,
             )
         )
-        with open(self._folder / f"{self.name}.log", "ab") as log:
+        self._note("started")
+        with self._open_log() as log:
             self._child = subprocess.Popen(
                 [sys.executable, str(PROGRAM), self.role],
                 env={**os.environ, "CHIVEPIER_BOOT": str(path)},
@@ -108,9 +112,19 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def _open_log(self) -> typing.BinaryIO:
+        return open(self._folder / f"{self.name}.log", "ab")
+
+    def _note(self, event: str, **fields) -> None:
+        """Log what is done to the process, among its own lines."""
+        line = {"t": round(time.time(), 3), "node": "soak", "event": event}
+        with self._open_log() as log:
+            log.write(json.dumps(line | fields).encode() + b"\n")
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal, if the process runs."""
         if self.alive:
+            self._note("signalled", signal=number.name)
             self._child.send_signal(number)
 
     def handles_signal(self, number: int) -> bool:
@@ -134,5 +148,6 @@
     def end(self) -> None:
         """Kill and reap the process, also when it is paused."""
         if self._child is not None:
+            self._note("killed")
             self._child.kill()
             self._child.wait()
--- a/soak/reply.py
+++ b/soak/reply.py
@@ -11,9 +11,11 @@
     :param status: status of the answer; 0 if the connection failed
     :param seconds: seconds from the request to the answer
     :param retry_after: value of ``Retry-After`` in seconds, if there is one
+    :param reason: error of the connection, or body of a refusal
     """
 
     at: float
     status: int
     seconds: float
     retry_after: float | None
+    reason: str = ""
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 from soak.process import Process
 from soak.process import run_all
 from soak.proxy import Proxy
+from soak.runlog import RunLog
 from soak.signalchecker import make_sender_headers
 from soak.target import describe
 from soak.target import SoakTarget
@@ -150,6 +151,9 @@
         :returns: the checker with the violations found
         """
         async with contextlib.AsyncExitStack() as stack:
+            log = await stack.enter_async_context(RunLog(self.folder))
+            for target in self.targets:
+                target.log = log
             session = await stack.enter_async_context(
                 run_all((*self.voters, *self.entries))
             )
--- a/soak/target.py
+++ b/soak/target.py
@@ -13,6 +13,7 @@
 
 from soak.invariantchecker import InvariantChecker
 from soak.invariantchecker import make_expected_body
+from soak.runlog import RunLog
 from soak.signalchecker import SignalChecker
 
 HEARTBEAT_SECONDS = 0.4
@@ -67,6 +68,7 @@
         self._rng = rng
         self.instance = f"i-{secrets.token_hex(4)}"
         self.zone = "z"
+        self.log: RunLog | None = None
         self.is_evacuated: IsEvacuated = lambda zone: False
         self._cold_until = 0.0
         self._cold_known_at: float | None = None
@@ -107,7 +109,19 @@
         self._cold_until = time.monotonic() + seconds
         self._cold_known_at = None
 
-    def _check_cold_limit(self) -> None:
+    def _log_cold_arrival(self, request: web.BaseRequest) -> None:
+        sent = request.headers.get("X-Sent")
+        if self.log is not None and sent is not None:
+            self.log.write(
+                "arrived_cold",
+                target=self.instance,
+                id=request.headers["X-Chivepier-Request-Id"],
+                entry=request.headers["X-Entry"],
+                sent_ms=round(1000 * (time.monotonic() - float(sent))),
+                within_second=len(self._cold_arrivals),
+            )
+
+    def _check_cold_limit(self, request: web.BaseRequest) -> None:
         """Check that the zone is in use, and the rate while cold."""
         now = time.monotonic()
         if self.is_evacuated(self.zone):
@@ -121,6 +135,7 @@
             at for at in self._cold_arrivals if now - at < 1.0
         ]
         self._cold_arrivals.append(now)
+        self._log_cold_arrival(request)
         if len(self._cold_arrivals) > MAX_COLD_REQUESTS:
             text = (
                 f"{len(self._cold_arrivals)} a second at cold {self.address}"
@@ -221,7 +236,7 @@
         wanted = request.headers.get("X-Chivepier-Expect-Instance")
         if wanted != self.instance:
             return web.Response(status=421, headers=echo)
-        self._check_cold_limit()
+        self._check_cold_limit(request)
         self._check_rate_limit()
         if self.limit is not None:
             echo["Server-Limit"] = str(self.limit)
--- a/soak/trafficscenario.py
+++ b/soak/trafficscenario.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import pathlib
-import time
 
 import aiohttp
 
@@ -91,16 +90,8 @@
             "X-Chivepier-Deadline-Ms": "2000",
             **make_sender_headers(entry.ip),
         }
-        url = f"http://{entry.ip}:8740/once/{self._number}"
-        began, status, retry_after = time.monotonic(), 0, None
-        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
-            async with session.post(url, data=b"x", headers=headers) as answer:
-                await answer.read()
-                status = answer.status
-                retry_after = answer.headers.get("Retry-After")
-        now = time.monotonic()
-        seconds = None if retry_after is None else float(retry_after)
-        return Reply(now, status, now - began, seconds)
+        path = f"/once/{self._number}"
+        return await self.post(session, entry, path, b"x", headers)
 
 
 def count_busiest(arrivals: list[float], since: float) -> int:
