Ask a restarted entry for as long as any other before the verdict

What callers saw: test_disturbed_entries_block_the_crashing_request, status 0 beside 503 among the last four answers to the crashing request. Alone a start takes half a second, all of it processor time. Callers went on for 7 s from the start of the process on, not from when it listens. That nobody listens at an entry that is being started is allowed: the directory names it to nobody, and nothing runs. Ruled out, in these runs: resets, time limits and answers cut short (there was none), and a delay of the scenario's loop (0.17 s at most). Change: the scenario goes on for its four seconds once the restarted entry accepts connections as well, so the last answers include that entry's. The bound for requests that arrive late still counts from the start of the process, and the check is the same.

--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -18,6 +18,8 @@
 from soak.target import SoakTarget
 
 VOTERS = 3
+# Port at which entries accept callers; see the settings of the processes.
+CALLER_PORT = 8740
 REQUEST_ID = "X-Chivepier-Request-Id"
 MakeTarget = collections.abc.Callable[
     [str, list[str], random.Random], SoakTarget
@@ -107,7 +109,7 @@
         :param headers: headers of the request, with its id
         """
         began, status, retry_after, reason = time.monotonic(), 0, None, ""
-        url = f"http://{entry.ip}:8740{path}"
+        url = f"http://{entry.ip}:{CALLER_PORT}{path}"
         try:
             async with session.post(url, data=body, headers=headers) as answer:
                 data = await answer.read()
--- a/soak/crashscenario.py
+++ b/soak/crashscenario.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 import attrs
 
+from soak.cluster import CALLER_PORT
 from soak.cluster import Cluster
 from soak.cluster import make_resumable_config
 from soak.invariantchecker import InvariantChecker
@@ -22,6 +23,8 @@
 CRASHING_PATH = "/resume/deadly"
 # Seconds after the third crash within which all entries must know of it.
 PROPAGATION_SECONDS = 3.0
+# Interval between two checks whether an entry accepts connections, in seconds.
+POLL_SECONDS = 0.05
 # Range of the seconds until a crashed target is restarted.
 RESTART_SECONDS = (0.8, 2.0)
 
@@ -35,6 +38,7 @@
     :param answers: statuses of the answers to the crashing request
     :param other_answers: statuses of the answers to other requests
     :param disturbed: time at which the last faulty process was running again
+    :param serving: time at which all entries accepted connections again
     """
 
     crashes: list[float] = attrs.field(factory=list)
@@ -42,6 +46,7 @@
     answers: list[int] = attrs.field(factory=list)
     other_answers: list[int] = attrs.field(factory=list)
     disturbed: float = 0.0
+    serving: float = 0.0
 
     @property
     def propagated_at(self) -> float:
@@ -158,7 +163,10 @@
 
         :param seconds: time to continue once every entry must know, in seconds
         """
-        while time.monotonic() < self.record.propagated_at + seconds:
+        record = self.record
+        while time.monotonic() < (
+            max(record.propagated_at, record.serving) + seconds
+        ):
             count = min(2, len(self.entries))
             chosen = self.rng.sample(self.entries, count)
             asks = [
@@ -167,13 +175,17 @@
             await asyncio.gather(*asks)
             await asyncio.sleep(self.rng.uniform(0.1, 0.5))
 
-    async def inject_faults(self) -> None:
+    async def inject_faults(self, start_pause: float = 0.0) -> None:
         """Once a target has crashed, inject faults into both roles.
 
         One entry is paused while the others learn of the crashes, one is
         killed and restarts without that knowledge, and one voter loses its
         data.
+
+        :param start_pause: seconds for which the restarted entry stands still
+            before it accepts connections
         """
+        self.record.serving = float("inf")
         while not self.record.crashes:
             await asyncio.sleep(0.01)
         frozen, killed, *_ = self.entries
@@ -187,6 +199,28 @@
         killed.start()
         frozen.signal(signal.SIGCONT)
         self.record.disturbed = time.monotonic()
+        if start_pause:
+            killed.signal(signal.SIGSTOP)
+            await asyncio.sleep(start_pause)
+            killed.signal(signal.SIGCONT)
+        await self._wait_until_listening(killed)
+        self.record.serving = time.monotonic()
+
+    async def _wait_until_listening(self, entry: Process) -> None:
+        """Wait until an entry accepts connections.
+
+        Until then its callers' connections are refused, and nothing runs.
+        """
+        while True:
+            try:
+                _, writer = await asyncio.open_connection(
+                    entry.ip, CALLER_PORT
+                )
+            except OSError:
+                await asyncio.sleep(POLL_SECONDS)
+            else:
+                writer.close()
+                return
 
     async def call(self, session: aiohttp.ClientSession) -> None:
         """Send other requests, one after the other, until cancelled."""
--- a/soak/tests/test_crashes.py
+++ b/soak/tests/test_crashes.py
@@ -11,6 +11,8 @@
 
 # Seconds for which the request is repeated once every entry must know of it.
 REPEAT_SECONDS = 4.0
+# Pause of an entry's start that outlasts the requests of the other tests.
+START_PAUSE_SECONDS = 8.0
 
 
 @contextlib.asynccontextmanager
@@ -25,7 +27,9 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
-def run_scenario(folder, entries: int, disturbed: bool = False) -> CrashRecord:
+def run_scenario(
+    folder, entries: int, disturbed: bool = False, start_pause: float = 0.0
+) -> CrashRecord:
     """Run the scenario and return what callers and targets recorded."""
 
     async def work(block: int):
@@ -36,7 +40,9 @@
                     session, REPEAT_SECONDS
                 )
                 if disturbed:
-                    await asyncio.gather(work, scenario.inject_faults())
+                    await asyncio.gather(
+                        work, scenario.inject_faults(start_pause)
+                    )
                 else:
                     await work
         return scenario.record
@@ -68,3 +74,13 @@
     record = run_scenario(tmp_path, 4, disturbed=True)
     assert record.disturbed
     check(record)
+
+
+def test_entry_that_starts_slowly_blocks_the_crashing_request(tmp_path):
+    # Guards against requests that a late entry sends, as it knows of no crash,
+    # and against callers that it leaves without an answer once it listens.
+    record = run_scenario(
+        tmp_path, 4, disturbed=True, start_pause=START_PAUSE_SECONDS
+    )
+    assert record.serving >= record.disturbed + START_PAUSE_SECONDS
+    check(record)
