Count a target's silence only while the voters' reports cover it

What callers saw: a request was refused as one that ends its targets, for ten minutes, though two targets had ended under it and not three; a sound request may be refused in the same way. Cause: a target is silent when it was not heard for 3.5 announcements while another one was. An entry that has stood still reads what came meanwhile one message after the other: once the first target's announcement is read, all others count as silent. The same holds for an entry that has just followed another voter, which lists only what it hears from then on. Change: the age of the last announcement counts up to the request of the last answer that lists what a voter has heard, and from the first such answer of that voter on. An answer from before the stop adds nothing; the first one after it lists all that was announced meanwhile. Ruled out: a grace period once a late timer fires. Reads come before timers, and on a slow machine, late all the time, no target would ever be silent.

--- a/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
@@ -1,8 +1,12 @@
 """Tests of entries that receive state from voters."""
 
+import asyncio
+
 from chivepier.gateway.control.tests.fleet import play
 from chivepier.gateway.control.tests.fleet import wait_until
+from chivepier.gateway.following import pack_target
 from chivepier.gateway.messages import LoadRecord
+from chivepier.gateway.messages import TargetNotice
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
 from chivepier.gateway.targets.tests.test_targettable import make
@@ -285,3 +289,43 @@
         await wait_until(lambda: follower.hub is not None)
 
     play(test, tmp_path)
+
+
+def test_entry_that_stood_still_takes_no_target_for_silent(tmp_path):
+    # Guards against targets that count as ended, and requests that count as
+    # their cause, as an entry reads one announcement before the others.
+    async def test(fleet):
+        follower = await fleet.follow("e1")
+        voter = fleet.voters[fleet.seeds[0]]
+
+        def announce(*names):
+            for name in names:
+                number = voter.registry.revision
+                voter.registry.announce(
+                    make(name, number=number, heard=tell_time())
+                )
+
+        def is_silent(name):
+            target = follower.table.get(name)
+            return follower.table.is_silent(target, tell_time())
+
+        announce("i1", "i2")
+        await wait_until(lambda: len(list(follower.table)) == 2)
+        send_beat = await follower.finish_beats()
+        for _ in range(10):
+            await asyncio.sleep(0.5)
+            announce("i1", "i2")
+        record = pack_target(voter.table.get("i2"), tell_time())
+        follower.following.handle(TargetNotice((record,)), None)
+        assert not is_silent("i1")
+
+        follower.following._send_beat = send_beat
+        for _ in range(10):
+            assert not is_silent("i1")
+            await asyncio.sleep(0.5)
+            announce("i1", "i2")
+        while not is_silent("i1"):
+            await asyncio.sleep(0.5)
+            announce("i2")
+
+    play(test, tmp_path)
--- a/packages/gateway/src/chivepier/gateway/following/voterclient.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterclient.py
@@ -263,6 +263,7 @@
             voter.limits.confirmed_revision,
             self._limits.revision,
         )
+        sent_at = self._clock.monotonic()
         try:
             answer = await self._links.request(address, beat, ANSWER_SECONDS)
         except LinkError as error:
@@ -287,6 +288,10 @@
             voter.limits, answer, limits_revision if is_confirmed else None
         )
         self._handle_answer(address, voter, answer)
+        if beat.follows:
+            is_same = answer.epoch == beat.epoch
+            self._table.note_update(sent_at, voter.followed and is_same)
+        voter.followed = beat.follows
 
     def _set_alive(
         self, address: str, voter: VoterLink, alive: bool, reason: str
--- a/packages/gateway/src/chivepier/gateway/following/voterlink.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterlink.py
@@ -14,6 +14,8 @@
     """Synchronization state of an entry with one voter.
 
     :param task: task that sends beats to the voter
+    :param followed: whether the last answered beat followed the voter, which
+        then lists the targets that it has heard
     :param epoch: identifies the run of the voter that this state belongs to
     :param targets_revision: revision of its targets up to which this entry
         has all changes
@@ -27,6 +29,7 @@
     """
 
     task: asyncio.Task | None = None
+    followed: bool = False
     epoch: str = ""
     targets_revision: int = 0
     quarantine_revision: int = 0
--- a/packages/gateway/src/chivepier/gateway/targets/targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/targettable.py
@@ -35,6 +35,8 @@
         self._silence_seconds = beat * MAX_MISSED_HEARTBEATS
         self._targets: dict[str, Target] = {}
         self._leaving: dict[tuple[str, int], float] = {}
+        self._updated_at: float | None = None
+        self._listening_since = float("-inf")
         self.watchers: list[Watcher] = []
         self.restart_watchers: list[RestartWatcher] = []
 
@@ -139,6 +141,19 @@
             if known is not None:
                 known.heard = max(known.heard, now)
 
+    def note_update(self, at: float, continues: bool) -> None:
+        """Record a report of the targets that a voter has heard.
+
+        :param at: when the report was requested, in monotonic seconds; it may
+            have waited while this node stood still
+        :param continues: whether it lists all targets heard since the last
+            report, and not only those heard by another voter
+        """
+        if not continues:
+            self._listening_since = at
+        if self._updated_at is None or at > self._updated_at:
+            self._updated_at = at
+
     def _end_incarnation(self, known: Target) -> None:
         """Tell the watchers that an incarnation of a target has ended.
 
@@ -193,13 +208,24 @@
             for target in self._targets.values()
             if target.service == service and target.state is TargetState.READY
         ]
-        fresh = [t for t in ready if now - t.heard < self._silence_seconds]
+        fresh = [t for t in ready if not self._is_outdated(t.heard, now)]
         return [
             target
             for target in fresh or ready
             if self.zones.is_allowed(target.zone, regions, now)
         ]
 
+    def _is_outdated(self, heard: float, now: float) -> bool:
+        """Tell whether a sign of life is too old.
+
+        Its age counts only while reports of the voters cover it: a node that
+        stood still, or follows another voter, reads the announcements of that
+        time one by one, and would take the other targets for silent.
+        """
+        until = now if self._updated_at is None else min(now, self._updated_at)
+        since = max(heard, self._listening_since)
+        return until - since >= self._silence_seconds
+
     def select_leaving(self, service: str) -> list[Target]:
         """Return the targets of a service that are leaving but not gone."""
         return [
@@ -210,7 +236,7 @@
         ]
 
     def is_silent(self, target: Target, now: float) -> bool:
-        """Tell whether a target is silent while others are not.
+        """Tell whether a target's announcements alone have stopped.
 
         :param target: target to check
         :param now: current monotonic time, in seconds
@@ -218,11 +244,11 @@
             heard
         """
         known = self._targets.get(target.instance)
-        if known is None or now - known.heard < self._silence_seconds:
+        if known is None or not self._is_outdated(known.heard, now):
             return False
         return any(
             other.service == target.service
-            and now - other.heard < self._silence_seconds
+            and not self._is_outdated(other.heard, now)
             for other in self._targets.values()
         )
 
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
@@ -84,6 +84,23 @@
     assert found == {"i1", "i2"}
 
 
+def test_silence_counts_only_while_reports_cover_it():
+    # Guards against targets that are left out for what was not listened to.
+    table = TargetTable(1.0)
+    table.put(make("i1", heard=0.0))
+    table.put(make("i2", heard=0.0))
+    silent = table.get("i1")
+    table.note_update(1.0, continues=True)
+    table.mark_alive(("i2",), 20.0)
+    assert not table.is_silent(silent, 20.0)
+    # another voter's first report
+    table.note_update(20.0, continues=False)
+    assert not table.is_silent(silent, 20.0)
+    table.mark_alive(("i2",), 24.0)
+    table.note_update(24.0, continues=True)
+    assert table.is_silent(silent, 24.0)
+
+
 def test_replaced_instance_is_known_by_its_address():
     table = TargetTable(1.0)
     table.put(make("i1"))
