Serve callers at silent targets before refusing them for others' backoffs

What callers saw: test_backoff_of_a_target_is_respected[3], status 429 beside 200 while two of four targets asked for a backoff and two served all along. A target's announcement waits for a voter that stands still for a second. Cause: silent targets were left out first, and then those with a backoff; the silent ones come back only if all are silent. So the targets with a backoff were taken for all there are. Change: zones and backoffs come first, and silence decides among what is left. An answer counts as a sign of life where requests are sent, not where a target is judged to have ended. A target that is silent and was unreachable a moment ago does not count: then the refusal comes at once with the time, as before. The same elsewhere: silent targets in allowed zones were left out when those that were heard lie in evacuated or other zones; mended by the same order.

--- a/packages/gateway/src/chivepier/gateway/serving/headerrecorder.py
+++ b/packages/gateway/src/chivepier/gateway/serving/headerrecorder.py
@@ -82,6 +82,7 @@
             if facts.leaving and other is not None:
                 self._record_leaving(other)
             return
+        self._table.note_answered(target.instance, self._clock.monotonic())
         if facts.leaving:
             self._record_leaving(target)
         self._record_backoff(target, facts.backoff)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_backoffs.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_backoffs.py
@@ -127,6 +127,61 @@
     play(test, "a", "b")
 
 
+def silence(parts: Parts, *names: str) -> None:
+    """Let the announcements of targets be missing, and all others new."""
+    for target in parts.table:
+        age = 60.0 if target.instance in names else 0.0
+        target.heard = tell_time() - age
+
+
+def test_silent_target_is_used_when_all_others_are_at_rest():
+    # Guards against refusals where only announcements of a living target are
+    # late, as those of one voter's targets are while it stands still.
+    async def test(parts):
+        answer_all(parts)
+        record_backoff(parts, "w-a")
+        silence(parts, "w-b")
+        for _ in range(5):
+            await parts.serve(make_request("/plain/x"))
+        assert count_sends(parts, "w-b") == 5
+        assert count_sends(parts, "w-a") == 0
+
+    play(test, "a", "b")
+
+
+def test_request_is_refused_when_silent_targets_are_unreachable():
+    # Guards against refusals that name no time, and against requests that
+    # wait, where only the targets at rest will be there.
+    async def test(parts):
+        record_backoff(parts, "w-a")
+        silence(parts, "w-b")
+        parts.engines.unreachable.add("w-b")
+        began = tell_time()
+        failures = [
+            await fail(parts, make_request("/plain/x")) for _ in range(5)
+        ]
+        assert tell_time() - began < 1.0
+        assert {f.kind for f in failures} == {ErrorKind.OVERLOADED}
+        backs = [f.retry_after.total_seconds() for f in failures]
+        assert all(2.9 < back <= 5.1 for back in backs)
+        assert count_sends(parts, "w-a") == 0
+
+    play(test, "a", "b")
+
+
+def test_target_that_answers_is_not_silent():
+    # Guards against targets that are left out, and others that get their
+    # share, while only announcements are late.
+    async def test(parts):
+        answer_all(parts)
+        for _ in range(20):
+            await parts.serve(make_request("/plain/x"))
+        silence(parts, "w-a")
+        assert len(parts.table.select("web", tell_time())) == 2
+
+    play(test, "a", "b")
+
+
 def test_request_waits_for_a_rest_that_ends_within_its_objective():
     async def test(parts):
         answer_all(parts)
--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -185,10 +185,20 @@
         regions: collections.abc.Collection[str] | None,
     ) -> list[Target]:
         """Return the targets without a backoff."""
-        found = self._table.select(service, now, regions)
         if not self._backoffs:
-            return found
-        return [t for t in found if self._find_delay(t, now) is None]
+            return self._table.select(service, now, regions)
+        return self._table.select(
+            service,
+            now,
+            regions,
+            lambda target: self._find_delay(target, now) is None,
+        )
+
+    def _is_lost(self, target: Target, now: float) -> bool:
+        """Tell whether a target is both silent and unreachable."""
+        return self._table.is_unheard(target, now) and self._health.is_avoided(
+            target.instance, now
+        )
 
     def _find_delay(self, target: Target, now: float) -> float | None:
         return self._backoffs.find_delay(target.instance, target.born, now)
@@ -222,11 +232,17 @@
         if not self._backoffs:
             return None
         now = self._clock.monotonic()
-        found = self._table.select(service, now, regions)
-        pauses = [self._find_delay(target, now) for target in found]
-        if not pauses or None in pauses:
+        available = self._select_available(service, now, regions)
+        if not all(self._is_lost(target, now) for target in available):
             return None
-        return min(pauses)
+        resting = self._table.select(
+            service,
+            now,
+            regions,
+            lambda target: self._find_delay(target, now) is not None,
+        )
+        pauses = (self._find_delay(target, now) for target in resting)
+        return min(pauses, default=None)
 
     def _exclude_avoided(self, targets: list[Target], now: float) -> list:
         """Exclude targets that several entries avoid.
--- a/packages/gateway/src/chivepier/gateway/targets/targethealth.py
+++ b/packages/gateway/src/chivepier/gateway/targets/targethealth.py
@@ -72,7 +72,7 @@
         :param now: current monotonic time, in seconds
         :returns: names of the healthy targets
         """
-        reached = {i for i in instances if not self._is_avoided(i, now)}
+        reached = {i for i in instances if not self.is_avoided(i, now)}
         if not reached:
             return set(instances)
         rates = {i: self._get_failure_rate(i, now) for i in reached}
@@ -92,7 +92,8 @@
         """Drop the history of a target that is gone."""
         self._records.pop(instance, None)
 
-    def _is_avoided(self, instance: str, now: float) -> bool:
+    def is_avoided(self, instance: str, now: float) -> bool:
+        """Tell whether a target was unreachable a short time ago."""
         record = self._records.get(instance)
         return record is not None and now < record.avoided_until
 
--- a/packages/gateway/src/chivepier/gateway/targets/targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/targettable.py
@@ -21,6 +21,7 @@
 
 Watcher = collections.abc.Callable[[Target, TargetState | None], None]
 RestartWatcher = collections.abc.Callable[[Target], None]
+IsUsable = collections.abc.Callable[[Target], bool]
 
 
 class TargetTable:
@@ -35,6 +36,7 @@
         self._silence_seconds = beat * MAX_MISSED_HEARTBEATS
         self._targets: dict[str, Target] = {}
         self._leaving: dict[tuple[str, int], float] = {}
+        self._answered_at: dict[str, float] = {}
         self._updated_at: float | None = None
         self._listening_since = float("-inf")
         self.watchers: list[Watcher] = []
@@ -154,6 +156,17 @@
         if self._updated_at is None or at > self._updated_at:
             self._updated_at = at
 
+    def note_answered(self, instance: str, now: float) -> None:
+        """Record an answer of a target, which is a sign of life.
+
+        It does not count as heard: it may come from an incarnation that has
+        not been announced yet.
+
+        :param instance: name of the target
+        :param now: current monotonic time, in seconds
+        """
+        self._answered_at[instance] = now
+
     def _end_incarnation(self, known: Target) -> None:
         """Tell the watchers that an incarnation of a target has ended.
 
@@ -192,28 +205,37 @@
         service: str,
         now: float,
         regions: collections.abc.Collection[str] | None = None,
+        is_usable: IsUsable | None = None,
     ) -> list[Target]:
         """Return the targets of a service that accept new requests.
 
-        Silent targets are excluded unless all are silent: then this node is
-        probably cut off, and the targets may be alive.
+        Silent targets are excluded unless all usable ones are silent: they
+        may be alive, as their announcements or this node may be cut off.
 
         :param service: name of the service
         :param now: current monotonic time, in seconds
         :param regions: regions that the request may reach; ``None`` for all
+        :param is_usable: selects among the targets; ``None`` for all
         :returns: the candidates
         """
-        ready = [
+        usable = [
             target
             for target in self._targets.values()
-            if target.service == service and target.state is TargetState.READY
-        ]
-        fresh = [t for t in ready if not self._is_outdated(t.heard, now)]
-        return [
-            target
-            for target in fresh or ready
-            if self.zones.is_allowed(target.zone, regions, now)
+            if target.service == service
+            and target.state is TargetState.READY
+            and self.zones.is_allowed(target.zone, regions, now)
+            and (is_usable is None or is_usable(target))
         ]
+        return [t for t in usable if not self.is_unheard(t, now)] or usable
+
+    def is_unheard(self, target: Target, now: float) -> bool:
+        """Tell whether there was no sign of life of a target for too long.
+
+        :param target: latest announcement of the target
+        :param now: current monotonic time, in seconds
+        """
+        answered_at = self._answered_at.get(target.instance, target.heard)
+        return self._is_outdated(max(target.heard, answered_at), now)
 
     def _is_outdated(self, heard: float, now: float) -> bool:
         """Tell whether a sign of life is too old.
@@ -262,6 +284,8 @@
             kept = GONE_RETENTION_SECONDS if gone else SILENT_RETENTION_SECONDS
             if now - target.heard > kept:
                 del self._targets[target.instance]
+        for instance in self._answered_at.keys() - self._targets.keys():
+            del self._answered_at[instance]
         for (instance, born), at in list(self._leaving.items()):
             known = self._targets.get(instance)
             if known is not None and known.born == born:
