Check a send against knowledge that is recent as it leaves

Cause: an entry that goes on after a stop acts on what it knew before, until it has read what came meanwhile. A send is refused as it leaves, and placed again, when knowledge is older, or when its target needed no permit and needs one now.

--- a/packages/gateway/src/chivepier/gateway/following/voterclient.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterclient.py
@@ -273,7 +273,7 @@
         # before notifying waiting requests, which must see these zone orders
         self._merge_zone_orders(answer.orders)
         self._presume_evacuations(answer.presumed)
-        self._freshness.note_update()
+        self._freshness.note_update(sent_at)
         self._handle_quarantine(voter, answer)
         # a restarted voter lacks the records of earlier beats: its answer
         # confirms a beat only if that beat carried everything
--- a/packages/gateway/src/chivepier/gateway/permits/permit.py
+++ b/packages/gateway/src/chivepier/gateway/permits/permit.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from chivepier.gateway.config import Service
+
 # Default lifetime of a permit: covers the delay of the answer and the
 # reservation at the target.
 PERMIT_SECONDS = 0.25
@@ -16,6 +18,9 @@
 
     :param expires_at: monotonic time by which it must be used, in seconds;
         infinite for a target without limits
+    :param unlimited: service of a target without limits; the permit ends
+        once the target has any
     """
 
     expires_at: float = float("inf")
+    unlimited: Service | None = None
--- a/packages/gateway/src/chivepier/gateway/permits/sendlimiter.py
+++ b/packages/gateway/src/chivepier/gateway/permits/sendlimiter.py
@@ -107,6 +107,18 @@
         readmitted = self._zones.find_readmission(target.zone)
         return readmitted is not None and target.announced_at < readmitted
 
+    def is_outdated(self, permit: Permit, target: Target) -> bool:
+        """Tell whether a target that had no limits has any now.
+
+        :param permit: the permit that was taken for the send
+        :param target: latest announcement of the target
+        """
+        service, now = permit.unlimited, self._clock.monotonic()
+        return service is not None and (
+            self.is_cold(service, target, now)
+            or self.find_rate(target) is not None
+        )
+
     def find_rate(self, target: Target) -> float | None:
         """Return a target's rate limit over all entries, or None."""
         return self._limits.find_rate(target.instance, target.born)
@@ -156,7 +168,7 @@
         cold = self.is_cold(service, target, now)
         rate = self.find_rate(target)
         if not cold and rate is None:
-            return Permit()
+            return Permit(unlimited=service)
         if rate is None:
             # cold targets are not scheduled by team or urgency
             claim = Claim()
--- a/packages/gateway/src/chivepier/gateway/serving/sendgate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/sendgate.py
@@ -35,7 +35,7 @@
     :param table: the known targets and whether they leave
     :param permits: permits for targets with a rate limit
     :param backoffs: targets that requested a backoff
-    :param freshness: whether the known evacuation orders are recent
+    :param freshness: whether what is known of zones and targets is recent
     :param clock: monotonic clock
     :param metrics: counts sends that are refused by :meth:`check`
     """
@@ -59,7 +59,7 @@
         self._clock = clock
 
     async def wait_fresh(self) -> None:
-        """Wait until the known evacuation orders are recent, or can't be."""
+        """Wait until what the voters know is known here, or can't be."""
         await self._freshness.wait()
 
     async def acquire_permit(
@@ -92,18 +92,36 @@
     ) -> None:
         """Check a send right before its first byte.
 
-        The zone may have been evacuated while the request waited for
-        capacity, for a reservation or for a connection.
+        The zone may have been evacuated, or the target have turned cold, while
+        the request waited for capacity, for a reservation or for a connection,
+        or while this entry was suspended.
 
         :param target: the target to be called
         :param purpose: why it is called
         :param permit: the permit that was taken for the call
         :raises NotPermittedError: when the target must not be called now
         """
+        if self._find_delay(target, self._clock.monotonic()) is not None:
+            self._refuse("rest")
+        self.confirm(target, purpose, permit)
+
+    def confirm(
+        self, target: Target, purpose: CallPurpose, permit: Permit
+    ) -> None:
+        """Check a send again that has counted as the first after a backoff.
+
+        :param target: the target to be called
+        :param purpose: why it is called
+        :param permit: the permit that was taken for the call
+        :raises NotPermittedError: when the target must not be called any more
+        """
         reason = self._find_refusal_reason(target, purpose, permit)
         if reason is not None:
-            self._metrics.record_held_back(reason)
-            raise NotPermittedError(reason)
+            self._refuse(reason)
+
+    def _refuse(self, reason: str) -> None:
+        self._metrics.record_held_back(reason)
+        raise NotPermittedError(reason)
 
     def _find_refusal_reason(
         self, target: Target, purpose: CallPurpose, permit: Permit
@@ -116,14 +134,20 @@
                 return "evacuated"
             case CallPurpose.START if self._table.is_leaving(target.instance):
                 return "leaving"
+            case CallPurpose.START if not self._freshness.recent:
+                return "stale"
+            case CallPurpose.START if self._is_outdated(permit, target):
+                return "permit"
             case CallPurpose.RESUME if not self._may_resume_in_zone(
                 target, now
             ):
                 return "evacuated"
-        if self._find_delay(target, now) is not None:
-            return "rest"
         return "permit" if now > permit.expires_at else None
 
+    def _is_outdated(self, permit: Permit, target: Target) -> bool:
+        known = self._table.get(target.instance) or target
+        return self._permits.is_outdated(permit, known)
+
     def _find_delay(self, target: Target, now: float) -> float | None:
         return self._backoffs.find_delay(target.instance, target.born, now)
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_zonerules.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_zonerules.py
@@ -378,6 +378,57 @@
     play(test)
 
 
+def test_target_that_turns_cold_before_a_send_gets_it_with_a_permit_only():
+    # Guards against requests beyond the limit of a cold target that were
+    # placed while it had none, and left after their connection had come late.
+    async def test(parts):
+        parts.configure(version=2, services=SERVICES)
+        put(parts, "w-a1", "a", "web")
+        parts.engines.failing["w-a1"] = 200
+        connected = parts.engines.hold_connection("w-a1")
+        tasks = [parts.start(make_request("/plain/x"))[1] for _ in range(5)]
+        await asyncio.sleep(0.05)
+        put(parts, "w-a1", "a", "web", number=2, warm_at=tell_time() + 60.0)
+        parts.permitted = False
+        connected.set()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        assert parts.engines.orders == []
+        assert parts.asked[0] == ("w-a1", 20)
+
+    play(test)
+
+
+def test_entry_suspended_before_a_send_updates_what_it_knows():
+    # Guards against sends of an entry that stood still after its last look,
+    # and has not read yet that the target is cold or its zone evacuated.
+    async def test(parts):
+        put(parts, "w-a1", "a", "web")
+        put(parts, "w-b1", "b", "web")
+        parts.engines.failing.update({"w-a1": 200, "w-b1": 200})
+        held = [
+            parts.engines.hold_connection(name) for name in ("w-a1", "w-b1")
+        ]
+        _, task = parts.start(make_request("/plain/x"))
+        await asyncio.sleep(0.05)
+        parts.freshness._updated_at -= 60.0
+        asked = asyncio.Event()
+        parts.freshness.request_update = asked.set
+        for connected in held:
+            connected.set()
+        await asked.wait()
+        assert parts.engines.orders == []
+        parts.evacuate("a")
+        # an answer from before the suspension
+        parts.freshness.note_update(tell_time() - 60.0)
+        await asyncio.sleep(0.05)
+        assert parts.engines.orders == []
+        parts.freshness.note_update(tell_time())
+        await task
+        assert sent_to(parts) == {"w-b1"}
+
+    play(test)
+
+
 def test_entry_that_is_cut_off_asks_once_and_goes_on():
     async def test(parts):
         put(parts, "w-a1", "a", "web")
