Check a request with a body again as its first byte is written

Cause: the HTTP library writes a body, and the head with it, in a task of its own, one round of the loop after the last check. A backoff is not looked at twice: the first request after one delays all others, and would delay itself. Left: a stop between the check and the system call that follows it, which no check of the sender can see.

--- a/packages/gateway/src/chivepier/gateway/serving/exchange.py
+++ b/packages/gateway/src/chivepier/gateway/serving/exchange.py
@@ -18,5 +18,11 @@
         :raises NotPermittedError: when it must not be sent
         """
 
+    def confirm(self) -> None:
+        """Check the call again, right before the first byte of its body.
+
+        :raises NotPermittedError: when the target must not be called any more
+        """
+
     def record_head(self, facts: AnswerFacts) -> None:
         """Record what the head of the answer reports of the target."""
--- a/packages/gateway/src/chivepier/gateway/serving/targetexchange.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetexchange.py
@@ -43,6 +43,13 @@
         self._gate.note_sent(self._target)
         self._known_limit = self._recorder.find_limit(self._target)
 
+    def confirm(self) -> None:
+        """Check again, right before the first byte of the body.
+
+        :raises NotPermittedError: when the target must not be called any more
+        """
+        self._gate.confirm(self._target, self._purpose, self._permit)
+
     def record_head(self, facts: AnswerFacts) -> None:
         """Record what the head of the answer reports of the target."""
         if not facts.mismatched:
--- a/tests/adapter/exchange.py
+++ b/tests/adapter/exchange.py
@@ -43,6 +43,9 @@
     def begin(self) -> None:
         """Allow the request."""
 
+    def confirm(self) -> None:
+        """Allow the request again."""
+
     def record_head(self, facts) -> None:
         """Record the metadata of an answer's head."""
         self.heads.append(facts)
--- a/tests/adapter/rawtarget.py
+++ b/tests/adapter/rawtarget.py
@@ -69,8 +69,10 @@
     writer.transport.abort()
 
 
-def make_request(request_id: str = "r1", method: str = "GET") -> CallerRequest:
-    """Build a caller's request without a body."""
+def make_request(
+    request_id: str = "r1", method: str = "GET", body: bytes = b""
+) -> CallerRequest:
+    """Build a caller's request, by default without a body."""
     return CallerRequest(
         id=request_id,
         method=method,
@@ -78,7 +80,7 @@
         path="/a/b",
         host="h.example",
         headers=(("X-Chivepier-Request-Id", request_id),),
-        body=b"",
+        body=body,
         key=None,
         arrived=0.0,
         deadline=10.0,
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -493,6 +493,12 @@
     "send": lambda targets, target, exchange: targets.send(
         target, rawtarget.make_request(), OPTIONS, exchange
     ),
+    "send_body": lambda targets, target, exchange: targets.send(
+        target,
+        rawtarget.make_request(method="POST", body=b"x"),
+        OPTIONS,
+        exchange,
+    ),
     "reserve": lambda targets, target, exchange: targets.reserve(
         target, 100, 1.0, exchange
     ),
@@ -525,6 +531,32 @@
     run(script, test)
 
 
+class RevokingExchange(RecordingExchange):
+    """Refuses every request right before it is written."""
+
+    def confirm(self) -> None:
+        """Refuse the request."""
+        raise NotPermittedError("not any more")
+
+
+@pytest.mark.parametrize("kind", ("send_body", "reserve", "move"))
+def test_request_refused_before_its_first_byte_is_not_sent(kind):
+    # Guards against requests that leave after a suspension of this process
+    # between the check and the write.
+    async def script(head, writer):
+        writer.write(build_answer(b"{}"))
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        with pytest.raises(NotPermittedError):
+            await CALLS[kind](targets, target, RevokingExchange())
+        assert raw.requests == []
+        await CALLS[kind](targets, target, RecordingExchange())
+        assert len(raw.requests) == 1
+
+    run(script, test)
+
+
 @pytest.mark.parametrize("kind", CALLS)
 def test_each_call_records_the_head_of_its_answer(kind):
     headers = b"Retry-After: 2\r\nServer-Leaving: 1\r\n"
