Keep the check of cold targets in a class of its own

The target of the soak held the times, the arrivals and the announcements of being cold among everything else. Moved as they were; bound, notice and message are the same. Tests of the soak that use it passed.

--- a/soak/target.py
+++ b/soak/target.py
@@ -11,6 +11,7 @@
 import aiohttp
 from aiohttp import web
 
+from soak.coldchecker import ColdChecker
 from soak.invariantchecker import InvariantChecker
 from soak.invariantchecker import make_expected_body
 from soak.runlog import RunLog
@@ -20,11 +21,6 @@
 SERVICE_SECONDS = 0.02
 EVENT_COUNT = 20
 INITIAL_SEQUENCE = 10_000
-# Requests that a cold target takes within one second, over all entries.
-MAX_COLD_REQUESTS = 12
-# Seconds after a target announced that it is cold from which its limit holds:
-# entries are notified at once, and requests in flight have arrived.
-COLD_NOTICE_SECONDS = 1.0
 # Seconds after the first announcement of a rate limit from which it holds for
 # all entries, including those that had a fault at the announcement.
 PROPAGATION_SECONDS = 3.0
@@ -70,9 +66,7 @@
         self.zone = "z"
         self.log: RunLog | None = None
         self.is_evacuated: IsEvacuated = lambda zone: False
-        self._cold_until = 0.0
-        self._cold_known_at: float | None = None
-        self._cold_arrivals: list[float] = []
+        self._cold = ColdChecker(checker.violations)
         self.signals = SignalChecker(violations=checker.violations)
         self.limit: float | None = None
         self.arrivals: list[float] = []
@@ -106,10 +100,9 @@
 
     def turn_cold(self, seconds: float) -> None:
         """Be cold for some seconds; the next heartbeats announce it."""
-        self._cold_until = time.monotonic() + seconds
-        self._cold_known_at = None
+        self._cold.begin(seconds)
 
-    def _log_cold_arrival(self, request: web.BaseRequest) -> None:
+    def _log_cold_arrival(self, request: web.BaseRequest, count: int) -> None:
         sent = request.headers.get("X-Sent")
         if self.log is not None and sent is not None:
             self.log.write(
@@ -118,29 +111,17 @@
                 id=request.headers["X-Chivepier-Request-Id"],
                 entry=request.headers["X-Entry"],
                 sent_ms=round(1000 * (time.monotonic() - float(sent))),
-                within_second=len(self._cold_arrivals),
+                within_second=count,
             )
 
     def _check_cold_limit(self, request: web.BaseRequest) -> None:
         """Check that the zone is in use, and the rate while cold."""
-        now = time.monotonic()
         if self.is_evacuated(self.zone):
             text = f"{self.address} was sent to in evacuated {self.zone}"
             self._checker.violations.append(text)
-        told = self._cold_known_at
-        if now >= self._cold_until or told is None or now < told:
-            self._cold_arrivals.clear()
-            return
-        self._cold_arrivals = [
-            at for at in self._cold_arrivals if now - at < 1.0
-        ]
-        self._cold_arrivals.append(now)
-        self._log_cold_arrival(request)
-        if len(self._cold_arrivals) > MAX_COLD_REQUESTS:
-            text = (
-                f"{len(self._cold_arrivals)} a second at cold {self.address}"
-            )
-            self._checker.violations.append(text)
+        count = self._cold.count_arrival(self.address)
+        if count:
+            self._log_cold_arrival(request, count)
 
     def announce_limit(self, rate: float | None) -> None:
         """Announce a rate limit in answers from now on, or none.
@@ -210,9 +191,7 @@
             "state": "ready",
             "seq": self._sequence,
             "born": self._started_ms,
-            "cold-left-ms": round(
-                1000 * max(0.0, self._cold_until - time.monotonic())
-            ),
+            "cold-left-ms": round(1000 * self._cold.seconds_left),
         }
         path = f"/chivepier/instances/{self.instance}"
         for control in self._rng.sample(self._controls, len(self._controls)):
@@ -220,12 +199,8 @@
                 url = f"http://{control}{path}"
                 async with session.put(url, json=body) as answer:
                     if answer.status == 200:
-                        if (
-                            body["cold-left-ms"]
-                            and self._cold_known_at is None
-                        ):
-                            now = time.monotonic()
-                            self._cold_known_at = now + COLD_NOTICE_SECONDS
+                        if body["cold-left-ms"]:
+                            self._cold.note_announced()
                         return
             except (aiohttp.ClientError, TimeoutError, OSError):
                 continue
