Wipe a second voter of the soak only once the first has its data again

Cause, by the processes' logs: voter 1 was wiped and started again; its start took 10.6 s. The soak waited 6 s and wiped voter 2 9.2 s after the first: of three disks two were gone, more than is borne. Change: besides the 6 s it waits until the voter answers reads, which it does once it follows a leader, and counts a voter that does not within 30 s more as broken.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -13,6 +13,7 @@
 from soak.proxy import SLOW
 
 if typing.TYPE_CHECKING:
+    from soak.process import Process
     from soak.run import Soak
     from soak.target import SoakTarget
 
@@ -24,6 +25,9 @@
 FIRST_SET, RESTART_SET, COLD_SET, NEED_SET, NEWEST_SET = 1, 2, 3, 4, 5
 # Seconds after a link fault in which delayed requests may still arrive.
 DELAYED_SECONDS = 1.5
+# Seconds after the start of a voter without its data: those in which it is
+# usually restored, and those within which it must be, after that.
+MIN_RESTORE_SECONDS, MAX_RESTORE_SECONDS = 6.0, 30.0
 # Backoffs that targets request, in seconds.
 BACKOFF_SECONDS = (0.3, 1.0, 3.0, 8.0)
 
@@ -249,9 +253,21 @@
             self._soak.folder / f"data-{voter.name}", ignore_errors=True
         )
         voter.start()
-        # Only one voter may be without its data at a time: wait until this
-        # one has its data and its vote again.
-        await asyncio.sleep(6.0)
+        # Only one voter may be without its data at a time: a second loss is
+        # more than the cluster bears, and a slow start takes longer.
+        await asyncio.sleep(MIN_RESTORE_SECONDS)
+        await self._wait_for_data(voter)
+
+    async def _wait_for_data(self, voter: "Process") -> None:
+        """Wait until a voter answers reads, for which it knows a leader."""
+        end = time.monotonic() + MAX_RESTORE_SECONDS
+        control = f"{voter.ip}:8748"
+        while await self._soak.check_config(control) is None:
+            if time.monotonic() > end:
+                text = f"{voter.name} got no data after the loss of its own"
+                self._soak.checker.violations.append(text)
+                return
+            await asyncio.sleep(0.1)
 
     async def restart_target(self) -> None:
         """Restart a target under its name; its running requests are lost."""
--- a/soak/run.py
+++ b/soak/run.py
@@ -164,14 +164,14 @@
             works = [self.call(session, n) for n in range(CALLERS)]
             works += [
                 self.update_config_repeatedly(session),
-                self.read(session),
+                self.read(),
             ]
             tasks = [asyncio.create_task(work) for work in works]
             try:
                 await self.faults.inject(seconds)
                 await self.faults.finish()
                 await self.recover()
-                await self.check_final_config(session)
+                await self.check_final_config()
             finally:
                 for task in tasks:
                     task.cancel()
@@ -256,24 +256,26 @@
                 pass
             await asyncio.sleep(0.1)
 
-    async def read(self, session) -> None:
+    async def read(self) -> None:
         """Read the configuration back from random voters until cancelled."""
         while True:
-            await self.check_config(session)
+            await self.check_config(self.rng.choice(self.controls))
             await asyncio.sleep(0.2)
 
-    async def check_config(self, session) -> int | None:
-        """Read the configuration from one voter and check its version."""
+    async def check_config(self, control: str) -> int | None:
+        """Read the configuration from one voter and check its version.
+
+        :param control: control address of the voter
+        """
         sent = time.monotonic()
         floor = max(
             (v for t, v in self.acknowledged if t < sent - APPLY_SECONDS),
             default=0,
         )
-        control = self.rng.choice(self.controls)
         url = f"http://{control}/chivepier/config"
         try:
             limit = aiohttp.ClientTimeout(total=1.5)
-            async with session.get(url, timeout=limit) as answer:
+            async with self.session.get(url, timeout=limit) as answer:
                 if answer.status != 200:
                     return None
                 version = json.loads(await answer.read())["version"]
@@ -308,11 +310,11 @@
         """Return the restarted targets that have run no request since."""
         return [t.address for t in self.targets if t.restarted and not t.runs]
 
-    async def check_final_config(self, session) -> None:
+    async def check_final_config(self) -> None:
         """Wait until the newest acknowledged configuration can be read."""
         await asyncio.sleep(APPLY_SECONDS)
         end = time.monotonic() + RECOVERY_SECONDS
-        while await self.check_config(session) is None:
+        while await self.check_config(self.rng.choice(self.controls)) is None:
             if time.monotonic() > end:
                 self.checker.violations.append("no configuration can be read")
                 return
