Keep what targets report of their load

Cause: X-Chivepier-Server-Load stood among the headers that are known and ignored, so no entry knew that a target is full, or that work takes 2.5 times as long there for the next 600 ms.

Change: the header is decoded into a type at the edge (a malformed or impossible one is counted and logged once), and a board keeps the newest report of each incarnation, with its age, the lowest pace and the peak. The messages between entries and voters carry reports; nothing sends them yet, and no decision reads the board yet.

Reservations carry no report, 500 answers do.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -39,6 +39,7 @@
 from chivepier.gateway.targets import LoadBalancer
 from chivepier.gateway.targets import LoadTracker
 from chivepier.gateway.targets import QueueTracker
+from chivepier.gateway.targets import ReportBoard
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetHealth
 from chivepier.gateway.targets import TargetState
@@ -99,6 +100,7 @@
         self.limits = LimitTable(settings.name)
         self.limits.watchers.append(self._log_limit)
         self.rests = BackoffTable(rng)
+        self.reports = ReportBoard()
         balancer = LoadBalancer(
             self.table,
             self.health,
@@ -108,6 +110,7 @@
             rng,
             self.limits,
             self.rests,
+            self.reports,
         )
         freshness = Freshness(clock)
         permits = SendLimiter(
@@ -139,6 +142,7 @@
             clock,
             log,
             self.metrics,
+            self.reports,
         )
         calls = TargetCalls(port, gate, recorder)
         self.quarantine = Quarantine(
@@ -278,6 +282,7 @@
         self.board.drop_remote(target.instance)
         self.health.forget(target.instance)
         self.limits.forget(target.instance, target.born)
+        self.reports.forget(target.instance, target.born)
 
     def _handle_restart(self, target: Target) -> None:
         self._log.info(
--- a/packages/gateway/src/chivepier/gateway/messages/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/messages/__init__.py
@@ -22,6 +22,7 @@
 from chivepier.gateway.messages.repeatrecord import RepeatRecord
 from chivepier.gateway.messages.targetnotice import TargetNotice
 from chivepier.gateway.messages.targetrecord import TargetRecord
+from chivepier.gateway.messages.targetreport import TargetReport
 from chivepier.gateway.messages.writeanswer import WriteAnswer
 from chivepier.gateway.messages.writerequest import WriteRequest
 from chivepier.gateway.messages.zoneanswer import ZoneAnswer
@@ -52,6 +53,7 @@
     "RepeatRecord",
     "TargetNotice",
     "TargetRecord",
+    "TargetReport",
     "WriteAnswer",
     "WriteRequest",
     "ZoneAnswer",
--- a/packages/gateway/src/chivepier/gateway/messages/loaddigest.py
+++ b/packages/gateway/src/chivepier/gateway/messages/loaddigest.py
@@ -3,6 +3,7 @@
 from chivepier.gateway.messages.loadrecord import LoadRecord
 from chivepier.gateway.messages.queuerecord import QueueRecord
 from chivepier.gateway.messages.repeatrecord import RepeatRecord
+from chivepier.gateway.messages.targetreport import TargetReport
 from chivepier.messages.registry import message
 
 
@@ -20,3 +21,4 @@
     records: tuple[LoadRecord, ...]
     queues: tuple[QueueRecord, ...]
     repeats: tuple[RepeatRecord, ...] = ()
+    reports: tuple[TargetReport, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/messages/loadnotice.py
+++ b/packages/gateway/src/chivepier/gateway/messages/loadnotice.py
@@ -3,6 +3,7 @@
 from chivepier.gateway.messages.loadrecord import LoadRecord
 from chivepier.gateway.messages.queuerecord import QueueRecord
 from chivepier.gateway.messages.repeatrecord import RepeatRecord
+from chivepier.gateway.messages.targetreport import TargetReport
 from chivepier.messages.registry import message
 
 
@@ -10,6 +11,8 @@
 class LoadNotice:
     """Changed loads, queue lengths and retries of entries.
 
+    ``reports`` are what targets newly reported of their own load.
+
     If ``whole`` is set, the notice replaces all earlier ones.
     """
 
@@ -17,3 +20,4 @@
     queues: tuple[QueueRecord, ...] = ()
     whole: bool = False
     repeats: tuple[RepeatRecord, ...] = ()
+    reports: tuple[TargetReport, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
@@ -6,6 +6,8 @@
 from chivepier.gateway.limits import Limit
 from chivepier.gateway.limits import NoBackoff
 from chivepier.gateway.limits import NoLimit
+from chivepier.gateway.targets import InvalidReport
+from chivepier.gateway.targets import ReportedLoad
 
 
 @attrs.frozen(kw_only=True)
@@ -22,6 +24,7 @@
         carry none
     :param backoff: the backoff that the target requests from this entry
     :param leaving: whether the target announces that it leaves
+    :param load: what the target reports of its own load; ``None`` if nothing
     :param unknown_headers: names of headers that are not understood
     """
 
@@ -32,4 +35,5 @@
     limit: Limit | None = NoLimit()
     backoff: Backoff = NoBackoff()
     leaving: bool = False
+    load: ReportedLoad | InvalidReport | None = None
     unknown_headers: tuple[str, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/serving/headerrecorder.py
+++ b/packages/gateway/src/chivepier/gateway/serving/headerrecorder.py
@@ -11,7 +11,10 @@
 from chivepier.gateway.limits import VersionedLimit
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.answerfacts import AnswerFacts
+from chivepier.gateway.targets import InvalidReport
 from chivepier.gateway.targets import LeavingTargets
+from chivepier.gateway.targets import ReportBoard
+from chivepier.gateway.targets import ReportedLoad
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
@@ -23,6 +26,8 @@
 INVALID_LIMIT = "limit that is no number"
 # Name under which a backoff that can't be parsed is counted.
 INVALID_BACKOFF = "rest that is no number"
+# Name under which a report of a load that can't be parsed is counted.
+INVALID_REPORT = "load that is no load"
 
 
 class HeaderRecorder:
@@ -38,6 +43,7 @@
     :param clock: monotonic clock
     :param log: event log
     :param metrics: counts unknown headers and backoffs
+    :param reports: what targets report of their load; none are kept by default
     """
 
     def __init__(
@@ -49,7 +55,9 @@
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
+        reports: ReportBoard | None = None,
     ):
+        self._reports = ReportBoard() if reports is None else reports
         self._backoffs = backoffs
         self._leaving_targets = leaving_targets
         self._table = table
@@ -86,6 +94,7 @@
         if facts.leaving:
             self._record_leaving(target)
         self._record_backoff(target, facts.backoff)
+        self._record_load(target, facts.load)
         match facts.limit:
             case None:
                 pass
@@ -132,6 +141,18 @@
             case InvalidBackoff():
                 self._count_unknown_header(target, INVALID_BACKOFF)
 
+    def _record_load(
+        self, target: Target, load: ReportedLoad | InvalidReport | None
+    ) -> None:
+        match load:
+            case None:
+                pass
+            case InvalidReport():
+                self._count_unknown_header(target, INVALID_REPORT)
+            case ReportedLoad():
+                now = self._clock.monotonic()
+                self._reports.record(target.instance, target.born, load, now)
+
     def _count_unknown_header(self, target: Target, name: str) -> None:
         if name not in self._unknown_headers:
             if len(self._unknown_headers) >= MAX_UNKNOWN_HEADERS:
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -3,6 +3,7 @@
 from chivepier.gateway.targets.decodeestimator import DecodeEstimator
 from chivepier.gateway.targets.demand import Demand
 from chivepier.gateway.targets.demand import NEAR_TERM_OUTPUT_TOKENS
+from chivepier.gateway.targets.invalidreport import InvalidReport
 from chivepier.gateway.targets.leavingtargets import LeavingTargets
 from chivepier.gateway.targets.liveness import Liveness
 from chivepier.gateway.targets.load import Load
@@ -11,6 +12,9 @@
 from chivepier.gateway.targets.loadtracker import REPORT_EXPIRY_SECONDS
 from chivepier.gateway.targets.prefillestimator import PrefillEstimator
 from chivepier.gateway.targets.queuetracker import QueueTracker
+from chivepier.gateway.targets.reading import Reading
+from chivepier.gateway.targets.reportboard import ReportBoard
+from chivepier.gateway.targets.reportedload import ReportedLoad
 from chivepier.gateway.targets.target import Target
 from chivepier.gateway.targets.targethealth import TargetHealth
 from chivepier.gateway.targets.targetstate import TargetState
@@ -19,6 +23,7 @@
 __all__ = [
     "DecodeEstimator",
     "Demand",
+    "InvalidReport",
     "LeavingTargets",
     "Liveness",
     "Load",
@@ -28,6 +33,9 @@
     "PrefillEstimator",
     "QueueTracker",
     "REPORT_EXPIRY_SECONDS",
+    "Reading",
+    "ReportBoard",
+    "ReportedLoad",
     "Target",
     "TargetHealth",
     "TargetState",
--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.targets.load import Load
 from chivepier.gateway.targets.loadtracker import LoadTracker
 from chivepier.gateway.targets.prefillestimator import PrefillEstimator
+from chivepier.gateway.targets.reportboard import ReportBoard
 from chivepier.gateway.targets.target import Target
 from chivepier.gateway.targets.targethealth import TargetHealth
 from chivepier.gateway.targets.targettable import TargetTable
@@ -62,6 +63,7 @@
     :param rng: random source for the choice among equivalent targets
     :param limits: rate limits that targets announced; none by default
     :param backoffs: targets that requested a backoff; none by default
+    :param reports: what targets report of their load; nothing by default
     """
 
     def __init__(
@@ -74,7 +76,9 @@
         rng: random.Random,
         limits: LimitTable | None = None,
         backoffs: BackoffTable | None = None,
+        reports: ReportBoard | None = None,
     ):
+        self._reports = ReportBoard() if reports is None else reports
         self._backoffs = BackoffTable(rng) if backoffs is None else backoffs
         self._limits = LimitTable() if limits is None else limits
         self._table = table
@@ -99,6 +103,7 @@
     def record_start(self, instance: str) -> None:
         """Count a request that this entry sent to a target."""
         self._in_flight[instance] = self._in_flight.get(instance, 0) + 1
+        self._reports.note_start(instance)
 
     def record_end(self, instance: str) -> None:
         """Count the end of a request at a target."""
