Answer a change once the log has settled the sets that it outdates

The log keeps each earlier set of members until a leader has committed that a later epoch is in force. That commit came after the answer to the operator, so a leader killed in between left sets such as itself alone, of which it is a majority; the next leader waits for it, and calls no change in force until it is back.

Ruled out: the lease of the dead leader (it ran out 3.1 s after the new one led); the count of those who acknowledged.

Change: the answer waits until the log holds no set that the version outdates.

--- a/packages/node/src/chivepier/node/leadership.py
+++ b/packages/node/src/chivepier/node/leadership.py
@@ -117,6 +117,11 @@
             command = InForceCommand(self.force.in_force)
             await cluster.replica.propose(encode(command))
 
+    def _is_unsettled(self, version: int) -> bool:
+        """Tell whether the log keeps sets that a version has outdated."""
+        epochs = [epoch for epoch, _ in self._cluster.machine.member_sets]
+        return len(epochs) > 1 and epochs[1] <= version
+
     async def _expire(self) -> None:
         cluster = self._cluster
         members = [
@@ -187,11 +192,15 @@
     async def wait_in_force(self, version: int) -> None:
         """Return once a version is in force everywhere.
 
+        The log must say so, too, of an epoch up to it: the next leader would
+        wait for members of earlier sets, such as this one when it has died,
+        and call no change in force until they are back.
+
         :param version: a committed log index
         :raises LostLeadError: when the lead is lost while waiting
         """
         term = self._cluster.replica.storage.term
-        while self.force.in_force < version:
+        while self.force.in_force < version or self._is_unsettled(version):
             await self.force.changed.wait(TICK_SECONDS)
             if self._term != term and self._term != 0:
                 raise LostLeadError()
