Let the soak's targets report their load, truly or not

Cause: entries read what targets report of their load, and nothing in the soak reported any, so no fault could show what untrue, stale or unreadable reports do to callers.

Change: a target reports what it runs, or claims to be full, idle or slow, or sends what can't be read; a new set of faults draws it, so that the seeds of earlier failures keep theirs.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+from soak.loadreporter import MODES
 from soak.nonsense import write_nonsense
 from soak.proxy import LOST_ANSWERS
 from soak.proxy import LOST_SENT
@@ -22,7 +23,7 @@
 SETTLE_SECONDS = 3.5
 # Versions of the set of faults: a seed that reproduces a failure keeps its
 # set, since with another one it would draw other faults.
-FIRST_SET, RESTART_SET, COLD_SET, NEED_SET, NEWEST_SET = 1, 2, 3, 4, 5
+FIRST_SET, RESTART_SET, COLD_SET, NEED_SET, REST_SET, NEWEST_SET = range(1, 7)
 # Seconds after a link fault in which delayed requests may still arrive.
 DELAYED_SECONDS = 1.5
 # Seconds after the start of a voter without its data: those in which it is
@@ -64,6 +65,8 @@
             self._kinds += (self.need, self.need)
         if fault_set > NEED_SET:
             self._kinds += (self.rest, self.rest, self.leave)
+        if fault_set > REST_SET:
+            self._kinds += (self.misreport, self.misreport)
         self._evacuation: asyncio.Task | None = None
         self._background: set[asyncio.Task] = set()
 
@@ -128,6 +131,11 @@
             if target.limit is None:
                 self._begin(self._name_limits(target))
 
+    async def misreport(self) -> None:
+        """Let each target report its load in a manner of its own."""
+        for target in self._soak.targets:
+            target.load.mode = self._rng.choice(MODES)
+
     def _begin(self, work: collections.abc.Coroutine) -> None:
         """Run a fault in the background."""
         task = asyncio.create_task(work)
--- a/soak/target.py
+++ b/soak/target.py
@@ -14,6 +14,8 @@
 from soak.coldchecker import ColdChecker
 from soak.invariantchecker import InvariantChecker
 from soak.invariantchecker import make_expected_body
+from soak.loadreporter import LoadReporter
+from soak.loadreporter import SLOTS
 from soak.runlog import RunLog
 from soak.signalchecker import SignalChecker
 
@@ -68,6 +70,7 @@
         self.is_evacuated: IsEvacuated = lambda zone: False
         self._cold = ColdChecker(checker.violations)
         self.signals = SignalChecker(violations=checker.violations)
+        self.load = LoadReporter(random.Random(address))
         self.limit: float | None = None
         self.arrivals: list[float] = []
         self._limit_known_at: float | None = None
@@ -187,7 +190,7 @@
             "service": "s",
             "address": self._announced,
             "zone": self.zone,
-            "slots": 8,
+            "slots": SLOTS,
             "state": "ready",
             "seq": self._sequence,
             "born": self._started_ms,
@@ -218,9 +221,23 @@
         fault_mode = self.fault_mode
         overloaded = fault_mode == "shed" or self.signals.overloaded
         echo |= self._check_signals(request, overloaded)
+        echo |= self.load.make_headers()
         if overloaded:
             echo["X-Chivepier-Not-Run"] = "1"
             return web.Response(status=503, headers=echo)
+        self.load.running += 1
+        try:
+            return await self._run(request, identity, echo, fault_mode)
+        finally:
+            self.load.running -= 1
+
+    async def _run(
+        self,
+        request: web.BaseRequest,
+        identity: str,
+        echo: dict[str, str],
+        fault_mode: str,
+    ) -> web.StreamResponse:
         await request.read()
         self.runs += 1
         if not request.path.startswith("/again/"):
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -9,6 +9,7 @@
 from soak.faults import FIRST_SET
 from soak.faults import NEED_SET
 from soak.faults import NEWEST_SET
+from soak.faults import REST_SET
 from soak.faults import RESTART_SET
 from soak.invariantchecker import InvariantChecker
 from soak.invariantchecker import make_expected_body
@@ -23,8 +24,9 @@
     5: (RESTART_SET, 6.0),
     11: (COLD_SET, 8.0),
     12: (NEED_SET, 8.0),
-    13: (NEWEST_SET, 8.0),
-    523424707: (NEWEST_SET, 14.0),
+    13: (REST_SET, 8.0),
+    523424707: (REST_SET, 14.0),
+    14: (NEWEST_SET, 8.0),
 }
 
 
@@ -71,6 +73,17 @@
     assert soak.evacuations.acknowledged_orders >= 2 and seen.answered > 50
 
 
+def test_callers_are_served_beside_untrue_loads(tmp_path):
+    # Guards against targets that claim to be full, idle or slow, or report
+    # what can't be read, while entries and voters fail.
+    with reserve_block() as block:
+        soak = Soak(15, tmp_path, block)
+        soak.faults.keep_only("misreport", "kill", "freeze", "stop_entry")
+        seen = asyncio.run(soak.run(8.0))
+    assert seen.violations == []
+    assert seen.answered > 50
+
+
 def test_rate_limits_hold_under_faults(tmp_path):
     # Guards against requests above the rate limits of targets while processes
     # fail, and against targets that stay unused afterwards.
