Tell all entries what targets report of their load

Cause: an entry knew only the reports in its own answers, and counted its sends since it heard a report, not since the report was made.

The board counts sends after the time of the report and drops what is old, of an earlier incarnation or impossible.

--- a/packages/gateway/src/chivepier/gateway/control/loadrelay.py
+++ b/packages/gateway/src/chivepier/gateway/control/loadrelay.py
@@ -5,6 +5,8 @@
 from chivepier.gateway.control.loadledger import LoadLedger
 from chivepier.gateway.control.loadstate import LoadState
 from chivepier.gateway.control.peerloads import PeerLoads
+from chivepier.gateway.control.reportrelay import ReportRelay
+from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import Peers
 from chivepier.gateway.messages import LoadDigest
 from chivepier.gateway.messages import LoadNotice
@@ -37,11 +39,18 @@
     :param peers: addresses of the voters
     :param links: connections to the other voters
     :param clock: monotonic clock
+    :param log: receives dropped reports of targets
     """
 
     def __init__(
-        self, own_address: str, peers: Peers, links: Links, clock: Clock
+        self,
+        own_address: str,
+        peers: Peers,
+        links: Links,
+        clock: Clock,
+        log: EventLog,
     ):
+        self._reports = ReportRelay(clock, log)
         self._own_address = own_address
         self._peers = peers
         self._links = links
@@ -79,9 +88,16 @@
         """Return the channels to the followers of this voter."""
         return list(self._followers.values())
 
-    def receive(self, notice: LoadNotice) -> None:
-        """Apply a load report of a follower."""
+    def receive(
+        self, notice: LoadNotice, channel: Channel | None = None
+    ) -> None:
+        """Apply a load report of a follower.
+
+        :param notice: changed records, and what targets reported to it
+        :param channel: connection to the follower
+        """
         self._ledger.receive(notice, self._clock.monotonic())
+        self._reports.receive(notice.reports, channel)
         self._changed.set()
 
     def receive_digest(self, digest: LoadDigest) -> None:
@@ -97,7 +113,8 @@
         else:
             peer.loads.add(received)
         self._pending.add(received)
-        if received:
+        news = self._reports.receive_digest(digest.reports)
+        if received or news:
             self._changed.set()
 
     def find_reachable_voters(self) -> tuple[str, ...]:
@@ -134,16 +151,19 @@
         if whole:
             self._full_sync_at = now
             sums = self._ledger.aggregate()
+        reports = self._reports.take_digest()
         if (
             whole
             or sums
+            or reports
             or now - self._digest_sent_at >= DIGEST_INTERVAL_SECONDS
         ):
             self._digest_sent_at = now
             self._send_digest(
-                LoadDigest(self._own_address, whole, *sums.pack())
+                LoadDigest(self._own_address, whole, *sums.pack(), reports)
             )
         self._send_notices(whole)
+        self._reports.publish(self._followers.values())
 
     def _expire_peers(self, now: float) -> None:
         for address, peer in list(self._peer_loads.items()):
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -171,7 +171,7 @@
         self.registry = Registry(
             own_address, self.table, self.entries, links, peers, clock, log
         )
-        self.loads = LoadRelay(own_address, peers, links, clock)
+        self.loads = LoadRelay(own_address, peers, links, clock, log)
         self.membership = Membership(
             self.replica, own_address, links, peers, clock, log
         )
@@ -189,7 +189,7 @@
             case TargetNotice():
                 return self.registry.merge(message)
             case LoadNotice():
-                return self.loads.receive(message)
+                return self.loads.receive(message, channel)
             case LoadDigest():
                 return self.loads.receive_digest(message)
             case ConfigRequest() | WriteRequest():
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.following import LoadExchange
 from chivepier.gateway.following import Peers
 from chivepier.gateway.following import QuarantineExchange
+from chivepier.gateway.following import ReportExchange
 from chivepier.gateway.following import VoterClient
 from chivepier.gateway.limits import BackoffTable
 from chivepier.gateway.limits import LimitTable
@@ -100,7 +101,8 @@
         self.limits = LimitTable(settings.name)
         self.limits.watchers.append(self._log_limit)
         self.rests = BackoffTable(rng)
-        self.reports = ReportBoard()
+        self.reports = ReportBoard(self.board.changed)
+        self.reports.pace_watchers.append(self._log_pace)
         balancer = LoadBalancer(
             self.table,
             self.health,
@@ -195,7 +197,12 @@
             state=self.state,
             table=self.table,
             loads=LoadExchange(
-                self.board, self.queues, budget, self.table, clock
+                self.board,
+                self.queues,
+                budget,
+                self.table,
+                clock,
+                ReportExchange(self.reports, self.table, log, self.metrics),
             ),
             quarantine=QuarantineExchange(self.quarantine, clock),
             limits=LimitExchange(self.limits, clock),
@@ -261,6 +268,9 @@
             age_ms=round(1000 * (self._clock.monotonic() - limit.seen)),
         )
 
+    def _log_pace(self, instance: str, born: int, pace: float) -> None:
+        self._log.info("pace_known", target=instance, born=born, pace=pace)
+
     def _handle_zone_order(self, order: ZoneOrder) -> None:
         self.metrics.set_zone_evacuated(order.zone, order.evacuated)
         self._log.info(
--- a/packages/gateway/src/chivepier/gateway/following/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/following/__init__.py
@@ -8,6 +8,7 @@
 from chivepier.gateway.following.quarantineexchange import QuarantineExchange
 from chivepier.gateway.following.records import pack_target
 from chivepier.gateway.following.records import unpack_target
+from chivepier.gateway.following.reportexchange import ReportExchange
 from chivepier.gateway.following.voterclient import VoterClient
 
 __all__ = [
@@ -18,6 +19,7 @@
     "LoadExchange",
     "Peers",
     "QuarantineExchange",
+    "ReportExchange",
     "pack_target",
     "unpack_target",
 ]
--- a/packages/gateway/src/chivepier/gateway/following/loadexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/loadexchange.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 
+from chivepier.gateway.following.reportexchange import ReportExchange
 from chivepier.gateway.messages import LoadNotice
 from chivepier.gateway.messages import LoadRecord
 from chivepier.gateway.messages import QueueRecord
@@ -28,6 +29,7 @@
     :param budget: retry budget shared by the entries
     :param table: known targets; silent ones expire with each full report
     :param clock: source of monotonic time
+    :param reports: what targets report of their load; not exchanged by default
     """
 
     def __init__(
@@ -37,7 +39,9 @@
         budget: RetryBudget,
         table: TargetTable,
         clock: Clock,
+        reports: ReportExchange | None = None,
     ):
+        self._reports = reports
         self._board = board
         self._queues = queues
         self._budget = budget
@@ -61,6 +65,8 @@
         for queue in notice.queues:
             self._queues.put(queue, now)
         self._budget.update_peer_loans(notice.repeats, notice.whole, now)
+        if self._reports is not None:
+            self._reports.merge(notice.reports, now)
 
     def resend_all(self) -> None:
         """Report everything again after a switch to another voter."""
@@ -89,8 +95,14 @@
                 self._collect_queues(full),
                 False,
                 self._collect_loans(full, now),
+                self._reports.collect(now) if self._reports else (),
             )
-            if notice.records or notice.queues or notice.repeats:
+            if (
+                notice.records
+                or notice.queues
+                or notice.repeats
+                or notice.reports
+            ):
                 post(notice)
 
     def _collect_loads(self, full: bool) -> tuple[LoadRecord, ...]:
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -26,6 +26,7 @@
     "unread",
     "rests",
     "held_back",
+    "reports",
 )
 
 
@@ -135,6 +136,15 @@
         """
         self._record("held_back", (reason,), 1.0)
 
+    def record_report(self, source: str) -> None:
+        """Count a report of a target's own load.
+
+        :param source: ``own`` from its answers, ``relayed`` from other
+            entries; left out: ``outdated``, ``unknown`` (no such incarnation
+            here) or ``invalid``
+        """
+        self._record("reports", (source,), 1.0)
+
     def record_unknown_header(self, name: str) -> None:
         """Count an unknown header in a target's answer.
 
@@ -226,6 +236,12 @@
             ("reason",),
             registry=registry,
         ),
+        "reports": library.Counter(
+            "chivepier_target_reports",
+            "Reports of targets about their own load.",
+            ("source",),
+            registry=registry,
+        ),
         "unread": library.Counter(
             "chivepier_unread_headers",
             "Headers of targets' answers that nothing reads.",
--- a/packages/gateway/src/chivepier/gateway/serving/headerrecorder.py
+++ b/packages/gateway/src/chivepier/gateway/serving/headerrecorder.py
@@ -149,9 +149,11 @@
                 pass
             case InvalidReport():
                 self._count_unknown_header(target, INVALID_REPORT)
+                self._metrics.record_report("invalid")
             case ReportedLoad():
                 now = self._clock.monotonic()
                 self._reports.record(target.instance, target.born, load, now)
+                self._metrics.record_report("own")
 
     def _count_unknown_header(self, target: Target, name: str) -> None:
         if name not in self._unknown_headers:
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -15,6 +15,9 @@
 from chivepier.gateway.targets.reading import Reading
 from chivepier.gateway.targets.reportboard import ReportBoard
 from chivepier.gateway.targets.reportedload import ReportedLoad
+from chivepier.gateway.targets.reportoutcome import ReportOutcome
+from chivepier.gateway.targets.reportrecords import pack_report
+from chivepier.gateway.targets.reportrecords import unpack_report
 from chivepier.gateway.targets.target import Target
 from chivepier.gateway.targets.targethealth import TargetHealth
 from chivepier.gateway.targets.targetstate import TargetState
@@ -35,9 +38,12 @@
     "REPORT_EXPIRY_SECONDS",
     "Reading",
     "ReportBoard",
+    "ReportOutcome",
     "ReportedLoad",
     "Target",
     "TargetHealth",
     "TargetState",
     "TargetTable",
+    "pack_report",
+    "unpack_report",
 ]
--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -103,7 +103,7 @@
     def record_start(self, instance: str) -> None:
         """Count a request that this entry sent to a target."""
         self._in_flight[instance] = self._in_flight.get(instance, 0) + 1
-        self._reports.note_start(instance)
+        self._reports.note_start(instance, self._clock.monotonic())
 
     def record_end(self, instance: str) -> None:
         """Count the end of a request at a target."""
--- a/packages/gateway/src/chivepier/gateway/targets/reportboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/reportboard.py
@@ -1,13 +1,21 @@
 """The newest reports of targets about their own load."""
 
+import collections
 import collections.abc
 import math
 
 import attrs
 
+from chivepier.gateway.messages import TargetReport
+from chivepier.gateway.targets.invalidreport import InvalidReport
 from chivepier.gateway.targets.reading import Reading
 from chivepier.gateway.targets.reportedload import ReportedLoad
+from chivepier.gateway.targets.reportoutcome import ReportOutcome
+from chivepier.gateway.targets.reportrecords import is_plausible_pace
+from chivepier.gateway.targets.reportrecords import pack_report
+from chivepier.gateway.targets.reportrecords import unpack_report
 from chivepier.gateway.targets.target import Target
+from chivepier.types import Signal
 
 # Seconds after which a reported pace says nothing of the present: the work of
 # others on the target's machine changes several times a second.
@@ -16,9 +24,19 @@
 COUNTS_LIFETIME_SECONDS = 1.0
 # Seconds within which the highest pace of a target counts as its peak.
 PEAK_SECONDS = 10.0
-# Paces beyond these are errors of the reporting target, not of use.
-MIN_PACE = 0.05
-MAX_PACE = 50.0
+# Seconds after which an unchanged load is told to the other entries again, so
+# that it doesn't fade there while it still holds.
+REPEAT_SECONDS = COUNTS_LIFETIME_SECONDS / 2
+# Maximum number of reports in one notice; as notices are batched for 10 ms,
+# an entry rarely has answers of more targets.
+MAX_REPORTS_PER_NOTICE = 8
+# Maximum number of this entry's sends that are kept by target: more within
+# the life of a report would fill any target.
+MAX_RECENT_SENDS = 64
+# Maximum number of targets with a record: more than the largest site has.
+MAX_TARGETS = 16_384
+
+PaceWatcher = collections.abc.Callable[[str, int, float], None]
 
 
 @attrs.define
@@ -27,7 +45,19 @@
     lowest: float = math.inf
     highest: float = 0.0
     highest_at: float = -math.inf
-    own_starts: int = 0
+    sends: collections.deque[float] = attrs.field(
+        factory=lambda: collections.deque(maxlen=MAX_RECENT_SENDS)
+    )
+    told: Reading | None = None
+
+    def has_news(self) -> bool:
+        """Tell whether the other entries should get the newest report."""
+        told, reading = self.told, self.reading
+        return (
+            told is None
+            or told.load != reading.load
+            or reading.at - told.at >= REPEAT_SECONDS
+        )
 
 
 class ReportBoard:
@@ -36,6 +66,11 @@
     Reports are out of date when they arrive: a choice counts on top what this
     entry has sent since, and trusts a pace for a fraction of a second only.
 
+    ``pace_watchers`` are called with the name, start and pace of a target when
+    its pace is known first.
+
+    :param changed: set when there is something to tell the other entries
+
     >>> board = ReportBoard()
     >>> report = ReportedLoad(running=2, waiting=0, slots=6, pace=1.7)
     >>> board.record("t", 1, report, now=5.0)
@@ -46,13 +81,16 @@
     False
     """
 
-    def __init__(self) -> None:
+    def __init__(self, changed: Signal | None = None) -> None:
+        self.pace_watchers: list[PaceWatcher] = []
+        self._changed = changed
         self._records: dict[str, tuple[int, _Record]] = {}
+        self._pending: dict[str, None] = {}
 
     def record(
         self, instance: str, born: int, load: ReportedLoad, now: float
     ) -> bool:
-        """Store a report.
+        """Store a report that this entry got from the target itself.
 
         :param instance: name of the target
         :param born: start of the incarnation that reported, in Unix
@@ -61,29 +99,69 @@
         :param now: when it was made, in monotonic seconds
         :returns: whether it is newer than the one that was known
         """
-        known = self._records.get(instance)
-        if known is not None:
-            if born < known[0]:
-                return False
-            if born == known[0] and now <= known[1].reading.at:
-                self._note_pace(known[1], load.pace, now)
-                return False
-        reading = Reading(load, now)
-        if known is None or born > known[0]:
-            record = _Record(reading)
-            self._records[instance] = (born, record)
-        else:
-            record = known[1]
-            record.reading = reading
-            record.own_starts = 0
-        self._note_pace(record, load.pace, now)
+        record = self._store(instance, born, Reading(load, now))
+        if record is None:
+            return False
+        self._pending.pop(instance, None)
+        if record.has_news():
+            self._pending[instance] = None
+            if self._changed is not None:
+                self._changed.set()
         return True
 
-    def note_start(self, instance: str) -> None:
-        """Count a request that this entry sends after the last report."""
+    def put(self, report: TargetReport, now: float) -> ReportOutcome:
+        """Store a report that another entry got.
+
+        :param report: the report as it was relayed
+        :param now: when it arrived, in monotonic seconds
+        :returns: what became of it
+        """
+        match unpack_report(report, now):
+            case InvalidReport():
+                return ReportOutcome.INVALID
+            case reading:
+                pass
+        if now - reading.at > COUNTS_LIFETIME_SECONDS:
+            return ReportOutcome.OUTDATED
+        record = self._store(report.instance, report.born, reading)
+        if record is None:
+            return ReportOutcome.OUTDATED
+        record.told = reading
+        self._pending.pop(report.instance, None)
+        return ReportOutcome.NEW
+
+    def collect_changes(self, now: float) -> tuple[TargetReport, ...]:
+        """Return the own reports that the other entries should get.
+
+        What doesn't fit into a notice is left for the next one.
+
+        :param now: current time, in monotonic seconds
+        :returns: the newest report of each target with news, newest first
+        """
+        reports: list[TargetReport] = []
+        while self._pending and len(reports) < MAX_REPORTS_PER_NOTICE:
+            instance, _ = self._pending.popitem()
+            born, record = self._records[instance]
+            if now - record.reading.at > COUNTS_LIFETIME_SECONDS:
+                continue
+            record.told = record.reading
+            reports.append(pack_report(instance, born, record.reading, now))
+        return tuple(reports)
+
+    def note_start(self, instance: str, now: float | None = None) -> None:
+        """Count a request that this entry sends.
+
+        :param instance: name of the target
+        :param now: when it is sent, in monotonic seconds; by default right
+            after the last report
+        """
         known = self._records.get(instance)
-        if known is not None:
-            known[1].own_starts += 1
+        if known is None:
+            return
+        record = known[1]
+        if now is None:
+            now = math.nextafter(record.reading.at, math.inf)
+        record.sends.append(now)
 
     def find(self, instance: str, born: int) -> Reading | None:
         """Return the newest report of an incarnation."""
@@ -103,8 +181,9 @@
             return None
         if now - record.reading.at > COUNTS_LIFETIME_SECONDS:
             return None
-        load = record.reading.load
-        return load.running + load.waiting + record.own_starts
+        load, at = record.reading.load, record.reading.at
+        own = sum(1 for sent_at in record.sends if sent_at > at)
+        return load.running + load.waiting + own
 
     def get_pace(self, instance: str, born: int, now: float) -> float:
         """Return the expected pace; 1.0 if the target never reported one.
@@ -157,7 +236,11 @@
         """Drop the reports of an incarnation that has ended."""
         known = self._records.get(instance)
         if known is not None and known[0] <= born:
-            del self._records[instance]
+            self._drop(instance)
+
+    def _drop(self, instance: str) -> None:
+        del self._records[instance]
+        self._pending.pop(instance, None)
 
     def _find_record(self, instance: str, born: int) -> _Record | None:
         known = self._records.get(instance)
@@ -165,12 +248,43 @@
             return None
         return known[1]
 
+    def _store(
+        self, instance: str, born: int, reading: Reading
+    ) -> _Record | None:
+        """Store a report; return its record if it is the newest one."""
+        pace = reading.load.pace
+        if pace is not None and not is_plausible_pace(pace):
+            load = attrs.evolve(reading.load, pace=None)
+            reading = attrs.evolve(reading, load=load)
+        known = self._records.get(instance)
+        if known is not None and born < known[0]:
+            return None
+        if known is not None and born == known[0]:
+            record = known[1]
+            if reading.at <= record.reading.at:
+                self._note_pace(instance, born, record, reading)
+                return None
+            record.reading = reading
+        else:
+            self._records.pop(instance, None)
+            if len(self._records) >= MAX_TARGETS:
+                self._drop(next(iter(self._records)))
+            record = _Record(reading)
+            self._records[instance] = (born, record)
+        self._note_pace(instance, born, record, reading)
+        return record
+
     def _note_pace(
-        self, record: _Record, pace: float | None, now: float
+        self, instance: str, born: int, record: _Record, reading: Reading
     ) -> None:
-        if pace is None or not MIN_PACE <= pace <= MAX_PACE:
+        pace, at = reading.load.pace, reading.at
+        if pace is None:
             return
+        first = math.isinf(record.lowest)
         record.lowest = min(record.lowest, pace)
-        if pace >= record.highest or now - record.highest_at > PEAK_SECONDS:
+        if pace >= record.highest or at - record.highest_at > PEAK_SECONDS:
             record.highest = pace
-            record.highest_at = now
+            record.highest_at = at
+        if first:
+            for watcher in self.pace_watchers:
+                watcher(instance, born, pace)
