--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -15,6 +15,7 @@
 from chivepier.gateway.following import LoadExchange
 from chivepier.gateway.following import Peers
 from chivepier.gateway.following import QuarantineExchange
+from chivepier.gateway.following import ReportExchange
 from chivepier.gateway.following import VoterClient
 from chivepier.gateway.limits import LimitTable
 from chivepier.gateway.messages import PermitAnswer
@@ -33,6 +34,7 @@
 from chivepier.gateway.targets import Liveness
 from chivepier.gateway.targets import LoadTracker
 from chivepier.gateway.targets import QueueTracker
+from chivepier.gateway.targets import ReportBoard
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
@@ -71,6 +73,7 @@
         self.table = TargetTable(1.0, self.zones)
         self.leavers = LeavingTargets(self.table)
         self.board = LoadTracker(name)
+        self.reports = ReportBoard(self.board.changed)
         self.queues = QueueTracker(name, self.board.changed)
         self.budget = RetryBudget(0.2, 100, 10, name)
         self.quarantine = Quarantine(
@@ -107,7 +110,12 @@
             state=self.state,
             table=self.table,
             loads=LoadExchange(
-                self.board, self.queues, self.budget, self.table, clock
+                self.board,
+                self.queues,
+                self.budget,
+                self.table,
+                clock,
+                ReportExchange(self.reports, self.table, log, Metrics()),
             ),
             quarantine=QuarantineExchange(self.quarantine, clock),
             limits=LimitExchange(self.limits, clock),
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -3,6 +3,7 @@
 from chivepier.gateway.targets.decodeestimator import DecodeEstimator
 from chivepier.gateway.targets.demand import Demand
 from chivepier.gateway.targets.demand import NEAR_TERM_OUTPUT_TOKENS
+from chivepier.gateway.targets.drawoption import DrawOption
 from chivepier.gateway.targets.invalidreport import InvalidReport
 from chivepier.gateway.targets.leavingtargets import LeavingTargets
 from chivepier.gateway.targets.liveness import Liveness
@@ -14,6 +15,7 @@
 from chivepier.gateway.targets.queuetracker import QueueTracker
 from chivepier.gateway.targets.reading import Reading
 from chivepier.gateway.targets.reportboard import ReportBoard
+from chivepier.gateway.targets.reportdraw import draw_by_reports
 from chivepier.gateway.targets.reportedload import ReportedLoad
 from chivepier.gateway.targets.reportoutcome import ReportOutcome
 from chivepier.gateway.targets.reportrecords import pack_report
@@ -26,6 +28,7 @@
 __all__ = [
     "DecodeEstimator",
     "Demand",
+    "DrawOption",
     "InvalidReport",
     "LeavingTargets",
     "Liveness",
@@ -44,6 +47,7 @@
     "TargetHealth",
     "TargetState",
     "TargetTable",
+    "draw_by_reports",
     "pack_report",
     "unpack_report",
 ]
--- a/packages/gateway/src/chivepier/gateway/targets/reportboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/reportboard.py
@@ -1,6 +1,5 @@
 """The newest reports of targets about their own load."""
 
-import collections
 import collections.abc
 import math
 
@@ -45,9 +44,7 @@
     lowest: float = math.inf
     highest: float = 0.0
     highest_at: float = -math.inf
-    sends: collections.deque[float] = attrs.field(
-        factory=lambda: collections.deque(maxlen=MAX_RECENT_SENDS)
-    )
+    sends: list[float] = attrs.field(factory=list)
     told: Reading | None = None
 
     def has_news(self) -> bool:
@@ -162,6 +159,7 @@
         if now is None:
             now = math.nextafter(record.reading.at, math.inf)
         record.sends.append(now)
+        del record.sends[:-MAX_RECENT_SENDS]
 
     def find(self, instance: str, born: int) -> Reading | None:
         """Return the newest report of an incarnation."""
--- a/tests/adapter/test_heads.py
+++ b/tests/adapter/test_heads.py
@@ -8,6 +8,8 @@
 from chivepier.gateway.limits import NoLimit
 from chivepier.gateway.limits import RateLimit
 from chivepier.gateway.limits import RequestedBackoff
+from chivepier.gateway.targets import InvalidReport
+from chivepier.gateway.targets import ReportedLoad
 from exchange import build_answer
 from exchange import OPTIONS
 from exchange import read_all
@@ -132,6 +134,55 @@
     run(script, test)
 
 
+def make_load(running, waiting, slots, pace=None) -> ReportedLoad:
+    """Make a reported load."""
+    return ReportedLoad(
+        running=running, waiting=waiting, slots=slots, pace=pace
+    )
+
+
+@pytest.mark.parametrize(
+    ("values", "load"),
+    (
+        ((), None),
+        ((b"2,0,6",), make_load(2, 0, 6)),
+        ((b" 2, 31 ,6 , 250 ",), make_load(2, 31, 6, 2.5)),
+        ((b"0,0,1,10000",), make_load(0, 0, 1, 100.0)),
+        ((b"0,0,1,10001",), InvalidReport()),
+        ((b"2,0,6,0",), InvalidReport()),
+        ((b"2,0,0,100",), InvalidReport()),
+        ((b"1000001,0,6",), InvalidReport()),
+        ((b"9" * 5000 + b",0,6",), InvalidReport()),
+        ((b"-1,0,6",), InvalidReport()),
+        ((b"2,0,6,1.5",), InvalidReport()),
+        ((b"2,0,6,nan",), InvalidReport()),
+        ((b"2,0,\xc2\xb2",), InvalidReport()),
+        ((b"2,0",), InvalidReport()),
+        ((b"2,0,6,100,1",), InvalidReport()),
+        ((b"",), InvalidReport()),
+        ((b"2,0,6", b"2,0,6"), InvalidReport()),
+    ),
+)
+def test_reported_load_is_parsed(values, load):
+    """Guards against a malformed load that ends an answer, or counts."""
+    header = b"".join(
+        b"X-Chivepier-Server-Load: %s\r\n" % value for value in values
+    )
+
+    async def script(head, writer):
+        writer.write(build_answer(b"ok", extra=header))
+
+    async def test(raw, targets):
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), OPTIONS
+        )
+        assert reply.facts.load == load
+        assert reply.facts.unknown_headers == ()
+        assert await read_all(reply) == b"ok"
+
+    run(script, test)
+
+
 def test_unknown_header_is_reported_by_name():
     # Targets sent a rate limit for months in a header that nothing parsed.
     async def script(head, writer):
