Place long streams by the paces that targets report

A third of a service's targets may take 2.5 times as long for a token as the others. Long streams there pause for longer than their route allows, and one such pause makes the whole stream late.

PaceAdvisor expects the longest usual pause at each target from its lowest pace, the service's peak and the time of a token. Streams of many events go to targets beyond their objective last; while there is time they wait for room at another. Short answers cost memory x pace. The estimators keep their samples at pace 1.0. Without reports, or with equal paces, the order and the numbers are those of before.

--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -332,6 +332,8 @@
         self, run: LiveRun, tried: set[str]
     ) -> Target | None:
         engine = run.service.engine
+        # the last one is taken whatever its pace: the others may be full
+        last = len(tried) >= MAX_DESTINATIONS
         return self._balancer.choose_destination(
             run.service.name,
             engine,
@@ -339,6 +341,7 @@
             run.target,
             tried,
             run.plan.regions,
+            None if last else run.plan.demand,
         )
 
     async def _request_copy(
--- a/packages/gateway/src/chivepier/gateway/serving/planner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/planner.py
@@ -91,4 +91,5 @@
         prompt=prompt.tokens,
         output=prompt.expected_output,
         objective=route.objective,
+        gap_objective=route.gap_objective if route.streaming else 0.0,
     )
--- a/packages/gateway/src/chivepier/gateway/serving/runtracker.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runtracker.py
@@ -3,11 +3,10 @@
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.mover import Mover
 from chivepier.gateway.serving.plan import Plan
-from chivepier.gateway.targets import DecodeEstimator
 from chivepier.gateway.targets import Demand
+from chivepier.gateway.targets import LoadBalancer
 from chivepier.gateway.targets import LoadTracker
 from chivepier.gateway.targets import NEAR_TERM_OUTPUT_TOKENS
-from chivepier.gateway.targets import PrefillEstimator
 from chivepier.gateway.targets import Target
 from chivepier.types import Clock
 
@@ -17,7 +16,7 @@
 
     :param loads: load of each target
     :param mover: migrates generations off targets that leave
-    :param prefill_estimator: estimator of the prefill time
+    :param balancer: has the estimators of reading and decoding, and paces
     :param clock: monotonic clock
     """
 
@@ -25,11 +24,12 @@
         self,
         loads: LoadTracker,
         mover: Mover,
-        prefill_estimator: PrefillEstimator,
+        balancer: LoadBalancer,
         clock: Clock,
     ):
-        self._prefill_estimator = prefill_estimator
-        self._decode_estimator = DecodeEstimator()
+        self._balancer = balancer
+        self._prefill_estimator = balancer.prefill_estimator
+        self._decode_estimator = balancer.decode_estimator
         self._loads = loads
         self._mover = mover
         self._clock = clock
@@ -84,7 +84,10 @@
             if run.prefill_tokens:
                 seconds = run.first_event_at - run.sent_at
                 self._prefill_estimator.record(
-                    run.service.name, run.prefill_backlog, seconds
+                    run.service.name,
+                    run.prefill_backlog,
+                    seconds,
+                    self._get_pace(run),
                 )
             self._loads.adjust_own(
                 run.target.instance, reading=-run.prefill_tokens
@@ -100,9 +103,13 @@
         if prompt is None:
             return 0.0
         service = plan.service.name
-        reading = self._prefill_estimator.estimate(service, prompt.tokens)
+        # it may run at the slowest of them
+        pace = self._balancer.survey_paces(service, plan.regions).highest
+        reading = self._prefill_estimator.estimate(
+            service, prompt.tokens, pace
+        )
         return reading + self._decode_estimator.estimate(
-            service, prompt.max_output
+            service, prompt.max_output, pace
         )
 
     def note_complete(self, run: LiveRun) -> None:
@@ -118,7 +125,9 @@
         ):
             tokens = run.last_event_number * engine.event_tokens
             seconds = self._clock.monotonic() - run.first_event_at
-            self._decode_estimator.record(run.service.name, tokens, seconds)
+            self._decode_estimator.record(
+                run.service.name, tokens, seconds, self._get_pace(run)
+            )
 
     def note_growth(self, run: LiveRun) -> None:
         """Report the growth of a generation's KV cache in larger steps."""
@@ -132,6 +141,9 @@
         run.counted_tokens += grown
         self._loads.adjust_own(run.target.instance, tokens=grown)
 
+    def _get_pace(self, run: LiveRun) -> float:
+        return self._balancer.pace_advisor.get_base_pace(run.target)
+
     def _count(self, run: LiveRun, sign: int) -> None:
         waits = run.first_event_at is None
         self._loads.adjust_own(
--- a/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
@@ -16,8 +16,10 @@
 from chivepier.gateway.serving.waitstage import classify_wait
 from chivepier.gateway.serving.waitstage import compute_rank
 from chivepier.gateway.serving.waitstage import MAX_WAIT_OBJECTIVES
+from chivepier.gateway.serving.waitstage import may_await_fit
 from chivepier.gateway.serving.waitstage import WaitStage
 from chivepier.gateway.targets import LoadBalancer
+from chivepier.gateway.targets import PaceSurvey
 from chivepier.gateway.targets import QueueTracker
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetHealth
@@ -264,11 +266,24 @@
         return True
 
     def _classify_wait(self, plan: Plan) -> WaitStage:
-        reading = self._balancer.prefill_estimator.estimate(
-            plan.service.name, plan.demand.prompt
-        )
+        survey = self._survey_paces(plan)
+        reading = self._estimate_reading(plan, survey.typical)
         return classify_wait(plan, self._clock.monotonic(), reading)
 
+    def _survey_paces(self, plan: Plan) -> PaceSurvey:
+        return self._balancer.survey_paces(plan.service.name, plan.regions)
+
+    def _estimate_reading(self, plan: Plan, pace: float) -> float:
+        return self._balancer.prefill_estimator.estimate(
+            plan.service.name, plan.demand.prompt, pace
+        )
+
+    def _may_await_fit(self, plan: Plan) -> bool:
+        reading = self._estimate_reading(
+            plan, self._survey_paces(plan).highest
+        )
+        return may_await_fit(plan, self._clock.monotonic(), reading)
+
     def _select_targets(
         self, plan: Plan, stage: WaitStage, tried: set[str]
     ) -> list[Target]:
@@ -280,7 +295,12 @@
         claim = self._make_claim(plan, may_wait=False)
         found = [
             target
-            for target in self._rank_targets(plan, tried, exclude_full=True)
+            for target in self._rank_targets(
+                plan,
+                tried,
+                exclude_full=True,
+                exclude_unfit=self._may_await_fit(plan),
+            )
             if self._gate.find_backoff(target, claim) is None
         ]
         return found[:MAX_TARGETS_PER_ROUND]
@@ -303,7 +323,11 @@
         return fitting > ahead
 
     def _rank_targets(
-        self, plan: Plan, tried: set[str], exclude_full: bool = False
+        self,
+        plan: Plan,
+        tried: set[str],
+        exclude_full: bool = False,
+        exclude_unfit: bool = False,
     ) -> list[Target]:
         service = plan.service
         return self._balancer.rank(
@@ -313,6 +337,7 @@
             tried,
             exclude_full=exclude_full,
             regions=plan.regions,
+            exclude_unfit=exclude_unfit,
         )
 
     async def _reserve(self, plan: Plan, target: Target) -> str | None:
--- a/packages/gateway/src/chivepier/gateway/serving/waitstage.py
+++ b/packages/gateway/src/chivepier/gateway/serving/waitstage.py
@@ -53,6 +53,22 @@
     return WaitStage.OVER
 
 
+def may_await_fit(plan: Plan, now: float, reading: float) -> bool:
+    """Tell whether a request may wait for a target that suits it.
+
+    It takes any target rather than miss its first event: a stream with too
+    long a pause is worth more than one that begins too late as well.
+
+    :param plan: the plan of the request
+    :param now: current monotonic time in seconds
+    :param reading: expected seconds to prefill its prompt at the slowest
+        target
+    """
+    waited = (now - plan.request.arrived) / plan.route.objective
+    share = reading / plan.route.objective
+    return waited < EARLY_FRACTION and waited + share < LATE_FRACTION
+
+
 def compute_rank(plan: Plan, stage: WaitStage) -> int:
     """Return the queue rank of a request; the lowest goes first.
 
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -3,6 +3,7 @@
 from chivepier.gateway.targets.decodeestimator import DecodeEstimator
 from chivepier.gateway.targets.demand import Demand
 from chivepier.gateway.targets.demand import NEAR_TERM_OUTPUT_TOKENS
+from chivepier.gateway.targets.fit import Fit
 from chivepier.gateway.targets.invalidreport import InvalidReport
 from chivepier.gateway.targets.leavingtargets import LeavingTargets
 from chivepier.gateway.targets.liveness import Liveness
@@ -10,6 +11,8 @@
 from chivepier.gateway.targets.loadbalancer import LoadBalancer
 from chivepier.gateway.targets.loadtracker import LoadTracker
 from chivepier.gateway.targets.loadtracker import REPORT_EXPIRY_SECONDS
+from chivepier.gateway.targets.paceadvisor import PaceAdvisor
+from chivepier.gateway.targets.pacesurvey import PaceSurvey
 from chivepier.gateway.targets.prefillestimator import PrefillEstimator
 from chivepier.gateway.targets.queuetracker import QueueTracker
 from chivepier.gateway.targets.reading import Reading
@@ -23,6 +26,7 @@
 __all__ = [
     "DecodeEstimator",
     "Demand",
+    "Fit",
     "InvalidReport",
     "LeavingTargets",
     "Liveness",
@@ -30,6 +34,8 @@
     "LoadBalancer",
     "LoadTracker",
     "NEAR_TERM_OUTPUT_TOKENS",
+    "PaceAdvisor",
+    "PaceSurvey",
     "PrefillEstimator",
     "QueueTracker",
     "REPORT_EXPIRY_SECONDS",
--- a/packages/gateway/src/chivepier/gateway/targets/decodeestimator.py
+++ b/packages/gateway/src/chivepier/gateway/targets/decodeestimator.py
@@ -23,17 +23,25 @@
     def __init__(self) -> None:
         self._estimator = PrefillEstimator()
 
-    def record(self, service: str, tokens: int, seconds: float) -> None:
+    def record(
+        self, service: str, tokens: int, seconds: float, pace: float = 1.0
+    ) -> None:
         """Record the time of a generation from its first event to its end.
 
         :param service: name of the service
         :param tokens: number of tokens that it generated
         :param seconds: time that it took, in seconds
+        :param pace: pace of its target; 1.0 if unknown
         """
         if tokens >= MIN_SAMPLE_TOKENS:
-            self._estimator.record(service, tokens, seconds)
+            self._estimator.record(service, tokens, seconds, pace)
 
-    def estimate(self, service: str, tokens: int) -> float:
-        """Return the time to generate tokens, in seconds."""
-        seen = self._estimator.estimate(service, tokens)
-        return seen or tokens * DEFAULT_SECONDS_PER_TOKEN
+    def estimate(self, service: str, tokens: int, pace: float = 1.0) -> float:
+        """Return the time to generate tokens, in seconds.
+
+        :param service: name of the service
+        :param tokens: number of tokens
+        :param pace: pace of the target; 1.0 if unknown
+        """
+        seen = self._estimator.estimate(service, tokens, pace)
+        return seen or tokens * DEFAULT_SECONDS_PER_TOKEN * pace
--- a/packages/gateway/src/chivepier/gateway/targets/demand.py
+++ b/packages/gateway/src/chivepier/gateway/targets/demand.py
@@ -14,11 +14,14 @@
     :param prompt: number of prompt tokens
     :param output: expected number of output tokens
     :param objective: target time to the first event, in seconds
+    :param gap_objective: target of the longest pause between events, in
+        seconds; 0 for none
     """
 
     prompt: int
     output: int
     objective: float = 0.0
+    gap_objective: float = 0.0
 
     @property
     def tokens(self) -> int:
--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -6,9 +6,13 @@
 from chivepier.gateway.config import Engine
 from chivepier.gateway.limits import BackoffTable
 from chivepier.gateway.limits import LimitTable
+from chivepier.gateway.targets.decodeestimator import DecodeEstimator
 from chivepier.gateway.targets.demand import Demand
+from chivepier.gateway.targets.fit import Fit
 from chivepier.gateway.targets.load import Load
 from chivepier.gateway.targets.loadtracker import LoadTracker
+from chivepier.gateway.targets.paceadvisor import PaceAdvisor
+from chivepier.gateway.targets.pacesurvey import PaceSurvey
 from chivepier.gateway.targets.prefillestimator import PrefillEstimator
 from chivepier.gateway.targets.reportboard import ReportBoard
 from chivepier.gateway.targets.target import Target
@@ -38,6 +42,13 @@
 # Added cost of a rate-limited destination: it is the last choice, as the
 # generation would have to wait for its turn.
 RATE_LIMITED_COST = 10.0
+# Fits from the best to the worst.
+PREFERENCE = tuple(Fit)
+# Added cost of a destination where a stream would pause for too long: a copy
+# there is better than one that waits behind four others.
+UNFIT_COST = 2.0
+# Added cost of a destination whose pace isn't known yet.
+UNKNOWN_COST = 0.5
 # Maximum share of a target's memory that generations may use, including the
 # tokens that they add within the next seconds.
 MAX_MEMORY_SHARE = 1.0
@@ -52,8 +63,9 @@
 class LoadBalancer:
     """Chooses the target with the most free capacity over all entries.
 
-    ``prefill_estimator`` learns from first events how fast prompts are read;
-    the queue of waiting requests uses it too.
+    ``prefill_estimator`` learns from first events how fast prompts are read,
+    ``decode_estimator`` from complete generations how fast tokens come; the
+    queue of waiting requests uses the first, ``pace_advisor`` the second.
 
     :param table: known targets
     :param health: health of the targets
@@ -88,6 +100,8 @@
         self._clock = clock
         self._rng = rng
         self.prefill_estimator = PrefillEstimator()
+        self.decode_estimator = DecodeEstimator()
+        self.pace_advisor = PaceAdvisor(self._reports, self.decode_estimator)
         self._in_flight: dict[str, int] = {}
 
     def avoid_unreachable(self, instance: str) -> None:
@@ -146,33 +160,69 @@
         without: collections.abc.Collection[str] = (),
         exclude_full: bool = False,
         regions: collections.abc.Collection[str] | None = None,
+        exclude_unfit: bool = False,
     ) -> list[Target]:
         """Return the targets, the best first; see :meth:`choose`.
 
+        Targets at which a stream would pause for too long come after those
+        with room at which it would not.
+
         :param exclude_full: whether full targets are excluded
         :param regions: regions that the request may reach; ``None`` for all
+        :param exclude_unfit: whether targets at which the stream would pause
+            for too long are excluded, unless it would at all
         """
         now = self._clock.monotonic()
-        healthy = self._select_healthy(service, without, now, regions)
-        costs = {
-            t.instance: self._get_cost(t, engine, demand, now)
-            for t in healthy
-            if not exclude_full or self.has_room(t, engine, demand)
-        }
-        if not costs:
-            return []
-        order = self._draw_order(costs, sample=engine is not None)
+        found = self._select_available(service, now, regions)
+        healthy = self._exclude_unhealthy(found, without, now)
+        survey = self._survey(found, engine, now)
+        fits = self.pace_advisor.advise(healthy, survey, engine, demand)
+        groups: dict[tuple[bool, int], dict[str, float]] = {}
+        for target in healthy:
+            fit = fits.get(target.instance, Fit.FITS)
+            full = (exclude_full or bool(fits)) and not self._has_room(
+                target, engine, demand, survey, now
+            )
+            if exclude_full and full or exclude_unfit and fit is Fit.UNFIT:
+                continue
+            costs = groups.setdefault((full, PREFERENCE.index(fit)), {})
+            costs[target.instance] = self._get_cost(
+                target, engine, demand, survey, now
+            )
+        order = {}
+        for group, costs in sorted(groups.items()):
+            drawn = self._draw_order(costs, sample=engine is not None)
+            order.update({name: (group, key) for name, key in drawn.items()})
         chosen = [t for t in healthy if t.instance in order]
         return sorted(chosen, key=lambda t: order[t.instance])
 
-    def _select_healthy(
+    def survey_paces(
         self,
         service: str,
+        regions: collections.abc.Collection[str] | None = None,
+    ) -> PaceSurvey:
+        """Return the paces that the targets of a service report.
+
+        :param service: name of the service
+        :param regions: regions that the request may reach; ``None`` for all
+        """
+        now = self._clock.monotonic()
+        found = self._select_available(service, now, regions)
+        return self.pace_advisor.survey(found, now)
+
+    def _survey(
+        self, targets: list[Target], engine: Engine | None, now: float
+    ) -> PaceSurvey:
+        if engine is None:
+            return PaceSurvey()
+        return self.pace_advisor.survey(targets, now)
+
+    def _exclude_unhealthy(
+        self,
+        found: list[Target],
         without: collections.abc.Collection[str],
         now: float,
-        regions: collections.abc.Collection[str] | None,
     ) -> list[Target]:
-        found = self._select_available(service, now, regions)
         candidates = [t for t in found if t.instance not in without]
         if not candidates:
             return []
@@ -267,11 +317,13 @@
         source: Target,
         without: collections.abc.Collection[str] = (),
         regions: collections.abc.Collection[str] | None = None,
+        demand: Demand | None = None,
     ) -> Target | None:
         """Choose the target that a generation's memory is copied to.
 
         Only free memory counts. There is no prompt to read, so a target that
-        just started is the best choice, whatever prompts it reads.
+        just started is the best choice, whatever prompts it reads. A target
+        at which the stream would pause for too long is better than none.
 
         :param service: name of the service
         :param engine: engine settings of the targets
@@ -280,6 +332,7 @@
         :param without: names of instances to exclude
         :param regions: regions that the generation may reach; ``None`` for
             all
+        :param demand: size of the generation, if the paces of targets matter
         :returns: the target; ``None`` if none has enough memory
         """
         now = self._clock.monotonic()
@@ -288,7 +341,11 @@
             * self._loads.get_pending_copy_seconds(source.instance, now)
         )
         costs = {}
-        for target in self._select_healthy(service, without, now, regions):
+        found = self._select_available(service, now, regions)
+        healthy = self._exclude_unhealthy(found, without, now)
+        survey = self._survey(found, engine, now)
+        fits = self.pace_advisor.advise(healthy, survey, engine, demand)
+        for target in healthy:
             load = self._loads.get_total(target.instance, now)
             held = (load.tokens + tokens) / engine.memory_tokens
             if held <= MAX_MEMORY_SHARE:
@@ -298,6 +355,7 @@
                     + far
                     + RECEIVING_COST * load.receiving
                     + self._get_rate_limit_cost(target)
+                    + _get_fit_cost(fits.get(target.instance))
                 )
         if not costs:
             return None
@@ -334,11 +392,12 @@
         target: Target,
         engine: Engine | None,
         demand: Demand | None,
+        survey: PaceSurvey,
         now: float,
     ) -> float:
         if engine is None or demand is None:
             return self._get_request_cost(target, now)
-        return self._get_generation_cost(target, engine, demand, now)
+        return self._get_generation_cost(target, engine, demand, survey, now)
 
     def has_room(self, target: Target, engine: Engine, demand: Demand) -> bool:
         """Tell whether a target has memory and time for one more generation.
@@ -348,6 +407,18 @@
         reads it again.
         """
         now = self._clock.monotonic()
+        found = self._select_available(target.service, now, None)
+        survey = self._survey(found, engine, now)
+        return self._has_room(target, engine, demand, survey, now)
+
+    def _has_room(
+        self,
+        target: Target,
+        engine: Engine,
+        demand: Demand,
+        survey: PaceSurvey,
+        now: float,
+    ) -> bool:
         load = self._loads.get_total(target.instance, now)
         if (
             load.tokens + demand.near_term_tokens
@@ -357,7 +428,9 @@
         if not load.reading:
             return True
         seconds = self.prefill_estimator.estimate(
-            target.service, load.reading + demand.prompt
+            target.service,
+            load.reading + demand.prompt,
+            self.pace_advisor.get_present_pace(target, survey, now),
         )
         return seconds <= MAX_PREFILL_SHARE * demand.objective
 
@@ -406,7 +479,12 @@
         return cost
 
     def _get_generation_cost(
-        self, target: Target, engine: Engine, demand: Demand, now: float
+        self,
+        target: Target,
+        engine: Engine,
+        demand: Demand,
+        survey: PaceSurvey,
+        now: float,
     ) -> float:
         load = self._loads.get_total(target.instance, now)
         tokens = (
@@ -416,6 +494,18 @@
         )
         memory = tokens / engine.memory_tokens
         cost = max(memory, (load.runs + 1) / engine.slots)
+        if not self.pace_advisor.is_long_stream(engine, demand):
+            cost *= survey.get_relative_pace(target.instance)
         if now < target.warm_at:
             cost += WARMING_COST
         return cost
+
+
+def _get_fit_cost(fit: Fit | None) -> float:
+    match fit:
+        case Fit.UNFIT:
+            return UNFIT_COST
+        case Fit.UNKNOWN:
+            return UNKNOWN_COST
+        case _:
+            return 0.0
