Log and count what paces make of long streams

An operator could not see why a long stream ran at a slow target. The lines placed and gone_on name the target's pace, the pause that is expected and the fit; chivepier_streams_by_fit counts the streams that started. The paces of a service are kept for half a second, as each choice estimates several waits, and nothing is surveyed while no target reports anything.

--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -26,6 +26,7 @@
     "unread",
     "rests",
     "held_back",
+    "fits",
 )
 
 
@@ -103,6 +104,14 @@
         """Count a copy of a running generation's memory by its outcome."""
         self._record("moves", (outcome,), 1.0)
 
+    def record_fit(self, fit: str) -> None:
+        """Count a long stream that started at a target.
+
+        :param fit: ``fits``, ``unknown`` or ``unfit``: whether it meets its
+            objective for pauses there
+        """
+        self._record("fits", (fit,), 1.0)
+
     def record_quarantine(self, event: str) -> None:
         """Count a decision about a request that may crash targets.
 
@@ -226,6 +235,12 @@
             ("reason",),
             registry=registry,
         ),
+        "fits": library.Counter(
+            "chivepier_streams_by_fit",
+            "Long streams by whether their target is fast enough.",
+            ("fit",),
+            registry=registry,
+        ),
         "unread": library.Counter(
             "chivepier_unread_headers",
             "Headers of targets' answers that nothing reads.",
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -4,6 +4,7 @@
 import math
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.permits import Permit
 from chivepier.gateway.quarantine import shorten
 from chivepier.gateway.serving.assignment import Assignment
@@ -33,6 +34,7 @@
 from chivepier.gateway.serving.targetcalls import TargetCalls
 from chivepier.gateway.targets import LoadBalancer
 from chivepier.gateway.targets import LoadTracker
+from chivepier.gateway.targets import PaceForecast
 from chivepier.gateway.targets import QueueTracker
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetHealth
@@ -69,6 +71,7 @@
     :param retry_after: schedules when refused callers may retry
     :param clock: monotonic clock
     :param log: event log for decisions on requests
+    :param metrics: counts long streams by fit; not kept by default
     """
 
     def __init__(
@@ -88,7 +91,9 @@
         retry_after: RetryAfterScheduler,
         clock: Clock,
         log: EventLog,
+        metrics: Metrics | None = None,
     ):
+        self._metrics = Metrics() if metrics is None else metrics
         self.state = state
         self.table = table
         self.balancer = balancer
@@ -135,8 +140,11 @@
                     plan, runs, "no repeats are left"
                 )
             retry_counted = False
-            self._log_assignment(plan, assignment)
             target = assignment.target
+            forecast = self.balancer.forecast(
+                target, plan.service.engine, plan.demand
+            )
+            self._log_assignment(plan, assignment, forecast)
             tried.add(target.instance)
             may_retry = plan.repeatable and runs + 1 < plan.route.attempts
             try:
@@ -162,6 +170,8 @@
                 continue
             runs += 1
             if started.answer.status < SERVER_ERROR_STATUS:
+                if forecast.fit is not None:
+                    self._metrics.record_fit(forecast.fit.value)
                 if started.run is None:
                     self.guard.note_answered(plan, started.answer.facts)
                 return started
@@ -204,7 +214,9 @@
             error=repr(error),
         )
 
-    def _log_assignment(self, plan: Plan, assignment: Assignment) -> None:
+    def _log_assignment(
+        self, plan: Plan, assignment: Assignment, forecast: PaceForecast
+    ) -> None:
         target, demand = assignment.target, plan.demand
         load = self.balancer.find_load(target.instance)
         now = self.clock.monotonic()
@@ -221,6 +233,7 @@
             runs=load.runs,
             tokens=load.tokens,
             reading=load.reading,
+            **describe_forecast(forecast),
         )
 
     def _has_time(self, plan: Plan) -> bool:
@@ -396,6 +409,16 @@
             self.balancer.avoid_unreachable(target.instance)
 
 
+def describe_forecast(forecast: PaceForecast) -> dict:
+    """Return the log fields of what is expected of a request at a target."""
+    pause, fit = forecast.pause, forecast.fit
+    return {
+        "pace": forecast.pace,
+        "pause_ms": None if pause is None else round(1000 * pause),
+        "fit": fit and fit.value,
+    }
+
+
 def _get_permit_ms(permit: Permit, now: float) -> int | None:
     """Return the milliseconds for which a permit is valid, for the log."""
     if math.isinf(permit.expires_at):
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -5,6 +5,7 @@
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.callerconnection import CallerConnection
 from chivepier.gateway.serving.callpurpose import CallPurpose
+from chivepier.gateway.serving.dispatcher import describe_forecast
 from chivepier.gateway.serving.dispatcher import Dispatcher
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.errors import ConnectionLostError
@@ -319,6 +320,11 @@
             target=handoff.target.instance,
             after=run.last_event_number,
             moved=handoff.origin is not None,
+            **describe_forecast(
+                dispatcher.balancer.forecast(
+                    handoff.target, plan.service.engine, plan.demand
+                )
+            ),
         )
         dispatcher.release(started)
         run.resume_at(handoff.target, dispatcher.clock.monotonic())
--- a/packages/gateway/src/chivepier/gateway/serving/runtracker.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runtracker.py
@@ -104,7 +104,7 @@
             return 0.0
         service = plan.service.name
         # it may run at the slowest of them
-        pace = self._balancer.survey_paces(service, plan.regions).highest
+        pace = self._balancer.survey_paces(service).highest
         reading = self._prefill_estimator.estimate(
             service, prompt.tokens, pace
         )
--- a/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
@@ -271,7 +271,7 @@
         return classify_wait(plan, self._clock.monotonic(), reading)
 
     def _survey_paces(self, plan: Plan) -> PaceSurvey:
-        return self._balancer.survey_paces(plan.service.name, plan.regions)
+        return self._balancer.survey_paces(plan.service.name)
 
     def _estimate_reading(self, plan: Plan, pace: float) -> float:
         return self._balancer.prefill_estimator.estimate(
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -53,6 +53,8 @@
 from chivepier.gateway.targets import LoadBalancer
 from chivepier.gateway.targets import LoadTracker
 from chivepier.gateway.targets import QueueTracker
+from chivepier.gateway.targets import ReportBoard
+from chivepier.gateway.targets import ReportedLoad
 from chivepier.gateway.targets import TargetHealth
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
@@ -139,6 +141,7 @@
         rng = random.Random(1)
         self.limits = LimitTable("e1")
         self.backoffs = BackoffTable(rng)
+        self.reports = ReportBoard()
         balancer = LoadBalancer(
             self.table,
             self.health,
@@ -148,6 +151,7 @@
             rng,
             self.limits,
             self.backoffs,
+            self.reports,
         )
         self.permitted: bool | None = True
         self.asked: list[tuple[str, int]] = []
@@ -316,6 +320,12 @@
         target.number = 2
         self.table.put(target)
 
+    def report_pace(self, name: str, *paces: float) -> None:
+        """Report the paces of a target, one after the other."""
+        for number, pace in enumerate(paces):
+            load = ReportedLoad(running=0, waiting=0, slots=8, pace=pace)
+            self.reports.record(name, 0, load, tell_time() + number / 1000)
+
     def restart(self, name: str, born: int) -> None:
         """Announce a restart of a target under the same name."""
         target = make_target(name)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_targetassigner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_targetassigner.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from chivepier.gateway.serving.prompt import Prompt
 from chivepier.gateway.serving.tests.parts import ENGINE
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
@@ -178,3 +179,29 @@
         assert all(caller.finished for caller, _ in started)
 
     play(test, "a", engine=RESERVING)
+
+
+@pytest.mark.parametrize(
+    ("max_output", "reading", "waits"),
+    [(900, 0.1, True), (900, 0.7, False), (20, 0.1, False)],
+)
+def test_stream_waits_for_a_fast_target_while_it_has_time(
+    max_output, reading, waits
+):
+    # Long streams pause for too long at slow targets, but one that waits for
+    # a fast one for too long has its first event late instead.
+    async def test(parts):
+        parts.engines.full = {"fast"}
+        parts.report_pace("fast", 0.7, 0.7 * 2.5)
+        parts.report_pace("slow", 1.7, 1.7 * 2.5)
+        parts.dispatcher.balancer.prefill_estimator.record("llm", 100, reading)
+        prompt = Prompt(tokens=100, max_output=max_output)
+        name, _ = await serve_one(parts, prompt=prompt)
+        (line,) = parts.read_lines("placed")
+        assert name == "slow" and (line["ms"] >= 500) is waits
+        expected = (
+            (1.7, 272, "unfit") if max_output > 20 else (1.7, None, None)
+        )
+        assert (line["pace"], line["pause_ms"], line["fit"]) == expected
+
+    play(test, "fast", "slow", engine=RESERVING)
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -12,6 +12,7 @@
 from chivepier.gateway.targets.loadtracker import LoadTracker
 from chivepier.gateway.targets.loadtracker import REPORT_EXPIRY_SECONDS
 from chivepier.gateway.targets.paceadvisor import PaceAdvisor
+from chivepier.gateway.targets.paceforecast import PaceForecast
 from chivepier.gateway.targets.pacesurvey import PaceSurvey
 from chivepier.gateway.targets.prefillestimator import PrefillEstimator
 from chivepier.gateway.targets.queuetracker import QueueTracker
@@ -35,6 +36,7 @@
     "LoadTracker",
     "NEAR_TERM_OUTPUT_TOKENS",
     "PaceAdvisor",
+    "PaceForecast",
     "PaceSurvey",
     "PrefillEstimator",
     "QueueTracker",
--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -1,6 +1,7 @@
 """Choice of a target by load."""
 
 import collections.abc
+import math
 import random
 
 from chivepier.gateway.config import Engine
@@ -12,6 +13,7 @@
 from chivepier.gateway.targets.load import Load
 from chivepier.gateway.targets.loadtracker import LoadTracker
 from chivepier.gateway.targets.paceadvisor import PaceAdvisor
+from chivepier.gateway.targets.paceforecast import PaceForecast
 from chivepier.gateway.targets.pacesurvey import PaceSurvey
 from chivepier.gateway.targets.prefillestimator import PrefillEstimator
 from chivepier.gateway.targets.reportboard import ReportBoard
@@ -42,6 +44,9 @@
 # Added cost of a rate-limited destination: it is the last choice, as the
 # generation would have to wait for its turn.
 RATE_LIMITED_COST = 10.0
+# Seconds for which the paces of a service are kept for estimates of waits,
+# of which each choice makes several.
+SURVEY_SECONDS = 0.5
 # Fits from the best to the worst.
 PREFERENCE = tuple(Fit)
 # Added cost of a destination where a stream would pause for too long: a copy
@@ -103,6 +108,7 @@
         self.decode_estimator = DecodeEstimator()
         self.pace_advisor = PaceAdvisor(self._reports, self.decode_estimator)
         self._in_flight: dict[str, int] = {}
+        self._surveys: dict[str, tuple[float, PaceSurvey]] = {}
 
     def avoid_unreachable(self, instance: str) -> None:
         """Avoid an unreachable or silent target for a while.
@@ -175,8 +181,12 @@
         now = self._clock.monotonic()
         found = self._select_available(service, now, regions)
         healthy = self._exclude_unhealthy(found, without, now)
-        survey = self._survey(found, engine, now)
-        fits = self.pace_advisor.advise(healthy, survey, engine, demand)
+        survey = PaceSurvey()
+        if engine is not None:
+            survey = self._survey(service, found, now)
+        fits = self.pace_advisor.advise(
+            service, healthy, survey, engine, demand
+        )
         groups: dict[tuple[bool, int], dict[str, float]] = {}
         for target in healthy:
             fit = fits.get(target.instance, Fit.FITS)
@@ -196,26 +206,40 @@
         chosen = [t for t in healthy if t.instance in order]
         return sorted(chosen, key=lambda t: order[t.instance])
 
-    def survey_paces(
-        self,
-        service: str,
-        regions: collections.abc.Collection[str] | None = None,
-    ) -> PaceSurvey:
+    def survey_paces(self, service: str) -> PaceSurvey:
         """Return the paces that the targets of a service report.
 
+        They may be those of the last choice; see ``SURVEY_SECONDS``.
+
         :param service: name of the service
-        :param regions: regions that the request may reach; ``None`` for all
         """
         now = self._clock.monotonic()
-        found = self._select_available(service, now, regions)
-        return self.pace_advisor.survey(found, now)
+        at, survey = self._surveys.get(service, (-math.inf, PaceSurvey()))
+        if now - at <= SURVEY_SECONDS:
+            return survey
+        found = self._select_available(service, now, None)
+        return self._survey(service, found, now)
+
+    def forecast(
+        self, target: Target, engine: Engine | None, demand: Demand | None
+    ) -> PaceForecast:
+        """Return what the pace of a chosen target makes of a request.
+
+        :param target: the target
+        :param engine: engine settings if the targets run generations
+        :param demand: size of the generation, if it is one
+        """
+        if engine is None:
+            return PaceForecast()
+        survey = self.survey_paces(target.service)
+        return self.pace_advisor.forecast(target, survey, engine, demand)
 
     def _survey(
-        self, targets: list[Target], engine: Engine | None, now: float
+        self, service: str, targets: list[Target], now: float
     ) -> PaceSurvey:
-        if engine is None:
-            return PaceSurvey()
-        return self.pace_advisor.survey(targets, now)
+        survey = self.pace_advisor.survey(targets, now)
+        self._surveys[service] = now, survey
+        return survey
 
     def _exclude_unhealthy(
         self,
@@ -343,8 +367,10 @@
         costs = {}
         found = self._select_available(service, now, regions)
         healthy = self._exclude_unhealthy(found, without, now)
-        survey = self._survey(found, engine, now)
-        fits = self.pace_advisor.advise(healthy, survey, engine, demand)
+        survey = self._survey(service, found, now)
+        fits = self.pace_advisor.advise(
+            service, healthy, survey, engine, demand
+        )
         for target in healthy:
             load = self._loads.get_total(target.instance, now)
             held = (load.tokens + tokens) / engine.memory_tokens
@@ -407,8 +433,7 @@
         reads it again.
         """
         now = self._clock.monotonic()
-        found = self._select_available(target.service, now, None)
-        survey = self._survey(found, engine, now)
+        survey = self.survey_paces(target.service)
         return self._has_room(target, engine, demand, survey, now)
 
     def _has_room(
--- a/packages/gateway/src/chivepier/gateway/targets/paceadvisor.py
+++ b/packages/gateway/src/chivepier/gateway/targets/paceadvisor.py
@@ -6,6 +6,7 @@
 from chivepier.gateway.targets.decodeestimator import DecodeEstimator
 from chivepier.gateway.targets.demand import Demand
 from chivepier.gateway.targets.fit import Fit
+from chivepier.gateway.targets.paceforecast import PaceForecast
 from chivepier.gateway.targets.pacesurvey import PaceSurvey
 from chivepier.gateway.targets.reportboard import ReportBoard
 from chivepier.gateway.targets.target import Target
@@ -47,6 +48,8 @@
         :param targets: the targets of one service
         :param now: current time, in monotonic seconds
         """
+        if self._board.is_empty:
+            return PaceSurvey()
         paces = {}
         for target in targets:
             pace = self._board.get_base_pace(target.instance, target.born)
@@ -71,7 +74,7 @@
         :param survey: the paces of its service
         :param now: current time, in monotonic seconds
         """
-        if target.instance not in survey.paces:
+        if self._board.get_base_pace(target.instance, target.born) is None:
             return survey.typical
         return self._board.get_pace(target.instance, target.born, now)
 
@@ -90,32 +93,31 @@
         )
         return usual * peak * READING_STEP_FACTOR
 
-    def judge(
+    def forecast(
         self,
         target: Target,
         survey: PaceSurvey,
         engine: Engine | None,
         demand: Demand | None,
-    ) -> Fit | None:
-        """Return how well a target suits a request.
+    ) -> PaceForecast:
+        """Return what a target's pace makes of a request.
 
         :param target: the target
         :param survey: the paces of its service
         :param engine: engine settings of the service, if it has any
         :param demand: size of the generation, if it is one
-        :returns: ``None`` if the request is no long stream with an objective
-            for its pauses, or if no target reports a pace
         """
+        pace = self._board.get_base_pace(target.instance, target.born)
         if not survey.paces or not self.is_long_stream(engine, demand):
-            return None
-        pace = survey.paces.get(target.instance)
-        if pace is None:
-            return Fit.UNKNOWN
-        pause = self.estimate_pause(target.service, engine, pace, survey.peak)
-        return Fit.FITS if pause <= demand.gap_objective else Fit.UNFIT
+            return PaceForecast(pace=pace)
+        at_one = self.estimate_pause(target.service, engine, 1.0, survey.peak)
+        pause = None if pace is None else pace * at_one
+        fit = _judge(pause, demand.gap_objective)
+        return PaceForecast(pace=pace, pause=pause, fit=fit)
 
     def advise(
         self,
+        service: str,
         targets: collections.abc.Collection[Target],
         survey: PaceSurvey,
         engine: Engine | None,
@@ -123,7 +125,8 @@
     ) -> dict[str, Fit]:
         """Return how well targets suit a request, where that matters.
 
-        :param targets: candidates of one service
+        :param service: name of the service
+        :param targets: candidates of the service
         :param survey: the paces of the service
         :param engine: engine settings of the service, if it has any
         :param demand: size of the generation, if it is one
@@ -132,10 +135,12 @@
         """
         if not survey.paces or not self.is_long_stream(engine, demand):
             return {}
-        fits = {
-            target.instance: self.judge(target, survey, engine, demand)
-            for target in targets
-        }
+        at_one = self.estimate_pause(service, engine, 1.0, survey.peak)
+        fits = {}
+        for target in targets:
+            pace = survey.paces.get(target.instance)
+            pause = None if pace is None else pace * at_one
+            fits[target.instance] = _judge(pause, demand.gap_objective)
         unfit = sum(fit is Fit.UNFIT for fit in fits.values())
         return fits if 0 < unfit < len(fits) else {}
 
@@ -150,3 +155,10 @@
         if engine is None or demand is None or demand.gap_objective <= 0:
             return False
         return demand.output > FEW_EVENTS * engine.event_tokens
+
+
+def _judge(pause: float | None, objective: float) -> Fit:
+    """Return the fit of a target by its longest usual pause, in seconds."""
+    if pause is None:
+        return Fit.UNKNOWN
+    return Fit.FITS if pause <= objective else Fit.UNFIT
--- a/packages/gateway/src/chivepier/gateway/targets/reportboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/reportboard.py
@@ -49,6 +49,11 @@
     def __init__(self) -> None:
         self._records: dict[str, tuple[int, _Record]] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target has reported anything."""
+        return not self._records
+
     def record(
         self, instance: str, born: int, load: ReportedLoad, now: float
     ) -> bool:
