--- a/packages/gateway/src/chivepier/gateway/targets/reportboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/reportboard.py
@@ -84,6 +84,11 @@
         self._records: dict[str, tuple[int, _Record]] = {}
         self._pending: dict[str, None] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target has reported anything."""
+        return not self._records
+
     def record(
         self, instance: str, born: int, load: ReportedLoad, now: float
     ) -> bool:
@@ -94,8 +99,12 @@
             milliseconds
         :param load: its report
         :param now: when it was made, in monotonic seconds
-        :returns: whether it is newer than the one that was known
+        :returns: whether it is used: it tells a pace, and is newer than the
+            one that was known
         """
+        if load.pace is None:
+            # counts alone don't tell how long requests wait behind them
+            return False
         record = self._store(instance, born, Reading(load, now))
         if record is None:
             return False
