--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -142,6 +142,7 @@
         self.limits = LimitTable("e1")
         self.backoffs = BackoffTable(rng)
         self.reports = ReportBoard()
+        self.metrics = Metrics()
         balancer = LoadBalancer(
             self.table,
             self.health,
@@ -227,6 +228,7 @@
             retry_after=RetryAfterScheduler(rng),
             clock=clock,
             log=log,
+            metrics=self.metrics,
         )
         self.quarantine.watchers.append(self.mover.cancel_held_back)
         self.planner = Planner(self.state, rng)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_targetassigner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_targetassigner.py
@@ -203,5 +203,7 @@
             (1.7, 272, "unfit") if max_output > 20 else (1.7, None, None)
         )
         assert (line["pace"], line["pause_ms"], line["fit"]) == expected
+        counted = b'streams_by_fit_total{fit="unfit"} 1.0'
+        assert (counted in parts.metrics.render()) is (max_output > 20)
 
     play(test, "fast", "slow", engine=RESERVING)
--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -519,7 +519,9 @@
         )
         memory = tokens / engine.memory_tokens
         cost = max(memory, (load.runs + 1) / engine.slots)
-        if not self.pace_advisor.is_long_stream(engine, demand):
+        if survey.paces and not self.pace_advisor.is_long_stream(
+            engine, demand
+        ):
             cost *= survey.get_relative_pace(target.instance)
         if now < target.warm_at:
             cost += WARMING_COST
