Test moves to slow targets and samples at their pace

Two decisions had no test that fails without them: the last destination of a round is taken whatever its pace, and samples are kept at pace 1.0.

--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_moving.py
@@ -69,6 +69,24 @@
     play(test, "a", "b", "c")
 
 
+def test_stream_moves_to_a_slow_target_if_fast_ones_refuse():
+    # The fast ones, full for longer than the notice, were asked over again.
+    async def test(parts):
+        for name in "abcd":
+            parts.report_pace(name, 0.7, 0.7 * 2.5)
+            parts.loads.adjust_own(name, tokens=50_000)
+        parts.report_pace("slow", 1.7, 1.7 * 2.5)
+        caller, task, run = await begin(parts)
+        assert run.target != "slow"
+        parts.engines.full = set("abcd")
+        parts.leave(run.target)
+        fresh = await parts.engines.wait_run(2)
+        assert fresh.target == "slow"
+        await finish(task, fresh)
+
+    play(test, *"abcd", "slow")
+
+
 def test_runs_of_a_leaving_target_do_not_all_go_to_one():
     # Load must be booked at the destination during a copy. Otherwise all runs
     # of a leaving target choose the same least-loaded destination and fill it.
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_targetassigner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_targetassigner.py
@@ -207,3 +207,18 @@
         assert (counted in parts.metrics.render()) is (max_output > 20)
 
     play(test, "fast", "slow", engine=RESERVING)
+
+
+def test_samples_of_a_slow_target_do_not_make_fast_ones_look_slow():
+    # The estimates of a service followed whichever targets answered last.
+    async def test(parts):
+        parts.report_pace("a", 2.0)
+        plan, runs = parts.planner.plan(make_request()), parts.dispatcher.runs
+        run = runs.start(plan, parts.table.get("a"))
+        await asyncio.sleep(1.0)
+        runs.note_first_event(run)
+        runs.untrack(run)
+        estimator = parts.dispatcher.balancer.prefill_estimator
+        assert estimator.estimate("llm", 100) == pytest.approx(0.5)
+
+    play(test, "a")
