Weigh the reading time of short answers, and tell of failing targets

Change: a short answer's cost has the time to its first event in objectives; an entry says of a target that failed a generation that it avoids it, as it does of unreachable ones. Both only where targets report a pace.

--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -362,6 +362,8 @@
         if self.table.is_current(started.target):
             instance = started.target.instance
             self.health.record_response(instance, failed, slowness, now)
+            if failed and plan.demand is not None:
+                self.balancer.avoid_failing(started.target)
 
     def note_lost(
         self,
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_dispatching.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_dispatching.py
@@ -263,3 +263,18 @@
         assert failure.kind is ErrorKind.DRAINING
 
     play(test, "a")
+
+
+@pytest.mark.parametrize("paces", (True, False))
+def test_target_that_fails_generations_is_reported_to_others(paces):
+    """Guards against one that fails at once, looks idle and gets the most."""
+
+    async def test(parts):
+        parts.engines.failing["a"] = 500
+        if paces:
+            parts.report_pace("a", 1.0)
+        assert (await parts.serve(make_request())).status == 500
+        counted = parts.loads.count_avoiding("a", tell_time())
+        assert counted == (1 if paces else 0)
+
+    play(test, "a")
--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -120,6 +120,17 @@
             instance, self._health.record_unreachable(instance, now)
         )
 
+    def avoid_failing(self, target: Target) -> None:
+        """Avoid a target that failed a generation, where paces are told.
+
+        It ends what it gets at once, so it looks idle and would get more than
+        any other until each entry has found out by itself.
+
+        :param target: the target; reported to the other entries
+        """
+        if self.survey_paces(target.service).paces:
+            self.avoid_unreachable(target.instance)
+
     def record_start(self, instance: str) -> None:
         """Count a request that this entry sent to a target."""
         self._in_flight[instance] = self._in_flight.get(instance, 0) + 1
@@ -523,10 +534,29 @@
             engine, demand
         ):
             cost *= survey.get_relative_pace(target.instance)
+            cost += self._get_reading_cost(target, demand, survey, now)
         if now < target.warm_at:
             cost += WARMING_COST
         return cost
 
+    def _get_reading_cost(
+        self, target: Target, demand: Demand, survey: PaceSurvey, now: float
+    ) -> float:
+        """Return the time to a short answer's first event in its objectives.
+
+        A short answer is in time or late by the time that its prompt takes,
+        which a slow target with free memory may need several times over.
+        """
+        if demand.objective <= 0:
+            return 0.0
+        load = self._loads.get_total(target.instance, now)
+        seconds = self.prefill_estimator.estimate(
+            target.service,
+            load.reading + demand.prompt,
+            self.pace_advisor.get_present_pace(target, survey, now),
+        )
+        return seconds / demand.objective
+
 
 def _get_fit_cost(fit: Fit | None) -> float:
     match fit:
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_paceadvisor.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_paceadvisor.py
@@ -152,3 +152,16 @@
     for name in ("a", "c"):
         pool.loads.adjust_own(name, reading=3_000)
     assert set(pool.rank(SHORT, exclude_full=True)) == {"a", "b"}
+
+
+def test_large_prompt_of_a_short_answer_goes_to_a_fast_target():
+    # A slow target with free memory reads a large prompt for too long.
+    pool = Pool(UNEVEN)
+    pool.balancer.prefill_estimator.record("s", 6_000, 1.0)
+    pool.clock.advance(1.0)
+    for name in ("a", "b"):
+        pool.loads.adjust_own(name, tokens=17_000)
+    large = Demand(prompt=6_000, output=12, objective=1.5)
+    small = Demand(prompt=900, output=12, objective=1.5)
+    assert pool.rank(small)[0] == "c"
+    assert pool.rank(large)[0] != "c"
