Keep room free for the more urgent classes of a service

Long streams of a less urgent class fill the memory of all targets in a rush and hold it for seconds; short requests of a more urgent class, which take a twentieth of it, then wait for longer than their objective.

Entries now tell each other the tokens that wait and those that running generations of a class hold (QueueRecord, summed by voters as the counts are). A class leaves free twice what the more urgent ones take on average, less what they hold now, in whole places; it may always use half of the memory. Services with requests of one urgency are served as before.

test_generation_does_not_wait_for_limited_targets_beside_a_free_one looked at list_own() to see that nothing had waited; that list has running generations now, too. It records calls of enter() instead, which sees all that it saw.

--- a/packages/gateway/src/chivepier/gateway/control/loadledger.py
+++ b/packages/gateway/src/chivepier/gateway/control/loadledger.py
@@ -12,6 +12,7 @@
 
 # Fields that are summed over entries; turns to copy KV memory stay per entry.
 SUMMED_FIELDS = ("runs", "tokens", "reading", "receiving", "avoiding")
+SUMMED_QUEUE_FIELDS = ("waiting", "waiting_tokens", "running", "held_tokens")
 
 
 class LoadLedger:
@@ -29,8 +30,8 @@
         self._load_totals: dict[str, collections.Counter[str]] = (
             collections.defaultdict(collections.Counter)
         )
-        self._waiting_totals: collections.Counter[tuple[str, int]] = (
-            collections.Counter()
+        self._queue_totals: dict[tuple[str, int], collections.Counter[str]] = (
+            collections.defaultdict(collections.Counter)
         )
         self._retry_totals: collections.Counter[str] = collections.Counter()
         self._changes = LoadState()
@@ -86,7 +87,7 @@
                 self._add_copy_record(summed, record)
         for instance in self._load_totals:
             self._add_load_sum(summed, instance)
-        for queue_key in self._waiting_totals:
+        for queue_key in self._queue_totals:
             self._add_waiting_sum(summed, queue_key)
         for service in self._retry_totals:
             self._add_retry_sum(summed, service)
@@ -126,18 +127,20 @@
 
     def _update_waiting(self, queue: QueueRecord) -> None:
         key = (queue.entry, queue.service, queue.rank)
-        before = self._reports.queues.pop(key, None)
-        if queue.waiting:
+        empty = QueueRecord(*key, 0)
+        before = self._reports.queues.pop(key, empty)
+        if queue != empty:
             self._reports.queues[key] = queue
-        delta = queue.waiting - (before.waiting if before else 0)
-        if not delta:
+        if queue == before:
             return
         self._changes.put((), (queue,), ())
         queue_key = (queue.service, queue.rank)
-        self._waiting_totals[queue_key] += delta
+        total = self._queue_totals[queue_key]
+        for name in SUMMED_QUEUE_FIELDS:
+            total[name] += getattr(queue, name) - getattr(before, name)
         self._add_waiting_sum(self._sum_changes, queue_key)
-        if not self._waiting_totals[queue_key]:
-            del self._waiting_totals[queue_key]
+        if not any(total.values()):
+            del self._queue_totals[queue_key]
 
     def _update_retries(self, repeat: RepeatRecord) -> None:
         key = (repeat.entry, repeat.service)
@@ -183,8 +186,11 @@
     def _add_waiting_sum(
         self, state: LoadState, queue_key: tuple[str, int]
     ) -> None:
+        total = self._queue_totals[queue_key]
         queue = QueueRecord(
-            self._own_address, *queue_key, self._waiting_totals[queue_key]
+            self._own_address,
+            *queue_key,
+            *(total[name] for name in SUMMED_QUEUE_FIELDS),
         )
         state.put((), (queue,), ())
 
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_loadledger.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_loadledger.py
@@ -98,3 +98,18 @@
         for key, record in state.records.items()
         if record != LoadRecord(*key, 0, 0, 0, 0)
     }
+
+
+def test_held_room_is_summed_and_dropped_with_its_entry():
+    """Voters that keep a dead entry's room keep it from all others."""
+    ledger = LoadLedger("v1")
+    for name in ("e1", "e2"):
+        queue = QueueRecord(name, "llm", 0, 0, 0, 2, 500)
+        ledger.receive(LoadNotice((), (queue,)), 0.0)
+    (total,) = ledger.aggregate().queues.values()
+    assert total == QueueRecord("v1", "llm", 0, 0, 0, 4, 1_000)
+    ledger.drop_entry("e1")
+    ledger.expire(3.5)
+    _, sums = ledger.pop_changes()
+    assert list(sums.queues.values()) == [QueueRecord("v1", "llm", 0, 0)]
+    assert not ledger.aggregate()
--- a/packages/gateway/src/chivepier/gateway/following/loadexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/loadexchange.py
@@ -16,6 +16,9 @@
 BATCH_SECONDS = 0.01
 # Seconds between two full reports of this entry's loads.
 FULL_REPORT_SECONDS = 1.0
+# Growth of the room that a class holds here which is reported before the next
+# full report, in tokens: a part of one generation.
+HELD_STEP_TOKENS = 1_024
 
 Post = collections.abc.Callable[[LoadNotice], None]
 
@@ -44,7 +47,7 @@
         self._table = table
         self._clock = clock
         self._sent_loads: dict[str, LoadRecord] = {}
-        self._sent_queues: dict[tuple[str, int], int] = {}
+        self._sent_queues: dict[tuple[str, int], QueueRecord] = {}
         self._sent_loans: dict[str, int] = {}
 
     def merge(self, notice: LoadNotice) -> None:
@@ -60,6 +63,7 @@
             self._board.put(record, now)
         for queue in notice.queues:
             self._queues.put(queue, now)
+        self._queues.sample(now)
         self._budget.update_peer_loans(notice.repeats, notice.whole, now)
 
     def resend_all(self) -> None:
@@ -117,9 +121,10 @@
         records = []
         for record in self._queues.list_own():
             key = (record.service, record.rank)
-            if full or self._sent_queues.get(key) != record.waiting:
+            sent = self._sent_queues.get(key)
+            if full or sent is None or _is_news(record, sent):
                 records.append(record)
-            self._sent_queues[key] = record.waiting
+                self._sent_queues[key] = record
         return tuple(records)
 
     def _collect_loans(
@@ -133,3 +138,16 @@
                 records.append(record)
             self._sent_loans[record.service] = record.used
         return tuple(records)
+
+
+def _is_news(record: QueueRecord, sent: QueueRecord) -> bool:
+    """Tell whether counts differ enough from those that were sent last.
+
+    Running generations grow all the time; each start and end is reported.
+    """
+    return (
+        record.waiting != sent.waiting
+        or record.waiting_tokens != sent.waiting_tokens
+        or record.running != sent.running
+        or abs(record.held_tokens - sent.held_tokens) >= HELD_STEP_TOKENS
+    )
--- a/packages/gateway/src/chivepier/gateway/messages/queuerecord.py
+++ b/packages/gateway/src/chivepier/gateway/messages/queuerecord.py
@@ -5,9 +5,15 @@
 
 @message(163)
 class QueueRecord:
-    """Number of requests of one rank that wait at one entry for a service."""
+    """Requests of one rank that wait at one entry, or hold room, by service.
+
+    The rank of those that hold room is their urgency.
+    """
 
     entry: str
     service: str
     rank: int
     waiting: int
+    waiting_tokens: int = 0
+    running: int = 0
+    held_tokens: int = 0
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -100,7 +100,9 @@
         self.gate = gate
         self.clock = clock
         self.log = log
-        self.runs = RunTracker(loads, mover, balancer.prefill_estimator, clock)
+        self.runs = RunTracker(
+            loads, mover, balancer.prefill_estimator, clock, queues
+        )
         self._rejection = RejectionPolicy(table, clock, retry_after, log)
         self._assigner = TargetAssigner(
             balancer, health, queues, calls, guard, gate, clock, log
--- a/packages/gateway/src/chivepier/gateway/serving/runtracker.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runtracker.py
@@ -8,6 +8,7 @@
 from chivepier.gateway.targets import LoadTracker
 from chivepier.gateway.targets import NEAR_TERM_OUTPUT_TOKENS
 from chivepier.gateway.targets import PrefillEstimator
+from chivepier.gateway.targets import QueueTracker
 from chivepier.gateway.targets import Target
 from chivepier.types import Clock
 
@@ -19,6 +20,7 @@
     :param mover: migrates generations off targets that leave
     :param prefill_estimator: estimator of the prefill time
     :param clock: monotonic clock
+    :param queues: gets the room that each class holds
     """
 
     def __init__(
@@ -27,7 +29,9 @@
         mover: Mover,
         prefill_estimator: PrefillEstimator,
         clock: Clock,
+        queues: QueueTracker,
     ):
+        self._queues = queues
         self._prefill_estimator = prefill_estimator
         self._decode_estimator = DecodeEstimator()
         self._loads = loads
@@ -131,6 +135,7 @@
         grown = run.held_tokens + NEAR_TERM_OUTPUT_TOKENS - run.counted_tokens
         run.counted_tokens += grown
         self._loads.adjust_own(run.target.instance, tokens=grown)
+        self._adjust_held(run, 0, grown)
 
     def _count(self, run: LiveRun, sign: int) -> None:
         waits = run.first_event_at is None
@@ -140,3 +145,10 @@
             tokens=sign * run.counted_tokens,
             reading=sign * run.prefill_tokens if waits else 0,
         )
+        self._adjust_held(run, sign, sign * run.counted_tokens)
+
+    def _adjust_held(self, run: LiveRun, runs: int, tokens: int) -> None:
+        if run.plan.demand is not None:
+            self._queues.adjust_held(
+                run.service.name, run.plan.urgency, runs, tokens
+            )
--- a/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
@@ -3,6 +3,7 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.permits import Claim
 from chivepier.gateway.serving.assignment import Assignment
+from chivepier.gateway.serving.classreserve import find_reserve
 from chivepier.gateway.serving.crashguard import CrashGuard
 from chivepier.gateway.serving.errors import AllBackedOffError
 from chivepier.gateway.serving.errors import NoCapacityError
@@ -97,7 +98,9 @@
         if plan.demand is None or engine is None or not engine.reserve_seconds:
             await self._await_backoffs(plan)
             return await self._assign_unreserved(plan, tried)
-        with QueueTicket(self._queues, plan.service.name) as ticket:
+        with QueueTicket(
+            self._queues, plan.service.name, plan.demand.near_term_tokens
+        ) as ticket:
             while not self._guard.is_held(plan):
                 await self._await_backoffs(plan, ticket)
                 if not self._rank_targets(plan, tried):
@@ -107,7 +110,7 @@
                 if stage is WaitStage.OVER:
                     self._log.info("no_room", id=plan.request.id)
                     raise NoCapacityError
-                for target in self._select_targets(plan, stage, tried):
+                for target in self._select_targets(plan, stage, tried, ticket):
                     assignment = await self._try_target(
                         plan, target, all_limited
                     )
@@ -270,7 +273,11 @@
         return classify_wait(plan, self._clock.monotonic(), reading)
 
     def _select_targets(
-        self, plan: Plan, stage: WaitStage, tried: set[str]
+        self,
+        plan: Plan,
+        stage: WaitStage,
+        tried: set[str],
+        ticket: QueueTicket,
     ) -> list[Target]:
         """Return the targets to ask for a reservation in this round."""
         if stage is not WaitStage.PRESSING and not self._has_spare_room(
@@ -283,8 +290,43 @@
             for target in self._rank_targets(plan, tried, exclude_full=True)
             if self._gate.find_backoff(target, claim) is None
         ]
+        found = self._leave_room(plan, found, ticket)
         return found[:MAX_TARGETS_PER_ROUND]
 
+    def _leave_room(
+        self, plan: Plan, found: list[Target], ticket: QueueTicket
+    ) -> list[Target]:
+        """Return the targets at which more urgent classes still find room."""
+        if not found:
+            return found
+        service, tokens = plan.service, plan.demand.near_term_tokens
+        now = self._clock.monotonic()
+        usages = self._queues.list_usage(service.name, now)
+        if all(usage.urgency >= plan.urgency for usage in usages):
+            return found
+        engine = service.engine
+        free = self._balancer.list_free(service.name, engine)
+        reserve = find_reserve(
+            usages, plan.urgency, tokens, engine.memory_tokens, len(free)
+        )
+        if reserve is None:
+            return found
+        allowed = reserve.select(free, tokens)
+        if not allowed and not ticket.held_back:
+            ticket.held_back = True
+            self._log.info(
+                "room_kept",
+                id=plan.request.id,
+                service=service.name,
+                urgency=plan.urgency,
+                tokens=tokens,
+                places=reserve.places,
+                place_tokens=round(reserve.size),
+                free=round(sum(free.values())),
+                held={usage.urgency: usage.held for usage in usages},
+            )
+        return [target for target in found if target.instance in allowed]
+
     def _has_spare_room(self, plan: Plan, stage: WaitStage) -> bool:
         """Return whether there is room besides that for requests ahead.
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
@@ -209,12 +209,14 @@
             parts.announce_limit(f"t{number}", 1.0)
             target = parts.table.get(f"t{number}")
             await gate.acquire_permit(service, target, claim)
+        entered = []
+        parts.queues.enter = lambda *request: entered.append(request)
         caller, task = parts.start(make_request())
         run = await parts.engines.wait_run(1)
         await finish(task, run, 1)
         assert run.target == "t9"
         # it was never added to the queue
-        assert parts.queues.list_own() == []
+        assert entered == []
 
     play(test, *(f"t{n}" for n in range(10)), engine=RESERVING)
 
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -1,5 +1,6 @@
 """Known targets, their health and load, and the choice among them."""
 
+from chivepier.gateway.targets.classusage import ClassUsage
 from chivepier.gateway.targets.decodeestimator import DecodeEstimator
 from chivepier.gateway.targets.demand import Demand
 from chivepier.gateway.targets.demand import NEAR_TERM_OUTPUT_TOKENS
@@ -21,6 +22,7 @@
 from chivepier.gateway.targets.targettable import TargetTable
 
 __all__ = [
+    "ClassUsage",
     "DecodeEstimator",
     "Demand",
     "InvalidReport",
--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -387,6 +387,28 @@
             fitting += int(spare // max(1, demand.near_term_tokens))
         return fitting
 
+    def list_free(
+        self,
+        service: str,
+        engine: Engine,
+        regions: collections.abc.Collection[str] | None = None,
+    ) -> dict[str, float]:
+        """Return the free memory of each target, in tokens.
+
+        :param service: name of the service
+        :param engine: engine settings of the targets
+        :param regions: regions of the targets; ``None`` for all
+        """
+        now = self._clock.monotonic()
+        memory = MAX_MEMORY_SHARE * engine.memory_tokens
+        return {
+            target.instance: max(
+                0.0,
+                memory - self._loads.get_total(target.instance, now).tokens,
+            )
+            for target in self._select_available(service, now, regions)
+        }
+
     def count_leaving(self, service: str) -> int:
         """Count the generations whose target leaves.
 
--- a/packages/gateway/src/chivepier/gateway/targets/queuetracker.py
+++ b/packages/gateway/src/chivepier/gateway/targets/queuetracker.py
@@ -1,18 +1,29 @@
-"""Queued requests over all entries."""
+"""Queued and running requests over all entries."""
 
 import collections
 
 from chivepier.gateway.messages import QueueRecord
+from chivepier.gateway.targets.classusage import ClassUsage
 from chivepier.gateway.targets.loadtracker import REPORT_EXPIRY_SECONDS
+from chivepier.gateway.targets.queuecounts import QueueCounts
+from chivepier.gateway.targets.usageaverage import UsageAverage
 from chivepier.types import Signal
 
+# Minimum interval of the samples of what classes take: a tenth of the time
+# that short generations run.
+SAMPLE_SECONDS = 0.05
+# Average below which a class that holds nothing is forgotten, in tokens.
+MIN_AVERAGE_TOKENS = 1.0
+
+Key = tuple[str, int]
+
 
 class QueueTracker:
-    """Counts queued requests by service and rank; the lowest goes first.
+    """Counts requests by service and rank; the lowest goes first.
 
     Each entry assigns targets on its own. Without the counts of the others, a
     new request could take the capacity that a more urgent one waits for at
-    another entry.
+    another entry, or will need within the next seconds.
 
     :param own_entry: name of this entry
     :param changed: set whenever the counts of this entry change
@@ -21,42 +32,85 @@
     def __init__(self, own_entry: str, changed: Signal):
         self.own_entry = own_entry
         self._changed = changed
-        self._own: collections.Counter[tuple[str, int]] = collections.Counter()
-        self._remote: dict[tuple[str, int], dict[str, tuple[int, float]]] = (
+        self._own: dict[Key, QueueCounts] = collections.defaultdict(
+            QueueCounts
+        )
+        self._remote: dict[Key, dict[str, tuple[QueueCounts, float]]] = (
             collections.defaultdict(dict)
         )
+        self._averages: dict[Key, UsageAverage] = {}
+        self._sizes: dict[Key, float] = {}
+        self._sampled_at: float | None = None
+
+    def enter(self, service: str, rank: int, tokens: int = 0) -> None:
+        """Count a request that starts to wait here.
+
+        :param service: name of the service
+        :param rank: rank of the request
+        :param tokens: room that it needs, in tokens
+        """
+        counts = self._own[(service, rank)]
+        counts.waiting += 1
+        counts.waiting_tokens += tokens
+        self._changed.set()
 
-    def enter(self, service: str, rank: int) -> None:
-        """Count a request that starts to wait here."""
-        self._own[(service, rank)] += 1
+    def leave(self, service: str, rank: int, tokens: int = 0) -> None:
+        """Count a request that stops waiting here; see :meth:`enter`."""
+        counts = self._own[(service, rank)]
+        counts.waiting -= 1
+        counts.waiting_tokens -= tokens
         self._changed.set()
 
-    def leave(self, service: str, rank: int) -> None:
-        """Count a request that stops waiting here."""
-        self._own[(service, rank)] -= 1
+    def adjust_held(
+        self, service: str, urgency: int, runs: int = 0, tokens: int = 0
+    ) -> None:
+        """Add to the room that generations of this entry hold.
+
+        :param service: name of the service
+        :param urgency: their class
+        :param runs: number of generations that started, less those that ended
+        :param tokens: tokens that they take, less those that they free
+        """
+        counts = self._own[(service, urgency)]
+        counts.running += runs
+        counts.held_tokens += tokens
         self._changed.set()
 
     def put(self, record: QueueRecord, now: float) -> None:
-        """Store the count of another entry.
+        """Store the counts of another entry.
 
-        :param record: reported count
+        :param record: reported counts
         :param now: current monotonic time, in seconds
         """
         if record.entry != self.own_entry:
+            counts = QueueCounts(
+                record.waiting,
+                record.waiting_tokens,
+                record.running,
+                record.held_tokens,
+            )
             key = (record.service, record.rank)
-            self._remote[key][record.entry] = (record.waiting, now)
+            self._remote[key][record.entry] = counts, now
 
     def drop_all_remote(self) -> None:
         """Drop the counts of all other entries before a full update."""
         self._remote.clear()
 
     def list_own(self) -> list[QueueRecord]:
-        """Return the counts of this entry; a count of 0 is reported once."""
+        """Return the counts of this entry; those of 0 are reported once."""
         records = [
-            QueueRecord(self.own_entry, service, rank, waiting)
-            for (service, rank), waiting in self._own.items()
+            QueueRecord(
+                self.own_entry,
+                service,
+                rank,
+                counts.waiting,
+                counts.waiting_tokens,
+                counts.running,
+                counts.held_tokens,
+            )
+            for (service, rank), counts in self._own.items()
         ]
-        for key in [key for key, waiting in self._own.items() if not waiting]:
+        for key in [key for key, counts in self._own.items() if not counts]:
             del self._own[key]
         return records
 
@@ -67,16 +121,76 @@
         :param rank: rank of the request
         :param now: current monotonic time, in seconds
         """
-        own = sum(
-            waiting
-            for (name, other), waiting in self._own.items()
-            if name == service and other < rank
-        )
-        others = sum(
-            waiting
-            for (name, other), entries in self._remote.items()
-            if name == service and other < rank
-            for waiting, heard in entries.values()
-            if now - heard < REPORT_EXPIRY_SECONDS
-        )
-        return own + others
+        return self._sum_ahead(service, rank, now).waiting
+
+    def count_tokens_ahead(self, service: str, rank: int, now: float) -> int:
+        """Count the tokens that queued requests of lower rank need.
+
+        :param service: name of the service
+        :param rank: rank of the request
+        :param now: current monotonic time, in seconds
+        """
+        return self._sum_ahead(service, rank, now).waiting_tokens
+
+    def list_usage(self, service: str, now: float) -> list[ClassUsage]:
+        """Return what each class of a service takes, the most urgent first.
+
+        :param service: name of the service
+        :param now: current monotonic time, in seconds
+        """
+        self.sample(now)
+        found = []
+        for key in sorted(k for k in self._averages if k[0] == service):
+            counts = self._sum(key, now)
+            found.append(
+                ClassUsage(
+                    urgency=key[1],
+                    running=counts.running,
+                    held=counts.held_tokens,
+                    average=self._averages[key].value,
+                    size=self._sizes[key],
+                )
+            )
+        return found
+
+    def sample(self, now: float) -> None:
+        """Note what classes take now; to be called when counts change.
+
+        A class takes what its generations hold and what those that wait need:
+        one that finds no room would otherwise seem to need none.
+
+        :param now: current monotonic time, in seconds
+        """
+        last = self._sampled_at
+        if last is not None and 0.0 <= now - last < SAMPLE_SECONDS:
+            return
+        self._sampled_at = now
+        for key in {*self._own, *self._remote, *self._averages}:
+            counts = self._sum(key, now)
+            average = self._averages.get(key)
+            if counts.running:
+                self._sizes[key] = counts.held_tokens / counts.running
+                if average is None:
+                    average = self._averages[key] = UsageAverage()
+            # the ranks of late requests hold no room, so aren't averaged
+            if average is not None:
+                taken = counts.held_tokens + counts.waiting_tokens
+                average.sample(taken, now)
+                if not taken and average.value < MIN_AVERAGE_TOKENS:
+                    del self._averages[key], self._sizes[key]
+
+    def _sum_ahead(self, service: str, rank: int, now: float) -> QueueCounts:
+        total = QueueCounts()
+        for key in self._own.keys() | self._remote.keys():
+            if key[0] == service and key[1] < rank:
+                total.add(self._sum(key, now))
+        return total
+
+    def _sum(self, key: Key, now: float) -> QueueCounts:
+        total = QueueCounts()
+        if key in self._own:
+            total.add(self._own[key])
+        for counts, heard in self._remote.get(key, {}).values():
+            if now - heard < REPORT_EXPIRY_SECONDS:
+                total.add(counts)
+        return total
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_queuetracker.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_queuetracker.py
@@ -44,3 +44,23 @@
     tracker.enter("s", 0)
     tracker.put(QueueRecord("me", "s", 0, 5), 0.0)
     assert tracker.count_ahead("s", 1, 0.0) == 1
+
+
+def test_class_that_waits_counts_as_taking_room():
+    """An urgent class that finds no room would seem to need none."""
+    tracker = make()
+    tracker.put(QueueRecord("other", "s", 0, 0, 0, 2, 200), 0.0)
+    tracker.sample(0.0)
+    tracker.put(QueueRecord("other", "s", 0, 9, 900, 1, 100), 1.0)
+    for second in range(1, 4):
+        (usage,) = tracker.list_usage("s", float(second))
+    assert usage.held == 100 and 200 < usage.average < 1_000
+
+
+def test_room_of_silent_entry_is_kept_no_longer():
+    """An entry is killed; what it held would be kept from others for ever."""
+    tracker = make()
+    tracker.put(QueueRecord("other", "s", 0, 0, 0, 2, 200), 0.0)
+    assert tracker.list_usage("s", 3.0)[0].held == 200
+    assert tracker.list_usage("s", 4.0)[0].held == 0
+    assert not tracker.list_usage("s", 300.0)
