Refuse at once what can't start in time, and say when to come back

A request that came when many seconds of work were queued was held for three objectives, then refused with half an objective as Retry-After for everybody.

The start is now estimated as a request enters a rank, at its arrival and as it becomes late: tokens that wait ahead at all entries and its own, less the free room that isn't kept, over what all generations hold by the mean seconds that a token is held. Clearly beyond the latest useful start it is refused as not run; Retry-After, also at the end of the longest wait, is when what is ahead has gone, spread, within a third of the time left. Unsure admits.

--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -26,6 +26,8 @@
     "unread",
     "rests",
     "held_back",
+    "room_kept",
+    "refused_early",
 )
 
 
@@ -135,6 +137,31 @@
         """
         self._record("held_back", (reason,), 1.0)
 
+    def record_room_kept(self, urgency: str) -> None:
+        """Count a request left out for the sake of more urgent classes.
+
+        :param urgency: urgency class of the request
+        """
+        self._record("room_kept", (urgency,), 1.0)
+
+    def record_refused_early(self, urgency: str) -> None:
+        """Count a request refused as it would start too late.
+
+        :param urgency: urgency class of the request
+        """
+        self._record("refused_early", (urgency,), 1.0)
+
+    def record_room_wait(
+        self, urgency: str, kind: str, seconds: float
+    ) -> None:
+        """Observe a wait for room.
+
+        :param urgency: urgency class of the request
+        :param kind: ``expected`` when it began, or ``real`` when it ended
+        :param seconds: the wait, in seconds
+        """
+        self._record("room_wait", (urgency, kind), seconds)
+
     def record_unknown_header(self, name: str) -> None:
         """Count an unknown header in a target's answer.
 
@@ -226,6 +253,25 @@
             ("reason",),
             registry=registry,
         ),
+        "room_kept": library.Counter(
+            "chivepier_room_kept",
+            "Requests left out of a round for more urgent classes.",
+            ("class",),
+            registry=registry,
+        ),
+        "refused_early": library.Counter(
+            "chivepier_refused_early",
+            "Requests refused as they would have started too late.",
+            ("class",),
+            registry=registry,
+        ),
+        "room_wait": library.Histogram(
+            "chivepier_room_wait_seconds",
+            "Waits for room, as expected when they began, and real.",
+            ("class", "kind"),
+            buckets=BUCKETS,
+            registry=registry,
+        ),
         "unread": library.Counter(
             "chivepier_unread_headers",
             "Headers of targets' answers that nothing reads.",
--- a/packages/gateway/src/chivepier/gateway/serving/classreserve.py
+++ b/packages/gateway/src/chivepier/gateway/serving/classreserve.py
@@ -46,6 +46,11 @@
     places: int
     size: float
 
+    @property
+    def tokens(self) -> float:
+        """Room that is kept in all, in tokens."""
+        return self.places * self.size
+
     def select(
         self, free: collections.abc.Mapping[str, float], tokens: int
     ) -> set[str]:
@@ -54,7 +59,7 @@
         :param free: free room of each target, in tokens
         :param tokens: size of the generation that is to be placed
         """
-        if sum(free.values()) - tokens < self.places * self.size:
+        if sum(free.values()) - tokens < self.tokens:
             return set()
         share = math.ceil(MAX_TARGET_FACTOR * self.places / len(free))
         total = sum(self._count(room, share) for room in free.values())
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -4,6 +4,7 @@
 import math
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.permits import Permit
 from chivepier.gateway.quarantine import shorten
 from chivepier.gateway.serving.assignment import Assignment
@@ -69,6 +70,7 @@
     :param retry_after: schedules when refused callers may retry
     :param clock: monotonic clock
     :param log: event log for decisions on requests
+    :param metrics: gets the waits for room
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         retry_after: RetryAfterScheduler,
         clock: Clock,
         log: EventLog,
+        metrics: Metrics,
     ):
         self.state = state
         self.table = table
@@ -105,7 +108,16 @@
         )
         self._rejection = RejectionPolicy(table, clock, retry_after, log)
         self._assigner = TargetAssigner(
-            balancer, health, queues, calls, guard, gate, clock, log
+            balancer,
+            health,
+            queues,
+            self.runs.holds,
+            calls,
+            guard,
+            gate,
+            clock,
+            log,
+            metrics,
         )
 
     async def dispatch(self, plan: Plan) -> StartedAnswer:
@@ -181,9 +193,10 @@
     ) -> Assignment | None:
         try:
             return await self._assigner.find_assignment(plan, tried)
-        except NoCapacityError:
-            text = "no target has room"
-            raise self._rejection.make_error(plan, runs, text) from None
+        except NoCapacityError as error:
+            raise self._rejection.make_no_room_error(
+                plan, runs, error
+            ) from None
         except RateLimitedError as error:
             raise self._rejection.make_over_limit_error(
                 plan, runs, error.rate, self.state.entries
--- a/packages/gateway/src/chivepier/gateway/serving/errors.py
+++ b/packages/gateway/src/chivepier/gateway/serving/errors.py
@@ -1,5 +1,7 @@
 """Errors of sending a request to a target."""
 
+from chivepier.gateway.serving.startestimate import StartEstimate
+
 
 class NotSentError(Exception):
     """The request was not sent, so it has certainly not run."""
@@ -10,7 +12,16 @@
 
 
 class NoCapacityError(Exception):
-    """No target had capacity while the request could wait."""
+    """No target has capacity while the request can wait.
+
+    :param estimate: when it would have started, as far as known
+    :param early: whether it was refused before its time was over
+    """
+
+    def __init__(self, estimate: StartEstimate, early: bool):
+        super().__init__("no target has capacity in time")
+        self.estimate = estimate
+        self.early = early
 
 
 class RateLimitedError(Exception):
--- a/packages/gateway/src/chivepier/gateway/serving/queueticket.py
+++ b/packages/gateway/src/chivepier/gateway/serving/queueticket.py
@@ -10,27 +10,30 @@
     :param service: name of the service that the request waits for
     :param tokens: room that it needs, in tokens
     :ivar held_back: whether it was left out for a more urgent class
+    :ivar rank: the rank that it is counted in; ``None`` until it waits
+    :ivar since: when it began to wait, in monotonic seconds
     """
 
     def __init__(self, queues: QueueTracker, service: str, tokens: int = 0):
         self._queues = queues
         self._tokens = tokens
         self._service = service
-        self._rank: int | None = None
+        self.rank: int | None = None
         self.held_back = False
+        self.since: float | None = None
 
     def __enter__(self) -> "QueueTicket":
         return self
 
     def __exit__(self, *exc) -> None:
-        if self._rank is not None:
-            self._queues.leave(self._service, self._rank, self._tokens)
+        if self.rank is not None:
+            self._queues.leave(self._service, self.rank, self._tokens)
 
     def set_rank(self, rank: int) -> None:
         """Count the request as waiting in this rank, and in no other."""
-        if rank == self._rank:
+        if rank == self.rank:
             return
         self._queues.enter(self._service, rank, self._tokens)
-        if self._rank is not None:
-            self._queues.leave(self._service, self._rank, self._tokens)
-        self._rank = rank
+        if self.rank is not None:
+            self._queues.leave(self._service, self.rank, self._tokens)
+        self.rank = rank
--- a/packages/gateway/src/chivepier/gateway/serving/rejectionpolicy.py
+++ b/packages/gateway/src/chivepier/gateway/serving/rejectionpolicy.py
@@ -3,6 +3,7 @@
 import datetime
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.serving.errors import NoCapacityError
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.retryafterscheduler import RetryAfterScheduler
 from chivepier.gateway.targets import TargetState
@@ -102,6 +103,34 @@
             return RequestError.of(ErrorKind.TARGET_FAILED, text, Ran.UNKNOWN)
         return self._make_no_target_error(text, plan.route.objective / 2)
 
+    def make_no_room_error(
+        self, plan: Plan, runs: int, error: NoCapacityError
+    ) -> RequestError:
+        """Return the error of a request for which no room becomes free.
+
+        :param plan: the plan of the request
+        :param runs: number of targets that may have run it
+        :param error: says when it would have started
+        """
+        text, estimate = "no target has room", error.estimate
+        drain = estimate.drain_seconds
+        if runs or drain is None:
+            return self.make_error(plan, runs, text)
+        left = plan.deadline - self._clock.monotonic()
+        back = self._retry_after.spread(drain, left)
+        self._log_rejection(
+            "refused_early" if error.early else "refused_late",
+            plan,
+            back,
+            tokens=estimate.tokens,
+            ahead_tokens=estimate.ahead,
+            free=round(estimate.free),
+            rate=round(estimate.rate or 0.0),
+            expected_ms=round(1000 * (estimate.seconds or 0.0)),
+            left_ms=round(1000 * left),
+        )
+        return self._make_no_target_error(text, back)
+
     def make_over_limit_error(
         self, plan: Plan, runs: int, rate: float, entries: int
     ) -> RequestError:
--- a/packages/gateway/src/chivepier/gateway/serving/retryafterscheduler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/retryafterscheduler.py
@@ -13,6 +13,9 @@
 # fraction of it plus the minimum.
 JITTER_FRACTION = 0.5
 MIN_JITTER_SECONDS = 0.1
+# Maximum share of the time left until a request's deadline: callers that are
+# told to wait longer don't.
+MAX_LEFT_SHARE = 1 / 3
 
 
 class RetryAfterScheduler:
@@ -41,6 +44,17 @@
         max_jitter = MIN_JITTER_SECONDS + JITTER_FRACTION * seconds
         return seconds + self._rng.uniform(0.0, max_jitter)
 
+    def spread(self, seconds: float, left: float) -> float:
+        """Return a retry delay in seconds that leaves time for the retry.
+
+        :param seconds: time until the request's turn
+        :param left: time until its deadline, in seconds
+        """
+        delay, longest = self.add_jitter(seconds), MAX_LEFT_SHARE * left
+        if delay <= longest:
+            return delay
+        return self._rng.uniform(0.5, 1.0) * max(0.0, longest)
+
     def schedule(
         self, service: str, rate: float, entries: int, now: float
     ) -> float:
--- a/packages/gateway/src/chivepier/gateway/serving/runtracker.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runtracker.py
@@ -5,6 +5,7 @@
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.targets import DecodeEstimator
 from chivepier.gateway.targets import Demand
+from chivepier.gateway.targets import HoldEstimator
 from chivepier.gateway.targets import LoadTracker
 from chivepier.gateway.targets import NEAR_TERM_OUTPUT_TOKENS
 from chivepier.gateway.targets import PrefillEstimator
@@ -21,6 +22,7 @@
     :param prefill_estimator: estimator of the prefill time
     :param clock: monotonic clock
     :param queues: gets the room that each class holds
+    :ivar holds: how long generations hold their room
     """
 
     def __init__(
@@ -31,6 +33,7 @@
         clock: Clock,
         queues: QueueTracker,
     ):
+        self.holds = HoldEstimator()
         self._queues = queues
         self._prefill_estimator = prefill_estimator
         self._decode_estimator = DecodeEstimator()
@@ -70,6 +73,11 @@
         """Remove a generation from the load of its target and the mover."""
         self._count(run, -1)
         self._mover.remove(run)
+        if run.ended and run.first_event_at is not None and not run.moved:
+            now = self._clock.monotonic()
+            self.holds.record(
+                run.service.name, run.counted_tokens, now - run.sent_at, now
+            )
 
     def abandon(self, run: LiveRun) -> None:
         """Stop tracking a generation that is not resumed, and mark it ended.
--- a/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
@@ -1,8 +1,10 @@
 """Assigning a request to a target that has room for it."""
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.permits import Claim
 from chivepier.gateway.serving.assignment import Assignment
+from chivepier.gateway.serving.classreserve import ClassReserve
 from chivepier.gateway.serving.classreserve import find_reserve
 from chivepier.gateway.serving.crashguard import CrashGuard
 from chivepier.gateway.serving.errors import AllBackedOffError
@@ -13,11 +15,14 @@
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.queueticket import QueueTicket
 from chivepier.gateway.serving.sendgate import SendGate
+from chivepier.gateway.serving.startestimate import StartEstimate
 from chivepier.gateway.serving.targetcalls import TargetCalls
 from chivepier.gateway.serving.waitstage import classify_wait
 from chivepier.gateway.serving.waitstage import compute_rank
 from chivepier.gateway.serving.waitstage import MAX_WAIT_OBJECTIVES
 from chivepier.gateway.serving.waitstage import WaitStage
+from chivepier.gateway.targets import ClassUsage
+from chivepier.gateway.targets import HoldEstimator
 from chivepier.gateway.targets import LoadBalancer
 from chivepier.gateway.targets import QueueTracker
 from chivepier.gateway.targets import Target
@@ -54,11 +59,13 @@
     :param balancer: ranks the targets
     :param health: tracks unreachable targets
     :param queues: numbers of requests waiting at all entries
+    :param holds: how long generations hold their room
     :param calls: sends reservations to targets
     :param guard: blocks requests that crash targets
     :param gate: decides what may be sent to which target
     :param clock: source of monotonic time
     :param log: receives assignment events
+    :param metrics: counts waits and early refusals
     """
 
     def __init__(
@@ -66,12 +73,16 @@
         balancer: LoadBalancer,
         health: TargetHealth,
         queues: QueueTracker,
+        holds: HoldEstimator,
         calls: TargetCalls,
         guard: CrashGuard,
         gate: SendGate,
         clock: Clock,
         log: EventLog,
+        metrics: Metrics,
     ):
+        self._holds = holds
+        self._metrics = metrics
         self._balancer = balancer
         self._health = health
         self._queues = queues
@@ -109,18 +120,92 @@
                 all_limited = self._check_rate_limits(plan)
                 if stage is WaitStage.OVER:
                     self._log.info("no_room", id=plan.request.id)
-                    raise NoCapacityError
+                    raise NoCapacityError(
+                        self._estimate_start(plan, plan.urgency + 1, ticket),
+                        early=False,
+                    )
                 for target in self._select_targets(plan, stage, tried, ticket):
                     assignment = await self._try_target(
                         plan, target, all_limited
                     )
                     if assignment is not None:
+                        self._note_wait_end(plan, ticket)
                         return assignment
+                self._check_start(plan, stage, tried, ticket)
                 ticket.set_rank(compute_rank(plan, stage))
                 await self._clock.sleep(ROUND_INTERVAL_SECONDS)
                 await self._gate.wait_fresh()
         return None
 
+    def _check_start(
+        self,
+        plan: Plan,
+        stage: WaitStage,
+        tried: set[str],
+        ticket: QueueTicket,
+    ) -> None:
+        """Reject a request that clearly can't start in time.
+
+        Checked at its arrival, and when it becomes late.
+
+        :raises NoCapacityError: unless it may, or room for it is free
+        """
+        rank = compute_rank(plan, stage)
+        if rank == ticket.rank:
+            return
+        now = self._clock.monotonic()
+        # those that are in the rank that it enters came earlier
+        estimate = self._estimate_start(plan, rank + 1, ticket)
+        if ticket.since is None:
+            ticket.since = now
+            if estimate.seconds is not None:
+                self._metrics.record_room_wait(
+                    str(plan.urgency), "expected", estimate.seconds
+                )
+        left = self._compute_latest_start(plan) - now
+        if not estimate.is_beyond(left):
+            return
+        roomy = self._rank_targets(plan, tried, exclude_full=True)
+        if not self._leave_room(plan, roomy, ticket):
+            self._metrics.record_refused_early(str(plan.urgency))
+            raise NoCapacityError(estimate, early=True)
+
+    def _estimate_start(
+        self, plan: Plan, rank: int, ticket: QueueTicket
+    ) -> StartEstimate:
+        """Estimate when a request starts.
+
+        :param plan: the plan of the request
+        :param rank: requests of lower rank go first
+        :param ticket: shows whether it is counted itself
+        """
+        service, now = plan.service, self._clock.monotonic()
+        usages = self._queues.list_usage(service.name, now)
+        rooms = self._balancer.list_free(
+            service.name, service.engine, plan.regions
+        )
+        free = sum(rooms.values())
+        # what is kept in other regions isn't known
+        if plan.regions is None:
+            reserve = self._find_reserve(plan, usages, len(rooms))
+            free -= reserve.tokens if reserve else 0.0
+        seconds = self._holds.estimate(service.name, now)
+        ahead = self._queues.count_tokens_ahead(service.name, rank, now)
+        if ticket.rank is not None and ticket.rank < rank:
+            ahead -= plan.demand.near_term_tokens
+        held = sum(usage.held for usage in usages)
+        return StartEstimate(
+            tokens=plan.demand.near_term_tokens,
+            ahead=max(0, ahead),
+            free=max(0.0, free),
+            rate=held / seconds if seconds else None,
+        )
+
+    def _note_wait_end(self, plan: Plan, ticket: QueueTicket) -> None:
+        if ticket.since is not None:
+            waited = self._clock.monotonic() - ticket.since
+            self._metrics.record_room_wait(str(plan.urgency), "real", waited)
+
     async def _await_backoffs(
         self, plan: Plan, ticket: QueueTicket | None = None
     ) -> None:
@@ -304,16 +389,14 @@
         usages = self._queues.list_usage(service.name, now)
         if all(usage.urgency >= plan.urgency for usage in usages):
             return found
-        engine = service.engine
-        free = self._balancer.list_free(service.name, engine)
-        reserve = find_reserve(
-            usages, plan.urgency, tokens, engine.memory_tokens, len(free)
-        )
+        free = self._balancer.list_free(service.name, service.engine)
+        reserve = self._find_reserve(plan, usages, len(free))
         if reserve is None:
             return found
         allowed = reserve.select(free, tokens)
         if not allowed and not ticket.held_back:
             ticket.held_back = True
+            self._metrics.record_room_kept(str(plan.urgency))
             self._log.info(
                 "room_kept",
                 id=plan.request.id,
@@ -327,6 +410,17 @@
             )
         return [target for target in found if target.instance in allowed]
 
+    def _find_reserve(
+        self, plan: Plan, usages: list[ClassUsage], targets: int
+    ) -> ClassReserve | None:
+        return find_reserve(
+            usages,
+            plan.urgency,
+            plan.demand.near_term_tokens,
+            plan.service.engine.memory_tokens,
+            targets,
+        )
+
     def _has_spare_room(self, plan: Plan, stage: WaitStage) -> bool:
         """Return whether there is room besides that for requests ahead.
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -223,6 +223,7 @@
             retry_after=RetryAfterScheduler(rng),
             clock=clock,
             log=log,
+            metrics=Metrics(),
         )
         self.quarantine.watchers.append(self.mover.cancel_held_back)
         self.planner = Planner(self.state, rng)
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -4,6 +4,7 @@
 from chivepier.gateway.targets.decodeestimator import DecodeEstimator
 from chivepier.gateway.targets.demand import Demand
 from chivepier.gateway.targets.demand import NEAR_TERM_OUTPUT_TOKENS
+from chivepier.gateway.targets.holdestimator import HoldEstimator
 from chivepier.gateway.targets.invalidreport import InvalidReport
 from chivepier.gateway.targets.leavingtargets import LeavingTargets
 from chivepier.gateway.targets.liveness import Liveness
@@ -25,6 +26,7 @@
     "ClassUsage",
     "DecodeEstimator",
     "Demand",
+    "HoldEstimator",
     "InvalidReport",
     "LeavingTargets",
     "Liveness",
