Merge room kept for urgent classes and the start's estimate

On the merge: without a target that tells a pace no class is counted or told, so the earlier deployments exchange the records of before and are refused with the same pauses; a test says so.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -97,12 +97,14 @@
         self.table = TargetTable(settings.beat, self.zones)
         self.health = TargetHealth()
         self.board = LoadTracker(settings.name)
-        self.queues = QueueTracker(settings.name, self.board.changed)
+        self.queues = QueueTracker(
+            settings.name, self.board.changed, shares_usage=False
+        )
         self.limits = LimitTable(settings.name)
         self.limits.watchers.append(self._log_limit)
         self.rests = BackoffTable(rng)
         self.reports = ReportBoard(self.board.changed)
-        self.reports.pace_watchers.append(self._log_pace)
+        self.reports.pace_watchers.append(self._handle_pace)
         balancer = LoadBalancer(
             self.table,
             self.health,
@@ -269,7 +271,9 @@
             age_ms=round(1000 * (self._clock.monotonic() - limit.seen)),
         )
 
-    def _log_pace(self, instance: str, born: int, pace: float) -> None:
+    def _handle_pace(self, instance: str, born: int, pace: float) -> None:
+        # sites whose targets tell no pace are served without shared classes
+        self.queues.shares_usage = True
         self._log.info("pace_known", target=instance, born=born, pace=pace)
 
     def _handle_zone_order(self, order: ZoneOrder) -> None:
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -71,7 +71,7 @@
     :param retry_after: schedules when refused callers may retry
     :param clock: monotonic clock
     :param log: event log for decisions on requests
-    :param metrics: counts long streams by fit; not kept by default
+    :param metrics: gets the waits for room, and long streams by fit
     """
 
     def __init__(
@@ -91,9 +91,9 @@
         retry_after: RetryAfterScheduler,
         clock: Clock,
         log: EventLog,
-        metrics: Metrics | None = None,
+        metrics: Metrics,
     ):
-        self._metrics = Metrics() if metrics is None else metrics
+        self._metrics = metrics
         self.state = state
         self.table = table
         self.balancer = balancer
@@ -105,10 +105,19 @@
         self.gate = gate
         self.clock = clock
         self.log = log
-        self.runs = RunTracker(loads, mover, balancer, clock)
+        self.runs = RunTracker(loads, mover, balancer, clock, queues)
         self._rejection = RejectionPolicy(table, clock, retry_after, log)
         self._assigner = TargetAssigner(
-            balancer, health, queues, calls, guard, gate, clock, log
+            balancer,
+            health,
+            queues,
+            self.runs.holds,
+            calls,
+            guard,
+            gate,
+            clock,
+            log,
+            metrics,
         )
 
     async def dispatch(self, plan: Plan) -> StartedAnswer:
@@ -189,9 +198,10 @@
     ) -> Assignment | None:
         try:
             return await self._assigner.find_assignment(plan, tried)
-        except NoCapacityError:
-            text = "no target has room"
-            raise self._rejection.make_error(plan, runs, text) from None
+        except NoCapacityError as error:
+            raise self._rejection.make_no_room_error(
+                plan, runs, error
+            ) from None
         except RateLimitedError as error:
             raise self._rejection.make_over_limit_error(
                 plan, runs, error.rate, self.state.entries
--- a/packages/gateway/src/chivepier/gateway/serving/runtracker.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runtracker.py
@@ -4,9 +4,11 @@
 from chivepier.gateway.serving.mover import Mover
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.targets import Demand
+from chivepier.gateway.targets import HoldEstimator
 from chivepier.gateway.targets import LoadBalancer
 from chivepier.gateway.targets import LoadTracker
 from chivepier.gateway.targets import NEAR_TERM_OUTPUT_TOKENS
+from chivepier.gateway.targets import QueueTracker
 from chivepier.gateway.targets import Target
 from chivepier.types import Clock
 
@@ -18,6 +20,8 @@
     :param mover: migrates generations off targets that leave
     :param balancer: has the estimators of reading and decoding, and paces
     :param clock: monotonic clock
+    :param queues: gets the room that each class holds
+    :ivar holds: how long generations hold their room
     """
 
     def __init__(
@@ -26,7 +30,10 @@
         mover: Mover,
         balancer: LoadBalancer,
         clock: Clock,
+        queues: QueueTracker,
     ):
+        self.holds = HoldEstimator()
+        self._queues = queues
         self._balancer = balancer
         self._prefill_estimator = balancer.prefill_estimator
         self._decode_estimator = balancer.decode_estimator
@@ -66,6 +73,11 @@
         """Remove a generation from the load of its target and the mover."""
         self._count(run, -1)
         self._mover.remove(run)
+        if run.ended and run.first_event_at is not None and not run.moved:
+            now = self._clock.monotonic()
+            self.holds.record(
+                run.service.name, run.counted_tokens, now - run.sent_at, now
+            )
 
     def abandon(self, run: LiveRun) -> None:
         """Stop tracking a generation that is not resumed, and mark it ended.
@@ -140,6 +152,7 @@
         grown = run.held_tokens + NEAR_TERM_OUTPUT_TOKENS - run.counted_tokens
         run.counted_tokens += grown
         self._loads.adjust_own(run.target.instance, tokens=grown)
+        self._adjust_held(run, 0, grown)
 
     def _get_pace(self, run: LiveRun) -> float:
         return self._balancer.pace_advisor.get_base_pace(run.target)
@@ -152,3 +165,10 @@
             tokens=sign * run.counted_tokens,
             reading=sign * run.prefill_tokens if waits else 0,
         )
+        self._adjust_held(run, sign, sign * run.counted_tokens)
+
+    def _adjust_held(self, run: LiveRun, runs: int, tokens: int) -> None:
+        if run.plan.demand is not None:
+            self._queues.adjust_held(
+                run.service.name, run.plan.urgency, runs, tokens
+            )
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -1,10 +1,12 @@
 """Known targets, their health and load, and the choice among them."""
 
+from chivepier.gateway.targets.classusage import ClassUsage
 from chivepier.gateway.targets.decodeestimator import DecodeEstimator
 from chivepier.gateway.targets.demand import Demand
 from chivepier.gateway.targets.demand import NEAR_TERM_OUTPUT_TOKENS
 from chivepier.gateway.targets.drawoption import DrawOption
 from chivepier.gateway.targets.fit import Fit
+from chivepier.gateway.targets.holdestimator import HoldEstimator
 from chivepier.gateway.targets.invalidreport import InvalidReport
 from chivepier.gateway.targets.leavingtargets import LeavingTargets
 from chivepier.gateway.targets.liveness import Liveness
@@ -30,10 +32,12 @@
 from chivepier.gateway.targets.targettable import TargetTable
 
 __all__ = [
+    "ClassUsage",
     "DecodeEstimator",
     "Demand",
     "DrawOption",
     "Fit",
+    "HoldEstimator",
     "InvalidReport",
     "LeavingTargets",
     "Liveness",
