--- a/packages/gateway/src/chivepier/gateway/targets/drawoption.py
+++ b/packages/gateway/src/chivepier/gateway/targets/drawoption.py
@@ -12,12 +12,14 @@
         of this entry if no report is recent
     :param slots: requests that it runs at once
     :param pace: time that work takes there, relative to the usual one
+    :param age: age of the report, in seconds
     """
 
     own: int
     requests: int
     slots: int
     pace: float = 1.0
+    age: float = 0.0
 
     @property
     def cost(self) -> float:
