--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_headerrecorder.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_headerrecorder.py
@@ -18,7 +18,9 @@
 from chivepier.gateway.serving import HeaderRecorder
 from chivepier.gateway.serving.headerrecorder import MAX_UNKNOWN_HEADERS
 from chivepier.gateway.serving.tests.fakeengines import make_target
+from chivepier.gateway.targets import InvalidReport
 from chivepier.gateway.targets import LeavingTargets
+from chivepier.gateway.targets import ReportedLoad
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import ManualClock
 
@@ -122,6 +124,19 @@
     assert not fixture.backoffs
 
 
+def test_reports_are_counted_and_an_invalid_one_is_logged_once():
+    """Guards against loads that nobody reads, and nobody misses."""
+    fixture = RecorderFixture()
+    for load in (ReportedLoad(running=1, waiting=0, slots=6), InvalidReport()):
+        fixture.record(load=load)
+        fixture.record(load=load)
+    (line,) = fixture.read_lines()
+    assert line["header"] == "load that is no load"
+    for source in (b"own", b"invalid"):
+        counted = b'target_reports_total{source="%s"} 2.0' % source
+        assert counted in fixture.metrics.render()
+
+
 def test_target_that_leaves_is_logged_once():
     fixture = RecorderFixture()
     fixture.table.put(make_target("i1"))
