Let teams above their share leave scarce room to others of their class

What waits was ordered by class and lateness alone: one team's rush passed before the others' steady requests of the same class.

Counts now have parts by team (QueueRecord.team), for teams that take a fifth of a class at an entry, summed by voters under their own key. A team that holds more than twice what the others of its class hold on average, over 10 s, leaves free room to those of them that wait, also when its own requests press. What nobody else waits for is lent. Without teams, or with one: as before.

--- a/packages/gateway/src/chivepier/gateway/control/loadledger.py
+++ b/packages/gateway/src/chivepier/gateway/control/loadledger.py
@@ -4,6 +4,8 @@
 import itertools
 
 from chivepier.gateway.control.loadstate import LoadState
+from chivepier.gateway.control.loadstate import make_empty_queue
+from chivepier.gateway.control.loadstate import make_queue_key
 from chivepier.gateway.messages import LoadNotice
 from chivepier.gateway.messages import LoadRecord
 from chivepier.gateway.messages import QueueRecord
@@ -30,9 +32,9 @@
         self._load_totals: dict[str, collections.Counter[str]] = (
             collections.defaultdict(collections.Counter)
         )
-        self._queue_totals: dict[tuple[str, int], collections.Counter[str]] = (
-            collections.defaultdict(collections.Counter)
-        )
+        self._queue_totals: dict[
+            tuple[str, int, str], collections.Counter[str]
+        ] = collections.defaultdict(collections.Counter)
         self._retry_totals: collections.Counter[str] = collections.Counter()
         self._changes = LoadState()
         self._sum_changes = LoadState()
@@ -126,15 +128,15 @@
             self._add_copy_record(self._sum_changes, record)
 
     def _update_waiting(self, queue: QueueRecord) -> None:
-        key = (queue.entry, queue.service, queue.rank)
-        empty = QueueRecord(*key, 0)
+        key = make_queue_key(queue)
+        empty = make_empty_queue(key)
         before = self._reports.queues.pop(key, empty)
         if queue != empty:
             self._reports.queues[key] = queue
         if queue == before:
             return
         self._changes.put((), (queue,), ())
-        queue_key = (queue.service, queue.rank)
+        queue_key = key[1:]
         total = self._queue_totals[queue_key]
         for name in SUMMED_QUEUE_FIELDS:
             total[name] += getattr(queue, name) - getattr(before, name)
@@ -184,13 +186,16 @@
         state.put((copy_record,), (), ())
 
     def _add_waiting_sum(
-        self, state: LoadState, queue_key: tuple[str, int]
+        self, state: LoadState, queue_key: tuple[str, int, str]
     ) -> None:
         total = self._queue_totals[queue_key]
+        service, rank, team = queue_key
         queue = QueueRecord(
             self._own_address,
-            *queue_key,
+            service,
+            rank,
             *(total[name] for name in SUMMED_QUEUE_FIELDS),
+            team,
         )
         state.put((), (queue,), ())
 
--- a/packages/gateway/src/chivepier/gateway/control/loadstate.py
+++ b/packages/gateway/src/chivepier/gateway/control/loadstate.py
@@ -12,6 +12,7 @@
 Records = tuple[LoadRecord, ...]
 Queues = tuple[QueueRecord, ...]
 Repeats = tuple[RepeatRecord, ...]
+QueueKey = tuple[str, str, int, str]
 
 
 @attrs.define
@@ -19,12 +20,12 @@
     """A snapshot of load records.
 
     :param records: load records by entry and target
-    :param queues: queue lengths by entry, service and rank
+    :param queues: queue lengths by entry, service, rank and team
     :param repeats: used retries by entry and service
     """
 
     records: dict[tuple[str, str], LoadRecord] = attrs.field(factory=dict)
-    queues: dict[tuple[str, str, int], QueueRecord] = attrs.field(factory=dict)
+    queues: dict[QueueKey, QueueRecord] = attrs.field(factory=dict)
     repeats: dict[tuple[str, str], RepeatRecord] = attrs.field(factory=dict)
 
     def put(self, records: Records, queues: Queues, repeats: Repeats) -> None:
@@ -32,7 +33,7 @@
         for record in records:
             self.records[(record.entry, record.instance)] = record
         for queue in queues:
-            self.queues[(queue.entry, queue.service, queue.rank)] = queue
+            self.queues[make_queue_key(queue)] = queue
         for repeat in repeats:
             self.repeats[(repeat.entry, repeat.service)] = repeat
 
@@ -75,15 +76,24 @@
                 known.records,
                 lambda key: LoadRecord(*key, 0, 0, 0, 0),
             ),
-            _compare(
-                self.queues, known.queues, lambda key: QueueRecord(*key, 0)
-            ),
+            _compare(self.queues, known.queues, make_empty_queue),
             _compare(
                 self.repeats, known.repeats, lambda key: RepeatRecord(*key, 0)
             ),
         )
 
 
+def make_queue_key(queue: QueueRecord) -> QueueKey:
+    """Return the key of a queue record."""
+    return (queue.entry, queue.service, queue.rank, queue.team)
+
+
+def make_empty_queue(key: QueueKey) -> QueueRecord:
+    """Return the record of a queue that is empty."""
+    entry, service, rank, team = key
+    return QueueRecord(entry, service, rank, 0, team=team)
+
+
 def _compare(
     now: dict[tuple, typing.Any],
     known: dict[tuple, typing.Any],
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
@@ -182,6 +182,29 @@
     play(test, tmp_path)
 
 
+def test_room_of_classes_and_teams_is_known_in_other_zones(tmp_path):
+    """Room was kept, and shares counted, for the callers of one zone only."""
+
+    async def test(fleet):
+        one = await fleet.follow("e1", "z0")
+        two = await fleet.follow("e2", "z0")
+        far = await fleet.follow("e3", "z2")
+
+        def find_held() -> list[int]:
+            usages = far.queues.list_usage("llm", tell_time())
+            return [usage.held for usage in usages]
+
+        for entry in (one, two):
+            entry.queues.adjust_held("llm", 1, 1, 500, "t1")
+        await wait_until(lambda: find_held() == [1_000])
+        teams = far.queues.teams
+        await wait_until(lambda: teams.list_taken("llm", 1).keys() == {"t1"})
+        one.queues.adjust_held("llm", 1, -1, -500, "t1")
+        await wait_until(lambda: find_held() == [500])
+
+    play(test, tmp_path)
+
+
 def test_entry_follows_another_voter_when_its_own_is_lost(tmp_path):
     # When the voter of a zone stops, its entries follow another one, which
     # sends them the full state. Their own load must not be counted twice.
--- a/packages/gateway/src/chivepier/gateway/following/loadexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/loadexchange.py
@@ -47,7 +47,7 @@
         self._table = table
         self._clock = clock
         self._sent_loads: dict[str, LoadRecord] = {}
-        self._sent_queues: dict[tuple[str, int], QueueRecord] = {}
+        self._sent_queues: dict[tuple[str, int, str], QueueRecord] = {}
         self._sent_loans: dict[str, int] = {}
 
     def merge(self, notice: LoadNotice) -> None:
@@ -120,11 +120,13 @@
     def _collect_queues(self, full: bool) -> tuple[QueueRecord, ...]:
         records = []
         for record in self._queues.list_own():
-            key = (record.service, record.rank)
+            key = (record.service, record.rank, record.team)
             sent = self._sent_queues.get(key)
             if full or sent is None or _is_news(record, sent):
                 records.append(record)
                 self._sent_queues[key] = record
+                if record.team and not (record.waiting or record.running):
+                    del self._sent_queues[key]
         return tuple(records)
 
     def _collect_loans(
--- a/packages/gateway/src/chivepier/gateway/messages/queuerecord.py
+++ b/packages/gateway/src/chivepier/gateway/messages/queuerecord.py
@@ -7,7 +7,8 @@
 class QueueRecord:
     """Requests of one rank that wait at one entry, or hold room, by service.
 
-    The rank of those that hold room is their urgency.
+    The rank of those that hold room is their urgency. A record with a team
+    is a part of the one without.
     """
 
     entry: str
@@ -17,3 +18,4 @@
     waiting_tokens: int = 0
     running: int = 0
     held_tokens: int = 0
+    team: str = ""
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -28,6 +28,7 @@
     "held_back",
     "room_kept",
     "refused_early",
+    "team_waits",
 )
 
 
@@ -144,6 +145,13 @@
         """
         self._record("room_kept", (urgency,), 1.0)
 
+    def record_team_wait(self, urgency: str) -> None:
+        """Count a request left out for teams that took less than its own.
+
+        :param urgency: urgency class of the request
+        """
+        self._record("team_waits", (urgency,), 1.0)
+
     def record_refused_early(self, urgency: str) -> None:
         """Count a request refused as it would start too late.
 
@@ -259,6 +267,12 @@
             ("class",),
             registry=registry,
         ),
+        "team_waits": library.Counter(
+            "chivepier_team_waits",
+            "Requests left out of a round for teams that took less.",
+            ("class",),
+            registry=registry,
+        ),
         "refused_early": library.Counter(
             "chivepier_refused_early",
             "Requests refused as they would have started too late.",
--- a/packages/gateway/src/chivepier/gateway/metrics/tests/test_metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/tests/test_metrics.py
@@ -10,6 +10,10 @@
     metrics.record_request("t1", "2", "answered", 0.05)
     metrics.record_stream("t1", "2", 0.5, 0.1)
     metrics.record_move("copied")
+    metrics.record_room_kept("2")
+    metrics.record_refused_early("2")
+    metrics.record_team_wait("2")
+    metrics.record_room_wait("2", "real", 0.5)
     metrics.load()
     metrics.record_request("t1", "2", "no_target", 0.05)
     text = metrics.render().decode()
@@ -18,6 +22,9 @@
     assert 'outcome="no_target",team="t1"} 1.0' in text
     assert 'chivepier_memory_copies_total{outcome="copied"} 1.0' in text
     assert "chivepier_longest_pause_seconds_bucket" in text
+    for name in ("room_kept", "refused_early", "team_waits"):
+        assert f'chivepier_{name}_total{{class="2"}} 1.0' in text
+    assert 'room_wait_seconds_count{class="2",kind="real"} 1.0' in text
 
 
 def test_teams_beyond_the_maximum_share_one_series():
--- a/packages/gateway/src/chivepier/gateway/serving/runtracker.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runtracker.py
@@ -158,5 +158,9 @@
     def _adjust_held(self, run: LiveRun, runs: int, tokens: int) -> None:
         if run.plan.demand is not None:
             self._queues.adjust_held(
-                run.service.name, run.plan.urgency, runs, tokens
+                run.service.name,
+                run.plan.urgency,
+                runs,
+                tokens,
+                run.plan.team or "",
             )
--- a/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
@@ -17,6 +17,7 @@
 from chivepier.gateway.serving.sendgate import SendGate
 from chivepier.gateway.serving.startestimate import StartEstimate
 from chivepier.gateway.serving.targetcalls import TargetCalls
+from chivepier.gateway.serving.teamshares import find_debtors
 from chivepier.gateway.serving.waitstage import classify_wait
 from chivepier.gateway.serving.waitstage import compute_rank
 from chivepier.gateway.serving.waitstage import MAX_WAIT_OBJECTIVES
@@ -110,7 +111,10 @@
             await self._await_backoffs(plan)
             return await self._assign_unreserved(plan, tried)
         with QueueTicket(
-            self._queues, plan.service.name, plan.demand.near_term_tokens
+            self._queues,
+            plan.service.name,
+            plan.demand.near_term_tokens,
+            plan.team or "",
         ) as ticket:
             while not self._guard.is_held(plan):
                 await self._await_backoffs(plan, ticket)
@@ -365,9 +369,22 @@
         ticket: QueueTicket,
     ) -> list[Target]:
         """Return the targets to ask for a reservation in this round."""
-        if stage is not WaitStage.PRESSING and not self._has_spare_room(
-            plan, stage
-        ):
+        others = self._count_creditors(plan, stage)
+        waits = others or stage is not WaitStage.PRESSING
+        if waits and not self._has_spare_room(plan, stage, others):
+            if others and not ticket.behind:
+                ticket.behind = True
+                self._metrics.record_team_wait(str(plan.urgency))
+                self._log.info(
+                    "team_waits",
+                    id=plan.request.id,
+                    service=plan.service.name,
+                    urgency=plan.urgency,
+                    team=plan.team,
+                    others=others,
+                    taken=round(self._find_taken(plan).get(plan.team, 0.0)),
+                    teams=len(self._find_taken(plan)),
+                )
             return []
         claim = self._make_claim(plan, may_wait=False)
         found = [
@@ -421,7 +438,38 @@
             targets,
         )
 
-    def _has_spare_room(self, plan: Plan, stage: WaitStage) -> bool:
+    def _count_creditors(self, plan: Plan, stage: WaitStage) -> int:
+        """Count waiting requests that go first, as their teams took less.
+
+        They are of the same rank, and the request's team has taken more than
+        its share lately; otherwise there are none.
+        """
+        service, team = plan.service.name, plan.team
+        if not team:
+            return 0
+        now = self._clock.monotonic()
+        self._queues.sample(now)
+        teams = self._queues.teams
+        debtors = find_debtors(self._find_taken(plan))
+        if team not in debtors:
+            return 0
+        rank = compute_rank(plan, stage)
+        waiting = self._queues.count_waiting(service, rank, now)
+        return max(
+            0,
+            waiting
+            - sum(
+                teams.count_waiting(service, rank, debtor, now)
+                for debtor in debtors
+            ),
+        )
+
+    def _find_taken(self, plan: Plan) -> dict[str, float]:
+        return self._queues.teams.list_taken(plan.service.name, plan.urgency)
+
+    def _has_spare_room(
+        self, plan: Plan, stage: WaitStage, others: int
+    ) -> bool:
         """Return whether there is room besides that for requests ahead.
 
         Generations on targets that are leaving go before waiting requests:
@@ -432,7 +480,7 @@
         now = self._clock.monotonic()
         rank = compute_rank(plan, stage)
         ahead = self._queues.count_ahead(service.name, rank, now)
-        ahead += self._balancer.count_leaving(service.name)
+        ahead += others + self._balancer.count_leaving(service.name)
         fitting = self._balancer.count_fitting(
             service.name, service.engine, plan.demand, plan.regions
         )
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_classreserve.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_classreserve.py
@@ -69,12 +69,12 @@
     # Room that stays counted after its generation would be kept for ever.
     async def test(parts):
         caller, task, run = await begin(parts)
-        (record,) = parts.queues.list_own()
-        assert (record.rank, record.running) == (3, 1)
-        assert record.held_tokens >= 356
+        total, team = parts.queues.list_own()
+        assert (total.rank, total.running, team.team) == (3, 1, "t1")
+        assert total.held_tokens == team.held_tokens >= 356
         await finish(task, run)
-        (record,) = parts.queues.list_own()
-        assert (record.running, record.held_tokens) == (0, 0)
+        for record in parts.queues.list_own():
+            assert (record.running, record.held_tokens) == (0, 0)
 
     play(test, "a", engine=RESERVING)
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_targetassigner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_targetassigner.py
@@ -5,10 +5,12 @@
 import attrs
 import pytest
 
+from chivepier.gateway.messages import QueueRecord
 from chivepier.gateway.serving.tests.parts import ENGINE
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
 from chivepier.gateway.serving.tests.parts import wait_until
+from chivepier.standins.loopclock import tell_time
 from chivepier.types import ErrorKind
 from chivepier.types import Ran
 from chivepier.types import RequestError
@@ -135,6 +137,28 @@
     play(test, "a", engine=RESERVING)
 
 
+def test_team_above_its_share_leaves_room_to_others_of_its_class():
+    """One team's rush passed before the steady requests of the others."""
+
+    async def test(parts):
+        parts.loads.adjust_own("a", tokens=100_000 - 400)
+        for team, held in (("t1", 90_000), ("t2", 5_000)):
+            record = QueueRecord("other", "llm", 3, 0, 0, 9, held, team)
+            parts.queues.put(record, tell_time())
+        parts.report_waiting("other", "llm", rank=3, waiting=1)
+        caller, task = parts.start(make_request())
+        await wait_until(lambda: parts.queues.count_ahead("llm", 4, 0.0) == 2)
+        await asyncio.sleep(0.6)
+        assert not parts.engines.orders
+        parts.report_waiting("other", "llm", rank=3, waiting=0)
+        answer = await parts.engines.wait_run(1)
+        answer.make()
+        answer.end()
+        await task
+
+    play(test, "a", engine=RESERVING)
+
+
 def test_generations_of_a_leaving_target_go_before_new_ones():
     # Otherwise new requests take the room that generations of a leaving target
     # need within its notice period, and those are cut off.
--- a/packages/gateway/src/chivepier/gateway/targets/queuetracker.py
+++ b/packages/gateway/src/chivepier/gateway/targets/queuetracker.py
@@ -6,6 +6,7 @@
 from chivepier.gateway.targets.classusage import ClassUsage
 from chivepier.gateway.targets.loadtracker import REPORT_EXPIRY_SECONDS
 from chivepier.gateway.targets.queuecounts import QueueCounts
+from chivepier.gateway.targets.teamtracker import TeamTracker
 from chivepier.gateway.targets.usageaverage import UsageAverage
 from chivepier.types import Signal
 
@@ -25,12 +26,15 @@
     new request could take the capacity that a more urgent one waits for at
     another entry, or will need within the next seconds.
 
+    :ivar teams: the counts of the largest teams
+
     :param own_entry: name of this entry
     :param changed: set whenever the counts of this entry change
     """
 
     def __init__(self, own_entry: str, changed: Signal):
         self.own_entry = own_entry
+        self.teams = TeamTracker(own_entry)
         self._changed = changed
         self._own: dict[Key, QueueCounts] = collections.defaultdict(
             QueueCounts
@@ -42,27 +46,31 @@
         self._sizes: dict[Key, float] = {}
         self._sampled_at: float | None = None
 
-    def enter(self, service: str, rank: int, tokens: int = 0) -> None:
+    def enter(
+        self, service: str, rank: int, tokens: int = 0, team: str = ""
+    ) -> None:
         """Count a request that starts to wait here.
 
         :param service: name of the service
         :param rank: rank of the request
         :param tokens: room that it needs, in tokens
+        :param team: its team, if any
         """
-        counts = self._own[(service, rank)]
-        counts.waiting += 1
-        counts.waiting_tokens += tokens
-        self._changed.set()
+        self._adjust((service, rank), team, QueueCounts(1, tokens))
 
-    def leave(self, service: str, rank: int, tokens: int = 0) -> None:
+    def leave(
+        self, service: str, rank: int, tokens: int = 0, team: str = ""
+    ) -> None:
         """Count a request that stops waiting here; see :meth:`enter`."""
-        counts = self._own[(service, rank)]
-        counts.waiting -= 1
-        counts.waiting_tokens -= tokens
-        self._changed.set()
+        self._adjust((service, rank), team, QueueCounts(-1, -tokens))
 
     def adjust_held(
-        self, service: str, urgency: int, runs: int = 0, tokens: int = 0
+        self,
+        service: str,
+        urgency: int,
+        runs: int = 0,
+        tokens: int = 0,
+        team: str = "",
     ) -> None:
         """Add to the room that generations of this entry hold.
 
@@ -70,11 +78,10 @@
         :param urgency: their class
         :param runs: number of generations that started, less those that ended
         :param tokens: tokens that they take, less those that they free
+        :param team: their team, if any
         """
-        counts = self._own[(service, urgency)]
-        counts.running += runs
-        counts.held_tokens += tokens
-        self._changed.set()
+        change = QueueCounts(running=runs, held_tokens=tokens)
+        self._adjust((service, urgency), team, change)
 
     def put(self, record: QueueRecord, now: float) -> None:
         """Store the counts of another entry.
@@ -82,7 +89,11 @@
         :param record: reported counts
         :param now: current monotonic time, in seconds
         """
-        if record.entry != self.own_entry:
+        if record.entry == self.own_entry:
+            return
+        if record.team:
+            self.teams.put(record, now)
+        else:
             counts = QueueCounts(
                 record.waiting,
                 record.waiting_tokens,
@@ -95,6 +106,7 @@
     def drop_all_remote(self) -> None:
         """Drop the counts of all other entries before a full update."""
         self._remote.clear()
+        self.teams.drop_all_remote()
 
     def list_own(self) -> list[QueueRecord]:
         """Return the counts of this entry; those of 0 are reported once."""
@@ -112,7 +124,7 @@
         ]
         for key in [key for key, counts in self._own.items() if not counts]:
             del self._own[key]
-        return records
+        return records + self.teams.list_own()
 
     def count_ahead(self, service: str, rank: int, now: float) -> int:
         """Count the queued requests of lower rank, which go first.
@@ -165,6 +177,7 @@
         if last is not None and 0.0 <= now - last < SAMPLE_SECONDS:
             return
         self._sampled_at = now
+        self.teams.sample(now)
         for key in {*self._own, *self._remote, *self._averages}:
             counts = self._sum(key, now)
             average = self._averages.get(key)
@@ -179,6 +192,16 @@
                 if not taken and average.value < MIN_AVERAGE_TOKENS:
                     del self._averages[key], self._sizes[key]
 
+    def _adjust(self, key: Key, team: str, change: QueueCounts) -> None:
+        self._own[key].add(change)
+        if team:
+            self.teams.adjust((*key, team), change)
+        self._changed.set()
+
+    def count_waiting(self, service: str, rank: int, now: float) -> int:
+        """Count the requests that wait in a rank."""
+        return self._sum((service, rank), now).waiting
+
     def _sum_ahead(self, service: str, rank: int, now: float) -> QueueCounts:
         total = QueueCounts()
         for key in self._own.keys() | self._remote.keys():
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_queuetracker.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_queuetracker.py
@@ -64,3 +64,30 @@
     assert tracker.list_usage("s", 3.0)[0].held == 200
     assert tracker.list_usage("s", 4.0)[0].held == 0
     assert not tracker.list_usage("s", 300.0)
+
+
+def test_only_teams_that_take_much_of_a_class_are_reported():
+    """Records of 49,000 teams would pass between all voters."""
+    tracker = make()
+    tracker.adjust_held("s", 1, 1, 900, "big")
+    for number in range(20):
+        tracker.adjust_held("s", 1, 1, 10, f"small-{number}")
+    total, big = tracker.list_own()
+    assert (total.held_tokens, big.team, big.held_tokens) == (1100, "big", 900)
+    tracker.adjust_held("s", 1, -1, -900, "big")
+    assert tracker.list_own()[1] == QueueRecord("me", "s", 1, 0, team="big")
+    assert len(tracker.list_own()) == 1
+
+
+def test_team_of_silent_entry_is_no_longer_above_its_share():
+    """A killed entry's counts would hold a team back for ever."""
+    tracker = make()
+    record = QueueRecord("other", "s", 1, 4, 400, 2, 200, "t")
+    tracker.put(record, 0.0)
+    tracker.sample(0.0)
+    assert tracker.teams.list_taken("s", 1) == {"t": 200}
+    assert tracker.teams.count_waiting("s", 1, "t", 3.0) == 4
+    assert tracker.teams.count_waiting("s", 1, "t", 4.0) == 0
+    tracker.sample(4.0)
+    tracker.sample(100.0)
+    assert not tracker.teams.list_taken("s", 1)
