--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_queuetracker.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_queuetracker.py
@@ -57,13 +57,30 @@
     assert usage.held == 100 and 200 < usage.average < 1_000
 
 
+def test_only_teams_that_take_much_of_a_class_are_reported():
+    """Records of 49,000 teams would pass between all voters."""
+    tracker = make()
+    tracker.adjust_held("s", 1, 1, 900, "big")
+    for number in range(20):
+        tracker.adjust_held("s", 1, 1, 10, f"small-{number}")
+    total, big = tracker.list_own()
+    assert (total.held_tokens, big.team, big.held_tokens) == (1100, "big", 900)
+    tracker.adjust_held("s", 1, -1, -900, "big")
+    assert tracker.list_own()[1] == QueueRecord("me", "s", 1, 0, team="big")
+    assert len(tracker.list_own()) == 1
+
+
 def test_room_of_silent_entry_is_kept_no_longer():
-    """An entry is killed; what it held would be kept from others for ever."""
+    """What a killed entry held would be kept from others for ever."""
     tracker = make()
-    tracker.put(QueueRecord("other", "s", 0, 0, 0, 2, 200), 0.0)
-    assert tracker.list_usage("s", 3.0)[0].held == 200
-    assert tracker.list_usage("s", 4.0)[0].held == 0
-    assert not tracker.list_usage("s", 300.0)
+    for team in ("", "t"):
+        tracker.put(QueueRecord("other", "s", 1, 4, 9, 2, 200, team), 0.0)
+    for now, held, waiting in ((3.0, 200, 4), (4.0, 0, 0)):
+        assert tracker.list_usage("s", now)[0].held == held
+        assert tracker.teams.count_waiting("s", 1, "t", now) == waiting
+    assert tracker.teams.list_taken("s", 1)
+    assert not tracker.list_usage("s", 100.0)
+    assert not tracker.teams.list_taken("s", 1)
 
 
 def test_classes_are_not_told_without_a_pace():
