Take no class's size from a peer's impossible counts

Running generations that hold nothing would make the size of a place zero, and placing a request divides by it.

--- a/packages/gateway/src/chivepier/gateway/serving/queueticket.py
+++ b/packages/gateway/src/chivepier/gateway/serving/queueticket.py
@@ -10,7 +10,7 @@
     :param service: name of the service that the request waits for
     :param tokens: room that it needs, in tokens
     :param team: its team, if any
-    :ivar held_back: whether it was left out for a more urgent class
+    :ivar leaves_room: whether it was left out for a more urgent class
     :ivar behind: whether it was left out for teams that took less
     :ivar rank: the rank that it is counted in; ``None`` until it waits
     :ivar since: when it began to wait, in monotonic seconds
@@ -28,7 +28,7 @@
         self._tokens = tokens
         self._service = service
         self.rank: int | None = None
-        self.held_back = self.behind = False
+        self.leaves_room = self.behind = False
         self.since: float | None = None
 
     def __enter__(self) -> "QueueTicket":
--- a/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
@@ -411,8 +411,8 @@
         if reserve is None:
             return found
         allowed = reserve.select(free, tokens)
-        if not allowed and not ticket.held_back:
-            ticket.held_back = True
+        if not allowed and not ticket.leaves_room:
+            ticket.leaves_room = True
             self._metrics.record_room_kept(str(plan.urgency))
             self._log.info(
                 "room_kept",
--- a/packages/gateway/src/chivepier/gateway/targets/queuetracker.py
+++ b/packages/gateway/src/chivepier/gateway/targets/queuetracker.py
@@ -181,7 +181,8 @@
         for key in {*self._own, *self._remote, *self._averages}:
             counts = self._sum(key, now)
             average = self._averages.get(key)
-            if counts.running:
+            # a peer's counts may be wrong, and sizes are divided by
+            if counts.running > 0 and counts.held_tokens > 0:
                 self._sizes[key] = counts.held_tokens / counts.running
                 if average is None:
                     average = self._averages[key] = UsageAverage()
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_queuetracker.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_queuetracker.py
@@ -55,6 +55,8 @@
     for second in range(1, 4):
         (usage,) = tracker.list_usage("s", float(second))
     assert usage.held == 100 and 200 < usage.average < 1_000
+    tracker.put(QueueRecord("other", "s", 0, 9, 900, 1, 0), 4.0)
+    assert tracker.list_usage("s", 4.0)[0].size == 100
 
 
 def test_only_teams_that_take_much_of_a_class_are_reported():
