Leave the choice by reports to one place

draw_by_reports was called by nothing: plain requests are placed by RequestCost, which has a test of a herd of its own.

--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -4,7 +4,6 @@
 from chivepier.gateway.targets.decodeestimator import DecodeEstimator
 from chivepier.gateway.targets.demand import Demand
 from chivepier.gateway.targets.demand import NEAR_TERM_OUTPUT_TOKENS
-from chivepier.gateway.targets.drawoption import DrawOption
 from chivepier.gateway.targets.fit import Fit
 from chivepier.gateway.targets.holdestimator import HoldEstimator
 from chivepier.gateway.targets.invalidreport import InvalidReport
@@ -21,7 +20,6 @@
 from chivepier.gateway.targets.queuetracker import QueueTracker
 from chivepier.gateway.targets.reading import Reading
 from chivepier.gateway.targets.reportboard import ReportBoard
-from chivepier.gateway.targets.reportdraw import draw_by_reports
 from chivepier.gateway.targets.reportedload import ReportedLoad
 from chivepier.gateway.targets.reportoutcome import ReportOutcome
 from chivepier.gateway.targets.reportrecords import pack_report
@@ -35,7 +33,6 @@
     "ClassUsage",
     "DecodeEstimator",
     "Demand",
-    "DrawOption",
     "Fit",
     "HoldEstimator",
     "InvalidReport",
@@ -59,7 +56,6 @@
     "TargetHealth",
     "TargetState",
     "TargetTable",
-    "draw_by_reports",
     "pack_report",
     "unpack_report",
 ]
