Place plain requests by reported load, and hold them while all is full

Cause: an entry of many has about one request at a time, so its own counts and response times don't tell that a target's places are taken, or that work takes longer there for some hundred milliseconds.

Change: where targets report, the cost of a plain request is its expected time by reported requests and pace; while all candidates are reported full it waits here for at most half of its objective, by class and arrival, and is refused only if it would begin beyond its deadline. Without reports the choice and the draws are those of before.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -219,6 +219,7 @@
             retry_after=RetryAfterScheduler(rng),
             clock=clock,
             log=log,
+            metrics=self.metrics,
         )
         self.serving = RequestHandler(
             self.state, Planner(self.state, rng), dispatcher, self.metrics
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -27,6 +27,7 @@
     "rests",
     "held_back",
 )
+GAUGES = ("zones", "place_waiting")
 
 
 class Metrics:
@@ -150,6 +151,30 @@
         """
         self._record("zones", (zone,), float(evacuated))
 
+    def set_place_waiting(
+        self, service: str, urgency: str, waiting: int
+    ) -> None:
+        """Set how many plain requests wait here for a place.
+
+        :param service: name of a configured service
+        :param urgency: their urgency class
+        :param waiting: number of them
+        """
+        self._record("place_waiting", (service, urgency), float(waiting))
+
+    def record_place_wait(
+        self, service: str, urgency: str, outcome: str, seconds: float
+    ) -> None:
+        """Observe a wait for a place that has ended.
+
+        :param service: name of a configured service
+        :param urgency: urgency class of the request
+        :param outcome: ``free``, ``unreported``, ``over``, ``hopeless`` or
+            ``left``
+        :param seconds: its length, in seconds
+        """
+        self._record("place_seconds", (service, urgency, outcome), seconds)
+
     def _limit_team(self, team: str) -> str:
         if team not in self._teams:
             if len(self._teams) >= MAX_TEAMS:
@@ -169,7 +194,7 @@
         series = self._series[name].labels(*labels)
         if name in COUNTERS:
             series.inc(value)
-        elif name == "zones":
+        elif name in GAUGES:
             series.set(value)
         else:
             series.observe(value)
@@ -238,6 +263,19 @@
             ("zone",),
             registry=registry,
         ),
+        "place_waiting": library.Gauge(
+            "chivepier_place_waiting",
+            "Plain requests that wait here, as all targets are full.",
+            ("service", "class"),
+            registry=registry,
+        ),
+        "place_seconds": library.Histogram(
+            "chivepier_place_wait_seconds",
+            "Wait of a plain request for a place at a target.",
+            ("service", "class", "outcome"),
+            buckets=BUCKETS,
+            registry=registry,
+        ),
         "dropped": library.Counter(
             "chivepier_observations_dropped",
             "Observations left out before the metrics were loaded.",
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -4,6 +4,7 @@
 import math
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.permits import Permit
 from chivepier.gateway.quarantine import shorten
 from chivepier.gateway.serving.assignment import Assignment
@@ -15,10 +16,12 @@
 from chivepier.gateway.serving.errors import NoCapacityError
 from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.errors import PlacesTakenError
 from chivepier.gateway.serving.errors import RateLimitedError
 from chivepier.gateway.serving.headerrecorder import get_backoff_seconds
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.mover import Mover
+from chivepier.gateway.serving.placewait import PlaceWait
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.rejectionpolicy import RejectionPolicy
 from chivepier.gateway.serving.retryafterscheduler import RetryAfterScheduler
@@ -69,6 +72,7 @@
     :param retry_after: schedules when refused callers may retry
     :param clock: monotonic clock
     :param log: event log for decisions on requests
+    :param metrics: receives waits for a place; none are kept by default
     """
 
     def __init__(
@@ -88,6 +92,7 @@
         retry_after: RetryAfterScheduler,
         clock: Clock,
         log: EventLog,
+        metrics: Metrics | None = None,
     ):
         self.state = state
         self.table = table
@@ -102,8 +107,11 @@
         self.log = log
         self.runs = RunTracker(loads, mover, balancer.prefill_estimator, clock)
         self._rejection = RejectionPolicy(table, clock, retry_after, log)
+        places = PlaceWait(
+            balancer, gate, state, clock, log, metrics or Metrics()
+        )
         self._assigner = TargetAssigner(
-            balancer, health, queues, calls, guard, gate, clock, log
+            balancer, health, queues, calls, guard, gate, places, clock, log
         )
 
     async def dispatch(self, plan: Plan) -> StartedAnswer:
@@ -190,6 +198,10 @@
             raise self._rejection.make_backoff_error(
                 plan, runs, error.seconds
             ) from None
+        except PlacesTakenError as error:
+            raise self._rejection.make_full_error(
+                plan, runs, error.seconds, error.reports
+            ) from None
 
     def _note_not_sent(
         self, plan: Plan, target: Target, error: NotSentError
@@ -349,6 +361,10 @@
         if self.table.is_current(started.target):
             instance = started.target.instance
             self.health.record_response(instance, failed, slowness, now)
+            if plan.demand is None and started.answer.status < 300:
+                self.balancer.request_cost.record_answer(
+                    started.target, now - sent_at, plan.route.objective, now
+                )
 
     def note_lost(
         self,
--- a/packages/gateway/src/chivepier/gateway/serving/errors.py
+++ b/packages/gateway/src/chivepier/gateway/serving/errors.py
@@ -39,6 +39,19 @@
         self.seconds = seconds
 
 
+class PlacesTakenError(Exception):
+    """All places are taken until after the deadline of a request.
+
+    :param seconds: expected time until one would be free for it, in seconds
+    :param reports: the reports that say so, for the log
+    """
+
+    def __init__(self, seconds: float, reports: dict[str, str]):
+        super().__init__(f"all places are taken for {seconds:.3f} s")
+        self.seconds = seconds
+        self.reports = reports
+
+
 class ConnectionLostError(Exception):
     """The connection broke before an answer; the request may have run."""
 
--- a/packages/gateway/src/chivepier/gateway/serving/rejectionpolicy.py
+++ b/packages/gateway/src/chivepier/gateway/serving/rejectionpolicy.py
@@ -30,7 +30,8 @@
     :param table: the known targets
     :param clock: source of monotonic time
     :param retry_after: schedules the retries of rejected callers
-    :param log: receives rejections caused by rate limits and backoffs
+    :param log: receives rejections caused by rate limits, backoffs and full
+        targets
     """
 
     def __init__(
@@ -146,6 +147,35 @@
         )
         return self._make_overload_error(text, back)
 
+    def make_full_error(
+        self,
+        plan: Plan,
+        runs: int,
+        seconds: float,
+        reports: dict[str, str],
+    ) -> RequestError:
+        """Return the error of a request that no place is free for in time.
+
+        :param plan: the plan of the request
+        :param runs: number of targets that may have run it
+        :param seconds: expected time until a place would be free for it
+        :param reports: what its targets reported, for the log
+        """
+        text = "its targets are busy until after its deadline"
+        if runs:
+            return self.make_error(plan, runs, text)
+        back = self._retry_after.add_jitter(seconds)
+        left = plan.deadline - self._clock.monotonic()
+        self._log_rejection(
+            "place_refused",
+            plan,
+            back,
+            start_ms=round(1000 * seconds),
+            left_ms=round(1000 * left),
+            reports=reports,
+        )
+        return self._make_overload_error(text, back)
+
     def _list_heard_ms(self, plan: Plan) -> dict[str, int]:
         """Return for each ready target how long ago it was heard."""
         now = self._clock.monotonic()
--- a/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
@@ -1,5 +1,7 @@
 """Assigning a request to a target that has room for it."""
 
+import functools
+
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.permits import Claim
 from chivepier.gateway.serving.assignment import Assignment
@@ -9,6 +11,8 @@
 from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.errors import RateLimitedError
+from chivepier.gateway.serving.placewait import PlaceWait
+from chivepier.gateway.serving.placewait import Rank
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.queueticket import QueueTicket
 from chivepier.gateway.serving.sendgate import SendGate
@@ -56,6 +60,7 @@
     :param calls: sends reservations to targets
     :param guard: blocks requests that crash targets
     :param gate: decides what may be sent to which target
+    :param places: holds plain requests while all targets are full
     :param clock: source of monotonic time
     :param log: receives assignment events
     """
@@ -68,6 +73,7 @@
         calls: TargetCalls,
         guard: CrashGuard,
         gate: SendGate,
+        places: PlaceWait,
         clock: Clock,
         log: EventLog,
     ):
@@ -77,6 +83,7 @@
         self._calls = calls
         self._guard = guard
         self._gate = gate
+        self._places = places
         self._clock = clock
         self._log = log
 
@@ -154,7 +161,8 @@
     ) -> Assignment | None:
         # targets being avoided are ranked once no other is left: they may
         # have room while all others are rate-limited
-        while ranked := self._rank_targets(plan, tried):
+        rank = functools.partial(self._rank_targets, plan, tried)
+        while ranked := await self._find_places(plan, rank):
             assignment = await self._permit_first(plan, ranked, tried)
             if assignment is not None:
                 return assignment
@@ -163,6 +171,16 @@
             raise RateLimitedError(rate)
         return None
 
+    async def _find_places(self, plan: Plan, rank: Rank) -> list[Target]:
+        """Return the candidates, once one of them may have a place."""
+        if plan.demand is not None:
+            return rank()
+        processing = MAX_TURN_WAIT_FRACTION * plan.route.objective
+        until = min(
+            self._compute_latest_start(plan), plan.deadline - processing
+        )
+        return await self._places.wait(plan, rank, until)
+
     async def _permit_first(
         self, plan: Plan, ranked: list[Target], tried: set[str]
     ) -> Assignment | None:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -53,6 +53,7 @@
 from chivepier.gateway.targets import LoadBalancer
 from chivepier.gateway.targets import LoadTracker
 from chivepier.gateway.targets import QueueTracker
+from chivepier.gateway.targets import ReportBoard
 from chivepier.gateway.targets import TargetHealth
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
@@ -139,6 +140,7 @@
         rng = random.Random(1)
         self.limits = LimitTable("e1")
         self.backoffs = BackoffTable(rng)
+        self.reports = ReportBoard()
         balancer = LoadBalancer(
             self.table,
             self.health,
@@ -148,6 +150,7 @@
             rng,
             self.limits,
             self.backoffs,
+            self.reports,
         )
         self.permitted: bool | None = True
         self.asked: list[tuple[str, int]] = []
@@ -183,6 +186,7 @@
             clock,
             log,
             Metrics(),
+            self.reports,
         )
         calls = TargetCalls(self.engines, gate, remarks)
         self.quarantine = Quarantine(
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -10,15 +10,18 @@
 from chivepier.gateway.targets.loadbalancer import LoadBalancer
 from chivepier.gateway.targets.loadtracker import LoadTracker
 from chivepier.gateway.targets.loadtracker import REPORT_EXPIRY_SECONDS
+from chivepier.gateway.targets.placereport import PlaceReport
 from chivepier.gateway.targets.prefillestimator import PrefillEstimator
 from chivepier.gateway.targets.queuetracker import QueueTracker
 from chivepier.gateway.targets.reading import Reading
 from chivepier.gateway.targets.reportboard import ReportBoard
 from chivepier.gateway.targets.reportedload import ReportedLoad
+from chivepier.gateway.targets.requestcost import RequestCost
 from chivepier.gateway.targets.target import Target
 from chivepier.gateway.targets.targethealth import TargetHealth
 from chivepier.gateway.targets.targetstate import TargetState
 from chivepier.gateway.targets.targettable import TargetTable
+from chivepier.gateway.targets.workestimator import WorkEstimator
 
 __all__ = [
     "DecodeEstimator",
@@ -30,14 +33,17 @@
     "LoadBalancer",
     "LoadTracker",
     "NEAR_TERM_OUTPUT_TOKENS",
+    "PlaceReport",
     "PrefillEstimator",
     "QueueTracker",
     "REPORT_EXPIRY_SECONDS",
     "Reading",
     "ReportBoard",
     "ReportedLoad",
+    "RequestCost",
     "Target",
     "TargetHealth",
     "TargetState",
     "TargetTable",
+    "WorkEstimator",
 ]
--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -11,6 +11,7 @@
 from chivepier.gateway.targets.loadtracker import LoadTracker
 from chivepier.gateway.targets.prefillestimator import PrefillEstimator
 from chivepier.gateway.targets.reportboard import ReportBoard
+from chivepier.gateway.targets.requestcost import RequestCost
 from chivepier.gateway.targets.target import Target
 from chivepier.gateway.targets.targethealth import TargetHealth
 from chivepier.gateway.targets.targettable import TargetTable
@@ -53,7 +54,8 @@
     """Chooses the target with the most free capacity over all entries.
 
     ``prefill_estimator`` learns from first events how fast prompts are read;
-    the queue of waiting requests uses it too.
+    the queue of waiting requests uses it too. ``request_cost`` estimates the
+    times of plain requests.
 
     :param table: known targets
     :param health: health of the targets
@@ -88,6 +90,7 @@
         self._clock = clock
         self._rng = rng
         self.prefill_estimator = PrefillEstimator()
+        self.request_cost = RequestCost(self._reports, health, WARMING_COST)
         self._in_flight: dict[str, int] = {}
 
     def avoid_unreachable(self, instance: str) -> None:
@@ -154,11 +157,14 @@
         """
         now = self._clock.monotonic()
         healthy = self._select_healthy(service, without, now, regions)
-        costs = {
-            t.instance: self._get_cost(t, engine, demand, now)
-            for t in healthy
-            if not exclude_full or self.has_room(t, engine, demand)
-        }
+        if engine is None or demand is None:
+            costs = self._get_request_cost(healthy, now)
+        else:
+            costs = {
+                t.instance: self._get_generation_cost(t, engine, demand, now)
+                for t in healthy
+                if not exclude_full or self.has_room(t, engine, demand)
+            }
         if not costs:
             return []
         order = self._draw_order(costs, sample=engine is not None)
@@ -329,17 +335,6 @@
             for name, cost in costs.items()
         }
 
-    def _get_cost(
-        self,
-        target: Target,
-        engine: Engine | None,
-        demand: Demand | None,
-        now: float,
-    ) -> float:
-        if engine is None or demand is None:
-            return self._get_request_cost(target, now)
-        return self._get_generation_cost(target, engine, demand, now)
-
     def has_room(self, target: Target, engine: Engine, demand: Demand) -> bool:
         """Tell whether a target has memory and time for one more generation.
 
@@ -398,12 +393,10 @@
             for target in self._table.select_leaving(service)
         )
 
-    def _get_request_cost(self, target: Target, now: float) -> float:
-        busy = self._in_flight.get(target.instance, 0) / max(1, target.slots)
-        cost = busy + self._health.get_latency_ratio(target.instance, now)
-        if now < target.warm_at:
-            cost += WARMING_COST
-        return cost
+    def _get_request_cost(
+        self, targets: list[Target], now: float
+    ) -> dict[str, float]:
+        return self.request_cost.estimate(targets, self._in_flight, now)
 
     def _get_generation_cost(
         self, target: Target, engine: Engine, demand: Demand, now: float
--- a/packages/gateway/src/chivepier/gateway/targets/reportboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/reportboard.py
@@ -8,6 +8,7 @@
 from chivepier.gateway.targets.reading import Reading
 from chivepier.gateway.targets.reportedload import ReportedLoad
 from chivepier.gateway.targets.target import Target
+from chivepier.types import Signal
 
 # Seconds after which a reported pace says nothing of the present: the work of
 # others on the target's machine changes several times a second.
@@ -35,6 +36,7 @@
 
     Reports are out of date when they arrive: a choice counts on top what this
     entry has sent since, and trusts a pace for a fraction of a second only.
+    ``changed`` is set by each report that is stored.
 
     >>> board = ReportBoard()
     >>> report = ReportedLoad(running=2, waiting=0, slots=6, pace=1.7)
@@ -48,6 +50,7 @@
 
     def __init__(self) -> None:
         self._records: dict[str, tuple[int, _Record]] = {}
+        self.changed = Signal()
 
     def record(
         self, instance: str, born: int, load: ReportedLoad, now: float
@@ -77,6 +80,7 @@
             record.reading = reading
             record.own_starts = 0
         self._note_pace(record, load.pace, now)
+        self.changed.set()
         return True
 
     def note_start(self, instance: str) -> None:
--- a/packages/gateway/src/chivepier/gateway/targets/targethealth.py
+++ b/packages/gateway/src/chivepier/gateway/targets/targethealth.py
@@ -75,7 +75,7 @@
         reached = {i for i in instances if not self.is_avoided(i, now)}
         if not reached:
             return set(instances)
-        rates = {i: self._get_failure_rate(i, now) for i in reached}
+        rates = {i: self.get_failure_rate(i, now) for i in reached}
         usual = sorted(rates.values())[(len(rates) - 1) // 2]
         return {
             i for i in reached if rates[i] <= usual + MAX_EXCESS_FAILURE_RATE
@@ -97,7 +97,8 @@
         record = self._records.get(instance)
         return record is not None and now < record.avoided_until
 
-    def _get_failure_rate(self, instance: str, now: float) -> float:
+    def get_failure_rate(self, instance: str, now: float) -> float:
+        """Return the average share of failures, 0 if unknown."""
         record = self._records.get(instance)
         if record is None or now - record.updated_at > HISTORY_SECONDS:
             return 0.0
