--- a/packages/gateway/src/chivepier/gateway/serving/placequeue.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placequeue.py
@@ -18,7 +18,7 @@
     >>> import attrs
     >>> queue = PlaceQueue()
     >>> full = PlaceReport(
-    ...     instance="t", requests=6, slots=6, age=0.0, seconds=0.06
+    ...     instance="t", requests=12, slots=6, age=0.0, seconds=0.06
     ... )
     >>> with queue.enter("s", 1, 0.0, until=0.1, deadline=1.6) as ticket:
     ...     queue.decide(ticket, [full], now=0.0).value
@@ -90,7 +90,7 @@
             ticket.candidates = frozenset()
             return PlaceOutcome.UNREPORTED
         ticket.candidates = frozenset(place.instance for place in places)
-        if sum(place.free for place in places) > self._count_ahead(ticket):
+        if sum(place.room for place in places) > self._count_ahead(ticket):
             return PlaceOutcome.FREE
         start = self.estimate_start(ticket, places)
         if start is not None and now + start > ticket.deadline:
@@ -110,13 +110,13 @@
         :param places: places of its candidates
         :returns: ``None`` if it isn't known how fast places become free
         """
-        rate, ahead = 0.0, self._count_ahead(ticket) + 1
+        rate, ahead = 0.0, self._count_ahead(ticket)
         for place in places:
             if place.rate is None:
                 return None
             rate += place.rate
-            ahead += place.queued - place.free
-        return max(0, ahead) / rate if rate else None
+            ahead += place.queued
+        return ahead / rate if rate else None
 
     def _count_ahead(self, ticket: PlaceTicket) -> int:
         """Count those before a request that may take the same places."""
--- a/packages/gateway/src/chivepier/gateway/serving/placewait.py
+++ b/packages/gateway/src/chivepier/gateway/serving/placewait.py
@@ -19,6 +19,8 @@
 # Interval at which a waiting request looks for a place, as reports get lost
 # and old: a fraction of the shortest objectives.
 POLL_SECONDS = 0.01
+# Lower bound of a wait: a shorter one may end before time has passed.
+MIN_POLL_SECONDS = 0.001
 
 Rank = collections.abc.Callable[[], list[Target]]
 
@@ -93,8 +95,9 @@
         outcome = PlaceOutcome.LEFT
         try:
             while True:
+                left = ticket.until - now
                 await self._balancer.request_cost.changed.wait(
-                    min(POLL_SECONDS, ticket.until - now)
+                    min(POLL_SECONDS, max(MIN_POLL_SECONDS, left))
                 )
                 await self._gate.wait_fresh()
                 ranked = rank()
--- a/packages/gateway/src/chivepier/gateway/targets/placereport.py
+++ b/packages/gateway/src/chivepier/gateway/targets/placereport.py
@@ -2,6 +2,11 @@
 
 import attrs
 
+# Requests that may wait at a target for each of its slots before others wait
+# at their entries: its places don't stand free while its reports are relayed,
+# which takes about as long as a request.
+QUEUED_PER_SLOT = 1
+
 
 @attrs.frozen(kw_only=True)
 class PlaceReport:
@@ -11,11 +16,11 @@
     must have ended: nobody waits for a place that stands free.
 
     >>> full = PlaceReport(
-    ...     instance="t", requests=8, slots=6, age=0.0, seconds=0.06
+    ...     instance="t", requests=14, slots=6, age=0.0, seconds=0.06
     ... )
-    >>> full.free, full.queued, full.rate
-    (0, 2, 100.0)
-    >>> attrs.evolve(full, age=0.05).free
+    >>> full.room, full.queued, full.rate
+    (0, 8, 100.0)
+    >>> attrs.evolve(full, age=0.05).room
     3
 
     :param instance: name of the target
@@ -43,9 +48,9 @@
         return max(0, self.requests - ended)
 
     @property
-    def free(self) -> int:
-        """Number of its places that are free."""
-        return max(0, self.slots - self.left)
+    def room(self) -> int:
+        """Number of requests that it may be sent now."""
+        return max(0, (1 + QUEUED_PER_SLOT) * self.slots - self.left)
 
     @property
     def queued(self) -> int:
