--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_requestcost.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_requestcost.py
@@ -1,10 +1,10 @@
 """Tests of the cost of a plain request by reported load."""
 
-from chivepier.gateway.targets import ReportBoard
-from chivepier.gateway.targets import ReportedLoad
-from chivepier.gateway.targets import RequestCost
-from chivepier.gateway.targets import TargetHealth
 from chivepier.gateway.targets.loadbalancer import TIE_MARGIN
+from chivepier.gateway.targets.reportboard import ReportBoard
+from chivepier.gateway.targets.reportedload import ReportedLoad
+from chivepier.gateway.targets.requestcost import RequestCost
+from chivepier.gateway.targets.targethealth import TargetHealth
 from chivepier.gateway.targets.tests.test_targettable import make
 
 A, B, C = (make(name, address=f"{name}:1", born=1) for name in "abc")
