Merge placing and holding of plain requests; switch kept room by objectives

Change: the configuration switches it, where a less urgent class of a model service has at least twice the objective of a more urgent one.

--- a/packages/gateway/src/chivepier/gateway/config/routeindex.py
+++ b/packages/gateway/src/chivepier/gateway/config/routeindex.py
@@ -1,6 +1,7 @@
 """Look-up of the route and the team of a request."""
 
 from chivepier.gateway.config.configuration import Configuration
+from chivepier.gateway.config.patience import find_patient_services
 from chivepier.gateway.config.route import Route
 from chivepier.gateway.config.service import Service
 from chivepier.gateway.config.team import Team
@@ -31,6 +32,7 @@
         self.services: dict[str, Service] = {
             service.name: service for service in configuration.services
         }
+        self.patient_services = find_patient_services(configuration)
         self.requires_key = bool(configuration.teams)
 
     def find_route(self, host: str, path: str) -> Route | None:
--- a/packages/gateway/src/chivepier/gateway/config/tests/test_configuration.py
+++ b/packages/gateway/src/chivepier/gateway/config/tests/test_configuration.py
@@ -5,6 +5,7 @@
 
 from chivepier.gateway.config import Configuration
 from chivepier.gateway.config import ConfigurationError
+from chivepier.gateway.config import Engine
 from chivepier.gateway.config import Repetition
 from chivepier.gateway.config import Route
 from chivepier.gateway.config import RouteIndex
@@ -84,3 +85,23 @@
     )
     route = index.find_route(host, path)
     assert (route.name if route else None) == name
+
+
+@pytest.mark.parametrize(
+    ("urgency", "objective", "patient"),
+    [(2, 4.0, True), (2, 1.8, False), (0, 4.0, False)],
+)
+def test_room_is_kept_where_others_have_time_to_wait(
+    urgency, objective, patient
+):
+    """Guards sites whose classes are all in a hurry, served as before."""
+    first = attrs.evolve(ROUTE, streaming=True, urgency=0, objective=1.5)
+    other = attrs.evolve(
+        first, prefix="/b/", urgency=urgency, objective=objective
+    )
+    engine = Engine(slots=8, memory_tokens=9_000)
+    service = Service(name="s", connections=1, engine=engine)
+    configuration = attrs.evolve(make(first, other), services=(service,))
+    assert RouteIndex(configuration).patient_services == (
+        {"s"} if patient else set()
+    )
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 
+from chivepier.gateway.config import RouteIndex
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import Decode
 from chivepier.gateway.following import LimitExchange
@@ -100,11 +101,12 @@
         self.queues = QueueTracker(
             settings.name, self.board.changed, shares_usage=False
         )
+        self.state.watchers.append(self._handle_config)
         self.limits = LimitTable(settings.name)
         self.limits.watchers.append(self._log_limit)
         self.rests = BackoffTable(rng)
         self.reports = ReportBoard(self.board.changed)
-        self.reports.pace_watchers.append(self._handle_pace)
+        self.reports.pace_watchers.append(self._log_pace)
         balancer = LoadBalancer(
             self.table,
             self.health,
@@ -271,9 +273,10 @@
             age_ms=round(1000 * (self._clock.monotonic() - limit.seen)),
         )
 
-    def _handle_pace(self, instance: str, born: int, pace: float) -> None:
-        # sites whose targets tell no pace are served without shared classes
-        self.queues.shares_usage = True
+    def _handle_config(self, index: RouteIndex) -> None:
+        self.queues.shares_usage = bool(index.patient_services)
+
+    def _log_pace(self, instance: str, born: int, pace: float) -> None:
         self._log.info("pace_known", target=instance, born=born, pace=pace)
 
     def _handle_zone_order(self, order: ZoneOrder) -> None:
--- a/packages/gateway/src/chivepier/gateway/metrics/tests/test_metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/tests/test_metrics.py
@@ -14,6 +14,8 @@
     metrics.record_refused_early("2")
     metrics.record_team_wait("2")
     metrics.record_room_wait("2", "real", 0.5)
+    metrics.set_place_waiting("s", "2", 1)
+    metrics.record_place_wait("s", "2", "free", 0.05)
     metrics.load()
     metrics.record_request("t1", "2", "no_target", 0.05)
     text = metrics.render().decode()
@@ -21,6 +23,8 @@
     assert "chivepier_requests_total{" + answered in text
     assert 'outcome="no_target",team="t1"} 1.0' in text
     assert 'chivepier_memory_copies_total{outcome="copied"} 1.0' in text
+    assert 'chivepier_place_waiting{class="2",service="s"} 1.0' in text
+    assert "chivepier_place_wait_seconds_bucket" in text
     assert "chivepier_longest_pause_seconds_bucket" in text
     for name in ("room_kept", "refused_early", "team_waits"):
         assert f'chivepier_{name}_total{{class="2"}} 1.0' in text
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -16,10 +16,12 @@
 from chivepier.gateway.serving.errors import NoCapacityError
 from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.errors import PlacesTakenError
 from chivepier.gateway.serving.errors import RateLimitedError
 from chivepier.gateway.serving.headerrecorder import get_backoff_seconds
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.mover import Mover
+from chivepier.gateway.serving.placewait import PlaceWait
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.rejectionpolicy import RejectionPolicy
 from chivepier.gateway.serving.retryafterscheduler import RetryAfterScheduler
@@ -71,7 +73,7 @@
     :param retry_after: schedules when refused callers may retry
     :param clock: monotonic clock
     :param log: event log for decisions on requests
-    :param metrics: gets the waits for room, and long streams by fit
+    :param metrics: gets the waits for room and places, and streams by fit
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         self.log = log
         self.runs = RunTracker(loads, mover, balancer, clock, queues)
         self._rejection = RejectionPolicy(table, clock, retry_after, log)
+        places = PlaceWait(balancer, gate, state, clock, log, metrics)
         self._assigner = TargetAssigner(
             balancer,
             health,
@@ -115,6 +118,7 @@
             calls,
             guard,
             gate,
+            places,
             clock,
             log,
             metrics,
@@ -210,6 +214,10 @@
             raise self._rejection.make_backoff_error(
                 plan, runs, error.seconds
             ) from None
+        except PlacesTakenError as error:
+            raise self._rejection.make_full_error(
+                plan, runs, error.seconds, error.reports
+            ) from None
 
     def _note_not_sent(
         self, plan: Plan, target: Target, error: NotSentError
@@ -374,6 +382,10 @@
             self.health.record_response(instance, failed, slowness, now)
             if failed and plan.demand is not None:
                 self.balancer.avoid_failing(started.target)
+            if plan.demand is None and started.answer.status < 300:
+                self.balancer.request_cost.record_answer(
+                    started.target, now - sent_at, plan.route.objective, now
+                )
 
     def note_lost(
         self,
--- a/packages/gateway/src/chivepier/gateway/serving/servingstate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/servingstate.py
@@ -1,5 +1,7 @@
 """Configuration and shutdown state shared by request handling."""
 
+import collections.abc
+
 import attrs
 
 from chivepier.gateway.config import RouteIndex
@@ -17,6 +19,7 @@
     :param ends_at: monotonic time in seconds when this process ends; ``None``
         unless it was ordered to stop
     :param changed: set at each newer configuration
+    :param watchers: called with each newer configuration
     """
 
     index: RouteIndex | None = None
@@ -24,6 +27,9 @@
     stopping: bool = False
     ends_at: float | None = None
     changed: Signal = attrs.field(factory=Signal)
+    watchers: list[collections.abc.Callable[[RouteIndex], None]] = attrs.field(
+        factory=list
+    )
 
     def adopt(self, index: RouteIndex) -> bool:
         """Replace the configuration if the given one is newer.
@@ -34,5 +40,7 @@
         if self.index is not None and index.version <= self.index.version:
             return False
         self.index = index
+        for watcher in self.watchers:
+            watcher(index)
         self.changed.set()
         return True
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -138,7 +138,7 @@
         clock = LoopClock()
         self._lines = tempfile.TemporaryFile()
         log = EventLog("e1", self._lines.fileno())
-        rng = random.Random(1)
+        self.rng = rng = random.Random(1)
         self.limits = LimitTable("e1")
         self.backoffs = BackoffTable(rng)
         self.reports = ReportBoard()
@@ -188,6 +188,7 @@
             clock,
             log,
             Metrics(),
+            self.reports,
         )
         calls = TargetCalls(self.engines, gate, remarks)
         self.quarantine = Quarantine(
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -16,6 +16,7 @@
 from chivepier.gateway.targets.paceadvisor import PaceAdvisor
 from chivepier.gateway.targets.paceforecast import PaceForecast
 from chivepier.gateway.targets.pacesurvey import PaceSurvey
+from chivepier.gateway.targets.placereport import PlaceReport
 from chivepier.gateway.targets.prefillestimator import PrefillEstimator
 from chivepier.gateway.targets.queuetracker import QueueTracker
 from chivepier.gateway.targets.reading import Reading
@@ -24,10 +25,12 @@
 from chivepier.gateway.targets.reportoutcome import ReportOutcome
 from chivepier.gateway.targets.reportrecords import pack_report
 from chivepier.gateway.targets.reportrecords import unpack_report
+from chivepier.gateway.targets.requestcost import RequestCost
 from chivepier.gateway.targets.target import Target
 from chivepier.gateway.targets.targethealth import TargetHealth
 from chivepier.gateway.targets.targetstate import TargetState
 from chivepier.gateway.targets.targettable import TargetTable
+from chivepier.gateway.targets.workestimator import WorkEstimator
 
 __all__ = [
     "ClassUsage",
@@ -45,6 +48,7 @@
     "PaceAdvisor",
     "PaceForecast",
     "PaceSurvey",
+    "PlaceReport",
     "PrefillEstimator",
     "QueueTracker",
     "REPORT_EXPIRY_SECONDS",
@@ -52,10 +56,12 @@
     "ReportBoard",
     "ReportOutcome",
     "ReportedLoad",
+    "RequestCost",
     "Target",
     "TargetHealth",
     "TargetState",
     "TargetTable",
     "pack_report",
     "unpack_report",
+    "WorkEstimator",
 ]
--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -17,6 +17,7 @@
 from chivepier.gateway.targets.pacesurvey import PaceSurvey
 from chivepier.gateway.targets.prefillestimator import PrefillEstimator
 from chivepier.gateway.targets.reportboard import ReportBoard
+from chivepier.gateway.targets.requestcost import RequestCost
 from chivepier.gateway.targets.target import Target
 from chivepier.gateway.targets.targethealth import TargetHealth
 from chivepier.gateway.targets.targettable import TargetTable
@@ -71,6 +72,7 @@
     ``prefill_estimator`` learns from first events how fast prompts are read,
     ``decode_estimator`` from complete generations how fast tokens come; the
     queue of waiting requests uses the first, ``pace_advisor`` the second.
+    ``request_cost`` estimates the times of plain requests.
 
     :param table: known targets
     :param health: health of the targets
@@ -107,6 +109,7 @@
         self.prefill_estimator = PrefillEstimator()
         self.decode_estimator = DecodeEstimator()
         self.pace_advisor = PaceAdvisor(self._reports, self.decode_estimator)
+        self.request_cost = RequestCost(self._reports, health, WARMING_COST)
         self._in_flight: dict[str, int] = {}
         self._surveys: dict[str, tuple[float, PaceSurvey]] = {}
 
@@ -198,6 +201,9 @@
         fits = self.pace_advisor.advise(
             service, healthy, survey, engine, demand
         )
+        plain_costs = {}
+        if engine is None or demand is None:
+            plain_costs = self._get_request_cost(healthy, now)
         groups: dict[tuple[bool, int], dict[str, float]] = {}
         for target in healthy:
             fit = fits.get(target.instance, Fit.FITS)
@@ -207,9 +213,12 @@
             if exclude_full and full or exclude_unfit and fit is Fit.UNFIT:
                 continue
             costs = groups.setdefault((full, PREFERENCE.index(fit)), {})
-            costs[target.instance] = self._get_cost(
-                target, engine, demand, survey, now
-            )
+            cost = plain_costs.get(target.instance)
+            if cost is None:
+                cost = self._get_generation_cost(
+                    target, engine, demand, survey, now
+                )
+            costs[target.instance] = cost
         order = {}
         for group, costs in sorted(groups.items()):
             drawn = self._draw_order(costs, sample=engine is not None)
@@ -424,18 +433,6 @@
             for name, cost in costs.items()
         }
 
-    def _get_cost(
-        self,
-        target: Target,
-        engine: Engine | None,
-        demand: Demand | None,
-        survey: PaceSurvey,
-        now: float,
-    ) -> float:
-        if engine is None or demand is None:
-            return self._get_request_cost(target, now)
-        return self._get_generation_cost(target, engine, demand, survey, now)
-
     def has_room(self, target: Target, engine: Engine, demand: Demand) -> bool:
         """Tell whether a target has memory and time for one more generation.
 
@@ -529,12 +526,10 @@
             for target in self._table.select_leaving(service)
         )
 
-    def _get_request_cost(self, target: Target, now: float) -> float:
-        busy = self._in_flight.get(target.instance, 0) / max(1, target.slots)
-        cost = busy + self._health.get_latency_ratio(target.instance, now)
-        if now < target.warm_at:
-            cost += WARMING_COST
-        return cost
+    def _get_request_cost(
+        self, targets: list[Target], now: float
+    ) -> dict[str, float]:
+        return self.request_cost.estimate(targets, self._in_flight, now)
 
     def _get_generation_cost(
         self,
--- a/packages/gateway/src/chivepier/gateway/targets/reportboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/reportboard.py
@@ -62,6 +62,7 @@
 
     Reports are out of date when they arrive: a choice counts on top what this
     entry has sent since, and trusts a pace for a fraction of a second only.
+    ``updated`` is set by each report that is stored.
 
     ``pace_watchers`` are called with the name, start and pace of a target when
     its pace is known first.
@@ -83,6 +84,7 @@
         self._changed = changed
         self._records: dict[str, tuple[int, _Record]] = {}
         self._pending: dict[str, None] = {}
+        self.updated = Signal()
 
     @property
     def is_empty(self) -> bool:
@@ -279,6 +281,7 @@
             record = _Record(reading)
             self._records[instance] = (born, record)
         self._note_pace(instance, born, record, reading)
+        self.updated.set()
         return record
 
     def _note_pace(
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_queuetracker.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_queuetracker.py
@@ -85,8 +85,8 @@
     assert not tracker.teams.list_taken("s", 1)
 
 
-def test_classes_are_not_told_without_a_pace():
-    """Guards sites whose targets tell no pace, served as before."""
+def test_classes_are_not_told_where_none_can_wait():
+    """Guards sites whose classes are all in a hurry, served as before."""
     queues = QueueTracker("me", Signal(), shares_usage=False)
     queues.adjust_held("s", 0, runs=1, tokens=900)
     assert queues.list_own() == [] and queues.list_usage("s", 1.0) == []
