Give callers to entries by what they can do, and shed near their limits

Entries that differ three-fold in processor, link, memory and descriptors got equal shares of the callers, and one that ran out of memory or descriptors ended with all its streams. Beats now tell limits, how busy an entry is and its turn; the directory names an entry of weight 1 to the callers of each third zone. Even or unknown limits: the answers of before.

--- a/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
+++ b/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
@@ -6,6 +6,8 @@
 import hashlib
 import math
 
+from chivepier.gateway.control.entryweights import compute_weights
+from chivepier.gateway.control.entryweights import select_by_weight
 from chivepier.gateway.control.knownentry import KnownEntry
 from chivepier.gateway.messages import EntryBeat
 from chivepier.types import Clock
@@ -67,7 +69,8 @@
     ) -> list[str]:
         """Return the entry addresses for callers of an availability zone.
 
-        The selection is deterministic, so that all voters return the same
+        Entries that can do less than others are named to fewer callers. The
+        selection is deterministic, so that all voters return the same
         addresses: callers close connections to addresses no longer returned.
         It is independent of arrival order, so that no entry is left out.
 
@@ -90,6 +93,8 @@
         ]
         beats = [entry.beat for entry in alive or ready]
         beats = self._filter_by_region(beats, region, allowed)
+        if max_count is not None:
+            beats = select_by_weight(beats, zone, self._list_zones())
         if max_count is None or len(beats) <= max_count:
             return [beat.address for beat in beats]
         return _select(beats, zone, max_count, now)
@@ -111,6 +116,16 @@
         filtered = [b for b in beats if self._regions.get(b.zone) in permitted]
         return filtered or beats
 
+    def compute_weights(self) -> dict[str, int]:
+        """Return the weight of each ready entry, by its name."""
+        beats = [b for b in self.list_beats() if b.ready]
+        weights = compute_weights(beats)
+        return {beat.node: weight for beat, weight in zip(beats, weights)}
+
+    def _list_zones(self) -> set[str]:
+        zones = {entry.beat.zone for entry in self._entries.values()}
+        return zones | self._regions.keys()
+
     def list_channels(self, exclude: str = "") -> list[Channel]:
         """Return the open channels to all entries, for push messages.
 
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/entryweights.py
@@ -0,0 +1,108 @@
+"""Shares of the callers that entries get by what they can do."""
+
+import collections.abc
+import functools
+import hashlib
+import math
+
+from chivepier.gateway.messages import EntryBeat
+
+# Weight of the most able entries; the least able ones get 1. More would leave
+# so many callers to a few entries that the loss of one cuts more streams than
+# the others are spared.
+MAX_WEIGHT = 3
+# Used share of its processor or memory, in percent, from which an entry gets
+# fewer callers: what is left bears a burst.
+BUSY_PERCENT = 80
+
+
+def select_by_weight(
+    beats: list[EntryBeat], zone: str, zones: collections.abc.Iterable[str]
+) -> list[EntryBeat]:
+    """Select the entries that callers of an availability zone may be told.
+
+    Callers pick any address of an answer, so an entry gets fewer callers by
+    being named in fewer answers: one of weight 1 to the callers of each third
+    zone, and in each of its turns to those of another one. Only its own beat
+    decides on that, so that the others stay where they are.
+
+    :param beats: the entries that callers may connect to
+    :param zone: availability zone of the callers
+    :param zones: all known availability zones
+    :returns: the same entries if all can do as much, or it is unknown
+    """
+    weights = compute_weights(beats)
+    if min(weights, default=MAX_WEIGHT) == MAX_WEIGHT:
+        return beats
+    rank = sorted({*zones, zone}).index(zone)
+    return [
+        beat
+        for beat, weight in zip(beats, weights)
+        if (_hash(beat.address) + beat.turn + rank) % MAX_WEIGHT < weight
+    ]
+
+
+def compute_weights(beats: list[EntryBeat]) -> list[int]:
+    """Return the weight of each entry, from 1 to ``MAX_WEIGHT``.
+
+    An entry is as able as the scarcest of its limits, compared to the largest
+    such limit of all; only limits that all entries tell count.
+
+    >>> def make(name, millicores):
+    ...     return EntryBeat(
+    ...         name, name, "z", True, 1, "", 0, millicores=millicores
+    ...     )
+    >>> fleet = [make("a", 900), make("b", 600), make("c", 300)]
+    >>> compute_weights(fleet)
+    [3, 3, 3]
+
+    Each entry is named to the callers of at least one zone.
+
+    >>> import attrs
+    >>> fleet = [attrs.evolve(b, zone=z) for b, z in zip(fleet, "xyz")]
+    >>> compute_weights(fleet)
+    [3, 2, 1]
+
+    :param beats: the last beats of the entries
+    """
+    weights = [_round(share) for share in _compute_shares(beats)]
+    if len(set(weights)) <= 1:
+        return [MAX_WEIGHT] * len(beats)
+    weights = [
+        weight - (beat.busy_percent >= BUSY_PERCENT)
+        for beat, weight in zip(beats, weights)
+    ]
+    # the largest limits of all may belong to different entries
+    missing = MAX_WEIGHT - max(weights)
+    least = math.ceil(MAX_WEIGHT / len({beat.zone for beat in beats}))
+    return [max(least, weight + missing) for weight in weights]
+
+
+def _compute_shares(beats: list[EntryBeat]) -> list[float]:
+    limits = [_get_limits(beat) for beat in beats]
+    largest = [max(known) for known in zip(*limits) if min(known) > 0]
+    compared = [i for i, known in enumerate(zip(*limits)) if min(known) > 0]
+    return [
+        min((own[i] / top for i, top in zip(compared, largest)), default=1.0)
+        for own in limits
+    ]
+
+
+def _get_limits(beat: EntryBeat) -> tuple[int, ...]:
+    return (
+        beat.millicores,
+        beat.memory_mb,
+        beat.link_kbps,
+        beat.descriptors,
+    )
+
+
+def _round(share: float) -> int:
+    return max(1, int(MAX_WEIGHT * share + 0.5))
+
+
+# Sized for the entries of a large fleet.
+@functools.lru_cache(maxsize=1 << 12)
+def _hash(address: str) -> int:
+    digest = hashlib.blake2b(address.encode(), digest_size=8).digest()
+    return int.from_bytes(digest)
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -17,6 +17,7 @@
 from chivepier.gateway.control.quarantinerelay import QuarantineRelay
 from chivepier.gateway.control.registry import Registry
 from chivepier.gateway.control.statecache import StateCache
+from chivepier.gateway.control.weightwatch import WeightWatch
 from chivepier.gateway.control.zonestore import ZoneStore
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import Peers
@@ -81,6 +82,7 @@
         self._stack = contextlib.AsyncExitStack()
         self.peers = Peers(settings.seeds)
         self.entries = EntryDirectory(clock, settings.regions)
+        self._weights = WeightWatch(self.entries, log)
         self.zones = Zones(settings.regions)
         self.table = TargetTable(settings.beat, self.zones)
         self.quarantine = QuarantineRelay(self._find_followers, clock, log)
@@ -290,6 +292,7 @@
         while True:
             await self._clock.sleep(EXPIRY_INTERVAL_SECONDS)
             self.entries.expire()
+            self._weights.check()
             self.registry.expire()
             self.quarantine.expire()
             self.limits.board.expire(t.instance for t in self.table)
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -4,6 +4,7 @@
 import contextlib
 import random
 
+from chivepier.gateway.entry.usagewatch import UsageWatch
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import Decode
 from chivepier.gateway.following import LimitExchange
@@ -32,6 +33,7 @@
 from chivepier.gateway.serving import RetryBudget
 from chivepier.gateway.serving import SendGate
 from chivepier.gateway.serving import ServingState
+from chivepier.gateway.serving import Shedding
 from chivepier.gateway.serving import TargetCalls
 from chivepier.gateway.serving import TargetClient
 from chivepier.gateway.settings import EntrySettings
@@ -44,6 +46,9 @@
 from chivepier.gateway.targets import TargetHealth
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
+from chivepier.gateway.usage import AbilityReporter
+from chivepier.gateway.usage import ProcessReader
+from chivepier.gateway.usage import UsageMeter
 from chivepier.gateway.zones import Freshness
 from chivepier.gateway.zones import ZoneOrder
 from chivepier.gateway.zones import Zones
@@ -185,6 +190,8 @@
             settings.repeat_window,
             settings.name,
         )
+        meter = UsageMeter(settings.limits, ProcessReader(), clock)
+        reporter = AbilityReporter(settings.name, settings.limits, meter)
         self.following = VoterClient(
             name=settings.name,
             address=settings.address,
@@ -203,6 +210,7 @@
             freshness=freshness,
             clock=clock,
             log=log,
+            report=reporter.report,
         )
         dispatcher = Dispatcher(
             state=self.state,
@@ -220,8 +228,16 @@
             clock=clock,
             log=log,
         )
+        shedding = Shedding(rng)
         self.serving = RequestHandler(
-            self.state, Planner(self.state, rng), dispatcher, self.metrics
+            self.state,
+            Planner(self.state, rng),
+            dispatcher,
+            self.metrics,
+            shedding,
+        )
+        self._usage_watch = UsageWatch(
+            meter, shedding, self.serving, clock, log
         )
 
     async def __aenter__(self) -> "Entry":
@@ -233,6 +249,8 @@
         self._stack.callback(loading.cancel)
         watching = asyncio.create_task(self.mover.watch_silent_targets())
         self._stack.callback(watching.cancel)
+        measuring = asyncio.create_task(self._usage_watch.run())
+        self._stack.callback(measuring.cancel)
         self._log.info("entry_started", address=self._settings.address)
         return self
 
--- a/packages/gateway/src/chivepier/gateway/following/voterclient.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterclient.py
@@ -1,6 +1,9 @@
 """An entry's client of the voters."""
 
 import asyncio
+import collections.abc
+
+import attrs
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following.configfetcher import ConfigFetcher
@@ -29,6 +32,7 @@
 from chivepier.gateway.serving import ServingState
 from chivepier.gateway.targets import LeavingTargets
 from chivepier.gateway.targets import TargetTable
+from chivepier.gateway.usage import Ability
 from chivepier.gateway.zones import Freshness
 from chivepier.gateway.zones import PRESUMPTION_TTL_SECONDS
 from chivepier.gateway.zones import unpack_order
@@ -48,6 +52,10 @@
 POLL_SECONDS = 0.2
 
 
+def _report_nothing(now: float) -> Ability:
+    return Ability()
+
+
 class VoterClient:
     """Keeps a link to each voter: changes are pushed, beats repair gaps.
 
@@ -71,6 +79,7 @@
     :param freshness: is notified of each answer of a voter
     :param clock: source of monotonic time
     :param log: event log of this process
+    :param report: returns what this entry can do at a monotonic time
     """
 
     def __init__(
@@ -91,8 +100,10 @@
         freshness: Freshness,
         clock: Clock,
         log: EventLog,
+        report: collections.abc.Callable[[float], Ability] = _report_nothing,
     ):
         self._name = name
+        self._report = report
         self._address = address
         self._zone = zone
         self._peers = peers
@@ -258,6 +269,7 @@
             voter.limits.received_revision,
             self._limits.find_unconfirmed(voter.limits),
             tuple(leavers - voter.confirmed_leavers),
+            **attrs.asdict(self._report(self._clock.monotonic())),
         )
         limits_confirmed, limits_revision = (
             voter.limits.confirmed_revision,
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
@@ -21,6 +21,10 @@
     own observations that the voter has not acknowledged yet. ``orders`` is the
     log index up to which the entry has all zone orders. ``leaving`` are the
     targets that told the entry in a response that they are leaving.
+    ``millicores``, ``memory_mb``, ``link_kbps`` and ``descriptors`` are what
+    its instance can do, 0 if unknown. ``busy_percent`` is the largest used
+    share of its processor and memory, and ``turn`` counts the entry's turns
+    in the answers to callers.
     """
 
     node: str
@@ -38,3 +42,9 @@
     limits_revision: int = 0
     limits: tuple[LimitRecord, ...] = ()
     leaving: tuple[LeavingRecord, ...] = ()
+    millicores: int = 0
+    memory_mb: int = 0
+    link_kbps: int = 0
+    descriptors: int = 0
+    busy_percent: int = 0
+    turn: int = 0
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -26,6 +26,7 @@
     "unread",
     "rests",
     "held_back",
+    "shed",
 )
 
 
@@ -135,6 +136,13 @@
         """
         self._record("held_back", (reason,), 1.0)
 
+    def record_shed(self, shortage: str) -> None:
+        """Count a request refused to save the instance.
+
+        :param shortage: ``descriptors`` or ``memory``: what was short
+        """
+        self._record("shed", (shortage,), 1.0)
+
     def record_unknown_header(self, name: str) -> None:
         """Count an unknown header in a target's answer.
 
@@ -226,6 +234,12 @@
             ("reason",),
             registry=registry,
         ),
+        "shed": library.Counter(
+            "chivepier_shed_requests",
+            "New requests refused near the limits of the instance.",
+            ("shortage",),
+            registry=registry,
+        ),
         "unread": library.Counter(
             "chivepier_unread_headers",
             "Headers of targets' answers that nothing reads.",
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -26,6 +26,8 @@
 from chivepier.gateway.serving.sendgate import SendGate
 from chivepier.gateway.serving.sendoptions import SendOptions
 from chivepier.gateway.serving.servingstate import ServingState
+from chivepier.gateway.serving.shedding import Shedding
+from chivepier.gateway.serving.shortage import Shortage
 from chivepier.gateway.serving.targetanswer import TargetAnswer
 from chivepier.gateway.serving.targetcalls import TargetCalls
 from chivepier.gateway.serving.targetclient import TargetClient
@@ -57,6 +59,8 @@
     "SendGate",
     "SendOptions",
     "ServingState",
+    "Shedding",
+    "Shortage",
     "TargetAnswer",
     "TargetCalls",
     "TargetClient",
--- a/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
@@ -10,12 +10,15 @@
 from chivepier.gateway.serving.planner import Planner
 from chivepier.gateway.serving.relay import Relay
 from chivepier.gateway.serving.servingstate import ServingState
+from chivepier.gateway.serving.shedding import Shedding
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
 
 # Maximum wait of a request for the first configuration of an entry that has
 # just started.
 FIRST_CONFIG_TIMEOUT_SECONDS = 0.6
+# Least time in which a caller may read a whole answer, also a late one.
+MIN_DELIVERY_SECONDS = 5.0
 
 
 class RequestHandler:
@@ -25,6 +28,7 @@
     :param planner: determines the route, team and service
     :param dispatcher: sends requests to targets
     :param metrics: counts requests
+    :param shedding: decides when new requests are refused; never by default
     """
 
     def __init__(
@@ -33,13 +37,40 @@
         planner: Planner,
         dispatcher: Dispatcher,
         metrics: Metrics,
+        shedding: Shedding | None = None,
     ):
         self._metrics = metrics
         self._state = state
         self._planner = planner
         self._dispatcher = dispatcher
+        self._shedding = shedding
         self.active = 0
 
+    @property
+    def is_shedding(self) -> bool:
+        """Whether new requests are refused to save the instance."""
+        return self._shedding is not None and bool(self._shedding.shortage)
+
+    def check_room(self, request_id: str) -> None:
+        """Refuse a new request near the limits of this instance.
+
+        :param request_id: id of the request, empty if it has none
+        :raises RequestError: if it is refused; it has not run
+        """
+        if not self.is_shedding:
+            return
+        error = self._shedding.make_error()
+        shortage = self._shedding.shortage.value
+        self._metrics.record_shed(shortage)
+        self._metrics.record_request("", "", error.failure.kind.value, 0.0)
+        self._dispatcher.log.warn(
+            "request_shed",
+            id=request_id,
+            shortage=shortage,
+            retry_ms=round(1000 * error.failure.retry_after.total_seconds()),
+        )
+        raise error
+
     async def serve(
         self, request: CallerRequest, caller: CallerConnection
     ) -> None:
@@ -50,6 +81,7 @@
         :raises RequestError: if it fails before anything was sent to the
             caller
         """
+        self.check_room(request.id)
         clock, log = self._dispatcher.clock, self._dispatcher.log
         self.active += 1
         outcome, plan = "cancelled", None
@@ -107,13 +139,31 @@
             await self._stream(plan, caller, sent)
             return
         try:
-            answer = sent.answer
-            await caller.begin(answer.status, answer.headers, len(sent.body))
-            await caller.write(sent.body)
-            await caller.finish()
+            await self._deliver(plan, caller, sent)
         finally:
             dispatcher.release(sent)
 
+    async def _deliver(
+        self, plan: Plan, caller: CallerConnection, sent
+    ) -> None:
+        """Send a whole answer.
+
+        One that its caller leaves unread would take memory for as long as the
+        connection lasts, so it is dropped when nobody waits for it any more.
+        """
+        dispatcher, answer = self._dispatcher, sent.answer
+        left = plan.deadline - dispatcher.clock.monotonic()
+        try:
+            async with asyncio.timeout(max(left, MIN_DELIVERY_SECONDS)):
+                await caller.begin(
+                    answer.status, answer.headers, len(sent.body)
+                )
+                await caller.write(sent.body)
+                await caller.finish()
+        except TimeoutError:
+            dispatcher.log.warn("answer_unread", id=plan.request.id)
+            caller.abort()
+
     async def _stream(
         self, plan: Plan, caller: CallerConnection, sent
     ) -> None:
--- a/packages/gateway/src/chivepier/gateway/settings/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/settings/__init__.py
@@ -2,6 +2,12 @@
 
 from chivepier.gateway.settings.entrysettings import DEFAULT_BODY_BYTES
 from chivepier.gateway.settings.entrysettings import EntrySettings
+from chivepier.gateway.settings.instancelimits import InstanceLimits
 from chivepier.gateway.settings.votersettings import VoterSettings
 
-__all__ = ["EntrySettings", "DEFAULT_BODY_BYTES", "VoterSettings"]
+__all__ = [
+    "DEFAULT_BODY_BYTES",
+    "EntrySettings",
+    "InstanceLimits",
+    "VoterSettings",
+]
--- a/packages/gateway/src/chivepier/gateway/settings/entrysettings.py
+++ b/packages/gateway/src/chivepier/gateway/settings/entrysettings.py
@@ -5,6 +5,7 @@
 import attrs
 
 from chivepier.gateway.quarantine import Overrides
+from chivepier.gateway.settings.instancelimits import InstanceLimits
 
 # Memory limit for all request bodies if the instance's memory is unknown.
 DEFAULT_BODY_BYTES = 32 << 20
@@ -29,6 +30,7 @@
     :param regions: regions of the availability zones, by zone name
     :param cold_excess: factor applied to the cold rate of a service
     :param cold_slack: requests per second allowed in addition
+    :param limits: what this instance can do
     """
 
     name: str
@@ -46,3 +48,4 @@
     regions: collections.abc.Mapping[str, str] = attrs.Factory(dict)
     cold_excess: float = 1.0
     cold_slack: float = 0.0
+    limits: InstanceLimits = InstanceLimits()
