--- a/packages/gateway/src/chivepier/gateway/control/entryweights.py
+++ b/packages/gateway/src/chivepier/gateway/control/entryweights.py
@@ -23,8 +23,9 @@
 
     Callers pick any address of an answer, so an entry gets fewer callers by
     being named in fewer answers: one of weight 1 to the callers of each third
-    zone, and in each of its turns to those of another one. Only its own beat
-    decides on that, so that the others stay where they are.
+    zone, and after each of its rotations to those of the next. Its own beat
+    counts these, so that all voters agree and other entries stay where they
+    are.
 
     :param beats: the entries that callers may connect to
     :param zone: availability zone of the callers
@@ -38,7 +39,7 @@
     return [
         beat
         for beat, weight in zip(beats, weights)
-        if (_hash(beat.address) + beat.turn + rank) % MAX_WEIGHT < weight
+        if (_hash(beat.address) + beat.rotation + rank) % MAX_WEIGHT < weight
     ]
 
 
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_entryweights.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_entryweights.py
@@ -28,7 +28,7 @@
     beats = []
     for number, limits in enumerate([LARGE] * large + [SMALL] * small):
         zone, name = ZONES[number % len(ZONES)], f"e{number}"
-        fields = {**limits, "turn": number, **changes}
+        fields = {**limits, "rotation": number, **changes}
         beats.append(
             EntryBeat(name, f"{zone}-{name}", zone, True, 1, "", 0, **fields)
         )
@@ -46,9 +46,11 @@
     return directory.list_addresses(zone, MAX_ADDRESSES)
 
 
-def turn(beats, count) -> list[EntryBeat]:
-    """Return the beats of some turns later."""
-    return [attrs.evolve(beat, turn=beat.turn + count) for beat in beats]
+def rotate(beats, count) -> list[EntryBeat]:
+    """Return the beats of some rotations later."""
+    return [
+        attrs.evolve(beat, rotation=beat.rotation + count) for beat in beats
+    ]
 
 
 @pytest.mark.parametrize("demand", ((1, 1, 1), (6, 3, 1)))
@@ -58,7 +60,7 @@
     shares = collections.Counter()
     for moment in range(MAX_WEIGHT):
         for zone, callers in zip(ZONES, demand):
-            named = list_names(turn(beats, moment), zone)
+            named = list_names(rotate(beats, moment), zone)
             shares.update(dict.fromkeys(named, callers / len(named)))
     large = [shares[beat.address] for beat in beats[:16]]
     small = [shares[beat.address] for beat in beats[16:]]
@@ -69,7 +71,7 @@
     # Guards against entries that are ready and yet get nobody.
     beats = make_fleet()
     for moment in range(MAX_WEIGHT):
-        answers = [list_names(turn(beats, moment), z) for z in ZONES]
+        answers = [list_names(rotate(beats, moment), z) for z in ZONES]
         assert {*sum(answers, [])} == {beat.address for beat in beats}
 
 
@@ -77,7 +79,7 @@
     # Guards against changed answers where no limits differ, or are untold.
     rng = random.Random(1)
     for _ in range(40):
-        beats = make_fleet(0, rng.randint(1, 150), turn=rng.randint(0, 9))
+        beats = make_fleet(0, rng.randint(1, 150), rotation=rng.randint(0, 9))
         beats[0] = attrs.evolve(beats[0], busy_percent=rng.choice((0, 100)))
         if rng.random() < 0.5:
             known = rng.choice((0, -1))
@@ -103,7 +105,7 @@
 
 
 @pytest.mark.parametrize(
-    "changes", ({"turn": 99}, {"busy_percent": 80}, {"ready": False})
+    "changes", ({"rotation": 99}, {"busy_percent": 80}, {"ready": False})
 )
 def test_change_of_one_entry_moves_no_caller_of_the_others(changes):
     # Guards against many closed connections when one number changes.
@@ -140,5 +142,5 @@
     # Guards against losing the entries of an older release in an update.
     values = ["e1", "e1:80", "z1", True, 1, "", 0]
     beat = decode(cbor2.dumps((TAGS[EntryBeat], values)))
-    assert (beat.node, beat.millicores, beat.turn) == ("e1", 0, 0)
+    assert (beat.node, beat.millicores, beat.rotation) == ("e1", 0, 0)
     assert set(compute_weights([*make_fleet(), beat])) == {MAX_WEIGHT}
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -228,16 +228,16 @@
             clock=clock,
             log=log,
         )
-        shedding = Shedding(rng)
+        self.shedding = Shedding(rng)
         self.serving = RequestHandler(
             self.state,
             Planner(self.state, rng),
             dispatcher,
             self.metrics,
-            shedding,
+            self.shedding,
         )
         self._usage_watch = UsageWatch(
-            meter, shedding, self.serving, clock, log
+            meter, self.shedding, self.serving, clock, log
         )
 
     async def __aenter__(self) -> "Entry":
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
@@ -23,7 +23,7 @@
     targets that told the entry in a response that they are leaving.
     ``millicores``, ``memory_mb``, ``link_kbps`` and ``descriptors`` are what
     its instance can do, 0 if unknown. ``busy_percent`` is the largest used
-    share of its processor and memory, and ``turn`` counts the entry's turns
+    share of its processor and memory, and ``rotation`` counts its rotations
     in the answers to callers.
     """
 
@@ -47,4 +47,4 @@
     link_kbps: int = 0
     descriptors: int = 0
     busy_percent: int = 0
-    turn: int = 0
+    rotation: int = 0
--- a/packages/gateway/src/chivepier/gateway/usage/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/usage/__init__.py
@@ -2,7 +2,7 @@
 
 from chivepier.gateway.usage.ability import Ability
 from chivepier.gateway.usage.abilityreporter import AbilityReporter
-from chivepier.gateway.usage.abilityreporter import TURN_SECONDS
+from chivepier.gateway.usage.abilityreporter import ROTATION_SECONDS
 from chivepier.gateway.usage.processreader import ProcessReader
 from chivepier.gateway.usage.usage import Usage
 from chivepier.gateway.usage.usagemeter import UsageMeter
@@ -11,7 +11,7 @@
     "Ability",
     "AbilityReporter",
     "ProcessReader",
-    "TURN_SECONDS",
+    "ROTATION_SECONDS",
     "Usage",
     "UsageMeter",
 ]
--- a/packages/gateway/src/chivepier/gateway/usage/ability.py
+++ b/packages/gateway/src/chivepier/gateway/usage/ability.py
@@ -12,7 +12,7 @@
     :param link_kbps: rate of the network link, in kbit/s
     :param descriptors: open files and connections
     :param busy_percent: largest used share
-    :param turn: number of the entry's turn in the answers to callers
+    :param rotation: number of its rotation among the answers to callers
     """
 
     millicores: int = 0
@@ -20,4 +20,4 @@
     link_kbps: int = 0
     descriptors: int = 0
     busy_percent: int = 0
-    turn: int = 0
+    rotation: int = 0
--- a/packages/gateway/src/chivepier/gateway/usage/abilityreporter.py
+++ b/packages/gateway/src/chivepier/gateway/usage/abilityreporter.py
@@ -8,14 +8,14 @@
 
 # Seconds after which an entry with fewer callers than others is named to the
 # callers of another availability zone. They drop their connections to it, so
-# that a turn is longer than most requests.
-TURN_SECONDS = 20.0
+# that the interval is longer than most requests.
+ROTATION_SECONDS = 20.0
 
 
 class AbilityReporter:
-    """Reports an entry's limits, how busy it is and its turn.
+    """Reports an entry's limits, how busy it is and its rotation.
 
-    Turns are counted by the entry, as voters have different clocks.
+    Rotations are counted by the entry, as voters have different clocks.
 
     :param name: name of the entry
     :param limits: what its instance can do
@@ -25,7 +25,7 @@
     def __init__(self, name: str, limits: InstanceLimits, meter: UsageMeter):
         self._limits = limits
         self._meter = meter
-        # entries whose clocks are equal change their turns one by one
+        # entries whose clocks are equal rotate one after the other
         digest = hashlib.blake2b(name.encode(), digest_size=4).digest()
         self._phase = int.from_bytes(digest) / (1 << 32)
 
@@ -41,5 +41,5 @@
             link_kbps=round(1000 * limits.link_mbps),
             descriptors=limits.descriptors,
             busy_percent=self._meter.busy_percent,
-            turn=int(now / TURN_SECONDS + self._phase),
+            rotation=int(now / ROTATION_SECONDS + self._phase),
         )
--- a/packages/gateway/src/chivepier/gateway/usage/tests/test_usagemeter.py
+++ b/packages/gateway/src/chivepier/gateway/usage/tests/test_usagemeter.py
@@ -5,7 +5,7 @@
 from chivepier.gateway.settings import InstanceLimits
 from chivepier.gateway.usage import AbilityReporter
 from chivepier.gateway.usage import ProcessReader
-from chivepier.gateway.usage import TURN_SECONDS
+from chivepier.gateway.usage import ROTATION_SECONDS
 from chivepier.gateway.usage import Usage
 from chivepier.gateway.usage import UsageMeter
 from chivepier.types import ManualClock
@@ -56,16 +56,18 @@
     meter = UsageMeter(InstanceLimits(), reader, ManualClock())
     assert meter.measure() == Usage() and meter.busy_percent == 0
     ability = AbilityReporter("e1", InstanceLimits(), meter).report(0.0)
-    assert attrs.evolve(ability, turn=0) == type(ability)()
+    assert attrs.evolve(ability, rotation=0) == type(ability)()
 
 
-def test_entries_change_their_turns_one_by_one():
+def test_entries_rotate_one_after_the_other():
     # Guards against closing a third of all connections at one moment.
     meter = UsageMeter(LIMITS, FakeReader(), ManualClock())
     reporters = [AbilityReporter(f"e{n}", LIMITS, meter) for n in range(60)]
-    at = [sum(r.report(float(s)).turn for r in reporters) for s in range(81)]
+    at = [
+        sum(r.report(float(s)).rotation for r in reporters) for s in range(81)
+    ]
     steps = [later - before for before, later in zip(at, at[1:])]
-    assert sum(steps) == 60 * 80 / TURN_SECONDS and max(steps) < 10
+    assert sum(steps) == 60 * 80 / ROTATION_SECONDS and max(steps) < 10
 
 
 def test_process_is_read():
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -16,6 +16,7 @@
 from chivepier.gateway.entry import Entry
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.settings import EntrySettings
+from chivepier.gateway.usage import Usage
 from chivepier.standins.cluster import find_port
 from chivepier.types import SystemClock
 import rawtarget
@@ -298,6 +299,36 @@
     run(answer_ok, test, body_bytes=1_700)
 
 
+def test_shed_request_is_refused_before_its_body_is_read():
+    # Guards against bodies that fill what memory is left, and against kept
+    # connections that bring the next request to the same entry.
+    async def test(fixture):
+        shedding = fixture.entry.shedding
+        update = shedding.update
+        update(Usage(memory=0.95), active=9)
+        # the entry measures, too
+        shedding.update = lambda usage, active: False
+        head = build_request("/once/x").replace(b"Connection: close\r\n", b"")
+        head = head.replace(b"Content-Length: 0", b"Content-Length: 900")
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", fixture.port
+        )
+        writer.write(head)
+        answer = await reader.readuntil(b"}")
+        assert read_status(answer) == 429
+        assert b"Connection: close" in answer and b"Retry-After: 0." in answer
+        writer.close()
+        assert fixture.raw.requests == []
+        closing = build_request("/metrics").replace(b"POST", b"GET", 1)
+        metrics = await fixture.send(closing, fixture.metrics_port)
+        counted = b'chivepier_shed_requests_total{shortage="memory"} 1.0'
+        assert counted in metrics
+        update(Usage(memory=0.7), active=0)
+        assert read_status(await fixture.send(build_request("/once/x"))) == 200
+
+    run(answer_ok, test)
+
+
 def test_incomplete_body_releases_its_memory_at_the_deadline():
     # Callers that sent half of a body and then nothing kept their memory until
     # they disconnected, which left none for others.
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -5,6 +5,7 @@
 from adapter.settingserror import SettingsError
 from adapter.settingsfile import SettingsFile
 from chivepier.gateway.settings import DEFAULT_BODY_BYTES
+from chivepier.gateway.settings import InstanceLimits
 
 SETTINGS = {
     "node-name": "front-1",
@@ -47,6 +48,21 @@
     assert entry.body_bytes == 16 << 20
 
 
+def test_limits_of_an_instance_are_optional():
+    # Guards against limits that are made up where the file names none.
+    assert make_file().make_entry_settings().limits == InstanceLimits()
+    limits = {
+        "limits.cpu-share": "0.3",
+        "limits.cores": "2",
+        "limits.memory-mb": "128",
+        "limits.link-mbps": "7.5",
+        "limits.max-fds": "3075",
+    }
+    assert make_file(**limits).make_entry_settings().limits == InstanceLimits(
+        cores=0.6, memory_bytes=128 << 20, link_mbps=7.5, descriptors=3075
+    )
+
+
 def test_invalid_digest_prefixes_are_rejected():
     # A prefix of two digits would block about one in 256 of all requests.
     entry = make_file().make_entry_settings(("0a1b0a1b0a1b",), ("ffffffff",))
@@ -75,6 +91,8 @@
         ("node-name", None, "node-name is missing"),
         ("beat-interval-ms", "soon", "beat-interval-ms is not a number"),
         ("bounds.grace-s", "-1", "bounds.grace-s is not a number"),
+        ("limits.link-mbps", "nan", "limits.link-mbps is not a number"),
+        ("limits.memory-mb", "inf", "limits.memory-mb is not a number"),
         ("bounds.grace-s", None, "bounds.grace-s is missing"),
         ("listen.front", "10.1.0.19", "listen.front is not ip:port"),
         ("seeds", "10.1.0.22", "seeds is not ip:port"),
