--- a/packages/gateway/src/chivepier/gateway/control/entryweights.py
+++ b/packages/gateway/src/chivepier/gateway/control/entryweights.py
@@ -4,6 +4,7 @@
 import functools
 import hashlib
 import math
+import operator
 
 from chivepier.gateway.messages import EntryBeat
 
@@ -14,6 +15,14 @@
 # Used share of its processor or memory, in percent, from which an entry gets
 # fewer callers: what is left bears a burst.
 BUSY_PERCENT = 80
+GET_ABILITY = operator.attrgetter(
+    "zone",
+    "busy_percent",
+    "millicores",
+    "memory_mb",
+    "link_kbps",
+    "descriptors",
+)
 
 
 def select_by_weight(
@@ -66,36 +75,33 @@
 
     :param beats: the last beats of the entries
     """
-    weights = [_round(share) for share in _compute_shares(beats)]
+    return list(_weigh(tuple(map(GET_ABILITY, beats))))
+
+
+# Callers ask far more often than an ability changes; answers for some sets of
+# regions differ.
+@functools.lru_cache(maxsize=16)
+def _weigh(abilities: tuple[tuple, ...]) -> list[int]:
+    shares = _compute_shares([limits for _, _, *limits in abilities])
+    weights = [_round(share) for share in shares]
     if len(set(weights)) <= 1:
-        return [MAX_WEIGHT] * len(beats)
+        return [MAX_WEIGHT] * len(abilities)
     weights = [
-        weight - (beat.busy_percent >= BUSY_PERCENT)
-        for beat, weight in zip(beats, weights)
+        weight - (busy_percent >= BUSY_PERCENT)
+        for (_, busy_percent, *_), weight in zip(abilities, weights)
     ]
     # the largest limits of all may belong to different entries
     missing = MAX_WEIGHT - max(weights)
-    least = math.ceil(MAX_WEIGHT / len({beat.zone for beat in beats}))
+    zones = {zone for zone, *_ in abilities}
+    least = math.ceil(MAX_WEIGHT / len(zones))
     return [max(least, weight + missing) for weight in weights]
 
 
-def _compute_shares(beats: list[EntryBeat]) -> list[float]:
-    limits = [_get_limits(beat) for beat in beats]
-    largest = [max(known) for known in zip(*limits) if min(known) > 0]
-    compared = [i for i, known in enumerate(zip(*limits)) if min(known) > 0]
-    return [
-        min((own[i] / top for i, top in zip(compared, largest)), default=1.0)
-        for own in limits
-    ]
-
-
-def _get_limits(beat: EntryBeat) -> tuple[int, ...]:
-    return (
-        beat.millicores,
-        beat.memory_mb,
-        beat.link_kbps,
-        beat.descriptors,
-    )
+def _compute_shares(limits: list[list[int]]) -> list[float]:
+    """Return each entry's least share of the limits that all have told."""
+    told = [values for values in zip(*limits) if min(values) > 0]
+    shares = [[value / max(values) for value in values] for values in told]
+    return [min(own) for own in zip(*shares)] or [1.0] * len(limits)
 
 
 def _round(share: float) -> int:
