--- a/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_followers.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
 from chivepier.gateway.targets.tests.test_targettable import make
+from chivepier.gateway.usage import Ability
 from chivepier.standins.loopclock import tell_time
 
 
@@ -111,6 +112,24 @@
     play(test, tmp_path)
 
 
+def test_limits_and_usage_of_an_entry_reach_the_voters(tmp_path):
+    # Guards against equal shares because beats carry nothing.
+    async def test(fleet):
+        follower = await fleet.follow("e1")
+        follower.following._report = lambda now: Ability(
+            millicores=387, busy_percent=80, rotation=7
+        )
+
+        def tells(voter) -> bool:
+            beats = voter.entries.list_beats()
+            told = [(b.millicores, b.busy_percent, b.rotation) for b in beats]
+            return told == [(387, 80, 7)]
+
+        await wait_until(lambda: all(map(tells, fleet.voters.values())))
+
+    play(test, tmp_path)
+
+
 def test_loads_reach_the_other_entries(tmp_path):
     async def test(fleet):
         one, two = await fleet.follow("e1"), await fleet.follow("e2")
