--- a/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
@@ -17,8 +17,11 @@
 # Maximum wait of a request for the first configuration of an entry that has
 # just started.
 FIRST_CONFIG_TIMEOUT_SECONDS = 0.6
-# Least time in which a caller may read a whole answer, also a late one.
-MIN_DELIVERY_SECONDS = 5.0
+# Seconds without progress after which an answer counts as unread once its
+# deadline is over: longer than a lost packet is sent again and again.
+UNREAD_SECONDS = 5.0
+# Bytes of a whole answer written at a time: what a connection buffers.
+PART_BYTES = 64 << 10
 
 
 class RequestHandler:
@@ -146,19 +149,22 @@
     async def _deliver(
         self, plan: Plan, caller: CallerConnection, sent
     ) -> None:
-        """Send a whole answer.
+        """Send a whole answer, however late, to a caller that reads it.
 
-        One that its caller leaves unread would take memory for as long as the
-        connection lasts, so it is dropped when nobody waits for it any more.
+        One that is left unread would take memory for as long as the connection
+        lasts, so it is dropped when nobody waits for it any more.
         """
         dispatcher, answer = self._dispatcher, sent.answer
         left = plan.deadline - dispatcher.clock.monotonic()
+        deadline = asyncio.get_running_loop().time() + left
+        size = len(sent.body)
         try:
-            async with asyncio.timeout(max(left, MIN_DELIVERY_SECONDS)):
-                await caller.begin(
-                    answer.status, answer.headers, len(sent.body)
-                )
-                await caller.write(sent.body)
+            async with asyncio.timeout(None) as limit:
+                _extend(limit, deadline)
+                await caller.begin(answer.status, answer.headers, size)
+                for start in range(0, size, PART_BYTES):
+                    _extend(limit, deadline)
+                    await caller.write(sent.body[start : start + PART_BYTES])
                 await caller.finish()
         except TimeoutError:
             dispatcher.log.warn("answer_unread", id=plan.request.id)
@@ -177,6 +183,12 @@
             caller.abort()
 
 
+def _extend(limit: asyncio.Timeout, deadline: float) -> None:
+    """Give a caller until its deadline, or some seconds if that is later."""
+    now = asyncio.get_running_loop().time()
+    limit.reschedule(max(deadline, now + UNREAD_SECONDS))
+
+
 def _get_class_labels(plan: Plan | None) -> tuple[str, str]:
     if plan is None:
         return "", ""
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_shedding.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_shedding.py
@@ -86,6 +86,26 @@
     play(test, "a")
 
 
+def test_late_answer_reaches_a_caller_that_reads_slowly():
+    # Guards against cutting an answer that is read after its deadline.
+    async def test(parts):
+        request = make_request("/plain/x", deadline=tell_time() + 2.0)
+        caller, task = parts.start(request)
+        write = caller.write
+
+        async def write_slowly(data):
+            await asyncio.sleep(1.5)
+            await write(data)
+
+        caller.write = write_slowly
+        run = await parts.engines.wait_run(1)
+        run.make(1, "x" * 300_000)
+        await finish(task, run)
+        assert caller.finished and len(caller.data) > 300_000
+
+    play(test, "a")
+
+
 def test_answer_that_its_caller_leaves_unread_is_dropped():
     # Guards against memory that callers hold for as long as they like.
     async def test(parts):
@@ -93,7 +113,7 @@
         caller, task = parts.start(request)
         caller.write = lambda data: asyncio.Event().wait()
         run = await parts.engines.wait_run(1)
-        await finish(task, run)
+        await finish(task, run, 1)
         assert caller.aborted and parts.read_lines("answer_unread")
 
     play(test, "a")
