--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -5,6 +5,7 @@
 import random
 
 from chivepier.gateway.config import RouteIndex
+from chivepier.gateway.entry.usagewatch import UsageWatch
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import Decode
 from chivepier.gateway.following import LimitExchange
@@ -34,6 +35,7 @@
 from chivepier.gateway.serving import RetryBudget
 from chivepier.gateway.serving import SendGate
 from chivepier.gateway.serving import ServingState
+from chivepier.gateway.serving import Shedding
 from chivepier.gateway.serving import TargetCalls
 from chivepier.gateway.serving import TargetClient
 from chivepier.gateway.settings import EntrySettings
@@ -46,6 +48,9 @@
 from chivepier.gateway.targets import TargetHealth
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
+from chivepier.gateway.usage import AbilityReporter
+from chivepier.gateway.usage import ProcessReader
+from chivepier.gateway.usage import UsageMeter
 from chivepier.gateway.zones import Freshness
 from chivepier.gateway.zones import ZoneOrder
 from chivepier.gateway.zones import Zones
@@ -191,6 +196,8 @@
             settings.repeat_window,
             settings.name,
         )
+        meter = UsageMeter(settings.limits, ProcessReader(), clock)
+        reporter = AbilityReporter(settings.name, settings.limits, meter)
         self.following = VoterClient(
             name=settings.name,
             address=settings.address,
@@ -214,6 +221,7 @@
             freshness=freshness,
             clock=clock,
             log=log,
+            report=reporter.report,
         )
         dispatcher = Dispatcher(
             state=self.state,
@@ -232,8 +240,16 @@
             log=log,
             metrics=self.metrics,
         )
+        self.shedding = Shedding(rng)
         self.serving = RequestHandler(
-            self.state, Planner(self.state, rng), dispatcher, self.metrics
+            self.state,
+            Planner(self.state, rng),
+            dispatcher,
+            self.metrics,
+            self.shedding,
+        )
+        self._usage_watch = UsageWatch(
+            meter, self.shedding, self.serving, clock, log
         )
 
     async def __aenter__(self) -> "Entry":
@@ -245,6 +261,8 @@
         self._stack.callback(loading.cancel)
         watching = asyncio.create_task(self.mover.watch_silent_targets())
         self._stack.callback(watching.cancel)
+        measuring = asyncio.create_task(self._usage_watch.run())
+        self._stack.callback(measuring.cancel)
         self._log.info("entry_started", address=self._settings.address)
         return self
 
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -31,6 +31,7 @@
     "room_kept",
     "refused_early",
     "team_waits",
+    "shed",
 )
 GAUGES = ("zones", "place_waiting")
 
@@ -190,6 +191,13 @@
         """
         self._record("room_wait", (urgency, kind), seconds)
 
+    def record_shed(self, shortage: str) -> None:
+        """Count a request refused to save the instance.
+
+        :param shortage: ``descriptors`` or ``memory``: what was short
+        """
+        self._record("shed", (shortage,), 1.0)
+
     def record_unknown_header(self, name: str) -> None:
         """Count an unknown header in a target's answer.
 
@@ -342,6 +350,12 @@
             buckets=BUCKETS,
             registry=registry,
         ),
+        "shed": library.Counter(
+            "chivepier_shed_requests",
+            "New requests refused near the limits of the instance.",
+            ("shortage",),
+            registry=registry,
+        ),
         "unread": library.Counter(
             "chivepier_unread_headers",
             "Headers of targets' answers that nothing reads.",
--- a/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
@@ -10,12 +10,18 @@
 from chivepier.gateway.serving.planner import Planner
 from chivepier.gateway.serving.relay import Relay
 from chivepier.gateway.serving.servingstate import ServingState
+from chivepier.gateway.serving.shedding import Shedding
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
 
 # Maximum wait of a request for the first configuration of an entry that has
 # just started.
 FIRST_CONFIG_TIMEOUT_SECONDS = 0.6
+# Seconds without progress after which an answer counts as unread once its
+# deadline is over: longer than a lost packet is sent again and again.
+UNREAD_SECONDS = 5.0
+# Bytes of a whole answer written at a time: what a connection buffers.
+PART_BYTES = 64 << 10
 
 
 class RequestHandler:
@@ -25,6 +31,7 @@
     :param planner: determines the route, team and service
     :param dispatcher: sends requests to targets
     :param metrics: counts requests
+    :param shedding: decides when new requests are refused; never by default
     """
 
     def __init__(
@@ -33,13 +40,40 @@
         planner: Planner,
         dispatcher: Dispatcher,
         metrics: Metrics,
+        shedding: Shedding | None = None,
     ):
         self._metrics = metrics
         self._state = state
         self._planner = planner
         self._dispatcher = dispatcher
+        self._shedding = shedding
         self.active = 0
 
+    @property
+    def is_shedding(self) -> bool:
+        """Whether new requests are refused to save the instance."""
+        return self._shedding is not None and bool(self._shedding.shortage)
+
+    def check_room(self, request_id: str) -> None:
+        """Refuse a new request near the limits of this instance.
+
+        :param request_id: id of the request, empty if it has none
+        :raises RequestError: if it is refused; it has not run
+        """
+        if not self.is_shedding:
+            return
+        error = self._shedding.make_error()
+        shortage = self._shedding.shortage.value
+        self._metrics.record_shed(shortage)
+        self._metrics.record_request("", "", error.failure.kind.value, 0.0)
+        self._dispatcher.log.warn(
+            "request_shed",
+            id=request_id,
+            shortage=shortage,
+            retry_ms=round(1000 * error.failure.retry_after.total_seconds()),
+        )
+        raise error
+
     async def serve(
         self, request: CallerRequest, caller: CallerConnection
     ) -> None:
@@ -50,6 +84,7 @@
         :raises RequestError: if it fails before anything was sent to the
             caller
         """
+        self.check_room(request.id)
         clock, log = self._dispatcher.clock, self._dispatcher.log
         self.active += 1
         outcome, plan = "cancelled", None
@@ -107,13 +142,34 @@
             await self._stream(plan, caller, sent)
             return
         try:
-            answer = sent.answer
-            await caller.begin(answer.status, answer.headers, len(sent.body))
-            await caller.write(sent.body)
-            await caller.finish()
+            await self._deliver(plan, caller, sent)
         finally:
             dispatcher.release(sent)
 
+    async def _deliver(
+        self, plan: Plan, caller: CallerConnection, sent
+    ) -> None:
+        """Send a whole answer, however late, to a caller that reads it.
+
+        One that is left unread would take memory for as long as the connection
+        lasts, so it is dropped when nobody waits for it any more.
+        """
+        dispatcher, answer = self._dispatcher, sent.answer
+        left = plan.deadline - dispatcher.clock.monotonic()
+        deadline = asyncio.get_running_loop().time() + left
+        size = len(sent.body)
+        try:
+            async with asyncio.timeout(None) as limit:
+                _extend(limit, deadline)
+                await caller.begin(answer.status, answer.headers, size)
+                for start in range(0, size, PART_BYTES):
+                    _extend(limit, deadline)
+                    await caller.write(sent.body[start : start + PART_BYTES])
+                await caller.finish()
+        except TimeoutError:
+            dispatcher.log.warn("answer_unread", id=plan.request.id)
+            caller.abort()
+
     async def _stream(
         self, plan: Plan, caller: CallerConnection, sent
     ) -> None:
@@ -127,6 +183,12 @@
             caller.abort()
 
 
+def _extend(limit: asyncio.Timeout, deadline: float) -> None:
+    """Give a caller until its deadline, or some seconds if that is later."""
+    now = asyncio.get_running_loop().time()
+    limit.reschedule(max(deadline, now + UNREAD_SECONDS))
+
+
 def _get_class_labels(plan: Plan | None) -> tuple[str, str]:
     if plan is None:
         return "", ""
