--- a/packages/gateway/src/chivepier/gateway/targets/reportboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/reportboard.py
@@ -167,9 +167,9 @@
         if known is None:
             return
         record = known[1]
-        if now is None:
-            now = math.nextafter(record.reading.at, math.inf)
-        record.sends.append(now)
+        # one in the same moment as the report came after it
+        after = math.nextafter(record.reading.at, math.inf)
+        record.sends.append(after if now is None else max(now, after))
         del record.sends[:-MAX_RECENT_SENDS]
 
     def find(self, instance: str, born: int) -> Reading | None:
