--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -330,6 +330,8 @@
             for voter in list(self.voters.values()):
                 if await voter.store.write(version, body):
                     return
+            # without any voter there is nothing else that lets time pass
+            await asyncio.sleep(0.02)
 
     async def read(self, address: str) -> bytes:
         """Read the latest configuration at one voter."""
