--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.targets.decodeestimator import DecodeEstimator
 from chivepier.gateway.targets.demand import Demand
 from chivepier.gateway.targets.fit import Fit
+from chivepier.gateway.targets.generationcost import GenerationCost
 from chivepier.gateway.targets.load import Load
 from chivepier.gateway.targets.loadtracker import LoadTracker
 from chivepier.gateway.targets.paceadvisor import PaceAdvisor
@@ -31,9 +32,6 @@
 # target that just started would otherwise get all requests until its load is
 # known.
 SAMPLE_SIZE = 3
-# Weight of a prompt token that is still to be read, relative to a token in
-# memory. By memory alone, a target that just started would get every prompt.
-PREFILL_WEIGHT = 3.0
 # Added cost of a target that is warming up; 1 is the cost of a full target.
 WARMING_COST = 0.2
 # Added cost of a destination in another availability zone, per second of
@@ -112,6 +110,9 @@
         self.prefill_estimator = PrefillEstimator()
         self.decode_estimator = DecodeEstimator()
         self.pace_advisor = PaceAdvisor(self._reports, self.decode_estimator)
+        self.generation_cost = GenerationCost(
+            loads, self.prefill_estimator, self.pace_advisor, WARMING_COST
+        )
         self.request_cost = RequestCost(self._reports, health, WARMING_COST)
         self._in_flight: dict[str, int] = {}
         self._surveys: dict[str, tuple[float, PaceSurvey]] = {}
@@ -227,7 +228,7 @@
             costs = groups.setdefault((full, PREFERENCE.index(fit)), {})
             cost = plain_costs.get(target.instance)
             if cost is None:
-                cost = self._get_generation_cost(
+                cost = self.generation_cost.estimate(
                     target, engine, demand, survey, now
                 )
             costs[target.instance] = cost
@@ -543,49 +544,6 @@
     ) -> dict[str, float]:
         return self.request_cost.estimate(targets, self._in_flight, now)
 
-    def _get_generation_cost(
-        self,
-        target: Target,
-        engine: Engine,
-        demand: Demand,
-        survey: PaceSurvey,
-        now: float,
-    ) -> float:
-        load = self._loads.get_total(target.instance, now)
-        tokens = (
-            load.tokens
-            + demand.near_term_tokens
-            + PREFILL_WEIGHT * load.reading
-        )
-        memory = tokens / engine.memory_tokens
-        cost = max(memory, (load.runs + 1) / engine.slots)
-        if survey.paces and not self.pace_advisor.is_long_stream(
-            engine, demand
-        ):
-            cost *= survey.get_relative_pace(target.instance)
-            cost += self._get_reading_cost(target, demand, survey, now)
-        if now < target.warm_at:
-            cost += WARMING_COST
-        return cost
-
-    def _get_reading_cost(
-        self, target: Target, demand: Demand, survey: PaceSurvey, now: float
-    ) -> float:
-        """Return the time to a short answer's first event in its objectives.
-
-        A short answer is in time or late by the time that its prompt takes,
-        which a slow target with free memory may need several times over.
-        """
-        if demand.objective <= 0:
-            return 0.0
-        load = self._loads.get_total(target.instance, now)
-        seconds = self.prefill_estimator.estimate(
-            target.service,
-            load.reading + demand.prompt,
-            self.pace_advisor.get_present_pace(target, survey, now),
-        )
-        return seconds / demand.objective
-
 
 def _get_fit_cost(fit: Fit | None) -> float:
     match fit:
--- a/packages/gateway/src/chivepier/gateway/targets/reportboard.py
+++ b/packages/gateway/src/chivepier/gateway/targets/reportboard.py
@@ -6,6 +6,8 @@
 import attrs
 
 from chivepier.gateway.messages import TargetReport
+from chivepier.gateway.targets.boardrecord import BoardRecord
+from chivepier.gateway.targets.boardrecord import COUNTS_LIFETIME_SECONDS
 from chivepier.gateway.targets.invalidreport import InvalidReport
 from chivepier.gateway.targets.reading import Reading
 from chivepier.gateway.targets.reportedload import ReportedLoad
@@ -19,15 +21,10 @@
 # Seconds after which a reported pace says nothing of the present: the work of
 # others on the target's machine changes several times a second.
 PACE_LIFETIME_SECONDS = 0.2
-# Seconds after which reported counts of requests say nothing of the present.
-COUNTS_LIFETIME_SECONDS = 1.0
 # Seconds within which the highest pace of a target counts as its peak.
 PEAK_SECONDS = 10.0
 # Number of targets with a peak from which the largest is left out.
 MIN_PEAKS = 3
-# Seconds after which an unchanged load is told to the other entries again, so
-# that it doesn't fade there while it still holds.
-REPEAT_SECONDS = COUNTS_LIFETIME_SECONDS / 2
 # Maximum number of reports in one notice; as notices are batched for 10 ms,
 # an entry rarely has answers of more targets.
 MAX_REPORTS_PER_NOTICE = 8
@@ -40,25 +37,6 @@
 PaceWatcher = collections.abc.Callable[[str, int, float], None]
 
 
-@attrs.define
-class _Record:
-    reading: Reading
-    lowest: float = math.inf
-    highest: float = 0.0
-    highest_at: float = -math.inf
-    sends: list[float] = attrs.field(factory=list)
-    told: Reading | None = None
-
-    def has_news(self) -> bool:
-        """Tell whether the other entries should get the newest report."""
-        told, reading = self.told, self.reading
-        return (
-            told is None
-            or told.load != reading.load
-            or reading.at - told.at >= REPEAT_SECONDS
-        )
-
-
 class ReportBoard:
     """Keeps what each incarnation of a target last reported.
 
@@ -84,7 +62,7 @@
     def __init__(self, changed: Signal | None = None) -> None:
         self.pace_watchers: list[PaceWatcher] = []
         self._changed = changed
-        self._records: dict[str, tuple[int, _Record]] = {}
+        self._records: dict[str, tuple[int, BoardRecord]] = {}
         self._pending: dict[str, None] = {}
         self.updated = Signal()
 
@@ -255,7 +233,7 @@
         del self._records[instance]
         self._pending.pop(instance, None)
 
-    def _find_record(self, instance: str, born: int) -> _Record | None:
+    def _find_record(self, instance: str, born: int) -> BoardRecord | None:
         known = self._records.get(instance)
         if known is None or known[0] != born:
             return None
@@ -263,7 +241,7 @@
 
     def _store(
         self, instance: str, born: int, reading: Reading
-    ) -> _Record | None:
+    ) -> BoardRecord | None:
         """Store a report; return its record if it is the newest one."""
         pace = reading.load.pace
         if pace is not None and not is_plausible_pace(pace):
@@ -282,14 +260,14 @@
             self._records.pop(instance, None)
             if len(self._records) >= MAX_TARGETS:
                 self._drop(next(iter(self._records)))
-            record = _Record(reading)
+            record = BoardRecord(reading)
             self._records[instance] = (born, record)
         self._note_pace(instance, born, record, reading)
         self.updated.set()
         return record
 
     def _note_pace(
-        self, instance: str, born: int, record: _Record, reading: Reading
+        self, instance: str, born: int, record: BoardRecord, reading: Reading
     ) -> None:
         pace, at = reading.load.pace, reading.at
         if pace is None:
