--- a/soak/loadreporter.py
+++ b/soak/loadreporter.py
@@ -30,7 +30,7 @@
     cost callers their answers.
 
     >>> reporter = LoadReporter(random.Random(1))
-    >>> reporter.running = 2
+    >>> reporter.mode, reporter.running = "honest", 2
     >>> reporter.make_headers()
     {'X-Chivepier-Server-Load': '2,0,8,100'}
     >>> reporter.mode = "silent"
