Keep room for urgent classes only where a setting asks for it

What fits: streams held back in their rush begin later, into the rush of verdicts, and what binds then is how fast prompts are read, which kept memory doesn't help.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -292,7 +292,9 @@
         )
 
     def _handle_config(self, index: RouteIndex) -> None:
-        self.queues.shares_usage = bool(index.patient_services)
+        self.queues.shares_usage = self._settings.keep_room and bool(
+            index.patient_services
+        )
         self.queues.patient_services = index.patient_services
 
     def _log_pace(self, instance: str, born: int, pace: float) -> None:
--- a/packages/gateway/src/chivepier/gateway/settings/entrysettings.py
+++ b/packages/gateway/src/chivepier/gateway/settings/entrysettings.py
@@ -26,6 +26,8 @@
     :param repeat_window: seconds within which both are counted
     :param grace: seconds from the stop order until the process is killed
     :param body_bytes: memory limit for all request bodies, in bytes
+    :param keep_room: whether classes leave free room to more urgent ones,
+        where they can wait
     :param orders: operators' decisions to let through or block requests
     :param regions: regions of the availability zones, by zone name
     :param cold_excess: factor applied to the cold rate of a service
@@ -45,6 +47,7 @@
     grace: float
     body_bytes: int = DEFAULT_BODY_BYTES
     orders: Overrides = Overrides()
+    keep_room: bool = False
     regions: collections.abc.Mapping[str, str] = attrs.Factory(dict)
     cold_excess: float = 1.0
     cold_slack: float = 0.0
