Say when an entry reaches no target of a service

Callers of three entries got 503 while the others were served, and no line said that these entries could connect to no target: it had to be put together from one line for each request, target and round. A judgement by service is made now from the attempts to connect: all targets of a service failed, or four and none was reached since. After failures a few others are tried, so that targets that ended are told from a cut; while a service is out of reach one target is tried each 0.3 to 0.5 s. Without failures nothing is sent.

Nothing acts on it yet. A new connection is told from an open one, and a reservation that found no connection from one that got no answer.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -24,6 +24,8 @@
 from chivepier.gateway.permits import FallbackLimiter
 from chivepier.gateway.permits import SendLimiter
 from chivepier.gateway.quarantine import Quarantine
+from chivepier.gateway.reach import Reach
+from chivepier.gateway.reach import ReachProber
 from chivepier.gateway.serving import BodyMemory
 from chivepier.gateway.serving import CrashGuard
 from chivepier.gateway.serving import Dispatcher
@@ -155,7 +157,9 @@
             self.metrics,
             self.reports,
         )
-        calls = TargetCalls(port, gate, recorder)
+        self.reach = Reach(self.table, clock, rng, log, self.metrics)
+        calls = TargetCalls(port, gate, recorder, self.reach)
+        self._prober = ReachProber(self.reach, calls.connect, clock, rng)
         self.quarantine = Quarantine(
             settings.name,
             self.table,
@@ -261,6 +265,8 @@
         self._stack.callback(loading.cancel)
         watching = asyncio.create_task(self.mover.watch_silent_targets())
         self._stack.callback(watching.cancel)
+        probing = asyncio.create_task(self._prober.run())
+        self._stack.callback(probing.cancel)
         measuring = asyncio.create_task(self._usage_watch.run())
         self._stack.callback(measuring.cancel)
         self._log.info("entry_started", address=self._settings.address)
@@ -318,6 +324,7 @@
             self.rests.forget(target.instance, target.born)
 
     def _drop_target_state(self, target: Target) -> None:
+        self.reach.forget(target.instance)
         self.board.drop_remote(target.instance)
         self.health.forget(target.instance)
         self.limits.forget(target.instance, target.born)
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -32,6 +32,7 @@
     "refused_early",
     "team_waits",
     "shed",
+    "reach",
 )
 GAUGES = ("zones", "place_waiting")
 
@@ -198,6 +199,13 @@
         """
         self._record("shed", (shortage,), 1.0)
 
+    def record_reach(self, event: str) -> None:
+        """Count a change of whether a service is in reach of this entry.
+
+        :param event: ``lost`` or ``regained``
+        """
+        self._record("reach", (event,), 1.0)
+
     def record_unknown_header(self, name: str) -> None:
         """Count an unknown header in a target's answer.
 
@@ -301,6 +309,12 @@
             ("answer",),
             registry=registry,
         ),
+        "reach": library.Counter(
+            "chivepier_reach_changes",
+            "Services that came out of reach of this entry, or into it.",
+            ("event",),
+            registry=registry,
+        ),
         "rests": library.Counter(
             "chivepier_rests",
             "Answers whose target asks this entry to send nothing.",
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -12,6 +12,7 @@
 from chivepier.gateway.serving.errors import ConnectionLostError
 from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.errors import UnreachableError
 from chivepier.gateway.serving.exchange import Exchange
 from chivepier.gateway.serving.headerrecorder import HeaderRecorder
 from chivepier.gateway.serving.kvorigin import KvOrigin
@@ -64,4 +65,5 @@
     "TargetAnswer",
     "TargetCalls",
     "TargetClient",
+    "UnreachableError",
 ]
--- a/packages/gateway/src/chivepier/gateway/serving/errors.py
+++ b/packages/gateway/src/chivepier/gateway/serving/errors.py
@@ -7,6 +7,18 @@
     """The request was not sent, so it has certainly not run."""
 
 
+class UnreachableError(NotSentError):
+    """No connection to the target could be made.
+
+    :param error: description of the failure
+    :param hung: whether the attempt ended by its timeout
+    """
+
+    def __init__(self, error: str, hung: bool = False):
+        super().__init__(error)
+        self.hung = hung
+
+
 class NotPermittedError(NotSentError):
     """The target must not be called now, see :class:`SendGate`."""
 
--- a/packages/gateway/src/chivepier/gateway/serving/exchange.py
+++ b/packages/gateway/src/chivepier/gateway/serving/exchange.py
@@ -12,6 +12,11 @@
     connection was established.
     """
 
+    begun: bool
+
+    def note_connected(self) -> None:
+        """Record that a new connection was made for the request."""
+
     def begin(self) -> None:
         """Check again whether the request may be sent.
 
--- a/packages/gateway/src/chivepier/gateway/serving/targetcalls.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetcalls.py
@@ -1,9 +1,14 @@
 """Calls to targets, checked by the send gate."""
 
+import collections.abc
+import contextlib
+
 from chivepier.gateway.permits import Permit
+from chivepier.gateway.reach import Reach
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.serving.callpurpose import CallPurpose
 from chivepier.gateway.serving.errors import NotPermittedError
+from chivepier.gateway.serving.errors import UnreachableError
 from chivepier.gateway.serving.headerrecorder import HeaderRecorder
 from chivepier.gateway.serving.moveoutcome import MoveOutcome
 from chivepier.gateway.serving.moveresult import MoveResult
@@ -22,11 +27,17 @@
     :param client: client for the protocol of targets
     :param gate: decides what may be sent to which target
     :param recorder: records what answer heads report
+    :param reach: records which targets could be connected to
     """
 
     def __init__(
-        self, client: TargetClient, gate: SendGate, recorder: HeaderRecorder
+        self,
+        client: TargetClient,
+        gate: SendGate,
+        recorder: HeaderRecorder,
+        reach: Reach,
     ):
+        self._reach = reach
         self._client = client
         self._gate = gate
         self._recorder = recorder
@@ -47,7 +58,8 @@
             answer
         """
         exchange = self._open_exchange(target, purpose, permit)
-        return await self._client.send(target, request, options, exchange)
+        with self._record_failure(target):
+            return await self._client.send(target, request, options, exchange)
 
     async def reserve(
         self, target: Target, tokens: int, seconds: float
@@ -61,7 +73,10 @@
         :raises NotSentError: when the target can't be reached
         """
         exchange = self._open_exchange(target, CallPurpose.START)
-        return await self._client.reserve(target, tokens, seconds, exchange)
+        with self._record_failure(target):
+            return await self._client.reserve(
+                target, tokens, seconds, exchange
+            )
 
     async def move(
         self,
@@ -107,10 +122,31 @@
             return Liveness.UNKNOWN
         return await self._client.probe(target)
 
+    async def connect(self, target: Target) -> Liveness | None:
+        """Check whether a target can be connected to, without a loss there.
+
+        :param target: the target
+        :returns: the result, ``None`` when it must not be called now
+        """
+        if not self._gate.may_probe(target):
+            return None
+        return await self._client.probe(target)
+
+    @contextlib.contextmanager
+    def _record_failure(
+        self, target: Target
+    ) -> collections.abc.Iterator[None]:
+        try:
+            yield
+        except UnreachableError as error:
+            self._reach.note_failed(target, str(error), error.hung)
+            raise
+
     def _open_exchange(
         self, target: Target, purpose: CallPurpose, permit: Permit = Permit()
     ) -> TargetExchange:
         # checked here already, so that no connection is made in vain
         self._gate.check(target, purpose, permit)
-        gate, recorder = self._gate, self._recorder
-        return TargetExchange(target, purpose, permit, gate, recorder)
+        return TargetExchange(
+            target, purpose, permit, self._gate, self._recorder, self._reach
+        )
--- a/packages/gateway/src/chivepier/gateway/serving/targetexchange.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetexchange.py
@@ -2,6 +2,7 @@
 
 from chivepier.gateway.limits import VersionedLimit
 from chivepier.gateway.permits import Permit
+from chivepier.gateway.reach import Reach
 from chivepier.gateway.serving.answerfacts import AnswerFacts
 from chivepier.gateway.serving.callpurpose import CallPurpose
 from chivepier.gateway.serving.headerrecorder import HeaderRecorder
@@ -17,6 +18,8 @@
     :param permit: the permit to call it
     :param gate: decides what may be sent to which target
     :param recorder: records what answer heads report
+    :param reach: records new connections
+    :ivar begun: whether a connection was there for it
     """
 
     def __init__(
@@ -26,7 +29,10 @@
         permit: Permit,
         gate: SendGate,
         recorder: HeaderRecorder,
+        reach: Reach,
     ):
+        self.begun = False
+        self._reach = reach
         self._target = target
         self._purpose = purpose
         self._permit = permit
@@ -34,11 +40,16 @@
         self._recorder = recorder
         self._known_limit: VersionedLimit | None = None
 
+    def note_connected(self) -> None:
+        """Record that a new connection to the target was made."""
+        self._reach.note_reached(self._target)
+
     def begin(self) -> None:
         """Check again, now that the connection is established.
 
         :raises NotPermittedError: when the target must not be called now
         """
+        self.begun = True
         self._gate.check(self._target, self._purpose, self._permit)
         self._gate.note_sent(self._target)
         self._known_limit = self._recorder.find_limit(self._target)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -9,7 +9,7 @@
 from chivepier.gateway.serving import ConnectionLostError
 from chivepier.gateway.serving import MoveOutcome
 from chivepier.gateway.serving import MoveResult
-from chivepier.gateway.serving import NotSentError
+from chivepier.gateway.serving import UnreachableError
 from chivepier.gateway.targets import Liveness
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
@@ -105,7 +105,7 @@
         """Run a request, or continue it from a copy."""
         name = target.instance
         if name in self.unreachable:
-            raise NotSentError("refused")
+            raise UnreachableError("refused")
         contact.begin()
         answer = FakeAnswer(
             name, request.id, int(order.after_event or 0), facts=self.facts
@@ -134,7 +134,7 @@
     async def reserve(self, target, tokens, seconds, contact) -> str | None:
         """Reserve room at a target unless it is full."""
         if target.instance in self.unreachable:
-            raise NotSentError("refused")
+            raise UnreachableError("refused")
         contact.begin()
         self.reserve_attempts.append(target.instance)
         if target.instance in self.full:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -32,6 +32,7 @@
 from chivepier.gateway.quarantine import Overrides
 from chivepier.gateway.quarantine import Quarantine
 from chivepier.gateway.quarantine import shorten
+from chivepier.gateway.reach import Reach
 from chivepier.gateway.serving import CallerRequest
 from chivepier.gateway.serving import CrashGuard
 from chivepier.gateway.serving import Dispatcher
@@ -190,7 +191,8 @@
             Metrics(),
             self.reports,
         )
-        calls = TargetCalls(self.engines, gate, remarks)
+        self.reach = Reach(self.table, clock, rng, log, self.metrics)
+        calls = TargetCalls(self.engines, gate, remarks, self.reach)
         self.quarantine = Quarantine(
             "e1",
             self.table,
--- a/tests/adapter/exchange.py
+++ b/tests/adapter/exchange.py
@@ -39,9 +39,16 @@
 
     def __init__(self):
         self.heads: list = []
+        self.connections = 0
+        self.begun = False
+
+    def note_connected(self) -> None:
+        """Count a new connection."""
+        self.connections += 1
 
     def begin(self) -> None:
         """Allow the request."""
+        self.begun = True
 
     def confirm(self) -> None:
         """Allow the request again."""
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP client for targets against scripted answers."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -13,6 +14,7 @@
 from chivepier.gateway.serving import NotPermittedError
 from chivepier.gateway.serving import NotSentError
 from chivepier.gateway.serving import SendOptions
+from chivepier.gateway.serving import UnreachableError
 from chivepier.gateway.targets import Liveness
 from exchange import build_answer
 from exchange import drop
@@ -464,6 +466,53 @@
     run(script, test)
 
 
+def test_only_new_connections_show_that_a_target_is_in_reach():
+    # An entry whose open connections live on through a cut took itself for
+    # connected while every new connection failed.
+    async def script(head, writer):
+        writer.write(build_answer(b"ok"))
+
+    async def test(raw, targets):
+        seen = []
+        for _ in range(2):
+            exchange = RecordingExchange()
+            request = rawtarget.make_request()
+            reply = await targets.send(
+                raw.make_target(), request, ONCE_OPTIONS, exchange
+            )
+            await read_all(reply)
+            seen.append(exchange.connections)
+        assert seen == [1, 0]
+
+    run(script, test)
+
+
+@pytest.mark.parametrize("kind", ("send_body", "reserve"))
+def test_refused_connection_is_told_from_a_lost_answer(kind):
+    async def test(raw, targets):
+        target = raw.make_target()
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))
+            target.address = f"127.0.0.1:{unused.getsockname()[1]}"
+            with pytest.raises(UnreachableError) as raised:
+                await CALLS[kind](targets, target, RecordingExchange())
+        assert not raised.value.hung
+
+    run(None, test)
+
+
+def test_reservation_without_an_answer_does_not_count_as_out_of_reach():
+    async def script(head, writer):
+        await asyncio.sleep(1.0)
+
+    async def test(raw, targets):
+        with pytest.raises(NotSentError) as raised:
+            await reserve(targets, raw.make_target(), 100, 1.0)
+        assert not isinstance(raised.value, UnreachableError)
+
+    run(script, test)
+
+
 def test_idle_connections_to_a_restarted_target_are_closed():
     async def script(head, writer):
         writer.write(build_answer(b"ok"))
