--- /dev/null
+++ b/soak/linked.py
@@ -0,0 +1,48 @@
+"""Runs the program with each target behind a link of its own.
+
+On loopback all processes share their addresses, so a proxy can't tell whose
+connection it gets. Each process reaches a target at an address that is its
+own, as if it were the only one before that link.
+"""
+
+import asyncio
+import json
+import os
+import pathlib
+import runpy
+import socket
+import sys
+
+PROGRAM = pathlib.Path(__file__).parents[1] / "platform" / "chivepierd.py"
+# Variable with the address of the link to each target, by the target's own.
+VARIABLE = "CHIVEPIER_SOAK_LINKS"
+
+
+def main() -> None:
+    """Redirect connections to targets, and run the program."""
+    links = json.loads(os.environ[VARIABLE])
+    connect, open_connection = socket.socket.connect, asyncio.open_connection
+
+    def connect_by_link(self, address):
+        host, port = _redirect(links, *address[:2])
+        return connect(self, (host, port))
+
+    def open_by_link(host, port, **options):
+        return open_connection(*_redirect(links, host, port), **options)
+
+    socket.socket.connect = connect_by_link
+    asyncio.open_connection = open_by_link
+    sys.path.insert(0, str(PROGRAM.parent))
+    sys.argv[0] = str(PROGRAM)
+    runpy.run_path(str(PROGRAM), run_name="__main__")
+
+
+def _redirect(links: dict[str, str], host: str, port: int) -> tuple[str, int]:
+    host, _, text = links.get(f"{host}:{port}", f"{host}:{port}").rpartition(
+        ":"
+    )
+    return host, int(text)
+
+
+if __name__ == "__main__":
+    main()
--- a/soak/process.py
+++ b/soak/process.py
@@ -13,8 +13,11 @@
 
 import aiohttp
 
+from soak.linked import VARIABLE as LINKS_VARIABLE
+
 ROOT = pathlib.Path(__file__).parents[1]
 PROGRAM = ROOT / "platform" / "chivepierd.py"
+LINKED_PROGRAM = ROOT / "soak" / "linked.py"
 # Timeout of a client request in seconds, above every deadline in use.
 SESSION_SECONDS = 6.0
 SETTINGS = """node-name={name}
@@ -68,6 +71,8 @@
     :param ip: its own loopback address, which stands for an instance
     :param seeds: control addresses of the voters
     :param folder: directory for settings, data and logs
+    :ivar links: addresses at which it reaches targets, by their own; empty if
+        it reaches them directly
     """
 
     def __init__(
@@ -75,6 +80,7 @@
     ):
         self.role = role
         self.ip = ip
+        self.links: dict[str, str] = {}
         self._seeds = ",".join(seeds)
         self._folder = folder
         self._child: subprocess.Popen | None = None
@@ -104,10 +110,13 @@
             )
         )
         self._note("started")
+        program = LINKED_PROGRAM if self.links else PROGRAM
+        variables = {"CHIVEPIER_BOOT": str(path)}
+        variables[LINKS_VARIABLE] = json.dumps(self.links)
         with self._open_log() as log:
             self._child = subprocess.Popen(
-                [sys.executable, str(PROGRAM), self.role],
-                env={**os.environ, "CHIVEPIER_BOOT": str(path)},
+                [sys.executable, str(program), self.role],
+                env={**os.environ, **variables},
                 stdout=log,
                 stderr=subprocess.STDOUT,
             )
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -14,6 +14,26 @@
 SLOW = "slow"
 
 
+class Hold:
+    """Holds bytes back until it ends; then they arrive, as after a cut."""
+
+    def __init__(self) -> None:
+        self._open = asyncio.Event()
+        self._open.set()
+
+    def set(self) -> None:
+        """Hold back what is to be forwarded."""
+        self._open.clear()
+
+    def clear(self) -> None:
+        """Forward again."""
+        self._open.set()
+
+    async def wait_for_end(self) -> None:
+        """Wait until nothing is held back."""
+        await self._open.wait()
+
+
 class Proxy:
     """Forwards bytes between its own address and an upstream address.
 
@@ -34,18 +54,23 @@
         self.silenced_connections = 0
         self._upstream = upstream
         self._rng = rng
+        self.held = Hold()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
 
     async def __aenter__(self) -> "Proxy":
+        await self.listen()
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        return self
+
+    async def listen(self) -> None:
+        """Accept connections, again if that was ended."""
         host, port = self.address.split(":")
         self._server = await asyncio.start_server(
             self._accept, host, int(port)
         )
-        host, port = self._server.sockets[0].getsockname()
-        self.address = f"{host}:{port}"
-        return self
 
     async def __aexit__(self, *exc) -> None:
         self._server.close()
@@ -100,6 +125,7 @@
             if self.fault_mode == dropped_mode and not silent:
                 silent = True
                 self.silenced_connections += 1
+            await self.held.wait_for_end()
             if not silent:
                 writer.write(data)
                 await writer.drain()
--- a/soak/target.py
+++ b/soak/target.py
@@ -22,6 +22,8 @@
 HEARTBEAT_SECONDS = 0.4
 SERVICE_SECONDS = 0.02
 EVENT_COUNT = 20
+# Paths of the routes whose requests may run more than once.
+REPEATABLE_PATHS = ("/again/", "/resume/")
 INITIAL_SEQUENCE = 10_000
 # Seconds after the first announcement of a rate limit from which it holds for
 # all entries, including those that had a fault at the announcement.
@@ -240,7 +242,7 @@
     ) -> web.StreamResponse:
         await request.read()
         self.runs += 1
-        if not request.path.startswith("/again/"):
+        if not request.path.startswith(REPEATABLE_PATHS):
             self._checker.record_run(identity)
         if fault_mode == "silent":
             await asyncio.sleep(60)
--- /dev/null
+++ b/soak/targetlink.py
@@ -0,0 +1,82 @@
+"""The link from one entry to one target, which can be cut."""
+
+import asyncio
+import enum
+import random
+import socket
+
+from soak.proxy import Proxy
+
+# Connections that fill the queue of a listener whose backlog is zero; the
+# kernel drops what comes after, so that later attempts hang.
+FILLING_CONNECTIONS = 3
+
+
+class Cut(enum.Enum):
+    """What a link does while it is cut.
+
+    ``REFUSED`` refuses new connections and leaves open ones alone, ``RESET``
+    resets these too, and ``SILENT`` holds all bytes back while new connections
+    hang.
+    """
+
+    REFUSED = "refused"
+    RESET = "reset"
+    SILENT = "silent"
+
+
+class TargetLink(Proxy):
+    """Forwards one entry's connections to one target, unless it is cut.
+
+    :param address: address at which the entry reaches the target
+    :param upstream: address of the target
+    :param rng: random number generator of the proxy
+    """
+
+    def __init__(self, address: str, upstream: str, rng: random.Random):
+        super().__init__(address, upstream, rng)
+        self._fillers: list[socket.socket] = []
+
+    async def __aexit__(self, *exc) -> None:
+        self._stop_hanging()
+        self.held.clear()
+        await super().__aexit__(*exc)
+
+    def cut(self, shape: Cut) -> None:
+        """Cut the link; listening ends at once."""
+        self._server.close()
+        match shape:
+            case Cut.RESET:
+                self.reset()
+            case Cut.SILENT:
+                self.held.set()
+                self._hang()
+
+    async def heal(self) -> None:
+        """End the cut; bytes that were held back arrive."""
+        self._stop_hanging()
+        self.held.clear()
+        await self.listen()
+
+    def _hang(self) -> None:
+        host, port = self.address.split(":")
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind((host, int(port)))
+        listener.listen(0)
+        self._fillers.append(listener)
+        for _ in range(FILLING_CONNECTIONS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex((host, int(port)))
+            self._fillers.append(filler)
+
+    def _stop_hanging(self) -> None:
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+
+
+async def heal_all(links: list[TargetLink]) -> None:
+    """End the cuts of several links."""
+    await asyncio.gather(*(link.heal() for link in links))
