Count no target as ended while no other can be connected to

An entry that is cut off loses requests, finds that their targets refuse connections, and took each for one that ended under its request. Three such ends hold the request back at every entry: callers of sound ones would have been refused anywhere.

A refusal counts now once another target can be connected to, the service's own first; restarts, silence and replacement, which voters tell, count as before. test_refusals_of_all_targets_are_not_reported fails without it. The doubles of two tests answered for all targets alike that they had ended; they answer for the one that did.

Left: where one service alone is out of reach, targets of another one can be connected to, so that its refusals count. A whole answer anywhere clears them.

--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -68,6 +68,7 @@
 
     def __init__(self, name: str, seeds: tuple[str, ...], zone: str = "z"):
         clock, log = LoopClock(), make_log(name)
+        self._ended: set[str] = set()
         self.state = ServingState()
         self.zones = Zones()
         self.table = TargetTable(1.0, self.zones)
@@ -137,6 +138,10 @@
             self._pending_beats -= 1
 
     async def _probe(self, target) -> Liveness:
+        # it starts again right after: a later probe finds it alive
+        if target.instance not in self._ended:
+            return Liveness.LIVES
+        self._ended.remove(target.instance)
         return Liveness.ENDED
 
     def _handle(self, message, channel):
@@ -187,6 +192,7 @@
     def simulate_crash(self, digest: str, instance: str) -> None:
         """Simulate the end of a target during a request of this entry."""
         now = tell_time()
+        self._ended.add(instance)
         target = Target(
             instance=instance,
             service="s",
--- a/packages/gateway/src/chivepier/gateway/quarantine/crashdetector.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/crashdetector.py
@@ -26,6 +26,9 @@
 # The same if it accepted a connection after the loss: only the connection was
 # reset, unless the next incarnation was already running.
 ALIVE_CHECK_SECONDS = 3.0
+# Other targets that are tried, one by one, before a refusal counts as that of
+# a cut.
+MAX_COMPARED = 8
 # Interval between checks whether the target has fallen silent.
 POLL_SECONDS = 0.25
 # Time for which ended and leaving incarnations are remembered.
@@ -183,13 +186,37 @@
         found = await self._probe(check.target)
         now = self._clock.monotonic()
         match found:
-            case Liveness.ENDED:
+            case Liveness.ENDED if await self._reaches_others(check.target):
                 self.note_ended(incarnation, now, "refused")
+            case Liveness.ENDED:
+                # refused on the way: voters tell whether it has ended
+                return
             case Liveness.LIVES:
                 check.until = min(check.until, now + ALIVE_CHECK_SECONDS)
             case Liveness.UNKNOWN:
                 pass
 
+    async def _reaches_others(self, target: Target) -> bool:
+        """Tell whether a refusal is the target's, and not of a cut of ours.
+
+        :returns: whether another target can be connected to; also if there is
+            none
+        """
+        others = sorted(
+            (
+                other
+                for other in self._table
+                if other.state is TargetState.READY
+                and other.instance != target.instance
+            ),
+            # those that answer first: of the same service, heard of late
+            key=lambda other: (other.service != target.service, -other.heard),
+        )
+        for other in others[:MAX_COMPARED]:
+            if await self._probe(other) is Liveness.LIVES:
+                return True
+        return not others
+
     async def _watch(
         self, incarnation: Incarnation, check: CrashCheck
     ) -> None:
