Forward what reaches no target of its service to other entries

Callers of entries that were cut off from all targets got 503 (14 of 36 first tries served, the others 87 of 89), while other entries reached every target and the cut ones reached them.

Cause: an entry sends to targets itself or not at all, and nothing added up that it reached none. Class: a process that lost one kind of link goes on as if all were well, and nobody who has that link does its work.

Now the entry hands such a request to another entry over a link of their own (websockets, the cluster key), which plans and serves it as if its caller had come there: by its deadline, team, order of waiting and the targets' words. It is never forwarded again. The answer is read part by part by offset, so that a cancelled read loses nothing; a stream goes on elsewhere by its last event where its route allows it. Voters name up to eight entries to each, with what these do not reach, and leave cut-off entries out of the look-ups while at least half of the entries are not cut off. While cut off, an entry reports no target as unreachable to the others: with three such entries they would have left out sound targets. A request without an answer at its objective, with none of its service since, has a few targets tried, so that open connections that fall silent together are found out.

--- a/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
+++ b/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
@@ -24,6 +24,9 @@
 # Share of returned addresses in the caller's own availability zone; the others
 # serve the caller if that zone fails.
 LOCAL_SHARE = 0.75
+# Share of the entries that must reach all services for the others to be left
+# out.
+MIN_CONNECTED_SHARE = 0.5
 # Seconds between two rotations of the returned local entries if there are more
 # than needed. Callers close connections to entries that are no longer
 # returned, so each rotation replaces only a share of them.
@@ -92,6 +95,7 @@
             e for e in ready if now - e.last_heard < LIVENESS_TIMEOUT_SECONDS
         ]
         beats = [entry.beat for entry in alive or ready]
+        beats = _prefer_connected(beats)
         beats = self._filter_by_region(beats, region, allowed)
         if max_count is not None:
             beats = select_by_weight(beats, zone, self._list_zones())
@@ -137,6 +141,15 @@
             if node != exclude and not entry.channel.closed
         ]
 
+    def list_live_beats(self) -> list[EntryBeat]:
+        """Return the last beat of each entry that was heard of late."""
+        since = self._clock.monotonic() - LIVENESS_TIMEOUT_SECONDS
+        return [
+            entry.beat
+            for entry in self._entries.values()
+            if entry.last_heard > since
+        ]
+
     def list_beats(self) -> list[EntryBeat]:
         """Return the last beat of each known entry."""
         return [entry.beat for entry in self._entries.values()]
@@ -153,6 +166,18 @@
                 del self._entries[node]
 
 
+def _prefer_connected(beats: list[EntryBeat]) -> list[EntryBeat]:
+    """Drop entries that reach no target of a service, if enough are left.
+
+    They have others serve what they get; where most are cut off, these others
+    would get all callers besides.
+    """
+    connected = [beat for beat in beats if not beat.unreachable]
+    if len(connected) >= MIN_CONNECTED_SHARE * len(beats):
+        return connected
+    return beats
+
+
 def _select(
     beats: list[EntryBeat], zone: str, max_count: int, now: float
 ) -> list[str]:
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -13,6 +13,7 @@
 from chivepier.gateway.control.limitrelay import LimitRelay
 from chivepier.gateway.control.loadrelay import LoadRelay
 from chivepier.gateway.control.membership import Membership
+from chivepier.gateway.control.peerdirectory import PeerDirectory
 from chivepier.gateway.control.permitservice import PermitService
 from chivepier.gateway.control.quarantinerelay import QuarantineRelay
 from chivepier.gateway.control.registry import Registry
@@ -28,6 +29,7 @@
 from chivepier.gateway.messages import JoinRequest
 from chivepier.gateway.messages import LoadDigest
 from chivepier.gateway.messages import LoadNotice
+from chivepier.gateway.messages import PeerRecord
 from chivepier.gateway.messages import PermitRequest
 from chivepier.gateway.messages import QuarantineNotice
 from chivepier.gateway.messages import TargetNotice
@@ -82,6 +84,9 @@
         self._stack = contextlib.AsyncExitStack()
         self.peers = Peers(settings.seeds)
         self.entries = EntryDirectory(clock, settings.regions)
+        self._peer_directory = PeerDirectory(
+            self.entries.list_live_beats, clock
+        )
         self._weights = WeightWatch(self.entries, log)
         self.zones = Zones(settings.regions)
         self.table = TargetTable(settings.beat, self.zones)
@@ -228,6 +233,7 @@
         self.limits.receive(beat.limits)
         for record in beat.leaving:
             self.registry.mark_leaving(record.instance, record.born)
+        peers, peers_revision = self._find_peers(beat)
         missing = self.quarantine.find_missing(beat, self.registry.epoch)
         reachable = self.loads.find_reachable_voters()
         return EntryBeatAnswer(
@@ -248,8 +254,20 @@
             self.orders.find_presumed(),
             self.limits.board.revision,
             self.limits.find_missing(beat, self.registry.epoch),
+            peers,
+            peers_revision,
         )
 
+    def _find_peers(
+        self, beat: EntryBeat
+    ) -> tuple[tuple[PeerRecord, ...], int]:
+        """Return the changed peers of an entry that follows this voter."""
+        if not beat.follows:
+            return (), -1
+        is_same = beat.epoch == self.registry.epoch
+        known = beat.peers_revision if is_same else -1
+        return self._peer_directory.find_changes(beat, known)
+
     def _find_orders(self, index: int) -> tuple[ZoneRecord, ...]:
         """Return all zone orders if any is newer than a log index."""
         if self.zones.last_index <= index:
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -14,6 +14,9 @@
 from chivepier.gateway.following import QuarantineExchange
 from chivepier.gateway.following import ReportExchange
 from chivepier.gateway.following import VoterClient
+from chivepier.gateway.forwarding import ForwardClient
+from chivepier.gateway.forwarding import ForwardServer
+from chivepier.gateway.forwarding import PeerList
 from chivepier.gateway.limits import BackoffTable
 from chivepier.gateway.limits import LimitTable
 from chivepier.gateway.limits import VersionedLimit
@@ -28,6 +31,7 @@
 from chivepier.gateway.reach import ReachProber
 from chivepier.gateway.serving import BodyMemory
 from chivepier.gateway.serving import CrashGuard
+from chivepier.gateway.serving import Detour
 from chivepier.gateway.serving import Dispatcher
 from chivepier.gateway.serving import HeaderRecorder
 from chivepier.gateway.serving import Mover
@@ -59,6 +63,7 @@
 from chivepier.types import Clock
 from chivepier.wire import Faults
 from chivepier.wire import Links
+from chivepier.wire import PeerServer
 
 # Seconds after the stop order in which callers may still connect to an address
 # that they resolved earlier.
@@ -202,6 +207,13 @@
         )
         meter = UsageMeter(settings.limits, ProcessReader(), clock)
         reporter = AbilityReporter(settings.name, settings.limits, meter)
+        self.peer_entries = PeerList(
+            settings.peer_address,
+            settings.zone,
+            settings.regions,
+            clock,
+            rng,
+        )
         self.following = VoterClient(
             name=settings.name,
             address=settings.address,
@@ -226,6 +238,18 @@
             clock=clock,
             log=log,
             report=reporter.report,
+            others=self.peer_entries,
+            reach=self.reach,
+        )
+        self.reach.watchers.append(balancer.set_cut_off)
+        forwarder = ForwardClient(
+            settings.name,
+            self.peer_entries,
+            self._links,
+            self.state,
+            clock,
+            log,
+            self.metrics,
         )
         dispatcher = Dispatcher(
             state=self.state,
@@ -240,6 +264,7 @@
             guard=guard,
             gate=gate,
             retry_after=RetryAfterScheduler(rng),
+            detour=Detour(self.reach, forwarder, clock),
             clock=clock,
             log=log,
             metrics=self.metrics,
@@ -252,12 +277,22 @@
             self.metrics,
             self.shedding,
         )
+        self._forward_server = ForwardServer(
+            handler=self.serving,
+            bodies=self.bodies,
+            state=self.state,
+            is_leaving=lambda: self.following.leaving,
+            clock=clock,
+            log=log,
+            metrics=self.metrics,
+        )
         self._usage_watch = UsageWatch(
             meter, self.shedding, self.serving, clock, log
         )
 
     async def __aenter__(self) -> "Entry":
         await self._stack.enter_async_context(self._links)
+        await self._listen_for_peers()
         await self._stack.enter_async_context(self.following)
         self._stack.push_async_callback(self.mover.close)
         self._stack.push_async_callback(self.quarantine.detector.close)
@@ -275,6 +310,20 @@
     async def __aexit__(self, *exc) -> None:
         await self._stack.aclose()
 
+    async def _listen_for_peers(self) -> None:
+        if not self._settings.peer_address:
+            return
+        host, _, port = self._settings.peer_address.rpartition(":")
+        server = PeerServer(
+            host,
+            int(port),
+            self._forward_server.handle,
+            self._settings.cluster_key,
+            self._clock,
+        )
+        self._stack.push_async_callback(self._forward_server.close)
+        await self._stack.enter_async_context(server)
+
     def _handle(self, message, channel):
         return self.following.handle(message, channel)
 
--- a/packages/gateway/src/chivepier/gateway/following/voterclient.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterclient.py
@@ -16,6 +16,7 @@
 from chivepier.gateway.following.voterlink import VoterLink
 from chivepier.gateway.following.voterselector import VoterSelector
 from chivepier.gateway.following.voterstatus import VoterStatus
+from chivepier.gateway.forwarding import PeerList
 from chivepier.gateway.messages import ConfigNotice
 from chivepier.gateway.messages import EntryBeat
 from chivepier.gateway.messages import EntryBeatAnswer
@@ -29,6 +30,7 @@
 from chivepier.gateway.messages import TargetRecord
 from chivepier.gateway.messages import ZoneNotice
 from chivepier.gateway.messages import ZoneRecord
+from chivepier.gateway.reach import Reach
 from chivepier.gateway.serving import ServingState
 from chivepier.gateway.targets import LeavingTargets
 from chivepier.gateway.targets import TargetTable
@@ -80,6 +82,8 @@
     :param clock: source of monotonic time
     :param log: event log of this process
     :param report: returns what this entry can do at a monotonic time
+    :param others: receives the entries that requests can be forwarded to
+    :param reach: tells which services are out of reach of this entry
     """
 
     def __init__(
@@ -101,7 +105,11 @@
         clock: Clock,
         log: EventLog,
         report: collections.abc.Callable[[float], Ability] = _report_nothing,
+        others: PeerList | None = None,
+        reach: Reach | None = None,
     ):
+        self._others = others
+        self._reach = reach
         self._name = name
         self._report = report
         self._address = address
@@ -137,6 +145,9 @@
         )
         for coroutine in coroutines:
             self._tasks.append(asyncio.create_task(coroutine))
+        if self._reach is not None:
+            work = self._report_changes(self._reach.changed)
+            self._tasks.append(asyncio.create_task(work))
         return self
 
     async def __aexit__(self, *exc) -> None:
@@ -269,6 +280,9 @@
             voter.limits.received_revision,
             self._limits.find_unconfirmed(voter.limits),
             tuple(leavers - voter.confirmed_leavers),
+            peer_address=self._others.own_address if self._others else "",
+            unreachable=self._reach.lost_services if self._reach else (),
+            peers_revision=voter.peers_revision,
             **attrs.asdict(self._report(self._clock.monotonic())),
         )
         limits_confirmed, limits_revision = (
@@ -326,6 +340,9 @@
         self._select_voter()
         voter.epoch, voter.targets_revision = answer.epoch, answer.revision
         self._state.entries = max(1, answer.entries)
+        if self._others is not None and answer.peers_revision >= 0:
+            self._others.replace(answer.peers)
+            voter.peers_revision = answer.peers_revision
         if answer.voters:
             self._peers.learn(answer.voters)
         self._configs.record_version(address, answer.version)
--- a/packages/gateway/src/chivepier/gateway/following/voterlink.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterlink.py
@@ -24,6 +24,7 @@
         that the voter has; ``None`` if it may have none
     :param limits: synchronization state of the rate limits
     :param confirmed_leavers: leaving targets reported to the voter
+    :param peers_revision: revision of the peers that it named, -1 if none
     :param alive: whether it answered the last beat
     :param status: what it last reported about itself
     """
@@ -36,5 +37,6 @@
     quarantine_confirmed: int | None = None
     limits: LimitSyncState = attrs.field(factory=LimitSyncState)
     confirmed_leavers: frozenset[LeavingRecord] = frozenset()
+    peers_revision: int = -1
     alive: bool = False
     status: VoterStatus = VoterStatus()
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
@@ -0,0 +1,71 @@
+"""The answer to a forwarded request, read from the entry that serves it."""
+
+from chivepier.gateway.forwarding.forwardstate import ForwardState
+from chivepier.gateway.forwarding.records import unpack_headers
+from chivepier.gateway.messages import ForwardCancel
+from chivepier.gateway.messages import ForwardPart
+from chivepier.gateway.messages import ForwardRead
+from chivepier.gateway.serving import AnswerFacts
+from chivepier.gateway.serving import BrokenAnswerError
+from chivepier.wire import Channel
+from chivepier.wire import LinkError
+
+# Seconds to wait for a part. The other entry answers within a part of this,
+# also if there is nothing new; one that does not is frozen or cut off.
+PART_SECONDS = 2.0
+
+
+class ForwardedAnswer:
+    """Reads an answer part by part; each read confirms what has arrived.
+
+    Implements :class:`TargetAnswer`.
+
+    :param channel: link to the entry that serves the request
+    :param part: the first part, with the head of the answer
+    """
+
+    def __init__(self, channel: Channel, part: ForwardPart):
+        self.status = part.status
+        self.headers = unpack_headers(part.headers)
+        self.length = None if part.length < 0 else part.length
+        self.framed = True
+        self.facts = AnswerFacts()
+        self._channel = channel
+        self._handle = part.handle
+        self._offset = 0
+        self._pending = b""
+        self._state = ForwardState.OPEN
+        self._take(part)
+
+    async def read(self) -> bytes:
+        """Return the next bytes of the body, empty at its end.
+
+        Cancelling a read loses no data: what was not confirmed comes again.
+
+        :raises BrokenAnswerError: when the body is incomplete
+        """
+        while not self._pending and self._state is ForwardState.OPEN:
+            request = ForwardRead(self._handle, self._offset)
+            try:
+                self._take(await self._channel.request(request, PART_SECONDS))
+            except LinkError as error:
+                self._state = ForwardState.BROKEN
+                raise BrokenAnswerError(str(error)) from None
+        if not self._pending and self._state is not ForwardState.COMPLETE:
+            raise BrokenAnswerError(f"the answer is {self._state.value}")
+        data, self._pending = self._pending, b""
+        return data
+
+    def _take(self, part: ForwardPart) -> None:
+        self._pending = part.data
+        self._offset += len(part.data)
+        self._state = ForwardState(part.state)
+
+    def close(self) -> None:
+        """Tell the other entry that the rest is not wanted."""
+        if self._state is ForwardState.OPEN:
+            self._state = ForwardState.BROKEN
+            self._channel.send(ForwardCancel(self._handle))
+
+    def release(self) -> None:
+        """Do nothing: the other entry drops a complete answer."""
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardserver.py
@@ -0,0 +1,189 @@
+"""Serving requests that other entries forward."""
+
+import asyncio
+import collections.abc
+import itertools
+
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.forwarding.forwardsession import ForwardSession
+from chivepier.gateway.forwarding.forwardstate import ForwardState
+from chivepier.gateway.forwarding.records import unpack_request
+from chivepier.gateway.messages import ForwardCancel
+from chivepier.gateway.messages import ForwardPart
+from chivepier.gateway.messages import ForwardRead
+from chivepier.gateway.messages import ForwardRequest
+from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.serving import BodyMemory
+from chivepier.gateway.serving import NotSentError
+from chivepier.gateway.serving import RequestHandler
+from chivepier.gateway.serving import ServingState
+from chivepier.types import Clock
+from chivepier.types import RequestError
+from chivepier.wire import Channel
+from chivepier.wire import RefusedError
+
+# Seconds until the first part is sent, so that the other entry soon knows that
+# its request has arrived; and until a later one that has nothing new.
+FIRST_PART_SECONDS = 0.05
+PART_SECONDS = 0.5
+# Seconds to wait for the version with which the request was accepted.
+CONFIG_SECONDS = 0.3
+# Seconds without a read after which the other entry has gone.
+SILENCE_SECONDS = 3.0
+# Seconds for which a whole answer is kept in case its last part is lost.
+KEPT_SECONDS = 1.0
+POLL_SECONDS = 0.5
+
+
+class ForwardServer:
+    """Serves forwarded requests as if their callers had come here.
+
+    A forwarded request is never forwarded again.
+
+    :param handler: handles requests
+    :param bodies: limits the memory of their bodies
+    :param state: the active configuration
+    :param is_leaving: tells whether this entry is about to end
+    :param clock: source of monotonic time
+    :param log: event log of this process
+    :param metrics: counts forwarded requests
+    """
+
+    def __init__(
+        self,
+        *,
+        handler: RequestHandler,
+        bodies: BodyMemory,
+        state: ServingState,
+        is_leaving: collections.abc.Callable[[], bool],
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+    ):
+        self._handler = handler
+        self._bodies = bodies
+        self._state = state
+        self._is_leaving = is_leaving
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+        self._handles = itertools.count(1)
+        self._sessions: dict[tuple[Channel, int], ForwardSession] = {}
+        self._watch: asyncio.Task | None = None
+
+    async def close(self) -> None:
+        """End all forwarded requests."""
+        tasks = [s.task for s in self._sessions.values() if s.task]
+        tasks += [self._watch] if self._watch else []
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def handle(self, message, channel: Channel):
+        """Handle a message of another entry.
+
+        :param message: the message
+        :param channel: link that it came over
+        """
+        match message:
+            case ForwardRequest():
+                return self._open(message, channel)
+            case ForwardRead(handle=handle, offset=offset):
+                return self._read(channel, handle, offset)
+            case ForwardCancel(handle=handle):
+                session = self._sessions.pop((channel, handle), None)
+                if session is not None:
+                    session.task.cancel()
+                return None
+            case other:
+                raise RefusedError(f"unexpected {type(other).__name__}")
+
+    async def _open(
+        self, message: ForwardRequest, channel: Channel
+    ) -> ForwardPart:
+        arrived = self._clock.monotonic()
+        reason = await self._find_refusal(message)
+        if reason:
+            self._metrics.record_forward("received", "refused")
+            self._log.warn(
+                "forward_refused",
+                id=message.id,
+                entry=message.entry,
+                reason=reason,
+            )
+            return ForwardPart(0, ForwardState.REFUSED.value, message=reason)
+        session = ForwardSession(next(self._handles), self._clock)
+        session.task = asyncio.create_task(
+            self._serve(message, session, arrived)
+        )
+        self._sessions[(channel, session.handle)] = session
+        if self._watch is None or self._watch.done():
+            self._watch = asyncio.create_task(self._drop_sessions())
+        return await session.read(0, FIRST_PART_SECONDS)
+
+    async def _find_refusal(self, message: ForwardRequest) -> str:
+        """Return why a request is not taken, empty if it is."""
+        if self._is_leaving() or self._state.stopping:
+            return "leaving"
+        if self._handler.is_shedding:
+            return "near its limits"
+        if not self._knows(message.version):
+            await self._state.changed.wait(CONFIG_SECONDS)
+        if not self._knows(message.version):
+            return "an older configuration"
+        return ""
+
+    def _knows(self, version: int) -> bool:
+        index = self._state.index
+        return index is not None and index.version >= version
+
+    async def _serve(
+        self, message: ForwardRequest, session: ForwardSession, arrived: float
+    ) -> None:
+        request = unpack_request(message, arrived)
+        outcome = "cancelled"
+        try:
+            with self._bodies.allocate() as allocation:
+                allocation.extend(len(request.body))
+                await self._handler.serve_forwarded(
+                    request, session, message.runs
+                )
+            outcome = "answered"
+        except RequestError as error:
+            outcome = error.failure.kind.value
+            session.fail(error.failure)
+        except NotSentError as error:
+            outcome = "refused"
+            session.refuse(str(error))
+        finally:
+            # also where the task ends by an error that nobody has foreseen
+            session.abort()
+            self._metrics.record_forward("received", outcome)
+            self._log.info(
+                "forward_ended",
+                id=message.id,
+                entry=message.entry,
+                runs=message.runs,
+                outcome=outcome,
+                ms=round(1000 * (self._clock.monotonic() - arrived)),
+            )
+
+    async def _read(
+        self, channel: Channel, handle: int, offset: int
+    ) -> ForwardPart:
+        session = self._sessions.get((channel, handle))
+        if session is None:
+            return ForwardPart(handle, ForwardState.BROKEN.value)
+        return await session.read(offset, PART_SECONDS)
+
+    async def _drop_sessions(self) -> None:
+        """Drop answers that were read, or that nobody reads any more."""
+        while self._sessions:
+            await self._clock.sleep(POLL_SECONDS)
+            now = self._clock.monotonic()
+            for key, session in list(self._sessions.items()):
+                silence = now - session.read_at
+                kept = KEPT_SECONDS if session.is_ended else SILENCE_SECONDS
+                if key[0].closed or silence > kept:
+                    del self._sessions[key]
+                    session.task.cancel()
--- a/packages/gateway/src/chivepier/gateway/messages/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/messages/__init__.py
@@ -7,6 +7,11 @@
 from chivepier.gateway.messages.endingrecord import EndingRecord
 from chivepier.gateway.messages.entrybeat import EntryBeat
 from chivepier.gateway.messages.entrybeatanswer import EntryBeatAnswer
+from chivepier.gateway.messages.forwardcancel import ForwardCancel
+from chivepier.gateway.messages.forwardpart import ForwardPart
+from chivepier.gateway.messages.forwardread import ForwardRead
+from chivepier.gateway.messages.forwardrequest import ForwardRequest
+from chivepier.gateway.messages.headerfield import HeaderField
 from chivepier.gateway.messages.joinanswer import JoinAnswer
 from chivepier.gateway.messages.joinrequest import JoinRequest
 from chivepier.gateway.messages.leavingrecord import LeavingRecord
@@ -15,6 +20,7 @@
 from chivepier.gateway.messages.loaddigest import LoadDigest
 from chivepier.gateway.messages.loadnotice import LoadNotice
 from chivepier.gateway.messages.loadrecord import LoadRecord
+from chivepier.gateway.messages.peerrecord import PeerRecord
 from chivepier.gateway.messages.permitanswer import PermitAnswer
 from chivepier.gateway.messages.permitrequest import PermitRequest
 from chivepier.gateway.messages.quarantinenotice import QuarantineNotice
@@ -38,6 +44,11 @@
     "EndingRecord",
     "EntryBeat",
     "EntryBeatAnswer",
+    "ForwardCancel",
+    "ForwardPart",
+    "ForwardRead",
+    "ForwardRequest",
+    "HeaderField",
     "JoinAnswer",
     "JoinRequest",
     "LeavingRecord",
@@ -46,6 +57,7 @@
     "LoadDigest",
     "LoadNotice",
     "LoadRecord",
+    "PeerRecord",
     "PermitAnswer",
     "PermitRequest",
     "QuarantineNotice",
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeat.py
@@ -24,7 +24,9 @@
     ``millicores``, ``memory_mb``, ``link_kbps`` and ``descriptors`` are what
     its instance can do, 0 if unknown. ``busy_percent`` is the largest used
     share of its processor and memory, and ``rotation`` counts its rotations
-    in the answers to callers.
+    in the answers to callers. ``peer_address`` is where other entries reach
+    it, empty if they can't, ``unreachable`` the services whose targets it does
+    not reach, and ``peers_revision`` the last received revision of its peers.
     """
 
     node: str
@@ -48,3 +50,6 @@
     descriptors: int = 0
     busy_percent: int = 0
     rotation: int = 0
+    peer_address: str = ""
+    unreachable: tuple[str, ...] = ()
+    peers_revision: int = -1
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
@@ -3,6 +3,7 @@
 from chivepier.gateway.messages.clearancerecord import ClearanceRecord
 from chivepier.gateway.messages.endingrecord import EndingRecord
 from chivepier.gateway.messages.limitrecord import LimitRecord
+from chivepier.gateway.messages.peerrecord import PeerRecord
 from chivepier.gateway.messages.targetrecord import TargetRecord
 from chivepier.gateway.messages.zonerecord import ZoneRecord
 from chivepier.messages.registry import message
@@ -22,7 +23,8 @@
     ``quarantine_revision``, and ``limits`` are rate limits up to the revision
     ``limits_revision``. ``orders`` are all zone orders, empty if none is new;
     ``presumed`` are zones that may be evacuated by an order whose outcome is
-    unknown to the voter.
+    unknown to the voter. ``peers`` are entries that requests can be forwarded
+    to, with their revision ``peers_revision``, -1 if nothing has changed.
     """
 
     epoch: str
@@ -42,3 +44,5 @@
     presumed: tuple[str, ...] = ()
     limits_revision: int = 0
     limits: tuple[LimitRecord, ...] = ()
+    peers: tuple[PeerRecord, ...] = ()
+    peers_revision: int = -1
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -33,6 +33,7 @@
     "team_waits",
     "shed",
     "reach",
+    "forwards",
 )
 GAUGES = ("zones", "place_waiting")
 
@@ -206,6 +207,15 @@
         """
         self._record("reach", (event,), 1.0)
 
+    def record_forward(self, side: str, outcome: str) -> None:
+        """Count a request that was forwarded between entries.
+
+        :param side: ``sent`` by this entry or ``received``
+        :param outcome: ``answered``, ``refused``, ``failed``, ``lost``,
+            ``cancelled`` or the kind of a failure
+        """
+        self._record("forwards", (side, outcome), 1.0)
+
     def record_unknown_header(self, name: str) -> None:
         """Count an unknown header in a target's answer.
 
@@ -315,6 +325,12 @@
             ("event",),
             registry=registry,
         ),
+        "forwards": library.Counter(
+            "chivepier_forwarded_requests",
+            "Requests that an entry had another one serve.",
+            ("side", "outcome"),
+            registry=registry,
+        ),
         "rests": library.Counter(
             "chivepier_rests",
             "Answers whose target asks this entry to send nothing.",
--- a/packages/gateway/src/chivepier/gateway/reach/reach.py
+++ b/packages/gateway/src/chivepier/gateway/reach/reach.py
@@ -1,6 +1,7 @@
 """The one place that decides whether this entry reaches a service."""
 
 import collections.abc
+import math
 import random
 
 import attrs
@@ -74,6 +75,7 @@
         self._records: dict[str, ConnectRecord] = {}
         self._losses: dict[str, Loss] = {}
         self._doubtful: set[str] = set()
+        self._answered_at: dict[str, float] = {}
         self.changed = Signal()
         self.failed = Signal()
         self.forgotten = Signal()
@@ -145,6 +147,28 @@
         if loss is not None and loss.regained is None:
             self._end(target, loss)
 
+    def note_answered(self, target: Target) -> None:
+        """Record an answer, which may have come over an open connection."""
+        self._answered_at[target.service] = self._clock.monotonic()
+
+    def now(self) -> float:
+        """Return the time that :meth:`note_silent` compares with."""
+        return self._clock.monotonic()
+
+    def note_silent(self, target: Target, sent_at: float) -> None:
+        """Record that a request got no answer within its objective.
+
+        Open connections that fall silent together show a cut before anything
+        connects anew.
+
+        :param target: the target that it was sent to
+        :param sent_at: when it was sent, in monotonic seconds
+        """
+        service = target.service
+        if self._answered_at.get(service, -math.inf) < sent_at:
+            self._doubtful.add(service)
+            self.failed.set()
+
     def forget(self, instance: str) -> None:
         """Drop the record of a target that is gone or has restarted."""
         if self._records.pop(instance, None) is not None:
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.serving.callpurpose import CallPurpose
 from chivepier.gateway.serving.crashguard import CrashGuard
+from chivepier.gateway.serving.detour import Detour
 from chivepier.gateway.serving.dispatcher import Dispatcher
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.errors import ConnectionLostError
@@ -19,6 +20,7 @@
 from chivepier.gateway.serving.moveoutcome import MoveOutcome
 from chivepier.gateway.serving.mover import Mover
 from chivepier.gateway.serving.moveresult import MoveResult
+from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.planner import Planner
 from chivepier.gateway.serving.prompt import Prompt
 from chivepier.gateway.serving.requesthandler import RequestHandler
@@ -43,6 +45,7 @@
     "CallerRequest",
     "ConnectionLostError",
     "CrashGuard",
+    "Detour",
     "Dispatcher",
     "Exchange",
     "HeaderRecorder",
@@ -52,6 +55,7 @@
     "Mover",
     "NotPermittedError",
     "NotSentError",
+    "Plan",
     "Planner",
     "Prompt",
     "RequestHandler",
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/detour.py
@@ -0,0 +1,115 @@
+"""Serving requests through other entries while targets are out of reach."""
+
+import asyncio
+
+import attrs
+
+from chivepier.gateway.reach import Reach
+from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.forwarder import Forwarder
+from chivepier.gateway.serving.liverun import LiveRun
+from chivepier.gateway.serving.plan import Plan
+from chivepier.gateway.serving.startedanswer import StartedAnswer
+from chivepier.gateway.serving.targetanswer import TargetAnswer
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetState
+from chivepier.types import Clock
+
+
+class Detour:
+    """Has another entry serve what this one can't send to any target.
+
+    :param reach: whether the targets of a service can be reached
+    :param forwarder: forwards requests; ``None`` if there is none
+    :param clock: source of monotonic time
+    """
+
+    def __init__(
+        self, reach: Reach, forwarder: Forwarder | None, clock: Clock
+    ):
+        self._reach = reach
+        self._forwarder = forwarder
+        self._clock = clock
+
+    def is_needed(self, plan: Plan) -> bool:
+        """Tell whether a request should be forwarded."""
+        if self._forwarder is None:
+            return False
+        if self._reach.may_send(plan.service.name):
+            return False
+        return self._forwarder.has_peer(plan)
+
+    def is_cut_off(self, plan: Plan) -> bool:
+        """Tell whether no target of a request is in reach from here."""
+        return self._reach.is_lost(plan.service.name)
+
+    def is_only_way(self, plan: Plan) -> bool:
+        """Tell whether no target is in reach, but a peer is."""
+        return (
+            self._forwarder is not None
+            and self.is_cut_off(plan)
+            and self._forwarder.has_peer(plan)
+        )
+
+    async def start(
+        self, plan: Plan, runs: int, run: LiveRun | None = None
+    ) -> StartedAnswer | None:
+        """Forward a request, or the rest of a stream.
+
+        :param plan: the plan of the request
+        :param runs: number of targets that may have run it
+        :param run: the stream to be continued; ``None`` for a new request
+        :returns: the answer to relay; ``None`` if no entry took the request
+        :raises RequestError: when an entry took it and failed
+        :raises ConnectionLostError: when the entry that may have taken it was
+            lost
+        :raises BrokenAnswerError: when its answer is incomplete
+        :raises TimeoutError: when the deadline is over
+        """
+        request = plan.request
+        if run is not None:
+            after = str(run.last_event_number)
+            request = attrs.evolve(request, last_event=after)
+        seconds = plan.deadline - self._clock.monotonic()
+        answer = None
+        try:
+            async with asyncio.timeout(seconds):
+                peer, answer = await self._forwarder.open(plan, request, runs)
+                return await self._read_start(plan, peer, answer, run)
+        except NotSentError:
+            return None
+        except BaseException:
+            if answer is not None:
+                answer.close()
+            raise
+
+    async def _read_start(
+        self, plan: Plan, peer: str, answer: TargetAnswer, run: LiveRun | None
+    ) -> StartedAnswer:
+        now = self._clock.monotonic()
+        target = _make_stand_in(plan, peer, now)
+        if plan.route.streaming and answer.status < 300:
+            # until the first event it can be sent again elsewhere
+            first = await answer.read()
+            if run is None:
+                run = LiveRun(plan, target, 0, sent_at=now, heard_at=now)
+            run.forward_to(target, self._clock.monotonic())
+            return StartedAnswer(target, answer, first, run)
+        parts = []
+        while data := await answer.read():
+            parts.append(data)
+        return StartedAnswer(target, answer, b"".join(parts))
+
+
+def _make_stand_in(plan: Plan, peer: str, now: float) -> Target:
+    """Return what stands for the targets behind another entry."""
+    return Target(
+        instance=peer,
+        service=plan.service.name,
+        address="",
+        zone="",
+        state=TargetState.READY,
+        number=0,
+        slots=0,
+        heard=now,
+    )
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.serving.assignment import Assignment
 from chivepier.gateway.serving.callpurpose import CallPurpose
 from chivepier.gateway.serving.crashguard import CrashGuard
+from chivepier.gateway.serving.detour import Detour
 from chivepier.gateway.serving.errors import AllBackedOffError
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.errors import ConnectionLostError
@@ -51,6 +52,9 @@
 # a target may have capacity again after this long.
 REFUSED_RETRY_SECONDS = 0.03
 SERVER_ERROR_STATUS = 500
+# Seconds without an answer before targets may count as out of reach, also for
+# a shorter objective: some targets stand still for a moment.
+MIN_PATIENCE_SECONDS = 0.3
 # Urgency that a target is sent for every new generation. With the urgency of
 # their class, short generations would preempt long ones, whose prompts would
 # then be prefilled again.
@@ -72,6 +76,7 @@
     :param guard: blocks requests that crash targets
     :param gate: decides what may be sent to which target
     :param retry_after: schedules when refused callers may retry
+    :param detour: has other entries serve what reaches no target from here
     :param clock: monotonic clock
     :param log: event log for decisions on requests
     :param metrics: gets the waits for room and places, and streams by fit
@@ -92,6 +97,7 @@
         guard: CrashGuard,
         gate: SendGate,
         retry_after: RetryAfterScheduler,
+        detour: Detour,
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
@@ -106,6 +112,7 @@
         self.budget = budget
         self.guard = guard
         self.gate = gate
+        self.detour = detour
         self.clock = clock
         self.log = log
         self.runs = RunTracker(loads, mover, balancer, clock, queues)
@@ -127,25 +134,42 @@
             log,
         )
 
-    async def dispatch(self, plan: Plan) -> StartedAnswer:
+    async def dispatch(
+        self, plan: Plan, runs: int = 0, may_forward: bool = True
+    ) -> StartedAnswer:
         """Send a request to one target after another until one runs it.
 
         :param plan: the request and its route
+        :param runs: number of targets that may have run it already
+        :param may_forward: whether another entry may serve it
         :returns: the answer to relay, which the caller must pass to
             :meth:`release`
         :raises RequestError: when no further attempt is possible
         """
         tried: set[str] = set()
-        runs = rounds = 0
+        rounds = 0
         retry_counted = True
         while True:
             self._rejection.check_deadline(plan, runs)
             self.guard.check(plan, runs)
+            if may_forward and self.detour.is_needed(plan):
+                if not retry_counted and not self.take_retry(plan):
+                    raise self._rejection.make_error(
+                        plan, runs, "no repeats are left"
+                    )
+                started = await self._forward(plan, runs)
+                if started is not None:
+                    return started
+                may_forward, retry_counted = False, True
             await self.gate.wait_fresh()
-            assignment = await self._find_assignment(plan, tried, runs)
+            assignment = await self._find_assignment(
+                plan, tried, runs, may_forward
+            )
             # the request may have been quarantined while it waited
             self.guard.check(plan, runs)
             if assignment is None:
+                if may_forward and self.detour.is_only_way(plan):
+                    continue
                 rounds += 1
                 self._rejection.check_rounds(plan, rounds, bool(tried), runs)
                 tried.clear()
@@ -202,11 +226,34 @@
                 return started
             self.release(started)
 
+    async def _forward(self, plan: Plan, runs: int) -> StartedAnswer | None:
+        """Forward a request, once more if the first entry is lost.
+
+        :returns: the answer to relay; ``None`` if no entry took the request
+        :raises RequestError: when no further attempt is possible
+        """
+        while True:
+            try:
+                return await self.detour.start(plan, runs)
+            except (
+                ConnectionLostError,
+                BrokenAnswerError,
+                TimeoutError,
+            ) as error:
+                runs += 1
+                may_retry = plan.repeatable and runs < plan.route.attempts
+                if not may_retry or not self.take_retry(plan):
+                    raise self._rejection.make_lost_error(error) from None
+
     async def _find_assignment(
-        self, plan: Plan, tried: set[str], runs: int
+        self, plan: Plan, tried: set[str], runs: int, may_forward: bool
     ) -> Assignment | None:
         try:
-            return await self._assigner.find_assignment(plan, tried)
+            return await self._assigner.find_assignment(
+                plan,
+                tried,
+                lambda: may_forward and self.detour.is_only_way(plan),
+            )
         except NoCapacityError as error:
             raise self._rejection.make_no_room_error(
                 plan, runs, error
@@ -300,6 +347,7 @@
                     self._build_options(plan, assignment),
                     CallPurpose.START,
                     assignment.permit,
+                    max(MIN_PATIENCE_SECONDS, plan.route.objective),
                 )
                 started = await self._read_answer(plan, target, answer, run)
         except BaseException as error:
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -45,6 +45,8 @@
     :param ended: whether its relaying has ended
     :param lost: set when its target has ended the stream
     :param aborted: whether :meth:`abort` was called at its current target
+    :param forwarded: whether another entry serves it; then nothing is known
+        of its targets here
     :param wait_timeout: timeout of the current wait for its target
     """
 
@@ -65,6 +67,7 @@
     ended: bool = False
     lost: asyncio.Event = attrs.field(factory=asyncio.Event)
     aborted: bool = False
+    forwarded: bool = False
     wait_timeout: asyncio.Timeout | None = None
 
     @property
@@ -143,12 +146,26 @@
         :param target: the target that has answered
         :param now: the current time, in monotonic seconds
         """
-        self.target = target
-        self.sent_at = self.heard_at = now
-        self.moved = True
+        self._continue_at(target, now)
+        self.forwarded = False
         # its KV cache is copied, so nothing is prefilled
         self.prefill_tokens = 0
         self.first_event_at = None
+
+    def forward_to(self, target: Target, now: float) -> None:
+        """Record that another entry serves it from now on.
+
+        :param target: what stands for the targets of that entry
+        :param now: the current time, in monotonic seconds
+        """
+        self._continue_at(target, now)
+        self.first_event_at = now
+        self.forwarded = True
+
+    def _continue_at(self, target: Target, now: float) -> None:
+        self.target = target
+        self.sent_at = self.heard_at = now
+        self.moved = True
         self.handoff = None
         self.stopped = self.stop_uncertain = False
         self.aborted = False
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -109,7 +109,7 @@
                 self._dispatcher.release(started)
 
     async def _note_lost(self, run: LiveRun) -> None:
-        if run.stopped:
+        if run.stopped or run.forwarded:
             return
         dispatcher, plan = self._dispatcher, self._plan
         error = BrokenAnswerError("the stream ended before it was complete")
@@ -168,7 +168,7 @@
 
     async def _read_chunk(self, run: LiveRun, started: StartedAnswer) -> bytes:
         seconds = None
-        if self._plan.repeatable:
+        if self._plan.repeatable and not run.forwarded:
             # an unreachable target does not close the connection; a generation
             # that can be run elsewhere need not wait for its deadline
             seconds = STALL_SECONDS
@@ -234,6 +234,12 @@
         run.lost.set()
         # the run may continue there for a moment after its stream is closed
         started.answer.close()
+        if self._plan.repeatable and self._dispatcher.detour.is_needed(
+            self._plan
+        ):
+            fresh = await self._forward_rest(run, started)
+            if fresh is not None:
+                return fresh
         for handoff in await self._find_handoffs(run):
             if self._dispatcher.guard.is_held(self._plan):
                 break
@@ -243,6 +249,33 @@
         self._dispatcher.release(started)
         return None
 
+    async def _forward_rest(
+        self, run: LiveRun, started: StartedAnswer
+    ) -> StartedAnswer | None:
+        """Have another entry continue a stream that can't be resumed here."""
+        dispatcher, plan = self._dispatcher, self._plan
+        if dispatcher.guard.is_held(plan) or not dispatcher.take_retry(plan):
+            return None
+        dispatcher.release(started)
+        try:
+            fresh = await dispatcher.detour.start(plan, 1, run)
+        except (
+            BrokenAnswerError,
+            ConnectionLostError,
+            RequestError,
+            TimeoutError,
+        ) as error:
+            dispatcher.log.warn(
+                "forward_failed", id=run.request.id, error=repr(error)
+            )
+            fresh = None
+        if fresh is None:
+            dispatcher.runs.track(run)
+            dispatcher.balancer.record_start(run.target.instance)
+            return None
+        self._splitter = EventSplitter()
+        return fresh
+
     async def _find_handoffs(self, run: LiveRun) -> list[Handoff]:
         found = []
         if run.handoff is not None:
--- a/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
@@ -1,11 +1,14 @@
 """Handling one request from its arrival to its end."""
 
 import asyncio
+import collections.abc
+import contextlib
 
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.callerconnection import CallerConnection
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.serving.dispatcher import Dispatcher
+from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.planner import Planner
 from chivepier.gateway.serving.relay import Relay
@@ -87,23 +90,23 @@
         """
         self.check_room(request.id)
         clock, log = self._dispatcher.clock, self._dispatcher.log
-        self.active += 1
         outcome, plan = "cancelled", None
         try:
-            if self._state.stopping:
-                text = "this instance is about to end"
-                raise RequestError.of(ErrorKind.DRAINING, text)
-            if self._state.index is None:
-                await self._state.changed.wait(FIRST_CONFIG_TIMEOUT_SECONDS)
-            plan = self._planner.plan(request)
-            self._check_time_left(plan)
-            await self._answer(plan, caller)
+            with self._count_active():
+                self._check_stopping()
+                if self._state.index is None:
+                    await self._state.changed.wait(
+                        FIRST_CONFIG_TIMEOUT_SECONDS
+                    )
+                plan = self._plan(request)
+                now = clock.monotonic()
+                self._dispatcher.budget.note_request(plan.service.name, now)
+                await self._answer(plan, caller)
             outcome = "answered"
         except RequestError as error:
             outcome = error.failure.kind.value
             raise
         finally:
-            self.active -= 1
             seconds = clock.monotonic() - request.arrived
             team, urgency = _get_class_labels(plan)
             self._metrics.record_request(team, urgency, outcome, seconds)
@@ -117,6 +120,44 @@
                 ms=round(1000 * seconds),
             )
 
+    async def serve_forwarded(
+        self, request: CallerRequest, caller: CallerConnection, runs: int
+    ) -> None:
+        """Handle a request of a caller that asked another entry.
+
+        That entry counts and logs it as its own.
+
+        :param request: the request of the caller
+        :param caller: takes the answer for the other entry
+        :param runs: number of targets that may have run it already
+        :raises RequestError: if it fails before anything was answered
+        :raises NotSentError: if this entry can't reach its targets either
+        """
+        with self._count_active():
+            self._check_stopping()
+            plan = self._plan(request)
+            if self._dispatcher.detour.is_cut_off(plan):
+                raise NotSentError("its targets are out of reach here, too")
+            await self._answer(plan, caller, runs, may_forward=False)
+
+    @contextlib.contextmanager
+    def _count_active(self) -> collections.abc.Iterator[None]:
+        self.active += 1
+        try:
+            yield
+        finally:
+            self.active -= 1
+
+    def _check_stopping(self) -> None:
+        if self._state.stopping:
+            text = "this instance is about to end"
+            raise RequestError.of(ErrorKind.DRAINING, text)
+
+    def _plan(self, request: CallerRequest) -> Plan:
+        plan = self._planner.plan(request)
+        self._check_time_left(plan)
+        return plan
+
     def _check_time_left(self, plan: Plan) -> None:
         """Reject a generation that would outlast this process.
 
@@ -134,11 +175,15 @@
             text = "this instance ends before the generation would"
             raise RequestError.of(ErrorKind.DRAINING, text)
 
-    async def _answer(self, plan: Plan, caller: CallerConnection) -> None:
+    async def _answer(
+        self,
+        plan: Plan,
+        caller: CallerConnection,
+        runs: int = 0,
+        may_forward: bool = True,
+    ) -> None:
         dispatcher = self._dispatcher
-        now = dispatcher.clock.monotonic()
-        dispatcher.budget.note_request(plan.service.name, now)
-        sent = await dispatcher.dispatch(plan)
+        sent = await dispatcher.dispatch(plan, runs, may_forward)
         if sent.run is not None:
             await self._stream(plan, caller, sent)
             return
--- a/packages/gateway/src/chivepier/gateway/serving/runtracker.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runtracker.py
@@ -65,12 +65,19 @@
         return run
 
     def track(self, run: LiveRun) -> None:
-        """Add a generation to the load of its target and to the mover."""
+        """Add a generation to the load of its target and to the mover.
+
+        Of one that another entry serves, that entry reports the load.
+        """
+        if run.forwarded:
+            return
         self._count(run, 1)
         self._mover.add(run)
 
     def untrack(self, run: LiveRun) -> None:
         """Remove a generation from the load of its target and the mover."""
+        if run.forwarded:
+            return
         self._count(run, -1)
         self._mover.remove(run)
         if run.ended and run.first_event_at is not None and not run.moved:
@@ -91,7 +98,7 @@
 
     def note_first_event(self, run: LiveRun) -> None:
         """Record the time of the first event and end the prefill load."""
-        if run.first_event_at is None:
+        if run.first_event_at is None and not run.forwarded:
             run.first_event_at = self._clock.monotonic()
             if run.prefill_tokens:
                 seconds = run.first_event_at - run.sent_at
@@ -144,6 +151,8 @@
     def note_growth(self, run: LiveRun) -> None:
         """Report the growth of a generation's KV cache in larger steps."""
         run.heard_at = self._clock.monotonic()
+        if run.forwarded:
+            return
         if (
             run.held_tokens + NEAR_TERM_OUTPUT_TOKENS // 2
             <= run.counted_tokens
--- a/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
@@ -1,5 +1,6 @@
 """Assigning a request to a target that has room for it."""
 
+import collections.abc
 import functools
 
 from chivepier.gateway.eventlog import EventLog
@@ -94,12 +95,16 @@
         self._log = log
 
     async def find_assignment(
-        self, plan: Plan, tried: set[str]
+        self,
+        plan: Plan,
+        tried: set[str],
+        is_given_up: collections.abc.Callable[[], bool] = lambda: False,
     ) -> Assignment | None:
         """Choose a target, with a reservation if it supports them.
 
         :param plan: the plan of the request
         :param tried: instances that must not be chosen
+        :param is_given_up: tells whether to wait no longer for room
         :returns: the assignment; ``None`` when no target is left, or when the
             request must no longer be sent
         :raises NoCapacityError: when none had room for too long
@@ -116,7 +121,7 @@
             plan.demand.near_term_tokens,
             plan.team or "",
         ) as ticket:
-            while not self._guard.is_held(plan):
+            while not self._guard.is_held(plan) and not is_given_up():
                 await self._await_backoffs(plan, ticket)
                 if not self._rank_targets(plan, tried):
                     break
--- a/packages/gateway/src/chivepier/gateway/serving/targetcalls.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetcalls.py
@@ -1,5 +1,6 @@
 """Calls to targets, checked by the send gate."""
 
+import asyncio
 import collections.abc
 import contextlib
 
@@ -49,16 +50,22 @@
         options: SendOptions,
         purpose: CallPurpose,
         permit: Permit = Permit(),
+        patience: float | None = None,
     ) -> TargetAnswer:
         """Send a request and return the head of its answer.
 
+        :param patience: seconds without an answer after which the targets may
+            be out of reach; ``None`` for any number
         :raises NotPermittedError: when the target must not be called now
         :raises NotSentError: when the request was not sent
         :raises ConnectionLostError: when the connection broke before an
             answer
         """
         exchange = self._open_exchange(target, purpose, permit)
-        with self._record_failure(target):
+        with (
+            self._record_failure(target),
+            self._record_silence(target, patience),
+        ):
             return await self._client.send(target, request, options, exchange)
 
     async def reserve(
@@ -132,6 +139,21 @@
             return None
         return await self._client.probe(target)
 
+    @contextlib.contextmanager
+    def _record_silence(
+        self, target: Target, patience: float | None
+    ) -> collections.abc.Iterator[None]:
+        if patience is None:
+            yield
+            return
+        timer = asyncio.get_running_loop().call_later(
+            patience, self._reach.note_silent, target, self._reach.now()
+        )
+        try:
+            yield
+        finally:
+            timer.cancel()
+
     @contextlib.contextmanager
     def _record_failure(
         self, target: Target
--- a/packages/gateway/src/chivepier/gateway/serving/targetexchange.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetexchange.py
@@ -63,5 +63,6 @@
 
     def record_head(self, facts: AnswerFacts) -> None:
         """Record what the head of the answer reports of the target."""
+        self._reach.note_answered(self._target)
         if not facts.mismatched:
             self._recorder.record(self._target, facts, self._known_limit)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -35,6 +35,7 @@
 from chivepier.gateway.reach import Reach
 from chivepier.gateway.serving import CallerRequest
 from chivepier.gateway.serving import CrashGuard
+from chivepier.gateway.serving import Detour
 from chivepier.gateway.serving import Dispatcher
 from chivepier.gateway.serving import HeaderRecorder
 from chivepier.gateway.serving import Mover
@@ -229,6 +230,7 @@
             guard=guard,
             gate=gate,
             retry_after=RetryAfterScheduler(rng),
+            detour=Detour(self.reach, None, clock),
             clock=clock,
             log=log,
             metrics=self.metrics,
--- a/packages/gateway/src/chivepier/gateway/settings/entrysettings.py
+++ b/packages/gateway/src/chivepier/gateway/settings/entrysettings.py
@@ -33,6 +33,8 @@
     :param cold_excess: factor applied to the cold rate of a service
     :param cold_slack: requests per second allowed in addition
     :param limits: what this instance can do
+    :param peer_address: address at which other entries reach it, as
+        ``ip:port``; empty if they forward it nothing
     """
 
     name: str
@@ -52,3 +54,4 @@
     cold_excess: float = 1.0
     cold_slack: float = 0.0
     limits: InstanceLimits = InstanceLimits()
+    peer_address: str = ""
--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -115,17 +115,36 @@
         )
         self.request_cost = RequestCost(self._reports, health, WARMING_COST)
         self._in_flight: dict[str, int] = {}
+        self._cut_off: set[str] = set()
         self._surveys: dict[str, tuple[float, PaceSurvey]] = {}
 
     def avoid_unreachable(self, instance: str) -> None:
         """Avoid an unreachable or silent target for a while.
 
-        :param instance: name of the target; reported to the other entries
+        :param instance: name of the target; reported to the other entries,
+            unless this one reaches no target of its service
         """
         now = self._clock.monotonic()
-        self._loads.avoid(
-            instance, self._health.record_unreachable(instance, now)
-        )
+        until = self._health.record_unreachable(instance, now)
+        target = self._table.get(instance)
+        if target is None or target.service not in self._cut_off:
+            self._loads.avoid(instance, until)
+
+    def set_cut_off(self, service: str, cut_off: bool) -> None:
+        """Set whether this entry reaches no target of a service.
+
+        Others would leave out sound targets if enough entries told them.
+
+        :param service: name of the service
+        :param cut_off: whether its targets are out of reach
+        """
+        if not cut_off:
+            self._cut_off.discard(service)
+            return
+        self._cut_off.add(service)
+        for target in self._table:
+            if target.service == service:
+                self._loads.withdraw_avoiding(target.instance)
 
     def avoid_failing(self, target: Target) -> None:
         """Avoid a target that failed a generation, where paces are told.
--- a/packages/gateway/src/chivepier/gateway/targets/loadtracker.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadtracker.py
@@ -94,6 +94,13 @@
         load.avoiding, load.avoided_until = 1, until
         self.changed.set()
 
+    def withdraw_avoiding(self, instance: str) -> None:
+        """Report that this entry does not avoid a target any more."""
+        load = self._loads.get(instance, {}).get(self.own_entry)
+        if load is not None and load.avoiding:
+            load.avoiding, load.avoided_until = 0, 0.0
+            self.changed.set()
+
     def expire_avoiding(self, now: float) -> None:
         """Clear the expired avoidance reports of this entry.
 
--- a/packages/wire/src/chivepier/wire/links.py
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -73,6 +73,15 @@
         channel = await self._open(peer, timeout)
         return await channel.request(value, timeout)
 
+    async def connect(self, peer: str, timeout: float) -> Channel:
+        """Return the open channel to a peer, for several requests on it.
+
+        :param peer: address of the peer as ``ip:port``
+        :param timeout: maximum seconds to connect
+        :raises LinkError: when the peer can't be reached; nothing was sent
+        """
+        return await self._open(peer, timeout)
+
     async def send(self, peer: str, value: typing.Any) -> None:
         """Send a one-way message to a peer; no error is raised if it is lost.
 
