--- a/packages/gateway/src/chivepier/gateway/serving/detour.py
+++ b/packages/gateway/src/chivepier/gateway/serving/detour.py
@@ -33,11 +33,13 @@
 
     def is_needed(self, plan: Plan) -> bool:
         """Tell whether a request should be forwarded."""
-        if self._forwarder is None:
-            return False
         if self._reach.may_send(plan.service.name):
             return False
-        return self._forwarder.has_peer(plan)
+        return self.has_peer(plan)
+
+    def has_peer(self, plan: Plan) -> bool:
+        """Tell whether there is an entry to forward a request to."""
+        return self._forwarder is not None and self._forwarder.has_peer(plan)
 
     def is_cut_off(self, plan: Plan) -> bool:
         """Tell whether no target of a request is in reach from here."""
@@ -45,11 +47,7 @@
 
     def is_only_way(self, plan: Plan) -> bool:
         """Tell whether no target is in reach, but a peer is."""
-        return (
-            self._forwarder is not None
-            and self.is_cut_off(plan)
-            and self._forwarder.has_peer(plan)
-        )
+        return self.is_cut_off(plan) and self.has_peer(plan)
 
     async def start(
         self, plan: Plan, runs: int, run: LiveRun | None = None
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -234,9 +234,9 @@
         run.lost.set()
         # the run may continue there for a moment after its stream is closed
         started.answer.close()
-        if self._plan.repeatable and self._dispatcher.detour.is_needed(
-            self._plan
-        ):
+        detour = self._dispatcher.detour
+        was_needed = detour.is_needed(self._plan)
+        if was_needed:
             fresh = await self._forward_rest(run, started)
             if fresh is not None:
                 return fresh
@@ -246,6 +246,11 @@
             fresh = await self._try_handoff(run, handoff, started)
             if fresh is not None:
                 return fresh
+        # no target is left that can be reached: others may reach one
+        if not was_needed and detour.has_peer(self._plan):
+            fresh = await self._forward_rest(run, started)
+            if fresh is not None:
+                return fresh
         self._dispatcher.release(started)
         return None
 
@@ -254,7 +259,9 @@
     ) -> StartedAnswer | None:
         """Have another entry continue a stream that can't be resumed here."""
         dispatcher, plan = self._dispatcher, self._plan
-        if dispatcher.guard.is_held(plan) or not dispatcher.take_retry(plan):
+        if not plan.repeatable or dispatcher.guard.is_held(plan):
+            return None
+        if not dispatcher.take_retry(plan):
             return None
         dispatcher.release(started)
         try:
