Send targets that bear few refusals only what they have places for

A send is held back as it leaves unless the target has a free slot by its last report and what this entry sent since; without a report an entry sends at most its part of the slots, and of many entries only some. After a refusal an entry pauses for as long as keeps all entries together within what the target bears.

Left: entries tell each other by the targets' reports only, so that each learns the word by its own first answer.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -18,6 +18,7 @@
 from chivepier.gateway.forwarding import ForwardServer
 from chivepier.gateway.forwarding import PeerList
 from chivepier.gateway.limits import BackoffTable
+from chivepier.gateway.limits import BrittleTable
 from chivepier.gateway.limits import LimitTable
 from chivepier.gateway.limits import VersionedLimit
 from chivepier.gateway.messages import PermitAnswer
@@ -30,6 +31,7 @@
 from chivepier.gateway.reach import Reach
 from chivepier.gateway.reach import ReachProber
 from chivepier.gateway.serving import BodyMemory
+from chivepier.gateway.serving import BrittleAdmission
 from chivepier.gateway.serving import CrashGuard
 from chivepier.gateway.serving import Detour
 from chivepier.gateway.serving import Dispatcher
@@ -142,6 +144,14 @@
             log=log,
             metrics=self.metrics,
         )
+        self.brittle = BrittleTable()
+        admission = BrittleAdmission(
+            self.brittle,
+            self.reports,
+            balancer.count_in_flight,
+            lambda: self.state.entries,
+            rng,
+        )
         gate = SendGate(
             self.zones,
             self.table,
@@ -150,6 +160,7 @@
             freshness,
             clock,
             self.metrics,
+            admission.has_place,
         )
         leavers = LeavingTargets(self.table)
         recorder = HeaderRecorder(
@@ -161,6 +172,8 @@
             log,
             self.metrics,
             self.reports,
+            self.brittle,
+            lambda: self.state.entries,
         )
         self.reach = Reach(self.table, clock, rng, log, self.metrics)
         calls = TargetCalls(port, gate, recorder, self.reach)
--- a/packages/gateway/src/chivepier/gateway/limits/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/limits/__init__.py
@@ -5,6 +5,7 @@
 from chivepier.gateway.limits.backofftable import MAX_BACKOFF_SECONDS
 from chivepier.gateway.limits.backofftable import MAX_INHERITED_SECONDS
 from chivepier.gateway.limits.backofftable import PROBE_SECONDS
+from chivepier.gateway.limits.brittletable import BrittleTable
 from chivepier.gateway.limits.invalidbackoff import InvalidBackoff
 from chivepier.gateway.limits.invalidlimit import InvalidLimit
 from chivepier.gateway.limits.limit import Limit
@@ -21,6 +22,7 @@
 __all__ = [
     "Backoff",
     "BackoffTable",
+    "BrittleTable",
     "InvalidBackoff",
     "InvalidLimit",
     "Limit",
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -147,8 +147,8 @@
     def record_held_back(self, reason: str) -> None:
         """Count a call held back right before it was sent.
 
-        :param reason: ``rest``, ``leaving``, ``evacuated``, ``stale`` or
-            ``permit``
+        :param reason: ``rest``, ``leaving``, ``evacuated``, ``stale``,
+            ``permit`` or ``brittle``
         """
         self._record("held_back", (reason,), 1.0)
 
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -3,6 +3,7 @@
 from chivepier.gateway.serving.answerfacts import AnswerFacts
 from chivepier.gateway.serving.bodyallocation import BodyAllocation
 from chivepier.gateway.serving.bodymemory import BodyMemory
+from chivepier.gateway.serving.brittleadmission import BrittleAdmission
 from chivepier.gateway.serving.callerconnection import CallerConnection
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.serving.callpurpose import CallPurpose
@@ -39,6 +40,7 @@
     "AnswerFacts",
     "BodyAllocation",
     "BodyMemory",
+    "BrittleAdmission",
     "BrokenAnswerError",
     "CallPurpose",
     "CallerConnection",
--- a/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
@@ -25,6 +25,10 @@
     :param backoff: the backoff that the target requests from this entry
     :param leaving: whether the target announces that it leaves
     :param load: what the target reports of its own load; ``None`` if nothing
+    :param turned_away: whether the target refused the request, as far as its
+        status tells
+    :param max_refusals: refusals within a second at more of which the target
+        ends; ``None`` if it bears any number
     :param unknown_headers: names of headers that are not understood
     """
 
@@ -36,4 +40,6 @@
     backoff: Backoff = NoBackoff()
     leaving: bool = False
     load: ReportedLoad | InvalidReport | None = None
+    turned_away: bool = False
+    max_refusals: float | None = None
     unknown_headers: tuple[str, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/serving/headerrecorder.py
+++ b/packages/gateway/src/chivepier/gateway/serving/headerrecorder.py
@@ -1,8 +1,11 @@
 """Records what answer headers report about their targets."""
 
+import collections.abc
+
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.limits import Backoff
 from chivepier.gateway.limits import BackoffTable
+from chivepier.gateway.limits import BrittleTable
 from chivepier.gateway.limits import InvalidBackoff
 from chivepier.gateway.limits import InvalidLimit
 from chivepier.gateway.limits import LimitTable
@@ -44,6 +47,8 @@
     :param log: event log
     :param metrics: counts unknown headers and backoffs
     :param reports: what targets report of their load; none are kept by default
+    :param brittle: targets that bear few refusals
+    :param count_entries: returns the number of entries that send to them
     """
 
     def __init__(
@@ -56,8 +61,12 @@
         log: EventLog,
         metrics: Metrics,
         reports: ReportBoard | None = None,
+        brittle: BrittleTable | None = None,
+        count_entries: collections.abc.Callable[[], int] = lambda: 1,
     ):
         self._reports = ReportBoard() if reports is None else reports
+        self._count_entries = count_entries
+        self.brittle = BrittleTable() if brittle is None else brittle
         self._backoffs = backoffs
         self._leaving_targets = leaving_targets
         self._table = table
@@ -94,6 +103,7 @@
         if facts.leaving:
             self._record_leaving(target)
         self._record_backoff(target, facts.backoff)
+        self._record_brittle(target, facts)
         self._record_load(target, facts.load)
         match facts.limit:
             case None:
@@ -141,6 +151,27 @@
             case InvalidBackoff():
                 self._count_unknown_header(target, INVALID_BACKOFF)
 
+    def _record_brittle(self, target: Target, facts: AnswerFacts) -> None:
+        """Bound the refusals of a target that ends at too many of them.
+
+        After each, this entry pauses for as long as keeps all entries together
+        within what the target bears.
+        """
+        now = self._clock.monotonic()
+        service, instance, born = target.service, target.instance, target.born
+        bound = facts.max_refusals
+        before = self.brittle.find(service, instance, now)
+        self.brittle.record(service, instance, bound, now)
+        if bound != before:
+            self._log.info(
+                "brittle_known", target=instance, born=born, refusals=bound
+            )
+        if bound is None or not facts.turned_away:
+            return
+        pause = self.brittle.find_pause(bound, self._count_entries())
+        self._metrics.record_backoff(target.service)
+        self._backoffs.add(instance, born, pause, now)
+
     def _record_load(
         self, target: Target, load: ReportedLoad | InvalidReport | None
     ) -> None:
--- a/packages/gateway/src/chivepier/gateway/serving/sendgate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/sendgate.py
@@ -38,6 +38,8 @@
     :param freshness: whether what is known of zones and targets is recent
     :param clock: monotonic clock
     :param metrics: counts sends that are refused by :meth:`check`
+    :param has_place: tells whether a target that bears few refusals has a
+        place at a monotonic time
     """
 
     def __init__(
@@ -49,7 +51,11 @@
         freshness: Freshness,
         clock: Clock,
         metrics: Metrics,
+        has_place: collections.abc.Callable[[Target, float], bool] = (
+            lambda target, now: True
+        ),
     ):
+        self._has_place = has_place
         self._zones = zones
         self._table = table
         self._permits = permits
@@ -138,6 +144,8 @@
                 return "stale"
             case CallPurpose.START if self._is_outdated(permit, target):
                 return "permit"
+            case CallPurpose.START if not self._has_place(target, now):
+                return "brittle"
             case CallPurpose.RESUME if not self._may_resume_in_zone(
                 target, now
             ):
--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -171,6 +171,10 @@
         self._in_flight[instance] = self._in_flight.get(instance, 0) + 1
         self._reports.note_start(instance, self._clock.monotonic())
 
+    def count_in_flight(self, instance: str) -> int:
+        """Return the number of this entry's requests at a target."""
+        return self._in_flight.get(instance, 0)
+
     def record_end(self, instance: str) -> None:
         """Count the end of a request at a target."""
         left = self._in_flight.get(instance, 0) - 1
--- a/tests/adapter/test_heads.py
+++ b/tests/adapter/test_heads.py
@@ -183,3 +183,29 @@
         assert reply.facts.unknown_headers == ("Server-Wish",)
 
     run(script, test)
+
+
+@pytest.mark.parametrize(
+    ("header", "refusals"),
+    (
+        (b"", None),
+        (b"Server-Brittle: 3\r\n", 3.0),
+        (b"server-brittle: 5, 2\r\n", 2.0),
+        (b"Server-Brittle: soon\r\n", 1.0),
+        (b"Server-Brittle: -4\r\n", 1.0),
+        (b"Server-Brittle: 0\r\n", 0.0),
+    ),
+)
+def test_bearable_refusals_are_parsed(header, refusals):
+    async def script(head, writer):
+        writer.write(build_answer(b"ok", extra=header))
+
+    async def test(raw, targets):
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), OPTIONS
+        )
+        assert reply.facts.max_refusals == refusals
+        assert reply.facts.unknown_headers == ()
+        assert await read_all(reply) == b"ok"
+
+    run(script, test)
