Cut entries off from targets in the soak

Entries have a link of their own to each target now; a new set of faults cuts one or two of three entries off, from all targets or from some, in three shapes, for up to seven seconds. Where all are cut the users' rule is checked from the third second on. Seeds that stand in tests keep the set that they were drawn with.

--- a/soak/cutscenario.py
+++ b/soak/cutscenario.py
@@ -24,9 +24,6 @@
 # one.
 CALLERS = 2
 PAUSE_SECONDS = 0.1
-# Seconds after the begin of a cut from which its callers must be served as
-# those of other entries are.
-PROPAGATION_SECONDS = 3.0
 KINDS = ("once", "again", "stream", "resume")
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,8 @@
 from soak.proxy import LOST_ANSWERS
 from soak.proxy import LOST_SENT
 from soak.proxy import SLOW
+from soak.targetlink import Cut
+from soak.targetlink import heal_all
 
 if typing.TYPE_CHECKING:
     from soak.process import Process
@@ -23,12 +25,17 @@
 SETTLE_SECONDS = 3.5
 # Versions of the set of faults: a seed that reproduces a failure keeps its
 # set, since with another one it would draw other faults.
-FIRST_SET, RESTART_SET, COLD_SET, NEED_SET, REST_SET, NEWEST_SET = range(1, 7)
+FIRST_SET, RESTART_SET, COLD_SET, NEED_SET, REST_SET = range(1, 6)
+MISREPORT_SET, NEWEST_SET = 6, 7
 # Seconds after a link fault in which delayed requests may still arrive.
 DELAYED_SECONDS = 1.5
 # Seconds after the start of a voter without its data: those in which it is
 # usually restored, and those within which it must be, after that.
 MIN_RESTORE_SECONDS, MAX_RESTORE_SECONDS = 6.0, 30.0
+# Range of the seconds for which entries are cut off, and the share of these
+# cuts that leave them no target.
+CUT_SECONDS = (0.5, 7.0)
+WHOLE_CUT_SHARE = 0.7
 # Backoffs that targets request, in seconds.
 BACKOFF_SECONDS = (0.3, 1.0, 3.0, 8.0)
 
@@ -67,6 +74,8 @@
             self._kinds += (self.rest, self.rest, self.leave)
         if fault_set > REST_SET:
             self._kinds += (self.misreport, self.misreport)
+        if fault_set > MISREPORT_SET:
+            self._kinds += (self.cut_off, self.cut_off)
         self._evacuation: asyncio.Task | None = None
         self._background: set[asyncio.Task] = set()
 
@@ -243,6 +252,30 @@
             await asyncio.sleep(self._rng.uniform(0.1, 1.5))
             proxy.fault_mode = ""
 
+    async def cut_off(self) -> None:
+        """Cut some entries off from all targets, or from some of them."""
+        soak, rng = self._soak, self._rng
+        entries = rng.sample(
+            soak.entries, rng.randint(1, len(soak.entries) - 1)
+        )
+        whole = rng.random() < WHOLE_CUT_SHARE
+        shape = rng.choice(list(Cut))
+        self.names[-1] += f":{shape.value}:{len(entries)}:{whole}"
+        links = [
+            link
+            for entry in entries
+            for link in soak.links[entry.ip]
+            if whole or rng.random() < 0.5
+        ]
+        with soak.exempt(*entries, extra_seconds=DELAYED_SECONDS):
+            began = time.monotonic()
+            for link in links:
+                link.cut(shape)
+            await asyncio.sleep(rng.uniform(*CUT_SECONDS))
+            if whole:
+                soak.check_first_tries(entries, began)
+            await heal_all(links)
+
     async def kill_all(self) -> None:
         """Kill all processes at once, and restart them with their data."""
         processes = (*self._soak.voters, *self._soak.entries)
--- a/soak/run.py
+++ b/soak/run.py
@@ -10,9 +10,11 @@
 import time
 
 import aiohttp
+import attrs
 
 from soak.evacuationoperator import EvacuationOperator
 from soak.faults import Faults
+from soak.faults import MISREPORT_SET
 from soak.faults import NEWEST_SET
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
@@ -22,6 +24,8 @@
 from soak.signalchecker import make_sender_headers
 from soak.target import describe
 from soak.target import SoakTarget
+from soak.targetlink import PROPAGATION_SECONDS
+from soak.targetlink import TargetLink
 
 VOTERS, ENTRIES, TARGETS = 3, 3, 3
 # Seconds after an acknowledgement from which reads must not be older.
@@ -31,6 +35,11 @@
 CALLERS = 6
 # Seconds without a heartbeat after which a target is no longer used.
 TARGET_TTL_SECONDS = 5.0
+# The users' rule: of the first tries, those at entries that are cut off must
+# not be served less than this share as often as the others, if more than these
+# fail there.
+MIN_SHARE = 2 / 3
+MAX_FAILED, MAX_FAILED_PER = 10, 50
 # Requests per second that a cold target takes, far below its usual load.
 COLD_RATE = 5.0
 
@@ -65,6 +74,20 @@
     }
 
 
+@attrs.frozen
+class FirstTry:
+    """One request of a caller.
+
+    :param at: when it was sent, in monotonic seconds
+    :param entry: address of the entry that was asked
+    :param served: whether it was answered whole
+    """
+
+    at: float
+    entry: str
+    served: bool
+
+
 class Soak:
     """Runs processes, targets and callers under faults for one seed.
 
@@ -107,6 +130,10 @@
             )
             for n in range(1, TARGETS + 1)
         ]
+        self.links: dict[str, list[TargetLink]] = {}
+        if kinds > MISREPORT_SET:
+            self._link_entries(base)
+        self.tries: list[FirstTry] = []
         self.evacuations = EvacuationOperator(self.controls, self.rng)
         for number, target in enumerate(self.targets, 1):
             target.zone = f"z{number}"
@@ -121,6 +148,42 @@
         self._exempt_until: dict[str, float] = {}
         self.faults = Faults(self, kinds)
 
+    def _link_entries(self, base: str) -> None:
+        """Give each entry a link of its own to each proxy of a target."""
+        for number, entry in enumerate(self.entries, 1):
+            links = [
+                TargetLink(
+                    f"{base}.{10 + number}.{n}:8080", proxy.address, self.rng
+                )
+                for n, proxy in enumerate(self.proxies, 1)
+            ]
+            self.links[entry.ip] = links
+            entry.links = {
+                proxy.address: link.address
+                for proxy, link in zip(self.proxies, links)
+            }
+
+    def check_first_tries(self, cut_off: list[Process], began: float) -> None:
+        """Check that callers of entries without targets are served.
+
+        :param cut_off: the entries that reach no target
+        :param began: when they were cut off, in monotonic seconds
+        """
+        since = began + PROPAGATION_SECONDS
+        names = {entry.ip for entry in cut_off}
+        seen = [attempt for attempt in self.tries if attempt.at >= since]
+        here = [a.served for a in seen if a.entry in names]
+        others = [a.served for a in seen if a.entry not in names]
+        failed = here.count(False)
+        if failed <= MAX_FAILED + len(seen) / MAX_FAILED_PER or not others:
+            return
+        share = sum(others) / len(others)
+        if sum(here) / len(here) < MIN_SHARE * share:
+            text = f"{sum(here)} of {len(here)} first tries served without"
+            self.checker.violations.append(
+                f"{text} targets, {sum(others)} of {len(others)} elsewhere"
+            )
+
     @contextlib.contextmanager
     def exempt(
         self, *processes: Process, extra_seconds: float = 0.0
@@ -158,7 +221,8 @@
                 run_all((*self.voters, *self.entries))
             )
             self.session = session
-            for part in (*self.targets, *self.proxies):
+            links = [part for found in self.links.values() for part in found]
+            for part in (*self.targets, *self.proxies, *links):
                 await stack.enter_async_context(part)
             await self.update_config(session, 30.0)
             works = [self.call(session, n) for n in range(CALLERS)]
@@ -190,16 +254,23 @@
             identity = f"r{caller}-{self.number}"
             kind = self.rng.choice(("once", "once", "again", "stream"))
             entry = self.rng.choice(self.entries)
+            began, served = time.monotonic(), False
             try:
-                await self.send_request(session, entry, kind, identity)
+                served = await self.send_request(
+                    session, entry, kind, identity
+                )
             except (aiohttp.ClientError, TimeoutError, OSError) as error:
                 self.checker.record_failure(
                     identity, error, entry is self.stopping_entry
                 )
+            self.tries.append(FirstTry(began, entry.ip, served))
             await asyncio.sleep(0.02)
 
-    async def send_request(self, session, entry, kind, identity) -> None:
-        """Send one request and record its answer."""
+    async def send_request(self, session, entry, kind, identity) -> bool:
+        """Send one request and record its answer.
+
+        :returns: whether it was answered whole
+        """
         headers = {
             "Host": "h.example",
             "X-Chivepier-Request-Id": identity,
@@ -212,7 +283,7 @@
             if kind != "stream" or answer.status != 200:
                 body = await answer.read()
                 self.checker.record_answer(identity, answer.status, body)
-                return
+                return answer.status == 200
             data, whole = b"", False
             try:
                 async for part in answer.content.iter_any():
@@ -223,6 +294,7 @@
                     identity, error, entry is self.stopping_entry
                 )
             self.checker.record_stream(identity, data, whole)
+            return whole
 
     async def update_config_repeatedly(self, session) -> None:
         """Store new configurations at random intervals until cancelled."""
--- a/soak/targetlink.py
+++ b/soak/targetlink.py
@@ -7,6 +7,9 @@
 
 from soak.proxy import Proxy
 
+# Seconds after the begin of a cut from which callers must be served like those
+# of other entries.
+PROPAGATION_SECONDS = 3.0
 # Connections that fill the queue of a listener whose backlog is zero; the
 # kernel drops what comes after, so that later attempts hang.
 FILLING_CONNECTIONS = 3
--- a/soak/tests/test_cuts.py
+++ b/soak/tests/test_cuts.py
@@ -7,8 +7,8 @@
 
 from soak.blocks import reserve_block
 from soak.cutscenario import CutScenario
-from soak.cutscenario import PROPAGATION_SECONDS
 from soak.targetlink import Cut
+from soak.targetlink import PROPAGATION_SECONDS
 
 ENTRIES = 4
 CUT_SECONDS = 8.0
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -7,6 +7,7 @@
 from soak.blocks import reserve_block
 from soak.faults import COLD_SET
 from soak.faults import FIRST_SET
+from soak.faults import MISREPORT_SET
 from soak.faults import NEED_SET
 from soak.faults import NEWEST_SET
 from soak.faults import REST_SET
@@ -26,7 +27,8 @@
     12: (NEED_SET, 8.0),
     13: (REST_SET, 8.0),
     523424707: (REST_SET, 14.0),
-    14: (NEWEST_SET, 8.0),
+    14: (MISREPORT_SET, 8.0),
+    16: (NEWEST_SET, 8.0),
 }
 
 
@@ -44,7 +46,7 @@
 def test_restarted_targets_are_used(tmp_path):
     # Restarted targets got no requests.
     with reserve_block() as block:
-        soak = Soak(7, tmp_path, block)
+        soak = Soak(7, tmp_path, block, MISREPORT_SET)
         soak.faults.keep_only("restart_target")
         seen = asyncio.run(soak.run(4.0))
     assert seen.violations == []
@@ -55,7 +57,7 @@
     # A foreign writer sends invalid announcements, also under the names of
     # targets: all are rejected, and callers are served as before.
     with reserve_block() as block:
-        soak = Soak(8, tmp_path, block)
+        soak = Soak(8, tmp_path, block, MISREPORT_SET)
         soak.faults.keep_only("write_nonsense")
         seen = asyncio.run(soak.run(4.0))
     assert seen.violations == []
@@ -66,7 +68,7 @@
     # Guards against requests to evacuated zones, and against more requests to
     # cold targets than they take.
     with reserve_block() as block:
-        soak = Soak(9, tmp_path, block)
+        soak = Soak(9, tmp_path, block, MISREPORT_SET)
         soak.faults.keep_only("evacuate", "turn_cold", "kill", "freeze")
         seen = asyncio.run(soak.run(12.0))
     assert seen.violations == []
@@ -77,7 +79,7 @@
     # Guards against targets that claim to be full, idle or slow, or report
     # what can't be read, while entries and voters fail.
     with reserve_block() as block:
-        soak = Soak(15, tmp_path, block)
+        soak = Soak(15, tmp_path, block, MISREPORT_SET)
         soak.faults.keep_only("misreport", "kill", "freeze", "stop_entry")
         seen = asyncio.run(soak.run(8.0))
     assert seen.violations == []
@@ -88,7 +90,7 @@
     # Guards against requests above the rate limits of targets while processes
     # fail, and against targets that stay unused afterwards.
     with reserve_block() as block:
-        soak = Soak(10, tmp_path, block)
+        soak = Soak(10, tmp_path, block, MISREPORT_SET)
         soak.faults.keep_only("need", "kill", "freeze", "stop", "kill_all")
         seen = asyncio.run(soak.run(14.0))
     assert seen.violations == []
@@ -99,7 +101,7 @@
     # Guards against requests within a backoff, and against new requests to a
     # leaving target, while processes fail.
     with reserve_block() as block:
-        soak = Soak(14, tmp_path, block)
+        soak = Soak(14, tmp_path, block, MISREPORT_SET)
         soak.faults.keep_only("rest", "leave", "kill", "freeze", "harm_links")
         seen = asyncio.run(soak.run(14.0))
     assert seen.violations == []
@@ -107,6 +109,17 @@
     assert sum(target.signals.refusals for target in soak.targets) > 0
 
 
+def test_callers_are_served_while_entries_are_cut_off(tmp_path):
+    # Guards against requests lost or run twice while entries lose their links
+    # to targets beside other failures.
+    with reserve_block() as block:
+        soak = Soak(17, tmp_path, block)
+        soak.faults.keep_only("cut_off", "kill", "freeze", "stop_entry")
+        seen = asyncio.run(soak.run(14.0))
+    assert seen.violations == []
+    assert seen.answered > 50
+
+
 def test_each_violation_is_reported():
     seen = InvariantChecker()
     seen.record_run("a")
