Take avoidance and the cost of destinations out of the load balancer

Avoidance now holds what this entry and others avoid, and when an entry that is cut off keeps that to itself.

--- a/packages/gateway/src/chivepier/gateway/control/tests/test_avoidance.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_avoidance.py
@@ -36,7 +36,7 @@
         target = self.chooser.choose("s", None, None)
         if target.instance != "dead":
             return False
-        self.chooser.avoid_unreachable(target.instance)
+        self.chooser.avoidance.avoid(target.instance)
         return True
 
     def count_avoiding(self) -> int:
@@ -78,7 +78,7 @@
         callers = [Caller(f, n) for n, f in enumerate(followers)]
         for cut in callers[:4]:
             for name in TARGETS:
-                cut.chooser.avoid_unreachable(name)
+                cut.chooser.avoidance.avoid(name)
         last = callers[4]
         await wait_until(lambda: last.count_avoiding() == 4)
         ranked = last.chooser.rank("s", None, None)
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -254,7 +254,7 @@
             others=self.peer_entries,
             reach=self.reach,
         )
-        self.reach.watchers.append(balancer.set_cut_off)
+        self.reach.watchers.append(balancer.avoidance.set_cut_off)
         forwarder = ForwardClient(
             settings.name,
             self.peer_entries,
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -490,7 +490,7 @@
         if self.table.is_current(target):
             # a target that has restarted is not avoided because its previous
             # incarnation did not answer
-            self.balancer.avoid_unreachable(target.instance)
+            self.balancer.avoidance.avoid(target.instance)
 
 
 def describe_forecast(forecast: PaceForecast) -> dict:
--- a/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
@@ -430,7 +430,7 @@
             # the target
             return None
         except NotSentError as error:
-            self._balancer.avoid_unreachable(target.instance)
+            self._balancer.avoidance.avoid(target.instance)
             self._log.warn(
                 "reserve_failed",
                 id=plan.request.id,
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -193,7 +193,7 @@
             self.reports,
         )
         self.reach = Reach(self.table, clock, rng, log, self.metrics)
-        self.reach.watchers.append(balancer.set_cut_off)
+        self.reach.watchers.append(balancer.avoidance.set_cut_off)
         calls = TargetCalls(self.engines, gate, remarks, self.reach)
         self.quarantine = Quarantine(
             "e1",
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_limits.py
@@ -104,7 +104,7 @@
         parts.announce_limit("w-a", 0.5)
         parts.announce_limit("w-b", 0.5)
         parts.decision = REFUSED
-        parts.dispatcher.balancer.avoid_unreachable("w-c")
+        parts.dispatcher.balancer.avoidance.avoid("w-c")
         assert await answer_plain(parts) == ["w-c"]
 
     play(test, "a", "b", "c")
--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -7,8 +7,10 @@
 from chivepier.gateway.config import Engine
 from chivepier.gateway.limits import BackoffTable
 from chivepier.gateway.limits import LimitTable
+from chivepier.gateway.targets.avoidance import Avoidance
 from chivepier.gateway.targets.decodeestimator import DecodeEstimator
 from chivepier.gateway.targets.demand import Demand
+from chivepier.gateway.targets.destinationcost import DestinationCost
 from chivepier.gateway.targets.fit import Fit
 from chivepier.gateway.targets.generationcost import GenerationCost
 from chivepier.gateway.targets.load import Load
@@ -34,34 +36,17 @@
 SAMPLE_SIZE = 3
 # Added cost of a target that is warming up; 1 is the cost of a full target.
 WARMING_COST = 0.2
-# Added cost of a destination in another availability zone, per second of
-# copies that are still to be made from the source.
-OTHER_ZONE_COST_PER_SECOND = 0.4
-# Added cost per copy that a destination already receives, as copies share its
-# link.
-RECEIVING_COST = 0.5
-# Added cost of a rate-limited destination: it is the last choice, as the
-# generation would have to wait for its turn.
-RATE_LIMITED_COST = 10.0
 # Seconds for which the paces of a service are kept for estimates of waits,
 # of which each choice makes several.
 SURVEY_SECONDS = 0.5
 # Fits from the best to the worst.
 PREFERENCE = tuple(Fit)
-# Added cost of a destination where a stream would pause for too long: a copy
-# there is better than one that waits behind four others.
-UNFIT_COST = 2.0
-# Added cost of a destination whose pace isn't known yet.
-UNKNOWN_COST = 0.5
 # Maximum share of a target's memory that generations may use, including the
 # tokens that they add within the next seconds.
 MAX_MEMORY_SHARE = 1.0
 # Maximum share of the time objective for reading a prompt and those before it.
 # A request that waits at its entry can still go to another target.
 MAX_PREFILL_SHARE = 0.5
-# Number of entries that must avoid a target before all entries avoid it; fewer
-# may have lost their own connection.
-MIN_AVOIDING_ENTRIES = 3
 # Median failure rate of a service's targets above which one failure says
 # nothing of its target.
 MAX_USUAL_FAILURE_RATE = 0.1
@@ -73,7 +58,8 @@
     ``prefill_estimator`` learns from first events how fast prompts are read,
     ``decode_estimator`` from complete generations how fast tokens come; the
     queue of waiting requests uses the first, ``pace_advisor`` the second.
-    ``request_cost`` estimates the times of plain requests.
+    ``request_cost`` estimates the times of plain requests, and ``avoidance``
+    leaves out targets that could not be reached.
 
     :param table: known targets
     :param health: health of the targets
@@ -107,45 +93,18 @@
         self._zone = zone
         self._clock = clock
         self._rng = rng
+        self.avoidance = Avoidance(table, health, loads, clock)
         self.prefill_estimator = PrefillEstimator()
         self.decode_estimator = DecodeEstimator()
         self.pace_advisor = PaceAdvisor(self._reports, self.decode_estimator)
         self.generation_cost = GenerationCost(
             loads, self.prefill_estimator, self.pace_advisor, WARMING_COST
         )
+        self._destination_cost = DestinationCost(loads, self._limits)
         self.request_cost = RequestCost(self._reports, health, WARMING_COST)
         self._in_flight: dict[str, int] = {}
-        self._cut_off: set[str] = set()
         self._surveys: dict[str, tuple[float, PaceSurvey]] = {}
 
-    def avoid_unreachable(self, instance: str) -> None:
-        """Avoid an unreachable or silent target for a while.
-
-        :param instance: name of the target; reported to the other entries,
-            unless this one reaches no target of its service
-        """
-        now = self._clock.monotonic()
-        until = self._health.record_unreachable(instance, now)
-        target = self._table.get(instance)
-        if target is None or target.service not in self._cut_off:
-            self._loads.avoid(instance, until)
-
-    def set_cut_off(self, service: str, cut_off: bool) -> None:
-        """Set whether this entry reaches no target of a service.
-
-        Others would leave out sound targets if enough entries told them.
-
-        :param service: name of the service
-        :param cut_off: whether its targets are out of reach
-        """
-        if not cut_off:
-            self._cut_off.discard(service)
-            return
-        self._cut_off.add(service)
-        for target in self._table:
-            if target.service == service:
-                self._loads.withdraw_avoiding(target.instance)
-
     def avoid_failing(self, target: Target) -> None:
         """Avoid a target that failed a generation, where paces are told.
 
@@ -164,7 +123,7 @@
         )
         usual = rates[(len(rates) - 1) // 2] if rates else 0.0
         if usual <= MAX_USUAL_FAILURE_RATE:
-            self.avoid_unreachable(target.instance)
+            self.avoidance.avoid(target.instance)
 
     def record_start(self, instance: str) -> None:
         """Count a request that this entry sent to a target."""
@@ -309,7 +268,7 @@
         healthy = self._health.select_healthy(
             [t.instance for t in candidates], now
         )
-        return self._exclude_avoided(
+        return self.avoidance.exclude_avoided(
             [t for t in candidates if t.instance in healthy], now
         )
 
@@ -379,16 +338,6 @@
         pauses = (self._find_delay(target, now) for target in resting)
         return min(pauses, default=None)
 
-    def _exclude_avoided(self, targets: list[Target], now: float) -> list:
-        """Exclude targets that several entries avoid.
-
-        Entries that are cut off avoid all targets, so the counts are compared
-        with that of the least avoided target.
-        """
-        counts = [self._loads.count_avoiding(t.instance, now) for t in targets]
-        limit = min(counts) + MIN_AVOIDING_ENTRIES
-        return [t for t, count in zip(targets, counts) if count < limit]
-
     def choose_destination(
         self,
         service: str,
@@ -416,10 +365,6 @@
         :returns: the target; ``None`` if none has enough memory
         """
         now = self._clock.monotonic()
-        far_cost = (
-            OTHER_ZONE_COST_PER_SECOND
-            * self._loads.get_pending_copy_seconds(source.instance, now)
-        )
         costs = {}
         found = self._select_available(service, now, regions)
         healthy = self._exclude_unhealthy(found, without, now)
@@ -431,23 +376,14 @@
             load = self._loads.get_total(target.instance, now)
             held = (load.tokens + tokens) / engine.memory_tokens
             if held <= MAX_MEMORY_SHARE:
-                far = 0.0 if target.zone == source.zone else far_cost
-                costs[target.instance] = (
-                    held
-                    + far
-                    + RECEIVING_COST * load.receiving
-                    + self._get_rate_limit_cost(target)
-                    + _get_fit_cost(fits.get(target.instance))
+                costs[target.instance] = self._destination_cost.estimate(
+                    source, target, held, fits.get(target.instance), now
                 )
         if not costs:
             return None
         order = self._draw_order(costs, sample=False)
         return self._table.get(min(costs, key=lambda name: order[name]))
 
-    def _get_rate_limit_cost(self, target: Target) -> float:
-        rate = self._limits.find_rate(target.instance, target.born)
-        return 0.0 if rate is None else RATE_LIMITED_COST
-
     def _draw_order(
         self, costs: dict[str, float], sample: bool
     ) -> dict[str, tuple[bool, float]]:
@@ -566,13 +502,3 @@
         self, targets: list[Target], now: float
     ) -> dict[str, float]:
         return self.request_cost.estimate(targets, self._in_flight, now)
-
-
-def _get_fit_cost(fit: Fit | None) -> float:
-    match fit:
-        case Fit.UNFIT:
-            return UNFIT_COST
-        case Fit.UNKNOWN:
-            return UNKNOWN_COST
-        case _:
-            return 0.0
