Test the loss of disks beside all power, and the sockets' user timeouts

Voters that lose their disks while all others stop keep an acknowledged write (three voters and one disk, five and two); processes are stopped there, so that what was not synced is not lost. Neither the connections to targets nor the links between processes set TCP_USER_TIMEOUT.

--- a/packages/gateway/src/chivepier/gateway/control/tests/test_voters.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_voters.py
@@ -122,6 +122,29 @@
     play(test, tmp_path)
 
 
+@pytest.mark.parametrize("size, lost", ((3, 1), (5, 2)))
+def test_disks_lost_as_all_others_lose_power_cost_no_write(
+    tmp_path, size, lost
+):
+    # Guards against the loss of an acknowledged configuration when no voter
+    # runs through the loss of disks.
+    async def test(fleet):
+        await fleet.write(3, "kept")
+        for address in fleet.seeds:
+            await fleet.stop(address)
+        for address in fleet.seeds[:lost]:
+            await fleet.wipe(address)
+        for address in fleet.seeds:
+            await fleet.start(address)
+        for address in fleet.seeds:
+            assert await fleet.read(address) == b"3 kept"
+        await wait_until(lambda: fleet.find_leader() is not None)
+        for address in fleet.seeds:
+            await wait_until(fleet.voters[address].replica.votes)
+
+    play(test, tmp_path, size)
+
+
 def test_voter_at_new_address_replaces_lost_voter(tmp_path):
     async def test(fleet):
         await fleet.write(3, "kept")
--- a/packages/wire/src/chivepier/wire/tests/test_silence.py
+++ b/packages/wire/src/chivepier/wire/tests/test_silence.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 
 import pytest
 
@@ -108,3 +109,20 @@
             assert not channel.closed
 
     asyncio.run(body())
+
+
+def test_no_user_timeout_decides_when_a_link_ends():
+    # A link ends by the silence of its requests alone; a user timeout would
+    # end it by that of the kernel's probes, on one side only.
+    async def work():
+        async with connect() as (links, peer, _):
+            await request_until(links, peer, True)
+            used = links._channels[peer]._socket.transport.get_extra_info(
+                "socket"
+            )
+            option = used.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+            )
+            assert option == 0
+
+    asyncio.run(work())
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -513,6 +513,25 @@
     run(script, test)
 
 
+def test_no_user_timeout_decides_when_a_connection_to_a_target_ends():
+    # A user timeout also decides when keep-alive probes give up, whatever
+    # their count: a target's second of silence would end its connection.
+    async def script(head, writer):
+        writer.write(build_answer(b"ok"))
+
+    async def test(raw, targets):
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), OPTIONS
+        )
+        await read_all(reply)
+        (idle,) = targets._session.connector._conns.values()
+        used = idle[0][0].transport.get_extra_info("socket")
+        option = used.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+        assert option == 0
+
+    run(script, test)
+
+
 def test_idle_connections_to_a_restarted_target_are_closed():
     async def script(head, writer):
         writer.write(build_answer(b"ok"))
