Bound how many entries look for a target for one forwarded request

A request whose targets were full went from entry to entry, up to eight, and each asks all targets three times: in a rush, forwarded requests would have multiplied the arrivals at full targets. Two entries may fail to find a target now; one that finds out that it is cut off as well has not taken the request, and does not count. test_full_targets_are_not_asked_by_entry_after_entry fails without the bound (five entries asked).

And targets that nobody hears any more have ended: their service is not out of reach. Entries that had tried them would have left the look-ups one after the other (test_targets_that_ended_together_are_no_cut fails before).

--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardclient.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardclient.py
@@ -26,6 +26,9 @@
 
 # Seconds to connect to another entry.
 CONNECT_SECONDS = 0.4
+# Entries that may fail to find a target for one request. Each has tried all of
+# them, and targets that are full would get as many sends more.
+MAX_FAILURES = 2
 # Failures of one entry that say little of others, if nothing ran.
 LOCAL_FAILURES = frozenset(
     (ErrorKind.NO_TARGET, ErrorKind.DRAINING, ErrorKind.NOT_READY)
@@ -82,11 +85,13 @@
             taken it
         """
         tried: set[str] = set()
-        failure: RequestError | None = None
+        failures: list[RequestError] = []
         while True:
             peer = self._peers.choose(plan.service.name, plan.regions, tried)
             if peer is None:
-                raise failure or NotSentError("no entry takes the request")
+                if failures:
+                    raise failures[-1]
+                raise NotSentError("no entry takes the request")
             tried.add(peer.address)
             try:
                 return peer.node, await self._send(peer, request, runs)
@@ -98,9 +103,9 @@
             except RequestError as error:
                 self._metrics.record_forward("sent", "failed")
                 self._log_end(peer, request, error.failure.kind.value)
-                if not _may_retry(error):
+                failures.append(error)
+                if not _may_retry(error) or len(failures) >= MAX_FAILURES:
                     raise
-                failure = error
 
     async def _send(
         self, peer: PeerRecord, request: CallerRequest, runs: int
--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
@@ -125,6 +125,21 @@
     play_site(test, 4)
 
 
+def test_full_targets_are_not_asked_by_entry_after_entry():
+    # Each entry asks all targets three times: eight entries would ask full
+    # ones twenty-four times for one request.
+    async def test(site):
+        cut_off, *others = site.entries
+        cut_off.cut(*ALL)
+        for other in others:
+            other.parts.engines.refuse.add("w-x")
+        failure = await fail(cut_off.parts, make_request("/plain/a"))
+        assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
+        assert sum(bool(other.count_sends()) for other in others) == 2
+
+    play_site(test, 6)
+
+
 def test_failure_of_the_target_reaches_the_caller_unchanged():
     async def test(site):
         cut_off, other = site.entries
--- a/packages/gateway/src/chivepier/gateway/reach/reach.py
+++ b/packages/gateway/src/chivepier/gateway/reach/reach.py
@@ -175,10 +175,10 @@
             self.forgotten.set()
 
     def end_without_targets(self, service: str) -> None:
-        """End the loss of a service if it has no targets any more."""
-        if not self._list_candidates(service):
+        """End the loss of a service that no target announces any more."""
+        if self._are_silent(self._list_candidates(service)):
             self._losses.pop(service, None)
-            self.changed.set()
+            self._notify(service, False)
 
     def take_doubtful(self) -> list[Target]:
         """Return the targets to try, to tell a cut from ended targets.
@@ -225,12 +225,19 @@
             and self._get(target).failed_at >= since
         ]
 
+    def _are_silent(self, targets: list[Target]) -> bool:
+        """Tell whether voters hear none of some targets: these have ended."""
+        now = self._clock.monotonic()
+        return all(self._table.is_unheard(target, now) for target in targets)
+
     def _judge(self, service: str) -> bool:
         """Tell whether recent failures show that this entry is cut off."""
         candidates = self._list_candidates(service)
         failed = self._list_failed(service)
         if not failed or len(failed) < min(len(candidates), MIN_FAILED):
             return False
+        if self._are_silent(failed):
+            return False
         first = min(self._get(target).failed_at for target in failed)
         return all(self._get(t).reached_at < first for t in candidates)
 
--- a/packages/gateway/src/chivepier/gateway/reach/tests/test_reach.py
+++ b/packages/gateway/src/chivepier/gateway/reach/tests/test_reach.py
@@ -38,11 +38,12 @@
     """What one entry knows of its targets.
 
     :param count: number of targets of the service ``s``
+    :param beat: seconds between two announcements of a target
     """
 
-    def __init__(self, count: int, clock=None):
+    def __init__(self, count: int, clock=None, beat: float = 1000.0):
         self.clock = clock or ManualClock()
-        self.table = TargetTable(1000.0)
+        self.table = TargetTable(beat)
         self.targets = [make_target(f"t{n}") for n in range(count)]
         for target in self.targets:
             self.table.put(target)
@@ -79,6 +80,19 @@
     assert site.reach.is_lost("s")
 
 
+def test_targets_that_ended_together_are_no_cut():
+    # Callers were led from entry to entry while a service had no target.
+    site = Site(2, beat=1.0)
+    site.clock.advance(2.0)
+    site.fail(0, 1)
+    assert site.reach.is_lost("s")
+    site.clock.advance(2.0)
+    site.reach.end_without_targets("s")
+    assert not site.reach.is_lost("s")
+    site.fail(0, 1)
+    assert not site.reach.is_lost("s")
+
+
 def test_other_services_stay_in_reach():
     site = Site(2)
     other = make_target("o", "other")
--- a/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
@@ -15,6 +15,7 @@
 from chivepier.gateway.serving.servingstate import ServingState
 from chivepier.gateway.serving.shedding import Shedding
 from chivepier.types import ErrorKind
+from chivepier.types import Ran
 from chivepier.types import RequestError
 
 # Maximum wait of a request for the first configuration of an entry that has
@@ -136,9 +137,18 @@
         with self._count_active():
             self._check_stopping()
             plan = self._plan(request)
-            if self._dispatcher.detour.is_cut_off(plan):
-                raise NotSentError("its targets are out of reach here, too")
-            await self._answer(plan, caller, runs, may_forward=False)
+            self._check_reach(plan)
+            try:
+                await self._answer(plan, caller, runs, may_forward=False)
+            except RequestError as error:
+                if error.failure.ran is Ran.NO:
+                    # it may just have been found out
+                    self._check_reach(plan)
+                raise
+
+    def _check_reach(self, plan: Plan) -> None:
+        if self._dispatcher.detour.is_cut_off(plan):
+            raise NotSentError("its targets are out of reach here, too")
 
     @contextlib.contextmanager
     def _count_active(self) -> collections.abc.Iterator[None]:
