Say how a target's part of a stream has ended

An entry writes body_ended for each end that the framing does not show to be whole, and counts all ends (chivepier_stream_ends_total by cause and by what they were taken for). What an end is taken for is decided in one function of a typed description and is the same as before; only the last bytes are written after the check of a stopped run instead of before it.

--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
@@ -28,7 +28,6 @@
         self.status = part.status
         self.headers = unpack_headers(part.headers)
         self.length = None if part.length < 0 else part.length
-        self.framed = True
         self.facts = AnswerFacts()
         self._channel = channel
         self._handle = part.handle
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -108,6 +108,14 @@
         self._record("first", labels, first)
         self._record("gap", labels, gap)
 
+    def record_stream_end(self, cause: str, taken_for: str) -> None:
+        """Count the end of what one target sent of a stream.
+
+        :param cause: what ended it
+        :param taken_for: ``whole`` or ``cut``
+        """
+        self._record("stream_ends", (cause, taken_for), 1.0)
+
     def record_move(self, outcome: str) -> None:
         """Count a copy of a running generation's memory by its outcome."""
         self._record("moves", (outcome,), 1.0)
@@ -295,6 +303,12 @@
             (*team_labels, "outcome"),
             registry=registry,
         ),
+        "stream_ends": library.Counter(
+            "chivepier_stream_ends",
+            "Ends of streams of targets, and what they were taken for.",
+            ("cause", "taken_for"),
+            registry=registry,
+        ),
         "moves": library.Counter(
             "chivepier_memory_copies",
             "Copies of live generations' memory.",
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/bodyend.py
@@ -0,0 +1,19 @@
+"""How the body of one target's answer has ended."""
+
+import attrs
+
+from chivepier.gateway.serving.endcause import EndCause
+
+
+@attrs.frozen
+class BodyEnd:
+    """What is known of the end of a stream's body.
+
+    :param cause: what ended it
+    :param events: number of events in it
+    :param remainder: bytes after the last event that was terminated
+    """
+
+    cause: EndCause
+    events: int
+    remainder: bytes
--- a/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
+++ b/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
@@ -16,10 +16,13 @@
     [(b'id: 1\\ndata: a\\n\\n', 1)]
     >>> splitter.feed(b"ta: b\\n\\n")
     [(b'id: 2\\ndata: b\\n\\n', 2)]
+
+    :ivar events: number of complete events so far
     """
 
     def __init__(self) -> None:
         self._partial = b""
+        self.events = 0
 
     def feed(self, data: bytes) -> list[tuple[bytes, int | None]]:
         """Add bytes to the buffer and return the events that are complete.
@@ -33,6 +36,7 @@
             event, data = data[:end], data[end:]
             events.append((event, parse_event_number(event)))
         self._partial = data
+        self.events += len(events)
         return events
 
     def take_remainder(self) -> bytes:
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -3,10 +3,12 @@
 import asyncio
 
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.serving.bodyend import BodyEnd
 from chivepier.gateway.serving.callerconnection import CallerConnection
 from chivepier.gateway.serving.callpurpose import CallPurpose
 from chivepier.gateway.serving.dispatcher import describe_forecast
 from chivepier.gateway.serving.dispatcher import Dispatcher
+from chivepier.gateway.serving.endcause import EndCause
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.errors import ConnectionLostError
 from chivepier.gateway.serving.errors import NotSentError
@@ -16,6 +18,7 @@
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.sendoptions import SendOptions
 from chivepier.gateway.serving.startedanswer import StartedAnswer
+from chivepier.gateway.serving.streamend import judge_end
 from chivepier.gateway.serving.streamend import StreamEnd
 from chivepier.gateway.serving.streamtiming import StreamTiming
 from chivepier.gateway.serving.targetanswer import TargetAnswer
@@ -76,15 +79,16 @@
         head, run = started.answer, started.run
         try:
             for _ in range(MAX_HANDOFFS):
-                match await self._relay_target(head, started, run):
+                end = await self._relay_target(head, started, run)
+                match self._judge_end(end, run):
                     case StreamEnd.COMPLETE if await self._is_complete(
-                        run, started
+                        run, end
                     ):
                         self._dispatcher.runs.note_complete(run)
                         self._dispatcher.guard.note_answered(
                             self._plan, started.answer.facts
                         )
-                        await self._finish(head)
+                        await self._finish(head, end.remainder)
                         return
                     case _:
                         await self._note_lost(run)
@@ -128,14 +132,15 @@
             timing.max_gap,
         )
 
-    async def _is_complete(self, run: LiveRun, started: StartedAnswer) -> bool:
+    async def _is_complete(self, run: LiveRun, end: BodyEnd) -> bool:
         # a stream that was stopped for a migration is incomplete, but looks
         # complete if its body is delimited by closing the connection
         if not run.stopped:
             return True
         run.lost.set()
         found = await self._wait_for_handoff(run)
-        if run.stopped and not (run.stop_uncertain and started.answer.framed):
+        framed = end.cause is EndCause.FRAMING
+        if run.stopped and not (run.stop_uncertain and framed):
             return False
         if found is not None:
             self._dispatcher.mover.free_copy(run, found)
@@ -150,21 +155,36 @@
 
     async def _relay_target(
         self, head: TargetAnswer, started: StartedAnswer, run: LiveRun
-    ) -> StreamEnd:
+    ) -> BodyEnd:
         """Relay events of one target until its stream ends or breaks."""
         first, started.body = started.body, b""
         try:
             await self._forward_events(head, run, first)
             while data := await self._read_chunk(run, started):
                 await self._forward_events(head, run, data)
-        except (BrokenAnswerError, TimeoutError):
-            return StreamEnd.TRUNCATED
-        rest = self._splitter.take_remainder()
-        if rest:
-            # the framing shows that the answer is complete, so a last event
-            # without a terminator is passed on as the target sent it
-            await self._write(head, rest)
-        return StreamEnd.COMPLETE
+            framed = started.answer.facts.framed
+            cause = EndCause.FRAMING if framed else EndCause.CLOSE
+        except BrokenAnswerError:
+            cause = EndCause.BREAK
+        except TimeoutError:
+            cause = EndCause.TIMEOUT
+        splitter = self._splitter
+        return BodyEnd(cause, splitter.events, splitter.take_remainder())
+
+    def _judge_end(self, end: BodyEnd, run: LiveRun) -> StreamEnd:
+        found = judge_end(end)
+        self._metrics.record_stream_end(end.cause.value, found.value)
+        if end.cause is not EndCause.FRAMING or end.remainder:
+            self._dispatcher.log.info(
+                "body_ended",
+                id=run.request.id,
+                target=run.target.instance,
+                cause=end.cause.value,
+                events=end.events,
+                left_over=len(end.remainder),
+                taken_for=found.value,
+            )
+        return found
 
     async def _read_chunk(self, run: LiveRun, started: StartedAnswer) -> bytes:
         seconds = None
@@ -221,7 +241,10 @@
         self._timing.record_write()
         await self._caller.write(data)
 
-    async def _finish(self, head: TargetAnswer) -> None:
+    async def _finish(self, head: TargetAnswer, remainder: bytes) -> None:
+        if remainder:
+            # a last event that no empty line ends, as the target sent it
+            await self._write(head, remainder)
         if not self._head_sent:
             self._head_sent = True
             await self._caller.begin(head.status, head.headers, None)
--- a/packages/gateway/src/chivepier/gateway/serving/targetanswer.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetanswer.py
@@ -8,14 +8,12 @@
 class TargetAnswer(typing.Protocol):
     """The head of an answer and its body, read in chunks.
 
-    ``length`` is ``None`` if the target did not send it. ``framed`` tells
-    whether a truncated body can be told from a complete one.
+    ``length`` is ``None`` if the target did not send it.
     """
 
     status: int
     headers: tuple[tuple[str, str], ...]
     length: int | None
-    framed: bool
     facts: AnswerFacts
 
     async def read(self) -> bytes:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -26,7 +26,6 @@
     facts: AnswerFacts = attrs.field(factory=AnswerFacts)
     headers: tuple = (("X-From", "engine"),)
     length: int | None = None
-    framed: bool = True
     closed: bool = False
     stopped: bool = False
     _queue: asyncio.Queue = attrs.field(factory=asyncio.Queue)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_stopping.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_stopping.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from chivepier.gateway.serving import AnswerFacts
 from chivepier.gateway.serving import MoveOutcome
 from chivepier.gateway.serving import MoveResult
 from chivepier.gateway.serving.tests.parts import begin
@@ -133,7 +134,7 @@
     # looks the same, so the run is resumed.
     async def test(parts):
         caller, task, run = await begin(parts)
-        run.framed = framed
+        run.facts = AnswerFacts(framed=framed)
 
         def lose():
             run.make(1)
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -314,7 +314,7 @@
             targets, raw.make_target(), rawtarget.make_request(), OPTIONS
         )
         assert await read_all(reply) == b"ok"
-        assert reply.framed is framed
+        assert reply.facts.framed is framed
 
     run(script, test)
 
