--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -34,6 +34,7 @@
     "shed",
     "reach",
     "forwards",
+    "stream_ends",
 )
 GAUGES = ("zones", "place_waiting")
 
