End events at their empty line whichever way their lines end

Callers of targets that end lines in two ways, or by CR, got these events only as the stream ended: the splitter knew two terminators, LF LF and CR LF CR LF. As soon as an end inside an event counts as broken off, such whole streams would have been cut. A line ends by CR LF, LF or CR now (WHATWG server-sent events), two line ends in a row end an event, and no byte is changed.

The splitter also counts the events and tells whether what is left over is part of an event; a comment or an empty line is not. A byte order mark hides no id any more, and is dropped where a stream goes on elsewhere.

--- a/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
+++ b/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
@@ -1,7 +1,10 @@
 """Splits a stream of bytes into server-sent events."""
 
-# An empty line ends an event; targets may use either line ending.
-EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+import re
+
+# A line ends by CR LF, LF or CR, and an empty line ends an event.
+EVENT_TERMINATOR = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
 class EventSplitter:
@@ -17,10 +20,13 @@
     >>> splitter.feed(b"ta: b\\n\\n")
     [(b'id: 2\\ndata: b\\n\\n', 2)]
 
+    :param resumed: whether the stream follows that of another target; a byte
+        order mark may stand at the beginning of the whole stream only
     :ivar events: number of complete events so far
     """
 
-    def __init__(self) -> None:
+    def __init__(self, resumed: bool = False) -> None:
+        self._resumed = resumed
         self._partial = b""
         self.events = 0
 
@@ -31,27 +37,49 @@
         :returns: the bytes of each event and its number, ``None`` without one
         """
         data = self._partial + data
-        events = []
-        while (end := _find_end(data)) > 0:
-            event, data = data[:end], data[end:]
-            events.append((event, parse_event_number(event)))
-        self._partial = data
-        self.events += len(events)
+        events, start = [], 0
+        for found in EVENT_TERMINATOR.finditer(data):
+            event, start = data[start : found.end()], found.end()
+            if self._resumed and not self.events:
+                event = event.removeprefix(BYTE_ORDER_MARK)
+            number = parse_event_number(event)
+            self.events += number is not None or has_fields(event)
+            events.append((event, number))
+        self._partial = data[start:]
         return events
 
     def take_remainder(self) -> bytes:
-        """Return and clear the bytes of the last, unterminated event."""
+        """Return and clear the bytes after the last complete event."""
         rest, self._partial = self._partial, b""
         return rest
 
 
-def _find_end(data: bytes) -> int:
-    ends = [
-        data.find(mark) + len(mark)
-        for mark in EVENT_TERMINATORS
-        if mark in data
-    ]
-    return min(ends, default=0)
+def _split_lines(data: bytes) -> list[bytes]:
+    return data.removeprefix(BYTE_ORDER_MARK).splitlines(keepends=True)
+
+
+def has_fields(data: bytes) -> bool:
+    """Tell whether bytes hold more than empty lines and comments.
+
+    >>> has_fields(b": note\\n\\n"), has_fields(b": note\\nid: 1\\n\\n")
+    (False, True)
+    """
+    return any(
+        line.strip() and not line.startswith(b":")
+        for line in _split_lines(data)
+    )
+
+
+def is_unfinished(remainder: bytes) -> bool:
+    """Tell whether a stream that ends with these bytes ends inside an event.
+
+    >>> is_unfinished(b"id: 2\\ndata: b\\n"), is_unfinished(b": end\\n")
+    (True, False)
+
+    :param remainder: the bytes after the last complete event
+    """
+    ends_line = not remainder or remainder.endswith((b"\n", b"\r"))
+    return not ends_line or has_fields(remainder)
 
 
 def parse_event_number(event: bytes) -> int | None:
@@ -60,7 +88,7 @@
     :param event: the bytes of the event
     :returns: the number; ``None`` if the field is missing or no number
     """
-    for line in event.splitlines():
+    for line in _split_lines(event):
         if line.startswith(b"id:"):
             text = line[3:].strip()
             return int(text) if text.isdigit() else None
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -303,7 +303,7 @@
             dispatcher.runs.track(run)
             dispatcher.balancer.record_start(run.target.instance)
             return None
-        self._splitter = EventSplitter()
+        self._splitter = EventSplitter(resumed=True)
         return fresh
 
     async def _find_handoffs(self, run: LiveRun) -> list[Handoff]:
@@ -391,7 +391,7 @@
         )
         dispatcher.release(started)
         run.resume_at(handoff.target, dispatcher.clock.monotonic())
-        self._splitter = EventSplitter()
+        self._splitter = EventSplitter(resumed=True)
         dispatcher.runs.track(run)
         dispatcher.balancer.record_start(run.target.instance)
         if dispatcher.table.is_leaving(run.target.instance):
