Take a stream that ends inside an event for broken off

Cause: a body that has neither a length nor chunks ends with its connection, and a target that fails closes it in the same order as one that has finished. The entry took each orderly close for the end of the answer, passed on what was left over of an unfinished event, and ended the caller's chunks. Class: an end of bytes is taken for the end of a message.

Now such an end counts as whole only if at least one event has come and nothing of another one is left over; comments and empty lines are nothing. Otherwise it is a loss like a reset: the partial event is never passed on, a stream that may be resumed goes on elsewhere, another one is broken off for the caller, the target's failure is noted once. A close before the first event is a lost answer (502, or another target) instead of an empty success. What a framed answer ends with is passed on as before, but an event that the caller has is not, also without its empty line.

--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
@@ -282,16 +282,24 @@
     play_site(test)
 
 
-def test_answer_broken_off_at_the_target_does_not_look_complete():
+@pytest.mark.parametrize("framed", (True, False))
+def test_answer_broken_off_at_the_target_does_not_look_complete(framed):
+    # Without a length, only an event that is unfinished shows it.
     async def test(site):
         cut_off, other = site.entries
         cut_off.cut(*ALL)
+        other.parts.engines.facts = AnswerFacts(framed=framed)
         caller, task = cut_off.parts.start(make_request())
         run = await other.parts.engines.wait_run(1)
         run.make(3)
         await caller.wait_events(3)
-        run.cut()
+        if framed:
+            run.cut()
+        else:
+            run.make(0, "id: 4\nda")
+            run.end()
         await task
+        assert caller.numbers == [1, 2, 3]
         assert caller.aborted and not caller.finished
 
     play_site(test)
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -379,6 +379,8 @@
             # wait for the first event: until then nothing was sent to the
             # caller, and the request can be retried elsewhere
             first = await answer.read()
+            if not first and not answer.facts.framed:
+                raise BrokenAnswerError("closed before the first event")
             if run is None:
                 run = self.runs.start(plan, target)
             self.runs.note_first_event(run)
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -89,6 +89,13 @@
             return self.counted_tokens
         return prompt.tokens + self.last_event_number * engine.event_tokens
 
+    def has_relayed(self, number: int | None) -> bool:
+        """Tell whether the caller has an event; the next target may repeat it.
+
+        :param number: number of the event; ``None`` if it has none
+        """
+        return number is not None and number <= self.last_event_number
+
     def estimate_copy_seconds(self) -> float:
         """Return the seconds to copy its KV cache to another zone."""
         engine = self.service.engine
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -13,6 +13,7 @@
 from chivepier.gateway.serving.errors import ConnectionLostError
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.eventsplitter import EventSplitter
+from chivepier.gateway.serving.eventsplitter import parse_event_number
 from chivepier.gateway.serving.handoff import Handoff
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.plan import Plan
@@ -88,7 +89,7 @@
                         self._dispatcher.guard.note_answered(
                             self._plan, started.answer.facts
                         )
-                        await self._finish(head, end.remainder)
+                        await self._finish(head, run, end.remainder)
                         return
                     case _:
                         await self._note_lost(run)
@@ -225,10 +226,9 @@
     ) -> None:
         fresh = []
         for event, number in self._splitter.feed(data):
+            if run.has_relayed(number):
+                continue
             if number is not None:
-                # the next target may repeat events of the previous one
-                if number <= run.last_event_number:
-                    continue
                 run.last_event_number = number
             fresh.append(event)
         if fresh:
@@ -241,8 +241,11 @@
         self._timing.record_write()
         await self._caller.write(data)
 
-    async def _finish(self, head: TargetAnswer, remainder: bytes) -> None:
-        if remainder:
+    async def _finish(
+        self, head: TargetAnswer, run: LiveRun, remainder: bytes
+    ) -> None:
+        number = parse_event_number(remainder)
+        if remainder and not run.has_relayed(number):
             # a last event that no empty line ends, as the target sent it
             await self._write(head, remainder)
         if not self._head_sent:
--- a/packages/gateway/src/chivepier/gateway/serving/streamend.py
+++ b/packages/gateway/src/chivepier/gateway/serving/streamend.py
@@ -4,6 +4,7 @@
 
 from chivepier.gateway.serving.bodyend import BodyEnd
 from chivepier.gateway.serving.endcause import EndCause
+from chivepier.gateway.serving.eventsplitter import is_unfinished
 
 
 class StreamEnd(enum.Enum):
@@ -16,10 +17,19 @@
 def judge_end(end: BodyEnd) -> StreamEnd:
     """Tell whether a body is the whole answer of its target.
 
+    >>> judge_end(BodyEnd(EndCause.CLOSE, 1, b"id: 2\\nda"))
+    <StreamEnd.TRUNCATED: 'cut'>
+
     :param end: how the body has ended
     """
-    match end.cause:
-        case EndCause.FRAMING | EndCause.CLOSE:
+    match end:
+        case BodyEnd(cause=EndCause.FRAMING):
             return StreamEnd.COMPLETE
-        case EndCause.BREAK | EndCause.TIMEOUT:
+        case BodyEnd(cause=EndCause.CLOSE, events=0):
+            return StreamEnd.TRUNCATED
+        # a target that fails closes its connection as one that has finished
+        case BodyEnd(cause=EndCause.CLOSE, remainder=rest):
+            unfinished = is_unfinished(rest)
+            return StreamEnd.TRUNCATED if unfinished else StreamEnd.COMPLETE
+        case _:
             return StreamEnd.TRUNCATED
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
@@ -0,0 +1,176 @@
+"""Tests of ends of streams whose bodies have no length."""
+
+import asyncio
+
+import pytest
+
+from chivepier.gateway.serving import AnswerFacts
+from chivepier.gateway.serving import MoveOutcome
+from chivepier.gateway.serving import MoveResult
+from chivepier.gateway.serving.tests.fakeengines import FakeAnswer
+from chivepier.gateway.serving.tests.parts import begin
+from chivepier.gateway.serving.tests.parts import finish
+from chivepier.gateway.serving.tests.parts import make_request
+from chivepier.gateway.serving.tests.parts import play
+from chivepier.gateway.serving.tests.parts import wait_until
+from chivepier.types import ErrorKind
+from chivepier.types import RequestError
+
+WITHOUT_LENGTH = AnswerFacts(framed=False)
+PARTIAL = "id: 3\nda"
+
+
+def break_off(run: FakeAnswer, text: str = PARTIAL) -> None:
+    """Close the connection of a run in order, inside an event."""
+    run.make(0, text)
+    run.end()
+
+
+async def begin_without_length(parts, path: str = "/llm/x"):
+    """Start a stream without a length and relay its first two events."""
+    parts.engines.facts = WITHOUT_LENGTH
+    return await begin(parts, path)
+
+
+def test_stream_that_may_run_once_is_cut_off_where_it_broke():
+    # A caller must see that a stream broke off inside an event.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        break_off(run)
+        await task
+        assert caller.aborted and not caller.finished
+        assert caller.data == b"id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n"
+        assert len(parts.engines.answers) == 1
+        assert len(parts.read_lines("target_lost")) == 1
+        (line,) = parts.read_lines("body_ended")
+        assert line["cause"] == "close" and line["taken_for"] == "cut"
+        assert line["left_over"] == len(PARTIAL)
+
+    play(test, "a", "b")
+
+
+def test_resumable_stream_goes_on_at_another_target():
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts, "/resume/x")
+        break_off(run)
+        fresh = await parts.engines.wait_run(2)
+        assert fresh.target != run.target
+        await finish(task, fresh, 2)
+        assert caller.numbers == [1, 2, 3, 4]
+        assert caller.finished and not caller.aborted
+        assert len(parts.read_lines("target_lost")) == 1
+
+    play(test, "a", "b")
+
+
+def test_whole_stream_is_not_held_against_its_target():
+    # Without a length every stream ends by a close, the sound ones too.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        await finish(task, run, 1)
+        assert caller.finished and caller.numbers == [1, 2, 3]
+        assert parts.read_lines("target_lost") == []
+        assert parts.engines.probed == []
+
+    play(test, "a", "b")
+
+
+@pytest.mark.parametrize("path", ("/llm/x", "/resume/x"))
+def test_stream_without_any_event_is_lost(path):
+    # A close after the head was an answer without events, and whole.
+    async def test(parts):
+        parts.engines.facts = WITHOUT_LENGTH
+        caller, task = parts.start(make_request(path))
+        run = await parts.engines.wait_run(1)
+        run.end()
+        if path == "/resume/x":
+            fresh = await parts.engines.wait_run(2)
+            await finish(task, fresh, 2)
+            assert caller.finished and caller.numbers == [1, 2]
+            return
+        with pytest.raises(RequestError) as caught:
+            await task
+        assert caught.value.failure.kind is ErrorKind.TARGET_FAILED
+        assert caller.status is None
+
+    play(test, "a", "b")
+
+
+@pytest.mark.parametrize("outcome", (MoveOutcome.COPIED, MoveOutcome.FAILED))
+def test_run_that_is_stopped_inside_an_event_goes_on_whole(outcome):
+    # The source stops for a move, and closes inside an event; the order to
+    # stop is answered or not.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+
+        def stop():
+            break_off(run)
+            return MoveResult(outcome, "h-r1")
+
+        parts.engines.on_stop_order(stop)
+        parts.leave(run.target)
+        fresh = await parts.engines.wait_run(2)
+        assert fresh.target != run.target
+        await finish(task, fresh, 2)
+        assert caller.numbers == [1, 2, 3, 4]
+        assert caller.finished and not caller.aborted
+        await wait_until(lambda: not parts.mover.busy)
+
+    play(test, "a", "b")
+
+
+def test_run_that_breaks_off_during_its_first_copy_does_not_look_whole():
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        release = asyncio.Event()
+        move = parts.engines.move
+
+        async def hold(*args):
+            release.set()
+            await asyncio.sleep(0.05)
+            return await move(*args)
+
+        parts.engines.move = hold
+        parts.leave(run.target)
+        await release.wait()
+        break_off(run)
+        await asyncio.wait({task}, timeout=1.0)
+        if not task.done():
+            fresh = await parts.engines.wait_run(2)
+            await finish(task, fresh, 2)
+            assert caller.numbers == [1, 2, 3, 4]
+        assert caller.finished is not caller.aborted
+        assert caller.aborted or len(parts.engines.answers) == 2
+        assert b"da" + b"id" not in caller.data
+        assert caller.data.endswith(b"\n\n")
+
+    play(test, "a", "b")
+
+
+def test_stream_that_breaks_off_after_a_move_does_not_look_whole():
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        parts.leave(run.target)
+        fresh = await parts.engines.wait_run(2)
+        fresh.make(1)
+        break_off(fresh, "id: 4\nda")
+        await task
+        assert caller.aborted and not caller.finished
+        assert caller.numbers == [1, 2, 3]
+        assert caller.data.endswith(b"data: 3\n\n")
+
+    play(test, "a", "b")
+
+
+def test_last_event_that_comes_again_without_its_empty_line_is_dropped():
+    # The next target may begin with events that the caller has already.
+    async def test(parts):
+        caller, task, run = await begin(parts, "/resume/x")
+        run.cut()
+        fresh = await parts.engines.wait_run(2)
+        fresh.make(0, "id: 2\ndata: 2")
+        fresh.end()
+        await task
+        assert caller.numbers == [1, 2] and caller.finished
+
+    play(test, "a", "b")
