Ask whether a target lives where one of its streams may have ended whole

An orderly close between two events of a body without a length looks the same from a target that has finished and from one whose process has ended. Weighed: passing the target's framing on to the caller (then the caller is told no more than is known, but an entry that is killed would look like the end of each such stream: worse); asking the target each time (a connection for each stream, where bodies with a length need none); what is known anyway. Taken: the last. It is broken off if the target has started again since, or if another of its connections here broke within 0.25 s and the target can't be connected to then; a target whose other streams go on is not asked. Where other streams run there, the entry waits 10 ms for what happens to them, before the last chunk only.

Tests, without a network: four orders of two ends at one target that lives or has ended, a restart, a neighbour that goes on (not asked).

--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -11,6 +11,7 @@
 from chivepier.gateway.serving.callpurpose import CallPurpose
 from chivepier.gateway.serving.crashguard import CrashGuard
 from chivepier.gateway.serving.detour import Detour
+from chivepier.gateway.serving.endwitness import EndWitness
 from chivepier.gateway.serving.errors import AllBackedOffError
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.errors import ConnectionLostError
@@ -115,6 +116,7 @@
         self.detour = detour
         self.clock = clock
         self.log = log
+        self.witness = EndWitness(table, calls.probe, mover.count_runs, clock)
         self.runs = RunTracker(loads, mover, balancer, clock, queues)
         self._rejection = RejectionPolicy(table, clock, retry_after, log)
         places = PlaceWait(balancer, gate, state, clock, log, metrics)
@@ -486,6 +488,8 @@
             error=repr(error),
         )
         broke = not isinstance(error, TimeoutError)
+        if broke:
+            self.witness.note_break(target)
         self.guard.note_lost(plan, target, sent_at, first_event_at, broke)
 
     def _avoid_target(self, target: Target) -> None:
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -81,7 +81,7 @@
         try:
             for _ in range(MAX_HANDOFFS):
                 end = await self._relay_target(head, started, run)
-                match self._judge_end(end, run):
+                match await self._judge_end(end, run):
                     case StreamEnd.COMPLETE if await self._is_complete(
                         run, end
                     ):
@@ -172,8 +172,12 @@
         splitter = self._splitter
         return BodyEnd(cause, splitter.events, splitter.take_remainder())
 
-    def _judge_end(self, end: BodyEnd, run: LiveRun) -> StreamEnd:
-        found = judge_end(end)
+    async def _judge_end(self, end: BodyEnd, run: LiveRun) -> StreamEnd:
+        found, failed = judge_end(end), None
+        if end.cause is EndCause.CLOSE and found is StreamEnd.COMPLETE:
+            failed = await self._dispatcher.witness.has_failed(run.target)
+        if failed:
+            found = StreamEnd.TRUNCATED
         self._metrics.record_stream_end(end.cause.value, found.value)
         if end.cause is not EndCause.FRAMING or end.remainder:
             self._dispatcher.log.info(
@@ -183,6 +187,7 @@
                 cause=end.cause.value,
                 events=end.events,
                 left_over=len(end.remainder),
+                target_failed=failed,
                 taken_for=found.value,
             )
         return found
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
@@ -75,6 +75,74 @@
     play(test, "a", "b")
 
 
+async def start_two_streams(parts):
+    """Start a stream and a neighbour at one target, each with two events.
+
+    :returns: caller, task and run of the stream, and the neighbour's run
+    """
+    caller, task, run = await begin_without_length(parts)
+    request = make_request(id="r2")
+    other, waiting = parts.start(request)
+    neighbour = await parts.engines.wait_run(2)
+    neighbour.make(2)
+    await other.wait_events(2)
+    assert neighbour.target == run.target
+    return caller, task, run, neighbour, waiting
+
+
+@pytest.mark.parametrize("neighbour_first", (True, False))
+@pytest.mark.parametrize("ended", (True, False))
+def test_close_between_events_counts_only_if_the_target_lives(
+    ended, neighbour_first
+):
+    # A process that ends may close one connection between two events; another
+    # one that breaks in the same moment is a reason to ask whether it lives.
+    async def test(parts):
+        caller, task, run, neighbour, waiting = await start_two_streams(parts)
+        if ended:
+            parts.engines.ended.add(run.target)
+        for answer in (
+            (neighbour, run) if neighbour_first else (run, neighbour)
+        ):
+            answer.cut() if answer is neighbour else answer.end()
+        await asyncio.gather(task, waiting)
+        assert caller.aborted is ended and caller.finished is not ended
+        assert caller.numbers == [1, 2]
+        (line,) = [
+            line
+            for line in parts.read_lines("body_ended")
+            if line["cause"] == "close"
+        ]
+        assert line["target_failed"] is ended
+
+    play(test, "a")
+
+
+def test_close_between_events_counts_when_neighbours_go_on():
+    # Of a target whose other streams go on there is nothing to be asked.
+    async def test(parts):
+        caller, task, run, neighbour, waiting = await start_two_streams(parts)
+        run.end()
+        await task
+        assert caller.finished and not caller.aborted
+        assert parts.engines.probed == []
+        await finish(waiting, neighbour, 1)
+
+    play(test, "a")
+
+
+def test_close_between_events_does_not_count_after_a_restart():
+    # The next incarnation shows that the process has ended.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        run.end()
+        parts.restart(run.target, 5)
+        await task
+        assert caller.aborted and not caller.finished
+
+    play(test, "a")
+
+
 @pytest.mark.parametrize("path", ("/llm/x", "/resume/x"))
 def test_stream_without_any_event_is_lost(path):
     # A close after the head was an answer without events, and whole.
