Let targets of the soak answer without a length and break off

A new fault lets some targets answer without a length or chunks for 1 to 6 s and end three in ten of these streams inside an event, by an orderly close. Callers also ask on a route that may be resumed, and targets go on after an event. The rule was checked before: a stream that looks whole has its last event.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -26,7 +26,7 @@
 # Versions of the set of faults: a seed that reproduces a failure keeps its
 # set, since with another one it would draw other faults.
 FIRST_SET, RESTART_SET, COLD_SET, NEED_SET, REST_SET = range(1, 6)
-MISREPORT_SET, NEWEST_SET = 6, 7
+MISREPORT_SET, CUT_SET, NEWEST_SET = 6, 7, 8
 # Seconds after a link fault in which delayed requests may still arrive.
 DELAYED_SECONDS = 1.5
 # Seconds after the start of a voter without its data: those in which it is
@@ -76,6 +76,8 @@
             self._kinds += (self.misreport, self.misreport)
         if fault_set > MISREPORT_SET:
             self._kinds += (self.cut_off, self.cut_off)
+        if fault_set > CUT_SET:
+            self._kinds += (self.drop_lengths, self.drop_lengths)
         self._evacuation: asyncio.Task | None = None
         self._background: set[asyncio.Task] = set()
 
@@ -140,6 +142,18 @@
             if target.limit is None:
                 self._begin(self._name_limits(target))
 
+    async def drop_lengths(self) -> None:
+        """Let targets answer without a length, and break some streams off."""
+        count = self._rng.randint(1, len(self._soak.targets))
+        for target in self._rng.sample(self._soak.targets, count):
+            if not target.framing.lengthless:
+                self._begin(self._drop_lengths_of(target))
+
+    async def _drop_lengths_of(self, target: "SoakTarget") -> None:
+        target.framing.lengthless = True
+        await asyncio.sleep(self._rng.uniform(1.0, 6.0))
+        target.framing.lengthless = False
+
     async def misreport(self) -> None:
         """Let each target report its load in a manner of its own."""
         for target in self._soak.targets:
--- /dev/null
+++ b/soak/framing.py
@@ -0,0 +1,51 @@
+"""How a target of the soak delimits streams, and where it breaks them off."""
+
+import random
+
+from aiohttp import web
+import attrs
+
+# Share of the streams without a length that end inside an event.
+BREAK_SHARE = 0.3
+
+
+class CloseDelimitedResponse(web.StreamResponse):
+    """An answer that has neither a length nor chunks and ends by a close."""
+
+    # without this, the library adds chunks where no length is set
+    _length_check = False
+
+    def __init__(self, headers: dict[str, str]):
+        super().__init__(headers=headers)
+        self.force_close()
+
+
+@attrs.define
+class Framing:
+    """Draws how streams are delimited, and where they are broken off.
+
+    :param rng: random number generator of this target alone
+    :param lengthless: whether bodies have neither a length nor chunks
+    """
+
+    rng: random.Random
+    lengthless: bool = False
+
+    def make_response(self, headers: dict[str, str]) -> web.StreamResponse:
+        """Return the answer of a stream."""
+        if self.lengthless:
+            return CloseDelimitedResponse(headers)
+        return web.StreamResponse(headers=headers)
+
+    def draw_break(self, events: int) -> int | None:
+        """Return the event inside which a stream ends, ``None`` for none.
+
+        :param events: number of events of the whole stream
+        """
+        if not self.lengthless or self.rng.random() >= BREAK_SHARE:
+            return None
+        return self.rng.randint(1, events)
+
+    def cut_event(self, event: bytes) -> bytes:
+        """Return the part of an event after which a stream is broken off."""
+        return event[: self.rng.randint(0, len(event) - 1)] or event[:1]
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,6 +13,7 @@
 import attrs
 
 from soak.evacuationoperator import EvacuationOperator
+from soak.faults import CUT_SET
 from soak.faults import Faults
 from soak.faults import MISREPORT_SET
 from soak.faults import NEWEST_SET
@@ -44,13 +45,21 @@
 COLD_RATE = 5.0
 
 
+# Names of the routes whose requests may run more than once.
+REPEATABLE = ("again", "resume")
+# Kinds of requests that callers draw from.
+CALLS = ("once", "once", "again", "stream")
+CALLS_WITH_RESUMABLE = (*CALLS, "resume")
+STREAMS = ("stream", "resume")
+
+
 def make_config(version: int) -> dict:
     """Return a configuration with a route of each kind.
 
     :param version: version of the configuration
     """
     kinds = {"once": "non_idempotent", "again": "idempotent"}
-    kinds["stream"] = "streaming"
+    kinds["stream"] = kinds["resume"] = "streaming"
     routes = [
         {
             "name": name,
@@ -60,7 +69,8 @@
             "timeout-ms": 3000,
             "slo-ms": 300,
             "service": "s",
-            "max-attempts": 2 if name == "again" else 1,
+            "max-attempts": 2 if name in REPEATABLE else 1,
+            "resumable": name == "resume",
         }
         for name, kind in kinds.items()
     ]
@@ -146,6 +156,7 @@
         self.number = 0
         self.stopping_entry: Process | None = None
         self._exempt_until: dict[str, float] = {}
+        self._calls = CALLS_WITH_RESUMABLE if kinds > CUT_SET else CALLS
         self.faults = Faults(self, kinds)
 
     def _link_entries(self, base: str) -> None:
@@ -252,7 +263,7 @@
         while True:
             self.number += 1
             identity = f"r{caller}-{self.number}"
-            kind = self.rng.choice(("once", "once", "again", "stream"))
+            kind = self.rng.choice(self._calls)
             entry = self.rng.choice(self.entries)
             began, served = time.monotonic(), False
             try:
@@ -280,7 +291,7 @@
         }
         url = f"http://{entry.ip}:8740/{kind}/{identity}"
         async with session.post(url, data=b"x", headers=headers) as answer:
-            if kind != "stream" or answer.status != 200:
+            if kind not in STREAMS or answer.status != 200:
                 body = await answer.read()
                 self.checker.record_answer(identity, answer.status, body)
                 return answer.status == 200
--- a/soak/target.py
+++ b/soak/target.py
@@ -12,6 +12,7 @@
 from aiohttp import web
 
 from soak.coldchecker import ColdChecker
+from soak.framing import Framing
 from soak.invariantchecker import InvariantChecker
 from soak.invariantchecker import make_expected_body
 from soak.loadreporter import LoadReporter
@@ -24,6 +25,7 @@
 EVENT_COUNT = 20
 # Paths of the routes whose requests may run more than once.
 REPEATABLE_PATHS = ("/again/", "/resume/")
+STREAM_PATHS = ("/stream/", "/resume/")
 INITIAL_SEQUENCE = 10_000
 # Seconds after the first announcement of a rate limit from which it holds for
 # all entries, including those that had a fault at the announcement.
@@ -73,6 +75,7 @@
         self._cold = ColdChecker(checker.violations)
         self.signals = SignalChecker(violations=checker.violations)
         self.load = LoadReporter(random.Random(address))
+        self.framing = Framing(random.Random(address))
         self.limit: float | None = None
         self.arrivals: list[float] = []
         self._limit_known_at: float | None = None
@@ -246,8 +249,8 @@
             self._checker.record_run(identity)
         if fault_mode == "silent":
             await asyncio.sleep(60)
-        if request.path.startswith("/stream/"):
-            response = web.StreamResponse(headers=echo)
+        if request.path.startswith(STREAM_PATHS):
+            response = self.framing.make_response(echo)
             with contextlib.suppress(ConnectionError):
                 await self._stream(request, response, fault_mode)
             return response
@@ -270,14 +273,19 @@
 
     async def _stream(self, request, response, fault_mode) -> None:
         await response.prepare(request)
-        for number in range(1, EVENT_COUNT + 1):
+        broken_at = self.framing.draw_break(EVENT_COUNT)
+        first = int(request.headers.get("Last-Event-Id") or 0) + 1
+        for number in range(first, EVENT_COUNT + 1):
             if fault_mode == "reset" and number == EVENT_COUNT // 2:
                 await response.write(b"id: 10\nda")
                 request.transport.abort()
                 return
             text = "end" if number == EVENT_COUNT else "part"
-            event = f"id: {number}\ndata: {text}\n\n"
-            await response.write(event.encode())
+            event = f"id: {number}\ndata: {text}\n\n".encode()
+            if number == broken_at:
+                await response.write(self.framing.cut_event(event))
+                break
+            await response.write(event)
             await asyncio.sleep(SERVICE_SECONDS / 2)
         await response.write_eof()
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 from soak.blocks import reserve_block
 from soak.faults import COLD_SET
+from soak.faults import CUT_SET
 from soak.faults import FIRST_SET
 from soak.faults import MISREPORT_SET
 from soak.faults import NEED_SET
@@ -28,7 +29,8 @@
     13: (REST_SET, 8.0),
     523424707: (REST_SET, 14.0),
     14: (MISREPORT_SET, 8.0),
-    16: (NEWEST_SET, 8.0),
+    16: (CUT_SET, 8.0),
+    17: (NEWEST_SET, 8.0),
 }
 
 
@@ -43,6 +45,16 @@
     assert seen.answered > 50 and seen.acknowledged > 0
 
 
+def test_streams_without_a_length_are_whole_or_broken_off(tmp_path):
+    # A stream that ended inside an event looked whole to its caller.
+    with reserve_block() as block:
+        soak = Soak(18, tmp_path, block)
+        soak.faults.keep_only("drop_lengths")
+        seen = asyncio.run(soak.run(6.0))
+    assert seen.violations == []
+    assert seen.answered > 50 and seen.failed > 0
+
+
 def test_restarted_targets_are_used(tmp_path):
     # Restarted targets got no requests.
     with reserve_block() as block:
