Look for ends of bytes that are taken for ends of messages

Mended here: a plain answer without a length, whose target has just failed (started again, or refuses connections in the moment in which another of its connections broke), is no success any more; before, each orderly close was. Test without a network, which fails before (200).

--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -390,11 +390,18 @@
         parts = []
         while data := await answer.read():
             parts.append(data)
+        if answer.status < 300 and not answer.facts.framed:
+            await self._check_closed(target)
         answer.release()
         if run is not None:
             self.runs.abandon(run)
         return StartedAnswer(target, answer, b"".join(parts))
 
+    async def _check_closed(self, target: Target) -> None:
+        """Refuse a body without a length if its target has just failed."""
+        if await self.witness.has_failed(target):
+            raise BrokenAnswerError("the target failed as it closed")
+
     def _build_options(
         self, plan: Plan, assignment: Assignment
     ) -> SendOptions:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
@@ -143,6 +143,29 @@
     play(test, "a")
 
 
+@pytest.mark.parametrize("ended", (True, False))
+def test_plain_body_counts_only_if_its_target_lives(ended):
+    # A plain body has no events, so only what else the target does can tell.
+    async def test(parts):
+        parts.engines.facts = WITHOUT_LENGTH
+        caller, task = parts.start(make_request("/plain/x"))
+        run = await parts.engines.wait_run(1)
+        run.make(0, "half of it")
+        parts.dispatcher.witness.note_break(parts.table.get(run.target))
+        if ended:
+            parts.engines.ended.add(run.target)
+        run.end()
+        if not ended:
+            await task
+            assert caller.status == 200 and caller.data == b"half of it"
+            return
+        with pytest.raises(RequestError) as caught:
+            await task
+        assert caught.value.failure.kind is ErrorKind.TARGET_FAILED
+
+    play(test, "a")
+
+
 @pytest.mark.parametrize("path", ("/llm/x", "/resume/x"))
 def test_stream_without_any_event_is_lost(path):
     # A close after the head was an answer without events, and whole.
