Read the version of targets' software and say it in the log

An announcement's version is decoded in platform/, kept with the target's incarnation, told by voters to entries and each other, and kept on their disks beside the records, so that an earlier release still reads the file. A relay of an earlier release drops it; what is known of the incarnation stays then. target_known, placed and gone_on tell it. Nothing decides by it yet. A field of another type, an empty or an over-long one invalidates the announcement, as with the others; one without the field is unknown.

Tests: decoding, merging in either order, the next incarnation, files of earlier releases and a restart of all voters.

--- a/packages/gateway/src/chivepier/gateway/control/registry.py
+++ b/packages/gateway/src/chivepier/gateway/control/registry.py
@@ -163,6 +163,7 @@
             address=target.address,
             state=target.state.value,
             number=target.number,
+            software=target.software_version,
         )
         record = pack_target(target, self._clock.monotonic())
         notice = TargetNotice((record,))
--- a/packages/gateway/src/chivepier/gateway/control/statecache.py
+++ b/packages/gateway/src/chivepier/gateway/control/statecache.py
@@ -77,10 +77,15 @@
             self._log.warn("known_state_unread", error=repr(error))
             return None
         now = self._clock.monotonic()
+        # Files of earlier releases contain none of these fields, or two.
+        endings, orders, versions = (*rest, (), (), ())[:3]
+        software = {(name, born): version for name, born, version in versions}
         for fields in targets:
-            self._table.put(unpack_target(TargetRecord(*fields), now))
-        # Files of earlier releases contain neither of these two fields.
-        endings, orders = (*rest, (), ())[:2]
+            target = unpack_target(TargetRecord(*fields), now)
+            target.software_version = software.get(
+                (target.instance, target.born), ""
+            )
+            self._table.put(target)
         for zone, index, evacuated in orders:
             order = ZoneOrder(zone, index, evacuated, now)
             self._table.zones.put(order)
@@ -148,6 +153,12 @@
             (order.zone, order.index, order.evacuated)
             for order in self._table.zones.orders
         ]
+        # apart from the records, which earlier releases read by their length
+        versions = [
+            (target.instance, target.born, target.software_version)
+            for target in self._table
+        ]
+        state = (targets, endings, orders, versions)
         if config is None:
-            return (-1, b"", targets, endings, orders)
-        return (config.version, config.body, targets, endings, orders)
+            return (-1, b"", *state)
+        return (config.version, config.body, *state)
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_statecache.py
@@ -0,0 +1,74 @@
+"""Tests of the state that a voter keeps on disk."""
+
+import asyncio
+import os
+
+import cbor2
+import pytest
+
+from chivepier.gateway.control.statecache import FILE_NAME
+from chivepier.gateway.control.statecache import StateCache
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.quarantine import CrashLedger
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetState
+from chivepier.gateway.targets import TargetTable
+from chivepier.state.records import pack_record
+from chivepier.types import SystemClock
+
+
+class NoConfig:
+    """Stands for a store without a committed configuration."""
+
+    def find_committed(self) -> None:
+        """Return no configuration."""
+
+
+def make_cache(folder) -> tuple[StateCache, TargetTable]:
+    """Return a cache of a folder, and the targets that it keeps."""
+    table = TargetTable(1.0)
+    log = EventLog("v1", os.open(os.devnull, os.O_WRONLY))
+    return StateCache(folder, table, CrashLedger(), SystemClock(), log), table
+
+
+def make_target() -> Target:
+    """Return a target that tells the version of its software."""
+    return Target(
+        instance="i1",
+        service="s",
+        address="a:1",
+        zone="z",
+        state=TargetState.READY,
+        number=1,
+        slots=4,
+        heard=0.0,
+        born=5,
+        software_version="v1",
+    )
+
+
+def test_versions_of_software_survive_a_restart_of_all(tmp_path):
+    # Without them, no stream could go on after a restart of all voters.
+    async def work():
+        cache, table = make_cache(tmp_path)
+        table.put(make_target())
+        task = asyncio.create_task(cache.run(NoConfig()))
+        while not (tmp_path / FILE_NAME).exists():
+            await asyncio.sleep(0.01)
+        task.cancel()
+
+    asyncio.run(work())
+    cache, table = make_cache(tmp_path)
+    cache.load()
+    assert table.get("i1").software_version == "v1"
+
+
+@pytest.mark.parametrize("rest", [(), ([], []), ([], [], [])])
+def test_file_of_an_earlier_release_is_read(tmp_path, rest):
+    # Earlier files have fewer fields, and none has versions.
+    fields = ("i1", "s", "a:1", "z", "ready", 1, 4, 0.0, 0.0, 5)
+    data = pack_record(cbor2.dumps((-1, b"", [fields], *rest)))
+    (tmp_path / FILE_NAME).write_bytes(data)
+    cache, table = make_cache(tmp_path)
+    cache.load()
+    assert table.get("i1").software_version == ""
--- a/packages/gateway/src/chivepier/gateway/following/records.py
+++ b/packages/gateway/src/chivepier/gateway/following/records.py
@@ -23,6 +23,7 @@
         max(0.0, target.warm_at - now),
         max(0.0, now - target.heard),
         target.born,
+        target.software_version,
     )
 
 
@@ -45,4 +46,5 @@
         # 0 means warm; adding the clock would make the target look cold
         warm_at=now + record.warming if record.warming else 0.0,
         born=record.born,
+        software_version=record.software_version,
     )
--- a/packages/gateway/src/chivepier/gateway/following/voterclient.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterclient.py
@@ -387,6 +387,7 @@
                     state=record.state,
                     number=record.number,
                     age=round(record.age, 3),
+                    software=record.software_version,
                 )
 
     def _select_voter(self) -> None:
--- a/packages/gateway/src/chivepier/gateway/messages/targetrecord.py
+++ b/packages/gateway/src/chivepier/gateway/messages/targetrecord.py
@@ -10,6 +10,7 @@
     ``born`` is the target's start in Unix milliseconds, and ``number`` orders
     the announcements since. ``age`` is the number of seconds since the
     announcement, sent as an age because clocks of nodes differ.
+    ``software_version`` is empty if the sender does not know it.
     """
 
     instance: str
@@ -22,3 +23,4 @@
     warming: float
     age: float
     born: int = 0
+    software_version: str = ""
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -296,6 +296,7 @@
             "placed",
             id=plan.request.id,
             target=target.instance,
+            software=target.software_version,
             ms=round(1000 * (now - plan.request.arrived)),
             heard_ms=round(1000 * (now - target.heard)),
             reserved=assignment.reservation is not None,
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -389,6 +389,8 @@
             id=run.request.id,
             source=run.target.instance,
             target=handoff.target.instance,
+            source_software=run.target.software_version,
+            software=handoff.target.software_version,
             after=run.last_event_number,
             moved=handoff.origin is not None,
             **describe_forecast(
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -273,7 +273,12 @@
             await self.changed.wait()
 
 
-def make_target(name: str, service: str = "llm", zone: str = "a") -> Target:
+def make_target(
+    name: str,
+    service: str = "llm",
+    zone: str = "a",
+    software_version: str = "v1",
+) -> Target:
     """Create a ready target."""
     return Target(
         instance=name,
@@ -284,4 +289,5 @@
         number=1,
         slots=4,
         heard=1e12,
+        software_version=software_version,
     )
--- a/packages/gateway/src/chivepier/gateway/targets/target.py
+++ b/packages/gateway/src/chivepier/gateway/targets/target.py
@@ -16,6 +16,8 @@
     :param heard: monotonic time at which it was last known alive, in seconds
     :param warm_at: monotonic time from which on it runs at full speed, in
         seconds
+    :param software_version: version of its software, which has no order and
+        is not that of its weights; empty if it is not known
     :param announced_at: monotonic time of this announcement, in seconds
     """
 
@@ -29,6 +31,7 @@
     heard: float
     warm_at: float = 0.0
     born: int = 0
+    software_version: str = ""
     announced_at: float = attrs.Factory(
         lambda self: self.heard, takes_self=True
     )
--- a/packages/gateway/src/chivepier/gateway/targets/targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/targettable.py
@@ -75,6 +75,9 @@
             if known.state is TargetState.GONE:
                 return False
             target.heard = max(target.heard, known.heard)
+            # nodes of an earlier release drop the version of the software
+            version = target.software_version or known.software_version
+            target.software_version = known.software_version = version
             if target.number == known.number and target.state is known.state:
                 known.heard = target.heard
                 return False
--- a/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/tests/test_targettable.py
@@ -5,6 +5,7 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
+import pytest
 
 from chivepier.gateway.following import pack_target
 from chivepier.gateway.following import unpack_target
@@ -57,6 +58,28 @@
     assert not table.select("s", 0.0)
 
 
+@pytest.mark.parametrize("versions", [("v1", ""), ("", "v1"), ("v1", "v1")])
+@pytest.mark.parametrize("number", (1, 2))
+def test_version_of_software_is_kept_when_a_relay_drops_it(versions, number):
+    # A voter of an earlier release relays announcements without the version.
+    table = TargetTable(1.0)
+    for sequence, version in zip((1, number), versions):
+        target = make(number=sequence)
+        target.software_version = version
+        table.put(target)
+    assert table.get("i1").software_version == "v1"
+
+
+def test_version_of_software_is_that_of_the_incarnation():
+    # The next incarnation under a name may run other software, or tell none.
+    table = TargetTable(1.0)
+    for born, version in ((1, "v1"), (2, "v2"), (3, "")):
+        target = make(born=born)
+        target.software_version = version
+        table.put(target)
+        assert table.get("i1").software_version == version
+
+
 def test_instance_that_leaves_does_not_become_ready_again():
     table = TargetTable(1.0)
     table.put(make(number=1, state=LEAVING))
--- a/soak/target.py
+++ b/soak/target.py
@@ -70,6 +70,7 @@
         self._rng = rng
         self.instance = f"i-{secrets.token_hex(4)}"
         self.zone = "z"
+        self.software_version = "v1"
         self.log: RunLog | None = None
         self.is_evacuated: IsEvacuated = lambda zone: False
         self._cold = ColdChecker(checker.violations)
@@ -195,6 +196,7 @@
             "service": "s",
             "address": self._announced,
             "zone": self.zone,
+            "version": self.software_version,
             "slots": SLOTS,
             "state": "ready",
             "seq": self._sequence,
--- a/tests/adapter/rawtarget.py
+++ b/tests/adapter/rawtarget.py
@@ -58,6 +58,7 @@
             number=1,
             slots=1,
             heard=0.0,
+            software_version="v1",
         )
 
 
--- a/tests/adapter/test_announcement.py
+++ b/tests/adapter/test_announcement.py
@@ -49,11 +49,13 @@
     assert (target.number, target.slots) == (4, 24)
     assert (target.heard, target.warm_at) == (100.0, 100.5)
     assert target.born == 1700000000000
+    assert target.software_version == "v1"
 
 
 def test_start_of_incarnation_is_optional():
     fields = {name: ANNOUNCEMENT[name] for name in REQUIRED_FIELDS}
     assert decode(fields).born == 0
+    assert decode(fields).software_version == ""
 
 
 @pytest.mark.parametrize("name", REQUIRED_FIELDS)
@@ -82,6 +84,10 @@
         ("slots", None),
         ("service", ""),
         ("service", 7),
+        ("version", 7),
+        ("version", None),
+        ("version", ""),
+        ("version", "v" * 1000),
         ("zone", 7),
         ("zone", "z" * 1000),
         ("address", "10.0.0.1"),
@@ -129,6 +135,7 @@
         "address": target.address,
         "zone": target.zone,
         "slots": target.slots,
+        "version": target.software_version,
         "seq": target.number,
         "born": target.born,
     }
