Add failing tests of streams that go on at another version

Real entries and voters, two versions side by side, callers that take broken streams up at another entry.

The soak's targets tell a version and write it into their events; the route for resumable streams stood twice in its configuration's code, and does no more.

--- a/packages/gateway/src/chivepier/gateway/forwarding/records.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/records.py
@@ -63,6 +63,7 @@
         length_hint=NONE if hint is None else hint,
         has_last_event=request.last_event is not None,
         last_event=request.last_event or "",
+        resumes=request.resumes or "",
     )
 
 
@@ -93,6 +94,7 @@
         deadline=now + message.left,
         prompt=prompt,
         last_event=message.last_event if message.has_last_event else None,
+        resumes=message.resumes or None,
     )
 
 
--- a/packages/gateway/src/chivepier/gateway/messages/forwardrequest.py
+++ b/packages/gateway/src/chivepier/gateway/messages/forwardrequest.py
@@ -14,6 +14,9 @@
     targets that may have run it. ``prompt_tokens``, ``max_output`` and
     ``length_hint`` are the sizes of a generation, -1 if not given, and
     ``has_key`` and ``has_last_event`` tell a missing text from an empty one.
+    ``resumes`` is the attempt that began the stream which the request goes on
+    with, and ``software_version`` that of the targets that may do so; both are
+    empty if there is none, or if it is not known.
     """
 
     entry: str
@@ -35,3 +38,5 @@
     length_hint: int
     has_last_event: bool
     last_event: str
+    resumes: str = ""
+    software_version: str = ""
--- a/packages/gateway/src/chivepier/gateway/serving/callerrequest.py
+++ b/packages/gateway/src/chivepier/gateway/serving/callerrequest.py
@@ -21,6 +21,8 @@
     :param deadline: monotonic time in seconds when the caller stops waiting
     :param prompt: size of the generation; ``None`` for other requests
     :param last_event: id of the event after which a stream is to continue
+    :param resumes: id of the caller's attempt that brought the first event of
+        that stream
     """
 
     id: str
@@ -35,3 +37,4 @@
     deadline: float
     prompt: Prompt | None = None
     last_event: str | None = None
+    resumes: str | None = None
--- a/soak/brittlescenario.py
+++ b/soak/brittlescenario.py
@@ -8,10 +8,10 @@
 
 from soak.brittletarget import BrittleTarget
 from soak.cluster import Cluster
-from soak.cluster import make_resumable_config
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
 from soak.reply import Reply
+from soak.run import make_config
 
 TARGETS = 4
 # Refusals within a second that a target bears.
@@ -50,7 +50,7 @@
     @contextlib.asynccontextmanager
     async def run(self):
         """Run the cluster until the context is left."""
-        async with self.start(make_resumable_config()) as session:
+        async with self.start(make_config(1)) as session:
             for entry in self.entries:
                 while (await self._send(session, entry)).status != 200:
                     await asyncio.sleep(0.1)
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -13,7 +13,6 @@
 from soak.process import Process
 from soak.process import run_all
 from soak.reply import Reply
-from soak.run import make_config
 from soak.runlog import RunLog
 from soak.target import SoakTarget
 
@@ -124,19 +123,3 @@
         reply = Reply(now, status, now - began, seconds, reason)
         self.log.write_reply(headers[REQUEST_ID], entry.ip, reply)
         return reply
-
-
-def make_resumable_config() -> dict:
-    """Return a configuration with a route for resumable streams."""
-    config = make_config(1)
-    stream = next(r for r in config["routes"] if r["name"] == "stream")
-    config["routes"].append(
-        {
-            **stream,
-            "name": "resume",
-            "path-prefix": "/resume/",
-            "resumable": True,
-            "max-attempts": 2,
-        }
-    )
-    return config
--- a/soak/crashscenario.py
+++ b/soak/crashscenario.py
@@ -14,9 +14,9 @@
 
 from soak.cluster import CALLER_PORT
 from soak.cluster import Cluster
-from soak.cluster import make_resumable_config
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
+from soak.run import make_config
 from soak.target import SoakTarget
 
 CRASHING_BODY = b"what no target survives"
@@ -124,7 +124,7 @@
     @contextlib.asynccontextmanager
     async def run(self):
         """Run the cluster until the context is left."""
-        async with self.start(make_resumable_config()) as session:
+        async with self.start(make_config(1)) as session:
             while (
                 await self.send_request(session, self.entries[0], "sound")
                 != 200
--- a/soak/cutscenario.py
+++ b/soak/cutscenario.py
@@ -10,10 +10,10 @@
 import attrs
 
 from soak.cluster import Cluster
-from soak.cluster import make_resumable_config
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
 from soak.reply import Reply
+from soak.run import make_config
 from soak.target import SoakTarget
 from soak.targetlink import Cut
 from soak.targetlink import heal_all
@@ -97,7 +97,7 @@
                 for link in links:
                     await stack.enter_async_context(link)
             session = await stack.enter_async_context(
-                self.start(make_resumable_config())
+                self.start(make_config(1))
             )
             for entry in self.entries:
                 while (await self._send(session, entry, "once")).status != 200:
--- /dev/null
+++ b/soak/streamrecord.py
@@ -0,0 +1,56 @@
+"""What a caller got of one stream, over all its attempts."""
+
+import attrs
+
+EVENT_END = b"\n\n"
+
+
+@attrs.define
+class StreamRecord:
+    """Collects the events of a stream as a caller keeps them.
+
+    A caller keeps whole events only, and goes on after the last one.
+
+    :ivar first_attempt: id of the attempt that brought the first event
+    :ivar numbers: numbers of the events, in the order in which they came
+    :ivar versions: software versions of the targets that wrote them
+    :ivar whole: whether an attempt ended as a whole stream
+    """
+
+    first_attempt: str = ""
+    numbers: list[int] = attrs.field(factory=list)
+    versions: set[str] = attrs.field(factory=set)
+    whole: bool = False
+    _attempt: str = ""
+    _rest: bytes = b""
+
+    @property
+    def last_event(self) -> int:
+        """Number of the last event; 0 before the first."""
+        return self.numbers[-1] if self.numbers else 0
+
+    @property
+    def in_order(self) -> bool:
+        """Whether each event came once, in order."""
+        return self.numbers == list(range(1, len(self.numbers) + 1))
+
+    def begin_attempt(self, attempt: str) -> None:
+        """Begin another attempt; a part of an event is dropped."""
+        self._attempt, self._rest = attempt, b""
+
+    def feed(self, data: bytes) -> None:
+        """Add bytes of an answer."""
+        *events, self._rest = (self._rest + data).split(EVENT_END)
+        for event in events:
+            self._take(event.decode())
+
+    def _take(self, event: str) -> None:
+        fields = dict(line.split(": ", 1) for line in event.split("\n"))
+        if not self.numbers:
+            self.first_attempt = self._attempt
+        self.numbers.append(int(fields["id"]))
+        self.versions.add(fields[""])
+
+    def end(self) -> None:
+        """End the stream, as its framing tells."""
+        self.whole = True
--- a/soak/target.py
+++ b/soak/target.py
@@ -71,6 +71,7 @@
         self.instance = f"i-{secrets.token_hex(4)}"
         self.zone = "z"
         self.software_version = "v1"
+        self.event_seconds = SERVICE_SECONDS / 2
         self.log: RunLog | None = None
         self.is_evacuated: IsEvacuated = lambda zone: False
         self._cold = ColdChecker(checker.violations)
@@ -283,12 +284,13 @@
                 request.transport.abort()
                 return
             text = "end" if number == EVENT_COUNT else "part"
-            event = f"id: {number}\ndata: {text}\n\n".encode()
+            note = f": {self.software_version}"
+            event = f"id: {number}\n{note}\ndata: {text}\n\n".encode()
             if number == broken_at:
                 await response.write(self.framing.cut_event(event))
                 break
             await response.write(event)
-            await asyncio.sleep(SERVICE_SECONDS / 2)
+            await asyncio.sleep(self.event_seconds)
         await response.write_eof()
 
 
--- /dev/null
+++ b/soak/tests/test_versions.py
@@ -0,0 +1,39 @@
+"""Tests of targets of several software versions beside each other."""
+
+import asyncio
+
+import pytest
+
+from soak.blocks import reserve_block
+from soak.versionscenario import VersionScenario
+
+FAULT_SECONDS = 8.0
+
+
+@pytest.mark.parametrize("seed", (1, 2))
+@pytest.mark.parametrize(
+    "trouble", ("end_targets", "kill_entries", "change_over")
+)
+def test_no_stream_holds_events_of_two_versions(trouble, seed, tmp_path):
+    # Streams went on at targets of another version, whose events do not fit.
+    async def work(block: int):
+        scenario = VersionScenario(tmp_path, block, seed)
+        async with asyncio.timeout(60), scenario.run():
+            await getattr(scenario, trouble)(FAULT_SECONDS)
+        return scenario
+
+    with reserve_block() as block:
+        scenario = asyncio.run(work(block))
+    streams = scenario.streams
+    mixed = [s for s in streams if len(s.versions) > 1]
+    print(
+        f"{len(streams)} streams, {sum(s.whole for s in streams)} whole,"
+        f" {len(mixed)} mixed, {scenario.take_ups}"
+    )
+    assert len(streams) > 50
+    assert all(stream.in_order for stream in streams)
+    assert mixed == []
+    if trouble == "kill_entries":
+        # two targets of each version serve all the while
+        assert scenario.take_ups.sent > 5
+        assert scenario.take_ups.went_on > scenario.take_ups.sent / 2
--- /dev/null
+++ b/soak/versionscenario.py
@@ -0,0 +1,201 @@
+"""Targets of two software versions, and callers that take streams up."""
+
+import asyncio
+import contextlib
+import itertools
+import pathlib
+import secrets
+
+import aiohttp
+import attrs
+
+from soak.cluster import CALLER_PORT
+from soak.cluster import Cluster
+from soak.cluster import REQUEST_ID
+from soak.invariantchecker import InvariantChecker
+from soak.process import Process
+from soak.run import make_config
+from soak.streamrecord import StreamRecord
+from soak.target import SoakTarget
+
+VERSIONS = ("v1", "v2")
+TARGETS_PER_VERSION = 2
+CALLERS = 8
+# Attempts of a caller at one stream, and seconds between two of them.
+MAX_ATTEMPTS = 6
+RETRY_SECONDS = 0.15
+# Seconds between two events: streams last long enough to be broken off.
+EVENT_SECONDS = 0.04
+# Seconds between two faults, and for which a process is down.
+FAULT_SECONDS = 0.8
+DOWN_SECONDS = 0.4
+
+
+class VersionedTarget(SoakTarget):
+    """A target that starts again as another instance, after a crash."""
+
+    async def start_again(self, version: str) -> None:
+        """Start with some version of the software, as a new instance."""
+        self.software_version = version
+        self.instance = f"i-{secrets.token_hex(4)}"
+        await self.__aenter__()
+
+
+@attrs.define
+class TakeUps:
+    """Counts of streams that callers took up again.
+
+    :param sent: attempts to go on with a stream that had begun, which an
+        entry answered
+    :param went_on: those that brought a further event
+    """
+
+    sent: int = 0
+    went_on: int = 0
+
+
+class VersionScenario(Cluster):
+    """Runs entries, voters and targets of two versions side by side.
+
+    :param folder: directory for settings, data and logs
+    :param block: second byte of the loopback addresses
+    :param seed: seed of the random number generator
+    :param entries: number of entries
+    :ivar streams: what callers got of each stream
+    :ivar take_ups: how often callers took a stream up
+    """
+
+    def __init__(
+        self, folder: pathlib.Path, block: int, seed: int, entries: int = 4
+    ):
+        self.streams: list[StreamRecord] = []
+        self.take_ups = TakeUps()
+        self._ids = itertools.count(1)
+        count = TARGETS_PER_VERSION * len(VERSIONS)
+        super().__init__(
+            folder, block, seed, entries, count, self._make_target
+        )
+        for number, target in enumerate(self.targets):
+            target.software_version = VERSIONS[number % len(VERSIONS)]
+
+    def _make_target(self, address: str, controls, rng) -> VersionedTarget:
+        target = VersionedTarget(
+            address, address, controls, InvariantChecker(), rng
+        )
+        target.event_seconds = EVENT_SECONDS
+        return target
+
+    @contextlib.asynccontextmanager
+    async def run(self):
+        """Run the cluster with callers until the context is left."""
+        async with self.start(make_config(1)) as session:
+            for entry in self.entries:
+                await self._await_service(session, entry)
+            tasks = [
+                asyncio.create_task(self._call(session))
+                for _ in range(CALLERS)
+            ]
+            try:
+                yield session
+            finally:
+                for task in tasks:
+                    task.cancel()
+                await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _await_service(
+        self, session: aiohttp.ClientSession, entry: Process
+    ) -> None:
+        while True:
+            record = StreamRecord()
+            await self._attempt(session, entry, record)
+            if record.whole:
+                return
+            await asyncio.sleep(0.1)
+
+    async def _call(self, session: aiohttp.ClientSession) -> None:
+        while True:
+            record = StreamRecord()
+            self.streams.append(record)
+            for _ in range(MAX_ATTEMPTS):
+                taken_up = record.last_event
+                entry = self.rng.choice(self.entries)
+                answered = await self._attempt(session, entry, record)
+                if taken_up and answered:
+                    self.take_ups.sent += 1
+                    self.take_ups.went_on += record.last_event > taken_up
+                if record.whole:
+                    break
+                await asyncio.sleep(RETRY_SECONDS)
+
+    async def _attempt(
+        self,
+        session: aiohttp.ClientSession,
+        entry: Process,
+        record: StreamRecord,
+    ) -> bool:
+        """Begin a stream, or go on with it.
+
+        :returns: whether the entry answered
+        """
+        attempt = f"s{next(self._ids)}"
+        headers = {
+            "Host": "h.example",
+            REQUEST_ID: attempt,
+            "X-Api-Key": "k1",
+            "X-Chivepier-Deadline-Ms": "4000",
+        }
+        if record.last_event:
+            headers["Last-Event-ID"] = str(record.last_event)
+            headers["Resumes"] = record.first_attempt
+        url = f"http://{entry.ip}:{CALLER_PORT}/resume/x"
+        record.begin_attempt(attempt)
+        answered = False
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with session.post(url, data=b"x", headers=headers) as answer:
+                answered = True
+                if answer.status != 200:
+                    return answered
+                async for data in answer.content.iter_any():
+                    record.feed(data)
+                record.end()
+        return answered
+
+    async def end_targets(self, seconds: float) -> None:
+        """Let one target after the other crash and start again.
+
+        :param seconds: time for which to go on, in seconds
+        """
+        for _ in range(int(seconds / FAULT_SECONDS)):
+            target = self.rng.choice(self.targets)
+            target.crash()
+            await asyncio.sleep(DOWN_SECONDS)
+            await target.start_again(target.software_version)
+            await asyncio.sleep(FAULT_SECONDS - DOWN_SECONDS)
+
+    async def kill_entries(self, seconds: float) -> None:
+        """Kill one entry after the other, and start it again.
+
+        :param seconds: time for which to go on, in seconds
+        """
+        for _ in range(int(seconds / FAULT_SECONDS)):
+            entry = self.rng.choice(self.entries)
+            entry.end()
+            await asyncio.sleep(DOWN_SECONDS)
+            entry.start()
+            await asyncio.sleep(FAULT_SECONDS - DOWN_SECONDS)
+
+    async def change_over(self, seconds: float) -> None:
+        """Replace the targets one by one by such of the next version.
+
+        :param seconds: time for which to go on, in seconds
+        """
+        numbers = itertools.count(len(VERSIONS) + 1)
+        ends = int(seconds / FAULT_SECONDS)
+        while ends > 0:
+            version = f"v{next(numbers)}"
+            for target in self.targets:
+                target.crash()
+                await asyncio.sleep(DOWN_SECONDS)
+                await target.start_again(version)
+                await asyncio.sleep(FAULT_SECONDS - DOWN_SECONDS)
+                ends -= 1
