Let streams go on only at the version of software that began them

Cause: whoever chose a target for a run that had begun asked for room, zones and regions, and nobody for the build that had made what it goes on with; the announced version was not read at all. Class: work goes on with state that another build has made.

Which targets a request may be sent to is one value now (Eligibility: regions and version), asked by every choice: moves by copy, streams that go on after a loss, the rest that another entry does, streams that callers take up. A run is bound to the version of its first event; what has no event yet may begin anew anywhere. A destination that has started again under its name is refused before anything is sent.

A caller that takes a stream up is bound to the version that began it: by this entry's own notes, or because no target of the service has run another one within the last minute, as far as most voters tell. Not known is not any: otherwise it is refused at once, as not run. A target that tells no version has none in common with others. A route of several services goes on at the one that began.

--- a/packages/gateway/src/chivepier/gateway/forwarding/records.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/records.py
@@ -64,6 +64,7 @@
         has_last_event=request.last_event is not None,
         last_event=request.last_event or "",
         resumes=request.resumes or "",
+        software_version=request.software_version or "",
     )
 
 
@@ -95,6 +96,7 @@
         prompt=prompt,
         last_event=message.last_event if message.has_last_event else None,
         resumes=message.resumes or None,
+        software_version=message.software_version or None,
     )
 
 
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -35,6 +35,7 @@
     "reach",
     "forwards",
     "stream_ends",
+    "take_ups",
 )
 GAUGES = ("zones", "place_waiting")
 
@@ -117,6 +118,14 @@
         """
         self._record("stream_ends", (cause, taken_for), 1.0)
 
+    def record_take_up(self, source: str) -> None:
+        """Count a stream that a caller takes up.
+
+        :param source: who knew where it began: ``own``, ``only``, ``told`` or
+            ``unknown``
+        """
+        self._record("take_ups", (source,), 1.0)
+
     def record_move(self, outcome: str) -> None:
         """Count a copy of a running generation's memory by its outcome."""
         self._record("moves", (outcome,), 1.0)
@@ -310,6 +319,12 @@
             ("cause", "taken_for"),
             registry=registry,
         ),
+        "take_ups": library.Counter(
+            "chivepier_streams_taken_up",
+            "Streams that callers take up, by who knew where they began.",
+            ("source",),
+            registry=registry,
+        ),
         "moves": library.Counter(
             "chivepier_memory_copies",
             "Copies of live generations' memory.",
--- a/packages/gateway/src/chivepier/gateway/serving/callerrequest.py
+++ b/packages/gateway/src/chivepier/gateway/serving/callerrequest.py
@@ -23,6 +23,8 @@
     :param last_event: id of the event after which a stream is to continue
     :param resumes: id of the caller's attempt that brought the first event of
         that stream
+    :param software_version: version of the targets' software that the stream
+        goes on at, as another entry found it; ``None`` if none has
     """
 
     id: str
@@ -38,3 +40,4 @@
     prompt: Prompt | None = None
     last_event: str | None = None
     resumes: str | None = None
+    software_version: str | None = None
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/continuations.py
@@ -0,0 +1,177 @@
+"""Streams that callers take up, and the versions that they go on at."""
+
+import collections.abc
+
+import attrs
+
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.origins import Origin
+from chivepier.gateway.origins import OriginKey
+from chivepier.gateway.origins import OriginTable
+from chivepier.gateway.serving.plan import Plan
+from chivepier.gateway.serving.servingstate import ServingState
+from chivepier.gateway.targets import TargetTable
+from chivepier.types import Clock
+from chivepier.types import ErrorKind
+from chivepier.types import RequestError
+
+# Seconds for which it is kept where a stream began: longer than streams last.
+LIVE_SECONDS = 1200.0
+# The same after its end: its caller may have lost the last events.
+ENDED_SECONDS = 60.0
+# What a caller has that has got no event yet.
+NO_EVENTS = (None, "", "0")
+
+Publish = collections.abc.Callable[[Origin], None]
+Ask = collections.abc.Callable[
+    [OriginKey], collections.abc.Awaitable[Origin | None]
+]
+
+
+async def _ask_nobody(key: OriginKey) -> Origin | None:
+    return None
+
+
+class Continuations:
+    """Finds the version at which a stream may go on.
+
+    Targets do not check it: what another version adds does not fit to what a
+    caller has. So a stream of an unknown version goes on nowhere, unless
+    nothing but one version can have begun it.
+
+    :param targets: the known targets and their versions
+    :param state: the active configuration
+    :param clock: source of monotonic time
+    :param log: event log of this process
+    :param metrics: counts streams that callers take up
+    :ivar origins: where the streams of this entry began
+    :ivar publish: tells others where a stream began
+    :ivar ask: asks others where a stream began
+    :ivar is_informed: tells whether no version of a service can have been
+        missed
+    """
+
+    def __init__(
+        self,
+        targets: TargetTable,
+        state: ServingState,
+        clock: Clock,
+        log: EventLog,
+        metrics: Metrics,
+    ):
+        self.origins = OriginTable()
+        self.publish: Publish = lambda origin: None
+        self.ask: Ask = _ask_nobody
+        self.is_informed: collections.abc.Callable[[], bool] = lambda: True
+        self._targets = targets
+        self._state = state
+        self._clock = clock
+        self._log = log
+        self._metrics = metrics
+
+    def note_begun(self, plan: Plan, software_version: str) -> None:
+        """Note that the caller of a stream gets its first event.
+
+        :param plan: the plan of the request
+        :param software_version: version of the target that wrote it
+        """
+        self._note(plan, software_version, LIVE_SECONDS)
+
+    def note_ended(self, plan: Plan, software_version: str) -> None:
+        """Note that a stream has ended here, whole or not."""
+        self._note(plan, software_version, ENDED_SECONDS)
+
+    def _note(self, plan: Plan, software_version: str, seconds: float) -> None:
+        if not plan.repeatable or not software_version:
+            return
+        now = self._clock.monotonic()
+        origin = Origin(
+            _make_key(plan),
+            plan.service.name,
+            software_version,
+            now,
+            now + seconds,
+        )
+        self.origins.put(origin, now)
+        self.publish(origin)
+
+    async def bind(self, plan: Plan) -> Plan:
+        """Restrict a stream that a caller takes up to its version.
+
+        :param plan: the plan of any request
+        :returns: the plan of what may be sent
+        :raises RequestError: if it may not go on; it has not run
+        """
+        request = plan.request
+        takes_up = request.last_event not in NO_EVENTS
+        if not plan.route.streaming or not takes_up:
+            return plan
+        if plan.software_version is not None:
+            return plan
+        origin, source = await self._find(plan)
+        version = origin.software_version if origin else ""
+        self._metrics.record_take_up(source)
+        write = self._log.info if version else self._log.warn
+        write(
+            "stream_taken_up",
+            id=request.id,
+            resumes=request.resumes,
+            after=request.last_event,
+            software=version,
+            source=source,
+            age_ms=(
+                round(1000 * (self._clock.monotonic() - origin.noted_at))
+                if origin
+                else None
+            ),
+        )
+        if not version:
+            text = "the version that began this stream is not known"
+            raise RequestError.of(ErrorKind.NO_TARGET, text)
+        return attrs.evolve(
+            plan,
+            service=self._find_service(plan, origin),
+            software_version=version,
+        )
+
+    async def find_version(self, plan: Plan) -> str:
+        """Return the version that began a stream, empty if not known.
+
+        :param plan: the plan of a request whose caller has events of it
+        """
+        origin, _ = await self._find(plan)
+        return origin.software_version if origin else ""
+
+    async def _find(self, plan: Plan) -> tuple[Origin | None, str]:
+        """Return where a stream began, and who says so."""
+        now = self._clock.monotonic()
+        key = _make_key(plan)
+        origin = self.origins.find(key, now)
+        if origin is not None:
+            return origin, "own"
+        versions = self._targets.list_versions(plan.service.name)
+        if len(versions) == 1 and self.is_informed():
+            (version,) = versions
+            service = plan.service.name
+            return Origin(key, service, version, now, now), "only"
+        origin = await self.ask(key)
+        return origin, "unknown" if origin is None else "told"
+
+    def _find_service(self, plan: Plan, origin: Origin):
+        """Return the service that began a stream, if its route still has it.
+
+        A route may draw another of its services for each attempt.
+        """
+        index = self._state.index
+        names = {name for name, _ in plan.route.pools}
+        if index is None or origin.service not in names:
+            return plan.service
+        return index.services.get(origin.service, plan.service)
+
+
+def _make_key(plan: Plan) -> OriginKey:
+    request = plan.request
+    takes_up = request.last_event not in NO_EVENTS
+    attempt = request.resumes if takes_up else None
+    return OriginKey(plan.team or "", attempt or request.id)
--- a/packages/gateway/src/chivepier/gateway/serving/detour.py
+++ b/packages/gateway/src/chivepier/gateway/serving/detour.py
@@ -64,10 +64,15 @@
         :raises BrokenAnswerError: when its answer is incomplete
         :raises TimeoutError: when the deadline is over
         """
-        request = plan.request
+        request = attrs.evolve(
+            plan.request, software_version=plan.software_version
+        )
         if run is not None:
-            after = str(run.last_event_number)
-            request = attrs.evolve(request, last_event=after)
+            request = attrs.evolve(
+                request,
+                last_event=str(run.last_event_number),
+                software_version=run.software_version,
+            )
         seconds = plan.deadline - self._clock.monotonic()
         answer = None
         try:
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -9,6 +9,7 @@
 from chivepier.gateway.quarantine import shorten
 from chivepier.gateway.serving.assignment import Assignment
 from chivepier.gateway.serving.callpurpose import CallPurpose
+from chivepier.gateway.serving.continuations import Continuations
 from chivepier.gateway.serving.crashguard import CrashGuard
 from chivepier.gateway.serving.detour import Detour
 from chivepier.gateway.serving.endwitness import EndWitness
@@ -116,6 +117,7 @@
         self.detour = detour
         self.clock = clock
         self.log = log
+        self.continuations = Continuations(table, state, clock, log, metrics)
         self.witness = EndWitness(table, calls.probe, mover.count_runs, clock)
         self.runs = RunTracker(loads, mover, balancer, clock, queues)
         self._rejection = RejectionPolicy(table, clock, retry_after, log)
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.serving.handoff import Handoff
 from chivepier.gateway.serving.plan import Plan
+from chivepier.gateway.targets import Eligibility
 from chivepier.gateway.targets import Target
 
 # Factor by which a copy takes longer to another availability zone.
@@ -47,6 +48,9 @@
     :param aborted: whether :meth:`abort` was called at its current target
     :param forwarded: whether another entry serves it; then nothing is known
         of its targets here
+    :param software_version: version of the targets' software that wrote what
+        its caller has; ``None`` while that is nothing, empty if it is not
+        known
     :param wait_timeout: timeout of the current wait for its target
     """
 
@@ -68,6 +72,7 @@
     lost: asyncio.Event = attrs.field(factory=asyncio.Event)
     aborted: bool = False
     forwarded: bool = False
+    software_version: str | None = None
     wait_timeout: asyncio.Timeout | None = None
 
     @property
@@ -80,6 +85,21 @@
         """The service whose targets may run it."""
         return self.plan.service
 
+    @property
+    def eligibility(self) -> Eligibility:
+        """The targets at which it may go on, of its version once begun."""
+        if self.software_version is None:
+            return self.plan.eligibility
+        return Eligibility(self.plan.regions, self.software_version)
+
+    @property
+    def copy_eligibility(self) -> Eligibility:
+        """The targets that can use its KV cache, of the version that made it.
+
+        A run may be moved before its caller has its first event.
+        """
+        return Eligibility(self.plan.regions, self.target.software_version)
+
     @property
     def held_tokens(self) -> int:
         """Current size of its KV cache, in tokens."""
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -344,7 +344,7 @@
             run.counted_tokens,
             run.target,
             tried,
-            run.plan.regions,
+            run.copy_eligibility,
             None if last else run.plan.demand,
         )
 
--- a/packages/gateway/src/chivepier/gateway/serving/plan.py
+++ b/packages/gateway/src/chivepier/gateway/serving/plan.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.quarantine import digest_request
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.targets import Demand
+from chivepier.gateway.targets import Eligibility
 
 
 @attrs.frozen(kw_only=True)
@@ -19,6 +20,8 @@
     :param deadline: monotonic time until which it must be answered
     :param demand: size of the generation; ``None`` for other requests
     :param regions: regions it may be sent to; ``None`` for all
+    :param software_version: version of the targets' software, if it goes on
+        with a stream; ``None`` for any
     """
 
     request: CallerRequest
@@ -29,6 +32,12 @@
     deadline: float
     demand: Demand | None
     regions: frozenset[str] | None = None
+    software_version: str | None = None
+
+    @functools.cached_property
+    def eligibility(self) -> Eligibility:
+        """The targets that it may be sent to."""
+        return Eligibility(self.regions, self.software_version)
 
     @property
     def repeatable(self) -> bool:
--- a/packages/gateway/src/chivepier/gateway/serving/planner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/planner.py
@@ -56,6 +56,7 @@
             deadline=min(request.deadline, request.arrived + route.timeout),
             demand=_estimate_demand(request, route),
             regions=_find_regions(route, team),
+            software_version=request.software_version,
         )
 
     def _find_team(
--- a/packages/gateway/src/chivepier/gateway/serving/rejectionpolicy.py
+++ b/packages/gateway/src/chivepier/gateway/serving/rejectionpolicy.py
@@ -77,16 +77,29 @@
         """
         if refused and rounds < MAX_ROUNDS:
             return
+        if not runs and self._lacks_version(plan):
+            text = "no target runs the version that began this stream"
+            raise RequestError.of(ErrorKind.NO_TARGET, text)
         if not runs and self._is_barred_by_zone_rules(plan):
             text = "its targets' zones are evacuated, or not allowed for it"
             raise RequestError.of(ErrorKind.NO_TARGET, text)
         raise self.make_error(plan, runs, "no target has room")
 
+    def _lacks_version(self, plan: Plan) -> bool:
+        """Return whether a stream finds no target of its version."""
+        eligibility = plan.eligibility
+        return eligibility.software_version is not None and not any(
+            target.service == plan.service.name
+            and target.state is TargetState.READY
+            and eligibility.fits_version(target)
+            for target in self._table
+        )
+
     def _is_barred_by_zone_rules(self, plan: Plan) -> bool:
         """Return whether zone rules alone exclude all ready targets."""
         now = self._clock.monotonic()
         service = plan.service.name
-        if self._table.select(service, now, plan.regions):
+        if self._table.select(service, now, plan.eligibility):
             return False
         return any(
             target.service == service and target.state is TargetState.READY
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -100,6 +100,7 @@
         finally:
             run.ended = True
             run.lost.set()
+            self._note_ended(run)
             self._record_timing()
             self._dispatcher.log.info(
                 "stream_ended",
@@ -237,22 +238,37 @@
                 run.last_event_number = number
             fresh.append(event)
         if fresh:
-            await self._write(head, b"".join(fresh))
+            await self._write(head, run, b"".join(fresh))
 
-    async def _write(self, head: TargetAnswer, data: bytes) -> None:
+    async def _write(
+        self, head: TargetAnswer, run: LiveRun, data: bytes
+    ) -> None:
         if not self._head_sent:
             self._head_sent = True
+            self._note_begun(run)
             await self._caller.begin(head.status, head.headers, None)
         self._timing.record_write()
         await self._caller.write(data)
 
+    def _note_begun(self, run: LiveRun) -> None:
+        dispatcher = self._dispatcher
+        version = dispatcher.table.find_version(run.target)
+        run.software_version = version
+        dispatcher.continuations.note_begun(self._plan, version)
+
+    def _note_ended(self, run: LiveRun) -> None:
+        if run.software_version is not None:
+            self._dispatcher.continuations.note_ended(
+                self._plan, run.software_version
+            )
+
     async def _finish(
         self, head: TargetAnswer, run: LiveRun, remainder: bytes
     ) -> None:
         number = parse_event_number(remainder)
         if remainder and not run.has_relayed(number):
             # a last event that no empty line ends, as the target sent it
-            await self._write(head, remainder)
+            await self._write(head, run, remainder)
         if not self._head_sent:
             self._head_sent = True
             await self._caller.begin(head.status, head.headers, None)
@@ -265,6 +281,10 @@
         run.lost.set()
         # the run may continue there for a moment after its stream is closed
         started.answer.close()
+        if run.forwarded and run.software_version == "":
+            run.software_version = (
+                await self._dispatcher.continuations.find_version(self._plan)
+            )
         detour = self._dispatcher.detour
         was_needed = detour.is_needed(self._plan)
         if was_needed:
@@ -292,6 +312,8 @@
         dispatcher, plan = self._dispatcher, self._plan
         if not plan.repeatable or dispatcher.guard.is_held(plan):
             return None
+        if run.software_version == "":
+            return None
         if not dispatcher.take_retry(plan):
             return None
         dispatcher.release(started)
@@ -345,7 +367,7 @@
             service.engine,
             plan.demand,
             {run.target.instance},
-            plan.regions,
+            run.eligibility,
         )
         if target is None or not dispatcher.take_retry(plan):
             return None
@@ -358,6 +380,9 @@
         await dispatcher.gate.acquire_resume_permit(
             plan.service, handoff.target, plan.team or ""
         )
+        if not dispatcher.table.is_current(handoff.target):
+            # another incarnation has its name: its software may differ
+            raise NotSentError("the target has started again")
         options = SendOptions(
             seconds=plan.deadline - dispatcher.clock.monotonic(),
             team=plan.team,
--- a/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
@@ -193,6 +193,7 @@
         may_forward: bool = True,
     ) -> None:
         dispatcher = self._dispatcher
+        plan = await dispatcher.continuations.bind(plan)
         sent = await dispatcher.dispatch(plan, runs, may_forward)
         if sent.run is not None:
             await self._stream(plan, caller, sent)
--- a/packages/gateway/src/chivepier/gateway/serving/roomadvisor.py
+++ b/packages/gateway/src/chivepier/gateway/serving/roomadvisor.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.serving.teamshares import find_debtors
 from chivepier.gateway.serving.waitstage import compute_rank
 from chivepier.gateway.serving.waitstage import WaitStage
+from chivepier.gateway.targets import ANY_TARGET
 from chivepier.gateway.targets import ClassUsage
 from chivepier.gateway.targets import HoldEstimator
 from chivepier.gateway.targets import LoadBalancer
@@ -64,11 +65,11 @@
         service, now = plan.service, self._clock.monotonic()
         usages = self._queues.list_usage(service.name, now)
         rooms = self._balancer.list_free(
-            service.name, service.engine, plan.regions
+            service.name, service.engine, plan.eligibility
         )
         free = sum(rooms.values())
-        # what is kept in other regions isn't known
-        if plan.regions is None:
+        # what is kept at other targets isn't known
+        if plan.eligibility == ANY_TARGET:
             reserve = self._find_reserve(plan, usages, len(rooms))
             free -= reserve.tokens if reserve else 0.0
         seconds = self._holds.estimate(service.name, now)
--- a/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetassigner.py
@@ -24,6 +24,7 @@
 from chivepier.gateway.serving.waitstage import MAX_WAIT_OBJECTIVES
 from chivepier.gateway.serving.waitstage import may_await_fit
 from chivepier.gateway.serving.waitstage import WaitStage
+from chivepier.gateway.targets import ANY_TARGET
 from chivepier.gateway.targets import LoadBalancer
 from chivepier.gateway.targets import PaceSurvey
 from chivepier.gateway.targets import QueueTracker
@@ -169,8 +170,9 @@
         estimate = self._room.estimate_start(plan, rank + 1, ticket)
         self._room.note_wait_start(plan, estimate, ticket)
         left = self._compute_latest_start(plan) - now
-        # who waits for which regions isn't told
-        if plan.regions is not None or not estimate.is_beyond(left):
+        # who waits for which targets isn't told
+        restricted = plan.eligibility != ANY_TARGET
+        if restricted or not estimate.is_beyond(left):
             return
         roomy = self._rank_targets(plan, tried, exclude_full=True)
         if not self._room.select_roomy(plan, roomy, ticket):
@@ -188,7 +190,9 @@
         """
         service = plan.service.name
         while True:
-            pause = self._balancer.find_shortest_backoff(service, plan.regions)
+            pause = self._balancer.find_shortest_backoff(
+                service, plan.eligibility
+            )
             if pause is None:
                 return
             now = self._clock.monotonic()
@@ -269,7 +273,7 @@
         if not self._gate.has_limits:
             return None
         # includes targets being avoided, which announce no limit
-        found = self._balancer.select(plan.service.name, plan.regions)
+        found = self._balancer.select(plan.service.name, plan.eligibility)
         rates = self._gate.find_rates(found)
         if not rates or len(rates) < len(found):
             return None
@@ -395,7 +399,7 @@
         ahead = self._queues.count_ahead(service.name, rank, now)
         ahead += others + self._balancer.count_leaving(service.name)
         fitting = self._balancer.count_fitting(
-            service.name, service.engine, plan.demand, plan.regions
+            service.name, service.engine, plan.demand, plan.eligibility
         )
         return fitting > ahead
 
@@ -413,7 +417,7 @@
             plan.demand,
             tried,
             exclude_full=exclude_full,
-            regions=plan.regions,
+            eligibility=plan.eligibility,
             exclude_unfit=exclude_unfit,
         )
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
@@ -1,13 +1,22 @@
 """Tests of streams beside targets of several software versions."""
 
+import asyncio
+
 import pytest
 
+from chivepier.gateway.config import Repetition
 from chivepier.gateway.serving.tests.fakeengines import make_target
 from chivepier.gateway.serving.tests.parts import begin
+from chivepier.gateway.serving.tests.parts import fail
 from chivepier.gateway.serving.tests.parts import finish
 from chivepier.gateway.serving.tests.parts import make_request
+from chivepier.gateway.serving.tests.parts import make_route
 from chivepier.gateway.serving.tests.parts import play
 from chivepier.gateway.serving.tests.parts import wait_until
+from chivepier.gateway.targets import TargetState
+from chivepier.standins.loopclock import tell_time
+from chivepier.types import ErrorKind
+from chivepier.types import Ran
 
 
 def set_versions(parts, **versions: str) -> None:
@@ -135,3 +144,144 @@
             await finish(task, parts.engines.answers[-1], 1)
 
     play(test, "a", "b")
+
+
+async def begin_and_break(parts, **versions: str):
+    """Have a caller get two events of a stream at ``a``, and lose it."""
+    set_versions(parts, **versions)
+    caller, task, run = await begin_at(parts, "a", "/resume/x")
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+def take_up(path: str = "/resume/x", resumes: str | None = "r1", **changes):
+    """Return the request of a caller that goes on after its second event."""
+    return make_request(
+        path, id="r2", last_event="2", resumes=resumes, **changes
+    )
+
+
+def test_caller_goes_on_at_the_version_that_began_its_stream():
+    # A stream that its caller took up was sent to any target.
+    async def test(parts):
+        await begin_and_break(parts, a="v1", b="v2", c="v1", d="v2")
+        for number in range(2, 8):
+            caller, task = parts.start(take_up())
+            run = await parts.engines.wait_run(number)
+            assert run.target in ("a", "c")
+            await finish(task, run, 1)
+            assert caller.numbers == [3] and caller.finished
+        lines = parts.read_lines("stream_taken_up")
+        assert {(x["source"], x["software"]) for x in lines} == {("own", "v1")}
+
+    play(test, *"abcd")
+
+
+@pytest.mark.parametrize(
+    "request_of",
+    [
+        lambda: take_up(resumes="never-sent"),
+        lambda: take_up(resumes=None),
+        lambda: take_up(key="k2"),
+    ],
+    ids=("made-up", "none", "other-team"),
+)
+def test_stream_of_unknown_origin_is_refused_beside_two_versions(request_of):
+    # Not known is not any: a wrong guess would join what does not fit.
+    async def test(parts):
+        teams = (parts.make_team("t1", "k1"), parts.make_team("t2", "k2"))
+        parts.configure(version=2, teams=teams)
+        await begin_and_break(parts, a="v1", b="v2")
+        failure = await fail(parts, request_of())
+        assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
+        assert len(parts.engines.answers) == 1
+        (line,) = parts.read_lines("stream_taken_up")
+        assert line["source"] == "unknown"
+
+    play(test, "a", "b")
+
+
+def test_stream_of_unknown_origin_goes_on_where_all_run_one_version():
+    # Nothing but that version can have begun it.
+    async def test(parts):
+        caller, task = parts.start(take_up(resumes="elsewhere"))
+        run = await parts.engines.wait_run(1)
+        await finish(task, run, 1)
+        assert caller.numbers == [3] and caller.finished
+        (line,) = parts.read_lines("stream_taken_up")
+        assert line["source"] == "only"
+
+    play(test, "a", "b")
+
+
+def test_version_that_has_just_gone_may_have_begun_a_stream():
+    # A stream of a version whose last target is gone must not go on at others.
+    async def test(parts):
+        set_versions(parts, a="v1", b="v2")
+        gone = make_target("a", software_version="v1")
+        gone.number, gone.state = 9, TargetState.GONE
+        parts.table.put(gone)
+        failure = await fail(parts, take_up(resumes="elsewhere"))
+        assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
+
+    play(test, "a", "b")
+
+
+def test_entry_that_may_have_missed_a_version_guesses_none():
+    # An entry that hears few voters may not know of the newest targets.
+    async def test(parts):
+        parts.dispatcher.continuations.is_informed = lambda: False
+        failure = await fail(parts, take_up(resumes="elsewhere"))
+        assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
+
+    play(test, "a", "b")
+
+
+def test_id_of_two_streams_at_different_versions_names_neither():
+    # Callers choose the ids, and may use one again.
+    async def test(parts):
+        await begin_and_break(parts, a="v1", b="v2")
+        parts.engines.full = {"a"}
+        parts.table.mark_leaving("a", 0, 0.0)
+        caller, task = parts.start(make_request("/resume/x"))
+        run = await parts.engines.wait_run(2)
+        assert run.target == "b"
+        await finish(task, run, 1)
+        failure = await fail(parts, take_up())
+        assert failure.kind is ErrorKind.NO_TARGET
+
+    play(test, "a", "b")
+
+
+def test_stream_without_a_target_of_its_version_is_refused_at_once():
+    # It was refused after rounds over targets that it may not use.
+    async def test(parts):
+        await begin_and_break(parts, a="v1", b="v2")
+        parts.table.mark_leaving("a", 0, 0.0)
+        began = tell_time()
+        failure = await fail(parts, take_up())
+        assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
+        assert tell_time() - began < 0.01
+        assert len(parts.engines.answers) == 1
+
+    play(test, "a", "b")
+
+
+def test_stream_goes_on_at_the_service_that_began_it():
+    # A route may draw another of its services for each attempt.
+    async def test(parts):
+        pools = (("llm", 0.0), ("web", 1.0))
+        await begin_and_break(parts, a="v1", b="v2")
+        route = make_route(
+            prefix="/resume/",
+            repetition=Repetition.RESUMABLE,
+            attempts=2,
+            pools=pools,
+        )
+        parts.configure(version=2, routes=(route,))
+        caller, task = parts.start(take_up())
+        run = await parts.engines.wait_run(2)
+        assert run.target == "a"
+        await finish(task, run, 1)
+
+    play(test, "a", "b")
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -4,6 +4,8 @@
 from chivepier.gateway.targets.decodeestimator import DecodeEstimator
 from chivepier.gateway.targets.demand import Demand
 from chivepier.gateway.targets.demand import NEAR_TERM_OUTPUT_TOKENS
+from chivepier.gateway.targets.eligibility import ANY_TARGET
+from chivepier.gateway.targets.eligibility import Eligibility
 from chivepier.gateway.targets.fit import Fit
 from chivepier.gateway.targets.holdestimator import HoldEstimator
 from chivepier.gateway.targets.invalidreport import InvalidReport
@@ -36,6 +38,8 @@
     "ClassUsage",
     "DecodeEstimator",
     "Demand",
+    "ANY_TARGET",
+    "Eligibility",
     "Fit",
     "HoldEstimator",
     "InvalidReport",
--- a/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
+++ b/packages/gateway/src/chivepier/gateway/targets/loadbalancer.py
@@ -11,6 +11,8 @@
 from chivepier.gateway.targets.decodeestimator import DecodeEstimator
 from chivepier.gateway.targets.demand import Demand
 from chivepier.gateway.targets.destinationcost import DestinationCost
+from chivepier.gateway.targets.eligibility import ANY_TARGET
+from chivepier.gateway.targets.eligibility import Eligibility
 from chivepier.gateway.targets.fit import Fit
 from chivepier.gateway.targets.generationcost import GenerationCost
 from chivepier.gateway.targets.load import Load
@@ -153,7 +155,7 @@
         engine: Engine | None,
         demand: Demand | None,
         without: collections.abc.Collection[str] = (),
-        regions: collections.abc.Collection[str] | None = None,
+        eligibility: Eligibility = ANY_TARGET,
     ) -> Target | None:
         """Choose a target.
 
@@ -161,10 +163,12 @@
         :param engine: engine settings if the targets run generations
         :param demand: size of the generation, if one is to be started
         :param without: names of instances to exclude
-        :param regions: regions that the request may reach; ``None`` for all
+        :param eligibility: which targets the request may be sent to
         :returns: the target; ``None`` if there is no candidate
         """
-        ranked = self.rank(service, engine, demand, without, regions=regions)
+        ranked = self.rank(
+            service, engine, demand, without, eligibility=eligibility
+        )
         return ranked[0] if ranked else None
 
     def rank(
@@ -174,7 +178,7 @@
         demand: Demand | None,
         without: collections.abc.Collection[str] = (),
         exclude_full: bool = False,
-        regions: collections.abc.Collection[str] | None = None,
+        eligibility: Eligibility = ANY_TARGET,
         exclude_unfit: bool = False,
     ) -> list[Target]:
         """Return the targets, the best first; see :meth:`choose`.
@@ -183,12 +187,12 @@
         with room at which it would not.
 
         :param exclude_full: whether full targets are excluded
-        :param regions: regions that the request may reach; ``None`` for all
+        :param eligibility: which targets the request may be sent to
         :param exclude_unfit: whether targets at which the stream would pause
             for too long are excluded, unless it would at all
         """
         now = self._clock.monotonic()
-        found = self._select_available(service, now, regions)
+        found = self._select_available(service, now, eligibility)
         healthy = self._exclude_unhealthy(found, without, now)
         survey = PaceSurvey()
         if engine is not None:
@@ -232,7 +236,7 @@
         at, survey = self._surveys.get(service, (-math.inf, PaceSurvey()))
         if now - at <= SURVEY_SECONDS:
             return survey
-        found = self._select_available(service, now, None)
+        found = self._select_available(service, now, ANY_TARGET)
         return self._survey(service, found, now)
 
     def forecast(
@@ -276,15 +280,15 @@
         self,
         service: str,
         now: float,
-        regions: collections.abc.Collection[str] | None,
+        eligibility: Eligibility,
     ) -> list[Target]:
         """Return the targets without a backoff."""
         if not self._backoffs:
-            return self._table.select(service, now, regions)
+            return self._table.select(service, now, eligibility)
         return self._table.select(
             service,
             now,
-            regions,
+            eligibility,
             lambda target: self._find_delay(target, now) is None,
         )
 
@@ -300,39 +304,39 @@
     def select(
         self,
         service: str,
-        regions: collections.abc.Collection[str] | None = None,
+        eligibility: Eligibility = ANY_TARGET,
     ) -> list[Target]:
         """Return the targets that accept requests, including avoided ones.
 
         :param service: name of the service
-        :param regions: regions that the request may reach; ``None`` for all
+        :param eligibility: which targets the request may be sent to
         """
         return self._select_available(
-            service, self._clock.monotonic(), regions
+            service, self._clock.monotonic(), eligibility
         )
 
     def find_shortest_backoff(
         self,
         service: str,
-        regions: collections.abc.Collection[str] | None = None,
+        eligibility: Eligibility = ANY_TARGET,
     ) -> float | None:
         """Return the seconds until a target accepts requests again.
 
         :param service: name of the service
-        :param regions: regions that the request may reach; ``None`` for all
+        :param eligibility: which targets the request may be sent to
         :returns: ``None`` if any target accepts requests now, or if none is
             known
         """
         if not self._backoffs:
             return None
         now = self._clock.monotonic()
-        available = self._select_available(service, now, regions)
+        available = self._select_available(service, now, eligibility)
         if not all(self._is_lost(target, now) for target in available):
             return None
         resting = self._table.select(
             service,
             now,
-            regions,
+            eligibility,
             lambda target: self._find_delay(target, now) is not None,
         )
         pauses = (self._find_delay(target, now) for target in resting)
@@ -345,7 +349,7 @@
         tokens: int,
         source: Target,
         without: collections.abc.Collection[str] = (),
-        regions: collections.abc.Collection[str] | None = None,
+        eligibility: Eligibility = ANY_TARGET,
         demand: Demand | None = None,
     ) -> Target | None:
         """Choose the target that a generation's memory is copied to.
@@ -359,14 +363,13 @@
         :param tokens: size of the copy, in tokens
         :param source: current target; its availability zone is preferred
         :param without: names of instances to exclude
-        :param regions: regions that the generation may reach; ``None`` for
-            all
+        :param eligibility: which targets the generation may go on at
         :param demand: size of the generation, if the paces of targets matter
         :returns: the target; ``None`` if none has enough memory
         """
         now = self._clock.monotonic()
         costs = {}
-        found = self._select_available(service, now, regions)
+        found = self._select_available(service, now, eligibility)
         healthy = self._exclude_unhealthy(found, without, now)
         survey = self._survey(service, found, now)
         fits = self.pace_advisor.advise(
@@ -448,18 +451,18 @@
         service: str,
         engine: Engine,
         demand: Demand,
-        regions: collections.abc.Collection[str] | None = None,
+        eligibility: Eligibility = ANY_TARGET,
     ) -> int:
         """Count how many more generations of a size fit into memory.
 
         :param service: name of the service
         :param engine: engine settings of the targets
         :param demand: size of each generation
-        :param regions: regions that they may reach; ``None`` for all
+        :param eligibility: which targets they may be sent to
         """
         now = self._clock.monotonic()
         fitting = 0
-        for target in self._select_available(service, now, regions):
+        for target in self._select_available(service, now, eligibility):
             tokens = self._loads.get_total(target.instance, now).tokens
             spare = max(0.0, MAX_MEMORY_SHARE * engine.memory_tokens - tokens)
             fitting += int(spare // max(1, demand.near_term_tokens))
@@ -469,13 +472,13 @@
         self,
         service: str,
         engine: Engine,
-        regions: collections.abc.Collection[str] | None = None,
+        eligibility: Eligibility = ANY_TARGET,
     ) -> dict[str, float]:
         """Return the free memory of each target, in tokens.
 
         :param service: name of the service
         :param engine: engine settings of the targets
-        :param regions: regions of the targets; ``None`` for all
+        :param eligibility: which targets count
         """
         now = self._clock.monotonic()
         memory = MAX_MEMORY_SHARE * engine.memory_tokens
@@ -484,7 +487,7 @@
                 0.0,
                 memory - self._loads.get_total(target.instance, now).tokens,
             )
-            for target in self._select_available(service, now, regions)
+            for target in self._select_available(service, now, eligibility)
         }
 
     def count_leaving(self, service: str) -> int:
--- a/packages/gateway/src/chivepier/gateway/targets/targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/targettable.py
@@ -2,6 +2,8 @@
 
 import collections.abc
 
+from chivepier.gateway.targets.eligibility import ANY_TARGET
+from chivepier.gateway.targets.eligibility import Eligibility
 from chivepier.gateway.targets.target import Target
 from chivepier.gateway.targets.targetstate import TargetState
 from chivepier.gateway.zones import Zones
@@ -37,6 +39,7 @@
         self._targets: dict[str, Target] = {}
         self._leaving: dict[tuple[str, int], float] = {}
         self._answered_at: dict[str, float] = {}
+        self._versions: dict[str, frozenset[str]] = {}
         self._updated_at: float | None = None
         self._listening_since = float("-inf")
         self.watchers: list[Watcher] = []
@@ -77,6 +80,8 @@
             target.heard = max(target.heard, known.heard)
             # nodes of an earlier release drop the version of the software
             version = target.software_version or known.software_version
+            if version != known.software_version:
+                self._versions.clear()
             target.software_version = known.software_version = version
             if target.number == known.number and target.state is known.state:
                 known.heard = target.heard
@@ -84,6 +89,11 @@
             if known.state is TargetState.LEAVING:
                 self._keep_leaving(target)
         self._targets[target.instance] = target
+        if known is None or (known.service, known.software_version) != (
+            target.service,
+            target.software_version,
+        ):
+            self._versions.clear()
         before = known.state if known else None
         for watcher in self.watchers:
             watcher(target, before)
@@ -190,6 +200,33 @@
         known = self._targets.get(target.instance)
         return known is None or known.born == target.born
 
+    def find_version(self, target: Target) -> str:
+        """Return the version of a target's software, empty if not known.
+
+        :param target: the target as known when a request was sent to it
+        """
+        known = self._targets.get(target.instance)
+        if known is None or known.born != target.born:
+            return target.software_version
+        return known.software_version or target.software_version
+
+    def list_versions(self, service: str) -> frozenset[str]:
+        """Return the software versions that a service's targets run, or ran.
+
+        Targets count until they are dropped, some time after their end. An
+        empty version stands for those that are not known.
+
+        :param service: name of the service
+        """
+        found = self._versions.get(service)
+        if found is None:
+            found = self._versions[service] = frozenset(
+                target.software_version
+                for target in self._targets.values()
+                if target.service == service
+            )
+        return found
+
     def mark_gone(self, instance: str, address: str) -> None:
         """Mark an instance as gone if another one has its address.
 
@@ -207,7 +244,7 @@
         self,
         service: str,
         now: float,
-        regions: collections.abc.Collection[str] | None = None,
+        eligibility: Eligibility = ANY_TARGET,
         is_usable: IsUsable | None = None,
     ) -> list[Target]:
         """Return the targets of a service that accept new requests.
@@ -217,7 +254,7 @@
 
         :param service: name of the service
         :param now: current monotonic time, in seconds
-        :param regions: regions that the request may reach; ``None`` for all
+        :param eligibility: which targets the request may be sent to
         :param is_usable: selects among the targets; ``None`` for all
         :returns: the candidates
         """
@@ -226,7 +263,8 @@
             for target in self._targets.values()
             if target.service == service
             and target.state is TargetState.READY
-            and self.zones.is_allowed(target.zone, regions, now)
+            and self.zones.is_allowed(target.zone, eligibility.regions, now)
+            and eligibility.fits_version(target)
             and (is_usable is None or is_usable(target))
         ]
         return [t for t in usable if not self.is_unheard(t, now)] or usable
@@ -287,6 +325,7 @@
             kept = GONE_RETENTION_SECONDS if gone else SILENT_RETENTION_SECONDS
             if now - target.heard > kept:
                 del self._targets[target.instance]
+                self._versions.clear()
         for instance in self._answered_at.keys() - self._targets.keys():
             del self._answered_at[instance]
         for (instance, born), at in list(self._leaving.items()):
