Tell voters where streams began while versions stand side by side

As another version appears, each entry tells all streams that began at it, and then each new one with its first event, to three voters that the stream's id chooses; again to a voter that has started again. Voters keep the newest thousand on their disks, so that they survive the end of all processes. An entry that does not know a stream asks those three, 0.25 s at most.

Weighed: telling all entries (46,000 streams a second at the size to design for, to 430 of them); asking all entries (the one that knows has died); claims in the log (a write to a majority for each stream). Bounded: 20,000 streams a node, 5,000 that wait for a voter, the oldest go first; ids belong to their team; two streams that claim one id at different versions have none. Voters of an earlier release are not told.

Tests without a network: what is told when, voters that restart, hang or are lost, bounds.

--- a/packages/gateway/src/chivepier/gateway/control/statecache.py
+++ b/packages/gateway/src/chivepier/gateway/control/statecache.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 
+import attrs
 import cbor2
 
 from chivepier.gateway.control.configstore import ConfigStore
@@ -10,7 +11,11 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import pack_target
 from chivepier.gateway.following import unpack_target
+from chivepier.gateway.messages import OriginRecord
 from chivepier.gateway.messages import TargetRecord
+from chivepier.gateway.origins import OriginTable
+from chivepier.gateway.origins import pack_origin
+from chivepier.gateway.origins import unpack_origin
 from chivepier.gateway.quarantine import CrashLedger
 from chivepier.gateway.quarantine import Ending
 from chivepier.gateway.quarantine import Incarnation
@@ -25,6 +30,9 @@
 FILE_NAME = "known"
 # Targets change all the time, and each write costs a sync of the disk.
 MIN_WRITE_INTERVAL_SECONDS = 1.0
+# Streams whose beginning survives the end of all processes; each write holds
+# all of them.
+MAX_SAVED_ORIGINS = 1_000
 
 
 class StateCache:
@@ -41,6 +49,7 @@
     :param folder: data directory of the voter
     :param table: table of the targets
     :param ledger: records of requests that crash targets
+    :param origins: where streams began, of which the newest are saved
     :param clock: monotonic clock
     :param log: receives failures of reads and writes
     """
@@ -50,12 +59,14 @@
         folder: pathlib.Path,
         table: TargetTable,
         ledger: CrashLedger,
+        origins: OriginTable,
         clock: Clock,
         log: EventLog,
     ):
         self._folder = folder
         self._table = table
         self._ledger = ledger
+        self._origins = origins
         self._clock = clock
         self._log = log
         self._dirty = asyncio.Event()
@@ -78,7 +89,7 @@
             return None
         now = self._clock.monotonic()
         # Files of earlier releases contain none of these fields, or two.
-        endings, orders, versions = (*rest, (), (), ())[:3]
+        endings, orders, versions, origins = (*rest, (), (), (), ())[:4]
         software = {(name, born): version for name, born, version in versions}
         for fields in targets:
             target = unpack_target(TargetRecord(*fields), now)
@@ -86,6 +97,8 @@
                 (target.instance, target.born), ""
             )
             self._table.put(target)
+        for fields in origins:
+            self._origins.put(unpack_origin(OriginRecord(*fields), now), now)
         for zone, index, evacuated in orders:
             order = ZoneOrder(zone, index, evacuated, now)
             self._table.zones.put(order)
@@ -158,7 +171,9 @@
             (target.instance, target.born, target.software_version)
             for target in self._table
         ]
-        state = (targets, endings, orders, versions)
+        newest = list(self._origins)[-MAX_SAVED_ORIGINS:]
+        origins = [attrs.astuple(pack_origin(o, now)) for o in newest]
+        state = (targets, endings, orders, versions, origins)
         if config is None:
             return (-1, b"", *state)
         return (config.version, config.body, *state)
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_statecache.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_statecache.py
@@ -9,6 +9,9 @@
 from chivepier.gateway.control.statecache import FILE_NAME
 from chivepier.gateway.control.statecache import StateCache
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.origins import Origin
+from chivepier.gateway.origins import OriginKey
+from chivepier.gateway.origins import OriginTable
 from chivepier.gateway.quarantine import CrashLedger
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
@@ -16,6 +19,8 @@
 from chivepier.state.records import pack_record
 from chivepier.types import SystemClock
 
+KEY = OriginKey("t1", "a1")
+
 
 class NoConfig:
     """Stands for a store without a committed configuration."""
@@ -24,11 +29,14 @@
         """Return no configuration."""
 
 
-def make_cache(folder) -> tuple[StateCache, TargetTable]:
-    """Return a cache of a folder, and the targets that it keeps."""
-    table = TargetTable(1.0)
+def make_cache(folder) -> tuple[StateCache, TargetTable, OriginTable]:
+    """Return a cache of a folder, and the state that it keeps."""
+    table, origins = TargetTable(1.0), OriginTable()
     log = EventLog("v1", os.open(os.devnull, os.O_WRONLY))
-    return StateCache(folder, table, CrashLedger(), SystemClock(), log), table
+    cache = StateCache(
+        folder, table, CrashLedger(), origins, SystemClock(), log
+    )
+    return cache, table, origins
 
 
 def make_target() -> Target:
@@ -50,7 +58,9 @@
 def test_versions_of_software_survive_a_restart_of_all(tmp_path):
     # Without them, no stream could go on after a restart of all voters.
     async def work():
-        cache, table = make_cache(tmp_path)
+        cache, table, origins = make_cache(tmp_path)
+        now = SystemClock().monotonic()
+        origins.put(Origin(KEY, "s", "v1", now, now + 60.0), now)
         table.put(make_target())
         task = asyncio.create_task(cache.run(NoConfig()))
         while not (tmp_path / FILE_NAME).exists():
@@ -58,17 +68,21 @@
         task.cancel()
 
     asyncio.run(work())
-    cache, table = make_cache(tmp_path)
+    cache, table, origins = make_cache(tmp_path)
     cache.load()
     assert table.get("i1").software_version == "v1"
+    found = origins.find(KEY, SystemClock().monotonic())
+    assert (found.service, found.software_version) == ("s", "v1")
 
 
-@pytest.mark.parametrize("rest", [(), ([], []), ([], [], [])])
+@pytest.mark.parametrize(
+    "rest", [(), ([], []), ([], [], []), ([], [], [], [])]
+)
 def test_file_of_an_earlier_release_is_read(tmp_path, rest):
     # Earlier files have fewer fields, and none has versions.
     fields = ("i1", "s", "a:1", "z", "ready", 1, 4, 0.0, 0.0, 5)
     data = pack_record(cbor2.dumps((-1, b"", [fields], *rest)))
     (tmp_path / FILE_NAME).write_bytes(data)
-    cache, table = make_cache(tmp_path)
+    cache, table, _ = make_cache(tmp_path)
     cache.load()
     assert table.get("i1").software_version == ""
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -29,6 +29,8 @@
 from chivepier.gateway.messages import JoinRequest
 from chivepier.gateway.messages import LoadDigest
 from chivepier.gateway.messages import LoadNotice
+from chivepier.gateway.messages import OriginNotice
+from chivepier.gateway.messages import OriginRequest
 from chivepier.gateway.messages import PeerRecord
 from chivepier.gateway.messages import PermitRequest
 from chivepier.gateway.messages import QuarantineNotice
@@ -37,6 +39,7 @@
 from chivepier.gateway.messages import ZoneNotice
 from chivepier.gateway.messages import ZoneRecord
 from chivepier.gateway.messages import ZoneRequest
+from chivepier.gateway.origins import OriginKeeper
 from chivepier.gateway.settings import VoterSettings
 from chivepier.gateway.targets import TargetTable
 from chivepier.gateway.zones import pack_order
@@ -92,8 +95,14 @@
         self.table = TargetTable(settings.beat, self.zones)
         self.quarantine = QuarantineRelay(self._find_followers, clock, log)
         self.limits = LimitRelay(self._find_followers, clock, log)
+        self.origins = OriginKeeper(clock, self._save_origins)
         self._state_cache = StateCache(
-            settings.folder, self.table, self.quarantine.ledger, clock, log
+            settings.folder,
+            self.table,
+            self.quarantine.ledger,
+            self.origins.table,
+            clock,
+            log,
         )
         self.loads: LoadRelay | None = None
         self.replica: Replica | None = None
@@ -203,6 +212,10 @@
                 return self.store.handle(message)
             case ZoneRequest():
                 return self.orders.handle(message)
+            case OriginNotice():
+                return self.origins.receive(message)
+            case OriginRequest():
+                return self.origins.answer(message)
             case PermitRequest():
                 return self.permits.handle(message)
             case JoinRequest():
@@ -256,6 +269,7 @@
             self.limits.find_missing(beat, self.registry.epoch),
             peers,
             peers_revision,
+            keeps_origins=True,
         )
 
     def _find_peers(
@@ -275,6 +289,9 @@
         now = self._clock.monotonic()
         return tuple(pack_order(order, now) for order in self.zones.orders)
 
+    def _save_origins(self) -> None:
+        self._state_cache.mark_dirty()
+
     def knows_zone(self, zone: str) -> bool:
         """Tell whether the settings or any target contain a zone."""
         if self.zones.has_zone(zone):
@@ -313,4 +330,5 @@
             self._weights.check()
             self.registry.expire()
             self.quarantine.expire()
+            self.origins.table.expire(self._clock.monotonic())
             self.limits.board.expire(t.instance for t in self.table)
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.following import Decode
 from chivepier.gateway.following import LimitExchange
 from chivepier.gateway.following import LoadExchange
+from chivepier.gateway.following import OriginExchange
 from chivepier.gateway.following import Peers
 from chivepier.gateway.following import QuarantineExchange
 from chivepier.gateway.following import ReportExchange
@@ -282,6 +283,18 @@
             log=log,
             metrics=self.metrics,
         )
+        continuations = dispatcher.continuations
+        self._origins = OriginExchange(
+            continuations.origins,
+            self.table,
+            self._links,
+            self.following.list_origin_keepers,
+            clock,
+            log,
+        )
+        continuations.publish = self._origins.publish
+        continuations.ask = self._origins.ask
+        continuations.is_informed = lambda: self.following.is_informed
         self.shedding = Shedding(rng)
         self.serving = RequestHandler(
             self.state,
@@ -313,6 +326,8 @@
         self._stack.callback(loading.cancel)
         watching = asyncio.create_task(self.mover.watch_silent_targets())
         self._stack.callback(watching.cancel)
+        telling = asyncio.create_task(self._origins.run())
+        self._stack.callback(telling.cancel)
         probing = asyncio.create_task(self._prober.run())
         self._stack.callback(probing.cancel)
         measuring = asyncio.create_task(self._usage_watch.run())
--- a/packages/gateway/src/chivepier/gateway/following/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/following/__init__.py
@@ -4,6 +4,7 @@
 from chivepier.gateway.following.configfetcher import Decode
 from chivepier.gateway.following.limitexchange import LimitExchange
 from chivepier.gateway.following.loadexchange import LoadExchange
+from chivepier.gateway.following.originexchange import OriginExchange
 from chivepier.gateway.following.peers import Peers
 from chivepier.gateway.following.quarantineexchange import QuarantineExchange
 from chivepier.gateway.following.records import pack_target
@@ -17,6 +18,7 @@
     "VoterClient",
     "LimitExchange",
     "LoadExchange",
+    "OriginExchange",
     "Peers",
     "QuarantineExchange",
     "ReportExchange",
--- a/packages/gateway/src/chivepier/gateway/following/voterclient.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterclient.py
@@ -168,6 +168,24 @@
         """Address of the voter that sends the loads of other entries."""
         return self._selector.address
 
+    @property
+    def is_informed(self) -> bool:
+        """Whether most voters answer, so that no target can be missed."""
+        voters = self._peers.voters
+        alive = sum(
+            address in self._voters and self._voters[address].alive
+            for address in voters
+        )
+        return 2 * alive > len(voters) or not self._voters
+
+    def list_origin_keepers(self) -> dict[str, str]:
+        """Return the voters that keep where streams began; epochs by voter."""
+        return {
+            address: voter.epoch
+            for address, voter in self._voters.items()
+            if voter.alive and voter.keeps_origins
+        }
+
     def leave(self) -> None:
         """Notify every voter at once that this entry is leaving."""
         self.leaving = True
@@ -339,6 +357,7 @@
         )
         self._select_voter()
         voter.epoch, voter.targets_revision = answer.epoch, answer.revision
+        voter.keeps_origins = answer.keeps_origins
         self._state.entries = max(1, answer.entries)
         if self._others is not None and answer.peers_revision >= 0:
             self._others.replace(answer.peers)
--- a/packages/gateway/src/chivepier/gateway/following/voterlink.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterlink.py
@@ -25,6 +25,7 @@
     :param limits: synchronization state of the rate limits
     :param confirmed_leavers: leaving targets reported to the voter
     :param peers_revision: revision of the peers that it named, -1 if none
+    :param keeps_origins: whether it keeps where streams began
     :param alive: whether it answered the last beat
     :param status: what it last reported about itself
     """
@@ -38,5 +39,6 @@
     limits: LimitSyncState = attrs.field(factory=LimitSyncState)
     confirmed_leavers: frozenset[LeavingRecord] = frozenset()
     peers_revision: int = -1
+    keeps_origins: bool = False
     alive: bool = False
     status: VoterStatus = VoterStatus()
--- a/packages/gateway/src/chivepier/gateway/messages/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/messages/__init__.py
@@ -20,6 +20,10 @@
 from chivepier.gateway.messages.loaddigest import LoadDigest
 from chivepier.gateway.messages.loadnotice import LoadNotice
 from chivepier.gateway.messages.loadrecord import LoadRecord
+from chivepier.gateway.messages.originanswer import OriginAnswer
+from chivepier.gateway.messages.originnotice import OriginNotice
+from chivepier.gateway.messages.originrecord import OriginRecord
+from chivepier.gateway.messages.originrequest import OriginRequest
 from chivepier.gateway.messages.peerrecord import PeerRecord
 from chivepier.gateway.messages.permitanswer import PermitAnswer
 from chivepier.gateway.messages.permitrequest import PermitRequest
@@ -59,6 +63,10 @@
     "LoadRecord",
     "PeerRecord",
     "PermitAnswer",
+    "OriginAnswer",
+    "OriginNotice",
+    "OriginRecord",
+    "OriginRequest",
     "PermitRequest",
     "QuarantineNotice",
     "QueueRecord",
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
@@ -25,6 +25,7 @@
     ``presumed`` are zones that may be evacuated by an order whose outcome is
     unknown to the voter. ``peers`` are entries that requests can be forwarded
     to, with their revision ``peers_revision``, -1 if nothing has changed.
+    ``keeps_origins`` tells that the voter understands :class:`OriginNotice`.
     """
 
     epoch: str
@@ -46,3 +47,4 @@
     limits: tuple[LimitRecord, ...] = ()
     peers: tuple[PeerRecord, ...] = ()
     peers_revision: int = -1
+    keeps_origins: bool = False
