--- a/packages/gateway/src/chivepier/gateway/serving/callerrequest.py
+++ b/packages/gateway/src/chivepier/gateway/serving/callerrequest.py
@@ -21,6 +21,10 @@
     :param deadline: monotonic time in seconds when the caller stops waiting
     :param prompt: size of the generation; ``None`` for other requests
     :param last_event: id of the event after which a stream is to continue
+    :param resumes: id of the caller's attempt that brought the first event of
+        that stream
+    :param software_version: version of the targets' software that the stream
+        goes on at, as another entry found it; ``None`` if none has
     """
 
     id: str
@@ -35,3 +39,5 @@
     deadline: float
     prompt: Prompt | None = None
     last_event: str | None = None
+    resumes: str | None = None
+    software_version: str | None = None
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
@@ -0,0 +1,287 @@
+"""Tests of streams beside targets of several software versions."""
+
+import asyncio
+
+import pytest
+
+from chivepier.gateway.config import Repetition
+from chivepier.gateway.serving.tests.fakeengines import make_target
+from chivepier.gateway.serving.tests.parts import begin
+from chivepier.gateway.serving.tests.parts import fail
+from chivepier.gateway.serving.tests.parts import finish
+from chivepier.gateway.serving.tests.parts import make_request
+from chivepier.gateway.serving.tests.parts import make_route
+from chivepier.gateway.serving.tests.parts import play
+from chivepier.gateway.serving.tests.parts import wait_until
+from chivepier.gateway.targets import TargetState
+from chivepier.standins.loopclock import tell_time
+from chivepier.types import ErrorKind
+from chivepier.types import Ran
+
+
+def set_versions(parts, **versions: str) -> None:
+    """Announce targets with versions of their software, by name."""
+    for name, version in versions.items():
+        target = make_target(name, software_version=version)
+        target.number = 2
+        parts.table.put(target)
+
+
+async def begin_at(parts, name: str, path: str = "/llm/x"):
+    """Start a stream at one target, and relay two events."""
+    parts.engines.full = {t.instance for t in parts.table} - {name}
+    for other in parts.engines.full:
+        parts.health.record_unreachable(
+            other, parts.dispatcher.clock.monotonic()
+        )
+    started = await begin(parts, path)
+    assert started[2].target == name
+    parts.engines.full = set()
+    return started
+
+
+def test_move_goes_to_a_target_of_the_same_version():
+    # The copy of a stream went on at another version than wrote it.
+    async def test(parts):
+        set_versions(parts, a="v1", b="v2", c="v1", d="v2", e="v2")
+        caller, task, run = await begin_at(parts, "a")
+        parts.leave("a")
+        fresh = await parts.engines.wait_run(2)
+        assert fresh.target == "c"
+        assert {to for _, to, _ in parts.engines.moves} == {"c"}
+        await finish(task, fresh, 1)
+        assert caller.numbers == [1, 2, 3]
+
+    play(test, *"abcde")
+
+
+def test_last_target_of_a_version_leaves_with_its_streams():
+    # No other version may take them: they end with it, or are broken off.
+    async def test(parts):
+        set_versions(parts, a="v1", b="v2")
+        caller, task, run = await begin_at(parts, "a")
+        parts.leave("a")
+        run.make(1)
+        await caller.wait_events(3)
+        run.cut()
+        await task
+        assert caller.aborted and not caller.finished
+        assert parts.engines.moves == []
+        assert len(parts.engines.answers) == 1
+
+    play(test, "a", "b")
+
+
+@pytest.mark.parametrize("others", ({"b": "v2", "c": "v1"}, {"b": "v2"}))
+def test_broken_stream_goes_on_at_its_version_only(others):
+    # A resumable stream was sent to any target with its last event's number.
+    async def test(parts):
+        set_versions(parts, a="v1", **others)
+        caller, task, run = await begin_at(parts, "a", "/resume/x")
+        run.cut()
+        if "c" in others:
+            fresh = await parts.engines.wait_run(2)
+            assert fresh.target == "c"
+            await finish(task, fresh, 1)
+            assert caller.numbers == [1, 2, 3]
+            return
+        await task
+        assert caller.aborted and not caller.finished
+        assert len(parts.engines.answers) == 1
+
+    play(test, "a", *others)
+
+
+def test_stream_without_an_event_may_begin_anew_at_another_version():
+    # Nothing of the first version has reached the caller.
+    async def test(parts):
+        set_versions(parts, a="v1", b="v2")
+        parts.engines.full = {"b", "w-a", "w-b"}
+        caller, task = parts.start(make_request("/resume/x"))
+        run = await parts.engines.wait_run(1)
+        parts.engines.full = set()
+        run.cut()
+        fresh = await parts.engines.wait_run(2)
+        await finish(task, fresh, 2)
+        assert caller.finished and caller.numbers == [1, 2]
+
+    play(test, "a", "b")
+
+
+def test_unknown_version_is_not_any_version():
+    # A target that tells no version may run any.
+    async def test(parts):
+        caller, task, run = await begin(parts, "/resume/x")
+        other = make_target("z", software_version="")
+        parts.table.put(other)
+        for name in "ab":
+            if name != run.target:
+                parts.table.mark_leaving(name, 0, 0.0)
+        run.cut()
+        await task
+        assert caller.aborted
+        assert len(parts.engines.answers) == 1
+
+    play(test, "a", "b")
+
+
+def test_destination_that_started_again_with_other_software_is_refused():
+    # A target may start again under its name while a run is copied to it.
+    async def test(parts):
+        set_versions(parts, a="v1", b="v1")
+        caller, task, run = await begin_at(parts, "a")
+
+        def restart():
+            fresh = make_target("b", software_version="v2")
+            fresh.born = 7
+            parts.table.put(fresh)
+
+        parts.engines.on_stop_order(restart)
+        parts.leave("a")
+        await wait_until(lambda: task.done() or len(parts.engines.answers) > 1)
+        assert {answer.target for answer in parts.engines.answers} == {"a"}
+        if not task.done():
+            await finish(task, parts.engines.answers[-1], 1)
+
+    play(test, "a", "b")
+
+
+async def begin_and_break(parts, **versions: str):
+    """Have a caller get two events of a stream at ``a``, and lose it."""
+    set_versions(parts, **versions)
+    caller, task, run = await begin_at(parts, "a", "/resume/x")
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+def take_up(path: str = "/resume/x", resumes: str | None = "r1", **changes):
+    """Return the request of a caller that goes on after its second event."""
+    return make_request(
+        path, id="r2", last_event="2", resumes=resumes, **changes
+    )
+
+
+def test_caller_goes_on_at_the_version_that_began_its_stream():
+    # A stream that its caller took up was sent to any target.
+    async def test(parts):
+        await begin_and_break(parts, a="v1", b="v2", c="v1", d="v2")
+        for number in range(2, 8):
+            caller, task = parts.start(take_up())
+            run = await parts.engines.wait_run(number)
+            assert run.target in ("a", "c")
+            await finish(task, run, 1)
+            assert caller.numbers == [3] and caller.finished
+        lines = parts.read_lines("stream_taken_up")
+        assert {(x["source"], x["software"]) for x in lines} == {("own", "v1")}
+
+    play(test, *"abcd")
+
+
+@pytest.mark.parametrize(
+    "request_of",
+    [
+        lambda: take_up(resumes="never-sent"),
+        lambda: take_up(resumes=None),
+        lambda: take_up(key="k2"),
+    ],
+    ids=("made-up", "none", "other-team"),
+)
+def test_stream_of_unknown_origin_is_refused_beside_two_versions(request_of):
+    # Not known is not any: a wrong guess would join what does not fit.
+    async def test(parts):
+        teams = (parts.make_team("t1", "k1"), parts.make_team("t2", "k2"))
+        parts.configure(version=2, teams=teams)
+        await begin_and_break(parts, a="v1", b="v2")
+        failure = await fail(parts, request_of())
+        assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
+        assert len(parts.engines.answers) == 1
+        (line,) = parts.read_lines("stream_taken_up")
+        assert line["source"] == "unknown"
+
+    play(test, "a", "b")
+
+
+def test_stream_of_unknown_origin_goes_on_where_all_run_one_version():
+    # Nothing but that version can have begun it.
+    async def test(parts):
+        caller, task = parts.start(take_up(resumes="elsewhere"))
+        run = await parts.engines.wait_run(1)
+        await finish(task, run, 1)
+        assert caller.numbers == [3] and caller.finished
+        (line,) = parts.read_lines("stream_taken_up")
+        assert line["source"] == "only"
+
+    play(test, "a", "b")
+
+
+def test_version_that_has_just_gone_may_have_begun_a_stream():
+    # A stream of a version whose last target is gone must not go on at others.
+    async def test(parts):
+        set_versions(parts, a="v1", b="v2")
+        gone = make_target("a", software_version="v1")
+        gone.number, gone.state = 9, TargetState.GONE
+        parts.table.put(gone)
+        failure = await fail(parts, take_up(resumes="elsewhere"))
+        assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
+
+    play(test, "a", "b")
+
+
+def test_entry_that_may_have_missed_a_version_guesses_none():
+    # An entry that hears few voters may not know of the newest targets.
+    async def test(parts):
+        parts.dispatcher.continuations.is_informed = lambda: False
+        failure = await fail(parts, take_up(resumes="elsewhere"))
+        assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
+
+    play(test, "a", "b")
+
+
+def test_id_of_two_streams_at_different_versions_names_neither():
+    # Callers choose the ids, and may use one again.
+    async def test(parts):
+        await begin_and_break(parts, a="v1", b="v2")
+        parts.engines.full = {"a"}
+        parts.table.mark_leaving("a", 0, 0.0)
+        caller, task = parts.start(make_request("/resume/x"))
+        run = await parts.engines.wait_run(2)
+        assert run.target == "b"
+        await finish(task, run, 1)
+        failure = await fail(parts, take_up())
+        assert failure.kind is ErrorKind.NO_TARGET
+
+    play(test, "a", "b")
+
+
+def test_stream_without_a_target_of_its_version_is_refused_at_once():
+    # It was refused after rounds over targets that it may not use.
+    async def test(parts):
+        await begin_and_break(parts, a="v1", b="v2")
+        parts.table.mark_leaving("a", 0, 0.0)
+        began = tell_time()
+        failure = await fail(parts, take_up())
+        assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
+        assert tell_time() - began < 0.01
+        assert len(parts.engines.answers) == 1
+
+    play(test, "a", "b")
+
+
+def test_stream_goes_on_at_the_service_that_began_it():
+    # A route may draw another of its services for each attempt.
+    async def test(parts):
+        pools = (("llm", 0.0), ("web", 1.0))
+        await begin_and_break(parts, a="v1", b="v2")
+        route = make_route(
+            prefix="/resume/",
+            repetition=Repetition.RESUMABLE,
+            attempts=2,
+            pools=pools,
+        )
+        parts.configure(version=2, routes=(route,))
+        caller, task = parts.start(take_up())
+        run = await parts.engines.wait_run(2)
+        assert run.target == "a"
+        await finish(task, run, 1)
+
+    play(test, "a", "b")
