Let targets of the soak change their software, and callers take streams up

A new fault restarts targets with the next version, one after the other; callers of resumable streams keep whole events, come back at any entry, and check order, end and versions over all attempts. Callers of the soak and of the version scenario share their code.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -78,6 +78,8 @@
             self._kinds += (self.cut_off, self.cut_off)
         if fault_set > CUT_SET:
             self._kinds += (self.drop_lengths, self.drop_lengths)
+            self._kinds += (self.change_version, self.change_version)
+        self._versions = 1
         self._evacuation: asyncio.Task | None = None
         self._background: set[asyncio.Task] = set()
 
@@ -333,6 +335,17 @@
         if self._cold:
             target.turn_cold(2.0)
 
+    async def change_version(self) -> None:
+        """Restart targets with other software, one after the other."""
+        self._versions += 1
+        version = f"v{self._versions}"
+        count = self._rng.randint(1, len(self._soak.targets) - 1)
+        for target in self._rng.sample(self._soak.targets[1:], count):
+            await target.restart(self._rng.uniform(0.0, 0.5), version)
+            if self._cold:
+                target.turn_cold(2.0)
+            await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+
     async def write_nonsense(self) -> None:
         """Send invalid announcements, also under the names of targets."""
         await write_nonsense(self._soak, self._rng)
--- a/soak/invariantchecker.py
+++ b/soak/invariantchecker.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from soak.streamrecord import StreamRecord
+
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
 
@@ -51,6 +53,20 @@
         if whole:
             self.answered += 1
 
+    def record_resumed(self, identity: str, record: StreamRecord) -> None:
+        """Check what a caller got of a stream over all its attempts."""
+        if not record.in_order:
+            self.violations.append(f"{identity} got events {record.numbers}")
+        if len(record.versions) > 1:
+            text = f"{identity} holds events of {sorted(record.versions)}"
+            self.violations.append(text)
+        if record.whole and not record.has_end:
+            self.violations.append(f"{identity} ended early without an error")
+        if record.whole:
+            self.answered += 1
+        else:
+            self.failed += 1
+
     def record_failure(
         self, identity: str, error: Exception, planned: bool
     ) -> None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -23,6 +23,8 @@
 from soak.proxy import Proxy
 from soak.runlog import RunLog
 from soak.signalchecker import make_sender_headers
+from soak.streamcaller import attempt_stream
+from soak.streamrecord import StreamRecord
 from soak.target import describe
 from soak.target import SoakTarget
 from soak.targetlink import PROPAGATION_SECONDS
@@ -50,7 +52,8 @@
 # Kinds of requests that callers draw from.
 CALLS = ("once", "once", "again", "stream")
 CALLS_WITH_RESUMABLE = (*CALLS, "resume")
-STREAMS = ("stream", "resume")
+# Attempts of a caller at one stream that may be resumed.
+MAX_ATTEMPTS = 4
 
 
 def make_config(version: int) -> dict:
@@ -266,6 +269,9 @@
             kind = self.rng.choice(self._calls)
             entry = self.rng.choice(self.entries)
             began, served = time.monotonic(), False
+            if kind == "resume":
+                await self._take_up_until_whole(session, identity)
+                continue
             try:
                 served = await self.send_request(
                     session, entry, kind, identity
@@ -277,6 +283,23 @@
             self.tries.append(FirstTry(began, entry.ip, served))
             await asyncio.sleep(0.02)
 
+    async def _take_up_until_whole(self, session, identity: str) -> None:
+        """Have a stream, and take it up at any entry where it breaks."""
+        record = StreamRecord()
+        for number in range(MAX_ATTEMPTS):
+            entry = self.rng.choice(self.entries)
+            await attempt_stream(
+                session,
+                entry.ip,
+                f"{identity}-{number}",
+                record,
+                make_sender_headers(entry.ip),
+            )
+            if record.whole:
+                break
+            await asyncio.sleep(0.1)
+        self.checker.record_resumed(identity, record)
+
     async def send_request(self, session, entry, kind, identity) -> bool:
         """Send one request and record its answer.
 
@@ -291,7 +314,7 @@
         }
         url = f"http://{entry.ip}:8740/{kind}/{identity}"
         async with session.post(url, data=b"x", headers=headers) as answer:
-            if kind not in STREAMS or answer.status != 200:
+            if kind != "stream" or answer.status != 200:
                 body = await answer.read()
                 self.checker.record_answer(identity, answer.status, body)
                 return answer.status == 200
--- /dev/null
+++ b/soak/streamcaller.py
@@ -0,0 +1,50 @@
+"""Callers that keep the events of a stream and take it up where it broke."""
+
+import contextlib
+
+import aiohttp
+
+from soak.streamrecord import StreamRecord
+
+CALLER_PORT = 8740
+# Request path of the route whose streams may be resumed.
+RESUME_PATH = "/resume/x"
+
+
+async def attempt_stream(
+    session: aiohttp.ClientSession,
+    ip: str,
+    attempt: str,
+    record: StreamRecord,
+    extra: dict[str, str] | None = None,
+) -> int:
+    """Begin a stream at an entry, or go on with it.
+
+    :param session: sends the request
+    :param ip: address of the entry
+    :param attempt: id of this attempt
+    :param record: gets the events; tells which the caller has
+    :param extra: further headers of the request
+    :returns: status of the answer; 0 if there was none
+    """
+    headers = {
+        "Host": "h.example",
+        "X-Chivepier-Request-Id": attempt,
+        "X-Api-Key": "k1",
+        "X-Chivepier-Deadline-Ms": "4000",
+        **(extra or {}),
+    }
+    if record.last_event:
+        headers["Last-Event-ID"] = str(record.last_event)
+        headers["Resumes"] = record.first_attempt
+    url = f"http://{ip}:{CALLER_PORT}{RESUME_PATH}"
+    record.begin_attempt(attempt)
+    status = 0
+    with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+        async with session.post(url, data=b"x", headers=headers) as answer:
+            status = answer.status
+            if status == 200:
+                async for data in answer.content.iter_any():
+                    record.feed(data)
+                record.end()
+    return status
--- a/soak/streamrecord.py
+++ b/soak/streamrecord.py
@@ -15,12 +15,14 @@
     :ivar numbers: numbers of the events, in the order in which they came
     :ivar versions: software versions of the targets that wrote them
     :ivar whole: whether an attempt ended as a whole stream
+    :ivar has_end: whether its last event is there
     """
 
     first_attempt: str = ""
     numbers: list[int] = attrs.field(factory=list)
     versions: set[str] = attrs.field(factory=set)
     whole: bool = False
+    has_end: bool = False
     _attempt: str = ""
     _rest: bytes = b""
 
@@ -50,6 +52,7 @@
             self.first_attempt = self._attempt
         self.numbers.append(int(fields["id"]))
         self.versions.add(fields[""])
+        self.has_end = fields["data"] == "end"
 
     def end(self) -> None:
         """End the stream, as its framing tells."""
--- a/soak/target.py
+++ b/soak/target.py
@@ -170,15 +170,20 @@
             if connection.transport is not None:
                 connection.transport.abort()
 
-    async def restart(self, seconds: float) -> None:
+    async def restart(
+        self, seconds: float, software_version: str | None = None
+    ) -> None:
         """Stop, lose running requests, and start under the same name.
 
         :param seconds: time until it starts again, in seconds
+        :param software_version: version that it starts with; the same by
+            default
         """
         async with self._restart_lock:
             await self.__aexit__()
             self.signals.reset()
             await asyncio.sleep(seconds)
+            self.software_version = software_version or self.software_version
             # Entries do not know the limit of the restarted target yet.
             self.announce_limit(self.limit)
             self.restarted, self.runs, self._sequence = True, 0, 0
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -55,6 +55,16 @@
     assert seen.answered > 50 and seen.failed > 0
 
 
+def test_streams_are_of_one_version_while_targets_change_over(tmp_path):
+    # Streams went on at targets of another software version.
+    with reserve_block() as block:
+        soak = Soak(19, tmp_path, block)
+        soak.faults.keep_only("change_version", "kill")
+        seen = asyncio.run(soak.run(8.0))
+    assert seen.violations == []
+    assert seen.answered > 50
+
+
 def test_restarted_targets_are_used(tmp_path):
     # Restarted targets got no requests.
     with reserve_block() as block:
--- a/soak/versionscenario.py
+++ b/soak/versionscenario.py
@@ -9,12 +9,11 @@
 import aiohttp
 import attrs
 
-from soak.cluster import CALLER_PORT
 from soak.cluster import Cluster
-from soak.cluster import REQUEST_ID
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
 from soak.run import make_config
+from soak.streamcaller import attempt_stream
 from soak.streamrecord import StreamRecord
 from soak.target import SoakTarget
 
@@ -133,32 +132,10 @@
         entry: Process,
         record: StreamRecord,
     ) -> bool:
-        """Begin a stream, or go on with it.
-
-        :returns: whether the entry answered
-        """
+        """Begin a stream, or go on with it; tell if the entry answered."""
         attempt = f"s{next(self._ids)}"
-        headers = {
-            "Host": "h.example",
-            REQUEST_ID: attempt,
-            "X-Api-Key": "k1",
-            "X-Chivepier-Deadline-Ms": "4000",
-        }
-        if record.last_event:
-            headers["Last-Event-ID"] = str(record.last_event)
-            headers["Resumes"] = record.first_attempt
-        url = f"http://{entry.ip}:{CALLER_PORT}/resume/x"
-        record.begin_attempt(attempt)
-        answered = False
-        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
-            async with session.post(url, data=b"x", headers=headers) as answer:
-                answered = True
-                if answer.status != 200:
-                    return answered
-                async for data in answer.content.iter_any():
-                    record.feed(data)
-                record.end()
-        return answered
+        status = await attempt_stream(session, entry.ip, attempt, record)
+        return status != 0
 
     async def end_targets(self, seconds: float) -> None:
         """Let one target after the other crash and start again.
