Forward the rest of a stream once only

A request that an entry forwards takes one step: the entry that serves it must not forward it again. New requests kept to it; the rest of a stream did not, as a relay did not know that its request had been forwarded.

A forwarded request is marked as such where its message is read, and no entry is a peer for it. If the entry that serves it can't go on, the one that was asked decides, within attempts and budget as before.

Test, without a network: a forwarded stream whose target breaks off while all others refuse. Before, the entry that served it forwarded it twice.

--- a/packages/gateway/src/chivepier/gateway/forwarding/records.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/records.py
@@ -97,6 +97,7 @@
         last_event=message.last_event if message.has_last_event else None,
         resumes=message.resumes or None,
         software_version=message.software_version or None,
+        forwarded=True,
     )
 
 
--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
@@ -323,6 +323,37 @@
     play_site(test)
 
 
+def test_rest_of_a_forwarded_stream_is_not_forwarded_again():
+    # Entries passed the rest of a stream to each other, in a ring.
+    async def test(site):
+        asked, first, _ = site.entries
+        asked.cut(*ALL)
+        caller, task = asked.parts.start(make_request("/resume/x"))
+        while not any(e.parts.engines.answers for e in site.entries):
+            await asyncio.sleep(0.01)
+        (serving,) = [e for e in site.entries if e.parts.engines.answers]
+        run = serving.parts.engines.answers[0]
+        run.make(2)
+        await caller.wait_events(2)
+        serving.parts.engines.full = set(ALL)
+        serving.parts.engines.refuse = set(ALL)
+        run.cut()
+        (last,) = [e for e in site.entries if e not in (asked, serving)]
+        ends = last.parts.engines.answers
+        await wait_until(lambda: task.done() or ends)
+        if ends:
+            ends[0].make(1)
+            ends[0].end()
+        await task
+        # the entry that was asked may ask either of the others
+        assert caller.numbers == [1, 2] + [3] * caller.finished
+        assert caller.finished is bool(ends)
+        assert serving.parts.read_lines("request_forwarded") == []
+        assert len(asked.parts.read_lines("request_forwarded")) == 2
+
+    play_site(test, 3)
+
+
 def test_large_bodies_are_refused_where_they_find_no_memory():
     async def test(site):
         cut_off, other = site.entries
--- a/packages/gateway/src/chivepier/gateway/serving/callerrequest.py
+++ b/packages/gateway/src/chivepier/gateway/serving/callerrequest.py
@@ -25,6 +25,7 @@
         that stream
     :param software_version: version of the targets' software that the stream
         goes on at, as another entry found it; ``None`` if none has
+    :param forwarded: whether another entry has forwarded it to this one
     """
 
     id: str
@@ -41,3 +42,4 @@
     last_event: str | None = None
     resumes: str | None = None
     software_version: str | None = None
+    forwarded: bool = False
--- a/packages/gateway/src/chivepier/gateway/serving/detour.py
+++ b/packages/gateway/src/chivepier/gateway/serving/detour.py
@@ -33,13 +33,16 @@
 
     def is_needed(self, plan: Plan) -> bool:
         """Tell whether a request should be forwarded."""
-        if self._reach.may_send(plan.service.name):
+        if plan.request.forwarded or self._reach.may_send(plan.service.name):
             return False
         return self.has_peer(plan)
 
     def has_peer(self, plan: Plan) -> bool:
         """Tell whether there is an entry to forward a request to."""
-        return self._forwarder is not None and self._forwarder.has_peer(plan)
+        if self._forwarder is None or plan.request.forwarded:
+            # one step: entries that each think the other well form no ring
+            return False
+        return self._forwarder.has_peer(plan)
 
     def is_cut_off(self, plan: Plan) -> bool:
         """Tell whether no target of a request is in reach from here."""
