Hold asked rests against the entry that sends, not the one that was asked

The soak checks that an entry sends nothing to a target that has asked it to wait. It took the entry from a header of the caller, which names the one that the caller asked: a request that this one forwarded to another entry was held against it.

Connections are followed through the entry's own link and the proxy now, so that the check is of the entry that really sends, for each request that comes over them; nothing that was checked before is left out.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -5,6 +5,8 @@
 import socket
 import struct
 
+from soak.senders import Senders
+
 CHUNK_BYTES = 1 << 16
 # Range of the seconds that a slow link delays each chunk: from a few round
 # trips between availability zones to more than a call's latency objective.
@@ -58,6 +60,7 @@
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
+        self.senders = Senders()
 
     async def __aenter__(self) -> "Proxy":
         await self.listen()
@@ -103,12 +106,10 @@
             writer.transport.abort()
             return
         self._writers |= {writer, other}
+        sender = self._find_sender(writer)
         try:
-            async with asyncio.TaskGroup() as group:
-                group.create_task(self._pump(reader, other, LOST_SENT))
-                group.create_task(
-                    self._pump(other_reader, writer, LOST_ANSWERS)
-                )
+            with self.senders.note(other.get_extra_info("sockname"), sender):
+                await self._pump_both(reader, writer, other_reader, other)
         except* OSError:
             # One side was reset; the other one is reset below.
             pass
@@ -117,6 +118,15 @@
             writer.transport.abort()
             other.transport.abort()
 
+    def _find_sender(self, writer: asyncio.StreamWriter) -> str | None:
+        """Return the entry that a connection comes from, if known."""
+        return self.senders.find(writer.get_extra_info("peername"))
+
+    async def _pump_both(self, reader, writer, other_reader, other) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._pump(reader, other, LOST_SENT))
+            group.create_task(self._pump(other_reader, writer, LOST_ANSWERS))
+
     async def _pump(self, reader, writer, dropped_mode: str) -> None:
         silent = False
         while data := await reader.read(CHUNK_BYTES):
--- a/soak/run.py
+++ b/soak/run.py
@@ -22,6 +22,7 @@
 from soak.process import run_all
 from soak.proxy import Proxy
 from soak.runlog import RunLog
+from soak.senders import Senders
 from soak.signalchecker import make_sender_headers
 from soak.streamcaller import attempt_stream
 from soak.streamrecord import StreamRecord
@@ -143,6 +144,9 @@
             )
             for n in range(1, TARGETS + 1)
         ]
+        self.senders = Senders()
+        for part in (*self.proxies, *self.targets):
+            part.senders = self.senders
         self.links: dict[str, list[TargetLink]] = {}
         if kinds > MISREPORT_SET:
             self._link_entries(base)
@@ -171,6 +175,8 @@
                 )
                 for n, proxy in enumerate(self.proxies, 1)
             ]
+            for link in links:
+                link.entry, link.senders = entry.ip, self.senders
             self.links[entry.ip] = links
             entry.links = {
                 proxy.address: link.address
--- a/soak/target.py
+++ b/soak/target.py
@@ -18,6 +18,7 @@
 from soak.loadreporter import LoadReporter
 from soak.loadreporter import SLOTS
 from soak.runlog import RunLog
+from soak.senders import Senders
 from soak.signalchecker import SignalChecker
 
 HEARTBEAT_SECONDS = 0.4
@@ -73,6 +74,7 @@
         self.software_version = "v1"
         self.event_seconds = SERVICE_SECONDS / 2
         self.log: RunLog | None = None
+        self.senders = Senders()
         self.is_evacuated: IsEvacuated = lambda zone: False
         self._cold = ColdChecker(checker.violations)
         self.signals = SignalChecker(violations=checker.violations)
@@ -272,8 +274,11 @@
     ) -> dict[str, str]:
         """Check earlier signals to the sender; return the current ones."""
         now = time.monotonic()
-        entry = request.headers.get("X-Entry")
-        if entry is not None:
+        asked = request.headers.get("X-Entry")
+        if asked is not None:
+            # another entry may have sent what this one was asked for
+            peer = request.transport.get_extra_info("peername")
+            entry = self.senders.find(peer) or asked
             sent = float(request.headers["X-Sent"])
             self.signals.check_arrival(entry, sent, now)
             self.signals.record_answer(entry, refused, now)
--- a/soak/targetlink.py
+++ b/soak/targetlink.py
@@ -39,12 +39,17 @@
     def __init__(self, address: str, upstream: str, rng: random.Random):
         super().__init__(address, upstream, rng)
         self._fillers: list[socket.socket] = []
+        self.entry: str | None = None
 
     async def __aexit__(self, *exc) -> None:
         self._stop_hanging()
         self.held.clear()
         await super().__aexit__(*exc)
 
+    def _find_sender(self, writer: asyncio.StreamWriter) -> str | None:
+        """Return the entry whose link this is."""
+        return self.entry
+
     def cut(self, shape: Cut) -> None:
         """Cut the link; listening ends at once."""
         self._server.close()
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -10,6 +10,8 @@
 from soak.proxy import LOST_SENT
 from soak.proxy import Proxy
 from soak.proxy import SLOW
+from soak.senders import Senders
+from soak.targetlink import TargetLink
 
 
 class Echo:
@@ -116,3 +118,36 @@
         writer.close()
 
     run_scenario(test)
+
+
+def test_target_learns_which_entry_a_connection_comes_from():
+    # A forwarded request was held against the entry that its caller asked.
+    async def work():
+        senders, seen = Senders(), []
+
+        async def answer(reader, writer):
+            await reader.readline()
+            seen.append(senders.find(writer.get_extra_info("peername")))
+            writer.write(b"x\n")
+            await writer.drain()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        rng = random.Random(1)
+        async with Proxy("127.0.0.1:0", f"127.0.0.1:{port}", rng) as proxy:
+            link = TargetLink("127.0.0.1:0", proxy.address, rng)
+            proxy.senders = link.senders = senders
+            link.entry = "e1"
+            async with link:
+                for address in (link.address, proxy.address):
+                    host, text = address.split(":")
+                    reader, writer = await asyncio.open_connection(
+                        host, int(text)
+                    )
+                    writer.write(b"x\n")
+                    await reader.readline()
+                    writer.close()
+        server.close()
+        assert seen == ["e1", None]
+
+    asyncio.run(work())
