--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -1,13 +1,11 @@
 """Sends a request to targets, with retries, until one answers it."""
 
 import asyncio
-import math
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.metrics import Metrics
-from chivepier.gateway.permits import Permit
-from chivepier.gateway.quarantine import shorten
 from chivepier.gateway.serving.assignment import Assignment
+from chivepier.gateway.serving.assignmentlog import AssignmentLog
 from chivepier.gateway.serving.callpurpose import CallPurpose
 from chivepier.gateway.serving.continuations import Continuations
 from chivepier.gateway.serving.crashguard import CrashGuard
@@ -23,6 +21,7 @@
 from chivepier.gateway.serving.errors import RateLimitedError
 from chivepier.gateway.serving.headerrecorder import get_backoff_seconds
 from chivepier.gateway.serving.liverun import LiveRun
+from chivepier.gateway.serving.lossrecorder import LossRecorder
 from chivepier.gateway.serving.mover import Mover
 from chivepier.gateway.serving.placewait import PlaceWait
 from chivepier.gateway.serving.plan import Plan
@@ -40,7 +39,6 @@
 from chivepier.gateway.serving.targetcalls import TargetCalls
 from chivepier.gateway.targets import LoadBalancer
 from chivepier.gateway.targets import LoadTracker
-from chivepier.gateway.targets import PaceForecast
 from chivepier.gateway.targets import QueueTracker
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetHealth
@@ -119,6 +117,8 @@
         self.log = log
         self.continuations = Continuations(table, state, clock, log, metrics)
         self.witness = EndWitness(table, calls.probe, mover.count_runs, clock)
+        self._assignments = AssignmentLog(balancer, clock, log)
+        self.losses = LossRecorder(table, guard, self.witness, clock, log)
         self.runs = RunTracker(loads, mover, balancer, clock, queues)
         self._rejection = RejectionPolicy(table, clock, retry_after, log)
         places = PlaceWait(balancer, gate, state, clock, log, metrics)
@@ -188,7 +188,7 @@
             forecast = self.balancer.forecast(
                 target, plan.service.engine, plan.demand
             )
-            self._log_assignment(plan, assignment, forecast)
+            self._assignments.write(plan, assignment, forecast)
             tried.add(target.instance)
             may_retry = plan.repeatable and runs + 1 < plan.route.attempts
             try:
@@ -288,29 +288,6 @@
             error=repr(error),
         )
 
-    def _log_assignment(
-        self, plan: Plan, assignment: Assignment, forecast: PaceForecast
-    ) -> None:
-        target, demand = assignment.target, plan.demand
-        load = self.balancer.find_load(target.instance)
-        now = self.clock.monotonic()
-        self.log.info(
-            "placed",
-            id=plan.request.id,
-            target=target.instance,
-            software=target.software_version,
-            ms=round(1000 * (now - plan.request.arrived)),
-            heard_ms=round(1000 * (now - target.heard)),
-            reserved=assignment.reservation is not None,
-            permit_ms=_get_permit_ms(assignment.permit, now),
-            prompt=demand.prompt if demand else None,
-            output=demand.output if demand else None,
-            runs=load.runs,
-            tokens=load.tokens,
-            reading=load.reading,
-            **describe_forecast(forecast),
-        )
-
     def _has_time(self, plan: Plan) -> bool:
         left = plan.deadline - self.clock.monotonic()
         return left > plan.route.objective / 4
@@ -361,7 +338,9 @@
             ):
                 first_event_at = run.first_event_at if run else None
                 self._avoid_target(target)
-                self.note_lost(plan, target, sent_at, first_event_at, error)
+                self.losses.note_lost(
+                    plan, target, sent_at, first_event_at, error
+                )
             if answer is not None:
                 answer.close()
             if run is not None:
@@ -461,66 +440,8 @@
             if self.table.is_current(target):
                 self.balancer.avoid_failing(target)
 
-    def note_lost(
-        self,
-        plan: Plan,
-        target: Target,
-        sent_at: float,
-        first_event_at: float | None,
-        error: BaseException,
-    ) -> None:
-        """Log and report that a target failed while it had a request.
-
-        :param plan: the plan of the request
-        :param target: the target that it was sent to
-        :param sent_at: when it was sent, in monotonic seconds
-        :param first_event_at: when its first event arrived, in monotonic
-            seconds; ``None`` if none did
-        :param error: a timeout or the error of the connection
-        """
-        now = self.clock.monotonic()
-        self.log.warn(
-            "target_lost",
-            id=plan.request.id,
-            digest=shorten(plan.digest),
-            path=plan.request.path,
-            team=plan.team,
-            target=target.instance,
-            born=target.born,
-            address=target.address,
-            leaving=self.table.is_leaving(target.instance),
-            sent_ms=round(1000 * (now - sent_at)),
-            begun_ms=(
-                None
-                if first_event_at is None
-                else round(1000 * (now - first_event_at))
-            ),
-            error=repr(error),
-        )
-        broke = not isinstance(error, TimeoutError)
-        if broke:
-            self.witness.note_break(target)
-        self.guard.note_lost(plan, target, sent_at, first_event_at, broke)
-
     def _avoid_target(self, target: Target) -> None:
         if self.table.is_current(target):
             # a target that has restarted is not avoided because its previous
             # incarnation did not answer
             self.balancer.avoidance.avoid(target.instance)
-
-
-def describe_forecast(forecast: PaceForecast) -> dict:
-    """Return the log fields of what is expected of a request at a target."""
-    pause, fit = forecast.pause, forecast.fit
-    return {
-        "pace": forecast.pace,
-        "pause_ms": None if pause is None else round(1000 * pause),
-        "fit": fit and fit.value,
-    }
-
-
-def _get_permit_ms(permit: Permit, now: float) -> int | None:
-    """Return the milliseconds for which a permit is valid, for the log."""
-    if math.isinf(permit.expires_at):
-        return None
-    return round(1000 * (permit.expires_at - now))
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -3,10 +3,10 @@
 import asyncio
 
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.serving.assignmentlog import describe_forecast
 from chivepier.gateway.serving.bodyend import BodyEnd
 from chivepier.gateway.serving.callerconnection import CallerConnection
 from chivepier.gateway.serving.callpurpose import CallPurpose
-from chivepier.gateway.serving.dispatcher import describe_forecast
 from chivepier.gateway.serving.dispatcher import Dispatcher
 from chivepier.gateway.serving.endcause import EndCause
 from chivepier.gateway.serving.errors import BrokenAnswerError
@@ -119,7 +119,7 @@
             return
         dispatcher, plan = self._dispatcher, self._plan
         error = BrokenAnswerError("the stream ended before it was complete")
-        dispatcher.note_lost(
+        dispatcher.losses.note_lost(
             plan, run.target, run.sent_at, run.first_event_at, error
         )
         if plan.repeatable:
@@ -216,7 +216,7 @@
             return await self._send(run, handoff, started)
         except (NotSentError, ConnectionLostError, TimeoutError) as error:
             if not isinstance(error, NotSentError):
-                dispatcher.note_lost(
+                dispatcher.losses.note_lost(
                     plan, handoff.target, sent_at, None, error
                 )
             dispatcher.log.warn(
