--- a/packages/gateway/src/chivepier/gateway/origins/holders.py
+++ b/packages/gateway/src/chivepier/gateway/origins/holders.py
@@ -3,7 +3,7 @@
 import collections.abc
 import hashlib
 
-from chivepier.gateway.origins.origin import OriginKey
+from chivepier.gateway.origins.originkey import OriginKey
 
 # Voters that keep each origin: two of them may be lost.
 HOLDERS = 3
--- a/packages/gateway/src/chivepier/gateway/origins/origin.py
+++ b/packages/gateway/src/chivepier/gateway/origins/origin.py
@@ -2,18 +2,7 @@
 
 import attrs
 
-
-@attrs.frozen
-class OriginKey:
-    """Identifies a stream over all attempts of its caller.
-
-    :param team: team of the caller, empty if it has none; another team's
-        stream is another one, whatever its attempts are called
-    :param attempt: id of the attempt that brought the first event
-    """
-
-    team: str
-    attempt: str
+from chivepier.gateway.origins.originkey import OriginKey
 
 
 @attrs.frozen
--- a/packages/gateway/src/chivepier/gateway/origins/originkeeper.py
+++ b/packages/gateway/src/chivepier/gateway/origins/originkeeper.py
@@ -5,7 +5,7 @@
 from chivepier.gateway.messages import OriginAnswer
 from chivepier.gateway.messages import OriginNotice
 from chivepier.gateway.messages import OriginRequest
-from chivepier.gateway.origins.origin import OriginKey
+from chivepier.gateway.origins.originkey import OriginKey
 from chivepier.gateway.origins.origintable import OriginTable
 from chivepier.gateway.origins.records import pack_origin
 from chivepier.gateway.origins.records import unpack_origin
--- a/packages/gateway/src/chivepier/gateway/origins/origintable.py
+++ b/packages/gateway/src/chivepier/gateway/origins/origintable.py
@@ -6,7 +6,7 @@
 import attrs
 
 from chivepier.gateway.origins.origin import Origin
-from chivepier.gateway.origins.origin import OriginKey
+from chivepier.gateway.origins.originkey import OriginKey
 
 # Streams that one node keeps; the oldest go first.
 MAX_ORIGINS = 20_000
--- a/packages/gateway/src/chivepier/gateway/origins/records.py
+++ b/packages/gateway/src/chivepier/gateway/origins/records.py
@@ -2,7 +2,7 @@
 
 from chivepier.gateway.messages import OriginRecord
 from chivepier.gateway.origins.origin import Origin
-from chivepier.gateway.origins.origin import OriginKey
+from chivepier.gateway.origins.originkey import OriginKey
 
 
 def pack_origin(origin: Origin, now: float) -> OriginRecord:
