Lose a disk of the soak as all processes lose power

The soak lost one disk while all others ran, or all power with every disk kept. A new fault does both at once, for one disk of three; what was acknowledged must be read back after it.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -79,6 +79,7 @@
         if fault_set > CUT_SET:
             self._kinds += (self.drop_lengths, self.drop_lengths)
             self._kinds += (self.change_version, self.change_version)
+            self._kinds += (self.wipe_in_blackout,)
         self._versions = 1
         self._evacuation: asyncio.Task | None = None
         self._background: set[asyncio.Task] = set()
@@ -306,10 +307,28 @@
         """Delete the data of one voter, and wait until it is restored."""
         voter = self._rng.choice(self._soak.voters)
         voter.end()
-        shutil.rmtree(
-            self._soak.folder / f"data-{voter.name}", ignore_errors=True
-        )
+        self._delete_data(voter)
         voter.start()
+        await self._await_restored(voter)
+
+    async def wipe_in_blackout(self) -> None:
+        """Delete the data of one voter as all processes lose power."""
+        processes = (*self._soak.voters, *self._soak.entries)
+        voter = self._rng.choice(self._soak.voters)
+        with self._soak.exempt(*processes):
+            for process in processes:
+                process.end()
+            self._delete_data(voter)
+            await asyncio.sleep(self._rng.uniform(0.0, 0.5))
+            for process in processes:
+                process.start()
+        await self._await_restored(voter)
+
+    def _delete_data(self, voter: "Process") -> None:
+        folder = self._soak.folder / f"data-{voter.name}"
+        shutil.rmtree(folder, ignore_errors=True)
+
+    async def _await_restored(self, voter: "Process") -> None:
         # Only one voter may be without its data at a time: a second loss is
         # more than the cluster bears, and a slow start takes longer.
         await asyncio.sleep(MIN_RESTORE_SECONDS)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -65,6 +65,16 @@
     assert seen.answered > 50
 
 
+def test_nothing_acknowledged_is_lost_with_a_disk_in_a_blackout(tmp_path):
+    # All lose power in the moment in which one of three disks is lost.
+    with reserve_block() as block:
+        soak = Soak(20, tmp_path, block)
+        soak.faults.keep_only("wipe_in_blackout")
+        seen = asyncio.run(soak.run(4.0))
+    assert seen.violations == []
+    assert seen.answered > 50 and seen.acknowledged > 0
+
+
 def test_restarted_targets_are_used(tmp_path):
     # Restarted targets got no requests.
     with reserve_block() as block:
