Count a run of the tests without pytest's report as failed

The tally now wants pytest's report to be there; without it, it prints so and counts one failure. Shown with an empty folder (exit 1) and with a part of the tests (as before).

--- a/bin/tally.py
+++ b/bin/tally.py
@@ -5,6 +5,7 @@
 import xml.etree.ElementTree as ElementTree
 
 SHOWN_LINES = 60
+UNIT_REPORT = "unit.xml"
 KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 
 
@@ -37,6 +38,10 @@
     passed = failed = 0
     known = load_known_red()
     reports = sorted(pathlib.Path(folder).rglob("*.xml"))
+    if pathlib.Path(folder) / UNIT_REPORT not in reports:
+        # it did not start, or did not come to its end
+        failed += 1
+        print("failed: pytest wrote no report")
     for report in reports:
         for case in ElementTree.parse(report).getroot().iter("testcase"):
             broken = case.find("failure") is not None
