Ask voters where a stream began before taking the one version for it

A stream could go on at another version if its caller came back to an entry that did not know it after the last target of its version had been forgotten: 30 s after it fell silent, 60 s after it left. Then the targets told one version, which was taken for the stream's before voters were asked, who keep it for 20 minutes. Read in the code; callers of today's deployments seldom come back so late.

Voters are asked first. Test: fails before (the request was sent to v1), passes now.

--- a/packages/gateway/src/chivepier/gateway/serving/continuations.py
+++ b/packages/gateway/src/chivepier/gateway/serving/continuations.py
@@ -163,13 +163,16 @@
         origin = self.origins.find(key, now)
         if origin is not None:
             return origin, "own"
+        # before the versions of now: those of a stream may be gone for long
+        origin = await self.ask(key)
+        if origin is not None:
+            return origin, "told"
         versions = self._targets.list_versions(plan.service.name)
         if len(versions) == 1 and self.is_informed():
             (version,) = versions
             service = plan.service.name
             return Origin(key, service, version, now, now), "only"
-        origin = await self.ask(key)
-        return origin, "unknown" if origin is None else "told"
+        return None, "unknown"
 
     def _find_service(self, plan: Plan, origin: Origin):
         """Return the service that began a stream, if its route still has it.
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
@@ -5,6 +5,8 @@
 import pytest
 
 from chivepier.gateway.config import Repetition
+from chivepier.gateway.origins import Origin
+from chivepier.gateway.origins import OriginKey
 from chivepier.gateway.serving.tests.fakeengines import make_target
 from chivepier.gateway.serving.tests.parts import begin
 from chivepier.gateway.serving.tests.parts import fail
@@ -228,6 +230,24 @@
     play(test, "a", "b")
 
 
+def test_voters_know_of_a_version_that_the_targets_have_forgotten():
+    # A caller may return when no target of its version is remembered.
+    async def test(parts):
+        origin = Origin(OriginKey("t1", "r1"), "llm", "v0", 0.0, 1e9)
+
+        async def ask(key):
+            return origin if key == origin.key else None
+
+        parts.dispatcher.continuations.ask = ask
+        failure = await fail(parts, take_up())
+        assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
+        (line,) = parts.read_lines("stream_taken_up")
+        assert (line["source"], line["software"]) == ("told", "v0")
+        assert parts.engines.answers == []
+
+    play(test, "a", "b")
+
+
 def test_entry_that_may_have_missed_a_version_guesses_none():
     # An entry that hears few voters may not know of the newest targets.
     async def test(parts):
