Log the shared parts of prompts, and whether a lost request had an answer begun

An operator could not tell from the lines of an incident what the requests have in common under which targets end: each has its own digest. target_lost and placed now name the digests of the shared parts of the prompt, target_lost also whether the head of an answer had come (before, only the text of its error told), and 'chivepier explain DIGEST' takes a part's digest.

Forwarded requests carry them.

Nothing is decided by the parts yet.

--- a/packages/cli/src/chivepier/cli/commands/explain.py
+++ b/packages/cli/src/chivepier/cli/commands/explain.py
@@ -18,7 +18,8 @@
     """Show one request's way through the logs of several processes.
 
     REQUEST_ID is what the caller sent, or the digest that a line about it
-    shows: that of every time it came, under whatever id. LOGS are files with
+    shows: that of every time it came, under whatever id, or that of a part
+    which its prompt shares with others. LOGS are files with
     what the processes wrote; lines that are no events are passed over.
 
     \b
@@ -37,7 +38,7 @@
 ) -> list[dict]:
     """Pick a request's events, in the order of their times.
 
-    :param request_id: the caller's, or a digest
+    :param request_id: the caller's, or a digest of a request or a part
     :param logs: lines of each log
     :returns: the events
     """
@@ -49,11 +50,22 @@
             event = read_event(line)
             if event is None:
                 continue
-            if request_id in (event.get("id"), event.get("digest")):
+            if request_id in name_subjects(event):
                 events.append(event)
     return sorted(events, key=lambda event: event["t"])
 
 
+def name_subjects(event: dict) -> list[str]:
+    """Return the ids and digests of what an event is about.
+
+    >>> name_subjects({"id": "r", "digest": "d", "parts": ["p"]})
+    ['r', 'd', 'p']
+    """
+    subjects = [event.get("id"), event.get("digest")]
+    subjects += event.get("parts") or []
+    return [subject for subject in subjects if isinstance(subject, str)]
+
+
 def read_event(line: str) -> dict | None:
     """Read one line, whatever stands before its event.
 
--- a/packages/cli/src/chivepier/cli/tests/test_explain.py
+++ b/packages/cli/src/chivepier/cli/tests/test_explain.py
@@ -50,3 +50,17 @@
     write(path)
     result = CliRunner().invoke(main, ["explain", "r1", str(path)])
     assert result.exit_code == 1 and "no line names r1" in result.output
+
+
+def test_digest_of_a_part_shows_each_request_that_had_it(tmp_path):
+    path = tmp_path / "one.log"
+    lost = {"t": 6.5, "level": "warn", "node": "e1", "event": "target_lost"}
+    write(
+        path,
+        {**lost, "id": "r1", "digest": "d1", "parts": ["p0", "p1"]},
+        {**lost, "id": "r2", "digest": "d2", "parts": ["p1"]},
+        {**lost, "id": "r3", "digest": "d3", "parts": ["p0"]},
+    )
+    result = CliRunner().invoke(main, ["explain", "p1", str(path)])
+    assert result.exit_code == 0
+    assert len(result.output.splitlines()) == 2
--- a/packages/gateway/src/chivepier/gateway/forwarding/records.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/records.py
@@ -65,6 +65,7 @@
         last_event=request.last_event or "",
         resumes=request.resumes or "",
         software_version=request.software_version or "",
+        shared_parts=request.shared_parts,
     )
 
 
@@ -97,6 +98,7 @@
         last_event=message.last_event if message.has_last_event else None,
         resumes=message.resumes or None,
         software_version=message.software_version or None,
+        shared_parts=message.shared_parts,
         forwarded=True,
     )
 
--- a/packages/gateway/src/chivepier/gateway/messages/forwardrequest.py
+++ b/packages/gateway/src/chivepier/gateway/messages/forwardrequest.py
@@ -16,7 +16,8 @@
     ``has_key`` and ``has_last_event`` tell a missing text from an empty one.
     ``resumes`` is the attempt that began the stream which the request goes on
     with, and ``software_version`` that of the targets that may do so; both are
-    empty if there is none, or if it is not known.
+    empty if there is none, or if it is not known. ``shared_parts`` identify
+    the parts of its prompt that other requests may share.
     """
 
     entry: str
@@ -40,3 +41,4 @@
     last_event: str
     resumes: str = ""
     software_version: str = ""
+    shared_parts: tuple[str, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/quarantine/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/__init__.py
@@ -4,6 +4,7 @@
 from chivepier.gateway.quarantine.crashdetector import CrashDetector
 from chivepier.gateway.quarantine.crashledger import CrashLedger
 from chivepier.gateway.quarantine.crashledger import Record
+from chivepier.gateway.quarantine.digest import digest_part
 from chivepier.gateway.quarantine.digest import digest_request
 from chivepier.gateway.quarantine.digest import shorten
 from chivepier.gateway.quarantine.ending import Ending
@@ -26,6 +27,7 @@
     "Overrides",
     "Quarantine",
     "Record",
+    "digest_part",
     "digest_request",
     "pack_records",
     "shorten",
--- a/packages/gateway/src/chivepier/gateway/quarantine/digest.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/digest.py
@@ -1,10 +1,15 @@
 """Digests that identify a repeated request independently of its id."""
 
+import functools
 import hashlib
 
 # Size in bytes: large enough that digests do not collide by chance, and that
 # no caller can produce the digest of another one's request.
 DIGEST_BYTES = 16
+# Separates digests of parts from those of requests.
+PART_DOMAIN = b"prompt-part"
+# Digests kept: popular parts are in most requests.
+MAX_CACHED_PARTS = 4_096
 # Hexadecimal digits in logs and settings: enough to tell requests apart there.
 SHORT_DIGEST_LENGTH = 12
 
@@ -34,6 +39,26 @@
     return digest.hexdigest()
 
 
+@functools.lru_cache(maxsize=MAX_CACHED_PARTS)
+def digest_part(part: str) -> str:
+    """Compute the digest of a part that prompts share.
+
+    Identifiers of parts are whatever callers send. Their digests have one
+    size, and can't be confused with those of requests.
+
+    >>> digest_part("5c1e07a2") == digest_request(None, b"5c1e07a2")
+    False
+
+    :param part: identifier of the part
+    :returns: the digest in hexadecimal
+    """
+    return hashlib.blake2b(
+        part.encode(errors="surrogateescape"),
+        digest_size=DIGEST_BYTES,
+        person=PART_DOMAIN,
+    ).hexdigest()
+
+
 def shorten(digest: str) -> str:
     """Return the prefix of a digest that log lines show."""
     return digest[:SHORT_DIGEST_LENGTH]
--- a/packages/gateway/src/chivepier/gateway/serving/assignmentlog.py
+++ b/packages/gateway/src/chivepier/gateway/serving/assignmentlog.py
@@ -4,12 +4,16 @@
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.permits import Permit
+from chivepier.gateway.quarantine import shorten
 from chivepier.gateway.serving.assignment import Assignment
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.targets import LoadBalancer
 from chivepier.gateway.targets import PaceForecast
 from chivepier.types import Clock
 
+# Parts of a prompt that one line names.
+MAX_LOGGED_PARTS = 8
+
 
 class AssignmentLog:
     """Logs why a request goes to its target.
@@ -50,10 +54,23 @@
             runs=load.runs,
             tokens=load.tokens,
             reading=load.reading,
+            parts=describe_parts(plan),
             **describe_forecast(forecast),
         )
 
 
+def describe_parts(plan: Plan) -> list[str]:
+    """Return the shortened digests of shared parts of a prompt, for the log.
+
+    A line names the first and the last of a long list.
+    """
+    parts = plan.parts
+    if len(parts) > MAX_LOGGED_PARTS:
+        half = MAX_LOGGED_PARTS // 2
+        parts = parts[:half] + parts[-half:]
+    return [shorten(part) for part in parts]
+
+
 def describe_forecast(forecast: PaceForecast) -> dict:
     """Return the log fields of what is expected of a request at a target."""
     pause, fit = forecast.pause, forecast.fit
--- a/packages/gateway/src/chivepier/gateway/serving/callerrequest.py
+++ b/packages/gateway/src/chivepier/gateway/serving/callerrequest.py
@@ -20,6 +20,8 @@
     :param arrived: monotonic time in seconds when the head was read
     :param deadline: monotonic time in seconds when the caller stops waiting
     :param prompt: size of the generation; ``None`` for other requests
+    :param shared_parts: identifiers of the parts of its prompt that other
+        requests may share, in order
     :param last_event: id of the event after which a stream is to continue
     :param resumes: id of the caller's attempt that brought the first event of
         that stream
@@ -39,6 +41,7 @@
     arrived: float
     deadline: float
     prompt: Prompt | None = None
+    shared_parts: tuple[str, ...] = ()
     last_event: str | None = None
     resumes: str | None = None
     software_version: str | None = None
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -339,7 +339,12 @@
                 first_event_at = run.first_event_at if run else None
                 self._avoid_target(target)
                 self.losses.note_lost(
-                    plan, target, sent_at, first_event_at, error
+                    plan,
+                    target,
+                    sent_at,
+                    first_event_at,
+                    answer is not None,
+                    error,
                 )
             if answer is not None:
                 answer.close()
--- a/packages/gateway/src/chivepier/gateway/serving/lossrecorder.py
+++ b/packages/gateway/src/chivepier/gateway/serving/lossrecorder.py
@@ -2,6 +2,7 @@
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.quarantine import shorten
+from chivepier.gateway.serving.assignmentlog import describe_parts
 from chivepier.gateway.serving.crashguard import CrashGuard
 from chivepier.gateway.serving.endwitness import EndWitness
 from chivepier.gateway.serving.plan import Plan
@@ -40,6 +41,7 @@
         target: Target,
         sent_at: float,
         first_event_at: float | None,
+        answering: bool,
         error: BaseException,
     ) -> None:
         """Log and report that a target failed while it had a request.
@@ -49,6 +51,7 @@
         :param sent_at: when it was sent, in monotonic seconds
         :param first_event_at: when its first event arrived, in monotonic
             seconds; ``None`` if none did
+        :param answering: whether the head of an answer had arrived
         :param error: a timeout or the error of the connection
         """
         now = self._clock.monotonic()
@@ -68,6 +71,8 @@
                 if first_event_at is None
                 else round(1000 * (now - first_event_at))
             ),
+            answering=answering,
+            parts=describe_parts(plan),
             error=repr(error),
         )
         broke = not isinstance(error, TimeoutError)
--- a/packages/gateway/src/chivepier/gateway/serving/plan.py
+++ b/packages/gateway/src/chivepier/gateway/serving/plan.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.config import Repetition
 from chivepier.gateway.config import Route
 from chivepier.gateway.config import Service
+from chivepier.gateway.quarantine import digest_part
 from chivepier.gateway.quarantine import digest_request
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.targets import Demand
@@ -55,3 +56,8 @@
             request.url.encode(),
             request.body,
         )
+
+    @functools.cached_property
+    def parts(self) -> tuple[str, ...]:
+        """Digests of the parts of the prompt that other requests may share."""
+        return tuple(map(digest_part, self.request.shared_parts))
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -120,7 +120,7 @@
         dispatcher, plan = self._dispatcher, self._plan
         error = BrokenAnswerError("the stream ended before it was complete")
         dispatcher.losses.note_lost(
-            plan, run.target, run.sent_at, run.first_event_at, error
+            plan, run.target, run.sent_at, run.first_event_at, True, error
         )
         if plan.repeatable:
             await dispatcher.guard.wait_for_verdict(plan, run.target)
@@ -217,7 +217,7 @@
         except (NotSentError, ConnectionLostError, TimeoutError) as error:
             if not isinstance(error, NotSentError):
                 dispatcher.losses.note_lost(
-                    plan, handoff.target, sent_at, None, error
+                    plan, handoff.target, sent_at, None, False, error
                 )
             dispatcher.log.warn(
                 "handoff_failed",
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -9,6 +9,7 @@
 import pytest
 from test_configcodec import CONFIG_FIELDS
 
+import adapter.callers as callers
 from adapter.callers import CallerServer
 from adapter.configcodec import decode_config
 from adapter.httptargetclient import HttpTargetClient
@@ -528,3 +529,30 @@
         assert read_status(answer) == status
 
     run(answer_ok, test)
+
+
+@pytest.mark.parametrize(
+    "values, parts",
+    [
+        ((), ()),
+        (("",), ()),
+        (("5c1e07a2:800",), ()),
+        (
+            ("5C1E07A2:800,91bd3f06:410,e4402b7d:250",),
+            ("5c1e07a2", "91bd3f06"),
+        ),
+        (("5c1e07a2:800", "91bd3f06:410"), ("5c1e07a2",)),
+        (("a:1,a:1,b:2",), ("a",)),
+        ((",,:5, b :x,not hexadecimal:-1,c:1",), ("b", "not hexadecimal")),
+    ],
+    ids=["none", "empty", "own", "shared", "lines", "repeated", "malformed"],
+)
+def test_shared_parts_of_a_prompt_are_read(values, parts):
+    # A list that can't be read must not cost its caller the answer.
+    assert callers._read_shared_parts(values) == parts
+
+
+def test_a_long_list_of_parts_is_read_to_a_bound():
+    values = (",".join(f"{number:x}:1" for number in range(100_000)),)
+    parts = callers._read_shared_parts(values)
+    assert len(parts) == callers.MAX_PROMPT_PARTS - 1
