Hold back requests for a part of their prompts that ends targets

Callers saw streams break off for half a minute and over a tenth of the long ones lost: 34 and 32 targets ended one after the other under requests of one team and route, no two of them alike.

Cause: ends of targets are held against a request as a whole. Each new path and body started without any evidence, and had three targets to end.

Now an end also counts against the parts that the prompt shares with others. A part is suspected after three ends, unless one request, or a more suspicious part, was there each time; a whole answer, or 2 s of events, clears a part at every entry, for the version of the software that answered. Of parts that were always together only requests with all of them are held back, so that sound ones with some of them are answered and tell them apart. A team's own ends count each, those of each other team as one. Where next to nothing is answered a hold is short, and when it is over single requests are let through. It is asked before each send, once more before the first byte and before the body; requests that wait at a target are ended there, and their target is not avoided for it. Forwarded requests carry their parts, voters keep the evidence over a kill of all.

--- a/packages/gateway/src/chivepier/gateway/control/statecache.py
+++ b/packages/gateway/src/chivepier/gateway/control/statecache.py
@@ -33,6 +33,9 @@
 # Streams whose beginning survives the end of all processes; each write holds
 # all of them.
 MAX_SAVED_ORIGINS = 1_000
+# Team, software, whether it answered, and parts of an ending in a file of an
+# earlier release.
+NO_CAUSE = ("", "", False, ())
 
 
 class StateCache:
@@ -89,7 +92,8 @@
             return None
         now = self._clock.monotonic()
         # Files of earlier releases contain none of these fields, or two.
-        endings, orders, versions, origins = (*rest, (), (), (), ())[:4]
+        padded = (*rest, (), (), (), (), ())[:5]
+        endings, orders, versions, origins, causes = padded
         software = {(name, born): version for name, born, version in versions}
         for fields in targets:
             target = unpack_target(TargetRecord(*fields), now)
@@ -102,10 +106,25 @@
         for zone, index, evacuated in orders:
             order = ZoneOrder(zone, index, evacuated, now)
             self._table.zones.put(order)
+        by_ending = {tuple(key): cause for *key, cause in causes}
         for fields in endings:
             digest, instance, born, age, source, how = fields
             life = Incarnation(instance, born)
-            self._ledger.add(Ending(digest, life, now - age, source, how))
+            cause = by_ending.get((digest, instance, born), NO_CAUSE)
+            team, software, answering, parts = cause
+            self._ledger.add(
+                Ending(
+                    digest,
+                    life,
+                    now - age,
+                    source,
+                    how,
+                    team,
+                    software,
+                    answering,
+                    tuple(parts),
+                )
+            )
         return StoredConfig(version, body) if version >= 0 else None
 
     async def run(self, store: ConfigStore) -> None:
@@ -151,6 +170,7 @@
                     record.born,
                 )
             )
+        evidence = self._ledger.list_evidence()
         endings = [
             (
                 e.digest,
@@ -159,8 +179,17 @@
                 now - e.seen,
             )
             + (e.source, e.how)
-            for digest in self._ledger.suspects
-            for e in self._ledger.find_endings(digest)
+            for e in evidence
+        ]
+        # apart from the endings, which earlier releases read by their length
+        causes = [
+            (
+                e.digest,
+                e.incarnation.instance,
+                e.incarnation.born,
+                (e.team, e.software, e.answering, e.parts),
+            )
+            for e in evidence
         ]
         orders = [
             (order.zone, order.index, order.evacuated)
@@ -173,7 +202,7 @@
         ]
         newest = list(self._origins)[-MAX_SAVED_ORIGINS:]
         origins = [attrs.astuple(pack_origin(o, now)) for o in newest]
-        state = (targets, endings, orders, versions, origins)
+        state = (targets, endings, orders, versions, origins, causes)
         if config is None:
             return (-1, b"", *state)
         return (config.version, config.body, *state)
--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -27,6 +27,7 @@
 from chivepier.gateway.quarantine import LostRequest
 from chivepier.gateway.quarantine import Overrides
 from chivepier.gateway.quarantine import Quarantine
+from chivepier.gateway.quarantine import Trials
 from chivepier.gateway.serving import RetryBudget
 from chivepier.gateway.serving import ServingState
 from chivepier.gateway.settings import VoterSettings
@@ -82,6 +83,7 @@
             self.table,
             self._probe,
             Overrides(),
+            Trials(lambda: 1, random.Random(1)),
             clock,
             log,
             Metrics(),
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -29,6 +29,7 @@
 from chivepier.gateway.permits import FallbackLimiter
 from chivepier.gateway.permits import SendLimiter
 from chivepier.gateway.quarantine import Quarantine
+from chivepier.gateway.quarantine import Trials
 from chivepier.gateway.reach import Reach
 from chivepier.gateway.reach import ReachProber
 from chivepier.gateway.serving import BodyMemory
@@ -184,6 +185,7 @@
             self.table,
             calls.probe,
             settings.orders,
+            Trials(lambda: self.state.entries, rng),
             clock,
             log,
             self.metrics,
@@ -321,7 +323,7 @@
         await self._listen_for_peers()
         await self._stack.enter_async_context(self.following)
         self._stack.push_async_callback(self.mover.close)
-        self._stack.push_async_callback(self.quarantine.detector.close)
+        self._stack.push_async_callback(self.quarantine.close)
         loading = asyncio.create_task(self.metrics.load_after_delay())
         self._stack.callback(loading.cancel)
         watching = asyncio.create_task(self.mover.watch_silent_targets())
--- a/packages/gateway/src/chivepier/gateway/following/quarantineexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/quarantineexchange.py
@@ -60,8 +60,7 @@
             return EMPTY_NOTICE
         records = list(self._own)[len(self._own) - missing :]
         if confirmed is None:
-            for digest in ledger.suspects:
-                records += ledger.find_endings(digest)
+            records += ledger.list_evidence()
         return pack_records(records, self._clock.monotonic())
 
     def take(self, notice: QuarantineNotice) -> None:
--- a/packages/gateway/src/chivepier/gateway/following/tests/test_versionmodel.py
+++ b/packages/gateway/src/chivepier/gateway/following/tests/test_versionmodel.py
@@ -97,7 +97,7 @@
             task.cancel()
         for parts in self.entries:
             await parts.mover.close()
-            await parts.quarantine.detector.close()
+            await parts.quarantine.close()
 
 
 class Stream:
--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/peersite.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/peersite.py
@@ -72,7 +72,7 @@
         await self._stack.enter_async_context(self.server)
         self._stack.push_async_callback(self.forwards.close)
         self._stack.push_async_callback(self.parts.mover.close)
-        self._stack.push_async_callback(self.parts.quarantine.detector.close)
+        self._stack.push_async_callback(self.parts.quarantine.close)
         return self
 
     async def __aexit__(self, *exc) -> None:
--- a/packages/gateway/src/chivepier/gateway/messages/endingrecord.py
+++ b/packages/gateway/src/chivepier/gateway/messages/endingrecord.py
@@ -10,7 +10,10 @@
     ``digest`` identifies the request, ``instance`` and ``born`` identify one
     incarnation of the target. ``age`` is the number of seconds since the end
     was seen, sent as an age because clocks of nodes differ. ``source`` is the
-    entry that saw the end, and ``how`` the evidence for it.
+    entry that saw the end, and ``how`` the evidence for it. ``team`` is that
+    of the caller, ``software`` the service and software version of the target,
+    ``answering`` whether it had begun to answer, and ``parts`` the digests of
+    those shared parts of the prompt that are not known to be sound.
     """
 
     digest: str
@@ -19,3 +22,7 @@
     age: float
     source: str
     how: str
+    team: str = ""
+    software: str = ""
+    answering: bool = False
+    parts: tuple[str, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/quarantine/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/__init__.py
@@ -2,6 +2,7 @@
 
 from chivepier.gateway.quarantine.clearance import Clearance
 from chivepier.gateway.quarantine.crashdetector import CrashDetector
+from chivepier.gateway.quarantine.crashdetector import SUSPECT_WINDOW_SECONDS
 from chivepier.gateway.quarantine.crashledger import CrashLedger
 from chivepier.gateway.quarantine.crashledger import Record
 from chivepier.gateway.quarantine.digest import digest_part
@@ -15,6 +16,7 @@
 from chivepier.gateway.quarantine.quarantine import Quarantine
 from chivepier.gateway.quarantine.records import pack_records
 from chivepier.gateway.quarantine.records import unpack_records
+from chivepier.gateway.quarantine.trials import Trials
 
 __all__ = [
     "Clearance",
@@ -27,6 +29,8 @@
     "Overrides",
     "Quarantine",
     "Record",
+    "SUSPECT_WINDOW_SECONDS",
+    "Trials",
     "digest_part",
     "digest_request",
     "pack_records",
--- a/packages/gateway/src/chivepier/gateway/quarantine/crashdetector.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/crashdetector.py
@@ -120,6 +120,10 @@
         for request in check.lost:
             self._report_if_related(request, at, how)
 
+    def has_ended(self, incarnation: Incarnation) -> bool:
+        """Tell whether an incarnation is known to have ended recently."""
+        return incarnation in self._ended
+
     async def wait_for_probe(self, target: Target) -> None:
         """Wait briefly for the result of probing a target.
 
--- a/packages/gateway/src/chivepier/gateway/quarantine/ending.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/ending.py
@@ -14,6 +14,11 @@
     :param seen: time of the observation, in this node's monotonic seconds
     :param source: name of the entry that observed it
     :param how: evidence, such as ``refused``, ``restarted`` or ``silent``
+    :param team: team of the caller; empty if the route requires none
+    :param software: service and software version of the target
+    :param answering: whether the target had begun to answer the request
+    :param parts: digests of the shared parts of its prompt that are not known
+        to be sound
     """
 
     digest: str
@@ -21,3 +26,7 @@
     seen: float
     source: str
     how: str
+    team: str = ""
+    software: str = ""
+    answering: bool = False
+    parts: tuple[str, ...] = ()
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/quarantine/partevidence.py
@@ -0,0 +1,123 @@
+"""Evidence against the parts that prompts share."""
+
+import collections
+import collections.abc
+
+from chivepier.gateway.quarantine.ending import Ending
+from chivepier.gateway.quarantine.incarnation import Incarnation
+from chivepier.gateway.quarantine.partgroup import PartGroup
+from chivepier.gateway.quarantine.suspects import find_suspects
+from chivepier.gateway.quarantine.suspects import MIN_ENDINGS
+
+
+class PartEvidence:
+    """Ends of targets by the parts of the prompts that ran there.
+
+    A part may end each target that begins to answer a prompt with it, and no
+    two of these requests need be alike. A part is suspected if three targets
+    ended under it, unless one request or a more suspicious part was there
+    each time, too.
+
+    >>> evidence = PartEvidence()
+    >>> for other in "xyz":
+    ...     life, parts = Incarnation(f"i-{other}", 0), (other, "p")
+    ...     evidence.add(
+    ...         Ending(f"d-{other}", life, 5.0, "e1", "told", parts=parts)
+    ...     )
+    >>> evidence.update([])
+    >>> [sorted(group.parts) for group in evidence.groups]
+    [['p']]
+
+    :ivar groups: the suspected parts, as requests had them
+    """
+
+    def __init__(self) -> None:
+        self.groups: tuple[PartGroup, ...] = ()
+        self._endings: dict[str, dict[tuple[str, Incarnation], Ending]] = {}
+        self._suspects: frozenset[str] = frozenset()
+
+    def count(self, part: str) -> int:
+        """Return the number of endings that count against a part."""
+        return len(self._endings.get(part, ()))
+
+    def find_endings(self, part: str) -> list[Ending]:
+        """Return the endings that count against a part."""
+        return list(self._endings.get(part, {}).values())
+
+    def add(self, ending: Ending) -> None:
+        """Count an ending against each of its parts."""
+        for part in ending.parts:
+            known = self._endings.setdefault(part, {})
+            known[(ending.digest, ending.incarnation)] = ending
+
+    def remove(self, ending: Ending) -> None:
+        """Count an ending against none of its parts any more."""
+        for part in ending.parts:
+            known = self._endings[part]
+            del known[(ending.digest, ending.incarnation)]
+            if not known:
+                del self._endings[part]
+
+    def find_groups(
+        self, parts: collections.abc.Collection[str], team: str
+    ) -> list[PartGroup]:
+        """Return the suspected parts for which a request is held back.
+
+        :param parts: digests of the shared parts of its prompt
+        :param team: team of its caller; empty if its route requires none
+        """
+        if self._suspects.isdisjoint(parts):
+            return []
+        return [
+            group
+            for group in self.groups
+            if group.parts.issubset(parts)
+            and group.count_for(team) >= MIN_ENDINGS
+        ]
+
+    def update(
+        self,
+        explained: collections.abc.Iterable[collections.abc.Set[Incarnation]],
+    ) -> None:
+        """Judge all parts again.
+
+        :param explained: what ended under each request that is suspected
+            itself
+        """
+        explained = list(explained)
+        lives, answering = {}, {}
+        for part, endings in self._endings.items():
+            if len(endings) < MIN_ENDINGS:
+                continue
+            ended = {e.incarnation for e in endings.values()}
+            if any(ended <= others for others in explained):
+                continue
+            lives[part] = ended
+            # of parts that were there equally often, those of requests that
+            # only waited are not the cause
+            answering[part] = len(
+                {e.incarnation for e in endings.values() if e.answering}
+            )
+        found = find_suspects(lives, answering)
+        if found or self._suspects:
+            self._suspects = frozenset(found)
+            self.groups = tuple(self._form_groups())
+
+    def _form_groups(self) -> collections.abc.Iterator[PartGroup]:
+        by_parts = collections.defaultdict(list)
+        seen = {}
+        for part in self._suspects:
+            seen |= self._endings[part]
+        for ending in seen.values():
+            by_parts[self._suspects.intersection(ending.parts)].append(ending)
+        for parts in by_parts:
+            if any(other < parts for other in by_parts):
+                continue
+            endings = [
+                ending
+                for others, found in by_parts.items()
+                if parts <= others
+                for ending in found
+            ]
+            endings.sort(key=lambda ending: ending.seen)
+            yield PartGroup(parts, tuple(endings))
--- a/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
@@ -1,14 +1,20 @@
 """The quarantine of one entry."""
 
+import asyncio
+import collections
 import collections.abc
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.quarantine.clearance import Clearance
+from chivepier.gateway.quarantine.closedanswer import ClosedAnswer
+from chivepier.gateway.quarantine.contrast import Contrast
 from chivepier.gateway.quarantine.crashdetector import CrashDetector
 from chivepier.gateway.quarantine.crashdetector import Probe
 from chivepier.gateway.quarantine.crashledger import CrashLedger
+from chivepier.gateway.quarantine.crashledger import ENDING_TTL_SECONDS
 from chivepier.gateway.quarantine.crashledger import HOLD_SECONDS
+from chivepier.gateway.quarantine.crashledger import MAX_PARTS_PER_ENDING
 from chivepier.gateway.quarantine.crashledger import Record
 from chivepier.gateway.quarantine.digest import shorten
 from chivepier.gateway.quarantine.ending import Ending
@@ -16,17 +22,38 @@
 from chivepier.gateway.quarantine.incarnation import Incarnation
 from chivepier.gateway.quarantine.lostrequest import LostRequest
 from chivepier.gateway.quarantine.overrides import Overrides
+from chivepier.gateway.quarantine.partgroup import PartGroup
 from chivepier.gateway.quarantine.recentanswers import RecentAnswers
 from chivepier.gateway.quarantine.suspects import MIN_ENDINGS
+from chivepier.gateway.quarantine.trials import SLOT_SECONDS
+from chivepier.gateway.quarantine.trials import Trials
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
 
 # Interval between runs that drop expired records.
 EXPIRY_INTERVAL_SECONDS = 5.0
+# Sound parts that are remembered. Popular parts are in each entry's answers
+# all the time; a rare one that is dropped may be suspected by chance.
+MAX_SOUND_PARTS = 8_192
+# Time for which a part is held back if hardly any request is answered, with
+# its third ending, and its growth with each further one: a sound part that
+# all requests have is soon tried again.
+UNCLEAR_HOLD_SECONDS = 5.0
+UNCLEAR_HOLD_GROWTH = 8.0
+HOLD_GROWTH = 2.0
+# Time after the first ending under a part until each entry that was answered
+# requests with it has said so.
+SETTLE_SECONDS = 0.25
+# Time after an answer that ended with its connection in which a crash of its
+# target is noticed, and the maximum number of answers that wait for that.
+LIVED_ON_SECONDS = 3.0
+MAX_CLOSED_ANSWERS = 1_024
+# Parts that one line of the log names.
+MAX_LOGGED_PARTS = 8
 
 Publish = collections.abc.Callable[[Record], None]
-Watcher = collections.abc.Callable[[str], None]
+Watcher = collections.abc.Callable[[], None]
 
 
 class Quarantine:
@@ -34,16 +61,18 @@
 
     A request that ends each target that runs it interrupts all other streams
     there, is retried under a new id and may reach another entry. Suspects are
-    therefore identified by a digest that retries do not change, and the
-    evidence is shared between entries.
+    therefore identified by a digest that retries do not change, and by the
+    parts of the prompt that other requests share, as one of these may be the
+    cause. The evidence is shared between entries.
 
     :ivar publish: sends a record of this entry to the other entries
-    :ivar watchers: called with the digest of each request that becomes held
+    :ivar watchers: called when requests under way may have become held
 
     :param me: name of this entry
     :param table: targets
     :param probe: checks whether a target is alive
     :param overrides: operators' overrides
+    :param trials: lets single requests through once a hold is over
     :param clock: monotonic clock
     :param log: log of the decisions
     :param metrics: counters of the decisions
@@ -55,6 +84,7 @@
         table: TargetTable,
         probe: Probe,
         overrides: Overrides,
+        trials: Trials,
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
@@ -64,6 +94,13 @@
         self.publish: Publish = lambda record: None
         self.watchers: list[Watcher] = []
         self._held: set[str] = set()
+        self._held_groups: frozenset[frozenset[str]] = frozenset()
+        self._settling: set[asyncio.Task] = set()
+        self._closed: collections.deque[ClosedAnswer] = collections.deque(
+            maxlen=MAX_CLOSED_ANSWERS
+        )
+        self._table = table
+        self._trials = trials
         self._expired_at = 0.0
         self._me = me
         self.overrides = overrides
@@ -71,30 +108,71 @@
         self._log = log
         self._metrics = metrics
         self._recent_answers = RecentAnswers()
+        self._sound_parts = RecentAnswers(MAX_SOUND_PARTS)
+        self._contrast = Contrast()
 
     @property
     def idle(self) -> bool:
         """Whether no request can be held back."""
-        return not self.ledger.suspects and not self.overrides.keep_out
+        return (
+            not self.ledger.suspects
+            and not self.ledger.parts.groups
+            and not self.overrides.keep_out
+        )
 
-    def find_hold(self, digest: str) -> Hold | None:
+    def find_hold(
+        self, digest: str, parts: tuple[str, ...] = (), team: str = ""
+    ) -> Hold | None:
         """Return the hold on a request that must not be sent to targets.
 
         :param digest: digest of the request
+        :param parts: digests of the shared parts of its prompt
+        :param team: team of its caller; empty if its route requires none
         :returns: the hold with its evidence, or ``None``
         """
         if self.overrides.allows(digest):
             return None
         now = self._clock.monotonic()
-        if self.overrides.blocks(digest):
+        if any(map(self.overrides.blocks, (digest, *parts))):
             return Hold(digest, (), now + HOLD_SECONDS)
-        return self.ledger.find_hold(digest, now)
+        hold = self.ledger.find_hold(digest, now)
+        if hold is not None:
+            return hold
+        allowed = self.overrides.allows
+        suspected = [part for part in parts if not allowed(part)]
+        for group in self.ledger.parts.find_groups(suspected, team):
+            hold = self._find_part_hold(digest, group, now)
+            if hold is not None:
+                return hold
+        return None
+
+    def _find_part_hold(
+        self, digest: str, group: PartGroup, now: float
+    ) -> Hold | None:
+        latest = group.endings[-1]
+        until = latest.seen + self._compute_hold_seconds(group, now)
+        if now >= until:
+            if self._trials.admit(group.parts, digest, now):
+                return None
+            until = now + SLOT_SECONDS
+        settled_at = group.endings[0].seen + SETTLE_SECONDS
+        return Hold(digest, group.endings, until, group.parts, settled_at)
+
+    def _compute_hold_seconds(self, group: PartGroup, now: float) -> float:
+        further = len({e.incarnation for e in group.endings}) - MIN_ENDINGS
+        if self._contrast.is_clear(group.endings[-1].software, now):
+            seconds = HOLD_SECONDS * HOLD_GROWTH**further
+        else:
+            seconds = UNCLEAR_HOLD_SECONDS * UNCLEAR_HOLD_GROWTH**further
+        return min(seconds, ENDING_TTL_SECONDS)
 
     def note_lost(self, request: LostRequest) -> None:
         """Check whether the target of a lost request has ended."""
         self.detector.investigate(request)
 
-    async def wait_for_check(self, digest: str, target: Target) -> None:
+    async def wait_for_check(
+        self, digest: str, target: Target, parts: tuple[str, ...] = ()
+    ) -> None:
         """Wait briefly for the check of a lost request's target.
 
         Waits only if one more ending would hold the request back; others are
@@ -102,8 +180,11 @@
 
         :param digest: digest of the request
         :param target: target at which it was lost
+        :param parts: digests of the shared parts of its prompt
         """
-        if len(self.ledger.find_endings(digest)) >= MIN_ENDINGS - 1:
+        counts = [self.ledger.parts.count(part) for part in parts]
+        counts.append(len(self.ledger.find_endings(digest)))
+        if max(counts) >= MIN_ENDINGS - 1:
             await self.detector.wait_for_probe(target)
 
     def note_answered(self, digest: str) -> None:
@@ -116,6 +197,58 @@
         if self.ledger.has_endings(digest):
             self._clear(digest, now)
 
+    def note_sound(self, parts: tuple[str, ...], target: Target) -> None:
+        """Record that a target survived a request with these parts.
+
+        :param parts: digests of the shared parts of its prompt
+        :param target: target that answered it
+        """
+        now = self._clock.monotonic()
+        self._note_sound(parts, self.describe_software(target), now)
+
+    def note_closed(self, parts: tuple[str, ...], target: Target) -> None:
+        """Record an answer whose end a crash of its target would look like.
+
+        It shows that the parts are sound if the target lives on.
+
+        :param parts: digests of the shared parts of its prompt
+        :param target: target that answered it
+        """
+        self._closed.append(
+            ClosedAnswer(
+                parts,
+                Incarnation.of(target),
+                self.describe_software(target),
+                self._clock.monotonic(),
+            )
+        )
+
+    def describe_software(self, target: Target) -> str:
+        """Return a target's service and the version of its software."""
+        return f"{target.service} {self._table.find_version(target)}"
+
+    def _note_sound(
+        self, parts: tuple[str, ...], software: str, now: float
+    ) -> None:
+        self._contrast.note_answered(software, now)
+        for part in parts:
+            self._sound_parts.add((part, software), now)
+            endings = self.ledger.parts.find_endings(part)
+            if any(ending.software == software for ending in endings):
+                self._clear(part, now, software)
+
+    def _judge_closed(self, now: float) -> None:
+        while self._closed and now - self._closed[0].at >= LIVED_ON_SECONDS:
+            answer = self._closed.popleft()
+            known = self._table.get(answer.incarnation.instance)
+            if (
+                known is not None
+                and Incarnation.of(known) == answer.incarnation
+                and known.heard - answer.at >= LIVED_ON_SECONDS / 2
+                and not self.detector.has_ended(answer.incarnation)
+            ):
+                self._note_sound(answer.parts, answer.software, now)
+
     def note_refused(self, identity: str, team: str, hold: Hold) -> None:
         """Log and count a refused request.
 
@@ -130,6 +263,7 @@
             id=identity,
             digest=shorten(hold.digest),
             team=team,
+            parts=[shorten(part) for part in sorted(hold.parts)],
             until_s=round(hold.until - now),
             ends=[
                 {
@@ -156,15 +290,33 @@
                         self._clear(
                             digest, self._recent_answers.find(digest, now)
                         )
+                    self._contradict(record, now)
+
+    def _contradict(self, ending: Ending, now: float) -> None:
+        """Clear the parts of an ending that are known here to be sound."""
+        for part in ending.parts:
+            subject = (part, ending.software)
+            answered = self._sound_parts.find(subject, now)
+            if answered is not None:
+                self._clear(part, answered, ending.software)
 
     def expire(self) -> None:
-        """Drop expired records."""
+        """Drop expired records, and judge answers that were closed."""
         now = self._clock.monotonic()
+        self._judge_closed(now)
         if now - self._expired_at < EXPIRY_INTERVAL_SECONDS:
             return
         self._expired_at = now
         self.ledger.expire(now)
         self._update_held("time")
+        self._trials.forget(self._held_groups)
+
+    async def close(self) -> None:
+        """Cancel all checks."""
+        for task in self._settling:
+            task.cancel()
+        await asyncio.gather(*self._settling, return_exceptions=True)
+        await self.detector.close()
 
     def _report_ending(self, request: LostRequest, how: str) -> None:
         """Record that a target has ended under a request of this entry."""
@@ -183,7 +335,15 @@
             return
         incarnation = Incarnation.of(request.target)
         ending = Ending(
-            request.digest, incarnation, request.lost_at, self._me, how
+            request.digest,
+            incarnation,
+            request.lost_at,
+            self._me,
+            how,
+            request.team or "",
+            request.software,
+            request.answering,
+            self._select_unproved(request),
         )
         if not self._add(ending):
             return
@@ -197,11 +357,27 @@
             born=incarnation.born,
             how=how,
             ends=len(self.ledger.find_endings(request.digest)),
+            parts={
+                shorten(part): self.ledger.parts.count(part)
+                for part in ending.parts[:MAX_LOGGED_PARTS]
+            },
         )
         self.publish(ending)
 
-    def _clear(self, digest: str, answered: float) -> None:
-        clearance = Clearance(digest, answered, self._me)
+    def _select_unproved(self, request: LostRequest) -> tuple[str, ...]:
+        """Return the parts of a lost request that are not known as sound."""
+        unproved = [
+            part
+            for part in request.parts
+            if self._sound_parts.find(
+                (part, request.software), request.lost_at
+            )
+            is None
+        ]
+        return tuple(unproved[:MAX_PARTS_PER_ENDING])
+
+    def _clear(self, digest: str, answered: float, software: str = "") -> None:
+        clearance = Clearance(digest, answered, self._me, software)
         if self._add(clearance):
             self._metrics.record_quarantine("cleared")
             self._log.info("suspect_cleared", digest=shorten(digest))
@@ -225,10 +401,53 @@
                 ends=len(ends),
                 sources=sorted({ending.source for ending in ends}),
             )
-            for watcher in self.watchers:
-                watcher(digest)
         for digest in before - held:
             self._metrics.record_quarantine("released")
             self._log.info(
                 "suspect_released", digest=shorten(digest), reason=reason
             )
+        if held - before:
+            self._notify_watchers()
+        self._update_held_groups(reason)
+
+    def _notify_watchers(self) -> None:
+        for watcher in self.watchers:
+            watcher()
+
+    def _update_held_groups(self, reason: str) -> None:
+        before = self._held_groups
+        groups = {group.parts: group for group in self.ledger.parts.groups}
+        self._held_groups = frozenset(groups)
+        for parts in groups.keys() - before:
+            self._note_held_group(groups[parts])
+        for parts in before - groups.keys():
+            self._metrics.record_quarantine("released")
+            self._log.info(
+                "suspect_released",
+                parts=[shorten(part) for part in sorted(parts)],
+                reason=reason,
+            )
+
+    def _note_held_group(self, group: PartGroup) -> None:
+        self._metrics.record_quarantine("held")
+        now = self._clock.monotonic()
+        self._log.warn(
+            "suspect_held",
+            parts=[shorten(part) for part in sorted(group.parts)],
+            ends=len({ending.incarnation for ending in group.endings}),
+            requests=len({ending.digest for ending in group.endings}),
+            teams=sorted({ending.team for ending in group.endings}),
+            sources=sorted({ending.source for ending in group.endings}),
+            hold_s=round(self._compute_hold_seconds(group, now)),
+        )
+        wait = group.endings[0].seen + SETTLE_SECONDS - now
+        if wait <= 0:
+            self._notify_watchers()
+            return
+        task = asyncio.create_task(self._notify_later(wait))
+        self._settling.add(task)
+        task.add_done_callback(self._settling.discard)
+
+    async def _notify_later(self, seconds: float) -> None:
+        await self._clock.sleep(seconds)
+        self._notify_watchers()
--- a/packages/gateway/src/chivepier/gateway/quarantine/recentanswers.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/recentanswers.py
@@ -1,4 +1,6 @@
-"""Requests that were answered recently."""
+"""Requests, or parts of prompts, that were answered recently."""
+
+import collections.abc
 
 from chivepier.gateway.quarantine.crashledger import CLEARANCE_WINDOW_SECONDS
 
@@ -7,35 +9,41 @@
 
 
 class RecentAnswers:
-    """Bounded record of the requests that targets answered completely.
+    """Bounded record of what targets answered completely.
 
     >>> answers = RecentAnswers()
     >>> answers.add("d", 5.0)
     >>> answers.find("d", 6.0), answers.find("d", 66.0)
     (5.0, None)
+
+    :param size: maximum number of subjects that are remembered
     """
 
-    def __init__(self) -> None:
-        self._answered: dict[str, float] = {}
+    def __init__(self, size: int = MAX_RECENT_ANSWERS) -> None:
+        self._size = size
+        self._answered: dict[collections.abc.Hashable, float] = {}
 
-    def add(self, digest: str, now: float) -> None:
+    def add(self, subject: collections.abc.Hashable, now: float) -> None:
         """Record that a request was answered.
 
-        :param digest: digest of the request
+        :param subject: digest of the request; of a part with the software
+            that answered it
         :param now: current time in monotonic seconds
         """
-        self._answered.pop(digest, None)
-        self._answered[digest] = now
-        if len(self._answered) > MAX_RECENT_ANSWERS:
+        self._answered.pop(subject, None)
+        self._answered[subject] = now
+        if len(self._answered) > self._size:
             del self._answered[next(iter(self._answered))]
 
-    def find(self, digest: str, now: float) -> float | None:
-        """Return when a request was last answered, if recently.
+    def find(
+        self, subject: collections.abc.Hashable, now: float
+    ) -> float | None:
+        """Return when a request or part was last answered, if recently.
 
-        :param digest: digest of the request
+        :param subject: what was recorded
         :param now: current time in monotonic seconds
         """
-        answered = self._answered.get(digest)
+        answered = self._answered.get(subject)
         if answered is None or now - answered >= CLEARANCE_WINDOW_SECONDS:
             return None
         return answered
--- a/packages/gateway/src/chivepier/gateway/quarantine/records.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/records.py
@@ -23,24 +23,30 @@
     for record in records:
         age = max(0.0, now - record.seen)
         match record:
-            case Ending(
-                digest=digest, incarnation=incarnation, source=source, how=how
-            ):
-                endings.append(
-                    EndingRecord(
-                        digest,
-                        incarnation.instance,
-                        incarnation.born,
-                        age,
-                        source,
-                        how,
-                    )
+            case Ending():
+                endings.append(_pack_ending(record, age))
+            case Clearance(digest=digest, source=source, software=software):
+                clearances.append(
+                    ClearanceRecord(digest, age, source, software)
                 )
-            case Clearance(digest=digest, source=source):
-                clearances.append(ClearanceRecord(digest, age, source))
     return QuarantineNotice(tuple(endings), tuple(clearances))
 
 
+def _pack_ending(ending: Ending, age: float) -> EndingRecord:
+    return EndingRecord(
+        ending.digest,
+        ending.incarnation.instance,
+        ending.incarnation.born,
+        age,
+        ending.source,
+        ending.how,
+        ending.team,
+        ending.software,
+        ending.answering,
+        ending.parts,
+    )
+
+
 def unpack_records(notice: QuarantineNotice, now: float) -> list[Record]:
     """Convert a message to records.
 
@@ -55,11 +61,17 @@
             now - record.age,
             record.source,
             record.how,
+            record.team,
+            record.software,
+            record.answering,
+            record.parts,
         )
         for record in notice.endings
     ]
     clearances = [
-        Clearance(record.digest, now - record.age, record.source)
+        Clearance(
+            record.digest, now - record.age, record.source, record.software
+        )
         for record in notice.clearances
     ]
     return [*endings, *clearances]
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -155,7 +155,7 @@
         retry_counted = True
         while True:
             self._rejection.check_deadline(plan, runs)
-            self.guard.check(plan, runs)
+            await self.guard.check(plan, runs)
             if may_forward and self.detour.is_needed(plan):
                 if not retry_counted and not self.take_retry(plan):
                     raise self._rejection.make_error(
@@ -170,7 +170,7 @@
                 plan, tried, runs, may_forward
             )
             # the request may have been quarantined while it waited
-            self.guard.check(plan, runs)
+            await self.guard.check(plan, runs)
             if assignment is None:
                 if may_forward and self.detour.is_only_way(plan):
                     continue
@@ -205,7 +205,7 @@
             ) as error:
                 runs += 1
                 if not may_retry:
-                    self.guard.check(plan, runs)
+                    await self.guard.check(plan, runs)
                     raise self._rejection.make_lost_error(error) from None
                 await self.guard.wait_for_verdict(plan, target)
                 continue
@@ -219,7 +219,7 @@
                 if forecast.fit is not None:
                     self._metrics.record_fit(forecast.fit.value)
                 if started.run is None:
-                    self.guard.note_answered(plan, started.answer.facts)
+                    self.guard.note_answered(plan, started)
                 return started
             if not may_retry:
                 return started
@@ -330,10 +330,12 @@
                     CallPurpose.START,
                     assignment.permit,
                     max(MIN_PATIENCE_SECONDS, plan.route.objective),
+                    lambda: self.guard.is_held(plan),
                 )
                 started = await self._read_answer(plan, target, answer, run)
         except BaseException as error:
-            if isinstance(
+            # of a withdrawn request the target has not failed
+            if not (run and run.withdrawn) and isinstance(
                 error, (ConnectionLostError, BrokenAnswerError, TimeoutError)
             ):
                 first_event_at = run.first_event_at if run else None
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -51,6 +51,9 @@
     :param software_version: version of the targets' software that wrote what
         its caller has; ``None`` while that is nothing, empty if it is not
         known
+    :param known_sound: whether its target has lived on with it for so long
+        that no part of its prompt can have ended it
+    :param withdrawn: whether it was ended here as its request is held back
     :param wait_timeout: timeout of the current wait for its target
     """
 
@@ -73,6 +76,8 @@
     aborted: bool = False
     forwarded: bool = False
     software_version: str | None = None
+    known_sound: bool = False
+    withdrawn: bool = False
     wait_timeout: asyncio.Timeout | None = None
 
     @property
--- a/packages/gateway/src/chivepier/gateway/serving/lossrecorder.py
+++ b/packages/gateway/src/chivepier/gateway/serving/lossrecorder.py
@@ -78,4 +78,6 @@
         broke = not isinstance(error, TimeoutError)
         if broke:
             self._witness.note_break(target)
-        self._guard.note_lost(plan, target, sent_at, first_event_at, broke)
+        self._guard.note_lost(
+            plan, target, sent_at, first_event_at, answering, broke
+        )
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -162,17 +162,16 @@
             return False
         return await self._calls.probe(last.target) is Liveness.ENDED
 
-    def cancel_held_back(self, digest: str) -> None:
-        """Cancel sends of a quarantined request that have not started to run.
+    def cancel_held_back(self) -> None:
+        """Cancel sends of quarantined requests that have not started to run.
 
-        A request is quarantined after three targets ended under it. Targets
-        may still be reading further sends of the same request; they drop a
-        request whose sender disconnects before it runs.
-
-        :param digest: digest of the request
+        A request is quarantined after three targets ended under it, or under
+        others with a part of its prompt. Targets may still be reading such
+        requests; they drop one whose sender disconnects before it runs.
         """
         for run in [run for runs in self._runs.values() for run in runs]:
-            if run.first_event_at is None and run.plan.digest == digest:
+            if run.first_event_at is None and self._guard.is_held(run.plan):
+                run.withdrawn = True
                 run.abort()
 
     def start_move(self, run: LiveRun) -> None:
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -86,9 +86,7 @@
                         run, end
                     ):
                         self._dispatcher.runs.note_complete(run)
-                        self._dispatcher.guard.note_answered(
-                            self._plan, started.answer.facts
-                        )
+                        self._note_answered(run, started)
                         await self._finish(head, run, end.remainder)
                         return
                     case _:
@@ -114,6 +112,10 @@
             if started is not None:
                 self._dispatcher.release(started)
 
+    def _note_answered(self, run: LiveRun, started: StartedAnswer) -> None:
+        whole_run = not run.moved and run.request.last_event is None
+        self._dispatcher.guard.note_answered(self._plan, started, whole_run)
+
     async def _note_lost(self, run: LiveRun) -> None:
         if run.stopped or run.forwarded:
             return
@@ -205,6 +207,7 @@
             data = await started.answer.read()
         self._dispatcher.runs.note_first_event(run)
         self._dispatcher.runs.note_growth(run)
+        self._dispatcher.guard.note_growing(run)
         return data
 
     async def _try_handoff(
@@ -396,7 +399,11 @@
         purpose = CallPurpose.RESUME if handoff.origin else CallPurpose.START
         async with asyncio.timeout(seconds):
             answer = await dispatcher.calls.send(
-                handoff.target, plan.request, options, purpose
+                handoff.target,
+                plan.request,
+                options,
+                purpose,
+                is_held=lambda: dispatcher.guard.is_held(plan),
             )
         facts = answer.facts
         refused = facts.not_run or facts.other_instance is not None
--- a/packages/gateway/src/chivepier/gateway/serving/sendgate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/sendgate.py
@@ -1,6 +1,7 @@
 """Decides whether a request may be sent to a target."""
 
 import collections.abc
+import typing
 
 from chivepier.gateway.config import Service
 from chivepier.gateway.limits import BackoffTable
@@ -108,7 +109,7 @@
         :raises NotPermittedError: when the target must not be called now
         """
         if self._find_delay(target, self._clock.monotonic()) is not None:
-            self._refuse("rest")
+            self.refuse("rest")
         self.confirm(target, purpose, permit)
 
     def confirm(
@@ -123,9 +124,14 @@
         """
         reason = self._find_refusal_reason(target, purpose, permit)
         if reason is not None:
-            self._refuse(reason)
+            self.refuse(reason)
 
-    def _refuse(self, reason: str) -> None:
+    def refuse(self, reason: str) -> typing.NoReturn:
+        """Count a send that is not made.
+
+        :param reason: why, in a word
+        :raises NotPermittedError: always
+        """
         self._metrics.record_held_back(reason)
         raise NotPermittedError(reason)
 
--- a/packages/gateway/src/chivepier/gateway/serving/targetcalls.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetcalls.py
@@ -17,6 +17,8 @@
 from chivepier.gateway.serving.sendoptions import SendOptions
 from chivepier.gateway.serving.targetanswer import TargetAnswer
 from chivepier.gateway.serving.targetclient import TargetClient
+from chivepier.gateway.serving.targetexchange import IsHeld
+from chivepier.gateway.serving.targetexchange import never_held
 from chivepier.gateway.serving.targetexchange import TargetExchange
 from chivepier.gateway.targets import Liveness
 from chivepier.gateway.targets import Target
@@ -51,17 +53,19 @@
         purpose: CallPurpose,
         permit: Permit = Permit(),
         patience: float | None = None,
+        is_held: IsHeld = never_held,
     ) -> TargetAnswer:
         """Send a request and return the head of its answer.
 
         :param patience: seconds without an answer after which the targets may
             be out of reach; ``None`` for any number
+        :param is_held: tells whether the request is quarantined
         :raises NotPermittedError: when the target must not be called now
         :raises NotSentError: when the request was not sent
         :raises ConnectionLostError: when the connection broke before an
             answer
         """
-        exchange = self._open_exchange(target, purpose, permit)
+        exchange = self._open_exchange(target, purpose, permit, is_held)
         with (
             self._record_failure(target),
             self._record_silence(target, patience),
@@ -165,10 +169,21 @@
             raise
 
     def _open_exchange(
-        self, target: Target, purpose: CallPurpose, permit: Permit = Permit()
+        self,
+        target: Target,
+        purpose: CallPurpose,
+        permit: Permit = Permit(),
+        is_held: IsHeld = never_held,
     ) -> TargetExchange:
-        # checked here already, so that no connection is made in vain
-        self._gate.check(target, purpose, permit)
-        return TargetExchange(
-            target, purpose, permit, self._gate, self._recorder, self._reach
+        exchange = TargetExchange(
+            target,
+            purpose,
+            permit,
+            self._gate,
+            self._recorder,
+            self._reach,
+            is_held,
         )
+        # checked here already, so that no connection is made in vain
+        exchange.check()
+        return exchange
--- a/packages/gateway/src/chivepier/gateway/serving/targetexchange.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetexchange.py
@@ -1,5 +1,7 @@
 """One call to a target: the request and the head of its answer."""
 
+import collections.abc
+
 from chivepier.gateway.limits import VersionedLimit
 from chivepier.gateway.permits import Permit
 from chivepier.gateway.reach import Reach
@@ -9,6 +11,13 @@
 from chivepier.gateway.serving.sendgate import SendGate
 from chivepier.gateway.targets import Target
 
+IsHeld = collections.abc.Callable[[], bool]
+
+
+def never_held() -> bool:
+    """Tell that a call carries no request that could be quarantined."""
+    return False
+
 
 class TargetExchange:
     """Checks a call before its first byte and records the answer's head.
@@ -19,6 +28,7 @@
     :param gate: decides what may be sent to which target
     :param recorder: records what answer heads report
     :param reach: records new connections
+    :param is_held: tells whether the request is quarantined
     :ivar begun: whether a connection was there for it
     """
 
@@ -30,9 +40,11 @@
         gate: SendGate,
         recorder: HeaderRecorder,
         reach: Reach,
+        is_held: IsHeld = never_held,
     ):
         self.begun = False
         self._reach = reach
+        self._is_held = is_held
         self._target = target
         self._purpose = purpose
         self._permit = permit
@@ -44,13 +56,25 @@
         """Record that a new connection to the target was made."""
         self._reach.note_reached(self._target)
 
+    def check(self) -> None:
+        """Check whether the call may be made.
+
+        :raises NotPermittedError: when the target must not be called now
+        """
+        self._check_quarantine()
+        self._gate.check(self._target, self._purpose, self._permit)
+
+    def _check_quarantine(self) -> None:
+        if self._is_held():
+            self._gate.refuse("quarantine")
+
     def begin(self) -> None:
         """Check again, now that the connection is established.
 
         :raises NotPermittedError: when the target must not be called now
         """
         self.begun = True
-        self._gate.check(self._target, self._purpose, self._permit)
+        self.check()
         self._gate.note_sent(self._target)
         self._known_limit = self._recorder.find_limit(self._target)
 
@@ -59,6 +83,7 @@
 
         :raises NotPermittedError: when the target must not be called any more
         """
+        self._check_quarantine()
         self._gate.confirm(self._target, self._purpose, self._permit)
 
     def record_head(self, facts: AnswerFacts) -> None:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -32,6 +32,7 @@
 from chivepier.gateway.quarantine import Overrides
 from chivepier.gateway.quarantine import Quarantine
 from chivepier.gateway.quarantine import shorten
+from chivepier.gateway.quarantine import Trials
 from chivepier.gateway.reach import Reach
 from chivepier.gateway.serving import CallerRequest
 from chivepier.gateway.serving import CrashGuard
@@ -200,6 +201,7 @@
             self.table,
             calls.probe,
             Overrides(),
+            Trials(lambda: self.state.entries, rng),
             clock,
             log,
             Metrics(),
@@ -432,6 +434,6 @@
             parts = Parts(*names, **options)
             await test(parts)
             await parts.mover.close()
-            await parts.quarantine.detector.close()
+            await parts.quarantine.close()
 
     play_time(work())
