Tell a part that ends targets from parts that were there by chance

Cause: the ends under suspected parts were subtracted in one step, so that a part beside two causes counted as explained by neither; and a hold was ten minutes and more though other targets ended without any suspect, as the count of these forgot the ends of requests that were answered on a repeat.

Now causes are taken one after the other by the ends that no earlier one explains, whole requests among them; and a hold is short, with single trials, while targets also end without any suspect, as the detector has seen them. With more than four ends it is as long as any other.

--- a/packages/gateway/src/chivepier/gateway/quarantine/crashdetector.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/crashdetector.py
@@ -14,7 +14,7 @@
 
 # Time after its first event in which a request may be the cause; one that has
 # run for longer was present by chance.
-SUSPECT_WINDOW_SECONDS = 2.0
+SUSPECT_WINDOW_SECONDS = 4.0
 # Time after a target's leaving notice from which its end is the announced one.
 LEAVING_GRACE_SECONDS = 1.0
 # Time to wait for a probe of a target before a request is sent elsewhere. If
@@ -124,6 +124,14 @@
         """Tell whether an incarnation is known to have ended recently."""
         return incarnation in self._ended
 
+    def list_ended(self, since: float) -> set[Incarnation]:
+        """Return the incarnations that are known to have ended.
+
+        :param since: time from which on ends count, in monotonic seconds; at
+            most a minute is remembered
+        """
+        return {life for life, (at, _) in self._ended.items() if at >= since}
+
     async def wait_for_probe(self, target: Target) -> None:
         """Wait briefly for the result of probing a target.
 
--- a/packages/gateway/src/chivepier/gateway/quarantine/crashledger.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/crashledger.py
@@ -264,7 +264,7 @@
             if len(ends) >= MIN_ENDINGS
         }
         self.suspects = frozenset(find_suspects(ends))
-        self.parts.update(ends[digest] for digest in self.suspects)
+        self.parts.update(ends)
 
 
 def _clears(clearance: Clearance, ending: Ending) -> bool:
--- a/packages/gateway/src/chivepier/gateway/quarantine/partevidence.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/partevidence.py
@@ -6,7 +6,7 @@
 from chivepier.gateway.quarantine.ending import Ending
 from chivepier.gateway.quarantine.incarnation import Incarnation
 from chivepier.gateway.quarantine.partgroup import PartGroup
-from chivepier.gateway.quarantine.suspects import find_suspects
+from chivepier.gateway.quarantine.suspects import IncarnationsByDigest
 from chivepier.gateway.quarantine.suspects import MIN_ENDINGS
 
 
@@ -24,7 +24,7 @@
     ...     evidence.add(
     ...         Ending(f"d-{other}", life, 5.0, "e1", "told", parts=parts)
     ...     )
-    >>> evidence.update([])
+    >>> evidence.update({})
     >>> [sorted(group.parts) for group in evidence.groups]
     [['p']]
 
@@ -75,34 +75,67 @@
             and group.count_for(team) >= MIN_ENDINGS
         ]
 
-    def update(
-        self,
-        explained: collections.abc.Iterable[collections.abc.Set[Incarnation]],
-    ) -> None:
+    def update(self, requests: IncarnationsByDigest) -> None:
         """Judge all parts again.
 
-        :param explained: what ended under each request that is suspected
-            itself
+        :param requests: what ended under each request with enough endings to
+            be suspected itself
         """
-        explained = list(explained)
-        lives, answering = {}, {}
-        for part, endings in self._endings.items():
-            if len(endings) < MIN_ENDINGS:
-                continue
-            ended = {e.incarnation for e in endings.values()}
-            if any(ended <= others for others in explained):
-                continue
-            lives[part] = ended
-            # of parts that were there equally often, those of requests that
-            # only waited are not the cause
-            answering[part] = len(
-                {e.incarnation for e in endings.values() if e.answering}
-            )
-        found = find_suspects(lives, answering)
+        found = self._find_suspects(requests)
         if found or self._suspects:
             self._suspects = frozenset(found)
             self.groups = tuple(self._form_groups())
 
+    def _find_suspects(self, requests: IncarnationsByDigest) -> set[str]:
+        """Take causes by the number of ends that no other one explains.
+
+        A sound part that was there with one cause and then with another has
+        as many ends as either, but hardly any that neither explains. A single
+        request that was there each time explains the ends under its parts.
+        """
+        lives = {
+            part: {ending.incarnation for ending in endings.values()}
+            for part, endings in self._endings.items()
+            if len(endings) >= MIN_ENDINGS
+        }
+        if not lives:
+            return set()
+        lives.update(requests)
+        left, found = dict(lives), set()
+        while left:
+            ranks = {
+                cause: self._rank(cause, left[cause], cause in requests)
+                for cause in left
+            }
+            highest = max(ranks.values())
+            if highest[0] < MIN_ENDINGS:
+                break
+            tied = {cause for cause, rank in ranks.items() if rank == highest}
+            found |= tied
+            covered = set().union(*(lives[cause] for cause in tied))
+            left = {c: left[c] - covered for c in left.keys() - tied}
+        return found - requests.keys()
+
+    def _rank(
+        self,
+        cause: str,
+        ended: collections.abc.Set[Incarnation],
+        is_request: bool,
+    ) -> tuple[int, bool, int]:
+        """Return how many ends speak against a cause, and how clearly.
+
+        Of parts that were there equally often, those of requests that only
+        waited are not the cause.
+        """
+        if is_request:
+            return len(ended), True, 0
+        answering = {
+            ending.incarnation
+            for ending in self._endings[cause].values()
+            if ending.answering
+        }
+        return len(ended), False, len(ended & answering)
+
     def _form_groups(self) -> collections.abc.Iterator[PartGroup]:
         by_parts = collections.defaultdict(list)
         seen = {}
--- a/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
@@ -11,6 +11,7 @@
 from chivepier.gateway.quarantine.contrast import Contrast
 from chivepier.gateway.quarantine.crashdetector import CrashDetector
 from chivepier.gateway.quarantine.crashdetector import Probe
+from chivepier.gateway.quarantine.crashledger import CLEARANCE_WINDOW_SECONDS
 from chivepier.gateway.quarantine.crashledger import CrashLedger
 from chivepier.gateway.quarantine.crashledger import ENDING_TTL_SECONDS
 from chivepier.gateway.quarantine.crashledger import HOLD_SECONDS
@@ -36,11 +37,14 @@
 # Sound parts that are remembered. Popular parts are in each entry's answers
 # all the time; a rare one that is dropped may be suspected by chance.
 MAX_SOUND_PARTS = 8_192
-# Time for which a part is held back if hardly any request is answered, with
-# its third ending, and its growth with each further one: a sound part that
-# all requests have is soon tried again.
+# Time for which a part is held back if hardly any request is answered, or
+# targets also end without it, with its third ending: a sound part that was
+# there by chance is soon tried again. With more endings than this it is held
+# back for as long as any other, as each trial may end one more target.
 UNCLEAR_HOLD_SECONDS = 5.0
-UNCLEAR_HOLD_GROWTH = 8.0
+MAX_UNCLEAR_ENDINGS = 4
+# Ends under a part for each one without any suspect from which it stands out.
+MIN_ENDS_PER_STRAY = 2
 HOLD_GROWTH = 2.0
 # Time after the first ending under a part until each entry that was answered
 # requests with it has said so.
@@ -159,12 +163,26 @@
         return Hold(digest, group.endings, until, group.parts, settled_at)
 
     def _compute_hold_seconds(self, group: PartGroup, now: float) -> float:
-        further = len({e.incarnation for e in group.endings}) - MIN_ENDINGS
-        if self._contrast.is_clear(group.endings[-1].software, now):
-            seconds = HOLD_SECONDS * HOLD_GROWTH**further
-        else:
-            seconds = UNCLEAR_HOLD_SECONDS * UNCLEAR_HOLD_GROWTH**further
-        return min(seconds, ENDING_TTL_SECONDS)
+        ends = len({ending.incarnation for ending in group.endings})
+        seconds = UNCLEAR_HOLD_SECONDS
+        if ends > MAX_UNCLEAR_ENDINGS or self._is_clear(group, ends, now):
+            seconds = HOLD_SECONDS
+        growth = HOLD_GROWTH ** (ends - MIN_ENDINGS)
+        return min(seconds * growth, ENDING_TTL_SECONDS)
+
+    def _is_clear(self, group: PartGroup, ends: int, now: float) -> bool:
+        """Tell whether what ended under a group of parts stands out.
+
+        :param group: the suspected parts
+        :param ends: number of targets that ended under them
+        :param now: current time in monotonic seconds
+        """
+        since = group.endings[0].seen - CLEARANCE_WINDOW_SECONDS
+        explained = {e.incarnation for e in self.ledger.list_evidence()}
+        stray = len(self.detector.list_ended(since) - explained)
+        if stray * MIN_ENDS_PER_STRAY > ends:
+            return False
+        return self._contrast.is_clear(group.endings[-1].software, now)
 
     def note_lost(self, request: LostRequest) -> None:
         """Check whether the target of a lost request has ended."""
--- a/packages/gateway/src/chivepier/gateway/quarantine/suspects.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/suspects.py
@@ -9,17 +9,13 @@
 # ran beside the cause and was retried may see two.
 MIN_ENDINGS = 3
 
-# by digest of a request or a part
 IncarnationsByDigest = collections.abc.Mapping[
     str, collections.abc.Set[Incarnation]
 ]
 
 
-def find_suspects(
-    ends: IncarnationsByDigest,
-    weights: collections.abc.Mapping[str, int] | None = None,
-) -> set[str]:
-    """Find the requests, or parts, that most likely cause targets to end.
+def find_suspects(ends: IncarnationsByDigest) -> set[str]:
+    """Find the requests that most likely cause targets to end.
 
     Each request that ran on a target is present when it ends, and one that is
     retried beside the cause may see several ends. Requests are taken by
@@ -31,25 +27,19 @@
     >>> find_suspects({"cause": {a, b, c, d}, "beside": beside, "once": once})
     {'cause'}
 
-    :param ends: incarnations that ended, by digest
-    :param weights: which of those with equally many endings come first, by
-        digest; all are equal by default
+    :param ends: incarnations that ended, by digest of the request
     :returns: digests of the suspects
     """
-
-    def rank(digest: str) -> tuple[int, int]:
-        return len(ends[digest]), weights[digest] if weights else 0
-
     suspects = [
         d
         for d, incarnations in ends.items()
         if len(incarnations) >= MIN_ENDINGS
     ]
-    suspects.sort(key=rank, reverse=True)
+    suspects.sort(key=lambda digest: len(ends[digest]), reverse=True)
     held: set[str] = set()
     explained: set[Incarnation] = set()
-    for _, tied in itertools.groupby(suspects, rank):
-        # those of equal rank do not cover each other
+    for _, tied in itertools.groupby(suspects, lambda d: len(ends[d])):
+        # requests with equally many endings do not cover each other
         unexplained = [
             digest for digest in tied if not ends[digest] <= explained
         ]
--- a/packages/gateway/src/chivepier/gateway/quarantine/tests/test_partevidence.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/tests/test_partevidence.py
@@ -214,3 +214,14 @@
     for size in range(1, 5):
         for chosen in itertools.combinations(parts, size):
             assert is_held(ledger, *chosen) == ("p" in chosen)
+
+
+def test_part_that_was_beside_two_causes_is_not_suspected():
+    # It was at the targets that one cause ended, and at one of the other's.
+    endings = [make_ending(n, "p", "q") for n in range(2)]
+    endings += [make_ending(10 + n, "p") for n in range(2)]
+    endings += [make_ending(20, "r", "q")]
+    endings += [make_ending(30 + n, "r") for n in range(2)]
+    ledger = make_ledger(*endings)
+    assert is_held(ledger, "p") and is_held(ledger, "r")
+    assert not is_held(ledger, "q")
--- a/packages/gateway/src/chivepier/gateway/serving/crashguard.py
+++ b/packages/gateway/src/chivepier/gateway/serving/crashguard.py
@@ -17,6 +17,9 @@
 from chivepier.types import Ran
 from chivepier.types import RequestError
 
+# Waits shorter than this are over.
+CLOCK_RESOLUTION_SECONDS = 0.001
+
 
 class CrashGuard:
     """Checks requests against the quarantine and reports results to it.
@@ -57,7 +60,7 @@
         """
         while hold := self._find_hold(plan):
             wait = hold.settled_at - self._clock.monotonic()
-            if wait <= 0.0:
+            if wait <= CLOCK_RESOLUTION_SECONDS:
                 self._refuse(plan, runs, hold)
             await self._clock.sleep(wait)
 
