--- a/soak/crashscenario.py
+++ b/soak/crashscenario.py
@@ -4,15 +4,12 @@
 import contextlib
 import pathlib
 import secrets
-import shutil
-import signal
 import time
 
 import aiohttp
 from aiohttp import web
 import attrs
 
-from soak.cluster import CALLER_PORT
 from soak.cluster import Cluster
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
@@ -23,8 +20,6 @@
 CRASHING_PATH = "/resume/deadly"
 # Seconds after the third crash within which all entries must know of it.
 PROPAGATION_SECONDS = 3.0
-# Interval between two checks whether an entry accepts connections, in seconds.
-POLL_SECONDS = 0.05
 # Range of the seconds until a crashed target is restarted.
 RESTART_SECONDS = (0.8, 2.0)
 
@@ -175,53 +170,6 @@
             await asyncio.gather(*asks)
             await asyncio.sleep(self.rng.uniform(0.1, 0.5))
 
-    async def inject_faults(self, start_pause: float = 0.0) -> None:
-        """Once a target has crashed, inject faults into both roles.
-
-        One entry is paused while the others learn of the crashes, one is
-        killed and restarts without that knowledge, and one voter loses its
-        data.
-
-        :param start_pause: seconds for which the restarted entry stands still
-            before it accepts connections
-        """
-        self.record.serving = float("inf")
-        while not self.record.crashes:
-            await asyncio.sleep(0.01)
-        frozen, killed, *_ = self.entries
-        frozen.signal(signal.SIGSTOP)
-        voter = self.voters[0]
-        voter.end()
-        shutil.rmtree(self.folder / f"data-{voter.name}")
-        voter.start()
-        killed.end()
-        await asyncio.sleep(1.5)
-        killed.start()
-        frozen.signal(signal.SIGCONT)
-        self.record.disturbed = time.monotonic()
-        if start_pause:
-            killed.signal(signal.SIGSTOP)
-            await asyncio.sleep(start_pause)
-            killed.signal(signal.SIGCONT)
-        await self._wait_until_listening(killed)
-        self.record.serving = time.monotonic()
-
-    async def _wait_until_listening(self, entry: Process) -> None:
-        """Wait until an entry accepts connections.
-
-        Until then its callers' connections are refused, and nothing runs.
-        """
-        while True:
-            try:
-                _, writer = await asyncio.open_connection(
-                    entry.ip, CALLER_PORT
-                )
-            except OSError:
-                await asyncio.sleep(POLL_SECONDS)
-            else:
-                writer.close()
-                return
-
     async def call(self, session: aiohttp.ClientSession) -> None:
         """Send other requests, one after the other, until cancelled."""
         while True:
--- a/soak/partscenario.py
+++ b/soak/partscenario.py
@@ -39,19 +39,24 @@
     :param arrivals: times at which requests with the part reached a target
     :param answers: statuses of the answers to requests with the part
     :param sound: time and status of the answer to each other request
+    :param disturbed: time at which the last faulty process was running again
+    :param serving: time at which all entries accepted connections again
     """
 
     crashes: list[float] = attrs.field(factory=list)
     arrivals: list[float] = attrs.field(factory=list)
     answers: list[int] = attrs.field(factory=list)
     sound: list[tuple[float, int]] = attrs.field(factory=list)
+    disturbed: float = 0.0
+    serving: float = 0.0
 
     @property
     def known_at(self) -> float:
         """Time from which no entry may send the part; infinite before."""
         if len(self.crashes) < COUNTED_CRASHES:
             return float("inf")
-        return self.crashes[COUNTED_CRASHES - 1] + PROPAGATION_SECONDS
+        crashed_at = self.crashes[COUNTED_CRASHES - 1]
+        return max(crashed_at, self.disturbed) + PROPAGATION_SECONDS
 
     @property
     def late_arrivals(self) -> list[float]:
--- a/soak/tests/test_crashes.py
+++ b/soak/tests/test_crashes.py
@@ -8,6 +8,7 @@
 from soak.blocks import reserve_block
 from soak.crashscenario import CrashRecord
 from soak.crashscenario import CrashScenario
+from soak.disturbances import disturb
 
 # Seconds for which the request is repeated once every entry must know of it.
 REPEAT_SECONDS = 4.0
@@ -41,7 +42,7 @@
                 )
                 if disturbed:
                     await asyncio.gather(
-                        work, scenario.inject_faults(start_pause)
+                        work, disturb(scenario, scenario.record, start_pause)
                     )
                 else:
                     await work
