Let targets of the soak crash on a part of prompts beside other faults

The soak draws parts on which its targets crash, in the background, so that kills, freezes and the rest come meanwhile; requests with the part are never alike. Its checker counts arrivals later than 3 s after the fifth crash from entries without a fault since; more than three break the rule, and a test shows that it catches them.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,7 @@
 
 from soak.loadreporter import MODES
 from soak.nonsense import write_nonsense
+from soak.partchecker import PartChecker
 from soak.proxy import LOST_ANSWERS
 from soak.proxy import LOST_SENT
 from soak.proxy import SLOW
@@ -26,7 +27,7 @@
 # Versions of the set of faults: a seed that reproduces a failure keeps its
 # set, since with another one it would draw other faults.
 FIRST_SET, RESTART_SET, COLD_SET, NEED_SET, REST_SET = range(1, 6)
-MISREPORT_SET, CUT_SET, NEWEST_SET = 6, 7, 8
+MISREPORT_SET, CUT_SET, VERSION_SET, NEWEST_SET = 6, 7, 8, 9
 # Seconds after a link fault in which delayed requests may still arrive.
 DELAYED_SECONDS = 1.5
 # Seconds after the start of a voter without its data: those in which it is
@@ -36,6 +37,8 @@
 # cuts that leave them no target.
 CUT_SECONDS = (0.5, 7.0)
 WHOLE_CUT_SHARE = 0.7
+# Range of the seconds for which targets crash on a part.
+CRASHING_SECONDS = (4.0, 9.0)
 # Backoffs that targets request, in seconds.
 BACKOFF_SECONDS = (0.3, 1.0, 3.0, 8.0)
 
@@ -80,6 +83,8 @@
             self._kinds += (self.drop_lengths, self.drop_lengths)
             self._kinds += (self.change_version, self.change_version)
             self._kinds += (self.wipe_in_blackout,)
+        if fault_set > VERSION_SET:
+            self._kinds += (self.crash_on_part,)
         self._versions = 1
         self._evacuation: asyncio.Task | None = None
         self._background: set[asyncio.Task] = set()
@@ -162,6 +167,25 @@
         for target in self._soak.targets:
             target.load.mode = self._rng.choice(MODES)
 
+    async def crash_on_part(self) -> None:
+        """Let targets crash on one part of prompts, while others fail, too."""
+        self._begin(self._send_crashing_part())
+
+    async def _send_crashing_part(self) -> None:
+        soak = self._soak
+        part = f"{self._rng.getrandbits(32):08x}"
+        checker = PartChecker(part, soak.is_excused)
+        for target in soak.targets:
+            target.crashing_part = checker
+        end = time.monotonic() + self._rng.uniform(*CRASHING_SECONDS)
+        while time.monotonic() < end:
+            await soak.send_part(part)
+            await asyncio.sleep(self._rng.uniform(0.05, 0.3))
+        for target in soak.targets:
+            target.crashing_part = None
+        soak.checker.violations += checker.find_violations()
+        soak.part_crashes += len(checker.crashes)
+
     def _begin(self, work: collections.abc.Coroutine) -> None:
         """Run a fault in the background."""
         task = asyncio.create_task(work)
--- a/soak/run.py
+++ b/soak/run.py
@@ -164,6 +164,7 @@
         self.stopping_entry: Process | None = None
         self._exempt_until: dict[str, float] = {}
         self._calls = CALLS_WITH_RESUMABLE if kinds > CUT_SET else CALLS
+        self.part_crashes = 0
         self.faults = Faults(self, kinds)
 
     def _link_entries(self, base: str) -> None:
@@ -306,6 +307,30 @@
             await asyncio.sleep(0.1)
         self.checker.record_resumed(identity, record)
 
+    async def send_part(self, part: str) -> None:
+        """Send a request with a part on which targets crash.
+
+        It earns nothing, whatever is answered; no two are alike.
+        """
+        self.number += 1
+        identity = f"p{self.number}"
+        entry = self.rng.choice(self.entries)
+        headers = {
+            "Host": "h.example",
+            "X-Chivepier-Request-Id": identity,
+            "X-Api-Key": "k1",
+            "X-Chivepier-Deadline-Ms": "1500",
+            "X-Chivepier-Prefix-Hash": f"f00d:1,{part}:1,{self.number:x}:1",
+            **make_sender_headers(entry.ip),
+        }
+        url = f"http://{entry.ip}:8740/again/{identity}"
+        limit = aiohttp.ClientTimeout(total=2.0)
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
+            async with self.session.post(
+                url, data=b"x", headers=headers, timeout=limit
+            ) as answer:
+                await answer.read()
+
     async def send_request(self, session, entry, kind, identity) -> bool:
         """Send one request and record its answer.
 
--- a/soak/target.py
+++ b/soak/target.py
@@ -17,6 +17,7 @@
 from soak.invariantchecker import make_expected_body
 from soak.loadreporter import LoadReporter
 from soak.loadreporter import SLOTS
+from soak.partchecker import PartChecker
 from soak.runlog import RunLog
 from soak.senders import Senders
 from soak.signalchecker import SignalChecker
@@ -28,6 +29,8 @@
 REPEATABLE_PATHS = ("/again/", "/resume/")
 STREAM_PATHS = ("/stream/", "/resume/")
 INITIAL_SEQUENCE = 10_000
+# Range of the seconds for which a target that crashed is away.
+AWAY_SECONDS = (0.5, 1.5)
 # Seconds after the first announcement of a rate limit from which it holds for
 # all entries, including those that had a fault at the announcement.
 PROPAGATION_SECONDS = 3.0
@@ -73,6 +76,8 @@
         self.zone = "z"
         self.software_version = "v1"
         self.event_seconds = SERVICE_SECONDS / 2
+        self.crashing_part: PartChecker | None = None
+        self._crashed: asyncio.Task | None = None
         self.log: RunLog | None = None
         self.senders = Senders()
         self.is_evacuated: IsEvacuated = lambda zone: False
@@ -106,6 +111,8 @@
         return self
 
     async def __aexit__(self, *exc) -> None:
+        if self._crashed is not None and not self._restart_lock.locked():
+            self._crashed.cancel()
         self._task.cancel()
         self._listener.close()
         await self._server.shutdown(0.1)
@@ -226,6 +233,7 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         identity = request.headers["X-Chivepier-Request-Id"]
         echo = {"X-Chivepier-Request-Id": identity}
+        crashes = self._has_crashing_part(request)
         wanted = request.headers.get("X-Chivepier-Expect-Instance")
         if wanted != self.instance:
             return web.Response(status=421, headers=echo)
@@ -240,12 +248,47 @@
         if overloaded:
             echo["X-Chivepier-Not-Run"] = "1"
             return web.Response(status=503, headers=echo)
+        if crashes:
+            return await self._crash_on(request, echo)
         self.load.running += 1
         try:
             return await self._run(request, identity, echo, fault_mode)
         finally:
             self.load.running -= 1
 
+    def _has_crashing_part(self, request: web.BaseRequest) -> bool:
+        checker = self.crashing_part
+        parts = request.headers.get("X-Chivepier-Prefix-Hash", "")
+        if checker is None or not checker.is_in(parts):
+            return False
+        peer = request.transport.get_extra_info("peername")
+        checker.record_arrival(self.senders.find(peer))
+        return True
+
+    async def _crash_on(
+        self, request: web.BaseRequest, echo: dict[str, str]
+    ) -> web.StreamResponse:
+        """Crash as the answer begins, and start again a moment later."""
+        await request.read()
+        response = web.StreamResponse(headers=echo)
+        await response.prepare(request)
+        await asyncio.sleep(SERVICE_SECONDS)
+        if self._crashed is None or self._crashed.done():
+            if self.crashing_part is not None:
+                self.crashing_part.record_crash()
+            self._crashed = asyncio.create_task(self._crash_and_return())
+        raise asyncio.CancelledError
+
+    async def _crash_and_return(self) -> None:
+        async with self._restart_lock:
+            self.crash()
+            self.signals.reset()
+            await asyncio.sleep(self._rng.uniform(*AWAY_SECONDS))
+            self.instance = f"i-{secrets.token_hex(4)}"
+            self.announce_limit(self.limit)
+            self.restarted, self.runs, self._sequence = True, 0, 0
+            await self.__aenter__()
+
     async def _run(
         self,
         request: web.BaseRequest,
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -10,11 +10,15 @@
 from soak.faults import FIRST_SET
 from soak.faults import MISREPORT_SET
 from soak.faults import NEED_SET
-from soak.faults import NEWEST_SET
 from soak.faults import REST_SET
 from soak.faults import RESTART_SET
+from soak.faults import VERSION_SET
 from soak.invariantchecker import InvariantChecker
 from soak.invariantchecker import make_expected_body
+from soak.partchecker import COUNTED_CRASHES
+from soak.partchecker import MAX_LATE_ARRIVALS
+from soak.partchecker import PartChecker
+from soak.partchecker import PROPAGATION_SECONDS
 from soak.run import Soak
 
 # For each seed, the version of the set of faults and the seconds for which
@@ -30,7 +34,7 @@
     523424707: (REST_SET, 14.0),
     14: (MISREPORT_SET, 8.0),
     16: (CUT_SET, 8.0),
-    17: (NEWEST_SET, 8.0),
+    17: (VERSION_SET, 8.0),
 }
 
 
@@ -152,6 +156,34 @@
     assert seen.answered > 50
 
 
+def test_part_that_crashes_targets_is_held_back_beside_other_faults(tmp_path):
+    # Guards against requests with the part from entries that were killed or
+    # frozen while others learned of the crashes.
+    with reserve_block() as block:
+        soak = Soak(21, tmp_path, block)
+        soak.faults.keep_only("crash_on_part", "kill", "freeze")
+        seen = asyncio.run(soak.run(12.0))
+    assert seen.violations == []
+    assert seen.answered > 20 and soak.part_crashes >= 3
+
+
+def test_late_requests_with_a_crashing_part_are_reported(monkeypatch):
+    now = 0.0
+    monkeypatch.setattr("soak.partchecker.time.monotonic", lambda: now)
+    checker = PartChecker("bad", lambda entry, since: entry == "excused")
+    assert checker.is_in("a:1,bad:2,c:3") and not checker.is_in("badly:1")
+    for now in range(COUNTED_CRASHES):
+        checker.record_crash()
+    checker.record_arrival("e1")
+    now = now + PROPAGATION_SECONDS
+    for _ in range(MAX_LATE_ARRIVALS):
+        checker.record_arrival("e1")
+        checker.record_arrival("excused")
+    assert not checker.find_violations()
+    checker.record_arrival("e1")
+    assert len(checker.find_violations()) == 1
+
+
 def test_each_violation_is_reported():
     seen = InvariantChecker()
     seen.record_run("a")
