Split the quarantine by what it knows, and bound the growth of holds

The power by which a hold grows with each further end is bounded: with more than a thousand ends it was too large for a float, which a test found by reading.

--- a/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
@@ -1,19 +1,14 @@
 """The quarantine of one entry."""
 
 import asyncio
-import collections
 import collections.abc
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.quarantine.clearance import Clearance
-from chivepier.gateway.quarantine.closedanswer import ClosedAnswer
-from chivepier.gateway.quarantine.contrast import Contrast
 from chivepier.gateway.quarantine.crashdetector import CrashDetector
 from chivepier.gateway.quarantine.crashdetector import Probe
-from chivepier.gateway.quarantine.crashledger import CLEARANCE_WINDOW_SECONDS
 from chivepier.gateway.quarantine.crashledger import CrashLedger
-from chivepier.gateway.quarantine.crashledger import ENDING_TTL_SECONDS
 from chivepier.gateway.quarantine.crashledger import HOLD_SECONDS
 from chivepier.gateway.quarantine.crashledger import MAX_PARTS_PER_ENDING
 from chivepier.gateway.quarantine.crashledger import Record
@@ -24,9 +19,10 @@
 from chivepier.gateway.quarantine.lostrequest import LostRequest
 from chivepier.gateway.quarantine.overrides import Overrides
 from chivepier.gateway.quarantine.partgroup import PartGroup
+from chivepier.gateway.quarantine.partholds import PartHolds
+from chivepier.gateway.quarantine.partsoundness import PartSoundness
 from chivepier.gateway.quarantine.recentanswers import RecentAnswers
 from chivepier.gateway.quarantine.suspects import MIN_ENDINGS
-from chivepier.gateway.quarantine.trials import SLOT_SECONDS
 from chivepier.gateway.quarantine.trials import Trials
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetTable
@@ -34,25 +30,6 @@
 
 # Interval between runs that drop expired records.
 EXPIRY_INTERVAL_SECONDS = 5.0
-# Sound parts that are remembered. Popular parts are in each entry's answers
-# all the time; a rare one that is dropped may be suspected by chance.
-MAX_SOUND_PARTS = 8_192
-# Time for which a part is held back if hardly any request is answered, or
-# targets also end without it, with its third ending: a sound part that was
-# there by chance is soon tried again. With more endings than this it is held
-# back for as long as any other, as each trial may end one more target.
-UNCLEAR_HOLD_SECONDS = 5.0
-MAX_UNCLEAR_ENDINGS = 4
-# Ends under a part for each one without any suspect from which it stands out.
-MIN_ENDS_PER_STRAY = 2
-HOLD_GROWTH = 2.0
-# Time after the first ending under a part until each entry that was answered
-# requests with it has said so.
-SETTLE_SECONDS = 0.25
-# Time after an answer that ended with its connection in which a crash of its
-# target is noticed, and the maximum number of answers that wait for that.
-LIVED_ON_SECONDS = 3.0
-MAX_CLOSED_ANSWERS = 1_024
 # Parts that one line of the log names.
 MAX_LOGGED_PARTS = 8
 
@@ -100,11 +77,11 @@
         self._held: set[str] = set()
         self._held_groups: frozenset[frozenset[str]] = frozenset()
         self._settling: set[asyncio.Task] = set()
-        self._closed: collections.deque[ClosedAnswer] = collections.deque(
-            maxlen=MAX_CLOSED_ANSWERS
-        )
         self._table = table
-        self._trials = trials
+        self._soundness = PartSoundness(table, self.detector)
+        self._part_holds = PartHolds(
+            self.ledger, self.detector, self._soundness, trials
+        )
         self._expired_at = 0.0
         self._me = me
         self.overrides = overrides
@@ -112,8 +89,6 @@
         self._log = log
         self._metrics = metrics
         self._recent_answers = RecentAnswers()
-        self._sound_parts = RecentAnswers(MAX_SOUND_PARTS)
-        self._contrast = Contrast()
 
     @property
     def idle(self) -> bool:
@@ -144,45 +119,7 @@
             return hold
         allowed = self.overrides.allows
         suspected = [part for part in parts if not allowed(part)]
-        for group in self.ledger.parts.find_groups(suspected, team):
-            hold = self._find_part_hold(digest, group, now)
-            if hold is not None:
-                return hold
-        return None
-
-    def _find_part_hold(
-        self, digest: str, group: PartGroup, now: float
-    ) -> Hold | None:
-        latest = group.endings[-1]
-        until = latest.seen + self._compute_hold_seconds(group, now)
-        if now >= until:
-            if self._trials.admit(group.parts, digest, now):
-                return None
-            until = now + SLOT_SECONDS
-        settled_at = group.endings[0].seen + SETTLE_SECONDS
-        return Hold(digest, group.endings, until, group.parts, settled_at)
-
-    def _compute_hold_seconds(self, group: PartGroup, now: float) -> float:
-        ends = len({ending.incarnation for ending in group.endings})
-        seconds = UNCLEAR_HOLD_SECONDS
-        if ends > MAX_UNCLEAR_ENDINGS or self._is_clear(group, ends, now):
-            seconds = HOLD_SECONDS
-        growth = HOLD_GROWTH ** (ends - MIN_ENDINGS)
-        return min(seconds * growth, ENDING_TTL_SECONDS)
-
-    def _is_clear(self, group: PartGroup, ends: int, now: float) -> bool:
-        """Tell whether what ended under a group of parts stands out.
-
-        :param group: the suspected parts
-        :param ends: number of targets that ended under them
-        :param now: current time in monotonic seconds
-        """
-        since = group.endings[0].seen - CLEARANCE_WINDOW_SECONDS
-        explained = {e.incarnation for e in self.ledger.list_evidence()}
-        stray = len(self.detector.list_ended(since) - explained)
-        if stray * MIN_ENDS_PER_STRAY > ends:
-            return False
-        return self._contrast.is_clear(group.endings[-1].software, now)
+        return self._part_holds.find(digest, suspected, team, now)
 
     def note_lost(self, request: LostRequest) -> None:
         """Check whether the target of a lost request has ended."""
@@ -232,14 +169,9 @@
         :param parts: digests of the shared parts of its prompt
         :param target: target that answered it
         """
-        self._closed.append(
-            ClosedAnswer(
-                parts,
-                Incarnation.of(target),
-                self.describe_software(target),
-                self._clock.monotonic(),
-            )
-        )
+        software = self.describe_software(target)
+        now = self._clock.monotonic()
+        self._soundness.note_closed(parts, target, software, now)
 
     def describe_software(self, target: Target) -> str:
         """Return a target's service and the version of its software."""
@@ -248,25 +180,12 @@
     def _note_sound(
         self, parts: tuple[str, ...], software: str, now: float
     ) -> None:
-        self._contrast.note_answered(software, now)
+        self._soundness.note_answered(parts, software, now)
         for part in parts:
-            self._sound_parts.add((part, software), now)
             endings = self.ledger.parts.find_endings(part)
             if any(ending.software == software for ending in endings):
                 self._clear(part, now, software)
 
-    def _judge_closed(self, now: float) -> None:
-        while self._closed and now - self._closed[0].at >= LIVED_ON_SECONDS:
-            answer = self._closed.popleft()
-            known = self._table.get(answer.incarnation.instance)
-            if (
-                known is not None
-                and Incarnation.of(known) == answer.incarnation
-                and known.heard - answer.at >= LIVED_ON_SECONDS / 2
-                and not self.detector.has_ended(answer.incarnation)
-            ):
-                self._note_sound(answer.parts, answer.software, now)
-
     def note_refused(self, identity: str, team: str, hold: Hold) -> None:
         """Log and count a refused request.
 
@@ -313,21 +232,21 @@
     def _contradict(self, ending: Ending, now: float) -> None:
         """Clear the parts of an ending that are known here to be sound."""
         for part in ending.parts:
-            subject = (part, ending.software)
-            answered = self._sound_parts.find(subject, now)
+            answered = self._soundness.find(part, ending.software, now)
             if answered is not None:
                 self._clear(part, answered, ending.software)
 
     def expire(self) -> None:
         """Drop expired records, and judge answers that were closed."""
         now = self._clock.monotonic()
-        self._judge_closed(now)
+        for answer in self._soundness.take_survived(now):
+            self._note_sound(answer.parts, answer.software, now)
         if now - self._expired_at < EXPIRY_INTERVAL_SECONDS:
             return
         self._expired_at = now
         self.ledger.expire(now)
         self._update_held("time")
-        self._trials.forget(self._held_groups)
+        self._part_holds.forget(self._held_groups)
 
     async def close(self) -> None:
         """Cancel all checks."""
@@ -352,6 +271,9 @@
             )
             return
         incarnation = Incarnation.of(request.target)
+        unproved = self._soundness.select_unproved(
+            request.parts, request.software, request.lost_at
+        )
         ending = Ending(
             request.digest,
             incarnation,
@@ -361,7 +283,7 @@
             request.team or "",
             request.software,
             request.answering,
-            self._select_unproved(request),
+            tuple(unproved[:MAX_PARTS_PER_ENDING]),
         )
         if not self._add(ending):
             return
@@ -382,18 +304,6 @@
         )
         self.publish(ending)
 
-    def _select_unproved(self, request: LostRequest) -> tuple[str, ...]:
-        """Return the parts of a lost request that are not known as sound."""
-        unproved = [
-            part
-            for part in request.parts
-            if self._sound_parts.find(
-                (part, request.software), request.lost_at
-            )
-            is None
-        ]
-        return tuple(unproved[:MAX_PARTS_PER_ENDING])
-
     def _clear(self, digest: str, answered: float, software: str = "") -> None:
         clearance = Clearance(digest, answered, self._me, software)
         if self._add(clearance):
@@ -456,9 +366,9 @@
             requests=len({ending.digest for ending in group.endings}),
             teams=sorted({ending.team for ending in group.endings}),
             sources=sorted({ending.source for ending in group.endings}),
-            hold_s=round(self._compute_hold_seconds(group, now)),
+            hold_s=round(self._part_holds.compute_seconds(group, now)),
         )
-        wait = group.endings[0].seen + SETTLE_SECONDS - now
+        wait = self._part_holds.compute_settle_time(group) - now
         if wait <= 0:
             self._notify_watchers()
             return
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_crashingparts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_crashingparts.py
@@ -7,13 +7,14 @@
 
 from chivepier.gateway.quarantine.contrast import MIN_ANSWERS
 from chivepier.gateway.quarantine.crashdetector import SUSPECT_WINDOW_SECONDS
+from chivepier.gateway.quarantine.crashledger import ENDING_TTL_SECONDS
 from chivepier.gateway.quarantine.digest import digest_part
 from chivepier.gateway.quarantine.ending import Ending
 from chivepier.gateway.quarantine.incarnation import Incarnation
 from chivepier.gateway.quarantine.overrides import Overrides
-from chivepier.gateway.quarantine.quarantine import LIVED_ON_SECONDS
-from chivepier.gateway.quarantine.quarantine import SETTLE_SECONDS
-from chivepier.gateway.quarantine.quarantine import UNCLEAR_HOLD_SECONDS
+from chivepier.gateway.quarantine.partholds import SETTLE_SECONDS
+from chivepier.gateway.quarantine.partholds import UNCLEAR_HOLD_SECONDS
+from chivepier.gateway.quarantine.partsoundness import LIVED_ON_SECONDS
 from chivepier.gateway.serving.answerfacts import AnswerFacts
 from chivepier.gateway.serving.tests.parts import ENGINE
 from chivepier.gateway.serving.tests.parts import fail
@@ -295,3 +296,14 @@
         await answer(parts, make_prompt(1))
 
     play(test, *NAMES)
+
+
+def test_part_under_which_very_many_targets_ended_is_held_back():
+    # With each further end a hold is longer; a long power is too large.
+    async def test(parts):
+        hold_part(parts, "p", count=2_000)
+        failure = await fail(parts, make_prompt(1, "p"))
+        assert failure.kind is ErrorKind.HELD_BACK
+        assert seconds_to_retry(failure) <= ENDING_TTL_SECONDS
+
+    play(test, *NAMES)
