--- a/packages/gateway/src/chivepier/gateway/quarantine/partevidence.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/partevidence.py
@@ -101,21 +101,39 @@
         if not lives:
             return set()
         lives.update(requests)
-        left, found = dict(lives), set()
-        while left:
-            ranks = {
-                cause: self._rank(cause, left[cause], cause in requests)
-                for cause in left
-            }
-            highest = max(ranks.values())
-            if highest[0] < MIN_ENDINGS:
-                break
-            tied = {cause for cause, rank in ranks.items() if rank == highest}
+        found, covered = set(), set()
+        while tied := self._take_highest(lives, covered, requests):
             found |= tied
-            covered = set().union(*(lives[cause] for cause in tied))
-            left = {c: left[c] - covered for c in left.keys() - tied}
+            covered.update(*(lives.pop(cause) for cause in tied))
         return found - requests.keys()
 
+    def _take_highest(
+        self,
+        lives: dict[str, collections.abc.Set[Incarnation]],
+        covered: set[Incarnation],
+        requests: IncarnationsByDigest,
+    ) -> set[str]:
+        """Return the causes of the highest rank.
+
+        Those that are explained are dropped from ``lives`` on the way.
+        """
+        highest, tied = None, set()
+        for cause, ended in sorted(
+            lives.items(), key=lambda item: len(item[1]), reverse=True
+        ):
+            if highest is not None and len(ended) < highest[0]:
+                break
+            ended = ended - covered
+            if len(ended) < MIN_ENDINGS:
+                del lives[cause]
+                continue
+            rank = self._rank(cause, ended, cause in requests)
+            if highest is None or rank > highest:
+                highest, tied = rank, set()
+            if rank == highest:
+                tied.add(cause)
+        return tied
+
     def _rank(
         self,
         cause: str,
--- a/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
@@ -182,6 +182,8 @@
     ) -> None:
         self._soundness.note_answered(parts, software, now)
         for part in parts:
+            if not self.ledger.parts.count(part):
+                continue
             endings = self.ledger.parts.find_endings(part)
             if any(ending.software == software for ending in endings):
                 self._clear(part, now, software)
--- a/packages/gateway/src/chivepier/gateway/quarantine/recentanswers.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/recentanswers.py
@@ -1,5 +1,6 @@
 """Requests, or parts of prompts, that were answered recently."""
 
+import collections
 import collections.abc
 
 from chivepier.gateway.quarantine.crashledger import CLEARANCE_WINDOW_SECONDS
@@ -21,7 +22,9 @@
 
     def __init__(self, size: int = MAX_RECENT_ANSWERS) -> None:
         self._size = size
-        self._answered: dict[collections.abc.Hashable, float] = {}
+        self._answered: collections.OrderedDict[
+            collections.abc.Hashable, float
+        ] = collections.OrderedDict()
 
     def add(self, subject: collections.abc.Hashable, now: float) -> None:
         """Record that a request was answered.
@@ -30,10 +33,10 @@
             that answered it
         :param now: current time in monotonic seconds
         """
-        self._answered.pop(subject, None)
         self._answered[subject] = now
+        self._answered.move_to_end(subject)
         if len(self._answered) > self._size:
-            del self._answered[next(iter(self._answered))]
+            self._answered.popitem(last=False)
 
     def find(
         self, subject: collections.abc.Hashable, now: float
