--- a/soak/faults.py
+++ b/soak/faults.py
@@ -38,7 +38,7 @@
 CUT_SECONDS = (0.5, 7.0)
 WHOLE_CUT_SHARE = 0.7
 # Range of the seconds for which targets crash on a part.
-CRASHING_SECONDS = (4.0, 9.0)
+CRASHING_SECONDS = (9.0, 14.0)
 # Backoffs that targets request, in seconds.
 BACKOFF_SECONDS = (0.3, 1.0, 3.0, 8.0)
 
