--- a/packages/gateway/src/chivepier/gateway/quarantine/partholds.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/partholds.py
@@ -21,7 +21,7 @@
 UNCLEAR_HOLD_SECONDS = 5.0
 MAX_UNCLEAR_ENDINGS = 4
 # Ends under a part for each one without any suspect from which it stands out.
-MIN_ENDS_PER_STRAY = 2
+MIN_ENDS_PER_UNEXPLAINED = 2
 # With each further ending a hold is this much longer, up to so many times.
 HOLD_GROWTH = 2.0
 MAX_GROWTHS = 10
@@ -112,8 +112,8 @@
         since = group.endings[0].seen - CLEARANCE_WINDOW_SECONDS
         evidence = self._ledger.list_evidence()
         explained = {ending.incarnation for ending in evidence}
-        stray = len(self._detector.list_ended(since) - explained)
-        if stray * MIN_ENDS_PER_STRAY > ends:
+        unexplained = len(self._detector.list_ended(since) - explained)
+        if unexplained * MIN_ENDS_PER_UNEXPLAINED > ends:
             return False
         software = group.endings[-1].software
-        return self._soundness.has_contrast(software, now)
+        return self._soundness.is_serving(software, now)
--- a/packages/gateway/src/chivepier/gateway/quarantine/partsoundness.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/partsoundness.py
@@ -3,11 +3,11 @@
 import collections
 import collections.abc
 
-from chivepier.gateway.quarantine.closedanswer import ClosedAnswer
-from chivepier.gateway.quarantine.contrast import Contrast
 from chivepier.gateway.quarantine.crashdetector import CrashDetector
 from chivepier.gateway.quarantine.incarnation import Incarnation
 from chivepier.gateway.quarantine.recentanswers import RecentAnswers
+from chivepier.gateway.quarantine.serviceactivity import ServiceActivity
+from chivepier.gateway.quarantine.unframedanswer import UnframedAnswer
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetTable
 
@@ -17,7 +17,7 @@
 # Time after an answer that ended with its connection in which a crash of its
 # target is noticed, and the maximum number of answers that wait for that.
 LIVED_ON_SECONDS = 3.0
-MAX_CLOSED_ANSWERS = 1_024
+MAX_UNFRAMED_ANSWERS = 1_024
 
 
 class PartSoundness:
@@ -31,9 +31,9 @@
         self._table = table
         self._detector = detector
         self._answers = RecentAnswers(MAX_SOUND_PARTS)
-        self._contrast = Contrast()
-        self._closed: collections.deque[ClosedAnswer] = collections.deque(
-            maxlen=MAX_CLOSED_ANSWERS
+        self._activity = ServiceActivity()
+        self._unframed: collections.deque[UnframedAnswer] = collections.deque(
+            maxlen=MAX_UNFRAMED_ANSWERS
         )
 
     def note_answered(
@@ -45,7 +45,7 @@
         :param software: service and software version of the target
         :param now: current time in monotonic seconds
         """
-        self._contrast.note_answered(software, now)
+        self._activity.note_answered(software, now)
         for part in parts:
             self._answers.add((part, software), now)
 
@@ -64,11 +64,11 @@
         """Return the parts that are not known to be sound."""
         return [p for p in parts if self.find(p, software, now) is None]
 
-    def has_contrast(self, software: str, now: float) -> bool:
+    def is_serving(self, software: str, now: float) -> bool:
         """Tell whether requests without suspected parts are answered."""
-        return self._contrast.is_clear(software, now)
+        return self._activity.is_serving(software, now)
 
-    def note_closed(
+    def note_unframed(
         self,
         parts: tuple[str, ...],
         target: Target,
@@ -83,22 +83,24 @@
         :param now: current time in monotonic seconds
         """
         life = Incarnation.of(target)
-        self._closed.append(ClosedAnswer(parts, life, software, now))
+        self._unframed.append(UnframedAnswer(parts, life, software, now))
 
     def take_survived(
         self, now: float
-    ) -> collections.abc.Iterator[ClosedAnswer]:
+    ) -> collections.abc.Iterator[UnframedAnswer]:
         """Yield the answers that ended with their connections long enough ago.
 
         :param now: current time in monotonic seconds
         :returns: those whose targets have lived on
         """
-        while self._closed and now - self._closed[0].at >= LIVED_ON_SECONDS:
-            answer = self._closed.popleft()
+        while (
+            self._unframed and now - self._unframed[0].at >= LIVED_ON_SECONDS
+        ):
+            answer = self._unframed.popleft()
             if self._has_lived_on(answer):
                 yield answer
 
-    def _has_lived_on(self, answer: ClosedAnswer) -> bool:
+    def _has_lived_on(self, answer: UnframedAnswer) -> bool:
         known = self._table.get(answer.incarnation.instance)
         return (
             known is not None
--- a/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
@@ -161,7 +161,7 @@
         now = self._clock.monotonic()
         self._note_sound(parts, self.describe_software(target), now)
 
-    def note_closed(self, parts: tuple[str, ...], target: Target) -> None:
+    def note_unframed(self, parts: tuple[str, ...], target: Target) -> None:
         """Record an answer whose end a crash of its target would look like.
 
         It shows that the parts are sound if the target lives on.
@@ -171,7 +171,7 @@
         """
         software = self.describe_software(target)
         now = self._clock.monotonic()
-        self._soundness.note_closed(parts, target, software, now)
+        self._soundness.note_unframed(parts, target, software, now)
 
     def describe_software(self, target: Target) -> str:
         """Return a target's service and the version of its software."""
--- a/packages/gateway/src/chivepier/gateway/quarantine/contrast.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/serviceactivity.py
@@ -1,4 +1,4 @@
-"""Comparison of what a part ends with what others are answered."""
+"""Whether requests are being answered at a service."""
 
 import collections
 
@@ -8,16 +8,16 @@
 MIN_ANSWERS = 5
 
 
-class Contrast:
+class ServiceActivity:
     """Tells whether requests are being answered at a service.
 
     If next to none is, as after a start or in an outage, a part that all of
     them have was there at each end, though it may be sound.
 
-    >>> contrast = Contrast()
+    >>> activity = ServiceActivity()
     >>> for _ in range(MIN_ANSWERS):
-    ...     contrast.note_answered("llm v1", 5.0)
-    >>> contrast.is_clear("llm v1", 6.0), contrast.is_clear("llm v1", 66.0)
+    ...     activity.note_answered("llm v1", 5.0)
+    >>> activity.is_serving("llm v1", 6.0), activity.is_serving("llm v1", 66.0)
     (True, False)
     """
 
@@ -34,7 +34,7 @@
             self._answers[software] = collections.deque(maxlen=MIN_ANSWERS)
         self._answers[software].append(now)
 
-    def is_clear(self, software: str, now: float) -> bool:
+    def is_serving(self, software: str, now: float) -> bool:
         """Tell whether requests without a suspected part are answered.
 
         A suspected part is in none of those that were.
--- a/packages/gateway/src/chivepier/gateway/quarantine/closedanswer.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/unframedanswer.py
@@ -6,7 +6,7 @@
 
 
 @attrs.frozen
-class ClosedAnswer:
+class UnframedAnswer:
     """An answer without framing that looks complete.
 
     :param parts: digests of the shared parts of its prompt
--- a/packages/gateway/src/chivepier/gateway/serving/crashguard.py
+++ b/packages/gateway/src/chivepier/gateway/serving/crashguard.py
@@ -137,7 +137,7 @@
         if answer.facts.framed:
             self._quarantine.note_sound(plan.parts, started.target)
         else:
-            self._quarantine.note_closed(plan.parts, started.target)
+            self._quarantine.note_unframed(plan.parts, started.target)
 
     def note_growing(self, run: LiveRun) -> None:
         """Report that a target goes on with a stream.
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_crashingparts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_crashingparts.py
@@ -5,7 +5,6 @@
 import attrs
 import pytest
 
-from chivepier.gateway.quarantine.contrast import MIN_ANSWERS
 from chivepier.gateway.quarantine.crashdetector import SUSPECT_WINDOW_SECONDS
 from chivepier.gateway.quarantine.crashledger import ENDING_TTL_SECONDS
 from chivepier.gateway.quarantine.digest import digest_part
@@ -15,6 +14,7 @@
 from chivepier.gateway.quarantine.partholds import SETTLE_SECONDS
 from chivepier.gateway.quarantine.partholds import UNCLEAR_HOLD_SECONDS
 from chivepier.gateway.quarantine.partsoundness import LIVED_ON_SECONDS
+from chivepier.gateway.quarantine.serviceactivity import MIN_ANSWERS
 from chivepier.gateway.serving.answerfacts import AnswerFacts
 from chivepier.gateway.serving.tests.parts import ENGINE
 from chivepier.gateway.serving.tests.parts import fail
