Try a part that comes rarely when it comes, once its hold is over

Cause: each entry drew once a second whether to let one through, and the draw lapsed with the second: at seven entries one in 14 of a rare part's requests met one. Each entry now draws when it may let the next one through, 0.5 a second over all on average as before, and that right stays until it is used.

--- a/packages/gateway/src/chivepier/gateway/quarantine/partholds.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/partholds.py
@@ -11,7 +11,6 @@
 from chivepier.gateway.quarantine.partgroup import PartGroup
 from chivepier.gateway.quarantine.partsoundness import PartSoundness
 from chivepier.gateway.quarantine.suspects import MIN_ENDINGS
-from chivepier.gateway.quarantine.trials import SLOT_SECONDS
 from chivepier.gateway.quarantine.trials import Trials
 
 # Time for which a part is held back if hardly any request is answered, or
@@ -25,6 +24,8 @@
 # With each further ending a hold is this much longer, up to so many times.
 HOLD_GROWTH = 2.0
 MAX_GROWTHS = 10
+# Time after which a caller may come again once a hold is over.
+TRIAL_WAIT_SECONDS = 1.0
 # Time after the first ending under a part until each entry that was answered
 # requests with it has said so.
 SETTLE_SECONDS = 0.25
@@ -101,9 +102,9 @@
     ) -> Hold | None:
         until = group.endings[-1].seen + self.compute_seconds(group, now)
         if now >= until:
-            if self._trials.admit(group.parts, digest, now):
+            if self._trials.admit(group.parts, digest, until, now):
                 return None
-            until = now + SLOT_SECONDS
+            until = now + TRIAL_WAIT_SECONDS
         settled_at = self.compute_settle_time(group)
         return Hold(digest, group.endings, until, group.parts, settled_at)
 
--- a/packages/gateway/src/chivepier/gateway/quarantine/trials.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/trials.py
@@ -5,35 +5,37 @@
 
 import attrs
 
-# Interval at which each entry draws whether it may let a request through.
-SLOT_SECONDS = 1.0
-# Requests that all entries together let through in an interval, on average:
-# few enough that hardly ever several do at once.
-TRIALS_PER_SLOT = 0.5
+# Requests per second that all entries together let through, on average: few
+# enough that hardly ever several do at once.
+TRIALS_PER_SECOND = 0.5
 # Time for which a request that was let through may be sent.
 TRIAL_SECONDS = 10.0
 
 
 @attrs.define
 class Trial:
-    """The draw of one interval for one group of parts.
+    """The next request that one entry lets through for a group of parts.
 
-    :param drawn_at: when the interval began, in monotonic seconds
-    :param granted: whether a request may be let through
+    :param held_until: end of the hold that it follows, in monotonic seconds
+    :param due_at: when it may come at the earliest, in monotonic seconds
     :param request: digest of the request that was let through, if any
+    :param admitted_at: when that was, in monotonic seconds
     """
 
-    drawn_at: float
-    granted: bool
+    held_until: float
+    due_at: float
     request: str | None = None
+    admitted_at: float = 0.0
 
 
 class Trials:
     """Lets single requests through once a hold is over.
 
     If all entries sent all of them again at that moment, a part that still
-    ends targets would end many at once. Each entry draws by itself, so that
-    no message is needed and none that is lost keeps a part held back.
+    ends targets would end many at once. Each entry draws by itself when it may
+    let one through, so that no message is needed and none that is lost keeps a
+    part held back. A part that is asked for rarely is tried as soon as it
+    comes to an entry whose time has passed.
 
     :param count_entries: returns the number of entries
     :param rng: random number generator
@@ -48,25 +50,39 @@
         self._rng = rng
         self._trials: dict[frozenset[str], Trial] = {}
 
-    def admit(self, parts: frozenset[str], request: str, now: float) -> bool:
+    def admit(
+        self,
+        parts: frozenset[str],
+        request: str,
+        held_until: float,
+        now: float,
+    ) -> bool:
         """Tell whether a request may be sent though its parts are suspected.
 
         :param parts: digests of the suspected parts
         :param request: digest of the request
+        :param held_until: when the hold was over, in monotonic seconds
         :param now: current time in monotonic seconds
         """
         trial = self._trials.get(parts)
-        if trial is not None and trial.request is not None:
-            if now - trial.drawn_at < TRIAL_SECONDS:
+        if trial is None or trial.held_until != held_until:
+            trial = self._draw(parts, held_until, held_until)
+        if trial.request is not None:
+            if now - trial.admitted_at < TRIAL_SECONDS:
                 return trial.request == request
-        if trial is None or now - trial.drawn_at >= SLOT_SECONDS:
-            share = TRIALS_PER_SLOT / max(1, self._count_entries())
-            trial = Trial(now, self._rng.random() < share)
-            self._trials[parts] = trial
-        if trial.granted and trial.request is None:
-            trial.request = request
-            return True
-        return False
+            trial = self._draw(parts, held_until, now)
+        if now < trial.due_at:
+            return False
+        trial.request, trial.admitted_at = request, now
+        return True
+
+    def _draw(
+        self, parts: frozenset[str], held_until: float, since: float
+    ) -> Trial:
+        rate = TRIALS_PER_SECOND / max(1, self._count_entries())
+        due_at = since + self._rng.expovariate(rate)
+        self._trials[parts] = trial = Trial(held_until, due_at)
+        return trial
 
     def forget(self, kept: collections.abc.Collection[frozenset[str]]) -> None:
         """Forget the draws of groups that are suspected no more."""
