--- a/packages/gateway/src/chivepier/gateway/quarantine/trials.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/trials.py
@@ -3,7 +3,7 @@
 import collections.abc
 import random
 
-import attrs
+from chivepier.gateway.quarantine.trial import Trial
 
 # Requests per second that all entries together let through, on average: few
 # enough that hardly ever several do at once.
@@ -12,22 +12,6 @@
 TRIAL_SECONDS = 10.0
 
 
-@attrs.define
-class Trial:
-    """The next request that one entry lets through for a group of parts.
-
-    :param held_until: end of the hold that it follows, in monotonic seconds
-    :param due_at: when it may come at the earliest, in monotonic seconds
-    :param request: digest of the request that was let through, if any
-    :param admitted_at: when that was, in monotonic seconds
-    """
-
-    held_until: float
-    due_at: float
-    request: str | None = None
-    admitted_at: float = 0.0
-
-
 class Trials:
     """Lets single requests through once a hold is over.
 
