--- a/packages/gateway/src/chivepier/gateway/quarantine/tests/test_partmodel.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/tests/test_partmodel.py
@@ -51,3 +51,12 @@
     tally = play_day(seed, crashing=(), wave_seconds=4.0)
     assert tally.waves > 20
     assert tally.refused * SOUND_PER_REFUSED <= tally.served
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_one_crashing_request_beside_waves_holds_back_no_sound_part(seed):
+    # Guards against sound parts that are refused as one request ends targets
+    # and waves of crashes come before much has been answered.
+    tally = play_day(seed, crashing_rate=1e-9, wave_seconds=4.0)
+    assert tally.waves > 20
+    assert tally.refused * SOUND_PER_REFUSED <= tally.served
