Tell on which send each "not run" of a target rests

Callers: six requests ran that had been refused, three ran twice. The entry's line of a refusal had the request's id and the status, which are the same for each send of a request, so hypotheses on whose answer it was could not be told apart. Each connection to a target now has a number and counts what it carried; a request knows the connections over which it was sent; the line and a counter tell the evidence. Nothing is decided differently.

--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -36,6 +36,7 @@
     "forwards",
     "stream_ends",
     "take_ups",
+    "refusals",
 )
 GAUGES = ("zones", "place_waiting")
 
@@ -126,6 +127,15 @@
         """
         self._record("take_ups", (source,), 1.0)
 
+    def record_refusal(self, evidence: str) -> None:
+        """Count an answer of a target that refuses a request.
+
+        :param evidence: ``stated`` in the answer, ``misdirected``, only the
+            ``status``, ``unnamed`` if the answer names no request, or
+            ``ambiguous`` if it may answer an earlier send
+        """
+        self._record("refusals", (evidence,), 1.0)
+
     def record_move(self, outcome: str) -> None:
         """Count a copy of a running generation's memory by its outcome."""
         self._record("moves", (outcome,), 1.0)
@@ -325,6 +335,12 @@
             ("source",),
             registry=registry,
         ),
+        "refusals": library.Counter(
+            "chivepier_target_refusals",
+            "Refusals of targets, by what tells that nothing ran.",
+            ("evidence",),
+            registry=registry,
+        ),
         "moves": library.Counter(
             "chivepier_memory_copies",
             "Copies of live generations' memory.",
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.serving.callerconnection import CallerConnection
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.serving.callpurpose import CallPurpose
+from chivepier.gateway.serving.connectionuse import ConnectionUse
 from chivepier.gateway.serving.crashguard import CrashGuard
 from chivepier.gateway.serving.detour import Detour
 from chivepier.gateway.serving.dispatcher import Dispatcher
@@ -46,6 +47,7 @@
     "CallerConnection",
     "CallerRequest",
     "ConnectionLostError",
+    "ConnectionUse",
     "CrashGuard",
     "Detour",
     "Dispatcher",
--- a/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
@@ -6,6 +6,7 @@
 from chivepier.gateway.limits import Limit
 from chivepier.gateway.limits import NoBackoff
 from chivepier.gateway.limits import NoLimit
+from chivepier.gateway.serving.connectionuse import ConnectionUse
 from chivepier.gateway.targets import InvalidReport
 from chivepier.gateway.targets import ReportedLoad
 
@@ -18,6 +19,8 @@
     :param other_instance: name of the instance that answered instead of the
         target, empty if unknown; ``None`` if the target answered
     :param mismatched: whether the answer belongs to another request
+    :param unnamed: whether the answer names no request
+    :param use: what the connection carried before; ``None`` if not known
     :param framed: whether the head tells where the body ends; otherwise the
         end of the connection ends it
     :param limit: rate limit of the target; ``None`` if answers of this kind
@@ -35,6 +38,8 @@
     not_run: bool = False
     other_instance: str | None = None
     mismatched: bool = False
+    unnamed: bool = False
+    use: ConnectionUse | None = None
     framed: bool = True
     limit: Limit | None = NoLimit()
     backoff: Backoff = NoBackoff()
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -19,12 +19,12 @@
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.errors import PlacesTakenError
 from chivepier.gateway.serving.errors import RateLimitedError
-from chivepier.gateway.serving.headerrecorder import get_backoff_seconds
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.lossrecorder import LossRecorder
 from chivepier.gateway.serving.mover import Mover
 from chivepier.gateway.serving.placewait import PlaceWait
 from chivepier.gateway.serving.plan import Plan
+from chivepier.gateway.serving.refusallog import RefusalLog
 from chivepier.gateway.serving.rejectionpolicy import RejectionPolicy
 from chivepier.gateway.serving.retryafterscheduler import RetryAfterScheduler
 from chivepier.gateway.serving.retrybudget import RetryBudget
@@ -52,6 +52,8 @@
 # a target may have capacity again after this long.
 REFUSED_RETRY_SECONDS = 0.03
 SERVER_ERROR_STATUS = 500
+# Statuses that tell callers that a request has not run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Seconds without an answer before targets may count as out of reach, also for
 # a shorter objective: some targets stand still for a moment.
 MIN_PATIENCE_SECONDS = 0.3
@@ -118,6 +120,7 @@
         self.continuations = Continuations(table, state, clock, log, metrics)
         self.witness = EndWitness(table, calls.probe, mover.count_runs, clock)
         self._assignments = AssignmentLog(balancer, clock, log)
+        self._refusals = RefusalLog(log, metrics)
         self.losses = LossRecorder(table, guard, self.witness, clock, log)
         self.runs = RunTracker(loads, mover, balancer, clock, queues)
         self._rejection = RejectionPolicy(table, clock, retry_after, log)
@@ -407,20 +410,13 @@
         self, plan: Plan, target: Target, answer: TargetAnswer
     ) -> bool:
         facts = answer.facts
+        refused = facts.not_run
         if facts.other_instance is not None:
             self.table.mark_gone(target.instance, target.address)
-        elif not facts.not_run:
-            return False
-        self.log.info(
-            "refused_by_target",
-            id=plan.request.id,
-            target=target.instance,
-            status=answer.status,
-            other=facts.other_instance,
-            rest=get_backoff_seconds(facts.backoff),
-            leaving=facts.leaving,
-        )
-        return True
+            refused = True
+        if refused or answer.status in NOT_RUN_STATUSES:
+            self._refusals.write(plan, target, answer)
+        return refused
 
     def _note_answer(
         self, plan: Plan, started: StartedAnswer, sent_at: float
