--- a/soak/brittletarget.py
+++ b/soak/brittletarget.py
@@ -5,6 +5,7 @@
 
 from aiohttp import web
 
+from soak.invariantchecker import make_expected_body
 from soak.target import SoakTarget
 
 # Requests that run at once and that may wait, at first and later on.
@@ -81,7 +82,8 @@
         finally:
             self._present -= 1
         headers |= self._make_report()
-        return web.Response(body=b"answer", headers=headers)
+        body = make_expected_body(identity)
+        return web.Response(body=body, headers=headers)
 
     def _make_report(self) -> dict[str, str]:
         running = min(self._present, RUNNING_PLACES)
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -108,6 +108,7 @@
         :param headers: headers of the request, with its id
         """
         began, status, retry_after, reason = time.monotonic(), 0, None, ""
+        data = b""
         url = f"http://{entry.ip}:{CALLER_PORT}{path}"
         try:
             async with session.post(url, data=body, headers=headers) as answer:
@@ -120,6 +121,6 @@
             reason = repr(error)
         now = time.monotonic()
         seconds = None if retry_after is None else float(retry_after)
-        reply = Reply(now, status, now - began, seconds, reason)
+        reply = Reply(now, status, now - began, seconds, reason, data)
         self.log.write_reply(headers[REQUEST_ID], entry.ip, reply)
         return reply
--- a/soak/reply.py
+++ b/soak/reply.py
@@ -12,6 +12,7 @@
     :param seconds: seconds from the request to the answer
     :param retry_after: value of ``Retry-After`` in seconds, if there is one
     :param reason: error of the connection, or body of a refusal
+    :param body: body of the answer
     """
 
     at: float
@@ -19,3 +20,4 @@
     seconds: float
     retry_after: float | None
     reason: str = ""
+    body: bytes = attrs.field(default=b"", repr=False)
