Let no connection carry a request twice, nor two calls without an id

Callers: a 503 for requests that may run once and had run, and requests that ran twice. Cause: an answer was matched to a send by the request's id alone, which all sends of a request share. A target refuses a request and sends the refusal a second time, late; the request is sent to it again, mostly over the connection that was used last; the copy is taken for the answer to that send, which the target runs. Then it is refused after the last round, or sent to another target.

Ruled out by reading: the connector's check of unsolicited bytes does not see what is still in the socket or on its way; uvloop runs due timers before it reads sockets, so an entry that stood still sends again before it reads the copy.

Now a connection carries each request id once, and one call without an id (reservations, copies, frees, whose answers name nothing). What comes twice then never fits a later send.

Two tests that sent one id twice over a connection, as two requests, send two ids; they check the same.

--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -131,8 +131,7 @@
         """Count an answer of a target that refuses a request.
 
         :param evidence: ``stated`` in the answer, ``misdirected``, only the
-            ``status``, ``unnamed`` if the answer names no request, or
-            ``ambiguous`` if it may answer an earlier send
+            ``status``, or ``unnamed`` if the answer names no request
         """
         self._record("refusals", (evidence,), 1.0)
 
--- a/packages/gateway/src/chivepier/gateway/serving/callerrequest.py
+++ b/packages/gateway/src/chivepier/gateway/serving/callerrequest.py
@@ -28,7 +28,6 @@
     :param software_version: version of the targets' software that the stream
         goes on at, as another entry found it; ``None`` if none has
     :param forwarded: whether another entry has forwarded it to this one
-    :param sent_over: numbers of the connections over which it was sent
     """
 
     id: str
@@ -47,4 +46,3 @@
     resumes: str | None = None
     software_version: str | None = None
     forwarded: bool = False
-    sent_over: set[int] = attrs.field(factory=set, eq=False, repr=False)
--- a/packages/gateway/src/chivepier/gateway/serving/refusallog.py
+++ b/packages/gateway/src/chivepier/gateway/serving/refusallog.py
@@ -48,8 +48,6 @@
     facts = answer.facts
     if facts.unnamed:
         return "unnamed"
-    if facts.use is not None and facts.use.ambiguous:
-        return "ambiguous"
     if facts.other_instance is not None:
         return "misdirected"
     return "stated" if facts.not_run else "status"
--- a/tests/adapter/exchange.py
+++ b/tests/adapter/exchange.py
@@ -25,6 +25,15 @@
     )
 
 
+def find_id(head: bytes) -> bytes:
+    """Return the request id in the head of a request."""
+    for line in head.split(b"\r\n"):
+        name, _, value = line.partition(b": ")
+        if name == b"X-Chivepier-Request-Id":
+            return value
+    return b""
+
+
 async def read_all(reply) -> bytes:
     """Read a body to its end."""
     data = b""
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -6,6 +6,7 @@
 import pytest
 
 from adapter.httptargetclient import HttpTargetClient
+from adapter.targetconnection import MAX_CALLS
 from chivepier.gateway.limits import RequestedBackoff
 from chivepier.gateway.serving import BrokenAnswerError
 from chivepier.gateway.serving import ConnectionLostError
@@ -18,6 +19,7 @@
 from chivepier.gateway.targets import Liveness
 from exchange import build_answer
 from exchange import drop
+from exchange import find_id
 from exchange import move
 from exchange import ONCE_OPTIONS
 from exchange import OPTIONS
@@ -29,6 +31,8 @@
 from exchange import UNAVAILABLE
 import rawtarget
 
+NOT_RUN_LINE = b"X-Chivepier-Not-Run: 1\r\n"
+
 
 def test_request_is_forwarded_with_internal_headers():
     async def script(head, writer):
@@ -405,7 +409,7 @@
         elif raws[0].connections == 1:
             rawtarget.reset(writer)
         else:
-            writer.write(build_answer(b"again"))
+            writer.write(build_answer(b"again", find_id(head)))
 
     raws = []
 
@@ -418,7 +422,7 @@
         assert await read_all(first) == b"ok"
         await asyncio.sleep(0.3)
         second = await send(
-            targets, target, rawtarget.make_request(), ONCE_OPTIONS
+            targets, target, rawtarget.make_request("r2"), ONCE_OPTIONS
         )
         assert await read_all(second) == b"again"
 
@@ -427,13 +431,13 @@
 
 def test_retryable_request_reuses_an_idle_connection():
     async def script(head, writer):
-        writer.write(build_answer(b"ok"))
+        writer.write(build_answer(b"ok", find_id(head)))
 
     async def test(raw, targets):
         target = raw.make_target()
-        for _ in range(2):
+        for name in ("r1", "r2"):
             reply = await send(
-                targets, target, rawtarget.make_request(), OPTIONS
+                targets, target, rawtarget.make_request(name), OPTIONS
             )
             assert await read_all(reply) == b"ok"
             await asyncio.sleep(0.3)
@@ -442,6 +446,91 @@
     run(script, test)
 
 
+def test_no_connection_carries_a_request_twice():
+    # The late second copy of a refusal was taken for the answer to the next
+    # send of the same request, which ran.
+    refusal = build_answer(b"", extra=NOT_RUN_LINE, status=UNAVAILABLE)
+
+    async def script(head, writer):
+        if raws[0].connections == 1 and len(raws[0].requests) > 1:
+            writer.write(refusal)
+        if len(raws[0].requests) == 1:
+            writer.write(refusal)
+        else:
+            writer.write(build_answer(b"ran", find_id(head)))
+
+    raws = []
+
+    async def test(raw, targets):
+        raws.append(raw)
+        target, request = raw.make_target(), rawtarget.make_request()
+        first = await send(targets, target, request, ONCE_OPTIONS)
+        assert first.facts.not_run
+        await read_all(first)
+        second = await send(targets, target, request, ONCE_OPTIONS)
+        assert not second.facts.not_run
+        assert await read_all(second) == b"ran"
+        assert raw.connections == 2
+
+    run(script, test)
+
+
+def test_connection_is_used_again_for_another_request():
+    # A refusal must not cost a connection; its second copy names its request.
+    refusal = build_answer(b"", extra=NOT_RUN_LINE, status=UNAVAILABLE)
+
+    async def script(head, writer):
+        if find_id(head) == b"r1":
+            writer.write(refusal)
+        else:
+            writer.write(refusal + build_answer(b"ran", b"r2"))
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        for name in ("r1", "r2"):
+            request = rawtarget.make_request(name)
+            reply = await send(targets, target, request, ONCE_OPTIONS)
+            await read_all(reply)
+        assert raw.connections == 1
+        assert reply.facts.mismatched
+
+    run(script, test)
+
+
+def test_connection_is_given_up_after_many_calls():
+    async def script(head, writer):
+        writer.write(build_answer(b"ok", find_id(head)))
+
+    async def test(raw, targets):
+        for number in range(MAX_CALLS + 1):
+            request = rawtarget.make_request(f"r{number}")
+            reply = await send(targets, raw.make_target(), request, OPTIONS)
+            await read_all(reply)
+        assert raw.connections == 2
+
+    run(script, test)
+
+
+@pytest.mark.parametrize("kind", ("reserve", "move", "drop"))
+def test_calls_that_name_no_request_share_no_connection(kind):
+    # The late second answer to one was taken for the answer to the next.
+    async def script(head, writer):
+        if head.startswith(b"POST"):
+            await raws[0].reader.read(1 << 16)
+        writer.write(build_answer(b"{}"))
+
+    raws = []
+
+    async def test(raw, targets):
+        raws.append(raw)
+        for _ in range(2):
+            call = CALLS[kind]
+            await call(targets, raw.make_target(), RecordingExchange())
+        assert raw.connections == 2
+
+    run(script, test)
+
+
 def test_generation_reuses_the_connection_of_its_reservation():
     # Separate connections would double the targets' cost of accepting them.
     async def script(head, writer):
@@ -470,13 +559,13 @@
     # An entry whose open connections live on through a cut took itself for
     # connected while every new connection failed.
     async def script(head, writer):
-        writer.write(build_answer(b"ok"))
+        writer.write(build_answer(b"ok", find_id(head)))
 
     async def test(raw, targets):
         seen = []
-        for _ in range(2):
+        for name in ("r1", "r2"):
             exchange = RecordingExchange()
-            request = rawtarget.make_request()
+            request = rawtarget.make_request(name)
             reply = await targets.send(
                 raw.make_target(), request, ONCE_OPTIONS, exchange
             )
