Take no answer for a request's that does not name it

Callers: besides refusals of requests that ran, answers of other callers' requests. An answer without an id passed for the answer to any request, and a call without an id (a reservation, a copy, the order to stop a run) took the late answer to a request for its own. Targets echo the id of each request, and calls that bear none have nothing to echo, so an answer counts only where the ids agree: exactly the request's, or none for a call.

A stream whose connection then holds a late answer to its reservation ends with 502, as it may have run.

Fixtures that answered control calls with a request's id answer as targets do.

--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -130,8 +130,8 @@
     def record_refusal(self, evidence: str) -> None:
         """Count an answer of a target that refuses a request.
 
-        :param evidence: ``stated`` in the answer, ``misdirected``, only the
-            ``status``, or ``unnamed`` if the answer names no request
+        :param evidence: ``stated`` in the answer, ``misdirected``, or only
+            the ``status``
         """
         self._record("refusals", (evidence,), 1.0)
 
--- a/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
@@ -18,8 +18,8 @@
     :param not_run: whether the target states that it did not run the request
     :param other_instance: name of the instance that answered instead of the
         target, empty if unknown; ``None`` if the target answered
-    :param mismatched: whether the answer belongs to another request
-    :param unnamed: whether the answer names no request
+    :param mismatched: whether the answer names another request, or none
+        though it should
     :param use: what the connection carried before; ``None`` if not known
     :param framed: whether the head tells where the body ends; otherwise the
         end of the connection ends it
@@ -38,7 +38,6 @@
     not_run: bool = False
     other_instance: str | None = None
     mismatched: bool = False
-    unnamed: bool = False
     use: ConnectionUse | None = None
     framed: bool = True
     limit: Limit | None = NoLimit()
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -368,7 +368,7 @@
         run: LiveRun | None,
     ) -> StartedAnswer:
         if answer.facts.mismatched:
-            raise BrokenAnswerError("the answer belongs to another request")
+            raise BrokenAnswerError("the answer names another request or none")
         if plan.route.streaming and answer.status < 300:
             # wait for the first event: until then nothing was sent to the
             # caller, and the request can be retried elsewhere
--- a/packages/gateway/src/chivepier/gateway/serving/refusallog.py
+++ b/packages/gateway/src/chivepier/gateway/serving/refusallog.py
@@ -46,8 +46,6 @@
 def _describe_evidence(answer: TargetAnswer) -> str:
     """Return on what it rests that the target has not run the request."""
     facts = answer.facts
-    if facts.unnamed:
-        return "unnamed"
     if facts.other_instance is not None:
         return "misdirected"
     return "stated" if facts.not_run else "status"
--- a/soak/repeatingtarget.py
+++ b/soak/repeatingtarget.py
@@ -3,7 +3,6 @@
 import asyncio
 
 from aiohttp import web
-import attrs
 
 from soak.invariantchecker import make_expected_body
 from soak.target import SERVICE_SECONDS
@@ -13,24 +12,14 @@
 REPEATED_SHARE = 0.3
 
 
-@attrs.frozen
-class Repetition:
-    """How the second answer differs from the first.
-
-    :param named: whether it names the request
-    """
-
-    named: bool = True
-
-
 class RepeatingTarget(SoakTarget):
     """Sends second answers where the next ones are expected.
 
-    :ivar repetition: what the second answers are like
+    :ivar names_requests: whether second answers name their requests
     :ivar repeated: number of second answers that were sent
     """
 
-    repetition = Repetition()
+    names_requests = True
 
     def __init__(self, *args):
         super().__init__(*args)
@@ -67,7 +56,7 @@
     def _encode(self, answer: web.Response) -> bytes:
         lines = [f"HTTP/1.1 {answer.status} {answer.reason}"]
         for name, value in answer.headers.items():
-            if self.repetition.named or name != "X-Chivepier-Request-Id":
+            if self.names_requests or name != "X-Chivepier-Request-Id":
                 lines.append(f"{name}: {value}")
         lines.append(f"Content-Length: {len(answer.body)}")
         head = "\r\n".join(dict.fromkeys(lines))
--- a/tests/adapter/exchange.py
+++ b/tests/adapter/exchange.py
@@ -17,14 +17,24 @@
     extra: bytes = b"",
     status: bytes = b"200 OK",
 ) -> bytes:
-    """Build a complete answer."""
-    return (
-        b"HTTP/1.1 %s\r\nX-Chivepier-Request-Id: %s\r\n%s"
-        b"Content-Length: %d\r\n\r\n%s"
-        % (status, request_id, extra, len(body), body)
+    """Build a complete answer, which names no request if the id is empty."""
+    if request_id:
+        extra = b"X-Chivepier-Request-Id: %s\r\n%s" % (request_id, extra)
+    return b"HTTP/1.1 %s\r\n%sContent-Length: %d\r\n\r\n%s" % (
+        status,
+        extra,
+        len(body),
+        body,
     )
 
 
+def build_reply(
+    head: bytes, body: bytes, extra: bytes = b"", status: bytes = b"200 OK"
+) -> bytes:
+    """Build the answer to a request, which names it if it has an id."""
+    return build_answer(body, find_id(head), extra, status)
+
+
 def find_id(head: bytes) -> bytes:
     """Return the request id in the head of a request."""
     for line in head.split(b"\r\n"):
--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -12,12 +12,14 @@
 from chivepier.gateway.serving import ConnectionLostError
 from chivepier.gateway.serving import KvOrigin
 from chivepier.gateway.serving import MoveOutcome
+from chivepier.gateway.serving import MoveResult
 from chivepier.gateway.serving import NotPermittedError
 from chivepier.gateway.serving import NotSentError
 from chivepier.gateway.serving import SendOptions
 from chivepier.gateway.serving import UnreachableError
 from chivepier.gateway.targets import Liveness
 from exchange import build_answer
+from exchange import build_reply
 from exchange import drop
 from exchange import find_id
 from exchange import move
@@ -264,7 +266,7 @@
 )
 def test_outcome_of_a_copy(status, body, outcome, handle):
     async def script(head, writer):
-        text = build_answer(body).replace(b"200", b"%d" % status, 1)
+        text = build_reply(head, body).replace(b"200", b"%d" % status, 1)
         writer.write(text)
 
     async def test(raw, targets):
@@ -357,7 +359,7 @@
 )
 def test_outcome_of_a_reservation(status, body, handle):
     async def script(head, writer):
-        text = build_answer(body).replace(b"200", b"%d" % status, 1)
+        text = build_reply(head, body).replace(b"200", b"%d" % status, 1)
         writer.write(text)
 
     async def test(raw, targets):
@@ -381,7 +383,7 @@
 
 def test_unused_copy_is_freed_by_its_handle():
     async def script(head, writer):
-        writer.write(build_answer(b"{}"))
+        writer.write(build_reply(head, b"{}"))
 
     async def test(raw, targets):
         assert await drop(targets, raw.make_target(), "h1")
@@ -409,7 +411,7 @@
         elif raws[0].connections == 1:
             rawtarget.reset(writer)
         else:
-            writer.write(build_answer(b"again", find_id(head)))
+            writer.write(build_reply(head, b"again"))
 
     raws = []
 
@@ -431,7 +433,7 @@
 
 def test_retryable_request_reuses_an_idle_connection():
     async def script(head, writer):
-        writer.write(build_answer(b"ok", find_id(head)))
+        writer.write(build_reply(head, b"ok"))
 
     async def test(raw, targets):
         target = raw.make_target()
@@ -457,7 +459,7 @@
         if len(raws[0].requests) == 1:
             writer.write(refusal)
         else:
-            writer.write(build_answer(b"ran", find_id(head)))
+            writer.write(build_reply(head, b"ran"))
 
     raws = []
 
@@ -499,7 +501,7 @@
 
 def test_connection_is_given_up_after_many_calls():
     async def script(head, writer):
-        writer.write(build_answer(b"ok", find_id(head)))
+        writer.write(build_reply(head, b"ok"))
 
     async def test(raw, targets):
         for number in range(MAX_CALLS + 1):
@@ -511,13 +513,58 @@
     run(script, test)
 
 
+def test_answer_that_names_no_request_is_not_the_requests():
+    # A refusal that named nothing, such as one of the reservation before it,
+    # was taken for that of a request that ran.
+    async def script(head, writer):
+        writer.write(
+            build_answer(b"", b"", extra=NOT_RUN_LINE, status=UNAVAILABLE)
+        )
+
+    async def test(raw, targets):
+        request = rawtarget.make_request()
+        reply = await send(targets, raw.make_target(), request, ONCE_OPTIONS)
+        assert reply.facts.mismatched
+
+    run(script, test)
+
+
+def test_answer_that_names_two_requests_is_neithers():
+    async def script(head, writer):
+        extra = b"X-Chivepier-Request-Id: r2\r\n"
+        writer.write(build_reply(head, b"", extra + NOT_RUN_LINE))
+
+    async def test(raw, targets):
+        request = rawtarget.make_request()
+        reply = await send(targets, raw.make_target(), request, ONCE_OPTIONS)
+        assert reply.facts.mismatched
+
+    run(script, test)
+
+
+def test_answer_to_a_request_is_not_taken_for_that_to_a_call():
+    # The late second answer to a stream told that another one was stopped.
+    async def script(head, writer):
+        writer.write(build_answer(b'{"handle": "h1", "hold": "h1"}', b"r1"))
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        result = await move(targets, target, "r2", target, True, 1.0)
+        assert result == MoveResult(MoveOutcome.FAILED)
+        with pytest.raises(NotSentError):
+            await reserve(targets, target, 100, 1.0)
+        assert not await drop(targets, target, "h1")
+
+    run(script, test)
+
+
 @pytest.mark.parametrize("kind", ("reserve", "move", "drop"))
 def test_calls_that_name_no_request_share_no_connection(kind):
     # The late second answer to one was taken for the answer to the next.
     async def script(head, writer):
         if head.startswith(b"POST"):
             await raws[0].reader.read(1 << 16)
-        writer.write(build_answer(b"{}"))
+        writer.write(build_reply(head, b"{}"))
 
     raws = []
 
@@ -536,9 +583,9 @@
     async def script(head, writer):
         if head.startswith(b"POST /chivepier/hold-take"):
             await raws[0].reader.readuntil(b"}")
-            writer.write(build_answer(b'{"hold": "h1"}'))
+            writer.write(build_reply(head, b'{"hold": "h1"}'))
         else:
-            writer.write(build_answer(b"ok"))
+            writer.write(build_reply(head, b"ok"))
 
     raws = []
 
@@ -559,7 +606,7 @@
     # An entry whose open connections live on through a cut took itself for
     # connected while every new connection failed.
     async def script(head, writer):
-        writer.write(build_answer(b"ok", find_id(head)))
+        writer.write(build_reply(head, b"ok"))
 
     async def test(raw, targets):
         seen = []
@@ -673,7 +720,7 @@
     # Requests were sent on a decision made before the connection was
     # established, which no longer held.
     async def script(head, writer):
-        writer.write(build_answer(b"{}"))
+        writer.write(build_reply(head, b"{}"))
 
     async def test(raw, targets):
         target = raw.make_target()
@@ -701,7 +748,7 @@
     # Guards against requests that leave after a suspension of this process
     # between the check and the write.
     async def script(head, writer):
-        writer.write(build_answer(b"{}"))
+        writer.write(build_reply(head, b"{}"))
 
     async def test(raw, targets):
         target = raw.make_target()
@@ -719,7 +766,9 @@
     headers = b"Retry-After: 2\r\nServer-Leaving: 1\r\n"
 
     async def script(head, writer):
-        writer.write(build_answer(b"{}", extra=headers, status=UNAVAILABLE))
+        writer.write(
+            build_reply(head, b"{}", extra=headers, status=UNAVAILABLE)
+        )
 
     async def test(raw, targets):
         exchange = RecordingExchange()
