Answer 502 where only a target's status says that nothing ran

Callers: 503 (or 408, 429) for requests that may run once and that a target had run. Targets state "not run" in a header of its own, and no other answer states it; the entry handed any status on, and for callers these four promise that the request has not run and never will. A target, or what stands before it, that answers so after it ran the request made the entry break that promise.

Such an answer to a request that may run once is now a failure of the target whose outcome is unknown, without the target's signature. Requests that may run again get the target's answer as before: the promise binds nothing there.

The fixture of a whole entry with one scripted target has a file of its own.

--- a/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
@@ -16,6 +16,7 @@
     """Metadata that was parsed from the head of an answer.
 
     :param not_run: whether the target states that it did not run the request
+    :param implies_not_run: whether callers take its status for that statement
     :param other_instance: name of the instance that answered instead of the
         target, empty if unknown; ``None`` if the target answered
     :param mismatched: whether the answer names another request, or none
@@ -36,6 +37,7 @@
     """
 
     not_run: bool = False
+    implies_not_run: bool = False
     other_instance: str | None = None
     mismatched: bool = False
     use: ConnectionUse | None = None
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -52,8 +52,6 @@
 # a target may have capacity again after this long.
 REFUSED_RETRY_SECONDS = 0.03
 SERVER_ERROR_STATUS = 500
-# Statuses that tell callers that a request has not run.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Seconds without an answer before targets may count as out of reach, also for
 # a shorter objective: some targets stand still for a moment.
 MIN_PATIENCE_SECONDS = 0.3
@@ -216,6 +214,9 @@
                 self.release(started)
                 continue
             runs += 1
+            if started.answer.facts.implies_not_run and not plan.repeatable:
+                self.release(started)
+                raise self._rejection.make_unproven_error()
             if started.answer.status >= SERVER_ERROR_STATUS:
                 self._note_failure(plan, target, runs)
             if started.answer.status < SERVER_ERROR_STATUS:
@@ -414,7 +415,7 @@
         if facts.other_instance is not None:
             self.table.mark_gone(target.instance, target.address)
             refused = True
-        if refused or answer.status in NOT_RUN_STATUSES:
+        if refused or facts.implies_not_run:
             self._refusals.write(plan, target, answer)
         return refused
 
--- a/packages/gateway/src/chivepier/gateway/serving/rejectionpolicy.py
+++ b/packages/gateway/src/chivepier/gateway/serving/rejectionpolicy.py
@@ -250,6 +250,14 @@
         pause = datetime.timedelta(seconds=seconds)
         return RequestError(Failure(ErrorKind.NO_TARGET, text, Ran.NO, pause))
 
+    def make_unproven_error(self) -> RequestError:
+        """Return the error of a request that only a status says is not run.
+
+        Passed on, that status would promise the caller that it never runs.
+        """
+        text = "the target refused it without telling that it has not run"
+        return RequestError.of(ErrorKind.TARGET_FAILED, text, Ran.UNKNOWN)
+
     def make_lost_error(self, error: Exception) -> RequestError:
         """Return the error of a request that was lost at its last target.
 
--- a/tests/adapter/test_streamends.py
+++ b/tests/adapter/test_streamends.py
@@ -5,10 +5,11 @@
 
 import attrs
 import pytest
-from test_callers import build_request
-from test_callers import EntryFixture
-from test_callers import ROUTES
 
+from entryfixture import build_request
+from entryfixture import EntryFixture
+from entryfixture import IDEMPOTENT_ROUTE
+from entryfixture import ROUTES
 import rawtarget
 
 HEAD = (
@@ -24,12 +25,6 @@
     "resumable": True,
     "max-attempts": 2,
 }
-PLAIN = {
-    **ROUTES[0],
-    "name": "again",
-    "path-prefix": "/again/",
-    "kind": "idempotent",
-}
 EVENTS = (b"id: 1\ndata: one\n\n", b"id: 2\ndata: two\n\n")
 # Beginnings of the second event, with either line ending.
 UNFINISHED = {
@@ -98,7 +93,7 @@
 
     async def work():
         async with asyncio.timeout(15), EntryFixture(first) as fixture:
-            fixture.configure(routes=[*ROUTES, RESUMABLE, PLAIN])
+            fixture.configure(routes=[*ROUTES, RESUMABLE, IDEMPOTENT_ROUTE])
             if second is None:
                 await test(fixture)
                 return
