Let targets of the soak spoil refusals and answers in eight ways

The targets of the soak answered each request once, with the right id, so nothing of the incident could show there. `AnswerFaults` sends answers twice (where the next one is due, or up to 50 ms later), without an id, with another one, with a status that promises though the request ran, garbled, cut or not at all; `test_doubtfulanswers.py` plays each alone and all together, with 1 to 7 entries that stand still for 20 to 400 ms, 1 and 3 targets, on refusals as well as on served requests.

--- a/soak/target.py
+++ b/soak/target.py
@@ -11,6 +11,7 @@
 import aiohttp
 from aiohttp import web
 
+from soak.answerfaults import AnswerFaults
 from soak.coldchecker import ColdChecker
 from soak.framing import Framing
 from soak.invariantchecker import InvariantChecker
@@ -85,6 +86,7 @@
         self.signals = SignalChecker(violations=checker.violations)
         self.load = LoadReporter(random.Random(address))
         self.framing = Framing(random.Random(address))
+        self.answer_faults = AnswerFaults(random.Random(address))
         self.limit: float | None = None
         self.arrivals: list[float] = []
         self._limit_known_at: float | None = None
@@ -237,6 +239,7 @@
         wanted = request.headers.get("X-Chivepier-Expect-Instance")
         if wanted != self.instance:
             return web.Response(status=421, headers=echo)
+        self.answer_faults.send_due(request)
         self._check_cold_limit(request)
         self._check_rate_limit()
         if self.limit is not None:
@@ -247,7 +250,8 @@
         echo |= self.load.make_headers()
         if overloaded:
             echo["X-Chivepier-Not-Run"] = "1"
-            return web.Response(status=503, headers=echo)
+            refusal = web.Response(status=503, headers=echo)
+            return self.answer_faults.apply(request, refusal, ran=False)
         if crashes:
             return await self._crash_on(request, echo)
         self.load.running += 1
@@ -310,7 +314,8 @@
         await asyncio.sleep(SERVICE_SECONDS)
         if fault_mode == "reset":
             request.transport.abort()
-        return web.Response(body=make_expected_body(identity), headers=echo)
+        answer = web.Response(body=make_expected_body(identity), headers=echo)
+        return self.answer_faults.apply(request, answer, ran=True)
 
     def _check_signals(
         self, request: web.BaseRequest, refused: bool
