Test answers without end, of each kind and for each call

`tests/adapter/test_endlessanswers.py` plays 14 kinds of them on calls, streams, reservations, copies and frees, and five more in bodies of streams; `soak/tests/test_endlessanswers.py` plays them on a real entry with 136 MB and 100 callers, half of them with sound requests.

--- a/soak/process.py
+++ b/soak/process.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -71,6 +72,7 @@
     :param ip: its own loopback address, which stands for an instance
     :param seeds: control addresses of the voters
     :param folder: directory for settings, data and logs
+    :ivar memory_mb: memory of its instance; ``None`` if that isn't named
     :ivar links: addresses at which it reaches targets, by their own; empty if
         it reaches them directly
     """
@@ -81,6 +83,7 @@
         self.role = role
         self.ip = ip
         self.links: dict[str, str] = {}
+        self.memory_mb: int | None = None
         self._seeds = ",".join(seeds)
         self._folder = folder
         self._child: subprocess.Popen | None = None
@@ -100,15 +103,16 @@
         if self.alive:
             return
         path = self._folder / f"{self.name}.conf"
-        path.write_text(
-            SETTINGS.format(
-                name=self.name,
-                ip=self.ip,
-                seeds=self._seeds,
-                found="true" if found else "false",
-                folder=self._folder,
-            )
+        settings = SETTINGS.format(
+            name=self.name,
+            ip=self.ip,
+            seeds=self._seeds,
+            found="true" if found else "false",
+            folder=self._folder,
         )
+        if self.memory_mb is not None:
+            settings += f"limits.memory-mb={self.memory_mb}\n"
+        path.write_text(settings)
         self._note("started")
         program = LINKED_PROGRAM if self.links else PROGRAM
         variables = {"CHIVEPIER_BOOT": str(path)}
@@ -148,6 +152,12 @@
                 mask |= int(value, 16)
         return bool(mask >> (number - 1) & 1)
 
+    def read_peak_mb(self) -> float:
+        """Return the most memory that the process has held, in MB."""
+        status = pathlib.Path(f"/proc/{self._child.pid}/status").read_text()
+        found = re.search(r"VmHWM:\s+(\d+) kB", status)
+        return int(found.group(1)) / 1024
+
     @property
     def is_loading(self) -> bool:
         """Whether the process has started to load its libraries."""
--- /dev/null
+++ b/soak/tests/test_endlessanswers.py
@@ -0,0 +1,37 @@
+"""Tests of an entry whose targets answer without end."""
+
+import asyncio
+
+from soak.blocks import reserve_block
+from soak.endlesstarget import EndlessTarget
+from soak.pressscenario import PressScenario
+
+# Memory of the smallest entries in use.
+MEMORY_MB = 136
+CALLERS = 100
+PRESS_SECONDS = 8.0
+
+
+def test_endless_answers_take_bounded_memory_beside_sound_ones(tmp_path):
+    # An entry went over its memory, and stood still, while targets answered
+    # without end; its sound requests were lost.
+    async def work(block: int) -> PressScenario:
+        scenario = PressScenario(
+            tmp_path, block, 1, 1, 1, CALLERS, EndlessTarget
+        )
+        (entry,) = scenario.entries
+        entry.memory_mb = MEMORY_MB
+        async with asyncio.timeout(60), scenario.run() as session:
+            async with scenario.press(session):
+                await asyncio.sleep(PRESS_SECONDS)
+            assert entry.read_peak_mb() < MEMORY_MB
+        return scenario
+
+    with reserve_block() as block:
+        scenario = asyncio.run(work(block))
+    (target,) = scenario.targets
+    assert target.begun > CALLERS
+    assert scenario.checker.violations == []
+    statuses = [reply.status for reply in scenario.replies]
+    assert statuses.count(200) > CALLERS
+    assert set(statuses) <= {200, 429, 502, 503}
--- a/tests/adapter/conftest.py
+++ b/tests/adapter/conftest.py
@@ -1,5 +1,7 @@
 """Adds the folder of the adapter to the import path, as its program does.
 
+The bytes of endless answers are shared with the soak.
+
 The tests are not in ``platform/`` because pytest would import that folder in
 place of the standard module ``platform``.
 """
@@ -8,4 +10,5 @@
 import sys
 
 HERE = pathlib.Path(__file__).parent
-sys.path[:0] = [str(HERE), str(HERE.parents[1] / "platform")]
+ROOT = HERE.parents[1]
+sys.path[:0] = [str(HERE), str(ROOT / "platform"), str(ROOT)]
--- a/tests/adapter/entryfixture.py
+++ b/tests/adapter/entryfixture.py
@@ -79,6 +79,7 @@
             repeat_window=10,
             grace=5.0,
             body_bytes=self._body_bytes,
+            answer_bytes=4 << 20,
         )
         log = EventLog("e1", os.open(os.devnull, os.O_WRONLY))
         self.entry = await enter(
--- /dev/null
+++ b/tests/adapter/test_endlessanswers.py
@@ -0,0 +1,104 @@
+"""Tests of answers that go on until their reader closes the connection."""
+
+import asyncio
+
+import pytest
+
+from adapter.httptargetclient import HttpTargetClient
+from chivepier.gateway.serving import MoveOutcome
+from chivepier.gateway.serving import NotSentError
+from endlessscript import EndlessScript
+from entryfixture import build_request
+from entryfixture import read_status
+from entryfixture import run
+from exchange import drop
+from exchange import move
+from exchange import OPTIONS
+from exchange import read_all
+from exchange import reserve
+from exchange import send
+import rawtarget
+from soak.endless import CHUNKED
+from soak.endless import ENDLESS
+from soak.endless import ENDLESS_STREAMS
+from soak.endless import make_chunk
+
+# Bytes that may be sent before the connection is closed: a large answer, and
+# what the sockets hold.
+MAX_SENT = 24 << 20
+MAX_SECONDS = 1.0
+
+
+KINDS = [
+    *((kind, path) for kind in ENDLESS for path in ("/once/x", "/stream/x")),
+    *((kind, "/stream/x") for kind in ENDLESS_STREAMS),
+]
+
+
+@pytest.mark.parametrize("kind,path", KINDS)
+def test_endless_answer_is_ended_soon_and_told_honestly(kind, path):
+    # An entry read until its memory was full, or did nothing else any more.
+    script = EndlessScript(kind)
+
+    async def test(fixture):
+        async with asyncio.timeout(MAX_SECONDS):
+            answer = await fixture.send(build_request(path))
+            await script.closed.wait()
+        assert read_status(answer) == 502
+        assert b"X-Chivepier-Server-Stamp" not in answer
+        assert script.sent < MAX_SENT
+
+    run(script, test)
+
+
+@pytest.mark.parametrize("kind", ENDLESS)
+def test_endless_answer_to_a_control_call_is_ended_soon(kind):
+    # A call of some milliseconds took memory until its timeout.
+    async def work():
+        for call in ("reserve", "move", "drop"):
+            script = EndlessScript(kind, named=False)
+            async with (
+                rawtarget.RawTarget(script) as raw,
+                HttpTargetClient() as targets,
+            ):
+                async with asyncio.timeout(MAX_SECONDS):
+                    await check_call(call, targets, raw.make_target())
+                    await script.closed.wait()
+            assert script.sent < MAX_SENT
+
+    asyncio.run(work())
+
+
+def test_backlog_of_a_stream_is_no_endless_answer():
+    # Guards against ending a stream whose events wait for their reader.
+    event = b"id: 1\ndata: %s\n\n" % (b"x" * 100)
+    backlog = 20_000 * make_chunk(event) + b"0\r\n\r\n"
+
+    async def script(head, writer):
+        writer.write(CHUNKED + backlog)
+        await writer.drain()
+
+    async def work():
+        async with (
+            rawtarget.RawTarget(script) as raw,
+            HttpTargetClient() as targets,
+        ):
+            request = rawtarget.make_request()
+            reply = await send(targets, raw.make_target(), request, OPTIONS)
+            await asyncio.sleep(0.2)
+            assert await read_all(reply) == 20_000 * event
+
+    asyncio.run(work())
+
+
+async def check_call(call: str, targets: HttpTargetClient, target) -> None:
+    """Make a control call, which must fail."""
+    match call:
+        case "reserve":
+            with pytest.raises(NotSentError):
+                await reserve(targets, target, 100, 1.0)
+        case "move":
+            work = move(targets, target, "r1", target, True, 5.0)
+            assert (await work).outcome is MoveOutcome.FAILED
+        case "drop":
+            assert not await drop(targets, target, "h1")
