End streams whose bytes hold no events

More than 256 KB without an event break the stream off, as a target's failure. Comments and empty lines wait for the first event, so a caller gets no 2xx before there is something to answer; they go when another target takes over.

--- a/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
+++ b/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
@@ -2,8 +2,14 @@
 
 import re
 
+from chivepier.gateway.serving.errors import BrokenAnswerError
+
 # A line ends by CR LF, LF or CR, and an empty line ends an event.
+MAX_TERMINATOR_BYTES = 4
 EVENT_TERMINATOR = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+# Bytes that may follow an event until the next one has ended; far beyond what
+# one event holds.
+MAX_EVENT_BYTES = 256 << 10
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
@@ -28,6 +34,7 @@
     def __init__(self, resumed: bool = False) -> None:
         self._resumed = resumed
         self._partial = b""
+        self._bytes_since_event = 0
         self.events = 0
 
     def feed(self, data: bytes) -> list[tuple[bytes, int | None]]:
@@ -35,17 +42,24 @@
 
         :param data: the next bytes of the stream
         :returns: the bytes of each event and its number, ``None`` without one
+        :raises BrokenAnswerError: when the bytes go on without events
         """
+        self._bytes_since_event += len(data)
+        searched = max(0, len(self._partial) - MAX_TERMINATOR_BYTES + 1)
         data = self._partial + data
         events, start = [], 0
-        for found in EVENT_TERMINATOR.finditer(data):
+        for found in EVENT_TERMINATOR.finditer(data, searched):
             event, start = data[start : found.end()], found.end()
             if self._resumed and not self.events:
                 event = event.removeprefix(BYTE_ORDER_MARK)
             number = parse_event_number(event)
-            self.events += number is not None or has_fields(event)
+            if number is not None or has_fields(event):
+                self.events += 1
+                self._bytes_since_event = len(data) - start
             events.append((event, number))
         self._partial = data[start:]
+        if self._bytes_since_event > MAX_EVENT_BYTES:
+            raise BrokenAnswerError("bytes without an event")
         return events
 
     def take_remainder(self) -> bytes:
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -66,6 +66,7 @@
         self._caller = caller
         self._splitter = EventSplitter()
         self._head_sent = False
+        self._before_events = b""
         self._timing = StreamTiming(
             plan.request.arrived, dispatcher.clock.monotonic
         )
@@ -240,8 +241,12 @@
             if number is not None:
                 run.last_event_number = number
             fresh.append(event)
-        if fresh:
-            await self._write(head, run, b"".join(fresh))
+        data = b"".join(fresh)
+        if not self._head_sent and not self._splitter.events:
+            # comments and empty lines alone are no answer yet
+            self._before_events += data
+        elif data:
+            await self._write(head, run, data)
 
     async def _write(
         self, head: TargetAnswer, run: LiveRun, data: bytes
@@ -251,7 +256,8 @@
             self._note_begun(run)
             await self._caller.begin(head.status, head.headers, None)
         self._timing.record_write()
-        await self._caller.write(data)
+        before, self._before_events = self._before_events, b""
+        await self._caller.write(before + data)
 
     def _note_begun(self, run: LiveRun) -> None:
         dispatcher = self._dispatcher
@@ -273,8 +279,7 @@
             # a last event that no empty line ends, as the target sent it
             await self._write(head, run, remainder)
         if not self._head_sent:
-            self._head_sent = True
-            await self._caller.begin(head.status, head.headers, None)
+            await self._write(head, run, b"")
         await self._caller.finish()
 
     async def _resume(
@@ -336,9 +341,14 @@
             dispatcher.runs.track(run)
             dispatcher.balancer.record_start(run.target.instance)
             return None
-        self._splitter = EventSplitter(resumed=True)
+        self._follow_up()
         return fresh
 
+    def _follow_up(self) -> None:
+        """Go on with the stream of another target."""
+        self._splitter = EventSplitter(resumed=True)
+        self._before_events = b""
+
     async def _find_handoffs(self, run: LiveRun) -> list[Handoff]:
         found = []
         if run.handoff is not None:
@@ -433,7 +443,7 @@
         )
         dispatcher.release(started)
         run.resume_at(handoff.target, dispatcher.clock.monotonic())
-        self._splitter = EventSplitter(resumed=True)
+        self._follow_up()
         dispatcher.runs.track(run)
         dispatcher.balancer.record_start(run.target.instance)
         if dispatcher.table.is_leaving(run.target.instance):
