Bound the memory of answers that are read whole

Callers: an entry went over its memory while targets sent bodies without end, and ended with all its streams. Whole answers had no bound, alone or together.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -284,6 +284,7 @@
             clock=clock,
             log=log,
             metrics=self.metrics,
+            answer_bytes=settings.answer_bytes,
         )
         continuations = dispatcher.continuations
         self._origins = OriginExchange(
--- a/packages/gateway/src/chivepier/gateway/serving/detour.py
+++ b/packages/gateway/src/chivepier/gateway/serving/detour.py
@@ -101,6 +101,7 @@
                 run = LiveRun(plan, target, 0, sent_at=now, heard_at=now)
             run.forward_to(target, self._clock.monotonic())
             return StartedAnswer(target, answer, first, run)
+        # the other entry has bounded it
         parts = []
         while data := await answer.read():
             parts.append(data)
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -4,6 +4,8 @@
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.serving.answerallocation import AnswerAllocation
+from chivepier.gateway.serving.answermemory import AnswerMemory
 from chivepier.gateway.serving.assignment import Assignment
 from chivepier.gateway.serving.assignmentlog import AssignmentLog
 from chivepier.gateway.serving.callpurpose import CallPurpose
@@ -80,6 +82,7 @@
     :param clock: monotonic clock
     :param log: event log for decisions on requests
     :param metrics: gets the waits for room and places, and streams by fit
+    :param answer_bytes: memory limit for all answers that are read whole
     """
 
     def __init__(
@@ -101,8 +104,10 @@
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
+        answer_bytes: int,
     ):
         self._metrics = metrics
+        self.answers = AnswerMemory(answer_bytes)
         self.state = state
         self.table = table
         self.balancer = balancer
@@ -302,7 +307,9 @@
         return self.budget.take(plan.service.name, now, self.state.entries)
 
     def release(self, started: StartedAnswer) -> None:
-        """Stop tracking an answer and close it if it is a stream."""
+        """Stop tracking an answer, close a stream and free a whole one."""
+        if started.allocation is not None:
+            started.allocation.close()
         if started.run is not None:
             self.runs.untrack(started.run)
             started.answer.close()
@@ -380,15 +387,30 @@
                 run = self.runs.start(plan, target)
             self.runs.note_first_event(run)
             return StartedAnswer(target, answer, first, run)
-        parts = []
-        while data := await answer.read():
-            parts.append(data)
-        if answer.status < 300 and not answer.facts.framed:
-            await self._check_closed(target)
+        body, allocation = await self._read_whole(answer)
+        try:
+            if answer.status < 300 and not answer.facts.framed:
+                await self._check_closed(target)
+        except BaseException:
+            allocation.close()
+            raise
         answer.release()
         if run is not None:
             self.runs.abandon(run)
-        return StartedAnswer(target, answer, b"".join(parts))
+        return StartedAnswer(target, answer, body, allocation=allocation)
+
+    async def _read_whole(
+        self, answer: TargetAnswer
+    ) -> tuple[bytes, AnswerAllocation]:
+        parts, allocation = [], self.answers.open()
+        try:
+            while data := await answer.read():
+                allocation.extend(len(data))
+                parts.append(data)
+        except BaseException:
+            allocation.close()
+            raise
+        return b"".join(parts), allocation
 
     async def _check_closed(self, target: Target) -> None:
         """Refuse a body without a length if its target has just failed."""
--- a/packages/gateway/src/chivepier/gateway/serving/startedanswer.py
+++ b/packages/gateway/src/chivepier/gateway/serving/startedanswer.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from chivepier.gateway.serving.answerallocation import AnswerAllocation
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.targetanswer import TargetAnswer
 from chivepier.gateway.targets import Target
@@ -14,6 +15,7 @@
     :param target: the target that answers
     :param answer: the head, and access to the rest of the body
     :param body: the whole body, or the first bytes of a stream
+    :param allocation: the memory that the body takes; ``None`` for streams
     :param run: the tracked run of a stream, ``None`` for other answers
     """
 
@@ -21,3 +23,4 @@
     answer: TargetAnswer
     body: bytes
     run: LiveRun | None = None
+    allocation: AnswerAllocation | None = None
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -237,6 +237,7 @@
             clock=clock,
             log=log,
             metrics=self.metrics,
+            answer_bytes=32 << 20,
         )
         self.quarantine.watchers.append(self.mover.cancel_held_back)
         self.planner = Planner(self.state, rng)
--- a/packages/gateway/src/chivepier/gateway/settings/entrysettings.py
+++ b/packages/gateway/src/chivepier/gateway/settings/entrysettings.py
@@ -9,6 +9,8 @@
 
 # Memory limit for all request bodies if the instance's memory is unknown.
 DEFAULT_BODY_BYTES = 32 << 20
+# The same for all answers that are read whole.
+DEFAULT_ANSWER_BYTES = 32 << 20
 
 
 @attrs.frozen(kw_only=True)
@@ -28,6 +30,8 @@
     :param body_bytes: memory limit for all request bodies, in bytes
     :param keep_room: whether classes leave free room to more urgent ones,
         where they can wait
+    :param answer_bytes: memory limit for all answers that are read whole, in
+        bytes
     :param orders: operators' decisions to let through or block requests
     :param regions: regions of the availability zones, by zone name
     :param cold_excess: factor applied to the cold rate of a service
@@ -48,6 +52,7 @@
     repeat_window: float
     grace: float
     body_bytes: int = DEFAULT_BODY_BYTES
+    answer_bytes: int = DEFAULT_ANSWER_BYTES
     orders: Overrides = Overrides()
     keep_room: bool = False
     regions: collections.abc.Mapping[str, str] = attrs.Factory(dict)
