--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 import time
 import typing
 
+from soak.answerfaults import AnswerFault
 from soak.loadreporter import MODES
 from soak.nonsense import write_nonsense
 from soak.partchecker import PartChecker
@@ -27,7 +28,7 @@
 # Versions of the set of faults: a seed that reproduces a failure keeps its
 # set, since with another one it would draw other faults.
 FIRST_SET, RESTART_SET, COLD_SET, NEED_SET, REST_SET = range(1, 6)
-MISREPORT_SET, CUT_SET, VERSION_SET, NEWEST_SET = 6, 7, 8, 9
+MISREPORT_SET, CUT_SET, VERSION_SET, PART_SET, NEWEST_SET = 6, 7, 8, 9, 10
 # Seconds after a link fault in which delayed requests may still arrive.
 DELAYED_SECONDS = 1.5
 # Seconds after the start of a voter without its data: those in which it is
@@ -85,6 +86,8 @@
             self._kinds += (self.wipe_in_blackout,)
         if fault_set > VERSION_SET:
             self._kinds += (self.crash_on_part,)
+        if fault_set > PART_SET:
+            self._kinds += (self.misanswer, self.misanswer)
         self._versions = 1
         self._evacuation: asyncio.Task | None = None
         self._background: set[asyncio.Task] = set()
@@ -167,6 +170,21 @@
         for target in self._soak.targets:
             target.load.mode = self._rng.choice(MODES)
 
+    async def misanswer(self) -> None:
+        """Let targets spoil a part of their answers and refusals."""
+        count = self._rng.randint(1, len(self._soak.targets))
+        for target in self._rng.sample(self._soak.targets, count):
+            if not target.answer_faults.kinds:
+                self._begin(self._spoil_answers_of(target))
+
+    async def _spoil_answers_of(self, target: "SoakTarget") -> None:
+        kinds = list(AnswerFault)
+        count = self._rng.randint(1, len(kinds))
+        target.answer_faults.kinds = tuple(self._rng.sample(kinds, count))
+        target.answer_faults.share = self._rng.uniform(0.1, 0.6)
+        await asyncio.sleep(self._rng.uniform(1.0, 6.0))
+        target.answer_faults.kinds = ()
+
     async def crash_on_part(self) -> None:
         """Let targets crash on one part of prompts, while others fail, too."""
         self._begin(self._send_crashing_part())
--- a/soak/tests/test_doubtfulanswers.py
+++ b/soak/tests/test_doubtfulanswers.py
@@ -70,6 +70,15 @@
     check_answers(press(tmp_path, entries, targets, *kinds))
 
 
+def test_full_targets_leave_no_doubt(tmp_path):
+    # Guards against outcomes that are told as unknown where all are known.
+    scenario = press(tmp_path, 7, 3)
+    assert scenario.checker.violations == []
+    statuses = [reply.status for reply in scenario.replies]
+    assert set(statuses) <= {200, 429, 503}
+    assert statuses.count(200) > 50
+
+
 @pytest.mark.parametrize("kind", AnswerFault)
 def test_faulty_answer_leads_to_no_false_promise(kind, tmp_path):
     # Guards each kind by itself against a second run and a false refusal.
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -10,6 +10,8 @@
 from soak.faults import FIRST_SET
 from soak.faults import MISREPORT_SET
 from soak.faults import NEED_SET
+from soak.faults import NEWEST_SET
+from soak.faults import PART_SET
 from soak.faults import REST_SET
 from soak.faults import RESTART_SET
 from soak.faults import VERSION_SET
@@ -35,6 +37,8 @@
     14: (MISREPORT_SET, 8.0),
     16: (CUT_SET, 8.0),
     17: (VERSION_SET, 8.0),
+    19: (PART_SET, 8.0),
+    20: (NEWEST_SET, 10.0),
 }
 
 
@@ -49,6 +53,17 @@
     assert seen.answered > 50 and seen.acknowledged > 0
 
 
+def test_refused_requests_never_run_beside_stops_and_cuts(tmp_path):
+    # Refusals of targets, sent twice or late, beside entries that stand still
+    # or end and links that break.
+    with reserve_block() as block:
+        soak = Soak(21, tmp_path, block)
+        soak.faults.keep_only("misanswer", "freeze", "rest", "cut_off", "stop")
+        seen = asyncio.run(soak.run(10.0))
+    assert seen.violations == []
+    assert seen.answered > 50 and seen.failed > 0
+
+
 def test_streams_without_a_length_are_whole_or_broken_off(tmp_path):
     # A stream that ended inside an event looked whole to its caller.
     with reserve_block() as block:
