Move the reading of answers out of the dispatcher

`dispatcher.py` had grown again; reading an answer up to where it is passed on is a job of its own (`AnswerReader`). The memory of an answer is freed also where the time is over just as the answer is complete, which the code before would have kept (read in the code, no run shows it).

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -32,6 +32,7 @@
 from chivepier.gateway.quarantine import Trials
 from chivepier.gateway.reach import Reach
 from chivepier.gateway.reach import ReachProber
+from chivepier.gateway.serving import AnswerMemory
 from chivepier.gateway.serving import BodyMemory
 from chivepier.gateway.serving import BrittleAdmission
 from chivepier.gateway.serving import CrashGuard
@@ -107,6 +108,7 @@
         self._stack = contextlib.AsyncExitStack()
         self.metrics = Metrics()
         self.bodies = BodyMemory(settings.body_bytes)
+        self.answers = AnswerMemory(settings.answer_bytes)
         self.state = ServingState()
         self.peers = Peers(settings.seeds)
         self.zones = Zones(settings.regions)
@@ -284,7 +286,7 @@
             clock=clock,
             log=log,
             metrics=self.metrics,
-            answer_bytes=settings.answer_bytes,
+            answers=self.answers,
         )
         continuations = dispatcher.continuations
         self._origins = OriginExchange(
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -1,6 +1,7 @@
 """Request handling, from a caller's request to the relayed answer."""
 
 from chivepier.gateway.serving.answerfacts import AnswerFacts
+from chivepier.gateway.serving.answermemory import AnswerMemory
 from chivepier.gateway.serving.bodyallocation import BodyAllocation
 from chivepier.gateway.serving.bodymemory import BodyMemory
 from chivepier.gateway.serving.brittleadmission import BrittleAdmission
@@ -39,6 +40,7 @@
 
 __all__ = [
     "AnswerFacts",
+    "AnswerMemory",
     "BodyAllocation",
     "BodyMemory",
     "BrittleAdmission",
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -4,8 +4,8 @@
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.metrics import Metrics
-from chivepier.gateway.serving.answerallocation import AnswerAllocation
 from chivepier.gateway.serving.answermemory import AnswerMemory
+from chivepier.gateway.serving.answerreader import AnswerReader
 from chivepier.gateway.serving.assignment import Assignment
 from chivepier.gateway.serving.assignmentlog import AssignmentLog
 from chivepier.gateway.serving.callpurpose import CallPurpose
@@ -21,7 +21,6 @@
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.errors import PlacesTakenError
 from chivepier.gateway.serving.errors import RateLimitedError
-from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.lossrecorder import LossRecorder
 from chivepier.gateway.serving.mover import Mover
 from chivepier.gateway.serving.placewait import PlaceWait
@@ -82,7 +81,7 @@
     :param clock: monotonic clock
     :param log: event log for decisions on requests
     :param metrics: gets the waits for room and places, and streams by fit
-    :param answer_bytes: memory limit for all answers that are read whole
+    :param answers: bounds the memory of answers that are read whole
     """
 
     def __init__(
@@ -104,10 +103,9 @@
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
-        answer_bytes: int,
+        answers: AnswerMemory,
     ):
         self._metrics = metrics
-        self.answers = AnswerMemory(answer_bytes)
         self.state = state
         self.table = table
         self.balancer = balancer
@@ -126,6 +124,7 @@
         self._refusals = RefusalLog(log, metrics)
         self.losses = LossRecorder(table, guard, self.witness, clock, log)
         self.runs = RunTracker(loads, mover, balancer, clock, queues)
+        self._reader = AnswerReader(self.runs, self.witness, answers)
         self._rejection = RejectionPolicy(table, clock, retry_after, log)
         places = PlaceWait(balancer, gate, state, clock, log, metrics)
         room = RoomAdvisor(
@@ -308,8 +307,7 @@
 
     def release(self, started: StartedAnswer) -> None:
         """Stop tracking an answer, close a stream and free a whole one."""
-        if started.allocation is not None:
-            started.allocation.close()
+        started.free()
         if started.run is not None:
             self.runs.untrack(started.run)
             started.answer.close()
@@ -330,6 +328,7 @@
         self.balancer.record_start(target.instance)
         sent_at = self.clock.monotonic()
         answer: TargetAnswer | None = None
+        started: StartedAnswer | None = None
         try:
             async with (
                 run.limit_wait(seconds) if run else asyncio.timeout(seconds)
@@ -343,7 +342,7 @@
                     max(MIN_PATIENCE_SECONDS, plan.route.objective),
                     lambda: self.guard.is_held(plan),
                 )
-                started = await self._read_answer(plan, target, answer, run)
+                started = await self._reader.read(plan, target, answer, run)
         except BaseException as error:
             # of a withdrawn request the target has not failed
             if not (run and run.withdrawn) and isinstance(
@@ -359,6 +358,8 @@
                     answer is not None,
                     error,
                 )
+            if started is not None:
+                started.free()
             if answer is not None:
                 answer.close()
             if run is not None:
@@ -368,55 +369,6 @@
         self._note_answer(plan, started, sent_at)
         return started
 
-    async def _read_answer(
-        self,
-        plan: Plan,
-        target: Target,
-        answer: TargetAnswer,
-        run: LiveRun | None,
-    ) -> StartedAnswer:
-        if answer.facts.mismatched:
-            raise BrokenAnswerError("the answer names another request or none")
-        if plan.route.streaming and answer.status < 300:
-            # wait for the first event: until then nothing was sent to the
-            # caller, and the request can be retried elsewhere
-            first = await answer.read()
-            if not first and not answer.facts.framed:
-                raise BrokenAnswerError("closed before the first event")
-            if run is None:
-                run = self.runs.start(plan, target)
-            self.runs.note_first_event(run)
-            return StartedAnswer(target, answer, first, run)
-        body, allocation = await self._read_whole(answer)
-        try:
-            if answer.status < 300 and not answer.facts.framed:
-                await self._check_closed(target)
-        except BaseException:
-            allocation.close()
-            raise
-        answer.release()
-        if run is not None:
-            self.runs.abandon(run)
-        return StartedAnswer(target, answer, body, allocation=allocation)
-
-    async def _read_whole(
-        self, answer: TargetAnswer
-    ) -> tuple[bytes, AnswerAllocation]:
-        parts, allocation = [], self.answers.open()
-        try:
-            while data := await answer.read():
-                allocation.extend(len(data))
-                parts.append(data)
-        except BaseException:
-            allocation.close()
-            raise
-        return b"".join(parts), allocation
-
-    async def _check_closed(self, target: Target) -> None:
-        """Refuse a body without a length if its target has just failed."""
-        if await self.witness.has_failed(target):
-            raise BrokenAnswerError("the target failed as it closed")
-
     def _build_options(
         self, plan: Plan, assignment: Assignment
     ) -> SendOptions:
--- a/packages/gateway/src/chivepier/gateway/serving/startedanswer.py
+++ b/packages/gateway/src/chivepier/gateway/serving/startedanswer.py
@@ -24,3 +24,8 @@
     body: bytes
     run: LiveRun | None = None
     allocation: AnswerAllocation | None = None
+
+    def free(self) -> None:
+        """Free the memory of a body that is not needed any more."""
+        if self.allocation is not None:
+            self.allocation.close()
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -34,6 +34,7 @@
 from chivepier.gateway.quarantine import shorten
 from chivepier.gateway.quarantine import Trials
 from chivepier.gateway.reach import Reach
+from chivepier.gateway.serving import AnswerMemory
 from chivepier.gateway.serving import CallerRequest
 from chivepier.gateway.serving import CrashGuard
 from chivepier.gateway.serving import Detour
@@ -237,7 +238,7 @@
             clock=clock,
             log=log,
             metrics=self.metrics,
-            answer_bytes=32 << 20,
+            answers=AnswerMemory(32 << 20),
         )
         self.quarantine.watchers.append(self.mover.cancel_held_back)
         self.planner = Planner(self.state, rng)
--- a/tests/adapter/test_endlessanswers.py
+++ b/tests/adapter/test_endlessanswers.py
@@ -47,6 +47,7 @@
         assert read_status(answer) == 502
         assert b"X-Chivepier-Server-Stamp" not in answer
         assert script.sent < MAX_SENT
+        assert fixture.entry.answers.used_bytes == 0
 
     run(script, test)
 
