--- a/soak/pressscenario.py
+++ b/soak/pressscenario.py
@@ -34,6 +34,7 @@
     :param make_target: creates a target from the address that it listens on,
         the one that it announces, the addresses of the voters, the checker
         and the random number generator
+    :ivar repeatable_share: share of the requests that may run again
     """
 
     def __init__(
@@ -47,6 +48,7 @@
         make_target: MakeCheckedTarget,
     ):
         self.checker = InvariantChecker()
+        self.repeatable_share = 0.0
         self.replies: list[Reply] = []
         self._callers = callers
         self._number = 0
@@ -98,7 +100,8 @@
             "X-Api-Key": "k1",
             "X-Chivepier-Deadline-Ms": str(DEADLINE_MS),
         }
-        path = f"/once/{self._number}"
+        repeatable = self.rng.random() < self.repeatable_share
+        path = f"/{'again' if repeatable else 'once'}/{self._number}"
         reply = await self.post(session, entry, path, b"x", headers)
         if reply.status:
             self.checker.record_answer(identity, reply.status, reply.body)
--- a/soak/tests/test_doubtfulanswers.py
+++ b/soak/tests/test_doubtfulanswers.py
@@ -12,6 +12,7 @@
 
 PRESS_SECONDS = 5.0
 CALLERS = 12
+REPEATABLE_SHARE = 0.25
 # Range of the seconds for which an entry stands still, and between two times.
 STILL_SECONDS = (0.02, 0.4)
 PAUSE_SECONDS = (0.1, 0.6)
@@ -38,6 +39,7 @@
         scenario = PressScenario(
             folder, block, seed, entries, targets, CALLERS, DoubtfulTarget
         )
+        scenario.repeatable_share = REPEATABLE_SHARE
         async with asyncio.timeout(60), scenario.run() as session:
             for target in scenario.targets:
                 target.answer_faults.kinds = kinds
@@ -85,6 +87,9 @@
     check_answers(press(tmp_path, 3, 1, kind))
 
 
-def test_faulty_answers_together_lead_to_no_false_promise(tmp_path):
+@pytest.mark.parametrize("entries,targets", ((1, 1), (3, 3), (7, 40)))
+def test_faulty_answers_together_lead_to_no_false_promise(
+    entries, targets, tmp_path
+):
     # Guards against kinds that only do harm one after the other.
-    check_answers(press(tmp_path, 3, 3, *AnswerFault))
+    check_answers(press(tmp_path, entries, targets, *AnswerFault))
