Test heads that drip, and heads read after a standstill

A head that comes a line each 50 ms stays below the bound of bytes; the bound of time ends it within three seconds (a test of 2 s).

--- a/tests/adapter/test_endlessanswers.py
+++ b/tests/adapter/test_endlessanswers.py
@@ -1,10 +1,15 @@
 """Tests of answers that go on until their reader closes the connection."""
 
 import asyncio
+import socket
+import threading
+import time
 
 import pytest
+import uvloop
 
 from adapter.httptargetclient import HttpTargetClient
+from adapter.targetconnection import MAX_HEAD_SECONDS
 from chivepier.gateway.serving import MoveOutcome
 from chivepier.gateway.serving import NotSentError
 from endlessscript import EndlessScript
@@ -21,6 +26,7 @@
 from soak.endless import CHUNKED
 from soak.endless import ENDLESS
 from soak.endless import ENDLESS_STREAMS
+from soak.endless import HEAD
 from soak.endless import make_chunk
 
 # Bytes that may be sent before the connection is closed: a large answer, and
@@ -52,6 +58,56 @@
     run(script, test)
 
 
+def test_head_that_drips_is_ended():
+    # Too few bytes to be counted, but they kept a caller until its deadline.
+    async def script(head, writer):
+        writer.write(HEAD)
+        while not writer.is_closing():
+            writer.write(b"X-A: b\r\n")
+            await asyncio.sleep(0.05)
+
+    async def test(fixture):
+        began = time.monotonic()
+        answer = await fixture.send(build_request("/stream/x"))
+        assert read_status(answer) == 502
+        assert time.monotonic() - began < MAX_HEAD_SECONDS + MAX_SECONDS
+
+    run(script, test)
+
+
+def test_head_that_arrived_while_the_process_stood_still_is_whole():
+    # Guards against counting the time in which nothing was read.
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        thread = threading.Thread(target=answer_in_two_parts, args=(server,))
+        thread.start()
+        raw = rawtarget.RawTarget(None)
+        raw.address = "127.0.0.1:%d" % server.getsockname()[1]
+
+        async def work():
+            async with HttpTargetClient() as targets:
+                request = rawtarget.make_request()
+                answer = asyncio.create_task(
+                    send(targets, raw.make_target(), request, OPTIONS)
+                )
+                loop = asyncio.get_running_loop()
+                loop.call_later(0.2, time.sleep, MAX_HEAD_SECONDS + 0.2)
+                assert await read_all(await answer) == b"ok"
+
+        uvloop.run(work())
+        thread.join()
+
+
+def answer_in_two_parts(server: socket.socket) -> None:
+    """Answer one request; the second part comes a moment after the first."""
+    connection, _ = server.accept()
+    with connection:
+        connection.recv(1 << 16)
+        connection.sendall(HEAD)
+        time.sleep(0.6)
+        connection.sendall(b"Content-Length: 2\r\n\r\nok")
+        connection.recv(1)
+
+
 @pytest.mark.parametrize("kind", ENDLESS)
 def test_endless_answer_to_a_control_call_is_ended_soon(kind):
     # A call of some milliseconds took memory until its timeout.
