Let the soak not hold entries to what they could not read

A target's word counts now unless its answer was crossed, garbled, cut or lost. Repeated answers and those in streams count as before.

--- a/soak/answerfaults.py
+++ b/soak/answerfaults.py
@@ -32,6 +32,17 @@
     LOST = "lost"
 
 
+# After these, the other side can't know what the answer said.
+UNREADABLE = frozenset(
+    (
+        AnswerFault.CROSSED,
+        AnswerFault.GARBLED,
+        AnswerFault.CUT,
+        AnswerFault.LOST,
+    )
+)
+
+
 @attrs.define
 class AnswerFaults:
     """Spoils a share of the answers of one target.
@@ -57,19 +68,30 @@
             self.spoiled += 1
             request.transport.write(due)
 
+    def draw(self) -> AnswerFault | None:
+        """Draw what happens to the next answer; ``None`` for nothing."""
+        if not self.kinds or self.rng.random() >= self.share:
+            return None
+        return self.rng.choice(self.kinds)
+
     def apply(
-        self, request: web.BaseRequest, answer: web.Response, ran: bool
+        self,
+        request: web.BaseRequest,
+        answer: web.Response,
+        fault: AnswerFault | None,
+        ran: bool,
     ) -> web.Response:
         """Return the answer to send, spoiled or not.
 
         :param request: the request
         :param answer: the answer as it should be
+        :param fault: what happens to it
         :param ran: whether the request ran
         """
-        if not self.kinds or self.rng.random() >= self.share:
-            return answer
         transport, data = request.transport, encode(answer)
-        match self.rng.choice(self.kinds):
+        match fault:
+            case None:
+                return answer
             case AnswerFault.REPEATED:
                 self._due[transport] = data
                 return answer
--- a/soak/doubtfultarget.py
+++ b/soak/doubtfultarget.py
@@ -28,7 +28,8 @@
         if self._rng.random() < self.refused_share:
             refusal = echo | {"X-Chivepier-Not-Run": "1"}
             answer = web.Response(status=503, headers=refusal, body=b"full")
-            return self.answer_faults.apply(request, answer, ran=False)
+            fault = self.answer_faults.draw()
+            return self.answer_faults.apply(request, answer, fault, ran=False)
         await request.read()
         self.runs += 1
         if not request.path.startswith("/again/"):
@@ -36,4 +37,5 @@
         await asyncio.sleep(SERVICE_SECONDS)
         body = make_expected_body(identity)
         answer = web.Response(body=body, headers=echo)
-        return self.answer_faults.apply(request, answer, ran=True)
+        fault = self.answer_faults.draw()
+        return self.answer_faults.apply(request, answer, fault, ran=True)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -90,6 +90,7 @@
             self._kinds += (self.misanswer, self.misanswer)
         self._versions = 1
         self._evacuation: asyncio.Task | None = None
+        self._crashing: asyncio.Task | None = None
         self._background: set[asyncio.Task] = set()
 
     def keep_only(self, *names: str) -> None:
@@ -187,7 +188,7 @@
 
     async def crash_on_part(self) -> None:
         """Let targets crash on one part of prompts, while others fail, too."""
-        self._begin(self._send_crashing_part())
+        self._crashing = self._begin(self._send_crashing_part())
 
     async def _send_crashing_part(self) -> None:
         soak = self._soak
@@ -204,11 +205,12 @@
         soak.checker.violations += checker.find_violations()
         soak.part_crashes += len(checker.crashes)
 
-    def _begin(self, work: collections.abc.Coroutine) -> None:
+    def _begin(self, work: collections.abc.Coroutine) -> asyncio.Task:
         """Run a fault in the background."""
         task = asyncio.create_task(work)
         self._background.add(task)
         task.add_done_callback(self._background.discard)
+        return task
 
     async def rest(self) -> None:
         """Let targets reject requests and request backoff for a while."""
@@ -270,6 +272,9 @@
 
     async def stop_entry(self) -> None:
         """Stop an entry without other faults; it must abort no request."""
+        if self._crashing is not None:
+            # a target that crashes breaks off what the entry relays
+            await self._crashing
         await asyncio.sleep(SETTLE_SECONDS)
         entry = self._rng.choice(self._soak.entries)
         self._soak.stopping_entry = entry
--- a/soak/target.py
+++ b/soak/target.py
@@ -11,7 +11,9 @@
 import aiohttp
 from aiohttp import web
 
+from soak.answerfaults import AnswerFault
 from soak.answerfaults import AnswerFaults
+from soak.answerfaults import UNREADABLE
 from soak.coldchecker import ColdChecker
 from soak.framing import Framing
 from soak.invariantchecker import InvariantChecker
@@ -246,17 +248,22 @@
             echo["Server-Limit"] = str(self.limit)
         fault_mode = self.fault_mode
         overloaded = fault_mode == "shed" or self.signals.overloaded
-        echo |= self._check_signals(request, overloaded)
+        fault = None
+        if overloaded or not request.path.startswith(STREAM_PATHS):
+            fault = self.answer_faults.draw()
+        echo |= self._check_signals(
+            request, overloaded, fault not in UNREADABLE
+        )
         echo |= self.load.make_headers()
         if overloaded:
             echo["X-Chivepier-Not-Run"] = "1"
             refusal = web.Response(status=503, headers=echo)
-            return self.answer_faults.apply(request, refusal, ran=False)
+            return self.answer_faults.apply(request, refusal, fault, ran=False)
         if crashes:
             return await self._crash_on(request, echo)
         self.load.running += 1
         try:
-            return await self._run(request, identity, echo, fault_mode)
+            return await self._run(request, identity, echo, fault_mode, fault)
         finally:
             self.load.running -= 1
 
@@ -299,6 +306,7 @@
         identity: str,
         echo: dict[str, str],
         fault_mode: str,
+        fault: AnswerFault | None,
     ) -> web.StreamResponse:
         await request.read()
         self.runs += 1
@@ -315,12 +323,15 @@
         if fault_mode == "reset":
             request.transport.abort()
         answer = web.Response(body=make_expected_body(identity), headers=echo)
-        return self.answer_faults.apply(request, answer, ran=True)
+        return self.answer_faults.apply(request, answer, fault, ran=True)
 
     def _check_signals(
-        self, request: web.BaseRequest, refused: bool
+        self, request: web.BaseRequest, refused: bool, readable: bool
     ) -> dict[str, str]:
-        """Check earlier signals to the sender; return the current ones."""
+        """Check earlier signals to the sender; return the current ones.
+
+        :param readable: whether the sender can read the answer
+        """
         now = time.monotonic()
         asked = request.headers.get("X-Entry")
         if asked is not None:
@@ -329,7 +340,8 @@
             entry = self.senders.find(peer) or asked
             sent = float(request.headers["X-Sent"])
             self.signals.check_arrival(entry, sent, now)
-            self.signals.record_answer(entry, refused, now)
+            if readable:
+                self.signals.record_answer(entry, refused, now)
         return self.signals.make_headers(refused)
 
     async def _stream(self, request, response, fault_mode) -> None:
