Let spoiled answers of the soak pass where nobody waits for them

A target of the soak raised, with a trace in the output, where its caller had gone before the answer was spoiled. It answers then as it would have; nothing was judged by it.

--- a/soak/answerfaults.py
+++ b/soak/answerfaults.py
@@ -89,6 +89,9 @@
         :param ran: whether the request ran
         """
         transport, data = request.transport, encode(answer)
+        if transport is None:
+            # whoever asked has gone
+            return answer
         match fault:
             case None:
                 return answer
