--- a/soak/target.py
+++ b/soak/target.py
@@ -272,8 +272,7 @@
         parts = request.headers.get("X-Chivepier-Prefix-Hash", "")
         if checker is None or not checker.is_in(parts):
             return False
-        peer = request.transport.get_extra_info("peername")
-        checker.record_arrival(self.senders.find(peer))
+        checker.record_arrival(self.senders.find(_find_peer(request)))
         return True
 
     async def _crash_on(
@@ -336,8 +335,7 @@
         asked = request.headers.get("X-Entry")
         if asked is not None:
             # another entry may have sent what this one was asked for
-            peer = request.transport.get_extra_info("peername")
-            entry = self.senders.find(peer) or asked
+            entry = self.senders.find(_find_peer(request)) or asked
             sent = float(request.headers["X-Sent"])
             self.signals.check_arrival(entry, sent, now)
             if readable:
@@ -364,6 +362,13 @@
         await response.write_eof()
 
 
+def _find_peer(request: web.BaseRequest) -> tuple[str, int] | None:
+    """Return where a request comes from; ``None`` if its sender has gone."""
+    if request.transport is None:
+        return None
+    return request.transport.get_extra_info("peername")
+
+
 def describe(targets: list[SoakTarget]) -> str:
     """Return the fault modes of the targets, for failure reports."""
     return json.dumps({t.address: t.fault_mode for t in targets})
