Tell by its status whether a deadline ended an endless answer

What both are for is that such an answer is ended for what it is, not at the deadline; the status tells that (502, not 504), and more so the longer the deadline is.

--- a/soak/run.py
+++ b/soak/run.py
@@ -57,10 +57,11 @@
 MAX_ATTEMPTS = 4
 
 
-def make_config(version: int) -> dict:
+def make_config(version: int, timeout_ms: int = 3000) -> dict:
     """Return a configuration with a route of each kind.
 
     :param version: version of the configuration
+    :param timeout_ms: longest time that a request may be kept waiting
     """
     kinds = {"once": "non_idempotent", "again": "idempotent"}
     kinds["stream"] = kinds["resume"] = "streaming"
@@ -70,7 +71,7 @@
             "host": "h.example",
             "path-prefix": f"/{name}/",
             "kind": kind,
-            "timeout-ms": 3000,
+            "timeout-ms": timeout_ms,
             "slo-ms": 300,
             "service": "s",
             "max-attempts": 2 if name in REPEATABLE else 1,
--- a/soak/tests/test_endlessanswers.py
+++ b/soak/tests/test_endlessanswers.py
@@ -9,6 +9,8 @@
 # Memory of the smallest entries in use.
 MEMORY_MB = 136
 CALLERS = 100
+# Far beyond what ending an answer takes; one that it ends has another status.
+DEADLINE_MS = 5_000
 PRESS_SECONDS = 8.0
 
 
@@ -21,6 +23,7 @@
         )
         (entry,) = scenario.entries
         entry.memory_mb = MEMORY_MB
+        scenario.deadline_ms = DEADLINE_MS
         async with asyncio.timeout(60), scenario.run() as session:
             async with scenario.press(session):
                 await asyncio.sleep(PRESS_SECONDS)
