--- a/soak/doubtfultarget.py
+++ b/soak/doubtfultarget.py
@@ -9,15 +9,27 @@
 from soak.target import SoakTarget
 
 REFUSED_SHARE = 0.5
+# Seconds without an answer, above every deadline in use.
+SILENT_SECONDS = 60.0
 
 
 class DoubtfulTarget(SoakTarget):
     """Refuses at random, without regard to what it has to do.
 
     :ivar refused_share: share of the requests that it refuses
+    :ivar failed_share: share of the others that it fails, before or after
+        they run
+    :ivar fails_silently: whether these get no answer
+    :ivar going: held while it goes down and up
     """
 
     refused_share = REFUSED_SHARE
+    failed_share = 0.0
+    fails_silently = False
+
+    def __init__(self, *args):
+        super().__init__(*args)
+        self.going = asyncio.Lock()
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         identity = request.headers["X-Chivepier-Request-Id"]
@@ -31,11 +43,21 @@
             fault = self.answer_faults.draw()
             return self.answer_faults.apply(request, answer, fault, ran=False)
         await request.read()
+        failed = self._rng.random() < self.failed_share
+        if failed and self._rng.random() < 0.5:
+            return await self._fail(echo)
         self.runs += 1
         if not request.path.startswith("/again/"):
             self._checker.record_run(identity)
         await asyncio.sleep(SERVICE_SECONDS)
+        if failed:
+            return await self._fail(echo)
         body = make_expected_body(identity)
         answer = web.Response(body=body, headers=echo)
         fault = self.answer_faults.draw()
         return self.answer_faults.apply(request, answer, fault, ran=True)
+
+    async def _fail(self, echo: dict[str, str]) -> web.Response:
+        if self.fails_silently:
+            await asyncio.sleep(SILENT_SECONDS)
+        return web.Response(status=500, headers=echo)
--- a/soak/pressscenario.py
+++ b/soak/pressscenario.py
@@ -3,10 +3,12 @@
 import asyncio
 import collections.abc
 import contextlib
+import itertools
 import pathlib
 import random
 
 import aiohttp
+import attrs
 
 from soak.cluster import Cluster
 from soak.invariantchecker import InvariantChecker
@@ -14,17 +16,35 @@
 from soak.reply import Reply
 from soak.run import make_config
 from soak.target import SoakTarget
+from soak.targetlink import TargetLink
 
 # Timeout of routes, unless callers wait longer.
 ROUTE_TIMEOUT_MS = 3000
 # Time for which callers wait beyond their deadline.
 EXTRA_SECONDS = 4.0
 
+# Range of the seconds after which callers leave that give up.
+GIVE_UP_SECONDS = (0.001, 0.1)
+
 MakeCheckedTarget = collections.abc.Callable[
     [str, str, list[str], InvariantChecker, random.Random], SoakTarget
 ]
 
 
+@attrs.frozen
+class Habits:
+    """What callers do.
+
+    :param entry: entry that all of them ask; any if it is ``None``
+    :param repeats_at_once: whether they come back at once after a refusal
+    :param give_up_share: share of the requests that they give up early
+    """
+
+    entry: Process | None = None
+    repeats_at_once: bool = False
+    give_up_share: float = 0.0
+
+
 class PressScenario(Cluster):
     """Runs entries, voters, targets, and callers that press.
 
@@ -39,6 +59,9 @@
         and the random number generator
     :ivar repeatable_share: share of the requests that may run again
     :ivar deadline_ms: time that callers wait for an answer
+    :ivar callers: number of callers that press
+    :ivar version: version of the configuration
+    :ivar links: links to the targets, by the address of the entry
     """
 
     def __init__(
@@ -55,7 +78,10 @@
         self.repeatable_share = 0.0
         self.deadline_ms = 2000
         self.replies: list[Reply] = []
-        self._callers = callers
+        self.callers = callers
+        self.version = 1
+        self.links: dict[str, list[TargetLink]] = {}
+        self._habits = Habits()
         self._number = 0
 
         def make(address: str, controls, rng) -> SoakTarget:
@@ -63,22 +89,54 @@
 
         super().__init__(folder, block, seed, entries, targets, make)
 
+    @property
+    def route_timeout_ms(self) -> int:
+        """Longest time that a request may be kept waiting."""
+        return max(self.deadline_ms, ROUTE_TIMEOUT_MS)
+
+    def link_entries(self) -> None:
+        """Give each entry a link of its own to each target."""
+        for number, entry in enumerate(self.entries, 1):
+            base = entry.ip.rsplit(".", 2)[0]
+            self.links[entry.ip] = [
+                TargetLink(
+                    f"{base}.{10 + number}.{n}:8080", target.address, self.rng
+                )
+                for n, target in enumerate(self.targets, 1)
+            ]
+            entry.links = {
+                target.address: link.address
+                for target, link in zip(self.targets, self.links[entry.ip])
+            }
+
     @contextlib.asynccontextmanager
     async def run(self):
         """Run the cluster until the context is left."""
-        config = make_config(1, max(self.deadline_ms, ROUTE_TIMEOUT_MS))
-        async with self.start(config) as session:
-            for entry in self.entries:
-                while (await self._send(session, entry)).status != 200:
-                    await asyncio.sleep(0.1)
+        async with contextlib.AsyncExitStack() as stack:
+            for link in itertools.chain(*self.links.values()):
+                await stack.enter_async_context(link)
+            config = make_config(self.version, self.route_timeout_ms)
+            session = await stack.enter_async_context(self.start(config))
+            await self.wait_until_served(session)
             yield session
 
+    async def wait_until_served(self, session: aiohttp.ClientSession) -> None:
+        """Wait until each entry has served a request."""
+        for entry in self.entries:
+            while (await self._send(session, entry)).status != 200:
+                await asyncio.sleep(0.1)
+
     @contextlib.asynccontextmanager
-    async def press(self, session: aiohttp.ClientSession):
-        """Let all callers press until the context is left."""
+    async def press(
+        self, session: aiohttp.ClientSession, callers: int | None = None
+    ):
+        """Let callers press until the context is left.
+
+        :param callers: how many, if not all
+        """
         tasks = [
             asyncio.create_task(self._call(session))
-            for _ in range(self._callers)
+            for _ in range(callers or self.callers)
         ]
         try:
             yield
@@ -87,20 +145,37 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    @contextlib.contextmanager
+    def set_habits(self, **changes) -> collections.abc.Iterator[None]:
+        """Let callers have other habits until the context is left."""
+        before = {name: getattr(self._habits, name) for name in changes}
+        self._habits = attrs.evolve(self._habits, **changes)
+        try:
+            yield
+        finally:
+            self._habits = attrs.evolve(self._habits, **before)
+
     def count_replies(self, status: int) -> int:
         """Return the number of answers with some status."""
         return sum(reply.status == status for reply in self.replies)
 
     async def _call(self, session: aiohttp.ClientSession) -> None:
         while True:
-            entry = self.rng.choice(self.entries)
-            reply = await self._send(session, entry)
+            habits = self._habits
+            entry = habits.entry or self.rng.choice(self.entries)
+            leaves = self.rng.random() < habits.give_up_share
+            timeout = self.rng.uniform(*GIVE_UP_SECONDS) if leaves else None
+            reply = await self._send(session, entry, timeout)
             self.replies.append(reply)
             # they come back when they are told to
-            await asyncio.sleep(reply.retry_after or 0.01)
+            rest = None if habits.repeats_at_once else reply.retry_after
+            await asyncio.sleep(rest or 0.01)
 
     async def _send(
-        self, session: aiohttp.ClientSession, entry: Process
+        self,
+        session: aiohttp.ClientSession,
+        entry: Process,
+        timeout: float | None = None,
     ) -> Reply:
         self._number += 1
         identity = f"n{self._number}"
@@ -112,7 +187,8 @@
         }
         repeatable = self.rng.random() < self.repeatable_share
         path = f"/{'again' if repeatable else 'once'}/{self._number}"
-        timeout = self.deadline_ms / 1000 + EXTRA_SECONDS
+        if timeout is None:
+            timeout = self.deadline_ms / 1000 + EXTRA_SECONDS
         reply = await self.post(session, entry, path, b"x", headers, timeout)
         if reply.status:
             self.checker.record_answer(identity, reply.status, reply.body)
--- a/soak/targetlink.py
+++ b/soak/targetlink.py
@@ -40,6 +40,7 @@
         super().__init__(address, upstream, rng)
         self._fillers: list[socket.socket] = []
         self.entry: str | None = None
+        self.is_cut = False
 
     async def __aexit__(self, *exc) -> None:
         self._stop_hanging()
@@ -52,6 +53,7 @@
 
     def cut(self, shape: Cut) -> None:
         """Cut the link; listening ends at once."""
+        self.is_cut = True
         self._server.close()
         match shape:
             case Cut.RESET:
@@ -65,6 +67,7 @@
         self._stop_hanging()
         self.held.clear()
         await self.listen()
+        self.is_cut = False
 
     def _hang(self) -> None:
         host, port = self.address.split(":")
