End callers of a press whose cancellation is lost

Cause, in the soak: `burst` ends its callers by cancelling them, while `give_up` gives their requests timeouts of 1 to 100 ms; the HTTP library turns a cancellation that meets such a timeout into TimeoutError, which the caller takes for its answer. Callers look at an event now before each request.

--- a/soak/pressscenario.py
+++ b/soak/pressscenario.py
@@ -134,13 +134,16 @@
 
         :param callers: how many, if not all
         """
+        ended = asyncio.Event()
         tasks = [
-            asyncio.create_task(self._call(session))
+            asyncio.create_task(self._call(session, ended))
             for _ in range(callers or self.callers)
         ]
         try:
             yield
         finally:
+            # the HTTP library drops a cancellation that meets a timeout
+            ended.set()
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
@@ -159,8 +162,10 @@
         """Return the number of answers with some status."""
         return sum(reply.status == status for reply in self.replies)
 
-    async def _call(self, session: aiohttp.ClientSession) -> None:
-        while True:
+    async def _call(
+        self, session: aiohttp.ClientSession, ended: asyncio.Event
+    ) -> None:
+        while not ended.is_set():
             habits = self._habits
             entry = habits.entry or self.rng.choice(self.entries)
             leaves = self.rng.random() < habits.give_up_share
