--- a/soak/endless.py
+++ b/soak/endless.py
@@ -24,6 +24,7 @@
         b"x" * 1000,
     ),
     "chunks": (CHUNKED, b"5\r\nhello\r\n" * 100),
+    "short-chunks": (CHUNKED, make_chunk(b"x" * 9) * 50),
     "larger-chunks": (CHUNKED, make_chunk(b"x" * 500)),
     "chunk-size": (CHUNKED, b"0" * 1000),
     "chunk-extension": (CHUNKED + b"5;", b"e" * 1000),
--- a/soak/endlesstarget.py
+++ b/soak/endlesstarget.py
@@ -17,11 +17,15 @@
 class EndlessTarget(DoubtfulTarget):
     """Answers each second request without end, with each kind in turn.
 
+    :ivar kinds: names of the kinds
+    :ivar answers_some: whether it answers the other requests as it should
     :ivar begun: number of endless answers so far
     :ivar open: number of those whose connection is still open
     """
 
     refused_share = 0.0
+    kinds = KINDS
+    answers_some = True
 
     def __init__(self, *args):
         super().__init__(*args)
@@ -29,11 +33,11 @@
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         number = int(request.path.rpartition("/")[2])
-        if number % 2:
+        if self.answers_some and number % 2:
             return await super()._serve(request)
         self.begun += 1
         self.open += 1
-        first, more = ENDLESS[KINDS[self.begun % len(KINDS)]]
+        first, more = ENDLESS[self.kinds[self.begun % len(self.kinds)]]
         identity = request.headers["X-Chivepier-Request-Id"].encode()
         named = ID_LINE.replace(b"r1", identity)
         try:
--- a/soak/tests/test_endlessanswers.py
+++ b/soak/tests/test_endlessanswers.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from soak.blocks import reserve_block
 from soak.endlesstarget import EndlessTarget
 from soak.pressscenario import PressScenario
@@ -43,3 +45,30 @@
     assert scenario.checker.violations == []
     statuses = {reply.status for reply in scenario.replies}
     assert statuses <= {200, 429, 502, 503}
+
+
+@pytest.mark.parametrize("kind", ("chunks", "short-chunks"))
+def test_hundred_answers_of_endless_chunks_take_bounded_memory(kind, tmp_path):
+    # An entry went over its memory, as what was read ahead of a body is
+    # bounded by its bytes, and short pieces take far more than these.
+    async def work(block: int) -> PressScenario:
+        scenario = PressScenario(
+            tmp_path, block, 1, 1, 1, CALLERS, EndlessTarget
+        )
+        (entry,), (target,) = scenario.entries, scenario.targets
+        target.kinds = (kind,)
+        entry.memory_mb = MEMORY_MB
+        scenario.deadline_ms = DEADLINE_MS
+        async with asyncio.timeout(120), scenario.run() as session:
+            target.answers_some = False
+            async with scenario.press(session):
+                while scenario.count_replies(502) < CALLERS:
+                    await asyncio.sleep(0.1)
+            assert entry.read_peak_mb() < MEMORY_MB
+        return scenario
+
+    with reserve_block() as block:
+        scenario = asyncio.run(work(block))
+    assert scenario.checker.violations == []
+    statuses = {reply.status for reply in scenario.replies}
+    assert statuses <= {429, 502, 503}
