Write callers' headers, entries' links and targets' new starts once

The soak had the same five lines of headers in eight places, the links from entries to targets built in three, and a target's start under another name in six. One function each: `make_caller_headers`, `link_entries` and `SoakTarget.start_anew`. No draw from a random number generator is moved.

--- a/soak/crashscenario.py
+++ b/soak/crashscenario.py
@@ -3,13 +3,13 @@
 import asyncio
 import contextlib
 import pathlib
-import secrets
 import time
 
 import aiohttp
 from aiohttp import web
 import attrs
 
+from soak.callerheaders import make_caller_headers
 from soak.cluster import Cluster
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
@@ -88,9 +88,7 @@
 
     async def _restart_later(self) -> None:
         await asyncio.sleep(self._rng.uniform(*RESTART_SECONDS))
-        # Each start has its own instance name, as with most engines.
-        self.instance = f"i-{secrets.token_hex(4)}"
-        await self.__aenter__()
+        await self.start_anew()
 
 
 class CrashScenario(Cluster):
@@ -138,12 +136,7 @@
         self._number += 1
         is_crashing = kind == "deadly"
         path = CRASHING_PATH if is_crashing else f"/resume/{self._number}"
-        headers = {
-            "Host": "h.example",
-            "X-Chivepier-Request-Id": f"{kind}{self._number}",
-            "X-Api-Key": "k1",
-            "X-Chivepier-Deadline-Ms": "4000",
-        }
+        headers = make_caller_headers(f"{kind}{self._number}", 4000)
         body = CRASHING_BODY if is_crashing else b"x"
         reply = await self.post(session, entry, path, body, headers)
         (
--- a/soak/cutscenario.py
+++ b/soak/cutscenario.py
@@ -9,6 +9,7 @@
 import aiohttp
 import attrs
 
+from soak.callerheaders import make_caller_headers
 from soak.cluster import Cluster
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
@@ -17,7 +18,7 @@
 from soak.target import SoakTarget
 from soak.targetlink import Cut
 from soak.targetlink import heal_all
-from soak.targetlink import TargetLink
+from soak.targetlink import link_entries
 
 TARGETS = 3
 # Callers of each entry, who keep to it, and seconds between two requests of
@@ -69,21 +70,8 @@
         self.replies: dict[str, list[tuple[float, Reply]]] = (
             collections.defaultdict(list)
         )
-        self.links: dict[str, list[TargetLink]] = {}
-        for number, entry in enumerate(self.entries, 1):
-            links = [
-                TargetLink(
-                    f"127.{block}.{10 + number}.{n}:8080",
-                    target.address,
-                    self.rng,
-                )
-                for n, target in enumerate(self.targets, 1)
-            ]
-            self.links[entry.ip] = links
-            entry.links = {
-                target.address: link.address
-                for target, link in zip(self.targets, links)
-            }
+        addresses = [target.address for target in self.targets]
+        self.links = link_entries(self.entries, addresses, self.rng)
         self._number = 0
 
     def _make_target(self, address: str, controls, rng) -> SoakTarget:
@@ -139,12 +127,7 @@
         self, session: aiohttp.ClientSession, entry: Process, kind: str
     ) -> Reply:
         self._number += 1
-        headers = {
-            "Host": "h.example",
-            "X-Chivepier-Request-Id": f"n{self._number}",
-            "X-Api-Key": "k1",
-            "X-Chivepier-Deadline-Ms": "2000",
-        }
+        headers = make_caller_headers(f"n{self._number}", 2000)
         path = f"/{kind}/{self._number}"
         return await self.post(session, entry, path, b"x", headers)
 
--- a/soak/partscenario.py
+++ b/soak/partscenario.py
@@ -3,13 +3,13 @@
 import asyncio
 import contextlib
 import pathlib
-import secrets
 import time
 
 import aiohttp
 from aiohttp import web
 import attrs
 
+from soak.callerheaders import make_caller_headers
 from soak.cluster import Cluster
 from soak.crashscenario import RESTART_SECONDS
 from soak.invariantchecker import InvariantChecker
@@ -109,8 +109,7 @@
 
     async def _restart_later(self) -> None:
         await asyncio.sleep(self._rng.uniform(*RESTART_SECONDS))
-        self.instance = f"i-{secrets.token_hex(4)}"
-        await self.__aenter__()
+        await self.start_anew()
 
 
 class PartScenario(Cluster):
@@ -178,13 +177,9 @@
         subject = self.rng.choice(SUBJECT_PARTS)
         own = f"{self._number:08x}"
         names = [*parts, subject, own]
-        headers = {
-            "Host": "h.example",
-            "X-Chivepier-Request-Id": f"r{self._number}",
-            "X-Api-Key": "k1",
-            "X-Chivepier-Deadline-Ms": "4000",
-            "X-Chivepier-Prefix-Hash": ",".join(f"{n}:100" for n in names),
-        }
+        headers = make_caller_headers(f"r{self._number}", 4000)
+        hashes = ",".join(f"{name}:100" for name in names)
+        headers["X-Chivepier-Prefix-Hash"] = hashes
         path = f"/resume/{self._number}"
         reply = await self.post(session, entry, path, own.encode(), headers)
         return reply.status
--- a/soak/pressscenario.py
+++ b/soak/pressscenario.py
@@ -10,12 +10,14 @@
 import aiohttp
 import attrs
 
+from soak.callerheaders import make_caller_headers
 from soak.cluster import Cluster
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
 from soak.reply import Reply
 from soak.run import make_config
 from soak.target import SoakTarget
+from soak.targetlink import link_entries
 from soak.targetlink import TargetLink
 
 # Timeout of routes, unless callers wait longer.
@@ -96,18 +98,8 @@
 
     def link_entries(self) -> None:
         """Give each entry a link of its own to each target."""
-        for number, entry in enumerate(self.entries, 1):
-            base = entry.ip.rsplit(".", 2)[0]
-            self.links[entry.ip] = [
-                TargetLink(
-                    f"{base}.{10 + number}.{n}:8080", target.address, self.rng
-                )
-                for n, target in enumerate(self.targets, 1)
-            ]
-            entry.links = {
-                target.address: link.address
-                for target, link in zip(self.targets, self.links[entry.ip])
-            }
+        addresses = [target.address for target in self.targets]
+        self.links = link_entries(self.entries, addresses, self.rng)
 
     @contextlib.asynccontextmanager
     async def run(self):
@@ -184,12 +176,7 @@
     ) -> Reply:
         self._number += 1
         identity = f"n{self._number}"
-        headers = {
-            "Host": "h.example",
-            "X-Chivepier-Request-Id": identity,
-            "X-Api-Key": "k1",
-            "X-Chivepier-Deadline-Ms": str(self.deadline_ms),
-        }
+        headers = make_caller_headers(identity, self.deadline_ms)
         repeatable = self.rng.random() < self.repeatable_share
         path = f"/{'again' if repeatable else 'once'}/{self._number}"
         if timeout is None:
--- a/soak/run.py
+++ b/soak/run.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections.abc
 import contextlib
+import itertools
 import json
 import pathlib
 import random
@@ -12,6 +13,7 @@
 import aiohttp
 import attrs
 
+from soak.callerheaders import make_caller_headers
 from soak.evacuationoperator import EvacuationOperator
 from soak.faults import CUT_SET
 from soak.faults import Faults
@@ -28,6 +30,7 @@
 from soak.streamrecord import StreamRecord
 from soak.target import describe
 from soak.target import SoakTarget
+from soak.targetlink import link_entries
 from soak.targetlink import PROPAGATION_SECONDS
 from soak.targetlink import TargetLink
 
@@ -150,7 +153,10 @@
             part.senders = self.senders
         self.links: dict[str, list[TargetLink]] = {}
         if kinds > MISREPORT_SET:
-            self._link_entries(base)
+            addresses = [proxy.address for proxy in self.proxies]
+            self.links = link_entries(self.entries, addresses, self.rng)
+            for link in itertools.chain(*self.links.values()):
+                link.senders = self.senders
         self.tries: list[FirstTry] = []
         self.evacuations = EvacuationOperator(self.controls, self.rng)
         for number, target in enumerate(self.targets, 1):
@@ -168,23 +174,6 @@
         self.part_crashes = 0
         self.faults = Faults(self, kinds)
 
-    def _link_entries(self, base: str) -> None:
-        """Give each entry a link of its own to each proxy of a target."""
-        for number, entry in enumerate(self.entries, 1):
-            links = [
-                TargetLink(
-                    f"{base}.{10 + number}.{n}:8080", proxy.address, self.rng
-                )
-                for n, proxy in enumerate(self.proxies, 1)
-            ]
-            for link in links:
-                link.entry, link.senders = entry.ip, self.senders
-            self.links[entry.ip] = links
-            entry.links = {
-                proxy.address: link.address
-                for proxy, link in zip(self.proxies, links)
-            }
-
     def check_first_tries(self, cut_off: list[Process], began: float) -> None:
         """Check that callers of entries without targets are served.
 
@@ -316,14 +305,10 @@
         self.number += 1
         identity = f"p{self.number}"
         entry = self.rng.choice(self.entries)
-        headers = {
-            "Host": "h.example",
-            "X-Chivepier-Request-Id": identity,
-            "X-Api-Key": "k1",
-            "X-Chivepier-Deadline-Ms": "1500",
-            "X-Chivepier-Prefix-Hash": f"f00d:1,{part}:1,{self.number:x}:1",
-            **make_sender_headers(entry.ip),
-        }
+        hashes = f"f00d:1,{part}:1,{self.number:x}:1"
+        headers = make_caller_headers(identity, 1500)
+        headers |= make_sender_headers(entry.ip)
+        headers["X-Chivepier-Prefix-Hash"] = hashes
         url = f"http://{entry.ip}:8740/again/{identity}"
         limit = aiohttp.ClientTimeout(total=2.0)
         with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
@@ -337,13 +322,8 @@
 
         :returns: whether it was answered whole
         """
-        headers = {
-            "Host": "h.example",
-            "X-Chivepier-Request-Id": identity,
-            "X-Api-Key": "k1",
-            "X-Chivepier-Deadline-Ms": "4000",
-            **make_sender_headers(entry.ip),
-        }
+        headers = make_caller_headers(identity, 4000)
+        headers |= make_sender_headers(entry.ip)
         url = f"http://{entry.ip}:8740/{kind}/{identity}"
         async with session.post(url, data=b"x", headers=headers) as answer:
             if kind != "stream" or answer.status != 200:
--- a/soak/streamcaller.py
+++ b/soak/streamcaller.py
@@ -4,6 +4,7 @@
 
 import aiohttp
 
+from soak.callerheaders import make_caller_headers
 from soak.streamrecord import StreamRecord
 
 CALLER_PORT = 8740
@@ -27,13 +28,7 @@
     :param extra: further headers of the request
     :returns: status of the answer; 0 if there was none
     """
-    headers = {
-        "Host": "h.example",
-        "X-Chivepier-Request-Id": attempt,
-        "X-Api-Key": "k1",
-        "X-Chivepier-Deadline-Ms": "4000",
-        **(extra or {}),
-    }
+    headers = make_caller_headers(attempt, 4000) | (extra or {})
     if record.last_event:
         headers["Last-Event-ID"] = str(record.last_event)
         headers["Resumes"] = record.first_attempt
--- a/soak/target.py
+++ b/soak/target.py
@@ -75,7 +75,7 @@
         self._controls = controls
         self._checker = checker
         self._rng = rng
-        self.instance = f"i-{secrets.token_hex(4)}"
+        self.instance = _make_name()
         self.zone = "z"
         self.software_version = "v1"
         self.event_seconds = SERVICE_SECONDS / 2
@@ -121,6 +121,11 @@
         self._listener.close()
         await self._server.shutdown(0.1)
 
+    async def start_anew(self) -> None:
+        """Start under a name of its own, as most engines do at each start."""
+        self.instance = _make_name()
+        await self.__aenter__()
+
     def turn_cold(self, seconds: float) -> None:
         """Be cold for some seconds; the next heartbeats announce it."""
         self._cold.begin(seconds)
@@ -294,10 +299,9 @@
             self.crash()
             self.signals.reset()
             await asyncio.sleep(self._rng.uniform(*AWAY_SECONDS))
-            self.instance = f"i-{secrets.token_hex(4)}"
             self.announce_limit(self.limit)
             self.restarted, self.runs, self._sequence = True, 0, 0
-            await self.__aenter__()
+            await self.start_anew()
 
     async def _run(
         self,
@@ -362,6 +366,10 @@
         await response.write_eof()
 
 
+def _make_name() -> str:
+    return f"i-{secrets.token_hex(4)}"
+
+
 def _find_peer(request: web.BaseRequest) -> tuple[str, int] | None:
     """Return where a request comes from; ``None`` if its sender has gone."""
     if request.transport is None:
--- a/soak/targetlink.py
+++ b/soak/targetlink.py
@@ -5,6 +5,7 @@
 import random
 import socket
 
+from soak.process import Process
 from soak.proxy import Proxy
 
 # Seconds after the begin of a cut from which callers must be served like those
@@ -88,6 +89,32 @@
         self._fillers.clear()
 
 
+def link_entries(
+    entries: list[Process], addresses: list[str], rng: random.Random
+) -> dict[str, list[TargetLink]]:
+    """Give each entry a link of its own to each target.
+
+    :param entries: entries, which are not started yet
+    :param addresses: addresses that the targets announce
+    :param rng: random number generator of the links
+    :returns: the links, to be entered, by the address of the entry
+    """
+    links = {}
+    for number, entry in enumerate(entries, 1):
+        base = entry.ip.rsplit(".", 2)[0]
+        own = [
+            TargetLink(f"{base}.{10 + number}.{n}:8080", address, rng)
+            for n, address in enumerate(addresses, 1)
+        ]
+        for link in own:
+            link.entry = entry.ip
+        entry.links = {
+            address: link.address for address, link in zip(addresses, own)
+        }
+        links[entry.ip] = own
+    return links
+
+
 async def heal_all(links: list[TargetLink]) -> None:
     """End the cuts of several links."""
     await asyncio.gather(*(link.heal() for link in links))
--- a/soak/trafficscenario.py
+++ b/soak/trafficscenario.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from soak.callerheaders import make_caller_headers
 from soak.cluster import Cluster
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
@@ -83,13 +84,8 @@
     ) -> Reply:
         """Send one non-idempotent request."""
         self._number += 1
-        headers = {
-            "Host": "h.example",
-            "X-Chivepier-Request-Id": f"n{self._number}",
-            "X-Api-Key": "k1",
-            "X-Chivepier-Deadline-Ms": "2000",
-            **make_sender_headers(entry.ip),
-        }
+        headers = make_caller_headers(f"n{self._number}", 2000)
+        headers |= make_sender_headers(entry.ip)
         path = f"/once/{self._number}"
         return await self.post(session, entry, path, b"x", headers)
 
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -4,7 +4,6 @@
 import collections.abc
 import contextlib
 import json
-import secrets
 import shutil
 import signal
 import time
@@ -157,15 +156,15 @@
             target.crash()
             await self._last()
             if renamed:
-                target.instance = f"i-{secrets.token_hex(4)}"
-            await target.__aenter__()
+                await target.start_anew()
+            else:
+                await target.__aenter__()
 
     async def _replace(self, target: DoubtfulTarget, seconds: float) -> None:
         async with target.going:
             await target.__aexit__()
             await asyncio.sleep(seconds)
-            target.instance = f"i-{secrets.token_hex(4)}"
-            await target.__aenter__()
+            await target.start_anew()
 
     async def _spoil(
         self, target: DoubtfulTarget, kinds: tuple[AnswerFault, ...]
--- a/soak/versionscenario.py
+++ b/soak/versionscenario.py
@@ -4,7 +4,6 @@
 import contextlib
 import itertools
 import pathlib
-import secrets
 
 import aiohttp
 import attrs
@@ -38,8 +37,7 @@
     async def start_again(self, version: str) -> None:
         """Start with some version of the software, as a new instance."""
         self.software_version = version
-        self.instance = f"i-{secrets.token_hex(4)}"
-        await self.__aenter__()
+        await self.start_anew()
 
 
 @attrs.define
