--- a/soak/pressscenario.py
+++ b/soak/pressscenario.py
@@ -12,6 +12,7 @@
 
 from soak.callerheaders import make_caller_headers
 from soak.cluster import Cluster
+from soak.habits import Habits
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
 from soak.reply import Reply
@@ -33,20 +34,6 @@
 ]
 
 
-@attrs.frozen
-class Habits:
-    """What callers do.
-
-    :param entry: entry that all of them ask; any if it is ``None``
-    :param repeats_at_once: whether they come back at once after a refusal
-    :param give_up_share: share of the requests that they give up early
-    """
-
-    entry: Process | None = None
-    repeats_at_once: bool = False
-    give_up_share: float = 0.0
-
-
 class PressScenario(Cluster):
     """Runs entries, voters, targets, and callers that press.
 
@@ -140,8 +127,10 @@
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
-    @contextlib.contextmanager
-    def set_habits(self, **changes) -> collections.abc.Iterator[None]:
+    @contextlib.asynccontextmanager
+    async def hold_habits(
+        self, **changes
+    ) -> collections.abc.AsyncIterator[None]:
         """Let callers have other habits until the context is left."""
         before = {name: getattr(self._habits, name) for name in changes}
         self._habits = attrs.evolve(self._habits, **changes)
--- a/soak/troubles.py
+++ b/soak/troubles.py
@@ -52,7 +52,7 @@
         self._scenario = scenario
         self._session = session
         self._rng = scenario.rng
-        # one of a kind at a time takes a process down
+        # those that a trouble has taken down, and no other one may touch
         self._harmed: set[Process] = set()
 
     async def play(
@@ -90,19 +90,6 @@
         entry = rng.choice(scenario.entries)
         voter = rng.choice(scenario.voters)
         match kind:
-            case Trouble.GREY | Trouble.DARK:
-                await self._fail_requests(target, kind)
-            case Trouble.FLAP | Trouble.CRASH:
-                await self._crash(target, renamed=kind is Trouble.CRASH)
-            case Trouble.RELEASE:
-                for each in scenario.targets:
-                    await self._replace(each, 0.0)
-            case Trouble.SCALE_IN:
-                await self._replace(target, rng.uniform(*TROUBLE_SECONDS))
-            case Trouble.ANSWER_LOST:
-                await self._spoil(target, (AnswerFault.LOST,))
-            case Trouble.GARBLE:
-                await self._spoil(target, tuple(AnswerFault))
             case Trouble.KILL:
                 await self._kill(entry)
             case Trouble.VOTER_KILL:
@@ -119,29 +106,58 @@
                 await self._wipe(voter)
             case Trouble.CUT:
                 await self._cut(entry)
-            case Trouble.SLOW:
-                await self._harm_links(entry, SLOW)
-            case Trouble.SILENCE:
-                mode = rng.choice((LOST_SENT, LOST_ANSWERS))
-                await self._harm_links(entry, mode)
+            case Trouble.SLOW | Trouble.SILENCE:
+                await self._harm_links(kind, entry)
             case Trouble.CHANGES:
                 changes = (self._change() for _ in range(QUICK_CHANGES))
                 await asyncio.gather(*changes)
             case Trouble.BAD_CONFIG:
                 await self._put_config(rng.choice(BAD_CONFIGS))
+            case (
+                Trouble.BURST
+                | Trouble.SHIFT
+                | Trouble.REPEAT
+                | Trouble.GIVE_UP
+            ):
+                await self._change_callers(kind, entry)
+            case _:
+                await self._harm_target(kind, target)
+
+    async def _harm_target(
+        self, kind: Trouble, target: DoubtfulTarget
+    ) -> None:
+        match kind:
+            case Trouble.GREY | Trouble.DARK:
+                await self._fail_requests(target, kind)
+            case Trouble.FLAP | Trouble.CRASH:
+                await self._crash(target, renamed=kind is Trouble.CRASH)
+            case Trouble.RELEASE:
+                for each in self._scenario.targets:
+                    await self._replace(each, 0.0)
+            case Trouble.SCALE_IN:
+                seconds = self._rng.uniform(*TROUBLE_SECONDS)
+                await self._replace(target, seconds)
+            case Trouble.ANSWER_LOST:
+                await self._spoil(target, (AnswerFault.LOST,))
+            case Trouble.GARBLE:
+                await self._spoil(target, tuple(AnswerFault))
+            case _:
+                raise ValueError(kind)
+
+    async def _change_callers(self, kind: Trouble, entry: Process) -> None:
+        scenario = self._scenario
+        match kind:
             case Trouble.BURST:
                 more = BURST_FACTOR * scenario.callers
-                async with scenario.press(self._session, more):
-                    await self._last()
+                context = scenario.press(self._session, more)
             case Trouble.SHIFT:
-                with scenario.set_habits(entry=entry):
-                    await self._last()
+                context = scenario.hold_habits(entry=entry)
             case Trouble.REPEAT:
-                with scenario.set_habits(repeats_at_once=True):
-                    await self._last()
-            case Trouble.GIVE_UP:
-                with scenario.set_habits(give_up_share=GIVE_UP_SHARE):
-                    await self._last()
+                context = scenario.hold_habits(repeats_at_once=True)
+            case _:
+                context = scenario.hold_habits(give_up_share=GIVE_UP_SHARE)
+        async with context:
+            await self._last()
 
     async def _fail_requests(
         self, target: DoubtfulTarget, kind: Trouble
@@ -235,8 +251,11 @@
         await self._last()
         await heal_all(links)
 
-    async def _harm_links(self, entry: Process, mode: str) -> None:
+    async def _harm_links(self, kind: Trouble, entry: Process) -> None:
         links = self._scenario.links[entry.ip]
+        mode = SLOW
+        if kind is Trouble.SILENCE:
+            mode = self._rng.choice((LOST_SENT, LOST_ANSWERS))
         for link in links:
             link.fault_mode = mode
         await self._last()
