--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -17,6 +17,7 @@
 from chivepier.gateway.control.permitservice import PermitService
 from chivepier.gateway.control.quarantinerelay import QuarantineRelay
 from chivepier.gateway.control.registry import Registry
+from chivepier.gateway.control.sizewatch import SizeWatch
 from chivepier.gateway.control.statecache import StateCache
 from chivepier.gateway.control.weightwatch import WeightWatch
 from chivepier.gateway.control.zonestore import ZoneStore
@@ -145,6 +146,7 @@
             random.Random(identity.node),
             identity.cluster,
         )
+        sizes = SizeWatch(self.replica, self._clock, self._log)
         self._build_components(links)
         self.orders.presume(storage.entries)
         self.orders.apply_committed()
@@ -154,6 +156,7 @@
         for work in (
             self.membership.run(),
             self._push_changes(),
+            sizes.run(),
             self._sync_targets(),
             self._expire(),
             self.loads.run(),
--- a/packages/state/src/chivepier/state/__init__.py
+++ b/packages/state/src/chivepier/state/__init__.py
@@ -17,6 +17,7 @@
 from chivepier.state.role import Role
 from chivepier.state.snapshot import Snapshot
 from chivepier.state.snapshotpolicy import SnapshotPolicy
+from chivepier.state.statesizes import StateSizes
 from chivepier.state.storage import Storage
 from chivepier.state.storagefailederror import StorageFailedError
 from chivepier.state.tenure import MAX_COMMAND
@@ -40,6 +41,7 @@
     "Role",
     "Snapshot",
     "SnapshotPolicy",
+    "StateSizes",
     "Storage",
     "StorageFailedError",
     "Timing",
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -19,6 +19,7 @@
 from chivepier.state.notleadererror import NotLeaderError
 from chivepier.state.role import Role
 from chivepier.state.snapshotpolicy import SnapshotPolicy
+from chivepier.state.statesizes import StateSizes
 from chivepier.state.storage import Storage
 from chivepier.state.timing import Timing
 from chivepier.state.transport import Transport
@@ -140,6 +141,23 @@
         """Set when this voter stops because of an error."""
         return self._core.failed
 
+    def measure(self) -> StateSizes:
+        """Return what the log and the state take in memory.
+
+        :returns: bytes of contents, without what the objects take
+        """
+        storage, machine = self.storage, self.machine
+        return StateSizes(
+            log=sum(len(e.command) for e in storage.entries),
+            recent=sum(
+                len(e.command)
+                for e in machine.recent
+                if e.index < storage.first_index
+            ),
+            history=sum(len(h.spec or b"") for h in machine.history),
+            snapshot=len(storage.snapshot.data),
+        )
+
     def votes(self) -> bool:
         """Tell whether this instance has a vote by its own log."""
         return self._core.is_voter()
