Keep no contents of past changes in a voter's state

Cause: the machine kept the last 2,000 changes with their contents, to name who wrote a version that a later one conflicts with; the whole configuration is one document, so that is 2,000 configurations. The last 2,000 applied entries were kept by number too.

Change: the history holds names, versions and whether it was a removal.

--- a/packages/gateway/src/chivepier/gateway/control/sizewatch.py
+++ b/packages/gateway/src/chivepier/gateway/control/sizewatch.py
@@ -6,7 +6,7 @@
 from chivepier.state import Replica
 from chivepier.types import Clock
 
-# Growth or shrinkage that is worth a line.
+# Growth that is worth a line.
 LOGGED_FACTOR = 2
 # Smaller states are not worth a line.
 MIN_LOGGED_BYTES = 1 << 20
@@ -15,7 +15,7 @@
 
 
 class SizeWatch:
-    """Logs each doubling and halving of a voter's log and state.
+    """Logs each doubling of the most that a voter's log and state took.
 
     A voter that goes over its memory is ended without a word; the lines
     before it tell which part has grown.
@@ -29,7 +29,7 @@
         self._replica = replica
         self._clock = clock
         self._log = log
-        self._logged_total = MIN_LOGGED_BYTES
+        self._most_logged = MIN_LOGGED_BYTES
 
     async def run(self) -> None:
         """Check periodically until cancelled."""
@@ -38,19 +38,17 @@
             await self._clock.sleep(CHECK_INTERVAL_SECONDS)
 
     def check(self) -> None:
-        """Log the sizes if they have doubled or halved since the last line."""
+        """Log the sizes if they are twice what was last logged."""
         sizes = self._replica.measure()
-        total = max(sizes.total, MIN_LOGGED_BYTES)
-        low = self._logged_total / LOGGED_FACTOR
-        if low < total < self._logged_total * LOGGED_FACTOR:
+        if sizes.total < self._most_logged * LOGGED_FACTOR:
             return
-        self._logged_total = total
+        self._most_logged = sizes.total
         self._log.info(
             "state_size",
             entries=len(self._replica.storage.entries),
             log_bytes=sizes.log,
             recent_bytes=sizes.recent,
-            history_bytes=sizes.history,
+            document_bytes=sizes.documents,
             snapshot_bytes=sizes.snapshot,
             peak_kb=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss,
         )
--- a/packages/node/src/chivepier/node/operators.py
+++ b/packages/node/src/chivepier/node/operators.py
@@ -97,7 +97,7 @@
         self._check(request)
         kind, name = request.query.get("kind"), request.query.get("name")
         items = [
-            attrs.asdict(item, filter=lambda a, _: a.name != "spec")
+            attrs.asdict(item, filter=lambda a, _: a.name != "removed")
             for item in self._entry.cluster.machine.history
             if kind in (None, item.kind) and name in (None, item.name)
         ]
--- a/packages/node/src/chivepier/node/renewal.py
+++ b/packages/node/src/chivepier/node/renewal.py
@@ -205,10 +205,10 @@
         machine = self._cluster.machine
         if request.index >= machine.index:
             return SyncAnswer(machine.index, (), b"")
-        recent = machine.recent
-        if recent and recent[0].index <= request.index + 1:
-            offset = request.index + 1 - recent[0].index
-            chosen = list(recent)[offset : offset + SYNC_ENTRIES]
+        first = machine.recent.first_index
+        if first is not None and first <= request.index + 1:
+            offset = request.index + 1 - first
+            chosen = list(machine.recent)[offset : offset + SYNC_ENTRIES]
             entries = tuple(strip_claims(e) for e in chosen)
             return SyncAnswer(machine.index, entries, b"")
         snapshot = machine.take_snapshot(with_claims=False)
--- a/packages/state/src/chivepier/state/machine.py
+++ b/packages/state/src/chivepier/state/machine.py
@@ -27,13 +27,13 @@
 from chivepier.state.claims import Claims
 from chivepier.state.historyitem import HistoryItem
 from chivepier.state.membersets import MemberSets
+from chivepier.state.recententries import RecentEntries
 from chivepier.state.snapshot import Snapshot
 from chivepier.types import ErrorKind
 from chivepier.types import Signal
 
 KEPT_ANSWERS = 20_000
 KEPT_HISTORY = 2_000
-KEPT_ENTRIES = 2_000
 
 # claims and bookkeeping leave the configuration's version as it is
 UNVERSIONED = (ClaimCommand, OutcomeCommand, Noop, InForceCommand)
@@ -71,9 +71,7 @@
         self.history: collections.deque[HistoryItem] = collections.deque(
             maxlen=KEPT_HISTORY
         )
-        self.recent: collections.deque[Entry] = collections.deque(
-            maxlen=KEPT_ENTRIES
-        )
+        self.recent = RecentEntries()
 
     def apply(self, entry: Entry) -> Answer:
         """Apply the next committed entry.
@@ -152,7 +150,7 @@
     def _describe_winner(self, kind: str, name: str) -> str:
         for item in reversed(self.history):
             if (item.kind, item.name) == (kind, name):
-                verb = "removed" if item.spec is None else "written"
+                verb = "removed" if item.removed else "written"
                 return (
                     f": {verb} by change {item.change_id!r} of operator"
                     f" {item.operator!r} at version {item.version}"
@@ -181,7 +179,7 @@
                 edit.kind,
                 edit.name,
                 version,
-                edit.spec,
+                edit.spec is None,
             )
         )
         return version
@@ -253,7 +251,7 @@
             "answers": [
                 (k, attrs.astuple(a)) for k, a in self.answers.items()
             ],
-            "history": [attrs.astuple(h) for h in self.history],
+            "history": [h.pack() for h in self.history],
         }
         return Snapshot(self.index, self.term, cbor2.dumps(fields))
 
@@ -293,7 +291,7 @@
             (k, Answer(*a)) for k, a in fields["answers"]
         )
         self.history.clear()
-        self.history.extend(HistoryItem(*h) for h in fields["history"])
+        self.history.extend(HistoryItem.unpack(h) for h in fields["history"])
         self.recent.clear()
         self.index = snapshot.index
         self.term = snapshot.term
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -154,7 +154,7 @@
                 for e in machine.recent
                 if e.index < storage.first_index
             ),
-            history=sum(len(h.spec or b"") for h in machine.history),
+            documents=sum(len(d.spec) for d in machine.documents.values()),
             snapshot=len(storage.snapshot.data),
         )
 
--- a/packages/state/src/chivepier/state/statesizes.py
+++ b/packages/state/src/chivepier/state/statesizes.py
@@ -10,16 +10,16 @@
     An entry that is both in the log and among the recent ones is held once
     and counted in the log.
 
-    >>> StateSizes(log=30, recent=0, history=20, snapshot=10).total
+    >>> StateSizes(log=30, recent=0, documents=20, snapshot=10).total
     60
     """
 
     log: int
     recent: int
-    history: int
+    documents: int
     snapshot: int
 
     @property
     def total(self) -> int:
         """All of them."""
-        return self.log + self.recent + self.history + self.snapshot
+        return self.log + self.recent + self.documents + self.snapshot
--- /dev/null
+++ b/packages/state/src/chivepier/state/tests/test_memory.py
@@ -0,0 +1,101 @@
+"""What a voter takes in memory after many large changes."""
+
+import asyncio
+import multiprocessing
+import pathlib
+import random
+import re
+
+import cbor2
+
+from chivepier.messages import ChangeCommand
+from chivepier.messages import Edit
+from chivepier.messages import encode
+from chivepier.messages import Entry
+from chivepier.messages import Voter
+from chivepier.messages import VotersCommand
+from chivepier.state import DiskStorage
+from chivepier.state import Machine
+from chivepier.state import Replica
+from chivepier.state import Snapshot
+from chivepier.state import Timing
+from chivepier.types import SystemClock
+
+# What the smallest deployment gives a voter.
+VOTER_MEMORY_BYTES = 256 << 20
+# A configuration of 350 routes.
+CONTENT_BYTES = 80_000
+KEY = ("configuration", "whole")
+
+
+def read_peak() -> int:
+    """Return the most bytes that this process has had in memory."""
+    status = pathlib.Path("/proc/self/status").read_text()
+    return int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) << 10
+
+
+def make_command(number: int, base: int) -> bytes:
+    """Make a change of one large document."""
+    spec = random.Random(number).randbytes(CONTENT_BYTES)
+    edit = Edit(*KEY, base, spec)
+    return encode(ChangeCommand(f"change-{number}", "", (edit,)))
+
+
+async def change(folder: pathlib.Path, numbers: range) -> int:
+    """Run one voter, commit large changes; return its peak of memory."""
+    storage = DiskStorage(folder)
+    if not storage.last_index:
+        command = encode(VotersCommand((Voter("v", "v"),)))
+        storage.append((Entry(1, 1, command),))
+        await storage.sync()
+    replica = Replica(
+        "v",
+        storage,
+        Machine(),
+        None,
+        SystemClock(),
+        Timing(),
+        random.Random(0),
+    )
+    async with replica:
+        while not (replica.leads() and replica.machine.index):
+            await asyncio.sleep(0.05)
+        for number in numbers:
+            document = replica.machine.documents.get(KEY)
+            base = document.version if document else 0
+            answer = await replica.propose(make_command(number, base))
+            assert not answer.error
+    storage.close()
+    return read_peak()
+
+
+def run_changes(folder: str, numbers: range) -> int:
+    """Do so in a process of its own."""
+    return asyncio.run(change(pathlib.Path(folder), numbers))
+
+
+def test_hundreds_of_large_changes_fit_a_voters_memory(tmp_path):
+    # Guards against keeping the contents of past changes: the voter goes
+    # over its memory, and again at each start from its disk.
+    context = multiprocessing.get_context("spawn")
+    with context.Pool(1, maxtasksperchild=1) as pool:
+        for numbers in (range(900), range(900, 901)):
+            peak = pool.apply(run_changes, (str(tmp_path), numbers))
+            assert peak <= VOTER_MEMORY_BYTES
+
+
+def test_snapshot_of_an_earlier_release_loses_its_past_contents():
+    # Guards against a voter that goes over its memory at each start from a
+    # disk that an earlier release has filled.
+    machine = Machine()
+    machine.apply(Entry(1, 1, make_command(1, 0)))
+    snapshot = machine.take_snapshot()
+    fields = cbor2.loads(snapshot.data)
+    content = fields["documents"][0][3]
+    (item,) = fields["history"]
+    fields["history"] = [(*item[:-1], content)] * 100
+    old = Snapshot(snapshot.index, snapshot.term, cbor2.dumps(fields))
+    again = Machine()
+    again.restore(old)
+    assert not again.history[0].removed
+    assert len(again.take_snapshot().data) < 2 * CONTENT_BYTES
