Take the vote of a voter that leaves before the next disk is lost

Two of four are no majority. A silent voter lost its vote after 4 s if another one had joined since, else after 20 s; here the successor joins first. A new leader knows of neither time, so with it 20 s pass in any order. And a stop in order told nobody.

An even number of voters bears as many lost disks without any one of them, so waiting there gains nothing. Now a voter that stops asks the leader to take its vote, and a silent one loses it after 2 s, both only of an even number above three. One that comes back asks for it again, as voters that were removed while away always did. Odd numbers are as before, but for a voter that has said that it stops, which counts as replaced. Removals go before additions: those wait for a new voter, which may be gone too.

Ruled out: that the successor had not caught up (it had its vote before the old one stopped); that a wiped voter gets no vote (with the old one's vote taken it does).

--- a/packages/gateway/src/chivepier/gateway/control/membership.py
+++ b/packages/gateway/src/chivepier/gateway/control/membership.py
@@ -3,15 +3,19 @@
 import asyncio
 
 from chivepier.gateway.control.joincandidate import JoinCandidate
+from chivepier.gateway.control.leaderclient import LeaderClient
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import Peers
 from chivepier.gateway.messages import JoinAnswer
 from chivepier.gateway.messages import JoinRequest
+from chivepier.gateway.messages import LeaveAnswer
+from chivepier.gateway.messages import LeaveRequest
 from chivepier.messages import Voter
 from chivepier.state import LostLeadError
 from chivepier.state import NotLeaderError
 from chivepier.state import Replica
 from chivepier.types import Clock
+from chivepier.types import ErrorKind
 from chivepier.types import RequestError
 from chivepier.wire import LinkError
 from chivepier.wire import Links
@@ -20,10 +24,16 @@
 CHECK_INTERVAL_SECONDS = 0.4
 # Seconds for which a join request stays valid; it is repeated at each check.
 JOIN_REQUEST_TTL_SECONDS = 1.5
-# Seconds of silence after which a voter is removed if another one has joined
-# since; a rolling restart takes less.
+# Seconds of silence after which one of an even number of voters is removed;
+# with the time until a voter counts as silent, less than a replacement has
+# to catch up.
+SPARE_TIMEOUT_SECONDS = 2.0
+# Seconds of silence after which one of an odd number of voters may be removed
+# if it was about to stop, or if another one has joined since; a rolling
+# restart takes less.
 REPLACED_TIMEOUT_SECONDS = 4.0
-# Seconds of silence after which a voter is removed without a replacement.
+# Seconds of silence after which one of an odd number of voters may be removed
+# without a replacement.
 UNREACHABLE_TIMEOUT_SECONDS = 20.0
 # With fewer voters, the loss of one leaves no quorum.
 MIN_VOTERS = 3
@@ -31,11 +41,22 @@
 CHANGE_TIMEOUT_SECONDS = 5.0
 # Timeout of one join request to one peer.
 JOIN_REQUEST_TIMEOUT_SECONDS = 0.8
+# Seconds for which a voter that is about to stop tries to give up its vote;
+# without a leader, the stop does not wait for longer.
+LEAVE_TIMEOUT_SECONDS = 2.0
+# Seconds between two such requests.
+LEAVE_RETRY_SECONDS = 0.05
 
 
 class Membership:
     """Requests a vote while this node has none; as leader, updates the voters.
 
+    A vote of a voter that is gone for good makes the next lost disk one too
+    many, and no later change can mend that. An even number of voters bears
+    as many losses without any one of them, so there a vote goes as soon as
+    its voter is silent or says that it stops; after a mere restart it gets
+    the vote again.
+
     :param replica: this node's replica
     :param own_address: this node's peer address
     :param links: connections to the other nodes
@@ -62,6 +83,9 @@
         self._candidates: dict[str, JoinCandidate] = {}
         self._added_at: dict[str, float] = {}
         self._silent_since: dict[str, float] = {}
+        self._leader = LeaderClient(replica, links)
+        self._leaving: set[str] = set()
+        self._stops = False
         self._has_vote: bool | None = None
 
     async def run(self) -> None:
@@ -85,6 +109,9 @@
             await self._update_voters(replica)
             return
         self._silent_since.clear()
+        self._leaving.clear()
+        if self._stops:
+            return
         await self._request_vote()
 
     async def _request_vote(self) -> None:
@@ -142,6 +169,7 @@
         if not request.cluster or request.cluster == replica.cluster:
             voter = Voter(request.node, request.address)
             now = self._clock.monotonic()
+            self._leaving.discard(request.node)
             self._candidates[request.node] = JoinCandidate(voter, now)
         voters = replica.voters
         return JoinAnswer(
@@ -150,6 +178,51 @@
             tuple(v.address for v in voters),
         )
 
+    async def leave(self) -> None:
+        """Give up this node's vote before a planned stop.
+
+        Returns also without success: the others remove a silent voter.
+        """
+        self._stops = True
+        request = LeaveRequest(self._replica.node, self._replica.cluster)
+        deadline = self._clock.monotonic() + LEAVE_TIMEOUT_SECONDS
+        while (remaining := deadline - self._clock.monotonic()) > 0:
+            try:
+                answer = await self._leader.request(
+                    request, remaining, self.handle_leave
+                )
+            except (LinkError, TimeoutError) as error:
+                self._log.warn("leave_lost", error=repr(error))
+            else:
+                if answer.settled:
+                    self._log.info("seat_left", votes=self._replica.votes())
+                    return
+            await self._clock.sleep(LEAVE_RETRY_SECONDS)
+
+    async def handle_leave(self, request: LeaveRequest) -> LeaveAnswer:
+        """Remove a voter that is about to stop, if the others can spare it.
+
+        :param request: identity and cluster of the voter
+        :returns: whether it may stop
+        """
+        replica, node = self._replica, request.node
+        if request.cluster != replica.cluster or not replica.leads():
+            return LeaveAnswer(False)
+        self._leaving.add(node)
+        self._candidates.pop(node, None)
+        try:
+            async with asyncio.timeout(CHANGE_TIMEOUT_SECONDS):
+                for voter in self._find_spare():
+                    if voter.node == node:
+                        await self._remove(voter)
+        except (NotLeaderError, LostLeadError, TimeoutError) as error:
+            self._log.warn("seats_unchanged", error=repr(error))
+            return LeaveAnswer(False)
+        except RequestError as error:
+            self._log.warn("seats_unchanged", error=repr(error))
+            return LeaveAnswer(error.failure.kind is not ErrorKind.IN_PROGRESS)
+        return LeaveAnswer(True)
+
     async def _update_voters(self, replica: Replica) -> None:
         now = self._clock.monotonic()
         self._track_silence(now)
@@ -161,14 +234,16 @@
                     # of the old one is lost.
                     await self._remove(voter)
                     return
+        # Removals come first: an addition waits for the new voter, which may
+        # have gone as well.
+        for voter in self._find_removable(now):
+            await self._remove(voter)
+            return
         for candidate in candidates:
             self._log.info("seat_given", voter=candidate.node)
             await replica.changes.add(candidate)
             self._added_at[candidate.node] = now
             return
-        for voter in self._find_removable(now):
-            await self._remove(voter)
-            return
 
     async def _remove(self, voter: Voter) -> None:
         await self._replica.changes.remove(voter.node)
@@ -188,7 +263,8 @@
         states = self._replica.changes.report()
         for state in states:
             if state.holds:
-                self._silent_since.pop(state.node, None)
+                if self._silent_since.pop(state.node, None) is not None:
+                    self._leaving.discard(state.node)
             else:
                 self._silent_since.setdefault(state.node, now)
         known = {state.node for state in states}
@@ -205,17 +281,32 @@
         voters = self._replica.voters
         if len(voters) <= MIN_VOTERS:
             return []
+        if len(voters) % 2 == 0:
+            silent = [
+                voter
+                for voter in voters
+                if self._get_silence(voter, now) > SPARE_TIMEOUT_SECONDS
+            ]
+            return self._find_spare() + silent
         unreachable = [
             voter for voter in voters if self._is_unreachable(voter, now)
         ]
-        odd = len(voters) % 2 == 1
-        return [] if odd and len(unreachable) < 2 else unreachable
+        return unreachable if len(unreachable) > 1 else []
+
+    def _find_spare(self) -> list[Voter]:
+        """Find voters that are about to stop and that the others can spare."""
+        voters = self._replica.voters
+        if len(voters) <= MIN_VOTERS or len(voters) % 2 == 1:
+            return []
+        return [voter for voter in voters if voter.node in self._leaving]
+
+    def _get_silence(self, voter: Voter, now: float) -> float:
+        """Return for how many seconds a voter has been silent."""
+        return now - self._silent_since.get(voter.node, now)
 
     def _is_unreachable(self, voter: Voter, now: float) -> bool:
-        since = self._silent_since.get(voter.node)
-        if since is None:
-            return False
-        replaced = any(
+        since = self._silent_since.get(voter.node, now)
+        replaced = voter.node in self._leaving or any(
             added_at > since for added_at in self._added_at.values()
         )
         return now - since > (
--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -289,6 +289,11 @@
         """Stop a voter, keeping its data directory."""
         await self.voters.pop(address).__aexit__()
 
+    async def stop_in_order(self, address: str) -> None:
+        """Stop a voter as a signal does, keeping its data directory."""
+        await self.voters[address].leave()
+        await self.stop(address)
+
     async def wipe(self, address: str) -> None:
         """Remove the data directory of a stopped voter.
 
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_membership.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_membership.py
@@ -11,11 +11,14 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import Peers
 from chivepier.gateway.messages import JoinAnswer
+from chivepier.gateway.messages import LeaveRequest
 from chivepier.messages import Voter
 from chivepier.messages import VoterState
 from chivepier.types import ManualClock
 from chivepier.wire import LinkError
 
+# After this, an instance that was replaced no longer counts as lost.
+CATCH_UP_SECONDS = 4.0
 PEERS = ("10.0.0.2:7", "10.0.0.3:7", "10.0.0.4:7")
 
 
@@ -121,3 +124,32 @@
     leader = LeadingNode(voters)
     leader.silent = {f"v{n}" for n in range(1, 1 + silent)}
     assert leader.run_seconds(60.0) == left
+
+
+def test_silent_voter_of_an_even_number_goes_before_its_successor_counts():
+    # Guards against a leader that has seen neither the silence begin nor the
+    # successor join, and waits as without one.
+    leader = LeadingNode(4)
+    leader.silent = {"v1"}
+    assert leader.run_seconds(CATCH_UP_SECONDS) == 3
+
+
+def test_voter_that_has_come_back_after_a_stop_is_not_removed():
+    # Guards against removing a restarted voter once the number gets even.
+    leader = LeadingNode(3)
+    request = LeaveRequest("v1", leader.cluster)
+    answer = asyncio.run(leader.membership.handle_leave(request))
+    assert answer.settled
+    leader.silent = {"v1"}
+    leader.run_seconds(1)
+    leader.silent = set()
+    leader.run_seconds(1)
+    leader.voters.append(Voter("v3", "10.0.0.3:7"))
+    assert leader.run_seconds(60.0) == 4
+
+
+def test_stop_of_a_voter_of_another_cluster_changes_nothing():
+    leader = LeadingNode(4)
+    request = LeaveRequest("v1", "another")
+    asyncio.run(leader.membership.handle_leave(request))
+    assert leader.run_seconds(60.0) == 4
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -28,6 +28,7 @@
 from chivepier.gateway.messages import EntryBeat
 from chivepier.gateway.messages import EntryBeatAnswer
 from chivepier.gateway.messages import JoinRequest
+from chivepier.gateway.messages import LeaveRequest
 from chivepier.gateway.messages import LoadDigest
 from chivepier.gateway.messages import LoadNotice
 from chivepier.gateway.messages import OriginNotice
@@ -176,6 +177,10 @@
     async def __aexit__(self, *exc) -> None:
         await self._stack.aclose()
 
+    async def leave(self) -> None:
+        """Give up the vote before a planned stop, if others can spare it."""
+        await self.membership.leave()
+
     def _build_components(self, links: Links) -> None:
         own_address = self._settings.address
         clock, log, peers = self._clock, self._log, self.peers
@@ -223,6 +228,8 @@
                 return self.permits.handle(message)
             case JoinRequest():
                 return self.membership.handle(message)
+            case LeaveRequest():
+                return self.membership.handle_leave(message)
             case other:
                 raise RefusedError(f"unexpected {type(other).__name__}")
 
--- a/packages/gateway/src/chivepier/gateway/messages/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/messages/__init__.py
@@ -14,6 +14,8 @@
 from chivepier.gateway.messages.headerfield import HeaderField
 from chivepier.gateway.messages.joinanswer import JoinAnswer
 from chivepier.gateway.messages.joinrequest import JoinRequest
+from chivepier.gateway.messages.leaveanswer import LeaveAnswer
+from chivepier.gateway.messages.leaverequest import LeaveRequest
 from chivepier.gateway.messages.leavingrecord import LeavingRecord
 from chivepier.gateway.messages.limitnotice import LimitNotice
 from chivepier.gateway.messages.limitrecord import LimitRecord
@@ -55,6 +57,8 @@
     "HeaderField",
     "JoinAnswer",
     "JoinRequest",
+    "LeaveAnswer",
+    "LeaveRequest",
     "LeavingRecord",
     "LimitNotice",
     "LimitRecord",
