--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -64,6 +64,10 @@
         # a restarted voter has forgotten whom it heard: by waiting as if it
         # had just heard a leader it can't help to break that leader's lease
         self.heard = clock.monotonic()
+        # the leader that was heard last, and when; its silence is known to
+        # whoever leads next
+        self.last_leader = ""
+        self.last_leader_heard = self.heard
         if storage.snapshot.data:
             machine.restore(storage.snapshot)
         self.sets = VoterSets()
--- a/packages/state/src/chivepier/state/following.py
+++ b/packages/state/src/chivepier/state/following.py
@@ -71,6 +71,8 @@
         if core.role is not Role.FOLLOWER or core.leader != leader:
             core.follow(leader)
         core.heard = core.clock.monotonic()
+        core.last_leader = leader
+        core.last_leader_heard = core.heard
 
     async def _store(self, entries: tuple[Entry, ...]) -> None:
         core, storage = self._core, self._core.storage
--- a/packages/state/src/chivepier/state/tests/test_voterchanges.py
+++ b/packages/state/src/chivepier/state/tests/test_voterchanges.py
@@ -224,3 +224,22 @@
                 await leader.changes.add(Voter(leader.node, "elsewhere"))
 
     asyncio.run(play())
+
+
+def test_silence_of_a_dead_leader_is_known_to_the_next_one():
+    # Guards against a new leader that counts the silence of the one before
+    # from its own election.
+    async def play():
+        async with Rig(3) as rig:
+            old = (await rig.await_leader()).node
+            await rig.step(1.0)
+            rig.crash(old)
+            ended = rig.clock.monotonic()
+            await rig.await_leader()
+            await rig.step(1.0)
+            leader = await rig.await_leader()
+            silence = leader.changes.measure_silence(old)
+            passed = rig.clock.monotonic() - ended
+            assert silence == pytest.approx(passed, abs=0.5)
+
+    asyncio.run(play())
--- a/packages/state/src/chivepier/state/voterchanges.py
+++ b/packages/state/src/chivepier/state/voterchanges.py
@@ -149,6 +149,27 @@
     def _answers(self, tenure: Tenure, node: str) -> bool:
         return self._silent(tenure, node) < self._core.timing.election
 
+    def measure_silence(self, node: str) -> float:
+        """Return for how many seconds a voter has not answered this leader.
+
+        Who never has, is silent since this leader's term began; the leader
+        before since it was last heard, once it has had the time to answer.
+
+        :param node: the voter's identity
+        :returns: seconds
+        :raises NotLeaderError: when this voter does not lead
+        """
+        core, tenure = self._core, self._core.tenure
+        if tenure is None:
+            raise NotLeaderError(core.leader)
+        if node == core.node or node in tenure.acked:
+            return self._silent(tenure, node)
+        now = core.clock.monotonic()
+        led = now - tenure.started
+        if node == core.last_leader and led > core.timing.request:
+            return now - core.last_leader_heard
+        return led
+
     def _silent(self, tenure: Tenure, node: str) -> float:
         if node == self._core.node:
             return 0.0
