Choose which vote goes by the losses that must be borne

Two replacements at once, or in series by SIGKILL, leave an odd number of voters with two that are gone: 4 s passed after a later addition, else 20 s, until one was removed, and a disk that is lost meanwhile ends the quorum. An odd number can spare one as well where it is larger than the tolerated losses need; the settings tell these (fault-tolerance.machines).

RemovalPolicy decides by that, without a network, from what VoterWatch knows of each voter. A voter is spare by its missing answers alone: one that answers and merely lags is not. Of several, one that has said that it stops goes first, then the longest silent.

A line `voters` tells which voters there are, which are silent for how long, which stop, how many losses are borne now, and why a vote goes or none does.

--- a/packages/gateway/src/chivepier/gateway/control/membership.py
+++ b/packages/gateway/src/chivepier/gateway/control/membership.py
@@ -4,6 +4,9 @@
 
 from chivepier.gateway.control.joincandidate import JoinCandidate
 from chivepier.gateway.control.leaderclient import LeaderClient
+from chivepier.gateway.control.removalpolicy import RemovalPolicy
+from chivepier.gateway.control.surveylog import SurveyLog
+from chivepier.gateway.control.voterwatch import VoterWatch
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import Peers
 from chivepier.gateway.messages import JoinAnswer
@@ -24,23 +27,10 @@
 CHECK_INTERVAL_SECONDS = 0.4
 # Seconds for which a join request stays valid; it is repeated at each check.
 JOIN_REQUEST_TTL_SECONDS = 1.5
-# Seconds of silence after which one of an even number of voters is removed;
-# with the time until a voter counts as silent, less than a replacement has
-# to catch up.
-SPARE_TIMEOUT_SECONDS = 2.0
-# Seconds of silence after which one of an odd number of voters may be removed
-# if it was about to stop, or if another one has joined since; a rolling
-# restart takes less.
-REPLACED_TIMEOUT_SECONDS = 4.0
-# Seconds of silence after which one of an odd number of voters may be removed
-# without a replacement.
-UNREACHABLE_TIMEOUT_SECONDS = 20.0
-# With fewer voters, the loss of one leaves no quorum.
-MIN_VOTERS = 3
 # Timeout of one membership check, including a change of the voter set.
 CHANGE_TIMEOUT_SECONDS = 5.0
 # Timeout of one join request to one peer.
-JOIN_REQUEST_TIMEOUT_SECONDS = 0.8
+JOIN_REQUEST_TIMEOUT_SECONDS = 0.5
 # Seconds for which a voter that is about to stop tries to give up its vote;
 # without a leader, the stop does not wait for longer.
 LEAVE_TIMEOUT_SECONDS = 2.0
@@ -51,11 +41,8 @@
 class Membership:
     """Requests a vote while this node has none; as leader, updates the voters.
 
-    A vote of a voter that is gone for good makes the next lost disk one too
-    many, and no later change can mend that. An even number of voters bears
-    as many losses without any one of them, so there a vote goes as soon as
-    its voter is silent or says that it stops; after a mere restart it gets
-    the vote again.
+    A voter that stops gives its vote up first, if the others can spare it;
+    after a mere restart it gets one again.
 
     :param replica: this node's replica
     :param own_address: this node's peer address
@@ -63,6 +50,7 @@
     :param peers: addresses of the other nodes
     :param clock: monotonic clock
     :param log: receives changes of this node's vote and of the voter set
+    :param policy: which voters are removed
     """
 
     def __init__(
@@ -73,6 +61,7 @@
         peers: Peers,
         clock: Clock,
         log: EventLog,
+        policy: RemovalPolicy = RemovalPolicy(),
     ):
         self._replica = replica
         self._own_address = own_address
@@ -81,10 +70,10 @@
         self._clock = clock
         self._log = log
         self._candidates: dict[str, JoinCandidate] = {}
-        self._added_at: dict[str, float] = {}
-        self._silent_since: dict[str, float] = {}
+        self._policy = policy
+        self._watch = VoterWatch(replica)
+        self._survey = SurveyLog(log)
         self._leader = LeaderClient(replica, links)
-        self._leaving: set[str] = set()
         self._stops = False
         self._has_vote: bool | None = None
 
@@ -108,8 +97,7 @@
         if replica.leads():
             await self._update_voters(replica)
             return
-        self._silent_since.clear()
-        self._leaving.clear()
+        self._watch.clear()
         if self._stops:
             return
         await self._request_vote()
@@ -169,7 +157,7 @@
         if not request.cluster or request.cluster == replica.cluster:
             voter = Voter(request.node, request.address)
             now = self._clock.monotonic()
-            self._leaving.discard(request.node)
+            self._watch.note_start(request.node)
             self._candidates[request.node] = JoinCandidate(voter, now)
         voters = replica.voters
         return JoinAnswer(
@@ -208,13 +196,11 @@
         replica, node = self._replica, request.node
         if request.cluster != replica.cluster or not replica.leads():
             return LeaveAnswer(False)
-        self._leaving.add(node)
+        self._watch.note_stop(node)
         self._candidates.pop(node, None)
         try:
             async with asyncio.timeout(CHANGE_TIMEOUT_SECONDS):
-                for voter in self._find_spare():
-                    if voter.node == node:
-                        await self._remove(voter)
+                await self._remove_spare(node)
         except (NotLeaderError, LostLeadError, TimeoutError) as error:
             self._log.warn("seats_unchanged", error=repr(error))
             return LeaveAnswer(False)
@@ -223,9 +209,16 @@
             return LeaveAnswer(error.failure.kind is not ErrorKind.IN_PROGRESS)
         return LeaveAnswer(True)
 
+    async def _remove_spare(self, node: str) -> None:
+        for voter in self._replica.voters:
+            if voter.node == node and self._policy.can_spare(
+                len(self._replica.voters)
+            ):
+                await self._remove(voter)
+
     async def _update_voters(self, replica: Replica) -> None:
         now = self._clock.monotonic()
-        self._track_silence(now)
+        healths = self._watch.survey(now)
         candidates = self._find_candidates(now)
         for candidate in candidates:
             for voter in replica.voters:
@@ -236,13 +229,15 @@
                     return
         # Removals come first: an addition waits for the new voter, which may
         # have gone as well.
-        for voter in self._find_removable(now):
-            await self._remove(voter)
+        removal = self._policy.choose(healths)
+        self._survey.write(healths, removal)
+        if removal.voter is not None:
+            await self._remove(removal.voter)
             return
         for candidate in candidates:
             self._log.info("seat_given", voter=candidate.node)
             await replica.changes.add(candidate)
-            self._added_at[candidate.node] = now
+            self._watch.note_addition(candidate, now)
             return
 
     async def _remove(self, voter: Voter) -> None:
@@ -258,59 +253,3 @@
             ):
                 del self._candidates[node]
         return [candidate.voter for candidate in self._candidates.values()]
-
-    def _track_silence(self, now: float) -> None:
-        states = self._replica.changes.report()
-        for state in states:
-            if state.holds:
-                if self._silent_since.pop(state.node, None) is not None:
-                    self._leaving.discard(state.node)
-            else:
-                self._silent_since.setdefault(state.node, now)
-        known = {state.node for state in states}
-        for node in self._silent_since.keys() - known:
-            del self._silent_since[node]
-
-    def _find_removable(self, now: float) -> list[Voter]:
-        """Find unreachable voters whose removal keeps the fault tolerance.
-
-        An odd number of voters tolerates fewer losses after the removal of
-        one, but not of two. A voter with a stalled but intact disk is still
-        needed if further disks are lost.
-        """
-        voters = self._replica.voters
-        if len(voters) <= MIN_VOTERS:
-            return []
-        if len(voters) % 2 == 0:
-            silent = [
-                voter
-                for voter in voters
-                if self._get_silence(voter, now) > SPARE_TIMEOUT_SECONDS
-            ]
-            return self._find_spare() + silent
-        unreachable = [
-            voter for voter in voters if self._is_unreachable(voter, now)
-        ]
-        return unreachable if len(unreachable) > 1 else []
-
-    def _find_spare(self) -> list[Voter]:
-        """Find voters that are about to stop and that the others can spare."""
-        voters = self._replica.voters
-        if len(voters) <= MIN_VOTERS or len(voters) % 2 == 1:
-            return []
-        return [voter for voter in voters if voter.node in self._leaving]
-
-    def _get_silence(self, voter: Voter, now: float) -> float:
-        """Return for how many seconds a voter has been silent."""
-        return now - self._silent_since.get(voter.node, now)
-
-    def _is_unreachable(self, voter: Voter, now: float) -> bool:
-        since = self._silent_since.get(voter.node, now)
-        replaced = voter.node in self._leaving or any(
-            added_at > since for added_at in self._added_at.values()
-        )
-        return now - since > (
-            REPLACED_TIMEOUT_SECONDS
-            if replaced
-            else UNREACHABLE_TIMEOUT_SECONDS
-        )
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_membership.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_membership.py
@@ -83,6 +83,7 @@
     def __init__(self, voters: int):
         self.voters = [Voter(f"v{n}", f"10.0.0.{n}:7") for n in range(voters)]
         self.silent: set[str] = set()
+        self._silent_at: dict[str, float] = {}
         self.changes = self
         self.clock = ManualClock()
         log = EventLog("v0", os.open(os.devnull, os.O_WRONLY))
@@ -101,6 +102,14 @@
             for v in self.voters
         ]
 
+    def measure_silence(self, node: str) -> float:
+        """Return for how long a voter was silent at the last checks."""
+        now = self.clock.monotonic()
+        if node not in self.silent:
+            self._silent_at.pop(node, None)
+            return 0.0
+        return now - self._silent_at.setdefault(node, now)
+
     async def remove(self, node: str) -> None:
         """Remove a voter."""
         self.voters = [v for v in self.voters if v.node != node]
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -17,6 +17,7 @@
 from chivepier.gateway.control.permitservice import PermitService
 from chivepier.gateway.control.quarantinerelay import QuarantineRelay
 from chivepier.gateway.control.registry import Registry
+from chivepier.gateway.control.removalpolicy import RemovalPolicy
 from chivepier.gateway.control.sizewatch import SizeWatch
 from chivepier.gateway.control.statecache import StateCache
 from chivepier.gateway.control.weightwatch import WeightWatch
@@ -197,7 +198,13 @@
         )
         self.loads = LoadRelay(own_address, peers, links, clock, log)
         self.membership = Membership(
-            self.replica, own_address, links, peers, clock, log
+            self.replica,
+            own_address,
+            links,
+            peers,
+            clock,
+            log,
+            RemovalPolicy(self._settings.tolerated_losses),
         )
 
     def _handle(self, message, channel: Channel):
--- a/packages/gateway/src/chivepier/gateway/settings/votersettings.py
+++ b/packages/gateway/src/chivepier/gateway/settings/votersettings.py
@@ -19,6 +19,8 @@
     :param beat: seconds between a target's announcements
     :param zone: its availability zone
     :param regions: regions of the availability zones, by zone name
+    :param tolerated_losses: how many disks may be lost at the same time;
+        ``None`` for as many as the voters bear
     """
 
     name: str
@@ -30,3 +32,4 @@
     beat: float
     zone: str = ""
     regions: collections.abc.Mapping[str, str] = attrs.Factory(dict)
+    tolerated_losses: int | None = None
