Lose and replace voters beside large changes in the soak

At the end all are killed right after an acknowledgement and one loses its disk. Checked: nothing read is older than what was acknowledged, each change is acknowledged within 15 s, no process ends by itself or takes more than the smallest instance has, callers are served.

--- a/soak/process.py
+++ b/soak/process.py
@@ -41,6 +41,7 @@
 bounds.ttl_max_s=5
 bounds.cold-excess=1.5
 bounds.cold-slack=5
+fault-tolerance.machines=1
 zones.z=r
 zones.z1=r
 zones.z2=r
@@ -102,17 +103,7 @@
         """Start the process, unless it runs."""
         if self.alive:
             return
-        path = self._folder / f"{self.name}.conf"
-        settings = SETTINGS.format(
-            name=self.name,
-            ip=self.ip,
-            seeds=self._seeds,
-            found="true" if found else "false",
-            folder=self._folder,
-        )
-        if self.memory_mb is not None:
-            settings += f"limits.memory-mb={self.memory_mb}\n"
-        path.write_text(settings)
+        path = self._write_settings(found)
         self._note("started")
         program = LINKED_PROGRAM if self.links else PROGRAM
         variables = {"CHIVEPIER_BOOT": str(path)}
@@ -125,6 +116,27 @@
                 stderr=subprocess.STDOUT,
             )
 
+    def update_seeds(self, seeds: list[str]) -> None:
+        """Name other voters in the settings; they are read again."""
+        self._seeds = ",".join(seeds)
+        self._write_settings(found=False)
+
+    def _write_settings(self, found: bool) -> pathlib.Path:
+        path = self._folder / f"{self.name}.conf"
+        settings = SETTINGS.format(
+            name=self.name,
+            ip=self.ip,
+            seeds=self._seeds,
+            found="true" if found else "false",
+            folder=self._folder,
+        )
+        if self.memory_mb is not None:
+            settings += f"limits.memory-mb={self.memory_mb}\n"
+        fresh = path.with_suffix(".new")
+        fresh.write_text(settings)
+        fresh.replace(path)
+        return path
+
     def _open_log(self) -> typing.BinaryIO:
         return open(self._folder / f"{self.name}.log", "ab")
 
--- /dev/null
+++ b/soak/tests/test_voters.py
@@ -0,0 +1,31 @@
+"""Short seeded runs of lost and replaced voters beside large changes."""
+
+import asyncio
+
+import pytest
+
+from soak.blocks import reserve_block
+from soak.voterscenario import VoterScenario
+
+# By seed, the seconds for which losses are injected.
+SEEDS = {1: 20.0, 2: 20.0}
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_loss_of_voters_costs_an_acknowledged_change(seed, tmp_path):
+    # Guards against votes of voters that are gone, and kept contents.
+    with reserve_block() as block:
+        scenario = VoterScenario(tmp_path, block, seed)
+        seen = asyncio.run(scenario.run(SEEDS[seed]))
+    assert seen.violations == []
+    assert seen.answered > 50 and scenario.operator.acknowledged > 20
+
+
+def test_planned_replacements_in_series_cost_no_acknowledged_change(tmp_path):
+    # Guards against votes that pile up until a lost disk ends the quorum.
+    with reserve_block() as block:
+        scenario = VoterScenario(tmp_path, block, 3)
+        scenario.faults.keep_only("replace_planned", "lose_disk")
+        seen = asyncio.run(scenario.run(30.0))
+    assert seen.violations == []
+    assert seen.answered > 50 and scenario.operator.acknowledged > 20
--- /dev/null
+++ b/soak/voterscenario.py
@@ -0,0 +1,214 @@
+"""Voters that are lost and replaced beside hundreds of large changes."""
+
+import asyncio
+import collections.abc
+import contextlib
+import pathlib
+import random
+
+import aiohttp
+
+from soak.callerheaders import make_caller_headers
+from soak.cluster import CALLER_PORT
+from soak.cluster import Cluster
+from soak.configoperator import ConfigOperator
+from soak.configoperator import make_large_config
+from soak.invariantchecker import InvariantChecker
+from soak.process import Process
+from soak.process import SESSION_SECONDS
+from soak.target import SoakTarget
+from soak.voterfaults import CATCH_UP_SECONDS
+from soak.voterfaults import VoterFaults
+
+# Memory of the smallest instances that the users run.
+VOTER_MEMORY_MB, ENTRY_MEMORY_MB = 256, 128
+TARGETS, CALLERS = 2, 4
+CALLER_PAUSE_SECONDS = 0.02
+
+
+class VoterScenario:
+    """Runs voters, entries, targets, callers and an operator.
+
+    Callers and the operator keep their connections until the process is gone.
+
+    :param folder: directory for settings, data and logs
+    :param block: second byte of the loopback addresses
+    :param seed: seed of the random number generator
+    :param entries: number of entries
+    :param routes: routes of each configuration
+    """
+
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        block: int,
+        seed: int,
+        entries: int = 2,
+        routes: int = 350,
+    ):
+        self.folder = folder
+        self.checker = InvariantChecker()
+        self._routes = routes
+        self._block = block
+        self._cluster = Cluster(
+            folder, block, seed, entries, TARGETS, self._make_target
+        )
+        self.voters = self._cluster.voters
+        self._made = len(self.voters)
+        self.rng = random.Random(seed)
+        self.faults = VoterFaults(self, self.rng)
+        self.operator: ConfigOperator | None = None
+        self._session: aiohttp.ClientSession | None = None
+        self._number = 0
+
+    def _make_target(self, address, controls, rng) -> SoakTarget:
+        return SoakTarget(address, address, controls, self.checker, rng)
+
+    @property
+    def log(self):
+        """The scenario's own log."""
+        return self._cluster.log
+
+    async def run(self, seconds: float) -> InvariantChecker:
+        """Inject losses for some seconds; return the violations found.
+
+        At the end all voters are killed right after an acknowledgement, and
+        one of them loses its disk.
+        """
+        async with self._start():
+            tasks = [
+                asyncio.create_task(work)
+                for work in (
+                    self.operator.change_repeatedly(),
+                    self.operator.read_repeatedly(),
+                    *(self._call() for _ in range(CALLERS)),
+                )
+            ]
+            try:
+                await self.faults.inject(seconds)
+            finally:
+                for task in tasks:
+                    task.cancel()
+                ends = await asyncio.gather(*tasks, return_exceptions=True)
+            self._check_ends(ends)
+            await self.operator.change()
+            await self.faults.kill_all_and_lose_disk()
+            await self.operator.check_recovery()
+            await self.operator.change()
+            await self._check_served()
+            self.check_processes()
+        return self.checker
+
+    async def measure(self, changes: int) -> None:
+        """Make changes as fast as they are acknowledged, without a loss."""
+        async with self._start():
+            for _ in range(changes):
+                await self.operator.change()
+            self.write_peaks("changed")
+            for voter in self.voters:
+                voter.end()
+                voter.start()
+            await asyncio.sleep(CATCH_UP_SECONDS)
+            await self.operator.check_recovery()
+            self.write_peaks("restarted")
+
+    def write_peaks(self, when: str) -> None:
+        """Print the most memory that a voter and an entry have taken."""
+        processes = (*self.voters, *self._cluster.entries)
+        for role in ("voter", "entry"):
+            peaks = [p.read_peak_mb() for p in processes if p.role == role]
+            print(f"{when}: {role} {max(peaks):.0f} MB")
+
+    @contextlib.asynccontextmanager
+    async def _start(self) -> collections.abc.AsyncIterator[None]:
+        config = make_large_config(0, self._routes)
+        async with contextlib.AsyncExitStack() as stack:
+            stack.callback(self._end_added)
+            self._session = await stack.enter_async_context(
+                self._cluster.start(config)
+            )
+            self.operator = ConfigOperator(
+                self._session,
+                self._cluster.controls,
+                self.checker,
+                self.rng,
+                self._routes,
+            )
+            yield
+
+    def _end_added(self) -> None:
+        for voter in self.voters:
+            voter.end()
+
+    def add_voter(self) -> Process:
+        """Start a voter at a new address, with an empty disk."""
+        self._made += 1
+        ip = f"127.{self._block}.1.{self._made}"
+        voter = Process("voter", ip, self._cluster.controls[:3], self.folder)
+        self.voters.append(voter)
+        self._cluster.controls.append(f"{ip}:8748")
+        voter.start()
+        return voter
+
+    def remove_voter(self, voter: Process) -> None:
+        """Kill a voter that does not come back."""
+        voter.end()
+        self.voters.remove(voter)
+        self._cluster.controls.remove(f"{voter.ip}:8748")
+        for process in (*self.voters, *self._cluster.entries):
+            process.update_seeds(self._cluster.controls[:3])
+
+    async def is_serving(self, voter: Process) -> bool:
+        """Tell whether a voter accepts connections."""
+        try:
+            _, writer = await asyncio.open_connection(voter.ip, 8748)
+        except OSError:
+            return False
+        writer.close()
+        return True
+
+    def check_processes(self) -> None:
+        """Check that no process has ended, or taken too much memory."""
+        for process in (*self.voters, *self._cluster.entries):
+            if not process.alive:
+                text = f"{process.name} ended unexpectedly"
+                self.checker.violations.append(text)
+                process.start()
+                continue
+            limit = VOTER_MEMORY_MB
+            if process.role == "entry":
+                limit = ENTRY_MEMORY_MB
+            if (peak := process.read_peak_mb()) > limit:
+                text = f"{process.name} has taken {peak:.0f} MB"
+                self.checker.violations.append(text)
+
+    def _check_ends(self, ends: list) -> None:
+        for end in ends:
+            if not isinstance(end, asyncio.CancelledError):
+                self.checker.violations.append(f"a task failed: {end!r}")
+
+    async def _call(self) -> None:
+        while True:
+            await self._send()
+            await asyncio.sleep(CALLER_PAUSE_SECONDS)
+
+    async def _send(self) -> None:
+        self._number += 1
+        identity = f"r{self._number}"
+        entry = self.rng.choice(self._cluster.entries)
+        url = f"http://{entry.ip}:{CALLER_PORT}/again/{identity}"
+        try:
+            async with self._session.post(
+                url, data=b"x", headers=make_caller_headers(identity, 4000)
+            ) as answer:
+                body = await answer.read()
+                self.checker.record_answer(identity, answer.status, body)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            self.checker.record_failure(identity, error, False)
+
+    async def _check_served(self) -> None:
+        """Check that callers are served at the end."""
+        answered = self.checker.answered
+        async with asyncio.timeout(2 * SESSION_SECONDS):
+            while self.checker.answered == answered:
+                await self._send()
