Test a voter's start from a disk full of past contents

Also: the first test of the file waited for a leader, not until it had applied its log, so a change could be refused as based on an old version (seen once, at a load of 9).

--- a/packages/state/src/chivepier/state/tests/test_memory.py
+++ b/packages/state/src/chivepier/state/tests/test_memory.py
@@ -25,6 +25,10 @@
 VOTER_MEMORY_BYTES = 256 << 20
 # A configuration of 350 routes.
 CONTENT_BYTES = 80_000
+# As many as an earlier release had in its snapshot and in its log when it went
+# over its memory: at each start the next snapshot was due.
+SNAPSHOT_CONTENTS, LOG_CONTENTS = 420, 440
+ALL_CONTENTS = SNAPSHOT_CONTENTS + LOG_CONTENTS
 KEY = ("configuration", "whole")
 
 
@@ -41,13 +45,19 @@
     return encode(ChangeCommand(f"change-{number}", "", (edit,)))
 
 
-async def change(folder: pathlib.Path, numbers: range) -> int:
-    """Run one voter, commit large changes; return its peak of memory."""
+async def found(folder: pathlib.Path) -> DiskStorage:
+    """Open a voter's disk, with itself as the only voter."""
     storage = DiskStorage(folder)
     if not storage.last_index:
         command = encode(VotersCommand((Voter("v", "v"),)))
         storage.append((Entry(1, 1, command),))
         await storage.sync()
+    return storage
+
+
+async def change(folder: pathlib.Path, numbers: range) -> int:
+    """Run one voter, commit large changes; return its peak of memory."""
+    storage = await found(folder)
     replica = Replica(
         "v",
         storage,
@@ -58,7 +68,9 @@
         random.Random(0),
     )
     async with replica:
-        while not (replica.leads() and replica.machine.index):
+        while not (
+            replica.leads() and replica.machine.index >= storage.last_index
+        ):
             await asyncio.sleep(0.05)
         for number in numbers:
             document = replica.machine.documents.get(KEY)
@@ -84,18 +96,59 @@
             assert peak <= VOTER_MEMORY_BYTES
 
 
-def test_snapshot_of_an_earlier_release_loses_its_past_contents():
+async def fill_as_before(folder: pathlib.Path) -> None:
+    """Leave a disk as an earlier release did when it went over its memory.
+
+    Snapshot and log each have the contents of several hundred changes.
+    """
+    storage, machine = await found(folder), Machine()
+    machine.apply(storage.entries[0])
+    for number in range(SNAPSHOT_CONTENTS):
+        command = make_command(number, machine.index if number else 0)
+        machine.apply(Entry(1, machine.index + 1, command))
+    snapshot = add_contents(machine.take_snapshot())
+    await storage.save_snapshot(snapshot)
+    for number in range(SNAPSHOT_CONTENTS, ALL_CONTENTS):
+        command = make_command(number, storage.last_index)
+        storage.append((Entry(1, storage.last_index + 1, command),))
+        await storage.sync()
+    storage.close()
+
+
+def add_contents(snapshot: Snapshot) -> Snapshot:
+    """Give each past change of a snapshot a content of its own."""
+    fields = cbor2.loads(snapshot.data)
+    fields["history"] = [
+        (*item[:-1], random.Random(number).randbytes(CONTENT_BYTES))
+        for number, item in enumerate(fields["history"])
+    ]
+    return Snapshot(snapshot.index, snapshot.term, cbor2.dumps(fields))
+
+
+def test_start_from_a_disk_full_of_past_contents_fits_a_voters_memory(
+    tmp_path,
+):
     # Guards against a voter that goes over its memory at each start from a
     # disk that an earlier release has filled.
+    asyncio.run(fill_as_before(tmp_path))
+    context = multiprocessing.get_context("spawn")
+    with context.Pool(1, maxtasksperchild=1) as pool:
+        numbers = range(ALL_CONTENTS, ALL_CONTENTS + 1)
+        peak = pool.apply(run_changes, (str(tmp_path), numbers))
+    assert peak <= VOTER_MEMORY_BYTES
+    storage = DiskStorage(tmp_path, used=True)
+    assert make_command(numbers[0], 0)[-CONTENT_BYTES // 2 :] in (
+        storage.entries[-1].command
+    )
+
+
+def test_snapshot_of_an_earlier_release_loses_its_past_contents():
+    # Guards against contents that stay in the state for ever.
     machine = Machine()
-    machine.apply(Entry(1, 1, make_command(1, 0)))
-    snapshot = machine.take_snapshot()
-    fields = cbor2.loads(snapshot.data)
-    content = fields["documents"][0][3]
-    (item,) = fields["history"]
-    fields["history"] = [(*item[:-1], content)] * 100
-    old = Snapshot(snapshot.index, snapshot.term, cbor2.dumps(fields))
+    for number in range(10):
+        command = make_command(number, machine.index)
+        machine.apply(Entry(1, machine.index + 1, command))
     again = Machine()
-    again.restore(old)
-    assert not again.history[0].removed
+    again.restore(add_contents(machine.take_snapshot()))
+    assert len(again.history) == 10 and not again.history[0].removed
     assert len(again.take_snapshot().data) < 2 * CONTENT_BYTES
