Bound what waits for a leader's stalled disk

While the leader's disk stalls, its lease goes on, and a write that was given up is proposed again by the next call; each is held until the disk goes on. With contents of 1 MiB 40 of 40 were held.

The leader refuses a command once 16 MiB wait for its disk.

--- a/packages/state/src/chivepier/state/__init__.py
+++ b/packages/state/src/chivepier/state/__init__.py
@@ -1,6 +1,7 @@
 """The replicated log and the state it adds up to."""
 
 from chivepier.state.answer import Answer
+from chivepier.state.busyleadererror import BusyLeaderError
 from chivepier.state.claim import Claim
 from chivepier.state.damagederror import DamagedError
 from chivepier.state.diskstorage import DiskStorage
@@ -26,6 +27,7 @@
 
 __all__ = [
     "Answer",
+    "BusyLeaderError",
     "Claim",
     "MAX_COMMAND",
     "DamagedError",
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -205,7 +205,8 @@
 
         :param command: an encoded command message
         :returns: the answer of the state machine
-        :raises NotLeaderError: when this voter does not lead: not committed
+        :raises NotLeaderError: when this voter does not lead, or its disk is
+            too far behind: not committed
         :raises LostLeadError: when the lead was lost: it may be committed
         :raises ValueError: when it is too large, or changes the voters
         """
--- a/packages/state/src/chivepier/state/tenure.py
+++ b/packages/state/src/chivepier/state/tenure.py
@@ -10,6 +10,7 @@
 from chivepier.messages import Noop
 from chivepier.messages import Voter
 from chivepier.state.answer import Answer
+from chivepier.state.busyleadererror import BusyLeaderError
 from chivepier.state.core import Core
 from chivepier.state.lostleaderror import LostLeadError
 from chivepier.state.replication import Replication
@@ -19,6 +20,9 @@
 log = logbook.Logger("state")
 
 MAX_COMMAND = 4 << 20
+# Bytes of commands that may wait for a write: more than the disk takes in the
+# time for which a proposer waits.
+MAX_WAITING_BYTES = 16 << 20
 
 
 class Tenure:
@@ -39,6 +43,7 @@
         self.started = core.clock.monotonic()
         self._results: dict[int, asyncio.Future] = {}
         self._pending: list[tuple[bytes, asyncio.Future]] = []
+        self._waiting_bytes = 0
         self._work = Signal()
         self._tasks: list[asyncio.Task] = []
 
@@ -97,10 +102,16 @@
         :param command: an encoded command message
         :returns: the future of its answer
         :raises ValueError: when it is too large for the peer links
+        :raises BusyLeaderError: when too many bytes wait for the disk
         """
         if len(command) > MAX_COMMAND:
             # an entry that no frame can carry would stop replication
             raise ValueError(f"command of {len(command)} bytes")
+        if self._waiting_bytes + len(command) > MAX_WAITING_BYTES:
+            # while a disk stalls, proposers give up and propose again; all
+            # of it would be held until the disk goes on
+            raise BusyLeaderError(self._core.node)
+        self._waiting_bytes += len(command)
         future = _new_future()
         self._pending.append((command, future))
         self._work.set()
@@ -137,6 +148,7 @@
     async def _write_batch(self) -> None:
         core = self._core
         batch, self._pending = self._pending, []
+        self._waiting_bytes = 0
         entries = []
         for command, future in batch:
             index = core.storage.last_index + len(entries) + 1
--- a/packages/state/src/chivepier/state/testing/histories.py
+++ b/packages/state/src/chivepier/state/testing/histories.py
@@ -53,14 +53,15 @@
     return kind, voter
 
 
-def make_change(change_id: str, base: int = 0) -> bytes:
+def make_change(change_id: str, base: int = 0, spec: bytes = b"spec") -> bytes:
     """Make a change of one document.
 
     :param change_id: also the document's name
     :param base: the version it is based on
+    :param spec: the document's content
     :returns: the encoded command
     """
-    edit = Edit("team", change_id, base, b"spec")
+    edit = Edit("team", change_id, base, spec)
     return encode(ChangeCommand(change_id, "op", (edit,)))
 
 
--- a/packages/state/src/chivepier/state/tests/test_voterchanges.py
+++ b/packages/state/src/chivepier/state/tests/test_voterchanges.py
@@ -8,11 +8,15 @@
 from chivepier.messages import encode
 from chivepier.messages import Voter
 from chivepier.messages import VotersCommand
+from chivepier.state.busyleadererror import BusyLeaderError
 from chivepier.state.notleadererror import NotLeaderError
 from chivepier.state.testing.histories import make_change
 from chivepier.state.testing.rig import Rig
 from chivepier.types import RequestError
 
+# An eighth of what the smallest instance with a disk has in memory.
+MAX_HELD_BYTES = 32 << 20
+
 
 def test_second_voter_lost_right_after_the_repair_loses_nothing():
     """A disk is lost, replaced, and at "repaired" another one is lost.
@@ -243,3 +247,28 @@
             assert silence == pytest.approx(passed, abs=0.5)
 
     asyncio.run(play())
+
+
+def test_commands_that_wait_for_a_stalled_disk_are_bounded():
+    # Guards against a leader that holds all that is proposed again and again
+    # while its disk stalls.
+    async def play():
+        async with Rig(1) as rig:
+            leader = await rig.await_leader()
+            command = make_change("c", spec=bytes(1 << 20))
+            async with leader._core.lock:
+                waiting = [
+                    asyncio.ensure_future(leader.propose(command))
+                    for _ in range(40)
+                ]
+                await asyncio.sleep(0)
+                refused = [w for w in waiting if w.done()]
+                held = len(command) * (len(waiting) - len(refused))
+                assert held <= MAX_HELD_BYTES
+                for work in refused:
+                    assert isinstance(work.exception(), BusyLeaderError)
+            kept = [w for w in waiting if w not in refused]
+            await rig.wait(lambda: all(w.done() for w in kept))
+            assert (await rig.propose(make_change("d"))).error == ""
+
+    asyncio.run(play())
