--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -51,6 +51,7 @@
 from chivepier.messages import SnapshotRequest
 from chivepier.messages import VoteRequest
 from chivepier.state import Machine
+from chivepier.state import RecentEntries
 from chivepier.state import Replica
 from chivepier.state import Timing
 from chivepier.types import Clock
@@ -141,7 +142,8 @@
         self.replica = Replica(
             identity.node,
             storage,
-            Machine(),
+            # Entries fetch the newest configuration, not the log.
+            Machine(RecentEntries(max_entries=0)),
             links,
             self._clock,
             Timing(),
--- a/packages/state/src/chivepier/state/__init__.py
+++ b/packages/state/src/chivepier/state/__init__.py
@@ -14,6 +14,7 @@
 from chivepier.state.machine import Machine
 from chivepier.state.membersets import MemberSets
 from chivepier.state.notleadererror import NotLeaderError
+from chivepier.state.recententries import RecentEntries
 from chivepier.state.replica import Replica
 from chivepier.state.role import Role
 from chivepier.state.snapshot import Snapshot
@@ -39,6 +40,7 @@
     "Machine",
     "MemberSets",
     "NotLeaderError",
+    "RecentEntries",
     "Replica",
     "Role",
     "Snapshot",
--- a/packages/state/src/chivepier/state/machine.py
+++ b/packages/state/src/chivepier/state/machine.py
@@ -50,9 +50,11 @@
     ``epoch_watchers`` are called in the middle of a batch, at each epoch:
     who looks only after the batch misses that it lost a shard in between.
     A snapshot skips epochs; they are called with ``True`` then.
+
+    :param recent: keeps the newest entries for nodes without a disk
     """
 
-    def __init__(self) -> None:
+    def __init__(self, recent: RecentEntries | None = None) -> None:
         self.index = 0
         self.term = 0
         self.version = 0
@@ -71,7 +73,7 @@
         self.history: collections.deque[HistoryItem] = collections.deque(
             maxlen=KEPT_HISTORY
         )
-        self.recent = RecentEntries()
+        self.recent = RecentEntries() if recent is None else recent
 
     def apply(self, entry: Entry) -> Answer:
         """Apply the next committed entry.
