Disturb entries and reload voters beside the losses of the soak

Entries are killed, stopped and paused, and voters read their settings again, while voters are lost and replaced.

--- a/soak/voterfaults.py
+++ b/soak/voterfaults.py
@@ -20,6 +20,8 @@
 GRACE_SECONDS = 8.0
 # Longest time for which a voter is down, and for which it stands still.
 MAX_DOWN_SECONDS, MAX_FREEZE_SECONDS = 3.0, 6.0
+# Longest pause between two disturbances beside the losses.
+MAX_QUIET_SECONDS = 3.0
 # Longest time that a process takes to start on a busy machine.
 MAX_START_SECONDS = 30.0
 
@@ -35,6 +37,7 @@
         self._scenario = scenario
         self._rng = rng
         self.names: list[str] = []
+        self.disturbed: Process | None = None
         self._kinds = (
             self.replace_planned,
             self.replace_planned,
@@ -65,6 +68,36 @@
             await fault()
             self._scenario.check_processes()
 
+    async def disturb(self, entries: list[Process]) -> None:
+        """Disturb what is no loss of a voter beside the losses."""
+        while True:
+            await asyncio.sleep(self._rng.uniform(0.0, MAX_QUIET_SECONDS))
+            if self._rng.random() < 0.3:
+                await self._reload(self._rng.choice(self._scenario.voters))
+                continue
+            self.disturbed = self._rng.choice(entries)
+            try:
+                await self._disturb_entry(self.disturbed)
+            finally:
+                self.disturbed = None
+
+    async def _reload(self, voter: Process) -> None:
+        # before it handles the signal, a process ends by it
+        if voter.handles_signal(signal.SIGHUP):
+            voter.signal(signal.SIGHUP)
+
+    async def _disturb_entry(self, entry: Process) -> None:
+        match self._rng.choice(("kill", "stop", "freeze")):
+            case "kill":
+                entry.end()
+            case "stop":
+                await self._stop(entry)
+            case "freeze":
+                entry.signal(signal.SIGSTOP)
+                await asyncio.sleep(self._rng.uniform(0.1, 3.0))
+                entry.signal(signal.SIGCONT)
+        entry.start()
+
     def _draw(self) -> collections.abc.Callable:
         if self._required:
             return self._required.pop(0)
--- a/soak/voterscenario.py
+++ b/soak/voterscenario.py
@@ -5,6 +5,7 @@
 import contextlib
 import pathlib
 import random
+import signal
 
 import aiohttp
 
@@ -81,6 +82,7 @@
                 for work in (
                     self.operator.change_repeatedly(),
                     self.operator.read_repeatedly(),
+                    self.faults.disturb(self._cluster.entries),
                     *(self._call() for _ in range(CALLERS)),
                 )
             ]
@@ -91,6 +93,7 @@
                     task.cancel()
                 ends = await asyncio.gather(*tasks, return_exceptions=True)
             self._check_ends(ends)
+            self._restore_entries()
             await self.operator.change()
             await self.faults.kill_all_and_lose_disk()
             await self.operator.check_recovery()
@@ -167,9 +170,16 @@
         writer.close()
         return True
 
+    def _restore_entries(self) -> None:
+        for entry in self._cluster.entries:
+            entry.signal(signal.SIGCONT)
+            entry.start()
+
     def check_processes(self) -> None:
         """Check that no process has ended, or taken too much memory."""
         for process in (*self.voters, *self._cluster.entries):
+            if process is self.faults.disturbed:
+                continue
             if not process.alive:
                 text = f"{process.name} ended unexpectedly"
                 self.checker.violations.append(text)
