--- a/soak/configoperator.py
+++ b/soak/configoperator.py
@@ -1,6 +1,8 @@
 """An operator that changes a large configuration all the time."""
 
 import asyncio
+import collections.abc
+import contextlib
 import json
 import random
 import time
@@ -58,6 +60,7 @@
         self._rng = rng
         self._routes = routes
         self._timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
+        self._served_since = 0.0
         self.sent = self.acknowledged = 0
         self.ack_seconds: list[float] = []
 
@@ -67,6 +70,15 @@
             await self.change()
             await asyncio.sleep(self._rng.uniform(0.0, MAX_PAUSE_SECONDS))
 
+    @contextlib.contextmanager
+    def expect_no_service(self) -> collections.abc.Iterator[None]:
+        """Wait for no acknowledgement while more is lost than is borne."""
+        self._served_since = float("inf")
+        try:
+            yield
+        finally:
+            self._served_since = time.monotonic()
+
     async def change(self) -> None:
         """Send one change until a voter acknowledges it."""
         self.sent += 1
@@ -74,7 +86,7 @@
         body = json.dumps(make_large_config(version, self._routes)).encode()
         began, is_late = time.monotonic(), False
         while not await self._put(version, body):
-            waited = time.monotonic() - began
+            waited = time.monotonic() - max(began, self._served_since)
             if waited > RECOVER_SECONDS + TOUCH_SECONDS and not is_late:
                 is_late = True
                 text = f"version {version} not acknowledged in {waited:.1f} s"
--- a/soak/voterfaults.py
+++ b/soak/voterfaults.py
@@ -78,6 +78,10 @@
             self.disturbed = self._rng.choice(entries)
             try:
                 await self._disturb_entry(self.disturbed)
+            except asyncio.CancelledError:
+                # it may be about to stop
+                self.disturbed.end()
+                raise
             finally:
                 self.disturbed = None
 
@@ -92,6 +96,7 @@
                 entry.end()
             case "stop":
                 await self._stop(entry)
+                entry.end()
             case "freeze":
                 entry.signal(signal.SIGSTOP)
                 await asyncio.sleep(self._rng.uniform(0.1, 3.0))
@@ -180,14 +185,15 @@
         await self._end_all(self._rng.choice(self._scenario.voters))
 
     async def _end_all(self, wiped: Process | None = None) -> None:
-        for voter in self._scenario.voters:
-            voter.end()
-        if wiped is not None:
-            self._delete_data(wiped)
-        await asyncio.sleep(self._rng.uniform(0.0, 1.0))
-        for voter in self._scenario.voters:
-            voter.start()
-        await self._await_all(self._scenario.voters)
+        with self._scenario.operator.expect_no_service():
+            for voter in self._scenario.voters:
+                voter.end()
+            if wiped is not None:
+                self._delete_data(wiped)
+            await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+            for voter in self._scenario.voters:
+                voter.start()
+            await self._await_all(self._scenario.voters)
 
     async def _await_all(
         self, voters: collections.abc.Iterable[Process]
--- a/soak/voters.py
+++ b/soak/voters.py
@@ -57,6 +57,7 @@
         f" broken {len(seen.violations)}",
         flush=True,
     )
+    (folder / "violations").write_text("\n".join(seen.violations))
     if not seen.violations:
         shutil.rmtree(folder)
         return True
