Let voters that have joined give up and get back their votes

A voter that has joined does not know the cluster's name; only the seeds do. Asked by a seed, a leader that has joined took it for one of another cluster: a seed whose vote was taken while it was away never got it again under such a leader. And a successor that stops kept its vote, as its request lacks the name. Found on reading the diff.

Only two names that differ are of two clusters, as in the log's messages.

--- a/packages/gateway/src/chivepier/gateway/control/membership.py
+++ b/packages/gateway/src/chivepier/gateway/control/membership.py
@@ -154,7 +154,7 @@
         :returns: whether the instance is a voter, and the current voters
         """
         replica = self._replica
-        if not request.cluster or request.cluster == replica.cluster:
+        if self._is_own_cluster(request.cluster):
             voter = Voter(request.node, request.address)
             now = self._clock.monotonic()
             self._watch.note_start(request.node)
@@ -166,6 +166,11 @@
             tuple(v.address for v in voters),
         )
 
+    def _is_own_cluster(self, cluster: str) -> bool:
+        # a node that has joined does not know the cluster's name
+        own = self._replica.cluster
+        return not cluster or not own or cluster == own
+
     async def leave(self) -> None:
         """Give up this node's vote before a planned stop.
 
@@ -194,7 +199,7 @@
         :returns: whether it may stop
         """
         replica, node = self._replica, request.node
-        if request.cluster != replica.cluster or not replica.leads():
+        if not self._is_own_cluster(request.cluster) or not replica.leads():
             return LeaveAnswer(False)
         self._watch.note_stop(node)
         self._candidates.pop(node, None)
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_membership.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_membership.py
@@ -11,6 +11,7 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import Peers
 from chivepier.gateway.messages import JoinAnswer
+from chivepier.gateway.messages import JoinRequest
 from chivepier.gateway.messages import LeaveRequest
 from chivepier.messages import Voter
 from chivepier.messages import VoterState
@@ -110,6 +111,10 @@
             return 0.0
         return now - self._silent_at.setdefault(node, now)
 
+    async def add(self, voter: Voter) -> None:
+        """Add a voter."""
+        self.voters.append(voter)
+
     async def remove(self, node: str) -> None:
         """Remove a voter."""
         self.voters = [v for v in self.voters if v.node != node]
@@ -162,3 +167,16 @@
     request = LeaveRequest("v1", "another")
     asyncio.run(leader.membership.handle_leave(request))
     assert leader.run_seconds(60.0) == 4
+
+
+@pytest.mark.parametrize(("own", "asking"), (("", "c"), ("c", "")))
+def test_voter_is_known_where_one_side_lacks_the_clusters_name(own, asking):
+    # Guards against a vote that is neither given up nor given back where the
+    # leader or the asking voter has joined later.
+    leader = LeadingNode(4)
+    leader.cluster = own
+    membership = leader.membership
+    asyncio.run(membership.handle_leave(LeaveRequest("v1", asking)))
+    assert len(leader.voters) == 3
+    membership.handle(JoinRequest("v1", "10.0.0.1:7", asking))
+    assert leader.run_seconds(2.0) == 4
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_replacements.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_replacements.py
@@ -98,6 +98,22 @@
     play(test, tmp_path)
 
 
+def test_successor_that_stops_in_order_gives_its_vote_up(tmp_path):
+    # Guards against a vote that is kept by a voter that has joined, which
+    # does not know the cluster's name.
+    async def test(fleet):
+        await fleet.write(3, "kept")
+        fresh = fleet.make_address()
+        await fleet.start(fresh)
+        await wait_until(fleet.voters[fresh].replica.votes)
+        await fleet.stop_in_order(fresh)
+        await wait_until(lambda: fleet.find_leader() is not None)
+        voters = fleet.find_leader().replica.voters
+        assert fresh not in {voter.address for voter in voters}
+
+    play(test, tmp_path)
+
+
 @pytest.mark.parametrize("in_order", (True, False))
 def test_all_voters_replaced_in_series_leave_a_quorum(tmp_path, in_order):
     # Guards against votes that pile up with each replacement.
