--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 import typing
 
 from soak.answerfaults import AnswerFault
+from soak.faultdraw import FaultDraw
 from soak.loadreporter import MODES
 from soak.nonsense import write_nonsense
 from soak.partchecker import PartChecker
@@ -55,8 +56,7 @@
         self._soak = soak
         self._rng = soak.rng
         self.names: list[str] = []
-        self._required: list[collections.abc.Callable] = []
-        self._kinds = (
+        kinds = (
             self.kill,
             self.freeze,
             self.stop,
@@ -68,26 +68,27 @@
             self.hang_up,
         )
         if fault_set > FIRST_SET:
-            self._kinds += (self.restart_target, self.write_nonsense)
+            kinds += (self.restart_target, self.write_nonsense)
         self._cold = fault_set > RESTART_SET
         if self._cold:
-            self._kinds += (self.evacuate, self.turn_cold)
+            kinds += (self.evacuate, self.turn_cold)
         if fault_set > COLD_SET:
-            self._kinds += (self.need, self.need)
+            kinds += (self.need, self.need)
         if fault_set > NEED_SET:
-            self._kinds += (self.rest, self.rest, self.leave)
+            kinds += (self.rest, self.rest, self.leave)
         if fault_set > REST_SET:
-            self._kinds += (self.misreport, self.misreport)
+            kinds += (self.misreport, self.misreport)
         if fault_set > MISREPORT_SET:
-            self._kinds += (self.cut_off, self.cut_off)
+            kinds += (self.cut_off, self.cut_off)
         if fault_set > CUT_SET:
-            self._kinds += (self.drop_lengths, self.drop_lengths)
-            self._kinds += (self.change_version, self.change_version)
-            self._kinds += (self.wipe_in_blackout,)
+            kinds += (self.drop_lengths, self.drop_lengths)
+            kinds += (self.change_version, self.change_version)
+            kinds += (self.wipe_in_blackout,)
         if fault_set > VERSION_SET:
-            self._kinds += (self.crash_on_part,)
+            kinds += (self.crash_on_part,)
         if fault_set > PART_SET:
-            self._kinds += (self.misanswer, self.misanswer)
+            kinds += (self.misanswer, self.misanswer)
+        self._draw = FaultDraw(self._rng, kinds)
         self._versions = 1
         self._evacuation: asyncio.Task | None = None
         self._crashing: asyncio.Task | None = None
@@ -98,15 +99,15 @@
 
         :param names: names of methods of this class
         """
-        self._kinds = tuple(getattr(self, name) for name in names)
-        self._required = list(self._kinds)
+        kinds = tuple(getattr(self, name) for name in names)
+        self._draw.keep_only(kinds)
 
     async def inject(self, seconds: float) -> None:
         """Inject faults one after the other for some seconds."""
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             self._restart_ended()
-            fault = self._draw()
+            fault = self._draw.draw()
             self.names.append(fault.__name__)
             await fault()
             await asyncio.sleep(self._rng.uniform(0.0, 1.0))
@@ -119,13 +120,6 @@
                 self._soak.checker.violations.append(text)
                 process.start()
 
-    def _draw(self) -> collections.abc.Callable:
-        # Callers draw from the same generator in an order that varies between
-        # runs, so a required fault might otherwise never be drawn.
-        if self._required:
-            return self._required.pop(0)
-        return self._rng.choice(self._kinds)
-
     async def finish(self) -> None:
         """Wait for the faults that run in the background."""
         if self._evacuation is not None:
--- a/soak/voterfaults.py
+++ b/soak/voterfaults.py
@@ -9,6 +9,7 @@
 import typing
 
 from soak.configoperator import RECOVER_SECONDS
+from soak.faultdraw import FaultDraw
 from soak.process import Process
 
 if typing.TYPE_CHECKING:
@@ -38,7 +39,7 @@
         self._rng = rng
         self.names: list[str] = []
         self.disturbed: Process | None = None
-        self._kinds = (
+        kinds = (
             self.replace_planned,
             self.replace_planned,
             self.replace_lost,
@@ -49,21 +50,21 @@
             self.roll,
             self.kill_all,
         )
-        self._required: list[collections.abc.Callable] = []
+        self._draw = FaultDraw(rng, kinds)
 
     def keep_only(self, *names: str) -> None:
         """Restrict the losses: inject each once, then draw among them.
 
         :param names: names of methods of this class
         """
-        self._kinds = tuple(getattr(self, name) for name in names)
-        self._required = list(self._kinds)
+        kinds = tuple(getattr(self, name) for name in names)
+        self._draw.keep_only(kinds)
 
     async def inject(self, seconds: float) -> None:
         """Inject losses for some seconds, one after the other."""
         end = time.monotonic() + seconds
         while time.monotonic() < end:
-            fault = self._draw()
+            fault = self._draw.draw()
             self._note(fault.__name__)
             await fault()
             self._scenario.check_processes()
@@ -103,11 +104,6 @@
                 entry.signal(signal.SIGCONT)
         entry.start()
 
-    def _draw(self) -> collections.abc.Callable:
-        if self._required:
-            return self._required.pop(0)
-        return self._rng.choice(self._kinds)
-
     def _note(self, name: str) -> None:
         self.names.append(name)
         self._scenario.log.write("fault", name=name)
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -120,3 +120,12 @@
 def test_unknown_settings_and_empty_values_are_accepted():
     found = SettingsFile.parse("new.thing=1\n\nempty=\n")
     assert found.values == {"new.thing": "1", "empty": ""}
+
+
+def test_tolerated_losses_are_those_of_single_machines():
+    # Guards against a vote taken as spare where a lost zone takes more disks.
+    machines = {"fault-tolerance.machines": "2"}
+    told = make_file(**machines).make_voter_settings()
+    assert told.tolerated_losses == 2
+    zone = machines | {"fault-tolerance.zones": "1"}
+    assert make_file(**zone).make_voter_settings().tolerated_losses is None
