--- a/packages/gateway/src/chivepier/gateway/control/membership.py
+++ b/packages/gateway/src/chivepier/gateway/control/membership.py
@@ -179,18 +179,20 @@
         self._stops = True
         request = LeaveRequest(self._replica.node, self._replica.cluster)
         deadline = self._clock.monotonic() + LEAVE_TIMEOUT_SECONDS
+        reason = "another change of the voters was under way"
         while (remaining := deadline - self._clock.monotonic()) > 0:
             try:
                 answer = await self._leader.request(
                     request, remaining, self.handle_leave
                 )
             except (LinkError, TimeoutError) as error:
-                self._log.warn("leave_lost", error=repr(error))
+                reason = repr(error)
             else:
                 if answer.settled:
                     self._log.info("seat_left", votes=self._replica.votes())
                     return
             await self._clock.sleep(LEAVE_RETRY_SECONDS)
+        self._log.warn("leave_lost", reason=reason)
 
     async def handle_leave(self, request: LeaveRequest) -> LeaveAnswer:
         """Remove a voter that is about to stop, if the others can spare it.
