End a run of the voters' soak that has no quorum

Played on the code of the test has no quorum at its end and waited for an acknowledgement for ever; pytest ended its worker after 150 s, and its processes stayed. The end has 60 s now, and its lack is a violation.

--- a/soak/voterscenario.py
+++ b/soak/voterscenario.py
@@ -25,6 +25,8 @@
 VOTER_MEMORY_MB, ENTRY_MEMORY_MB = 256, 128
 TARGETS, CALLERS = 2, 4
 CALLER_PAUSE_SECONDS = 0.02
+# Longest time for the loss at the end; without a quorum it would never come.
+MAX_END_SECONDS = 60.0
 
 
 class VoterScenario:
@@ -94,14 +96,21 @@
                 ends = await asyncio.gather(*tasks, return_exceptions=True)
             self._check_ends(ends)
             self._restore_entries()
-            await self.operator.change()
-            await self.faults.kill_all_and_lose_disk()
-            await self.operator.check_recovery()
-            await self.operator.change()
-            await self._check_served()
-            self.check_processes()
+            try:
+                async with asyncio.timeout(MAX_END_SECONDS):
+                    await self._lose_disk_at_the_end()
+            except TimeoutError:
+                self.checker.violations.append("no end was reached in time")
         return self.checker
 
+    async def _lose_disk_at_the_end(self) -> None:
+        await self.operator.change()
+        await self.faults.kill_all_and_lose_disk()
+        await self.operator.check_recovery()
+        await self.operator.change()
+        await self._check_served()
+        self.check_processes()
+
     async def measure(self, changes: int) -> None:
         """Make changes as fast as they are acknowledged, without a loss."""
         async with self._start():
