Ask a target whether it lives after each end of a body without a length

Cause: the witness asked the target only if another of its connections had broken in the same moment. The system closes the connections of a killed process in order, so none has.

Evidence: new tests at the socket (a target that closes its listener and all connections: 3 of 3 fail on the code before) and without a network (4 fail before). Ruled out: a reset that is lost on the way; the same ends by a reset were told truly before.

Where the target may not be asked or does not say, a connection that broke in the same moment decides as before.

Two tests asked that no probe is made where nothing else breaks; that was the fault. They ask for exactly one now, and new ones that ends of one moment share it. The rest of both files is unchanged.

A connection more for each such body is the price.

--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -118,7 +118,7 @@
         self.clock = clock
         self.log = log
         self.continuations = Continuations(table, state, clock, log, metrics)
-        self.witness = EndWitness(table, calls.probe, mover.count_runs, clock)
+        self.witness = EndWitness(table, calls.probe, clock)
         self._assignments = AssignmentLog(balancer, clock, log)
         self._attempts = AttemptRecorder(table, health, balancer, clock, log)
         self._refusals = RefusalLog(log, metrics)
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -84,10 +84,6 @@
         """Track a generation on its current target."""
         self._runs.setdefault(run.target.instance, set()).add(run)
 
-    def count_runs(self, instance: str) -> int:
-        """Return the number of generations at a target."""
-        return len(self._runs.get(instance, ()))
-
     def remove(self, run: LiveRun) -> None:
         """Stop tracking a generation on its current target."""
         runs = self._runs.get(run.target.instance, set())
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -197,6 +197,23 @@
         ended = target.instance in self.ended
         return Liveness.ENDED if ended else Liveness.LIVES
 
+    def hold_probe(self) -> tuple[asyncio.Event, asyncio.Event]:
+        """Delay the answer of the next probe, which was made before that.
+
+        :returns: set once the probe was made; lets its answer come once set
+        """
+        probe, began, goes_on = self.probe, asyncio.Event(), asyncio.Event()
+
+        async def probe_late(target):
+            self.probe = probe
+            liveness = await probe(target)
+            began.set()
+            await goes_on.wait()
+            return liveness
+
+        self.probe = probe_late
+        return began, goes_on
+
     async def drop(self, target, handle, contact) -> bool:
         """Free a copy."""
         contact.begin()
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
@@ -70,11 +70,69 @@
         await finish(task, run, 1)
         assert caller.finished and caller.numbers == [1, 2, 3]
         assert parts.read_lines("target_lost") == []
-        assert parts.engines.probed == []
+        assert parts.engines.probed == [run.target]
 
     play(test, "a", "b")
 
 
+def test_stream_without_a_length_of_a_killed_target_is_cut_off():
+    # The system closes all connections of a killed process in order.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        parts.engines.ended.add(run.target)
+        run.end()
+        await task
+        assert caller.aborted and not caller.finished
+        assert len(parts.read_lines("target_lost")) == 1
+
+    play(test, "a", "b")
+
+
+def test_stream_without_a_length_of_a_killed_target_goes_on_elsewhere():
+    # A stream that may be resumed was ended where its target was killed.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts, "/resume/x")
+        parts.engines.ended.add(run.target)
+        run.end()
+        fresh = await parts.engines.wait_run(2)
+        assert fresh.target != run.target
+        await finish(task, fresh, 2)
+        assert caller.numbers == [1, 2, 3, 4]
+        assert caller.finished and not caller.aborted
+
+    play(test, "a", "b")
+
+
+def test_streams_that_end_in_one_moment_share_a_probe():
+    # Many ends at once must not cost a connection each.
+    async def test(parts):
+        caller, task, run, neighbour, waiting = await start_two_streams(parts)
+        run.end()
+        neighbour.end()
+        await asyncio.gather(task, waiting)
+        assert caller.finished
+        assert parts.engines.probed == [run.target]
+
+    play(test, "a")
+
+
+def test_probe_that_began_before_an_end_does_not_count_for_it():
+    # The target was killed while it was being probed for an earlier end.
+    async def test(parts):
+        caller, task, run, neighbour, waiting = await start_two_streams(parts)
+        began, goes_on = parts.engines.hold_probe()
+        run.end()
+        await began.wait()
+        parts.engines.ended.add(run.target)
+        neighbour.end()
+        goes_on.set()
+        await asyncio.gather(task, waiting)
+        assert caller.finished
+        assert len(parts.read_lines("target_lost")) == 1
+
+    play(test, "a")
+
+
 async def start_two_streams(parts):
     """Start a stream and a neighbour at one target, each with two events.
 
@@ -119,13 +177,13 @@
 
 
 def test_close_between_events_counts_when_neighbours_go_on():
-    # Of a target whose other streams go on there is nothing to be asked.
+    # Of a target whose other streams go on one probe is enough.
     async def test(parts):
         caller, task, run, neighbour, waiting = await start_two_streams(parts)
         run.end()
         await task
         assert caller.finished and not caller.aborted
-        assert parts.engines.probed == []
+        assert parts.engines.probed == [run.target]
         await finish(waiting, neighbour, 1)
 
     play(test, "a")
@@ -143,15 +201,17 @@
     play(test, "a")
 
 
+@pytest.mark.parametrize("breaks", (True, False))
 @pytest.mark.parametrize("ended", (True, False))
-def test_plain_body_counts_only_if_its_target_lives(ended):
+def test_plain_body_counts_only_if_its_target_lives(ended, breaks):
     # A plain body has no events, so only what else the target does can tell.
     async def test(parts):
         parts.engines.facts = WITHOUT_LENGTH
         caller, task = parts.start(make_request("/plain/x"))
         run = await parts.engines.wait_run(1)
         run.make(0, "half of it")
-        parts.dispatcher.witness.note_break(parts.table.get(run.target))
+        if breaks:
+            parts.dispatcher.witness.note_break(parts.table.get(run.target))
         if ended:
             parts.engines.ended.add(run.target)
         run.end()
--- a/tests/adapter/rawtarget.py
+++ b/tests/adapter/rawtarget.py
@@ -24,6 +24,7 @@
         self.connections = 0
         self.address = ""
         self.reader: asyncio.StreamReader | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def __aenter__(self) -> "RawTarget":
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -34,9 +35,16 @@
     async def __aexit__(self, *exc) -> None:
         self._server.close()
 
+    def kill(self) -> None:
+        """Close all that is open, as the system does for a killed process."""
+        self._server.close()
+        for writer in self._writers:
+            writer.close()
+
     async def _serve(self, reader, writer) -> None:
         self.connections += 1
         self.reader = reader
+        self._writers.add(writer)
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
--- a/tests/adapter/test_streamends.py
+++ b/tests/adapter/test_streamends.py
@@ -262,3 +262,50 @@
 
     run(test_closed, serve_body(b"abc"))
     run(test_reset, serve_body(b"abc", end=rawtarget.reset))
+
+
+def kill_after(raw: list[rawtarget.RawTarget], *parts: bytes):
+    """Return a script that ends its target after parts of a body."""
+
+    async def script(head, writer):
+        await serve_body(*parts, end=lambda _: raw[0].kill())(head, writer)
+
+    return script
+
+
+def run_killed(test, *parts: bytes) -> None:
+    """Run a test with a target that is killed after parts of a body."""
+    raw: list[rawtarget.RawTarget] = []
+
+    async def work(fixture):
+        raw.append(fixture.raw)
+        await test(fixture)
+
+    run(work, kill_after(raw, *parts))
+
+
+def test_stream_without_a_length_of_a_killed_target_does_not_look_whole():
+    # The system closes the connections of a killed process in order.
+    async def test(fixture):
+        head, body, whole = await call(fixture, "/stream/x")
+        assert head.startswith(b"HTTP/1.1 200")
+        assert body == EVENTS[0]
+        assert not whole
+
+    run_killed(test, EVENTS[0])
+
+
+@pytest.mark.parametrize(
+    "path, statuses",
+    (("/once/x", (b"502",)), ("/again/x", (b"502", b"503"))),
+    ids=("once", "again"),
+)
+def test_plain_answer_without_a_length_of_a_killed_target_fails(
+    path, statuses
+):
+    # Half of a plain answer was passed on as the whole one.
+    async def test(fixture):
+        head, _, _ = await call(fixture, path)
+        assert head.split(b" ")[1] in statuses
+
+    run_killed(test, b"abc")
