Refuse connections to a target of the soak that is away

Seen: a target of the soak that had crashed accepted connections and closed them, as the proxy in front of it lived on. Whoever asked whether it lives got a wrong answer, so a stream that it had cut between two events looked whole to its entry, with nothing that could tell it otherwise.

Change: the proxies and links in front of a target stop listening while it is away, and listen again when it is back, unless they are cut. On the users' machines nothing stands between entries and targets.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -57,6 +57,7 @@
         self._upstream = upstream
         self._rng = rng
         self.held = Hold()
+        self._refuses = False
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task] = set()
@@ -68,8 +69,22 @@
         self.address = f"{host}:{port}"
         return self
 
+    def refuse(self) -> None:
+        """Refuse new connections, as a process that has ended does."""
+        self._refuses = True
+        if self._server is not None:
+            self._server.close()
+
+    async def accept_again(self) -> None:
+        """Accept new connections if they were refused."""
+        if self._refuses:
+            self._refuses = False
+            await self.listen()
+
     async def listen(self) -> None:
         """Accept connections, again if that was ended."""
+        if self._refuses:
+            return
         host, port = self.address.split(":")
         self._server = await asyncio.start_server(
             self._accept, host, int(port)
--- a/soak/run.py
+++ b/soak/run.py
@@ -157,6 +157,8 @@
             self.links = link_entries(self.entries, addresses, self.rng)
             for link in itertools.chain(*self.links.values()):
                 link.senders = self.senders
+        for target, proxy in zip(self.targets, self.proxies):
+            target.proxies = [proxy, *self._find_links(proxy)]
         self.tries: list[FirstTry] = []
         self.evacuations = EvacuationOperator(self.controls, self.rng)
         for number, target in enumerate(self.targets, 1):
@@ -174,6 +176,10 @@
         self.part_crashes = 0
         self.faults = Faults(self, kinds)
 
+    def _find_links(self, proxy: Proxy) -> list[TargetLink]:
+        links = itertools.chain(*self.links.values())
+        return [link for link in links if link.leads_to(proxy.address)]
+
     def check_first_tries(self, cut_off: list[Process], began: float) -> None:
         """Check that callers of entries without targets are served.
 
--- a/soak/target.py
+++ b/soak/target.py
@@ -21,6 +21,7 @@
 from soak.loadreporter import LoadReporter
 from soak.loadreporter import SLOTS
 from soak.partchecker import PartChecker
+from soak.proxy import Proxy
 from soak.runlog import RunLog
 from soak.senders import Senders
 from soak.signalchecker import SignalChecker
@@ -83,6 +84,7 @@
         self._crashed: asyncio.Task | None = None
         self.log: RunLog | None = None
         self.senders = Senders()
+        self.proxies: list[Proxy] = []
         self.is_evacuated: IsEvacuated = lambda zone: False
         self._cold = ColdChecker(checker.violations)
         self.signals = SignalChecker(violations=checker.violations)
@@ -111,15 +113,22 @@
         self._listener = await loop.create_server(
             self._server, host, int(port)
         )
+        for proxy in self.proxies:
+            await proxy.accept_again()
         self._task = asyncio.create_task(self._announce())
         return self
 
     async def __aexit__(self, *exc) -> None:
         if self._crashed is not None and not self._restart_lock.locked():
             self._crashed.cancel()
+        self._stop_listening()
+        await self._server.shutdown(0.1)
+
+    def _stop_listening(self) -> None:
         self._task.cancel()
         self._listener.close()
-        await self._server.shutdown(0.1)
+        for proxy in self.proxies:
+            proxy.refuse()
 
     async def start_anew(self) -> None:
         """Start under a name of its own, as most engines do at each start."""
@@ -182,8 +191,7 @@
 
     def crash(self) -> None:
         """Abort all connections and running requests at once."""
-        self._task.cancel()
-        self._listener.close()
+        self._stop_listening()
         for connection in list(self._server.connections):
             if connection.transport is not None:
                 connection.transport.abort()
--- a/soak/targetlink.py
+++ b/soak/targetlink.py
@@ -48,6 +48,10 @@
         self.held.clear()
         await super().__aexit__(*exc)
 
+    def leads_to(self, address: str) -> bool:
+        """Tell whether the link ends at an address."""
+        return self._upstream == address
+
     def _find_sender(self, writer: asyncio.StreamWriter) -> str | None:
         """Return the entry whose link this is."""
         return self.entry
@@ -67,8 +71,13 @@
         """End the cut; bytes that were held back arrive."""
         self._stop_hanging()
         self.held.clear()
-        await self.listen()
         self.is_cut = False
+        await self.listen()
+
+    async def listen(self) -> None:
+        """Accept connections, unless the link is cut."""
+        if not self.is_cut:
+            await super().listen()
 
     def _hang(self) -> None:
         host, port = self.address.split(":")
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -178,3 +178,17 @@
             writer.close()
 
     asyncio.run(work())
+
+
+def test_proxy_of_an_ended_process_refuses_until_it_is_back():
+    # A target that had been killed looked alive through its proxy.
+    async def test(proxy, echo):
+        proxy.refuse()
+        with pytest.raises(ConnectionRefusedError):
+            await connect(proxy)
+        await proxy.accept_again()
+        reader, writer = await connect(proxy)
+        assert await exchange(reader, writer, b"abc") == b"abc"
+        writer.close()
+
+    run_scenario(test)
