--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -156,8 +156,10 @@
 
 
 def _reset(writer: asyncio.StreamWriter) -> None:
+    sock = writer.get_extra_info("socket")
+    if sock.fileno() < 0:
+        return
     # With a linger time of zero, closing sends a reset to the peer.
-    writer.get_extra_info("socket").setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     writer.transport.abort()
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import random
 import socket
 import struct
@@ -177,7 +178,13 @@
                 await reader.read()
             writer.close()
 
-    asyncio.run(work())
+    failures = []
+    loop = asyncio.new_event_loop()
+    loop.set_exception_handler(lambda _, context: failures.append(context))
+    loop.run_until_complete(work())
+    gc.collect()
+    loop.close()
+    assert not failures
 
 
 def test_proxy_of_an_ended_process_refuses_until_it_is_back():
