Count the targets that a resumed stream runs on

Cause: attempts were counted up to the first event only. A stream that broke off went on at one target after the other while the service's budget lasted, and other entries were told that one target had run it.

Change: one count for a stream's whole life, at whichever entry.

--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -8,6 +8,7 @@
 from chivepier.gateway.serving.answerreader import AnswerReader
 from chivepier.gateway.serving.assignment import Assignment
 from chivepier.gateway.serving.assignmentlog import AssignmentLog
+from chivepier.gateway.serving.attemptlimit import AttemptLimit
 from chivepier.gateway.serving.attemptrecorder import AttemptRecorder
 from chivepier.gateway.serving.attemptrecorder import SERVER_ERROR_STATUS
 from chivepier.gateway.serving.callpurpose import CallPurpose
@@ -118,6 +119,7 @@
         self.clock = clock
         self.log = log
         self.continuations = Continuations(table, state, clock, log, metrics)
+        self.limit = AttemptLimit(table, calls.connect)
         self.witness = EndWitness(table, calls.probe, clock)
         self._assignments = AssignmentLog(balancer, clock, log)
         self._attempts = AttemptRecorder(table, health, balancer, clock, log)
@@ -168,6 +170,8 @@
                     )
                 started = await self._forward(plan, runs)
                 if started is not None:
+                    if started.run is not None:
+                        started.run.earlier_runs = runs + 1
                     return started
                 may_forward, retry_counted = False, True
             await self.gate.wait_fresh()
@@ -228,6 +232,8 @@
                     self._metrics.record_fit(forecast.fit.value)
                 if started.run is None:
                     self.guard.note_answered(plan, started)
+                else:
+                    started.run.earlier_runs = runs - 1
                 return started
             if not may_retry:
                 return started
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -54,6 +54,10 @@
     :param known_sound: whether its target has lived on with it for so long
         that no part of its prompt can have ended it
     :param withdrawn: whether it was ended here as its request is held back
+    :param earlier_runs: number of targets that may have run the request
+        before it was tracked, or behind other entries
+    :param ran_at: the targets that it began to run at; where it was moved to
+        with its KV cache, it is the same run
     :param wait_timeout: timeout of the current wait for its target
     """
 
@@ -78,6 +82,8 @@
     software_version: str | None = None
     known_sound: bool = False
     withdrawn: bool = False
+    earlier_runs: int = 0
+    ran_at: list[Target] = attrs.field(factory=list)
     wait_timeout: asyncio.Timeout | None = None
 
     @property
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -79,6 +79,8 @@
             to the caller
         """
         head, run = started.answer, started.run
+        if not run.forwarded:
+            run.ran_at.append(run.target)
         try:
             for _ in range(MAX_HANDOFFS):
                 end = await self._relay_target(head, started, run)
@@ -216,10 +218,13 @@
     ) -> StartedAnswer | None:
         dispatcher, plan = self._dispatcher, self._plan
         sent_at = dispatcher.clock.monotonic()
+        is_new_run = handoff.origin is None
         try:
             return await self._send(run, handoff, started)
         except (NotSentError, ConnectionLostError, TimeoutError) as error:
             if not isinstance(error, NotSentError):
+                if is_new_run:
+                    run.ran_at.append(handoff.target)
                 dispatcher.losses.note_lost(
                     plan, handoff.target, sent_at, None, False, error
                 )
@@ -322,11 +327,13 @@
             return None
         if run.software_version == "":
             return None
-        if not dispatcher.take_retry(plan):
+        runs = await dispatcher.limit.count_runs(run)
+        if runs >= plan.route.attempts or not dispatcher.take_retry(plan):
             return None
         dispatcher.release(started)
+        run.earlier_runs += 1
         try:
-            fresh = await dispatcher.detour.start(plan, 1, run)
+            fresh = await dispatcher.detour.start(plan, max(1, runs), run)
         except (
             BrokenAnswerError,
             ConnectionLostError,
@@ -356,7 +363,7 @@
             if handoff is not None:
                 found.append(self._redirect_to_source(run, handoff))
         if self._plan.repeatable:
-            rerun = self._choose_rerun(run)
+            rerun = await self._choose_rerun(run)
             if rerun is not None:
                 found.append(rerun)
         return found
@@ -370,10 +377,13 @@
             return handoff
         return Handoff(run.target, handoff.origin)
 
-    def _choose_rerun(self, run: LiveRun) -> Handoff | None:
+    async def _choose_rerun(self, run: LiveRun) -> Handoff | None:
         dispatcher, plan = self._dispatcher, self._plan
         if dispatcher.guard.is_held(plan):
             return None
+        runs = await dispatcher.limit.count_runs(run)
+        if runs >= plan.route.attempts:
+            return None
         service = plan.service
         target = dispatcher.balancer.choose(
             service.name,
@@ -417,6 +427,8 @@
             )
         facts = answer.facts
         refused = facts.not_run or facts.other_instance is not None
+        if not refused and handoff.origin is None:
+            run.ran_at.append(handoff.target)
         if refused or facts.mismatched or answer.status >= 300:
             answer.close()
             dispatcher.log.warn(
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_attempts.py
@@ -0,0 +1,78 @@
+"""Tests of how many targets one attempt of a caller runs on."""
+
+import pytest
+
+from chivepier.gateway.serving.tests.parts import begin
+from chivepier.gateway.serving.tests.parts import finish
+from chivepier.gateway.serving.tests.parts import play
+from chivepier.gateway.targets import Liveness
+
+
+def test_stream_runs_on_no_more_living_targets_than_its_route_allows():
+    # Each break of a living target had the stream run at one target more.
+    async def test(parts):
+        caller, task, first = await begin(parts, "/resume/x")
+        first.cut()
+        second = await parts.engines.wait_run(2)
+        second.make(1)
+        await caller.wait_events(3)
+        second.cut()
+        await task
+        assert caller.aborted and caller.numbers == [1, 2, 3]
+        assert len(parts.engines.answers) == 2
+
+    play(test, "a", "b", "c")
+
+
+@pytest.mark.parametrize("liveness", (Liveness.ENDED, Liveness.UNKNOWN))
+def test_targets_that_ended_or_are_cut_off_are_no_attempts(liveness):
+    # A stream must survive two crashes where its route has two attempts.
+    async def test(parts):
+        caller, task, first = await begin(parts, "/resume/x")
+
+        async def probe(target):
+            return liveness
+
+        parts.engines.probe = probe
+        first.cut()
+        second = await parts.engines.wait_run(2)
+        second.make(1)
+        await caller.wait_events(3)
+        second.cut()
+        third = await parts.engines.wait_run(3)
+        await finish(task, third, 1)
+        assert caller.finished and caller.numbers == [1, 2, 3, 4]
+
+    play(test, "a", "b", "c")
+
+
+def test_target_that_started_again_is_no_attempt():
+    async def test(parts):
+        caller, task, first = await begin(parts, "/resume/x")
+        parts.restart(first.target, 5)
+        first.cut()
+        second = await parts.engines.wait_run(2)
+        second.make(1)
+        await caller.wait_events(3)
+        second.cut()
+        third = await parts.engines.wait_run(3)
+        await finish(task, third, 1)
+        assert caller.finished and caller.numbers == [1, 2, 3, 4]
+
+    play(test, "a", "b", "c")
+
+
+def test_targets_tried_before_the_first_event_are_attempts():
+    # The dispatcher's own second try was forgotten as the stream broke off.
+    async def test(parts):
+        caller, task, first = await begin(parts, "/resume/x", events=0)
+        first.cut()
+        second = await parts.engines.wait_run(2)
+        second.make(1)
+        await caller.wait_events(1)
+        second.cut()
+        await task
+        assert caller.aborted and caller.numbers == [1]
+        assert len(parts.engines.answers) == 2
+
+    play(test, "a", "b", "c")
