Lose a disk in the soak only once each voter has caught up

Change: the two faults that lose a disk wait, as long as they wait afterwards, until each voter answers reads; one that never does is a violation, as before.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -347,6 +347,7 @@
     async def wipe(self) -> None:
         """Delete the data of one voter, and wait until it is restored."""
         voter = self._rng.choice(self._soak.voters)
+        await self._await_all_voters()
         voter.end()
         self._delete_data(voter)
         voter.start()
@@ -356,6 +357,7 @@
         """Delete the data of one voter as all processes lose power."""
         processes = (*self._soak.voters, *self._soak.entries)
         voter = self._rng.choice(self._soak.voters)
+        await self._await_all_voters()
         with self._soak.exempt(*processes):
             for process in processes:
                 process.end()
@@ -375,13 +377,19 @@
         await asyncio.sleep(MIN_RESTORE_SECONDS)
         await self._wait_for_data(voter)
 
+    async def _await_all_voters(self) -> None:
+        # One that has not caught up counts as lost, and had perhaps no data
+        # yet: another loss would be the second at the same time.
+        for voter in self._soak.voters:
+            await self._wait_for_data(voter)
+
     async def _wait_for_data(self, voter: "Process") -> None:
         """Wait until a voter answers reads, for which it knows a leader."""
         end = time.monotonic() + MAX_RESTORE_SECONDS
         control = f"{voter.ip}:8748"
         while await self._soak.check_config(control) is None:
             if time.monotonic() > end:
-                text = f"{voter.name} got no data after the loss of its own"
+                text = f"{voter.name} answers no reads, has got no data"
                 self._soak.checker.violations.append(text)
                 return
             await asyncio.sleep(0.1)
