Start a target of the soak that has other software under a new name

So the soak draws what isn't allowed; its targets take a new name where they change their software.

Ruled out: one run that wrote both.

--- a/soak/target.py
+++ b/soak/target.py
@@ -199,17 +199,22 @@
     async def restart(
         self, seconds: float, software_version: str | None = None
     ) -> None:
-        """Stop, lose running requests, and start under the same name.
+        """Stop, lose running requests, and start again.
+
+        With the same software it keeps its name, which is harder for entries
+        than what engines do: they have a new name at each start.
 
         :param seconds: time until it starts again, in seconds
-        :param software_version: version that it starts with; the same by
-            default
+        :param software_version: version that it starts with, under a new
+            name; the same by default
         """
         async with self._restart_lock:
             await self.__aexit__()
             self.signals.reset()
             await asyncio.sleep(seconds)
-            self.software_version = software_version or self.software_version
+            if software_version is not None:
+                self.software_version = software_version
+                self.instance = _make_name()
             # Entries do not know the limit of the restarted target yet.
             self.announce_limit(self.limit)
             self.restarted, self.runs, self._sequence = True, 0, 0
