Replace links that go silent before the first lost request costs more

Callers saw 404 at all entries at once for routes that had been added and acknowledged, and operators 503 from voters whose link to the leader had been idle since it went silent.

Cause: a connection can go silent for good without a reset, while new ones work. A link was given up only by a request that timed out more than 2 s after the first lost one. Beats of entries thus came back after 3.4 to 3.6 s, when entries already count as in touch; leaders lost their lease after 0.9 s, and candidates found new links in their second round.

Change: the first timeout after which nothing was received opens another connection beside the silent one; so does a ping after 0.5 s without received frames. The old connection stays for what is in progress on it, so a peer that merely stood still answers there. A read of the configuration asks again after 0.4 s, over the new connection.

--- a/packages/gateway/src/chivepier/gateway/control/configstore.py
+++ b/packages/gateway/src/chivepier/gateway/control/configstore.py
@@ -29,6 +29,10 @@
 LEADER_SEARCH_SECONDS = 0.9
 # Seconds between two attempts; an election takes some tens of milliseconds.
 LEADER_RETRY_SECONDS = 0.05
+# Seconds to wait for one answer to a read, so that a second one goes over
+# another connection if the first has gone silent. A leader answers reads from
+# memory; a write may wait for its disk.
+READ_ATTEMPT_SECONDS = 0.4
 # The fastest level suffices: most of a configuration is repeated names.
 COMPRESSION_LEVEL = 1
 
@@ -110,7 +114,9 @@
         while (remaining := deadline - self._clock.monotonic()) > 0:
             try:
                 answer = await self._leader.request(
-                    ConfigRequest(True), remaining, self.handle
+                    ConfigRequest(True),
+                    min(remaining, READ_ATTEMPT_SECONDS),
+                    self.handle,
                 )
             except (LinkError, TimeoutError) as error:
                 self._log.warn("read_lost", error=str(error))
--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -261,6 +261,7 @@
         self._stack = contextlib.AsyncExitStack()
         self.seeds = tuple(self.make_address() for _ in range(size))
         self.voters: dict[str, Voter] = {}
+        self._followers: list[Follower] = []
 
     def make_address(self) -> str:
         """Return an unused address."""
@@ -325,6 +326,7 @@
     async def follow(self, name: str, zone: str = "z") -> Follower:
         """Start the control plane client of an entry."""
         follower = Follower(name, self.seeds, zone)
+        self._followers.append(follower)
         return await self._stack.enter_async_context(follower)
 
     async def follow_many(self, count: int) -> list[Follower]:
@@ -337,6 +339,14 @@
             await wait_until(lambda f=follower: f.hub is not None)
         return followers
 
+    def silence_links(self) -> None:
+        """Let all open connections go silent for good; new ones work."""
+        links = [voter.loads._links for voter in self.voters.values()]
+        links += [follower.links for follower in self._followers]
+        for link in links:
+            for channel in link._channels.values():
+                channel._faults = Faults({"*"})
+
     def find_leader(self) -> Voter | None:
         """Return the leading voter, if any."""
         for voter in self.voters.values():
--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -1,6 +1,7 @@
 """Message exchange over one connection between two processes."""
 
 import asyncio
+import collections.abc
 import inspect
 import itertools
 import typing
@@ -26,6 +27,17 @@
 # A link without received frames for this long is closed when a request on it
 # times out.
 MAX_SILENCE_SECONDS = 2.0
+# Seconds without received frames after which a channel is pinged, and those
+# to wait for the answer. Short enough that a link is replaced before a leader
+# loses its followers.
+PING_AFTER_SECONDS = 0.5
+PONG_SECONDS = 0.5
+# Seconds after a timeout in which what has arrived is handled: after a stall
+# of this process, timeouts come first.
+ARRIVAL_SECONDS = 0.02
+# Seconds without received frames after which a replaced channel is closed;
+# longer than the pauses of what is still in progress on it.
+REPLACED_SECONDS = 30.0
 
 
 def prepare(value: typing.Any) -> tuple:
@@ -49,6 +61,8 @@
     :param faults: peers whose frames are dropped, for tests
     :param traffic: counters of the process's peer links
     :param clock: measures the age of messages and the silence of the peer
+    :param handle_silence: called when a request or ping times out and nothing
+        has been received since
     """
 
     def __init__(
@@ -59,6 +73,9 @@
         faults: Faults,
         traffic: Traffic,
         clock: Clock,
+        handle_silence: collections.abc.Callable[
+            ["Channel"], None
+        ] = lambda channel: None,
     ):
         self.peer = peer
         self._socket = socket
@@ -66,6 +83,7 @@
         self._faults = faults
         self._traffic = traffic
         self._clock = clock
+        self._handle_silence = handle_silence
         self._request_numbers = itertools.count(1)
         self._pending: dict[int, asyncio.Future] = {}
         self._outbox = Outbox(clock)
@@ -74,6 +92,7 @@
         self._last_received = self._clock.monotonic()
         self._silent_since: float | None = None
         self.closed = False
+        self.replaced = False
 
     async def run(self) -> None:
         """Receive and send messages until the connection ends."""
@@ -83,8 +102,7 @@
                 if self.closed:
                     break
                 if not self._faults.blocks(self.peer):
-                    self._last_received = self._clock.monotonic()
-                    self._silent_since = None
+                    self._note_received()
                     self._receive(data)
         except websockets.ConnectionClosed:
             pass
@@ -94,6 +112,40 @@
             self._fail_pending()
             await self._socket.close()
 
+    def _note_received(self) -> None:
+        self._last_received = self._clock.monotonic()
+        self._silent_since = None
+
+    async def watch(self) -> None:
+        """Ping the peer while nothing is received, until the channel closes.
+
+        A connection may go silent for good without a reset. Without pings, an
+        idle one, or one that carries one-way messages only, would be noticed
+        with the first requests that are lost.
+        """
+        while not self.closed:
+            await self._clock.sleep(PING_AFTER_SECONDS)
+            now = self._clock.monotonic()
+            quiet = now - self._last_received
+            if self.replaced:
+                if quiet > REPLACED_SECONDS and not self._pending:
+                    await self.close()
+            elif quiet >= PING_AFTER_SECONDS and not self.closed:
+                await self._ping(now)
+
+    async def _ping(self, sent: float) -> None:
+        try:
+            async with asyncio.timeout(PONG_SECONDS):
+                if self._faults.blocks(self.peer):
+                    await asyncio.Event().wait()
+                await (await self._socket.ping())
+        except TimeoutError:
+            self._handle_timeout(sent)
+        except websockets.ConnectionClosed:
+            return
+        else:
+            self._note_received()
+
     async def _write(self) -> None:
         while True:
             await self._ready.wait()
@@ -221,6 +273,9 @@
             self._pending.pop(number, None)
 
     def _handle_timeout(self, sent: float) -> None:
+        asyncio.get_running_loop().call_later(
+            ARRIVAL_SECONDS, self._check_silence, sent
+        )
         # After a long partition TCP may wait minutes before it retransmits;
         # closing the link makes the next request open a new connection.
         if self._silent_since is None:
@@ -230,6 +285,10 @@
             self._outbox.clear()
             self._fail_pending()
 
+    def _check_silence(self, sent: float) -> None:
+        if self._last_received <= sent:
+            self._handle_silence(self)
+
     def _resolve(self, number: int, value: typing.Any) -> None:
         future = self._pending.pop(number, None)
         if future is not None and not future.done():
--- a/packages/wire/src/chivepier/wire/links.py
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+import logbook
 from websockets.asyncio.client import connect
 from websockets.exceptions import WebSocketException
 
@@ -16,6 +17,8 @@
 from chivepier.wire.server import PEER_HEADER
 from chivepier.wire.traffic import Traffic
 
+log = logbook.Logger("wire")
+
 CONNECT_SECONDS = 2.0
 
 
@@ -115,6 +118,15 @@
         channel = self._channels.get(peer)
         if channel is not None and not channel.closed:
             return channel
+        task = self._start_connecting(peer)
+        try:
+            async with asyncio.timeout(timeout):
+                return await asyncio.shield(task)
+        except TimeoutError:
+            text = f"no connection to {peer} in {timeout}s"
+            raise LinkError(text, sent=False) from None
+
+    def _start_connecting(self, peer: str) -> asyncio.Task:
         # Concurrent callers share one connection attempt; with one attempt
         # after the other, each would wait for the earlier ones to time out.
         task = self._connecting.get(peer)
@@ -124,12 +136,16 @@
             task.add_done_callback(
                 lambda done: self._finish_connecting(peer, done)
             )
-        try:
-            async with asyncio.timeout(timeout):
-                return await asyncio.shield(task)
-        except TimeoutError:
-            text = f"no connection to {peer} in {timeout}s"
-            raise LinkError(text, sent=False) from None
+        return task
+
+    def _replace(self, channel: Channel) -> None:
+        """Open another connection beside one that has gone silent.
+
+        The old one stays until the new one is up, and then for what is in
+        progress on it: a peer that merely stood still answers there.
+        """
+        if self._channels.get(channel.peer) is channel:
+            self._start_connecting(channel.peer)
 
     def _finish_connecting(self, peer: str, task: asyncio.Task) -> None:
         del self._connecting[peer]
@@ -165,9 +181,15 @@
             self._faults,
             self.traffic,
             self._clock,
+            self._replace,
         )
+        before = self._channels.get(peer)
+        if before is not None and not before.closed:
+            before.replaced = True
+            log.info("silent link replaced peer={}", peer)
         self._channels[peer] = channel
-        task = asyncio.create_task(channel.run())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        for work in (channel.run(), channel.watch()):
+            task = asyncio.create_task(work)
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
         return channel
--- a/packages/wire/src/chivepier/wire/tests/test_silence.py
+++ b/packages/wire/src/chivepier/wire/tests/test_silence.py
@@ -111,6 +111,85 @@
     asyncio.run(body())
 
 
+def silence(channel):
+    """Let an open connection go silent for good; new ones work."""
+    channel._faults = Faults({"*"})
+
+
+def test_idle_link_that_goes_silent_is_replaced_before_it_is_used():
+    """Guards against the first requests on a silent link that are lost.
+
+    A link that carries one-way messages only would never be replaced.
+    """
+
+    async def body():
+        async with connect() as (links, peer, _):
+            await links.request(peer, REQUEST, 5)
+            old = links._channels[peer]
+            silence(old)
+            async with asyncio.timeout(10):
+                while links._channels[peer] is old:
+                    await asyncio.sleep(0.01)
+            await links.request(peer, REQUEST, 5)
+
+    asyncio.run(body())
+
+
+def test_first_timeout_on_a_silent_link_replaces_it():
+    """Guards against a silent link that is used for two seconds more."""
+
+    async def body():
+        async with connect() as (links, peer, _):
+            await links.request(peer, REQUEST, 5)
+            old = links._channels[peer]
+            silence(old)
+            with pytest.raises(LinkError):
+                await links.request(peer, REQUEST, 0.01)
+            assert old._silent_since is not None
+            async with asyncio.timeout(0.4):
+                while links._channels[peer] is old:
+                    await asyncio.sleep(0.01)
+            assert not old.closed
+
+    asyncio.run(body())
+
+
+def test_request_in_progress_is_answered_after_its_link_was_replaced():
+    """Guards against answers that are lost as a peer stood still."""
+    held = asyncio.Event()
+
+    async def answer_late(message, channel):
+        await held.wait()
+        return answer(message, channel)
+
+    async def body():
+        async with (
+            PeerServer(
+                "127.0.0.1", 0, answer_late, KEY, SystemClock()
+            ) as server,
+            Links("a:1", KEY, answer, Faults(), SystemClock()) as links,
+        ):
+            peer = f"127.0.0.1:{server.port}"
+            waiting = asyncio.create_task(links.request(peer, REQUEST, 20))
+            async with asyncio.timeout(10):
+                while peer not in links._channels:
+                    await asyncio.sleep(0.01)
+                old = links._channels[peer]
+                await asyncio.sleep(0.1)
+                silence(old)
+                while links._channels[peer] is old:
+                    await asyncio.sleep(0.01)
+                old._faults = Faults()
+                held.set()
+                await waiting
+            old._last_received -= 1000
+            async with asyncio.timeout(10):
+                while not old.closed:
+                    await asyncio.sleep(0.01)
+
+    asyncio.run(body())
+
+
 def test_no_user_timeout_decides_when_a_link_ends():
     # A link ends by the silence of its requests alone; a user timeout would
     # end it by that of the kernel's probes, on one side only.
