Log after which event a request is placed, and the versions known

A request that goes on with a stream looked like a new one in placed, and a stream bound to the one version did not tell which versions its entry knew.

--- a/packages/gateway/src/chivepier/gateway/serving/assignmentlog.py
+++ b/packages/gateway/src/chivepier/gateway/serving/assignmentlog.py
@@ -45,6 +45,7 @@
             id=plan.request.id,
             target=target.instance,
             software=target.software_version,
+            after=plan.request.last_event,
             ms=round(1000 * (now - plan.request.arrived)),
             heard_ms=round(1000 * (now - target.heard)),
             reserved=assignment.reservation is not None,
--- a/packages/gateway/src/chivepier/gateway/serving/continuations.py
+++ b/packages/gateway/src/chivepier/gateway/serving/continuations.py
@@ -126,6 +126,7 @@
             after=request.last_event,
             software=version,
             source=source,
+            known=sorted(self._targets.list_versions(plan.service.name)),
             age_ms=(
                 round(1000 * (self._clock.monotonic() - origin.noted_at))
                 if origin
