Go on after the caller's last event as a stream it took up breaks again

A run of a stream that is taken up begins at the caller's last event now, and what another entry is told has the version to which it was bound.

--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
@@ -282,6 +282,31 @@
     play_site(test)
 
 
+def test_stream_taken_up_goes_on_elsewhere_after_its_last_event():
+    # The other entry was told that the caller has no event, and any version.
+    async def test(site):
+        cut_off, other = site.entries
+        request = make_request(
+            "/resume/a", id="r2", last_event="2", resumes="r1"
+        )
+        caller, task = cut_off.parts.start(request)
+        run = await cut_off.parts.engines.wait_run(1)
+        run.make(0, "id: 3\nda")
+        await asyncio.sleep(0.1)
+        cut_off.cut(*ALL)
+        run.cut()
+        rest = await other.parts.engines.wait_run(1)
+        assert rest.number == 2
+        rest.make(2)
+        rest.end()
+        await task
+        assert caller.numbers == [3, 4] and caller.finished
+        # found by the first entry, and not asked for again
+        assert other.parts.read_lines("stream_taken_up") == []
+
+    play_site(test)
+
+
 @pytest.mark.parametrize("framed", (True, False))
 def test_answer_broken_off_at_the_target_does_not_look_complete(framed):
     # Without a length, only an event that is unfinished shows it.
--- a/packages/gateway/src/chivepier/gateway/serving/detour.py
+++ b/packages/gateway/src/chivepier/gateway/serving/detour.py
@@ -74,7 +74,7 @@
             request = attrs.evolve(
                 request,
                 last_event=str(run.last_event_number),
-                software_version=run.software_version,
+                software_version=run.eligibility.software_version,
             )
         seconds = plan.deadline - self._clock.monotonic()
         answer = None
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -18,6 +18,8 @@
 # Seconds that the calls of one migration add to the copying: two copies are
 # requested and answered in some milliseconds each, but targets may be slow.
 MOVE_CALLS_SECONDS = 0.06
+# Digits of an event's number: more are no number of an event.
+MAX_NUMBER_DIGITS = 18
 
 
 @attrs.define(eq=False)
@@ -36,7 +38,8 @@
         initially ``sent_at``
     :param movable: whether it is migrated when its target leaves. One that may
         be rerun is short: it is left to finish, or to be rerun.
-    :param last_event_number: number of the last event sent to the caller
+    :param last_event_number: number of the last event that the caller has,
+        by this attempt or an earlier one
     :param first_event_at: when its target sent the first event, in monotonic
         seconds; ``None`` until then
     :param handoff: result of the migration in progress, if any
@@ -65,7 +68,7 @@
     sent_at: float = 0.0
     heard_at: float = 0.0
     movable: bool = False
-    last_event_number: int = 0
+    last_event_number: int = attrs.field()
     first_event_at: float | None = None
     handoff: asyncio.Future[Handoff | None] | None = None
     stopped: bool = False
@@ -80,6 +83,12 @@
     withdrawn: bool = False
     wait_timeout: asyncio.Timeout | None = None
 
+    @last_event_number.default
+    def _find_last_event_number(self) -> int:
+        data = (self.plan.request.last_event or "").encode()
+        known = data.isdigit() and len(data) <= MAX_NUMBER_DIGITS
+        return int(data) if known else 0
+
     @property
     def request(self) -> CallerRequest:
         """The request of the caller."""
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
@@ -307,3 +307,17 @@
         await finish(task, run, 1)
 
     play(test, "a", "b")
+
+
+def test_stream_taken_up_that_breaks_at_once_goes_on_after_the_last_event():
+    # It was run from its beginning, and its caller got the same events twice.
+    async def test(parts):
+        caller, task = parts.start(take_up(resumes="elsewhere"))
+        run = await parts.engines.wait_run(1)
+        run.make(0, "id: 3\nda")
+        run.cut()
+        fresh = await parts.engines.wait_run(2)
+        await finish(task, fresh, 1)
+        assert caller.numbers == [3] and caller.finished
+
+    play(test, "a", "b")
