Take a stream for the one version's only if most voters know that now

Cause: an entry that nobody can tell where a stream began takes the one version of the service for its own, if more than half of its links to voters count as alive. A link counts as alive for up to 0.8 s after a cut and as long as the entry stands still; a voter that has just started knows the targets that have announced themselves since, and its file lacked what came in its last second. So the version that began the stream could be missing at each of them.

Voters are asked anew for each such stream (the beats that are sent anyway; one round serves all that wait), and must answer within 0.25 s. A voter writes the first target of a version to its disk at once. Not known is refused as before, 503, not run; it may come back after half a second if voters are missing. Voters of an earlier release don't tell for how long they know: until they are new such streams are refused.

--- a/packages/gateway/src/chivepier/gateway/control/statecache.py
+++ b/packages/gateway/src/chivepier/gateway/control/statecache.py
@@ -1,6 +1,7 @@
 """On-disk cache of the state that a voter serves right after a restart."""
 
 import asyncio
+import contextlib
 import pathlib
 
 import attrs
@@ -19,6 +20,8 @@
 from chivepier.gateway.quarantine import CrashLedger
 from chivepier.gateway.quarantine import Ending
 from chivepier.gateway.quarantine import Incarnation
+from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
 from chivepier.gateway.zones import ZoneOrder
 from chivepier.state import DamagedError
@@ -55,6 +58,7 @@
     :param origins: where streams began, of which the newest are saved
     :param clock: monotonic clock
     :param log: receives failures of reads and writes
+    :ivar restored: whether the file was read
     """
 
     def __init__(
@@ -73,7 +77,23 @@
         self._clock = clock
         self._log = log
         self._dirty = asyncio.Event()
-        table.watchers.append(lambda target, before: self._dirty.set())
+        self._urgent = asyncio.Event()
+        self._saved_versions: set[tuple[str, str]] = set()
+        self.restored = False
+        table.watchers.append(self._handle_change)
+
+    def _handle_change(
+        self, target: Target, before: TargetState | None
+    ) -> None:
+        """Schedule a write, at once for a version that none had before.
+
+        After the end of all processes a stream of a version that no voter
+        remembers would be taken for one of the version that is left.
+        """
+        self._dirty.set()
+        version = target.service, target.software_version
+        if version not in self._saved_versions:
+            self._urgent.set()
 
     def load(self) -> StoredConfig | None:
         """Read the file and restore targets, zone orders and quarantine.
@@ -125,6 +145,7 @@
                     tuple(parts),
                 )
             )
+        self.restored = True
         return StoredConfig(version, body) if version >= 0 else None
 
     async def run(self, store: ConfigStore) -> None:
@@ -135,6 +156,11 @@
         while True:
             await self._dirty.wait()
             self._dirty.clear()
+            self._urgent.clear()
+            self._saved_versions = {
+                (target.service, target.software_version)
+                for target in self._table
+            }
             data = pack_record(cbor2.dumps(self._pack(store)))
             try:
                 await asyncio.to_thread(
@@ -142,7 +168,9 @@
                 )
             except OSError as error:
                 self._log.warn("known_state_unwritten", error=repr(error))
-            await self._clock.sleep(MIN_WRITE_INTERVAL_SECONDS)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(MIN_WRITE_INTERVAL_SECONDS):
+                    await self._urgent.wait()
 
     def mark_dirty(self) -> None:
         """Schedule a write after a change of anything but the targets."""
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_statecache.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_statecache.py
@@ -3,9 +3,11 @@
 import asyncio
 import os
 
+import attrs
 import cbor2
 import pytest
 
+from chivepier.gateway.control import statecache
 from chivepier.gateway.control.statecache import FILE_NAME
 from chivepier.gateway.control.statecache import StateCache
 from chivepier.gateway.eventlog import EventLog
@@ -75,6 +77,36 @@
     assert (found.service, found.software_version) == ("s", "v1")
 
 
+def test_first_target_of_a_version_is_saved_at_once(tmp_path, monkeypatch):
+    # Lost with all processes, its streams were taken for the other version's.
+    monkeypatch.setattr(statecache, "MIN_WRITE_INTERVAL_SECONDS", 3600.0)
+
+    def find_versions():
+        cache, table, _ = make_cache(tmp_path)
+        cache.load()
+        return table.list_versions("s")
+
+    async def work():
+        cache, table, _ = make_cache(tmp_path)
+        task = asyncio.create_task(cache.run(NoConfig()))
+        for number in range(3):
+            version = f"v{number}"
+            table.put(
+                attrs.evolve(
+                    make_target(), instance=version, software_version=version
+                )
+            )
+            while version not in find_versions():
+                await asyncio.sleep(0.01)
+        task.cancel()
+
+    async def work_in_time():
+        async with asyncio.timeout(60):
+            await work()
+
+    asyncio.run(work_in_time())
+
+
 @pytest.mark.parametrize(
     "rest", [(), ([], []), ([], [], []), ([], [], [], [])]
 )
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -65,6 +65,9 @@
 TARGET_SYNC_INTERVAL_SECONDS = 1.0
 # Seconds between two removals of expired entries, targets and records.
 EXPIRY_INTERVAL_SECONDS = 5.0
+# Seconds for which a voter that has read its file has known all targets:
+# longer than any caller waits.
+RESTORED_SECONDS = 86_400.0
 
 
 class Voter:
@@ -89,6 +92,7 @@
         self._clock = clock
         self._log = log
         self._stack = contextlib.AsyncExitStack()
+        self._started_at = clock.monotonic()
         self.peers = Peers(settings.seeds)
         self.entries = EntryDirectory(clock, settings.regions)
         self._peer_directory = PeerDirectory(
@@ -289,8 +293,18 @@
             peers,
             peers_revision,
             keeps_origins=True,
+            targets_known_for=self._count_known_seconds(),
         )
 
+    def _count_known_seconds(self) -> float:
+        """Return for how long this voter has known all targets.
+
+        It hears of those that live, others that it has missed are not told.
+        """
+        if self._state_cache.restored:
+            return RESTORED_SECONDS
+        return self._clock.monotonic() - self._started_at
+
     def _find_peers(
         self, beat: EntryBeat
     ) -> tuple[tuple[PeerRecord, ...], int]:
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -299,7 +299,7 @@
         )
         continuations.publish = self._origins.publish
         continuations.ask = self._origins.ask
-        continuations.is_informed = lambda: self.following.is_informed
+        continuations.confirm = self.following.confirm_targets
         self.shedding = Shedding(rng)
         self.serving = RequestHandler(
             self.state,
--- a/packages/gateway/src/chivepier/gateway/following/voterclient.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterclient.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 
 import attrs
 
@@ -52,6 +53,8 @@
 ANSWER_SECONDS = 0.8
 # Seconds between two checks of the list of voters.
 POLL_SECONDS = 0.2
+# Seconds that a caller waits for most voters to confirm the targets.
+CONFIRM_SECONDS = 0.25
 
 
 def _report_nothing(now: float) -> Ability:
@@ -132,6 +135,7 @@
         self._zone_order_index = -1
         self._tasks: list[asyncio.Task] = []
         self._beat_tasks: set[asyncio.Task] = set()
+        self._confirming = asyncio.Lock()
         self.leaving = False
 
     async def __aenter__(self) -> "VoterClient":
@@ -168,15 +172,44 @@
         """Address of the voter that sends the loads of other entries."""
         return self._selector.address
 
-    @property
-    def is_informed(self) -> bool:
-        """Whether most voters answer, so that no target can be missed."""
+    async def confirm_targets(self, seconds: float) -> bool:
+        """Ask all voters anew; tell whether no target can have been missed.
+
+        What they said before is not enough: an entry that is cut off or has
+        stood still takes them for alive, and does not know of the newest
+        targets.
+
+        :param seconds: for how long the targets must be known to most voters
+        """
+        asked_at = self._clock.monotonic()
+        async with self._confirming:
+            if not self._is_confirmed(asked_at, seconds):
+                # one round serves all that wait for it
+                await self._ask_voters(asked_at, seconds)
+        return self._is_confirmed(asked_at, seconds)
+
+    async def _ask_voters(self, asked_at: float, seconds: float) -> None:
+        tasks = [
+            asyncio.create_task(self._send_beat(address, voter))
+            for address, voter in self._voters.items()
+        ]
+        self._beat_tasks.update(tasks)
+        for task in tasks:
+            task.add_done_callback(self._beat_tasks.discard)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONFIRM_SECONDS):
+                for task in asyncio.as_completed(tasks):
+                    await asyncio.shield(task)
+                    if self._is_confirmed(asked_at, seconds):
+                        return
+
+    def _is_confirmed(self, asked_at: float, seconds: float) -> bool:
         voters = self._peers.voters
-        alive = sum(
-            address in self._voters and self._voters[address].alive
-            for address in voters
-        )
-        return 2 * alive > len(voters) or not self._voters
+        telling = 0
+        for voter in map(self._voters.get, voters):
+            if voter is not None and voter.asked_at >= asked_at:
+                telling += voter.knows_since <= asked_at - seconds
+        return 2 * telling > len(voters)
 
     def list_origin_keepers(self) -> dict[str, str]:
         """Return the voters that keep where streams began; epochs by voter."""
@@ -332,6 +365,9 @@
             voter.limits, answer, limits_revision if is_confirmed else None
         )
         self._handle_answer(address, voter, answer)
+        # after merging, as others may wait for it
+        voter.asked_at = max(voter.asked_at, sent_at)
+        voter.knows_since = sent_at - answer.targets_known_for
         if beat.follows:
             is_same = answer.epoch == beat.epoch
             self._table.note_update(sent_at, voter.followed and is_same)
--- a/packages/gateway/src/chivepier/gateway/following/voterlink.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterlink.py
@@ -1,6 +1,7 @@
 """The state of an entry's link to one voter."""
 
 import asyncio
+import math
 
 import attrs
 
@@ -26,6 +27,9 @@
     :param confirmed_leavers: leaving targets reported to the voter
     :param peers_revision: revision of the peers that it named, -1 if none
     :param keeps_origins: whether it keeps where streams began
+    :param asked_at: when it was sent the newest beat that it has answered, in
+        monotonic seconds
+    :param knows_since: since when it has known all targets, in the same
     :param alive: whether it answered the last beat
     :param status: what it last reported about itself
     """
@@ -40,5 +44,7 @@
     confirmed_leavers: frozenset[LeavingRecord] = frozenset()
     peers_revision: int = -1
     keeps_origins: bool = False
+    asked_at: float = -math.inf
+    knows_since: float = math.inf
     alive: bool = False
     status: VoterStatus = VoterStatus()
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
@@ -25,7 +25,8 @@
     ``presumed`` are zones that may be evacuated by an order whose outcome is
     unknown to the voter. ``peers`` are entries that requests can be forwarded
     to, with their revision ``peers_revision``, -1 if nothing has changed.
-    ``keeps_origins`` tells that the voter understands :class:`OriginNotice`.
+    ``keeps_origins`` tells that the voter understands :class:`OriginNotice`,
+    and ``targets_known_for`` for how many seconds it has known all targets.
     """
 
     epoch: str
@@ -48,3 +49,4 @@
     peers: tuple[PeerRecord, ...] = ()
     peers_revision: int = -1
     keeps_origins: bool = False
+    targets_known_for: float = 0.0
--- a/packages/gateway/src/chivepier/gateway/serving/continuations.py
+++ b/packages/gateway/src/chivepier/gateway/serving/continuations.py
@@ -26,6 +26,8 @@
 # Seconds after which a caller may come back to an entry that hears too few
 # voters: the next beat may tell it what it lacks.
 UNINFORMED_RETRY_SECONDS = 0.5
+# Seconds within which a target that serves is announced: several heartbeats.
+ANNOUNCEMENT_SECONDS = 5.0
 # What a caller has that has got no event yet.
 NO_EVENTS = (None, "", "0")
 
@@ -33,12 +35,17 @@
 Ask = collections.abc.Callable[
     [OriginKey], collections.abc.Awaitable[Origin | None]
 ]
+Confirm = collections.abc.Callable[[float], collections.abc.Awaitable[bool]]
 
 
 async def _ask_nobody(key: OriginKey) -> Origin | None:
     return None
 
 
+async def _confirm_all(seconds: float) -> bool:
+    return True
+
+
 class Continuations:
     """Finds the version at which a stream may go on.
 
@@ -54,8 +61,8 @@
     :ivar origins: where the streams of this entry began
     :ivar publish: tells others where a stream began
     :ivar ask: asks others where a stream began
-    :ivar is_informed: tells whether no version of a service can have been
-        missed
+    :ivar confirm: tells whether no version of a service can have been missed
+        in the last so many seconds, after asking for news
     """
 
     def __init__(
@@ -69,7 +76,7 @@
         self.origins = OriginTable()
         self.publish: Publish = lambda origin: None
         self.ask: Ask = _ask_nobody
-        self.is_informed: collections.abc.Callable[[], bool] = lambda: True
+        self.confirm: Confirm = _confirm_all
         self._targets = targets
         self._state = state
         self._clock = clock
@@ -134,21 +141,13 @@
             ),
         )
         if not version:
-            raise self._make_error()
+            raise _make_error(source)
         return attrs.evolve(
             plan,
             service=self._find_service(plan, origin),
             software_version=version,
         )
 
-    def _make_error(self) -> RequestError:
-        text = "the version that began this stream is not known"
-        pause = None
-        if not self.is_informed():
-            pause = datetime.timedelta(seconds=UNINFORMED_RETRY_SECONDS)
-        failure = Failure(ErrorKind.NO_TARGET, text, Ran.NO, pause)
-        return RequestError(failure)
-
     async def find_version(self, plan: Plan) -> str:
         """Return the version that began a stream, empty if not known.
 
@@ -168,10 +167,14 @@
         origin = await self.ask(key)
         if origin is not None:
             return origin, "told"
-        versions = self._targets.list_versions(plan.service.name)
-        if len(versions) == 1 and self.is_informed():
+        # its caller has waited for no longer than the route lets it
+        span = plan.route.timeout + ANNOUNCEMENT_SECONDS
+        if not await self.confirm(span):
+            return None, "unheard"
+        service = plan.service.name
+        versions = self._targets.list_versions(service)
+        if len(versions) == 1:
             (version,) = versions
-            service = plan.service.name
             return Origin(key, service, version, now, now), "only"
         return None, "unknown"
 
@@ -187,6 +190,15 @@
         return index.services.get(origin.service, plan.service)
 
 
+def _make_error(source: str) -> RequestError:
+    text = "the version that began this stream is not known"
+    pause = None
+    if source == "unheard":
+        pause = datetime.timedelta(seconds=UNINFORMED_RETRY_SECONDS)
+    failure = Failure(ErrorKind.NO_TARGET, text, Ran.NO, pause)
+    return RequestError(failure)
+
+
 def _make_key(plan: Plan) -> OriginKey:
     request = plan.request
     takes_up = request.last_event not in NO_EVENTS
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
@@ -251,7 +251,12 @@
 def test_entry_that_may_have_missed_a_version_guesses_none():
     # An entry that hears few voters may not know of the newest targets.
     async def test(parts):
-        parts.dispatcher.continuations.is_informed = lambda: False
+        async def confirm(seconds):
+            # its caller may have waited for as long as the route lets it
+            assert seconds > make_route().timeout
+            return False
+
+        parts.dispatcher.continuations.confirm = confirm
         failure = await fail(parts, take_up(resumes="elsewhere"))
         assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
         assert seconds_to_retry(failure) == 0.5
--- a/soak/streamcaller.py
+++ b/soak/streamcaller.py
@@ -18,6 +18,8 @@
     attempt: str,
     record: StreamRecord,
     extra: dict[str, str] | None = None,
+    path: str = RESUME_PATH,
+    names_attempt: bool = True,
 ) -> int:
     """Begin a stream at an entry, or go on with it.
 
@@ -26,13 +28,16 @@
     :param attempt: id of this attempt
     :param record: gets the events; tells which the caller has
     :param extra: further headers of the request
+    :param path: path of the request
+    :param names_attempt: whether it names the attempt that it goes on with
     :returns: status of the answer; 0 if there was none
     """
     headers = make_caller_headers(attempt, 4000) | (extra or {})
     if record.last_event:
         headers["Last-Event-ID"] = str(record.last_event)
-        headers["Resumes"] = record.first_attempt
-    url = f"http://{ip}:{CALLER_PORT}{RESUME_PATH}"
+        if names_attempt:
+            headers["Resumes"] = record.first_attempt
+    url = f"http://{ip}:{CALLER_PORT}{path}"
     record.begin_attempt(attempt)
     status = 0
     with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
--- a/soak/tests/test_versions.py
+++ b/soak/tests/test_versions.py
@@ -5,9 +5,19 @@
 import pytest
 
 from soak.blocks import reserve_block
+from soak.versionscenario import VERSIONS
 from soak.versionscenario import VersionScenario
 
 FAULT_SECONDS = 8.0
+# What is killed at once with all entries, versions at the start, and the seed.
+HERDS = (
+    ("kill_all_entries", VERSIONS, 1),
+    ("renew_and_kill_entries", VERSIONS, 1),
+    ("lose_newest", ("v1",), 2),
+)
+HERD_KILLS = 2
+# Seconds for which callers go on with a stream: entries must start first.
+PATIENCE_SECONDS = 8.0
 
 
 @pytest.mark.parametrize("seed", (1, 2))
@@ -37,3 +47,33 @@
         # two targets of each version serve all the while
         assert scenario.take_ups.sent > 5
         assert scenario.take_ups.went_on > scenario.take_ups.sent / 2
+
+
+@pytest.mark.parametrize("trouble, versions, seed", HERDS)
+def test_no_stream_is_joined_after_all_entries_were_killed(
+    trouble, versions, seed, tmp_path
+):
+    # Entries that know of no stream took the one version left for its own.
+    async def work(block: int):
+        scenario = VersionScenario(
+            tmp_path,
+            block,
+            seed,
+            versions=versions,
+            patience_seconds=PATIENCE_SECONDS,
+        )
+        async with asyncio.timeout(120), scenario.run():
+            await getattr(scenario, trouble)(HERD_KILLS)
+        return scenario
+
+    with reserve_block() as block:
+        scenario = asyncio.run(work(block))
+    streams = scenario.streams
+    mixed = [s for s in streams if len(s.versions) > 1]
+    print(f"{len(streams)} streams, {len(mixed)} mixed, {scenario.take_ups}")
+    assert all(stream.in_order for stream in streams)
+    assert mixed == []
+    assert scenario.take_ups.sent > 5
+    if trouble == "kill_all_entries":
+        # the targets of both versions serve all the while
+        assert scenario.take_ups.went_on > scenario.take_ups.sent / 2
--- a/soak/versionscenario.py
+++ b/soak/versionscenario.py
@@ -4,6 +4,7 @@
 import contextlib
 import itertools
 import pathlib
+import time
 
 import aiohttp
 import attrs
@@ -13,6 +14,7 @@
 from soak.process import Process
 from soak.run import make_config
 from soak.streamcaller import attempt_stream
+from soak.streamcaller import RESUME_PATH
 from soak.streamrecord import StreamRecord
 from soak.target import SoakTarget
 
@@ -29,6 +31,10 @@
 # Seconds between two faults, and for which a process is down.
 FAULT_SECONDS = 0.8
 DOWN_SECONDS = 0.4
+# Seconds between the service's return after a kill of all and the next kill.
+HERD_SECONDS = 1.5
+# Range of the seconds between a version's start and a kill.
+RENEWED_SECONDS = (0.2, 0.6)
 
 
 class VersionedTarget(SoakTarget):
@@ -60,13 +66,28 @@
     :param block: second byte of the loopback addresses
     :param seed: seed of the random number generator
     :param entries: number of entries
+    :param versions: versions of the targets' software, one after the other
+    :param names_attempts: whether callers that take a stream up name the
+        attempt that began it
+    :param patience_seconds: for how long callers go on with a stream, after
+        some attempts, too
     :ivar streams: what callers got of each stream
     :ivar take_ups: how often callers took a stream up
     """
 
     def __init__(
-        self, folder: pathlib.Path, block: int, seed: int, entries: int = 4
+        self,
+        folder: pathlib.Path,
+        block: int,
+        seed: int,
+        entries: int = 4,
+        versions: tuple[str, ...] = VERSIONS,
+        names_attempts: bool = True,
+        patience_seconds: float = 0.0,
     ):
+        self._patience_seconds = patience_seconds
+        self._session: aiohttp.ClientSession | None = None
+        self._names_attempts = names_attempts
         self.streams: list[StreamRecord] = []
         self.take_ups = TakeUps()
         self._ids = itertools.count(1)
@@ -75,7 +96,7 @@
             folder, block, seed, entries, count, self._make_target
         )
         for number, target in enumerate(self.targets):
-            target.software_version = VERSIONS[number % len(VERSIONS)]
+            target.software_version = versions[number % len(versions)]
 
     def _make_target(self, address: str, controls, rng) -> VersionedTarget:
         target = VersionedTarget(
@@ -88,6 +109,7 @@
     async def run(self):
         """Run the cluster with callers until the context is left."""
         async with self.start(make_config(1)) as session:
+            self._session = session
             for entry in self.entries:
                 await self._await_service(session, entry)
             tasks = [
@@ -115,10 +137,16 @@
         while True:
             record = StreamRecord()
             self.streams.append(record)
-            for _ in range(MAX_ATTEMPTS):
+            path = f"/resume/{len(self.streams)}"
+            began, attempts = time.monotonic(), 0
+            while (
+                attempts < MAX_ATTEMPTS
+                or time.monotonic() < began + self._patience_seconds
+            ):
+                attempts += 1
                 taken_up = record.last_event
                 entry = self.rng.choice(self.entries)
-                answered = await self._attempt(session, entry, record)
+                answered = await self._attempt(session, entry, record, path)
                 if taken_up and answered:
                     self.take_ups.sent += 1
                     went_on = record.last_event > taken_up or record.whole
@@ -132,10 +160,17 @@
         session: aiohttp.ClientSession,
         entry: Process,
         record: StreamRecord,
+        path: str = RESUME_PATH,
     ) -> bool:
         """Begin a stream, or go on with it; tell if the entry answered."""
-        attempt = f"s{next(self._ids)}"
-        status = await attempt_stream(session, entry.ip, attempt, record)
+        status = await attempt_stream(
+            session,
+            entry.ip,
+            f"s{next(self._ids)}",
+            record,
+            path=path,
+            names_attempt=self._names_attempts,
+        )
         return status != 0
 
     async def end_targets(self, seconds: float) -> None:
@@ -180,3 +215,59 @@
                 await target.start_again(version)
                 await asyncio.sleep(FAULT_SECONDS - DOWN_SECONDS)
                 ends -= 1
+
+    async def kill_all_entries(self, times: int) -> None:
+        """Kill all entries at once beside two versions, again and again.
+
+        :param times: how often
+        """
+        for _ in range(times):
+            await self._lose_all(self.entries)
+
+    async def renew_and_kill_entries(self, times: int) -> None:
+        """Kill all entries right after the next version has taken over.
+
+        :param times: how often
+        """
+        for number in range(times):
+            await self._renew(number)
+            await self._lose_all(self.entries)
+
+    async def renew_and_kill_all(self, times: int) -> None:
+        """Kill all processes right after a version's first streams.
+
+        :param times: how often
+        """
+        for number in range(times):
+            await self._renew(number, len(self.targets) // 2)
+            await self._lose_all([*self.voters, *self.entries])
+
+    async def lose_newest(self, times: int) -> None:
+        """Kill all processes and the first target of a version, all at once.
+
+        :param times: how often
+        """
+        newest, *_ = self.targets
+        version = newest.software_version
+        for number in range(times):
+            await self._renew(number, 1)
+            newest.crash()
+            await self._lose_all([*self.voters, *self.entries])
+            await newest.start_again(version)
+
+    async def _renew(self, number: int, count: int | None = None) -> None:
+        version = f"v{len(VERSIONS) + 1 + number}"
+        for target in self.targets[:count]:
+            target.crash()
+            await target.start_again(version)
+        await asyncio.sleep(self.rng.uniform(*RENEWED_SECONDS))
+
+    async def _lose_all(self, processes: list[Process]) -> None:
+        for process in processes:
+            process.end()
+        await asyncio.sleep(DOWN_SECONDS)
+        for process in processes:
+            process.start()
+        for entry in self.entries:
+            await self._await_service(self._session, entry)
+        await asyncio.sleep(HERD_SECONDS)
