--- a/tests/adapter/test_streamends.py
+++ b/tests/adapter/test_streamends.py
@@ -76,10 +76,12 @@
     return script
 
 
-async def call(fixture: EntryFixture, path: str) -> tuple[bytes, bytes, bool]:
+async def call(
+    fixture: EntryFixture, path: str, request_id: str = "r1"
+) -> tuple[bytes, bytes, bool]:
     """Send a request; return head and body and whether they look whole."""
     reader, writer = await asyncio.open_connection("127.0.0.1", fixture.port)
-    writer.write(build_request(path))
+    writer.write(build_request(path).replace(b"r1", request_id.encode()))
     data = b""
     with contextlib.suppress(ConnectionError):
         while part := await reader.read(10_000):
