Count no target that has gone as an attempt of a stream

Seen: test_stream_is_of_one_version_and_goes_on_wherever_it_can failed: a stream whose targets ended one after the other was cut off, and its caller came back before voters knew where it had begun.

One that has gone, or is not known any more, does not count now.

--- a/packages/gateway/src/chivepier/gateway/serving/attemptlimit.py
+++ b/packages/gateway/src/chivepier/gateway/serving/attemptlimit.py
@@ -6,6 +6,7 @@
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.targets import Liveness
 from chivepier.gateway.targets import Target
+from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets import TargetTable
 
 Connect = collections.abc.Callable[
@@ -40,6 +41,9 @@
         return run.earlier_runs + sum(counted)
 
     async def _counts(self, target: Target) -> bool:
+        known = self._table.get(target.instance)
+        if known is None or known.state is TargetState.GONE:
+            return False
         if not self._table.is_current(target):
             return False
         return await self._connect(target) in (None, Liveness.LIVES)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_attempts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_attempts.py
@@ -46,10 +46,16 @@
     play(test, "a", "b", "c")
 
 
-def test_target_that_started_again_is_no_attempt():
+@pytest.mark.parametrize("goes", (True, False))
+def test_target_that_went_or_started_again_is_no_attempt(goes):
+    # A stream whose targets ended one after the other was cut off.
     async def test(parts):
         caller, task, first = await begin(parts, "/resume/x")
-        parts.restart(first.target, 5)
+        if goes:
+            target = parts.table.get(first.target)
+            parts.table.mark_gone(target.instance, target.address)
+        else:
+            parts.restart(first.target, 5)
         first.cut()
         second = await parts.engines.wait_run(2)
         second.make(1)
