Log who stands, who refuses whom, and what a voter knows

Operators saw reads without an answer and, 20 times a second, "no leader is known". Elections and the end of a voter were written by a library that had no handler in a voter's process, so its lines went nowhere. They are events now, with the answer of each voter to a candidate and the reason of each refusal; repeated ones are left out. A read or write that no leader answered is one line, with the leader, term, index and voters known there. No logic has changed.

--- a/packages/gateway/src/chivepier/gateway/control/configstore.py
+++ b/packages/gateway/src/chivepier/gateway/control/configstore.py
@@ -1,5 +1,6 @@
 """Store of the configuration in the replicated log."""
 
+import collections
 import hashlib
 import zlib
 
@@ -31,6 +32,8 @@
 LEADER_RETRY_SECONDS = 0.05
 # The fastest level suffices: most of a configuration is repeated names.
 COMPRESSION_LEVEL = 1
+# A voter that was asked as the leader holds no lease.
+UNCONFIRMED = "the voter that was asked does not lead"
 
 
 class ConfigStore:
@@ -87,17 +90,20 @@
         """
         request = WriteRequest(version, body)
         deadline = self._clock.monotonic() + LEADER_SEARCH_SECONDS
+        reasons: collections.Counter[str] = collections.Counter()
         while (remaining := deadline - self._clock.monotonic()) > 0:
             try:
                 answer = await self._leader.request(
                     request, remaining, self.handle
                 )
             except (LinkError, TimeoutError) as error:
-                self._log.warn("write_lost", version=version, error=str(error))
+                reasons[str(error)] += 1
             else:
                 if answer.accepted:
                     return True
+                reasons[answer.reason] += 1
             await self._clock.sleep(LEADER_RETRY_SECONDS)
+        self._write_lost("write_lost", reasons, version=version)
         return False
 
     async def read(self) -> StoredConfig | None:
@@ -107,19 +113,40 @@
             before the call; ``None`` if no leader confirmed one in time
         """
         deadline = self._clock.monotonic() + LEADER_SEARCH_SECONDS
+        reasons: collections.Counter[str] = collections.Counter()
         while (remaining := deadline - self._clock.monotonic()) > 0:
             try:
                 answer = await self._leader.request(
                     ConfigRequest(True), remaining, self.handle
                 )
             except (LinkError, TimeoutError) as error:
-                self._log.warn("read_lost", error=str(error))
+                reasons[str(error)] += 1
             else:
                 if answer.known:
                     return StoredConfig(answer.version, answer.unpack())
+                reasons[UNCONFIRMED] += 1
             await self._clock.sleep(LEADER_RETRY_SECONDS)
+        self._write_lost("read_lost", reasons)
         return None
 
+    def _write_lost(
+        self, event: str, reasons: collections.Counter[str], **fields: int
+    ) -> None:
+        """Log a request that no leader answered, and what is known here."""
+        replica = self._leader.replica
+        self._log.warn(
+            event,
+            **fields,
+            error=", ".join(reasons),
+            attempts=reasons.total(),
+            leader=replica.leader,
+            term=replica.storage.term,
+            index=replica.storage.last_index,
+            votes=replica.votes(),
+            voters=[voter.node for voter in replica.voters],
+            stopped=repr(replica.error) if replica.error else "",
+        )
+
     async def handle(self, request) -> WriteAnswer | ConfigAnswer:
         """Answer a read or write request of another node.
 
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_voters.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_voters.py
@@ -5,6 +5,9 @@
 from chivepier.gateway.control.bootstrap import IDENTITY_FILE
 from chivepier.gateway.control.tests.fleet import play
 from chivepier.gateway.control.tests.fleet import wait_until
+from chivepier.gateway.messages import ConfigAnswer
+from chivepier.gateway.messages import WriteAnswer
+from chivepier.gateway.messages import WriteRequest
 from chivepier.gateway.targets import TargetState
 from chivepier.gateway.targets.tests.test_targettable import make
 
@@ -178,3 +181,23 @@
         await wait_until(fresh.replica.votes)
 
     play(test, tmp_path)
+
+
+def test_voter_that_does_not_lead_any_more_answers_that_it_is_unsure(
+    tmp_path,
+):
+    # Guards against an error in place of the answer that makes callers retry.
+    async def test(fleet):
+        await fleet.write(1)
+        store = fleet.voters[fleet.seeds[0]].store
+
+        async def refuse(request, seconds, handle):
+            if isinstance(request, WriteRequest):
+                return WriteAnswer(False, "does not lead")
+            return ConfigAnswer(False, 0, b"")
+
+        store._leader.request = refuse
+        assert not await store.write(2, b"2 ")
+        assert await store.read() is None
+
+    play(test, tmp_path)
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -173,7 +173,9 @@
             identity=identity.node,
             cluster=identity.cluster,
             index=storage.last_index,
+            term=storage.term,
             votes=self.replica.votes(),
+            voters=[voter.node for voter in self.replica.voters],
         )
         return self
 
--- a/packages/gateway/src/chivepier/gateway/eventlog/tests/test_eventlog.py
+++ b/packages/gateway/src/chivepier/gateway/eventlog/tests/test_eventlog.py
@@ -3,7 +3,10 @@
 import json
 import os
 
+import logbook
+
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.eventlog import LibraryHandler
 
 
 def read_lines(descriptor: int) -> list[dict]:
@@ -81,3 +84,14 @@
     """Return a clock that returns these times one after the other."""
     moments = iter(times)
     return lambda: next(moments)
+
+
+def test_lines_of_the_replicated_log_are_written():
+    # Guards against elections and stopped voters that leave no trace.
+    reader, writer = os.pipe()
+    with LibraryHandler(EventLog("n1", writer)).applicationbound():
+        logbook.Logger("state").error("voter stops error={}", "full")
+        logbook.Logger("wire").error("not of the replicated log")
+    (line,) = read_lines(reader)
+    assert line["level"] == "warn"
+    assert line["text"] == "voter stops error=full"
--- /dev/null
+++ b/packages/state/src/chivepier/state/electionlog.py
@@ -0,0 +1,52 @@
+"""Log lines of elections: who stands, and who refuses whom and why."""
+
+import logbook
+
+from chivepier.state.ballot import Ballot
+
+log = logbook.Logger("state")
+
+
+class ElectionLog:
+    """Writes a line when it differs from the last one of its kind.
+
+    A voter that nobody elects stands every second or two, for as long as it
+    is cut off.
+    """
+
+    def __init__(self) -> None:
+        self._last_ballot: Ballot | None = None
+        self._last_refusal: tuple[str, str] = ("", "")
+
+    def write_ballot(self, ballot: Ballot) -> None:
+        """Note how the voters answered a candidate.
+
+        :param ballot: what it asked for, and the answers
+        """
+        if not ballot.is_won and ballot == self._last_ballot:
+            return
+        self._last_ballot = ballot
+        log.info(
+            "stood term={} pre={} won={} log={}/{} voters={} answers={}",
+            ballot.term,
+            ballot.is_pre,
+            ballot.is_won,
+            ballot.last_term,
+            ballot.last_index,
+            ",".join(ballot.voters),
+            ballot.answers,
+        )
+
+    def write_refusal(self, candidate: str, term: int, reason: str) -> None:
+        """Note that this voter refused a candidate.
+
+        :param candidate: its identity
+        :param term: the term that it asked a vote for
+        :param reason: why
+        """
+        if (candidate, reason) == self._last_refusal:
+            return
+        self._last_refusal = (candidate, reason)
+        log.info(
+            "refused candidate={} term={} reason={}", candidate, term, reason
+        )
--- a/packages/state/src/chivepier/state/elections.py
+++ b/packages/state/src/chivepier/state/elections.py
@@ -7,19 +7,26 @@
 
 from chivepier.messages import VoteAnswer
 from chivepier.messages import VoteRequest
+from chivepier.state.ballot import Ballot
+from chivepier.state.ballot import GRANTED
+from chivepier.state.ballot import UNANSWERED
 from chivepier.state.core import Core
+from chivepier.state.electionlog import ElectionLog
 from chivepier.state.role import Role
 from chivepier.state.tenure import Tenure
 from chivepier.wire import LinkError
 
 log = logbook.Logger("state")
 
+REFUSED = "refused"
+
 
 class Elections:
     """One task that stands when no leader is heard."""
 
     def __init__(self, core: Core):
         self._core = core
+        self._log = ElectionLog()
 
     async def watch(self) -> None:
         """Stand for the lead whenever no leader is heard for long."""
@@ -88,39 +95,61 @@
             pre,
             core.cluster,
         )
-        others = [v for v in core.voters if v.node != core.node]
-        needed = len(core.voters) // 2 + 1
-        waiting = {
-            asyncio.create_task(
+        voters = core.voters
+        asked = {
+            v.node: asyncio.create_task(
                 self._ask(v.address, attrs.evolve(request, voter=v.node))
             )
-            for v in others
+            for v in voters
+            if v.node != core.node
         }
+        won = await self._await_majority(asked, len(voters) // 2 + 1)
+        ballot = Ballot(
+            term=term,
+            is_pre=pre,
+            is_won=won,
+            last_term=request.last_term,
+            last_index=request.last_index,
+            voters=tuple(v.node for v in voters),
+            answers={
+                node: task.result() if task.done() else UNANSWERED
+                for node, task in asked.items()
+            },
+        )
+        self._log.write_ballot(ballot)
+        return won
+
+    async def _await_majority(
+        self, asked: dict[str, asyncio.Task], needed: int
+    ) -> bool:
+        """Tell whether a majority grants its vote, own vote included."""
         votes = 1
+        waiting = set(asked.values())
         try:
             while votes < needed and waiting:
                 done, waiting = await asyncio.wait(
                     waiting, return_when=asyncio.FIRST_COMPLETED
                 )
-                votes += sum(task.result() for task in done)
+                votes += sum(task.result() == GRANTED for task in done)
         finally:
             for task in waiting:
                 task.cancel()
         return votes >= needed
 
-    async def _ask(self, address: str, request: VoteRequest) -> bool:
+    async def _ask(self, address: str, request: VoteRequest) -> str:
+        """Ask one voter, and return its answer as a ballot names it."""
         core = self._core
         try:
             answer = await core.transport.request(
                 address, request, core.timing.request
             )
-        except LinkError:
-            return False
+        except LinkError as error:
+            return str(error)
         if answer.term > core.storage.term:
             # also after a pre-vote: the only voter with the whole log may
             # have the lowest term, and nobody else can win
             await core.adopt_term(answer.term)
-        return answer.granted
+        return GRANTED if answer.granted else REFUSED
 
     async def handle_vote(self, request: VoteRequest) -> VoteAnswer:
         """Answer a candidate.
@@ -135,18 +164,15 @@
 
     async def _answer(self, request: VoteRequest) -> VoteAnswer:
         core, storage = self._core, self._core.storage
-        if core.quiet() < core.timing.election or core.leads():
-            # a voter cut off for long must not depose a working leader
+        reason = self._find_refusal(request)
+        if reason:
+            self._log.write_refusal(request.candidate, request.term, reason)
+        if self._is_held_back() or request.term < storage.term:
             return VoteAnswer(storage.term, False)
-        if request.term < storage.term:
-            return VoteAnswer(storage.term, False)
-        mine = (storage.last_term, storage.last_index)
-        current = (request.last_term, request.last_index) >= mine
+        granted = not reason
         if request.pre:
-            return VoteAnswer(storage.term, current)
+            return VoteAnswer(storage.term, granted)
         later = request.term > storage.term
-        free = later or storage.vote in ("", request.candidate)
-        granted = current and free
         if later or granted:
             vote = request.candidate if granted else ""
             await core.save_vote(request.term, vote)
@@ -155,3 +181,28 @@
         if granted:
             core.heard = core.clock.monotonic()
         return VoteAnswer(storage.term, granted)
+
+    def _is_held_back(self) -> bool:
+        # a voter cut off for long must not depose a working leader
+        core = self._core
+        return core.quiet() < core.timing.election or core.leads()
+
+    def _find_refusal(self, request: VoteRequest) -> str:
+        """Return why a candidate gets no vote; empty where it gets it."""
+        core, storage = self._core, self._core.storage
+        if core.leads():
+            return "leads"
+        if core.quiet() < core.timing.election:
+            leader = core.leader or "nobody"
+            return f"heard {leader} or voted or started a moment ago"
+        if request.term < storage.term:
+            return f"term is {storage.term}"
+        mine = (storage.last_term, storage.last_index)
+        if (request.last_term, request.last_index) < mine:
+            return f"log is at {mine[0]}/{mine[1]}"
+        is_free = (
+            request.pre
+            or request.term > storage.term
+            or storage.vote in ("", request.candidate)
+        )
+        return "" if is_free else f"voted for {storage.vote}"
