--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -302,6 +302,14 @@
         await self.voters[address].leave()
         await self.stop(address)
 
+    def cut(self, address: str) -> None:
+        """Drop all that a voter sends to others and gets from them."""
+        self.voters[address].membership._links._faults.cut.add("*")
+
+    def heal(self, address: str) -> None:
+        """End the cut of a voter."""
+        self.voters[address].membership._links._faults.cut.clear()
+
     async def wipe(self, address: str) -> None:
         """Remove the data directory of a stopped voter.
 
--- a/packages/state/src/chivepier/state/testing/rig.py
+++ b/packages/state/src/chivepier/state/testing/rig.py
@@ -87,7 +87,8 @@
     async def __aexit__(self, *exc) -> None:
         for name in list(self.replicas):
             self.crash(name)
-        await self.network.close()
+        # a handler that is cancelled in mid write waits for its end, too
+        self._dying.append(asyncio.create_task(self.network.close()))
         while not all(task.done() for task in self._dying):
             # a cancelled write still runs to its end
             self.clock.advance(STEP)
