--- a/packages/state/src/chivepier/state/elections.py
+++ b/packages/state/src/chivepier/state/elections.py
@@ -10,8 +10,10 @@
 from chivepier.state.ballot import Ballot
 from chivepier.state.ballot import GRANTED
 from chivepier.state.ballot import UNANSWERED
+from chivepier.state.candidacy import Candidacy
 from chivepier.state.core import Core
 from chivepier.state.electionlog import ElectionLog
+from chivepier.state.prevotes import PreVotes
 from chivepier.state.role import Role
 from chivepier.state.tenure import Tenure
 from chivepier.wire import LinkError
@@ -27,6 +29,7 @@
     def __init__(self, core: Core):
         self._core = core
         self._log = ElectionLog()
+        self._pre_votes = PreVotes(core.clock, core.timing.request)
 
     async def watch(self) -> None:
         """Stand for the lead whenever no leader is heard for long."""
@@ -44,12 +47,18 @@
             if core.tenure is None and waited >= timeout and core.is_voter():
                 await self._stand()
                 stood = core.clock.monotonic()
-                timeout = self._draw_timeout()
+                timeout = self._draw_retry()
 
     def _draw_timeout(self) -> float:
         timing = self._core.timing
         return timing.election + self._core.rng.random() * timing.spread
 
+    def _draw_retry(self) -> float:
+        # pre-votes cost nothing: one that came too early for a voter that
+        # has just started must not cost a whole timeout
+        timing = self._core.timing
+        return timing.heartbeat + self._core.rng.random() * timing.request
+
     def _check_lease(self) -> None:
         core = self._core
         silent = core.clock.monotonic() - core.tenure.lease_end()
@@ -59,9 +68,26 @@
 
     async def _stand(self) -> None:
         core = self._core
-        if not await self._collect(core.storage.term + 1, pre=True):
+        if self._pre_votes.find_promised() is not None:
             return
+        self._pre_votes.promise(self._describe_candidacy())
+        try:
+            if await self._collect(core.storage.term + 1, pre=True):
+                await self._stand_in_earnest()
+        finally:
+            self._pre_votes.withdraw(core.node)
+
+    def _describe_candidacy(self) -> Candidacy:
+        storage = self._core.storage
+        return Candidacy(
+            storage.last_term, storage.last_index, self._core.node
+        )
+
+    async def _stand_in_earnest(self) -> None:
+        core = self._core
         async with core.lock:
+            if not self._renew_candidacy():
+                return
             if core.quiet() < core.timing.election or core.tenure is not None:
                 # a leader was heard, or a vote given, meanwhile: voting for
                 # itself would break the lease that the leader counts on
@@ -77,6 +103,13 @@
             if core.role is Role.CANDIDATE and core.error is None:
                 self._lead()
 
+    def _renew_candidacy(self) -> bool:
+        """Tell whether no better candidate has the own pre-vote meanwhile."""
+        promised = self._pre_votes.find_promised()
+        if promised is not None and promised.node != self._core.node:
+            return False
+        return self._pre_votes.promise(self._describe_candidacy())
+
     def _lead(self) -> None:
         core = self._core
         log.info("leads term={}", core.storage.term)
@@ -200,9 +233,24 @@
         mine = (storage.last_term, storage.last_index)
         if (request.last_term, request.last_index) < mine:
             return f"log is at {mine[0]}/{mine[1]}"
-        is_free = (
-            request.pre
-            or request.term > storage.term
-            or storage.vote in ("", request.candidate)
+        if request.pre:
+            return self._find_pre_vote_refusal(request)
+        is_free = request.term > storage.term or storage.vote in (
+            "",
+            request.candidate,
         )
         return "" if is_free else f"voted for {storage.vote}"
+
+    def _find_pre_vote_refusal(self, request: VoteRequest) -> str:
+        if self._core.role is Role.CANDIDATE and self._is_standing():
+            return "stands"
+        candidacy = Candidacy(
+            request.last_term, request.last_index, request.candidate
+        )
+        if self._pre_votes.promise(candidacy):
+            return ""
+        return f"prefers {self._pre_votes.find_promised().node}"
+
+    def _is_standing(self) -> bool:
+        promised = self._pre_votes.find_promised()
+        return promised is not None and promised.node == self._core.node
--- a/packages/state/src/chivepier/state/tests/test_elections.py
+++ b/packages/state/src/chivepier/state/tests/test_elections.py
@@ -9,7 +9,10 @@
 
 import pytest
 
+from chivepier.state.candidacy import Candidacy
+from chivepier.state.prevotes import PreVotes
 from chivepier.state.testing.rig import Rig
+from chivepier.types import ManualClock
 
 # Within this of the last start, an operator gets an answer.
 CALM_SECONDS = 6.0
@@ -54,3 +57,22 @@
             assert seconds < CALM_SECONDS, f"seed {seed}: {seconds:.2f} s"
 
     asyncio.run(test())
+
+
+def test_pre_vote_goes_to_the_longest_log_alone():
+    # Guards against two candidates that both pass, and share the votes.
+    votes = PreVotes(ManualClock(), 0.5)
+    assert votes.promise(Candidacy(2, 7, "b"))
+    assert not votes.promise(Candidacy(2, 7, "a"))
+    assert votes.promise(Candidacy(2, 8, "a"))
+    assert votes.promise(Candidacy(2, 7, "a"))
+    assert not votes.promise(Candidacy(2, 6, "b"))
+
+
+def test_pre_vote_of_a_candidate_that_is_gone_is_given_again():
+    # Guards against a promise that holds the others back for good.
+    clock = ManualClock()
+    votes = PreVotes(clock, 0.5)
+    assert votes.promise(Candidacy(3, 9, "b"))
+    clock.advance(0.5)
+    assert votes.promise(Candidacy(2, 7, "a"))
--- a/packages/state/src/chivepier/state/tests/test_safeguards.py
+++ b/packages/state/src/chivepier/state/tests/test_safeguards.py
@@ -106,7 +106,7 @@
 
 async def elect_over_a_lease(careless: bool) -> None:
     """Let a leader be heard in the middle of another's pre-vote."""
-    async with Rig(3, timing=Timing(spread=0.5)) as rig:
+    async with Rig(3, timing=Timing(spread=0.5, request=0.2)) as rig:
         leader = await rig.await_leader()
         first, second = (r for r in rig.replicas.values() if r != leader)
         gate = asyncio.Event()
