Forget a leader that is silent, so that a lost vote is asked for

Operators saw no answer for good: a voter that was cut off or stood still for 1.5 s lost its vote as spare and did not get it back; a replaced voter was gone; the next lost disk left one voter of three. A voter asks for a vote while it knows no leader or has none by its own log. Its log names its lost vote, as it gets no more of it, and the leader that it heard last was kept for ever, also as the address to send reads to.

Each voter now forgets a leader that it has not heard for an election timeout, and asks.

--- a/packages/state/src/chivepier/state/elections.py
+++ b/packages/state/src/chivepier/state/elections.py
@@ -40,6 +40,8 @@
             await core.clock.sleep(timing.heartbeat)
             if core.tenure is not None:
                 self._check_lease()
+            else:
+                self._forget_silent_leader()
             if core.heard != heard:
                 heard = core.heard
                 timeout = self._draw_timeout()
@@ -66,6 +68,15 @@
             log.warning("leader steps down: no majority answers")
             core.follow("")
 
+    def _forget_silent_leader(self) -> None:
+        # who lost its vote while it was away hears nobody any more; as long
+        # as it believed in a leader it would ask for no other vote, and ask
+        # an address that may be gone
+        core = self._core
+        silent = core.clock.monotonic() - core.last_leader_heard
+        if core.leader and silent >= core.timing.election:
+            core.follow("")
+
     async def _stand(self) -> None:
         core = self._core
         if self._pre_votes.find_promised() is not None:
