--- a/packages/state/src/chivepier/state/diskstorage.py
+++ b/packages/state/src/chivepier/state/diskstorage.py
@@ -43,12 +43,21 @@
         self.term, self.vote = self._load_vote()
         self.snapshot = self._load_snapshot()
         self.entries = self._load_log()
+        self._sync_loaded()
         self._log = open(folder / LOG_FILE, "ab")
 
     def close(self) -> None:
         """Close the log file."""
         self._log.close()
 
+    def _sync_loaded(self) -> None:
+        # a process that was killed leaves what it wrote, synced or not; this
+        # voter answers for it from now on, and power may be lost next
+        for name in (VOTE_FILE, SNAPSHOT_FILE, LOG_FILE):
+            if (self._folder / name).exists():
+                sync_path(self._folder / name)
+        sync_path(self._folder)
+
     def _load_single(self, name: str) -> bytes | None:
         path = self._folder / name
         if not path.exists():
@@ -160,15 +169,15 @@
         stream.flush()
         os.fsync(stream.fileno())
     os.replace(fresh, folder / name)
-    sync_folder(folder)
+    sync_path(folder)
 
 
-def sync_folder(folder: pathlib.Path) -> None:
-    """Sync a folder, so that a new name in it survives a crash.
+def sync_path(path: pathlib.Path) -> None:
+    """Sync a file, or a folder so that a new name in it survives a crash.
 
-    :param folder: an existing folder
+    :param path: an existing file or folder
     """
-    handle = os.open(folder, os.O_RDONLY)
+    handle = os.open(path, os.O_RDONLY)
     try:
         os.fsync(handle)
     finally:
--- a/packages/state/src/chivepier/state/testing/__init__.py
+++ b/packages/state/src/chivepier/state/testing/__init__.py
@@ -4,6 +4,7 @@
 from chivepier.state.testing.memorydisk import MemoryDisk
 from chivepier.state.testing.memorynetwork import MemoryNetwork
 from chivepier.state.testing.memorystorage import MemoryStorage
+from chivepier.state.testing.poweredfolder import PoweredFolder
 from chivepier.state.testing.ratedclock import RatedClock
 from chivepier.state.testing.rig import Rig
 
@@ -12,6 +13,7 @@
     "MemoryDisk",
     "MemoryNetwork",
     "MemoryStorage",
+    "PoweredFolder",
     "RatedClock",
     "Rig",
 ]
