Take the power from the voters of the soak, and stall their disks

The soak of lost voters killed processes, which loses nothing that was written without a sync, and had one voter away at a time. Its voters now run on a folder of which only what is synced outlives a loss of power, names of files included, and whose syncs can be held up. New losses: a stalled disk, a planned replacement beside a voter that stands still or whose disk stalls, the same with a third voter's disk lost next, and all voters without power. After each loss the newest leader must say that the next lost disk is borne; it says so anew whenever it begins to lead. The end is played twice: all voters killed and one disk lost, then all processes without power, entries too, and one disk lost; they come back in any order.

--- a/packages/gateway/src/chivepier/gateway/control/membership.py
+++ b/packages/gateway/src/chivepier/gateway/control/membership.py
@@ -98,6 +98,7 @@
             await self._update_voters(replica)
             return
         self._watch.clear()
+        self._survey.clear()
         if self._stops:
             return
         await self._request_vote()
--- a/packages/gateway/src/chivepier/gateway/control/surveylog.py
+++ b/packages/gateway/src/chivepier/gateway/control/surveylog.py
@@ -19,6 +19,10 @@
         self._log = log
         self._written: tuple | None = None
 
+    def clear(self) -> None:
+        """Let the next line be written, as this node leads no more."""
+        self._written = None
+
     def write(
         self,
         healths: collections.abc.Sequence[VoterHealth],
--- a/soak/process.py
+++ b/soak/process.py
@@ -14,11 +14,15 @@
 
 import aiohttp
 
+from chivepier.state.testing import PoweredFolder
 from soak.linked import VARIABLE as LINKS_VARIABLE
+from soak.powered import DATA_VARIABLE
+from soak.powered import SHADOW_VARIABLE
 
 ROOT = pathlib.Path(__file__).parents[1]
 PROGRAM = ROOT / "platform" / "chivepierd.py"
 LINKED_PROGRAM = ROOT / "soak" / "linked.py"
+POWERED_PROGRAM = ROOT / "soak" / "powered.py"
 # Timeout of a client request in seconds, above every deadline in use.
 SESSION_SECONDS = 6.0
 SETTINGS = """node-name={name}
@@ -74,6 +78,7 @@
     :param seeds: control addresses of the voters
     :param folder: directory for settings, data and logs
     :ivar memory_mb: memory of its instance; ``None`` if that isn't named
+    :ivar disk: its data, which can lose power; ``None`` if that is not asked
     :ivar links: addresses at which it reaches targets, by their own; empty if
         it reaches them directly
     """
@@ -85,6 +90,7 @@
         self.ip = ip
         self.links: dict[str, str] = {}
         self.memory_mb: int | None = None
+        self.disk: PoweredFolder | None = None
         self._seeds = ",".join(seeds)
         self._folder = folder
         self._child: subprocess.Popen | None = None
@@ -108,6 +114,10 @@
         program = LINKED_PROGRAM if self.links else PROGRAM
         variables = {"CHIVEPIER_BOOT": str(path)}
         variables[LINKS_VARIABLE] = json.dumps(self.links)
+        if self.disk is not None:
+            program = POWERED_PROGRAM
+            variables[DATA_VARIABLE] = str(self._data)
+            variables[SHADOW_VARIABLE] = str(self._shadow)
         with self._open_log() as log:
             self._child = subprocess.Popen(
                 [sys.executable, str(program), self.role],
@@ -116,6 +126,18 @@
                 stderr=subprocess.STDOUT,
             )
 
+    @property
+    def _data(self) -> pathlib.Path:
+        return self._folder.resolve() / f"data-{self.name}"
+
+    @property
+    def _shadow(self) -> pathlib.Path:
+        return self._folder.resolve() / f"shadow-{self.name}"
+
+    def power_disk(self) -> None:
+        """Let the disk lose power, and stall."""
+        self.disk = PoweredFolder(self._data, self._shadow)
+
     def update_seeds(self, seeds: list[str]) -> None:
         """Name other voters in the settings; they are read again."""
         self._seeds = ",".join(seeds)
--- a/soak/tests/test_voters.py
+++ b/soak/tests/test_voters.py
@@ -29,3 +29,19 @@
         seen = asyncio.run(scenario.run(30.0))
     assert seen.violations == []
     assert seen.answered > 50 and scenario.operator.acknowledged > 20
+
+
+def test_replacement_beside_an_absent_voter_costs_no_acknowledged_change(
+    tmp_path,
+):
+    # Guards against a voter that never gets its vote back, and no quorum.
+    with reserve_block() as block:
+        scenario = VoterScenario(tmp_path, block, 4)
+        scenario.faults.keep_only(
+            "lose_disk_after_replacement_beside_frozen",
+            "replace_beside_stalled",
+            "lose_power",
+        )
+        seen = asyncio.run(scenario.run(30.0))
+    assert seen.violations == []
+    assert seen.answered > 50 and scenario.operator.acknowledged > 20
--- a/soak/voterfaults.py
+++ b/soak/voterfaults.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 import random
-import shutil
 import signal
 import time
 import typing
@@ -21,11 +20,19 @@
 GRACE_SECONDS = 8.0
 # Longest time for which a voter is down, and for which it stands still.
 MAX_DOWN_SECONDS, MAX_FREEZE_SECONDS = 3.0, 6.0
+# For so long one stands still beside a replacement: its vote is taken.
+FREEZE_BESIDE_SECONDS = 3.0
 # Longest pause between two disturbances beside the losses.
 MAX_QUIET_SECONDS = 3.0
+# Longest time between two starts after all have ended.
+MAX_GAP_SECONDS = 0.3
 # Longest time that a process takes to start on a busy machine.
 MAX_START_SECONDS = 30.0
 
+Disturb = collections.abc.Callable[
+    [Process], collections.abc.Coroutine[None, None, None]
+]
+
 
 class VoterFaults:
     """Draws losses of voters; one is over before the next one begins.
@@ -49,6 +56,11 @@
             self.restart,
             self.roll,
             self.kill_all,
+            self.stall_disk,
+            self.replace_beside_frozen,
+            self.replace_beside_stalled,
+            self.lose_disk_after_replacement_beside_frozen,
+            self.lose_power,
         )
         self._draw = FaultDraw(rng, kinds)
 
@@ -67,6 +79,7 @@
             fault = self._draw.draw()
             self._note(fault.__name__)
             await fault()
+            await self._scenario.check_losses_borne()
             self._scenario.check_processes()
 
     async def disturb(self, entries: list[Process]) -> None:
@@ -139,20 +152,50 @@
         """Kill a voter, and start it without its data."""
         voter = self._rng.choice(self._scenario.voters)
         voter.end()
-        self._delete_data(voter)
+        voter.disk.lose_disk()
         await asyncio.sleep(self._rng.uniform(0.0, MAX_DOWN_SECONDS))
         await self._start(voter)
 
-    def _delete_data(self, voter: Process) -> None:
-        folder = self._scenario.folder / f"data-{voter.name}"
-        shutil.rmtree(folder, ignore_errors=True)
-
     async def freeze(self) -> None:
         """Pause a voter."""
-        voter = self._rng.choice(self._scenario.voters)
+        await self._pause(self._rng.choice(self._scenario.voters))
+        await asyncio.sleep(CATCH_UP_SECONDS)
+
+    async def _pause(self, voter: Process) -> None:
         voter.signal(signal.SIGSTOP)
         await asyncio.sleep(self._rng.uniform(0.5, MAX_FREEZE_SECONDS))
         voter.signal(signal.SIGCONT)
+
+    async def stall_disk(self) -> None:
+        """Let a voter's disk answer nothing for some seconds."""
+        await self._stall(self._rng.choice(self._scenario.voters))
+        await asyncio.sleep(CATCH_UP_SECONDS)
+
+    async def _stall(self, voter: Process) -> None:
+        voter.disk.stall()
+        try:
+            await asyncio.sleep(self._rng.uniform(0.5, MAX_FREEZE_SECONDS))
+        finally:
+            voter.disk.go_on()
+
+    async def replace_beside_frozen(self) -> None:
+        """Replace a voter as planned while another one stands still."""
+        await self._replace_beside(self._pause)
+
+    async def replace_beside_stalled(self) -> None:
+        """Replace a voter as planned while another one's disk stalls."""
+        await self._replace_beside(self._stall)
+
+    async def _replace_beside(self, disturb: Disturb) -> None:
+        old, other = self._rng.sample(self._scenario.voters, 2)
+        fresh = self._scenario.add_voter()
+        await self._await_start(fresh)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        with self._scenario.operator.expect_no_service():
+            async with asyncio.TaskGroup() as group:
+                group.create_task(disturb(other))
+                await asyncio.sleep(self._rng.uniform(0.0, MAX_FREEZE_SECONDS))
+                await self._end_for_good(old)
         await asyncio.sleep(CATCH_UP_SECONDS)
 
     async def restart(self) -> None:
@@ -180,16 +223,61 @@
         self._note("kill_all_and_lose_disk")
         await self._end_all(self._rng.choice(self._scenario.voters))
 
-    async def _end_all(self, wiped: Process | None = None) -> None:
+    async def lose_disk_after_replacement_beside_frozen(self) -> None:
+        """Replace a voter while a second one stands still; wipe a third."""
+        old, other, third = self._rng.sample(self._scenario.voters, 3)
+        fresh = self._scenario.add_voter()
+        await self._await_start(fresh)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        with self._scenario.operator.expect_no_service():
+            other.signal(signal.SIGSTOP)
+            await asyncio.sleep(FREEZE_BESIDE_SECONDS)
+            other.signal(signal.SIGCONT)
+            await self._stop(old)
+            self._scenario.remove_voter(old)
+        await asyncio.sleep(CATCH_UP_SECONDS)
+        await self._scenario.check_losses_borne()
+        third.end()
+        third.disk.lose_disk()
+        await self._start(third)
+
+    async def lose_power(self) -> None:
+        """Let all voters lose power at once."""
+        await self._end_all(loses_power=True)
+        await asyncio.sleep(RECOVER_SECONDS)
+
+    async def lose_power_and_disk(self, entries: list[Process]) -> None:
+        """Let all processes lose power; one voter also loses its disk.
+
+        :param entries: they come back with the voters
+        """
+        self._note("lose_power_and_disk")
+        for entry in entries:
+            entry.end()
+        wiped = self._rng.choice(self._scenario.voters)
+        await self._end_all(wiped, loses_power=True)
+        for entry in entries:
+            entry.start()
+
+    async def _end_all(
+        self, wiped: Process | None = None, loses_power: bool = False
+    ) -> None:
         with self._scenario.operator.expect_no_service():
-            for voter in self._scenario.voters:
+            voters = list(self._scenario.voters)
+            for voter in voters:
                 voter.end()
-            if wiped is not None:
-                self._delete_data(wiped)
+            for voter in voters:
+                if voter is wiped:
+                    voter.disk.lose_disk()
+                elif loses_power:
+                    voter.disk.lose_power(self._rng)
             await asyncio.sleep(self._rng.uniform(0.0, 1.0))
-            for voter in self._scenario.voters:
+            # who lost its disk may be the first or the last to come back
+            self._rng.shuffle(voters)
+            for voter in voters:
                 voter.start()
-            await self._await_all(self._scenario.voters)
+                await asyncio.sleep(self._rng.uniform(0.0, MAX_GAP_SECONDS))
+            await self._await_all(voters)
 
     async def _await_all(
         self, voters: collections.abc.Iterable[Process]
--- a/soak/voterscenario.py
+++ b/soak/voterscenario.py
@@ -3,9 +3,11 @@
 import asyncio
 import collections.abc
 import contextlib
+import json
 import pathlib
 import random
 import signal
+import time
 
 import aiohttp
 
@@ -14,6 +16,8 @@
 from soak.cluster import Cluster
 from soak.configoperator import ConfigOperator
 from soak.configoperator import make_large_config
+from soak.configoperator import TOUCH_SECONDS
+from soak.faultdraw import Fault
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
 from soak.process import SESSION_SECONDS
@@ -25,8 +29,8 @@
 VOTER_MEMORY_MB, ENTRY_MEMORY_MB = 256, 128
 TARGETS, CALLERS = 2, 4
 CALLER_PAUSE_SECONDS = 0.02
-# Longest time for the loss at the end; without a quorum it would never come.
-MAX_END_SECONDS = 60.0
+# Longest time for the losses at the end; without a quorum it would never come.
+MAX_END_SECONDS = 90.0
 
 
 class VoterScenario:
@@ -57,6 +61,8 @@
             folder, block, seed, entries, TARGETS, self._make_target
         )
         self.voters = self._cluster.voters
+        for voter in self.voters:
+            voter.power_disk()
         self._made = len(self.voters)
         self.rng = random.Random(seed)
         self.faults = VoterFaults(self, self.rng)
@@ -76,7 +82,8 @@
         """Inject losses for some seconds; return the violations found.
 
         At the end all voters are killed right after an acknowledgement, and
-        one of them loses its disk.
+        one of them loses its disk; then the same, and all processes lose
+        power.
         """
         async with self._start():
             tasks = [
@@ -98,14 +105,19 @@
             self._restore_entries()
             try:
                 async with asyncio.timeout(MAX_END_SECONDS):
-                    await self._lose_disk_at_the_end()
+                    await self._end_by(self.faults.kill_all_and_lose_disk)
+                    await asyncio.sleep(CATCH_UP_SECONDS)
+                    await self._end_by(self._lose_all_power)
             except TimeoutError:
                 self.checker.violations.append("no end was reached in time")
         return self.checker
 
-    async def _lose_disk_at_the_end(self) -> None:
+    async def _lose_all_power(self) -> None:
+        await self.faults.lose_power_and_disk(self._cluster.entries)
+
+    async def _end_by(self, fault: Fault) -> None:
         await self.operator.change()
-        await self.faults.kill_all_and_lose_disk()
+        await fault()
         await self.operator.check_recovery()
         await self.operator.change()
         await self._check_served()
@@ -157,6 +169,7 @@
         self._made += 1
         ip = f"127.{self._block}.1.{self._made}"
         voter = Process("voter", ip, self._cluster.controls[:3], self.folder)
+        voter.power_disk()
         self.voters.append(voter)
         self._cluster.controls.append(f"{ip}:8748")
         voter.start()
@@ -179,6 +192,28 @@
         writer.close()
         return True
 
+    async def check_losses_borne(self) -> None:
+        """Check that the voters bear the next lost disk."""
+        end = time.monotonic() + TOUCH_SECONDS
+        while self._read_losses_borne() < 1:
+            if time.monotonic() > end:
+                fault = self.faults.names[-1]
+                text = f"no lost disk is borne after {fault}"
+                self.checker.violations.append(text)
+                return
+            await asyncio.sleep(0.1)
+
+    def _read_losses_borne(self) -> int:
+        """Return how many lost disks are borne by the newest leader."""
+        surveys = []
+        for path in self.folder.glob("voter-*.log"):
+            for line in path.read_bytes().splitlines():
+                if b'"event":"voters"' in line:
+                    surveys.append(json.loads(line))
+        if not surveys:
+            return 0
+        return max(surveys, key=lambda line: line["t"])["losses_borne"]
+
     def _restore_entries(self) -> None:
         for entry in self._cluster.entries:
             entry.signal(signal.SIGCONT)
