--- a/packages/state/src/chivepier/state/elections.py
+++ b/packages/state/src/chivepier/state/elections.py
@@ -7,19 +7,29 @@
 
 from chivepier.messages import VoteAnswer
 from chivepier.messages import VoteRequest
+from chivepier.state.ballot import Ballot
+from chivepier.state.ballot import GRANTED
+from chivepier.state.ballot import UNANSWERED
+from chivepier.state.candidacy import Candidacy
 from chivepier.state.core import Core
+from chivepier.state.electionlog import ElectionLog
+from chivepier.state.prevotes import PreVotes
 from chivepier.state.role import Role
 from chivepier.state.tenure import Tenure
 from chivepier.wire import LinkError
 
 log = logbook.Logger("state")
 
+REFUSED = "refused"
+
 
 class Elections:
     """One task that stands when no leader is heard."""
 
     def __init__(self, core: Core):
         self._core = core
+        self._log = ElectionLog()
+        self._pre_votes = PreVotes(core.clock, core.timing.request)
 
     async def watch(self) -> None:
         """Stand for the lead whenever no leader is heard for long."""
@@ -30,6 +40,8 @@
             await core.clock.sleep(timing.heartbeat)
             if core.tenure is not None:
                 self._check_lease()
+            else:
+                self._forget_silent_leader()
             if core.heard != heard:
                 heard = core.heard
                 timeout = self._draw_timeout()
@@ -37,12 +49,18 @@
             if core.tenure is None and waited >= timeout and core.is_voter():
                 await self._stand()
                 stood = core.clock.monotonic()
-                timeout = self._draw_timeout()
+                timeout = self._draw_retry()
 
     def _draw_timeout(self) -> float:
         timing = self._core.timing
         return timing.election + self._core.rng.random() * timing.spread
 
+    def _draw_retry(self) -> float:
+        # pre-votes cost nothing: one that came too early for a voter that
+        # has just started must not cost a whole timeout
+        timing = self._core.timing
+        return timing.heartbeat + self._core.rng.random() * timing.request
+
     def _check_lease(self) -> None:
         core = self._core
         silent = core.clock.monotonic() - core.tenure.lease_end()
@@ -50,11 +68,37 @@
             log.warning("leader steps down: no majority answers")
             core.follow("")
 
+    def _forget_silent_leader(self) -> None:
+        # who lost its vote while it was away hears nobody any more; as long
+        # as it believed in a leader it would ask for no other vote, and ask
+        # an address that may be gone
+        core = self._core
+        silent = core.clock.monotonic() - core.last_leader_heard
+        if core.leader and silent >= core.timing.election:
+            core.follow("")
+
     async def _stand(self) -> None:
         core = self._core
-        if not await self._collect(core.storage.term + 1, pre=True):
+        if self._pre_votes.find_promised() is not None:
             return
+        self._pre_votes.promise(self._describe_candidacy())
+        try:
+            if await self._collect(core.storage.term + 1, pre=True):
+                await self._stand_in_earnest()
+        finally:
+            self._pre_votes.withdraw(core.node)
+
+    def _describe_candidacy(self) -> Candidacy:
+        storage = self._core.storage
+        return Candidacy(
+            storage.last_term, storage.last_index, self._core.node
+        )
+
+    async def _stand_in_earnest(self) -> None:
+        core = self._core
         async with core.lock:
+            if not self._renew_candidacy():
+                return
             if core.quiet() < core.timing.election or core.tenure is not None:
                 # a leader was heard, or a vote given, meanwhile: voting for
                 # itself would break the lease that the leader counts on
@@ -70,6 +114,13 @@
             if core.role is Role.CANDIDATE and core.error is None:
                 self._lead()
 
+    def _renew_candidacy(self) -> bool:
+        """Tell whether no better candidate has the own pre-vote meanwhile."""
+        promised = self._pre_votes.find_promised()
+        if promised is not None and promised.node != self._core.node:
+            return False
+        return self._pre_votes.promise(self._describe_candidacy())
+
     def _lead(self) -> None:
         core = self._core
         log.info("leads term={}", core.storage.term)
@@ -88,39 +139,61 @@
             pre,
             core.cluster,
         )
-        others = [v for v in core.voters if v.node != core.node]
-        needed = len(core.voters) // 2 + 1
-        waiting = {
-            asyncio.create_task(
+        voters = core.voters
+        asked = {
+            v.node: asyncio.create_task(
                 self._ask(v.address, attrs.evolve(request, voter=v.node))
             )
-            for v in others
+            for v in voters
+            if v.node != core.node
         }
+        won = await self._await_majority(asked, len(voters) // 2 + 1)
+        ballot = Ballot(
+            term=term,
+            is_pre=pre,
+            is_won=won,
+            last_term=request.last_term,
+            last_index=request.last_index,
+            voters=tuple(v.node for v in voters),
+            answers={
+                node: task.result() if task.done() else UNANSWERED
+                for node, task in asked.items()
+            },
+        )
+        self._log.write_ballot(ballot)
+        return won
+
+    async def _await_majority(
+        self, asked: dict[str, asyncio.Task], needed: int
+    ) -> bool:
+        """Tell whether a majority grants its vote, own vote included."""
         votes = 1
+        waiting = set(asked.values())
         try:
             while votes < needed and waiting:
                 done, waiting = await asyncio.wait(
                     waiting, return_when=asyncio.FIRST_COMPLETED
                 )
-                votes += sum(task.result() for task in done)
+                votes += sum(task.result() == GRANTED for task in done)
         finally:
             for task in waiting:
                 task.cancel()
         return votes >= needed
 
-    async def _ask(self, address: str, request: VoteRequest) -> bool:
+    async def _ask(self, address: str, request: VoteRequest) -> str:
+        """Ask one voter, and return its answer as a ballot names it."""
         core = self._core
         try:
             answer = await core.transport.request(
                 address, request, core.timing.request
             )
-        except LinkError:
-            return False
+        except LinkError as error:
+            return str(error)
         if answer.term > core.storage.term:
             # also after a pre-vote: the only voter with the whole log may
             # have the lowest term, and nobody else can win
             await core.adopt_term(answer.term)
-        return answer.granted
+        return GRANTED if answer.granted else REFUSED
 
     async def handle_vote(self, request: VoteRequest) -> VoteAnswer:
         """Answer a candidate.
@@ -135,18 +208,15 @@
 
     async def _answer(self, request: VoteRequest) -> VoteAnswer:
         core, storage = self._core, self._core.storage
-        if core.quiet() < core.timing.election or core.leads():
-            # a voter cut off for long must not depose a working leader
-            return VoteAnswer(storage.term, False)
-        if request.term < storage.term:
+        reason = self._find_refusal(request)
+        if reason:
+            self._log.write_refusal(request.candidate, request.term, reason)
+        if self._is_held_back() or request.term < storage.term:
             return VoteAnswer(storage.term, False)
-        mine = (storage.last_term, storage.last_index)
-        current = (request.last_term, request.last_index) >= mine
+        granted = not reason
         if request.pre:
-            return VoteAnswer(storage.term, current)
+            return VoteAnswer(storage.term, granted)
         later = request.term > storage.term
-        free = later or storage.vote in ("", request.candidate)
-        granted = current and free
         if later or granted:
             vote = request.candidate if granted else ""
             await core.save_vote(request.term, vote)
@@ -155,3 +225,43 @@
         if granted:
             core.heard = core.clock.monotonic()
         return VoteAnswer(storage.term, granted)
+
+    def _is_held_back(self) -> bool:
+        # a voter cut off for long must not depose a working leader
+        core = self._core
+        return core.quiet() < core.timing.election or core.leads()
+
+    def _find_refusal(self, request: VoteRequest) -> str:
+        """Return why a candidate gets no vote; empty where it gets it."""
+        core, storage = self._core, self._core.storage
+        if core.leads():
+            return "leads"
+        if core.quiet() < core.timing.election:
+            leader = core.leader or "nobody"
+            return f"heard {leader} or voted or started a moment ago"
+        if request.term < storage.term:
+            return f"term is {storage.term}"
+        mine = (storage.last_term, storage.last_index)
+        if (request.last_term, request.last_index) < mine:
+            return f"log is at {mine[0]}/{mine[1]}"
+        if request.pre:
+            return self._find_pre_vote_refusal(request)
+        is_free = request.term > storage.term or storage.vote in (
+            "",
+            request.candidate,
+        )
+        return "" if is_free else f"voted for {storage.vote}"
+
+    def _find_pre_vote_refusal(self, request: VoteRequest) -> str:
+        if self._core.role is Role.CANDIDATE and self._is_standing():
+            return "stands"
+        candidacy = Candidacy(
+            request.last_term, request.last_index, request.candidate
+        )
+        if self._pre_votes.promise(candidacy):
+            return ""
+        return f"prefers {self._pre_votes.find_promised().node}"
+
+    def _is_standing(self) -> bool:
+        promised = self._pre_votes.find_promised()
+        return promised is not None and promised.node == self._core.node
