Let the soak's links to voters go silent beside changes

Connections made by the event loop's own function were not redirected to proxies before; targets' were.

--- a/soak/linked.py
+++ b/soak/linked.py
@@ -1,8 +1,8 @@
-"""Runs the program with each target behind a link of its own.
+"""Runs the program with each target or voter behind a link of its own.
 
 On loopback all processes share their addresses, so a proxy can't tell whose
-connection it gets. Each process reaches a target at an address that is its
-own, as if it were the only one before that link.
+connection it gets. Each process reaches a target or voter at an address that
+is its own, as if it were the only one before that link.
 """
 
 import asyncio
@@ -13,8 +13,10 @@
 import socket
 import sys
 
+import uvloop
+
 PROGRAM = pathlib.Path(__file__).parents[1] / "platform" / "chivepierd.py"
-# Variable with the address of the link to each target, by the target's own.
+# Variable with the address of the link to each of them, by its own.
 VARIABLE = "CHIVEPIER_SOAK_LINKS"
 
 
@@ -22,6 +24,7 @@
     """Redirect connections to targets, and run the program."""
     links = json.loads(os.environ[VARIABLE])
     connect, open_connection = socket.socket.connect, asyncio.open_connection
+    create = uvloop.Loop.create_connection
 
     def connect_by_link(self, address):
         host, port = _redirect(links, *address[:2])
@@ -30,7 +33,13 @@
     def open_by_link(host, port, **options):
         return open_connection(*_redirect(links, host, port), **options)
 
+    async def create_by_link(loop, factory, host=None, port=None, **options):
+        if host is not None:
+            host, port = _redirect(links, host, port)
+        return await create(loop, factory, host, port, **options)
+
     socket.socket.connect = connect_by_link
+    uvloop.Loop.create_connection = create_by_link
     asyncio.open_connection = open_by_link
     sys.path.insert(0, str(PROGRAM.parent))
     sys.argv[0] = str(PROGRAM)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -54,6 +54,7 @@
         self.address = address
         self.fault_mode = ""
         self.silenced_connections = 0
+        self._silenced = 0
         self._upstream = upstream
         self._rng = rng
         self.held = Hold()
@@ -91,6 +92,10 @@
             )
             writer.transport.abort()
 
+    def silence(self) -> None:
+        """Drop what open connections carry from now on; new ones work."""
+        self._silenced += 1
+
     def _accept(self, reader, writer) -> None:
         task = asyncio.create_task(self._serve(reader, writer))
         self._tasks.add(task)
@@ -128,11 +133,12 @@
             group.create_task(self._pump(other_reader, writer, LOST_ANSWERS))
 
     async def _pump(self, reader, writer, dropped_mode: str) -> None:
-        silent = False
+        silent, began = False, self._silenced
         while data := await reader.read(CHUNK_BYTES):
             if self.fault_mode == SLOW:
                 await asyncio.sleep(self._rng.uniform(*DELAY_SECONDS))
-            if self.fault_mode == dropped_mode and not silent:
+            is_dropped = self.fault_mode == dropped_mode
+            if (is_dropped or self._silenced != began) and not silent:
                 silent = True
                 self.silenced_connections += 1
             await self.held.wait_for_end()
