Deny a route or key only while the newest configuration is known

Callers got 404 for routes that had been acknowledged, from entries that heard no voter, or only one that had lost sight of the others. A caller does not come back after that.

Cause: an entry took what it knows for all there is, however old it was.

Change: a voter says in its answers to beats whether it knows what is committed: it leads, or has heard a leader within an election's time and holds all that this one has committed. Else it answers 503, `not_ready`, with 0.3 s to come back.

The adapter's fixture has no voters, so it says in their place that the configuration is the newest; its tests are as they were, and one more has it the other way.

--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -11,6 +11,7 @@
 from chivepier.gateway.config import Service
 from chivepier.gateway.control import Voter
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.following import Currency
 from chivepier.gateway.following import LimitExchange
 from chivepier.gateway.following import LoadExchange
 from chivepier.gateway.following import Peers
@@ -124,6 +125,7 @@
             limits=LimitExchange(self.limits, clock),
             leavers=self.leavers,
             freshness=self.freshness,
+            currency=Currency(self.state, clock, log, Metrics()),
             clock=clock,
             log=log,
         )
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -289,6 +289,7 @@
             peers,
             peers_revision,
             keeps_origins=True,
+            is_current=self.replica.is_current(),
         )
 
     def _find_peers(
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.config import RouteIndex
 from chivepier.gateway.entry.usagewatch import UsageWatch
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.following import Currency
 from chivepier.gateway.following import Decode
 from chivepier.gateway.following import LimitExchange
 from chivepier.gateway.following import LoadExchange
@@ -253,6 +254,7 @@
             limits=LimitExchange(self.limits, clock),
             leavers=leavers,
             freshness=freshness,
+            currency=Currency(self.state, clock, log, self.metrics),
             clock=clock,
             log=log,
             report=reporter.report,
--- a/packages/gateway/src/chivepier/gateway/following/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/following/__init__.py
@@ -2,6 +2,7 @@
 
 from chivepier.gateway.following.configfetcher import ConfigFetcher
 from chivepier.gateway.following.configfetcher import Decode
+from chivepier.gateway.following.currency import Currency
 from chivepier.gateway.following.limitexchange import LimitExchange
 from chivepier.gateway.following.loadexchange import LoadExchange
 from chivepier.gateway.following.originexchange import OriginExchange
@@ -14,6 +15,7 @@
 
 __all__ = [
     "ConfigFetcher",
+    "Currency",
     "Decode",
     "VoterClient",
     "LimitExchange",
--- a/packages/gateway/src/chivepier/gateway/following/voterclient.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterclient.py
@@ -8,6 +8,7 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following.configfetcher import ConfigFetcher
 from chivepier.gateway.following.configfetcher import Decode
+from chivepier.gateway.following.currency import Currency
 from chivepier.gateway.following.limitexchange import LimitExchange
 from chivepier.gateway.following.loadexchange import LoadExchange
 from chivepier.gateway.following.peers import Peers
@@ -79,6 +80,7 @@
     :param limits: exchanges the rate limits that targets announced
     :param leavers: targets that announced in a response that they leave
     :param freshness: is notified of each answer of a voter
+    :param currency: is notified of versions, and of who knows the newest
     :param clock: source of monotonic time
     :param log: event log of this process
     :param report: returns what this entry can do at a monotonic time
@@ -102,6 +104,7 @@
         limits: LimitExchange,
         leavers: LeavingTargets,
         freshness: Freshness,
+        currency: Currency,
         clock: Clock,
         log: EventLog,
         report: collections.abc.Callable[[float], Ability] = _report_nothing,
@@ -128,6 +131,7 @@
         self._limits = limits
         self._leavers = leavers
         self._freshness = freshness
+        self._currency = currency
         freshness.request_update = self._start_beats
         self._zone_order_index = -1
         self._tasks: list[asyncio.Task] = []
@@ -212,7 +216,7 @@
             case ZoneNotice(records=records):
                 self._merge_zone_orders(records)
             case ConfigNotice(version=version):
-                self._configs.record_version(channel.peer, version)
+                self._note_version(channel.peer, version)
             case other:
                 raise RefusedError(f"unexpected {type(other).__name__}")
 
@@ -220,6 +224,7 @@
         while True:
             self._quarantine.expire()
             self._limits.expire(self._table)
+            self._currency.report()
             wanted = set(self._peers.all)
             for address in wanted - self._voters.keys():
                 voter = self._voters[address] = VoterLink()
@@ -318,6 +323,7 @@
         self._merge_zone_orders(answer.orders)
         self._presume_evacuations(answer.presumed)
         self._freshness.note_update(sent_at)
+        self._currency.note_answer(answer.version, answer.is_current, sent_at)
         self._handle_quarantine(voter, answer)
         # a restarted voter lacks the records of earlier beats: its answer
         # confirms a beat only if that beat carried everything
@@ -364,7 +370,11 @@
             voter.peers_revision = answer.peers_revision
         if answer.voters:
             self._peers.learn(answer.voters)
-        self._configs.record_version(address, answer.version)
+        self._note_version(address, answer.version)
+
+    def _note_version(self, address: str, version: int) -> None:
+        self._currency.note_version(version)
+        self._configs.record_version(address, version)
 
     def _merge_zone_orders(self, records: tuple[ZoneRecord, ...]) -> None:
         now = self._clock.monotonic()
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
@@ -26,6 +26,8 @@
     unknown to the voter. ``peers`` are entries that requests can be forwarded
     to, with their revision ``peers_revision``, -1 if nothing has changed.
     ``keeps_origins`` tells that the voter understands :class:`OriginNotice`.
+    ``is_current`` tells that the voter knows all that was committed a moment
+    ago; voters of earlier releases don't tell.
     """
 
     epoch: str
@@ -48,3 +50,4 @@
     peers: tuple[PeerRecord, ...] = ()
     peers_revision: int = -1
     keeps_origins: bool = False
+    is_current: bool = True
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -38,7 +38,7 @@
     "take_ups",
     "refusals",
 )
-GAUGES = ("zones", "place_waiting")
+GAUGES = ("zones", "place_waiting", "config_age", "config_behind")
 
 
 class Metrics:
@@ -258,6 +258,15 @@
         """
         self._record("zones", (zone,), float(evacuated))
 
+    def set_config_age(self, age: float, behind: int) -> None:
+        """Set how old the knowledge of the newest configuration is.
+
+        :param age: seconds since a voter that knows the newest one was asked
+        :param behind: newest version that a voter told, less the one in force
+        """
+        self._record("config_age", (), age)
+        self._record("config_behind", (), float(behind))
+
     def set_place_waiting(
         self, service: str, urgency: str, waiting: int
     ) -> None:
@@ -298,7 +307,9 @@
             self._dropped += 1
 
     def _apply(self, name: str, labels: tuple, value: float) -> None:
-        series = self._series[name].labels(*labels)
+        series = self._series[name]
+        if labels:
+            series = series.labels(*labels)
         if name in COUNTERS:
             series.inc(value)
         elif name in GAUGES:
@@ -443,6 +454,16 @@
             ("zone",),
             registry=registry,
         ),
+        "config_age": library.Gauge(
+            "chivepier_configuration_age_seconds",
+            "Time since a voter that knows the newest version was asked.",
+            registry=registry,
+        ),
+        "config_behind": library.Gauge(
+            "chivepier_configuration_behind",
+            "Newest version that a voter told, less the one in force.",
+            registry=registry,
+        ),
         "place_waiting": library.Gauge(
             "chivepier_place_waiting",
             "Plain requests that wait here, as all targets are full.",
--- a/packages/gateway/src/chivepier/gateway/serving/planner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/planner.py
@@ -1,5 +1,6 @@
 """Planning requests by the active configuration."""
 
+import datetime
 import random
 
 from chivepier.gateway.config import Route
@@ -11,8 +12,13 @@
 from chivepier.gateway.serving.servingstate import ServingState
 from chivepier.gateway.targets import Demand
 from chivepier.types import ErrorKind
+from chivepier.types import Failure
 from chivepier.types import RequestError
 
+# Time after which a caller may come back that was not denied: an entry that is
+# in touch with the voters knows the newest configuration by then.
+RETRY_AFTER = datetime.timedelta(seconds=0.3)
+
 
 class Planner:
     """Determines the route, team and service of requests.
@@ -31,7 +37,7 @@
         :param request: the request of the caller
         :returns: its route, team, service and limits
         :raises RequestError: if there is no configuration yet, no route
-            matches or the API key is unknown
+            matches or the API key is unknown, or if that can't be told
         """
         index = self._state.index
         if index is None:
@@ -39,10 +45,7 @@
             raise RequestError.of(ErrorKind.NOT_READY, text)
         route = index.find_route(request.host, request.path)
         if route is None:
-            raise RequestError.of(
-                ErrorKind.NOT_FOUND,
-                "no such route",
-            )
+            raise self._deny(ErrorKind.NOT_FOUND, "no such route")
         team = self._find_team(index, route, request)
         urgency = route.urgency
         if team is not None and team.urgency is not None:
@@ -66,9 +69,18 @@
             return None
         team = index.find_team(request.key or "")
         if team is None:
-            raise RequestError.of(ErrorKind.UNAUTHORIZED, "unknown key")
+            raise self._deny(ErrorKind.UNAUTHORIZED, "unknown key")
         return team
 
+    def _deny(self, kind: ErrorKind, text: str) -> RequestError:
+        # a caller doesn't come back after a denial; a route or key that was
+        # added a moment ago is only refused for a moment
+        if self._state.is_current():
+            return RequestError.of(kind, text)
+        text = f"{text} here, where the newest configuration is not known"
+        failure = Failure(ErrorKind.NOT_READY, text, retry_after=RETRY_AFTER)
+        return RequestError(failure)
+
     def _pick_service(self, index: RouteIndex, route: Route) -> Service:
         names = [name for name, _ in route.pools]
         if len(names) > 1:
--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -64,6 +64,8 @@
         # a restarted voter has forgotten whom it heard: by waiting as if it
         # had just heard a leader it can't help to break that leader's lease
         self.heard = clock.monotonic()
+        # when it last held all that its leader said was committed
+        self.current_at = float("-inf")
         # the leader that was heard last, and when; its silence is known to
         # whoever leads next
         self.last_leader = ""
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -191,6 +191,20 @@
         core = self._core
         return core.tenure is not None or core.quiet() < core.timing.election
 
+    def is_current(self) -> bool:
+        """Tell whether all that was committed a moment ago is applied here.
+
+        Another leader may have committed more since: the moment is at most
+        the shortest election timeout.
+        """
+        core = self._core
+        if core.machine.index < core.commit:
+            return False
+        if core.tenure is not None:
+            return core.leads() and core.tenure.settled()
+        quiet = core.clock.monotonic() - core.current_at
+        return quiet < core.timing.election
+
     def leads_since(self) -> float | None:
         """Return when this voter began to lead, in monotonic seconds.
 
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -425,3 +425,18 @@
     values = (",".join(f"{number:x}:1" for number in range(100_000)),)
     parts = callers._read_shared_parts(values)
     assert len(parts) == callers.MAX_PROMPT_PARTS - 1
+
+
+def test_unknown_route_or_key_is_not_denied_before_the_newest_is_known():
+    # Guards against a 404 or 401 for what was added while this entry heard no
+    # voter: a caller does not come back after it.
+    async def test(fixture):
+        fixture.entry.state.is_current = lambda: False
+        wrong_key = build_request("/once/x").replace(b"k1", b"k9")
+        for request in (build_request("/none/x"), wrong_key):
+            answer = await fixture.send(request)
+            assert read_status(answer) == 503
+            assert b"Retry-After: 0.3" in answer
+        assert read_status(await fixture.send(build_request("/once/x"))) == 200
+
+    run(answer_ok, test)
