Ask for no vote while the disk stalls

Change: a voter whose write has been under way for 0.4 s does not ask. The test, in which a successor gets its vote within the 4 s that it has to catch up, fails without this.

--- a/packages/gateway/src/chivepier/gateway/control/membership.py
+++ b/packages/gateway/src/chivepier/gateway/control/membership.py
@@ -29,6 +29,10 @@
 JOIN_REQUEST_TTL_SECONDS = 1.5
 # Timeout of one membership check, including a change of the voter set.
 CHANGE_TIMEOUT_SECONDS = 5.0
+# Seconds for which a write may be under way at a voter that asks. While its
+# disk stalls it can't be brought up to date, and the leader would make no
+# other change meanwhile.
+MAX_WRITE_SECONDS = 0.4
 # Timeout of one join request to one peer.
 JOIN_REQUEST_TIMEOUT_SECONDS = 0.5
 # Seconds for which a voter that is about to stop tries to give up its vote;
@@ -112,6 +116,8 @@
         peers = [p for p in self._peers.all if p != self._own_address]
         if not peers or (keeps_vote and replica.hears_leader()):
             return
+        if replica.measure_write() > MAX_WRITE_SECONDS:
+            return
         requests = [self._send_join_request(peer, request) for peer in peers]
         answers = [a for a in await asyncio.gather(*requests) if a is not None]
         for answer in answers:
--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -1,6 +1,7 @@
 """Test fleet of voters and entries in one process, in simulated time."""
 
 import asyncio
+import collections.abc
 import contextlib
 import os
 import pathlib
@@ -354,6 +355,23 @@
             voter.loads._links._faults.cut.discard(address)
         self.voters[address].loads._links._faults.cut.clear()
 
+    @contextlib.contextmanager
+    def stall_disk(self, address: str) -> collections.abc.Iterator[None]:
+        """Let the writes of a voter's log wait until the context is left."""
+        storage, gate = self.voters[address].replica.storage, asyncio.Event()
+        sync = storage.sync
+
+        async def sync_late() -> None:
+            await gate.wait()
+            await sync()
+
+        storage.sync = sync_late
+        try:
+            yield
+        finally:
+            storage.sync = sync
+            gate.set()
+
     def silence_links(self) -> None:
         """Let all open connections go silent for good; new ones work."""
         links = [voter.loads._links for voter in self.voters.values()]
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_membership.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_membership.py
@@ -45,6 +45,10 @@
         """Return that this node has no vote."""
         return False
 
+    def measure_write(self) -> float:
+        """Return that no write is under way."""
+        return 0.0
+
     async def request(self, peer, request, seconds) -> JoinAnswer:
         """Return the answer of a peer, or fail if it is silent."""
         answers = self.answers[peer]
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_replacements.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_replacements.py
@@ -307,3 +307,20 @@
         await check_kept(fleet, b"4 after")
 
     play(test, tmp_path, size)
+
+
+def test_successor_gets_its_vote_while_a_disk_stalls(tmp_path):
+    # Guards against a voter with a stalled disk that asks for its vote again
+    # and again, and keeps the leader from any other change.
+    async def test(fleet):
+        await fleet.write(3, "before")
+        stalled = await choose_voter(fleet, leads=False)
+        with fleet.stall_disk(stalled):
+            await fleet.write(4, "meanwhile")
+            await asyncio.sleep(STILL_SECONDS)
+            fresh = fleet.make_address()
+            await fleet.start(fresh)
+            await await_vote(fleet, fresh)
+        await await_vote(fleet, stalled)
+
+    play(test, tmp_path, 4)
--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -59,6 +59,8 @@
         self.tenure: Tenure | None = None
         self.commit = storage.snapshot.index
         self.committed = Signal()
+        # when the write began that is under way
+        self.writing_since: float | None = None
         self.error: Exception | None = None
         self.failed = Signal()
         # a restarted voter has forgotten whom it heard: by waiting as if it
@@ -167,11 +169,14 @@
         :raises StorageFailedError: when it failed
         """
         task = asyncio.ensure_future(work)
+        self.writing_since = self.clock.monotonic()
         try:
             await _finish(task)
         except OSError as error:
             self.fail(error)
             raise StorageFailedError(repr(error)) from error
+        finally:
+            self.writing_since = None
 
     def fail(self, error: Exception) -> None:
         """Stop taking part for good: the data folder can't be trusted.
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -191,6 +191,13 @@
         core = self._core
         return core.tenure is not None or core.quiet() < core.timing.election
 
+    def measure_write(self) -> float:
+        """Return for how many seconds a write has been under way; 0: none."""
+        since = self._core.writing_since
+        if since is None:
+            return 0.0
+        return self._core.clock.monotonic() - since
+
     def is_current(self) -> bool:
         """Tell whether all that was committed a moment ago is applied here.
 
