--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -1,6 +1,7 @@
 """Test fleet of voters and entries in one process, in simulated time."""
 
 import asyncio
+import collections.abc
 import contextlib
 import os
 import pathlib
@@ -11,6 +12,7 @@
 from chivepier.gateway.config import Service
 from chivepier.gateway.control import Voter
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.following import Currency
 from chivepier.gateway.following import LimitExchange
 from chivepier.gateway.following import LoadExchange
 from chivepier.gateway.following import Peers
@@ -124,6 +126,7 @@
             limits=LimitExchange(self.limits, clock),
             leavers=self.leavers,
             freshness=self.freshness,
+            currency=Currency(self.state, clock, log, Metrics()),
             clock=clock,
             log=log,
         )
@@ -360,6 +363,23 @@
             voter.loads._links._faults.cut.discard(address)
         self.voters[address].loads._links._faults.cut.clear()
 
+    @contextlib.contextmanager
+    def stall_disk(self, address: str) -> collections.abc.Iterator[None]:
+        """Let the writes of a voter's log wait until the context is left."""
+        storage, gate = self.voters[address].replica.storage, asyncio.Event()
+        sync = storage.sync
+
+        async def sync_late() -> None:
+            await gate.wait()
+            await sync()
+
+        storage.sync = sync_late
+        try:
+            yield
+        finally:
+            storage.sync = sync
+            gate.set()
+
     def silence_links(self) -> None:
         """Let all open connections go silent for good; new ones work."""
         links = [voter.loads._links for voter in self.voters.values()]
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -296,6 +296,7 @@
             peers_revision,
             keeps_origins=True,
             targets_known_for=self._count_known_seconds(),
+            is_current=self.replica.is_current(),
         )
 
     def _count_known_seconds(self) -> float:
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
@@ -25,8 +25,10 @@
     ``presumed`` are zones that may be evacuated by an order whose outcome is
     unknown to the voter. ``peers`` are entries that requests can be forwarded
     to, with their revision ``peers_revision``, -1 if nothing has changed.
-    ``keeps_origins`` tells that the voter understands :class:`OriginNotice`,
-    and ``targets_known_for`` for how many seconds it has known all targets.
+    ``keeps_origins`` tells that the voter understands :class:`OriginNotice`.
+    ``is_current`` tells that the voter knows all that was committed a moment
+    ago; voters of earlier releases don't tell. ``targets_known_for`` tells for
+    how many seconds it has known all targets.
     """
 
     epoch: str
@@ -50,3 +52,4 @@
     peers_revision: int = -1
     keeps_origins: bool = False
     targets_known_for: float = 0.0
+    is_current: bool = True
