--- a/soak/linked.py
+++ b/soak/linked.py
@@ -1,8 +1,8 @@
-"""Runs the program with each target behind a link of its own.
+"""Runs the program with some peers each behind a link of its own.
 
 On loopback all processes share their addresses, so a proxy can't tell whose
-connection it gets. Each process reaches a target at an address that is its
-own, as if it were the only one before that link.
+connection it gets. Each process reaches a target, or a voter, at an address
+that is its own, as if it were the only one before that link.
 """
 
 import asyncio
@@ -13,13 +13,15 @@
 import socket
 import sys
 
+import uvloop
+
 PROGRAM = pathlib.Path(__file__).parents[1] / "platform" / "chivepierd.py"
-# Variable with the address of the link to each target, by the target's own.
+# Variable with the address of the link to each peer, by the peer's own.
 VARIABLE = "CHIVEPIER_SOAK_LINKS"
 
 
 def main() -> None:
-    """Redirect connections to targets, and run the program."""
+    """Redirect connections to targets and voters, and run the program."""
     links = json.loads(os.environ[VARIABLE])
     connect, open_connection = socket.socket.connect, asyncio.open_connection
 
@@ -30,8 +32,16 @@
     def open_by_link(host, port, **options):
         return open_connection(*_redirect(links, host, port), **options)
 
+    create_connection = uvloop.Loop.create_connection
+
+    async def create_by_link(self, factory, host=None, port=None, **options):
+        if host is not None:
+            host, port = _redirect(links, host, port)
+        return await create_connection(self, factory, host, port, **options)
+
     socket.socket.connect = connect_by_link
     asyncio.open_connection = open_by_link
+    uvloop.Loop.create_connection = create_by_link
     sys.path.insert(0, str(PROGRAM.parent))
     sys.argv[0] = str(PROGRAM)
     runpy.run_path(str(PROGRAM), run_name="__main__")
