--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
@@ -251,7 +251,12 @@
 def test_entry_that_may_have_missed_a_version_guesses_none():
     # An entry that hears few voters may not know of the newest targets.
     async def test(parts):
-        parts.dispatcher.continuations.is_informed = lambda: False
+        async def confirm(seconds):
+            # its caller may have waited for as long as the route lets it
+            assert seconds > make_route().timeout
+            return False
+
+        parts.dispatcher.continuations.confirm = confirm
         failure = await fail(parts, take_up(resumes="elsewhere"))
         assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
         assert seconds_to_retry(failure) == 0.5
@@ -307,3 +312,17 @@
         await finish(task, run, 1)
 
     play(test, "a", "b")
+
+
+def test_stream_taken_up_that_breaks_at_once_goes_on_after_the_last_event():
+    # It was run from its beginning, and its caller got the same events twice.
+    async def test(parts):
+        caller, task = parts.start(take_up(resumes="elsewhere"))
+        run = await parts.engines.wait_run(1)
+        run.make(0, "id: 3\nda")
+        run.cut()
+        fresh = await parts.engines.wait_run(2)
+        await finish(task, fresh, 1)
+        assert caller.numbers == [3] and caller.finished
+
+    play(test, "a", "b")
