Take no silence for an answer where a stream began, and queue no callers

Cause: a voter that did not answer counted as one that doesn't know the stream, and what had been heard up to 1.1 s before as heard now.

Each now waits for its own question, 0.25 s at most; one question still serves all that came before it. Beside two known versions nobody is asked.

test_voters_that_do_not_answer_delay_a_caller_little is as strict: where all voters are silent an error is expected now, which only then may be raised.

--- a/packages/gateway/src/chivepier/gateway/following/originexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/originexchange.py
@@ -14,6 +14,7 @@
 from chivepier.gateway.origins import OriginTable
 from chivepier.gateway.origins import pack_origin
 from chivepier.gateway.origins import unpack_origin
+from chivepier.gateway.serving import UnansweredError
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
 from chivepier.wire import LinkError
@@ -179,26 +180,29 @@
         """Ask the voters that keep it where a stream began.
 
         :param key: identifies the stream
-        :returns: the first answer; ``None`` if there is none in time
+        :returns: where it began; ``None`` if most of them do not know it
+        :raises UnansweredError: when most of them have not answered in time
         """
         voters = choose_holders(key, self._list_keepers())
         asks = [self._ask_voter(voter, key) for voter in voters]
-        for answer in asyncio.as_completed(asks):
-            origin = await answer
-            if origin is not None:
-                return origin
+        unanswered = 0
+        for ask in asyncio.as_completed(asks):
+            match await ask:
+                case OriginAnswer(records=(record,)):
+                    return unpack_origin(record, self._clock.monotonic())
+                case None:
+                    unanswered += 1
+        # those that were told may be among those that are silent
+        if 2 * unanswered >= len(voters) > 0:
+            raise UnansweredError
         return None
 
-    async def _ask_voter(self, voter: str, key: OriginKey) -> Origin | None:
+    async def _ask_voter(
+        self, voter: str, key: OriginKey
+    ) -> OriginAnswer | None:
         request = OriginRequest(key.team, key.attempt)
         try:
-            answer = await self._links.request(voter, request, ASK_SECONDS)
+            return await self._links.request(voter, request, ASK_SECONDS)
         except LinkError as error:
             self._log.warn("origin_unasked", peer=voter, error=str(error))
             return None
-        now = self._clock.monotonic()
-        match answer:
-            case OriginAnswer(records=(record,)):
-                return unpack_origin(record, now)
-            case _:
-                return None
--- a/packages/gateway/src/chivepier/gateway/following/tests/test_originexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/tests/test_originexchange.py
@@ -11,9 +11,11 @@
 from chivepier.gateway.following.originexchange import MAX_WAITING
 from chivepier.gateway.following.tests.fakevoters import Voters
 from chivepier.gateway.following.tests.fakevoters import VOTERS
+from chivepier.gateway.origins import choose_holders
 from chivepier.gateway.origins import Origin
 from chivepier.gateway.origins import OriginKey
 from chivepier.gateway.origins import OriginTable
+from chivepier.gateway.serving.errors import UnansweredError
 from chivepier.gateway.serving.tests.fakeengines import make_target
 from chivepier.gateway.targets import TargetTable
 from chivepier.standins.loopclock import LoopClock
@@ -150,9 +152,32 @@
         entry.begin("s1")
         await asyncio.sleep(0.1)
         voters.silent |= set(VOTERS[:silent])
-        began = tell_time()
-        origin = await entry.exchange.ask(OriginKey("t1", "s1"))
+        began, origin = tell_time(), None
+        try:
+            origin = await entry.exchange.ask(OriginKey("t1", "s1"))
+        except UnansweredError:
+            # of three that keep it, one at least answers otherwise
+            assert silent == len(VOTERS)
         assert tell_time() - began <= ASK_SECONDS + 0.01
-        assert silent == len(VOTERS) or origin is not None
+        assert (origin is not None) is (silent < len(VOTERS))
+
+    play(test, "v1", "v2")
+
+
+@pytest.mark.parametrize("silent", range(4))
+@pytest.mark.parametrize("shape", ("silent", "down"))
+def test_silence_of_those_that_may_know_is_not_taken_for_not_known(
+    shape, silent
+):
+    # A cut off entry took the one version it knew for that of any stream.
+    async def test(entry, voters):
+        key = OriginKey("t1", "never-told")
+        holders = choose_holders(key, VOTERS)
+        getattr(voters, shape).update(holders[:silent])
+        if silent < 2:
+            assert await entry.exchange.ask(key) is None
+            return
+        with pytest.raises(UnansweredError):
+            await entry.exchange.ask(key)
 
     play(test, "v1", "v2")
--- a/packages/gateway/src/chivepier/gateway/following/voterclient.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterclient.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import collections.abc
-import contextlib
 
 import attrs
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.following.catchup import CatchUp
 from chivepier.gateway.following.configfetcher import ConfigFetcher
 from chivepier.gateway.following.configfetcher import Decode
 from chivepier.gateway.following.limitexchange import LimitExchange
@@ -53,8 +53,6 @@
 ANSWER_SECONDS = 0.8
 # Seconds between two checks of the list of voters.
 POLL_SECONDS = 0.2
-# Seconds that a caller waits for most voters to confirm the targets.
-CONFIRM_SECONDS = 0.25
 
 
 def _report_nothing(now: float) -> Ability:
@@ -135,7 +133,7 @@
         self._zone_order_index = -1
         self._tasks: list[asyncio.Task] = []
         self._beat_tasks: set[asyncio.Task] = set()
-        self._confirming = asyncio.Lock()
+        self._catch_up = CatchUp(self._start_beats, clock)
         self.leaving = False
 
     async def __aenter__(self) -> "VoterClient":
@@ -181,27 +179,9 @@
 
         :param seconds: for how long the targets must be known to most voters
         """
-        asked_at = self._clock.monotonic()
-        async with self._confirming:
-            if not self._is_confirmed(asked_at, seconds):
-                # one round serves all that wait for it
-                await self._ask_voters(asked_at, seconds)
-        return self._is_confirmed(asked_at, seconds)
-
-    async def _ask_voters(self, asked_at: float, seconds: float) -> None:
-        tasks = [
-            asyncio.create_task(self._send_beat(address, voter))
-            for address, voter in self._voters.items()
-        ]
-        self._beat_tasks.update(tasks)
-        for task in tasks:
-            task.add_done_callback(self._beat_tasks.discard)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(CONFIRM_SECONDS):
-                for task in asyncio.as_completed(tasks):
-                    await asyncio.shield(task)
-                    if self._is_confirmed(asked_at, seconds):
-                        return
+        return await self._catch_up.wait(
+            lambda asked_at: self._is_confirmed(asked_at, seconds)
+        )
 
     def _is_confirmed(self, asked_at: float, seconds: float) -> bool:
         voters = self._peers.voters
@@ -368,6 +348,7 @@
         # after merging, as others may wait for it
         voter.asked_at = max(voter.asked_at, sent_at)
         voter.knows_since = sent_at - answer.targets_known_for
+        self._catch_up.note_answer()
         if beat.follows:
             is_same = answer.epoch == beat.epoch
             self._table.note_update(sent_at, voter.followed and is_same)
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -16,6 +16,7 @@
 from chivepier.gateway.serving.errors import ConnectionLostError
 from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.errors import UnansweredError
 from chivepier.gateway.serving.errors import UnreachableError
 from chivepier.gateway.serving.exchange import Exchange
 from chivepier.gateway.serving.headerrecorder import HeaderRecorder
@@ -75,5 +76,6 @@
     "TargetAnswer",
     "TargetCalls",
     "TargetClient",
+    "UnansweredError",
     "UnreachableError",
 ]
--- a/packages/gateway/src/chivepier/gateway/serving/continuations.py
+++ b/packages/gateway/src/chivepier/gateway/serving/continuations.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.origins import Origin
 from chivepier.gateway.origins import OriginKey
 from chivepier.gateway.origins import OriginTable
+from chivepier.gateway.serving.errors import UnansweredError
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.servingstate import ServingState
 from chivepier.gateway.targets import TargetTable
@@ -164,14 +165,19 @@
         if origin is not None:
             return origin, "own"
         # before the versions of now: those of a stream may be gone for long
-        origin = await self.ask(key)
+        try:
+            origin = await self.ask(key)
+        except UnansweredError:
+            return None, "unheard"
         if origin is not None:
             return origin, "told"
+        service = plan.service.name
+        if len(self._targets.list_versions(service)) > 1:
+            return None, "unknown"
         # its caller has waited for no longer than the route lets it
         span = plan.route.timeout + ANNOUNCEMENT_SECONDS
         if not await self.confirm(span):
             return None, "unheard"
-        service = plan.service.name
         versions = self._targets.list_versions(service)
         if len(versions) == 1:
             (version,) = versions
--- a/packages/gateway/src/chivepier/gateway/serving/errors.py
+++ b/packages/gateway/src/chivepier/gateway/serving/errors.py
@@ -23,6 +23,10 @@
     """The target must not be called now, see :class:`SendGate`."""
 
 
+class UnansweredError(Exception):
+    """Too few of those who may know have answered in time."""
+
+
 class NoCapacityError(Exception):
     """No target has capacity while the request can wait.
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.config import Repetition
 from chivepier.gateway.origins import Origin
 from chivepier.gateway.origins import OriginKey
+from chivepier.gateway.serving.errors import UnansweredError
 from chivepier.gateway.serving.tests.fakeengines import make_target
 from chivepier.gateway.serving.tests.parts import begin
 from chivepier.gateway.serving.tests.parts import fail
@@ -264,6 +265,57 @@
     play(test, "a", "b")
 
 
+@pytest.mark.parametrize("answered", (True, False))
+def test_one_version_counts_only_once_voters_have_been_heard(answered):
+    # An entry that was out of step took the old version for the only one.
+    async def test(parts):
+        async def confirm(seconds) -> bool:
+            if answered:
+                set_versions(parts, b="v2")
+            return answered
+
+        parts.dispatcher.continuations.confirm = confirm
+        failure = await fail(parts, take_up(resumes="elsewhere"))
+        assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
+        assert parts.engines.answers == []
+        (line,) = parts.read_lines("stream_taken_up")
+        assert line["source"] == ("unknown" if answered else "unheard")
+        assert answered or seconds_to_retry(failure) == 0.5
+
+    play(test, "a")
+
+
+def test_silence_of_voters_is_not_taken_for_not_known():
+    # They may know that another version began the stream, now gone here.
+    async def test(parts):
+        async def ask(key):
+            raise UnansweredError
+
+        parts.dispatcher.continuations.ask = ask
+        failure = await fail(parts, take_up(resumes="elsewhere"))
+        assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
+        assert seconds_to_retry(failure) == 0.5
+        assert parts.engines.answers == []
+
+    play(test, "a", "b")
+
+
+def test_streams_go_on_at_once_where_their_origin_is_known():
+    # What is known needs no voter that answers, and no time.
+    async def test(parts):
+        async def confirm(seconds) -> bool:
+            raise AssertionError
+
+        parts.dispatcher.continuations.confirm = confirm
+        await begin_and_break(parts, a="v1", b="v1")
+        caller, task = parts.start(take_up())
+        run = await parts.engines.wait_run(2)
+        await finish(task, run, 1)
+        assert caller.numbers == [3]
+
+    play(test, "a", "b")
+
+
 def test_id_of_two_streams_at_different_versions_names_neither():
     # Callers choose the ids, and may use one again.
     async def test(parts):
--- a/soak/outofstepscenario.py
+++ b/soak/outofstepscenario.py
@@ -11,6 +11,7 @@
 import attrs
 
 from soak.process import Process
+from soak.streamcaller import attempt_stream
 from soak.streamrecord import StreamRecord
 from soak.targetlink import Cut
 from soak.targetlink import heal_all
@@ -28,6 +29,9 @@
 STAY_SECONDS = (0.0, 1.5)
 # Seconds after the disturbance for which callers still take streams up.
 AFTER_SECONDS = 1.5
+# Event of a stream that is soon over.
+LATE_EVENT = 15
+POLL_SECONDS = 0.01
 MORE_CALLERS = 12
 # Range of seconds before each stream, so that some begin at any moment.
 PAUSE_SECONDS = (0.0, 0.4)
@@ -60,11 +64,15 @@
     :param refused: attempts to take a stream up that were refused
     :param served: those that brought a further event, or the end
     :param joined: those of them that brought events of another version
+    :param cut: those that were answered and broke off before an event
+    :param statuses: statuses of those that were refused
     """
 
     refused: int = 0
     served: int = 0
     joined: int = 0
+    cut: int = 0
+    statuses: set[int] = attrs.field(factory=set)
 
 
 class OutOfStepScenario(VersionScenario):
@@ -125,11 +133,22 @@
     ) -> None:
         """Take a stream up at the entry that is out of step."""
         before, versions = record.last_event, set(record.versions)
-        answered = await self._attempt(session, self._straggler, record)
+        attempt = f"s{next(self._ids)}"
+        status = await attempt_stream(
+            session, self._straggler.ip, attempt, record
+        )
         went_on = record.last_event > before or record.whole
-        self.answers.served += went_on
-        self.answers.refused += answered and not went_on
         self.answers.joined += record.versions != versions
+        match status:
+            case 200 if went_on:
+                self.answers.served += 1
+            case 200:
+                self.answers.cut += 1
+            case 0:
+                pass
+            case refusal:
+                self.answers.refused += 1
+                self.answers.statuses.add(refusal)
 
     async def release(self, manner: OutOfStep, loss: Loss) -> None:
         """Start a target of the new version while an entry is out of step.
@@ -161,9 +180,15 @@
             self._straggler = None
             await asyncio.sleep(AFTER_SECONDS)
 
+    def _is_under_way(self, record: StreamRecord) -> bool:
+        is_new = record.versions == {NEW_VERSION}
+        return is_new and record.last_event < LATE_EVENT
+
     async def _break(self, fresh: VersionedTarget, loss: Loss) -> None:
         """Let streams of the new version begin, and break them."""
         await asyncio.sleep(self.rng.uniform(*SERVE_SECONDS))
+        while not any(self._is_under_way(record) for record in self.streams):
+            await asyncio.sleep(POLL_SECONDS)
         if loss is Loss.TARGET:
             fresh.crash()
             return
--- a/soak/tests/test_outofstep.py
+++ b/soak/tests/test_outofstep.py
@@ -32,5 +32,8 @@
         f" {len(mixed)} mixed, {scenario.answers}"
     )
     assert all(stream.in_order for stream in streams)
-    assert scenario.answers.refused + scenario.answers.served > 0
+    answers = scenario.answers
+    assert answers.refused + answers.served + answers.cut > 0
+    # a 503 tells that nothing ran
+    assert answers.statuses <= {503}
     assert mixed == []
