Find where a stream began for callers that do not name the attempt

Cause: the version is kept under the attempt's id alone, which such a caller does not send again. Nothing else that callers send back can carry it, as bodies, heads and ids of events are the target's, unchanged.

A stream is noted and told under its request's digest, too (team, method, host, path, body), for as long as its caller waits. The same request begun at two versions has none, so its callers are refused as before. One that names an attempt is bound by that name alone. Twice the records while versions stand side by side: bounds that count them are doubled, so that as many streams are kept.

--- a/packages/gateway/src/chivepier/gateway/control/statecache.py
+++ b/packages/gateway/src/chivepier/gateway/control/statecache.py
@@ -33,9 +33,9 @@
 FILE_NAME = "known"
 # Targets change all the time, and each write costs a sync of the disk.
 MIN_WRITE_INTERVAL_SECONDS = 1.0
-# Streams whose beginning survives the end of all processes; each write holds
-# all of them.
-MAX_SAVED_ORIGINS = 1_000
+# Origins that survive the end of all processes, two of each stream; each write
+# holds all of them.
+MAX_SAVED_ORIGINS = 2_000
 # Team, software, whether it answered, and parts of an ending in a file of an
 # earlier release.
 NO_CAUSE = ("", "", False, ())
--- a/packages/gateway/src/chivepier/gateway/following/originexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/originexchange.py
@@ -34,7 +34,7 @@
 MAX_UNINTERRUPTED = 50
 # Records of one message, and those that wait for one voter.
 MAX_RECORDS = 500
-MAX_WAITING = 5_000
+MAX_WAITING = 10_000
 
 ListKeepers = collections.abc.Callable[[], dict[str, str]]
 
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -122,8 +122,8 @@
     def record_take_up(self, source: str) -> None:
         """Count a stream that a caller takes up.
 
-        :param source: who knew where it began: ``own``, ``only``, ``told`` or
-            ``unknown``
+        :param source: who knew where it began: ``own``, ``only``, ``told``,
+            ``unknown`` or ``unheard``
         """
         self._record("take_ups", (source,), 1.0)
 
--- a/packages/gateway/src/chivepier/gateway/origins/originkey.py
+++ b/packages/gateway/src/chivepier/gateway/origins/originkey.py
@@ -9,7 +9,8 @@
 
     :param team: team of the caller, empty if it has none; another team's
         stream is another one, whatever its attempts are called
-    :param attempt: id of the attempt that brought the first event
+    :param attempt: id of the attempt that brought the first event; for callers
+        that do not name it, what is the same for identical requests
     """
 
     team: str
--- a/packages/gateway/src/chivepier/gateway/origins/origintable.py
+++ b/packages/gateway/src/chivepier/gateway/origins/origintable.py
@@ -8,8 +8,8 @@
 from chivepier.gateway.origins.origin import Origin
 from chivepier.gateway.origins.originkey import OriginKey
 
-# Streams that one node keeps; the oldest go first.
-MAX_ORIGINS = 20_000
+# Origins that one node keeps, two of each stream; the oldest go first.
+MAX_ORIGINS = 40_000
 
 
 class OriginTable:
--- a/packages/gateway/src/chivepier/gateway/serving/continuations.py
+++ b/packages/gateway/src/chivepier/gateway/serving/continuations.py
@@ -90,22 +90,34 @@
         :param software_version: version of the target that wrote it
         """
         self._note(plan, software_version, LIVE_SECONDS)
+        self._note_request(plan, software_version)
 
     def note_ended(self, plan: Plan, software_version: str) -> None:
         """Note that a stream has ended here, whole or not."""
         self._note(plan, software_version, ENDED_SECONDS)
 
     def _note(self, plan: Plan, software_version: str, seconds: float) -> None:
+        until = self._clock.monotonic() + seconds
+        self._put(plan, _make_attempt_key(plan), software_version, until)
+
+    def _note_request(self, plan: Plan, software_version: str) -> None:
+        """Note it for callers that do not name the attempt that began it.
+
+        Others may send the same request: it is kept no longer than its caller
+        waits, and two that begin at different versions have none.
+        """
+        request = plan.request
+        until = max(request.deadline, request.arrived + plan.route.timeout)
+        self._put(plan, _make_request_key(plan), software_version, until)
+
+    def _put(
+        self, plan: Plan, key: OriginKey, software_version: str, until: float
+    ) -> None:
         if not plan.repeatable or not software_version:
             return
         now = self._clock.monotonic()
-        origin = Origin(
-            _make_key(plan),
-            plan.service.name,
-            software_version,
-            now,
-            now + seconds,
-        )
+        service = plan.service.name
+        origin = Origin(key, service, software_version, now, until)
         self.origins.put(origin, now)
         self.publish(origin)
 
@@ -200,7 +212,20 @@
 
 
 def _make_key(plan: Plan) -> OriginKey:
+    """Return what identifies the stream that a caller has events of."""
+    request = plan.request
+    if request.last_event not in NO_EVENTS and not request.resumes:
+        return _make_request_key(plan)
+    return _make_attempt_key(plan)
+
+
+def _make_attempt_key(plan: Plan) -> OriginKey:
     request = plan.request
     takes_up = request.last_event not in NO_EVENTS
     attempt = request.resumes if takes_up else None
     return OriginKey(plan.team or "", attempt or request.id)
+
+
+def _make_request_key(plan: Plan) -> OriginKey:
+    # no header, and so no attempt's id, holds the end of a line
+    return OriginKey(plan.team or "", f"\n{plan.digest}")
--- a/soak/streamrecord.py
+++ b/soak/streamrecord.py
@@ -16,6 +16,7 @@
     :ivar versions: software versions of the targets that wrote them
     :ivar whole: whether an attempt ended as a whole stream
     :ivar has_end: whether its last event is there
+    :ivar taken_up: whether an entry answered an attempt to go on with it
     """
 
     first_attempt: str = ""
@@ -23,6 +24,7 @@
     versions: set[str] = attrs.field(factory=set)
     whole: bool = False
     has_end: bool = False
+    taken_up: bool = False
     _attempt: str = ""
     _rest: bytes = b""
 
--- a/soak/versionscenario.py
+++ b/soak/versionscenario.py
@@ -53,10 +53,14 @@
     :param sent: attempts to go on with a stream that had begun, which an
         entry answered
     :param went_on: those that brought a further event, or the end alone
+    :param streams: streams that such an attempt was sent for
+    :param ended: those of them that ended whole
     """
 
     sent: int = 0
     went_on: int = 0
+    streams: int = 0
+    ended: int = 0
 
 
 class VersionScenario(Cluster):
@@ -151,6 +155,9 @@
                     self.take_ups.sent += 1
                     went_on = record.last_event > taken_up or record.whole
                     self.take_ups.went_on += went_on
+                    self.take_ups.streams += not record.taken_up
+                    self.take_ups.ended += record.whole
+                    record.taken_up = True
                 if record.whole:
                     break
                 await asyncio.sleep(RETRY_SECONDS)
