Guess no service for a stream whose origin nobody knows

A caller that took a stream up on a route of several services, at an entry that nobody could tell where it began, was answered by the service that was drawn for this attempt, if that one runs one version: the rest of another service's text.

Cause: the one version was looked for in the drawn service alone. All services of the route are looked at now, and more than one build in all is unknown: refused, 503, not run. So that such streams still go on, they are told to voters always, not only beside two versions. A route that a change of the configuration has just moved from one service to another is still open.

--- a/packages/gateway/src/chivepier/gateway/following/originexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/originexchange.py
@@ -42,9 +42,9 @@
 class OriginExchange:
     """Tells some voters of each stream that another entry may have to go on.
 
-    Nothing is told while a service runs one version: then that is the answer
-    for each stream. As another one appears, all that is known of the streams
-    here is told, and again to a voter that has started again.
+    Nothing is told while a route's only service runs one version: then that is
+    the answer for each stream. As another one appears, all that is known of
+    the streams here is told, and again to a voter that has started again.
 
     :param origins: where the streams of this entry began
     :param targets: the known targets and their versions
@@ -77,10 +77,15 @@
         self._waiting: dict[str, dict[OriginKey, Origin]] = {}
         self._sending: dict[str, asyncio.Task] = {}
 
-    def publish(self, origin: Origin) -> None:
-        """Tell where a stream began, if there is more than one version."""
+    def publish(self, origin: Origin, always: bool = False) -> None:
+        """Tell where a stream began, if there is more than one version.
+
+        :param origin: where it began
+        :param always: whether to tell it of the only version, too, as its
+            route has other services
+        """
         self._services.add(origin.service)
-        if not self._is_mixed(origin.service):
+        if not always and not self._is_mixed(origin.service):
             return
         for voter in choose_holders(origin.key, self._list_keepers()):
             self._enqueue(voter, origin)
--- a/packages/gateway/src/chivepier/gateway/following/tests/test_originexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/tests/test_originexchange.py
@@ -144,6 +144,18 @@
     play(test, "v1", "v2")
 
 
+def test_streams_of_routes_with_several_services_are_told_always():
+    # Each service may run one version, and none is the stream's for certain.
+    async def test(entry, voters):
+        now = tell_time()
+        origin = Origin(OriginKey("t1", "s1"), "llm", "v1", now, now + 60.0)
+        entry.exchange.publish(origin, always=True)
+        await asyncio.sleep(0.1)
+        assert voters.count("s1") == 3
+
+    play(test, "v1")
+
+
 @pytest.mark.parametrize("silent", (0, 1, 2, 5))
 def test_voters_that_do_not_answer_delay_a_caller_little(silent):
     async def test(entry, voters):
--- a/packages/gateway/src/chivepier/gateway/serving/continuations.py
+++ b/packages/gateway/src/chivepier/gateway/serving/continuations.py
@@ -31,7 +31,7 @@
 # What a caller has that has got no event yet.
 NO_EVENTS = (None, "", "0")
 
-Publish = collections.abc.Callable[[Origin], None]
+Publish = collections.abc.Callable[[Origin, bool], None]
 Ask = collections.abc.Callable[
     [OriginKey], collections.abc.Awaitable[Origin | None]
 ]
@@ -59,7 +59,8 @@
     :param log: event log of this process
     :param metrics: counts streams that callers take up
     :ivar origins: where the streams of this entry began
-    :ivar publish: tells others where a stream began
+    :ivar publish: tells others where a stream began, always or only while
+        its service runs several versions
     :ivar ask: asks others where a stream began
     :ivar confirm: tells whether no version of a service can have been missed
         in the last so many seconds, after asking for news
@@ -74,7 +75,7 @@
         metrics: Metrics,
     ):
         self.origins = OriginTable()
-        self.publish: Publish = lambda origin: None
+        self.publish: Publish = lambda origin, always: None
         self.ask: Ask = _ask_nobody
         self.confirm: Confirm = _confirm_all
         self._targets = targets
@@ -119,7 +120,7 @@
         service = plan.service.name
         origin = Origin(key, service, software_version, now, until)
         self.origins.put(origin, now)
-        self.publish(origin)
+        self.publish(origin, len(plan.route.pools) > 1)
 
     async def bind(self, plan: Plan) -> Plan:
         """Restrict a stream that a caller takes up to its version.
@@ -145,7 +146,7 @@
             after=request.last_event,
             software=version,
             source=source,
-            known=sorted(self._targets.list_versions(plan.service.name)),
+            known=self._list_builds(plan),
             age_ms=(
                 round(1000 * (self._clock.monotonic() - origin.noted_at))
                 if origin
@@ -183,13 +184,23 @@
         span = plan.route.timeout + ANNOUNCEMENT_SECONDS
         if not await self.confirm(span):
             return None, "unheard"
-        service = plan.service.name
-        versions = self._targets.list_versions(service)
-        if len(versions) == 1:
-            (version,) = versions
+        builds = self._list_builds(plan)
+        if len(builds) == 1:
+            ((service, version),) = builds
             return Origin(key, service, version, now, now), "only"
         return None, "unknown"
 
+    def _list_builds(self, plan: Plan) -> list[tuple[str, str]]:
+        """Return the services and versions that may have begun a stream.
+
+        A route may draw another of its services for each attempt.
+        """
+        return sorted(
+            (service, version)
+            for service in {name for name, _ in plan.route.pools}
+            for version in self._targets.list_versions(service)
+        )
+
     def _find_service(self, plan: Plan, origin: Origin):
         """Return the service that began a stream, if its route still has it.
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
@@ -378,3 +378,27 @@
                 yield origin
 
     play(test, "a", "b")
+
+
+def test_stream_of_unknown_origin_is_not_taken_for_the_drawn_service():
+    # What two services write fits together as little as two versions do.
+    async def test(parts):
+        route = make_route(
+            prefix="/resume/",
+            repetition=Repetition.RESUMABLE,
+            attempts=2,
+            pools=(("llm", 1.0), ("web", 1.0)),
+        )
+        parts.configure(version=2, routes=(route,))
+        told = []
+        parts.dispatcher.continuations.publish = lambda *args: told.append(
+            args
+        )
+        failure = await fail(parts, take_up(resumes="elsewhere"))
+        assert (failure.kind, failure.ran) == (ErrorKind.NO_TARGET, Ran.NO)
+        assert parts.engines.answers == []
+        caller, task, run = await begin(parts, "/resume/x")
+        await finish(task, run, 1)
+        assert told and all(always for _, always in told)
+
+    play(test, "a", "b")
