Give a caller its first event once its stream's origin has left the entry

A caller that names no attempt could find an identical request of another version instead, and get that one's rest.

The first event waits now until one voter has confirmed where the stream began, at most 80 ms, and not at all where nothing is told (one version, one service) or no voter is heard. It costs the first event the 20 ms for which records are gathered and a message there and back; later events don't wait. The drawn model of versions kills entries right after an event now, before it gave them half a second.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -298,6 +298,7 @@
             log,
         )
         continuations.publish = self._origins.publish
+        continuations.hold = self._origins.hold
         continuations.ask = self._origins.ask
         continuations.confirm = self.following.confirm_targets
         self.shedding = Shedding(rng)
--- a/packages/gateway/src/chivepier/gateway/following/originexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/originexchange.py
@@ -26,6 +26,9 @@
 POLL_SECONDS = 0.2
 # Seconds to wait for a voter's confirmation.
 CONFIRM_SECONDS = 0.8
+# Seconds that a caller's first event waits for a voter to keep where its
+# stream began: with the gathering less than an event may be late.
+HOLD_SECONDS = 0.08
 # Seconds that a caller waits for what voters know.
 ASK_SECONDS = 0.25
 # Seconds between two removals of streams that are kept no longer.
@@ -75,6 +78,7 @@
         self._changed = asyncio.Event()
         self._told: dict[str, tuple[str, frozenset[str]]] = {}
         self._waiting: dict[str, dict[OriginKey, Origin]] = {}
+        self._held: dict[OriginKey, asyncio.Event] = {}
         self._sending: dict[str, asyncio.Task] = {}
 
     def publish(self, origin: Origin, always: bool = False) -> None:
@@ -91,6 +95,28 @@
             self._enqueue(voter, origin)
         self._changed.set()
 
+    async def hold(self, *keys: OriginKey) -> None:
+        """Wait until a voter keeps where a stream began, if one is told.
+
+        An entry that ends right after a caller's first event would have told
+        nobody.
+
+        :param keys: identify the stream
+        """
+        events = [
+            self._held.setdefault(key, asyncio.Event())
+            for key in keys
+            if any(key in waiting for waiting in self._waiting.values())
+        ]
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HOLD_SECONDS):
+                    for event in events:
+                        await event.wait()
+        finally:
+            for key in keys:
+                self._held.pop(key, None)
+
     def _is_mixed(self, service: str) -> bool:
         return len(self._targets.list_versions(service)) > 1
 
@@ -179,6 +205,8 @@
             for key, origin in batch.items():
                 if waiting.get(key) is origin:
                     del waiting[key]
+                if key in self._held:
+                    self._held[key].set()
 
     async def ask(self, key: OriginKey) -> Origin | None:
         """Ask the voters that keep it where a stream began.
--- a/packages/gateway/src/chivepier/gateway/following/tests/test_originexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/tests/test_originexchange.py
@@ -8,6 +8,7 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import OriginExchange
 from chivepier.gateway.following.originexchange import ASK_SECONDS
+from chivepier.gateway.following.originexchange import HOLD_SECONDS
 from chivepier.gateway.following.originexchange import MAX_WAITING
 from chivepier.gateway.following.tests.fakevoters import Voters
 from chivepier.gateway.following.tests.fakevoters import VOTERS
@@ -168,3 +169,27 @@
         assert silent == len(VOTERS) or origin is not None
 
     play(test, "v1", "v2")
+
+
+def test_first_event_waits_until_a_voter_keeps_where_its_stream_began():
+    # An entry killed right after it had told nobody.
+    async def test(entry, voters):
+        for number in range(20):
+            entry.begin(f"s{number}")
+            await entry.exchange.hold(OriginKey("t1", f"s{number}"))
+            assert voters.count(f"s{number}") > 0
+
+    play(test, "v1", "v2")
+
+
+@pytest.mark.parametrize("versions", (("v1",), ("v1", "v2")))
+def test_first_event_waits_little_if_no_voter_answers(versions):
+    async def test(entry, voters):
+        voters.silent |= set(VOTERS)
+        entry.begin("s1")
+        began = tell_time()
+        await entry.exchange.hold(OriginKey("t1", "s1"))
+        bound = HOLD_SECONDS if len(versions) > 1 else 0.0
+        assert tell_time() - began <= bound + 0.001
+
+    play(test, *versions)
--- a/packages/gateway/src/chivepier/gateway/following/tests/test_versionmodel.py
+++ b/packages/gateway/src/chivepier/gateway/following/tests/test_versionmodel.py
@@ -23,7 +23,7 @@
 NAMES = ("a", "b", "c", "d")
 ENTRIES = 3
 LIMIT_SECONDS = 30.0
-# Seconds after which voters have been told.
+# Seconds after which a voter that has started again has been told.
 TOLD_SECONDS = 0.5
 VERSIONS = st.lists(
     st.sampled_from(("v1", "v2", "v3")),
@@ -72,6 +72,7 @@
             parts.dispatcher.log,
         )
         continuations.publish = exchange.publish
+        continuations.hold = exchange.hold
         continuations.ask = exchange.ask
         self._tasks.append(asyncio.create_task(exchange.run()))
 
@@ -163,13 +164,14 @@
                 run.cut()
                 run = None
             case "entry":
-                await asyncio.sleep(TOLD_SECONDS)
+                # right after an event, with no time to tell anybody
                 task.cancel()
                 await asyncio.gather(task, return_exceptions=True)
                 site.replace_entry(entry)
                 return
             case _:
                 site.voters.restart(sorted(site.voters.keepers)[events])
+                await asyncio.sleep(TOLD_SECONDS)
 
 
 async def wait_for_run(
--- a/packages/gateway/src/chivepier/gateway/serving/continuations.py
+++ b/packages/gateway/src/chivepier/gateway/serving/continuations.py
@@ -31,6 +31,7 @@
 # What a caller has that has got no event yet.
 NO_EVENTS = (None, "", "0")
 
+Hold = collections.abc.Callable[..., collections.abc.Awaitable[None]]
 Publish = collections.abc.Callable[[Origin, bool], None]
 Ask = collections.abc.Callable[
     [OriginKey], collections.abc.Awaitable[Origin | None]
@@ -42,6 +43,10 @@
     return None
 
 
+async def _hold_nothing(*keys: OriginKey) -> None:
+    return
+
+
 async def _confirm_all(seconds: float) -> bool:
     return True
 
@@ -61,6 +66,7 @@
     :ivar origins: where the streams of this entry began
     :ivar publish: tells others where a stream began, always or only while
         its service runs several versions
+    :ivar hold: waits until others know where a stream began, for a moment
     :ivar ask: asks others where a stream began
     :ivar confirm: tells whether no version of a service can have been missed
         in the last so many seconds, after asking for news
@@ -76,6 +82,7 @@
     ):
         self.origins = OriginTable()
         self.publish: Publish = lambda origin, always: None
+        self.hold: Hold = _hold_nothing
         self.ask: Ask = _ask_nobody
         self.confirm: Confirm = _confirm_all
         self._targets = targets
@@ -84,14 +91,15 @@
         self._log = log
         self._metrics = metrics
 
-    def note_begun(self, plan: Plan, software_version: str) -> None:
-        """Note that the caller of a stream gets its first event.
+    async def note_begun(self, plan: Plan, software_version: str) -> None:
+        """Note that the caller of a stream is about to get its first event.
 
         :param plan: the plan of the request
         :param software_version: version of the target that wrote it
         """
         self._note(plan, software_version, LIVE_SECONDS)
         self._note_request(plan, software_version)
+        await self.hold(_make_attempt_key(plan), _make_request_key(plan))
 
     def note_ended(self, plan: Plan, software_version: str) -> None:
         """Note that a stream has ended here, whole or not."""
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -253,17 +253,17 @@
     ) -> None:
         if not self._head_sent:
             self._head_sent = True
-            self._note_begun(run)
+            await self._note_begun(run)
             await self._caller.begin(head.status, head.headers, None)
         self._timing.record_write()
         before, self._before_events = self._before_events, b""
         await self._caller.write(before + data)
 
-    def _note_begun(self, run: LiveRun) -> None:
+    async def _note_begun(self, run: LiveRun) -> None:
         dispatcher = self._dispatcher
         version = dispatcher.table.find_version(run.target)
         run.software_version = version
-        dispatcher.continuations.note_begun(self._plan, version)
+        await dispatcher.continuations.note_begun(self._plan, version)
 
     def _note_ended(self, run: LiveRun) -> None:
         if run.software_version is not None:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_versions.py
@@ -402,3 +402,25 @@
         assert told and all(always for _, always in told)
 
     play(test, "a", "b")
+
+
+def test_no_event_reaches_a_caller_before_its_stream_is_known():
+    # Killed right after it, an entry had told nobody where it began.
+    async def test(parts):
+        known = asyncio.Event()
+
+        async def hold(*keys):
+            await known.wait()
+
+        parts.dispatcher.continuations.hold = hold
+        caller, task = parts.start(make_request("/resume/x"))
+        run = await parts.engines.wait_run(1)
+        run.make(2)
+        await asyncio.sleep(0.1)
+        assert caller.status is None and caller.numbers == []
+        known.set()
+        await caller.wait_events(2)
+        await finish(task, run, 1)
+        assert caller.numbers == [1, 2, 3]
+
+    play(test, "a", "b")
