--- a/packages/gateway/src/chivepier/gateway/following/originexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/originexchange.py
@@ -27,6 +27,9 @@
 POLL_SECONDS = 0.2
 # Seconds to wait for a voter's confirmation.
 CONFIRM_SECONDS = 0.8
+# Seconds that a caller's first event waits for a voter to keep where its
+# stream began: with the gathering less than an event may be late.
+HOLD_SECONDS = 0.08
 # Seconds that a caller waits for what voters know.
 ASK_SECONDS = 0.25
 # Seconds between two removals of streams that are kept no longer.
@@ -35,7 +38,7 @@
 MAX_UNINTERRUPTED = 50
 # Records of one message, and those that wait for one voter.
 MAX_RECORDS = 500
-MAX_WAITING = 5_000
+MAX_WAITING = 10_000
 
 ListKeepers = collections.abc.Callable[[], dict[str, str]]
 
@@ -43,9 +46,9 @@
 class OriginExchange:
     """Tells some voters of each stream that another entry may have to go on.
 
-    Nothing is told while a service runs one version: then that is the answer
-    for each stream. As another one appears, all that is known of the streams
-    here is told, and again to a voter that has started again.
+    Nothing is told while a route's only service runs one version: then that is
+    the answer for each stream. As another one appears, all that is known of
+    the streams here is told, and again to a voter that has started again.
 
     :param origins: where the streams of this entry began
     :param targets: the known targets and their versions
@@ -76,17 +79,45 @@
         self._changed = asyncio.Event()
         self._told: dict[str, tuple[str, frozenset[str]]] = {}
         self._waiting: dict[str, dict[OriginKey, Origin]] = {}
+        self._held: dict[OriginKey, asyncio.Event] = {}
         self._sending: dict[str, asyncio.Task] = {}
 
-    def publish(self, origin: Origin) -> None:
-        """Tell where a stream began, if there is more than one version."""
+    def publish(self, origin: Origin, always: bool = False) -> None:
+        """Tell where a stream began, if there is more than one version.
+
+        :param origin: where it began
+        :param always: whether to tell it of the only version, too, as its
+            route has other services
+        """
         self._services.add(origin.service)
-        if not self._is_mixed(origin.service):
+        if not always and not self._is_mixed(origin.service):
             return
         for voter in choose_holders(origin.key, self._list_keepers()):
             self._enqueue(voter, origin)
         self._changed.set()
 
+    async def hold(self, *keys: OriginKey) -> None:
+        """Wait until a voter keeps where a stream began, if one is told.
+
+        An entry that ends right after a caller's first event would have told
+        nobody.
+
+        :param keys: identify the stream
+        """
+        events = [
+            self._held.setdefault(key, asyncio.Event())
+            for key in keys
+            if any(key in waiting for waiting in self._waiting.values())
+        ]
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HOLD_SECONDS):
+                    for event in events:
+                        await event.wait()
+        finally:
+            for key in keys:
+                self._held.pop(key, None)
+
     def _is_mixed(self, service: str) -> bool:
         return len(self._targets.list_versions(service)) > 1
 
@@ -175,6 +206,8 @@
             for key, origin in batch.items():
                 if waiting.get(key) is origin:
                     del waiting[key]
+                if key in self._held:
+                    self._held[key].set()
 
     async def ask(self, key: OriginKey) -> Origin | None:
         """Ask the voters that keep it where a stream began.
--- a/packages/gateway/src/chivepier/gateway/following/tests/test_originexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/tests/test_originexchange.py
@@ -8,6 +8,7 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import OriginExchange
 from chivepier.gateway.following.originexchange import ASK_SECONDS
+from chivepier.gateway.following.originexchange import HOLD_SECONDS
 from chivepier.gateway.following.originexchange import MAX_WAITING
 from chivepier.gateway.following.tests.fakevoters import Voters
 from chivepier.gateway.following.tests.fakevoters import VOTERS
@@ -146,6 +147,18 @@
     play(test, "v1", "v2")
 
 
+def test_streams_of_routes_with_several_services_are_told_always():
+    # Each service may run one version, and none is the stream's for certain.
+    async def test(entry, voters):
+        now = tell_time()
+        origin = Origin(OriginKey("t1", "s1"), "llm", "v1", now, now + 60.0)
+        entry.exchange.publish(origin, always=True)
+        await asyncio.sleep(0.1)
+        assert voters.count("s1") == 3
+
+    play(test, "v1")
+
+
 @pytest.mark.parametrize("silent", (0, 1, 2, 5))
 def test_voters_that_do_not_answer_delay_a_caller_little(silent):
     async def test(entry, voters):
@@ -181,3 +194,27 @@
             await entry.exchange.ask(key)
 
     play(test, "v1", "v2")
+
+
+def test_first_event_waits_until_a_voter_keeps_where_its_stream_began():
+    # An entry killed right after it had told nobody.
+    async def test(entry, voters):
+        for number in range(20):
+            entry.begin(f"s{number}")
+            await entry.exchange.hold(OriginKey("t1", f"s{number}"))
+            assert voters.count(f"s{number}") > 0
+
+    play(test, "v1", "v2")
+
+
+@pytest.mark.parametrize("versions", (("v1",), ("v1", "v2")))
+def test_first_event_waits_little_if_no_voter_answers(versions):
+    async def test(entry, voters):
+        voters.silent |= set(VOTERS)
+        entry.begin("s1")
+        began = tell_time()
+        await entry.exchange.hold(OriginKey("t1", "s1"))
+        bound = HOLD_SECONDS if len(versions) > 1 else 0.0
+        assert tell_time() - began <= bound + 0.001
+
+    play(test, *versions)
--- a/packages/gateway/src/chivepier/gateway/serving/continuations.py
+++ b/packages/gateway/src/chivepier/gateway/serving/continuations.py
@@ -32,7 +32,8 @@
 # What a caller has that has got no event yet.
 NO_EVENTS = (None, "", "0")
 
-Publish = collections.abc.Callable[[Origin], None]
+Hold = collections.abc.Callable[..., collections.abc.Awaitable[None]]
+Publish = collections.abc.Callable[[Origin, bool], None]
 Ask = collections.abc.Callable[
     [OriginKey], collections.abc.Awaitable[Origin | None]
 ]
@@ -43,6 +44,10 @@
     return None
 
 
+async def _hold_nothing(*keys: OriginKey) -> None:
+    return
+
+
 async def _confirm_all(seconds: float) -> bool:
     return True
 
@@ -60,7 +65,9 @@
     :param log: event log of this process
     :param metrics: counts streams that callers take up
     :ivar origins: where the streams of this entry began
-    :ivar publish: tells others where a stream began
+    :ivar publish: tells others where a stream began, always or only while
+        its service runs several versions
+    :ivar hold: waits until others know where a stream began, for a moment
     :ivar ask: asks others where a stream began
     :ivar confirm: tells whether no version of a service can have been missed
         in the last so many seconds, after asking for news
@@ -75,7 +82,8 @@
         metrics: Metrics,
     ):
         self.origins = OriginTable()
-        self.publish: Publish = lambda origin: None
+        self.publish: Publish = lambda origin, always: None
+        self.hold: Hold = _hold_nothing
         self.ask: Ask = _ask_nobody
         self.confirm: Confirm = _confirm_all
         self._targets = targets
@@ -84,31 +92,44 @@
         self._log = log
         self._metrics = metrics
 
-    def note_begun(self, plan: Plan, software_version: str) -> None:
-        """Note that the caller of a stream gets its first event.
+    async def note_begun(self, plan: Plan, software_version: str) -> None:
+        """Note that the caller of a stream is about to get its first event.
 
         :param plan: the plan of the request
         :param software_version: version of the target that wrote it
         """
         self._note(plan, software_version, LIVE_SECONDS)
+        self._note_request(plan, software_version)
+        await self.hold(_make_attempt_key(plan), _make_request_key(plan))
 
     def note_ended(self, plan: Plan, software_version: str) -> None:
         """Note that a stream has ended here, whole or not."""
         self._note(plan, software_version, ENDED_SECONDS)
 
     def _note(self, plan: Plan, software_version: str, seconds: float) -> None:
+        until = self._clock.monotonic() + seconds
+        self._put(plan, _make_attempt_key(plan), software_version, until)
+
+    def _note_request(self, plan: Plan, software_version: str) -> None:
+        """Note it for callers that do not name the attempt that began it.
+
+        Others may send the same request: it is kept no longer than its caller
+        waits, and two that begin at different versions have none.
+        """
+        request = plan.request
+        until = max(request.deadline, request.arrived + plan.route.timeout)
+        self._put(plan, _make_request_key(plan), software_version, until)
+
+    def _put(
+        self, plan: Plan, key: OriginKey, software_version: str, until: float
+    ) -> None:
         if not plan.repeatable or not software_version:
             return
         now = self._clock.monotonic()
-        origin = Origin(
-            _make_key(plan),
-            plan.service.name,
-            software_version,
-            now,
-            now + seconds,
-        )
+        service = plan.service.name
+        origin = Origin(key, service, software_version, now, until)
         self.origins.put(origin, now)
-        self.publish(origin)
+        self.publish(origin, len(plan.route.pools) > 1)
 
     async def bind(self, plan: Plan) -> Plan:
         """Restrict a stream that a caller takes up to its version.
@@ -134,7 +155,7 @@
             after=request.last_event,
             software=version,
             source=source,
-            known=sorted(self._targets.list_versions(plan.service.name)),
+            known=self._list_builds(plan),
             age_ms=(
                 round(1000 * (self._clock.monotonic() - origin.noted_at))
                 if origin
@@ -171,19 +192,29 @@
             return None, "unheard"
         if origin is not None:
             return origin, "told"
-        service = plan.service.name
-        if len(self._targets.list_versions(service)) > 1:
+        if len(self._list_builds(plan)) > 1:
             return None, "unknown"
         # its caller has waited for no longer than the route lets it
         span = plan.route.timeout + ANNOUNCEMENT_SECONDS
         if not await self.confirm(span):
             return None, "unheard"
-        versions = self._targets.list_versions(service)
-        if len(versions) == 1:
-            (version,) = versions
+        builds = self._list_builds(plan)
+        if len(builds) == 1:
+            ((service, version),) = builds
             return Origin(key, service, version, now, now), "only"
         return None, "unknown"
 
+    def _list_builds(self, plan: Plan) -> list[tuple[str, str]]:
+        """Return the services and versions that may have begun a stream.
+
+        A route may draw another of its services for each attempt.
+        """
+        return sorted(
+            (service, version)
+            for service in {name for name, _ in plan.route.pools}
+            for version in self._targets.list_versions(service)
+        )
+
     def _find_service(self, plan: Plan, origin: Origin):
         """Return the service that began a stream, if its route still has it.
 
@@ -206,7 +237,20 @@
 
 
 def _make_key(plan: Plan) -> OriginKey:
+    """Return what identifies the stream that a caller has events of."""
+    request = plan.request
+    if request.last_event not in NO_EVENTS and not request.resumes:
+        return _make_request_key(plan)
+    return _make_attempt_key(plan)
+
+
+def _make_attempt_key(plan: Plan) -> OriginKey:
     request = plan.request
     takes_up = request.last_event not in NO_EVENTS
     attempt = request.resumes if takes_up else None
     return OriginKey(plan.team or "", attempt or request.id)
+
+
+def _make_request_key(plan: Plan) -> OriginKey:
+    # no header, and so no attempt's id, holds the end of a line
+    return OriginKey(plan.team or "", f"\n{plan.digest}")
