--- a/soak/streamcaller.py
+++ b/soak/streamcaller.py
@@ -10,6 +10,8 @@
 CALLER_PORT = 8740
 # Request path of the route whose streams may be resumed.
 RESUME_PATH = "/resume/x"
+# Time that a caller waits for the answer to an attempt.
+DEADLINE_MS = 4_000
 
 
 async def attempt_stream(
@@ -20,6 +22,7 @@
     extra: dict[str, str] | None = None,
     path: str = RESUME_PATH,
     names_attempt: bool = True,
+    deadline_ms: int = DEADLINE_MS,
 ) -> int:
     """Begin a stream at an entry, or go on with it.
 
@@ -30,9 +33,10 @@
     :param extra: further headers of the request
     :param path: path of the request
     :param names_attempt: whether it names the attempt that it goes on with
+    :param deadline_ms: time that the caller waits for the answer
     :returns: status of the answer; 0 if there was none
     """
-    headers = make_caller_headers(attempt, 4000) | (extra or {})
+    headers = make_caller_headers(attempt, deadline_ms) | (extra or {})
     if record.last_event:
         headers["Last-Event-ID"] = str(record.last_event)
         if names_attempt:
