--- a/packages/gateway/src/chivepier/gateway/following/originexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/originexchange.py
@@ -14,6 +14,7 @@
 from chivepier.gateway.origins import OriginTable
 from chivepier.gateway.origins import pack_origin
 from chivepier.gateway.origins import unpack_origin
+from chivepier.gateway.serving import UnansweredError
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
 from chivepier.wire import LinkError
@@ -26,6 +27,9 @@
 POLL_SECONDS = 0.2
 # Seconds to wait for a voter's confirmation.
 CONFIRM_SECONDS = 0.8
+# Seconds that a caller's first event waits for a voter to keep where its
+# stream began: with the gathering less than an event may be late.
+HOLD_SECONDS = 0.08
 # Seconds that a caller waits for what voters know.
 ASK_SECONDS = 0.25
 # Seconds between two removals of streams that are kept no longer.
@@ -34,7 +38,7 @@
 MAX_UNINTERRUPTED = 50
 # Records of one message, and those that wait for one voter.
 MAX_RECORDS = 500
-MAX_WAITING = 5_000
+MAX_WAITING = 10_000
 
 ListKeepers = collections.abc.Callable[[], dict[str, str]]
 
@@ -42,9 +46,9 @@
 class OriginExchange:
     """Tells some voters of each stream that another entry may have to go on.
 
-    Nothing is told while a service runs one version: then that is the answer
-    for each stream. As another one appears, all that is known of the streams
-    here is told, and again to a voter that has started again.
+    Nothing is told while a route's only service runs one version: then that is
+    the answer for each stream. As another one appears, all that is known of
+    the streams here is told, and again to a voter that has started again.
 
     :param origins: where the streams of this entry began
     :param targets: the known targets and their versions
@@ -75,17 +79,45 @@
         self._changed = asyncio.Event()
         self._told: dict[str, tuple[str, frozenset[str]]] = {}
         self._waiting: dict[str, dict[OriginKey, Origin]] = {}
+        self._held: dict[OriginKey, asyncio.Event] = {}
         self._sending: dict[str, asyncio.Task] = {}
 
-    def publish(self, origin: Origin) -> None:
-        """Tell where a stream began, if there is more than one version."""
+    def publish(self, origin: Origin, always: bool = False) -> None:
+        """Tell where a stream began, if there is more than one version.
+
+        :param origin: where it began
+        :param always: whether to tell it of the only version, too, as its
+            route has other services
+        """
         self._services.add(origin.service)
-        if not self._is_mixed(origin.service):
+        if not always and not self._is_mixed(origin.service):
             return
         for voter in choose_holders(origin.key, self._list_keepers()):
             self._enqueue(voter, origin)
         self._changed.set()
 
+    async def hold(self, *keys: OriginKey) -> None:
+        """Wait until a voter keeps where a stream began, if one is told.
+
+        An entry that ends right after a caller's first event would have told
+        nobody.
+
+        :param keys: identify the stream
+        """
+        events = [
+            self._held.setdefault(key, asyncio.Event())
+            for key in keys
+            if any(key in waiting for waiting in self._waiting.values())
+        ]
+        try:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(HOLD_SECONDS):
+                    for event in events:
+                        await event.wait()
+        finally:
+            for key in keys:
+                self._held.pop(key, None)
+
     def _is_mixed(self, service: str) -> bool:
         return len(self._targets.list_versions(service)) > 1
 
@@ -174,31 +206,36 @@
             for key, origin in batch.items():
                 if waiting.get(key) is origin:
                     del waiting[key]
+                if key in self._held:
+                    self._held[key].set()
 
     async def ask(self, key: OriginKey) -> Origin | None:
         """Ask the voters that keep it where a stream began.
 
         :param key: identifies the stream
-        :returns: the first answer; ``None`` if there is none in time
+        :returns: where it began; ``None`` if most of them do not know it
+        :raises UnansweredError: when most of them have not answered in time
         """
         voters = choose_holders(key, self._list_keepers())
         asks = [self._ask_voter(voter, key) for voter in voters]
-        for answer in asyncio.as_completed(asks):
-            origin = await answer
-            if origin is not None:
-                return origin
+        unanswered = 0
+        for ask in asyncio.as_completed(asks):
+            match await ask:
+                case OriginAnswer(records=(record,)):
+                    return unpack_origin(record, self._clock.monotonic())
+                case None:
+                    unanswered += 1
+        # those that were told may be among those that are silent
+        if 2 * unanswered >= len(voters) > 0:
+            raise UnansweredError
         return None
 
-    async def _ask_voter(self, voter: str, key: OriginKey) -> Origin | None:
+    async def _ask_voter(
+        self, voter: str, key: OriginKey
+    ) -> OriginAnswer | None:
         request = OriginRequest(key.team, key.attempt)
         try:
-            answer = await self._links.request(voter, request, ASK_SECONDS)
+            return await self._links.request(voter, request, ASK_SECONDS)
         except LinkError as error:
             self._log.warn("origin_unasked", peer=voter, error=str(error))
             return None
-        now = self._clock.monotonic()
-        match answer:
-            case OriginAnswer(records=(record,)):
-                return unpack_origin(record, now)
-            case _:
-                return None
--- a/packages/gateway/src/chivepier/gateway/following/tests/test_originexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/tests/test_originexchange.py
@@ -8,12 +8,15 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.following import OriginExchange
 from chivepier.gateway.following.originexchange import ASK_SECONDS
+from chivepier.gateway.following.originexchange import HOLD_SECONDS
 from chivepier.gateway.following.originexchange import MAX_WAITING
 from chivepier.gateway.following.tests.fakevoters import Voters
 from chivepier.gateway.following.tests.fakevoters import VOTERS
+from chivepier.gateway.origins import choose_holders
 from chivepier.gateway.origins import Origin
 from chivepier.gateway.origins import OriginKey
 from chivepier.gateway.origins import OriginTable
+from chivepier.gateway.serving.errors import UnansweredError
 from chivepier.gateway.serving.tests.fakeengines import make_target
 from chivepier.gateway.targets import TargetTable
 from chivepier.standins.loopclock import LoopClock
@@ -144,15 +147,74 @@
     play(test, "v1", "v2")
 
 
+def test_streams_of_routes_with_several_services_are_told_always():
+    # Each service may run one version, and none is the stream's for certain.
+    async def test(entry, voters):
+        now = tell_time()
+        origin = Origin(OriginKey("t1", "s1"), "llm", "v1", now, now + 60.0)
+        entry.exchange.publish(origin, always=True)
+        await asyncio.sleep(0.1)
+        assert voters.count("s1") == 3
+
+    play(test, "v1")
+
+
 @pytest.mark.parametrize("silent", (0, 1, 2, 5))
 def test_voters_that_do_not_answer_delay_a_caller_little(silent):
     async def test(entry, voters):
         entry.begin("s1")
         await asyncio.sleep(0.1)
         voters.silent |= set(VOTERS[:silent])
-        began = tell_time()
-        origin = await entry.exchange.ask(OriginKey("t1", "s1"))
+        began, origin = tell_time(), None
+        try:
+            origin = await entry.exchange.ask(OriginKey("t1", "s1"))
+        except UnansweredError:
+            # of three that keep it, one at least answers otherwise
+            assert silent == len(VOTERS)
         assert tell_time() - began <= ASK_SECONDS + 0.01
-        assert silent == len(VOTERS) or origin is not None
+        assert (origin is not None) is (silent < len(VOTERS))
+
+    play(test, "v1", "v2")
+
+
+@pytest.mark.parametrize("silent", range(4))
+@pytest.mark.parametrize("shape", ("silent", "down"))
+def test_silence_of_those_that_may_know_is_not_taken_for_not_known(
+    shape, silent
+):
+    # A cut off entry took the one version it knew for that of any stream.
+    async def test(entry, voters):
+        key = OriginKey("t1", "never-told")
+        holders = choose_holders(key, VOTERS)
+        getattr(voters, shape).update(holders[:silent])
+        if silent < 2:
+            assert await entry.exchange.ask(key) is None
+            return
+        with pytest.raises(UnansweredError):
+            await entry.exchange.ask(key)
 
     play(test, "v1", "v2")
+
+
+def test_first_event_waits_until_a_voter_keeps_where_its_stream_began():
+    # An entry killed right after it had told nobody.
+    async def test(entry, voters):
+        for number in range(20):
+            entry.begin(f"s{number}")
+            await entry.exchange.hold(OriginKey("t1", f"s{number}"))
+            assert voters.count(f"s{number}") > 0
+
+    play(test, "v1", "v2")
+
+
+@pytest.mark.parametrize("versions", (("v1",), ("v1", "v2")))
+def test_first_event_waits_little_if_no_voter_answers(versions):
+    async def test(entry, voters):
+        voters.silent |= set(VOTERS)
+        entry.begin("s1")
+        began = tell_time()
+        await entry.exchange.hold(OriginKey("t1", "s1"))
+        bound = HOLD_SECONDS if len(versions) > 1 else 0.0
+        assert tell_time() - began <= bound + 0.001
+
+    play(test, *versions)
--- a/soak/linked.py
+++ b/soak/linked.py
@@ -21,7 +21,7 @@
 
 
 def main() -> None:
-    """Redirect connections to targets, and run the program."""
+    """Redirect connections to targets and voters, and run the program."""
     links = json.loads(os.environ[VARIABLE])
     connect, open_connection = socket.socket.connect, asyncio.open_connection
     create = uvloop.Loop.create_connection
--- a/soak/versionscenario.py
+++ b/soak/versionscenario.py
@@ -14,6 +14,7 @@
 from soak.process import Process
 from soak.run import make_config
 from soak.streamcaller import attempt_stream
+from soak.streamcaller import DEADLINE_MS
 from soak.streamcaller import RESUME_PATH
 from soak.streamrecord import StreamRecord
 from soak.target import SoakTarget
@@ -26,6 +27,8 @@
 RETRY_SECONDS = 0.15
 # Attempts to go on with a stream that entries answer before a run may end.
 MIN_TAKE_UPS = 6
+# Longest time that the routes let a caller wait.
+ROUTE_MS = 3_000
 # Seconds between two events: streams last long enough to be broken off.
 EVENT_SECONDS = 0.04
 # Seconds between two faults, and for which a process is down.
@@ -53,10 +56,14 @@
     :param sent: attempts to go on with a stream that had begun, which an
         entry answered
     :param went_on: those that brought a further event, or the end alone
+    :param streams: streams that such an attempt was sent for
+    :param ended: those of them that ended whole
     """
 
     sent: int = 0
     went_on: int = 0
+    streams: int = 0
+    ended: int = 0
 
 
 class VersionScenario(Cluster):
@@ -70,7 +77,7 @@
     :param names_attempts: whether callers that take a stream up name the
         attempt that began it
     :param patience_seconds: for how long callers go on with a stream, after
-        some attempts, too
+        some attempts, too; routes and their deadlines allow it
     :ivar streams: what callers got of each stream
     :ivar take_ups: how often callers took a stream up
     """
@@ -86,6 +93,7 @@
         patience_seconds: float = 0.0,
     ):
         self._patience_seconds = patience_seconds
+        self._patience_ms = round(1000 * patience_seconds)
         self._session: aiohttp.ClientSession | None = None
         self._names_attempts = names_attempts
         self.streams: list[StreamRecord] = []
@@ -108,7 +116,8 @@
     @contextlib.asynccontextmanager
     async def run(self):
         """Run the cluster with callers until the context is left."""
-        async with self.start(make_config(1)) as session:
+        config = make_config(1, max(ROUTE_MS, self._patience_ms))
+        async with self.start(config) as session:
             self._session = session
             for entry in self.entries:
                 await self._await_service(session, entry)
@@ -151,6 +160,9 @@
                     self.take_ups.sent += 1
                     went_on = record.last_event > taken_up or record.whole
                     self.take_ups.went_on += went_on
+                    self.take_ups.streams += not record.taken_up
+                    self.take_ups.ended += record.whole
+                    record.taken_up = True
                 if record.whole:
                     break
                 await asyncio.sleep(RETRY_SECONDS)
@@ -170,6 +182,7 @@
             record,
             path=path,
             names_attempt=self._names_attempts,
+            deadline_ms=max(DEADLINE_MS, self._patience_ms),
         )
         return status != 0
 
