--- a/packages/gateway/src/chivepier/gateway/control/tests/test_confirmedtargets.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_confirmedtargets.py
@@ -99,3 +99,16 @@
         assert follower.table.get("i1") is not None
 
     play(test, tmp_path)
+
+
+def test_many_callers_wait_no_longer_than_two_rounds(tmp_path):
+    # Guards against rounds one after the other, one for each caller.
+    async def test(fleet):
+        follower = await start_and_know(fleet)
+        follower.links._faults.cut.add("*")
+        began = tell_time()
+        confirm = follower.following.confirm_targets
+        await asyncio.gather(*(confirm(SPAN_SECONDS) for _ in range(40)))
+        assert tell_time() - began < 0.6
+
+    play(test, tmp_path)
