Let pings replace a silent link only, and close what was given up

Cause: a ping that timed out counted as a request that had, which ends the channel after 2 s with all that waits on it. And the task that reads a channel that was given up waits for a frame that never comes.

Change: a ping replaces the link; what is in progress on the old one goes on, as its comment says. The watch closes the socket as it ends.

--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -132,6 +132,8 @@
                     await self.close()
             elif quiet >= PING_AFTER_SECONDS and not self.closed:
                 await self._ping(now)
+        # what was given up reads no more, and would stay open
+        await self._socket.close()
 
     async def _ping(self, sent: float) -> None:
         try:
@@ -140,7 +142,8 @@
                     await asyncio.Event().wait()
                 await (await self._socket.ping())
         except TimeoutError:
-            self._handle_timeout(sent)
+            # no request has waited: a peer that stands still may answer yet
+            self._check_silence_soon(sent)
         except websockets.ConnectionClosed:
             return
         else:
@@ -273,9 +276,7 @@
             self._pending.pop(number, None)
 
     def _handle_timeout(self, sent: float) -> None:
-        asyncio.get_running_loop().call_later(
-            ARRIVAL_SECONDS, self._check_silence, sent
-        )
+        self._check_silence_soon(sent)
         # After a long partition TCP may wait minutes before it retransmits;
         # closing the link makes the next request open a new connection.
         if self._silent_since is None:
@@ -285,6 +286,11 @@
             self._outbox.clear()
             self._fail_pending()
 
+    def _check_silence_soon(self, sent: float) -> None:
+        asyncio.get_running_loop().call_later(
+            ARRIVAL_SECONDS, self._check_silence, sent
+        )
+
     def _check_silence(self, sent: float) -> None:
         if self._last_received <= sent:
             self._handle_silence(self)
