Let a candidate go on that has its majority of pre-votes

Cause: a candidate that had won its pre-votes gave up if a better one had asked meanwhile, and of equal logs the one with the higher identity is better. The old leader asked again and again, and won never.

Change: a candidate goes on unless a longer log has come. Ties at the other voters are still broken by identity, which keeps candidates from colliding.

--- a/packages/state/src/chivepier/state/candidacy.py
+++ b/packages/state/src/chivepier/state/candidacy.py
@@ -14,3 +14,8 @@
     last_term: int
     last_index: int
     node: str
+
+    def has_longer_log(self, other: "Candidacy") -> bool:
+        """Tell whether the log is longer than that of another."""
+        mine = (self.last_term, self.last_index)
+        return mine > (other.last_term, other.last_index)
--- a/packages/state/src/chivepier/state/elections.py
+++ b/packages/state/src/chivepier/state/elections.py
@@ -115,11 +115,13 @@
                 self._lead()
 
     def _renew_candidacy(self) -> bool:
-        """Tell whether no better candidate has the own pre-vote meanwhile."""
-        promised = self._pre_votes.find_promised()
-        if promised is not None and promised.node != self._core.node:
+        """Tell whether no candidate with a longer log came meanwhile."""
+        own, promised = self._describe_candidacy(), self._pre_votes
+        rival = promised.find_promised()
+        if rival is not None and rival.has_longer_log(own):
             return False
-        return self._pre_votes.promise(self._describe_candidacy())
+        promised.withdraw(rival.node if rival is not None else "")
+        return promised.promise(own)
 
     def _lead(self) -> None:
         core = self._core
