Let no voter that has stopped hold up the votes of others

Change: a voter that has stopped does not ask. The leader puts whom it tries at the end of the line, so that no candidate that can't be brought up to date, for whatever reason, keeps others waiting.

--- a/packages/gateway/src/chivepier/gateway/control/membership.py
+++ b/packages/gateway/src/chivepier/gateway/control/membership.py
@@ -112,6 +112,10 @@
         # or frozen cannot know, as it no longer receives the log. The leader
         # that it heard last may go on in the same term.
         replica = self._replica
+        if replica.error is not None:
+            # it can't be brought up to date, and the leader would try it
+            # before any other
+            return
         keeps_vote = replica.votes() and replica.leader
         request = JoinRequest(replica.node, self._own_address, replica.cluster)
         peers = [p for p in self._peers.all if p != self._own_address]
@@ -252,6 +256,11 @@
             return
         for candidate in candidates:
             self._log.info("seat_given", voter=candidate.node)
+            # Last in line next time: one that can't be brought up to date
+            # must not keep the others waiting.
+            self._candidates[candidate.node] = self._candidates.pop(
+                candidate.node
+            )
             await replica.changes.add(candidate)
             self._watch.note_addition(candidate, now)
             return
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_membership.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_membership.py
@@ -26,6 +26,8 @@
 class JoiningNode:
     """A started node without a vote, and the answers of its peers."""
 
+    error = None
+
     node, cluster, leader = "n1", "c", ""
 
     def __init__(self, answers: dict[str, bool | None]):
