--- a/packages/state/src/chivepier/state/elections.py
+++ b/packages/state/src/chivepier/state/elections.py
@@ -115,13 +115,17 @@
                 self._lead()
 
     def _renew_candidacy(self) -> bool:
-        """Tell whether no candidate with a longer log came meanwhile."""
-        own, promised = self._describe_candidacy(), self._pre_votes
-        rival = promised.find_promised()
-        if rival is not None and rival.has_longer_log(own):
-            return False
-        promised.withdraw(rival.node if rival is not None else "")
-        return promised.promise(own)
+        """Tell whether no candidate with a longer log came meanwhile.
+
+        One that is better by its identity alone may be unable to win.
+        """
+        own, votes = self._describe_candidacy(), self._pre_votes
+        rival = votes.find_promised()
+        if rival is not None:
+            if rival.has_longer_log(own):
+                return False
+            votes.withdraw(rival.node)
+        return votes.promise(own)
 
     def _lead(self) -> None:
         core = self._core
