--- a/packages/gateway/src/chivepier/gateway/control/statecache.py
+++ b/packages/gateway/src/chivepier/gateway/control/statecache.py
@@ -10,10 +10,13 @@
 from chivepier.gateway.control.configstore import ConfigStore
 from chivepier.gateway.control.storedconfig import StoredConfig
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.following import pack_past_version
 from chivepier.gateway.following import pack_target
+from chivepier.gateway.following import unpack_past_version
 from chivepier.gateway.following import unpack_target
 from chivepier.gateway.messages import OriginRecord
 from chivepier.gateway.messages import TargetRecord
+from chivepier.gateway.messages import VersionRecord
 from chivepier.gateway.origins import OriginTable
 from chivepier.gateway.origins import pack_origin
 from chivepier.gateway.origins import unpack_origin
@@ -112,8 +115,8 @@
             return None
         now = self._clock.monotonic()
         # Files of earlier releases contain none of these fields, or two.
-        padded = (*rest, (), (), (), (), ())[:5]
-        endings, orders, versions, origins, causes = padded
+        padded = (*rest, (), (), (), (), (), ())[:6]
+        endings, orders, versions, origins, causes, past = padded
         software = {(name, born): version for name, born, version in versions}
         for fields in targets:
             target = unpack_target(TargetRecord(*fields), now)
@@ -123,6 +126,11 @@
             self._table.put(target)
         for fields in origins:
             self._origins.put(unpack_origin(OriginRecord(*fields), now), now)
+        for fields in past:
+            version_record = VersionRecord(*fields)
+            self._table.past_versions.put(
+                unpack_past_version(version_record, now)
+            )
         for zone, index, evacuated in orders:
             order = ZoneOrder(zone, index, evacuated, now)
             self._table.zones.put(order)
@@ -230,7 +238,11 @@
         ]
         newest = list(self._origins)[-MAX_SAVED_ORIGINS:]
         origins = [attrs.astuple(pack_origin(o, now)) for o in newest]
-        state = (targets, endings, orders, versions, origins, causes)
+        past = [
+            attrs.astuple(pack_past_version(p, now))
+            for p in self._table.past_versions
+        ]
+        state = (targets, endings, orders, versions, origins, causes, past)
         if config is None:
             return (-1, b"", *state)
         return (config.version, config.body, *state)
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_confirmedtargets.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_confirmedtargets.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import attrs
+
 from chivepier.gateway.control.tests.fleet import play
 from chivepier.gateway.control.tests.fleet import wait_until
 from chivepier.gateway.targets.tests.test_targettable import make
@@ -112,3 +114,29 @@
         assert tell_time() - began < 0.6
 
     play(test, tmp_path)
+
+
+def test_entry_learns_the_versions_of_targets_that_voters_have_forgotten(
+    tmp_path,
+):
+    # Guards against a stream that goes on at the one version that is left, as
+    # the targets of its own fell silent before all entries were killed.
+    async def test(fleet):
+        await fleet.write(2)
+        began = tell_time()
+        target = make("i1", heard=began)
+        target.software_version = "v1"
+        for voter in fleet.voters.values():
+            voter.registry.announce(attrs.evolve(target))
+        await wait_until(
+            lambda: all(
+                voter.table.get("i1") is None
+                for voter in fleet.voters.values()
+            )
+        )
+        follower = await fleet.follow("e1")
+        assert await follower.following.confirm_targets(SPAN_SECONDS)
+        versions = follower.table.list_versions_since("s", began)
+        assert versions == {"v1"}
+
+    play(test, tmp_path)
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_statecache.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_statecache.py
@@ -77,6 +77,26 @@
     assert (found.service, found.software_version) == ("s", "v1")
 
 
+def test_versions_of_forgotten_targets_survive_a_restart_of_all(tmp_path):
+    # Guards against streams that are taken for the one version left.
+    async def work():
+        cache, table, _ = make_cache(tmp_path)
+        now = SystemClock().monotonic()
+        table.put(attrs.evolve(make_target(), heard=now))
+        table.expire(now + 60.0)
+        assert table.get("i1") is None
+        task = asyncio.create_task(cache.run(NoConfig()))
+        while not (tmp_path / FILE_NAME).exists():
+            await asyncio.sleep(0.01)
+        task.cancel()
+        return now
+
+    before = asyncio.run(work())
+    cache, table, _ = make_cache(tmp_path)
+    cache.load()
+    assert table.list_versions_since("s", before) == {"v1"}
+
+
 def test_first_target_of_a_version_is_saved_at_once(tmp_path, monkeypatch):
     # Lost with all processes, its streams were taken for the other version's.
     monkeypatch.setattr(statecache, "MIN_WRITE_INTERVAL_SECONDS", 3600.0)
@@ -107,9 +127,7 @@
     asyncio.run(work_in_time())
 
 
-@pytest.mark.parametrize(
-    "rest", [(), ([], []), ([], [], []), ([], [], [], [])]
-)
+@pytest.mark.parametrize("rest", [([],) * count for count in (0, 2, 3, 4, 5)])
 def test_file_of_an_earlier_release_is_read(tmp_path, rest):
     # Earlier files have fewer fields, and none has versions.
     fields = ("i1", "s", "a:1", "z", "ready", 1, 4, 0.0, 0.0, 5)
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -23,6 +23,7 @@
 from chivepier.gateway.control.weightwatch import WeightWatch
 from chivepier.gateway.control.zonestore import ZoneStore
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.following import pack_past_version
 from chivepier.gateway.following import Peers
 from chivepier.gateway.messages import ConfigNotice
 from chivepier.gateway.messages import ConfigRequest
@@ -38,6 +39,7 @@
 from chivepier.gateway.messages import PermitRequest
 from chivepier.gateway.messages import QuarantineNotice
 from chivepier.gateway.messages import TargetNotice
+from chivepier.gateway.messages import VersionRecord
 from chivepier.gateway.messages import WriteRequest
 from chivepier.gateway.messages import ZoneNotice
 from chivepier.gateway.messages import ZoneRecord
@@ -297,6 +299,7 @@
             keeps_origins=True,
             targets_known_for=self._count_known_seconds(),
             is_current=self.replica.is_current(),
+            past_versions=self._find_past_versions(beat),
         )
 
     def _count_known_seconds(self) -> float:
@@ -318,6 +321,17 @@
         known = beat.peers_revision if is_same else -1
         return self._peer_directory.find_changes(beat, known)
 
+    def _find_past_versions(
+        self, beat: EntryBeat
+    ) -> tuple[VersionRecord, ...]:
+        """Return the versions that an entry may not have known in time."""
+        if beat.epoch == self.registry.epoch:
+            return ()
+        now = self._clock.monotonic()
+        return tuple(
+            pack_past_version(past, now) for past in self.table.past_versions
+        )
+
     def _find_orders(self, index: int) -> tuple[ZoneRecord, ...]:
         """Return all zone orders if any is newer than a log index."""
         if self.zones.last_index <= index:
--- a/packages/gateway/src/chivepier/gateway/following/records.py
+++ b/packages/gateway/src/chivepier/gateway/following/records.py
@@ -1,6 +1,8 @@
 """Conversion of targets to messages and back."""
 
 from chivepier.gateway.messages import TargetRecord
+from chivepier.gateway.messages import VersionRecord
+from chivepier.gateway.targets import PastVersion
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
 
@@ -48,3 +50,25 @@
         born=record.born,
         software_version=record.software_version,
     )
+
+
+def pack_past_version(past: PastVersion, now: float) -> VersionRecord:
+    """Convert a version of targets that are not known any more to a message.
+
+    :param past: the version, and when it was heard
+    :param now: this node's monotonic seconds
+    """
+    return VersionRecord(
+        past.service, past.software_version, max(0.0, now - past.heard)
+    )
+
+
+def unpack_past_version(record: VersionRecord, now: float) -> PastVersion:
+    """Convert a message to a version of targets that are not known any more.
+
+    :param record: the message
+    :param now: this node's monotonic seconds
+    """
+    return PastVersion(
+        record.service, record.software_version, now - record.age
+    )
--- a/packages/gateway/src/chivepier/gateway/following/voterclient.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterclient.py
@@ -14,6 +14,7 @@
 from chivepier.gateway.following.loadexchange import LoadExchange
 from chivepier.gateway.following.peers import Peers
 from chivepier.gateway.following.quarantineexchange import QuarantineExchange
+from chivepier.gateway.following.records import unpack_past_version
 from chivepier.gateway.following.records import unpack_target
 from chivepier.gateway.following.voterlink import VoterLink
 from chivepier.gateway.following.voterselector import VoterSelector
@@ -30,6 +31,7 @@
 from chivepier.gateway.messages import QuarantineNotice
 from chivepier.gateway.messages import TargetNotice
 from chivepier.gateway.messages import TargetRecord
+from chivepier.gateway.messages import VersionRecord
 from chivepier.gateway.messages import ZoneNotice
 from chivepier.gateway.messages import ZoneRecord
 from chivepier.gateway.reach import Reach
@@ -374,6 +376,7 @@
         self, address: str, voter: VoterLink, answer: EntryBeatAnswer
     ) -> None:
         self._merge_targets(answer.records)
+        self._merge_past_versions(answer.past_versions)
         self._table.mark_alive(answer.live_targets, self._clock.monotonic())
         voter.status = VoterStatus(
             answer.zone, answer.reachable_voters, answer.first_voter
@@ -436,6 +439,11 @@
                     software=record.software_version,
                 )
 
+    def _merge_past_versions(self, records: tuple[VersionRecord, ...]) -> None:
+        now = self._clock.monotonic()
+        for record in records:
+            self._table.past_versions.put(unpack_past_version(record, now))
+
     def _select_voter(self) -> None:
         before = self._selector.address
         alive = {a: v.status for a, v in self._voters.items() if v.alive}
--- a/packages/gateway/src/chivepier/gateway/messages/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/messages/__init__.py
@@ -35,6 +35,7 @@
 from chivepier.gateway.messages.targetnotice import TargetNotice
 from chivepier.gateway.messages.targetrecord import TargetRecord
 from chivepier.gateway.messages.targetreport import TargetReport
+from chivepier.gateway.messages.versionrecord import VersionRecord
 from chivepier.gateway.messages.writeanswer import WriteAnswer
 from chivepier.gateway.messages.writerequest import WriteRequest
 from chivepier.gateway.messages.zoneanswer import ZoneAnswer
@@ -78,6 +79,7 @@
     "TargetNotice",
     "TargetRecord",
     "TargetReport",
+    "VersionRecord",
     "WriteAnswer",
     "WriteRequest",
     "ZoneAnswer",
--- a/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
+++ b/packages/gateway/src/chivepier/gateway/messages/entrybeatanswer.py
@@ -5,6 +5,7 @@
 from chivepier.gateway.messages.limitrecord import LimitRecord
 from chivepier.gateway.messages.peerrecord import PeerRecord
 from chivepier.gateway.messages.targetrecord import TargetRecord
+from chivepier.gateway.messages.versionrecord import VersionRecord
 from chivepier.gateway.messages.zonerecord import ZoneRecord
 from chivepier.messages.registry import message
 
@@ -28,7 +29,8 @@
     ``keeps_origins`` tells that the voter understands :class:`OriginNotice`.
     ``is_current`` tells that the voter knows all that was committed a moment
     ago; voters of earlier releases don't tell. ``targets_known_for`` tells for
-    how many seconds it has known all targets.
+    how many seconds it has known all targets. ``past_versions`` are those of
+    targets that it has forgotten, told to an entry that did not know it.
     """
 
     epoch: str
@@ -53,3 +55,4 @@
     keeps_origins: bool = False
     targets_known_for: float = 0.0
     is_current: bool = True
+    past_versions: tuple[VersionRecord, ...] = ()
--- a/packages/gateway/src/chivepier/gateway/serving/continuations.py
+++ b/packages/gateway/src/chivepier/gateway/serving/continuations.py
@@ -194,8 +194,7 @@
             return origin, "told"
         if len(self._list_builds(plan)) > 1:
             return None, "unknown"
-        # its caller has waited for no longer than the route lets it
-        span = plan.route.timeout + ANNOUNCEMENT_SECONDS
+        span = _measure_span(plan)
         if not await self.confirm(span):
             return None, "unheard"
         builds = self._list_builds(plan)
@@ -209,10 +208,11 @@
 
         A route may draw another of its services for each attempt.
         """
+        since = self._clock.monotonic() - _measure_span(plan)
         return sorted(
             (service, version)
             for service in {name for name, _ in plan.route.pools}
-            for version in self._targets.list_versions(service)
+            for version in self._targets.list_versions_since(service, since)
         )
 
     def _find_service(self, plan: Plan, origin: Origin):
@@ -227,6 +227,14 @@
         return index.services.get(origin.service, plan.service)
 
 
+def _measure_span(plan: Plan) -> float:
+    """Return for how many seconds what began a stream may be gone.
+
+    Its caller has waited for no longer than the route lets it.
+    """
+    return plan.route.timeout + ANNOUNCEMENT_SECONDS
+
+
 def _make_error(source: str) -> RequestError:
     text = "the version that began this stream is not known"
     pause = None
--- a/packages/gateway/src/chivepier/gateway/targets/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/targets/__init__.py
@@ -18,6 +18,7 @@
 from chivepier.gateway.targets.paceadvisor import PaceAdvisor
 from chivepier.gateway.targets.paceforecast import PaceForecast
 from chivepier.gateway.targets.pacesurvey import PaceSurvey
+from chivepier.gateway.targets.pastversion import PastVersion
 from chivepier.gateway.targets.placereport import PlaceReport
 from chivepier.gateway.targets.prefillestimator import PrefillEstimator
 from chivepier.gateway.targets.queuetracker import QueueTracker
@@ -52,6 +53,7 @@
     "PaceAdvisor",
     "PaceForecast",
     "PaceSurvey",
+    "PastVersion",
     "PlaceReport",
     "PrefillEstimator",
     "QueueTracker",
--- a/packages/gateway/src/chivepier/gateway/targets/targettable.py
+++ b/packages/gateway/src/chivepier/gateway/targets/targettable.py
@@ -4,8 +4,10 @@
 
 from chivepier.gateway.targets.eligibility import ANY_TARGET
 from chivepier.gateway.targets.eligibility import Eligibility
+from chivepier.gateway.targets.pastversion import PastVersion
 from chivepier.gateway.targets.target import Target
 from chivepier.gateway.targets.targetstate import TargetState
+from chivepier.gateway.targets.versionhistory import VersionHistory
 from chivepier.gateway.zones import Zones
 
 # Number of missed announcements after which a target has most likely crashed.
@@ -31,6 +33,7 @@
 
     :param beat: interval between announcements of a target, in seconds
     :param zones: evacuated availability zones; none by default
+    :ivar past_versions: versions of targets that were dropped
     """
 
     def __init__(self, beat: float, zones: Zones | None = None):
@@ -40,6 +43,7 @@
         self._leaving: dict[tuple[str, int], float] = {}
         self._answered_at: dict[str, float] = {}
         self._versions: dict[str, frozenset[str]] = {}
+        self.past_versions = VersionHistory()
         self._updated_at: float | None = None
         self._listening_since = float("-inf")
         self.watchers: list[Watcher] = []
@@ -227,6 +231,18 @@
             )
         return found
 
+    def list_versions_since(
+        self, service: str, since: float
+    ) -> frozenset[str]:
+        """Return the versions that a service's targets have run of late.
+
+        :param service: name of the service
+        :param since: monotonic time in seconds; targets that were dropped
+            count if they were heard later
+        """
+        past = self.past_versions.find(service, since)
+        return self.list_versions(service) | past
+
     def mark_gone(self, instance: str, address: str) -> None:
         """Mark an instance as gone if another one has its address.
 
@@ -326,6 +342,12 @@
             if now - target.heard > kept:
                 del self._targets[target.instance]
                 self._versions.clear()
+                self.past_versions.put(
+                    PastVersion(
+                        target.service, target.software_version, target.heard
+                    )
+                )
+        self.past_versions.expire(now)
         for instance in self._answered_at.keys() - self._targets.keys():
             del self._answered_at[instance]
         for (instance, born), at in list(self._leaving.items()):
