Release the ports of a test's processes, and search no free one for ever

A run of the gateway's and the adapter's tests beside others ended test_cutheads [chunks-/resume/x-reset] after 150 s; pytest's trace has it in find_port. Alone, at the same load of 15, the test takes 6.4 s.

Cause: each port that a test asks for stays reserved, with a socket, until its worker ends. test_cutheads starts an entry for each byte of its answers, with three ports each, some thousands a test; 20,000 are all that there are for all workers on the machine. One that finds none draws for ever.

Change: the fixture of an entry and the fleet of voters release theirs as they end; after 1,000 draws it is an error. Checks and cases of the tests are as before.

--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -44,6 +44,7 @@
 from chivepier.gateway.zones import Freshness
 from chivepier.gateway.zones import Zones
 from chivepier.standins.cluster import find_port
+from chivepier.standins.cluster import release_port
 from chivepier.standins.loopclock import LoopClock
 from chivepier.standins.loopclock import tell_time
 from chivepier.standins.playedloop import find_none
@@ -268,7 +269,9 @@
 
     def make_address(self) -> str:
         """Return an unused address."""
-        return f"127.0.0.1:{find_port()}"
+        port = find_port()
+        self._stack.callback(release_port, port)
+        return f"127.0.0.1:{port}"
 
     async def __aenter__(self) -> "Fleet":
         for address in self.seeds:
--- a/packages/standins/src/chivepier/standins/cluster.py
+++ b/packages/standins/src/chivepier/standins/cluster.py
@@ -22,7 +22,9 @@
 
 # below the range from which the kernel takes ports for outgoing connections
 PORTS = range(12_000, 32_000)
-RESERVED: list[socket.socket] = []
+# Ports drawn before it counts as sure that too few are free.
+MAX_DRAWS = 1_000
+RESERVED: dict[int, socket.socket] = {}
 
 
 def find_port() -> int:
@@ -33,10 +35,11 @@
     So it lies outside the kernel's range, and a datagram socket of the same
     number is kept, by which other tests see that it is taken.
 
-    :returns: the port, reserved until this process ends
+    :returns: the port, reserved until it is released or this process ends
+    :raises RuntimeError: if no port is found that is free
     """
     rng = random.SystemRandom()
-    while True:
+    for _ in range(MAX_DRAWS):
         port = rng.choice(PORTS)
         mark = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         try:
@@ -46,8 +49,17 @@
         except OSError:
             mark.close()
             continue
-        RESERVED.append(mark)
+        RESERVED[port] = mark
         return port
+    raise RuntimeError(f"no free port in {MAX_DRAWS} draws")
+
+
+def release_port(port: int) -> None:
+    """Let others use a port whose process has ended.
+
+    :param port: as returned by :func:`find_port`
+    """
+    RESERVED.pop(port).close()
 
 
 class LocalCluster:
--- a/tests/adapter/entryfixture.py
+++ b/tests/adapter/entryfixture.py
@@ -15,6 +15,7 @@
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.settings import EntrySettings
 from chivepier.standins.cluster import find_port
+from chivepier.standins.cluster import release_port
 from chivepier.types import SystemClock
 import rawtarget
 
@@ -98,6 +99,8 @@
 
     async def __aexit__(self, *exc) -> None:
         await self._stack.aclose()
+        for port in (self.port, self.ready_port, self.metrics_port):
+            release_port(port)
 
     def configure(self, **changes) -> None:
         """Apply a configuration with changes."""
