--- a/packages/gateway/src/chivepier/gateway/control/configstore.py
+++ b/packages/gateway/src/chivepier/gateway/control/configstore.py
@@ -93,7 +93,8 @@
             if the outcome is unknown
         """
         request = WriteRequest(version, body)
-        deadline = self._clock.monotonic() + LEADER_SEARCH_SECONDS
+        began = self._clock.monotonic()
+        deadline = began + LEADER_SEARCH_SECONDS
         reasons: collections.Counter[str] = collections.Counter()
         while (remaining := deadline - self._clock.monotonic()) > 0:
             try:
@@ -104,6 +105,7 @@
                 reasons[str(error)] += 1
             else:
                 if answer.accepted:
+                    self._write_acknowledged(version, began)
                     return True
                 reasons[answer.reason] += 1
             await self._clock.sleep(LEADER_RETRY_SECONDS)
@@ -135,6 +137,16 @@
         self._write_lost("read_lost", reasons)
         return None
 
+    def _write_acknowledged(self, version: int, began: float) -> None:
+        known = self.find_committed()
+        self._log.info(
+            "configuration_acknowledged",
+            version=version,
+            known=known.version if known else -1,
+            leader=self._leader.replica.leader,
+            ms=round(1000 * (self._clock.monotonic() - began)),
+        )
+
     def _write_lost(
         self, event: str, reasons: collections.Counter[str], **fields: int
     ) -> None:
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -6,6 +6,7 @@
 
 from chivepier.gateway.control.bootstrap import open_data_dir
 from chivepier.gateway.control.configstore import ConfigStore
+from chivepier.gateway.control.currencylog import CurrencyLog
 from chivepier.gateway.control.entrydirectory import EntryDirectory
 from chivepier.gateway.control.hostregions import DecodeHostRegions
 from chivepier.gateway.control.hostregions import HostRegions
@@ -120,6 +121,7 @@
         self.host_regions: HostRegions | None = None
         self.registry: Registry | None = None
         self.membership: Membership | None = None
+        self._currency_log: CurrencyLog | None = None
 
     def _find_followers(self) -> list[Channel]:
         return self.loads.list_channels() if self.loads else []
@@ -200,6 +202,7 @@
         self.host_regions = HostRegions(
             self.store, self._decode_host_regions, log
         )
+        self._currency_log = CurrencyLog(self.replica, log)
         self.store.load_cached(self._state_cache.load())
         self.registry = Registry(
             own_address, self.table, self.entries, links, peers, clock, log
@@ -257,6 +260,7 @@
             )
         self.loads.update_follower(beat.node, channel, beat.follows)
         config = self.store.find_committed()
+        version = config.version if config else -1
         voters: tuple[str, ...] = ()
         live_targets: tuple[str, ...] = ()
         if beat.follows:
@@ -277,7 +281,7 @@
         return EntryBeatAnswer(
             self.registry.epoch,
             self.registry.revision,
-            config.version if config else -1,
+            version,
             self.entries.count(),
             voters,
             self.registry.find_changed_records(beat.epoch, beat.revision),
@@ -296,7 +300,7 @@
             peers_revision,
             keeps_origins=True,
             targets_known_for=self._count_known_seconds(),
-            is_current=self.replica.is_current(),
+            is_current=self._currency_log.tell(version),
         )
 
     def _count_known_seconds(self) -> float:
--- a/packages/state/src/chivepier/state/replication.py
+++ b/packages/state/src/chivepier/state/replication.py
@@ -34,6 +34,7 @@
         self._peer = peer
         self._following = core.storage.last_index + 1
         self._told = 0
+        self._silent_since: float | None = None
 
     async def run(self) -> None:
         """Replicate until the lead or the peer's seat is lost."""
@@ -41,12 +42,28 @@
         while tenure.current:
             try:
                 await self._push()
-            except LinkError:
+            except LinkError as error:
+                self._note_silence(error)
                 await core.clock.sleep(core.timing.heartbeat)
                 continue
             if self._following > tenure.synced and self._told >= core.commit:
                 await tenure.grown.wait()
 
+    def _note_silence(self, error: LinkError) -> None:
+        if self._silent_since is None:
+            self._silent_since = self._core.clock.monotonic()
+            log.info(
+                "voter silent node={} error={}", self._peer.node, str(error)
+            )
+
+    def _note_answer(self) -> None:
+        since, self._silent_since = self._silent_since, None
+        if since is not None:
+            seconds = self._core.clock.monotonic() - since
+            log.info(
+                "voter answers node={} after={:.2f}", self._peer.node, seconds
+            )
+
     async def _push(self) -> None:
         if self._following < self._core.storage.first_index:
             await self._push_snapshot()
@@ -120,6 +137,7 @@
         answer = await core.transport.request(
             self._peer.address, request, core.timing.request
         )
+        self._note_answer()
         if answer.term > tenure.term:
             await core.adopt_term(answer.term)
             return None
