--- a/packages/state/src/chivepier/state/following.py
+++ b/packages/state/src/chivepier/state/following.py
@@ -43,7 +43,8 @@
             # from the leader's log, whatever is committed there
             last = request.prev_index + len(request.entries)
             core.raise_commit(min(request.commit, last))
-            if last >= request.commit:
+            # without a lease, others may have committed what this leader lacks
+            if request.leads and last >= request.commit:
                 core.current_at = core.heard
             return AppendAnswer(storage.term, True, last)
 
--- a/packages/state/src/chivepier/state/replication.py
+++ b/packages/state/src/chivepier/state/replication.py
@@ -83,6 +83,7 @@
             core.commit,
             core.cluster,
             self._peer.node,
+            self._tenure.holds_lease(),
         )
         answer = await self._ask(request)
         if answer is None:
--- a/packages/types/src/chivepier/messages/appendrequest.py
+++ b/packages/types/src/chivepier/messages/appendrequest.py
@@ -6,7 +6,11 @@
 
 @message(3)
 class AppendRequest:
-    """Entries after ``prev_index``, or none for a heartbeat."""
+    """Entries after ``prev_index``, or none for a heartbeat.
+
+    ``leads`` tells that the leader held its lease as it sent this: nobody else
+    had committed anything. Leaders of earlier releases don't tell.
+    """
 
     term: int
     leader: str
@@ -16,3 +20,4 @@
     commit: int
     cluster: str = ""
     voter: str = ""
+    leads: bool = True
