--- a/packages/state/src/chivepier/state/following.py
+++ b/packages/state/src/chivepier/state/following.py
@@ -29,6 +29,7 @@
         :returns: what is synced here, or where to go back to
         """
         core = self._core
+        arrived = core.clock.monotonic()
         async with core.lock:
             core.check(request.cluster, request.voter)
             storage = core.storage
@@ -45,7 +46,7 @@
             core.raise_commit(min(request.commit, last))
             # without a lease, others may have committed what this leader lacks
             if request.leads and last >= request.commit:
-                core.current_at = core.heard
+                core.current_at = arrived
             return AppendAnswer(storage.term, True, last)
 
     def _find_conflict(self, request: AppendRequest) -> int | None:
--- a/packages/state/src/chivepier/state/tests/test_currentfollowers.py
+++ b/packages/state/src/chivepier/state/tests/test_currentfollowers.py
@@ -11,8 +11,11 @@
 SLACK_SECONDS = 0.1
 
 
-async def measure_stale(seed: int) -> float:
-    """Return how old an entry became that a current follower lacked."""
+async def measure_stale(seed: int, busy_seconds: float = 0.0) -> float:
+    """Return how old an entry became that a current follower lacked.
+
+    :param busy_seconds: for how long after the cut its disk takes a write
+    """
     oldest = 0.0
     async with Rig(5, seed) as rig:
         leader = await rig.await_leader()
@@ -23,6 +26,10 @@
             rig.unlink(leader.node, name)
             rig.unlink(follower.node, name)
 
+        if busy_seconds:
+            await follower._core.lock.acquire()
+        cut_at = rig.clock.monotonic()
+
         def find_next():
             return next(
                 (
@@ -39,6 +46,10 @@
         committed_at = rig.clock.monotonic()
         for _ in range(160):
             await rig.step()
+            passed = rig.clock.monotonic() - cut_at
+            if 0.0 < busy_seconds < passed:
+                follower._core.lock.release()
+                busy_seconds = 0.0
             if follower.is_current() and follower.commit < index:
                 oldest = max(oldest, rig.clock.monotonic() - committed_at)
     return oldest
@@ -52,3 +63,13 @@
             assert oldest < 1.0 + SLACK_SECONDS, f"seed {seed}: {oldest:.2f}"
 
     asyncio.run(test())
+
+
+def test_follower_whose_disk_stalled_is_not_current_by_appends_that_waited():
+    # Guards against denials after a stall: what waited is taken for fresh.
+    async def test():
+        for seed in range(SEEDS):
+            oldest = await measure_stale(seed, busy_seconds=5.0)
+            assert oldest < 1.0 + SLACK_SECONDS, f"seed {seed}: {oldest:.2f}"
+
+    asyncio.run(test())
