Let a voter tell what a leader has answered before its log does

The leader's answer is confirmed by its lease, so the voter now keeps what it read, or wrote, and tells its entries at once. The answer to a write says whether the content sent is what is stored: a version that is held with other content is accepted, too, and must not be replaced by what was sent.

--- a/packages/gateway/src/chivepier/gateway/control/configstore.py
+++ b/packages/gateway/src/chivepier/gateway/control/configstore.py
@@ -1,6 +1,7 @@
 """Store of the configuration in the replicated log."""
 
 import collections
+import collections.abc
 import hashlib
 import zlib
 
@@ -50,12 +51,21 @@
     :param leader: client for requests to the leader
     :param clock: monotonic clock
     :param log: receives stored versions and failed requests
+    :param handle_learned: called when a leader's answer to this node tells of
+        a newer configuration than the log
     """
 
-    def __init__(self, leader: LeaderClient, clock: Clock, log: EventLog):
+    def __init__(
+        self,
+        leader: LeaderClient,
+        clock: Clock,
+        log: EventLog,
+        handle_learned: collections.abc.Callable[[], None] = lambda: None,
+    ):
         self._leader = leader
         self._clock = clock
         self._log = log
+        self._handle_learned = handle_learned
         self._decoded: tuple[int, StoredConfig | None] = (-1, None)
         self._cached: StoredConfig | None = None
         self._compressed: tuple[int, bytes] = (-1, b"")
@@ -71,6 +81,18 @@
             return applied or cached
         return cached if cached.version > applied.version else applied
 
+    def _learn(self, stored: StoredConfig) -> None:
+        """Take a committed configuration from a leader's answer.
+
+        The log may come later by as much as a silent link takes to be
+        replaced, or an election: entries that hear this node alone would lack
+        until then what it has acknowledged.
+        """
+        known = self.find_committed()
+        if known is None or stored.version > known.version:
+            self._cached = stored
+            self._handle_learned()
+
     def _find_applied(self) -> StoredConfig | None:
         document = self._machine.documents.get((DOCUMENT_KIND, DOCUMENT_NAME))
         if document is None:
@@ -105,6 +127,8 @@
                 reasons[str(error)] += 1
             else:
                 if answer.accepted:
+                    if answer.stored:
+                        self._learn(StoredConfig(version, body))
                     self._write_acknowledged(version, began)
                     return True
                 reasons[answer.reason] += 1
@@ -131,7 +155,9 @@
                 reasons[str(error)] += 1
             else:
                 if answer.known:
-                    return StoredConfig(answer.version, answer.unpack())
+                    stored = StoredConfig(answer.version, answer.unpack())
+                    self._learn(stored)
+                    return stored
                 reasons[UNCONFIRMED] += 1
             await self._clock.sleep(LEADER_RETRY_SECONDS)
         self._write_lost("read_lost", reasons)
@@ -204,11 +230,12 @@
                 await self._leader.wait_for_commits()
                 committed = self.find_committed()
                 if committed is not None and version <= committed.version:
-                    return WriteAnswer(True, "")
+                    is_same = committed == StoredConfig(version, body)
+                    return WriteAnswer(True, "", is_same)
                 answer = await self._propose(version, body)
                 if not answer.error:
                     self._log.info("configuration_stored", version=version)
-                    return WriteAnswer(True, "")
+                    return WriteAnswer(True, "", True)
         except (NotLeaderError, LostLeadError) as error:
             return WriteAnswer(False, repr(error))
 
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -122,6 +122,7 @@
         self.registry: Registry | None = None
         self.membership: Membership | None = None
         self._currency_log: CurrencyLog | None = None
+        self._pushed_version = -1
 
     def _find_followers(self) -> list[Channel]:
         return self.loads.list_channels() if self.loads else []
@@ -196,7 +197,7 @@
         own_address = self._settings.address
         clock, log, peers = self._clock, self._log, self.peers
         leader = LeaderClient(self.replica, links)
-        self.store = ConfigStore(leader, clock, log)
+        self.store = ConfigStore(leader, clock, log, self._push_config)
         self.orders = ZoneStore(leader, self.zones, clock, log)
         self.permits = PermitService(leader, clock, log, random.Random())
         self.host_regions = HostRegions(
@@ -340,24 +341,27 @@
 
     async def _push_changes(self) -> None:
         """Push each new configuration and zone order to the entries."""
-        pushed_version = -1
         while True:
             if self.orders.apply_committed():
                 self._state_cache.mark_dirty()
                 notice = ZoneNotice(self._find_orders(-1))
                 for channel in self.entries.list_channels():
                     channel.send(notice)
-            config = self.store.find_committed()
-            if config is not None and config.version > pushed_version:
-                pushed_version = config.version
-                self._log.info("configuration_known", version=pushed_version)
-                self._state_cache.mark_dirty()
-                notice = ConfigNotice(pushed_version)
-                for channel in self.entries.list_channels():
-                    channel.send(notice)
+            self._push_config()
             self.peers.learn(v.address for v in self.replica.voters)
             await self.replica.machine.changed.wait(1.0)
 
+    def _push_config(self) -> None:
+        config = self.store.find_committed()
+        if config is None or config.version <= self._pushed_version:
+            return
+        self._pushed_version = config.version
+        self._log.info("configuration_known", version=config.version)
+        self._state_cache.mark_dirty()
+        notice = ConfigNotice(config.version)
+        for channel in self.entries.list_channels():
+            channel.send(notice)
+
     async def _sync_targets(self) -> None:
         while True:
             await self._clock.sleep(TARGET_SYNC_INTERVAL_SECONDS)
