--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -6,6 +6,7 @@
 
 from chivepier.gateway.control.bootstrap import open_data_dir
 from chivepier.gateway.control.configstore import ConfigStore
+from chivepier.gateway.control.currencylog import CurrencyLog
 from chivepier.gateway.control.entrydirectory import EntryDirectory
 from chivepier.gateway.control.hostregions import DecodeHostRegions
 from chivepier.gateway.control.hostregions import HostRegions
@@ -122,6 +123,8 @@
         self.host_regions: HostRegions | None = None
         self.registry: Registry | None = None
         self.membership: Membership | None = None
+        self._currency_log: CurrencyLog | None = None
+        self._pushed_version = -1
 
     def _find_followers(self) -> list[Channel]:
         return self.loads.list_channels() if self.loads else []
@@ -196,12 +199,13 @@
         own_address = self._settings.address
         clock, log, peers = self._clock, self._log, self.peers
         leader = LeaderClient(self.replica, links)
-        self.store = ConfigStore(leader, clock, log)
+        self.store = ConfigStore(leader, clock, log, self._push_config)
         self.orders = ZoneStore(leader, self.zones, clock, log)
         self.permits = PermitService(leader, clock, log, random.Random())
         self.host_regions = HostRegions(
             self.store, self._decode_host_regions, log
         )
+        self._currency_log = CurrencyLog(self.replica, log)
         self.store.load_cached(self._state_cache.load())
         self.registry = Registry(
             own_address, self.table, self.entries, links, peers, clock, log
@@ -259,6 +263,7 @@
             )
         self.loads.update_follower(beat.node, channel, beat.follows)
         config = self.store.find_committed()
+        version = config.version if config else -1
         voters: tuple[str, ...] = ()
         live_targets: tuple[str, ...] = ()
         if beat.follows:
@@ -279,7 +284,7 @@
         return EntryBeatAnswer(
             self.registry.epoch,
             self.registry.revision,
-            config.version if config else -1,
+            version,
             self.entries.count(),
             voters,
             self.registry.find_changed_records(beat.epoch, beat.revision),
@@ -298,7 +303,7 @@
             peers_revision,
             keeps_origins=True,
             targets_known_for=self._count_known_seconds(),
-            is_current=self.replica.is_current(),
+            is_current=self._currency_log.tell(version),
             past_versions=self._find_past_versions(beat),
         )
 
@@ -350,24 +355,27 @@
 
     async def _push_changes(self) -> None:
         """Push each new configuration and zone order to the entries."""
-        pushed_version = -1
         while True:
             if self.orders.apply_committed():
                 self._state_cache.mark_dirty()
                 notice = ZoneNotice(self._find_orders(-1))
                 for channel in self.entries.list_channels():
                     channel.send(notice)
-            config = self.store.find_committed()
-            if config is not None and config.version > pushed_version:
-                pushed_version = config.version
-                self._log.info("configuration_known", version=pushed_version)
-                self._state_cache.mark_dirty()
-                notice = ConfigNotice(pushed_version)
-                for channel in self.entries.list_channels():
-                    channel.send(notice)
+            self._push_config()
             self.peers.learn(v.address for v in self.replica.voters)
             await self.replica.machine.changed.wait(1.0)
 
+    def _push_config(self) -> None:
+        config = self.store.find_committed()
+        if config is None or config.version <= self._pushed_version:
+            return
+        self._pushed_version = config.version
+        self._log.info("configuration_known", version=config.version)
+        self._state_cache.mark_dirty()
+        notice = ConfigNotice(config.version)
+        for channel in self.entries.list_channels():
+            channel.send(notice)
+
     async def _sync_targets(self) -> None:
         while True:
             await self._clock.sleep(TARGET_SYNC_INTERVAL_SECONDS)
--- a/packages/state/src/chivepier/state/following.py
+++ b/packages/state/src/chivepier/state/following.py
@@ -29,6 +29,7 @@
         :returns: what is synced here, or where to go back to
         """
         core = self._core
+        arrived = core.clock.monotonic()
         async with core.lock:
             core.check(request.cluster, request.voter)
             storage = core.storage
@@ -43,8 +44,9 @@
             # from the leader's log, whatever is committed there
             last = request.prev_index + len(request.entries)
             core.raise_commit(min(request.commit, last))
-            if last >= request.commit:
-                core.current_at = core.heard
+            # without a lease, others may have committed what this leader lacks
+            if request.leads and last >= request.commit:
+                core.current_at = arrived
             return AppendAnswer(storage.term, True, last)
 
     def _find_conflict(self, request: AppendRequest) -> int | None:
