--- a/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
+++ b/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
@@ -63,6 +63,18 @@
         self._entries[beat.node] = KnownEntry(beat, channel, now)
         return known is None
 
+    def find_silence(self, node: str) -> float:
+        """Return for how long an entry that beats again was out of touch.
+
+        :param node: name of the entry
+        :returns: seconds; zero if it is not known, or counts as alive
+        """
+        known = self._entries.get(node)
+        if known is None:
+            return 0.0
+        silence = self._clock.monotonic() - known.last_heard
+        return silence if silence >= LIVENESS_TIMEOUT_SECONDS else 0.0
+
     def list_addresses(
         self,
         zone: str = "",
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -253,6 +253,13 @@
     def _handle_beat(
         self, beat: EntryBeat, channel: Channel
     ) -> EntryBeatAnswer:
+        if silence := self.entries.find_silence(beat.node):
+            self._log.info(
+                "entry_heard_again",
+                entry=beat.node,
+                silent_ms=round(1000 * silence),
+                version=beat.version,
+            )
         if self.entries.record_beat(beat, channel):
             self._log.info(
                 "entry_known", entry=beat.node, address=beat.address
--- a/packages/gateway/src/chivepier/gateway/eventlog/libraryhandler.py
+++ b/packages/gateway/src/chivepier/gateway/eventlog/libraryhandler.py
@@ -1,17 +1,18 @@
-"""Lines of the replicated log among the events of a process."""
+"""Lines of the libraries among the events of a process."""
 
 import logbook
 
 from chivepier.gateway.eventlog.eventlog import EventLog
 
-STATE_CHANNEL = "state"
+# Event by the channel of a library's lines; others are left out.
+EVENTS = {"state": "state_changed", "link": "link_changed"}
 
 
 class LibraryHandler(logbook.Handler):
-    """Writes what the replicated log says to an event log.
+    """Writes what the replicated log and the peer links say to an event log.
 
-    Without it, elections and the end of a voter leave no trace: the library
-    has no handler of its own.
+    Without it, elections, the end of a voter and links that went silent leave
+    no trace: the libraries have no handler of their own.
 
     :param log: event log of this process
     """
@@ -19,7 +20,7 @@
     def __init__(self, log: EventLog):
         super().__init__(
             level=logbook.INFO,
-            filter=lambda record, handler: record.channel == STATE_CHANNEL,
+            filter=lambda record, handler: record.channel in EVENTS,
         )
         self._log = log
 
@@ -28,7 +29,6 @@
 
         :param record: what was logged
         """
-        if record.level >= logbook.WARNING:
-            self._log.warn("state_changed", text=record.message)
-        else:
-            self._log.info("state_changed", text=record.message)
+        is_warning = record.level >= logbook.WARNING
+        write = self._log.warn if is_warning else self._log.info
+        write(EVENTS[record.channel], text=record.message)
--- a/packages/gateway/src/chivepier/gateway/eventlog/tests/test_eventlog.py
+++ b/packages/gateway/src/chivepier/gateway/eventlog/tests/test_eventlog.py
@@ -95,3 +95,13 @@
     (line,) = read_lines(reader)
     assert line["level"] == "warn"
     assert line["text"] == "voter stops error=full"
+
+
+def test_replaced_links_are_written():
+    # Guards against links that went silent and leave no trace.
+    reader, writer = os.pipe()
+    with LibraryHandler(EventLog("n1", writer)).applicationbound():
+        logbook.Logger("link").info("silent link replaced peer={}", "p")
+    (line,) = read_lines(reader)
+    assert line["event"] == "link_changed"
+    assert line["text"] == "silent link replaced peer=p"
--- a/packages/gateway/src/chivepier/gateway/following/configfetcher.py
+++ b/packages/gateway/src/chivepier/gateway/following/configfetcher.py
@@ -54,6 +54,7 @@
         self._clock = clock
         self._log = log
         self._announced: dict[str, int] = {}
+        self._newest_told = -1
         self._version_announced = asyncio.Event()
 
     def record_version(self, address: str, version: int) -> None:
@@ -62,7 +63,16 @@
         :param address: address of the voter
         :param version: version of its configuration; -1 if it has none
         """
-        if version > self._find_current_version():
+        current = self._find_current_version()
+        if version > current:
+            if version > self._newest_told:
+                self._newest_told = version
+                self._log.info(
+                    "configuration_told",
+                    peer=address,
+                    version=version,
+                    held=current,
+                )
             self._announced[address] = version
             self._version_announced.set()
 
--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -116,6 +116,14 @@
         self._last_received = self._clock.monotonic()
         self._silent_since = None
 
+    def measure_quiet(self) -> float:
+        """Return the seconds since anything was received."""
+        return self._clock.monotonic() - self._last_received
+
+    def count_pending(self) -> int:
+        """Return the number of requests that wait for an answer."""
+        return len(self._pending)
+
     async def watch(self) -> None:
         """Ping the peer while nothing is received, until the channel closes.
 
--- a/packages/wire/src/chivepier/wire/links.py
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -17,7 +17,7 @@
 from chivepier.wire.server import PEER_HEADER
 from chivepier.wire.traffic import Traffic
 
-log = logbook.Logger("wire")
+log = logbook.Logger("link")
 
 CONNECT_SECONDS = 2.0
 
@@ -186,7 +186,12 @@
         before = self._channels.get(peer)
         if before is not None and not before.closed:
             before.replaced = True
-            log.info("silent link replaced peer={}", peer)
+            log.info(
+                "silent link replaced peer={} quiet_ms={} pending={}",
+                peer,
+                round(1000 * before.measure_quiet()),
+                before.count_pending(),
+            )
         self._channels[peer] = channel
         for work in (channel.run(), channel.watch()):
             task = asyncio.create_task(work)
