--- a/packages/gateway/src/chivepier/gateway/following/tests/test_configfetcher.py
+++ b/packages/gateway/src/chivepier/gateway/following/tests/test_configfetcher.py
@@ -149,3 +149,45 @@
         assert setup.current_version == 14
 
     run_with_fetcher(test)
+
+
+def test_failed_fetches_are_repeated_without_another_announcement():
+    # Guards against an entry that knows of a version, fails to fetch it once
+    # from each voter, and waits for a word that doesn't come.
+    async def test(setup):
+        setup.links.unreachable = {"v1", "v2"}
+        setup.links.release.set()
+        setup.announce(5, "v1", "v2")
+        for _ in range(10):
+            await settle()
+            setup.clock.advance(0.2)
+        setup.links.unreachable = {"v1"}
+        for _ in range(5):
+            await settle()
+            setup.clock.advance(0.2)
+        await settle()
+        assert setup.current_version == 5
+
+    run_with_fetcher(test)
+
+
+def test_entry_that_stood_still_amid_an_adoption_takes_the_next_one_soon():
+    # Guards against a pause of seconds after an adoption that was held up.
+    async def test(setup):
+        decode = setup.fetcher._decode
+
+        def stall(body):
+            setup.clock.advance(0.9)
+            return decode(body)
+
+        setup.fetcher._decode = stall
+        setup.links.release.set()
+        setup.announce(5, "v1")
+        await settle()
+        setup.announce(6, "v1")
+        for _ in range(6):
+            setup.clock.advance(0.1)
+            await settle()
+        assert setup.current_version == 6
+
+    run_with_fetcher(test)
--- a/packages/wire/src/chivepier/wire/tests/test_silence.py
+++ b/packages/wire/src/chivepier/wire/tests/test_silence.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import contextlib
+import itertools
 import socket
 
 import pytest
 
 from chivepier.messages import FreshAnswer
 from chivepier.messages import FreshRequest
+from chivepier.standins.loopclock import LoopClock
+from chivepier.standins.onewaylink import deafen
+from chivepier.standins.onewaylink import mute
+from chivepier.standins.playedloop import play_time
 from chivepier.types import SystemClock
 from chivepier.wire import Faults
 from chivepier.wire import LinkError
@@ -16,6 +21,10 @@
 
 KEY = "key-of-tests"
 REQUEST = FreshRequest("a", 1, 1)
+# Seconds between two messages that a peer pushes, and in which a link that
+# loses what is sent is replaced: less than a lease, or a change, may take.
+PUSH_SECONDS = 0.05
+REPLACED_IN_SECONDS = 2.0
 
 
 def answer(message, channel):
@@ -205,3 +214,159 @@
             assert option == 0
 
     asyncio.run(work())
+
+
+@contextlib.asynccontextmanager
+async def connect_pushed(handle):
+    """Yield links and the address of a peer that pushes all the time."""
+    channels, clock = [], LoopClock()
+
+    def serve(message, channel):
+        if channel not in channels:
+            channels.append(channel)
+        return handle(message, channel)
+
+    async def push():
+        while True:
+            for channel in channels:
+                channel.send(REQUEST)
+            await asyncio.sleep(PUSH_SECONDS)
+
+    async with (
+        PeerServer("127.0.0.1", 0, serve, KEY, clock) as server,
+        Links("a:1", KEY, answer, Faults(), clock) as links,
+    ):
+        task = asyncio.create_task(push())
+        yield links, f"127.0.0.1:{server.port}"
+        task.cancel()
+
+
+async def await_replacement(links, peer, old):
+    """Wait until another link is used; fail after some time."""
+    async with asyncio.timeout(REPLACED_IN_SECONDS):
+        while links._channels[peer] is old:
+            await asyncio.sleep(0.01)
+
+
+ONE_WAY = pytest.mark.parametrize("lose", (mute, deafen))
+
+
+@ONE_WAY
+def test_idle_link_that_is_silent_one_way_is_replaced_beside_pushes(lose):
+    # Guards against pushes that pass for life where all requests are lost.
+    async def body():
+        async with connect_pushed(answer) as (links, peer):
+            await links.request(peer, REQUEST, 5)
+            old = links._channels[peer]
+            lose(old)
+            await await_replacement(links, peer, old)
+            await links.request(peer, REQUEST, 5)
+
+    play_time(body())
+
+
+@ONE_WAY
+def test_link_that_is_silent_one_way_is_replaced_beside_its_timeouts(lose):
+    # Guards against timeouts that count for nothing as a push came since.
+    async def body():
+        async with connect_pushed(answer) as (links, peer):
+            await links.request(peer, REQUEST, 5)
+            old = links._channels[peer]
+            lose(old)
+            async with asyncio.timeout(REPLACED_IN_SECONDS):
+                await request_until(links, peer, False)
+                await request_until(links, peer, True)
+            assert links._channels[peer] is not old
+
+    play_time(body())
+
+
+@ONE_WAY
+def test_link_that_is_silent_one_way_is_replaced_beside_open_requests(lose):
+    # Guards against a link that is kept since a request still waits on it.
+    held = asyncio.Event()
+
+    async def hold(message, channel):
+        await held.wait()
+        return answer(message, channel)
+
+    async def body():
+        async with connect_pushed(hold) as (links, peer):
+            waiting = asyncio.create_task(links.request(peer, REQUEST, 20))
+            while peer not in links._channels:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.1)
+            old = links._channels[peer]
+            lose(old)
+            await await_replacement(links, peer, old)
+            waiting.cancel()
+
+    play_time(body())
+
+
+def test_link_of_a_peer_that_answers_slowly_is_kept():
+    # Guards against links that are opened anew for each slow answer.
+    async def answer_late(message, channel):
+        await asyncio.sleep(3)
+        return answer(message, channel)
+
+    async def body():
+        async with connect_pushed(answer_late) as (links, peer):
+            with pytest.raises(LinkError):
+                await links.request(peer, REQUEST, 0.2)
+            old = links._channels[peer]
+            for _ in range(20):
+                with pytest.raises(LinkError):
+                    await links.request(peer, REQUEST, 0.2)
+            await links.request(peer, REQUEST, 5)
+            assert links._channels[peer] is old
+            assert not old.closed and not old.replaced
+
+    play_time(body())
+
+
+def test_busy_link_is_not_pinged_more_often_than_an_idle_one():
+    # Guards against a ping for each timeout or frame.
+    async def answer_late(message, channel):
+        await asyncio.sleep(3)
+        return answer(message, channel)
+
+    async def body():
+        async with connect_pushed(answer_late) as (links, peer):
+            with pytest.raises(LinkError):
+                await links.request(peer, REQUEST, 0.01)
+            socket_used = links._channels[peer]._socket
+            ping, pings = socket_used.ping, []
+
+            async def count_ping():
+                pings.append(asyncio.get_running_loop().time())
+                return await ping()
+
+            socket_used.ping = count_ping
+            for _ in range(100):
+                with pytest.raises(LinkError):
+                    await links.request(peer, REQUEST, 0.05)
+            assert len(pings) > 5
+            pairs = itertools.pairwise(pings)
+            assert min(b - a for a, b in pairs) >= 0.5 - 1e-6
+
+    play_time(body())
+
+
+def test_process_that_stood_still_keeps_its_links():
+    # Guards against a process that replaces all its links after a stall.
+    stalls = {n: 1.5 for n in range(1003, 1020, 3)}
+
+    def find_delay(now):
+        return stalls.pop(int(now), 0.0)
+
+    async def body():
+        async with connect_pushed(answer) as (links, peer):
+            await links.request(peer, REQUEST, 5)
+            old = links._channels[peer]
+            while stalls:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(2)
+            assert links._channels[peer] is old
+
+    play_time(body(), find_delay)
