--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -27,11 +27,14 @@
 # A link without received frames for this long is closed when a request on it
 # times out.
 MAX_SILENCE_SECONDS = 2.0
-# Seconds without received frames after which a channel is pinged, and those
-# to wait for the answer. Short enough that a link is replaced before a leader
+# Seconds without a round trip after which a channel is pinged, and those to
+# wait for the answer. Short enough that a link is replaced before a leader
 # loses its followers.
 PING_AFTER_SECONDS = 0.5
 PONG_SECONDS = 0.5
+# Seconds by which the end of a ping is late where this process stood still
+# itself: the answer may not have been read yet.
+STALL_SECONDS = 0.25
 # Seconds after a timeout in which what has arrived is handled: after a stall
 # of this process, timeouts come first.
 ARRIVAL_SECONDS = 0.02
@@ -61,8 +64,8 @@
     :param faults: peers whose frames are dropped, for tests
     :param traffic: counters of the process's peer links
     :param clock: measures the age of messages and the silence of the peer
-    :param handle_silence: called when a request or ping times out and nothing
-        has been received since
+    :param handle_silence: called when a ping is not answered, or a request
+        times out and nothing has been received since
     """
 
     def __init__(
@@ -85,11 +88,13 @@
         self._clock = clock
         self._handle_silence = handle_silence
         self._request_numbers = itertools.count(1)
-        self._pending: dict[int, asyncio.Future] = {}
+        self._pending: dict[int, tuple[asyncio.Future, float]] = {}
         self._outbox = Outbox(clock)
         self._ready = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
         self._last_received = self._clock.monotonic()
+        # the newest moment that something was sent at which was answered
+        self._confirmed = self._pinged = self._last_received
         self._silent_since: float | None = None
         self.closed = False
         self.replaced = False
@@ -120,42 +125,70 @@
         """Return the seconds since anything was received."""
         return self._clock.monotonic() - self._last_received
 
+    def measure_unconfirmed(self) -> float:
+        """Return the seconds since anything was sent that was answered."""
+        return self._clock.monotonic() - self._confirmed
+
     def count_pending(self) -> int:
         """Return the number of requests that wait for an answer."""
         return len(self._pending)
 
     async def watch(self) -> None:
-        """Ping the peer while nothing is received, until the channel closes.
+        """Ping the peer while nothing is answered, until the channel closes.
 
-        A connection may go silent for good without a reset. Without pings, an
-        idle one, or one that carries one-way messages only, would be noticed
-        with the first requests that are lost.
+        A connection may go silent for good without a reset, and in one
+        direction only: what a peer pushes does not tell that it gets what is
+        sent to it. Only a round trip does.
         """
         while not self.closed:
-            await self._clock.sleep(PING_AFTER_SECONDS)
+            await self._clock.sleep(self._find_pause())
             now = self._clock.monotonic()
-            quiet = now - self._last_received
             if self.replaced:
+                quiet = now - self._last_received
                 if quiet > REPLACED_SECONDS and not self._pending:
                     await self.close()
-            elif quiet >= PING_AFTER_SECONDS and not self.closed:
+            elif not self.closed and self._find_pause() <= 0:
                 await self._ping(now)
         # what was given up reads no more, and would stay open
         await self._socket.close()
 
+    def _find_pause(self) -> float:
+        """Return the seconds until the next ping, if nothing is answered."""
+        if self.replaced:
+            return PING_AFTER_SECONDS
+        since = max(self._confirmed, self._pinged)
+        return since + PING_AFTER_SECONDS - self._clock.monotonic()
+
     async def _ping(self, sent: float) -> None:
+        self._pinged = sent
         try:
             async with asyncio.timeout(PONG_SECONDS):
                 if self._faults.blocks(self.peer):
                     await asyncio.Event().wait()
-                await (await self._socket.ping())
+                pong = await self._socket.ping()
+                pong.add_done_callback(lambda done: self._end_ping(done, sent))
+                await asyncio.shield(pong)
         except TimeoutError:
-            # no request has waited: a peer that stands still may answer yet
-            self._check_silence_soon(sent)
+            late = self._clock.monotonic() - sent - PONG_SECONDS
+            if late < STALL_SECONDS:
+                asyncio.get_running_loop().call_later(
+                    ARRIVAL_SECONDS, self._check_round_trip, sent
+                )
         except websockets.ConnectionClosed:
             return
-        else:
+
+    def _end_ping(self, pong: asyncio.Future, sent: float) -> None:
+        is_answered = not pong.cancelled() and pong.exception() is None
+        if is_answered and not self._faults.blocks(self.peer):
             self._note_received()
+            self._note_confirmed(sent)
+
+    def _note_confirmed(self, sent: float) -> None:
+        self._confirmed = max(self._confirmed, sent)
+
+    def _check_round_trip(self, sent: float) -> None:
+        if self._confirmed < sent:
+            self._handle_silence(self)
 
     async def _write(self) -> None:
         while True:
@@ -271,7 +304,7 @@
         sent = self._clock.monotonic()
         number = next(self._request_numbers)
         future = asyncio.get_running_loop().create_future()
-        self._pending[number] = future
+        self._pending[number] = future, sent
         self._enqueue(pack_part(Part.REQUEST, number, value))
         try:
             async with asyncio.timeout(timeout):
@@ -284,7 +317,9 @@
             self._pending.pop(number, None)
 
     def _handle_timeout(self, sent: float) -> None:
-        self._check_silence_soon(sent)
+        asyncio.get_running_loop().call_later(
+            ARRIVAL_SECONDS, self._check_silence, sent
+        )
         # After a long partition TCP may wait minutes before it retransmits;
         # closing the link makes the next request open a new connection.
         if self._silent_since is None:
@@ -294,27 +329,27 @@
             self._outbox.clear()
             self._fail_pending()
 
-    def _check_silence_soon(self, sent: float) -> None:
-        asyncio.get_running_loop().call_later(
-            ARRIVAL_SECONDS, self._check_silence, sent
-        )
-
     def _check_silence(self, sent: float) -> None:
         if self._last_received <= sent:
             self._handle_silence(self)
 
     def _resolve(self, number: int, value: typing.Any) -> None:
-        future = self._pending.pop(number, None)
+        future = self._take_pending(number)
         if future is not None and not future.done():
             future.set_result(value)
 
     def _reject(self, number: int, text: str) -> None:
-        future = self._pending.pop(number, None)
+        future = self._take_pending(number)
         if future is not None and not future.done():
             future.set_exception(LinkError(text, sent=True))
 
+    def _take_pending(self, number: int) -> asyncio.Future | None:
+        future, sent = self._pending.pop(number, (None, self._confirmed))
+        self._note_confirmed(sent)
+        return future
+
     def _fail_pending(self) -> None:
-        for future in self._pending.values():
+        for future, _ in self._pending.values():
             if not future.done():
                 text = f"link to {self.peer} was lost"
                 future.set_exception(LinkError(text, sent=True))
--- a/packages/wire/src/chivepier/wire/links.py
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -187,9 +187,11 @@
         if before is not None and not before.closed:
             before.replaced = True
             log.info(
-                "silent link replaced peer={} quiet_ms={} pending={}",
+                "silent link replaced peer={} quiet_ms={} unanswered_ms={}"
+                " pending={}",
                 peer,
                 round(1000 * before.measure_quiet()),
+                round(1000 * before.measure_unconfirmed()),
                 before.count_pending(),
             )
         self._channels[peer] = channel
