--- a/packages/gateway/src/chivepier/gateway/following/currency.py
+++ b/packages/gateway/src/chivepier/gateway/following/currency.py
@@ -2,6 +2,7 @@
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.serving import Doubt
 from chivepier.gateway.serving import ServingState
 from chivepier.types import Clock
 
@@ -38,38 +39,43 @@
         self._newest = -1
         self._confirmed_at: float | None = None
         self._started_at = clock.monotonic()
-        self._was_current: bool | None = None
-        state.is_current = self.is_current
+        # as at the start of a process, which is no change
+        self._doubt: Doubt | None = Doubt.NO_CONFIGURATION
+        self._newest_from = ""
+        state.find_doubt = self.find_doubt
 
-    def note_version(self, version: int) -> None:
-        """Note that a voter knows a version as committed."""
-        self._newest = max(self._newest, version)
+    def note_version(self, version: int, voter: str) -> None:
+        """Note that a voter knows a version as committed.
 
-    def note_answer(
-        self, version: int, is_current: bool, sent_at: float
-    ) -> None:
+        :param version: the version; -1 if it has none
+        :param voter: address of the voter
+        """
+        if version > self._newest:
+            self._newest, self._newest_from = version, voter
+
+    def note_answer(self, is_current: bool, sent_at: float) -> None:
         """Note a voter's answer to a beat.
 
-        :param version: version of its configuration; -1 if it has none
         :param is_current: whether the voter knows what is committed
         :param sent_at: when the beat was sent, in monotonic seconds
         """
-        self.note_version(version)
         if is_current:
             before = self._confirmed_at
             self._confirmed_at = (
                 sent_at if before is None else max(before, sent_at)
             )
 
-    def is_current(self) -> bool:
-        """Tell whether the configuration here is the newest."""
+    def find_doubt(self) -> Doubt | None:
+        """Return why the configuration here may not be the newest."""
         index = self._state.index
-        return (
-            index is not None
-            and index.version >= self._newest
-            and self._confirmed_at is not None
-            and self.measure_age() <= MAX_AGE_SECONDS
-        )
+        if index is None:
+            return Doubt.NO_CONFIGURATION
+        if index.version < self._newest:
+            return Doubt.NEWER_TOLD
+        is_asked = self._confirmed_at is not None
+        if not is_asked or self.measure_age() > MAX_AGE_SECONDS:
+            return Doubt.NO_WORD
+        return None
 
     def measure_age(self) -> float:
         """Return the seconds since a current voter was last asked."""
@@ -80,16 +86,19 @@
 
     def report(self) -> None:
         """Log a change, and update the metrics."""
-        current, age = self.is_current(), self.measure_age()
+        doubt, age = self.find_doubt(), self.measure_age()
         index = self._state.index
         held = index.version if index is not None else -1
         self._metrics.set_config_age(age, max(0, self._newest - held))
-        if current is self._was_current:
+        if doubt is self._doubt:
             return
-        self._was_current = current
-        self._log.info(
-            "configuration_current" if current else "configuration_doubted",
+        self._doubt = doubt
+        write = self._log.warn if doubt else self._log.info
+        write(
+            "configuration_doubted" if doubt else "configuration_current",
+            reason=doubt.value if doubt else "",
             version=held,
             announced=self._newest,
+            by=self._newest_from,
             age_ms=round(1000 * age),
         )
--- a/packages/gateway/src/chivepier/gateway/following/voterclient.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterclient.py
@@ -338,7 +338,8 @@
         self._merge_zone_orders(answer.orders)
         self._presume_evacuations(answer.presumed)
         self._freshness.note_update(sent_at)
-        self._currency.note_answer(answer.version, answer.is_current, sent_at)
+        self._currency.note_version(answer.version, address)
+        self._currency.note_answer(answer.is_current, sent_at)
         self._handle_quarantine(voter, answer)
         # a restarted voter lacks the records of earlier beats: its answer
         # confirms a beat only if that beat carried everything
@@ -393,7 +394,7 @@
         self._note_version(address, answer.version)
 
     def _note_version(self, address: str, version: int) -> None:
-        self._currency.note_version(version)
+        self._currency.note_version(version, address)
         self._configs.record_version(address, version)
 
     def _merge_zone_orders(self, records: tuple[ZoneRecord, ...]) -> None:
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -12,6 +12,7 @@
 from chivepier.gateway.serving.crashguard import CrashGuard
 from chivepier.gateway.serving.detour import Detour
 from chivepier.gateway.serving.dispatcher import Dispatcher
+from chivepier.gateway.serving.doubt import Doubt
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.errors import ConnectionLostError
 from chivepier.gateway.serving.errors import NotPermittedError
@@ -54,6 +55,7 @@
     "CrashGuard",
     "Detour",
     "Dispatcher",
+    "Doubt",
     "Exchange",
     "HeaderRecorder",
     "KvOrigin",
--- a/packages/gateway/src/chivepier/gateway/serving/planner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/planner.py
@@ -75,9 +75,10 @@
     def _deny(self, kind: ErrorKind, text: str) -> RequestError:
         # a caller doesn't come back after a denial; a route or key that was
         # added a moment ago is only refused for a moment
-        if self._state.is_current():
+        doubt = self._state.find_doubt()
+        if doubt is None:
             return RequestError.of(kind, text)
-        text = f"{text} here, where the newest configuration is not known"
+        text = f"{text} in the configuration here: {doubt.value}"
         failure = Failure(ErrorKind.NOT_READY, text, retry_after=RETRY_AFTER)
         return RequestError(failure)
 
--- a/packages/gateway/src/chivepier/gateway/serving/servingstate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/servingstate.py
@@ -5,6 +5,7 @@
 import attrs
 
 from chivepier.gateway.config import RouteIndex
+from chivepier.gateway.serving.doubt import Doubt
 from chivepier.types import Signal
 
 
@@ -18,8 +19,8 @@
     :param stopping: whether new requests are rejected
     :param ends_at: monotonic time in seconds when this process ends; ``None``
         unless it was ordered to stop
-    :param is_current: whether the configuration is the newest, so that what it
-        does not contain does not exist
+    :param find_doubt: why the configuration may not be the newest; ``None`` if
+        it is, so that what it does not contain does not exist
     :param changed: set at each newer configuration
     :param watchers: called with each newer configuration
     """
@@ -28,7 +29,7 @@
     entries: int = 1
     stopping: bool = False
     ends_at: float | None = None
-    is_current: collections.abc.Callable[[], bool] = lambda: True
+    find_doubt: collections.abc.Callable[[], Doubt | None] = lambda: None
     changed: Signal = attrs.field(factory=Signal)
     watchers: list[collections.abc.Callable[[RouteIndex], None]] = attrs.field(
         factory=list
--- a/tests/adapter/entryfixture.py
+++ b/tests/adapter/entryfixture.py
@@ -106,7 +106,7 @@
         """Apply a configuration with changes."""
         body = json.dumps({**CONFIG, **changes}).encode()
         # as a voter that knows the newest configuration has said
-        self.entry.state.is_current = lambda: True
+        self.entry.state.find_doubt = lambda: None
         self.entry.state.adopt(RouteIndex(decode_config(body)))
 
     async def send(self, data: bytes, port: int | None = None) -> bytes:
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -8,6 +8,7 @@
 from test_configcodec import CONFIG_FIELDS
 
 import adapter.callers as callers
+from chivepier.gateway.serving import Doubt
 from chivepier.gateway.usage import Usage
 from entryfixture import build_request
 from entryfixture import read_status
@@ -431,7 +432,7 @@
     # Guards against a 404 or 401 for what was added while this entry heard no
     # voter: a caller does not come back after it.
     async def test(fixture):
-        fixture.entry.state.is_current = lambda: False
+        fixture.entry.state.find_doubt = lambda: Doubt.NO_WORD
         wrong_key = build_request("/once/x").replace(b"k1", b"k9")
         for request in (build_request("/none/x"), wrong_key):
             answer = await fixture.send(request)
