--- a/packages/gateway/src/chivepier/gateway/following/configfetcher.py
+++ b/packages/gateway/src/chivepier/gateway/following/configfetcher.py
@@ -1,6 +1,7 @@
 """Fetching the newest configuration from the voters."""
 
 import asyncio
+import collections
 import collections.abc
 
 from chivepier.gateway.config import Configuration
@@ -13,10 +14,11 @@
 from chivepier.wire import LinkError
 from chivepier.wire import Links
 
-# Seconds to wait for one voter; after that, the next voter that announced a
-# newer configuration is queried. Changes must take effect within about two
-# seconds.
+# Seconds to wait for one voter, and those after which the next one that
+# announced a newer configuration is queried beside it. Changes must take
+# effect within about two seconds.
 ANSWER_SECONDS = 0.8
+PATIENCE_SECONDS = 0.4
 # Minimum seconds between two fetches.
 MIN_PAUSE_SECONDS = 0.1
 # Pause after applying a configuration, as a multiple of the time it took;
@@ -54,6 +56,7 @@
         self._clock = clock
         self._log = log
         self._announced: dict[str, int] = {}
+        self._failures: collections.Counter[str] = collections.Counter()
         self._newest_told = -1
         self._version_announced = asyncio.Event()
 
@@ -76,6 +79,10 @@
             self._announced[address] = version
             self._version_announced.set()
 
+    def forget(self, address: str) -> None:
+        """Drop what a voter announced that is none any more."""
+        self._announced.pop(address, None)
+
     def _find_current_version(self) -> int:
         index = self._state.index
         return index.version if index is not None else -1
@@ -85,33 +92,73 @@
         while True:
             await self._version_announced.wait()
             self._version_announced.clear()
-            while address := self._find_newest_holder():
-                answer = await self._fetch(address)
+            while self._list_holders():
+                answer = await self._fetch()
                 started_at = self._clock.monotonic()
                 if answer is not None:
                     self._adopt(answer)
                 duration = self._clock.monotonic() - started_at
-                await self._clock.sleep(
-                    max(MIN_PAUSE_SECONDS, PAUSE_FACTOR * duration)
-                )
+                pause = max(MIN_PAUSE_SECONDS, PAUSE_FACTOR * duration)
+                await self._clock.sleep(pause)
 
-    def _find_newest_holder(self) -> str | None:
+    def _list_holders(self) -> list[str]:
+        """Return who has a newer version; who failed to send it comes last."""
         current = self._find_current_version()
         newer = {a: v for a, v in self._announced.items() if v > current}
         self._announced = newer
-        return max(newer, key=newer.get) if newer else None
+        if not newer:
+            self._failures.clear()
+        return sorted(newer, key=lambda a: (self._failures[a], -newer[a]))
 
-    async def _fetch(self, address: str) -> ConfigAnswer | None:
-        # a voter that does not answer announces its version again with the
-        # next beat; until then another one is queried
-        del self._announced[address]
+    async def _fetch(self) -> ConfigAnswer | None:
+        """Query one holder after the other until one answers."""
+        asking: set[asyncio.Task] = set()
+        try:
+            for address in self._list_holders():
+                asking.add(asyncio.create_task(self._ask(address)))
+                answer = await self._await_answer(asking, PATIENCE_SECONDS)
+                if answer is not None:
+                    return answer
+            return await self._await_answer(asking, ANSWER_SECONDS)
+        finally:
+            for task in asking:
+                task.cancel()
+
+    async def _await_answer(
+        self, asking: set[asyncio.Task], seconds: float
+    ) -> ConfigAnswer | None:
+        """Return the first answer; none if all fail or the time is over."""
+        timer = asyncio.create_task(self._clock.sleep(seconds))
         try:
-            return await self._links.request(
+            while asking and not timer.done():
+                done, _ = await asyncio.wait(
+                    {*asking, timer}, return_when=asyncio.FIRST_COMPLETED
+                )
+                for task in done & asking:
+                    asking.discard(task)
+                    if task.result() is not None:
+                        return task.result()
+        finally:
+            timer.cancel()
+        return None
+
+    async def _ask(self, address: str) -> ConfigAnswer | None:
+        try:
+            answer = await self._links.request(
                 address, ConfigRequest(False), ANSWER_SECONDS
             )
         except LinkError as error:
-            self._log.warn("fetch_failed", peer=address, error=str(error))
+            # what it announced stays: nobody may tell of it again
+            self._failures[address] += 1
+            count = self._failures[address]
+            # it goes on for as long as the voter can't be reached
+            if count & (count - 1) == 0:
+                self._log.warn(
+                    "fetch_failed", peer=address, error=str(error), count=count
+                )
             return None
+        self._announced.pop(address, None)
+        return answer
 
     def _adopt(self, answer: ConfigAnswer) -> None:
         if not answer.known or answer.version <= self._find_current_version():
--- a/packages/gateway/src/chivepier/gateway/following/voterclient.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterclient.py
@@ -249,6 +249,7 @@
             for address in self._voters.keys() - wanted:
                 voter = self._voters.pop(address)
                 voter.task.cancel()
+                self._configs.forget(address)
             await self._clock.sleep(POLL_SECONDS)
 
     async def _send_beats(self, address: str, voter: VoterLink) -> None:
