--- a/packages/gateway/src/chivepier/gateway/following/configfetcher.py
+++ b/packages/gateway/src/chivepier/gateway/following/configfetcher.py
@@ -19,8 +19,10 @@
 # effect within about two seconds.
 ANSWER_SECONDS = 0.8
 PATIENCE_SECONDS = 0.4
-# Minimum seconds between two fetches.
+# Minimum seconds between two fetches, and the maximum: the time that an
+# adoption took may be that of a process that stood still.
 MIN_PAUSE_SECONDS = 0.1
+MAX_PAUSE_SECONDS = 0.5
 # Pause after applying a configuration, as a multiple of the time it took;
 # bounds the share of time that an entry spends on configurations.
 PAUSE_FACTOR = 5
@@ -99,7 +101,7 @@
                     self._adopt(answer)
                 duration = self._clock.monotonic() - started_at
                 pause = max(MIN_PAUSE_SECONDS, PAUSE_FACTOR * duration)
-                await self._clock.sleep(pause)
+                await self._clock.sleep(min(MAX_PAUSE_SECONDS, pause))
 
     def _list_holders(self) -> list[str]:
         """Return who has a newer version; who failed to send it comes last."""
