Pass a request for a permit on once

While no leader is elected, requests for permits went round between voters: one that does not lead passes each on to whom it takes for the leader, also what another voter had passed on. A leader whose lease has run out, up to a second before it steps down, takes itself for it; two voters may take each other.

Evidence: test_no_permits_for_cold_targets_without_a_leader, which spun at full processor time (once of 6 runs alone here), was stopped by an alarm: 68,255 tasks in Channel._await_answer, each with PermitService.handle of one and the same request from the voter's own address. Played time stands still meanwhile, so it went on for ever.

A request says that a voter has passed it on; who gets it grants or refuses.

--- a/packages/gateway/src/chivepier/gateway/control/permitservice.py
+++ b/packages/gateway/src/chivepier/gateway/control/permitservice.py
@@ -2,6 +2,8 @@
 
 import random
 
+import attrs
+
 from chivepier.gateway.control.leaderclient import LeaderClient
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.messages import PermitAnswer
@@ -48,9 +50,13 @@
 
         :param request: request for one send to one target
         """
+        if request.is_forwarded:
+            # a leader without a lease takes itself for the leader, and two
+            # voters may take each other for it
+            return await self._grant(request)
         try:
             return await self._leader.request(
-                request,
+                attrs.evolve(request, is_forwarded=True),
                 min(request.permit_seconds, MAX_PERMIT_SECONDS),
                 self._grant,
             )
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_permitservice.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_permitservice.py
@@ -27,6 +27,8 @@
 SERVICE = Service(name="s", connections=10, cold_rate=float(RATE))
 # Number of full windows in a test of the limit.
 WINDOWS = 3
+# A request that has gone round so often goes on for ever.
+MAX_ROUNDS = 50
 
 
 def make_cold(name: str = "cold") -> Target:
@@ -141,6 +143,32 @@
     play(test, tmp_path)
 
 
+def test_leader_without_a_lease_does_not_ask_itself_again_and_again(tmp_path):
+    # Guards against requests for permits that go round at full processor time
+    # and fill the memory while no leader is elected.
+    async def test(fleet):
+        await fleet.write(1)
+        leader = fleet.find_leader()
+        for address, voter in list(fleet.voters.items()):
+            if voter is not leader:
+                await fleet.stop(address)
+        await wait_until(lambda: not leader.replica.leads())
+        assert leader.replica.leader == leader.replica.node
+        handle, asked = leader.permits.handle, []
+
+        async def count(request: PermitRequest):
+            asked.append(request)
+            assert len(asked) < MAX_ROUNDS
+            return await handle(request)
+
+        leader.permits.handle = count
+        answer = await count(PermitRequest("i1", RATE))
+        assert not answer.granted and not answer.has_leader
+        assert len(asked) <= 2
+
+    play(test, tmp_path)
+
+
 def test_new_leader_waits_until_earlier_permits_have_expired(tmp_path):
     # Guards against a new leader that grants a target's limit again, as it
     # does not know the permits granted by its predecessor.
--- a/packages/gateway/src/chivepier/gateway/messages/permitrequest.py
+++ b/packages/gateway/src/chivepier/gateway/messages/permitrequest.py
@@ -13,6 +13,7 @@
     rate limit, ``team`` and ``urgency`` are those of the request, and
     ``max_wait`` is the number of seconds that it can wait. ``permit_seconds``
     is the lifetime of the permit, in seconds from the time of asking.
+    ``is_forwarded`` tells that a voter has passed the request on.
     """
 
     instance: str
@@ -22,3 +23,4 @@
     urgency: int = 0
     max_wait: float = 0.0
     permit_seconds: float = 0.25
+    is_forwarded: bool = False
