--- a/soak/configoperator.py
+++ b/soak/configoperator.py
@@ -60,7 +60,7 @@
         self._rng = rng
         self._routes = routes
         self._timeout = aiohttp.ClientTimeout(total=CALL_SECONDS)
-        self._served_since = 0.0
+        self.served_since = 0.0
         self.sent = self.acknowledged = 0
         self.ack_seconds: list[float] = []
 
@@ -73,11 +73,11 @@
     @contextlib.contextmanager
     def expect_no_service(self) -> collections.abc.Iterator[None]:
         """Wait for no acknowledgement while more is lost than is borne."""
-        self._served_since = float("inf")
+        self.served_since = float("inf")
         try:
             yield
         finally:
-            self._served_since = time.monotonic()
+            self.served_since = time.monotonic()
 
     async def change(self) -> None:
         """Send one change until a voter acknowledges it."""
@@ -86,7 +86,7 @@
         body = json.dumps(make_large_config(version, self._routes)).encode()
         began, is_late = time.monotonic(), False
         while not await self._put(version, body):
-            waited = time.monotonic() - max(began, self._served_since)
+            waited = time.monotonic() - max(began, self.served_since)
             if waited > RECOVER_SECONDS + TOUCH_SECONDS and not is_late:
                 is_late = True
                 text = f"version {version} not acknowledged in {waited:.1f} s"
--- a/soak/linked.py
+++ b/soak/linked.py
@@ -18,6 +18,8 @@
 PROGRAM = pathlib.Path(__file__).parents[1] / "platform" / "chivepierd.py"
 # Variable with the address of the link to each of them, by its own.
 VARIABLE = "CHIVEPIER_SOAK_LINKS"
+# Variable with what is run; the program itself if left out.
+PROGRAM_VARIABLE = "CHIVEPIER_SOAK_PROGRAM"
 
 
 def main() -> None:
@@ -41,9 +43,10 @@
     socket.socket.connect = connect_by_link
     uvloop.Loop.create_connection = create_by_link
     asyncio.open_connection = open_by_link
+    program = os.environ.get(PROGRAM_VARIABLE, str(PROGRAM))
     sys.path.insert(0, str(PROGRAM.parent))
-    sys.argv[0] = str(PROGRAM)
-    runpy.run_path(str(PROGRAM), run_name="__main__")
+    sys.argv[0] = program
+    runpy.run_path(program, run_name="__main__")
 
 
 def _redirect(links: dict[str, str], host: str, port: int) -> tuple[str, int]:
--- a/soak/process.py
+++ b/soak/process.py
@@ -15,6 +15,7 @@
 import aiohttp
 
 from chivepier.state.testing import PoweredFolder
+from soak.linked import PROGRAM_VARIABLE
 from soak.linked import VARIABLE as LINKS_VARIABLE
 from soak.powered import DATA_VARIABLE
 from soak.powered import SHADOW_VARIABLE
@@ -111,13 +112,16 @@
             return
         path = self._write_settings(found)
         self._note("started")
-        program = LINKED_PROGRAM if self.links else PROGRAM
+        program = PROGRAM
         variables = {"CHIVEPIER_BOOT": str(path)}
-        variables[LINKS_VARIABLE] = json.dumps(self.links)
         if self.disk is not None:
             program = POWERED_PROGRAM
             variables[DATA_VARIABLE] = str(self._data)
             variables[SHADOW_VARIABLE] = str(self._shadow)
+        if self.links:
+            variables[LINKS_VARIABLE] = json.dumps(self.links)
+            variables[PROGRAM_VARIABLE] = str(program)
+            program = LINKED_PROGRAM
         with self._open_log() as log:
             self._child = subprocess.Popen(
                 [sys.executable, str(program), self.role],
--- a/soak/tests/test_voters.py
+++ b/soak/tests/test_voters.py
@@ -45,3 +45,16 @@
         seen = asyncio.run(scenario.run(30.0))
     assert seen.violations == []
     assert seen.answered > 50 and scenario.operator.acknowledged > 20
+
+
+def test_voters_silent_one_way_delay_no_acknowledged_change(tmp_path):
+    # Guards against changes that are acknowledged and not in force, or lost,
+    # while open connections between voters go silent in one direction.
+    with reserve_block() as block:
+        scenario = VoterScenario(tmp_path, block, 5, goes_silent=True)
+        scenario.faults.keep_only("replace_planned", "freeze", "lose_disk")
+        seen = asyncio.run(scenario.run(20.0))
+    assert seen.violations == []
+    assert scenario.silent.count_silenced() > 5
+    assert len(scenario.in_force_seconds) > 5
+    assert scenario.operator.acknowledged > 20
--- a/soak/voters.py
+++ b/soak/voters.py
@@ -26,23 +26,35 @@
     show_default=True,
     help="Make so many changes without a loss, and print what they take.",
 )
+@click.option(
+    "--silent",
+    is_flag=True,
+    help="Let connections between voters go silent one way.",
+)
 def main(
-    seed: int | None, seeds: int, seconds: float, routes: int, changes: int
+    seed: int | None,
+    seeds: int,
+    seconds: float,
+    routes: int,
+    changes: int,
+    silent: bool,
 ) -> None:
     """Run seeds, and keep the logs of those that fail."""
     failed = 0
     first = random.randrange(1 << 32) if seed is None else seed
     for chosen in range(first, first + seeds):
-        failed += not run_seed(chosen, seconds, routes, changes)
+        failed += not run_seed(chosen, seconds, routes, changes, silent)
     sys.exit(1 if failed else 0)
 
 
-def run_seed(seed: int, seconds: float, routes: int, changes: int) -> bool:
+def run_seed(
+    seed: int, seconds: float, routes: int, changes: int, silent: bool
+) -> bool:
     """Run one seed and print what it showed; return whether it held."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"voters-{seed}-"))
     entries = random.Random(seed).choice(ENTRIES)
     with reserve_block() as block:
-        scenario = VoterScenario(folder, block, seed, entries, routes)
+        scenario = VoterScenario(folder, block, seed, entries, routes, silent)
         if changes:
             asyncio.run(scenario.measure(changes))
         else:
@@ -57,6 +69,14 @@
         f" broken {len(seen.violations)}",
         flush=True,
     )
+    if scenario.silent is not None:
+        print(
+            f"  silences {scenario.silent.silences}, connections"
+            f" {scenario.silent.count_silenced()}, effects checked"
+            f" {len(scenario.in_force_seconds)}, in force within"
+            f" {max(scenario.in_force_seconds, default=0.0):.2f} s",
+            flush=True,
+        )
     (folder / "violations").write_text("\n".join(seen.violations))
     if not seen.violations:
         shutil.rmtree(folder)
--- a/soak/voterscenario.py
+++ b/soak/voterscenario.py
@@ -16,11 +16,14 @@
 from soak.cluster import Cluster
 from soak.configoperator import ConfigOperator
 from soak.configoperator import make_large_config
+from soak.configoperator import MAX_PAUSE_SECONDS
 from soak.configoperator import TOUCH_SECONDS
 from soak.faultdraw import Fault
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
 from soak.process import SESSION_SECONDS
+from soak.silentvoters import PLACES
+from soak.silentvoters import SilentVoters
 from soak.target import SoakTarget
 from soak.voterfaults import CATCH_UP_SECONDS
 from soak.voterfaults import VoterFaults
@@ -31,6 +34,11 @@
 CALLER_PAUSE_SECONDS = 0.02
 # Longest time for the losses at the end; without a quorum it would never come.
 MAX_END_SECONDS = 90.0
+# Seconds after an acknowledgement within which a change is in force, and how
+# much longer that may take while voters are lost.
+APPLY_SECONDS, UNSTABLE_SECONDS = 2.0, 5.0
+# Range of the number of changes between two of which the effect is checked.
+UNCHECKED_CHANGES = (2, 10)
 
 
 class VoterScenario:
@@ -43,6 +51,10 @@
     :param seed: seed of the random number generator
     :param entries: number of entries
     :param routes: routes of each configuration
+    :param goes_silent: whether connections between voters go silent one way
+        beside the losses; entries are not disturbed then, and are asked for
+        the effect of changes
+    :ivar in_force_seconds: what changes of which the effect was checked took
     """
 
     def __init__(
@@ -52,6 +64,7 @@
         seed: int,
         entries: int = 2,
         routes: int = 350,
+        goes_silent: bool = False,
     ):
         self.folder = folder
         self.checker = InvariantChecker()
@@ -63,6 +76,12 @@
         self.voters = self._cluster.voters
         for voter in self.voters:
             voter.power_disk()
+        self.silent: SilentVoters | None = None
+        if goes_silent:
+            self.silent = SilentVoters(block, random.Random(~seed))
+            for voter in self.voters:
+                self.silent.link(voter)
+        self.in_force_seconds: list[float] = []
         self._made = len(self.voters)
         self.rng = random.Random(seed)
         self.faults = VoterFaults(self, self.rng)
@@ -89,9 +108,9 @@
             tasks = [
                 asyncio.create_task(work)
                 for work in (
-                    self.operator.change_repeatedly(),
+                    self._change(),
                     self.operator.read_repeatedly(),
-                    self.faults.disturb(self._cluster.entries),
+                    self._disturb(),
                     *(self._call() for _ in range(CALLERS)),
                 )
             ]
@@ -112,6 +131,56 @@
                 self.checker.violations.append("no end was reached in time")
         return self.checker
 
+    async def _change(self) -> None:
+        if self.silent is None:
+            await self.operator.change_repeatedly()
+        else:
+            await self._change_and_check()
+
+    async def _disturb(self) -> None:
+        if self.silent is None:
+            await self.faults.disturb(self._cluster.entries)
+        else:
+            await self.silent.disturb(self.voters)
+
+    async def _change_and_check(self) -> None:
+        """Make changes, and check now and then that one is in force."""
+        while True:
+            for _ in range(self.rng.randint(*UNCHECKED_CHANGES)):
+                await self.operator.change()
+                await asyncio.sleep(self.rng.uniform(0.0, MAX_PAUSE_SECONDS))
+            version, began = self.operator.acknowledged, time.monotonic()
+            await asyncio.gather(
+                *(
+                    self._check_in_force(entry, version, began)
+                    for entry in self._cluster.entries
+                )
+            )
+
+    async def _check_in_force(
+        self, entry: Process, version: int, began: float
+    ) -> None:
+        """Ask an entry for a route of a version until it serves it."""
+        bound, is_late = APPLY_SECONDS + UNSTABLE_SECONDS, False
+        while True:
+            self._number += 1
+            reply = await self._cluster.post(
+                self._session,
+                entry,
+                f"/route-{version}-0/x",
+                b"x",
+                make_caller_headers(f"r{self._number}", 1000),
+            )
+            if reply.status == 200:
+                self.in_force_seconds.append(time.monotonic() - began)
+                return
+            waited = time.monotonic() - max(began, self.operator.served_since)
+            if waited > bound and not is_late:
+                is_late = True
+                text = f"version {version} not in force at {entry.name}"
+                self.checker.violations.append(f"{text} in {waited:.1f} s")
+            await asyncio.sleep(CALLER_PAUSE_SECONDS)
+
     async def _lose_all_power(self) -> None:
         await self.faults.lose_power_and_disk(self._cluster.entries)
 
@@ -148,6 +217,8 @@
         config = make_large_config(0, self._routes)
         async with contextlib.AsyncExitStack() as stack:
             stack.callback(self._end_added)
+            if self.silent is not None:
+                await stack.enter_async_context(self.silent)
             self._session = await stack.enter_async_context(
                 self._cluster.start(config)
             )
@@ -170,6 +241,8 @@
         ip = f"127.{self._block}.1.{self._made}"
         voter = Process("voter", ip, self._cluster.controls[:3], self.folder)
         voter.power_disk()
+        if self.silent is not None and self._made <= PLACES:
+            self.silent.link(voter)
         self.voters.append(voter)
         self._cluster.controls.append(f"{ip}:8748")
         voter.start()
