--- a/soak/process.py
+++ b/soak/process.py
@@ -38,7 +38,7 @@
 data-dir={folder}/data-{name}
 beat-interval-ms=400
 bounds.drain-ms=1000
-bounds.grace-s=4
+bounds.grace-s={grace:g}
 bounds.budget-ratio=0.2
 bounds.budget-extra=50
 bounds.budget-window-s=10
@@ -77,6 +77,7 @@
     :param ip: its own loopback address, which stands for an instance
     :param seeds: control addresses of the voters
     :param folder: directory for settings, data and logs
+    :ivar grace_seconds: seconds from its stop order until it is killed
     :ivar memory_mb: memory of its instance; ``None`` if that isn't named
     :ivar disk: its data, which can lose power; ``None`` if that is not asked
     :ivar links: addresses at which it reaches targets, by their own; empty if
@@ -90,6 +91,7 @@
         self.ip = ip
         self.links: dict[str, str] = {}
         self.memory_mb: int | None = None
+        self.grace_seconds = 4.0
         self.disk: PoweredFolder | None = None
         self._seeds = ",".join(seeds)
         self._folder = folder
@@ -151,6 +153,7 @@
             seeds=self._seeds,
             found="true" if found else "false",
             folder=self._folder,
+            grace=self.grace_seconds,
         )
         if self.memory_mb is not None:
             settings += f"limits.memory-mb={self.memory_mb}\n"
