--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -74,9 +74,14 @@
 # Seconds after the stop order in which callers may still connect to an address
 # that they resolved earlier.
 LATE_CALLER_SECONDS = 4.0
-# Fraction of the remaining seconds in which an entry accepts new requests;
-# later ones would be interrupted by its end.
+# Fraction of the remaining seconds for which an entry stays for such callers.
 ACCEPT_FRACTION = 2 / 3
+# Seconds after the stop order in which requests are taken that may outlast the
+# process, and the fraction of the remaining seconds. Users count as lost what
+# was sent after the third second and is cut at the end; the order may be read
+# late.
+OPEN_SECONDS = 2.5
+OPEN_FRACTION = 0.4
 # Seconds before the end of the grace period at which the process exits itself.
 # The machine may be slow, and a kill would reset connections being written to.
 EXIT_MARGIN_SECONDS = 0.7
@@ -430,21 +435,22 @@
         """Drain this entry, and return once the process may exit.
 
         Callers that resolved its address earlier are served for some seconds;
-        later ones are rejected with an error that says that nothing ran.
-        Streams continue as long as the grace period allows.
+        later ones if their request must end before this process, and otherwise
+        told that nothing ran. At the end whatever is left is answered.
         """
         started_at = self._clock.monotonic()
         self._log.info("leaving", active=self.serving.active)
         self.following.leave()
         seconds = self._settings.grace - EXIT_MARGIN_SECONDS
         exit_at = started_at + seconds
-        self.state.ends_at = exit_at
+        departure = self.serving.departure
+        late_at = started_at + min(OPEN_SECONDS, OPEN_FRACTION * seconds)
+        departure.begin(late_at, exit_at)
         late_callers_end = started_at + min(
             LATE_CALLER_SECONDS, ACCEPT_FRACTION * seconds
         )
         while (now := self._clock.monotonic()) < exit_at:
-            self.state.stopping = now >= late_callers_end
-            if self.state.stopping and not self.serving.active:
+            if now >= late_callers_end and not departure.active:
                 break
-            await self._clock.sleep(POLL_SECONDS)
-        self._log.info("left", active=self.serving.active)
+            await self._clock.sleep(min(POLL_SECONDS, exit_at - now))
+        self._log.info("left", active=departure.active, cut=departure.end())
--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardserver.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardserver.py
@@ -123,7 +123,7 @@
 
     async def _find_refusal(self, message: ForwardRequest) -> str:
         """Return why a request is not taken, empty if it is."""
-        if self._is_leaving() or self._state.stopping:
+        if self._is_leaving() or self._state.ends_at is not None:
             return "leaving"
         if self._handler.is_shedding:
             return "near its limits"
--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardsession.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardsession.py
@@ -47,6 +47,11 @@
         """Whether all of the answer is known."""
         return self._state is not ForwardState.OPEN
 
+    @property
+    def begun(self) -> bool:
+        """Whether the head of the answer is known."""
+        return self._status != 0
+
     async def begin(
         self,
         status: int,
--- a/packages/gateway/src/chivepier/gateway/serving/callerconnection.py
+++ b/packages/gateway/src/chivepier/gateway/serving/callerconnection.py
@@ -6,6 +6,10 @@
 class CallerConnection(typing.Protocol):
     """Sends one answer to a caller."""
 
+    @property
+    def begun(self) -> bool:
+        """Whether the head of the answer was sent."""
+
     async def begin(
         self,
         status: int,
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/departure.py
@@ -0,0 +1,152 @@
+"""What an entry still takes, and how it ends, once it is ordered to stop."""
+
+import asyncio
+import collections.abc
+import contextlib
+
+import attrs
+
+from chivepier.gateway.serving.plan import Plan
+from chivepier.gateway.serving.servingstate import ServingState
+from chivepier.types import Clock
+from chivepier.types import ErrorKind
+from chivepier.types import Ran
+from chivepier.types import RequestError
+
+# Seconds before the end of this process by which a request that is taken late
+# must have its answer: it is still to be written.
+ANSWER_SECONDS = 0.2
+
+
+@attrs.define(eq=False)
+class Hold:
+    """A request that has no whole answer yet.
+
+    :param timeout: ends it
+    :param ended: whether it was ended with this process
+    """
+
+    timeout: asyncio.Timeout
+    ended: bool = False
+
+
+class Departure:
+    """Keeps requests from being cut by the end of this process.
+
+    For some seconds after the stop order, requests are taken that may outlast
+    it; later ones only if their deadline ends them before. What waits for a
+    target by then is refused, and what is left at the end is answered.
+
+    :param state: when the process ends
+    :param clock: source of monotonic time
+    """
+
+    def __init__(self, state: ServingState, clock: Clock):
+        self._state = state
+        self._clock = clock
+        self._waits: dict[asyncio.Timeout, Plan] = {}
+        self._holds: set[Hold] = set()
+
+    @property
+    def active(self) -> int:
+        """Number of requests that have no whole answer yet."""
+        return len(self._holds)
+
+    def begin(self, late_at: float, ends_at: float) -> None:
+        """Note the stop order.
+
+        :param late_at: from when only requests are taken that must end before
+            the process does, in monotonic seconds
+        :param ends_at: when the process ends, in monotonic seconds
+        """
+        self._state.late_at, self._state.ends_at = late_at, ends_at
+        for timeout, plan in self._waits.items():
+            if not timeout.expired():
+                timeout.reschedule(self._find_wait_end(plan))
+
+    def end(self) -> int:
+        """End all requests; their callers get an answer that says so.
+
+        :returns: their number
+        """
+        holds = [hold for hold in self._holds if not hold.timeout.expired()]
+        for hold in holds:
+            hold.ended = True
+            hold.timeout.reschedule(asyncio.get_running_loop().time())
+        return len(holds)
+
+    def check(self, plan: Plan) -> None:
+        """Refuse a request that comes late and may outlast this process.
+
+        :param plan: the plan of a request that has not run
+        :raises RequestError: if it is refused
+        """
+        late_at = self._state.late_at
+        if late_at is None or self._must_end(plan):
+            return
+        if self._clock.monotonic() >= late_at:
+            text = "this instance may end before the request would"
+            raise RequestError.of(ErrorKind.DRAINING, text)
+
+    @contextlib.asynccontextmanager
+    async def limit_wait(
+        self, plan: Plan, runs: int
+    ) -> collections.abc.AsyncIterator[None]:
+        """Limit the wait for a target to when :meth:`check` refuses it.
+
+        :param plan: the plan of the request
+        :param runs: number of targets that may have run it; then another
+            attempt loses nothing
+        :raises RequestError: if it has to be refused
+        """
+        if runs:
+            yield
+            return
+        self.check(plan)
+        try:
+            async with asyncio.timeout_at(self._find_wait_end(plan)) as limit:
+                self._waits[limit] = plan
+                try:
+                    yield
+                finally:
+                    del self._waits[limit]
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            text = "this instance is about to end, and no target was free"
+            raise RequestError.of(ErrorKind.DRAINING, text) from None
+
+    @contextlib.asynccontextmanager
+    async def hold(self, ran: Ran) -> collections.abc.AsyncIterator[Hold]:
+        """Answer a request at the latest when this process ends.
+
+        :param ran: whether the request may have run by then
+        :raises RequestError: when the process ends
+        """
+        ends_at = self._state.ends_at
+        text = "this instance ends"
+        if ends_at is not None and self._clock.monotonic() >= ends_at:
+            raise RequestError.of(ErrorKind.DRAINING, text)
+        hold = None
+        try:
+            async with asyncio.timeout(None) as limit:
+                hold = Hold(limit)
+                self._holds.add(hold)
+                yield hold
+        except TimeoutError:
+            if not hold.ended:
+                raise
+            raise RequestError.of(ErrorKind.DRAINING, text, ran) from None
+        finally:
+            self._holds.discard(hold)
+
+    def _must_end(self, plan: Plan) -> bool:
+        return plan.deadline <= self._state.ends_at - ANSWER_SECONDS
+
+    def _find_wait_end(self, plan: Plan) -> float | None:
+        """Return the time of the loop until which a request may wait."""
+        late_at = self._state.late_at
+        if late_at is None or self._must_end(plan):
+            return None
+        left = late_at - self._clock.monotonic()
+        return asyncio.get_running_loop().time() + left
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -14,6 +14,7 @@
 from chivepier.gateway.serving.callpurpose import CallPurpose
 from chivepier.gateway.serving.continuations import Continuations
 from chivepier.gateway.serving.crashguard import CrashGuard
+from chivepier.gateway.serving.departure import Departure
 from chivepier.gateway.serving.detour import Detour
 from chivepier.gateway.serving.endwitness import EndWitness
 from chivepier.gateway.serving.errors import AllBackedOffError
@@ -118,6 +119,7 @@
         self.detour = detour
         self.clock = clock
         self.log = log
+        self.departure = Departure(state, clock)
         self.continuations = Continuations(table, state, clock, log, metrics)
         self.limit = AttemptLimit(table, calls.connect)
         self.witness = EndWitness(table, calls.probe, clock)
@@ -174,12 +176,13 @@
                         started.run.earlier_runs = runs + 1
                     return started
                 may_forward, retry_counted = False, True
-            await self.gate.wait_fresh()
-            assignment = await self._find_assignment(
-                plan, tried, runs, may_forward
-            )
-            # the request may have been quarantined while it waited
-            await self.guard.check(plan, runs)
+            async with self.departure.limit_wait(plan, runs):
+                await self.gate.wait_fresh()
+                assignment = await self._find_assignment(
+                    plan, tried, runs, may_forward
+                )
+                # the request may have been quarantined while it waited
+                await self.guard.check(plan, runs)
             if assignment is None:
                 if may_forward and self.detour.is_only_way(plan):
                     continue
--- a/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.callerconnection import CallerConnection
 from chivepier.gateway.serving.callerrequest import CallerRequest
+from chivepier.gateway.serving.departure import Departure
 from chivepier.gateway.serving.dispatcher import Dispatcher
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.plan import Plan
@@ -52,7 +53,16 @@
         self._planner = planner
         self._dispatcher = dispatcher
         self._shedding = shedding
-        self.active = 0
+
+    @property
+    def active(self) -> int:
+        """Number of requests that have no whole answer yet."""
+        return self._dispatcher.departure.active
+
+    @property
+    def departure(self) -> Departure:
+        """What is still taken, and how it ends, once it is to stop."""
+        return self._dispatcher.departure
 
     @property
     def is_shedding(self) -> bool:
@@ -93,8 +103,7 @@
         clock, log = self._dispatcher.clock, self._dispatcher.log
         outcome, plan = "cancelled", None
         try:
-            with self._count_active():
-                self._check_stopping()
+            async with self._hold(request, caller):
                 if self._state.index is None:
                     await self._state.changed.wait(
                         FIRST_CONFIG_TIMEOUT_SECONDS
@@ -103,7 +112,7 @@
                 now = clock.monotonic()
                 self._dispatcher.budget.note_request(plan.service.name, now)
                 await self._answer(plan, caller)
-            outcome = "answered"
+                outcome = "answered"
         except RequestError as error:
             outcome = error.failure.kind.value
             raise
@@ -134,8 +143,7 @@
         :raises RequestError: if it fails before anything was answered
         :raises NotSentError: if this entry can't reach its targets either
         """
-        with self._count_active():
-            self._check_stopping()
+        async with self._hold(request, caller):
             plan = self._plan(request)
             self._check_reach(plan)
             try:
@@ -150,21 +158,43 @@
         if self._dispatcher.detour.is_cut_off(plan):
             raise NotSentError("its targets are out of reach here, too")
 
-    @contextlib.contextmanager
-    def _count_active(self) -> collections.abc.Iterator[None]:
-        self.active += 1
+    @contextlib.asynccontextmanager
+    async def _hold(
+        self, request: CallerRequest, caller: CallerConnection
+    ) -> collections.abc.AsyncIterator[None]:
+        """Answer a request at the latest when this process ends.
+
+        An answer that has begun is aborted: it must not look complete.
+        """
+        hold = None
         try:
-            yield
-        finally:
-            self.active -= 1
+            async with self.departure.hold(Ran.UNKNOWN) as hold:
+                yield
+        except RequestError:
+            if hold is None or not hold.ended:
+                raise
+            self._note_cut(request, caller)
+            if not caller.begun:
+                raise
+            caller.abort()
 
-    def _check_stopping(self) -> None:
-        if self._state.stopping:
-            text = "this instance is about to end"
-            raise RequestError.of(ErrorKind.DRAINING, text)
+    def _note_cut(
+        self, request: CallerRequest, caller: CallerConnection
+    ) -> None:
+        clock = self._dispatcher.clock
+        left = request.deadline - clock.monotonic()
+        self._dispatcher.log.warn(
+            "cut_by_stop",
+            id=request.id,
+            path=request.path,
+            ms=round(1000 * (clock.monotonic() - request.arrived)),
+            left_ms=round(1000 * left),
+            begun=caller.begun,
+        )
 
     def _plan(self, request: CallerRequest) -> Plan:
         plan = self._planner.plan(request)
+        self.departure.check(plan)
         self._check_time_left(plan)
         return plan
 
--- a/packages/gateway/src/chivepier/gateway/serving/servingstate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/servingstate.py
@@ -15,7 +15,9 @@
     :param index: the configuration; ``None`` until the first one is received
     :param entries: number of live entries, this one included, which share
         budgets and rates
-    :param stopping: whether new requests are rejected
+    :param late_at: monotonic time in seconds from which only requests are
+        taken that must end before this process does; ``None`` unless it was
+        ordered to stop
     :param ends_at: monotonic time in seconds when this process ends; ``None``
         unless it was ordered to stop
     :param is_current: whether the configuration is the newest, so that what it
@@ -26,7 +28,7 @@
 
     index: RouteIndex | None = None
     entries: int = 1
-    stopping: bool = False
+    late_at: float | None = None
     ends_at: float | None = None
     is_current: collections.abc.Callable[[], bool] = lambda: True
     changed: Signal = attrs.field(factory=Signal)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -259,6 +259,11 @@
         self.aborted = False
         self.changed = asyncio.Event()
 
+    @property
+    def begun(self) -> bool:
+        """Whether a head was recorded."""
+        return self.status is not None
+
     async def begin(self, status, headers, length) -> None:
         """Record the head of the answer."""
         assert self.status is None
--- a/soak/latescenario.py
+++ b/soak/latescenario.py
@@ -77,6 +77,7 @@
     :param seed: seed of the random number generator
     :param kinds: what is sent
     :ivar calls: all requests
+    :ivar repeats: those sent to another entry after a refusal
     :ivar stopped_at: when the stop order was given, in monotonic seconds
     :ivar ended_at: when its process had ended
     """
@@ -91,7 +92,9 @@
         self.checker = InvariantChecker()
         self._rng = random.Random(seed)
         self._kinds = kinds
+        self._number = 0
         self.calls: list[LateCall] = []
+        self.repeats: list[LateCall] = []
         self.stopped_at = self.ended_at = 0.0
 
         def make(address: str, controls, rng) -> LongTarget:
@@ -142,21 +145,33 @@
                 )
         async with asyncio.TaskGroup() as group:
             for _ in range(count):
-                number = len(self.calls) + 1
-                call = LateCall(
-                    f"n{number}",
-                    str(kind),
-                    f"/{kind.route}/{kind.work_ms}/{number}",
-                    kind.deadline_ms,
-                    kind.slow_body,
-                )
-                self.calls.append(call)
                 connection = streams.popleft() if kind.kept else None
-                group.create_task(call.send(entry.ip, CALLER_PORT, connection))
+                group.create_task(self._call(kind, entry, connection))
                 await asyncio.sleep(
                     self._rng.uniform(0.5, 1.5) * INTERVAL_SECONDS
                 )
 
+    async def _call(self, kind: Kind, entry: Process, connection) -> None:
+        call = self._make_call(kind)
+        self.calls.append(call)
+        await call.send(entry.ip, CALLER_PORT, connection)
+        if call.status == 503:
+            others = [e for e in self._cluster.entries if e is not entry]
+            again = self._make_call(kind)
+            self.repeats.append(again)
+            ip = self._rng.choice(others).ip
+            await again.send(ip, CALLER_PORT, None)
+
+    def _make_call(self, kind: Kind) -> LateCall:
+        self._number += 1
+        return LateCall(
+            f"n{self._number}",
+            str(kind),
+            f"/{kind.route}/{kind.work_ms}/{self._number}",
+            kind.deadline_ms,
+            kind.slow_body,
+        )
+
     def describe(self, call: LateCall) -> str:
         """Return the outcome of a request, for reports."""
         if call.refused:
@@ -186,6 +201,15 @@
             and (not call.is_refusal() or self._find_span(call))
         ]
 
+    def list_unserved(self) -> list[str]:
+        """Return requests that no other entry served after a refusal."""
+        return [
+            f"{call.kind} sent {call.sent_at - self.stopped_at:+.2f} s:"
+            f" {call.status}"
+            for call in self.repeats
+            if call.status != 200 or not call.whole
+        ]
+
     def _is_lost(self, call: LateCall) -> bool:
         if call.whole or call.refused or call.read_at is None:
             return False
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -350,9 +350,11 @@
         while not fixture.raw.requests:
             await asyncio.sleep(0.01)
         drained = asyncio.create_task(fixture.entry.drain())
-        while not fixture.entry.state.stopping:
+        await asyncio.sleep(0)
+        # its route lets it run for five seconds
+        while time.monotonic() < fixture.entry.state.late_at:
             await asyncio.sleep(0.01)
-        late = await fixture.send(build_request("/once/y"))
+        late = await fixture.send(build_request("/stream/y"))
         assert read_status(late) == 503
         assert b"retry-after: 0" in late.lower()
         assert len(fixture.raw.requests) == 1
