--- a/tests/adapter/test_control.py
+++ b/tests/adapter/test_control.py
@@ -60,6 +60,44 @@
     asyncio.run(work())
 
 
+def test_change_under_way_at_a_stop_is_answered(tmp_path, monkeypatch):
+    """Guards against changes that are in force but cut without an answer."""
+
+    async def work():
+        peer = f"127.0.0.1:{find_port()}"
+        address = f"127.0.0.1:{find_port()}"
+        clock = SystemClock()
+        log = EventLog("v1", os.open(os.devnull, os.O_WRONLY))
+        settings = VoterSettings(
+            name="v1",
+            address=peer,
+            seeds=(peer,),
+            folder=tmp_path,
+            found=True,
+            cluster_key="secret-of-tests",
+            beat=1.0,
+        )
+        begun = asyncio.Event()
+
+        async def write_slowly(version, body):
+            begun.set()
+            await asyncio.sleep(0.7)
+            return True
+
+        async with (
+            asyncio.timeout(30),
+            Voter(settings, clock, log, decode_host_regions) as voter,
+            aiohttp.ClientSession(f"http://{address}") as client,
+        ):
+            monkeypatch.setattr(voter.store, "write", write_slowly)
+            async with ControlServer(voter, clock, log, (address,), 1.0):
+                change = asyncio.create_task(put_config(client, CONFIG_FIELDS))
+                await begun.wait()
+            assert await change == 200
+
+    asyncio.run(work())
+
+
 async def put_config(client, fields) -> int:
     """Send a configuration until the status is not 503."""
     while True:
