--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -445,10 +445,10 @@
         exit_at = started_at + seconds
         departure = self.serving.departure
         late_at = started_at + min(OPEN_SECONDS, OPEN_FRACTION * seconds)
-        departure.begin(late_at, exit_at)
         late_callers_end = started_at + min(
             LATE_CALLER_SECONDS, ACCEPT_FRACTION * seconds
         )
+        departure.begin(late_at, late_callers_end, exit_at)
         while (now := self._clock.monotonic()) < exit_at:
             if now >= late_callers_end and not departure.active:
                 break
