--- a/packages/gateway/src/chivepier/gateway/serving/servingstate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/servingstate.py
@@ -16,7 +16,9 @@
     :param index: the configuration; ``None`` until the first one is received
     :param entries: number of live entries, this one included, which share
         budgets and rates
-    :param stopping: whether new requests are rejected
+    :param late_at: monotonic time in seconds from which only requests are
+        taken that must end before this process does; ``None`` unless it was
+        ordered to stop
     :param ends_at: monotonic time in seconds when this process ends; ``None``
         unless it was ordered to stop
     :param find_doubt: why the configuration may not be the newest; ``None`` if
@@ -27,7 +29,7 @@
 
     index: RouteIndex | None = None
     entries: int = 1
-    stopping: bool = False
+    late_at: float | None = None
     ends_at: float | None = None
     find_doubt: collections.abc.Callable[[], Doubt | None] = lambda: None
     changed: Signal = attrs.field(factory=Signal)
