--- a/soak/endless.py
+++ b/soak/endless.py
@@ -43,3 +43,9 @@
     "event": (CHUNKED, make_chunk(b"data: more\n" * 100)),
     "line": (HEAD + b"\r\n", b"data: more" * 100),
 }
+# The same for answers that nobody asked for, after one that somebody did.
+WHOLE = HEAD + b"Content-Length: 2\r\n\r\nok"
+NEEDLESS = {
+    "empty-answers": (WHOLE, b"HTTP/1.1 204 \r\n\r\n" * 100),
+    "answers": (WHOLE, WHOLE * 20),
+}
--- a/soak/endlesstarget.py
+++ b/soak/endlesstarget.py
@@ -35,9 +35,15 @@
         number = int(request.path.rpartition("/")[2])
         if self.answers_some and number % 2:
             return await super()._serve(request)
+        return await self._go_on(
+            request, *ENDLESS[self.kinds[(self.begun + 1) % len(self.kinds)]]
+        )
+
+    async def _go_on(
+        self, request: web.BaseRequest, first: bytes, more: bytes
+    ) -> web.StreamResponse:
         self.begun += 1
         self.open += 1
-        first, more = ENDLESS[self.kinds[self.begun % len(self.kinds)]]
         identity = request.headers["X-Chivepier-Request-Id"].encode()
         named = ID_LINE.replace(b"r1", identity)
         try:
--- a/tests/adapter/test_endlessanswers.py
+++ b/tests/adapter/test_endlessanswers.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+import tracemalloc
 
 import pytest
 import uvloop
@@ -18,6 +19,7 @@
 from entryfixture import ROUTES
 from entryfixture import run
 from exchange import drop
+from exchange import find_id
 from exchange import move
 from exchange import OPTIONS
 from exchange import read_all
@@ -29,6 +31,8 @@
 from soak.endless import ENDLESS_STREAMS
 from soak.endless import HEAD
 from soak.endless import make_chunk
+from soak.endless import NEEDLESS
+from soak.endless import WHOLE
 
 # Bytes that may be sent before the connection is closed: a large answer, and
 # what the sockets hold.
@@ -37,6 +41,8 @@
 # which its caller would get another status.
 MAX_SECONDS = 10.0
 DEADLINE_MS = 60_000
+# Memory that one answer of a few bytes may take, with all that belongs to it.
+MAX_TAKEN = 3 << 20
 
 
 KINDS = [
@@ -171,3 +177,81 @@
             assert (await work).outcome is MoveOutcome.FAILED
         case "drop":
             assert not await drop(targets, target, "h1")
+
+
+@pytest.mark.parametrize("kind", NEEDLESS)
+def test_answers_that_nobody_asked_for_take_no_memory(kind):
+    # All that had arrived after a whole answer was parsed and kept.
+    first, more = NEEDLESS[kind]
+
+    async def script(head, writer):
+        writer.write(first + 500 * more)
+
+    async def work():
+        async with (
+            rawtarget.RawTarget(script) as raw,
+            HttpTargetClient() as targets,
+        ):
+            request = rawtarget.make_request()
+            reply = await send(targets, raw.make_target(), request, OPTIONS)
+            assert await read_all(reply) == b"ok"
+
+    tracemalloc.start()
+    try:
+        uvloop.run(work())
+        _, peak = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    assert peak < MAX_TAKEN
+
+
+def test_connection_with_a_part_of_an_answer_to_nothing_is_given_up():
+    # The next call got that part and its own answer as one, and failed.
+    parted = asyncio.Event()
+
+    async def script(head, writer):
+        writer.write(WHOLE.replace(b"r1", find_id(head)))
+        if not parted.is_set():
+            await asyncio.sleep(0.05)
+            writer.write(b"HTTP/1.1 2")
+            await writer.drain()
+            parted.set()
+
+    async def work():
+        async with (
+            rawtarget.RawTarget(script) as raw,
+            HttpTargetClient() as targets,
+        ):
+            for identity in ("r1", "r2"):
+                request = rawtarget.make_request(identity)
+                target = raw.make_target()
+                reply = await send(targets, target, request, OPTIONS)
+                assert await read_all(reply) == b"ok"
+                await parted.wait()
+                await asyncio.sleep(0.05)
+            assert raw.connections == 2
+
+    asyncio.run(work())
+
+
+def test_large_answer_is_whole_whose_target_closes_after_it():
+    # Guards against losing what waits to be parsed when a connection ends.
+    body = bytes(range(256)) * 8_000
+
+    async def script(head, writer):
+        writer.write(HEAD + b"Connection: close\r\n\r\n" + body)
+        await writer.drain()
+        writer.close()
+
+    async def work():
+        async with (
+            rawtarget.RawTarget(script) as raw,
+            HttpTargetClient() as targets,
+        ):
+            request = rawtarget.make_request()
+            reply = await send(targets, raw.make_target(), request, OPTIONS)
+            await asyncio.sleep(0.1)
+            assert await read_all(reply) == body
+
+    for run_loop in (asyncio.run, uvloop.run):
+        run_loop(work())
