--- a/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
+++ b/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
@@ -7,9 +7,14 @@
 # A line ends by CR LF, LF or CR, and an empty line ends an event.
 MAX_TERMINATOR_BYTES = 4
 EVENT_TERMINATOR = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+# Comments and empty lines up to the last of these that ends an event.
+SILENT = re.compile(
+    rb"(?:(?::[^\r\n]*+(?:\r\n|\n|\r(?!\n)))*+(?:\r\n|\n|\r(?!\n)))++"
+)
 # Bytes that may follow an event until the next one has ended; far beyond what
 # one event holds.
 MAX_EVENT_BYTES = 256 << 10
+LINE_ENDS = (b"\r\n", b"\n", b"\r")
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
@@ -45,10 +50,18 @@
         :raises BrokenAnswerError: when the bytes go on without events
         """
         self._bytes_since_event += len(data)
-        searched = max(0, len(self._partial) - MAX_TERMINATOR_BYTES + 1)
+        known = len(self._partial)
+        searched = max(0, known - MAX_TERMINATOR_BYTES + 1)
         data = self._partial + data
         events, start = [], 0
-        for found in EVENT_TERMINATOR.finditer(data, searched):
+        while True:
+            end = _find_silence_end(data, start) if start >= known else start
+            if end > start:
+                events.append((data[start:end], None))
+                start = end
+            found = EVENT_TERMINATOR.search(data, max(start, searched))
+            if found is None:
+                break
             event, start = data[start : found.end()], found.end()
             if self._resumed and not self.events:
                 event = event.removeprefix(BYTE_ORDER_MARK)
@@ -68,6 +81,23 @@
         return rest
 
 
+def _find_silence_end(data: bytes, start: int) -> int:
+    """Return where lines end that say nothing, if an event may end there.
+
+    Each is worth nothing to a caller, and as many as there is room for would
+    take a process all its time one by one.
+
+    >>> _find_silence_end(b": a\\n\\n\\n: b\\n\\nid: 1\\n", 0)
+    11
+    >>> _find_silence_end(b"\\nid: 1\\n", 0)
+    0
+    """
+    found = SILENT.match(data, start)
+    if found is None or found.group() in LINE_ENDS:
+        return start
+    return found.end()
+
+
 def _split_lines(data: bytes) -> list[bytes]:
     return data.removeprefix(BYTE_ORDER_MARK).splitlines(keepends=True)
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_eventsplitter.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_eventsplitter.py
@@ -43,6 +43,18 @@
         assert is_unfinished(rest)
 
 
+@pytest.mark.parametrize("line", (b"\n", b"\r\n", b"\r", b": note\n\n"))
+@pytest.mark.parametrize("first", (b"", b"id: 1\n\n", b": no"))
+def test_lines_that_say_nothing_are_taken_together(line, first):
+    # One by one, they took an entry all its time.
+    splitter = EventSplitter()
+    data = first + 1000 * line
+    found = splitter.feed(data)
+    rest = splitter.take_remainder()
+    assert b"".join(part for part, _ in found) + rest == data
+    assert len(found) <= 3
+
+
 def test_mark_is_dropped_where_a_stream_goes_on():
     # A byte order mark amid a stream would hide the id of the next event.
     splitter = EventSplitter(resumed=True)
