--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -37,6 +37,7 @@
     "stream_ends",
     "take_ups",
     "refusals",
+    "excess",
 )
 GAUGES = ("zones", "place_waiting", "config_age", "config_behind")
 
@@ -135,6 +136,14 @@
         """
         self._record("refusals", (evidence,), 1.0)
 
+    def record_excess(self, kind: str) -> None:
+        """Count a connection that was ended for what a target sent.
+
+        :param kind: ``head``, ``framing`` or ``form`` of an answer, or
+            ``after`` a whole one
+        """
+        self._record("excess", (kind,), 1.0)
+
     def record_move(self, outcome: str) -> None:
         """Count a copy of a running generation's memory by its outcome."""
         self._record("moves", (outcome,), 1.0)
@@ -351,6 +360,12 @@
             ("evidence",),
             registry=registry,
         ),
+        "excess": library.Counter(
+            "chivepier_target_excess",
+            "Connections that were ended for what targets sent.",
+            ("kind",),
+            registry=registry,
+        ),
         "moves": library.Counter(
             "chivepier_memory_copies",
             "Copies of live generations' memory.",
--- a/packages/gateway/src/chivepier/gateway/serving/exchange.py
+++ b/packages/gateway/src/chivepier/gateway/serving/exchange.py
@@ -31,3 +31,10 @@
 
     def record_head(self, facts: AnswerFacts) -> None:
         """Record what the head of the answer reports of the target."""
+
+    def record_excess(self, kind: str) -> None:
+        """Record that the connection was ended for what the target sent.
+
+        :param kind: ``head``, ``framing`` or ``form`` of an answer, or
+            ``after`` a whole one
+        """
--- a/packages/gateway/src/chivepier/gateway/serving/headerrecorder.py
+++ b/packages/gateway/src/chivepier/gateway/serving/headerrecorder.py
@@ -31,6 +31,9 @@
 INVALID_BACKOFF = "rest that is no number"
 # Name under which a report of a load that can't be parsed is counted.
 INVALID_REPORT = "load that is no load"
+# Minimum interval between log lines about bytes that were no answer; the count
+# in a line includes those in between.
+EXCESS_LOG_SECONDS = 5.0
 
 
 class HeaderRecorder:
@@ -75,6 +78,8 @@
         self._log = log
         self._metrics = metrics
         self._unknown_headers: set[str] = set()
+        self._excess = 0
+        self._excess_logged_at = -EXCESS_LOG_SECONDS
 
     def find_limit(self, target: Target) -> VersionedLimit | None:
         """Return the last known rate limit of a target."""
@@ -119,6 +124,25 @@
                     self._clock.monotonic(),
                 )
 
+    def record_excess(self, target: Target, kind: str) -> None:
+        """Record that a connection was ended for what a target sent.
+
+        :param target: the target that was called last over it
+        :param kind: what went on, or ``after`` a whole answer
+        """
+        self._metrics.record_excess(kind)
+        self._excess += 1
+        now = self._clock.monotonic()
+        if now - self._excess_logged_at >= EXCESS_LOG_SECONDS:
+            self._excess_logged_at = now
+            self._log.warn(
+                "answer_in_excess",
+                target=target.instance,
+                address=target.address,
+                kind=kind,
+                ended=self._excess,
+            )
+
     def _record_leaving(self, target: Target) -> None:
         if self._leaving_targets.record(target, self._clock.monotonic()):
             self._log.info(
--- a/packages/gateway/src/chivepier/gateway/serving/targetexchange.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetexchange.py
@@ -91,3 +91,7 @@
         self._reach.note_answered(self._target)
         if not facts.mismatched:
             self._recorder.record(self._target, facts, self._known_limit)
+
+    def record_excess(self, kind: str) -> None:
+        """Record that the connection was ended for what the target sent."""
+        self._recorder.record_excess(self._target, kind)
--- a/tests/adapter/exchange.py
+++ b/tests/adapter/exchange.py
@@ -58,6 +58,7 @@
 
     def __init__(self):
         self.heads: list = []
+        self.excess: list[str] = []
         self.connections = 0
         self.begun = False
 
@@ -76,6 +77,10 @@
         """Record the metadata of an answer's head."""
         self.heads.append(facts)
 
+    def record_excess(self, kind: str) -> None:
+        """Record for what a connection was ended."""
+        self.excess.append(kind)
+
 
 def send(targets, target, request, options):
     """Send a request without restrictions."""
--- a/tests/adapter/test_endlessanswers.py
+++ b/tests/adapter/test_endlessanswers.py
@@ -234,6 +234,28 @@
     asyncio.run(work())
 
 
+@pytest.mark.parametrize(
+    "data,kind",
+    [
+        (WHOLE + WHOLE, "after"),
+        (200 * b"HTTP/1.1 103 Early Hints\r\n\r\n" * 20, "framing"),
+        (HEAD.replace(b"200", b"101") + b"\r\n", "form"),
+        (HEAD + 200 * b"X-A: b\r\n" + b"\r\n", "form"),
+    ],
+)
+def test_connection_that_is_ended_for_its_bytes_is_counted(data, kind):
+    # Nothing told that a target sent what was no answer.
+    async def script(head, writer):
+        writer.write(data)
+
+    async def test(fixture):
+        await fixture.send(build_request("/once/x"))
+        metrics = fixture.entry.metrics.render().decode()
+        assert f'chivepier_target_excess_total{{kind="{kind}"}} 1.0' in metrics
+
+    run(script, test)
+
+
 def test_large_answer_is_whole_whose_target_closes_after_it():
     # Guards against losing what waits to be parsed when a connection ends.
     body = bytes(range(256)) * 8_000
