--- a/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
@@ -102,6 +102,7 @@
         self.check_room(request.id)
         clock, log = self._dispatcher.clock, self._dispatcher.log
         outcome, plan = "cancelled", None
+        reason: dict[str, str] = {}
         try:
             async with self._hold(request, caller):
                 if self._state.index is None:
@@ -115,6 +116,8 @@
                 outcome = "answered"
         except RequestError as error:
             outcome = error.failure.kind.value
+            if error.failure.kind is ErrorKind.NOT_READY:
+                reason["reason"] = error.failure.message
             raise
         finally:
             seconds = clock.monotonic() - request.arrived
@@ -128,6 +131,7 @@
                 team=team,
                 outcome=outcome,
                 ms=round(1000 * seconds),
+                **reason,
             )
 
     async def serve_forwarded(
