--- a/packages/gateway/src/chivepier/gateway/control/statecache.py
+++ b/packages/gateway/src/chivepier/gateway/control/statecache.py
@@ -180,6 +180,15 @@
                 async with asyncio.timeout(MIN_WRITE_INTERVAL_SECONDS):
                     await self._urgent.wait()
 
+    def note_config(self) -> None:
+        """Schedule a write after a new configuration, at once.
+
+        After the end of all processes, entries serve by what is saved until
+        there is a leader: requests would go to the services of an older one.
+        """
+        self._dirty.set()
+        self._urgent.set()
+
     def mark_dirty(self) -> None:
         """Schedule a write after a change of anything but the targets."""
         self._dirty.set()
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_statecache.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_statecache.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.control import statecache
 from chivepier.gateway.control.statecache import FILE_NAME
 from chivepier.gateway.control.statecache import StateCache
+from chivepier.gateway.control.storedconfig import StoredConfig
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.origins import Origin
 from chivepier.gateway.origins import OriginKey
@@ -127,6 +128,41 @@
     asyncio.run(work_in_time())
 
 
+class OneConfig:
+    """Stands for a store whose configuration changes."""
+
+    def __init__(self) -> None:
+        self.version = 0
+
+    def find_committed(self) -> StoredConfig:
+        """Return the newest configuration."""
+        return StoredConfig(self.version, b"{}")
+
+
+def test_configuration_is_saved_at_once(tmp_path, monkeypatch):
+    # Guards against entries that serve by an older configuration until there
+    # is a leader, after the end of all processes.
+    monkeypatch.setattr(statecache, "MIN_WRITE_INTERVAL_SECONDS", 3600.0)
+
+    async def work():
+        cache, _, _ = make_cache(tmp_path)
+        store = OneConfig()
+        task = asyncio.create_task(cache.run(store))
+        for store.version in range(1, 4):
+            cache.note_config()
+            saved = None
+            while saved is None or saved.version != store.version:
+                await asyncio.sleep(0.01)
+                saved = make_cache(tmp_path)[0].load()
+        task.cancel()
+
+    async def work_in_time():
+        async with asyncio.timeout(60):
+            await work()
+
+    asyncio.run(work_in_time())
+
+
 @pytest.mark.parametrize("rest", [([],) * count for count in (0, 2, 3, 4, 5)])
 def test_file_of_an_earlier_release_is_read(tmp_path, rest):
     # Earlier files have fewer fields, and none has versions.
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -378,7 +378,7 @@
             return
         self._pushed_version = config.version
         self._log.info("configuration_known", version=config.version)
-        self._state_cache.mark_dirty()
+        self._state_cache.note_config()
         notice = ConfigNotice(config.version)
         for channel in self.entries.list_channels():
             channel.send(notice)
