--- a/tests/adapter/test_targets.py
+++ b/tests/adapter/test_targets.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 
+import attrs
 import pytest
 
 from adapter.httptargetclient import HttpTargetClient
@@ -58,6 +59,23 @@
     run(script, test)
 
 
+@pytest.mark.parametrize(
+    "url", ("/c/x?", "/c/x?a=1?", "/c/x#y", "//c/x", "/c/../x?a=%2f", "/c;x?")
+)
+def test_path_and_query_are_forwarded_as_they_are(url):
+    # Guards against an empty query that is lost: another request than sent.
+    async def script(head, writer):
+        writer.write(build_answer(b"ok"))
+
+    async def test(raw, targets):
+        request = attrs.evolve(rawtarget.make_request(), url=url)
+        reply = await send(targets, raw.make_target(), request, OPTIONS)
+        assert await read_all(reply) == b"ok"
+        assert raw.requests[0].startswith(f"GET {url} HTTP/1.1".encode())
+
+    run(script, test)
+
+
 def test_probe_tells_whether_a_target_lives():
     async def script(head, writer):
         writer.write(build_answer(b"ok"))
