End a silence of the soak when it is cancelled

The task that silences voters in the soak was cancelled amid a silence at the end of the losses, and the path stayed silent for good: the voter that lost its disk next got no vote back, and the disk lost after that was one too many.

--- a/soak/silentvoters.py
+++ b/soak/silentvoters.py
@@ -80,9 +80,11 @@
             for link, mode in chosen:
                 link.fault_mode = mode
             self.silences += bool(chosen)
-            await asyncio.sleep(self._rng.uniform(*SILENCE_SECONDS))
-            for link, _ in chosen:
-                link.fault_mode = ""
+            try:
+                await asyncio.sleep(self._rng.uniform(*SILENCE_SECONDS))
+            finally:
+                for link, _ in chosen:
+                    link.fault_mode = ""
 
     def _choose(self, places: list[int]) -> list[tuple[Proxy, str]]:
         """Return the links that go silent, and in which direction."""
