--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -54,7 +54,7 @@
         self.address = address
         self.fault_mode = ""
         self.silenced_connections = 0
-        self._silenced = 0
+        self._silenced = {LOST_SENT: 0, LOST_ANSWERS: 0}
         self._upstream = upstream
         self._rng = rng
         self.held = Hold()
@@ -103,9 +103,13 @@
         for writer in list(self._writers):
             _reset(writer)
 
-    def silence(self) -> None:
-        """Drop what open connections carry from now on; new ones work."""
-        self._silenced += 1
+    def silence(self, *directions: str) -> None:
+        """Drop what open connections carry from now on; new ones work.
+
+        :param directions: ``lost_sent`` or ``lost_answers``; both if omitted
+        """
+        for direction in directions or self._silenced:
+            self._silenced[direction] += 1
 
     def _accept(self, reader, writer) -> None:
         task = asyncio.create_task(self._serve(reader, writer))
@@ -145,12 +149,13 @@
             group.create_task(self._pump(other_reader, writer, LOST_ANSWERS))
 
     async def _pump(self, reader, writer, dropped_mode: str) -> None:
-        silent, began = False, self._silenced
+        silent, began = False, self._silenced[dropped_mode]
         while data := await reader.read(CHUNK_BYTES):
             if self.fault_mode == SLOW:
                 await asyncio.sleep(self._rng.uniform(*DELAY_SECONDS))
             is_dropped = self.fault_mode == dropped_mode
-            if (is_dropped or self._silenced != began) and not silent:
+            is_dropped |= self._silenced[dropped_mode] != began
+            if is_dropped and not silent:
                 silent = True
                 self.silenced_connections += 1
             await self.held.wait_for_end()
--- a/soak/target.py
+++ b/soak/target.py
@@ -78,6 +78,7 @@
         self._rng = rng
         self.instance = _make_name()
         self.zone = "z"
+        self.service = "s"
         self.software_version = "v1"
         self.event_seconds = SERVICE_SECONDS / 2
         self.crashing_part: PartChecker | None = None
@@ -230,7 +231,7 @@
     async def _send_heartbeat(self, session: aiohttp.ClientSession) -> None:
         self._sequence += 1
         body = {
-            "service": "s",
+            "service": self.service,
             "address": self._announced,
             "zone": self.zone,
             "version": self.software_version,
