--- a/packages/gateway/src/chivepier/gateway/serving/servingstate.py
+++ b/packages/gateway/src/chivepier/gateway/serving/servingstate.py
@@ -5,6 +5,7 @@
 import attrs
 
 from chivepier.gateway.config import RouteIndex
+from chivepier.gateway.serving.doubt import Doubt
 from chivepier.types import Signal
 
 
@@ -15,20 +16,22 @@
     :param index: the configuration; ``None`` until the first one is received
     :param entries: number of live entries, this one included, which share
         budgets and rates
-    :param stopping: whether new requests are rejected
+    :param late_at: monotonic time in seconds from which only requests are
+        taken that must end before this process does; ``None`` unless it was
+        ordered to stop
     :param ends_at: monotonic time in seconds when this process ends; ``None``
         unless it was ordered to stop
-    :param is_current: whether the configuration is the newest, so that what it
-        does not contain does not exist
+    :param find_doubt: why the configuration may not be the newest; ``None`` if
+        it is, so that what it does not contain does not exist
     :param changed: set at each newer configuration
     :param watchers: called with each newer configuration
     """
 
     index: RouteIndex | None = None
     entries: int = 1
-    stopping: bool = False
+    late_at: float | None = None
     ends_at: float | None = None
-    is_current: collections.abc.Callable[[], bool] = lambda: True
+    find_doubt: collections.abc.Callable[[], Doubt | None] = lambda: None
     changed: Signal = attrs.field(factory=Signal)
     watchers: list[collections.abc.Callable[[RouteIndex], None]] = attrs.field(
         factory=list
