--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -38,9 +38,11 @@
 # Seconds after a timeout in which what has arrived is handled: after a stall
 # of this process, timeouts come first.
 ARRIVAL_SECONDS = 0.02
-# Seconds without received frames after which a replaced channel is closed;
-# longer than the pauses of what is still in progress on it.
+# Seconds without received frames after which a replaced channel is closed, and
+# one whose peer has gone; longer than the pauses of what is still in progress.
 REPLACED_SECONDS = 30.0
+# Seconds without received frames after which an accepted channel is pinged.
+LOOK_AFTER_SECONDS = 10.0
 
 
 def prepare(value: typing.Any) -> tuple:
@@ -152,6 +154,21 @@
         # what was given up reads no more, and would stay open
         await self._socket.close()
 
+    async def await_end(self) -> None:
+        """Close a connection whose peer has replaced it, or has gone.
+
+        Where what the peer sends is lost, its close is lost, too: without
+        this, the connection would take a descriptor and pushes for good.
+        """
+        while not self.closed:
+            await self._clock.sleep(LOOK_AFTER_SECONDS)
+            quiet = self.measure_quiet()
+            is_asked = self._pinged > self._last_received
+            if quiet > REPLACED_SECONDS and is_asked and not self._tasks:
+                await self.close()
+            elif quiet >= LOOK_AFTER_SECONDS and not self.closed:
+                await self._ping(self._clock.monotonic())
+
     def _find_pause(self) -> float:
         """Return the seconds until the next ping, if nothing is answered."""
         if self.replaced:
--- a/packages/wire/src/chivepier/wire/server.py
+++ b/packages/wire/src/chivepier/wire/server.py
@@ -1,5 +1,6 @@
 """Server side of the peer links."""
 
+import asyncio
 import hmac
 
 import websockets
@@ -77,4 +78,8 @@
             self.traffic,
             self._clock,
         )
-        await channel.run()
+        watch = asyncio.create_task(channel.await_end())
+        try:
+            await channel.run()
+        finally:
+            watch.cancel()
--- a/packages/wire/src/chivepier/wire/tests/test_silence.py
+++ b/packages/wire/src/chivepier/wire/tests/test_silence.py
@@ -219,6 +219,13 @@
 @contextlib.asynccontextmanager
 async def connect_pushed(handle):
     """Yield links and the address of a peer that pushes all the time."""
+    async with connect_seen(handle) as (links, peer, _):
+        yield links, peer
+
+
+@contextlib.asynccontextmanager
+async def connect_seen(handle):
+    """Yield the same, and the peer's channels."""
     channels, clock = [], LoopClock()
 
     def serve(message, channel):
@@ -237,7 +244,7 @@
         Links("a:1", KEY, answer, Faults(), clock) as links,
     ):
         task = asyncio.create_task(push())
-        yield links, f"127.0.0.1:{server.port}"
+        yield links, f"127.0.0.1:{server.port}", channels
         task.cancel()
 
 
@@ -370,3 +377,39 @@
             assert links._channels[peer] is old
 
     play_time(body(), find_delay)
+
+
+@ONE_WAY
+def test_peer_closes_its_end_of_a_replaced_link(lose):
+    # Guards against a descriptor that stays for each link silent one way.
+    async def body():
+        async with connect_seen(answer) as (links, peer, channels):
+            await links.request(peer, REQUEST, 5)
+            old = links._channels[peer]
+            lose(old)
+            await await_replacement(links, peer, old)
+            await links.request(peer, REQUEST, 5)
+            async with asyncio.timeout(60):
+                while not channels[0].closed:
+                    await asyncio.sleep(0.1)
+            assert not channels[1].closed
+
+    play_time(body())
+
+
+def test_peer_that_stood_still_keeps_its_end_of_a_link():
+    # Guards against a stalled process that closes what others have opened.
+    stalls = {1012: 45.0, 1075: 45.0}
+
+    def find_delay(now):
+        return stalls.pop(int(now), 0.0)
+
+    async def body():
+        async with connect_seen(answer) as (links, peer, channels):
+            await links.request(peer, REQUEST, 5)
+            while stalls:
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(40)
+            assert not channels[0].closed
+
+    play_time(body(), find_delay)
