--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -41,6 +41,9 @@
 # Seconds without received frames after which a replaced channel is closed, and
 # one whose peer has gone; longer than the pauses of what is still in progress.
 REPLACED_SECONDS = 30.0
+# Seconds for which a close waits for the peer's: longer than a round trip, as
+# a process that ends has little time.
+CLOSE_SECONDS = 1.0
 # Seconds without received frames after which an accepted channel is pinged.
 LOOK_AFTER_SECONDS = 10.0
 
--- a/packages/wire/src/chivepier/wire/links.py
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -9,6 +9,7 @@
 
 from chivepier.types import Clock
 from chivepier.wire.channel import Channel
+from chivepier.wire.channel import CLOSE_SECONDS
 from chivepier.wire.channel import Handler
 from chivepier.wire.faults import Faults
 from chivepier.wire.linkerror import LinkError
@@ -56,8 +57,8 @@
         return self
 
     async def __aexit__(self, *exc) -> None:
-        for channel in list(self._channels.values()):
-            await channel.close()
+        closing = [c.close() for c in self._channels.values()]
+        await asyncio.gather(*closing, return_exceptions=True)
         for task in [*self._tasks, *self._connecting.values()]:
             task.cancel()
 
@@ -168,6 +169,7 @@
                     max_size=MAX_FRAME_BYTES,
                     ping_interval=None,
                     open_timeout=None,
+                    close_timeout=CLOSE_SECONDS,
                     proxy=None,
                 )
         except (OSError, TimeoutError, WebSocketException) as error:
--- a/packages/wire/src/chivepier/wire/server.py
+++ b/packages/wire/src/chivepier/wire/server.py
@@ -8,6 +8,7 @@
 
 from chivepier.types import Clock
 from chivepier.wire.channel import Channel
+from chivepier.wire.channel import CLOSE_SECONDS
 from chivepier.wire.channel import Handler
 from chivepier.wire.faults import Faults
 from chivepier.wire.traffic import Traffic
@@ -50,6 +51,7 @@
             compression=None,
             max_size=MAX_FRAME_BYTES,
             ping_interval=None,
+            close_timeout=CLOSE_SECONDS,
         )
         return self
 
--- a/packages/wire/src/chivepier/wire/tests/test_silence.py
+++ b/packages/wire/src/chivepier/wire/tests/test_silence.py
@@ -25,6 +25,9 @@
 # loses what is sent is replaced: less than a lease, or a change, may take.
 PUSH_SECONDS = 0.05
 REPLACED_IN_SECONDS = 2.0
+# Seconds in which a process leaves its links; its last requests need the rest
+# of its time.
+STOP_SECONDS = 2.0
 
 
 def answer(message, channel):
@@ -413,3 +416,27 @@
             assert not channels[0].closed
 
     play_time(body(), find_delay)
+
+
+@ONE_WAY
+def test_process_whose_links_are_silent_one_way_stops_soon(lose):
+    # Guards against a stop that waits for the close of each link in turn.
+    async def body():
+        async with contextlib.AsyncExitStack() as stack:
+            clock = LoopClock()
+            servers = [
+                await stack.enter_async_context(
+                    PeerServer("127.0.0.1", 0, answer, KEY, clock)
+                )
+                for _ in range(3)
+            ]
+            links = Links("a:1", KEY, answer, Faults(), clock)
+            async with links:
+                for server in servers:
+                    peer = f"127.0.0.1:{server.port}"
+                    await links.request(peer, REQUEST, 5)
+                    lose(links._channels[peer])
+                began = clock.monotonic()
+            assert clock.monotonic() - began < STOP_SECONDS
+
+    play_time(body())
