--- a/packages/wire/src/chivepier/wire/server.py
+++ b/packages/wire/src/chivepier/wire/server.py
@@ -1,5 +1,6 @@
 """Server side of the peer links."""
 
+import asyncio
 import hmac
 
 import websockets
@@ -7,6 +8,7 @@
 
 from chivepier.types import Clock
 from chivepier.wire.channel import Channel
+from chivepier.wire.channel import CLOSE_SECONDS
 from chivepier.wire.channel import Handler
 from chivepier.wire.faults import Faults
 from chivepier.wire.traffic import Traffic
@@ -49,6 +51,7 @@
             compression=None,
             max_size=MAX_FRAME_BYTES,
             ping_interval=None,
+            close_timeout=CLOSE_SECONDS,
         )
         return self
 
@@ -77,4 +80,8 @@
             self.traffic,
             self._clock,
         )
-        await channel.run()
+        watch = asyncio.create_task(channel.await_end())
+        try:
+            await channel.run()
+        finally:
+            watch.cancel()
--- a/packages/wire/src/chivepier/wire/tests/test_silence.py
+++ b/packages/wire/src/chivepier/wire/tests/test_silence.py
@@ -25,6 +25,9 @@
 # loses what is sent is replaced: less than a lease, or a change, may take.
 PUSH_SECONDS = 0.05
 REPLACED_IN_SECONDS = 2.0
+# Seconds in which a process leaves its links; its last requests need the rest
+# of its time.
+STOP_SECONDS = 2.0
 
 
 def answer(message, channel):
@@ -219,6 +222,13 @@
 @contextlib.asynccontextmanager
 async def connect_pushed(handle):
     """Yield links and the address of a peer that pushes all the time."""
+    async with connect_seen(handle) as (links, peer, _):
+        yield links, peer
+
+
+@contextlib.asynccontextmanager
+async def connect_seen(handle):
+    """Yield the same, and the peer's channels."""
     channels, clock = [], LoopClock()
 
     def serve(message, channel):
@@ -237,7 +247,7 @@
         Links("a:1", KEY, answer, Faults(), clock) as links,
     ):
         task = asyncio.create_task(push())
-        yield links, f"127.0.0.1:{server.port}"
+        yield links, f"127.0.0.1:{server.port}", channels
         task.cancel()
 
 
@@ -370,3 +380,63 @@
             assert links._channels[peer] is old
 
     play_time(body(), find_delay)
+
+
+@ONE_WAY
+def test_peer_closes_its_end_of_a_replaced_link(lose):
+    # Guards against a descriptor that stays for each link silent one way.
+    async def body():
+        async with connect_seen(answer) as (links, peer, channels):
+            await links.request(peer, REQUEST, 5)
+            old = links._channels[peer]
+            lose(old)
+            await await_replacement(links, peer, old)
+            await links.request(peer, REQUEST, 5)
+            async with asyncio.timeout(60):
+                while not channels[0].closed:
+                    await asyncio.sleep(0.1)
+            assert not channels[1].closed
+
+    play_time(body())
+
+
+def test_peer_that_stood_still_keeps_its_end_of_a_link():
+    # Guards against a stalled process that closes what others have opened.
+    stalls = {1012: 45.0, 1075: 45.0}
+
+    def find_delay(now):
+        return stalls.pop(int(now), 0.0)
+
+    async def body():
+        async with connect_seen(answer) as (links, peer, channels):
+            await links.request(peer, REQUEST, 5)
+            while stalls:
+                await asyncio.sleep(0.1)
+            await asyncio.sleep(40)
+            assert not channels[0].closed
+
+    play_time(body(), find_delay)
+
+
+@ONE_WAY
+def test_process_whose_links_are_silent_one_way_stops_soon(lose):
+    # Guards against a stop that waits for the close of each link in turn.
+    async def body():
+        async with contextlib.AsyncExitStack() as stack:
+            clock = LoopClock()
+            servers = [
+                await stack.enter_async_context(
+                    PeerServer("127.0.0.1", 0, answer, KEY, clock)
+                )
+                for _ in range(3)
+            ]
+            links = Links("a:1", KEY, answer, Faults(), clock)
+            async with links:
+                for server in servers:
+                    peer = f"127.0.0.1:{server.port}"
+                    await links.request(peer, REQUEST, 5)
+                    lose(links._channels[peer])
+                began = clock.monotonic()
+            assert clock.monotonic() - began < STOP_SECONDS
+
+    play_time(body())
