--- a/tests/adapter/test_control.py
+++ b/tests/adapter/test_control.py
@@ -3,8 +3,10 @@
 import asyncio
 import json
 import os
+import tracemalloc
 
 import aiohttp
+import pytest
 from test_configcodec import CONFIG_FIELDS
 
 from adapter.configcodec import decode_host_regions
@@ -133,3 +135,57 @@
             assert answer.status == 503
 
     run(test, tmp_path)
+
+
+@pytest.mark.parametrize(
+    "path, statuses",
+    [
+        ("/chivepier/instances/i1", {413}),
+        ("/chivepier/config", {413, 503}),
+    ],
+)
+def test_endless_bodies_take_bounded_memory(path, statuses, tmp_path):
+    # A voter kept a hundred bodies of 8 MB each, and ran out of memory.
+    async def send_on():
+        while True:
+            yield b"x" * (64 << 10)
+
+    async def ask(client):
+        try:
+            async with client.put(path, data=send_on()) as answer:
+                return answer.status
+        except aiohttp.ClientError:
+            # it was closed as it still sent
+            return None
+
+    async def test(voter, client):
+        tracemalloc.start()
+        try:
+            found = await asyncio.gather(*(ask(client) for _ in range(40)))
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        assert set(found) <= {*statuses, None}
+        assert peak < 64 << 20
+        announced = "/chivepier/instances/i2"
+        async with client.put(announced, json=ANNOUNCEMENT) as answer:
+            assert answer.status == 200
+
+    run(test, tmp_path)
+
+
+def test_body_that_drips_is_ended(tmp_path, monkeypatch):
+    # A voter waited for it without end.
+    monkeypatch.setattr("adapter.bodybounds.BODY_SECONDS", 0.2)
+
+    async def drip():
+        while True:
+            yield b" "
+            await asyncio.sleep(0.05)
+
+    async def test(voter, client):
+        path = "/chivepier/instances/i1"
+        async with client.put(path, data=drip()) as answer:
+            assert answer.status == 408
+
+    run(test, tmp_path)
