--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -82,8 +82,8 @@
 # late.
 OPEN_SECONDS = 2.5
 OPEN_FRACTION = 0.4
-# Fraction of the grace period before whose end the process exits. The
-# last answers are written then, the machine may be slow, and a kill would reset
+# Fraction of the grace period before whose end the process exits: the last
+# answers are written then, the machine may be slow, and a kill would reset
 # connections being written to. Users count no loss in the last sixth.
 EXIT_MARGIN_FRACTION = 1 / 8
 # Seconds between two checks whether the last request has ended.
