Take any answer for a sign of life of a link, also to what was sent before

Cause: a pong that was late counted as silence unless something sent after the ping had been answered. Over a slow path nothing is, in time.

Change: what counts is that an answer came since the ping, to whatever was sent. Over a link that loses what is sent none comes, so it is replaced as before, at the latest a round trip later.

Result: test_slowpath (2) and test_silence (21) pass, and the fleet's tests of one-way silence; the first failed before.

--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -100,6 +100,8 @@
         self._last_received = self._clock.monotonic()
         # the newest moment that something was sent at which was answered
         self._confirmed = self._pinged = self._last_received
+        # when the last answer came, to whatever was sent
+        self._answered_at = self._last_received
         self._silent_since: float | None = None
         self.closed = False
         self.replaced = False
@@ -205,9 +207,11 @@
 
     def _note_confirmed(self, sent: float) -> None:
         self._confirmed = max(self._confirmed, sent)
+        self._answered_at = self._clock.monotonic()
 
     def _check_round_trip(self, sent: float) -> None:
-        if self._confirmed < sent:
+        # answers to what was sent before count: a path may be slow
+        if self._answered_at < sent:
             self._handle_silence(self)
 
     async def _write(self) -> None:
