--- a/tests/adapter/test_heldanswers.py
+++ b/tests/adapter/test_heldanswers.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from adapter import targetconnection
 from adapter.parseturns import ParseTurns
+import adapter.targetconnection as targetconnection
 from adapter.targetconnection import TargetConnection
 from exchange import build_answer
 
