--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -80,7 +80,7 @@
 # process, and the fraction of the remaining seconds. Users count as lost what
 # was sent after the third second and is cut at the end; the order may be read
 # late.
-OPEN_SECONDS = 2.5
+OPEN_SECONDS = 2.8
 OPEN_FRACTION = 0.4
 # Fraction of the grace period before whose end the process exits: the last
 # answers are written then, the machine may be slow, and a kill would reset
@@ -446,10 +446,10 @@
         exit_at = started_at + seconds
         departure = self.serving.departure
         late_at = started_at + min(OPEN_SECONDS, OPEN_FRACTION * seconds)
+        departure.begin(late_at, exit_at)
         late_callers_end = started_at + min(
             LATE_CALLER_SECONDS, ACCEPT_FRACTION * seconds
         )
-        departure.begin(late_at, late_callers_end, exit_at)
         while (now := self._clock.monotonic()) < exit_at:
             if now >= late_callers_end and not departure.active:
                 break
--- a/packages/gateway/src/chivepier/gateway/serving/departure.py
+++ b/packages/gateway/src/chivepier/gateway/serving/departure.py
@@ -3,7 +3,6 @@
 import asyncio
 import collections.abc
 import contextlib
-import math
 
 import attrs
 
@@ -35,9 +34,8 @@
     """Keeps requests from being cut by the end of this process.
 
     For some seconds after the stop order, requests are taken that may outlast
-    it; later ones only if their deadline ends them before, and then none. What
-    waits for a target when that begins is refused, and what is left at the end
-    is answered.
+    it; later ones only if their deadline ends them before. What waits for a
+    target by then is refused, and what is left at the end is answered.
 
     :param state: when the process ends
     :param clock: source of monotonic time
@@ -46,7 +44,6 @@
     def __init__(self, state: ServingState, clock: Clock):
         self._state = state
         self._clock = clock
-        self._closed_at = math.inf
         self._waits: dict[asyncio.Timeout, Plan] = {}
         self._holds: set[Hold] = set()
 
@@ -55,15 +52,13 @@
         """Number of requests that have no whole answer yet."""
         return len(self._holds)
 
-    def begin(self, late_at: float, closed_at: float, ends_at: float) -> None:
+    def begin(self, late_at: float, ends_at: float) -> None:
         """Note the stop order.
 
         :param late_at: from when only requests are taken that must end before
             the process does, in monotonic seconds
-        :param closed_at: from when none are taken, in monotonic seconds
         :param ends_at: when the process ends, in monotonic seconds
         """
-        self._closed_at = closed_at
         self._state.late_at, self._state.ends_at = late_at, ends_at
         for timeout, plan in self._waits.items():
             if not timeout.expired():
@@ -80,17 +75,6 @@
             hold.timeout.reschedule(asyncio.get_running_loop().time())
         return len(holds)
 
-    def check_arrival(self, plan: Plan) -> None:
-        """Refuse a request that comes too late.
-
-        :param plan: the plan of the request
-        :raises RequestError: if it is refused; it has not run
-        """
-        if self._clock.monotonic() >= self._closed_at:
-            text = "this instance is about to end"
-            raise RequestError.of(ErrorKind.DRAINING, text)
-        self.check(plan)
-
     def check(self, plan: Plan) -> None:
         """Refuse a request that comes late and may outlast this process.
 
--- a/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
@@ -194,7 +194,7 @@
 
     def _plan(self, request: CallerRequest) -> Plan:
         plan = self._planner.plan(request)
-        self.departure.check_arrival(plan)
+        self.departure.check(plan)
         self._check_time_left(plan)
         return plan
 
