--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -4,6 +4,7 @@
 import collections.abc
 import inspect
 import itertools
+import math
 import typing
 
 import logbook
@@ -32,6 +33,8 @@
 # loses its followers.
 PING_AFTER_SECONDS = 0.5
 PONG_SECONDS = 0.5
+# The same after a request that has timed out: it has waited already.
+DOUBT_PONG_SECONDS = 0.2
 # Seconds by which the end of a ping is late where this process stood still
 # itself: the answer may not have been read yet.
 STALL_SECONDS = 0.25
@@ -69,8 +72,7 @@
     :param faults: peers whose frames are dropped, for tests
     :param traffic: counters of the process's peer links
     :param clock: measures the age of messages and the silence of the peer
-    :param handle_silence: called when a ping is not answered, or a request
-        times out and nothing has been received since
+    :param handle_silence: called when a ping is not answered
     """
 
     def __init__(
@@ -97,9 +99,11 @@
         self._outbox = Outbox(clock)
         self._ready = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
+        self._watching: set[asyncio.Task] = set()
         self._last_received = self._clock.monotonic()
         # the newest moment that something was sent at which was answered
-        self._confirmed = self._pinged = self._last_received
+        self._confirmed = self._last_received
+        self._pinged = -math.inf
         self._silent_since: float | None = None
         self.closed = False
         self.replaced = False
@@ -179,17 +183,17 @@
         since = max(self._confirmed, self._pinged)
         return since + PING_AFTER_SECONDS - self._clock.monotonic()
 
-    async def _ping(self, sent: float) -> None:
+    async def _ping(self, sent: float, seconds: float = PONG_SECONDS) -> None:
         self._pinged = sent
         try:
-            async with asyncio.timeout(PONG_SECONDS):
+            async with asyncio.timeout(seconds):
                 if self._faults.blocks(self.peer):
                     await asyncio.Event().wait()
                 pong = await self._socket.ping()
                 pong.add_done_callback(lambda done: self._end_ping(done, sent))
                 await asyncio.shield(pong)
         except TimeoutError:
-            late = self._clock.monotonic() - sent - PONG_SECONDS
+            late = self._clock.monotonic() - sent - seconds
             if late < STALL_SECONDS:
                 asyncio.get_running_loop().call_later(
                     ARRIVAL_SECONDS, self._check_round_trip, sent
@@ -350,8 +354,15 @@
             self._fail_pending()
 
     def _check_silence(self, sent: float) -> None:
-        if self._last_received <= sent:
-            self._handle_silence(self)
+        now = self._clock.monotonic()
+        # the peer may be slow in a handler: only a ping tells
+        if (
+            self._last_received <= sent
+            and self._pinged + PING_AFTER_SECONDS <= now
+        ):
+            task = asyncio.ensure_future(self._ping(now, DOUBT_PONG_SECONDS))
+            self._watching.add(task)
+            task.add_done_callback(self._watching.discard)
 
     def _resolve(self, number: int, value: typing.Any) -> None:
         future = self._take_pending(number)
--- a/packages/wire/src/chivepier/wire/tests/test_silence.py
+++ b/packages/wire/src/chivepier/wire/tests/test_silence.py
@@ -440,3 +440,27 @@
             assert clock.monotonic() - began < STOP_SECONDS
 
     play_time(body())
+
+
+def test_quiet_link_of_a_peer_that_answers_slowly_is_kept():
+    # Guards against a link that is opened anew for each slow answer where
+    # nothing else arrives.
+    async def answer_late(message, channel):
+        await asyncio.sleep(3)
+        return answer(message, channel)
+
+    async def body():
+        clock = LoopClock()
+        async with (
+            PeerServer("127.0.0.1", 0, answer_late, KEY, clock) as server,
+            Links("a:1", KEY, answer, Faults(), clock) as links,
+        ):
+            peer = f"127.0.0.1:{server.port}"
+            old = await links.connect(peer, 5)
+            for _ in range(20):
+                with pytest.raises(LinkError):
+                    await links.request(peer, REQUEST, 0.2)
+            await links.request(peer, REQUEST, 5)
+            assert links._channels[peer] is old
+
+    play_time(body())
