--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -18,6 +18,7 @@
 from chivepier.wire.frame import Part
 from chivepier.wire.linkerror import LinkError
 from chivepier.wire.outbox import Outbox
+from chivepier.wire.patience import Patience
 from chivepier.wire.refusederror import RefusedError
 from chivepier.wire.traffic import Traffic
 
@@ -28,13 +29,12 @@
 # A link without received frames for this long is closed when a request on it
 # times out.
 MAX_SILENCE_SECONDS = 2.0
-# Seconds without a round trip after which a channel is pinged, and those to
-# wait for the answer. Short enough that a link is replaced before a leader
-# loses its followers.
+# Seconds without a round trip after which a channel is pinged. Short enough
+# that a link is replaced before a leader loses its followers.
 PING_AFTER_SECONDS = 0.5
-PONG_SECONDS = 0.5
-# The same after a request that has timed out: it has waited already.
-DOUBT_PONG_SECONDS = 0.2
+# Share of the waiting time after a request that has timed out: it has waited
+# already.
+DOUBT_SHARE = 0.4
 # Seconds by which the end of a ping is late where this process stood still
 # itself: the answer may not have been read yet.
 STALL_SECONDS = 0.25
@@ -73,6 +73,7 @@
     :param traffic: counters of the process's peer links
     :param clock: measures the age of messages and the silence of the peer
     :param handle_silence: called when a ping is not answered
+    :param patience: how long to wait for a pong; a new one if omitted
     """
 
     def __init__(
@@ -86,6 +87,7 @@
         handle_silence: collections.abc.Callable[
             ["Channel"], None
         ] = lambda channel: None,
+        patience: Patience | None = None,
     ):
         self.peer = peer
         self._socket = socket
@@ -94,6 +96,7 @@
         self._traffic = traffic
         self._clock = clock
         self._handle_silence = handle_silence
+        self._patience = patience or Patience()
         self._request_numbers = itertools.count(1)
         self._pending: dict[int, tuple[asyncio.Future, float]] = {}
         self._outbox = Outbox(clock)
@@ -183,8 +186,8 @@
         since = max(self._confirmed, self._pinged)
         return since + PING_AFTER_SECONDS - self._clock.monotonic()
 
-    async def _ping(self, sent: float, seconds: float = PONG_SECONDS) -> None:
-        self._pinged = sent
+    async def _ping(self, sent: float, share: float = 1.0) -> None:
+        self._pinged, seconds = sent, share * self._patience.seconds
         try:
             async with asyncio.timeout(seconds):
                 if self._faults.blocks(self.peer):
@@ -204,6 +207,7 @@
     def _end_ping(self, pong: asyncio.Future, sent: float) -> None:
         is_answered = not pong.cancelled() and pong.exception() is None
         if is_answered and not self._faults.blocks(self.peer):
+            self._patience.note(self._clock.monotonic() - sent)
             self._note_received()
             self._note_confirmed(sent)
 
@@ -360,7 +364,7 @@
             self._last_received <= sent
             and self._pinged + PING_AFTER_SECONDS <= now
         ):
-            task = asyncio.ensure_future(self._ping(now, DOUBT_PONG_SECONDS))
+            task = asyncio.ensure_future(self._ping(now, DOUBT_SHARE))
             self._watching.add(task)
             task.add_done_callback(self._watching.discard)
 
--- a/packages/wire/src/chivepier/wire/links.py
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -13,6 +13,7 @@
 from chivepier.wire.channel import Handler
 from chivepier.wire.faults import Faults
 from chivepier.wire.linkerror import LinkError
+from chivepier.wire.patience import Patience
 from chivepier.wire.server import KEY_HEADER
 from chivepier.wire.server import MAX_FRAME_BYTES
 from chivepier.wire.server import PEER_HEADER
@@ -50,6 +51,7 @@
         self._clock = clock
         self.traffic = traffic or Traffic()
         self._channels: dict[str, Channel] = {}
+        self._patience: dict[str, Patience] = {}
         self._connecting: dict[str, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
 
@@ -184,6 +186,7 @@
             self.traffic,
             self._clock,
             self._replace,
+            self._patience.setdefault(peer, Patience()),
         )
         before = self._channels.get(peer)
         if before is not None and not before.closed:
