--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -4,6 +4,7 @@
 import collections.abc
 import inspect
 import itertools
+import math
 import typing
 
 import logbook
@@ -17,6 +18,7 @@
 from chivepier.wire.frame import Part
 from chivepier.wire.linkerror import LinkError
 from chivepier.wire.outbox import Outbox
+from chivepier.wire.patience import Patience
 from chivepier.wire.refusederror import RefusedError
 from chivepier.wire.traffic import Traffic
 
@@ -27,11 +29,12 @@
 # A link without received frames for this long is closed when a request on it
 # times out.
 MAX_SILENCE_SECONDS = 2.0
-# Seconds without a round trip after which a channel is pinged, and those to
-# wait for the answer. Short enough that a link is replaced before a leader
-# loses its followers.
+# Seconds without a round trip after which a channel is pinged. Short enough
+# that a link is replaced before a leader loses its followers.
 PING_AFTER_SECONDS = 0.5
-PONG_SECONDS = 0.5
+# Share of the waiting time after a request that has timed out: it has waited
+# already.
+DOUBT_SHARE = 0.4
 # Seconds by which the end of a ping is late where this process stood still
 # itself: the answer may not have been read yet.
 STALL_SECONDS = 0.25
@@ -69,8 +72,8 @@
     :param faults: peers whose frames are dropped, for tests
     :param traffic: counters of the process's peer links
     :param clock: measures the age of messages and the silence of the peer
-    :param handle_silence: called when a ping is not answered, or a request
-        times out and nothing has been received since
+    :param handle_silence: called when a ping is not answered
+    :param patience: how long to wait for a pong; a new one if omitted
     """
 
     def __init__(
@@ -84,6 +87,7 @@
         handle_silence: collections.abc.Callable[
             ["Channel"], None
         ] = lambda channel: None,
+        patience: Patience | None = None,
     ):
         self.peer = peer
         self._socket = socket
@@ -92,16 +96,17 @@
         self._traffic = traffic
         self._clock = clock
         self._handle_silence = handle_silence
+        self._patience = patience or Patience()
         self._request_numbers = itertools.count(1)
         self._pending: dict[int, tuple[asyncio.Future, float]] = {}
         self._outbox = Outbox(clock)
         self._ready = asyncio.Event()
         self._tasks: set[asyncio.Task] = set()
+        self._watching: set[asyncio.Task] = set()
         self._last_received = self._clock.monotonic()
         # the newest moment that something was sent at which was answered
-        self._confirmed = self._pinged = self._last_received
-        # when the last answer came, to whatever was sent
-        self._answered_at = self._last_received
+        self._confirmed = self._last_received
+        self._pinged = -math.inf
         self._silent_since: float | None = None
         self.closed = False
         self.replaced = False
@@ -181,17 +186,17 @@
         since = max(self._confirmed, self._pinged)
         return since + PING_AFTER_SECONDS - self._clock.monotonic()
 
-    async def _ping(self, sent: float) -> None:
-        self._pinged = sent
+    async def _ping(self, sent: float, share: float = 1.0) -> None:
+        self._pinged, seconds = sent, share * self._patience.seconds
         try:
-            async with asyncio.timeout(PONG_SECONDS):
+            async with asyncio.timeout(seconds):
                 if self._faults.blocks(self.peer):
                     await asyncio.Event().wait()
                 pong = await self._socket.ping()
                 pong.add_done_callback(lambda done: self._end_ping(done, sent))
                 await asyncio.shield(pong)
         except TimeoutError:
-            late = self._clock.monotonic() - sent - PONG_SECONDS
+            late = self._clock.monotonic() - sent - seconds
             if late < STALL_SECONDS:
                 asyncio.get_running_loop().call_later(
                     ARRIVAL_SECONDS, self._check_round_trip, sent
@@ -202,16 +207,15 @@
     def _end_ping(self, pong: asyncio.Future, sent: float) -> None:
         is_answered = not pong.cancelled() and pong.exception() is None
         if is_answered and not self._faults.blocks(self.peer):
+            self._patience.note(self._clock.monotonic() - sent)
             self._note_received()
             self._note_confirmed(sent)
 
     def _note_confirmed(self, sent: float) -> None:
         self._confirmed = max(self._confirmed, sent)
-        self._answered_at = self._clock.monotonic()
 
     def _check_round_trip(self, sent: float) -> None:
-        # answers to what was sent before count: a path may be slow
-        if self._answered_at < sent:
+        if self._confirmed < sent:
             self._handle_silence(self)
 
     async def _write(self) -> None:
@@ -354,8 +358,15 @@
             self._fail_pending()
 
     def _check_silence(self, sent: float) -> None:
-        if self._last_received <= sent:
-            self._handle_silence(self)
+        now = self._clock.monotonic()
+        # the peer may be slow in a handler: only a ping tells
+        if (
+            self._last_received <= sent
+            and self._pinged + PING_AFTER_SECONDS <= now
+        ):
+            task = asyncio.ensure_future(self._ping(now, DOUBT_SHARE))
+            self._watching.add(task)
+            task.add_done_callback(self._watching.discard)
 
     def _resolve(self, number: int, value: typing.Any) -> None:
         future = self._take_pending(number)
