--- a/packages/gateway/src/chivepier/gateway/following/tests/test_configfetcher.py
+++ b/packages/gateway/src/chivepier/gateway/following/tests/test_configfetcher.py
@@ -9,9 +9,12 @@
 from chivepier.gateway.following import ConfigFetcher
 from chivepier.gateway.messages import ConfigAnswer
 from chivepier.gateway.serving import ServingState
+from chivepier.types import Clock
 from chivepier.types import ManualClock
 from chivepier.wire import LinkError
 
+STEP_SECONDS = 0.02
+
 
 class FakeLinks:
     """Voters that answer once the test releases them."""
@@ -32,6 +35,37 @@
         return ConfigAnswer(True, self.version, zlib.compress(body))
 
 
+class ThinLinks(FakeLinks):
+    """Voters behind one thin line, which all answers share.
+
+    What was asked for is sent to its end, also if nobody waits for it.
+    """
+
+    def __init__(self, clock: Clock, seconds: float):
+        super().__init__()
+        self._clock, self._seconds = clock, seconds
+        self.left: list[float] = []
+
+    async def request(self, address, message, timeout):
+        """Answer when the line has carried the answer."""
+        self.requested.append(address)
+        self.left.append(self._seconds)
+        number = len(self.left) - 1
+        deadline = self._clock.monotonic() + timeout
+        while self.left[number] > 0:
+            await self._clock.sleep(STEP_SECONDS)
+            if self._clock.monotonic() >= deadline:
+                raise LinkError("no answer", sent=True)
+        body = str(self.version).encode()
+        return ConfigAnswer(True, self.version, zlib.compress(body))
+
+    def carry(self, seconds: float) -> None:
+        """Let the line carry for some time."""
+        open_ones = [n for n, left in enumerate(self.left) if left > 0]
+        for number in open_ones:
+            self.left[number] -= seconds / len(open_ones)
+
+
 class Setup:
     """A configuration fetcher with fake voters."""
 
@@ -191,3 +225,18 @@
         assert setup.current_version == 6
 
     run_with_fetcher(test)
+
+
+def test_configuration_that_takes_most_of_a_wait_comes_over_a_thin_line():
+    # Guards against questions beside the first that keep its answer away.
+    async def test(setup):
+        links = ThinLinks(setup.clock, 0.7)
+        setup.fetcher._links = setup.links = links
+        setup.announce(5, "v1", "v2", "v3")
+        for _ in range(round(10 / STEP_SECONDS)):
+            await settle()
+            setup.clock.advance(STEP_SECONDS)
+            links.carry(STEP_SECONDS)
+        assert setup.current_version == 5, len(links.requested)
+
+    run_with_fetcher(test)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_departure.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_departure.py
@@ -124,3 +124,35 @@
         assert failure.ran is Ran.NO and not parts.engines.orders
 
     play(test, "a")
+
+
+def test_body_that_comes_after_an_early_end_is_refused():
+    """Guards against no answer where the entry ends before its last second."""
+
+    async def test(parts):
+        stop(parts)
+        await asyncio.sleep(CLOSED_SECONDS + 0.01)
+        departure = parts.serving.departure
+        assert departure.end() == 0
+        with pytest.raises(RequestError) as caught:
+            async with asyncio.timeout(1.0), departure.hold(Ran.NO):
+                await asyncio.sleep(2.0)
+        assert caught.value.failure.ran is Ran.NO
+
+    play(test, "a")
+
+
+def test_request_that_waits_for_a_configuration_at_the_end_has_not_run():
+    """Guards against an answer that says that it may have run."""
+
+    async def test(parts):
+        parts.state.index = None
+        _, task = parts.start(make_request("/plain/x"))
+        stop(parts)
+        await asyncio.sleep(0.01)
+        assert parts.serving.departure.end() == 1
+        with pytest.raises(RequestError) as caught:
+            await task
+        assert caught.value.failure.ran is Ran.NO
+
+    play(test, "a")
--- a/packages/state/src/chivepier/state/tests/test_currentfollowers.py
+++ b/packages/state/src/chivepier/state/tests/test_currentfollowers.py
@@ -11,10 +11,29 @@
 SLACK_SECONDS = 0.1
 
 
-async def measure_stale(seed: int, busy_seconds: float = 0.0) -> float:
+def hold_messages(rig: Rig, node: str) -> asyncio.Event:
+    """Let messages wait unread at a voter until an event is set."""
+    released, handle = asyncio.Event(), rig.network.handlers[node]
+
+    async def handle_late(message):
+        await released.wait()
+        return await handle(message)
+
+    async def take(message):
+        # what waits in a socket is read, also if nobody waits for its answer
+        return await asyncio.shield(asyncio.create_task(handle_late(message)))
+
+    rig.network.handlers[node] = take
+    return released
+
+
+async def measure_stale(
+    seed: int, busy_seconds: float = 0.0, unread_seconds: float = 0.0
+) -> float:
     """Return how old an entry became that a current follower lacked.
 
     :param busy_seconds: for how long after the cut its disk takes a write
+    :param unread_seconds: for how long after the cut it reads nothing
     """
     oldest = 0.0
     async with Rig(5, seed) as rig:
@@ -28,6 +47,9 @@
 
         if busy_seconds:
             await follower._core.lock.acquire()
+        released = None
+        if unread_seconds:
+            released = hold_messages(rig, follower.node)
         cut_at = rig.clock.monotonic()
 
         def find_next():
@@ -50,6 +72,8 @@
             if 0.0 < busy_seconds < passed:
                 follower._core.lock.release()
                 busy_seconds = 0.0
+            if released is not None and passed > unread_seconds:
+                released.set()
             if follower.is_current() and follower.commit < index:
                 oldest = max(oldest, rig.clock.monotonic() - committed_at)
     return oldest
@@ -73,3 +97,13 @@
             assert oldest < 1.0 + SLACK_SECONDS, f"seed {seed}: {oldest:.2f}"
 
     asyncio.run(test())
+
+
+def test_voter_that_stood_still_is_not_current_by_appends_that_waited():
+    # Guards against denials after a stall: what is read late is no news.
+    async def test():
+        for seed in range(SEEDS):
+            oldest = await measure_stale(seed, unread_seconds=5.0)
+            assert oldest < 1.0 + SLACK_SECONDS, f"seed {seed}: {oldest:.2f}"
+
+    asyncio.run(test())
