--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
@@ -9,6 +9,8 @@
 from chivepier.gateway.serving.tests.parts import fail
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import wait_until
+from chivepier.standins.onewaylink import deafen
+from chivepier.standins.onewaylink import mute
 from chivepier.types import ErrorKind
 from chivepier.types import Ran
 
@@ -431,3 +433,25 @@
         assert not cut_off.parts.table.is_leaving("w-x")
 
     play_site(test)
+
+
+@pytest.mark.parametrize("lose", (mute, deafen))
+def test_answer_is_read_over_the_link_that_replaces_a_silent_one(lose):
+    # Guards against losing an answer with one connection between two entries
+    # that are well, and reach each other over a new one.
+    async def test(site):
+        cut_off, other = site.entries
+        cut_off.cut(*ALL)
+        caller, task = cut_off.parts.start(make_request())
+        run = await other.parts.engines.wait_run(1)
+        run.make(1)
+        await caller.wait_events(1)
+        (link,) = cut_off.links._channels.values()
+        lose(link)
+        await asyncio.sleep(4.0)
+        run.make(1)
+        run.end()
+        await task
+        assert caller.numbers == [1, 2] and caller.finished
+
+    play_site(test)
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -11,6 +11,7 @@
 from chivepier.gateway.serving import Doubt
 from chivepier.gateway.usage import Usage
 from entryfixture import build_request
+from entryfixture import EntryFixture
 from entryfixture import read_status
 from entryfixture import run
 import rawtarget
@@ -443,3 +444,24 @@
         assert read_status(await fixture.send(build_request("/once/x"))) == 200
 
     run(answer_ok, test)
+
+
+def test_body_that_comes_as_an_entry_leaves_early_is_answered():
+    # Guards against a connection closed without an answer after the drain.
+    async def script(head, writer):
+        raise AssertionError("sent")
+
+    async def test():
+        async with EntryFixture(script) as fixture:
+            fixture.configure()
+            await fixture.entry.drain()
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", fixture.port
+            )
+            request = build_request("/once/x", body=b"abcd")
+            writer.write(request[:-1])
+            await asyncio.sleep(0.05)
+        assert read_status(await reader.read()) == 503
+        writer.close()
+
+    asyncio.run(test())
