Answer what comes as an entry ends early, and say truly what has not run

An entry that leaves before the last second of its grace, as nothing is left, closed without an answer where a body was still coming in then; and what waited for the first configuration at the end was told that it may have run.

Change: the end of a stop closes the holds for what comes later, too. A hold says that its request has not run until it is handed to the dispatcher.

--- a/packages/gateway/src/chivepier/gateway/serving/departure.py
+++ b/packages/gateway/src/chivepier/gateway/serving/departure.py
@@ -23,10 +23,12 @@
     """A request that has no whole answer yet.
 
     :param timeout: ends it
+    :param ran: whether it may have run
     :param ended: whether it was ended with this process
     """
 
     timeout: asyncio.Timeout
+    ran: Ran = Ran.NO
     ended: bool = False
 
 
@@ -67,8 +69,11 @@
     def end(self) -> int:
         """End all requests; their callers get an answer that says so.
 
+        What comes later is refused at once.
+
         :returns: their number
         """
+        self._state.ends_at = self._clock.monotonic()
         holds = [hold for hold in self._holds if not hold.timeout.expired()]
         for hold in holds:
             hold.ended = True
@@ -117,10 +122,11 @@
             raise RequestError.of(ErrorKind.DRAINING, text) from None
 
     @contextlib.asynccontextmanager
-    async def hold(self, ran: Ran) -> collections.abc.AsyncIterator[Hold]:
+    async def hold(self) -> collections.abc.AsyncIterator[Hold]:
         """Answer a request at the latest when this process ends.
 
-        :param ran: whether the request may have run by then
+        The answer says that it has not run, unless the hold tells otherwise.
+
         :raises RequestError: when the process ends
         """
         ends_at = self._state.ends_at
@@ -136,7 +142,7 @@
         except TimeoutError:
             if not hold.ended:
                 raise
-            raise RequestError.of(ErrorKind.DRAINING, text, ran) from None
+            raise RequestError.of(ErrorKind.DRAINING, text, hold.ran) from None
         finally:
             self._holds.discard(hold)
 
--- a/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
@@ -8,6 +8,7 @@
 from chivepier.gateway.serving.callerconnection import CallerConnection
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.serving.departure import Departure
+from chivepier.gateway.serving.departure import Hold
 from chivepier.gateway.serving.dispatcher import Dispatcher
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.plan import Plan
@@ -104,7 +105,7 @@
         outcome, plan = "cancelled", None
         reason: dict[str, str] = {}
         try:
-            async with self._hold(request, caller):
+            async with self._hold(request, caller) as hold:
                 if self._state.index is None:
                     await self._state.changed.wait(
                         FIRST_CONFIG_TIMEOUT_SECONDS
@@ -112,6 +113,7 @@
                 plan = self._plan(request)
                 now = clock.monotonic()
                 self._dispatcher.budget.note_request(plan.service.name, now)
+                hold.ran = Ran.UNKNOWN
                 await self._answer(plan, caller)
                 outcome = "answered"
         except RequestError as error:
@@ -147,9 +149,10 @@
         :raises RequestError: if it fails before anything was answered
         :raises NotSentError: if this entry can't reach its targets either
         """
-        async with self._hold(request, caller):
+        async with self._hold(request, caller) as hold:
             plan = self._plan(request)
             self._check_reach(plan)
+            hold.ran = Ran.UNKNOWN
             try:
                 await self._answer(plan, caller, runs, may_forward=False)
             except RequestError as error:
@@ -165,15 +168,15 @@
     @contextlib.asynccontextmanager
     async def _hold(
         self, request: CallerRequest, caller: CallerConnection
-    ) -> collections.abc.AsyncIterator[None]:
+    ) -> collections.abc.AsyncIterator[Hold]:
         """Answer a request at the latest when this process ends.
 
         An answer that has begun is aborted: it must not look complete.
         """
         hold = None
         try:
-            async with self.departure.hold(Ran.UNKNOWN) as hold:
-                yield
+            async with self.departure.hold() as hold:
+                yield hold
         except RequestError:
             if hold is None or not hold.ended:
                 raise
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_departure.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_departure.py
@@ -129,11 +129,11 @@
 
     async def test(parts):
         stop(parts)
-        await asyncio.sleep(CLOSED_SECONDS + 0.01)
+        await asyncio.sleep(LATE_SECONDS + 0.01)
         departure = parts.serving.departure
         assert departure.end() == 0
         with pytest.raises(RequestError) as caught:
-            async with asyncio.timeout(1.0), departure.hold(Ran.NO):
+            async with asyncio.timeout(1.0), departure.hold():
                 await asyncio.sleep(2.0)
         assert caught.value.failure.ran is Ran.NO
 
