--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -6,6 +6,7 @@
 
 from chivepier.gateway.control.bootstrap import open_data_dir
 from chivepier.gateway.control.configstore import ConfigStore
+from chivepier.gateway.control.currencylog import CurrencyLog
 from chivepier.gateway.control.entrydirectory import EntryDirectory
 from chivepier.gateway.control.hostregions import DecodeHostRegions
 from chivepier.gateway.control.hostregions import HostRegions
@@ -23,6 +24,7 @@
 from chivepier.gateway.control.weightwatch import WeightWatch
 from chivepier.gateway.control.zonestore import ZoneStore
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.following import pack_past_version
 from chivepier.gateway.following import Peers
 from chivepier.gateway.messages import ConfigNotice
 from chivepier.gateway.messages import ConfigRequest
@@ -38,6 +40,7 @@
 from chivepier.gateway.messages import PermitRequest
 from chivepier.gateway.messages import QuarantineNotice
 from chivepier.gateway.messages import TargetNotice
+from chivepier.gateway.messages import VersionRecord
 from chivepier.gateway.messages import WriteRequest
 from chivepier.gateway.messages import ZoneNotice
 from chivepier.gateway.messages import ZoneRecord
@@ -120,6 +123,8 @@
         self.host_regions: HostRegions | None = None
         self.registry: Registry | None = None
         self.membership: Membership | None = None
+        self._currency_log: CurrencyLog | None = None
+        self._pushed_version = -1
 
     def _find_followers(self) -> list[Channel]:
         return self.loads.list_channels() if self.loads else []
@@ -194,12 +199,13 @@
         own_address = self._settings.address
         clock, log, peers = self._clock, self._log, self.peers
         leader = LeaderClient(self.replica, links)
-        self.store = ConfigStore(leader, clock, log)
+        self.store = ConfigStore(leader, clock, log, self._push_config)
         self.orders = ZoneStore(leader, self.zones, clock, log)
         self.permits = PermitService(leader, clock, log, random.Random())
         self.host_regions = HostRegions(
             self.store, self._decode_host_regions, log
         )
+        self._currency_log = CurrencyLog(self.replica, log)
         self.store.load_cached(self._state_cache.load())
         self.registry = Registry(
             own_address, self.table, self.entries, links, peers, clock, log
@@ -251,12 +257,20 @@
     def _handle_beat(
         self, beat: EntryBeat, channel: Channel
     ) -> EntryBeatAnswer:
+        if silence := self.entries.find_silence(beat.node):
+            self._log.info(
+                "entry_heard_again",
+                entry=beat.node,
+                silent_ms=round(1000 * silence),
+                version=beat.version,
+            )
         if self.entries.record_beat(beat, channel):
             self._log.info(
                 "entry_known", entry=beat.node, address=beat.address
             )
         self.loads.update_follower(beat.node, channel, beat.follows)
         config = self.store.find_committed()
+        version = config.version if config else -1
         voters: tuple[str, ...] = ()
         live_targets: tuple[str, ...] = ()
         if beat.follows:
@@ -277,7 +291,7 @@
         return EntryBeatAnswer(
             self.registry.epoch,
             self.registry.revision,
-            config.version if config else -1,
+            version,
             self.entries.count(),
             voters,
             self.registry.find_changed_records(beat.epoch, beat.revision),
@@ -296,7 +310,8 @@
             peers_revision,
             keeps_origins=True,
             targets_known_for=self._count_known_seconds(),
-            is_current=self.replica.is_current(),
+            is_current=self._currency_log.tell(version),
+            past_versions=self._find_past_versions(beat),
         )
 
     def _count_known_seconds(self) -> float:
@@ -318,6 +333,17 @@
         known = beat.peers_revision if is_same else -1
         return self._peer_directory.find_changes(beat, known)
 
+    def _find_past_versions(
+        self, beat: EntryBeat
+    ) -> tuple[VersionRecord, ...]:
+        """Return the versions that an entry may not have known in time."""
+        if beat.epoch == self.registry.epoch:
+            return ()
+        now = self._clock.monotonic()
+        return tuple(
+            pack_past_version(past, now) for past in self.table.past_versions
+        )
+
     def _find_orders(self, index: int) -> tuple[ZoneRecord, ...]:
         """Return all zone orders if any is newer than a log index."""
         if self.zones.last_index <= index:
@@ -336,24 +362,27 @@
 
     async def _push_changes(self) -> None:
         """Push each new configuration and zone order to the entries."""
-        pushed_version = -1
         while True:
             if self.orders.apply_committed():
                 self._state_cache.mark_dirty()
                 notice = ZoneNotice(self._find_orders(-1))
                 for channel in self.entries.list_channels():
                     channel.send(notice)
-            config = self.store.find_committed()
-            if config is not None and config.version > pushed_version:
-                pushed_version = config.version
-                self._log.info("configuration_known", version=pushed_version)
-                self._state_cache.mark_dirty()
-                notice = ConfigNotice(pushed_version)
-                for channel in self.entries.list_channels():
-                    channel.send(notice)
+            self._push_config()
             self.peers.learn(v.address for v in self.replica.voters)
             await self.replica.machine.changed.wait(1.0)
 
+    def _push_config(self) -> None:
+        config = self.store.find_committed()
+        if config is None or config.version <= self._pushed_version:
+            return
+        self._pushed_version = config.version
+        self._log.info("configuration_known", version=config.version)
+        self._state_cache.note_config()
+        notice = ConfigNotice(config.version)
+        for channel in self.entries.list_channels():
+            channel.send(notice)
+
     async def _sync_targets(self) -> None:
         while True:
             await self._clock.sleep(TARGET_SYNC_INTERVAL_SECONDS)
