Wait longer for a configuration each time that all voters have failed

Change: both waits double, up to four times, with each round in which every voter that has the version has failed. The first round is as it was, so that one silent voter holds nobody up.

Result: the test of the review fails before (listed with it) and passes, with 87 others: of following, one-way silence in played time and with real processes, and of voters that a leader answers.

--- a/packages/gateway/src/chivepier/gateway/following/configfetcher.py
+++ b/packages/gateway/src/chivepier/gateway/following/configfetcher.py
@@ -19,6 +19,9 @@
 # effect within about two seconds.
 ANSWER_SECONDS = 0.8
 PATIENCE_SECONDS = 0.4
+# Longest of these waits as a multiple: they double each time that all voters
+# have failed, as a line may be thin, and answers share it.
+MAX_WAIT_FACTOR = 4
 # Minimum seconds between two fetches, and the maximum: the time that an
 # adoption took may be that of a process that stood still.
 MIN_PAUSE_SECONDS = 0.1
@@ -115,13 +118,19 @@
     async def _fetch(self) -> ConfigAnswer | None:
         """Query one holder after the other until one answers."""
         asking: set[asyncio.Task] = set()
+        holders = self._list_holders()
+        rounds = min(self._failures[address] for address in holders)
+        factor = min(MAX_WAIT_FACTOR, 2**rounds)
         try:
-            for address in self._list_holders():
-                asking.add(asyncio.create_task(self._ask(address)))
-                answer = await self._await_answer(asking, PATIENCE_SECONDS)
+            for address in holders:
+                work = self._ask(address, factor * ANSWER_SECONDS)
+                asking.add(asyncio.create_task(work))
+                answer = await self._await_answer(
+                    asking, factor * PATIENCE_SECONDS
+                )
                 if answer is not None:
                     return answer
-            return await self._await_answer(asking, ANSWER_SECONDS)
+            return await self._await_answer(asking, factor * ANSWER_SECONDS)
         finally:
             for task in asking:
                 task.cancel()
@@ -144,10 +153,10 @@
             timer.cancel()
         return None
 
-    async def _ask(self, address: str) -> ConfigAnswer | None:
+    async def _ask(self, address: str, seconds: float) -> ConfigAnswer | None:
         try:
             answer = await self._links.request(
-                address, ConfigRequest(False), ANSWER_SECONDS
+                address, ConfigRequest(False), seconds
             )
         except LinkError as error:
             # what it announced stays: nobody may tell of it again
