--- a/packages/gateway/src/chivepier/gateway/serving/departure.py
+++ b/packages/gateway/src/chivepier/gateway/serving/departure.py
@@ -4,13 +4,11 @@
 import collections.abc
 import contextlib
 
-import attrs
-
 from chivepier.gateway.serving.plan import Plan
+from chivepier.gateway.serving.requesthold import RequestHold
 from chivepier.gateway.serving.servingstate import ServingState
 from chivepier.types import Clock
 from chivepier.types import ErrorKind
-from chivepier.types import Ran
 from chivepier.types import RequestError
 
 # Seconds before the end of this process by which a request that is taken late
@@ -18,20 +16,6 @@
 ANSWER_SECONDS = 0.2
 
 
-@attrs.define(eq=False)
-class Hold:
-    """A request that has no whole answer yet.
-
-    :param timeout: ends it
-    :param ran: whether it may have run
-    :param ended: whether it was ended with this process
-    """
-
-    timeout: asyncio.Timeout
-    ran: Ran = Ran.NO
-    ended: bool = False
-
-
 class Departure:
     """Keeps requests from being cut by the end of this process.
 
@@ -47,7 +31,7 @@
         self._state = state
         self._clock = clock
         self._waits: dict[asyncio.Timeout, Plan] = {}
-        self._holds: set[Hold] = set()
+        self._holds: set[RequestHold] = set()
 
     @property
     def active(self) -> int:
@@ -122,7 +106,7 @@
             raise RequestError.of(ErrorKind.DRAINING, text) from None
 
     @contextlib.asynccontextmanager
-    async def hold(self) -> collections.abc.AsyncIterator[Hold]:
+    async def hold(self) -> collections.abc.AsyncIterator[RequestHold]:
         """Answer a request at the latest when this process ends.
 
         The answer says that it has not run, unless the hold tells otherwise.
@@ -136,7 +120,7 @@
         hold = None
         try:
             async with asyncio.timeout(None) as limit:
-                hold = Hold(limit)
+                hold = RequestHold(limit)
                 self._holds.add(hold)
                 yield hold
         except TimeoutError:
--- a/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
@@ -8,12 +8,12 @@
 from chivepier.gateway.serving.callerconnection import CallerConnection
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.serving.departure import Departure
-from chivepier.gateway.serving.departure import Hold
 from chivepier.gateway.serving.dispatcher import Dispatcher
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.planner import Planner
 from chivepier.gateway.serving.relay import Relay
+from chivepier.gateway.serving.requesthold import RequestHold
 from chivepier.gateway.serving.servingstate import ServingState
 from chivepier.gateway.serving.shedding import Shedding
 from chivepier.types import ErrorKind
@@ -168,7 +168,7 @@
     @contextlib.asynccontextmanager
     async def _hold(
         self, request: CallerRequest, caller: CallerConnection
-    ) -> collections.abc.AsyncIterator[Hold]:
+    ) -> collections.abc.AsyncIterator[RequestHold]:
         """Answer a request at the latest when this process ends.
 
         An answer that has begun is aborted: it must not look complete.
