--- a/packages/state/src/chivepier/state/following.py
+++ b/packages/state/src/chivepier/state/following.py
@@ -44,8 +44,8 @@
             # from the leader's log, whatever is committed there
             last = request.prev_index + len(request.entries)
             core.raise_commit(min(request.commit, last))
-            # without a lease, others may have committed what this leader lacks;
-            # earlier appends that waited unread are no better
+            # without a lease, others may have committed what this leader
+            # lacks; earlier appends that waited unread are no better
             if not request.leads:
                 core.current_at = float("-inf")
             elif last >= request.commit:
