Go on after a refused write from what the disk holds

Cause: `Core.fail` stopped a voter for as long as its process ran, at its first OSError, and nothing watched it. A passing fault of a disk was made permanent.

Change: a refused write suspends the voter. A torn record is left out before anything is written behind it; nothing of a file whose sync failed is trusted, at a start neither. A write that is refused while its waiter is cancelled counts, too. The tasks of a leader are guarded like the other ones. A new folder on a full disk is waited for; the state beside the log is saved once the disk accepts it.

Storage: each call of each write refused or torn, then renewed, then power lost.

--- a/packages/gateway/src/chivepier/gateway/control/membership.py
+++ b/packages/gateway/src/chivepier/gateway/control/membership.py
@@ -112,7 +112,7 @@
         # or frozen cannot know, as it no longer receives the log. The leader
         # that it heard last may go on in the same term.
         replica = self._replica
-        if replica.error is not None:
+        if replica.refusal is not None or replica.error is not None:
             # it can't be brought up to date, and the leader would try it
             # before any other
             return
--- a/packages/gateway/src/chivepier/gateway/control/statecache.py
+++ b/packages/gateway/src/chivepier/gateway/control/statecache.py
@@ -28,7 +28,7 @@
 from chivepier.gateway.targets import TargetTable
 from chivepier.gateway.zones import ZoneOrder
 from chivepier.state import DamagedError
-from chivepier.state.diskstorage import write_synced
+from chivepier.state.files import write_synced
 from chivepier.state.records import pack_record
 from chivepier.state.records import read_records
 from chivepier.types import Clock
@@ -82,6 +82,7 @@
         self._dirty = asyncio.Event()
         self._urgent = asyncio.Event()
         self._saved_versions: set[tuple[str, str]] = set()
+        self._is_refused = False
         self.restored = False
         table.watchers.append(self._handle_change)
 
@@ -165,7 +166,7 @@
             await self._dirty.wait()
             self._dirty.clear()
             self._urgent.clear()
-            self._saved_versions = {
+            versions = {
                 (target.service, target.software_version)
                 for target in self._table
             }
@@ -175,11 +176,25 @@
                     write_synced, self._folder, FILE_NAME, data
                 )
             except OSError as error:
-                self._log.warn("known_state_unwritten", error=repr(error))
+                self._note_refusal(error)
+                # nobody may mark it again before the next end
+                self._dirty.set()
+            else:
+                self._note_refusal(None)
+                self._saved_versions = versions
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(MIN_WRITE_INTERVAL_SECONDS):
                     await self._urgent.wait()
 
+    def _note_refusal(self, error: OSError | None) -> None:
+        """Log the first refused write, and the first that passes again."""
+        is_refused = error is not None
+        if is_refused and not self._is_refused:
+            self._log.warn("known_state_unwritten", error=repr(error))
+        elif self._is_refused and not is_refused:
+            self._log.info("known_state_written")
+        self._is_refused = is_refused
+
     def note_config(self) -> None:
         """Schedule a write after a new configuration, at once.
 
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -146,7 +146,9 @@
             server.faults,
             self._clock,
         )
-        identity, storage = await open_data_dir(settings)
+        identity, storage = await open_data_dir(
+            settings, self._clock, self._log
+        )
         self._stack.callback(storage.close)
         self.replica = Replica(
             identity.node,
--- a/packages/state/src/chivepier/state/applying.py
+++ b/packages/state/src/chivepier/state/applying.py
@@ -1,6 +1,7 @@
 """Applying what is committed, and taking snapshots."""
 
 import asyncio
+import contextlib
 
 from chivepier.state.core import Core
 from chivepier.state.snapshotpolicy import SnapshotPolicy
@@ -25,10 +26,9 @@
                 if not self._has_next():
                     break
                 self._apply_next()
-            try:
+            # taken again once the disk accepts writes
+            with contextlib.suppress(StorageFailedError):
                 await self._compact()
-            except StorageFailedError:
-                return
             if self._has_next():
                 # a long log must not hold back heartbeats
                 await asyncio.sleep(0)
@@ -65,6 +65,8 @@
         if not due:
             return
         async with core.lock:
+            if core.refusal is not None:
+                return
             if core.machine.index <= core.storage.snapshot.index:
                 return
             snapshot = core.machine.take_snapshot()
--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import random
 import typing
 
@@ -61,6 +62,11 @@
         self.committed = Signal()
         # when the write began that is under way
         self.writing_since: float | None = None
+        # why it takes no part until its disk accepts writes again, and since
+        # when
+        self.refusal: OSError | None = None
+        self.refused_at = 0.0
+        self.suspended = Signal()
         self.error: Exception | None = None
         self.failed = Signal()
         # a restarted voter has forgotten whom it heard: by waiting as if it
@@ -78,6 +84,8 @@
         self.sets.reset(
             storage.snapshot.index, machine.voters, storage.entries
         )
+        if storage.refusal is not None:
+            self.suspend(storage.refusal)
 
     @property
     def voters(self) -> tuple[Voter, ...]:
@@ -115,6 +123,7 @@
         :param term: not lower than before
         :param vote: the candidate voted for, or empty
         """
+        self._check_disk()
         if term > self.storage.term and self.role is Role.LEADER:
             # the term a leader leads in never changes under it
             self.follow("")
@@ -135,6 +144,7 @@
 
         :param entries: what follows the log's last entry
         """
+        self._check_disk()
         self.storage.append(entries)
         self.sets.add(entries)
         await self.store(self.storage.sync())
@@ -163,7 +173,7 @@
             self.committed.set()
 
     async def store(self, work: collections.abc.Awaitable) -> None:
-        """Wait for a write of the storage; an error stops this voter.
+        """Wait for a write of the storage; the lock is held.
 
         :param work: the storage's coroutine
         :raises StorageFailedError: when it failed
@@ -173,10 +183,60 @@
         try:
             await _finish(task)
         except OSError as error:
-            self.fail(error)
             raise StorageFailedError(repr(error)) from error
         finally:
             self.writing_since = None
+            self._note_end(task)
+
+    def _note_end(self, task: asyncio.Task) -> None:
+        # also where the waiter was cancelled: the log would go on behind a
+        # torn record, and memory would answer for what isn't written
+        error = None if task.cancelled() else task.exception()
+        if isinstance(error, OSError):
+            self.suspend(error)
+
+    def _check_disk(self) -> None:
+        if self.refusal is not None:
+            raise StorageFailedError(repr(self.refusal))
+
+    def suspend(self, error: OSError) -> None:
+        """Take no part while the disk refuses writes.
+
+        Memory may be ahead of the disk now, so nothing is answered for until
+        the folder was read and written anew.
+
+        :param error: how a write was refused
+        """
+        if self.refusal is None:
+            log.warning("disk refuses writes error={!r}", error)
+            self.refused_at = self.clock.monotonic()
+        self.refusal = error
+        if self.role is not Role.FOLLOWER:
+            self.follow("")
+        self.suspended.set()
+
+    def resume(self) -> None:
+        """Take part again, from what the disk holds; the lock is held.
+
+        What was promised to a leader in time still holds, as memory kept it.
+
+        :raises DamagedError: when the disk lacks what is committed
+        """
+        storage, machine = self.storage, self.machine
+        if storage.last_index < self.commit:
+            text = f"log: ends at {storage.last_index} of {self.commit}"
+            raise DamagedError(text)
+        if storage.snapshot.index > machine.index:
+            machine.restore(storage.snapshot)
+        self.raise_commit(storage.snapshot.index)
+        later = storage.read(
+            max(machine.index + 1, storage.first_index), len(storage.entries)
+        )
+        self.sets.reset(machine.index, machine.voters, later)
+        seconds = self.clock.monotonic() - self.refused_at
+        log.warning("disk accepts writes after={:.2f}", seconds)
+        self.refusal = None
+        self.committed.set()
 
     def fail(self, error: Exception) -> None:
         """Stop taking part for good: the data folder can't be trusted.
@@ -191,6 +251,19 @@
         self.failed.set()
         self.committed.set()
 
+    async def guard(self, work: collections.abc.Awaitable) -> None:
+        """Run a task of this voter; an error stops the voter.
+
+        A task that ended alone would leave a voter that answers but never
+        stands, applies or writes.
+
+        :param work: the task's coroutine
+        """
+        try:
+            await work
+        except Exception as error:
+            self.fail(error)
+
     def check(self, cluster: str, voter: str) -> None:
         """Refuse a peer's message where this voter may not answer it.
 
@@ -200,13 +273,23 @@
 
         :param cluster: the cluster the peer says it belongs to
         :param voter: the identity the message is for
-        :raises StorageFailedError: when this voter has stopped
+        :raises StorageFailedError: when its disk refuses writes, or it has
+            stopped
         :raises RefusedError: when the peer belongs to another cluster: a
             voter left behind by a forced recovery, or a wrong address; or
             when the message is for another identity
         """
-        if self.error is not None:
-            raise StorageFailedError(repr(self.error))
+        if (error := self.error or self.refusal) is not None:
+            raise StorageFailedError(repr(error))
+        self.check_names(cluster, voter)
+
+    def check_names(self, cluster: str, voter: str) -> None:
+        """Refuse a message that is for another voter.
+
+        :param cluster: the cluster the peer says it belongs to
+        :param voter: the identity the message is for
+        :raises RefusedError: as :meth:`check` does
+        """
         if cluster and self.cluster and cluster != self.cluster:
             raise RefusedError(f"of another cluster: {cluster}")
         if voter and voter != self.node:
@@ -219,5 +302,7 @@
     try:
         await asyncio.shield(task)
     except asyncio.CancelledError:
-        await asyncio.wait([task])
+        while not task.done():
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.wait([task])
         raise
--- a/packages/state/src/chivepier/state/diskstorage.py
+++ b/packages/state/src/chivepier/state/diskstorage.py
@@ -4,10 +4,13 @@
 import os
 import pathlib
 
+import attrs
 import cbor2
 
 from chivepier.messages import Entry
 from chivepier.state.damagederror import DamagedError
+from chivepier.state.files import write_all
+from chivepier.state.files import write_synced
 from chivepier.state.logfile import LogBase
 from chivepier.state.logfile import pack_base
 from chivepier.state.logfile import pack_batch
@@ -22,6 +25,16 @@
 SNAPSHOT_FILE = "snapshot"
 
 
+@attrs.frozen
+class _Contents:
+    """What the files of a folder add up to."""
+
+    term: int
+    vote: str
+    snapshot: Snapshot
+    entries: list[Entry]
+
+
 class DiskStorage(Storage):
     """Files under one folder; every reply waits until they are synced.
 
@@ -33,30 +46,63 @@
     :param used: an identity says that the folder is in use: a missing log
         was lost, and starting with an empty one could outvote what it held
     :raises DamagedError: when a file is damaged before its tail
+    :raises OSError: when a file can't be read, or a new folder not be written
     """
 
     def __init__(self, folder: pathlib.Path, used: bool = False):
         self._folder = folder
         self._used = used
         folder.mkdir(parents=True, exist_ok=True)
-        self._unwritten: list[Entry] = []
-        self.term, self.vote = self._load_vote()
-        self.snapshot = self._load_snapshot()
-        self.entries = self._load_log()
-        self._sync_loaded()
-        self._log = open(folder / LOG_FILE, "ab")
+        self._log: int | None = None
+        contents = self._read()
+        self._take(contents)
+        try:
+            self._write_anew(contents)
+        except OSError as error:
+            if not used:
+                raise
+            self.refusal = error
 
     def close(self) -> None:
         """Close the log file."""
-        self._log.close()
+        handle, self._log = self._log, None
+        if handle is not None:
+            os.close(handle)
+
+    async def renew(self) -> None:
+        """Read the folder again, and write anew what was appended to."""
+        self._take(await asyncio.to_thread(self._read_and_write_anew))
+        self.refusal = None
+
+    def _read_and_write_anew(self) -> _Contents:
+        contents = self._read()
+        self._write_anew(contents)
+        return contents
+
+    def _take(self, contents: _Contents) -> None:
+        self.term, self.vote = contents.term, contents.vote
+        self.snapshot, self.entries = contents.snapshot, contents.entries
+        self._unwritten: list[Entry] = []
 
-    def _sync_loaded(self) -> None:
-        # a process that was killed leaves what it wrote, synced or not; this
-        # voter answers for it from now on, and power may be lost next
-        for name in (VOTE_FILE, SNAPSHOT_FILE, LOG_FILE):
-            if (self._folder / name).exists():
-                sync_path(self._folder / name)
-        sync_path(self._folder)
+    def _read(self) -> _Contents:
+        term, vote = self._load_vote()
+        snapshot = self._load_snapshot()
+        entries = self._load_log(snapshot, self._used or term > 0)
+        return _Contents(term, vote, snapshot, entries)
+
+    def _write_anew(self, contents: _Contents) -> None:
+        # after a sync that failed, or that was cut short by the end of the
+        # process, the system may take pages for written that are not on the
+        # disk; those of a new file it writes, with its name and earlier ones
+        self.close()
+        if contents.term:
+            self._write_vote(contents.term, contents.vote)
+        self._rewrite_log(contents.snapshot, contents.entries)
+        self._open_log()
+
+    def _open_log(self) -> None:
+        path = self._folder / LOG_FILE
+        self._log = os.open(path, os.O_WRONLY | os.O_APPEND)
 
     def _load_single(self, name: str) -> bytes | None:
         path = self._folder / name
@@ -81,32 +127,27 @@
             return Snapshot()
         return Snapshot(*cbor2.loads(payload))
 
-    def _load_log(self) -> list[Entry]:
+    def _load_log(self, snapshot: Snapshot, used: bool) -> list[Entry]:
         path = self._folder / LOG_FILE
         if not path.exists():
-            if self._used or self.snapshot.index or self.term:
+            if used or snapshot.index:
                 # the log is made first, so it was there and got lost
                 raise DamagedError("log: the file is missing")
-            self._rewrite_log(self.snapshot, ())
             return []
-        payloads, length = read_records(path.read_bytes(), LOG_FILE)
+        # a torn tail is left out, and the log written anew without it
+        payloads, _ = read_records(path.read_bytes(), LOG_FILE)
         if not payloads:
             raise DamagedError("log: no intact record")
-        entries = replay(payloads, self.snapshot)
-        if length != path.stat().st_size:
-            os.truncate(path, length)
-        base = LogBase(self.snapshot.index, self.snapshot.term)
-        if payloads[0] != cbor2.dumps((base.index, base.term)):
-            # a crash came between the snapshot and the log behind it
-            self._rewrite_log(self.snapshot, tuple(entries))
-        return entries
+        return replay(payloads, snapshot)
 
     async def save_vote(self, term: int, vote: str) -> None:
         """Replace the vote file."""
-        payload = cbor2.dumps((term, vote))
-        await asyncio.to_thread(self._replace, VOTE_FILE, payload)
+        await asyncio.to_thread(self._write_vote, term, vote)
         self.term, self.vote = term, vote
 
+    def _write_vote(self, term: int, vote: str) -> None:
+        self._replace(VOTE_FILE, cbor2.dumps((term, vote)))
+
     def append(self, entries: tuple[Entry, ...]) -> None:
         """Add entries; :meth:`sync` writes them."""
         self._unwritten += entries
@@ -123,62 +164,29 @@
             await asyncio.to_thread(self._write_batch, batch)
 
     def _write_batch(self, batch: tuple[Entry, ...]) -> None:
-        self._log.write(pack_batch(batch))
-        self._log.flush()
-        os.fdatasync(self._log.fileno())
+        write_all(self._log, pack_batch(batch))
+        os.fdatasync(self._log)
 
     async def save_snapshot(self, snapshot: Snapshot) -> None:
         """Replace the snapshot, then the log without what it covers."""
         kept = [e for e in self.entries if e.index > snapshot.index]
-        await asyncio.to_thread(self._write_snapshot, snapshot, tuple(kept))
+        await asyncio.to_thread(self._write_snapshot, snapshot, kept)
         self.snapshot = snapshot
         self.entries = kept
         self._unwritten = []
 
-    def _write_snapshot(
-        self, snapshot: Snapshot, kept: tuple[Entry, ...]
-    ) -> None:
+    def _write_snapshot(self, snapshot: Snapshot, kept: list[Entry]) -> None:
         fields = (snapshot.index, snapshot.term, snapshot.data)
         self._replace(SNAPSHOT_FILE, cbor2.dumps(fields))
-        self._log.close()
+        self.close()
         self._rewrite_log(snapshot, kept)
-        self._log = open(self._folder / LOG_FILE, "ab")
+        self._open_log()
 
-    def _rewrite_log(
-        self, snapshot: Snapshot, kept: tuple[Entry, ...]
-    ) -> None:
+    def _rewrite_log(self, snapshot: Snapshot, kept: list[Entry]) -> None:
         data = pack_base(LogBase(snapshot.index, snapshot.term))
         if kept:
-            data += pack_batch(kept)
+            data += pack_batch(tuple(kept))
         write_synced(self._folder, LOG_FILE, data)
 
     def _replace(self, name: str, payload: bytes) -> None:
         write_synced(self._folder, name, pack_record(payload))
-
-
-def write_synced(folder: pathlib.Path, name: str, data: bytes) -> None:
-    """Replace a file so that a crash leaves the old or the new one.
-
-    :param folder: where it lives
-    :param name: its name
-    :param data: its new content
-    """
-    fresh = folder / f"{name}.new"
-    with open(fresh, "wb") as stream:
-        stream.write(data)
-        stream.flush()
-        os.fsync(stream.fileno())
-    os.replace(fresh, folder / name)
-    sync_path(folder)
-
-
-def sync_path(path: pathlib.Path) -> None:
-    """Sync a file, or a folder so that a new name in it survives a crash.
-
-    :param path: an existing file or folder
-    """
-    handle = os.open(path, os.O_RDONLY)
-    try:
-        os.fsync(handle)
-    finally:
-        os.close(handle)
--- a/packages/state/src/chivepier/state/elections.py
+++ b/packages/state/src/chivepier/state/elections.py
@@ -1,6 +1,7 @@
 """Elections: standing for the lead and answering those who stand."""
 
 import asyncio
+import contextlib
 
 import attrs
 import logbook
@@ -15,6 +16,7 @@
 from chivepier.state.electionlog import ElectionLog
 from chivepier.state.prevotes import PreVotes
 from chivepier.state.role import Role
+from chivepier.state.storagefailederror import StorageFailedError
 from chivepier.state.tenure import Tenure
 from chivepier.wire import LinkError
 
@@ -46,11 +48,17 @@
                 heard = core.heard
                 timeout = self._draw_timeout()
             waited = core.clock.monotonic() - max(heard, stood)
-            if core.tenure is None and waited >= timeout and core.is_voter():
-                await self._stand()
+            if self._may_stand() and waited >= timeout:
+                # whose vote can't be saved doesn't stand
+                with contextlib.suppress(StorageFailedError):
+                    await self._stand()
                 stood = core.clock.monotonic()
                 timeout = self._draw_retry()
 
+    def _may_stand(self) -> bool:
+        core = self._core
+        return core.tenure is None and core.refusal is None and core.is_voter()
+
     def _draw_timeout(self) -> float:
         timing = self._core.timing
         return timing.election + self._core.rng.random() * timing.spread
@@ -198,7 +206,10 @@
         if answer.term > core.storage.term:
             # also after a pre-vote: the only voter with the whole log may
             # have the lowest term, and nobody else can win
-            await core.adopt_term(answer.term)
+            try:
+                await core.adopt_term(answer.term)
+            except StorageFailedError as error:
+                return str(error)
         return GRANTED if answer.granted else REFUSED
 
     async def handle_vote(self, request: VoteRequest) -> VoteAnswer:
--- a/packages/state/src/chivepier/state/following.py
+++ b/packages/state/src/chivepier/state/following.py
@@ -30,6 +30,8 @@
         """
         core = self._core
         arrived = core.clock.monotonic()
+        if core.refusal is not None:
+            self._note_leader(request)
         async with core.lock:
             core.check(request.cluster, request.voter)
             storage = core.storage
@@ -71,10 +73,21 @@
             index -= 1
         return index - 1
 
+    def _note_leader(self, request: AppendRequest | SnapshotRequest) -> None:
+        """Know the leader although its entries can't be stored."""
+        core = self._core
+        core.check_names(request.cluster, request.voter)
+        if request.term >= core.storage.term:
+            self._follow(request.leader)
+
     async def _hear(self, term: int, leader: str) -> None:
         core = self._core
         if term > core.storage.term:
             await core.save_vote(term, "")
+        self._follow(leader)
+
+    def _follow(self, leader: str) -> None:
+        core = self._core
         if core.role is not Role.FOLLOWER or core.leader != leader:
             core.follow(leader)
         core.heard = core.clock.monotonic()
@@ -103,6 +116,8 @@
         :returns: how much is held
         """
         core = self._core
+        if core.refusal is not None:
+            self._note_leader(request)
         async with core.lock:
             core.check(request.cluster, request.voter)
             storage = core.storage
--- a/packages/state/src/chivepier/state/identity.py
+++ b/packages/state/src/chivepier/state/identity.py
@@ -7,7 +7,7 @@
 import cbor2
 
 from chivepier.state.damagederror import DamagedError
-from chivepier.state.diskstorage import write_synced
+from chivepier.state.files import write_synced
 from chivepier.state.records import pack_record
 from chivepier.state.records import read_records
 
--- a/packages/state/src/chivepier/state/replication.py
+++ b/packages/state/src/chivepier/state/replication.py
@@ -9,6 +9,7 @@
 from chivepier.messages import SnapshotRequest
 from chivepier.messages import Voter
 from chivepier.state.core import Core
+from chivepier.state.storagefailederror import StorageFailedError
 from chivepier.wire import LinkError
 
 if typing.TYPE_CHECKING:
@@ -46,6 +47,9 @@
                 self._note_silence(error)
                 await core.clock.sleep(core.timing.heartbeat)
                 continue
+            except StorageFailedError:
+                # the lead ended with it
+                return
             if self._following > tenure.synced and self._told >= core.commit:
                 await tenure.grown.wait()
 
--- a/packages/state/src/chivepier/state/storage.py
+++ b/packages/state/src/chivepier/state/storage.py
@@ -20,6 +20,8 @@
     vote: str
     entries: list[Entry]
     snapshot: Snapshot
+    # why the disk can't be written since the start, until it is renewed
+    refusal: OSError | None = None
 
     @property
     def first_index(self) -> int:
@@ -78,6 +80,17 @@
     async def save_snapshot(self, snapshot: Snapshot) -> None:
         """Keep a snapshot, synced, and drop the entries it covers."""
 
+    @abc.abstractmethod
+    async def renew(self) -> None:
+        """Go back to what the disk holds after a write that it refused.
+
+        Memory may be ahead of the disk, and the disk may hold a part of what
+        was refused.  What :meth:`sync` has returned for is there in any case.
+
+        :raises OSError: while the disk still refuses
+        :raises DamagedError: when a file is damaged before its tail
+        """
+
     @abc.abstractmethod
     def close(self) -> None:
         """Release what is held open."""
--- a/packages/state/src/chivepier/state/tenure.py
+++ b/packages/state/src/chivepier/state/tenure.py
@@ -51,7 +51,8 @@
         """Begin to lead with an entry of this term."""
         self._pending.append((encode(Noop()), _new_future()))
         for work in (self._write(), self._keep_peers(), self._beat()):
-            self._tasks.append(asyncio.create_task(work))
+            task = asyncio.create_task(self._core.guard(work))
+            self._tasks.append(task)
 
     def end(self) -> None:
         """Stop at once; commands under way may be committed or not."""
@@ -173,7 +174,9 @@
                     wanted - tasks.keys(), key=lambda v: v.node
                 ):
                     replication = Replication(core, self, peer)
-                    tasks[peer] = asyncio.create_task(replication.run())
+                    tasks[peer] = asyncio.create_task(
+                        core.guard(replication.run())
+                    )
                 await self.grown.wait()
         finally:
             for task in tasks.values():
--- a/packages/state/src/chivepier/state/testing/memorystorage.py
+++ b/packages/state/src/chivepier/state/testing/memorystorage.py
@@ -23,11 +23,20 @@
         self._disk = disk
         self._clock = clock
         self._rng = rng
+        self.fails = False
+        self.crashed = False
+        self._load()
+
+    def _load(self) -> None:
+        disk = self._disk
         self.term, self.vote = disk.term, disk.vote
         self.snapshot = disk.snapshot
         self.entries = list(disk.entries)
-        self.fails = False
-        self.crashed = False
+
+    async def renew(self) -> None:
+        """Go back to what the disk holds."""
+        await self._wait()
+        self._load()
 
     async def _wait(self) -> None:
         if self.fails:
--- /dev/null
+++ b/packages/state/src/chivepier/state/tests/test_refusedwrites.py
@@ -0,0 +1,268 @@
+"""Tests of disks that refuse writes for a time."""
+
+import asyncio
+import errno
+import random
+
+import pytest
+
+from chivepier.state import DiskStorage
+from chivepier.state import LostLeadError
+from chivepier.state.snapshot import Snapshot
+from chivepier.state.storagefailederror import StorageFailedError
+from chivepier.state.testing.histories import make_change
+from chivepier.state.testing.poweredfolder import PoweredFolder
+from chivepier.state.testing.refusingdisk import RefusingDisk
+from chivepier.state.testing.rig import Rig
+from chivepier.state.tests.test_diskstorage import entries
+from chivepier.state.tests.test_diskstorage import write
+from chivepier.state.tests.test_safeguards import beat
+
+# More calls than any one write makes.
+MOST_CALLS = 12
+ERRORS = (errno.ENOSPC, errno.EIO, errno.EDQUOT, errno.EROFS, errno.EFBIG)
+# The longest time until there is a leader again: a pause of the recovery, the
+# longest election timeout, and some rounds.
+RETURN_SECONDS = 3.0
+
+
+def look(folder) -> tuple:
+    """Start a voter, and return what it answers for."""
+    storage = DiskStorage(folder, used=True)
+    storage.close()
+    return describe(storage)
+
+
+def describe(storage) -> tuple:
+    """Return all that a voter answers for."""
+    return (
+        storage.term,
+        storage.vote,
+        storage.snapshot,
+        tuple(storage.entries),
+    )
+
+
+async def save_vote(storage) -> None:
+    """Keep a vote."""
+    await storage.save_vote(4, "b")
+
+
+async def append(storage) -> None:
+    """Add entries, a large one too."""
+    await write(storage, entries(2, 6, 9))
+
+
+async def overwrite(storage) -> None:
+    """Replace the last entries, as a new leader does."""
+    storage.truncate(4)
+    await write(storage, entries(3, 4, 4))
+
+
+async def save_snapshot(storage) -> None:
+    """Keep a snapshot, and a log without what it covers."""
+    await storage.save_snapshot(Snapshot(4, 2, b"state"))
+
+
+WORKS = (save_vote, append, overwrite, save_snapshot)
+
+
+async def prepare(folder) -> DiskStorage:
+    """Make a storage with some entries."""
+    storage = DiskStorage(folder)
+    await storage.save_vote(3, "a")
+    await write(storage, entries(1, 1, 2), entries(2, 3, 5))
+    return storage
+
+
+async def renew(storage, disk: RefusingDisk) -> None:
+    """Fail to go on while the disk refuses, and go on after it."""
+    with pytest.raises(OSError):
+        await storage.renew()
+    disk.accept()
+    await storage.renew()
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("torn", (False, True), ids=("whole", "torn"))
+@pytest.mark.parametrize("accepted", range(MOST_CALLS))
+@pytest.mark.parametrize("work", WORKS, ids=lambda work: work.__name__)
+def test_storage_goes_on_from_the_disk_after_a_refused_write(
+    tmp_path, work, accepted, torn, seed
+):
+    # Guards against a log that goes on behind a torn record, and against
+    # entries or votes that memory has and a loss of power takes.
+    async def play():
+        rng, path = random.Random(seed), tmp_path / "data"
+        with PoweredFolder(path, tmp_path / "shadow") as folder:
+            with RefusingDisk(path) as disk:
+                storage = await prepare(path)
+                before = describe(storage)
+                error = rng.choice(ERRORS)
+                disk.refuse(error, accepted, torn)
+                try:
+                    await work(storage)
+                except OSError:
+                    await renew(storage, disk)
+                    assert is_between(before, describe(storage))
+                disk.accept()
+                await storage.save_vote(5, "c")
+                last = storage.last_index
+                await write(storage, entries(5, last + 1, last + 1))
+                expected = describe(storage)
+                storage.close()
+            assert look(path) == expected
+            folder.lose_power(rng)
+            assert look(path) == expected
+
+    asyncio.run(play())
+
+
+def is_between(before: tuple, after: tuple) -> bool:
+    """Tell whether nothing that was synced is lost, but to an overwrite."""
+    committed = before[3][:3]
+    held = after[3]
+    if after[2].index:
+        held = before[3][: after[2].index] + held
+    return after[0] >= before[0] and held[:3] == committed
+
+
+@pytest.mark.parametrize("accepted", range(MOST_CALLS))
+def test_process_that_ends_after_a_refused_write_starts_whole(
+    tmp_path, accepted
+):
+    # Guards against a start that takes the pages of a failed sync for
+    # written, and answers for what the next loss of power takes.
+    async def play():
+        path = tmp_path / "data"
+        with PoweredFolder(path, tmp_path / "shadow") as folder:
+            with RefusingDisk(path) as disk:
+                storage = await prepare(path)
+                disk.refuse(errno.EIO, accepted)
+                try:
+                    await append(storage)
+                except OSError:
+                    pass
+                storage.close()
+                disk.accept()
+                before = look(path)
+            folder.lose_power(random.Random(accepted))
+            assert look(path) == before
+
+    asyncio.run(play())
+
+
+@pytest.mark.parametrize("accepted", range(MOST_CALLS))
+def test_voter_starts_on_a_disk_that_refuses(tmp_path, accepted):
+    # Guards against a process that ends at each start while its disk is full.
+    async def play():
+        path = tmp_path / "data"
+        path.mkdir()
+        with RefusingDisk(path) as disk:
+            storage = await prepare(path)
+            before = describe(storage)
+            storage.close()
+            disk.refuse(errno.ENOSPC, accepted)
+            again = DiskStorage(path, used=True)
+            assert describe(again) == before
+            if again.refusal is not None:
+                await renew(again, disk)
+            assert again.refusal is None
+            disk.accept()
+            await append(again)
+            assert look(path) == describe(again)
+
+    asyncio.run(play())
+
+
+async def check_return(rig: Rig, name: str) -> None:
+    """Check that a change is accepted soon, and that all have it."""
+    began = rig.clock.monotonic()
+    leader = await rig.await_leader()
+    assert rig.clock.monotonic() - began <= RETURN_SECONDS
+    answer = await rig.propose(make_change(name))
+    assert not answer.error
+    replicas = rig.replicas.values()
+    await rig.wait(
+        lambda: all(r.machine.index >= answer.index for r in replicas)
+    )
+    assert leader.error is None
+
+
+@pytest.mark.parametrize("size", (3, 4, 5))
+@pytest.mark.parametrize("leads", (True, False))
+def test_disks_that_refuse_one_after_the_other_end_no_lead_for_good(
+    size, leads
+):
+    # Guards against a voter that takes no part any more after a refused
+    # write: with two of them, no change and no read is answered to the end.
+    async def play_it():
+        async with Rig(size) as rig:
+            for number in range(size):
+                leader = await rig.await_leader()
+                others = [r for r in rig.replicas.values() if r is not leader]
+                chosen = leader if leads else others[number % len(others)]
+                storage = rig.storages[chosen.node]
+                storage.fails = True
+                proposed = leader.propose(make_change(f"a{number}"))
+                if leads:
+                    with pytest.raises(LostLeadError):
+                        await rig.finish(proposed)
+                else:
+                    assert not (await rig.finish(proposed)).error
+                await rig.wait(lambda: chosen.refusal is not None)
+                assert not chosen.leads()
+                await rig.step(3.5)
+                storage.fails = False
+                await rig.wait(lambda: chosen.refusal is None, 1.0)
+            await check_return(rig, "last")
+
+    asyncio.run(play_it())
+
+
+@pytest.mark.parametrize("count", (2, 3))
+@pytest.mark.parametrize("seed", range(4))
+def test_disks_that_refuse_at_once_end_no_lead_for_good(count, seed):
+    # Guards against the same where a quorum refuses in the same moment.
+    async def play_it():
+        async with Rig(3, seed) as rig:
+            leader = await rig.await_leader()
+            await rig.propose(make_change("kept"))
+            names = rig.rng.sample(sorted(rig.replicas), count)
+            for name in names:
+                rig.storages[name].fails = True
+            task = asyncio.ensure_future(leader.propose(make_change("torn")))
+            await rig.step(3.5)
+            for name in names:
+                rig.storages[name].fails = False
+            await check_return(rig, "last")
+            for replica in rig.replicas.values():
+                assert ("team", "kept") in replica.machine.documents
+            await asyncio.wait([task])
+
+    asyncio.run(play_it())
+
+
+def test_voter_whose_disk_refuses_answers_for_nothing_and_knows_the_leader():
+    # Guards against votes and appends that memory alone holds.
+    async def play_it():
+        async with Rig(3) as rig:
+            leader = await rig.await_leader()
+            rig.storages[leader.node].fails = True
+            with pytest.raises(LostLeadError):
+                await rig.finish(leader.propose(make_change("c1")))
+            assert isinstance(leader.refusal, OSError)
+            assert leader.error is None and not leader.leads()
+            with pytest.raises(StorageFailedError, match="no space left"):
+                await leader.handle_append(beat("c", leader.node))
+            await rig.propose(make_change("c2"))
+            assert rig.find_leader() is not leader
+            assert leader.leader == rig.find_leader().node
+            assert ("team", "c2") not in leader.machine.documents
+            rig.storages[leader.node].fails = False
+            await rig.wait(
+                lambda: ("team", "c2") in leader.machine.documents, 1.0
+            )
+            assert ("team", "c1") not in leader.machine.documents
+
+    asyncio.run(play_it())
