--- a/packages/state/src/chivepier/state/testing/histories.py
+++ b/packages/state/src/chivepier/state/testing/histories.py
@@ -174,6 +174,10 @@
             rig.unlink(voter, find_voter(rig, rest[1]))
         case "heal":
             rig.network.cut.clear()
+        case "refuse":
+            rig.disks[voter].refuses = True
+        case "accept":
+            accept_writes(rig)
         case "lose":
             client.lose(voter)
         case "storm":
@@ -184,8 +188,15 @@
             await rig.step(0.05 * rest[0])
 
 
+def accept_writes(rig: Rig) -> None:
+    """Let all disks accept writes."""
+    for disk in rig.disks.values():
+        disk.refuses = False
+
+
 async def settle(rig: Rig, client: Client) -> None:
     """End every failure; check that all that was accepted is there."""
+    accept_writes(rig)
     rig.network.cut.clear()
     rig.network.loss = rig.network.repeat = 0.0
     rig.network.slowest = 0.01
--- a/packages/state/src/chivepier/state/testing/memorydisk.py
+++ b/packages/state/src/chivepier/state/testing/memorydisk.py
@@ -14,3 +14,4 @@
     vote: str = ""
     snapshot: Snapshot = Snapshot()
     entries: tuple[Entry, ...] = ()
+    refuses: bool = False
--- a/packages/state/src/chivepier/state/tests/test_random_failures.py
+++ b/packages/state/src/chivepier/state/tests/test_random_failures.py
@@ -38,6 +38,9 @@
 
 
 LOSS = st.tuples(st.just("lose"), VOTERS)
+REFUSAL = st.one_of(
+    st.tuples(st.just("refuse"), VOTERS), st.tuples(st.just("accept"))
+)
 
 
 @ROUGH
@@ -54,3 +57,13 @@
 def test_disks_lost_one_after_the_other_break_no_promise(seed, actions):
     """Each next disk is lost right after the voters were repaired."""
     asyncio.run(play(seed, actions))
+
+
+@ROUGH
+@given(
+    st.integers(0, 1 << 16),
+    st.lists(st.one_of(ACTION, REFUSAL, LOSS), min_size=25, max_size=60),
+)
+def test_disks_that_refuse_writes_break_no_promise(seed, actions):
+    """What a disk refused may be found on it later, or not."""
+    asyncio.run(play(seed, actions))
--- a/packages/state/src/chivepier/state/tests/test_safeguards.py
+++ b/packages/state/src/chivepier/state/tests/test_safeguards.py
@@ -17,6 +17,7 @@
 from chivepier.state.replication import Replication
 from chivepier.state.tenure import Tenure
 from chivepier.state.testing.histories import draw_history
+from chivepier.state.testing.histories import make_change
 from chivepier.state.testing.histories import play
 from chivepier.state.testing.memorydisk import MemoryDisk
 from chivepier.state.testing.rig import Rig
@@ -345,3 +346,47 @@
                 await leader.propose(bytes(5 << 20))
 
     asyncio.run(play_it())
+
+
+class Unrenewed(Replica):
+    """Goes on from memory after a refused write."""
+
+    def __init__(self, *args, **options):
+        super().__init__(*args, **options)
+        storage = self._core.storage
+        renew = storage.renew
+
+        async def renew_nothing():
+            held = storage.entries, storage.term, storage.vote
+            await renew()
+            storage.entries, storage.term, storage.vote = held
+
+        storage.renew = renew_nothing
+
+
+async def commit_after_a_refusal(replica_type: type[Replica]) -> None:
+    """Let one of two followers refuse what needs its disk to be committed."""
+    for seed in range(SEEDS // 4):
+        async with Rig(3, seed, replica_type=replica_type) as rig:
+            leader = await rig.await_leader()
+            near, far = (n for n in rig.replicas if n != leader.node)
+            rig.isolate(far)
+            rig.storages[near].fails = True
+            change = asyncio.ensure_future(leader.propose(make_change("c")))
+            await rig.wait(lambda: rig.replicas[near].refusal is not None)
+            rig.storages[near].fails = False
+            index = (await rig.finish(change)).index
+            holders = [d for d in rig.disks.values() if holds(d, index)]
+            assert len(holders) >= 2, "committed on one disk"
+
+
+def holds(disk: MemoryDisk, index: int) -> bool:
+    """Tell whether a disk holds an entry."""
+    return any(entry.index == index for entry in disk.entries)
+
+
+def test_voter_that_goes_on_from_memory_answers_for_what_was_refused():
+    # Guards against a change that is committed on too few disks.
+    asyncio.run(commit_after_a_refusal(Replica))
+    with pytest.raises(AssertionError, match="on one disk"):
+        asyncio.run(commit_after_a_refusal(Unrenewed))
