Hand the lead over as soon as a leader's disk refuses writes

Operators waited for 1 to 2.5 s for another leader after the disk of the leader had refused a write: the others kept to its lease, although it had given the lead up already.

Change: it tells them, with its term. A voter that still follows that leader in that term owes it nothing more and stands at its next look. A word that is late is of an earlier term, in which it never leads again.

--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -8,6 +8,7 @@
 
 import logbook
 
+from chivepier.messages import AppendRequest
 from chivepier.messages import Entry
 from chivepier.messages import Voter
 from chivepier.state.damagederror import DamagedError
@@ -20,6 +21,7 @@
 from chivepier.state.votersets import VoterSets
 from chivepier.types import Clock
 from chivepier.types import Signal
+from chivepier.wire import LinkError
 from chivepier.wire import RefusedError
 
 if typing.TYPE_CHECKING:
@@ -67,6 +69,7 @@
         self.refusal: OSError | None = None
         self.refused_at = 0.0
         self.suspended = Signal()
+        self._resignations: set[asyncio.Task] = set()
         self.error: Exception | None = None
         self.failed = Signal()
         # a restarted voter has forgotten whom it heard: by waiting as if it
@@ -100,6 +103,20 @@
         """Seconds since a leader was heard or a vote was given."""
         return self.clock.monotonic() - self.heard
 
+    def release(self, leader: str, term: int) -> None:
+        """Owe a leader nothing more, at its own word.
+
+        It never leads again in that term, however late its word comes.
+
+        :param leader: the leader that has resigned
+        :param term: the term that it led in
+        """
+        if term != self.storage.term or leader != self.leader:
+            return
+        self.follow("")
+        timing = self.timing
+        self.heard = self.clock.monotonic() - timing.election - timing.spread
+
     def leads(self) -> bool:
         """Tell whether this voter leads and its lease has not run out."""
         return self.tenure is not None and self.tenure.holds_lease()
@@ -211,7 +228,9 @@
             log.warning("disk refuses writes error={!r}", error)
             self.refused_at = self.clock.monotonic()
         self.refusal = error
-        if self.role is not Role.FOLLOWER:
+        if self.tenure is not None:
+            self.tenure.resign()
+        elif self.role is not Role.FOLLOWER:
             self.follow("")
         self.suspended.set()
 
@@ -251,6 +270,25 @@
         self.failed.set()
         self.committed.set()
 
+    def announce(self, peer: Voter, resignation: AppendRequest) -> None:
+        """Tell a voter that this one leads no more, without waiting for it.
+
+        :param peer: the voter
+        :param resignation: the message for it
+        """
+        task = asyncio.create_task(self._tell(peer, resignation))
+        self._resignations.add(task)
+        task.add_done_callback(self._resignations.discard)
+
+    async def _tell(self, peer: Voter, resignation: AppendRequest) -> None:
+        try:
+            await self.transport.request(
+                peer.address, resignation, self.timing.request
+            )
+        except LinkError as error:
+            # the lease that it waits for runs out all the same
+            log.info("not told to elect node={} error={}", peer.node, error)
+
     async def guard(self, work: collections.abc.Awaitable) -> None:
         """Run a task of this voter; an error stops the voter.
 
--- a/packages/state/src/chivepier/state/following.py
+++ b/packages/state/src/chivepier/state/following.py
@@ -37,6 +37,9 @@
             storage = core.storage
             if request.term < storage.term:
                 return AppendAnswer(storage.term, False, storage.last_index)
+            if request.ends:
+                core.release(request.leader, request.term)
+                return AppendAnswer(storage.term, False, storage.last_index)
             await self._hear(request.term, request.leader)
             back = self._find_conflict(request)
             if back is not None:
@@ -77,7 +80,7 @@
         """Know the leader although its entries can't be stored."""
         core = self._core
         core.check_names(request.cluster, request.voter)
-        if request.term >= core.storage.term:
+        if request.term >= core.storage.term and not is_resignation(request):
             self._follow(request.leader)
 
     async def _hear(self, term: int, leader: str) -> None:
@@ -151,3 +154,8 @@
         core.machine.restore(snapshot)
         core.sets.reset(snapshot.index, core.machine.voters, storage.entries)
         core.raise_commit(snapshot.index)
+
+
+def is_resignation(request: AppendRequest | SnapshotRequest) -> bool:
+    """Tell whether a message says that its sender leads no more."""
+    return isinstance(request, AppendRequest) and request.ends
--- a/packages/state/src/chivepier/state/tenure.py
+++ b/packages/state/src/chivepier/state/tenure.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+from chivepier.messages import AppendRequest
 from chivepier.messages import encode
 from chivepier.messages import Entry
 from chivepier.messages import Noop
@@ -54,6 +55,29 @@
             task = asyncio.create_task(self._core.guard(work))
             self._tasks.append(task)
 
+    def resign(self) -> None:
+        """Stop at once, and let the others elect another leader at once."""
+        core = self._core
+        core.follow("")
+        for peer in core.voters:
+            if peer.node != core.node:
+                core.announce(peer, self._make_resignation(peer))
+
+    def _make_resignation(self, peer: Voter) -> AppendRequest:
+        core = self._core
+        return AppendRequest(
+            self.term,
+            core.node,
+            0,
+            0,
+            (),
+            0,
+            core.cluster,
+            peer.node,
+            leads=False,
+            ends=True,
+        )
+
     def end(self) -> None:
         """Stop at once; commands under way may be committed or not."""
         for task in self._tasks:
--- a/packages/state/src/chivepier/state/tests/test_refusedwrites.py
+++ b/packages/state/src/chivepier/state/tests/test_refusedwrites.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from chivepier.messages import AppendRequest
 from chivepier.state import DiskStorage
 from chivepier.state import LostLeadError
 from chivepier.state.snapshot import Snapshot
@@ -266,3 +267,52 @@
             assert ("team", "c1") not in leader.machine.documents
 
     asyncio.run(play_it())
+
+
+# The longest time until another leads: a round for each of two ballots, and
+# some pauses between two attempts.
+HAND_OVER_SECONDS = 1.5
+
+
+@pytest.mark.parametrize("size", (3, 4, 5))
+@pytest.mark.parametrize("seed", range(10))
+def test_leader_whose_disk_refuses_hands_over_before_its_lease_ends(
+    size, seed
+):
+    # Guards against seconds without a leader although all could elect one.
+    async def play_it():
+        async with Rig(size, seed) as rig:
+            leader = await rig.await_leader()
+            rig.storages[leader.node].fails = True
+            with pytest.raises(LostLeadError):
+                await rig.finish(leader.propose(make_change("c1")))
+            began = rig.clock.monotonic()
+            other = await rig.await_leader()
+            assert other is not leader
+            assert rig.clock.monotonic() - began <= HAND_OVER_SECONDS
+
+    asyncio.run(play_it())
+
+
+def test_late_resignation_frees_nobody_from_a_later_leader():
+    # Guards against two leases: a word that was held back on a link must not
+    # end what a voter owes to the leader of a later term.
+    async def play_it():
+        async with Rig(3) as rig:
+            old = await rig.await_leader()
+            term = old.storage.term
+            rig.isolate(old.node)
+            await rig.wait(lambda: rig.find_leader() not in (None, old), 10.0)
+            new = await rig.await_leader()
+            follower = next(
+                r for r in rig.replicas.values() if r not in (old, new)
+            )
+            quiet = follower._core.quiet()
+            resignation = AppendRequest(
+                term, old.node, 0, 0, (), 0, "c", follower.node, False, True
+            )
+            await rig.finish(follower.handle_append(resignation))
+            assert follower._core.quiet() <= quiet + 0.5
+            assert follower.leader == new.node
+
+    asyncio.run(play_it())
--- a/packages/types/src/chivepier/messages/appendrequest.py
+++ b/packages/types/src/chivepier/messages/appendrequest.py
@@ -9,7 +9,8 @@
     """Entries after ``prev_index``, or none for a heartbeat.
 
     ``leads`` tells that the leader held its lease as it sent this: nobody else
-    had committed anything. Leaders of earlier releases don't tell.
+    had committed anything. Leaders of earlier releases don't tell. ``ends``
+    tells that it leads no more: nobody waits for its lease to run out.
     """
 
     term: int
@@ -21,3 +22,4 @@
     cluster: str = ""
     voter: str = ""
     leads: bool = True
+    ends: bool = False
