Keep a link that is given a message it can't encode

Callers and operators got 503 to each write and read, to the end: three voters that run, answer callers, have their votes and have not stopped said "no leader is known", in one term and at one index.

Cause: the writer of a channel ended with the error of a message that could not be encoded, such as one with a lone surrogate in a text. Nobody heard of it. Pings pass the writer by and were answered, so nothing replaced the connection: it sent nothing any more, for good. A target's announcement with such a text (JSON can name one, and it was taken) is pushed by the voter that hears it to all others at once: one announcement to each voter, and none can ask another for a vote.

Change: what can't be encoded is left out alone. Who waits for it is told at once, an answer becomes an error, and a line says so at the first and at each doubling (`message not sent`).

--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -13,6 +13,8 @@
 from chivepier.types import Clock
 from chivepier.wire.faults import Faults
 from chivepier.wire.frame import dump_frames
+from chivepier.wire.frame import ENCODE_ERRORS
+from chivepier.wire.frame import find_encode_error
 from chivepier.wire.frame import load_frame
 from chivepier.wire.frame import pack_part
 from chivepier.wire.frame import Part
@@ -23,6 +25,8 @@
 from chivepier.wire.traffic import Traffic
 
 log = logbook.Logger("wire")
+# Its lines are among the events of a process.
+link_log = logbook.Logger("link")
 
 Handler = typing.Callable[[typing.Any, "Channel"], typing.Any]
 
@@ -108,6 +112,7 @@
         self._confirmed = self._last_received
         self._pinged = -math.inf
         self._silent_since: float | None = None
+        self._refused_parts = 0
         self.closed = False
         self.replaced = False
 
@@ -231,10 +236,54 @@
     async def _send(self, parts: list[tuple]) -> None:
         if self._faults.blocks(self.peer):
             return
-        for data in dump_frames(parts):
+        for data in self._dump(parts):
             self._traffic.count_sent(len(data))
             await self._socket.send(data)
 
+    def _dump(self, parts: list[tuple]) -> list[bytes]:
+        """Encode parts; what can't be encoded costs no other part.
+
+        Without this the writer would end. Pings pass it by, so that nothing
+        replaced the connection.
+        """
+        try:
+            return dump_frames(parts)
+        except ENCODE_ERRORS:
+            sound = []
+            for part in parts:
+                error = find_encode_error(part)
+                if error is None:
+                    sound.append(part)
+                else:
+                    sound += self._refuse_part(part, error)
+            return dump_frames(sound) if sound else []
+
+    def _refuse_part(self, part: tuple, error: Exception) -> list[tuple]:
+        """Tell whoever waits that a part was not sent.
+
+        :returns: what is sent in its place
+        """
+        kind, number, tag, _ = part
+        self._refused_parts += 1
+        if not self._refused_parts & (self._refused_parts - 1):
+            link_log.warning(
+                "message not sent count={} error={!r} kind={} tag={} peer={}",
+                self._refused_parts,
+                error,
+                Part(kind).name,
+                tag,
+                self.peer,
+            )
+        if kind == Part.REQUEST:
+            # taken without a note: nothing was answered
+            future, _ = self._pending.pop(number, (None, 0.0))
+            if future is not None and not future.done():
+                text = f"not sent: {error!r}"
+                future.set_exception(LinkError(text, sent=False))
+        if kind == Part.ANSWER:
+            return [pack_part(Part.FAILED, number, repr(error))]
+        return []
+
     def _receive(self, data: bytes) -> None:
         self._traffic.count_received(len(data))
         try:
--- a/packages/wire/src/chivepier/wire/frame.py
+++ b/packages/wire/src/chivepier/wire/frame.py
@@ -12,6 +12,9 @@
 MAX_BATCH_BYTES = 4 << 20
 # Errors that decoding a malformed frame may raise.
 FRAME_ERRORS = (KeyError, TypeError, ValueError, cbor2.CBORDecodeError)
+# Errors that encoding a message may raise, such as one with a text that is
+# not valid Unicode.
+ENCODE_ERRORS = (TypeError, ValueError, OverflowError, cbor2.CBOREncodeError)
 
 
 class Part(enum.IntEnum):
@@ -63,6 +66,18 @@
     return dump_frames(parts[:middle]) + dump_frames(parts[middle:])
 
 
+def find_encode_error(part: tuple) -> Exception | None:
+    """Return why a part can't be encoded, or ``None``.
+
+    :param part: a part built by :func:`pack_part`
+    """
+    try:
+        dump_frame([part])
+    except ENCODE_ERRORS as error:
+        return error
+    return None
+
+
 def load_frame(data: bytes) -> list[tuple[Part, int, typing.Any]]:
     """Decode a frame.
 
