End a connection whose writer has ended

Callers see requests over such a connection time out, one after the other, for as long as its pings are answered: a link that never comes back, in one direction.

Cause: `Channel.run` started the writer and never looked at it; what is no `ConnectionClosed` ended it unheard.

Evidence: the new test fails before at both ends of a connection (no answer in 2 s to the second request). Change: the connection ends with its writer, says so (`link ended with its writer`), and the next request opens another.

--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -119,6 +119,7 @@
     async def run(self) -> None:
         """Receive and send messages until the connection ends."""
         writer = asyncio.create_task(self._write())
+        writer.add_done_callback(self._end_with)
         try:
             async for data in self._socket:
                 if self.closed:
@@ -134,6 +135,21 @@
             self._fail_pending()
             await self._socket.close()
 
+    def _end_with(self, writer: asyncio.Task) -> None:
+        """End the connection if its writer did, whatever the error."""
+        if writer.cancelled() or writer.exception() is None:
+            return
+        link_log.warning(
+            "link ended with its writer error={!r} peer={}",
+            writer.exception(),
+            self.peer,
+        )
+        self.closed = True
+        self._fail_pending()
+        task = asyncio.ensure_future(self._socket.close())
+        self._watching.add(task)
+        task.add_done_callback(self._watching.discard)
+
     def _note_received(self) -> None:
         self._last_received = self._clock.monotonic()
         self._silent_since = None
--- a/packages/wire/src/chivepier/wire/tests/test_unencodable.py
+++ b/packages/wire/src/chivepier/wire/tests/test_unencodable.py
@@ -65,3 +65,29 @@
         assert found.version == 2
 
     run(test, answer)
+
+
+@pytest.mark.parametrize("is_asked", (False, True))
+def test_connection_whose_writer_has_ended_is_replaced(is_asked):
+    # Guards against a connection that is kept for its pongs and sends nothing,
+    # at either of its ends.
+    channels = []
+
+    def answer_known(message: FreshRequest, channel) -> FreshAnswer:
+        channels.append(channel)
+        return answer(message, channel)
+
+    async def test(links: Links, peer: str) -> None:
+        await links.request(peer, FreshRequest("b", 1, 1), SECONDS)
+        broken = links._channels[peer] if is_asked else channels[0]
+
+        async def send(parts) -> None:
+            raise RuntimeError("of no kind that is known")
+
+        broken._send = send
+        with pytest.raises(LinkError):
+            await links.request(peer, FreshRequest("b", 1, 2), SECONDS)
+        found = await links.request(peer, FreshRequest("b", 1, 3), SECONDS)
+        assert found.version == 3
+
+    run(test, answer_known)
