--- a/tests/adapter/test_announcement.py
+++ b/tests/adapter/test_announcement.py
@@ -107,6 +107,14 @@
         decode({**ANNOUNCEMENT, name: value})
 
 
+@pytest.mark.parametrize("name", ("service", "zone", "version"))
+@pytest.mark.parametrize("text", ("\ud800", "pool-\udfff", "\udc80\ud801"))
+def test_text_that_no_message_can_carry_is_rejected(name, text):
+    # Guards against a target that voters know and can't tell of.
+    with pytest.raises(AnnouncementError, match=name):
+        decode(dict(ANNOUNCEMENT, **{name: text}))
+
+
 @pytest.mark.parametrize(
     "body", [b"", b"{", b"\xff\xfe", b"[]", b"null", b"[" * 100_000]
 )
