Keep a link that was to send a message without an encoding

Each voter has its vote, knows no leader, and term and index stand still at all of them.

Cause: the task that writes a link's frames bore ConnectionClosed only. A message that the encoder refuses (a text with a lone surrogate, which JSON may hold) ended it, and nobody heard it. The link stayed open; the library answers pings without that task, so the link never counted as silent and was never replaced: a passing fault made permanent. A target announces itself to one voter after the other, and each sends what it hears to all voters and entries, so one such announcement at each voter cuts all links between them for good.

Change: a message that can't be encoded is left out, with a line that names its tag; the others of its batch go out. Its request fails at once as not sent, its answer is told as a failure. Any other error of a channel's writer, reader or watch closes the connection, with a line, so that the next use opens a new one.

--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -23,6 +23,7 @@
 from chivepier.wire.traffic import Traffic
 
 log = logbook.Logger("wire")
+link_log = logbook.Logger("link")
 
 Handler = typing.Callable[[typing.Any, "Channel"], typing.Any]
 
@@ -113,22 +114,39 @@
 
     async def run(self) -> None:
         """Receive and send messages until the connection ends."""
-        writer = asyncio.create_task(self._write())
+        writer = asyncio.create_task(self.guard(self._write()))
         try:
-            async for data in self._socket:
-                if self.closed:
-                    break
-                if not self._faults.blocks(self.peer):
-                    self._note_received()
-                    self._receive(data)
-        except websockets.ConnectionClosed:
-            pass
+            await self.guard(self._read())
         finally:
             self.closed = True
             writer.cancel()
             self._fail_pending()
             await self._socket.close()
 
+    async def guard(self, work: collections.abc.Awaitable) -> None:
+        """Run a part of the channel; an error closes the connection.
+
+        A channel that went on without its writer would send nothing more,
+        and yet be kept, as the library answers pings.
+
+        :param work: the part's coroutine
+        """
+        try:
+            await work
+        except websockets.ConnectionClosed:
+            return
+        except Exception as error:
+            link_log.warning("link ends peer={} error={!r}", self.peer, error)
+            await self.close()
+
+    async def _read(self) -> None:
+        async for data in self._socket:
+            if self.closed:
+                break
+            if not self._faults.blocks(self.peer):
+                self._note_received()
+                self._receive(data)
+
     def _note_received(self) -> None:
         self._last_received = self._clock.monotonic()
         self._silent_since = None
@@ -222,19 +240,40 @@
         while True:
             await self._ready.wait()
             self._ready.clear()
-            try:
-                while parts := self._outbox.take():
-                    await self._send(parts)
-            except websockets.ConnectionClosed:
-                return
+            while parts := self._outbox.take():
+                await self._send(parts)
 
     async def _send(self, parts: list[tuple]) -> None:
         if self._faults.blocks(self.peer):
             return
-        for data in dump_frames(parts):
+        for data in self._encode(parts):
             self._traffic.count_sent(len(data))
             await self._socket.send(data)
 
+    def _encode(self, parts: list[tuple]) -> list[bytes]:
+        """Encode parts; leave out those that can't be, and fail them."""
+        try:
+            return dump_frames(parts)
+        except ValueError as error:
+            if len(parts) == 1:
+                self._drop(parts[0], error)
+                return []
+        return [data for part in parts for data in self._encode([part])]
+
+    def _drop(self, part: tuple, error: ValueError) -> None:
+        kind, number, tag, _ = part
+        self._traffic.dropped_parts += 1
+        link_log.warning(
+            "message not sent peer={} tag={} error={}", self.peer, tag, error
+        )
+        match kind:
+            case Part.REQUEST:
+                future, _ = self._pending.get(number, (None, 0.0))
+                if future is not None and not future.done():
+                    future.set_exception(LinkError(str(error), sent=False))
+            case Part.ANSWER:
+                self._reply_error(Part.REQUEST, number, error)
+
     def _receive(self, data: bytes) -> None:
         self._traffic.count_received(len(data))
         try:
@@ -364,7 +403,9 @@
             self._last_received <= sent
             and self._pinged + PING_AFTER_SECONDS <= now
         ):
-            task = asyncio.ensure_future(self._ping(now, DOUBT_SHARE))
+            task = asyncio.ensure_future(
+                self.guard(self._ping(now, DOUBT_SHARE))
+            )
             self._watching.add(task)
             task.add_done_callback(self._watching.discard)
 
--- a/packages/wire/src/chivepier/wire/frame.py
+++ b/packages/wire/src/chivepier/wire/frame.py
@@ -10,6 +10,8 @@
 
 # Bytes above which a frame of several parts is split.
 MAX_BATCH_BYTES = 4 << 20
+# Errors that encoding a frame may raise: a text with a lone surrogate, say.
+ENCODE_ERRORS = (TypeError, ValueError, cbor2.CBOREncodeError)
 # Errors that decoding a malformed frame may raise.
 FRAME_ERRORS = (KeyError, TypeError, ValueError, cbor2.CBORDecodeError)
 
@@ -42,8 +44,12 @@
 
     :param parts: parts built by :func:`pack_part`
     :returns: the frame as CBOR
+    :raises ValueError: when a part can't be encoded
     """
-    return cbor2.dumps(parts)
+    try:
+        return cbor2.dumps(parts)
+    except ENCODE_ERRORS as error:
+        raise ValueError(f"can't encode: {error!s:.200}") from error
 
 
 def dump_frames(parts: list[tuple]) -> list[bytes]:
@@ -55,6 +61,7 @@
     :param parts: parts built by :func:`pack_part`
     :returns: frames as CBOR, each of at most ``MAX_BATCH_BYTES`` bytes or of
         a single part
+    :raises ValueError: when a part can't be encoded
     """
     data = dump_frame(parts)
     if len(data) <= MAX_BATCH_BYTES or len(parts) == 1:
--- a/packages/wire/src/chivepier/wire/links.py
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -200,7 +200,7 @@
                 before.count_pending(),
             )
         self._channels[peer] = channel
-        for work in (channel.run(), channel.watch()):
+        for work in (channel.run(), channel.guard(channel.watch())):
             task = asyncio.create_task(work)
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
--- a/packages/wire/src/chivepier/wire/server.py
+++ b/packages/wire/src/chivepier/wire/server.py
@@ -80,7 +80,7 @@
             self.traffic,
             self._clock,
         )
-        watch = asyncio.create_task(channel.await_end())
+        watch = asyncio.create_task(channel.guard(channel.await_end()))
         try:
             await channel.run()
         finally:
