--- a/tests/adapter/test_announcement.py
+++ b/tests/adapter/test_announcement.py
@@ -84,6 +84,10 @@
         ("slots", None),
         ("service", ""),
         ("service", 7),
+        # a link between voters that was to send one of these sent no more
+        ("service", "\ud800"),
+        ("zone", "z\udcff"),
+        ("version", "\udfff"),
         ("version", 7),
         ("version", None),
         ("version", ""),
--- a/tests/adapter/test_configcodec.py
+++ b/tests/adapter/test_configcodec.py
@@ -121,6 +121,9 @@
         (lambda p: p["limits"].update({"max-body-bytes": 1e999}), "of no use"),
         (lambda p: p["routes"][0].update({"timeout-ms": 10**400}), "no use"),
         (lambda p: p.update(routes=3), "of no use"),
+        # no message of entries can hold such a name
+        (lambda p: p["services"][1].update(name="\ud800"), "not a name"),
+        (lambda p: p["tenants"][0].update(name="\ud800"), "not a name"),
         (lambda p: p["routes"][0].update(kind="x"), "unknown kind"),
         (lambda p: p["routes"][1].update(service="x"), "no service 'x'"),
         (lambda p: p["routes"][1].pop("service"), "service is missing"),
