--- a/packages/wire/src/chivepier/wire/frame.py
+++ b/packages/wire/src/chivepier/wire/frame.py
@@ -45,8 +45,12 @@
 
     :param parts: parts built by :func:`pack_part`
     :returns: the frame as CBOR
+    :raises ValueError: when a part can't be encoded
     """
-    return cbor2.dumps(parts)
+    try:
+        return cbor2.dumps(parts)
+    except ENCODE_ERRORS as error:
+        raise ValueError(f"can't encode: {error!s:.200}") from error
 
 
 def dump_frames(parts: list[tuple]) -> list[bytes]:
@@ -58,6 +62,7 @@
     :param parts: parts built by :func:`pack_part`
     :returns: frames as CBOR, each of at most ``MAX_BATCH_BYTES`` bytes or of
         a single part
+    :raises ValueError: when a part can't be encoded
     """
     data = dump_frame(parts)
     if len(data) <= MAX_BATCH_BYTES or len(parts) == 1:
@@ -66,18 +71,6 @@
     return dump_frames(parts[:middle]) + dump_frames(parts[middle:])
 
 
-def find_encode_error(part: tuple) -> Exception | None:
-    """Return why a part can't be encoded, or ``None``.
-
-    :param part: a part built by :func:`pack_part`
-    """
-    try:
-        dump_frame([part])
-    except ENCODE_ERRORS as error:
-        return error
-    return None
-
-
 def load_frame(data: bytes) -> list[tuple[Part, int, typing.Any]]:
     """Decode a frame.
 
