Answer for nothing after a write that failed with any error

Callers could lose an acknowledged change: a follower whose write ended with an error that is no OSError (no thread can be started, no memory) kept the entries in memory and acknowledged them with the next append, so a change was committed on one disk. A leader's voter stopped until its process ended.

Cause: Core.store suspends at an OSError alone. Evidence: the new test, before the change 'committed on one disk' for a follower, and a stopped voter for a leader.

Change: every error of a write but damage suspends the voter, which goes on from what its disk holds.

--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -66,7 +66,7 @@
         self.writing_since: float | None = None
         # why it takes no part until its disk accepts writes again, and since
         # when
-        self.refusal: OSError | None = None
+        self.refusal: Exception | None = None
         self.refused_at = 0.0
         self.suspended = Signal()
         self._resignations: set[asyncio.Task] = set()
@@ -194,12 +194,15 @@
 
         :param work: the storage's coroutine
         :raises StorageFailedError: when it failed
+        :raises DamagedError: when a file is damaged
         """
         task = asyncio.ensure_future(work)
         self.writing_since = self.clock.monotonic()
         try:
             await _finish(task)
-        except OSError as error:
+        except DamagedError:
+            raise
+        except Exception as error:
             raise StorageFailedError(repr(error)) from error
         finally:
             self.writing_since = None
@@ -209,20 +212,24 @@
         # also where the waiter was cancelled: the log would go on behind a
         # torn record, and memory would answer for what isn't written
         error = None if task.cancelled() else task.exception()
-        if isinstance(error, OSError):
+        # a write for which there is no thread or no memory reaches the disk
+        # no more than one that it refuses
+        if isinstance(error, Exception) and not isinstance(
+            error, DamagedError
+        ):
             self.suspend(error)
 
     def _check_disk(self) -> None:
         if self.refusal is not None:
             raise StorageFailedError(repr(self.refusal))
 
-    def suspend(self, error: OSError) -> None:
+    def suspend(self, error: Exception) -> None:
         """Take no part while the disk refuses writes.
 
         Memory may be ahead of the disk now, so nothing is answered for until
         the folder was read and written anew.
 
-        :param error: how a write was refused
+        :param error: how a write was refused, or failed
         """
         if self.refusal is None:
             log.warning("disk refuses writes error={!r}", error)
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -131,7 +131,7 @@
         return self._core.timing
 
     @property
-    def refusal(self) -> OSError | None:
+    def refusal(self) -> Exception | None:
         """Why its disk refuses writes; it takes no part until then."""
         return self._core.refusal
 
--- a/packages/state/src/chivepier/state/tests/test_refusedwrites.py
+++ b/packages/state/src/chivepier/state/tests/test_refusedwrites.py
@@ -18,6 +18,7 @@
 from chivepier.state.tests.test_diskstorage import entries
 from chivepier.state.tests.test_diskstorage import write
 from chivepier.state.tests.test_safeguards import beat
+from chivepier.state.tests.test_safeguards import holds
 
 # More calls than any one write makes.
 MOST_CALLS = 12
@@ -316,3 +317,38 @@
             assert follower.leader == new.node
 
     asyncio.run(play_it())
+
+
+def refuse_threads(storage) -> None:
+    """Let the next write end as if no thread could be started for it."""
+    sync = storage.sync
+
+    async def refuse():
+        storage.sync = sync
+        raise RuntimeError("can't start new thread")
+
+    storage.sync = refuse
+
+
+@pytest.mark.parametrize("leads", (True, False))
+def test_write_that_ends_with_any_error_is_answered_for_by_nobody(leads):
+    # Guards against a change that is committed on one disk alone, as memory is
+    # ahead of the disk after any error.
+    async def play_it():
+        async with Rig(3) as rig:
+            leader = await rig.await_leader()
+            near, far = (r for r in rig.replicas.values() if r is not leader)
+            rig.isolate(far.node)
+            failing = leader if leads else near
+            refuse_threads(rig.storages[failing.node])
+            change = asyncio.ensure_future(leader.propose(make_change("c")))
+            await rig.wait(change.done, 5.0)
+            if change.exception() is None:
+                index = change.result().index
+                holders = [d for d in rig.disks.values() if holds(d, index)]
+                assert len(holders) >= 2, "committed on one disk"
+            rig.network.cut.clear()
+            await check_return(rig, "last")
+            assert failing.error is None
+
+    asyncio.run(play_it())
