Forward requests and answers with a header that has no encoding

Callers of an entry without targets in reach got 503 for a second after somebody had sent a header with a byte that is no UTF-8, or a target had: no message can hold such a text, so each peer in turn counted as lost and was avoided.

Change: what is forwarded leaves out what a target is not sent either (the writer of HTTP heads leaves lone surrogates out); the attempt that a caller takes up keeps its escaped form.

Evidence: the two new tests fail before the change ('no entry takes the request', 'the connection to the target broke').

--- a/packages/gateway/src/chivepier/gateway/forwarding/records.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/records.py
@@ -6,6 +6,7 @@
 from chivepier.gateway.messages import ForwardPart
 from chivepier.gateway.messages import ForwardRequest
 from chivepier.gateway.messages import HeaderField
+from chivepier.gateway.origins import OriginKey
 from chivepier.gateway.serving import CallerRequest
 from chivepier.gateway.serving import Prompt
 from chivepier.types import ErrorKind
@@ -16,11 +17,23 @@
 NONE = -1
 
 
+def _make_encodable(text: str) -> str:
+    r"""Leave out what no message can hold, and no target is sent either.
+
+    >>> _make_encodable("caf\xe9 \udcff")
+    'caf\xe9 '
+    """
+    return text.encode(errors="ignore").decode()
+
+
 def pack_headers(
     headers: tuple[tuple[str, str], ...],
 ) -> tuple[HeaderField, ...]:
     """Convert headers to records."""
-    return tuple(HeaderField(name, value) for name, value in headers)
+    return tuple(
+        HeaderField(_make_encodable(name), _make_encodable(value))
+        for name, value in headers
+    )
 
 
 def unpack_headers(
@@ -45,7 +58,7 @@
     hint = prompt.length_hint if prompt else None
     return ForwardRequest(
         entry=entry,
-        id=request.id,
+        id=_make_encodable(request.id),
         method=request.method,
         url=request.url,
         path=request.path,
@@ -62,8 +75,9 @@
         max_output=prompt.max_output if prompt else NONE,
         length_hint=NONE if hint is None else hint,
         has_last_event=request.last_event is not None,
-        last_event=request.last_event or "",
-        resumes=request.resumes or "",
+        last_event=_make_encodable(request.last_event or ""),
+        # the same stream at each entry
+        resumes=OriginKey("", request.resumes or "").attempt,
         software_version=request.software_version or "",
         shared_parts=request.shared_parts,
     )
--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
@@ -17,13 +17,16 @@
 ALL = ("x", "w-x")
 
 
-def answer(entry, body: bytes = b"whole", status: int = 200) -> None:
+def answer(
+    entry, body: bytes = b"whole", status: int = 200, headers=()
+) -> None:
     """Have the targets of an entry answer plain requests at once."""
     send = entry.parts.engines.send
 
     async def send_and_end(*args):
         run = await send(*args)
         run.status = status
+        run.headers += headers
         run._queue.put_nowait(body)
         run.end()
         return run
@@ -455,3 +458,36 @@
         assert caller.numbers == [1, 2] and caller.finished
 
     play_site(test)
+
+
+def test_header_without_an_encoding_keeps_peers_for_others():
+    # Guards against requests without an entry to forward them to, after a
+    # caller has sent a header with a byte that is no UTF-8.
+    async def test(site):
+        cut_off, *others = site.entries
+        cut_off.cut(*ALL)
+        for other in others:
+            answer(other)
+        odd = make_request("/plain/a", headers=(("A", "x\udcff"),))
+        first = asyncio.gather(
+            cut_off.parts.serve(odd), return_exceptions=True
+        )
+        await asyncio.sleep(0.1)
+        caller = await cut_off.parts.serve(make_request("/plain/a", id="r2"))
+        assert caller.status == 200
+        assert (await first)[0].status == 200
+
+    play_site(test, 3)
+
+
+def test_answer_without_an_encoding_is_forwarded():
+    # Guards against an answer that is broken off, and a peer that is avoided,
+    # for a header of a target with a byte that is no UTF-8.
+    async def test(site):
+        cut_off, other = site.entries
+        cut_off.cut(*ALL)
+        answer(other, headers=(("A", "x\udcff"),))
+        caller = await cut_off.parts.serve(make_request("/plain/a"))
+        assert caller.status == 200
+
+    play_site(test)
