--- a/packages/state/src/chivepier/state/diskstorage.py
+++ b/packages/state/src/chivepier/state/diskstorage.py
@@ -57,7 +57,8 @@
         contents = self._read()
         self._take(contents)
         try:
-            self._write_anew(contents)
+            self._write_vote_anew(contents.term, contents.vote)
+            self._write_log_anew(contents)
         except OSError as error:
             if not used:
                 raise
@@ -75,8 +76,10 @@
         self.refusal = None
 
     def _read_and_write_anew(self) -> _Contents:
+        # the vote first: a long log is not read for a disk that still refuses
+        self._write_vote_anew(*self._load_vote())
         contents = self._read()
-        self._write_anew(contents)
+        self._write_log_anew(contents)
         return contents
 
     def _take(self, contents: _Contents) -> None:
@@ -90,13 +93,15 @@
         entries = self._load_log(snapshot, self._used or term > 0)
         return _Contents(term, vote, snapshot, entries)
 
-    def _write_anew(self, contents: _Contents) -> None:
+    def _write_vote_anew(self, term: int, vote: str) -> None:
+        if term:
+            self._write_vote(term, vote)
+
+    def _write_log_anew(self, contents: _Contents) -> None:
         # after a sync that failed, or that was cut short by the end of the
         # process, the system may take pages for written that are not on the
         # disk; those of a new file it writes, with its name and earlier ones
         self.close()
-        if contents.term:
-            self._write_vote(contents.term, contents.vote)
         self._rewrite_log(contents.snapshot, contents.entries)
         self._open_log()
 
