Write a log anew in parts, and read it without copies

Change: a file that gets its name once it is synced may have several records, so it is written in parts of 1 MiB; what is read is decoded from where it lies.

--- a/packages/state/src/chivepier/state/diskstorage.py
+++ b/packages/state/src/chivepier/state/diskstorage.py
@@ -10,10 +10,11 @@
 from chivepier.messages import Entry
 from chivepier.state.damagederror import DamagedError
 from chivepier.state.files import write_all
+from chivepier.state.files import write_parts_synced
 from chivepier.state.files import write_synced
 from chivepier.state.logfile import LogBase
-from chivepier.state.logfile import pack_base
 from chivepier.state.logfile import pack_batch
+from chivepier.state.logfile import pack_log
 from chivepier.state.logfile import replay
 from chivepier.state.records import pack_record
 from chivepier.state.records import read_records
@@ -109,7 +110,7 @@
         path = self._folder / LOG_FILE
         self._log = os.open(path, os.O_WRONLY | os.O_APPEND)
 
-    def _load_single(self, name: str) -> bytes | None:
+    def _load_single(self, name: str) -> memoryview | None:
         path = self._folder / name
         if not path.exists():
             return None
@@ -188,10 +189,8 @@
         self._open_log()
 
     def _rewrite_log(self, snapshot: Snapshot, kept: list[Entry]) -> None:
-        data = pack_base(LogBase(snapshot.index, snapshot.term))
-        if kept:
-            data += pack_batch(tuple(kept))
-        write_synced(self._folder, LOG_FILE, data)
+        base = LogBase(snapshot.index, snapshot.term)
+        write_parts_synced(self._folder, LOG_FILE, pack_log(base, kept))
 
     def _replace(self, name: str, payload: bytes) -> None:
         write_synced(self._folder, name, pack_record(payload))
--- a/packages/state/src/chivepier/state/files.py
+++ b/packages/state/src/chivepier/state/files.py
@@ -1,5 +1,6 @@
 """Writes that a loss of power keeps whole."""
 
+import collections.abc
 import contextlib
 import os
 import pathlib
@@ -25,9 +26,22 @@
     :param data: its new content
     :raises OSError: when the disk refuses; the old or the new one is left
     """
+    write_parts_synced(folder, name, (data,))
+
+
+def write_parts_synced(
+    folder: pathlib.Path, name: str, parts: collections.abc.Iterable[bytes]
+) -> None:
+    """Replace a file as :func:`write_synced` does.
+
+    :param folder: where it lives
+    :param name: its name
+    :param parts: its new content, of which one part at a time is in memory
+    :raises OSError: when the disk refuses; the old or the new one is left
+    """
     fresh = folder / f"{name}.new"
     try:
-        _write_file(fresh, data)
+        _write_file(fresh, parts)
         os.replace(fresh, folder / name)
     except OSError:
         # on a full disk, a part of a file would take the room that is left
@@ -37,9 +51,12 @@
     sync_path(folder)
 
 
-def _write_file(path: pathlib.Path, data: bytes) -> None:
+def _write_file(
+    path: pathlib.Path, parts: collections.abc.Iterable[bytes]
+) -> None:
     with open(path, "wb", buffering=0) as stream:
-        write_all(stream.fileno(), data)
+        for part in parts:
+            write_all(stream.fileno(), part)
         os.fsync(stream.fileno())
 
 
--- a/packages/state/src/chivepier/state/logfile.py
+++ b/packages/state/src/chivepier/state/logfile.py
@@ -1,5 +1,7 @@
 """The log's file: which entries a sequence of records adds up to."""
 
+import collections.abc
+
 import attrs
 import cbor2
 
@@ -8,6 +10,8 @@
 from chivepier.state.records import pack_record
 from chivepier.state.snapshot import Snapshot
 
+PART_BYTES = 1 << 20
+
 
 @attrs.frozen
 class LogBase:
@@ -40,7 +44,32 @@
     return pack_record(cbor2.dumps(plain))
 
 
-def replay(payloads: list[bytes], snapshot: Snapshot) -> list[Entry]:
+def pack_log(
+    base: LogBase, entries: list[Entry]
+) -> collections.abc.Iterator[bytes]:
+    """Build a whole file, in parts of about ``PART_BYTES``.
+
+    It gets its name once it is synced, so it may have several records.  In
+    one piece it would take the memory of the log once more.
+
+    :param base: what the file follows
+    :param entries: its entries
+    :returns: records
+    """
+    yield pack_base(base)
+    part: list[Entry] = []
+    size = 0
+    for entry in entries:
+        part.append(entry)
+        size += len(entry.command)
+        if size >= PART_BYTES:
+            yield pack_batch(tuple(part))
+            part, size = [], 0
+    if part:
+        yield pack_batch(tuple(part))
+
+
+def replay(payloads: list[memoryview], snapshot: Snapshot) -> list[Entry]:
     """Work out the entries after a snapshot.
 
     The file is replayed from its own base, not from the snapshot: a record
--- a/packages/state/src/chivepier/state/records.py
+++ b/packages/state/src/chivepier/state/records.py
@@ -25,7 +25,7 @@
     return fields + CHECK.pack(xxhash.xxh32_intdigest(fields)) + payload
 
 
-def read_records(data: bytes, name: str) -> tuple[list[bytes], int]:
+def read_records(data: bytes, name: str) -> tuple[list[memoryview], int]:
     """Read records and find where a torn tail begins.
 
     A crash can leave the last write incomplete; it was never answered for,
@@ -35,10 +35,11 @@
 
     :param data: the whole file
     :param name: the file's name, for the error
-    :returns: payloads, and the length of the intact part in bytes
+    :returns: payloads, which are parts of ``data`` and no copies, and the
+        length of the intact part in bytes
     :raises DamagedError: when a bad record stands before the tail
     """
-    payloads: list[bytes] = []
+    payloads: list[memoryview] = []
     offset = 0
     while (payload := _read_at(data, offset)) is not None:
         payloads.append(payload)
@@ -48,7 +49,7 @@
     return payloads, offset
 
 
-def _read_at(data: bytes, offset: int) -> bytes | None:
+def _read_at(data: bytes, offset: int) -> memoryview | None:
     start = offset + HEADER_SIZE
     if start > len(data):
         return None
@@ -57,7 +58,7 @@
     if xxhash.xxh32_intdigest(fields) != header_check:
         return None
     size, check = FIELDS.unpack(fields)
-    payload = data[start : start + size]
+    payload = memoryview(data)[start : start + size]
     if len(payload) < size or xxhash.xxh3_64_intdigest(payload) != check:
         return None
     return payload
