Say first why a voter has no part, and go on saying it

The operators' status has `takes_part` and `trouble`.

`losses_borne` counts a voter whose disk refuses, and did before.

--- a/packages/gateway/src/chivepier/gateway/control/configstore.py
+++ b/packages/gateway/src/chivepier/gateway/control/configstore.py
@@ -9,6 +9,7 @@
 
 from chivepier.gateway.control.leaderclient import LeaderClient
 from chivepier.gateway.control.storedconfig import StoredConfig
+from chivepier.gateway.control.trouble import describe_trouble
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.messages import ConfigAnswer
 from chivepier.gateway.messages import ConfigRequest
@@ -181,6 +182,7 @@
         self._log.warn(
             event,
             **fields,
+            **describe_trouble(replica.describe_condition()),
             error=", ".join(reasons),
             attempts=reasons.total(),
             leader=replica.leader,
@@ -188,7 +190,6 @@
             index=replica.storage.last_index,
             votes=replica.votes(),
             voters=[voter.node for voter in replica.voters],
-            stopped=repr(replica.error) if replica.error else "",
         )
 
     async def handle(self, request) -> WriteAnswer | ConfigAnswer:
--- a/packages/gateway/src/chivepier/gateway/control/operatorapi.py
+++ b/packages/gateway/src/chivepier/gateway/control/operatorapi.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 import attrs
 
+from chivepier.gateway.control.trouble import describe_trouble
 from chivepier.gateway.control.voter import Voter
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
@@ -51,6 +52,9 @@
                 for v in voter.replica.voters
             ],
             "leader": voter.replica.leader,
+            # Without a part it answers here all the same.
+            "takes_part": voter.replica.takes_part(),
+            "trouble": describe_trouble(voter.replica.describe_condition()),
             "members": [
                 {
                     "node": beat.node,
--- a/packages/gateway/src/chivepier/gateway/control/surveylog.py
+++ b/packages/gateway/src/chivepier/gateway/control/surveylog.py
@@ -45,10 +45,10 @@
         self._written = key
         self._log.info(
             "voters",
-            voters=[h.voter.node for h in healths],
-            silent_ms={h.voter.node: round(1000 * h.silent) for h in lost},
-            stopping=[h.voter.node for h in healths if h.stops],
             losses_borne=count_borne(len(healths)) - len(lost),
-            removed=removal.voter.node if removal.voter else "",
             reason=removal.reason.value,
+            removed=removal.voter.node if removal.voter else "",
+            silent_ms={h.voter.node: round(1000 * h.silent) for h in lost},
+            stopping=[h.voter.node for h in healths if h.stops],
+            voters=[h.voter.node for h in healths],
         )
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -21,6 +21,7 @@
 from chivepier.gateway.control.removalpolicy import RemovalPolicy
 from chivepier.gateway.control.sizewatch import SizeWatch
 from chivepier.gateway.control.statecache import StateCache
+from chivepier.gateway.control.trouble import describe_trouble
 from chivepier.gateway.control.weightwatch import WeightWatch
 from chivepier.gateway.control.zonestore import ZoneStore
 from chivepier.gateway.eventlog import EventLog
@@ -181,11 +182,12 @@
             self._stack.callback(task.cancel)
         self._log.info(
             "voter_started",
+            votes=self.replica.votes(),
+            **describe_trouble(self.replica.describe_condition()),
+            term=storage.term,
+            index=storage.last_index,
             identity=identity.node,
             cluster=identity.cluster,
-            index=storage.last_index,
-            term=storage.term,
-            votes=self.replica.votes(),
             voters=[voter.node for voter in self.replica.voters],
         )
         return self
--- a/packages/state/src/chivepier/state/__init__.py
+++ b/packages/state/src/chivepier/state/__init__.py
@@ -3,6 +3,7 @@
 from chivepier.state.answer import Answer
 from chivepier.state.busyleadererror import BusyLeaderError
 from chivepier.state.claim import Claim
+from chivepier.state.condition import Condition
 from chivepier.state.damagederror import DamagedError
 from chivepier.state.diskstorage import DiskStorage
 from chivepier.state.folderlock import FolderLock
@@ -30,6 +31,7 @@
     "Answer",
     "BusyLeaderError",
     "Claim",
+    "Condition",
     "MAX_COMMAND",
     "DamagedError",
     "DiskStorage",
--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -11,6 +11,7 @@
 from chivepier.messages import Entry
 from chivepier.messages import Voter
 from chivepier.state.damagederror import DamagedError
+from chivepier.state.heldlock import HeldLock
 from chivepier.state.machine import Machine
 from chivepier.state.role import Role
 from chivepier.state.storage import Storage
@@ -54,7 +55,7 @@
         self.clock = clock
         self.timing = timing
         self.rng = rng
-        self.lock = asyncio.Lock()
+        self.lock = HeldLock(clock)
         self.role = Role.FOLLOWER
         self.leader = ""
         self.tenure: Tenure | None = None
--- a/packages/state/src/chivepier/state/elections.py
+++ b/packages/state/src/chivepier/state/elections.py
@@ -1,13 +1,13 @@
 """Elections: standing for the lead and answering those who stand."""
 
 import asyncio
-import contextlib
 
 import attrs
 import logbook
 
 from chivepier.messages import VoteAnswer
 from chivepier.messages import VoteRequest
+from chivepier.state.attempts import Attempts
 from chivepier.state.ballot import Ballot
 from chivepier.state.ballot import GRANTED
 from chivepier.state.ballot import UNANSWERED
@@ -26,11 +26,16 @@
 
 
 class Elections:
-    """One task that stands when no leader is heard."""
+    """One task that stands when no leader is heard.
+
+    :ivar log: what is said in elections
+    :ivar attempts: when it stood
+    """
 
     def __init__(self, core: Core):
         self._core = core
-        self._log = ElectionLog()
+        self.log = ElectionLog()
+        self.attempts = Attempts(core.clock)
         self._pre_votes = PreVotes(core.clock, core.timing.request)
 
     async def watch(self) -> None:
@@ -49,9 +54,8 @@
                 timeout = self._draw_timeout()
             waited = core.clock.monotonic() - max(heard, stood)
             if self._may_stand() and waited >= timeout:
-                # whose vote can't be saved doesn't stand
-                with contextlib.suppress(StorageFailedError):
-                    await self._stand()
+                self.attempts.begin()
+                self.attempts.end(await self._try())
                 stood = core.clock.monotonic()
                 timeout = self._draw_retry()
 
@@ -85,14 +89,24 @@
         if core.leader and silent >= core.timing.election:
             core.follow("")
 
-    async def _stand(self) -> None:
+    async def _try(self) -> str:
+        try:
+            return await self._stand()
+        except StorageFailedError:
+            # whose vote can't be saved doesn't stand
+            return "vote not saved"
+
+    async def _stand(self) -> str:
+        """Stand for the lead, and return how that ended."""
         core = self._core
-        if self._pre_votes.find_promised() is not None:
-            return
+        promised = self._pre_votes.find_promised()
+        if promised is not None:
+            return f"pre-vote is promised to {promised.node}"
         self._pre_votes.promise(self._describe_candidacy())
         try:
-            if await self._collect(core.storage.term + 1, pre=True):
-                await self._stand_in_earnest()
+            if not await self._collect(core.storage.term + 1, pre=True):
+                return "no majority of pre-votes"
+            return await self._stand_in_earnest()
         finally:
             self._pre_votes.withdraw(core.node)
 
@@ -102,15 +116,15 @@
             storage.last_term, storage.last_index, self._core.node
         )
 
-    async def _stand_in_earnest(self) -> None:
+    async def _stand_in_earnest(self) -> str:
         core = self._core
         async with core.lock:
             if not self._renew_candidacy():
-                return
+                return "another one has a longer log"
             if core.quiet() < core.timing.election or core.tenure is not None:
                 # a leader was heard, or a vote given, meanwhile: voting for
                 # itself would break the lease that the leader counts on
-                return
+                return "heard a leader, or voted"
             term = core.storage.term + 1
             await core.save_vote(term, core.node)
             core.follow("")
@@ -118,9 +132,11 @@
         won = await self._collect(term, pre=False)
         async with core.lock:
             if not won or core.storage.term != term:
-                return
-            if core.role is Role.CANDIDATE and core.error is None:
-                self._lead()
+                return "no majority of votes" if not won else "later term"
+            if core.role is not Role.CANDIDATE or core.error is not None:
+                return "stands no more"
+            self._lead()
+            return "leads"
 
     def _renew_candidacy(self) -> bool:
         """Tell whether no candidate with a longer log came meanwhile.
@@ -174,7 +190,7 @@
                 for node, task in asked.items()
             },
         )
-        self._log.write_ballot(ballot)
+        self.log.write_ballot(ballot)
         return won
 
     async def _await_majority(
@@ -227,7 +243,7 @@
         core, storage = self._core, self._core.storage
         reason = self._find_refusal(request)
         if reason:
-            self._log.write_refusal(request.candidate, request.term, reason)
+            self.log.write_refusal(request.candidate, request.term, reason)
         if self._is_held_back() or request.term < storage.term:
             return VoteAnswer(storage.term, False)
         granted = not reason
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -12,6 +12,7 @@
 from chivepier.messages import VoteRequest
 from chivepier.state.answer import Answer
 from chivepier.state.applying import Applying
+from chivepier.state.condition import Condition
 from chivepier.state.core import Core
 from chivepier.state.elections import Elections
 from chivepier.state.following import Following
@@ -19,6 +20,7 @@
 from chivepier.state.notleadererror import NotLeaderError
 from chivepier.state.recovery import Recovery
 from chivepier.state.role import Role
+from chivepier.state.silencelog import SilenceLog
 from chivepier.state.snapshotpolicy import SnapshotPolicy
 from chivepier.state.statesizes import StateSizes
 from chivepier.state.storage import Storage
@@ -66,6 +68,9 @@
         self._following = Following(self._core)
         self._applying = Applying(self._core, policy)
         self._recovery = Recovery(self._core)
+        self._silence = SilenceLog(
+            self._core, self._elections.log, self.describe_condition
+        )
         self.changes = VoterChanges(self._core)
         self._tasks: list[asyncio.Task] = []
 
@@ -74,6 +79,7 @@
             self._elections.watch,
             self._applying.run,
             self._recovery.run,
+            self._silence.run,
         ):
             task = asyncio.create_task(self._core.guard(work()))
             self._tasks.append(task)
@@ -202,6 +208,30 @@
             return 0.0
         return self._core.clock.monotonic() - since
 
+    def takes_part(self) -> bool:
+        """Tell whether this instance has a vote, and can use it."""
+        core = self._core
+        healthy = core.error is None and core.refusal is None
+        return healthy and core.is_voter()
+
+    def describe_condition(self) -> Condition:
+        """Return what keeps this voter from its part, if anything does."""
+        core, attempts = self._core, self._elections.attempts
+        refused = 0.0
+        if core.refusal is not None:
+            refused = core.clock.monotonic() - core.refused_at
+        return Condition(
+            stopped=repr(core.error) if core.error else "",
+            refusal=repr(core.refusal) if core.refusal else "",
+            refused=refused,
+            writing=self.measure_write(),
+            locked=core.lock.measure(),
+            quiet=core.quiet(),
+            attempts=attempts.count,
+            stood=attempts.measure(),
+            ended=attempts.ended,
+        )
+
     def is_current(self) -> bool:
         """Tell whether all that was committed a moment ago is applied here.
 
