--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -12,6 +12,7 @@
 from chivepier.messages import Entry
 from chivepier.messages import Voter
 from chivepier.state.damagederror import DamagedError
+from chivepier.state.heldlock import HeldLock
 from chivepier.state.machine import Machine
 from chivepier.state.role import Role
 from chivepier.state.storage import Storage
@@ -56,7 +57,7 @@
         self.clock = clock
         self.timing = timing
         self.rng = rng
-        self.lock = asyncio.Lock()
+        self.lock = HeldLock(clock)
         self.role = Role.FOLLOWER
         self.leader = ""
         self.tenure: Tenure | None = None
