--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -127,6 +127,19 @@
     run(answer_ok, test)
 
 
+@pytest.mark.parametrize("name", (b"X-Chivepier-Request-Id", b"Resumes"))
+def test_identifier_without_an_encoding_is_refused(name):
+    # Guards against an entry that can tell voters of no stream any more.
+    request = build_request("/once/x", "Resumes: r0")
+    request = request.replace(name + b": r", name + b": \xff")
+
+    async def test(fixture):
+        assert read_status(await fixture.send(request)) == 400
+        assert not fixture.raw.requests
+
+    run(answer_ok, test)
+
+
 def test_body_over_the_limit_is_refused():
     async def test(fixture):
         answer = await fixture.send(build_request("/once/x", body=b"x" * 1001))
