Begin a failed part of a process again

Cause: a task that ends by an unexpected error is heard by nobody, and the process goes on without it: a passing fault made permanent. Of a voter seven tasks, of an entry a dozen.

Change: Supervisor (gateway/supervision) runs these tasks. It writes a line (one in 10 s for each part, with the innermost calls), counts, and begins the part again after 0.2 s. Where a part had marked its work as done before it failed, it no longer does (saved state, streams of mixed services).

--- a/packages/gateway/src/chivepier/gateway/control/statecache.py
+++ b/packages/gateway/src/chivepier/gateway/control/statecache.py
@@ -170,8 +170,8 @@
                 (target.service, target.software_version)
                 for target in self._table
             }
-            data = pack_record(cbor2.dumps(self._pack(store)))
             try:
+                data = pack_record(cbor2.dumps(self._pack(store)))
                 await asyncio.to_thread(
                     write_synced, self._folder, FILE_NAME, data
                 )
@@ -179,6 +179,9 @@
                 self._note_refusal(error)
                 # nobody may mark it again before the next end
                 self._dirty.set()
+            except BaseException:
+                self._dirty.set()
+                raise
             else:
                 self._note_refusal(None)
                 self._saved_versions = versions
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -1,6 +1,5 @@
 """A voter: replica, stores, registry and relays in one process."""
 
-import asyncio
 import contextlib
 import random
 
@@ -47,6 +46,7 @@
 from chivepier.gateway.messages import ZoneRequest
 from chivepier.gateway.origins import OriginKeeper
 from chivepier.gateway.settings import VoterSettings
+from chivepier.gateway.supervision import Supervisor
 from chivepier.gateway.targets import TargetTable
 from chivepier.gateway.zones import pack_order
 from chivepier.gateway.zones import Zones
@@ -95,6 +95,7 @@
         self._clock = clock
         self._log = log
         self._stack = contextlib.AsyncExitStack()
+        self._parts = Supervisor(clock, log)
         self._started_at = clock.monotonic()
         self.peers = Peers(settings.seeds)
         self.entries = EntryDirectory(clock, settings.regions)
@@ -168,16 +169,16 @@
         await self._stack.enter_async_context(links)
         await self._stack.enter_async_context(self.replica)
         await self._stack.enter_async_context(server)
-        for work in (
-            self.membership.run(),
-            self._push_changes(),
-            sizes.run(),
-            self._sync_targets(),
-            self._expire(),
-            self.loads.run(),
-            self._state_cache.run(self.store),
+        for part, work in (
+            ("membership", self.membership.run),
+            ("pushes", self._push_changes),
+            ("sizes", sizes.run),
+            ("targets", self._sync_targets),
+            ("expiry", self._expire),
+            ("loads", self.loads.run),
+            ("state_cache", lambda: self._state_cache.run(self.store)),
         ):
-            task = asyncio.create_task(work)
+            task = self._parts.keep(part, work)
             self._stack.callback(task.cancel)
         self._log.info(
             "voter_started",
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -1,6 +1,5 @@
 """Assembly of the parts of an entry."""
 
-import asyncio
 import contextlib
 import random
 
@@ -51,6 +50,7 @@
 from chivepier.gateway.serving import TargetCalls
 from chivepier.gateway.serving import TargetClient
 from chivepier.gateway.settings import EntrySettings
+from chivepier.gateway.supervision import Supervisor
 from chivepier.gateway.targets import LeavingTargets
 from chivepier.gateway.targets import LoadBalancer
 from chivepier.gateway.targets import LoadTracker
@@ -114,6 +114,7 @@
         self._log = log
         self._stack = contextlib.AsyncExitStack()
         self.metrics = Metrics()
+        self._parts = Supervisor(clock, log, self.metrics.record_failed_part)
         self.bodies = BodyMemory(settings.body_bytes)
         self.answers = AnswerMemory(settings.answer_bytes)
         self.state = ServingState()
@@ -261,6 +262,7 @@
             leavers=leavers,
             freshness=freshness,
             currency=Currency(self.state, clock, log, self.metrics),
+            parts=self._parts,
             clock=clock,
             log=log,
             report=reporter.report,
@@ -336,16 +338,15 @@
         await self._stack.enter_async_context(self.following)
         self._stack.push_async_callback(self.mover.close)
         self._stack.push_async_callback(self.quarantine.close)
-        loading = asyncio.create_task(self.metrics.load_after_delay())
-        self._stack.callback(loading.cancel)
-        watching = asyncio.create_task(self.mover.watch_silent_targets())
-        self._stack.callback(watching.cancel)
-        telling = asyncio.create_task(self._origins.run())
-        self._stack.callback(telling.cancel)
-        probing = asyncio.create_task(self._prober.run())
-        self._stack.callback(probing.cancel)
-        measuring = asyncio.create_task(self._usage_watch.run())
-        self._stack.callback(measuring.cancel)
+        for part, work in (
+            ("metrics", self.metrics.load_after_delay),
+            ("silent_targets", self.mover.watch_silent_targets),
+            ("origins", self._origins.run),
+            ("prober", self._prober.run),
+            ("usage", self._usage_watch.run),
+        ):
+            task = self._parts.keep(part, work)
+            self._stack.callback(task.cancel)
         self._log.info("entry_started", address=self._settings.address)
         return self
 
--- a/packages/gateway/src/chivepier/gateway/following/originexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/originexchange.py
@@ -159,9 +159,14 @@
         for voter, epoch in keepers.items():
             known_epoch, known = self._told.get(voter, ("", frozenset()))
             new[voter] = mixed - known if epoch == known_epoch else mixed
+        if any(new.values()):
+            await self._enqueue_all(keepers, new)
+        for voter, epoch in keepers.items():
             self._told[voter] = epoch, mixed
-        if not any(new.values()):
-            return
+
+    async def _enqueue_all(
+        self, keepers: dict[str, str], new: dict[str, frozenset[str]]
+    ) -> None:
         for number, origin in enumerate(self._origins):
             if number % MAX_UNINTERRUPTED == 0:
                 # events of other streams must not wait for all of them
--- a/packages/gateway/src/chivepier/gateway/following/voterclient.py
+++ b/packages/gateway/src/chivepier/gateway/following/voterclient.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import functools
 
 import attrs
 
@@ -36,6 +37,7 @@
 from chivepier.gateway.messages import ZoneRecord
 from chivepier.gateway.reach import Reach
 from chivepier.gateway.serving import ServingState
+from chivepier.gateway.supervision import Supervisor
 from chivepier.gateway.targets import LeavingTargets
 from chivepier.gateway.targets import TargetTable
 from chivepier.gateway.usage import Ability
@@ -89,6 +91,7 @@
     :param report: returns what this entry can do at a monotonic time
     :param others: receives the entries that requests can be forwarded to
     :param reach: tells which services are out of reach of this entry
+    :param parts: runs what this client does; a new one if omitted
     """
 
     def __init__(
@@ -113,7 +116,9 @@
         report: collections.abc.Callable[[float], Ability] = _report_nothing,
         others: PeerList | None = None,
         reach: Reach | None = None,
+        parts: Supervisor | None = None,
     ):
+        self._parts = parts or Supervisor(clock, log)
         self._others = others
         self._reach = reach
         self._name = name
@@ -143,19 +148,23 @@
         self.leaving = False
 
     async def __aenter__(self) -> "VoterClient":
-        coroutines = (
-            self._update_links(),
-            self._configs.run(),
-            self._loads.run(self._post_loads),
-            self._report_changes(self._quarantine.changed),
-            self._report_changes(self._limits.changed),
-            self._report_changes(self._leavers.changed),
+        keep = self._parts.keep
+        self._tasks += (
+            keep("links", self._update_links),
+            keep("configurations", self._configs.run),
+            keep("loads", lambda: self._loads.run(self._post_loads)),
         )
-        for coroutine in coroutines:
-            self._tasks.append(asyncio.create_task(coroutine))
-        if self._reach is not None:
-            work = self._report_changes(self._reach.changed)
-            self._tasks.append(asyncio.create_task(work))
+        for reported in (
+            self._quarantine,
+            self._limits,
+            self._leavers,
+            self._reach,
+        ):
+            if reported is not None:
+                work = functools.partial(
+                    self._report_changes, reported.changed
+                )
+                self._tasks.append(keep("reports", work))
         return self
 
     async def __aexit__(self, *exc) -> None:
@@ -243,9 +252,8 @@
             wanted = set(self._peers.all)
             for address in wanted - self._voters.keys():
                 voter = self._voters[address] = VoterLink()
-                voter.task = asyncio.create_task(
-                    self._send_beats(address, voter)
-                )
+                work = functools.partial(self._send_beats, address, voter)
+                voter.task = self._parts.keep("beats", work)
             for address in self._voters.keys() - wanted:
                 voter = self._voters.pop(address)
                 voter.task.cancel()
@@ -291,7 +299,7 @@
         return answer
 
     def _start_beat(self, address: str, voter: VoterLink) -> None:
-        task = asyncio.create_task(self._send_beat(address, voter))
+        task = self._parts.start("beats", self._send_beat(address, voter))
         self._beat_tasks.add(task)
         task.add_done_callback(self._beat_tasks.discard)
 
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -38,6 +38,7 @@
     "take_ups",
     "refusals",
     "excess",
+    "failed_parts",
 )
 GAUGES = ("zones", "place_waiting", "config_age", "config_behind")
 
@@ -243,6 +244,13 @@
         """
         self._record("reach", (event,), 1.0)
 
+    def record_failed_part(self, part: str) -> None:
+        """Count an unexpected error of a part of this process.
+
+        :param part: name of the part
+        """
+        self._record("failed_parts", (part,), 1.0)
+
     def record_forward(self, side: str, outcome: str) -> None:
         """Count a request that was forwarded between entries.
 
@@ -396,6 +404,12 @@
             ("event",),
             registry=registry,
         ),
+        "failed_parts": library.Counter(
+            "chivepier_failed_parts",
+            "Unexpected errors that ended a part, which then began again.",
+            ("part",),
+            registry=registry,
+        ),
         "forwards": library.Counter(
             "chivepier_forwarded_requests",
             "Requests that an entry had another one serve.",
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/supervision/__init__.py
@@ -0,0 +1,5 @@
+"""Parts of a process that go on after an error."""
+
+from chivepier.gateway.supervision.supervisor import Supervisor
+
+__all__ = ["Supervisor"]
