--- a/packages/gateway/src/chivepier/gateway/following/tests/fakevoters.py
+++ b/packages/gateway/src/chivepier/gateway/following/tests/fakevoters.py
@@ -9,12 +9,17 @@
 from chivepier.standins.loopclock import LoopClock
 from chivepier.standins.loopclock import tell_time
 from chivepier.wire import LinkError
+from chivepier.wire import prepare
+from chivepier.wire.frame import dump_frame
 
 VOTERS = tuple("pqrst")
 
 
 class Voters:
-    """Voters without a network; ``down`` refuse, ``silent`` don't answer."""
+    """Voters without a network; ``down`` refuse, ``silent`` don't answer.
+
+    What can't be encoded is refused as a link refuses it.
+    """
 
     def __init__(self) -> None:
         self.keepers = {name: self._make_keeper() for name in VOTERS}
@@ -35,6 +40,10 @@
         """Answer a message of an entry."""
         if peer in self.silent:
             await asyncio.sleep(timeout)
+        try:
+            dump_frame([prepare(message)])
+        except ValueError as error:
+            raise LinkError(str(error), sent=False) from None
         if peer in self.down | self.silent:
             raise LinkError(f"{peer} does not answer", sent=True)
         match message:
--- a/packages/gateway/src/chivepier/gateway/following/tests/test_originexchange.py
+++ b/packages/gateway/src/chivepier/gateway/following/tests/test_originexchange.py
@@ -218,3 +218,19 @@
         assert tell_time() - began <= bound + 0.001
 
     play(test, *versions)
+
+
+@pytest.mark.parametrize("versions", (("v1", "v2"), ("v1",)))
+def test_attempt_without_an_encoding_keeps_no_other_untold(versions):
+    # Guards against an entry that tells of no stream any more, after a caller
+    # has sent a header with a byte that is no UTF-8.
+    async def test(entry, voters):
+        entry.begin("s\udcff")
+        entry.begin("s1")
+        await asyncio.sleep(1.0)
+        entry.add_version("b", "v2")
+        entry.begin("s2")
+        await asyncio.sleep(5.0)
+        assert voters.count("s1") >= 1 and voters.count("s2") >= 1
+
+    play(test, *versions)
