Refuse a forced recovery on a disk that refuses writes

An operator who forces a voter whose disk refuses at the moment got an error, and a voter that is of a new cluster's name alone: its identity was renamed (in memory, and where that write passed on the disk), its old voters and its log were not, and all others refuse it from then on.

Change: nothing is renamed while the disk refuses; node says why.

--- a/packages/node/src/chivepier/node/voters.py
+++ b/packages/node/src/chivepier/node/voters.py
@@ -170,6 +170,8 @@
         replica = self._cluster.replica
         if replica is None or replica.error is not None:
             raise _bad("this instance holds no voter's log")
+        if replica.refusal is not None:
+            raise _bad(f"its disk refuses writes: {replica.refusal!r}")
         if body.get("accept_loss") is not True:
             raise _bad(f"accept_loss is not true; it may lose {MAY_BE_LOST}")
         gone = await self._check_survivors()
--- a/packages/state/src/chivepier/state/tests/test_voterchanges.py
+++ b/packages/state/src/chivepier/state/tests/test_voterchanges.py
@@ -10,6 +10,7 @@
 from chivepier.messages import VotersCommand
 from chivepier.state.busyleadererror import BusyLeaderError
 from chivepier.state.notleadererror import NotLeaderError
+from chivepier.state.storagefailederror import StorageFailedError
 from chivepier.state.testing.histories import make_change
 from chivepier.state.testing.rig import Rig
 from chivepier.types import RequestError
@@ -158,6 +159,42 @@
     asyncio.run(play())
 
 
+def test_forced_recovery_is_refused_while_the_disk_refuses():
+    # Guards against a voter of another cluster's name that is alone with its
+    # old voters, and against one that is told of what memory alone holds.
+    async def play():
+        async with Rig(3) as rig:
+            await rig.propose(make_change("c1"))
+            survivor = rig.replicas["v0"]
+            rig.storages["v0"].fails = True
+            asyncio.ensure_future(
+                (await rig.await_leader()).propose(make_change("c2"))
+            )
+            await rig.wait(lambda: survivor.refusal is not None)
+            for name in ("v1", "v2"):
+                rig.crash(name)
+                rig.wipe(name)
+            await rig.step(4.0)
+            renamed = []
+
+            async def rename(name):
+                renamed.append(name)
+
+            gone = frozenset({"v1", "v2"})
+            with pytest.raises(StorageFailedError, match="no space left"):
+                await rig.finish(
+                    survivor.changes.force("v0", "d", gone, rename)
+                )
+            assert survivor.cluster == "c" and not renamed
+            rig.storages["v0"].fails = False
+            await rig.wait(lambda: survivor.refusal is None)
+            await rig.finish(survivor.changes.force("v0", "d", gone, rename))
+            await rig.propose(make_change("c3"))
+            assert ("team", "c1") in survivor.machine.documents
+
+    asyncio.run(play())
+
+
 def test_forced_recovery_is_refused_while_a_leader_is_heard():
     async def play():
         async with Rig(3) as rig:
--- a/packages/state/src/chivepier/state/voterchanges.py
+++ b/packages/state/src/chivepier/state/voterchanges.py
@@ -261,9 +261,11 @@
             way a renamed voter is merely alone and the order can be repeated
         :returns: the last index that is kept
         :raises RequestError: when a leader is there
+        :raises StorageFailedError: when its disk refuses writes
         """
         core = self._core
         async with core.lock:
+            core.check(core.cluster, core.node)
             if core.tenure is not None or core.quiet() < core.timing.election:
                 text = "a leader is there, or was a moment ago"
                 raise RequestError.of(ErrorKind.VERSION_CONFLICT, text)
