Let no fault of one message stop a voter for good

A voter whose links raised anything but LinkError once (no thread can be started to look up a peer's name, no memory) stopped until its process ended: the tasks that stand and replicate end with it, and the guard takes that for a fault of the voter.

Change: whatever hinders one message is a link's error to its sender; a peer's silence is logged with it, and the message is sent again.

Evidence: the new test fails before the change with both messages.

--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -290,13 +290,29 @@
 
     async def _tell(self, peer: Voter, resignation: AppendRequest) -> None:
         try:
-            await self.transport.request(
-                peer.address, resignation, self.timing.request
-            )
+            await self.ask(peer.address, resignation)
         except LinkError as error:
             # the lease that it waits for runs out all the same
             log.info("not told to elect node={} error={}", peer.node, error)
 
+    async def ask(self, address: str, message: typing.Any) -> typing.Any:
+        """Ask another voter.
+
+        :param address: its address
+        :param message: the message
+        :returns: its answer
+        :raises LinkError: when there is none, for whatever reason: a fault of
+            one message must not stop this voter for good
+        """
+        try:
+            return await self.transport.request(
+                address, message, self.timing.request
+            )
+        except LinkError:
+            raise
+        except Exception as error:
+            raise LinkError(repr(error), sent=True) from error
+
     async def guard(self, work: collections.abc.Awaitable) -> None:
         """Run a task of this voter; an error stops the voter.
 
--- a/packages/state/src/chivepier/state/elections.py
+++ b/packages/state/src/chivepier/state/elections.py
@@ -214,9 +214,7 @@
         """Ask one voter, and return its answer as a ballot names it."""
         core = self._core
         try:
-            answer = await core.transport.request(
-                address, request, core.timing.request
-            )
+            answer = await core.ask(address, request)
         except LinkError as error:
             return str(error)
         if answer.term > core.storage.term:
--- a/packages/state/src/chivepier/state/replication.py
+++ b/packages/state/src/chivepier/state/replication.py
@@ -139,9 +139,7 @@
     async def _ask(self, request):
         core, tenure = self._core, self._tenure
         sent = core.clock.monotonic()
-        answer = await core.transport.request(
-            self._peer.address, request, core.timing.request
-        )
+        answer = await core.ask(self._peer.address, request)
         self._note_answer()
         if answer.term > tenure.term:
             await core.adopt_term(answer.term)
--- a/packages/state/src/chivepier/state/tests/test_refusedwrites.py
+++ b/packages/state/src/chivepier/state/tests/test_refusedwrites.py
@@ -7,6 +7,7 @@
 import pytest
 
 from chivepier.messages import AppendRequest
+from chivepier.messages import VoteRequest
 from chivepier.state import DiskStorage
 from chivepier.state import LostLeadError
 from chivepier.state.snapshot import Snapshot
@@ -352,3 +353,36 @@
             assert failing.error is None
 
     asyncio.run(play_it())
+
+
+class Failing:
+    """Links that fail once with an error that nobody has foreseen."""
+
+    def __init__(self, links, kind):
+        self._links, self._kind, self.failed = links, kind, False
+
+    async def request(self, peer: str, value, timeout: float):
+        """Ask a peer, but for the first message of a kind."""
+        if isinstance(value, self._kind) and not self.failed:
+            self.failed = True
+            raise RuntimeError("can't start new thread")
+        return await self._links.request(peer, value, timeout)
+
+
+@pytest.mark.parametrize("kind", (AppendRequest, VoteRequest))
+def test_message_that_fails_with_any_error_stops_no_voter_for_good(kind):
+    # Guards against a voter that takes no part any more for a thread that
+    # could not be started once, to find a peer's address.
+    async def play_it():
+        async with Rig(3) as rig:
+            links = []
+            for replica in rig.replicas.values():
+                core = replica._core
+                core.transport = Failing(core.transport, kind)
+                links.append(core.transport)
+            await rig.wait(lambda: any(link.failed for link in links))
+            await rig.step(3.0)
+            assert not [r.error for r in rig.replicas.values() if r.error]
+            await check_return(rig, "last")
+
+    asyncio.run(play_it())
