--- a/packages/state/src/chivepier/state/tests/test_refusedwrites.py
+++ b/packages/state/src/chivepier/state/tests/test_refusedwrites.py
@@ -386,3 +386,50 @@
             await check_return(rig, "last")
 
     asyncio.run(play_it())
+
+
+async def leave_torn_tail(path) -> None:
+    """Leave a part of a record, as a crash does."""
+    with open(path / "log", "ab") as stream:
+        stream.write(b"torn")
+
+
+async def leave_snapshot_alone(path) -> None:
+    """Leave a snapshot whose log wasn't written after it."""
+    log = (path / "log").read_bytes()
+    storage = DiskStorage(path, used=True)
+    await storage.save_snapshot(Snapshot(4, 2, b"state"))
+    storage.close()
+    (path / "log").write_bytes(log)
+
+
+async def leave_whole(path) -> None:
+    """Leave what a calm end does."""
+
+
+LEFT = (leave_torn_tail, leave_snapshot_alone, leave_whole)
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("accepted", range(MOST_CALLS))
+@pytest.mark.parametrize("leave", LEFT, ids=lambda leave: leave.__name__)
+def test_power_lost_in_mid_start_loses_nothing(
+    tmp_path, leave, accepted, seed
+):
+    # Guards against a start that writes its folder anew and leaves less than
+    # there was when it ends half way.
+    async def play():
+        rng, path = random.Random(seed), tmp_path / "data"
+        with PoweredFolder(path, tmp_path / "shadow") as folder:
+            storage = await prepare(path)
+            storage.close()
+            await leave(path)
+            expected = look(path)
+            await leave(path)
+            with RefusingDisk(path) as disk:
+                disk.refuse(errno.EIO, accepted, torn=bool(seed % 2))
+                DiskStorage(path, used=True).close()
+            folder.lose_power(rng)
+            assert look(path) == expected
+
+    asyncio.run(play())
