--- a/packages/state/src/chivepier/state/following.py
+++ b/packages/state/src/chivepier/state/following.py
@@ -150,7 +150,16 @@
         snapshot = Snapshot(request.last_index, request.last_term, data)
         if storage.term_at(snapshot.index) != snapshot.term:
             core.truncate(core.commit + 1)
-        await core.store(storage.save_snapshot(snapshot))
+        try:
+            await core.store(storage.save_snapshot(snapshot))
+        finally:
+            # also where the waiter was cancelled: a machine behind the log's
+            # first entry would apply nothing any more
+            if storage.snapshot is snapshot:
+                self._take_over(snapshot)
+
+    def _take_over(self, snapshot: Snapshot) -> None:
+        core, storage = self._core, self._core.storage
         core.machine.restore(snapshot)
         core.sets.reset(snapshot.index, core.machine.voters, storage.entries)
         core.raise_commit(snapshot.index)
--- a/packages/state/src/chivepier/state/tests/test_refusedwrites.py
+++ b/packages/state/src/chivepier/state/tests/test_refusedwrites.py
@@ -7,6 +7,7 @@
 import pytest
 
 from chivepier.messages import AppendRequest
+from chivepier.messages import SnapshotRequest
 from chivepier.messages import VoteRequest
 from chivepier.state import DiskStorage
 from chivepier.state import LostLeadError
@@ -433,3 +434,36 @@
             assert look(path) == expected
 
     asyncio.run(play())
+
+
+def test_install_whose_waiter_is_cancelled_is_applied():
+    # Guards against a voter that applies nothing any more: its snapshot is
+    # ahead of its machine, and its log begins after it.
+    async def play_it():
+        async with Rig(3) as rig:
+            leader = await rig.await_leader()
+            behind = next(r for r in rig.replicas.values() if r is not leader)
+            rig.isolate(behind.node)
+            for number in range(40):
+                await rig.propose(make_change(f"c{number}"))
+            await rig.wait(lambda: leader.storage.snapshot.index > 20)
+            snapshot = leader.storage.snapshot
+            request = SnapshotRequest(
+                leader.storage.term,
+                leader.node,
+                snapshot.index,
+                snapshot.term,
+                0,
+                snapshot.data,
+                True,
+                "c",
+                behind.node,
+            )
+            task = asyncio.ensure_future(behind.handle_snapshot(request))
+            await rig.wait(lambda: behind._core.writing_since is not None)
+            task.cancel()
+            await rig.wait(task.done)
+            rig.network.cut.clear()
+            await check_return(rig, "last")
+
+    asyncio.run(play_it())
