Let a new leader wait for the turns of one that handed over

A target with a rate limit got more than it announced: 12 sends in 0.8 s at 10 a second (played), as a leader whose disk refuses has its successor at once, which grants turns from then on, while those that the one before granted ahead still come. Without a hand-over an election takes a second in which they pass.

Change: a new leader's first turn comes a second after it began to lead. That holds after each election: targets with a rate limit wait a second longer there.

--- a/packages/gateway/src/chivepier/gateway/control/permitservice.py
+++ b/packages/gateway/src/chivepier/gateway/control/permitservice.py
@@ -17,6 +17,10 @@
 from chivepier.types import Clock
 from chivepier.wire import LinkError
 
+# Seconds for which turns that a predecessor has granted may still come: a
+# leader that resigns has its successor at once.
+HANDOVER_SECONDS = 1.0
+
 
 class PermitService:
     """Forwards permit requests to the leader, and answers them as leader.
@@ -93,5 +97,9 @@
             return SendDecision(True, 0.0)
         claim = Claim(request.team, request.urgency, request.max_wait)
         return self._turns.acquire(
-            request.instance, request.rate, claim, now, since
+            request.instance,
+            request.rate,
+            claim,
+            now,
+            since + HANDOVER_SECONDS,
         )
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_permitservice.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_permitservice.py
@@ -21,6 +21,7 @@
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
 from chivepier.standins.loopclock import tell_time
+from chivepier.state.testing import RefusingDisk
 from chivepier.types import ManualClock
 
 RATE = 10
@@ -231,3 +232,38 @@
     assert ledger.acquire("i1", 3, WINDOW_SECONDS + 0.01)
     ledger.acquire("i3", 1, 60.0)
     assert ledger.count_targets() == 1
+
+
+async def ask_turns(service: PermitService, dues: list[float]) -> None:
+    """Ask for all turns that a leader grants at a time, and note them."""
+    request = PermitRequest("i1", 0, rate=float(RATE), max_wait=1.0)
+    while (answer := await service.handle(request)).granted:
+        dues.append(tell_time() + answer.wait)
+
+
+def test_leader_that_hands_over_leaves_limited_targets_their_rate(tmp_path):
+    # Guards against turns that two leaders grant for the same second, as the
+    # next one leads before those of the one before have passed.
+    async def test(fleet):
+        await fleet.write(1)
+        await asyncio.sleep(2.0)
+        dues: list[float] = []
+        leader = fleet.find_leader()
+        address = next(a for a, v in fleet.voters.items() if v is leader)
+        with RefusingDisk(fleet.find_folder(address)) as disk:
+            await ask_turns(leader.permits, dues)
+            disk.refuse()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await fleet.write(2)
+            await wait_until(lambda: fleet.find_leader() not in (None, leader))
+            for _ in range(40):
+                await ask_turns(fleet.find_leader().permits, dues)
+                await asyncio.sleep(0.05)
+            disk.accept()
+        dues.sort()
+        assert len(dues) > 2 * RATE
+        for first in range(len(dues) - RATE - 1):
+            assert dues[first + RATE + 1] - dues[first] >= 0.99
+
+    play(test, tmp_path)
