--- a/packages/state/src/chivepier/state/tests/test_refusedwrites.py
+++ b/packages/state/src/chivepier/state/tests/test_refusedwrites.py
@@ -7,6 +7,7 @@
 import pytest
 
 from chivepier.messages import AppendRequest
+from chivepier.messages import VoteRequest
 from chivepier.state import DiskStorage
 from chivepier.state import LostLeadError
 from chivepier.state.snapshot import Snapshot
@@ -18,6 +19,7 @@
 from chivepier.state.tests.test_diskstorage import entries
 from chivepier.state.tests.test_diskstorage import write
 from chivepier.state.tests.test_safeguards import beat
+from chivepier.state.tests.test_safeguards import holds
 
 # More calls than any one write makes.
 MOST_CALLS = 12
@@ -316,3 +318,71 @@
             assert follower.leader == new.node
 
     asyncio.run(play_it())
+
+
+def refuse_threads(storage) -> None:
+    """Let the next write end as if no thread could be started for it."""
+    sync = storage.sync
+
+    async def refuse():
+        storage.sync = sync
+        raise RuntimeError("can't start new thread")
+
+    storage.sync = refuse
+
+
+@pytest.mark.parametrize("leads", (True, False))
+def test_write_that_ends_with_any_error_is_answered_for_by_nobody(leads):
+    # Guards against a change that is committed on one disk alone, as memory is
+    # ahead of the disk after any error.
+    async def play_it():
+        async with Rig(3) as rig:
+            leader = await rig.await_leader()
+            near, far = (r for r in rig.replicas.values() if r is not leader)
+            rig.isolate(far.node)
+            failing = leader if leads else near
+            refuse_threads(rig.storages[failing.node])
+            change = asyncio.ensure_future(leader.propose(make_change("c")))
+            await rig.wait(change.done, 5.0)
+            if change.exception() is None:
+                index = change.result().index
+                holders = [d for d in rig.disks.values() if holds(d, index)]
+                assert len(holders) >= 2, "committed on one disk"
+            rig.network.cut.clear()
+            await check_return(rig, "last")
+            assert failing.error is None
+
+    asyncio.run(play_it())
+
+
+class Failing:
+    """Links that fail once with an error that nobody has foreseen."""
+
+    def __init__(self, links, kind):
+        self._links, self._kind, self.failed = links, kind, False
+
+    async def request(self, peer: str, value, timeout: float):
+        """Ask a peer, but for the first message of a kind."""
+        if isinstance(value, self._kind) and not self.failed:
+            self.failed = True
+            raise RuntimeError("can't start new thread")
+        return await self._links.request(peer, value, timeout)
+
+
+@pytest.mark.parametrize("kind", (AppendRequest, VoteRequest))
+def test_message_that_fails_with_any_error_stops_no_voter_for_good(kind):
+    # Guards against a voter that takes no part any more for a thread that
+    # could not be started once, to find a peer's address.
+    async def play_it():
+        async with Rig(3) as rig:
+            links = []
+            for replica in rig.replicas.values():
+                core = replica._core
+                core.transport = Failing(core.transport, kind)
+                links.append(core.transport)
+            await rig.wait(lambda: any(link.failed for link in links))
+            await rig.step(3.0)
+            assert not [r.error for r in rig.replicas.values() if r.error]
+            await check_return(rig, "last")
+
+    asyncio.run(play_it())
