--- a/packages/gateway/src/chivepier/gateway/serving/departure.py
+++ b/packages/gateway/src/chivepier/gateway/serving/departure.py
@@ -20,16 +20,25 @@
     """Keeps requests from being cut by the end of this process.
 
     For some seconds after the stop order, requests are taken that may outlast
-    it; later ones only if their deadline ends them before. What waits for a
-    target by then is refused, and what is left at the end is answered.
+    it, unless they are expected to; later ones only if their deadline ends
+    them before. What waits for a target by then is refused, and what is left
+    at the end is answered.
 
     :param state: when the process ends
     :param clock: source of monotonic time
+    :param estimate: returns how many seconds a request is expected to take at
+        most; 0 if nothing is known of it
     """
 
-    def __init__(self, state: ServingState, clock: Clock):
+    def __init__(
+        self,
+        state: ServingState,
+        clock: Clock,
+        estimate: collections.abc.Callable[[Plan], float],
+    ):
         self._state = state
         self._clock = clock
+        self._estimate = estimate
         self._waits: dict[asyncio.Timeout, Plan] = {}
         self._holds: set[RequestHold] = set()
 
@@ -65,15 +74,15 @@
         return len(holds)
 
     def check(self, plan: Plan) -> None:
-        """Refuse a request that comes late and may outlast this process.
+        """Refuse a request that may outlast this process.
+
+        Its caller can retry at another instance at once.
 
         :param plan: the plan of a request that has not run
         :raises RequestError: if it is refused
         """
-        late_at = self._state.late_at
-        if late_at is None or self._must_end(plan):
-            return
-        if self._clock.monotonic() >= late_at:
+        last = self._find_last_start(plan)
+        if last is not None and self._clock.monotonic() >= last:
             text = "this instance may end before the request would"
             raise RequestError.of(ErrorKind.DRAINING, text)
 
@@ -130,13 +139,21 @@
         finally:
             self._holds.discard(hold)
 
-    def _must_end(self, plan: Plan) -> bool:
-        return plan.deadline <= self._state.ends_at - ANSWER_SECONDS
+    def _find_last_start(self, plan: Plan) -> float | None:
+        """Return the monotonic time from which a request is not sent."""
+        state = self._state
+        if state.ends_at is None:
+            return None
+        last_end = state.ends_at - ANSWER_SECONDS
+        if plan.deadline <= last_end:
+            return None
+        last = last_end - self._estimate(plan)
+        return last if state.late_at is None else min(last, state.late_at)
 
     def _find_wait_end(self, plan: Plan) -> float | None:
         """Return the time of the loop until which a request may wait."""
-        late_at = self._state.late_at
-        if late_at is None or self._must_end(plan):
+        last = self._find_last_start(plan)
+        if last is None:
             return None
-        left = late_at - self._clock.monotonic()
+        left = last - self._clock.monotonic()
         return asyncio.get_running_loop().time() + left
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -119,7 +119,6 @@
         self.detour = detour
         self.clock = clock
         self.log = log
-        self.departure = Departure(state, clock)
         self.continuations = Continuations(table, state, clock, log, metrics)
         self.limit = AttemptLimit(table, calls.connect)
         self.witness = EndWitness(table, calls.probe, clock)
@@ -128,6 +127,7 @@
         self._refusals = RefusalLog(log, metrics)
         self.losses = LossRecorder(table, guard, self.witness, clock, log)
         self.runs = RunTracker(loads, mover, balancer, clock, queues)
+        self.departure = Departure(state, clock, self.runs.estimate_seconds)
         self._reader = AnswerReader(self.runs, self.witness, answers)
         self._rejection = RejectionPolicy(table, clock, retry_after, log)
         places = PlaceWait(balancer, gate, state, clock, log, metrics)
@@ -363,6 +363,8 @@
             self.balancer.record_end(target.instance)
             raise
         self._attempts.note_answer(plan, started, sent_at)
+        if started.run is None and answer.status < 300:
+            self.runs.note_answer(plan, self.clock.monotonic() - sent_at)
         return started
 
     def _build_options(
--- a/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
@@ -202,26 +202,8 @@
     def _plan(self, request: CallerRequest) -> Plan:
         plan = self._planner.plan(request)
         self.departure.check(plan)
-        self._check_time_left(plan)
         return plan
 
-    def _check_time_left(self, plan: Plan) -> None:
-        """Reject a generation that would outlast this process.
-
-        For some seconds after the order to stop, callers still use the address
-        of this instance. An immediate error that says that nothing has run
-        lets them retry at another instance at once.
-
-        :raises RequestError: if the generation can't finish here
-        """
-        ends_at = self._state.ends_at
-        if ends_at is None:
-            return
-        left = ends_at - self._dispatcher.clock.monotonic()
-        if self._dispatcher.runs.estimate_seconds(plan) > left:
-            text = "this instance ends before the generation would"
-            raise RequestError.of(ErrorKind.DRAINING, text)
-
     async def _answer(
         self,
         plan: Plan,
--- a/packages/gateway/src/chivepier/gateway/serving/runtracker.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runtracker.py
@@ -1,8 +1,10 @@
 """Tracks the generations that this entry relays."""
 
+from chivepier.gateway.serving.continuations import NO_EVENTS
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.mover import Mover
 from chivepier.gateway.serving.plan import Plan
+from chivepier.gateway.serving.responsetimes import ResponseTimes
 from chivepier.gateway.targets import Demand
 from chivepier.gateway.targets import HoldEstimator
 from chivepier.gateway.targets import LoadBalancer
@@ -33,6 +35,7 @@
         queues: QueueTracker,
     ):
         self.holds = HoldEstimator()
+        self._times = ResponseTimes()
         self._queues = queues
         self._balancer = balancer
         self._prefill_estimator = balancer.prefill_estimator
@@ -113,15 +116,19 @@
             )
 
     def estimate_seconds(self, plan: Plan) -> float:
-        """Return the longest time that a generation takes, in seconds.
+        """Return how long a request is expected to take at most, in seconds.
 
-        :param plan: the plan of the request; 0 for other requests than
-            generations
+        That of a generation rests on its tokens, that of others on the latest
+        answers of their route.
+
+        :param plan: the plan of the request
+        :returns: the time; 0 if nothing is known of it
         """
-        prompt = plan.request.prompt
-        if prompt is None:
-            return 0.0
-        service = plan.service.name
+        prompt, service = plan.request.prompt, plan.service.name
+        if prompt is None or plan.service.engine is None:
+            seen = self._times.estimate(plan.route.name, service)
+            if seen is not None or prompt is None:
+                return seen or 0.0
         # it may run at the slowest of them
         pace = self._balancer.survey_paces(service).highest
         reading = self._prefill_estimator.estimate(
@@ -131,11 +138,22 @@
             service, prompt.max_output, pace
         )
 
+    def note_answer(self, plan: Plan, seconds: float) -> None:
+        """Note how long an answer took that came whole from one target.
+
+        :param plan: the plan of the request
+        :param seconds: time from the send to its end
+        """
+        self._times.record(plan.route.name, plan.service.name, seconds)
+
     def note_complete(self, run: LiveRun) -> None:
-        """Update the estimate of the decoding speed from a complete run.
+        """Update the estimates of how long runs take from a complete one.
 
         Runs that were resumed at another target are left out.
         """
+        if not run.moved and run.request.last_event in NO_EVENTS:
+            seconds = self._clock.monotonic() - run.sent_at
+            self.note_answer(run.plan, seconds)
         engine = run.service.engine
         if (
             engine is not None
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_departure.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_departure.py
@@ -5,9 +5,11 @@
 import attrs
 import pytest
 
+from chivepier.gateway.serving.prompt import Prompt
 from chivepier.gateway.serving.tests.parts import begin
 from chivepier.gateway.serving.tests.parts import ENGINE
 from chivepier.gateway.serving.tests.parts import fail
+from chivepier.gateway.serving.tests.parts import finish
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
 from chivepier.standins.loopclock import tell_time
@@ -19,10 +21,22 @@
 LATE_SECONDS, END_SECONDS = 2.0, 6.0
 
 
-def stop(parts) -> None:
+def stop(parts, seconds: float = END_SECONDS) -> None:
     """Order an entry to stop."""
     now = tell_time()
-    parts.serving.departure.begin(now + LATE_SECONDS, now + END_SECONDS)
+    parts.serving.departure.begin(now + LATE_SECONDS, now + seconds)
+
+
+async def stream_for(parts, seconds: float) -> None:
+    """Serve a stream without a prompt that takes some time."""
+    caller, task = parts.start(make_request("/resume/x", prompt=None))
+    run = await parts.engines.wait_run(len(parts.engines.answers) + 1)
+    run.make()
+    for _ in range(round(2 * seconds)):
+        await asyncio.sleep(0.5)
+        run.make()
+    await finish(task, run)
+    assert caller.finished
 
 
 @pytest.mark.parametrize("path", ("/plain/x", "/read/x", "/llm/x"))
@@ -154,3 +168,51 @@
         assert caught.value.failure.ran is Ran.NO
 
     play(test, "a")
+
+
+def test_stream_that_is_known_to_outlast_the_process_is_refused():
+    """Guards against streams that are taken and broken off (issue 72)."""
+
+    async def test(parts):
+        await stream_for(parts, 2.5)
+        stop(parts, 3.5)
+        await asyncio.sleep(1.2)
+        failure = await fail(parts, make_request("/resume/x", prompt=None))
+        assert failure.kind is ErrorKind.DRAINING
+        assert failure.ran is Ran.NO and seconds_to_retry(failure) == 0
+        assert len(parts.engines.orders) == 1
+
+    play(test, "a")
+
+
+def test_stream_that_is_known_to_end_in_time_is_served():
+    """Guards against refusals of streams that the process can end."""
+
+    async def test(parts):
+        await stream_for(parts, 1.5)
+        stop(parts, 3.5)
+        await asyncio.sleep(1.2)
+        await stream_for(parts, 1.5)
+
+    play(test, "a")
+
+
+def test_request_that_waits_until_it_is_known_not_to_end_is_refused():
+    """Guards against waits after which what is sent is cut."""
+
+    async def test(parts):
+        parts.engines.full.add("a")
+        # the estimate of its decoding is 2.5 s
+        prompt = Prompt(tokens=100, max_output=250)
+        _, task = parts.start(make_request(prompt=prompt))
+        await asyncio.sleep(0.1)
+        stopped_at = tell_time()
+        stop(parts, 3.5)
+        with pytest.raises(RequestError) as caught:
+            await task
+        assert caught.value.failure.kind is ErrorKind.DRAINING
+        assert caught.value.failure.ran is Ran.NO
+        assert tell_time() <= stopped_at + 1.0
+        assert not parts.engines.orders
+
+    play(test, "a", engine=attrs.evolve(ENGINE, reserve_seconds=2.0))
