--- a/packages/gateway/src/chivepier/gateway/serving/departure.py
+++ b/packages/gateway/src/chivepier/gateway/serving/departure.py
@@ -27,14 +27,14 @@
     :param state: when the process ends
     :param clock: source of monotonic time
     :param estimate: returns how many seconds a request is expected to take at
-        most; 0 if nothing is known of it
+        most; ``None`` if nothing is known of it
     """
 
     def __init__(
         self,
         state: ServingState,
         clock: Clock,
-        estimate: collections.abc.Callable[[Plan], float],
+        estimate: collections.abc.Callable[[Plan], float | None],
     ):
         self._state = state
         self._clock = clock
@@ -86,6 +86,19 @@
             text = "this instance may end before the request would"
             raise RequestError.of(ErrorKind.DRAINING, text)
 
+    def may_repeat(self, plan: Plan, least: float) -> bool:
+        """Tell whether another run of a request can end before this process.
+
+        :param plan: the plan of the request
+        :param least: seconds that it takes if nothing else is known of it
+        """
+        ends_at = self._state.ends_at
+        if ends_at is None:
+            return True
+        seconds = self._estimate(plan)
+        end = self._clock.monotonic() + (least if seconds is None else seconds)
+        return min(end, plan.deadline) <= ends_at - ANSWER_SECONDS
+
     @contextlib.asynccontextmanager
     async def limit_wait(
         self, plan: Plan, runs: int
@@ -147,7 +160,7 @@
         last_end = state.ends_at - ANSWER_SECONDS
         if plan.deadline <= last_end:
             return None
-        last = last_end - self._estimate(plan)
+        last = last_end - (self._estimate(plan) or 0.0)
         return last if state.late_at is None else min(last, state.late_at)
 
     def _find_wait_end(self, plan: Plan) -> float | None:
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -1,6 +1,7 @@
 """Sends a request to targets, with retries, until one answers it."""
 
 import asyncio
+import contextlib
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.metrics import Metrics
@@ -26,6 +27,7 @@
 from chivepier.gateway.serving.errors import RateLimitedError
 from chivepier.gateway.serving.lossrecorder import LossRecorder
 from chivepier.gateway.serving.mover import Mover
+from chivepier.gateway.serving.patience import Patience
 from chivepier.gateway.serving.placewait import PlaceWait
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.refusallog import RefusalLog
@@ -314,10 +316,6 @@
     ) -> StartedAnswer:
         target = assignment.target
         seconds = plan.deadline - self.clock.monotonic()
-        if may_retry:
-            seconds = min(
-                seconds, ATTEMPT_TIMEOUT_OBJECTIVES * plan.route.objective
-            )
         run = None
         if plan.demand is not None:
             run = self.runs.start(plan, target)
@@ -328,17 +326,20 @@
         try:
             async with (
                 run.limit_wait(seconds) if run else asyncio.timeout(seconds)
-            ):
-                answer = await self.calls.send(
-                    target,
-                    plan.request,
-                    self._build_options(plan, assignment),
-                    CallPurpose.START,
-                    assignment.permit,
-                    max(MIN_PATIENCE_SECONDS, plan.route.objective),
-                    lambda: self.guard.is_held(plan),
-                )
-                started = await self._reader.read(plan, target, answer, run)
+            ) as timeout:
+                with self._limit_patience(plan, timeout, may_retry):
+                    answer = await self.calls.send(
+                        target,
+                        plan.request,
+                        self._build_options(plan, assignment),
+                        CallPurpose.START,
+                        assignment.permit,
+                        max(MIN_PATIENCE_SECONDS, plan.route.objective),
+                        lambda: self.guard.is_held(plan),
+                    )
+                    started = await self._reader.read(
+                        plan, target, answer, run
+                    )
         except BaseException as error:
             # of a withdrawn request the target has not failed
             if not (run and run.withdrawn) and isinstance(
@@ -367,6 +368,14 @@
             self.runs.note_answer(plan, self.clock.monotonic() - sent_at)
         return started
 
+    def _limit_patience(
+        self, plan: Plan, timeout: asyncio.Timeout, may_retry: bool
+    ) -> contextlib.AbstractContextManager[None]:
+        if not may_retry:
+            return contextlib.nullcontext()
+        seconds = ATTEMPT_TIMEOUT_OBJECTIVES * plan.route.objective
+        return Patience(plan, seconds, self.departure).limit(timeout)
+
     def _build_options(
         self, plan: Plan, assignment: Assignment
     ) -> SendOptions:
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -160,7 +160,7 @@
     @contextlib.asynccontextmanager
     async def limit_wait(
         self, seconds: float | None
-    ) -> collections.abc.AsyncIterator[None]:
+    ) -> collections.abc.AsyncIterator[asyncio.Timeout]:
         """Limit a wait for its target, which :meth:`abort` ends too.
 
         :param seconds: timeout in seconds; ``None`` for no timeout
@@ -170,7 +170,7 @@
             raise TimeoutError
         try:
             async with asyncio.timeout(seconds) as self.wait_timeout:
-                yield
+                yield self.wait_timeout
         finally:
             self.wait_timeout = None
 
--- a/packages/gateway/src/chivepier/gateway/serving/runtracker.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runtracker.py
@@ -115,20 +115,20 @@
                 run.target.instance, reading=-run.prefill_tokens
             )
 
-    def estimate_seconds(self, plan: Plan) -> float:
+    def estimate_seconds(self, plan: Plan) -> float | None:
         """Return how long a request is expected to take at most, in seconds.
 
         That of a generation rests on its tokens, that of others on the latest
         answers of their route.
 
         :param plan: the plan of the request
-        :returns: the time; 0 if nothing is known of it
+        :returns: the time; ``None`` if nothing is known of it
         """
         prompt, service = plan.request.prompt, plan.service.name
         if prompt is None or plan.service.engine is None:
             seen = self._times.estimate(plan.route.name, service)
             if seen is not None or prompt is None:
-                return seen or 0.0
+                return seen
         # it may run at the slowest of them
         pace = self._balancer.survey_paces(service).highest
         reading = self._prefill_estimator.estimate(
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_departure.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_departure.py
@@ -27,6 +27,19 @@
     parts.serving.departure.begin(now + LATE_SECONDS, now + seconds)
 
 
+def work_for(parts, seconds: float) -> None:
+    """Make every target work for some time before it answers."""
+    send = parts.engines.send
+
+    async def send_late(*args):
+        answer = await send(*args)
+        await asyncio.sleep(seconds)
+        answer.end()
+        return answer
+
+    parts.engines.send = send_late
+
+
 async def stream_for(parts, seconds: float) -> None:
     """Serve a stream without a prompt that takes some time."""
     caller, task = parts.start(make_request("/resume/x", prompt=None))
@@ -216,3 +229,54 @@
         assert not parts.engines.orders
 
     play(test, "a", engine=attrs.evolve(ENGINE, reserve_seconds=2.0))
+
+
+@pytest.mark.parametrize("pause", (-0.5, 1.3))
+def test_attempt_is_not_given_up_for_one_that_can_not_end(pause):
+    """Guards against repeats that are cut where one run ends (issue 72)."""
+
+    async def test(parts):
+        work_for(parts, 2.2)
+        await parts.serve(make_request("/read/x"))
+        sent = len(parts.engines.orders)
+        if pause > 0:
+            stop(parts, 3.5 + pause)
+            ends_at = tell_time() + 3.5 + pause
+            await asyncio.sleep(pause)
+        caller, task = parts.start(make_request("/read/x"))
+        if pause < 0:
+            await asyncio.sleep(-pause)
+            stop(parts, 3.5)
+            ends_at = tell_time() + 3.5
+        loop = asyncio.get_running_loop()
+        left = ends_at - tell_time()
+        loop.call_later(left, parts.serving.departure.end)
+        await task
+        assert caller.status == 200
+        assert len(parts.engines.orders) == sent + 1
+
+    play(test, "a", "b")
+
+
+def test_attempt_is_given_up_for_one_that_can_end():
+    """Guards against waits for a dark target while another would answer."""
+
+    async def test(parts):
+        parts.engines.failing = {"w-a": 200, "w-b": 200}
+        await parts.serve(make_request("/read/x"))
+        send = parts.engines.send
+        names = []
+
+        async def send_dark(target, *args):
+            names.append(target.instance)
+            if len(names) == 1:
+                await asyncio.sleep(60.0)
+            return await send(target, *args)
+
+        parts.engines.send = send_dark
+        stop(parts, 4.5)
+        await asyncio.sleep(1.2)
+        caller = await parts.serve(make_request("/read/x"))
+        assert caller.status == 200 and len(names) == 2
+
+    play(test, "a", "b")
