--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -205,8 +205,9 @@
             self._assignments.write(plan, assignment, forecast)
             tried.add(target.instance)
             may_retry = plan.repeatable and runs + 1 < plan.route.attempts
+            patience = self._make_patience(plan) if may_retry else None
             try:
-                started = await self._attempt(plan, assignment, may_retry)
+                started = await self._attempt(plan, assignment, patience)
             except NotSentError as error:
                 self._attempts.note_not_sent(plan, target, error)
                 # the request did not arrive, so the next send is no retry
@@ -221,6 +222,7 @@
                 if not may_retry:
                     await self.guard.check(plan, runs)
                     raise self._rejection.make_lost_error(error) from None
+                retry_counted = patience.retry_taken
                 await self.guard.wait_for_verdict(plan, target)
                 continue
             if self._is_refused(plan, target, started.answer):
@@ -312,7 +314,7 @@
         self.balancer.record_end(started.target.instance)
 
     async def _attempt(
-        self, plan: Plan, assignment: Assignment, may_retry: bool
+        self, plan: Plan, assignment: Assignment, patience: Patience | None
     ) -> StartedAnswer:
         target = assignment.target
         seconds = plan.deadline - self.clock.monotonic()
@@ -327,7 +329,11 @@
             async with (
                 run.limit_wait(seconds) if run else asyncio.timeout(seconds)
             ) as timeout:
-                with self._limit_patience(plan, timeout, may_retry):
+                with (
+                    patience.limit(timeout)
+                    if patience
+                    else contextlib.nullcontext()
+                ):
                     answer = await self.calls.send(
                         target,
                         plan.request,
@@ -368,13 +374,16 @@
             self.runs.note_answer(plan, self.clock.monotonic() - sent_at)
         return started
 
-    def _limit_patience(
-        self, plan: Plan, timeout: asyncio.Timeout, may_retry: bool
-    ) -> contextlib.AbstractContextManager[None]:
-        if not may_retry:
-            return contextlib.nullcontext()
+    def _make_patience(self, plan: Plan) -> Patience:
         seconds = ATTEMPT_TIMEOUT_OBJECTIVES * plan.route.objective
-        return Patience(plan, seconds, self.departure).limit(timeout)
+        # of a stream, the head comes long before its end
+        streams = plan.route.streaming
+        return Patience(
+            seconds,
+            None if streams else self.runs.estimate_seconds(plan),
+            lambda: self.departure.may_repeat(plan, seconds),
+            lambda: self.take_retry(plan),
+        )
 
     def _build_options(
         self, plan: Plan, assignment: Assignment
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_attempts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_attempts.py
@@ -1,11 +1,36 @@
 """Tests of how many targets one attempt of a caller runs on."""
 
+import asyncio
+
 import pytest
 
 from chivepier.gateway.serving.tests.parts import begin
+from chivepier.gateway.serving.tests.parts import fail
 from chivepier.gateway.serving.tests.parts import finish
+from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
 from chivepier.gateway.targets import Liveness
+from chivepier.standins.loopclock import tell_time
+from chivepier.types import Ran
+
+
+def work_for(parts, *seconds: float) -> None:
+    """Make targets work for some time each, the last one from then on."""
+    send, left = parts.engines.send, list(seconds)
+
+    async def send_late(*args):
+        answer = await send(*args)
+        await asyncio.sleep(left.pop(0) if len(left) > 1 else left[0])
+        answer.end()
+        return answer
+
+    parts.engines.send = send_late
+
+
+def exhaust(parts) -> None:
+    """Take all repeats that are left."""
+    while parts.budget.take("web", tell_time(), 1):
+        pass
 
 
 def test_stream_runs_on_no_more_living_targets_than_its_route_allows():
@@ -82,3 +107,33 @@
         assert len(parts.engines.answers) == 2
 
     play(test, "a", "b", "c")
+
+
+def test_attempt_is_not_given_up_as_no_repeat_is_left():
+    """Guards against 502 for slow calls without a budget (issue 72)."""
+
+    async def test(parts):
+        work_for(parts, 2.5)
+        await parts.serve(make_request("/read/x"))
+        exhaust(parts)
+        sent = len(parts.engines.orders)
+        caller = await parts.serve(make_request("/read/x"))
+        assert caller.status == 200
+        assert len(parts.engines.orders) == sent + 1
+
+    play(test, "a", "b")
+
+
+def test_attempt_that_takes_longer_than_others_is_given_up():
+    """Guards against waits until the deadline for a dark target."""
+
+    async def test(parts):
+        work_for(parts, 0.1, 60.0)
+        await parts.serve(make_request("/read/x"))
+        exhaust(parts)
+        began = tell_time()
+        failure = await fail(parts, make_request("/read/x"))
+        assert failure.ran is Ran.UNKNOWN
+        assert tell_time() < began + 2.5
+
+    play(test, "a", "b")
