--- a/soak/latescenario.py
+++ b/soak/latescenario.py
@@ -74,6 +74,17 @@
     Kind("stream", 6000, 9000, kept=True),
     Kind("resume", 6000, 9000),
 )
+# Kinds whose length is known before the stop.
+KNOWN_KINDS = (
+    Kind("once", 1500, 9000),
+    Kind("again", 1500, 9000, kept=True),
+    Kind("stream", 2500, 9000, kept=True),
+    Kind("resume", 6000, 9000),
+)
+# Requests of a kind that make its length known.
+KNOWN_COUNT = 4
+# Seconds after a stop order in which an entry may not know of it yet.
+ORDER_SECONDS = 0.2
 
 
 @attrs.define
@@ -96,6 +107,10 @@
     :param seed: seed of the random number generator
     :param in_series: whether another entry is stopped meanwhile, orders are
         repeated, and the configuration changes
+    :param kinds: what is sent
+    :param grace_seconds: time from the stop order to the kill
+    :param known: whether that entry, and the one that is not stopped, have
+        served each kind before
     :ivar calls: all requests
     :ivar repeats: those sent to another entry after a refusal
     :ivar stops: the stops of entries, by their addresses
@@ -107,10 +122,15 @@
         block: int,
         seed: int,
         in_series: bool = False,
+        kinds: tuple[Kind, ...] = KINDS,
+        grace_seconds: float = GRACE_SECONDS,
+        known: bool = False,
     ):
         self.checker = InvariantChecker()
         self._rng = random.Random(seed)
-        self._kinds = KINDS
+        self._kinds = kinds
+        self._grace = grace_seconds
+        self._known = known
         self._in_series = in_series
         self._number = 0
         self._calm = ""
@@ -123,7 +143,7 @@
 
         self._cluster = Cluster(folder, block, seed, ENTRIES, TARGETS, make)
         for entry in self._cluster.entries:
-            entry.grace_seconds = GRACE_SECONDS
+            entry.grace_seconds = grace_seconds
 
     async def run(self) -> None:
         """Stop an entry while requests come, and wait for all answers."""
@@ -134,6 +154,8 @@
                 await self._wait_until_served(entry)
             first, second, calm = self._rng.sample(cluster.entries, ENTRIES)
             self._calm = calm.ip
+            if self._known:
+                await self._make_known(first, calm)
             async with asyncio.TaskGroup() as group:
                 for kind in self._kinds:
                     group.create_task(self._send_series(kind, first))
@@ -142,7 +164,7 @@
                     return
                 for kind in self._kinds[: len(self._kinds) // 2]:
                     group.create_task(self._send_series(kind, second))
-                pause = self._rng.uniform(1.0, GRACE_SECONDS)
+                pause = self._rng.uniform(1.0, self._grace)
                 group.create_task(self._stop(second, pause))
                 group.create_task(self._disturb(cluster, session))
 
@@ -154,6 +176,13 @@
                 return
             await asyncio.sleep(INTERVAL_SECONDS)
 
+    async def _make_known(self, *entries: Process) -> None:
+        async with asyncio.TaskGroup() as group:
+            for entry in entries:
+                for kind in KNOWN_COUNT * self._kinds:
+                    call = self._make_call(kind, entry.ip)
+                    group.create_task(call.send(CALLER_PORT))
+
     async def _stop(self, entry: Process, pause: float) -> None:
         await asyncio.sleep(pause)
         stop = self.stops[entry.ip] = Stop(time.monotonic())
@@ -162,7 +191,7 @@
             await asyncio.sleep(0.02)
             if self._in_series and self._rng.random() < AGAIN_SHARE:
                 entry.signal(signal.SIGTERM)
-            if time.monotonic() > stop.at + GRACE_SECONDS:
+            if time.monotonic() > stop.at + self._grace:
                 entry.end()
         stop.ended_at = time.monotonic()
         entry.start()
@@ -183,7 +212,7 @@
                 entry.signal(signal.SIGHUP)
 
     async def _send_series(self, kind: Kind, entry: Process) -> None:
-        count = round((EARLY_SECONDS + GRACE_SECONDS) / INTERVAL_SECONDS)
+        count = round((EARLY_SECONDS + self._grace) / INTERVAL_SECONDS)
         streams: collections.deque = collections.deque()
         if kind.kept:
             for _ in range(count):
@@ -234,6 +263,19 @@
             self._report(call) for call in self.calls if self._is_lost(call)
         ]
 
+    def list_broken(self) -> list[str]:
+        """Return requests that came after a stop order and got no answer.
+
+        A refusal that has not run is one, and so is the end of a connection
+        on which nobody read it.
+        """
+        return [
+            self._report(call)
+            for call in self.calls
+            if call.sent_at > self.stops[call.ip].at + ORDER_SECONDS
+            and not self._is_answered(call)
+        ]
+
     def list_untrue(self) -> list[str]:
         """Return refusals that lack a part, or whose request has run."""
         return [
@@ -266,11 +308,19 @@
         if span is None:
             return call.ended_at > call.read_at + LOSS_SLACK_SECONDS
         stop = self.stops[call.ip]
-        last = stop.at + (1 - LAST_SHARE) * GRACE_SECONDS
+        last = stop.at + (1 - LAST_SHARE) * self._grace
         worked = span[1] is None or span[1] >= last
         excused = call.sent_at <= stop.at + EXCUSED_SECONDS
         return not (worked and excused)
 
+    def _is_answered(self, call: LateCall) -> bool:
+        if call.whole:
+            return call.status in (200, 503)
+        if call.refused or call.read_at is None:
+            return True
+        unread = call.ended_at <= call.read_at + LOSS_SLACK_SECONDS
+        return unread and self._find_span(call) is None
+
     def _find_span(self, call: LateCall) -> list[float | None] | None:
         """Return the last work on a request; a stream may go on elsewhere."""
         spans = [
