--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -1,6 +1,7 @@
 """Sends a request to targets, with retries, until one answers it."""
 
 import asyncio
+import contextlib
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.metrics import Metrics
@@ -26,6 +27,7 @@
 from chivepier.gateway.serving.errors import RateLimitedError
 from chivepier.gateway.serving.lossrecorder import LossRecorder
 from chivepier.gateway.serving.mover import Mover
+from chivepier.gateway.serving.patience import Patience
 from chivepier.gateway.serving.placewait import PlaceWait
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.refusallog import RefusalLog
@@ -119,7 +121,6 @@
         self.detour = detour
         self.clock = clock
         self.log = log
-        self.departure = Departure(state, clock)
         self.continuations = Continuations(table, state, clock, log, metrics)
         self.limit = AttemptLimit(table, calls.connect)
         self.witness = EndWitness(table, calls.probe, clock)
@@ -128,6 +129,7 @@
         self._refusals = RefusalLog(log, metrics)
         self.losses = LossRecorder(table, guard, self.witness, clock, log)
         self.runs = RunTracker(loads, mover, balancer, clock, queues)
+        self.departure = Departure(state, clock, self.runs.estimate_seconds)
         self._reader = AnswerReader(self.runs, self.witness, answers)
         self._rejection = RejectionPolicy(table, clock, retry_after, log)
         places = PlaceWait(balancer, gate, state, clock, log, metrics)
@@ -203,8 +205,9 @@
             self._assignments.write(plan, assignment, forecast)
             tried.add(target.instance)
             may_retry = plan.repeatable and runs + 1 < plan.route.attempts
+            patience = self._make_patience(plan) if may_retry else None
             try:
-                started = await self._attempt(plan, assignment, may_retry)
+                started = await self._attempt(plan, assignment, patience)
             except NotSentError as error:
                 self._attempts.note_not_sent(plan, target, error)
                 # the request did not arrive, so the next send is no retry
@@ -219,6 +222,7 @@
                 if not may_retry:
                     await self.guard.check(plan, runs)
                     raise self._rejection.make_lost_error(error) from None
+                retry_counted = patience.retry_taken
                 await self.guard.wait_for_verdict(plan, target)
                 continue
             if self._is_refused(plan, target, started.answer):
@@ -310,14 +314,10 @@
         self.balancer.record_end(started.target.instance)
 
     async def _attempt(
-        self, plan: Plan, assignment: Assignment, may_retry: bool
+        self, plan: Plan, assignment: Assignment, patience: Patience | None
     ) -> StartedAnswer:
         target = assignment.target
         seconds = plan.deadline - self.clock.monotonic()
-        if may_retry:
-            seconds = min(
-                seconds, ATTEMPT_TIMEOUT_OBJECTIVES * plan.route.objective
-            )
         run = None
         if plan.demand is not None:
             run = self.runs.start(plan, target)
@@ -328,17 +328,24 @@
         try:
             async with (
                 run.limit_wait(seconds) if run else asyncio.timeout(seconds)
-            ):
-                answer = await self.calls.send(
-                    target,
-                    plan.request,
-                    self._build_options(plan, assignment),
-                    CallPurpose.START,
-                    assignment.permit,
-                    max(MIN_PATIENCE_SECONDS, plan.route.objective),
-                    lambda: self.guard.is_held(plan),
-                )
-                started = await self._reader.read(plan, target, answer, run)
+            ) as timeout:
+                with (
+                    patience.limit(timeout)
+                    if patience
+                    else contextlib.nullcontext()
+                ):
+                    answer = await self.calls.send(
+                        target,
+                        plan.request,
+                        self._build_options(plan, assignment),
+                        CallPurpose.START,
+                        assignment.permit,
+                        max(MIN_PATIENCE_SECONDS, plan.route.objective),
+                        lambda: self.guard.is_held(plan),
+                    )
+                    started = await self._reader.read(
+                        plan, target, answer, run
+                    )
         except BaseException as error:
             # of a withdrawn request the target has not failed
             if not (run and run.withdrawn) and isinstance(
@@ -363,8 +370,21 @@
             self.balancer.record_end(target.instance)
             raise
         self._attempts.note_answer(plan, started, sent_at)
+        if started.run is None and answer.status < 300:
+            self.runs.note_answer(plan, self.clock.monotonic() - sent_at)
         return started
 
+    def _make_patience(self, plan: Plan) -> Patience:
+        seconds = ATTEMPT_TIMEOUT_OBJECTIVES * plan.route.objective
+        # of a stream, the head comes long before its end
+        streams = plan.route.streaming
+        return Patience(
+            seconds,
+            None if streams else self.runs.estimate_seconds(plan),
+            lambda: self.departure.may_repeat(plan, seconds),
+            lambda: self.take_retry(plan),
+        )
+
     def _build_options(
         self, plan: Plan, assignment: Assignment
     ) -> SendOptions:
