Let the soak refuse writes of running voters

The soak stalled disks and took power, but never refused a write, so it held.

Change: voters of the soak have writes refused for 0.5 to 6 s while they run: by the system (the soft limit of a file's size, set from outside to 0 or to a size in the middle of the next record), or by the stand-in for a disk (ENOSPC, EIO, EDQUOT, EROFS, EFBIG, after 0 to 4 more calls, torn or not, syncs too). They are drawn among the other losses, which stay the most. After each fault, of any kind, a change must be acknowledged and the configuration be read within the bounds in use; checks stand as they were. A voter writes its lines to a pipe, as its log file couldn't grow either. The copy of what is synced is made aside and renamed: a refused copy would empty it.

--- a/packages/state/src/chivepier/state/testing/__init__.py
+++ b/packages/state/src/chivepier/state/testing/__init__.py
@@ -6,6 +6,7 @@
 from chivepier.state.testing.memorystorage import MemoryStorage
 from chivepier.state.testing.poweredfolder import PoweredFolder
 from chivepier.state.testing.ratedclock import RatedClock
+from chivepier.state.testing.refusals import Refusals
 from chivepier.state.testing.refusingdisk import RefusingDisk
 from chivepier.state.testing.rig import Rig
 
@@ -16,6 +17,7 @@
     "MemoryStorage",
     "PoweredFolder",
     "RatedClock",
+    "Refusals",
     "RefusingDisk",
     "Rig",
 ]
--- a/packages/state/src/chivepier/state/testing/poweredfolder.py
+++ b/packages/state/src/chivepier/state/testing/poweredfolder.py
@@ -9,7 +9,7 @@
 import threading
 import time
 
-STALL_FILE = "stall"
+STALL_FILE, FRESH_FILE = "stall", "fresh"
 SYNCED, RENAMED = "synced", "renamed"
 # Between number and name of a rename that is not synced.
 SEPARATOR = "-"
@@ -79,7 +79,8 @@
             if path == self._path:
                 self._apply(self._list_renames())
         elif path.parent == self._path:
-            _copy(path, self._shadow / SYNCED / path.name)
+            fresh = self._shadow / FRESH_FILE
+            _copy(path, self._shadow / SYNCED / path.name, fresh)
 
     def _replace(self, source, target) -> None:
         source, target = pathlib.Path(source), pathlib.Path(target)
@@ -128,10 +129,14 @@
             (self._shadow / name).mkdir()
 
 
-def _copy(source: pathlib.Path, target: pathlib.Path) -> None:
+def _copy(
+    source: pathlib.Path, target: pathlib.Path, fresh: pathlib.Path
+) -> None:
     """Copy a file; of a log that has grown, only what is new."""
     if not (target.exists() and _has_grown(source, target)):
-        shutil.copyfile(source, target)
+        # the copy may be refused, or the process be killed in the middle
+        shutil.copyfile(source, fresh)
+        os.rename(fresh, target)
         return
     with open(source, "rb") as stream, open(target, "ab") as copy:
         stream.seek(copy.tell())
--- a/soak/configoperator.py
+++ b/soak/configoperator.py
@@ -15,6 +15,8 @@
 # Seconds after the last loss within which changes are acknowledged again, and
 # those for one acknowledgement without any.
 RECOVER_SECONDS, TOUCH_SECONDS = 12.0, 3.0
+# Seconds after which a voter that was lost or replaced counts no longer.
+CATCH_UP_SECONDS = 4.0
 CALL_SECONDS = 1.5
 RETRY_SECONDS = 0.1
 # Longest pause between two changes.
@@ -141,3 +143,14 @@
                 self._checker.violations.append(f"{text} acknowledged")
                 return
             await asyncio.sleep(RETRY_SECONDS)
+
+    async def check_acknowledged(self) -> None:
+        """Check that a change is acknowledged in time from now on."""
+        end = time.monotonic() + RECOVER_SECONDS + TOUCH_SECONDS
+        done = len(self.ack_seconds)
+        while len(self.ack_seconds) == done:
+            if time.monotonic() > end:
+                text = f"nothing is acknowledged after {self.acknowledged}"
+                self._checker.violations.append(text)
+                return
+            await asyncio.sleep(RETRY_SECONDS)
--- a/soak/process.py
+++ b/soak/process.py
@@ -6,24 +6,29 @@
 import os
 import pathlib
 import re
+import resource
 import signal
 import subprocess
 import sys
 import time
-import typing
 
 import aiohttp
 
 from chivepier.state.testing import PoweredFolder
+from chivepier.state.testing import Refusals
+from soak.childlog import ChildLog
 from soak.linked import PROGRAM_VARIABLE
 from soak.linked import VARIABLE as LINKS_VARIABLE
 from soak.powered import DATA_VARIABLE
+from soak.powered import REFUSALS_VARIABLE
 from soak.powered import SHADOW_VARIABLE
 
 ROOT = pathlib.Path(__file__).parents[1]
 PROGRAM = ROOT / "platform" / "chivepierd.py"
 LINKED_PROGRAM = ROOT / "soak" / "linked.py"
 POWERED_PROGRAM = ROOT / "soak" / "powered.py"
+# The log of a voter, below its data folder.
+VOTER_LOG = "log"
 # Timeout of a client request in seconds, above every deadline in use.
 SESSION_SECONDS = 6.0
 SETTINGS = """node-name={name}
@@ -81,6 +86,7 @@
     :ivar grace_seconds: seconds from its stop order until it is killed
     :ivar memory_mb: memory of its instance; ``None`` if that isn't named
     :ivar disk: its data, which can lose power; ``None`` if that is not asked
+    :ivar refusals: what its disk refuses; ``None`` if that is not asked
     :ivar links: addresses at which it reaches targets, by their own; empty if
         it reaches them directly
     """
@@ -94,9 +100,12 @@
         self.memory_mb: int | None = None
         self.grace_seconds = 4.0
         self.disk: PoweredFolder | None = None
+        self.refusals: Refusals | None = None
         self._seeds = ",".join(seeds)
         self._folder = folder
         self._child: subprocess.Popen | None = None
+        self._log: ChildLog | None = None
+        self._file_bytes: int | None = None
 
     @property
     def name(self) -> str:
@@ -120,17 +129,46 @@
             program = POWERED_PROGRAM
             variables[DATA_VARIABLE] = str(self._data)
             variables[SHADOW_VARIABLE] = str(self._shadow)
+            variables[REFUSALS_VARIABLE] = str(self._refusals)
         if self.links:
             variables[LINKS_VARIABLE] = json.dumps(self.links)
             variables[PROGRAM_VARIABLE] = str(program)
             program = LINKED_PROGRAM
-        with self._open_log() as log:
-            self._child = subprocess.Popen(
-                [sys.executable, str(program), self.role],
-                env={**os.environ, **variables},
-                stdout=log,
-                stderr=subprocess.STDOUT,
-            )
+        self._child = subprocess.Popen(
+            [sys.executable, str(program), self.role],
+            env={**os.environ, **variables},
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
+        self._limit_files()
+        self._log = ChildLog(self._child.stdout, self._log_path)
+        self._log.start()
+
+    def limit_files(self, size: int | None) -> None:
+        """Let the process write no file beyond a size, as on a full disk.
+
+        A write across it is cut there, the next one refused.  Holds for later
+        starts as well.
+
+        :param size: in bytes; ``None`` ends the limit
+        """
+        self._file_bytes = size
+        if self.alive:
+            self._note("files_limited", bytes=size)
+            self._limit_files()
+
+    def _limit_files(self) -> None:
+        pid, limit = self._child.pid, resource.RLIMIT_FSIZE
+        # it may have ended meanwhile
+        with contextlib.suppress(ProcessLookupError):
+            _, most = resource.prlimit(pid, limit)
+            size = most if self._file_bytes is None else self._file_bytes
+            resource.prlimit(pid, limit, (size, most))
+
+    def read_log_bytes(self) -> int:
+        """Return the size of a voter's replicated log."""
+        path = self._data / VOTER_LOG
+        return path.stat().st_size if path.exists() else 0
 
     @property
     def _data(self) -> pathlib.Path:
@@ -140,9 +178,14 @@
     def _shadow(self) -> pathlib.Path:
         return self._folder.resolve() / f"shadow-{self.name}"
 
+    @property
+    def _refusals(self) -> pathlib.Path:
+        return self._folder.resolve() / f"refusals-{self.name}"
+
     def power_disk(self) -> None:
-        """Let the disk lose power, and stall."""
+        """Let the disk lose power, stall, and refuse writes."""
         self.disk = PoweredFolder(self._data, self._shadow)
+        self.refusals = Refusals(self._refusals)
 
     def update_seeds(self, seeds: list[str]) -> None:
         """Name other voters in the settings; they are read again."""
@@ -166,13 +209,14 @@
         fresh.replace(path)
         return path
 
-    def _open_log(self) -> typing.BinaryIO:
-        return open(self._folder / f"{self.name}.log", "ab")
+    @property
+    def _log_path(self) -> pathlib.Path:
+        return self._folder / f"{self.name}.log"
 
     def _note(self, event: str, **fields) -> None:
         """Log what is done to the process, among its own lines."""
         line = {"t": round(time.time(), 3), "node": "soak", "event": event}
-        with self._open_log() as log:
+        with open(self._log_path, "ab") as log:
             log.write(json.dumps(line | fields).encode() + b"\n")
 
     def signal(self, number: signal.Signals) -> None:
@@ -218,3 +262,4 @@
             self._note("killed")
             self._child.kill()
             self._child.wait()
+            self._log.join()
--- a/soak/voterfaults.py
+++ b/soak/voterfaults.py
@@ -7,15 +7,15 @@
 import time
 import typing
 
+from soak.configoperator import CATCH_UP_SECONDS
 from soak.configoperator import RECOVER_SECONDS
+from soak.diskfaults import DiskFaults
 from soak.faultdraw import FaultDraw
 from soak.process import Process
 
 if typing.TYPE_CHECKING:
     from soak.voterscenario import VoterScenario
 
-# Seconds after which a voter that was lost or replaced counts no longer.
-CATCH_UP_SECONDS = 4.0
 # Seconds within which a voter ends after a signal.
 GRACE_SECONDS = 8.0
 # Longest time for which a voter is down, and for which it stands still.
@@ -46,6 +46,7 @@
         self._rng = rng
         self.names: list[str] = []
         self.disturbed: Process | None = None
+        self.disks = DiskFaults(scenario, self, rng)
         kinds = (
             self.replace_planned,
             self.replace_planned,
@@ -62,14 +63,18 @@
             self.lose_disk_after_replacement_beside_frozen,
             self.lose_power,
         )
-        self._draw = FaultDraw(rng, kinds)
+        # losses stay the most
+        self._draw = FaultDraw(rng, (*kinds, *kinds, *self.disks.kinds))
 
     def keep_only(self, *names: str) -> None:
         """Restrict the losses: inject each once, then draw among them.
 
-        :param names: names of methods of this class
+        :param names: names of methods of this class or of its disks
         """
-        kinds = tuple(getattr(self, name) for name in names)
+        kinds = tuple(
+            getattr(self if hasattr(self, name) else self.disks, name)
+            for name in names
+        )
         self._draw.keep_only(kinds)
 
     async def inject(self, seconds: float) -> None:
@@ -79,6 +84,7 @@
             fault = self._draw.draw()
             self._note(fault.__name__)
             await fault()
+            await self._scenario.check_service()
             await self._scenario.check_losses_borne()
             self._scenario.check_processes()
 
@@ -109,7 +115,7 @@
             case "kill":
                 entry.end()
             case "stop":
-                await self._stop(entry)
+                await self.stop(entry)
                 entry.end()
             case "freeze":
                 entry.signal(signal.SIGSTOP)
@@ -125,24 +131,26 @@
         """Start a successor, give it its time, and end the old voter."""
         old = self._rng.choice(self._scenario.voters)
         fresh = self._scenario.add_voter()
-        await self._await_start(fresh)
+        await self.await_start(fresh)
         await asyncio.sleep(CATCH_UP_SECONDS)
-        await self._end_for_good(old)
+        await self.end_for_good(old)
         await asyncio.sleep(CATCH_UP_SECONDS)
 
     async def replace_lost(self) -> None:
         """End a voter for good, and start its successor then."""
-        await self._end_for_good(self._rng.choice(self._scenario.voters))
+        await self.end_for_good(self._rng.choice(self._scenario.voters))
         await asyncio.sleep(self._rng.uniform(0.0, 1.0))
-        await self._await_start(self._scenario.add_voter())
+        await self.await_start(self._scenario.add_voter())
         await asyncio.sleep(CATCH_UP_SECONDS)
 
-    async def _end_for_good(self, voter: Process) -> None:
+    async def end_for_good(self, voter: Process) -> None:
+        """Stop or kill a voter that does not come back."""
         if self._rng.random() < 0.5:
-            await self._stop(voter)
+            await self.stop(voter)
         self._scenario.remove_voter(voter)
 
-    async def _stop(self, voter: Process) -> None:
+    async def stop(self, voter: Process) -> None:
+        """Stop a process in order, or see it stay."""
         voter.signal(signal.SIGTERM)
         end = time.monotonic() + GRACE_SECONDS
         while voter.alive and time.monotonic() < end:
@@ -154,14 +162,15 @@
         voter.end()
         voter.disk.lose_disk()
         await asyncio.sleep(self._rng.uniform(0.0, MAX_DOWN_SECONDS))
-        await self._start(voter)
+        await self.start(voter)
 
     async def freeze(self) -> None:
         """Pause a voter."""
-        await self._pause(self._rng.choice(self._scenario.voters))
+        await self.pause(self._rng.choice(self._scenario.voters))
         await asyncio.sleep(CATCH_UP_SECONDS)
 
-    async def _pause(self, voter: Process) -> None:
+    async def pause(self, voter: Process) -> None:
+        """Let a voter stand still for a while."""
         voter.signal(signal.SIGSTOP)
         await asyncio.sleep(self._rng.uniform(0.5, MAX_FREEZE_SECONDS))
         voter.signal(signal.SIGCONT)
@@ -180,22 +189,23 @@
 
     async def replace_beside_frozen(self) -> None:
         """Replace a voter as planned while another one stands still."""
-        await self._replace_beside(self._pause)
+        await self.replace_beside(self.pause)
 
     async def replace_beside_stalled(self) -> None:
         """Replace a voter as planned while another one's disk stalls."""
-        await self._replace_beside(self._stall)
+        await self.replace_beside(self._stall)
 
-    async def _replace_beside(self, disturb: Disturb) -> None:
+    async def replace_beside(self, disturb: Disturb) -> None:
+        """Replace a voter as planned while another one is disturbed."""
         old, other = self._rng.sample(self._scenario.voters, 2)
         fresh = self._scenario.add_voter()
-        await self._await_start(fresh)
+        await self.await_start(fresh)
         await asyncio.sleep(CATCH_UP_SECONDS)
         with self._scenario.operator.expect_no_service():
             async with asyncio.TaskGroup() as group:
                 group.create_task(disturb(other))
                 await asyncio.sleep(self._rng.uniform(0.0, MAX_FREEZE_SECONDS))
-                await self._end_for_good(old)
+                await self.end_for_good(old)
         await asyncio.sleep(CATCH_UP_SECONDS)
 
     async def restart(self) -> None:
@@ -208,42 +218,42 @@
             await self._restart(voter)
 
     async def _restart(self, voter: Process) -> None:
-        await self._stop(voter)
+        await self.stop(voter)
         voter.end()
         await asyncio.sleep(self._rng.uniform(0.0, 1.0))
-        await self._start(voter)
+        await self.start(voter)
 
     async def kill_all(self) -> None:
         """Kill all voters at once, and start them with their data."""
-        await self._end_all()
+        await self.end_all()
         await asyncio.sleep(RECOVER_SECONDS)
 
     async def kill_all_and_lose_disk(self) -> None:
         """Kill all voters at once, one of which loses its data."""
         self._note("kill_all_and_lose_disk")
-        await self._end_all(self._rng.choice(self._scenario.voters))
+        await self.end_all(self._rng.choice(self._scenario.voters))
 
     async def lose_disk_after_replacement_beside_frozen(self) -> None:
         """Replace a voter while a second one stands still; wipe a third."""
         old, other, third = self._rng.sample(self._scenario.voters, 3)
         fresh = self._scenario.add_voter()
-        await self._await_start(fresh)
+        await self.await_start(fresh)
         await asyncio.sleep(CATCH_UP_SECONDS)
         with self._scenario.operator.expect_no_service():
             other.signal(signal.SIGSTOP)
             await asyncio.sleep(FREEZE_BESIDE_SECONDS)
             other.signal(signal.SIGCONT)
-            await self._stop(old)
+            await self.stop(old)
             self._scenario.remove_voter(old)
         await asyncio.sleep(CATCH_UP_SECONDS)
         await self._scenario.check_losses_borne()
         third.end()
         third.disk.lose_disk()
-        await self._start(third)
+        await self.start(third)
 
     async def lose_power(self) -> None:
         """Let all voters lose power at once."""
-        await self._end_all(loses_power=True)
+        await self.end_all(loses_power=True)
         await asyncio.sleep(RECOVER_SECONDS)
 
     async def lose_power_and_disk(self, entries: list[Process]) -> None:
@@ -255,13 +265,18 @@
         for entry in entries:
             entry.end()
         wiped = self._rng.choice(self._scenario.voters)
-        await self._end_all(wiped, loses_power=True)
+        await self.end_all(wiped, loses_power=True)
         for entry in entries:
             entry.start()
 
-    async def _end_all(
+    async def end_all(
         self, wiped: Process | None = None, loses_power: bool = False
     ) -> None:
+        """Kill all voters at once, and start them in any order.
+
+        :param wiped: loses its disk
+        :param loses_power: whether the others lose what was not synced
+        """
         with self._scenario.operator.expect_no_service():
             voters = list(self._scenario.voters)
             for voter in voters:
@@ -283,14 +298,15 @@
         self, voters: collections.abc.Iterable[Process]
     ) -> None:
         for voter in voters:
-            await self._await_start(voter)
+            await self.await_start(voter)
 
-    async def _start(self, voter: Process) -> None:
+    async def start(self, voter: Process) -> None:
+        """Start a voter, and let it catch up."""
         voter.start()
-        await self._await_start(voter)
+        await self.await_start(voter)
         await asyncio.sleep(CATCH_UP_SECONDS)
 
-    async def _await_start(self, voter: Process) -> None:
+    async def await_start(self, voter: Process) -> None:
         """Wait until a process serves: its time to catch up begins then."""
         end = time.monotonic() + MAX_START_SECONDS
         while not await self._scenario.is_serving(voter):
--- a/soak/voters.py
+++ b/soak/voters.py
@@ -31,6 +31,11 @@
     is_flag=True,
     help="Let connections between voters go silent one way.",
 )
+@click.option(
+    "--only",
+    multiple=True,
+    help="Inject this loss; once each, then at random among them.",
+)
 def main(
     seed: int | None,
     seeds: int,
@@ -38,23 +43,31 @@
     routes: int,
     changes: int,
     silent: bool,
+    only: tuple[str, ...],
 ) -> None:
     """Run seeds, and keep the logs of those that fail."""
     failed = 0
     first = random.randrange(1 << 32) if seed is None else seed
     for chosen in range(first, first + seeds):
-        failed += not run_seed(chosen, seconds, routes, changes, silent)
+        failed += not run_seed(chosen, seconds, routes, changes, silent, only)
     sys.exit(1 if failed else 0)
 
 
 def run_seed(
-    seed: int, seconds: float, routes: int, changes: int, silent: bool
+    seed: int,
+    seconds: float,
+    routes: int,
+    changes: int,
+    silent: bool,
+    only: tuple[str, ...] = (),
 ) -> bool:
     """Run one seed and print what it showed; return whether it held."""
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"voters-{seed}-"))
     entries = random.Random(seed).choice(ENTRIES)
     with reserve_block() as block:
         scenario = VoterScenario(folder, block, seed, entries, routes, silent)
+        if only:
+            scenario.faults.keep_only(*only)
         if changes:
             asyncio.run(scenario.measure(changes))
         else:
@@ -66,6 +79,7 @@
         f" acknowledged within {1000 * waits[len(waits) // 2]:.0f} ms (half),"
         f" {1000 * waits[-1]:.0f} ms (all), entries {entries},"
         f" faults {len(scenario.faults.names)},"
+        f" refused {scenario.count_refusals()},"
         f" broken {len(seen.violations)}",
         flush=True,
     )
--- a/soak/voterscenario.py
+++ b/soak/voterscenario.py
@@ -14,6 +14,7 @@
 from soak.callerheaders import make_caller_headers
 from soak.cluster import CALLER_PORT
 from soak.cluster import Cluster
+from soak.configoperator import CATCH_UP_SECONDS
 from soak.configoperator import ConfigOperator
 from soak.configoperator import make_large_config
 from soak.configoperator import MAX_PAUSE_SECONDS
@@ -25,7 +26,6 @@
 from soak.silentvoters import PLACES
 from soak.silentvoters import SilentVoters
 from soak.target import SoakTarget
-from soak.voterfaults import CATCH_UP_SECONDS
 from soak.voterfaults import VoterFaults
 
 # Memory of the smallest instances that the users run.
@@ -37,6 +37,8 @@
 # Seconds after an acknowledgement within which a change is in force, and how
 # much longer that may take while voters are lost.
 APPLY_SECONDS, UNSTABLE_SECONDS = 2.0, 5.0
+# What a voter writes to its log when its disk begins to refuse writes.
+REFUSED_TEXT = b'"disk refuses writes'
 # Range of the number of changes between two of which the effect is checked.
 UNCHECKED_CHANGES = (2, 10)
 
@@ -265,6 +267,12 @@
         writer.close()
         return True
 
+    async def check_service(self) -> None:
+        """Check that changes are acknowledged and read again in time."""
+        await asyncio.gather(
+            self.operator.check_acknowledged(), self.operator.check_recovery()
+        )
+
     async def check_losses_borne(self) -> None:
         """Check that the voters bear the next lost disk."""
         end = time.monotonic() + TOUCH_SECONDS
@@ -287,6 +295,13 @@
             return 0
         return max(surveys, key=lambda line: line["t"])["losses_borne"]
 
+    def count_refusals(self) -> int:
+        """Return how often a voter's disk began to refuse writes."""
+        return sum(
+            path.read_bytes().count(REFUSED_TEXT)
+            for path in self.folder.glob("voter-*.log")
+        )
+
     def _restore_entries(self) -> None:
         for entry in self._cluster.entries:
             entry.signal(signal.SIGCONT)
