--- a/packages/state/src/chivepier/state/tests/test_memory.py
+++ b/packages/state/src/chivepier/state/tests/test_memory.py
@@ -30,6 +30,8 @@
 SNAPSHOT_CONTENTS, LOG_CONTENTS = 420, 440
 ALL_CONTENTS = SNAPSHOT_CONTENTS + LOG_CONTENTS
 KEY = ("configuration", "whole")
+# A disk that is nearly full accepts and refuses in turn.
+RENEWALS = 4
 
 
 def read_peak() -> int:
@@ -142,6 +144,29 @@
     )
 
 
+async def renew(folder: pathlib.Path) -> int:
+    """Open a disk, renew it as after refused writes; return the peak."""
+    storage = DiskStorage(folder, used=True)
+    for _ in range(RENEWALS):
+        await storage.renew()
+    storage.close()
+    return read_peak()
+
+
+def run_renewals(folder: str) -> int:
+    """Do so in a process of its own."""
+    return asyncio.run(renew(pathlib.Path(folder)))
+
+
+def test_renewals_of_a_long_log_fit_a_voters_memory(tmp_path):
+    # Guards against a voter that goes over its memory after a full disk.
+    asyncio.run(fill_as_before(tmp_path))
+    context = multiprocessing.get_context("spawn")
+    with context.Pool(1, maxtasksperchild=1) as pool:
+        peak = pool.apply(run_renewals, (str(tmp_path),))
+    assert peak <= VOTER_MEMORY_BYTES
+
+
 def test_snapshot_of_an_earlier_release_loses_its_past_contents():
     # Guards against contents that stay in the state for ever.
     machine = Machine()
