--- a/soak/process.py
+++ b/soak/process.py
@@ -134,21 +134,23 @@
             variables[LINKS_VARIABLE] = json.dumps(self.links)
             variables[PROGRAM_VARIABLE] = str(program)
             program = LINKED_PROGRAM
-        self._child = subprocess.Popen(
-            [sys.executable, str(program), self.role],
-            env={**os.environ, **variables},
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
-        )
-        self._limit_files()
-        self._log = ChildLog(self._child.stdout, self._log_path)
-        self._log.start()
+        with open(self._log_path, "ab") as log:
+            self._child = subprocess.Popen(
+                [sys.executable, str(program), self.role],
+                env={**os.environ, **variables},
+                stdout=log if self.disk is None else subprocess.PIPE,
+                stderr=subprocess.STDOUT,
+            )
+        if self.disk is not None:
+            self._limit_files()
+            self._log = ChildLog(self._child.stdout, self._log_path)
+            self._log.start()
 
     def limit_files(self, size: int | None) -> None:
-        """Let the process write no file beyond a size, as on a full disk.
+        """Let a voter write no file beyond a size, as on a full disk.
 
-        A write across it is cut there, the next one refused.  Holds for later
-        starts as well.
+        Of a process whose disk can fail.  A write across the size is cut
+        there, the next one refused.  Holds for later starts as well.
 
         :param size: in bytes; ``None`` ends the limit
         """
@@ -262,4 +264,5 @@
             self._note("killed")
             self._child.kill()
             self._child.wait()
+        if self._log is not None:
             self._log.join()
