--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -23,6 +23,7 @@
 from chivepier.wire.traffic import Traffic
 
 log = logbook.Logger("wire")
+# Its lines are among the events of a process.
 link_log = logbook.Logger("link")
 
 Handler = typing.Callable[[typing.Any, "Channel"], typing.Any]
@@ -109,6 +110,7 @@
         self._confirmed = self._last_received
         self._pinged = -math.inf
         self._silent_since: float | None = None
+        self._refused_parts = 0
         self.closed = False
         self.replaced = False
 
@@ -263,9 +265,17 @@
     def _drop(self, part: tuple, error: ValueError) -> None:
         kind, number, tag, _ = part
         self._traffic.dropped_parts += 1
-        link_log.warning(
-            "message not sent peer={} tag={} error={}", self.peer, tag, error
-        )
+        self._refused_parts += 1
+        # the first, and each doubling: a target may announce itself for hours
+        if not self._refused_parts & (self._refused_parts - 1):
+            link_log.warning(
+                "message not sent count={} error={} kind={} tag={} peer={}",
+                self._refused_parts,
+                error,
+                Part(kind).name,
+                tag,
+                self.peer,
+            )
         match kind:
             case Part.REQUEST:
                 future, _ = self._pending.get(number, (None, 0.0))
--- a/packages/wire/src/chivepier/wire/frame.py
+++ b/packages/wire/src/chivepier/wire/frame.py
@@ -10,10 +10,11 @@
 
 # Bytes above which a frame of several parts is split.
 MAX_BATCH_BYTES = 4 << 20
-# Errors that encoding a frame may raise: a text with a lone surrogate, say.
-ENCODE_ERRORS = (TypeError, ValueError, cbor2.CBOREncodeError)
 # Errors that decoding a malformed frame may raise.
 FRAME_ERRORS = (KeyError, TypeError, ValueError, cbor2.CBORDecodeError)
+# Errors that encoding a message may raise, such as one with a text that is
+# not valid Unicode.
+ENCODE_ERRORS = (TypeError, ValueError, OverflowError, cbor2.CBOREncodeError)
 
 
 class Part(enum.IntEnum):
