End the process of a voter whose part in the log has ended

Cause: an unexpected error in a task that stands, applies, recovers or leads stops the voter for good (Core.fail, Replica.failed). Nothing watched it, so the process ran on: it answers callers, keeps its vote and gives none. Nothing but its end would have brought it back.

Where the folder contradicts memory, the process runs on without a vote as before: one that starts again would have forgotten what was committed.

--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -53,6 +53,7 @@
 from chivepier.messages import AppendRequest
 from chivepier.messages import SnapshotRequest
 from chivepier.messages import VoteRequest
+from chivepier.state import DamagedError
 from chivepier.state import Machine
 from chivepier.state import RecentEntries
 from chivepier.state import Replica
@@ -194,6 +195,18 @@
     async def __aexit__(self, *exc) -> None:
         await self._stack.aclose()
 
+    async def await_failure(self) -> Exception:
+        """Return the unexpected error that has ended its part in the log.
+
+        Returns none where the folder contradicts what this voter knows: it
+        gives no vote then, but would once it has started again, and what it
+        has lost could be committed no more.
+        """
+        replica = self.replica
+        while replica.error is None or isinstance(replica.error, DamagedError):
+            await replica.failed.wait()
+        return replica.error
+
     async def leave(self) -> None:
         """Give up the vote before a planned stop, if others can spare it."""
         await self.membership.leave()
