--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -12,6 +12,7 @@
 from chivepier.messages import Entry
 from chivepier.messages import Voter
 from chivepier.state.damagederror import DamagedError
+from chivepier.state.heldlock import HeldLock
 from chivepier.state.machine import Machine
 from chivepier.state.role import Role
 from chivepier.state.storage import Storage
@@ -56,7 +57,7 @@
         self.clock = clock
         self.timing = timing
         self.rng = rng
-        self.lock = asyncio.Lock()
+        self.lock = HeldLock(clock)
         self.role = Role.FOLLOWER
         self.leader = ""
         self.tenure: Tenure | None = None
@@ -66,7 +67,7 @@
         self.writing_since: float | None = None
         # why it takes no part until its disk accepts writes again, and since
         # when
-        self.refusal: OSError | None = None
+        self.refusal: Exception | None = None
         self.refused_at = 0.0
         self.suspended = Signal()
         self._resignations: set[asyncio.Task] = set()
@@ -194,12 +195,15 @@
 
         :param work: the storage's coroutine
         :raises StorageFailedError: when it failed
+        :raises DamagedError: when a file is damaged
         """
         task = asyncio.ensure_future(work)
         self.writing_since = self.clock.monotonic()
         try:
             await _finish(task)
-        except OSError as error:
+        except DamagedError:
+            raise
+        except Exception as error:
             raise StorageFailedError(repr(error)) from error
         finally:
             self.writing_since = None
@@ -209,20 +213,24 @@
         # also where the waiter was cancelled: the log would go on behind a
         # torn record, and memory would answer for what isn't written
         error = None if task.cancelled() else task.exception()
-        if isinstance(error, OSError):
+        # a write for which there is no thread or no memory reaches the disk
+        # no more than one that it refuses
+        if isinstance(error, Exception) and not isinstance(
+            error, DamagedError
+        ):
             self.suspend(error)
 
     def _check_disk(self) -> None:
         if self.refusal is not None:
             raise StorageFailedError(repr(self.refusal))
 
-    def suspend(self, error: OSError) -> None:
+    def suspend(self, error: Exception) -> None:
         """Take no part while the disk refuses writes.
 
         Memory may be ahead of the disk now, so nothing is answered for until
         the folder was read and written anew.
 
-        :param error: how a write was refused
+        :param error: how a write was refused, or failed
         """
         if self.refusal is None:
             log.warning("disk refuses writes error={!r}", error)
@@ -282,13 +290,29 @@
 
     async def _tell(self, peer: Voter, resignation: AppendRequest) -> None:
         try:
-            await self.transport.request(
-                peer.address, resignation, self.timing.request
-            )
+            await self.ask(peer.address, resignation)
         except LinkError as error:
             # the lease that it waits for runs out all the same
             log.info("not told to elect node={} error={}", peer.node, error)
 
+    async def ask(self, address: str, message: typing.Any) -> typing.Any:
+        """Ask another voter.
+
+        :param address: its address
+        :param message: the message
+        :returns: its answer
+        :raises LinkError: when there is none, for whatever reason: a fault of
+            one message must not stop this voter for good
+        """
+        try:
+            return await self.transport.request(
+                address, message, self.timing.request
+            )
+        except LinkError:
+            raise
+        except Exception as error:
+            raise LinkError(repr(error), sent=True) from error
+
     async def guard(self, work: collections.abc.Awaitable) -> None:
         """Run a task of this voter; an error stops the voter.
 
