Write a line for errors that nobody hears

What operators saw: nothing among the events of a process where a callback, or a task of one request or peer, ended by an unexpected error; Python's own text on standard error has no event, node or time.

Cause: the loop's handler was the library's.

Evidence: test_error_that_nobody_hears_is_written, for a callback and a task. It was written with the change and not run before it.

--- a/packages/gateway/src/chivepier/gateway/supervision/supervisor.py
+++ b/packages/gateway/src/chivepier/gateway/supervision/supervisor.py
@@ -17,6 +17,8 @@
 # Longest text of an error, and innermost calls, that a line shows.
 MAX_ERROR_CHARS = 300
 MAX_CALLS = 4
+# Part of errors in callbacks, and of tasks that nobody awaits.
+UNHEARD = "unheard"
 
 Work = collections.abc.Callable[[], collections.abc.Coroutine]
 Count = collections.abc.Callable[[str], None]
@@ -69,6 +71,20 @@
         task.add_done_callback(lambda done: self._hear(part, done))
         return task
 
+    def hear_loop(self) -> None:
+        """Write also what the running loop met that nobody heard.
+
+        That is an error in a callback, and of a task that nobody awaits.
+        """
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._hear_loop)
+
+    def _hear_loop(
+        self, loop: asyncio.AbstractEventLoop, context: dict
+    ) -> None:
+        error = context.get("exception") or RuntimeError(context["message"])
+        self._note_failure(UNHEARD, error)
+
     def _start(self, work: collections.abc.Coroutine) -> asyncio.Task:
         task = asyncio.create_task(work)
         self._tasks.add(task)
--- a/packages/gateway/src/chivepier/gateway/supervision/tests/test_supervisor.py
+++ b/packages/gateway/src/chivepier/gateway/supervision/tests/test_supervisor.py
@@ -1,6 +1,7 @@
 """Tests of parts that fail."""
 
 import asyncio
+import gc
 import json
 import os
 
@@ -116,6 +117,29 @@
     assert part.starts == 1
 
 
+@pytest.mark.parametrize("where", ("callback", "task"))
+def test_error_that_nobody_hears_is_written(lines, where):
+    # Guards against an error of a callback or a task without a line.
+    log, read = lines
+
+    def fail():
+        raise ValueError("odd")
+
+    async def work():
+        Supervisor(LoopClock(), log).hear_loop()
+        if where == "callback":
+            asyncio.get_running_loop().call_soon(fail)
+        else:
+            part = Part(ValueError("odd"), times=1)
+            asyncio.create_task(part.run())
+        await asyncio.sleep(1.0)
+        gc.collect()
+
+    play_time(work())
+    (line,) = read()
+    assert line["part"] == "unheard" and line["error"] == "ValueError('odd')"
+
+
 def test_failure_of_what_runs_once_is_written(lines):
     # Guards against an error that nobody hears.
     log, read = lines
