--- a/packages/gateway/src/chivepier/gateway/control/permitservice.py
+++ b/packages/gateway/src/chivepier/gateway/control/permitservice.py
@@ -17,9 +17,9 @@
 from chivepier.types import Clock
 from chivepier.wire import LinkError
 
-# Seconds for which turns that a predecessor has granted may still come: a
-# leader that resigns has its successor at once.
-HANDOVER_SECONDS = 1.0
+# Seconds for which turns that a leader has granted may still come. An election
+# takes longer, but a leader that resigns has its successor at once.
+TURN_SECONDS = 1.0
 
 
 class PermitService:
@@ -96,10 +96,11 @@
         if request.rate < 0:
             return SendDecision(True, 0.0)
         claim = Claim(request.team, request.urgency, request.max_wait)
+        granted_until = self._leader.replica.heard_leader_at() + TURN_SECONDS
         return self._turns.acquire(
             request.instance,
             request.rate,
             claim,
             now,
-            since + HANDOVER_SECONDS,
+            max(since, granted_until),
         )
--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -115,8 +115,9 @@
         if term != self.storage.term or leader != self.leader:
             return
         self.follow("")
-        timing = self.timing
-        self.heard = self.clock.monotonic() - timing.election - timing.spread
+        timing, now = self.timing, self.clock.monotonic()
+        self.last_leader_heard = now
+        self.heard = now - timing.election - timing.spread
 
     def leads(self) -> bool:
         """Tell whether this voter leads and its lease has not run out."""
--- a/packages/state/src/chivepier/state/replica.py
+++ b/packages/state/src/chivepier/state/replica.py
@@ -253,6 +253,13 @@
         """
         return self._core.tenure.started if self.leads() else None
 
+    def heard_leader_at(self) -> float:
+        """Return when another voter was last heard as the leader.
+
+        :returns: monotonic seconds; the start where none was
+        """
+        return self._core.last_leader_heard
+
     def lease_left(self) -> float:
         """Return for how long this voter surely leads, in seconds.
 
