--- a/packages/state/src/chivepier/state/tests/test_refusedwrites.py
+++ b/packages/state/src/chivepier/state/tests/test_refusedwrites.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from chivepier.messages import AppendRequest
+from chivepier.messages import VoteRequest
 from chivepier.state import DiskStorage
 from chivepier.state import LostLeadError
 from chivepier.state.snapshot import Snapshot
@@ -17,6 +19,7 @@
 from chivepier.state.tests.test_diskstorage import entries
 from chivepier.state.tests.test_diskstorage import write
 from chivepier.state.tests.test_safeguards import beat
+from chivepier.state.tests.test_safeguards import holds
 
 # More calls than any one write makes.
 MOST_CALLS = 12
@@ -266,3 +269,120 @@
             assert ("team", "c1") not in leader.machine.documents
 
     asyncio.run(play_it())
+
+
+# The longest time until another leads: a round for each of two ballots, and
+# some pauses between two attempts.
+HAND_OVER_SECONDS = 1.5
+
+
+@pytest.mark.parametrize("size", (3, 4, 5))
+@pytest.mark.parametrize("seed", range(10))
+def test_leader_whose_disk_refuses_hands_over_before_its_lease_ends(
+    size, seed
+):
+    # Guards against seconds without a leader although all could elect one.
+    async def play_it():
+        async with Rig(size, seed) as rig:
+            leader = await rig.await_leader()
+            rig.storages[leader.node].fails = True
+            with pytest.raises(LostLeadError):
+                await rig.finish(leader.propose(make_change("c1")))
+            began = rig.clock.monotonic()
+            other = await rig.await_leader()
+            assert other is not leader
+            assert rig.clock.monotonic() - began <= HAND_OVER_SECONDS
+
+    asyncio.run(play_it())
+
+
+def test_late_resignation_frees_nobody_from_a_later_leader():
+    # Guards against two leases: a word that was held back on a link must not
+    # end what a voter owes to the leader of a later term.
+    async def play_it():
+        async with Rig(3) as rig:
+            old = await rig.await_leader()
+            term = old.storage.term
+            rig.isolate(old.node)
+            await rig.wait(lambda: rig.find_leader() not in (None, old), 10.0)
+            new = await rig.await_leader()
+            follower = next(
+                r for r in rig.replicas.values() if r not in (old, new)
+            )
+            quiet = follower._core.quiet()
+            resignation = AppendRequest(
+                term, old.node, 0, 0, (), 0, "c", follower.node, False, True
+            )
+            await rig.finish(follower.handle_append(resignation))
+            assert follower._core.quiet() <= quiet + 0.5
+            assert follower.leader == new.node
+
+    asyncio.run(play_it())
+
+
+def refuse_threads(storage) -> None:
+    """Let the next write end as if no thread could be started for it."""
+    sync = storage.sync
+
+    async def refuse():
+        storage.sync = sync
+        raise RuntimeError("can't start new thread")
+
+    storage.sync = refuse
+
+
+@pytest.mark.parametrize("leads", (True, False))
+def test_write_that_ends_with_any_error_is_answered_for_by_nobody(leads):
+    # Guards against a change that is committed on one disk alone, as memory is
+    # ahead of the disk after any error.
+    async def play_it():
+        async with Rig(3) as rig:
+            leader = await rig.await_leader()
+            near, far = (r for r in rig.replicas.values() if r is not leader)
+            rig.isolate(far.node)
+            failing = leader if leads else near
+            refuse_threads(rig.storages[failing.node])
+            change = asyncio.ensure_future(leader.propose(make_change("c")))
+            await rig.wait(change.done, 5.0)
+            if change.exception() is None:
+                index = change.result().index
+                holders = [d for d in rig.disks.values() if holds(d, index)]
+                assert len(holders) >= 2, "committed on one disk"
+            rig.network.cut.clear()
+            await check_return(rig, "last")
+            assert failing.error is None
+
+    asyncio.run(play_it())
+
+
+class Failing:
+    """Links that fail once with an error that nobody has foreseen."""
+
+    def __init__(self, links, kind):
+        self._links, self._kind, self.failed = links, kind, False
+
+    async def request(self, peer: str, value, timeout: float):
+        """Ask a peer, but for the first message of a kind."""
+        if isinstance(value, self._kind) and not self.failed:
+            self.failed = True
+            raise RuntimeError("can't start new thread")
+        return await self._links.request(peer, value, timeout)
+
+
+@pytest.mark.parametrize("kind", (AppendRequest, VoteRequest))
+def test_message_that_fails_with_any_error_stops_no_voter_for_good(kind):
+    # Guards against a voter that takes no part any more for a thread that
+    # could not be started once, to find a peer's address.
+    async def play_it():
+        async with Rig(3) as rig:
+            links = []
+            for replica in rig.replicas.values():
+                core = replica._core
+                core.transport = Failing(core.transport, kind)
+                links.append(core.transport)
+            await rig.wait(lambda: any(link.failed for link in links))
+            await rig.step(3.0)
+            assert not [r.error for r in rig.replicas.values() if r.error]
+            await check_return(rig, "last")
+
+    asyncio.run(play_it())
--- a/packages/wire/src/chivepier/wire/frame.py
+++ b/packages/wire/src/chivepier/wire/frame.py
@@ -12,6 +12,9 @@
 MAX_BATCH_BYTES = 4 << 20
 # Errors that decoding a malformed frame may raise.
 FRAME_ERRORS = (KeyError, TypeError, ValueError, cbor2.CBORDecodeError)
+# Errors that encoding a message may raise, such as one with a text that is
+# not valid Unicode.
+ENCODE_ERRORS = (TypeError, ValueError, OverflowError, cbor2.CBOREncodeError)
 
 
 class Part(enum.IntEnum):
@@ -42,8 +45,12 @@
 
     :param parts: parts built by :func:`pack_part`
     :returns: the frame as CBOR
+    :raises ValueError: when a part can't be encoded
     """
-    return cbor2.dumps(parts)
+    try:
+        return cbor2.dumps(parts)
+    except ENCODE_ERRORS as error:
+        raise ValueError(f"can't encode: {error!s:.200}") from error
 
 
 def dump_frames(parts: list[tuple]) -> list[bytes]:
@@ -55,6 +62,7 @@
     :param parts: parts built by :func:`pack_part`
     :returns: frames as CBOR, each of at most ``MAX_BATCH_BYTES`` bytes or of
         a single part
+    :raises ValueError: when a part can't be encoded
     """
     data = dump_frame(parts)
     if len(data) <= MAX_BATCH_BYTES or len(parts) == 1:
