Ask for 2 s of work within 2.5 s of a stopping entry again

It is 2 s again, so that it runs near the end of the process. What it was halved for are repeats at the entry in calm: they wait 3.5 s now, so that they have 1.5 s of slack as since then.

--- a/soak/latescenario.py
+++ b/soak/latescenario.py
@@ -50,6 +50,8 @@
     :param deadline_ms: time that callers wait
     :param kept: whether its connections are made before the stop order
     :param slow_body: whether its body comes some time after its head
+    :param repeat_ms: time that callers wait once more after a refusal; the
+        same as before if 0
     """
 
     route: str
@@ -57,6 +59,7 @@
     deadline_ms: int
     kept: bool = False
     slow_body: bool = False
+    repeat_ms: int = 0
 
     def __str__(self) -> str:
         marks = " kept" * self.kept + " slow-body" * self.slow_body
@@ -66,7 +69,7 @@
 KINDS = (
     Kind("once", 20, 1000),
     Kind("once", 20, 9000, kept=True),
-    Kind("once", 1000, 2500, kept=True),
+    Kind("once", 2000, 2500, kept=True, repeat_ms=3500),
     Kind("once", 6000, 9000),
     Kind("once", 6000, 9000, kept=True),
     Kind("once", 20, 9000, kept=True, slow_body=True),
@@ -233,6 +236,7 @@
         await call.send(CALLER_PORT, connection)
         if call.status == 503:
             again = self._make_call(kind, self._calm)
+            again.deadline_ms = kind.repeat_ms or kind.deadline_ms
             self.repeats.append(again)
             await again.send(CALLER_PORT)
 
