Let the candidate that has failed least often go first

Callers and operators got 503 for up to 30 s though a majority could elect a leader: four or five voters (four are there while one is replaced) of which some links work one way only.

Cause: a candidate that is heard and hears too few asks again and again, and each time takes the pre-votes of all that hear it for half a second. The only voter that could win needs several at once that are free, its own included.

Change: a voter counts how often each candidate has failed since a leader was heard: by promises that ended with their time, and its own. Fewer failures go before a longer log, and a voter stands although its pre-vote is promised to one that has failed. Promises of pre-votes decide only who asks, never who is elected.

Elections after a loss of all power, held votes, silent links, safeguards and random histories pass as before.

--- a/packages/state/src/chivepier/state/elections.py
+++ b/packages/state/src/chivepier/state/elections.py
@@ -51,6 +51,7 @@
                 self._forget_silent_leader()
             if core.heard != heard:
                 heard = core.heard
+                self._pre_votes.forget()
                 timeout = self._draw_timeout()
             waited = core.clock.monotonic() - max(heard, stood)
             if self._may_stand() and waited >= timeout:
@@ -99,12 +100,12 @@
     async def _stand(self) -> str:
         """Stand for the lead, and return how that ended."""
         core = self._core
-        promised = self._pre_votes.find_promised()
-        if promised is not None:
+        if not self._pre_votes.may_stand(self._describe_candidacy()):
+            promised = self._pre_votes.find_promised()
             return f"pre-vote is promised to {promised.node}"
-        self._pre_votes.promise(self._describe_candidacy())
         try:
             if not await self._collect(core.storage.term + 1, pre=True):
+                self._pre_votes.note_failure(core.node)
                 return "no majority of pre-votes"
             return await self._stand_in_earnest()
         finally:
