--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -1,6 +1,5 @@
 """A voter: replica, stores, registry and relays in one process."""
 
-import asyncio
 import contextlib
 import random
 
@@ -48,12 +47,14 @@
 from chivepier.gateway.messages import ZoneRequest
 from chivepier.gateway.origins import OriginKeeper
 from chivepier.gateway.settings import VoterSettings
+from chivepier.gateway.supervision import Supervisor
 from chivepier.gateway.targets import TargetTable
 from chivepier.gateway.zones import pack_order
 from chivepier.gateway.zones import Zones
 from chivepier.messages import AppendRequest
 from chivepier.messages import SnapshotRequest
 from chivepier.messages import VoteRequest
+from chivepier.state import DamagedError
 from chivepier.state import Machine
 from chivepier.state import RecentEntries
 from chivepier.state import Replica
@@ -96,6 +97,7 @@
         self._clock = clock
         self._log = log
         self._stack = contextlib.AsyncExitStack()
+        self._parts = Supervisor(clock, log)
         self._started_at = clock.monotonic()
         self.peers = Peers(settings.seeds)
         self.entries = EntryDirectory(clock, settings.regions)
@@ -169,16 +171,16 @@
         await self._stack.enter_async_context(links)
         await self._stack.enter_async_context(self.replica)
         await self._stack.enter_async_context(server)
-        for work in (
-            self.membership.run(),
-            self._push_changes(),
-            sizes.run(),
-            self._sync_targets(),
-            self._expire(),
-            self.loads.run(),
-            self._state_cache.run(self.store),
+        for part, work in (
+            ("membership", self.membership.run),
+            ("pushes", self._push_changes),
+            ("sizes", sizes.run),
+            ("targets", self._sync_targets),
+            ("expiry", self._expire),
+            ("loads", self.loads.run),
+            ("state_cache", lambda: self._state_cache.run(self.store)),
         ):
-            task = asyncio.create_task(work)
+            task = self._parts.keep(part, work)
             self._stack.callback(task.cancel)
         self._log.info(
             "voter_started",
@@ -195,6 +197,18 @@
     async def __aexit__(self, *exc) -> None:
         await self._stack.aclose()
 
+    async def await_failure(self) -> Exception:
+        """Return the unexpected error that has ended its part in the log.
+
+        Returns none where the folder contradicts what this voter knows: it
+        gives no vote then, but would once it has started again, and what it
+        has lost could be committed no more.
+        """
+        replica = self.replica
+        while replica.error is None or isinstance(replica.error, DamagedError):
+            await replica.failed.wait()
+        return replica.error
+
     async def leave(self) -> None:
         """Give up the vote before a planned stop, if others can spare it."""
         await self.membership.leave()
--- a/packages/state/src/chivepier/state/diskstorage.py
+++ b/packages/state/src/chivepier/state/diskstorage.py
@@ -10,10 +10,11 @@
 from chivepier.messages import Entry
 from chivepier.state.damagederror import DamagedError
 from chivepier.state.files import write_all
+from chivepier.state.files import write_parts_synced
 from chivepier.state.files import write_synced
 from chivepier.state.logfile import LogBase
-from chivepier.state.logfile import pack_base
 from chivepier.state.logfile import pack_batch
+from chivepier.state.logfile import pack_log
 from chivepier.state.logfile import replay
 from chivepier.state.records import pack_record
 from chivepier.state.records import read_records
@@ -57,7 +58,8 @@
         contents = self._read()
         self._take(contents)
         try:
-            self._write_anew(contents)
+            self._write_vote_anew(contents.term, contents.vote)
+            self._write_log_anew(contents)
         except OSError as error:
             if not used:
                 raise
@@ -75,8 +77,10 @@
         self.refusal = None
 
     def _read_and_write_anew(self) -> _Contents:
+        # the vote first: a long log is not read for a disk that still refuses
+        self._write_vote_anew(*self._load_vote())
         contents = self._read()
-        self._write_anew(contents)
+        self._write_log_anew(contents)
         return contents
 
     def _take(self, contents: _Contents) -> None:
@@ -90,13 +94,15 @@
         entries = self._load_log(snapshot, self._used or term > 0)
         return _Contents(term, vote, snapshot, entries)
 
-    def _write_anew(self, contents: _Contents) -> None:
+    def _write_vote_anew(self, term: int, vote: str) -> None:
+        if term:
+            self._write_vote(term, vote)
+
+    def _write_log_anew(self, contents: _Contents) -> None:
         # after a sync that failed, or that was cut short by the end of the
         # process, the system may take pages for written that are not on the
         # disk; those of a new file it writes, with its name and earlier ones
         self.close()
-        if contents.term:
-            self._write_vote(contents.term, contents.vote)
         self._rewrite_log(contents.snapshot, contents.entries)
         self._open_log()
 
@@ -104,7 +110,7 @@
         path = self._folder / LOG_FILE
         self._log = os.open(path, os.O_WRONLY | os.O_APPEND)
 
-    def _load_single(self, name: str) -> bytes | None:
+    def _load_single(self, name: str) -> memoryview | None:
         path = self._folder / name
         if not path.exists():
             return None
@@ -183,10 +189,8 @@
         self._open_log()
 
     def _rewrite_log(self, snapshot: Snapshot, kept: list[Entry]) -> None:
-        data = pack_base(LogBase(snapshot.index, snapshot.term))
-        if kept:
-            data += pack_batch(tuple(kept))
-        write_synced(self._folder, LOG_FILE, data)
+        base = LogBase(snapshot.index, snapshot.term)
+        write_parts_synced(self._folder, LOG_FILE, pack_log(base, kept))
 
     def _replace(self, name: str, payload: bytes) -> None:
         write_synced(self._folder, name, pack_record(payload))
--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -13,8 +13,6 @@
 from chivepier.types import Clock
 from chivepier.wire.faults import Faults
 from chivepier.wire.frame import dump_frames
-from chivepier.wire.frame import ENCODE_ERRORS
-from chivepier.wire.frame import find_encode_error
 from chivepier.wire.frame import load_frame
 from chivepier.wire.frame import pack_part
 from chivepier.wire.frame import Part
@@ -118,37 +116,38 @@
 
     async def run(self) -> None:
         """Receive and send messages until the connection ends."""
-        writer = asyncio.create_task(self._write())
-        writer.add_done_callback(self._end_with)
+        writer = asyncio.create_task(self.guard(self._write()))
         try:
-            async for data in self._socket:
-                if self.closed:
-                    break
-                if not self._faults.blocks(self.peer):
-                    self._note_received()
-                    self._receive(data)
-        except websockets.ConnectionClosed:
-            pass
+            await self.guard(self._read())
         finally:
             self.closed = True
             writer.cancel()
             self._fail_pending()
             await self._socket.close()
 
-    def _end_with(self, writer: asyncio.Task) -> None:
-        """End the connection if its writer did, whatever the error."""
-        if writer.cancelled() or writer.exception() is None:
+    async def guard(self, work: collections.abc.Awaitable) -> None:
+        """Run a part of the channel; an error closes the connection.
+
+        A channel that went on without its writer would send nothing more,
+        and yet be kept, as the library answers pings.
+
+        :param work: the part's coroutine
+        """
+        try:
+            await work
+        except websockets.ConnectionClosed:
             return
-        link_log.warning(
-            "link ended with its writer error={!r} peer={}",
-            writer.exception(),
-            self.peer,
-        )
-        self.closed = True
-        self._fail_pending()
-        task = asyncio.ensure_future(self._socket.close())
-        self._watching.add(task)
-        task.add_done_callback(self._watching.discard)
+        except Exception as error:
+            link_log.warning("link ends peer={} error={!r}", self.peer, error)
+            await self.close()
+
+    async def _read(self) -> None:
+        async for data in self._socket:
+            if self.closed:
+                break
+            if not self._faults.blocks(self.peer):
+                self._note_received()
+                self._receive(data)
 
     def _note_received(self) -> None:
         self._last_received = self._clock.monotonic()
@@ -243,62 +242,47 @@
         while True:
             await self._ready.wait()
             self._ready.clear()
-            try:
-                while parts := self._outbox.take():
-                    await self._send(parts)
-            except websockets.ConnectionClosed:
-                return
+            while parts := self._outbox.take():
+                await self._send(parts)
 
     async def _send(self, parts: list[tuple]) -> None:
         if self._faults.blocks(self.peer):
             return
-        for data in self._dump(parts):
+        for data in self._encode(parts):
             self._traffic.count_sent(len(data))
             await self._socket.send(data)
 
-    def _dump(self, parts: list[tuple]) -> list[bytes]:
-        """Encode parts; what can't be encoded costs no other part.
-
-        Without this the writer would end. Pings pass it by, so that nothing
-        replaced the connection.
-        """
+    def _encode(self, parts: list[tuple]) -> list[bytes]:
+        """Encode parts; leave out those that can't be, and fail them."""
         try:
             return dump_frames(parts)
-        except ENCODE_ERRORS:
-            sound = []
-            for part in parts:
-                error = find_encode_error(part)
-                if error is None:
-                    sound.append(part)
-                else:
-                    sound += self._refuse_part(part, error)
-            return dump_frames(sound) if sound else []
-
-    def _refuse_part(self, part: tuple, error: Exception) -> list[tuple]:
-        """Tell whoever waits that a part was not sent.
-
-        :returns: what is sent in its place
-        """
+        except ValueError as error:
+            if len(parts) == 1:
+                self._drop(parts[0], error)
+                return []
+        return [data for part in parts for data in self._encode([part])]
+
+    def _drop(self, part: tuple, error: ValueError) -> None:
         kind, number, tag, _ = part
+        self._traffic.dropped_parts += 1
         self._refused_parts += 1
+        # the first, and each doubling: a target may announce itself for hours
         if not self._refused_parts & (self._refused_parts - 1):
             link_log.warning(
-                "message not sent count={} error={!r} kind={} tag={} peer={}",
+                "message not sent count={} error={} kind={} tag={} peer={}",
                 self._refused_parts,
                 error,
                 Part(kind).name,
                 tag,
                 self.peer,
             )
-        if kind == Part.REQUEST:
-            # taken without a note: nothing was answered
-            future, _ = self._pending.pop(number, (None, 0.0))
-            if future is not None and not future.done():
-                text = f"not sent: {error!r}"
-                future.set_exception(LinkError(text, sent=False))
-        if kind == Part.ANSWER:
-            return [pack_part(Part.FAILED, number, repr(error))]
-        return []
+        match kind:
+            case Part.REQUEST:
+                future, _ = self._pending.get(number, (None, 0.0))
+                if future is not None and not future.done():
+                    future.set_exception(LinkError(str(error), sent=False))
+            case Part.ANSWER:
+                self._reply_error(Part.REQUEST, number, error)
 
     def _receive(self, data: bytes) -> None:
         self._traffic.count_received(len(data))
@@ -429,7 +413,9 @@
             self._last_received <= sent
             and self._pinged + PING_AFTER_SECONDS <= now
         ):
-            task = asyncio.ensure_future(self._ping(now, DOUBT_SHARE))
+            task = asyncio.ensure_future(
+                self.guard(self._ping(now, DOUBT_SHARE))
+            )
             self._watching.add(task)
             task.add_done_callback(self._watching.discard)
 
