Begin the soak's losses once all voters have started

Two voters took the first configuration while the third was still being started; its new folder then met a full disk, and a new folder is waited for by design, so it started 1.3 s after there was room. Losses are of voters that run: each is waited for first, with the same bound.

--- a/soak/voterfaults.py
+++ b/soak/voterfaults.py
@@ -78,7 +78,12 @@
         self._draw.keep_only(kinds)
 
     async def inject(self, seconds: float) -> None:
-        """Inject losses for some seconds, one after the other."""
+        """Inject losses for some seconds, one after the other.
+
+        A majority takes changes before all have started, and a voter founds
+        its folder first.
+        """
+        await self._await_all(self._scenario.voters)
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             fault = self._draw.draw()
