Hear a part of a voter that ends as what it waits for is cancelled

A task that stands, applies, recovers or leads, and that awaits something which somebody else cancels, ended unheard: the guard heard exceptions alone. No such cancellation is known but at the end of links (read). Evidence: the new test fails before the change.

Change: a cancellation that is none of the task itself stops the voter as any unexpected error does, so its process ends and starts again.

--- a/packages/state/src/chivepier/state/core.py
+++ b/packages/state/src/chivepier/state/core.py
@@ -324,6 +324,11 @@
         """
         try:
             await work
+        except asyncio.CancelledError:
+            if asyncio.current_task().cancelling():
+                raise
+            # what it waited for was cancelled, not this task
+            self.fail(RuntimeError("a task of this voter was cancelled"))
         except Exception as error:
             self.fail(error)
 
--- a/packages/state/src/chivepier/state/tests/test_replica.py
+++ b/packages/state/src/chivepier/state/tests/test_replica.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from chivepier.state.testing.histories import make_change
 from chivepier.state.testing.rig import Rig
 
@@ -27,3 +29,27 @@
             assert (await rig.propose(make_change("t1"))).error == ""
 
     asyncio.run(play())
+
+
+async def be_cancelled() -> None:
+    """Wait for what somebody else cancels."""
+    raise asyncio.CancelledError
+
+
+def test_task_that_ends_as_what_it_waits_for_is_cancelled_is_heard():
+    # Guards against a voter that answers callers and never stands again,
+    # after a cancellation that nobody hears.
+    async def play_it():
+        async with Rig(1) as rig:
+            (replica,) = rig.replicas.values()
+            core = replica._core
+            waiting = asyncio.create_task(core.guard(asyncio.sleep(60)))
+            await asyncio.sleep(0)
+            waiting.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await waiting
+            assert replica.error is None
+            await core.guard(be_cancelled())
+            assert replica.error is not None
+
+    asyncio.run(play_it())
