--- a/soak/framing.py
+++ b/soak/framing.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 import attrs
 
-# Share of the streams without a length that end inside an event.
+# Share of the streams without a length that end inside an event, by default.
 BREAK_SHARE = 0.3
 
 
@@ -26,10 +26,12 @@
 
     :param rng: random number generator of this target alone
     :param lengthless: whether bodies have neither a length nor chunks
+    :param break_share: share of these that end inside an event
     """
 
     rng: random.Random
     lengthless: bool = False
+    break_share: float = BREAK_SHARE
 
     def make_response(self, headers: dict[str, str]) -> web.StreamResponse:
         """Return the answer of a stream."""
@@ -42,7 +44,7 @@
 
         :param events: number of events of the whole stream
         """
-        if not self.lengthless or self.rng.random() >= BREAK_SHARE:
+        if not self.lengthless or self.rng.random() >= self.break_share:
             return None
         return self.rng.randint(1, events)
 
