Ask the incarnation that sent an answer whether it lived after its end

Cause: an end without a length or chunks counts if the target lives on, and the probe asked whether anything listens at its address. A target that starts again there within the probe's 10 ms, or while the entry stands still, is another process, which vouched for the killed one; the table learns of it some 0.4 s later. Where the probe found nothing out (a path that hangs, a timer that ran out as the entry stood still, a rest, an evacuated zone) the end counted, too. Class: an address is taken for a process, and no finding for a good one.

Change: the health path is asked with the incarnation's name. Without an answer, or where none may be asked for, the end counts only if another connection on which this incarnation has answered is still open, as a killed process loses all at once. Everything else isn't known, and isn't told as known. The question takes a permit at limited and cold targets, heeds rests and evacuations, and names 0.3 s as its deadline, so that a full target refuses it.

`end_examined` tells for each such end who answered, how old that is, and what it was taken for.

Tests changed: fakes count questions where they counted probes (the same checks); scripted and soak targets answer the health path, as the protocol has it.

--- a/packages/gateway/src/chivepier/gateway/config/service.py
+++ b/packages/gateway/src/chivepier/gateway/config/service.py
@@ -15,9 +15,12 @@
     :param engine: capabilities of model-serving targets; ``None`` for others
     :param cold_rate: requests per second that a cold target tolerates, from
         all callers together; 0 for no limit
+    :param health_path: path at which a target tells which instance it is;
+        ``None`` if it has none
     """
 
     name: str
     connections: int
     engine: Engine | None = None
     cold_rate: float = 0.0
+    health_path: str | None = None
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -21,6 +21,7 @@
 from chivepier.gateway.serving.errors import UnreachableError
 from chivepier.gateway.serving.exchange import Exchange
 from chivepier.gateway.serving.headerrecorder import HeaderRecorder
+from chivepier.gateway.serving.identity import Identity
 from chivepier.gateway.serving.kvorigin import KvOrigin
 from chivepier.gateway.serving.moveoutcome import MoveOutcome
 from chivepier.gateway.serving.mover import Mover
@@ -58,6 +59,7 @@
     "Doubt",
     "Exchange",
     "HeaderRecorder",
+    "Identity",
     "KvOrigin",
     "MoveOutcome",
     "MoveResult",
--- a/packages/gateway/src/chivepier/gateway/serving/answerreader.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerreader.py
@@ -52,7 +52,7 @@
             return await self._read_start(plan, target, answer, run)
         allocation = self._memory.open()
         try:
-            body = await self._read_whole(target, answer, allocation)
+            body = await self._read_whole(plan, target, answer, allocation)
         except BaseException:
             allocation.close()
             raise
@@ -78,6 +78,7 @@
 
     async def _read_whole(
         self,
+        plan: Plan,
         target: Target,
         answer: TargetAnswer,
         allocation: AnswerAllocation,
@@ -88,6 +89,11 @@
             parts.append(data)
         # a crash closes a body without a length in the same way
         if answer.status < 300 and not answer.facts.framed:
-            if await self._witness.has_failed(target):
-                raise BrokenAnswerError("the target failed as it closed")
+            evidence = await self._witness.examine(target, plan.request.id)
+            if not evidence.shows_life:
+                who = evidence.identity.value
+                raise BrokenAnswerError(
+                    "the target is not known to have lived after its answer"
+                    f" without a length: {who}"
+                )
         return b"".join(parts)
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -25,6 +25,7 @@
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.errors import PlacesTakenError
 from chivepier.gateway.serving.errors import RateLimitedError
+from chivepier.gateway.serving.identity import Identity
 from chivepier.gateway.serving.lossrecorder import LossRecorder
 from chivepier.gateway.serving.mover import Mover
 from chivepier.gateway.serving.patience import Patience
@@ -123,7 +124,9 @@
         self.log = log
         self.continuations = Continuations(table, state, clock, log, metrics)
         self.limit = AttemptLimit(table, calls.connect)
-        self.witness = EndWitness(table, calls.probe, clock)
+        self.witness = EndWitness(
+            table, self._identify, calls.is_connected, clock, log
+        )
         self._assignments = AssignmentLog(balancer, clock, log)
         self._attempts = AttemptRecorder(table, health, balancer, clock, log)
         self._refusals = RefusalLog(log, metrics)
@@ -149,6 +152,13 @@
             log,
         )
 
+    async def _identify(self, target: Target) -> Identity:
+        index = self.state.index
+        service = index.services.get(target.service) if index else None
+        if service is None:
+            return Identity.UNKNOWN
+        return await self.calls.identify(target, service)
+
     async def dispatch(
         self, plan: Plan, runs: int = 0, may_forward: bool = True
     ) -> StartedAnswer:
--- a/packages/gateway/src/chivepier/gateway/serving/endwitness.py
+++ b/packages/gateway/src/chivepier/gateway/serving/endwitness.py
@@ -1,9 +1,11 @@
-"""Evidence of whether a target has failed as one of its answers ended."""
+"""Evidence of whether a target lived after one of its answers ended."""
 
 import asyncio
 import collections.abc
 
-from chivepier.gateway.targets import Liveness
+from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.serving.endevidence import EndEvidence
+from chivepier.gateway.serving.identity import Identity
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
@@ -13,28 +15,44 @@
 # Seconds that a process which ends takes to close all that it has open.
 SETTLE_SECONDS = 0.01
 
-Probe = collections.abc.Callable[[Target], collections.abc.Awaitable[Liveness]]
+Identify = collections.abc.Callable[
+    [Target], collections.abc.Awaitable[Identity]
+]
+IsConnected = collections.abc.Callable[[Target], bool]
 
 
 class EndWitness:
-    """Tells whether a target has just failed, by what else it does.
+    """Tells whether a target lived on after an answer without a length.
 
-    A body without a length ends in the same way at a target that has finished
-    and at one whose process was killed: the system closes each connection in
-    order. From then on the latter refuses connections, so each such end is
-    followed by a probe. Ends of one moment at one target share it.
+    Such a body ends in the same way at a target that has finished and at one
+    whose process was killed: the system closes each connection in order. By
+    the time the end is read here another process may listen at the address,
+    so the incarnation that sent the answer is asked for by its name. Ends of
+    one moment at one target share the question.
 
     :param table: tells whether the target has started again
-    :param probe: checks whether a target is alive
+    :param identify: asks which process answers at a target's address
+    :param is_connected: tells whether a connection on which an incarnation has
+        answered is still open
     :param clock: monotonic clock
+    :param log: gets a line for each end
     """
 
-    def __init__(self, table: TargetTable, probe: Probe, clock: Clock):
+    def __init__(
+        self,
+        table: TargetTable,
+        identify: Identify,
+        is_connected: IsConnected,
+        clock: Clock,
+        log: EventLog,
+    ):
+        self._log = log
         self._table = table
-        self._probe = probe
+        self._identify = identify
+        self._is_connected = is_connected
         self._clock = clock
         self._broken_at: dict[str, float] = {}
-        self._probes: dict[str, asyncio.Task[Liveness]] = {}
+        self._questions: dict[str, asyncio.Task[Identity]] = {}
 
     def note_break(self, target: Target) -> None:
         """Record that a connection of a target has broken now."""
@@ -46,39 +64,52 @@
         }
         self._broken_at[target.instance] = now
 
-    async def has_failed(self, target: Target) -> bool:
-        """Tell whether a target has failed, as far as that can be known soon.
+    async def examine(self, target: Target, request_id: str) -> EndEvidence:
+        """Return what can be known soon of a target's life after an end.
 
         :param target: the target that has just closed a connection in order
+        :param request_id: id of the request whose answer ended so
         """
+        began = self._clock.monotonic()
+        identity = Identity.OTHER
+        if self._table.is_current(target):
+            identity = await self._ask_soon(target)
         if not self._table.is_current(target):
-            return True
-        liveness = await self._probe_soon(target)
-        if not self._table.is_current(target):
-            # its next incarnation may have answered
-            return True
-        match liveness:
-            case Liveness.ENDED:
-                return True
-            case Liveness.LIVES:
-                return False
-            case Liveness.UNKNOWN:
-                return self._has_broken(target)
+            # its next incarnation may bear the same name
+            identity = Identity.OTHER
+        connected = (
+            identity is Identity.UNKNOWN
+            and self._is_connected(target)
+            and not self._has_broken(target)
+        )
+        seconds = self._clock.monotonic() - began
+        evidence = EndEvidence(identity, connected, seconds)
+        self._log.info(
+            "end_examined",
+            id=request_id,
+            target=target.instance,
+            born=target.born,
+            answered_by=identity.value,
+            connected=connected,
+            after_ms=round(1000 * seconds),
+            lived=evidence.shows_life,
+        )
+        return evidence
 
-    async def _probe_soon(self, target: Target) -> Liveness:
-        task = self._probes.get(target.instance)
-        if task is None:
-            task = asyncio.create_task(self._probe_settled(target))
-            self._probes[target.instance] = task
-        return await asyncio.shield(task)
+    async def _ask_soon(self, target: Target) -> Identity:
+        question = self._questions.get(target.instance)
+        if question is None:
+            question = asyncio.create_task(self._ask_settled(target))
+            self._questions[target.instance] = question
+        return await asyncio.shield(question)
 
-    async def _probe_settled(self, target: Target) -> Liveness:
+    async def _ask_settled(self, target: Target) -> Identity:
         try:
             await self._clock.sleep(SETTLE_SECONDS)
         finally:
-            # an end from now on is not covered by this probe
-            del self._probes[target.instance]
-        return await self._probe(target)
+            # an end from now on is not covered by this question
+            del self._questions[target.instance]
+        return await self._identify(target)
 
     def _has_broken(self, target: Target) -> bool:
         broken_at = self._broken_at.get(target.instance)
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -181,7 +181,9 @@
     async def _judge_end(self, end: BodyEnd, run: LiveRun) -> StreamEnd:
         found, failed = judge_end(end), None
         if end.cause is EndCause.CLOSE and found is StreamEnd.COMPLETE:
-            failed = await self._dispatcher.witness.has_failed(run.target)
+            witness = self._dispatcher.witness
+            evidence = await witness.examine(run.target, run.request.id)
+            failed = not evidence.shows_life
         if failed:
             found = StreamEnd.TRUNCATED
         self._metrics.record_stream_end(end.cause.value, found.value)
--- a/packages/gateway/src/chivepier/gateway/serving/targetcalls.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetcalls.py
@@ -4,6 +4,8 @@
 import collections.abc
 import contextlib
 
+from chivepier.gateway.config import Service
+from chivepier.gateway.permits import Claim
 from chivepier.gateway.permits import Permit
 from chivepier.gateway.reach import Reach
 from chivepier.gateway.serving.callerrequest import CallerRequest
@@ -11,8 +13,10 @@
 from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.serving.errors import UnreachableError
 from chivepier.gateway.serving.headerrecorder import HeaderRecorder
+from chivepier.gateway.serving.identity import Identity
 from chivepier.gateway.serving.moveoutcome import MoveOutcome
 from chivepier.gateway.serving.moveresult import MoveResult
+from chivepier.gateway.serving.sendgate import RESUME_URGENCY
 from chivepier.gateway.serving.sendgate import SendGate
 from chivepier.gateway.serving.sendoptions import SendOptions
 from chivepier.gateway.serving.targetanswer import TargetAnswer
@@ -23,6 +27,9 @@
 from chivepier.gateway.targets import Liveness
 from chivepier.gateway.targets import Target
 
+# Seconds for which the question who answers at a target waits for a permit.
+IDENTIFY_PERMIT_SECONDS = 0.3
+
 
 class TargetCalls:
     """Checks each call before it is made and records the answer's head.
@@ -133,6 +140,40 @@
             return Liveness.UNKNOWN
         return await self._client.probe(target)
 
+    async def identify(self, target: Target, service: Service) -> Identity:
+        """Ask which process answers at the address of a target.
+
+        :param target: the incarnation that is asked for
+        :param service: its service, which names the path to ask at
+        """
+        path = service.health_path
+        if path is None or not self._gate.may_probe(target):
+            return Identity.UNKNOWN
+        try:
+            permit = await self._take_permit(target, service)
+            exchange = self._open_exchange(target, CallPurpose.CONTROL, permit)
+            return await self._client.identify(target, path, exchange)
+        except NotPermittedError:
+            return Identity.UNKNOWN
+
+    async def _take_permit(self, target: Target, service: Service) -> Permit:
+        """Take a permit, which a target that is limited or cold needs.
+
+        :raises NotPermittedError: when there is none soon
+        """
+        claim = Claim("", RESUME_URGENCY, IDENTIFY_PERMIT_SECONDS)
+        permit = await self._gate.acquire_permit(service, target, claim)
+        if permit is None:
+            self._gate.refuse("permit")
+        return permit
+
+    def is_connected(self, target: Target) -> bool:
+        """Tell whether a connection that a target answered on is open.
+
+        :param target: the incarnation
+        """
+        return self._client.is_connected(target)
+
     async def connect(self, target: Target) -> Liveness | None:
         """Check whether a target can be connected to, without a loss there.
 
--- a/packages/gateway/src/chivepier/gateway/serving/targetclient.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetclient.py
@@ -4,6 +4,7 @@
 
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.serving.exchange import Exchange
+from chivepier.gateway.serving.identity import Identity
 from chivepier.gateway.serving.moveresult import MoveResult
 from chivepier.gateway.serving.sendoptions import SendOptions
 from chivepier.gateway.serving.targetanswer import TargetAnswer
@@ -74,6 +75,22 @@
         :param target: the target at which a request was lost
         """
 
+    async def identify(
+        self, target: Target, path: str, exchange: Exchange
+    ) -> Identity:
+        """Ask which process answers at the address of a target.
+
+        :param target: the incarnation that is asked for
+        :param path: the path to ask at
+        :raises NotPermittedError: when the exchange must not begin
+        """
+
+    def is_connected(self, target: Target) -> bool:
+        """Tell whether a connection that a target answered on is open.
+
+        :param target: the incarnation
+        """
+
     async def drop(
         self, target: Target, handle: str, exchange: Exchange
     ) -> bool:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.serving import AnswerFacts
 from chivepier.gateway.serving import BrokenAnswerError
 from chivepier.gateway.serving import ConnectionLostError
+from chivepier.gateway.serving import Identity
 from chivepier.gateway.serving import MoveOutcome
 from chivepier.gateway.serving import MoveResult
 from chivepier.gateway.serving import UnreachableError
@@ -68,7 +69,9 @@
     These sets hold instances: ``refuse`` answer that they did not run the
     request, ``disconnecting`` do so instead of answering, ``unreachable``
     can't be connected to, ``misaddressed`` answer as another instance,
-    ``full`` have no room, and ``ended`` no longer listen. ``failing`` maps
+    ``full`` have no room, and ``ended`` no longer listen. ``replaced`` have
+    another process at their address, ``mute`` accept connections and answer
+    nothing, and ``connected`` have a connection open. ``failing`` maps
     instances to the status that they answer with. ``copies`` holds the memory
     that runs can resume from. ``facts``, ``refusal`` and ``full_facts`` are
     the facts in the heads of answers, refusals and refused reservations. No
@@ -91,6 +94,10 @@
         self.hung_up: list[str] = []
         self.ended: set[str] = set()
         self.probed: list[str] = []
+        self.asked: list[str] = []
+        self.replaced: set[str] = set()
+        self.mute: set[str] = set()
+        self.connected: set[str] = set()
         self.facts = AnswerFacts()
         self.refusal = AnswerFacts(not_run=True)
         self.full_facts = AnswerFacts(limit=None)
@@ -197,21 +204,37 @@
         ended = target.instance in self.ended
         return Liveness.ENDED if ended else Liveness.LIVES
 
-    def hold_probe(self) -> tuple[asyncio.Event, asyncio.Event]:
-        """Delay the answer of the next probe, which was made before that.
+    async def identify(self, target, path, contact) -> Identity:
+        """Return which process answers at the address of a target."""
+        contact.begin()
+        name = target.instance
+        self.asked.append(name)
+        if name in self.ended:
+            return Identity.NOBODY
+        if name in self.replaced:
+            return Identity.OTHER
+        return Identity.UNKNOWN if name in self.mute else Identity.SAME
+
+    def is_connected(self, target) -> bool:
+        """Return whether a connection to a target is open."""
+        return target.instance in self.connected
+
+    def hold_question(self) -> tuple[asyncio.Event, asyncio.Event]:
+        """Delay the answer to the next question who answers at a target.
 
-        :returns: set once the probe was made; lets its answer come once set
+        :returns: set once it was asked; lets its answer come once set
         """
-        probe, began, goes_on = self.probe, asyncio.Event(), asyncio.Event()
+        identify = self.identify
+        began, goes_on = asyncio.Event(), asyncio.Event()
 
-        async def probe_late(target):
-            self.probe = probe
-            liveness = await probe(target)
+        async def identify_late(*args):
+            self.identify = identify
+            identity = await identify(*args)
             began.set()
             await goes_on.wait()
-            return liveness
+            return identity
 
-        self.probe = probe_late
+        self.identify = identify_late
         return began, goes_on
 
     async def drop(self, target, handle, contact) -> bool:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -290,8 +290,13 @@
             "version": 1,
             "routes": ROUTES,
             "services": (
-                Service(name="llm", connections=10, engine=engine),
-                Service(name="web", connections=10),
+                Service(
+                    name="llm",
+                    connections=10,
+                    engine=engine,
+                    health_path="/health",
+                ),
+                Service(name="web", connections=10, health_path="/health"),
             ),
             "teams": (Team(name="t1", keys=("k1",), urgency=3),),
         }
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
@@ -70,7 +70,7 @@
         await finish(task, run, 1)
         assert caller.finished and caller.numbers == [1, 2, 3]
         assert parts.read_lines("target_lost") == []
-        assert parts.engines.probed == [run.target]
+        assert parts.engines.asked == [run.target]
 
     play(test, "a", "b")
 
@@ -103,7 +103,7 @@
     play(test, "a", "b")
 
 
-def test_streams_that_end_in_one_moment_share_a_probe():
+def test_streams_that_end_in_one_moment_share_a_question():
     # Many ends at once must not cost a connection each.
     async def test(parts):
         caller, task, run, neighbour, waiting = await start_two_streams(parts)
@@ -111,16 +111,16 @@
         neighbour.end()
         await asyncio.gather(task, waiting)
         assert caller.finished
-        assert parts.engines.probed == [run.target]
+        assert parts.engines.asked == [run.target]
 
     play(test, "a")
 
 
-def test_probe_that_began_before_an_end_does_not_count_for_it():
-    # The target was killed while it was being probed for an earlier end.
+def test_question_from_before_an_end_does_not_count_for_it():
+    # The target was killed while it was being asked about an earlier end.
     async def test(parts):
         caller, task, run, neighbour, waiting = await start_two_streams(parts)
-        began, goes_on = parts.engines.hold_probe()
+        began, goes_on = parts.engines.hold_question()
         run.end()
         await began.wait()
         parts.engines.ended.add(run.target)
@@ -177,13 +177,13 @@
 
 
 def test_close_between_events_counts_when_neighbours_go_on():
-    # Of a target whose other streams go on one probe is enough.
+    # Of a target whose other streams go on one question is enough.
     async def test(parts):
         caller, task, run, neighbour, waiting = await start_two_streams(parts)
         run.end()
         await task
         assert caller.finished and not caller.aborted
-        assert parts.engines.probed == [run.target]
+        assert parts.engines.asked == [run.target]
         await finish(waiting, neighbour, 1)
 
     play(test, "a")
--- a/soak/run.py
+++ b/soak/run.py
@@ -29,6 +29,7 @@
 from soak.streamcaller import attempt_stream
 from soak.streamrecord import StreamRecord
 from soak.target import describe
+from soak.target import HEALTH_PATH
 from soak.target import SoakTarget
 from soak.targetlink import link_entries
 from soak.targetlink import PROPAGATION_SECONDS
@@ -82,7 +83,14 @@
         }
         for name, kind in kinds.items()
     ]
-    services = [{"name": "s", "max-conns": 100, "cold-per-s": COLD_RATE}]
+    services = [
+        {
+            "name": "s",
+            "max-conns": 100,
+            "cold-per-s": COLD_RATE,
+            "health-path": HEALTH_PATH,
+        }
+    ]
     teams = [{"name": "t1", "api-keys": ["k1"]}]
     return {
         "version": version,
--- a/soak/target.py
+++ b/soak/target.py
@@ -29,6 +29,7 @@
 HEARTBEAT_SECONDS = 0.4
 SERVICE_SECONDS = 0.02
 EVENT_COUNT = 20
+HEALTH_PATH = "/health"
 # Paths of the routes whose requests may run more than once.
 REPEATABLE_PATHS = ("/again/", "/resume/")
 STREAM_PATHS = ("/stream/", "/resume/")
@@ -98,6 +99,7 @@
         self._restart_lock = asyncio.Lock()
         self.restarted = False
         self.runs = 0
+        self.health_checks = 0
         self._started_ms = 0
         # High, as after a long run: a restart begins at zero again.
         self._sequence = INITIAL_SEQUENCE
@@ -108,7 +110,7 @@
     async def __aenter__(self) -> "SoakTarget":
         # Increase it even if the target restarts within one millisecond.
         self._started_ms = max(self._started_ms + 1, int(1000 * time.time()))
-        self._server = web.Server(self._serve, access_log=None)
+        self._server = web.Server(self._handle, access_log=None)
         host, port = self.address.split(":")
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
@@ -253,6 +255,13 @@
             except (aiohttp.ClientError, TimeoutError, OSError):
                 continue
 
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != HEALTH_PATH:
+            return await self._serve(request)
+        self.health_checks += 1
+        named = {"X-Chivepier-Instance-Id": self.instance}
+        return web.Response(headers=named)
+
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         identity = request.headers["X-Chivepier-Request-Id"]
         echo = {"X-Chivepier-Request-Id": identity}
--- a/tests/adapter/entryfixture.py
+++ b/tests/adapter/entryfixture.py
@@ -48,7 +48,13 @@
 CONFIG = {
     **CONFIG_FIELDS,
     "routes": ROUTES,
-    "services": [{"name": "s", "max-conns": 10}],
+    "services": [
+        {
+            "name": "s",
+            "max-conns": 10,
+            "health-path": rawtarget.HEALTH_PATH,
+        }
+    ],
 }
 
 
--- a/tests/adapter/rawtarget.py
+++ b/tests/adapter/rawtarget.py
@@ -9,16 +9,25 @@
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
 
+HEALTH_PATH = "/health"
+HEALTH_REQUEST = f"GET {HEALTH_PATH} ".encode()
+
 Script = collections.abc.Callable[
     [bytes, asyncio.StreamWriter], collections.abc.Awaitable[None]
 ]
 
 
 class RawTarget:
-    """Passes the head of each request to the script of a test."""
+    """Passes the head of each request to the script of a test.
+
+    :ivar instance: name with which it answers health checks
+    :ivar checks: number of health checks
+    """
 
     def __init__(self, script: Script):
         self._script = script
+        self.instance = "i1"
+        self.checks = 0
         self._server = None
         self.requests: list[bytes] = []
         self.connections = 0
@@ -48,6 +57,9 @@
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
+                if head.startswith(HEALTH_REQUEST):
+                    self._answer_check(writer)
+                    continue
                 self.requests.append(head)
                 await self._script(head, writer)
                 if writer.is_closing():
@@ -55,10 +67,18 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             writer.close()
 
+    def _answer_check(self, writer: asyncio.StreamWriter) -> None:
+        self.checks += 1
+        name = self.instance.encode()
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nX-Chivepier-Instance-Id: %s\r\n"
+            b"Content-Length: 0\r\n\r\n" % name
+        )
+
     def make_target(self) -> Target:
         """Return the target as it would be announced."""
         return Target(
-            instance="i1",
+            instance=self.instance,
             service="s",
             address=self.address,
             zone="z",
--- a/tests/adapter/test_heldanswers.py
+++ b/tests/adapter/test_heldanswers.py
@@ -44,7 +44,7 @@
 def open_connection() -> TargetConnection:
     """Return a connection over which a call was sent."""
     loop = asyncio.get_running_loop()
-    connection = TargetConnection(loop, ParseTurns(loop))
+    connection = TargetConnection(loop, ParseTurns(loop), set())
     connection.connection_made(FakeTransport())
     connection.set_response_params()
     connection.note_sent("r1", lambda kind: None)
--- /dev/null
+++ b/tests/adapter/test_identity.py
@@ -0,0 +1,134 @@
+"""Tests of the question which process answers at a target's address."""
+
+import asyncio
+import contextlib
+
+import attrs
+import pytest
+
+from adapter.httptargetclient import HttpTargetClient
+from chivepier.gateway.serving import Identity
+from exchange import build_answer
+from exchange import OPTIONS
+from exchange import read_all
+from exchange import RecordingExchange
+from exchange import send
+import rawtarget
+
+PATH = rawtarget.HEALTH_PATH
+OWN_NAME = b"X-Chivepier-Instance-Id: i1\r\n"
+OTHER_NAME = b"X-Chivepier-Instance-Id: i2\r\n"
+NOT_RUN = b"X-Chivepier-Not-Run: 1\r\n"
+ANSWERS = {
+    "healthy": (b"200 OK", OWN_NAME, Identity.SAME),
+    "unhealthy": (b"503 Draining", OWN_NAME, Identity.SAME),
+    "full": (b"503 Full", NOT_RUN, Identity.SAME),
+    "other": (b"200 OK", OTHER_NAME, Identity.OTHER),
+    "both": (b"200 OK", OWN_NAME + OTHER_NAME, Identity.OTHER),
+    "wrong": (b"421 Misdirected", b"", Identity.OTHER),
+    "wrong-not-run": (b"421 Misdirected", NOT_RUN, Identity.OTHER),
+    "nameless": (b"200 OK", b"", Identity.UNKNOWN),
+    "no-target": (b"404 Not Found", b"", Identity.UNKNOWN),
+    "error": (b"500 Error", b"", Identity.UNKNOWN),
+}
+
+
+@contextlib.asynccontextmanager
+async def serve(answer):
+    """Run a server that handles each connection with a function."""
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    raw = rawtarget.RawTarget(None)
+    raw.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+    async with HttpTargetClient() as targets, asyncio.timeout(10):
+        try:
+            yield targets, raw.make_target(), server
+        finally:
+            server.close()
+
+
+def ask(targets, target):
+    """Ask which process answers, without restrictions."""
+    return targets.identify(target, PATH, RecordingExchange())
+
+
+@pytest.mark.parametrize(
+    "status, names, identity", ANSWERS.values(), ids=ANSWERS
+)
+def test_answer_tells_which_process_gave_it(status, names, identity):
+    # Another process at the address was taken for the one that was killed.
+    heads = []
+
+    async def answer(reader, writer):
+        heads.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(build_answer(b"", b"", names, status))
+
+    async def test():
+        async with serve(answer) as (targets, target, _):
+            assert await ask(targets, target) is identity
+        (head,) = heads
+        assert head.startswith(b"GET /health HTTP/1.1\r\n")
+        assert b"X-Chivepier-Expect-Instance: i1\r\n" in head
+
+    asyncio.run(test())
+
+
+def test_address_without_a_listener_has_nobody():
+    async def test():
+        async with serve(None) as (targets, target, server):
+            server.close()
+            assert await ask(targets, target) is Identity.NOBODY
+
+    asyncio.run(test())
+
+
+def test_process_that_is_ending_is_asked_again():
+    # An ending process may still accept a connection, and then close it.
+    async def test():
+        async def end(reader, writer):
+            server.close()
+            writer.transport.abort()
+
+        async with serve(end) as (targets, target, server):
+            assert await ask(targets, target) is Identity.NOBODY
+
+    asyncio.run(test())
+
+
+@pytest.mark.parametrize("data", (b"", b"no answer\r\n\r\n", b"HTTP/1.1 200"))
+def test_silence_and_nonsense_tell_nothing(data):
+    # A kernel accepts connections for a process that does not run.
+    async def answer(reader, writer):
+        await reader.read(1)
+        writer.write(data)
+        await asyncio.sleep(5)
+
+    async def test():
+        async with serve(answer) as (targets, target, _):
+            assert await ask(targets, target) is Identity.UNKNOWN
+
+    asyncio.run(test())
+
+
+def test_open_connection_belongs_to_the_instance_that_answered_on_it():
+    # Without an answer an open connection may be one to the next process.
+    async def script(head, writer):
+        writer.write(build_answer(b"ok"))
+
+    async def test():
+        async with (
+            rawtarget.RawTarget(script) as raw,
+            HttpTargetClient() as targets,
+        ):
+            target = raw.make_target()
+            assert not targets.is_connected(target)
+            request = rawtarget.make_request()
+            reply = await send(targets, target, request, OPTIONS)
+            await read_all(reply)
+            assert targets.is_connected(target)
+            other = attrs.evolve(target, instance="i2")
+            assert not targets.is_connected(other)
+            raw.kill()
+            await asyncio.sleep(0.05)
+            assert not targets.is_connected(target)
+
+    asyncio.run(test())
--- a/tests/adapter/test_streamends.py
+++ b/tests/adapter/test_streamends.py
@@ -100,9 +100,9 @@
                 await test(fixture)
                 return
             async with rawtarget.RawTarget(second) as other:
+                other.instance = "i2"
                 target = attrs.evolve(
                     other.make_target(),
-                    instance="i2",
                     heard=fixture.entry.table.get("i1").heard,
                 )
                 fixture.entry.table.put(target)
