--- a/bin/tally.py
+++ b/bin/tally.py
@@ -6,6 +6,7 @@
 
 SHOWN_LINES = 60
 UNIT_REPORT = "unit.xml"
+CROWDS_REPORT = "crowds.xml"
 KNOWN_RED = pathlib.Path("KNOWN-RED.txt")
 
 
@@ -38,10 +39,15 @@
     passed = failed = 0
     known = load_known_red()
     reports = sorted(pathlib.Path(folder).rglob("*.xml"))
-    if pathlib.Path(folder) / UNIT_REPORT not in reports:
+    names = {path.name for path in reports}
+    needed = {UNIT_REPORT}
+    if len(names) > 1:
+        # of a whole run, not of some tests only
+        needed.add(CROWDS_REPORT)
+    for name in sorted(needed - names):
         # it did not start, or did not come to its end
         failed += 1
-        print("failed: pytest wrote no report")
+        print(f"failed: pytest wrote no {name}")
     for report in reports:
         for case in ElementTree.parse(report).getroot().iter("testcase"):
             broken = case.find("failure") is not None
--- /dev/null
+++ b/soak/crowds.py
@@ -0,0 +1,95 @@
+"""What clients outside the limits send, by place, shape and pace."""
+
+import enum
+
+import attrs
+
+REQUEST_HEAD = (
+    b"POST /once/1 HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: k1\r\n"
+    b"X-Chivepier-Request-Id: crowd\r\nX-Chivepier-Deadline-Ms: 60000\r\n"
+)
+CHUNKED_HEAD = REQUEST_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+REQUEST = REQUEST_HEAD + b"Content-Length: 1\r\n\r\nx"
+# Bytes of a line within the limits, and about what is sent at a time.
+LINE_BYTES = 1 << 10
+PIECE_BYTES = 16 << 10
+
+
+class Pace(enum.Enum):
+    """How fast a client sends, and whether it reads.
+
+    ``FAST`` sends as fast as it can, ``DRIP`` a byte at a time with pauses,
+    ``UNREAD`` is fast and reads nothing, ``STILL`` sends the begin and then
+    nothing.
+    """
+
+    FAST = "fast"
+    DRIP = "drip"
+    UNREAD = "unread"
+    STILL = "still"
+
+
+@attrs.frozen
+class Shape:
+    """What one client sends.
+
+    :param first: sent at first
+    :param more: sent after it, again and again
+    :param pace: how fast
+    """
+
+    first: bytes
+    more: bytes
+    pace: Pace = Pace.FAST
+
+
+def _fill(part: bytes) -> bytes:
+    return part * max(1, PIECE_BYTES // len(part))
+
+
+_LINE = b"X-Line: " + b"x" * LINE_BYTES + b"\r\n"
+
+SHAPES = {
+    "nothing": Shape(b"", b"", Pace.STILL),
+    "empty-lines": Shape(b"", _fill(b"\r\n")),
+    "empty-line-feeds": Shape(b"", _fill(b"\n")),
+    "empty-lines-drip": Shape(b"", b"\r\n", Pace.DRIP),
+    "empty-lines-after": Shape(REQUEST, _fill(b"\r\n")),
+    "method": Shape(b"", _fill(b"A")),
+    "target": Shape(b"GET /", _fill(b"x")),
+    "version": Shape(b"GET / HTTP/1.", _fill(b"1")),
+    "field-name": Shape(REQUEST_HEAD, _fill(b"X")),
+    "field-value": Shape(REQUEST_HEAD + b"X: ", _fill(b"x")),
+    "field-spaces": Shape(REQUEST_HEAD + b"X:", _fill(b" ")),
+    "folded-lines": Shape(REQUEST_HEAD + b"X: x\r\n", _fill(b" x\r\n")),
+    "lines": Shape(REQUEST_HEAD, _fill(_LINE)),
+    "short-lines": Shape(REQUEST_HEAD, _fill(b"a:\r\n")),
+    "head-drip": Shape(REQUEST_HEAD, b"x", Pace.DRIP),
+    "head-then-nothing": Shape(REQUEST_HEAD + 14 * _LINE, b"", Pace.STILL),
+    "body": Shape(
+        REQUEST_HEAD + b"Content-Length: 999999999\r\n\r\n", _fill(b"x")
+    ),
+    "body-then-nothing": Shape(
+        REQUEST_HEAD + b"Content-Length: 9\r\n\r\nx", b"", Pace.STILL
+    ),
+    "short-chunks": Shape(CHUNKED_HEAD, _fill(b"1\r\nx\r\n")),
+    "chunk-size": Shape(CHUNKED_HEAD, _fill(b"0")),
+    "chunk-extension": Shape(CHUNKED_HEAD + b"1;", _fill(b"x")),
+    "chunk-data": Shape(CHUNKED_HEAD, b"4000\r\n" + b"x" * 0x4000 + b"\r\n"),
+    "trailers": Shape(CHUNKED_HEAD + b"0\r\n", _fill(b"X: x\r\n")),
+    "requests-unread": Shape(b"", _fill(REQUEST), Pace.UNREAD),
+    "upgrade": Shape(
+        REQUEST_HEAD
+        + b"Connection: Upgrade\r\nUpgrade: websocket\r\n"
+        + b"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: "
+        + b"AAAAAAAAAAAAAAAAAAAAAA==\r\n\r\n",
+        _fill(b"x"),
+    ),
+    "expectation": Shape(
+        REQUEST_HEAD + b"Expect: 100-continue\r\nContent-Length: 9\r\n\r\n",
+        b"",
+        Pace.STILL,
+    ),
+    "after-refusal": Shape(b"NO REQUEST\r\n\r\n", _fill(REQUEST)),
+    "no-http": Shape(b"\x16\x03\x01\x02\x00\x01", _fill(b"\x00\xff")),
+}
--- /dev/null
+++ b/soak/crowdscenario.py
@@ -0,0 +1,173 @@
+"""Clients outside the limits at one entry or voter, beside one caller."""
+
+import asyncio
+import contextlib
+import pathlib
+import random
+
+import aiohttp
+
+from soak.callerheaders import make_caller_headers
+from soak.cluster import Cluster
+from soak.crowds import Pace
+from soak.crowds import Shape
+from soak.invariantchecker import InvariantChecker
+from soak.process import Process
+from soak.processmeter import ProcessMeter
+from soak.reply import Reply
+from soak.run import make_config
+from soak.target import SoakTarget
+
+# Limits of the scenario's own settings, lower than those of any deployment.
+MEMORY_MB = 72
+MAX_DESCRIPTORS = 320
+# What the platform keeps of these for files; sockets share the others.
+RESERVED_DESCRIPTORS = 200
+MAX_SOCKETS = MAX_DESCRIPTORS - RESERVED_DESCRIPTORS
+LIMITS = {
+    "max-header-bytes": 16 << 10,
+    "max-body-bytes": 256 << 10,
+    "header-timeout-ms": 1000,
+    "idle-timeout-ms": 2000,
+}
+CLIENTS = 120
+# Seconds for which a crowd presses, between two measurements, and between two
+# bytes of a client that drips.
+PRESS_SECONDS = 3.0
+MEASURE_SECONDS = 0.05
+DRIP_SECONDS = 0.2
+DEADLINE_MS = 10_000
+ATTEMPTS = 5
+
+
+class CrowdScenario(Cluster):
+    """Runs three voters, one entry and one target, one of them in a crowd.
+
+    :param folder: directory for settings, data and logs
+    :param block: second byte of the loopback addresses
+    :param seed: seed of the random number generator
+    """
+
+    def __init__(self, folder: pathlib.Path, block: int, seed: int = 1):
+        super().__init__(folder, block, seed, 1, 1, self._make_target)
+        (self.entry,) = self.entries
+        self._number = 0
+        for process in (self.entry, *self.voters):
+            process.memory_mb = MEMORY_MB
+            process.max_descriptors = MAX_DESCRIPTORS
+
+    def _make_target(
+        self, address: str, controls: list[str], rng: random.Random
+    ) -> SoakTarget:
+        return SoakTarget(address, address, controls, InvariantChecker(), rng)
+
+    @contextlib.asynccontextmanager
+    async def run(self):
+        """Run the cluster until the context is left."""
+        config = make_config(1) | {"limits": LIMITS}
+        async with self.start(config) as session:
+            while (await self.call(session)).status != 200:
+                await asyncio.sleep(0.1)
+            yield session
+
+    async def call(self, session: aiohttp.ClientSession) -> Reply:
+        """Send an ordinary request, again as its caller is told to."""
+        for _ in range(ATTEMPTS):
+            self._number += 1
+            headers = make_caller_headers(f"n{self._number}", DEADLINE_MS)
+            reply = await self.post(
+                session, self.entry, "/once/1", b"x", headers
+            )
+            if reply.status not in (429, 503):
+                break
+            await asyncio.sleep(reply.retry_after or 0.0)
+        return reply
+
+    async def ask_voter(
+        self, session: aiohttp.ClientSession, voter: Process
+    ) -> int:
+        """Ask a voter for entries; return the status of its answer."""
+        url = f"http://{voter.ip}:8746/chivepier/resolve?name=h&zone=z"
+        try:
+            async with session.get(url) as answer:
+                await answer.read()
+                return answer.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0
+
+    async def press(
+        self, process: Process, port: int, shape: Shape
+    ) -> ProcessMeter:
+        """Let a crowd press a port, and measure the process meanwhile.
+
+        :returns: the most that the process took
+        """
+        meter = ProcessMeter(process.pid, process.ip)
+        clients = [
+            asyncio.create_task(send_shape(process.ip, port, shape))
+            for _ in range(CLIENTS)
+        ]
+        end = asyncio.get_running_loop().time() + PRESS_SECONDS
+        try:
+            while process.alive and asyncio.get_running_loop().time() < end:
+                meter.measure()
+                await asyncio.sleep(MEASURE_SECONDS)
+        finally:
+            for client in clients:
+                client.cancel()
+            await asyncio.gather(*clients, return_exceptions=True)
+        return meter
+
+    async def hold(self, process: Process, port: int, shape: Shape) -> None:
+        """Let a crowd stand until the process has closed all its connections.
+
+        Clients come once and do not come back.
+        """
+        async with asyncio.TaskGroup() as group:
+            for _ in range(CLIENTS):
+                group.create_task(send_once(process.ip, port, shape))
+
+
+async def send_shape(ip: str, port: int, shape: Shape) -> None:
+    """Send a shape, again on a new connection each time it is closed."""
+    while True:
+        await send_once(ip, port, shape)
+        await asyncio.sleep(DRIP_SECONDS)
+
+
+async def send_once(ip: str, port: int, shape: Shape) -> None:
+    """Send a shape on one connection until the other side closes it."""
+    with contextlib.suppress(OSError):
+        reader, writer = await asyncio.open_connection(ip, port)
+        with contextlib.closing(writer):
+            reads = shape.pace is not Pace.UNREAD
+            closed = asyncio.create_task(_await_close(reader, reads))
+            sent = asyncio.create_task(_send(writer, shape))
+            try:
+                await asyncio.wait(
+                    {closed, sent}, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not closed.done() and shape.pace is not Pace.UNREAD:
+                    await closed
+            finally:
+                closed.cancel()
+                sent.cancel()
+                writer.transport.abort()
+
+
+async def _await_close(reader: asyncio.StreamReader, reads: bool) -> None:
+    if not reads:
+        await asyncio.Event().wait()
+    while await reader.read(1 << 16):
+        pass
+
+
+async def _send(writer: asyncio.StreamWriter, shape: Shape) -> None:
+    writer.write(shape.first)
+    await writer.drain()
+    while shape.more:
+        if shape.pace is Pace.DRIP:
+            await asyncio.sleep(DRIP_SECONDS)
+        writer.write(shape.more)
+        await writer.drain()
+        await asyncio.sleep(0)
--- a/soak/process.py
+++ b/soak/process.py
@@ -85,6 +85,8 @@
     :param folder: directory for settings, data and logs
     :ivar grace_seconds: seconds from its stop order until it is killed
     :ivar memory_mb: memory of its instance; ``None`` if that isn't named
+    :ivar max_descriptors: descriptors that it may have open; ``None`` if that
+        isn't named
     :ivar disk: its data, which can lose power; ``None`` if that is not asked
     :ivar refusals: what its disk refuses; ``None`` if that is not asked
     :ivar links: addresses at which it reaches targets, by their own; empty if
@@ -98,6 +100,7 @@
         self.ip = ip
         self.links: dict[str, str] = {}
         self.memory_mb: int | None = None
+        self.max_descriptors: int | None = None
         self.grace_seconds = 4.0
         self.disk: PoweredFolder | None = None
         self.refusals: Refusals | None = None
@@ -112,6 +115,11 @@
         """Role and address, also used in file names."""
         return f"{self.role}-{self.ip}"
 
+    @property
+    def pid(self) -> int:
+        """Id of the process, which was started."""
+        return self._child.pid
+
     @property
     def alive(self) -> bool:
         """Whether the process exists, running or paused."""
@@ -206,6 +214,8 @@
         )
         if self.memory_mb is not None:
             settings += f"limits.memory-mb={self.memory_mb}\n"
+        if self.max_descriptors is not None:
+            settings += f"limits.max-fds={self.max_descriptors}\n"
         fresh = path.with_suffix(".new")
         fresh.write_text(settings)
         fresh.replace(path)
