Bound connections at the links' ports that have made no handshake

Anybody who reaches the ports of links could make an entry or voter end: 120 clients with lines of 1 KB took an entry to 163 MB, with requests that nobody reads to 129, a voter to 101 and 89 (72 allowed; 132 sockets where 120 are).

Cause: the library bounds each line of a handshake, but not what it reads after one that failed, nor how many stand; and it wrote a stack trace for each.

Change: until a connection has presented the cluster key it may send 8 KB and take 5 s; of such connections an eighth of those that the instance may have stand at a time (512 where that is not known: as many peers come back at once), the one that has waited longest is closed. Links are not counted. One line now and then tells how many were closed.

--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -141,6 +141,7 @@
             self._handle,
             settings.cluster_key,
             self._clock,
+            settings.limits.pending_peers,
         )
         links = Links(
             settings.address,
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -111,7 +111,7 @@
         rng = random.Random()
         self._settings = settings
         self._clock = clock
-        self._log = log
+        self._log = self.log = log
         self._stack = contextlib.AsyncExitStack()
         self.metrics = Metrics()
         self._parts = Supervisor(clock, log, self.metrics.record_failed_part)
@@ -363,6 +363,7 @@
             self._forward_server.handle,
             self._settings.cluster_key,
             self._clock,
+            self._settings.limits.pending_peers,
         )
         self._stack.push_async_callback(self._forward_server.close)
         await self._stack.enter_async_context(server)
--- a/packages/gateway/src/chivepier/gateway/settings/votersettings.py
+++ b/packages/gateway/src/chivepier/gateway/settings/votersettings.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from chivepier.gateway.settings.instancelimits import InstanceLimits
+
 
 @attrs.frozen(kw_only=True)
 class VoterSettings:
@@ -21,6 +23,7 @@
     :param regions: regions of the availability zones, by zone name
     :param tolerated_losses: how many disks may be lost at the same time;
         ``None`` for as many as the voters bear
+    :param limits: limits of this instance
     """
 
     name: str
@@ -33,3 +36,4 @@
     zone: str = ""
     regions: collections.abc.Mapping[str, str] = attrs.Factory(dict)
     tolerated_losses: int | None = None
+    limits: InstanceLimits = InstanceLimits()
--- a/tests/adapter/test_settings.py
+++ b/tests/adapter/test_settings.py
@@ -61,7 +61,11 @@
         "limits.max-fds": "3075",
     }
     assert make_file(**limits).make_entry_settings().limits == InstanceLimits(
-        cores=0.6, memory_bytes=128 << 20, link_mbps=7.5, descriptors=3075
+        cores=0.6,
+        memory_bytes=128 << 20,
+        link_mbps=7.5,
+        descriptors=3075,
+        connections=2875,
     )
 
 
