--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -39,6 +39,7 @@
     "refusals",
     "excess",
     "failed_parts",
+    "refused_clients",
 )
 GAUGES = ("zones", "place_waiting", "config_age", "config_behind")
 
@@ -237,6 +238,13 @@
         """
         self._record("shed", (shortage,), 1.0)
 
+    def record_refused_client(self, reason: str) -> None:
+        """Count a connection of a client that was ended for what it did.
+
+        :param reason: what it did, in a word
+        """
+        self._record("refused_clients", (reason,), 1.0)
+
     def record_reach(self, event: str) -> None:
         """Count a change of whether a service is in reach of this entry.
 
@@ -471,6 +479,12 @@
             ("shortage",),
             registry=registry,
         ),
+        "refused_clients": library.Counter(
+            "chivepier_refused_clients",
+            "Connections of clients that were ended, by reason.",
+            ("reason",),
+            registry=registry,
+        ),
         "unread": library.Counter(
             "chivepier_unread_headers",
             "Headers of targets' answers that nothing reads.",
--- a/soak/crowdscenario.py
+++ b/soak/crowdscenario.py
@@ -38,6 +38,7 @@
 DRIP_SECONDS = 0.2
 DEADLINE_MS = 10_000
 ATTEMPTS = 5
+RETRY_SECONDS = 0.1
 
 
 class CrowdScenario(Cluster):
@@ -71,18 +72,28 @@
             yield session
 
     async def call(self, session: aiohttp.ClientSession) -> Reply:
-        """Send an ordinary request, again as its caller is told to."""
+        """Send an ordinary request, again as pages and answers tell callers.
+
+        One that may be repeated is, after any failure.
+        """
         for _ in range(ATTEMPTS):
             self._number += 1
             headers = make_caller_headers(f"n{self._number}", DEADLINE_MS)
             reply = await self.post(
-                session, self.entry, "/once/1", b"x", headers
+                session, self.entry, "/again/1", b"x", headers
             )
-            if reply.status not in (429, 503):
+            if reply.status not in (0, 429, 503):
                 break
-            await asyncio.sleep(reply.retry_after or 0.0)
+            await asyncio.sleep(reply.retry_after or RETRY_SECONDS)
         return reply
 
+    async def revive(self, session: aiohttp.ClientSession) -> None:
+        """Start what has ended, and wait until requests are served."""
+        for process in (self.entry, *self.voters):
+            process.start()
+        while (await self.call(session)).status != 200:
+            await asyncio.sleep(RETRY_SECONDS)
+
     async def ask_voter(
         self, session: aiohttp.ClientSession, voter: Process
     ) -> int:
@@ -103,6 +114,7 @@
         :returns: the most that the process took
         """
         meter = ProcessMeter(process.pid, process.ip)
+        meter.forget_peak()
         clients = [
             asyncio.create_task(send_shape(process.ip, port, shape))
             for _ in range(CLIENTS)
--- a/soak/processmeter.py
+++ b/soak/processmeter.py
@@ -26,6 +26,10 @@
     memory_mb: float = 0.0
     sockets: int = 0
 
+    def forget_peak(self) -> None:
+        """Have the kernel count the peak from now on."""
+        pathlib.Path(f"/proc/{self.pid}/clear_refs").write_text("5")
+
     def measure(self) -> None:
         """Measure once; the most so far counts."""
         status = pathlib.Path(f"/proc/{self.pid}/status").read_text()
--- a/soak/tests/crowds/test_crowds.py
+++ b/soak/tests/crowds/test_crowds.py
@@ -1,19 +1,15 @@
 """Tests of processes among clients that stay outside the limits.
 
-Each runs alone: what it measures is that of one process.
+They run one at a time: each measures one process.
 """
 
-import asyncio
-
 import pytest
 
-from soak.blocks import reserve_block
 from soak.crowds import SHAPES
 from soak.crowdscenario import CrowdScenario
 from soak.crowdscenario import MAX_SOCKETS
 from soak.crowdscenario import MEMORY_MB
 
-TEST_SECONDS = 120
 CALLERS, READY, METRICS, FORWARDS = 8740, 8749, 9464, 7201
 CONTROL, DIRECTORY, PEERS = 8748, 8746, 7200
 ENTRY_PORTS = {"ready": READY, "metrics": METRICS, "forwards": FORWARDS}
@@ -38,18 +34,6 @@
 )
 
 
-def play(tmp_path, test) -> None:
-    """Run a test with a cluster of its own."""
-
-    async def work(block: int) -> None:
-        scenario = CrowdScenario(tmp_path, block)
-        async with asyncio.timeout(TEST_SECONDS), scenario.run() as session:
-            await test(scenario, session)
-
-    with reserve_block() as block:
-        asyncio.run(work(block))
-
-
 def pick(scenario: CrowdScenario, role: str):
     """Return the process of a role that the crowd is at."""
     return scenario.entry if role == "entry" else scenario.voters[0]
@@ -70,36 +54,36 @@
 
 
 @pytest.mark.parametrize("shape", SHAPES)
-def test_crowd_of_callers_costs_an_entry_bounded_memory(shape, tmp_path):
+def test_crowd_of_callers_costs_an_entry_bounded_memory(shape, crowds):
     # What came was kept without a bound, parsed all at once, or both.
     async def test(scenario, session):
         await check_press(scenario, session, "entry", CALLERS, shape)
 
-    play(tmp_path, test)
+    crowds.play(test)
 
 
 @pytest.mark.parametrize("shape", COMMON_SHAPES)
 @pytest.mark.parametrize("port", OTHER_PORTS)
-def test_crowd_at_another_port_costs_bounded_memory(port, shape, tmp_path):
+def test_crowd_at_another_port_costs_bounded_memory(port, shape, crowds):
     # The same at the ports that are not for callers.
     async def test(scenario, session):
         await check_press(scenario, session, *OTHER_PORTS[port], shape)
 
-    play(tmp_path, test)
+    crowds.play(test)
 
 
 @pytest.mark.parametrize("shape", STANDING_SHAPES)
-def test_clients_that_bring_no_request_are_closed(shape, tmp_path):
+def test_clients_that_bring_no_request_are_closed(shape, crowds):
     # Each cost a descriptor for as long as it liked.
     async def test(scenario, session):
         await scenario.hold(scenario.entry, CALLERS, SHAPES[shape])
         assert (await scenario.call(session)).status == 200
 
-    play(tmp_path, test)
+    crowds.play(test)
 
 
 @pytest.mark.parametrize("port", OTHER_PORTS)
-def test_silent_clients_at_another_port_are_closed(port, tmp_path):
+def test_silent_clients_at_another_port_are_closed(port, crowds):
     # The same at the ports that are not for callers.
     async def test(scenario, session):
         role, number = OTHER_PORTS[port]
@@ -107,4 +91,4 @@
         await scenario.hold(process, number, SHAPES["nothing"])
         assert (await scenario.call(session)).status == 200
 
-    play(tmp_path, test)
+    crowds.play(test)
--- a/tests/adapter/test_callers.py
+++ b/tests/adapter/test_callers.py
@@ -401,7 +401,7 @@
     run(answer_ok, test)
 
 
-@pytest.mark.parametrize("limits,status", [({}, 400), (None, 200)])
+@pytest.mark.parametrize("limits,status", [({}, 431), (None, 200)])
 def test_header_limit_is_taken_from_the_configuration(limits, status):
     # A header of 20 KB was rejected although the configuration allows 32 KB.
     if limits is None:
