Play crowds, and targets that return while entries stand still, in the soak

Set 11 of its faults has clients outside the limits at an entry's or voter's port, and targets without a length that end and start again at their address while up to all entries are stopped, beside all others; sets before it, and so their seeds, stay as they are. Crowds there send what may run again: they send one request many times, which the soak's check of what may run once would count.

--- a/soak/crowds.py
+++ b/soak/crowds.py
@@ -42,6 +42,17 @@
     more: bytes
     pace: Pace = Pace.FAST
 
+    def make_repeatable(self) -> "Shape":
+        """Return the same with requests that may run again.
+
+        A crowd sends one request many times.
+        """
+        return attrs.evolve(
+            self,
+            first=self.first.replace(b"/once/", b"/again/"),
+            more=self.more.replace(b"/once/", b"/again/"),
+        )
+
 
 def _fill(part: bytes) -> bytes:
     return part * max(1, PIECE_BYTES // len(part))
--- a/soak/crowdscenario.py
+++ b/soak/crowdscenario.py
@@ -9,7 +9,8 @@
 
 from soak.callerheaders import make_caller_headers
 from soak.cluster import Cluster
-from soak.crowds import Pace
+from soak.crowdclient import send_once
+from soak.crowdclient import send_shape
 from soak.crowds import Shape
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
@@ -31,11 +32,9 @@
     "idle-timeout-ms": 2000,
 }
 CLIENTS = 120
-# Seconds for which a crowd presses, between two measurements, and between two
-# bytes of a client that drips.
+# Seconds for which a crowd presses, and between two measurements.
 PRESS_SECONDS = 3.0
 MEASURE_SECONDS = 0.05
-DRIP_SECONDS = 0.2
 DEADLINE_MS = 10_000
 ATTEMPTS = 5
 RETRY_SECONDS = 0.1
@@ -138,48 +137,3 @@
         async with asyncio.TaskGroup() as group:
             for _ in range(CLIENTS):
                 group.create_task(send_once(process.ip, port, shape))
-
-
-async def send_shape(ip: str, port: int, shape: Shape) -> None:
-    """Send a shape, again on a new connection each time it is closed."""
-    while True:
-        await send_once(ip, port, shape)
-        await asyncio.sleep(DRIP_SECONDS)
-
-
-async def send_once(ip: str, port: int, shape: Shape) -> None:
-    """Send a shape on one connection until the other side closes it."""
-    with contextlib.suppress(OSError):
-        reader, writer = await asyncio.open_connection(ip, port)
-        with contextlib.closing(writer):
-            reads = shape.pace is not Pace.UNREAD
-            closed = asyncio.create_task(_await_close(reader, reads))
-            sent = asyncio.create_task(_send(writer, shape))
-            try:
-                await asyncio.wait(
-                    {closed, sent}, return_when=asyncio.FIRST_COMPLETED
-                )
-                if not closed.done() and shape.pace is not Pace.UNREAD:
-                    await closed
-            finally:
-                closed.cancel()
-                sent.cancel()
-                writer.transport.abort()
-
-
-async def _await_close(reader: asyncio.StreamReader, reads: bool) -> None:
-    if not reads:
-        await asyncio.Event().wait()
-    while await reader.read(1 << 16):
-        pass
-
-
-async def _send(writer: asyncio.StreamWriter, shape: Shape) -> None:
-    writer.write(shape.first)
-    await writer.drain()
-    while shape.more:
-        if shape.pace is Pace.DRIP:
-            await asyncio.sleep(DRIP_SECONDS)
-        writer.write(shape.more)
-        await writer.drain()
-        await asyncio.sleep(0)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import collections.abc
+import contextlib
 import shutil
 import signal
 import time
 import typing
 
 from soak.answerfaults import AnswerFault
+from soak.cluster import CALLER_PORT
+from soak.crowdclient import send_shape
+from soak.crowds import Shape
+from soak.crowds import SHAPES
 from soak.faultdraw import FaultDraw
 from soak.loadreporter import MODES
 from soak.nonsense import write_nonsense
@@ -29,7 +34,8 @@
 # Versions of the set of faults: a seed that reproduces a failure keeps its
 # set, since with another one it would draw other faults.
 FIRST_SET, RESTART_SET, COLD_SET, NEED_SET, REST_SET = range(1, 6)
-MISREPORT_SET, CUT_SET, VERSION_SET, PART_SET, NEWEST_SET = 6, 7, 8, 9, 10
+MISREPORT_SET, CUT_SET, VERSION_SET, PART_SET, ANSWER_SET = 6, 7, 8, 9, 10
+NEWEST_SET = 11
 # Seconds after a link fault in which delayed requests may still arrive.
 DELAYED_SECONDS = 1.5
 # Seconds after the start of a voter without its data: those in which it is
@@ -41,6 +47,10 @@
 WHOLE_CUT_SHARE = 0.7
 # Range of the seconds for which targets crash on a part.
 CRASHING_SECONDS = (9.0, 14.0)
+# Clients of a crowd, and the range of the seconds for which it presses.
+CROWD_CLIENTS = 30
+CROWD_SECONDS = (0.5, 2.0)
+CONTROL_PORT = 8748
 # Backoffs that targets request, in seconds.
 BACKOFF_SECONDS = (0.3, 1.0, 3.0, 8.0)
 
@@ -88,6 +98,8 @@
             kinds += (self.crash_on_part,)
         if fault_set > PART_SET:
             kinds += (self.misanswer, self.misanswer)
+        if fault_set > ANSWER_SET:
+            kinds += (self.crowd, self.bear_again, self.bear_again)
         self._draw = FaultDraw(self._rng, kinds)
         self._versions = 1
         self._evacuation: asyncio.Task | None = None
@@ -206,6 +218,43 @@
         task.add_done_callback(self._background.discard)
         return task
 
+    async def crowd(self) -> None:
+        """Let clients outside the limits press a port, in the background."""
+        entry = self._rng.choice(self._soak.entries)
+        voter = self._rng.choice(self._soak.voters)
+        process, port = self._rng.choice(
+            ((entry, CALLER_PORT), (voter, CONTROL_PORT))
+        )
+        shape = SHAPES[self._rng.choice(list(SHAPES))]
+        self._begin(self._press(process.ip, port, shape.make_repeatable()))
+
+    async def _press(self, ip: str, port: int, shape: Shape) -> None:
+        clients = [
+            asyncio.create_task(send_shape(ip, port, shape))
+            for _ in range(CROWD_CLIENTS)
+        ]
+        await asyncio.sleep(self._rng.uniform(*CROWD_SECONDS))
+        for client in clients:
+            client.cancel()
+        await asyncio.gather(*clients, return_exceptions=True)
+
+    async def bear_again(self) -> None:
+        """Start a target again at its address while entries stand still."""
+        target = self._rng.choice(self._soak.targets)
+        count = self._rng.randint(0, len(self._soak.entries))
+        entries = self._rng.sample(self._soak.entries, count)
+        target.framing.lengthless = True
+        await asyncio.sleep(self._rng.uniform(0.1, 0.5))
+        with contextlib.ExitStack() as stack:
+            for entry in entries:
+                stack.enter_context(self._soak.exempt(entry))
+                entry.signal(signal.SIGSTOP)
+            await target.restart(0.0, target.software_version)
+            await asyncio.sleep(self._rng.uniform(0.0, 1.0))
+            for entry in entries:
+                entry.signal(signal.SIGCONT)
+        target.framing.lengthless = False
+
     async def rest(self) -> None:
         """Let targets reject requests and request backoff for a while."""
         count = self._rng.randint(1, len(self._soak.targets))
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from soak.blocks import reserve_block
+from soak.faults import ANSWER_SET
 from soak.faults import COLD_SET
 from soak.faults import CUT_SET
 from soak.faults import FIRST_SET
@@ -36,7 +37,8 @@
     14: (MISREPORT_SET, 8.0),
     16: (CUT_SET, 8.0),
     17: (VERSION_SET, 8.0),
-    20: (NEWEST_SET, 10.0),
+    20: (ANSWER_SET, 10.0),
+    23: (NEWEST_SET, 10.0),
 }
 
 
@@ -72,6 +74,19 @@
     assert seen.answered > 50 and seen.failed > 0
 
 
+def test_streams_and_calls_hold_beside_crowds_and_targets_that_return(
+    tmp_path,
+):
+    # Clients outside the limits ended a process; and the next process at a
+    # target's address vouched for the streams of the one before.
+    with reserve_block() as block:
+        soak = Soak(24, tmp_path, block)
+        soak.faults.keep_only("bear_again", "crowd", "freeze")
+        seen = asyncio.run(soak.run(10.0))
+    assert seen.violations == []
+    assert seen.answered > 50
+
+
 def test_streams_are_of_one_version_while_targets_change_over(tmp_path):
     # Streams went on at targets of another software version.
     with reserve_block() as block:
