--- a/tests/adapter/test_clients.py
+++ b/tests/adapter/test_clients.py
@@ -77,6 +77,30 @@
     run(answer, test)
 
 
+@pytest.mark.parametrize("body", (b"x\r\n", b"1\r\nxy\r\n", b"1" * 20_000))
+@pytest.mark.parametrize("apart", (False, True))
+def test_body_that_is_none_is_refused_and_nothing_runs(apart, body):
+    # What is refused after the head of a request must not reach a target.
+    begin = KEPT.replace(
+        b"Content-Length: 0\r\n", b"Transfer-Encoding: chunked\r\n"
+    )
+
+    async def test(fixture):
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", fixture.port
+        )
+        writer.write(begin)
+        if apart:
+            await asyncio.sleep(0.05)
+        writer.write(body + LAST)
+        line = await reader.readline()
+        assert line.startswith(b"HTTP/1.1 400")
+        assert fixture.raw.requests == []
+        writer.close()
+
+    run(answer, test)
+
+
 @pytest.mark.parametrize(
     "first",
     (
