--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
@@ -325,3 +325,39 @@
         assert caller.numbers == [1, 2] and caller.finished
 
     play(test, "a", "b")
+
+
+@pytest.mark.parametrize("connected", (True, False))
+def test_end_that_nobody_explains_counts_only_beside_an_open_connection(
+    connected,
+):
+    # A path that hangs, or a question that ran out as the entry stood still,
+    # was taken for a target that lives.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        parts.engines.mute.add(run.target)
+        if connected:
+            parts.engines.connected.add(run.target)
+        run.end()
+        await task
+        assert caller.finished is connected
+        assert caller.aborted is not connected
+        (line,) = parts.read_lines("end_examined")
+        assert line["answered_by"] == "unknown"
+        assert line["lived"] is connected
+
+    play(test, "a")
+
+
+def test_end_is_not_vouched_for_by_the_next_process_at_the_address():
+    # The table learns of it from its announcement, some 0.4 s later.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        parts.engines.replaced.add(run.target)
+        run.end()
+        await task
+        assert caller.aborted and not caller.finished
+        (line,) = parts.read_lines("end_examined")
+        assert line["answered_by"] == "other" and not line["lived"]
+
+    play(test, "a")
