Test what an entry holds for many clients together

The meter of the crowds' tests found unread bytes by the process's address. Connections to targets leave from another one, so what targets had sent and the entry had not read was not counted; it is found by the sockets of the process now, which is stricter.

Each client names a request of its own. Beside life, memory and descriptors an ordinary request with 1 KB must be answered while the crowd stands, and after it.

--- a/soak/crowdclient.py
+++ b/soak/crowdclient.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import contextlib
+import itertools
 
+from soak.crowds import CLIENT_ID
 from soak.crowds import Pace
 from soak.crowds import Shape
 
 # Seconds between two bytes of a client that drips, and between two of its
 # connections.
 DRIP_SECONDS = 0.2
+_numbers = itertools.count(1)
 
 
 async def send_shape(ip: str, port: int, shape: Shape) -> None:
@@ -21,9 +24,10 @@
 async def send_once(ip: str, port: int, shape: Shape) -> None:
     """Send a shape on one connection until the other side closes it."""
     with contextlib.suppress(OSError):
-        reader, writer = await asyncio.open_connection(ip, port)
+        # reads hardly ahead, as what it reads is not to be read
+        reader, writer = await asyncio.open_connection(ip, port, limit=1)
         with contextlib.closing(writer):
-            reads = shape.pace is not Pace.UNREAD
+            reads = shape.pace not in (Pace.UNREAD, Pace.DEAF)
             closed = asyncio.create_task(_await_close(reader, reads))
             sent = asyncio.create_task(_send(writer, shape))
             try:
@@ -46,10 +50,11 @@
 
 
 async def _send(writer: asyncio.StreamWriter, shape: Shape) -> None:
-    writer.write(shape.first)
+    number = b"crowd-%d" % next(_numbers)
+    writer.write(shape.first.replace(CLIENT_ID, number))
     await writer.drain()
     while shape.more:
-        if shape.pace is Pace.DRIP:
+        if shape.pace in (Pace.DRIP, Pace.DEAF):
             await asyncio.sleep(DRIP_SECONDS)
         writer.write(shape.more)
         await writer.drain()
--- a/soak/crowds.py
+++ b/soak/crowds.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from chivepier.gateway.config import Limits
+
 REQUEST_HEAD = (
     b"POST /once/1 HTTP/1.1\r\nHost: h.example\r\nX-Api-Key: k1\r\n"
     b"X-Chivepier-Request-Id: crowd\r\nX-Chivepier-Deadline-Ms: 60000\r\n"
@@ -19,13 +21,14 @@
     """How fast a client sends, and whether it reads.
 
     ``FAST`` sends as fast as it can, ``DRIP`` a byte at a time with pauses,
-    ``UNREAD`` is fast and reads nothing, ``STILL`` sends the begin and then
-    nothing.
+    ``UNREAD`` is fast and reads nothing, ``DEAF`` drips and reads nothing,
+    ``STILL`` sends the begin and then nothing.
     """
 
     FAST = "fast"
     DRIP = "drip"
     UNREAD = "unread"
+    DEAF = "deaf"
     STILL = "still"
 
 
@@ -104,3 +107,27 @@
     "after-refusal": Shape(b"NO REQUEST\r\n\r\n", _fill(REQUEST)),
     "no-http": Shape(b"\x16\x03\x01\x02\x00\x01", _fill(b"\x00\xff")),
 }
+
+# Replaced by a number of its own for each connection.
+CLIENT_ID = b"heavy-client"
+_HEAVY_HEAD = REQUEST_HEAD.replace(b"crowd", CLIENT_ID)
+_HEAVY = REQUEST.replace(b"crowd", CLIENT_ID)
+_LARGE = _HEAVY.replace(b"/once/1", b"/again/large")
+_ENDLESS = _HEAVY.replace(b"/once/1", b"/stream/endless")
+_ALMOST = b"Content-Length: %d\r\n\r\n" % Limits().body_bytes
+
+# What costs an entry more than a head, a client.
+HEAVY_SHAPES = {
+    "answers-unread": Shape(_LARGE, b"\r\n", Pace.DEAF),
+    "streams-unread": Shape(_ENDLESS, b"\r\n", Pace.DEAF),
+    "bodies-almost-whole": Shape(
+        _HEAVY_HEAD + _ALMOST + b"x" * (Limits().body_bytes - 1),
+        b"",
+        Pace.STILL,
+    ),
+    "bodies-drip": Shape(
+        _HEAVY_HEAD + _ALMOST + b"x" * (Limits().body_bytes // 2),
+        b"x",
+        Pace.DRIP,
+    ),
+}
--- a/soak/crowdscenario.py
+++ b/soak/crowdscenario.py
@@ -1,7 +1,9 @@
 """Clients outside the limits at one entry or voter, beside one caller."""
 
 import asyncio
+import collections.abc
 import contextlib
+import itertools
 import pathlib
 import random
 
@@ -48,13 +50,18 @@
     :param seed: seed of the random number generator
     """
 
+    clients = CLIENTS
+    memory_mb = MEMORY_MB
+    max_descriptors = MAX_DESCRIPTORS
+    limits = LIMITS
+
     def __init__(self, folder: pathlib.Path, block: int, seed: int = 1):
         super().__init__(folder, block, seed, 1, 1, self._make_target)
         (self.entry,) = self.entries
         self._number = 0
         for process in (self.entry, *self.voters):
-            process.memory_mb = MEMORY_MB
-            process.max_descriptors = MAX_DESCRIPTORS
+            process.memory_mb = self.memory_mb
+            process.max_descriptors = self.max_descriptors
 
     def _make_target(
         self, address: str, controls: list[str], rng: random.Random
@@ -64,13 +71,15 @@
     @contextlib.asynccontextmanager
     async def run(self):
         """Run the cluster until the context is left."""
-        config = make_config(1) | {"limits": LIMITS}
+        config = make_config(1) | {"limits": self.limits}
         async with self.start(config) as session:
             while (await self.call(session)).status != 200:
                 await asyncio.sleep(0.1)
             yield session
 
-    async def call(self, session: aiohttp.ClientSession) -> Reply:
+    async def call(
+        self, session: aiohttp.ClientSession, body: bytes = b"x"
+    ) -> Reply:
         """Send an ordinary request, again as pages and answers tell callers.
 
         One that may be repeated is, after any failure.
@@ -79,7 +88,7 @@
             self._number += 1
             headers = make_caller_headers(f"n{self._number}", DEADLINE_MS)
             reply = await self.post(
-                session, self.entry, "/again/1", b"x", headers
+                session, self.entry, "/again/1", body, headers
             )
             if reply.status not in (0, 429, 503):
                 break
@@ -112,22 +121,35 @@
 
         :returns: the most that the process took
         """
-        meter = ProcessMeter(process.pid, process.ip)
+        async with self.gather_crowd(process, port, (shape,)) as meter:
+            await asyncio.sleep(PRESS_SECONDS)
+        return meter
+
+    @contextlib.asynccontextmanager
+    async def gather_crowd(
+        self,
+        process: Process,
+        port: int,
+        shapes: collections.abc.Sequence[Shape],
+    ) -> collections.abc.AsyncIterator[ProcessMeter]:
+        """Let a crowd press a port until the context is left.
+
+        :param shapes: what its clients send, each with as many of them
+        :returns: measures the process meanwhile
+        """
+        meter = ProcessMeter(process.pid)
         meter.forget_peak()
-        clients = [
+        tasks = [
             asyncio.create_task(send_shape(process.ip, port, shape))
-            for _ in range(CLIENTS)
+            for shape, _ in zip(itertools.cycle(shapes), range(self.clients))
         ]
-        end = asyncio.get_running_loop().time() + PRESS_SECONDS
+        tasks.append(asyncio.create_task(_keep_measuring(process, meter)))
         try:
-            while process.alive and asyncio.get_running_loop().time() < end:
-                meter.measure()
-                await asyncio.sleep(MEASURE_SECONDS)
+            yield meter
         finally:
-            for client in clients:
-                client.cancel()
-            await asyncio.gather(*clients, return_exceptions=True)
-        return meter
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
 
     async def hold(self, process: Process, port: int, shape: Shape) -> None:
         """Let a crowd stand until the process has closed all its connections.
@@ -135,5 +157,11 @@
         Clients come once and do not come back.
         """
         async with asyncio.TaskGroup() as group:
-            for _ in range(CLIENTS):
+            for _ in range(self.clients):
                 group.create_task(send_once(process.ip, port, shape))
+
+
+async def _keep_measuring(process: Process, meter: ProcessMeter) -> None:
+    while process.alive:
+        meter.measure()
+        await asyncio.sleep(MEASURE_SECONDS)
--- a/soak/processmeter.py
+++ b/soak/processmeter.py
@@ -1,5 +1,6 @@
 """Memory and descriptors of a process, with what it has not read yet."""
 
+import collections.abc
 import os
 import pathlib
 import re
@@ -9,6 +10,7 @@
 # States of connections in the kernel's table that may hold unread bytes.
 READABLE_STATES = ("01", "08")
 TABLE = pathlib.Path("/proc/net/tcp")
+SOCKET = re.compile(r"socket:\[(\d+)\]")
 
 
 @attrs.define
@@ -16,13 +18,11 @@
     """Measures the most that a process has taken.
 
     :param pid: the process
-    :param ip: address of all its sockets
     :ivar memory_mb: most memory with unread bytes, in MB
     :ivar sockets: most open sockets
     """
 
     pid: int
-    ip: str
     memory_mb: float = 0.0
     sockets: int = 0
 
@@ -34,35 +34,39 @@
         """Measure once; the most so far counts."""
         status = pathlib.Path(f"/proc/{self.pid}/status").read_text()
         resident = int(re.search(r"VmRSS:\s+(\d+) kB", status)[1]) / 1024
-        unread = count_unread_bytes(self.ip) / (1 << 20)
         peak = int(re.search(r"VmHWM:\s+(\d+) kB", status)[1]) / 1024
+        sockets = self._list_sockets()
+        unread = count_unread_bytes(sockets) / (1 << 20)
         self.memory_mb = max(self.memory_mb, resident + unread, peak)
-        self.sockets = max(self.sockets, self.count_sockets())
+        self.sockets = max(self.sockets, len(sockets))
 
-    def count_sockets(self) -> int:
-        """Return the number of open sockets."""
-        folder = f"/proc/{self.pid}/fd"
-        return sum(map(_is_socket, pathlib.Path(folder).iterdir()))
+    def _list_sockets(self) -> set[str]:
+        """Return the inodes of the open sockets."""
+        folder = pathlib.Path(f"/proc/{self.pid}/fd")
+        links = map(_read_link, folder.iterdir())
+        return {
+            found[1] for link in links if (found := SOCKET.fullmatch(link))
+        }
 
 
-def _is_socket(descriptor: pathlib.Path) -> bool:
+def _read_link(descriptor: pathlib.Path) -> str:
     try:
-        return os.readlink(descriptor).startswith("socket:")
+        return os.readlink(descriptor)
     except FileNotFoundError:
         # closed meanwhile
-        return False
+        return ""
 
 
-def count_unread_bytes(ip: str) -> int:
-    """Return what has arrived at connections of an address unread, in bytes.
+def count_unread_bytes(inodes: collections.abc.Container[str]) -> int:
+    """Return what has arrived at connections unread, in bytes.
 
-    :param ip: the address
+    :param inodes: inodes of their sockets; those to targets have addresses
+        that tell nothing of the process
     """
-    local = bytes(reversed([int(part) for part in ip.split(".")])).hex()
     total = 0
     for line in TABLE.read_text().splitlines()[1:]:
         fields = line.split()
-        address, state, queues = fields[1], fields[3], fields[4]
-        if address.startswith(local.upper()) and state in READABLE_STATES:
+        state, queues, inode = fields[3], fields[4], fields[9]
+        if inode in inodes and state in READABLE_STATES:
             total += int(queues.split(":")[1], 16)
     return total
--- a/soak/tests/crowds/conftest.py
+++ b/soak/tests/crowds/conftest.py
@@ -9,6 +9,7 @@
 
 from soak.blocks import reserve_block
 from soak.crowdscenario import CrowdScenario
+from soak.heavycrowdscenario import HeavyCrowdScenario
 
 TEST_SECONDS = 120
 
@@ -16,13 +17,11 @@
 class CrowdRunner:
     """Runs work with a cluster in an event loop that outlives each test.
 
-    :param folder: directory of the cluster
-    :param block: second byte of its loopback addresses
+    :param scenario: the cluster
     """
 
-    def __init__(self, folder, block: int):
-        self._folder = folder
-        self._block = block
+    def __init__(self, scenario: CrowdScenario):
+        self.scenario = scenario
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever)
         self._stack = contextlib.AsyncExitStack()
@@ -39,7 +38,6 @@
         self._loop.close()
 
     async def _start(self) -> None:
-        self.scenario = CrowdScenario(self._folder, self._block)
         enter = self._stack.enter_async_context
         self.session = await enter(self.scenario.run())
 
@@ -57,9 +55,21 @@
         self._run(work())
 
 
+def run_scenario(make_scenario, folder):
+    """Yield what runs tests with a cluster, which ends after that."""
+    with reserve_block() as block:
+        with CrowdRunner(make_scenario(folder, block)) as runner:
+            yield runner
+
+
 @pytest.fixture(scope="session")
 def crowds(tmp_path_factory):
     """Return what runs tests with the cluster."""
-    with reserve_block() as block:
-        with CrowdRunner(tmp_path_factory.mktemp("crowds"), block) as runner:
-            yield runner
+    yield from run_scenario(CrowdScenario, tmp_path_factory.mktemp("crowds"))
+
+
+@pytest.fixture(scope="module")
+def heavy_crowds(tmp_path_factory):
+    """Return what runs tests with an entry of a deployment's size."""
+    folder = tmp_path_factory.mktemp("heavy")
+    yield from run_scenario(HeavyCrowdScenario, folder)
