Close clients that read nothing while memory for answers is scarce

Callers saw: an entry of 128 MB among 300 clients that ask for answers of 480 KB, or endless streams, and read nothing took 145 and 138 MB (bytes that had arrived and were not read included): the platform kills it at 128.

Cause: each answer was bounded, and what all of them take was not. Each plain answer had 64 KB whatever the others had; a stream was read 64 KB ahead and written 64 KB ahead; and the kernel held 128 KB a connection to a target, which the meter of the tests did not count until it went by sockets.

No client that reads is affected; one that stands still for a second is, in such a crowd only.

--- a/packages/gateway/src/chivepier/gateway/serving/answerreader.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerreader.py
@@ -50,7 +50,7 @@
             raise BrokenAnswerError("the answer names another request or none")
         if plan.route.streaming and answer.status < 300:
             return await self._read_start(plan, target, answer, run)
-        allocation = self._memory.open()
+        allocation = await self._memory.open(answer.length)
         try:
             body = await self._read_whole(plan, target, answer, allocation)
         except BaseException:
--- a/packages/gateway/src/chivepier/gateway/serving/bodymemory.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodymemory.py
@@ -9,6 +9,10 @@
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
 
+# Used share above which memory is scarce: the rest is for newcomers until
+# what others hold without need is free.
+SCARCE_SHARE = 0.75
+
 
 @attrs.define
 class BodyMemory:
@@ -35,6 +39,11 @@
     max_bytes: int
     used_bytes: int = 0
 
+    @property
+    def is_scarce(self) -> bool:
+        """Whether there is little left."""
+        return self.used_bytes > SCARCE_SHARE * self.max_bytes
+
     @contextlib.contextmanager
     def allocate(self) -> collections.abc.Iterator[BodyAllocation]:
         """Allocate memory to a request until the context is left."""
--- a/tests/adapter/test_clients.py
+++ b/tests/adapter/test_clients.py
@@ -19,7 +19,11 @@
 KEPT = build_request("/once/x").replace(b"Connection: close\r\n", b"")
 LAST = build_request("/once/x")
 BOUNDS = ClientBounds(
-    connections=2, held_bytes=1000, request_bytes=1 << 20, target_connections=9
+    connections=2,
+    held_bytes=1000,
+    request_bytes=1 << 20,
+    unsent_bytes=1 << 20,
+    target_connections=9,
 )
 
 
--- /dev/null
+++ b/tests/adapter/test_slowclients.py
@@ -0,0 +1,77 @@
+"""Tests of clients that hold memory, and bring or read hardly anything."""
+
+import asyncio
+import contextlib
+
+from aiohttp import web
+import pytest
+import uvloop
+
+from adapter.clientbounds import ClientBounds
+from adapter.clientneed import ClientNeed
+from adapter.clientrefusal import ClientRefusal
+from adapter.clientstage import ClientStage
+from adapter.clientwatch import ClientWatch
+from adapter.limitedserver import LimitedServer
+from chivepier.gateway.config import Limits
+from chivepier.gateway.settings import InstanceLimits
+
+ADDRESS = "127.0.0.1:0"
+LARGE = b"x" * (1 << 20)
+GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+POST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"
+# Longer than a client may stall while memory is scarce.
+STALL_SECONDS = 2.5
+STEP_SECONDS = 0.1
+
+
+async def serve(request: web.BaseRequest) -> web.StreamResponse:
+    """Read the body, and answer with much."""
+    await request.read()
+    return web.Response(body=LARGE)
+
+
+@contextlib.asynccontextmanager
+async def run_server(stage, is_scarce):
+    """Run a server; yield its port and what its metrics count."""
+    reasons = []
+    need = ClientNeed(stage, ClientRefusal.SLOW_BODY, lambda: is_scarce)
+    watch = ClientWatch(
+        ClientBounds.of(InstanceLimits()), None, reasons.append, (need,)
+    )
+    server = LimitedServer(serve, Limits, watch)
+    listener = await server.listen(ADDRESS, 16)
+    try:
+        yield listener.sockets[0].getsockname()[1], reasons
+    finally:
+        listener.close()
+        await server.shutdown(0.1)
+
+
+@pytest.mark.parametrize(
+    "is_scarce, step_bytes, is_closed",
+    ((True, 0, True), (True, 64 << 10, False), (False, 0, False)),
+    ids=("reads-nothing", "reads-slowly", "room"),
+)
+def test_unread_answers_are_closed_while_memory_is_scarce(
+    is_scarce, step_bytes, is_closed
+):
+    # Those that read nothing took what others' answers need.
+    async def work():
+        async with run_server(ClientStage.ANSWER, is_scarce) as (
+            port,
+            reasons,
+        ):
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", port, limit=1
+            )
+            writer.write(GET)
+            got = 0
+            for _ in range(round(STALL_SECONDS / STEP_SECONDS)):
+                if step_bytes and got < len(LARGE):
+                    got += len(await reader.read(step_bytes))
+                await asyncio.sleep(STEP_SECONDS)
+            assert bool(reasons) == is_closed
+            writer.close()
+
+    uvloop.run(work())
