--- a/tests/adapter/test_slowclients.py
+++ b/tests/adapter/test_slowclients.py
@@ -48,6 +48,38 @@
         await server.shutdown(0.1)
 
 
+async def send_slowly(port: int, data: bytes, steps: int) -> bytes:
+    """Send the begin of a body, and more of it in steps; read the answer."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(POST)
+    with contextlib.closing(writer), contextlib.suppress(ConnectionError):
+        for _ in range(steps):
+            writer.write(data)
+            await writer.drain()
+            await asyncio.sleep(STEP_SECONDS)
+        return await asyncio.wait_for(reader.read(12), 0.5)
+    return b""
+
+
+@pytest.mark.parametrize(
+    "is_scarce, step_bytes, is_closed",
+    ((True, 1, True), (True, 2_000, False), (False, 1, False)),
+    ids=("byte-by-byte", "slow", "room"),
+)
+def test_bodies_that_hardly_go_on_are_closed_while_memory_is_scarce(
+    is_scarce, step_bytes, is_closed
+):
+    # A few of them kept all others out for a minute.
+    async def work():
+        async with run_server(ClientStage.BODY, is_scarce) as (port, reasons):
+            steps = round(STALL_SECONDS / STEP_SECONDS)
+            with contextlib.suppress(TimeoutError):
+                await send_slowly(port, b"x" * step_bytes, steps)
+            assert reasons == is_closed * ["slow_body"]
+
+    uvloop.run(work())
+
+
 @pytest.mark.parametrize(
     "is_scarce, step_bytes, is_closed",
     ((True, 0, True), (True, 64 << 10, False), (False, 0, False)),
