Take small bodies whatever larger ones hold

Operators and targets saw: a voter refuses all announcements with 503 while some clients send announcements of 64 KB that lack their last byte: 64 of them hold the 4 MB that a voter has for these until their 5 s are over, and come again. A target that is not heard of is not used.

Cause: as at the entry, memory for bodies had one bound, and whoever came first had all of it.

Change: each body may take 4 KB whatever the others have, at voters and entries alike: announcements, most orders and short prompts; what all connections may take so is a small part of memory.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -47,6 +47,7 @@
 from chivepier.gateway.serving import SendGate
 from chivepier.gateway.serving import ServingState
 from chivepier.gateway.serving import Shedding
+from chivepier.gateway.serving import SMALL_BODY_BYTES
 from chivepier.gateway.serving import TargetCalls
 from chivepier.gateway.serving import TargetClient
 from chivepier.gateway.settings import EntrySettings
@@ -115,7 +116,7 @@
         self._stack = contextlib.AsyncExitStack()
         self.metrics = Metrics()
         self._parts = Supervisor(clock, log, self.metrics.record_failed_part)
-        self.bodies = BodyMemory(settings.body_bytes)
+        self.bodies = BodyMemory(settings.body_bytes, SMALL_BODY_BYTES)
         self.answers = AnswerMemory(settings.answer_bytes)
         self.state = ServingState()
         self.peers = Peers(settings.seeds)
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -4,6 +4,7 @@
 from chivepier.gateway.serving.answermemory import AnswerMemory
 from chivepier.gateway.serving.bodyallocation import BodyAllocation
 from chivepier.gateway.serving.bodymemory import BodyMemory
+from chivepier.gateway.serving.bodymemory import SMALL_BODY_BYTES
 from chivepier.gateway.serving.brittleadmission import BrittleAdmission
 from chivepier.gateway.serving.callerconnection import CallerConnection
 from chivepier.gateway.serving.callerrequest import CallerRequest
@@ -75,6 +76,7 @@
     "SendGate",
     "SendOptions",
     "ServingState",
+    "SMALL_BODY_BYTES",
     "Shedding",
     "Shortage",
     "TargetAnswer",
--- a/packages/gateway/src/chivepier/gateway/serving/bodyallocation.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodyallocation.py
@@ -9,11 +9,11 @@
 class BodyAllocation:
     """The part of the shared body memory that one body uses.
 
-    :param reserve: reserves more bytes of the shared memory
+    :param reserve: resizes it: from the current bytes, to new ones
     :param used_bytes: size of the body so far
     """
 
-    reserve: collections.abc.Callable[[int], None]
+    reserve: collections.abc.Callable[[int, int], None]
     used_bytes: int = 0
 
     def extend(self, count: int) -> None:
@@ -22,5 +22,6 @@
         :param count: number of bytes
         :raises RequestError: if the limit is exceeded; nothing has run
         """
-        self.reserve(count)
-        self.used_bytes += count
+        used = self.used_bytes + count
+        self.reserve(self.used_bytes, used)
+        self.used_bytes = used
--- a/packages/gateway/src/chivepier/gateway/serving/bodymemory.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodymemory.py
@@ -9,6 +9,9 @@
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
 
+# Largest body that is always taken, in bytes: most announcements, orders and
+# short prompts.
+SMALL_BODY_BYTES = 4 << 10
 # Used share above which memory is scarce: the rest is for newcomers until
 # what others hold without need is free.
 SCARCE_SHARE = 0.75
@@ -33,10 +36,13 @@
     0
 
     :param max_bytes: maximum total size of all bodies
+    :param free_bytes: what each body may take whatever the others have, so
+        that a few large ones keep nobody else out
     :param used_bytes: current total size
     """
 
     max_bytes: int
+    free_bytes: int = 0
     used_bytes: int = 0
 
     @property
@@ -53,8 +59,9 @@
         finally:
             self.used_bytes -= allocation.used_bytes
 
-    def _reserve(self, count: int) -> None:
-        if self.used_bytes + count > self.max_bytes:
+    def _reserve(self, before: int, after: int) -> None:
+        used = self.used_bytes + after - before
+        if after > self.free_bytes and used > self.max_bytes:
             text = "too many bodies are being sent to this instance"
             raise RequestError.of(ErrorKind.OVERLOADED, text)
-        self.used_bytes += count
+        self.used_bytes = used
--- a/soak/crowds.py
+++ b/soak/crowds.py
@@ -116,6 +116,20 @@
 _ENDLESS = _HEAVY.replace(b"/once/1", b"/stream/endless")
 _ALMOST = b"Content-Length: %d\r\n\r\n" % Limits().body_bytes
 
+
+def _make_almost_whole(path: bytes, size: int) -> Shape:
+    """Return a body at a voter that lacks its last byte."""
+    head = b"PUT %b HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n"
+    body = b"x" * (size - 1)
+    return Shape(head % (path, size) + body, b"", Pace.STILL)
+
+
+# Of the sizes that a voter reads.
+VOTER_SHAPES = {
+    "announcements": _make_almost_whole(b"/chivepier/instances/i", 64 << 10),
+    "orders": _make_almost_whole(b"/chivepier/config", 8 << 20),
+}
+
 # What costs an entry more than a head, a client.
 HEAVY_SHAPES = {
     "answers-unread": Shape(_LARGE, b"\r\n", Pace.DEAF),
--- a/soak/target.py
+++ b/soak/target.py
@@ -231,6 +231,17 @@
                 await asyncio.sleep(HEARTBEAT_SECONDS)
 
     async def _send_heartbeat(self, session: aiohttp.ClientSession) -> None:
+        for control in self._rng.sample(self._controls, len(self._controls)):
+            if await self.announce_to(session, control) == 200:
+                return
+
+    async def announce_to(
+        self, session: aiohttp.ClientSession, control: str
+    ) -> int:
+        """Announce the target to a voter; return the status of its answer.
+
+        :param control: control address of the voter
+        """
         self._sequence += 1
         body = {
             "service": self.service,
@@ -243,17 +254,14 @@
             "born": self._started_ms,
             "cold-left-ms": round(1000 * self._cold.seconds_left),
         }
-        path = f"/chivepier/instances/{self.instance}"
-        for control in self._rng.sample(self._controls, len(self._controls)):
-            try:
-                url = f"http://{control}{path}"
-                async with session.put(url, json=body) as answer:
-                    if answer.status == 200:
-                        if body["cold-left-ms"]:
-                            self._cold.note_announced()
-                        return
-            except (aiohttp.ClientError, TimeoutError, OSError):
-                continue
+        url = f"http://{control}/chivepier/instances/{self.instance}"
+        try:
+            async with session.put(url, json=body) as answer:
+                if answer.status == 200 and body["cold-left-ms"]:
+                    self._cold.note_announced()
+                return answer.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != HEALTH_PATH:
--- a/soak/tests/crowds/conftest.py
+++ b/soak/tests/crowds/conftest.py
@@ -62,7 +62,7 @@
             yield runner
 
 
-@pytest.fixture(scope="session")
+@pytest.fixture(scope="module")
 def crowds(tmp_path_factory):
     """Return what runs tests with the cluster."""
     yield from run_scenario(CrowdScenario, tmp_path_factory.mktemp("crowds"))
--- a/soak/tests/crowds/test_heavycrowds.py
+++ b/soak/tests/crowds/test_heavycrowds.py
@@ -9,9 +9,10 @@
 
 from soak.crowds import HEAVY_SHAPES
 from soak.crowds import SHAPES
+from soak.crowds import VOTER_SHAPES
 from soak.crowdscenario import PRESS_SECONDS
 
-CALLER_PORT = 8740
+CALLER_PORT, CONTROL_PORT = 8740, 8748
 # Of which descriptors are kept for files; sockets share the others.
 RESERVED_DESCRIPTORS = 200
 BODY = b"x" * 1024
@@ -44,3 +45,20 @@
         assert (await scenario.call(session, BODY)).status == 200
 
     heavy_crowds.play(test)
+
+
+@pytest.mark.parametrize("crowd", VOTER_SHAPES)
+def test_voter_hears_others_beside_bodies_that_never_end(crowd, heavy_crowds):
+    # They held all memory for bodies, so targets and operators were refused.
+    async def test(scenario, session):
+        voter = scenario.voters[0]
+        shapes = (VOTER_SHAPES[crowd],)
+        async with scenario.gather_crowd(voter, CONTROL_PORT, shapes) as meter:
+            await asyncio.sleep(PRESS_SECONDS)
+            statuses = await scenario.tell_voter(session, voter)
+        print(f"{meter.memory_mb:.0f} MB, {meter.sockets} sockets, {statuses}")
+        assert voter.alive
+        assert meter.memory_mb < scenario.voter_memory_mb
+        assert statuses == (200, 200)
+
+    heavy_crowds.play(test)
