--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,8 +11,10 @@
 from soak.answerfaults import AnswerFault
 from soak.cluster import CALLER_PORT
 from soak.crowdclient import send_shape
+from soak.crowds import HEAVY_SHAPES
 from soak.crowds import Shape
 from soak.crowds import SHAPES
+from soak.crowds import VOTER_SHAPES
 from soak.faultdraw import FaultDraw
 from soak.loadreporter import MODES
 from soak.nonsense import write_nonsense
@@ -35,7 +37,7 @@
 # set, since with another one it would draw other faults.
 FIRST_SET, RESTART_SET, COLD_SET, NEED_SET, REST_SET = range(1, 6)
 MISREPORT_SET, CUT_SET, VERSION_SET, PART_SET, ANSWER_SET = 6, 7, 8, 9, 10
-NEWEST_SET = 11
+CROWD_SET, NEWEST_SET = 11, 12
 # Seconds after a link fault in which delayed requests may still arrive.
 DELAYED_SECONDS = 1.5
 # Seconds after the start of a voter without its data: those in which it is
@@ -100,6 +102,8 @@
             kinds += (self.misanswer, self.misanswer)
         if fault_set > ANSWER_SET:
             kinds += (self.crowd, self.bear_again, self.bear_again)
+        if fault_set > CROWD_SET:
+            kinds += (self.heavy_crowd,)
         self._draw = FaultDraw(self._rng, kinds)
         self._versions = 1
         self._evacuation: asyncio.Task | None = None
@@ -220,12 +224,22 @@
 
     async def crowd(self) -> None:
         """Let clients outside the limits press a port, in the background."""
+        self._begin_crowd({CALLER_PORT: SHAPES, CONTROL_PORT: SHAPES})
+
+    async def heavy_crowd(self) -> None:
+        """Let clients have a process hold much for each of them."""
+        self._begin_crowd(
+            {CALLER_PORT: HEAVY_SHAPES, CONTROL_PORT: VOTER_SHAPES}
+        )
+
+    def _begin_crowd(self, shapes: dict[int, dict[str, Shape]]) -> None:
+        """Let a crowd press one of two ports with one of its shapes."""
         entry = self._rng.choice(self._soak.entries)
         voter = self._rng.choice(self._soak.voters)
         process, port = self._rng.choice(
             ((entry, CALLER_PORT), (voter, CONTROL_PORT))
         )
-        shape = SHAPES[self._rng.choice(list(SHAPES))]
+        shape = shapes[port][self._rng.choice(list(shapes[port]))]
         self._begin(self._press(process.ip, port, shape.make_repeatable()))
 
     async def _press(self, ip: str, port: int, shape: Shape) -> None:
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -7,6 +7,7 @@
 from soak.blocks import reserve_block
 from soak.faults import ANSWER_SET
 from soak.faults import COLD_SET
+from soak.faults import CROWD_SET
 from soak.faults import CUT_SET
 from soak.faults import FIRST_SET
 from soak.faults import MISREPORT_SET
@@ -38,7 +39,8 @@
     16: (CUT_SET, 8.0),
     17: (VERSION_SET, 8.0),
     20: (ANSWER_SET, 10.0),
-    23: (NEWEST_SET, 10.0),
+    23: (CROWD_SET, 10.0),
+    25: (NEWEST_SET, 10.0),
 }
 
 
