Don't let a late answer to another request vouch for a target

Callers could see a stream of a killed target told as whole: the question who answers at its address may go over a kept connection, and a target may have sent an earlier answer twice; the extra one comes where the answer to the question is due, and says that it is that target, or that it has not run, from before its end.

Cause: evidence without an age. The question names no request, so its answer names none; that was read into the facts and not used.

--- a/tests/adapter/test_identity.py
+++ b/tests/adapter/test_identity.py
@@ -72,6 +72,26 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize("names", (OWN_NAME, NOT_RUN))
+def test_answer_to_another_request_vouches_for_nobody(names):
+    # One that a target sent twice before it was killed comes where the answer
+    # to the question is due.
+    connections = []
+
+    async def answer(reader, writer):
+        connections.append(await reader.readuntil(b"\r\n\r\n"))
+        late = b"X-Chivepier-Request-Id: r1\r\n" + names
+        found = OTHER_NAME if len(connections) > 1 else late
+        writer.write(build_answer(b"", b"", found, b"503 Full"))
+
+    async def test():
+        async with serve(answer) as (targets, target, _):
+            assert await ask(targets, target) is Identity.OTHER
+        assert len(connections) == 2
+
+    asyncio.run(test())
+
+
 def test_address_without_a_listener_has_nobody():
     async def test():
         async with serve(None) as (targets, target, server):
