--- a/tests/adapter/test_slowclients.py
+++ b/tests/adapter/test_slowclients.py
@@ -19,7 +19,8 @@
 from chivepier.gateway.settings import InstanceLimits
 
 ADDRESS = "127.0.0.1:0"
-LARGE = b"x" * (1 << 20)
+# More than the kernels of both sides hold.
+LARGE = b"x" * (32 << 20)
 GET = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 POST = b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n"
 # Longer than a client may stall while memory is scarce.
