--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -58,6 +58,8 @@
         self._upstream = upstream
         self._rng = rng
         self.held = Hold()
+        # range of the seconds after which the end of a connection arrives
+        self.end_delay = (0.0, 0.0)
         self._refuses = False
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -162,6 +164,7 @@
             if not silent:
                 writer.write(data)
                 await writer.drain()
+        await asyncio.sleep(self._rng.uniform(*self.end_delay))
         if not silent:
             writer.write_eof()
 
--- a/soak/rebornscenario.py
+++ b/soak/rebornscenario.py
@@ -30,6 +30,10 @@
 HUNG_SECONDS = 1.0
 # Seconds in which the end of a connection passes a link.
 ARRIVAL_SECONDS = 0.005
+# Range of the seconds by which the ends of connections arrive late, each by
+# its own time, and for which the target is away meanwhile.
+END_DELAY_SECONDS = (0.0, 1.0)
+AWAY_SECONDS = 1.5
 # Seconds after a fault in which streams begin again.
 CALM_SECONDS = 0.8
 # Path of the route whose streams may run once.
@@ -41,13 +45,16 @@
 
     ``AT_ONCE`` starts it again in the same moment, ``UNSEEN`` while the
     entries stand still, ``HUNG`` after its address has accepted nothing for a
-    while, ``HUNG_UNSEEN`` also stops the entries at first.
+    while, ``HUNG_UNSEEN`` also stops the entries at first. ``UNEVEN`` lets the
+    ends of its connections arrive one by one, while new ones are accepted and
+    closed on the way.
     """
 
     AT_ONCE = "at-once"
     UNSEEN = "unseen"
     HUNG = "hung"
     HUNG_UNSEEN = "hung-unseen"
+    UNEVEN = "uneven"
 
 
 class RebornScenario(Cluster):
@@ -127,7 +134,14 @@
         unseen = manner in (Rebirth.UNSEEN, Rebirth.HUNG_UNSEEN)
         if unseen:
             self._signal(signal.SIGSTOP)
+        if manner is Rebirth.UNEVEN:
+            for link in links:
+                link.end_delay = END_DELAY_SECONDS
         target.crash()
+        if manner is Rebirth.UNEVEN:
+            await asyncio.sleep(AWAY_SECONDS)
+            for link in links:
+                link.end_delay = (0.0, 0.0)
         if manner in (Rebirth.HUNG, Rebirth.HUNG_UNSEEN):
             # the ends of the streams still arrive
             await asyncio.sleep(ARRIVAL_SECONDS)
