Take an end without a length for whole by its target's word alone

Cause: where the question who answers at a target's address got no answer, the end counted as whole if another connection of that target was open. Ends of connections may come late, one by one, while new connections are taken and closed on the way: then a killed target's streams look whole, and the line says answered_by=unknown connected=true. Class: what is not heard to have ended counts as alive.

Change: only the word of the incarnation that sent the answer, asked after the end, makes it whole. A target that may not be asked yet, or gives no word, is asked again for 0.8 s (the caller has all events and waits for the end); after that the stream is resumed where its route allows it, and broken off elsewhere. What told of other connections is gone (EndWitness.note_break, is_connected down to the pool).

Sight: end_examined tells the number of questions and whether the target was leaving, and tells a target that may not be asked from one that doesn't answer; chivepier_end_findings_total counts ends by finding.

Tests changed, each at least as strict: test_endwitness enumerates two findings in a row and has no cell that is whole without word (it had: an open connection); test_streamends: a mute or resting target was whole beside an open connection, now never, unless its rest ends in time and it is asked then; the adapter's test of whose an open connection is gives way to one that none vouches.

--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -35,6 +35,7 @@
     "reach",
     "forwards",
     "stream_ends",
+    "end_findings",
     "take_ups",
     "refusals",
     "excess",
@@ -122,6 +123,14 @@
         """
         self._record("stream_ends", (cause, taken_for), 1.0)
 
+    def record_end_finding(self, answered_by: str) -> None:
+        """Count an end without a length, whose target was asked for.
+
+        :param answered_by: who answered: ``same``, ``other``, ``nobody``,
+            ``unknown`` or ``unasked``
+        """
+        self._record("end_findings", (answered_by,), 1.0)
+
     def record_take_up(self, source: str) -> None:
         """Count a stream that a caller takes up.
 
@@ -364,6 +373,12 @@
             ("cause", "taken_for"),
             registry=registry,
         ),
+        "end_findings": library.Counter(
+            "chivepier_end_findings",
+            "Ends without a length, by who answered for their targets.",
+            ("answered_by",),
+            registry=registry,
+        ),
         "take_ups": library.Counter(
             "chivepier_streams_taken_up",
             "Streams that callers take up, by who knew where they began.",
--- a/packages/gateway/src/chivepier/gateway/serving/answerreader.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerreader.py
@@ -90,7 +90,7 @@
         # a crash closes a body without a length in the same way
         if answer.status < 300 and not answer.facts.framed:
             evidence = await self._witness.examine(target, plan.request.id)
-            if not evidence.shows_life:
+            if not evidence.is_vouched:
                 who = evidence.identity.value
                 raise BrokenAnswerError(
                     "the target is not known to have lived after its answer"
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -124,13 +124,11 @@
         self.log = log
         self.continuations = Continuations(table, state, clock, log, metrics)
         self.limit = AttemptLimit(table, calls.connect)
-        self.witness = EndWitness(
-            table, self._identify, calls.is_connected, clock, log
-        )
+        self.witness = EndWitness(table, self._identify, clock, log, metrics)
         self._assignments = AssignmentLog(balancer, clock, log)
         self._attempts = AttemptRecorder(table, health, balancer, clock, log)
         self._refusals = RefusalLog(log, metrics)
-        self.losses = LossRecorder(table, guard, self.witness, clock, log)
+        self.losses = LossRecorder(table, guard, clock, log)
         self.runs = RunTracker(loads, mover, balancer, clock, queues)
         self.departure = Departure(state, clock, self.runs.estimate_seconds)
         self._reader = AnswerReader(self.runs, self.witness, answers)
@@ -156,7 +154,7 @@
         index = self.state.index
         service = index.services.get(target.service) if index else None
         if service is None:
-            return Identity.UNKNOWN
+            return Identity.UNASKED
         return await self.calls.identify(target, service)
 
     async def dispatch(
--- a/packages/gateway/src/chivepier/gateway/serving/endevidence.py
+++ b/packages/gateway/src/chivepier/gateway/serving/endevidence.py
@@ -7,28 +7,25 @@
 
 @attrs.frozen
 class EndEvidence:
-    """Tells whether the incarnation that sent an answer lived after its end.
+    """Who answered at a target's address after the end of an answer.
 
-    :param identity: process that answered at its address after the end
-    :param connected: whether another connection on which it has answered was
-        still open then
+    >>> EndEvidence(Identity.UNKNOWN, 4, 0.8).is_vouched
+    False
+
+    :param identity: the process that answered the last question
+    :param questions: number of questions, those that could not be asked too
     :param seconds: time from the end until that was known
     """
 
     identity: Identity
-    connected: bool
+    questions: int
     seconds: float
 
     @property
-    def shows_life(self) -> bool:
-        """Whether the incarnation is known to have lived after the end.
+    def is_vouched(self) -> bool:
+        """Whether the incarnation that sent the answer outlived its end.
 
-        A process that is killed loses all its connections at once.
+        Only its own word tells: a connection that is not known to have ended,
+        or a listener at its address, says nothing of the time after the end.
         """
-        match self.identity:
-            case Identity.SAME:
-                return True
-            case Identity.OTHER | Identity.NOBODY:
-                return False
-            case Identity.UNKNOWN:
-                return self.connected
+        return self.identity is Identity.SAME
--- a/packages/gateway/src/chivepier/gateway/serving/endwitness.py
+++ b/packages/gateway/src/chivepier/gateway/serving/endwitness.py
@@ -2,23 +2,27 @@
 
 import asyncio
 import collections.abc
+import itertools
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.endevidence import EndEvidence
 from chivepier.gateway.serving.identity import Identity
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetTable
 from chivepier.types import Clock
 
-# Seconds within which the ends of all connections of a process are noticed.
-SAME_MOMENT_SECONDS = 0.25
 # Seconds that a process which ends takes to close all that it has open.
 SETTLE_SECONDS = 0.01
+# Seconds after an end in which its target may be asked once more: the caller
+# has all events by then, but gives up after two seconds without the end.
+MAX_ASK_SECONDS = 0.8
+# Pause before the second question, doubled before each further one.
+FIRST_PAUSE_SECONDS = 0.05
 
 Identify = collections.abc.Callable[
     [Target], collections.abc.Awaitable[Identity]
 ]
-IsConnected = collections.abc.Callable[[Target], bool]
 
 
 class EndWitness:
@@ -27,43 +31,32 @@
     Such a body ends in the same way at a target that has finished and at one
     whose process was killed: the system closes each connection in order. By
     the time the end is read here another process may listen at the address,
-    so the incarnation that sent the answer is asked for by its name. Ends of
-    one moment at one target share the question.
+    so the incarnation that sent the answer is asked for by its name, a few
+    times while it can't be asked or nothing is heard. Ends of one moment at
+    one target share a question.
 
     :param table: tells whether the target has started again
     :param identify: asks which process answers at a target's address
-    :param is_connected: tells whether a connection on which an incarnation has
-        answered is still open
     :param clock: monotonic clock
     :param log: gets a line for each end
+    :param metrics: counts ends by what was found
     """
 
     def __init__(
         self,
         table: TargetTable,
         identify: Identify,
-        is_connected: IsConnected,
         clock: Clock,
         log: EventLog,
+        metrics: Metrics,
     ):
         self._log = log
+        self._metrics = metrics
         self._table = table
         self._identify = identify
-        self._is_connected = is_connected
         self._clock = clock
-        self._broken_at: dict[str, float] = {}
         self._questions: dict[str, asyncio.Task[Identity]] = {}
 
-    def note_break(self, target: Target) -> None:
-        """Record that a connection of a target has broken now."""
-        now = self._clock.monotonic()
-        self._broken_at = {
-            instance: at
-            for instance, at in self._broken_at.items()
-            if now - at < SAME_MOMENT_SECONDS
-        }
-        self._broken_at[target.instance] = now
-
     async def examine(self, target: Target, request_id: str) -> EndEvidence:
         """Return what can be known soon of a target's life after an end.
 
@@ -71,31 +64,36 @@
         :param request_id: id of the request whose answer ended so
         """
         began = self._clock.monotonic()
-        identity = Identity.OTHER
-        if self._table.is_current(target):
-            identity = await self._ask_soon(target)
-        if not self._table.is_current(target):
-            # its next incarnation may bear the same name
-            identity = Identity.OTHER
-        connected = (
-            identity is Identity.UNKNOWN
-            and self._is_connected(target)
-            and not self._has_broken(target)
-        )
-        seconds = self._clock.monotonic() - began
-        evidence = EndEvidence(identity, connected, seconds)
+        pause = FIRST_PAUSE_SECONDS
+        for questions in itertools.count(1):
+            identity = await self._ask_if_current(target)
+            seconds = self._clock.monotonic() - began
+            if identity.is_final or seconds + pause > MAX_ASK_SECONDS:
+                break
+            await self._clock.sleep(pause)
+            pause *= 2
+        evidence = EndEvidence(identity, questions, seconds)
+        self._metrics.record_end_finding(identity.value)
         self._log.info(
             "end_examined",
             id=request_id,
             target=target.instance,
             born=target.born,
+            leaving=self._table.is_leaving(target.instance),
             answered_by=identity.value,
-            connected=connected,
+            questions=questions,
             after_ms=round(1000 * seconds),
-            lived=evidence.shows_life,
+            vouched=evidence.is_vouched,
         )
         return evidence
 
+    async def _ask_if_current(self, target: Target) -> Identity:
+        if not self._table.is_current(target):
+            return Identity.OTHER
+        identity = await self._ask_soon(target)
+        # its next incarnation may bear the same name
+        return identity if self._table.is_current(target) else Identity.OTHER
+
     async def _ask_soon(self, target: Target) -> Identity:
         question = self._questions.get(target.instance)
         if question is None:
@@ -110,9 +108,3 @@
             # an end from now on is not covered by this question
             del self._questions[target.instance]
         return await self._identify(target)
-
-    def _has_broken(self, target: Target) -> bool:
-        broken_at = self._broken_at.get(target.instance)
-        if broken_at is None:
-            return False
-        return self._clock.monotonic() - broken_at <= SAME_MOMENT_SECONDS
--- a/packages/gateway/src/chivepier/gateway/serving/lossrecorder.py
+++ b/packages/gateway/src/chivepier/gateway/serving/lossrecorder.py
@@ -4,7 +4,6 @@
 from chivepier.gateway.quarantine import shorten
 from chivepier.gateway.serving.assignmentlog import describe_parts
 from chivepier.gateway.serving.crashguard import CrashGuard
-from chivepier.gateway.serving.endwitness import EndWitness
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetTable
@@ -16,7 +15,6 @@
 
     :param table: tells whether a target leaves
     :param guard: gets each loss, as its request may have ended the target
-    :param witness: gets each connection that broke
     :param clock: monotonic clock
     :param log: event log of this process
     """
@@ -25,13 +23,11 @@
         self,
         table: TargetTable,
         guard: CrashGuard,
-        witness: EndWitness,
         clock: Clock,
         log: EventLog,
     ):
         self._table = table
         self._guard = guard
-        self._witness = witness
         self._clock = clock
         self._log = log
 
@@ -76,8 +72,6 @@
             error=repr(error),
         )
         broke = not isinstance(error, TimeoutError)
-        if broke:
-            self._witness.note_break(target)
         self._guard.note_lost(
             plan, target, sent_at, first_event_at, answering, broke
         )
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -183,7 +183,7 @@
         if end.cause is EndCause.CLOSE and found is StreamEnd.COMPLETE:
             witness = self._dispatcher.witness
             evidence = await witness.examine(run.target, run.request.id)
-            failed = not evidence.shows_life
+            failed = not evidence.is_vouched
         if failed:
             found = StreamEnd.TRUNCATED
         self._metrics.record_stream_end(end.cause.value, found.value)
--- a/packages/gateway/src/chivepier/gateway/serving/targetcalls.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetcalls.py
@@ -148,13 +148,13 @@
         """
         path = service.health_path
         if path is None or not self._gate.may_probe(target):
-            return Identity.UNKNOWN
+            return Identity.UNASKED
         try:
             permit = await self._take_permit(target, service)
             exchange = self._open_exchange(target, CallPurpose.CONTROL, permit)
             return await self._client.identify(target, path, exchange)
         except NotPermittedError:
-            return Identity.UNKNOWN
+            return Identity.UNASKED
 
     async def _take_permit(self, target: Target, service: Service) -> Permit:
         """Take a permit, which a target that is limited or cold needs.
@@ -167,13 +167,6 @@
             self._gate.refuse("permit")
         return permit
 
-    def is_connected(self, target: Target) -> bool:
-        """Tell whether a connection that a target answered on is open.
-
-        :param target: the incarnation
-        """
-        return self._client.is_connected(target)
-
     async def connect(self, target: Target) -> Liveness | None:
         """Check whether a target can be connected to, without a loss there.
 
--- a/packages/gateway/src/chivepier/gateway/serving/targetclient.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetclient.py
@@ -85,12 +85,6 @@
         :raises NotPermittedError: when the exchange must not begin
         """
 
-    def is_connected(self, target: Target) -> bool:
-        """Tell whether a connection that a target answered on is open.
-
-        :param target: the incarnation
-        """
-
     async def drop(
         self, target: Target, handle: str, exchange: Exchange
     ) -> bool:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -70,8 +70,8 @@
     request, ``disconnecting`` do so instead of answering, ``unreachable``
     can't be connected to, ``misaddressed`` answer as another instance,
     ``full`` have no room, and ``ended`` no longer listen. ``replaced`` have
-    another process at their address, ``mute`` accept connections and answer
-    nothing, and ``connected`` have a connection open. ``failing`` maps
+    another process at their address, and ``mute`` accept connections and
+    answer nothing. ``failing`` maps
     instances to the status that they answer with. ``copies`` holds the memory
     that runs can resume from. ``facts``, ``refusal`` and ``full_facts`` are
     the facts in the heads of answers, refusals and refused reservations. No
@@ -97,7 +97,6 @@
         self.asked: list[str] = []
         self.replaced: set[str] = set()
         self.mute: set[str] = set()
-        self.connected: set[str] = set()
         self.facts = AnswerFacts()
         self.refusal = AnswerFacts(not_run=True)
         self.full_facts = AnswerFacts(limit=None)
@@ -215,10 +214,6 @@
             return Identity.OTHER
         return Identity.UNKNOWN if name in self.mute else Identity.SAME
 
-    def is_connected(self, target) -> bool:
-        """Return whether a connection to a target is open."""
-        return target.instance in self.connected
-
     def hold_question(self) -> tuple[asyncio.Event, asyncio.Event]:
         """Delay the answer to the next question who answers at a target.
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_endwitness.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_endwitness.py
@@ -7,79 +7,107 @@
 import pytest
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.endwitness import EndWitness
+from chivepier.gateway.serving.endwitness import MAX_ASK_SECONDS
 from chivepier.gateway.serving.identity import Identity
 from chivepier.gateway.serving.tests.fakeengines import make_target
+from chivepier.standins.playedloop import play_time
 from chivepier.types import SystemClock
 
 # When the table learns of another incarnation, as seen from the question.
 NEVER, BEFORE, DURING = "never", "before", "during"
-CASES = tuple(
-    itertools.product(
-        Identity, (True, False), (NEVER, BEFORE, DURING), (True, False)
-    )
-)
+SILENT = (Identity.UNKNOWN, Identity.UNASKED)
+# What the first question and all later ones find.
+CASES = tuple(itertools.product(Identity, Identity, (NEVER, BEFORE, DURING)))
 
 
 class Fixture:
-    """A witness with a table, an answer and connections of a test's choice.
+    """A witness with a table and answers of a test's choice.
 
-    :param identity: what the question is answered with
-    :param connected: whether another connection is open
+    :param answers: what the questions are answered with, the last one for all
+        further ones
     :param restart: when the table learns of another incarnation
     """
 
-    def __init__(self, identity: Identity, connected: bool, restart: str):
-        self.asked = 0
-        self._identity = identity
+    def __init__(self, answers: tuple[Identity, ...], restart: str = NEVER):
+        self.asked_at: list[float] = []
+        self._answers = answers
         self._restart = restart
         self._current = restart != BEFORE
+        self.metrics = Metrics()
         self.witness = EndWitness(
             self,
             self._identify,
-            lambda target: connected,
             SystemClock(),
             EventLog("e1", os.open(os.devnull, os.O_WRONLY)),
+            self.metrics,
         )
 
     def is_current(self, target) -> bool:
         """Tell whether the table knows of no other incarnation."""
         return self._current
 
+    def is_leaving(self, instance) -> bool:
+        """Tell whether an instance has announced that it leaves."""
+        return False
+
     async def _identify(self, target) -> Identity:
-        self.asked += 1
+        self.asked_at.append(asyncio.get_running_loop().time())
         self._current = self._restart != DURING
-        return self._identity
+        return self._answers[min(len(self.asked_at), len(self._answers)) - 1]
 
+    def examine(self):
+        """Examine an end in played time; return the evidence."""
 
-@pytest.mark.parametrize("identity, connected, restart, broken", CASES)
-def test_only_an_incarnation_that_is_known_to_have_lived_vouches(
-    identity, connected, restart, broken
-):
-    # Whoever listened at the address by then vouched for a stream that its
-    # killed predecessor had not finished; so did nobody.
-    fixture = Fixture(identity, connected, restart)
-    target = make_target("a")
-    if broken:
-        fixture.witness.note_break(target)
-    evidence = asyncio.run(fixture.witness.examine(target, "r1"))
-    lived = identity is Identity.SAME or (
-        identity is Identity.UNKNOWN and connected and not broken
-    )
-    assert evidence.shows_life is (lived and restart == NEVER)
-    assert fixture.asked == (restart != BEFORE)
+        async def work():
+            self.began = asyncio.get_running_loop().time()
+            return await self.witness.examine(make_target("a"), "r1")
+
+        return play_time(work())
+
+
+@pytest.mark.parametrize("first, later, restart", CASES)
+def test_end_is_whole_by_word_of_the_incarnation_alone(first, later, restart):
+    # Whoever was not heard to have ended vouched for a killed target.
+    fixture = Fixture((first, later), restart)
+    evidence = fixture.examine()
+    told = later if first in SILENT else first
+    vouched = told is Identity.SAME and restart == NEVER
+    assert evidence.is_vouched is vouched
+    if restart == BEFORE:
+        assert fixture.asked_at == []
+    fixture.metrics.load()
+    assert b"chivepier_end_findings_total" in fixture.metrics.render()
+
+
+@pytest.mark.parametrize("silent", SILENT)
+def test_target_that_gives_no_word_is_asked_again_within_a_bound(silent):
+    # A target that rests for a moment must not cost its caller a whole stream.
+    fixture = Fixture((silent,))
+    evidence = fixture.examine()
+    assert not evidence.is_vouched
+    assert 3 <= len(fixture.asked_at) == evidence.questions <= 6
+    assert fixture.asked_at[-1] - fixture.began <= MAX_ASK_SECONDS
+
+
+def test_no_word_from_before_an_end_counts_for_it():
+    # Each question is asked once the end of its stream was read.
+    fixture = Fixture((Identity.UNKNOWN, Identity.SAME))
+    assert fixture.examine().is_vouched
+    assert all(at > fixture.began for at in fixture.asked_at)
 
 
 def test_ends_of_one_moment_share_one_question():
     # Many streams that end whole at once must not cost a call each.
-    fixture = Fixture(Identity.SAME, False, NEVER)
+    fixture = Fixture((Identity.SAME,))
     target = make_target("a")
 
-    async def examine_twice():
+    async def examine_together():
         return await asyncio.gather(
             *(fixture.witness.examine(target, "r1") for _ in range(20))
         )
 
-    found = asyncio.run(examine_twice())
-    assert all(evidence.shows_life for evidence in found)
-    assert fixture.asked == 1
+    found = play_time(examine_together())
+    assert all(evidence.is_vouched for evidence in found)
+    assert len(fixture.asked_at) == 1
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
@@ -201,21 +201,21 @@
     play(test, "a")
 
 
-@pytest.mark.parametrize("breaks", (True, False))
+@pytest.mark.parametrize("silent", (True, False))
 @pytest.mark.parametrize("ended", (True, False))
-def test_plain_body_counts_only_if_its_target_lives(ended, breaks):
-    # A plain body has no events, so only what else the target does can tell.
+def test_plain_body_counts_only_by_word_of_its_target(ended, silent):
+    # A plain body has no events, so only its target can tell.
     async def test(parts):
         parts.engines.facts = WITHOUT_LENGTH
         caller, task = parts.start(make_request("/plain/x"))
         run = await parts.engines.wait_run(1)
         run.make(0, "half of it")
-        if breaks:
-            parts.dispatcher.witness.note_break(parts.table.get(run.target))
+        if silent:
+            parts.engines.mute.add(run.target)
         if ended:
             parts.engines.ended.add(run.target)
         run.end()
-        if not ended:
+        if not ended and not silent:
             await task
             assert caller.status == 200 and caller.data == b"half of it"
             return
@@ -327,45 +327,58 @@
     play(test, "a", "b")
 
 
-@pytest.mark.parametrize("connected", (True, False))
-def test_end_that_nobody_explains_counts_only_beside_an_open_connection(
-    connected,
-):
-    # A path that hangs, or a question that ran out as the entry stood still,
-    # was taken for a target that lives.
+@pytest.mark.parametrize("neighbour_goes_on", (True, False))
+def test_end_that_nobody_explains_is_never_told_as_whole(neighbour_goes_on):
+    # A connection that was not heard to have ended yet counted as life.
     async def test(parts):
-        caller, task, run = await begin_without_length(parts)
+        caller, task, run, neighbour, waiting = await start_two_streams(parts)
         parts.engines.mute.add(run.target)
-        if connected:
-            parts.engines.connected.add(run.target)
+        if not neighbour_goes_on:
+            neighbour.cut()
         run.end()
         await task
-        assert caller.finished is connected
-        assert caller.aborted is not connected
+        assert caller.aborted and not caller.finished
         (line,) = parts.read_lines("end_examined")
-        assert line["answered_by"] == "unknown"
-        assert line["lived"] is connected
+        assert line["answered_by"] == "unknown" and not line["vouched"]
+        neighbour.cut()
+        await waiting
 
     play(test, "a")
 
 
-@pytest.mark.parametrize("connected", (True, False))
-def test_resting_target_is_not_asked_at_the_end_of_its_stream(connected):
+def test_resumable_end_that_nobody_explains_goes_on_elsewhere():
+    # The next target sends what follows the last event, or that nothing does.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts, "/resume/x")
+        parts.engines.mute.add(run.target)
+        run.end()
+        fresh = await parts.engines.wait_run(2)
+        assert fresh.target != run.target
+        parts.engines.mute.clear()
+        await finish(task, fresh, 1)
+        assert caller.numbers == [1, 2, 3]
+        assert caller.finished and not caller.aborted
+
+    play(test, "a", "b")
+
+
+@pytest.mark.parametrize("rest, is_whole", ((0.3, True), (5.0, False)))
+def test_resting_target_is_asked_about_its_stream_after_its_rest(
+    rest, is_whole
+):
     # A question is a request, for which it asked to wait.
     async def test(parts):
         caller, task, run = await begin_without_length(parts)
         target = parts.table.get(run.target)
         now = asyncio.get_running_loop().time()
-        parts.backoffs.add(target.instance, target.born, 5.0, now)
-        if connected:
-            parts.engines.connected.add(run.target)
+        parts.backoffs.add(target.instance, target.born, rest, now)
         run.end()
         await task
-        assert parts.engines.asked == []
-        assert caller.finished is connected
-        assert caller.aborted is not connected
+        assert parts.engines.asked == [run.target] * is_whole
+        assert caller.finished is is_whole
+        assert caller.aborted is not is_whole
         (line,) = parts.read_lines("end_examined")
-        assert line["answered_by"] == "unknown"
+        assert line["answered_by"] == ("same" if is_whole else "unasked")
 
     play(test, "a")
 
@@ -379,6 +392,6 @@
         await task
         assert caller.aborted and not caller.finished
         (line,) = parts.read_lines("end_examined")
-        assert line["answered_by"] == "other" and not line["lived"]
+        assert line["answered_by"] == "other" and not line["vouched"]
 
     play(test, "a")
--- a/tests/adapter/test_identity.py
+++ b/tests/adapter/test_identity.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 
-import attrs
 import pytest
 
 from adapter.httptargetclient import HttpTargetClient
@@ -129,26 +128,23 @@
     asyncio.run(test())
 
 
-def test_open_connection_belongs_to_the_instance_that_answered_on_it():
-    # Without an answer an open connection may be one to the next process.
-    async def script(head, writer):
+def test_connection_that_stays_open_vouches_for_nobody():
+    # A connection that was not heard to have ended yet counted as life.
+    connections = []
+
+    async def answer(reader, writer):
+        connections.append(writer)
+        if len(connections) > 1:
+            writer.close()
+            return
+        await reader.readuntil(b"\r\n\r\n")
         writer.write(build_answer(b"ok"))
+        await reader.read()
 
     async def test():
-        async with (
-            rawtarget.RawTarget(script) as raw,
-            HttpTargetClient() as targets,
-        ):
-            target = raw.make_target()
-            assert not targets.is_connected(target)
+        async with serve(answer) as (targets, target, _):
             request = rawtarget.make_request()
-            reply = await send(targets, target, request, OPTIONS)
-            await read_all(reply)
-            assert targets.is_connected(target)
-            other = attrs.evolve(target, instance="i2")
-            assert not targets.is_connected(other)
-            raw.kill()
-            await asyncio.sleep(0.05)
-            assert not targets.is_connected(target)
+            await read_all(await send(targets, target, request, OPTIONS))
+            assert await ask(targets, target) is Identity.UNKNOWN
 
     asyncio.run(test())
