Ask another target what follows an end that only its target vouches for

Its word that it lives is true, so the question after the end can't tell.

Change: where the route allows a resumption, such an end is checked: another target is asked for what follows the last event. Nothing, and the stream is whole; events, and it goes on; no answer within 1 s, or a break before any byte of an event, and the word stands. The answer that was vouched for counts for what its prompt proves, not the one that sent nothing.

Price: an arrival, a repeat of the common budget and a prompt read again. Where targets frame their streams (an answer without a length is then most likely a broken one) each is checked; where none does, one in all.

A resumed answer without a length that is closed with no event, and vouched for, is whole now: nothing followed. It was broken off.

Routes that may run once: unchanged.

--- a/packages/gateway/src/chivepier/gateway/serving/bodyend.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodyend.py
@@ -12,8 +12,10 @@
     :param cause: what ended it
     :param events: number of events in it
     :param remainder: bytes after the last event that was terminated
+    :param follows: whether the caller had events before this body
     """
 
     cause: EndCause
     events: int
     remainder: bytes
+    follows: bool = False
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -13,6 +13,7 @@
 from chivepier.gateway.serving.attemptrecorder import AttemptRecorder
 from chivepier.gateway.serving.attemptrecorder import SERVER_ERROR_STATUS
 from chivepier.gateway.serving.callpurpose import CallPurpose
+from chivepier.gateway.serving.confirmations import Confirmations
 from chivepier.gateway.serving.continuations import Continuations
 from chivepier.gateway.serving.crashguard import CrashGuard
 from chivepier.gateway.serving.departure import Departure
@@ -125,6 +126,7 @@
         self.continuations = Continuations(table, state, clock, log, metrics)
         self.limit = AttemptLimit(table, calls.connect)
         self.witness = EndWitness(table, self._identify, clock, log, metrics)
+        self.confirmations = Confirmations()
         self._assignments = AssignmentLog(balancer, clock, log)
         self._attempts = AttemptRecorder(table, health, balancer, clock, log)
         self._refusals = RefusalLog(log, metrics)
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -13,6 +13,7 @@
 from chivepier.gateway.serving.errors import ConnectionLostError
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.eventsplitter import EventSplitter
+from chivepier.gateway.serving.eventsplitter import is_unfinished
 from chivepier.gateway.serving.eventsplitter import parse_event_number
 from chivepier.gateway.serving.handoff import Handoff
 from chivepier.gateway.serving.liverun import LiveRun
@@ -23,6 +24,7 @@
 from chivepier.gateway.serving.streamend import StreamEnd
 from chivepier.gateway.serving.streamtiming import StreamTiming
 from chivepier.gateway.serving.targetanswer import TargetAnswer
+from chivepier.gateway.serving.vouchedend import VouchedEnd
 from chivepier.types import ErrorKind
 from chivepier.types import Ran
 from chivepier.types import RequestError
@@ -33,6 +35,9 @@
 # Seconds for the next target to answer. It admits a resumed generation before
 # all others, and sends the head with the first event.
 RESUME_ANSWER_SECONDS = 2.0
+# Seconds for another target to tell what follows the last event: the caller
+# has all events, and gives up after two without the end.
+CONFIRM_ANSWER_SECONDS = 1.0
 # Seconds without a byte after which a target counts as unreachable; callers
 # wait longer than this.
 STALL_SECONDS = 1.5
@@ -67,6 +72,7 @@
         self._splitter = EventSplitter()
         self._head_sent = False
         self._before_events = b""
+        self._vouched: VouchedEnd | None = None
         self._timing = StreamTiming(
             plan.request.arrived, dispatcher.clock.monotonic
         )
@@ -84,17 +90,21 @@
         try:
             for _ in range(MAX_HANDOFFS):
                 end = await self._relay_target(head, started, run)
-                match await self._judge_end(end, run):
-                    case StreamEnd.COMPLETE if await self._is_complete(
-                        run, end
-                    ):
+                if await self._is_whole(run, end):
+                    fresh = await self._confirm(run, started, end)
+                    if fresh is None:
                         self._dispatcher.runs.note_complete(run)
                         self._note_answered(run, started)
                         await self._finish(head, run, end.remainder)
                         return
-                    case _:
-                        await self._note_lost(run)
-                        started = await self._resume(run, started)
+                    started = fresh
+                    continue
+                await self._note_lost(run)
+                if self._is_still_vouched(run, end):
+                    self._note_answered(run, started)
+                    await self._finish(head, run, b"")
+                    return
+                started = await self._resume(run, started)
                 if started is None:
                     break
             self._break_off(run)
@@ -115,10 +125,81 @@
             if started is not None:
                 self._dispatcher.release(started)
 
+    async def _is_whole(self, run: LiveRun, end: BodyEnd) -> bool:
+        found = await self._judge_end(end, run)
+        return found is StreamEnd.COMPLETE and await self._is_complete(
+            run, end
+        )
+
+    async def _confirm(
+        self, run: LiveRun, started: StartedAnswer, end: BodyEnd
+    ) -> StartedAnswer | None:
+        """Ask another target what follows the last event, if that is cheap.
+
+        A target may break off between two events and live on: then its word
+        that it lives is true, and its stream is not whole.
+
+        :returns: the answer of the other target; ``None`` if the end stands
+        """
+        if end.cause is EndCause.FRAMING:
+            self._dispatcher.confirmations.note_framed(self._plan.service.name)
+            return None
+        if self._is_vouched(run) or not self._may_confirm(run):
+            return None
+        self._vouched = VouchedEnd(
+            run.last_event_number, started, self._is_whole_run(run)
+        )
+        rerun = await self._choose_rerun(run)
+        if rerun is None:
+            return None
+        self._dispatcher.log.info(
+            "end_checked",
+            id=run.request.id,
+            target=run.target.instance,
+            at=rerun.target.instance,
+            after=run.last_event_number,
+        )
+        return await self._try_handoff(
+            run, rerun, started, CONFIRM_ANSWER_SECONDS
+        )
+
+    def _may_confirm(self, run: LiveRun) -> bool:
+        dispatcher, plan = self._dispatcher, self._plan
+        left = plan.deadline - dispatcher.clock.monotonic()
+        return (
+            plan.repeatable
+            and not run.forwarded
+            and not run.stopped
+            and run.last_event_number > 0
+            and left > CONFIRM_ANSWER_SECONDS
+            and dispatcher.state.ends_at is None
+            and dispatcher.confirmations.take(plan.service.name)
+        )
+
+    def _is_still_vouched(self, run: LiveRun, end: BodyEnd) -> bool:
+        """Tell whether an end stands, as the target that checks it told none.
+
+        :param end: how the answer of that target has ended
+        """
+        nothing_came = not end.events and not is_unfinished(end.remainder)
+        return nothing_came and self._is_vouched(run)
+
+    def _is_vouched(self, run: LiveRun) -> bool:
+        """Tell whether a target has vouched for an end after this event."""
+        vouched = self._vouched
+        return vouched is not None and vouched.after == run.last_event_number
+
     def _note_answered(self, run: LiveRun, started: StartedAnswer) -> None:
-        whole_run = not run.moved and run.request.last_event is None
+        whole_run = self._is_whole_run(run)
+        if self._is_vouched(run):
+            # nothing followed: the target that was asked has answered nothing
+            started = self._vouched.started
+            whole_run = self._vouched.whole_run
         self._dispatcher.guard.note_answered(self._plan, started, whole_run)
 
+    def _is_whole_run(self, run: LiveRun) -> bool:
+        return not run.moved and run.request.last_event is None
+
     async def _note_lost(self, run: LiveRun) -> None:
         if run.stopped or run.forwarded:
             return
@@ -176,7 +257,12 @@
         except TimeoutError:
             cause = EndCause.TIMEOUT
         splitter = self._splitter
-        return BodyEnd(cause, splitter.events, splitter.take_remainder())
+        return BodyEnd(
+            cause,
+            splitter.events,
+            splitter.take_remainder(),
+            follows=self._head_sent,
+        )
 
     async def _judge_end(self, end: BodyEnd, run: LiveRun) -> StreamEnd:
         found, failed = judge_end(end), None
@@ -216,13 +302,17 @@
         return data
 
     async def _try_handoff(
-        self, run: LiveRun, handoff: Handoff, started: StartedAnswer
+        self,
+        run: LiveRun,
+        handoff: Handoff,
+        started: StartedAnswer,
+        max_seconds: float = RESUME_ANSWER_SECONDS,
     ) -> StartedAnswer | None:
         dispatcher, plan = self._dispatcher, self._plan
         sent_at = dispatcher.clock.monotonic()
         is_new_run = handoff.origin is None
         try:
-            return await self._send(run, handoff, started)
+            return await self._send(run, handoff, started, max_seconds)
         except (NotSentError, ConnectionLostError, TimeoutError) as error:
             if not isinstance(error, NotSentError):
                 if is_new_run:
@@ -399,7 +489,11 @@
         return Handoff(target, None)
 
     async def _send(
-        self, run: LiveRun, handoff: Handoff, started: StartedAnswer
+        self,
+        run: LiveRun,
+        handoff: Handoff,
+        started: StartedAnswer,
+        max_seconds: float,
     ) -> StartedAnswer | None:
         dispatcher, plan = self._dispatcher, self._plan
         await dispatcher.gate.acquire_resume_permit(
@@ -416,7 +510,7 @@
             after_event=str(run.last_event_number),
             once=not plan.repeatable,
         )
-        seconds = min(options.seconds, RESUME_ANSWER_SECONDS)
+        seconds = min(options.seconds, max_seconds)
         # without a KV cache at the target, it counts as a new generation
         purpose = CallPurpose.RESUME if handoff.origin else CallPurpose.START
         async with asyncio.timeout(seconds):
--- a/packages/gateway/src/chivepier/gateway/serving/streamend.py
+++ b/packages/gateway/src/chivepier/gateway/serving/streamend.py
@@ -25,7 +25,7 @@
     match end:
         case BodyEnd(cause=EndCause.FRAMING):
             return StreamEnd.COMPLETE
-        case BodyEnd(cause=EndCause.CLOSE, events=0):
+        case BodyEnd(cause=EndCause.CLOSE, events=0, follows=False):
             return StreamEnd.TRUNCATED
         # a target that fails closes its connection as one that has finished
         case BodyEnd(cause=EndCause.CLOSE, remainder=rest):
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
@@ -395,3 +395,91 @@
         assert line["answered_by"] == "other" and not line["vouched"]
 
     play(test, "a")
+
+
+async def close_early(parts):
+    """Have a living target close a stream that may be resumed, unfinished.
+
+    :returns: the caller, its task, and the run at the target that is asked
+        what follows
+    """
+    caller, task, run = await begin_without_length(parts, "/resume/x")
+    run.end()
+    fresh = await parts.engines.wait_run(2)
+    assert fresh.target != run.target
+    return caller, task, fresh
+
+
+@pytest.mark.parametrize("framed", (True, False))
+def test_stream_that_a_living_target_closed_early_goes_on(framed):
+    # It vouched for itself, truly, and had not finished its stream.
+    async def test(parts):
+        caller, task, fresh = await close_early(parts)
+        fresh.facts = AnswerFacts(framed=framed)
+        await finish(task, fresh, 2)
+        assert caller.numbers == [1, 2, 3, 4]
+        assert caller.finished and not caller.aborted
+
+    play(test, "a", "b")
+
+
+@pytest.mark.parametrize("framed", (True, False))
+def test_stream_after_which_nothing_follows_is_whole(framed):
+    # The check of a whole stream must not cost its caller the stream.
+    async def test(parts):
+        caller, task, fresh = await close_early(parts)
+        fresh.facts = AnswerFacts(framed=framed)
+        await finish(task, fresh)
+        assert caller.numbers == [1, 2]
+        assert caller.finished and not caller.aborted
+        assert len(parts.engines.answers) == 2
+
+    play(test, "a", "b")
+
+
+@pytest.mark.parametrize("partial", ("", "id: 3\nda"))
+def test_word_for_an_end_stands_unless_something_followed(partial):
+    # A part of an event that follows shows that the end was none.
+    async def test(parts):
+        caller, task, fresh = await close_early(parts)
+        if partial:
+            fresh.make(0, partial)
+        fresh.cut()
+        await task
+        assert caller.numbers == [1, 2]
+        assert caller.finished is not bool(partial)
+        assert caller.aborted is bool(partial)
+
+    play(test, "a", "b")
+
+
+def test_ends_are_not_checked_where_no_stream_has_a_framing():
+    # Checking each would double the work of the targets.
+    async def test(parts):
+        for _ in range(5):
+            caller, task, run = await begin_without_length(parts, "/resume/x")
+            run.end()
+            await asyncio.wait({task}, timeout=0.5)
+            if not task.done():
+                await finish(task, parts.engines.answers[-1])
+            assert caller.finished
+            parts.engines.answers.clear()
+        assert len(parts.read_lines("end_checked")) == 1
+
+    play(test, "a", "b")
+
+
+@pytest.mark.parametrize("path", ("/llm/x", "/plain/x"))
+def test_what_may_run_once_is_never_run_again_to_check_its_end(path):
+    # It would run twice, which its route forbids.
+    async def test(parts):
+        parts.engines.facts = WITHOUT_LENGTH
+        caller, task = parts.start(make_request(path))
+        run = await parts.engines.wait_run(1)
+        run.make(2)
+        run.end()
+        await task
+        assert len(parts.engines.answers) == 1
+        assert caller.data
+
+    play(test, "a", "b")
