--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -9,6 +9,8 @@
 from chivepier.gateway.serving.callpurpose import CallPurpose
 from chivepier.gateway.serving.dispatcher import Dispatcher
 from chivepier.gateway.serving.endcause import EndCause
+from chivepier.gateway.serving.endjudge import EndJudge
+from chivepier.gateway.serving.endjudge import wait_for_handoff
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.errors import ConnectionLostError
 from chivepier.gateway.serving.errors import NotSentError
@@ -20,8 +22,6 @@
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.sendoptions import SendOptions
 from chivepier.gateway.serving.startedanswer import StartedAnswer
-from chivepier.gateway.serving.streamend import judge_end
-from chivepier.gateway.serving.streamend import StreamEnd
 from chivepier.gateway.serving.streamtiming import StreamTiming
 from chivepier.gateway.serving.targetanswer import TargetAnswer
 from chivepier.gateway.serving.vouchedend import VouchedEnd
@@ -29,9 +29,6 @@
 from chivepier.types import Ran
 from chivepier.types import RequestError
 
-# Seconds to wait for the result of a migration after the source has ended the
-# stream.
-HANDOFF_WAIT_SECONDS = 4.5
 # Seconds for the next target to answer. It admits a resumed generation before
 # all others, and sends the head with the first event.
 RESUME_ANSWER_SECONDS = 2.0
@@ -73,6 +70,9 @@
         self._head_sent = False
         self._before_events = b""
         self._vouched: VouchedEnd | None = None
+        self._judge = EndJudge(
+            dispatcher.witness, dispatcher.mover, dispatcher.log, metrics
+        )
         self._timing = StreamTiming(
             plan.request.arrived, dispatcher.clock.monotonic
         )
@@ -90,7 +90,7 @@
         try:
             for _ in range(MAX_HANDOFFS):
                 end = await self._relay_target(head, started, run)
-                if await self._is_whole(run, end):
+                if await self._judge.is_whole(run, end):
                     fresh = await self._confirm(run, started, end)
                     if fresh is None:
                         self._dispatcher.runs.note_complete(run)
@@ -125,12 +125,6 @@
             if started is not None:
                 self._dispatcher.release(started)
 
-    async def _is_whole(self, run: LiveRun, end: BodyEnd) -> bool:
-        found = await self._judge_end(end, run)
-        return found is StreamEnd.COMPLETE and await self._is_complete(
-            run, end
-        )
-
     async def _confirm(
         self, run: LiveRun, started: StartedAnswer, end: BodyEnd
     ) -> StartedAnswer | None:
@@ -220,27 +214,6 @@
             timing.max_gap,
         )
 
-    async def _is_complete(self, run: LiveRun, end: BodyEnd) -> bool:
-        # a stream that was stopped for a migration is incomplete, but looks
-        # complete if its body is delimited by closing the connection
-        if not run.stopped:
-            return True
-        run.lost.set()
-        found = await self._wait_for_handoff(run)
-        framed = end.cause is EndCause.FRAMING
-        if run.stopped and not (run.stop_uncertain and framed):
-            return False
-        if found is not None:
-            self._dispatcher.mover.free_copy(run, found)
-        return True
-
-    async def _wait_for_handoff(self, run: LiveRun) -> Handoff | None:
-        try:
-            async with asyncio.timeout(HANDOFF_WAIT_SECONDS):
-                return await asyncio.shield(run.handoff)
-        except TimeoutError:
-            return None
-
     async def _relay_target(
         self, head: TargetAnswer, started: StartedAnswer, run: LiveRun
     ) -> BodyEnd:
@@ -264,28 +237,6 @@
             follows=self._head_sent,
         )
 
-    async def _judge_end(self, end: BodyEnd, run: LiveRun) -> StreamEnd:
-        found, failed = judge_end(end), None
-        if end.cause is EndCause.CLOSE and found is StreamEnd.COMPLETE:
-            witness = self._dispatcher.witness
-            evidence = await witness.examine(run.target, run.request.id)
-            failed = not evidence.is_vouched
-        if failed:
-            found = StreamEnd.TRUNCATED
-        self._metrics.record_stream_end(end.cause.value, found.value)
-        if end.cause is not EndCause.FRAMING or end.remainder:
-            self._dispatcher.log.info(
-                "body_ended",
-                id=run.request.id,
-                target=run.target.instance,
-                cause=end.cause.value,
-                events=end.events,
-                left_over=len(end.remainder),
-                target_failed=failed,
-                taken_for=found.value,
-            )
-        return found
-
     async def _read_chunk(self, run: LiveRun, started: StartedAnswer) -> bytes:
         seconds = None
         if self._plan.repeatable and not run.forwarded:
@@ -451,7 +402,7 @@
     async def _find_handoffs(self, run: LiveRun) -> list[Handoff]:
         found = []
         if run.handoff is not None:
-            handoff = await self._wait_for_handoff(run)
+            handoff = await wait_for_handoff(run)
             if handoff is not None:
                 found.append(self._redirect_to_source(run, handoff))
         if self._plan.repeatable:
