--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
@@ -18,6 +18,8 @@
 
 WITHOUT_LENGTH = AnswerFacts(framed=False)
 PARTIAL = "id: 3\nda"
+# Seconds without a byte after which callers give up a stream.
+CALLER_SECONDS = 2.0
 
 
 def break_off(run: FakeAnswer, text: str = PARTIAL) -> None:
@@ -483,3 +485,35 @@
         assert caller.data
 
     play(test, "a", "b")
+
+
+def rest(parts, run):
+    """Have a target ask for a rest that outlasts all questions."""
+    target = parts.table.get(run.target)
+    now = asyncio.get_running_loop().time()
+    parts.backoffs.add(target.instance, target.born, 5.0, now)
+
+
+WAYS_OF_NOT_KNOWING = {
+    "ended": lambda parts, run: parts.engines.ended.add(run.target),
+    "replaced": lambda parts, run: parts.engines.replaced.add(run.target),
+    "mute": lambda parts, run: parts.engines.mute.add(run.target),
+    "resting": rest,
+    "evacuated": lambda parts, run: parts.evacuate("a"),
+}
+
+
+@pytest.mark.parametrize("way", WAYS_OF_NOT_KNOWING)
+def test_caller_hears_of_an_unknown_end_before_it_gives_up(way):
+    # Asking again held the end back for longer than callers wait.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        WAYS_OF_NOT_KNOWING[way](parts, run)
+        began = asyncio.get_running_loop().time()
+        run.end()
+        await task
+        seconds = asyncio.get_running_loop().time() - began
+        print(f"{way}: {seconds:.3f} s")
+        assert caller.aborted and seconds < CALLER_SECONDS
+
+    play(test, "a")
