Let the soak's proxy carry ends late and lose new connections

The soak could not play that: Proxy.end_delay held both directions, drew anew for each, and new connections were closed only as a side effect of nobody listening behind a link.

Change: Proxy.delay_ends(LateEnds(seconds, newcomers)) is the fault. Each connection's end, close or reset as it was, reaches the caller's side by one time of its own; Newcomers says whether new connections are forwarded, closed at once, or held and closed in the end, whether or not anything listens behind.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,16 +1,22 @@
 """A loopback proxy that injects faults into its connections."""
 
 import asyncio
+import collections.abc
+import contextlib
 import random
 import socket
 import struct
 
+from soak.lateends import LateEnds
+from soak.newcomers import Newcomers
 from soak.senders import Senders
 
 CHUNK_BYTES = 1 << 16
 # Range of the seconds that a slow link delays each chunk: from a few round
 # trips between availability zones to more than a call's latency objective.
 DELAY_SECONDS = (0.02, 0.4)
+# Seconds between two looks whether a connection still hangs.
+POLL_SECONDS = 0.02
 LOST_SENT = "lost_sent"
 LOST_ANSWERS = "lost_answers"
 SLOW = "slow"
@@ -45,6 +51,10 @@
     good, without a reset, while new ones work: only a timeout detects it.
     ``silenced_connections`` counts these.
 
+    While ``delay_ends`` lasts, the end of the upstream reaches each connection
+    by a time of its own, as a close or a reset as it was, and new connections
+    are treated as it says, whether anything listens upstream or not.
+
     :param address: address to listen on, ``ip:port``
     :param upstream: address to forward to, ``ip:port``
     :param rng: random number generator that draws the delays
@@ -58,8 +68,9 @@
         self._upstream = upstream
         self._rng = rng
         self.held = Hold()
-        # range of the seconds after which the end of a connection arrives
-        self.end_delay = (0.0, 0.0)
+        self._late_ends: LateEnds | None = None
+        # when the ends that are late arrive, in the loop's time
+        self._arrivals: dict[asyncio.StreamWriter, float] = {}
         self._refuses = False
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
@@ -75,7 +86,7 @@
     def refuse(self) -> None:
         """Refuse new connections, as a process that has ended does."""
         self._refuses = True
-        if self._server is not None:
+        if self._server is not None and not self._treats_newcomers:
             self._server.close()
 
     async def accept_again(self) -> None:
@@ -84,9 +95,30 @@
             self._refuses = False
             await self.listen()
 
+    @contextlib.contextmanager
+    def delay_ends(self, late: LateEnds) -> collections.abc.Iterator[None]:
+        """Let ends that are read meanwhile arrive late.
+
+        :param late: by how much, and what becomes of new connections
+        """
+        self._late_ends = late
+        try:
+            yield
+        finally:
+            self._late_ends = None
+            if self._refuses:
+                self.refuse()
+
+    @property
+    def _treats_newcomers(self) -> bool:
+        """Whether new connections end on the path."""
+        late = self._late_ends
+        return late is not None and late.newcomers is not Newcomers.FORWARDED
+
     async def listen(self) -> None:
         """Accept connections, again if that was ended."""
-        if self._refuses:
+        listens = self._server is not None and self._server.is_serving()
+        if self._refuses or listens:
             return
         host, port = self.address.split(":")
         self._server = await asyncio.start_server(
@@ -119,6 +151,9 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _serve(self, reader, writer) -> None:
+        if self._treats_newcomers:
+            await self._lose(writer)
+            return
         host, port = self._upstream.split(":")
         try:
             other_reader, other = await asyncio.open_connection(
@@ -133,14 +168,30 @@
             with self.senders.note(other.get_extra_info("sockname"), sender):
                 await self._pump_both(reader, writer, other_reader, other)
         except* OSError:
+            await self._wait_for_arrival(writer)
             # A reset must not reach the other side as an orderly close.
             _reset(writer)
             _reset(other)
         finally:
+            self._arrivals.pop(writer, None)
             self._writers -= {writer, other}
             writer.transport.abort()
             other.transport.abort()
 
+    async def _lose(self, writer: asyncio.StreamWriter) -> None:
+        """Close a new connection, at once or when the path is sound again."""
+        late = self._late_ends
+        while late is self._late_ends and late.newcomers is Newcomers.HUNG:
+            await asyncio.sleep(POLL_SECONDS)
+        writer.transport.abort()
+
+    async def _wait_for_arrival(self, writer: asyncio.StreamWriter) -> None:
+        """Wait until the end of a connection may reach its caller."""
+        now, late = asyncio.get_running_loop().time(), self._late_ends
+        if late is not None and writer not in self._arrivals:
+            self._arrivals[writer] = now + self._rng.uniform(*late.seconds)
+        await asyncio.sleep(max(0.0, self._arrivals.get(writer, now) - now))
+
     def _find_sender(self, writer: asyncio.StreamWriter) -> str | None:
         """Return the entry that a connection comes from, if known."""
         return self.senders.find(writer.get_extra_info("peername"))
@@ -164,7 +215,8 @@
             if not silent:
                 writer.write(data)
                 await writer.drain()
-        await asyncio.sleep(self._rng.uniform(*self.end_delay))
+        if dropped_mode == LOST_ANSWERS:
+            await self._wait_for_arrival(writer)
         if not silent:
             writer.write_eof()
 
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from soak.lateends import LateEnds
+from soak.newcomers import Newcomers
 from soak.proxy import LOST_ANSWERS
 from soak.proxy import LOST_SENT
 from soak.proxy import Proxy
@@ -156,7 +158,8 @@
     asyncio.run(work())
 
 
-def test_reset_of_one_side_reaches_the_other_as_a_reset():
+@pytest.mark.parametrize("late", (None, LateEnds((0.0, 0.1))))
+def test_reset_of_one_side_reaches_the_other_as_a_reset(late):
     # A stream that its target had reset looked whole to the entry.
     async def serve(reader, writer):
         writer.write(b"abc")
@@ -171,7 +174,10 @@
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         host, port = server.sockets[0].getsockname()
         proxy = Proxy("127.0.0.1:0", f"{host}:{port}", random.Random(1))
+        stack = contextlib.ExitStack()
         async with asyncio.timeout(10), server, proxy:
+            if late is not None:
+                stack.enter_context(proxy.delay_ends(late))
             reader, writer = await connect(proxy)
             assert await reader.readexactly(3) == b"abc"
             with pytest.raises(ConnectionResetError):
@@ -199,3 +205,74 @@
         writer.close()
 
     run_scenario(test)
+
+
+class FallingDelays(random.Random):
+    """Draws a long delay first, and then the shortest."""
+
+    def __init__(self) -> None:
+        super().__init__(1)
+        self.drawn = 0
+
+    def uniform(self, a: float, b: float) -> float:
+        """Return the highest value of the range once, then the lowest."""
+        self.drawn += 1
+        return b if self.drawn == 1 else a
+
+
+def test_each_end_arrives_by_a_time_of_its_own():
+    # The ends of a target's connections came all at once, in their order.
+    async def work():
+        closers, callers, ends = [], [], []
+
+        async def serve(reader, writer):
+            closers.append(writer)
+
+        async def note_end(reader, name):
+            await reader.read()
+            ends.append(name)
+
+        delays = FallingDelays()
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        proxy = Proxy("127.0.0.1:0", f"{host}:{port}", delays)
+        async with asyncio.timeout(10), server, proxy:
+            with proxy.delay_ends(LateEnds((0.0, 0.3))):
+                async with asyncio.TaskGroup() as group:
+                    for number, name in enumerate(("first", "second"), 1):
+                        reader, writer = await connect(proxy)
+                        callers.append(writer)
+                        group.create_task(note_end(reader, name))
+                        while len(closers) < number:
+                            await asyncio.sleep(0.01)
+                        closers[-1].close()
+                        while delays.drawn < number:
+                            await asyncio.sleep(0.01)
+            for writer in callers:
+                writer.close()
+        assert ends == ["second", "first"]
+
+    asyncio.run(work())
+
+
+@pytest.mark.parametrize("newcomers", (Newcomers.CLOSED, Newcomers.HUNG))
+def test_newcomers_to_an_ended_process_are_taken_and_lost(newcomers):
+    # Each new connection to a process that had ended was refused.
+    async def test(proxy, echo):
+        with proxy.delay_ends(LateEnds((0.0, 0.0), newcomers)):
+            proxy.refuse()
+            reader, writer = await connect(proxy)
+            end = asyncio.create_task(reader.read())
+            if newcomers is Newcomers.CLOSED:
+                assert await end == b""
+            assert end.done() == (newcomers is Newcomers.CLOSED)
+        assert await end == b""
+        writer.close()
+        with pytest.raises(ConnectionRefusedError):
+            await connect(proxy)
+        await proxy.accept_again()
+        reader, writer = await connect(proxy)
+        assert await exchange(reader, writer, b"abc") == b"abc"
+        writer.close()
+
+    run_scenario(test)
