Add set 13 of the soak's faults: ends that come late, unheard

Change: crash_late lets one or two targets without a length crash, each up to three times in series, while their ends come late and new connections are lost on the way; delay_ends does the same to a target that lives on. Both run in the background, so they overlap with signals, restarts, cuts and changes; a planned stop that must abort nothing waits for them, as it did for crashes on a part.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,6 +16,7 @@
 from soak.crowds import SHAPES
 from soak.crowds import VOTER_SHAPES
 from soak.faultdraw import FaultDraw
+from soak.lateends import LATE_ENDS
 from soak.loadreporter import MODES
 from soak.nonsense import write_nonsense
 from soak.partchecker import PartChecker
@@ -37,7 +38,7 @@
 # set, since with another one it would draw other faults.
 FIRST_SET, RESTART_SET, COLD_SET, NEED_SET, REST_SET = range(1, 6)
 MISREPORT_SET, CUT_SET, VERSION_SET, PART_SET, ANSWER_SET = 6, 7, 8, 9, 10
-CROWD_SET, NEWEST_SET = 11, 12
+CROWD_SET, HEAVY_SET, NEWEST_SET = 11, 12, 13
 # Seconds after a link fault in which delayed requests may still arrive.
 DELAYED_SECONDS = 1.5
 # Seconds after the start of a voter without its data: those in which it is
@@ -49,6 +50,13 @@
 WHOLE_CUT_SHARE = 0.7
 # Range of the seconds for which targets crash on a part.
 CRASHING_SECONDS = (9.0, 14.0)
+# Most crashes in series of a target whose ends arrive late, and ranges of the
+# seconds before each, for which it is away, and until it is heard as ever.
+MAX_LATE_CRASHES = 3
+UNTIL_CRASH_SECONDS, CRASHED_SECONDS = (0.2, 1.0), (0.0, 1.2)
+UNHEARD_SECONDS = (0.0, 0.5)
+# Range of the seconds for which the ends of a living target arrive late.
+LIVING_SECONDS = (0.5, 3.0)
 # Clients of a crowd, and the range of the seconds for which it presses.
 CROWD_CLIENTS = 30
 CROWD_SECONDS = (0.5, 2.0)
@@ -104,10 +112,15 @@
             kinds += (self.crowd, self.bear_again, self.bear_again)
         if fault_set > CROWD_SET:
             kinds += (self.heavy_crowd,)
+        if fault_set > HEAVY_SET:
+            kinds += (self.crash_late, self.crash_late, self.delay_ends)
         self._draw = FaultDraw(self._rng, kinds)
         self._versions = 1
         self._evacuation: asyncio.Task | None = None
-        self._crashing: asyncio.Task | None = None
+        # faults in the background that break off what entries relay
+        self._breaking: set[asyncio.Task] = set()
+        # targets whose ends arrive late
+        self._unheard: set["SoakTarget"] = set()
         self._background: set[asyncio.Task] = set()
 
     def keep_only(self, *names: str) -> None:
@@ -198,7 +211,7 @@
 
     async def crash_on_part(self) -> None:
         """Let targets crash on one part of prompts, while others fail, too."""
-        self._crashing = self._begin(self._send_crashing_part())
+        self._breaking.add(self._begin(self._send_crashing_part()))
 
     async def _send_crashing_part(self) -> None:
         soak = self._soak
@@ -269,6 +282,51 @@
                 entry.signal(signal.SIGCONT)
         target.framing.lengthless = False
 
+    async def crash_late(self) -> None:
+        """Let targets crash, of which entries hear late, in the background."""
+        count = self._rng.randint(1, len(self._soak.targets) - 1)
+        for target in self._rng.sample(self._soak.targets, count):
+            if target not in self._unheard:
+                self._breaking.add(self._begin(self._crash_late(target)))
+
+    async def _crash_late(self, target: "SoakTarget") -> None:
+        self._unheard.add(target)
+        for _ in range(self._rng.randint(1, MAX_LATE_CRASHES)):
+            target.framing.lengthless = True
+            await asyncio.sleep(self._rng.uniform(*UNTIL_CRASH_SECONDS))
+            with self._delay_ends_of(target):
+                await target.crash_for(self._rng.uniform(*CRASHED_SECONDS))
+                await asyncio.sleep(self._rng.uniform(*UNHEARD_SECONDS))
+        target.framing.lengthless = False
+        self._unheard.remove(target)
+
+    async def delay_ends(self) -> None:
+        """Let the ends of a target's answers come late, as it lives on."""
+        target = self._rng.choice(self._soak.targets)
+        if target not in self._unheard:
+            self._breaking.add(self._begin(self._delay_living(target)))
+
+    async def _delay_living(self, target: "SoakTarget") -> None:
+        self._unheard.add(target)
+        target.framing.lengthless = True
+        with self._delay_ends_of(target):
+            await asyncio.sleep(self._rng.uniform(*LIVING_SECONDS))
+        target.framing.lengthless = False
+        self._unheard.remove(target)
+
+    @contextlib.contextmanager
+    def _delay_ends_of(
+        self, target: "SoakTarget"
+    ) -> collections.abc.Iterator[None]:
+        """Let what a target ends be heard late on its entries' links."""
+        late = self._rng.choice(LATE_ENDS)
+        with contextlib.ExitStack() as stack:
+            for links in self._soak.links.values():
+                for link in links:
+                    if link in target.proxies:
+                        stack.enter_context(link.delay_ends(late))
+            yield
+
     async def rest(self) -> None:
         """Let targets reject requests and request backoff for a while."""
         count = self._rng.randint(1, len(self._soak.targets))
@@ -329,9 +387,8 @@
 
     async def stop_entry(self) -> None:
         """Stop an entry without other faults; it must abort no request."""
-        if self._crashing is not None:
-            # a target that crashes breaks off what the entry relays
-            await self._crashing
+        # a target that crashes breaks off what the entry relays
+        await asyncio.gather(*self._breaking)
         await asyncio.sleep(SETTLE_SECONDS)
         entry = self._rng.choice(self._soak.entries)
         self._soak.stopping_entry = entry
--- a/soak/target.py
+++ b/soak/target.py
@@ -322,14 +322,19 @@
         if self._crashed is None or self._crashed.done():
             if self.crashing_part is not None:
                 self.crashing_part.record_crash()
-            self._crashed = asyncio.create_task(self._crash_and_return())
+            work = self.crash_for(self._rng.uniform(*AWAY_SECONDS))
+            self._crashed = asyncio.create_task(work)
         raise asyncio.CancelledError
 
-    async def _crash_and_return(self) -> None:
+    async def crash_for(self, seconds: float) -> None:
+        """Crash, and start again under another name.
+
+        :param seconds: time until it starts again, in seconds
+        """
         async with self._restart_lock:
             self.crash()
             self.signals.reset()
-            await asyncio.sleep(self._rng.uniform(*AWAY_SECONDS))
+            await asyncio.sleep(seconds)
             self.announce_limit(self.limit)
             self.restarted, self.runs, self._sequence = True, 0, 0
             await self.start_anew()
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -10,6 +10,7 @@
 from soak.faults import CROWD_SET
 from soak.faults import CUT_SET
 from soak.faults import FIRST_SET
+from soak.faults import HEAVY_SET
 from soak.faults import MISREPORT_SET
 from soak.faults import NEED_SET
 from soak.faults import NEWEST_SET
@@ -40,7 +41,8 @@
     17: (VERSION_SET, 8.0),
     20: (ANSWER_SET, 10.0),
     23: (CROWD_SET, 10.0),
-    25: (NEWEST_SET, 10.0),
+    25: (HEAVY_SET, 10.0),
+    27: (NEWEST_SET, 10.0),
 }
 
 
@@ -89,6 +91,25 @@
     assert seen.answered > 50
 
 
+def test_streams_hold_beside_targets_that_end_unheard(tmp_path):
+    # Connections that were not heard to have ended vouched for streams, beside
+    # signals, restarts and changes.
+    with reserve_block() as block:
+        soak = Soak(26, tmp_path, block)
+        soak.faults.keep_only(
+            "crash_late",
+            "freeze",
+            "delay_ends",
+            "change_version",
+            "crash_late",
+            "hang_up",
+            "kill",
+        )
+        seen = asyncio.run(soak.run(10.0))
+    assert seen.violations == []
+    assert seen.answered > 50
+
+
 def test_streams_are_of_one_version_while_targets_change_over(tmp_path):
     # Streams went on at targets of another software version.
     with reserve_block() as block:
