Don't hand on answers of plain services that may have been cut

Callers of packages/node got a 200 with a part of a body, as whole, where a plain service was killed, or its connection reset, amid an answer without a length.

Cause: such a body ends with its connection, the HTTP library takes a reset for its end too, and nothing asked what had ended it.

Change: an answer whose head tells no end of its body is a failed call that may have run: an idempotent one goes to another target within the budget, others get target_failed with ran: unknown. A refusal that says that nothing ran needs no framing. Price: a service that never frames its answers can't be used behind packages/node; it has no question by name that could vouch.

--- a/packages/node/src/chivepier/node/servicecaller.py
+++ b/packages/node/src/chivepier/node/servicecaller.py
@@ -21,6 +21,7 @@
 from chivepier.node.engineclient import read_ran
 from chivepier.node.engineclient import translate_errors
 from chivepier.node.entry import Entry
+from chivepier.node.framing import is_framed
 from chivepier.node.linklosterror import LinkLostError
 from chivepier.node.servicecall import ServiceCall
 from chivepier.types import ErrorKind
@@ -185,6 +186,10 @@
             text = f"the target answered {answer.status}"
             kind = ErrorKind.TARGET_FAILED
             raise RequestError.of(kind, text, Ran.UNKNOWN)
+        if not is_framed(answer):
+            text = "the target's answer may have been cut: it has no length"
+            kind = ErrorKind.TARGET_FAILED
+            raise RequestError.of(kind, text, Ran.UNKNOWN)
         headers = copy_headers(answer.headers)
         return Outcome(ClaimState.DONE, answer.status, headers, body)
 
