Don't take a listener for the target whose request was lost

A request that ends its targets was not counted, and went on to end more of them, where another process listened at each target's address at once: a probe found a listener, and the watch of the target's end was over after 3 s. Where the next incarnation announced itself later than that, its end counted for nothing.

Evidence: test_targets_replaced_at_once_count_as_crashed and the first two new tests of test_crashdetector fail with the watch as it was.

Change: a listener ends no watch. 3 s after one was found the target is asked for by its name, once for all its losses, as the send gate allows it (rest, evacuated zone, permit): another process is an end, its own answer ends the watch, and without a word its next announcement may tell for 10 s as where nothing listens. A target that has announced its end is not asked.

Price: one request without an id for each target and entry that lost a request there and found a listener.

--- a/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/fleet.py
@@ -85,6 +85,7 @@
             name,
             self.table,
             self._probe,
+            self._is_replaced,
             Overrides(),
             Trials(lambda: 1, random.Random(1)),
             clock,
@@ -150,6 +151,9 @@
         self._ended.remove(target.instance)
         return Liveness.ENDED
 
+    async def _is_replaced(self, target) -> bool | None:
+        return False
+
     def _handle(self, message, channel):
         return self.following.handle(message, channel)
 
--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -39,6 +39,7 @@
 from chivepier.gateway.serving import Detour
 from chivepier.gateway.serving import Dispatcher
 from chivepier.gateway.serving import HeaderRecorder
+from chivepier.gateway.serving import Identification
 from chivepier.gateway.serving import Mover
 from chivepier.gateway.serving import Planner
 from chivepier.gateway.serving import RequestHandler
@@ -195,6 +196,7 @@
             settings.name,
             self.table,
             calls.probe,
+            Identification(self.state, calls).is_replaced,
             settings.orders,
             Trials(lambda: self.state.entries, rng),
             clock,
--- a/packages/gateway/src/chivepier/gateway/quarantine/crashcheck.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/crashcheck.py
@@ -14,6 +14,8 @@
 
     :param target: the target, as it was announced
     :param until: when the check gives up, in monotonic seconds
+    :param ask_at: when the target is asked for by its name, in monotonic
+        seconds; ``None`` while nothing is known to listen at its address
     :param lost: requests that were lost at the target
     :param watch: task that watches for silence of the target
     :param probe: task that probes the target
@@ -21,6 +23,7 @@
 
     target: Target
     until: float
+    ask_at: float | None = None
     lost: list[LostRequest] = attrs.field(factory=list)
     watch: asyncio.Task | None = None
     probe: asyncio.Task | None = None
--- a/packages/gateway/src/chivepier/gateway/quarantine/crashdetector.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/crashdetector.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections.abc
+import math
 
 from chivepier.gateway.quarantine.crashcheck import CrashCheck
 from chivepier.gateway.quarantine.incarnation import Incarnation
@@ -23,8 +24,8 @@
 # Time in which the next incarnation of a target, or its silence, can show that
 # it had ended.
 CHECK_SECONDS = 10.0
-# The same if it accepted a connection after the loss: only the connection was
-# reset, unless the next incarnation was already running.
+# Time after which a target at whose address something listens is asked for by
+# its name: by then its next incarnation has mostly announced itself.
 ALIVE_CHECK_SECONDS = 3.0
 # Other targets that are tried, one by one, before a refusal counts as that of
 # a cut.
@@ -40,6 +41,10 @@
 MAX_SILENCE_SECONDS = 1.5
 
 Probe = collections.abc.Callable[[Target], collections.abc.Awaitable[Liveness]]
+# Whether another process answers at a target's address; ``None`` if not known.
+IsReplaced = collections.abc.Callable[
+    [Target], collections.abc.Awaitable[bool | None]
+]
 Report = collections.abc.Callable[[LostRequest, str], None]
 
 
@@ -49,11 +54,14 @@
     Connections break for many reasons: resets on the way, targets that fail
     some of their requests, network partitions. A request is suspected only if
     the target is gone: connections to it are refused, its address or its name
-    is announced by another incarnation, or it alone falls silent. Announced
-    ends, and ends long after the first event, do not count against a request.
+    is announced by another incarnation, another process answers there, or it
+    alone falls silent. A listener at its address is no sign of its life.
+    Announced ends, and ends long after the first event, do not count against
+    a request.
 
     :param table: targets; notifies of restarts and announcements
-    :param probe: checks whether a target is alive
+    :param probe: checks whether anything listens at a target's address
+    :param is_replaced: asks for the target by its name
     :param report: called with each lost request and the evidence of the end
     :param clock: monotonic clock
     """
@@ -62,11 +70,13 @@
         self,
         table: TargetTable,
         probe: Probe,
+        is_replaced: IsReplaced,
         report: Report,
         clock: Clock,
     ):
         self._table = table
         self._probe = probe
+        self._is_replaced = is_replaced
         self._report = report
         self._clock = clock
         self._checks: dict[Incarnation, CrashCheck] = {}
@@ -204,7 +214,9 @@
                 # refused on the way: voters tell whether it has ended
                 return
             case Liveness.LIVES:
-                check.until = min(check.until, now + ALIVE_CHECK_SECONDS)
+                # the target, or what took its address
+                if check.ask_at is None:
+                    check.ask_at = now + ALIVE_CHECK_SECONDS
             case Liveness.UNKNOWN:
                 pass
 
@@ -238,9 +250,28 @@
                 del self._checks[incarnation]
             elif self._table.is_silent(check.target, now):
                 self.note_ended(incarnation, now, "silent")
+            elif check.ask_at is not None and now >= check.ask_at:
+                check.ask_at = math.inf
+                await self._ask(incarnation, check)
             else:
                 await self._clock.sleep(POLL_SECONDS)
 
+    async def _ask(self, incarnation: Incarnation, check: CrashCheck) -> None:
+        """Ask for a target by its name, at whose address something listens.
+
+        If nothing vouches for it, its next announcement may still tell.
+        """
+        announced = incarnation in self._leaving_since
+        replaced = not announced and await self._is_replaced(check.target)
+        if self._checks.get(incarnation) is not check:
+            return
+        if replaced:
+            now = self._clock.monotonic()
+            self.note_ended(incarnation, now, "replaced")
+        elif replaced is False:
+            # only the connection was lost, or the end was announced
+            del self._checks[incarnation]
+
     def _handle_restart(self, target: Target) -> None:
         now = self._clock.monotonic()
         self.note_ended(Incarnation.of(target), now, "restarted")
--- a/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.quarantine.clearance import Clearance
 from chivepier.gateway.quarantine.crashdetector import CrashDetector
+from chivepier.gateway.quarantine.crashdetector import IsReplaced
 from chivepier.gateway.quarantine.crashdetector import Probe
 from chivepier.gateway.quarantine.crashledger import CrashLedger
 from chivepier.gateway.quarantine.crashledger import HOLD_SECONDS
@@ -51,7 +52,8 @@
 
     :param me: name of this entry
     :param table: targets
-    :param probe: checks whether a target is alive
+    :param probe: checks whether anything listens at a target's address
+    :param is_replaced: tells whether another process answers there
     :param overrides: operators' overrides
     :param trials: lets single requests through once a hold is over
     :param clock: monotonic clock
@@ -64,6 +66,7 @@
         me: str,
         table: TargetTable,
         probe: Probe,
+        is_replaced: IsReplaced,
         overrides: Overrides,
         trials: Trials,
         clock: Clock,
@@ -71,7 +74,9 @@
         metrics: Metrics,
     ):
         self.ledger = CrashLedger()
-        self.detector = CrashDetector(table, probe, self._report_ending, clock)
+        self.detector = CrashDetector(
+            table, probe, is_replaced, self._report_ending, clock
+        )
         self.publish: Publish = lambda record: None
         self.watchers: list[Watcher] = []
         self._held: set[str] = set()
--- a/packages/gateway/src/chivepier/gateway/quarantine/tests/partmodel.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/tests/partmodel.py
@@ -120,6 +120,7 @@
                 f"e{number}",
                 self._table,
                 self._probe,
+                self._is_replaced,
                 Overrides(),
                 Trials(lambda: entries, self._rng),
                 self.clock,
@@ -134,6 +135,9 @@
     async def _probe(self, target: Target) -> Liveness:
         return Liveness.UNKNOWN
 
+    async def _is_replaced(self, target: Target) -> bool | None:
+        return None
+
     def _make_publisher(self, index: int):
         def publish(record) -> None:
             for number, entry in enumerate(self.entries):
--- a/packages/gateway/src/chivepier/gateway/quarantine/tests/test_crashdetector.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/tests/test_crashdetector.py
@@ -29,8 +29,14 @@
         self.table = TargetTable(HEARTBEAT_SECONDS)
         self.liveness = self.other_liveness = Liveness.LIVES
         self.reports: list[tuple[str, str]] = []
+        self.replaced: bool | None = False
+        self.asked = 0
         self.detector = CrashDetector(
-            self.table, self._probe, self._report, self.clock
+            self.table,
+            self._probe,
+            self._is_replaced,
+            self._report,
+            self.clock,
         )
         self.announce("a", 1)
         self.announce("b", 1)
@@ -39,6 +45,10 @@
         own = target.instance == "a"
         return self.liveness if own else self.other_liveness
 
+    async def _is_replaced(self, target) -> bool | None:
+        self.asked += 1
+        return self.replaced
+
     def _report(self, loss, how) -> None:
         self.reports.append((loss.digest, how))
 
@@ -143,6 +153,57 @@
     run_with_fixture(test)
 
 
+def test_other_process_at_the_address_shows_end():
+    # A target ended and another process listened at its address at once: a
+    # listener counted as life, and a crashing request was never counted.
+    async def test(fixture):
+        fixture.replaced = True
+        fixture.lose()
+        await fixture.advance(ALIVE_CHECK_SECONDS + 1.0)
+        assert fixture.reports == [("d", "replaced")]
+
+    run_with_fixture(test)
+
+
+def test_listener_that_vouches_for_nobody_ends_no_watch():
+    # The next incarnation was announced after the time in which a listener's
+    # target was watched.
+    async def test(fixture):
+        fixture.replaced = None
+        fixture.lose()
+        await fixture.advance(CHECK_SECONDS - 1.0)
+        fixture.announce("c", 1, address="a:80")
+        assert fixture.reports == [("d", "replaced")]
+        assert fixture.asked == 1
+
+    run_with_fixture(test)
+
+
+def test_target_that_answers_by_name_is_asked_once_for_its_losses():
+    # One question for each loss would load a target whose connections break.
+    async def test(fixture):
+        for number in range(5):
+            fixture.lose(f"d{number}")
+            await fixture.advance(0.5)
+        await fixture.advance(CHECK_SECONDS)
+        assert fixture.asked == 1 and fixture.reports == []
+
+    run_with_fixture(test)
+
+
+def test_target_that_leaves_is_not_asked_for():
+    # Its announced end would count against a request that was lost before it.
+    async def test(fixture):
+        fixture.replaced = True
+        fixture.lose()
+        await fixture.advance(0.5)
+        fixture.announce("a", 2, TargetState.LEAVING)
+        await fixture.advance(CHECK_SECONDS)
+        assert fixture.asked == 0 and fixture.reports == []
+
+    run_with_fixture(test)
+
+
 def test_next_incarnation_shows_end_of_partitioned_target():
     # Neither the request nor the probe gets an answer: the target ended behind
     # a partition, and announces its next incarnation when that heals.
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -22,6 +22,7 @@
 from chivepier.gateway.serving.errors import UnreachableError
 from chivepier.gateway.serving.exchange import Exchange
 from chivepier.gateway.serving.headerrecorder import HeaderRecorder
+from chivepier.gateway.serving.identification import Identification
 from chivepier.gateway.serving.identity import Identity
 from chivepier.gateway.serving.kvorigin import KvOrigin
 from chivepier.gateway.serving.moveoutcome import MoveOutcome
@@ -60,6 +61,7 @@
     "Doubt",
     "Exchange",
     "HeaderRecorder",
+    "Identification",
     "Identity",
     "KvOrigin",
     "MoveOutcome",
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -40,6 +40,7 @@
 from chivepier.gateway.serving import Detour
 from chivepier.gateway.serving import Dispatcher
 from chivepier.gateway.serving import HeaderRecorder
+from chivepier.gateway.serving import Identification
 from chivepier.gateway.serving import Mover
 from chivepier.gateway.serving import Planner
 from chivepier.gateway.serving import Prompt
@@ -201,6 +202,7 @@
             "e1",
             self.table,
             calls.probe,
+            Identification(self.state, calls).is_replaced,
             Overrides(),
             Trials(lambda: self.state.entries, rng),
             clock,
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_crashguard.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_crashguard.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from chivepier.gateway.quarantine.crashdetector import ALIVE_CHECK_SECONDS
 from chivepier.gateway.serving.answerfacts import AnswerFacts
 from chivepier.gateway.serving.tests.parts import begin
 from chivepier.gateway.serving.tests.parts import ENGINE
@@ -76,6 +77,24 @@
     play(test, "a", "b", "c", "d")
 
 
+def test_targets_replaced_at_once_count_as_crashed():
+    # Another process listened at the address of each target that had crashed,
+    # and was taken for it: the request went on to crash targets.
+    async def test(parts):
+        names = {"w-a", "w-b", "w-c", "w-d"}
+        parts.engines.disconnecting |= names
+        parts.engines.replaced |= names
+        while count_crashes(parts) < 3:
+            await fail(parts, make_request("/read/x"))
+            await asyncio.sleep(ALIVE_CHECK_SECONDS + 1.0)
+        sends = count_sends(parts)
+        failure = await fail(parts, make_request("/read/x"))
+        assert failure.kind is ErrorKind.HELD_BACK and failure.ran is Ran.NO
+        assert count_sends(parts) == sends
+
+    play(test, "a", "b", "c", "d")
+
+
 @pytest.mark.parametrize(
     "changes",
     [{"body": b"other"}, {"key": "k2"}, {"url": "/read/x?y"}],
