Test the end of a target whose successor was known before the loss

An entry that had stood still reads the successor's announcement before the end of its connection; no further announcement tells it. The question by name does; without it the end counted for nothing. A predecessor's entry in the table is no end.

--- a/packages/gateway/src/chivepier/gateway/quarantine/tests/test_crashdetector.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/tests/test_crashdetector.py
@@ -228,6 +228,30 @@
     run_with_fixture(test)
 
 
+def test_successor_that_was_announced_before_the_loss_shows_end():
+    # An entry that had stood still read the successor's announcement before
+    # it read that the connection had ended, and no further one told it.
+    async def test(fixture):
+        fixture.replaced = True
+        fixture.announce("c", 1, address="a:80", born=2)
+        fixture.lose()
+        await fixture.advance(ALIVE_CHECK_SECONDS + 0.5)
+        assert fixture.reports == [("d", "replaced")]
+
+    run_with_fixture(test)
+
+
+def test_predecessor_at_the_address_shows_no_end():
+    # It stays in the table for some time after it has ended.
+    async def test(fixture):
+        fixture.announce("c", 1, address="a:80", born=0)
+        fixture.lose()
+        await fixture.advance(CHECK_SECONDS + 1.0)
+        assert fixture.reports == []
+
+    run_with_fixture(test)
+
+
 def test_silence_of_one_target_shows_end():
     async def test(fixture):
         fixture.liveness = Liveness.UNKNOWN
