Ask by name whether a stream's earlier targets have ended

A stream that may be resumed was cut at its caller after two targets that had ended under it, where another process listened at their addresses at once: each counted as a living target on which the stream had run.

Evidence: test_targets_replaced_at_once_are_no_attempts hung before (no third run).

Change: where something listens, the target is asked for by its name; another process there means that it has ended. Without a word, or where it may not be asked, it counts as before: nothing tells that it has ended, and the bound on the targets of a stream holds. Asked only once the route's limit is reached. The question's look-up of the health path is one class now (Identification) for ends, losses and attempts.

--- a/packages/gateway/src/chivepier/gateway/quarantine/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/__init__.py
@@ -2,6 +2,7 @@
 
 from chivepier.gateway.quarantine.clearance import Clearance
 from chivepier.gateway.quarantine.crashdetector import CrashDetector
+from chivepier.gateway.quarantine.crashdetector import IsReplaced
 from chivepier.gateway.quarantine.crashdetector import SUSPECT_WINDOW_SECONDS
 from chivepier.gateway.quarantine.crashledger import CrashLedger
 from chivepier.gateway.quarantine.crashledger import Record
@@ -25,6 +26,7 @@
     "Ending",
     "Hold",
     "Incarnation",
+    "IsReplaced",
     "LostRequest",
     "Overrides",
     "Quarantine",
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -25,7 +25,7 @@
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.errors import PlacesTakenError
 from chivepier.gateway.serving.errors import RateLimitedError
-from chivepier.gateway.serving.identity import Identity
+from chivepier.gateway.serving.identification import Identification
 from chivepier.gateway.serving.lossrecorder import LossRecorder
 from chivepier.gateway.serving.mover import Mover
 from chivepier.gateway.serving.patience import Patience
@@ -123,8 +123,9 @@
         self.clock = clock
         self.log = log
         self.continuations = Continuations(table, state, clock, log, metrics)
-        self.limit = AttemptLimit(table, calls.connect)
-        self.witness = EndWitness(table, self._identify, clock, log, metrics)
+        named = Identification(state, calls)
+        self.limit = AttemptLimit(table, calls.connect, named.is_replaced)
+        self.witness = EndWitness(table, named.identify, clock, log, metrics)
         self._assignments = AssignmentLog(balancer, clock, log)
         self._attempts = AttemptRecorder(table, health, balancer, clock, log)
         self._refusals = RefusalLog(log, metrics)
@@ -150,13 +151,6 @@
             log,
         )
 
-    async def _identify(self, target: Target) -> Identity:
-        index = self.state.index
-        service = index.services.get(target.service) if index else None
-        if service is None:
-            return Identity.UNASKED
-        return await self.calls.identify(target, service)
-
     async def dispatch(
         self, plan: Plan, runs: int = 0, may_forward: bool = True
     ) -> StartedAnswer:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_attempts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_attempts.py
@@ -71,6 +71,47 @@
     play(test, "a", "b", "c")
 
 
+def test_targets_replaced_at_once_are_no_attempts():
+    # Another process at the address was taken for the target that had ended:
+    # a stream that might have gone on was cut at its caller.
+    async def test(parts):
+        caller, task, first = await begin(parts, "/resume/x")
+        parts.engines.replaced.add(first.target)
+        first.cut()
+        second = await parts.engines.wait_run(2)
+        parts.engines.replaced.add(second.target)
+        second.make(1)
+        await caller.wait_events(3)
+        second.cut()
+        third = await parts.engines.wait_run(3)
+        await finish(task, third, 1)
+        assert caller.finished and caller.numbers == [1, 2, 3, 4]
+
+    play(test, "a", "b", "c")
+
+
+@pytest.mark.parametrize("mute", (True, False))
+def test_targets_that_nothing_tells_to_have_ended_are_attempts(mute):
+    # A listener that gives no word, or that may not be asked: not known to
+    # have ended, so the stream runs on no more targets than its route allows.
+    async def test(parts):
+        caller, task, first = await begin(parts, "/resume/x")
+        first.cut()
+        second = await parts.engines.wait_run(2)
+        second.make(1)
+        await caller.wait_events(3)
+        for name in (first.target, second.target):
+            if mute:
+                parts.engines.mute.add(name)
+            else:
+                parts.backoffs.add(name, 0, 9.0, tell_time())
+        second.cut()
+        await task
+        assert caller.aborted and len(parts.engines.answers) == 2
+
+    play(test, "a", "b", "c")
+
+
 @pytest.mark.parametrize("goes", (True, False))
 def test_target_that_went_or_started_again_is_no_attempt(goes):
     # A stream whose targets ended one after the other was cut off.
