Ask by name whether a silent target is gone

The caller of a stream that may run once waited for ten seconds where its target had ended without a word and another process listened at its address.

Evidence: test_stream_of_a_silent_target_that_was_replaced_is_aborted failed before.

Change: where something listens, the silent target is asked for by its name; another process there means that it is gone. Without a word the ten seconds stay.

Result: serving/tests/test_silence.py passes.

--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -9,6 +9,7 @@
 from chivepier.gateway.serving.copyturns import CopyTurns
 from chivepier.gateway.serving.crashguard import CrashGuard
 from chivepier.gateway.serving.handoff import Handoff
+from chivepier.gateway.serving.identity import Identity
 from chivepier.gateway.serving.kvorigin import KvOrigin
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.moveoutcome import MoveOutcome
@@ -156,7 +157,14 @@
             return True
         if not self._balancer.is_zone_open(last.target):
             return False
-        return await self._calls.probe(last.target) is Liveness.ENDED
+        match await self._calls.probe(last.target):
+            case Liveness.ENDED:
+                return True
+            case Liveness.LIVES:
+                found = await self._calls.identify(last.target, last.service)
+                return found is Identity.OTHER
+            case _:
+                return False
 
     def cancel_held_back(self) -> None:
         """Cancel sends of quarantined requests that have not started to run.
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_silence.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_silence.py
@@ -1,5 +1,7 @@
 """Tests of generations whose target has become unreachable."""
 
+import asyncio
+
 from chivepier.gateway.serving.tests.fakeengines import make_target
 from chivepier.gateway.serving.tests.parts import begin
 from chivepier.gateway.serving.tests.parts import fail
@@ -46,6 +48,26 @@
     play(test)
 
 
+def test_stream_of_a_silent_target_that_was_replaced_is_aborted():
+    # Another process at the address was taken for the target: its caller, who
+    # may have its request run once only, waited until ten seconds were over.
+    async def test(parts):
+        announce(parts, "a1", 0.0)
+        caller, task, _ = await begin(parts)
+        parts.table.get("a1").heard -= 60.0
+        announce(parts, "b1", 0.0)
+        parts.engines.mute = {"a1"}
+        await simulate_silence(parts, 5.0)
+        # nothing tells that it is gone
+        assert not task.done()
+        parts.engines.mute, parts.engines.replaced = set(), {"a1"}
+        await simulate_silence(parts, 0.0)
+        await asyncio.wait({task}, timeout=0.1)
+        assert caller.aborted and caller.numbers == [1, 2]
+
+    play(test)
+
+
 def test_request_at_an_unreachable_target_fails_as_unknown():
     # The request may have run, so the error must not say that it has not.
     async def test(parts):
