--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_stopping.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_stopping.py
@@ -1,5 +1,7 @@
 """Tests of stopping a run for the last copy of its KV cache."""
 
+import asyncio
+
 import pytest
 
 from chivepier.gateway.serving import AnswerFacts
@@ -157,6 +159,51 @@
     play(test, "a", "b")
 
 
+@pytest.mark.parametrize(
+    ("outcome", "handle"),
+    [
+        (MoveOutcome.COPIED, "h-r1"),
+        (MoveOutcome.NO_ROOM, "h-r1"),
+        (MoveOutcome.FAILED, ""),
+    ],
+)
+@pytest.mark.parametrize("first", (True, False), ids=("end", "order"))
+def test_end_without_a_length_of_a_run_that_may_have_stopped_is_not_whole(
+    outcome, handle, first
+):
+    # A run that is stopped closes between two events, and its target, which
+    # lives, vouches for it: the order's unknown outcome is no proof of an end.
+    async def test(parts):
+        caller, task, run = await begin(parts)
+        run.facts = AnswerFacts(framed=False)
+        answered = asyncio.Event()
+
+        def stop():
+            answered.set()
+            if first:
+                run.end()
+            return MoveResult(outcome, handle)
+
+        parts.engines.on_stop_order(stop)
+        copied = (parts.table.get(run.target).address, "h-r1")
+        parts.engines.copies.add(copied)
+        parts.leave(run.target)
+        await answered.wait()
+        if not first:
+            await wait_until(
+                lambda: any(
+                    line["last"] for line in parts.read_lines("memory_copied")
+                )
+            )
+            run.end()
+        fresh = await parts.engines.wait_run(2)
+        await finish(task, fresh, 1)
+        assert caller.numbers == [1, 2, 3]
+        assert caller.finished and not caller.aborted
+
+    play(test, "a", "b")
+
+
 def test_copy_of_a_run_that_ends_while_its_stop_is_lost_is_freed():
     async def test(parts):
         caller, task, run = await begin(parts)
