Don't take an end without events for whole after a part of an event

Cause: takes such an end for "nothing followed", whatever the run before it had shown. Before it such a stream was broken off.

Change: the relay keeps after which event a part of another was seen. There an end without events that only a close tells is none. A part of an event that the caller has (its whole id line tells) shows nothing.

--- a/packages/gateway/src/chivepier/gateway/serving/bodyend.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodyend.py
@@ -12,7 +12,8 @@
     :param cause: what ended it
     :param events: number of events in it
     :param remainder: bytes after the last event that was terminated
-    :param follows: whether the caller had events before this body
+    :param follows: whether the caller had events before this body, and all
+        of those that an earlier one had begun
     """
 
     cause: EndCause
--- a/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
+++ b/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
@@ -137,3 +137,20 @@
             text = line[3:].strip()
             return int(text) if text.isdigit() else None
     return None
+
+
+def has_new_part(remainder: bytes, last: int) -> bool:
+    """Tell whether bytes hold a part of an event that the caller lacks.
+
+    The next target may repeat an event; only a whole line tells its number.
+
+    >>> has_new_part(b"id: 2\\nda", 2), has_new_part(b"id: 2", 2)
+    (False, True)
+
+    :param remainder: the bytes after the last complete event
+    :param last: number of the last event that the caller has
+    """
+    end = max(remainder.rfind(b"\n"), remainder.rfind(b"\r")) + 1
+    number = parse_event_number(remainder[:end])
+    is_known = number is not None and number <= last
+    return is_unfinished(remainder) and not is_known
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -15,6 +15,7 @@
 from chivepier.gateway.serving.errors import ConnectionLostError
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.eventsplitter import EventSplitter
+from chivepier.gateway.serving.eventsplitter import has_new_part
 from chivepier.gateway.serving.eventsplitter import is_unfinished
 from chivepier.gateway.serving.eventsplitter import parse_event_number
 from chivepier.gateway.serving.handoff import Handoff
@@ -70,6 +71,8 @@
         self._head_sent = False
         self._before_events = b""
         self._vouched: VouchedEnd | None = None
+        # number of the last event before one of which a part came
+        self._partial_after: int | None = None
         self._judge = EndJudge(
             dispatcher.witness, dispatcher.mover, dispatcher.log, metrics
         )
@@ -229,12 +232,16 @@
             cause = EndCause.BREAK
         except TimeoutError:
             cause = EndCause.TIMEOUT
-        splitter = self._splitter
+        rest = self._splitter.take_remainder()
+        if has_new_part(rest, run.last_event_number):
+            self._partial_after = run.last_event_number
         return BodyEnd(
             cause,
-            splitter.events,
-            splitter.take_remainder(),
-            follows=self._head_sent,
+            self._splitter.events,
+            rest,
+            # a part of the next event has shown that the caller lacks it
+            follows=self._head_sent
+            and self._partial_after != run.last_event_number,
         )
 
     async def _read_chunk(self, run: LiveRun, started: StartedAnswer) -> bytes:
