Don't ask what follows a last event that has no number

Callers of streams that may be resumed could get their last event twice: where it has no number (as a closing "data: [DONE]" often has none), the check of a vouched end asks for what follows the last number, and gets it again.

Cause: asks for what follows the last number that the caller has, though it may have more. Sound streams are checked, so no fault was needed for it.

Change: no check where an event without a number came after the last one with one. A stream that really breaks off there is resumed as before: the number is all that Last-Event-Id can tell.

Evidence: test_confirmedends: [DONE] came twice, now once.

--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -15,6 +15,7 @@
 from chivepier.gateway.serving.errors import ConnectionLostError
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.eventsplitter import EventSplitter
+from chivepier.gateway.serving.eventsplitter import has_fields
 from chivepier.gateway.serving.eventsplitter import has_new_part
 from chivepier.gateway.serving.eventsplitter import is_unfinished
 from chivepier.gateway.serving.eventsplitter import parse_event_number
@@ -71,6 +72,8 @@
         self._head_sent = False
         self._before_events = b""
         self._vouched: VouchedEnd | None = None
+        # whether an event without a number is the last that the caller has
+        self._is_past_number = False
         # number of the last event before one of which a part came
         self._partial_after: int | None = None
         self._judge = EndJudge(
@@ -168,6 +171,7 @@
             and not run.forwarded
             and not run.stopped
             and run.last_event_number > 0
+            and not self._is_past_number
             and left > CONFIRM_ANSWER_SECONDS
             and dispatcher.state.ends_at is None
             and dispatcher.confirmations.take(plan.service.name)
@@ -295,6 +299,9 @@
                 continue
             if number is not None:
                 run.last_event_number = number
+                self._is_past_number = False
+            elif has_fields(event):
+                self._is_past_number = True
             fresh.append(event)
         data = b"".join(fresh)
         if not self._head_sent and not self._splitter.events:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
@@ -1,5 +1,7 @@
 """Tests of ends of streams that another target is asked about."""
 
+import asyncio
+
 import pytest
 
 from chivepier.gateway.serving import AnswerFacts
@@ -46,3 +48,21 @@
         assert caller.finished and not caller.aborted
 
     play(test, "a", "b")
+
+
+def test_last_event_without_a_number_does_not_come_twice():
+    # What follows the last number was asked for, and came a second time.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        run.make(0, "data: [DONE]\n\n")
+        run.end()
+        await asyncio.wait({task}, timeout=1.0)
+        if not task.done():
+            fresh = parts.engines.answers[-1]
+            fresh.make(0, "data: [DONE]\n\n")
+            fresh.end()
+            await task
+        assert caller.finished
+        assert caller.data.count(b"[DONE]") == 1
+
+    play(test, "a", "b")
