Bound the whole check of a stream's end by one second

The caller of a whole stream, for which its target had vouched, waited up to 1 s for a permit at the target that checks its end, 1 s for the head and 1.5 s for an event, one after the other. Callers give up after 2 s, or the deadline ended the stream as broken off.

Cause: CONFIRM_ANSWER_SECONDS bounded the wait for the head alone.

Change: the check as a whole is over after 1 s, until an event follows. A target that had not been asked by then is not recorded as lost: nothing was sent to it.

--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -27,6 +27,7 @@
 from chivepier.gateway.serving.streamtiming import StreamTiming
 from chivepier.gateway.serving.targetanswer import TargetAnswer
 from chivepier.gateway.serving.vouchedend import VouchedEnd
+from chivepier.gateway.targets import Target
 from chivepier.types import ErrorKind
 from chivepier.types import Ran
 from chivepier.types import RequestError
@@ -34,9 +35,9 @@
 # Seconds for the next target to answer. It admits a resumed generation before
 # all others, and sends the head with the first event.
 RESUME_ANSWER_SECONDS = 2.0
-# Seconds for another target to tell what follows the last event: the caller
-# has all events, and gives up after two without the end.
-CONFIRM_ANSWER_SECONDS = 1.0
+# Seconds for another target to be asked, and to tell, what follows the last
+# event: the caller has all events, and gives up after two without the end.
+CONFIRM_SECONDS = 1.0
 # Seconds without a byte after which a target counts as unreachable; callers
 # wait longer than this.
 STALL_SECONDS = 1.5
@@ -72,6 +73,8 @@
         self._head_sent = False
         self._before_events = b""
         self._vouched: VouchedEnd | None = None
+        # when the check of an end is over, in monotonic seconds
+        self._confirm_until: float | None = None
         # whether an event without a number is the last that the caller has
         self._is_past_number = False
         # number of the last event before one of which a part came
@@ -110,6 +113,7 @@
                     self._note_answered(run, started)
                     await self._finish(head, run, b"")
                     return
+                self._confirm_until = None
                 started = await self._resume(run, started)
                 if started is None:
                     break
@@ -149,6 +153,8 @@
         self._vouched = VouchedEnd(
             run.last_event_number, started, self._is_whole_run(run)
         )
+        now = self._dispatcher.clock.monotonic()
+        self._confirm_until = now + CONFIRM_SECONDS
         rerun = await self._choose_rerun(run)
         if rerun is None:
             return None
@@ -159,9 +165,7 @@
             at=rerun.target.instance,
             after=run.last_event_number,
         )
-        return await self._try_handoff(
-            run, rerun, started, CONFIRM_ANSWER_SECONDS
-        )
+        return await self._try_handoff(run, rerun, started)
 
     def _may_confirm(self, run: LiveRun) -> bool:
         dispatcher, plan = self._dispatcher, self._plan
@@ -172,7 +176,7 @@
             and not run.stopped
             and run.last_event_number > 0
             and not self._is_past_number
-            and left > CONFIRM_ANSWER_SECONDS
+            and left > CONFIRM_SECONDS
             and dispatcher.state.ends_at is None
             and dispatcher.confirmations.take(plan.service.name)
         )
@@ -253,7 +257,7 @@
         if self._plan.repeatable and not run.forwarded:
             # an unreachable target does not close the connection; a generation
             # that can be run elsewhere need not wait for its deadline
-            seconds = STALL_SECONDS
+            seconds = self._limit_to_check(STALL_SECONDS)
         # only reads have a timeout: cancelling a write would lose an event
         # whose number has already been recorded
         async with run.limit_wait(seconds):
@@ -263,18 +267,21 @@
         self._dispatcher.guard.note_growing(run)
         return data
 
+    def _limit_to_check(self, seconds: float) -> float:
+        """Return a wait, cut to what is left of the check of an end."""
+        if self._confirm_until is None:
+            return seconds
+        left = self._confirm_until - self._dispatcher.clock.monotonic()
+        return max(0.0, min(seconds, left))
+
     async def _try_handoff(
-        self,
-        run: LiveRun,
-        handoff: Handoff,
-        started: StartedAnswer,
-        max_seconds: float = RESUME_ANSWER_SECONDS,
+        self, run: LiveRun, handoff: Handoff, started: StartedAnswer
     ) -> StartedAnswer | None:
         dispatcher, plan = self._dispatcher, self._plan
         sent_at = dispatcher.clock.monotonic()
         is_new_run = handoff.origin is None
         try:
-            return await self._send(run, handoff, started, max_seconds)
+            return await self._send(run, handoff, started)
         except (NotSentError, ConnectionLostError, TimeoutError) as error:
             if not isinstance(error, NotSentError):
                 if is_new_run:
@@ -300,8 +307,10 @@
             if number is not None:
                 run.last_event_number = number
                 self._is_past_number = False
+                self._confirm_until = None
             elif has_fields(event):
                 self._is_past_number = True
+                self._confirm_until = None
             fresh.append(event)
         data = b"".join(fresh)
         if not self._head_sent and not self._splitter.events:
@@ -453,17 +462,23 @@
             return None
         return Handoff(target, None)
 
+    async def _acquire_permit(self, target: Target) -> None:
+        plan, seconds = self._plan, None
+        if self._confirm_until is not None:
+            seconds = self._limit_to_check(CONFIRM_SECONDS)
+        try:
+            async with asyncio.timeout(seconds):
+                await self._dispatcher.gate.acquire_resume_permit(
+                    plan.service, target, plan.team or ""
+                )
+        except TimeoutError:
+            raise NotSentError("no permit within the check") from None
+
     async def _send(
-        self,
-        run: LiveRun,
-        handoff: Handoff,
-        started: StartedAnswer,
-        max_seconds: float,
+        self, run: LiveRun, handoff: Handoff, started: StartedAnswer
     ) -> StartedAnswer | None:
         dispatcher, plan = self._dispatcher, self._plan
-        await dispatcher.gate.acquire_resume_permit(
-            plan.service, handoff.target, plan.team or ""
-        )
+        await self._acquire_permit(handoff.target)
         if not dispatcher.table.is_current(handoff.target):
             # another incarnation has its name: its software may differ
             raise NotSentError("the target has started again")
@@ -475,7 +490,10 @@
             after_event=str(run.last_event_number),
             once=not plan.repeatable,
         )
-        seconds = min(options.seconds, max_seconds)
+        answer_seconds = self._limit_to_check(RESUME_ANSWER_SECONDS)
+        if not answer_seconds:
+            raise NotSentError("the check is over")
+        seconds = min(options.seconds, answer_seconds)
         # without a KV cache at the target, it counts as a new generation
         purpose = CallPurpose.RESUME if handoff.origin else CallPurpose.START
         async with asyncio.timeout(seconds):
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
@@ -9,6 +9,8 @@
 from chivepier.gateway.serving.tests.parts import play
 
 WITHOUT_LENGTH = AnswerFacts(framed=False)
+# Seconds without a byte after which callers give up a stream.
+CALLER_SECONDS = 2.0
 
 
 async def begin_without_length(parts, path: str = "/resume/x"):
@@ -66,3 +68,71 @@
         assert caller.data.count(b"[DONE]") == 1
 
     play(test, "a", "b")
+
+
+WAYS_TO_BE_SLOW = ("head", "event", "both")
+
+
+@pytest.mark.parametrize("way", WAYS_TO_BE_SLOW)
+def test_caller_of_a_whole_stream_does_not_wait_long_for_its_check(way):
+    # The head and the first event of the check each had a time of their own.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        if way != "event":
+            parts.engines.heads.clear()
+            if way == "both":
+                loop.call_later(0.9, parts.engines.heads.set)
+        run.end()
+        await task
+        seconds = loop.time() - began
+        print(f"{way}: {seconds:.3f} s")
+        assert caller.finished and not caller.aborted
+        assert caller.numbers == [1, 2]
+        assert seconds < CALLER_SECONDS
+
+    play(test, "a", "b")
+
+
+def test_caller_of_a_whole_stream_does_not_wait_for_a_permit_and_an_answer():
+    # The wait for a permit came on top of that for an answer.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        loop = asyncio.get_running_loop()
+        acquire = parts.dispatcher.gate.acquire_resume_permit
+
+        async def acquire_late(*args):
+            await asyncio.sleep(0.9)
+            await acquire(*args)
+
+        parts.dispatcher.gate.acquire_resume_permit = acquire_late
+        parts.engines.heads.clear()
+        began = loop.time()
+        run.end()
+        await task
+        seconds = loop.time() - began
+        print(f"{seconds:.3f} s")
+        assert caller.finished and not caller.aborted
+        assert seconds < 1.8
+
+    play(test, "a", "b")
+
+
+def test_check_without_a_permit_is_no_loss_of_its_target():
+    # Nothing was sent to it.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+
+        async def wait_long(*args):
+            await asyncio.sleep(5.0)
+
+        parts.dispatcher.gate.acquire_resume_permit = wait_long
+        began = asyncio.get_running_loop().time()
+        run.end()
+        await task
+        assert asyncio.get_running_loop().time() - began < CALLER_SECONDS
+        assert caller.finished
+        assert parts.read_lines("target_lost") == []
+
+    play(test, "a", "b")
