Leave the questions after an end out of what a stream is known to take

The estimates of how long a route's streams take, and of the pace of decoding, held the time in which the target was asked whether it lived (0.01 to 0.8 s) and in which another target was asked what follows (up to 1 s). Departures and the patience with an attempt use them.

Cause: RunTracker.note_complete took the present for the end of the stream.

Change: it takes the time at which the target was last heard, which is that of the end of its body.

--- a/packages/gateway/src/chivepier/gateway/serving/runtracker.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runtracker.py
@@ -149,10 +149,11 @@
     def note_complete(self, run: LiveRun) -> None:
         """Update the estimates of how long runs take from a complete one.
 
-        Runs that were resumed at another target are left out.
+        Runs that were resumed at another target are left out, and so is the
+        time in which it was asked whether the end is one.
         """
         if not run.moved and run.request.last_event in NO_EVENTS:
-            seconds = self._clock.monotonic() - run.sent_at
+            seconds = run.heard_at - run.sent_at
             self.note_answer(run.plan, seconds)
         engine = run.service.engine
         if (
@@ -161,7 +162,7 @@
             and not run.moved
         ):
             tokens = run.last_event_number * engine.event_tokens
-            seconds = self._clock.monotonic() - run.first_event_at
+            seconds = run.heard_at - run.first_event_at
             self._decode_estimator.record(
                 run.service.name, tokens, seconds, self._get_pace(run)
             )
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
@@ -136,3 +136,19 @@
         assert parts.read_lines("target_lost") == []
 
     play(test, "a", "b")
+
+
+def test_check_does_not_lengthen_what_a_stream_is_known_to_take():
+    # The estimate of a stream's time held the wait for its check.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        seen = []
+        parts.dispatcher.runs.note_answer = lambda plan, s: seen.append(s)
+        parts.engines.heads.clear()
+        run.end()
+        await task
+        assert caller.finished
+        (seconds,) = seen
+        assert seconds < 0.5
+
+    play(test, "a", "b")
