Don't take a refusal for lack of an id for the word of the target asked

A stream, or a plain answer, without a length could be told as whole by a process that only has the target's address: the question after an end names no request, and "400, not run" is how a target refuses one without an id. A target of another service, to which an address may pass, serves that path as any path.

Cause: any answer that says "not run", without a name, counted as the target's own, since another target answers 421. Which of the two is looked at first isn't said.

Change: a 400 without a name is no word. 503 and 429 count as before: a full target names itself in neither, and its streams would all be cut.

--- a/tests/adapter/test_identity.py
+++ b/tests/adapter/test_identity.py
@@ -22,6 +22,8 @@
     "healthy": (b"200 OK", OWN_NAME, Identity.SAME),
     "unhealthy": (b"503 Draining", OWN_NAME, Identity.SAME),
     "full": (b"503 Full", NOT_RUN, Identity.SAME),
+    "limited": (b"429 Too Many Requests", NOT_RUN, Identity.SAME),
+    "without-id": (b"400 Bad Request", NOT_RUN, Identity.UNKNOWN),
     "other": (b"200 OK", OTHER_NAME, Identity.OTHER),
     "both": (b"200 OK", OWN_NAME + OTHER_NAME, Identity.OTHER),
     "wrong": (b"421 Misdirected", b"", Identity.OTHER),
