Let only targets' framing earn checks of ends

A stream that another entry served counted as one whose framing told its end, as the link between entries frames each; ten of them earned a check of an end without a length here, though no target frames its streams. The price stated for checks (one in all where no stream has a framing) did not hold behind a cut.

Evidence: test_forwarding, ten streams without a length served by another entry: two checks could be taken, now one.

--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
@@ -491,3 +491,23 @@
         assert caller.status == 200
 
     play_site(test)
+
+
+def test_framing_of_another_entry_earns_no_checks_of_ends():
+    # Each forwarded stream counted as one that its target had framed.
+    async def test(site):
+        cut_off, other = site.entries
+        cut_off.cut(*ALL)
+        other.parts.engines.facts = AnswerFacts(framed=False)
+        for number in range(10):
+            request = make_request("/resume/x", id=f"r{number}")
+            caller, task = cut_off.parts.start(request)
+            run = await other.parts.engines.wait_run(number + 1)
+            run.make(1)
+            run.end()
+            await task
+            assert caller.finished
+        checks = cut_off.parts.dispatcher.confirmations
+        assert checks.take("llm") and not checks.take("llm")
+
+    play_site(test)
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -146,7 +146,10 @@
         :returns: the answer of the other target; ``None`` if the end stands
         """
         if end.cause is EndCause.FRAMING:
-            self._dispatcher.confirmations.note_framed(self._plan.service.name)
+            # the framing of a forwarded answer is that of an entry
+            if not run.forwarded:
+                service = self._plan.service.name
+                self._dispatcher.confirmations.note_framed(service)
             return None
         if self._is_vouched(run) or not self._may_confirm(run):
             return None
