--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
@@ -0,0 +1,154 @@
+"""Tests of ends of streams that another target is asked about."""
+
+import asyncio
+
+import pytest
+
+from chivepier.gateway.serving import AnswerFacts
+from chivepier.gateway.serving.tests.parts import begin
+from chivepier.gateway.serving.tests.parts import play
+
+WITHOUT_LENGTH = AnswerFacts(framed=False)
+# Seconds without a byte after which callers give up a stream.
+CALLER_SECONDS = 2.0
+
+
+async def begin_without_length(parts, path: str = "/resume/x"):
+    """Start a stream without a length and relay its first two events."""
+    parts.engines.facts = WITHOUT_LENGTH
+    return await begin(parts, path)
+
+
+@pytest.mark.parametrize("framed", (True, False))
+def test_part_of_an_event_shows_that_an_end_without_events_is_none(framed):
+    # A target that closed before its first event vouched for an end that a
+    # part of the next event had shown to be none.
+    async def test(parts):
+        parts.engines.facts = AnswerFacts(framed=framed)
+        caller, task, run = await begin(parts, "/resume/x")
+        run.make(0, "id: 3\nda")
+        run.cut() if framed else run.end()
+        fresh = await parts.engines.wait_run(2)
+        fresh.facts = WITHOUT_LENGTH
+        fresh.end()
+        await task
+        assert caller.numbers == [1, 2]
+        assert caller.aborted and not caller.finished
+
+    play(test, "a", "b")
+
+
+def test_part_of_an_event_that_the_caller_has_shows_nothing():
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        run.make(0, "id: 2\nda")
+        run.end()
+        fresh = await parts.engines.wait_run(2)
+        fresh.end()
+        await task
+        assert caller.numbers == [1, 2]
+        assert caller.finished and not caller.aborted
+
+    play(test, "a", "b")
+
+
+def test_last_event_without_a_number_does_not_come_twice():
+    # What follows the last number was asked for, and came a second time.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        run.make(0, "data: [DONE]\n\n")
+        run.end()
+        await asyncio.wait({task}, timeout=1.0)
+        if not task.done():
+            fresh = parts.engines.answers[-1]
+            fresh.make(0, "data: [DONE]\n\n")
+            fresh.end()
+            await task
+        assert caller.finished
+        assert caller.data.count(b"[DONE]") == 1
+
+    play(test, "a", "b")
+
+
+WAYS_TO_BE_SLOW = ("head", "event", "both")
+
+
+@pytest.mark.parametrize("way", WAYS_TO_BE_SLOW)
+def test_caller_of_a_whole_stream_does_not_wait_long_for_its_check(way):
+    # The head and the first event of the check each had a time of their own.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        if way != "event":
+            parts.engines.heads.clear()
+            if way == "both":
+                loop.call_later(0.9, parts.engines.heads.set)
+        run.end()
+        await task
+        seconds = loop.time() - began
+        print(f"{way}: {seconds:.3f} s")
+        assert caller.finished and not caller.aborted
+        assert caller.numbers == [1, 2]
+        assert seconds < CALLER_SECONDS
+
+    play(test, "a", "b")
+
+
+def test_caller_of_a_whole_stream_does_not_wait_for_a_permit_and_an_answer():
+    # The wait for a permit came on top of that for an answer.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        loop = asyncio.get_running_loop()
+        acquire = parts.dispatcher.gate.acquire_resume_permit
+
+        async def acquire_late(*args):
+            await asyncio.sleep(0.9)
+            await acquire(*args)
+
+        parts.dispatcher.gate.acquire_resume_permit = acquire_late
+        parts.engines.heads.clear()
+        began = loop.time()
+        run.end()
+        await task
+        seconds = loop.time() - began
+        print(f"{seconds:.3f} s")
+        assert caller.finished and not caller.aborted
+        assert seconds < 1.8
+
+    play(test, "a", "b")
+
+
+def test_check_without_a_permit_is_no_loss_of_its_target():
+    # Nothing was sent to it.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+
+        async def wait_long(*args):
+            await asyncio.sleep(5.0)
+
+        parts.dispatcher.gate.acquire_resume_permit = wait_long
+        began = asyncio.get_running_loop().time()
+        run.end()
+        await task
+        assert asyncio.get_running_loop().time() - began < CALLER_SECONDS
+        assert caller.finished
+        assert parts.read_lines("target_lost") == []
+
+    play(test, "a", "b")
+
+
+def test_check_does_not_lengthen_what_a_stream_is_known_to_take():
+    # The estimate of a stream's time held the wait for its check.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        seen = []
+        parts.dispatcher.runs.note_answer = lambda plan, s: seen.append(s)
+        parts.engines.heads.clear()
+        run.end()
+        await task
+        assert caller.finished
+        (seconds,) = seen
+        assert seconds < 0.5
+
+    play(test, "a", "b")
