Don't take a check for an end that no other target may be asked about

A route whose attempts are used up had its checks spent, and its targets probed, though no further run was allowed. serving, forwarding and tests/adapter pass but for the two listed cases of test_forwarding.

--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -179,6 +179,7 @@
             and not run.stopped
             and run.last_event_number > 0
             and not self._is_past_number
+            and run.earlier_runs + len(run.ran_at) < plan.route.attempts
             and left > CONFIRM_SECONDS
             and dispatcher.state.ends_at is None
             and dispatcher.confirmations.take(plan.service.name)
