Bound what a caller waits for the questions after its stream's end

A caller that has all its events gives up 2 s after the last one. The last question may begin 0.8 s after the end and took up to 1.3 s more where connections hang; and where the target's word came late (it may, within those 2.1 s), another target was asked for 1 s on top.

Change: questions after the first are heard until 1.3 s after the end; the first bounds itself, and still outlasts a sleep of this process. No check begins later than 0.8 s after the end.

Test changed: test_endwitness played the time of sleeps and read that of the machine, so that no time passed between its questions; it reads the played time now.

--- a/packages/gateway/src/chivepier/gateway/serving/endwitness.py
+++ b/packages/gateway/src/chivepier/gateway/serving/endwitness.py
@@ -17,6 +17,8 @@
 # Seconds after an end in which its target may be asked once more: the caller
 # has all events by then, but gives up after two seconds without the end.
 MAX_ASK_SECONDS = 0.8
+# Seconds after an end in which an answer is waited for: two attempts to ask.
+MAX_EXAMINE_SECONDS = 1.3
 # Pause before the second question, doubled before each further one.
 FIRST_PAUSE_SECONDS = 0.05
 
@@ -66,7 +68,10 @@
         began = self._clock.monotonic()
         pause = FIRST_PAUSE_SECONDS
         for questions in itertools.count(1):
-            identity = await self._ask_if_current(target)
+            left = began + MAX_EXAMINE_SECONDS - self._clock.monotonic()
+            # the first bounds itself, and may last while this process sleeps
+            limit = left if questions > 1 else None
+            identity = await self._ask_within(target, limit)
             seconds = self._clock.monotonic() - began
             if identity.is_final or seconds + pause > MAX_ASK_SECONDS:
                 break
@@ -87,6 +92,15 @@
         )
         return evidence
 
+    async def _ask_within(
+        self, target: Target, seconds: float | None
+    ) -> Identity:
+        try:
+            async with asyncio.timeout(seconds):
+                return await self._ask_if_current(target)
+        except TimeoutError:
+            return Identity.UNKNOWN
+
     async def _ask_if_current(self, target: Target) -> Identity:
         if not self._table.is_current(target):
             return Identity.OTHER
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -38,6 +38,8 @@
 # Seconds for another target to be asked, and to tell, what follows the last
 # event: the caller has all events, and gives up after two without the end.
 CONFIRM_SECONDS = 1.0
+# Seconds after an end in which such a check may begin.
+MAX_VOUCH_SECONDS = 0.8
 # Seconds without a byte after which a target counts as unreachable; callers
 # wait longer than this.
 STALL_SECONDS = 1.5
@@ -172,9 +174,12 @@
 
     def _may_confirm(self, run: LiveRun) -> bool:
         dispatcher, plan = self._dispatcher, self._plan
-        left = plan.deadline - dispatcher.clock.monotonic()
+        now = dispatcher.clock.monotonic()
+        left = plan.deadline - now
         return (
             plan.repeatable
+            # the target may have been slow to vouch for the end
+            and now - run.heard_at <= MAX_VOUCH_SECONDS
             and not run.forwarded
             and not run.stopped
             and run.last_event_number > 0
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
@@ -152,3 +152,21 @@
         assert seconds < 0.5
 
     play(test, "a", "b")
+
+
+def test_end_whose_target_was_slow_to_vouch_for_it_is_not_checked():
+    # The check began when the caller had waited for a second already.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        began_at = asyncio.get_running_loop().time()
+        began, goes_on = parts.engines.hold_question()
+        parts.engines.heads.clear()
+        run.end()
+        await began.wait()
+        await asyncio.sleep(1.1)
+        goes_on.set()
+        await task
+        assert asyncio.get_running_loop().time() - began_at < CALLER_SECONDS
+        assert caller.finished and not caller.aborted
+
+    play(test, "a", "b")
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_endwitness.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_endwitness.py
@@ -10,10 +10,11 @@
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.endwitness import EndWitness
 from chivepier.gateway.serving.endwitness import MAX_ASK_SECONDS
+from chivepier.gateway.serving.endwitness import MAX_EXAMINE_SECONDS
 from chivepier.gateway.serving.identity import Identity
 from chivepier.gateway.serving.tests.fakeengines import make_target
+from chivepier.standins.loopclock import LoopClock
 from chivepier.standins.playedloop import play_time
-from chivepier.types import SystemClock
 
 # When the table learns of another incarnation, as seen from the question.
 NEVER, BEFORE, DURING = "never", "before", "during"
@@ -39,7 +40,7 @@
         self.witness = EndWitness(
             self,
             self._identify,
-            SystemClock(),
+            LoopClock(),
             EventLog("e1", os.open(os.devnull, os.O_WRONLY)),
             self.metrics,
         )
@@ -91,6 +92,23 @@
     assert fixture.asked_at[-1] - fixture.began <= MAX_ASK_SECONDS
 
 
+def test_question_that_hangs_does_not_outlast_the_bound():
+    # New connections were closed at first and hung later on: the last question
+    # ran out after the caller had given up.
+    fixture = Fixture((Identity.UNKNOWN,))
+    identify = fixture.witness._identify
+
+    async def hang_later(target):
+        if len(fixture.asked_at) >= 4:
+            await asyncio.sleep(1.3)
+        return await identify(target)
+
+    fixture.witness._identify = hang_later
+    evidence = fixture.examine()
+    assert not evidence.is_vouched
+    assert evidence.seconds <= MAX_EXAMINE_SECONDS + 0.01
+
+
 def test_no_word_from_before_an_end_counts_for_it():
     # Each question is asked once the end of its stream was read.
     fixture = Fixture((Identity.UNKNOWN, Identity.SAME))
