Don't run a request again to check its end where it may end a target

A stream whose end its target had vouched for was run at another target, to ask what follows, though two targets had ended under the same request: a third could end of a run that its caller did not need.

Change: no check where one more ending would hold the request back; its target's word stands.

Evidence: test_confirmedends, two endings known: two runs before, one now.

--- a/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/quarantine.py
@@ -142,10 +142,18 @@
         :param target: target at which it was lost
         :param parts: digests of the shared parts of its prompt
         """
+        if self.is_nearly_held(digest, parts):
+            await self.detector.wait_for_probe(target)
+
+    def is_nearly_held(self, digest: str, parts: tuple[str, ...] = ()) -> bool:
+        """Tell whether one more ending would hold a request back.
+
+        :param digest: digest of the request
+        :param parts: digests of the shared parts of its prompt
+        """
         counts = [self.ledger.parts.count(part) for part in parts]
         counts.append(len(self.ledger.find_endings(digest)))
-        if max(counts) >= MIN_ENDINGS - 1:
-            await self.detector.wait_for_probe(target)
+        return max(counts) >= MIN_ENDINGS - 1
 
     def note_answered(self, digest: str) -> None:
         """Record that a target answered a request completely.
--- a/packages/gateway/src/chivepier/gateway/serving/crashguard.py
+++ b/packages/gateway/src/chivepier/gateway/serving/crashguard.py
@@ -39,6 +39,10 @@
         """Return whether a request is quarantined."""
         return self._find_hold(plan) is not None
 
+    def may_repeat_freely(self, plan: Plan) -> bool:
+        """Return whether nothing speaks against a run that isn't needed."""
+        return not self._quarantine.is_nearly_held(plan.digest, plan.parts)
+
     def _find_hold(self, plan: Plan) -> Hold | None:
         # a digest costs some microseconds, and the quarantine is mostly empty
         if self._quarantine.idle:
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -186,6 +186,7 @@
             and not self._is_past_number
             and left > CONFIRM_SECONDS
             and dispatcher.state.ends_at is None
+            and dispatcher.guard.may_repeat_freely(plan)
             and dispatcher.confirmations.take(plan.service.name)
         )
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
@@ -4,9 +4,13 @@
 
 import pytest
 
+from chivepier.gateway.quarantine import Ending
+from chivepier.gateway.quarantine import Incarnation
 from chivepier.gateway.serving import AnswerFacts
 from chivepier.gateway.serving.tests.parts import begin
+from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
+from chivepier.standins.loopclock import tell_time
 
 WITHOUT_LENGTH = AnswerFacts(framed=False)
 # Seconds without a byte after which callers give up a stream.
@@ -170,3 +174,31 @@
         assert caller.finished and not caller.aborted
 
     play(test, "a", "b")
+
+
+@pytest.mark.parametrize("endings, runs", ((0, 2), (2, 1)))
+def test_request_under_which_targets_ended_is_not_run_to_check_its_end(
+    endings, runs
+):
+    # One more target could end of a check that its caller did not need.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        digest = parts.planner.plan(make_request("/resume/x")).digest
+        parts.quarantine.merge(
+            Ending(
+                digest,
+                Incarnation(f"other{number}", 1),
+                tell_time(),
+                "e2",
+                "refused",
+            )
+            for number in range(endings)
+        )
+        run.end()
+        await asyncio.wait({task}, timeout=0.5)
+        parts.engines.answers[-1].end()
+        await task
+        assert caller.finished and caller.numbers == [1, 2]
+        assert len(parts.engines.answers) == runs
+
+    play(test, "a", "b")
