--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -160,7 +160,12 @@
         )
         now = self._dispatcher.clock.monotonic()
         self._confirm_until = now + CONFIRM_SECONDS
-        rerun = await self._choose_rerun(run)
+        try:
+            async with asyncio.timeout(CONFIRM_SECONDS):
+                rerun = await self._choose_rerun(run)
+        except TimeoutError:
+            # earlier targets are asked first whether they count
+            return None
         if rerun is None:
             return None
         self._dispatcher.log.info(
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
@@ -202,3 +202,32 @@
         assert len(parts.engines.answers) == runs
 
     play(test, "a", "b")
+
+
+def test_check_does_not_wait_for_what_became_of_earlier_targets():
+    # They are asked once the attempts of the route are used up.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        run.cut()
+        fresh = await parts.engines.wait_run(2)
+        fresh.make(1)
+        await caller.wait_events(3)
+        identify = parts.engines.identify
+
+        async def hang(target, *args):
+            if target.instance == run.target:
+                await asyncio.sleep(1.3)
+            return await identify(target, *args)
+
+        parts.engines.identify = hang
+        parts.engines.mute.add(run.target)
+        parts.engines.heads.clear()
+        began = asyncio.get_running_loop().time()
+        fresh.end()
+        await task
+        seconds = asyncio.get_running_loop().time() - began
+        print(f"{seconds:.3f} s")
+        assert caller.finished and caller.numbers == [1, 2, 3]
+        assert seconds < 1.1
+
+    play(test, "a", "b", "c")
