--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
@@ -4,9 +4,13 @@
 
 import pytest
 
+from chivepier.gateway.quarantine import Ending
+from chivepier.gateway.quarantine import Incarnation
 from chivepier.gateway.serving import AnswerFacts
 from chivepier.gateway.serving.tests.parts import begin
+from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
+from chivepier.standins.loopclock import tell_time
 
 WITHOUT_LENGTH = AnswerFacts(framed=False)
 # Seconds without a byte after which callers give up a stream.
@@ -152,3 +156,78 @@
         assert seconds < 0.5
 
     play(test, "a", "b")
+
+
+def test_end_whose_target_was_slow_to_vouch_for_it_is_not_checked():
+    # The check began when the caller had waited for a second already.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        began_at = asyncio.get_running_loop().time()
+        began, goes_on = parts.engines.hold_question()
+        parts.engines.heads.clear()
+        run.end()
+        await began.wait()
+        await asyncio.sleep(1.1)
+        goes_on.set()
+        await task
+        assert asyncio.get_running_loop().time() - began_at < CALLER_SECONDS
+        assert caller.finished and not caller.aborted
+
+    play(test, "a", "b")
+
+
+@pytest.mark.parametrize("endings, runs", ((0, 2), (2, 1)))
+def test_request_under_which_targets_ended_is_not_run_to_check_its_end(
+    endings, runs
+):
+    # One more target could end of a check that its caller did not need.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        digest = parts.planner.plan(make_request("/resume/x")).digest
+        parts.quarantine.merge(
+            Ending(
+                digest,
+                Incarnation(f"other{number}", 1),
+                tell_time(),
+                "e2",
+                "refused",
+            )
+            for number in range(endings)
+        )
+        run.end()
+        await asyncio.wait({task}, timeout=0.5)
+        parts.engines.answers[-1].end()
+        await task
+        assert caller.finished and caller.numbers == [1, 2]
+        assert len(parts.engines.answers) == runs
+
+    play(test, "a", "b")
+
+
+def test_check_does_not_wait_for_what_became_of_earlier_targets():
+    # They are asked once the attempts of the route are used up.
+    async def test(parts):
+        caller, task, run = await begin_without_length(parts)
+        run.cut()
+        fresh = await parts.engines.wait_run(2)
+        fresh.make(1)
+        await caller.wait_events(3)
+        identify = parts.engines.identify
+
+        async def hang(target, *args):
+            if target.instance == run.target:
+                await asyncio.sleep(1.3)
+            return await identify(target, *args)
+
+        parts.engines.identify = hang
+        parts.engines.mute.add(run.target)
+        parts.engines.heads.clear()
+        began = asyncio.get_running_loop().time()
+        fresh.end()
+        await task
+        seconds = asyncio.get_running_loop().time() - began
+        print(f"{seconds:.3f} s")
+        assert caller.finished and caller.numbers == [1, 2, 3]
+        assert seconds < 1.1
+
+    play(test, "a", "b", "c")
