Tell in the operators' status how long entries and targets are silent

An operator saw a killed entry for 20 s, and a killed target for 30 s, as a living one: the status lists what a voter knows, and nothing told when it was last heard.

Change: silent_s of each in /v1/operator/status and in chivepier status.

--- a/packages/cli/src/chivepier/cli/commands/status.py
+++ b/packages/cli/src/chivepier/cli/commands/status.py
@@ -7,7 +7,15 @@
 from chivepier.cli.context import Context
 from chivepier.cli.context import pass_context
 
-MEMBER_COLUMNS = ("name", "zone", "address", "draining", "voter", "leader")
+MEMBER_COLUMNS = (
+    "name",
+    "zone",
+    "address",
+    "draining",
+    "voter",
+    "leader",
+    "silent_s",
+)
 ZONE_COLUMNS = ("zone", "evacuated", "targets")
 LIMIT_COLUMNS = ("target", "rate", "source", "seconds")
 TARGET_COLUMNS = (
@@ -17,6 +25,7 @@
     "models",
     "role",
     "leaving",
+    "silent_s",
     "load",
 )
 
--- a/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
+++ b/packages/gateway/src/chivepier/gateway/control/entrydirectory.py
@@ -75,6 +75,10 @@
         silence = self._clock.monotonic() - known.last_heard
         return silence if silence >= LIVENESS_TIMEOUT_SECONDS else 0.0
 
+    def measure_silence(self, node: str) -> float:
+        """Return the seconds since the last beat of a known entry."""
+        return self._clock.monotonic() - self._entries[node].last_heard
+
     def list_addresses(
         self,
         zone: str = "",
--- a/packages/gateway/src/chivepier/gateway/control/operatorapi.py
+++ b/packages/gateway/src/chivepier/gateway/control/operatorapi.py
@@ -63,10 +63,17 @@
                     "address": beat.address,
                     "peer_address": "",
                     "draining": not beat.ready,
+                    # it is listed for some time after its last beat
+                    "silent_s": round(
+                        voter.entries.measure_silence(beat.node), 1
+                    ),
                 }
                 for beat in beats
             ],
-            "targets": [_describe(target) for target in voter.table],
+            "targets": [
+                _describe(target, voter.measure_silence(target))
+                for target in voter.table
+            ],
             "version": config.version if config else 0,
             # The oldest configuration version still applied by an entry.
             "in_force": min((beat.version for beat in beats), default=0),
@@ -138,7 +145,7 @@
     return transport is not None and not transport.is_closing()
 
 
-def _describe(target: Target) -> dict:
+def _describe(target: Target, silence: float) -> dict:
     return {
         "target": target.instance,
         "pool": target.service,
@@ -146,5 +153,6 @@
         "models": "",
         "role": "",
         "leaving": target.state is not TargetState.READY,
+        "silent_s": round(silence, 1),
         "load": "",
     }
--- a/packages/gateway/src/chivepier/gateway/control/voter.py
+++ b/packages/gateway/src/chivepier/gateway/control/voter.py
@@ -48,6 +48,7 @@
 from chivepier.gateway.origins import OriginKeeper
 from chivepier.gateway.settings import VoterSettings
 from chivepier.gateway.supervision import Supervisor
+from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetTable
 from chivepier.gateway.zones import pack_order
 from chivepier.gateway.zones import Zones
@@ -373,6 +374,10 @@
     def _save_origins(self) -> None:
         self._state_cache.mark_dirty()
 
+    def measure_silence(self, target: Target) -> float:
+        """Return the seconds since the last sign of life of a target."""
+        return max(0.0, self._clock.monotonic() - target.heard)
+
     def knows_zone(self, zone: str) -> bool:
         """Tell whether the settings or any target contain a zone."""
         if self.zones.has_zone(zone):
