Don't take a predecessor's late announcement for a successor's

A sound request that was lost at a living target got the end of a target against it where an announcement of the target that had the address before was held up on its way: three such ends hold a request back.

Change: one that was born before the watched target shows no end.

Evidence: test_late_word_of_the_predecessor_shows_no_end failed before. Result: the tests of the detector pass.

--- a/packages/gateway/src/chivepier/gateway/quarantine/crashdetector.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/crashdetector.py
@@ -286,7 +286,13 @@
         # an address is reused only after the previous target has ended
         for incarnation, check in list(self._checks.items()):
             same = check.target.address == target.address
-            if same and incarnation.instance != target.instance:
+            # a late announcement of the one before is none of the next
+            earlier = 0 < target.born < incarnation.born
+            if (
+                same
+                and not earlier
+                and incarnation.instance != target.instance
+            ):
                 self.note_ended(incarnation, now, "replaced")
 
     def _drop_expired(self, now: float) -> None:
--- a/packages/gateway/src/chivepier/gateway/quarantine/tests/test_crashdetector.py
+++ b/packages/gateway/src/chivepier/gateway/quarantine/tests/test_crashdetector.py
@@ -252,6 +252,18 @@
     run_with_fixture(test)
 
 
+def test_late_word_of_the_predecessor_shows_no_end():
+    # An announcement that a cut had held up came after its sender had ended:
+    # it was taken for the successor's, and a sound request for a crashing one.
+    async def test(fixture):
+        fixture.announce("a", 2, born=7)
+        fixture.lose()
+        fixture.announce("c", 1, address="a:80", born=6)
+        assert fixture.reports == []
+
+    run_with_fixture(test)
+
+
 def test_silence_of_one_target_shows_end():
     async def test(fixture):
         fixture.liveness = Liveness.UNKNOWN
