Judge an entry cut off though some targets ask for rest

Cause: a target at rest must not be called, nor probed. It therefore neither fails nor is reached, and a service with fewer than four targets counted as out of reach only when all of them had failed. It asks for rest over an open connection, which outlives a cut that refuses new ones. For the same reason a service that was out of reach stayed so until the rest ended: the probe that is due always went to the target that was not tried for longest, which is the one that must not be.

Evidence: a played test of two entries and three targets, one at rest, the links of one entry refused, fails without the change (no target has room, none forwarded).

Change: a target that must not be called now has no say, unless it was reached within a second; it is not probed; and a loss ends where only such targets are left that have not failed.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -188,7 +188,9 @@
             self.brittle,
             lambda: self.state.entries,
         )
-        self.reach = Reach(self.table, clock, rng, log, self.metrics)
+        self.reach = Reach(
+            self.table, clock, rng, log, self.metrics, gate.may_probe
+        )
         calls = TargetCalls(port, gate, recorder, self.reach)
         self._prober = ReachProber(self.reach, calls.connect, clock, rng)
         self.quarantine = Quarantine(
--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
@@ -9,6 +9,7 @@
 from chivepier.gateway.serving.tests.parts import fail
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import wait_until
+from chivepier.gateway.serving.tests.test_backoffs import record_backoff
 from chivepier.standins.onewaylink import deafen
 from chivepier.standins.onewaylink import mute
 from chivepier.types import ErrorKind
@@ -66,6 +67,22 @@
     play_site(test)
 
 
+def test_requests_are_served_behind_a_cut_beside_targets_that_rest():
+    # A target that had asked for rest over an open connection was not tried,
+    # so that the entry was not cut off by its own judgement: 0 of 32 served.
+    async def test(site):
+        cut_off, other = site.entries
+        record_backoff(cut_off.parts, "w-y", seconds=8.0)
+        cut_off.cut("w-x", "w-y", "w-z")
+        answer(other)
+        for _ in range(3):
+            caller = await cut_off.parts.serve(make_request("/plain/a"))
+            assert caller.status == 200
+        assert other.count_sends() == 3 and cut_off.count_sends() == 0
+
+    play_site(test, targets=("x", "y", "z"))
+
+
 def test_generation_does_not_wait_for_room_behind_a_cut():
     # Requests with a reservation were tried again for three objectives, and
     # then refused.
--- a/packages/gateway/src/chivepier/gateway/reach/reach.py
+++ b/packages/gateway/src/chivepier/gateway/reach/reach.py
@@ -50,13 +50,15 @@
 
     A target that can't be reached says little: it may have ended. If none of
     a service's targets can, though voters hear them, this entry is cut off.
-    Only new connections count: open ones may live on through a cut.
+    Only new connections count: open ones may live on through a cut. A target
+    that must not be called now, as it asked for rest, can't tell of a cut.
 
     :param table: targets that the voters hear
     :param clock: source of monotonic time
     :param rng: draws the requests that are sent from here after a cut
     :param log: event log of this process
     :param metrics: counts changes
+    :param may_try: tells whether a target may be connected to now
     """
 
     def __init__(
@@ -66,7 +68,11 @@
         rng: random.Random,
         log: EventLog,
         metrics: Metrics,
+        may_try: collections.abc.Callable[
+            [Target], bool
+        ] = lambda target: True,
     ):
+        self._may_try = may_try
         self._table = table
         self._clock = clock
         self._rng = rng
@@ -175,8 +181,15 @@
             self.forgotten.set()
 
     def end_without_targets(self, service: str) -> None:
-        """End the loss of a service that no target announces any more."""
-        if self._are_silent(self._list_candidates(service)):
+        """End the loss of a service that none of its targets shows any more.
+
+        They are silent, or are left alone until they may be called again.
+        """
+        candidates = self._list_candidates(service)
+        if self._are_silent(candidates) or all(
+            not self._get(target).has_failed and not self._may_try(target)
+            for target in candidates
+        ):
             self._losses.pop(service, None)
             self._notify(service, False)
 
@@ -192,7 +205,11 @@
             found = self._list_candidates(service)
             if all(self._get(t).reached_at < since for t in found):
                 failed = [t.instance for t in self._list_failed(service)]
-                untried = [t for t in found if t.instance not in failed]
+                untried = [
+                    target
+                    for target in found
+                    if target.instance not in failed and self._may_try(target)
+                ]
                 count = min(VERIFY_COUNT, len(untried))
                 targets += self._rng.sample(untried, count)
         return targets
@@ -205,7 +222,7 @@
     def find_next_probe(self, service: str) -> Target | None:
         """Return the target that was not tried for the longest time."""
         return min(
-            self._list_candidates(service),
+            filter(self._may_try, self._list_candidates(service)),
             key=lambda target: self._get(target).failed_at,
             default=None,
         )
@@ -234,11 +251,18 @@
         """Tell whether recent failures show that this entry is cut off."""
         candidates = self._list_candidates(service)
         failed = self._list_failed(service)
-        if not failed or len(failed) < min(len(candidates), MIN_FAILED):
+        names = {target.instance for target in failed}
+        others = [t for t in candidates if t.instance not in names]
+        if not failed or (
+            len(failed) < MIN_FAILED and any(map(self._may_try, others))
+        ):
             return False
         if self._are_silent(failed):
             return False
         first = min(self._get(target).failed_at for target in failed)
+        if len(failed) < MIN_FAILED and others:
+            # those that are left alone can't contradict
+            first = min(first, self._clock.monotonic() - DOUBT_SECONDS)
         return all(self._get(t).reached_at < first for t in candidates)
 
     def _begin(self, service: str) -> None:
--- a/packages/gateway/src/chivepier/gateway/reach/tests/test_reach.py
+++ b/packages/gateway/src/chivepier/gateway/reach/tests/test_reach.py
@@ -49,7 +49,15 @@
             self.table.put(target)
         log = EventLog("e1", os.open(os.devnull, os.O_WRONLY))
         self.rng = random.Random(1)
-        self.reach = Reach(self.table, self.clock, self.rng, log, Metrics())
+        self.resting: set[str] = set()
+        self.reach = Reach(
+            self.table,
+            self.clock,
+            self.rng,
+            log,
+            Metrics(),
+            lambda target: target.instance not in self.resting,
+        )
 
     def fail(self, *numbers: int) -> None:
         """Record that connecting to some targets failed."""
@@ -80,6 +88,41 @@
     assert site.reach.is_lost("s")
 
 
+@pytest.mark.parametrize(("count", "resting"), ((2, 1), (3, 1), (3, 2)))
+def test_service_is_lost_though_some_targets_ask_for_rest(count, resting):
+    # Callers of an entry were refused while a target that must not be called
+    # left the others' failures without a verdict.
+    site = Site(count)
+    site.resting |= {f"t{n}" for n in range(count - resting, count)}
+    site.fail(*range(count - resting))
+    assert site.reach.is_lost("s")
+
+
+def test_target_that_was_reached_before_its_rest_shows_no_cut():
+    # An entry handed all requests over as one target ended beside one that
+    # had asked for rest a moment before.
+    site = Site(2)
+    site.reach.note_reached(site.targets[1])
+    site.resting.add("t1")
+    site.fail(0)
+    assert not site.reach.is_lost("s")
+    site.clock.advance(1.1)
+    site.fail(0)
+    assert site.reach.is_lost("s")
+
+
+def test_target_that_rests_alone_is_no_cut():
+    # Requests went to other entries for as long as a target asked for rest.
+    site = Site(2)
+    site.resting.add("t1")
+    site.fail(0)
+    site.reach.end_without_targets("s")
+    assert site.reach.is_lost("s")
+    site.table.mark_gone("t0", "t0:80")
+    site.reach.end_without_targets("s")
+    assert not site.reach.is_lost("s")
+
+
 def test_targets_that_ended_together_are_no_cut():
     # Callers were led from entry to entry while a service had no target.
     site = Site(2, beat=1.0)
@@ -170,6 +213,18 @@
     play_probes(20, lambda *_: False, 0.0, work)
 
 
+def test_end_of_a_cut_is_found_beside_a_target_that_rests():
+    # Only the one that must not be called was tried, and that is no attempt.
+    async def work(site, began):
+        site.resting.add("t0")
+        site.fail(1, 2)
+        assert site.reach.is_lost("s")
+
+    state, probes = play_probes(3, lambda *_: True, 1.0, work)
+    assert state is not ReachState.LOST
+    assert "t0" not in {name for _, name in probes}
+
+
 def test_ended_target_is_told_from_a_cut():
     async def work(site, began):
         site.reach.note_failed(site.targets[0], "timeout", hung=True)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -194,7 +194,9 @@
             Metrics(),
             self.reports,
         )
-        self.reach = Reach(self.table, clock, rng, log, self.metrics)
+        self.reach = Reach(
+            self.table, clock, rng, log, self.metrics, gate.may_probe
+        )
         self.reach.watchers.append(balancer.avoidance.set_cut_off)
         calls = TargetCalls(self.engines, gate, remarks, self.reach)
         self.quarantine = Quarantine(
