Count a voter that has not answered a new leader as lost

Cause: the silence of a voter that has never answered a new leader begins with its lead, so that for one second each voter counts as one that answers.

What is removed, and when, stays.

--- a/packages/gateway/src/chivepier/gateway/control/surveylog.py
+++ b/packages/gateway/src/chivepier/gateway/control/surveylog.py
@@ -33,7 +33,8 @@
         :param healths: all voters
         :param removal: which of them is to be removed, and why
         """
-        lost = [h for h in healths if h.silent >= LOST_SECONDS]
+        # a new leader doesn't know that those bear a loss who never answered
+        lost = [h for h in healths if h.silent >= LOST_SECONDS or not h.heard]
         key = (
             [h.voter for h in healths],
             [h.voter for h in lost],
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_membership.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_membership.py
@@ -117,6 +117,10 @@
             return 0.0
         return now - self._silent_at.setdefault(node, now)
 
+    def has_answered(self, node: str) -> bool:
+        """Tell that a voter answered this leader, before it was silent."""
+        return True
+
     async def add(self, voter: Voter) -> None:
         """Add a voter."""
         self.voters.append(voter)
--- a/packages/gateway/src/chivepier/gateway/control/tests/test_trouble.py
+++ b/packages/gateway/src/chivepier/gateway/control/tests/test_trouble.py
@@ -126,3 +126,33 @@
         assert follower.takes_part()
 
     play(test, tmp_path)
+
+
+def test_voter_that_ended_is_no_loss_that_a_new_leader_bears(tmp_path):
+    # Guards against a disk taken away, on a new leader's word, that was one
+    # too many beside a voter that had ended before.
+    surveys: list[dict] = []
+
+    async def test(fleet: Fleet) -> None:
+        await fleet.write(2)
+        await wait_until(lambda: fleet.find_leader() is not None)
+        leader = fleet.find_leader()
+        ended = leader.replica.node
+        address = next(a for a, v in fleet.voters.items() if v is leader)
+        await wait_until(lambda: len(leader.replica.voters) == 4)
+        await fleet.stop(address)
+
+        def note(event: str, **fields) -> None:
+            if event == "voters":
+                surveys.append(fields)
+
+        for voter in fleet.voters.values():
+            voter.membership._survey._log.info = note
+        await wait_until(
+            lambda: surveys and ended not in surveys[-1]["voters"]
+        )
+        assert surveys[-1]["losses_borne"] == 1
+        beside = [s for s in surveys if ended in s["voters"]]
+        assert beside and all(s["losses_borne"] < 1 for s in beside)
+
+    play(test, tmp_path, 4)
--- a/packages/gateway/src/chivepier/gateway/control/voterhealth.py
+++ b/packages/gateway/src/chivepier/gateway/control/voterhealth.py
@@ -11,6 +11,7 @@
 
     :param voter: identity and address
     :param silent: since its last answer to this leader
+    :param heard: whether it has answered this leader at all
     :param behind: for how long it has not answered with the whole log
     :param stops: whether it has said that it is about to stop
     :param replaced: whether another voter has joined since it fell behind
@@ -18,6 +19,7 @@
 
     voter: Voter
     silent: float = 0.0
+    heard: bool = True
     behind: float = 0.0
     stops: bool = False
     replaced: bool = False
--- a/packages/gateway/src/chivepier/gateway/control/voterwatch.py
+++ b/packages/gateway/src/chivepier/gateway/control/voterwatch.py
@@ -70,6 +70,7 @@
         return VoterHealth(
             voter=voter,
             silent=self._replica.changes.measure_silence(voter.node),
+            heard=self._replica.changes.has_answered(voter.node),
             behind=now - since,
             stops=voter.node in self._stopping,
             replaced=any(at > since for at in self._added_at.values()),
--- a/packages/state/src/chivepier/state/voterchanges.py
+++ b/packages/state/src/chivepier/state/voterchanges.py
@@ -170,6 +170,17 @@
             return now - core.last_leader_heard
         return led
 
+    def has_answered(self, node: str) -> bool:
+        """Tell whether a voter has answered this leader in its term.
+
+        :param node: the voter's identity
+        :raises NotLeaderError: when this voter does not lead
+        """
+        core, tenure = self._core, self._core.tenure
+        if tenure is None:
+            raise NotLeaderError(core.leader)
+        return node == core.node or node in tenure.acked
+
     def _silent(self, tenure: Tenure, node: str) -> float:
         if node == self._core.node:
             return 0.0
