Test each pair of replies to the question who answers at an address

The model of ends takes the findings for granted. With real sockets, in played time: a close, a reset, silence, a late answer and one to another request tell nothing, the question is asked once more, and the first word counts.

--- a/tests/adapter/test_identity.py
+++ b/tests/adapter/test_identity.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import contextlib
+import itertools
 
 import pytest
 
 from adapter.httptargetclient import HttpTargetClient
 from chivepier.gateway.serving import Identity
+from chivepier.standins.playedloop import play_time
 from exchange import build_answer
 from exchange import OPTIONS
 from exchange import read_all
@@ -32,6 +34,20 @@
     "no-target": (b"404 Not Found", b"", Identity.UNKNOWN),
     "error": (b"500 Error", b"", Identity.UNKNOWN),
 }
+ITSELF = build_answer(b"", b"", OWN_NAME)
+# Seconds after which the time of an attempt to ask is over.
+LATE_SECONDS = 0.6
+# What a connection brings for the question, and what that tells; ``None``
+# if it tells nothing, so that the question is asked again.
+REPLIES = {
+    "itself": Identity.SAME,
+    "another": Identity.OTHER,
+    "closed": None,
+    "reset": None,
+    "hangs": None,
+    "late": None,
+    "wrong-id": None,
+}
 
 
 @contextlib.asynccontextmanager
@@ -150,3 +166,47 @@
             assert await ask(targets, target) is Identity.UNKNOWN
 
     asyncio.run(test())
+
+
+async def reply_with(reply: str, writer: asyncio.StreamWriter) -> None:
+    """Answer a question, or end its connection, in a named way."""
+    match reply:
+        case "itself":
+            writer.write(ITSELF)
+        case "another":
+            writer.write(build_answer(b"", b"", OTHER_NAME))
+        case "closed":
+            writer.close()
+        case "reset":
+            rawtarget.reset(writer)
+        case "late":
+            await asyncio.sleep(LATE_SECONDS)
+            writer.write(ITSELF)
+        case "wrong-id":
+            writer.write(build_answer(b"", b"r1", OWN_NAME))
+
+
+@pytest.mark.parametrize(
+    "replies", tuple(itertools.product(REPLIES, repeat=2)), ids="-".join
+)
+def test_question_is_asked_again_where_a_connection_tells_nothing(replies):
+    # A late answer, one to another request or none at all is nobody's word;
+    # the model of ends takes these findings for granted.
+    connections = []
+
+    async def answer(reader, writer):
+        connections.append(writer)
+        await reader.readuntil(b"\r\n\r\n")
+        await reply_with(replies[len(connections) - 1], writer)
+
+    async def test():
+        async with serve(answer) as (targets, target, _):
+            found = await ask(targets, target)
+            # what is still on its way must find nobody who counts it
+            await asyncio.sleep(LATE_SECONDS)
+            return found
+
+    told = [REPLIES[reply] for reply in replies]
+    known = [identity for identity in told if identity is not None]
+    assert play_time(test()) is (known[0] if known else Identity.UNKNOWN)
+    assert len(connections) == (1 if told[0] is not None else 2)
