--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -9,6 +9,8 @@
 from chivepier.gateway.serving.callpurpose import CallPurpose
 from chivepier.gateway.serving.dispatcher import Dispatcher
 from chivepier.gateway.serving.endcause import EndCause
+from chivepier.gateway.serving.endcheck import CONFIRM_SECONDS
+from chivepier.gateway.serving.endcheck import EndCheck
 from chivepier.gateway.serving.endjudge import EndJudge
 from chivepier.gateway.serving.endjudge import wait_for_handoff
 from chivepier.gateway.serving.errors import BrokenAnswerError
@@ -17,7 +19,6 @@
 from chivepier.gateway.serving.eventsplitter import EventSplitter
 from chivepier.gateway.serving.eventsplitter import has_fields
 from chivepier.gateway.serving.eventsplitter import has_new_part
-from chivepier.gateway.serving.eventsplitter import is_unfinished
 from chivepier.gateway.serving.eventsplitter import parse_event_number
 from chivepier.gateway.serving.handoff import Handoff
 from chivepier.gateway.serving.liverun import LiveRun
@@ -35,11 +36,6 @@
 # Seconds for the next target to answer. It admits a resumed generation before
 # all others, and sends the head with the first event.
 RESUME_ANSWER_SECONDS = 2.0
-# Seconds for another target to be asked, and to tell, what follows the last
-# event: the caller has all events, and gives up after two without the end.
-CONFIRM_SECONDS = 1.0
-# Seconds after an end in which such a check may begin.
-MAX_VOUCH_SECONDS = 0.8
 # Seconds without a byte after which a target counts as unreachable; callers
 # wait longer than this.
 STALL_SECONDS = 1.5
@@ -74,11 +70,7 @@
         self._splitter = EventSplitter()
         self._head_sent = False
         self._before_events = b""
-        self._vouched: VouchedEnd | None = None
-        # when the check of an end is over, in monotonic seconds
-        self._confirm_until: float | None = None
-        # whether an event without a number is the last that the caller has
-        self._is_past_number = False
+        self._check = EndCheck(dispatcher, plan)
         # number of the last event before one of which a part came
         self._partial_after: int | None = None
         self._judge = EndJudge(
@@ -111,11 +103,11 @@
                     started = fresh
                     continue
                 await self._note_lost(run)
-                if self._is_still_vouched(run, end):
+                if self._check.is_answered_by_nothing(run, end):
                     self._note_answered(run, started)
                     await self._finish(head, run, b"")
                     return
-                self._confirm_until = None
+                self._check.end()
                 started = await self._resume(run, started)
                 if started is None:
                     break
@@ -153,13 +145,11 @@
                 service = self._plan.service.name
                 self._dispatcher.confirmations.note_framed(service)
             return None
-        if self._is_vouched(run) or not self._may_confirm(run):
+        if self._check.is_vouched(run) or not self._check.may_begin(run):
             return None
-        self._vouched = VouchedEnd(
-            run.last_event_number, started, self._is_whole_run(run)
+        self._check.begin(
+            VouchedEnd(run.last_event_number, started, self._is_whole_run(run))
         )
-        now = self._dispatcher.clock.monotonic()
-        self._confirm_until = now + CONFIRM_SECONDS
         try:
             async with asyncio.timeout(CONFIRM_SECONDS):
                 rerun = await self._choose_rerun(run)
@@ -177,44 +167,12 @@
         )
         return await self._try_handoff(run, rerun, started)
 
-    def _may_confirm(self, run: LiveRun) -> bool:
-        dispatcher, plan = self._dispatcher, self._plan
-        now = dispatcher.clock.monotonic()
-        left = plan.deadline - now
-        return (
-            plan.repeatable
-            # the target may have been slow to vouch for the end
-            and now - run.heard_at <= MAX_VOUCH_SECONDS
-            and not run.forwarded
-            and not run.stopped
-            and run.last_event_number > 0
-            and not self._is_past_number
-            and run.earlier_runs + len(run.ran_at) < plan.route.attempts
-            and left > CONFIRM_SECONDS
-            and dispatcher.state.ends_at is None
-            and dispatcher.guard.may_repeat_freely(plan)
-            and dispatcher.confirmations.take(plan.service.name)
-        )
-
-    def _is_still_vouched(self, run: LiveRun, end: BodyEnd) -> bool:
-        """Tell whether an end stands, as the target that checks it told none.
-
-        :param end: how the answer of that target has ended
-        """
-        nothing_came = not end.events and not is_unfinished(end.remainder)
-        return nothing_came and self._is_vouched(run)
-
-    def _is_vouched(self, run: LiveRun) -> bool:
-        """Tell whether a target has vouched for an end after this event."""
-        vouched = self._vouched
-        return vouched is not None and vouched.after == run.last_event_number
-
     def _note_answered(self, run: LiveRun, started: StartedAnswer) -> None:
         whole_run = self._is_whole_run(run)
-        if self._is_vouched(run):
+        if self._check.is_vouched(run):
             # nothing followed: the target that was asked has answered nothing
-            started = self._vouched.started
-            whole_run = self._vouched.whole_run
+            vouched = self._check.vouched
+            started, whole_run = vouched.started, vouched.whole_run
         self._dispatcher.guard.note_answered(self._plan, started, whole_run)
 
     def _is_whole_run(self, run: LiveRun) -> bool:
@@ -272,7 +230,7 @@
         if self._plan.repeatable and not run.forwarded:
             # an unreachable target does not close the connection; a generation
             # that can be run elsewhere need not wait for its deadline
-            seconds = self._limit_to_check(STALL_SECONDS)
+            seconds = self._check.limit(STALL_SECONDS)
         # only reads have a timeout: cancelling a write would lose an event
         # whose number has already been recorded
         async with run.limit_wait(seconds):
@@ -282,13 +240,6 @@
         self._dispatcher.guard.note_growing(run)
         return data
 
-    def _limit_to_check(self, seconds: float) -> float:
-        """Return a wait, cut to what is left of the check of an end."""
-        if self._confirm_until is None:
-            return seconds
-        left = self._confirm_until - self._dispatcher.clock.monotonic()
-        return max(0.0, min(seconds, left))
-
     async def _try_handoff(
         self, run: LiveRun, handoff: Handoff, started: StartedAnswer
     ) -> StartedAnswer | None:
@@ -321,11 +272,9 @@
                 continue
             if number is not None:
                 run.last_event_number = number
-                self._is_past_number = False
-                self._confirm_until = None
+                self._check.note_event(numbered=True)
             elif has_fields(event):
-                self._is_past_number = True
-                self._confirm_until = None
+                self._check.note_event(numbered=False)
             fresh.append(event)
         data = b"".join(fresh)
         if not self._head_sent and not self._splitter.events:
@@ -479,8 +428,8 @@
 
     async def _acquire_permit(self, target: Target) -> None:
         plan, seconds = self._plan, None
-        if self._confirm_until is not None:
-            seconds = self._limit_to_check(CONFIRM_SECONDS)
+        if self._check.is_under_way:
+            seconds = self._check.limit(CONFIRM_SECONDS)
         try:
             async with asyncio.timeout(seconds):
                 await self._dispatcher.gate.acquire_resume_permit(
@@ -505,7 +454,7 @@
             after_event=str(run.last_event_number),
             once=not plan.repeatable,
         )
-        answer_seconds = self._limit_to_check(RESUME_ANSWER_SECONDS)
+        answer_seconds = self._check.limit(RESUME_ANSWER_SECONDS)
         if not answer_seconds:
             raise NotSentError("the check is over")
         seconds = min(options.seconds, answer_seconds)
