Begin a planned stop of the soak once targets break off no streams

Cause, by the lines of both: the target closed inside an event (body_ended cause=close left_over=12 and 10, taken_for=cut), as drop_lengths lets targets do in the background; the entry told it truly, on a route that may run once. stop_entry waited for targets that crash and not for these, so the fault didn't keep what it says: 'without other faults'. The check stands as it is.

Change: it waits for them too.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -182,7 +182,9 @@
         count = self._rng.randint(1, len(self._soak.targets))
         for target in self._rng.sample(self._soak.targets, count):
             if not target.framing.lengthless:
-                self._begin(self._drop_lengths_of(target))
+                self._breaking.add(
+                    self._begin(self._drop_lengths_of(target))
+                )
 
     async def _drop_lengths_of(self, target: "SoakTarget") -> None:
         target.framing.lengthless = True
@@ -387,7 +389,7 @@
 
     async def stop_entry(self) -> None:
         """Stop an entry without other faults; it must abort no request."""
-        # a target that crashes breaks off what the entry relays
+        # a target that crashes, or breaks streams off, ends what is relayed
         await asyncio.gather(*self._breaking)
         await asyncio.sleep(SETTLE_SECONDS)
         entry = self._rng.choice(self._soak.entries)
