--- a/soak/faults.py
+++ b/soak/faults.py
@@ -182,9 +182,7 @@
         count = self._rng.randint(1, len(self._soak.targets))
         for target in self._rng.sample(self._soak.targets, count):
             if not target.framing.lengthless:
-                self._breaking.add(
-                    self._begin(self._drop_lengths_of(target))
-                )
+                self._breaking.add(self._begin(self._drop_lengths_of(target)))
 
     async def _drop_lengths_of(self, target: "SoakTarget") -> None:
         target.framing.lengthless = True
