Split the tests of the client for targets by subject

The line that says that a request did not run moves to the scripted exchanges, which three files share.

--- a/tests/adapter/exchange.py
+++ b/tests/adapter/exchange.py
@@ -6,6 +6,7 @@
 from chivepier.gateway.serving import SendOptions
 import rawtarget
 
+NOT_RUN_LINE = b"X-Chivepier-Not-Run: 1\r\n"
 UNAVAILABLE = b"503 Service Unavailable"
 OPTIONS = SendOptions(seconds=1.5, team="t1", urgency=2)
 ONCE_OPTIONS = SendOptions(seconds=1.5, once=True)
