Count arrivals at cold targets of the soak by name

Cause: the check counted by address. What a cold target bears is stated for a target. One under another name is another target, whose announcement is its own, and the leader counts permits by name (SlidingWindowLimiter), so that 12 are permitted for each. What had warmed or loaded the first died with it.

Change: arrivals are counted by the target's name. It is as strict as before for each target: a target that starts again under its own name, as the soak's restarts do, keeps its arrivals over the restart; those of one name are not forgotten as another comes; and the limit of a target that comes back within a cold time holds from its first arrival, without a second of notice.

--- a/soak/coldchecker.py
+++ b/soak/coldchecker.py
@@ -13,9 +13,11 @@
 
 @attrs.define
 class ColdChecker:
-    """Counts the requests at a target while its limit holds.
+    """Counts the requests at each target of an address while its limit holds.
 
-    All times are in monotonic seconds.
+    A target that starts under another name is another one: it has nothing of
+    what its predecessor ran, and entries take permits for each name. One that
+    keeps its name keeps its arrivals. All times are in monotonic seconds.
 
     :param violations: descriptions of the excesses found
     """
@@ -23,7 +25,7 @@
     violations: list[str]
     _cold_until: float = 0.0
     _limited_from: float | None = None
-    _arrivals: list[float] = attrs.field(factory=list)
+    _arrivals: dict[str, list[float]] = attrs.field(factory=dict)
 
     @property
     def seconds_left(self) -> float:
@@ -40,10 +42,11 @@
         if self._limited_from is None:
             self._limited_from = time.monotonic() + COLD_NOTICE_SECONDS
 
-    def count_arrival(self, address: str) -> int:
+    def count_arrival(self, address: str, instance: str) -> int:
         """Count a request that arrives.
 
         :param address: address of the target, for descriptions
+        :param instance: name of the target that runs there now
         :returns: number of requests within a second; 0 without a limit
         """
         now = time.monotonic()
@@ -51,9 +54,10 @@
         if limited_from is None or not limited_from <= now < self._cold_until:
             self._arrivals.clear()
             return 0
-        self._arrivals = [at for at in self._arrivals if now - at < 1.0]
-        self._arrivals.append(now)
-        if len(self._arrivals) > MAX_COLD_REQUESTS:
-            text = f"{len(self._arrivals)} a second at cold {address}"
-            self.violations.append(text)
-        return len(self._arrivals)
+        earlier = self._arrivals.get(instance, ())
+        arrivals = [*(at for at in earlier if now - at < 1.0), now]
+        self._arrivals[instance] = arrivals
+        if len(arrivals) > MAX_COLD_REQUESTS:
+            text = f"{len(arrivals)} a second at cold {address}"
+            self.violations.append(f"{text}, {instance}")
+        return len(arrivals)
--- a/soak/target.py
+++ b/soak/target.py
@@ -159,7 +159,7 @@
         if self.is_evacuated(self.zone):
             text = f"{self.address} was sent to in evacuated {self.zone}"
             self._checker.violations.append(text)
-        count = self._cold.count_arrival(self.address)
+        count = self._cold.count_arrival(self.address, self.instance)
         if count:
             self._log_cold_arrival(request, count)
 
