Let the soak not hold entries to rests behind a second answer

Cause: the check. A target that spoils answers sends one twice, or a second time without its id, where the next one on that connection is due, or a moment later. The entry gets that one in place of the answer to its next request, sees that it names another request or none, and closes the connection: nobody can read the refusal behind it. The check took that refusal for read, as its own answer wasn't spoiled.

Change: an answer counts as read only on a connection that no second answer was sent on before, and only where somebody is still connected. All other answers are held against the entry as before. soak.log now has each refusal with whether it can be read, and each request that ignores a signal.

The new test fails without the change with "e1 sent 1.00 s after it was asked to wait 3.00 s" for each of the three faults, and sees that a refusal on the next connection is held against the entry.

--- a/soak/answerfaults.py
+++ b/soak/answerfaults.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import random
+import weakref
 
 from aiohttp import web
 import attrs
@@ -60,13 +61,39 @@
     _due: dict[asyncio.BaseTransport, bytes] = attrs.field(
         factory=dict, init=False
     )
+    # connections whose next answers stand behind a second one
+    _crossed: weakref.WeakSet[asyncio.BaseTransport] = attrs.field(
+        factory=weakref.WeakSet, init=False
+    )
 
     def send_due(self, request: web.BaseRequest) -> None:
         """Send the second answer to an earlier request of a connection."""
         due = self._due.pop(request.transport, None)
         if due is not None:
             self.spoiled += 1
-            request.transport.write(due)
+            self._write(request.transport, due)
+
+    def can_be_read(
+        self, request: web.BaseRequest, fault: AnswerFault | None
+    ) -> bool:
+        """Tell whether the other side can know what an answer says.
+
+        Where a second answer was sent before, that one comes in its place,
+        and whoever asked closes the connection.
+
+        :param request: the request that is answered now
+        :param fault: what happens to the answer
+        """
+        transport = request.transport
+        if transport is None or fault in UNREADABLE:
+            return False
+        return transport not in self._crossed
+
+    def _write(self, transport: asyncio.BaseTransport, data: bytes) -> None:
+        """Send a second answer, unless the connection has ended."""
+        if not transport.is_closing():
+            self._crossed.add(transport)
+            transport.write(data)
 
     def draw(self) -> AnswerFault | None:
         """Draw what happens to the next answer; ``None`` for nothing."""
@@ -101,7 +128,7 @@
             case AnswerFault.LATE:
                 delay = self.rng.uniform(*LATE_SECONDS)
                 loop = asyncio.get_running_loop()
-                loop.call_later(delay, _write, transport, data)
+                loop.call_later(delay, self._write, transport, data)
             case AnswerFault.UNNAMED:
                 self._due[transport] = encode(answer, named=False)
                 return answer
@@ -151,8 +178,3 @@
         headers={**answer.headers, **(headers or {})},
         body=answer.body,
     )
-
-
-def _write(transport: asyncio.BaseTransport, data: bytes) -> None:
-    if not transport.is_closing():
-        transport.write(data)
--- a/soak/signalchecker.py
+++ b/soak/signalchecker.py
@@ -45,13 +45,15 @@
     _backoffs: dict[str, list[tuple[float, float]]] = attrs.field(factory=dict)
     _leaving_since: dict[str, float] = attrs.field(factory=dict)
 
-    def check_arrival(self, entry: str, sent: float, now: float) -> None:
+    def check_arrival(self, entry: str, sent: float, now: float) -> bool:
         """Check a request that arrives.
 
         :param entry: address of the entry that sent it
         :param sent: time at which its caller sent it, in monotonic seconds
         :param now: current time, in monotonic seconds
+        :returns: whether the entry ignored a signal
         """
+        before = len(self.violations)
         for since, until in self._backoffs.get(entry, ()):
             late = since + IN_FLIGHT_SECONDS <= now < until
             if late and not self.is_excused(entry, since):
@@ -64,6 +66,7 @@
                 self.violations.append(
                     f"{text} the target said that it leaves"
                 )
+        return len(self.violations) > before
 
     def record_answer(self, entry: str, refused: bool, now: float) -> None:
         """Record the signals in an answer to an entry."""
--- a/soak/target.py
+++ b/soak/target.py
@@ -13,7 +13,6 @@
 
 from soak.answerfaults import AnswerFault
 from soak.answerfaults import AnswerFaults
-from soak.answerfaults import UNREADABLE
 from soak.coldchecker import ColdChecker
 from soak.framing import Framing
 from soak.invariantchecker import InvariantChecker
@@ -288,7 +287,9 @@
         if overloaded or not request.path.startswith(STREAM_PATHS):
             fault = self.answer_faults.draw()
         echo |= self._check_signals(
-            request, overloaded, fault not in UNREADABLE
+            request,
+            overloaded,
+            self.answer_faults.can_be_read(request, fault),
         )
         echo |= self.load.make_headers()
         if overloaded:
@@ -380,11 +381,29 @@
             # another entry may have sent what this one was asked for
             entry = self.senders.find(_find_peer(request)) or asked
             sent = float(request.headers["X-Sent"])
-            self.signals.check_arrival(entry, sent, now)
+            if self.signals.check_arrival(entry, sent, now):
+                self._log_signal("signal_ignored", request, entry)
             if readable:
                 self.signals.record_answer(entry, refused, now)
+            if refused:
+                self._log_signal("refused", request, entry, readable=readable)
         return self.signals.make_headers(refused)
 
+    def _log_signal(
+        self, event: str, request: web.BaseRequest, entry: str, **fields
+    ) -> None:
+        if self.log is not None:
+            sent = float(request.headers["X-Sent"])
+            self.log.write(
+                event,
+                target=self.instance,
+                id=request.headers["X-Chivepier-Request-Id"],
+                entry=entry,
+                sent_ms=round(1000 * (time.monotonic() - sent)),
+                rest=self.signals.rest,
+                **fields,
+            )
+
     async def _stream(
         self, request, response, fault_mode, early_end=None
     ) -> None:
--- a/soak/tests/test_signals.py
+++ b/soak/tests/test_signals.py
@@ -1,11 +1,18 @@
 """Tests of backoff and leaving signals that only answers carry."""
 
 import asyncio
+import contextlib
+import random
+import time
 
 import pytest
 
+from soak.answerfaults import AnswerFault
 from soak.blocks import reserve_block
+from soak.invariantchecker import InvariantChecker
+from soak.signalchecker import make_sender_headers
 from soak.signalchecker import SignalChecker
+from soak.target import SoakTarget
 from soak.trafficscenario import TrafficScenario
 
 REST_SECONDS = 3.0
@@ -84,3 +91,70 @@
     signals.is_excused = lambda entry, since: True
     signals.check_arrival("e1", 12.9, 12.9)
     assert len(signals.violations) == 2
+
+
+async def ask(target: SoakTarget, identity: str, reader, writer) -> str:
+    """Send a request; return the id that the answer names."""
+    headers = make_sender_headers("e1") | {
+        "X-Chivepier-Request-Id": identity,
+        "X-Chivepier-Expect-Instance": target.instance,
+        "Host": "h.example",
+    }
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    head = "\r\n".join(["GET /once/x HTTP/1.1", *lines])
+    writer.write(head.encode() + b"\r\n\r\n")
+    return await read_id(reader)
+
+
+async def read_id(reader: asyncio.StreamReader) -> str:
+    """Read an answer; return the id that it names."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    fields = dict(line.split(": ") for line in head.split("\r\n")[1:-2])
+    await reader.readexactly(int(fields["Content-Length"]))
+    return fields.get("X-Chivepier-Request-Id", "")
+
+
+async def ask_crossed(target: SoakTarget, fault: AnswerFault) -> None:
+    """Ask for rest behind the second answer to an earlier request."""
+    host, port = target.address.split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    with contextlib.closing(writer):
+        target.answer_faults.kinds, target.answer_faults.share = (fault,), 1.0
+        assert await ask(target, "a", reader, writer) == "a"
+        if fault is AnswerFault.LATE:
+            assert await read_id(reader) == "a"
+        target.answer_faults.kinds = ()
+        target.signals.overloaded, target.signals.rest = True, REST_SECONDS
+        got = await ask(target, "b", reader, writer)
+        match fault:
+            case AnswerFault.LATE:
+                assert got == "b"
+            case _:
+                assert got != "b" and await read_id(reader) == "b"
+
+
+@pytest.mark.parametrize(
+    "fault", (AnswerFault.REPEATED, AnswerFault.UNNAMED, AnswerFault.LATE)
+)
+def test_backoff_behind_a_second_answer_is_not_held_against_an_entry(fault):
+    # An entry closes a connection that brings a foreign answer, and counted as
+    # asked to wait by the one behind it.
+    async def work(target: SoakTarget) -> None:
+        async with target:
+            await ask_crossed(target, fault)
+            now = time.monotonic()
+            target.signals.check_arrival("e1", now, now + 1.0)
+            assert target.signals.violations == []
+            host, port = target.address.split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            with contextlib.closing(writer):
+                assert await ask(target, "c", reader, writer) == "c"
+            target.signals.check_arrival("e1", now, now + 1.0)
+            assert len(target.signals.violations) == 1
+
+    with reserve_block() as block:
+        address = f"127.{block}.3.1:8080"
+        checker = InvariantChecker()
+        rng = random.Random(1)
+        target = SoakTarget(address, address, [], checker, rng)
+        asyncio.run(work(target))
