Tell the forwarding entry what told an answer's end

What was seen: an entry that forwards a stream took its end for framed, whatever the target sent. A request that is suspected of ending targets was cleared at that entry, though the end of its answer was only vouched for, which at the entry with the target clears nothing.

Cause: `ForwardedAnswer.facts` were those of any framed answer.

Change: the last part of a forwarded answer tells whether a length or chunks told its end (`ForwardPart.framed`; false by default, so that an entry of an earlier release clears nothing). `CallerConnection.finish` takes it; callers over HTTP see no difference, ends of forwarded streams are judged as before.

Tests changed: `FakeCaller.finish` and one call of `ResponseWriter.finish` take the new argument.

--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
@@ -28,7 +28,8 @@
         self.status = part.status
         self.headers = unpack_headers(part.headers)
         self.length = None if part.length < 0 else part.length
-        self.facts = AnswerFacts()
+        # until its last part tells
+        self.facts = AnswerFacts(vouched=True)
         self._channel = channel
         self._handle = part.handle
         self._offset = 0
@@ -59,6 +60,8 @@
         self._pending = part.data
         self._offset += len(part.data)
         self._state = ForwardState(part.state)
+        if self._state is ForwardState.COMPLETE and part.framed:
+            self.facts = AnswerFacts()
 
     def close(self) -> None:
         """Tell the other entry that the rest is not wanted."""
--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardsession.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardsession.py
@@ -32,6 +32,7 @@
         self.task: asyncio.Task | None = None
         self._clock = clock
         self._state = ForwardState.OPEN
+        self._framed = False
         self._failure: Failure | None = None
         self._reason = ""
         self._status = 0
@@ -70,8 +71,9 @@
         self._data += data
         self._changed.set()
 
-    async def finish(self) -> None:
-        """End the answer as complete."""
+    async def finish(self, framed: bool) -> None:
+        """End the answer as complete, and keep what told its end."""
+        self._framed = framed
         self._end(ForwardState.COMPLETE)
 
     def abort(self) -> None:
@@ -117,4 +119,5 @@
             message=self._reason,
             length=NO_LENGTH if self._length is None else self._length,
             data=bytes(self._data),
+            framed=self._framed,
         )
--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardedends.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardedends.py
@@ -101,3 +101,29 @@
             assert site.count_sends() == 1
 
     play_site(test)
+
+
+@pytest.mark.parametrize("framed", (True, False))
+def test_forwarded_answer_clears_a_request_by_its_framing_alone(framed):
+    # An answer whose end was only vouched for cleared a suspected request.
+    async def test(site):
+        cut_off, other = site.entries
+        cut_off.cut(*ALL)
+        other.parts.engines.facts = AnswerFacts(framed=framed)
+        request = make_request("/resume/a")
+        digest = cut_off.parts.planner.plan(request).digest
+        for entry in site.entries:
+            entry.parts.hold_back(request)
+            entry.parts.order(let_through=request)
+        caller, task = cut_off.parts.start(request)
+        run = await other.parts.engines.wait_run(1)
+        run.make(2)
+        run.end()
+        await task
+        assert caller.finished and caller.numbers == [1, 2]
+        for entry in site.entries:
+            entry.parts.order()
+            held = entry.parts.quarantine.find_hold(digest)
+            assert (held is None) is framed, entry.name
+
+    play_site(test)
--- a/packages/gateway/src/chivepier/gateway/messages/forwardpart.py
+++ b/packages/gateway/src/chivepier/gateway/messages/forwardpart.py
@@ -13,7 +13,10 @@
     ``length`` are the head of the answer; ``status`` is 0 until it is known
     and in later parts, ``length`` -1 if unknown. ``data`` are the next bytes
     of the body. ``kind``, ``ran``, ``message`` and ``retry_after`` describe
-    a failure; ``retry_after`` is in seconds, -1 if there is none.
+    a failure; ``retry_after`` is in seconds, -1 if there is none. ``framed``
+    tells, with the state of a complete answer, that the length or the chunks
+    of a target told its end, and not its word alone; entries of earlier
+    releases don't tell.
     """
 
     handle: int
@@ -26,3 +29,4 @@
     ran: str = ""
     message: str = ""
     retry_after: float = -1.0
+    framed: bool = False
--- a/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
@@ -24,6 +24,8 @@
     :param use: what the connection carried before; ``None`` if not known
     :param framed: whether the head tells where the body ends; otherwise the
         end of the connection ends it
+    :param vouched: whether another entry had its end by word of a target
+        alone, or does not tell
     :param limit: rate limit of the target; ``None`` if answers of this kind
         carry none
     :param backoff: the backoff that the target requests from this entry
@@ -42,6 +44,7 @@
     mismatched: bool = False
     use: ConnectionUse | None = None
     framed: bool = True
+    vouched: bool = False
     limit: Limit | None = NoLimit()
     backoff: Backoff = NoBackoff()
     leaving: bool = False
@@ -49,3 +52,8 @@
     turned_away: bool = False
     max_refusals: float | None = None
     unknown_headers: tuple[str, ...] = ()
+
+    @property
+    def proves_end(self) -> bool:
+        """Whether a target's length or chunks tell where the body ends."""
+        return self.framed and not self.vouched
--- a/packages/gateway/src/chivepier/gateway/serving/callerconnection.py
+++ b/packages/gateway/src/chivepier/gateway/serving/callerconnection.py
@@ -21,8 +21,12 @@
     async def write(self, data: bytes) -> None:
         """Send a part of the body."""
 
-    async def finish(self) -> None:
-        """End the answer as complete."""
+    async def finish(self, framed: bool) -> None:
+        """End the answer as complete.
+
+        :param framed: whether a target's length or chunks told its end, and
+            not its word alone
+        """
 
     def abort(self) -> None:
         """Close the connection so that the answer is seen as incomplete."""
--- a/packages/gateway/src/chivepier/gateway/serving/crashguard.py
+++ b/packages/gateway/src/chivepier/gateway/serving/crashguard.py
@@ -133,12 +133,12 @@
             beginning
         """
         answer = started.answer
-        if answer.facts.framed:
+        if answer.facts.proves_end:
             self._quarantine.note_answered(plan.digest)
         # a target that refuses or fails a request need not have read it
         if not whole_run or answer.status >= 300 or not plan.parts:
             return
-        if answer.facts.framed:
+        if answer.facts.proves_end:
             self._quarantine.note_sound(plan.parts, started.target)
         else:
             self._quarantine.note_unframed(plan.parts, started.target)
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -97,15 +97,15 @@
                     fresh = await self._confirm(run, started, end)
                     if fresh is None:
                         self._dispatcher.runs.note_complete(run)
-                        self._note_answered(run, started)
-                        await self._finish(head, run, end.remainder)
+                        framed = self._note_answered(run, started)
+                        await self._finish(head, run, end.remainder, framed)
                         return
                     started = fresh
                     continue
                 await self._note_lost(run)
                 if self._check.is_answered_by_nothing(run, end):
-                    self._note_answered(run, started)
-                    await self._finish(head, run, b"")
+                    framed = self._note_answered(run, started)
+                    await self._finish(head, run, b"", framed)
                     return
                 self._check.end()
                 started = await self._resume(run, started)
@@ -167,13 +167,15 @@
         )
         return await self._try_handoff(run, rerun, started)
 
-    def _note_answered(self, run: LiveRun, started: StartedAnswer) -> None:
+    def _note_answered(self, run: LiveRun, started: StartedAnswer) -> bool:
+        """Report a whole stream; return whether a framing told its end."""
         whole_run = self._is_whole_run(run)
         if self._check.is_vouched(run):
             # nothing followed: the target that was asked has answered nothing
             vouched = self._check.vouched
             started, whole_run = vouched.started, vouched.whole_run
         self._dispatcher.guard.note_answered(self._plan, started, whole_run)
+        return started.answer.facts.proves_end
 
     def _is_whole_run(self, run: LiveRun) -> bool:
         return not run.moved and run.request.last_event is None
@@ -307,7 +309,11 @@
             )
 
     async def _finish(
-        self, head: TargetAnswer, run: LiveRun, remainder: bytes
+        self,
+        head: TargetAnswer,
+        run: LiveRun,
+        remainder: bytes,
+        framed: bool,
     ) -> None:
         number = parse_event_number(remainder)
         if remainder and not run.has_relayed(number):
@@ -315,7 +321,7 @@
             await self._write(head, run, remainder)
         if not self._head_sent:
             await self._write(head, run, b"")
-        await self._caller.finish()
+        await self._caller.finish(framed)
 
     async def _resume(
         self, run: LiveRun, started: StartedAnswer
--- a/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
@@ -241,7 +241,7 @@
                 for start in range(0, size, PART_BYTES):
                     _extend(limit, deadline)
                     await caller.write(sent.body[start : start + PART_BYTES])
-                await caller.finish()
+                await caller.finish(answer.facts.proves_end)
         except TimeoutError:
             dispatcher.log.warn("answer_unread", id=plan.request.id)
             caller.abort()
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -292,7 +292,7 @@
         self.data += data
         self.changed.set()
 
-    async def finish(self) -> None:
+    async def finish(self, framed: bool) -> None:
         """Record the end of the answer."""
         self.finished = True
 
--- a/tests/adapter/test_slowclients.py
+++ b/tests/adapter/test_slowclients.py
@@ -36,7 +36,7 @@
     writer = ResponseWriter(request, False)
     await writer.begin(200, (), None)
     await writer.write(LARGE)
-    await writer.finish()
+    await writer.finish(True)
     return writer.response
 
 
