Ask for a target's word for failures without a length

What callers saw: a target that was killed amid an answer with a failure's status and neither length nor chunks (404, 409, 500) had that part handed on as the whole answer: 6 of 6 in the new test with sockets; and the model, with the status as a new way, found it in 12 of 12 groups of ends without a framing.

Cause: `AnswerReader` asked for the incarnation's word for successes only.

Change: it asks whatever the status, at the same place. Without word the answer counts as broken off: run again where the route allows it, else 502, may have run (weighed in requests.md: a broken connection, an answer without its body). Not asked for what says that nothing ran (408, 421, 429, 503, or marked): on routes that may run once it is not handed on, elsewhere callers act on its head, and its target often rests from that answer on, so that no question may be sent and the caller would wait for 0.8 s and lose a sound refusal.

Answers that have no body (to HEAD, 304) tell their end by that; a success to HEAD without a length was lost without its target's word.

Tests: the model plays 11,784 of 118,800 combinations (6,120 of 59,400 before, all still there); its cells of failures fail before, as do test_failure_without_a_length..., test_answer_that_has_no_body... `kill_after` and `run_killed` take a head.

--- a/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
@@ -53,6 +53,12 @@
     max_refusals: float | None = None
     unknown_headers: tuple[str, ...] = ()
 
+    @property
+    def tells_not_run(self) -> bool:
+        """Whether all that callers act on is in the head: it has not run."""
+        refused = self.not_run or self.implies_not_run
+        return refused or self.other_instance is not None
+
     @property
     def proves_end(self) -> bool:
         """Whether a target's length or chunks tell where the body ends."""
--- a/packages/gateway/src/chivepier/gateway/serving/answerreader.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerreader.py
@@ -88,7 +88,7 @@
             allocation.extend(len(data))
             parts.append(data)
         # a crash closes a body without a length in the same way
-        if answer.status < 300 and not answer.facts.framed:
+        if not answer.facts.framed and not answer.facts.tells_not_run:
             evidence = await self._witness.examine(target, plan.request.id)
             if not evidence.is_vouched:
                 who = evidence.identity.value
--- a/packages/gateway/src/chivepier/gateway/serving/tests/endcell.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/endcell.py
@@ -11,6 +11,7 @@
 from chivepier.gateway.serving.tests.endways import Path
 from chivepier.gateway.serving.tests.endways import Place
 from chivepier.gateway.serving.tests.endways import Reply
+from chivepier.gateway.serving.tests.endways import Status
 
 GONE = (Incarnation.ENDED, Incarnation.LIKE, Incarnation.SERVICE)
 # The reply that stands for all where nobody is asked.
@@ -29,10 +30,16 @@
     reply: Reply
     others: Others
     entry: Entry
+    status: Status = Status.SUCCESS
 
     def __str__(self) -> str:
         return ", ".join(way.name for way in attrs.astuple(self))
 
+    @property
+    def streams(self) -> bool:
+        """Whether the answer consists of events."""
+        return self.path.streams and self.status is Status.SUCCESS
+
     @property
     def ends_as_framed(self) -> bool:
         """Whether the body's length or last chunk was read."""
@@ -49,7 +56,7 @@
             return False
         if self.manner is not Manner.ORDERLY:
             return False
-        if self.path.streams:
+        if self.streams:
             return self.place in (Place.BETWEEN, Place.AFTER_LAST)
         return self.place is not Place.BEFORE_HEAD
 
@@ -60,7 +67,11 @@
             self.framing is not Framing.NONE
         ):
             return Exclusion.NO_FRAMING
-        if self.place is Place.BETWEEN and not self.path.streams:
+        if self.place is Place.BEFORE_HEAD and (
+            self.status is not Status.SUCCESS
+        ):
+            return Exclusion.NO_STATUS
+        if self.place is Place.BETWEEN and not self.streams:
             return Exclusion.NO_EVENTS
         if self.ends_as_framed and self.manner is not Manner.ORDERLY:
             return Exclusion.LENGTH_REACHED
--- a/packages/gateway/src/chivepier/gateway/serving/tests/endoracle.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/endoracle.py
@@ -32,7 +32,7 @@
             # its attempts are over, and the stream has begun
             return Told.BROKEN
         return told
-    if cell.path is not Path.RESUMABLE:
+    if cell.path is not Path.RESUMABLE or not cell.streams:
         return Told.WHOLE
     if cell.entry is Entry.SLEPT:
         # the word came too late for another target to be asked as well
@@ -56,20 +56,20 @@
 
 
 def _is_given_up(cell: EndCell) -> bool:
-    """Tell whether a plain request is sent again before the word comes.
+    """Tell whether what is read whole is sent again before the word comes.
 
     The entry has stood still twice, which takes longer with the slow word
     than an attempt may take that can be repeated.
     """
     stood_still = cell.entry is Entry.SLEPT and cell.needs_word
-    is_repeated = cell.path is Path.REPEATABLE
+    is_repeated = cell.path.may_run_again and not cell.streams
     return is_repeated and stood_still and cell.reply is Reply.SLOW
 
 
 def _tell_not_known(cell: EndCell) -> Told:
     if cell.path.may_run_again:
         return Told.RESUMED
-    has_begun = cell.path.streams and (
+    has_begun = cell.streams and (
         cell.place in (Place.WITHIN, Place.BETWEEN, Place.AFTER_LAST)
     )
     return Told.BROKEN if has_begun else Told.ERROR
--- a/packages/gateway/src/chivepier/gateway/serving/tests/endplayer.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/endplayer.py
@@ -162,12 +162,13 @@
         )
 
     def _find_told(self, caller: FakeCaller, failed: bool) -> Told:
+        status = 200 if self._has_gone_on else self._cell.status.value
         match (failed, caller.status, caller.finished, caller.aborted):
             case (True, None, False, False):
                 return Told.ERROR
             case (False, 200, False, True):
                 return Told.BROKEN
-            case (False, 200, True, False):
+            case (False, found, True, False) if found == status:
                 return Told.RESUMED if self._has_gone_on else Told.WHOLE
             case _:
                 return Told.UNCLEAR
@@ -193,7 +194,7 @@
         if place is Place.BEFORE_HEAD:
             return
         run = self._find_run()
-        if self._cell.path.streams:
+        if self._cell.streams:
             count = SENT_EVENTS.get(place, 0)
             run.make(count, PARTIAL if place is Place.WITHIN else "")
             await caller.wait_events(count)
@@ -260,7 +261,9 @@
                 if self._cell.manner is Manner.SILENCE:
                     await asyncio.Event().wait()
                 raise ConnectionLostError("closed before the head")
-            return await self._send(target, request, order, contact)
+            answer = await self._send(target, request, order, contact)
+            answer.status = self._cell.status.value
+            return answer
         return await self._go_on(target, request, order, contact)
 
     async def _go_on(self, target, request, order, contact) -> FakeAnswer:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/endways.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/endways.py
@@ -92,6 +92,13 @@
         return self in (Path.RESUMABLE, Path.REPEATABLE)
 
 
+class Status(enum.Enum):
+    """The status in the head of the answer."""
+
+    SUCCESS = 200
+    FAILURE = 404
+
+
 class Entry(enum.Enum):
     """Whether the entry stands still at the end and at the question."""
 
@@ -127,6 +134,7 @@
     """Why a combination is not played."""
 
     NO_FRAMING = "before its head an answer has no framing"
+    NO_STATUS = "before its head an answer has no status"
     NO_EVENTS = "a plain body has no events to end between"
     LENGTH_REACHED = "what follows a body's length is no part of it"
     NOT_ASKED = "nobody is asked, so one reply stands for all"
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_dispatching.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_dispatching.py
@@ -5,6 +5,8 @@
 import attrs
 import pytest
 
+from chivepier.gateway.limits import RequestedBackoff
+from chivepier.gateway.serving import AnswerFacts
 from chivepier.gateway.serving.dispatcher import START_URGENCY
 from chivepier.gateway.serving.prompt import Prompt
 from chivepier.gateway.serving.tests.parts import ENGINE
@@ -34,6 +36,23 @@
     play(test, "a")
 
 
+def test_refusal_without_a_length_is_handed_on_at_once():
+    # The target has just asked not to be called, so it gives no word.
+    async def test(parts):
+        parts.engines.failing["w-a"] = 429
+        parts.engines.facts = AnswerFacts(
+            framed=False,
+            implies_not_run=True,
+            turned_away=True,
+            backoff=RequestedBackoff(3.0),
+        )
+        caller = await parts.serve(make_request("/read/x"))
+        assert caller.status == 429 and caller.finished
+        assert parts.read_lines("end_examined") == []
+
+    play(test, "a")
+
+
 def test_request_that_may_run_once_is_not_sent_again_after_a_loss():
     # The connection breaks after the request was sent, so a retry could run it
     # twice. The caller gets an error which says that it may have run.
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_endmodel.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_endmodel.py
@@ -31,10 +31,21 @@
 from chivepier.gateway.serving.tests.endways import Path
 from chivepier.gateway.serving.tests.endways import Place
 from chivepier.gateway.serving.tests.endways import Reply
+from chivepier.gateway.serving.tests.endways import Status
 from chivepier.gateway.serving.tests.endways import Told
 from chivepier.standins.playedloop import play_time
 
-WAYS = (Framing, Place, Manner, Path, Incarnation, Reply, Others, Entry)
+WAYS = (
+    Framing,
+    Place,
+    Manner,
+    Path,
+    Incarnation,
+    Reply,
+    Others,
+    Entry,
+    Status,
+)
 CELLS = tuple(EndCell(*ways) for ways in itertools.product(*WAYS))
 PLAYED = tuple(cell for cell in CELLS if cell.find_exclusion() is None)
 
@@ -43,7 +54,13 @@
     """Return the cells that are played, by what a failure is named after."""
     groups = collections.defaultdict(list)
     for cell in PLAYED:
-        ways = (cell.framing, cell.place, cell.manner, cell.path)
+        ways = (
+            cell.framing,
+            cell.place,
+            cell.manner,
+            cell.path,
+            cell.status,
+        )
         groups["-".join(way.name for way in ways)].append(cell)
     return groups
 
@@ -102,7 +119,7 @@
     """Return the bytes that the caller has, with what it is told."""
     if told is Told.ERROR:
         return b""
-    if cell.path.streams:
+    if cell.path.streams and (cell.streams or told is Told.RESUMED):
         sent = SENT_EVENTS.get(cell.place, 0)
         count = EVENTS if told is Told.RESUMED else sent
         events = (f"id: {n}\ndata: {n}\n\n" for n in range(1, count + 1))
@@ -140,7 +157,7 @@
     cells = [
         cell
         for cell in PLAYED
-        if cell.path is Path.RESUMABLE and cell.needs_word
+        if cell.path is Path.RESUMABLE and cell.streams and cell.needs_word
     ]
     assert sum(map(has_word_in_time, cells)) == 60
     assert len(cells) == 504
@@ -152,14 +169,15 @@
     # A way to end that is dropped in silence is one that nobody tests.
     reasons = collections.Counter(cell.find_exclusion() for cell in CELLS)
     assert reasons == {
-        None: 6120,
-        Exclusion.NO_FRAMING: 7920,
-        Exclusion.NO_EVENTS: 5940,
-        Exclusion.LENGTH_REACHED: 2640,
-        Exclusion.NOT_ASKED: 36000,
-        Exclusion.DEAD: 540,
-        Exclusion.OWN_ADDRESS: 120,
-        Exclusion.NO_LISTENER: 120,
+        None: 11784,
+        Exclusion.NO_FRAMING: 15840,
+        Exclusion.NO_STATUS: 3960,
+        Exclusion.NO_EVENTS: 17820,
+        Exclusion.LENGTH_REACHED: 5280,
+        Exclusion.NOT_ASKED: 62400,
+        Exclusion.DEAD: 1188,
+        Exclusion.OWN_ADDRESS: 264,
+        Exclusion.NO_LISTENER: 264,
     }
     assert sum(reasons.values()) == math.prod(len(way) for way in WAYS)
     assert {cell.place for cell in PLAYED} == set(Place)
--- a/tests/adapter/test_heads.py
+++ b/tests/adapter/test_heads.py
@@ -209,3 +209,30 @@
         assert await read_all(reply) == b"ok"
 
     run(script, test)
+
+
+@pytest.mark.parametrize(
+    ("method", "status", "framed"),
+    (
+        ("HEAD", b"200 OK", True),
+        ("HEAD", b"404 Not Found", True),
+        ("GET", b"304 Not Modified", True),
+        ("GET", b"204 No Content", True),
+        ("GET", b"200 OK", False),
+        ("GET", b"404 Not Found", False),
+    ),
+)
+def test_answer_that_has_no_body_tells_its_end(method, status, framed):
+    # Its target was asked for its word, and the answer lost without it.
+    async def script(head, writer):
+        answer = build_answer(b"", status=status)
+        writer.write(answer.replace(b"Content-Length: 0\r\n", b""))
+        writer.close()
+
+    async def test(raw, targets):
+        request = rawtarget.make_request(method=method)
+        reply = await send(targets, raw.make_target(), request, OPTIONS)
+        assert reply.facts.framed is framed
+        assert await read_all(reply) == b""
+
+    run(script, test)
--- a/tests/adapter/test_streamends.py
+++ b/tests/adapter/test_streamends.py
@@ -266,16 +266,19 @@
     run(test_reset, serve_body(b"abc", end=rawtarget.reset))
 
 
-def kill_after(raw: list[rawtarget.RawTarget], *parts: bytes):
+def kill_after(
+    raw: list[rawtarget.RawTarget], *parts: bytes, head: bytes = WITHOUT_LENGTH
+):
     """Return a script that ends its target after parts of a body."""
 
-    async def script(head, writer):
-        await serve_body(*parts, end=lambda _: raw[0].kill())(head, writer)
+    async def script(request, writer):
+        answer = serve_body(*parts, end=lambda _: raw[0].kill(), head=head)
+        await answer(request, writer)
 
     return script
 
 
-def run_killed(test, *parts: bytes) -> None:
+def run_killed(test, *parts: bytes, head: bytes = WITHOUT_LENGTH) -> None:
     """Run a test with a target that is killed after parts of a body."""
     raw: list[rawtarget.RawTarget] = []
 
@@ -283,7 +286,7 @@
         raw.append(fixture.raw)
         await test(fixture)
 
-    run(work, kill_after(raw, *parts))
+    run(work, kill_after(raw, *parts, head=head))
 
 
 def test_stream_without_a_length_of_a_killed_target_does_not_look_whole():
@@ -311,3 +314,27 @@
         assert head.split(b" ")[1] in statuses
 
     run_killed(test, b"abc")
+
+
+FAILURES = (b"404 Not Found", b"409 Conflict", b"500 Internal Server Error")
+
+
+@pytest.mark.parametrize("path", ("/once/x", "/stream/x"))
+@pytest.mark.parametrize("failure", FAILURES)
+def test_failure_without_a_length_of_a_killed_target_is_not_handed_on(
+    failure, path
+):
+    # Half of what a target told of a failure was passed on as all of it.
+    head = WITHOUT_LENGTH.replace(b"200 OK", failure)
+
+    async def test_killed(fixture):
+        found, _, _ = await call(fixture, path)
+        assert found.startswith(b"HTTP/1.1 502")
+
+    async def test_living(fixture):
+        found, body, whole = await call(fixture, path)
+        assert found.startswith(b"HTTP/1.1 " + failure[:3])
+        assert whole and body == b"abc"
+
+    run_killed(test_killed, b"abc", head=head)
+    run(test_living, serve_body(b"abc", head=head))
