Take an empty run for an end only after what looked like one

Cause: a living target's word tells that it lives, not that nothing follows; an empty body was taken for "nothing followed" whatever the run before it had ended with.

Change: an empty body without a length, vouched for, is an end only where the run before had closed in order between two events, or was ordered to stop, and its target is not leaving: two ends agree. None is where an event was begun that the caller lacks (`BodyEnd.contradicted`), whatever the framing, and a vouched end does not outlive that. An event without a number, such as [DONE], completes its part. What it costs: a stream without a length whose events the caller has, and whose end alone was lost, is broken off once its attempts are over; callers have no whole stream by guess.

--- a/packages/gateway/src/chivepier/gateway/serving/bodyend.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodyend.py
@@ -12,11 +12,14 @@
     :param cause: what ended it
     :param events: number of events in it
     :param remainder: bytes after the last event that was terminated
-    :param follows: whether the caller had events before this body, and all
-        of those that an earlier one had begun
+    :param follows: whether the caller had events before this body, and the
+        one before it had ended as a whole one without a length may
+    :param contradicted: whether an earlier body had begun an event that the
+        caller lacks, and of which this one has nothing
     """
 
     cause: EndCause
     events: int
     remainder: bytes
     follows: bool = False
+    contradicted: bool = False
--- a/packages/gateway/src/chivepier/gateway/serving/endcheck.py
+++ b/packages/gateway/src/chivepier/gateway/serving/endcheck.py
@@ -103,4 +103,4 @@
         :param end: how its body has ended
         """
         nothing_came = not end.events and not is_unfinished(end.remainder)
-        return nothing_came and self.is_vouched(run)
+        return nothing_came and not end.contradicted and self.is_vouched(run)
--- a/packages/gateway/src/chivepier/gateway/serving/endevidence.py
+++ b/packages/gateway/src/chivepier/gateway/serving/endevidence.py
@@ -15,11 +15,13 @@
     :param identity: the process that answered the last question
     :param questions: number of questions, those that could not be asked too
     :param seconds: time from the end until that was known
+    :param leaving: whether it was leaving, as far as was known then
     """
 
     identity: Identity
     questions: int
     seconds: float
+    leaving: bool = False
 
     @property
     def is_vouched(self) -> bool:
--- a/packages/gateway/src/chivepier/gateway/serving/endjudge.py
+++ b/packages/gateway/src/chivepier/gateway/serving/endjudge.py
@@ -68,7 +68,9 @@
         found, failed = judge_end(end), None
         if end.cause is EndCause.CLOSE and found is StreamEnd.COMPLETE:
             evidence = await self._witness.examine(run.target, run.request.id)
-            failed = not evidence.is_vouched
+            # one that leaves may close what it has not begun to send
+            dropped = evidence.leaving and not end.events
+            failed = not evidence.is_vouched or dropped
         if failed:
             found = StreamEnd.TRUNCATED
         self._metrics.record_stream_end(end.cause.value, found.value)
--- a/packages/gateway/src/chivepier/gateway/serving/endwitness.py
+++ b/packages/gateway/src/chivepier/gateway/serving/endwitness.py
@@ -77,14 +77,15 @@
                 break
             await self._clock.sleep(pause)
             pause *= 2
-        evidence = EndEvidence(identity, questions, seconds)
+        leaving = self._table.is_leaving(target.instance)
+        evidence = EndEvidence(identity, questions, seconds, leaving)
         self._metrics.record_end_finding(identity.value)
         self._log.info(
             "end_examined",
             id=request_id,
             target=target.instance,
             born=target.born,
-            leaving=self._table.is_leaving(target.instance),
+            leaving=leaving,
             answered_by=identity.value,
             questions=questions,
             after_ms=round(1000 * seconds),
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -73,6 +73,8 @@
         self._check = EndCheck(dispatcher, plan)
         # number of the last event before one of which a part came
         self._partial_after: int | None = None
+        # that of the last event before an end that looked like a whole one's
+        self._closed_after: int | None = None
         self._judge = EndJudge(
             dispatcher.witness, dispatcher.mover, dispatcher.log, metrics
         )
@@ -215,17 +217,24 @@
             cause = EndCause.BREAK
         except TimeoutError:
             cause = EndCause.TIMEOUT
-        rest = self._splitter.take_remainder()
-        if has_new_part(rest, run.last_event_number):
-            self._partial_after = run.last_event_number
-        return BodyEnd(
+        return self._make_end(run, cause)
+
+    def _make_end(self, run: LiveRun, cause: EndCause) -> BodyEnd:
+        rest, after = self._splitter.take_remainder(), run.last_event_number
+        has_part = has_new_part(rest, after)
+        end = BodyEnd(
             cause,
             self._splitter.events,
             rest,
-            # a part of the next event has shown that the caller lacks it
-            follows=self._head_sent
-            and self._partial_after != run.last_event_number,
+            follows=self._head_sent and self._closed_after == after,
+            contradicted=self._partial_after == after and not has_part,
         )
+        if has_part:
+            self._partial_after = after
+        if cause is EndCause.CLOSE or run.stopped:
+            # a run that was ordered to stop has ended by that order
+            self._closed_after = after
+        return end
 
     async def _read_chunk(self, run: LiveRun, started: StartedAnswer) -> bytes:
         seconds = None
@@ -274,9 +283,9 @@
                 continue
             if number is not None:
                 run.last_event_number = number
-                self._check.note_event(numbered=True)
+                self._note_event(numbered=True)
             elif has_fields(event):
-                self._check.note_event(numbered=False)
+                self._note_event(numbered=False)
             fresh.append(event)
         data = b"".join(fresh)
         if not self._head_sent and not self._splitter.events:
@@ -285,6 +294,11 @@
         elif data:
             await self._write(head, run, data)
 
+    def _note_event(self, numbered: bool) -> None:
+        self._check.note_event(numbered)
+        # what earlier bodies ended with was followed by it
+        self._partial_after = self._closed_after = None
+
     async def _write(
         self, head: TargetAnswer, run: LiveRun, data: bytes
     ) -> None:
--- a/packages/gateway/src/chivepier/gateway/serving/streamend.py
+++ b/packages/gateway/src/chivepier/gateway/serving/streamend.py
@@ -23,6 +23,8 @@
     :param end: how the body has ended
     """
     match end:
+        case BodyEnd(contradicted=True):
+            return StreamEnd.TRUNCATED
         case BodyEnd(cause=EndCause.FRAMING):
             return StreamEnd.COMPLETE
         case BodyEnd(cause=EndCause.CLOSE, events=0, follows=False):
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import attrs
 import pytest
 
 from chivepier.gateway.quarantine import Ending
@@ -10,6 +11,7 @@
 from chivepier.gateway.serving.tests.parts import begin
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
+from chivepier.gateway.serving.tests.parts import RESUMABLE
 from chivepier.standins.loopclock import tell_time
 
 WITHOUT_LENGTH = AnswerFacts(framed=False)
@@ -74,6 +76,47 @@
     play(test, "a", "b")
 
 
+@pytest.mark.parametrize("framed", (True, False))
+def test_word_for_an_end_falls_with_a_part_of_what_follows(framed):
+    # An empty third run made whole what the second had shown to go on.
+    async def test(parts):
+        routes = (attrs.evolve(RESUMABLE, attempts=3),)
+        parts.configure(routes=routes, version=2)
+        for _ in range(100):
+            # repeats are earned by requests
+            parts.dispatcher.budget.note_request("llm", tell_time())
+        caller, task, run = await begin_without_length(parts, "/resume/x")
+        run.end()
+        fresh = await parts.engines.wait_run(2)
+        fresh.make(0, "id: 3\nda")
+        fresh.cut()
+        third = await parts.engines.wait_run(3)
+        third.facts = AnswerFacts(framed=framed)
+        third.end()
+        await task
+        assert caller.numbers == [1, 2]
+        assert caller.aborted and not caller.finished
+
+    play(test, "a", "b", "c")
+
+
+def test_event_without_a_number_completes_the_part_that_came_of_it():
+    # It moved no number on, so the caller still seemed to lack it.
+    async def test(parts):
+        caller, task, run = await begin(parts, "/resume/x")
+        run.make(0, "data: [DO")
+        run.cut()
+        fresh = await parts.engines.wait_run(2)
+        fresh.make(0, "data: [DONE]\n\n")
+        fresh.end()
+        await task
+        assert caller.finished and not caller.aborted
+        assert caller.numbers == [1, 2]
+        assert caller.data.endswith(b"\n\ndata: [DONE]\n\n")
+
+    play(test, "a", "b")
+
+
 WAYS_TO_BE_SLOW = ("head", "event", "both")
 
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_endplaces.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_endplaces.py
@@ -8,6 +8,8 @@
 from chivepier.gateway.serving import AnswerFacts
 from chivepier.gateway.serving import MoveOutcome
 from chivepier.gateway.serving import MoveResult
+from chivepier.gateway.serving.tests.endways import Framing
+from chivepier.gateway.serving.tests.endways import Manner
 from chivepier.gateway.serving.tests.endways import Path
 from chivepier.gateway.serving.tests.endways import Told
 from chivepier.gateway.serving.tests.parts import begin
@@ -114,6 +116,79 @@
     play(test, "a", "b")
 
 
+# How the first run of a stream ends after its second event, and what it has
+# begun to send then.
+FIRST_ENDS = tuple(
+    itertools.product(
+        (Framing.NONE, Framing.CHUNKS), Manner, ("", "id: 3\nda")
+    )
+)
+# What the next run, which has no event, has of a framing, its target gives as
+# its word, and is about to do.
+EMPTY_RUNS = tuple(
+    itertools.product((True, False), (True, False), (True, False))
+)
+
+
+def tell_empty(first, framed: bool, vouched: bool, leaving: bool) -> Told:
+    """Return what a caller is told after a run that adds nothing.
+
+    :param first: how the run before it has ended
+    :param framed: whether the framing of the empty run tells its end
+    :param vouched: whether its target answers when it is asked
+    :param leaving: whether its target leaves
+    """
+    framing, manner, begun = first
+    if begun:
+        # the caller lacks an event, whatever the next run tells
+        return Told.BROKEN
+    if framed:
+        return Told.WHOLE
+    # another run says the same only of what looked like an end
+    looked_whole = framing is Framing.NONE and manner is Manner.ORDERLY
+    is_end = looked_whole and vouched and not leaving
+    return Told.WHOLE if is_end else Told.BROKEN
+
+
+async def end_first(parts, run, first) -> None:
+    """End the first run of a stream; its target gives no word."""
+    framing, manner, begun = first
+    parts.engines.mute.add(run.target)
+    run.facts = AnswerFacts(framed=framing is not Framing.NONE)
+    if begun:
+        run.make(0, begun)
+    if manner is Manner.ORDERLY and framing is Framing.NONE:
+        run.end()
+    elif manner is not Manner.SILENCE:
+        run.cut()
+
+
+@pytest.mark.parametrize("framed, vouched, leaving", EMPTY_RUNS)
+@pytest.mark.parametrize("first", FIRST_ENDS)
+def test_empty_run_tells_an_end_only_after_what_looked_like_one(
+    first, framed, vouched, leaving
+):
+    # A living target that closed before its first event, or as it left, made
+    # a stream whole that had broken off.
+    async def test(parts):
+        caller, task, run = await begin(parts, "/resume/x")
+        await end_first(parts, run, first)
+        fresh = await parts.engines.wait_run(2)
+        fresh.facts = AnswerFacts(framed=framed)
+        if not vouched:
+            parts.engines.mute.add(fresh.target)
+        if leaving:
+            parts.table.mark_leaving(fresh.target, 0, tell_time())
+        fresh.end()
+        await task
+        told = tell_empty(first, framed, vouched, leaving)
+        assert caller.finished is (told is Told.WHOLE)
+        assert caller.aborted is (told is Told.BROKEN)
+        assert caller.numbers == [1, 2]
+
+    play(test, "a", "b")
+
+
 async def start_answer(parts, path: Path):
     """Start an answer without a length, and relay a part of it."""
     parts.engines.facts = AnswerFacts(framed=False)
