Leave the question after an end out of a target's answer times

Change: `StartedAnswer.question_seconds` tells the time of the question, and what is recorded of a target is measured without it. What a request is expected to take (patience, departure) still includes it: callers wait for it, and the attempt's time-out covers it.

--- a/packages/gateway/src/chivepier/gateway/serving/answerreader.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerreader.py
@@ -52,14 +52,21 @@
             return await self._read_start(plan, target, answer, run)
         allocation = await self._memory.open(answer.length)
         try:
-            body = await self._read_whole(plan, target, answer, allocation)
+            body = await self._read_whole(answer, allocation)
+            seconds = await self._check_end(plan, target, answer)
         except BaseException:
             allocation.close()
             raise
         answer.release()
         if run is not None:
             self._runs.abandon(run)
-        return StartedAnswer(target, answer, body, allocation=allocation)
+        return StartedAnswer(
+            target,
+            answer,
+            body,
+            allocation=allocation,
+            question_seconds=seconds,
+        )
 
     async def _read_start(
         self,
@@ -77,23 +84,29 @@
         return StartedAnswer(target, answer, first, run)
 
     async def _read_whole(
-        self,
-        plan: Plan,
-        target: Target,
-        answer: TargetAnswer,
-        allocation: AnswerAllocation,
+        self, answer: TargetAnswer, allocation: AnswerAllocation
     ) -> bytes:
         parts = []
         while data := await answer.read():
             allocation.extend(len(data))
             parts.append(data)
-        # a crash closes a body without a length in the same way
-        if not answer.facts.framed and not answer.facts.tells_not_run:
-            evidence = await self._witness.examine(target, plan.request.id)
-            if not evidence.is_vouched:
-                who = evidence.identity.value
-                raise BrokenAnswerError(
-                    "the target is not known to have lived after its answer"
-                    f" without a length: {who}"
-                )
         return b"".join(parts)
+
+    async def _check_end(
+        self, plan: Plan, target: Target, answer: TargetAnswer
+    ) -> float:
+        """Ask a target for its word where nothing else tells an end.
+
+        :returns: for how many seconds that was asked
+        """
+        # a crash closes a body without a length in the same way
+        if answer.facts.framed or answer.facts.tells_not_run:
+            return 0.0
+        evidence = await self._witness.examine(target, plan.request.id)
+        if not evidence.is_vouched:
+            who = evidence.identity.value
+            raise BrokenAnswerError(
+                "the target is not known to have lived after its answer"
+                f" without a length: {who}"
+            )
+        return evidence.seconds
--- a/packages/gateway/src/chivepier/gateway/serving/attemptrecorder.py
+++ b/packages/gateway/src/chivepier/gateway/serving/attemptrecorder.py
@@ -39,13 +39,14 @@
         self._log = log
 
     def note_answer(
-        self, plan: Plan, started: StartedAnswer, sent_at: float
+        self, plan: Plan, started: StartedAnswer, seconds: float
     ) -> None:
         """Record an answer, whatever its status.
 
         :param plan: the request and its route
         :param started: the answer
-        :param sent_at: when the request was sent, in monotonic seconds
+        :param seconds: time from the sending of the request to the end of what
+            was read of its answer
         """
         if not self._table.is_current(started.target):
             return
@@ -53,12 +54,12 @@
         failed = started.answer.status >= SERVER_ERROR_STATUS
         slowness = 0.0
         if plan.demand is None:
-            slowness = (now - sent_at) / plan.route.objective
+            slowness = seconds / plan.route.objective
         instance = started.target.instance
         self._health.record_response(instance, failed, slowness, now)
         if plan.demand is None and started.answer.status < 300:
             self._balancer.request_cost.record_answer(
-                started.target, now - sent_at, plan.route.objective, now
+                started.target, seconds, plan.route.objective, now
             )
 
     def note_not_sent(
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -373,9 +373,12 @@
                 self.runs.abandon(run)
             self.balancer.record_end(target.instance)
             raise
-        self._attempts.note_answer(plan, started, sent_at)
+        seconds = self.clock.monotonic() - sent_at
+        # a question after the end is waited for, but no work of the request
+        work_seconds = seconds - started.question_seconds
+        self._attempts.note_answer(plan, started, work_seconds)
         if started.run is None and answer.status < 300:
-            self.runs.note_answer(plan, self.clock.monotonic() - sent_at)
+            self.runs.note_answer(plan, seconds)
         return started
 
     def _make_patience(self, plan: Plan) -> Patience:
--- a/packages/gateway/src/chivepier/gateway/serving/startedanswer.py
+++ b/packages/gateway/src/chivepier/gateway/serving/startedanswer.py
@@ -16,6 +16,8 @@
     :param answer: the head, and access to the rest of the body
     :param body: the whole body, or the first bytes of a stream
     :param allocation: the memory that the body takes; ``None`` for streams
+    :param question_seconds: time from the end of the whole body until its
+        target had given its word for it, in seconds
     :param run: the tracked run of a stream, ``None`` for other answers
     """
 
@@ -24,6 +26,7 @@
     body: bytes
     run: LiveRun | None = None
     allocation: AnswerAllocation | None = None
+    question_seconds: float = 0.0
 
     def free(self) -> None:
         """Free the memory of a body that is not needed any more."""
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
@@ -13,6 +13,8 @@
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
 from chivepier.gateway.serving.tests.parts import wait_until
+from chivepier.gateway.targets.targethealth import SMOOTHING_FACTOR
+from chivepier.standins.loopclock import tell_time
 from chivepier.types import ErrorKind
 from chivepier.types import RequestError
 
@@ -517,3 +519,27 @@
         assert caller.aborted and seconds < CALLER_SECONDS
 
     play(test, "a")
+
+
+@pytest.mark.parametrize("framed", (True, False))
+def test_question_after_an_end_is_not_slowness_of_its_target(framed):
+    # A target that is full answers the question late: the balancer took its
+    # answers for as much slower as that.
+    async def test(parts):
+        parts.engines.facts = AnswerFacts(framed=framed)
+        caller, task = parts.start(make_request("/plain/x"))
+        run = await parts.engines.wait_run(1)
+        await asyncio.sleep(0.1)
+        began, goes_on = parts.engines.hold_question()
+        run.end()
+        if not framed:
+            await began.wait()
+            await asyncio.sleep(0.4)
+            goes_on.set()
+        await task
+        assert caller.finished
+        ratio = parts.health.get_latency_ratio("w-a", tell_time())
+        # of an objective of a second
+        assert ratio / SMOOTHING_FACTOR == pytest.approx(0.1, abs=0.005)
+
+    play(test, "a")
