Tell a cut by one failed connection where hardly anything is sent

Cause: an entry doubted its links after two failed targets within four seconds. Where all targets name low limits, an attempt needs a turn that the leader grants, and an entry gets one each few seconds: the second failure came late or never, and each failure used up a turn of the others.

Change: one failure is enough for a look at other targets where no answer of the service came within the last second. Beside answers it takes two as before, so that a target's end doesn't have every busy entry connect to others.

Left: the first turn that an entry gets in a cut is still used up.

--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/peersite.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/peersite.py
@@ -9,6 +9,7 @@
 from chivepier.gateway.forwarding import PeerList
 from chivepier.gateway.messages import PeerRecord
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.reach import ReachProber
 from chivepier.gateway.serving import BodyMemory
 from chivepier.gateway.serving import Detour
 from chivepier.gateway.serving.tests.parts import Parts
@@ -92,6 +93,11 @@
         address = f"127.0.0.1:{self.server.port}"
         return PeerRecord(self.name, address, "a", lost, 1)
 
+    def make_prober(self) -> ReachProber:
+        """Make what tries targets after failures."""
+        reach, calls = self.parts.reach, self.parts.dispatcher.calls
+        return ReachProber(reach, calls.connect, self.clock, self.parts.rng)
+
     def cut(self, *targets: str) -> None:
         """Lose the links to some targets; open connections live on."""
         self.parts.engines.unreachable |= set(targets)
--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
@@ -5,6 +5,8 @@
 import pytest
 
 from chivepier.gateway.forwarding.tests.peersite import play_site
+from chivepier.gateway.limits import RateLimit
+from chivepier.gateway.permits import SendDecision
 from chivepier.gateway.serving import AnswerFacts
 from chivepier.gateway.serving.tests.parts import fail
 from chivepier.gateway.serving.tests.parts import make_request
@@ -16,6 +18,7 @@
 from chivepier.types import Ran
 
 ALL = ("x", "w-x")
+TARGETS = ("w-x", "w-y", "w-z")
 
 
 def answer(
@@ -83,6 +86,40 @@
     play_site(test, targets=("x", "y", "z"))
 
 
+def test_requests_are_served_behind_a_cut_beside_targets_that_name_limits():
+    # An entry that got a turn each few seconds used up those of others at
+    # links that failed: 0 of 1130 first tries served.
+    async def test(site):
+        cut_off, other = site.entries
+        engines = cut_off.parts.engines
+        for entry in site.entries:
+            entry.parts.engines.facts = AnswerFacts(limit=RateLimit(0.2))
+            for name in TARGETS:
+                entry.parts.announce_limit(name, 0.2)
+        cut_off.cut(*TARGETS)
+        engines.ended |= set(TARGETS)
+        answer(other)
+        send = engines.send
+
+        async def use_up_turn(*args):
+            cut_off.parts.decision = SendDecision(False, 2.0)
+            return await send(*args)
+
+        engines.send = use_up_turn
+        prober = cut_off.make_prober()
+        task = asyncio.create_task(prober.run())
+        failure = await fail(cut_off.parts, make_request("/plain/a"))
+        assert (failure.kind, failure.ran) == (ErrorKind.OVERLOADED, Ran.NO)
+        await asyncio.sleep(0.5)
+        for _ in range(3):
+            caller = await cut_off.parts.serve(make_request("/plain/a"))
+            assert caller.status == 200
+        assert other.count_sends() == 3
+        task.cancel()
+
+    play_site(test, targets=("x", "y", "z"))
+
+
 def test_generation_does_not_wait_for_room_behind_a_cut():
     # Requests with a reservation were tried again for three objectives, and
     # then refused.
--- a/packages/gateway/src/chivepier/gateway/reach/reach.py
+++ b/packages/gateway/src/chivepier/gateway/reach/reach.py
@@ -24,9 +24,10 @@
 # Targets that are tried beside those that failed.
 VERIFY_COUNT = 3
 # Failed targets from which others are tried; one that hangs is enough, as each
-# attempt of a request would take as long.
+# attempt of a request would take as long, and so is one without answers.
 MIN_DOUBTFUL = 2
-# Seconds after a success in which failures raise no doubt.
+# Seconds after a success in which failures raise no doubt, and after an answer
+# in which one alone doesn't.
 DOUBT_SECONDS = 1.0
 # Seconds after the end of a cut in which a growing part of the requests is
 # sent from here, so that targets do not get all new connections at once.
@@ -141,7 +142,11 @@
         service = target.service
         if not self.is_lost(service) and self._judge(service):
             self._begin(service)
-        if hung or len(self._list_failed(service)) >= MIN_DOUBTFUL:
+        if (
+            hung
+            or len(self._list_failed(service)) >= MIN_DOUBTFUL
+            or self._is_unanswered(service)
+        ):
             self._doubtful.add(service)
             self.failed.set()
 
@@ -242,6 +247,14 @@
             and self._get(target).failed_at >= since
         ]
 
+    def _is_unanswered(self, service: str) -> bool:
+        """Tell whether no answer of a service came here of late.
+
+        Where targets accept few requests, a second failure comes too late.
+        """
+        answered_at = self._answered_at.get(service, -math.inf)
+        return self._clock.monotonic() - answered_at >= DOUBT_SECONDS
+
     def _are_silent(self, targets: list[Target]) -> bool:
         """Tell whether voters hear none of some targets: these have ended."""
         now = self._clock.monotonic()
--- a/packages/gateway/src/chivepier/gateway/reach/tests/test_reach.py
+++ b/packages/gateway/src/chivepier/gateway/reach/tests/test_reach.py
@@ -213,6 +213,29 @@
     play_probes(20, lambda *_: False, 0.0, work)
 
 
+def test_one_failure_without_answers_is_checked_at_other_targets():
+    # Targets that accept a request each few seconds had no second failure in
+    # time, and each one used up a turn: 0 of 1130 first tries were served.
+    async def work(site, began):
+        site.fail(0)
+        await asyncio.sleep(0.01)
+        assert site.reach.is_lost("s")
+
+    play_probes(3, lambda *_: False, 0.0, work)
+
+
+def test_one_failure_beside_answers_is_not_checked():
+    # Each target's end would have every entry connect to three others.
+    async def work(site, began):
+        site.reach.note_answered(site.targets[1])
+        await asyncio.sleep(0.9)
+        site.fail(0)
+
+    state, probes = play_probes(3, lambda *_: False, 5.0, work)
+    assert state is ReachState.REACHED
+    assert probes == []
+
+
 def test_end_of_a_cut_is_found_beside_a_target_that_rests():
     # Only the one that must not be called was tried, and that is no attempt.
     async def work(site, began):
