Begin asked rests of the soak as they leave, count requests as they arrive

Targets of the soak told of sends 0.5 to 2.1 s after an entry was asked to wait, beside a soak whose own loop stood still.

Cause: the check. Targets, proxies and links share a loop. A rest counted from when a target decided on it, though its bytes still had to pass two hops of that loop, and a request counted when the loop read it. As the loop stood still for 0.6 s, the entry could hear nothing and went on sending; and one request (resumable, given up by its entry after its 0.6 s) had its refusal leave the soak after the entry had closed the connection: that rest was never heard, and all sends for 2.1 s were told of.

For the request that was given up: placed at .329, target_lost at .929 with sent_ms 600, refused by the target at .447, loop late by 663 ms at 1.137.

Change: a rest (and a word of leaving) begins as its bytes are written to the entry's own connection, and only if the kernel says that it is established; a request arrives when the kernel got it there (TCP_INFO), or a tick of 10 ms later, with what the soak delays or holds on purpose. So nothing is excused: an answer that can be read binds from the moment in which it can, and a request counts no later and no earlier than it came. Connections are known by both of their addresses, as one local port may serve several remote ones. A restart of the target ends what is still on its way.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -6,9 +6,14 @@
 import random
 import socket
 import struct
+import time
 
+from soak.kerneltimes import is_open
+from soak.kerneltimes import measure_arrival
 from soak.lateends import LateEnds
 from soak.newcomers import Newcomers
+from soak.senders import name_accepted
+from soak.senders import name_made
 from soak.senders import Senders
 
 CHUNK_BYTES = 1 << 16
@@ -37,6 +42,11 @@
         """Forward again."""
         self._open.set()
 
+    @property
+    def holds(self) -> bool:
+        """Whether bytes are held back now."""
+        return not self._open.is_set()
+
     async def wait_for_end(self) -> None:
         """Wait until nothing is held back."""
         await self._open.wait()
@@ -165,7 +175,7 @@
         self._writers |= {writer, other}
         sender = self._find_sender(writer)
         try:
-            with self.senders.note(other.get_extra_info("sockname"), sender):
+            with self.senders.note(name_made(other.transport), sender):
                 await self._pump_both(reader, writer, other_reader, other)
         except* OSError:
             await self._wait_for_arrival(writer)
@@ -194,25 +204,37 @@
 
     def _find_sender(self, writer: asyncio.StreamWriter) -> str | None:
         """Return the entry that a connection comes from, if known."""
-        return self.senders.find(writer.get_extra_info("peername"))
+        return self.senders.find(name_accepted(writer.transport))
 
     async def _pump_both(self, reader, writer, other_reader, other) -> None:
         async with asyncio.TaskGroup() as group:
-            group.create_task(self._pump(reader, other, LOST_SENT))
-            group.create_task(self._pump(other_reader, writer, LOST_ANSWERS))
+            group.create_task(self._pump(reader, writer, other, LOST_SENT))
+            group.create_task(
+                self._pump(other_reader, other, writer, LOST_ANSWERS)
+            )
 
-    async def _pump(self, reader, writer, dropped_mode: str) -> None:
+    async def _pump(self, reader, source, writer, dropped_mode: str) -> None:
         silent, began = False, self._silenced[dropped_mode]
         while data := await reader.read(CHUNK_BYTES):
+            delay = 0.0
+            arrived = self._find_arrival(source)
             if self.fault_mode == SLOW:
-                await asyncio.sleep(self._rng.uniform(*DELAY_SECONDS))
+                delay = self._rng.uniform(*DELAY_SECONDS)
+                await asyncio.sleep(delay)
             is_dropped = self.fault_mode == dropped_mode
             is_dropped |= self._silenced[dropped_mode] != began
             if is_dropped and not silent:
                 silent = True
                 self.silenced_connections += 1
-            await self.held.wait_for_end()
+            if self.held.holds:
+                await self.held.wait_for_end()
+                arrived, delay = time.monotonic(), 0.0
             if not silent:
+                if dropped_mode == LOST_SENT:
+                    made = name_made(writer.transport)
+                    self.senders.note_arrival(made, arrived + delay)
+                else:
+                    self._tell(source, writer)
                 writer.write(data)
                 await writer.drain()
         if dropped_mode == LOST_ANSWERS:
@@ -220,6 +242,25 @@
         if not silent:
             writer.write_eof()
 
+    def _find_arrival(self, source: asyncio.StreamWriter) -> float:
+        """Return when the last bytes of a connection arrived here."""
+        accepted = name_accepted(source.transport)
+        earlier = self.senders.find_arrival(accepted)
+        if earlier is not None:
+            return earlier
+        return measure_arrival(source.transport)
+
+    def _tell(
+        self, source: asyncio.StreamWriter, writer: asyncio.StreamWriter
+    ) -> None:
+        """Hand on what is told with the bytes that are written now."""
+        accepted = name_accepted(writer.transport)
+        for told in self.senders.take_untold(name_made(source.transport)):
+            if self.senders.is_followed(accepted):
+                self.senders.call_when_told(accepted, told)
+            elif is_open(writer.transport):
+                told(time.monotonic())
+
 
 def _reset(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
--- a/soak/signalchecker.py
+++ b/soak/signalchecker.py
@@ -5,8 +5,13 @@
 
 import attrs
 
+from soak.senders import Told
+
 # Seconds after an answer in which requests in flight may still arrive.
 IN_FLIGHT_SECONDS = 0.5
+# Seconds after a backoff in which requests that arrived within it may still
+# be read.
+KEPT_SECONDS = 10.0
 
 IsExcused = collections.abc.Callable[[str, float], bool]
 
@@ -44,13 +49,14 @@
     refusals: int = 0
     _backoffs: dict[str, list[tuple[float, float]]] = attrs.field(factory=dict)
     _leaving_since: dict[str, float] = attrs.field(factory=dict)
+    _starts: int = 0
 
     def check_arrival(self, entry: str, sent: float, now: float) -> bool:
         """Check a request that arrives.
 
         :param entry: address of the entry that sent it
         :param sent: time at which its caller sent it, in monotonic seconds
-        :param now: current time, in monotonic seconds
+        :param now: time at which it arrived, in monotonic seconds
         :returns: whether the entry ignored a signal
         """
         before = len(self.violations)
@@ -70,13 +76,34 @@
 
     def record_answer(self, entry: str, refused: bool, now: float) -> None:
         """Record the signals in an answer to an entry."""
-        if refused:
-            self.refusals += 1
-        if refused and self.rest is not None:
-            kept = [r for r in self._backoffs.get(entry, ()) if r[1] > now]
-            self._backoffs[entry] = [*kept, (now, now + self.rest)]
-        if self.is_leaving:
-            self._leaving_since.setdefault(entry, now)
+        self.prepare_answer(entry, refused)(now)
+
+    def prepare_answer(self, entry: str, refused: bool) -> Told:
+        """Return what records the signals in an answer as they leave.
+
+        It is called with that time, in monotonic seconds, and records nothing
+        once the target has restarted.
+
+        :param entry: address of the entry that is answered
+        :param refused: whether the answer rejects the request
+        """
+        self.refusals += refused
+        rest = self.rest if refused else None
+        is_leaving, starts = self.is_leaving, self._starts
+
+        def record(now: float) -> None:
+            if starts != self._starts:
+                return
+            if rest is not None:
+                backoffs = self._backoffs.setdefault(entry, [])
+                backoffs[:] = [
+                    b for b in backoffs if b[1] > now - KEPT_SECONDS
+                ]
+                backoffs.append((now, now + rest))
+            if is_leaving:
+                self._leaving_since.setdefault(entry, now)
+
+        return record
 
     def make_headers(self, refused: bool) -> dict[str, str]:
         """Return the headers that carry the signals."""
@@ -89,6 +116,7 @@
 
     def reset(self) -> None:
         """Forget all signals, as the target restarts."""
+        self._starts += 1
         self.overloaded, self.rest, self.is_leaving = False, None, False
         self._backoffs.clear()
         self._leaving_since.clear()
--- a/soak/target.py
+++ b/soak/target.py
@@ -17,11 +17,14 @@
 from soak.framing import Framing
 from soak.invariantchecker import InvariantChecker
 from soak.invariantchecker import make_expected_body
+from soak.kerneltimes import measure_arrival
 from soak.loadreporter import LoadReporter
 from soak.loadreporter import SLOTS
 from soak.partchecker import PartChecker
 from soak.proxy import Proxy
 from soak.runlog import RunLog
+from soak.senders import Connection
+from soak.senders import name_accepted
 from soak.senders import Senders
 from soak.signalchecker import SignalChecker
 
@@ -309,7 +312,7 @@
         parts = request.headers.get("X-Chivepier-Prefix-Hash", "")
         if checker is None or not checker.is_in(parts):
             return False
-        checker.record_arrival(self.senders.find(_find_peer(request)))
+        checker.record_arrival(self.senders.find(_name_connection(request)))
         return True
 
     async def _crash_on(
@@ -375,20 +378,34 @@
 
         :param readable: whether the sender can read the answer
         """
-        now = time.monotonic()
         asked = request.headers.get("X-Entry")
         if asked is not None:
             # another entry may have sent what this one was asked for
-            entry = self.senders.find(_find_peer(request)) or asked
+            connection = _name_connection(request)
+            entry = self.senders.find(connection) or asked
             sent = float(request.headers["X-Sent"])
-            if self.signals.check_arrival(entry, sent, now):
+            arrived = self._find_arrival(request)
+            if self.signals.check_arrival(entry, sent, arrived):
                 self._log_signal("signal_ignored", request, entry)
-            if readable:
-                self.signals.record_answer(entry, refused, now)
             if refused:
                 self._log_signal("refused", request, entry, readable=readable)
+            if readable:
+                told = self.signals.prepare_answer(entry, refused)
+                if self.senders.is_followed(connection):
+                    self.senders.call_when_told(connection, told)
+                else:
+                    told(time.monotonic())
         return self.signals.make_headers(refused)
 
+    def _find_arrival(self, request: web.BaseRequest) -> float:
+        """Return when a request arrived, also if it is read late."""
+        at = self.senders.find_arrival(_name_connection(request))
+        if at is not None:
+            return at
+        if request.transport is None:
+            return time.monotonic()
+        return measure_arrival(request.transport)
+
     def _log_signal(
         self, event: str, request: web.BaseRequest, entry: str, **fields
     ) -> None:
@@ -432,11 +449,11 @@
     return f"i-{secrets.token_hex(4)}"
 
 
-def _find_peer(request: web.BaseRequest) -> tuple[str, int] | None:
-    """Return where a request comes from; ``None`` if its sender has gone."""
+def _name_connection(request: web.BaseRequest) -> Connection | None:
+    """Return what names a request's connection; ``None`` if it has ended."""
     if request.transport is None:
         return None
-    return request.transport.get_extra_info("peername")
+    return name_accepted(request.transport)
 
 
 def describe(targets: list[SoakTarget]) -> str:
--- a/soak/tests/test_proxy.py
+++ b/soak/tests/test_proxy.py
@@ -15,6 +15,7 @@
 from soak.proxy import LOST_SENT
 from soak.proxy import Proxy
 from soak.proxy import SLOW
+from soak.senders import name_accepted
 from soak.senders import Senders
 from soak.targetlink import TargetLink
 
@@ -132,7 +133,7 @@
 
         async def answer(reader, writer):
             await reader.readline()
-            seen.append(senders.find(writer.get_extra_info("peername")))
+            seen.append(senders.find(name_accepted(writer.transport)))
             writer.write(b"x\n")
             await writer.drain()
 
--- a/soak/tests/test_signals.py
+++ b/soak/tests/test_signals.py
@@ -10,9 +10,12 @@
 from soak.answerfaults import AnswerFault
 from soak.blocks import reserve_block
 from soak.invariantchecker import InvariantChecker
+from soak.proxy import Proxy
+from soak.signalchecker import IN_FLIGHT_SECONDS
 from soak.signalchecker import make_sender_headers
 from soak.signalchecker import SignalChecker
 from soak.target import SoakTarget
+from soak.targetlink import TargetLink
 from soak.trafficscenario import TrafficScenario
 
 REST_SECONDS = 3.0
@@ -153,8 +156,51 @@
             assert len(target.signals.violations) == 1
 
     with reserve_block() as block:
-        address = f"127.{block}.3.1:8080"
-        checker = InvariantChecker()
-        rng = random.Random(1)
-        target = SoakTarget(address, address, [], checker, rng)
-        asyncio.run(work(target))
+        asyncio.run(work(make_lone_target(block)))
+
+
+def make_lone_target(block: int) -> SoakTarget:
+    """Return a target that announces itself to nobody."""
+    address = f"127.{block}.3.1:8080"
+    checker = InvariantChecker()
+    return SoakTarget(address, address, [], checker, random.Random(1))
+
+
+@contextlib.asynccontextmanager
+async def follow(target: SoakTarget, block: int):
+    """Run a target behind a link and a proxy; yield the link's address."""
+    rng, known = random.Random(1), target.senders
+    proxy = Proxy(f"127.{block}.4.1:8080", target.address, rng)
+    link = TargetLink(f"127.{block}.5.1:8080", proxy.address, rng)
+    proxy.senders = link.senders = known
+    link.entry = "e1"
+    async with target, proxy, link:
+        yield link.address.split(":")
+
+
+def test_backoff_begins_as_it_leaves_and_requests_count_as_they_arrive():
+    # A soak whose own loop stood still for 0.6 s held sends of that time
+    # against an entry, which could not know of the rest yet.
+    async def work(block: int) -> None:
+        target = make_lone_target(block)
+        async with follow(target, block) as (host, port):
+            first = await asyncio.open_connection(host, int(port))
+            second = await asyncio.open_connection(host, int(port))
+            target.signals.overloaded, target.signals.rest = True, REST_SECONDS
+            answer = asyncio.create_task(ask(target, "a", *first))
+            while not target.signals.refusals:
+                await asyncio.sleep(0)
+            late = asyncio.create_task(ask(target, "b", *second))
+            await asyncio.sleep(0)
+            time.sleep(IN_FLIGHT_SECONDS + 0.1)
+            assert [await answer, await late] == ["a", "b"]
+            assert target.signals.violations == []
+            await asyncio.sleep(IN_FLIGHT_SECONDS + 0.1)
+            await ask(target, "c", *second)
+            # both refusals were heard by then
+            assert len(target.signals.violations) == 2
+            for _, writer in (first, second):
+                writer.close()
+
+    with reserve_block() as block:
+        asyncio.run(work(block))
