Take no lost order to stop for the end of a run

What callers would have seen: a stream whose source broke off while an order to stop it was on its way, and whose first copy was closed at the next target without an event, was told whole: counted each run that was ordered to stop as one that had ended by that order (found in its own review; the new test fails on it).

Change: only an order that its source has answered counts, which is known where the run goes on. A moved run that has sent all still ends without an event (test_moved_run_that_has_sent_all..., passes before and after).

--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -231,8 +231,7 @@
         )
         if has_part:
             self._partial_after = after
-        if cause is EndCause.CLOSE or run.stopped:
-            # a run that was ordered to stop has ended by that order
+        if cause is EndCause.CLOSE:
             self._closed_after = after
         return end
 
@@ -517,6 +516,9 @@
             ),
         )
         dispatcher.release(started)
+        if run.stopped and not run.stop_uncertain:
+            # its source has ended it by order
+            self._closed_after = run.last_event_number
         run.resume_at(handoff.target, dispatcher.clock.monotonic())
         self._follow_up()
         dispatcher.runs.track(run)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_endplaces.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_endplaces.py
@@ -189,6 +189,43 @@
     play(test, "a", "b")
 
 
+def test_moved_run_that_has_sent_all_ends_without_an_event():
+    # Its copy is the run itself, and its source was ordered to stop.
+    async def test(parts):
+        parts.engines.facts = AnswerFacts(framed=False)
+        caller, task, run = await begin(parts, events=EVENTS)
+        finish_reruns(parts.engines)
+        parts.leave(run.target)
+        await task
+        assert run.stopped and len(parts.engines.answers) == 2
+        assert caller.finished and not caller.aborted
+        assert caller.numbers == list(range(1, EVENTS + 1))
+
+    play(test, "a", "b")
+
+
+def test_empty_run_tells_no_end_where_an_order_to_stop_was_lost():
+    # Its source may have ended by itself, amid the stream.
+    async def test(parts):
+        engines = parts.engines
+        engines.facts = AnswerFacts(framed=False)
+        caller, task, run = await begin(parts)
+
+        def lose() -> MoveResult:
+            run.cut()
+            return LOST
+
+        engines.on_stop_order(lose)
+        parts.leave(run.target)
+        fresh = await engines.wait_run(2)
+        fresh.end()
+        await task
+        assert caller.aborted and not caller.finished
+        assert caller.numbers == [1, 2]
+
+    play(test, "a", "b")
+
+
 async def start_answer(parts, path: Path):
     """Start an answer without a length, and relay a part of it."""
     parts.engines.facts = AnswerFacts(framed=False)
