Read forwarded answers over the link that replaces a silent one

Cause: a session was found by its channel and handle, so that only the link of the request could read it; handles were counted, so that another run of the entry gave the same ones again.

Change: an answer belongs to the entry that sent the request, under a number that is drawn. A read whose link breaks, or is replaced, is repeated over the next link, over four at most; the first answer counts, and what an old link brings later is ignored. A read that others have overtaken, or that is beyond what was written, gives nothing. The start of a request is never repeated. A cancel goes over the link of the moment. An answer is kept until the reader has said that it has its end, or for 3 s without a read, also where its link is closed: 1 s could pass before the link was replaced.

--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardclient.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardclient.py
@@ -2,13 +2,13 @@
 
 from chivepier.gateway.eventlog import EventLog
 from chivepier.gateway.forwarding.forwardedanswer import ForwardedAnswer
-from chivepier.gateway.forwarding.forwardedanswer import PART_SECONDS
 from chivepier.gateway.forwarding.forwardstate import ForwardState
+from chivepier.gateway.forwarding.partreader import PART_SECONDS
+from chivepier.gateway.forwarding.partreader import PartReader
 from chivepier.gateway.forwarding.peerlist import PeerList
 from chivepier.gateway.forwarding.records import pack_request
 from chivepier.gateway.forwarding.records import unpack_failure
 from chivepier.gateway.messages import ForwardPart
-from chivepier.gateway.messages import ForwardRead
 from chivepier.gateway.messages import PeerRecord
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving import CallerRequest
@@ -20,7 +20,6 @@
 from chivepier.types import ErrorKind
 from chivepier.types import Ran
 from chivepier.types import RequestError
-from chivepier.wire import Channel
 from chivepier.wire import LinkError
 from chivepier.wire import Links
 
@@ -123,11 +122,16 @@
             self._clock.monotonic(),
         )
         try:
-            part = await self._read_head(channel, message)
+            # not repeated: it may run there
+            part = await channel.request(message, PART_SECONDS)
         except LinkError as error:
             if not error.sent:
                 raise NotSentError(str(error)) from None
             raise ConnectionLostError(str(error)) from None
+        reader = PartReader(
+            self._links, peer.address, channel, part.handle, self._clock
+        )
+        part = await _read_head(reader, part)
         match ForwardState(part.state):
             case ForwardState.REFUSED:
                 raise NotSentError(part.message)
@@ -137,21 +141,7 @@
                 raise ConnectionLostError("the answer was broken off")
         self._metrics.record_forward("sent", "answered")
         self._log_end(peer, request, str(part.status))
-        return ForwardedAnswer(channel, part)
-
-    async def _read_head(self, channel: Channel, message) -> ForwardPart:
-        part = await channel.request(message, PART_SECONDS)
-        try:
-            while (
-                not part.status
-                and ForwardState(part.state) is ForwardState.OPEN
-            ):
-                message = ForwardRead(part.handle, 0)
-                part = await channel.request(message, PART_SECONDS)
-        except BaseException:
-            ForwardedAnswer(channel, part).close()
-            raise
-        return part
+        return ForwardedAnswer(reader, part)
 
     def _note_lost(
         self,
@@ -181,6 +171,23 @@
         )
 
 
+async def _read_head(reader: PartReader, part: ForwardPart) -> ForwardPart:
+    reader.take(part)
+    try:
+        while (
+            not part.status and ForwardState(part.state) is ForwardState.OPEN
+        ):
+            part = await reader.read(0)
+    except LinkError as error:
+        reader.end()
+        # the request was sent, even if this read was not
+        raise ConnectionLostError(str(error)) from None
+    except BaseException:
+        reader.end()
+        raise
+    return part
+
+
 def _may_retry(error: RequestError) -> bool:
     failure = error.failure
     return failure.ran is Ran.NO and failure.kind in LOCAL_FAILURES
--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
@@ -1,36 +1,29 @@
 """The answer to a forwarded request, read from the entry that serves it."""
 
 from chivepier.gateway.forwarding.forwardstate import ForwardState
+from chivepier.gateway.forwarding.partreader import PartReader
 from chivepier.gateway.forwarding.records import unpack_headers
-from chivepier.gateway.messages import ForwardCancel
 from chivepier.gateway.messages import ForwardPart
-from chivepier.gateway.messages import ForwardRead
 from chivepier.gateway.serving import AnswerFacts
 from chivepier.gateway.serving import BrokenAnswerError
-from chivepier.wire import Channel
 from chivepier.wire import LinkError
 
-# Seconds to wait for a part. The other entry answers within a part of this,
-# also if there is nothing new; one that does not is frozen or cut off.
-PART_SECONDS = 2.0
-
 
 class ForwardedAnswer:
     """Reads an answer part by part; each read confirms what has arrived.
 
     Implements :class:`TargetAnswer`.
 
-    :param channel: link to the entry that serves the request
+    :param reader: asks for the parts that follow
     :param part: the first part, with the head of the answer
     """
 
-    def __init__(self, channel: Channel, part: ForwardPart):
+    def __init__(self, reader: PartReader, part: ForwardPart):
         self.status = part.status
         self.headers = unpack_headers(part.headers)
         self.length = None if part.length < 0 else part.length
         self.facts = AnswerFacts()
-        self._channel = channel
-        self._handle = part.handle
+        self._reader = reader
         self._offset = 0
         self._pending = b""
         self._state = ForwardState.OPEN
@@ -44,11 +37,10 @@
         :raises BrokenAnswerError: when the body is incomplete
         """
         while not self._pending and self._state is ForwardState.OPEN:
-            request = ForwardRead(self._handle, self._offset)
             try:
-                self._take(await self._channel.request(request, PART_SECONDS))
+                self._take(await self._reader.read(self._offset))
             except LinkError as error:
-                self._state = ForwardState.BROKEN
+                self.close()
                 raise BrokenAnswerError(str(error)) from None
         if not self._pending and self._state is not ForwardState.COMPLETE:
             raise BrokenAnswerError(f"the answer is {self._state.value}")
@@ -64,7 +56,7 @@
         """Tell the other entry that the rest is not wanted."""
         if self._state is ForwardState.OPEN:
             self._state = ForwardState.BROKEN
-            self._channel.send(ForwardCancel(self._handle))
+            self._reader.end()
 
     def release(self) -> None:
-        """Do nothing: the other entry drops a complete answer."""
+        """Do nothing: the other entry was told with the last part."""
--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardserver.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardserver.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import collections.abc
-import itertools
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.forwarding.answerhandle import draw_handle
 from chivepier.gateway.forwarding.forwardsession import ForwardSession
 from chivepier.gateway.forwarding.forwardstate import ForwardState
 from chivepier.gateway.forwarding.records import unpack_request
@@ -28,17 +28,17 @@
 PART_SECONDS = 0.5
 # Seconds to wait for the version with which the request was accepted.
 CONFIG_SECONDS = 0.3
-# Seconds without a read after which the other entry has gone.
+# Seconds without a read after which the other entry has gone: longer than two
+# links take to be replaced as silent.
 SILENCE_SECONDS = 3.0
-# Seconds for which a whole answer is kept in case its last part is lost.
-KEPT_SECONDS = 1.0
 POLL_SECONDS = 0.5
 
 
 class ForwardServer:
     """Serves forwarded requests as if their callers had come here.
 
-    A forwarded request is never forwarded again.
+    A forwarded request is never forwarded again. Its answer belongs to the
+    entry that sent it, whatever link that reads it over.
 
     :param handler: handles requests
     :param bodies: limits the memory of their bodies
@@ -67,8 +67,7 @@
         self._clock = clock
         self._log = log
         self._metrics = metrics
-        self._handles = itertools.count(1)
-        self._sessions: dict[tuple[Channel, int], ForwardSession] = {}
+        self._sessions: dict[int, ForwardSession] = {}
         self._watch: asyncio.Task | None = None
 
     async def close(self) -> None:
@@ -91,9 +90,7 @@
             case ForwardRead(handle=handle, offset=offset):
                 return self._read(channel, handle, offset)
             case ForwardCancel(handle=handle):
-                session = self._sessions.pop((channel, handle), None)
-                if session is not None:
-                    session.task.cancel()
+                self._cancel(channel, handle)
                 return None
             case other:
                 raise RefusedError(f"unexpected {type(other).__name__}")
@@ -112,11 +109,11 @@
                 reason=reason,
             )
             return ForwardPart(0, ForwardState.REFUSED.value, message=reason)
-        session = ForwardSession(next(self._handles), self._clock)
+        session = ForwardSession(draw_handle(), channel.peer, self._clock)
         session.task = asyncio.create_task(
             self._serve(message, session, arrived)
         )
-        self._sessions[(channel, session.handle)] = session
+        self._sessions[session.handle] = session
         if self._watch is None or self._watch.done():
             self._watch = asyncio.create_task(self._drop_sessions())
         return await session.read(0, FIRST_PART_SECONDS)
@@ -171,19 +168,33 @@
     async def _read(
         self, channel: Channel, handle: int, offset: int
     ) -> ForwardPart:
-        session = self._sessions.get((channel, handle))
+        session = self._find(channel, handle)
         if session is None:
             return ForwardPart(handle, ForwardState.BROKEN.value)
         return await session.read(offset, PART_SECONDS)
 
+    def _find(self, channel: Channel, handle: int) -> ForwardSession | None:
+        session = self._sessions.get(handle)
+        if session is None or session.entry != channel.peer:
+            return None
+        return session
+
+    def _cancel(self, channel: Channel, handle: int) -> None:
+        session = self._find(channel, handle)
+        if session is None:
+            return
+        if session.is_ended and not session.task.done():
+            # what is left to do after an answer goes on
+            return
+        del self._sessions[handle]
+        session.task.cancel()
+
     async def _drop_sessions(self) -> None:
         """Drop answers that were read, or that nobody reads any more."""
         while self._sessions:
             await self._clock.sleep(POLL_SECONDS)
             now = self._clock.monotonic()
-            for key, session in list(self._sessions.items()):
-                silence = now - session.read_at
-                kept = KEPT_SECONDS if session.is_ended else SILENCE_SECONDS
-                if key[0].closed or silence > kept:
-                    del self._sessions[key]
+            for handle, session in list(self._sessions.items()):
+                if now - session.read_at > SILENCE_SECONDS:
+                    del self._sessions[handle]
                     session.task.cancel()
--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardsession.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardsession.py
@@ -21,13 +21,15 @@
     """Keeps what was not read yet; implements :class:`CallerConnection`.
 
     :param handle: identifies the answer on this entry
+    :param entry: name of the entry that reads it
     :param clock: source of monotonic time
     :ivar read_at: monotonic time of the last read, in seconds
     :ivar task: serves the request
     """
 
-    def __init__(self, handle: int, clock: Clock):
+    def __init__(self, handle: int, entry: str, clock: Clock):
         self.handle = handle
+        self.entry = entry
         self.read_at = clock.monotonic()
         self.task: asyncio.Task | None = None
         self._clock = clock
@@ -96,9 +98,14 @@
     async def read(self, offset: int, seconds: float) -> ForwardPart:
         """Return what follows an offset, or nothing new after a time.
 
+        What was not read may be asked for again, what was read may not: a read
+        that others have overtaken is answered as broken off.
+
         :param offset: number of bytes that have arrived at the other entry
         :param seconds: longest wait, in seconds
         """
+        if offset > self._start + len(self._data):
+            return ForwardPart(self.handle, ForwardState.BROKEN.value)
         self.read_at = self._clock.monotonic()
         del self._data[: max(0, offset - self._start)]
         self._start = max(self._start, offset)
@@ -108,6 +115,8 @@
         self.read_at = self._clock.monotonic()
         if self._failure is not None:
             return pack_failure(self.handle, self._failure)
+        if offset < self._start:
+            return ForwardPart(self.handle, ForwardState.BROKEN.value)
         first = offset == 0
         return ForwardPart(
             self.handle,
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardsession.py
@@ -0,0 +1,67 @@
+"""Tests of reads that cross at a forwarded answer."""
+
+import asyncio
+
+from chivepier.gateway.forwarding.forwardsession import ForwardSession
+from chivepier.gateway.forwarding.forwardstate import ForwardState
+from chivepier.standins.loopclock import LoopClock
+from chivepier.standins.playedloop import play_time
+
+BROKEN = ForwardState.BROKEN.value
+OPEN = ForwardState.OPEN.value
+
+
+async def make_session(data: bytes = b"abcdef") -> ForwardSession:
+    """Return an answer with a head and some bytes."""
+    session = ForwardSession(1, "e0", LoopClock())
+    await session.begin(200, (("A", "1"),), None)
+    await session.write(data)
+    return session
+
+
+def test_read_is_repeated_with_the_same_answer():
+    async def test():
+        session = await make_session()
+        first = await session.read(0, 0.5)
+        assert await session.read(0, 0.5) == first
+        assert (first.status, first.data, first.state) == (
+            200,
+            b"abcdef",
+            OPEN,
+        )
+        await session.finish()
+        last = await session.read(2, 0.5)
+        assert await session.read(2, 0.5) == last
+        assert last.data == b"cdef"
+        assert last.state == ForwardState.COMPLETE.value
+
+    play_time(test())
+
+
+def test_overtaken_read_gives_nothing_from_another_place():
+    # Guards against bytes that are left out: what was read is dropped.
+    async def test():
+        session = await make_session()
+        await session.read(6, 0.0)
+        part = await session.read(0, 0.5)
+        assert (part.state, part.data) == (BROKEN, b"")
+
+        waiting = asyncio.create_task(session.read(6, 0.5))
+        await asyncio.sleep(0.1)
+        await session.write(b"ghi")
+        await session.read(9, 0.0)
+        part = await waiting
+        assert (part.state, part.data) == (BROKEN, b"")
+
+    play_time(test())
+
+
+def test_read_beyond_what_was_written_drops_nothing():
+    async def test():
+        session = await make_session()
+        part = await session.read(7, 0.5)
+        assert (part.state, part.data) == (BROKEN, b"")
+        part = await session.read(0, 0.5)
+        assert (part.state, part.data) == (OPEN, b"abcdef")
+
+    play_time(test())
--- a/packages/wire/src/chivepier/wire/channel.py
+++ b/packages/wire/src/chivepier/wire/channel.py
@@ -113,6 +113,7 @@
         self._refused_parts = 0
         self.closed = False
         self.replaced = False
+        self._replacement: asyncio.Future | None = None
 
     async def run(self) -> None:
         """Receive and send messages until the connection ends."""
@@ -161,6 +162,24 @@
         """Return the seconds since anything was sent that was answered."""
         return self._clock.monotonic() - self._confirmed
 
+    def replace(self) -> None:
+        """Note that another channel to the peer is used from now on."""
+        self.replaced = True
+        if self._replacement is not None and not self._replacement.done():
+            self._replacement.set_result(None)
+
+    def watch_replacement(self) -> asyncio.Future:
+        """Return what is done once another channel has replaced this one.
+
+        What waits for an answer here may ask again there, if it may be asked
+        twice; the answer may still come here.
+        """
+        if self._replacement is None:
+            self._replacement = asyncio.get_running_loop().create_future()
+            if self.replaced:
+                self._replacement.set_result(None)
+        return self._replacement
+
     def count_pending(self) -> int:
         """Return the number of requests that wait for an answer."""
         return len(self._pending)
--- a/packages/wire/src/chivepier/wire/links.py
+++ b/packages/wire/src/chivepier/wire/links.py
@@ -190,7 +190,7 @@
         )
         before = self._channels.get(peer)
         if before is not None and not before.closed:
-            before.replaced = True
+            before.replace()
             log.info(
                 "silent link replaced peer={} quiet_ms={} unanswered_ms={}"
                 " pending={}",
