--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardsession.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardsession.py
@@ -29,7 +29,7 @@
             b"abcdef",
             OPEN,
         )
-        await session.finish(True)
+        await session.finish(framed=True)
         last = await session.read(2, 0.5)
         assert await session.read(2, 0.5) == last
         assert last.data == b"cdef"
