Close the connections of the adapter's scripted target at its end

What was seen on this machine: pytest ended with an internal error in runs of a few tests ("SystemError: AST constructor recursion depth mismatch"), so that all other results of the run were lost.

Cause: a script that still slept when its test was over left its writer open. The collector closed it later, which raises as its loop has ended; where that comes amid the parsing of a source, as pytest formats a traceback or imports, the interpreter's parser fails.

No test changed.

--- a/tests/adapter/rawtarget.py
+++ b/tests/adapter/rawtarget.py
@@ -42,7 +42,8 @@
         return self
 
     async def __aexit__(self, *exc) -> None:
-        self._server.close()
+        # a writer that is left open raises in the collector, amid other work
+        self.kill()
 
     def kill(self) -> None:
         """Close all that is open, as the system does for a killed process."""
