Drop the word for an end with an event without a number

What callers would have seen: a stream without a length whose end its target had vouched for, and of which the target that checked it had sent one more event, without a number, before it broke off, was told whole where a third run broke off without an event.

Cause: the word for an end stood as long as the number of the last event did, and an event without a number moves none on.

Evidence: found by reading; the new test fails without the change (told whole after a reset).

Change: each event that follows a vouched end drops it. One with a number did so before, by its number; whole streams are told as before.

--- a/packages/gateway/src/chivepier/gateway/serving/endcheck.py
+++ b/packages/gateway/src/chivepier/gateway/serving/endcheck.py
@@ -19,7 +19,7 @@
 
     :param dispatcher: bounds the checks of a service
     :param plan: the plan of the request
-    :ivar vouched: the end that is or was checked, if one was
+    :ivar vouched: the end that is or was checked, if nothing has followed it
     """
 
     def __init__(self, dispatcher: Dispatcher, plan: Plan):
@@ -87,6 +87,8 @@
         """
         self._is_past_number = not numbered
         self._until = None
+        # one without a number does not show in the run's last number
+        self.vouched = None
 
     def is_vouched(self, run: LiveRun) -> bool:
         """Tell whether a target has vouched for an end after the last event.
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
@@ -100,6 +100,28 @@
     play(test, "a", "b", "c")
 
 
+def test_word_for_an_end_falls_with_an_event_without_a_number():
+    # A third run that was cut made whole what the second had shown to go on.
+    async def test(parts):
+        routes = (attrs.evolve(RESUMABLE, attempts=3),)
+        parts.configure(routes=routes, version=2)
+        for _ in range(100):
+            # repeats are earned by requests
+            parts.dispatcher.budget.note_request("llm", tell_time())
+        caller, task, run = await begin_without_length(parts, "/resume/x")
+        run.end()
+        fresh = await parts.engines.wait_run(2)
+        fresh.make(0, "data: more\n\n")
+        fresh.cut()
+        third = await parts.engines.wait_run(3)
+        third.cut()
+        await task
+        assert caller.data.endswith(b"data: more\n\n")
+        assert caller.aborted and not caller.finished
+
+    play(test, "a", "b", "c")
+
+
 def test_event_without_a_number_completes_the_part_that_came_of_it():
     # It moved no number on, so the caller still seemed to lack it.
     async def test(parts):
