Hold no rest against an entry whose link it had reset

Targets of the soak could tell of sends after an entry was asked to wait, though it had reset that connection before a byte of the refusal left the soak.

A link that saw the reset was forgotten, and then reset its connection to the proxy, up to seconds later where ends are held back. Between the two the proxy took that connection for the entry's own, still open, so the rest began.

Change: a connection is forgotten once both of its sides have been closed, so that what finds it reset ends there. Nothing is excused that was sent to an open connection.

Result: the new test resets after 0 to 39 and 200 turns; a rest begins exactly where a byte of the refusal had arrived.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -174,19 +174,22 @@
             return
         self._writers |= {writer, other}
         sender = self._find_sender(writer)
-        try:
-            with self.senders.note(name_made(other.transport), sender):
+        # noted until both sides have ended: what is told goes no further then
+        with self.senders.note(name_made(other.transport), sender):
+            try:
                 await self._pump_both(reader, writer, other_reader, other)
-        except* OSError:
-            await self._wait_for_arrival(writer)
-            # A reset must not reach the other side as an orderly close.
-            _reset(writer)
-            _reset(other)
-        finally:
-            self._arrivals.pop(writer, None)
-            self._writers -= {writer, other}
-            writer.transport.abort()
-            other.transport.abort()
+            except* OSError:
+                await self._wait_for_arrival(writer)
+                # A reset must not reach the other side as an orderly close.
+                _reset(writer)
+                _reset(other)
+            finally:
+                self._arrivals.pop(writer, None)
+                self._writers -= {writer, other}
+                writer.transport.abort()
+                other.transport.abort()
+                # they are closed in the next turn of the loop
+                await asyncio.sleep(0)
 
     async def _lose(self, writer: asyncio.StreamWriter) -> None:
         """Close a new connection, at once or when the path is sound again."""
--- a/soak/tests/test_signals.py
+++ b/soak/tests/test_signals.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 import random
+import socket
+import struct
 import time
 
 import pytest
@@ -204,3 +206,53 @@
 
     with reserve_block() as block:
         asyncio.run(work(block))
+
+
+async def reset_while_asked(target: SoakTarget, host, port, turns) -> bool:
+    """Send a request and reset its connection some turns of the loop later.
+
+    :returns: whether any byte of the answer was there before
+    """
+    headers = make_sender_headers("e1") | {
+        "X-Chivepier-Request-Id": "a",
+        "X-Chivepier-Expect-Instance": target.instance,
+        "Host": "h.example",
+    }
+    lines = [f"{name}: {value}" for name, value in headers.items()]
+    head = "\r\n".join(["GET /once/x HTTP/1.1", *lines])
+    with socket.create_connection((host, int(port))) as sock:
+        sock.sendall(head.encode() + b"\r\n\r\n")
+        sock.setblocking(False)
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        linger = struct.pack("ii", 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        try:
+            return bool(sock.recv(1, socket.MSG_PEEK))
+        except BlockingIOError:
+            return False
+
+
+def test_backoff_that_finds_its_connection_reset_is_not_held_against_it():
+    # A link that had seen the reset was forgotten before it reset the proxy,
+    # which then counted as the entry itself.
+    async def work(block: int) -> None:
+        target = make_lone_target(block)
+        seen = set()
+        async with follow(target, block) as (host, port):
+            target.signals.overloaded, target.signals.rest = True, REST_SECONDS
+            for turns in (*range(40), 200):
+                target.signals.reset()
+                target.signals.overloaded = True
+                target.signals.rest = REST_SECONDS
+                heard = await reset_while_asked(target, host, port, turns)
+                await asyncio.sleep(0.05)
+                now = time.monotonic()
+                target.signals.violations.clear()
+                target.signals.check_arrival("e1", now, now + 1.0)
+                assert bool(target.signals.violations) is heard, turns
+                seen.add(heard)
+        assert seen == {True, False}
+
+    with reserve_block() as block:
+        asyncio.run(work(block))
