Count no empty run that was broken off as an end

What callers would see: a stream that broke off by a reset, whose second run was closed without an event and without word (its target killed, or leaving), and whose third run was closed so by a living target, is told whole.

Cause: each close in order counts as the first of two ends that agree, also an empty one that was itself taken for broken off and that nobody was asked about.

Change: an empty body counts only where it followed an end that looked whole.

Cost: a stream whose end alone was lost by a reset is broken off after its attempts, however many empty runs follow.

--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -231,7 +231,7 @@
         )
         if has_part:
             self._partial_after = after
-        if cause is EndCause.CLOSE:
+        if cause is EndCause.CLOSE and (end.events or end.follows):
             self._closed_after = after
         return end
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
@@ -122,6 +122,31 @@
     play(test, "a", "b", "c")
 
 
+@pytest.mark.parametrize("leaving", (True, False))
+def test_empty_run_that_was_broken_off_is_no_first_end(leaving):
+    # Nobody is asked for word there, and one that leaves may drop what waits.
+    async def test(parts):
+        routes = (attrs.evolve(RESUMABLE, attempts=3),)
+        parts.configure(routes=routes, version=2)
+        for _ in range(100):
+            # repeats are earned by requests
+            parts.dispatcher.budget.note_request("llm", tell_time())
+        caller, task, run = await begin_without_length(parts)
+        run.cut()
+        fresh = await parts.engines.wait_run(2)
+        if leaving:
+            parts.table.mark_leaving(fresh.target, 0, tell_time())
+        parts.engines.mute.add(fresh.target)
+        fresh.end()
+        third = await parts.engines.wait_run(3)
+        third.end()
+        await task
+        assert caller.numbers == [1, 2]
+        assert caller.aborted and not caller.finished
+
+    play(test, "a", "b", "c")
+
+
 def test_event_without_a_number_completes_the_part_that_came_of_it():
     # It moved no number on, so the caller still seemed to lack it.
     async def test(parts):
