Let a leaving target end the run that it took back

Cause: what guards against a target that leaves and closes what it has not begun also met the target that had begun the run, stopped it by order and taken it back, leaving all the while.

Change: a run that is resumed where it was stopped counts as begun there. Its target still has to give its word after the end.

--- a/packages/gateway/src/chivepier/gateway/serving/endjudge.py
+++ b/packages/gateway/src/chivepier/gateway/serving/endjudge.py
@@ -68,8 +68,10 @@
         found, failed = judge_end(end), None
         if end.cause is EndCause.CLOSE and found is StreamEnd.COMPLETE:
             evidence = await self._witness.examine(run.target, run.request.id)
-            # one that leaves may close what it has not begun to send
-            dropped = evidence.leaving and not end.events
+            # one that leaves may close what it has not begun to send, but not
+            # the run that it had stopped and took back as it left
+            begun = bool(end.events) or run.taken_back
+            dropped = evidence.leaving and not begun
             failed = not evidence.is_vouched or dropped
         if failed:
             found = StreamEnd.TRUNCATED
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -46,6 +46,7 @@
     :param stopped: whether its target was ordered to stop it for a migration
     :param stop_uncertain: whether the order to stop may not have arrived
     :param moved: whether it has been resumed at another target
+    :param taken_back: whether it was resumed where it had been stopped
     :param ended: whether its relaying has ended
     :param lost: set when its target has ended the stream
     :param aborted: whether :meth:`abort` was called at its current target
@@ -78,6 +79,7 @@
     stopped: bool = False
     stop_uncertain: bool = False
     moved: bool = False
+    taken_back: bool = False
     ended: bool = False
     lost: asyncio.Event = attrs.field(factory=asyncio.Event)
     aborted: bool = False
@@ -188,11 +190,12 @@
             timeout.reschedule(asyncio.get_running_loop().time())
 
     def resume_at(self, target: Target, now: float) -> None:
-        """Record that it has been resumed at another target.
+        """Record that it has been resumed, mostly at another target.
 
         :param target: the target that has answered
         :param now: the current time, in monotonic seconds
         """
+        self.taken_back = target.instance == self.target.instance
         self._continue_at(target, now)
         self.forwarded = False
         # its KV cache is copied, so nothing is prefilled
@@ -205,6 +208,7 @@
         :param target: what stands for the targets of that entry
         :param now: the current time, in monotonic seconds
         """
+        self.taken_back = False
         self._continue_at(target, now)
         self.first_event_at = now
         self.forwarded = True
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_endplaces.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_endplaces.py
@@ -204,6 +204,29 @@
     play(test, "a", "b")
 
 
+def test_run_that_has_sent_all_and_goes_on_where_it_was_stopped_is_whole():
+    # Its source leaves, and was taken for one that closes what has not begun.
+    async def test(parts):
+        engines = parts.engines
+        engines.facts = AnswerFacts(framed=False)
+        caller, task, run = await begin(parts, events=EVENTS)
+        finish_reruns(engines)
+
+        def stop() -> MoveResult:
+            run.end()
+            engines.copies.add((f"{run.target}:80", "h-r1"))
+            return STOPPED[1]
+
+        engines.on_stop_order(stop)
+        parts.leave(run.target)
+        await task
+        assert [a.target for a in engines.answers] == [run.target] * 2
+        assert caller.finished and not caller.aborted
+        assert caller.numbers == list(range(1, EVENTS + 1))
+
+    play(test, "a", "b")
+
+
 def test_empty_run_tells_no_end_where_an_order_to_stop_was_lost():
     # Its source may have ended by itself, amid the stream.
     async def test(parts):
