--- a/review/kit-2/deployment.py
+++ b/review/kit-2/deployment.py
@@ -1,7 +1,7 @@
 """A small deployment on loopback addresses, for the scripts of a review.
 
 It starts the project's programs with the commands of the deploy file, and
-holds stand-ins for a server, a client and the operator. All of it uses the
+holds stand-ins for servers, clients and the operator. All of it uses the
 standard library alone.
 """
 
@@ -12,26 +12,38 @@
 import pathlib
 import random
 import secrets
-import socket
 import shutil
+import socket
 import subprocess
 import tempfile
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
+# Seconds after which a case is given up.
+MAX_SECONDS = 100
+VOTERS, ENTRIES = 3, 2
+FRONT, READY, CONTROL, DIRECTORY = 8740, 8749, 8748, 8746
+SERVER, METRICS, PEERS = 8080, 9464, range(7200, 7216)
+PORTS = (FRONT, READY, CONTROL, DIRECTORY, SERVER, METRICS, *PEERS)
+# Seconds between two heartbeats of a server.
+BEAT_SECONDS = 1.2
+CONFIG_PATH = "/chivepier/config"
+REQUEST_ID = "X-Chivepier-Request-Id"
+KEY = "k1"
 SETTINGS = """node-name={name}
 role={role}
-machine-class={cls}
+machine-class={machine}
 serves={serves}
 ip={ip}
 zone=z
 region=r
 zones.z=r
 {listen}
-port-range={low},{high}
+port-range=7200,7215
 seeds={seeds}
-bootstrap={boot}
-in-fault-budget={budget}
+bootstrap={bootstrap}
+in-fault-budget={counted}
 limits.cpu-share=0.8
 limits.cores=1
 limits.memory-mb=296
@@ -70,15 +82,12 @@
 """
 
 
-PORTS = (8740, 8746, 8748, 8749, 8080, 9464, *range(7200, 7216))
-
-
-def choose_block(machines):
+def choose_block():
     """Return the second byte of loopback addresses whose ports are free."""
     blocks = list(range(30, 250))
     random.shuffle(blocks)
     for block in blocks:
-        hosts = [f"127.{block}.{n}.{m}" for n in (1, 2, 3) for m in range(1, machines + 1)]
+        hosts = [f"127.{block}.{n}.{m}" for n in (1, 2, 3) for m in (1, 2, 3)]
         if all(is_free(host, port) for host in hosts for port in PORTS):
             return block
     raise RuntimeError("no free loopback addresses")
@@ -99,294 +108,400 @@
     """An entry or a voter, started as the platform starts it."""
 
     def __init__(self, role, ip, seeds, folder):
-        self.role, self.ip, self.folder, self.seeds = role, ip, folder, seeds
-        self.name = f"{role}-{ip}"
-        self.child = None
-
-    def start(self, boot=False):
-        voter = self.role == "voter"
-        text = SETTINGS.format(
-            name=self.name, role=self.role, ip=self.ip,
-            cls="core" if voter else "front",
-            serves="control,directory" if voter else "front",
-            listen=(f"listen.control={self.ip}:8748\nlisten.directory={self.ip}:8746" if voter
-                    else f"listen.front={self.ip}:8740\nlisten.ready={self.ip}:8749"),
-            low=7200, high=7215, seeds=",".join(self.seeds),
-            boot="true" if boot else "false",
-            budget="true" if voter else "false",
-            disk=128 if voter else 0,
-            data=f"data-dir={self.folder}/data-{self.name}" if voter else "",
+        self.ip = ip
+        self._role, self._seeds, self._folder = role, seeds, folder
+        self._name = f"{role}-{ip}"
+        self._child = None
+
+    def start(self):
+        """Write the settings file and start the process."""
+        path = self._folder / f"{self._name}.conf"
+        path.write_text(self._make_settings())
+        env = {
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
+        }
+        env["CHIVEPIER_BOOT"] = str(path)
+        env["PYTHONPATH"] = str(ROOT / "target" / "deps")
+        with open(self._folder / f"{self._name}.log", "ab") as log:
+            self._child = subprocess.Popen(
+                ["python3", "platform/chivepierd.py", self._role],
+                cwd=ROOT,
+                env=env,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+            )
+
+    def _make_settings(self):
+        is_voter = self._role == "voter"
+        ip, data = self.ip, self._folder / f"data-{self._name}"
+        listen = f"listen.front={ip}:{FRONT}\nlisten.ready={ip}:{READY}"
+        if is_voter:
+            data.mkdir()
+            listen = (
+                f"listen.control={ip}:{CONTROL}\n"
+                f"listen.directory={ip}:{DIRECTORY}"
+            )
+        return SETTINGS.format(
+            name=self._name,
+            role=self._role,
+            machine="core" if is_voter else "front",
+            serves="control,directory" if is_voter else "front",
+            ip=ip,
+            listen=listen,
+            seeds=",".join(self._seeds),
+            bootstrap="true" if is_voter else "false",
+            counted="true" if is_voter else "false",
+            disk=128 if is_voter else 0,
+            data=f"data-dir={data}" if is_voter else "",
         )
-        path = self.folder / f"{self.name}.conf"
-        path.write_text(text)
-        if voter:
-            (self.folder / f"data-{self.name}").mkdir(exist_ok=True)
-        env = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
-        env |= {"CHIVEPIER_BOOT": str(path), "PYTHONPATH": str(ROOT / "target/deps")}
-        log = open(self.folder / f"{self.name}.log", "ab")
-        self.child = subprocess.Popen(["python3", "platform/chivepierd.py", self.role], cwd=ROOT, env=env, stdout=log, stderr=subprocess.STDOUT)
-
-    def signal(self, n):
-        if self.child.poll() is None:
-            self.child.send_signal(n)
-
-    def kill(self):
-        if self.child is not None:
-            self.child.kill()
-            self.child.wait()
-            self.child = None
+
+    def end(self):
+        """Kill the process, if it was started."""
+        if self._child is not None:
+            self._child.kill()
+            self._child.wait()
 
 
 class Server:
-    """A raw HTTP/1.1 replica."""
+    """A server of a service, which announces itself to the voters.
+
+    :ivar behave: coroutine function that answers a request; it returns
+        whether it has, and the server answers with its name where it hasn't
+    :ivar arrived: id, head and body of each request, in order
+    """
 
-    def __init__(self, ip, port, service, controls, record):
-        self.address = f"{ip}:{port}"
-        self.ip, self.port = ip, port
-        self.service, self.controls, self.record = service, controls, record
+    def __init__(self, ip, service, controls, record):
+        self.service = service
         self.id = "i-" + secrets.token_hex(5)
-        self.state, self.seq = "ready", 0
+        self.record = record
         self.behave = None
-        self.slots = 24
-        self.server = None
-        self.task = None
-        self.arrived = []  # (time, id, head, body)
+        self.arrived = []
+        self._ip, self._controls = ip, controls
+        self._beats = 0
+        self._listener = self._task = None
 
     async def start(self):
-        self.server = await asyncio.start_server(self.serve, self.ip, self.port)
-        self.task = asyncio.create_task(self.beat_forever())
-
-    async def stop(self):
-        self.task.cancel()
-        self.server.close()
-
-    async def beat(self):
-        self.seq += 1
-        body = {"service": self.service, "address": self.address, "zone": "z", "version": "v1", "slots": self.slots, "state": self.state, "cold-left-ms": 0, "stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}], "seq": self.seq}
-        for c in self.controls:
-            s, _, _ = await call(c, "PUT", f"/chivepier/instances/{self.id}", json.dumps(body).encode())
-            if 200 <= s < 300:
-                return True
-        return False
-
-    async def beat_forever(self):
+        """Listen, and begin to announce itself."""
+        self._listener = await asyncio.start_server(
+            self._serve, self._ip, SERVER
+        )
+        self._task = asyncio.create_task(self._announce())
+
+    def stop(self):
+        """Listen and announce no more."""
+        if self._task is not None:
+            self._task.cancel()
+            self._listener.close()
+
+    async def _announce(self):
         while True:
-            await self.beat()
-            await asyncio.sleep(1.2)
+            self._beats += 1
+            body = {
+                "service": self.service,
+                "address": f"{self._ip}:{SERVER}",
+                "zone": "z",
+                "version": "v1",
+                "slots": 24,
+                "state": "ready",
+                "cold-left-ms": 0,
+                "seq": self._beats,
+            }
+            path, data = f"/chivepier/instances/{self.id}", json.dumps(body)
+            for control in self._controls:
+                status, _, _ = await call(control, "PUT", path, data.encode())
+                if 200 <= status < 300:
+                    break
+            await asyncio.sleep(BEAT_SECONDS)
 
-    async def serve(self, reader, writer):
-        try:
+    async def _serve(self, reader, writer):
+        closed = (
+            asyncio.IncompleteReadError,
+            ConnectionError,
+            asyncio.CancelledError,
+        )
+        with contextlib.suppress(*closed):
             while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                lines = head.split(b"\r\n")
-                h = {}
-                for line in lines[1:]:
-                    k, _, v = line.partition(b":")
-                    if k:
-                        h.setdefault(k.lower().decode("latin-1"), v.strip().decode("latin-1"))
-                body = b""
-                if "content-length" in h:
-                    body = await reader.readexactly(int(h["content-length"]))
-                elif "chunked" in h.get("transfer-encoding", ""):
-                    while True:
-                        n = int((await reader.readline()).split(b";")[0], 16)
-                        body += await reader.readexactly(n)
-                        await reader.readline()
-                        if n == 0:
-                            break
-                rid = h.get("x-chivepier-request-id", "")
-                first = lines[0].decode("latin-1")
-                self.arrived.append((time.monotonic(), rid, head, body))
-                self.record("server got", self.id, rid, first)
-                if h.get("x-chivepier-expect-instance", self.id) != self.id:
-                    writer.write(b"HTTP/1.1 421 X\r\nX-Chivepier-Not-Run: 1\r\nContent-Length: 0\r\nX-Chivepier-Request-Id: %s\r\n\r\n" % rid.encode())
-                    continue
-                if first.split()[1].startswith("/health"):
-                    writer.write(b"HTTP/1.1 200 OK\r\nX-Chivepier-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n" % self.id.encode())
-                    continue
-                if first.split()[1].startswith("/chivepier/"):
-                    writer.write(b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n")
-                    continue
-                if self.behave:
-                    done = await self.behave(self, reader, writer, first, h, body)
-                    if done == "close":
-                        return
-                    if done:
-                        continue
-                out = json.dumps({"by": self.id, "id": rid, "line": first}).encode()
-                writer.write(b"HTTP/1.1 200 OK\r\nX-Chivepier-Request-Id: %s\r\nX-Chivepier-Server-Stamp: %s.1\r\nContent-Length: %d\r\n\r\n" % (rid.encode("latin-1"), self.id.encode(), len(out)) + out)
-                await writer.drain()
-        except (asyncio.IncompleteReadError, ConnectionError, asyncio.LimitOverrunError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
+                await self._answer_next(reader, writer)
+        writer.close()
+
+    async def _answer_next(self, reader, writer):
+        head = await reader.readuntil(b"\r\n\r\n")
+        line, headers = parse_head(head)
+        body = await read_body(reader, headers)
+        path = line.split()[1]
+        rid = headers.get(REQUEST_ID.lower(), "")
+        echo = f"{REQUEST_ID}: {rid}\r\n" if rid else ""
+        expected = headers.get("x-chivepier-expect-instance", self.id)
+        if path.startswith("/health"):
+            status, data = "200 OK", b""
+            echo += f"X-Chivepier-Instance-Id: {self.id}\r\n"
+        elif expected != self.id:
+            status, data = "421 Misdirected", b""
+            echo += "X-Chivepier-Not-Run: 1\r\n"
+        elif path.startswith("/chivepier/"):
+            status, data = "404 Not Found", b""
+        else:
+            self.arrived.append((rid, head, body))
+            self.record(
+                "server", self.id, "of", self.service, "got", rid, line
+            )
+            if self.behave is not None and await self.behave(
+                self, writer, headers
+            ):
+                return
+            status = "200 OK"
+            data = json.dumps({"by": self.id, "id": rid}).encode()
+            echo += f"X-Chivepier-Server-Stamp: {self.id}.1\r\n"
+        length = f"Content-Length: {len(data)}\r\n"
+        answer = f"HTTP/1.1 {status}\r\n{echo}{length}\r\n"
+        writer.write(answer.encode("latin-1") + data)
+        await writer.drain()
+
+
+def parse_head(head):
+    """Return the first line of a head, and its fields by lower-case name."""
+    line, *fields = head.decode("latin-1").split("\r\n")
+    headers = {}
+    for field in filter(None, fields):
+        name, _, value = field.partition(":")
+        headers.setdefault(name.lower(), value.strip())
+    return line, headers
+
+
+async def read_body(reader, headers):
+    """Return the body that a head announces."""
+    if "chunked" not in headers.get("transfer-encoding", ""):
+        return await reader.readexactly(int(headers.get("content-length", 0)))
+    body = b""
+    while True:
+        size = int((await reader.readline()).split(b";")[0], 16)
+        body += await reader.readexactly(size)
+        await reader.readline()
+        if size == 0:
+            return body
+
 
+async def call(
+    address, method, path, body=b"", headers=(), host=None, seconds=1.0
+):
+    """Send one request over a new connection.
 
-async def call(address, method, path, body=b"", headers=(), seconds=1.0, raw=None):
-    """One request over a new connection; (status, headers, body)."""
-    host, _, port = address.rpartition(":")
+    :returns: status, headers and body of the answer; status 0 without one
+    """
+    ip, _, port = address.rpartition(":")
+    fields = [
+        ("Host", host or address),
+        ("Content-Length", len(body)),
+        *headers,
+    ]
+    head = f"{method} {path} HTTP/1.1\r\n"
+    head += "".join(f"{name}: {value}\r\n" for name, value in fields)
     try:
         async with asyncio.timeout(seconds):
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.open_connection(ip, int(port))
             try:
-                if raw is None:
-                    text = f"{method} {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\nContent-Length: {len(body)}\r\n" + "".join(f"{k}: {v}\r\n" for k, v in headers) + "\r\n"
-                    raw = text.encode("latin-1") + body
-                writer.write(raw)
-                return await read_answer(reader)
+                writer.write(head.encode("latin-1") + b"\r\n" + body)
+                line, found = parse_head(await reader.readuntil(b"\r\n\r\n"))
+                data = await read_body(reader, found)
+                return int(line.split()[1]), found, data
             finally:
                 writer.transport.abort()
-    except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError) as error:
+    except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
         return 0, {}, repr(error).encode()
 
 
-async def read_answer(reader, head_only=False):
-    head = await reader.readuntil(b"\r\n\r\n")
-    lines = head.decode("latin-1").split("\r\n")
-    status = int(lines[0].split()[1])
-    h = {}
-    for line in lines[1:]:
-        k, _, v = line.partition(":")
-        if k:
-            h[k.lower()] = v.strip()
-    body = b""
-    if "content-length" in h:
-        body = await reader.readexactly(int(h["content-length"]))
-    elif "chunked" in h.get("transfer-encoding", ""):
-        while True:
-            n = int((await reader.readline()).split(b";")[0], 16)
-            body += await reader.readexactly(n)
-            await reader.readline()
-            if n == 0:
-                break
-    elif not head_only:
-        body = await reader.read()
-    return status, h, body
-
-
-def config(version, service_of, teams=True, **extra):
-    routes = []
-    for name, kind, svc, more in service_of:
-        r = {"name": name, "host": "h.example", "path-prefix": f"/{name}/", "kind": kind, "timeout-ms": 6000, "slo-ms": 1000, "priority": 1, "service": svc, "max-attempts": 2, "public": False, "sticky": False, "resumable": False}
-        r.update(more)
-        routes.append(r)
-    services = [{"name": s, "health-path": "/health", "max-conns": 100, "protocol": "h1", "tls": False} for s in sorted({x[2] for x in service_of})]
-    c = {"version": version, "routes": routes, "services": services, "limits": {"max-header-bytes": 16384, "max-body-bytes": 4194304, "header-timeout-ms": 3000, "idle-timeout-ms": 15000}, "tenants": [{"name": "t1", "api-keys": ["k1"], "priority": 1}, {"name": "t2", "api-keys": ["k2"], "priority": 1}]}
-    c.update(extra)
-    return c
-
-
-class Lab:
-    def __init__(self, voters=3, entries=2, block=None):
+def make_config(version, routes):
+    """Return a configuration.
+
+    :param routes: name, kind, service and further fields of each route, whose
+        path prefix is its name
+    """
+    fields = {
+        "host": "h.example",
+        "timeout-ms": 6000,
+        "slo-ms": 1000,
+        "priority": 1,
+        "max-attempts": 2,
+        "public": False,
+        "sticky": False,
+        "resumable": False,
+    }
+    services = sorted({service for _, _, service, _ in routes})
+    return {
+        "version": version,
+        "routes": [
+            fields
+            | {
+                "name": name,
+                "path-prefix": f"/{name}/",
+                "kind": kind,
+                "service": service,
+            }
+            | more
+            for name, kind, service, more in routes
+        ],
+        "services": [
+            {
+                "name": name,
+                "health-path": "/health",
+                "max-conns": 100,
+                "protocol": "h1",
+                "tls": False,
+            }
+            for name in services
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 4194304,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+        "tenants": [{"name": "t1", "api-keys": [KEY], "priority": 1}],
+    }
+
+
+class Deployment:
+    """Three voters, two entries, and the servers of a case.
+
+    :ivar controls: addresses of the voters' control interface
+    :ivar lines: what was sent, answered and run
+    :ivar broken: where the rule was broken
+    """
+
+    def __init__(self):
         self.folder = pathlib.Path(tempfile.mkdtemp())
-        block = block or choose_block(max(voters, entries, 4))
-        self.base = f"127.{block}"
-        self.controls = [f"{self.base}.1.{n+1}:8748" for n in range(voters)]
-        seeds = self.controls[:3]
-        self.voters = [Process("voter", f"{self.base}.1.{n+1}", seeds, self.folder) for n in range(voters)]
-        self.entries = [Process("entry", f"{self.base}.2.{n+1}", seeds, self.folder) for n in range(entries)]
-        self.servers = []
-        self.lines = []
-        self.failed = []
-        self.t0 = time.monotonic()
+        self._base = f"127.{choose_block()}"
+        ips = [f"{self._base}.1.{n + 1}" for n in range(VOTERS)]
+        self.controls = [f"{ip}:{CONTROL}" for ip in ips]
+        self.voters = [
+            Process("voter", ip, self.controls, self.folder) for ip in ips
+        ]
+        self.entries = [
+            Process(
+                "entry", f"{self._base}.2.{n + 1}", self.controls, self.folder
+            )
+            for n in range(ENTRIES)
+        ]
+        self.servers, self.lines, self.broken = [], [], []
+        self._began = time.monotonic()
 
     def record(self, *words):
-        self.lines.append(f"{time.monotonic()-self.t0:9.3f} " + " ".join(map(str, words)))
-
-    def server(self, n, service, port=8080):
-        s = Server(f"{self.base}.3.{n}", port, service, self.controls, self.record)
-        self.servers.append(s)
-        return s
-
-    async def put_config(self, c, seconds=10):
-        end = time.monotonic() + seconds
-        body = json.dumps(c).encode()
-        while time.monotonic() < end:
-            for a in self.controls:
-                s, _, b = await call(a, "PUT", "/chivepier/config", body)
-                if s == 200:
-                    self.record("config", c["version"], "acknowledged by", a)
-                    return True
-                if s == 400: raise RuntimeError(b)
-            await asyncio.sleep(0.1)
-        return False
+        """Add a line to the record."""
+        text = " ".join(map(str, words))
+        self.lines.append(f"{time.monotonic() - self._began:9.3f} {text}")
+
+    def check(self, holds, *words):
+        """Record a check of the rule, and whether it held."""
+        if not holds:
+            self.broken.append(words)
+        self.record("held:" if holds else "BROKEN:", *words)
+
+    def add_server(self, service):
+        """Return a server that is started with the deployment."""
+        ip = f"{self._base}.3.{len(self.servers) + 1}"
+        server = Server(ip, service, self.controls, self.record)
+        self.servers.append(server)
+        return server
 
     @contextlib.asynccontextmanager
-    async def run(self, conf):
+    async def run(self, config):
+        """Run all, from the time at which entries serve by a configuration."""
         try:
-            for p in self.voters:
-                p.start(boot=True)
-            for p in self.entries:
-                p.start(boot=False)
-            for s in self.servers:
-                await s.start()
-            assert await self.put_config(conf, 20)
-            end = time.monotonic() + 15
-            while time.monotonic() < end:
-                oks = [(await call(f"{p.ip}:8749", "GET", "/chivepier/ready"))[0] for p in self.entries]
-                if all(o == 200 for o in oks):
-                    break
-                await asyncio.sleep(0.2)
-            else:
-                raise RuntimeError("not ready")
-            await asyncio.sleep(1.5)
-            yield self
+            for process in (*self.voters, *self.entries):
+                process.start()
+            for server in self.servers:
+                await server.start()
+            await self._wait(self._configure, json.dumps(config).encode())
+            await self._wait(self._are_ready)
+            # the servers have announced themselves to all
+            await asyncio.sleep(BEAT_SECONDS)
+            yield
         finally:
-            for p in (*self.voters, *self.entries):
-                p.kill()
-            for s in self.servers:
-                await s.stop()
+            for process in (*self.voters, *self.entries):
+                process.end()
+            for server in self.servers:
+                server.stop()
             shutil.rmtree(self.folder, ignore_errors=True)
 
-    def blame(self, *words):
-        """Note that the rule was broken."""
-        self.failed.append(" ".join(map(str, words)))
-        self.record("BROKEN:", *words)
+    async def _wait(self, is_done, *args):
+        async with asyncio.timeout(30):
+            while not await is_done(*args):
+                await asyncio.sleep(0.2)
 
-    def check(self, fine, *words):
-        """Note a check, and whether the rule held there."""
-        if fine:
-            self.record("held:", *words)
-        else:
-            self.blame(*words)
+    async def _configure(self, body):
+        status, _, _ = await call(self.controls[0], "PUT", CONFIG_PATH, body)
+        return status == 200
+
+    async def _are_ready(self):
+        answers = [
+            await call(f"{entry.ip}:{READY}", "GET", "/chivepier/ready")
+            for entry in self.entries
+        ]
+        return all(status == 200 for status, _, _ in answers)
+
+    async def order(self, control, body):
+        """Send a configuration as the operator; return the status."""
+        self.record("operator sends to", control, body.decode())
+        status, _, _ = await call(control, "PUT", CONFIG_PATH, body)
+        self.record("operator gets", status)
+        return status
+
+    async def ask(self, entry, path, rid, body=b"x", headers=()):
+        """Send a request as a client; return status and body."""
+        own = [
+            (REQUEST_ID, rid),
+            ("X-Chivepier-Deadline-Ms", 3000),
+            ("X-Api-Key", KEY),
+        ]
+        status, _, data = await call(
+            f"{entry.ip}:{FRONT}",
+            "POST",
+            path,
+            body,
+            own + list(headers),
+            "h.example",
+            4.0,
+        )
+        self.record("client sent", rid, "to", entry.ip, path, "got", status)
+        return status, data
 
     def find(self, rid):
-        """Return what servers got under the id of a request."""
-        return [got for s in self.servers for got in s.arrived if got[1] == rid]
-
-    async def ask(self, entry, method, path, rid, body=b"", key="k1", headers=(), deadline=3000, seconds=None):
-        h = [("X-Chivepier-Request-Id", rid), ("X-Chivepier-Deadline-Ms", deadline), ("X-Api-Key", key), *headers]
-        text = f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nContent-Length: {len(body)}\r\n" + "".join(f"{k}: {v}\r\n" for k, v in h) + "\r\n"
-        r = await call(f"{entry.ip}:8740", method, path, seconds=seconds or deadline / 1000 + 1, raw=text.encode("latin-1") + body)
-        self.record("client", rid, method, path, "->", r[0])
-        return r
-
-
-TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-MAX_SECONDS = 110
+        """Return head and body of each run of a request."""
+        return [
+            (head, body)
+            for server in self.servers
+            for found, head, body in server.arrived
+            if found == rid
+        ]
 
 
 def play(folder, scenario):
-    """Play a scenario; exit with 1 if a rule broke, 0 if not, 2 if unplayed.
+    """Play a case, and exit with 1 if its rule broke, 0 if not, else 2.
 
-    :param folder: the folder of the case, for its record
-    :param scenario: coroutine function that is given the trouble's presence,
-        and returns the deployment that it has used
+    :param folder: the folder of the case, which gets the record
+    :param scenario: coroutine function that takes the deployment, and whether
+        there is trouble
     """
-    code, lines = 2, []
-    lab = Lab()
+    try:
+        deployment = Deployment()
+    except Exception as error:
+        print("the case could not run:", repr(error))
+        raise SystemExit(2) from None
 
-    async def bounded():
+    async def play_in_time():
         async with asyncio.timeout(MAX_SECONDS):
-            await scenario(lab, TROUBLE)
+            await scenario(deployment, TROUBLE)
 
     try:
-        asyncio.run(bounded())
-        code = 1 if lab.failed else 0
-    except BaseException as error:
-        lab.record("the case could not run:", repr(error))
-    lines = [f"TROUBLE={int(TROUBLE)}", *lab.lines]
-    lines.append({0: "the rule held", 1: "the rule was broken", 2: "not run"}[code])
+        asyncio.run(play_in_time())
+        status = 1 if deployment.broken else 0
+    except Exception as error:
+        deployment.record("the case could not run:", repr(error))
+        status = 2
+    verdict = ("the rule held", "the rule was broken", "not run")[status]
+    lines = [f"TROUBLE={int(TROUBLE)}", *deployment.lines, verdict]
     (pathlib.Path(folder) / "record.txt").write_text("\n".join(lines) + "\n")
-    print("\n".join(lines[-12:]))
-    raise SystemExit(code)
+    print(verdict)
+    raise SystemExit(status)
