--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,8 @@
-"""Configurations with two routes whose hosts differ in case alone."""
+"""Streams whose first event has the id 0."""
 
 import asyncio
-import json
 import pathlib
+import re
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -10,62 +10,57 @@
 
 import deployment  # noqa: E402
 
+EVENTS = 6
+ROUTES = [
+    ("plain", "streaming", "b", {"gap-slo-ms": 180}),
+    ("resumable", "streaming", "b", {"gap-slo-ms": 180, "resumable": True}),
+]
+HEAD = (
+    "HTTP/1.1 200 OK\r\nX-Chivepier-Request-Id: {rid}\r\n"
+    "X-Chivepier-Server-Stamp: {server}.1\r\n"
+    "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
 
-def make_config(version, host):
-    routes = [
-        ("orders", "non_idempotent", "a", {}),
-        ("other", "idempotent", "b", {}),
-    ]
-    config = deployment.config(version, routes)
-    # the same place as that of the first route, for another service
-    config["routes"].append(
-        config["routes"][0]
-        | {"name": "orders-2", "host": host, "service": "b"}
-    )
-    return config
 
+def make_stream(first):
+    """Return a behaviour that streams events with the ids from one on."""
 
-async def scenario(lab, trouble):
-    lab.server(1, "a")
-    lab.server(2, "b")
-    plain = deployment.config(1, [
-        ("orders", "non_idempotent", "a", {}),
-        ("other", "idempotent", "b", {}),
-    ])
-    # sound: another host; invalid: the same host, written in capitals
-    hosts = ["H.EXAMPLE", "H.Example"] if trouble else ["i.example"] * 2
-    async with lab.run(plain):
-        for n, host in enumerate(hosts):
-            version = 10 * (n + 1)
-            body = json.dumps(make_config(version, host)).encode()
-            control = lab.controls[n % len(lab.controls)]
-            lab.record("operator sends", version, body.decode())
-            status, _, _ = await deployment.call(
-                control, "PUT", "/chivepier/config", body
-            )
-            lab.record("operator gets", version, status)
-            if trouble:
-                lab.check(400 <= status < 500, "version", version,
-                          "has two routes of one place, answer", status)
-            elif status != 200:
-                raise RuntimeError(f"a sound configuration got {status}")
-            # config-apply-ms
-            await asyncio.sleep(2.2)
-            for entry in lab.entries:
-                rid = f"v{version}-{entry.ip}"
-                await lab.ask(entry, "POST", "/orders/x", rid, b"x")
-                ran = [s.service for s in lab.servers
-                       if any(got[1] == rid for got in s.arrived)]
-                lab.check(ran == ["a"], rid, "to h.example/orders/ ran at",
-                          "service", ran, "and has to run at a")
-            status, _, body = await deployment.call(
-                lab.controls[-1], "GET", "/chivepier/config"
-            )
-            found = json.loads(body)["version"] if status == 200 else None
-            lab.record("operator reads", status, "version", found)
-            if trouble:
-                lab.check(found != version, "version", version,
-                          "is invalid, version", found, "is read back")
+    async def stream(server, writer, headers):
+        rid = headers["x-chivepier-request-id"]
+        after = int(headers.get("last-event-id", first - 1))
+        server.record("server runs", rid, "from event", after + 1)
+        writer.write(HEAD.format(rid=rid, server=server.id).encode())
+        for number in range(after + 1, first + EVENTS):
+            event = f"id: {number}\ndata: piece {number} of {rid}\n\n".encode()
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            server.record("server sent event", number, "of", rid)
+            await asyncio.sleep(0.02)
+        writer.write(b"0\r\n\r\n")
+        await writer.drain()
+        return True
+
+    return stream
+
+
+async def scenario(site, trouble):
+    """Ask for streams, and compare their events with those that were sent."""
+    first = 0 if trouble else 1
+    for _ in range(2):
+        site.add_server("b").behave = make_stream(first)
+    wanted = list(range(first, first + EVENTS))
+    async with site.run(deployment.make_config(1, ROUTES)):
+        for n in range(8):
+            route = ROUTES[n % 2][0]
+            rid = f"r{n}-{route}"
+            entry = site.entries[n // 2 % len(site.entries)]
+            status, body = await site.ask(entry, f"/{route}/x", rid)
+            site.record("client got", rid, body.decode().split("\n\n"))
+            if status != 200 or len(site.find(rid)) != 1:
+                raise RuntimeError(f"{rid}: {status}, or another run")
+            got = [int(x) for x in re.findall(rb"^id: (\d+)$", body, re.M)]
+            text = f"is complete, has events {got} of {wanted}"
+            site.check(got == wanted, rid, text)
 
 
 deployment.play(FOLDER, scenario)
