--- a/review/kit-2/deployment.py
+++ b/review/kit-2/deployment.py
@@ -7,14 +7,17 @@
 
 import asyncio
 import contextlib
+import itertools
 import json
 import os
 import pathlib
 import random
 import secrets
 import shutil
+import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 
@@ -31,6 +34,8 @@
 CONFIG_PATH = "/chivepier/config"
 REQUEST_ID = "X-Chivepier-Request-Id"
 KEY = "k1"
+# Seconds in which the operator gets a clear response.
+ORDER_SECONDS = 10
 SETTINGS = """node-name={name}
 role={role}
 machine-class={machine}
@@ -442,11 +447,38 @@
         return all(status == 200 for status, _, _ in answers)
 
     async def order(self, control, body):
-        """Send a configuration as the operator; return the status."""
-        self.record("operator sends to", control, body.decode())
-        status, _, _ = await call(control, "PUT", CONFIG_PATH, body)
-        self.record("operator gets", status)
-        return status
+        """Send a configuration as the operator does, until it is answered.
+
+        A call without a clear response is sent again unchanged, to any node.
+
+        :returns: whether it was acknowledged; otherwise it was refused
+        :raises TimeoutError: without a clear response
+        """
+        nodes = itertools.cycle([control, *self.controls])
+        async with asyncio.timeout(ORDER_SECONDS):
+            while True:
+                node = next(nodes)
+                self.record("operator sends to", node, body.decode())
+                status, _, _ = await call(node, "PUT", CONFIG_PATH, body)
+                self.record("operator gets", status)
+                if 200 <= status < 300:
+                    return True
+                if 400 <= status < 500 and status not in (408, 429):
+                    return False
+                await asyncio.sleep(0.2)
+
+    async def read_version(self, control):
+        """Return the version that the operator reads.
+
+        :raises TimeoutError: if none is answered
+        """
+        async with asyncio.timeout(ORDER_SECONDS):
+            while True:
+                status, _, body = await call(control, "GET", CONFIG_PATH)
+                self.record("operator reads", status)
+                if status == 200:
+                    return json.loads(body)["version"]
+                await asyncio.sleep(0.2)
 
     async def ask(self, entry, path, rid, body=b"x", headers=()):
         """Send a request as a client; return status and body."""
@@ -494,6 +526,8 @@
         async with asyncio.timeout(MAX_SECONDS):
             await scenario(deployment, TROUBLE)
 
+    # so that a run that is stopped ends its processes, too
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         asyncio.run(play_in_time())
         status = 1 if deployment.broken else 0
