Tell a stream without an event from one that has event 0

Cause: 0 stood for "no event yet" and for event 0. A run began with 0 as the number of its last event, so event 0 counted as one that its caller had. The same number went to the next target as `Last-Event-Id: 0` where a run broke off before event 1, to copies, and to other entries; it also decided whether an end without a length is checked, whether a part of an event shows that more was to come, at which version a caller's stream may go on, and how many tokens a run holds (1,000,000 events too many where ids begin there).

Change: the last event's number is None before the first event; events that were passed on are counted by themselves, and tokens follow from that count; until a caller has an event of this attempt, targets and entries are sent its own id word for word, or none. `CallerRequest.takes_up` alone tells whether a caller has an event. Entries of the release before forward 0 for none, without a software version: read as before. Marks that a part or an end had come after event N are cleared with each event instead of comparing numbers, of which none and 0 were alike. `stream_ended` says the events passed on and, as `after`, the last one's number.

--- a/packages/gateway/src/chivepier/gateway/serving/callerrequest.py
+++ b/packages/gateway/src/chivepier/gateway/serving/callerrequest.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from chivepier.gateway.serving.eventsplitter import parse_number
 from chivepier.gateway.serving.prompt import Prompt
 
 
@@ -46,3 +47,24 @@
     resumes: str | None = None
     software_version: str | None = None
     forwarded: bool = False
+
+    @property
+    def takes_up(self) -> bool:
+        """Whether its caller has an event of the stream that it asks for.
+
+        Of what entries forward, those of earlier releases write 0 for no
+        event, and those of this one name a version with each event.
+        """
+        if self.forwarded and self.last_event == "0":
+            return self.software_version is not None
+        return bool(self.last_event)
+
+    @property
+    def last_event_number(self) -> int | None:
+        """Number of the last event that its caller has.
+
+        ``None`` if it has none, or one whose id is no number.
+        """
+        if not self.takes_up:
+            return None
+        return parse_number(self.last_event.encode(errors="replace"))
--- a/packages/gateway/src/chivepier/gateway/serving/continuations.py
+++ b/packages/gateway/src/chivepier/gateway/serving/continuations.py
@@ -29,8 +29,6 @@
 UNINFORMED_RETRY_SECONDS = 0.5
 # Seconds within which a target that serves is announced: several heartbeats.
 ANNOUNCEMENT_SECONDS = 5.0
-# What a caller has that has got no event yet.
-NO_EVENTS = (None, "", "0")
 
 Hold = collections.abc.Callable[..., collections.abc.Awaitable[None]]
 Publish = collections.abc.Callable[[Origin, bool], None]
@@ -139,8 +137,7 @@
         :raises RequestError: if it may not go on; it has not run
         """
         request = plan.request
-        takes_up = request.last_event not in NO_EVENTS
-        if not plan.route.streaming or not takes_up:
+        if not plan.route.streaming or not request.takes_up:
             return plan
         if plan.software_version is not None:
             return plan
@@ -247,15 +244,14 @@
 def _make_key(plan: Plan) -> OriginKey:
     """Return what identifies the stream that a caller has events of."""
     request = plan.request
-    if request.last_event not in NO_EVENTS and not request.resumes:
+    if request.takes_up and not request.resumes:
         return _make_request_key(plan)
     return _make_attempt_key(plan)
 
 
 def _make_attempt_key(plan: Plan) -> OriginKey:
     request = plan.request
-    takes_up = request.last_event not in NO_EVENTS
-    attempt = request.resumes if takes_up else None
+    attempt = request.resumes if request.takes_up else None
     return OriginKey(plan.team or "", attempt or request.id)
 
 
--- a/packages/gateway/src/chivepier/gateway/serving/detour.py
+++ b/packages/gateway/src/chivepier/gateway/serving/detour.py
@@ -73,7 +73,7 @@
         if run is not None:
             request = attrs.evolve(
                 request,
-                last_event=str(run.last_event_number),
+                last_event=run.last_event,
                 software_version=run.eligibility.software_version,
             )
         seconds = plan.deadline - self._clock.monotonic()
--- a/packages/gateway/src/chivepier/gateway/serving/endcheck.py
+++ b/packages/gateway/src/chivepier/gateway/serving/endcheck.py
@@ -49,7 +49,7 @@
             and now - run.heard_at <= MAX_VOUCH_SECONDS
             and not run.forwarded
             and not run.stopped
-            and run.last_event_number > 0
+            and run.last_event_number is not None
             and not self._is_past_number
             and run.earlier_runs + len(run.ran_at) < plan.route.attempts
             and plan.deadline - now > CONFIRM_SECONDS
@@ -90,19 +90,15 @@
         # one without a number does not show in the run's last number
         self.vouched = None
 
-    def is_vouched(self, run: LiveRun) -> bool:
-        """Tell whether a target has vouched for an end after the last event.
-
-        :param run: the run, which has ended its body
-        """
-        vouched = self.vouched
-        return vouched is not None and vouched.after == run.last_event_number
+    @property
+    def is_vouched(self) -> bool:
+        """Whether a target has vouched for an end after the last event."""
+        return self.vouched is not None
 
-    def is_answered_by_nothing(self, run: LiveRun, end: BodyEnd) -> bool:
+    def is_answered_by_nothing(self, end: BodyEnd) -> bool:
         """Tell whether a vouched end stands, as nothing followed it.
 
-        :param run: the run that checked it
-        :param end: how its body has ended
+        :param end: how the body of the target that was asked has ended
         """
         nothing_came = not end.events and not is_unfinished(end.remainder)
-        return nothing_came and not end.contradicted and self.is_vouched(run)
+        return nothing_came and not end.contradicted and self.is_vouched
--- a/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
+++ b/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
@@ -15,6 +15,8 @@
 # one event holds.
 MAX_EVENT_BYTES = 256 << 10
 LINE_ENDS = (b"\r\n", b"\n", b"\r")
+# Digits of an event's number: more are no number of an event.
+MAX_NUMBER_DIGITS = 40
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
@@ -126,6 +128,16 @@
     return not ends_line or has_fields(remainder)
 
 
+def parse_number(text: bytes) -> int | None:
+    """Parse the id of an event, ``None`` if it is no number.
+
+    >>> parse_number(b"0"), parse_number(b""), parse_number(b"-1")
+    (0, None, None)
+    """
+    known = text.isdigit() and len(text) <= MAX_NUMBER_DIGITS
+    return int(text) if known else None
+
+
 def parse_event_number(event: bytes) -> int | None:
     """Parse the number in the ``id`` field of an event.
 
@@ -134,12 +146,26 @@
     """
     for line in _split_lines(event):
         if line.startswith(b"id:"):
-            text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            return parse_number(line[3:].strip())
     return None
 
 
-def has_new_part(remainder: bytes, last: int) -> bool:
+def is_known_event(number: int | None, last: int | None) -> bool:
+    """Tell whether a caller has an event.
+
+    A series may begin with 0: a caller without an event has not that one.
+
+    >>> is_known_event(0, None), is_known_event(0, 0)
+    (False, True)
+
+    :param number: number of the event; ``None`` if it has none
+    :param last: number of the last event that the caller has; ``None`` before
+        the first
+    """
+    return number is not None and last is not None and number <= last
+
+
+def has_new_part(remainder: bytes, last: int | None) -> bool:
     """Tell whether bytes hold a part of an event that the caller lacks.
 
     The next target may repeat an event; only a whole line tells its number.
@@ -148,9 +174,9 @@
     (False, True)
 
     :param remainder: the bytes after the last complete event
-    :param last: number of the last event that the caller has
+    :param last: number of the last event that the caller has; ``None`` before
+        the first
     """
     end = max(remainder.rfind(b"\n"), remainder.rfind(b"\r")) + 1
     number = parse_event_number(remainder[:end])
-    is_known = number is not None and number <= last
-    return is_unfinished(remainder) and not is_known
+    return is_unfinished(remainder) and not is_known_event(number, last)
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -8,6 +8,7 @@
 
 from chivepier.gateway.config import Service
 from chivepier.gateway.serving.callerrequest import CallerRequest
+from chivepier.gateway.serving.eventsplitter import is_known_event
 from chivepier.gateway.serving.handoff import Handoff
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.targets import Eligibility
@@ -18,8 +19,6 @@
 # Seconds that the calls of one migration add to the copying: two copies are
 # requested and answered in some milliseconds each, but targets may be slow.
 MOVE_CALLS_SECONDS = 0.06
-# Digits of an event's number: more are no number of an event.
-MAX_NUMBER_DIGITS = 18
 
 
 @attrs.define(eq=False)
@@ -39,7 +38,12 @@
     :param movable: whether it is migrated when its target leaves. One that may
         be rerun is short: it is left to finish, or to be rerun.
     :param last_event_number: number of the last event that the caller has,
-        by this attempt or an earlier one
+        by this attempt or an earlier one; ``None`` before the first, or if it
+        has no number
+    :param relayed_events: how many events with a number the caller got by
+        this attempt: a series may begin with any number, and leave some out
+    :param earlier_tokens: what earlier attempts generated of the stream, in
+        tokens, as far as the id tells that its caller sent
     :param first_event_at: when its target sent the first event, in monotonic
         seconds; ``None`` until then
     :param handoff: result of the migration in progress, if any
@@ -73,7 +77,9 @@
     sent_at: float = 0.0
     heard_at: float = 0.0
     movable: bool = False
-    last_event_number: int = attrs.field()
+    last_event_number: int | None = attrs.field()
+    relayed_events: int = 0
+    earlier_tokens: int = attrs.field(init=False)
     first_event_at: float | None = None
     handoff: asyncio.Future[Handoff | None] | None = None
     stopped: bool = False
@@ -92,10 +98,17 @@
     wait_timeout: asyncio.Timeout | None = None
 
     @last_event_number.default
-    def _find_last_event_number(self) -> int:
-        data = (self.plan.request.last_event or "").encode()
-        known = data.isdigit() and len(data) <= MAX_NUMBER_DIGITS
-        return int(data) if known else 0
+    def _find_last_event_number(self) -> int | None:
+        return self.request.last_event_number
+
+    @earlier_tokens.default
+    def _estimate_earlier_tokens(self) -> int:
+        prompt, engine = self.request.prompt, self.service.engine
+        number = self.request.last_event_number
+        if prompt is None or engine is None or number is None:
+            return 0
+        # the number tells it only if the series began with 1
+        return min(number * engine.event_tokens, prompt.max_output)
 
     @property
     def request(self) -> CallerRequest:
@@ -129,14 +142,33 @@
         engine = self.service.engine
         if prompt is None or engine is None:
             return self.counted_tokens
-        return prompt.tokens + self.last_event_number * engine.event_tokens
+        made = self.relayed_events * engine.event_tokens
+        return prompt.tokens + self.earlier_tokens + made
+
+    @property
+    def last_event(self) -> str | None:
+        """Id of the last event that the caller has, to be sent to targets.
+
+        Until it has one of this attempt, it is what the caller sent.
+        """
+        if self.relayed_events:
+            return str(self.last_event_number)
+        return self.request.last_event
 
     def has_relayed(self, number: int | None) -> bool:
         """Tell whether the caller has an event; the next target may repeat it.
 
         :param number: number of the event; ``None`` if it has none
         """
-        return number is not None and number <= self.last_event_number
+        return is_known_event(number, self.last_event_number)
+
+    def note_relayed(self, number: int) -> None:
+        """Record that the caller gets an event.
+
+        :param number: number of the event
+        """
+        self.last_event_number = number
+        self.relayed_events += 1
 
     def estimate_copy_seconds(self) -> float:
         """Return the seconds to copy its KV cache to another zone."""
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -71,10 +71,10 @@
         self._head_sent = False
         self._before_events = b""
         self._check = EndCheck(dispatcher, plan)
-        # number of the last event before one of which a part came
-        self._partial_after: int | None = None
-        # that of the last event before an end that looked like a whole one's
-        self._closed_after: int | None = None
+        # since the last event: whether a part of the next one came, and
+        # whether a body ended as that of a whole stream may
+        self._part_came = False
+        self._looked_whole = False
         self._judge = EndJudge(
             dispatcher.witness, dispatcher.mover, dispatcher.log, metrics
         )
@@ -105,7 +105,7 @@
                     started = fresh
                     continue
                 await self._note_lost(run)
-                if self._check.is_answered_by_nothing(run, end):
+                if self._check.is_answered_by_nothing(end):
                     framed = self._note_answered(run, started)
                     await self._finish(head, run, b"", framed)
                     return
@@ -123,7 +123,8 @@
                 "stream_ended",
                 id=run.request.id,
                 target=run.target.instance,
-                events=run.last_event_number,
+                events=run.relayed_events,
+                after=run.last_event_number,
                 first_ms=round(1000 * self._timing.first_seconds),
                 gap_ms=round(1000 * self._timing.max_gap),
                 gap_at=self._timing.max_gap_index,
@@ -147,11 +148,9 @@
                 service = self._plan.service.name
                 self._dispatcher.confirmations.note_framed(service)
             return None
-        if self._check.is_vouched(run) or not self._check.may_begin(run):
+        if self._check.is_vouched or not self._check.may_begin(run):
             return None
-        self._check.begin(
-            VouchedEnd(run.last_event_number, started, self._is_whole_run(run))
-        )
+        self._check.begin(VouchedEnd(started, self._is_whole_run(run)))
         try:
             async with asyncio.timeout(CONFIRM_SECONDS):
                 rerun = await self._choose_rerun(run)
@@ -172,7 +171,7 @@
     def _note_answered(self, run: LiveRun, started: StartedAnswer) -> bool:
         """Report a whole stream; return whether a framing told its end."""
         whole_run = self._is_whole_run(run)
-        if self._check.is_vouched(run):
+        if self._check.is_vouched:
             # nothing followed: the target that was asked has answered nothing
             vouched = self._check.vouched
             started, whole_run = vouched.started, vouched.whole_run
@@ -220,19 +219,19 @@
         return self._make_end(run, cause)
 
     def _make_end(self, run: LiveRun, cause: EndCause) -> BodyEnd:
-        rest, after = self._splitter.take_remainder(), run.last_event_number
-        has_part = has_new_part(rest, after)
+        rest = self._splitter.take_remainder()
+        has_part = has_new_part(rest, run.last_event_number)
         end = BodyEnd(
             cause,
             self._splitter.events,
             rest,
-            follows=self._head_sent and self._closed_after == after,
-            contradicted=self._partial_after == after and not has_part,
+            follows=self._head_sent and self._looked_whole,
+            contradicted=self._part_came and not has_part,
         )
         if has_part:
-            self._partial_after = after
+            self._part_came = True
         if cause is EndCause.CLOSE and (end.events or end.follows):
-            self._closed_after = after
+            self._looked_whole = True
         return end
 
     async def _read_chunk(self, run: LiveRun, started: StartedAnswer) -> bytes:
@@ -281,7 +280,7 @@
             if run.has_relayed(number):
                 continue
             if number is not None:
-                run.last_event_number = number
+                run.note_relayed(number)
                 self._note_event(numbered=True)
             elif has_fields(event):
                 self._note_event(numbered=False)
@@ -296,7 +295,7 @@
     def _note_event(self, numbered: bool) -> None:
         self._check.note_event(numbered)
         # what earlier bodies ended with was followed by it
-        self._partial_after = self._closed_after = None
+        self._part_came = self._looked_whole = False
 
     async def _write(
         self, head: TargetAnswer, run: LiveRun, data: bytes
@@ -470,7 +469,7 @@
             team=plan.team,
             urgency=MOVED_URGENCY,
             origin=handoff.origin,
-            after_event=str(run.last_event_number),
+            after_event=run.last_event,
             once=not plan.repeatable,
         )
         answer_seconds = self._check.limit(RESUME_ANSWER_SECONDS)
@@ -518,7 +517,7 @@
         dispatcher.release(started)
         if run.stopped and not run.stop_uncertain:
             # its source has ended it by order
-            self._closed_after = run.last_event_number
+            self._looked_whole = True
         run.resume_at(handoff.target, dispatcher.clock.monotonic())
         self._follow_up()
         dispatcher.runs.track(run)
--- a/packages/gateway/src/chivepier/gateway/serving/runtracker.py
+++ b/packages/gateway/src/chivepier/gateway/serving/runtracker.py
@@ -1,6 +1,5 @@
 """Tracks the generations that this entry relays."""
 
-from chivepier.gateway.serving.continuations import NO_EVENTS
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.mover import Mover
 from chivepier.gateway.serving.plan import Plan
@@ -152,7 +151,7 @@
         Runs that were resumed at another target are left out, and so is the
         time in which it was asked whether the end is one.
         """
-        if not run.moved and run.request.last_event in NO_EVENTS:
+        if not run.moved and not run.request.takes_up:
             seconds = run.heard_at - run.sent_at
             self.note_answer(run.plan, seconds)
         engine = run.service.engine
@@ -161,7 +160,7 @@
             and run.first_event_at is not None
             and not run.moved
         ):
-            tokens = run.last_event_number * engine.event_tokens
+            tokens = run.relayed_events * engine.event_tokens
             seconds = run.heard_at - run.first_event_at
             self._decode_estimator.record(
                 run.service.name, tokens, seconds, self._get_pace(run)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -15,6 +15,9 @@
 from chivepier.gateway.targets import Target
 from chivepier.gateway.targets import TargetState
 
+# Digits of an id that a fake engine takes for a number.
+MAX_ID_DIGITS = 20
+
 
 @attrs.define(eq=False)
 class FakeAnswer:
@@ -44,6 +47,11 @@
         """End the stream as complete."""
         self._queue.put_nowait(b"")
 
+    @property
+    def is_read(self) -> bool:
+        """Whether all that was sent has been read."""
+        return self._queue.empty()
+
     def cut(self) -> None:
         """Break the connection of the stream."""
         self._queue.put_nowait(None)
@@ -75,7 +83,8 @@
     instances to the status that they answer with. ``copies`` holds the memory
     that runs can resume from. ``facts``, ``refusal`` and ``full_facts`` are
     the facts in the heads of answers, refusals and refused reservations. No
-    answer is returned before ``heads`` is set.
+    answer is returned before ``heads`` is set. Each series of events begins
+    with the id ``first_number``.
     """
 
     def __init__(self) -> None:
@@ -89,6 +98,7 @@
         self.misaddressed: set[str] = set()
         self.full: set[str] = set()
         self.failing: dict[str, int] = {}
+        self.first_number = 1
         self.copies: set[tuple[str, str]] = set()
         self.dropped: list[tuple[str, str]] = []
         self.hung_up: list[str] = []
@@ -112,9 +122,10 @@
         if name in self.unreachable:
             raise UnreachableError("refused")
         contact.begin()
-        answer = FakeAnswer(
-            name, request.id, int(order.after_event or 0), facts=self.facts
-        )
+        after = order.after_event or ""
+        is_number = after.isdecimal() and len(after) <= MAX_ID_DIGITS
+        number = int(after) if is_number else self.first_number - 1
+        answer = FakeAnswer(name, request.id, number, facts=self.facts)
         self.orders.append((name, order))
         if name in self.disconnecting:
             raise ConnectionLostError("reset")
@@ -166,7 +177,7 @@
         self.moved.set()
         await asyncio.sleep(0)
         run = self.find(source.instance)
-        if run is None or not run.number:
+        if run is None or run.number < self.first_number:
             return MoveResult(MoveOutcome.NO_RUN)
         if last:
             run.stopped = True
--- a/packages/gateway/src/chivepier/gateway/serving/vouchedend.py
+++ b/packages/gateway/src/chivepier/gateway/serving/vouchedend.py
@@ -9,12 +9,10 @@
 class VouchedEnd:
     """The end of an answer without a length, by word of its target.
 
-    :param after: number of the last event before it
     :param started: the answer that ended so
     :param whole_run: whether that target alone had answered, from the
         beginning
     """
 
-    after: int
     started: StartedAnswer
     whole_run: bool
