Soak: let series of events begin with 0, 1 or 1,000,000

A seed draws the first number of all its streams by a generator of its own, so that it draws the same faults as before; sets up to 13 count from 1 as they did, and set 14 draws. Callers that keep no event send no id.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -38,7 +38,7 @@
 # set, since with another one it would draw other faults.
 FIRST_SET, RESTART_SET, COLD_SET, NEED_SET, REST_SET = range(1, 6)
 MISREPORT_SET, CUT_SET, VERSION_SET, PART_SET, ANSWER_SET = 6, 7, 8, 9, 10
-CROWD_SET, HEAVY_SET, NEWEST_SET = 11, 12, 13
+CROWD_SET, HEAVY_SET, UNHEARD_SET, NEWEST_SET = 11, 12, 13, 14
 # Seconds after a link fault in which delayed requests may still arrive.
 DELAYED_SECONDS = 1.5
 # Seconds after the start of a voter without its data: those in which it is
--- a/soak/invariantchecker.py
+++ b/soak/invariantchecker.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from soak.streamrecord import are_in_order
 from soak.streamrecord import StreamRecord
 
 NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
@@ -9,8 +10,12 @@
 
 @attrs.define
 class InvariantChecker:
-    """Records requests at callers and targets, and finds violations."""
+    """Records requests at callers and targets, and finds violations.
 
+    :param first_number: number of the first event of each stream
+    """
+
+    first_number: int = 1
     runs: dict[str, int] = attrs.field(factory=dict)
     refused: set[str] = attrs.field(factory=set)
     violations: list[str] = attrs.field(factory=list)
@@ -46,7 +51,7 @@
         """Record and check the received part of a stream."""
         lines = data.decode(errors="replace").split("\n")
         numbers = [int(x[4:]) for x in lines if x.startswith("id: ")]
-        if numbers != list(range(1, len(numbers) + 1)):
+        if not are_in_order(numbers, self.first_number):
             self.violations.append(f"{identity} got events {numbers}")
         if whole and "data: end" not in lines:
             self.violations.append(f"{identity} ended early without an error")
--- a/soak/outofstepscenario.py
+++ b/soak/outofstepscenario.py
@@ -117,7 +117,7 @@
             record = StreamRecord()
             self.streams.append(record)
             for _ in range(MAX_TAKE_UPS):
-                if self._straggler is None or not record.last_event:
+                if self._straggler is None or not record.received:
                     others = [e for e in self.entries if e != self._straggler]
                     await self._attempt(
                         session, self.rng.choice(others), record
@@ -132,12 +132,12 @@
         self, session: aiohttp.ClientSession, record: StreamRecord
     ) -> None:
         """Take a stream up at the entry that is out of step."""
-        before, versions = record.last_event, set(record.versions)
+        before, versions = record.received, set(record.versions)
         attempt = f"s{next(self._ids)}"
         status = await attempt_stream(
             session, self._straggler.ip, attempt, record
         )
-        went_on = record.last_event > before or record.whole
+        went_on = record.received > before or record.whole
         self.answers.joined += record.versions != versions
         match status:
             case 200 if went_on:
@@ -182,7 +182,7 @@
 
     def _is_under_way(self, record: StreamRecord) -> bool:
         is_new = record.versions == {NEW_VERSION}
-        return is_new and record.last_event < LATE_EVENT
+        return is_new and record.received < LATE_EVENT
 
     async def _break(self, fresh: VersionedTarget, loss: Loss) -> None:
         """Let streams of the new version begin, and break them."""
--- a/soak/rebornscenario.py
+++ b/soak/rebornscenario.py
@@ -127,11 +127,11 @@
             self.streams.append(record)
             for _ in range(MAX_ATTEMPTS if path == RESUME_PATH else 1):
                 entry = self.rng.choice(self.entries)
-                identity, last = f"s{next(self._ids)}", record.last_event
+                identity, last = f"s{next(self._ids)}", record.received
                 await attempt_stream(
                     session, entry.ip, identity, record, path=path
                 )
-                self.resumptions += 0 < last < record.last_event
+                self.resumptions += 0 < last < record.received
                 await asyncio.sleep(EVENT_SECONDS)
                 if record.whole:
                     break
--- a/soak/run.py
+++ b/soak/run.py
@@ -19,6 +19,7 @@
 from soak.faults import Faults
 from soak.faults import MISREPORT_SET
 from soak.faults import NEWEST_SET
+from soak.faults import UNHEARD_SET
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
 from soak.process import run_all
@@ -59,6 +60,8 @@
 CALLS_WITH_RESUMABLE = (*CALLS, "resume")
 # Attempts of a caller at one stream that may be resumed.
 MAX_ATTEMPTS = 4
+# Numbers with which the series of events of a run may begin.
+FIRST_NUMBERS = (0, 1, 1_000_000)
 
 
 def make_config(version: int, timeout_ms: int = 3000) -> dict:
@@ -131,7 +134,11 @@
         kinds: int = NEWEST_SET,
     ):
         self.rng = random.Random(seed)
-        self.checker = InvariantChecker()
+        first_number = 1
+        if kinds > UNHEARD_SET:
+            # of its own, so that a seed draws the same faults as before
+            first_number = random.Random(f"{seed}").choice(FIRST_NUMBERS)
+        self.checker = InvariantChecker(first_number)
         base = f"127.{block}"
         voters = [f"{base}.1.{n + 1}" for n in range(VOTERS)]
         self.controls = [f"{ip}:8748" for ip in voters]
@@ -170,6 +177,7 @@
         self.tries: list[FirstTry] = []
         self.evacuations = EvacuationOperator(self.controls, self.rng)
         for number, target in enumerate(self.targets, 1):
+            target.first_number = first_number
             target.zone = f"z{number}"
             target.is_evacuated = self.evacuations.is_evacuated
             target.signals.is_excused = self.is_excused
@@ -296,7 +304,7 @@
 
     async def _take_up_until_whole(self, session, identity: str) -> None:
         """Have a stream, and take it up at any entry where it breaks."""
-        record = StreamRecord()
+        record = StreamRecord(self.checker.first_number)
         for number in range(MAX_ATTEMPTS):
             entry = self.rng.choice(self.entries)
             await attempt_stream(
--- a/soak/sleepscenario.py
+++ b/soak/sleepscenario.py
@@ -59,11 +59,11 @@
             record = StreamRecord()
             self.streams.append(record)
             for _ in range(MAX_ATTEMPTS):
-                before = record.last_event
+                before = record.received
                 entry = self.rng.choice(self.entries)
                 attempt = f"s{next(self._ids)}"
                 await attempt_stream(session, entry.ip, attempt, record)
-                self.continued += 0 < before < record.last_event
+                self.continued += 0 < before < record.received
                 if record.whole:
                     break
                 await asyncio.sleep(RETRY_SECONDS)
--- a/soak/streamcaller.py
+++ b/soak/streamcaller.py
@@ -37,7 +37,7 @@
     :returns: status of the answer; 0 if there was none
     """
     headers = make_caller_headers(attempt, deadline_ms) | (extra or {})
-    if record.last_event:
+    if record.last_event is not None:
         headers["Last-Event-ID"] = str(record.last_event)
         if names_attempt:
             headers["Resumes"] = record.first_attempt
--- a/soak/streamrecord.py
+++ b/soak/streamrecord.py
@@ -11,6 +11,7 @@
 
     A caller keeps whole events only, and goes on after the last one.
 
+    :param first_number: number of the first event of a series
     :ivar first_attempt: id of the attempt that brought the first event
     :ivar numbers: numbers of the events, in the order in which they came
     :ivar versions: software versions of the targets that wrote them
@@ -19,6 +20,7 @@
     :ivar taken_up: whether an entry answered an attempt to go on with it
     """
 
+    first_number: int = 1
     first_attempt: str = ""
     numbers: list[int] = attrs.field(factory=list)
     versions: set[str] = attrs.field(factory=set)
@@ -29,14 +31,19 @@
     _rest: bytes = b""
 
     @property
-    def last_event(self) -> int:
-        """Number of the last event; 0 before the first."""
-        return self.numbers[-1] if self.numbers else 0
+    def last_event(self) -> int | None:
+        """Number of the last event; ``None`` before the first."""
+        return self.numbers[-1] if self.numbers else None
+
+    @property
+    def received(self) -> int:
+        """Number of events that have come."""
+        return len(self.numbers)
 
     @property
     def in_order(self) -> bool:
         """Whether each event came once, in order."""
-        return self.numbers == list(range(1, len(self.numbers) + 1))
+        return are_in_order(self.numbers, self.first_number)
 
     def begin_attempt(self, attempt: str) -> None:
         """Begin another attempt; a part of an event is dropped."""
@@ -59,3 +66,15 @@
     def end(self) -> None:
         """End the stream, as its framing tells."""
         self.whole = True
+
+
+def are_in_order(numbers: list[int], first: int) -> bool:
+    """Tell whether events are the first ones of a series, each once.
+
+    >>> are_in_order([0, 1], 0), are_in_order([1], 0), are_in_order([], 0)
+    (True, False, True)
+
+    :param numbers: numbers of the events, in the order in which they came
+    :param first: number of the first event of the series
+    """
+    return numbers == list(range(first, first + len(numbers)))
--- a/soak/target.py
+++ b/soak/target.py
@@ -63,6 +63,7 @@
     :param controls: control addresses of the voters
     :param checker: records what the target runs, and violations
     :param rng: random number generator for the order of tried voters
+    :ivar first_number: number of the first event of each stream
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         self.service = "s"
         self.software_version = "v1"
         self.event_seconds = SERVICE_SECONDS / 2
+        self.first_number = 1
         self.crashing_part: PartChecker | None = None
         self._crashed: asyncio.Task | None = None
         self.log: RunLog | None = None
@@ -423,25 +425,30 @@
                 **fields,
             )
 
+    def _find_place(self, request: web.BaseRequest) -> int:
+        """Return the place in its series, from 1, where a stream begins."""
+        last = request.headers.get("Last-Event-Id")
+        return max(1, int(last) - self.first_number + 2) if last else 1
+
     async def _stream(
         self, request, response, fault_mode, early_end=None
     ) -> None:
         await response.prepare(request)
         broken_at = self.framing.draw_break(EVENT_COUNT)
-        first = int(request.headers.get("Last-Event-Id") or 0) + 1
-        for number in range(first, EVENT_COUNT + 1):
-            if fault_mode == "reset" and number == EVENT_COUNT // 2:
-                await response.write(b"id: 10\nda")
+        for place in range(self._find_place(request), EVENT_COUNT + 1):
+            number = self.first_number + place - 1
+            if fault_mode == "reset" and place == EVENT_COUNT // 2:
+                await response.write(b"id: %d\nda" % number)
                 request.transport.abort()
                 return
-            text = "end" if number == EVENT_COUNT else "part"
+            text = "end" if place == EVENT_COUNT else "part"
             note = f": {self.software_version}"
             event = f"id: {number}\n{note}\ndata: {text}\n\n".encode()
-            if number == broken_at:
+            if place == broken_at:
                 await response.write(self.framing.cut_event(event))
                 break
             await response.write(event)
-            if number == early_end:
+            if place == early_end:
                 break
             await asyncio.sleep(self.event_seconds)
         await response.write_eof()
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -16,6 +16,7 @@
 from soak.faults import NEWEST_SET
 from soak.faults import REST_SET
 from soak.faults import RESTART_SET
+from soak.faults import UNHEARD_SET
 from soak.faults import VERSION_SET
 from soak.invariantchecker import InvariantChecker
 from soak.invariantchecker import make_expected_body
@@ -42,7 +43,8 @@
     20: (ANSWER_SET, 10.0),
     23: (CROWD_SET, 10.0),
     25: (HEAVY_SET, 10.0),
-    27: (NEWEST_SET, 10.0),
+    27: (UNHEARD_SET, 10.0),
+    8: (NEWEST_SET, 10.0),
 }
 
 
@@ -78,6 +80,22 @@
     assert seen.answered > 50 and seen.failed > 0
 
 
+@pytest.mark.parametrize("seed, first_number", ((4, 0), (1, 1), (2, 10**6)))
+def test_streams_are_whole_whatever_number_they_begin_with(
+    seed, first_number, tmp_path
+):
+    # No event yet was taken for event 0, which was dropped or skipped.
+    with reserve_block() as block:
+        soak = Soak(seed, tmp_path, block)
+        assert soak.checker.first_number == first_number
+        soak.faults.keep_only(
+            "spoil", "drop_lengths", "kill", "cut_off", "change_version"
+        )
+        seen = asyncio.run(soak.run(6.0))
+    assert seen.violations == []
+    assert seen.answered > 50
+
+
 def test_streams_and_calls_hold_beside_crowds_and_targets_that_return(
     tmp_path,
 ):
--- a/soak/versionscenario.py
+++ b/soak/versionscenario.py
@@ -153,12 +153,12 @@
                 or time.monotonic() < began + self._patience_seconds
             ):
                 attempts += 1
-                taken_up = record.last_event
+                taken_up = record.received
                 entry = self.rng.choice(self.entries)
                 answered = await self._attempt(session, entry, record, path)
                 if taken_up and answered:
                     self.take_ups.sent += 1
-                    went_on = record.last_event > taken_up or record.whole
+                    went_on = record.received > taken_up or record.whole
                     self.take_ups.went_on += went_on
                     self.take_ups.streams += not record.taken_up
                     self.take_ups.ended += record.whole
