Judge the first line of a target's answer before it is taken for one

`HTTP/2.0 200`, `RTSP/1.0 200` and others were told as 200 of HTTP/1.1. None was tried again.

Cause: the library takes any three digits for a status, and first lines of other protocols for HTTP's; the serving path asks whether a status is below 300 or 500, which 0 is. The same held for the entry's own calls: a 000 vouched for a target's life and confirmed that a copy was freed. On the hop between entries 0 also stood for "no head yet".

What is no answer of HTTP/1 with a status from 200 to 599 (after any interim ones) is a broken one: 502, may have run, the connection is closed, and a route that may be repeated tries again (RFC 9110, 15 and 15.6.3). `is_success` replaces the comparisons with 300. The hop keeps "no head yet" apart from a status, and takes one of an earlier release that is not final for a broken answer.

--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardclient.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardclient.py
@@ -11,8 +11,10 @@
 from chivepier.gateway.messages import ForwardPart
 from chivepier.gateway.messages import PeerRecord
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.serving import BrokenAnswerError
 from chivepier.gateway.serving import CallerRequest
 from chivepier.gateway.serving import ConnectionLostError
+from chivepier.gateway.serving import FINAL_STATUSES
 from chivepier.gateway.serving import NotSentError
 from chivepier.gateway.serving import Plan
 from chivepier.gateway.serving import ServingState
@@ -82,6 +84,7 @@
         :raises NotSentError: when no entry took it
         :raises ConnectionLostError: when an entry was lost that may have
             taken it
+        :raises BrokenAnswerError: when its answer has no status
         """
         tried: set[str] = set()
         failures: list[RequestError] = []
@@ -139,6 +142,10 @@
                 raise RequestError(unpack_failure(part))
             case ForwardState.BROKEN:
                 raise ConnectionLostError("the answer was broken off")
+        if part.status not in FINAL_STATUSES:
+            # entries of earlier releases hand on any three digits
+            reader.end()
+            raise BrokenAnswerError("the answer has no status")
         self._metrics.record_forward("sent", "answered")
         self._log_end(peer, request, str(part.status))
         return ForwardedAnswer(reader, part)
@@ -174,9 +181,7 @@
 async def _read_head(reader: PartReader, part: ForwardPart) -> ForwardPart:
     reader.take(part)
     try:
-        while (
-            not part.status and ForwardState(part.state) is ForwardState.OPEN
-        ):
+        while _is_head_awaited(part):
             part = await reader.read(0)
     except LinkError as error:
         reader.end()
@@ -188,6 +193,12 @@
     return part
 
 
+def _is_head_awaited(part: ForwardPart) -> bool:
+    """Tell whether the head may still come: no body stands before it."""
+    is_open = ForwardState(part.state) is ForwardState.OPEN
+    return is_open and not part.status and not part.data
+
+
 def _may_retry(error: RequestError) -> bool:
     failure = error.failure
     return failure.ran is Ran.NO and failure.kind in LOCAL_FAILURES
--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardsession.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardsession.py
@@ -12,6 +12,8 @@
 
 # Stands for a length that isn't known.
 NO_LENGTH = -1
+# Stands for a head that isn't known yet, or was told before.
+NO_STATUS = 0
 # Bytes of the body that are kept for the other entry; the target waits when
 # it reads more slowly.
 MAX_BUFFERED_BYTES = 128 << 10
@@ -37,7 +39,7 @@
         self._framed = False
         self._failure: Failure | None = None
         self._reason = ""
-        self._status = 0
+        self._status: int | None = None
         self._headers: tuple[tuple[str, str], ...] = ()
         self._length: int | None = None
         self._data = bytearray()
@@ -53,7 +55,7 @@
     @property
     def begun(self) -> bool:
         """Whether the head of the answer is known."""
-        return self._status != 0
+        return self._status is not None
 
     async def begin(
         self,
@@ -123,7 +125,7 @@
         return ForwardPart(
             self.handle,
             self._state.value,
-            status=self._status if first else 0,
+            status=self._status if first and self.begun else NO_STATUS,
             headers=pack_headers(self._headers) if first else (),
             message=self._reason,
             length=NO_LENGTH if self._length is None else self._length,
--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwarding.py
@@ -389,6 +389,22 @@
     play_site(test)
 
 
+@pytest.mark.parametrize("status", (0, 99, 600))
+@pytest.mark.parametrize("path", ("/plain/a", "/read/a", "/llm/a"))
+def test_forwarded_answer_without_a_status_is_none(path, status):
+    # Entries of the release before handed on any three digits, 000 too.
+    async def test(site):
+        cut_off, other = site.entries
+        cut_off.cut(*ALL)
+        for name in ALL:
+            other.parts.engines.failing[name] = status
+        failure = await fail(cut_off.parts, make_request(path))
+        assert failure.kind is ErrorKind.TARGET_FAILED
+        assert failure.ran is Ran.UNKNOWN
+
+    play_site(test)
+
+
 def test_attempts_count_over_both_entries():
     # A request that was lost at a target here may be sent once more in all.
     async def test(site):
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -2,6 +2,8 @@
 
 from chivepier.gateway.serving.answerfacts import AnswerFacts
 from chivepier.gateway.serving.answermemory import AnswerMemory
+from chivepier.gateway.serving.answerstatus import FINAL_STATUSES
+from chivepier.gateway.serving.answerstatus import is_success
 from chivepier.gateway.serving.bodyallocation import BodyAllocation
 from chivepier.gateway.serving.bodymemory import BodyMemory
 from chivepier.gateway.serving.bodymemory import SMALL_BODY_BYTES
@@ -60,6 +62,7 @@
     "Dispatcher",
     "Doubt",
     "Exchange",
+    "FINAL_STATUSES",
     "HeaderRecorder",
     "Identification",
     "Identity",
@@ -86,4 +89,5 @@
     "TargetClient",
     "UnansweredError",
     "UnreachableError",
+    "is_success",
 ]
--- a/packages/gateway/src/chivepier/gateway/serving/answerreader.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerreader.py
@@ -2,6 +2,7 @@
 
 from chivepier.gateway.serving.answerallocation import AnswerAllocation
 from chivepier.gateway.serving.answermemory import AnswerMemory
+from chivepier.gateway.serving.answerstatus import is_success
 from chivepier.gateway.serving.endwitness import EndWitness
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.liverun import LiveRun
@@ -48,7 +49,7 @@
         """
         if answer.facts.mismatched:
             raise BrokenAnswerError("the answer names another request or none")
-        if plan.route.streaming and answer.status < 300:
+        if plan.route.streaming and is_success(answer.status):
             return await self._read_start(plan, target, answer, run)
         allocation = await self._memory.open(answer.length)
         try:
--- a/packages/gateway/src/chivepier/gateway/serving/attemptrecorder.py
+++ b/packages/gateway/src/chivepier/gateway/serving/attemptrecorder.py
@@ -1,6 +1,7 @@
 """Records what attempts at targets say of them."""
 
 from chivepier.gateway.eventlog import EventLog
+from chivepier.gateway.serving.answerstatus import is_success
 from chivepier.gateway.serving.errors import NotPermittedError
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.plan import Plan
@@ -57,7 +58,7 @@
             slowness = seconds / plan.route.objective
         instance = started.target.instance
         self._health.record_response(instance, failed, slowness, now)
-        if plan.demand is None and started.answer.status < 300:
+        if plan.demand is None and is_success(started.answer.status):
             self._balancer.request_cost.record_answer(
                 started.target, seconds, plan.route.objective, now
             )
--- a/packages/gateway/src/chivepier/gateway/serving/crashguard.py
+++ b/packages/gateway/src/chivepier/gateway/serving/crashguard.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.quarantine import LostRequest
 from chivepier.gateway.quarantine import Quarantine
 from chivepier.gateway.quarantine import SUSPECT_WINDOW_SECONDS
+from chivepier.gateway.serving.answerstatus import is_success
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.startedanswer import StartedAnswer
@@ -136,7 +137,7 @@
         if answer.facts.proves_end:
             self._quarantine.note_answered(plan.digest)
         # a target that refuses or fails a request need not have read it
-        if not whole_run or answer.status >= 300 or not plan.parts:
+        if not whole_run or not is_success(answer.status) or not plan.parts:
             return
         if answer.facts.proves_end:
             self._quarantine.note_sound(plan.parts, started.target)
--- a/packages/gateway/src/chivepier/gateway/serving/detour.py
+++ b/packages/gateway/src/chivepier/gateway/serving/detour.py
@@ -5,6 +5,7 @@
 import attrs
 
 from chivepier.gateway.reach import Reach
+from chivepier.gateway.serving.answerstatus import is_success
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.forwarder import Forwarder
 from chivepier.gateway.serving.liverun import LiveRun
@@ -94,7 +95,7 @@
     ) -> StartedAnswer:
         now = self._clock.monotonic()
         target = _make_stand_in(plan, peer, now)
-        if plan.route.streaming and answer.status < 300:
+        if plan.route.streaming and is_success(answer.status):
             # until the first event it can be sent again elsewhere
             first = await answer.read()
             if run is None:
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.answermemory import AnswerMemory
 from chivepier.gateway.serving.answerreader import AnswerReader
+from chivepier.gateway.serving.answerstatus import is_success
 from chivepier.gateway.serving.assignment import Assignment
 from chivepier.gateway.serving.assignmentlog import AssignmentLog
 from chivepier.gateway.serving.attemptlimit import AttemptLimit
@@ -377,7 +378,7 @@
         # a question after the end is waited for, but no work of the request
         work_seconds = seconds - started.question_seconds
         self._attempts.note_answer(plan, started, work_seconds)
-        if started.run is None and answer.status < 300:
+        if started.run is None and is_success(answer.status):
             self.runs.note_answer(plan, seconds)
         return started
 
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from chivepier.gateway.metrics import Metrics
+from chivepier.gateway.serving.answerstatus import is_success
 from chivepier.gateway.serving.assignmentlog import describe_forecast
 from chivepier.gateway.serving.bodyend import BodyEnd
 from chivepier.gateway.serving.callerconnection import CallerConnection
@@ -490,7 +491,7 @@
         refused = facts.not_run or facts.other_instance is not None
         if not refused and handoff.origin is None:
             run.ran_at.append(handoff.target)
-        if refused or facts.mismatched or answer.status >= 300:
+        if refused or facts.mismatched or not is_success(answer.status):
             answer.close()
             dispatcher.log.warn(
                 "handoff_refused",
--- a/tests/adapter/test_identity.py
+++ b/tests/adapter/test_identity.py
@@ -47,6 +47,7 @@
     "hangs": None,
     "late": None,
     "wrong-id": None,
+    "no-status": None,
 }
 
 
@@ -184,6 +185,8 @@
             writer.write(ITSELF)
         case "wrong-id":
             writer.write(build_answer(b"", b"r1", OWN_NAME))
+        case "no-status":
+            writer.write(build_answer(b"", b"", OWN_NAME, b"000 OK"))
 
 
 @pytest.mark.parametrize(
--- a/tests/adapter/test_targetorders.py
+++ b/tests/adapter/test_targetorders.py
@@ -146,6 +146,24 @@
     run(script, test)
 
 
+@pytest.mark.parametrize("status", (b"000", b"099", b"600"))
+def test_order_whose_answer_has_no_status_is_not_confirmed(status):
+    # Status 000 was taken for a success, as it is below 300.
+    async def script(head, writer):
+        text = build_reply(head, b'{"hold":"h1","handle":"h1"}')
+        writer.write(text.replace(b"200", status, 1))
+
+    async def test(raw, targets):
+        target = raw.make_target()
+        assert not await drop(targets, target, "h1")
+        moved = await move(targets, target, "r1", target, True, 2.0)
+        assert moved.outcome is MoveOutcome.FAILED and not moved.handle
+        with pytest.raises(NotSentError):
+            await reserve(targets, target, 10, 1.0)
+
+    run(script, test)
+
+
 def test_reservation_without_an_answer_does_not_count_as_out_of_reach():
     async def script(head, writer):
         await asyncio.sleep(1.0)
