Soak: targets whose answers have no first line of HTTP/1

The fault UNTITLED joins the answer faults of set 14, and callers tell an answer that their library can't read from a connection that ended.

--- a/soak/answerfaults.py
+++ b/soak/answerfaults.py
@@ -21,6 +21,7 @@
     ``UNSTATED`` answers a request that ran like a refused one that doesn't say
     "not run". ``CROSSED`` names another request, ``GARBLED`` sends bytes that
     are no answer, ``CUT`` closes within the answer and ``LOST`` before it.
+    ``UNTITLED`` has a first line that is none of HTTP/1.
     """
 
     REPEATED = "repeated"
@@ -31,6 +32,7 @@
     GARBLED = "garbled"
     CUT = "cut"
     LOST = "lost"
+    UNTITLED = "untitled"
 
 
 # After these, the other side can't know what the answer said.
@@ -40,8 +42,16 @@
         AnswerFault.GARBLED,
         AnswerFault.CUT,
         AnswerFault.LOST,
+        AnswerFault.UNTITLED,
     )
 )
+FIRST_LINES = (
+    b"HTTP/1.1 000 OK",
+    b"HTTP/1.1 099 ",
+    b"HTTP/1.1 999 Odd",
+    b"HTTP/2.0 200 OK",
+    b"RTSP/1.0 200 OK",
+)
 
 
 @attrs.define
@@ -144,6 +154,11 @@
                 transport.close()
             case AnswerFault.LOST:
                 transport.abort()
+            case AnswerFault.UNTITLED:
+                _, _, rest = data.partition(b"\r\n")
+                line = self.rng.choice(FIRST_LINES)
+                transport.write(line + b"\r\n" + rest)
+                transport.close()
             case _:
                 return answer
         self.spoiled += 1
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -114,6 +114,9 @@
             kinds += (self.heavy_crowd,)
         if fault_set > HEAVY_SET:
             kinds += (self.crash_late, self.crash_late, self.delay_ends)
+        self._answer_faults = list(AnswerFault)
+        if fault_set <= UNHEARD_SET:
+            self._answer_faults.remove(AnswerFault.UNTITLED)
         self._draw = FaultDraw(self._rng, kinds)
         self._versions = 1
         self._evacuation: asyncio.Task | None = None
@@ -202,7 +205,7 @@
                 self._begin(self._spoil_answers_of(target))
 
     async def _spoil_answers_of(self, target: "SoakTarget") -> None:
-        kinds = list(AnswerFault)
+        kinds = self._answer_faults
         count = self._rng.randint(1, len(kinds))
         target.answer_faults.kinds = tuple(self._rng.sample(kinds, count))
         target.answer_faults.share = self._rng.uniform(0.1, 0.6)
--- a/soak/invariantchecker.py
+++ b/soak/invariantchecker.py
@@ -1,5 +1,6 @@
 """Invariants of the system, checked during the soak test."""
 
+import aiohttp
 import attrs
 
 from soak.streamrecord import are_in_order
@@ -87,6 +88,9 @@
             fault
         """
         self.failed += 1
+        if isinstance(error, aiohttp.ClientResponseError):
+            text = f"{identity} got no answer of HTTP: {error!r}"
+            self.violations.append(text)
         if planned and identity in self.runs:
             self.violations.append(
                 f"{identity} aborted by a planned stop: {error!r}"
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import aiohttp
 import pytest
 
 from soak.blocks import reserve_block
@@ -96,6 +97,16 @@
     assert seen.answered > 50
 
 
+def test_callers_never_get_what_is_no_answer(tmp_path):
+    # Status 000 reached callers, also through another entry.
+    with reserve_block() as block:
+        soak = Soak(32, tmp_path, block)
+        soak.faults.keep_only("misanswer", "cut_off", "kill", "misanswer")
+        seen = asyncio.run(soak.run(8.0))
+    assert seen.violations == []
+    assert seen.answered > 50 and seen.failed > 0
+
+
 def test_streams_and_calls_hold_beside_crowds_and_targets_that_return(
     tmp_path,
 ):
@@ -271,3 +282,6 @@
     assert len(seen.violations) == 8
     seen.record_failure("h", ConnectionResetError(), planned=True)
     assert len(seen.violations) == 9
+    error = aiohttp.ClientResponseError(None, (), status=0)
+    seen.record_failure("j", error, planned=False)
+    assert len(seen.violations) == 10
