--- a/tests/adapter/test_unchanged.py
+++ b/tests/adapter/test_unchanged.py
@@ -73,3 +73,55 @@
         assert b"content-encoding: " + coding.encode() in head.lower()
 
     run(script, test)
+
+
+# Headers whose values targets are sent, and one of a client's own.
+NAMES = (
+    "X-Chivepier-Model",
+    "X-Chivepier-Prefix-Hash",
+    "X-Api-Key",
+    "Resumes",
+    "X-Own",
+)
+
+
+@pytest.mark.parametrize(
+    "value", (b"m\xe9", b"\xff", b"m\xc3", b"\xed\xa0\x80")
+)
+@pytest.mark.parametrize("name", NAMES)
+def test_header_that_is_no_utf_8_is_refused(name, value):
+    # A byte was left out on the way: the request ran for another model.
+    data = build_request("/once/x", f"{name}: VALUE").replace(b"VALUE", value)
+
+    async def test(fixture):
+        assert read_status(await fixture.send(data)) == 400
+        assert not fixture.raw.requests
+
+    run(None, test)
+
+
+@pytest.mark.parametrize("value", ("m", "m\u00e9", "\U0001f600", "a b"))
+@pytest.mark.parametrize("name", ("X-Chivepier-Model", "X-Own"))
+def test_header_is_passed_on_byte_for_byte(name, value):
+    async def script(head, writer):
+        writer.write(ANSWER)
+
+    async def test(fixture):
+        data = build_request("/once/x", f"{name}: {value}")
+        assert read_status(await fixture.send(data)) == 200
+        (head,) = fixture.raw.requests
+        assert f"\r\n{name}: {value}\r\n".encode() in head
+
+    run(script, test)
+
+
+@pytest.mark.parametrize("path", (b"/once/\xe9", b"/once/x?q=\xff"))
+def test_path_that_is_no_utf_8_never_runs_as_another(path):
+    # What is left out of a path makes it that of another request.
+    data = build_request("/once/x").replace(b"/once/x", path, 1)
+
+    async def test(fixture):
+        assert read_status(await fixture.send(data)) == 400
+        assert not fixture.raw.requests
+
+    run(None, test)
