Refuse a configuration with two routes of one place

Callers saw: two routes whose hosts differ in case alone were acknowledged, and all requests of the first ran at the service of the second, also those that may run once.

Cause: the check compared hosts as they are written, the look-up of requests in lower case. Its class is "what is checked is not what is used".

With the control server's old decoder, test_what_entries_cannot_serve_by_changes_nothing[same-place] fails.

Change: Route.place is what the index and the check both use. The check is made at the operator's call alone (decode_new_config): a configuration that an earlier release acknowledged is still read, or entries would serve nothing after an upgrade.

--- a/packages/gateway/src/chivepier/gateway/config/configuration.py
+++ b/packages/gateway/src/chivepier/gateway/config/configuration.py
@@ -45,6 +45,21 @@
             host_prefixes.add(host_prefix)
         self._check_keys()
 
+    def check_new(self) -> None:
+        """Check a configuration that an operator submits, also for places.
+
+        One that was accepted by an earlier release must still be read.
+
+        :raises ConfigurationError: describes the first problem found
+        """
+        self.check()
+        names: dict[tuple[str, str], str] = {}
+        for route in self.routes:
+            if route.place in names:
+                text = f"it has the place of route {names[route.place]}"
+                raise ConfigurationError(f"route {route.name}: {text}")
+            names[route.place] = route.name
+
     def _check_keys(self) -> None:
         team_by_key: dict[str, str] = {}
         for team in self.teams:
--- a/packages/gateway/src/chivepier/gateway/config/route.py
+++ b/packages/gateway/src/chivepier/gateway/config/route.py
@@ -37,3 +37,8 @@
     urgency: int = 5
     public: bool = False
     regions: frozenset[str] | None = None
+
+    @property
+    def place(self) -> tuple[str, str]:
+        """Host and prefix, as requests are compared with them."""
+        return self.host.lower(), self.prefix
--- a/packages/gateway/src/chivepier/gateway/config/routeindex.py
+++ b/packages/gateway/src/chivepier/gateway/config/routeindex.py
@@ -22,10 +22,7 @@
     def __init__(self, configuration: Configuration):
         self.configuration = configuration
         self.version = configuration.version
-        self._routes = {
-            (route.host.lower(), route.prefix): route
-            for route in configuration.routes
-        }
+        self._routes = {route.place: route for route in configuration.routes}
         self._teams = {
             key: team for team in configuration.teams for key in team.keys
         }
--- a/tests/adapter/test_configcodec.py
+++ b/tests/adapter/test_configcodec.py
@@ -6,6 +6,7 @@
 import pytest
 
 from adapter.configcodec import decode_config
+from adapter.configcodec import decode_new_config
 from chivepier.gateway.config import ConfigurationError
 from chivepier.gateway.config import Repetition
 
@@ -159,3 +160,31 @@
     for end in range(0, len(body) - 1, 37):
         with pytest.raises(ConfigurationError):
             decode_config(body[:end])
+
+
+def set_same_place(fields: dict) -> None:
+    """Give two routes one place, as entries compare hosts."""
+    fields["routes"][1] |= {"host": "H.Example", "path-prefix": "/a/"}
+
+
+# Changes after which entries can't serve by a configuration as it says.
+UNSERVABLE = {"same-place": set_same_place}
+
+
+@pytest.mark.parametrize("change", UNSERVABLE.values(), ids=UNSERVABLE)
+def test_what_an_earlier_release_accepted_is_still_read(change):
+    # An entry that can't read it after an upgrade would serve nothing.
+    fields = copy.deepcopy(CONFIG_FIELDS)
+    change(fields)
+    body = json.dumps(fields).encode()
+    with pytest.raises(ConfigurationError):
+        decode_new_config(body)
+    assert len(decode_config(body).routes) == 3
+
+
+def test_refused_route_is_named_with_the_one_that_has_its_place():
+    fields = copy.deepcopy(CONFIG_FIELDS)
+    set_same_place(fields)
+    body = json.dumps(fields).encode()
+    with pytest.raises(ConfigurationError, match="r2.*place of route r1"):
+        decode_new_config(body)
--- a/tests/adapter/test_control.py
+++ b/tests/adapter/test_control.py
@@ -1,6 +1,7 @@
 """Tests of a voter's HTTP server."""
 
 import asyncio
+import copy
 import json
 import os
 import tracemalloc
@@ -8,6 +9,7 @@
 import aiohttp
 import pytest
 from test_configcodec import CONFIG_FIELDS
+from test_configcodec import UNSERVABLE
 
 from adapter.configcodec import decode_host_regions
 from adapter.control import ControlServer
@@ -167,6 +169,20 @@
     run(test, tmp_path)
 
 
+@pytest.mark.parametrize("change", UNSERVABLE.values(), ids=UNSERVABLE)
+def test_what_entries_cannot_serve_by_changes_nothing(change, tmp_path):
+    # It was acknowledged, and requests ran elsewhere or not at all.
+    async def test(voter, client):
+        assert await put_config(client, CONFIG_FIELDS) == 200
+        bad = copy.deepcopy({**CONFIG_FIELDS, "version": 8})
+        change(bad)
+        assert await put_config(client, json.dumps(bad).encode()) == 400
+        async with client.get("/chivepier/config") as answer:
+            assert json.loads(await answer.read()) == CONFIG_FIELDS
+
+    run(test, tmp_path)
+
+
 def test_look_up_without_entries_is_unavailable(tmp_path):
     async def test(voter, client):
         async with client.get("/chivepier/resolve?name=x") as answer:
