Refuse a configuration with numbers that are not finite

Callers saw: after a configuration with the weight NaN or Infinity, or with two weights of 1e308, each request to the route got a 500 from every entry until the operator sent another version.

Cause: Python's reader of JSON takes NaN and the infinities and reads 1e999 as infinite; float() takes the texts "nan" and "inf"; the checks "< 0" and "<= 0" are false for NaN. The draw of a service adds up all weights, which overflows for two large ones.

Stored configurations are still read. The draw compares weights with the largest, so that all finite ones are served, as they are valid.

--- a/packages/gateway/src/chivepier/gateway/config/configuration.py
+++ b/packages/gateway/src/chivepier/gateway/config/configuration.py
@@ -4,6 +4,7 @@
 
 from chivepier.gateway.config.configurationerror import ConfigurationError
 from chivepier.gateway.config.limits import Limits
+from chivepier.gateway.config.numbers import check_numbers
 from chivepier.gateway.config.route import Route
 from chivepier.gateway.config.service import Service
 from chivepier.gateway.config.team import Team
@@ -46,13 +47,18 @@
         self._check_keys()
 
     def check_new(self) -> None:
-        """Check a configuration that an operator submits, also for places.
+        """Check a configuration that an operator submits.
 
-        One that was accepted by an earlier release must still be read.
+        It asks for more than ``check``: one that an earlier release accepted
+        must still be read.
 
         :raises ConfigurationError: describes the first problem found
         """
         self.check()
+        check_numbers(self)
+        self._check_places()
+
+    def _check_places(self) -> None:
         names: dict[tuple[str, str], str] = {}
         for route in self.routes:
             if route.place in names:
--- a/packages/gateway/src/chivepier/gateway/serving/planner.py
+++ b/packages/gateway/src/chivepier/gateway/serving/planner.py
@@ -85,7 +85,9 @@
     def _pick_service(self, index: RouteIndex, route: Route) -> Service:
         names = [name for name, _ in route.pools]
         if len(names) > 1:
-            weights = [weight for _, weight in route.pools]
+            # the sum of weights as large as floats are would be infinite
+            largest = max(weight for _, weight in route.pools)
+            weights = [weight / largest for _, weight in route.pools]
             names = self._rng.choices(names, weights)
         return index.services[names[0]]
 
--- a/tests/adapter/test_configcodec.py
+++ b/tests/adapter/test_configcodec.py
@@ -2,6 +2,8 @@
 
 import copy
 import json
+import math
+import typing
 
 import pytest
 
@@ -167,8 +169,43 @@
     fields["routes"][1] |= {"host": "H.Example", "path-prefix": "/a/"}
 
 
+def make_weight_setter(
+    weight: float | str,
+) -> typing.Callable[[dict], None]:
+    """Return a change that gives the only service of a route a weight."""
+
+    def set_weight(fields: dict) -> None:
+        pools = [{"service": "llm", "weight": weight}]
+        fields["routes"][0]["traffic-split"] = pools
+
+    return set_weight
+
+
+def set_timeout(fields: dict) -> None:
+    """Give a route an endless timeout."""
+    fields["routes"][0]["timeout-ms"] = math.inf
+
+
+def set_limit(fields: dict) -> None:
+    """Give callers' connections a limit that is no number."""
+    fields["limits"]["idle-timeout-ms"] = math.nan
+
+
+def set_unread_number(fields: dict) -> None:
+    """Write a number that no JSON has where nobody reads it."""
+    fields["comment"] = math.nan
+
+
 # Changes after which entries can't serve by a configuration as it says.
-UNSERVABLE = {"same-place": set_same_place}
+UNSERVABLE = {
+    "same-place": set_same_place,
+    "nan": make_weight_setter(math.nan),
+    "infinity": make_weight_setter(math.inf),
+    "named-nan": make_weight_setter("nan"),
+    "timeout": set_timeout,
+    "limit": set_limit,
+    "unread": set_unread_number,
+}
 
 
 @pytest.mark.parametrize("change", UNSERVABLE.values(), ids=UNSERVABLE)
@@ -182,6 +219,23 @@
     assert len(decode_config(body).routes) == 3
 
 
+def test_number_too_large_to_calculate_with_is_refused():
+    # It is JSON, but is read as infinite.
+    fields = copy.deepcopy(CONFIG_FIELDS)
+    make_weight_setter(12345.0)(fields)
+    body = json.dumps(fields).encode().replace(b"12345.0", b"1e999")
+    with pytest.raises(ConfigurationError, match="finite"):
+        decode_new_config(body)
+    assert len(decode_config(body).routes) == 3
+
+
+def test_refused_constant_is_named():
+    fields = copy.deepcopy(CONFIG_FIELDS)
+    set_unread_number(fields)
+    with pytest.raises(ConfigurationError, match="NaN"):
+        decode_new_config(json.dumps(fields).encode())
+
+
 def test_refused_route_is_named_with_the_one_that_has_its_place():
     fields = copy.deepcopy(CONFIG_FIELDS)
     set_same_place(fields)
