Log and count answers that come where the rest of a stream was due and are none

Each such answer is judged by its head now, in one place, and what is no rest is written as `answer_foreign` with its status, signature and reason, and counted in `chivepier_foreign_answers_total`; `request_forwarded` tells after which event. Nothing is decided by it yet: the same answers reach callers as before. An answer without a type is not judged by it (RFC 9110, 8.3).

--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardclient.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardclient.py
@@ -172,6 +172,7 @@
             "request_forwarded",
             id=request.id,
             peer=peer.node,
+            after=request.last_event,
             outcome=outcome,
             reason=reason,
             ms=round(1000 * (self._clock.monotonic() - request.arrived)),
--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
@@ -1,11 +1,15 @@
 """The answer to a forwarded request, read from the entry that serves it."""
 
+import attrs
+
 from chivepier.gateway.forwarding.forwardstate import ForwardState
 from chivepier.gateway.forwarding.partreader import PartReader
 from chivepier.gateway.forwarding.records import unpack_headers
 from chivepier.gateway.messages import ForwardPart
 from chivepier.gateway.serving import AnswerFacts
 from chivepier.gateway.serving import BrokenAnswerError
+from chivepier.gateway.serving import is_coded
+from chivepier.gateway.serving import may_be_events
 from chivepier.wire import LinkError
 
 
@@ -23,7 +27,11 @@
         self.headers = unpack_headers(part.headers)
         self.length = None if part.length < 0 else part.length
         # until its last part tells
-        self.facts = AnswerFacts(vouched=True)
+        self.facts = AnswerFacts(
+            vouched=True,
+            may_be_events=may_be_events(self.headers),
+            coded=is_coded(self.headers),
+        )
         self._reader = reader
         self._offset = 0
         self._pending = b""
@@ -53,7 +61,7 @@
         self._offset += len(part.data)
         self._state = ForwardState(part.state)
         if self._state is ForwardState.COMPLETE and part.framed:
-            self.facts = AnswerFacts()
+            self.facts = attrs.evolve(self.facts, vouched=False)
 
     def close(self) -> None:
         """Tell the other entry that the rest is not wanted."""
--- a/packages/gateway/src/chivepier/gateway/metrics/metrics.py
+++ b/packages/gateway/src/chivepier/gateway/metrics/metrics.py
@@ -36,6 +36,7 @@
     "forwards",
     "stream_ends",
     "end_findings",
+    "foreign",
     "take_ups",
     "refusals",
     "excess",
@@ -131,6 +132,14 @@
         """
         self._record("end_findings", (answered_by,), 1.0)
 
+    def record_foreign(self, what: str, reason: str) -> None:
+        """Count what came where the rest of a stream was due, and was none.
+
+        :param what: ``answer``, or ``piece`` of a body
+        :param reason: value of a :class:`Continuation` or a :class:`Piece`
+        """
+        self._record("foreign", (what, reason), 1.0)
+
     def record_take_up(self, source: str) -> None:
         """Count a stream that a caller takes up.
 
@@ -379,6 +388,12 @@
             ("answered_by",),
             registry=registry,
         ),
+        "foreign": library.Counter(
+            "chivepier_foreign_answers",
+            "What came where the rest of a stream was due, and was none.",
+            ("what", "reason"),
+            registry=registry,
+        ),
         "take_ups": library.Counter(
             "chivepier_streams_taken_up",
             "Streams that callers take up, by who knew where they began.",
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -7,6 +7,8 @@
 from chivepier.gateway.serving.bodyallocation import BodyAllocation
 from chivepier.gateway.serving.bodymemory import BodyMemory
 from chivepier.gateway.serving.bodymemory import SMALL_BODY_BYTES
+from chivepier.gateway.serving.bodytype import is_coded
+from chivepier.gateway.serving.bodytype import may_be_events
 from chivepier.gateway.serving.brittleadmission import BrittleAdmission
 from chivepier.gateway.serving.callerconnection import CallerConnection
 from chivepier.gateway.serving.callerrequest import CallerRequest
@@ -89,5 +91,7 @@
     "TargetClient",
     "UnansweredError",
     "UnreachableError",
+    "is_coded",
     "is_success",
+    "may_be_events",
 ]
--- a/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
@@ -26,6 +26,9 @@
         end of the connection ends it
     :param vouched: whether another entry had its end by word of a target
         alone, or does not tell
+    :param signed: whether it bears the signature of a target
+    :param may_be_events: whether its body may be a series of events
+    :param coded: whether its body has a content coding
     :param limit: rate limit of the target; ``None`` if answers of this kind
         carry none
     :param backoff: the backoff that the target requests from this entry
@@ -45,6 +48,9 @@
     use: ConnectionUse | None = None
     framed: bool = True
     vouched: bool = False
+    signed: bool = True
+    may_be_events: bool = True
+    coded: bool = False
     limit: Limit | None = NoLimit()
     backoff: Backoff = NoBackoff()
     leaving: bool = False
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -27,6 +27,7 @@
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.errors import PlacesTakenError
 from chivepier.gateway.serving.errors import RateLimitedError
+from chivepier.gateway.serving.foreignlog import ForeignLog
 from chivepier.gateway.serving.identification import Identification
 from chivepier.gateway.serving.lossrecorder import LossRecorder
 from chivepier.gateway.serving.mover import Mover
@@ -132,6 +133,7 @@
         self._assignments = AssignmentLog(balancer, clock, log)
         self._attempts = AttemptRecorder(table, health, balancer, clock, log)
         self._refusals = RefusalLog(log, metrics)
+        self.foreign = ForeignLog(log, metrics)
         self.losses = LossRecorder(table, guard, clock, log)
         self.runs = RunTracker(loads, mover, balancer, clock, queues)
         self.departure = Departure(state, clock, self.runs.estimate_seconds)
--- a/packages/gateway/src/chivepier/gateway/serving/errors.py
+++ b/packages/gateway/src/chivepier/gateway/serving/errors.py
@@ -1,5 +1,6 @@
 """Errors of sending a request to a target."""
 
+from chivepier.gateway.serving.continuation import Continuation
 from chivepier.gateway.serving.startestimate import StartEstimate
 
 
@@ -85,3 +86,18 @@
 
 class BrokenAnswerError(Exception):
     """An answer is incomplete or belongs to another request."""
+
+
+class ForeignAnswerError(BrokenAnswerError):
+    """An answer that came where the rest of a stream was due is none.
+
+    :param verdict: why not
+    :param status: its status
+    :param signed: whether it bears the signature of a target
+    """
+
+    def __init__(self, verdict: Continuation, status: int, signed: bool):
+        super().__init__(f"no rest of the stream: {verdict.value}, {status}")
+        self.verdict = verdict
+        self.status = status
+        self.signed = signed
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -8,6 +8,7 @@
 from chivepier.gateway.serving.bodyend import BodyEnd
 from chivepier.gateway.serving.callerconnection import CallerConnection
 from chivepier.gateway.serving.callpurpose import CallPurpose
+from chivepier.gateway.serving.continuationjudge import check_continuation
 from chivepier.gateway.serving.dispatcher import Dispatcher
 from chivepier.gateway.serving.endcause import EndCause
 from chivepier.gateway.serving.endcheck import CONFIRM_SECONDS
@@ -16,6 +17,7 @@
 from chivepier.gateway.serving.endjudge import wait_for_handoff
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.errors import ConnectionLostError
+from chivepier.gateway.serving.errors import ForeignAnswerError
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.eventsplitter import EventSplitter
 from chivepier.gateway.serving.eventsplitter import has_fields
@@ -397,9 +399,20 @@
             dispatcher.runs.track(run)
             dispatcher.balancer.record_start(run.target.instance)
             return None
+        self._note_answer(run, fresh.target.instance, fresh.answer)
         self._follow_up()
         return fresh
 
+    def _note_answer(
+        self, run: LiveRun, source: str, answer: TargetAnswer
+    ) -> None:
+        try:
+            check_continuation(answer)
+        except ForeignAnswerError as error:
+            self._dispatcher.foreign.write_answer(
+                run.request.id, source, error
+            )
+
     def _follow_up(self) -> None:
         """Go on with the stream of another target."""
         self._splitter = EventSplitter(resumed=True)
@@ -487,6 +500,7 @@
                 purpose,
                 is_held=lambda: dispatcher.guard.is_held(plan),
             )
+        self._note_answer(run, handoff.target.instance, answer)
         facts = answer.facts
         refused = facts.not_run or facts.other_instance is not None
         if not refused and handoff.origin is None:
--- a/tests/adapter/test_heads.py
+++ b/tests/adapter/test_heads.py
@@ -236,3 +236,32 @@
         assert await read_all(reply) == b""
 
     run(script, test)
+
+
+@pytest.mark.parametrize(
+    ("header", "signed", "may_be_events", "coded"),
+    (
+        (b"", False, True, False),
+        (b"x-chivepier-server-stamp: s1\r\n", True, True, False),
+        (b"Content-Type: text/event-stream\r\n", False, True, False),
+        (b"Content-Type: application/json\r\n", False, False, False),
+        (b"Content-Encoding: gzip\r\n", False, True, True),
+        (b"Content-Encoding: identity\r\n", False, True, False),
+    ),
+)
+def test_head_tells_who_sent_what_kind_of_body(
+    header, signed, may_be_events, coded
+):
+    # An error under a status of success was taken for the rest of a stream.
+    async def script(head, writer):
+        writer.write(build_answer(b"ok", extra=header))
+
+    async def test(raw, targets):
+        reply = await send(
+            targets, raw.make_target(), rawtarget.make_request(), OPTIONS
+        )
+        assert reply.facts.signed is signed
+        assert reply.facts.may_be_events is may_be_events
+        assert reply.facts.coded is coded
+
+    run(script, test)
