Take no error over another entry for the rest of a stream

Cause: where no target is in reach, another entry is asked for the rest. The direct way asked for the status of what came, this one didn't: an answer that was no success was read whole and relayed as more of the stream, which its length then told as whole. In the lines: `request_forwarded outcome=500` after `body_ended cause=break`, and neither `forward_failed` nor `stream_cut`.

The head of what comes over the hop is judged by `check_continuation` before anything of it is read. What is no rest costs that attempt, and the stream is broken off so that its caller sees it.

--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardedrests.py
@@ -0,0 +1,91 @@
+"""Tests of what other entries answer where the rest of a stream is due."""
+
+import pytest
+
+from chivepier.gateway.forwarding.tests.peersite import play_site
+from chivepier.gateway.serving.tests.parts import make_request
+from chivepier.gateway.serving.tests.parts import wait_until
+from chivepier.types import RequestError
+
+ALL = ("x", "w-x")
+EVENTS = 4
+STREAM = "".join(f"id: {n}\ndata: {n}\n\n" for n in range(1, EVENTS + 1))
+HTML = (("Content-Type", "text/html"),)
+GZIP = (("Content-Encoding", "gzip"),)
+# status, headers and body of an answer that is no rest of a stream
+FOREIGN = {
+    "500": (500, (), b"bad"),
+    "500-empty": (500, (), b""),
+    "500-events": (500, (), b"id: 5\ndata: 5\n\n"),
+    "404": (404, (), b"no such thing"),
+    "302": (302, (), b""),
+    "503": (503, (), b"busy"),
+    "429": (429, (), b""),
+    "421": (421, (), b""),
+    "202": (202, (), b"later"),
+    "206": (206, (), b"id: 5\ndata: 5\n\n"),
+    "type": (200, HTML, b"<p>bad</p>"),
+    "type-empty": (200, HTML, b""),
+    "coding": (200, GZIP, b"\x1f\x8b"),
+}
+
+
+def answer_with(entry, status, headers, body) -> None:
+    """Have the targets of an entry answer all requests alike."""
+    send = entry.parts.engines.send
+
+    async def send_and_end(*args):
+        run = await send(*args)
+        run.status = status
+        run.headers += headers
+        if body:
+            run.make(0, body.decode("latin-1"))
+        # once for the read that waits for the first event
+        run.end()
+        run.end()
+        return run
+
+    entry.parts.engines.send = send_and_end
+
+
+@pytest.mark.parametrize("foreign", FOREIGN.values(), ids=FOREIGN)
+def test_error_over_another_entry_never_becomes_a_part_of_a_stream(foreign):
+    # It was relayed as the rest of the stream, which was told as whole.
+    async def test(site):
+        cut_off, other = site.entries
+        answer_with(other, *foreign)
+        caller, task = cut_off.parts.start(make_request("/resume/a"))
+        run = await cut_off.parts.engines.wait_run(1)
+        run.make(EVENTS)
+        await caller.wait_events(EVENTS)
+        cut_off.cut(*ALL)
+        run.cut()
+        await task
+        assert other.count_sends() == 1
+        assert caller.data.decode() == STREAM
+        assert caller.aborted and not caller.finished
+        (line,) = cut_off.parts.read_lines("request_forwarded")
+        assert line["after"] == str(EVENTS)
+        assert cut_off.parts.read_lines("stream_cut")
+
+    play_site(test)
+
+
+@pytest.mark.parametrize("foreign", FOREIGN.values(), ids=FOREIGN)
+def test_error_over_another_entry_begins_no_stream(foreign):
+    # A stream that broke before its first event was begun by an error.
+    async def test(site):
+        cut_off, other = site.entries
+        answer_with(other, *foreign)
+        caller, task = cut_off.parts.start(make_request("/resume/a"))
+        run = await cut_off.parts.engines.wait_run(1)
+        run.make(0, "id: 1\nda")
+        await wait_until(lambda: run.is_read)
+        cut_off.cut(*ALL)
+        run.cut()
+        with pytest.raises(RequestError):
+            await task
+        assert other.count_sends() == 1
+        assert caller.status is None and not caller.data
+
+    play_site(test)
--- a/packages/gateway/src/chivepier/gateway/serving/detour.py
+++ b/packages/gateway/src/chivepier/gateway/serving/detour.py
@@ -6,6 +6,7 @@
 
 from chivepier.gateway.reach import Reach
 from chivepier.gateway.serving.answerstatus import is_success
+from chivepier.gateway.serving.continuationjudge import check_continuation
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.forwarder import Forwarder
 from chivepier.gateway.serving.liverun import LiveRun
@@ -66,6 +67,7 @@
         :raises ConnectionLostError: when the entry that may have taken it was
             lost
         :raises BrokenAnswerError: when its answer is incomplete
+        :raises ForeignAnswerError: when it is no rest of the stream
         :raises TimeoutError: when the deadline is over
         """
         request = attrs.evolve(
@@ -82,6 +84,8 @@
         try:
             async with asyncio.timeout(seconds):
                 peer, answer = await self._forwarder.open(plan, request, runs)
+                if run is not None:
+                    check_continuation(answer)
                 return await self._read_start(plan, peer, answer, run)
         except NotSentError:
             return None
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -391,6 +391,8 @@
             RequestError,
             TimeoutError,
         ) as error:
+            if isinstance(error, ForeignAnswerError):
+                dispatcher.foreign.write_answer(run.request.id, "", error)
             dispatcher.log.warn(
                 "forward_failed", id=run.request.id, error=repr(error)
             )
@@ -399,7 +401,6 @@
             dispatcher.runs.track(run)
             dispatcher.balancer.record_start(run.target.instance)
             return None
-        self._note_answer(run, fresh.target.instance, fresh.answer)
         self._follow_up()
         return fresh
 
