Judge each answer by its head before it goes on with a stream

Cause: of what came where a rest was due, its status was asked whether it is a success, and nothing else. A success is not yet the rest of a stream.

An answer goes on with a stream only if its status is 200, it bears a target's signature and names the request, and its head announces neither another type than that of events nor a coding. The same is asked of a success for a caller that takes up its stream itself, here and over another entry; a failure reaches it as it is, by its status. 204 and 206 are none: nobody asked for a range, and a target that has nothing more answers 200 with an empty body.

--- a/packages/gateway/src/chivepier/gateway/serving/answerreader.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerreader.py
@@ -3,6 +3,7 @@
 from chivepier.gateway.serving.answerallocation import AnswerAllocation
 from chivepier.gateway.serving.answermemory import AnswerMemory
 from chivepier.gateway.serving.answerstatus import is_success
+from chivepier.gateway.serving.continuationjudge import check_continuation
 from chivepier.gateway.serving.endwitness import EndWitness
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.liverun import LiveRun
@@ -46,10 +47,14 @@
         :param run: the run of a generation, if one is tracked already
         :raises BrokenAnswerError: when the answer is incomplete, too large or
             that to another request
+        :raises ForeignAnswerError: when it is a success, and not the rest of
+            the stream that a caller takes up
         """
         if answer.facts.mismatched:
             raise BrokenAnswerError("the answer names another request or none")
         if plan.route.streaming and is_success(answer.status):
+            if plan.request.takes_up:
+                check_continuation(answer)
             return await self._read_start(plan, target, answer, run)
         allocation = await self._memory.open(answer.length)
         try:
--- a/packages/gateway/src/chivepier/gateway/serving/detour.py
+++ b/packages/gateway/src/chivepier/gateway/serving/detour.py
@@ -84,7 +84,11 @@
         try:
             async with asyncio.timeout(seconds):
                 peer, answer = await self._forwarder.open(plan, request, runs)
-                if run is not None:
+                # a caller that takes up a stream gets a failure as it is
+                is_rest = run is not None or (
+                    plan.request.takes_up and is_success(answer.status)
+                )
+                if is_rest:
                     check_continuation(answer)
                 return await self._read_start(plan, peer, answer, run)
         except NotSentError:
--- a/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
+++ b/packages/gateway/src/chivepier/gateway/serving/dispatcher.py
@@ -23,6 +23,7 @@
 from chivepier.gateway.serving.errors import AllBackedOffError
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.errors import ConnectionLostError
+from chivepier.gateway.serving.errors import ForeignAnswerError
 from chivepier.gateway.serving.errors import NoCapacityError
 from chivepier.gateway.serving.errors import NotSentError
 from chivepier.gateway.serving.errors import PlacesTakenError
@@ -354,6 +355,10 @@
                         plan, target, answer, run
                     )
         except BaseException as error:
+            if isinstance(error, ForeignAnswerError):
+                self.foreign.write_answer(
+                    plan.request.id, target.instance, error
+                )
             # of a withdrawn request the target has not failed
             if not (run and run.withdrawn) and isinstance(
                 error, (ConnectionLostError, BrokenAnswerError, TimeoutError)
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -3,12 +3,12 @@
 import asyncio
 
 from chivepier.gateway.metrics import Metrics
-from chivepier.gateway.serving.answerstatus import is_success
 from chivepier.gateway.serving.assignmentlog import describe_forecast
 from chivepier.gateway.serving.bodyend import BodyEnd
 from chivepier.gateway.serving.callerconnection import CallerConnection
 from chivepier.gateway.serving.callpurpose import CallPurpose
-from chivepier.gateway.serving.continuationjudge import check_continuation
+from chivepier.gateway.serving.continuation import Continuation
+from chivepier.gateway.serving.continuationjudge import judge_continuation
 from chivepier.gateway.serving.dispatcher import Dispatcher
 from chivepier.gateway.serving.endcause import EndCause
 from chivepier.gateway.serving.endcheck import CONFIRM_SECONDS
@@ -260,6 +260,10 @@
         is_new_run = handoff.origin is None
         try:
             return await self._send(run, handoff, started)
+        except ForeignAnswerError as error:
+            name = handoff.target.instance
+            dispatcher.foreign.write_answer(run.request.id, name, error)
+            return None
         except (NotSentError, ConnectionLostError, TimeoutError) as error:
             if not isinstance(error, NotSentError):
                 if is_new_run:
@@ -404,16 +408,6 @@
         self._follow_up()
         return fresh
 
-    def _note_answer(
-        self, run: LiveRun, source: str, answer: TargetAnswer
-    ) -> None:
-        try:
-            check_continuation(answer)
-        except ForeignAnswerError as error:
-            self._dispatcher.foreign.write_answer(
-                run.request.id, source, error
-            )
-
     def _follow_up(self) -> None:
         """Go on with the stream of another target."""
         self._splitter = EventSplitter(resumed=True)
@@ -473,7 +467,11 @@
 
     async def _send(
         self, run: LiveRun, handoff: Handoff, started: StartedAnswer
-    ) -> StartedAnswer | None:
+    ) -> StartedAnswer:
+        """Send what resumes a stream.
+
+        :raises ForeignAnswerError: when the answer is no rest of the stream
+        """
         dispatcher, plan = self._dispatcher, self._plan
         await self._acquire_permit(handoff.target)
         if not dispatcher.table.is_current(handoff.target):
@@ -501,20 +499,14 @@
                 purpose,
                 is_held=lambda: dispatcher.guard.is_held(plan),
             )
-        self._note_answer(run, handoff.target.instance, answer)
-        facts = answer.facts
-        refused = facts.not_run or facts.other_instance is not None
-        if not refused and handoff.origin is None:
+        verdict = judge_continuation(answer)
+        if verdict is not Continuation.NOT_RUN and handoff.origin is None:
             run.ran_at.append(handoff.target)
-        if refused or facts.mismatched or not is_success(answer.status):
+        if verdict is not Continuation.CONTINUES:
             answer.close()
-            dispatcher.log.warn(
-                "handoff_refused",
-                id=run.request.id,
-                target=handoff.target.instance,
-                status=answer.status,
+            raise ForeignAnswerError(
+                verdict, answer.status, answer.facts.signed
             )
-            return None
         dispatcher.log.info(
             "gone_on",
             id=run.request.id,
