Judge each part of a stream's bodies before it is relayed

Cause: all that came between two ends of events was relayed, whatever it was, and what was left at a body's end was passed on as a last event. Class, as for heads: what follows in a stream is taken for its continuation as it came where one was due.

`EventSeries` judges each part: in a numbered series an event without a number, a number that does not rise, a status line and lines that are no fields of an event are no part of it. The body broke off before that part; nothing of it is written, and the stream goes on after its last event as after any other break, or is broken off. A word for an end falls with such a part. Series that bear no numbers belong to one run and go on nowhere: the next target began anew, and events came twice.

What goes on with a stream is in docs/design/requests.md.

--- a/packages/gateway/src/chivepier/gateway/serving/bodyend.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodyend.py
@@ -14,6 +14,8 @@
     :param remainder: bytes after the last event that was terminated
     :param follows: whether the caller had events before this body, and the
         one before it had ended as a whole one without a length may
+    :param foreign: whether it went on with what is no part of the series; it
+        broke off before that
     :param contradicted: whether an earlier body had begun an event that the
         caller lacks, and of which this one has nothing
     """
@@ -23,3 +25,4 @@
     remainder: bytes
     follows: bool = False
     contradicted: bool = False
+    foreign: bool = False
--- a/packages/gateway/src/chivepier/gateway/serving/endcheck.py
+++ b/packages/gateway/src/chivepier/gateway/serving/endcheck.py
@@ -90,6 +90,10 @@
         # one without a number does not show in the run's last number
         self.vouched = None
 
+    def note_foreign(self) -> None:
+        """Record what came in place of what follows: no end is known."""
+        self.vouched = None
+
     @property
     def is_vouched(self) -> bool:
         """Whether a target has vouched for an end after the last event."""
--- a/packages/gateway/src/chivepier/gateway/serving/errors.py
+++ b/packages/gateway/src/chivepier/gateway/serving/errors.py
@@ -1,6 +1,7 @@
 """Errors of sending a request to a target."""
 
 from chivepier.gateway.serving.continuation import Continuation
+from chivepier.gateway.serving.piece import Piece
 from chivepier.gateway.serving.startestimate import StartEstimate
 
 
@@ -101,3 +102,16 @@
         self.verdict = verdict
         self.status = status
         self.signed = signed
+
+
+class ForeignPieceError(BrokenAnswerError):
+    """A body goes on with what is no part of the series of its stream.
+
+    :param piece: what it is
+    :param number: the number that it begins with; ``None`` without one
+    """
+
+    def __init__(self, piece: Piece, number: int | None):
+        super().__init__(f"no part of the series: {piece.value}, {number}")
+        self.piece = piece
+        self.number = number
--- /dev/null
+++ b/packages/gateway/src/chivepier/gateway/serving/eventseries.py
@@ -0,0 +1,111 @@
+"""Tells which parts of bodies belong to the series of a stream."""
+
+import re
+
+from chivepier.gateway.serving.eventsplitter import has_fields
+from chivepier.gateway.serving.eventsplitter import is_known_event
+from chivepier.gateway.serving.eventsplitter import split_lines
+from chivepier.gateway.serving.piece import Piece
+from chivepier.gateway.serving.serieskind import SeriesKind
+
+EVENT_FIELDS = (b"data", b"event", b"id", b"retry")
+# A target may name what changes at an event in a first line of its own.
+LEADING_FIELD = re.compile(rb"[a-z0-9-]+:")
+STATUS_LINE = re.compile(rb"HTTP/[0-9][0-9.]* [0-9]{3}\b")
+
+
+class EventSeries:
+    """Judges what targets send of one stream, part by part.
+
+    A target that fails, or what stands before it, may write an error's head or
+    text into a body, also into that of its own stream. Its caller would find
+    it among the events, or take the stream for whole.
+
+    >>> series = EventSeries(numbered=False)
+    >>> series.judge(b"id: 1\\ndata: a\\n\\n", 1, None)
+    <Piece.NEXT: 'next'>
+    >>> series.judge(b"HTTP/1.1 500 Oops\\r\\n\\r\\n", None, 1)
+    <Piece.TEXT: 'text'>
+    >>> series.judge(b"event: error\\ndata: b\\n\\n", None, 1)
+    <Piece.UNNUMBERED: 'unnumbered'>
+
+    :param numbered: whether its caller names the number of an event that it
+        has of an earlier attempt
+    """
+
+    def __init__(self, numbered: bool):
+        self._kind = SeriesKind.NUMBERED if numbered else SeriesKind.UNKNOWN
+        self._is_first_body = not numbered
+        self._last_in_body: int | None = None
+
+    @property
+    def may_go_on(self) -> bool:
+        """Whether another target can tell what its caller lacks."""
+        return self._kind in (SeriesKind.UNKNOWN, SeriesKind.NUMBERED)
+
+    def begin_body(self) -> None:
+        """Judge the body of another target from now on."""
+        self._is_first_body = False
+        self._last_in_body = None
+
+    def judge(
+        self, part: bytes, number: int | None, last: int | None
+    ) -> Piece:
+        """Tell what a part of the current body is, in the order of parts.
+
+        :param part: an event, or what is left at the end of the body
+        :param number: its number; ``None`` without one
+        :param last: number of the last event that the caller has; ``None``
+            before the first
+        """
+        if not has_fields(part):
+            return Piece.SILENT
+        if self._kind is SeriesKind.OTHER:
+            return Piece.NEXT
+        if not is_event(part):
+            return self._judge_text(part)
+        if number is None:
+            if self._kind is SeriesKind.NUMBERED:
+                return Piece.UNNUMBERED
+            self._kind = SeriesKind.UNNUMBERED
+            return Piece.NEXT
+        if is_known_event(number, self._last_in_body):
+            return Piece.BACKWARDS
+        self._kind = SeriesKind.NUMBERED
+        self._last_in_body = number
+        return Piece.KNOWN if is_known_event(number, last) else Piece.NEXT
+
+    def _judge_text(self, part: bytes) -> Piece:
+        is_begin = self._is_first_body and self._kind is SeriesKind.UNKNOWN
+        if not is_begin or has_status_line(part):
+            return Piece.TEXT
+        self._kind = SeriesKind.OTHER
+        return Piece.NEXT
+
+
+def has_status_line(part: bytes) -> bool:
+    """Tell whether the head of an answer begins within bytes."""
+    return any(map(STATUS_LINE.match, split_lines(part)))
+
+
+def is_event(part: bytes) -> bool:
+    """Tell whether all lines are those of an event.
+
+    >>> is_event(b"version: 3\\nid: 1\\ndata: a\\n\\n")
+    True
+    >>> is_event(b"id: 1\\ndata: a\\nversion: 3\\n\\n"), is_event(b"oops\\n")
+    (False, False)
+
+    :param part: bytes with at least one line that is no comment
+    """
+    lines = [
+        line
+        for line in split_lines(part)
+        if line.strip() and not line.startswith(b":")
+    ]
+    if len(lines) > 1 and LEADING_FIELD.match(lines[0]):
+        del lines[0]
+    return all(
+        line.strip(b"\r\n").partition(b":")[0] in EVENT_FIELDS
+        for line in lines
+    )
--- a/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
+++ b/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
@@ -77,6 +77,11 @@
             raise BrokenAnswerError("bytes without an event")
         return events
 
+    @property
+    def remainder(self) -> bytes:
+        """The bytes after the last complete event."""
+        return self._partial
+
     def take_remainder(self) -> bytes:
         """Return and clear the bytes after the last complete event."""
         rest, self._partial = self._partial, b""
@@ -100,7 +105,8 @@
     return found.end()
 
 
-def _split_lines(data: bytes) -> list[bytes]:
+def split_lines(data: bytes) -> list[bytes]:
+    """Return the lines of an event with their ends."""
     return data.removeprefix(BYTE_ORDER_MARK).splitlines(keepends=True)
 
 
@@ -112,7 +118,7 @@
     """
     return any(
         line.strip() and not line.startswith(b":")
-        for line in _split_lines(data)
+        for line in split_lines(data)
     )
 
 
@@ -144,7 +150,7 @@
     :param event: the bytes of the event
     :returns: the number; ``None`` if the field is missing or no number
     """
-    for line in _split_lines(event):
+    for line in split_lines(event):
         if line.startswith(b"id:"):
             return parse_number(line[3:].strip())
     return None
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -18,13 +18,15 @@
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.errors import ConnectionLostError
 from chivepier.gateway.serving.errors import ForeignAnswerError
+from chivepier.gateway.serving.errors import ForeignPieceError
 from chivepier.gateway.serving.errors import NotSentError
+from chivepier.gateway.serving.eventseries import EventSeries
 from chivepier.gateway.serving.eventsplitter import EventSplitter
-from chivepier.gateway.serving.eventsplitter import has_fields
 from chivepier.gateway.serving.eventsplitter import has_new_part
 from chivepier.gateway.serving.eventsplitter import parse_event_number
 from chivepier.gateway.serving.handoff import Handoff
 from chivepier.gateway.serving.liverun import LiveRun
+from chivepier.gateway.serving.piece import Piece
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.sendoptions import SendOptions
 from chivepier.gateway.serving.startedanswer import StartedAnswer
@@ -71,6 +73,7 @@
         self._plan = plan
         self._caller = caller
         self._splitter = EventSplitter()
+        self._series = EventSeries(plan.request.last_event_number is not None)
         self._head_sent = False
         self._before_events = b""
         self._check = EndCheck(dispatcher, plan)
@@ -208,28 +211,71 @@
         self, head: TargetAnswer, started: StartedAnswer, run: LiveRun
     ) -> BodyEnd:
         """Relay events of one target until its stream ends or breaks."""
+        dispatcher, foreign = self._dispatcher, None
         first, started.body = started.body, b""
         try:
             await self._forward_events(head, run, first)
             while data := await self._read_chunk(run, started):
                 await self._forward_events(head, run, data)
-            framed = started.answer.facts.framed
-            cause = EndCause.FRAMING if framed else EndCause.CLOSE
+            cause = EndCause.CLOSE
+            if started.answer.facts.framed:
+                cause = EndCause.FRAMING
+                self._check_remainder(run)
+        except ForeignPieceError as error:
+            cause, foreign = EndCause.BREAK, error
+            self._check.note_foreign()
+            dispatcher.foreign.write_piece(
+                run.request.id,
+                run.target.instance,
+                run.last_event_number,
+                error,
+            )
         except BrokenAnswerError:
             cause = EndCause.BREAK
         except TimeoutError:
             cause = EndCause.TIMEOUT
-        return self._make_end(run, cause)
+        return self._make_end(run, cause, foreign)
+
+    def _check_remainder(self, run: LiveRun) -> None:
+        """Check what is left at the end of a body: it may be a last event.
+
+        :raises ForeignPieceError: if it is no part of the series
+        """
+        rest = self._splitter.remainder
+        self._judge_piece(run, rest, parse_event_number(rest))
+
+    def _judge_piece(
+        self, run: LiveRun, part: bytes, number: int | None
+    ) -> Piece:
+        """Judge a part of a body.
+
+        :raises ForeignPieceError: if it is no part of the series
+        """
+        piece = self._series.judge(part, number, run.last_event_number)
+        if piece.is_foreign:
+            raise ForeignPieceError(piece, number)
+        return piece
 
-    def _make_end(self, run: LiveRun, cause: EndCause) -> BodyEnd:
+    def _make_end(
+        self,
+        run: LiveRun,
+        cause: EndCause,
+        foreign: ForeignPieceError | None = None,
+    ) -> BodyEnd:
         rest = self._splitter.take_remainder()
-        has_part = has_new_part(rest, run.last_event_number)
+        if foreign is None:
+            has_part = has_new_part(rest, run.last_event_number)
+        else:
+            number, rest = foreign.number, b""
+            # what begins as an event that the caller lacks
+            has_part = number is not None and not run.has_relayed(number)
         end = BodyEnd(
             cause,
             self._splitter.events,
             rest,
             follows=self._head_sent and self._looked_whole,
             contradicted=self._part_came and not has_part,
+            foreign=foreign is not None,
         )
         if has_part:
             self._part_came = True
@@ -282,25 +328,36 @@
     async def _forward_events(
         self, head: TargetAnswer, run: LiveRun, data: bytes
     ) -> None:
-        fresh = []
+        """Relay events, up to what is no part of the series.
+
+        :raises ForeignPieceError: at that part
+        """
+        fresh, has_event, foreign = [], False, None
         for event, number in self._splitter.feed(data):
-            if run.has_relayed(number):
+            try:
+                piece = self._judge_piece(run, event, number)
+            except ForeignPieceError as error:
+                foreign = error
+                break
+            if piece is Piece.KNOWN:
                 continue
-            if number is not None:
-                run.note_relayed(number)
-                self._note_event(numbered=True)
-            elif has_fields(event):
-                self._note_event(numbered=False)
             fresh.append(event)
+            if piece is Piece.NEXT:
+                has_event = True
+                self._note_event(run, number)
         data = b"".join(fresh)
-        if not self._head_sent and not self._splitter.events:
+        if not self._head_sent and not has_event:
             # comments and empty lines alone are no answer yet
             self._before_events += data
         elif data:
             await self._write(head, run, data)
+        if foreign is not None:
+            raise foreign
 
-    def _note_event(self, numbered: bool) -> None:
-        self._check.note_event(numbered)
+    def _note_event(self, run: LiveRun, number: int | None) -> None:
+        if number is not None:
+            run.note_relayed(number)
+        self._check.note_event(number is not None)
         # what earlier bodies ended with was followed by it
         self._part_came = self._looked_whole = False
 
@@ -380,7 +437,7 @@
         dispatcher, plan = self._dispatcher, self._plan
         if not plan.repeatable or dispatcher.guard.is_held(plan):
             return None
-        if run.software_version == "":
+        if run.software_version == "" or not self._series.may_go_on:
             return None
         runs = await dispatcher.limit.count_runs(run)
         if runs >= plan.route.attempts or not dispatcher.take_retry(plan):
@@ -411,10 +468,13 @@
     def _follow_up(self) -> None:
         """Go on with the stream of another target."""
         self._splitter = EventSplitter(resumed=True)
+        self._series.begin_body()
         self._before_events = b""
 
     async def _find_handoffs(self, run: LiveRun) -> list[Handoff]:
         found = []
+        if not self._series.may_go_on:
+            return found
         if run.handoff is not None:
             handoff = await wait_for_handoff(run)
             if handoff is not None:
@@ -436,7 +496,7 @@
 
     async def _choose_rerun(self, run: LiveRun) -> Handoff | None:
         dispatcher, plan = self._dispatcher, self._plan
-        if dispatcher.guard.is_held(plan):
+        if dispatcher.guard.is_held(plan) or not self._series.may_go_on:
             return None
         runs = await dispatcher.limit.count_runs(run)
         if runs >= plan.route.attempts:
--- a/packages/gateway/src/chivepier/gateway/serving/streamend.py
+++ b/packages/gateway/src/chivepier/gateway/serving/streamend.py
@@ -23,7 +23,7 @@
     :param end: how the body has ended
     """
     match end:
-        case BodyEnd(contradicted=True):
+        case BodyEnd(contradicted=True) | BodyEnd(foreign=True):
             return StreamEnd.TRUNCATED
         case BodyEnd(cause=EndCause.FRAMING):
             return StreamEnd.COMPLETE
--- a/tests/adapter/test_foreignanswers.py
+++ b/tests/adapter/test_foreignanswers.py
@@ -121,3 +121,61 @@
         assert len(heads) == 2
 
     run(test, script, script)
+
+
+ERROR_HEAD = b"HTTP/1.1 500 Trouble\r\nContent-Length: 3\r\n\r\n"
+# what stands where the next event is due, under a head without a fault
+FOREIGN_PIECES = {
+    "head": ERROR_HEAD + b"bad",
+    "text": ERROR_TEXT,
+    "text-line": ERROR_TEXT + b"\n\n",
+    "json": ERROR_JSON,
+    "page": b"<html>\n\n<p>trouble</p>\n\n</html>\n",
+    "error-event": b"event: error\ndata: trouble\n\n",
+}
+
+
+@pytest.mark.parametrize("framing", FRAMINGS)
+@pytest.mark.parametrize("before", (b"", EVENTS[1]), ids=("first", "second"))
+@pytest.mark.parametrize("piece", FOREIGN_PIECES.values(), ids=FOREIGN_PIECES)
+def test_error_under_a_good_head_never_becomes_a_part_of_a_stream(
+    piece, before, framing
+):
+    # The text or head of an error was relayed as more of the stream.
+    answer = build_foreign(b"200 OK", SIGNED + SERIES, before + piece, framing)
+    script = break_off_then([answer], b"", rawtarget.reset)
+
+    async def test(fixture):
+        _, body, whole = await call(fixture, "/resume/x")
+        assert body == EVENTS[0] + before
+        assert not whole
+
+    run(test, script, script)
+
+
+@pytest.mark.parametrize("path", ("/stream/x", "/resume/x"))
+@pytest.mark.parametrize(
+    "part", (b"", b"id: 2\nda", b"id: 2\ndata: two"), ids=("", "name", "data")
+)
+@pytest.mark.parametrize(
+    "piece", (ERROR_HEAD, ERROR_HEAD + b"bad"), ids=("head", "head-and-body")
+)
+def test_error_in_a_streams_own_connection_is_no_part_of_it(piece, part, path):
+    # The whole head of an error stood in the stream, as an event of its own.
+    goes_on = build_foreign(b"200 OK", SIGNED + SERIES, EVENTS[1], "length")
+    heads = []
+
+    async def script(head, writer):
+        heads.append(head)
+        if len(heads) == 1:
+            await serve_body(EVENTS[0], part + piece)(head, writer)
+        else:
+            await serve_body(b"", head=goes_on)(head, writer)
+
+    async def test(fixture):
+        _, body, whole = await call(fixture, path)
+        resumes = path == "/resume/x"
+        assert body == b"".join(EVENTS if resumes else EVENTS[:1])
+        assert whole is resumes
+
+    run(test, script, script)
