Ask the next target to go on after a refusal or an error

A stream that had broken off was broken off for its caller after one refusal or one error of the next target, though attempts, budget and sound targets were left.

Cause: one target was chosen for a rerun, once for each break. Now one is asked after the other, each once, while the route has attempts, the budget repeats and a second is not over since the break, as callers give up after two; then another entry is asked as before. What may have run counts as an attempt, a refusal doesn't, as for a first run. The repeat of a send that did not happen is kept for the next one, as there: a target that could not be connected to used one up. A copy of the KV cache is tried before a rerun is chosen and a repeat taken for it.

--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -41,6 +41,9 @@
 # Seconds for the next target to answer. It admits a resumed generation before
 # all others, and sends the head with the first event.
 RESUME_ANSWER_SECONDS = 2.0
+# Seconds in which one target after the other may be asked to go on: callers
+# give up after two without an event.
+RERUN_SECONDS = 1.0
 # Seconds without a byte after which a target counts as unreachable; callers
 # wait longer than this.
 STALL_SECONDS = 1.5
@@ -75,6 +78,8 @@
         self._splitter = EventSplitter()
         self._series = EventSeries(plan.request.last_event_number is not None)
         self._head_sent = False
+        # of the budget, taken for a target that nothing was sent to
+        self._has_repeat = False
         self._before_events = b""
         self._check = EndCheck(dispatcher, plan)
         # since the last event: whether a part of the next one came, and
@@ -159,7 +164,7 @@
         self._check.begin(VouchedEnd(started, self._is_whole_run(run)))
         try:
             async with asyncio.timeout(CONFIRM_SECONDS):
-                rerun = await self._choose_rerun(run)
+                rerun = await self._choose_rerun(run, {run.target.instance})
         except TimeoutError:
             # earlier targets are asked first whether they count
             return None
@@ -311,7 +316,9 @@
             dispatcher.foreign.write_answer(run.request.id, name, error)
             return None
         except (NotSentError, ConnectionLostError, TimeoutError) as error:
-            if not isinstance(error, NotSentError):
+            if isinstance(error, NotSentError):
+                self._has_repeat = is_new_run
+            else:
                 if is_new_run:
                     run.ran_at.append(handoff.target)
                 dispatcher.losses.note_lost(
@@ -416,12 +423,11 @@
             fresh = await self._forward_rest(run, started)
             if fresh is not None:
                 return fresh
-        for handoff in await self._find_handoffs(run):
-            if self._dispatcher.guard.is_held(self._plan):
-                break
-            fresh = await self._try_handoff(run, handoff, started)
-            if fresh is not None:
-                return fresh
+        fresh = await self._take_over(run, started)
+        if fresh is None:
+            fresh = await self._rerun(run, started)
+        if fresh is not None:
+            return fresh
         # no target is left that can be reached: others may reach one
         if not was_needed and detour.has_peer(self._plan):
             fresh = await self._forward_rest(run, started)
@@ -440,7 +446,7 @@
         if run.software_version == "" or not self._series.may_go_on:
             return None
         runs = await dispatcher.limit.count_runs(run)
-        if runs >= plan.route.attempts or not dispatcher.take_retry(plan):
+        if runs >= plan.route.attempts or not self._take_repeat():
             return None
         dispatcher.release(started)
         run.earlier_runs += 1
@@ -471,19 +477,34 @@
         self._series.begin_body()
         self._before_events = b""
 
-    async def _find_handoffs(self, run: LiveRun) -> list[Handoff]:
-        found = []
-        if not self._series.may_go_on:
-            return found
-        if run.handoff is not None:
-            handoff = await wait_for_handoff(run)
-            if handoff is not None:
-                found.append(self._redirect_to_source(run, handoff))
-        if self._plan.repeatable:
-            rerun = await self._choose_rerun(run)
-            if rerun is not None:
-                found.append(rerun)
-        return found
+    async def _take_over(
+        self, run: LiveRun, started: StartedAnswer
+    ) -> StartedAnswer | None:
+        """Resume from a copy of the KV cache, if there is one."""
+        if run.handoff is None or not self._series.may_go_on:
+            return None
+        handoff = await wait_for_handoff(run)
+        if handoff is None or self._dispatcher.guard.is_held(self._plan):
+            return None
+        handoff = self._redirect_to_source(run, handoff)
+        return await self._try_handoff(run, handoff, started)
+
+    async def _rerun(
+        self, run: LiveRun, started: StartedAnswer
+    ) -> StartedAnswer | None:
+        """Ask one target after the other for what the caller lacks."""
+        clock = self._dispatcher.clock
+        until = clock.monotonic() + RERUN_SECONDS
+        asked = {run.target.instance}
+        while clock.monotonic() < until:
+            handoff = await self._choose_rerun(run, asked)
+            if handoff is None:
+                break
+            fresh = await self._try_handoff(run, handoff, started)
+            if fresh is not None:
+                return fresh
+            asked.add(handoff.target.instance)
+        return None
 
     def _redirect_to_source(self, run: LiveRun, handoff: Handoff) -> Handoff:
         """Resume at the source if the destination can't be used now.
@@ -494,8 +515,16 @@
             return handoff
         return Handoff(run.target, handoff.origin)
 
-    async def _choose_rerun(self, run: LiveRun) -> Handoff | None:
+    async def _choose_rerun(
+        self, run: LiveRun, asked: set[str]
+    ) -> Handoff | None:
+        """Choose a target for another run, and take a repeat for it.
+
+        :param asked: names of the targets that have been asked
+        """
         dispatcher, plan = self._dispatcher, self._plan
+        if not plan.repeatable:
+            return None
         if dispatcher.guard.is_held(plan) or not self._series.may_go_on:
             return None
         runs = await dispatcher.limit.count_runs(run)
@@ -506,13 +535,21 @@
             service.name,
             service.engine,
             plan.demand,
-            {run.target.instance},
+            asked,
             run.eligibility,
         )
-        if target is None or not dispatcher.take_retry(plan):
+        if target is None or not self._take_repeat():
             return None
         return Handoff(target, None)
 
+    def _take_repeat(self) -> bool:
+        """Take a repeat from the budget, or one that was not sent."""
+        has_repeat = self._has_repeat or self._dispatcher.take_retry(
+            self._plan
+        )
+        self._has_repeat = False
+        return has_repeat
+
     async def _acquire_permit(self, target: Target) -> None:
         plan, seconds = self._plan, None
         if self._check.is_under_way:
