Take no error for the word that nothing follows

Cause: the check of such an end knew two results, a rest and none; an error counted as none, and the first target's word stood, which says that it lives and nothing of its stream. Class: what is not heard counts for something.

After an answer that is no rest the next target is asked, while the check has time, attempts and budget; where all that answered have failed, the end is not known and the stream is broken off, so that its caller may go on itself. A refusal, and an answer that doesn't come, leave the word as it was: who has not run the request can't know, and full targets must not cost whole streams their ends.

`begin_without_length` stood twice and is in parts.py.

--- a/packages/gateway/src/chivepier/gateway/serving/endcheck.py
+++ b/packages/gateway/src/chivepier/gateway/serving/endcheck.py
@@ -1,6 +1,7 @@
 """The check of a stream's end at another target than the one that sent it."""
 
 from chivepier.gateway.serving.bodyend import BodyEnd
+from chivepier.gateway.serving.continuation import Continuation
 from chivepier.gateway.serving.dispatcher import Dispatcher
 from chivepier.gateway.serving.eventsplitter import is_unfinished
 from chivepier.gateway.serving.liverun import LiveRun
@@ -20,12 +21,15 @@
     :param dispatcher: bounds the checks of a service
     :param plan: the plan of the request
     :ivar vouched: the end that is or was checked, if nothing has followed it
+    :ivar is_disputed: whether a target that was asked what follows has failed
+        to tell, and may have had more
     """
 
     def __init__(self, dispatcher: Dispatcher, plan: Plan):
         self._dispatcher = dispatcher
         self._plan = plan
         self.vouched: VouchedEnd | None = None
+        self.is_disputed = False
         # in monotonic seconds
         self._until: float | None = None
         # whether an event without a number is the last that the caller has
@@ -89,11 +93,22 @@
         self._until = None
         # one without a number does not show in the run's last number
         self.vouched = None
+        self.is_disputed = False
 
     def note_foreign(self) -> None:
         """Record what came in place of what follows: no end is known."""
         self.vouched = None
 
+    def note_answer(self, verdict: Continuation) -> None:
+        """Record an answer that does not tell what follows.
+
+        A target that has not run the request can't know, so the word stands.
+
+        :param verdict: what the answer was
+        """
+        if self.is_under_way and verdict is not Continuation.NOT_RUN:
+            self.is_disputed = True
+
     @property
     def is_vouched(self) -> bool:
         """Whether a target has vouched for an end after the last event."""
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -108,6 +108,8 @@
                 end = await self._relay_target(head, started, run)
                 if await self._judge.is_whole(run, end):
                     fresh = await self._confirm(run, started, end)
+                    if fresh is None and self._check.is_disputed:
+                        break
                     if fresh is None:
                         self._dispatcher.runs.note_complete(run)
                         framed = self._note_answered(run, started)
@@ -154,6 +156,7 @@
         :returns: the answer of the other target; ``None`` if the end stands
         """
         if end.cause is EndCause.FRAMING:
+            self._check.is_disputed = False
             # the framing of a forwarded answer is that of an entry
             if not run.forwarded:
                 service = self._plan.service.name
@@ -162,22 +165,28 @@
         if self._check.is_vouched or not self._check.may_begin(run):
             return None
         self._check.begin(VouchedEnd(started, self._is_whole_run(run)))
-        try:
-            async with asyncio.timeout(CONFIRM_SECONDS):
-                rerun = await self._choose_rerun(run, {run.target.instance})
-        except TimeoutError:
-            # earlier targets are asked first whether they count
-            return None
-        if rerun is None:
-            return None
-        self._dispatcher.log.info(
-            "end_checked",
-            id=run.request.id,
-            target=run.target.instance,
-            at=rerun.target.instance,
-            after=run.last_event_number,
-        )
-        return await self._try_handoff(run, rerun, started)
+        asked = {run.target.instance}
+        while True:
+            try:
+                async with asyncio.timeout(self._check.limit(CONFIRM_SECONDS)):
+                    rerun = await self._choose_rerun(run, asked)
+            except TimeoutError:
+                # earlier targets are asked first whether they count
+                return None
+            if rerun is None:
+                return None
+            self._dispatcher.log.info(
+                "end_checked",
+                id=run.request.id,
+                target=run.target.instance,
+                at=rerun.target.instance,
+                after=run.last_event_number,
+            )
+            fresh = await self._try_handoff(run, rerun, started)
+            if fresh is not None or not self._check.is_disputed:
+                return fresh
+            # it has failed to tell: the next one may
+            asked.add(rerun.target.instance)
 
     def _note_answered(self, run: LiveRun, started: StartedAnswer) -> bool:
         """Report a whole stream; return whether a framing told its end."""
@@ -314,6 +323,7 @@
         except ForeignAnswerError as error:
             name = handoff.target.instance
             dispatcher.foreign.write_answer(run.request.id, name, error)
+            self._check.note_answer(error.verdict)
             return None
         except (NotSentError, ConnectionLostError, TimeoutError) as error:
             if isinstance(error, NotSentError):
--- a/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/parts.py
@@ -34,6 +34,7 @@
 from chivepier.gateway.quarantine import shorten
 from chivepier.gateway.quarantine import Trials
 from chivepier.gateway.reach import Reach
+from chivepier.gateway.serving import AnswerFacts
 from chivepier.gateway.serving import AnswerMemory
 from chivepier.gateway.serving import CallerRequest
 from chivepier.gateway.serving import CrashGuard
@@ -424,6 +425,12 @@
     return caller, task, run
 
 
+async def begin_without_length(parts: Parts, path: str = "/llm/x"):
+    """Start a stream without a length and relay its first two events."""
+    parts.engines.facts = AnswerFacts(framed=False)
+    return await begin(parts, path)
+
+
 async def finish(task: asyncio.Task, run: FakeAnswer, events: int = 0) -> None:
     """Send the last events of a run, end it and await its task."""
     run.make(events)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_confirmedends.py
@@ -9,6 +9,7 @@
 from chivepier.gateway.quarantine import Incarnation
 from chivepier.gateway.serving import AnswerFacts
 from chivepier.gateway.serving.tests.parts import begin
+from chivepier.gateway.serving.tests.parts import begin_without_length
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
 from chivepier.gateway.serving.tests.parts import RESUMABLE
@@ -19,12 +20,6 @@
 CALLER_SECONDS = 2.0
 
 
-async def begin_without_length(parts, path: str = "/resume/x"):
-    """Start a stream without a length and relay its first two events."""
-    parts.engines.facts = WITHOUT_LENGTH
-    return await begin(parts, path)
-
-
 @pytest.mark.parametrize("framed", (True, False))
 def test_part_of_an_event_shows_that_an_end_without_events_is_none(framed):
     # A target that closed before its first event vouched for an end that a
@@ -46,7 +41,7 @@
 
 def test_part_of_an_event_that_the_caller_has_shows_nothing():
     async def test(parts):
-        caller, task, run = await begin_without_length(parts)
+        caller, task, run = await begin_without_length(parts, "/resume/x")
         run.make(0, "id: 2\nda")
         run.end()
         fresh = await parts.engines.wait_run(2)
@@ -61,7 +56,7 @@
 def test_event_without_a_number_is_no_part_of_a_numbered_series():
     # Nobody could tell whether its caller has it, so it came again.
     async def test(parts):
-        caller, task, run = await begin_without_length(parts)
+        caller, task, run = await begin_without_length(parts, "/resume/x")
         run.make(0, "data: [DONE]\n\n")
         run.end()
         fresh = await parts.engines.wait_run(2)
@@ -132,7 +127,7 @@
         for _ in range(100):
             # repeats are earned by requests
             parts.dispatcher.budget.note_request("llm", tell_time())
-        caller, task, run = await begin_without_length(parts)
+        caller, task, run = await begin_without_length(parts, "/resume/x")
         run.cut()
         fresh = await parts.engines.wait_run(2)
         if leaving:
@@ -172,7 +167,7 @@
 def test_caller_of_a_whole_stream_does_not_wait_long_for_its_check(way):
     # The head and the first event of the check each had a time of their own.
     async def test(parts):
-        caller, task, run = await begin_without_length(parts)
+        caller, task, run = await begin_without_length(parts, "/resume/x")
         loop = asyncio.get_running_loop()
         began = loop.time()
         if way != "event":
@@ -193,7 +188,7 @@
 def test_caller_of_a_whole_stream_does_not_wait_for_a_permit_and_an_answer():
     # The wait for a permit came on top of that for an answer.
     async def test(parts):
-        caller, task, run = await begin_without_length(parts)
+        caller, task, run = await begin_without_length(parts, "/resume/x")
         loop = asyncio.get_running_loop()
         acquire = parts.dispatcher.gate.acquire_resume_permit
 
@@ -217,7 +212,7 @@
 def test_check_without_a_permit_is_no_loss_of_its_target():
     # Nothing was sent to it.
     async def test(parts):
-        caller, task, run = await begin_without_length(parts)
+        caller, task, run = await begin_without_length(parts, "/resume/x")
 
         async def wait_long(*args):
             await asyncio.sleep(5.0)
@@ -236,7 +231,7 @@
 def test_check_does_not_lengthen_what_a_stream_is_known_to_take():
     # The estimate of a stream's time held the wait for its check.
     async def test(parts):
-        caller, task, run = await begin_without_length(parts)
+        caller, task, run = await begin_without_length(parts, "/resume/x")
         seen = []
         parts.dispatcher.runs.note_answer = lambda plan, s: seen.append(s)
         parts.engines.heads.clear()
@@ -252,7 +247,7 @@
 def test_end_whose_target_was_slow_to_vouch_for_it_is_not_checked():
     # The check began when the caller had waited for a second already.
     async def test(parts):
-        caller, task, run = await begin_without_length(parts)
+        caller, task, run = await begin_without_length(parts, "/resume/x")
         began_at = asyncio.get_running_loop().time()
         began, goes_on = parts.engines.hold_question()
         parts.engines.heads.clear()
@@ -273,7 +268,7 @@
 ):
     # One more target could end of a check that its caller did not need.
     async def test(parts):
-        caller, task, run = await begin_without_length(parts)
+        caller, task, run = await begin_without_length(parts, "/resume/x")
         digest = parts.planner.plan(make_request("/resume/x")).digest
         parts.quarantine.merge(
             Ending(
@@ -298,7 +293,7 @@
 def test_check_does_not_wait_for_what_became_of_earlier_targets():
     # They are asked once the attempts of the route are used up.
     async def test(parts):
-        caller, task, run = await begin_without_length(parts)
+        caller, task, run = await begin_without_length(parts, "/resume/x")
         run.cut()
         fresh = await parts.engines.wait_run(2)
         fresh.make(1)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_streamends.py
@@ -9,6 +9,7 @@
 from chivepier.gateway.serving import MoveResult
 from chivepier.gateway.serving.tests.fakeengines import FakeAnswer
 from chivepier.gateway.serving.tests.parts import begin
+from chivepier.gateway.serving.tests.parts import begin_without_length
 from chivepier.gateway.serving.tests.parts import finish
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
@@ -30,12 +31,6 @@
     run.end()
 
 
-async def begin_without_length(parts, path: str = "/llm/x"):
-    """Start a stream without a length and relay its first two events."""
-    parts.engines.facts = WITHOUT_LENGTH
-    return await begin(parts, path)
-
-
 def test_stream_that_may_run_once_is_cut_off_where_it_broke():
     # A caller must see that a stream broke off inside an event.
     async def test(parts):
