Relay: the bodies of targets have a class of their own

relay.py had grown to 654 lines: the series of targets, and each target's body. The latter is `BodyRelay`, which has the splitter, the series and what is kept between two bodies; `Relay` has the loop over targets, the check of an end and resumption. Nothing but places and names changes. Package tests of serving and forwarding: 1259 pass, as before.

--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -5,6 +5,7 @@
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving.assignmentlog import describe_forecast
 from chivepier.gateway.serving.bodyend import BodyEnd
+from chivepier.gateway.serving.bodyrelay import BodyRelay
 from chivepier.gateway.serving.callerconnection import CallerConnection
 from chivepier.gateway.serving.callpurpose import CallPurpose
 from chivepier.gateway.serving.continuation import Continuation
@@ -18,20 +19,12 @@
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.errors import ConnectionLostError
 from chivepier.gateway.serving.errors import ForeignAnswerError
-from chivepier.gateway.serving.errors import ForeignPieceError
 from chivepier.gateway.serving.errors import NotSentError
-from chivepier.gateway.serving.eventseries import EventSeries
-from chivepier.gateway.serving.eventsplitter import EventSplitter
-from chivepier.gateway.serving.eventsplitter import has_new_part
-from chivepier.gateway.serving.eventsplitter import parse_event_number
 from chivepier.gateway.serving.handoff import Handoff
 from chivepier.gateway.serving.liverun import LiveRun
-from chivepier.gateway.serving.piece import Piece
 from chivepier.gateway.serving.plan import Plan
 from chivepier.gateway.serving.sendoptions import SendOptions
 from chivepier.gateway.serving.startedanswer import StartedAnswer
-from chivepier.gateway.serving.streamtiming import StreamTiming
-from chivepier.gateway.serving.targetanswer import TargetAnswer
 from chivepier.gateway.serving.vouchedend import VouchedEnd
 from chivepier.gateway.targets import Target
 from chivepier.types import ErrorKind
@@ -44,9 +37,6 @@
 # Seconds in which one target after the other may be asked to go on: callers
 # give up after two without an event.
 RERUN_SECONDS = 1.0
-# Seconds without a byte after which a target counts as unreachable; callers
-# wait longer than this.
-STALL_SECONDS = 1.5
 # Urgency at the next target, ahead of new generations: targets preempt the
 # newest first, and a migrated generation is the newest though it has the most
 # work to lose.
@@ -71,27 +61,16 @@
         caller: CallerConnection,
         metrics: Metrics,
     ):
-        self._metrics = metrics
         self._dispatcher = dispatcher
         self._plan = plan
         self._caller = caller
-        self._splitter = EventSplitter()
-        self._series = EventSeries(plan.request.last_event_number is not None)
-        self._head_sent = False
         # of the budget, taken for a target that nothing was sent to
         self._has_repeat = False
-        self._before_events = b""
         self._check = EndCheck(dispatcher, plan)
-        # since the last event: whether a part of the next one came, and
-        # whether a body ended as that of a whole stream may
-        self._part_came = False
-        self._looked_whole = False
+        self._body = BodyRelay(dispatcher, plan, caller, self._check, metrics)
         self._judge = EndJudge(
             dispatcher.witness, dispatcher.mover, dispatcher.log, metrics
         )
-        self._timing = StreamTiming(
-            plan.request.arrived, dispatcher.clock.monotonic
-        )
 
     async def run(self, started: StartedAnswer) -> None:
         """Relay events until the stream is complete or can't be resumed.
@@ -105,7 +84,7 @@
             run.ran_at.append(run.target)
         try:
             for _ in range(MAX_HANDOFFS):
-                end = await self._relay_target(head, started, run)
+                end = await self._body.relay(head, started, run)
                 if await self._judge.is_whole(run, end):
                     fresh = await self._confirm(run, started, end)
                     if fresh is None and self._check.is_disputed:
@@ -113,14 +92,16 @@
                     if fresh is None:
                         self._dispatcher.runs.note_complete(run)
                         framed = self._note_answered(run, started)
-                        await self._finish(head, run, end.remainder, framed)
+                        await self._body.finish(
+                            head, run, end.remainder, framed
+                        )
                         return
                     started = fresh
                     continue
                 await self._note_lost(run)
                 if self._check.is_answered_by_nothing(end):
                     framed = self._note_answered(run, started)
-                    await self._finish(head, run, b"", framed)
+                    await self._body.finish(head, run, b"", framed)
                     return
                 self._check.end()
                 started = await self._resume(run, started)
@@ -130,17 +111,18 @@
         finally:
             run.ended = True
             run.lost.set()
-            self._note_ended(run)
-            self._record_timing()
+            self._body.note_ended(run)
+            self._body.record_timing()
+            timing = self._body.timing
             self._dispatcher.log.info(
                 "stream_ended",
                 id=run.request.id,
                 target=run.target.instance,
                 events=run.relayed_events,
                 after=run.last_event_number,
-                first_ms=round(1000 * self._timing.first_seconds),
-                gap_ms=round(1000 * self._timing.max_gap),
-                gap_at=self._timing.max_gap_index,
+                first_ms=round(1000 * timing.first_seconds),
+                gap_ms=round(1000 * timing.max_gap),
+                gap_at=timing.max_gap_index,
             )
             if started is not None:
                 self._dispatcher.release(started)
@@ -212,106 +194,6 @@
         if plan.repeatable:
             await dispatcher.guard.wait_for_verdict(plan, run.target)
 
-    def _record_timing(self) -> None:
-        plan, timing = self._plan, self._timing
-        self._metrics.record_stream(
-            plan.team or "",
-            str(plan.urgency),
-            timing.first_seconds,
-            timing.max_gap,
-        )
-
-    async def _relay_target(
-        self, head: TargetAnswer, started: StartedAnswer, run: LiveRun
-    ) -> BodyEnd:
-        """Relay events of one target until its stream ends or breaks."""
-        dispatcher, foreign = self._dispatcher, None
-        first, started.body = started.body, b""
-        try:
-            await self._forward_events(head, run, first)
-            while data := await self._read_chunk(run, started):
-                await self._forward_events(head, run, data)
-            cause = EndCause.CLOSE
-            if started.answer.facts.framed:
-                cause = EndCause.FRAMING
-                self._check_remainder(run)
-        except ForeignPieceError as error:
-            cause, foreign = EndCause.BREAK, error
-            self._check.note_foreign()
-            dispatcher.foreign.write_piece(
-                run.request.id,
-                run.target.instance,
-                run.last_event_number,
-                error,
-            )
-        except BrokenAnswerError:
-            cause = EndCause.BREAK
-        except TimeoutError:
-            cause = EndCause.TIMEOUT
-        return self._make_end(run, cause, foreign)
-
-    def _check_remainder(self, run: LiveRun) -> None:
-        """Check what is left at the end of a body: it may be a last event.
-
-        :raises ForeignPieceError: if it is no part of the series
-        """
-        rest = self._splitter.remainder
-        self._judge_piece(run, rest, parse_event_number(rest))
-
-    def _judge_piece(
-        self, run: LiveRun, part: bytes, number: int | None
-    ) -> Piece:
-        """Judge a part of a body.
-
-        :raises ForeignPieceError: if it is no part of the series
-        """
-        piece = self._series.judge(part, number, run.last_event_number)
-        if piece.is_foreign:
-            raise ForeignPieceError(piece, number)
-        return piece
-
-    def _make_end(
-        self,
-        run: LiveRun,
-        cause: EndCause,
-        foreign: ForeignPieceError | None = None,
-    ) -> BodyEnd:
-        rest = self._splitter.take_remainder()
-        if foreign is None:
-            has_part = has_new_part(rest, run.last_event_number)
-        else:
-            number, rest = foreign.number, b""
-            # what begins as an event that the caller lacks
-            has_part = number is not None and not run.has_relayed(number)
-        end = BodyEnd(
-            cause,
-            self._splitter.events,
-            rest,
-            follows=self._head_sent and self._looked_whole,
-            contradicted=self._part_came and not has_part,
-            foreign=foreign is not None,
-        )
-        if has_part:
-            self._part_came = True
-        if cause is EndCause.CLOSE and (end.events or end.follows):
-            self._looked_whole = True
-        return end
-
-    async def _read_chunk(self, run: LiveRun, started: StartedAnswer) -> bytes:
-        seconds = None
-        if self._plan.repeatable and not run.forwarded:
-            # an unreachable target does not close the connection; a generation
-            # that can be run elsewhere need not wait for its deadline
-            seconds = self._check.limit(STALL_SECONDS)
-        # only reads have a timeout: cancelling a write would lose an event
-        # whose number has already been recorded
-        async with run.limit_wait(seconds):
-            data = await started.answer.read()
-        self._dispatcher.runs.note_first_event(run)
-        self._dispatcher.runs.note_growth(run)
-        self._dispatcher.guard.note_growing(run)
-        return data
-
     async def _try_handoff(
         self, run: LiveRun, handoff: Handoff, started: StartedAnswer
     ) -> StartedAnswer | None:
@@ -342,80 +224,6 @@
             )
             return None
 
-    async def _forward_events(
-        self, head: TargetAnswer, run: LiveRun, data: bytes
-    ) -> None:
-        """Relay events, up to what is no part of the series.
-
-        :raises ForeignPieceError: at that part
-        """
-        fresh, has_event, foreign = [], False, None
-        for event, number in self._splitter.feed(data):
-            try:
-                piece = self._judge_piece(run, event, number)
-            except ForeignPieceError as error:
-                foreign = error
-                break
-            if piece is Piece.KNOWN:
-                continue
-            fresh.append(event)
-            if piece is Piece.NEXT:
-                has_event = True
-                self._note_event(run, number)
-        data = b"".join(fresh)
-        if not self._head_sent and not has_event:
-            # comments and empty lines alone are no answer yet
-            self._before_events += data
-        elif data:
-            await self._write(head, run, data)
-        if foreign is not None:
-            raise foreign
-
-    def _note_event(self, run: LiveRun, number: int | None) -> None:
-        if number is not None:
-            run.note_relayed(number)
-        self._check.note_event(number is not None)
-        # what earlier bodies ended with was followed by it
-        self._part_came = self._looked_whole = False
-
-    async def _write(
-        self, head: TargetAnswer, run: LiveRun, data: bytes
-    ) -> None:
-        if not self._head_sent:
-            self._head_sent = True
-            await self._note_begun(run)
-            await self._caller.begin(head.status, head.headers, None)
-        self._timing.record_write()
-        before, self._before_events = self._before_events, b""
-        await self._caller.write(before + data)
-
-    async def _note_begun(self, run: LiveRun) -> None:
-        dispatcher = self._dispatcher
-        version = dispatcher.table.find_version(run.target)
-        run.software_version = version
-        await dispatcher.continuations.note_begun(self._plan, version)
-
-    def _note_ended(self, run: LiveRun) -> None:
-        if run.software_version is not None:
-            self._dispatcher.continuations.note_ended(
-                self._plan, run.software_version
-            )
-
-    async def _finish(
-        self,
-        head: TargetAnswer,
-        run: LiveRun,
-        remainder: bytes,
-        framed: bool,
-    ) -> None:
-        number = parse_event_number(remainder)
-        if remainder and not run.has_relayed(number):
-            # a last event that no empty line ends, as the target sent it
-            await self._write(head, run, remainder)
-        if not self._head_sent:
-            await self._write(head, run, b"")
-        await self._caller.finish(framed)
-
     async def _resume(
         self, run: LiveRun, started: StartedAnswer
     ) -> StartedAnswer | None:
@@ -453,7 +261,7 @@
         dispatcher, plan = self._dispatcher, self._plan
         if not plan.repeatable or dispatcher.guard.is_held(plan):
             return None
-        if run.software_version == "" or not self._series.may_go_on:
+        if run.software_version == "" or not self._body.may_go_on:
             return None
         runs = await dispatcher.limit.count_runs(run)
         if runs >= plan.route.attempts or not self._take_repeat():
@@ -478,20 +286,14 @@
             dispatcher.runs.track(run)
             dispatcher.balancer.record_start(run.target.instance)
             return None
-        self._follow_up()
+        self._body.begin_next()
         return fresh
 
-    def _follow_up(self) -> None:
-        """Go on with the stream of another target."""
-        self._splitter = EventSplitter(resumed=True)
-        self._series.begin_body()
-        self._before_events = b""
-
     async def _take_over(
         self, run: LiveRun, started: StartedAnswer
     ) -> StartedAnswer | None:
         """Resume from a copy of the KV cache, if there is one."""
-        if run.handoff is None or not self._series.may_go_on:
+        if run.handoff is None or not self._body.may_go_on:
             return None
         handoff = await wait_for_handoff(run)
         if handoff is None or self._dispatcher.guard.is_held(self._plan):
@@ -535,7 +337,7 @@
         dispatcher, plan = self._dispatcher, self._plan
         if not plan.repeatable:
             return None
-        if dispatcher.guard.is_held(plan) or not self._series.may_go_on:
+        if dispatcher.guard.is_held(plan) or not self._body.may_go_on:
             return None
         runs = await dispatcher.limit.count_runs(run)
         if runs >= plan.route.attempts:
@@ -632,9 +434,9 @@
         dispatcher.release(started)
         if run.stopped and not run.stop_uncertain:
             # its source has ended it by order
-            self._looked_whole = True
+            self._body.note_stopped()
         run.resume_at(handoff.target, dispatcher.clock.monotonic())
-        self._follow_up()
+        self._body.begin_next()
         dispatcher.runs.track(run)
         dispatcher.balancer.record_start(run.target.instance)
         if dispatcher.table.is_leaving(run.target.instance):
@@ -649,6 +451,6 @@
             target=run.target.instance,
             after=run.last_event_number,
         )
-        if not self._head_sent:
+        if not self._body.head_sent:
             raise RequestError.of(ErrorKind.TARGET_FAILED, text, Ran.UNKNOWN)
         self._caller.abort()
