Stop no stream for a move that it can't go on from

A stream whose events bear no numbers goes on nowhere, as nobody can tell what its caller has; but one that may be moved was still stopped at a target that left, and then broken off. It is left to finish since its first event.

test_series_without_numbers_is_not_stopped_for_a_move fails before.

--- a/packages/gateway/src/chivepier/gateway/serving/bodyrelay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodyrelay.py
@@ -181,6 +181,9 @@
     def _note_event(self, run: LiveRun, number: int | None) -> None:
         if number is not None:
             run.note_relayed(number)
+        elif not self._series.may_go_on:
+            # it would be stopped for a copy that it can't go on from
+            run.movable = False
         self._check.note_event(number is not None)
         # what earlier bodies ended with was followed by it
         self._part_came = self._looked_whole = False
--- a/packages/gateway/src/chivepier/gateway/serving/liverun.py
+++ b/packages/gateway/src/chivepier/gateway/serving/liverun.py
@@ -36,7 +36,8 @@
     :param heard_at: when its target last sent anything, in monotonic seconds;
         initially ``sent_at``
     :param movable: whether it is migrated when its target leaves. One that may
-        be rerun is short: it is left to finish, or to be rerun.
+        be rerun is short: it is left to finish, or to be rerun. One without
+        numbers can't be resumed anywhere.
     :param last_event_number: number of the last event that the caller has,
         by this attempt or an earlier one; ``None`` before the first, or if it
         has no number
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_foreignpieces.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_foreignpieces.py
@@ -1,5 +1,7 @@
 """Tests of parts of bodies that are no part of the series of their stream."""
 
+import asyncio
+
 import pytest
 
 from chivepier.gateway.serving import AnswerFacts
@@ -9,6 +11,7 @@
 from chivepier.gateway.serving.tests.parts import begin
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
+from chivepier.gateway.serving.tests.parts import wait_until
 
 HEAD = "HTTP/1.1 500 Oops\r\nContent-Length: 3\r\n\r\n"
 PAGE = "<html>\n<p>trouble</p>\n</html>\n\n"
@@ -192,6 +195,26 @@
     play(test, "a", "b")
 
 
+def test_series_without_numbers_is_not_stopped_for_a_move():
+    # It was stopped at a target that left, and could go on nowhere.
+    async def test(parts):
+        caller, task = parts.start(make_request())
+        run = await parts.engines.wait_run(1)
+        run.make(0, "data: a\n\n")
+        await wait_until(lambda: caller.data)
+        parts.leave(run.target)
+        # longer than a move takes
+        await asyncio.sleep(1.0)
+        run.make(0, "data: b\n\n")
+        await wait_until(lambda: run.is_read)
+        run.end()
+        await task
+        assert caller.data == b"data: a\n\ndata: b\n\n" and caller.finished
+        assert parts.engines.moves == []
+
+    play(test, "a", "b")
+
+
 def render(numbers) -> bytes:
     """Return the events with these numbers as fake engines send them."""
     return "".join(f"id: {n}\ndata: {n}\n\n" for n in numbers).encode()
