Break off an answer that has begun when an error follows

What callers saw: an error that is raised after the head of an answer was rendered as an answer of its own, head and body, into the open connection: with chunks even as a part ("HTTP/1.1 502 ..." behind the events, then a last chunk), with a length in the place of the rest.

Cause: CallerServer._handle returned the rendered error whatever the writer had begun, and the library writes what is returned; RequestHandler._hold handed on each error but that of a stop. The library itself guards its own 500 and 504 only. At a forwarded request ForwardSession.fail and .refuse turned an answer that had begun into an error: what wasn't read was dropped, and "not run" or "not taken" was told of what had run, so that it may be sent to another entry.

No way of today's code was found on which such an error is raised after the head: the tests raise it.

--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardsession.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardsession.py
@@ -87,13 +87,25 @@
 
     def refuse(self, reason: str) -> None:
         """End the answer, as the request was not taken."""
-        self._reason = reason
-        self._end(ForwardState.REFUSED)
+        if self._may_answer():
+            self._reason = reason
+            self._end(ForwardState.REFUSED)
 
     def fail(self, failure: Failure) -> None:
         """End the answer with an error of this entry."""
-        self._failure = failure
-        self._end(ForwardState.FAILED)
+        if self._may_answer():
+            self._failure = failure
+            self._end(ForwardState.FAILED)
+
+    def _may_answer(self) -> bool:
+        """Tell whether an error can be the answer; else break off its body.
+
+        The other entry would drop events that it has not read, or take what
+        has run for what has not, and send it elsewhere.
+        """
+        if self.begun:
+            self.abort()
+        return not self.begun
 
     def _end(self, state: ForwardState) -> None:
         self._state = state
--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardsession.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardsession.py
@@ -2,12 +2,18 @@
 
 import asyncio
 
+import pytest
+
 from chivepier.gateway.forwarding.forwardsession import ForwardSession
 from chivepier.gateway.forwarding.forwardstate import ForwardState
 from chivepier.standins.loopclock import LoopClock
 from chivepier.standins.playedloop import play_time
+from chivepier.types import ErrorKind
+from chivepier.types import Failure
+from chivepier.types import Ran
 
 BROKEN = ForwardState.BROKEN.value
+COMPLETE = ForwardState.COMPLETE.value
 OPEN = ForwardState.OPEN.value
 
 
@@ -65,3 +71,36 @@
         assert (part.state, part.data) == (OPEN, b"abcdef")
 
     play_time(test())
+
+
+FAILURE = Failure(ErrorKind.DRAINING, "trouble", Ran.NO)
+ENDS = {
+    "failed": lambda session: session.fail(FAILURE),
+    "refused": lambda session: session.refuse("trouble"),
+}
+
+
+@pytest.mark.parametrize("end", ENDS.values(), ids=ENDS)
+def test_error_after_a_head_breaks_off_the_answer(end):
+    # The other entry took what had run for not run, and sent it elsewhere.
+    async def test():
+        session = await make_session()
+        end(session)
+        part = await session.read(0, 0.5)
+        assert (part.state, part.data, part.status) == (BROKEN, b"abcdef", 200)
+        assert not part.kind and not part.message
+
+    play_time(test())
+
+
+@pytest.mark.parametrize("end", ENDS.values(), ids=ENDS)
+def test_error_after_the_end_changes_no_answer(end):
+    # A whole answer was told as failed.
+    async def test():
+        session = await make_session()
+        await session.finish(framed=True)
+        end(session)
+        part = await session.read(0, 0.5)
+        assert (part.state, part.data) == (COMPLETE, b"abcdef")
+
+    play_time(test())
--- a/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
+++ b/packages/gateway/src/chivepier/gateway/serving/requesthandler.py
@@ -171,20 +171,32 @@
     ) -> collections.abc.AsyncIterator[RequestHold]:
         """Answer a request at the latest when this process ends.
 
-        An answer that has begun is aborted: it must not look complete.
+        An answer that has begun is aborted, whatever fails: it must not look
+        complete, and a second one behind it would be taken for a part of it.
         """
         hold = None
         try:
             async with self.departure.hold() as hold:
                 yield hold
-        except RequestError:
-            if hold is None or not hold.ended:
-                raise
-            self._note_cut(request, caller)
+        except (RequestError, NotSentError) as error:
+            if hold is not None and hold.ended:
+                self._note_cut(request, caller)
+            elif caller.begun:
+                self._note_broken_off(request, error)
             if not caller.begun:
                 raise
             caller.abort()
 
+    def _note_broken_off(
+        self, request: CallerRequest, error: Exception
+    ) -> None:
+        self._dispatcher.log.warn(
+            "answer_broken_off",
+            id=request.id,
+            path=request.path,
+            error=repr(error),
+        )
+
     def _note_cut(
         self, request: CallerRequest, caller: CallerConnection
     ) -> None:
