Judge the signature of an answer over another entry

What callers saw: events without the signature of a target, which another entry handed on, went on with a stream and were told as whole; where the stream had broken before its first event they came under the first target's signed head.

Cause: the facts of a forwarded answer took each as signed.

Change: the client for targets tells what a signature is, and the head that comes over the hop is judged by it.

--- a/packages/gateway/src/chivepier/gateway/entry/entry.py
+++ b/packages/gateway/src/chivepier/gateway/entry/entry.py
@@ -283,6 +283,7 @@
             clock,
             log,
             self.metrics,
+            port,
         )
         dispatcher = Dispatcher(
             state=self.state,
--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardclient.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardclient.py
@@ -18,6 +18,7 @@
 from chivepier.gateway.serving import NotSentError
 from chivepier.gateway.serving import Plan
 from chivepier.gateway.serving import ServingState
+from chivepier.gateway.serving import TargetClient
 from chivepier.types import Clock
 from chivepier.types import ErrorKind
 from chivepier.types import Ran
@@ -46,6 +47,7 @@
     :param clock: source of monotonic time
     :param log: event log of this process
     :param metrics: counts forwarded requests
+    :param targets: tells what the signature of a target is
     """
 
     def __init__(
@@ -57,7 +59,9 @@
         clock: Clock,
         log: EventLog,
         metrics: Metrics,
+        targets: TargetClient,
     ):
+        self._targets = targets
         self._name = name
         self._peers = peers
         self._links = links
@@ -148,7 +152,7 @@
             raise BrokenAnswerError("the answer has no status")
         self._metrics.record_forward("sent", "answered")
         self._log_end(peer, request, str(part.status))
-        return ForwardedAnswer(reader, part)
+        return ForwardedAnswer(reader, part, self._targets.is_signed)
 
     def _note_lost(
         self,
--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
@@ -1,5 +1,7 @@
 """The answer to a forwarded request, read from the entry that serves it."""
 
+import collections.abc
+
 import attrs
 
 from chivepier.gateway.forwarding.forwardstate import ForwardState
@@ -12,6 +14,8 @@
 from chivepier.gateway.serving import may_be_events
 from chivepier.wire import LinkError
 
+IsSigned = collections.abc.Callable[[tuple[tuple[str, str], ...]], bool]
+
 
 class ForwardedAnswer:
     """Reads an answer part by part; each read confirms what has arrived.
@@ -20,15 +24,19 @@
 
     :param reader: asks for the parts that follow
     :param part: the first part, with the head of the answer
+    :param is_signed: tells whether a head bears the signature of a target
     """
 
-    def __init__(self, reader: PartReader, part: ForwardPart):
+    def __init__(
+        self, reader: PartReader, part: ForwardPart, is_signed: IsSigned
+    ):
         self.status = part.status
         self.headers = unpack_headers(part.headers)
         self.length = None if part.length < 0 else part.length
         # until its last part tells
         self.facts = AnswerFacts(
             vouched=True,
+            signed=is_signed(self.headers),
             may_be_events=may_be_events(self.headers),
             coded=is_coded(self.headers),
         )
--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/peersite.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/peersite.py
@@ -47,6 +47,7 @@
             self.clock,
             self.log,
             Metrics(),
+            self.parts.engines,
         )
         self.parts.dispatcher.detour = Detour(
             self.parts.reach, client, self.clock
--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardedrests.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardedrests.py
@@ -3,6 +3,7 @@
 import pytest
 
 from chivepier.gateway.forwarding.tests.peersite import play_site
+from chivepier.gateway.serving.tests.fakeengines import UNSIGNED_FIELD
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import wait_until
 from chivepier.types import RequestError
@@ -27,6 +28,9 @@
     "type": (200, HTML, b"<p>bad</p>"),
     "type-empty": (200, HTML, b""),
     "coding": (200, GZIP, b"\x1f\x8b"),
+    # not judged by entries of the release before
+    "unsigned": (200, (UNSIGNED_FIELD,), b"id: 5\ndata: 5\n\n"),
+    "unsigned-empty": (200, (UNSIGNED_FIELD,), b""),
 }
 
 
--- a/packages/gateway/src/chivepier/gateway/serving/targetclient.py
+++ b/packages/gateway/src/chivepier/gateway/serving/targetclient.py
@@ -1,5 +1,6 @@
 """Interface of the client for targets."""
 
+import collections.abc
 import typing
 
 from chivepier.gateway.serving.callerrequest import CallerRequest
@@ -63,6 +64,14 @@
         :raises NotPermittedError: when the exchange must not begin
         """
 
+    def is_signed(
+        self, fields: collections.abc.Iterable[tuple[str, str]]
+    ) -> bool:
+        """Tell whether a head bears the signature of a target.
+
+        :param fields: names and values of the head, of another entry too
+        """
+
     def hang_up(self, target: Target) -> None:
         """Close the pooled connections to a target.
 
--- a/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/fakeengines.py
@@ -17,6 +17,8 @@
 
 # Digits of an id that a fake engine takes for a number.
 MAX_ID_DIGITS = 20
+# In the head of an answer that no target has signed.
+UNSIGNED_FIELD = ("X-From", "elsewhere")
 
 
 @attrs.define(eq=False)
@@ -204,6 +206,10 @@
 
         self.move = move_then
 
+    def is_signed(self, fields) -> bool:
+        """Tell whether a head is not marked as that of something else."""
+        return UNSIGNED_FIELD not in fields
+
     def hang_up(self, target) -> None:
         """Record that the idle connections to a target were closed."""
         self.hung_up.append(target.instance)
--- a/tests/adapter/test_heads.py
+++ b/tests/adapter/test_heads.py
@@ -261,6 +261,7 @@
             targets, raw.make_target(), rawtarget.make_request(), OPTIONS
         )
         assert reply.facts.signed is signed
+        assert targets.is_signed(reply.headers) is signed
         assert reply.facts.may_be_events is may_be_events
         assert reply.facts.coded is coded
 
