Hand no error on as the rest of a stream to entries of the release before

What callers saw: beside an entry of the release before, which takes any status for the rest of a stream that it had another entry go on with, the error of a target of the other one was in the stream, or ended it as whole.

Cause: the entry that serves a forwarded request hands on what its targets answer; that it is a rest is known to the entry that asks, which judges it from this release on only.

Change: entries tell with a forwarded request that they judge. Where one doesn't, an answer of another status than 200 to a request with an event of its stream, which a target may have run, is a failure of this entry, which entries of the release before take for a rest that failed. A caller's own take-up looks the same if a target was tried before it was forwarded (runs above 0): it gets 502 there. One that was not tried has its target's status, as before. A rest before the first event can't be told from a new request, and isn't kept from such an entry.

--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardserver.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardserver.py
@@ -14,6 +14,7 @@
 from chivepier.gateway.messages import ForwardRequest
 from chivepier.gateway.metrics import Metrics
 from chivepier.gateway.serving import BodyMemory
+from chivepier.gateway.serving import CallerRequest
 from chivepier.gateway.serving import NotSentError
 from chivepier.gateway.serving import RequestHandler
 from chivepier.gateway.serving import ServingState
@@ -109,9 +110,15 @@
                 reason=reason,
             )
             return ForwardPart(0, ForwardState.REFUSED.value, message=reason)
-        session = ForwardSession(draw_handle(), channel.peer, self._clock)
+        request = unpack_request(message, arrived)
+        session = ForwardSession(
+            draw_handle(),
+            channel.peer,
+            self._clock,
+            _is_unjudged_rest(message, request),
+        )
         session.task = asyncio.create_task(
-            self._serve(message, session, arrived)
+            self._serve(message, request, session, arrived)
         )
         self._sessions[session.handle] = session
         if self._watch is None or self._watch.done():
@@ -135,9 +142,12 @@
         return index is not None and index.version >= version
 
     async def _serve(
-        self, message: ForwardRequest, session: ForwardSession, arrived: float
+        self,
+        message: ForwardRequest,
+        request: CallerRequest,
+        session: ForwardSession,
+        arrived: float,
     ) -> None:
-        request = unpack_request(message, arrived)
         outcome = "cancelled"
         try:
             with self._bodies.allocate() as allocation:
@@ -198,3 +208,13 @@
                 if now - session.read_at > SILENCE_SECONDS:
                     del self._sessions[handle]
                     session.task.cancel()
+
+
+def _is_unjudged_rest(message: ForwardRequest, request: CallerRequest) -> bool:
+    """Tell whether an error would become a part of a stream at its entry.
+
+    What a caller takes up itself looks the same once a target may have run it,
+    so a few of these get a failure of this entry in place of the target's.
+    """
+    has_run = message.runs > 0
+    return not message.judges and request.takes_up and has_run
--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardsession.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardsession.py
@@ -6,8 +6,12 @@
 from chivepier.gateway.forwarding.records import pack_failure
 from chivepier.gateway.forwarding.records import pack_headers
 from chivepier.gateway.messages import ForwardPart
+from chivepier.gateway.serving import CONTINUED_STATUS
 from chivepier.types import Clock
+from chivepier.types import ErrorKind
 from chivepier.types import Failure
+from chivepier.types import Ran
+from chivepier.types import RequestError
 from chivepier.types import Signal
 
 # Stands for a length that isn't known.
@@ -25,16 +29,21 @@
     :param handle: identifies the answer on this entry
     :param entry: name of the entry that reads it
     :param clock: source of monotonic time
+    :param is_rest: whether that entry takes any status for the rest of a
+        stream that its caller has begun to read
     :ivar read_at: monotonic time of the last read, in seconds
     :ivar task: serves the request
     """
 
-    def __init__(self, handle: int, entry: str, clock: Clock):
+    def __init__(
+        self, handle: int, entry: str, clock: Clock, is_rest: bool = False
+    ):
         self.handle = handle
         self.entry = entry
         self.read_at = clock.monotonic()
         self.task: asyncio.Task | None = None
         self._clock = clock
+        self._is_rest = is_rest
         self._state = ForwardState.OPEN
         self._framed = False
         self._failure: Failure | None = None
@@ -63,7 +72,13 @@
         headers: tuple[tuple[str, str], ...],
         length: int | None,
     ) -> None:
-        """Keep the head of the answer."""
+        """Keep the head of the answer.
+
+        :raises RequestError: if it would be taken for what it is not
+        """
+        if self._is_rest and status != CONTINUED_STATUS:
+            text = f"no rest of the stream: {status}"
+            raise RequestError.of(ErrorKind.TARGET_FAILED, text, Ran.UNKNOWN)
         self._status, self._headers = status, headers
         self._length = length
         self._changed.set()
--- a/packages/gateway/src/chivepier/gateway/forwarding/records.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/records.py
@@ -80,6 +80,7 @@
         resumes=OriginKey("", request.resumes or "").attempt,
         software_version=request.software_version or "",
         shared_parts=request.shared_parts,
+        judges=True,
     )
 
 
--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardedrests.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardedrests.py
@@ -1,8 +1,11 @@
 """Tests of what other entries answer where the rest of a stream is due."""
 
+import attrs
 import pytest
 
+import chivepier.gateway.forwarding.forwardclient as forwardclient
 from chivepier.gateway.forwarding.tests.peersite import play_site
+import chivepier.gateway.serving.detour as detour
 from chivepier.gateway.serving.tests.fakeengines import UNSIGNED_FIELD
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import wait_until
@@ -93,3 +96,70 @@
         assert caller.status is None and not caller.data
 
     play_site(test)
+
+
+def forward_as_before(monkeypatch) -> None:
+    """Have entries forward, and take answers, as the release before."""
+    pack = forwardclient.pack_request
+
+    def pack_unjudged(*args):
+        return attrs.evolve(pack(*args), judges=False)
+
+    monkeypatch.setattr(forwardclient, "pack_request", pack_unjudged)
+    monkeypatch.setattr(detour, "check_continuation", lambda answer: None)
+
+
+STATUSES = (
+    "500",
+    "500-empty",
+    "500-events",
+    "404",
+    "302",
+    "503",
+    "202",
+    "206",
+)
+
+
+@pytest.mark.parametrize("name", STATUSES)
+def test_entry_hands_no_error_on_as_a_rest_to_one_of_the_release_before(
+    name, monkeypatch
+):
+    # Entries of the release before take any status for the rest of a stream.
+    async def test(site):
+        cut_off, other = site.entries
+        answer_with(other, *FOREIGN[name])
+        caller, task = cut_off.parts.start(make_request("/resume/a"))
+        run = await cut_off.parts.engines.wait_run(1)
+        run.make(EVENTS)
+        await caller.wait_events(EVENTS)
+        cut_off.cut(*ALL)
+        run.cut()
+        await task
+        assert caller.data.decode() == STREAM
+        assert caller.aborted and not caller.finished
+        (line,) = other.parts.read_lines("forward_ended")
+        assert line["outcome"] == "target_failed"
+
+    forward_as_before(monkeypatch)
+    play_site(test)
+
+
+@pytest.mark.parametrize("name", ("404", "500"))
+@pytest.mark.parametrize("is_before", (False, True))
+def test_failure_over_another_entry_reaches_a_caller_that_takes_up(
+    name, is_before, monkeypatch
+):
+    # It has the status that its target gave.
+    async def test(site):
+        cut_off, other = site.entries
+        answer_with(other, *FOREIGN[name])
+        cut_off.cut(*ALL)
+        request = make_request("/resume/a", last_event="4")
+        caller = await cut_off.parts.serve(request)
+        status, _, body = FOREIGN[name]
+        assert (caller.status, caller.data) == (status, body)
+
+    if is_before:
+        forward_as_before(monkeypatch)
+    play_site(test)
--- a/packages/gateway/src/chivepier/gateway/messages/forwardrequest.py
+++ b/packages/gateway/src/chivepier/gateway/messages/forwardrequest.py
@@ -17,7 +17,9 @@
     ``resumes`` is the attempt that began the stream which the request goes on
     with, and ``software_version`` that of the targets that may do so; both are
     empty if there is none, or if it is not known. ``shared_parts`` identify
-    the parts of its prompt that other requests may share.
+    the parts of its prompt that other requests may share. ``judges`` tells
+    that the entry judges itself whether an answer goes on with a stream; those
+    of earlier releases take any status for its rest.
     """
 
     entry: str
@@ -42,3 +44,4 @@
     resumes: str = ""
     software_version: str = ""
     shared_parts: tuple[str, ...] = ()
+    judges: bool = False
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -14,6 +14,7 @@
 from chivepier.gateway.serving.callerrequest import CallerRequest
 from chivepier.gateway.serving.callpurpose import CallPurpose
 from chivepier.gateway.serving.connectionuse import ConnectionUse
+from chivepier.gateway.serving.continuationjudge import CONTINUED_STATUS
 from chivepier.gateway.serving.crashguard import CrashGuard
 from chivepier.gateway.serving.detour import Detour
 from chivepier.gateway.serving.dispatcher import Dispatcher
@@ -48,6 +49,7 @@
 from chivepier.gateway.serving.targetclient import TargetClient
 
 __all__ = [
+    "CONTINUED_STATUS",
     "AnswerFacts",
     "AnswerMemory",
     "BodyAllocation",
