Begin no second answer behind a stream that a connection's error ends

What callers saw (packages/node): a connection's error that isn't the caller's, raised once events were sent, put the head and body of a 500 into the stream, and ended it in order: "HTTP/1.1 500 ..." as a chunk, then the last chunk.

Cause: the middleware answered each error, also of a stream that had begun; send_stream hands on ConnectionError, as that of a caller who left. The library guards only the errors that reach it.

Evidence: streams that fail after 1 and 2 events at sockets: 2 of 8 cases, the two of a ConnectionError, showed the second answer. None of today's ways was found to raise one there with the caller's connection standing.

Change: once bytes of an answer are written the middleware closes the connection, with a line that names the kind and the reason.

Result: 8 of 8, and the 33 other tests of callers pass.

--- a/packages/node/src/chivepier/node/answers.py
+++ b/packages/node/src/chivepier/node/answers.py
@@ -1,5 +1,8 @@
 """HTTP answers of failures."""
 
+import asyncio
+import typing
+
 from aiohttp import web
 import logbook
 
@@ -47,11 +50,34 @@
             text = "internal error"
             failure = Failure(ErrorKind.INTERNAL, text, Ran.UNKNOWN)
         metrics.count_failure(failure)
+        if request.writer.output_size:
+            break_off(request, failure)
         return answer_failure(failure)
 
     return middleware
 
 
+def break_off(request: web.Request, failure: Failure) -> typing.NoReturn:
+    """End an answer that has begun, without a second one behind it.
+
+    Its caller would find that one's head and body among its events, and take
+    the stream for ended in order.
+
+    :param request: the request that is being answered
+    :param failure: what happened
+    :raises CancelledError: always
+    """
+    log.error(
+        "answer broken off path={} kind={} reason={}",
+        request.path,
+        failure.kind.value,
+        failure.message,
+    )
+    if request.transport is not None:
+        request.transport.abort()
+    raise asyncio.CancelledError
+
+
 def _translate(error: web.HTTPException) -> Failure:
     match error.status:
         case 404:
