Judge the first event of a stream as the others, and what an error cuts

Callers got the whole head of an error, told as a whole stream, where it stood inside the first event (`id: 1\nda` and a status line); a caller's own rest was an error's text if its `Last-Event-Id` is no number; a stream was told as whole without an event that had begun when an error's head cut it, if the next target had nothing to add.

Cause: text at the beginning of a first body was taken for a body that is no series, whose parts nobody judges; a status line was looked for at the beginning of lines only; of what broke a body off, only a number told that an event had begun.

A first body is no series only if its head doesn't declare one, no status line stands in its first part, and that doesn't begin as an event; never what a caller takes up. What begins as an event that the caller lacks shows that more was to come. A time after which readers come back is no event and passes like a comment.

--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
@@ -10,6 +10,7 @@
 from chivepier.gateway.messages import ForwardPart
 from chivepier.gateway.serving import AnswerFacts
 from chivepier.gateway.serving import BrokenAnswerError
+from chivepier.gateway.serving import declares_events
 from chivepier.gateway.serving import is_coded
 from chivepier.gateway.serving import may_be_events
 from chivepier.wire import LinkError
@@ -37,6 +38,7 @@
         self.facts = AnswerFacts(
             vouched=True,
             signed=is_signed(self.headers),
+            declares_events=declares_events(self.headers),
             may_be_events=may_be_events(self.headers),
             coded=is_coded(self.headers),
         )
--- a/packages/gateway/src/chivepier/gateway/serving/__init__.py
+++ b/packages/gateway/src/chivepier/gateway/serving/__init__.py
@@ -7,6 +7,7 @@
 from chivepier.gateway.serving.bodyallocation import BodyAllocation
 from chivepier.gateway.serving.bodymemory import BodyMemory
 from chivepier.gateway.serving.bodymemory import SMALL_BODY_BYTES
+from chivepier.gateway.serving.bodytype import declares_events
 from chivepier.gateway.serving.bodytype import is_coded
 from chivepier.gateway.serving.bodytype import may_be_events
 from chivepier.gateway.serving.brittleadmission import BrittleAdmission
@@ -93,6 +94,7 @@
     "TargetClient",
     "UnansweredError",
     "UnreachableError",
+    "declares_events",
     "is_coded",
     "is_success",
     "may_be_events",
--- a/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
+++ b/packages/gateway/src/chivepier/gateway/serving/answerfacts.py
@@ -28,6 +28,7 @@
         alone, or does not tell
     :param signed: whether it bears the signature of a target
     :param may_be_events: whether its body may be a series of events
+    :param declares_events: whether it is declared to be one
     :param coded: whether its body has a content coding
     :param limit: rate limit of the target; ``None`` if answers of this kind
         carry none
@@ -50,6 +51,7 @@
     vouched: bool = False
     signed: bool = True
     may_be_events: bool = True
+    declares_events: bool = False
     coded: bool = False
     limit: Limit | None = NoLimit()
     backoff: Backoff = NoBackoff()
--- a/packages/gateway/src/chivepier/gateway/serving/bodyrelay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodyrelay.py
@@ -8,6 +8,7 @@
 from chivepier.gateway.serving.endcheck import EndCheck
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.errors import ForeignPieceError
+from chivepier.gateway.serving.eventseries import begins_event
 from chivepier.gateway.serving.eventseries import EventSeries
 from chivepier.gateway.serving.eventsplitter import EventSplitter
 from chivepier.gateway.serving.eventsplitter import has_new_part
@@ -50,7 +51,10 @@
         self._caller = caller
         self._check = check
         self._splitter = EventSplitter()
-        self._series = EventSeries(plan.request.last_event_number is not None)
+        request = plan.request
+        self._series = EventSeries(
+            request.last_event_number is not None, request.takes_up
+        )
         self._before_events = b""
         # since the last event: whether a part of the next one came, and
         # whether a body ended as that of a whole stream may
@@ -80,6 +84,8 @@
         :param run: the run of the stream
         """
         dispatcher, foreign = self._dispatcher, None
+        if started.answer.facts.declares_events:
+            self._series.note_declared()
         first, started.body = started.body, b""
         try:
             await self._forward_events(head, run, first)
@@ -222,7 +228,10 @@
         """
         piece = self._series.judge(part, number, run.last_event_number)
         if piece.is_foreign:
-            raise ForeignPieceError(piece, number)
+            # shows that the caller lacks what an empty answer would not tell
+            has_begun = begins_event(part) and piece is Piece.TEXT
+            is_lacked = number is None or not run.has_relayed(number)
+            raise ForeignPieceError(piece, number, has_begun and is_lacked)
         return piece
 
     def _make_end(
@@ -235,9 +244,7 @@
         if foreign is None:
             has_part = has_new_part(rest, run.last_event_number)
         else:
-            number, rest = foreign.number, b""
-            # what begins as an event that the caller lacks
-            has_part = number is not None and not run.has_relayed(number)
+            rest, has_part = b"", foreign.cuts_event
         end = BodyEnd(
             cause,
             self._splitter.events,
--- a/packages/gateway/src/chivepier/gateway/serving/bodytype.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodytype.py
@@ -20,11 +20,29 @@
 
     :param fields: names and values of the head
     """
-    return all(
-        value.partition(";")[0].strip().lower() == EVENT_STREAM
+    return all(name == EVENT_STREAM for name in _list_types(fields))
+
+
+def declares_events(fields: Fields) -> bool:
+    """Tell whether a body is declared to be a series of events.
+
+    >>> declares_events([("Content-Type", "text/event-stream")])
+    True
+    >>> declares_events([])
+    False
+
+    :param fields: names and values of the head
+    """
+    types = _list_types(fields)
+    return bool(types) and all(name == EVENT_STREAM for name in types)
+
+
+def _list_types(fields: Fields) -> list[str]:
+    return [
+        value.partition(";")[0].strip().lower()
         for name, value in fields
         if name.lower() == "content-type"
-    )
+    ]
 
 
 def is_coded(fields: Fields) -> bool:
--- a/packages/gateway/src/chivepier/gateway/serving/errors.py
+++ b/packages/gateway/src/chivepier/gateway/serving/errors.py
@@ -109,9 +109,11 @@
 
     :param piece: what it is
     :param number: the number that it begins with; ``None`` without one
+    :param cuts_event: whether it begins as an event that the caller lacks
     """
 
-    def __init__(self, piece: Piece, number: int | None):
+    def __init__(self, piece: Piece, number: int | None, cuts_event: bool):
         super().__init__(f"no part of the series: {piece.value}, {number}")
         self.piece = piece
         self.number = number
+        self.cuts_event = cuts_event
--- a/packages/gateway/src/chivepier/gateway/serving/eventseries.py
+++ b/packages/gateway/src/chivepier/gateway/serving/eventseries.py
@@ -11,7 +11,12 @@
 EVENT_FIELDS = (b"data", b"event", b"id", b"retry")
 # A target may name what changes at an event in a first line of its own.
 LEADING_FIELD = re.compile(rb"[a-z0-9-]+:")
+# Also where the line stands that an event broke off on.
 STATUS_LINE = re.compile(rb"HTTP/[0-9][0-9.]* [0-9]{3}\b")
+# Comments, and the time after which readers come back: no event in itself.
+SILENT_LINES = re.compile(rb"(?:(?::[^\r\n]*|retry: ?[0-9]*)?[\r\n]+)+")
+# Most events: known without a look at each line.
+USUAL_EVENT = re.compile(rb"id: ?[0-9]+\n(?:data:[^\r\n]*\n)+\n")
 
 
 class EventSeries:
@@ -21,7 +26,7 @@
     text into a body, also into that of its own stream. Its caller would find
     it among the events, or take the stream for whole.
 
-    >>> series = EventSeries(numbered=False)
+    >>> series = EventSeries(numbered=False, begun=False)
     >>> series.judge(b"id: 1\\ndata: a\\n\\n", 1, None)
     <Piece.NEXT: 'next'>
     >>> series.judge(b"HTTP/1.1 500 Oops\\r\\n\\r\\n", None, 1)
@@ -31,11 +36,12 @@
 
     :param numbered: whether its caller names the number of an event that it
         has of an earlier attempt
+    :param begun: whether its caller has any event of an earlier attempt
     """
 
-    def __init__(self, numbered: bool):
+    def __init__(self, numbered: bool, begun: bool):
         self._kind = SeriesKind.NUMBERED if numbered else SeriesKind.UNKNOWN
-        self._is_first_body = not numbered
+        self._may_be_other = not begun
         self._last_in_body: int | None = None
 
     @property
@@ -43,9 +49,13 @@
         """Whether another target can tell what its caller lacks."""
         return self._kind in (SeriesKind.UNKNOWN, SeriesKind.NUMBERED)
 
+    def note_declared(self) -> None:
+        """Record that the first body is declared to be a series of events."""
+        self._may_be_other = False
+
     def begin_body(self) -> None:
         """Judge the body of another target from now on."""
-        self._is_first_body = False
+        self._may_be_other = False
         self._last_in_body = None
 
     def judge(
@@ -58,12 +68,13 @@
         :param last: number of the last event that the caller has; ``None``
             before the first
         """
-        if not has_fields(part):
-            return Piece.SILENT
         if self._kind is SeriesKind.OTHER:
             return Piece.NEXT
-        if not is_event(part):
-            return self._judge_text(part)
+        if number is None or not USUAL_EVENT.fullmatch(part):
+            if is_silent(part):
+                return Piece.SILENT
+            if not is_event(part):
+                return self._judge_text(part)
         if number is None:
             if self._kind is SeriesKind.NUMBERED:
                 return Piece.UNNUMBERED
@@ -76,16 +87,24 @@
         return Piece.KNOWN if is_known_event(number, last) else Piece.NEXT
 
     def _judge_text(self, part: bytes) -> Piece:
-        is_begin = self._is_first_body and self._kind is SeriesKind.UNKNOWN
-        if not is_begin or has_status_line(part):
+        is_begin = self._may_be_other and self._kind is SeriesKind.UNKNOWN
+        if not is_begin or STATUS_LINE.search(part) or begins_event(part):
             return Piece.TEXT
         self._kind = SeriesKind.OTHER
         return Piece.NEXT
 
 
-def has_status_line(part: bytes) -> bool:
-    """Tell whether the head of an answer begins within bytes."""
-    return any(map(STATUS_LINE.match, split_lines(part)))
+def is_silent(part: bytes) -> bool:
+    """Tell whether a part dispatches no event and says nothing of one.
+
+    >>> is_silent(b": note\\n\\n"), is_silent(b"retry: 100\\n\\n")
+    (True, True)
+    >>> is_silent(b"data\\n\\n")
+    False
+
+    :param part: bytes up to the end of an event, or of the body
+    """
+    return not has_fields(part) or bool(SILENT_LINES.fullmatch(part))
 
 
 def is_event(part: bytes) -> bool:
@@ -98,14 +117,43 @@
 
     :param part: bytes with at least one line that is no comment
     """
-    lines = [
-        line
-        for line in split_lines(part)
-        if line.strip() and not line.startswith(b":")
-    ]
+    lines = list_lines(part)
     if len(lines) > 1 and LEADING_FIELD.match(lines[0]):
         del lines[0]
     return all(
         line.strip(b"\r\n").partition(b":")[0] in EVENT_FIELDS
         for line in lines
     )
+
+
+def begins_event(part: bytes) -> bool:
+    """Tell whether a part begins as an event, whatever it goes on with.
+
+    >>> begins_event(b"id: 3\\ndata: tHTTP/1.1 500 Oops\\r\\n\\r\\n")
+    True
+    >>> begins_event(b"daHTTP/1.1 500 Oops\\r\\n\\r\\n")
+    True
+    >>> begins_event(b"HTTP/1.1 500 Oops\\r\\n\\r\\n"), begins_event(b"oops")
+    (False, False)
+
+    :param part: bytes that are no event
+    """
+    lines = list_lines(part)
+    if not lines:
+        return False
+    if lines[0].partition(b":")[0].strip() in EVENT_FIELDS:
+        return True
+    head = STATUS_LINE.search(lines[0])
+    return head is not None and head.start() > 0
+
+
+def list_lines(part: bytes) -> list[bytes]:
+    """Return the lines that are neither empty nor comments.
+
+    :param part: bytes up to the end of an event, or of the body
+    """
+    return [
+        line
+        for line in split_lines(part)
+        if line.strip() and not line.startswith(b":")
+    ]
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_foreignpieces.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_foreignpieces.py
@@ -12,6 +12,7 @@
 from chivepier.gateway.serving.tests.parts import make_request
 from chivepier.gateway.serving.tests.parts import play
 from chivepier.gateway.serving.tests.parts import wait_until
+from chivepier.types import RequestError
 
 HEAD = "HTTP/1.1 500 Oops\r\nContent-Length: 3\r\n\r\n"
 PAGE = "<html>\n<p>trouble</p>\n</html>\n\n"
@@ -41,6 +42,7 @@
     "error-with-a-number": "id: 3\nevent: error\ndata: trouble\n\n",
     "comment": ": HTTP/1.1 500 Oops\n\n",
     "blank": "\n\n",
+    "time-to-return": ": note\nretry: 100\n\n",
 }
 
 
@@ -62,20 +64,20 @@
 @pytest.mark.parametrize("foreign", FOREIGN.values(), ids=FOREIGN)
 def test_what_is_no_event_of_a_numbered_series_is_known(foreign):
     text, found = foreign
-    series = EventSeries(numbered=False)
+    series = EventSeries(numbered=False, begun=False)
     assert judge_all(series, *NUMBERED, text) is found
 
 
 @pytest.mark.parametrize("text", PARTS.values(), ids=PARTS)
 def test_event_of_a_numbered_series_is_not_taken_for_an_error(text):
-    series = EventSeries(numbered=False)
+    series = EventSeries(numbered=False, begun=False)
     piece = judge_all(series, *NUMBERED, text)
     assert piece in (Piece.NEXT, Piece.SILENT)
     assert series.may_go_on
 
 
 def test_next_target_may_repeat_what_its_caller_has():
-    series = EventSeries(numbered=True)
+    series = EventSeries(numbered=True, begun=True)
     series.begin_body()
     assert series.judge(b"id: 4\ndata: 4\n\n", 4, 5) is Piece.KNOWN
     assert series.judge(b"id: 5\ndata: 5\n\n", 5, 5) is Piece.KNOWN
@@ -85,17 +87,17 @@
 
 def test_series_without_numbers_goes_on_nowhere():
     # Its caller would get what it has a second time.
-    series = EventSeries(numbered=False)
+    series = EventSeries(numbered=False, begun=False)
     assert judge_all(series, "data: a\n\n", "data: b\n\n") is Piece.NEXT
     assert not series.may_go_on
     assert judge_all(series, HEAD) is Piece.TEXT
 
 
 def test_body_that_is_no_series_is_passed_on_by_its_own_target_alone():
-    series = EventSeries(numbered=False)
+    series = EventSeries(numbered=False, begun=False)
     assert judge_all(series, PAGE, "more\n\n") is Piece.NEXT
     assert not series.may_go_on
-    rest = EventSeries(numbered=False)
+    rest = EventSeries(numbered=False, begun=False)
     rest.begin_body()
     assert judge_all(rest, PAGE) is Piece.TEXT
 
@@ -180,6 +182,83 @@
     play(test, "a")
 
 
+BEGUN = ("i", "id: 1", "id: 1\nda", "da", "id: 1\ndata: a", ": c", "")
+
+
+@pytest.mark.parametrize("part", BEGUN)
+@pytest.mark.parametrize("path", ("/llm/x", "/resume/x"))
+def test_head_of_an_error_inside_the_first_event_begins_no_stream(path, part):
+    # The head of an error was told as the whole stream.
+    async def test(parts):
+        caller, task = parts.start(make_request(path))
+        run = await parts.engines.wait_run(1)
+        run.make(0, part + HEAD)
+        run.end()
+        if path == "/resume/x":
+            fresh = await parts.engines.wait_run(2)
+            fresh.make(1)
+            fresh.end()
+            await task
+            assert caller.data == render([1]) and caller.finished
+        else:
+            with pytest.raises(RequestError):
+                await task
+            assert caller.status is None
+
+    play(test, "a", "b")
+
+
+@pytest.mark.parametrize("text", ("trouble", PAGE, '{"error": 1}\n\n'))
+def test_text_that_is_declared_as_events_begins_no_stream(text):
+    # It was told as a whole stream.
+    async def test(parts):
+        parts.engines.facts = AnswerFacts(declares_events=True)
+        caller, task = parts.start(make_request())
+        run = await parts.engines.wait_run(1)
+        run.make(0, text)
+        run.end()
+        with pytest.raises(RequestError):
+            await task
+        assert caller.status is None
+
+    play(test, "a")
+
+
+@pytest.mark.parametrize(
+    "part", ("data: thr", "da", "id", "id: 3", "event: token\nda")
+)
+def test_event_that_an_error_cuts_is_not_forgotten(part):
+    # An empty answer told the stream whole without the event that had begun.
+    async def test(parts):
+        caller, task, run = await begin(parts, "/resume/x")
+        run.make(0, part + HEAD)
+        run.cut()
+        fresh = await parts.engines.wait_run(2)
+        fresh.end()
+        await task
+        assert caller.data == render([1, 2])
+        assert caller.aborted and not caller.finished
+
+    play(test, "a", "b")
+
+
+@pytest.mark.parametrize("text", ("trouble", PAGE, '{"error": 1}\n\n'))
+def test_text_does_not_go_on_with_a_series_of_ids_that_are_no_numbers(text):
+    # A caller's own rest was told as whole behind the text of an error.
+    async def test(parts):
+        request = make_request("/resume/x", last_event="five")
+        caller, task = parts.start(request)
+        for count in (1, 2):
+            run = await parts.engines.wait_run(count)
+            run.make(0, text)
+            run.end()
+        with pytest.raises(RequestError):
+            await task
+        assert caller.status is None
+
+    play(test, "a", "b")
+
+
 def test_series_without_numbers_is_broken_off_and_never_resumed():
     # The next target began anew, so its caller got all events twice.
     async def test(parts):
