Stop no stream for a move that its first event shows can't go on

A target that began to leave before the first event of a stream without numbers, or of a body that is no series, still stopped it for a move, after which it was broken off (found by the review). What the first event shows is asked before the order to stop; the copy is freed. A first part with any line of an event is no body of another kind.

test_series_without_numbers_is_not_stopped_for_a_move, four cases.

--- a/packages/gateway/src/chivepier/gateway/serving/bodyrelay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodyrelay.py
@@ -187,7 +187,7 @@
     def _note_event(self, run: LiveRun, number: int | None) -> None:
         if number is not None:
             run.note_relayed(number)
-        elif not self._series.may_go_on:
+        if not self._series.may_go_on:
             # it would be stopped for a copy that it can't go on from
             run.movable = False
         self._check.note_event(number is not None)
--- a/packages/gateway/src/chivepier/gateway/serving/eventseries.py
+++ b/packages/gateway/src/chivepier/gateway/serving/eventseries.py
@@ -88,7 +88,7 @@
 
     def _judge_text(self, part: bytes) -> Piece:
         is_begin = self._may_be_other and self._kind is SeriesKind.UNKNOWN
-        if not is_begin or STATUS_LINE.search(part) or begins_event(part):
+        if not is_begin or STATUS_LINE.search(part) or has_field(part):
             return Piece.TEXT
         self._kind = SeriesKind.OTHER
         return Piece.NEXT
@@ -120,10 +120,23 @@
     lines = list_lines(part)
     if len(lines) > 1 and LEADING_FIELD.match(lines[0]):
         del lines[0]
-    return all(
-        line.strip(b"\r\n").partition(b":")[0] in EVENT_FIELDS
-        for line in lines
-    )
+    return all(map(is_field, lines))
+
+
+def has_field(part: bytes) -> bool:
+    """Tell whether any line is one of an event.
+
+    :param part: bytes that are no event
+    """
+    return any(map(is_field, list_lines(part)))
+
+
+def is_field(line: bytes) -> bool:
+    """Tell whether a line is one of an event.
+
+    :param line: a line, with or without its end
+    """
+    return line.strip(b"\r\n").partition(b":")[0] in EVENT_FIELDS
 
 
 def begins_event(part: bytes) -> bool:
@@ -141,7 +154,7 @@
     lines = list_lines(part)
     if not lines:
         return False
-    if lines[0].partition(b":")[0].strip() in EVENT_FIELDS:
+    if is_field(lines[0]):
         return True
     head = STATUS_LINE.search(lines[0])
     return head is not None and head.start() > 0
--- a/packages/gateway/src/chivepier/gateway/serving/mover.py
+++ b/packages/gateway/src/chivepier/gateway/serving/mover.py
@@ -221,7 +221,7 @@
         so a destination is searched until the source ends.
         """
         source = run.target.instance
-        while not run.ended and run.target.instance == source:
+        while run.movable and self._runs_at(run, source):
             if run.first_event_at is not None and self._choose_destination(
                 run, {source}
             ):
@@ -235,6 +235,9 @@
                 return None
         return None
 
+    def _runs_at(self, run: LiveRun, source: str) -> bool:
+        return not run.ended and run.target.instance == source
+
     async def _copy_to_any(self, run: LiveRun) -> Handoff | None:
         source, tried = run.target, {run.target.instance}
         for _ in range(MAX_DESTINATIONS):
@@ -268,6 +271,10 @@
         if moved.outcome is not MoveOutcome.COPIED:
             return moved.outcome, None
         copy = Handoff(target, KvOrigin(source.address, moved.handle))
+        if not run.movable:
+            # its first event has shown it meanwhile
+            await self._drop_copy(run, copy)
+            return moved.outcome, None
         moved = await self._stop_and_copy(run, source, target)
         origin = KvOrigin(source.address, moved.handle)
         match moved.outcome:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_foreignpieces.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_foreignpieces.py
@@ -274,22 +274,31 @@
     play(test, "a", "b")
 
 
-def test_series_without_numbers_is_not_stopped_for_a_move():
+@pytest.mark.parametrize("begins_first", (True, False))
+@pytest.mark.parametrize("text", ("data: {}\n\n", "page {}\n\n"))
+def test_series_without_numbers_is_not_stopped_for_a_move(text, begins_first):
     # It was stopped at a target that left, and could go on nowhere.
+    first, second = text.format("a"), text.format("b")
+
     async def test(parts):
         caller, task = parts.start(make_request())
         run = await parts.engines.wait_run(1)
-        run.make(0, "data: a\n\n")
+        if not begins_first:
+            parts.leave(run.target)
+            await asyncio.sleep(1.0)
+        # fake engines move what has a number
+        run.number += 1
+        run.make(0, first)
         await wait_until(lambda: caller.data)
         parts.leave(run.target)
         # longer than a move takes
         await asyncio.sleep(1.0)
-        run.make(0, "data: b\n\n")
+        assert not run.stopped
+        run.make(0, second)
         await wait_until(lambda: run.is_read)
         run.end()
         await task
-        assert caller.data == b"data: a\n\ndata: b\n\n" and caller.finished
-        assert parts.engines.moves == []
+        assert caller.data.decode() == first + second and caller.finished
 
     play(test, "a", "b")
 
