Bound what one break asks of targets, and settle a dispute once

- a request under which targets end was sent to 4 to 8 of them, as a rerun didn't wait for the verdict that a first run waits for (2 before; 3 now);
- one break asked 59 full targets and took 59 repeats, as a refusal is no attempt; two beyond the attempts of the route now.
One check of an end asked 20; 2 now;
- a target that failed late and one that hung held a caller for 3.2 s; reruns share the time of an answer now;
- an error in answer to the check of an end was forgotten when the next target's answer broke off, and the end told as whole; and it stood after another target had told that nothing follows, and the stream was broken off.

Six tests, in test_nexttargets.py and test_disputedends.py.

--- a/packages/gateway/src/chivepier/gateway/serving/endcheck.py
+++ b/packages/gateway/src/chivepier/gateway/serving/endcheck.py
@@ -120,4 +120,5 @@
         :param end: how the body of the target that was asked has ended
         """
         nothing_came = not end.events and not is_unfinished(end.remainder)
-        return nothing_came and not end.contradicted and self.is_vouched
+        is_word = self.is_vouched and not self.is_disputed
+        return nothing_came and not end.contradicted and is_word
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -37,6 +37,11 @@
 # Seconds in which one target after the other may be asked to go on: callers
 # give up after two without an event.
 RERUN_SECONDS = 1.0
+# Targets asked for one break beyond the attempts of the route, as a
+# refusal is no attempt: full ones would take the repeats of all others.
+SPARE_SENDS = 2
+# Targets that are asked what follows an end: most ends are whole.
+MAX_CHECK_SENDS = 2
 # Urgency at the next target, ahead of new generations: targets preempt the
 # newest first, and a migrated generation is the newest though it has the most
 # work to lose.
@@ -66,6 +71,8 @@
         self._caller = caller
         # of the budget, taken for a target that nothing was sent to
         self._has_repeat = False
+        # monotonic time until which a rerun waits for its answer, in seconds
+        self._answer_by = 0.0
         self._check = EndCheck(dispatcher, plan)
         self._body = BodyRelay(dispatcher, plan, caller, self._check, metrics)
         self._judge = EndJudge(
@@ -137,8 +144,9 @@
 
         :returns: the answer of the other target; ``None`` if the end stands
         """
+        # this end is that of the last target that was asked
+        self._check.is_disputed = False
         if end.cause is EndCause.FRAMING:
-            self._check.is_disputed = False
             # the framing of a forwarded answer is that of an entry
             if not run.forwarded:
                 service = self._plan.service.name
@@ -148,7 +156,7 @@
             return None
         self._check.begin(VouchedEnd(started, self._is_whole_run(run)))
         asked = {run.target.instance}
-        while True:
+        while len(asked) <= MAX_CHECK_SENDS:
             try:
                 async with asyncio.timeout(self._check.limit(CONFIRM_SECONDS)):
                     rerun = await self._choose_rerun(run, asked)
@@ -169,6 +177,7 @@
                 return fresh
             # it has failed to tell: the next one may
             asked.add(rerun.target.instance)
+        return None
 
     def _note_answered(self, run: LiveRun, started: StartedAnswer) -> bool:
         """Report a whole stream; return whether a framing told its end."""
@@ -216,6 +225,11 @@
                 dispatcher.losses.note_lost(
                     plan, handoff.target, sent_at, None, False, error
                 )
+                if not self._check.is_under_way:
+                    # a request that ends its targets is sent to few more
+                    await dispatcher.guard.wait_for_verdict(
+                        plan, handoff.target
+                    )
             dispatcher.log.warn(
                 "handoff_failed",
                 id=run.request.id,
@@ -306,9 +320,11 @@
     ) -> StartedAnswer | None:
         """Ask one target after the other for what the caller lacks."""
         clock = self._dispatcher.clock
-        until = clock.monotonic() + RERUN_SECONDS
+        began = clock.monotonic()
+        self._answer_by = began + RESUME_ANSWER_SECONDS
         asked = {run.target.instance}
-        while clock.monotonic() < until:
+        most = self._plan.route.attempts + SPARE_SENDS
+        while len(asked) < most and clock.monotonic() < began + RERUN_SECONDS:
             handoff = await self._choose_rerun(run, asked)
             if handoff is None:
                 break
@@ -374,6 +390,12 @@
         except TimeoutError:
             raise NotSentError("no permit within the check") from None
 
+    def _find_answer_seconds(self, handoff: Handoff) -> float:
+        """Return the wait for an answer: times of several reruns don't add."""
+        if handoff.origin is not None or self._check.is_under_way:
+            return RESUME_ANSWER_SECONDS
+        return max(0.0, self._answer_by - self._dispatcher.clock.monotonic())
+
     async def _send(
         self, run: LiveRun, handoff: Handoff, started: StartedAnswer
     ) -> StartedAnswer:
@@ -394,7 +416,7 @@
             after_event=run.last_event,
             once=not plan.repeatable,
         )
-        answer_seconds = self._check.limit(RESUME_ANSWER_SECONDS)
+        answer_seconds = self._check.limit(self._find_answer_seconds(handoff))
         if not answer_seconds:
             raise NotSentError("the check is over")
         seconds = min(options.seconds, answer_seconds)
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_disputedends.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_disputedends.py
@@ -68,6 +68,50 @@
     play(test, "a", "b", "c", "d")
 
 
+def test_broken_answer_after_an_error_is_no_word_that_nothing_follows():
+    # The end was told as whole though all that were asked had failed.
+    async def test(parts):
+        allow_repeats(parts)
+        caller, task, run = await begin_without_length(parts, "/resume/x")
+        spoil_next(parts, ERRORS["error"], 1)
+        run.end()
+        fresh = await parts.engines.wait_run(2)
+        fresh.cut()
+        await task
+        assert caller.aborted and not caller.finished
+
+    play(test, *"abcd")
+
+
+def test_word_after_an_error_settles_an_end():
+    # A stream was broken off though a target had told that nothing follows.
+    async def test(parts):
+        allow_repeats(parts)
+        caller, task, run = await begin_without_length(parts, "/resume/x")
+        spoil_next(parts, ERRORS["error"], 1)
+        run.end()
+        fresh = await parts.engines.wait_run(2)
+        fresh.end()
+        await task
+        assert caller.finished and not caller.aborted
+
+    play(test, *"abcd")
+
+
+def test_few_targets_are_asked_what_follows_an_end():
+    # Twenty ran the whole prompt for an end that is whole most of the time.
+    async def test(parts):
+        allow_repeats(parts, attempts=20)
+        caller, task, run = await begin_without_length(parts, "/resume/x")
+        spoil_next(parts, ERRORS["error"], 20)
+        run.end()
+        await task
+        assert caller.aborted
+        assert len(parts.engines.orders) == 3
+
+    play(test, *"abcdefgh")
+
+
 @pytest.mark.parametrize("way", ("refusal", "ended"))
 def test_word_for_an_end_stands_where_the_target_asked_has_not_run(way):
     # Full targets must not cost callers the ends of whole streams.
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_nexttargets.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_nexttargets.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from chivepier.gateway.serving import ConnectionLostError
 from chivepier.gateway.serving.tests.parts import begin
 from chivepier.gateway.serving.tests.parts import play
 from chivepier.gateway.serving.tests.parts import RESUMABLE
@@ -160,6 +161,68 @@
     play(test, "a", "b", "c", "d", "e")
 
 
+def test_answer_after_an_error_is_not_waited_for_as_long_as_the_first():
+    # A second target had the whole time anew: 3.2 s without an event.
+    async def test(parts):
+        allow_repeats(parts, attempts=10)
+        caller, task, run = await begin(parts, "/resume/x")
+        send, count = parts.engines.send, len(parts.engines.orders)
+
+        async def fail_late(target, *args):
+            if len(parts.engines.orders) > count:
+                await asyncio.sleep(60.0)
+            await asyncio.sleep(0.9)
+            parts.engines.failing[target.instance] = 500
+            return await send(target, *args)
+
+        parts.engines.send = fail_late
+        began = asyncio.get_running_loop().time()
+        run.cut()
+        await task
+        assert caller.aborted
+        assert asyncio.get_running_loop().time() - began <= CALLER_SECONDS
+
+    play(test, "a", "b", "c", "d", "e")
+
+
+def test_rerun_waits_for_the_verdict_on_a_target_that_it_lost():
+    # One stream ended one target after the other.
+    async def test(parts):
+        allow_repeats(parts, attempts=8)
+        caller, task, run = await begin(parts, "/resume/x")
+        engines = parts.engines
+
+        async def end(target, request, order, contact):
+            contact.begin()
+            engines.orders.append((target.instance, order))
+            engines.ended.add(target.instance)
+            await asyncio.sleep(0.002)
+            raise ConnectionLostError("reset")
+
+        engines.send = end
+        engines.ended.add(run.target)
+        run.cut()
+        await task
+        assert caller.aborted
+        assert len(engines.orders) <= 3
+
+    play(test, *"abcdefgh")
+
+
+def test_full_targets_do_not_take_the_repeats_of_all_others():
+    # One break asked 59 of 60 targets, and took a repeat for each.
+    async def test(parts):
+        allow_repeats(parts)
+        caller, task, run = await begin(parts, "/resume/x")
+        parts.engines.refuse |= {f"t{number}" for number in range(20)}
+        run.cut()
+        await task
+        assert caller.aborted
+        assert len(parts.engines.orders) <= 1 + ATTEMPTS + 2
+
+    play(test, *(f"t{number}" for number in range(20)))
+
+
 def test_stream_that_may_run_once_is_sent_to_no_other_target():
     async def test(parts):
         caller, task, run = await begin(parts)
