Count a caller off once that leaves while a rest is asked for

A caller that left while another entry was asked for the rest of its stream counted off its target's load twice: -1 run, and its tokens, for as long as the entry ran, so that all entries took the target for emptier than it was.

Cause: the run is released before another entry is asked, and tracked again only where that fails, not where it is cancelled. It is tracked again wherever no answer has come.

test_caller_that_leaves_a_forwarded_rest_is_counted_off_once fails before.

--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardedrests.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardedrests.py
@@ -1,5 +1,7 @@
 """Tests of what other entries answer where the rest of a stream is due."""
 
+import asyncio
+
 import attrs
 import pytest
 
@@ -163,3 +165,24 @@
     if is_before:
         forward_as_before(monkeypatch)
     play_site(test)
+
+
+def test_caller_that_leaves_a_forwarded_rest_is_counted_off_once():
+    # Its first target seemed emptier than it was, for as long as the entry ran.
+    async def test(site):
+        cut_off, other = site.entries
+        caller, task = cut_off.parts.start(make_request("/resume/a"))
+        run = await cut_off.parts.engines.wait_run(1)
+        run.make(2)
+        await caller.wait_events(2)
+        cut_off.cut(*ALL)
+        # no answer comes before its caller leaves
+        other.parts.engines.heads.clear()
+        run.cut()
+        await wait_until(lambda: other.count_sends())
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        for load in cut_off.parts.loads.list_own():
+            assert not (load.runs or load.tokens or load.avoiding)
+
+    play_site(test)
--- a/packages/gateway/src/chivepier/gateway/serving/relay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/relay.py
@@ -282,6 +282,7 @@
             return None
         dispatcher.release(started)
         run.earlier_runs += 1
+        fresh = None
         try:
             fresh = await dispatcher.detour.start(plan, max(1, runs), run)
         except (
@@ -295,12 +296,13 @@
             dispatcher.log.warn(
                 "forward_failed", id=run.request.id, error=repr(error)
             )
-            fresh = None
-        if fresh is None:
-            dispatcher.runs.track(run)
-            dispatcher.balancer.record_start(run.target.instance)
-            return None
-        self._body.begin_next()
+        finally:
+            if fresh is None:
+                # its end releases it, also where its caller has left
+                dispatcher.runs.track(run)
+                dispatcher.balancer.record_start(run.target.instance)
+        if fresh is not None:
+            self._body.begin_next()
         return fresh
 
     async def _take_over(
