--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardedrests.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardedrests.py
@@ -168,7 +168,7 @@
 
 
 def test_caller_that_leaves_a_forwarded_rest_is_counted_off_once():
-    # Its first target seemed emptier than it was, for as long as the entry ran.
+    # Its first target seemed emptier than it was until the entry ended.
     async def test(site):
         cut_off, other = site.entries
         caller, task = cut_off.parts.start(make_request("/resume/a"))
--- a/packages/gateway/src/chivepier/gateway/serving/bodyrelay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodyrelay.py
@@ -9,6 +9,7 @@
 from chivepier.gateway.serving.errors import BrokenAnswerError
 from chivepier.gateway.serving.errors import ForeignPieceError
 from chivepier.gateway.serving.eventseries import begins_event
+from chivepier.gateway.serving.eventseries import drop_begun_name
 from chivepier.gateway.serving.eventseries import EventSeries
 from chivepier.gateway.serving.eventsplitter import EventSplitter
 from chivepier.gateway.serving.eventsplitter import has_new_part
@@ -216,7 +217,7 @@
 
         :raises ForeignPieceError: if it is no part of the series
         """
-        rest = self._splitter.remainder
+        rest = drop_begun_name(self._splitter.remainder)
         self._judge_piece(run, rest, parse_event_number(rest))
 
     def _judge_piece(
--- a/packages/gateway/src/chivepier/gateway/serving/eventseries.py
+++ b/packages/gateway/src/chivepier/gateway/serving/eventseries.py
@@ -160,6 +160,20 @@
     return head is not None and head.start() > 0
 
 
+def drop_begun_name(rest: bytes) -> bytes:
+    """Leave out a field's name that the end of a body cuts.
+
+    >>> drop_begun_name(b"id: 2\\nda"), drop_begun_name(b"id: 2\\noops")
+    (b'id: 2\\n', b'id: 2\\noops')
+
+    :param rest: what is left at the end of a body
+    """
+    last = split_lines(rest)[-1:]
+    if last and any(field.startswith(last[0]) for field in EVENT_FIELDS):
+        return rest.removesuffix(last[0])
+    return rest
+
+
 def list_lines(part: bytes) -> list[bytes]:
     """Return the lines that are neither empty nor comments.
 
