Keep in mind the event that an end has cut, over another entry and before the first

Found by the drawn model and the table. A stream was told as whole without an event that had begun at another entry's target: that entry broke off, and the one that asked knows nothing of the part; an empty answer then counted as "nothing follows". And an `event: error` without a number began and ended a stream whose first target had broken off inside event 1, as nothing had come yet to tell that its series has numbers.

What another entry breaks off counts as cut inside an event, and the number of a cut event tells that the series has numbers.

test_restmodel.py [forwarded] and nine tests of test_resttable.py fail before; 1702 tests of serving, forwarding and the table pass.

--- a/packages/gateway/src/chivepier/gateway/serving/bodyrelay.py
+++ b/packages/gateway/src/chivepier/gateway/serving/bodyrelay.py
@@ -14,6 +14,7 @@
 from chivepier.gateway.serving.eventsplitter import EventSplitter
 from chivepier.gateway.serving.eventsplitter import has_new_part
 from chivepier.gateway.serving.eventsplitter import parse_event_number
+from chivepier.gateway.serving.eventsplitter import parse_part_number
 from chivepier.gateway.serving.liverun import LiveRun
 from chivepier.gateway.serving.piece import Piece
 from chivepier.gateway.serving.plan import Plan
@@ -244,8 +245,13 @@
         rest = self._splitter.take_remainder()
         if foreign is None:
             has_part = has_new_part(rest, run.last_event_number)
+            self._series.note_part(parse_part_number(rest))
         else:
             rest, has_part = b"", foreign.cuts_event
+            self._series.note_part(foreign.number)
+        if run.forwarded and cause is EndCause.BREAK:
+            # another entry keeps the part of an event that it has to itself
+            has_part = True
         end = BodyEnd(
             cause,
             self._splitter.events,
--- a/packages/gateway/src/chivepier/gateway/serving/eventseries.py
+++ b/packages/gateway/src/chivepier/gateway/serving/eventseries.py
@@ -53,6 +53,14 @@
         """Record that the first body is declared to be a series of events."""
         self._may_be_other = False
 
+    def note_part(self, number: int | None) -> None:
+        """Record the event that the end of a body cut.
+
+        :param number: its number; ``None`` without one
+        """
+        if number is not None and self._kind is SeriesKind.UNKNOWN:
+            self._kind = SeriesKind.NUMBERED
+
     def begin_body(self) -> None:
         """Judge the body of another target from now on."""
         self._may_be_other = False
--- a/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
+++ b/packages/gateway/src/chivepier/gateway/serving/eventsplitter.py
@@ -171,6 +171,18 @@
     return number is not None and last is not None and number <= last
 
 
+def parse_part_number(remainder: bytes) -> int | None:
+    """Parse the number of an event that broke off, by its whole lines.
+
+    >>> parse_part_number(b"id: 2\\nda"), parse_part_number(b"id: 2")
+    (2, None)
+
+    :param remainder: the bytes after the last complete event
+    """
+    end = max(remainder.rfind(b"\n"), remainder.rfind(b"\r")) + 1
+    return parse_event_number(remainder[:end])
+
+
 def has_new_part(remainder: bytes, last: int | None) -> bool:
     """Tell whether bytes hold a part of an event that the caller lacks.
 
@@ -183,6 +195,5 @@
     :param last: number of the last event that the caller has; ``None`` before
         the first
     """
-    end = max(remainder.rfind(b"\n"), remainder.rfind(b"\r")) + 1
-    number = parse_event_number(remainder[:end])
+    number = parse_part_number(remainder)
     return is_unfinished(remainder) and not is_known_event(number, last)
