Pass no error's text on as the end of a cut event

What callers saw (packages/node): where an engine, or what stands before it, wrote an error's text, page, JSON or head behind the beginning of an event, up to an empty line, that came as the event: half of its data and the error. The stream went on at the next index and ended as whole, the token lost.

Cause: an event was told by its index and by the generation in its bytes; both stand at its beginning. Its end was not looked at.

Change: the data has to be one line, end as an object, and pair its braces and quotes; what fails this is parsed, and each of its lines must be a field. A bad event ends the reader as before, and is fetched again.

--- a/packages/node/src/chivepier/node/ssebuffer.py
+++ b/packages/node/src/chivepier/node/ssebuffer.py
@@ -11,7 +11,9 @@
 ID = b"id: "
 COMMENT = b":"
 DONE = b"data: [DONE]"
-DATA = b"\ndata: "
+DATA = b"data"
+# Fields beside the id; the empty one is that of a comment.
+FIELDS = (b"data", b"event", b"retry", b"")
 MAX_EVENT = 1 << 20
 MAX_INDEX_DIGITS = 9
 
@@ -25,6 +27,9 @@
     engine or a proxy that crosses two answers in the middle of a buffer
     would put another team's text into this caller's stream.  The check is a
     comparison of bytes; an event is parsed only where that fails.
+
+    What follows a cut event in the same bytes, an error's text or head, would
+    be passed on as its end: an event has to look whole as well, or to be so.
     """
 
     label: bytes
@@ -60,8 +65,8 @@
         following = self.following
         for event in events:
             if event.startswith(ID + b"%d\n" % following):
-                if self._marks[0] not in event:
-                    self._check_generation(event)
+                if self._marks[0] not in event or not _looks_whole(event):
+                    self._check_event(event)
                 following += 1
                 passed.append(ID + self.label + event[len(ID) :] + END)
             elif event == DONE:
@@ -75,12 +80,10 @@
         self.following = following
         return b"".join(passed)
 
-    def _check_generation(self, event: bytes) -> None:
+    def _check_event(self, event: bytes) -> None:
         # the engine may write its JSON with spaces or escapes
-        if self._marks[1] in event:
-            return
         try:
-            found = json.loads(event.partition(DATA)[2])
+            found = json.loads(_read_data(event))
         except (ValueError, RecursionError):
             text = "an event is not JSON"
             raise LinkLostError(LossReason.MALFORMED, text) from None
@@ -90,6 +93,38 @@
             raise LinkLostError(LossReason.CROSSED, text)
 
 
+def _looks_whole(event: bytes) -> bool:
+    """Tell whether the data is one line, and may be a whole JSON object.
+
+    >>> _looks_whole(b'id: 0\\ndata: {"a":[{"b":1}]}')
+    True
+    >>> _looks_whole(b'id: 0\\ndata: {"a":[{"b"{"error":1}')
+    False
+    """
+    return (
+        event.endswith(b"}")
+        and event.count(b"\n") == 1
+        and event.count(b"{") == event.count(b"}")
+        and not event.count(b'"') & 1
+    )
+
+
+def _read_data(event: bytes) -> bytes:
+    """Return the data of an event.
+
+    :raises LinkLostError: if one of its lines is that of no event
+    """
+    data = []
+    for line in event.split(b"\n")[1:]:
+        name, _, value = line.partition(b":")
+        if name not in FIELDS:
+            text = "a line of an event is no field"
+            raise LinkLostError(LossReason.MALFORMED, text)
+        if name == DATA:
+            data.append(value)
+    return b"\n".join(data)
+
+
 def _skip(event: bytes, following: int) -> None:
     """Drop a repeat or a comment; anything else ends the reader."""
     if event.startswith(COMMENT):
