Give no caller what came too much on another one's connection

What callers saw (packages/node): a plain service that sent a second answer, also an error, behind a whole one gave it to the next idempotent call over that connection: 200 with the body of another call.

Cause: the library matches answers to calls by their order, and looks for surplus bytes only as a connection is given back; what came later waited for the next call. Calls that may run once have a connection each, generations are named. The adapter of packages/gateway has its own pool, which has looked for them since long.

Evidence: an answer, an error, a text behind the first answer, in the same bytes or once the connection was kept: of 6 cases the 2 late heads were the second call's answer.

Change: the pool closes a connection that has surplus bytes before it is used again; the tests' entry uses the node's own sessions.

Not mended: surplus that comes after the next call was sent can't be told from its answer, as such calls bear no id.

--- a/packages/node/src/chivepier/node/httpserver.py
+++ b/packages/node/src/chivepier/node/httpserver.py
@@ -8,6 +8,7 @@
 
 from chivepier.node.answers import make_error_middleware
 from chivepier.node.inprogress import InProgress
+from chivepier.node.keptconnector import KeptConnector
 from chivepier.node.metrics import Metrics
 
 MAX_BODY = 8 << 20
@@ -19,7 +20,7 @@
     :param force_close: whether each request gets a connection of its own
     :returns: a context, which closes it
     """
-    connector = aiohttp.TCPConnector(limit=0, force_close=force_close)
+    connector = KeptConnector(force_close)
     return aiohttp.ClientSession(connector=connector, auto_decompress=False)
 
 
--- a/packages/node/src/chivepier/node/tests/fakeentry.py
+++ b/packages/node/src/chivepier/node/tests/fakeentry.py
@@ -5,7 +5,6 @@
 import itertools
 import types
 
-import aiohttp
 from result import Err
 from result import Ok
 
@@ -19,6 +18,7 @@
 from chivepier.node.background import Background
 from chivepier.node.directory import Service
 from chivepier.node.entry import Entry
+from chivepier.node.httpserver import open_session
 from chivepier.node.inflight import Inflight
 from chivepier.node.inprogress import InProgress
 from chivepier.node.ledger import Ledger
@@ -129,9 +129,8 @@
     join = JoinCommand(member)
     cluster.machine.apply(LogEntry(1, 1, encode(join)))
     background = Background(InProgress())
-    async with aiohttp.ClientSession(auto_decompress=False) as http:
-        connector = aiohttp.TCPConnector(force_close=True)
-        async with aiohttp.ClientSession(connector=connector) as once:
+    async with open_session() as http:
+        async with open_session(force_close=True) as once:
             yield Entry(
                 cluster=cluster,
                 directory=types.SimpleNamespace(pool_shards=lambda _: 1),
