Send one head with each answer to a caller or another entry

What callers would see: a second begin of an answer wrote another head and body into the first one; over the hop its status belonged to bytes that had come before.

Cause: that a head is sent once was a rule of the interface that nothing enforced. No way of today's code was found that breaks it.

Change: the second one is refused as what it is, an error of this program, and the connection is closed.

--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardsession.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardsession.py
@@ -75,7 +75,10 @@
         """Keep the head of the answer.
 
         :raises RequestError: if it would be taken for what it is not
+        :raises RuntimeError: if there is one: the other entry may have it
         """
+        if self.begun:
+            raise RuntimeError("the answer has begun")
         if self._is_rest and status != CONTINUED_STATUS:
             text = f"no rest of the stream: {status}"
             raise RequestError.of(ErrorKind.TARGET_FAILED, text, Ran.UNKNOWN)
--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardedrests.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardedrests.py
@@ -163,3 +163,24 @@
     if is_before:
         forward_as_before(monkeypatch)
     play_site(test)
+
+
+SUCCESSES = [name for name, (status, *_) in FOREIGN.items() if status < 300]
+
+
+@pytest.mark.parametrize("name", SUCCESSES)
+def test_success_over_another_entry_is_no_rest_to_a_caller_that_takes_up(name):
+    # Its caller put the text of an error behind the events that it had.
+    async def test(site):
+        cut_off, other = site.entries
+        answer_with(other, *FOREIGN[name])
+        cut_off.cut(*ALL)
+        caller, task = cut_off.parts.start(
+            make_request("/resume/a", last_event="4")
+        )
+        with pytest.raises(RequestError):
+            await task
+        assert other.count_sends()
+        assert caller.status is None and not caller.data
+
+    play_site(test)
--- a/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardsession.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/tests/test_forwardsession.py
@@ -104,3 +104,15 @@
         assert (part.state, part.data) == (COMPLETE, b"abcdef")
 
     play_time(test())
+
+
+def test_answer_has_one_head():
+    # The status that was told late would belong to bytes that came before.
+    async def test():
+        session = await make_session()
+        with pytest.raises(RuntimeError):
+            await session.begin(500, (), 3)
+        part = await session.read(0, 0.5)
+        assert (part.status, part.data) == (200, b"abcdef")
+
+    play_time(test())
--- a/tests/adapter/test_secondheads.py
+++ b/tests/adapter/test_secondheads.py
@@ -64,6 +64,28 @@
     run(None, test)
 
 
+@pytest.mark.parametrize("count", (0, 1, 2))
+@pytest.mark.parametrize("lengths", ((None, None), (200, 5), (200, None)))
+def test_answer_has_one_head(lengths, count):
+    # A second head and its body would stand in the first answer's body.
+    async def serve(request, caller):
+        first, second = lengths
+        await caller.begin(200, HEADERS, first)
+        for _ in range(count):
+            await caller.write(EVENT)
+        await caller.begin(500, HEADERS, second)
+        await caller.write(b"other")
+        await caller.finish(True)
+
+    async def test(fixture):
+        fixture.entry.serving.serve = serve
+        received = await read_to_end(fixture, build_request("/stream/x"))
+        assert b"other" not in received
+        assert received.count(b"HTTP/1.1 ") == received.count(b"HTTP/1.1 200")
+
+    run(None, test)
+
+
 def test_answer_that_an_error_breaks_off_is_logged():
     async def test(fixture):
         lines = []
