Read no bytes that another entry sends with another head

Cause: only the first part's status was looked at. Parts bear the head until bytes of the body have been confirmed.

Change: a part with another status breaks the answer off.

--- a/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
+++ b/packages/gateway/src/chivepier/gateway/forwarding/forwardedanswer.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from chivepier.gateway.forwarding.forwardsession import NO_STATUS
 from chivepier.gateway.forwarding.forwardstate import ForwardState
 from chivepier.gateway.forwarding.partreader import PartReader
 from chivepier.gateway.forwarding.records import unpack_headers
@@ -67,6 +68,10 @@
         return data
 
     def _take(self, part: ForwardPart) -> None:
+        if part.status not in (NO_STATUS, self.status):
+            # another head: what it came with is no more of this body
+            self.close()
+            return
         self._pending = part.data
         self._offset += len(part.data)
         self._state = ForwardState(part.state)
