Soak: targets sign their answers and name the type of streams

The entry asks for a signature and, where a type is named, for that of event streams before it goes on with a stream. The soak's targets sent neither a signature nor `text/event-stream`: the library names `application/octet-stream` by itself.

--- a/soak/brittletarget.py
+++ b/soak/brittletarget.py
@@ -6,6 +6,7 @@
 from aiohttp import web
 
 from soak.invariantchecker import make_expected_body
+from soak.signature import sign
 from soak.target import SoakTarget
 
 # Requests that run at once and that may wait, at first and later on.
@@ -81,7 +82,7 @@
                 self._checker.record_run(identity)
         finally:
             self._present -= 1
-        headers |= self._make_report()
+        headers |= self._make_report() | sign(self.instance)
         body = make_expected_body(identity)
         return web.Response(body=body, headers=headers)
 
--- a/soak/doubtfultarget.py
+++ b/soak/doubtfultarget.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from soak.invariantchecker import make_expected_body
+from soak.signature import sign
 from soak.target import SERVICE_SECONDS
 from soak.target import SoakTarget
 
@@ -53,7 +54,7 @@
         if failed:
             return await self._fail(echo)
         body = make_expected_body(identity)
-        answer = web.Response(body=body, headers=echo)
+        answer = web.Response(body=body, headers=echo | sign(self.instance))
         fault = self.answer_faults.draw()
         return self.answer_faults.apply(request, answer, fault, ran=True)
 
--- a/soak/largetarget.py
+++ b/soak/largetarget.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from soak.answerfaults import AnswerFault
+from soak.signature import sign
 from soak.target import SoakTarget
 
 LARGE_PATH = "/again/large"
@@ -26,6 +27,7 @@
         fault_mode: str,
         fault: AnswerFault | None,
     ) -> web.StreamResponse:
+        echo |= sign(self.instance)
         match request.path:
             case path if path == LARGE_PATH:
                 return web.Response(body=b"x" * LARGE_BYTES, headers=echo)
--- a/soak/longtarget.py
+++ b/soak/longtarget.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from soak.invariantchecker import make_expected_body
+from soak.signature import sign
 from soak.target import REPEATABLE_PATHS
 from soak.target import SoakTarget
 from soak.target import STREAM_PATHS
@@ -31,6 +32,7 @@
         if request.headers["X-Chivepier-Expect-Instance"] != self.instance:
             return web.Response(status=421, headers=echo)
         await request.read()
+        echo |= sign(self.instance)
         span = self.spans[identity] = [time.monotonic(), None]
         if not request.path.startswith(REPEATABLE_PATHS):
             self._checker.record_run(identity)
--- a/soak/target.py
+++ b/soak/target.py
@@ -14,6 +14,9 @@
 from soak.answerfaults import AnswerFault
 from soak.answerfaults import AnswerFaults
 from soak.coldchecker import ColdChecker
+from soak.events import EVENT_COUNT
+from soak.events import EVENT_STREAM
+from soak.events import make_event
 from soak.framing import Framing
 from soak.invariantchecker import InvariantChecker
 from soak.invariantchecker import make_expected_body
@@ -27,10 +30,10 @@
 from soak.senders import name_accepted
 from soak.senders import Senders
 from soak.signalchecker import SignalChecker
+from soak.signature import sign
 
 HEARTBEAT_SECONDS = 0.4
 SERVICE_SECONDS = 0.02
-EVENT_COUNT = 20
 HEALTH_PATH = "/health"
 # Paths of the routes whose requests may run more than once.
 REPEATABLE_PATHS = ("/again/", "/resume/")
@@ -356,12 +359,14 @@
         fault: AnswerFault | None,
     ) -> web.StreamResponse:
         await request.read()
+        echo |= sign(self.instance)
         self.runs += 1
         if not request.path.startswith(REPEATABLE_PATHS):
             self._checker.record_run(identity)
         if fault_mode == "silent":
             await asyncio.sleep(60)
         if request.path.startswith(STREAM_PATHS):
+            echo |= EVENT_STREAM
             early_end = None
             if "Last-Event-Id" not in request.headers:
                 early_end = self.framing.draw_early_end(EVENT_COUNT)
@@ -441,9 +446,7 @@
                 await response.write(b"id: %d\nda" % number)
                 request.transport.abort()
                 return
-            text = "end" if place == EVENT_COUNT else "part"
-            note = f": {self.software_version}"
-            event = f"id: {number}\n{note}\ndata: {text}\n\n".encode()
+            event = make_event(place, number, self.software_version)
             if place == broken_at:
                 await response.write(self.framing.cut_event(event))
                 break
