Soak: errors where the rest of a stream is due, and within streams

Set 15 of faults: targets break streams off and answer for their rests with errors (statuses of 4xx, 5xx and 2xx, a text or nothing without a signature, pages, a content coding, an event without a number; in each framing, once or for a while); errors are written into streams without a length, between two events or within one; and entries lose their targets in overlapping cuts meanwhile, so that rests go over other entries. A stream that may be resumed may run four times there. `--only` names faults by hand.

What callers have of a stream is compared byte for byte with the series that targets send; foreign bytes, and an end told too early after an error, have violations of their own. Where an error follows no number, the record failed before.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -26,8 +26,18 @@
     show_default=True,
     help="Set of faults; a seed keeps the one that it was drawn with.",
 )
+@click.option(
+    "--only",
+    default="",
+    help="Names of faults with commas between; each once, then drawn.",
+)
 def main(
-    seed: int | None, seeds: int, seconds: float, block: int, kinds: int
+    seed: int | None,
+    seeds: int,
+    seconds: float,
+    block: int,
+    kinds: int,
+    only: str,
 ) -> None:
     """Run seeds, and keep the logs of those that fail."""
     failed = 0
@@ -35,6 +45,8 @@
         chosen = seed if seed is not None else random.randrange(1 << 32)
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{chosen}-"))
         soak = Soak(chosen, folder, block, kinds)
+        if only:
+            soak.faults.keep_only(*only.split(","))
         seen = asyncio.run(soak.run(seconds))
         print(
             f"seed {chosen}: answered {seen.answered}, failed {seen.failed},"
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -23,6 +23,8 @@
 from soak.proxy import LOST_ANSWERS
 from soak.proxy import LOST_SENT
 from soak.proxy import SLOW
+from soak.resterrors import BREAK_SHARE
+from soak.resterrors import RestError
 from soak.targetlink import Cut
 from soak.targetlink import heal_all
 
@@ -38,7 +40,7 @@
 # set, since with another one it would draw other faults.
 FIRST_SET, RESTART_SET, COLD_SET, NEED_SET, REST_SET = range(1, 6)
 MISREPORT_SET, CUT_SET, VERSION_SET, PART_SET, ANSWER_SET = 6, 7, 8, 9, 10
-CROWD_SET, HEAVY_SET, UNHEARD_SET, NEWEST_SET = 11, 12, 13, 14
+CROWD_SET, HEAVY_SET, UNHEARD_SET, UNTITLED_SET, NEWEST_SET = range(11, 16)
 # Seconds after a link fault in which delayed requests may still arrive.
 DELAYED_SECONDS = 1.5
 # Seconds after the start of a voter without its data: those in which it is
@@ -57,6 +59,14 @@
 UNHEARD_SECONDS = (0.0, 0.5)
 # Range of the seconds for which the ends of a living target arrive late.
 LIVING_SECONDS = (0.5, 3.0)
+# Share of the times at which all targets err on rests, or once each, and the
+# range of the seconds for which they do.
+ALL_ERR_SHARE, ONCE_SHARE = 0.6, 0.3
+ERRING_SECONDS = (1.0, 5.0)
+# Cuts beside targets that err on rests, and ranges of the seconds until each
+# begins and for which it lasts.
+ERRING_CUTS = 4
+UNTIL_CUT_SECONDS, SHORT_CUT_SECONDS = (0.0, 2.5), (0.2, 2.0)
 # Clients of a crowd, and the range of the seconds for which it presses.
 CROWD_CLIENTS = 30
 CROWD_SECONDS = (0.5, 2.0)
@@ -114,6 +124,10 @@
             kinds += (self.heavy_crowd,)
         if fault_set > HEAVY_SET:
             kinds += (self.crash_late, self.crash_late, self.delay_ends)
+        if fault_set > UNTITLED_SET:
+            kinds += (self.err_on_rests, self.err_on_rests)
+            kinds += (self.err_within, self.err_within)
+            kinds += (self.err_behind_cuts, self.err_behind_cuts)
         self._answer_faults = list(AnswerFault)
         if fault_set <= UNHEARD_SET:
             self._answer_faults.remove(AnswerFault.UNTITLED)
@@ -457,6 +471,59 @@
                 soak.check_first_tries(entries, began)
             await heal_all(links)
 
+    async def err_on_rests(self) -> None:
+        """Let targets answer for rests of streams with errors."""
+        for target in self._draw_erring():
+            target.rest_errors.kinds = self._draw_rest_errors()
+            target.rest_errors.once = self._rng.random() < ONCE_SHARE
+            self._breaking.add(self._begin(self._break_streams(target, False)))
+
+    async def err_within(self) -> None:
+        """Let errors be written into streams, as by proxies of targets."""
+        for target in self._draw_erring():
+            self._breaking.add(self._begin(self._break_streams(target, True)))
+
+    def _draw_erring(self) -> list["SoakTarget"]:
+        """Return some targets, or all, but those that err already."""
+        targets, count = self._soak.targets, len(self._soak.targets)
+        if self._rng.random() >= ALL_ERR_SHARE:
+            count = self._rng.randint(1, count)
+        chosen = self._rng.sample(targets, count)
+        return [t for t in chosen if not t.rest_errors.break_share]
+
+    def _draw_rest_errors(self) -> tuple[RestError, ...]:
+        kinds = list(RestError)
+        count = self._rng.randint(1, len(kinds))
+        return tuple(self._rng.sample(kinds, count))
+
+    async def _break_streams(self, target: "SoakTarget", inner: bool) -> None:
+        target.rest_errors.break_share = BREAK_SHARE
+        target.rest_errors.breaks_by_error = inner
+        await asyncio.sleep(self._rng.uniform(*ERRING_SECONDS))
+        target.rest_errors.clear()
+
+    async def err_behind_cuts(self) -> None:
+        """Let targets err on rests, as entries lose them in overlapping cuts.
+
+        The rests go over other entries, where one is left.
+        """
+        await self.err_on_rests()
+        cuts = (self._cut_beside_errors() for _ in range(ERRING_CUTS))
+        await asyncio.gather(*cuts)
+
+    async def _cut_beside_errors(self) -> None:
+        soak, rng = self._soak, self._rng
+        entry, shape = rng.choice(soak.entries), rng.choice(list(Cut))
+        await asyncio.sleep(rng.uniform(*UNTIL_CUT_SECONDS))
+        links = [link for link in soak.links[entry.ip] if not link.is_cut]
+        if not links:
+            return
+        with soak.exempt(entry, extra_seconds=DELAYED_SECONDS):
+            for link in links:
+                link.cut(shape)
+            await asyncio.sleep(rng.uniform(*SHORT_CUT_SECONDS))
+            await heal_all(links)
+
     async def kill_all(self) -> None:
         """Kill all processes at once, and restart them with their data."""
         processes = (*self._soak.voters, *self._soak.entries)
--- a/soak/framing.py
+++ b/soak/framing.py
@@ -15,8 +15,8 @@
     # without this, the library adds chunks where no length is set
     _length_check = False
 
-    def __init__(self, headers: dict[str, str]):
-        super().__init__(headers=headers)
+    def __init__(self, headers: dict[str, str], status: int = 200):
+        super().__init__(status=status, headers=headers)
         self.force_close()
 
 
--- a/soak/invariantchecker.py
+++ b/soak/invariantchecker.py
@@ -14,9 +14,12 @@
     """Records requests at callers and targets, and finds violations.
 
     :param first_number: number of the first event of each stream
+    :ivar erred: ids of requests that got an error in the place of a rest, or
+        within their stream
     """
 
     first_number: int = 1
+    erred: set[str] = attrs.field(factory=set)
     runs: dict[str, int] = attrs.field(factory=dict)
     refused: set[str] = attrs.field(factory=set)
     violations: list[str] = attrs.field(factory=list)
@@ -61,7 +64,8 @@
 
     def record_resumed(self, identity: str, record: StreamRecord) -> None:
         """Check what a caller got of a stream over all its attempts."""
-        if not record.in_order:
+        self.check_series(identity, record)
+        if not are_in_order(record.numbers, record.first_number):
             self.violations.append(f"{identity} got events {record.numbers}")
         if len(record.versions) > 1:
             text = f"{identity} holds events of {sorted(record.versions)}"
@@ -73,6 +77,20 @@
         else:
             self.failed += 1
 
+    def check_series(self, identity: str, record: StreamRecord) -> None:
+        """Check that a caller has the beginning of one series, or all of it.
+
+        :param identity: id of the stream
+        :param record: what the caller has
+        """
+        for foreign in record.foreign[:1]:
+            text = f"{identity} holds foreign bytes {foreign[:60]!r}"
+            self.violations.append(text)
+        has_erred = not self.erred.isdisjoint(record.attempts)
+        if has_erred and record.whole and not record.has_end:
+            text = f"{identity} was told whole too early after an error"
+            self.violations.append(text)
+
     def record_failure(
         self, identity: str, error: Exception, planned: bool
     ) -> None:
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -145,7 +145,7 @@
     def reset(self) -> None:
         """Reset all open connections, on both sides."""
         for writer in list(self._writers):
-            _reset(writer)
+            reset_connection(writer.transport)
 
     def silence(self, *directions: str) -> None:
         """Drop what open connections carry from now on; new ones work.
@@ -181,8 +181,8 @@
             except* OSError:
                 await self._wait_for_arrival(writer)
                 # A reset must not reach the other side as an orderly close.
-                _reset(writer)
-                _reset(other)
+                reset_connection(writer.transport)
+                reset_connection(other.transport)
             finally:
                 self._arrivals.pop(writer, None)
                 self._writers -= {writer, other}
@@ -265,11 +265,12 @@
                 told(time.monotonic())
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    sock = writer.get_extra_info("socket")
+def reset_connection(transport: asyncio.Transport) -> None:
+    """Reset a connection; an abort alone ends it as a close does."""
+    sock = transport.get_extra_info("socket")
     if sock.fileno() < 0:
         return
     # With a linger time of zero, closing sends a reset to the peer.
     linger = struct.pack("ii", 1, 0)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-    writer.transport.abort()
+    transport.abort()
--- a/soak/run.py
+++ b/soak/run.py
@@ -20,6 +20,7 @@
 from soak.faults import MISREPORT_SET
 from soak.faults import NEWEST_SET
 from soak.faults import UNHEARD_SET
+from soak.faults import UNTITLED_SET
 from soak.invariantchecker import InvariantChecker
 from soak.process import Process
 from soak.process import run_all
@@ -53,25 +54,29 @@
 COLD_RATE = 5.0
 
 
-# Names of the routes whose requests may run more than once.
-REPEATABLE = ("again", "resume")
 # Kinds of requests that callers draw from.
 CALLS = ("once", "once", "again", "stream")
 CALLS_WITH_RESUMABLE = (*CALLS, "resume")
 # Attempts of a caller at one stream that may be resumed.
 MAX_ATTEMPTS = 4
+# Runs of a stream that may be resumed, where targets err on rests.
+RESUMABLE_RUNS = 4
 # Numbers with which the series of events of a run may begin.
 FIRST_NUMBERS = (0, 1, 1_000_000)
 
 
-def make_config(version: int, timeout_ms: int = 3000) -> dict:
+def make_config(
+    version: int, timeout_ms: int = 3000, resumable_runs: int = 2
+) -> dict:
     """Return a configuration with a route of each kind.
 
     :param version: version of the configuration
     :param timeout_ms: longest time that a request may be kept waiting
+    :param resumable_runs: how often a stream that may be resumed may run
     """
     kinds = {"once": "non_idempotent", "again": "idempotent"}
     kinds["stream"] = kinds["resume"] = "streaming"
+    runs = {"again": 2, "resume": resumable_runs}
     routes = [
         {
             "name": name,
@@ -81,7 +86,7 @@
             "timeout-ms": timeout_ms,
             "slo-ms": 300,
             "service": "s",
-            "max-attempts": 2 if name in REPEATABLE else 1,
+            "max-attempts": runs.get(name, 1),
             "resumable": name == "resume",
         }
         for name, kind in kinds.items()
@@ -189,6 +194,7 @@
         self.stopping_entry: Process | None = None
         self._exempt_until: dict[str, float] = {}
         self._calls = CALLS_WITH_RESUMABLE if kinds > CUT_SET else CALLS
+        self._resumable_runs = RESUMABLE_RUNS if kinds > UNTITLED_SET else 2
         self.part_crashes = 0
         self.faults = Faults(self, kinds)
 
@@ -362,8 +368,22 @@
                     identity, error, entry is self.stopping_entry
                 )
             self.checker.record_stream(identity, data, whole)
+            self.checker.check_series(
+                identity, self._make_record(identity, data, whole)
+            )
             return whole
 
+    def _make_record(
+        self, identity: str, data: bytes, whole: bool
+    ) -> StreamRecord:
+        """Return what a caller got of a stream that may run once."""
+        record = StreamRecord(self.checker.first_number)
+        record.begin_attempt(identity)
+        record.feed(data)
+        if whole:
+            record.end()
+        return record
+
     async def update_config_repeatedly(self, session) -> None:
         """Store new configurations at random intervals until cancelled."""
         while True:
@@ -373,7 +393,8 @@
     async def update_config(self, session, seconds: float) -> None:
         """Send a new configuration until a voter acknowledges it."""
         self.version += self.rng.randint(1, 5)
-        body = json.dumps(make_config(self.version))
+        config = make_config(self.version, resumable_runs=self._resumable_runs)
+        body = json.dumps(config)
         end = time.monotonic() + seconds
         while time.monotonic() < end:
             control = self.rng.choice(self.controls)
--- a/soak/streamcaller.py
+++ b/soak/streamcaller.py
@@ -5,6 +5,7 @@
 import aiohttp
 
 from soak.callerheaders import make_caller_headers
+from soak.signature import SIGNATURE
 from soak.streamrecord import StreamRecord
 
 CALLER_PORT = 8740
@@ -47,8 +48,20 @@
     with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
         async with session.post(url, data=b"x", headers=headers) as answer:
             status = answer.status
-            if status == 200:
+            if status == 200 and _counts(answer, record):
                 async for data in answer.content.iter_any():
                     record.feed(data)
                 record.end()
     return status
+
+
+def _counts(answer: aiohttp.ClientResponse, record: StreamRecord) -> bool:
+    """Tell whether an answer counts, as the users' clients do.
+
+    The first answer to the request for a rest is handed on as it is: its head
+    tells whether it is that of a target.
+    """
+    if record.last_event is None:
+        return True
+    headers = answer.headers
+    return SIGNATURE in headers and "Content-Encoding" not in headers
--- a/soak/streamrecord.py
+++ b/soak/streamrecord.py
@@ -1,8 +1,13 @@
 """What a caller got of one stream, over all its attempts."""
 
+import re
+
 import attrs
 
-EVENT_END = b"\n\n"
+from soak.events import EVENT_END
+from soak.events import is_begun_event
+
+NUMBER = re.compile(rb"id: (\d+)\n")
 
 
 @attrs.define
@@ -18,6 +23,8 @@
     :ivar whole: whether an attempt ended as a whole stream
     :ivar has_end: whether its last event is there
     :ivar taken_up: whether an entry answered an attempt to go on with it
+    :ivar attempts: ids of all attempts
+    :ivar foreign: bytes that are no part of its series
     """
 
     first_number: int = 1
@@ -27,6 +34,8 @@
     whole: bool = False
     has_end: bool = False
     taken_up: bool = False
+    attempts: list[str] = attrs.field(factory=list)
+    foreign: list[bytes] = attrs.field(factory=list)
     _attempt: str = ""
     _rest: bytes = b""
 
@@ -42,18 +51,38 @@
 
     @property
     def in_order(self) -> bool:
-        """Whether each event came once, in order."""
-        return are_in_order(self.numbers, self.first_number)
+        """Whether each event came once, in order, and nothing else."""
+        return not self.foreign and are_in_order(
+            self.numbers, self.first_number
+        )
 
     def begin_attempt(self, attempt: str) -> None:
         """Begin another attempt; a part of an event is dropped."""
         self._attempt, self._rest = attempt, b""
+        self.attempts.append(attempt)
 
     def feed(self, data: bytes) -> None:
         """Add bytes of an answer."""
         *events, self._rest = (self._rest + data).split(EVENT_END)
         for event in events:
-            self._take(event.decode())
+            found = NUMBER.match(event)
+            number = self._next_number if found is None else int(found[1])
+            if self._is_foreign(event + EVENT_END, number):
+                self.foreign.append(event)
+            else:
+                self._take(event.decode())
+        if self._is_foreign(self._rest, self._next_number):
+            self.foreign.append(self._rest)
+
+    @property
+    def _next_number(self) -> int:
+        last = self.last_event
+        return self.first_number if last is None else last + 1
+
+    def _is_foreign(self, part: bytes, number: int) -> bool:
+        """Tell whether an event, or its beginning, is of no target."""
+        place = number - self.first_number + 1
+        return not is_begun_event(part, place, number)
 
     def _take(self, event: str) -> None:
         fields = dict(line.split(": ", 1) for line in event.split("\n"))
--- a/soak/target.py
+++ b/soak/target.py
@@ -25,6 +25,7 @@
 from soak.loadreporter import SLOTS
 from soak.partchecker import PartChecker
 from soak.proxy import Proxy
+from soak.resterrors import RestErrors
 from soak.runlog import RunLog
 from soak.senders import Connection
 from soak.senders import name_accepted
@@ -38,6 +39,7 @@
 # Paths of the routes whose requests may run more than once.
 REPEATABLE_PATHS = ("/again/", "/resume/")
 STREAM_PATHS = ("/stream/", "/resume/")
+RESUMABLE_PATH = "/resume/"
 INITIAL_SEQUENCE = 10_000
 # Range of the seconds for which a target that crashed is away.
 AWAY_SECONDS = (0.5, 1.5)
@@ -100,6 +102,7 @@
         self.load = LoadReporter(random.Random(address))
         self.framing = Framing(random.Random(address))
         self.answer_faults = AnswerFaults(random.Random(address))
+        self.rest_errors = RestErrors(random.Random(address))
         self.limit: float | None = None
         self.arrivals: list[float] = []
         self._limit_known_at: float | None = None
@@ -296,10 +299,12 @@
         fault = None
         if overloaded or not request.path.startswith(STREAM_PATHS):
             fault = self.answer_faults.draw()
+        error = None
+        if not overloaded and request.path.startswith(RESUMABLE_PATH):
+            error = self.rest_errors.draw(request)
+        readable = self.answer_faults.can_be_read(request, fault)
         echo |= self._check_signals(
-            request,
-            overloaded,
-            self.answer_faults.can_be_read(request, fault),
+            request, overloaded, readable and error is None
         )
         echo |= self.load.make_headers()
         if overloaded:
@@ -308,6 +313,9 @@
             return self.answer_faults.apply(request, refusal, fault, ran=False)
         if crashes:
             return await self._crash_on(request, echo)
+        if error is not None:
+            self._checker.erred.add(identity)
+            return await self.rest_errors.send(request, echo, error)
         self.load.running += 1
         try:
             return await self._run(request, identity, echo, fault_mode, fault)
@@ -370,9 +378,15 @@
             early_end = None
             if "Last-Event-Id" not in request.headers:
                 early_end = self.framing.draw_early_end(EVENT_COUNT)
+            cut = self.rest_errors.draw_break(self._find_place(request))
+            if cut is not None and cut.error:
+                self._checker.erred.add(identity)
+                early_end = EVENT_COUNT
             response = self.framing.make_response(echo, early_end)
             with contextlib.suppress(ConnectionError):
-                await self._stream(request, response, fault_mode, early_end)
+                await self._stream(
+                    request, response, fault_mode, early_end, cut
+                )
             return response
         await asyncio.sleep(SERVICE_SECONDS)
         if fault_mode == "reset":
@@ -436,7 +450,7 @@
         return max(1, int(last) - self.first_number + 2) if last else 1
 
     async def _stream(
-        self, request, response, fault_mode, early_end=None
+        self, request, response, fault_mode, early_end=None, cut=None
     ) -> None:
         await response.prepare(request)
         broken_at = self.framing.draw_break(EVENT_COUNT)
@@ -447,6 +461,9 @@
                 request.transport.abort()
                 return
             event = make_event(place, number, self.software_version)
+            if cut is not None and place == cut.place:
+                await cut.write(request, response, event)
+                return
             if place == broken_at:
                 await response.write(self.framing.cut_event(event))
                 break
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -18,6 +18,7 @@
 from soak.faults import REST_SET
 from soak.faults import RESTART_SET
 from soak.faults import UNHEARD_SET
+from soak.faults import UNTITLED_SET
 from soak.faults import VERSION_SET
 from soak.invariantchecker import InvariantChecker
 from soak.invariantchecker import make_expected_body
@@ -45,7 +46,8 @@
     23: (CROWD_SET, 10.0),
     25: (HEAVY_SET, 10.0),
     27: (UNHEARD_SET, 10.0),
-    8: (NEWEST_SET, 10.0),
+    8: (UNTITLED_SET, 10.0),
+    29: (NEWEST_SET, 10.0),
 }
 
 
