Judge comments in linear time

A part of a body with many comment lines that end in CR LF held its entry up for ever: the expression for parts that say nothing had two ways to match each line's end, and tried them all where a line that is no comment followed. Its repeats are possessive now.

test_many_comments_in_an_event_are_judged_at_once: no end within 30 s before.

--- a/packages/gateway/src/chivepier/gateway/serving/eventseries.py
+++ b/packages/gateway/src/chivepier/gateway/serving/eventseries.py
@@ -14,9 +14,11 @@
 # Also where the line stands that an event broke off on.
 STATUS_LINE = re.compile(rb"HTTP/[0-9][0-9.]* [0-9]{3}\b")
 # Comments, and the time after which readers come back: no event in itself.
-SILENT_LINES = re.compile(rb"(?:(?::[^\r\n]*|retry: ?[0-9]*)?[\r\n]+)+")
+SILENT_LINES = re.compile(
+    rb"(?:(?::[^\r\n]*+|retry: ?[0-9]*+)?+(?:\r\n|\n|\r))++"
+)
 # Most events: known without a look at each line.
-USUAL_EVENT = re.compile(rb"id: ?[0-9]+\n(?:data:[^\r\n]*\n)+\n")
+USUAL_EVENT = re.compile(rb"id: ?[0-9]++\n(?:data:[^\r\n]*+\n)++\n")
 
 
 class EventSeries:
--- a/packages/gateway/src/chivepier/gateway/serving/tests/test_foreignpieces.py
+++ b/packages/gateway/src/chivepier/gateway/serving/tests/test_foreignpieces.py
@@ -76,6 +76,14 @@
     assert series.may_go_on
 
 
+@pytest.mark.parametrize("end", ("\n", "\r\n", "\r"))
+def test_many_comments_in_an_event_are_judged_at_once(end):
+    # Each line had two ways to be matched: 50 of them took for ever.
+    text = "".join(f"{line}{end}" for line in (*[": a"] * 50, "oops", ""))
+    series = EventSeries(numbered=True, begun=True)
+    assert judge_all(series, text) is Piece.TEXT
+
+
 def test_next_target_may_repeat_what_its_caller_has():
     series = EventSeries(numbered=True, begun=True)
     series.begin_body()
